--- /dev/null
+++ b/crankfold/__init__.py
@@ -0,0 +1,1 @@
+"""Crankfold: a dispatcher that pushes work units to runners."""
--- /dev/null
+++ b/crankfold/dispatch/__init__.py
@@ -0,0 +1,1 @@
+"""The decisions and the types by which they are called."""
--- /dev/null
+++ b/crankfold/dispatch/policy.py
@@ -0,0 +1,484 @@
+"""Every decision of a dispatcher: which runner gets a work unit, when, and how often.
+
+How to call it: make a Dispatcher from StandingOrders, a seed and a Port, then tell it what happens by the calls
+of `Dispatching`, each with the present time; it answers by calling the port. Both, and the words used here, are
+in crankfold/dispatch/interface.py. It reads no clock and no wire, and the same calls bring the same actions.
+A work unit passes owed -> paced -> effects -> membership -> health -> choice; what comes back runs the other way.
+"""
+
+from collections import deque
+from collections.abc import Sequence
+from math import sqrt
+
+from crankfold.dispatch.interface import Effect, Group, Listing, Outcome, Port, Standing, StandingOrders
+
+SECOND = 10_000
+AGE_LIMIT = 5 * SECOND  # a report older than this no longer tells one runner from another
+PROBE_EVERY = 2 * SECOND
+DOUBT_FIRST, DOUBT_LONGEST = SECOND, 8 * SECOND
+FULL_REST = SECOND // 4
+SILENT = SECOND
+COPY_SHARE, COPY_BURST = 0.2, 8.0
+LIST, PROBES = 1, 2  # labels of wakes that concern no unit; a unit's own is FIRST_UNIT + unit
+FIRST_UNIT = 8
+NEVER_RAN = (Outcome.FULL, Outcome.UNREACHABLE, Outcome.NOT_SENT)
+
+
+class Dispatch:
+    __slots__ = ("runner", "sent_at", "heard_at", "started_at", "out", "may_have_run", "epoch")
+
+    def __init__(self, runner: int, now: int, epoch: int) -> None:
+        self.runner, self.sent_at, self.heard_at, self.started_at = runner, now, now, -1
+        self.out, self.may_have_run, self.epoch = True, True, epoch
+
+
+class Unit:
+    __slots__ = ("no", "grade", "cutoff", "due", "work", "slots", "sent", "ended", "held", "patience")
+
+    def __init__(self, no: int, grade: int, cutoff: int, due: int, work: int, slots: float) -> None:
+        self.no, self.grade, self.cutoff, self.due, self.work, self.slots = no, grade, cutoff, due, work, slots
+        self.sent: list[Dispatch] = []
+        self.ended = self.held = False
+        self.patience = 0
+
+
+class Dispatcher:
+    def __init__(self, orders: StandingOrders, seed: int, port: Port) -> None:
+        self.port, self.luck = port, seed & 0xFFFFFFFFFFFFFFFF
+        self.zone, self.margin, self.sharers = orders.zone, 2 * orders.tick, orders.dispatchers
+        self.effect = [g.effect for g in orders.grades]
+        self.group = [g.group for g in orders.grades]
+        self.window = [g.window for g in orders.grades]
+        self.cutoff = [g.cutoff for g in orders.grades]
+        self.expected = [g.expected for g in orders.grades]
+        self.stretch = [g.stretch for g in orders.grades]
+        self.tardy = [g.tardy for g in orders.grades]
+        self.patience = [min(max(g.expected // 2, 400), SECOND // 2) for g in orders.grades]
+        self.typical = [float(g.expected) for g in orders.grades]  # running time, followed as answers come
+        self.most, self.copies = orders.most_dispatches, COPY_BURST if orders.may_copy else 0.0
+        self.copy_share = COPY_SHARE if orders.may_copy else 0.0
+        self.may_cancel, self.advice = orders.may_cancel, min(orders.longest_advice, SECOND)
+        self.quiet = 5 * orders.progress // 2  # started work without progress for so long stands still
+        names = list(orders.report_names)
+        self.at_queue = names.index("queue") if "queue" in names else -1
+        self.at_free = names.index("free_slots") if "free_slots" in names else -1
+        self.at_held = names.index("inflight") if "inflight" in names else -1
+        self.must_ask, self.ask_pause = orders.must_ask, max(min(orders.ask_within // 8, 2 * SECOND), 1)
+        self.probe_all = orders.may_probe and orders.reports_by_probe
+        self.probe_some = orders.may_probe and orders.reports_in_answers
+        self.cold_from, self.warm_after = orders.cold_from, orders.warm_after
+        self.cold_span = max(orders.overload_for, 1)
+        # Half the stated multiple, split evenly: it holds though every dispatcher spends its part at once.
+        self.cold_part = orders.overload_factor * orders.overload_for / 2 / orders.dispatchers
+        self.units: dict[int, Unit] = {}
+        self.held: deque[Unit] = deque()
+        self.inflight, self.limit, self.waits, self.runs = 0, 1e9, 0.0, 1.0
+        self.ready: list[int] = []
+        # Figures about runners, by index.
+        self.standing: list[int] = []
+        self.weight: list[float] = []
+        self.runner_zone: list[int] = []
+        self.cell: list[int] = []
+        self.since: list[int] = []
+        self.queued: list[float] = []  # last reported queue, with the slots then busy
+        self.sent: list[float] = []  # own slots sent there since that report
+        self.back: list[float] = []  # own slots come back since, of what the report counted
+        self.own: list[float] = []  # own slots out there now
+        self.waiting: list[int] = []  # own dispatches out there without a start note
+        self.room: list[float] = []  # most slots it has been seen to have
+        self.report: list[Sequence[float]] = []
+        self.report_at: list[int] = []
+        self.epoch: list[int] = []
+        self.heard_at: list[int] = []
+        self.errors: list[float] = []
+        self.full_until: list[int] = []
+        self.doubt: list[int] = []  # length of the present doubt; 0 for trusted
+        self.doubt_until: list[int] = []
+        self.probe_out: list[bool] = []
+        self.cold_sent: list[deque[tuple[int, float]]] = []
+        self.next_probe = 0
+        if self.must_ask:
+            port.subscribe()
+        if orders.may_probe and (self.probe_all or self.probe_some):
+            port.wake(self._draw(PROBE_EVERY), PROBES)
+
+    def _draw(self, below: int) -> int:
+        self.luck = (self.luck * 6364136223846793005 + 1442695040888963407) & 0xFFFFFFFFFFFFFFFF
+        return ((self.luck >> 33) * below) >> 31
+
+    # --- what is owed: one final answer, by the cut-off -------------------------------------------------------
+
+    def taken(self, now: int, unit: int, grade: int, tenant: int, cutoff: int, work: int, slots: float) -> None:
+        # A client's retry keeps its first try's cut-off, so the expected time counts from that first try.
+        first = min(cutoff - self.cutoff[grade], now)
+        due = first + self.expected[grade] + int(self.stretch[grade] * (work or self.typical[grade]))
+        u = self.units[unit] = Unit(unit, grade, cutoff - self.margin, due, work, slots if slots > 0 else 1.0)
+        if now >= u.cutoff:
+            self._answer(u)
+            return
+        if len(self.held) or self.inflight >= self.limit or not self._place(now, u):
+            self._hold(now, u)
+
+    def _answer(self, u: Unit) -> None:
+        """The final answer: shed where a retry is harmless, otherwise given up."""
+        u.ended = True
+        ran = any(d.may_have_run for d in u.sent)
+        tagged_all = self.effect[u.grade] == Effect.TAGGED and self.group[u.grade] == Group.ALL
+        if not ran or tagged_all or self.effect[u.grade] == Effect.REPEATABLE:
+            self.port.shed(u.no, self.advice)
+        else:
+            self.port.give_up(u.no)
+        self._leave(u)
+
+    def _leave(self, u: Unit) -> None:
+        """What an ended unit still has out is called off, so that it takes no slot from a live one."""
+        u.ended = True
+        if self.may_cancel:
+            for nth, d in enumerate(u.sent):
+                if d.out:
+                    self.port.cancel(u.no, nth)
+        if not any(d.out for d in u.sent):
+            self.units.pop(u.no, None)
+
+    def client_left(self, now: int, unit: int) -> None:
+        u = self.units.get(unit)
+        if u and not u.ended:
+            self._leave(u)
+
+    # --- pacing: when a unit goes -----------------------------------------------------------------------------
+
+    def _hold(self, now: int, u: Unit) -> None:
+        u.held = True
+        self.held.append(u)
+        self._wake(now, u, min(u.cutoff, self._hopeless_at(u)))
+
+    def _hopeless_at(self, u: Unit) -> int:
+        """From here an answer would earn nothing; a unit never dispatched is then shed, not kept to its cut-off."""
+        if self.tardy[u.grade] > 0:
+            return u.cutoff
+        return min(u.due - int((u.work or self.typical[u.grade]) / 2), u.cutoff)
+
+    def _pump(self, now: int) -> None:
+        for _ in range(len(self.held)):
+            if not self.held or self.inflight >= self.limit:
+                return
+            u = self.held.popleft()
+            if u.ended or not u.held:
+                continue
+            u.held = False
+            if not self._place(now, u):
+                u.held = True
+                self.held.append(u)
+
+    def _follow(self, wait: int, run: int) -> None:
+        """The in-flight limit follows shortest answer time (the run alone) over the present one (with its wait)."""
+        self.waits += 0.1 * (wait - self.waits)
+        self.runs += 0.1 * (run - self.runs)
+        if self.limit > 1e8:
+            self.limit = max(2.0 * self.inflight, 8.0)
+        ratio = min(1.0, 1.5 * self.runs / (self.runs + self.waits + 1.0))
+        if ratio < 1.0 or self.inflight * 2 >= self.limit:
+            self.limit += 0.1 * (self.limit * ratio + sqrt(self.limit) - self.limit)
+        self.limit = max(self.limit, 4.0)
+
+    # --- effects: where a further dispatch may go -------------------------------------------------------------
+
+    def _permitted(self, now: int, u: Unit) -> tuple[bool, int, int]:
+        """Whether another dispatch is allowed, and the zone and cell it must keep to (-1 for any)."""
+        zone = cell = -1
+        if len(u.sent) >= self.most:
+            return False, zone, cell
+        effect, group = self.effect[u.grade], self.group[u.grade]
+        for d in u.sent:
+            if not d.may_have_run or effect == Effect.REPEATABLE:
+                continue
+            # A second run of a once-only unit, or of a tagged one where its mark is not known.
+            if effect == Effect.ONCE_ONLY or now + self.margin >= d.sent_at + self.window[u.grade]:
+                return False, zone, cell
+            if group == Group.ZONE:
+                zone = self.runner_zone[d.runner]
+            elif group == Group.CELL:
+                cell = self.cell[d.runner]
+        return True, zone, cell
+
+    # --- membership: drains and cold runners ------------------------------------------------------------------
+
+    def listed(self, now: int, entries: Sequence[Listing], whole: bool) -> None:
+        if whole:
+            for r in self.ready:
+                self.standing[r] = Standing.GONE
+        for e in entries:
+            while e.runner >= len(self.standing):
+                self._enrol(now)
+            r = e.runner
+            if e.since > self.since[r]:
+                # A restarted process holds nothing of what its old self reported or was doubted for.
+                self.queued[r] = self.sent[r] = self.back[r] = self.errors[r] = 0.0
+                self.doubt[r] = 0
+            self.standing[r], self.weight[r] = e.standing, e.weight if e.weight > 0 else 1.0
+            self.runner_zone[r], self.cell[r], self.since[r] = e.zone, e.cell, e.since
+        self.ready = [r for r, s in enumerate(self.standing) if s == Standing.READY]
+        self._pump(now)
+
+    def list_failed(self, now: int) -> None:
+        # A jittered pause: all dispatchers lose the list at once and would ask again at once.
+        self.port.wake(self.ask_pause // 4 + self._draw(self.ask_pause), LIST)
+
+    def _enrol(self, now: int) -> None:
+        for figures in (self.queued, self.sent, self.back, self.own, self.room, self.errors):
+            figures.append(0.0)
+        for counts in (self.standing, self.runner_zone, self.cell, self.since, self.waiting, self.epoch,
+                       self.full_until, self.doubt, self.doubt_until):
+            counts.append(0)
+        self.weight.append(1.0)
+        self.report.append(())
+        self.report_at.append(now - AGE_LIMIT - 1)
+        self.heard_at.append(now)
+        self.probe_out.append(False)
+        self.cold_sent.append(deque())
+
+    def _warmth(self, now: int, r: int) -> float:
+        """The least share of its capacity that a runner can have by now."""
+        age = now - self.since[r]
+        if self.since[r] == 0 or age >= self.warm_after:
+            return 1.0
+        return self.cold_from + (1.0 - self.cold_from) * max(age, 0) / self.warm_after
+
+    def _cold_room(self, now: int, r: int, burden: float, warmth: float) -> bool:
+        """Keeps this dispatcher's part of what a cold runner may be sent, copies included."""
+        spent = self.cold_sent[r]
+        while spent and spent[0][0] <= now - self.cold_span:
+            spent.popleft()
+        peers = [self.room[p] / self.weight[p] for p in self.ready if self.room[p] > 0 and self._warmth(now, p) == 1.0]
+        slots = self.weight[r] * sorted(peers)[len(peers) // 2] if peers else 1.0
+        return sum(b for _, b in spent) + burden <= self.cold_part * slots * warmth
+
+    # --- health -----------------------------------------------------------------------------------------------
+
+    def _blame(self, now: int, r: int) -> None:
+        self.doubt[r] = min(max(2 * self.doubt[r], DOUBT_FIRST), DOUBT_LONGEST)
+        self.doubt_until[r] = now + self.doubt[r] + self._draw(self.doubt[r] // 4)
+
+    def _failed(self, now: int, r: int, at_once: bool) -> None:
+        # Quick errors keep a queue short and would draw ever more work.
+        self.errors[r] += 0.3 * (1.0 - self.errors[r])
+        if at_once or self.errors[r] > 0.45 or self.doubt[r]:
+            self._blame(now, r)
+
+    def _trusted(self, now: int, r: int) -> bool:
+        if self.full_until[r] > now:
+            return False
+        if not self.doubt[r]:
+            return True
+        # Return by limited trial: one dispatch at a time until one is done.
+        return now >= self.doubt_until[r] and self.own[r] == 0
+
+    # --- choice and send --------------------------------------------------------------------------------------
+
+    def _place(self, now: int, u: Unit) -> bool:
+        allowed, zone, cell = self._permitted(now, u)
+        if not allowed:
+            return False
+        copy = any(d.out for d in u.sent)
+        tried = [d.runner for d in u.sent]
+        burden = u.slots * (u.work or 2 * self.typical[u.grade])
+        known, fresh = 0.0, 0
+        able: list[int] = []
+        for r in self.ready:
+            if now - self.report_at[r] < AGE_LIMIT:
+                known += self.queued[r]
+                fresh += 1
+            if (zone >= 0 and self.runner_zone[r] != zone) or (cell >= 0 and self.cell[r] != cell):
+                continue
+            warmth = self._warmth(now, r)
+            if warmth < 1.0 and not self._cold_room(now, r, burden, warmth):
+                continue
+            able.append(r)
+        mean = known / fresh if fresh else 0.0
+        sound = [r for r in able if self._trusted(now, r)]
+        # When nearly all look bad, the suspicion is more likely wrong than the fleet.
+        if 3 * len(sound) <= len(able):
+            sound = able if len(able) > 2 else sound or able
+        sound = [r for r in sound if r not in tried] or ([] if copy else sound)
+        if not sound:
+            return False
+        roomy: list[int] = []
+        load: dict[int, float] = {}
+        for r in sound:
+            base = self.queued[r] if now - self.report_at[r] < AGE_LIMIT else mean
+            load[r] = max(base + self.sent[r] - self.back[r], self.own[r], 0.0)
+            if load[r] + u.slots <= self.room[r] and not self.waiting[r]:
+                roomy.append(r)
+        if copy and not roomy:
+            return False
+        best: list[int] = []
+        least = 1e18
+        for r in roomy or sound:
+            score = (load[r] + u.slots) / (self.weight[r] * self._warmth(now, r))
+            if score < least:
+                best, least = [r], score
+            elif score == least:
+                best.append(r)
+        self._send(now, u, best[0] if len(best) == 1 else best[self._draw(len(best))], burden)
+        return True
+
+    def _send(self, now: int, u: Unit, r: int, burden: float) -> None:
+        u.sent.append(Dispatch(r, now, self.epoch[r]))
+        self.sent[r] += u.slots
+        self.own[r] += u.slots
+        self.waiting[r] += 1
+        self.inflight += 1
+        if self._warmth(now, r) < 1.0:
+            self.cold_sent[r].append((now, burden))
+        self.port.dispatch(u.no, r, 0)
+        self.copies = min(self.copies + self.copy_share, COPY_BURST)
+        u.patience = u.patience * 2 or self.patience[u.grade]
+        self._wake(now, u, now + u.patience)
+
+    def _wake(self, now: int, u: Unit, at: int) -> None:
+        self.port.wake(max(min(at, u.cutoff) - now, 0), FIRST_UNIT + u.no)
+
+    # --- what comes back --------------------------------------------------------------------------------------
+
+    def woken(self, now: int, label: int) -> None:
+        if label == LIST:
+            self.port.subscribe()
+        elif label == PROBES:
+            self._probe(now)
+        else:
+            u = self.units.get(label - FIRST_UNIT)
+            if u and not u.ended:
+                self._review(now, u)
+
+    def _review(self, now: int, u: Unit) -> None:
+        if now >= u.cutoff:
+            self._answer(u)
+        elif u.held:
+            if now >= self._hopeless_at(u):
+                u.held = False
+                self._answer(u)
+            else:
+                self._wake(now, u, self._hopeless_at(u))
+        else:
+            self._overdue(now, u)
+
+    def _overdue(self, now: int, u: Unit) -> None:
+        """A dispatch that does not start, or that stands still, gets a copy where the grade allows one."""
+        stuck = True
+        for d in u.sent:
+            if not d.out:
+                continue
+            r = d.runner
+            if d.started_at < 0:
+                if now - d.sent_at > SILENT and self.heard_at[r] < d.sent_at and not self.doubt[r]:
+                    self._blame(now, r)  # a hang: takes work and answers nothing
+            elif self.quiet and now - d.heard_at > self.quiet:
+                if not self.doubt[r]:
+                    self._blame(now, r)
+            else:
+                stuck = False
+        if stuck and self.copies >= 1.0 and sum(d.out for d in u.sent) < 2 and self._place(now, u):
+            self.copies -= 1.0
+            return
+        u.patience = max(u.patience, self.quiet)
+        self._wake(now, u, now + u.patience)
+
+    def started(self, now: int, unit: int, nth: int, runner: int) -> None:
+        self.heard_at[runner] = now
+        u = self.units.get(unit)
+        if not u or u.sent[nth].started_at >= 0 or not u.sent[nth].out:
+            return
+        d = u.sent[nth]
+        d.started_at = d.heard_at = now
+        self.waiting[runner] -= 1
+        if self.may_cancel and not u.ended:
+            for n, other in enumerate(u.sent):
+                if other.out and other.started_at < 0:
+                    self.port.cancel(unit, n)
+
+    def progressed(self, now: int, unit: int, nth: int, runner: int, share: float) -> None:
+        self.heard_at[runner] = now
+        u = self.units.get(unit)
+        if u:
+            u.sent[nth].heard_at = now
+
+    def ended(self, now: int, unit: int, nth: int, runner: int, outcome: Outcome, last: bool,
+              report: Sequence[float]) -> None:
+        u = self.units.get(unit)
+        if u and u.sent[nth].out:
+            d = u.sent[nth]
+            d.out, d.may_have_run = False, outcome not in NEVER_RAN
+            self.inflight -= 1
+            self.own[runner] -= u.slots
+            if d.started_at < 0:
+                self.waiting[runner] -= 1
+            if d.epoch == self.epoch[runner]:
+                self.sent[runner] = max(self.sent[runner] - u.slots, 0.0)
+            else:
+                self.back[runner] += u.slots
+            self._judge(now, u, d, outcome)
+        if report:
+            self._reported(now, runner, report)
+        if u:
+            if u.ended:
+                if not any(d.out for d in u.sent):
+                    self.units.pop(unit, None)
+            elif last:
+                self._leave(u)
+            elif not any(d.out for d in u.sent):
+                self._again(now, u)
+        self._pump(now)
+
+    def _judge(self, now: int, u: Unit, d: Dispatch, outcome: Outcome) -> None:
+        r = d.runner
+        if outcome == Outcome.DONE:
+            self.heard_at[r] = now
+            self.errors[r] *= 0.7
+            self.doubt[r] = 0
+            if d.started_at >= 0:
+                run = now - d.started_at
+                self.typical[u.grade] += 0.05 * (run - self.typical[u.grade])
+                self._follow(d.started_at - d.sent_at, run)
+        elif outcome == Outcome.FULL:
+            self.full_until[r] = now + FULL_REST
+        elif outcome in (Outcome.ERROR, Outcome.RESET, Outcome.UNKNOWN):
+            self._failed(now, r, False)
+        elif outcome == Outcome.UNREACHABLE:
+            self._failed(now, r, True)
+
+    def _again(self, now: int, u: Unit) -> None:
+        """Nothing is out any more and an answer is owed: another dispatch, a hold, or the end."""
+        if now < u.cutoff and self._permitted(now, u)[0]:
+            if not self._place(now, u):
+                self._hold(now, u)
+        else:
+            self._answer(u)
+
+    def probed(self, now: int, runner: int, well: bool, report: Sequence[float]) -> None:
+        self.probe_out[runner] = False
+        if well:
+            self.heard_at[runner] = now
+        if report:
+            self._reported(now, runner, report)
+            self._pump(now)
+
+    def _reported(self, now: int, r: int, report: Sequence[float]) -> None:
+        if report == self.report[r]:
+            return  # the same report on another answer: resetting again would hide sends it has not seen
+        self.report[r], self.report_at[r] = report, now
+        free = report[self.at_free] if 0 <= self.at_free < len(report) else 0.0
+        queue = report[self.at_queue] if 0 <= self.at_queue < len(report) else 0.0
+        self.room[r] = max(self.room[r], free, self.own[r] if not self.waiting[r] else 0.0)
+        self.queued[r] = max(queue, 0.0) + max(self.room[r] - free, 0.0)
+        self.sent[r] = self.back[r] = 0.0
+        self.epoch[r] += 1
+
+    def _probe(self, now: int) -> None:
+        lacking = [r for r in self.ready if not self.probe_out[r]
+                   and (self.probe_all or now - self.heard_at[r] > PROBE_EVERY)]
+        if lacking:
+            r = lacking[self.next_probe % len(lacking)]
+            self.next_probe += 1
+            self.probe_out[r] = True
+            self.port.probe(r)
+        self.port.wake(max(PROBE_EVERY // max(len(self.ready), 1), 100), PROBES)
