--- a/crankfold/dispatch/policy.py
+++ b/crankfold/dispatch/policy.py
@@ -17,6 +17,7 @@
 PROBE_EVERY = 2 * SECOND
 DOUBT_FIRST, DOUBT_LONGEST = SECOND, 8 * SECOND
 FULL_REST = SECOND // 4
+REPORT_LAG = 4 * SECOND // 10  # how long before it arrives a report was taken
 SILENT = SECOND
 COPY_SHARE, COPY_BURST = 0.2, 8.0
 LIST, PROBES = 1, 2  # labels of wakes that concern no unit; a unit's own is FIRST_UNIT + unit
@@ -25,11 +26,11 @@
 
 
 class Dispatch:
-    __slots__ = ("runner", "sent_at", "heard_at", "started_at", "out", "may_have_run", "epoch")
+    __slots__ = ("runner", "sent_at", "heard_at", "started_at", "out", "may_have_run")
 
-    def __init__(self, runner: int, now: int, epoch: int) -> None:
+    def __init__(self, runner: int, now: int) -> None:
         self.runner, self.sent_at, self.heard_at, self.started_at = runner, now, now, -1
-        self.out, self.may_have_run, self.epoch = True, True, epoch
+        self.out = self.may_have_run = True
 
 
 class Unit:
@@ -81,14 +82,13 @@
         self.cell: list[int] = []
         self.since: list[int] = []
         self.queued: list[float] = []  # last reported queue, with the slots then busy
-        self.sent: list[float] = []  # own slots sent there since that report
-        self.back: list[float] = []  # own slots come back since, of what the report counted
+        self.since_report: list[float] = []  # own slots sent there since that report, less those come back
+        self.recent: list[deque[tuple[int, float]]] = []  # own slots sent (+) and come back (-) of late
         self.own: list[float] = []  # own slots out there now
         self.waiting: list[int] = []  # own dispatches out there without a start note
         self.room: list[float] = []  # most slots it has been seen to have
         self.report: list[Sequence[float]] = []
         self.report_at: list[int] = []
-        self.epoch: list[int] = []
         self.heard_at: list[int] = []
         self.errors: list[float] = []
         self.full_until: list[int] = []
@@ -213,7 +213,7 @@
             r = e.runner
             if e.since > self.since[r]:
                 # A restarted process holds nothing of what its old self reported or was doubted for.
-                self.queued[r] = self.sent[r] = self.back[r] = self.errors[r] = 0.0
+                self.queued[r] = self.since_report[r] = self.errors[r] = 0.0
                 self.doubt[r] = 0
             self.standing[r], self.weight[r] = e.standing, e.weight if e.weight > 0 else 1.0
             self.runner_zone[r], self.cell[r], self.since[r] = e.zone, e.cell, e.since
@@ -225,9 +225,9 @@
         self.port.wake(self.ask_pause // 4 + self._draw(self.ask_pause), LIST)
 
     def _enrol(self, now: int) -> None:
-        for figures in (self.queued, self.sent, self.back, self.own, self.room, self.errors):
+        for figures in (self.queued, self.since_report, self.own, self.room, self.errors):
             figures.append(0.0)
-        for counts in (self.standing, self.runner_zone, self.cell, self.since, self.waiting, self.epoch,
+        for counts in (self.standing, self.runner_zone, self.cell, self.since, self.waiting,
                        self.full_until, self.doubt, self.doubt_until):
             counts.append(0)
         self.weight.append(1.0)
@@ -236,6 +236,7 @@
         self.heard_at.append(now)
         self.probe_out.append(False)
         self.cold_sent.append(deque())
+        self.recent.append(deque())
 
     def _warmth(self, now: int, r: int) -> float:
         """The least share of its capacity that a runner can have by now."""
@@ -306,7 +307,7 @@
         load: dict[int, float] = {}
         for r in sound:
             base = self.queued[r] if now - self.report_at[r] < AGE_LIMIT else mean
-            load[r] = max(base + self.sent[r] - self.back[r], self.own[r], 0.0)
+            load[r] = max(base + self.since_report[r], self.own[r])
             if load[r] + u.slots <= self.room[r] and not self.waiting[r]:
                 roomy.append(r)
         if copy and not roomy:
@@ -323,9 +324,8 @@
         return True
 
     def _send(self, now: int, u: Unit, r: int, burden: float) -> None:
-        u.sent.append(Dispatch(r, now, self.epoch[r]))
-        self.sent[r] += u.slots
-        self.own[r] += u.slots
+        u.sent.append(Dispatch(r, now))
+        self._count(now, r, u.slots)
         self.waiting[r] += 1
         self.inflight += 1
         if self._warmth(now, r) < 1.0:
@@ -409,13 +409,9 @@
             d = u.sent[nth]
             d.out, d.may_have_run = False, outcome not in NEVER_RAN
             self.inflight -= 1
-            self.own[runner] -= u.slots
+            self._count(now, runner, -u.slots)
             if d.started_at < 0:
                 self.waiting[runner] -= 1
-            if d.epoch == self.epoch[runner]:
-                self.sent[runner] = max(self.sent[runner] - u.slots, 0.0)
-            else:
-                self.back[runner] += u.slots
             self._judge(now, u, d, outcome)
         if report:
             self._reported(now, runner, report)
@@ -470,8 +466,19 @@
         queue = report[self.at_queue] if 0 <= self.at_queue < len(report) else 0.0
         self.room[r] = max(self.room[r], free, self.own[r] if not self.waiting[r] else 0.0)
         self.queued[r] = max(queue, 0.0) + max(self.room[r] - free, 0.0)
-        self.sent[r] = self.back[r] = 0.0
-        self.epoch[r] += 1
+        # Reset, but for what went out or came back so lately that this report cannot have counted it.
+        self._forget(now, r)
+        self.since_report[r] = sum(slots for _, slots in self.recent[r])
+
+    def _count(self, now: int, r: int, slots: float) -> None:
+        self.own[r] += slots
+        self.since_report[r] += slots
+        self._forget(now, r)
+        self.recent[r].append((now, slots))
+
+    def _forget(self, now: int, r: int) -> None:
+        while self.recent[r] and self.recent[r][0][0] < now - REPORT_LAG:
+            self.recent[r].popleft()
 
     def _probe(self, now: int) -> None:
         lacking = [r for r in self.ready if not self.probe_out[r]
