--- a/crankfold/dispatch/policy.py
+++ b/crankfold/dispatch/policy.py
@@ -19,7 +19,7 @@
 FULL_REST = SECOND // 4
 REPORT_LAG = 4 * SECOND // 10  # how long before it arrives a report was taken
 SILENT = SECOND
-COPY_SHARE, COPY_BURST = 0.2, 8.0
+COPY_SHARE, COPY_BURST = 0.0, 0.0
 LIST, PROBES = 1, 2  # labels of wakes that concern no unit; a unit's own is FIRST_UNIT + unit
 FIRST_UNIT = 8
 NEVER_RAN = (Outcome.FULL, Outcome.UNREACHABLE, Outcome.NOT_SENT)
@@ -176,7 +176,7 @@
         self.runs += 0.1 * (run - self.runs)
         if self.limit > 1e8:
             self.limit = max(2.0 * self.inflight, 8.0)
-        ratio = min(1.0, 1.5 * self.runs / (self.runs + self.waits + 1.0))
+        ratio = min(1.0, 1e9 * self.runs / (self.runs + self.waits + 1.0))
         if ratio < 1.0 or self.inflight * 2 >= self.limit:
             self.limit += 0.1 * (self.limit * ratio + sqrt(self.limit) - self.limit)
         self.limit = max(self.limit, 4.0)
