--- a/crankfold/dispatch/policy.py
+++ b/crankfold/dispatch/policy.py
@@ -17,9 +17,10 @@
 PROBE_EVERY = 2 * SECOND
 DOUBT_FIRST, DOUBT_LONGEST = SECOND, 8 * SECOND
 FULL_REST = SECOND // 4
+BLEND = 0.25
 REPORT_LAG = 4 * SECOND // 10  # how long before it arrives a report was taken
 SILENT = SECOND
-COPY_SHARE, COPY_BURST = 0.0, 0.0
+COPY_SHARE, COPY_BURST = 0.1, 5.0
 LIST, PROBES = 1, 2  # labels of wakes that concern no unit; a unit's own is FIRST_UNIT + unit
 FIRST_UNIT = 8
 NEVER_RAN = (Outcome.FULL, Outcome.UNREACHABLE, Outcome.NOT_SENT)
@@ -81,8 +82,7 @@
         self.runner_zone: list[int] = []
         self.cell: list[int] = []
         self.since: list[int] = []
-        self.queued: list[float] = []  # last reported queue, with the slots then busy
-        self.since_report: list[float] = []  # own slots sent there since that report, less those come back
+        self.queued: list[float] = []  # others' work by the reports: queue and busy slots less own work they counted
         self.recent: list[deque[tuple[int, float]]] = []  # own slots sent (+) and come back (-) of late
         self.own: list[float] = []  # own slots out there now
         self.waiting: list[int] = []  # own dispatches out there without a start note
@@ -213,7 +213,7 @@
             r = e.runner
             if e.since > self.since[r]:
                 # A restarted process holds nothing of what its old self reported or was doubted for.
-                self.queued[r] = self.since_report[r] = self.errors[r] = 0.0
+                self.queued[r] = self.errors[r] = 0.0
                 self.doubt[r] = 0
             self.standing[r], self.weight[r] = e.standing, e.weight if e.weight > 0 else 1.0
             self.runner_zone[r], self.cell[r], self.since[r] = e.zone, e.cell, e.since
@@ -225,7 +225,7 @@
         self.port.wake(self.ask_pause // 4 + self._draw(self.ask_pause), LIST)
 
     def _enrol(self, now: int) -> None:
-        for figures in (self.queued, self.since_report, self.own, self.room, self.errors):
+        for figures in (self.queued, self.own, self.room, self.errors):
             figures.append(0.0)
         for counts in (self.standing, self.runner_zone, self.cell, self.since, self.waiting,
                        self.full_until, self.doubt, self.doubt_until):
@@ -307,7 +307,7 @@
         load: dict[int, float] = {}
         for r in sound:
             base = self.queued[r] if now - self.report_at[r] < AGE_LIMIT else mean
-            load[r] = max(base + self.since_report[r], self.own[r])
+            load[r] = base + self.own[r]
             if load[r] + u.slots <= self.room[r] and not self.waiting[r]:
                 roomy.append(r)
         if copy and not roomy:
@@ -465,14 +465,14 @@
         free = report[self.at_free] if 0 <= self.at_free < len(report) else 0.0
         queue = report[self.at_queue] if 0 <= self.at_queue < len(report) else 0.0
         self.room[r] = max(self.room[r], free, self.own[r] if not self.waiting[r] else 0.0)
-        self.queued[r] = max(queue, 0.0) + max(self.room[r] - free, 0.0)
-        # Reset, but for what went out or came back so lately that this report cannot have counted it.
+        held = max(queue, 0.0) + max(self.room[r] - free, 0.0)
+        # What went out or came back too lately for this report to count is still own work since the report.
         self._forget(now, r)
-        self.since_report[r] = sum(slots for _, slots in self.recent[r])
+        then = self.own[r] - sum(slots for _, slots in self.recent[r])
+        self.queued[r] += BLEND * (max(held - then, 0.0) - self.queued[r])
 
     def _count(self, now: int, r: int, slots: float) -> None:
         self.own[r] += slots
-        self.since_report[r] += slots
         self._forget(now, r)
         self.recent[r].append((now, slots))
 
