--- a/crankfold/dispatch/policy.py
+++ b/crankfold/dispatch/policy.py
@@ -377,7 +377,8 @@
                     self._blame(now, r)
             else:
                 stuck = False
-        if stuck and self.copies >= 1.0 and sum(d.out for d in u.sent) < 2 and self._place(now, u):
+        late = self.tardy[u.grade] == 0 and now + (u.work or self.typical[u.grade]) / 2 > u.due
+        if stuck and not late and self.copies >= 1.0 and sum(d.out for d in u.sent) < 2 and self._place(now, u):
             self.copies -= 1.0
             return
         u.patience = max(u.patience, self.quiet)
