--- a/crankfold/dispatch/policy.py
+++ b/crankfold/dispatch/policy.py
@@ -17,7 +17,7 @@
 PROBE_EVERY = 2 * SECOND
 DOUBT_FIRST, DOUBT_LONGEST = SECOND, 8 * SECOND
 FULL_REST = SECOND // 4
-BLEND = 0.25
+BLEND = 0.12
 REPORT_LAG = 4 * SECOND // 10  # how long before it arrives a report was taken
 SILENT = SECOND
 COPY_SHARE, COPY_BURST = 0.1, 5.0
@@ -332,7 +332,7 @@
             self.cold_sent[r].append((now, burden))
         self.port.dispatch(u.no, r, 0)
         self.copies = min(self.copies + self.copy_share, COPY_BURST)
-        u.patience = u.patience * 2 or self.patience[u.grade]
+        u.patience = max(u.patience * 2, self.patience[u.grade], int(4 * self.waits))
         self._wake(now, u, now + u.patience)
 
     def _wake(self, now: int, u: Unit, at: int) -> None:
