--- a/crankfold/dispatch/policy.py
+++ b/crankfold/dispatch/policy.py
@@ -370,6 +370,7 @@
                 continue
             r = d.runner
             if d.started_at < 0:
+                stuck = stuck and self.heard_at[r] <= d.sent_at
                 if now - d.sent_at > SILENT and self.heard_at[r] < d.sent_at and not self.doubt[r]:
                     self._blame(now, r)  # a hang: takes work and answers nothing
             elif self.quiet and now - d.heard_at > self.quiet:
