--- a/crankfold/dispatch/policy.py
+++ b/crankfold/dispatch/policy.py
@@ -312,6 +312,7 @@
                 roomy.append(r)
         if copy and not roomy:
             return False
+        roomy = [r for r in roomy if self.runner_zone[r] == self.zone] or roomy
         best: list[int] = []
         least = 1e18
         for r in roomy or sound:
