--- a/crankfold/dispatch/policy.py
+++ b/crankfold/dispatch/policy.py
@@ -176,7 +176,7 @@
         self.runs += 0.1 * (run - self.runs)
         if self.limit > 1e8:
             self.limit = max(2.0 * self.inflight, 8.0)
-        ratio = min(1.0, 1e9 * self.runs / (self.runs + self.waits + 1.0))
+        ratio = min(1.0, 1.2 * self.runs / (self.runs + self.waits + 1.0))
         if ratio < 1.0 or self.inflight * 2 >= self.limit:
             self.limit += 0.1 * (self.limit * ratio + sqrt(self.limit) - self.limit)
         self.limit = max(self.limit, 4.0)
