--- a/crankfold/dispatch/policy.py
+++ b/crankfold/dispatch/policy.py
@@ -154,21 +154,19 @@
 
     def _hopeless_at(self, u: Unit) -> int:
         """From here an answer would earn nothing; a unit never dispatched is then shed, not kept to its cut-off."""
-        if self.tardy[u.grade] > 0:
-            return u.cutoff
         return min(u.due - int((u.work or self.typical[u.grade]) / 2), u.cutoff)
 
     def _pump(self, now: int) -> None:
         for _ in range(len(self.held)):
             if not self.held or self.inflight >= self.limit:
                 return
-            u = self.held.popleft()
+            u = self.held.pop()
             if u.ended or not u.held:
                 continue
             u.held = False
             if not self._place(now, u):
                 u.held = True
-                self.held.append(u)
+                self.held.appendleft(u)
 
     def _follow(self, wait: int, run: int) -> None:
         """The in-flight limit follows shortest answer time (the run alone) over the present one (with its wait)."""
