--- a/crankfold/dispatch/policy.py
+++ b/crankfold/dispatch/policy.py
@@ -54,6 +54,7 @@
         self.cutoff = [g.cutoff for g in orders.grades]
         self.expected = [g.expected for g in orders.grades]
         self.stretch = [g.stretch for g in orders.grades]
+        self.revenue, self.by_work = [g.revenue for g in orders.grades], orders.by_work
         self.tardy = [g.tardy for g in orders.grades]
         self.patience = [min(max(g.expected // 2, 400), SECOND // 2) for g in orders.grades]
         self.typical = [float(g.expected) for g in orders.grades]  # running time, followed as answers come
@@ -160,7 +161,8 @@
         for _ in range(len(self.held)):
             if not self.held or self.inflight >= self.limit:
                 return
-            u = self.held.pop()
+            u = max(self.held, key=self._pull)
+            self.held.remove(u)
             if u.ended or not u.held:
                 continue
             u.held = False
@@ -168,6 +170,9 @@
                 u.held = True
                 self.held.appendleft(u)
 
+    def _pull(self, u: Unit) -> tuple[float, int]:
+        return self.revenue[u.grade] / (1.0 if self.by_work else self.typical[u.grade]), u.no
+
     def _follow(self, wait: int, run: int) -> None:
         """The in-flight limit follows shortest answer time (the run alone) over the present one (with its wait)."""
         self.waits += 0.1 * (wait - self.waits)
