--- a/crankfold/dispatch/policy.py
+++ b/crankfold/dispatch/policy.py
@@ -15,13 +15,14 @@
 SECOND = 10_000
 AGE_LIMIT = 5 * SECOND  # a report older than this no longer tells one runner from another
 PROBE_EVERY = 2 * SECOND
+CHORES = SECOND // 4
 DOUBT_FIRST, DOUBT_LONGEST = SECOND, 8 * SECOND
 FULL_REST = SECOND // 4
 BLEND = 0.12
 REPORT_LAG = 4 * SECOND // 10  # how long before it arrives a report was taken
 SILENT = SECOND
 COPY_SHARE, COPY_BURST = 0.1, 5.0
-LIST, PROBES = 1, 2  # labels of wakes that concern no unit; a unit's own is FIRST_UNIT + unit
+LIST, SURVEY = 1, 2  # labels of wakes that concern no unit; a unit's own is FIRST_UNIT + unit
 FIRST_UNIT = 8
 NEVER_RAN = (Outcome.FULL, Outcome.UNREACHABLE, Outcome.NOT_SENT)
 
@@ -35,12 +36,12 @@
 
 
 class Unit:
-    __slots__ = ("no", "grade", "cutoff", "due", "work", "slots", "sent", "ended", "held", "patience")
+    __slots__ = ("no", "grade", "cutoff", "due", "work", "slots", "sent", "ended", "patience")
 
     def __init__(self, no: int, grade: int, cutoff: int, due: int, work: int, slots: float) -> None:
         self.no, self.grade, self.cutoff, self.due, self.work, self.slots = no, grade, cutoff, due, work, slots
         self.sent: list[Dispatch] = []
-        self.ended = self.held = False
+        self.ended = False
         self.patience = 0
 
 
@@ -74,7 +75,7 @@
         # Half the stated multiple, split evenly: it holds though every dispatcher spends its part at once.
         self.cold_part = orders.overload_factor * orders.overload_for / 2 / orders.dispatchers
         self.units: dict[int, Unit] = {}
-        self.held: deque[Unit] = deque()
+        self.held: dict[int, Unit] = {}
         self.inflight, self.limit, self.waits, self.runs = 0, 1e9, 0.0, 1.0
         self.ready: list[int] = []
         # Figures about runners, by index.
@@ -86,6 +87,9 @@
         self.queued: list[float] = []  # others' work by the reports: queue and busy slots less own work they counted
         self.recent: list[deque[tuple[int, float]]] = []  # own slots sent (+) and come back (-) of late
         self.own: list[float] = []  # own slots out there now
+        self.load: list[float] = []  # the two together: what the score weighs
+        self.per_weight: list[float] = []  # 1 / weight, less the share that a cold runner lacks
+        self.warm_at: list[int] = []
         self.waiting: list[int] = []  # own dispatches out there without a start note
         self.room: list[float] = []  # most slots it has been seen to have
         self.report: list[Sequence[float]] = []
@@ -97,11 +101,10 @@
         self.doubt_until: list[int] = []
         self.probe_out: list[bool] = []
         self.cold_sent: list[deque[tuple[int, float]]] = []
-        self.next_probe = 0
+        self.next_probe, self.room_of_one = 0, 1.0
         if self.must_ask:
             port.subscribe()
-        if orders.may_probe and (self.probe_all or self.probe_some):
-            port.wake(self._draw(PROBE_EVERY), PROBES)
+        port.wake(self._draw(CHORES), SURVEY)
 
     def _draw(self, below: int) -> int:
         self.luck = (self.luck * 6364136223846793005 + 1442695040888963407) & 0xFFFFFFFFFFFFFFFF
@@ -117,7 +120,7 @@
         if now >= u.cutoff:
             self._answer(u)
             return
-        if len(self.held) or self.inflight >= self.limit or not self._place(now, u):
+        if self.held or self.inflight >= self.limit or not self._place(now, u):
             self._hold(now, u)
 
     def _answer(self, u: Unit) -> None:
@@ -134,6 +137,7 @@
     def _leave(self, u: Unit) -> None:
         """What an ended unit still has out is called off, so that it takes no slot from a live one."""
         u.ended = True
+        self.held.pop(u.no, None)
         if self.may_cancel:
             for nth, d in enumerate(u.sent):
                 if d.out:
@@ -149,8 +153,7 @@
     # --- pacing: when a unit goes -----------------------------------------------------------------------------
 
     def _hold(self, now: int, u: Unit) -> None:
-        u.held = True
-        self.held.append(u)
+        self.held[u.no] = u
         self._wake(now, u, min(u.cutoff, self._hopeless_at(u)))
 
     def _hopeless_at(self, u: Unit) -> int:
@@ -161,14 +164,10 @@
         for _ in range(len(self.held)):
             if not self.held or self.inflight >= self.limit:
                 return
-            u = max(self.held, key=self._pull)
-            self.held.remove(u)
-            if u.ended or not u.held:
-                continue
-            u.held = False
+            u = max(self.held.values(), key=self._pull)
             if not self._place(now, u):
-                u.held = True
-                self.held.appendleft(u)
+                return
+            del self.held[u.no]
 
     def _pull(self, u: Unit) -> tuple[float, int]:
         return self.revenue[u.grade] / (1.0 if self.by_work else self.typical[u.grade]), u.no
@@ -217,23 +216,39 @@
             if e.since > self.since[r]:
                 # A restarted process holds nothing of what its old self reported or was doubted for.
                 self.queued[r] = self.errors[r] = 0.0
+                self.load[r] = self.own[r]
                 self.doubt[r] = 0
             self.standing[r], self.weight[r] = e.standing, e.weight if e.weight > 0 else 1.0
             self.runner_zone[r], self.cell[r], self.since[r] = e.zone, e.cell, e.since
+            self.warm_at[r] = e.since + self.warm_after if e.since else 0
         self.ready = [r for r, s in enumerate(self.standing) if s == Standing.READY]
+        self._survey(now)
         self._pump(now)
 
+    def _survey(self, now: int) -> None:
+        """Now and then, off the path of single units: the figures that age by themselves."""
+        fresh = [r for r in self.ready if now - self.report_at[r] < AGE_LIMIT]
+        mean = sum(self.queued[r] for r in fresh) / len(fresh) if fresh else 0.0
+        rooms = sorted(self.room[r] / self.weight[r] for r in fresh if self.warm_at[r] <= now)
+        self.room_of_one = rooms[len(rooms) // 2] if rooms else 1.0
+        for r in self.ready:
+            if now - self.report_at[r] >= AGE_LIMIT:
+                self.queued[r] = mean
+                self.load[r] = mean + self.own[r]
+            self.per_weight[r] = 1.0 / (self.weight[r] * self._warmth(now, r))
+
     def list_failed(self, now: int) -> None:
         # A jittered pause: all dispatchers lose the list at once and would ask again at once.
         self.port.wake(self.ask_pause // 4 + self._draw(self.ask_pause), LIST)
 
     def _enrol(self, now: int) -> None:
-        for figures in (self.queued, self.own, self.room, self.errors):
+        for figures in (self.queued, self.own, self.load, self.room, self.errors):
             figures.append(0.0)
-        for counts in (self.standing, self.runner_zone, self.cell, self.since, self.waiting,
+        for counts in (self.standing, self.runner_zone, self.cell, self.since, self.warm_at, self.waiting,
                        self.full_until, self.doubt, self.doubt_until):
             counts.append(0)
         self.weight.append(1.0)
+        self.per_weight.append(1.0)
         self.report.append(())
         self.report_at.append(now - AGE_LIMIT - 1)
         self.heard_at.append(now)
@@ -243,19 +258,18 @@
 
     def _warmth(self, now: int, r: int) -> float:
         """The least share of its capacity that a runner can have by now."""
-        age = now - self.since[r]
-        if self.since[r] == 0 or age >= self.warm_after:
+        if self.warm_at[r] <= now:
             return 1.0
+        age = now - self.warm_at[r] + self.warm_after
         return self.cold_from + (1.0 - self.cold_from) * max(age, 0) / self.warm_after
 
-    def _cold_room(self, now: int, r: int, burden: float, warmth: float) -> bool:
+    def _cold_room(self, now: int, r: int, burden: float) -> bool:
         """Keeps this dispatcher's part of what a cold runner may be sent, copies included."""
         spent = self.cold_sent[r]
         while spent and spent[0][0] <= now - self.cold_span:
             spent.popleft()
-        peers = [self.room[p] / self.weight[p] for p in self.ready if self.room[p] > 0 and self._warmth(now, p) == 1.0]
-        slots = self.weight[r] * sorted(peers)[len(peers) // 2] if peers else 1.0
-        return sum(b for _, b in spent) + burden <= self.cold_part * slots * warmth
+        most = self.cold_part * self.room_of_one * self.weight[r] * self._warmth(now, r)
+        return sum(b for _, b in spent) + burden <= most
 
     # --- health -----------------------------------------------------------------------------------------------
 
@@ -269,12 +283,8 @@
         if at_once or self.errors[r] > 0.45 or self.doubt[r]:
             self._blame(now, r)
 
-    def _trusted(self, now: int, r: int) -> bool:
-        if self.full_until[r] > now:
-            return False
-        if not self.doubt[r]:
-            return True
-        # Return by limited trial: one dispatch at a time until one is done.
+    def _on_trial(self, now: int, r: int) -> bool:
+        """Return by limited trial: one dispatch at a time until one is done."""
         return now >= self.doubt_until[r] and self.own[r] == 0
 
     # --- choice and send --------------------------------------------------------------------------------------
@@ -284,46 +294,29 @@
         if not allowed:
             return False
         copy = any(d.out for d in u.sent)
-        tried = [d.runner for d in u.sent]
-        burden = u.slots * (u.work or 2 * self.typical[u.grade])
-        known, fresh = 0.0, 0
-        able: list[int] = []
-        for r in self.ready:
-            if now - self.report_at[r] < AGE_LIMIT:
-                known += self.queued[r]
-                fresh += 1
-            if (zone >= 0 and self.runner_zone[r] != zone) or (cell >= 0 and self.cell[r] != cell):
-                continue
-            warmth = self._warmth(now, r)
-            if warmth < 1.0 and not self._cold_room(now, r, burden, warmth):
-                continue
-            able.append(r)
-        mean = known / fresh if fresh else 0.0
-        sound = [r for r in able if self._trusted(now, r)]
+        burden, need = u.slots * (u.work or 2 * self.typical[u.grade]), u.slots
+        pool = self.ready
+        if zone >= 0:
+            pool = [r for r in pool if self.runner_zone[r] == zone]
+        if cell >= 0:
+            pool = [r for r in pool if self.cell[r] == cell]
+        able = [r for r in pool if self.full_until[r] <= now
+                and (self.warm_at[r] <= now or self._cold_room(now, r, burden))]
+        sound = [r for r in able if not self.doubt[r] or self._on_trial(now, r)]
         # When nearly all look bad, the suspicion is more likely wrong than the fleet.
         if 3 * len(sound) <= len(able):
             sound = able if len(able) > 2 else sound or able
-        sound = [r for r in sound if r not in tried] or ([] if copy else sound)
-        if not sound:
-            return False
-        roomy: list[int] = []
-        load: dict[int, float] = {}
-        for r in sound:
-            base = self.queued[r] if now - self.report_at[r] < AGE_LIMIT else mean
-            load[r] = base + self.own[r]
-            if load[r] + u.slots <= self.room[r] and not self.waiting[r]:
-                roomy.append(r)
-        if copy and not roomy:
+        if u.sent:
+            tried = [d.runner for d in u.sent]
+            sound = [r for r in sound if r not in tried] or ([] if copy else sound)
+        load, room = self.load, self.room
+        roomy = [r for r in sound if load[r] + need <= room[r] and not self.waiting[r]]
+        if not sound or (copy and not roomy):
             return False
-        roomy = [r for r in roomy if self.runner_zone[r] == self.zone] or roomy
-        best: list[int] = []
-        least = 1e18
-        for r in roomy or sound:
-            score = (load[r] + u.slots) / (self.weight[r] * self._warmth(now, r))
-            if score < least:
-                best, least = [r], score
-            elif score == least:
-                best.append(r)
+        pool = [r for r in roomy if self.runner_zone[r] == self.zone] or roomy or sound
+        scores = [(load[r] + need) * self.per_weight[r] for r in pool]
+        least = min(scores)
+        best = [r for r, score in zip(pool, scores, strict=True) if score == least]
         self._send(now, u, best[0] if len(best) == 1 else best[self._draw(len(best))], burden)
         return True
 
@@ -332,7 +325,7 @@
         self._count(now, r, u.slots)
         self.waiting[r] += 1
         self.inflight += 1
-        if self._warmth(now, r) < 1.0:
+        if self.warm_at[r] > now:
             self.cold_sent[r].append((now, burden))
         self.port.dispatch(u.no, r, 0)
         self.copies = min(self.copies + self.copy_share, COPY_BURST)
@@ -347,8 +340,11 @@
     def woken(self, now: int, label: int) -> None:
         if label == LIST:
             self.port.subscribe()
-        elif label == PROBES:
-            self._probe(now)
+        elif label == SURVEY:
+            self._survey(now)
+            if self.probe_all or self.probe_some:
+                self._probe(now)
+            self.port.wake(CHORES, SURVEY)
         else:
             u = self.units.get(label - FIRST_UNIT)
             if u and not u.ended:
@@ -357,9 +353,8 @@
     def _review(self, now: int, u: Unit) -> None:
         if now >= u.cutoff:
             self._answer(u)
-        elif u.held:
+        elif u.no in self.held:
             if now >= self._hopeless_at(u):
-                u.held = False
                 self._answer(u)
             else:
                 self._wake(now, u, self._hopeless_at(u))
@@ -476,9 +471,11 @@
         self._forget(now, r)
         then = self.own[r] - sum(slots for _, slots in self.recent[r])
         self.queued[r] += BLEND * (max(held - then, 0.0) - self.queued[r])
+        self.load[r] = self.queued[r] + self.own[r]
 
     def _count(self, now: int, r: int, slots: float) -> None:
         self.own[r] += slots
+        self.load[r] += slots
         self._forget(now, r)
         self.recent[r].append((now, slots))
 
@@ -487,11 +484,11 @@
             self.recent[r].popleft()
 
     def _probe(self, now: int) -> None:
-        lacking = [r for r in self.ready if not self.probe_out[r]
-                   and (self.probe_all or now - self.heard_at[r] > PROBE_EVERY)]
-        if lacking:
-            r = lacking[self.next_probe % len(lacking)]
-            self.next_probe += 1
-            self.probe_out[r] = True
-            self.port.probe(r)
-        self.port.wake(max(PROBE_EVERY // max(len(self.ready), 1), 100), PROBES)
+        """Where reports come only by probe each runner in turn, elsewhere those of whom nothing was heard."""
+        n = len(self.ready)
+        for _ in range(min(-(-n * CHORES // PROBE_EVERY), n)):
+            self.next_probe = (self.next_probe + 1) % n
+            r = self.ready[self.next_probe]
+            if not self.probe_out[r] and (self.probe_all or now - self.heard_at[r] > PROBE_EVERY):
+                self.probe_out[r] = True
+                self.port.probe(r)
