--- a/crankfold/dispatch/policy.py
+++ b/crankfold/dispatch/policy.py
@@ -1,9 +1,10 @@
 """Every decision of a dispatcher: which runner gets a work unit, when, and how often.
 
-How to call it: make a Dispatcher from StandingOrders, a seed and a Port, then tell it what happens by the calls
-of `Dispatching`, each with the present time; it answers by calling the port. Both, and the words used here, are
-in crankfold/dispatch/interface.py. It reads no clock and no wire, and the same calls bring the same actions.
-A work unit passes owed -> paced -> effects -> membership -> health -> choice; what comes back runs the other way.
+How to call it: make a Dispatcher from StandingOrders, a seed and a Port, then tell it what happens by the
+calls of `Dispatching`, each with the present time; it answers by calling the port. Both, and the words used
+here, are in crankfold/dispatch/interface.py. It reads no clock and no wire; the same calls bring the same
+actions. A work unit passes owed -> paced -> effects -> membership -> health -> choice, and what comes back
+runs the other way.
 """
 
 from collections import deque
@@ -39,7 +40,8 @@
     __slots__ = ("no", "grade", "cutoff", "due", "work", "slots", "sent", "ended", "patience")
 
     def __init__(self, no: int, grade: int, cutoff: int, due: int, work: int, slots: float) -> None:
-        self.no, self.grade, self.cutoff, self.due, self.work, self.slots = no, grade, cutoff, due, work, slots
+        self.no, self.grade, self.cutoff, self.due = no, grade, cutoff, due
+        self.work, self.slots = work, slots
         self.sent: list[Dispatch] = []
         self.ended = False
         self.patience = 0
@@ -84,7 +86,7 @@
         self.runner_zone: list[int] = []
         self.cell: list[int] = []
         self.since: list[int] = []
-        self.queued: list[float] = []  # others' work by the reports: queue and busy slots less own work they counted
+        self.queued: list[float] = []  # others' work by the reports: queue and busy slots, less own
         self.recent: list[deque[tuple[int, float]]] = []  # own slots sent (+) and come back (-) of late
         self.own: list[float] = []  # own slots out there now
         self.load: list[float] = []  # the two together: what the score weighs
@@ -110,9 +112,10 @@
         self.luck = (self.luck * 6364136223846793005 + 1442695040888963407) & 0xFFFFFFFFFFFFFFFF
         return ((self.luck >> 33) * below) >> 31
 
-    # --- what is owed: one final answer, by the cut-off -------------------------------------------------------
+    # --- what is owed: one final answer, by the cut-off ---
 
-    def taken(self, now: int, unit: int, grade: int, tenant: int, cutoff: int, work: int, slots: float) -> None:
+    def taken(self, now: int, unit: int, grade: int, tenant: int, cutoff: int, work: int,
+              slots: float) -> None:
         # A client's retry keeps its first try's cut-off, so the expected time counts from that first try.
         first = min(cutoff - self.cutoff[grade], now)
         due = first + self.expected[grade] + int(self.stretch[grade] * (work or self.typical[grade]))
@@ -127,8 +130,9 @@
         """The final answer: shed where a retry is harmless, otherwise given up."""
         u.ended = True
         ran = any(d.may_have_run for d in u.sent)
-        tagged_all = self.effect[u.grade] == Effect.TAGGED and self.group[u.grade] == Group.ALL
-        if not ran or tagged_all or self.effect[u.grade] == Effect.REPEATABLE:
+        effect = self.effect[u.grade]
+        anywhere = effect == Effect.TAGGED and self.group[u.grade] == Group.ALL
+        if not ran or anywhere or effect == Effect.REPEATABLE:
             self.port.shed(u.no, self.advice)
         else:
             self.port.give_up(u.no)
@@ -150,40 +154,45 @@
         if u and not u.ended:
             self._leave(u)
 
-    # --- pacing: when a unit goes -----------------------------------------------------------------------------
+    # --- pacing: when a unit goes ---
 
     def _hold(self, now: int, u: Unit) -> None:
         self.held[u.no] = u
         self._wake(now, u, min(u.cutoff, self._hopeless_at(u)))
 
     def _hopeless_at(self, u: Unit) -> int:
-        """From here an answer would earn nothing; a unit never dispatched is then shed, not kept to its cut-off."""
+        """From here an answer comes late; a held unit is then ended at once, not kept to its cut-off."""
         return min(u.due - int((u.work or self.typical[u.grade]) / 2), u.cutoff)
 
     def _pump(self, now: int) -> None:
-        for _ in range(len(self.held)):
-            if not self.held or self.inflight >= self.limit:
-                return
-            u = max(self.held.values(), key=self._pull)
-            if not self._place(now, u):
+        if not self.held or self.inflight >= self.limit:
+            return
+        misses = 0
+        for u in sorted(self.held.values(), key=self._pull, reverse=True):
+            if self._place(now, u):
+                del self.held[u.no]
+            else:
+                misses += 1  # it may be bound to a full group while others are free to go
+            if misses > 3 or self.inflight >= self.limit:
                 return
-            del self.held[u.no]
 
     def _pull(self, u: Unit) -> tuple[float, int]:
         return self.revenue[u.grade] / (1.0 if self.by_work else self.typical[u.grade]), u.no
 
     def _follow(self, wait: int, run: int) -> None:
-        """The in-flight limit follows shortest answer time (the run alone) over the present one (with its wait)."""
+        """The in-flight limit follows shortest answer time (the run) over the present one (wait and run)."""
         self.waits += 0.1 * (wait - self.waits)
         self.runs += 0.1 * (run - self.runs)
+        ratio = min(1.0, 1.2 * self.runs / (self.runs + self.waits + 1.0))
         if self.limit > 1e8:
+            if ratio == 1.0:
+                return  # nothing waits yet: a limit from the few first units would hold the next ones back
             self.limit = max(2.0 * self.inflight, 8.0)
-        ratio = min(1.0, 1.2 * self.runs / (self.runs + self.waits + 1.0))
         if ratio < 1.0 or self.inflight * 2 >= self.limit:
             self.limit += 0.1 * (self.limit * ratio + sqrt(self.limit) - self.limit)
         self.limit = max(self.limit, 4.0)
 
-    # --- effects: where a further dispatch may go -------------------------------------------------------------
+    # --- effects: where a further dispatch may go ---
 
     def _permitted(self, now: int, u: Unit) -> tuple[bool, int, int]:
         """Whether another dispatch is allowed, and the zone and cell it must keep to (-1 for any)."""
@@ -203,7 +212,7 @@
                 cell = self.cell[d.runner]
         return True, zone, cell
 
-    # --- membership: drains and cold runners ------------------------------------------------------------------
+    # --- membership: drains and cold runners ---
 
     def listed(self, now: int, entries: Sequence[Listing], whole: bool) -> None:
         if whole:
@@ -271,7 +280,7 @@
         most = self.cold_part * self.room_of_one * self.weight[r] * self._warmth(now, r)
         return sum(b for _, b in spent) + burden <= most
 
-    # --- health -----------------------------------------------------------------------------------------------
+    # --- health ---
 
     def _blame(self, now: int, r: int) -> None:
         self.doubt[r] = min(max(2 * self.doubt[r], DOUBT_FIRST), DOUBT_LONGEST)
@@ -287,7 +296,7 @@
         """Return by limited trial: one dispatch at a time until one is done."""
         return now >= self.doubt_until[r] and self.own[r] == 0
 
-    # --- choice and send --------------------------------------------------------------------------------------
+    # --- choice and send ---
 
     def _place(self, now: int, u: Unit) -> bool:
         allowed, zone, cell = self._permitted(now, u)
@@ -335,7 +344,7 @@
     def _wake(self, now: int, u: Unit, at: int) -> None:
         self.port.wake(max(min(at, u.cutoff) - now, 0), FIRST_UNIT + u.no)
 
-    # --- what comes back --------------------------------------------------------------------------------------
+    # --- what comes back ---
 
     def woken(self, now: int, label: int) -> None:
         if label == LIST:
@@ -378,7 +387,8 @@
             else:
                 stuck = False
         late = self.tardy[u.grade] == 0 and now + (u.work or self.typical[u.grade]) / 2 > u.due
-        if stuck and not late and self.copies >= 1.0 and sum(d.out for d in u.sent) < 2 and self._place(now, u):
+        lone = sum(d.out for d in u.sent) < 2
+        if stuck and lone and not late and self.copies >= 1.0 and self._place(now, u):
             self.copies -= 1.0
             return
         u.patience = max(u.patience, self.quiet)
--- a/crankfold/simhost/host.py
+++ b/crankfold/simhost/host.py
@@ -2,7 +2,7 @@
 
 import struct
 import traceback
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from struct import pack, unpack_from
 
 from crankfold.dispatch.interface import Listing, Outcome, Standing
@@ -120,7 +120,8 @@
     def _event(self, door: Door, code: int, frame: bytes, at: int, now: int) -> int:
         """Decodes the whole event first, so that only the call itself can be reported as a fault of ours."""
         told = door.decisions
-        args: tuple = ()
+        call: Callable[..., None]
+        args: tuple[object, ...]
         if code == 3:
             ident, grade, tenant, _, until, effort, slots, _, attrs = _QUERY.unpack_from(frame, at)
             at += _QUERY.size
@@ -144,7 +145,8 @@
             report: Sequence[float] = unpack_from(f"<{n}f", frame, at) if n else ()
             at += 4 * n
             outcome = _OUTCOMES.get(rc, Outcome.UNKNOWN)
-            call, args = told.ended, (now, door.unit(ident), nth, door.runner(address), outcome, bool(last), report)
+            call = told.ended
+            args = (now, door.unit(ident), nth, door.runner(address), outcome, bool(last), report)
         elif code == 7:
             (label,) = unpack_from("<Q", frame, at)
             at += 8
@@ -166,16 +168,17 @@
                 call, args = told.list_failed, (now,)
             else:
                 # A list entry's start is rounded up: a younger runner is treated as colder.
-                entries = [Listing(door.runner(a), _STANDINGS.get(s, Standing.GONE), w, z, c, -(-since // 100))
+                entries = [Listing(door.runner(a), _STANDINGS.get(s, Standing.GONE), w, z, c,
+                                   -(-since // 100))
                            for z, s, w, c, a, _, since in self.banks[bank]]
                 call, args = told.listed, (now, entries, scope != 2)
         elif code == 9:
             _, n = unpack_from("<IH", frame, at)
-            return at + 6 + n
+            return at + 6 + int(n)
         else:
             raise ValueError(f"unknown event code {code}")
         try:
-            call(*args)  # type: ignore[operator]
+            call(*args)
         except Exception:
             door.bug(traceback.format_exc())
         return at
--- a/crankfold/simhost/params.py
+++ b/crankfold/simhost/params.py
@@ -49,7 +49,8 @@
         may_cancel=yes("allowed.cancel", "false"), may_probe=yes("allowed.probing", "false"),
         may_copy=yes("allowed.second-copies", "false"),
         most_dispatches=int(said("allowed.most-dispatches", "1")),
-        longest_advice=_down(said("allowed.max-retry-after", "0")) if yes("allowed.retry-after", "false") else 0,
+        longest_advice=_down(said("allowed.max-retry-after", "0"))
+        if yes("allowed.retry-after", "false") else 0,
         reports_in_answers=said("report.via", "off") == "inline",
         reports_by_probe=said("report.via", "off") == "on_probe",
         report_names=[meaning.get(n) or n for n in names],
--- /dev/null
+++ b/tests/scene.py
@@ -0,0 +1,101 @@
+"""A stage for the decisions: what they are told and what they do becomes a short trace, kept in traces/."""
+
+import difflib
+import os
+import unittest
+from dataclasses import replace
+from pathlib import Path
+
+from crankfold.dispatch import interface as words
+from crankfold.dispatch.interface import Effect, Group, Listing, Outcome, Standing
+from crankfold.dispatch.policy import Dispatcher
+
+MS = 10
+GRADE = words.ServiceGrade(Effect.REPEATABLE, Group.ALL, 0, 300 * MS, 2.0, 5000 * MS, 1.0, 0.0)
+ORDERS = words.StandingOrders(
+    grades=[GRADE], dispatchers=2, zone=0, tick=2 * MS, by_work=False, may_cancel=True, may_probe=True,
+    may_copy=True, most_dispatches=3, longest_advice=0, reports_in_answers=True, reports_by_probe=False,
+    report_names=["queue", "free_slots"], tells_start=True, progress=0, must_ask=False,
+    ask_within=10000 * MS, cold_from=0.2, warm_after=10000 * MS, overload_factor=3.0, overload_for=1000 * MS)
+
+
+class Scene(unittest.TestCase):
+    def open(self, *, runners: int = 2, free: float = 4.0, effect: Effect = Effect.REPEATABLE,
+             group: Group = Group.ALL, window: int = 0, **orders: object) -> None:
+        self.lines: list[str] = []
+        self.now = 100_000
+        self.wakes: list[tuple[int, int]] = []
+        grade = replace(GRADE, effect=effect, group=group, window=window * MS)
+        self.told = Dispatcher(replace(ORDERS, **{"grades": [grade], **orders}), 7, self)  # type: ignore[arg-type]
+        if runners:
+            self.list([Listing(r, Standing.READY, 1.0, r % 2, r % 2, 0) for r in range(runners)])
+        if free:
+            for r in range(runners):
+                self.told.probed(self.now, r, True, (0.0, free))
+
+    def say(self, text: str) -> None:
+        self.lines.append(f"{(self.now - 100_000) / MS:7.1f}  {text}")
+
+    # What the decisions do.
+    def dispatch(self, unit: int, runner: int, limit: int) -> None:
+        self.say(f"unit {unit} -> runner {runner}")
+
+    def shed(self, unit: int, advice: int) -> None:
+        self.say(f"unit {unit} shed")
+
+    def give_up(self, unit: int) -> None:
+        self.say(f"unit {unit} given up")
+
+    def cancel(self, unit: int, nth: int) -> None:
+        self.say(f"unit {unit} dispatch {nth} called off")
+
+    def wake(self, after: int, label: int) -> None:
+        self.wakes.append((self.now + after, label))
+
+    def probe(self, runner: int) -> None:
+        self.say(f"probe of runner {runner}")
+
+    def subscribe(self) -> None:
+        self.say("asks for the list")
+
+    # What they are told.
+    def at(self, ms: float) -> None:
+        """Lets time pass, with the wakes asked for until then."""
+        end = 100_000 + int(ms * MS)
+        while due := [w for w in self.wakes if w[0] <= end]:
+            first = min(due)
+            self.wakes.remove(first)
+            self.now = max(self.now, first[0])
+            self.told.woken(self.now, first[1])
+        self.now = end
+
+    def list(self, entries: list[Listing], whole: bool = True) -> None:
+        self.told.listed(self.now, entries, whole)
+
+    def take(self, unit: int, cutoff: float = 5000, work: float = 100, slots: float = 1.0) -> None:
+        self.say(f"  takes unit {unit}")
+        self.told.taken(self.now, unit, 0, 0, self.now + int(cutoff * MS), int(work * MS), slots)
+
+    def start(self, unit: int, runner: int, nth: int = 0) -> None:
+        self.say(f"  unit {unit} starts on runner {runner}")
+        self.told.started(self.now, unit, nth, runner)
+
+    def end(self, unit: int, runner: int, outcome: Outcome = Outcome.DONE, nth: int = 0, *,
+            last: bool = False, report: tuple[float, ...] = ()) -> None:
+        self.say(f"  unit {unit} on runner {runner}: {outcome.name.lower()}")
+        self.told.ended(self.now, unit, nth, runner, outcome, last or outcome == Outcome.DONE, report)
+
+    def held_back(self, runner: int) -> None:
+        """Puts a runner out of the running by its report: much queued, nothing free."""
+        for n in range(40):
+            self.told.probed(self.now, runner, True, (20.0 + n, 0.0))
+
+    def close(self, name: str) -> None:
+        kept = Path(__file__).parent / "traces" / f"{name}.txt"
+        if os.environ.get("KEEP_TRACES"):
+            kept.write_text("\n".join(self.lines) + "\n")
+        then = kept.read_text().splitlines()
+        diff = list(difflib.unified_diff(then, self.lines, "kept", "now", lineterm=""))
+        self.assertFalse(diff, "\n" + "\n".join(diff))
+
+
--- /dev/null
+++ b/tests/test_choice.py
@@ -0,0 +1,146 @@
+"""The design's choice, what feeds it, and each failure found on the bench."""
+
+from crankfold.dispatch.interface import Listing, Outcome, Standing
+from crankfold.dispatch.policy import Dispatcher
+from tests.scene import MS, ORDERS, Scene
+
+
+class Choice(Scene):
+    def test_least_load_for_its_weight(self) -> None:
+        self.open(runners=0, free=0)
+        self.list([Listing(0, Standing.READY, 1.0, 0, 0, 0), Listing(1, Standing.READY, 2.0, 0, 0, 0)])
+        for r in (0, 1):
+            self.told.probed(self.now, r, True, (0.0, 8.0))
+        for n in range(6):
+            self.take(n)
+            self.start(n, int(self.lines[-1][-1]))
+        self.close("weights")
+
+    def test_a_repeated_report_is_not_fresh(self) -> None:
+        self.open()
+        self.told.probed(self.now, 0, True, (3.0, 0.0))
+        once = list(self.told.queued)
+        self.told.probed(self.now, 0, True, (3.0, 0.0))
+        self.say(f"moved again: {once != self.told.queued}")
+        self.told.probed(self.now, 0, True, (3.5, 0.0))
+        self.say(f"moved by a fresh one: {once != self.told.queued}")
+        self.close("repeat")
+
+    def test_a_late_report_does_not_hide_own_sends(self) -> None:
+        self.open(runners=1)
+        self.take(0)
+        self.told.probed(self.now, 0, True, (0.0, 3.9))
+        self.say(f"load {self.told.load[0]:.1f}")
+        self.at(1000)
+        self.told.probed(self.now, 0, True, (0.0, 3.0))
+        self.say(f"load {self.told.load[0]:.2f}")
+        self.close("late-report")
+
+    def test_without_a_young_report_the_mean_of_the_others_counts(self) -> None:
+        self.open(runners=3)
+        self.at(4900)
+        for r in (0, 1):
+            self.held_back(r)
+        self.at(5600)
+        self.say(f"the third is taken to hold the mean: {abs(self.told.queued[2] - self.told.queued[0]) < 2}")
+        self.lines = [line for line in self.lines if "probe" not in line]
+        self.close("stale")
+
+    def test_same_calls_same_actions(self) -> None:
+        seen = []
+        for _ in range(2):
+            self.open(runners=6)
+            for n in range(12):
+                self.take(n)
+            seen.append(self.lines)
+        self.assertEqual(seen[0], seen[1])
+        drawn = {Dispatcher(ORDERS, seed, self)._draw(1 << 20) for seed in (1, 2)}
+        self.assertEqual(len(drawn), 2)
+
+
+class Health(Scene):
+    def test_quick_errors_lead_to_doubt_and_one_trial_at_a_time(self) -> None:
+        self.open(runners=4, free=0)
+        self.told.probed(self.now, 0, True, (0.0, 4.0))
+        for n in range(2):
+            self.take(n)
+            self.end(n, 0, Outcome.ERROR)
+            self.end(n, int(self.lines[-1][-1]), nth=1)
+        for r in (1, 2, 3):
+            self.told.heard_at[r] = self.now
+        for n, ms in enumerate((100, 200, 1300, 1301, 1302, 1303), 2):
+            self.at(ms)
+            self.take(n)
+            if ms != 1300:
+                self.end(n, int(self.lines[-1][-1]))
+        self.end(4, 0)
+        self.take(9)
+        self.close("errors")
+
+    def test_full_is_no_fault_but_rests(self) -> None:
+        self.open(runners=1)
+        self.take(0)
+        self.end(0, 0, Outcome.FULL)
+        self.at(100)
+        self.take(1)
+        self.at(260)
+        self.told.probed(self.now, 0, True, (1.0, 2.0))
+        self.close("full")
+
+    def test_a_silent_runner_is_doubted_and_its_unit_copied(self) -> None:
+        self.open(runners=3)
+        self.take(0, work=2000)
+        self.at(400)
+        self.start(0, 0, 1)
+        self.end(0, 0, nth=1)
+        self.end(0, 2, Outcome.CANCELLED, last=True)
+        self.close("hang")
+
+    def test_a_busy_runner_is_no_reason_for_a_copy(self) -> None:
+        self.open(runners=2)
+        self.take(0, work=2000)
+        self.at(20)
+        self.told.heard_at[0] = self.now
+        self.at(400)
+        self.close("busy")
+
+    def test_when_nearly_all_look_bad_the_suspicion_is_distrusted(self) -> None:
+        self.open(runners=3)
+        for r in range(3):
+            self.told._blame(self.now, r)
+        for n in range(3):
+            self.take(n)
+        self.close("all-bad")
+
+    def test_list_failures_are_asked_again_after_a_jittered_pause(self) -> None:
+        self.open(must_ask=True)
+        self.told.list_failed(self.now)
+        self.at(3000)
+        self.told.list_failed(self.now)
+        self.at(6000)
+        self.close("ask")
+
+
+class Pacing(Scene):
+    def test_held_units_go_richest_then_newest_and_are_shed_when_late(self) -> None:
+        self.open(runners=1)
+        self.told.limit = 1.0
+        for n in range(4):
+            self.take(n)
+        self.start(0, 0)
+        self.at(100)
+        self.told.waits = 3000.0
+        self.end(0, 0)
+        self.at(800)
+        self.close("held")
+
+    def test_the_limit_falls_as_waits_grow_and_rises_when_they_end(self) -> None:
+        self.open()
+        self.told.inflight = 30
+        for wait in (0, 0, 4000, 4000, 4000, 4000, 4000, 4000):
+            self.told._follow(wait, 1000)
+            self.say(f"wait {wait // MS} ms: limit {self.told.limit:.1f}")
+        for _ in range(30):
+            self.told._follow(0, 1000)
+        self.say(f"after 30 without wait: limit {self.told.limit:.1f}")
+        self.close("limit")
--- /dev/null
+++ b/tests/test_simhost.py
@@ -0,0 +1,61 @@
+"""The adapter: frames in, frames out."""
+
+import struct
+import subprocess
+import sys
+import unittest
+
+from crankfold.simhost.host import Host
+
+PARAMS = b"""service-grades.count=1
+service-grades.0.effect=safe
+service-grades.0.cut-off=5000000
+service-grades.0.expected-time=300000
+allowed.most-dispatches=3
+report.names=queue,x0
+specifics.report-x0=free_slots
+report.via=inline
+tick=2000
+a.setting.not.known=1"""
+RUNNER = b"\x0a\x12\x4a\x07\xc3\x2b"
+
+
+def frame(*records: bytes) -> bytes:
+    return struct.pack("<Q", 1_000_000) + b"".join(records)
+
+
+TO = struct.pack("<HH", 13, 3)
+INIT = struct.pack("<HQI", 1, 9, len(PARAMS)) + PARAMS
+CENSUS = struct.pack("<HII", 11, 0, 1) + struct.pack("<BBfH6sBQ", 0, 1, 0.0, 0, RUNNER, 0, 0)
+MEMBERS = struct.pack("<HBQI", 2, 4, 41, 0)
+QUERY = struct.pack("<HIHHQQIffB", 3, 77, 0, 0, 0, 5_000_000, 12_000, 1.0, 0.0, 1)
+
+
+class Adapter(unittest.TestCase):
+    def test_a_unit_is_passed_on_and_an_unknown_outcome_taken_as_possibly_run(self) -> None:
+        host = Host()
+        host.answer(frame(CENSUS, TO, INIT, MEMBERS))
+        reply = host.answer(frame(TO, QUERY))
+        self.assertIn(struct.pack("<HIi6s", 1, 77, 0, RUNNER), reply)
+        verdict = struct.pack("<HIB6sBIBIB", 5, 77, 0, RUNNER, 99, 10, 0, 0, 0)
+        host.answer(frame(TO, verdict))
+        self.assertTrue(host.doors[3].decisions.units[0].sent[0].may_have_run)
+
+    def test_an_empty_batch_and_a_restart(self) -> None:
+        host = Host()
+        self.assertEqual(host.answer(frame()), b"\x04\x00\x00\x00")
+        host.answer(frame(CENSUS, TO, INIT, MEMBERS, QUERY))
+        host.answer(frame(TO, struct.pack("<H", 10), TO, INIT, MEMBERS))
+        self.assertEqual(host.doors[3].decisions.units, {})
+
+    def test_a_failure_in_the_decisions_is_reported(self) -> None:
+        host = Host()
+        host.answer(frame(CENSUS, TO, INIT, MEMBERS))
+        host.doors[3].decisions.ready = [5]
+        self.assertIn(b"IndexError", host.answer(frame(TO, QUERY)))
+
+    def test_broken_frames_end_the_process_with_one_line(self) -> None:
+        unknown_code = b"\x0e\x00\x00\x00" + bytes(8) + b"\xff\xff"
+        for bad in (b"\x20\x00\x00\x00abc", b"\x05\x00\x00\x00a", unknown_code):
+            done = subprocess.run([sys.executable, "-m", "crankfold.simhost"], input=bad, capture_output=True)
+            self.assertEqual((done.returncode, done.stdout, done.stderr.count(b"\n")), (1, b"", 1))
