--- a/crankfold/dispatch/policy.py
+++ b/crankfold/dispatch/policy.py
@@ -20,6 +20,7 @@
 DOUBT_FIRST, DOUBT_LONGEST = SECOND, 8 * SECOND
 FULL_REST = SECOND // 4
 BLEND = 0.12
+WINDOW = 10
 REPORT_LAG = 4 * SECOND // 10  # how long before it arrives a report was taken
 SILENT = SECOND
 COPY_SHARE, COPY_BURST = 0.1, 5.0
@@ -78,7 +79,8 @@
         self.cold_part = orders.overload_factor * orders.overload_for / 2 / orders.dispatchers
         self.units: dict[int, Unit] = {}
         self.held: dict[int, Unit] = {}
-        self.inflight, self.limit, self.waits, self.runs = 0, 1e9, 0.0, 1.0
+        self.inflight, self.limit, self.waits, self.runs = 0, 1e9, 0.0, 1.0 * SECOND
+        self.window_at, self.sampled = 0, 0
         self.ready: list[int] = []
         # Figures about runners, by index.
         self.standing: list[int] = []
@@ -179,18 +181,22 @@
     def _pull(self, u: Unit) -> tuple[float, int]:
         return self.revenue[u.grade] / (1.0 if self.by_work else self.typical[u.grade]), u.no
 
-    def _follow(self, wait: int, run: int) -> None:
+    def _follow(self, now: int, sent_at: int, wait: int) -> None:
         """The in-flight limit follows shortest answer time (the run) over the present one (wait and run)."""
+        if sent_at < self.window_at:
+            return  # sent under an older limit: counting it again would shrink the limit once for each
         self.waits += 0.1 * (wait - self.waits)
-        self.runs += 0.1 * (run - self.runs)
+        self.sampled += 1
+        if self.sampled < WINDOW:
+            return
         ratio = min(1.0, 1.2 * self.runs / (self.runs + self.waits + 1.0))
         if self.limit > 1e8:
             if ratio == 1.0:
                 return  # nothing waits yet: a limit from the few first units would hold the next ones back
-            self.limit = max(2.0 * self.inflight, 8.0)
+            self.limit = 1.0 * self.inflight
         if ratio < 1.0 or self.inflight * 2 >= self.limit:
-            self.limit += 0.1 * (self.limit * ratio + sqrt(self.limit) - self.limit)
-        self.limit = max(self.limit, 4.0)
+            self.limit = max(self.limit * max(ratio, 0.5) + sqrt(self.limit), 4.0)
+        self.window_at, self.sampled = now, 0
 
     # --- effects: where a further dispatch may go ---
 
@@ -401,6 +407,7 @@
             return
         d = u.sent[nth]
         d.started_at = d.heard_at = now
+        self._follow(now, d.sent_at, now - d.sent_at)
         self.waiting[runner] -= 1
         if self.may_cancel and not u.ended:
             for n, other in enumerate(u.sent):
@@ -445,7 +452,7 @@
             if d.started_at >= 0:
                 run = now - d.started_at
                 self.typical[u.grade] += 0.05 * (run - self.typical[u.grade])
-                self._follow(d.started_at - d.sent_at, run)
+                self.runs += 0.1 * (run - self.runs)
         elif outcome == Outcome.FULL:
             self.full_until[r] = now + FULL_REST
         elif outcome in (Outcome.ERROR, Outcome.RESET, Outcome.UNKNOWN):
