--- a/crankfold/dispatch/policy.py
+++ b/crankfold/dispatch/policy.py
@@ -189,13 +189,13 @@
         self.sampled += 1
         if self.sampled < WINDOW:
             return
-        ratio = min(1.0, 1.2 * self.runs / (self.runs + self.waits + 1.0))
+        ratio = min(1.0, 1.05 * self.runs / (self.runs + self.waits + 1.0))
         if self.limit > 1e8:
             if ratio == 1.0:
                 return  # nothing waits yet: a limit from the few first units would hold the next ones back
             self.limit = 1.0 * self.inflight
         if ratio < 1.0 or self.inflight * 2 >= self.limit:
-            self.limit = max(self.limit * max(ratio, 0.5) + sqrt(self.limit), 4.0)
+            self.limit = max(self.limit * max(ratio, 0.5) + 0.5 * sqrt(self.limit), 4.0)
         self.window_at, self.sampled = now, 0
 
     # --- effects: where a further dispatch may go ---
