--- a/crankfold/dispatch/policy.py
+++ b/crankfold/dispatch/policy.py
@@ -105,7 +105,7 @@
         self.doubt_until: list[int] = []
         self.probe_out: list[bool] = []
         self.cold_sent: list[deque[tuple[int, float]]] = []
-        self.next_probe, self.room_of_one = 0, 1.0
+        self.next_probe, self.room_of_one, self.fleet = 0, 1.0, 0.0
         if self.must_ask:
             port.subscribe()
         port.wake(self._draw(CHORES), SURVEY)
@@ -195,7 +195,9 @@
                 return  # nothing waits yet: a limit from the few first units would hold the next ones back
             self.limit = 1.0 * self.inflight
         if ratio < 1.0 or self.inflight * 2 >= self.limit:
-            self.limit = max(self.limit * max(ratio, 0.5) + 0.5 * sqrt(self.limit), 4.0)
+            # Never under the fair part of the fleet, or a wait at the start holds all back for long.
+            fair = max(self.fleet / self.sharers, 4.0)
+            self.limit = max(self.limit * max(ratio, 0.5) + 0.5 * sqrt(self.limit), fair)
         self.window_at, self.sampled = now, 0
 
     # --- effects: where a further dispatch may go ---
@@ -244,6 +246,7 @@
         """Now and then, off the path of single units: the figures that age by themselves."""
         fresh = [r for r in self.ready if now - self.report_at[r] < AGE_LIMIT]
         mean = sum(self.queued[r] for r in fresh) / len(fresh) if fresh else 0.0
+        self.fleet = sum(self.room[r] for r in self.ready if self.warm_at[r] <= now)
         rooms = sorted(self.room[r] / self.weight[r] for r in fresh if self.warm_at[r] <= now)
         self.room_of_one = rooms[len(rooms) // 2] if rooms else 1.0
         for r in self.ready:
