--- a/crankfold/dispatch/policy.py
+++ b/crankfold/dispatch/policy.py
@@ -21,6 +21,7 @@
 FULL_REST = SECOND // 4
 BLEND = 0.12
 WINDOW = 10
+PACE = 0.85
 FADE = 0.975  # four times a second: what was asked and got is remembered for some ten seconds
 REPORT_LAG = 4 * SECOND // 10  # how long before it arrives a report was taken
 SILENT = SECOND
@@ -97,6 +98,8 @@
         self.load: list[float] = []  # the two together: what the score weighs
         self.per_weight: list[float] = []  # 1 / weight, less the share that a cold runner lacks
         self.warm_at: list[int] = []
+        self.run_sum: list[float] = []  # running times there, fading, against those expected
+        self.due_sum: list[float] = []
         self.waiting: list[int] = []  # own dispatches out there without a start note
         self.room: list[float] = []  # most slots it has been seen to have
         self.report: list[Sequence[float]] = []
@@ -108,7 +111,7 @@
         self.doubt_until: list[int] = []
         self.probe_out: list[bool] = []
         self.cold_sent: list[deque[tuple[int, float]]] = []
-        self.next_probe, self.room_of_one, self.fleet = 0, 1.0, 0.0
+        self.next_probe, self.room_of_one, self.fleet, self.middle_pace = 0, 1.0, 0.0, 1.0
         if self.must_ask:
             port.subscribe()
         port.wake(self._draw(CHORES), SURVEY)
@@ -264,18 +267,21 @@
         self.fleet = sum(self.room[r] for r in self.ready if self.warm_at[r] <= now)
         rooms = sorted(self.room[r] / self.weight[r] for r in fresh if self.warm_at[r] <= now)
         self.room_of_one = rooms[len(rooms) // 2] if rooms else 1.0
+        paces = sorted(self.run_sum[r] / self.due_sum[r] for r in self.ready if self.due_sum[r] > 0)
+        self.middle_pace = paces[len(paces) // 2] if paces else 1.0
         for r in self.ready:
             if now - self.report_at[r] >= AGE_LIMIT:
                 self.queued[r] = mean
                 self.load[r] = mean + self.own[r]
-            self.per_weight[r] = 1.0 / (self.weight[r] * self._warmth(now, r))
+            self.per_weight[r] = self._slowness(r) / (self.weight[r] * self._warmth(now, r))
 
     def list_failed(self, now: int) -> None:
         # A jittered pause: all dispatchers lose the list at once and would ask again at once.
         self.port.wake(self.ask_pause // 4 + self._draw(self.ask_pause), LIST)
 
     def _enrol(self, now: int) -> None:
-        for figures in (self.queued, self.own, self.load, self.room, self.errors):
+        for figures in (self.queued, self.own, self.load, self.room, self.errors, self.run_sum,
+                        self.due_sum):
             figures.append(0.0)
         for counts in (self.standing, self.runner_zone, self.cell, self.since, self.warm_at, self.waiting,
                        self.full_until, self.doubt, self.doubt_until):
@@ -316,6 +322,15 @@
         if at_once or self.errors[r] > 0.45 or self.doubt[r]:
             self._blame(now, r)
 
+    def _pace(self, r: int, u: Unit, run: int) -> None:
+        if u.work:  # without a hint a long unit looks like a slow runner
+            self.run_sum[r] = PACE * self.run_sum[r] + run
+            self.due_sum[r] = PACE * self.due_sum[r] + u.work
+
+    def _slowness(self, r: int) -> float:
+        """How much slower than the middle runner, where that is more than kinds of runners differ by."""
+        return max(1.0, self.run_sum[r] / (self.due_sum[r] or 1.0) / self.middle_pace / 2.0)
+
     def _on_trial(self, now: int, r: int) -> bool:
         """Return by limited trial: one dispatch at a time until one is done."""
         return now >= self.doubt_until[r] and self.own[r] == 0
@@ -471,6 +486,7 @@
             self.doubt[r] = 0
             if d.started_at >= 0:
                 run = now - d.started_at
+                self._pace(r, u, run)
                 self.typical[u.grade] += 0.05 * (run - self.typical[u.grade])
                 self.runs += 0.1 * (run - self.runs)
         elif outcome == Outcome.FULL:
