--- a/crankfold/dispatch/policy.py
+++ b/crankfold/dispatch/policy.py
@@ -65,7 +65,7 @@
         self.care, self.worst = orders.worst_grade_care, 0  # how much the worst-served grade counts
         self.tardy = [g.tardy for g in orders.grades]
         self.patience = [min(max(g.expected // 2, 400), SECOND // 2) for g in orders.grades]
-        self.typical = [float(g.expected) for g in orders.grades]  # running time, followed as answers come
+        self.typical = [max(g.expected, 1.0) for g in orders.grades]  # running time, followed as answers come
         self.most, self.copies = orders.most_dispatches, COPY_BURST if orders.may_copy else 0.0
         self.copy_share = COPY_SHARE if orders.may_copy else 0.0
         self.may_cancel, self.advice = orders.may_cancel, min(orders.longest_advice, SECOND)
@@ -268,7 +268,8 @@
         rooms = sorted(self.room[r] / self.weight[r] for r in fresh if self.warm_at[r] <= now)
         self.room_of_one = rooms[len(rooms) // 2] if rooms else 1.0
         paces = sorted(self.run_sum[r] / self.due_sum[r] for r in self.ready if self.due_sum[r] > 0)
-        self.middle_pace = paces[len(paces) // 2] if paces else 1.0
+        # A unit may start and end in one instant: a middle pace of 0 would fail the next survey.
+        self.middle_pace = max(paces[len(paces) // 2], 0.01) if paces else 1.0
         for r in self.ready:
             if now - self.report_at[r] >= AGE_LIMIT:
                 self.queued[r] = mean
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -59,6 +59,26 @@
 
 
 class Health(Scene):
+    def test_a_unit_done_in_no_time_fails_no_survey(self) -> None:
+        self.open(runners=1)
+        self.take(0)
+        self.start(0, 0)
+        self.end(0, 0)
+        self.at(600)
+        self.close("no-time")
+
+    def test_a_slow_runner_loses_weight(self) -> None:
+        self.open(runners=3)
+        for n in range(8):
+            self.take(n, work=100)
+            r = int(self.lines[-1][-1])
+            self.start(n, r)
+            self.at(self.now / MS - 10_000 + (900 if r == 2 else 100))
+            self.end(n, r)
+        self.at(self.now / MS - 10_000 + 300)
+        self.say("share of weight kept: " + " ".join(f"{1 / w:.2f}" for w in self.told.per_weight))
+        self.close("slow")
+
     def test_quick_errors_lead_to_doubt_and_one_trial_at_a_time(self) -> None:
         self.open(runners=4, free=0)
         self.told.probed(self.now, 0, True, (0.0, 4.0))
