A quarter slot of reported load is not held against room

Cause: others' work is blended away slowly, so an idle runner of few slots counted as full for seconds.

--- a/crankfold/dispatch/policy.py
+++ b/crankfold/dispatch/policy.py
@@ -22,6 +22,7 @@
 BLEND = 0.12
 WINDOW = 10
 PACE = 0.85
+SPARE = 0.25
 FADE = 0.975  # four times a second: what was asked and got is remembered for some ten seconds
 REPORT_LAG = 4 * SECOND // 10  # how long before it arrives a report was taken
 SILENT = SECOND
@@ -359,7 +360,7 @@
             tried = [d.runner for d in u.sent]
             sound = [r for r in sound if r not in tried] or ([] if copy else sound)
         load, room = self.load, self.room
-        roomy = [r for r in sound if load[r] + need <= room[r] and not self.waiting[r]]
+        roomy = [r for r in sound if load[r] + need <= room[r] + SPARE and not self.waiting[r]]
         if not sound or (copy and not roomy):
             return False
         pool = [r for r in roomy if self.runner_zone[r] == self.zone] or roomy or sound
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -58,6 +58,14 @@
         self.assertEqual(len(drawn), 2)
 
 
+    def test_a_trace_of_others_work_is_not_held_against_room(self) -> None:
+        self.open(runners=3, free=1.0)
+        self.told.probed(self.now, 0, True, (1.0, 0.0))  # one busy report moves the load by an eighth
+        self.told.probed(self.now, 2, True, (9.0, 0.0))
+        self.take(0)
+        self.close("spare")
+
+
 class Health(Scene):
     def test_a_unit_done_in_no_time_fails_no_survey(self) -> None:
         self.open(runners=1)
