Cold budget by the mean unit, and only where nothing of ours waits

Guard instead: none while an own dispatch waits there or own work is over the fair part of its slots.

--- a/crankfold/dispatch/policy.py
+++ b/crankfold/dispatch/policy.py
@@ -309,8 +309,10 @@
         spent = self.cold_sent[r]
         while spent and spent[0][0] <= now - self.cold_span:
             spent.popleft()
-        most = self.cold_part * self.room_of_one * self.weight[r] * self._warmth(now, r)
-        return sum(b for _, b in spent) + burden <= most
+        slots = self.room_of_one * self.weight[r]
+        if self.waiting[r] or self.own[r] > slots / self.sharers:
+            return False  # what it has not started yet is pressure enough
+        return sum(b for _, b in spent) + burden <= self.cold_part * slots * self._warmth(now, r)
 
     # --- health ---
 
@@ -344,7 +346,7 @@
         if not allowed:
             return False
         copy = any(d.out for d in u.sent)
-        burden, need = u.slots * (u.work or 2 * self.typical[u.grade]), u.slots
+        burden, need = u.slots * (u.work or self.typical[u.grade]), u.slots
         pool = self.ready
         if zone >= 0:
             pool = [r for r in pool if self.runner_zone[r] == zone]
