--- a/crankfold/dispatch/policy.py
+++ b/crankfold/dispatch/policy.py
@@ -9,7 +9,7 @@
 
 from collections import deque
 from collections.abc import Sequence
-from math import sqrt
+from math import inf, sqrt
 
 from crankfold.dispatch.interface import Effect, Group, Listing, Outcome, Port, Standing, StandingOrders
 
@@ -84,7 +84,7 @@
         self.cold_part = orders.overload_factor * orders.overload_for / 2 / orders.dispatchers
         self.units: dict[int, Unit] = {}
         self.held: dict[int, Unit] = {}
-        self.inflight, self.limit, self.waits, self.runs = 0, 1e9, 0.0, 1.0 * SECOND
+        self.inflight, self.limit, self.waits, self.runs = 0, inf, 0.0, 1.0 * SECOND
         self.window_at, self.sampled = 0, 0
         self.ready: list[int] = []
         # Figures about runners, by index.
@@ -113,6 +113,7 @@
         self.probe_out: list[bool] = []
         self.cold_sent: list[deque[tuple[int, float]]] = []
         self.next_probe, self.room_of_one, self.fleet, self.middle_pace = 0, 1.0, 0.0, 1.0
+        self.strength = 0.0  # of the ready fleet, by weight and warmth
         if self.must_ask:
             port.subscribe()
         port.wake(self._draw(CHORES), SURVEY)
@@ -206,7 +207,7 @@
         if self.sampled < WINDOW:
             return
         ratio = min(1.0, 1.05 * self.runs / (self.runs + self.waits + 1.0))
-        if self.limit > 1e8:
+        if self.limit == inf:
             if ratio == 1.0:
                 return  # nothing waits yet: a limit from the few first units would hold the next ones back
             self.limit = 1.0 * self.inflight
@@ -266,6 +267,10 @@
         fresh = [r for r in self.ready if now - self.report_at[r] < AGE_LIMIT]
         mean = sum(self.queued[r] for r in fresh) / len(fresh) if fresh else 0.0
         self.fleet = sum(self.room[r] for r in self.ready if self.warm_at[r] <= now)
+        strength = sum(self.weight[r] * self._warmth(now, r) for r in self.ready)
+        if self.strength > 0 and strength > 0:
+            self.limit *= strength / self.strength  # a fleet cut to a third takes a third, at once
+        self.strength = strength or self.strength
         rooms = sorted(self.room[r] / self.weight[r] for r in fresh if self.warm_at[r] <= now)
         self.room_of_one = rooms[len(rooms) // 2] if rooms else 1.0
         paces = sorted(self.run_sum[r] / self.due_sum[r] for r in self.ready if self.due_sum[r] > 0)
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -173,3 +173,12 @@
             self.say(f"ten starts after {wait} ms: limit {min(self.told.limit, 999):.1f}")
             self.at(self.now / MS - 10_000 + 100)
         self.close("limit")
+
+    def test_the_limit_shrinks_at_once_with_the_fleet(self) -> None:
+        self.open(runners=3)
+        self.told.limit = 30.0
+        self.list([Listing(1, Standing.DRAINING, 1.0, 1, 1, 0)], whole=False)
+        self.say(f"a third drains: limit {self.told.limit:.0f}")
+        self.list([Listing(1, Standing.READY, 1.0, 1, 1, self.now)], whole=False)
+        self.say(f"it is back, cold: limit {self.told.limit:.0f}")
+        self.close("scaled-limit")
