--- a/crankfold/dispatch/policy.py
+++ b/crankfold/dispatch/policy.py
@@ -23,6 +23,7 @@
 WINDOW = 10
 PACE = 0.85
 SPARE = 0.25
+DEEP = 2.0
 FADE = 0.975  # four times a second: what was asked and got is remembered for some ten seconds
 REPORT_LAG = 4 * SECOND // 10  # how long before it arrives a report was taken
 SILENT = SECOND
@@ -368,6 +369,9 @@
             sound = [r for r in sound if r not in tried] or ([] if copy else sound)
         load, room = self.load, self.room
         roomy = [r for r in sound if load[r] + need <= room[r] + SPARE and not self.waiting[r]]
+        # Behind a second filling of its slots a unit is late anyway: it rather waits here, free to go elsewhere.
+        if not roomy:
+            sound = [r for r in sound if not room[r] or load[r] + need <= DEEP * room[r] + need]
         if not sound or (copy and not roomy):
             return False
         pool = [r for r in roomy if self.runner_zone[r] == self.zone] or roomy or sound
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -182,3 +182,12 @@
         self.list([Listing(1, Standing.READY, 1.0, 1, 1, self.now)], whole=False)
         self.say(f"it is back, cold: limit {self.told.limit:.0f}")
         self.close("scaled-limit")
+
+    def test_a_unit_waits_here_rather_than_behind_two_fillings(self) -> None:
+        self.open(runners=1, free=1.0)
+        for n in range(4):
+            self.take(n)
+        self.at(200)
+        self.start(0, 0)
+        self.end(0, 0)
+        self.close("deep")
