--- a/crankfold/dispatch/policy.py
+++ b/crankfold/dispatch/policy.py
@@ -369,7 +369,7 @@
             sound = [r for r in sound if r not in tried] or ([] if copy else sound)
         load, room = self.load, self.room
         roomy = [r for r in sound if load[r] + need <= room[r] + SPARE and not self.waiting[r]]
-        # Behind a second filling of its slots a unit is late anyway: it rather waits here, free to go elsewhere.
+        # Behind a second filling of its slots a unit is late anyway: it waits here, free to go elsewhere.
         if not roomy:
             sound = [r for r in sound if not room[r] or load[r] + need <= DEEP * room[r] + need]
         if not sound or (copy and not roomy):
