--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -191,3 +191,9 @@
         self.start(0, 0)
         self.end(0, 0)
         self.close("deep")
+
+    def test_a_retry_past_its_worth_is_shed_at_once(self) -> None:
+        self.open()
+        self.take(0, cutoff=4400)  # its first try came 600 ms ago
+        self.take(1, cutoff=4900)
+        self.close("late-retry")
