--- a/crankfold/dispatch/policy.py
+++ b/crankfold/dispatch/policy.py
@@ -132,7 +132,8 @@
         due = first + self.expected[grade] + int(self.stretch[grade] * (work or self.typical[grade]))
         u = self.units[unit] = Unit(unit, grade, cutoff - self.margin, due, work, slots if slots > 0 else 1.0)
         self.asked[grade] += self._value(u)
-        if now >= u.cutoff or (self.tardy[grade] == 0 and now > first and now >= self._hopeless_at(u)):
+        worthless = work > 0 and self.tardy[grade] == 0 and now >= self._hopeless_at(u)
+        if now >= u.cutoff or worthless:
             self._answer(u)  # a retry that comes too late to be worth anything takes no slot from others
             return
         if self.held or self.inflight >= self.limit or not self._place(now, u):
