Give each dispatcher a steady circle of runners, drawn location by location

Cause: at full size each dispatcher sends one or two units a second, so nearly no report was young and all sent to whichever runner was unknown.

--- a/crankfold/dispatch/policy.py
+++ b/crankfold/dispatch/policy.py
@@ -9,7 +9,7 @@
 
 from collections import deque
 from collections.abc import Sequence
-from math import inf, sqrt
+from math import ceil, inf, log, sqrt
 
 from crankfold.dispatch.interface import Effect, Group, Listing, Outcome, Port, Standing, StandingOrders
 
@@ -28,6 +28,7 @@
 REPORT_LAG = 4 * SECOND // 10  # how long before it arrives a report was taken
 SILENT = SECOND
 COPY_SHARE, COPY_BURST = 0.1, 5.0
+CIRCLE = 8  # fewest runners a dispatcher keeps to
 LIST, SURVEY = 1, 2  # labels of wakes that concern no unit; a unit's own is FIRST_UNIT + unit
 FIRST_UNIT = 8
 NEVER_RAN = (Outcome.FULL, Outcome.UNREACHABLE, Outcome.NOT_SENT)
@@ -88,6 +89,9 @@
         self.inflight, self.limit, self.waits, self.runs = 0, inf, 0.0, 1.0 * SECOND
         self.window_at, self.sampled = 0, 0
         self.ready: list[int] = []
+        self.circle: list[int] = []  # the steady part of the ready ones that this dispatcher uses
+        self.lot: list[float] = []  # place in the drawing of that part; kept for good
+        self.surveyed_at, self.roused, self.arrivals, self.watched = -1, False, 0.0, 0.0
         # Figures about runners, by index.
         self.standing: list[int] = []
         self.weight: list[float] = []
@@ -114,10 +118,10 @@
         self.probe_out: list[bool] = []
         self.cold_sent: list[deque[tuple[int, float]]] = []
         self.next_probe, self.room_of_one, self.fleet, self.middle_pace = 0, 1.0, 0.0, 1.0
+        self.mean = 0.0  # of the others' work, where young reports tell it
         self.strength = 0.0  # of the ready fleet, by weight and warmth
         if self.must_ask:
             port.subscribe()
-        port.wake(self._draw(CHORES), SURVEY)
 
     def _draw(self, below: int) -> int:
         self.luck = (self.luck * 6364136223846793005 + 1442695040888963407) & 0xFFFFFFFFFFFFFFFF
@@ -128,6 +132,8 @@
     def taken(self, now: int, unit: int, grade: int, tenant: int, cutoff: int, work: int,
               slots: float) -> None:
         # A client's retry keeps its first try's cut-off, so the expected time counts from that first try.
+        self.arrivals += 1.0
+        self._tend(now)
         first = min(cutoff - self.cutoff[grade], now)
         due = first + self.expected[grade] + int(self.stretch[grade] * (work or self.typical[grade]))
         u = self.units[unit] = Unit(unit, grade, cutoff - self.margin, due, work, slots if slots > 0 else 1.0)
@@ -171,6 +177,9 @@
 
     def _hold(self, now: int, u: Unit) -> None:
         self.held[u.no] = u
+        if not self.roused:  # nothing of ours may come back that would send it on
+            self.roused = True
+            self.port.wake(CHORES, SURVEY)
         self._wake(now, u, min(u.cutoff, self._hopeless_at(u)))
 
     def _hopeless_at(self, u: Unit) -> int:
@@ -258,15 +267,46 @@
             self.runner_zone[r], self.cell[r], self.since[r] = e.zone, e.cell, e.since
             self.warm_at[r] = e.since + self.warm_after if e.since else 0
         self.ready = [r for r, s in enumerate(self.standing) if s == Standing.READY]
+        self._draw_circle()
         self._survey(now)
         self._pump(now)
 
+    def _draw_circle(self) -> None:
+        """As many runners as own traffic keeps in sight, drawn location by location: own first, then others.
+
+        By lots drawn once for each runner and its weight, so that all dispatchers together cover the runners
+        evenly, a change of the list moves few members, and a larger circle holds the smaller one.
+        """
+        size = max(CIRCLE, ceil(self.arrivals / (self.watched or inf) * AGE_LIMIT))
+        self.circle = self.ready
+        if len(self.ready) <= size:
+            return
+        own: list[int] = []
+        far: list[int] = []
+        for r in sorted(self.ready, key=lambda r: self.lot[r] / self.weight[r]):
+            (own if self.runner_zone[r] == self.zone else far).append(r)
+        near = min(len(own), max(ceil(size / 2), size - len(far)))
+        self.circle = own[:near] + far[:size - near]
+
+    def _tend(self, now: int) -> None:
+        """Surveys when there is something to decide, not by the clock: an idle dispatcher costs nothing."""
+        if now - self.surveyed_at >= CHORES:
+            self._survey(now)
+            if self.probe_all or self.probe_some:
+                self._probe(now)
+
     def _survey(self, now: int) -> None:
         """Now and then, off the path of single units: the figures that age by themselves."""
-        self.asked, self.got = [FADE * v for v in self.asked], [FADE * v for v in self.got]
+        passed = min(now - self.surveyed_at, 10 * SECOND) if self.surveyed_at >= 0 else 0
+        fade = FADE ** (passed / CHORES)
+        self.surveyed_at = now
+        self.arrivals, self.watched = fade * self.arrivals, fade * self.watched + passed
+        if passed and len(self.ready) > CIRCLE:
+            self._draw_circle()
+        self.asked, self.got = [fade * v for v in self.asked], [fade * v for v in self.got]
         shares = [got / asked if asked else 1.0 for got, asked in zip(self.got, self.asked, strict=True)]
         self.worst = min(range(len(shares)), key=shares.__getitem__, default=0)
-        fresh = [r for r in self.ready if now - self.report_at[r] < AGE_LIMIT]
+        fresh = [r for r in self.circle if now - self.report_at[r] < AGE_LIMIT]
         mean = sum(self.queued[r] for r in fresh) / len(fresh) if fresh else 0.0
         self.fleet = sum(self.room[r] for r in self.ready if self.warm_at[r] <= now)
         strength = sum(self.weight[r] * self._warmth(now, r) for r in self.ready)
@@ -275,13 +315,17 @@
         self.strength = strength or self.strength
         rooms = sorted(self.room[r] / self.weight[r] for r in fresh if self.warm_at[r] <= now)
         self.room_of_one = rooms[len(rooms) // 2] if rooms else 1.0
-        paces = sorted(self.run_sum[r] / self.due_sum[r] for r in self.ready if self.due_sum[r] > 0)
+        paces = sorted(self.run_sum[r] / self.due_sum[r] for r in self.circle if self.due_sum[r] > 0)
         # A unit may start and end in one instant: a middle pace of 0 would fail the next survey.
         self.middle_pace = max(paces[len(paces) // 2], 0.01) if paces else 1.0
-        for r in self.ready:
+        self.mean = mean
+        self._age(now, self.circle)
+
+    def _age(self, now: int, pool: list[int]) -> None:
+        for r in pool:
             if now - self.report_at[r] >= AGE_LIMIT:
-                self.queued[r] = mean
-                self.load[r] = mean + self.own[r]
+                self.queued[r] = self.mean
+                self.load[r] = self.mean + self.own[r]
             self.per_weight[r] = self._slowness(r) / (self.weight[r] * self._warmth(now, r))
 
     def list_failed(self, now: int) -> None:
@@ -296,6 +340,7 @@
                        self.full_until, self.doubt, self.doubt_until):
             counts.append(0)
         self.weight.append(1.0)
+        self.lot.append(-log((self._draw(1 << 30) + 1) / (1 << 30)))
         self.per_weight.append(1.0)
         self.report.append(())
         self.report_at.append(now - AGE_LIMIT - 1)
@@ -352,23 +397,19 @@
         allowed, zone, cell = self._permitted(now, u)
         if not allowed:
             return False
-        copy = any(d.out for d in u.sent)
-        burden, need = u.slots * (u.work or self.typical[u.grade]), u.slots
-        pool = self.ready
+        burden = u.slots * (u.work or self.typical[u.grade])
+        pool = self.circle
         if zone >= 0:
-            pool = [r for r in pool if self.runner_zone[r] == zone]
-        if cell >= 0:
-            pool = [r for r in pool if self.cell[r] == cell]
-        able = [r for r in pool if self.full_until[r] <= now
-                and (self.warm_at[r] <= now or self._cold_room(now, r, burden))]
-        sound = [r for r in able if not self.doubt[r] or self._on_trial(now, r)]
-        # When nearly all look bad, the suspicion is more likely wrong than the fleet.
-        if 3 * len(sound) <= len(able):
-            sound = able if len(able) > 2 else sound or able
-        if u.sent:
-            tried = [d.runner for d in u.sent]
-            sound = [r for r in sound if r not in tried] or ([] if copy else sound)
-        load, room = self.load, self.room
+            pool = [r for r in self.ready if self.runner_zone[r] == zone]
+        elif cell >= 0:
+            pool = [r for r in self.ready if self.cell[r] == cell]
+        sound = self._sound(now, u, pool, burden)
+        if not sound and pool is self.circle and len(pool) < len(self.ready):
+            pool = self.ready  # doubt, `full` or cold runners leave the circle bare
+            sound = self._sound(now, u, pool, burden)
+        if pool is not self.circle:
+            self._age(now, pool)
+        copy, need, load, room = any(d.out for d in u.sent), u.slots, self.load, self.room
         roomy = [r for r in sound if load[r] + need <= room[r] + SPARE and not self.waiting[r]]
         # Behind a second filling of its slots a unit is late anyway: it waits here, free to go elsewhere.
         if not roomy:
@@ -382,6 +423,18 @@
         self._send(now, u, best[0] if len(best) == 1 else best[self._draw(len(best))], burden)
         return True
 
+    def _sound(self, now: int, u: Unit, pool: list[int], burden: float) -> list[int]:
+        able = [r for r in pool if self.full_until[r] <= now
+                and (self.warm_at[r] <= now or self._cold_room(now, r, burden))]
+        sound = [r for r in able if not self.doubt[r] or self._on_trial(now, r)]
+        # When nearly all look bad, the suspicion is more likely wrong than the fleet.
+        if 3 * len(sound) <= len(able):
+            sound = able if len(able) > 2 else sound or able
+        if u.sent:
+            tried = [d.runner for d in u.sent]
+            sound = [r for r in sound if r not in tried] or ([] if any(d.out for d in u.sent) else sound)
+        return sound
+
     def _send(self, now: int, u: Unit, r: int, burden: float) -> None:
         u.sent.append(Dispatch(r, now))
         self._count(now, r, u.slots)
@@ -403,10 +456,11 @@
         if label == LIST:
             self.port.subscribe()
         elif label == SURVEY:
-            self._survey(now)
-            if self.probe_all or self.probe_some:
-                self._probe(now)
-            self.port.wake(CHORES, SURVEY)
+            self.roused = bool(self.held)
+            self._tend(now)
+            self._pump(now)
+            if self.roused:
+                self.port.wake(CHORES, SURVEY)
         else:
             u = self.units.get(label - FIRST_UNIT)
             if u and not u.ended:
@@ -552,10 +606,10 @@
 
     def _probe(self, now: int) -> None:
         """Where reports come only by probe each runner in turn, elsewhere those of whom nothing was heard."""
-        n = len(self.ready)
+        n = len(self.circle)
         for _ in range(min(-(-n * CHORES // PROBE_EVERY), n)):
             self.next_probe = (self.next_probe + 1) % n
-            r = self.ready[self.next_probe]
+            r = self.circle[self.next_probe]
             if not self.probe_out[r] and (self.probe_all or now - self.heard_at[r] > PROBE_EVERY):
                 self.probe_out[r] = True
                 self.port.probe(r)
