--- a/crankfold/dispatch/policy.py
+++ b/crankfold/dispatch/policy.py
@@ -15,11 +15,11 @@
 
 SECOND = 10_000
 AGE_LIMIT = 5 * SECOND  # a report older than this no longer tells one runner from another
-PROBE_EVERY = 2 * SECOND
+PROBE_EVERY = SECOND // 2
 CHORES = SECOND // 4
 DOUBT_FIRST, DOUBT_LONGEST = SECOND, 8 * SECOND
 FULL_REST = SECOND // 4
-BLEND = 0.05
+BLEND = 0.5
 WINDOW = 10
 PACE = 0.85
 SPARE = 0.25
@@ -28,7 +28,8 @@
 REPORT_LAG = 4 * SECOND // 10  # how long before it arrives a report was taken
 SILENT = SECOND
 COPY_SHARE, COPY_BURST = 0.1, 5.0
-CIRCLE = 8  # fewest runners a dispatcher keeps to
+DRAWN = 2
+CIRCLE = 6  # fewest runners a dispatcher keeps to
 LIST, SURVEY = 1, 2  # labels of wakes that concern no unit; a unit's own is FIRST_UNIT + unit
 FIRST_UNIT = 8
 NEVER_RAN = (Outcome.FULL, Outcome.UNREACHABLE, Outcome.NOT_SENT)
@@ -277,7 +278,7 @@
         By lots drawn once for each runner and its weight, so that all dispatchers together cover the runners
         evenly, a change of the list moves few members, and a larger circle holds the smaller one.
         """
-        size = max(CIRCLE, ceil(self.arrivals / (self.watched or inf) * AGE_LIMIT))
+        size = max(CIRCLE, ceil(self.arrivals / (self.watched or inf) * AGE_LIMIT * 0.6))
         self.circle = self.ready
         if len(self.ready) <= size:
             return
@@ -417,6 +418,9 @@
         if not sound or (copy and not roomy):
             return False
         pool = [r for r in roomy if self.runner_zone[r] == self.zone] or roomy or sound
+        if len(self.circle) < len(self.ready) and len(pool) > DRAWN:
+            at = self._draw(len(pool))
+            pool = (pool + pool)[at:at + DRAWN]
         scores = [(load[r] + need) * self.per_weight[r] for r in pool]
         least = min(scores)
         best = [r for r, score in zip(pool, scores, strict=True) if score == least]
