--- a/crankfold/dispatch/policy.py
+++ b/crankfold/dispatch/policy.py
@@ -15,11 +15,11 @@
 
 SECOND = 10_000
 AGE_LIMIT = 5 * SECOND  # a report older than this no longer tells one runner from another
-PROBE_EVERY = SECOND // 2
+PROBE_EVERY = 2 * SECOND
 CHORES = SECOND // 4
 DOUBT_FIRST, DOUBT_LONGEST = SECOND, 8 * SECOND
 FULL_REST = SECOND // 4
-BLEND = 0.5
+BLEND = 0.12
 WINDOW = 10
 PACE = 0.85
 SPARE = 0.25
@@ -28,8 +28,7 @@
 REPORT_LAG = 4 * SECOND // 10  # how long before it arrives a report was taken
 SILENT = SECOND
 COPY_SHARE, COPY_BURST = 0.1, 5.0
-DRAWN = 2
-CIRCLE = 6  # fewest runners a dispatcher keeps to
+CIRCLE = 5  # fewest runners a dispatcher keeps to
 LIST, SURVEY = 1, 2  # labels of wakes that concern no unit; a unit's own is FIRST_UNIT + unit
 FIRST_UNIT = 8
 NEVER_RAN = (Outcome.FULL, Outcome.UNREACHABLE, Outcome.NOT_SENT)
@@ -418,9 +417,6 @@
         if not sound or (copy and not roomy):
             return False
         pool = [r for r in roomy if self.runner_zone[r] == self.zone] or roomy or sound
-        if len(self.circle) < len(self.ready) and len(pool) > DRAWN:
-            at = self._draw(len(pool))
-            pool = (pool + pool)[at:at + DRAWN]
         scores = [(load[r] + need) * self.per_weight[r] for r in pool]
         least = min(scores)
         best = [r for r, score in zip(pool, scores, strict=True) if score == least]
