--- a/crankfold/dispatch/interface.py
+++ b/crankfold/dispatch/interface.py
@@ -87,6 +87,7 @@
     zone: int
     cell: int
     since: int  # when it last started; 0 for long ago
+    kind: int = 0  # runners of a kind are alike in their slots
 
 
 class Port(Protocol):
--- a/crankfold/dispatch/policy.py
+++ b/crankfold/dispatch/policy.py
@@ -19,7 +19,7 @@
 CHORES = SECOND // 4
 DOUBT_FIRST, DOUBT_LONGEST = SECOND, 8 * SECOND
 FULL_REST = SECOND // 4
-BLEND = 0.12
+BLEND = 0.4
 WINDOW = 10
 PACE = 0.85
 SPARE = 0.25
@@ -27,7 +27,7 @@
 FADE = 0.975  # four times a second: what was asked and got is remembered for some ten seconds
 REPORT_LAG = 4 * SECOND // 10  # how long before it arrives a report was taken
 SILENT = SECOND
-COPY_SHARE, COPY_BURST = 0.1, 5.0
+COPY_SHARE, COPY_BURST = 0.5, 5.0
 CIRCLE = 5  # fewest runners a dispatcher keeps to
 LIST, SURVEY = 1, 2  # labels of wakes that concern no unit; a unit's own is FIRST_UNIT + unit
 FIRST_UNIT = 8
@@ -97,6 +97,8 @@
         self.weight: list[float] = []
         self.runner_zone: list[int] = []
         self.cell: list[int] = []
+        self.kind: list[int] = []
+        self.slots_of: dict[int, float] = {}  # by kind, as reports and starts show them
         self.since: list[int] = []
         self.queued: list[float] = []  # others' work by the reports: queue and busy slots, less own
         self.recent: list[deque[tuple[int, float]]] = []  # own slots sent (+) and come back (-) of late
@@ -265,6 +267,7 @@
                 self.doubt[r] = 0
             self.standing[r], self.weight[r] = e.standing, e.weight if e.weight > 0 else 1.0
             self.runner_zone[r], self.cell[r], self.since[r] = e.zone, e.cell, e.since
+            self.kind[r], self.room[r] = e.kind, self.slots_of.get(e.kind, 0.0)
             self.warm_at[r] = e.since + self.warm_after if e.since else 0
         self.ready = [r for r, s in enumerate(self.standing) if s == Standing.READY]
         self._draw_circle()
@@ -336,8 +339,8 @@
         for figures in (self.queued, self.own, self.load, self.room, self.errors, self.run_sum,
                         self.due_sum):
             figures.append(0.0)
-        for counts in (self.standing, self.runner_zone, self.cell, self.since, self.warm_at, self.waiting,
-                       self.full_until, self.doubt, self.doubt_until):
+        for counts in (self.standing, self.runner_zone, self.cell, self.kind, self.since, self.warm_at,
+                       self.waiting, self.full_until, self.doubt, self.doubt_until):
             counts.append(0)
         self.weight.append(1.0)
         self.lot.append(-log((self._draw(1 << 30) + 1) / (1 << 30)))
@@ -444,7 +447,8 @@
             self.cold_sent[r].append((now, burden))
         self.port.dispatch(u.no, r, 0)
         self.copies = min(self.copies + self.copy_share, COPY_BURST)
-        u.patience = max(u.patience * 2, self.patience[u.grade], int(4 * self.waits))
+        u.patience = max(u.patience * 2, self.patience[u.grade],
+                         int(4 * self.waits) if len(self.circle) == len(self.ready) else 0)
         self._wake(now, u, now + u.patience)
 
     def _wake(self, now: int, u: Unit, at: int) -> None:
@@ -485,7 +489,7 @@
                 continue
             r = d.runner
             if d.started_at < 0:
-                stuck = stuck and self.heard_at[r] <= d.sent_at
+                stuck = stuck and (len(self.circle) < len(self.ready) or self.heard_at[r] <= d.sent_at)
                 if now - d.sent_at > SILENT and self.heard_at[r] < d.sent_at and not self.doubt[r]:
                     self._blame(now, r)  # a hang: takes work and answers nothing
             elif self.quiet and now - d.heard_at > self.quiet:
@@ -586,7 +590,13 @@
         self.report[r], self.report_at[r] = report, now
         free = report[self.at_free] if 0 <= self.at_free < len(report) else 0.0
         queue = report[self.at_queue] if 0 <= self.at_queue < len(report) else 0.0
-        self.room[r] = max(self.room[r], free, self.own[r] if not self.waiting[r] else 0.0)
+        known = self.slots_of.get(self.kind[r], 0.0)
+        seen = max(free, self.own[r] if not self.waiting[r] else 0.0)
+        if seen > known:  # a kind has its slots on every runner: one that was never seen idle has them too
+            self.slots_of[self.kind[r]] = seen
+            for other in self.ready:
+                if self.kind[other] == self.kind[r]:
+                    self.room[other] = seen
         held = max(queue, 0.0) + max(self.room[r] - free, 0.0)
         # What went out or came back too lately for this report to count is still own work since the report.
         self._forget(now, r)
--- a/crankfold/simhost/host.py
+++ b/crankfold/simhost/host.py
@@ -169,8 +169,8 @@
             else:
                 # A list entry's start is rounded up: a younger runner is treated as colder.
                 entries = [Listing(door.runner(a), _STANDINGS.get(s, Standing.GONE), w, z, c,
-                                   -(-since // 100))
-                           for z, s, w, c, a, _, since in self.banks[bank]]
+                                   -(-since // 100), kind)
+                           for z, s, w, c, a, kind, since in self.banks[bank]]
                 call, args = told.listed, (now, entries, scope != 2)
         elif code == 9:
             _, n = unpack_from("<IH", frame, at)
