--- a/crankfold/dispatch/policy.py
+++ b/crankfold/dispatch/policy.py
@@ -19,7 +19,7 @@
 CHORES = SECOND // 4
 DOUBT_FIRST, DOUBT_LONGEST = SECOND, 8 * SECOND
 FULL_REST = SECOND // 4
-BLEND = 0.4
+BLEND = 0.12
 WINDOW = 10
 PACE = 0.85
 SPARE = 0.25
@@ -27,7 +27,8 @@
 FADE = 0.975  # four times a second: what was asked and got is remembered for some ten seconds
 REPORT_LAG = 4 * SECOND // 10  # how long before it arrives a report was taken
 SILENT = SECOND
-COPY_SHARE, COPY_BURST = 0.5, 5.0
+COPY_SHARE, COPY_BURST = 0.0, 5.0
+REACH = 0.17  # how far from its own place among running times a unit may go, each way
 CIRCLE = 5  # fewest runners a dispatcher keeps to
 LIST, SURVEY = 1, 2  # labels of wakes that concern no unit; a unit's own is FIRST_UNIT + unit
 FIRST_UNIT = 8
@@ -69,7 +70,7 @@
         self.tardy = [g.tardy for g in orders.grades]
         self.patience = [min(max(g.expected // 2, 400), SECOND // 2) for g in orders.grades]
         self.typical = [max(g.expected, 1.0) for g in orders.grades]  # running time, followed as answers come
-        self.most, self.copies = orders.most_dispatches, COPY_BURST if orders.may_copy else 0.0
+        self.most, self.copies = orders.most_dispatches, 0.0
         self.copy_share = COPY_SHARE if orders.may_copy else 0.0
         self.may_cancel, self.advice = orders.may_cancel, min(orders.longest_advice, SECOND)
         self.quiet = 5 * orders.progress // 2  # started work without progress for so long stands still
@@ -98,6 +99,9 @@
         self.runner_zone: list[int] = []
         self.cell: list[int] = []
         self.kind: list[int] = []
+        self.mark: list[int] = []
+        self.place: list[float] = []  # in its zone's order by mark, by weight: the same at all dispatchers
+        self.work_by_length = [0.0] * 32  # work taken, by the logarithm of its running time
         self.slots_of: dict[int, float] = {}  # by kind, as reports and starts show them
         self.since: list[int] = []
         self.queued: list[float] = []  # others' work by the reports: queue and busy slots, less own
@@ -120,6 +124,7 @@
         self.probe_out: list[bool] = []
         self.cold_sent: list[deque[tuple[int, float]]] = []
         self.next_probe, self.room_of_one, self.fleet, self.middle_pace = 0, 1.0, 0.0, 1.0
+        self.burden = 1.0 * SECOND
         self.mean = 0.0  # of the others' work, where young reports tell it
         self.strength = 0.0  # of the ready fleet, by weight and warmth
         if self.must_ask:
@@ -140,6 +145,8 @@
         due = first + self.expected[grade] + int(self.stretch[grade] * (work or self.typical[grade]))
         u = self.units[unit] = Unit(unit, grade, cutoff - self.margin, due, work, slots if slots > 0 else 1.0)
         self.asked[grade] += self._value(u)
+        length = work or int(self.typical[grade])
+        self.work_by_length[min(length.bit_length(), 31)] += length * u.slots
         worthless = work > 0 and self.tardy[grade] == 0 and now >= self._hopeless_at(u)
         if now >= u.cutoff or worthless:
             self._answer(u)  # a retry that comes too late to be worth anything takes no slot from others
@@ -267,13 +274,37 @@
                 self.doubt[r] = 0
             self.standing[r], self.weight[r] = e.standing, e.weight if e.weight > 0 else 1.0
             self.runner_zone[r], self.cell[r], self.since[r] = e.zone, e.cell, e.since
+            self.mark[r] = e.mark
             self.kind[r], self.room[r] = e.kind, self.slots_of.get(e.kind, 0.0)
             self.warm_at[r] = e.since + self.warm_after if e.since else 0
         self.ready = [r for r, s in enumerate(self.standing) if s == Standing.READY]
+        self._seat()
         self._draw_circle()
         self._survey(now)
         self._pump(now)
 
+    def _seat(self) -> None:
+        for zone in {self.runner_zone[r] for r in self.ready}:
+            here = sorted((r for r in self.ready if self.runner_zone[r] == zone), key=self.mark.__getitem__)
+            total, passed = sum(self.weight[r] for r in here), 0.0
+            for r in here:
+                self.place[r] = (passed + self.weight[r] / 2) / total
+                passed += self.weight[r]
+
+    def _fitting(self, u: Unit) -> list[int]:
+        """Of the circle those that serve units of about this running time.
+
+        The score takes run times as alike; where sight is sparse a short unit would wait behind long ones.
+        """
+        return self.circle
+        length = (u.work or int(self.typical[u.grade])).bit_length()
+        total = sum(self.work_by_length)
+        if not total:
+            return self.circle
+        at = (sum(self.work_by_length[:length]) + self.work_by_length[length] / 2) / total
+        at = min(max(at, REACH), 1.0 - REACH)
+        return [r for r in self.circle if abs(self.place[r] - at) <= REACH] or self.circle
+
     def _draw_circle(self) -> None:
         """As many runners as own traffic keeps in sight, drawn location by location: own first, then others.
 
@@ -339,10 +370,11 @@
         for figures in (self.queued, self.own, self.load, self.room, self.errors, self.run_sum,
                         self.due_sum):
             figures.append(0.0)
-        for counts in (self.standing, self.runner_zone, self.cell, self.kind, self.since, self.warm_at,
+        for counts in (self.standing, self.runner_zone, self.cell, self.kind, self.mark, self.since, self.warm_at,
                        self.waiting, self.full_until, self.doubt, self.doubt_until):
             counts.append(0)
         self.weight.append(1.0)
+        self.place.append(0.0)
         self.lot.append(-log((self._draw(1 << 30) + 1) / (1 << 30)))
         self.per_weight.append(1.0)
         self.report.append(())
@@ -401,16 +433,16 @@
         if not allowed:
             return False
         burden = u.slots * (u.work or self.typical[u.grade])
-        pool = self.circle
+        pool = fitting = self._fitting(u)
         if zone >= 0:
             pool = [r for r in self.ready if self.runner_zone[r] == zone]
         elif cell >= 0:
             pool = [r for r in self.ready if self.cell[r] == cell]
         sound = self._sound(now, u, pool, burden)
-        if not sound and pool is self.circle and len(pool) < len(self.ready):
+        if not sound and pool is fitting and len(pool) < len(self.ready):
             pool = self.ready  # doubt, `full` or cold runners leave the circle bare
             sound = self._sound(now, u, pool, burden)
-        if pool is not self.circle:
+        if pool is not fitting:
             self._age(now, pool)
         copy, need, load, room = any(d.out for d in u.sent), u.slots, self.load, self.room
         roomy = [r for r in sound if load[r] + need <= room[r] + SPARE and not self.waiting[r]]
@@ -421,6 +453,8 @@
             return False
         pool = [r for r in roomy if self.runner_zone[r] == self.zone] or roomy or sound
         scores = [(load[r] + need) * self.per_weight[r] for r in pool]
+        if len(self.circle) < len(self.ready):
+            scores = [(max(load[r] - room[r], 0.0) + self.own[r]) * self.per_weight[r] for r in pool]
         least = min(scores)
         best = [r for r, score in zip(pool, scores, strict=True) if score == least]
         self._send(now, u, best[0] if len(best) == 1 else best[self._draw(len(best))], burden)
@@ -446,7 +480,8 @@
         if self.warm_at[r] > now:
             self.cold_sent[r].append((now, burden))
         self.port.dispatch(u.no, r, 0)
-        self.copies = min(self.copies + self.copy_share, COPY_BURST)
+        self.burden += 0.05 * (burden - self.burden)
+        self.copies = min(self.copies + self.copy_share * burden, COPY_BURST * self.runs)
         u.patience = max(u.patience * 2, self.patience[u.grade],
                          int(4 * self.waits) if len(self.circle) == len(self.ready) else 0)
         self._wake(now, u, now + u.patience)
@@ -484,12 +519,14 @@
     def _overdue(self, now: int, u: Unit) -> None:
         """A dispatch that does not start, or that stands still, gets a copy where the grade allows one."""
         stuck = True
+        burden = u.slots * (u.work or self.typical[u.grade])
+        small = len(self.circle) < len(self.ready) and burden <= self.burden
         for d in u.sent:
             if not d.out:
                 continue
             r = d.runner
             if d.started_at < 0:
-                stuck = stuck and (len(self.circle) < len(self.ready) or self.heard_at[r] <= d.sent_at)
+                stuck = stuck and (small or self.heard_at[r] <= d.sent_at)
                 if now - d.sent_at > SILENT and self.heard_at[r] < d.sent_at and not self.doubt[r]:
                     self._blame(now, r)  # a hang: takes work and answers nothing
             elif self.quiet and now - d.heard_at > self.quiet:
@@ -499,8 +536,8 @@
                 stuck = False
         late = self.tardy[u.grade] == 0 and now + (u.work or self.typical[u.grade]) / 2 > u.due
         lone = sum(d.out for d in u.sent) < 2
-        if stuck and lone and not late and self.copies >= 1.0 and self._place(now, u):
-            self.copies -= 1.0
+        if stuck and lone and not late and self.copies > 0 and self._place(now, u):
+            self.copies -= u.slots * (u.work or self.typical[u.grade])
             return
         u.patience = max(u.patience, self.quiet)
         self._wake(now, u, now + u.patience)
