--- a/crankfold/dispatch/policy.py
+++ b/crankfold/dispatch/policy.py
@@ -27,7 +27,7 @@
 FADE = 0.975  # four times a second: what was asked and got is remembered for some ten seconds
 REPORT_LAG = 4 * SECOND // 10  # how long before it arrives a report was taken
 SILENT = SECOND
-COPY_SHARE, COPY_BURST = 0.0, 5.0
+COPY_SHARE, COPY_BURST = 0.3, 5.0
 REACH = 0.17  # how far from its own place among running times a unit may go, each way
 CIRCLE = 5  # fewest runners a dispatcher keeps to
 LIST, SURVEY = 1, 2  # labels of wakes that concern no unit; a unit's own is FIRST_UNIT + unit
@@ -124,7 +124,8 @@
         self.probe_out: list[bool] = []
         self.cold_sent: list[deque[tuple[int, float]]] = []
         self.next_probe, self.room_of_one, self.fleet, self.middle_pace = 0, 1.0, 0.0, 1.0
-        self.burden = 1.0 * SECOND
+        self.ran, self.done = 5 * SECOND, 5  # running time of all that was done, and how many
+        self.kept = 0.0  # share of dispatches that were kept waiting
         self.mean = 0.0  # of the others' work, where young reports tell it
         self.strength = 0.0  # of the ready fleet, by weight and warmth
         if self.must_ask:
@@ -220,6 +221,7 @@
 
     def _follow(self, now: int, sent_at: int, wait: int) -> None:
         """The in-flight limit follows shortest answer time (the run) over the present one (wait and run)."""
+        self.kept += 0.07 * ((wait > 400) - self.kept)
         if sent_at < self.window_at:
             return  # sent under an older limit: counting it again would shrink the limit once for each
         self.waits += 0.1 * (wait - self.waits)
@@ -480,10 +482,11 @@
         if self.warm_at[r] > now:
             self.cold_sent[r].append((now, burden))
         self.port.dispatch(u.no, r, 0)
-        self.burden += 0.05 * (burden - self.burden)
         self.copies = min(self.copies + self.copy_share * burden, COPY_BURST * self.runs)
-        u.patience = max(u.patience * 2, self.patience[u.grade],
-                         int(4 * self.waits) if len(self.circle) == len(self.ready) else 0)
+        if len(self.circle) == len(self.ready):
+            u.patience = max(u.patience * 2, self.patience[u.grade], int(4 * self.waits))
+        else:
+            u.patience = max(int((u.due - now - (u.work or self.typical[u.grade])) / 3), 400)
         self._wake(now, u, now + u.patience)
 
     def _wake(self, now: int, u: Unit, at: int) -> None:
@@ -520,13 +523,14 @@
         """A dispatch that does not start, or that stands still, gets a copy where the grade allows one."""
         stuck = True
         burden = u.slots * (u.work or self.typical[u.grade])
-        small = len(self.circle) < len(self.ready) and burden <= self.burden
+        small = len(self.circle) < len(self.ready) and 10 * self.ran > 7 * SECOND * self.done
         for d in u.sent:
             if not d.out:
                 continue
             r = d.runner
             if d.started_at < 0:
-                stuck = stuck and (small or self.heard_at[r] <= d.sent_at)
+                stuck = stuck and (small or self.heard_at[r] <= d.sent_at and (
+                    len(self.circle) == len(self.ready) or now - d.sent_at > SILENT))
                 if now - d.sent_at > SILENT and self.heard_at[r] < d.sent_at and not self.doubt[r]:
                     self._blame(now, r)  # a hang: takes work and answers nothing
             elif self.quiet and now - d.heard_at > self.quiet:
@@ -598,6 +602,7 @@
                 self._pace(r, u, run)
                 self.typical[u.grade] += 0.05 * (run - self.typical[u.grade])
                 self.runs += 0.1 * (run - self.runs)
+                self.ran, self.done = self.ran + run, self.done + 1
         elif outcome == Outcome.FULL:
             self.full_until[r] = now + FULL_REST
         elif outcome in (Outcome.ERROR, Outcome.RESET, Outcome.UNKNOWN):
