Cold runners get saved-up units from a random start

Cause (casa, enlargement of the fleet): a share of 1/dispatchers of a cold budget never held a unit, so the grown fleet stood idle.

--- a/crankfold/dispatch/policy.py
+++ b/crankfold/dispatch/policy.py
@@ -82,9 +82,8 @@
         self.probe_all = orders.may_probe and orders.reports_by_probe
         self.probe_some = orders.may_probe and orders.reports_in_answers
         self.cold_from, self.warm_after = orders.cold_from, orders.warm_after
-        self.cold_span = max(orders.overload_for, 1)
-        # Half the stated multiple, split evenly: it holds though every dispatcher spends its part at once.
-        self.cold_part = orders.overload_factor * orders.overload_for / 2 / orders.dispatchers
+        # No single unit spends more than half of what all together may send.
+        self.cold_whole = orders.overload_factor * orders.overload_for / 2
         self.units: dict[int, Unit] = {}
         self.held: dict[int, Unit] = {}
         self.inflight, self.limit, self.waits, self.runs = 0, inf, 0.0, 1.0 * SECOND
@@ -122,7 +121,8 @@
         self.doubt: list[int] = []  # length of the present doubt; 0 for trusted
         self.doubt_until: list[int] = []
         self.probe_out: list[bool] = []
-        self.cold_sent: list[deque[tuple[int, float]]] = []
+        self.cold_next: list[int] = []  # from when a cold runner may get its next unit; 0 for not drawn yet
+        self.part = 1.0  # of a runner that is this dispatcher's
         self.next_probe, self.room_of_one, self.fleet, self.middle_pace = 0, 1.0, 0.0, 1.0
         self.ran, self.done = 5 * SECOND, 5  # running time of all that was done, and how many
         self.kept = 0.0  # share of dispatches that were kept waiting
@@ -273,7 +273,7 @@
                 # A restarted process holds nothing of what its old self reported or was doubted for.
                 self.queued[r] = self.errors[r] = 0.0
                 self.load[r] = self.own[r]
-                self.doubt[r] = 0
+                self.doubt[r] = self.cold_next[r] = 0
             self.standing[r], self.weight[r] = e.standing, e.weight if e.weight > 0 else 1.0
             self.runner_zone[r], self.cell[r], self.since[r] = e.zone, e.cell, e.since
             self.mark[r] = e.mark
@@ -281,7 +281,7 @@
             self.warm_at[r] = e.since + self.warm_after if e.since else 0
         self.ready = [r for r, s in enumerate(self.standing) if s == Standing.READY]
         self._seat()
-        self._draw_circle()
+        self._draw_circle(now)
         self._survey(now)
         self._pump(now)
 
@@ -307,7 +307,7 @@
         at = min(max(at, REACH), 1.0 - REACH)
         return [r for r in self.circle if abs(self.place[r] - at) <= REACH] or self.circle
 
-    def _draw_circle(self) -> None:
+    def _draw_circle(self, now: int) -> None:
         """As many runners as own traffic keeps in sight, drawn location by location: own first, then others.
 
         By lots drawn once for each runner and its weight, so that all dispatchers together cover the runners
@@ -315,14 +315,25 @@
         """
         size = max(CIRCLE, ceil(self.arrivals / (self.watched or inf) * AGE_LIMIT * 0.6))
         self.circle = self.ready
-        if len(self.ready) <= size:
-            return
         own: list[int] = []
         far: list[int] = []
-        for r in sorted(self.ready, key=lambda r: self.lot[r] / self.weight[r]):
-            (own if self.runner_zone[r] == self.zone else far).append(r)
-        near = min(len(own), max(ceil(size / 2), size - len(far)))
-        self.circle = own[:near] + far[:size - near]
+        if len(self.ready) > size:
+            # Cold ones come on top: they cannot carry the place of a warm one yet.
+            for r in sorted(self.ready, key=lambda r: self.lot[r] / self.weight[r]):
+                (own if self.runner_zone[r] == self.zone else far).append(r)
+            near = self._first_warm(now, own, ceil(size / 2))
+            self.circle = near + self._first_warm(now, far, size - len(near))
+        self.part = len(self.ready) / max(len(self.circle), 1) / self.sharers
+        self.part = min(max(self.part, 1.0 / self.sharers), 1.0)
+
+    def _first_warm(self, now: int, pool: list[int], size: int) -> list[int]:
+        taken = []
+        for r in pool:
+            if size <= 0:
+                break
+            taken.append(r)
+            size -= self.warm_at[r] <= now
+        return taken
 
     def _tend(self, now: int) -> None:
         """Surveys when there is something to decide, not by the clock: an idle dispatcher costs nothing."""
@@ -338,7 +349,7 @@
         self.surveyed_at = now
         self.arrivals, self.watched = fade * self.arrivals, fade * self.watched + passed
         if passed and len(self.ready) > CIRCLE:
-            self._draw_circle()
+            self._draw_circle(now)
         self.asked, self.got = [fade * v for v in self.asked], [fade * v for v in self.got]
         shares = [got / asked if asked else 1.0 for got, asked in zip(self.got, self.asked, strict=True)]
         self.worst = min(range(len(shares)), key=shares.__getitem__, default=0)
@@ -373,7 +384,7 @@
                         self.due_sum):
             figures.append(0.0)
         for counts in (self.standing, self.runner_zone, self.cell, self.kind, self.mark, self.since, self.warm_at,
-                       self.waiting, self.full_until, self.doubt, self.doubt_until):
+                       self.waiting, self.cold_next, self.full_until, self.doubt, self.doubt_until):
             counts.append(0)
         self.weight.append(1.0)
         self.place.append(0.0)
@@ -383,7 +394,6 @@
         self.report_at.append(now - AGE_LIMIT - 1)
         self.heard_at.append(now)
         self.probe_out.append(False)
-        self.cold_sent.append(deque())
         self.recent.append(deque())
 
     def _warmth(self, now: int, r: int) -> float:
@@ -394,14 +404,18 @@
         return self.cold_from + (1.0 - self.cold_from) * max(age, 0) / self.warm_after
 
     def _cold_room(self, now: int, r: int, burden: float) -> bool:
-        """Keeps this dispatcher's part of what a cold runner may be sent, copies included."""
-        spent = self.cold_sent[r]
-        while spent and spent[0][0] <= now - self.cold_span:
-            spent.popleft()
-        slots = self.room_of_one * self.weight[r]
-        if self.waiting[r] or self.own[r] > slots / self.sharers:
+        """Keeps this dispatcher's part of what a cold runner may be sent, copies included.
+
+        The part is what the runner can do now over those that have it in their circle. Where that is less than
+        a unit, a unit may go when its time has been saved up, from a random start: an allowed first unit from
+        each of hundreds would push the runner over, and none from any would leave a grown fleet idle.
+        """
+        able = self.room_of_one * self.weight[r] * self._warmth(now, r)
+        if self.waiting[r] or burden > self.cold_whole * able:
             return False  # what it has not started yet is pressure enough
-        return sum(b for _, b in spent) + burden <= self.cold_part * slots * self._warmth(now, r)
+        if not self.cold_next[r]:
+            self.cold_next[r] = now + self._draw(int(burden / (able * self.part)) + 1)
+        return now >= self.cold_next[r]
 
     # --- health ---
 
@@ -480,7 +494,8 @@
         self.waiting[r] += 1
         self.inflight += 1
         if self.warm_at[r] > now:
-            self.cold_sent[r].append((now, burden))
+            able = self.room_of_one * self.weight[r] * self._warmth(now, r)
+            self.cold_next[r] = now + int(burden / (able * self.part))
         self.port.dispatch(u.no, r, 0)
         self.copies = min(self.copies + self.copy_share * burden, COPY_BURST * self.runs)
         if len(self.circle) == len(self.ready):
