--- a/crankfold/dispatch/interface.py
+++ b/crankfold/dispatch/interface.py
@@ -88,7 +88,6 @@
     cell: int
     since: int  # when it last started; 0 for long ago
     kind: int = 0  # runners of a kind are alike in their slots
-    mark: int = 0  # tells runners apart, the same at every dispatcher; says nothing else
 
 
 class Port(Protocol):
--- a/crankfold/dispatch/policy.py
+++ b/crankfold/dispatch/policy.py
@@ -9,6 +9,7 @@
 
 from collections import deque
 from collections.abc import Sequence
+from itertools import accumulate, chain
 from math import ceil, inf, log, sqrt
 
 from crankfold.dispatch.interface import Effect, Group, Listing, Outcome, Port, Standing, StandingOrders
@@ -26,10 +27,10 @@
 DEEP = 2.0
 FADE = 0.975  # four times a second: what was asked and got is remembered for some ten seconds
 REPORT_LAG = 4 * SECOND // 10  # how long before it arrives a report was taken
+REPORT_AGE = 7 * SECOND // 10  # how old it is by then on average, as runners refresh it only now and then
 SILENT = SECOND
 COPY_SHARE, COPY_BURST = 0.3, 5.0
-REACH = 0.17  # how far from its own place among running times a unit may go, each way
-CIRCLE = 5  # fewest runners a dispatcher keeps to
+CIRCLE, IN_SIGHT = 5, 3 * SECOND  # fewest runners a dispatcher keeps to; else one for each unit in this time
 LIST, SURVEY = 1, 2  # labels of wakes that concern no unit; a unit's own is FIRST_UNIT + unit
 FIRST_UNIT = 8
 NEVER_RAN = (Outcome.FULL, Outcome.UNREACHABLE, Outcome.NOT_SENT)
@@ -98,9 +99,6 @@
         self.runner_zone: list[int] = []
         self.cell: list[int] = []
         self.kind: list[int] = []
-        self.mark: list[int] = []
-        self.place: list[float] = []  # in its zone's order by mark, by weight: the same at all dispatchers
-        self.work_by_length = [0.0] * 32  # work taken, by the logarithm of its running time
         self.slots_of: dict[int, float] = {}  # by kind, as reports and starts show them
         self.since: list[int] = []
         self.queued: list[float] = []  # others' work by the reports: queue and busy slots, less own
@@ -122,10 +120,9 @@
         self.doubt_until: list[int] = []
         self.probe_out: list[bool] = []
         self.cold_next: list[int] = []  # from when a cold runner may get its next unit; 0 for not drawn yet
-        self.part = 1.0  # of a runner that is this dispatcher's
+        self.part, self.sparse = 1.0, False  # of a runner that is this dispatcher's; whether few are known
         self.next_probe, self.room_of_one, self.fleet, self.middle_pace = 0, 1.0, 0.0, 1.0
         self.ran, self.done = 5 * SECOND, 5  # running time of all that was done, and how many
-        self.kept = 0.0  # share of dispatches that were kept waiting
         self.mean = 0.0  # of the others' work, where young reports tell it
         self.strength = 0.0  # of the ready fleet, by weight and warmth
         if self.must_ask:
@@ -146,8 +143,6 @@
         due = first + self.expected[grade] + int(self.stretch[grade] * (work or self.typical[grade]))
         u = self.units[unit] = Unit(unit, grade, cutoff - self.margin, due, work, slots if slots > 0 else 1.0)
         self.asked[grade] += self._value(u)
-        length = work or int(self.typical[grade])
-        self.work_by_length[min(length.bit_length(), 31)] += length * u.slots
         worthless = work > 0 and self.tardy[grade] == 0 and now >= self._hopeless_at(u)
         if now >= u.cutoff or worthless:
             self._answer(u)  # a retry that comes too late to be worth anything takes no slot from others
@@ -221,7 +216,6 @@
 
     def _follow(self, now: int, sent_at: int, wait: int) -> None:
         """The in-flight limit follows shortest answer time (the run) over the present one (wait and run)."""
-        self.kept += 0.07 * ((wait > 400) - self.kept)
         if sent_at < self.window_at:
             return  # sent under an older limit: counting it again would shrink the limit once for each
         self.waits += 0.1 * (wait - self.waits)
@@ -276,64 +270,34 @@
                 self.doubt[r] = self.cold_next[r] = 0
             self.standing[r], self.weight[r] = e.standing, e.weight if e.weight > 0 else 1.0
             self.runner_zone[r], self.cell[r], self.since[r] = e.zone, e.cell, e.since
-            self.mark[r] = e.mark
             self.kind[r], self.room[r] = e.kind, self.slots_of.get(e.kind, 0.0)
             self.warm_at[r] = e.since + self.warm_after if e.since else 0
         self.ready = [r for r, s in enumerate(self.standing) if s == Standing.READY]
-        self._seat()
         self._draw_circle(now)
         self._survey(now)
         self._pump(now)
 
-    def _seat(self) -> None:
-        for zone in {self.runner_zone[r] for r in self.ready}:
-            here = sorted((r for r in self.ready if self.runner_zone[r] == zone), key=self.mark.__getitem__)
-            total, passed = sum(self.weight[r] for r in here), 0.0
-            for r in here:
-                self.place[r] = (passed + self.weight[r] / 2) / total
-                passed += self.weight[r]
-
-    def _fitting(self, u: Unit) -> list[int]:
-        """Of the circle those that serve units of about this running time.
-
-        The score takes run times as alike; where sight is sparse a short unit would wait behind long ones.
-        """
-        return self.circle
-        length = (u.work or int(self.typical[u.grade])).bit_length()
-        total = sum(self.work_by_length)
-        if not total:
-            return self.circle
-        at = (sum(self.work_by_length[:length]) + self.work_by_length[length] / 2) / total
-        at = min(max(at, REACH), 1.0 - REACH)
-        return [r for r in self.circle if abs(self.place[r] - at) <= REACH] or self.circle
-
     def _draw_circle(self, now: int) -> None:
         """As many runners as own traffic keeps in sight, drawn location by location: own first, then others.
 
         By lots drawn once for each runner and its weight, so that all dispatchers together cover the runners
         evenly, a change of the list moves few members, and a larger circle holds the smaller one.
         """
-        size = max(CIRCLE, ceil(self.arrivals / (self.watched or inf) * AGE_LIMIT * 0.6))
+        size = max(CIRCLE, ceil(self.arrivals / (self.watched or inf) * IN_SIGHT))
         self.circle = self.ready
         own: list[int] = []
         far: list[int] = []
-        if len(self.ready) > size:
-            # Cold ones come on top: they cannot carry the place of a warm one yet.
+        if len(self.ready) > size:  # cold ones come on top: they cannot carry the place of a warm one yet
             for r in sorted(self.ready, key=lambda r: self.lot[r] / self.weight[r]):
                 (own if self.runner_zone[r] == self.zone else far).append(r)
             near = self._first_warm(now, own, ceil(size / 2))
             self.circle = near + self._first_warm(now, far, size - len(near))
-        self.part = len(self.ready) / max(len(self.circle), 1) / self.sharers
-        self.part = min(max(self.part, 1.0 / self.sharers), 1.0)
+        self.sparse = len(self.circle) < len(self.ready)
+        self.part = min(len(self.ready) / max(len(self.circle), 1) / self.sharers, 1.0) or 1.0
 
     def _first_warm(self, now: int, pool: list[int], size: int) -> list[int]:
-        taken = []
-        for r in pool:
-            if size <= 0:
-                break
-            taken.append(r)
-            size -= self.warm_at[r] <= now
-        return taken
+        warm = accumulate(self.warm_at[r] <= now for r in pool)
+        return [r for r, before in zip(pool, chain((0,), warm), strict=False) if before < size]
 
     def _tend(self, now: int) -> None:
         """Surveys when there is something to decide, not by the clock: an idle dispatcher costs nothing."""
@@ -354,7 +318,7 @@
         shares = [got / asked if asked else 1.0 for got, asked in zip(self.got, self.asked, strict=True)]
         self.worst = min(range(len(shares)), key=shares.__getitem__, default=0)
         fresh = [r for r in self.circle if now - self.report_at[r] < AGE_LIMIT]
-        mean = sum(self.queued[r] for r in fresh) / len(fresh) if fresh else 0.0
+        self.mean = sum(self.queued[r] for r in fresh) / len(fresh) if fresh else 0.0
         self.fleet = sum(self.room[r] for r in self.ready if self.warm_at[r] <= now)
         strength = sum(self.weight[r] * self._warmth(now, r) for r in self.ready)
         if self.strength > 0 and strength > 0:
@@ -365,14 +329,12 @@
         paces = sorted(self.run_sum[r] / self.due_sum[r] for r in self.circle if self.due_sum[r] > 0)
         # A unit may start and end in one instant: a middle pace of 0 would fail the next survey.
         self.middle_pace = max(paces[len(paces) // 2], 0.01) if paces else 1.0
-        self.mean = mean
         self._age(now, self.circle)
 
     def _age(self, now: int, pool: list[int]) -> None:
         for r in pool:
             if now - self.report_at[r] >= AGE_LIMIT:
-                self.queued[r] = self.mean
-                self.load[r] = self.mean + self.own[r]
+                self.queued[r], self.load[r] = self.mean, self.mean + self.own[r]
             self.per_weight[r] = self._slowness(r) / (self.weight[r] * self._warmth(now, r))
 
     def list_failed(self, now: int) -> None:
@@ -383,11 +345,10 @@
         for figures in (self.queued, self.own, self.load, self.room, self.errors, self.run_sum,
                         self.due_sum):
             figures.append(0.0)
-        for counts in (self.standing, self.runner_zone, self.cell, self.kind, self.mark, self.since, self.warm_at,
+        for counts in (self.standing, self.runner_zone, self.cell, self.kind, self.since, self.warm_at,
                        self.waiting, self.cold_next, self.full_until, self.doubt, self.doubt_until):
             counts.append(0)
         self.weight.append(1.0)
-        self.place.append(0.0)
         self.lot.append(-log((self._draw(1 << 30) + 1) / (1 << 30)))
         self.per_weight.append(1.0)
         self.report.append(())
@@ -406,9 +367,9 @@
     def _cold_room(self, now: int, r: int, burden: float) -> bool:
         """Keeps this dispatcher's part of what a cold runner may be sent, copies included.
 
-        The part is what the runner can do now over those that have it in their circle. Where that is less than
-        a unit, a unit may go when its time has been saved up, from a random start: an allowed first unit from
-        each of hundreds would push the runner over, and none from any would leave a grown fleet idle.
+        The part is what the runner can do now over those that have it in their circle, saved up from a random
+        start: an allowed first unit from each of hundreds would push the runner over, and a share too small
+        for any unit would leave a grown fleet idle.
         """
         able = self.room_of_one * self.weight[r] * self._warmth(now, r)
         if self.waiting[r] or burden > self.cold_whole * able:
@@ -449,16 +410,16 @@
         if not allowed:
             return False
         burden = u.slots * (u.work or self.typical[u.grade])
-        pool = fitting = self._fitting(u)
+        pool = self.circle
         if zone >= 0:
             pool = [r for r in self.ready if self.runner_zone[r] == zone]
         elif cell >= 0:
             pool = [r for r in self.ready if self.cell[r] == cell]
         sound = self._sound(now, u, pool, burden)
-        if not sound and pool is fitting and len(pool) < len(self.ready):
+        if not sound and pool is self.circle and self.sparse:
             pool = self.ready  # doubt, `full` or cold runners leave the circle bare
             sound = self._sound(now, u, pool, burden)
-        if pool is not fitting:
+        if pool is not self.circle:
             self._age(now, pool)
         copy, need, load, room = any(d.out for d in u.sent), u.slots, self.load, self.room
         roomy = [r for r in sound if load[r] + need <= room[r] + SPARE and not self.waiting[r]]
@@ -468,9 +429,11 @@
         if not sound or (copy and not roomy):
             return False
         pool = [r for r in roomy if self.runner_zone[r] == self.zone] or roomy or sound
-        scores = [(load[r] + need) * self.per_weight[r] for r in pool]
-        if len(self.circle) < len(self.ready):
+        if self.sparse:
+            # What waits beyond the slots: with busy ones counted the heaviest of each circle drew all units.
             scores = [(max(load[r] - room[r], 0.0) + self.own[r]) * self.per_weight[r] for r in pool]
+        else:
+            scores = [(load[r] + need) * self.per_weight[r] for r in pool]
         least = min(scores)
         best = [r for r, score in zip(pool, scores, strict=True) if score == least]
         self._send(now, u, best[0] if len(best) == 1 else best[self._draw(len(best))], burden)
@@ -498,10 +461,10 @@
             self.cold_next[r] = now + int(burden / (able * self.part))
         self.port.dispatch(u.no, r, 0)
         self.copies = min(self.copies + self.copy_share * burden, COPY_BURST * self.runs)
-        if len(self.circle) == len(self.ready):
-            u.patience = max(u.patience * 2, self.patience[u.grade], int(4 * self.waits))
-        else:
+        if self.sparse:
             u.patience = max(int((u.due - now - (u.work or self.typical[u.grade])) / 3), 400)
+        else:
+            u.patience = max(u.patience * 2, self.patience[u.grade], int(4 * self.waits))
         self._wake(now, u, now + u.patience)
 
     def _wake(self, now: int, u: Unit, at: int) -> None:
@@ -537,16 +500,17 @@
     def _overdue(self, now: int, u: Unit) -> None:
         """A dispatch that does not start, or that stands still, gets a copy where the grade allows one."""
         stuck = True
-        burden = u.slots * (u.work or self.typical[u.grade])
-        small = len(self.circle) < len(self.ready) and 10 * self.ran > 7 * SECOND * self.done
+        # Where reports are older than a usual run a copy waits as long as the first, and others for both.
+        early = self.sparse and self.ran > REPORT_AGE * self.done
         for d in u.sent:
             if not d.out:
                 continue
             r = d.runner
             if d.started_at < 0:
-                stuck = stuck and (small or self.heard_at[r] <= d.sent_at and (
-                    len(self.circle) == len(self.ready) or now - d.sent_at > SILENT))
-                if now - d.sent_at > SILENT and self.heard_at[r] < d.sent_at and not self.doubt[r]:
+                # At a unit a second most runners have no news to tell since: only a while without is silence.
+                silent = now - d.sent_at > SILENT
+                stuck = stuck and (early or self.heard_at[r] <= d.sent_at and (silent or not self.sparse))
+                if silent and self.heard_at[r] < d.sent_at and not self.doubt[r]:
                     self._blame(now, r)  # a hang: takes work and answers nothing
             elif self.quiet and now - d.heard_at > self.quiet:
                 if not self.doubt[r]:
@@ -647,9 +611,8 @@
         self.report[r], self.report_at[r] = report, now
         free = report[self.at_free] if 0 <= self.at_free < len(report) else 0.0
         queue = report[self.at_queue] if 0 <= self.at_queue < len(report) else 0.0
-        known = self.slots_of.get(self.kind[r], 0.0)
         seen = max(free, self.own[r] if not self.waiting[r] else 0.0)
-        if seen > known:  # a kind has its slots on every runner: one that was never seen idle has them too
+        if seen > self.room[r]:  # a kind has its slots on every runner: one that was never seen idle has them too
             self.slots_of[self.kind[r]] = seen
             for other in self.ready:
                 if self.kind[other] == self.kind[r]:
