--- a/crankfold/dispatch/interface.py
+++ b/crankfold/dispatch/interface.py
@@ -88,6 +88,7 @@
     cell: int
     since: int  # when it last started; 0 for long ago
     kind: int = 0  # runners of a kind are alike in their slots
+    mark: float = 1.0  # drawn from its id, below 1 and the same at every dispatcher; says nothing else
 
 
 class Port(Protocol):
--- a/crankfold/dispatch/policy.py
+++ b/crankfold/dispatch/policy.py
@@ -30,7 +30,8 @@
 REPORT_AGE = 7 * SECOND // 10  # how old it is by then on average, as runners refresh it only now and then
 SILENT = SECOND
 COPY_SHARE, COPY_BURST = 0.3, 5.0
-CIRCLE, IN_SIGHT = 5, 3 * SECOND  # fewest runners a dispatcher keeps to; else one for each unit in this time
+CIRCLE, IN_SIGHT = 5, 3 * SECOND
+QUICK = 0.25  # share of each location kept for units shorter than the mean, where units are kept apart  # fewest runners a dispatcher keeps to; else one for each unit in this time
 LIST, SURVEY = 1, 2  # labels of wakes that concern no unit; a unit's own is FIRST_UNIT + unit
 FIRST_UNIT = 8
 NEVER_RAN = (Outcome.FULL, Outcome.UNREACHABLE, Outcome.NOT_SENT)
@@ -99,6 +100,10 @@
         self.runner_zone: list[int] = []
         self.cell: list[int] = []
         self.kind: list[int] = []
+        self.mark: list[float] = []
+        self.quick: list[int] = []  # of the circle: for short units, and for long ones
+        self.long: list[int] = []
+        self.lengths, self.measured = sum(self.expected), len(self.expected)  # running times taken, how many
         self.slots_of: dict[int, float] = {}  # by kind, as reports and starts show them
         self.since: list[int] = []
         self.queued: list[float] = []  # others' work by the reports: queue and busy slots, less own
@@ -122,7 +127,7 @@
         self.cold_next: list[int] = []  # from when a cold runner may get its next unit; 0 for not drawn yet
         self.part, self.sparse = 1.0, False  # of a runner that is this dispatcher's; whether few are known
         self.next_probe, self.room_of_one, self.fleet, self.middle_pace = 0, 1.0, 0.0, 1.0
-        self.ran, self.done = 5 * SECOND, 5  # running time of all that was done, and how many
+        self.ran, self.done = 2 * SECOND, 4  # running time of all that was done, and how many
         self.mean = 0.0  # of the others' work, where young reports tell it
         self.strength = 0.0  # of the ready fleet, by weight and warmth
         if self.must_ask:
@@ -143,6 +148,7 @@
         due = first + self.expected[grade] + int(self.stretch[grade] * (work or self.typical[grade]))
         u = self.units[unit] = Unit(unit, grade, cutoff - self.margin, due, work, slots if slots > 0 else 1.0)
         self.asked[grade] += self._value(u)
+        self.lengths, self.measured = self.lengths + (work or int(self.typical[grade])), self.measured + 1
         worthless = work > 0 and self.tardy[grade] == 0 and now >= self._hopeless_at(u)
         if now >= u.cutoff or worthless:
             self._answer(u)  # a retry that comes too late to be worth anything takes no slot from others
@@ -270,6 +276,7 @@
                 self.doubt[r] = self.cold_next[r] = 0
             self.standing[r], self.weight[r] = e.standing, e.weight if e.weight > 0 else 1.0
             self.runner_zone[r], self.cell[r], self.since[r] = e.zone, e.cell, e.since
+            self.mark[r] = e.mark
             self.kind[r], self.room[r] = e.kind, self.slots_of.get(e.kind, 0.0)
             self.warm_at[r] = e.since + self.warm_after if e.since else 0
         self.ready = [r for r, s in enumerate(self.standing) if s == Standing.READY]
@@ -284,16 +291,26 @@
         evenly, a change of the list moves few members, and a larger circle holds the smaller one.
         """
         size = max(CIRCLE, ceil(self.arrivals / (self.watched or inf) * IN_SIGHT))
-        self.circle = self.ready
+        self.sparse = len(self.ready) > size
+        self.circle = self.quick = self.long = self.ready
+        if self.sparse and self.ran < REPORT_AGE * self.done:
+            # The score takes running times as alike. Where reports are too old to tell who waits behind a long
+            # unit, short ones have runners of their own, by marks the same ones at every dispatcher.
+            quick = [r for r in self.ready if self.mark[r] < QUICK]
+            self.quick = self._draw_from(now, quick, 3)
+            self.long = self._draw_from(now, [r for r in self.ready if self.mark[r] >= QUICK], size)
+            self.circle = self.quick + self.long
+        elif self.sparse:
+            self.circle = self.quick = self.long = self._draw_from(now, self.ready, size)
+        self.part = min(len(self.ready) / max(len(self.circle), 1) / self.sharers, 1.0) or 1.0
+
+    def _draw_from(self, now: int, pool: list[int], size: int) -> list[int]:
         own: list[int] = []
         far: list[int] = []
-        if len(self.ready) > size:  # cold ones come on top: they cannot carry the place of a warm one yet
-            for r in sorted(self.ready, key=lambda r: self.lot[r] / self.weight[r]):
-                (own if self.runner_zone[r] == self.zone else far).append(r)
-            near = self._first_warm(now, own, ceil(size / 2))
-            self.circle = near + self._first_warm(now, far, size - len(near))
-        self.sparse = len(self.circle) < len(self.ready)
-        self.part = min(len(self.ready) / max(len(self.circle), 1) / self.sharers, 1.0) or 1.0
+        for r in sorted(pool, key=lambda r: self.lot[r] / self.weight[r]):
+            (own if self.runner_zone[r] == self.zone else far).append(r)
+        near = self._first_warm(now, own, ceil(size / 2))
+        return near + self._first_warm(now, far, size - len(near))
 
     def _first_warm(self, now: int, pool: list[int], size: int) -> list[int]:
         warm = accumulate(self.warm_at[r] <= now for r in pool)
@@ -345,7 +362,7 @@
         for figures in (self.queued, self.own, self.load, self.room, self.errors, self.run_sum,
                         self.due_sum):
             figures.append(0.0)
-        for counts in (self.standing, self.runner_zone, self.cell, self.kind, self.since, self.warm_at,
+        for counts in (self.standing, self.runner_zone, self.cell, self.kind, self.mark, self.since, self.warm_at,
                        self.waiting, self.cold_next, self.full_until, self.doubt, self.doubt_until):
             counts.append(0)
         self.weight.append(1.0)
@@ -410,16 +427,17 @@
         if not allowed:
             return False
         burden = u.slots * (u.work or self.typical[u.grade])
-        pool = self.circle
+        length = u.work or self.typical[u.grade]
+        pool = fitting = self.quick if length * self.measured < self.lengths else self.long
         if zone >= 0:
             pool = [r for r in self.ready if self.runner_zone[r] == zone]
         elif cell >= 0:
             pool = [r for r in self.ready if self.cell[r] == cell]
         sound = self._sound(now, u, pool, burden)
-        if not sound and pool is self.circle and self.sparse:
+        if not sound and pool is fitting and self.sparse:
             pool = self.ready  # doubt, `full` or cold runners leave the circle bare
             sound = self._sound(now, u, pool, burden)
-        if pool is not self.circle:
+        if pool is not fitting:
             self._age(now, pool)
         copy, need, load, room = any(d.out for d in u.sent), u.slots, self.load, self.room
         roomy = [r for r in sound if load[r] + need <= room[r] + SPARE and not self.waiting[r]]
--- a/crankfold/simhost/host.py
+++ b/crankfold/simhost/host.py
@@ -169,7 +169,8 @@
             else:
                 # A list entry's start is rounded up: a younger runner is treated as colder.
                 entries = [Listing(door.runner(a), _STANDINGS.get(s, Standing.GONE), w, z, c,
-                                   -(-since // 100), kind)
+                                   -(-since // 100), kind,
+                                   (int.from_bytes(a, "little") * 0x9E3779B97F4A7C15 >> 20 & 0xFFFFF) / 0x100000)
                            for z, s, w, c, a, kind, since in self.banks[bank]]
                 call, args = told.listed, (now, entries, scope != 2)
         elif code == 9:
