--- a/crankfold/dispatch/policy.py
+++ b/crankfold/dispatch/policy.py
@@ -103,6 +103,7 @@
         self.mark: list[float] = []
         self.quick: list[int] = []  # of the circle: for short units, and for long ones
         self.long: list[int] = []
+        self.hinted = False
         self.lengths, self.measured = sum(self.expected), len(self.expected)  # running times taken, how many
         self.slots_of: dict[int, float] = {}  # by kind, as reports and starts show them
         self.since: list[int] = []
@@ -127,7 +128,7 @@
         self.cold_next: list[int] = []  # from when a cold runner may get its next unit; 0 for not drawn yet
         self.part, self.sparse = 1.0, False  # of a runner that is this dispatcher's; whether few are known
         self.next_probe, self.room_of_one, self.fleet, self.middle_pace = 0, 1.0, 0.0, 1.0
-        self.ran, self.done = 2 * SECOND, 4  # running time of all that was done, and how many
+        self.ran, self.done = 5 * SECOND, 5  # running time of all that was done, and how many
         self.mean = 0.0  # of the others' work, where young reports tell it
         self.strength = 0.0  # of the ready fleet, by weight and warmth
         if self.must_ask:
@@ -148,7 +149,7 @@
         due = first + self.expected[grade] + int(self.stretch[grade] * (work or self.typical[grade]))
         u = self.units[unit] = Unit(unit, grade, cutoff - self.margin, due, work, slots if slots > 0 else 1.0)
         self.asked[grade] += self._value(u)
-        self.lengths, self.measured = self.lengths + (work or int(self.typical[grade])), self.measured + 1
+        self.lengths, self.measured, self.hinted = self.lengths + work, self.measured + 1, work > 0
         worthless = work > 0 and self.tardy[grade] == 0 and now >= self._hopeless_at(u)
         if now >= u.cutoff or worthless:
             self._answer(u)  # a retry that comes too late to be worth anything takes no slot from others
@@ -293,8 +294,8 @@
         size = max(CIRCLE, ceil(self.arrivals / (self.watched or inf) * IN_SIGHT))
         self.sparse = len(self.ready) > size
         self.circle = self.quick = self.long = self.ready
-        if self.sparse and self.ran < REPORT_AGE * self.done:
-            # The score takes running times as alike. Where reports are too old to tell who waits behind a long
+        if self.sparse and self.hinted:
+            # The score takes running times as alike. Where sight is too sparse to tell who waits behind a long
             # unit, short ones have runners of their own, by marks the same ones at every dispatcher.
             quick = [r for r in self.ready if self.mark[r] < QUICK]
             self.quick = self._draw_from(now, quick, 3)
@@ -427,8 +428,7 @@
         if not allowed:
             return False
         burden = u.slots * (u.work or self.typical[u.grade])
-        length = u.work or self.typical[u.grade]
-        pool = fitting = self.quick if length * self.measured < self.lengths else self.long
+        pool = fitting = self.quick if u.work * self.measured < self.lengths else self.long
         if zone >= 0:
             pool = [r for r in self.ready if self.runner_zone[r] == zone]
         elif cell >= 0:
