--- a/crankfold/dispatch/policy.py
+++ b/crankfold/dispatch/policy.py
@@ -71,7 +71,7 @@
         self.care, self.worst = orders.worst_grade_care, 0  # how much the worst-served grade counts
         self.tardy = [g.tardy for g in orders.grades]
         self.patience = [min(max(g.expected // 2, 400), SECOND // 2) for g in orders.grades]
-        self.typical = [max(g.expected, 1.0) for g in orders.grades]  # running time, followed as answers come
+        self.typical = [max(g.cutoff / 10, 1.0) for g in orders.grades]  # running time, followed as answers come
         self.most, self.copies = orders.most_dispatches, 0.0
         self.copy_share = COPY_SHARE if orders.may_copy else 0.0
         self.may_cancel, self.advice = orders.may_cancel, min(orders.longest_advice, SECOND)
@@ -103,8 +103,24 @@
         self.mark: list[float] = []
         self.quick: list[int] = []  # of the circle: for short units, and for long ones
         self.long: list[int] = []
-        self.hinted = False
-        self.lengths, self.measured = sum(self.expected), len(self.expected)  # running times taken, how many
+        self.wide = False  # whether any unit took more than one slot
+        # Running times taken and how many; work taken, and that of units shorter than the mean.
+        self.lengths, self.measured = sum(self.typical), len(self.typical)
+        self.all_work = 5 * self.lengths
+        self.short_work = QUICK * self.all_work
+        # Figures about runners, by index.
+        self.standing: list[int] = []
+        self.weight: list[float] = []
+        self.runner_zone: list[int] = []
+        self.cell: list[int] = []
+        self.kind: list[int] = []
+        self.mark: list[float] = []
+        self.quick: list[int] = []  # of the circle: for short units, and for long ones
+        self.long: list[int] = []
+        self.wide = False  # whether any unit took more than one slot
+        self.work_by_length = [0.0] * 32  # work taken, by the logarithm of its running time
+        for length in self.typical:
+            self.work_by_length[min(int(length).bit_length(), 31)] += 3 * length
         self.slots_of: dict[int, float] = {}  # by kind, as reports and starts show them
         self.since: list[int] = []
         self.queued: list[float] = []  # others' work by the reports: queue and busy slots, less own
@@ -149,7 +165,12 @@
         due = first + self.expected[grade] + int(self.stretch[grade] * (work or self.typical[grade]))
         u = self.units[unit] = Unit(unit, grade, cutoff - self.margin, due, work, slots if slots > 0 else 1.0)
         self.asked[grade] += self._value(u)
-        self.lengths, self.measured, self.hinted = self.lengths + work, self.measured + 1, work > 0
+        self.wide = self.wide or slots > 1.0
+        length = work or self.typical[grade]
+        if length * self.measured < self.lengths:
+            self.short_work += length * slots
+        self.all_work += length * slots
+        self.lengths, self.measured = self.lengths + length, self.measured + 1
         worthless = work > 0 and self.tardy[grade] == 0 and now >= self._hopeless_at(u)
         if now >= u.cutoff or worthless:
             self._answer(u)  # a retry that comes too late to be worth anything takes no slot from others
@@ -293,16 +314,15 @@
         """
         size = max(CIRCLE, ceil(self.arrivals / (self.watched or inf) * IN_SIGHT))
         self.sparse = len(self.ready) > size
-        self.circle = self.quick = self.long = self.ready
-        if self.sparse and self.hinted:
+        self.circle = self.quick = self.long = self._draw_from(now, self.ready, size) if self.sparse else self.ready
+        if self.sparse and (self.wide or self.measured < 10):
             # The score takes running times as alike. Where sight is too sparse to tell who waits behind a long
             # unit, short ones have runners of their own, by marks the same ones at every dispatcher.
-            quick = [r for r in self.ready if self.mark[r] < QUICK]
+            share = max(self.short_work / self.all_work, QUICK)
+            quick = [r for r in self.ready if self.mark[r] < share]
             self.quick = self._draw_from(now, quick, 3)
-            self.long = self._draw_from(now, [r for r in self.ready if self.mark[r] >= QUICK], size)
+            self.long = self._draw_from(now, [r for r in self.ready if self.mark[r] >= share], size)
             self.circle = self.quick + self.long
-        elif self.sparse:
-            self.circle = self.quick = self.long = self._draw_from(now, self.ready, size)
         self.part = min(len(self.ready) / max(len(self.circle), 1) / self.sharers, 1.0) or 1.0
 
     def _draw_from(self, now: int, pool: list[int], size: int) -> list[int]:
@@ -428,7 +448,7 @@
         if not allowed:
             return False
         burden = u.slots * (u.work or self.typical[u.grade])
-        pool = fitting = self.quick if u.work * self.measured < self.lengths else self.long
+        pool = fitting = self.quick if (u.work or self.typical[u.grade]) * self.measured < self.lengths else self.long
         if zone >= 0:
             pool = [r for r in self.ready if self.runner_zone[r] == zone]
         elif cell >= 0:
