--- a/crankfold/dispatch/policy.py
+++ b/crankfold/dispatch/policy.py
@@ -79,7 +79,6 @@
         names = list(orders.report_names)
         self.at_queue = names.index("queue") if "queue" in names else -1
         self.at_free = names.index("free_slots") if "free_slots" in names else -1
-        self.at_held = names.index("inflight") if "inflight" in names else -1
         self.must_ask, self.ask_pause = orders.must_ask, max(min(orders.ask_within // 8, 2 * SECOND), 1)
         self.probe_all = orders.may_probe and orders.reports_by_probe
         self.probe_some = orders.may_probe and orders.reports_in_answers
@@ -91,23 +90,16 @@
         self.inflight, self.limit, self.waits, self.runs = 0, inf, 0.0, 1.0 * SECOND
         self.window_at, self.sampled = 0, 0
         self.ready: list[int] = []
-        self.circle: list[int] = []  # the steady part of the ready ones that this dispatcher uses
-        self.lot: list[float] = []  # place in the drawing of that part; kept for good
+        self.by_lot: list[int] = []  # the ready ones, in the order in which they are drawn
+        self.circle: list[int] = []  # the steady part of them that this dispatcher uses: its
+        self.quick: list[int] = []  # runners for short units and those
+        self.long: list[int] = []  # for long ones
+        self.drawn, self.sparse, self.cold_until = (0, 0), False, 0
+        self.lot: list[float] = []  # place in that order; kept for good
         self.surveyed_at, self.roused, self.arrivals, self.watched = -1, False, 0.0, 0.0
-        # Figures about runners, by index.
-        self.standing: list[int] = []
-        self.weight: list[float] = []
-        self.runner_zone: list[int] = []
-        self.cell: list[int] = []
-        self.kind: list[int] = []
-        self.mark: list[float] = []
-        self.quick: list[int] = []  # of the circle: for short units, and for long ones
-        self.long: list[int] = []
-        self.wide = False  # whether any unit took more than one slot
         # Running times taken and how many; work taken, and that of units shorter than the mean.
-        self.lengths, self.measured = sum(self.typical), len(self.typical)
-        self.all_work = 5 * self.lengths
-        self.short_work = QUICK * self.all_work
+        self.lengths, self.measured, self.wide = sum(self.typical), len(self.typical), False
+        self.all_work, self.short_work = 5 * self.lengths, 5 * QUICK * self.lengths
         # Figures about runners, by index.
         self.standing: list[int] = []
         self.weight: list[float] = []
@@ -115,12 +107,6 @@
         self.cell: list[int] = []
         self.kind: list[int] = []
         self.mark: list[float] = []
-        self.quick: list[int] = []  # of the circle: for short units, and for long ones
-        self.long: list[int] = []
-        self.wide = False  # whether any unit took more than one slot
-        self.work_by_length = [0.0] * 32  # work taken, by the logarithm of its running time
-        for length in self.typical:
-            self.work_by_length[min(int(length).bit_length(), 31)] += 3 * length
         self.slots_of: dict[int, float] = {}  # by kind, as reports and starts show them
         self.since: list[int] = []
         self.queued: list[float] = []  # others' work by the reports: queue and busy slots, less own
@@ -142,8 +128,8 @@
         self.doubt_until: list[int] = []
         self.probe_out: list[bool] = []
         self.cold_next: list[int] = []  # from when a cold runner may get its next unit; 0 for not drawn yet
-        self.part, self.sparse = 1.0, False  # of a runner that is this dispatcher's; whether few are known
-        self.next_probe, self.room_of_one, self.fleet, self.middle_pace = 0, 1.0, 0.0, 1.0
+        self.part = 1.0  # of a runner that is this dispatcher's
+        self.next_probe, self.room_of_one, self.middle_pace = 0, 1.0, 1.0
         self.ran, self.done = 5 * SECOND, 5  # running time of all that was done, and how many
         self.mean = 0.0  # of the others' work, where young reports tell it
         self.strength = 0.0  # of the ready fleet, by weight and warmth
@@ -257,7 +243,8 @@
             self.limit = 1.0 * self.inflight
         if ratio < 1.0 or self.inflight * 2 >= self.limit:
             # Never under the fair part of the fleet, or a wait at the start holds all back for long.
-            fair = max(self.fleet / self.sharers, 4.0)
+            fleet = sum(self.room[r] for r in self.ready if self.warm_at[r] <= now)
+            fair = max(fleet / self.sharers, 4.0)
             self.limit = max(self.limit * max(ratio, 0.5) + 0.5 * sqrt(self.limit), fair)
         self.window_at, self.sampled = now, 0
 
@@ -298,11 +285,12 @@
                 self.doubt[r] = self.cold_next[r] = 0
             self.standing[r], self.weight[r] = e.standing, e.weight if e.weight > 0 else 1.0
             self.runner_zone[r], self.cell[r], self.since[r] = e.zone, e.cell, e.since
-            self.mark[r] = e.mark
-            self.kind[r], self.room[r] = e.kind, self.slots_of.get(e.kind, 0.0)
+            self.mark[r], self.kind[r], self.room[r] = e.mark, e.kind, self.slots_of.get(e.kind, 0.0)
             self.warm_at[r] = e.since + self.warm_after if e.since else 0
         self.ready = [r for r, s in enumerate(self.standing) if s == Standing.READY]
-        self._draw_circle(now)
+        self.by_lot = sorted(self.ready, key=lambda r: self.lot[r] / self.weight[r])
+        self.cold_until = max((self.warm_at[r] for r in self.ready), default=0)
+        self.drawn = (0, 0)
         self._survey(now)
         self._pump(now)
 
@@ -313,27 +301,38 @@
         evenly, a change of the list moves few members, and a larger circle holds the smaller one.
         """
         size = max(CIRCLE, ceil(self.arrivals / (self.watched or inf) * IN_SIGHT))
+        # The score takes running times as alike. Where sight is too sparse to tell who waits behind a long or
+        # wide unit, short ones have runners of their own, by marks the same ones at every dispatcher.
+        apart = self.wide or self.measured < 10
+        share = int(64 * max(self.short_work / self.all_work, QUICK)) if apart else 0
+        if self.drawn == (size, share):
+            return
+        self.drawn = (0, 0) if now < self.cold_until else (size, share)
         self.sparse = len(self.ready) > size
-        self.circle = self.quick = self.long = self._draw_from(now, self.ready, size) if self.sparse else self.ready
-        if self.sparse and (self.wide or self.measured < 10):
-            # The score takes running times as alike. Where sight is too sparse to tell who waits behind a long
-            # unit, short ones have runners of their own, by marks the same ones at every dispatcher.
-            share = max(self.short_work / self.all_work, QUICK)
-            quick = [r for r in self.ready if self.mark[r] < share]
-            self.quick = self._draw_from(now, quick, 3)
-            self.long = self._draw_from(now, [r for r in self.ready if self.mark[r] >= share], size)
+        self.circle = self.quick = self.long = self.ready
+        if self.sparse:
+            self.circle = self.long = self._draw_from(now, share / 64, 2.0, size)
+            self.quick = self.long
+        if self.sparse and apart:
+            self.quick = self._draw_from(now, -1.0, share / 64, 3)
             self.circle = self.quick + self.long
         self.part = min(len(self.ready) / max(len(self.circle), 1) / self.sharers, 1.0) or 1.0
+        strength = sum(self.weight[r] * self._warmth(now, r) for r in self.ready)
+        if self.strength > 0 and strength > 0:
+            self.limit *= strength / self.strength  # a fleet cut to a third takes a third, at once
+        self.strength = strength or self.strength
 
-    def _draw_from(self, now: int, pool: list[int], size: int) -> list[int]:
+    def _draw_from(self, now: int, low: float, high: float, size: int) -> list[int]:
         own: list[int] = []
         far: list[int] = []
-        for r in sorted(pool, key=lambda r: self.lot[r] / self.weight[r]):
-            (own if self.runner_zone[r] == self.zone else far).append(r)
+        for r in self.by_lot:
+            if low <= self.mark[r] < high:
+                (own if self.runner_zone[r] == self.zone else far).append(r)
         near = self._first_warm(now, own, ceil(size / 2))
-        return near + self._first_warm(now, far, size - len(near))
+        return near + self._first_warm(now, far, size - sum(self.warm_at[r] <= now for r in near))
 
     def _first_warm(self, now: int, pool: list[int], size: int) -> list[int]:
+        """So many of the first that are warm: cold ones come on top, as they cannot carry a place yet."""
         warm = accumulate(self.warm_at[r] <= now for r in pool)
         return [r for r, before in zip(pool, chain((0,), warm), strict=False) if before < size]
 
@@ -350,18 +349,12 @@
         fade = FADE ** (passed / CHORES)
         self.surveyed_at = now
         self.arrivals, self.watched = fade * self.arrivals, fade * self.watched + passed
-        if passed and len(self.ready) > CIRCLE:
-            self._draw_circle(now)
+        self._draw_circle(now)
         self.asked, self.got = [fade * v for v in self.asked], [fade * v for v in self.got]
         shares = [got / asked if asked else 1.0 for got, asked in zip(self.got, self.asked, strict=True)]
         self.worst = min(range(len(shares)), key=shares.__getitem__, default=0)
         fresh = [r for r in self.circle if now - self.report_at[r] < AGE_LIMIT]
         self.mean = sum(self.queued[r] for r in fresh) / len(fresh) if fresh else 0.0
-        self.fleet = sum(self.room[r] for r in self.ready if self.warm_at[r] <= now)
-        strength = sum(self.weight[r] * self._warmth(now, r) for r in self.ready)
-        if self.strength > 0 and strength > 0:
-            self.limit *= strength / self.strength  # a fleet cut to a third takes a third, at once
-        self.strength = strength or self.strength
         rooms = sorted(self.room[r] / self.weight[r] for r in fresh if self.warm_at[r] <= now)
         self.room_of_one = rooms[len(rooms) // 2] if rooms else 1.0
         paces = sorted(self.run_sum[r] / self.due_sum[r] for r in self.circle if self.due_sum[r] > 0)
@@ -380,11 +373,11 @@
         self.port.wake(self.ask_pause // 4 + self._draw(self.ask_pause), LIST)
 
     def _enrol(self, now: int) -> None:
-        for figures in (self.queued, self.own, self.load, self.room, self.errors, self.run_sum,
-                        self.due_sum):
+        for figures in (self.queued, self.own, self.load, self.room, self.errors, self.run_sum, self.due_sum,
+                        self.mark):
             figures.append(0.0)
-        for counts in (self.standing, self.runner_zone, self.cell, self.kind, self.mark, self.since, self.warm_at,
-                       self.waiting, self.cold_next, self.full_until, self.doubt, self.doubt_until):
+        for counts in (self.standing, self.runner_zone, self.cell, self.kind, self.since, self.warm_at, self.waiting,
+                       self.cold_next, self.full_until, self.doubt, self.doubt_until):
             counts.append(0)
         self.weight.append(1.0)
         self.lot.append(-log((self._draw(1 << 30) + 1) / (1 << 30)))
