--- a/crankfold/dispatch/policy.py
+++ b/crankfold/dispatch/policy.py
@@ -9,7 +9,7 @@
 
 from collections import deque
 from collections.abc import Sequence
-from itertools import accumulate, chain
+from itertools import accumulate
 from math import ceil, inf, log, sqrt
 
 from crankfold.dispatch.interface import Effect, Group, Listing, Outcome, Port, Standing, StandingOrders
@@ -30,8 +30,8 @@
 REPORT_AGE = 7 * SECOND // 10  # how old it is by then on average, as runners refresh it only now and then
 SILENT = SECOND
 COPY_SHARE, COPY_BURST = 0.3, 5.0
-CIRCLE, IN_SIGHT = 5, 3 * SECOND
-QUICK = 0.25  # share of each location kept for units shorter than the mean, where units are kept apart  # fewest runners a dispatcher keeps to; else one for each unit in this time
+CIRCLE, IN_SIGHT = 5, 3 * SECOND  # fewest runners a dispatcher keeps to; else one for each unit in this time
+QUICK = 0.25  # least share of the fleet kept for units shorter than the mean, where units are kept apart
 LIST, SURVEY = 1, 2  # labels of wakes that concern no unit; a unit's own is FIRST_UNIT + unit
 FIRST_UNIT = 8
 NEVER_RAN = (Outcome.FULL, Outcome.UNREACHABLE, Outcome.NOT_SENT)
@@ -60,26 +60,22 @@
     def __init__(self, orders: StandingOrders, seed: int, port: Port) -> None:
         self.port, self.luck = port, seed & 0xFFFFFFFFFFFFFFFF
         self.zone, self.margin, self.sharers = orders.zone, 2 * orders.tick, orders.dispatchers
-        self.effect = [g.effect for g in orders.grades]
-        self.group = [g.group for g in orders.grades]
-        self.window = [g.window for g in orders.grades]
-        self.cutoff = [g.cutoff for g in orders.grades]
-        self.expected = [g.expected for g in orders.grades]
-        self.stretch = [g.stretch for g in orders.grades]
+        self.effect, self.group = [g.effect for g in orders.grades], [g.group for g in orders.grades]
+        self.window, self.cutoff = [g.window for g in orders.grades], [g.cutoff for g in orders.grades]
+        self.expected, self.stretch = [g.expected for g in orders.grades], [g.stretch for g in orders.grades]
         self.revenue, self.by_work = [g.revenue for g in orders.grades], orders.by_work
         self.asked, self.got = [0.0] * len(orders.grades), [0.0] * len(orders.grades)
         self.care, self.worst = orders.worst_grade_care, 0  # how much the worst-served grade counts
         self.tardy = [g.tardy for g in orders.grades]
         self.patience = [min(max(g.expected // 2, 400), SECOND // 2) for g in orders.grades]
-        self.typical = [max(g.cutoff / 10, 1.0) for g in orders.grades]  # running time, followed as answers come
-        self.most, self.copies = orders.most_dispatches, 0.0
-        self.copy_share = COPY_SHARE if orders.may_copy else 0.0
+        # Running time, followed as answers come: a client is taken to wait for some ten times of it.
+        self.typical = [max(g.cutoff / 10, 1.0) for g in orders.grades]
+        self.most, self.copies, self.copy_share = orders.most_dispatches, 0.0, COPY_SHARE * orders.may_copy
         self.may_cancel, self.advice = orders.may_cancel, min(orders.longest_advice, SECOND)
         self.quiet = 5 * orders.progress // 2  # started work without progress for so long stands still
-        names = list(orders.report_names)
-        self.at_queue = names.index("queue") if "queue" in names else -1
-        self.at_free = names.index("free_slots") if "free_slots" in names else -1
-        self.must_ask, self.ask_pause = orders.must_ask, max(min(orders.ask_within // 8, 2 * SECOND), 1)
+        at = {name: place for place, name in enumerate(orders.report_names)}
+        self.at_queue, self.at_free = at.get("queue", -1), at.get("free_slots", -1)
+        self.ask_pause = max(min(orders.ask_within // 8, 2 * SECOND), 1)
         self.probe_all = orders.may_probe and orders.reports_by_probe
         self.probe_some = orders.may_probe and orders.reports_in_answers
         self.cold_from, self.warm_after = orders.cold_from, orders.warm_after
@@ -87,53 +83,40 @@
         self.cold_whole = orders.overload_factor * orders.overload_for / 2
         self.units: dict[int, Unit] = {}
         self.held: dict[int, Unit] = {}
-        self.inflight, self.limit, self.waits, self.runs = 0, inf, 0.0, 1.0 * SECOND
-        self.window_at, self.sampled = 0, 0
+        self.inflight, self.limit, self.window_at, self.sampled = 0, inf, 0, 0
+        # Usual waits and runs, fading; the running time of all that was done, and how many.
+        self.waits, self.runs, self.ran, self.done = 0.0, 1.0 * SECOND, 5 * SECOND, 5
         self.ready: list[int] = []
-        self.by_lot: list[int] = []  # the ready ones, in the order in which they are drawn
-        self.circle: list[int] = []  # the steady part of them that this dispatcher uses: its
-        self.quick: list[int] = []  # runners for short units and those
-        self.long: list[int] = []  # for long ones
+        # In the order of drawing; the steady part in use; of it those for short units and for long ones.
+        self.by_lot, self.circle, self.quick, self.long = [[0][:0] for _ in range(4)]
         self.drawn, self.sparse, self.cold_until = (0, 0), False, 0
         self.lot: list[float] = []  # place in that order; kept for good
         self.surveyed_at, self.roused, self.arrivals, self.watched = -1, False, 0.0, 0.0
         # Running times taken and how many; work taken, and that of units shorter than the mean.
         self.lengths, self.measured, self.wide = sum(self.typical), len(self.typical), False
         self.all_work, self.short_work = 5 * self.lengths, 5 * QUICK * self.lengths
-        # Figures about runners, by index.
-        self.standing: list[int] = []
-        self.weight: list[float] = []
-        self.runner_zone: list[int] = []
-        self.cell: list[int] = []
-        self.kind: list[int] = []
-        self.mark: list[float] = []
         self.slots_of: dict[int, float] = {}  # by kind, as reports and starts show them
-        self.since: list[int] = []
-        self.queued: list[float] = []  # others' work by the reports: queue and busy slots, less own
-        self.recent: list[deque[tuple[int, float]]] = []  # own slots sent (+) and come back (-) of late
-        self.own: list[float] = []  # own slots out there now
-        self.load: list[float] = []  # the two together: what the score weighs
+        # Figures about runners, by index: others' work by the reports (queue and busy slots, less own), own
+        # slots out there, both together (what the score weighs), slots, share of errors, running times there,
+        # fading, against those expected, and what tells it apart at every dispatcher.
+        (self.queued, self.own, self.load, self.room, self.errors, self.run_sum, self.due_sum,
+         self.mark) = self.reals = [[0.0][:0] for _ in range(8)]
+        # The present length of doubt, 0 for trusted; own dispatches without a start note; when a cold one may
+        # get its next unit, 0 for not drawn yet.
+        (self.standing, self.runner_zone, self.cell, self.kind, self.since, self.warm_at, self.full_until,
+         self.doubt, self.doubt_until, self.waiting,
+         self.cold_next) = self.counts = [[0][:0] for _ in range(11)]
+        self.weight: list[float] = []
         self.per_weight: list[float] = []  # 1 / weight, less the share that a cold runner lacks
-        self.warm_at: list[int] = []
-        self.run_sum: list[float] = []  # running times there, fading, against those expected
-        self.due_sum: list[float] = []
-        self.waiting: list[int] = []  # own dispatches out there without a start note
-        self.room: list[float] = []  # most slots it has been seen to have
+        self.recent: list[deque[tuple[int, float]]] = []  # own slots sent (+) and come back (-) of late
         self.report: list[Sequence[float]] = []
         self.report_at: list[int] = []
         self.heard_at: list[int] = []
-        self.errors: list[float] = []
-        self.full_until: list[int] = []
-        self.doubt: list[int] = []  # length of the present doubt; 0 for trusted
-        self.doubt_until: list[int] = []
         self.probe_out: list[bool] = []
-        self.cold_next: list[int] = []  # from when a cold runner may get its next unit; 0 for not drawn yet
-        self.part = 1.0  # of a runner that is this dispatcher's
         self.next_probe, self.room_of_one, self.middle_pace = 0, 1.0, 1.0
-        self.ran, self.done = 5 * SECOND, 5  # running time of all that was done, and how many
-        self.mean = 0.0  # of the others' work, where young reports tell it
-        self.strength = 0.0  # of the ready fleet, by weight and warmth
-        if self.must_ask:
+        # The mean of others' work; the fleet's strength; the part of a runner that is this dispatcher's.
+        self.mean, self.strength, self.part = 0.0, 1.0, 1.0
+        if orders.must_ask:
             port.subscribe()
 
     def _draw(self, below: int) -> int:
@@ -303,38 +286,34 @@
         size = max(CIRCLE, ceil(self.arrivals / (self.watched or inf) * IN_SIGHT))
         # The score takes running times as alike. Where sight is too sparse to tell who waits behind a long or
         # wide unit, short ones have runners of their own, by marks the same ones at every dispatcher.
-        apart = self.wide or self.measured < 10
-        share = int(64 * max(self.short_work / self.all_work, QUICK)) if apart else 0
+        apart = 64 if self.wide or self.measured < 10 else 0
+        share = int(apart * max(self.short_work / self.all_work, QUICK))
         if self.drawn == (size, share):
             return
         self.drawn = (0, 0) if now < self.cold_until else (size, share)
         self.sparse = len(self.ready) > size
         self.circle = self.quick = self.long = self.ready
         if self.sparse:
-            self.circle = self.long = self._draw_from(now, share / 64, 2.0, size)
-            self.quick = self.long
-        if self.sparse and apart:
-            self.quick = self._draw_from(now, -1.0, share / 64, 3)
-            self.circle = self.quick + self.long
+            quick = self._draw_from(now, -1.0, share / 64, 3)
+            long = self._draw_from(now, share / 64, 2.0, size)
+            self.quick, self.long, self.circle = quick or long, long or quick, quick + long
         self.part = min(len(self.ready) / max(len(self.circle), 1) / self.sharers, 1.0) or 1.0
         strength = sum(self.weight[r] * self._warmth(now, r) for r in self.ready)
-        if self.strength > 0 and strength > 0:
-            self.limit *= strength / self.strength  # a fleet cut to a third takes a third, at once
+        self.limit *= strength / self.strength or 1.0  # a fleet cut to a third takes a third, at once
         self.strength = strength or self.strength
 
     def _draw_from(self, now: int, low: float, high: float, size: int) -> list[int]:
         own: list[int] = []
         far: list[int] = []
-        for r in self.by_lot:
-            if low <= self.mark[r] < high:
-                (own if self.runner_zone[r] == self.zone else far).append(r)
+        for r in (r for r in self.by_lot if low <= self.mark[r] < high):
+            (own if self.runner_zone[r] == self.zone else far).append(r)
         near = self._first_warm(now, own, ceil(size / 2))
         return near + self._first_warm(now, far, size - sum(self.warm_at[r] <= now for r in near))
 
     def _first_warm(self, now: int, pool: list[int], size: int) -> list[int]:
         """So many of the first that are warm: cold ones come on top, as they cannot carry a place yet."""
-        warm = accumulate(self.warm_at[r] <= now for r in pool)
-        return [r for r, before in zip(pool, chain((0,), warm), strict=False) if before < size]
+        warm = accumulate((self.warm_at[r] <= now for r in pool), initial=0)
+        return [r for r, before in zip(pool, warm, strict=False) if before < size]
 
     def _tend(self, now: int) -> None:
         """Surveys when there is something to decide, not by the clock: an idle dispatcher costs nothing."""
@@ -366,18 +345,18 @@
         for r in pool:
             if now - self.report_at[r] >= AGE_LIMIT:
                 self.queued[r], self.load[r] = self.mean, self.mean + self.own[r]
-            self.per_weight[r] = self._slowness(r) / (self.weight[r] * self._warmth(now, r))
+            # Slower than the middle runner counts where it is more than kinds of runners differ by.
+            slow = max(self.run_sum[r] / (self.due_sum[r] or 1.0) / self.middle_pace / 2.0, 1.0)
+            self.per_weight[r] = slow / (self.weight[r] * self._warmth(now, r))
 
     def list_failed(self, now: int) -> None:
         # A jittered pause: all dispatchers lose the list at once and would ask again at once.
         self.port.wake(self.ask_pause // 4 + self._draw(self.ask_pause), LIST)
 
     def _enrol(self, now: int) -> None:
-        for figures in (self.queued, self.own, self.load, self.room, self.errors, self.run_sum, self.due_sum,
-                        self.mark):
+        for figures in self.reals:
             figures.append(0.0)
-        for counts in (self.standing, self.runner_zone, self.cell, self.kind, self.since, self.warm_at, self.waiting,
-                       self.cold_next, self.full_until, self.doubt, self.doubt_until):
+        for counts in self.counts:
             counts.append(0)
         self.weight.append(1.0)
         self.lot.append(-log((self._draw(1 << 30) + 1) / (1 << 30)))
@@ -421,19 +400,6 @@
         if at_once or self.errors[r] > 0.45 or self.doubt[r]:
             self._blame(now, r)
 
-    def _pace(self, r: int, u: Unit, run: int) -> None:
-        if u.work:  # without a hint a long unit looks like a slow runner
-            self.run_sum[r] = PACE * self.run_sum[r] + run
-            self.due_sum[r] = PACE * self.due_sum[r] + u.work
-
-    def _slowness(self, r: int) -> float:
-        """How much slower than the middle runner, where that is more than kinds of runners differ by."""
-        return max(1.0, self.run_sum[r] / (self.due_sum[r] or 1.0) / self.middle_pace / 2.0)
-
-    def _on_trial(self, now: int, r: int) -> bool:
-        """Return by limited trial: one dispatch at a time until one is done."""
-        return now >= self.doubt_until[r] and self.own[r] == 0
-
     # --- choice and send ---
 
     def _place(self, now: int, u: Unit) -> bool:
@@ -441,7 +407,8 @@
         if not allowed:
             return False
         burden = u.slots * (u.work or self.typical[u.grade])
-        pool = fitting = self.quick if (u.work or self.typical[u.grade]) * self.measured < self.lengths else self.long
+        short = (u.work or self.typical[u.grade]) * self.measured < self.lengths
+        pool = fitting = self.quick if short else self.long
         if zone >= 0:
             pool = [r for r in self.ready if self.runner_zone[r] == zone]
         elif cell >= 0:
@@ -473,7 +440,8 @@
     def _sound(self, now: int, u: Unit, pool: list[int], burden: float) -> list[int]:
         able = [r for r in pool if self.full_until[r] <= now
                 and (self.warm_at[r] <= now or self._cold_room(now, r, burden))]
-        sound = [r for r in able if not self.doubt[r] or self._on_trial(now, r)]
+        # Return by limited trial: one dispatch at a time until one is done.
+        sound = [r for r in able if not self.doubt[r] or now >= self.doubt_until[r] and self.own[r] == 0]
         # When nearly all look bad, the suspicion is more likely wrong than the fleet.
         if 3 * len(sound) <= len(able):
             sound = able if len(able) > 2 else sound or able
@@ -518,13 +486,11 @@
                 self._review(now, u)
 
     def _review(self, now: int, u: Unit) -> None:
-        if now >= u.cutoff:
+        held = u.no in self.held
+        if now >= u.cutoff or held and now >= self._hopeless_at(u):
             self._answer(u)
-        elif u.no in self.held:
-            if now >= self._hopeless_at(u):
-                self._answer(u)
-            else:
-                self._wake(now, u, self._hopeless_at(u))
+        elif held:
+            self._wake(now, u, self._hopeless_at(u))
         else:
             self._overdue(now, u)
 
@@ -572,9 +538,8 @@
 
     def progressed(self, now: int, unit: int, nth: int, runner: int, share: float) -> None:
         self.heard_at[runner] = now
-        u = self.units.get(unit)
-        if u:
-            u.sent[nth].heard_at = now
+        if unit in self.units:
+            self.units[unit].sent[nth].heard_at = now
 
     def ended(self, now: int, unit: int, nth: int, runner: int, outcome: Outcome, last: bool,
               report: Sequence[float]) -> None:
@@ -609,7 +574,9 @@
             self.doubt[r] = 0
             if d.started_at >= 0:
                 run = now - d.started_at
-                self._pace(r, u, run)
+                if u.work:  # without a hint a long unit looks like a slow runner
+                    self.run_sum[r] = PACE * self.run_sum[r] + run
+                    self.due_sum[r] = PACE * self.due_sum[r] + u.work
                 self.typical[u.grade] += 0.05 * (run - self.typical[u.grade])
                 self.runs += 0.1 * (run - self.runs)
                 self.ran, self.done = self.ran + run, self.done + 1
@@ -643,7 +610,7 @@
         free = report[self.at_free] if 0 <= self.at_free < len(report) else 0.0
         queue = report[self.at_queue] if 0 <= self.at_queue < len(report) else 0.0
         seen = max(free, self.own[r] if not self.waiting[r] else 0.0)
-        if seen > self.room[r]:  # a kind has its slots on every runner: one that was never seen idle has them too
+        if seen > self.room[r]:  # a kind has its slots on each runner, though never seen idle there
             self.slots_of[self.kind[r]] = seen
             for other in self.ready:
                 if self.kind[other] == self.kind[r]:
--- a/crankfold/simhost/host.py
+++ b/crankfold/simhost/host.py
@@ -20,6 +20,11 @@
 _CHECKED = struct.Struct("<6sBIB")
 
 
+def _mark(address: bytes) -> float:
+    """The same for a runner at every instance, below 1, and spread evenly over runners."""
+    return (int.from_bytes(address, "little") * 0x9E3779B97F4A7C15 >> 20 & 0xFFFFF) / 0x100000
+
+
 class Door:
     """One instance: its decisions, its index of ids, and the port by which its actions leave."""
 
@@ -170,7 +175,7 @@
                 # A list entry's start is rounded up: a younger runner is treated as colder.
                 entries = [Listing(door.runner(a), _STANDINGS.get(s, Standing.GONE), w, z, c,
                                    -(-since // 100), kind,
-                                   (int.from_bytes(a, "little") * 0x9E3779B97F4A7C15 >> 20 & 0xFFFFF) / 0x100000)
+                                   _mark(a))
                            for z, s, w, c, a, kind, since in self.banks[bank]]
                 call, args = told.listed, (now, entries, scope != 2)
         elif code == 9:
--- a/tests/test_simhost.py
+++ b/tests/test_simhost.py
@@ -51,7 +51,7 @@
     def test_a_failure_in_the_decisions_is_reported(self) -> None:
         host = Host()
         host.answer(frame(CENSUS, TO, INIT, MEMBERS))
-        host.doors[3].decisions.circle = [5]
+        host.doors[3].decisions.quick = host.doors[3].decisions.long = [5]
         self.assertIn(b"IndexError", host.answer(frame(TO, QUERY)))
 
     def test_broken_frames_end_the_process_with_one_line(self) -> None:
