--- a/crankfold/dispatch/policy.py
+++ b/crankfold/dispatch/policy.py
@@ -99,24 +99,22 @@
         self.slots_of: dict[int, float] = {}  # by kind, as reports and starts show them
         # Figures about runners, by index: others' work by the reports (queue and busy slots, less own), own
         # slots out there, both together (what the score weighs), slots, share of errors, running times there,
-        # fading, against those expected, and what tells it apart at every dispatcher.
-        (self.queued, self.own, self.load, self.room, self.errors, self.run_sum, self.due_sum,
-         self.mark) = self.reals = [[0.0][:0] for _ in range(8)]
+        # fading, against those expected, what tells it apart at every dispatcher, its list weight, and one over
+        # that less the share that a cold or slowed runner lacks.
+        (self.queued, self.own, self.load, self.room, self.errors, self.run_sum, self.due_sum, self.mark,
+         self.weight, self.per_weight) = self.reals = [[0.0][:0] for _ in range(10)]
         # The present length of doubt, 0 for trusted; own dispatches without a start note; when a cold one may
         # get its next unit, 0 for not drawn yet.
         (self.standing, self.runner_zone, self.cell, self.kind, self.since, self.warm_at, self.full_until,
          self.doubt, self.doubt_until, self.waiting,
          self.cold_next) = self.counts = [[0][:0] for _ in range(11)]
-        self.weight: list[float] = []
-        self.per_weight: list[float] = []  # 1 / weight, less the share that a cold runner lacks
         self.recent: list[deque[tuple[int, float]]] = []  # own slots sent (+) and come back (-) of late
         self.report: list[Sequence[float]] = []
         self.report_at: list[int] = []
         self.heard_at: list[int] = []
         self.probe_out: list[bool] = []
         self.next_probe, self.room_of_one, self.middle_pace = 0, 1.0, 1.0
-        # The mean of others' work; the fleet's strength; the part of a runner that is this dispatcher's.
-        self.mean, self.strength, self.part = 0.0, 1.0, 1.0
+        self.mean, self.strength, self.part = 0.0, 1.0, 1.0  # others' work, fleet, own part of a runner
         if orders.must_ask:
             port.subscribe()
 
@@ -360,9 +358,7 @@
             figures.append(0.0)
         for counts in self.counts:
             counts.append(0)
-        self.weight.append(1.0)
         self.lot.append(-log((self._draw(1 << 30) + 1) / (1 << 30)))
-        self.per_weight.append(1.0)
         self.report.append(())
         self.report_at.append(now - AGE_LIMIT - 1)
         self.heard_at.append(now)
