--- a/crankfold/dispatch/policy.py
+++ b/crankfold/dispatch/policy.py
@@ -16,8 +16,7 @@
 
 SECOND = 10_000
 AGE_LIMIT = 5 * SECOND  # a report older than this no longer tells one runner from another
-PROBE_EVERY = 2 * SECOND
-CHORES = SECOND // 4
+PROBE_EVERY, CHORES = 2 * SECOND, SECOND // 4
 DOUBT_FIRST, DOUBT_LONGEST = SECOND, 8 * SECOND
 FULL_REST = SECOND // 4
 BLEND = 0.12
@@ -76,7 +75,7 @@
         self.quiet = 5 * orders.progress // 2  # started work without progress for so long stands still
         at = {name: place for place, name in enumerate(orders.report_names)}
         self.at_queue, self.at_free = at.get("queue", -1), at.get("free_slots", -1)
-        self.ask_pause = max(min(orders.ask_within // 8, 2 * SECOND), 1)
+        self.refused, self.ask_pause = 0, max(min(orders.ask_within // 8, 2 * SECOND), 1)
         self.probe_all = orders.may_probe and orders.reports_by_probe
         self.probe_some = orders.may_probe and orders.reports_in_answers
         self.cold_from, self.warm_after = orders.cold_from, orders.warm_after
@@ -99,8 +98,8 @@
         self.slots_of: dict[int, float] = {}  # by kind, as reports and starts show them
         # Figures about runners, by index: others' work by the reports (queue and busy slots, less own), own
         # slots out there, both together (what the score weighs), slots, share of errors, running times there,
-        # fading, against those expected, what tells it apart at every dispatcher, its list weight, and one over
-        # that less the share that a cold or slowed runner lacks.
+        # fading, against those expected, what tells it apart at every dispatcher, its list weight, and one
+        # over that less the share that a cold or slowed runner lacks.
         (self.queued, self.own, self.load, self.room, self.errors, self.run_sum, self.due_sum, self.mark,
          self.weight, self.per_weight) = self.reals = [[0.0][:0] for _ in range(10)]
         # The present length of doubt, 0 for trusted; own dispatches without a start note; when a cold one may
@@ -114,7 +113,7 @@
         self.heard_at: list[int] = []
         self.probe_out: list[bool] = []
         self.next_probe, self.room_of_one, self.middle_pace = 0, 1.0, 1.0
-        self.mean, self.strength, self.part = 0.0, 1.0, 1.0  # others' work, fleet, own part of a runner
+        self.mean, self.strength, self.part = 0.0, 1.0, 1.0  # of others' work; of the fleet; own, of a runner
         if orders.must_ask:
             port.subscribe()
 
@@ -253,6 +252,7 @@
     # --- membership: drains and cold runners ---
 
     def listed(self, now: int, entries: Sequence[Listing], whole: bool) -> None:
+        self.refused = 0
         if whole:
             for r in self.ready:
                 self.standing[r] = Standing.GONE
@@ -351,7 +351,9 @@
 
     def list_failed(self, now: int) -> None:
         # A jittered pause: all dispatchers lose the list at once and would ask again at once.
-        self.port.wake(self.ask_pause // 4 + self._draw(self.ask_pause), LIST)
+        pause = self.ask_pause << min(self.refused, 2)  # longer each time: the list serves few calls a second
+        self.port.wake(pause // 4 + self._draw(pause), LIST)
+        self.refused += 1
 
     def _enrol(self, now: int) -> None:
         for figures in self.reals:
