--- a/crankfold/dispatch/policy.py
+++ b/crankfold/dispatch/policy.py
@@ -30,7 +30,6 @@
 SILENT = SECOND
 COPY_SHARE, COPY_BURST = 0.3, 5.0
 CIRCLE, IN_SIGHT = 5, 3 * SECOND  # fewest runners a dispatcher keeps to; else one for each unit in this time
-SHARING = 8  # no circle so small that fewer dispatchers than this share a runner
 QUICK = 0.25  # least share of the fleet kept for units shorter than the mean, where units are kept apart
 LIST, SURVEY = 1, 2  # labels of wakes that concern no unit; a unit's own is FIRST_UNIT + unit
 FIRST_UNIT = 8
@@ -282,8 +281,7 @@
         By lots drawn once for each runner and its weight, so that all dispatchers together cover the runners
         evenly, a change of the list moves few members, and a larger circle holds the smaller one.
         """
-        seen = ceil(self.arrivals / (self.watched or inf) * IN_SIGHT)
-        size = max(CIRCLE, seen, SHARING * len(self.ready) // self.sharers)
+        size = max(CIRCLE, ceil(self.arrivals / (self.watched or inf) * IN_SIGHT))
         # The score takes running times as alike. Where sight is too sparse to tell who waits behind a long or
         # wide unit, short ones have runners of their own, by marks the same ones at every dispatcher.
         apart = 64 if self.wide or self.measured < 10 else 0
