--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -62,6 +62,12 @@
         self.end(0, 0, Outcome.ERROR)
         self.close("tagged-window")
 
+    def test_tagged_keeps_to_its_cell(self) -> None:
+        self.open(runners=4, effect=Effect.TAGGED, group=Group.CELL, window=1000)
+        self.take(0)
+        self.end(0, int(self.lines[-1][-1]), Outcome.ERROR)
+        self.close("tagged-cell")
+
     def test_tagged_known_everywhere_may_be_shed(self) -> None:
         self.open(runners=1, effect=Effect.TAGGED, group=Group.ALL, window=100)
         self.take(0)
