--- a/crankfold/simhost/params.py
+++ b/crankfold/orders/reader.py
@@ -1,6 +1,10 @@
-"""Reads the settings text of the simulator's first message into standing orders."""
+"""Reads settings into standing orders: one meaning for the bench's lines and for the configuration's JSON."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
 
 from crankfold.dispatch.interface import Effect, Group, ServiceGrade, StandingOrders
+from crankfold.orders.places import Places
 
 _EFFECTS = {"safe": Effect.REPEATABLE, "keyed": Effect.TAGGED, "unsafe": Effect.ONCE_ONLY}
 _GROUPS = {"all": Group.ALL, "zone": Group.ZONE, "cell": Group.CELL}
@@ -14,10 +18,70 @@
     return int(float(micros)) // 100
 
 
-def standing_orders(text: str) -> StandingOrders:
-    """Times are rounded to the safe side: what bounds us down, what we wait for up."""
-    given = dict(line.split("=", 1) for line in text.splitlines() if "=" in line)
+@dataclass(frozen=True, slots=True)
+class HouseRules:
+    """What the sockets need to know beside the decisions: names to places, and limits on connections."""
+
+    grades: Places[str]
+    tenants: Places[str]
+    zones: Places[str]
+    kinds: Places[str]
+    report_fields: tuple[str, ...]
+    connect_within: int
+    idle_for: int
+    longest_cutoff: int
+    most_held: int
+
+
+def from_lines(text: str) -> dict[str, str]:
+    return dict(line.split("=", 1) for line in text.splitlines() if "=" in line)
+
+
+def from_nested(given: object, path: str = "") -> dict[str, str]:
+    """The same paths and values as the lines have: plain lists joined, lists of objects counted."""
+    if isinstance(given, dict):
+        flat: dict[str, str] = {}
+        for name, value in given.items():
+            flat |= from_nested(value, f"{path}.{name}" if path else str(name))
+        return flat
+    if isinstance(given, list):
+        if any(isinstance(item, dict) for item in given):
+            flat = {f"{path}.count": str(len(given))}
+            for n, item in enumerate(given):
+                flat |= from_nested(item, f"{path}.{n}")
+            return flat
+        return {path: ",".join(_plain(item) for item in given)}
+    return {path: _plain(given)}
 
+
+def _plain(value: object) -> str:
+    if value is None:
+        return ""
+    if isinstance(value, bool):
+        return "true" if value else "false"
+    return str(value).replace(" ", "_").replace(",", "_")
+
+
+def house_rules(given: Mapping[str, str]) -> HouseRules:
+    def names(path: str) -> Places[str]:
+        count = int(given.get(path + ".count") or 0)
+        if count:
+            return Places(given.get(f"{path}.{n}.name") or str(n) for n in range(count))
+        return Places(n for n in (given.get(path) or "").split(",") if n)
+
+    grades = names("service-grades")
+    return HouseRules(
+        grades=grades, tenants=names("orgs"), zones=names("zones"), kinds=names("kinds"),
+        report_fields=tuple(n for n in (given.get("report.names") or "").split(",") if n),
+        connect_within=_down(given.get("allowed.connect-timeout") or "250000"),
+        idle_for=_down(given.get("allowed.conn-idle") or "10000000"),
+        longest_cutoff=max((_down(given.get(f"service-grades.{n}.cut-off") or "0")
+                            for n in range(len(grades.names))), default=0),
+        most_held=int(given.get("allowed.most-held") or 20000))
+
+
+def standing_orders(given: Mapping[str, str]) -> StandingOrders:
+    """Times are rounded to the safe side: what bounds us down, what we wait for up."""
     def said(path: str, otherwise: str) -> str:
         return given.get(path) or otherwise
 
--- a/crankfold/simhost/host.py
+++ b/crankfold/simhost/host.py
@@ -7,7 +7,8 @@
 
 from crankfold.dispatch.interface import Listing, Outcome, Standing
 from crankfold.dispatch.policy import Dispatcher
-from crankfold.simhost.params import standing_orders
+from crankfold.orders.places import Places
+from crankfold.orders.reader import from_lines, standing_orders
 
 _OUTCOMES = {0: Outcome.DONE, 13: Outcome.ERROR, 8: Outcome.FULL, 4: Outcome.LATE, 14: Outcome.UNREACHABLE,
              10: Outcome.RESET, 1: Outcome.CANCELLED, 9: Outcome.NOT_SENT}
@@ -30,25 +31,11 @@
 
     def __init__(self, salt: int, params: str) -> None:
         self.out = bytearray()
-        self.runner_of: dict[bytes, int] = {}
-        self.address: list[bytes] = []
-        self.unit_of: dict[int, int] = {}
-        self.id_of: list[int] = []
-        self.decisions = Dispatcher(standing_orders(params), salt, self)
-
-    def runner(self, address: bytes) -> int:
-        found = self.runner_of.get(address)
-        if found is None:
-            found = self.runner_of[address] = len(self.address)
-            self.address.append(address)
-        return found
-
-    def unit(self, ident: int) -> int:
-        found = self.unit_of.get(ident)
-        if found is None:
-            found = self.unit_of[ident] = len(self.id_of)
-            self.id_of.append(ident)
-        return found
+        runners: Places[bytes] = Places()
+        units: Places[int] = Places()
+        self.runner, self.address = runners.place, runners.names
+        self.unit, self.id_of = units.place, units.names
+        self.decisions = Dispatcher(standing_orders(from_lines(params)), salt, self)
 
     def dispatch(self, unit: int, runner: int, limit: int) -> None:
         self.out += pack("<HIi6s", 1, self.id_of[unit], min(limit * 100, 0x7FFFFFFF), self.address[runner])
