--- /dev/null
+++ b/crankfold/__main__.py
@@ -0,0 +1,3 @@
+from crankfold.cli import main
+
+main(prog_name="crankfold")
--- /dev/null
+++ b/crankfold/network/runners.py
@@ -0,0 +1,162 @@
+"""Connections to one runner: kept, used again most recent first, and never used for two exchanges at once."""
+
+import asyncio
+from collections.abc import Callable, Sequence
+
+from crankfold.network.tally import Tally
+from crankfold.protocol.runners import RunnerSide
+
+LUMP = 64 * 1024
+
+
+class Errand:
+    """One exchange with a runner, from the wish to its end."""
+
+    __slots__ = ("method", "target", "heads", "body", "may_go", "ended", "link", "over")
+
+    def __init__(self, method: bytes, target: bytes, heads: Callable[[], Sequence[tuple[bytes, bytes]]],
+                 body: bytes, may_go: Callable[[], bool],
+                 ended: Callable[[str, RunnerSide | None], None]) -> None:
+        self.method, self.target, self.heads, self.body = method, target, heads, body
+        self.may_go, self.ended = may_go, ended
+        self.link: Link | None = None
+        self.over = False
+
+
+# How an errand ends.
+ANSWERED, BROKEN, UNREACHED, HELD_BACK = "answered", "broken", "unreached", "held back"
+
+
+class Link:
+    """One open connection."""
+
+    def __init__(self, pool: "Pool", reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.pool, self.reader, self.writer = pool, reader, writer
+        self.side = RunnerSide()
+        self.errand: Errand | None = None
+        self.idle_since = 0.0
+        self.task = pool.loop.create_task(self._run())
+
+    def carry(self, errand: Errand) -> None:
+        self.errand, errand.link = errand, self
+        self.writer.writelines(self.side.ask(errand.method, errand.target, errand.heads(), errand.body))
+
+    def fit(self) -> bool:
+        return not self.reader.at_eof() and not self.writer.is_closing() and self.reader.exception() is None
+
+    async def _run(self) -> None:
+        try:
+            while data := await self.reader.read(LUMP):
+                if self.errand is None:
+                    self.pool.tally.count("runner-spoke-unasked")
+                    break
+                if self.side.feed(data):
+                    errand, self.errand = self.errand, None
+                    if self.side.usable:
+                        self.pool.rest(self)
+                    self.pool.end(errand, ANSWERED if self.side.status else BROKEN, self.side)
+                    if not self.side.usable:
+                        break
+        except OSError:
+            pass
+        finally:
+            # What left the program's own buffer counts as written: from there on the runner may have it.
+            written = self.writer.transport.get_write_buffer_size() == 0
+            self.pool.gone(self)
+            self.writer.close()
+            if self.errand is not None:
+                self.pool.end(self.errand, BROKEN if written else UNREACHED, self.side)
+
+
+class Pool:
+    """All connections to one runner at one address."""
+
+    def __init__(self, host: str, port: int, connect_within: float, idle_for: float, tally: Tally,
+                 has_room: Callable[[], bool]) -> None:
+        self.host, self.port, self.tally, self.has_room = host, port, tally, has_room
+        self.connect_within, self.idle_for = connect_within, idle_for
+        self.loop = asyncio.get_running_loop()
+        self.idle: list[Link] = []
+        self.links: set[Link] = set()
+        self.opening: set[asyncio.Task[None]] = set()
+        self.closed = False
+
+    def sockets(self) -> int:
+        return len(self.links) + len(self.opening)
+
+    def send(self, errand: Errand) -> None:
+        """Goes at once where a connection is at rest. How it ends is told later, never from in here."""
+        link = self._rested()
+        if link:
+            self.tally.count("connections-reused")
+            link.carry(errand)
+        elif self.closed or not self.has_room():
+            self.tally.count("no-room-for-a-connection")
+            self.loop.call_soon(self.end, errand, HELD_BACK, None)
+        else:
+            task = self.loop.create_task(self._open(errand))
+            self.opening.add(task)
+            task.add_done_callback(self.opening.discard)
+
+    def _rested(self) -> Link | None:
+        while self.idle:
+            link = self.idle.pop()
+            if link.fit() and self.loop.time() - link.idle_since < self.idle_for:
+                return link
+            link.writer.close()
+        return None
+
+    async def _open(self, errand: Errand) -> None:
+        self.tally.count("connections-opened")
+        try:
+            async with asyncio.timeout(self.connect_within):
+                reader, writer = await asyncio.open_connection(self.host, self.port, limit=LUMP)
+        except (OSError, TimeoutError):
+            self.tally.count("connections-not-up")
+            self.end(errand, UNREACHED, None)
+            return
+        link = Link(self, reader, writer)
+        self.links.add(link)
+        if errand.over or self.closed or not errand.may_go():
+            self.end(errand, HELD_BACK, None)
+            self.rest(link)
+        else:
+            link.carry(errand)
+
+    def rest(self, link: Link) -> None:
+        if self.closed:
+            link.writer.close()
+            return
+        link.idle_since = self.loop.time()
+        self.idle.append(link)
+
+    def gone(self, link: Link) -> None:
+        self.links.discard(link)
+        if link in self.idle:
+            self.idle.remove(link)
+
+    def end(self, errand: Errand, how: str, side: RunnerSide | None) -> None:
+        if not errand.over:
+            errand.over = True
+            errand.ended(how, side)
+
+    def abandon(self, errand: Errand) -> None:
+        """Nobody waits for it any more. An answer still owed is read, so that the connection can be kept."""
+        errand.over = True
+
+    def cut(self, errand: Errand) -> None:
+        """Closes the connection that an answer has not come on."""
+        errand.over = True
+        if errand.link and errand.link.errand is errand:
+            errand.link.writer.close()
+
+    def sweep(self) -> None:
+        now = self.loop.time()
+        while self.idle and now - self.idle[0].idle_since >= self.idle_for:
+            self.idle.pop(0).writer.close()
+
+    def close(self) -> None:
+        """The address is no longer the runner's: nothing new, what is under way runs to its end."""
+        self.closed = True
+        while self.idle:
+            self.idle.pop().writer.close()
--- /dev/null
+++ b/crankfold/network/watch.py
@@ -0,0 +1,68 @@
+"""Keeps up the watch on discovery: a whole list first, then what changes."""
+
+import asyncio
+from collections.abc import Callable, Sequence
+
+from crankfold.dispatch.interface import Listing
+from crankfold.network.tally import Tally
+from crankfold.protocol.discovery import DiscoverySide, Enlist, Unreadable
+
+WAIT_MS = 4000
+GRACE = 1.0  # an answer that is so much later than it could wait does not come any more
+PAUSE = 0.5
+LUMP = 64 * 1024
+
+
+class Watch:
+    def __init__(self, host: str, port: int, enlist: Enlist, told: Callable[[Sequence[Listing], bool], None],
+                 failed: Callable[[], None], tally: Tally) -> None:
+        self.host, self.port, self.enlist, self.told, self.failed = host, port, enlist, told, failed
+        self.tally, self.rev = tally, -1
+        self.task: asyncio.Task[None] | None = None
+
+    def start(self, again: bool) -> None:
+        """With `again` a broken watch is taken up by itself; else it lasts until it breaks."""
+        if self.task is None or self.task.done():
+            self.task = asyncio.get_running_loop().create_task(self._run(again))
+
+    async def _run(self, again: bool) -> None:
+        while True:
+            self.rev = -1
+            try:
+                while True:  # an answer may close its connection without ending the watch
+                    await self._watch()
+            except (OSError, TimeoutError, Unreadable) as broken:
+                self.tally.count("discovery-failed")
+                self.tally.say("discovery", f"{type(broken).__name__}: {broken}; the old list stands")
+            self.failed()
+            if not again:
+                return
+            await asyncio.sleep(PAUSE)
+
+    async def _watch(self) -> None:
+        async with asyncio.timeout(WAIT_MS / 1000 + GRACE):
+            reader, writer = await asyncio.open_connection(self.host, self.port)
+        try:
+            side = DiscoverySide(f"{self.host}:{self.port}")
+            while True:
+                writer.write(side.ask(self.rev, WAIT_MS))
+                # The whole list comes at once if it comes at all.
+                async with asyncio.timeout(GRACE + (WAIT_MS / 1000 if self.rev >= 0 else 0)):
+                    while not side.feed(data := await reader.read(LUMP)):
+                        if not data:
+                            raise Unreadable("the connection ended")
+                rev, whole, entries = side.told(self.enlist)
+                if rev < self.rev and not whole:
+                    raise Unreadable("a version older than the last")
+                self.rev = rev
+                self.tally.count("lists-whole" if whole else "lists-of-changes")
+                if entries or whole:
+                    self.told(entries, whole)
+                if not side.usable():
+                    return
+        finally:
+            writer.close()
+
+    def stop(self) -> None:
+        if self.task:
+            self.task.cancel()
--- /dev/null
+++ b/crankfold/service/node.py
@@ -0,0 +1,139 @@
+"""One dispatcher from its start to the end of its drain."""
+
+import asyncio
+import signal
+import sys
+from pathlib import Path
+from typing import Any
+
+import orjson
+
+from crankfold.network.listener import Listener
+from crankfold.network.tally import Tally
+from crankfold.network.timers import Clock, Timers
+from crankfold.network.watch import Watch
+from crankfold.orders.reader import from_nested, house_rules, standing_orders
+from crankfold.protocol.discovery import read_list
+from crankfold.service.desk import Desk
+
+COMING = 0.45  # connections go on arriving for so long after the order to end
+LONGEST_DRAIN = 3.35  # by then everything is answered: the platform ends us soon after
+
+
+class Unusable(Exception):
+    """The configuration can't be served from; the text says why, in a line."""
+
+
+def address(text: str, what: str) -> tuple[str, int]:
+    host, _, port = text.rpartition(":")
+    try:
+        return host.strip("[]"), int(port)
+    except ValueError:
+        raise Unusable(f"{what} is no address: {text!r}") from None
+
+
+def read(path: str) -> dict[str, Any]:
+    try:
+        given = orjson.loads(Path(path).read_bytes())
+    except (OSError, ValueError) as wrong:
+        raise Unusable(f"{path}: {wrong}") from None
+    for name, kind in (("listen", str), ("discovery", str), ("settings", dict)):
+        if not isinstance(given, dict) or not isinstance(given.get(name), kind):
+            raise Unusable(f"{path}: no {name}")
+    return dict(given)
+
+
+class Node:
+    def __init__(self, given: dict[str, Any]) -> None:
+        try:
+            settings = from_nested(given["settings"])
+            orders, rules = standing_orders(settings), house_rules(settings)
+            seed = int(str(given.get("seed", "0")), 16)
+        except ValueError as wrong:
+            raise Unusable(f"settings: {wrong}") from None
+        sockets = int((given.get("limits") or {}).get("sockets") or 1024)
+        self.tally = Tally()
+        self.timers = Timers(Clock(), self.tally)
+        runner_sockets = sockets // 4
+        self.at = address(given["listen"], "listen")
+        self.desk = Desk(orders, rules, seed, self.timers, self.tally, runner_sockets, self._subscribe)
+        self.listener = Listener(self.desk, self.tally, rules.report_fields, sockets - runner_sockets - 48)
+        self.desk.crowded = self.listener.crowded
+        host, port = address(given["discovery"], "discovery")
+        self.watch = Watch(host, port, self.desk.enlist, self.desk.listed, self._list_failed, self.tally)
+        self.must_ask, self.known = orders.must_ask, given.get("known")
+        self.longest = rules.longest_cutoff / 10_000
+        self.ending = asyncio.Event()
+        self.subscribed = False
+
+    def _subscribe(self) -> None:
+        # The decisions ask in their first moment, when there is no watch yet.
+        self.timers.loop.call_soon(lambda: self.watch.start(False))
+
+    def _list_failed(self) -> None:
+        if self.must_ask:
+            self.desk.list_failed()
+
+    async def run(self) -> None:
+        loop = self.timers.loop
+        loop.set_exception_handler(self._failed)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.ending.set)
+        loop.add_signal_handler(signal.SIGUSR1, self.report)
+        if self.known is not None:
+            try:
+                _, whole, entries = read_list(orjson.dumps(self.known), self.desk.enlist)
+                self.desk.listed(entries, whole)
+            except ValueError as wrong:
+                self.tally.say("known", f"{wrong}; starting without a list")
+        if not self.must_ask:
+            self.watch.start(True)
+        try:
+            await self.listener.open(*self.at)
+        except OSError as wrong:
+            raise Unusable(f"{self.at[0]}:{self.at[1]}: {wrong.strerror or wrong}") from None
+        self.desk.ready = True
+        print(f"crankfold: serving on {self.at[0]}:{self.at[1]}", file=sys.stderr, flush=True)
+        loop.call_later(1.0, self._sweep)
+        await self.ending.wait()
+        await self._drain()
+
+    async def _drain(self) -> None:
+        loop = self.timers.loop
+        began = loop.time()
+        end = began + min(self.longest, LONGEST_DRAIN)
+        print("crankfold: draining", file=sys.stderr, flush=True)
+        self.listener.draining = True
+        await asyncio.sleep(COMING)
+        self.listener.close_idle()
+        while loop.time() < end and any(work.open for work in self.desk.units.values()):
+            await asyncio.sleep(0.01)
+            self.listener.close_idle()
+        self.desk.close_all()
+        self.watch.stop()
+        self.listener.stop_taking()
+        await asyncio.sleep(0.05)
+        self.report()
+
+    def _sweep(self) -> None:
+        self.timers.loop.call_later(1.0, self._sweep)
+        self.desk.sweep()
+
+    def _failed(self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+        """What no handler caught: logged with its place; in a debug build the program ends."""
+        self.tally.count("failures")
+        wrong = context.get("exception")
+        place = ""
+        if wrong is not None and wrong.__traceback__ is not None:
+            trace = wrong.__traceback__
+            while trace.tb_next:
+                trace = trace.tb_next
+            place = f" at {trace.tb_frame.f_code.co_filename}:{trace.tb_lineno}"
+        self.tally.say("failure", f"{context.get('message')}: {wrong!r}{place}")
+        if __debug__:
+            self.ending.set()
+
+    def report(self) -> None:
+        figures = {**self.tally.counts, **self.desk.figures()}
+        text = " ".join(f"{name}={figures[name]}" for name in sorted(figures))
+        print(f"crankfold: counters: {text}", file=sys.stderr, flush=True)
