--- a/crankfold/cli.py
+++ b/crankfold/cli.py
@@ -9,7 +9,7 @@
 from crankfold.orders.reader import from_nested, house_rules, standing_orders
 from crankfold.service.node import Node, Unusable, address, read
 
-_config = click.option("--config", envvar="GW_CONFIG", required=True, show_envvar=True,
+_config = click.option("--config", envvar="GW_CONFIG", default="", show_envvar=True,
                        help="The dispatcher's configuration, a JSON file.")
 
 
--- a/crankfold/network/listener.py
+++ b/crankfold/network/listener.py
@@ -7,11 +7,12 @@
 from crankfold.network.tally import Tally
 from crankfold.protocol import clients
 
-LUMP = 64 * 1024
+LUMP = 16 * 1024
 SLOWEST = 10.0  # seconds from the first byte of a request to its last, and for an answer to be taken
 IDLE = 75.0
-LINGER = 0.5  # what still comes after the last answer is read for so long, or the answer would be lost
-MOST_UNREAD = 256 * 1024  # pipelined behind a request in hand
+FRESH = 0.05  # a connection so young may have its first request under way
+LINGER = 0.5  # what still comes after the last answer is read for so long: a reset would overtake it
+MOST_UNREAD = 64 * 1024  # pipelined behind a request in hand
 
 
 class Desk(clients.Desk, Protocol):
@@ -26,28 +27,36 @@
         self.side = clients.ClientSide(host.desk, self, host.report_fields)
         self.since = host.loop.time()  # of the present idleness, request or answer
         self.unread = 0
+        self.answered = asyncio.Event()
 
     async def serve(self) -> None:
         side = self.side
-        while not side.closing:
-            data = await self.reader.read(LUMP)
-            if not data:
-                break
-            if side.in_hand:
-                self.unread += len(data)
-                if self.unread > MOST_UNREAD:
-                    self.host.tally.count("clients-cut-off")
-                    break
-            elif not side.midway():
+        while data := await self.reader.read(LUMP):
+            if side.closing:
+                continue
+            if not side.in_hand and not side.midway():
                 self.since = self.host.loop.time()
-            side.feed(data)
+            try:
+                side.feed(data)
+            except Exception as wrong:
+                # A failure of ours must not lose a request that was taken.
+                self.host.tally.failed(wrong)
+                if side.in_hand:
+                    self.answer(500)
+                if __debug__:
+                    raise
             self._flush()
+            self.unread += len(data)
+            while side.in_hand and self.unread > MOST_UNREAD:
+                self.answered.clear()
+                await self.answered.wait()
 
     def answer(self, status: int, heads: Sequence[tuple[bytes, bytes]] = (), body: bytes = b"") -> None:
         """The answer to the request in hand; what was pipelined behind it is read a turn later."""
         self.side.last = self.side.last or self.host.draining
         self.side.answer(status, heads, body)
         self._flush()
+        self.answered.set()
         self.host.loop.call_soon(self._go_on)
 
     def _go_on(self) -> None:
@@ -65,17 +74,17 @@
             self.writer.writelines(side.out)
             side.out.clear()
             self.since = self.host.loop.time()
-        if side.closing and self.writer.can_write_eof() and not self.writer.is_closing():
+        if side.closing and not self.writer.is_closing() and self.writer.can_write_eof():
             self.writer.write_eof()
             self.host.loop.call_later(LINGER, self.writer.close)
 
-    def idle(self) -> bool:
-        return not self.side.in_hand and not self.side.midway() and self.reader_empty()
+    def unwritten(self) -> bool:
+        return self.writer.transport.get_write_buffer_size() > 0
 
-    def reader_empty(self) -> bool:
-        return self.writer.transport.get_write_buffer_size() == 0
+    def idle(self) -> bool:
+        return not self.side.in_hand and not self.side.midway() and not self.unwritten()
 
-    def close_idle(self) -> None:
+    def close(self) -> None:
         self.side.closing = True
         self.writer.close()
 
@@ -84,59 +93,66 @@
     def __init__(self, desk: Desk, tally: Tally, report_fields: Sequence[str], most: int) -> None:
         self.desk, self.tally, self.report_fields, self.most = desk, tally, report_fields, most
         self.loop = asyncio.get_running_loop()
-        self.clients: dict[Client, None] = {}
+        self.clients: set[Client] = set()
         self.draining = False
         self.server: asyncio.Server | None = None
 
     async def open(self, host: str, port: int) -> None:
         self.server = await asyncio.start_server(self._taken, host, port, backlog=1024, limit=LUMP)
-        self.loop.call_later(1.0, self._sweep)
 
     async def _taken(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         client = Client(self, reader, writer)
-        self.clients[client] = None
         self.tally.count("connections-taken")
-        if len(self.clients) > self.most:
-            self._make_room()
+        self._make_room()
+        self.clients.add(client)
         try:
             await client.serve()
         except OSError:
-            pass
+            self.tally.count("connections-reset")
         finally:
-            del self.clients[client]
+            self.clients.discard(client)
             if client.side.in_hand:
                 self.tally.count("clients-left")
                 self.desk.left(client)
-            if not client.side.closing:
-                writer.close()
+            writer.close()
 
     def _make_room(self) -> None:
         """Near the limit on sockets the connection longest idle goes; a request in hand is never dropped."""
-        for client in self.clients:
-            if client.idle():
-                self.tally.count("connections-closed-for-room")
-                client.close_idle()
-                return
-        self.tally.count("connections-over-limit")
+        if len(self.clients) < self.most:
+            return
+        idle = [client for client in self.clients if client.idle() and not client.side.closing]
+        if idle:
+            self.tally.count("connections-closed-for-room")
+            min(idle, key=lambda client: client.since).close()
+        else:
+            self.tally.count("connections-over-limit")
 
     def crowded(self) -> bool:
         return len(self.clients) > self.most
 
-    def _sweep(self) -> None:
-        self.loop.call_later(1.0, self._sweep)
+    def sweep(self) -> None:
         now = self.loop.time()
-        for client in list(self.clients):
+        for client in self.clients:
             age = now - client.since
-            slow = client.side.midway() or not client.reader_empty()
-            if slow and age > SLOWEST or client.idle() and age > IDLE:
-                self.tally.count("clients-cut-off" if slow else "connections-idle-closed")
-                client.close_idle()
+            if age > SLOWEST and (client.unwritten() or client.side.midway()):
+                # A head that never ends, or an answer that is never taken.
+                self.tally.count("clients-cut-off")
+                client.side.closing = True
+                client.writer.transport.abort()
+            elif age > IDLE and client.idle():
+                self.tally.count("connections-idle-closed")
+                client.close()
 
-    def stop_taking(self) -> None:
+    def close_idle(self) -> None:
+        for client in self.clients:
+            if client.idle() and not client.side.closing and self.loop.time() - client.since > FRESH:
+                client.close()
+
+    async def close(self) -> None:
+        """The last: no more connections, and what is written gets a moment to leave."""
         if self.server:
             self.server.close()
-
-    def close_idle(self) -> None:
-        for client in list(self.clients):
-            if client.idle():
-                client.close_idle()
+        for _ in range(20):
+            if not any(client.unwritten() for client in self.clients):
+                return
+            await asyncio.sleep(0.01)
--- a/crankfold/network/runners.py
+++ b/crankfold/network/runners.py
@@ -140,10 +140,6 @@
             errand.over = True
             errand.ended(how, side)
 
-    def abandon(self, errand: Errand) -> None:
-        """Nobody waits for it any more. An answer still owed is read, so that the connection can be kept."""
-        errand.over = True
-
     def cut(self, errand: Errand) -> None:
         """Closes the connection that an answer has not come on."""
         errand.over = True
--- a/crankfold/network/timers.py
+++ b/crankfold/network/timers.py
@@ -38,4 +38,9 @@
         if late > 100:
             self.tally.count("timers-over-10ms-late")
         self.tally.most("timer-latest-tenths-of-ms", late)
-        call()
+        try:
+            call()
+        except Exception as wrong:
+            self.tally.failed(wrong)
+            if __debug__:
+                raise
--- a/crankfold/network/watch.py
+++ b/crankfold/network/watch.py
@@ -40,7 +40,7 @@
             await asyncio.sleep(PAUSE)
 
     async def _watch(self) -> None:
-        async with asyncio.timeout(WAIT_MS / 1000 + GRACE):
+        async with asyncio.timeout(GRACE):
             reader, writer = await asyncio.open_connection(self.host, self.port)
         try:
             side = DiscoverySide(f"{self.host}:{self.port}")
--- a/crankfold/protocol/clients.py
+++ b/crankfold/protocol/clients.py
@@ -10,6 +10,8 @@
 
 LONGEST_WAIT = 3600.0
 MOST_WORK = 1e12
+MOST_ID = 256
+_SINGLE = (b"x-request-id", b"idempotency-key", b"x-timeout", b"x-priority-class")
 
 
 class Desk(Hearer, Protocol):
@@ -119,6 +121,9 @@
         heads = list(heads)
         first: dict[bytes, bytes] = {}
         for name, value in heads:
+            if name in _SINGLE and name in first:
+                self._decline(400)  # which of two ids a runner would go by is anybody's guess
+                return
             first.setdefault(name, value)
         try:
             ident, grade = first[b"x-request-id"].decode(), first[b"x-priority-class"].decode()
@@ -136,7 +141,7 @@
         except (KeyError, ValueError):
             self._decline(400)
             return
-        if not ident or not self.desk.knows_grade(grade):
+        if not 0 < len(ident) <= MOST_ID or not self.desk.knows_grade(grade):
             self._decline(400)
             return
         self.desk.hand_in(self.client, ident, grade, first.get(b"x-tenant-id", b"").decode("latin-1"), wait,
--- a/crankfold/protocol/heads.py
+++ b/crankfold/protocol/heads.py
@@ -14,10 +14,14 @@
 
 
 def passed_on(heads: Heads) -> list[tuple[bytes, bytes]]:
+    """What goes on to a runner, whatever the client's connection was like."""
     heads = list(heads)
     named = {token.strip().lower() for name, value in heads if name == b"connection"
              for token in value.split(b",")}
-    return [(name, value) for name, value in heads if name not in _OWN and name not in named]
+    kept = [(name, value) for name, value in heads if name not in _OWN and name not in named]
+    if not any(name == b"host" for name, _ in kept):
+        kept.append((b"host", b""))  # HTTP/1.0 may leave it out; the runner's 1.1 may not
+    return kept
 
 
 def number(text: bytes | str, most: float) -> float:
--- a/crankfold/service/desk.py
+++ b/crankfold/service/desk.py
@@ -1,11 +1,10 @@
 """Where sockets and decisions meet: ids become numbers, what comes in is told, what is decided is done."""
 
 import asyncio
-import traceback
 import zlib
-from collections import Counter, deque
 from collections.abc import Callable, Sequence
 from functools import partial
+from urllib.parse import quote
 
 from crankfold.dispatch.interface import Listing, Outcome, Standing, StandingOrders
 from crankfold.dispatch.policy import Dispatcher
@@ -19,8 +18,7 @@
 from crankfold.protocol.runners import TAKEN, RunnerSide, dispatch_heads, outcome_of
 
 TRANSIT = 10  # a request has been under way before it was read: its cut-off is nearer by so much
-PROBE_WITHIN = 3000
-CANCEL_WITHIN = 10_000
+ANSWER_WITHIN = 10_000  # for exchanges that carry no unit
 
 
 class Trip:
@@ -65,8 +63,6 @@
         self.address: list[tuple[str, int, int]] = []  # host, port and start
         self.standing: list[Standing] = []
         self.pools: list[Pool | None] = []
-        self.waiting: deque[Callable[[], None]] = deque()
-        self.deciding = False
         self.subscribe_to_list = subscribe
         self.decisions = Dispatcher(orders, seed, self)
 
@@ -76,15 +72,22 @@
         """A failure in the decisions ends here: the unit in hand is given up on and the process goes on."""
         try:
             call(self.clock.now(), *args)
-        except Exception:
-            self.tally.count("failures-in-decisions")
-            self.tally.say("failure", traceback.format_exc())
+        except Exception as wrong:
+            self.tally.failed(wrong)
             work = self.units.get(unit)
             if work and work.open:
-                self.give_up(unit)
+                self._drop(work)
             if __debug__:
                 raise
 
+    def _drop(self, work: Work) -> None:
+        """Given up without the decisions having said so: they are told that nothing is owed any more."""
+        self.give_up(work.no)
+        try:
+            self.decisions.client_left(self.clock.now(), work.no)
+        except Exception as wrong:
+            self.tally.failed(wrong)
+
     # --- from clients ---
 
     def serving(self) -> bool:
@@ -126,6 +129,7 @@
         """The decisions answer before this; what is still out then is waited for no longer."""
         if work.open:
             self.tally.count("units-open-at-cut-off")
+            self._drop(work)
         for trip in work.trips:
             if trip.out:
                 self._call_off(work, trip)
@@ -136,16 +140,15 @@
         for work in list(self.units.values()):
             if work.open:
                 self.tally.count("given-up-at-drain")
-                client = work.client
-                self.give_up(work.no)
-                self.tell(self.decisions.client_left, work.no)
-                self._forget(work)
-                del client
+                self._drop(work)
 
     # --- the port: what is decided ---
 
     def dispatch(self, unit: int, runner: int, limit: int) -> None:
-        work = self.units[unit]
+        work = self.units.get(unit)
+        if work is None:
+            self.tally.must(False, "dispatch-for-a-unit-in-hand")
+            return
         trip = Trip(len(work.trips), runner)
         work.trips.append(trip)
         self.tally.count("dispatches")
@@ -181,9 +184,9 @@
 
     def _answer(self, unit: int, how: str, status: int, heads: Sequence[tuple[bytes, bytes]],
                 body: bytes = b"") -> None:
-        work = self.units[unit]
-        self.tally.must(work.open, "one-answer-a-unit")
-        if work.open:
+        work = self.units.get(unit)
+        self.tally.must(work is not None and work.open, "one-answer-a-unit")
+        if work is not None and work.open:
             work.open = False
             self.tally.count(how)
             self.by_client.pop(work.client, None)
@@ -191,9 +194,9 @@
             self.loop.call_soon(self._forget, work)
 
     def cancel(self, unit: int, nth: int) -> None:
-        work = self.units[unit]
-        trip = work.trips[nth]
-        if trip.out:
+        work = self.units.get(unit)
+        trip = work.trips[nth] if work is not None else None
+        if work is not None and trip is not None and trip.out:
             self.tally.count("called-off")
             self._call_off(work, trip)
             self.loop.call_soon(self._end, work, trip, Outcome.CANCELLED)
@@ -210,23 +213,23 @@
         if pool is None:
             self.loop.call_soon(self._probed, runner, UNREACHED, None)
             return
-        errand = Errand(b"GET", self.probe_target, self._plain_heads, b"", lambda: True,
-                        partial(self._probed, runner))
-        pool.send(errand)
-        self.timers.wake(PROBE_WITHIN, partial(self._overdue, pool, errand))
+        self._small_errand(pool, b"GET", self.probe_target, partial(self._probed, runner))
 
     def subscribe(self) -> None:
         self.subscribe_to_list()
 
     # --- from runners ---
 
-    def _plain_heads(self) -> list[tuple[bytes, bytes]]:
-        return [(b"Host", b"backend.local")]
+    def _small_errand(self, pool: Pool, method: bytes, target: bytes,
+                      ended: Callable[[str, RunnerSide | None], None]) -> None:
+        host = f"{pool.host}:{pool.port}".encode()
+        errand = Errand(method, target, lambda: [(b"Host", host)], b"", lambda: True, ended)
+        pool.send(errand)
+        self.timers.wake(ANSWER_WITHIN, partial(self._overdue, pool, errand))
 
     def _overdue(self, pool: Pool, errand: Errand) -> None:
         """A machine that vanished says nothing: the connection is closed, or it would be held for good."""
-        if not errand.over:
-            errand.ended(BROKEN, None)
+        pool.end(errand, BROKEN, None)
         pool.cut(errand)
 
     def _probed(self, runner: int, how: str, side: RunnerSide | None) -> None:
@@ -234,6 +237,7 @@
         report: Sequence[float] = ()
         if well and side is not None:
             report = from_text(bytes(side.body), self.rules.report_fields)
+            self.tally.count("reports-by-probe" if report else "probes-without-report")
         self.tell(self.decisions.probed, runner, well, report)
 
     def _dispatched(self, work: Work, trip: Trip, how: str, side: RunnerSide | None) -> None:
@@ -254,22 +258,25 @@
 
     def _call_off(self, work: Work, trip: Trip) -> None:
         """Before the runner has said that it took the unit the connection closes; after that it is told."""
-        trip.ran_on = True
         errand, pool = trip.errand, self.pools[trip.runner]
         if errand is None or pool is None:
             return
+        trip.ran_on = errand.link is not None
         if not trip.taken:
             pool.cut(errand)
         elif self.may_cancel:
-            off = Errand(b"DELETE", b"/jobs/" + work.ident.encode(), self._plain_heads, b"", lambda: True,
-                         lambda how, side: None)
-            pool.send(off)
-            self.timers.wake(CANCEL_WITHIN, partial(self._overdue, pool, off))
+            self._small_errand(pool, b"DELETE", b"/jobs/" + quote(work.ident, safe="").encode(),
+                               lambda how, side: None)
 
     def _end(self, work: Work, trip: Trip, outcome: Outcome, report: Sequence[float] = ()) -> None:
         if not trip.out:
             return
         trip.out = False
+        pool = self.pools[trip.runner]
+        if trip.errand and pool and not trip.errand.over:
+            # Its call-back came before the 202, which may never come now.
+            trip.errand.over = True
+            self.timers.wake(ANSWER_WITHIN, partial(pool.cut, trip.errand))
         self.tally.count("ended-" + outcome.name.lower().replace("_", "-"))
         if outcome == Outcome.DONE:
             self.tally.must(not work.open, "done-is-answered-first")
@@ -283,12 +290,14 @@
             if self.by_ident.get(work.ident) is work:
                 del self.by_ident[work.ident]
 
-    def _trip(self, ident: str, uid: str) -> tuple[Work, Trip] | None:
+    def _trip(self, ident: str, uid: str, ended: bool = False) -> tuple[Work, Trip] | None:
         work, runner = self.by_ident.get(ident), self.runners.find(uid)
         if work:
             for trip in work.trips:
                 if trip.runner == runner and trip.out:
                     return work, trip
+                if trip.runner == runner and ended:
+                    trip.ran_on = False  # given up on, and now it has come to its end
         self.tally.count("call-backs-for-none")
         return None
 
@@ -307,12 +316,13 @@
 
     def job_ended(self, ident: str, uid: str, outcome: Outcome, result: bytes,
                   report: Sequence[float]) -> None:
-        found = self._trip(ident, uid)
+        found = self._trip(ident, uid, ended=True)
         if not found:
             return
         work, trip = found
         if outcome == Outcome.DONE and work.open:
             self._answer(work.no, "done", 200, [], result)
+        self.tally.count("reports-by-call-back" if report else "call-backs-without-report")
         self._end(work, trip, outcome, report)
 
     # --- from discovery ---
@@ -355,6 +365,6 @@
             if pool:
                 pool.sweep()
 
-    def figures(self) -> Counter[str]:
-        return Counter({"now-open": sum(w.open for w in self.units.values()), "now-kept": len(self.units),
-                        "now-runner-connections": sum(p.sockets() for p in self.pools if p)})
+    def figures(self) -> dict[str, int]:
+        return {"now-open": sum(work.open for work in self.units.values()), "now-kept": len(self.units),
+                "now-runner-connections": sum(pool.sockets() for pool in self.pools if pool)}
--- a/crankfold/service/node.py
+++ b/crankfold/service/node.py
@@ -17,7 +17,7 @@
 from crankfold.service.desk import Desk
 
 COMING = 0.45  # connections go on arriving for so long after the order to end
-LONGEST_DRAIN = 3.35  # by then everything is answered: the platform ends us soon after
+LONGEST_DRAIN = 3.4  # by then everything is answered: the platform ends us soon after
 
 
 class Unusable(Exception):
@@ -33,6 +33,8 @@
 
 
 def read(path: str) -> dict[str, Any]:
+    if not path:
+        raise Unusable("no configuration: set GW_CONFIG or give --config")
     try:
         given = orjson.loads(Path(path).read_bytes())
     except (OSError, ValueError) as wrong:
@@ -51,20 +53,21 @@
             seed = int(str(given.get("seed", "0")), 16)
         except ValueError as wrong:
             raise Unusable(f"settings: {wrong}") from None
-        sockets = int((given.get("limits") or {}).get("sockets") or 1024)
+        sockets = max(int((given.get("limits") or {}).get("sockets") or 1024), 64)
         self.tally = Tally()
         self.timers = Timers(Clock(), self.tally)
         runner_sockets = sockets // 4
         self.at = address(given["listen"], "listen")
         self.desk = Desk(orders, rules, seed, self.timers, self.tally, runner_sockets, self._subscribe)
-        self.listener = Listener(self.desk, self.tally, rules.report_fields, sockets - runner_sockets - 48)
+        others = sockets - runner_sockets - sockets // 16  # the last part stays free
+        self.listener = Listener(self.desk, self.tally, rules.report_fields, others)
         self.desk.crowded = self.listener.crowded
         host, port = address(given["discovery"], "discovery")
         self.watch = Watch(host, port, self.desk.enlist, self.desk.listed, self._list_failed, self.tally)
         self.must_ask, self.known = orders.must_ask, given.get("known")
         self.longest = rules.longest_cutoff / 10_000
         self.ending = asyncio.Event()
-        self.subscribed = False
+        self.broken: BaseException | None = None
 
     def _subscribe(self) -> None:
         # The decisions ask in their first moment, when there is no watch yet.
@@ -97,6 +100,8 @@
         loop.call_later(1.0, self._sweep)
         await self.ending.wait()
         await self._drain()
+        if self.broken:
+            raise self.broken
 
     async def _drain(self) -> None:
         loop = self.timers.loop
@@ -111,29 +116,21 @@
             self.listener.close_idle()
         self.desk.close_all()
         self.watch.stop()
-        self.listener.stop_taking()
-        await asyncio.sleep(0.05)
+        await self.listener.close()
         self.report()
 
     def _sweep(self) -> None:
         self.timers.loop.call_later(1.0, self._sweep)
         self.desk.sweep()
+        self.listener.sweep()
 
     def _failed(self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
-        """What no handler caught: logged with its place; in a debug build the program ends."""
-        self.tally.count("failures")
-        wrong = context.get("exception")
-        place = ""
-        if wrong is not None and wrong.__traceback__ is not None:
-            trace = wrong.__traceback__
-            while trace.tb_next:
-                trace = trace.tb_next
-            place = f" at {trace.tb_frame.f_code.co_filename}:{trace.tb_lineno}"
-        self.tally.say("failure", f"{context.get('message')}: {wrong!r}{place}")
+        """What no handler caught: counted and logged with its place; a debug build ends by it."""
+        wrong = context.get("exception") or RuntimeError(context.get("message"))
+        self.tally.failed(wrong)
         if __debug__:
+            self.broken = wrong
             self.ending.set()
 
     def report(self) -> None:
-        figures = {**self.tally.counts, **self.desk.figures()}
-        text = " ".join(f"{name}={figures[name]}" for name in sorted(figures))
-        print(f"crankfold: counters: {text}", file=sys.stderr, flush=True)
+        self.tally.report(self.desk.figures())
