--- a/crankfold/network/listener.py
+++ b/crankfold/network/listener.py
@@ -47,7 +47,7 @@
                     raise
             self._flush()
             self.unread += len(data)
-            while side.in_hand and self.unread > MOST_UNREAD:
+            while side.in_hand and not side.closing and self.unread > MOST_UNREAD:
                 self.answered.clear()
                 await self.answered.wait()
 
@@ -86,6 +86,7 @@
 
     def close(self) -> None:
         self.side.closing = True
+        self.answered.set()
         self.writer.close()
 
 
@@ -100,6 +101,9 @@
     async def open(self, host: str, port: int) -> None:
         self.server = await asyncio.start_server(self._taken, host, port, backlog=1024, limit=LUMP)
 
+    def port(self) -> int:
+        return int(self.server.sockets[0].getsockname()[1]) if self.server else 0
+
     async def _taken(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         client = Client(self, reader, writer)
         self.tally.count("connections-taken")
@@ -152,7 +156,9 @@
         """The last: no more connections, and what is written gets a moment to leave."""
         if self.server:
             self.server.close()
+        for client in self.clients:
+            client.close()
         for _ in range(20):
-            if not any(client.unwritten() for client in self.clients):
+            if not self.clients:
                 return
             await asyncio.sleep(0.01)
--- a/crankfold/network/runners.py
+++ b/crankfold/network/runners.py
@@ -35,11 +35,28 @@
         self.side = RunnerSide()
         self.errand: Errand | None = None
         self.idle_since = 0.0
+        self.written = True
+        self.draining: asyncio.Task[None] | None = None
+        writer.transport.set_write_buffer_limits(high=0)  # so that drained means that nothing is left
         self.task = pool.loop.create_task(self._run())
 
     def carry(self, errand: Errand) -> None:
         self.errand, errand.link = errand, self
         self.writer.writelines(self.side.ask(errand.method, errand.target, errand.heads(), errand.body))
+        self.written = self.writer.transport.get_write_buffer_size() == 0
+        if not self.written:
+            self.draining = self.pool.loop.create_task(self._drain())
+
+    async def _drain(self) -> None:
+        """What left the program's own buffer counts as written: from there on the runner may have it.
+
+        The transport drops its buffer when a connection breaks, so what is left then tells nothing.
+        """
+        try:
+            await self.writer.drain()
+            self.written = True
+        except OSError:
+            pass
 
     def fit(self) -> bool:
         return not self.reader.at_eof() and not self.writer.is_closing() and self.reader.exception() is None
@@ -60,12 +77,10 @@
         except OSError:
             pass
         finally:
-            # What left the program's own buffer counts as written: from there on the runner may have it.
-            written = self.writer.transport.get_write_buffer_size() == 0
             self.pool.gone(self)
             self.writer.close()
             if self.errand is not None:
-                self.pool.end(self.errand, BROKEN if written else UNREACHED, self.side)
+                self.pool.end(self.errand, BROKEN if self.written else UNREACHED, self.side)
 
 
 class Pool:
--- a/crankfold/network/watch.py
+++ b/crankfold/network/watch.py
@@ -15,9 +15,9 @@
 
 class Watch:
     def __init__(self, host: str, port: int, enlist: Enlist, told: Callable[[Sequence[Listing], bool], None],
-                 failed: Callable[[], None], tally: Tally) -> None:
+                 failed: Callable[[], None], tally: Tally, pause: float = PAUSE) -> None:
         self.host, self.port, self.enlist, self.told, self.failed = host, port, enlist, told, failed
-        self.tally, self.rev = tally, -1
+        self.tally, self.pause, self.rev = tally, pause, -1
         self.task: asyncio.Task[None] | None = None
 
     def start(self, again: bool) -> None:
@@ -37,7 +37,7 @@
             self.failed()
             if not again:
                 return
-            await asyncio.sleep(PAUSE)
+            await asyncio.sleep(self.pause)
 
     async def _watch(self) -> None:
         async with asyncio.timeout(GRACE):
--- a/crankfold/orders/reader.py
+++ b/crankfold/orders/reader.py
@@ -50,11 +50,12 @@
             for n, item in enumerate(given):
                 flat |= from_nested(item, f"{path}.{n}")
             return flat
-        return {path: ",".join(_plain(item) for item in given)}
-    return {path: _plain(given)}
+        return {path: ",".join(plain(item) for item in given)}
+    return {path: plain(given)}
 
 
-def _plain(value: object) -> str:
+def plain(value: object) -> str:
+    """A value as the bench's lines would have it."""
     if value is None:
         return ""
     if isinstance(value, bool):
--- a/crankfold/protocol/clients.py
+++ b/crankfold/protocol/clients.py
@@ -1,6 +1,7 @@
 """The side to which clients hand their units; runners' call-backs and health checks come in by it too."""
 
 from collections.abc import Sequence
+from http import HTTPStatus
 from typing import Protocol
 
 import h11
@@ -152,7 +153,7 @@
         told += heads
         if self.last:
             told.append((b"Connection", b"close"))
-        self._write(h11.Response(status_code=status, headers=told))
+        self._write(h11.Response(status_code=status, headers=told, reason=HTTPStatus(status).phrase.encode()))
         if body:
             self._write(h11.Data(data=body))
         self._write(h11.EndOfMessage())
--- a/crankfold/service/desk.py
+++ b/crankfold/service/desk.py
@@ -13,7 +13,7 @@
 from crankfold.network.tally import Tally
 from crankfold.network.timers import Timers
 from crankfold.orders.places import Places
-from crankfold.orders.reader import HouseRules
+from crankfold.orders.reader import HouseRules, plain
 from crankfold.protocol.reports import from_text
 from crankfold.protocol.runners import TAKEN, RunnerSide, dispatch_heads, outcome_of
 
@@ -94,7 +94,7 @@
         return self.ready
 
     def knows_grade(self, name: str) -> bool:
-        return self.rules.grades.find(name) >= 0
+        return self.rules.grades.find(plain(name)) >= 0
 
     def hand_in(self, client: object, ident: str, grade: str, tenant: str, wait: int, work: int, slots: float,
                 again: tuple[bytes, bytes, list[tuple[bytes, bytes]], bytes]) -> None:
@@ -114,9 +114,9 @@
         self.next_unit += 1
         self.units[held.no] = self.by_ident[ident] = self.by_client[client] = held
         self.timers.wake(max(wait - TRANSIT, 0), partial(self._time_up, held))
-        place = self.rules.grades.find(grade)
-        self.tell(self.decisions.taken, held.no, place, max(self.rules.tenants.find(tenant), 0), cutoff, work,
-                  slots, unit=held.no)
+        place = self.rules.grades.find(plain(grade))
+        payer = max(self.rules.tenants.find(plain(tenant)), 0)
+        self.tell(self.decisions.taken, held.no, place, payer, cutoff, work, slots, unit=held.no)
 
     def left(self, client: Client) -> None:
         work = self.by_client.pop(client, None)
@@ -344,8 +344,8 @@
             self.pools[runner] = Pool(host, port, self.rules.connect_within / 10_000,
                                       self.rules.idle_for / 10_000 / 2, self.tally, self._has_room)
         mark = zlib.crc32(uid.encode()) / (1 << 32)
-        return Listing(runner, standing, weight, self.rules.zones.place(zone), cell, boot_ms * 10,
-                       self.rules.kinds.place(kind), mark)
+        return Listing(runner, standing, weight, self.rules.zones.place(plain(zone)), cell, boot_ms * 10,
+                       self.rules.kinds.place(plain(kind)), mark)
 
     def listed(self, entries: Sequence[Listing], whole: bool) -> None:
         if whole:
--- a/crankfold/service/node.py
+++ b/crankfold/service/node.py
@@ -96,7 +96,7 @@
         except OSError as wrong:
             raise Unusable(f"{self.at[0]}:{self.at[1]}: {wrong.strerror or wrong}") from None
         self.desk.ready = True
-        print(f"crankfold: serving on {self.at[0]}:{self.at[1]}", file=sys.stderr, flush=True)
+        print(f"crankfold: serving on {self.at[0]}:{self.listener.port()}", file=sys.stderr, flush=True)
         loop.call_later(1.0, self._sweep)
         await self.ending.wait()
         await self._drain()
--- a/tests/scene.py
+++ b/tests/scene.py
@@ -1,7 +1,9 @@
-"""A stage for the decisions: what they are told and what they do becomes a short trace, kept in traces/."""
+"""Stages for tests: what is told and what is done becomes a short trace, kept in traces/."""
 
+import asyncio
 import difflib
 import os
+import re
 import unittest
 from dataclasses import replace
 from pathlib import Path
@@ -20,7 +22,32 @@
     ask_within=10000 * MS, cold_from=0.2, warm_after=10000 * MS, overload_factor=3.0, overload_for=1000 * MS)
 
 
-class Scene(unittest.TestCase):
+async def read_request(reader: asyncio.StreamReader) -> tuple[str, bytes]:
+    """A head and its body, of a request or of an answer."""
+    head = (await reader.readuntil(b"\r\n\r\n")).decode()
+    length = re.search(r"(?i)content-length: (\d+)", head)
+    return head, await reader.readexactly(int(length[1]) if length else 0)
+
+
+class Kept(unittest.TestCase):
+    def setUp(self) -> None:
+        self.lines: list[str] = []
+
+    def say(self, text: str) -> None:
+        self.lines.append(text)
+
+    def close(self, name: str) -> None:
+        kept = Path(__file__).parent / "traces" / f"{name}.txt"
+        if os.environ.get("KEEP_TRACES"):
+            kept.write_text("\n".join(self.lines) + "\n")
+        then = kept.read_text().splitlines()
+        diff = list(difflib.unified_diff(then, self.lines, "kept", "now", lineterm=""))
+        self.assertFalse(diff, "\n" + "\n".join(diff))
+
+
+class Scene(Kept):
+    """Stands round the decisions, as their port and as whoever tells them what happens."""
+
     def open(self, *, runners: int = 2, free: float = 4.0, effect: Effect = Effect.REPEATABLE,
              group: Group = Group.ALL, window: int = 0, seed: int = 7, **orders: object) -> None:
         self.lines: list[str] = []
@@ -90,13 +117,3 @@
         """Puts a runner out of the running by its report: much queued, nothing free."""
         for n in range(40):
             self.told.probed(self.now, runner, True, (0.5 + n / 100, 0.0))
-
-    def close(self, name: str) -> None:
-        kept = Path(__file__).parent / "traces" / f"{name}.txt"
-        if os.environ.get("KEEP_TRACES"):
-            kept.write_text("\n".join(self.lines) + "\n")
-        then = kept.read_text().splitlines()
-        diff = list(difflib.unified_diff(then, self.lines, "kept", "now", lineterm=""))
-        self.assertFalse(diff, "\n" + "\n".join(diff))
-
-
--- /dev/null
+++ b/tests/test_network.py
@@ -0,0 +1,534 @@
+"""The drivers on loopback, on ports the system picks, and a whole dispatcher between stand-ins."""
+
+import asyncio
+import os
+import signal
+import sys
+import tempfile
+import unittest
+from collections.abc import Awaitable, Callable
+from functools import partial
+from pathlib import Path
+from typing import Any
+from unittest.mock import Mock, patch
+
+import orjson
+
+from crankfold.network.listener import MOST_UNREAD, Listener
+from crankfold.network.runners import Errand, Pool
+from crankfold.network.tally import Tally
+from crankfold.network.timers import Clock, Timers
+from crankfold.network.watch import Watch
+from crankfold.protocol.runners import RunnerSide
+from crankfold.service.node import Node
+from tests.scene import Kept, read_request
+
+Handler = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+UNIT = (
+    b"POST /api HTTP/1.1\r\nHost: b\r\nX-Request-ID: u1\r\nX-Priority-Class: g\r\n"
+    b"X-Timeout: 1\r\nContent-Length: 2\r\n\r\nhi"
+)
+OK = b"HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n"
+
+
+class Loopback(Kept, unittest.IsolatedAsyncioTestCase):
+    async def stand_in(self, handler: Handler) -> int:
+        async def served(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            try:
+                await handler(reader, writer)
+            except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
+                pass  # the other side is done, or the test
+            finally:
+                writer.close()
+
+        server = await asyncio.start_server(served, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        return int(server.sockets[0].getsockname()[1])
+
+    async def until(self, holds: Callable[[], bool]) -> None:
+        async with asyncio.timeout(5):
+            while not holds():
+                await asyncio.sleep(0.001)
+
+
+class Listeners(Loopback):
+    """The listener before a desk that answers nothing by itself."""
+
+    async def begin(self, most: int = 100) -> None:
+        self.desk = Mock(serving=lambda: True, knows_grade=lambda name: True)
+        self.tally = Tally()
+        self.listener = Listener(self.desk, self.tally, (), most)
+        await self.listener.open("127.0.0.1", 0)
+        self.addAsyncCleanup(self.listener.close)
+
+    async def connect(self, data: bytes = b"") -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        before = self.tally.counts["connections-taken"]
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.listener.port())
+        self.addCleanup(writer.close)
+        writer.write(data)
+        await self.until(lambda: self.tally.counts["connections-taken"] > before)
+        return reader, writer
+
+    async def test_a_head_that_never_ends_is_cut_off(self) -> None:
+        await self.begin()
+        reader, writer = await self.connect(b"POST /api HTTP/1.1\r\nHo")
+        quiet, _ = await self.connect()
+        await self.until(lambda: any(client.side.midway() for client in self.listener.clients))
+        with patch("crankfold.network.listener.SLOWEST", 0.0):
+            self.listener.sweep()
+        self.assertEqual(await reader.read(), b"")
+        await self.until(lambda: len(self.listener.clients) == 1)
+        self.assertEqual(self.tally.counts["clients-cut-off"], 1)
+        with patch("crankfold.network.listener.IDLE", 0.0):
+            self.listener.sweep()
+        self.assertEqual(await quiet.read(), b"")
+
+    async def test_near_the_limit_the_idle_go_and_a_request_in_hand_stays(self) -> None:
+        await self.begin(most=2)
+        reader, writer = await self.connect(UNIT)
+        await self.until(lambda: self.desk.hand_in.called)
+        idle, _ = await self.connect()
+        self.assertFalse(self.listener.crowded())
+        await self.connect(UNIT)
+        self.assertEqual(await idle.read(), b"")
+        await self.until(lambda: self.desk.hand_in.call_count == 2)
+        await self.connect(UNIT)
+        self.assertTrue(self.listener.crowded())  # the desk sheds what comes now
+        self.assertEqual(self.tally.counts["connections-over-limit"], 1)
+        self.desk.hand_in.call_args_list[0][0][0].answer(200, [], b"done")
+        self.assertEqual((await read_request(reader))[1], b"done")
+
+    async def test_the_answer_to_a_body_too_large_arrives_while_it_is_still_sent(self) -> None:
+        await self.begin()
+        reader, writer = await self.connect(UNIT.replace(b"Length: 2", b"Length: 9000000") + b"x" * 5_000_000)
+        self.assertIn(b" 413 ", await reader.readline())
+        self.assertFalse(self.desk.hand_in.called)
+
+    async def test_a_client_that_leaves_and_one_that_pipelines_without_end(self) -> None:
+        await self.begin()
+        reader, writer = await self.connect(UNIT + UNIT * 2000)
+        await self.until(lambda: self.desk.hand_in.called)
+        client = self.desk.hand_in.call_args[0][0]
+        await self.until(lambda: client.unread > MOST_UNREAD)
+        self.assertLess(client.unread, 2 * MOST_UNREAD)  # the rest waits outside
+        client.answer(200)
+        await read_request(reader)
+        await self.until(lambda: self.desk.hand_in.call_count == 2)
+        _, leaving = await self.connect(UNIT)
+        await self.until(lambda: self.desk.hand_in.call_count == 3)
+        leaving.close()
+        await self.until(lambda: self.desk.left.called)
+        self.assertIs(self.desk.left.call_args[0][0], self.desk.hand_in.call_args[0][0])
+
+
+class Runners(Loopback):
+    def pool(self, port: int, room: bool = True) -> Pool:
+        self.tally = Tally()
+        return Pool("127.0.0.1", port, 0.25, 5.0, self.tally, lambda: room)
+
+    async def carry(self, pool: Pool, what: str, body: bytes = b"x", may_go: bool = True) -> None:
+        ends: list[str] = []
+
+        def ended(how: str, side: RunnerSide | None) -> None:
+            ends.append(f"{what}: {how} {side.status if side else ''}".strip())
+
+        errand = Errand(b"POST", b"/api", lambda: [(b"Host", b"b")], body, lambda: may_go, ended)
+        pool.send(errand)
+        self.assertEqual(ends, [])  # never from within the call
+        await self.until(lambda: bool(ends))
+        await asyncio.sleep(0.01)
+        self.lines += ends
+
+    async def test_how_an_exchange_ends(self) -> None:
+        async def accept(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            for _ in range(3):
+                await read_request(reader)
+                writer.write(OK)
+
+        async def hang_up(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await read_request(reader)
+
+        async def babble(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await read_request(reader)
+            writer.write(b"what?\r\n\r\n")
+
+        async def speak_first(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await read_request(reader)
+            writer.write(OK + OK)
+
+        good = self.pool(await self.stand_in(accept))
+        for n in range(4):
+            await self.carry(good, f"taken {n}")
+        self.say(
+            f"  opened {self.tally.counts['connections-opened']} for 4, as the runner closes after three"
+        )
+        await self.carry(self.pool(await self.stand_in(hang_up)), "closed before the answer")
+        await self.carry(self.pool(await self.stand_in(babble)), "garbage")
+        twice = self.pool(await self.stand_in(speak_first))
+        await self.carry(twice, "answered twice")
+        self.say(f"  kept {len(twice.idle)}")
+        port = await self.stand_in(accept)
+        await self.carry(self.pool(port, room=False), "no socket left")
+        drained = self.pool(port)
+        await self.carry(drained, "drained while connecting", may_go=False)
+        self.say(f"  kept {len(drained.idle)}")
+        drained.close()
+        await self.carry(drained, "moved away")
+        server = await asyncio.start_server(hang_up, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        server.close()
+        await self.carry(self.pool(port), "refused")
+        self.close("exchanges")
+
+    async def test_a_break_before_the_last_byte_is_written_never_ran(self) -> None:
+        async def read_little(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readexactly(10)
+            writer.transport.abort()
+
+        await self.carry(self.pool(await self.stand_in(read_little)), "broken", body=b"x" * 20_000_000)
+        self.assertEqual(self.lines, ["broken: unreached 0"])
+
+    async def test_called_off_before_the_answer_closes_the_connection(self) -> None:
+        closed = asyncio.Event()
+
+        async def silent(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await read_request(reader)
+            await reader.read()
+            closed.set()
+
+        pool = self.pool(await self.stand_in(silent))
+        errand = Errand(b"POST", b"/api", lambda: [(b"Host", b"b")], b"", lambda: True, lambda *_: None)
+        pool.send(errand)
+        await self.until(lambda: errand.link is not None)
+        pool.cut(errand)
+        async with asyncio.timeout(5):
+            await closed.wait()
+        await self.until(lambda: pool.sockets() == 0)
+
+
+class Watches(Loopback):
+    async def test_a_watch_that_breaks_is_taken_up_with_the_whole_list(self) -> None:
+        answers = [
+            b'{"rev":1,"all":true,"targets":[{"uid":"a","endpoint":"h:1","state":"in_service"}]}',
+            b'{"rev":2,"all":false,"targets":[{"uid":"a","endpoint":"h:1","state":"terminating"}]}',
+            b'{"rev":2,"all":false,"targets":[]}',
+            b'{"rev":1,"all":false,"targets":[]}',
+            b"{",
+            b'{"rev":1,"all":true,"targets":[]}',
+            b'{"rev":9,"all":true,"targets":[{"uid":"b","endpoint":"h:1","state":"in_service"}]}',
+        ]
+        done = asyncio.Event()
+
+        async def discovery(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            while True:
+                self.say((await read_request(reader))[0].splitlines()[0])
+                if not answers:
+                    done.set()
+                    await reader.read()
+                body = answers.pop(0)
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+
+        def enlist(
+            uid: str,
+            host: str,
+            port: int,
+            zone: str,
+            kind: str,
+            cell: int,
+            standing: Any,
+            weight: float,
+            boot_ms: int,
+        ) -> Any:
+            return f"{uid} {standing.name.lower()}"
+
+        tally = Tally()
+        tally.say = lambda kind, text: self.say(f"  logged: {text.partition(':')[0]}")  # type: ignore[method-assign]
+        watch = Watch(
+            "127.0.0.1",
+            await self.stand_in(discovery),
+            enlist,
+            lambda entries, whole: self.say(f"  {'whole' if whole else 'changes'} {list(entries)}"),
+            lambda: None,
+            tally,
+            pause=0.01,
+        )
+        watch.start(True)
+        async with asyncio.timeout(5):
+            await done.wait()
+        watch.stop()
+        self.close("watch")
+
+
+class Wakes(Loopback):
+    async def test_a_wake_never_comes_early(self) -> None:
+        clock = Clock()
+        timers = Timers(clock, Tally())
+        woken: list[int] = []
+        for after in (0, 1, 9, 15, 33):
+            due = clock.now() + after
+            timers.wake(after, partial(lambda due: woken.append(clock.now() - due), due))
+        await self.until(lambda: len(woken) == 5)
+        self.assertGreaterEqual(min(woken), 0)
+
+
+class Whole(Loopback):
+    """A dispatcher between a client, a runner and discovery that the test plays."""
+
+    async def begin(self, runner: Handler, **settings: Any) -> None:
+        self.runner_port = await self.stand_in(runner)
+        self.state, self.changed = "in_service", asyncio.Event()
+
+        async def discovery(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            while True:
+                if "after=" in (await read_request(reader))[0]:
+                    await self.changed.wait()
+                    self.changed.clear()
+                body = orjson.dumps(self.targets())
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+
+        grade = {"name": "g", "effect": "safe", "cut-off": 3_000_000, "expected-time": 2_000_000}
+        self.given: dict[str, Any] = {
+            "listen": "127.0.0.1:0",
+            "discovery": f"127.0.0.1:{await self.stand_in(discovery)}",
+            "seed": "1f",
+            "known": self.targets(),
+            "limits": {"sockets": 256},
+            "settings": {
+                "allowed": {"most-dispatches": 2, "cancel": True},
+                "service-grades": [grade],
+                "specifics": {"tells-start": True},
+                "tick": 2000,
+                **settings,
+            },
+        }
+
+    def targets(self) -> dict[str, Any]:
+        return {
+            "rev": 1,
+            "all": True,
+            "targets": [{"uid": "a", "endpoint": f"127.0.0.1:{self.runner_port}", "state": self.state}],
+        }
+
+    async def inside(self) -> None:
+        self.node = Node(self.given)
+        running = asyncio.create_task(self.node.run())
+        await self.until(lambda: self.node.desk.ready)
+        assert self.node.listener.server
+        self.port = self.node.listener.server.sockets[0].getsockname()[1]
+
+        async def end() -> None:
+            self.node.ending.set()
+            await running
+
+        self.addAsyncCleanup(end)
+
+    async def ask(self, ident: str, heads: str = "", wait: float = 2.5) -> tuple[str, bytes]:
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        writer.write(
+            f"POST /api?x=1 HTTP/1.1\r\nHost: b\r\nX-Request-ID: {ident}\r\nX-Priority-Class: g\r\n"
+            f"X-Timeout: {wait}\r\nContent-Length: 2\r\n{heads}\r\nhi".encode()
+        )
+        try:
+            async with asyncio.timeout(5):
+                head, answer = await read_request(reader)
+        finally:
+            writer.close()
+        return head.split("\r\n")[0], answer
+
+    async def tell(self, **told: Any) -> None:
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        body = orjson.dumps(told)
+        writer.write(
+            b"POST /v1/job-events HTTP/1.1\r\nHost: b\r\nContent-Length: %d\r\n\r\n" % len(body) + body
+        )
+        head, _ = await read_request(reader)
+        self.say(f"  {told} {head.split()[1]}")
+        writer.close()
+
+    async def test_a_unit_from_client_to_runner_and_back(self) -> None:
+        told = asyncio.Event()
+
+        async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            while True:
+                head, body = await read_request(reader)
+                first = head.split("\r\n")[0]
+                self.say(f"runner reads {first} {body!r} timed {'X-Timeout: 2.' in head}")
+                # A call-back may come before the 202, twice, from another runner or for no unit.
+                await self.tell(id="u1", **{"from": "b"}, state="done", result="not it")
+                await self.tell(id="u1", **{"from": "a"}, state="started")
+                await self.tell(id="u1", **{"from": "a"}, state="done", result="result")
+                await self.tell(id="u1", **{"from": "a"}, state="done", result="again")
+                await self.tell(id="u0", **{"from": "a"}, state="lost")
+                writer.write(OK)
+                told.set()
+
+        await self.begin(runner)
+        await self.inside()
+        answer = await self.ask("u1", "Idempotency-Key: t\r\nX-Cost: 20\r\n")
+        async with asyncio.timeout(5):
+            await told.wait()
+        await self.until(lambda: not self.node.desk.units and not self.node.desk.by_ident)
+        counts = self.node.tally.counts
+        self.say(f"client reads {answer}")
+        self.say(
+            " ".join(
+                f"{name} {counts[name]}" for name in ("taken", "dispatches", "done", "shed", "ended-done")
+            )
+        )
+        self.close("whole")
+
+    async def test_a_runners_refusal_is_not_passed_through(self) -> None:
+        async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            while True:
+                await read_request(reader)
+                writer.write(b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n")  # it may have run
+
+        once_only = [{"name": "g", "effect": "unsafe", "cut-off": 3_000_000, "expected-time": 2_000_000}]
+        await self.begin(runner, **{"service-grades": once_only})
+        await self.inside()
+        self.assertEqual((await self.ask("u1"))[0].split()[1], "504")
+        self.assertEqual(self.node.tally.counts["given-up"], 1)
+
+    async def test_a_client_that_leaves_is_forgotten_and_its_dispatch_called_off(self) -> None:
+        called_off = asyncio.Event()
+        taken = asyncio.Event()
+
+        async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            while True:
+                head, _ = await read_request(reader)
+                writer.write(OK)
+                (called_off if head.startswith("DELETE /jobs/u1 ") else taken).set()
+
+        await self.begin(runner)
+        await self.inside()
+        asking = asyncio.create_task(self.ask("u1"))
+        async with asyncio.timeout(5):
+            await taken.wait()
+            await self.until(lambda: any(t.taken for w in self.node.desk.units.values() for t in w.trips))
+            asking.cancel()
+            await called_off.wait()
+        await self.until(lambda: not self.node.desk.units and not self.node.desk.by_client)
+
+    async def test_a_drain_told_while_connecting_holds_the_unit_back(self) -> None:
+        async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            self.say(f"runner reads {(await read_request(reader))[0]}")
+
+        await self.begin(runner)
+        await self.inside()
+        pool = self.node.desk.pools[0]
+        assert pool
+        opening = pool._open
+
+        async def told_meanwhile(errand: Errand) -> None:
+            self.state = "terminating"
+            self.changed.set()
+            await self.until(lambda: self.node.tally.counts["lists-whole"] == 2)
+            await opening(errand)
+
+        pool._open = told_meanwhile  # type: ignore[method-assign]
+        self.assertEqual((await self.ask("u1"))[0].split()[1], "503")
+        self.assertEqual((self.lines, self.node.tally.counts["ended-not-sent"]), ([], 1))
+
+    async def test_a_failure_in_the_decisions_gives_up_the_unit_in_hand_and_serving_goes_on(self) -> None:
+        async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            raise AssertionError("nothing is sent")
+
+        await self.begin(runner)
+        program = (
+            "import sys; from crankfold.dispatch.policy import Dispatcher\n"
+            "def broken(*told): raise ValueError('a bug')\n"
+            "Dispatcher.taken = broken\n"
+            "from crankfold.cli import main; main(['serve'])"
+        )
+        lines = await self.outside(["-O", "-c", program])
+        self.assertEqual((await self.ask("u1"))[0].split()[1], "504")
+        self.assertEqual((await self.ask("u2"))[0].split()[1], "504")
+        self.process.terminate()
+        printed = await lines
+        self.assertIn("ValueError('a bug')", printed)
+        self.assertEqual(self.process.returncode, 0, printed)
+
+    async def outside(self, command: list[str]) -> asyncio.Task[str]:
+        """The program as operators start it; gives what it prints until it ends."""
+        folder = Path(self.enterContext(tempfile.TemporaryDirectory()))
+        (folder / "config.json").write_bytes(orjson.dumps(self.given))
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            *command,
+            stderr=asyncio.subprocess.PIPE,
+            limit=1 << 20,
+            env={**os.environ, "GW_CONFIG": str(folder / "config.json")},
+        )
+        errors = self.process.stderr
+        assert errors
+        first = (await errors.readline()).decode()
+        self.assertIn("serving on", first)
+        self.port = int(first.rpartition(":")[2])
+
+        async def rest() -> str:
+            printed = first + (await errors.read()).decode()
+            await self.process.wait()
+            return printed
+
+        return asyncio.create_task(rest())
+
+    async def test_sigterm_with_units_in_hand(self) -> None:
+        taken = asyncio.Queue[str]()
+
+        async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            while True:
+                head, _ = await read_request(reader)
+                writer.write(OK)
+                await taken.put(head.split("\r\n")[0])
+
+        await self.begin(runner)
+        self.given["settings"]["service-grades"] = [{"name": "g", "effect": "safe", "cut-off": 1_000_000}]
+        lines = await self.outside(["-O", "-m", "crankfold", "serve"])
+        held = asyncio.create_task(self.ask("u1"))
+        never = asyncio.create_task(self.ask("u2", wait=9))  # the drain ends before its time is up
+        for _ in range(2):
+            await taken.get()
+        self.process.send_signal(signal.SIGTERM)
+        self.process.send_signal(signal.SIGTERM)
+        late = asyncio.create_task(self.ask("u3"))  # connections still come for a moment
+        await taken.get()
+        await self.tell(id="u3", **{"from": "a"}, state="done", result="3")
+        await asyncio.sleep(0.6)  # past the moment: call-backs are received all the same
+        await self.tell(id="u1", **{"from": "a"}, state="done", result="1")
+        for asked in (held, late, never):
+            head, body = await asked
+            self.say(f"{head} {body.decode()}")
+        printed = await lines
+        self.assertEqual(self.process.returncode, 0, printed)
+        counted = dict(pair.split("=") for pair in printed.rpartition("counters: ")[2].split())
+        self.say(" ".join(f"{name} {counted.get(name)}" for name in ("taken", "done", "now-open")))
+        self.close("sigterm")
+
+    async def test_what_it_cannot_start_from_is_said_in_one_line(self) -> None:
+        async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.read()
+
+        port = await self.stand_in(runner)
+        await self.begin(runner)
+        with tempfile.TemporaryDirectory() as folder:
+            for name, body in {
+                "none": None,
+                "broken": b"{",
+                "bare": b'{"listen":"127.0.0.1:0"}',
+                "no address": orjson.dumps({**self.given, "listen": "here"}),
+                "odd figure": orjson.dumps({**self.given, "settings": {"tick": "x"}}),
+                "taken": orjson.dumps({**self.given, "listen": f"127.0.0.1:{port}"}),
+            }.items():
+                path = Path(folder) / name
+                if body is not None:
+                    path.write_bytes(body)
+                process = await asyncio.create_subprocess_exec(
+                    sys.executable,
+                    "-m",
+                    "crankfold",
+                    "serve",
+                    stderr=asyncio.subprocess.PIPE,
+                    env={**os.environ, "GW_CONFIG": str(path)},
+                )
+                _, errors = await process.communicate()
+                self.assertEqual((process.returncode, errors.count(b"\n")), (1, 1), f"{name}: {errors!r}")
--- /dev/null
+++ b/tests/test_protocol.py
@@ -0,0 +1,287 @@
+"""The state machines, fed bytes: whole, in pieces and broken."""
+
+from collections.abc import Sequence
+
+from crankfold.dispatch.interface import Listing, Outcome, Standing
+from crankfold.orders.reader import from_lines, from_nested, house_rules, standing_orders
+from crankfold.protocol import callbacks, reports
+from crankfold.protocol.clients import ClientSide
+from crankfold.protocol.discovery import DiscoverySide, Unreadable, read_list
+from crankfold.protocol.runners import TAKEN, RunnerSide, dispatch_heads, outcome_of
+from tests.scene import Kept
+
+HEAD = b"POST /api?k=1 HTTP/1.1\r\nHost: b\r\nX-Request-ID: u1\r\nX-Priority-Class: g\r\nX-Timeout: 0.48\r\n"
+UNIT = (
+    HEAD
+    + b"Idempotency-Key: t\r\nX-Cost: 12001\r\nX-Attrs: slots=2,memory=0.5\r\nContent-Length: 2\r\n\r\nhi"
+)
+
+
+class Door(Kept):
+    """Stands where the desk does and writes down what reaches it."""
+
+    def serving(self) -> bool:
+        return True
+
+    def knows_grade(self, name: str) -> bool:
+        return name == "g"
+
+    def hand_in(
+        self,
+        client: object,
+        ident: str,
+        grade: str,
+        tenant: str,
+        wait: int,
+        work: int,
+        slots: float,
+        again: tuple[bytes, bytes, list[tuple[bytes, bytes]], bytes],
+    ) -> None:
+        method, target, heads, body = again
+        self.say(f"{ident} {grade} waits {wait} work {work} slots {slots:g}")
+        self.say(
+            f"  on goes {method.decode()} {target.decode()} {body.decode()} "
+            + " ".join(f"{name.decode()}={value.decode()}" for name, value in heads)
+        )
+
+    def job_started(self, ident: str, uid: str) -> None:
+        self.say(f"{ident} started on {uid}")
+
+    def job_running(self, ident: str, uid: str, share: float) -> None:
+        self.say(f"{ident} on {uid}: {share:g} done")
+
+    def job_ended(
+        self, ident: str, uid: str, outcome: Outcome, result: bytes, report: Sequence[float]
+    ) -> None:
+        self.say(f"{ident} on {uid}: {outcome.name.lower()} {result.decode()} {tuple(report)}")
+
+    def side(self) -> ClientSide:
+        return ClientSide(self, self, ("queue", "x0"))
+
+    def wrote(self, side: ClientSide) -> None:
+        if side.out:
+            self.say("< " + b"".join(side.out).decode().replace("\r\n", " "))
+            side.out.clear()
+
+    def test_units_whole_in_pieces_and_pipelined(self) -> None:
+        whole, pieces = self.side(), self.side()
+        whole.feed(UNIT + UNIT.replace(b"u1", b"u2"))
+        self.say("nothing of the second is read before the first is answered")
+        whole.answer(200, [], b"done")
+        whole.go_on()
+        self.wrote(whole)
+        for at in range(len(UNIT)):
+            pieces.feed(UNIT[at : at + 1])
+        pieces.last = True
+        pieces.answer(503, [(b"Retry-After", b"0.500")])
+        self.wrote(pieces)
+        self.say(f"closing {pieces.closing}")
+        chunked, waiting = self.side(), self.side()
+        chunked.feed(
+            HEAD + b"Transfer-Encoding: chunked\r\nConnection: X-Own\r\nX-Own: 1\r\n\r\n2\r\nhi\r\n0\r\n\r\n"
+        )
+        waiting.feed(HEAD + b"Expect: 100-continue\r\nContent-Length: 2\r\n\r\n")
+        self.wrote(waiting)
+        waiting.feed(b"hi")
+        old = self.side()
+        old.feed(UNIT.replace(b"HTTP/1.1\r\nHost: b", b"HTTP/1.0"))
+        old.answer(200)
+        self.wrote(old)
+        self.close("units")
+
+    def test_what_is_not_understood_reaches_no_runner_and_is_never_a_shed(self) -> None:
+        chunks = b"Transfer-Encoding: chunked\r\n\r\n"
+        for name, data in {
+            "garbage": b"\x00\x01\r\n\r\n",
+            "two lengths": HEAD + b"Content-Length: 2\r\n" + chunks,
+            "lengths that differ": HEAD + b"Content-Length: 2\r\nContent-Length: 3\r\n\r\nhi",
+            "broken chunk": HEAD + chunks + b"zz\r\n",
+            "large head": HEAD + b"X: " + b"a" * 20_000,
+            "large body": HEAD + b"Content-Length: 70000\r\n\r\n",
+            "large chunks": HEAD + chunks + b"11000\r\n" + b"a" * 0x11000 + b"\r\n",
+            "no time-out": UNIT.replace(b"X-Timeout: 0.48\r\n", b""),
+            "no id": UNIT.replace(b"X-Request-ID: u1\r\n", b""),
+            "time-out nan": UNIT.replace(b"0.48", b"nan"),
+            "time-out negative": UNIT.replace(b"0.48", b"-1"),
+            "time-out absurd": UNIT.replace(b"0.48", b"1e9"),
+            "time-out 1_0": UNIT.replace(b"0.48", b"1_0"),
+            "grade": UNIT.replace(b"Class: g", b"Class: h"),
+            "cost": UNIT.replace(b"12001", b"much"),
+            "attributes": UNIT.replace(b"slots=2", b"slots=x"),
+            "attribute without value": UNIT.replace(b"=0.5", b""),
+            "two ids": UNIT.replace(b"X-Cost", b"X-Request-ID: u3\r\nX-Cost"),
+            "id too long": UNIT.replace(b"u1", b"u" * 300),
+            "id no text": UNIT.replace(b"u1", b"\xff\xfe"),
+            "path": UNIT.replace(b"/api", b"/apis"),
+            "method": UNIT.replace(b"POST", b"PUT"),
+            "method on health": b"POST /healthz HTTP/1.1\r\nHost: b\r\nContent-Length: 0\r\n\r\n",
+            "method on call-backs": b"GET /v1/job-events HTTP/1.1\r\nHost: b\r\n\r\n",
+            "health": b"GET /healthz HTTP/1.1\r\nHost: b\r\n\r\n",
+            "health, head": b"HEAD /healthz HTTP/1.1\r\nHost: b\r\n\r\n",
+        }.items():
+            side = self.side()
+            side.feed(data)
+            first = b"".join(side.out).partition(b"\r\n")[0].decode()
+            self.say(f"{name}: {first}{', closing' if side.closing else ''}")
+        self.close("bad-requests")
+
+    def test_call_backs(self) -> None:
+        for body in (
+            b'{"id":"u1","from":"a","state":"started"}',
+            b'{"id":"u1","from":"a","state":"running","share":0.4}',
+            b'{"id":"u1","from":"a","state":"running","share":7}',
+            b'{"id":"u1","from":"a","state":"done","result":"gr\\u00fc\\u00df","load":{"x0":2,"queue":1}}',
+            b'{"id":"u1","from":"a","state":"done","result":{"n":1}}',
+            b'{"id":"u1","from":"a","state":"failed","load":{"queue":1}}',
+            b'{"id":"u1","from":"a","state":"returned","load":{"queue":"1","x0":2}}',
+            b'{"id":"u1","from":"a","state":"lost","load":7}',
+            b'{"id":"u1","from":"a","state":"odd"}',
+            b'{"id":1,"from":"a","state":"done"}',
+            b'{"id":"u1","state":"done"}',
+            b"[]",
+            b"{",
+            b"\xff",
+            b'{"id":"u1","from":"a","state":"running","share":true}',
+            b"[" * 60_000,
+        ):
+            self.say(f"{callbacks.hear(body, self, ('queue', 'x0'))}: {body[:80].decode('latin-1')}")
+        side = self.side()
+        for body in (b'{"id":"u1","from":"a","state":"lost"}', b"{}"):
+            side.feed(
+                b"POST /v1/job-events HTTP/1.1\r\nHost: b\r\nContent-Length: %d\r\n\r\n" % len(body) + body
+            )
+            self.wrote(side)
+        self.close("call-backs")
+
+    def test_what_a_runner_answers(self) -> None:
+        heads = dispatch_heads([(b"host", b"b"), (b"x-request-id", b"u1")], 4807)
+        for answer in (
+            b"202 Accepted\r\nContent-Length: 0\r\n\r\n",
+            b"500 No\r\nContent-Length: 2\r\n\r\nno",
+            b"503 No\r\nX-Not-Processed: 1\r\nX-Server-Load: TEXT queue=3, x0=0\r\nContent-Length: 0\r\n\r\n",
+            b"504 No\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n",
+            b"503 No\r\nContent-Length: 0\r\n\r\n",
+            b"429 No\r\nContent-Length: 0\r\n\r\n",
+            b"200 Odd\r\nContent-Length: 0\r\nConnection: close\r\n\r\n",
+            b"500 No\r\n\r\n" + b"endless" * 10_000,
+            b"garbage\x00\r\n\r\n",
+            b"202 Accepted\r\nContent-Length: -1\r\n\r\n",
+            b"100 Go on\r\n\r\nHTTP/1.1 202 A\r\nContent-Length: 0\r\n\r\n",
+        ):
+            for step in (len(answer) + 9, 1):
+                side = RunnerSide()
+                asked = side.ask(b"POST", b"/api", heads, b"hi")
+                data = b"HTTP/1.1 " + answer
+                over = any(side.feed(data[at : at + step]) for at in range(0, len(data), step))
+                ended = outcome_of(side.status, side.not_run)
+                outcome = "taken" if ended == TAKEN else Outcome(ended).name.lower()
+                told = (
+                    f"{answer[:60]!r}: {outcome}, over {over}"
+                    f", again {side.usable}, {reports.from_text(side.load, ('queue', 'x0'))}"
+                )
+                if step > 1:
+                    self.say(told)
+                self.assertEqual(told, self.lines[-1])  # in pieces it means the same
+        self.say(b"".join(asked).decode().replace("\r\n", " "))
+        for text in (
+            b"TEXT queue=1, x0=2",
+            b"TEXT queue=1",
+            b"JSON queue=1, x0=2",
+            b"TEXT queue=x, x0=2",
+            b"",
+            b"TEXT queue=nan, x0=1",
+        ):
+            self.say(f"{text.decode()!r}: {reports.from_text(text, ('queue', 'x0'))}")
+        self.close("answers")
+
+    def enlist(
+        self,
+        uid: str,
+        host: str,
+        port: int,
+        zone: str,
+        kind: str,
+        cell: int,
+        standing: Standing,
+        weight: float,
+        boot_ms: int,
+    ) -> Listing:
+        self.say(f"  {uid} {host} {port} {zone} {kind} {cell} {standing.name.lower()} {weight:g} {boot_ms}")
+        return Listing(0, standing, weight, 0, cell, boot_ms)
+
+    def test_lists_from_discovery(self) -> None:
+        one = (
+            b'{"uid":"a","endpoint":"10.0.0.1:84","az":"n","model":"m","pod_group":3,"state":"in_service",'
+            b'"capacity_hint":1.5,"boot_ms":7}'
+        )
+        for entries in (
+            one,
+            one.replace(b"in_service", b"terminating"),
+            b'{"uid":"a","endpoint":"10.0.0.1:84","state":"terminated"}',
+            b"",
+            one.replace(b"in_service", b"odd"),
+            one.replace(b":84", b""),
+            one.replace(b'"a"', b"1"),
+            one.replace(b"1.5", b'"x"'),
+            b"7",
+            one + b"," + one.replace(b'"state"', b'"stat"'),
+        ):
+            for whole in (b"true", b"false"):
+                self.read(b'{"rev":4,"all":' + whole + b',"targets":[' + entries + b"]}")
+        for broken in (
+            b"{",
+            b"[]",
+            b"null",
+            b'{"rev":"4","all":true,"targets":[]}',
+            b'{"rev":4,"targets":[]}',
+        ):
+            self.read(broken)
+        side = DiscoverySide("10.0.0.9:85")
+        self.say(side.ask(-1, 4000).decode().replace("\r\n", " "))
+        body = b'{"rev":4,"all":true,"targets":[' + one + b"]}"
+        data = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body
+        self.assertEqual([side.feed(data[at : at + 1]) for at in range(len(data))].index(True), len(data) - 1)
+        side.told(self.enlist)
+        self.say(side.ask(4, 4000).decode().replace("\r\n", " "))
+        side.feed(b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n")
+        with self.assertRaises(Unreadable):
+            side.told(self.enlist)
+        self.close("lists")
+
+    def read(self, body: bytes) -> None:
+        try:
+            rev, whole, entries = read_list(body, self.enlist)
+            self.say(f"version {rev}, {'whole' if whole else 'changes'}, {len(entries)}")
+        except Unreadable as wrong:
+            self.say(f"{body.decode()}: old list stands, {str(wrong).partition(':')[0]}")
+
+    def test_settings_mean_the_same_in_both_forms(self) -> None:
+        nested = {
+            "allowed": {"cancel": True, "conn-idle": 10000000, "second-copies": False, "most-dispatches": 5},
+            "zones": ["north side", "south"],
+            "kinds": [],
+            "report": {"names": ["queue", "x0"], "via": "inline"},
+            "service-grades": [
+                {"name": "a", "effect": "safe", "cut-off": 5000049, "expected-time": 80000},
+                {"name": "b", "effect": "keyed", "group": "zone", "cut-off": 12000000},
+            ],
+            "specifics": {"class-stretch": [2.0, 1.75], "report-x0": "free slots"},
+            "tick": 2000,
+            "odd": None,
+        }
+        lines = (
+            "allowed.cancel=true\nallowed.conn-idle=10000000\nallowed.second-copies=false\n"
+            "allowed.most-dispatches=5\nzones=north_side,south\nkinds=\nreport.names=queue,x0\n"
+            "report.via=inline\nservice-grades.count=2\nservice-grades.0.name=a\nservice-grades.0.effect=safe\n"
+            "service-grades.0.cut-off=5000049\nservice-grades.0.expected-time=80000\nservice-grades.1.name=b\n"
+            "service-grades.1.effect=keyed\nservice-grades.1.group=zone\nservice-grades.1.cut-off=12000000\n"
+            "specifics.class-stretch=2.0,1.75\nspecifics.report-x0=free_slots\ntick=2000\nodd=\n"
+        )
+        self.assertEqual(from_nested(nested), from_lines(lines))
+        orders = standing_orders(from_nested(nested))
+        self.assertEqual(orders, standing_orders(from_lines(lines)))
+        self.assertEqual((orders.report_names, orders.grades[0].cutoff), (["queue", "free_slots"], 50000))
+        rules = house_rules(from_nested(nested))
+        self.assertEqual(
+            (rules.grades.find("b"), rules.grades.find("c"), rules.longest_cutoff), (1, -1, 120000)
+        )
