The desk split in three: ledger of units, fleet of runners, decisions told and carried out

Connections at rest stand in one order over all runners, so closing them costs nothing that grows with the fleet. Health answers 503 in a drain.

--- a/crankfold/network/runners.py
+++ b/crankfold/network/runners.py
@@ -61,6 +61,11 @@
     def fit(self) -> bool:
         return not self.reader.at_eof() and not self.writer.is_closing() and self.reader.exception() is None
 
+    def close(self) -> None:
+        """At rest and not to be used again."""
+        self.pool.wakened(self)
+        self.writer.close()
+
     async def _run(self) -> None:
         try:
             while data := await self.reader.read(LUMP):
@@ -83,29 +88,49 @@
                 self.pool.end(self.errand, BROKEN if self.written else UNREACHED, self.side)
 
 
+class Sockets:
+    """All connections to runners: how many there are, and which are at rest, longest first."""
+
+    def __init__(self, most: int, connect_within: float, idle_for: float, tally: Tally) -> None:
+        self.most, self.connect_within, self.idle_for, self.tally = most, connect_within, idle_for, tally
+        self.loop = asyncio.get_running_loop()
+        self.held = 0
+        self.resting: dict[Link, None] = {}
+
+    def room(self) -> bool:
+        if self.held >= self.most and self.resting:
+            next(iter(self.resting)).close()
+            self.tally.count("runner-connections-closed-for-room")
+            return True  # it is let go a turn later; some sockets are kept free for that
+        return self.held < self.most
+
+    def sweep(self) -> None:
+        """Closes what has rested for long, well before the runner does."""
+        now = self.loop.time()
+        while self.resting:
+            link = next(iter(self.resting))
+            if now - link.idle_since < self.idle_for:
+                return
+            link.close()
+
+
 class Pool:
     """All connections to one runner at one address."""
 
-    def __init__(self, host: str, port: int, connect_within: float, idle_for: float, tally: Tally,
-                 has_room: Callable[[], bool]) -> None:
-        self.host, self.port, self.tally, self.has_room = host, port, tally, has_room
-        self.connect_within, self.idle_for = connect_within, idle_for
-        self.loop = asyncio.get_running_loop()
+    def __init__(self, host: str, port: int, sockets: Sockets) -> None:
+        self.host, self.port, self.sockets, self.tally = host, port, sockets, sockets.tally
+        self.loop = sockets.loop
         self.idle: list[Link] = []
-        self.links: set[Link] = set()
         self.opening: set[asyncio.Task[None]] = set()
         self.closed = False
 
-    def sockets(self) -> int:
-        return len(self.links) + len(self.opening)
-
     def send(self, errand: Errand) -> None:
         """Goes at once where a connection is at rest. How it ends is told later, never from in here."""
         link = self._rested()
         if link:
             self.tally.count("connections-reused")
             link.carry(errand)
-        elif self.closed or not self.has_room():
+        elif self.closed or not self.sockets.room():
             self.tally.count("no-room-for-a-connection")
             self.loop.call_soon(self.end, errand, HELD_BACK, None)
         else:
@@ -115,23 +140,30 @@
 
     def _rested(self) -> Link | None:
         while self.idle:
-            link = self.idle.pop()
-            if link.fit() and self.loop.time() - link.idle_since < self.idle_for:
+            link = self.idle[-1]
+            if link.fit() and self.loop.time() - link.idle_since < self.sockets.idle_for:
+                self.wakened(link)
                 return link
-            link.writer.close()
+            link.close()
         return None
 
+    def wakened(self, link: Link) -> None:
+        if link in self.sockets.resting:
+            del self.sockets.resting[link]
+            self.idle.remove(link)
+
     async def _open(self, errand: Errand) -> None:
         self.tally.count("connections-opened")
+        self.sockets.held += 1
         try:
-            async with asyncio.timeout(self.connect_within):
+            async with asyncio.timeout(self.sockets.connect_within):
                 reader, writer = await asyncio.open_connection(self.host, self.port, limit=LUMP)
         except (OSError, TimeoutError):
+            self.sockets.held -= 1
             self.tally.count("connections-not-up")
             self.end(errand, UNREACHED, None)
             return
         link = Link(self, reader, writer)
-        self.links.add(link)
         if errand.over or self.closed or not errand.may_go():
             self.end(errand, HELD_BACK, None)
             self.rest(link)
@@ -144,11 +176,11 @@
             return
         link.idle_since = self.loop.time()
         self.idle.append(link)
+        self.sockets.resting[link] = None
 
     def gone(self, link: Link) -> None:
-        self.links.discard(link)
-        if link in self.idle:
-            self.idle.remove(link)
+        self.wakened(link)
+        self.sockets.held -= 1
 
     def end(self, errand: Errand, how: str, side: RunnerSide | None) -> None:
         if not errand.over:
@@ -161,13 +193,8 @@
         if errand.link and errand.link.errand is errand:
             errand.link.writer.close()
 
-    def sweep(self) -> None:
-        now = self.loop.time()
-        while self.idle and now - self.idle[0].idle_since >= self.idle_for:
-            self.idle.pop(0).writer.close()
-
     def close(self) -> None:
         """The address is no longer the runner's: nothing new, what is under way runs to its end."""
         self.closed = True
         while self.idle:
-            self.idle.pop().writer.close()
+            self.idle[-1].close()
--- a/crankfold/service/node.py
+++ b/crankfold/service/node.py
@@ -9,12 +9,14 @@
 import orjson
 
 from crankfold.network.listener import Listener
+from crankfold.network.runners import Sockets
 from crankfold.network.tally import Tally
 from crankfold.network.timers import Clock, Timers
 from crankfold.network.watch import Watch
 from crankfold.orders.reader import from_nested, house_rules, standing_orders
 from crankfold.protocol.discovery import read_list
 from crankfold.service.desk import Desk
+from crankfold.service.fleet import Fleet
 
 COMING = 0.45  # connections go on arriving for so long after the order to end
 LONGEST_DRAIN = 3.4  # by then everything is answered: the platform ends us soon after
@@ -56,14 +58,17 @@
         sockets = max(int((given.get("limits") or {}).get("sockets") or 1024), 64)
         self.tally = Tally()
         self.timers = Timers(Clock(), self.tally)
-        runner_sockets = sockets // 4
         self.at = address(given["listen"], "listen")
-        self.desk = Desk(orders, rules, seed, self.timers, self.tally, runner_sockets, self._subscribe)
-        others = sockets - runner_sockets - sockets // 16  # the last part stays free
+        to_runners = sockets // 4
+        others = sockets - to_runners - sockets // 16  # the last part stays free
+        # Runners close a connection at rest for the whole time; half of it is well before that.
+        self.sockets = Sockets(to_runners, rules.connect_within / 10_000, rules.idle_for / 20_000, self.tally)
+        self.fleet = Fleet(rules, self.timers, self.sockets)
+        self.desk = Desk(orders, rules, seed, self.timers, self.tally, self.fleet, self._subscribe)
         self.listener = Listener(self.desk, self.tally, rules.report_fields, others)
         self.desk.crowded = self.listener.crowded
         host, port = address(given["discovery"], "discovery")
-        self.watch = Watch(host, port, self.desk.enlist, self.desk.listed, self._list_failed, self.tally)
+        self.watch = Watch(host, port, self.fleet.enlist, self.desk.listed, self._list_failed, self.tally)
         self.must_ask, self.known = orders.must_ask, given.get("known")
         self.longest = rules.longest_cutoff / 10_000
         self.ending = asyncio.Event()
@@ -85,7 +90,7 @@
         loop.add_signal_handler(signal.SIGUSR1, self.report)
         if self.known is not None:
             try:
-                _, whole, entries = read_list(orjson.dumps(self.known), self.desk.enlist)
+                _, whole, entries = read_list(orjson.dumps(self.known), self.fleet.enlist)
                 self.desk.listed(entries, whole)
             except ValueError as wrong:
                 self.tally.say("known", f"{wrong}; starting without a list")
@@ -108,10 +113,10 @@
         began = loop.time()
         end = began + min(self.longest, LONGEST_DRAIN)
         print("crankfold: draining", file=sys.stderr, flush=True)
-        self.listener.draining = True
+        self.listener.draining, self.desk.ready = True, False
         await asyncio.sleep(COMING)
         self.listener.close_idle()
-        while loop.time() < end and any(work.open for work in self.desk.units.values()):
+        while loop.time() < end and self.desk.open_units():
             await asyncio.sleep(0.01)
             self.listener.close_idle()
         self.desk.close_all()
@@ -121,7 +126,7 @@
 
     def _sweep(self) -> None:
         self.timers.loop.call_later(1.0, self._sweep)
-        self.desk.sweep()
+        self.sockets.sweep()
         self.listener.sweep()
 
     def _failed(self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
@@ -133,4 +138,6 @@
             self.ending.set()
 
     def report(self) -> None:
-        self.tally.report(self.desk.figures())
+        self.tally.report({"now-open": self.desk.open_units(), "now-kept": len(self.desk.ledger.units),
+                           "now-runner-connections": self.sockets.held,
+                           "now-other-connections": len(self.listener.clients)})
--- a/examples/toy_server.py
+++ b/examples/toy_server.py
@@ -65,14 +65,18 @@
             threading.Thread(target=work, args=(self.headers["X-Request-ID"], body), daemon=True).start()
             self.answer(202)
 
+        def do_GET(self) -> None:
+            report = "TEXT queue=0, x0=2" if self.path == "/load" else ""
+            self.answer(200 if self.path in ("/load", "/healthz") else 404, report)
+
         def do_DELETE(self) -> None:
-            self.answer(204)
+            self.answer(200)
 
-        def answer(self, status: int) -> None:
+        def answer(self, status: int, text: str = "") -> None:
             self.send_response(status)
-            if status != 204:
-                self.send_header("Content-Length", "0")
+            self.send_header("Content-Length", str(len(text)))
             self.end_headers()
+            self.wfile.write(text.encode())
 
     return Runner
 
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -15,7 +15,7 @@
 import orjson
 
 from crankfold.network.listener import MOST_UNREAD, Listener
-from crankfold.network.runners import Errand, Pool
+from crankfold.network.runners import Errand, Pool, Sockets
 from crankfold.network.tally import Tally
 from crankfold.network.timers import Clock, Timers
 from crankfold.network.watch import Watch
@@ -124,7 +124,7 @@
 class Runners(Loopback):
     def pool(self, port: int, room: bool = True) -> Pool:
         self.tally = Tally()
-        return Pool("127.0.0.1", port, 0.25, 5.0, self.tally, lambda: room)
+        return Pool("127.0.0.1", port, Sockets(9 if room else 0, 0.25, 5.0, self.tally))
 
     async def carry(self, pool: Pool, what: str, body: bytes = b"x", may_go: bool = True) -> None:
         ends: list[str] = []
@@ -203,7 +203,7 @@
         pool.cut(errand)
         async with asyncio.timeout(5):
             await closed.wait()
-        await self.until(lambda: pool.sockets() == 0)
+        await self.until(lambda: pool.sockets.held == 0)
 
 
 class Watches(Loopback):
@@ -367,7 +367,7 @@
         answer = await self.ask("u1", "Idempotency-Key: t\r\nX-Cost: 20\r\n")
         async with asyncio.timeout(5):
             await told.wait()
-        await self.until(lambda: not self.node.desk.units and not self.node.desk.by_ident)
+        await self.until(lambda: not self.node.desk.ledger.units and not self.node.desk.ledger.by_ident)
         counts = self.node.tally.counts
         self.say(f"client reads {answer}")
         self.say(
@@ -404,10 +404,11 @@
         asking = asyncio.create_task(self.ask("u1"))
         async with asyncio.timeout(5):
             await taken.wait()
-            await self.until(lambda: any(t.taken for w in self.node.desk.units.values() for t in w.trips))
+            units = self.node.desk.ledger.units
+            await self.until(lambda: any(trip.taken for work in units.values() for trip in work.trips))
             asking.cancel()
             await called_off.wait()
-        await self.until(lambda: not self.node.desk.units and not self.node.desk.by_client)
+        await self.until(lambda: not self.node.desk.ledger.units and not self.node.desk.ledger.by_client)
 
     async def test_a_drain_told_while_connecting_holds_the_unit_back(self) -> None:
         async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -415,8 +416,7 @@
 
         await self.begin(runner)
         await self.inside()
-        pool = self.node.desk.pools[0]
-        assert pool
+        pool = self.node.fleet.pools[0]
         opening = pool._open
 
         async def told_meanwhile(errand: Errand) -> None:
