--- a/crankfold/service/node.py
+++ b/crankfold/service/node.py
@@ -1,13 +1,16 @@
 """One dispatcher from its start to the end of its drain."""
 
 import asyncio
+import contextlib
 import signal
 import sys
+from collections.abc import Sequence
 from pathlib import Path
 from typing import Any
 
 import orjson
 
+from crankfold.dispatch.interface import Listing
 from crankfold.network.listener import Listener
 from crankfold.network.runners import Sockets
 from crankfold.network.tally import Tally
@@ -18,6 +21,7 @@
 from crankfold.service.desk import Desk
 from crankfold.service.fleet import Fleet
 
+FIRST_LIST = 0.3  # seconds that a start waits for discovery, which may be down
 COMING = 0.45  # connections go on arriving for so long after the order to end
 LONGEST_DRAIN = 3.4  # by then everything is answered: the platform ends us soon after
 
@@ -68,7 +72,8 @@
         self.listener = Listener(self.desk, self.tally, rules.report_fields, others)
         self.desk.crowded = self.listener.crowded
         host, port = address(given["discovery"], "discovery")
-        self.watch = Watch(host, port, self.fleet.enlist, self.desk.listed, self._list_failed, self.tally)
+        self.watch = Watch(host, port, self.fleet.enlist, self._listed, self._list_failed, self.tally)
+        self.heard = asyncio.Event()
         self.must_ask, self.known = orders.must_ask, given.get("known")
         self.longest = rules.longest_cutoff / 10_000
         self.ending = asyncio.Event()
@@ -78,7 +83,12 @@
         # The decisions ask in their first moment, when there is no watch yet.
         self.timers.loop.call_soon(lambda: self.watch.start(False))
 
+    def _listed(self, entries: Sequence[Listing], whole: bool) -> None:
+        self.desk.listed(entries, whole)
+        self.heard.set()
+
     def _list_failed(self) -> None:
+        self.heard.set()
         if self.must_ask:
             self.desk.list_failed()
 
@@ -96,6 +106,10 @@
                 self.tally.say("known", f"{wrong}; starting without a list")
         if not self.must_ask:
             self.watch.start(True)
+        # What was known may be long out of date after a restart; units would go to runners that are gone.
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(FIRST_LIST):
+                await self.heard.wait()
         try:
             await self.listener.open(*self.at)
         except OSError as wrong:
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -377,6 +377,43 @@
         )
         self.close("whole")
 
+    async def test_where_the_list_must_be_asked_for_it_is_asked_for_again_when_that_failed(self) -> None:
+        async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            while True:
+                await read_request(reader)
+                await self.tell(id="u1", **{"from": "a"}, state="done", result="result")
+                writer.write(OK)
+
+        asked: list[str] = []
+
+        async def discovery(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            asked.append((await read_request(reader))[0].split()[1])
+            if len(asked) < 3:
+                return
+            body = orjson.dumps(self.targets())
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+            await reader.read()
+
+        await self.begin(runner, **{"membership-mode": "on_request", "rules": {"ask-within": 80_000}})
+        self.given["discovery"] = f"127.0.0.1:{await self.stand_in(discovery)}"
+        del self.given["known"]
+        await self.inside()
+        await self.until(lambda: self.node.tally.counts["lists-whole"] == 1)
+        self.assertEqual(await self.ask("u1"), ("HTTP/1.1 200 OK", b"result"))
+        self.assertEqual((asked, self.node.tally.counts["discovery-failed"]), (["/v1/servers"] * 3, 2))
+
+    async def test_a_runner_that_vanished_holds_no_unit_past_its_cut_off(self) -> None:
+        async def silent(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.read()
+
+        once_only = [{"name": "g", "effect": "unsafe", "cut-off": 3_000_000, "expected-time": 2_000_000}]
+        await self.begin(silent, **{"service-grades": once_only})
+        await self.inside()
+        began = asyncio.get_running_loop().time()
+        self.assertEqual((await self.ask("u1", wait=0.2))[0].split()[1], "504")
+        self.assertLess(asyncio.get_running_loop().time() - began, 1.0)
+        await self.until(lambda: not self.node.desk.ledger.units and not self.node.sockets.held)
+
     async def test_a_runners_refusal_is_not_passed_through(self) -> None:
         async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             while True:
