--- a/crankfold/service/desk.py
+++ b/crankfold/service/desk.py
@@ -78,7 +78,7 @@
         self.tally.count("taken")
         wait = max(wait - TRANSIT, 0)
         held = self.ledger.enter(ident, client, self.clock.now() + wait, again)
-        self.timers.wake(wait, partial(self._time_up, held))
+        held.time_up = self.timers.wake(wait, partial(self._time_up, held))
         place, payer = self.rules.grades.find(plain(grade)), max(self.rules.tenants.find(plain(tenant)), 0)
         self.tell(self.decisions.taken, held.no, place, payer, held.cutoff, work, slots, unit=held.no)
 
--- a/crankfold/service/ledger.py
+++ b/crankfold/service/ledger.py
@@ -1,5 +1,7 @@
 """The units in hand: which id is which number, and what became of each dispatch."""
 
+import asyncio
+
 from crankfold.network.listener import Client
 from crankfold.network.runners import Errand
 
@@ -19,13 +21,14 @@
 class Work:
     """One unit."""
 
-    __slots__ = ("no", "ident", "client", "cutoff", "again", "trips", "open")
+    __slots__ = ("no", "ident", "client", "cutoff", "again", "trips", "open", "time_up")
 
     def __init__(self, no: int, ident: str, client: Client, cutoff: int,
                  again: tuple[bytes, bytes, list[tuple[bytes, bytes]], bytes]) -> None:
         self.no, self.ident, self.client, self.cutoff, self.again = no, ident, client, cutoff, again
         self.trips: list[Trip] = []
         self.open = True
+        self.time_up: asyncio.TimerHandle | None = None
 
 
 class Ledger:
@@ -52,6 +55,8 @@
         """If nothing more can come for it: an answer is owed no longer, and no dispatch is out."""
         if not work.open and not any(trip.out for trip in work.trips):
             self.units.pop(work.no, None)
+            if work.time_up:
+                work.time_up.cancel()  # or it would keep the body until the cut-off
             if self.by_ident.get(work.ident) is work:
                 del self.by_ident[work.ident]
 
