--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -172,6 +172,11 @@
         drained = self.pool(port)
         await self.carry(drained, "drained while connecting", may_go=False)
         self.say(f"  kept {len(drained.idle)}")
+        drained.sockets.sweep()
+        self.say(f"  kept after a sweep {len(drained.idle)}")
+        drained.sockets.idle_for = 0.0
+        drained.sockets.sweep()
+        self.say(f"  kept after its time at rest {len(drained.idle)}")
         drained.close()
         await self.carry(drained, "moved away")
         server = await asyncio.start_server(hang_up, "127.0.0.1", 0)
@@ -269,6 +274,11 @@
             timers.wake(after, partial(lambda due: woken.append(clock.now() - due), due))
         await self.until(lambda: len(woken) == 5)
         self.assertGreaterEqual(min(woken), 0)
+        early = clock.now() + 20
+        timers._fire(early, lambda: woken.append(clock.now() - early))  # as a loop with coarse steps would
+        self.assertEqual(len(woken), 5)
+        await self.until(lambda: len(woken) == 6)
+        self.assertGreaterEqual(woken[5], 0)
 
 
 class Whole(Loopback):
@@ -404,8 +414,10 @@
 
     async def test_a_runner_that_vanished_holds_no_unit_past_its_cut_off(self) -> None:
         async def silent(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-            await reader.read()
+            heads.append((await reader.read(1 << 16)).split()[0])
+            heads.append(await reader.read())
 
+        heads: list[bytes] = []
         once_only = [{"name": "g", "effect": "unsafe", "cut-off": 3_000_000, "expected-time": 2_000_000}]
         await self.begin(silent, **{"service-grades": once_only})
         await self.inside()
@@ -413,6 +425,8 @@
         self.assertEqual((await self.ask("u1", wait=0.2))[0].split()[1], "504")
         self.assertLess(asyncio.get_running_loop().time() - began, 1.0)
         await self.until(lambda: not self.node.desk.ledger.units and not self.node.sockets.held)
+        await self.until(lambda: len(heads) == 2)
+        self.assertEqual(heads, [b"POST", b""])  # before the 202 a dispatch is called off by closing
 
     async def test_a_runners_refusal_is_not_passed_through(self) -> None:
         async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -426,6 +440,39 @@
         self.assertEqual((await self.ask("u1"))[0].split()[1], "504")
         self.assertEqual(self.node.tally.counts["given-up"], 1)
 
+    async def test_ids_in_hand_a_full_house_and_a_runner_that_moves(self) -> None:
+        posts: list[str] = []
+
+        async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            while True:
+                head, _ = await read_request(reader)
+                posts.append(head.split()[0])
+                writer.write(OK)
+
+        async def moved(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await read_request(reader)
+            await self.tell(id="u3", **{"from": "a"}, state="done", result="moved")
+            await reader.read()
+
+        await self.begin(runner)
+        await self.inside()
+        first = asyncio.create_task(self.ask("u1"))
+        await self.until(lambda: self.node.tally.counts["dispatches"] == 1 and len(posts) == 1)
+        self.assertEqual((await self.ask("u1"))[0].split()[1], "409")
+        self.node.desk.crowded = lambda: True
+        self.assertEqual((await self.ask("u2"))[0].split()[1], "503")
+        self.node.desk.crowded = lambda: False
+        self.assertEqual((self.node.tally.counts["shed-for-room"], posts), (1, ["POST"]))
+        # Called off, but the runner does not heed it: no second dispatch goes there, and it ends as not sent.
+        await self.until(lambda: self.node.desk.ledger.units[0].trips[0].taken)
+        self.node.desk.cancel(0, 0)
+        self.assertEqual((await first)[0].split()[1], "503")
+        self.assertEqual((posts, self.node.tally.counts["ended-not-sent"]), (["POST", "DELETE"], 1))
+        self.runner_port = await self.stand_in(moved)
+        self.changed.set()
+        await self.until(lambda: self.node.tally.counts["lists-whole"] == 2)
+        self.assertEqual((await self.ask("u3"))[1], b"moved")
+
     async def test_a_client_that_leaves_is_forgotten_and_its_dispatch_called_off(self) -> None:
         called_off = asyncio.Event()
         taken = asyncio.Event()
@@ -478,8 +525,8 @@
             "from crankfold.cli import main; main(['serve'])"
         )
         lines = await self.outside(["-O", "-c", program])
-        self.assertEqual((await self.ask("u1"))[0].split()[1], "504")
-        self.assertEqual((await self.ask("u2"))[0].split()[1], "504")
+        for ident in ("u1", "u2"):  # at once, not when their time is up
+            self.assertEqual((await self.ask(ident, wait=60))[0].split()[1], "504")
         self.process.terminate()
         printed = await lines
         self.assertIn("ValueError('a bug')", printed)
@@ -541,6 +588,25 @@
         self.say(" ".join(f"{name} {counted.get(name)}" for name in ("taken", "done", "now-open")))
         self.close("sigterm")
 
+    async def test_connections_that_still_come_after_sigterm_are_served_and_closed(self) -> None:
+        async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            while True:
+                await read_request(reader)
+                await self.tell(id="u1", **{"from": "a"}, state="done", result="result")
+                writer.write(OK)
+
+        await self.begin(runner)
+        lines = await self.outside(["-O", "-m", "crankfold", "serve"])
+        self.process.terminate()
+        await asyncio.sleep(0.2)
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        writer.write(UNIT.replace(b"Timeout: 1", b"Timeout: 2"))
+        head, body = await read_request(reader)
+        self.assertEqual((head.split()[1], body, "Connection: close" in head), ("200", b"result", True))
+        self.assertEqual(await reader.read(), b"")
+        self.assertIn("now-open=0", await lines)
+        self.assertEqual(self.process.returncode, 0)
+
     async def test_what_it_cannot_start_from_is_said_in_one_line(self) -> None:
         async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             await reader.read()
