--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -545,6 +545,7 @@
         )
         errors = self.process.stderr
         assert errors
+        self.addAsyncCleanup(self.put_down)
         first = (await errors.readline()).decode()
         self.assertIn("serving on", first)
         self.port = int(first.rpartition(":")[2])
@@ -556,6 +557,11 @@
 
         return asyncio.create_task(rest())
 
+    async def put_down(self) -> None:
+        if self.process.returncode is None:  # a test that failed must leave nothing running
+            self.process.kill()
+            await self.process.wait()
+
     async def test_sigterm_with_units_in_hand(self) -> None:
         taken = asyncio.Queue[str]()
 
