An agent that answers a watch without waiting no longer keeps the program busy

Seen in review: network/watch.py asked again at once after each answer, so an agent that does not wait would have taken the whole core. Calls are now 20 ms apart at least, far inside the 200 ms within which a watch goes on.

--- a/crankfold/network/watch.py
+++ b/crankfold/network/watch.py
@@ -10,6 +10,7 @@
 WAIT_MS = 4000
 GRACE = 1.0  # an answer that is so much later than it could wait does not come any more
 PAUSE = 0.5
+QUICKEST = 0.02  # an agent that answers without waiting must not keep us busy; a watch lasts over 0.2 s
 LUMP = 64 * 1024
 
 
@@ -40,11 +41,13 @@
             await asyncio.sleep(self.pause)
 
     async def _watch(self) -> None:
+        loop = asyncio.get_running_loop()
         async with asyncio.timeout(GRACE):
             reader, writer = await asyncio.open_connection(self.host, self.port)
         try:
             side = DiscoverySide(f"{self.host}:{self.port}")
             while True:
+                asked_at = loop.time()
                 writer.write(side.ask(self.rev, WAIT_MS))
                 # The whole list comes at once if it comes at all.
                 async with asyncio.timeout(GRACE + (WAIT_MS / 1000 if self.rev >= 0 else 0)):
@@ -58,6 +61,7 @@
                 self.tally.count("lists-whole" if whole else "lists-of-changes")
                 if entries or whole:
                     self.told(entries, whole)
+                await asyncio.sleep(max(asked_at + QUICKEST - loop.time(), 0))
                 if not side.usable():
                     return
         finally:
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -264,6 +264,25 @@
         self.close("watch")
 
 
+    async def test_an_agent_that_answers_without_waiting_keeps_nobody_busy(self) -> None:
+        asked: list[str] = []
+
+        async def discovery(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            while True:
+                asked.append((await read_request(reader))[0])
+                body = b'{"rev":1,"all":false,"targets":[]}'
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+
+        watch = Watch(
+            "127.0.0.1", await self.stand_in(discovery), Mock(), lambda *_: None, lambda: None, Tally()
+        )
+        watch.start(True)
+        await asyncio.sleep(0.2)
+        watch.stop()
+        self.assertLess(1, len(asked))
+        self.assertLess(len(asked), 12)
+
+
 class Wakes(Loopback):
     async def test_a_wake_never_comes_early(self) -> None:
         clock = Clock()
