--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -632,6 +632,30 @@
         self.assertIn("now-open=0", await lines)
         self.assertEqual(self.process.returncode, 0)
 
+    async def test_killed_and_started_again_it_serves_and_takes_old_call_backs(self) -> None:
+        async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            while True:
+                await read_request(reader)
+                writer.write(OK)
+                posted.set()
+
+        posted = asyncio.Event()
+        await self.begin(runner)
+        before = await self.outside(["-O", "-m", "crankfold", "serve"])
+        lost = asyncio.create_task(self.ask("u1"))
+        async with asyncio.timeout(5):
+            await posted.wait()
+        self.process.kill()
+        await before
+        with self.assertRaises((ConnectionError, asyncio.IncompleteReadError)):
+            await lost
+        self.given["listen"] = f"127.0.0.1:{self.port}"
+        lines = await self.outside(["-O", "-m", "crankfold", "serve"])
+        await self.tell(id="u1", **{"from": "a"}, state="done", result="1")
+        self.assertTrue(self.lines[-1].endswith(" 204"))
+        self.process.terminate()
+        self.assertIn("call-backs-for-none=1", await lines)
+
     async def test_what_it_cannot_start_from_is_said_in_one_line(self) -> None:
         async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             await reader.read()
