Who brings no unit or call-back is a stranger and goes first; young strangers are spared

Checked: a probe wrote down who was closed for room: 373 connections that had asked GET /healthz once and stayed, 506 silent ones, but also 287 under 50 ms old, among them seven call-backs and six units under way. A call-back that finds its connection closed is told again 200 ms later: that is the 220 ms. At fault: network/listener.py, `_make_room`, took the first of those not understood, however young, and counted a question for our health as understood; it also looked through the whole house for each newcomer.

Now strangers are those without a unit or call-back. They are kept in order of coming: 2 s to bring one, first to go for room, but not in their first 0.1 s while anybody rests. Four are accepted in a turn.

--- a/crankfold/network/listener.py
+++ b/crankfold/network/listener.py
@@ -9,14 +9,14 @@
 from crankfold.protocol import clients
 
 LUMP = 16 * 1024
-FIRST = 2.0  # seconds from connecting to a first request that was understood; who sends none must be out by 3
+FIRST = 2.0  # seconds from connecting to a first unit or call-back; who sends neither must be out by 3
 SLOWEST = 5.0  # from the first byte of a later request to its last, and for an answer to be taken
 IDLE = 75.0
 SWEEP = 0.25
-FRESH = 0.05  # a connection so young may have its first request under way
+FRESH = 0.1  # a connection so young may have its first request under way
 LINGER = 0.5  # what still comes after the last answer is read for so long: a reset would overtake it
 MOST_UNREAD = 64 * 1024  # pipelined behind a request in hand, or read only to be thrown away
-WAITING, AT_ONCE = 1024, 2  # connections not accepted yet, and accepted in one turn of the loop
+WAITING, AT_ONCE = 1024, 4  # connections not accepted yet, and accepted in one turn of the loop
 UNCOUNTED = 6 * AT_ONCE  # asyncio takes some turns from accepting one to telling, and to close another for it
 
 
@@ -56,6 +56,8 @@
                 if __debug__:
                     raise
             self._flush()
+            if side.known:
+                self.host.strangers.pop(self, None)
             while side.in_hand and not side.closing and self.unread > MOST_UNREAD:
                 self.answered.clear()
                 await self.answered.wait()
@@ -107,10 +109,9 @@
         self.answered.set()
         self.writer.transport.abort()
 
-    def standing(self) -> tuple[int, float]:
-        """Who goes first when room is short: who is done, who was never understood, clients, runners."""
-        side = self.side
-        return 0 if side.closing else 1 if not side.understood else 3 if side.calls_back else 2, self.since
+    def standing(self) -> tuple[bool, bool, float]:
+        """Who of those at rest goes first when room is short: who is done, then clients, then runners."""
+        return not self.side.closing, self.side.calls_back, self.since
 
 
 class Listener:
@@ -118,6 +119,7 @@
         self.desk, self.tally, self.report_fields, self.most = desk, tally, report_fields, most
         self.loop = asyncio.get_running_loop()
         self.clients: set[Client] = set()
+        self.strangers: dict[Client, None] = {}  # no unit or call-back so far, the first to come first
         self.draining = False
         self.server: asyncio.Server | None = None
 
@@ -139,12 +141,13 @@
         self.tally.count("connections-taken")
         self._make_room()
         self.clients.add(client)
+        self.strangers[client] = None
         try:
             await client.serve()
         except OSError:
             self.tally.count("connections-reset")
         finally:
-            self.clients.discard(client)
+            self._forget(client)
             if client.side.in_hand:
                 self.tally.count("clients-left")
                 self.desk.left(client)
@@ -154,31 +157,40 @@
         """Near the limit on sockets somebody goes; a request in hand is never dropped."""
         if len(self.clients) < self.most:
             return
-        spare = [client for client in self.clients if not client.side.in_hand
-                 and (client.idle() or not client.side.understood or client.side.closing)]
-        if spare:
+        # Some come by hundreds, say nothing or ask for our health once, and stay: they go before the rest.
+        # Among the young ones are call-backs under way; closed for room these were told again 0.2 s later.
+        least = next(iter(self.strangers), None)
+        if not least or self.loop.time() - least.came < FRESH:
+            resting = (client for client in self.clients if client.side.known and client.idle())
+            least = min(resting, key=Client.standing, default=least)
+        if least:
             self.tally.count("connections-closed-for-room")
-            least = min(spare, key=Client.standing)
-            self.clients.discard(least)
+            self._forget(least)
             least.abort()
         else:
             self.tally.count("connections-over-limit")
 
+    def _forget(self, client: Client) -> None:
+        self.clients.discard(client)
+        self.strangers.pop(client, None)
+
     def crowded(self) -> bool:
         return len(self.clients) > self.most
 
     def sweep(self) -> None:
         now = self.loop.time()
+        for client in list(self.strangers):
+            if now - client.came <= FIRST:
+                break
+            if not client.side.closing:  # else it has LINGER
+                # Says nothing, sends a head without end, or asked for our health alone.
+                self.tally.count("clients-cut-off")
+                client.abort()
         for client in list(self.clients):
             side, age = client.side, now - client.since
-            if side.closing:
-                continue  # it has LINGER
-            if not side.understood and not side.in_hand:
-                if now - client.came > FIRST:
-                    # Says nothing, or sends a head without end; hundreds of them would fill the house.
-                    self.tally.count("clients-cut-off")
-                    client.abort()
-            elif age > SLOWEST and (client.unwritten() or side.midway()):
+            if not side.known or side.closing:
+                continue
+            if age > SLOWEST and (client.unwritten() or side.midway()):
                 self.tally.count("clients-cut-off")
                 client.abort()
             elif age > IDLE and client.idle():
--- a/crankfold/protocol/clients.py
+++ b/crankfold/protocol/clients.py
@@ -37,7 +37,7 @@
         self.closing = False  # nothing more will be read; the connection ends once `out` is written
         self.refused: int = 0  # the status of the last request that was not understood
         self.last = False  # answers say that the connection closes
-        self.understood = self.calls_back = False  # a request so far was; one was a runner's
+        self.known = self.calls_back = False  # has handed in a unit, or is a runner that calls back
         self.unread = 0
 
     def midway(self) -> bool:
@@ -104,7 +104,7 @@
             if method != b"POST":
                 self._decline(405, allow=b"POST")
             elif hear(bytes(self.body), self.desk, self.report_fields):
-                self.understood = self.calls_back = True
+                self.known = self.calls_back = True
                 self.answer(204)
             else:
                 self._decline(400)
@@ -112,7 +112,6 @@
             if method not in (b"GET", b"HEAD"):
                 self._decline(405, allow=b"GET, HEAD")
             else:
-                self.understood = True
                 self.answer(200 if self.desk.serving() else 503)
         else:
             self._decline(404)
@@ -149,7 +148,7 @@
         if not 0 < len(ident) <= MOST_ID or not self.desk.knows_grade(grade):
             self._decline(400)
             return
-        self.understood = True
+        self.known = True
         self.desk.hand_in(self.client, ident, grade, first.get(b"x-tenant-id", b"").decode("latin-1"), wait,
                           work, slots, (method, target, passed_on(heads), bytes(self.body)))
 
