--- a/crankfold/service/node.py
+++ b/crankfold/service/node.py
@@ -24,7 +24,7 @@
 
 FIRST_LIST = 0.3  # seconds that a start waits for discovery, which may be down
 COMING = 0.45  # connections go on arriving for so long after the order to end
-LONGEST_DRAIN, OVER = 3.0, 0.4  # the platform ends us soon after the longest cut-off, or 3 s if that is less
+LONGEST_DRAIN, OVER = 3.0, 0.5  # the platform ends us soon after the longest cut-off, or 3 s if that is less
 ENDING = 1.5  # the last part of a drain, in which no new unit is wanted
 
 
