--- a/crankfold/dispatch/policy.py
+++ b/crankfold/dispatch/policy.py
@@ -582,7 +582,7 @@
                 self.runs += 0.1 * (run - self.runs)
                 self.ran, self.done = self.ran + run, self.done + 1
         if outcome in (Outcome.FULL, Outcome.UNREACHABLE):
-            # Nobody being there is no suspicion: with doubt distrusted, dead runners took all of a unit's tries.
+            # Nobody there is no suspicion: with doubt distrusted, dead runners took all of a unit's tries.
             self.full_until[r] = now + (FULL_REST if outcome == Outcome.FULL else SECOND)
         if outcome in (Outcome.ERROR, Outcome.RESET, Outcome.UNKNOWN, Outcome.UNREACHABLE):
             self._failed(now, r, outcome == Outcome.UNREACHABLE)
