--- a/crankfold/dispatch/policy.py
+++ b/crankfold/dispatch/policy.py
@@ -24,7 +24,6 @@
 PACE = 0.85
 SPARE = 0.25
 DEEP = 1.3
-NEW = 2 * SECOND  # so long too few slots were seen free to hold units back by: the fleet looks small
 FADE = 0.975  # four times a second: what was asked and got is remembered for some ten seconds
 REPORT_LAG = 4 * SECOND // 10  # how long before it arrives a report was taken
 REPORT_AGE = 7 * SECOND // 10  # how old it is by then on average, as runners refresh it only now and then
@@ -222,7 +221,7 @@
             return
         ratio = min(1.0, 1.05 * self.runs / (self.runs + self.waits + 1.0))
         if self.limit == inf:
-            if ratio == 1.0 or self.watched < NEW:
+            if ratio == 1.0:
                 return  # nothing waits yet: a limit from the few first units would hold the next ones back
             self.limit = 1.0 * self.inflight
         if ratio < 1.0 or self.inflight * 2 >= self.limit:
@@ -424,7 +423,7 @@
         copy, need, load, room = any(d.out for d in u.sent), u.slots, self.load, self.room
         roomy = [r for r in sound if load[r] + need <= room[r] + SPARE and not self.waiting[r]]
         # Behind a second filling of its slots a unit is late anyway: it waits here, free to go elsewhere.
-        if not roomy and self.watched > NEW:
+        if not roomy:
             sound = [r for r in sound if not room[r] or load[r] + need <= DEEP * room[r] + need]
         if not sound or (copy and not roomy):
             return False
