--- a/crankfold/dispatch/policy.py
+++ b/crankfold/dispatch/policy.py
@@ -77,8 +77,9 @@
         self.probe_all = orders.may_probe and orders.reports_by_probe
         self.probe_some = orders.may_probe and orders.reports_in_answers
         self.cold_from, self.warm_after = orders.cold_from, orders.warm_after
-        # No single unit spends more than half of what all together may send.
-        self.cold_whole = orders.overload_factor * orders.overload_for / 2
+        # Half of what all together may send is used, and no single unit spends more than that at once. At the
+        # least capacity alone a replaced fleet stood idle: most of what is allowed lapses at who has no unit.
+        self.cold_pace, self.cold_span = max(orders.overload_factor / 2, 1.0), orders.overload_for
         self.units: dict[int, Unit] = {}
         self.held: dict[int, Unit] = {}
         self.inflight, self.limit, self.window_at, self.sampled = 0, inf, 0, 0
@@ -111,6 +112,7 @@
         self.heard_at: list[int] = []
         self.probe_out: list[bool] = []
         self.next_probe, self.room_of_one, self.middle_pace = 0, 1.0, 1.0
+        self.brisk = 0.0  # usual running time of hinted work on a slot of weight 1; 0 while not known
         self.mean, self.strength, self.part = 0.0, 1.0, 1.0  # of others' work; of the fleet; own, of a runner
         if orders.must_ask:
             port.subscribe()
@@ -293,6 +295,8 @@
             return
         self.drawn = (0, 0) if now < self.cold_until else (size, share)
         self.sparse = len(self.ready) > size
+        # A circle of most of the fleet holds slow and fast alike, though only its drawing goes by weight.
+        size = min(size, max(CIRCLE, len(self.ready) // 5))
         self.circle = self.quick = self.long = self.ready
         if self.sparse:
             quick = self._draw_from(now, -1.0, share / 64, 3)
@@ -375,15 +379,19 @@
         age = now - self.warm_at[r] + self.warm_after
         return self.cold_from + (1.0 - self.cold_from) * max(age, 0) / self.warm_after
 
+    def _allowance(self, now: int, r: int) -> float:
+        """What all may send a cold runner at its least capacity, with half of what the rule lets through."""
+        return self.cold_pace * self.room_of_one * self.weight[r] * self._warmth(now, r)
+
     def _cold_room(self, now: int, r: int, burden: float) -> bool:
         """Keeps this dispatcher's part of what a cold runner may be sent, copies included.
 
-        The part is what the runner can do now over those that have it in their circle, saved up from a random
+        The part is that allowance over those that have it in their circle, saved up from a random
         start: an allowed first unit from each of hundreds would push the runner over, and a share too small
         for any unit would leave a grown fleet idle.
         """
-        able = self.room_of_one * self.weight[r] * self._warmth(now, r)
-        if self.waiting[r] or burden > self.cold_whole * able:
+        able = self._allowance(now, r)
+        if self.waiting[r] or burden > self.cold_span * able:
             return False  # what it has not started yet is pressure enough
         if not self.cold_next[r]:
             self.cold_next[r] = now + self._draw(int(burden / (able * self.part)) + 1)
@@ -421,12 +429,15 @@
         if pool is not fitting:
             self._age(now, pool)
         copy, need, load, room = any(d.out for d in u.sent), u.slots, self.load, self.room
+        sound = [r for r in sound if self.warm_at[r] <= now or self._in_time(now, u, r)] or sound
         roomy = [r for r in sound if load[r] + need <= room[r] + SPARE and not self.waiting[r]]
         # Behind a second filling of its slots a unit is late anyway: it waits here, free to go elsewhere.
         if not roomy:
             sound = [r for r in sound if not room[r] or load[r] + need <= DEEP * room[r] + need]
         if not sound or (copy and not roomy):
             return False
+        # A cold runner's allowance lapses unless it is sent, and who gets so little keeps nobody waiting.
+        roomy = [r for r in roomy if self.warm_at[r] > now] or roomy
         pool = [r for r in roomy if self.runner_zone[r] == self.zone] or roomy or sound
         if self.sparse:
             # What waits beyond the slots: with busy ones counted the heaviest of each circle drew all units.
@@ -438,6 +449,11 @@
         self._send(now, u, best[0] if len(best) == 1 else best[self._draw(len(best))], burden)
         return True
 
+    def _in_time(self, now: int, u: Unit, r: int) -> bool:
+        """Whether the runner, if free, would end the unit in time, by its weight, warmth and usual paces."""
+        run = u.work * self.brisk * (self.room[r] or 1.0) / (self.weight[r] * self._warmth(now, r))
+        return now + run <= u.due
+
     def _sound(self, now: int, u: Unit, pool: list[int], burden: float) -> list[int]:
         able = [r for r in pool if self.full_until[r] <= now
                 and (self.warm_at[r] <= now or self._cold_room(now, r, burden))]
@@ -457,8 +473,7 @@
         self.waiting[r] += 1
         self.inflight += 1
         if self.warm_at[r] > now:
-            able = self.room_of_one * self.weight[r] * self._warmth(now, r)
-            self.cold_next[r] = now + int(burden / (able * self.part))
+            self.cold_next[r] = now + int(burden / (self._allowance(now, r) * self.part))
         self.port.dispatch(u.no, r, 0)
         self.copies = min(self.copies + self.copy_share * burden, COPY_BURST * self.runs)
         if self.sparse:
@@ -574,6 +589,9 @@
             self.doubt[r] = 0
             if d.started_at >= 0:
                 run = now - d.started_at
+                if u.work and self.room[r] and self.warm_at[r] <= now:
+                    pace = run / u.work * self.weight[r] / self.room[r]
+                    self.brisk += 0.1 * (pace - self.brisk) if self.brisk else pace
                 if u.work:  # without a hint a long unit looks like a slow runner
                     self.run_sum[r] = PACE * self.run_sum[r] + run
                     self.due_sum[r] = PACE * self.due_sum[r] + u.work
--- /dev/null
+++ b/tests/test_grown.py
@@ -0,0 +1,125 @@
+"""What is harmless when one dispatcher does it and harmful when forty do: several instances in one trace."""
+
+from collections import Counter
+from dataclasses import replace
+
+from crankfold.dispatch.interface import Listing, Standing
+from crankfold.dispatch.policy import Dispatcher
+from tests.scene import GRADE, MS, ORDERS, Kept, Scene
+
+DISPATCHERS = 40
+WARM = 60
+UNIT = 100 * MS
+
+
+class Post:
+    """The port of one of many: notes where units went and carries out wakes when time passes."""
+
+    def __init__(self, seed: int, **orders: object) -> None:
+        self.wakes: list[tuple[int, int]] = []
+        self.went: list[tuple[int, int, int]] = []  # when, unit, runner
+        self.now = 100_000
+        self.told = Dispatcher(replace(ORDERS, **orders), seed, self)  # type: ignore[arg-type]
+
+    def dispatch(self, unit: int, runner: int, limit: int) -> None:
+        self.went.append((self.now, unit, runner))
+
+    def shed(self, unit: int, advice: int) -> None: ...
+    def give_up(self, unit: int) -> None: ...
+    def cancel(self, unit: int, nth: int) -> None: ...
+    def probe(self, runner: int) -> None: ...
+    def subscribe(self) -> None: ...
+
+    def wake(self, after: int, label: int) -> None:
+        self.wakes.append((self.now + after, label))
+
+    def pass_to(self, now: int) -> None:
+        while due := [w for w in self.wakes if w[0] <= now]:
+            first = min(due)
+            self.wakes.remove(first)
+            self.now = max(self.now, first[0])
+            self.told.woken(self.now, first[1])
+        self.now = now
+
+
+class Grown(Kept):
+    def open(self, cold: int = 0, **orders: object) -> None:
+        self.posts = [Post(seed * 7919, dispatchers=DISPATCHERS, zone=seed % 3, grades=[GRADE], **orders)
+                      for seed in range(1, DISPATCHERS + 1)]
+        listed = [Listing(r, Standing.READY, (8.0, 4.0, 3.0)[r % 3], r // 3 % 3, r % 6, 0, r % 3, r / WARM)
+                  for r in range(WARM)]
+        listed += [Listing(WARM + r, Standing.READY, 4.0, r % 3, r % 6, 100_000, 1, r / cold)
+                   for r in range(cold)]
+        for post in self.posts:
+            post.told.listed(post.now, listed, True)
+            for r in range(WARM):
+                post.told.probed(post.now, r, True, (0.0, 4.0))
+
+    def play(self, seconds: int, every: int) -> None:
+        """Each dispatcher takes a unit so often, which starts at once and runs for its time."""
+        under_way: list[tuple[int, Post, int, int]] = []
+        for turn in range(seconds * 10_000 // every):
+            now = 100_000 + turn * every
+            for done in [d for d in under_way if d[0] <= now]:
+                under_way.remove(done)
+                _, post, unit, runner = done
+                post.pass_to(now)
+                post.told.ended(now, unit, 0, runner, 0, True, ())  # type: ignore[arg-type]
+            for post in self.posts:
+                post.pass_to(now)
+                post.told.taken(now, turn, 0, 0, now + 5000 * MS, UNIT, 1.0)
+                if post.went and post.went[-1][1] == turn:
+                    post.told.started(now, turn, 0, post.went[-1][2])
+                    under_way.append((now + UNIT, post, turn, post.went[-1][2]))
+
+    def test_all_circles_together_hold_the_listed_weights(self) -> None:
+        # With circles of most of the fleet each kind got the same, whatever it could do.
+        self.open()
+        self.play(8, 100 * MS)
+        got = Counter((8, 4, 3)[r % 3] for post in self.posts for at, _, r in post.went if at > 140_000)
+        self.say(f"circles of {max(len(post.told.circle) for post in self.posts)} at most of {WARM}")
+        for weight in (8, 3):
+            share, fair = got[weight] / got.total(), weight / 15
+            self.say(f"weight {weight}: within 15% of its part: {abs(share / fair - 1) < 0.15}")
+        self.close("grown-weights")
+
+    def test_all_allowances_together_use_a_cold_fleet_and_stay_under_the_rule(self) -> None:
+        self.open(cold=30, cold_from=0.4, overload_factor=4.0)
+        self.play(5, 150 * MS)
+        sent = sorted((at, r) for post in self.posts for at, _, r in post.went if r >= WARM)
+        least = 0.4 * 4  # slots that one can fill when it has just started
+        worst = max(sum(UNIT for at, other in sent if other == r and then <= at < then + 1000 * MS)
+                    for then, r in sent)
+        self.say(f"under four times the least capacity in any second: {worst < 4 * least * 1000 * MS}")
+        used = len(sent) * UNIT / (30 * least * 5000 * MS)
+        self.say(f"a third of the least capacity used by a seventh of the units: {used > 0.33}")
+        self.close("grown-cold")
+
+
+class ColdFirst(Scene):
+    def open_with_cold(self) -> None:
+        self.open(runners=0, free=0, overload_factor=4.0)
+        self.list([Listing(0, Standing.READY, 4.0, 0, 0, 0), Listing(1, Standing.READY, 4.0, 0, 0, 0),
+                   Listing(2, Standing.READY, 4.0, 0, 0, 98_000)])
+        for r in (0, 1):
+            self.told.probed(self.now, r, True, (0.0, 4.0))
+        self.told.part = 1.0
+        for n in range(4):  # usual paces become known
+            self.take(n, work=200)
+            runner = int(self.lines[-1][-1])
+            self.start(n, runner)
+            self.at(200 * (n + 1))
+            self.end(n, runner)
+        self.lines.clear()
+
+    def test_an_allowance_that_would_lapse_goes_first(self) -> None:
+        self.open_with_cold()
+        self.told.cold_next[2] = self.now
+        self.take(10, work=50)
+        self.close("grown-cold-first")
+
+    def test_not_what_would_be_late_there(self) -> None:
+        self.open_with_cold()
+        self.told.cold_next[2] = self.now
+        self.take(10, work=200)
+        self.close("grown-cold-late")
