--- a/crankfold/dispatch/policy.py
+++ b/crankfold/dispatch/policy.py
@@ -37,9 +37,10 @@
 
 
 class Dispatch:
-    __slots__ = ("runner", "sent_at", "heard_at", "started_at", "out", "may_have_run")
+    __slots__ = ("runner", "cold", "sent_at", "heard_at", "started_at", "out", "may_have_run")
 
-    def __init__(self, runner: int, now: int) -> None:
+    def __init__(self, runner: int, now: int, cold: bool) -> None:
+        self.cold = cold  # paced by allowance and outside the in-flight limit
         self.runner, self.sent_at, self.heard_at, self.started_at = runner, now, now, -1
         self.out = self.may_have_run = True
 
@@ -144,7 +145,7 @@
         if now >= u.cutoff or worthless:
             self._answer(u)  # a retry that comes too late to be worth anything takes no slot from others
             return
-        if self.held or self.inflight >= self.limit or not self._place(now, u):
+        if not self._place(now, u, bool(self.held) or self.inflight >= self.limit):
             self._hold(now, u)
 
     def _answer(self, u: Unit) -> None:
@@ -193,15 +194,13 @@
         return min(u.due - int((u.work or self.typical[u.grade]) / 2), u.cutoff)
 
     def _pump(self, now: int) -> None:
-        if not self.held or self.inflight >= self.limit:
-            return
         misses = 0
         for u in sorted(self.held.values(), key=self._pull, reverse=True):
-            if self._place(now, u):
+            if self._place(now, u, self.inflight >= self.limit):
                 del self.held[u.no]
             else:
                 misses += 1  # it may be bound to a full group while others are free to go
-            if misses > 3 or self.inflight >= self.limit:
+            if misses > 3:
                 return
 
     def _value(self, u: Unit) -> float:
@@ -230,8 +229,11 @@
             self.limit = 1.0 * self.inflight
         if ratio < 1.0 or self.inflight * 2 >= self.limit:
             # Never under the fair part of the fleet, or a wait at the start holds all back for long.
-            fleet = sum(self.room[r] for r in self.ready if self.warm_at[r] <= now)
-            fair = max(fleet / self.sharers, 4.0)
+            warm = [self.room[r] for r in self.ready if self.warm_at[r] <= now]
+            seen = [slots for slots in warm if slots]
+            # Half as much again where a part is a few slots, which chance fills now and then.
+            part = (1.5 if self.sparse else 1.0) / self.sharers
+            fair = max(sum(seen) / max(len(seen), 1) * len(warm) * part, 4.0)
             self.limit = max(self.limit * max(ratio, 0.5) + 0.5 * sqrt(self.limit), fair)
         self.window_at, self.sampled = now, 0
 
@@ -457,7 +459,11 @@
 
     # --- choice and send ---
 
-    def _place(self, now: int, u: Unit) -> bool:
+    def _place(self, now: int, u: Unit, cold_only: bool = False) -> bool:
+        """To the smallest score among the candidates. Beyond the in-flight limit only to cold runners, whose
+        allowance is a limit of its own and lapsed behind the common one."""
+        if cold_only and now >= self.cold_until:
+            return False
         allowed, zone, cell = self._permitted(now, u)
         if not allowed:
             return False
@@ -478,6 +484,8 @@
         if u.work and self.brisk:
             sound = [r for r in sound if self.warm_at[r] <= now or self._in_time(now, u, r)] or sound
         roomy = [r for r in sound if load[r] + need <= room[r] + SPARE and not self.waiting[r]]
+        if cold_only:
+            roomy = sound = [r for r in roomy if self.warm_at[r] > now and self._in_time(now, u, r)]
         # Behind a second filling of its slots a unit is late anyway: it waits here, free to go elsewhere.
         if not roomy:
             sound = [r for r in sound if not room[r] or load[r] + need <= DEEP * room[r] + need]
@@ -516,11 +524,12 @@
         return sound
 
     def _send(self, now: int, u: Unit, r: int, burden: float) -> None:
-        u.sent.append(Dispatch(r, now))
+        cold = self.warm_at[r] > now
+        u.sent.append(Dispatch(r, now, cold))
         self._count(now, r, u.slots)
         self.waiting[r] += 1
-        self.inflight += 1
-        if self.warm_at[r] > now:
+        self.inflight += not cold
+        if cold:
             self.cold_next[r] = now + int(burden / (self._allowance(now, r) * self.part[r]))
         self.port.dispatch(u.no, r, 0)
         self.copies = min(self.copies + self.copy_share * burden, COPY_BURST * self.runs)
@@ -592,7 +601,8 @@
             return
         d = u.sent[nth]
         d.started_at = d.heard_at = now
-        self._follow(now, d.sent_at, now - d.sent_at)
+        if not d.cold:
+            self._follow(now, d.sent_at, now - d.sent_at)
         self.waiting[runner] -= 1
         if self.may_cancel and not u.ended:
             for n, other in enumerate(u.sent):
@@ -610,7 +620,7 @@
         if u and u.sent[nth].out:
             d = u.sent[nth]
             d.out, d.may_have_run = False, outcome not in NEVER_RAN
-            self.inflight -= 1
+            self.inflight -= not d.cold
             self._count(now, runner, -u.slots)
             if d.started_at < 0:
                 self.waiting[runner] -= 1
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -194,7 +194,7 @@
         self.end(0, first, Outcome.WORN)
         self.say(f"errors {self.told.errors}, doubt {self.told.doubt}")
         for r in {0, 1, 2} - {first}:
-            self.told._judge(self.now, self.told.units[0], Dispatch(r, self.now), Outcome.UNREACHABLE)
+            self.told._judge(self.now, self.told.units[0], Dispatch(r, self.now, False), Outcome.UNREACHABLE)
         self.told._blame(self.now, first)
         self.take(1)
         self.say(f"all in doubt, two of them refuse: {set(self.lines[-1][-1]) == {str(first)}}")
--- a/tests/test_grown.py
+++ b/tests/test_grown.py
@@ -128,3 +128,24 @@
         self.told.cold_next[2] = self.now
         self.take(10, work=200)
         self.close("grown-cold-late")
+
+    def test_beyond_the_limit_a_cold_runner_still_gets_its_allowance(self) -> None:
+        self.open_with_cold()
+        self.told.limit, self.told.cold_next[2] = 0.0, self.now
+        self.take(10, work=50)
+        self.take(11, work=50)
+        self.say(f"counted against the limit {self.told.inflight}, held {len(self.told.held)}")
+        self.start(10, 2)
+        self.end(10, 2)
+        self.say(f"after its end {self.told.inflight}")
+        self.close("grown-cold-limit")
+
+    def test_the_fair_part_counts_runners_not_seen_yet(self) -> None:
+        self.open(runners=0, free=0, dispatchers=4)
+        self.list([Listing(r, Standing.READY, 4.0, 0, 0, 0) for r in range(12)])
+        self.told.probed(self.now, 0, True, (0.0, 4.0))
+        self.told.limit = 1.0
+        for _n in range(10):  # ten starts after a long wait each bring the limit down to its floor
+            self.told._follow(self.now, self.now, 5000 * MS)
+        self.say(f"limit {self.told.limit:.0f} of {12 * 4} slots over four dispatchers")
+        self.close("grown-fair")
