--- a/crankfold/dispatch/policy.py
+++ b/crankfold/dispatch/policy.py
@@ -74,7 +74,10 @@
         self.quiet = 5 * orders.progress // 2  # started work without progress for so long stands still
         at = {name: place for place, name in enumerate(orders.report_names)}
         self.at_queue, self.at_free = at.get("queue", -1), at.get("free_slots", -1)
-        self.refused, self.ask_pause = 0, max(min(orders.ask_within // 8, 2 * SECOND), 1)
+        # The list serves few calls a second: all together at most ten, at first and at each repeat.
+        few = max(min(orders.ask_within // 8, 2 * SECOND), 1)
+        self.refused, self.ask_pause, self.ask_longest = 0, few, 2 * max(orders.ask_within, few)
+        self.ask_spread = min(self.sharers * SECOND // 10, orders.ask_within // 2)
         self.probe_all = orders.may_probe and orders.reports_by_probe
         self.probe_some = orders.may_probe and orders.reports_in_answers
         self.cold_from, self.warm_after = orders.cold_from, orders.warm_after
@@ -117,8 +120,10 @@
         self.next_probe, self.room_of_one, self.middle_pace = 0, 1.0, 1.0
         self.brisk = 0.0  # usual running time of hinted work on a slot of weight 1; 0 while not known
         self.mean, self.strength = 0.0, 1.0  # of others' work; of the fleet
-        if orders.must_ask:
+        if orders.must_ask and self.ask_spread < SECOND:
             port.subscribe()
+        elif orders.must_ask:
+            port.wake(self._draw(self.ask_spread), LIST)  # forty that start together would all be turned away
 
     def _draw(self, below: int) -> int:
         self.luck = (self.luck * 6364136223846793005 + 1442695040888963407) & 0xFFFFFFFFFFFFFFFF
@@ -403,8 +408,9 @@
             self.per_weight[r] = slow / (self.weight[r] * self._warmth(now, r))
 
     def list_failed(self, now: int) -> None:
-        # A jittered pause: all dispatchers lose the list at once and would ask again at once.
-        pause = self.ask_pause << min(self.refused, 2)  # longer each time: the list serves few calls a second
+        # A jittered pause, longer each time: all lose the list at once and would ask again at once, and a
+        # service whose queue outlasts its callers' patience works for nobody until enough stay away.
+        pause = min(max(self.ask_pause, self.ask_spread) << min(self.refused, 4), self.ask_longest)
         self.port.wake(pause // 4 + self._draw(pause), LIST)
         self.refused += 1
 
--- a/crankfold/network/watch.py
+++ b/crankfold/network/watch.py
@@ -5,10 +5,11 @@
 
 from crankfold.dispatch.interface import Listing
 from crankfold.network.tally import Tally
-from crankfold.protocol.discovery import DiscoverySide, Enlist, Unreadable
+from crankfold.protocol.discovery import DiscoverySide, Enlist, TurnedAway, Unreadable
 
 WAIT_MS = 4000
-GRACE = 1.0  # an answer that is so much later than it could wait does not come any more
+CONNECT = 1.0
+TURN = 6.0  # where many ask at once they are answered in turn; who hangs up sooner has asked in vain
 PAUSE = 0.25
 QUICKEST = 0.02  # an agent that answers without waiting must not keep us busy; a watch lasts over 0.2 s
 LUMP = 64 * 1024
@@ -29,16 +30,19 @@
     def move(self, host: str, port: int, again: bool) -> None:
         """To another agent, at once: what the old one still says and its versions mean nothing there."""
         self.stop()
-        self.host, self.port, self.task = host, port, None
+        self.host, self.port, self.task, self.rev = host, port, None, -1
         self.start(again)
 
     async def _run(self, again: bool) -> None:
         while True:
-            self.rev = -1
             try:
                 while True:  # an answer may close its connection without ending the watch
                     await self._watch()
             except (OSError, TimeoutError, Unreadable) as broken:
+                # A call that was not answered leaves the versions as they are, and changes are a shorter
+                # answer than the whole list.
+                if isinstance(broken, Unreadable) and not isinstance(broken, TurnedAway):
+                    self.rev = -1
                 self.tally.count("discovery-failed")
                 self.tally.say("discovery", f"{type(broken).__name__}: {broken}; the old list stands")
             self.failed()
@@ -48,15 +52,14 @@
 
     async def _watch(self) -> None:
         loop = asyncio.get_running_loop()
-        async with asyncio.timeout(GRACE):
+        async with asyncio.timeout(CONNECT):
             reader, writer = await asyncio.open_connection(self.host, self.port)
         try:
             side = DiscoverySide(f"{self.host}:{self.port}")
             while True:
                 asked_at = loop.time()
                 writer.write(side.ask(self.rev, WAIT_MS))
-                # The whole list comes at once if it comes at all.
-                async with asyncio.timeout(GRACE + (WAIT_MS / 1000 if self.rev >= 0 else 0)):
+                async with asyncio.timeout(TURN + (WAIT_MS / 1000 if self.rev >= 0 else 0)):
                     while not side.feed(data := await reader.read(LUMP)):
                         if not data:
                             raise Unreadable("the connection ended")
--- a/crankfold/protocol/discovery.py
+++ b/crankfold/protocol/discovery.py
@@ -15,6 +15,10 @@
     """The list could not be read as a whole: the old one stands."""
 
 
+class TurnedAway(Unreadable):
+    """The call was not served; what was told before still holds."""
+
+
 class Enlist(Protocol):
     """Turns an entry's names into places."""
 
@@ -88,5 +92,5 @@
 
     def told(self, enlist: Enlist) -> tuple[int, bool, list[Listing]]:
         if self.status != 200:
-            raise Unreadable(f"status {self.status}")
+            raise TurnedAway(f"status {self.status}")
         return read_list(self.body, enlist)
--- a/crankfold/service/node.py
+++ b/crankfold/service/node.py
@@ -119,12 +119,18 @@
         loop.add_signal_handler(signal.SIGHUP, self._renew)
         if self.known is not None:
             try:
-                _, whole, entries = read_list(orjson.dumps(self.known), self.fleet.enlist)
+                rev, whole, entries = read_list(orjson.dumps(self.known), self.fleet.enlist)
                 self.desk.listed(entries, whole)
+                if self.must_ask:
+                    # Asked for when the decisions say so; what changed since is a shorter answer than all.
+                    self.watch.rev = rev
+                    self.heard.set()
             except ValueError as wrong:
                 self.tally.say("known", f"{wrong}; starting without a list")
         if not self.must_ask:
             self.watch.start(True)
+        elif not self.heard.is_set():
+            self.watch.start(False)
         # What was known may be long out of date after a restart; units would go to runners that are gone.
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(FIRST_LIST):
--- a/tests/test_grown.py
+++ b/tests/test_grown.py
@@ -18,7 +18,7 @@
     def __init__(self, seed: int, **orders: object) -> None:
         self.wakes: list[tuple[int, int]] = []
         self.went: list[tuple[int, int, int]] = []  # when, unit, runner
-        self.now = 100_000
+        self.now, self.asked = 100_000, list[int]()
         self.told = Dispatcher(replace(ORDERS, **orders), seed, self)  # type: ignore[arg-type]
 
     def dispatch(self, unit: int, runner: int, limit: int) -> None:
@@ -28,7 +28,9 @@
     def give_up(self, unit: int) -> None: ...
     def cancel(self, unit: int, nth: int) -> None: ...
     def probe(self, runner: int) -> None: ...
-    def subscribe(self) -> None: ...
+
+    def subscribe(self) -> None:
+        self.asked.append(self.now)
 
     def wake(self, after: int, label: int) -> None:
         self.wakes.append((self.now + after, label))
@@ -101,6 +103,35 @@
         self.close("grown-cold")
 
 
+    def test_a_list_service_with_a_queue_gets_to_answer_all_that_start_together(self) -> None:
+        # It serves five calls a second in turn, takes no more than four seconds of them, and answers nobody
+        # who has waited for two: with all asking again and again its queue stayed just too long for ever.
+        self.open(must_ask=True)
+        free_at, known, asked, in_turn = 100_000, set[Post](), 0, list[tuple[int, Post, bool]]()
+        for now in range(100_000, 400_000, 100):
+            for answer in [a for a in in_turn if a[0] <= now]:
+                in_turn.remove(answer)
+                _, post, well = answer
+                if well:
+                    known.add(post)
+                else:
+                    post.told.list_failed(now)
+            for post in self.posts:
+                post.pass_to(now)
+                for _ in post.asked:
+                    asked += 1
+                    if free_at > now + 40_000:
+                        post.told.list_failed(now)
+                        continue
+                    free_at = max(free_at, now) + 2_000
+                    in_turn.append((min(free_at, now + 20_000), post, free_at <= now + 20_000))
+                post.asked.clear()
+            if now in (200_000, 399_900):
+                self.say(f"after {now / 10_000 - 10:.0f} s {len(known)} of {DISPATCHERS} have the list")
+        self.say(f"with less than three calls each: {asked < 3 * DISPATCHERS}")
+        self.close("grown-list")
+
+
 class ColdFirst(Scene):
     def open_with_cold(self) -> None:
         self.open(runners=0, free=0, overload_factor=4.0)
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -354,6 +354,32 @@
         self.close("watch")
 
 
+    async def test_a_call_waits_its_turn_and_asks_for_changes_after_a_refusal(self) -> None:
+        told = asyncio.Event()
+
+        async def discovery(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            self.say((await read_request(reader))[0].splitlines()[0])
+            if len(self.lines) == 1:
+                writer.write(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+                return
+            await asyncio.sleep(1.2)  # others were before us
+            body = b'{"rev":6,"all":false,"targets":[{"uid":"a","endpoint":"h:1","state":"in_service"}]}'
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+            await reader.read()
+
+        def heard(entries: Any, whole: bool) -> None:
+            self.say(f"told {'the whole' if whole else 'changes'}")
+            told.set()
+
+        watch = Watch("127.0.0.1", await self.stand_in(discovery), Mock(), heard, lambda: None,
+                      Tally(), pause=0.01)
+        watch.rev = 5
+        watch.start(True)
+        async with asyncio.timeout(5):
+            await told.wait()
+        watch.stop()
+        self.close("watch-turn")
+
     async def test_an_agent_that_answers_without_waiting_keeps_nobody_busy(self) -> None:
         asked: list[str] = []
 
