--- /dev/null
+++ b/crankfold/emulator/__init__.py
@@ -0,0 +1,1 @@
+"""A world in simulated time in which many real dispatchers stand behind their ports."""
--- /dev/null
+++ b/crankfold/emulator/rules.py
@@ -0,0 +1,106 @@
+"""The four rules, checked from what happens in the world and not from what a policy keeps."""
+
+from collections import defaultdict, deque
+from dataclasses import dataclass, field
+
+from crankfold.dispatch.interface import Effect, Group, Standing, StandingOrders
+
+HISTORY = 12
+
+
+@dataclass(slots=True)
+class Record:
+    """What happened to one unit."""
+
+    dispatcher: int
+    unit: int
+    grade: int
+    cutoff: int
+    answered: str = ""
+    # When sent and where, unless known not to have run there.
+    may_have_run: list[tuple[int, int]] = field(default_factory=list)
+    past: deque[str] = field(default_factory=lambda: deque(maxlen=HISTORY))
+
+
+class Rules:
+    def __init__(self, orders: StandingOrders, grace: int) -> None:
+        self.orders, self.grace = orders, grace
+        self.units: dict[tuple[int, int], Record] = {}
+        self.zone: dict[int, int] = {}
+        self.cell: dict[int, int] = {}
+        # By dispatcher and runner: when it was told that the runner drains or is gone.
+        self.unwanted: dict[tuple[int, int], int] = {}
+        self.burdens: dict[int, deque[tuple[int, float]]] = defaultdict(deque)
+        self.broken: list[str] = []
+
+    def _break(self, now: int, rule: int, what: str, record: Record) -> None:
+        self.broken.append(f"rule {rule} at {now / 10:.1f} ms: unit {record.unit} of dispatcher "
+                           f"{record.dispatcher} {what}; before: {'; '.join(record.past)}")
+
+    def taken(self, now: int, dispatcher: int, unit: int, grade: int, cutoff: int) -> None:
+        record = self.units[dispatcher, unit] = Record(dispatcher, unit, grade, cutoff)
+        record.past.append(f"{now / 10:.1f} taken")
+
+    def told(self, now: int, dispatcher: int, runner: int, standing: Standing, zone: int, cell: int) -> None:
+        self.zone[runner], self.cell[runner] = zone, cell
+        if standing == Standing.READY:
+            self.unwanted.pop((dispatcher, runner), None)
+        else:
+            self.unwanted.setdefault((dispatcher, runner), now)
+
+    def dispatched(self, now: int, dispatcher: int, unit: int, runner: int) -> None:
+        record = self.units[dispatcher, unit]
+        if record.answered:
+            self._break(now, 1, f"was sent to runner {runner} after its answer", record)
+        since = self.unwanted.get((dispatcher, runner))
+        if since is not None and now > since + self.grace:
+            self._break(now, 3, f"was sent to runner {runner}, known to end since {since / 10:.1f}", record)
+        grade = self.orders.grades[record.grade]
+        for sent_at, other in record.may_have_run:
+            inside = grade.effect == Effect.TAGGED and now < sent_at + grade.window and (
+                grade.group == Group.ALL
+                or grade.group == Group.ZONE and self.zone[other] == self.zone[runner]
+                or grade.group == Group.CELL and self.cell[other] == self.cell[runner])
+            if grade.effect != Effect.REPEATABLE and not inside:
+                self._break(now, 2, f"was sent to runner {runner} though it may have run at {other}", record)
+        record.may_have_run.append((now, runner))
+        record.past.append(f"{now / 10:.1f} to {runner}")
+
+    def never_ran(self, now: int, dispatcher: int, unit: int, runner: int) -> None:
+        """A dispatch that is known not to have run: the last one there."""
+        record = self.units[dispatcher, unit]
+        for place in range(len(record.may_have_run) - 1, -1, -1):
+            if record.may_have_run[place][1] == runner:
+                del record.may_have_run[place]
+                break
+        record.past.append(f"{now / 10:.1f} not run at {runner}")
+
+    def answered(self, now: int, dispatcher: int, unit: int, how: str) -> None:
+        record = self.units[dispatcher, unit]
+        if record.answered:
+            self._break(now, 1, f"was answered again ({how})", record)
+        elif now > record.cutoff:
+            self._break(now, 1, f"was answered after its cut-off ({how})", record)
+        grade = self.orders.grades[record.grade]
+        harmless = grade.effect == Effect.REPEATABLE or (
+            grade.effect == Effect.TAGGED and grade.group == Group.ALL)
+        if how == "shed" and record.may_have_run and not harmless:
+            self._break(now, 2, "was shed though it may have run", record)
+        record.answered = how
+        record.past.append(f"{now / 10:.1f} {how}")
+
+    def arrived(self, now: int, dispatcher: int, unit: int, runner: int, burden: float,
+                capacity: float) -> None:
+        """At a cold runner: work that came within the stated time, against what it can do at this moment."""
+        came = self.burdens[runner]
+        came.append((now, burden))
+        while came[0][0] <= now - self.orders.overload_for:
+            came.popleft()
+        if sum(one for _, one in came) > self.orders.overload_factor * capacity * self.orders.overload_for:
+            self._break(now, 4, f"pushed the cold runner {runner} over", self.units[dispatcher, unit])
+
+    def over(self, now: int) -> None:
+        """At the end: whoever has no answer though the cut-off has passed."""
+        for record in self.units.values():
+            if not record.answered and now > record.cutoff:
+                self._break(now, 1, "has no answer", record)
