--- a/crankfold/cli.py
+++ b/crankfold/cli.py
@@ -4,6 +4,7 @@
 import signal
 import sys
 from functools import partial
+from typing import TextIO
 
 import click
 
@@ -67,6 +68,48 @@
                f"{', '.join(orders.report_names) or 'none'}; dispatches a unit: {orders.most_dispatches}")
 
 
+@main.command()
+@click.option("--dispatchers", default=40, show_default=True, type=click.IntRange(1, 2000))
+@click.option("--runners", default=60, show_default=True, type=click.IntRange(1, 2000))
+@click.option("--load", default=0.6, show_default=True, type=click.FloatRange(0.01, 3), help="Of all slots.")
+@click.option("--work", default=0.35, show_default=True, type=click.FloatRange(0.001, 60),
+              help="Mean running time, seconds.")
+@click.option("--report-every", default=1.0, show_default=True, type=click.FloatRange(0.01, 60),
+              help="Seconds.")
+@click.option("--seconds", default=10, show_default=True, type=click.IntRange(1, 3600))
+@click.option("--seeds", default=10, show_default=True, type=click.IntRange(2, 1000))
+@click.option("--policy", "policies", multiple=True, help="Against crankfold; again for more; all if none.")
+@click.option("--csv", "table", type=click.File("w", lazy=False), help="Where a row for each day goes.")
+def emulate(dispatchers: int, runners: int, load: float, work: float, report_every: float, seconds: int,
+            seeds: int, policies: tuple[str, ...], table: TextIO | None) -> None:
+    """Play emulated days and compare policies on the same seeds.
+
+    A unit counts if it is done in time: within 80 ms and twice its running time.
+    """
+    from crankfold.emulator import study  # not for `serve`, which starts without it
+    from crankfold.emulator.world import Scenario
+
+    chosen = policies or tuple(name for name in study.POLICIES if name != study.OURS)
+    unknown = [name for name in chosen if name not in study.POLICIES]
+    if unknown:
+        raise click.UsageError(f"no policy {unknown[0]!r}; there are {', '.join(study.POLICIES)}")
+    scenario = Scenario(dispatchers=dispatchers, runners=runners, work=int(work * 10_000), seconds=seconds,
+                        rate=load * runners * 4 / work / dispatchers, report_every=int(report_every * 10_000))
+    rows = [study.play(name, scenario, study.ORDERS, seed)
+            for seed in range(1, seeds + 1) for name in dict.fromkeys((study.OURS, *chosen))]
+    if table:
+        study.write(rows, table)
+    shares = {name: [row.in_time for row in rows if row.policy == name] for name in (study.OURS, *chosen)}
+    ours = shares[study.OURS]
+    click.echo(f"{study.OURS}: {sum(ours) / seeds:.3f} in time, over {seeds} seeds")
+    for name in chosen:
+        mean, low, high = study.interval(ours, shares[name])
+        click.echo(f"{name}: {sum(shares[name]) / seeds:.3f} in time; {study.OURS} {mean:+.3f} "
+                   f"({low:+.3f} to {high:+.3f}): {study.verdict(low, high)}")
+    broken = sum(row.broken for row in rows if row.policy == study.OURS)
+    click.echo(f"rules broken by {study.OURS}: {broken}")
+
+
 @main.command("version")
 def show_version() -> None:
     """Print the version."""
--- a/crankfold/emulator/world.py
+++ b/crankfold/emulator/world.py
@@ -92,12 +92,15 @@
         self.world, self.no, self.clock = world, no, world.clock
         self.count: dict[int, int] = {}
         self.work: dict[int, int] = {}
-        self.decisions = make(replace(world.orders, number=no, dispatchers=world.scenario.dispatchers),
+        self.came: dict[int, int] = {}
+        self.decisions = make(replace(world.orders, number=no, zone=no % 3,
+                                      dispatchers=world.scenario.dispatchers),
                               world.scenario.seed * 1000 + no, self)
 
     def take(self, unit: int, work: int) -> None:
         now = self.clock.now
-        self.work[unit], self.count[unit] = work, 0
+        self.work[unit], self.count[unit], self.came[unit] = work, 0, now
+        self.world.asked += 1
         cutoff = now + self.world.orders.grades[0].cutoff
         self.world.rules.taken(now, self.no, unit, 0, cutoff)
         self.decisions.taken(now, unit, 0, 0, cutoff, work, 1.0)
@@ -150,6 +153,8 @@
         last = bool(record.answered) or outcome == Outcome.DONE
         if outcome == Outcome.DONE and not record.answered:
             self.world.rules.answered(now, self.no, job.unit, "done")
+            grade = self.world.orders.grades[0]
+            self.world.in_time += now <= self.came[job.unit] + grade.expected + int(grade.stretch * job.work)
         self.decisions.ended(now, job.unit, job.nth, runner, outcome, last, report)
 
 
@@ -157,6 +162,7 @@
     def __init__(self, scenario: Scenario, orders: StandingOrders, make: Make, grace: int = 3_000) -> None:
         self.scenario, self.orders, self.clock = scenario, orders, Clockwork()
         self.rules = Rules(orders, grace)
+        self.asked = self.in_time = 0
         self.clock.now = SECOND
         self.runners = [Runner(self, r) for r in range(scenario.runners)]
         self.posts = [Post(self, no, make) for no in range(scenario.dispatchers)]
