--- a/crankfold/cli.py
+++ b/crankfold/cli.py
@@ -25,7 +25,8 @@
 @_config
 @click.option("--listen", envvar="GW_LISTEN", show_envvar=True, help="HOST:PORT, not the file's.")
 @click.option("--discovery", envvar="GW_DISCOVERY", show_envvar=True, help="HOST:PORT, not the file's.")
-def serve(config: str, listen: str | None, discovery: str | None) -> None:
+@click.option("--admin", envvar="GW_ADMIN_ADDR", show_envvar=True, help="HOST:PORT for operators' calls.")
+def serve(config: str, listen: str | None, discovery: str | None, admin: str | None) -> None:
     """Serve until SIGTERM or SIGINT, then drain.
 
     SIGHUP reads the file again: its address of discovery and its limits count from then on, whatever was
@@ -39,6 +40,8 @@
             given["listen"] = listen
         if discovery:
             given["discovery"] = discovery
+        if admin:
+            given["admin_addr"] = admin
         await Node(given, partial(read, config)).run()
 
     try:
--- a/crankfold/network/listener.py
+++ b/crankfold/network/listener.py
@@ -64,7 +64,7 @@
 
     def answer(self, status: int, heads: Sequence[tuple[bytes, bytes]] = (), body: bytes = b"") -> None:
         """The answer to the request in hand; what was pipelined behind it is read a turn later."""
-        self.side.last = self.side.last or self.host.draining
+        self.side.last = self.side.last or self.host.parting
         self.side.answer(status, heads, body)
         self._flush()
         self.answered.set()
@@ -120,7 +120,7 @@
         self.loop = asyncio.get_running_loop()
         self.clients: set[Client] = set()
         self.strangers: dict[Client, None] = {}  # no unit or call-back so far, the first to come first
-        self.draining = False
+        self.parting = False  # out of service or ending: answers are the last on their connections
         self.server: asyncio.Server | None = None
 
     async def open(self, host: str, port: int) -> None:
@@ -199,8 +199,13 @@
                 self.tally.count("connections-idle-closed")
                 client.close()
 
-    def close_idle(self) -> None:
+    def of_clients(self) -> bool:
+        return any(not client.side.calls_back for client in self.clients)
+
+    def close_idle(self, spare_call_backs: bool = False) -> None:
         for client in self.clients:
+            if spare_call_backs and client.side.calls_back:
+                continue
             if client.idle() and not client.side.closing and self.loop.time() - client.since > FRESH:
                 client.close()
 
--- a/crankfold/network/runners.py
+++ b/crankfold/network/runners.py
@@ -34,7 +34,7 @@
         self.pool, self.reader, self.writer = pool, reader, writer
         self.side = RunnerSide()
         self.errand: Errand | None = None
-        self.idle_since = 0.0
+        self.idle_since, self.came = 0.0, pool.loop.time()
         self.written = True
         self.draining: asyncio.Task[None] | None = None
         writer.transport.set_write_buffer_limits(high=0)  # so that drained means that nothing is left
@@ -154,6 +154,10 @@
             link.close()
         return None
 
+    def up_for(self, seconds: float) -> bool:
+        """Whether a connection at rest is open since before then: the process there is still the same."""
+        return any(link.fit() and self.loop.time() - link.came > seconds for link in self.idle)
+
     def wakened(self, link: Link) -> None:
         if link in self.sockets.resting:
             del self.sockets.resting[link]
--- a/crankfold/service/desk.py
+++ b/crankfold/service/desk.py
@@ -14,6 +14,7 @@
 from crankfold.orders.reader import HouseRules, plain
 from crankfold.protocol.reports import from_text
 from crankfold.protocol.runners import TAKEN, UNFIT, RunnerSide, dispatch_heads, outcome_of
+from crankfold.service.duty import Duty
 from crankfold.service.fleet import Fleet
 from crankfold.service.ledger import Ledger, Trip, Work
 
@@ -22,12 +23,11 @@
 
 class Desk:
     def __init__(self, orders: StandingOrders, rules: HouseRules, seed: int, timers: Timers, tally: Tally,
-                 fleet: Fleet, subscribe: Callable[[], None]) -> None:
+                 fleet: Fleet, duty: Duty, subscribe: Callable[[], None]) -> None:
         self.rules, self.timers, self.clock, self.tally = rules, timers, timers.clock, tally
-        self.fleet, self.subscribe = fleet, subscribe
+        self.fleet, self.duty, self.subscribe = fleet, duty, subscribe
         self.may_cancel = orders.may_cancel
         self.probe_target = b"/load" if orders.reports_in_answers or orders.reports_by_probe else b"/healthz"
-        self.ready = False
         self.crowded: Callable[[], bool] = lambda: False
         self.later = asyncio.get_running_loop().call_soon
         self.ledger = Ledger()
@@ -58,7 +58,7 @@
     # --- from clients ---
 
     def serving(self) -> bool:
-        return self.ready
+        return self.duty.healthy()
 
     def knows_grade(self, name: str) -> bool:
         return self.rules.grades.find(plain(name)) >= 0
@@ -260,8 +260,7 @@
     # --- from discovery ---
 
     def listed(self, entries: Sequence[Listing], whole: bool) -> None:
-        self.fleet.listed(entries, whole)
-        self.tell(self.decisions.listed, entries, whole)
+        self.tell(self.decisions.listed, self.fleet.listed(entries, whole), whole)
 
     def list_failed(self) -> None:
         self.tell(self.decisions.list_failed)
--- a/crankfold/service/fleet.py
+++ b/crankfold/service/fleet.py
@@ -2,6 +2,7 @@
 
 import zlib
 from collections.abc import Callable, Sequence
+from dataclasses import replace
 from functools import partial
 
 from crankfold.dispatch.interface import Listing, Standing
@@ -10,6 +11,7 @@
 from crankfold.orders.places import Places
 from crankfold.orders.reader import HouseRules, plain
 from crankfold.protocol.runners import RunnerSide
+from crankfold.service.bans import Bans
 
 ANSWER_WITHIN = 10_000  # for exchanges that carry no unit
 
@@ -20,6 +22,8 @@
         self.numbers: Places[str] = Places()
         self.address: list[tuple[str, int, int]] = []  # host, port and start
         self.standing: list[Standing] = []
+        self.said: list[Listing] = []  # each runner's entry as it was listed last, without bans
+        self.bans = Bans()
         self.pools: list[Pool] = []
 
     def enlist(self, uid: str, host: str, port: int, zone: str, kind: str, cell: int, standing: Standing,
@@ -28,6 +32,7 @@
         if runner == len(self.pools):
             self.address.append((host, port, boot_ms))
             self.standing.append(Standing.GONE)
+            self.said.append(Listing(runner, Standing.GONE, 0.0, 0, 0, 0))
             self.pools.append(Pool(host, port, self.sockets))
         elif self.address[runner] != (host, port, boot_ms):
             # A process that started anew or moved: connections to the old one are not used.
@@ -38,11 +43,40 @@
         return Listing(runner, standing, weight, self.rules.zones.place(plain(zone)), cell, boot_ms * 10,
                        self.rules.kinds.place(plain(kind)), mark)
 
-    def listed(self, entries: Sequence[Listing], whole: bool) -> None:
+    def listed(self, entries: Sequence[Listing], whole: bool) -> list[Listing]:
+        """The entries with the bans laid over them: what counts from here on."""
         if whole:
             self.standing = [Standing.GONE] * len(self.standing)
+            self.said = [replace(entry, standing=Standing.GONE) for entry in self.said]
         for entry in entries:
-            self.standing[entry.runner] = entry.standing
+            self.said[entry.runner] = entry
+        return [self._counts(entry.runner) for entry in entries]
+
+    def _counts(self, runner: int) -> Listing:
+        entry = self.bans.over(self.numbers.names[runner], self.said[runner])
+        self.standing[runner] = entry.standing
+        return entry
+
+    def out(self, uid: str) -> Listing | None:
+        """Out by hand: its entry from now on, if that is another; a KeyError if it was never listed."""
+        runner = self._known(uid)
+        return self._counts(runner) if self.bans.out(uid, self.timers.clock.now()) else None
+
+    def back(self, uid: str) -> Listing | None:
+        runner = self._known(uid)
+        since = self.bans.since.get(uid)
+        now = self.timers.clock.now()
+        ran_on = since is not None and self.pools[runner].up_for((now - since) / 10_000)
+        return self._counts(runner) if self.bans.back(uid, now, ran_on) else None
+
+    def _known(self, uid: str) -> int:
+        runner = self.numbers.find(uid)
+        if runner < 0:
+            raise KeyError(uid)
+        return runner
+
+    def anywhere(self) -> bool:
+        return Standing.READY in self.standing
 
     def errand(self, runner: int, method: bytes, target: bytes,
                ended: Callable[[str, RunnerSide | None], None]) -> None:
--- a/crankfold/service/node.py
+++ b/crankfold/service/node.py
@@ -12,6 +12,7 @@
 import orjson
 
 from crankfold.dispatch.interface import Listing
+from crankfold.network.door import PLACES, Door
 from crankfold.network.listener import SWEEP, UNCOUNTED, Listener
 from crankfold.network.runners import Sockets
 from crankfold.network.tally import Tally
@@ -20,7 +21,9 @@
 from crankfold.orders.reader import from_nested, house_rules, standing_orders
 from crankfold.protocol.discovery import read_list
 from crankfold.service.desk import Desk
+from crankfold.service.duty import Duty
 from crankfold.service.fleet import Fleet
+from crankfold.service.operations import Operations
 
 FIRST_LIST = 0.3  # seconds that a start waits for discovery, which may be down
 COMING = 0.45  # connections go on arriving for so long after the order to end
@@ -53,19 +56,20 @@
     return dict(given)
 
 
-def shares(given: dict[str, Any]) -> tuple[int, int]:
+def shares(given: dict[str, Any], door: bool) -> tuple[int, int]:
     """Of the sockets: how many to runners, and how many for those that connect; some stay free."""
     try:
         sockets = max(int((given.get("limits") or {}).get("sockets") or 1024), 64)
     except (AttributeError, TypeError, ValueError):
         raise Unusable("limits: sockets is no number") from None
     # Free for files, discovery, and what is let go but a turn later, on either side.
-    return sockets // 4, sockets - sockets // 4 - sockets // 16 - UNCOUNTED
+    doors = PLACES + 4 if door else 0
+    return sockets // 4, sockets - sockets // 4 - sockets // 16 - UNCOUNTED - doors
 
 
 def marks(given: dict[str, Any]) -> dict[str, int]:
     """By which a later configuration is told from this one, part by part, without keeping it."""
-    taken_over = ("discovery", "limits", "known", "seed")
+    taken_over = ("discovery", "limits", "known", "seed", "admin_addr")
     return {name: zlib.crc32(orjson.dumps(part, option=orjson.OPT_SORT_KEYS))
             for name, part in given.items() if name not in taken_over}
 
@@ -82,13 +86,17 @@
         self.tally = Tally()
         self.timers = Timers(Clock(), self.tally)
         self.at = address(given["listen"], "listen")
-        to_runners, others = shares(given)
+        self.door_at = address(given["admin_addr"], "admin_addr") if given.get("admin_addr") else None
+        to_runners, others = shares(given, self.door_at is not None)
         # Runners close a connection at rest for the whole time; half of it is well before that.
         self.sockets = Sockets(to_runners, rules.connect_within / 10_000, rules.idle_for / 20_000, self.tally)
         self.fleet = Fleet(rules, self.timers, self.sockets)
-        self.desk = Desk(orders, rules, seed, self.timers, self.tally, self.fleet, self._subscribe)
+        self.duty = Duty()
+        self.desk = Desk(orders, rules, seed, self.timers, self.tally, self.fleet, self.duty, self._subscribe)
         self.listener = Listener(self.desk, self.tally, rules.report_fields, others)
         self.desk.crowded = self.listener.crowded
+        self.operations = Operations(self.desk, self.listener, self.duty)
+        self.door = Door(self.operations, self.tally)
         host, port = address(given["discovery"], "discovery")
         self.watch = Watch(host, port, self.fleet.enlist, self._listed, self._list_failed, self.tally)
         self.heard = asyncio.Event()
@@ -131,6 +139,11 @@
             self.watch.start(True)
         elif not self.heard.is_set():
             self.watch.start(False)
+        if self.door_at:
+            try:
+                await self.door.open(*self.door_at)
+            except OSError as wrong:
+                raise Unusable(f"{self.door_at[0]}:{self.door_at[1]}: {wrong.strerror or wrong}") from None
         # What was known may be long out of date after a restart; units would go to runners that are gone.
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(FIRST_LIST):
@@ -139,8 +152,11 @@
             await self.listener.open(*self.at)
         except OSError as wrong:
             raise Unusable(f"{self.at[0]}:{self.at[1]}: {wrong.strerror or wrong}") from None
-        self.desk.ready = True
+        self.duty.begin(loop.time())
         print(f"crankfold: serving on {self.at[0]}:{self.listener.port()}", file=sys.stderr, flush=True)
+        if self.door_at:
+            told = f"operators at {self.door_at[0]}:{self.door.port()}"
+            print(f"crankfold: {told}", file=sys.stderr, flush=True)
         loop.call_later(SWEEP, self._sweep)
         await self.ending.wait()
         await self._drain()
@@ -152,7 +168,7 @@
         try:
             given = self.reread()
             host, port = address(given["discovery"], "discovery")
-            self.sockets.most, self.listener.most = shares(given)
+            self.sockets.most, self.listener.most = shares(given, self.door_at is not None)
         except Unusable as wrong:
             self.tally.count("configurations-unusable")
             self.tally.say("configuration", f"{wrong}; the old one stands")
@@ -173,11 +189,11 @@
         loop = self.timers.loop
         end = loop.time() + min(self.longest, LONGEST_DRAIN) + OVER
         print("crankfold: draining", file=sys.stderr, flush=True)
-        self.desk.ready = False
+        self.duty.end(loop.time())
         await asyncio.sleep(COMING)
         while loop.time() < end - ENDING and self.listener.clients:
             await asyncio.sleep(0.01)
-        self.listener.draining = True
+        self.listener.parting = True
         self.listener.close_idle()
         while loop.time() < end and self.desk.open_units():
             await asyncio.sleep(0.01)
@@ -187,6 +203,7 @@
         loop.remove_signal_handler(signal.SIGHUP)
         signal.signal(signal.SIGHUP, signal.SIG_IGN)
         self.watch.stop()
+        await self.door.close()
         await self.listener.close()
         self.report()
 
--- /dev/null
+++ b/crankfold/service/operations.py
@@ -0,0 +1,75 @@
+"""Where operators' calls meet the desk, the runners and the clients' connections."""
+
+import sys
+from collections.abc import Sequence
+
+from crankfold.dispatch.interface import Listing
+from crankfold.network.listener import Listener
+from crankfold.service.desk import Desk
+from crankfold.service.duty import Duty
+
+LOOK_EVERY = 0.05  # seconds, during a drain
+
+
+class Operations:
+    def __init__(self, desk: Desk, listener: Listener, duty: Duty) -> None:
+        self.desk, self.fleet, self.tally = desk, desk.fleet, desk.tally
+        self.listener, self.duty, self.loop = listener, duty, desk.timers.loop
+        self.looking = False
+
+    def ready(self) -> bool:
+        """A unit would be taken now, and there is somewhere to send it."""
+        return self.duty.healthy() and self.fleet.anywhere()
+
+    async def out(self, uid: str) -> bool:
+        return self._lay(self.fleet.out, uid, "runners-taken-out")
+
+    async def back(self, uid: str) -> bool:
+        return self._lay(self.fleet.back, uid, "runners-put-back")
+
+    def _lay(self, how: object, uid: str, what: str) -> bool:
+        assert callable(how)
+        try:
+            entry: Listing | None = how(uid)
+        except KeyError:
+            self.tally.count("runners-not-known")
+            return False
+        if entry:
+            self.tally.count(what)
+            print(f"crankfold: {what}: {uid!r}", file=sys.stderr, flush=True)
+            self.changed([entry])
+        return True
+
+    def changed(self, entries: Sequence[Listing]) -> None:
+        self.desk.tell(self.desk.decisions.listed, entries, False)
+
+    def leave_service(self) -> None:
+        if self.duty.leave(self.loop.time()):
+            self.tally.count("drains")
+            print("crankfold: out of service, draining", file=sys.stderr, flush=True)
+        self._look()
+
+    def enter_service(self) -> bool:
+        may = self.duty.come_back(self.loop.time())
+        if may and self.listener.parting:
+            self.listener.parting = False
+            print("crankfold: back in service", file=sys.stderr, flush=True)
+        return may
+
+    def _look(self) -> None:
+        if not self.looking:
+            self.looking = True
+            self._go_on()
+
+    def _go_on(self) -> None:
+        """Connections to clients go one by one, until there is none."""
+        self.looking = self.duty.leaving()
+        if not self.looking:
+            return
+        now = self.loop.time()
+        self.listener.parting = True
+        if self.duty.closes_idle(now):
+            self.listener.close_idle(spare_call_backs=True)
+        if self.duty.tend(now, not self.desk.open_units() and not self.listener.of_clients()):
+            print("crankfold: out of service, nobody left", file=sys.stderr, flush=True)
+        self.loop.call_later(LOOK_EVERY, self._go_on)
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -8,8 +8,6 @@
 import socket
 import sys
 import tempfile
-import unittest
-from collections.abc import Awaitable, Callable
 from functools import partial
 from pathlib import Path
 from typing import Any
@@ -23,40 +21,8 @@
 from crankfold.network.timers import Clock, Timers
 from crankfold.network.watch import Watch
 from crankfold.protocol.runners import RunnerSide
-from crankfold.service.node import Node
-from tests.scene import Kept, read_request
-
-Handler = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
-UNIT = (
-    b"POST /api HTTP/1.1\r\nHost: b\r\nX-Request-ID: u1\r\nX-Priority-Class: g\r\n"
-    b"X-Timeout: 1\r\nContent-Length: 2\r\n\r\nhi"
-)
-HEALTH = b"GET /healthz HTTP/1.1\r\nHost: b\r\n\r\n"
-BACK = (
-    b"POST /v1/job-events HTTP/1.1\r\nHost: b\r\nContent-Length: 40\r\n\r\n"
-    b'{"id":"u0","from":"a","state":"started"}'
-)
-OK = b"HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n"
-
-
-class Loopback(Kept, unittest.IsolatedAsyncioTestCase):
-    async def stand_in(self, handler: Handler) -> int:
-        async def served(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-            try:
-                await handler(reader, writer)
-            except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
-                pass  # the other side is done, or the test
-            finally:
-                writer.close()
-
-        server = await asyncio.start_server(served, "127.0.0.1", 0)
-        self.addCleanup(server.close)
-        return int(server.sockets[0].getsockname()[1])
-
-    async def until(self, holds: Callable[[], bool]) -> None:
-        async with asyncio.timeout(5):
-            while not holds():
-                await asyncio.sleep(0.001)
+from tests.loopback import BACK, HEALTH, OK, UNIT, Between, Loopback
+from tests.scene import read_request
 
 
 class Listeners(Loopback):
@@ -416,80 +382,7 @@
         self.assertGreaterEqual(woken[5], 0)
 
 
-class Whole(Loopback):
-    """A dispatcher between a client, a runner and discovery that the test plays."""
-
-    async def begin(self, runner: Handler, **settings: Any) -> None:
-        self.runner_port = await self.stand_in(runner)
-        self.state, self.changed = "in_service", asyncio.Event()
-
-        async def discovery(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-            while True:
-                if "after=" in (await read_request(reader))[0]:
-                    await self.changed.wait()
-                    self.changed.clear()
-                body = orjson.dumps(self.targets())
-                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
-
-        grade = {"name": "g", "effect": "safe", "cut-off": 3_000_000, "expected-time": 2_000_000}
-        self.given: dict[str, Any] = {
-            "listen": "127.0.0.1:0",
-            "discovery": f"127.0.0.1:{await self.stand_in(discovery)}",
-            "seed": "1f",
-            "known": self.targets(),
-            "limits": {"sockets": 256},
-            "settings": {
-                "allowed": {"most-dispatches": 2, "cancel": True},
-                "service-grades": [grade],
-                "specifics": {"tells-start": True},
-                "tick": 2000,
-                **settings,
-            },
-        }
-
-    def targets(self) -> dict[str, Any]:
-        return {
-            "rev": 1,
-            "all": True,
-            "targets": [{"uid": "a", "endpoint": f"127.0.0.1:{self.runner_port}", "state": self.state}],
-        }
-
-    async def inside(self) -> None:
-        self.node = Node(self.given, lambda: self.given)
-        running = asyncio.create_task(self.node.run())
-        await self.until(lambda: self.node.desk.ready)
-        assert self.node.listener.server
-        self.port = self.node.listener.server.sockets[0].getsockname()[1]
-
-        async def end() -> None:
-            self.node.ending.set()
-            await running
-
-        self.addAsyncCleanup(end)
-
-    async def ask(self, ident: str, heads: str = "", wait: float = 2.5) -> tuple[str, bytes]:
-        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
-        writer.write(
-            f"POST /api?x=1 HTTP/1.1\r\nHost: b\r\nX-Request-ID: {ident}\r\nX-Priority-Class: g\r\n"
-            f"X-Timeout: {wait}\r\nContent-Length: 2\r\n{heads}\r\nhi".encode()
-        )
-        try:
-            async with asyncio.timeout(5):
-                head, answer = await read_request(reader)
-        finally:
-            writer.close()
-        return head.split("\r\n")[0], answer
-
-    async def tell(self, **told: Any) -> None:
-        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
-        body = orjson.dumps(told)
-        writer.write(
-            b"POST /v1/job-events HTTP/1.1\r\nHost: b\r\nContent-Length: %d\r\n\r\n" % len(body) + body
-        )
-        head, _ = await read_request(reader)
-        self.say(f"  {told} {head.split()[1]}")
-        writer.close()
-
+class Whole(Between):
     async def test_a_unit_from_client_to_runner_and_back(self) -> None:
         told = asyncio.Event()
 
@@ -679,37 +572,6 @@
         self.assertIn("ValueError('a bug')", printed)
         self.assertEqual(self.process.returncode, 0, printed)
 
-    async def outside(self, command: list[str]) -> asyncio.Task[str]:
-        """The program as operators start it; gives what it prints until it ends."""
-        folder = Path(self.enterContext(tempfile.TemporaryDirectory()))
-        self.file = folder / "config.json"
-        self.file.write_bytes(orjson.dumps(self.given))
-        self.process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            *command,
-            stderr=asyncio.subprocess.PIPE,
-            limit=1 << 20,
-            env={**os.environ, "GW_CONFIG": str(self.file)},
-        )
-        errors = self.process.stderr
-        assert errors
-        self.addAsyncCleanup(self.put_down)
-        first = (await errors.readline()).decode()
-        self.assertIn("serving on", first)
-        self.port = int(first.rpartition(":")[2])
-
-        async def rest() -> str:
-            printed = first + (await errors.read()).decode()
-            await self.process.wait()
-            return printed
-
-        return asyncio.create_task(rest())
-
-    async def put_down(self) -> None:
-        if self.process.returncode is None:  # a test that failed must leave nothing running
-            self.process.kill()
-            await self.process.wait()
-
     async def test_sigterm_with_units_in_hand(self) -> None:
         taken = asyncio.Queue[str]()
 
--- /dev/null
+++ b/tests/test_operators.py
@@ -0,0 +1,290 @@
+"""The operators' door, bans and duty: bytes, decisions told the time, and a dispatcher on loopback."""
+
+import asyncio
+import contextlib
+import time
+from unittest.mock import AsyncMock, Mock, patch
+
+import orjson
+
+from crankfold.dispatch.interface import Listing, Standing
+from crankfold.network.door import PLACES, Door
+from crankfold.network.runners import Errand
+from crankfold.network.tally import Tally
+from crankfold.protocol.operators import MOST_CALL, OperatorSide, carry_out
+from crankfold.service.bans import Bans
+from crankfold.service.duty import Duty
+from tests.loopback import OK, Between, Loopback
+from tests.scene import Kept, read_request
+
+CALLS = {
+    "ready": b"GET /control/ready HTTP/1.1\r\nHost: b\r\n\r\n",
+    "out": b"POST /control/runners/s-1/offline HTTP/1.1\r\nHost: b\r\nContent-Length: 2\r\n\r\nhi",
+    "in, an odd id": b"POST /control/runners/a%2Fb%20c/online?why=x HTTP/1.0\r\n\r\n",
+    "never listed": b"POST /control/runners/nobody/offline HTTP/1.1\r\nHost: b\r\n\r\n",
+    "drain, in chunks": b"POST /control/out-of-service HTTP/1.1\r\nHost: b\r\n"
+                        b"Transfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n",
+    "back": b"POST /control/in-service HTTP/1.1\r\nHost: b\r\n\r\n",
+    "twice in one": b"GET /control/ready HTTP/1.1\r\nHost: b\r\n\r\n" * 2,
+    "wrong method": b"GET /control/in-service HTTP/1.1\r\nHost: b\r\n\r\n",
+    "ready by post": b"POST /control/ready HTTP/1.1\r\nHost: b\r\n\r\n",
+    "no such path": b"POST /control/runners HTTP/1.1\r\nHost: b\r\n\r\n",
+    "no id": b"POST /control/runners//offline HTTP/1.1\r\nHost: b\r\n\r\n",
+    "a long id": b"POST /control/runners/" + b"x" * 300 + b"/offline HTTP/1.1\r\nHost: b\r\n\r\n",
+    "no HTTP": b"ready?\r\n\r\n",
+    "a bad length": b"POST /control/in-service HTTP/1.1\r\nHost: b\r\nContent-Length: -1\r\n\r\n",
+    "no host": b"GET /control/ready HTTP/1.1\r\n\r\n",
+    "too long": b"POST /control/in-service HTTP/1.1\r\nHost: b\r\nContent-Length: 9000\r\n\r\n" + b"x" * 9000,
+    "a head without end": b"GET /control/ready HTTP/1.1\r\n" + b"X-A: b\r\n" * 2 * (MOST_CALL // 8),
+}
+
+
+class Calls(Loopback):
+    async def test_calls_whole_and_cut_at_every_byte(self) -> None:
+        for what, call in CALLS.items():
+            whole = await self.answered([call])
+            self.say(f"{what}: {whole}")
+            for cut in range(1, min(len(call), 400)):
+                self.assertEqual(await self.answered([call[:cut], call[cut:]]), whole, f"{what} at {cut}")
+        self.close("operators-calls")
+
+    async def answered(self, pieces: list[bytes]) -> str:
+        told: list[str] = []
+
+        def heard(what: str, yes: bool) -> bool:
+            told.append(what)
+            return yes
+
+        operated = Mock(
+            ready=lambda: heard("ready?", False), leave_service=lambda: heard("leave", True),
+            out=AsyncMock(side_effect=lambda uid: heard(f"out {uid!r}", uid != "nobody")),
+            back=AsyncMock(side_effect=lambda uid: heard(f"back {uid!r}", True)),
+            enter_service=lambda: heard("enter", True))
+        side = OperatorSide()
+        for piece in pieces:
+            side.feed(piece)
+        if side.call:
+            await carry_out(side, operated)
+        head, _, body = b"".join(side.out).partition(b"\r\n\r\n")
+        self.assertIn(b"Connection: close", head)
+        return f"{', '.join(told) or '-'}: {head.split()[1].decode()} {body.decode().strip()}"
+
+    async def test_silent_callers_by_hundreds_keep_nobody_out(self) -> None:
+        tally = Tally()
+        door = Door(Mock(ready=lambda: True), tally)
+        await door.open("127.0.0.1", 0)
+        self.addAsyncCleanup(door.close)
+        silent = []
+        for n in range(120):
+            reader, writer = await asyncio.open_connection("127.0.0.1", door.port())
+            self.addCleanup(writer.close)
+            writer.write(b"" if n % 2 else b"GET /control/re")
+            silent.append(reader)
+            self.assertLessEqual(len(door.callers), PLACES)
+        began = time.monotonic()
+        self.assertEqual(await self.call(door.port(), "ready", "GET"), "200 ready")
+        self.assertLess(time.monotonic() - began, 0.5)
+        with contextlib.suppress(ConnectionError):
+            self.assertEqual(await silent[0].read(), b"")  # the first to come went for the last
+        async with asyncio.timeout(5):  # and who stays without a call is told so
+            self.assertIn(b" 408 ", await silent[-1].readline())
+        await self.until(lambda: not door.callers)
+
+    async def test_who_waits_for_a_decision_is_not_sent_away_for_who_says_nothing(self) -> None:
+        decided = asyncio.Event()
+
+        async def out(uid: str) -> bool:
+            await decided.wait()
+            return True
+
+        door = Door(Mock(out=out), Tally())
+        await door.open("127.0.0.1", 0)
+        self.addAsyncCleanup(door.close)
+        waiting = asyncio.create_task(self.call(door.port(), "runners/a/offline"))
+        await self.until(lambda: any(side.call for side in door.callers))
+        for _ in range(2 * PLACES):
+            _, writer = await asyncio.open_connection("127.0.0.1", door.port())
+            self.addCleanup(writer.close)
+        await asyncio.sleep(0.05)
+        decided.set()
+        self.assertEqual(await waiting, "200 offline")
+
+
+class Decided(Kept):
+    def test_bans_lie_over_what_is_listed(self) -> None:
+        bans = Bans()
+
+        def listed(now: int, standing: Standing, since: int) -> None:
+            entry = bans.over("a", Listing(0, standing, 1.0, 0, 0, since))
+            self.say(f"{now}: listed {standing.name.lower()} started {since}: counts as "
+                     f"{entry.standing.name.lower()} started {entry.since}")
+
+        listed(10, Standing.READY, 0)
+        self.say(f"20: out {bans.out('a', 20)}, again {bans.out('a', 25)}")
+        listed(30, Standing.READY, 0)
+        listed(31, Standing.DRAINING, 0)
+        listed(32, Standing.GONE, 0)
+        self.say("the list still shows the old start")
+        self.say(f"40: back {bans.back('a', 40, False)}, again {bans.back('a', 41, False)}")
+        listed(42, Standing.READY, 0)
+        self.say("out and back once more, on the same connection: as cold as before")
+        self.say(f"44: out {bans.out('a', 44)}; 45: back {bans.back('a', 45, True)}")
+        listed(46, Standing.READY, 0)
+        self.say("the list catches up")
+        listed(50, Standing.READY, 24)
+        listed(51, Standing.READY, 24)
+        self.say(f"60: out {bans.out('a', 60)}; 70: back, never restarted {bans.back('a', 70, True)}")
+        listed(71, Standing.READY, 24)
+        self.close("operators-bans")
+
+    def test_duty_from_start_to_end(self) -> None:
+        duty = Duty()
+
+        def shown(at: float, what: str, yes: bool | None = None) -> None:
+            self.say(f"{at:3} {what}{'' if yes is None else ' yes' if yes else ' no'}: {duty.stage.value}"
+                     f"{', healthy' if duty.healthy() else ''}{', last answers' if duty.leaving() else ''}"
+                     f"{', closes idle' if duty.closes_idle(at) else ''}")
+
+        shown(0.0, "made")
+        duty.begin(0.1)
+        shown(0.1, "begun")
+        shown(1.0, "leave", duty.leave(1.0))
+        shown(1.2, "empty already", duty.tend(1.2, True))
+        shown(2.0, "leave again", duty.leave(2.0))
+        shown(2.6, "somebody left", duty.tend(2.6, False))
+        shown(2.7, "back in the middle", duty.come_back(2.7))
+        shown(2.8, "nobody left, but in service", duty.tend(2.8, True))
+        shown(3.0, "leave", duty.leave(3.0))
+        shown(5.0, "nobody left", duty.tend(5.0, True))
+        shown(5.1, "leave again", duty.leave(5.1))
+        shown(6.0, "back", duty.come_back(6.0))
+        shown(6.1, "back again", duty.come_back(6.1))
+        duty.end(7.0)
+        shown(7.0, "ended")
+        shown(7.1, "leave", duty.leave(7.1))
+        shown(7.2, "back", duty.come_back(7.2))
+        early = Duty()
+        early.leave(0.0)
+        early.begin(0.1)
+        self.say(f"told to leave before it had begun: {early.stage.value}")
+        self.close("operators-duty")
+
+
+class InService(Between):
+    """A dispatcher with its door, between stand-ins."""
+
+    async def with_door(self, **entry: object) -> None:
+        self.reads = 0
+
+        async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            while True:
+                head, _ = await read_request(reader)
+                self.reads += 1
+                writer.write(OK)
+                ident = head.lower().partition("x-request-id: ")[2].split()[0]
+                if not ident.startswith("held"):
+                    await self.tell(id=ident, **{"from": "a"}, state="done", result="done")
+
+        await self.begin(runner, rules={"cold-from": 0.2, "warm-after": 10_000_000})
+        self.given["admin_addr"] = "127.0.0.1:0"
+        await self.inside()
+        self.door = self.node.door.port()
+
+    async def test_out_by_hand_until_the_call_back_whatever_lists_say(self) -> None:
+        await self.with_door()
+        self.assertEqual(await self.call(self.door, "ready", "GET"), "200 ready")
+        self.assertEqual((await self.ask("u1"))[1], b"done")
+        self.assertEqual(await self.call(self.door, "runners/b/offline"),
+                         "404 no such runner was ever listed")
+        for _ in range(2):
+            self.assertEqual(await self.call(self.door, "runners/a/offline"), "200 offline")
+        self.assertEqual(await self.call(self.door, "ready", "GET"), "503 not ready")  # nowhere to send
+        for state in ("terminating", "in_service"):
+            before, self.state = self.node.tally.counts["lists-whole"], state
+            self.changed.set()
+            await self.until(lambda before=before: self.node.tally.counts["lists-whole"] > before)  # type: ignore[misc]
+        self.assertEqual(((await self.ask("u2", wait=0.3))[0].split()[1], self.reads), ("503", 1))
+        self.assertEqual(await self.call(self.door, "runners/a/online"), "200 online")
+        self.assertEqual(((await self.ask("u3"))[1], self.reads), (b"done", 2))
+        self.assertEqual(self.node.desk.decisions.since[0], 0)  # its kept connection shows it never restarted
+
+    async def test_back_after_a_restart_that_the_list_does_not_show_it_is_cold(self) -> None:
+        await self.with_door()
+        self.assertEqual((await self.ask("u1"))[1], b"done")
+        await self.call(self.door, "runners/a/offline")
+        for link in list(self.node.fleet.pools[0].idle):
+            link.close()  # as the restarted runner does
+        before = self.node.timers.clock.now()
+        await self.call(self.door, "runners/a/online")
+        decisions = self.node.desk.decisions
+        self.assertGreaterEqual(decisions.since[0], before)
+        self.assertGreater(decisions.warm_at[0], self.node.timers.clock.now() + 50_000)
+
+    async def test_a_ban_called_while_the_connection_comes_up_holds_the_unit_back(self) -> None:
+        await self.with_door()
+        pool = self.node.fleet.pools[0]
+        opening = pool._open
+
+        async def banned_meanwhile(errand: Errand) -> None:
+            self.assertEqual(await self.call(self.door, "runners/a/offline"), "200 offline")
+            await opening(errand)
+
+        pool._open = banned_meanwhile  # type: ignore[method-assign]
+        self.assertEqual((await self.ask("u1", wait=0.5))[0].split()[1], "503")
+        self.assertEqual((self.reads, self.node.tally.counts["ended-not-sent"]), (0, 1))
+
+    async def test_a_drain_serves_what_comes_closes_what_rests_and_returns(self) -> None:
+        await self.with_door()
+        resting, keep = await asyncio.open_connection("127.0.0.1", self.port)
+        self.addCleanup(keep.close)
+        keep.write(b"POST /v1/job-events HTTP/1.1\r\nHost: b\r\nContent-Length: 40\r\n\r\n"
+                   + orjson.dumps({"id": "u0", "from": "a", "state": "started"}))
+        await read_request(resting)
+        used, use = await asyncio.open_connection("127.0.0.1", self.port)
+        self.addCleanup(use.close)
+        unit = (b"POST /api HTTP/1.1\r\nHost: b\r\nX-Request-ID: %s\r\nX-Priority-Class: g\r\n"
+                b"X-Timeout: 2\r\nContent-Length: 0\r\n\r\n")
+        use.write(unit % b"u1")
+        self.assertNotIn("close", (await read_request(used))[0])
+        held = asyncio.create_task(self.ask("held"))
+        await self.until(lambda: self.reads == 2)
+        with patch("crankfold.service.duty.MOVING_ON", 0.3):
+            for _ in range(2):
+                self.assertEqual(await self.call(self.door, "out-of-service"), "200 out of service")
+            self.assertEqual(await self.call(self.door, "ready", "GET"), "503 not ready")
+            self.assertEqual(await self.health(), "503")
+            self.assertEqual((await self.ask("new"))[1], b"done")  # the front still brings some
+            use.write(unit % b"u2")
+            head, body = await read_request(used)
+            self.assertEqual((body, "Connection: close" in head, await used.read()), (b"done", True, b""))
+            idle, rest = await asyncio.open_connection("127.0.0.1", self.port)
+            self.addCleanup(rest.close)
+            async with asyncio.timeout(2):
+                self.assertEqual(await idle.read(), b"")
+            self.assertFalse(held.done())
+            await self.tell(id="held", **{"from": "a"}, state="done", result="held")
+            self.assertEqual((await held)[1], b"held")
+            await self.until(lambda: self.node.duty.stage.value == "out of service")
+        self.assertFalse(resting.at_eof())  # a runner's
+        self.assertEqual(await self.call(self.door, "in-service"), "200 in service")
+        self.assertEqual(await self.health(), "200")
+        self.assertEqual((await self.ask("later"))[1], b"done")
+        # Called back in the middle: whoever was not closed yet is kept.
+        use.close()
+        used, use = await asyncio.open_connection("127.0.0.1", self.port)
+        self.addCleanup(use.close)
+        await self.call(self.door, "out-of-service")
+        await self.call(self.door, "in-service")
+        use.write(unit % b"u3")
+        self.assertNotIn("close", (await read_request(used))[0])
+        await self.call(self.door, "out-of-service")
+        self.node.ending.set()  # SIGTERM, in the middle of a drain by call
+        await self.until(lambda: self.node.duty.stage.value == "ending")
+        self.assertEqual(await self.call(self.door, "in-service"), "409 ending")
+
+    async def health(self) -> str:
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        writer.write(b"GET /healthz HTTP/1.1\r\nHost: b\r\n\r\n")
+        head, _ = await read_request(reader)
+        writer.close()
+        return head.split()[1]
