--- a/crankfold/cli.py
+++ b/crankfold/cli.py
@@ -31,8 +31,9 @@
 def serve(config: str, listen: str | None, discovery: str | None, admin: str | None, hand_over: str) -> None:
     """Serve until SIGTERM or SIGINT, then drain.
 
-    SIGHUP reads the file again: its address of discovery and its limits count from then on, whatever was
-    given here, and what else differs waits for a restart. SIGUSR1 prints the counters.
+    SIGHUP reads the file again, all of it or nothing: grades, bounds, limits and the address of discovery
+    count from then on, whatever was given here, and what else differs waits for a restart. SIGUSR1 prints the
+    counters.
     """
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until there is something to renew
 
@@ -57,8 +58,11 @@
 @_config
 def check(config: str) -> None:
     """Read a configuration and print what follows from it, without serving."""
+    from crankfold.orders import form  # not for `serve`, which starts without it
+
     try:
         given = read(config)
+        form.check(given)
         settings = from_nested(given["settings"])
         orders, rules = standing_orders(settings), house_rules(settings)
         address(given["listen"], "listen")
--- a/crankfold/dispatch/policy.py
+++ b/crankfold/dispatch/policy.py
@@ -9,10 +9,19 @@
 
 from collections import deque
 from collections.abc import Sequence
-from itertools import accumulate
+from itertools import accumulate, zip_longest
 from math import ceil, gcd, inf, log, sqrt
 
-from crankfold.dispatch.interface import Effect, Group, Listing, Outcome, Port, Standing, StandingOrders
+from crankfold.dispatch.interface import (
+    Effect,
+    Group,
+    Listing,
+    Outcome,
+    Port,
+    ServiceGrade,
+    Standing,
+    StandingOrders,
+)
 
 SECOND = 10_000
 AGE_LIMIT = 5 * SECOND  # a report older than this no longer tells one runner from another
@@ -46,10 +55,12 @@
 
 
 class Unit:
-    __slots__ = ("no", "grade", "cutoff", "due", "work", "slots", "sent", "ended", "patience")
+    __slots__ = ("no", "grade", "cutoff", "due", "work", "slots", "sent", "ended", "patience",
+                 "most")
 
-    def __init__(self, no: int, grade: int, cutoff: int, due: int, work: int, slots: float) -> None:
-        self.no, self.grade, self.cutoff, self.due = no, grade, cutoff, due
+    def __init__(self, no: int, grade: int, cutoff: int, due: int, work: int, slots: float,
+                 most: int) -> None:
+        self.no, self.grade, self.cutoff, self.due, self.most = no, grade, cutoff, due, most
         self.work, self.slots = work, slots
         self.sent: list[Dispatch] = []
         self.ended, self.patience = False, 0
@@ -59,18 +70,10 @@
     def __init__(self, orders: StandingOrders, seed: int, port: Port) -> None:
         self.port, self.luck = port, seed & 0xFFFFFFFFFFFFFFFF
         self.zone, self.margin, self.sharers = orders.zone, 2 * orders.tick, orders.dispatchers
-        self.effect, self.group = [g.effect for g in orders.grades], [g.group for g in orders.grades]
-        self.window, self.cutoff = [g.window for g in orders.grades], [g.cutoff for g in orders.grades]
-        self.expected, self.stretch = [g.expected for g in orders.grades], [g.stretch for g in orders.grades]
-        self.revenue, self.by_work = [g.revenue for g in orders.grades], orders.by_work
-        self.asked, self.got = [0.0] * len(orders.grades), [0.0] * len(orders.grades)
-        self.care, self.worst = orders.worst_grade_care, 0  # how much the worst-served grade counts
-        self.tardy = [g.tardy for g in orders.grades]
-        self.patience = [min(max(g.expected // 2, 400), SECOND // 2) for g in orders.grades]
-        # Running time, followed as answers come: a client is taken to wait for some ten times of it.
-        self.typical = [max(g.cutoff / 10, 1.0) for g in orders.grades]
-        self.most, self.copies, self.copy_share = orders.most_dispatches, 0.0, COPY_SHARE * orders.may_copy
-        self.may_cancel, self.advice = orders.may_cancel, min(orders.longest_advice, SECOND)
+        self.grades: list[ServiceGrade] = []
+        self.typical: list[float] = []
+        self.copies = 0.0
+        self._follow_orders(orders)
         self.quiet = 5 * orders.progress // 2  # started work without progress for so long stands still
         at = {name: place for place, name in enumerate(orders.report_names)}
         self.at_queue, self.at_free = at.get("queue", -1), at.get("free_slots", -1)
@@ -125,6 +128,27 @@
         elif orders.must_ask:
             port.wake(self._draw(self.ask_spread), LIST)  # forty that start together would all be turned away
 
+    def _follow_orders(self, orders: StandingOrders) -> None:
+        # Running time, followed as answers come: a client is taken to wait for some ten times of it.
+        self.typical = [known if g == before else max(g.cutoff / 10, 1.0) for g, before, known in
+                        zip_longest(orders.grades, self.grades, self.typical)]
+        self.grades = list(orders.grades)
+        self.effect, self.group = [g.effect for g in orders.grades], [g.group for g in orders.grades]
+        self.window, self.cutoff = [g.window for g in orders.grades], [g.cutoff for g in orders.grades]
+        self.expected, self.stretch = [g.expected for g in orders.grades], [g.stretch for g in orders.grades]
+        self.revenue, self.by_work = [g.revenue for g in orders.grades], orders.by_work
+        self.asked, self.got = [0.0] * len(orders.grades), [0.0] * len(orders.grades)
+        self.care, self.worst = orders.worst_grade_care, 0  # how much the worst-served grade counts
+        self.tardy = [g.tardy for g in orders.grades]
+        self.patience = [min(max(g.expected // 2, 400), SECOND // 2) for g in orders.grades]
+        self.most, self.copy_share = orders.most_dispatches, COPY_SHARE * orders.may_copy
+        self.may_cancel, self.advice = orders.may_cancel, min(orders.longest_advice, SECOND)
+
+    def renewed(self, now: int, orders: StandingOrders) -> None:
+        """Other grades and other bounds. Units in hand keep their rows, and runners what is known of them."""
+        self._follow_orders(orders)
+        self._pump(now)
+
     def _draw(self, below: int) -> int:
         self.luck = (self.luck * 6364136223846793005 + 1442695040888963407) & 0xFFFFFFFFFFFFFFFF
         return ((self.luck >> 33) * below) >> 31
@@ -138,7 +162,8 @@
         self._tend(now)
         first = min(cutoff - self.cutoff[grade], now)
         due = first + self.expected[grade] + int(self.stretch[grade] * (work or self.typical[grade]))
-        u = self.units[unit] = Unit(unit, grade, cutoff - self.margin, due, work, slots if slots > 0 else 1.0)
+        u = self.units[unit] = Unit(unit, grade, cutoff - self.margin, due, work, slots if slots > 0 else 1.0,
+                                    self.most)
         self.asked[grade] += self._value(u)
         self.wide = self.wide or slots > 1.0
         length = work or self.typical[grade]
@@ -247,7 +272,7 @@
     def _permitted(self, now: int, u: Unit) -> tuple[bool, int, int]:
         """Whether another dispatch is allowed, and the zone and cell it must keep to (-1 for any)."""
         zone = cell = -1
-        if len(u.sent) >= self.most:
+        if len(u.sent) >= min(u.most, self.most):
             return False, zone, cell
         effect, group = self.effect[u.grade], self.group[u.grade]
         for d in u.sent:
--- a/crankfold/emulator/baselines.py
+++ b/crankfold/emulator/baselines.py
@@ -80,6 +80,9 @@
     def client_left(self, now: int, unit: int) -> None:
         self.grade.pop(unit, None)
 
+    def renewed(self, now: int, orders: StandingOrders) -> None:
+        self.orders = orders
+
     def recalled(self, now: int, unit: int) -> None:
         if unit in self.grade:
             self._answer(unit)
--- a/crankfold/service/desk.py
+++ b/crankfold/service/desk.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable, Sequence
+from dataclasses import replace
 from functools import partial
 from urllib.parse import quote
 
@@ -16,6 +17,7 @@
 from crankfold.protocol.runners import TAKEN, UNFIT, RunnerSide, dispatch_heads, outcome_of
 from crankfold.service.duty import Duty
 from crankfold.service.fleet import Fleet
+from crankfold.service.grades import GradeBook
 from crankfold.service.ledger import Ledger, Trip, Work
 
 TRANSIT = 10  # a request has been under way before it was read: its cut-off is nearer by so much
@@ -33,7 +35,8 @@
         self.pass_on: Callable[[bytes, Callable[[bool | None], None]], bool] = lambda body, done: False
         self.reports: dict[int, tuple[int, Sequence[float]]] = {}  # each runner's last, and when
         self.later = asyncio.get_running_loop().call_soon
-        self.ledger = Ledger()
+        self.grades = GradeBook(rules.grades.names, orders.grades)
+        self.ledger = Ledger(self.grades)
         self.decisions = Dispatcher(orders, seed, self)
 
     # --- telling the decisions ---
@@ -64,7 +67,7 @@
         return self.duty.healthy()
 
     def knows_grade(self, name: str) -> bool:
-        return self.rules.grades.find(plain(name)) >= 0
+        return self.grades.find(plain(name)) >= 0
 
     def hand_in(self, client: object, ident: str, grade: str, tenant: str, wait: int, work: int, slots: float,
                 again: tuple[bytes, bytes, list[tuple[bytes, bytes]], bytes]) -> None:
@@ -80,10 +83,11 @@
             return
         self.tally.count("taken")
         wait = max(wait - TRANSIT, 0)
-        held = self.ledger.enter(ident, client, self.clock.now() + wait, again)
+        row = self.grades.find(plain(grade))
+        held = self.ledger.enter(row, ident, client, self.clock.now() + wait, again)
         held.time_up = self.timers.wake(wait, partial(self._time_up, held))
-        place, payer = self.rules.grades.find(plain(grade)), max(self.rules.tenants.find(plain(tenant)), 0)
-        self.tell(self.decisions.taken, held.no, place, payer, held.cutoff, work, slots, unit=held.no)
+        payer = max(self.rules.tenants.find(plain(tenant)), 0)
+        self.tell(self.decisions.taken, held.no, row, payer, held.cutoff, work, slots, unit=held.no)
 
     def left(self, client: Client) -> None:
         work = self.ledger.by_client.get(client)
@@ -285,6 +289,19 @@
             self._answer(work.no, "done", 200, body=result)
         self._end(work, trip, outcome, report)
 
+    # --- new settings ---
+
+    def renewed(self, orders: StandingOrders, rules: HouseRules) -> None:
+        """Other grades and bounds. What names are known by numbers keeps them."""
+        for tenant in rules.tenants.names:
+            self.rules.tenants.place(tenant)
+        old = self.rules
+        self.rules = replace(rules, tenants=old.tenants, zones=old.zones, kinds=old.kinds,
+                             report_fields=old.report_fields, warm_after=old.warm_after)
+        self.fleet.rules, self.may_cancel = self.rules, orders.may_cancel
+        self.grades.renew(rules.grades.names, orders.grades)
+        self.tell(self.decisions.renewed, replace(orders, grades=self.grades.rows))
+
     # --- from discovery ---
 
     def listed(self, entries: Sequence[Listing], whole: bool) -> None:
--- a/crankfold/service/ledger.py
+++ b/crankfold/service/ledger.py
@@ -4,6 +4,7 @@
 
 from crankfold.network.listener import Client
 from crankfold.network.runners import Errand
+from crankfold.service.grades import GradeBook
 
 
 class Trip:
@@ -21,10 +22,11 @@
 class Work:
     """One unit."""
 
-    __slots__ = ("no", "ident", "client", "cutoff", "again", "trips", "open", "time_up")
+    __slots__ = ("no", "ident", "client", "cutoff", "again", "trips", "open", "time_up", "row")
 
-    def __init__(self, no: int, ident: str, client: Client, cutoff: int,
+    def __init__(self, no: int, row: int, ident: str, client: Client, cutoff: int,
                  again: tuple[bytes, bytes, list[tuple[bytes, bytes]], bytes]) -> None:
+        self.row = row  # of its grade
         self.no, self.ident, self.client, self.cutoff, self.again = no, ident, client, cutoff, again
         self.trips: list[Trip] = []
         self.open = True
@@ -34,16 +36,18 @@
 class Ledger:
     """Units are numbered as they come, and kept until they are answered and their last dispatch has ended."""
 
-    def __init__(self) -> None:
+    def __init__(self, grades: GradeBook) -> None:
+        self.grades = grades
         self.units: dict[int, Work] = {}
         self.by_ident: dict[str, Work] = {}
         self.by_client: dict[Client, Work] = {}
         self.next = 0
 
-    def enter(self, ident: str, client: Client, cutoff: int,
+    def enter(self, row: int, ident: str, client: Client, cutoff: int,
               again: tuple[bytes, bytes, list[tuple[bytes, bytes]], bytes]) -> Work:
-        work = Work(self.next, ident, client, cutoff, again)
+        work = Work(self.next, row, ident, client, cutoff, again)
         self.next += 1
+        self.grades.took(row)
         self.units[work.no] = self.by_ident[ident] = self.by_client[client] = work
         return work
 
@@ -54,7 +58,8 @@
     def forget(self, work: Work) -> None:
         """If nothing more can come for it: an answer is owed no longer, and no dispatch is out."""
         if not work.open and not any(trip.out for trip in work.trips):
-            self.units.pop(work.no, None)
+            if self.units.pop(work.no, None):
+                self.grades.ended(work.row)
             if work.time_up:
                 work.time_up.cancel()  # or it would keep the body until the cut-off
             if self.by_ident.get(work.ident) is work:
--- a/crankfold/service/node.py
+++ b/crankfold/service/node.py
@@ -4,21 +4,20 @@
 import contextlib
 import signal
 import sys
-import zlib
 from collections.abc import Callable, Sequence
 from pathlib import Path
 from typing import Any
 
 import orjson
 
-from crankfold.dispatch.interface import Listing
+from crankfold.dispatch.interface import Listing, StandingOrders
 from crankfold.network.door import PLACES, Door
 from crankfold.network.listener import SWEEP, UNCOUNTED, Listener
 from crankfold.network.runners import Sockets
 from crankfold.network.tally import Tally
 from crankfold.network.timers import Clock, Timers
 from crankfold.network.watch import Watch
-from crankfold.orders.reader import from_nested, house_rules, standing_orders
+from crankfold.orders.reader import HouseRules, from_nested, house_rules, standing_orders
 from crankfold.protocol.discovery import read_list
 from crankfold.service.desk import Desk
 from crankfold.service.duty import Duty
@@ -69,11 +68,36 @@
     return sockets // 4, sockets - sockets // 4 - sockets // 16 - UNCOUNTED - doors
 
 
-def marks(given: dict[str, Any]) -> dict[str, int]:
-    """By which a later configuration is told from this one, part by part, without keeping it."""
-    taken_over = ("discovery", "limits", "known", "seed", "admin_addr")
-    return {name: zlib.crc32(orjson.dumps(part, option=orjson.OPT_SORT_KEYS))
-            for name, part in given.items() if name not in taken_over}
+# Of the settings, what counts from SIGHUP on; what is known of runners hangs on the rest.
+AT_ONCE = frozenset(("service-grades", "allowed", "score-parts", "revenue-per", "orgs"))
+
+
+def waits(given: dict[str, Any], running: dict[str, Any]) -> list[str]:
+    """What differs and counts only after a restart."""
+    now, then = dict(given["settings"]), dict(running["settings"])
+    for settings in (now, then):  # what it says of each grade goes with the grades
+        settings["specifics"] = {name: value for name, value in (settings.get("specifics") or {}).items()
+                                 if not name.startswith("class-")}
+    differs = [f"settings.{name}" for name in now.keys() | then.keys()
+               if name not in AT_ONCE and now.get(name) != then.get(name)]
+    return sorted(differs + (["listen"] if given["listen"] != running["listen"] else []))
+
+
+def derived(given: dict[str, Any], running: dict[str, Any]) -> tuple[StandingOrders, HouseRules]:
+    """From a file that is to replace the running one, if all of it can be used."""
+    from crankfold.orders import form  # not at start: 2.7 MB and 15 ms
+
+    try:
+        form.check(given, running)
+        settings = from_nested(given["settings"])
+        return standing_orders(settings), house_rules(settings)
+    except ValueError as wrong:
+        raise Unusable(str(wrong)) from None
+
+
+def patience(rules: HouseRules) -> tuple[float, float]:
+    """Seconds for a connect, and at rest. Runners close at rest after their time; half is well before."""
+    return rules.connect_within / 10_000, rules.idle_for / 20_000
 
 
 class Node:
@@ -85,14 +109,14 @@
             seed = int(str(given.get("seed", "0")), 16)
         except ValueError as wrong:
             raise Unusable(f"settings: {wrong}") from None
-        self.reread, self.marks = reread, marks(given)
+        self.reread = reread
+        self.given = {name: part for name, part in given.items() if name != "known"}
         self.tally = Tally()
         self.timers = Timers(Clock(), self.tally)
         self.at = address(given["listen"], "listen")
         self.door_at = address(given["admin_addr"], "admin_addr") if given.get("admin_addr") else None
         self.shares = to_runners, others = shares(given, self.door_at is not None)
-        # Runners close a connection at rest for the whole time; half of it is well before that.
-        self.sockets = Sockets(to_runners, rules.connect_within / 10_000, rules.idle_for / 20_000, self.tally)
+        self.sockets = Sockets(to_runners, *patience(rules), self.tally)
         self.fleet = Fleet(rules, self.timers, self.sockets)
         self.duty = Duty()
         self.desk = Desk(orders, rules, seed, self.timers, self.tally, self.fleet, self.duty, self._subscribe)
@@ -193,18 +217,26 @@
         """SIGHUP: the file as it is now. Units, connections and what is believed of runners outlive it."""
         try:
             given = self.reread()
+            orders, rules = derived(given, self.given)
             host, port = address(given["discovery"], "discovery")
-            self.shares = shares(given, self.door_at is not None)
+            address(given["listen"], "listen")
+            of_sockets = shares(given, self.door_at is not None)
         except Unusable as wrong:
             self.tally.count("configurations-unusable")
-            self.tally.say("configuration", f"{wrong}; the old one stands")
+            # Not among the limited lines: whoever sent the signal has to see what was wrong this time.
+            print(f"crankfold: configuration: {wrong}; the old one stands", file=sys.stderr, flush=True)
             return
         self.tally.count("configurations-taken")
+        self.shares = of_sockets
+        if given["settings"] != self.given["settings"]:
+            self.desk.renewed(orders, rules)
+            self.sockets.connect_within, self.sockets.idle_for = patience(rules)
+            self.longest = max(grade.cutoff for grade in self.desk.grades.rows) / 10_000
         self._share(*self.kin_holds)
         self.watch.move(host, port, not self.must_ask)
-        now, then = marks(given), self.marks
-        waits = sorted(name for name in now.keys() | then.keys() if now.get(name) != then.get(name))
-        rest = f"; {', '.join(waits)} differs and waits for a restart" if waits else ""
+        later = waits(given, self.given)
+        rest = f"; {', '.join(later)} differs and waits for a restart" if later else ""
+        self.given = {name: part for name, part in given.items() if name != "known"}
         print(f"crankfold: new configuration: discovery at {host}:{port}{rest}", file=sys.stderr, flush=True)
 
     async def _drain(self) -> None:
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -631,12 +631,13 @@
         async with asyncio.timeout(5):
             await sent.wait()
         for name in "bc":
+            self.given["settings"]["tick"] += 1
             self.given["discovery"] = f"127.0.0.1:{await self.stand_in(partial(discovery, name=name))}"
             for broken in (b"", b'{"listen":', orjson.dumps({**self.given, "discovery": "here"})):
                 self.file.write_bytes(broken)
                 self.process.send_signal(signal.SIGHUP)
                 await self.ask("u0", wait=0.001)  # read by now
-            self.file.write_bytes(orjson.dumps({**self.given, "settings": {}} if name == "c" else self.given))
+            self.file.write_bytes(orjson.dumps(self.given))
             self.process.send_signal(signal.SIGHUP)
             self.process.send_signal(signal.SIGHUP)
             await self.until(lambda name=name: f"{name} /v1/servers" in asked)  # type: ignore[misc]
@@ -648,7 +649,7 @@
         self.process.send_signal(signal.SIGHUP)
         printed = await lines
         self.assertEqual(self.process.returncode, 0, printed)
-        self.assertIn("settings differs and waits for a restart", printed)
+        self.assertIn("settings.tick differs and waits for a restart", printed)
         self.assertIn("the old one stands", printed)
 
     async def test_after_sigterm_connections_still_come_and_are_kept_until_its_last_part(self) -> None:
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -96,6 +96,28 @@
         self.wrote(old)
         self.close("units")
 
+    def test_cut_at_every_byte_it_means_the_same(self) -> None:
+        back = b'{"id":"u1","from":"a","state":"done","result":"r","load":{"queue":1,"x0":2}}'
+        odd = b"GET /control/ready HTTP/1.1\r\nHost: b\r\n\r\n"
+        for what in (
+            UNIT,
+            HEAD + b"Transfer-Encoding: chunked\r\n\r\n2;x=y\r\nhi\r\n0\r\nX: y\r\n\r\n",
+            b"POST /v1/job-events HTTP/1.1\r\nHost: b\r\nContent-Length: %d\r\n\r\n" % len(back) + back,
+            b"POST /v1/job-events HTTP/1.1\r\nHost: b\r\nContent-Length: 30\r\n\r\n" + back[:30],
+            b"POST /v1/job-events HTTP/1.1\r\nHost: b\r\nContent-Length: 18\r\n\r\n" + b'{"id":"elsewhere"}',
+            UNIT.replace(b"Class: g", b"Class: h") + UNIT,
+            odd,
+        ):
+            seen = []
+            for cut in range(1, len(what)):
+                side, self.lines = self.side(), []
+                side.feed(what[:cut])
+                side.feed(what[cut:])
+                self.wrote(side)
+                seen.append([*self.lines, f"in hand {side.in_hand}, closing {side.closing}"])
+            self.assertEqual([one for one in seen if one != seen[0]], [])
+            self.assertGreater(len(seen[0]), 1)
+
     def test_what_is_not_understood_reaches_no_runner_and_is_never_a_shed(self) -> None:
         chunks = b"Transfer-Encoding: chunked\r\n\r\n"
         for name, data in {
--- /dev/null
+++ b/tests/test_renewal.py
@@ -0,0 +1,190 @@
+"""New settings while it serves: what a file must look like, rows of grades, units taken before and after."""
+
+import asyncio
+import copy
+import signal
+from dataclasses import replace
+from typing import Any
+
+import orjson
+
+from crankfold.dispatch.interface import Effect, Group, Outcome
+from crankfold.orders import form
+from crankfold.service.grades import GradeBook
+from tests.loopback import OK, Between
+from tests.scene import GRADE, MS, ORDERS, Kept, Scene, read_request
+
+FILE: dict[str, Any] = {
+    "listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "seed": "1f", "limits": {"sockets": 256},
+    "known": None,
+    "settings": {
+        "allowed": {"most-dispatches": 3, "cancel": True}, "tick": 2000, "specifics": {"tells-start": True},
+        "service-grades": [{"name": "a", "effect": "safe", "cut-off": 3e6, "expected-time": 1000},
+                           {"name": "b", "effect": "keyed", "group": "zone", "cut-off": 3_000_000,
+                            "expected-time": 0}]}}
+
+
+class Forms(Kept):
+    def tried(self, what: str, *path: Any, value: Any = None, lacks: bool = False) -> None:
+        given = copy.deepcopy(FILE)
+        at: Any = given
+        for step in path[:-1]:
+            at = at[step]
+        if lacks:
+            del at[path[-1]]
+        elif path:
+            at[path[-1]] = value
+        try:
+            form.check(given, FILE)
+        except form.Misfit as wrong:
+            self.say(f"{what}: {wrong}")
+        else:
+            self.say(f"{what}: taken")
+
+    def test_what_a_file_must_look_like(self) -> None:
+        grades = ("settings", "service-grades")
+        self.tried("the same")
+        for name in ("listen", "discovery", "settings", "limits", "seed", "known"):
+            self.tried(f"no {name}", name, lacks=True)
+        for name in ("service-grades", "allowed", "tick", "specifics"):
+            self.tried(f"no {name}", "settings", name, lacks=True)
+        self.tried("no key deep inside", "settings", "specifics", "tells-start", lacks=True)
+        self.tried("no cut-off", *grades, 1, "cut-off", lacks=True)
+        self.tried("no group, which not all have", *grades, 1, "group", lacks=True)
+        for value in (0, -1, "soon", None, True, "5"):
+            self.tried(f"cut-off {value!r}", *grades, 0, "cut-off", value=value)
+        for most in (0, -3, 2.5, "many", None):
+            self.tried(f"dispatches {most!r}", "settings", "allowed", "most-dispatches", value=most)
+        self.tried("no grade at all", *grades, value=[])
+        self.tried("one grade fewer", *grades, value=FILE["settings"]["service-grades"][:1])
+        self.tried("a name twice", *grades, 1, "name", value="a")
+        self.tried("an effect unknown", *grades, 0, "effect", value="harmless")
+        self.tried("settings a list", "settings", value=[])
+        self.tried("a grade no object", *grades, 0, value="a")
+        self.close("renewal-forms")
+
+
+class Rows(Kept):
+    def test_a_name_points_to_its_newest_row(self) -> None:
+        def renewed(what: str, **grades: Any) -> None:
+            changed = book.renew(grades, list(grades.values()))
+            self.say(f"{what}: {'changed' if changed else 'nothing new'}, {book.row_of}, open {book.open}")
+
+        safe, keyed = GRADE, replace(GRADE, effect=Effect.TAGGED)
+        unsafe = replace(GRADE, effect=Effect.ONCE_ONLY)
+        book = GradeBook(["a", "b"], [safe, keyed])
+        book.took(0)
+        book.took(1)
+        renewed("the same", a=safe, b=keyed)
+        renewed("b has another effect and is in hand, c is new", a=safe, b=unsafe, c=safe)
+        book.took(2)
+        renewed("b is dropped with units in hand", a=safe, c=safe)
+        self.say(f"  b is {book.find('b')}")
+        renewed("b is back with another effect", a=safe, b=keyed, c=safe)
+        book.ended(1)
+        book.ended(2)
+        renewed("the old rows of b are free, one is used again", a=safe, b=unsafe, c=safe)
+        self.say(f"  effects by row: {', '.join(row.effect.name.lower() for row in book.rows)}")
+        self.close("renewal-rows")
+
+
+class Renewed(Scene):
+    def fails(self, unit: int) -> None:
+        """Where it was sent first."""
+        sent_to = next(line for line in self.lines if f"unit {unit} -> runner" in line)
+        self.end(unit, int(sent_to[-1]), Outcome.ERROR)
+
+    def test_units_in_hand_keep_their_orders(self) -> None:
+        self.open(runners=4, effect=Effect.REPEATABLE)
+        old = replace(GRADE)
+        new = replace(old, effect=Effect.ONCE_ONLY)
+        self.take(0)
+        self.say("the grade becomes once-only, in a row of its own")
+        self.told.renewed(self.now, replace(ORDERS, grades=[old, new]))
+        self.take(1, grade=1)
+        self.fails(0)
+        self.fails(1)
+        self.say("one dispatch is allowed from here on, also for what was taken before")
+        self.take(2)
+        self.told.renewed(self.now, replace(ORDERS, grades=[old, new], most_dispatches=1))
+        self.fails(2)
+        self.say("three are allowed again, but not for what was taken meanwhile")
+        self.take(3)
+        self.told.renewed(self.now, replace(ORDERS, grades=[old, new]))
+        self.fails(3)
+        self.close("renewal-units")
+
+    def test_what_is_known_of_runners_and_runs_stays(self) -> None:
+        self.open(runners=3)
+        self.told.typical[0], self.told.limit = 77.0, 5.0
+        self.told.queued[1], self.told.doubt[2] = 4.5, 10_000
+        self.told.renewed(self.now, replace(ORDERS, grades=[GRADE, replace(GRADE, group=Group.ZONE)]))
+        self.assertEqual((self.told.typical, self.told.limit), ([77.0, 500.0 * MS], 5.0))
+        self.assertEqual((self.told.queued[1], self.told.doubt[2]), (4.5, 10_000))
+
+
+class UnderWay(Between):
+    async def test_files_of_every_bad_kind_then_a_good_one(self) -> None:
+        sent: list[str] = []
+
+        async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            while True:
+                head, _ = await read_request(reader)
+                ident = head.lower().partition("x-request-id: ")[2].split()[0]
+                sent.append(ident)
+                if ident.startswith("fails"):
+                    writer.write(b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n")
+                    continue
+                writer.write(OK)
+                if not ident.startswith("held"):
+                    await self.tell(id=ident, **{"from": "a"}, state="done", result="done")
+
+        await self.begin(runner)
+        # Several dispatches to one runner: none fails for want of another to try.
+        self.given["settings"]["allowed"]["most-dispatches"] = 3
+        lines = await self.outside(["-O", "-m", "crankfold", "serve"])
+        good = copy.deepcopy(self.given)
+        before = orjson.dumps(good)
+        held = asyncio.create_task(self.ask("held"))
+        await self.until(lambda: sent == ["held"])
+        bad = copy.deepcopy(good)
+        bad["settings"]["service-grades"].append({"name": "new", "effect": "safe", "cut-off": 0,
+                                                  "expected-time": 1})
+        lacks = copy.deepcopy(good)
+        del lacks["settings"]["allowed"]["most-dispatches"]
+        lacks["settings"]["service-grades"][0]["name"] = "new"
+        for broken in (b"", before[:-40], orjson.dumps(bad), orjson.dumps(lacks)):
+            await self.renew(broken)
+            self.assertEqual(await self.status("new"), "400")
+        grades = good["settings"]["service-grades"]
+        grades.append({**grades[0], "name": "new", "effect": "unsafe"})
+        for _ in range(2):  # and the same again
+            await self.renew(orjson.dumps(good))
+            self.assertEqual(await self.status("new"), "200")
+        self.assertEqual(await self.status("g"), "200")
+        self.assertEqual((await self.status("new", "fails-1"), sent.count("fails-1")), ("504", 1))
+        good["settings"]["service-grades"] = [{**grades[1], "effect": "safe"}]  # g goes, new runs again
+        await self.renew(orjson.dumps(good))
+        self.assertEqual(await self.status("g"), "400")
+        self.assertEqual(await self.status("new", "fails-2"), "503")
+        await self.tell(id="held", **{"from": "a"}, state="done", result="held")
+        self.assertEqual((await held)[1], b"held")  # of the dropped grade
+        self.process.terminate()
+        printed = await lines
+        self.assertIn("settings.service-grades[1].cut-off: found 0; expected `float` > 0.0", printed)
+        self.assertIn("configurations-taken=3 configurations-unusable=4", printed)
+
+    async def renew(self, body: bytes) -> None:
+        self.file.write_bytes(body)
+        self.process.send_signal(signal.SIGHUP)
+        await asyncio.sleep(0.1)
+
+    async def status(self, grade: str, ident: str = "") -> str:
+        self.asked = getattr(self, "asked", 0) + 1
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        writer.write(f"POST /api HTTP/1.1\r\nHost: b\r\nX-Request-ID: {ident or f'u{self.asked}'}\r\n"
+                     f"X-Priority-Class: {grade}\r\nX-Timeout: 2\r\nContent-Length: 0\r\n\r\n".encode())
+        async with asyncio.timeout(5):
+            head, _ = await read_request(reader)
+        writer.close()
+        return head.split()[1]
