--- /dev/null
+++ b/benchmarks/upgrades.py
@@ -0,0 +1,280 @@
+"""Replaces a dispatcher again and again under load, on loopback, and counts what is lost at the door.
+
+    python -m benchmarks.upgrades --upgrades 10 > benchmarks/upgrades.txt
+
+Discovery and runners are played in this process. Load is open loop; half of the units come on connections
+of their own, the others on kept ones. Two ways: the listening socket passed on (both processes share a
+folder), and two listeners with SO_REUSEPORT alone (each has a folder of its own, so they don't find each
+other). Beside the load silent callers stand at the operators' door, and readiness is asked all the time.
+"""
+
+import argparse
+import asyncio
+import contextlib
+import json
+import os
+import random
+import signal
+import sys
+import tempfile
+import time
+from collections import Counter
+from pathlib import Path
+
+HOST = "127.0.0.1"
+RUNNERS, RATE, WORK = 4, 120.0, 0.05
+
+
+async def message(reader: asyncio.StreamReader) -> tuple[str, bytes]:
+    head = (await reader.readuntil(b"\r\n\r\n")).decode()
+    length = [line for line in head.lower().split("\r\n") if line.startswith("content-length:")]
+    return head, await reader.readexactly(int(length[0].partition(":")[2]) if length else 0)
+
+
+def free_port() -> int:
+    import socket
+    with socket.create_server((HOST, 0)) as free:
+        return int(free.getsockname()[1])
+
+
+def where(server: asyncio.Server) -> str:
+    return f"{HOST}:{server.sockets[0].getsockname()[1]}"
+
+
+class Rig:
+    def __init__(self, shared: bool) -> None:
+        self.shared = shared
+        self.port = free_port()
+        self.ends: Counter[str] = Counter()
+        self.calls: list[float] = []
+        self.wrong_calls = 0
+        self.kept: list[tuple[asyncio.StreamReader, asyncio.StreamWriter]] = []
+        self.most_memory = self.most_descriptors = 0
+        self.folder = Path(tempfile.mkdtemp())
+        self.processes: list[asyncio.subprocess.Process] = []
+        self.door = 0
+        self.number = 0
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    # --- stand-ins ---
+
+    async def open(self) -> None:
+        async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter, name: str) -> None:
+            with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
+                while True:
+                    head, _ = await message(reader)
+                    writer.write(b"HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n")
+                    if head.startswith("POST"):
+                        ident = head.lower().partition("x-request-id: ")[2].split()[0]
+                        self.spawn(self.work(ident, name))
+            writer.close()
+
+        async def discovery(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
+                while True:
+                    head, _ = await message(reader)
+                    if "after=" in head:
+                        await asyncio.sleep(3)
+                    entries = [] if "after=" in head else targets
+                    body = json.dumps({"rev": 1, "all": "after=" not in head, "targets": entries}).encode()
+                    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+            writer.close()
+
+        targets = []
+        for n in range(RUNNERS):
+            server = await asyncio.start_server(
+                lambda reader, writer, name=f"r{n}": runner(reader, writer, name), HOST, 0)  # type: ignore[misc]
+            targets.append({"uid": f"r{n}", "endpoint": where(server),
+                            "state": "in_service", "capacity_hint": 1.0, "boot_ms": 0})
+        server = await asyncio.start_server(discovery, HOST, 0)
+        self.config = self.folder / "config.json"
+        self.config.write_text(json.dumps({
+            "listen": f"{HOST}:{self.port}", "discovery": where(server),
+            "admin_addr": f"{HOST}:0", "limits": {"sockets": 384},
+            "settings": {
+                "allowed": {"most-dispatches": 3, "cancel": True}, "tick": 2000,
+                "specifics": {"tells-start": True},
+                "service-grades": [{"name": "g", "effect": "safe", "cut-off": 3_000_000,
+                                    "expected-time": 1_000_000}]}}))
+
+    def spawn(self, work: object) -> None:
+        task = asyncio.get_running_loop().create_task(work)  # type: ignore[arg-type]
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def work(self, ident: str, name: str) -> None:
+        await asyncio.sleep(random.expovariate(1 / WORK))
+        body = json.dumps({"id": ident, "from": name, "state": "done", "result": ident}).encode()
+        for _ in range(10):  # a call-back is tried until it is answered
+            with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError, TimeoutError):
+                reader, writer = await asyncio.open_connection(HOST, self.port)
+                writer.write(b"POST /v1/job-events HTTP/1.1\r\nHost: b\r\nConnection: close\r\n"
+                             b"Content-Length: %d\r\n\r\n" % len(body) + body)
+                async with asyncio.timeout(1):
+                    head, _ = await message(reader)
+                writer.close()
+                if head.split()[1] in ("200", "204"):
+                    return
+            await asyncio.sleep(0.2)
+
+    # --- clients and callers ---
+
+    async def client(self, ident: str, keep: bool) -> None:
+        for attempt in range(2):
+            sent = False
+            try:
+                used = bool(keep and self.kept)
+                reader, writer = self.kept.pop() if used else await asyncio.open_connection(HOST, self.port)
+                close = "" if keep else "Connection: close\r\n"
+                writer.write(f"POST /api HTTP/1.1\r\nHost: b\r\nX-Request-ID: {ident}-{attempt}\r\n{close}"
+                             "X-Priority-Class: g\r\nX-Timeout: 2\r\nContent-Length: 0\r\n\r\n".encode())
+                sent = True
+                async with asyncio.timeout(4):
+                    head, body = await message(reader)
+            except (ConnectionError, asyncio.IncompleteReadError, TimeoutError) as broken:
+                # On a kept one the close crossed the request: sent once more on a new one, as clients do.
+                if used and attempt == 0:
+                    self.ends["crossed"] += 1
+                    continue
+                self.ends[f"lost ({'no answer' if sent else 'not let in'}, {type(broken).__name__})"] += 1
+                return
+            good = head.split()[1] == "200" and body.decode() == f"{ident}-{attempt}"
+            self.ends["done" if good else f"answered {head.split()[1]}"] += 1
+            if keep and "connection: close" not in head.lower():
+                self.kept.append((reader, writer))
+            else:
+                writer.close()
+            return
+
+    async def load(self, over: asyncio.Event) -> None:
+        n, due = 0, time.monotonic()
+        while not over.is_set():
+            n, due = n + 1, due + random.expovariate(RATE)
+            await asyncio.sleep(max(due - time.monotonic(), 0))
+            self.spawn(self.client(f"u{n}", n % 2 == 0))
+
+    async def ask(self, door: int) -> bool:
+        began = time.monotonic()
+        try:
+            async with asyncio.timeout(5):
+                reader, writer = await asyncio.open_connection(HOST, door)
+                writer.write(b"GET /control/ready HTTP/1.1\r\nHost: b\r\n\r\n")
+                head, _ = await message(reader)
+                writer.close()
+        except (ConnectionError, asyncio.IncompleteReadError, TimeoutError):
+            return False
+        self.calls.append(time.monotonic() - began)
+        return head.split()[1] == "200"
+
+    async def callers(self, over: asyncio.Event) -> None:
+        """Readiness, beside callers that say nothing, or half a call, and stay."""
+        silent: list[asyncio.StreamWriter] = []
+        n = 0
+        while not over.is_set():
+            n += 1
+            door = self.door
+            with contextlib.suppress(ConnectionError):
+                _, writer = await asyncio.open_connection(HOST, door)
+                writer.write(b"GET /control" if n % 2 else b"")
+                silent.append(writer)
+            if len(silent) > 40:
+                silent.pop(0).close()
+            if not await self.ask(door) and door == self.door:
+                self.wrong_calls += 1
+            await asyncio.sleep(0.02)
+
+    async def watch(self, over: asyncio.Event) -> None:
+        """Proportional memory and descriptors of all processes together."""
+        while not over.is_set():
+            memory = descriptors = 0
+            for process in self.processes:
+                with contextlib.suppress(OSError):
+                    rollup = Path(f"/proc/{process.pid}/smaps_rollup").read_text()
+                    memory += int(rollup.partition("\nPss:")[2].split()[0])
+                    descriptors += len(os.listdir(f"/proc/{process.pid}/fd"))
+            self.most_memory = max(self.most_memory, memory)
+            self.most_descriptors = max(self.most_descriptors, descriptors)
+            await asyncio.sleep(0.02)
+
+    # --- the dispatcher ---
+
+    async def start(self) -> float:
+        """Until it says ready; how long that took."""
+        began = time.monotonic()
+        folder = self.folder if self.shared else Path(tempfile.mkdtemp())
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-O", "-m", "crankfold", "serve", stderr=asyncio.subprocess.PIPE,
+            env={**os.environ, "GW_CONFIG": str(self.config), "TMPDIR": str(folder)})
+        self.processes.append(process)
+        assert process.stderr
+        door = 0
+        while not door:
+            line = (await process.stderr.readline()).decode()
+            if not line:
+                raise SystemExit("the dispatcher did not start")
+            if "operators at" in line:
+                door = int(line.rpartition(":")[2])
+        self.spawn(self.drink(process))
+        while not await self.ask(door):
+            await asyncio.sleep(0.02)
+        self.door = door
+        return time.monotonic() - began
+
+    async def drink(self, process: asyncio.subprocess.Process) -> None:
+        assert process.stderr
+        while await process.stderr.readline():
+            pass
+
+    async def replace(self) -> tuple[float, float]:
+        old = self.processes[0]
+        took = await self.start()
+        began = time.monotonic()
+        old.send_signal(signal.SIGTERM)
+        await old.wait()
+        self.processes.remove(old)
+        return took, time.monotonic() - began
+
+
+async def play(shared: bool, upgrades: int) -> None:
+    rig = Rig(shared)
+    await rig.open()
+    await rig.start()
+    over = asyncio.Event()
+    about = [asyncio.create_task(each(over)) for each in (rig.load, rig.callers, rig.watch)]
+    await asyncio.sleep(2)
+    times = []
+    for _ in range(upgrades):
+        times.append(await rig.replace())
+        await asyncio.sleep(0.5)
+    over.set()
+    await asyncio.gather(*about)
+    while rig.tasks - {task for task in rig.tasks if "drink" in repr(task.get_coro())}:
+        await asyncio.sleep(0.05)
+    rig.processes[0].terminate()
+    await rig.processes[0].wait()
+    calls = sorted(rig.calls)
+    lost = sum(count for end, count in rig.ends.items() if end.startswith("lost"))
+    print(f"{'the listening socket passed on' if shared else 'two listeners, SO_REUSEPORT alone'}")
+    ready, gone = zip(*times, strict=True)
+    print(f"  upgrades {upgrades}; ready after {min(ready):.2f} to {max(ready):.2f} s, the old one gone "
+          f"{min(gone):.2f} to {max(gone):.2f} s after SIGTERM")
+    print(f"  units {sum(rig.ends.values())}: " + ", ".join(f"{e} {n}" for e, n in sorted(rig.ends.items())))
+    print(f"  lost at the door in an upgrade: {lost / upgrades:.1f}")
+    print(f"  door: {len(calls)} calls, median {1000 * calls[len(calls) // 2]:.1f} ms, 99th percentile "
+          f"{1000 * calls[int(len(calls) * 0.99)]:.1f} ms, worst {1000 * calls[-1]:.1f} ms, "
+          f"not answered with yes {rig.wrong_calls}")
+    print(f"  both together at most: {rig.most_memory / 1024:.1f} MB (proportional), "
+          f"{rig.most_descriptors} descriptors", flush=True)
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("--upgrades", type=int, default=10)
+    upgrades = parser.parse_args().upgrades
+    random.seed(1)
+    for shared in (True, False):
+        asyncio.run(play(shared, upgrades))
+
+
+if __name__ == "__main__":
+    main()
--- a/crankfold/network/passage.py
+++ b/crankfold/network/passage.py
@@ -16,6 +16,7 @@
 
 ANSWER_WITHIN = 1.0  # a predecessor that hangs must not keep its successor from starting
 LUMP = 64 * 1024
+MOST_UNSENT = 1024 * 1024
 
 
 def settle(future: asyncio.Future[None]) -> None:
@@ -182,8 +183,13 @@
                 self.lost(kin)
 
     def say(self, kin: int, told: dict[str, Any]) -> None:
-        if kin in self.writers:
-            self.writers[kin].write(line(told))
+        writer = self.writers.get(kin)
+        if writer is None:
+            return
+        if writer.transport.get_write_buffer_size() > MOST_UNSENT:
+            writer.transport.abort()  # it hangs, and what it is told must not fill our memory
+        else:
+            writer.write(line(told))
 
     def part(self, kin: int) -> None:
         """What was said still arrives."""
--- a/crankfold/service/handover.py
+++ b/crankfold/service/handover.py
@@ -7,12 +7,10 @@
 from collections.abc import Callable
 from typing import Any
 
-import orjson
-
 from crankfold.dispatch.interface import Standing
 from crankfold.network.listener import Listener
 from crankfold.network.passage import Passage, settle
-from crankfold.protocol.callbacks import hear
+from crankfold.protocol.callbacks import hear, unit_of
 from crankfold.protocol.kin import FORM, figures, strings
 from crankfold.service.desk import Desk
 from crankfold.service.operations import Operations
@@ -36,7 +34,7 @@
         self.again = False
         self.reports: dict[str, Any] = {}
         self.tasks: set[asyncio.Task[None]] = set()
-        operations.spread, desk.pass_on = self.spread, self.pass_on
+        operations.spread, desk.pass_on, operations.followed = self.spread, self.pass_on, self.followed
 
     # --- as the one that follows ---
 
@@ -211,9 +209,9 @@
         self.over.set()
 
     def hear(self, body: str) -> bool:
-        told = orjson.loads(body)
-        return (self.desk.holds(str(told.get("id"))) and
-                hear(body.encode(), self.desk, self.desk.rules.report_fields))
+        told = body.encode()
+        return (self.desk.holds(unit_of(told)) and
+                hear(told, self.desk, self.desk.rules.report_fields))
 
     def bind(self, uid: str, out: bool) -> None:
         self.fleet.heard_of.add(uid)
--- a/crankfold/service/node.py
+++ b/crankfold/service/node.py
@@ -145,7 +145,8 @@
             self.sockets.most = max(to_runners // 4, 4)
         else:
             self.sockets.most = max(to_runners - runners, to_runners // 4, 4)
-            self.listener.most = max(others - clients, others // 4)
+            # Never nothing: an eighth is less than what is kept free on either side.
+            self.listener.most = max(others - clients, others // 8)
 
     def _subscribe(self) -> None:
         # The decisions ask in their first moment, when there is no watch yet.
--- a/crankfold/service/operations.py
+++ b/crankfold/service/operations.py
@@ -16,12 +16,13 @@
         self.desk, self.fleet, self.tally = desk, desk.fleet, desk.tally
         self.listener, self.duty, self.loop = listener, duty, desk.timers.loop
         self.looking = False
+        self.followed: Callable[[], bool] = lambda: False  # by a process that accepts in our place
         # Recorded, and told to the process that follows or goes before.
         self.spread: Callable[[str, str], Awaitable[None]] | None = None
 
     def ready(self) -> bool:
         """A unit would be taken now, and there is somewhere to send it."""
-        return self.duty.healthy() and self.fleet.anywhere()
+        return self.duty.healthy() and self.fleet.anywhere() and not self.followed()
 
     async def out(self, uid: str) -> bool:
         return await self._lay("out", uid)
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -2,18 +2,26 @@
 
 import asyncio
 import contextlib
+import os
+import resource
+import socket
 import time
+from typing import Any
 from unittest.mock import AsyncMock, Mock, patch
 
 import orjson
 
 from crankfold.dispatch.interface import Listing, Standing
 from crankfold.network.door import PLACES, Door
+from crankfold.network.listener import Listener
 from crankfold.network.runners import Errand
 from crankfold.network.tally import Tally
+from crankfold.orders.reader import house_rules
 from crankfold.protocol.operators import MOST_CALL, OperatorSide, carry_out
 from crankfold.service.bans import Bans
 from crankfold.service.duty import Duty
+from crankfold.service.fleet import Fleet
+from crankfold.service.node import Node, shares
 from tests.loopback import OK, Between, Loopback
 from tests.scene import Kept, read_request
 
@@ -110,6 +118,36 @@
         self.assertEqual(await waiting, "200 offline")
 
 
+class AtTheLimit(Loopback):
+    async def test_clients_that_use_up_their_places_leave_the_operators_theirs(self) -> None:
+        given: dict[str, Any] = {"limits": {"sockets": 120}}
+        with_door, without = shares(given, True)[1], shares(given, False)[1]
+        self.assertGreaterEqual(without - with_door, PLACES)
+        tally = Tally()
+        listener = Listener(Mock(serving=lambda: True), tally, (), with_door)
+        await listener.open("127.0.0.1", 0)
+        self.addAsyncCleanup(listener.close)
+        door = Door(Mock(ready=lambda: True), tally)
+        await door.open("127.0.0.1", 0)
+        self.addAsyncCleanup(door.close)
+        limits = resource.getrlimit(resource.RLIMIT_NOFILE)
+        rush = [socket.socket() for _ in range(400)]
+        try:
+            for one in rush:
+                one.connect(("127.0.0.1", listener.port()))  # the system takes them; nobody here yet
+            inside = len(os.listdir("/proc/self/fd"))
+            resource.setrlimit(resource.RLIMIT_NOFILE, (inside + 120, limits[1]))
+            for _ in range(20):
+                began = time.monotonic()
+                self.assertEqual(await self.call(door.port(), "ready", "GET"), "200 ready")
+                self.assertLess(time.monotonic() - began, 0.9)
+            self.assertLessEqual(len(listener.clients), with_door)
+        finally:
+            resource.setrlimit(resource.RLIMIT_NOFILE, limits)
+            for one in rush:
+                one.close()
+
+
 class Decided(Kept):
     def test_bans_lie_over_what_is_listed(self) -> None:
         bans = Bans()
@@ -170,6 +208,39 @@
         self.close("operators-duty")
 
 
+class TwoProcesses(Kept):
+    """What the one that goes leaves to the one that comes."""
+
+    def fleet(self) -> Fleet:
+        rules = house_rules({"rules.warm-after": "1000000"})
+        return Fleet(rules, Mock(clock=Mock(now=lambda: 100_000)), Mock())
+
+    def test_cold_runners_are_left_to_the_successor_and_taken_back(self) -> None:
+        fleet = self.fleet()
+        entries = [fleet.enlist(uid, "h", 1, "z", "k", 0, Standing.READY, 1.0, boot)
+                   for uid, boot in (("old", 0), ("warm", 8_000), ("cold", 9_500))]
+        fleet.listed(entries, True)
+        self.assertEqual(fleet.standing, [Standing.READY] * 3)
+        fleet.leave_cold(True)
+        self.assertEqual(fleet.standing, [Standing.READY, Standing.READY, Standing.DRAINING])
+        fleet.listed(entries[2:], False)  # whatever the list says meanwhile
+        self.assertEqual(fleet.standing[2], Standing.DRAINING)
+        told = fleet.leave_cold(False)
+        self.assertEqual((fleet.standing, len(told)), ([Standing.READY] * 3, 2))
+
+    def test_descriptors_of_both_stay_under_the_limit(self) -> None:
+        given: dict[str, Any] = {"limits": {"sockets": 384}}
+        to_runners, others = shares(given, True)
+        for held in (0, 100, others):
+            node, old = (Mock(shares=(to_runners, others), sockets=Mock(), listener=Mock()) for _ in "no")
+            Node._share(old, 0, 0, True)
+            Node._share(node, held, old.sockets.most, False)
+            self.assertLessEqual(node.listener.most + held + to_runners + 2 * PLACES, 384)
+            self.assertLessEqual(node.sockets.most + old.sockets.most, to_runners)
+            Node._share(node, 0, 0, False)  # the old one has left
+            self.assertEqual((node.sockets.most, node.listener.most), (to_runners, others))
+
+
 class InService(Between):
     """A dispatcher with its door, between stand-ins."""
 
@@ -269,6 +340,16 @@
         self.assertEqual(await self.call(self.door, "in-service"), "200 in service")
         self.assertEqual(await self.health(), "200")
         self.assertEqual((await self.ask("later"))[1], b"done")
+        # Drained once more, and called back in its last moment: as the last connection goes.
+        last = asyncio.create_task(self.ask("held2"))
+        await self.until(lambda: "held2" in self.node.desk.ledger.by_ident)
+        with patch("crankfold.service.duty.MOVING_ON", 0.0):
+            await self.call(self.door, "out-of-service")
+            await self.tell(id="held2", **{"from": "a"}, state="done", result="held2")
+            self.assertEqual((await last)[1], b"held2")
+            self.assertEqual(await self.call(self.door, "in-service"), "200 in service")
+        await asyncio.sleep(0.1)
+        self.assertEqual((self.node.duty.stage.value, await self.health()), ("in service", "200"))
         # Called back in the middle: whoever was not closed yet is kept.
         use.close()
         used, use = await asyncio.open_connection("127.0.0.1", self.port)
--- a/tests/test_renewal.py
+++ b/tests/test_renewal.py
@@ -167,12 +167,15 @@
         await self.renew(orjson.dumps(good))
         self.assertEqual(await self.status("g"), "400")
         self.assertEqual(await self.status("new", "fails-2"), "503")
+        good["settings"]["service-grades"].append({**grades[0], "effect": "unsafe"})
+        await self.renew(orjson.dumps(good))  # g is back with another effect, while one of the old g is open
+        self.assertEqual((await self.status("g", "fails-3"), sent.count("fails-3")), ("504", 1))
         await self.tell(id="held", **{"from": "a"}, state="done", result="held")
         self.assertEqual((await held)[1], b"held")  # of the dropped grade
         self.process.terminate()
         printed = await lines
         self.assertIn("settings.service-grades[1].cut-off: found 0; expected `float` > 0.0", printed)
-        self.assertIn("configurations-taken=3 configurations-unusable=4", printed)
+        self.assertIn("configurations-taken=4 configurations-unusable=4", printed)
 
     async def renew(self, body: bytes) -> None:
         self.file.write_bytes(body)
