--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -277,6 +277,7 @@
         self.assertEqual(((await self.ask("u2", wait=0.3))[0].split()[1], self.reads), ("503", 1))
         self.assertEqual(await self.call(self.door, "runners/a/online"), "200 online")
         self.assertEqual(((await self.ask("u3"))[1], self.reads), (b"done", 2))
+        self.assertEqual(self.node.desk.grades.open, [0])
         self.assertEqual(self.node.desk.decisions.since[0], 0)  # its kept connection shows it never restarted
 
     async def test_back_after_a_restart_that_the_list_does_not_show_it_is_cold(self) -> None:
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -323,7 +323,7 @@
     async def test_replaced_twice_under_load_nothing_is_lost(self) -> None:
         await self.start()
         ends = await self.outside(SERVE, self.folder)
-        first = self.process
+        first, first_door = self.process, self.door
         over = asyncio.Event()
         load = asyncio.create_task(self.load(over))
         held = await self.held("held1", "held2", "held3")
@@ -333,6 +333,7 @@
             ends = await self.outside(SERVE, self.folder)
             self.assertEqual(await self.call(self.door, "ready", "GET"), "200 ready")
             if old is first:
+                self.assertEqual(await self.call(first_door, "ready", "GET"), "503 not ready")
                 self.assertEqual((await self.ask("held2"))[0].split()[1], "409")  # in hand at the old one
                 await self.finish("held1")  # reaches the new one, which does not hold it
                 self.assertEqual((await held[0])[1], b"held1")
