--- a/crankfold/service/node.py
+++ b/crankfold/service/node.py
@@ -207,6 +207,8 @@
         print(f"crankfold: serving on {self.at[0]}:{self.listener.port()}", file=sys.stderr, flush=True)
         if self.door_at:
             told = f"operators at {self.door_at[0]}:{self.door.port()}"
+            if not self.handover:
+                told += "; no --hand-over or $TMPDIR, so no process can replace this one under load"
             print(f"crankfold: {told}", file=sys.stderr, flush=True)
         loop.call_later(SWEEP, self._sweep)
         await self.ending.wait()
