--- a/crankfold/cli.py
+++ b/crankfold/cli.py
@@ -4,6 +4,7 @@
 import signal
 import sys
 from functools import partial
+from pathlib import Path
 from typing import TextIO
 
 import click
@@ -119,6 +120,38 @@
     click.echo(f"rules broken by {study.OURS}: {broken}")
 
 
+@main.command()
+@click.argument("file", type=click.Path(path_type=Path))
+@click.option("--out", default="benchmarks", show_default=True, type=click.Path(path_type=Path),
+              help="Folder for the table, the summary and the chart.")
+@click.option("--workers", default=1, show_default=True, type=click.IntRange(1, 64), help="Processes.")
+@click.option("--no-chart", is_flag=True, help="Charts want matplotlib, which the extra `charts` brings.")
+def experiment(file: Path, out: Path, workers: int, no_chart: bool) -> None:
+    """Play the experiment that FILE describes (docs/emulator.md), and keep what came of it."""
+    from crankfold.emulator import experiment as plan  # not for `serve`, which starts without it
+
+    try:
+        described, scenarios = plan.read(file)
+        out.mkdir(parents=True, exist_ok=True)
+        with (out / f"{described.name}.csv").open("a"):
+            pass  # a folder that can't be written to is known before an hour of play
+    except (plan.Unfit, OSError) as wrong:
+        raise click.UsageError(str(wrong)) from None
+    rows = plan.run(described, scenarios, workers)
+    try:
+        plan.table(rows, out / f"{described.name}.csv")
+        lines = plan.summary(described, rows)
+        (out / f"{described.name}.txt").write_text("\n".join(lines) + "\n")
+        if not no_chart:
+            plan.chart(described, rows, out / f"{described.name}.svg")
+    except ImportError:
+        click.echo("no chart: matplotlib is not installed", err=True)
+    except OSError as wrong:
+        raise click.UsageError(str(wrong)) from None
+    for line in lines:
+        click.echo(line)
+
+
 @main.command("version")
 def show_version() -> None:
     """Print the version."""
--- a/crankfold/emulator/rules.py
+++ b/crankfold/emulator/rules.py
@@ -89,6 +89,13 @@
         record.answered = how
         record.past.append(f"{now / 10:.1f} {how}")
 
+    def killed(self, now: int, dispatcher: int) -> None:
+        """What it had in hand is lost with it, which no rule forbids; told anew, it knows nothing."""
+        for record in self.units.values():
+            if record.dispatcher == dispatcher and not record.answered:
+                record.answered = "lost"
+                record.past.append(f"{now / 10:.1f} lost")
+
     def arrived(self, now: int, dispatcher: int, unit: int, runner: int, burden: float,
                 capacity: float) -> None:
         """At a cold runner: work that came within the stated time, against what it can do at this moment."""
--- a/crankfold/emulator/world.py
+++ b/crankfold/emulator/world.py
@@ -8,9 +8,13 @@
 
 from crankfold.dispatch.interface import Dispatching, Listing, Outcome, Port, Standing, StandingOrders
 from crankfold.emulator.clockwork import Clockwork
+from crankfold.emulator.faults import Fault, Kind, hit
 from crankfold.emulator.rules import Rules
 
 SECOND = 10_000
+ZONES = 3
+FAST_ERROR = 200  # how soon a failing runner says so
+NOTICE = SECOND // 2  # until clients go round a dead dispatcher
 Make = Callable[[StandingOrders, int, Port], Dispatching]
 
 
@@ -24,9 +28,13 @@
     work: int = 2_000  # mean running time on a warm runner, exponential
     seconds: int = 10
     way: int = 5  # one way, in tenths of a millisecond
+    cross: int = 5  # the same between zones
+    retries: int = 0  # of a client that was shed, while its time lasts
+    backoff: int = 100
     report_every: int = SECOND
     list_late: int = SECOND
     seed: int = 1
+    faults: tuple[Fault, ...] = ()
 
 
 @dataclass(slots=True)
@@ -43,6 +51,11 @@
     def __init__(self, world: "World", no: int) -> None:
         self.world, self.no, self.since, self.standing = world, no, 0, Standing.READY
         self.busy, self.waiting = 0, deque[Job]()
+        # What faults make of it; a life ends with the process, and takes with it what ran.
+        self.slowed, self.failing, self.life = 1.0, 0.0, 0
+        self.hangs = self.dead = self.mute = False
+        self.running: dict[int, Job] = {}
+        self.luck = Random(f"{world.scenario.seed} runner {no}")
         self.told: tuple[float, ...] = (0.0, float(world.scenario.slots))
         self.waits: list[int] = []
         self.came: dict[int, int] = {}
@@ -54,7 +67,8 @@
         return orders.cold_from + (1.0 - orders.cold_from) * age / orders.warm_after
 
     def refresh(self) -> None:
-        self.told = (float(len(self.waiting)), float(self.world.scenario.slots - self.busy))
+        if not self.mute:
+            self.told = (float(len(self.waiting)), float(self.world.scenario.slots - self.busy))
         self.world.clock.after(self.world.scenario.report_every, self.refresh)
 
     def take(self, job: Job) -> None:
@@ -62,8 +76,12 @@
         if warmth < 1.0:
             world.rules.arrived(world.clock.now, job.post.no, job.unit, self.no, job.work,
                                 warmth * world.scenario.slots)
-        if self.standing == Standing.GONE:
+        if self.standing == Standing.GONE or self.dead:
             job.post.hear(job, self.no, Outcome.UNREACHABLE, ())
+        elif self.hangs:
+            pass
+        elif self.failing and self.luck.random() < self.failing:
+            world.clock.after(FAST_ERROR, partial(job.post.hear, job, self.no, Outcome.ERROR, self.told))
         elif len(self.waiting) >= world.scenario.queue:
             job.post.hear(job, self.no, Outcome.FULL, self.told)
         else:
@@ -77,9 +95,24 @@
             self.busy += 1
             self.waits.append(self.world.clock.now - self.came.pop(id(job)))
             job.post.hear_start(job, self.no)
-            self.world.clock.after(int(job.work / self.warmth()), partial(self._done, job))
-
-    def _done(self, job: Job) -> None:
+            self.running[id(job)] = job
+            took = int(job.work * self.slowed / self.warmth())
+            self.world.clock.after(took, partial(self._done, job, self.life))
+
+    def end_of_life(self) -> None:
+        """The process is gone: what ran or waited there is reset."""
+        self.life += 1
+        for job in [*self.running.values(), *self.waiting]:
+            self.came.pop(id(job), None)
+            job.post.hear(job, self.no, Outcome.RESET, ())
+        self.running.clear()
+        self.waiting.clear()
+        self.busy = 0
+
+    def _done(self, job: Job, life: int) -> None:
+        if life != self.life:
+            return
+        del self.running[id(job)]
         self.busy -= 1
         job.post.hear(job, self.no, Outcome.DONE, self.told)
         self._next()
@@ -90,29 +123,50 @@
 
     def __init__(self, world: "World", no: int, make: Make) -> None:
         self.world, self.no, self.clock = world, no, world.clock
+        self.alive, self.stalled_until = True, 0
+        self.tries: dict[int, int] = {}
+        self.out: set[tuple[int, int]] = set()  # dispatches that have not ended
         self.count: dict[int, int] = {}
         self.work: dict[int, int] = {}
         self.came: dict[int, int] = {}
-        self.decisions = make(replace(world.orders, number=no, zone=no % 3,
+        self.decisions = make(replace(world.orders, number=no, zone=no % ZONES,
                                       dispatchers=world.scenario.dispatchers),
                               world.scenario.seed * 1000 + no, self)
 
-    def take(self, unit: int, work: int) -> None:
+    def take(self, unit: int, work: int, came: int, tries: int) -> None:
         now = self.clock.now
-        self.work[unit], self.count[unit], self.came[unit] = work, 0, now
-        self.world.asked += 1
-        cutoff = now + self.world.orders.grades[0].cutoff
+        self.work[unit], self.count[unit], self.came[unit], self.tries[unit] = work, 0, came, tries
+        cutoff = came + self.world.orders.grades[0].cutoff
         self.world.rules.taken(now, self.no, unit, 0, cutoff)
-        self.decisions.taken(now, unit, 0, 0, cutoff, work, 1.0)
+        self._told(self.decisions.taken, unit, 0, 0, cutoff, work, 1.0)
+
+    def _told(self, call: Callable[..., None], *args: object) -> None:
+        """A dispatcher that stands still hears it later, one that was killed never."""
+        if not self.alive:
+            return
+        if self.clock.now < self.stalled_until:
+            self.clock.after(self.stalled_until - self.clock.now, partial(self._told, call, *args))
+        else:
+            call(self.clock.now, *args)
+
+    def way(self, runner: int) -> int:
+        here = runner % ZONES == self.no % ZONES
+        return self.world.scenario.way if here else max(self.world.scenario.cross, self.world.scenario.way)
 
     def dispatch(self, unit: int, runner: int, limit: int) -> None:
         self.world.rules.dispatched(self.clock.now, self.no, unit, runner)
         job = Job(self, unit, self.count[unit], self.work[unit])
         self.count[unit] += 1
-        self.clock.after(self.world.scenario.way, partial(self.world.runners[runner].take, job))
+        self.out.add((unit, job.nth))
+        until = self.came[unit] + self.world.orders.grades[0].cutoff - self.clock.now
+        self.clock.after(until, partial(self._heard, job, runner, Outcome.LATE, ()))
+        self.clock.after(self.way(runner), partial(self.world.runners[runner].take, job))
 
     def shed(self, unit: int, advice: int) -> None:
         self.world.rules.answered(self.clock.now, self.no, unit, "shed")
+        if self.tries[unit] < self.world.scenario.retries:
+            self.clock.after(self.world.scenario.backoff, partial(
+                self.world.enter, self.no, self.work[unit], self.came[unit], self.tries[unit] + 1))
 
     def give_up(self, unit: int) -> None:
         self.world.rules.answered(self.clock.now, self.no, unit, "given up")
@@ -121,11 +175,14 @@
         pass  # as at runners that stop nothing: the end is heard when it comes
 
     def wake(self, after: int, label: int) -> None:
-        self.clock.after(after, lambda: self.decisions.woken(self.clock.now, label))
+        self.clock.after(after, lambda: self._told(self.decisions.woken, label))
 
     def probe(self, runner: int) -> None:
-        self.clock.after(2 * self.world.scenario.way, lambda: self.decisions.probed(
-            self.clock.now, runner, True, self.world.runners[runner].told))
+        def answered() -> None:
+            it = self.world.runners[runner]
+            well = not it.dead and not it.hangs and it.standing != Standing.GONE
+            self._told(self.decisions.probed, runner, well, it.told if well else ())
+        self.clock.after(2 * self.way(runner), answered)
 
     def subscribe(self) -> None:
         self.clock.after(self.world.scenario.way, lambda: self.tell(range(len(self.world.runners)), True))
@@ -135,19 +192,28 @@
         for r in runners:
             it = self.world.runners[r]
             mark = r / len(self.world.runners)
-            entries.append(Listing(r, it.standing, 1.0, r % 3, r % 6, it.since, 0, mark))
-            self.world.rules.told(now, self.no, r, it.standing, r % 3, r % 6)
-        self.decisions.listed(now, entries, whole)
+            entries.append(Listing(r, it.standing, 1.0, r % ZONES, r % (2 * ZONES), it.since, 0, mark))
+            self.world.rules.told(max(now, self.stalled_until), self.no, r, it.standing, r % ZONES,
+                                  r % (2 * ZONES))
+        self._told(self.decisions.listed, entries, whole)
 
     def hear_start(self, job: Job, runner: int) -> None:
-        self.clock.after(self.world.scenario.way, lambda: self.decisions.started(
-            self.clock.now, job.unit, job.nth, runner))
+        self.clock.after(self.way(runner), lambda: self._told(
+            self.decisions.started, job.unit, job.nth, runner))
 
     def hear(self, job: Job, runner: int, outcome: Outcome, report: Sequence[float]) -> None:
-        self.clock.after(self.world.scenario.way, partial(self._heard, job, runner, outcome, report))
+        self.clock.after(self.way(runner), partial(self._heard, job, runner, outcome, report))
 
     def _heard(self, job: Job, runner: int, outcome: Outcome, report: Sequence[float]) -> None:
         now, record = self.clock.now, self.world.rules.units[self.no, job.unit]
+        if not self.alive:
+            return
+        if now < self.stalled_until:
+            self.clock.after(self.stalled_until - now, partial(self._heard, job, runner, outcome, report))
+            return
+        if (job.unit, job.nth) not in self.out:
+            return  # nobody waits for it any more
+        self.out.discard((job.unit, job.nth))
         if outcome in (Outcome.FULL, Outcome.UNREACHABLE):
             self.world.rules.never_ran(now, self.no, job.unit, runner)
         last = bool(record.answered) or outcome == Outcome.DONE
@@ -164,6 +230,7 @@
         self.rules = Rules(orders, grace)
         self.asked = self.in_time = 0
         self.clock.now = SECOND
+        self.make, self.units, self.rate, self.lists_from = make, -1, scenario.rate, 0
         self.runners = [Runner(self, r) for r in range(scenario.runners)]
         self.posts = [Post(self, no, make) for no in range(scenario.dispatchers)]
         for r in self.runners:
@@ -171,14 +238,29 @@
             self.clock.after(phase, r.refresh)
         for post in self.posts:
             post.tell(range(scenario.runners), True)
-            self._arrive(post, Random(f"{scenario.seed} client {post.no}"), 0)
-
-    def _arrive(self, post: Post, luck: Random, unit: int) -> None:
+            self._arrive(post.no, Random(f"{scenario.seed} client {post.no}"))
+        for fault in scenario.faults:
+            self._script(fault)
+
+    def enter(self, no: int, work: int, came: int, tries: int) -> None:
+        """A unit at the front of one dispatcher; where that is dead, after a while at another."""
+        for step in range(len(self.posts)):
+            post = self.posts[(no + step) % len(self.posts)]
+            if post.alive:
+                if step and not tries:
+                    self.clock.after(NOTICE, partial(self.enter, post.no, work, came, tries + 1))
+                    return
+                self.units += 1
+                post.take(self.units, work, came, tries)
+                return
+
+    def _arrive(self, no: int, luck: Random) -> None:
         """Open loop: the next arrival does not wait for any answer."""
         def come() -> None:
-            post.take(unit, max(int(luck.expovariate(1 / self.scenario.work)), 1))
-            self._arrive(post, luck, unit + 1)
-        wait = int(luck.expovariate(self.scenario.rate / SECOND))
+            self.asked += 1
+            self.enter(no, max(int(luck.expovariate(1 / self.scenario.work)), 1), self.clock.now, 0)
+            self._arrive(no, luck)
+        wait = int(luck.expovariate(self.rate / SECOND))
         if self.clock.now + wait < (self.scenario.seconds + 1) * SECOND:
             self.clock.after(wait, come)
 
@@ -186,10 +268,74 @@
         """A runner drains, goes or comes back cold; lists tell of it later."""
         def now() -> None:
             self.runners[runner].standing, self.runners[runner].since = standing, since
-            for post in self.posts:
-                self.clock.after(self.scenario.list_late, partial(post.tell, (runner,), False))
+            late = max(self.scenario.list_late, self.lists_from - self.clock.now)
+            for no in range(len(self.posts)):
+                self.clock.after(late, partial(self._tell, no, runner))
         self.clock.after(at - self.clock.now, now)
 
+    def _tell(self, no: int, runner: int) -> None:
+        if self.posts[no].alive:
+            self.posts[no].tell((runner,), False)
+
+    # --- faults ---
+
+    def _script(self, fault: Fault) -> None:
+        start, end = (SECOND + int(at * SECOND) for at in (fault.at, fault.until))
+        whom = hit(fault, self.scenario.seed, len(self.runners))
+        if fault.kind == Kind.LOST_ZONE:
+            whom = [r for r in range(len(self.runners)) if r % ZONES == fault.zone]
+        if fault.kind == Kind.RELEASE:
+            # One after the other: it drains while another, or itself, is on its way back.
+            for place, r in enumerate(whom):
+                at = start + (end - start) * place // len(whom)
+                self.change(at, r, Standing.DRAINING)
+                self.change(at + SECOND, r, Standing.GONE)
+                self.change(at + 3 * SECOND // 2, r, Standing.READY, since=at + 3 * SECOND // 2)
+            return
+        if fault.kind == Kind.LOST_ZONE:
+            for r in whom:
+                self.change(start, r, Standing.GONE)
+                self.clock.after(start - self.clock.now, self.runners[r].end_of_life)
+                self.change(end, r, Standing.READY, since=end)
+            return
+        if fault.kind in (Kind.KILL, Kind.STALL):
+            whom = hit(fault, self.scenario.seed, len(self.posts))
+        for on, at in ((True, start), (False, end)):
+            self.clock.after(at - self.clock.now, partial(self._turn, fault, on, whom, end))
+
+    def _turn(self, fault: Fault, on: bool, whom: Sequence[int], end: int) -> None:
+        kind = fault.kind
+        if kind == Kind.BURST:
+            self.rate = self.scenario.rate * (fault.factor if on else 1.0)
+        elif kind == Kind.LISTS_DOWN:
+            self.lists_from = end if on else 0
+        elif kind == Kind.KILL:
+            for no in whom:
+                if on:
+                    self.posts[no].alive = False
+                    self.rules.killed(self.clock.now, no)
+                else:
+                    self.posts[no] = Post(self, no, self.make)
+                    self.posts[no].tell(range(len(self.runners)), True)
+        elif kind == Kind.STALL:
+            for no in whom:
+                self.posts[no].stalled_until = end if on else 0
+        else:
+            for r in whom:
+                it = self.runners[r]
+                if kind == Kind.SLOW:
+                    it.slowed = fault.factor if on else 1.0
+                elif kind == Kind.ERRORS:
+                    it.failing = min(fault.factor, 1.0) if on else 0.0
+                elif kind == Kind.HANG:
+                    it.hangs = on
+                elif kind == Kind.DEAD:
+                    it.dead = on
+                    if on:
+                        it.end_of_life()
+                elif kind == Kind.LATE_REPORTS:
+                    it.mute = on
+
     def run(self) -> None:
         self.clock.run((self.scenario.seconds + 1) * SECOND + self.orders.grades[0].cutoff + SECOND)
         self.rules.over(self.clock.now)
--- /dev/null
+++ b/tests/test_experiment.py
@@ -0,0 +1,125 @@
+"""Faults in the emulated world, and experiments described in files."""
+
+import tempfile
+from dataclasses import replace
+from pathlib import Path
+
+from click.testing import CliRunner
+
+from crankfold.cli import main
+from crankfold.dispatch.policy import Dispatcher
+from crankfold.emulator.faults import Fault, Kind, hit
+from crankfold.emulator.study import ORDERS
+from crankfold.emulator.world import Scenario, World
+from tests.scene import Kept
+
+DAY = Scenario(dispatchers=6, runners=9, rate=12.0, work=3_500, seconds=8, seed=3)
+PLAN = """
+name = "small"
+seeds = 2
+policies = ["random", "two-choices"]
+across = "load"
+[day]
+seconds = 3
+dispatchers = 2
+[[case]]
+name = "half"
+at = 0.5
+[[case]]
+name = "more, a runner hangs"
+at = 0.8
+[case.day]
+load = 0.8
+faults = [{kind = "hang", at = 1, until = 2, share = 0.2}]
+"""
+
+
+class Faults(Kept):
+    def play(self, *faults: Fault, **day: object) -> tuple[World, float]:
+        world = World(replace(DAY, faults=faults, **day), replace(ORDERS, may_copy=True), Dispatcher)  # type: ignore[arg-type]
+        world.run()
+        return world, world.in_time / world.asked
+
+    def test_every_kind_of_fault_is_felt_and_no_rule_breaks(self) -> None:
+        _, calm = self.play()
+        self.say(f"calm: over 95 of a hundred in time: {calm > 0.95}")
+        factor = {Kind.ERRORS: 0.7, Kind.BURST: 2.5}
+        for kind in Kind:
+            # With reports that stand still or lists that are down something else has to happen to be felt.
+            more = {Kind.LISTS_DOWN: (Fault(Kind.RELEASE, 2.0, 3.5, 0.4),), Kind.LATE_REPORTS:
+                    (Fault(Kind.SLOW, 1.0, 7.0, 0.3),)}.get(kind, ())
+            day = {"dispatchers": 2, "rate": 36.0} if kind == Kind.LATE_REPORTS else {}  # by whom reports are used
+            base = self.play(*more, **day)[1] if more else calm
+            world, share = self.play(Fault(kind, 2.0, 5.0, 0.4, factor=factor.get(kind, 4.0)), *more, **day)
+            answers = [record.answered for record in world.rules.units.values()]
+            self.say(f"{kind.value}: felt {share != base}, all answered {all(answers)}, "
+                     f"lost with a dispatcher {'lost' in answers}, rules broken {len(world.rules.broken)}")
+        self.close("emulator-faults")
+
+    def test_what_a_fault_does(self) -> None:
+        def errors(share: float) -> int:
+            world, _ = self.play(Fault(Kind.ERRORS, 1.0, 7.0, 1.0, factor=share))
+            return sum("done" not in record.answered for record in world.rules.units.values())
+
+        self.assertLess(errors(0.1), errors(0.9))
+        world, _ = self.play(Fault(Kind.LOST_ZONE, 2.0, 4.0, zone=1))
+        self.assertEqual([r.no for r in world.runners if r.since], [1, 4, 7])
+        world, _ = self.play(Fault(Kind.KILL, 2.0, 4.0, 0.5))
+        self.assertEqual(sum(post.alive for post in world.posts), 6)
+        before, after = (self.play(Fault(Kind.BURST, 2.0, 4.0, factor=f))[0].asked for f in (1.0, 3.0))
+        self.assertGreater(after, 1.3 * before)
+        shed, _ = self.play(Fault(Kind.BURST, 1.0, 7.0, factor=6.0), retries=3)
+        self.assertGreater(len(shed.rules.units), shed.asked)  # who was shed came again
+        far, near = self.play(cross=300)[1], self.play(cross=0)[1]
+        self.assertLess(far, near)
+
+    def test_whom_it_hits_depends_on_the_seed_alone(self) -> None:
+        fault = Fault(Kind.SLOW, 1.0, 2.0, 0.25)
+        self.assertEqual(hit(fault, 1, 40), hit(fault, 1, 40))
+        self.assertNotEqual(hit(fault, 1, 40), hit(fault, 2, 40))
+        self.assertEqual((len(hit(fault, 1, 40)), len(hit(fault, 1, 1))), (10, 1))
+
+
+class Experiments(Kept):
+    def setUp(self) -> None:
+        super().setUp()
+        self.folder = Path(self.enterContext(tempfile.TemporaryDirectory()))
+
+    def made(self, plan: str, *more: str) -> tuple[int, str]:
+        file = self.folder / "plan.toml"
+        file.write_text(plan)
+        result = CliRunner().invoke(main, ["experiment", str(file), *more])
+        return result.exit_code, result.output.replace(str(self.folder), "HERE")
+
+    def test_the_same_file_gives_the_same_bytes_whoever_plays(self) -> None:
+        kept = []
+        for workers in ("1", "3"):
+            out = self.folder / f"by {workers}"
+            code, output = self.made(PLAN, "--out", str(out), "--workers", workers)
+            self.assertEqual(code, 0, output)
+            kept.append([(out / f"small.{kind}").read_bytes() for kind in ("csv", "txt", "svg")])
+        self.assertEqual(kept[0], kept[1])
+        self.assertEqual(kept[0][0].count(b"\n"), 1 + 2 * 3 * 2)
+        self.assertIn(b"more, a runner hangs: crankfold", kept[0][1])
+
+    def test_what_can_not_be_played_is_said_in_a_line(self) -> None:
+        for what, plan in {
+            "no TOML": "name = ",
+            "no case": 'name = "x"',
+            "an unknown key": PLAN.replace("across", "accross"),
+            "an unknown policy": PLAN.replace("two-choices", "oracle"),
+            "an unknown fault": PLAN.replace('"hang"', '"flood"'),
+            "no runners": PLAN.replace("load = 0.8", "runners = 0"),
+            "a load that is none": PLAN.replace("load = 0.8", 'load = "much"'),
+            "a fault beyond the day": PLAN.replace("until = 2", "until = 5"),
+            "a case twice": PLAN.replace("more, a runner hangs", "half"),
+            "one seed": PLAN.replace("seeds = 2", "seeds = 1"),
+            "a name that is a path": PLAN.replace('"small"', '"../small"'),
+        }.items():
+            code, output = self.made(plan, "--out", str(self.folder))
+            self.say(f"{what}: {code}, {output.splitlines()[-1]}")
+            self.assertNotIn("Traceback", output)
+        (self.folder / "a file").write_text("")
+        code, output = self.made(PLAN, "--out", str(self.folder / "a file"))
+        self.say(f"results into a file: {code}, {output.splitlines()[-1]}")
+        self.close("experiment-unfit")
