--- a/tests/test_experiment.py
+++ b/tests/test_experiment.py
@@ -48,7 +48,7 @@
             # With reports that stand still or lists that are down something else has to happen to be felt.
             more = {Kind.LISTS_DOWN: (Fault(Kind.RELEASE, 2.0, 3.5, 0.4),), Kind.LATE_REPORTS:
                     (Fault(Kind.SLOW, 1.0, 7.0, 0.3),)}.get(kind, ())
-            day = {"dispatchers": 2, "rate": 36.0} if kind == Kind.LATE_REPORTS else {}  # by whom reports are used
+            day = {"dispatchers": 2, "rate": 36.0} if kind == Kind.LATE_REPORTS else {}
             base = self.play(*more, **day)[1] if more else calm
             world, share = self.play(Fault(kind, 2.0, 5.0, 0.4, factor=factor.get(kind, 4.0)), *more, **day)
             answers = [record.answered for record in world.rules.units.values()]
