The program is ready for the move: keys and retry marks read, settings checked, what carries over

Until now X-Route-Key and X-Retried went on to runners unread, `weights` and `specifics` were not checked, and a successor took the list's weights as they stood, also from a process to which they meant something else. Weights that are not known teach no size.

--- a/crankfold/dispatch/policy.py
+++ b/crankfold/dispatch/policy.py
@@ -298,8 +298,9 @@
                 self.load[r] = self.own[r]
                 self.doubt[r] = self.cold_next[r] = 0
             self.standing[r], self.weight[r] = e.standing, e.weight if e.weight > 0 else 1.0
-            self.shown[r] = self.weight[r]
-            self.sizes[e.kind] = max(self.sizes.get(e.kind, 0.0), self.shown[r])
+            self.shown[r] = e.weight
+            if e.weight > 0:
+                self.sizes[e.kind] = max(self.sizes.get(e.kind, 0.0), e.weight)
             self.runner_zone[r], self.cell[r], self.since[r] = e.zone, e.cell, e.since
             self.mark[r], self.kind[r], self.room[r] = e.mark, e.kind, self.slots_of.get(e.kind, 0.0)
             self.warm_at[r] = e.since + self.warm_after if e.since else 0
@@ -320,8 +321,8 @@
         count as a report only where keys bind."""
         held = size = 0.0
         for r in self.ready:
-            self.weight[r] = self.sizes[self.kind[r]]
-            self.filling[r] = self.weight[r] / self.shown[r] - 1.0
+            self.weight[r] = self.sizes.get(self.kind[r], 1.0)
+            self.filling[r] = self.weight[r] / (self.shown[r] if self.shown[r] > 0 else self.weight[r]) - 1.0
             if self.keyed and self.room[r]:
                 self._learn(now, r, self.filling[r] * self.room[r], 1.0)
                 self.report_at[r] = now
--- a/crankfold/orders/form.py
+++ b/crankfold/orders/form.py
@@ -40,11 +40,18 @@
     most_held: Annotated[int, Meta(ge=1)] | None = None
 
 
+class Specifics(Struct, rename="kebab"):
+    tells_start: bool | None = None
+    keeps_keys: bool | None = None
+
+
 class Settings(Struct, rename="kebab"):
     service_grades: Annotated[list[dict[str, Any]], Meta(min_length=1)]
     allowed: Allowed
     tick: Above | None = None
     balancers: Annotated[int, Meta(ge=1)] | None = None
+    weights: Annotated[str, Meta(pattern="^(off|nominal|rough|live)$")] | None = None
+    specifics: Specifics | None = None
 
 
 class Limits(Struct):
--- a/crankfold/protocol/clients.py
+++ b/crankfold/protocol/clients.py
@@ -1,5 +1,6 @@
 """The side to which clients hand their units; runners' call-backs and health checks come in by it too."""
 
+import zlib
 from collections.abc import Sequence
 from http import HTTPStatus
 from typing import Protocol
@@ -23,7 +24,8 @@
     def elsewhere_told(self, client: object, body: bytes) -> bool: ...
     def knows_grade(self, name: str) -> bool: ...
     def hand_in(self, client: object, ident: str, grade: str, tenant: str, wait: int, work: int, slots: float,
-                again: tuple[bytes, bytes, list[tuple[bytes, bytes]], bytes]) -> None: ...
+                again: tuple[bytes, bytes, list[tuple[bytes, bytes]], bytes], key: int,
+                retried: bool) -> None: ...
 
 
 class ClientSide:
@@ -156,8 +158,11 @@
             self._decline(400)
             return
         self.known = True
+        about = first.get(b"x-route-key", b"")
+        key = 1 << 32 | zlib.crc32(about) if about else 0  # the same at every dispatcher, whatever the form
         self.desk.hand_in(self.client, ident, grade, first.get(b"x-tenant-id", b"").decode("latin-1"), wait,
-                          work, slots, (method, target, passed_on(heads), bytes(self.body)))
+                          work, slots, (method, target, passed_on(heads), bytes(self.body)), key,
+                          first.get(b"x-retried") == b"1")
 
     def answer(self, status: int, heads: Sequence[tuple[bytes, bytes]] = (), body: bytes = b"") -> None:
         told = [(b"Content-Length", str(len(body)).encode())] if status != 204 else []
--- a/crankfold/service/desk.py
+++ b/crankfold/service/desk.py
@@ -70,7 +70,8 @@
         return self.grades.find(plain(name)) >= 0
 
     def hand_in(self, client: object, ident: str, grade: str, tenant: str, wait: int, work: int, slots: float,
-                again: tuple[bytes, bytes, list[tuple[bytes, bytes]], bytes]) -> None:
+                again: tuple[bytes, bytes, list[tuple[bytes, bytes]], bytes], key: int = 0,
+                retried: bool = False) -> None:
         assert isinstance(client, Client)
         if ident in self.ledger.by_ident or ident in self.elsewhere:
             self.tally.count("ids-in-hand-already")
@@ -87,7 +88,8 @@
         held = self.ledger.enter(row, ident, client, self.clock.now() + wait, again)
         held.time_up = self.timers.wake(wait, partial(self._time_up, held))
         payer = max(self.rules.tenants.find(plain(tenant)), 0)
-        self.tell(self.decisions.taken, held.no, row, payer, held.cutoff, work, slots, unit=held.no)
+        self.tell(self.decisions.taken, held.no, row, payer, held.cutoff, work, slots, key, retried,
+                  unit=held.no)
 
     def left(self, client: Client) -> None:
         work = self.ledger.by_client.get(client)
--- a/crankfold/service/handover.py
+++ b/crankfold/service/handover.py
@@ -12,6 +12,7 @@
 from crankfold.network.passage import Passage, settle
 from crankfold.protocol.callbacks import hear, unit_of
 from crankfold.protocol.kin import FORM, figures, strings
+from crankfold.service import carry
 from crankfold.service.desk import Desk
 from crankfold.service.operations import Operations
 from crankfold.service.succession import Place, Succession
@@ -49,8 +50,7 @@
                 self.sock = sock
                 self.succession.follows(kin)
                 self._learn(welcome)
-                known = welcome.get("known")
-                return known if isinstance(known, dict) else None
+                return carry.known_list(welcome, self.desk.decisions.live)
             self.tally.say("predecessor", "speaks another form or has another address; starting alone")
             self.passage.part(kin)
             if sock:
@@ -61,8 +61,7 @@
     def _learn(self, welcome: dict[str, Any]) -> None:
         self.fleet.heard_of.update(strings(welcome.get("ever")))
         self._bans(welcome)
-        reports = welcome.get("reports")
-        self.reports = reports if isinstance(reports, dict) else {}
+        self.reports = carry.reports(welcome, self.desk.rules.report_fields)
 
     def _bans(self, kept: dict[str, Any]) -> None:
         self.fleet.bans.since.update(figures(kept.get("bans")))
@@ -168,9 +167,15 @@
     def state(self) -> dict[str, Any]:
         now, fleet = self.desk.timers.clock.now(), self.fleet
         names = fleet.numbers.names
+        decisions = self.desk.decisions
         listed = [fleet.as_listed(runner) for runner, entry in enumerate(fleet.said)
                   if entry.standing != Standing.GONE]
-        return {"form": FORM, "bans": fleet.bans.since, "assumed": fleet.bans.assumed,
+        if decisions.live:  # the size is what lasts of a weight that moves
+            for entry in listed:
+                entry["capacity_hint"] = decisions.weight[fleet.numbers.place(entry["uid"])]
+        return {"form": FORM, "weights": carry.meaning(decisions.live),
+                "fields": list(self.desk.rules.report_fields),
+                "bans": fleet.bans.since, "assumed": fleet.bans.assumed,
                 "ever": sorted({*names, *fleet.heard_of}),
                 "known": {"rev": 0, "all": True, "targets": listed} if listed else None,
                 "reports": {names[runner]: list(report) for runner, (at, report) in self.desk.reports.items()
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -36,6 +36,8 @@
         work: int,
         slots: float,
         again: tuple[bytes, bytes, list[tuple[bytes, bytes]], bytes],
+        key: int = 0,
+        retried: bool = False,
     ) -> None:
         method, target, heads, body = again
         self.say(f"{ident} {grade} waits {wait} work {work} slots {slots:g}")
