--- a/crankfold/dispatch/policy.py
+++ b/crankfold/dispatch/policy.py
@@ -378,10 +378,11 @@
         step = warm / size or whole / max(len(ring), 1)
         drawn, passed, stretch, at = ring[:0], 0.0, 0, self._spot(0) * step
         for r in ring:
-            self.part[r] = min(max(step / self.weight[r], 1.0) / self.sharers, 1.0)
+            self.part[r] = 0.0  # whoever looks beyond the circle must not send to cold ones there as well
             passed += self.weight[r]
             if passed > at:
                 drawn.append(r)
+                self.part[r] = min(max(step / self.weight[r], 1.0) / self.sharers, 1.0)
             while passed > at:
                 stretch += 1
                 at = (stretch + self._spot(stretch)) * step
--- a/tests/test_move.py
+++ b/tests/test_move.py
@@ -1,7 +1,7 @@
 """A deployment of another build: weights that move with load, keys, no start notes, impatient clients."""
 
 from crankfold.dispatch.interface import Listing, Standing
-from tests.scene import Scene
+from tests.scene import MS, Scene
 
 
 class Moved(Scene):
@@ -78,3 +78,19 @@
         self.take(1, cutoff=300, work=0, again=True)
         self.take(2, cutoff=4900, work=0, again=True)
         self.close("move-frantic")
+
+    def test_a_cold_runner_outside_the_circle_gets_nothing(self) -> None:
+        self.open(runners=0, free=0, live_weights=True, dispatchers=60)
+        start = self.now - 1000 * MS
+        self.list([Listing(r, Standing.READY, 4.0, 0, 0, start * (r % 2), 0, r / 30)
+                   for r in range(30)])
+        for r in range(30):
+            if not r % 2:
+                self.told.full_until[r] = self.now + 10_000 * MS
+            self.told.cold_next[r] = 1  # saved up long since
+        for n in range(20):
+            self.take(n, work=20)
+        met = {int(line.split()[-1]) for line in self.lines if "->" in line}
+        self.say(f"cold ones met outside the circle: {len(met - set(self.told.circle))}")
+        self.lines = self.lines[-1:]
+        self.close("move-cold")
