--- a/tests/test_grown.py
+++ b/tests/test_grown.py
@@ -185,7 +185,7 @@
 
 class Few(Scene):
     def test_three_dispatchers_use_the_whole_fleet(self) -> None:
-        """With half of ten runners each, and three for short units, a quiet day lost a quarter of its score."""
+        """With five of ten runners each, three for short units, a quiet day lost a quarter of its worth."""
         self.open(runners=10, dispatchers=3)
         for n in range(10):
             self.take(n, slots=4.0)
