--- /dev/null
+++ b/crankfold/agreement/words.py
@@ -0,0 +1,186 @@
+"""What members of a fleet tell each other, and what is kept. Times are tenths of a millisecond.
+
+No time of one machine's clock is ever compared with another's: a span goes from the asker's own clock to the
+asker's own clock, the answer only says how long.
+"""
+
+from typing import Any
+
+from msgspec import Struct
+
+
+class Entry(Struct, array_like=True, frozen=True):
+    """One step of the history."""
+
+    term: int
+    kind: str
+    data: dict[str, Any]
+
+
+class Kept(Struct, array_like=True, frozen=True):
+    """All that went before the entries that a log still has."""
+
+    index: int
+    term: int
+    voters: dict[str, str]  # by name, their addresses
+    state: bytes
+
+
+class Ballot(Struct, array_like=True, frozen=True, tag="b"):
+    """Asks for a vote, or (`trial`) whether there would be one."""
+
+    term: int
+    last: int
+    last_term: int
+    trial: bool
+
+
+class BallotAnswer(Struct, array_like=True, frozen=True, tag="B"):
+    term: int
+    trial: bool
+    yes: bool
+
+
+class Append(Struct, array_like=True, frozen=True, tag="a"):
+    """Entries after `before`, or none: then it says that the leader is there."""
+
+    term: int
+    before: int
+    before_term: int
+    entries: list[Entry]
+    commit: int
+    round: int
+
+
+class AppendAnswer(Struct, array_like=True, frozen=True, tag="A"):
+    """`match`: up to where the logs agree; without `yes`, from where to try."""
+
+    term: int
+    yes: bool
+    match: int
+    round: int
+
+
+class Install(Struct, array_like=True, frozen=True, tag="i"):
+    term: int
+    kept: Kept
+    round: int
+
+
+class Ask(Struct, array_like=True, frozen=True, tag="l"):
+    """A voter asks the leader for its lease. `asked` is the asker's own clock; `least` is up to where
+    it and all that hold theirs from it act, `settled` up to where their units in hand keep to it too."""
+
+    term: int
+    incarnation: int
+    asked: int
+    least: int
+    settled: int
+
+
+class Grant(Struct, array_like=True, frozen=True, tag="L"):
+    """For whoever acts on all up to `need` by the time this reaches him."""
+
+    term: int
+    asked: int
+    span: int  # from `asked` on; 0 for none
+    need: int
+
+
+class Follow(Struct, array_like=True, frozen=True, tag="f"):
+    """A follower asks a voter for what is new and for its lease."""
+
+    name: str
+    incarnation: int
+    asked: int
+    have: int
+    settled: int
+
+
+class News(Struct, array_like=True, frozen=True, tag="F"):
+    """`kept` where the follower was away for longer than the entries go back; entries follow `before`."""
+
+    asked: int
+    span: int
+    before: int
+    kept: Kept | None
+    entries: list[Entry]
+    at: int  # up to where the voter has applied the history
+
+
+class Refused(Struct, array_like=True, frozen=True, tag="r"):
+    why: str
+
+
+class Publish(Struct, array_like=True, frozen=True, tag="p"):
+    """What an operator asks for, passed on to the leader. The same `call` twice has one effect."""
+
+    call: str
+    kind: str
+    data: dict[str, Any]
+
+
+class Published(Struct, array_like=True, frozen=True, tag="P"):
+    """What became of it; `index` is where in the history it stands."""
+
+    call: str
+    well: bool
+    text: str
+    number: int
+    index: int
+
+
+class Check(Struct, array_like=True, frozen=True, tag="c"):
+    """Could you use this document?"""
+
+    call: str
+    doc: str
+    text: dict[str, Any]
+
+
+class Checked(Struct, array_like=True, frozen=True, tag="C"):
+    call: str
+    fault: str
+
+
+class Goodbye(Struct, array_like=True, frozen=True, tag="g"):
+    name: str
+    incarnation: int
+
+
+class Roster(Struct, array_like=True, frozen=True, tag="m"):
+    """Who holds a lease from the sender: name, incarnation, there for so long, what he acts on, his state."""
+
+    wards: list[tuple[str, int, int, int, str]]
+
+
+Message = (Ballot | BallotAnswer | Append | AppendAnswer | Install | Ask | Grant | Follow | News | Refused
+           | Publish | Published | Check | Checked | Goodbye | Roster)
+
+
+class Timing(Struct, frozen=True):
+    """All from the stated time: how long two may act on rules that contradict each other."""
+
+    stated: int
+
+    @property
+    def lease(self) -> int:
+        return self.stated * 8 // 10
+
+    @property
+    def heartbeat(self) -> int:
+        return self.stated * 4 // 100
+
+    @property
+    def election(self) -> int:
+        """Least time without a leader before another stands; twice that at most."""
+        return self.stated * 16 // 100
+
+    @property
+    def renew(self) -> int:
+        return self.stated // 10
+
+    @property
+    def outlast(self) -> int:
+        """After so long on one clock a lease is over on any other, both as much as 1% off."""
+        return self.lease * 103 // 100
