Peers on sockets and disk, commands for settings with versions, and crankfold trial

Need: agreed settings and lists between real processes, and proof with faults between them. peers (frames, durable store, links), the desk asks for its lease at each act, crankfold settings and fleet at the operators' door, a rig of real processes with relays and a checker that shares no code.

--- a/crankfold/cli.py
+++ b/crankfold/cli.py
@@ -5,7 +5,7 @@
 import sys
 from functools import partial
 from pathlib import Path
-from typing import TextIO
+from typing import BinaryIO, TextIO
 
 import click
 
@@ -152,6 +152,118 @@
         click.echo(line)
 
 
+_door = click.option("--door", envvar="GW_ADMIN_ADDR", show_envvar=True, required=True,
+                     help="HOST:PORT of a dispatcher's door for operators.")
+_json = click.option("--json", "as_json", is_flag=True, help="JSON in place of text.")
+_doc = click.option("--doc", default="settings", show_default=True,
+                    type=click.Choice(["settings", "runners-out", "runners-never"]))
+
+
+@main.command()
+@_door
+@_json
+def fleet(door: str, as_json: bool) -> None:
+    """Members, versions, leader, who is behind and who is cut off, as one dispatcher sees them.
+
+    Exit: 0 if that dispatcher acts on what is agreed, 3 if not, or if it can't be reached.
+    """
+    from crankfold.peers import commands  # not for `serve`
+
+    sys.exit(commands.fleet(door, as_json))
+
+
+@main.group()
+def settings() -> None:
+    """What all dispatchers agree on, with its versions.
+
+    Exit: 0 done; 1 turned down; 2 unusable call; 3 no outcome or nobody there; 4 published, but not all
+    act on it yet.
+    """
+
+
+@settings.command("show")
+@_door
+@_json
+@_doc
+@click.option("--version", "number", type=int, default=0, help="An earlier one; the newest if not given.")
+def settings_show(door: str, as_json: bool, doc: str, number: int) -> None:
+    """A version's text, as JSON that can be published again."""
+    from crankfold.peers import commands
+
+    sys.exit(commands.show(door, doc, number, as_json))
+
+
+@settings.command("history")
+@_door
+@_json
+@_doc
+def settings_history(door: str, as_json: bool, doc: str) -> None:
+    """Who published what, when and why."""
+    from crankfold.peers import commands
+
+    sys.exit(commands.history(door, doc, as_json))
+
+
+@settings.command("diff")
+@_door
+@_doc
+@click.argument("one", type=int)
+@click.argument("other", type=int)
+def settings_diff(door: str, doc: str, one: int, other: int) -> None:
+    """What is different between two versions."""
+    from crankfold.peers import commands
+
+    sys.exit(commands.difference(door, doc, one, other))
+
+
+@settings.command("publish")
+@_door
+@_json
+@_doc
+@click.argument("file", type=click.File("rb"))
+@click.option("--from", "made_from", type=int, required=True, help="The version that it was made from.")
+@click.option("--reason", required=True)
+@click.option("--author", envvar="USER", default="", show_envvar=True)
+@click.option("--wait", type=click.FloatRange(0, 60), default=0.0, help="Seconds, until all act on it.")
+@click.option("--call", default="", help="The same call again has one effect; drawn if not given.")
+def settings_publish(door: str, as_json: bool, doc: str, file: BinaryIO, made_from: int, reason: str,
+                     author: str, wait: float, call: str) -> None:
+    """Publish FILE as a new version."""
+    from crankfold.peers import commands
+
+    sys.exit(commands.publish(door, doc, file.read(), made_from, reason, author, wait, call, as_json))
+
+
+@settings.command("back")
+@_door
+@_json
+@_doc
+@click.argument("number", type=int)
+@click.option("--reason", required=True)
+@click.option("--author", envvar="USER", default="", show_envvar=True)
+@click.option("--wait", type=click.FloatRange(0, 60), default=0.0, help="Seconds, until all act on it.")
+def settings_back(door: str, as_json: bool, doc: str, number: int, reason: str, author: str,
+                  wait: float) -> None:
+    """Publish an earlier version again, as a new one."""
+    from crankfold.peers import commands
+
+    sys.exit(commands.back(door, doc, number, reason, author, wait, as_json))
+
+
+@main.command()
+@click.argument("plan", type=click.Path(path_type=Path))
+@click.option("--seed", type=int, default=0, help="Of the faults; the plan's if not given.")
+@click.option("--keep", type=click.Path(path_type=Path), help="Folder in which records and logs stay.")
+def trial(plan: Path, seed: int, keep: Path | None) -> None:
+    """Start the processes of PLAN, put its faults between them, and check its promises (docs/trial.md).
+
+    Exit: 0 if every promise held, 1 with the first that did not, 2 for a plan that can't be used.
+    """
+    from crankfold.trial import run
+
+    sys.exit(run.main(plan, seed, keep))
+
+
 @main.command("version")
 def show_version() -> None:
     """Print the version."""
--- a/crankfold/emulator/accord.py
+++ b/crankfold/emulator/accord.py
@@ -28,8 +28,8 @@
     """From one time to another, tenths of a millisecond.
 
     `loss`: a share of the messages from `at` to `to` ("" for any); `delay`: so much more, drawn for each, so
-    that they overtake one another; `double`: a share comes twice; `pause`: `at` stands still and wakes; `kill`:
-    it dies and starts at the end; `disk`: what it writes takes until the end.
+    that they overtake one another; `double`: a share comes twice; `pause`: `at` stands still and wakes;
+    `kill`: it dies and starts at the end; `disk`: what it writes takes until the end.
     """
 
     kind: str
@@ -414,7 +414,8 @@
         elif kind == "double":
             troubles.append(Trouble(kind, begin, until, much=0.3))
         elif kind == "all":
-            troubles += [Trouble("kill", begin, until + luck.randrange(3000), name) for name in names[:voters]]
+            troubles += [Trouble("kill", begin, until + luck.randrange(3000), name)
+                         for name in names[:voters]]
         elif kind == "disk":
             troubles.append(Trouble(kind, begin, until, luck.choice(names[:voters])))
         else:
--- a/crankfold/orders/form.py
+++ b/crankfold/orders/form.py
@@ -65,6 +65,7 @@
     limits: Limits | None = None
     seed: str | None = None
     admin_addr: str | None = None
+    peers: dict[str, Any] | None = None  # looked at by whoever starts them
 
 
 class Misfit(ValueError):
--- /dev/null
+++ b/crankfold/peers/commands.py
@@ -0,0 +1,160 @@
+"""`crankfold settings` and `crankfold fleet`: calls at a dispatcher's door."""
+
+import difflib
+import http.client
+import json
+import secrets
+from typing import Any
+
+import click
+
+DONE, REFUSED, NOBODY, NOT_ALL = 0, 1, 3, 4
+BEYOND_WAIT = 15.0
+
+
+def call(door: str, what: str, body: dict[str, Any] | None = None, wait: float = 0.0) -> tuple[int, Any]:
+    """Status and answer; status 0 with a text where nobody answers as he should."""
+    host, _, port = door.rpartition(":")
+    try:
+        line = http.client.HTTPConnection(host.strip("[]"), int(port), timeout=wait + BEYOND_WAIT)
+        line.request("GET" if body is None else "POST", f"/control/{what}",
+                     None if body is None else json.dumps(body).encode())
+        answer = line.getresponse()
+        text = answer.read()
+        line.close()
+        return answer.status, json.loads(text)
+    except json.JSONDecodeError:
+        return 0, f"{door}: {text.decode(errors='replace').strip()}"
+    except (OSError, ValueError, http.client.HTTPException) as wrong:
+        return 0, f"{door}: {wrong or type(wrong).__name__}"
+
+
+def _failed(told: Any) -> int:
+    click.echo(f"crankfold: {told if isinstance(told, str) else told.get('text', told)}", err=True)
+    return NOBODY
+
+
+def fleet(door: str, as_json: bool) -> int:
+    status, told = call(door, "fleet")
+    if status != 200:
+        return _failed(told)
+    if as_json:
+        click.echo(json.dumps(told, indent=2))
+        return DONE if told["acts"] else NOBODY
+    state = f"acts, lease {told['lease-ms']} ms" if told["acts"] else f"does not act: {told['why-not']}"
+    click.echo(f"{told['name']}: {state}")
+    click.echo(f"leader {told['leader'] or 'unknown'}" + (f", term {told['term']}" if "term" in told else ""))
+    for doc, version in told["versions"].items():
+        more = f", {version['newest']} on its way" if version["newest"] > version["counts"] else ""
+        click.echo(f"{doc}: version {version['counts']} counts{more}")
+    for voter, at in sorted(told.get("voters", {}).items()):
+        lag = told.get("lag", {}).get(voter)
+        lease = told.get("leases-ms", {}).get(voter)
+        click.echo(f"voter {voter} {at}" + (f", {lag} behind" if lag is not None else "")
+                   + (f", lease {lease} ms" if lease is not None else ""))
+    for one in told.get("members", ()):
+        click.echo(f"follower {one['name']} at {one['at']}: {one['state']} for {one['for-s']} s, "
+                   f"{one['lag']} behind, incarnation {one['incarnation']:x}")
+    return DONE if told["acts"] else NOBODY
+
+
+def _versions(door: str, doc: str) -> tuple[Any, dict[int, dict[str, Any]]]:
+    status, told = call(door, f"agreed/{doc}")
+    if status != 200:
+        return told, {}
+    return told, {version["number"]: version for version in told["versions"]}
+
+
+def _pretty(text: object) -> str:
+    return json.dumps(text, indent=2, sort_keys=True)
+
+
+def show(door: str, doc: str, number: int, as_json: bool) -> int:
+    told, versions = _versions(door, doc)
+    if not isinstance(told, dict) or "newest" not in told:
+        return _failed(told)
+    if as_json and not number:
+        click.echo(_pretty({name: part for name, part in told.items() if name != "versions"}))
+        return DONE
+    version = versions.get(number or told["newest"])
+    if version is None:
+        return _failed(f"{doc} has no version {number}" if number else f"{doc} has no version yet")
+    click.echo(_pretty(version if as_json else version["text"]))
+    if not as_json:
+        state = "counts" if version["number"] == told["counts"] else (
+            "on its way" if version["number"] > told["counts"] else "an earlier one")
+        click.echo(f"version {version['number']} of {doc}, {state}", err=True)
+    return DONE
+
+
+def history(door: str, doc: str, as_json: bool) -> int:
+    told, versions = _versions(door, doc)
+    if not isinstance(told, dict) or "newest" not in told:
+        return _failed(told)
+    if as_json:
+        click.echo(_pretty(list(versions.values())))
+        return DONE
+    for number, version in sorted(versions.items(), reverse=True):
+        mark = "*" if number == told["counts"] else " "
+        click.echo(f"{mark}{number} from {version['made_from']} by {version['author'] or 'nobody'}: "
+                   f"{version['reason']}")
+    return DONE
+
+
+def difference(door: str, doc: str, one: int, other: int) -> int:
+    told, versions = _versions(door, doc)
+    if not versions:
+        return _failed(told if isinstance(told, str) else f"{doc} has no version yet")
+    for number in (one, other):
+        if number not in versions:
+            return _failed(f"{doc} has no version {number}, or none that is kept")
+    for line in _lines(versions[one], versions[other]):
+        click.echo(line)
+    return DONE
+
+
+def _lines(one: dict[str, Any], other: dict[str, Any]) -> list[str]:
+    return list(difflib.unified_diff(_pretty(one["text"]).splitlines(), _pretty(other["text"]).splitlines(),
+                                     f"version {one['number']}", f"version {other['number']}", lineterm=""))
+
+
+def publish(door: str, doc: str, text: bytes, made_from: int, reason: str, author: str, wait: float,
+            ident: str, as_json: bool) -> int:
+    try:
+        read = json.loads(text)
+    except ValueError as wrong:
+        raise click.UsageError(f"no JSON: {wrong}") from None
+    if not isinstance(read, dict):
+        raise click.UsageError("no JSON object")
+    ident = ident or secrets.token_hex(8)
+    status, told = call(door, f"agreed/{doc}", {"call": ident, "made-from": made_from, "text": read,
+                                                "author": author, "reason": reason, "wait": wait}, wait)
+    if not isinstance(told, dict):
+        return _failed(f"{told}; once somebody is there, --call {ident} finds out what became of it")
+    if as_json:
+        click.echo(_pretty({**told, "call": ident}))
+    if status == 504:
+        return DONE if told["well"] else _failed(f"{told['text']} (--call {ident})")
+    if not told.get("well"):
+        if not as_json:
+            click.echo(f"crankfold: turned down: {told['text']}", err=True)
+            if told.get("number"):
+                _, versions = _versions(door, doc)
+                if made_from in versions and told["number"] in versions:
+                    click.echo("\n".join(_lines(versions[made_from], versions[told["number"]])), err=True)
+        return REFUSED
+    late = told.get("lag", [])
+    all_act = told.get("counts", True) and not late
+    if not as_json:
+        done = "" if not wait else ", all act on it" if all_act else (
+            f", not by all: {'; '.join(late)}" if late else ", does not count yet")
+        click.echo(f"version {told['number']} of {doc}{done}")
+    return DONE if all_act else NOT_ALL
+
+
+def back(door: str, doc: str, number: int, reason: str, author: str, wait: float, as_json: bool) -> int:
+    told, versions = _versions(door, doc)
+    if number not in versions:
+        return _failed(told if isinstance(told, str) else f"no version {number} of {doc} is kept")
+    return publish(door, doc, json.dumps(versions[number]["text"]).encode(), told["newest"], reason, author,
+                   wait, "", as_json)
--- /dev/null
+++ b/crankfold/peers/peer.py
@@ -0,0 +1,271 @@
+"""A member on its sockets, its disk and its clock."""
+
+import asyncio
+import secrets
+import sys
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any, Literal
+
+import msgspec
+from msgspec import Struct
+
+from crankfold.agreement.member import CUT_OFF, SUSPECTED, THERE, Follower, Voter
+from crankfold.agreement.raft import Batch
+from crankfold.agreement.words import Message, Published, Timing
+from crankfold.network.tally import Tally
+from crankfold.peers.frames import FORM, Hello
+from crankfold.peers.links import Links
+from crankfold.peers.store import Store, Unfit
+
+SECOND = 10_000
+ASK_AGAIN = 0.5  # seconds, for an outcome that may have been lost
+LEAST_STATED = 0.5
+
+
+class Peers(Struct, rename="kebab", forbid_unknown_fields=True):
+    """The `peers` part of the configuration."""
+
+    name: str
+    voters: dict[str, str]
+    address: str = ""
+    folder: str = ""
+    stated_time: float = 2.0
+    when_cut_off: Literal["shed", "go-on"] = "shed"
+    record: str = ""  # a file to which all that is done is written, for `crankfold trial`
+
+    def fault(self) -> str:
+        if not self.name or len(self.name) > 100:
+            return f"peers.name: found {self.name!r}; 1 to 100 characters"
+        if self.name in self.voters and not self.folder:
+            return "peers.folder: missing; a voter needs one for what must last"
+        if self.name in self.voters and not (self.address or self.voters[self.name]):
+            return "peers.address: missing; a voter has to be heard"
+        if len(self.voters) not in (3, 5, 7):
+            return f"peers.voters: found {len(self.voters)}; 3, 5 or 7"
+        if self.stated_time < LEAST_STATED:
+            return (f"peers.stated-time: found {self.stated_time}; at least {LEAST_STATED} s, as "
+                    f"elections and leases have to fit in")
+        if self.stated_time > 60:
+            return f"peers.stated-time: found {self.stated_time}; 60 s at most"
+        return ""
+
+
+def clock() -> int:
+    """Tenths of a millisecond. Goes on while the machine sleeps, as leases do."""
+    return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 100_000
+
+
+def place(text: str) -> tuple[str, int]:
+    host, _, port = text.rpartition(":")
+    return host.strip("[]"), int(port)
+
+
+class Peer:
+    """`changed` is called with the documents that read otherwise now; `holds` is to be asked at each act."""
+
+    def __init__(self, given: Peers, tally: Tally, check: Callable[[str, dict[str, Any]], str],
+                 beginning: dict[str, Any], changed: Callable[[set[str]], None]) -> None:
+        self.given, self.tally, self.changed = given, tally, changed
+        self.loop = asyncio.get_running_loop()
+        self.timing = Timing(int(given.stated_time * SECOND))
+        self.store: Store | None = None
+        self.aside = ""  # why this voter takes no part any more
+        now, seed, incarnation = clock(), secrets.randbits(62), secrets.randbits(48)
+        others = {name: place(at) for name, at in given.voters.items() if name != given.name}
+        self.member: Voter | Follower
+        if given.name in given.voters:
+            self.store = Store(Path(given.folder), given.name)
+            if self.store.said:
+                print(f"crankfold: {self.store.said}", file=sys.stderr, flush=True)
+            self.member = Voter(given.name, self.store.stored, dict(given.voters), self.timing, now, seed,
+                                incarnation, self.store.identity, check, beginning)
+        else:
+            self.member = Follower(given.name, list(given.voters), self.timing, now, seed, incarnation)
+        hello = Hello(FORM, given.name, incarnation, self.store.identity if self.store else "")
+        self.links = Links(hello, others, tally, self._admits, self._received, self._refused)
+        self.busy = False
+        self.waiting: dict[str, asyncio.Future[Published]] = {}
+        self.ticking: asyncio.TimerHandle | None = None
+        self.applied = asyncio.Event()
+        self.closed = False
+        self.refused = ""
+
+    async def open(self) -> None:
+        if self.store:
+            await self.links.open(*place(self.given.address or self.given.voters[self.given.name]))
+        self._tick()
+
+    # --- what the dispatcher asks ---
+
+    def holds(self) -> bool:
+        return not self.aside and self.member.holds(clock())
+
+    def why_not(self) -> str:
+        """Why nothing is acted on; empty if it is."""
+        if self.aside:
+            return self.aside
+        if not self.member.holds(clock()):
+            return self.member.refused or self.refused or (
+                "cut off from the majority" if self.member.applied else "nothing heard of the fleet yet")
+        return "" if self.member.acting("settings") else "no settings count yet"
+
+    async def publish(self, kind: str, data: dict[str, Any], call: str, within: float) -> Published:
+        """Asks until there is an outcome; the same call has one effect, however often it is asked for."""
+        future = self.waiting.setdefault(call, self.loop.create_future())
+        try:
+            async with asyncio.timeout(within):
+                while not future.done():
+                    self.member.publish(clock(), call, kind, data)
+                    self._after()
+                    await asyncio.wait([future], timeout=ASK_AGAIN)
+                return future.result()
+        except TimeoutError:
+            return Published(call, False, "no outcome yet; ask again with the same call", 0, 0)
+        finally:
+            if self.waiting.get(call) is future:
+                del self.waiting[call]
+
+    async def until_counts(self, doc: str, number: int, within: float) -> bool:
+        try:
+            async with asyncio.timeout(within):
+                while self.member.docs.doc(doc).counts < number:
+                    self.applied.clear()
+                    await self.applied.wait()
+        except TimeoutError:
+            return False
+        return True
+
+    def view(self) -> dict[str, Any]:
+        """The fleet as this member sees it."""
+        now, member = clock(), self.member
+        told: dict[str, Any] = {
+            "name": self.given.name, "acts": self.holds(), "why-not": self.why_not(),
+            "applied": member.applied, "lease-ms": max(member.until - now, 0) // 10,
+            "versions": {doc: {"counts": counts, "newest": newest}
+                         for doc, (counts, newest) in member.docs.versions().items()}}
+        if isinstance(member, Follower):
+            return {**told, "voter": member.voter, "leader": ""}
+        raft = member.raft
+        told |= {"leader": raft.leader, "term": raft.term, "voters": dict(raft.voters)}
+        if member.leads():
+            told["leases-ms"] = {name: max(until - now, 0) // 10 for name, until in member.granted.items()}
+            told["lag"] = {name: raft.last() - raft.match.get(name, 0) for name in raft.voters
+                           if name != member.me}
+        told["members"] = [
+            {"name": name, "state": member.state_of(now, ward), "incarnation": ward.incarnation,
+             "for-s": (now - ward.since) // SECOND, "heard-ms-ago": (now - ward.heard) // 10,
+             "lag": max(member.applied - ward.have, 0), "at": member.me}
+            for name, ward in sorted(member.wards.items())]
+        told["members"] += [
+            {"name": name, "state": state, "incarnation": life, "for-s": since // SECOND,
+             "lag": max(member.applied - have, 0), "at": voter}
+            for voter, wards in sorted(member.elsewhere.items())
+            for name, life, since, have, state in wards if state in (THERE, SUSPECTED, CUT_OFF)]
+        return told
+
+    # --- events ---
+
+    def _admits(self, hello: Hello) -> str:
+        if not isinstance(self.member, Voter):
+            return "no voter"
+        return self.member.admits(hello.name, hello.folder) if hello.folder else ""
+
+    def _refused(self, why: str) -> None:
+        self.refused = why
+
+    def _received(self, sender: str, told: Message) -> None:
+        if self.aside or self.closed:
+            return
+        try:
+            self.member.received(clock(), sender, told)
+        except Exception as wrong:
+            self.tally.failed(wrong)
+            if __debug__:
+                raise
+        self._after()
+
+    def _tick(self) -> None:
+        if self.closed or self.aside:
+            return
+        self.member.tick(clock())
+        self._after()
+        wait = max(self.member.next_at() - clock(), 5)
+        self.ticking = self.loop.call_later(wait / SECOND, self._tick)
+
+    def _after(self) -> None:
+        """Carries out what an event brought: first of all what is acted on, then the disk, then the links."""
+        member = self.member
+        if member.changed:
+            changed, member.changed = member.changed, set()
+            self.changed(changed)
+        self.applied.set()
+        for told in member.told:
+            future = self.waiting.get(told.call)
+            if future and not future.done() and (told.well or told.text != "there is no leader"):
+                future.set_result(told)
+        member.told.clear()
+        if not self.busy and not self.aside:
+            batch = member.take()
+            if batch.must_be_kept() and self.store:
+                self.busy = True
+                keeping = self.loop.run_in_executor(None, self.store.write, batch)
+                keeping.add_done_callback(lambda done: self._kept(batch, done))
+            else:
+                self._send(batch)
+
+    def _kept(self, batch: Batch, done: "asyncio.Future[None]") -> None:
+        self.busy = False
+        if self.closed:
+            return
+        wrong = done.exception()
+        if wrong:
+            # Nobody knows now what the disk holds: nothing more is said or acted on by this process.
+            self.aside = f"the voter's folder failed: {wrong}"
+            self.tally.count("peers-disk-failed")
+            print(f"crankfold: {self.aside}; this voter takes no part until it is started anew",
+                  file=sys.stderr, flush=True)
+            return
+        self._send(batch)
+        self.member.kept(clock(), batch)
+        self._after()
+
+    def _send(self, batch: Batch) -> None:
+        for to, told in batch.send:
+            self.links.send(to, told)
+
+    async def close(self) -> None:
+        self.closed = True
+        if self.ticking:
+            self.ticking.cancel()
+        if isinstance(self.member, Follower):
+            self.member.leave(clock())
+            self._send(self.member.take())
+            await asyncio.sleep(0)
+        await self.links.close()
+        if self.store:
+            while self.busy:
+                await asyncio.sleep(0.01)
+            self.store.close()
+
+
+def read(given: object) -> Peers:
+    """The `peers` part of a configuration; a ValueError says what is wrong."""
+    try:
+        peers = msgspec.convert(given, Peers)
+        fault = peers.fault()
+        for name, at in [*peers.voters.items(), ("address", peers.address)]:
+            if at:
+                try:
+                    place(at)
+                except ValueError:
+                    fault = fault or f"peers: {name}: found {at!r}; HOST:PORT"
+    except msgspec.ValidationError as wrong:
+        raise ValueError(f"peers: {wrong}") from None
+    if fault:
+        raise ValueError(fault)
+    return peers
+
+
+__all__ = ["Peer", "Peers", "Unfit", "clock", "read"]
--- a/crankfold/protocol/operators.py
+++ b/crankfold/protocol/operators.py
@@ -10,12 +10,23 @@
 from crankfold.protocol.clients import MOST_ID
 
 MOST_CALL = 4 * 1024  # bytes of a call, its body included
+MOST_PUBLISHED = 512 * 1024  # of one that brings a document
 YES, NO, NOT_FOUND = 200, 503, 404
 
 
+class AgreedFace(Protocol):
+    """What dispatchers agree on among themselves: answers are JSON, with their status."""
+
+    def fleet(self) -> tuple[int, str]: ...
+    def show(self, doc: str) -> tuple[int, str]: ...
+    def publish(self, doc: str, body: bytes) -> Awaitable[tuple[int, str]]: ...
+
+
 class Operated(Protocol):
     """What operators may call for. What binds is bound by the time it is answered."""
 
+    agreed: AgreedFace | None  # nothing without peers
+
     def ready(self) -> bool: ...
     def out(self, uid: str) -> Awaitable[bool]: ...
     def back(self, uid: str) -> Awaitable[bool]: ...
@@ -29,7 +40,8 @@
     def __init__(self) -> None:
         self.http = h11.Connection(h11.SERVER, max_incomplete_event_size=MOST_CALL)
         self.head: h11.Request | None = None
-        self.call: tuple[str, str] | None = None  # what is called for, and the runner it concerns
+        self.call: tuple[str, str] | None = None  # what is called for, and the runner or document it concerns
+        self.body = bytearray()
         self.out: list[bytes] = []
         self.read = 0
         self.over = False
@@ -38,7 +50,7 @@
         if self.over or self.call:
             return
         self.read += len(data)
-        if self.read > MOST_CALL:
+        if self.read > (MOST_PUBLISHED if self._publishes() else MOST_CALL):
             self.answer(413)
             return
         try:
@@ -54,11 +66,16 @@
                     return
                 if isinstance(event, h11.Request):
                     self.head = event
+                elif isinstance(event, h11.Data) and self._publishes():
+                    self.body += event.data
                 elif isinstance(event, h11.EndOfMessage):
                     self._route()
         except h11.RemoteProtocolError as broken:
             self.answer(broken.error_status_hint)
 
+    def _publishes(self) -> bool:
+        return self.head is not None and self.head.target.startswith(b"/control/agreed/")
+
     def _route(self) -> None:
         assert self.head is not None
         path = self.head.target.partition(b"?")[0].decode("ascii").split("/")
@@ -67,6 +84,11 @@
             wanted, call = b"GET", ("ready", "")
         elif path in (["", "control", "out-of-service"], ["", "control", "in-service"]):
             call = (path[2], "")
+        elif path == ["", "control", "fleet"]:
+            wanted, call = b"GET", ("fleet", "")
+        elif len(path) == 4 and path[:3] == ["", "control", "agreed"]:
+            publish = self.head.method == b"POST"
+            wanted, call = b"POST" if publish else b"GET", ("publish" if publish else "agreed", path[3])
         elif len(path) == 5 and path[:3] == ["", "control", "runners"] and path[4] in ("offline", "online"):
             call = (path[4], unquote(path[3]))
         else:
@@ -97,7 +119,16 @@
     """What was called for, and the answer to it."""
     assert side.call is not None
     what, uid = side.call
-    if what == "ready":
+    if what in ("fleet", "agreed", "publish"):
+        agreed = operated.agreed
+        if agreed is None:
+            status, text = NOT_FOUND, "no peers in the configuration"
+        elif what == "publish":
+            status, text = await agreed.publish(uid, bytes(side.body))
+        else:
+            status, text = agreed.fleet() if what == "fleet" else agreed.show(uid)
+        side.answer(status, text=text)
+    elif what == "ready":
         yes = operated.ready()
         side.answer(YES if yes else NO, text="ready" if yes else "not ready")
     elif what == "out-of-service":
--- /dev/null
+++ b/crankfold/service/agreed.py
@@ -0,0 +1,184 @@
+"""What the fleet agreed on, laid over a dispatcher's own file. Not imported unless there are peers."""
+
+import asyncio
+import sys
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any, TextIO
+
+import msgspec
+import orjson
+from msgspec import Struct, field
+
+from crankfold.agreement.strict import DOCUMENTS, NEVER, OUT, SETTINGS
+from crankfold.dispatch.interface import StandingOrders
+from crankfold.network.tally import Tally
+from crankfold.orders import form
+from crankfold.orders.reader import HouseRules, from_nested, house_rules, standing_orders
+from crankfold.peers.peer import Peer, Unfit, read
+from crankfold.service.desk import Desk
+from crankfold.service.operations import Operations
+
+# Of the settings, what may change while units are in hand; the rest is a dispatcher's own.
+SHARED = ("service-grades", "allowed", "score-parts", "revenue-per", "orgs")
+PUBLISH_WITHIN, MOST_WAIT = 10.0, 60.0
+OK, REFUSED, UNFIT, UNKNOWN, MISSING = 200, 409, 400, 504, 404
+
+
+class Asked(Struct, rename="kebab", forbid_unknown_fields=True):
+    """What an operator hands in with a version."""
+
+    call: str
+    made_from: int
+    text: dict[str, Any]
+    author: str = ""
+    reason: str = ""
+    wait: float = 0.0
+
+
+class Listed(Struct, forbid_unknown_fields=True):
+    runners: dict[str, str] = field(default_factory=dict)  # by id, why
+
+
+def shared(settings: dict[str, Any]) -> dict[str, Any]:
+    return {name: settings[name] for name in SHARED if name in settings}
+
+
+class Agreed:
+    def __init__(self, given: dict[str, Any], tally: Tally, desk: Desk, operations: Operations,
+                 renewed: Callable[[StandingOrders, HouseRules], None]) -> None:
+        self.own, self.desk, self.operations, self.renewed = given["settings"], desk, operations, renewed
+        self.tally = tally
+        peers = read(given["peers"])
+        self.goes_on = peers.when_cut_off == "go-on"
+        form.check({name: part for name, part in given.items() if name != "peers"})
+        try:
+            self.peer = Peer(peers, tally, self.check, shared(self.own), self._changed)
+        except Unfit as wrong:
+            raise ValueError(f"peers: {wrong}") from None
+        self.acts_on: dict[str, Any] | None = None
+        self.was_cut_off = False
+        desk.may_act = self.may_act
+        operations.agreed = self
+        self.out: TextIO | None = None
+        if peers.record:
+            # Until the process ends; "-" is standard output, on which nothing else is said.
+            self.out = sys.stdout if peers.record == "-" else Path(peers.record).open("a")  # noqa: SIM115
+            desk.record = self._record
+
+    async def open(self) -> None:
+        await self.peer.open()
+
+    async def close(self) -> None:
+        await self.peer.close()
+
+    # --- acting ---
+
+    def may_act(self) -> bool:
+        if self.acts_on is None:
+            return False
+        if self.peer.holds():
+            self.was_cut_off = False
+            return True
+        if not self.was_cut_off:
+            self.was_cut_off = True
+            self.tally.say("peers", f"{self.peer.why_not()}; "
+                           + ("goes on under the last rules" if self.goes_on else "takes nothing new"))
+        if self.goes_on:
+            self.tally.count("acted-while-cut-off")
+        return self.goes_on
+
+    def check(self, doc: str, text: dict[str, Any]) -> str:
+        """Why a dispatcher could not use that document, with path, found and allowed; or nothing."""
+        try:
+            if doc == SETTINGS:
+                for name in text:
+                    if name not in SHARED:
+                        return f"settings.{name}: is each dispatcher's own; agreed are {', '.join(SHARED)}"
+                whole = {**self.own, **text}
+                latest = self.peer.member.docs.doc(SETTINGS).versions
+                running = {"settings": {**self.own, **latest[-1].text}} if latest else None
+                form.check({"listen": "-", "discovery": "-", "settings": whole},
+                           {"listen": "-", "discovery": "-", **running} if running else None)
+                house_rules(from_nested(whole))
+                standing_orders(from_nested(whole))
+            elif doc in (OUT, NEVER):
+                msgspec.convert(text, Listed)
+            else:
+                return f"{doc}: not taken from operators yet"
+        except ValueError as wrong:
+            return str(wrong)
+        return ""
+
+    def _changed(self, docs: set[str]) -> None:
+        """At once, before anybody is told that we have heard."""
+        member = self.peer.member
+        text = member.acting(SETTINGS)
+        if SETTINGS in docs and text is not None and text != self.acts_on:
+            flat = from_nested({**self.own, **text})
+            self.renewed(standing_orders(flat), house_rules(flat))
+            self.acts_on = text
+        if OUT in docs or NEVER in docs:
+            out = {uid for doc in (OUT, NEVER) for uid in (member.acting(doc) or {}).get("runners", {})}
+            entries = self.desk.fleet.agree(out)
+            if entries:
+                self.operations.changed(entries)
+        self.tally.count("documents-changed")
+        if self.out:
+            self._record("rules", "", "")
+
+    def _record(self, what: str, unit: str, where: str) -> None:
+        member = self.peer.member
+        told: dict[str, Any] = {"at": time.clock_gettime_ns(time.CLOCK_BOOTTIME), "what": what, "unit": unit,
+                                "where": where, "applied": member.applied, "versions": member.docs.versions()}
+        if what == "rules":
+            told["acting"] = {doc: member.acting(doc) for doc in (SETTINGS, OUT, NEVER)}
+        assert self.out is not None
+        self.out.write(orjson.dumps(told).decode() + "\n")
+        self.out.flush()
+
+    # --- operators ---
+
+    def fleet(self) -> tuple[int, str]:
+        return OK, orjson.dumps(self.peer.view()).decode()
+
+    def show(self, doc: str) -> tuple[int, str]:
+        if doc not in DOCUMENTS:
+            return MISSING, orjson.dumps({"text": f"there are {', '.join(DOCUMENTS)}"}).decode()
+        known = self.peer.member.docs.doc(doc)
+        told = {"doc": doc, "counts": known.counts, "newest": known.latest(), "acts": self.peer.holds(),
+                "acting": self.peer.member.acting(doc),
+                "versions": [msgspec.structs.asdict(version) for version in known.versions]}
+        return OK, orjson.dumps(told).decode()
+
+    async def publish(self, doc: str, body: bytes) -> tuple[int, str]:
+        try:
+            asked = msgspec.json.decode(body, type=Asked)
+        except msgspec.DecodeError as wrong:
+            return UNFIT, orjson.dumps({"well": False, "text": str(wrong)}).decode()
+        made = await self.peer.publish("publish", {
+            "doc": doc, "made_from": asked.made_from, "author": asked.author[:200],
+            "reason": asked.reason[:2000], "at": time.time_ns() // 1_000_000, "text": asked.text},
+            asked.call, PUBLISH_WITHIN)
+        told: dict[str, Any] = {"well": made.well, "text": made.text, "number": made.number}
+        if not made.well:
+            known = made.number or not made.text.startswith("no outcome")
+            return REFUSED if known else UNKNOWN, orjson.dumps(told).decode()
+        if asked.wait:
+            wait = min(asked.wait, MOST_WAIT)
+            began = time.monotonic()
+            told["counts"] = await self.peer.until_counts(doc, made.number, wait)
+            told["lag"] = await self._until_all(wait - (time.monotonic() - began))
+        return OK, orjson.dumps(told).decode()
+
+    async def _until_all(self, within: float) -> list[str]:
+        """Who does not act on all that is known here, and is not known to be cut off."""
+        while True:
+            late = [f"{one['name']} at {one['at']}: {one['state']}, {one['lag']} behind"
+                    for one in self.peer.view().get("members", ()) if one["lag"] and one["state"] != "cut off"
+                    and one["state"] != "left"]
+            if not late or within <= 0:
+                return late
+            within -= 0.05
+            await asyncio.sleep(0.05)
--- a/crankfold/service/desk.py
+++ b/crankfold/service/desk.py
@@ -31,6 +31,9 @@
         self.may_cancel = orders.may_cancel
         self.probe_target = b"/load" if orders.reports_in_answers or orders.reports_by_probe else b"/healthz"
         self.crowded: Callable[[], bool] = lambda: False
+        # With peers: whether rules may be acted on at this moment, and where what is done is written down.
+        self.may_act: Callable[[], bool] = lambda: True
+        self.record: Callable[[str, str, str], None] | None = None
         self.elsewhere: frozenset[str] = frozenset()  # ids in hand at the process before this one
         self.pass_on: Callable[[bytes, Callable[[bool | None], None]], bool] = lambda body, done: False
         self.reports: dict[int, tuple[int, Sequence[float]]] = {}  # each runner's last, and when
@@ -64,7 +67,7 @@
     # --- from clients ---
 
     def serving(self) -> bool:
-        return self.duty.healthy()
+        return self.duty.healthy() and self.may_act()
 
     def knows_grade(self, name: str) -> bool:
         return self.grades.find(plain(name)) >= 0
@@ -82,7 +85,14 @@
             self.tally.count("shed-for-room")
             client.answer(503)
             return
+        if not self.may_act():
+            # Nothing was sent for it either; by the time of a lease somebody has one again.
+            self.tally.count("shed-cut-off")
+            client.answer(503, [(b"Retry-After", b"1")])
+            return
         self.tally.count("taken")
+        if self.record:
+            self.record("take", ident, grade)
         wait = max(wait - TRANSIT, 0)
         row = self.grades.find(plain(grade))
         held = self.ledger.enter(row, ident, client, self.clock.now() + wait, again)
@@ -139,8 +149,11 @@
 
     def _may_go(self, work: Work, trip: Trip) -> bool:
         """While a connection came up the unit may have ended or the runner have begun to drain."""
-        return (work.open and trip.out and self.fleet.standing[trip.runner] == Standing.READY
-                and self.clock.now() < work.cutoff)
+        may = (work.open and trip.out and self.fleet.standing[trip.runner] == Standing.READY
+               and self.clock.now() < work.cutoff and self.may_act())
+        if may and self.record:
+            self.record("dispatch", work.ident, self.fleet.numbers.names[trip.runner])
+        return may
 
     def shed(self, unit: int, advice: int) -> None:
         heads = [(b"Retry-After", f"{advice / 10_000:.3f}".encode())] if advice else []
--- a/crankfold/service/fleet.py
+++ b/crankfold/service/fleet.py
@@ -1,7 +1,7 @@
 """The runners as the list names them, each with its number, its standing and its connections."""
 
 import zlib
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Collection, Sequence
 from dataclasses import replace
 from functools import partial
 from typing import Any
@@ -26,6 +26,7 @@
         self.standing: list[Standing] = []
         self.said: list[Listing] = []  # each runner's entry as it was listed last, without bans
         self.bans = Bans()
+        self.agreed = Bans()  # out by what all dispatchers agreed on
         self.heard_of: set[str] = set()  # runners that the process before this one had listed
         self.cold_elsewhere = False  # another process uses what cold runners may be sent
         self.pools: list[Pool] = []
@@ -57,7 +58,8 @@
         return [self._counts(entry.runner) for entry in entries]
 
     def _counts(self, runner: int) -> Listing:
-        entry = self.bans.over(self.numbers.names[runner], self.said[runner])
+        uid = self.numbers.names[runner]
+        entry = self.agreed.over(uid, self.bans.over(uid, self.said[runner]))
         if self.cold_elsewhere and entry.standing == Standing.READY and entry.since \
                 and self.timers.clock.now() < entry.since + self.rules.warm_after:
             entry = replace(entry, standing=Standing.DRAINING)
@@ -66,16 +68,27 @@
 
     def out(self, uid: str) -> Listing | None:
         """Out by hand: its entry from now on, if that is another; a KeyError if it was never listed."""
-        runner = self._known(uid)
-        new = self.bans.out(uid, self.timers.clock.now())
-        return self._counts(runner) if new and runner >= 0 else None
+        return self._out(self.bans, uid, self._known(uid))
 
     def back(self, uid: str) -> Listing | None:
-        runner = self._known(uid)
-        since = self.bans.since.get(uid)
+        return self._back(self.bans, uid, self._known(uid))
+
+    def agree(self, out: Collection[str]) -> list[Listing]:
+        """These are out for all dispatchers and no others; what counts from here on, where that is new."""
+        entries = [self._out(self.agreed, uid, self.numbers.find(uid)) for uid in out]
+        entries += [self._back(self.agreed, uid, self.numbers.find(uid))
+                    for uid in [*self.agreed.since] if uid not in out]
+        return [entry for entry in entries if entry]
+
+    def _out(self, bans: Bans, uid: str, runner: int) -> Listing | None:
+        new = bans.out(uid, self.timers.clock.now())
+        return self._counts(runner) if new and runner >= 0 else None
+
+    def _back(self, bans: Bans, uid: str, runner: int) -> Listing | None:
+        since = bans.since.get(uid)
         now = self.timers.clock.now()
         ran_on = since is not None and runner >= 0 and self.pools[runner].up_for((now - since) / 10_000)
-        ended = self.bans.back(uid, now, ran_on)
+        ended = bans.back(uid, now, ran_on)
         return self._counts(runner) if ended and runner >= 0 else None
 
     def _known(self, uid: str) -> int:
--- a/crankfold/service/node.py
+++ b/crankfold/service/node.py
@@ -6,7 +6,7 @@
 import sys
 from collections.abc import Callable, Sequence
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import orjson
 
@@ -25,6 +25,9 @@
 from crankfold.service.handover import Handover
 from crankfold.service.operations import Operations
 
+if TYPE_CHECKING:
+    from crankfold.service.agreed import Agreed
+
 FIRST_LIST = 0.3  # seconds that a start waits for discovery, which may be down
 COMING = 0.45  # connections go on arriving for so long after the order to end
 LONGEST_DRAIN, OVER = 3.0, 0.5  # the platform ends us soon after the longest cut-off, or 3 s if that is less
@@ -128,6 +131,14 @@
         self.handover = Handover(folder, self.at, self.desk, self.listener, self.operations,
                                  self._share) if self.door_at and folder else None
         self.kin_holds = 0, 0, False
+        self.agreed: Agreed | None = None
+        if given.get("peers"):
+            from crankfold.service import agreed  # nothing of it is imported without peers
+
+            try:
+                self.agreed = agreed.Agreed(given, self.tally, self.desk, self.operations, self._renewed)
+            except ValueError as wrong:
+                raise Unusable(str(wrong)) from None
         host, port = address(given["discovery"], "discovery")
         self.watch = Watch(host, port, self.fleet.enlist, self._listed, self._list_failed, self.tally)
         self.heard = asyncio.Event()
@@ -194,6 +205,11 @@
             async with asyncio.timeout(FIRST_LIST):
                 await self.heard.wait()
         passed = None
+        if self.agreed:
+            try:
+                await self.agreed.open()
+            except OSError as wrong:
+                raise Unusable(f"peers: {wrong.strerror or wrong}") from None
         if self.handover:
             self.handover.tell_reports()
             passed = await self.handover.take_over()
@@ -231,17 +247,25 @@
             return
         self.tally.count("configurations-taken")
         self.shares = of_sockets
-        if given["settings"] != self.given["settings"]:
-            self.desk.renewed(orders, rules)
-            self.sockets.connect_within, self.sockets.idle_for = patience(rules)
-            self.longest = max(grade.cutoff for grade in self.desk.grades.rows) / 10_000
+        if self.agreed:
+            self.tally.count("settings-agreed-elsewhere")
+            given["settings"] = self.given["settings"]
+        elif given["settings"] != self.given["settings"]:
+            self._renewed(orders, rules)
         self._share(*self.kin_holds)
         self.watch.move(host, port, not self.must_ask)
         later = waits(given, self.given)
         rest = f"; {', '.join(later)} differs and waits for a restart" if later else ""
+        if self.agreed:
+            rest += "; settings are agreed on by the peers and are not read from the file"
         self.given = {name: part for name, part in given.items() if name != "known"}
         print(f"crankfold: new configuration: discovery at {host}:{port}{rest}", file=sys.stderr, flush=True)
 
+    def _renewed(self, orders: StandingOrders, rules: HouseRules) -> None:
+        self.desk.renewed(orders, rules)
+        self.sockets.connect_within, self.sockets.idle_for = patience(rules)
+        self.longest = max(grade.cutoff for grade in self.desk.grades.rows) / 10_000
+
     async def _drain(self) -> None:
         """Nobody new, then nothing new, then the end.
 
@@ -268,6 +292,8 @@
         loop.remove_signal_handler(signal.SIGHUP)
         signal.signal(signal.SIGHUP, signal.SIG_IGN)
         self.watch.stop()
+        if self.agreed:
+            await self.agreed.close()
         await self.door.close()
         await self.listener.close()
         if self.handover:
--- a/crankfold/service/operations.py
+++ b/crankfold/service/operations.py
@@ -5,6 +5,7 @@
 
 from crankfold.dispatch.interface import Listing
 from crankfold.network.listener import Listener
+from crankfold.protocol.operators import AgreedFace
 from crankfold.service.desk import Desk
 from crankfold.service.duty import Duty
 
@@ -19,10 +20,11 @@
         self.followed: Callable[[], bool] = lambda: False  # by a process that accepts in our place
         # Recorded, and told to the process that follows or goes before.
         self.spread: Callable[[str, str], Awaitable[None]] | None = None
+        self.agreed: AgreedFace | None = None
 
     def ready(self) -> bool:
         """A unit would be taken now, and there is somewhere to send it."""
-        return self.duty.healthy() and self.fleet.anywhere() and not self.followed()
+        return self.desk.serving() and self.fleet.anywhere() and not self.followed()
 
     async def out(self, uid: str) -> bool:
         return await self._lay("out", uid)
--- /dev/null
+++ b/crankfold/trial/plan.py
@@ -0,0 +1,84 @@
+"""What a trial is to do, read from TOML and checked."""
+
+import tomllib
+from pathlib import Path
+from typing import Annotated, Literal
+
+import msgspec
+from msgspec import Meta, Struct, field
+
+Above = Annotated[float, Meta(gt=0)]
+Least = Annotated[float, Meta(ge=0)]
+PROMISES = ("bound", "heard-first", "history", "no-way-back", "publishes", "one-answer", "no-effect-twice",
+            "out-means-out", "well-at-the-end")
+
+
+class Unfit(Exception):
+    """The plan can't be used; the text says where and why, in a line."""
+
+
+class Publish(Struct, rename="kebab", forbid_unknown_fields=True):
+    every: Above = 0.7
+    until: Least = 1e9
+    documents: list[Literal["settings", "runners-out"]] = field(
+        default_factory=lambda: ["settings", "runners-out"])
+    at_once: Annotated[int, Meta(ge=1, le=8)] = 1  # operators that publish at the same moment
+    repeat: Annotated[float, Meta(ge=0, le=1)] = 0.0  # share that is asked for twice with the same call
+
+
+class Fault(Struct, rename="kebab", forbid_unknown_fields=True):
+    kind: Literal["loss", "delay", "double", "cut", "reset", "slow", "kill", "pause", "disk"]
+    begin: Least
+    end: Least
+    at: str = "*"  # a process, "leader" or "*"; of a link the sender
+    to: str = "*"
+    both: bool = False  # of a link: the way back too
+    share: Annotated[float, Meta(ge=0, le=1)] = 1.0
+    ms: Least = 0.0
+    bytes_a_second: Above = 10_000.0
+    keep_folder: bool = True
+
+
+class Plan(Struct, rename="kebab", forbid_unknown_fields=True):
+    name: Annotated[str, Meta(pattern="^[a-z0-9-]+$")]
+    seconds: Above
+    promises: Annotated[list[str], Meta(min_length=1)]
+    seed: int = 1
+    voters: Literal[3, 5, 7] = 3
+    followers: Annotated[int, Meta(ge=0, le=50)] = 2
+    stated_time: Annotated[float, Meta(ge=0.5, le=60)] = 2.0
+    when_cut_off: Literal["shed", "go-on"] = "shed"
+    runners: Annotated[int, Meta(ge=1, le=50)] = 4
+    load: Annotated[float, Meta(ge=0, le=2000)] = 60.0  # units a second at all processes together
+    work_ms: Above = 40.0
+    fails: Annotated[float, Meta(ge=0, le=1)] = 0.1  # share of the runs that a runner calls failed
+    publish: Publish = field(default_factory=Publish)
+    fault: list[Fault] = []
+
+    def names(self) -> list[str]:
+        return [f"n{n}" for n in range(self.voters + self.followers)]
+
+
+def read(path: Path) -> Plan:
+    try:
+        plan = msgspec.convert(tomllib.loads(path.read_text()), Plan)
+    except OSError as wrong:
+        raise Unfit(f"{path}: {wrong.strerror}") from None
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as wrong:
+        raise Unfit(f"{path}: {wrong}") from None
+    except msgspec.ValidationError as wrong:
+        raise Unfit(f"{path}: {wrong}") from None
+    for promise in plan.promises:
+        if promise not in PROMISES:
+            raise Unfit(f"{path}: promises: found {promise!r}; there are {', '.join(PROMISES)}")
+    known = {"*", "leader", *plan.names()}
+    for n, fault in enumerate(plan.fault):
+        for what, name in (("at", fault.at), ("to", fault.to)):
+            if name not in known:
+                raise Unfit(f"{path}: fault[{n}].{what}: found {name!r}; there are "
+                            f"{', '.join(sorted(known))}")
+        if fault.end < fault.begin or fault.end > plan.seconds:
+            raise Unfit(f"{path}: fault[{n}]: from {fault.begin} to {fault.end}, in {plan.seconds} s in all")
+        if fault.kind in ("kill", "pause", "disk") and fault.at == "*":
+            raise Unfit(f"{path}: fault[{n}].at: missing; a {fault.kind} has to say at which process")
+    return plan
--- /dev/null
+++ b/crankfold/trial/stand_ins.py
@@ -0,0 +1,168 @@
+"""Runners, discovery and clients, in the rig's own process. They write down all that they saw."""
+
+import asyncio
+import contextlib
+import json
+import time
+from dataclasses import dataclass, field
+from random import Random
+
+
+def stamp() -> int:
+    """Nanoseconds on the clock by which the processes stamp their records."""
+    return time.clock_gettime_ns(time.CLOCK_BOOTTIME)
+
+
+@dataclass(slots=True)
+class Seen:
+    """By the stand-ins, in the order of time."""
+
+    received: list[tuple[int, str, str]] = field(default_factory=list)  # when, which runner, which unit
+    answered: list[tuple[int, str, str, str]] = field(default_factory=list)  # when, unit, dispatcher, answer
+    asked: dict[str, tuple[int, str, str]] = field(default_factory=dict)  # by unit: when, dispatcher, grade
+
+
+async def read_message(reader: asyncio.StreamReader) -> tuple[str, dict[str, str], bytes]:
+    lines = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
+    split = (line.partition(":") for line in lines[1:])
+    heads = {name.strip().lower(): value.strip() for name, _, value in split}
+    return lines[0], heads, await reader.readexactly(int(heads.get("content-length", 0)))
+
+
+class Runner:
+    def __init__(self, uid: str, seen: Seen, doors: dict[str, int], work: float, fails: float,
+                 seed: int) -> None:
+        self.uid, self.seen, self.doors, self.work, self.fails = uid, seen, doors, work, fails
+        self.luck = Random(f"{seed} {uid}")
+        self.slots = asyncio.Semaphore(4)
+        self.busy = 0
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.server: asyncio.Server | None = None
+
+    async def open(self) -> int:
+        self.server = await asyncio.start_server(self._served, "127.0.0.1", 0)
+        return int(self.server.sockets[0].getsockname()[1])
+
+    async def _served(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            while True:
+                head, heads, _ = await read_message(reader)
+                if head.startswith("POST"):
+                    ident = heads["x-request-id"]
+                    self.seen.received.append((stamp(), self.uid, ident))
+                    task = asyncio.ensure_future(self._run(ident))
+                    self.tasks.add(task)
+                    task.add_done_callback(self.tasks.discard)
+                    writer.write(b"HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n")
+                else:
+                    load = f"TEXT queue=0, x0={4 - self.busy}".encode()
+                    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(load) + load)
+        except (asyncio.IncompleteReadError, OSError, asyncio.CancelledError):
+            pass  # the other side is done, or the trial
+        finally:
+            writer.close()
+
+    async def _run(self, ident: str) -> None:
+        async with self.slots:
+            self.busy += 1
+            await asyncio.sleep(self.work * self.luck.uniform(0.5, 1.5))
+            self.busy -= 1
+        state = "failed" if self.luck.random() < self.fails else "done"
+        body = json.dumps({"id": ident, "from": self.uid, "state": state, "result": ident,
+                           "load": {"queue": 0, "x0": 4 - self.busy}}).encode()
+        for _ in range(5):
+            with contextlib.suppress(OSError, asyncio.IncompleteReadError, TimeoutError):
+                async with asyncio.timeout(1):
+                    head, _ = await call(self.doors[ident.split("-")[0]], "/v1/job-events", body)
+                if head.split()[1] in ("200", "204"):
+                    return
+            await asyncio.sleep(0.1)
+
+    def close(self) -> None:
+        if self.server:
+            self.server.close()
+        for task in self.tasks:
+            task.cancel()
+
+
+async def call(port: int, target: str, body: bytes | None = None, heads: str = "") -> tuple[str, bytes]:
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    try:
+        method = "GET" if body is None else "POST"
+        writer.write(f"{method} {target} HTTP/1.1\r\nHost: trial\r\n{heads}Connection: close\r\n"
+                     f"Content-Length: {len(body or b'')}\r\n\r\n".encode() + (body or b""))
+        head, _, text = await read_message(reader)
+        return head, text
+    finally:
+        writer.close()
+
+
+class Discovery:
+    def __init__(self, runners: dict[str, int]) -> None:
+        self.runners = runners
+        self.server: asyncio.Server | None = None
+
+    async def open(self) -> int:
+        self.server = await asyncio.start_server(self._served, "127.0.0.1", 0)
+        return int(self.server.sockets[0].getsockname()[1])
+
+    async def _served(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            while True:
+                head, _, _ = await read_message(reader)
+                if "after=" in head:
+                    await asyncio.sleep(5)
+                targets = [{"uid": uid, "endpoint": f"127.0.0.1:{port}", "az": "here", "model": "m",
+                            "pod_group": 0, "state": "in_service", "capacity_hint": 1.0, "boot_ms": 0}
+                           for uid, port in self.runners.items()]
+                body = json.dumps({"rev": 1, "all": True, "targets": targets}).encode()
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+        except (asyncio.IncompleteReadError, OSError, asyncio.CancelledError):
+            pass  # the other side is done, or the trial
+        finally:
+            writer.close()
+
+    def close(self) -> None:
+        if self.server:
+            self.server.close()
+
+
+class Clients:
+    """Open loop: units come when they come, whatever became of those before."""
+
+    def __init__(self, names: list[str], ports: dict[str, int], grades: list[str], rate: float, seed: int,
+                 seen: Seen) -> None:
+        self.names, self.ports, self.grades, self.rate, self.seen = names, ports, grades, rate, seen
+        self.luck = Random(f"{seed} clients")
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    async def run(self, seconds: float) -> None:
+        loop = asyncio.get_running_loop()
+        end, due, n = loop.time() + seconds, loop.time(), 0
+        while self.rate:
+            due += self.luck.expovariate(self.rate)
+            if due >= end:
+                break
+            await asyncio.sleep(max(due - loop.time(), 0))
+            n += 1
+            task = asyncio.ensure_future(self._unit(f"{self.luck.choice(self.names)}-{n}",
+                                                    self.luck.choice(self.grades)))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+        if self.tasks:
+            await asyncio.wait(self.tasks, timeout=8)
+
+    async def _unit(self, ident: str, grade: str) -> None:
+        name = ident.split("-")[0]
+        self.seen.asked[ident] = stamp(), name, grade
+        try:
+            async with asyncio.timeout(7):
+                head, text = await call(self.ports[name], "/api", b"",
+                                        f"X-Request-ID: {ident}\r\nIdempotency-Key: {ident}\r\n"
+                                        f"X-Priority-Class: {grade}\r\nX-Timeout: 3\r\nX-Cost: 40000\r\n")
+            told = head.split()[1] + (" " + text.decode() if text else "")
+        except TimeoutError:
+            told = "nothing"
+        except (OSError, asyncio.IncompleteReadError) as broken:
+            told = f"lost: {type(broken).__name__}"
+        self.seen.answered.append((stamp(), ident, name, told))
