--- /dev/null
+++ b/benchmarks/trials.py
@@ -0,0 +1,116 @@
+"""Trials of real processes with faults drawn by their seeds: how long two acted on rules that differ.
+
+    python benchmarks/trials.py --trials 200 --workers 8
+
+Writes benchmarks/trials.csv, one row a trial, and prints what came of them. A trial is made again by its seed.
+"""
+
+import csv
+import os
+import subprocess
+import sys
+import tempfile
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+from random import Random
+
+import click
+import matplotlib
+
+from crankfold.trial.plan import PROMISES
+
+matplotlib.use("svg")
+HERE = Path(__file__).parent
+SECONDS = 12.0
+
+
+def drawn(seed: int) -> str:
+    luck = Random(f"trial {seed}")
+    voters, followers = luck.choice(((3, 2), (3, 2), (3, 3), (5, 1)))
+    names = [f"n{n}" for n in range(voters + followers)]
+    lines = [f'name = "drawn-{seed}"', f"seconds = {SECONDS}", f"seed = {seed}", f"voters = {voters}",
+             f"followers = {followers}", f"promises = {list(PROMISES)}", "load = 30.0", "[publish]",
+             f"every = {luck.choice((0.15, 0.3, 0.6))}", f"until = {SECONDS - 3}",
+             f"at-once = {luck.choice((1, 1, 2))}", "repeat = 0.2"]
+    busy: dict[str, float] = {}
+    for _ in range(luck.randrange(2, 7)):
+        kind = luck.choice(("loss", "cut", "cut", "delay", "double", "reset", "slow", "kill", "kill", "pause",
+                            "pause", "disk"))
+        begin = round(luck.uniform(0.5, SECONDS - 4), 2)
+        end = round(min(begin + luck.choice((0.1, 0.6, 1.7, 3.0)), SECONDS - 3), 2)
+        at, to = luck.choice([*names, "leader"]), luck.choice([*names, "*"])
+        fault = [f'kind = "{kind}"', f"begin = {begin}", f"end = {end}"]
+        if kind in ("kill", "pause", "disk"):
+            # One that is dead can't be stopped, and who leads may be any of them.
+            if kind == "disk" and at not in (*names[:voters], "leader") or busy.get("any", 0) > begin:
+                continue
+            busy["any"] = end + 0.5
+            fault.append(f'at = "{at}"')
+        else:
+            fault += [f'at = "{at}"', f'to = "{to}"', f"both = {str(luck.random() < 0.5).lower()}"]
+            if kind in ("loss", "double"):
+                fault.append(f"share = {luck.choice((0.05, 0.3, 0.6))}")
+            fault += [f"ms = {luck.choice((20.0, 200.0, 700.0))}"] if kind == "delay" else []
+        lines += ["", "[[fault]]", *fault]
+    return "\n".join(lines) + "\n"
+
+
+def one(seed: int) -> tuple[int, int, float, str]:
+    """Seed, exit, longest contradiction in ms, what was broken."""
+    with tempfile.TemporaryDirectory() as folder:
+        plan = Path(folder) / "plan.toml"
+        plan.write_text(drawn(seed))
+        done = subprocess.run([sys.executable, "-m", "crankfold", "trial", str(plan), "--keep", f"{folder}/kept"],
+                              capture_output=True, text=True, cwd=HERE.parent)
+    longest, broken = -1.0, []
+    for line in done.stdout.splitlines():
+        words = line.split()
+        if words[:2] == ["held", "bound"]:
+            longest = float(words[3])
+        if words and words[0] == "BROKEN":
+            broken.append(" ".join(words[1:]))
+    if done.returncode == 2:
+        broken.append(done.stderr.strip()[:300])
+    return seed, done.returncode, longest, "; ".join(broken)
+
+
+@click.command()
+@click.option("--trials", default=200, show_default=True)
+@click.option("--first", default=1, show_default=True, help="Seed of the first.")
+@click.option("--workers", default=max((os.cpu_count() or 2) - 1, 1), show_default=True)
+@click.option("--show", type=int, help="Print the plan of a seed instead.")
+def main(trials: int, first: int, workers: int, show: int | None) -> None:
+    if show is not None:
+        click.echo(drawn(show), nl=False)
+        return
+    rows = []
+    with ThreadPoolExecutor(workers) as pool:
+        for row in pool.map(one, range(first, first + trials)):
+            rows.append(row)
+            if row[1]:
+                click.echo(f"seed {row[0]}: exit {row[1]}: {row[3]}")
+    with (HERE / "trials.csv").open("w", newline="") as out:
+        table = csv.writer(out, lineterminator="\n")
+        table.writerow(["seed", "exit", "longest_ms", "broken"])
+        table.writerows(rows)
+    held = [row for row in rows if row[1] == 0]
+    spans = sorted(row[2] for row in held)
+    text = (f"{len(rows)} trials, {len(held)} with every promise held; longest contradiction of 2000 ms stated: "
+            f"median {spans[len(spans) // 2]:.0f}, 99th percentile {spans[len(spans) * 99 // 100]:.0f}, "
+            f"longest {spans[-1]:.0f} ms")
+    (HERE / "trials.txt").write_text(text + "\n")
+    click.echo(text)
+    from matplotlib import pyplot
+
+    matplotlib.rcParams["svg.hashsalt"] = "trials"
+    figure, axes = pyplot.subplots(figsize=(7, 3.5))
+    axes.hist(spans, bins=[10 * n for n in range(0, 211, 5)])
+    axes.axvline(2000, color="red")
+    axes.set_xlabel("longest time on rules that differ, ms (red: stated)")
+    axes.set_ylabel("trials")
+    figure.tight_layout()
+    figure.savefig(HERE / "trials.svg", metadata={"Date": None})
+
+
+if __name__ == "__main__":
+    main()
--- a/crankfold/network/tally.py
+++ b/crankfold/network/tally.py
@@ -1,5 +1,6 @@
 """What was counted, and the log: lines on standard error, rate-limited by kind."""
 
+import contextlib
 import sys
 import time
 import traceback
@@ -8,6 +9,12 @@
 FIRST_GAP, LONGEST_GAP = 1.0, 60.0  # seconds between lines of a kind; the gap doubles while they go on
 
 
+def log(line: str) -> None:
+    """Where it can't be written, as on a full disk, all goes on: a unit must not fail by a line about it."""
+    with contextlib.suppress(OSError, ValueError):
+        print(line, file=sys.stderr, flush=True)
+
+
 class Tally:
     def __init__(self) -> None:
         self.counts: Counter[str] = Counter()
@@ -33,7 +40,7 @@
         self._last[kind] = now
         left_out = self._left_out.pop(kind, 0)
         more = f" ({left_out} like it left out)" if left_out else ""
-        print(f"crankfold: {kind}: {text}{more}", file=sys.stderr, flush=True)
+        log(f"crankfold: {kind}: {text}{more}")
 
     def must(self, holds: bool, what: str) -> None:
         """What must hold: fails a debug build, is counted by a release build."""
@@ -52,4 +59,4 @@
     def report(self, present: dict[str, int]) -> None:
         figures = {**self.counts, **present}
         text = " ".join(f"{name}={figures[name]}" for name in sorted(figures))
-        print(f"crankfold: counters: {text}", file=sys.stderr, flush=True)
+        log(f"crankfold: counters: {text}")
--- a/crankfold/peers/peer.py
+++ b/crankfold/peers/peer.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import secrets
-import sys
 import time
 from collections.abc import Callable
 from pathlib import Path
@@ -14,7 +13,7 @@
 from crankfold.agreement.member import CUT_OFF, SUSPECTED, THERE, Follower, Voter
 from crankfold.agreement.raft import Batch
 from crankfold.agreement.words import Message, Published, Timing
-from crankfold.network.tally import Tally
+from crankfold.network.tally import Tally, log
 from crankfold.peers.frames import FORM, Hello
 from crankfold.peers.links import Links
 from crankfold.peers.store import Store, Unfit
@@ -78,7 +77,7 @@
         if given.name in given.voters:
             self.store = Store(Path(given.folder), given.name)
             if self.store.said:
-                print(f"crankfold: {self.store.said}", file=sys.stderr, flush=True)
+                log(f"crankfold: {self.store.said}")
             self.member = Voter(given.name, self.store.stored, dict(given.voters), self.timing, now, seed,
                                 incarnation, self.store.identity, check, beginning)
         else:
@@ -224,8 +223,7 @@
             # Nobody knows now what the disk holds: nothing more is said or acted on by this process.
             self.aside = f"the voter's folder failed: {wrong}"
             self.tally.count("peers-disk-failed")
-            print(f"crankfold: {self.aside}; this voter takes no part until it is started anew",
-                  file=sys.stderr, flush=True)
+            log(f"crankfold: {self.aside}; this voter takes no part until it is started anew")
             return
         self._send(batch)
         self.member.kept(clock(), batch)
--- a/crankfold/service/handover.py
+++ b/crankfold/service/handover.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import socket
-import sys
 import zlib
 from collections.abc import Callable
 from typing import Any
@@ -10,6 +9,7 @@
 from crankfold.dispatch.interface import Standing
 from crankfold.network.listener import Listener
 from crankfold.network.passage import Passage, settle
+from crankfold.network.tally import log
 from crankfold.protocol.callbacks import hear, unit_of
 from crankfold.protocol.kin import FORM, figures, strings
 from crankfold.service import carry
@@ -186,14 +186,14 @@
                 "clients": len(self.listener.clients), "runners": self.fleet.sockets.most}
 
     def give_way(self) -> None:
-        print("crankfold: another process takes over", file=sys.stderr, flush=True)
+        log("crankfold: another process takes over")
         self.tally.count("handed-over")
         self.listener.pause()
         self.shares(0, 0, True)
         self.operations.changed(self.fleet.leave_cold(True))
 
     def take_up(self) -> None:
-        print("crankfold: the process that took over is gone; serving again", file=sys.stderr, flush=True)
+        log("crankfold: the process that took over is gone; serving again")
         self.tally.count("taken-up-again")
         self.shares(0, 0, False)
         self.operations.changed(self.fleet.leave_cold(False))
--- a/crankfold/service/node.py
+++ b/crankfold/service/node.py
@@ -3,7 +3,6 @@
 import asyncio
 import contextlib
 import signal
-import sys
 from collections.abc import Callable, Sequence
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
@@ -14,7 +13,7 @@
 from crankfold.network.door import PLACES, Door
 from crankfold.network.listener import SWEEP, UNCOUNTED, Listener
 from crankfold.network.runners import Sockets
-from crankfold.network.tally import Tally
+from crankfold.network.tally import Tally, log
 from crankfold.network.timers import Clock, Timers
 from crankfold.network.watch import Watch
 from crankfold.orders.reader import HouseRules, from_nested, house_rules, standing_orders
@@ -220,12 +219,12 @@
         if self.handover:
             await self.handover.open()
         self.duty.begin(loop.time())
-        print(f"crankfold: serving on {self.at[0]}:{self.listener.port()}", file=sys.stderr, flush=True)
+        log(f"crankfold: serving on {self.at[0]}:{self.listener.port()}")
         if self.door_at:
             told = f"operators at {self.door_at[0]}:{self.door.port()}"
             if not self.handover:
                 told += "; no --hand-over or $TMPDIR, so no process can replace this one under load"
-            print(f"crankfold: {told}", file=sys.stderr, flush=True)
+            log(f"crankfold: {told}")
         loop.call_later(SWEEP, self._sweep)
         await self.ending.wait()
         await self._drain()
@@ -243,7 +242,7 @@
         except Unusable as wrong:
             self.tally.count("configurations-unusable")
             # Not among the limited lines: whoever sent the signal has to see what was wrong this time.
-            print(f"crankfold: configuration: {wrong}; the old one stands", file=sys.stderr, flush=True)
+            log(f"crankfold: configuration: {wrong}; the old one stands")
             return
         self.tally.count("configurations-taken")
         self.shares = of_sockets
@@ -259,7 +258,7 @@
         if self.agreed:
             rest += "; settings are agreed on by the peers and are not read from the file"
         self.given = {name: part for name, part in given.items() if name != "known"}
-        print(f"crankfold: new configuration: discovery at {host}:{port}{rest}", file=sys.stderr, flush=True)
+        log(f"crankfold: new configuration: discovery at {host}:{port}{rest}")
 
     def _renewed(self, orders: StandingOrders, rules: HouseRules) -> None:
         self.desk.renewed(orders, rules)
@@ -274,7 +273,7 @@
         """
         loop = self.timers.loop
         end = loop.time() + min(self.longest, LONGEST_DRAIN) + OVER
-        print("crankfold: draining", file=sys.stderr, flush=True)
+        log("crankfold: draining")
         self.duty.end(loop.time())
         if self.handover and self.handover.followed():
             await self._leave_to_successor(end)
--- a/crankfold/service/operations.py
+++ b/crankfold/service/operations.py
@@ -1,10 +1,10 @@
 """Where operators' calls meet the desk, the runners and the clients' connections."""
 
-import sys
 from collections.abc import Awaitable, Callable, Sequence
 
 from crankfold.dispatch.interface import Listing
 from crankfold.network.listener import Listener
+from crankfold.network.tally import log
 from crankfold.protocol.operators import AgreedFace
 from crankfold.service.desk import Desk
 from crankfold.service.duty import Duty
@@ -40,7 +40,7 @@
             return False
         if entry:
             self.tally.count(f"runners-{what}-by-hand")
-            print(f"crankfold: runner {what} by hand: {uid!r}", file=sys.stderr, flush=True)
+            log(f"crankfold: runner {what} by hand: {uid!r}")
             self.changed([entry])
         if self.spread:
             await self.spread(what, uid)
@@ -52,14 +52,14 @@
     def leave_service(self) -> None:
         if self.duty.leave(self.loop.time()):
             self.tally.count("drains")
-            print("crankfold: out of service, draining", file=sys.stderr, flush=True)
+            log("crankfold: out of service, draining")
         self._look()
 
     def enter_service(self) -> bool:
         may = self.duty.come_back(self.loop.time())
         if may and self.listener.parting:
             self.listener.parting = False
-            print("crankfold: back in service", file=sys.stderr, flush=True)
+            log("crankfold: back in service")
         return may
 
     def _look(self) -> None:
@@ -77,5 +77,5 @@
         if self.duty.closes_idle(now):
             self.listener.close_idle(spare_call_backs=True)
         if self.duty.tend(now, not self.desk.open_units() and not self.listener.of_clients()):
-            print("crankfold: out of service, nobody left", file=sys.stderr, flush=True)
+            log("crankfold: out of service, nobody left")
         self.loop.call_later(LOOK_EVERY, self._go_on)
