Voters added and taken out by command; trials side by side on addresses of their own

Need: a voter has to be replaced without losing what was agreed. Cause of trials that did not start beside others: ports taken between being found free and being listened on; each trial has its own part of the loopback range now.

--- a/benchmarks/trials.py
+++ b/benchmarks/trials.py
@@ -2,7 +2,7 @@
 
     python benchmarks/trials.py --trials 200 --workers 8
 
-Writes benchmarks/trials.csv, one row a trial, and prints what came of them. A trial is made again by its seed.
+Writes benchmarks/trials.csv, one row a trial, and prints what came of them. A seed makes its trial again.
 """
 
 import csv
@@ -15,11 +15,9 @@
 from random import Random
 
 import click
-import matplotlib
 
 from crankfold.trial.plan import PROMISES
 
-matplotlib.use("svg")
 HERE = Path(__file__).parent
 SECONDS = 12.0
 
@@ -60,8 +58,8 @@
     with tempfile.TemporaryDirectory() as folder:
         plan = Path(folder) / "plan.toml"
         plan.write_text(drawn(seed))
-        done = subprocess.run([sys.executable, "-m", "crankfold", "trial", str(plan), "--keep", f"{folder}/kept"],
-                              capture_output=True, text=True, cwd=HERE.parent)
+        command = [sys.executable, "-m", "crankfold", "trial", str(plan), "--keep", f"{folder}/kept"]
+        done = subprocess.run(command, capture_output=True, text=True, cwd=HERE.parent)
     longest, broken = -1.0, []
     for line in done.stdout.splitlines():
         words = line.split()
@@ -95,11 +93,12 @@
         table.writerows(rows)
     held = [row for row in rows if row[1] == 0]
     spans = sorted(row[2] for row in held)
-    text = (f"{len(rows)} trials, {len(held)} with every promise held; longest contradiction of 2000 ms stated: "
+    text = (f"{len(rows)} trials, {len(held)} with every promise held; longest contradiction, ms of 2000: "
             f"median {spans[len(spans) // 2]:.0f}, 99th percentile {spans[len(spans) * 99 // 100]:.0f}, "
             f"longest {spans[-1]:.0f} ms")
     (HERE / "trials.txt").write_text(text + "\n")
     click.echo(text)
+    import matplotlib
     from matplotlib import pyplot
 
     matplotlib.rcParams["svg.hashsalt"] = "trials"
--- a/crankfold/cli.py
+++ b/crankfold/cli.py
@@ -159,17 +159,33 @@
                     type=click.Choice(["settings", "runners-out", "runners-never"]))
 
 
-@main.command()
+@main.group(invoke_without_command=True)
 @_door
 @_json
-def fleet(door: str, as_json: bool) -> None:
+@click.pass_context
+def fleet(context: click.Context, door: str, as_json: bool) -> None:
     """Members, versions, leader, who is behind and who is cut off, as one dispatcher sees them.
 
     Exit: 0 if that dispatcher acts on what is agreed, 3 if not, or if it can't be reached.
     """
     from crankfold.peers import commands  # not for `serve`
 
-    sys.exit(commands.fleet(door, as_json))
+    if context.invoked_subcommand is None:
+        sys.exit(commands.fleet(door, as_json))
+    context.obj = door
+
+
+@fleet.command("voters")
+@click.option("--add", default="", metavar="NAME=HOST:PORT")
+@click.option("--remove", default="", metavar="NAME")
+@click.pass_obj
+def fleet_voters(door: str, add: str, remove: str) -> None:
+    """Add a voter or take one out, one at a time. Exit: 0 done, 1 turned down, 3 nobody there."""
+    from crankfold.peers import commands
+
+    if bool(add) == bool(remove) or add and "=" not in add:
+        raise click.UsageError("one of --add NAME=HOST:PORT and --remove NAME")
+    sys.exit(commands.voters(door, add, remove))
 
 
 @main.group()
--- a/crankfold/peers/commands.py
+++ b/crankfold/peers/commands.py
@@ -58,6 +58,19 @@
     return DONE if told["acts"] else NOBODY
 
 
+def voters(door: str, add: str, remove: str) -> int:
+    name, _, at = add.partition("=")
+    status, told = call(door, "agreed/voters", {"call": secrets.token_hex(8), "remove": remove,
+                                                "add": {name: at} if add else {}})
+    if not isinstance(told, dict):
+        return _failed(told)
+    if not told["well"]:
+        click.echo(f"crankfold: turned down: {told['text']}", err=True)
+        return REFUSED
+    click.echo(f"voters: {', '.join(sorted(told['voters']))}")
+    return DONE
+
+
 def _versions(door: str, doc: str) -> tuple[Any, dict[int, dict[str, Any]]]:
     status, told = call(door, f"agreed/{doc}")
     if status != 200:
--- a/crankfold/peers/peer.py
+++ b/crankfold/peers/peer.py
@@ -205,6 +205,10 @@
             if future and not future.done() and (told.well or told.text != "there is no leader"):
                 future.set_result(told)
         member.told.clear()
+        if isinstance(member, Voter):
+            for name, at in member.raft.voters.items():
+                if name not in self.links.addresses and name != member.me and at:
+                    self.links.addresses[name] = place(at)  # added since this process started
         if not self.busy and not self.aside:
             batch = member.take()
             if batch.must_be_kept() and self.store:
--- a/crankfold/service/agreed.py
+++ b/crankfold/service/agreed.py
@@ -11,12 +11,13 @@
 import orjson
 from msgspec import Struct, field
 
+from crankfold.agreement.member import Voter
 from crankfold.agreement.strict import DOCUMENTS, NEVER, OUT, SETTINGS
 from crankfold.dispatch.interface import StandingOrders
 from crankfold.network.tally import Tally
 from crankfold.orders import form
 from crankfold.orders.reader import HouseRules, from_nested, house_rules, standing_orders
-from crankfold.peers.peer import Peer, Unfit, read
+from crankfold.peers.peer import Peer, Unfit, place, read
 from crankfold.service.desk import Desk
 from crankfold.service.operations import Operations
 
@@ -37,6 +38,14 @@
     wait: float = 0.0
 
 
+class Change(Struct, forbid_unknown_fields=True):
+    """Of the voters, one at a time."""
+
+    call: str
+    add: dict[str, str] = field(default_factory=dict)
+    remove: str = ""
+
+
 class Listed(Struct, forbid_unknown_fields=True):
     runners: dict[str, str] = field(default_factory=dict)  # by id, why
 
@@ -152,7 +161,24 @@
                 "versions": [msgspec.structs.asdict(version) for version in known.versions]}
         return OK, orjson.dumps(told).decode()
 
+    async def _voters(self, body: bytes) -> tuple[int, str]:
+        try:
+            asked = msgspec.json.decode(body, type=Change)
+            for at in asked.add.values():
+                place(at)
+        except (msgspec.DecodeError, ValueError) as wrong:
+            return UNFIT, orjson.dumps({"well": False, "text": str(wrong)}).decode()
+        member = self.peer.member
+        if not isinstance(member, Voter):
+            return UNFIT, orjson.dumps({"well": False, "text": "ask at the door of a voter"}).decode()
+        voters = {name: at for name, at in member.raft.voters.items() if name != asked.remove} | asked.add
+        made = await self.peer.publish("voters", {"voters": voters}, asked.call, PUBLISH_WITHIN)
+        told = {"well": made.well, "text": made.text, "voters": voters}
+        return OK if made.well else REFUSED, orjson.dumps(told).decode()
+
     async def publish(self, doc: str, body: bytes) -> tuple[int, str]:
+        if doc == "voters":
+            return await self._voters(body)
         try:
             asked = msgspec.json.decode(body, type=Asked)
         except msgspec.DecodeError as wrong:
--- a/crankfold/trial/relay.py
+++ b/crankfold/trial/relay.py
@@ -4,6 +4,8 @@
 import asyncio
 from random import Random
 
+from crankfold.trial.stand_ins import HOST
+
 LUMP = 64 * 1024
 
 
@@ -49,14 +51,14 @@
         self.server: asyncio.Server | None = None
 
     async def open(self) -> int:
-        self.server = await asyncio.start_server(self._taken, "127.0.0.1", 0)
+        self.server = await asyncio.start_server(self._taken, HOST, 0)
         return int(self.server.sockets[0].getsockname()[1])
 
     async def _taken(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.writers.add(writer)
         onward = None
         try:
-            far, onward = await asyncio.open_connection("127.0.0.1", self.port)
+            far, onward = await asyncio.open_connection(HOST, self.port)
             self.writers.add(onward)
             ways = [asyncio.ensure_future(self._pump(reader, onward, self.there)),
                     asyncio.ensure_future(self._pump(far, writer, self.back))]
--- a/crankfold/trial/run.py
+++ b/crankfold/trial/run.py
@@ -18,7 +18,7 @@
 from crankfold.trial.checker import Asked, Checker, Story, Verdict
 from crankfold.trial.plan import Fault, Plan, Unfit, read
 from crankfold.trial.relay import Link, Relay
-from crankfold.trial.stand_ins import Clients, Discovery, Runner, Seen, call, stamp
+from crankfold.trial.stand_ins import HOST, Clients, Discovery, Runner, Seen, call, stamp
 
 READY_WITHIN, SETTLE_WITHIN, END_WITHIN = 20.0, 15.0, 8.0
 EFFECTS = ("safe", "keyed", "unsafe")
@@ -127,14 +127,14 @@
         voters = {}
         for voter in self.voters:
             if voter == name:
-                voters[voter] = f"127.0.0.1:{self.peers[voter]}"
+                voters[voter] = f"{HOST}:{self.peers[voter]}"
                 continue
             relay = Relay(self.links[name, voter], self.links[voter, name], self.peers[voter])
             self.relays[name, voter] = relay
-            voters[voter] = f"127.0.0.1:{await relay.open()}"
+            voters[voter] = f"{HOST}:{await relay.open()}"
         given = {
-            "listen": f"127.0.0.1:{self.ports[name]}", "discovery": f"127.0.0.1:{discovery}",
-            "admin_addr": f"127.0.0.1:{self.doors[name]}", "seed": f"{self.seed:x}",
+            "listen": f"{HOST}:{self.ports[name]}", "discovery": f"{HOST}:{discovery}",
+            "admin_addr": f"{HOST}:{self.doors[name]}", "seed": f"{self.seed:x}",
             "peers": {"name": name, "voters": voters, "folder": str(folder), "record": "-",
                       "stated-time": self.plan.stated_time, "when-cut-off": self.plan.when_cut_off},
             "settings": {"allowed": {"most-dispatches": 3, "cancel": True, "second-copies": True},
@@ -316,7 +316,7 @@
 
 
 def free_port() -> int:
-    with socket.create_server(("127.0.0.1", 0)) as free:
+    with socket.create_server((HOST, 0)) as free:
         return int(free.getsockname()[1])
 
 
--- a/crankfold/trial/stand_ins.py
+++ b/crankfold/trial/stand_ins.py
@@ -3,10 +3,14 @@
 import asyncio
 import contextlib
 import json
+import os
 import time
 from dataclasses import dataclass, field
 from random import Random
 
+# Of the whole loopback range, so that trials side by side take no port from each other.
+HOST = f"127.{os.getpid() >> 16 & 255 or 1}.{os.getpid() >> 8 & 255}.{os.getpid() & 255 or 1}"
+
 
 def stamp() -> int:
     """Nanoseconds on the clock by which the processes stamp their records."""
@@ -40,7 +44,7 @@
         self.server: asyncio.Server | None = None
 
     async def open(self) -> int:
-        self.server = await asyncio.start_server(self._served, "127.0.0.1", 0)
+        self.server = await asyncio.start_server(self._served, HOST, 0)
         return int(self.server.sockets[0].getsockname()[1])
 
     async def _served(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -86,7 +90,7 @@
 
 
 async def call(port: int, target: str, body: bytes | None = None, heads: str = "") -> tuple[str, bytes]:
-    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    reader, writer = await asyncio.open_connection(HOST, port)
     try:
         method = "GET" if body is None else "POST"
         writer.write(f"{method} {target} HTTP/1.1\r\nHost: trial\r\n{heads}Connection: close\r\n"
@@ -103,7 +107,7 @@
         self.server: asyncio.Server | None = None
 
     async def open(self) -> int:
-        self.server = await asyncio.start_server(self._served, "127.0.0.1", 0)
+        self.server = await asyncio.start_server(self._served, HOST, 0)
         return int(self.server.sockets[0].getsockname()[1])
 
     async def _served(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -112,7 +116,7 @@
                 head, _, _ = await read_message(reader)
                 if "after=" in head:
                     await asyncio.sleep(5)
-                targets = [{"uid": uid, "endpoint": f"127.0.0.1:{port}", "az": "here", "model": "m",
+                targets = [{"uid": uid, "endpoint": f"{HOST}:{port}", "az": "here", "model": "m",
                             "pod_group": 0, "state": "in_service", "capacity_hint": 1.0, "boot_ms": 0}
                            for uid, port in self.runners.items()]
                 body = json.dumps({"rev": 1, "all": True, "targets": targets}).encode()
