--- a/benchmarks/trials.py
+++ b/benchmarks/trials.py
@@ -68,7 +68,7 @@
         if words and words[0] == "BROKEN":
             broken.append(" ".join(words[1:]))
     if done.returncode == 2:
-        broken.append(done.stderr.strip()[:300])
+        broken.append(done.stderr.strip()[-400:])
     return seed, done.returncode, longest, "; ".join(broken)
 
 
--- a/crankfold/peers/store.py
+++ b/crankfold/peers/store.py
@@ -51,6 +51,7 @@
     def __init__(self, folder: Path, name: str) -> None:
         self.folder, self.path = folder, folder / "history"
         self.said = ""  # what an operator should know of the start
+        self.file = self.lock = -1
         try:
             folder.mkdir(parents=True, exist_ok=True)
             self.lock = os.open(folder / "lock", os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
@@ -63,7 +64,11 @@
             self.file = os.open(self.path, os.O_WRONLY | os.O_CREAT | os.O_APPEND | os.O_CLOEXEC, 0o600)
             self._sync_folder()
         except OSError as wrong:
+            self.close()
             raise Unfit(f"{folder}: {wrong.strerror or wrong}") from None
+        except Unfit:
+            self.close()
+            raise
 
     def _own(self, name: str) -> str:
         path = self.folder / "identity"
@@ -111,7 +116,7 @@
             whole = at + HEAD <= len(data) and end <= len(data) and size > 0
             if not whole or zlib.crc32(body) != int.from_bytes(data[at + 4:at + HEAD], "big"):
                 # What a crash tore is the last record, whole in length or not, or room that was never filled.
-                if end < len(data) and data[at:].strip(b"\0"):
+                if data[end:].strip(b"\0"):
                     raise Unfit(f"{self.path}: damaged at byte {at} of {len(data)}; take this voter out, "
                                 f"empty the folder and add it anew, or bring the file back whole")
                 self.said = f"{self.path.name}: a torn tail of {len(data) - at} bytes was cut off"
@@ -143,8 +148,10 @@
 
     def close(self) -> None:
         for file in (self.file, self.lock):
-            with contextlib.suppress(OSError):
-                os.close(file)
+            if file >= 0:
+                with contextlib.suppress(OSError):
+                    os.close(file)
+        self.file = self.lock = -1
 
 
 def _all(file: int, data: bytes) -> None:
--- /dev/null
+++ b/tests/test_trial.py
@@ -0,0 +1,167 @@
+"""Real processes with faults between them, and whether the checker of their records finds what is wrong."""
+
+import asyncio
+import copy
+import re
+import sys
+import tempfile
+import unittest
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+from crankfold.trial.checker import MS, Asked, Checker, Story
+from crankfold.trial.plan import PROMISES, Unfit, read
+from crankfold.trial.stand_ins import Seen
+from tests.scene import Kept
+
+TRIALS = Path(__file__).parents[1] / "trials"
+
+
+class Played(unittest.IsolatedAsyncioTestCase):
+    async def test_the_plans_under_trials_hold_every_promise(self) -> None:
+        """Side by side; each starts its own processes on addresses of its own."""
+        plans = sorted(TRIALS.glob("*.toml"))
+        self.assertGreaterEqual(len(plans), 7)
+        few = asyncio.Semaphore(4)
+
+        async def play(plan: Path) -> str:
+            async with few:
+                running = await asyncio.create_subprocess_exec(
+                    sys.executable, "-m", "crankfold", "trial", str(plan), stdout=asyncio.subprocess.PIPE,
+                    stderr=asyncio.subprocess.STDOUT, cwd=TRIALS.parent)
+                told, _ = await running.communicate()
+                return "" if running.returncode == 0 else f"{plan.name}: {told.decode()}"
+
+        broken = [told for told in await asyncio.gather(*map(play, plans)) if told]
+        self.assertEqual(broken, [], "\n".join(broken))
+
+
+def rules(at: int, newest: int, counts: int, effect: str, out: str = "") -> dict[str, Any]:
+    acting = {"settings": {"service-grades": [{"name": "g", "effect": effect}]},
+              "runners-out": {"runners": {out: ""} if out else {}}}
+    return {"at": at * MS, "what": "rules", "unit": "", "where": "", "acting": acting,
+            "versions": {"settings": [counts, newest], "runners-out": [counts, newest]}}
+
+
+def act(at: int, newest: int, counts: int, unit: str = "u") -> dict[str, Any]:
+    return {"at": at * MS, "what": "take", "unit": unit, "where": "g",
+            "versions": {"settings": [counts, newest], "runners-out": [counts, newest]}}
+
+
+def version(number: int, reason: str, out: str = "") -> dict[str, Any]:
+    return {"number": number, "reason": reason, "text": {"runners": {out: ""} if out else {}}}
+
+
+def story() -> Story:
+    """Two processes; version 2 makes the grade once-only and takes r1 out, all as it should be."""
+    records = {"n0": [rules(0, 1, 1, "safe"), act(10, 1, 1, "n0-1"), rules(100, 2, 1, "unsafe", "r1"),
+                      act(200, 2, 1, "n0-2"), rules(400, 2, 2, "unsafe", "r1"), act(500, 2, 2, "n0-3")],
+               "n1": [rules(1, 1, 1, "safe"), act(150, 1, 1, "n1-1"), rules(300, 2, 1, "unsafe", "r1"),
+                      rules(450, 2, 2, "unsafe", "r1"), act(600, 2, 2, "n1-2")]}
+    seen = Seen()
+    for n, unit in enumerate(("n0-1", "n0-2", "n0-3", "n1-1", "n1-2")):
+        seen.asked[unit] = n * MS, unit[:2], "g"
+        seen.received.append(((20 + 100 * n) * MS, "r0", unit))
+        seen.answered.append(((60 + 100 * n) * MS, unit, unit[:2], "200 done"))
+    docs = {"settings": {1: version(1, "begin"), 2: version(2, "call1")},
+            "runners-out": {1: version(1, "begin"), 2: version(2, "call2", "r1")}}
+    text = docs["settings"][2]["text"]
+    asked = [Asked("call1", 90 * MS, "n0", "settings", text, "confirmed", 2),
+             Asked("call2", 90 * MS, "n0", "runners-out", docs["runners-out"][2]["text"], "confirmed", 2),
+             Asked("call3", 95 * MS, "n1", "settings", text, "refused")]
+    return Story(2000 * MS, records, seen, asked, {"n0": docs, "n1": copy.deepcopy(docs)}, {},
+                 {"n0": "", "n1": ""})
+
+
+def late_act(one: Story) -> None:
+    one.records["n1"].insert(2, act(2200, 1, 1))
+
+
+def unheard(one: Story) -> None:
+    one.records["n1"].insert(2, act(420, 1, 1))
+
+
+def other_history(one: Story) -> None:
+    one.histories["n1"]["settings"][2]["reason"] = "other"
+
+
+def other_rules(one: Story) -> None:
+    one.records["n1"][3]["acting"]["settings"]["service-grades"][0]["effect"] = "safe"
+
+
+def back(one: Story) -> None:
+    one.records["n1"].append(act(700, 2, 1))
+
+
+def lost_publish(one: Story) -> None:
+    for docs in one.histories.values():
+        del docs["settings"][2]
+
+
+def refused_took(one: Story) -> None:
+    for docs in one.histories.values():
+        docs["settings"][2]["reason"] = "call3"
+
+
+def took_twice(one: Story) -> None:
+    for docs in one.histories.values():
+        docs["settings"][3] = version(3, "call1")
+
+
+def two_answers(one: Story) -> None:
+    one.seen.answered.append((700 * MS, "n0-1", "n0", "200 again"))
+
+
+def no_answer(one: Story) -> None:
+    one.seen.answered[0] = (7000 * MS, "n0-1", "n0", "nothing")
+
+
+def twice(one: Story) -> None:
+    one.seen.received.append((700 * MS, "r2", "n0-2"))
+
+
+def reached(one: Story) -> None:
+    one.seen.received.append((900 * MS, "r1", "n1-2"))
+
+
+def not_well(one: Story) -> None:
+    one.ended_well["n1"] = "cut off"
+
+
+PLANTED: list[tuple[str, Callable[[Story], None]]] = [
+    ("bound", late_act), ("heard-first", unheard), ("history", other_history), ("history", other_rules),
+    ("no-way-back", back), ("publishes", lost_publish), ("publishes", refused_took),
+    ("publishes", took_twice), ("one-answer", two_answers), ("one-answer", no_answer), ("no-effect-twice", twice),
+    ("out-means-out", reached), ("well-at-the-end", not_well)]
+
+
+class Checked(Kept):
+    def test_a_story_without_fault_holds_and_each_planted_one_is_told_by_its_promise(self) -> None:
+        for promise in PROMISES:
+            verdict = Checker(story()).judge(promise)
+            self.assertTrue(verdict.held, verdict)
+        for promise, plant in PLANTED:
+            one = story()
+            plant(one)
+            verdict = Checker(one).judge(promise)
+            self.assertFalse(verdict.held, plant.__name__)
+            self.say(f"{plant.__name__}: {promise}: {verdict.told}")
+        self.close("trial-planted")
+
+    def test_plans_that_can_not_be_used(self) -> None:
+        good = (TRIALS / "leader-sleeps.toml").read_text()
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "plan.toml"
+            for old, new in (('name = "leader-sleeps"', ""), ("seconds = 12.0", "seconds = -1"),
+                             ('"bound"', '"bounds"'), ('at = "leader"', 'at = "n9"'),
+                             ("end = 6.0", "end = 60.0"),
+                             ('kind = "pause"', 'kind = "burn"'), ('at = "leader"\n', ""),
+                             ("end = 6.0", "ends = 6.0"), ("seconds", "=")):
+                path.write_text(good.replace(old, new))
+                with self.assertRaises(Unfit) as wrong:
+                    read(path)
+                self.say(re.sub(r"^.*plan\.toml: ", "", str(wrong.exception)))
+            with self.assertRaisesRegex(Unfit, "No such file"):
+                read(Path(folder) / "none.toml")
+        self.close("trial-unfit")
