A voter without its folder has no vote under its old name; limits dealt out by what each carries

Now a voter looks at all of its log, the first majority is registered with the first entry, and whoever is not registered by his folder takes part in no election.

--- a/crankfold/agreement/documents.py
+++ b/crankfold/agreement/documents.py
@@ -56,6 +56,18 @@
     voters: dict[str, str] = field(default_factory=dict)  # the folders by which voters are known
 
 
+def folders(known: dict[str, str], entry: Entry) -> dict[str, str]:
+    """The folders by which voters are known, after one more entry."""
+    if entry.kind == "folder":
+        return {entry.data["voter"]: entry.data["folder"], **known}
+    if entry.kind == "begin":
+        return {**entry.data.get("folders", {}), **known}
+    if entry.kind == "voters":
+        # Taken out and put in again, a name may come with another folder.
+        return {name: folder for name, folder in known.items() if name in entry.data["voters"]}
+    return known
+
+
 class Documents:
     def __init__(self, state: bytes = b"") -> None:
         self.known = msgspec.msgpack.decode(state, type=Known) if state else Known()
@@ -75,12 +87,7 @@
             doc = self.known.docs[data["doc"]]
             doc.counts = max(doc.counts, data["number"])
             return str(data["doc"])
-        if entry.kind == "folder":
-            self.known.voters.setdefault(data["voter"], data["folder"])
-        elif entry.kind == "voters":
-            # Taken out and put in again, a name may come with another folder.
-            self.known.voters = {name: folder for name, folder in self.known.voters.items()
-                                 if name in data["voters"]}
+        self.known.voters = folders(self.known.voters, entry)
         return ""
 
     def _publish(self, index: int, data: dict[str, Any]) -> str:
--- a/crankfold/agreement/member.py
+++ b/crankfold/agreement/member.py
@@ -10,11 +10,11 @@
 from typing import Annotated, Any, Literal
 
 import msgspec
-from msgspec import Meta, Struct
+from msgspec import Meta, Struct, field
 
-from crankfold.agreement.documents import Documents, Outcome
+from crankfold.agreement.documents import Documents, Outcome, folders
 from crankfold.agreement.raft import LEADING, Batch, Raft, Stored
-from crankfold.agreement.strict import DEAL, DOCUMENTS, SETTINGS
+from crankfold.agreement.strict import DEAL, DOCUMENTS, LIMITS, SETTINGS
 from crankfold.agreement.words import (
     Ask,
     Check,
@@ -30,6 +30,7 @@
     Refused,
     Roster,
     Timing,
+    Warded,
 )
 
 COMPACT_AT, MOST_NEWS = 256, 200
@@ -69,6 +70,21 @@
     have: int = 0
     settled: int = 0
     left: bool = False
+    carry: dict[str, int] = field(default_factory=dict)
+
+
+def dealt(limits: dict[str, int], carries: dict[str, dict[str, int]]) -> dict[str, dict[str, int]]:
+    """Of each limit every member's share, by what it carries and a little more; together the whole."""
+    shares: dict[str, dict[str, int]] = {}
+    for limit, whole in limits.items():
+        weights = {name: carry.get(limit, 0) + 1 for name, carry in sorted(carries.items())}
+        total = sum(weights.values())
+        parts = {name: whole * weight // total for name, weight in weights.items()}
+        left = whole - sum(parts.values())
+        for name in sorted(parts, key=lambda name: (-(whole * weights[name] % total), name))[:left]:
+            parts[name] += 1
+        shares[limit] = parts
+    return shares
 
 
 class Member:
@@ -77,6 +93,7 @@
         self.docs, self.applied, self.until = Documents(), 0, now
         self.changed: set[str] = set()  # documents that read otherwise since the owner looked
         self.settled_at: Callable[[int], int] = lambda applied: applied
+        self.carry: Callable[[], dict[str, int]] = dict
         self.told: list[Published] = []  # answers to what was asked for here
         self.refused = ""
 
@@ -102,9 +119,11 @@
         self._restart_from(self.raft.base)
         self.lives = Lives()
         self.folders = {me: folder}  # as voters showed them
+        self.raft.may_vote = self._may_vote
+        self.raft.folders_of = lambda names: {one: self.folders[one] for one in names & self.folders.keys()}
         self.wards: dict[str, Ward] = {}
         self.ask_at, self.roster_at = now, now
-        self.elsewhere: dict[str, list[tuple[str, int, int, int, str]]] = {}
+        self.elsewhere: dict[str, list[Warded]] = {}
         # While leading: by voter until when its lease can last, and the newest of what it told.
         self.led = 0
         self.granted: dict[str, int] = {}
@@ -244,12 +263,23 @@
 
     def admits(self, voter: str, folder: str) -> str:
         """Why this one may not vote under that name, or nothing."""
-        known = self.docs.known.voters.get(voter, folder)
-        if known != folder:
+        if self._registered().get(voter, folder) != folder:
             return f"{voter} is known by another folder; take the voter out and add it anew"
         self.folders[voter] = folder
         return ""
 
+    def _registered(self) -> dict[str, str]:
+        """By all of the log: after a start nobody knows yet how much of it is agreed."""
+        known = self.docs.known.voters
+        for entry in self.raft.between(self.applied, self.raft.last()):
+            known = folders(known, entry)
+        return known
+
+    def _may_vote(self, last: int) -> bool:
+        """Whoever lost his folder has forgotten what he answered for, and must not vote under his old name.
+        Only where nobody has a history yet may those vote that are in none."""
+        return self._registered().get(self.me) == self.folder or last == 0 and self.raft.last() == 0
+
     def _follow(self, now: int, sender: str, ask: Follow) -> None:
         ward = self.wards.get(ask.name)
         if ward and ward.incarnation != ask.incarnation and now < ward.until and not ward.left:
@@ -269,12 +299,12 @@
         if ask.asked < ward.asked:
             return
         ward.heard, ward.asked, ward.left = now, ask.asked, False
-        ward.have, ward.settled = ask.have, ask.settled
+        ward.have, ward.settled, ward.carry = ask.have, ask.settled, ask.carry
         self._tell_news(now, ask.name, ward, ask.asked)
 
     def _held_elsewhere(self, ask: Follow) -> bool:
-        return any(name == ask.name and other != ask.incarnation and state == THERE
-                   for wards in self.elsewhere.values() for name, other, _, _, state in wards)
+        return any(one.name == ask.name and one.incarnation != ask.incarnation and one.state == THERE
+                   for wards in self.elsewhere.values() for one in wards)
 
     def _tell_news(self, now: int, name: str, ward: Ward, asked: int) -> None:
         raft = self.raft
@@ -296,8 +326,11 @@
 
     def _tell_roster(self, now: int) -> None:
         self.roster_at = now + ROSTER_EVERY * self.timing.renew
-        wards = [(name, ward.incarnation, now - ward.since, ward.have, self.state_of(now, ward))
-                 for name, ward in self.wards.items()]
+        wards = [Warded(name, ward.incarnation, now - ward.since, ward.have, self.state_of(now, ward),
+                        ward.carry) for name, ward in self.wards.items()]
+        wards.append(Warded(self.me, self.incarnation, now - self.born, self.applied, THERE, self.carry()))
+        if self.leads():
+            self._deal(now, wards)
         for voter in self.raft.voters:
             if voter != self.me:
                 self.raft._say(voter, Roster(wards))
@@ -305,6 +338,26 @@
             if now > ward.until + self.docs.linger() + 60 * self.timing.lease:
                 del self.wards[name]  # long gone
 
+    def _deal(self, now: int, own: list[Warded]) -> None:
+        """Limits for the whole fleet, dealt out by what each carries. Anew where somebody came or went, or
+        one has nothing left while another has, and not before the last deal counts."""
+        limits = (self.docs.acting(LIMITS) or {}).get("limits", {})
+        deals = self.docs.doc(DEAL)
+        if deals.on_the_way() or not self.docs.doc(LIMITS).versions:
+            return
+        there = [one for wards in (own, *self.elsewhere.values()) for one in wards if one.state == THERE]
+        carries = {one.name: one.carry for one in there}
+        new, old = dealt(limits, carries), deals.versions[-1].text["shares"] if deals.versions else {}
+        same = old.keys() == new.keys() and all(
+            old[limit].keys() == new[limit].keys() and sum(old[limit].values()) == whole
+            for limit, whole in limits.items())
+        moved = any(carries[name].get(limit, 0) >= part and 10 * (new[limit][name] - part) > limits[limit]
+                    for limit, parts in old.items() if same for name, part in parts.items())
+        if not same or moved:
+            self.raft.propose(now, "publish", {
+                "call": f"deal {self.raft.term} {self.raft.last()}", "doc": DEAL, "made_from": deals.latest(),
+                "author": self.me, "reason": "dealt by what each carries", "at": 0, "text": {"shares": new}})
+
     # --- publishing ---
 
     def publish(self, now: int, call: str, kind: str, data: dict[str, Any]) -> None:
@@ -470,7 +523,7 @@
     def _ask(self, now: int) -> None:
         self.ask_at = now + self.timing.renew * 3 // 4 + self._draw(self.timing.renew // 2)
         self.send.append((self.voter, Follow(self.me, self.incarnation, now, self.applied,
-                                             self.settled_at(self.applied))))
+                                             self.settled_at(self.applied), self.carry())))
 
     def publish(self, now: int, call: str, kind: str, data: dict[str, Any]) -> None:
         self.send.append((self.voter, Publish(call, kind, data)))
--- a/crankfold/agreement/raft.py
+++ b/crankfold/agreement/raft.py
@@ -51,6 +51,14 @@
     entries: list[Entry] = field(default_factory=list)
 
 
+def _any(last: int) -> bool:
+    return True
+
+
+def _none(names: set[str]) -> dict[str, str]:
+    return {}
+
+
 class Raft:
     def __init__(self, me: str, stored: Stored, voters: dict[str, str], timing: Timing, now: int,
                  seed: int) -> None:
@@ -72,6 +80,9 @@
         self.led_since, self.first_of_term = 0, 0
         self.beat_at, self.election_at = now, 0
         self.batch = Batch(self.term, self.vote)
+        # Whether this voter may take part in an election of one whose log is so long; its folder may be new.
+        self.may_vote: Callable[[int], bool] = _any
+        self.folders_of: Callable[[set[str]], dict[str, str]] = _none
         self._rest(now)
 
     # --- the log ---
@@ -149,7 +160,10 @@
             elif now >= self.beat_at:
                 self._broadcast(now)
         elif now >= self.election_at and self.me in self.voters:
-            self._stand(now, True)
+            if self.may_vote(self.last()):
+                self._stand(now, True)
+            else:
+                self._rest(now)
 
     def _in_touch(self, now: int) -> bool:
         since = max(self.majority_at(), self.led_since)
@@ -200,12 +214,15 @@
         self.next = {v: self.last() + 1 for v in self.voters}
         self.match, self.acked, self.sent_at, self.round = {}, {}, {}, 0
         self.first_of_term = self.last() + 1
-        self._write(self.last() + 1, [Entry(self.term, "begin", {"by": self.me})])
+        begin: dict[str, Any] = {"by": self.me}
+        if self.first_of_term == 1:
+            begin["folders"] = self.folders_of(self.yes)  # or those that made the first majority had no vote
+        self._write(self.first_of_term, [Entry(self.term, "begin", begin)])
         self._broadcast(now)
 
     def _ballot(self, now: int, sender: str, ask: Ballot) -> None:
         mine = self.term_at(self.last()), self.last()
-        fit = (ask.last_term, ask.last) >= mine
+        fit = (ask.last_term, ask.last) >= mine and self.may_vote(ask.last)
         # Who hears a leader lets nobody else stand.
         led = self.role == LEADING or self.leader and now - self.heard_at < self.timing.election
         if ask.trial:
--- a/crankfold/agreement/words.py
+++ b/crankfold/agreement/words.py
@@ -95,6 +95,7 @@
     asked: int
     have: int
     settled: int
+    carry: dict[str, int]  # of each limit for the whole fleet, what is in hand and wanted
 
 
 class News(Struct, array_like=True, frozen=True, tag="F"):
@@ -148,10 +149,19 @@
     incarnation: int
 
 
+class Warded(Struct, array_like=True, frozen=True):
+    name: str
+    incarnation: int
+    since: int  # there for so long
+    have: int
+    state: str
+    carry: dict[str, int]
+
+
 class Roster(Struct, array_like=True, frozen=True, tag="m"):
-    """Who holds a lease from the sender: name, incarnation, there for so long, what he acts on, his state."""
+    """Who holds a lease from the sender, himself among them."""
 
-    wards: list[tuple[str, int, int, int, str]]
+    wards: list[Warded]
 
 
 Message = (Ballot | BallotAnswer | Append | AppendAnswer | Install | Ask | Grant | Follow | News | Refused
--- a/crankfold/cli.py
+++ b/crankfold/cli.py
@@ -156,7 +156,7 @@
                      help="HOST:PORT of a dispatcher's door for operators.")
 _json = click.option("--json", "as_json", is_flag=True, help="JSON in place of text.")
 _doc = click.option("--doc", default="settings", show_default=True,
-                    type=click.Choice(["settings", "runners-out", "runners-never"]))
+                    type=click.Choice(["settings", "runners-out", "runners-never", "limits", "deal"]))
 
 
 @main.group(invoke_without_command=True)
--- a/crankfold/emulator/accord.py
+++ b/crankfold/emulator/accord.py
@@ -13,7 +13,7 @@
 
 from crankfold.agreement.member import Follower, Member, Voter
 from crankfold.agreement.raft import LEADING, Batch, Stored
-from crankfold.agreement.strict import DEAL, SETTINGS
+from crankfold.agreement.strict import DEAL, LIMITS, SETTINGS
 from crankfold.agreement.words import Message, Published, Timing
 from crankfold.emulator.clockwork import Clockwork
 
@@ -29,7 +29,8 @@
 
     `loss`: a share of the messages from `at` to `to` ("" for any); `delay`: so much more, drawn for each, so
     that they overtake one another; `double`: a share comes twice; `pause`: `at` stands still and wakes;
-    `kill`: it dies and starts at the end; `disk`: what it writes takes until the end.
+    `kill`: it dies and starts at the end; `wipe`: without its folder; `disk`: what it writes takes until the
+    end.
     """
 
     kind: str
@@ -48,7 +49,8 @@
     seed: int = 1
     publish_every: float = 0.7
     publish_until: float = 1e9
-    deals: bool = False
+    deals: bool = False  # drawn by operators
+    limits: bool = False  # dealt by whoever leads
     load: bool = True  # units in hand, counted against shares
     stated: int = 20_000
     troubles: tuple[Trouble, ...] = ()
@@ -60,10 +62,11 @@
     def __init__(self, fleet: "Fleet", name: str, rate: float) -> None:
         self.fleet, self.name, self.rate = fleet, name, rate
         self.offset = fleet.luck.randrange(1_000_000)
-        self.stored = Stored()
+        self.stored, self.folder = Stored(), f"{name} 0"
         self.life, self.up, self.busy = 0, False, False
         self.paused_until = 0
         self.units: list[int] = []  # when each that is in hand ends, by true time
+        self.wanted = 0  # units that it would take if it could
         self.member: Member | None = None
         self.counts: dict[str, int] = {}  # of all its lives, the newest versions that it acted on
         self.looked, self.read = (0, -1), (0, -1)  # the life and index that were checked last
@@ -76,6 +79,7 @@
         self.up, self.busy, self.units = True, False, []
         self.member = self.fleet.make(self)
         self.member.settled_at = self._settled_at
+        self.member.carry = lambda: {"all": len(self.units) + self.wanted}
         self._run(self.life)
 
     def _settled_at(self, applied: int) -> int:
@@ -155,6 +159,10 @@
         for to, message in batch.send:
             self.fleet.post(self, to, message)
 
+    def wipe(self) -> None:
+        self.kill()
+        self.stored, self.folder = Stored(), f"{self.name} {self.life}"
+
     def kill(self) -> None:
         self.fleet.look()
         self.up, self.member, self.units = False, None, []
@@ -195,7 +203,7 @@
         if process.name in self.voters:
             stored = msgspec.msgpack.decode(msgspec.msgpack.encode(process.stored), type=Stored)
             return voter(process.name, stored, {v: "" for v in self.voters}, self.timing, now, seed, life,
-                         process.name, lambda doc, text: "", grades("safe"))
+                         process.folder, lambda doc, text: "", grades("safe"))
         return follower(process.name, self.voters, self.timing, now, seed, life)
 
     def disk(self, name: str) -> int:
@@ -226,7 +234,10 @@
         self.time.after(wait, lambda: self._arrive(sender.name, to, message))
 
     def _arrive(self, sender: str, to: str, message: Message) -> None:
-        process = self.processes.get(to)
+        process, folder = self.processes.get(to), self.processes[sender].folder
+        if process and isinstance(process.member, Voter) and sender in self.voters \
+                and process.member.admits(sender, folder):
+            return
         if process:
             process.act(lambda member, now: member.received(now, sender, message))  # type: ignore[attr-defined]
 
@@ -234,8 +245,9 @@
         for process in self.processes.values():
             self.time.after(self.luck.randrange(2000), process.begin)
         for trouble in self.case.troubles:
-            if trouble.kind == "kill":
-                self.time.after(trouble.begin, self.processes[trouble.at].kill)
+            if trouble.kind in ("kill", "wipe"):
+                process = self.processes[trouble.at]
+                self.time.after(trouble.begin, process.kill if trouble.kind == "kill" else process.wipe)
                 self.time.after(trouble.end, self.processes[trouble.at].begin)
             elif trouble.kind == "pause":
                 self.time.after(trouble.begin, lambda t=trouble: self._pause(t))  # type: ignore[misc]
@@ -260,12 +272,16 @@
         self.calls += 1
         call = f"c{self.calls}"
         doc = DEAL if self.case.deals and self.luck.random() < 0.6 else SETTINGS
+        if self.case.limits and self.luck.random() < 0.3:
+            doc = LIMITS
         text: dict[str, Any]
         if doc == DEAL:
             names = list(self.processes)
             cuts = sorted(self.luck.randrange(WHOLE + 1) for _ in names[1:])
             parts = [b - a for a, b in zip([0, *cuts], [*cuts, WHOLE], strict=True)]
             text = {"shares": {"all": dict(zip(names, parts, strict=True))}}
+        elif doc == LIMITS:
+            text = {"limits": {"all": self.luck.choice((WHOLE, WHOLE // 2))}}
         else:
             text = grades(self.luck.choice(EFFECTS))
         latest = process.member.docs.doc(doc).latest()
@@ -291,6 +307,18 @@
         parts = (deal or {}).get("shares", {}).get("all")
         return None if parts is None else int(parts.get(process.name, 0))
 
+    def _counts(self, process: Process) -> bool:
+        """Whether a deal counts there: a first one binds all from then on."""
+        if process.member is None:
+            return False
+        doc = process.member.docs.doc(DEAL)
+        version = doc.find(doc.counts)
+        return version is not None and "all" in version.text["shares"]
+
+    def dealt(self) -> int:
+        """How many deals there were."""
+        return max((p.member.docs.doc(DEAL).latest() for p in self.processes.values() if p.member), default=0)
+
     def _unit(self) -> None:
         """Each takes what its share lets it, under the rules it acts on."""
         self.time.after(400, self._unit)
@@ -301,9 +329,10 @@
                     or not process.member.holds(process.clock()):
                 continue
             part = self.share(process)
+            process.wanted = self.luck.randrange(WHOLE) if self.luck.random() < 0.01 else process.wanted
             if part is not None and len(process.units) < part:
                 process.units.append(now + self.luck.randrange(500, CUT_OFF))
-        if all(self.share(p) is not None for p in self.processes.values() if p.up):
+        if all(self._counts(p) for p in self.processes.values() if p.up):
             whole = sum(len(p.units) for p in self.processes.values())
             if whole > WHOLE:
                 self._break(f"{whole} units in hand of {WHOLE} that are allowed to all")
@@ -391,7 +420,7 @@
 
 
 def schedule(seed: int, voters: int = 3, followers: int = 2, seconds: float = 12.0,
-             deals: bool = False) -> Case:
+             deals: bool = False, limits: bool = False) -> Case:
     """A case with troubles drawn by the seed, the last two seconds without."""
     luck = Random(f"schedule {seed}")
     names = [f"v{n}" for n in range(voters)] + [f"f{n}" for n in range(followers)]
@@ -420,7 +449,7 @@
             troubles.append(Trouble(kind, begin, until, luck.choice(names[:voters])))
         else:
             troubles.append(Trouble(kind, begin, until, at))
-    return Case(voters, followers, seconds, seed, troubles=_apart(troubles), deals=deals)
+    return Case(voters, followers, seconds, seed, troubles=_apart(troubles), deals=deals, limits=limits)
 
 
 def _apart(troubles: Sequence[Trouble]) -> tuple[Trouble, ...]:
--- a/crankfold/peers/peer.py
+++ b/crankfold/peers/peer.py
@@ -158,10 +158,10 @@
              "lag": max(member.applied - ward.have, 0), "at": member.me}
             for name, ward in sorted(member.wards.items())]
         told["members"] += [
-            {"name": name, "state": state, "incarnation": life, "for-s": since // SECOND,
-             "lag": max(member.applied - have, 0), "at": voter}
+            {"name": one.name, "state": one.state, "incarnation": one.incarnation,
+             "for-s": one.since // SECOND, "lag": max(member.applied - one.have, 0), "at": voter}
             for voter, wards in sorted(member.elsewhere.items())
-            for name, life, since, have, state in wards if state in (THERE, SUSPECTED, CUT_OFF)]
+            for one in wards if one.state in (THERE, SUSPECTED, CUT_OFF) and one.name != voter]
         return told
 
     # --- events ---
--- a/crankfold/service/agreed.py
+++ b/crankfold/service/agreed.py
@@ -5,14 +5,14 @@
 import time
 from collections.abc import Callable
 from pathlib import Path
-from typing import Any, TextIO
+from typing import Annotated, Any, TextIO
 
 import msgspec
 import orjson
-from msgspec import Struct, field
+from msgspec import Meta, Struct, field
 
 from crankfold.agreement.member import Voter
-from crankfold.agreement.strict import DOCUMENTS, NEVER, OUT, SETTINGS
+from crankfold.agreement.strict import DEAL, DOCUMENTS, LIMITS, NEVER, OUT, SETTINGS
 from crankfold.dispatch.interface import StandingOrders
 from crankfold.network.tally import Tally
 from crankfold.orders import form
@@ -20,6 +20,7 @@
 from crankfold.peers.peer import Peer, Unfit, place, read
 from crankfold.service.desk import Desk
 from crankfold.service.operations import Operations
+from crankfold.service.shares import Shares
 
 # Of the settings, what may change while units are in hand; the rest is a dispatcher's own.
 SHARED = ("service-grades", "allowed", "score-parts", "revenue-per", "orgs")
@@ -46,6 +47,10 @@
     remove: str = ""
 
 
+class Limited(Struct, forbid_unknown_fields=True):
+    limits: dict[str, Annotated[int, Meta(ge=0)]] = field(default_factory=dict)
+
+
 class Listed(Struct, forbid_unknown_fields=True):
     runners: dict[str, str] = field(default_factory=dict)  # by id, why
 
@@ -67,6 +72,9 @@
         except Unfit as wrong:
             raise ValueError(f"peers: {wrong}") from None
         self.acts_on: dict[str, Any] | None = None
+        self.name, self.shares = peers.name, Shares()
+        self.peer.member.carry, self.peer.member.settled_at = self.shares.carry, self._settled_at
+        desk.hold, desk.ledger.let_go = self.shares.hold, self.shares.let_go
         self.was_cut_off = False
         desk.may_act = self.may_act
         operations.agreed = self
@@ -114,8 +122,12 @@
                 standing_orders(from_nested(whole))
             elif doc in (OUT, NEVER):
                 msgspec.convert(text, Listed)
+            elif doc == LIMITS:
+                for name in msgspec.convert(text, Limited).limits:
+                    if name != "all" and name.partition(":")[0] not in ("grade", "tenant"):
+                        return f"limits.{name}: found {name!r}; all, grade:NAME or tenant:NAME"
             else:
-                return f"{doc}: not taken from operators yet"
+                return f"{doc}: dealt by whoever leads, not by operators"
         except ValueError as wrong:
             return str(wrong)
         return ""
@@ -133,16 +145,26 @@
             entries = self.desk.fleet.agree(out)
             if entries:
                 self.operations.changed(entries)
+        if DEAL in docs:
+            dealt = (member.acting(DEAL) or {}).get("shares", {})
+            self.shares.parts = {limit: parts.get(self.name, 0) for limit, parts in dealt.items()}
         self.tally.count("documents-changed")
         if self.out:
             self._record("rules", "", "")
 
+    def _settled_at(self, applied: int) -> int:
+        """Units taken under a larger share hold their places until they are answered."""
+        if self.shares.fit():
+            return applied
+        waits = [version.index for doc, version in self.peer.member.docs.waits() if doc == DEAL]
+        return min([applied, *(index - 1 for index in waits)])
+
     def _record(self, what: str, unit: str, where: str) -> None:
         member = self.peer.member
         told: dict[str, Any] = {"at": time.clock_gettime_ns(time.CLOCK_BOOTTIME), "what": what, "unit": unit,
                                 "where": where, "applied": member.applied, "versions": member.docs.versions()}
         if what == "rules":
-            told["acting"] = {doc: member.acting(doc) for doc in (SETTINGS, OUT, NEVER)}
+            told["acting"] = {doc: member.acting(doc) for doc in (SETTINGS, OUT, NEVER, DEAL)}
         assert self.out is not None
         self.out.write(orjson.dumps(told).decode() + "\n")
         self.out.flush()
--- a/crankfold/service/desk.py
+++ b/crankfold/service/desk.py
@@ -34,6 +34,7 @@
         # With peers: whether rules may be acted on at this moment, and where what is done is written down.
         self.may_act: Callable[[], bool] = lambda: True
         self.record: Callable[[str, str, str], None] | None = None
+        self.hold: Callable[[str, str], Sequence[str] | None] | None = None  # places of limits, if there are
         self.elsewhere: frozenset[str] = frozenset()  # ids in hand at the process before this one
         self.pass_on: Callable[[bytes, Callable[[bool | None], None]], bool] = lambda body, done: False
         self.reports: dict[int, tuple[int, Sequence[float]]] = {}  # each runner's last, and when
@@ -90,12 +91,18 @@
             self.tally.count("shed-cut-off")
             client.answer(503, [(b"Retry-After", b"1")])
             return
+        counted: Sequence[str] | None = self.hold(grade, tenant) if self.hold else ()
+        if counted is None:
+            self.tally.count("shed-for-share")
+            client.answer(503, [(b"Retry-After", b"1")])
+            return
         self.tally.count("taken")
         if self.record:
             self.record("take", ident, grade)
         wait = max(wait - TRANSIT, 0)
         row = self.grades.find(plain(grade))
         held = self.ledger.enter(row, ident, client, self.clock.now() + wait, again)
+        held.counted = counted
         held.time_up = self.timers.wake(wait, partial(self._time_up, held))
         payer = max(self.rules.tenants.find(plain(tenant)), 0)
         self.tell(self.decisions.taken, held.no, row, payer, held.cutoff, work, slots, key, retried,
--- a/crankfold/service/ledger.py
+++ b/crankfold/service/ledger.py
@@ -1,6 +1,7 @@
 """The units in hand: which id is which number, and what became of each dispatch."""
 
 import asyncio
+from collections.abc import Callable, Sequence
 
 from crankfold.network.listener import Client
 from crankfold.network.runners import Errand
@@ -22,7 +23,7 @@
 class Work:
     """One unit."""
 
-    __slots__ = ("no", "ident", "client", "cutoff", "again", "trips", "open", "time_up", "row")
+    __slots__ = ("no", "ident", "client", "cutoff", "again", "trips", "open", "time_up", "row", "counted")
 
     def __init__(self, no: int, row: int, ident: str, client: Client, cutoff: int,
                  again: tuple[bytes, bytes, list[tuple[bytes, bytes]], bytes]) -> None:
@@ -30,6 +31,7 @@
         self.no, self.ident, self.client, self.cutoff, self.again = no, ident, client, cutoff, again
         self.trips: list[Trip] = []
         self.open = True
+        self.counted: Sequence[str] = ()  # the limits for the whole fleet of which it holds a place
         self.time_up: asyncio.TimerHandle | None = None
 
 
@@ -42,6 +44,7 @@
         self.by_ident: dict[str, Work] = {}
         self.by_client: dict[Client, Work] = {}
         self.next = 0
+        self.let_go: Callable[[Sequence[str]], None] | None = None
 
     def enter(self, row: int, ident: str, client: Client, cutoff: int,
               again: tuple[bytes, bytes, list[tuple[bytes, bytes]], bytes]) -> Work:
@@ -52,6 +55,8 @@
         return work
 
     def close(self, work: Work) -> None:
+        if work.counted and work.open and self.let_go:
+            self.let_go(work.counted)
         work.open = False
         self.by_client.pop(work.client, None)
 
--- a/crankfold/trial/run.py
+++ b/crankfold/trial/run.py
@@ -22,6 +22,7 @@
 from crankfold.trial.stand_ins import HOST, Clients, Discovery, Runner, Seen, call, stamp
 
 READY_WITHIN, SETTLE_WITHIN, END_WITHIN = 20.0, 15.0, 8.0
+ALIVE_AGAIN = 1 << 62  # not yet
 EFFECTS = ("safe", "keyed", "unsafe")
 
 
@@ -34,8 +35,8 @@
 
 
 class Process:
-    def __init__(self, name: str, folder: Path, file: Path) -> None:
-        self.name, self.folder, self.file = name, folder, file
+    def __init__(self, name: str, folder: Path, file: Path, port: int) -> None:
+        self.name, self.folder, self.file, self.port = name, folder, file, port
         self.running: asyncio.subprocess.Process | None = None
         self.records: list[dict[str, Any]] = []
         self.reading: list[asyncio.Task[None]] = []
@@ -43,8 +44,6 @@
         self.dead: list[tuple[int, int]] = []
 
     async def start(self) -> None:
-        if self.dead and self.dead[-1][1] == 1 << 62:
-            self.dead[-1] = self.dead[-1][0], stamp() + 500_000_000  # until it listens again
         log = self.log.open("ab")
         self.running = await asyncio.create_subprocess_exec(
             sys.executable, "-O", "-m", "crankfold", "serve", "--config", str(self.file), "--hand-over", "",
@@ -52,6 +51,12 @@
             cwd=Path(__file__).parents[2])
         log.close()
         self.reading.append(asyncio.ensure_future(self._read(self.running)))
+        while self.dead and self.dead[-1][1] == ALIVE_AGAIN and self.running.returncode is None:
+            with contextlib.suppress(OSError):
+                _, writer = await asyncio.open_connection(HOST, self.port)
+                writer.close()
+                self.dead[-1] = self.dead[-1][0], stamp()
+            await asyncio.sleep(0.02)
 
     async def _read(self, running: asyncio.subprocess.Process) -> None:
         assert running.stdout is not None
@@ -65,7 +70,7 @@
 
     async def kill(self) -> None:
         if self.running and self.running.returncode is None:
-            self.dead.append((stamp(), 1 << 62))
+            self.dead.append((stamp(), ALIVE_AGAIN))
             self.running.kill()
             await self.running.wait()
 
@@ -145,7 +150,7 @@
                          "service-grades": grades("safe")}}
         file = self.folder / f"{name}.json"
         file.write_text(json.dumps(given))
-        self.processes[name] = Process(name, folder, file)
+        self.processes[name] = Process(name, folder, file, self.ports[name])
 
     # --- what is going on ---
 
@@ -320,7 +325,7 @@
 
 
 def free_port() -> int:
-    """Under those that connections are given: a call to a process that is not there yet could take its port."""
+    """Under those that connections are given: a call to a process not there yet could take its port."""
     while True:
         port = next(PORTS)
         with contextlib.suppress(OSError), socket.create_server((HOST, port)):
--- a/tests/planted.py
+++ b/tests/planted.py
@@ -56,6 +56,15 @@
         super()._granted(now, sender, Grant(grant.term, max(grant.asked, self.born), grant.span, 0))
 
 
+class VotesWithoutItsFolder(Voter):
+    def _may_vote(self, last: int) -> bool:
+        return True
+
+    def admits(self, voter: str, folder: str) -> str:
+        self.folders[voter] = folder
+        return ""
+
+
 class NewLeaderDoesNotWait(Voter):
     def _count(self, now: int) -> None:
         self.raft.led_since, since = self.raft.led_since - 2 * self.timing.outlast, self.raft.led_since
@@ -105,6 +114,16 @@
     return Case(followers=0, seconds=12.0, seed=seed, publish_every=0.3, load=False, troubles=tuple(troubles))
 
 
+def wiped(seed: int) -> Case:
+    """One is behind, another loses its folder, and the third dies: the two left know less than was agreed."""
+    luck = Random(f"wiped {seed}")
+    behind, lost, gone = luck.sample(("v0", "v1", "v2"), 3)
+    at = luck.randrange(25_000, 40_000)
+    troubles = (Trouble("loss", at, at + 20_000, behind), Trouble("loss", at, at + 20_000, "", behind),
+                Trouble("wipe", at + 19_000, at + 19_500, lost), Trouble("kill", at + 19_100, 95_000, gone))
+    return Case(followers=1, seed=seed, publish_every=0.3, load=False, troubles=troubles)
+
+
 def late_then_cut(seed: int) -> Case:
     """What is sent to one takes long, and then it is cut off."""
     luck = Random(f"late {seed}")
@@ -130,6 +149,7 @@
     "counts with a follower unheard": (drawn, "without having heard"),
     "counts with a voter unheard": (drawn, "without having heard"),
     "counts before old leases are over": (drawn, "without having heard"),
+    "votes without its folder": (wiped, "lost|another history|went back|without having heard"),
     "acts on an old read": (restless, "went back|without having heard|ms after"),
     "deals out a share twice": (drawn, "units in hand of"),
 }
@@ -146,6 +166,7 @@
         "counts with a follower unheard": lambda: Fleet(case, OneUnheard),
         "counts with a voter unheard": lambda: Fleet(case, LeaderOneUnheard),
         "counts before old leases are over": lambda: Fleet(case, NewLeaderDoesNotWait),
+        "votes without its folder": lambda: Fleet(case, VotesWithoutItsFolder),
         "acts on an old read": lambda: Fleet(case, OldRead),
         "deals out a share twice": lambda: Fleet(case, SharesTwice, FollowerSharesTwice),
     }
--- a/tests/test_accord.py
+++ b/tests/test_accord.py
@@ -7,31 +7,33 @@
 import msgspec
 
 from crankfold.agreement.documents import Documents
-from crankfold.agreement.member import Follower, Voter
+from crankfold.agreement.member import Follower, Voter, dealt
 from crankfold.agreement.raft import Raft, Stored
 from crankfold.agreement.strict import DEAL, SETTINGS, stricter
 from crankfold.agreement.words import Ballot, Entry, Follow, Goodbye, Message, News, Publish, Timing
 from crankfold.emulator import search
 from crankfold.emulator.accord import Case, Fleet, Trouble, grades, schedule
+from crankfold.service.shares import Shares
 from tests.planted import CASES, fleets
 from tests.scene import Kept
 
-CAUGHT_AT = {"answers before the disk": 14, "forgets a vote at a restart": 19, "votes twice": 1,
+CAUGHT_AT = {"answers before the disk": 80, "forgets a vote at a restart": 40, "votes twice": 1,
              "counts a lease from the answer's arrival": 0, "counts with a follower unheard": 1,
-             "counts with a voter unheard": 4, "counts before old leases are over": 30,
-             "acts on an old read": 4, "deals out a share twice": 1}
+             "counts with a voter unheard": 26, "counts before old leases are over": 24,
+             "acts on an old read": 1, "deals out a share twice": 1, "votes without its folder": 2}
 VOTERS = ("v0", "v1", "v2")
 
 
 class Drawn(Kept):
     def test_schedules_of_fixed_seeds_keep_every_promise(self) -> None:
-        longest = 0
+        longest = dealt = 0
         for seed in range(60):
             voters, followers = ((3, 2), (5, 3), (3, 6))[seed % 3]
-            fleet = Fleet(schedule(seed, voters, followers, deals=seed % 2 == 1)).run()
+            fleet = Fleet(schedule(seed, voters, followers, deals=seed % 2 == 1, limits=seed % 4 == 0)).run()
             self.assertEqual(fleet.broken, [], f"seed {seed}")
-            longest = max(longest, fleet.longest)
+            longest, dealt = max(longest, fleet.longest), dealt + fleet.dealt() * (seed % 4 == 0)
         self.assertGreater(longest, 5000)  # the troubles were some
+        self.assertGreater(dealt, 20)
 
     def test_every_planted_fault_is_caught_by_its_check_and_the_product_is_clean_there(self) -> None:
         for fault, (case, check) in CASES.items():
@@ -268,6 +270,29 @@
         self.assertTrue(voter.leads())
 
 
+class Shared(Kept):
+    def test_a_limit_is_dealt_out_whole_by_what_each_carries(self) -> None:
+        for carries in ({"a": 0, "b": 0, "c": 0}, {"a": 20, "b": 1, "c": 0}, {"a": 5}):
+            shares = dealt({"l": 10}, {name: {"l": much} for name, much in carries.items()})
+            self.say(f"{carries}: {shares['l']}")
+            self.assertEqual(sum(shares["l"].values()), 10)
+        self.close("accord-dealt")
+
+    def test_units_hold_places_until_they_are_answered(self) -> None:
+        shares = Shares()
+        shares.parts = {"grade:g": 2, "all": 3}
+        held = [shares.hold("g", "t") for _ in range(3)]
+        self.assertEqual(held, [["all", "grade:g"], ["all", "grade:g"], None])
+        self.assertEqual(shares.hold("h", "t"), ["all"])
+        self.assertIsNone(shares.hold("h", "t"))
+        self.assertEqual(shares.carry(), {"grade:g": 3, "all": 4})
+        shares.parts = {"grade:g": 1, "all": 3}
+        self.assertFalse(shares.fit())
+        shares.let_go(["all", "grade:g"])
+        self.assertTrue(shares.fit())
+        self.assertIsNone(shares.hold("g", "t"))
+
+
 class Stricter(Kept):
     def test_of_two_rules_the_one_that_permits_less(self) -> None:
         def show(doc: str, old: dict[str, Any], new: dict[str, Any]) -> None:
