--- /dev/null
+++ b/benchmarks/agreement.py
@@ -0,0 +1,323 @@
+"""What agreement costs and how fast it is. Parts: publish, leaderless, traffic, serve, recovery.
+
+    python benchmarks/agreement.py publish leaderless traffic serve recovery
+
+`publish` and `serve` run real processes on this machine; `leaderless` and `traffic` are emulated.
+Tables go to benchmarks/agreement-PART.csv, the lines that are printed to benchmarks/agreement.txt.
+"""
+
+import asyncio
+import csv
+import json
+import os
+import signal
+import sys
+import tempfile
+import time
+from collections.abc import Callable, Iterable
+from concurrent.futures import ProcessPoolExecutor
+from pathlib import Path
+from typing import Any
+
+from crankfold.agreement.member import Voter
+from crankfold.agreement.raft import Batch
+from crankfold.agreement.words import Entry, Kept, Timing
+from crankfold.emulator.accord import Case, Fleet, Trouble, grades
+from crankfold.peers.store import Store
+from crankfold.trial.plan import Plan, Publish
+from crankfold.trial.run import Trial
+from crankfold.trial.stand_ins import call, read_message
+
+HERE = Path(__file__).parent
+LINES: list[str] = []
+
+
+def say(text: str) -> None:
+    LINES.append(text)
+    print(text, flush=True)
+
+
+def table(part: str, head: list[str], rows: Iterable[Iterable[object]]) -> None:
+    with (HERE / f"agreement-{part}.csv").open("w", newline="") as out:
+        writer = csv.writer(out, lineterminator="\n")
+        writer.writerow(head)
+        writer.writerows(rows)
+
+
+def middle(values: list[float]) -> str:
+    values = sorted(values)
+    return (f"median {values[len(values) // 2]:.0f}, 95th percentile {values[len(values) * 95 // 100]:.0f}, "
+            f"longest {values[-1]:.0f} ms of {len(values)}")
+
+
+class Quiet(Trial):
+    """The processes of a trial, without load, faults and operators of its own."""
+
+    async def play(self, what: Callable[["Quiet"], Any]) -> Any:
+        from crankfold.trial.stand_ins import Discovery, Runner
+
+        runners = [Runner("r0", self.seen, self.ports, 0.005, 0.0, 1)]
+        discovery = Discovery({"r0": await runners[0].open()})
+        found = await discovery.open()
+        self.uids = ["r0"]
+        for name in self.names:
+            await self._prepare(name, found)
+        try:
+            await asyncio.gather(*(process.start() for process in self.processes.values()))
+            await self._until_all_act(20.0, "start")
+            return await what(self)
+        finally:
+            await self._end()
+            for end in (*runners, discovery):
+                end.close()
+
+    async def one(self, n: int, name: str) -> float:
+        """Milliseconds from a publish until it counts at that process and all others have heard that."""
+        _, known = await self._asks(name, "agreed/settings")
+        body = {"call": f"{n}-{name}", "made-from": known["newest"], "wait": 20, "reason": "measured",
+                "text": {**known["versions"][-1]["text"], "revenue-per": ("request", "work")[n % 2]}}
+        began = time.monotonic()
+        head, text = await call(self.doors[name], "/control/agreed/settings", json.dumps(body).encode())
+        told = json.loads(text)
+        if not told.get("well") or told["lag"]:
+            return -1.0
+        return (time.monotonic() - began) * 1000
+
+
+def publish() -> None:
+    rows = []
+    for voters in (3, 5, 7):
+        plan = Plan("measured", 1.0, ["bound"], voters=voters, followers=2, load=0.0, publish=Publish())
+
+        async def measured(trial: Quiet) -> dict[str, list[float]]:
+            await asyncio.sleep(2.0)  # the first leader waits for leases that it knows nothing of
+            found: dict[str, list[float]] = {"calm": [], "a twentieth lost": [], "leader killed": []}
+            n = 0
+            for how, share in (("calm", 0.0), ("a twentieth lost", 0.05)):
+                for link in trial.links.values():
+                    link.loss = share
+                for _ in range(30):
+                    n += 1
+                    found[how].append(await trial.one(n, trial.names[n % len(trial.names)]))
+                    await asyncio.sleep(0.05)
+            for link in trial.links.values():
+                link.loss = 0.0
+            for _ in range(6):
+                leader = await trial._leader()
+                other = next(name for name in trial.names if name != leader)
+                await asyncio.sleep(2.0)
+                await trial.processes[leader].kill()
+                n += 1
+                began = time.monotonic()
+                while (await trial.one(n, other)) < 0 and time.monotonic() - began < 15:
+                    n += 1
+                found["leader killed"].append((time.monotonic() - began) * 1000)
+                await trial.processes[leader].start()
+                await trial._until_all_act(15.0, "return")
+            return found
+
+        with tempfile.TemporaryDirectory() as folder:
+            found = asyncio.run(Quiet(plan, 1, Path(folder)).play(measured))
+        for how, spans in found.items():
+            good = [span for span in spans if span >= 0]
+            none = f", {len(spans) - len(good)} without an outcome" if len(good) < len(spans) else ""
+            say(f"publish until all act, {voters} voters and 2 followers, {how}: {middle(good)}{none}")
+            rows += [(voters, how, f"{span:.1f}") for span in spans]
+    table("publish", ["voters", "how", "ms"], rows)
+
+
+def _leaderless(asked: tuple[int, int]) -> tuple[int, int, float, float]:
+    voters, seed = asked
+    found = Fleet(Case(voters=voters, seconds=3.0, seed=seed, load=False, publish_every=99.0)).run()
+    leader = next((name for name, p in found.processes.items()
+                   if isinstance(p.member, Voter) and p.member.leads()), "v0")
+    fleet = Fleet(Case(voters=voters, seconds=9.0, seed=seed, load=False, publish_every=99.0,
+                       troubles=(Trouble("kill", 30_000, 200_000, leader),)))
+    spans = [0.0, 0.0]
+
+    def look() -> None:
+        members = [p.member for p in fleet.processes.values() if p.member]
+        if fleet.time.now > 30_000 and not spans[0] and any(
+                isinstance(m, Voter) and m.leads() for m in members):
+            spans[0] = (fleet.time.now - 30_000) / 10
+        if fleet.time.now > 30_000 and not all(
+                p.member.holds(p.clock()) for p in fleet.processes.values() if p.member):
+            spans[1] += 1.0
+        fleet.time.after(10, look)
+
+    fleet.time.after(0, look)
+    fleet.run()
+    assert not fleet.broken
+    return voters, seed, spans[0], spans[1]
+
+
+def leaderless() -> None:
+    with ProcessPoolExecutor() as pool:
+        rows = list(pool.map(_leaderless, [(v, seed) for v in (3, 5, 7) for seed in range(100)]))
+    for voters in (3, 5, 7):
+        spans = [row[2] for row in rows if row[0] == voters]
+        without = [row[3] for row in rows if row[0] == voters]
+        say(f"emulated: without a leader after its death, {voters} voters: {middle(spans)}; somebody without "
+            f"a lease in {sum(w > 0 for w in without)} of {len(without)}, for {max(without):.0f} ms at most")
+    table("leaderless", ["voters", "seed", "ms_until_led", "ms_somebody_without_lease"], rows)
+
+
+def _traffic(size: int) -> list[tuple[int, str, str, float, float]]:
+    rows = []
+    for every, what in ((99.0, "nothing published"), (1.0, "a publish each second")):
+        seconds = 10.0
+        fleet = Fleet(Case(followers=size - 3, seconds=seconds, load=False, publish_every=every, seed=5,
+                           sparing=True)).run()
+        assert not fleet.broken
+        leader = next(name for name, p in fleet.processes.items()
+                      if isinstance(p.member, Voter) and p.member.leads())
+        kinds = {"leader": [leader], "voter": [v for v in fleet.voters if v != leader],
+                 "follower": [name for name in fleet.processes if name not in fleet.voters]}
+        for kind, names in kinds.items():
+            if names:
+                sent = [fleet.messages.get(name, [0, 0]) for name in names]
+                rows.append((size, what, kind, sum(s[0] for s in sent) / len(names) / seconds,
+                             sum(s[1] for s in sent) / len(names) / seconds))
+    return rows
+
+
+def traffic() -> None:
+    with ProcessPoolExecutor() as pool:
+        rows = [row for part in pool.map(_traffic, (3, 50, 200, 1000)) for row in part]
+    for size, what, kind, messages, size_ in rows:
+        say(f"emulated: {size} dispatchers, {what}: a {kind} sends {messages:.0f} messages, "
+            f"{size_ / 1000:.1f} kB a second")
+    table("traffic", ["dispatchers", "what", "who", "messages_a_second", "bytes_a_second"],
+          [(*row[:3], f"{row[3]:.1f}", f"{row[4]:.0f}") for row in rows])
+
+
+def serve() -> None:
+    """The same load at one of three dispatchers; what the process needed for a unit, and what clients saw."""
+    rows = []
+
+    async def load(port: int, seconds: float) -> list[float]:
+        spans: list[float] = []
+        end = time.monotonic() + seconds
+
+        async def client(n: int) -> None:
+            reader, writer = await asyncio.open_connection(*port_of, limit=1 << 16)
+            k = 0
+            while time.monotonic() < end:
+                k += 1
+                began = time.monotonic()
+                writer.write(f"POST /api HTTP/1.1\r\nHost: b\r\nX-Request-ID: n0-{n}-{k}-{began}\r\n"
+                             f"X-Priority-Class: free\r\nX-Timeout: 3\r\nX-Cost: 5000\r\n"
+                             f"Content-Length: 0\r\n\r\n".encode())
+                await read_message(reader)
+                spans.append((time.monotonic() - began) * 1000)
+            writer.close()
+
+        from crankfold.trial.stand_ins import HOST
+        port_of = HOST, port
+        await asyncio.gather(*(client(n) for n in range(8)))
+        return spans
+
+    def cpu(pid: int) -> float:
+        fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+        return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+    async def measured(trial: Quiet) -> tuple[float, float, float, float]:
+        running = trial.processes["n0"].running
+        assert running
+        await load(trial.ports["n0"], 0.5)
+        n, over = 0, asyncio.Event()
+
+        async def publishes() -> None:
+            nonlocal n
+            while trial.publishing and not over.is_set():
+                n += 1
+                await trial.one(n, "n1")
+                await asyncio.sleep(1)
+
+        publishing = asyncio.ensure_future(publishes())
+        before = cpu(running.pid)
+        spans = sorted(await load(trial.ports["n0"], 4.0))
+        used = cpu(running.pid) - before
+        over.set()
+        publishing.cancel()
+        memory = int(Path(f"/proc/{running.pid}/statm").read_text().split()[1]) * 4096 / 1e6
+        return len(spans) / 4.0, spans[len(spans) * 99 // 100], used / len(spans) * 1e6, memory
+
+    class Served(Quiet):
+        publishing, peers_on = False, True
+
+        async def _prepare(self, name: str, discovery: int) -> None:
+            await super()._prepare(name, discovery)
+            given = json.loads(self.processes[name].file.read_text())
+            given["peers"]["record"] = ""
+            if not self.peers_on:
+                del given["peers"]
+            self.processes[name].file.write_text(json.dumps(given))
+
+        async def _until_all_act(self, within: float, what: str) -> dict[str, str]:
+            if self.peers_on:
+                return await super()._until_all_act(within, what)
+            await asyncio.sleep(1.5)
+            return {}
+
+    for turn in range(5):
+        for how in ("off", "on", "a publish each second"):
+            plan = Plan("measured", 1.0, ["bound"], voters=3, followers=0, load=0.0)
+            with tempfile.TemporaryDirectory() as folder:
+                trial = Served(plan, turn + 1, Path(folder))
+                trial.peers_on, trial.publishing = how != "off", how == "a publish each second"
+                rows.append((turn, how, *asyncio.run(trial.play(measured))))
+    for how in ("off", "on", "a publish each second"):
+        mine = [row for row in rows if row[1] == how]
+        offs = [row for row in rows if row[1] == "off"]
+        pairs = [(row[2] / off[2], row[4] / off[4]) for row, off in zip(mine, offs, strict=True)]
+        ratio = [sorted(p[n] for p in pairs)[len(pairs) // 2] for n in (0, 1)]
+        half = [sorted(row[n] for row in mine)[len(mine) // 2] for n in (2, 3, 4, 5)]
+        say(f"serve, peers {how}: {half[0]:.0f} units a second, 99th percentile {half[1]:.1f} ms, "
+            f"{half[2]:.0f} us of processor a unit, {half[3]:.1f} MB (medians of 5; pairwise against off: "
+            f"units {ratio[0]:.3f}, processor {ratio[1]:.3f})")
+    table("serve", ["turn", "peers", "units_a_second", "p99_ms", "us_a_unit", "mb"],
+          [(*row[:2], *(f"{v:.2f}" for v in row[2:])) for row in rows])
+
+
+def recovery() -> None:
+    rows = []
+    text = grades("safe")
+    for count in (10, 100, 1000, 10_000):
+        with tempfile.TemporaryDirectory() as name:
+            folder = Path(name)
+            store = Store(folder, "n0")
+            store.write(Batch(1, "n0", True, Kept(0, 0, {"n0": ""}, b"")))
+            for n in range(1, count + 1, 10):
+                store.write(Batch(1, "n0", False, None, n, [
+                    Entry(1, "publish", {"call": str(k), "doc": "settings", "made_from": k - 1, "at": 0,
+                                         "author": "o", "reason": "r", "text": text})
+                    for k in range(n, n + 10)]))
+            size = (folder / "history").stat().st_size
+            store.close()
+            spans = []
+            for _ in range(5):
+                began = time.perf_counter()
+                again = Store(folder, "n0")
+                voter = Voter("n0", again.stored, {"n0": ""}, Timing(20_000), 0, 1, 1, again.identity,
+                              lambda doc, text: "", None)
+                voter.raft.commit = voter.raft.last()
+                voter._go_on(1)
+                spans.append((time.perf_counter() - began) * 1000)
+                again.close()
+        rows.append((count, size, f"{sorted(spans)[2]:.1f}"))
+        more = "" if count <= 256 else " (a voter compacts its history at 256)"
+        say(f"recovery of {count} entries, {size / 1000:.0f} kB: {sorted(spans)[2]:.1f} ms until applied{more}")
+    table("recovery", ["entries", "bytes", "ms"], rows)
+
+
+if __name__ == "__main__":
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
+    parts = sys.argv[1:] or ["publish", "leaderless", "traffic", "serve", "recovery"]
+    for part in parts:
+        globals()[part]()
+    kept = HERE / "agreement.txt"
+    old = kept.read_text().splitlines() if kept.exists() else []
+    words = {line.split(",")[0].split(":")[0].split(" of ")[0] for line in LINES}
+    old = [line for line in old if line.split(",")[0].split(":")[0].split(" of ")[0] not in words]
+    kept.write_text("\n".join(old + LINES) + "\n")
--- a/crankfold/emulator/accord.py
+++ b/crankfold/emulator/accord.py
@@ -55,6 +55,7 @@
     stated: int = 20_000
     troubles: tuple[Trouble, ...] = ()
     way: int = 4
+    sparing: bool = False  # looks at the time only when a member asked for it
     drift: float = 0.01
 
 
@@ -96,7 +97,10 @@
             return
         if self.fleet.time.now >= self.paused_until:
             self.act(lambda member, now: member.tick(now))  # type: ignore[attr-defined]
-        self.fleet.time.after(TICK, lambda: self._run(life))
+        wait = TICK
+        if self.fleet.case.sparing and isinstance(self.member, Voter | Follower):
+            wait = max(TICK, self.member.next_at() - self.clock())
+        self.fleet.time.after(wait, lambda: self._run(life))
 
     def act(self, call: Callable[[Member, int], None]) -> None:
         """Something happens here, unless it stands still: then it happens when it wakes."""
