Processes replaced and drained keep acting, leaders are found over slow disks, trial of both

Need: a process that is replaced or drains between prepare and count.

Cause: heartbeats and their answers waited behind entries on the disk, and elections were shorter than a vote's writes. Found on the way: a first leader that died with the only entry left two that could never vote; who has voted before there was a history may.

--- a/benchmarks/agreement.py
+++ b/benchmarks/agreement.py
@@ -287,9 +287,9 @@
         with tempfile.TemporaryDirectory() as name:
             folder = Path(name)
             store = Store(folder, "n0")
-            store.write(Batch(1, "n0", True, Kept(0, 0, {"n0": ""}, b"")))
+            store.write(Batch(1, "n0", True, True, Kept(0, 0, {"n0": ""}, b"")))
             for n in range(1, count + 1, 10):
-                store.write(Batch(1, "n0", False, None, n, [
+                store.write(Batch(1, "n0", True, False, None, n, [
                     Entry(1, "publish", {"call": str(k), "doc": "settings", "made_from": k - 1, "at": 0,
                                          "author": "o", "reason": "r", "text": text})
                     for k in range(n, n + 10)]))
@@ -307,7 +307,7 @@
                 again.close()
         rows.append((count, size, f"{sorted(spans)[2]:.1f}"))
         more = "" if count <= 256 else " (a voter compacts its history at 256)"
-        say(f"recovery of {count} entries, {size / 1000:.0f} kB: {sorted(spans)[2]:.1f} ms until applied{more}")
+        say(f"recovery of {count} entries, {size // 1000} kB: {sorted(spans)[2]:.1f} ms until applied{more}")
     table("recovery", ["entries", "bytes", "ms"], rows)
 
 
--- a/crankfold/agreement/member.py
+++ b/crankfold/agreement/member.py
@@ -149,8 +149,11 @@
         if now >= self.roster_at:
             self._tell_roster(now)
 
-    def take(self) -> Batch:
-        return self.raft.take()
+    def take(self, now: int) -> Batch:
+        return self.raft.take(now)
+
+    def take_early(self) -> list[tuple[str, Message]]:
+        return self.raft.take_early()
 
     def kept(self, now: int, batch: Batch) -> None:
         self.raft.kept(now, batch)
@@ -277,8 +280,11 @@
 
     def _may_vote(self, last: int) -> bool:
         """Whoever lost his folder has forgotten what he answered for, and must not vote under his old name.
-        Only where nobody has a history yet may those vote that are in none."""
-        return self._registered().get(self.me) == self.folder or last == 0 and self.raft.last() == 0
+        He may who is registered by his folder, who voted before there was a history, or while there is none.
+        """
+        known = self._registered().get(self.me)
+        founds = self.raft.founded or last == 0 and self.raft.last() == 0
+        return known == self.folder if known else founds
 
     def _follow(self, now: int, sender: str, ask: Follow) -> None:
         ward = self.wards.get(ask.name)
@@ -498,9 +504,12 @@
     def next_at(self) -> int:
         return self.ask_at
 
-    def take(self) -> Batch:
-        batch, self.send = Batch(0, "", send=self.send), []
-        return batch
+    def take(self, now: int) -> Batch:
+        return Batch(0, "")
+
+    def take_early(self) -> list[tuple[str, Message]]:
+        send, self.send = self.send, []
+        return send
 
     def kept(self, now: int, batch: Batch) -> None:
         """Nothing of it lasts."""
--- a/crankfold/agreement/raft.py
+++ b/crankfold/agreement/raft.py
@@ -3,7 +3,7 @@
 
 It reads no clock and touches no disk. What it wants kept and sent is taken as a `Batch`: all of it has to
 be on the disk before any of `send` leaves, and then `kept` is called. Only what is on the own disk counts
-towards a majority.
+towards a majority. What claims nothing of the disk is taken by `take_early`.
 """
 
 from collections.abc import Callable, Iterable
@@ -32,6 +32,7 @@
 
     term: int
     vote: str
+    founded: bool = False
     turned: bool = False  # term or vote are new
     whole: Kept | None = None
     first: int = 0
@@ -47,6 +48,7 @@
 
     term: int = 0
     vote: str = ""
+    founded: bool = False  # took part in an election before there was any history
     kept: Kept = Kept(0, 0, {}, b"")
     entries: list[Entry] = field(default_factory=list)
 
@@ -63,7 +65,7 @@
     def __init__(self, me: str, stored: Stored, voters: dict[str, str], timing: Timing, now: int,
                  seed: int) -> None:
         self.me, self.timing, self.luck = me, timing, seed & 0xFFFFFFFFFFFFFFFF
-        self.term, self.vote = stored.term, stored.vote
+        self.term, self.vote, self.founded = stored.term, stored.vote, stored.founded
         self.base = stored.kept if stored.kept.index or stored.kept.voters else Kept(0, 0, voters, b"")
         self.entries = list(stored.entries)
         self.voters = self._voters()
@@ -79,7 +81,10 @@
         self.acked: dict[str, int] = {}
         self.led_since, self.first_of_term = 0, 0
         self.beat_at, self.election_at = now, 0
-        self.batch = Batch(self.term, self.vote)
+        self.batch = Batch(self.term, self.vote, self.founded)
+        self.taken_at, self.disk = -1, 0  # when what is being kept was taken; how long that took of late
+        self.turning = False  # the present term or vote is not on the disk yet
+        self.early: list[tuple[str, Message]] = []  # what need not wait for the disk
         # Whether this voter may take part in an election of one whose log is so long; its folder may be new.
         self.may_vote: Callable[[int], bool] = _any
         self.folders_of: Callable[[set[str]], dict[str, str]] = _none
@@ -148,7 +153,9 @@
         return ((self.luck >> 33) * below) >> 31
 
     def _rest(self, now: int) -> None:
-        self.election_at = now + self.timing.election + self._draw(self.timing.election)
+        # A vote takes the candidate's disk and the voter's: elections shorter than these are never won.
+        longer = min(2 * self.disk, 6 * self.timing.election) if not self.leader else 0
+        self.election_at = now + longer + self.timing.election + self._draw(self.timing.election + longer)
 
     def next_at(self) -> int:
         return self.beat_at if self.role == LEADING else self.election_at
@@ -159,7 +166,7 @@
                 self._follow(now, self.term, "")  # who hears no majority must not be taken for the leader
             elif now >= self.beat_at:
                 self._broadcast(now)
-        elif now >= self.election_at and self.me in self.voters:
+        elif now >= self.election_at and self.me in self.voters and self.taken_at < 0:
             if self.may_vote(self.last()):
                 self._stand(now, True)
             else:
@@ -183,7 +190,10 @@
 
     def _turn(self, term: int, vote: str) -> None:
         self.term, self.vote = term, vote
+        self.founded = self.founded or bool(vote) and not self.last()
         self.batch.term, self.batch.vote, self.batch.turned = term, vote, True
+        self.batch.founded = self.founded
+        self.turning = True
 
     def _follow(self, now: int, term: int, leader: str) -> None:
         if term > self.term:
@@ -303,7 +313,7 @@
                 break
         match = told.before + len(told.entries)
         self.commit = max(self.commit, min(told.commit, match))
-        self._say(sender, AppendAnswer(self.term, True, match, told.round))
+        self._acknowledge(sender, match, told.round)
 
     def _install(self, sender: str, told: Install) -> None:
         if told.kept.index > self.commit:
@@ -314,7 +324,7 @@
             self._rest_on(told.kept)
             self.commit = told.kept.index
             self.durable = min(self.durable, self.last())
-        self._say(sender, AppendAnswer(self.term, True, max(told.kept.index, self.commit), told.round))
+        self._acknowledge(sender, max(told.kept.index, self.commit), told.round)
 
     def _answered(self, now: int, sender: str, told: AppendAnswer) -> None:
         # An old leader's rounds have numbers too; its term differs, so they never come here.
@@ -343,7 +353,20 @@
     # --- messages ---
 
     def _say(self, to: str, message: Message) -> None:
-        self.batch.send.append((to, message))
+        """What claims something of the own disk waits for it; a leader's entries and all else do not."""
+        votes = isinstance(message, Ballot | BallotAnswer) and not message.trial
+        if votes or isinstance(message, AppendAnswer) and self.turning:
+            self.batch.send.append((to, message))
+        else:
+            self.early.append((to, message))
+
+    def _acknowledge(self, to: str, match: int, number: int) -> None:
+        """At once for what is on the disk, so that a slow disk is not taken for a silent voter."""
+        if match > self.durable and not self.turning:
+            self.early.append((to, AppendAnswer(self.term, True, self.durable, number)))
+            self.batch.send.append((to, AppendAnswer(self.term, True, match, number)))
+        else:
+            self._say(to, AppendAnswer(self.term, True, match, number))
 
     def _to_all(self, message: Message) -> None:
         for voter in self.voters:
@@ -382,13 +405,26 @@
 
     # --- the disk ---
 
-    def take(self) -> Batch:
+    def take(self, now: int) -> Batch:
         """What is to be kept and sent since the last call."""
-        batch, self.batch = self.batch, Batch(self.term, self.vote)
+        batch, self.batch = self.batch, Batch(self.term, self.vote, self.founded)
+        if batch.must_be_kept():
+            self.taken_at = now
         return batch
 
+    def take_early(self) -> list[tuple[str, Message]]:
+        """What may be sent at once, whatever the disk does."""
+        early, self.early = self.early, []
+        return early
+
     def kept(self, now: int, batch: Batch) -> None:
         """That is on the disk now. Entries that were replaced meanwhile are not counted."""
+        if self.taken_at >= 0:
+            self.disk = max(now - self.taken_at, self.disk * 3 // 4)
+            self.taken_at = -1
+            self.turning = self.batch.turned
+            if self.role == STANDING:
+                self._rest(now)  # only now does anybody hear of it
         if batch.entries:
             upto = batch.first + len(batch.entries) - 1
             while upto >= batch.first and self.term_at(upto) != batch.entries[upto - batch.first].term:
--- a/crankfold/emulator/accord.py
+++ b/crankfold/emulator/accord.py
@@ -55,6 +55,7 @@
     stated: int = 20_000
     troubles: tuple[Trouble, ...] = ()
     way: int = 4
+    disk: tuple[int, int] = (5, 40)  # what a write takes, from and to
     sparing: bool = False  # looks at the time only when a member asked for it
     drift: float = 0.01
 
@@ -126,10 +127,12 @@
         return member.applied, member.until, isinstance(member, Voter) and member.raft.role == LEADING
 
     def flush(self) -> None:
+        assert isinstance(self.member, Voter | Follower)
+        for to, message in self.member.take_early():
+            self.fleet.post(self, to, message)
         if self.busy:
             return
-        assert isinstance(self.member, Voter | Follower)
-        batch = self.member.take()
+        batch = self.member.take(self.clock())
         if isinstance(self.member, Voter) and batch.must_be_kept():
             self.busy = True
             life = self.life
@@ -153,6 +156,7 @@
     def store(self, batch: Batch) -> None:
         stored = self.stored
         stored.term, stored.vote = batch.term, batch.vote if not self.fleet.forgets_votes else ""
+        stored.founded = batch.founded
         if batch.whole:
             stored.kept, stored.entries = batch.whole, []
         if batch.entries:
@@ -214,7 +218,7 @@
         for trouble in self._troubles("disk"):
             if trouble.at == name:
                 return trouble.end - self.time.now
-        return self.luck.randrange(5, 40)
+        return self.luck.randrange(*self.case.disk)
 
     def _troubles(self, kind: str) -> list[Trouble]:
         return [t for t in self.case.troubles if t.kind == kind and t.begin <= self.time.now < t.end]
--- a/crankfold/emulator/search.py
+++ b/crankfold/emulator/search.py
@@ -33,13 +33,13 @@
         """Keeps and sends what a voter wants, and looks whether all still holds; else says what does not."""
         node = self.nodes[at]
         for _ in range(4):  # to keep brings more to send
-            batch = node.take()
+            batch = node.take(self.now)
             stored = self.stored[at]
-            stored.term, stored.vote = batch.term, batch.vote
+            stored.term, stored.vote, stored.founded = batch.term, batch.vote, batch.founded
             if batch.entries:
                 del stored.entries[batch.first - 1:]
                 stored.entries += batch.entries
-            self.on_the_way += [(node.me, to, message) for to, message in batch.send]
+            self.on_the_way += [(node.me, to, message) for to, message in node.take_early() + batch.send]
             node.kept(self.now, batch)
         if node.role == LEADING and self.leaders.setdefault(node.term, node.me) != node.me:
             return f"{node.me} and {self.leaders[node.term]} lead in term {node.term}"
--- a/crankfold/peers/peer.py
+++ b/crankfold/peers/peer.py
@@ -12,6 +12,7 @@
 
 from crankfold.agreement.member import CUT_OFF, SUSPECTED, THERE, Follower, Voter
 from crankfold.agreement.raft import Batch
+from crankfold.agreement.strict import DOCUMENTS
 from crankfold.agreement.words import Message, Published, Timing
 from crankfold.network.tally import Tally, log
 from crankfold.peers.frames import FORM, Hello
@@ -21,6 +22,7 @@
 SECOND = 10_000
 ASK_AGAIN = 0.5  # seconds, for an outcome that may have been lost
 LEAST_STATED = 0.5
+SEAT_AGAIN = 0.1  # seconds
 
 
 class Peers(Struct, rename="kebab", forbid_unknown_fields=True):
@@ -32,6 +34,7 @@
     folder: str = ""
     stated_time: float = 2.0
     when_cut_off: Literal["shed", "go-on"] = "shed"
+    succeeds: bool = False  # set by the process itself where it replaces another
     record: str = ""  # a file to which all that is done is written, for `crankfold trial`
 
     def fault(self) -> str:
@@ -61,34 +64,30 @@
     return host.strip("[]"), int(port)
 
 
-class Peer:
-    """`changed` is called with the documents that read otherwise now; `holds` is to be asked at each act."""
+class Seat:
+    """One member: its history, its disk, its links, and the time."""
 
-    def __init__(self, given: Peers, tally: Tally, check: Callable[[str, dict[str, Any]], str],
-                 beginning: dict[str, Any], changed: Callable[[set[str]], None]) -> None:
-        self.given, self.tally, self.changed = given, tally, changed
+    def __init__(self, peer: "Peer", name: str, store: Store | None) -> None:
+        self.peer, self.given, self.tally, self.store = peer, peer.given, peer.tally, store
         self.loop = asyncio.get_running_loop()
-        self.timing = Timing(int(given.stated_time * SECOND))
-        self.store: Store | None = None
+        self.timing = Timing(int(self.given.stated_time * SECOND))
         self.aside = ""  # why this voter takes no part any more
         now, seed, incarnation = clock(), secrets.randbits(62), secrets.randbits(48)
-        others = {name: place(at) for name, at in given.voters.items() if name != given.name}
+        voters = self.given.voters
         self.member: Voter | Follower
-        if given.name in given.voters:
-            self.store = Store(Path(given.folder), given.name)
-            if self.store.said:
-                log(f"crankfold: {self.store.said}")
-            self.member = Voter(given.name, self.store.stored, dict(given.voters), self.timing, now, seed,
-                                incarnation, self.store.identity, check, beginning)
+        if store:
+            if store.said:
+                log(f"crankfold: {store.said}")
+            self.member = Voter(name, store.stored, dict(voters), self.timing, now, seed, incarnation,
+                                store.identity, peer.check, peer.beginning)
         else:
-            self.member = Follower(given.name, list(given.voters), self.timing, now, seed, incarnation)
-        hello = Hello(FORM, given.name, incarnation, self.store.identity if self.store else "")
-        self.links = Links(hello, others, tally, self._admits, self._received, self._refused)
-        self.busy = False
-        self.waiting: dict[str, asyncio.Future[Published]] = {}
+            self.member = Follower(name, list(voters), self.timing, now, seed, incarnation)
+        self.member.carry, self.member.settled_at = peer.carry, peer.settled_at
+        hello = Hello(FORM, name, incarnation, store.identity if store else "")
+        others = {voter: place(at) for voter, at in voters.items() if voter != name}
+        self.links = Links(hello, others, self.tally, self._admits, self._received, self._refused)
+        self.busy = self.closed = False
         self.ticking: asyncio.TimerHandle | None = None
-        self.applied = asyncio.Event()
-        self.closed = False
         self.refused = ""
 
     async def open(self) -> None:
@@ -96,8 +95,6 @@
             await self.links.open(*place(self.given.address or self.given.voters[self.given.name]))
         self._tick()
 
-    # --- what the dispatcher asks ---
-
     def holds(self) -> bool:
         return not self.aside and self.member.holds(clock())
 
@@ -110,37 +107,11 @@
                 "cut off from the majority" if self.member.applied else "nothing heard of the fleet yet")
         return "" if self.member.acting("settings") else "no settings count yet"
 
-    async def publish(self, kind: str, data: dict[str, Any], call: str, within: float) -> Published:
-        """Asks until there is an outcome; the same call has one effect, however often it is asked for."""
-        future = self.waiting.setdefault(call, self.loop.create_future())
-        try:
-            async with asyncio.timeout(within):
-                while not future.done():
-                    self.member.publish(clock(), call, kind, data)
-                    self._after()
-                    await asyncio.wait([future], timeout=ASK_AGAIN)
-                return future.result()
-        except TimeoutError:
-            return Published(call, False, "no outcome yet; ask again with the same call", 0, 0)
-        finally:
-            if self.waiting.get(call) is future:
-                del self.waiting[call]
-
-    async def until_counts(self, doc: str, number: int, within: float) -> bool:
-        try:
-            async with asyncio.timeout(within):
-                while self.member.docs.doc(doc).counts < number:
-                    self.applied.clear()
-                    await self.applied.wait()
-        except TimeoutError:
-            return False
-        return True
-
     def view(self) -> dict[str, Any]:
         """The fleet as this member sees it."""
         now, member = clock(), self.member
         told: dict[str, Any] = {
-            "name": self.given.name, "acts": self.holds(), "why-not": self.why_not(),
+            "name": member.me, "acts": self.holds(), "why-not": self.why_not(),
             "applied": member.applied, "lease-ms": max(member.until - now, 0) // 10,
             "versions": {doc: {"counts": counts, "newest": newest}
                          for doc, (counts, newest) in member.docs.versions().items()}}
@@ -198,25 +169,25 @@
         member = self.member
         if member.changed:
             changed, member.changed = member.changed, set()
-            self.changed(changed)
-        self.applied.set()
+            self.peer.heard(self, changed)
+        self.peer.applied.set()
         for told in member.told:
-            future = self.waiting.get(told.call)
-            if future and not future.done() and (told.well or told.text != "there is no leader"):
-                future.set_result(told)
+            self.peer.told(told)
         member.told.clear()
         if isinstance(member, Voter):
             for name, at in member.raft.voters.items():
                 if name not in self.links.addresses and name != member.me and at:
                     self.links.addresses[name] = place(at)  # added since this process started
+        if not self.aside:
+            self._send(member.take_early())
         if not self.busy and not self.aside:
-            batch = member.take()
+            batch = member.take(clock())
             if batch.must_be_kept() and self.store:
                 self.busy = True
                 keeping = self.loop.run_in_executor(None, self.store.write, batch)
                 keeping.add_done_callback(lambda done: self._kept(batch, done))
             else:
-                self._send(batch)
+                self._send(batch.send)
 
     def _kept(self, batch: Batch, done: "asyncio.Future[None]") -> None:
         self.busy = False
@@ -229,12 +200,12 @@
             self.tally.count("peers-disk-failed")
             log(f"crankfold: {self.aside}; this voter takes no part until it is started anew")
             return
-        self._send(batch)
+        self._send(batch.send)
         self.member.kept(clock(), batch)
         self._after()
 
-    def _send(self, batch: Batch) -> None:
-        for to, told in batch.send:
+    def _send(self, messages: list[tuple[str, Message]]) -> None:
+        for to, told in messages:
             self.links.send(to, told)
 
     async def close(self) -> None:
@@ -243,7 +214,7 @@
             self.ticking.cancel()
         if isinstance(self.member, Follower):
             self.member.leave(clock())
-            self._send(self.member.take())
+            self._send(self.member.take_early())
             await asyncio.sleep(0)
         await self.links.close()
         if self.store:
@@ -252,6 +223,113 @@
             self.store.close()
 
 
+class Peer:
+    """What the dispatcher has to do with: the seat at which it acts, and the one that it is to take.
+
+    `changed` is called with the documents that read otherwise now; `holds` is to be asked at each act. A
+    process that replaces another is a follower under a name of its own while that one is there; a voter's
+    successor takes its seat, folder and name once these are free, and acts by it when it knows as much.
+    """
+
+    def __init__(self, given: Peers, tally: Tally, check: Callable[[str, dict[str, Any]], str],
+                 beginning: dict[str, Any], changed: Callable[[set[str]], None],
+                 carry: Callable[[], dict[str, int]], settled_at: Callable[[int], int]) -> None:
+        self.given, self.tally, self.check, self.beginning = given, tally, check, beginning
+        self.changed, self.carry, self.settled_at = changed, carry, settled_at
+        self.loop = asyncio.get_running_loop()
+        self.waiting: dict[str, asyncio.Future[Published]] = {}
+        self.applied = asyncio.Event()
+        self.coming: asyncio.Task[None] | None = None
+        votes = given.name in given.voters
+        self.seat = Seat(self, given.name, self._store() if votes else None) if not given.succeeds else Seat(
+            self, f"{given.name}+{secrets.token_hex(3)}", None)
+
+    def _store(self) -> Store:
+        return Store(Path(self.given.folder), self.given.name)
+
+    async def open(self) -> None:
+        await self.seat.open()
+        if self.given.succeeds and self.given.name in self.given.voters:
+            self.coming = self.loop.create_task(self._take_seat())
+
+    async def _take_seat(self) -> None:
+        coming: Seat | None = None
+        while coming is None:
+            await asyncio.sleep(SEAT_AGAIN)
+            try:
+                store = self._store()
+            except Unfit as wrong:
+                if "another process" not in str(wrong):
+                    log(f"crankfold: {wrong}; goes on without a vote")
+                    return
+                continue
+            coming = Seat(self, self.given.name, store)
+            try:
+                await coming.open()
+            except OSError:  # the address is not free yet
+                await coming.close()
+                coming = None
+        while not coming.holds() or coming.member.applied < self.seat.member.applied:
+            await asyncio.sleep(SEAT_AGAIN)
+        old, self.seat = self.seat, coming
+        self.changed(set(DOCUMENTS))
+        await old.close()
+        log(f"crankfold: {self.given.name} votes again")
+
+    @property
+    def member(self) -> Voter | Follower:
+        return self.seat.member
+
+    def holds(self) -> bool:
+        return self.seat.holds()
+
+    def why_not(self) -> str:
+        return self.seat.why_not()
+
+    def view(self) -> dict[str, Any]:
+        return self.seat.view()
+
+    def heard(self, seat: Seat, docs: set[str]) -> None:
+        if seat is getattr(self, "seat", None):
+            self.changed(docs)
+
+    def told(self, told: Published) -> None:
+        future = self.waiting.get(told.call)
+        if future and not future.done() and (told.well or told.text != "there is no leader"):
+            future.set_result(told)
+
+    async def publish(self, kind: str, data: dict[str, Any], call: str, within: float) -> Published:
+        """Asks until there is an outcome; the same call has one effect, however often it is asked for."""
+        future = self.waiting.setdefault(call, self.loop.create_future())
+        try:
+            async with asyncio.timeout(within):
+                while not future.done():
+                    self.seat.member.publish(clock(), call, kind, data)
+                    self.seat._after()
+                    await asyncio.wait([future], timeout=ASK_AGAIN)
+                return future.result()
+        except TimeoutError:
+            return Published(call, False, "no outcome yet; ask again with the same call", 0, 0)
+        finally:
+            if self.waiting.get(call) is future:
+                del self.waiting[call]
+
+    async def until_counts(self, doc: str, number: int, within: float) -> bool:
+        try:
+            async with asyncio.timeout(within):
+                while self.member.docs.doc(doc).counts < number:
+                    self.applied.clear()
+                    await self.applied.wait()
+        except TimeoutError:
+            return False
+        return True
+
+    async def close(self) -> None:
+        if self.coming:
+            self.coming.cancel()
+        await self.seat.close()
+
+
 def read(given: object) -> Peers:
     """The `peers` part of a configuration; a ValueError says what is wrong."""
     try:
--- a/crankfold/peers/store.py
+++ b/crankfold/peers/store.py
@@ -27,6 +27,7 @@
 class Turn(msgspec.Struct, array_like=True, tag="t"):
     term: int
     vote: str
+    founded: bool = False
 
 
 class Wrote(msgspec.Struct, array_like=True, tag="e"):
@@ -135,13 +136,13 @@
     def write(self, batch: Batch) -> None:
         """Returns once it is on the disk; an OSError is final for this process."""
         if batch.whole:
-            records: list[Record] = [Turn(batch.term, batch.vote), Whole(batch.whole)]
+            records: list[Record] = [Turn(batch.term, batch.vote, batch.founded), Whole(batch.whole)]
             records += [Wrote(batch.first, batch.entries)] if batch.entries else []
             self._replace(self.path, packed(records))
             os.close(self.file)
             self.file = os.open(self.path, os.O_WRONLY | os.O_APPEND | os.O_CLOEXEC)
             return
-        records = [Turn(batch.term, batch.vote)] if batch.turned else []
+        records = [Turn(batch.term, batch.vote, batch.founded)] if batch.turned else []
         records += [Wrote(batch.first, batch.entries)] if batch.entries else []
         _all(self.file, packed(records))
         os.fdatasync(self.file)
@@ -162,7 +163,7 @@
 
 def _apply(stored: Stored, record: Record) -> None:
     if isinstance(record, Turn):
-        stored.term, stored.vote = record.term, record.vote
+        stored.term, stored.vote, stored.founded = record.term, record.vote, record.founded
     elif isinstance(record, Whole):
         stored.kept, stored.entries = record.kept, []
     else:
--- a/crankfold/service/agreed.py
+++ b/crankfold/service/agreed.py
@@ -9,7 +9,7 @@
 
 import msgspec
 import orjson
-from msgspec import Meta, Struct, field
+from msgspec import Meta, Struct, field, structs
 
 from crankfold.agreement.member import Voter
 from crankfold.agreement.strict import DEAL, DOCUMENTS, LIMITS, NEVER, OUT, SETTINGS
@@ -67,13 +67,9 @@
         peers = read(given["peers"])
         self.goes_on = peers.when_cut_off == "go-on"
         form.check({name: part for name, part in given.items() if name != "peers"})
-        try:
-            self.peer = Peer(peers, tally, self.check, shared(self.own), self._changed)
-        except Unfit as wrong:
-            raise ValueError(f"peers: {wrong}") from None
         self.acts_on: dict[str, Any] | None = None
-        self.name, self.shares = peers.name, Shares()
-        self.peer.member.carry, self.peer.member.settled_at = self.shares.carry, self._settled_at
+        self.given, self.shares = peers, Shares()
+        self.peer: Peer
         desk.hold, desk.ledger.let_go = self.shares.hold, self.shares.let_go
         self.was_cut_off = False
         desk.may_act = self.may_act
@@ -84,7 +80,13 @@
             self.out = sys.stdout if peers.record == "-" else Path(peers.record).open("a")  # noqa: SIM115
             desk.record = self._record
 
-    async def open(self) -> None:
+    async def open(self, succeeds: bool) -> None:
+        """With `succeeds` a process before this one is still there, under the same name."""
+        try:
+            self.peer = Peer(structs.replace(self.given, succeeds=succeeds), self.tally, self.check,
+                             shared(self.own), self._changed, self.shares.carry, self._settled_at)
+        except Unfit as wrong:
+            raise ValueError(f"peers: {wrong}") from None
         await self.peer.open()
 
     async def close(self) -> None:
@@ -147,7 +149,7 @@
                 self.operations.changed(entries)
         if DEAL in docs:
             dealt = (member.acting(DEAL) or {}).get("shares", {})
-            self.shares.parts = {limit: parts.get(self.name, 0) for limit, parts in dealt.items()}
+            self.shares.parts = {limit: parts.get(member.me, 0) for limit, parts in dealt.items()}
         self.tally.count("documents-changed")
         if self.out:
             self._record("rules", "", "")
@@ -180,7 +182,7 @@
         known = self.peer.member.docs.doc(doc)
         told = {"doc": doc, "counts": known.counts, "newest": known.latest(), "acts": self.peer.holds(),
                 "acting": self.peer.member.acting(doc),
-                "versions": [msgspec.structs.asdict(version) for version in known.versions]}
+                "versions": [structs.asdict(version) for version in known.versions]}
         return OK, orjson.dumps(told).decode()
 
     async def _voters(self, body: bytes) -> tuple[int, str]:
--- a/crankfold/service/node.py
+++ b/crankfold/service/node.py
@@ -206,9 +206,9 @@
         passed = None
         if self.agreed:
             try:
-                await self.agreed.open()
-            except OSError as wrong:
-                raise Unusable(f"peers: {wrong.strerror or wrong}") from None
+                await self.agreed.open(self.handover is not None and self.handover.sock is not None)
+            except (OSError, ValueError) as wrong:
+                raise Unusable(f"peers: {wrong}") from None
         if self.handover:
             self.handover.tell_reports()
             passed = await self.handover.take_over()
--- a/crankfold/trial/plan.py
+++ b/crankfold/trial/plan.py
@@ -11,6 +11,7 @@
 Least = Annotated[float, Meta(ge=0)]
 PROMISES = ("bound", "heard-first", "history", "no-way-back", "publishes", "one-answer", "no-effect-twice",
             "out-means-out", "well-at-the-end")
+AT_PROCESSES = ("kill", "pause", "disk", "drain", "replace")
 
 
 class Unfit(Exception):
@@ -27,7 +28,8 @@
 
 
 class Fault(Struct, rename="kebab", forbid_unknown_fields=True):
-    kind: Literal["loss", "delay", "double", "cut", "reset", "slow", "kill", "pause", "disk"]
+    kind: Literal["loss", "delay", "double", "cut", "reset", "slow", "kill", "pause", "disk", "drain",
+                  "replace"]
     begin: Least
     end: Least
     at: str = "*"  # a process, "leader" or "*"; of a link the sender
@@ -79,6 +81,6 @@
                             f"{', '.join(sorted(known))}")
         if fault.end < fault.begin or fault.end > plan.seconds:
             raise Unfit(f"{path}: fault[{n}]: from {fault.begin} to {fault.end}, in {plan.seconds} s in all")
-        if fault.kind in ("kill", "pause", "disk") and fault.at == "*":
+        if fault.kind in AT_PROCESSES and fault.at == "*":
             raise Unfit(f"{path}: fault[{n}].at: missing; a {fault.kind} has to say at which process")
     return plan
--- a/crankfold/trial/run.py
+++ b/crankfold/trial/run.py
@@ -17,7 +17,7 @@
 import click
 
 from crankfold.trial.checker import Asked, Checker, Story, Verdict
-from crankfold.trial.plan import Fault, Plan, Unfit, read
+from crankfold.trial.plan import AT_PROCESSES, Fault, Plan, Unfit, read
 from crankfold.trial.relay import Link, Relay
 from crankfold.trial.stand_ins import HOST, Clients, Discovery, Runner, Seen, call, stamp
 
@@ -38,19 +38,22 @@
     def __init__(self, name: str, folder: Path, file: Path, port: int) -> None:
         self.name, self.folder, self.file, self.port = name, folder, file, port
         self.running: asyncio.subprocess.Process | None = None
-        self.records: list[dict[str, Any]] = []
+        self.records: dict[str, list[dict[str, Any]]] = {}  # those that were there side by side apart
+        self.key = name
+        self.tmp = folder.parent / f"{name}.tmp"
         self.reading: list[asyncio.Task[None]] = []
         self.log = folder.parent / f"{name}.log"
         self.dead: list[tuple[int, int]] = []
 
-    async def start(self) -> None:
+    async def start(self, *more: str) -> None:
         log = self.log.open("ab")
         self.running = await asyncio.create_subprocess_exec(
-            sys.executable, "-O", "-m", "crankfold", "serve", "--config", str(self.file), "--hand-over", "",
-            stdout=asyncio.subprocess.PIPE, stderr=log, limit=1 << 24,
+            sys.executable, "-O", "-m", "crankfold", "serve", "--config", str(self.file),
+            "--hand-over", str(self.tmp), *more, stdout=asyncio.subprocess.PIPE, stderr=log, limit=1 << 24,
             cwd=Path(__file__).parents[2])
         log.close()
-        self.reading.append(asyncio.ensure_future(self._read(self.running)))
+        kept = self.records.setdefault(self.key, [])
+        self.reading.append(asyncio.ensure_future(self._read(self.running, kept)))
         while self.dead and self.dead[-1][1] == ALIVE_AGAIN and self.running.returncode is None:
             with contextlib.suppress(OSError):
                 _, writer = await asyncio.open_connection(HOST, self.port)
@@ -58,11 +61,11 @@
                 self.dead[-1] = self.dead[-1][0], stamp()
             await asyncio.sleep(0.02)
 
-    async def _read(self, running: asyncio.subprocess.Process) -> None:
+    async def _read(self, running: asyncio.subprocess.Process, kept: list[dict[str, Any]]) -> None:
         assert running.stdout is not None
         while line := await running.stdout.readline():
             if line.endswith(b"}\n"):
-                self.records.append(json.loads(line))
+                kept.append(json.loads(line))
 
     def signal(self, number: int) -> None:
         if self.running and self.running.returncode is None:
@@ -122,7 +125,8 @@
             for runner in runners:
                 runner.close()
             discovery.close()
-        story.records = {name: process.records for name, process in self.processes.items()}
+        story.records = {key: kept for process in self.processes.values()
+                         for key, kept in process.records.items()}
         self._keep(story)
         checker = Checker(story)
         return [checker.judge(promise) for promise in plan.promises]
@@ -150,6 +154,7 @@
                          "service-grades": grades("safe")}}
         file = self.folder / f"{name}.json"
         file.write_text(json.dumps(given))
+        (self.folder / f"{name}.tmp").mkdir()
         self.processes[name] = Process(name, folder, file, self.ports[name])
 
     # --- what is going on ---
@@ -205,7 +210,7 @@
         to = await self._leader() if fault.to == "leader" else fault.to
         self.told.append(f"{loop.time() - self.began:.2f} s: {fault.kind} at {at} to {to}, until {fault.end}")
         rest = max(self.began + fault.end - loop.time(), 0)
-        if fault.kind in ("kill", "pause", "disk"):
+        if fault.kind in AT_PROCESSES:
             await getattr(self, f"_{fault.kind}")(self.processes[at], fault, rest)
             return
         links = self._links(fault, at, to)
@@ -239,6 +244,32 @@
         process.signal(signal.SIGCONT)
         process.dead.append((begin, stamp() + 500_000_000))  # its clients may have given up
 
+    async def _drain(self, process: Process, fault: Fault, rest: float) -> None:
+        """Told to end, and started anew at the end; meanwhile its clients find nobody."""
+        if process.running and process.running.returncode is None:
+            process.dead.append((stamp(), ALIVE_AGAIN))
+            process.signal(signal.SIGTERM)
+            await asyncio.gather(process.running.wait(), asyncio.sleep(rest))
+        await process.start()
+
+    async def _replace(self, process: Process, fault: Fault, rest: float) -> None:
+        """Another process takes its place under load, as at an upgrade."""
+        before, door = process.running, free_port()
+        process.key += "'"
+        await process.start("--admin", f"{HOST}:{door}")
+        end = asyncio.get_running_loop().time() + READY_WITHIN
+        while asyncio.get_running_loop().time() < end:
+            with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+                head, _ = await call(door, "/control/ready")
+                if " 200 " in head:
+                    break
+            await asyncio.sleep(0.05)
+        self.doors[process.name] = door
+        if before and before.returncode is None:
+            before.send_signal(signal.SIGTERM)
+            await before.wait()
+        await asyncio.sleep(0)
+
     async def _disk(self, process: Process, fault: Fault, rest: float) -> None:
         """No file of the process may grow any more, as on a full disk: it steps aside, and starts anew."""
         if process.running and process.running.returncode is None:
--- a/tests/test_accord.py
+++ b/tests/test_accord.py
@@ -17,10 +17,10 @@
 from tests.planted import CASES, fleets
 from tests.scene import Kept
 
-CAUGHT_AT = {"answers before the disk": 80, "forgets a vote at a restart": 40, "votes twice": 1,
+CAUGHT_AT = {"answers before the disk": 36, "forgets a vote at a restart": 92, "votes twice": 1,
              "counts a lease from the answer's arrival": 0, "counts with a follower unheard": 1,
-             "counts with a voter unheard": 26, "counts before old leases are over": 24,
-             "acts on an old read": 1, "deals out a share twice": 1, "votes without its folder": 2}
+             "counts with a voter unheard": 2, "counts before old leases are over": 19,
+             "acts on an old read": 0, "deals out a share twice": 1, "votes without its folder": 1}
 VOTERS = ("v0", "v1", "v2")
 
 
@@ -130,6 +130,15 @@
                                 for voter, later in zip(VOTERS, order, strict=True)))
             self.assertEqual(len(self.agreed(fleet)), 1)
 
+    def test_a_leader_is_found_though_disks_take_longer_than_elections(self) -> None:
+        late = 0
+        for seed in range(12):
+            fleet = Fleet(Case(followers=0, seconds=8.0, seed=seed, load=False, disk=(4000, 9000))).run()
+            self.assertEqual(fleet.broken, [])
+            members = [p.member for p in fleet.processes.values()]
+            late += not any(isinstance(m, Voter) and m.leads() for m in members)
+        self.assertEqual(late, 0)
+
     def test_losses_of_a_twentieth_are_lived_with(self) -> None:
         fleet = self.play(Trouble("loss", 0, 120_000, much=0.05))
         well = [told for told in fleet.outcomes.values() if told.well]
@@ -176,9 +185,9 @@
         while self.now < upto:
             self.now += 100
             voter.tick(self.now)
-            batch = voter.take()
+            batch = voter.take(self.now)
             voter.kept(self.now, batch)
-            sent += batch.send
+            sent += voter.take_early() + batch.send
         return sent
 
     def publish(self, voter: Voter, call: str, made_from: int, doc: str = SETTINGS,
@@ -235,7 +244,7 @@
                 if to == follower.me:
                     follower.received(self.now, "v0", message)
             follower.tick(self.now)
-            for _, message in follower.take().send:
+            for _, message in follower.take_early():
                 voter.received(self.now, follower.me, message)
 
     def test_a_lease_of_an_earlier_life_is_none(self) -> None:
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -51,9 +51,9 @@
 
     def fill(self) -> bytes:
         store = Store(self.folder, "n0")
-        store.write(Batch(1, "n0", True, None, 1, [entry(1), entry(2)]))
-        store.write(Batch(2, "", True))
-        store.write(Batch(2, "", False, None, 2, [entry(22), entry(3)]))
+        store.write(Batch(1, "n0", True, True, None, 1, [entry(1), entry(2)]))
+        store.write(Batch(2, "", True, True))
+        store.write(Batch(2, "", True, False, None, 2, [entry(22), entry(3)]))
         store.close()
         return (self.folder / "history").read_bytes()
 
@@ -65,7 +65,7 @@
     def test_what_was_written_is_read(self) -> None:
         self.fill()
         stored = self.opened().stored
-        self.assertEqual((stored.term, stored.vote), (2, ""))
+        self.assertEqual((stored.term, stored.vote, stored.founded), (2, "", True))
         self.assertEqual(stored.entries, [entry(1), entry(22), entry(3)])
 
     def test_a_tail_torn_at_any_byte_is_cut_off_and_what_was_before_stays(self) -> None:
@@ -108,12 +108,12 @@
     def test_a_snapshot_replaces_all_or_nothing(self) -> None:
         before = self.fill()
         store = self.opened()
-        whole = Batch(3, "n1", True, Kept(3, 2, {"n0": ""}, b"state"), 4, [entry(4)])
+        whole = Batch(3, "n1", True, True, Kept(3, 2, {"n0": ""}, b"state"), 4, [entry(4)])
         with patch("os.replace", side_effect=OSError(errno.ENOSPC, "full")), self.assertRaises(OSError):
             store.write(whole)
         self.assertEqual((self.folder / "history").read_bytes(), before)
         store.write(whole)
-        store.write(Batch(3, "n1", False, None, 5, [entry(5)]))
+        store.write(Batch(3, "n1", True, False, None, 5, [entry(5)]))
         store.close()
         again = Store(self.folder, "n0")
         self.assertEqual((again.stored.kept.state, again.stored.entries), (b"state", [entry(4), entry(5)]))
@@ -148,12 +148,12 @@
             await peer.close()
 
     async def start(self, name: str, voters: tuple[str, ...] = VOTERS, folder: str = "",
-                    changed: Callable[[set[str]], None] = lambda docs: None) -> Peer:
+                    changed: Callable[[set[str]], None] = lambda docs: None, key: str = "") -> Peer:
         given = Peers(name, {voter: f"127.0.0.1:{self.ports[voter]}" for voter in voters},
-                      folder=str(self.folder / (folder or name)), stated_time=1.0)
-        peer = Peer(given, Tally(), lambda doc, text: "", grades("safe"), changed)
+                      folder=str(self.folder / (folder or name)), stated_time=1.0, succeeds=bool(key))
+        peer = Peer(given, Tally(), lambda doc, text: "", grades("safe"), changed, dict, lambda upto: upto)
         await peer.open()
-        self.peers[name] = peer
+        self.peers[key or name] = peer
         return peer
 
     async def publish(self, at: Peer, call: str, made_from: int, **more: Any) -> Any:
@@ -205,6 +205,25 @@
         await self.until(lambda: self.acts("n0", "n2"))
         self.assertFalse(self.acts("n1"))
 
+    async def test_a_successor_follows_first_and_takes_the_seat_once_it_is_free(self) -> None:
+        for name in VOTERS:
+            await self.start(name)
+        await self.until(lambda: self.acts(*VOTERS))
+        new = await self.start("n1", key="new")
+        await self.until(lambda: self.acts("new"))
+        self.assertRegex(new.member.me, r"n1\+")
+        made = await self.publish(new, "a", 1)
+        self.assertTrue(made.well)
+        await self.until(lambda: new.member.docs.doc(SETTINGS).latest() == 2)
+        await self.peers.pop("n1").close()
+        lost = 0
+        while new.member.me != "n1":
+            lost += not new.holds()
+            await asyncio.sleep(0.005)
+        self.assertEqual(lost, 0)  # it acted all the while
+        await self.until(lambda: self.acts("new"))
+        self.assertEqual(new.member.docs.doc(SETTINGS).latest(), 2)
+
     async def test_garbage_ends_its_connection_and_nothing_else(self) -> None:
         for name in VOTERS:
             await self.start(name)
@@ -224,11 +243,10 @@
             await self.start(name)
         await self.until(lambda: self.acts(*VOTERS))
         victim = self.peers["n1"]
-        assert victim.store
         full = OSError(errno.ENOSPC, "No space left on device")
-        with patch.object(victim.store, "write", side_effect=full):
+        with patch.object(victim.seat.store, "write", side_effect=full):
             made = await self.publish(self.peers["n0"], "a", 1)
-            await self.until(lambda: bool(victim.aside))
+            await self.until(lambda: bool(victim.seat.aside))
         self.assertTrue(made.well)  # the others are a majority
         self.assertFalse(victim.holds())
         self.assertIn("No space left", victim.why_not())
