--- a/crankfold/agreement/member.py
+++ b/crankfold/agreement/member.py
@@ -94,6 +94,7 @@
         self.changed: set[str] = set()  # documents that read otherwise since the owner looked
         self.settled_at: Callable[[int], int] = lambda applied: applied
         self.carry: Callable[[], dict[str, int]] = dict
+        self.heard_by_all = 0  # up to here all act that may act
         self.told: list[Published] = []  # answers to what was asked for here
         self.refused = ""
 
@@ -123,7 +124,8 @@
         self.raft.folders_of = lambda names: {one: self.folders[one] for one in names & self.folders.keys()}
         self.wards: dict[str, Ward] = {}
         self.ask_at, self.roster_at = now, now
-        self.elsewhere: dict[str, list[Warded]] = {}
+        self.elsewhere: dict[str, list[Warded]] = {}  # by voter, as it told last
+        self.rosters: dict[str, int] = {}  # and when
         # While leading: by voter until when its lease can last, and the newest of what it told.
         self.led = 0
         self.granted: dict[str, int] = {}
@@ -180,6 +182,7 @@
                 self.until = max(self.until, raft.majority_at() + self.timing.lease)
             self._begin(now)
             self._count(now)
+        self.heard_by_all = raft.heard
         if new:
             for name, ward in self.wards.items():
                 if ward.heard + self.timing.renew * 3 > now and not ward.left:
@@ -251,6 +254,8 @@
         if now < wait:
             return
         linger = self.docs.linger()
+        live = [self.reports[voter][2] for voter, until in self.granted.items() if now < until]
+        self.raft.heard = max(self.raft.heard, min([self.least(now)[0], *live]))
         for name, version in self.docs.waits():
             if (name, version.number) in self.counting:
                 continue
@@ -321,7 +326,7 @@
         if asked and self.holds(now) and before + len(entries) == self.applied:
             span = self.until - now
             ward.until = max(ward.until, now + span * 103 // 100)
-        raft._say(name, News(asked, span, before, kept, entries, self.applied))
+        raft._say(name, News(asked, span, before, kept, entries, self.applied, raft.heard))
 
     def state_of(self, now: int, ward: Ward) -> str:
         if ward.left:
@@ -332,6 +337,8 @@
 
     def _tell_roster(self, now: int) -> None:
         self.roster_at = now + ROSTER_EVERY * self.timing.renew
+        for voter in [v for v, at in self.rosters.items() if now - at > 3 * ROSTER_EVERY * self.timing.renew]:
+            del self.rosters[voter], self.elsewhere[voter]  # its wards have turned to others by now
         wards = [Warded(name, ward.incarnation, now - ward.since, ward.have, self.state_of(now, ward),
                         ward.carry) for name, ward in self.wards.items()]
         wards.append(Warded(self.me, self.incarnation, now - self.born, self.applied, THERE, self.carry()))
@@ -449,7 +456,7 @@
         elif isinstance(told, Checked):
             self._checked(now, sender, told)
         elif isinstance(told, Roster):
-            self.elsewhere[sender] = told.wards
+            self.elsewhere[sender], self.rosters[sender] = told.wards, now
         elif isinstance(told, Goodbye):
             ward = self.wards.get(told.name)
             if ward and ward.incarnation == told.incarnation:
@@ -554,6 +561,7 @@
             self.heard = now
         self.refused = ""
         before = self.applied
+        self.heard_by_all = max(self.heard_by_all, told.heard)
         if told.kept and told.kept.index > self.applied:
             self._restart_from(told.kept)
         if told.before <= self.applied:
--- a/crankfold/agreement/raft.py
+++ b/crankfold/agreement/raft.py
@@ -80,6 +80,7 @@
         self.round, self.sent_at = 0, dict[int, int]()
         self.acked: dict[str, int] = {}
         self.led_since, self.first_of_term = 0, 0
+        self.heard = 0  # up to here all act that may act, as far as is known here
         self.beat_at, self.election_at = now, 0
         self.batch = Batch(self.term, self.vote, self.founded)
         self.taken_at, self.disk = -1, 0  # when what is being kept was taken; how long that took of late
@@ -291,14 +292,15 @@
             return
         before = first - 1
         entries = self.between(before, before + MOST_SENT)
-        self._say(voter, Append(self.term, before, self.term_at(before), entries, self.commit, self.round))
+        self._say(voter, Append(self.term, before, self.term_at(before), entries, self.commit, self.round,
+                                self.heard))
 
     def _append(self, now: int, sender: str, told: Append) -> None:
         if told.before < self.base.index:
             # Begins before what we keep whole: that part is agreed and the same.
             skip = self.base.index - told.before
             told = Append(told.term, self.base.index, self.base.term, told.entries[skip:], told.commit,
-                          told.round)
+                          told.round, told.heard)
         if self.term_at(told.before) != told.before_term:
             back = min(self.last(), told.before - 1)
             wrong = self.term_at(back)
@@ -313,6 +315,7 @@
                 break
         match = told.before + len(told.entries)
         self.commit = max(self.commit, min(told.commit, match))
+        self.heard = max(self.heard, told.heard)
         self._acknowledge(sender, match, told.round)
 
     def _install(self, sender: str, told: Install) -> None:
--- a/crankfold/agreement/words.py
+++ b/crankfold/agreement/words.py
@@ -50,6 +50,7 @@
     entries: list[Entry]
     commit: int
     round: int
+    heard: int  # up to here all act that may act
 
 
 class AppendAnswer(Struct, array_like=True, frozen=True, tag="A"):
@@ -107,6 +108,7 @@
     kept: Kept | None
     entries: list[Entry]
     at: int  # up to where the voter has applied the history
+    heard: int  # up to here all act that may act
 
 
 class Refused(Struct, array_like=True, frozen=True, tag="r"):
--- a/crankfold/peers/peer.py
+++ b/crankfold/peers/peer.py
@@ -314,10 +314,19 @@
             if self.waiting.get(call) is future:
                 del self.waiting[call]
 
-    async def until_counts(self, doc: str, number: int, within: float) -> bool:
+    async def until_counts(self, doc: str, number: int, within: float) -> int:
+        """Up to where all have to have heard for all to act on that version alone; 0 if it does not count."""
+        return await self._until(lambda: self.member.docs.doc(doc).counts >= number, within) \
+            and self.member.applied
+
+    async def until_heard(self, index: int, within: float) -> bool:
+        """Whether by then all that may act have heard of the history up to there."""
+        return await self._until(lambda: self.member.heard_by_all >= index, within)
+
+    async def _until(self, holds: Callable[[], bool], within: float) -> bool:
         try:
-            async with asyncio.timeout(within):
-                while self.member.docs.doc(doc).counts < number:
+            async with asyncio.timeout(max(within, 0.01)):
+                while not holds():
                     self.applied.clear()
                     await self.applied.wait()
         except TimeoutError:
--- a/crankfold/service/agreed.py
+++ b/crankfold/service/agreed.py
@@ -1,6 +1,5 @@
 """What the fleet agreed on, laid over a dispatcher's own file. Not imported unless there are peers."""
 
-import asyncio
 import sys
 import time
 from collections.abc import Callable
@@ -218,17 +217,16 @@
         if asked.wait:
             wait = min(asked.wait, MOST_WAIT)
             began = time.monotonic()
-            told["counts"] = await self.peer.until_counts(doc, made.number, wait)
-            told["lag"] = await self._until_all(wait - (time.monotonic() - began))
+            index = await self.peer.until_counts(doc, made.number, wait)
+            told["counts"] = index > 0
+            all_act = index > 0 and await self.peer.until_heard(index, wait - (time.monotonic() - began))
+            told["lag"] = [] if all_act else self._behind()
         return OK, orjson.dumps(told).decode()
 
-    async def _until_all(self, within: float) -> list[str]:
-        """Who does not act on all that is known here, and is not known to be cut off."""
-        while True:
-            late = [f"{one['name']} at {one['at']}: {one['state']}, {one['lag']} behind"
-                    for one in self.peer.view().get("members", ()) if one["lag"] and one["state"] != "cut off"
-                    and one["state"] != "left"]
-            if not late or within <= 0:
-                return late
-            within -= 0.05
-            await asyncio.sleep(0.05)
+    def _behind(self) -> list[str]:
+        """Who does not act on all that is known here, as far as this member can tell."""
+        view = self.peer.view()
+        late = [f"{one['name']} at {one['at']}: {one['state']}, {one['lag']} behind"
+                for one in view.get("members", ()) if one["lag"] and one["state"] != "left"]
+        late += [f"voter {name}: {lag} behind" for name, lag in view.get("lag", {}).items() if lag]
+        return late or ["somebody, who is not known here; ask at the leader's door"]
--- a/tests/test_accord.py
+++ b/tests/test_accord.py
@@ -249,9 +249,9 @@
 
     def test_a_lease_of_an_earlier_life_is_none(self) -> None:
         follower = Follower("f", ["v0"], self.timing, 50_000, 1, 9)
-        follower.received(50_100, "v0", News(49_000, 16_000, 0, None, [], 0))
+        follower.received(50_100, "v0", News(49_000, 16_000, 0, None, [], 0, 0))
         self.assertFalse(follower.holds(50_100))
-        follower.received(50_100, "v0", News(50_050, 16_000, 0, None, [], 0))
+        follower.received(50_100, "v0", News(50_050, 16_000, 0, None, [], 0, 0))
         self.assertTrue(follower.holds(50_100))
         self.assertFalse(follower.holds(66_050))
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -171,7 +171,9 @@
         made = await self.publish(follower, "a", 1)
         self.assertEqual((made.well, made.number), (True, 2))
         self.assertEqual(await self.publish(follower, "a", 1), made)
-        self.assertTrue(await follower.until_counts(SETTINGS, 2, 30.0))
+        index = await follower.until_counts(SETTINGS, 2, 30.0)
+        self.assertTrue(index and await follower.until_heard(index, 30.0))
+        self.assertTrue(all(peer.member.docs.doc(SETTINGS).counts == 2 for peer in self.peers.values()))
         # A voter dies for good, and another comes in its place, one step at a time.
         lost = next(name for name in VOTERS if self.peers[name].view()["leader"] != name)
         await self.peers.pop(lost).close()
