--- a/crankfold/cli.py
+++ b/crankfold/cli.py
@@ -202,11 +202,13 @@
 @_json
 @_doc
 @click.option("--version", "number", type=int, default=0, help="An earlier one; the newest if not given.")
-def settings_show(door: str, as_json: bool, doc: str, number: int) -> None:
+@click.option("--at-least", "least", type=int, default=0,
+              help="Not older than this one, of which you have been told elsewhere; waits for it.")
+def settings_show(door: str, as_json: bool, doc: str, number: int, least: int) -> None:
     """A version's text, as JSON that can be published again."""
     from crankfold.peers import commands
 
-    sys.exit(commands.show(door, doc, number, as_json))
+    sys.exit(commands.show(door, doc, number, least, as_json))
 
 
 @settings.command("history")
--- a/crankfold/peers/commands.py
+++ b/crankfold/peers/commands.py
@@ -71,8 +71,8 @@
     return DONE
 
 
-def _versions(door: str, doc: str) -> tuple[Any, dict[int, dict[str, Any]]]:
-    status, told = call(door, f"agreed/{doc}")
+def _versions(door: str, doc: str, least: int = 0) -> tuple[Any, dict[int, dict[str, Any]]]:
+    status, told = call(door, f"agreed/{doc}?least={least}")
     if status != 200:
         return told, {}
     return told, {version["number"]: version for version in told["versions"]}
@@ -82,8 +82,8 @@
     return json.dumps(text, indent=2, sort_keys=True)
 
 
-def show(door: str, doc: str, number: int, as_json: bool) -> int:
-    told, versions = _versions(door, doc)
+def show(door: str, doc: str, number: int, least: int, as_json: bool) -> int:
+    told, versions = _versions(door, doc, max(least, number))
     if not isinstance(told, dict) or "newest" not in told:
         return _failed(told)
     if as_json and not number:
--- a/crankfold/peers/peer.py
+++ b/crankfold/peers/peer.py
@@ -319,6 +319,9 @@
         return await self._until(lambda: self.member.docs.doc(doc).counts >= number, within) \
             and self.member.applied
 
+    async def until_known(self, doc: str, least: int, within: float) -> bool:
+        return await self._until(lambda: self.member.docs.doc(doc).latest() >= least, within)
+
     async def until_heard(self, index: int, within: float) -> bool:
         """Whether by then all that may act have heard of the history up to there."""
         return await self._until(lambda: self.member.heard_by_all >= index, within)
--- a/crankfold/protocol/operators.py
+++ b/crankfold/protocol/operators.py
@@ -3,7 +3,7 @@
 from collections.abc import Awaitable
 from http import HTTPStatus
 from typing import Protocol
-from urllib.parse import unquote
+from urllib.parse import parse_qs, unquote
 
 import h11
 
@@ -18,7 +18,7 @@
     """What dispatchers agree on among themselves: answers are JSON, with their status."""
 
     def fleet(self) -> tuple[int, str]: ...
-    def show(self, doc: str) -> tuple[int, str]: ...
+    def show(self, doc: str, least: int) -> Awaitable[tuple[int, str]]: ...
     def publish(self, doc: str, body: bytes) -> Awaitable[tuple[int, str]]: ...
 
 
@@ -42,6 +42,7 @@
         self.head: h11.Request | None = None
         self.call: tuple[str, str] | None = None  # what is called for, and the runner or document it concerns
         self.body = bytearray()
+        self.least = 0  # the version of a document that whoever asks has been told of already
         self.out: list[bytes] = []
         self.read = 0
         self.over = False
@@ -89,6 +90,8 @@
         elif len(path) == 4 and path[:3] == ["", "control", "agreed"]:
             publish = self.head.method == b"POST"
             wanted, call = b"POST" if publish else b"GET", ("publish" if publish else "agreed", path[3])
+            asked = parse_qs(self.head.target.partition(b"?")[2].decode("ascii")).get("least", ["0"])[0]
+            self.least = int(asked) if asked.isdecimal() and len(asked) < 10 else 0
         elif len(path) == 5 and path[:3] == ["", "control", "runners"] and path[4] in ("offline", "online"):
             call = (path[4], unquote(path[3]))
         else:
@@ -126,7 +129,7 @@
         elif what == "publish":
             status, text = await agreed.publish(uid, bytes(side.body))
         else:
-            status, text = agreed.fleet() if what == "fleet" else agreed.show(uid)
+            status, text = agreed.fleet() if what == "fleet" else await agreed.show(uid, side.least)
         side.answer(status, text=text)
     elif what == "ready":
         yes = operated.ready()
--- a/crankfold/service/agreed.py
+++ b/crankfold/service/agreed.py
@@ -23,7 +23,7 @@
 
 # Of the settings, what may change while units are in hand; the rest is a dispatcher's own.
 SHARED = ("service-grades", "allowed", "score-parts", "revenue-per", "orgs")
-PUBLISH_WITHIN, MOST_WAIT = 10.0, 60.0
+PUBLISH_WITHIN, MOST_WAIT, KNOWN_WITHIN = 10.0, 60.0, 2.0
 OK, REFUSED, UNFIT, UNKNOWN, MISSING = 200, 409, 400, 504, 404
 
 
@@ -175,9 +175,14 @@
     def fleet(self) -> tuple[int, str]:
         return OK, orjson.dumps(self.peer.view()).decode()
 
-    def show(self, doc: str) -> tuple[int, str]:
+    async def show(self, doc: str, least: int) -> tuple[int, str]:
+        """Never older than what the reader says to have been told; where that is not known, it is said."""
         if doc not in DOCUMENTS:
             return MISSING, orjson.dumps({"text": f"there are {', '.join(DOCUMENTS)}"}).decode()
+        if not await self.peer.until_known(doc, least, KNOWN_WITHIN):
+            why = self.peer.why_not() or "it lags behind"
+            text = f"version {least} of {doc} is not known here yet: {why}"
+            return UNKNOWN, orjson.dumps({"text": text}).decode()
         known = self.peer.member.docs.doc(doc)
         told = {"doc": doc, "counts": known.counts, "newest": known.latest(), "acts": self.peer.holds(),
                 "acting": self.peer.member.acting(doc),
--- a/crankfold/trial/run.py
+++ b/crankfold/trial/run.py
@@ -23,11 +23,13 @@
 
 READY_WITHIN, SETTLE_WITHIN, END_WITHIN = 20.0, 15.0, 8.0
 ALIVE_AGAIN = 1 << 62  # not yet
-EFFECTS = ("safe", "keyed", "unsafe")
+EFFECTS = ("safe", "keyed", "unsafe", "dropped")
 
 
 def grades(effect: str) -> list[dict[str, Any]]:
     times = {"cut-off": 3_000_000, "expected-time": 1_000_000}
+    if effect == "dropped":
+        return grades("safe")[1:]
     flips = {"name": "flips", "effect": effect, **times}
     if effect == "keyed":
         flips |= {"group": "all", "repeat-window": 2_000_000}
--- a/tests/test_accord.py
+++ b/tests/test_accord.py
@@ -326,6 +326,17 @@
         show(DEAL, {"shares": {"l": {"a": 5, "b": 1, "c": 2}}}, {"shares": {"l": {"a": 1, "b": 5}}})
         self.close("accord-stricter")
 
+    def test_a_runner_out_and_in_again_is_out_until_the_second_counts(self) -> None:
+        docs = Documents()
+        for n, runners in ((1, {}), (2, {"a": "work"}), (3, {})):
+            made = {"call": str(n), "doc": "runners-out", "made_from": n - 1, "author": "o", "reason": ""}
+            docs.apply(n, Entry(1, "publish", {**made, "at": 0, "text": {"runners": runners}}))
+            self.say(f"published {n}: out {sorted((docs.acting('runners-out') or {})['runners'])}")
+        for n in (1, 2, 3):
+            docs.apply(3 + n, Entry(1, "count", {"doc": "runners-out", "number": n}))
+            self.say(f"counts {n}: out {sorted((docs.acting('runners-out') or {})['runners'])}")
+        self.close("accord-out-and-in")
+
     def test_the_same_entries_make_the_same_of_documents(self) -> None:
         one = Documents()
         for n in range(1, 70):
