--- /dev/null
+++ b/crankfold/works/__init__.py
@@ -0,0 +1,1 @@
+"""Machines taken out for work in an order that keeps agreed bounds. No I/O, clock or chance of its own."""
