--- a/tests/test_works.py
+++ b/tests/test_works.py
@@ -36,7 +36,8 @@
 
     def test_a_work_that_could_never_go_on_is_refused_with_its_bound(self) -> None:
         for work in (Work("w", uids=frozenset({"nobody"})), Work("w", stays=1.0),
-                     Work("w", stays_in_zone=0.8), Work("w", not_before=5, not_after=5), Work("w", stays=0.8, at_once=4)):
+                     Work("w", stays_in_zone=0.8), Work("w", not_before=5, not_after=5),
+                     Work("w", stays=0.8, at_once=4)):
             self.say(impossible(work, FLEET) or "can be done")
         self.close("works-impossible")
 
