Commands at the door as tests, charts of what agreement costs

What crankfold settings and fleet say and how they exit was not tested; now against a door that is played. fleet tells how long somebody was not heard.

--- a/benchmarks/agreement.py
+++ b/benchmarks/agreement.py
@@ -1,6 +1,6 @@
 """What agreement costs and how fast it is. Parts: publish, leaderless, traffic, serve, recovery.
 
-    python benchmarks/agreement.py publish leaderless traffic serve recovery
+    python benchmarks/agreement.py publish leaderless traffic serve recovery chart
 
 `publish` and `serve` run real processes on this machine; `leaderless` and `traffic` are emulated.
 Tables go to benchmarks/agreement-PART.csv, the lines that are printed to benchmarks/agreement.txt.
@@ -311,9 +311,51 @@
     table("recovery", ["entries", "bytes", "ms"], rows)
 
 
+def chart() -> None:
+    """Of the tables that are there."""
+    import matplotlib
+
+    matplotlib.use("svg")
+    from matplotlib import pyplot
+
+    matplotlib.rcParams["svg.hashsalt"] = "agreement"
+
+    def rows(part: str) -> list[dict[str, str]]:
+        with (HERE / f"agreement-{part}.csv").open() as file:
+            return list(csv.DictReader(file))
+
+    figure, ((a, b), (c, d)) = pyplot.subplots(2, 2, figsize=(10, 7))
+    spans: dict[str, list[float]] = {}
+    for row in rows("publish"):
+        if float(row["ms"]) >= 0:
+            spans.setdefault(f"{row['voters']} {row['how']}", []).append(float(row["ms"]))
+    a.boxplot(list(spans.values()), orientation="horizontal")
+    a.set_yticklabels(list(spans), fontsize=7)
+    a.set_xlabel("publish until all act, ms, by voters")
+    for voters in ("3", "5", "7"):
+        b.hist([float(row["ms_until_led"]) for row in rows("leaderless") if row["voters"] == voters],
+               bins=list(range(0, 701, 50)), histtype="step", label=f"{voters} voters")
+    b.set_xlabel("without a leader after its death, ms (emulated)")
+    b.legend()
+    for who in ("leader", "voter", "follower"):
+        mine = [row for row in rows("traffic") if row["who"] == who and row["what"] == "nothing published"]
+        c.loglog([int(row["dispatchers"]) for row in mine], [float(row["messages_a_second"]) for row in mine],
+                 marker="o", label=who)
+    c.set_xlabel("dispatchers")
+    c.set_ylabel("messages sent a second (emulated)")
+    c.legend()
+    hows = ("off", "on", "a publish each second")
+    served = rows("serve")
+    d.boxplot([[float(row["units_a_second"]) for row in served if row["peers"] == how] for how in hows])
+    d.set_xticklabels(["peers off", "on", "a publish each second"], fontsize=8)
+    d.set_ylabel("units a second at one dispatcher")
+    figure.tight_layout()
+    figure.savefig(HERE / "agreement.svg", metadata={"Date": None})
+
+
 if __name__ == "__main__":
     signal.signal(signal.SIGTERM, signal.default_int_handler)
-    parts = sys.argv[1:] or ["publish", "leaderless", "traffic", "serve", "recovery"]
+    parts = sys.argv[1:] or ["publish", "leaderless", "traffic", "serve", "recovery", "chart"]
     for part in parts:
         globals()[part]()
     kept = HERE / "agreement.txt"
--- a/crankfold/peers/commands.py
+++ b/crankfold/peers/commands.py
@@ -53,8 +53,11 @@
         click.echo(f"voter {voter} {at}" + (f", {lag} behind" if lag is not None else "")
                    + (f", lease {lease} ms" if lease is not None else ""))
     for one in told.get("members", ()):
-        click.echo(f"follower {one['name']} at {one['at']}: {one['state']} for {one['for-s']} s, "
-                   f"{one['lag']} behind, incarnation {one['incarnation']:x}")
+        quiet = ""
+        if one["state"] not in ("there", "left") and "heard-ms-ago" in one:
+            quiet = f", not heard for {one['heard-ms-ago'] / 1000:.1f} s"
+        click.echo(f"follower {one['name']} at {one['at']}: {one['state']}{quiet}, joined "
+                   f"{one['for-s']} s ago, {one['lag']} behind, incarnation {one['incarnation']:x}")
     return DONE if told["acts"] else NOBODY
 
 
--- /dev/null
+++ b/tests/test_commands.py
@@ -0,0 +1,78 @@
+"""What `crankfold settings` and `crankfold fleet` say and how they exit, against a door that is played."""
+
+import json
+import re
+import threading
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from typing import Any
+
+from click.testing import CliRunner
+
+from crankfold.cli import main
+from tests.scene import Kept
+
+VERSIONS = [{"number": n, "made_from": n - 1, "author": "o", "reason": f"why {n}", "text": {"a": n}}
+            for n in (1, 2)]
+SHOWN = {"doc": "settings", "counts": 1, "newest": 2, "acts": True, "acting": {"a": 1}, "versions": VERSIONS}
+FLEET = {"name": "n0", "acts": True, "why-not": "", "lease-ms": 1500, "leader": "n1", "term": 3,
+         "versions": {"settings": {"counts": 1, "newest": 2}}, "voters": {"n0": "x:1"}, "members": [
+             {"name": "f", "state": "cut off", "heard-ms-ago": 2300, "for-s": 9, "lag": 1, "incarnation": 255,
+              "at": "n0"}]}
+
+
+class Commands(Kept):
+    def setUp(self) -> None:
+        super().setUp()
+        self.answers: dict[str, tuple[int, Any]] = {}
+        answers = self.answers
+
+        class Door(BaseHTTPRequestHandler):
+            def answer(self) -> None:
+                status, told = answers.get(self.path.split("?")[0], (404, "nothing"))
+                body = json.dumps(told).encode()
+                self.send_response(status)
+                self.send_header("Content-Length", str(len(body)))
+                self.end_headers()
+                self.wfile.write(body)
+
+            do_GET = do_POST = answer
+
+            def log_message(self, *what: object) -> None: ...
+
+        self.door = ThreadingHTTPServer(("127.0.0.1", 0), Door)
+        threading.Thread(target=self.door.serve_forever, daemon=True).start()
+        self.addCleanup(self.door.server_close)
+        self.addCleanup(self.door.shutdown)
+
+    def run_it(self, *words: str, text: str = "{}") -> None:
+        door = f"127.0.0.1:{self.door.server_address[1]}"
+        at = 1 if words[0] == "fleet" else 2
+        done = CliRunner().invoke(main, [*words[:at], "--door", door, *words[at:]], input=text)
+        shown = re.sub("--call [0-9a-f]+", "--call ...", done.output).replace(door, "DOOR")
+        self.say(f"{' '.join(words)}: exit {done.exit_code}")
+        self.lines += ["    " + line for line in shown.splitlines()]
+
+    def test_what_they_say_and_how_they_exit(self) -> None:
+        publish = ("settings", "publish", "-", "--from", "1", "--reason", "r")
+        self.answers["/control/agreed/settings"] = 200, SHOWN
+        self.answers["/control/fleet"] = 200, FLEET
+        for words in (("fleet",), ("settings", "show"), ("settings", "show", "--version", "7"),
+                      ("settings", "history"), ("settings", "diff", "1", "2"),
+                      ("settings", "diff", "1", "9")):
+            self.run_it(*words)
+        self.answers["/control/fleet"] = 200, {**FLEET, "acts": False, "why-not": "cut off from the majority"}
+        self.run_it("fleet")
+        well = {"well": True, "text": "", "number": 3}
+        for status, told in ((200, well), (200, {**well, "counts": False, "lag": []}),
+                             (200, {**well, "counts": True, "lag": ["f: there"]}),
+                             (409, {"well": False, "text": "n1: settings.a: found 1", "number": 0}),
+                             (504, {"well": False, "text": "no outcome yet", "number": 0})):
+            self.answers["/control/agreed/settings"] = status, told
+            self.run_it(*publish, "--wait", "1")
+        self.run_it(*publish, text="{")
+        self.answers["/control/agreed/voters"] = 200, {**well, "voters": {"n0": "", "n1": ""}}
+        self.run_it("fleet", "voters", "--remove", "n2")
+        self.run_it("fleet", "voters")
+        self.answers.clear()
+        self.run_it("fleet")
+        self.close("commands")
