The door answers for the fleet only once there is a peer to ask

Found by reading: the door opens before the peers, and a call for the fleet in between failed with 500. It says that there are no peers instead.

--- a/crankfold/service/agreed.py
+++ b/crankfold/service/agreed.py
@@ -72,7 +72,6 @@
         desk.hold, desk.ledger.let_go = self.shares.hold, self.shares.let_go
         self.was_cut_off = False
         desk.may_act = self.may_act
-        operations.agreed = self
         self.out: TextIO | None = None
         if peers.record:
             # Until the process ends; "-" is standard output, on which nothing else is said.
@@ -87,6 +86,7 @@
         except Unfit as wrong:
             raise ValueError(f"peers: {wrong}") from None
         await self.peer.open()
+        self.operations.agreed = self  # not before: the door is open already, and there was nothing to ask
 
     async def close(self) -> None:
         await self.peer.close()
