--- a/benchmarks/agreement.py
+++ b/benchmarks/agreement.py
@@ -10,6 +10,7 @@
 import csv
 import json
 import os
+import re
 import signal
 import sys
 import tempfile
@@ -360,6 +361,6 @@
         globals()[part]()
     kept = HERE / "agreement.txt"
     old = kept.read_text().splitlines() if kept.exists() else []
-    words = {line.split(",")[0].split(":")[0].split(" of ")[0] for line in LINES}
-    old = [line for line in old if line.split(",")[0].split(":")[0].split(" of ")[0] not in words]
+    begins = {re.split(r"\d", line)[0] for line in LINES}
+    old = [line for line in old if re.split(r"\d", line)[0] not in begins]
     kept.write_text("\n".join(old + LINES) + "\n")
