One list of shared settings, one way to listen for the stand-ins, a dead callback out

Found by reading the whole change: what may change while units are in hand was written down twice, both stand-ins listened by the same lines, and a callback for refusals was passed to the links and never called.

--- a/crankfold/orders/reader.py
+++ b/crankfold/orders/reader.py
@@ -6,6 +6,8 @@
 from crankfold.dispatch.interface import Effect, Group, ServiceGrade, StandingOrders
 from crankfold.orders.places import Places
 
+# Of the settings, what may change while units are in hand; what is known of runners hangs on the rest.
+AT_ONCE = ("service-grades", "allowed", "score-parts", "revenue-per", "orgs")
 _EFFECTS = {"safe": Effect.REPEATABLE, "keyed": Effect.TAGGED, "unsafe": Effect.ONCE_ONLY}
 _GROUPS = {"all": Group.ALL, "zone": Group.ZONE, "cell": Group.CELL}
 
--- a/crankfold/peers/links.py
+++ b/crankfold/peers/links.py
@@ -19,10 +19,9 @@
 
 class Links:
     def __init__(self, hello: Hello, addresses: dict[str, tuple[str, int]], tally: Tally,
-                 admits: Callable[[Hello], str], received: Callable[[str, Message], None],
-                 refused: Callable[[str], None]) -> None:
+                 admits: Callable[[Hello], str], received: Callable[[str, Message], None]) -> None:
         self.hello, self.addresses, self.tally = hello, addresses, tally
-        self.admits, self.received, self.refused = admits, received, refused
+        self.admits, self.received = admits, received
         self.loop = asyncio.get_running_loop()
         self.called: dict[str, asyncio.StreamWriter] = {}
         self.callers: dict[str, asyncio.StreamWriter] = {}
--- a/crankfold/peers/peer.py
+++ b/crankfold/peers/peer.py
@@ -85,10 +85,9 @@
         self.member.carry, self.member.settled_at = peer.carry, peer.settled_at
         hello = Hello(FORM, name, incarnation, store.identity if store else "")
         others = {voter: place(at) for voter, at in voters.items() if voter != name}
-        self.links = Links(hello, others, self.tally, self._admits, self._received, self._refused)
+        self.links = Links(hello, others, self.tally, self._admits, self._received)
         self.busy = self.closed = False
         self.ticking: asyncio.TimerHandle | None = None
-        self.refused = ""
 
     async def open(self) -> None:
         if self.store:
@@ -103,7 +102,7 @@
         if self.aside:
             return self.aside
         if not self.member.holds(clock()):
-            return self.member.refused or self.refused or (
+            return self.member.refused or (
                 "cut off from the majority" if self.member.applied else "nothing heard of the fleet yet")
         return "" if self.member.acting("settings") else "no settings count yet"
 
@@ -142,9 +141,6 @@
             return "no voter"
         return self.member.admits(hello.name, hello.folder) if hello.folder else ""
 
-    def _refused(self, why: str) -> None:
-        self.refused = why
-
     def _received(self, sender: str, told: Message) -> None:
         if self.aside or self.closed:
             return
--- a/crankfold/service/agreed.py
+++ b/crankfold/service/agreed.py
@@ -15,14 +15,12 @@
 from crankfold.dispatch.interface import StandingOrders
 from crankfold.network.tally import Tally
 from crankfold.orders import form
-from crankfold.orders.reader import HouseRules, from_nested, house_rules, standing_orders
+from crankfold.orders.reader import AT_ONCE, HouseRules, from_nested, house_rules, standing_orders
 from crankfold.peers.peer import Peer, Unfit, place, read
 from crankfold.service.desk import Desk
 from crankfold.service.operations import Operations
 from crankfold.service.shares import Shares
 
-# Of the settings, what may change while units are in hand; the rest is a dispatcher's own.
-SHARED = ("service-grades", "allowed", "score-parts", "revenue-per", "orgs")
 PUBLISH_WITHIN, MOST_WAIT, KNOWN_WITHIN = 10.0, 60.0, 2.0
 OK, REFUSED, UNFIT, UNKNOWN, MISSING = 200, 409, 400, 504, 404
 
@@ -55,7 +53,7 @@
 
 
 def shared(settings: dict[str, Any]) -> dict[str, Any]:
-    return {name: settings[name] for name in SHARED if name in settings}
+    return {name: settings[name] for name in AT_ONCE if name in settings}
 
 
 class Agreed:
@@ -112,8 +110,8 @@
         try:
             if doc == SETTINGS:
                 for name in text:
-                    if name not in SHARED:
-                        return f"settings.{name}: is each dispatcher's own; agreed are {', '.join(SHARED)}"
+                    if name not in AT_ONCE:
+                        return f"settings.{name}: is each dispatcher's own; agreed are {', '.join(AT_ONCE)}"
                 whole = {**self.own, **text}
                 latest = self.peer.member.docs.doc(SETTINGS).versions
                 running = {"settings": {**self.own, **latest[-1].text}} if latest else None
--- a/crankfold/service/node.py
+++ b/crankfold/service/node.py
@@ -16,7 +16,7 @@
 from crankfold.network.tally import Tally, log
 from crankfold.network.timers import Clock, Timers
 from crankfold.network.watch import Watch
-from crankfold.orders.reader import HouseRules, from_nested, house_rules, standing_orders
+from crankfold.orders.reader import AT_ONCE, HouseRules, from_nested, house_rules, standing_orders
 from crankfold.protocol.discovery import read_list
 from crankfold.service.desk import Desk
 from crankfold.service.duty import Duty
@@ -70,10 +70,6 @@
     return sockets // 4, sockets - sockets // 4 - sockets // 16 - UNCOUNTED - doors
 
 
-# Of the settings, what counts from SIGHUP on; what is known of runners hangs on the rest.
-AT_ONCE = frozenset(("service-grades", "allowed", "score-parts", "revenue-per", "orgs"))
-
-
 def waits(given: dict[str, Any], running: dict[str, Any]) -> list[str]:
     """What differs and counts only after a restart."""
     now, then = dict(given["settings"]), dict(running["settings"])
--- a/crankfold/trial/stand_ins.py
+++ b/crankfold/trial/stand_ins.py
@@ -33,39 +33,56 @@
     return lines[0], heads, await reader.readexactly(int(heads.get("content-length", 0)))
 
 
-class Runner:
-    def __init__(self, uid: str, seen: Seen, doors: dict[str, int], work: float, fails: float,
-                 seed: int) -> None:
-        self.uid, self.seen, self.doors, self.work, self.fails = uid, seen, doors, work, fails
-        self.luck = Random(f"{seed} {uid}")
-        self.slots = asyncio.Semaphore(4)
-        self.busy = 0
-        self.tasks: set[asyncio.Task[None]] = set()
+class StandIn:
+    """Listens on a port that the system picks."""
+
+    def __init__(self) -> None:
         self.server: asyncio.Server | None = None
 
     async def open(self) -> int:
-        self.server = await asyncio.start_server(self._served, HOST, 0)
+        self.server = await asyncio.start_server(self._guarded, HOST, 0)
         return int(self.server.sockets[0].getsockname()[1])
 
-    async def _served(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def _guarded(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
-            while True:
-                head, heads, _ = await read_message(reader)
-                if head.startswith("POST"):
-                    ident = heads["x-request-id"]
-                    self.seen.received.append((stamp(), self.uid, ident))
-                    task = asyncio.ensure_future(self._run(ident))
-                    self.tasks.add(task)
-                    task.add_done_callback(self.tasks.discard)
-                    writer.write(b"HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n")
-                else:
-                    load = f"TEXT queue=0, x0={4 - self.busy}".encode()
-                    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(load) + load)
+            await self._served(reader, writer)
         except (asyncio.IncompleteReadError, OSError, asyncio.CancelledError):
             pass  # the other side is done, or the trial
         finally:
             writer.close()
 
+    async def _served(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        raise NotImplementedError
+
+    def close(self) -> None:
+        if self.server:
+            self.server.close()
+
+
+class Runner(StandIn):
+    def __init__(self, uid: str, seen: Seen, doors: dict[str, int], work: float, fails: float,
+                 seed: int) -> None:
+        self.uid, self.seen, self.doors, self.work, self.fails = uid, seen, doors, work, fails
+        self.luck = Random(f"{seed} {uid}")
+        self.slots = asyncio.Semaphore(4)
+        self.busy = 0
+        self.tasks: set[asyncio.Task[None]] = set()
+        super().__init__()
+
+    async def _served(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while True:
+            head, heads, _ = await read_message(reader)
+            if head.startswith("POST"):
+                ident = heads["x-request-id"]
+                self.seen.received.append((stamp(), self.uid, ident))
+                task = asyncio.ensure_future(self._run(ident))
+                self.tasks.add(task)
+                task.add_done_callback(self.tasks.discard)
+                writer.write(b"HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n")
+            else:
+                load = f"TEXT queue=0, x0={4 - self.busy}".encode()
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(load) + load)
+
     async def _run(self, ident: str) -> None:
         async with self.slots:
             self.busy += 1
@@ -83,8 +100,7 @@
             await asyncio.sleep(0.1)
 
     def close(self) -> None:
-        if self.server:
-            self.server.close()
+        super().close()
         for task in self.tasks:
             task.cancel()
 
@@ -101,35 +117,21 @@
         writer.close()
 
 
-class Discovery:
+class Discovery(StandIn):
     def __init__(self, runners: dict[str, int]) -> None:
         self.runners = runners
-        self.server: asyncio.Server | None = None
-
-    async def open(self) -> int:
-        self.server = await asyncio.start_server(self._served, HOST, 0)
-        return int(self.server.sockets[0].getsockname()[1])
+        super().__init__()
 
     async def _served(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        try:
-            while True:
-                head, _, _ = await read_message(reader)
-                if "after=" in head:
-                    await asyncio.sleep(5)
-                targets = [{"uid": uid, "endpoint": f"{HOST}:{port}", "az": "here", "model": "m",
-                            "pod_group": 0, "state": "in_service", "capacity_hint": 1.0, "boot_ms": 0}
-                           for uid, port in self.runners.items()]
-                body = json.dumps({"rev": 1, "all": True, "targets": targets}).encode()
-                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
-        except (asyncio.IncompleteReadError, OSError, asyncio.CancelledError):
-            pass  # the other side is done, or the trial
-        finally:
-            writer.close()
-
-    def close(self) -> None:
-        if self.server:
-            self.server.close()
-
+        while True:
+            head, _, _ = await read_message(reader)
+            if "after=" in head:
+                await asyncio.sleep(5)
+            targets = [{"uid": uid, "endpoint": f"{HOST}:{port}", "az": "here", "model": "m",
+                        "pod_group": 0, "state": "in_service", "capacity_hint": 1.0, "boot_ms": 0}
+                       for uid, port in self.runners.items()]
+            body = json.dumps({"rev": 1, "all": True, "targets": targets}).encode()
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
 
 class Clients:
     """Open loop: units come when they come, whatever became of those before."""
