Works: machines taken out by agreed steps, a foreman at the leader, commands at the door

Need: an operator takes a machine out by calling every dispatcher and judges for himself when it is free.

Change: works are an agreed document; each step of a machine (out, free, work, ended, back, well) is an entry of the history that is void if it does not follow from what went before. The leader's foreman decides steps without I/O from the ledger, the list and what members tell with their leases: units held at machines that are out, answers of those that are back, what is shed. A machine is free when all that hold a lease have heard that it is out and hold nothing there, or their lease and longest cut-off are over. Commands run at one voter in one life. crankfold works plan|start|list|show|history|hold|go|stop|begin|done|unwell|back|here|forget.

--- a/crankfold/agreement/documents.py
+++ b/crankfold/agreement/documents.py
@@ -10,10 +10,12 @@
 import msgspec
 from msgspec import Struct, field
 
-from crankfold.agreement.strict import SETTINGS, stricter
+from crankfold.agreement.strict import SETTINGS, WORKS, stricter
 from crankfold.agreement.words import Entry
+from crankfold.works.ledger import Ledger
 
 VERSIONS_KEPT, CALLS_KEPT = 50, 1000
+MACHINES = "machines"  # what changes with a step
 MOST_ON_THE_WAY = 8  # versions of a document that do not count yet
 
 
@@ -54,6 +56,7 @@
     docs: dict[str, Document] = field(default_factory=dict)
     calls: dict[str, Outcome] = field(default_factory=dict)
     voters: dict[str, str] = field(default_factory=dict)  # the folders by which voters are known
+    ledger: Ledger = field(default_factory=Ledger)  # machines that are out for work
 
 
 def folders(known: dict[str, str], entry: Entry) -> dict[str, str]:
@@ -83,6 +86,8 @@
         data = entry.data
         if entry.kind == "publish":
             return self._publish(index, data)
+        if entry.kind == "step":
+            return self._step(index, data)
         if entry.kind == "count":
             doc = self.known.docs[data["doc"]]
             doc.counts = max(doc.counts, data["number"])
@@ -90,6 +95,20 @@
         self.known.voters = folders(self.known.voters, entry)
         return ""
 
+    def _step(self, index: int, data: dict[str, Any]) -> str:
+        call = data.get("call", "")
+        if call in self.known.calls:
+            return ""
+        void = self.known.ledger.apply(index, data, self.doc(WORKS).latest())
+        if call:
+            self._called(call, Outcome(not void, void, 0, index))
+        return MACHINES
+
+    def _called(self, call: str, made: Outcome) -> None:
+        self.known.calls[call] = made
+        while len(self.known.calls) > CALLS_KEPT:
+            del self.known.calls[next(iter(self.known.calls))]
+
     def _publish(self, index: int, data: dict[str, Any]) -> str:
         call, name = data["call"], data["doc"]
         if call in self.known.calls:
@@ -110,9 +129,11 @@
                 # What counts is needed, however many came after it.
                 doc.versions = [v for v in doc.versions[:-VERSIONS_KEPT] if v.number == doc.counts] \
                     + doc.versions[-VERSIONS_KEPT:]
-        self.known.calls[call] = made
-        while len(self.known.calls) > CALLS_KEPT:
-            del self.known.calls[next(iter(self.known.calls))]
+        self._called(call, made)
+        if changed and name == WORKS:
+            before = doc.find(latest)
+            self.known.ledger.handed_in(before.text.get("works", {}) if before else {},
+                                        data["text"].get("works", {}))
         return name if changed else ""
 
     def acting(self, name: str) -> dict[str, Any] | None:
--- a/crankfold/agreement/member.py
+++ b/crankfold/agreement/member.py
@@ -12,7 +12,7 @@
 import msgspec
 from msgspec import Meta, Struct, field
 
-from crankfold.agreement.documents import Documents, Outcome, folders
+from crankfold.agreement.documents import MACHINES, Documents, Outcome, folders
 from crankfold.agreement.raft import LEADING, Batch, Raft, Stored
 from crankfold.agreement.strict import DEAL, DOCUMENTS, LIMITS, SETTINGS
 from crankfold.agreement.words import (
@@ -29,6 +29,7 @@
     Published,
     Refused,
     Roster,
+    Tell,
     Timing,
     Warded,
 )
@@ -71,6 +72,20 @@
     settled: int = 0
     left: bool = False
     carry: dict[str, int] = field(default_factory=dict)
+    tell: Tell | None = None
+    mute: int = 0  # units of a process before this one may run on until then
+
+
+class Report(Struct):
+    """What a voter told the leader last."""
+
+    incarnation: int
+    asked: int
+    least: int
+    settled: int
+    drained: int
+    tell: Tell | None
+    heard: int
 
 
 def dealt(limits: dict[str, int], carries: dict[str, dict[str, int]]) -> dict[str, dict[str, int]]:
@@ -94,6 +109,7 @@
         self.changed: set[str] = set()  # documents that read otherwise since the owner looked
         self.settled_at: Callable[[int], int] = lambda applied: applied
         self.carry: Callable[[], dict[str, int]] = dict
+        self.tell: Callable[[], Tell | None] = lambda: None
         self.heard_by_all = 0  # up to here all act that may act
         self.told: list[Published] = []  # answers to what was asked for here
         self.refused = ""
@@ -107,7 +123,7 @@
 
     def _restart_from(self, kept: Kept) -> None:
         self.docs, self.applied = Documents(kept.state), kept.index
-        self.changed.update(DOCUMENTS)
+        self.changed.update((*DOCUMENTS, MACHINES))
 
 
 class Voter(Member):
@@ -129,7 +145,10 @@
         # While leading: by voter until when its lease can last, and the newest of what it told.
         self.led = 0
         self.granted: dict[str, int] = {}
-        self.reports: dict[str, tuple[int, int, int, int]] = {}
+        self.reports: dict[str, Report] = {}
+        # Who leads asks it for the next steps of machines that are out for work.
+        self.foreman: Callable[[int], list[dict[str, Any]]] | None = None
+        self.steps_at = now
         self.counting: set[tuple[str, int]] = set()
         self.checks: dict[str, tuple[Publish, set[str], int]] = {}
         self.asked_by: dict[str, str] = {}  # of a call: who waits for its outcome, "" for ourselves
@@ -141,7 +160,8 @@
         return self.raft.role == LEADING and self.raft.commit >= self.raft.first_of_term
 
     def next_at(self) -> int:
-        return min(self.raft.next_at(), self.ask_at, self.roster_at)
+        return min(self.raft.next_at(), self.ask_at, self.roster_at,
+                   self.steps_at if self.foreman else self.roster_at)
 
     def tick(self, now: int) -> None:
         self.raft.tick(now)
@@ -150,6 +170,11 @@
             self._ask(now)
         if now >= self.roster_at:
             self._tell_roster(now)
+        if self.foreman and now >= self.steps_at:
+            self.steps_at = now + self.timing.renew
+            steps = self.foreman(now)
+            if steps and self.leads():
+                self.raft.propose(now, "step", {"steps": steps})
 
     def take(self, now: int) -> Batch:
         return self.raft.take(now)
@@ -175,8 +200,8 @@
             doc = self.docs.apply(self.applied, entry)
             if doc:
                 self.changed.add(doc)
-            if entry.kind == "publish":
-                self._answer(entry.data["call"])
+            if entry.kind in ("publish", "step"):
+                self._answer(entry.data.get("call", ""))
         if self.leads():
             if raft.majority_at() >= 0:
                 self.until = max(self.until, raft.majority_at() + self.timing.lease)
@@ -197,7 +222,9 @@
         self.ask_at = now + self.timing.renew
         if self.raft.leader and self.raft.leader != self.me:
             least, settled = self.least(now)
-            self.raft._say(self.raft.leader, Ask(self.raft.term, self.incarnation, now, least, settled))
+            drained, tell = self.drained(now)
+            self.raft._say(self.raft.leader, Ask(self.raft.term, self.incarnation, now, least, settled,
+                                                 drained, tell))
 
     def least(self, now: int) -> tuple[int, int]:
         """Up to where all act that hold a lease from here, and up to where their units keep to it."""
@@ -216,13 +243,56 @@
             settled = 0
         return least, settled
 
+    def drained(self, now: int) -> tuple[int, Tell | None]:
+        """Up to where all had heard that hold a lease from here, or whose units may still run, when they told
+        what is gathered here."""
+        own, linger = self.tell(), self.docs.linger()
+        if own is None:
+            return 0, None
+        upto = self.applied
+        for ward in self.wards.values():
+            if now < ward.until + linger:
+                upto = min(upto, ward.have if ward.tell and now >= ward.mute else 0)
+                if ward.tell:
+                    own.add(ward.tell, now < ward.until)
+        if now < self.born + self.timing.outlast + linger:
+            upto = 0  # of the leases of a process before us nothing is known
+        return upto, own
+
+    def gathered(self, now: int) -> tuple[Tell, Callable[[str, int], str]]:
+        """What everybody that is heard has to say of machines, put together; and who may still send to one
+        that is out by an entry, or holds units there. Nobody's silence is consent before his lease is over
+        and his longest unit with it."""
+        linger = self.docs.linger()
+        parts = [(self.me, *self.drained(now))]
+        parts += [(voter, self.reports[voter].drained, self.reports[voter].tell)
+                  for voter, until in sorted(self.granted.items()) if now < until + linger]
+        whole = Tell()
+        for voter, _, tell in parts:
+            if tell:
+                whole.add(tell, voter == self.me or now < self.granted[voter])
+        early = now < self.raft.led_since + self.timing.outlast + linger
+
+        def holders(uid: str, index: int) -> str:
+            if early:
+                return "leases from before the last change of leader, and their units, may not be over"
+            for voter, upto, tell in parts:
+                if upto < index or tell is None:
+                    return f"{voter} or one that follows it has not said yet that it has heard"
+                if uid in tell.holds:
+                    return f"{tell.holds[uid]} units there, of {voter} or those that follow it"
+            return ""
+
+        return whole, holders
+
     def _asked(self, now: int, sender: str, ask: Ask) -> None:
         if not self.leads() or ask.term != self.raft.term or not self.lives.speaks(sender, ask.incarnation):
             return
         before = self.reports.get(sender)
-        if before and before[0] == ask.incarnation and ask.asked < before[1]:
+        if before and before.incarnation == ask.incarnation and ask.asked < before.asked:
             return  # overtaken
-        self.reports[sender] = ask.incarnation, ask.asked, ask.least, ask.settled
+        self.reports[sender] = Report(ask.incarnation, ask.asked, ask.least, ask.settled, ask.drained,
+                                      ask.tell, now)
         span = self.raft.majority_at() + self.timing.lease - now if self.raft.majority_at() >= 0 else 0
         if span > 0:
             self.granted[sender] = max(self.granted.get(sender, 0), now + span * 103 // 100)
@@ -254,15 +324,15 @@
         if now < wait:
             return
         linger = self.docs.linger()
-        live = [self.reports[voter][2] for voter, until in self.granted.items() if now < until]
+        live = [self.reports[voter].least for voter, until in self.granted.items() if now < until]
         self.raft.heard = max(self.raft.heard, min([self.least(now)[0], *live]))
         for name, version in self.docs.waits():
             if (name, version.number) in self.counting:
                 continue
-            which, more = (2, linger) if name == DEAL else (1, 0)
-            heard = [self.least(now)[which - 1]]
-            heard += [self.reports[voter][which + 1] for voter, until in self.granted.items()
-                      if now < until + more]
+            more = linger if name == DEAL else 0
+            heard = [self.least(now)[name == DEAL]]
+            heard += [report.settled if name == DEAL else report.least for voter, report in
+                      self.reports.items() if now < self.granted.get(voter, 0) + more]
             if now >= wait + more and min(heard) >= version.index:
                 self.counting.add((name, version.number))
                 self.raft.propose(now, "count", {"doc": name, "number": version.number})
@@ -307,10 +377,11 @@
             ward = self.wards[ask.name] = Ward(ask.incarnation, now, now, ask.asked)
             if old and now < old.until + self.docs.linger():
                 ward.settled, ward.have = min(old.settled, ask.settled), ask.have  # its units may run on
+                ward.mute = old.until + self.docs.linger()
         if ask.asked < ward.asked:
             return
         ward.heard, ward.asked, ward.left = now, ask.asked, False
-        ward.have, ward.settled, ward.carry = ask.have, ask.settled, ask.carry
+        ward.have, ward.settled, ward.carry, ward.tell = ask.have, ask.settled, ask.carry, ask.tell
         self._tell_news(now, ask.name, ward, ask.asked)
 
     def _held_elsewhere(self, ask: Follow) -> bool:
@@ -393,6 +464,8 @@
             self._tell(sender, Published(ask.call, not why, why, 0, self.raft.last()))
         elif ask.call in self.docs.known.calls:
             self._answer(ask.call)
+        elif ask.kind == "step":
+            self.raft.propose(now, "step", {**ask.data, "call": ask.call})
         elif ask.call not in self.checks:
             fault = unfit(ask) or self.check(ask.data["doc"], ask.data["text"])
             if fault:
@@ -471,7 +544,7 @@
 class Wanted(Struct):
     """What an operator has to say of a version."""
 
-    doc: Literal["settings", "runners-out", "runners-never", "limits", "deal"]
+    doc: Literal["settings", "runners-out", "runners-never", "limits", "deal", "works"]
     made_from: Annotated[int, Meta(ge=0)]
     author: Annotated[str, Meta(max_length=200)]
     reason: Annotated[str, Meta(max_length=2000)]
@@ -539,7 +612,7 @@
     def _ask(self, now: int) -> None:
         self.ask_at = now + self.timing.renew * 3 // 4 + self._draw(self.timing.renew // 2)
         self.send.append((self.voter, Follow(self.me, self.incarnation, now, self.applied,
-                                             self.settled_at(self.applied), self.carry())))
+                                             self.settled_at(self.applied), self.carry(), self.tell())))
 
     def publish(self, now: int, call: str, kind: str, data: dict[str, Any]) -> None:
         self.send.append((self.voter, Publish(call, kind, data)))
--- a/crankfold/agreement/strict.py
+++ b/crankfold/agreement/strict.py
@@ -10,7 +10,8 @@
 EFFECTS = ("safe", "keyed", "unsafe")  # one that is not known counts as the last
 GROUPS = ("all", "zone", "cell")
 SETTINGS, OUT, NEVER, LIMITS, DEAL = "settings", "runners-out", "runners-never", "limits", "deal"
-DOCUMENTS = (SETTINGS, OUT, NEVER, LIMITS, DEAL)
+WORKS = "works"
+DOCUMENTS = (SETTINGS, OUT, NEVER, LIMITS, DEAL, WORKS)
 
 Text = dict[str, Any]
 
@@ -72,8 +73,13 @@
             | {limit: parts for limit, parts in becomes.items() if limit not in was}}
 
 
+def works(old: Text, new: Text) -> Text:
+    """They bind whoever leads alone, and each step says by which version it was decided."""
+    return new
+
+
 _WAYS: dict[str, Callable[[Text, Text], Text]] = {
-    SETTINGS: settings, OUT: either, NEVER: either, LIMITS: limits, DEAL: deal}
+    SETTINGS: settings, OUT: either, NEVER: either, LIMITS: limits, DEAL: deal, WORKS: works}
 
 
 def stricter(doc: str, old: Text, new: Text) -> Text:
--- a/crankfold/agreement/words.py
+++ b/crankfold/agreement/words.py
@@ -6,7 +6,7 @@
 
 from typing import Any
 
-from msgspec import Struct
+from msgspec import Struct, field
 
 
 class Entry(Struct, array_like=True, frozen=True):
@@ -68,6 +68,35 @@
     round: int
 
 
+class Tell(Struct, array_like=True):
+    """What somebody, or he and all that hold leases from him, have to say of machines out for work."""
+
+    holds: dict[str, int] = field(default_factory=dict)  # machines that are out, and units still there
+    unsure: dict[str, list[str]] = field(default_factory=dict)  # units that may go on there, nobody knows
+    answers: dict[str, tuple[int, int]] = field(default_factory=dict)  # of machines that are back: all, bad
+    lost: list[str] = field(default_factory=list)  # machines that his list does not call ready
+    idle: list[str] = field(default_factory=list)  # dispatchers that were told to leave, and have
+    in_hand: int = 0
+    taken: int = 0  # lately
+    shed: int = 0
+
+    def add(self, other: "Tell", alive: bool) -> None:
+        """With one who is not heard any more only what he holds counts."""
+        for uid, units in other.holds.items():
+            self.holds[uid] = self.holds.get(uid, 0) + units
+        if not alive:
+            return
+        for uid, idents in other.unsure.items():
+            self.unsure.setdefault(uid, []).extend(idents[:5])
+        for uid, (all_of, bad) in other.answers.items():
+            before = self.answers.get(uid, (0, 0))
+            self.answers[uid] = before[0] + all_of, before[1] + bad
+        self.lost = sorted({*self.lost, *other.lost})
+        self.idle = sorted({*self.idle, *other.idle})
+        self.in_hand, self.taken, self.shed = (
+            self.in_hand + other.in_hand, self.taken + other.taken, self.shed + other.shed)
+
+
 class Ask(Struct, array_like=True, frozen=True, tag="l"):
     """A voter asks the leader for its lease. `asked` is the asker's own clock; `least` is up to where
     it and all that hold theirs from it act, `settled` up to where their units in hand keep to it too."""
@@ -77,6 +106,8 @@
     asked: int
     least: int
     settled: int
+    drained: int = 0  # up to where all heard, when they told what `tell` gathers
+    tell: Tell | None = None
 
 
 class Grant(Struct, array_like=True, frozen=True, tag="L"):
@@ -97,6 +128,7 @@
     have: int
     settled: int
     carry: dict[str, int]  # of each limit for the whole fleet, what is in hand and wanted
+    tell: Tell | None = None  # only while there are works
 
 
 class News(Struct, array_like=True, frozen=True, tag="F"):
--- a/crankfold/cli.py
+++ b/crankfold/cli.py
@@ -156,7 +156,8 @@
                      help="HOST:PORT of a dispatcher's door for operators.")
 _json = click.option("--json", "as_json", is_flag=True, help="JSON in place of text.")
 _doc = click.option("--doc", default="settings", show_default=True,
-                    type=click.Choice(["settings", "runners-out", "runners-never", "limits", "deal"]))
+                    type=click.Choice(["settings", "runners-out", "runners-never", "limits", "deal",
+                                       "works"]))
 
 
 @main.group(invoke_without_command=True)
@@ -268,6 +269,128 @@
     sys.exit(commands.back(door, doc, number, reason, author, wait, as_json))
 
 
+_reason = click.option("--reason", default="", help="For the history.")
+_author = click.option("--author", envvar="USER", default="", show_envvar=True)
+
+
+@main.group()
+def works() -> None:
+    """Machines taken out for work, in an order that the dispatchers settle (docs/works.md).
+
+    Exit: 0 done; 1 turned down; 2 unusable call; 3 no outcome or nobody there.
+    """
+
+
+@works.command("plan")
+@_door
+@_json
+@click.argument("file", type=click.File("rb"))
+def works_plan(door: str, as_json: bool, file: BinaryIO) -> None:
+    """The order in which the work of FILE would come about, and why machines wait. Changes nothing."""
+    from crankfold.peers import of_works
+
+    sys.exit(of_works.plan(door, file.read(), as_json))
+
+
+@works.command("start")
+@_door
+@_json
+@click.argument("file", type=click.File("rb"))
+@_reason
+@_author
+def works_start(door: str, as_json: bool, file: BinaryIO, reason: str, author: str) -> None:
+    """Hand in the work of FILE."""
+    from crankfold.peers import of_works
+
+    sys.exit(of_works.start(door, file.read(), reason, author, as_json))
+
+
+@works.command("list")
+@_door
+@_json
+def works_list(door: str, as_json: bool) -> None:
+    """All works and how far they are."""
+    from crankfold.peers import of_works
+
+    sys.exit(of_works.listing(door, as_json))
+
+
+@works.command("show")
+@_door
+@_json
+@click.argument("name")
+def works_show(door: str, as_json: bool, name: str) -> None:
+    """Each machine of a work, and what is waited for."""
+    from crankfold.peers import of_works
+
+    sys.exit(of_works.show(door, name, as_json))
+
+
+@works.command("history")
+@_door
+@_json
+@click.argument("machine")
+def works_history(door: str, as_json: bool, machine: str) -> None:
+    """When a machine was out, for which work, who took each step and how long it lasted."""
+    from crankfold.peers import of_works
+
+    sys.exit(of_works.history(door, machine, as_json))
+
+
+def _turn(state: str, told: str) -> None:
+    @works.command(state, help=told)
+    @_door
+    @_json
+    @click.argument("name")
+    @_reason
+    @_author
+    def turn(door: str, as_json: bool, name: str, reason: str, author: str) -> None:
+        from crankfold.peers import of_works
+
+        sys.exit(of_works.turn(door, name, state, reason, author, as_json))
+
+
+_turn("hold", "No further machine of the work goes out; those that are out are finished.")
+_turn("go", "The work goes on, also where it had stopped by itself.")
+_turn("stop", "As hold, and machines on which nothing was begun come back.")
+
+
+@works.command("forget")
+@_door
+@_json
+@click.argument("name")
+@_reason
+@_author
+def works_forget(door: str, as_json: bool, name: str, reason: str, author: str) -> None:
+    """Take the work out of the list, with what was done for it."""
+    from crankfold.peers import of_works
+
+    sys.exit(of_works.forget(door, name, reason, author, as_json))
+
+
+def _step(what: str, told: str) -> None:
+    @works.command(what, help=told)
+    @_door
+    @_json
+    @click.argument("machine")
+    @click.option("--number", default=0, help="Under which the machine was called free; else refused.")
+    @click.option("--why", default="", help="For the machine's history.")
+    @_author
+    @click.option("--call", default="", help="The same call again has one effect; drawn if not given.")
+    def step(door: str, as_json: bool, machine: str, number: int, why: str, author: str, call: str) -> None:
+        from crankfold.peers import of_works
+
+        sys.exit(of_works.step(door, what, machine, number, why, author, call, as_json))
+
+
+_step("begin", "Work on a machine that is free begins: from now on it is not brought back by others.")
+_step("done", "Work on a machine is done: it comes back, and is watched.")
+_step("unwell", "A machine that is back is not well, or could not be worked on: out with it.")
+_step("back", "A machine comes back though nothing was done.")
+_step("here", "A machine comes back at this dispatcher alone, which is cut off. Nobody can say then that "
+              "nothing is done there.")
+
+
 @main.command()
 @click.argument("plan", type=click.Path(path_type=Path))
 @click.option("--seed", type=int, default=0, help="Of the faults; the plan's if not given.")
--- a/crankfold/network/watch.py
+++ b/crankfold/network/watch.py
@@ -21,6 +21,7 @@
         self.host, self.port, self.enlist, self.told, self.failed = host, port, enlist, told, failed
         self.tally, self.pause, self.rev = tally, pause, -1
         self.task: asyncio.Task[None] | None = None
+        self.heard_at = 0.0  # when it last answered, by the loop's clock
 
     def start(self, again: bool) -> None:
         """With `again` a broken watch is taken up by itself; else it lasts until it breaks."""
@@ -63,6 +64,7 @@
                     while not side.feed(data := await reader.read(LUMP)):
                         if not data:
                             raise Unreadable("the connection ended")
+                self.heard_at = loop.time()
                 rev, whole, entries = side.told(self.enlist)
                 if rev < self.rev and not whole:
                     raise Unreadable("a version older than the last")
--- a/crankfold/peers/commands.py
+++ b/crankfold/peers/commands.py
@@ -1,4 +1,4 @@
-"""`crankfold settings` and `crankfold fleet`: calls at a dispatcher's door."""
+"""`crankfold settings`, `fleet` and `works`: calls at a dispatcher's door."""
 
 import difflib
 import http.client
--- a/crankfold/peers/peer.py
+++ b/crankfold/peers/peer.py
@@ -13,7 +13,7 @@
 from crankfold.agreement.member import CUT_OFF, SUSPECTED, THERE, Follower, Voter
 from crankfold.agreement.raft import Batch
 from crankfold.agreement.strict import DOCUMENTS
-from crankfold.agreement.words import Message, Published, Timing
+from crankfold.agreement.words import Message, Published, Tell, Timing
 from crankfold.network.tally import Tally, log
 from crankfold.peers.frames import FORM, Hello
 from crankfold.peers.links import Links
@@ -83,6 +83,9 @@
         else:
             self.member = Follower(name, list(voters), self.timing, now, seed, incarnation)
         self.member.carry, self.member.settled_at = peer.carry, peer.settled_at
+        self.member.tell = lambda: peer.tell()
+        if isinstance(self.member, Voter):
+            self.member.foreman = lambda now: peer.steps() if peer.seat is self else []
         hello = Hello(FORM, name, incarnation, store.identity if store else "")
         others = {voter: place(at) for voter, at in voters.items() if voter != name}
         self.links = Links(hello, others, self.tally, self._admits, self._received)
@@ -232,6 +235,9 @@
                  carry: Callable[[], dict[str, int]], settled_at: Callable[[int], int]) -> None:
         self.given, self.tally, self.check, self.beginning = given, tally, check, beginning
         self.changed, self.carry, self.settled_at = changed, carry, settled_at
+        # With machines out for work, what this dispatcher has to say of them, and decides if it leads.
+        self.tell: Callable[[], Tell | None] = lambda: None
+        self.steps: Callable[[], list[dict[str, Any]]] = list
         self.loop = asyncio.get_running_loop()
         self.waiting: dict[str, asyncio.Future[Published]] = {}
         self.applied = asyncio.Event()
--- a/crankfold/service/agreed.py
+++ b/crankfold/service/agreed.py
@@ -4,14 +4,15 @@
 import time
 from collections.abc import Callable
 from pathlib import Path
-from typing import Annotated, Any, TextIO
+from typing import TYPE_CHECKING, Annotated, Any, TextIO
 
 import msgspec
 import orjson
 from msgspec import Meta, Struct, field, structs
 
+from crankfold.agreement.documents import MACHINES
 from crankfold.agreement.member import Voter
-from crankfold.agreement.strict import DEAL, DOCUMENTS, LIMITS, NEVER, OUT, SETTINGS
+from crankfold.agreement.strict import DEAL, DOCUMENTS, LIMITS, NEVER, OUT, SETTINGS, WORKS
 from crankfold.dispatch.interface import StandingOrders
 from crankfold.network.tally import Tally
 from crankfold.orders import form
@@ -21,6 +22,9 @@
 from crankfold.service.operations import Operations
 from crankfold.service.shares import Shares
 
+if TYPE_CHECKING:
+    from crankfold.service.works import Works
+
 PUBLISH_WITHIN, MOST_WAIT, KNOWN_WITHIN = 10.0, 60.0, 2.0
 OK, REFUSED, UNFIT, UNKNOWN, MISSING = 200, 409, 400, 504, 404
 
@@ -58,9 +62,11 @@
 
 class Agreed:
     def __init__(self, given: dict[str, Any], tally: Tally, desk: Desk, operations: Operations,
-                 renewed: Callable[[StandingOrders, HouseRules], None]) -> None:
+                 renewed: Callable[[StandingOrders, HouseRules], None],
+                 list_age: Callable[[], int]) -> None:
         self.own, self.desk, self.operations, self.renewed = given["settings"], desk, operations, renewed
-        self.tally = tally
+        self.tally, self.list_age = tally, list_age
+        self.works: Works | None = None  # once some are handed in
         peers = read(given["peers"])
         self.goes_on = peers.when_cut_off == "go-on"
         form.check({name: part for name, part in given.items() if name != "peers"})
@@ -86,7 +92,17 @@
         await self.peer.open()
         self.operations.agreed = self  # not before: the door is open already, and there was nothing to ask
 
+    def _works(self) -> "Works":
+        if self.works is None:
+            from crankfold.service import works  # nothing of it before works are handed in
+
+            self.works = works.Works(self.desk, self.operations, self.peer, self.tally, self.list_age,
+                                     self._lay_out)
+        return self.works
+
     async def close(self) -> None:
+        if self.works:
+            self.works.close()
         await self.peer.close()
 
     # --- acting ---
@@ -121,6 +137,11 @@
                 standing_orders(from_nested(whole))
             elif doc in (OUT, NEVER):
                 msgspec.convert(text, Listed)
+            elif doc == WORKS:
+                from crankfold.works import form as of_works
+
+                versions = self.peer.member.docs.doc(WORKS).versions
+                return of_works.fault(text, versions[-1].text if versions else {}, self._works().machines())
             elif doc == LIMITS:
                 for name in msgspec.convert(text, Limited).limits:
                     if name != "all" and name.partition(":")[0] not in ("grade", "tenant"):
@@ -139,11 +160,12 @@
             flat = from_nested({**self.own, **text})
             self.renewed(standing_orders(flat), house_rules(flat))
             self.acts_on = text
-        if OUT in docs or NEVER in docs:
-            out = {uid for doc in (OUT, NEVER) for uid in (member.acting(doc) or {}).get("runners", {})}
-            entries = self.desk.fleet.agree(out)
-            if entries:
-                self.operations.changed(entries)
+        if member.docs.doc(WORKS).versions or member.docs.known.ledger.machines:
+            self._works()
+        if OUT in docs or NEVER in docs or MACHINES in docs:
+            self._lay_out()
+        if self.works and (MACHINES in docs or WORKS in docs):
+            self.works.changed()
         if DEAL in docs:
             dealt = (member.acting(DEAL) or {}).get("shares", {})
             self.shares.parts = {limit: parts.get(member.me, 0) for limit, parts in dealt.items()}
@@ -151,6 +173,13 @@
         if self.out:
             self._record("rules", "", "")
 
+    def _lay_out(self) -> None:
+        member = self.peer.member
+        out = {uid for doc in (OUT, NEVER) for uid in (member.acting(doc) or {}).get("runners", {})}
+        entries = self.desk.fleet.agree(out | self.works.out() if self.works else out)
+        if entries:
+            self.operations.changed(entries)
+
     def _settled_at(self, applied: int) -> int:
         """Units taken under a larger share hold their places until they are answered."""
         if self.shares.fit():
@@ -175,6 +204,8 @@
 
     async def show(self, doc: str, least: int) -> tuple[int, str]:
         """Never older than what the reader says to have been told; where that is not known, it is said."""
+        if doc == MACHINES:
+            return OK, orjson.dumps(self._works().show()).decode()
         if doc not in DOCUMENTS:
             return MISSING, orjson.dumps({"text": f"there are {', '.join(DOCUMENTS)}"}).decode()
         if not await self.peer.until_known(doc, least, KNOWN_WITHIN):
@@ -205,6 +236,8 @@
     async def publish(self, doc: str, body: bytes) -> tuple[int, str]:
         if doc == "voters":
             return await self._voters(body)
+        if doc in (MACHINES, "plan"):
+            return await self._of_machines(doc, body)
         try:
             asked = msgspec.json.decode(body, type=Asked)
         except msgspec.DecodeError as wrong:
@@ -226,6 +259,18 @@
             told["lag"] = [] if all_act else self._behind()
         return OK, orjson.dumps(told).decode()
 
+    async def _of_machines(self, doc: str, body: bytes) -> tuple[int, str]:
+        works = self._works()
+        try:
+            if doc == "plan":
+                told = works.planned(body)
+                return OK if told["well"] else REFUSED, orjson.dumps(told).decode()
+            well, text, known = await works.call(body)
+        except msgspec.DecodeError as wrong:
+            return UNFIT, orjson.dumps({"well": False, "text": str(wrong)}).decode()
+        status = OK if well else REFUSED if known else UNKNOWN
+        return status, orjson.dumps({"well": well, "text": text}).decode()
+
     def _behind(self) -> list[str]:
         """Who does not act on all that is known here, as far as this member can tell."""
         view = self.peer.view()
--- a/crankfold/service/desk.py
+++ b/crankfold/service/desk.py
@@ -35,6 +35,10 @@
         self.may_act: Callable[[], bool] = lambda: True
         self.record: Callable[[str, str, str], None] | None = None
         self.hold: Callable[[str, str], Sequence[str] | None] | None = None  # places of limits, if there are
+        # With machines out for work: what is left running on one, what ended there, what ended after all.
+        self.left_running: Callable[[str, str], None] | None = None
+        self.dispatch_ended: Callable[[int, Outcome], None] | None = None
+        self.ended_after_all: Callable[[str, str], None] | None = None
         self.elsewhere: frozenset[str] = frozenset()  # ids in hand at the process before this one
         self.pass_on: Callable[[bytes, Callable[[bool | None], None]], bool] = lambda body, done: False
         self.reports: dict[int, tuple[int, Sequence[float]]] = {}  # each runner's last, and when
@@ -243,6 +247,8 @@
         if trip.errand is None:
             return
         trip.ran_on = trip.errand.link is not None
+        if self.left_running and trip.ran_on:
+            self.left_running(self.fleet.numbers.names[trip.runner], work.ident)
         if not trip.taken:
             self.fleet.pools[trip.runner].cut(trip.errand)
         elif self.may_cancel:
@@ -257,6 +263,8 @@
             self.fleet.let_go(trip.runner, trip.errand)
         self._keep(trip.runner, report)
         self.tally.count("ended-" + outcome.name.lower().replace("_", "-"))
+        if self.dispatch_ended:
+            self.dispatch_ended(trip.runner, outcome)
         self.tell(self.decisions.ended, work.no, trip.nth, trip.runner, outcome, not work.open, report,
                   unit=work.no)
         self.ledger.forget(work)
@@ -304,6 +312,8 @@
         found = self._spoken_of(ident, uid)
         if not found:
             self.ledger.ended_after_all(ident, self.fleet.numbers.find(uid))
+            if self.ended_after_all:
+                self.ended_after_all(ident, uid)
             return
         work, trip = found
         self.tally.count("reports-by-call-back" if report else "call-backs-without-report")
--- a/crankfold/service/node.py
+++ b/crankfold/service/node.py
@@ -131,7 +131,8 @@
             from crankfold.service import agreed  # nothing of it is imported without peers
 
             try:
-                self.agreed = agreed.Agreed(given, self.tally, self.desk, self.operations, self._renewed)
+                self.agreed = agreed.Agreed(given, self.tally, self.desk, self.operations, self._renewed,
+                                            self._list_age)
             except ValueError as wrong:
                 raise Unusable(str(wrong)) from None
         host, port = address(given["discovery"], "discovery")
@@ -154,6 +155,10 @@
             # Never nothing: an eighth is less than what is kept free on either side.
             self.listener.most = max(others - clients, others // 8)
 
+    def _list_age(self) -> int:
+        """Since discovery answered last, tenths of a millisecond; 0 where it is only asked now and then."""
+        return 0 if self.must_ask else int((self.timers.loop.time() - self.watch.heard_at) * 10_000)
+
     def _subscribe(self) -> None:
         # The decisions ask in their first moment, when there is no watch yet.
         self.timers.loop.call_soon(lambda: self.watch.start(False))
--- a/crankfold/works/order.py
+++ b/crankfold/works/order.py
@@ -1,11 +1,7 @@
-"""Which machines may go out next, and why the others wait. The same facts give the same answer everywhere.
+"""Which machines may go out next, and why the others wait. The same facts give the same answer everywhere."""
 
-So far: what works want, what is out or lost, what the bounds leave. Carrying steps out, and letting machines
-back in, comes on top of the agreed lists (`docs/agreement.md`).
-"""
-
-from collections import Counter
-from collections.abc import Iterable, Sequence
+from collections import Counter, defaultdict
+from collections.abc import Callable, Collection, Iterable, Sequence
 from dataclasses import dataclass, field
 
 
@@ -18,6 +14,7 @@
     size: float = 1.0  # as listed
     since: int = 0  # its start, tenths of a millisecond
     up: bool = True  # carries work: neither out nor lost, and warm
+    listed: bool = True  # not only remembered from earlier lists
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,6 +37,7 @@
     not_after: int = 0
     alone: frozenset[str] = frozenset()  # works that may not be under way at the same time
     after: frozenset[str] = frozenset()  # works that have to be done first
+    last: str = ""  # a machine that goes when all others are done
 
     def wants(self, machine: Machine) -> bool:
         return ((not self.uids or machine.uid in self.uids) and (not self.zones or machine.zone in self.zones)
@@ -62,84 +60,125 @@
     if work.not_after and work.not_after <= work.not_before:
         return "not-after comes before not-before"
     whole = [Machine(m.uid, m.zone, m.kind, m.cell, m.size, m.since) for m in machines]
+    yard = _Yard([work], whole, {})
     for machine in wanted:
-        why = _capacity(work, machine, whole, set())
-        if why:
+        if why := yard.capacity(work, machine):
             return f"{machine.uid}: {why}, even with all others up"
     return ""
 
 
+class _Yard:
+    """What is up and what is out, counted once and kept as machines go."""
+
+    def __init__(self, works: Sequence[Work], machines: Sequence[Machine], gone: dict[str, str]) -> None:
+        self.gone = gone
+        self.whole: dict[str, float] = defaultdict(float)  # sizes by zone, "" for all
+        self.up: dict[str, float] = defaultdict(float)
+        self.wanted = {work.name: [m for m in machines if work.wants(m)] for work in works}
+        # Of each work's machines those that are out or lost: in all, and by zone, kind and cell.
+        self.out: dict[str, Counter[tuple[str, str]]] = {work.name: Counter() for work in works}
+        self.works = works
+        for machine in machines:
+            for place in self._places(machine):
+                self.whole[place] += machine.size
+                if machine.up and machine.uid not in gone:
+                    self.up[place] += machine.size
+            if not machine.up or machine.uid in gone:
+                self._count_out(machine)
+
+    @staticmethod
+    def _places(machine: Machine) -> tuple[str, str]:
+        return "", f"zone {machine.zone}"
+
+    def _count_out(self, machine: Machine) -> None:
+        for work in self.works:
+            if work.wants(machine):
+                self.out[work.name].update((("", ""), ("zone", machine.zone), ("kind", machine.kind),
+                                            ("cell", machine.cell)))
+
+    def take(self, machine: Machine, work: str) -> None:
+        self.gone[machine.uid] = work
+        if machine.up:
+            for place in self._places(machine):
+                self.up[place] -= machine.size
+            self._count_out(machine)
+
+    def share(self, zone: str) -> float:
+        return self.up[f"zone {zone}"] / (self.whole[f"zone {zone}"] or 1.0)
+
+    def bounds(self, work: Work, machine: Machine) -> str:
+        # An unplanned loss takes a place too: what is out of a zone is out, whoever took it.
+        out, own = self.out[work.name], 0 if machine.up else 1
+        if out["", ""] - own >= work.at_once:
+            return f"{out['', ''] - own} of {work.at_once} at once"
+        for what, where, most in (("zone", machine.zone, work.a_zone), ("kind", machine.kind, work.a_kind),
+                                  ("cell", machine.cell, work.a_cell)):
+            if most and out[what, where] - own >= most:
+                return f"{out[what, where] - own} of {most} in its {what}"
+        return self.capacity(work, machine)
+
+    def capacity(self, work: Work, machine: Machine) -> str:
+        for what, place, share in (("all", "", work.stays),
+                                   (machine.zone, f"zone {machine.zone}", work.stays_in_zone)):
+            stays = self.up[place] - (machine.size if machine.up and machine.uid not in self.gone else 0)
+            whole = self.whole[place] or 1.0
+            if share and stays / whole < share - 1e-9:
+                return f"{stays / whole:.2f} of {what} would stay, {share:.2f} has to"
+        return ""
+
+
 def order(works: Sequence[Work], machines: Sequence[Machine], out: Iterable[tuple[str, str]],
-          done: Iterable[tuple[str, str]], now: int) -> Order:
-    """`out`: machine and work of what is out by them; `done`: of what has been worked on and is back.
+          done: Collection[tuple[str, str]], now: int,
+          more: Callable[[Machine, Collection[str]], str] = lambda machine, gone: "") -> Order:
+    """`out`: machine and work of what is out by them; `done`: of what has been worked on and is back. `more`
+    tells what else holds a machine, with these out already.
 
     Works take turns, the one with the least part of its machines done first, so that a small one does not
     wait for a large one. A machine that two want goes out for the first; the other finds it out and waits.
     """
-    told, gone, ended = Order(), dict(out), set(done)
-    left = {work.name: [m for m in machines if work.wants(m) and (m.uid, work.name) not in ended
-                        and m.uid not in gone] for work in works}
-    part = {work.name: 1.0 - len(left[work.name]) / max(sum(map(work.wants, machines)), 1) for work in works}
-    under_way = set(gone.values())
+    told = Order()
+    yard = _Yard(works, machines, dict(out))
+    left = {work.name: [m for m in yard.wanted[work.name] if (m.uid, work.name) not in done
+                        and m.uid not in yard.gone] for work in works}
+    part = {work.name: 1.0 - len(left[work.name]) / max(len(yard.wanted[work.name]), 1) for work in works}
+    under_way = set(yard.gone.values())
     for work in sorted(works, key=lambda work: (part[work.name], work.name)):
         # Spread over zones: from where the most is up, then by name.
-        for machine in sorted(left[work.name], key=lambda m: (-_up(machines, m.zone, gone), m.uid)):
-            why = _held(work, machine, machines, gone, under_way, left, now)
+        share = {m.zone: yard.share(m.zone) for m in left[work.name]}
+        for machine in sorted(left[work.name], key=lambda m: (m.uid == work.last, -share[m.zone], m.uid)):
+            why = _held(work, machine, yard, under_way, left, now)
             for other in works:  # another work's bounds hold for its machines, whoever takes them out
                 if not why and other.name != work.name and other.name in under_way and other.wants(machine):
-                    why = _bounds(other, machine, machines, gone)
+                    why = yard.bounds(other, machine)
                     why = why and f"{why} by {other.name}"
+            why = why or more(machine, yard.gone)
             if why:
                 told.waits[machine.uid, work.name] = why
             else:
                 told.go.append((machine.uid, work.name))
-                gone[machine.uid] = work.name
+                yard.take(machine, work.name)
                 under_way.add(work.name)
     return told
 
 
-def _up(machines: Iterable[Machine], zone: str, gone: Iterable[str]) -> float:
-    out = set(gone)
-    zoned = [m for m in machines if m.zone == zone]
-    return sum(m.size for m in zoned if m.up and m.uid not in out) / (sum(m.size for m in zoned) or 1.0)
-
-
-def _held(work: Work, machine: Machine, machines: Sequence[Machine], gone: dict[str, str],
-          under_way: set[str], left: dict[str, list[Machine]], now: int) -> str:
-    if machine.uid in gone:
-        return f"out for {gone[machine.uid]}"
+def timely(work: Work, now: int) -> str:
     if now < work.not_before:
         return "not before its time"
-    if work.not_after and now >= work.not_after:
-        return "after its time"
+    return "after its time" if work.not_after and now >= work.not_after else ""
+
+
+def _held(work: Work, machine: Machine, yard: _Yard, under_way: set[str], left: dict[str, list[Machine]],
+          now: int) -> str:
+    if machine.uid in yard.gone:
+        return f"out for {yard.gone[machine.uid]}"
+    if why := timely(work, now):
+        return why
     for other in sorted(work.after):
         if left.get(other) or other in under_way:
             return f"after {other}"
     together = sorted(work.alone & under_way - {work.name})
     if together:
         return f"never together with {together[0]}"
-    return _bounds(work, machine, machines, gone)
-
-
-def _bounds(work: Work, machine: Machine, machines: Sequence[Machine], gone: dict[str, str]) -> str:
-    # An unplanned loss takes a place too: what is out of a zone is out, whoever took it.
-    lost = [m for m in machines if (not m.up or m.uid in gone) and m.uid != machine.uid]
-    mine = [m for m in lost if work.wants(m)]
-    if len(mine) >= work.at_once:
-        return f"{len(mine)} of {work.at_once} at once"
-    for what, most, count in (("zone", work.a_zone, Counter(m.zone for m in mine)[machine.zone]),
-                              ("kind", work.a_kind, Counter(m.kind for m in mine)[machine.kind]),
-                              ("cell", work.a_cell, Counter(m.cell for m in mine)[machine.cell])):
-        if most and count >= most:
-            return f"{count} of {most} in its {what}"
-    return _capacity(work, machine, machines, set(gone))
-
-
-def _capacity(work: Work, machine: Machine, machines: Sequence[Machine], gone: set[str]) -> str:
-    zoned = [m for m in machines if m.zone == machine.zone]
-    for what, share, among in (("all", work.stays, machines), (machine.zone, work.stays_in_zone, zoned)):
-        stays = sum(m.size for m in among if m.up and m.uid not in gone and m.uid != machine.uid)
-        whole = sum(m.size for m in among) or 1.0
-        if share and stays / whole < share:
-            return f"{stays / whole:.2f} of {what} would stay, {share:.2f} has to"
-    return ""
+    if work.last == machine.uid and (len(left[work.name]) > 1 or work.name in yard.gone.values()):
+        return "last, as it leads"
+    return yard.bounds(work, machine)
