--- a/benchmarks/agreement.py
+++ b/benchmarks/agreement.py
@@ -55,10 +55,12 @@
     """The processes of a trial, without load, faults and operators of its own."""
 
     async def play(self, what: Callable[["Quiet"], Any]) -> Any:
-        from crankfold.trial.stand_ins import Discovery, Runner
+        from crankfold.trial.stand_ins import Discovery, Roll, Runner
 
         runners = [Runner("r0", self.seen, self.ports, 0.005, 0.0, 1)]
-        discovery = Discovery({"r0": await runners[0].open()})
+        roll = Roll()
+        roll.put("r0", await runners[0].open())
+        discovery = Discovery(roll)
         found = await discovery.open()
         self.uids = ["r0"]
         for name in self.names:
--- a/crankfold/peers/of_works.py
+++ b/crankfold/peers/of_works.py
@@ -152,7 +152,7 @@
         return REFUSED
     before = 0
     for step in steps:
-        at = time.strftime("%Y-%m-%d %H:%M:%S", time.localtime(step["at"] / 1000))
+        at = time.strftime("%Y-%m-%d %H:%M:%SZ", time.gmtime(step["at"] / 1000))
         since = f" after {(step['at'] - before) / 1000:.1f} s" if before else ""
         before = 0 if step["step"] in ("well", "gone", "undone") else step["at"]
         click.echo(f"{at} {step['step']:6} {step['work']} by {step['by']}, entry {step['index']}{since}"
--- a/crankfold/service/agreed.py
+++ b/crankfold/service/agreed.py
@@ -75,6 +75,7 @@
         self.peer: Peer
         desk.hold, desk.ledger.let_go = self.shares.hold, self.shares.let_go
         self.was_cut_off = False
+        self.told_steps = 0  # the entry up to which steps of machines are recorded
         desk.may_act = self.may_act
         self.out: TextIO | None = None
         if peers.record:
@@ -172,6 +173,7 @@
         self.tally.count("documents-changed")
         if self.out:
             self._record("rules", "", "")
+            self._record_steps()
 
     def _lay_out(self) -> None:
         member = self.peer.member
@@ -197,6 +199,17 @@
         self.out.write(orjson.dumps(told).decode() + "\n")
         self.out.flush()
 
+    def _record_steps(self) -> None:
+        assert self.out is not None
+        for step in self.peer.member.docs.known.ledger.steps:
+            if step.index > self.told_steps:
+                told = {"at": time.clock_gettime_ns(time.CLOCK_BOOTTIME), "what": "step",
+                        **{"uid": step.uid, "work": step.work, "step": step.step, "index": step.index,
+                           "by": step.by, "why": step.why}}
+                self.out.write(orjson.dumps(told).decode() + "\n")
+        self.told_steps = max(self.told_steps, self.peer.member.applied)
+        self.out.flush()
+
     # --- operators ---
 
     def fleet(self) -> tuple[int, str]:
--- a/crankfold/trial/checker.py
+++ b/crankfold/trial/checker.py
@@ -6,8 +6,10 @@
 import json
 from bisect import bisect_right
 from dataclasses import dataclass, field
+from functools import partial
 from typing import Any
 
+from crankfold.trial.checks import WorksChecker
 from crankfold.trial.stand_ins import Seen
 
 MS = 1_000_000
@@ -29,6 +31,17 @@
     ended: int = 0
 
 
+@dataclass(slots=True)
+class Run:
+    """Work on a machine, as whoever did it saw it."""
+
+    uid: str
+    work: str
+    number: int
+    begin: int
+    end: int = 0
+
+
 @dataclass(slots=True)
 class Story:
     """All that is known of a trial once it is over."""
@@ -41,6 +54,11 @@
     killed: dict[str, list[tuple[int, int]]]  # when each process was dead
     ended_well: dict[str, str] = field(default_factory=dict)  # by process, why it was not
     faults_over: int = 0
+    zones: dict[str, str] = field(default_factory=dict)  # of runners
+    works: dict[str, dict[str, Any]] = field(default_factory=dict)  # as they were handed in
+    runs: list["Run"] = field(default_factory=list)
+    lost: dict[str, list[tuple[int, int]]] = field(default_factory=dict)  # when each runner was
+    ends: dict[str, str] = field(default_factory=dict)  # of works that are not done, what is said of them
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,7 +93,7 @@
                         before = self.first[doc].get(state)
                         if before is None or record["at"] < before[0]:
                             self.first[doc][state] = record["at"], name
-                else:
+                elif record["what"] != "step":
                     self.acts.append((record["at"], name, record))
         self.acts.sort(key=lambda act: act[0])
         self.longest, self.longest_told = 0, "no two differed"
@@ -84,7 +102,8 @@
         check = {"bound": self.bound, "heard-first": self.heard_first, "history": self.history,
                  "no-way-back": self.no_way_back, "publishes": self.publishes, "one-answer": self.one_answer,
                  "no-effect-twice": self.no_effect_twice, "out-means-out": self.out_means_out,
-                 "well-at-the-end": self.well_at_the_end}[promise]
+                 "well-at-the-end": self.well_at_the_end}.get(promise) or partial(
+                     WorksChecker(self.story).judge, promise)
         broken = check()
         return Verdict(promise, not broken, broken or self._said(promise))
 
@@ -97,7 +116,7 @@
         if promise == "one-answer":
             kinds = [told.split()[0] for *_, told in self.story.seen.answered]
             return ", ".join(f"{kinds.count(kind)} {kind}" for kind in sorted(set(kinds)))
-        return ""
+        return WorksChecker(self.story).said(promise)
 
     def _at(self, ns: int) -> str:
         begin = min((records[0]["at"] for records in self.story.records.values() if records), default=0)
@@ -151,7 +170,7 @@
         for name, records in self.story.records.items():
             most: dict[str, int] = {}
             for record in records:
-                if record["what"] == "rules":
+                if record["what"] in ("rules", "step"):
                     continue  # a process that starts reads its history before it may act
                 for doc in self.docs:
                     counts = _state(record, doc)[1]
--- a/crankfold/trial/plan.py
+++ b/crankfold/trial/plan.py
@@ -2,7 +2,7 @@
 
 import tomllib
 from pathlib import Path
-from typing import Annotated, Literal
+from typing import Annotated, Any, Literal
 
 import msgspec
 from msgspec import Meta, Struct, field
@@ -10,8 +10,10 @@
 Above = Annotated[float, Meta(gt=0)]
 Least = Annotated[float, Meta(ge=0)]
 PROMISES = ("bound", "heard-first", "history", "no-way-back", "publishes", "one-answer", "no-effect-twice",
-            "out-means-out", "well-at-the-end")
+            "out-means-out", "well-at-the-end", "free-means-free", "works-bounds", "commands", "works-end")
 AT_PROCESSES = ("kill", "pause", "disk", "drain", "replace")
+AT_LISTS = ("list-late", "list-down")
+AT_RUNNERS = ("lose", "succeed")
 
 
 class Unfit(Exception):
@@ -29,7 +31,7 @@
 
 class Fault(Struct, rename="kebab", forbid_unknown_fields=True):
     kind: Literal["loss", "delay", "double", "cut", "reset", "slow", "kill", "pause", "disk", "drain",
-                  "replace"]
+                  "replace", "list-late", "list-down", "lose", "succeed"]
     begin: Least
     end: Least
     at: str = "*"  # a process, "leader" or "*"; of a link the sender
@@ -41,6 +43,24 @@
     keep_folder: bool = True
 
 
+class Handed(Struct, rename="kebab", forbid_unknown_fields=True):
+    """A work that is handed in; what it says itself is checked by the program."""
+
+    name: str
+    work: dict[str, Any]
+    begin: Least = 1.0
+    lasts: Above = 0.5  # seconds that a machine is down for it
+    fails: Annotated[float, Meta(ge=0, le=1)] = 0.0  # share of the commands
+
+
+class Turn(Struct, rename="kebab", forbid_unknown_fields=True):
+    """An operator's word about a work under way."""
+
+    name: str
+    begin: Least
+    say: Literal["hold", "go", "stop"]
+
+
 class Plan(Struct, rename="kebab", forbid_unknown_fields=True):
     name: Annotated[str, Meta(pattern="^[a-z0-9-]+$")]
     seconds: Above
@@ -54,12 +74,23 @@
     load: Annotated[float, Meta(ge=0, le=2000)] = 60.0  # units a second at all processes together
     work_ms: Above = 40.0
     fails: Annotated[float, Meta(ge=0, le=1)] = 0.1  # share of the runs that a runner calls failed
+    long: Annotated[float, Meta(ge=0, le=1)] = 0.0  # share of the units that run for `long-ms`
+    long_ms: Above = 8000.0
+    zones: Annotated[int, Meta(ge=1, le=10)] = 1
+    warm_after: Least = 0.0
+    settle: Least = 15.0
     publish: Publish = field(default_factory=Publish)
     fault: list[Fault] = []
+    work: list[Handed] = []
+    turn: list[Turn] = []
 
     def names(self) -> list[str]:
         return [f"n{n}" for n in range(self.voters + self.followers)]
 
+    def machines(self) -> dict[str, str]:
+        """By id their zones."""
+        return {f"r{n}": f"z{n % self.zones}" for n in range(self.runners)}
+
 
 def read(path: Path) -> Plan:
     try:
@@ -73,10 +104,12 @@
     for promise in plan.promises:
         if promise not in PROMISES:
             raise Unfit(f"{path}: promises: found {promise!r}; there are {', '.join(PROMISES)}")
-    known = {"*", "leader", *plan.names()}
+    processes = {"*", "leader", *plan.names()}
+    machines = {*plan.machines(), *plan.machines().values()}
     for n, fault in enumerate(plan.fault):
+        known = machines if fault.kind in AT_RUNNERS else processes
         for what, name in (("at", fault.at), ("to", fault.to)):
-            if name not in known:
+            if name not in known and not (what == "to" and name == "*"):
                 raise Unfit(f"{path}: fault[{n}].{what}: found {name!r}; there are "
                             f"{', '.join(sorted(known))}")
         if fault.end < fault.begin or fault.end > plan.seconds:
--- a/crankfold/trial/run.py
+++ b/crankfold/trial/run.py
@@ -17,9 +17,10 @@
 import click
 
 from crankfold.trial.checker import Asked, Checker, Story, Verdict
-from crankfold.trial.plan import AT_PROCESSES, Fault, Plan, Unfit, read
+from crankfold.trial.plan import AT_LISTS, AT_PROCESSES, AT_RUNNERS, Fault, Plan, Unfit, read
 from crankfold.trial.relay import Link, Relay
-from crankfold.trial.stand_ins import HOST, Clients, Discovery, Runner, Seen, call, stamp
+from crankfold.trial.stand_ins import HOST, Clients, Discovery, Roll, Runner, Seen, call, stamp
+from crankfold.trial.yard import Yard
 
 READY_WITHIN, SETTLE_WITHIN, END_WITHIN = 20.0, 15.0, 8.0
 ALIVE_AGAIN = 1 << 62  # not yet
@@ -40,6 +41,7 @@
     def __init__(self, name: str, folder: Path, file: Path, port: int) -> None:
         self.name, self.folder, self.file, self.port = name, folder, file, port
         self.running: asyncio.subprocess.Process | None = None
+        self.turn = asyncio.Lock()  # one ends and starts it at a time
         self.records: dict[str, list[dict[str, Any]]] = {}  # those that were there side by side apart
         self.key = name
         self.tmp = folder.parent / f"{name}.tmp"
@@ -96,17 +98,20 @@
         self.publishes: list[Asked] = []
         self.tasks: list[asyncio.Task[None]] = []
         self.told: list[str] = []
+        self.lists: dict[str, Discovery] = {}
         self.out: set[str] = set()
 
     async def run(self) -> list[Verdict]:
         plan = self.plan
-        runners = [Runner(f"r{n}", self.seen, self.ports, plan.work_ms / 1000, plan.fails, self.seed)
-                   for n in range(plan.runners)]
-        self.uids = [runner.uid for runner in runners]
-        discovery = Discovery({runner.uid: await runner.open() for runner in runners})
-        found = await discovery.open()
+        self.uids = list(plan.machines())
+        self.roll = Roll()
+        self.yard = Yard(self)
+        for uid, zone in plan.machines().items():
+            self.yard.runners[uid] = runner = self.runner(uid)
+            self.roll.put(uid, await runner.open(), zone)
         for name in self.names:
-            await self._prepare(name, found)
+            self.lists[name] = Discovery(self.roll)
+            await self._prepare(name, await self.lists[name].open())
         try:
             await asyncio.gather(*(process.start() for process in self.processes.values()))
             await self._until_all_act(READY_WITHIN, "start")
@@ -115,24 +120,31 @@
                               self.seen)
             self.tasks += [asyncio.ensure_future(self._fault(fault)) for fault in plan.fault]
             self.tasks.append(asyncio.ensure_future(self._operators()))
+            self.tasks += self.yard.tasks()
             await clients.run(plan.seconds)
             await asyncio.sleep(max(self.began + plan.seconds - asyncio.get_running_loop().time(), 0))
             await asyncio.gather(*self.tasks)
             over = stamp()
+            ends = await self.yard.until_over(plan.settle) if plan.work else {}
             wells = await self._until_all_act(SETTLE_WITHIN, "")
             story = Story(int(plan.stated_time * 1e9), {}, self.seen, self.publishes, await self._histories(),
-                          {name: process.dead for name, process in self.processes.items()}, wells, over)
+                          {name: process.dead for name, process in self.processes.items()}, wells, over,
+                          plan.machines(), self.yard.works(), self.yard.runs, self.yard.lost, ends)
         finally:
             await self._end()
-            for runner in runners:
-                runner.close()
-            discovery.close()
+            for end in (*self.yard.runners.values(), *self.lists.values()):
+                end.close()
         story.records = {key: kept for process in self.processes.values()
                          for key, kept in process.records.items()}
         self._keep(story)
         checker = Checker(story)
         return [checker.judge(promise) for promise in plan.promises]
 
+    def runner(self, uid: str) -> Runner:
+        plan = self.plan
+        return Runner(uid, self.seen, self.ports, plan.work_ms / 1000, plan.fails, self.seed, plan.long,
+                      plan.long_ms / 1000)
+
     async def _prepare(self, name: str, discovery: int) -> None:
         folder = self.folder / name
         folder.mkdir(parents=True)
@@ -150,7 +162,10 @@
             "peers": {"name": name, "voters": voters, "folder": str(folder), "record": "-",
                       "stated-time": self.plan.stated_time, "when-cut-off": self.plan.when_cut_off},
             "settings": {"allowed": {"most-dispatches": 3, "cancel": True, "second-copies": True},
-                         "tick": 2000, "zones": ["here"], "balancers": len(self.names),
+                         "tick": 2000, "zones": sorted(set(self.plan.machines().values())),
+                         "balancers": len(self.names),
+                         "rules": {"cold-from": 0.5, "warm-after": int(self.plan.warm_after * 1_000_000),
+                                   "overload-factor": 3.0, "overload-for": 1_000_000},
                          "specifics": {"tells-start": False, "report-x0": "free slots"},
                          "report": {"names": ["queue", "x0"], "via": "inline"},
                          "service-grades": grades("safe")}}
@@ -212,8 +227,16 @@
         to = await self._leader() if fault.to == "leader" else fault.to
         self.told.append(f"{loop.time() - self.began:.2f} s: {fault.kind} at {at} to {to}, until {fault.end}")
         rest = max(self.began + fault.end - loop.time(), 0)
+        if fault.kind in AT_RUNNERS:
+            await self.yard.fault(fault, rest)
+            return
+        if fault.kind in AT_LISTS:
+            await self._list(fault, at, rest)
+            return
         if fault.kind in AT_PROCESSES:
-            await getattr(self, f"_{fault.kind}")(self.processes[at], fault, rest)
+            process = self.processes[at]
+            async with process.turn:
+                await getattr(self, f"_{fault.kind}")(process, fault, rest)
             return
         links = self._links(fault, at, to)
         what, much = {"loss": ("loss", fault.share), "cut": ("loss", 1.0), "double": ("double", fault.share),
@@ -232,6 +255,17 @@
         for link in links:
             setattr(link, what, 0.0)
 
+    async def _list(self, fault: Fault, at: str, rest: float) -> None:
+        lists = [one for name, one in self.lists.items() if at in ("*", name)]
+        for one in lists:
+            one.late, one.down = (fault.ms / 1000, False) if fault.kind == "list-late" else (0.0, True)
+            if one.down:
+                one.die()
+                await one.open()  # who calls is heard, and not answered
+        await asyncio.sleep(rest)
+        for one in lists:
+            one.late, one.down = 0.0, False
+
     async def _kill(self, process: Process, fault: Fault, rest: float) -> None:
         await process.kill()
         if not fault.keep_folder:
@@ -350,6 +384,7 @@
 
     def _keep(self, story: Story) -> None:
         (self.folder / "faults.txt").write_text("\n".join(self.told) + "\n")
+        (self.folder / "runs.txt").write_text("".join(f"{run}\n" for run in self.yard.runs))
         for name, records in story.records.items():
             (self.folder / f"{name}.records").write_text("".join(json.dumps(one) + "\n" for one in records))
 
--- a/crankfold/trial/stand_ins.py
+++ b/crankfold/trial/stand_ins.py
@@ -4,6 +4,7 @@
 import contextlib
 import json
 import os
+import re
 import time
 from dataclasses import dataclass, field
 from random import Random
@@ -38,17 +39,22 @@
 
     def __init__(self) -> None:
         self.server: asyncio.Server | None = None
+        self.port = 0  # the one that it has, if it was there before
+        self.writers: set[asyncio.StreamWriter] = set()
 
     async def open(self) -> int:
-        self.server = await asyncio.start_server(self._guarded, HOST, 0)
-        return int(self.server.sockets[0].getsockname()[1])
+        self.server = await asyncio.start_server(self._guarded, HOST, self.port)
+        self.port = int(self.server.sockets[0].getsockname()[1])
+        return self.port
 
     async def _guarded(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.writers.add(writer)
         try:
             await self._served(reader, writer)
         except (asyncio.IncompleteReadError, OSError, asyncio.CancelledError):
             pass  # the other side is done, or the trial
         finally:
+            self.writers.discard(writer)
             writer.close()
 
     async def _served(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -58,11 +64,18 @@
         if self.server:
             self.server.close()
 
+    def die(self) -> None:
+        """As a machine that is gone: nobody listens, and connections break."""
+        self.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+
 
 class Runner(StandIn):
     def __init__(self, uid: str, seen: Seen, doors: dict[str, int], work: float, fails: float,
-                 seed: int) -> None:
+                 seed: int, long: float = 0.0, long_for: float = 0.0) -> None:
         self.uid, self.seen, self.doors, self.work, self.fails = uid, seen, doors, work, fails
+        self.long, self.long_for = long, long_for  # share of the units that run so many seconds
         self.luck = Random(f"{seed} {uid}")
         self.slots = asyncio.Semaphore(4)
         self.busy = 0
@@ -86,7 +99,8 @@
     async def _run(self, ident: str) -> None:
         async with self.slots:
             self.busy += 1
-            await asyncio.sleep(self.work * self.luck.uniform(0.5, 1.5))
+            long = self.long and self.luck.random() < self.long
+            await asyncio.sleep(self.long_for if long else self.work * self.luck.uniform(0.5, 1.5))
             self.busy -= 1
         state = "failed" if self.luck.random() < self.fails else "done"
         body = json.dumps({"id": ident, "from": self.uid, "state": state, "result": ident,
@@ -103,6 +117,7 @@
         super().close()
         for task in self.tasks:
             task.cancel()
+        self.slots, self.busy = asyncio.Semaphore(4), 0
 
 
 async def call(port: int, target: str, body: bytes | None = None, heads: str = "") -> tuple[str, bytes]:
@@ -117,22 +132,53 @@
         writer.close()
 
 
+class Roll:
+    """The runners as they are listed, with the versions of the list."""
+
+    def __init__(self) -> None:
+        self.listed: dict[str, tuple[int, str, int]] = {}  # by id: port, zone, start in ms
+        self.versions: list[tuple[float, list[dict[str, object]]]] = [(0.0, [])]
+
+    def put(self, uid: str, port: int, zone: str = "here") -> None:
+        self.listed[uid] = port, zone, time.time_ns() // 1_000_000
+        self._turn()
+
+    def drop(self, uid: str) -> None:
+        self.listed.pop(uid, None)
+        self._turn()
+
+    def _turn(self) -> None:
+        targets: list[dict[str, object]] = [
+            {"uid": uid, "endpoint": f"{HOST}:{port}", "az": zone, "model": "m", "pod_group": 0,
+             "state": "in_service", "capacity_hint": 1.0, "boot_ms": start}
+            for uid, (port, zone, start) in self.listed.items()]
+        self.versions.append((time.monotonic(), targets))
+
+
 class Discovery(StandIn):
-    def __init__(self, runners: dict[str, int]) -> None:
-        self.runners = runners
+    """Tells one dispatcher of the list, late if it is to."""
+
+    def __init__(self, roll: Roll) -> None:
+        self.roll, self.late, self.down = roll, 0.0, False
         super().__init__()
 
+    def _newest(self) -> int:
+        known = time.monotonic() - self.late
+        return max(rev for rev, (at, _) in enumerate(self.roll.versions) if at <= known)
+
     async def _served(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         while True:
             head, _, _ = await read_message(reader)
-            if "after=" in head:
-                await asyncio.sleep(5)
-            targets = [{"uid": uid, "endpoint": f"{HOST}:{port}", "az": "here", "model": "m",
-                        "pod_group": 0, "state": "in_service", "capacity_hint": 1.0, "boot_ms": 0}
-                       for uid, port in self.runners.items()]
-            body = json.dumps({"rev": 1, "all": True, "targets": targets}).encode()
+            after, end = re.search(r"after=(\d+)", head), time.monotonic() + 3
+            while after and int(after[1]) == self._newest() and time.monotonic() < end:
+                await asyncio.sleep(0.03)
+            if self.down:
+                raise OSError("down")
+            rev = self._newest()
+            body = json.dumps({"rev": rev, "all": True, "targets": self.roll.versions[rev][1]}).encode()
             writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
 
+
 class Clients:
     """Open loop: units come when they come, whatever became of those before."""
 
--- a/crankfold/works/foreman.py
+++ b/crankfold/works/foreman.py
@@ -69,6 +69,7 @@
     def __init__(self, me: str) -> None:
         self.me = me
         self.known: dict[tuple[str, int], int] = {}  # by machine and its last step: since when it is known
+        self.ready: dict[str, tuple[int, int]] = {}  # by machine, the start that is listed, and since when
         self.proposed: dict[tuple[str, int, str], int] = {}
         self.went: tuple[int, int, int] = -1, -1, 0  # what outs were proposed for last, and when
         self.calm_at = 0
@@ -78,6 +79,7 @@
         """At every voter, whether it leads or not."""
         steps = {(uid, away.last) for uid, away in ledger.machines.items()}
         self.known = {step: self.known.get(step, now) for step in steps}
+        self.ready = {uid: seen for uid, seen in self.ready.items() if uid in ledger.machines}
 
     def look(self, view: View) -> Steps:
         """The steps to propose; none of them may be acted on before it is agreed."""
@@ -118,6 +120,7 @@
         given = view.works.get(away.work)
         stopping = "its work is over" if given is None or given.state == STOPPED else ""
         known_for = view.now - self.known[uid, away.last]
+        self._see_ready(view.now, uid, listed, uid in view.lost)
         if away.state in (OUT, FREE):
             brought = stopping or self._too_much(view)
             unbegun = away.state == OUT or not away.unwell and (given is None or given.way != BY_LIST)
@@ -148,6 +151,12 @@
             return self._wait(uid, away, why) if why else {"step": FREE, "why": f"unwell: {away.why}"}
         return None
 
+    def _see_ready(self, now: int, uid: str, listed: Machine | None, lost: bool) -> None:
+        if listed is None or not listed.up or lost:
+            self.ready.pop(uid, None)
+        elif self.ready.get(uid, (-1, 0))[0] != listed.since:
+            self.ready[uid] = listed.since, now
+
     def _wait(self, uid: str, away: Away, why: str) -> dict[str, Any] | None:
         self.waits[uid, away.work] = why
         return None
@@ -232,6 +241,8 @@
         answers, bad = view.answers.get(uid, (0, 0))
         if answers >= max(given.least_answers, 1) and answers - bad < given.well * answers:
             return {"step": UNWELL, "why": f"{bad} of {answers} answers were bad"}
+        # Lost and started anew while it is watched, it is cold again.
+        known_for = min(known_for, view.now - self.ready[uid][1])
         if known_for < watch:
             return self._wait(uid, away, f"watched and warming for {watch / SECOND:g} s")
         if answers < given.least_answers and known_for < UNSEEN * watch:
@@ -292,8 +303,10 @@
         steps: Steps = []
         for of, machines in (("runners", view.machines), ("dispatchers", view.dispatchers)):
             works = [self._begun(view, given.work(name)) for name, given in going.items() if given.of == of]
+            halted = [given.work(name) for name, given in view.works.items()
+                      if given.of == of and name not in going]
             if works:
-                steps += self._outs_of(view, works, machines, of)
+                steps += self._outs_of(view, works, halted, machines, of)
         if not steps:
             return steps
         changes, plan, at = self.went
@@ -302,7 +315,8 @@
         self.went = view.ledger.changes, view.plan, view.now
         return steps
 
-    def _outs_of(self, view: View, works: list[Work], machines: Sequence[Machine], of: str) -> Steps:
+    def _outs_of(self, view: View, works: list[Work], halted: list[Work], machines: Sequence[Machine],
+                 of: str) -> Steps:
         away = view.ledger.machines
         seen = [replace(m, up=m.up and m.uid not in view.lost and m.uid not in away) for m in machines]
         if of == "dispatchers":
@@ -310,7 +324,7 @@
         held = self._holds(view, seen, of)
         done = {(uid, name) for name, ended in view.ledger.done.items() for uid in ended}
         told = order(works, seen, [(uid, m.work) for uid, m in away.items() if uid.startswith("@")
-                                   == (of == "dispatchers")], done, self._wall(view), held)
+                                   == (of == "dispatchers")], done, self._wall(view), held, halted)
         for (uid, name), why in told.waits.items():
             if uid not in away:
                 self.waits[uid, name] = why
--- a/crankfold/works/order.py
+++ b/crankfold/works/order.py
@@ -129,15 +129,17 @@
 
 def order(works: Sequence[Work], machines: Sequence[Machine], out: Iterable[tuple[str, str]],
           done: Collection[tuple[str, str]], now: int,
-          more: Callable[[Machine, Collection[str]], str] = lambda machine, gone: "") -> Order:
+          more: Callable[[Machine, Collection[str]], str] = lambda machine, gone: "",
+          halted: Sequence[Work] = ()) -> Order:
     """`out`: machine and work of what is out by them; `done`: of what has been worked on and is back. `more`
-    tells what else holds a machine, with these out already.
+    tells what else holds a machine, with these out already. Works that are `halted` take no more machines,
+    but their bounds hold while theirs are out.
 
     Works take turns, the one with the least part of its machines done first, so that a small one does not
     wait for a large one. A machine that two want goes out for the first; the other finds it out and waits.
     """
     told = Order()
-    yard = _Yard(works, machines, dict(out))
+    yard = _Yard([*works, *halted], machines, dict(out))
     left = {work.name: [m for m in yard.wanted[work.name] if (m.uid, work.name) not in done
                         and m.uid not in yard.gone] for work in works}
     part = {work.name: 1.0 - len(left[work.name]) / max(len(yard.wanted[work.name]), 1) for work in works}
@@ -147,7 +149,7 @@
         share = {m.zone: yard.share(m.zone) for m in left[work.name]}
         for machine in sorted(left[work.name], key=lambda m: (m.uid == work.last, -share[m.zone], m.uid)):
             why = _held(work, machine, yard, under_way, left, now)
-            for other in works:  # another work's bounds hold for its machines, whoever takes them out
+            for other in (*works, *halted):  # another's bounds hold for its machines, whoever takes them out
                 if not why and other.name != work.name and other.name in under_way and other.wants(machine):
                     why = yard.bounds(other, machine)
                     why = why and f"{why} by {other.name}"
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -1,4 +1,4 @@
-"""What `crankfold settings` and `crankfold fleet` say and how they exit, against a door that is played."""
+"""What `crankfold settings`, `fleet` and `works` say and how they exit, against a door that is played."""
 
 import json
 import re
@@ -76,3 +76,36 @@
         self.answers.clear()
         self.run_it("fleet")
         self.close("commands")
+
+    def test_works(self) -> None:
+        work = 'name = "disks"\nat-once = 2\n'
+        text = {"works": {"disks": {"at-once": 2}}}
+        self.answers["/control/agreed/works"] = 200, {**SHOWN, "newest": 0, "versions": [], "well": True,
+                                                      "number": 1}
+        turns = [{"begin": 0.0, "end": 73.0, "machine": "m1", "zone": "z0", "why": ""},
+                 {"begin": 73.0, "end": 146.0, "machine": "m2", "zone": "z1", "why": "1 of 1 at once"}]
+        self.answers["/control/agreed/plan"] = 200, {"well": True, "turns": turns,
+                                                     "waits": {"m3": "1 of 1 in its zone"}}
+        self.run_it("works", "plan", "-", text=work)
+        self.run_it("works", "start", "-", text=work)
+        self.run_it("works", "start", "-", text="at-once = 2")
+        self.answers["/control/agreed/works"] = 200, {**SHOWN, "well": True, "number": 3, "versions": [
+            {**VERSIONS[1], "text": text}]}
+        for what, name in (("start", "-"), ("hold", "disks"), ("go", "racks")):
+            self.run_it("works", what, name, text=work)
+        away = {"work": "disks", "state": "free", "number": 12, "why": ""}
+        step = {"index": 9, "uid": "m1", "work": "disks", "step": "out", "by": "n0", "why": "", "at": 1000}
+        self.answers["/control/agreed/machines"] = 200, {
+            "works": {"disks": {"why": "new disks", "state": "go", "halted": "", "wanted": 4,
+                                "done": {"m0": "well"}, "left": ["m2", "m3"]}},
+            "machines": {"m1": away}, "steps": [step, {**step, "index": 12, "step": "free", "at": 3500}],
+            "waits": [{"machine": "m2", "work": "disks", "why": "1 of 1 at once"}], "leads": True,
+            "leader": "n0", "here": [], "well": True, "text": ""}
+        for line in ("list", "show disks", "show racks", "history m1", "history m7", "begin m1 --number 12",
+                     "done m1"):
+            self.run_it("works", *line.split())
+        self.answers["/control/agreed/machines"] = 409, {"well": False, "text": "m1: told under number 9"}
+        self.run_it("works", "done", "m1", "--number", "9")
+        self.answers["/control/agreed/machines"] = 504, {"well": False, "text": "no outcome yet"}
+        self.run_it("works", "back", "m1")
+        self.close("commands-works")
--- a/tests/test_trial.py
+++ b/tests/test_trial.py
@@ -10,7 +10,7 @@
 from pathlib import Path
 from typing import Any
 
-from crankfold.trial.checker import MS, Asked, Checker, Story
+from crankfold.trial.checker import MS, Asked, Checker, Run, Story
 from crankfold.trial.plan import PROMISES, Unfit, read
 from crankfold.trial.stand_ins import Seen
 from tests.scene import Kept
@@ -70,8 +70,15 @@
     asked = [Asked("call1", 90 * MS, "n0", "settings", text, "confirmed", 2),
              Asked("call2", 90 * MS, "n0", "runners-out", docs["runners-out"][2]["text"], "confirmed", 2),
              Asked("call3", 95 * MS, "n1", "settings", text, "refused")]
+    for n, (what, at) in enumerate((("out", 300), ("free", 700), ("work", 710), ("ended", 800), ("back", 820),
+                                    ("well", 950)), 10):
+        for name in records:
+            records[name].append({"at": (at + n) * MS, "what": "step", "uid": "r2", "work": "w", "step": what,
+                                  "index": n, "by": "n0", "why": ""})
+    works = {"w": {"work": {"at-once": 1, "a-zone": 1}}}
     return Story(2000 * MS, records, seen, asked, {"n0": docs, "n1": copy.deepcopy(docs)}, {},
-                 {"n0": "", "n1": ""})
+                 {"n0": "", "n1": ""}, 0, {"r0": "z0", "r1": "z1", "r2": "z0"}, works,
+                 [Run("r2", "w", 11, 725 * MS, 790 * MS)])
 
 
 def late_act(one: Story) -> None:
@@ -129,11 +136,38 @@
     one.ended_well["n1"] = "cut off"
 
 
+def reached_in_work(one: Story) -> None:
+    one.seen.received.append((750 * MS, "r2", "n1-2"))
+
+
+def two_out(one: Story) -> None:
+    for records in one.records.values():
+        records.append({**records[-1], "uid": "r1", "step": "out", "index": 12, "at": 750 * MS})
+
+
+def out_beside_a_loss(one: Story) -> None:
+    one.lost["r0"] = [(-3000 * MS, 2000 * MS)]
+
+
+def ran_again(one: Story) -> None:
+    one.runs.append(Run("r2", "w", 11, 800 * MS))
+
+
+def ran_early(one: Story) -> None:
+    one.runs[0].begin = 650 * MS
+
+
+def nobody_says_why(one: Story) -> None:
+    one.ends["w"] = "['r0'] are left and nobody says why"
+
+
 PLANTED: list[tuple[str, Callable[[Story], None]]] = [
     ("bound", late_act), ("heard-first", unheard), ("history", other_history), ("history", other_rules),
     ("no-way-back", back), ("publishes", lost_publish), ("publishes", refused_took),
     ("publishes", took_twice), ("one-answer", two_answers), ("one-answer", no_answer),
-    ("no-effect-twice", twice), ("out-means-out", reached), ("well-at-the-end", not_well)]
+    ("no-effect-twice", twice), ("out-means-out", reached), ("well-at-the-end", not_well),
+    ("free-means-free", reached_in_work), ("works-bounds", two_out), ("works-bounds", out_beside_a_loss),
+    ("commands", ran_again), ("commands", ran_early), ("works-end", nobody_says_why)]
 
 
 class Checked(Kept):
--- a/tests/test_works.py
+++ b/tests/test_works.py
@@ -2,8 +2,13 @@
 
 from dataclasses import replace
 from random import Random
+from typing import Any
 
+from crankfold.works.foreman import Foreman, View
+from crankfold.works.form import Given, fault
+from crankfold.works.ledger import Ledger
 from crankfold.works.order import Machine, Work, impossible, order
+from crankfold.works.plan import plan
 from tests.scene import Kept
 
 FLEET = [Machine(f"m{n:02}", f"z{n % 3}", f"k{n % 2}", f"c{n % 6}", 1.0 + n % 2, n) for n in range(12)]
@@ -71,3 +76,87 @@
                     lost.clear()
             self.assertEqual(len(done), len(FLEET) + 2, f"seed {seed}")
             self.assertLess(small, 250)
+
+
+class Forms(Kept):
+    def test_works_that_can_not_be_carried_out_are_turned_down_with_path_found_and_allowed(self) -> None:
+        fine: dict[str, object] = {"way": "hand", "stays": 0.5}
+        for works in ({"w": fine}, {"w": {**fine, "at-once": 0}}, {"w": {**fine, "speed": 1}},
+                      {"w w": fine}, {"w": {**fine, "way": "command"}}, {"w": {**fine, "after": ["v"]}},
+                      {"w": {**fine, "after": ["v"]}, "v": {**fine, "after": ["w"]}},
+                      {"w": {**fine, "stays": 1.0}}, {"w": {**fine, "machines": ["m99"]}}):
+            self.say(fault({"works": works}, {}, FLEET) or "fits")
+        # Handed in once, a work may be held though its machines are gone by now.
+        gone = {"works": {"w": {**fine, "machines": ["m99"]}}}
+        held = {"works": {"w": {**fine, "machines": ["m99"], "state": "hold", "called": 1}}}
+        self.say(fault(held, gone, FLEET) or "fits")
+        self.close("works-forms")
+
+    def test_the_order_shown_beforehand_with_times_and_reasons(self) -> None:
+        works = {"disks": Given(at_once=2, a_zone=1, stays=0.5, takes=60.0, watch=5.0,
+                                machines=["m00", "m03", "m01", "m99"]),
+                 "racks": Given(machines=["m01"], takes=30.0, watch=5.0, after=["disks"])}
+        for name in works:
+            told = plan(name, works, FLEET, {}, set(), 0, 3.0, 10.0)
+            for turn in told.turns:
+                times = f"{turn.begin:.0f} to {turn.end:.0f} s"
+                self.say(f"{name}: {times} {turn.uid} {turn.zone} {turn.why}".rstrip())
+            self.say(f"{name} never: {told.waits}")
+        self.close("works-plan")
+
+
+class Looks(Kept):
+    """A foreman at the leader, told what is known by hand."""
+
+    def look(self, view: View, foreman: Foreman) -> None:
+        at, steps = f"{view.now // 10_000} s:", foreman.look(view)
+        for step in steps:
+            self.say(f"{at} {step['step']} {step['uid'] or step['work']} {step['why']}".rstrip())
+        view.ledger.apply(view.now, {"steps": steps}, view.plan)
+        for (uid, work), why in sorted(foreman.waits.items())[:2]:
+            self.say(f"{at} {uid or work} waits: {why}")
+
+    def view(self, **more: Any) -> View:
+        given = Given(machines=["m00", "m01"], way="command", command=["x"], takes=5.0, watch=1.0, **more)
+        return View(0, 0, 1, {"w": given}, Ledger(), FLEET, executors={"n0": 1}, lives={"n0": 1})
+
+    def test_too_much_shedding_holds_a_work_and_brings_back_what_is_out(self) -> None:
+        view, foreman = self.view(at_once=2, carries=2.0), Foreman("n0")
+        view.in_hand, view.holders = 37, lambda uid, index: "3 units there"
+        self.look(view, foreman)  # what would stay carries not as much as is in hand
+        view.now, view.in_hand = 20_000, 20
+        self.look(view, foreman)
+        view.now, view.taken, view.shed = 40_000, 80, 20
+        self.look(view, foreman)
+        view.now, view.shed = 60_000, 0
+        self.look(view, foreman)
+        view.now = 120_000
+        self.look(view, foreman)
+        self.close("works-load")
+
+    def test_a_command_whose_dispatcher_died_and_a_machine_that_does_not_come_back(self) -> None:
+        for again in (True, False):
+            view, foreman = self.view(again=again, not_back="give-up"), Foreman("n0")
+            for second in range(4):
+                view.now = 10_000 * second
+                self.look(view, foreman)
+            view.lives = view.executors = {"n0": 2}
+            for second in range(4, 8):
+                view.now = 10_000 * second
+                self.look(view, foreman)
+        self.close("works-died")
+
+    def test_a_clock_that_is_set_back_undoes_nothing_and_a_stale_list_lets_nothing_out(self) -> None:
+        view, foreman = self.view(not_before=5000, at_once=1), Foreman("n0")
+        view.wall = 4000
+        self.look(view, foreman)
+        view.now, view.wall, view.stale = 10_000, 6000, "the list was not heard of for 20 s"
+        self.look(view, foreman)
+        view.now, view.stale = 20_000, ""
+        self.look(view, foreman)
+        view.now, view.wall = 30_000, 1000
+        self.look(view, foreman)
+        view.ledger.machines.clear()
+        view.now = 50_000
+        self.look(view, foreman)
+        self.close("works-clock")
