Works: only a new id takes a machine's place, what is out and unlisted counts, steps follow at once

Cause: r1, just restarted itself, was taken for the successor of r2 as its start was newer; r2 was called gone, dropped from the list while it was down, and no longer counted as out.

The rig keeps ports of stand-ins under those of connections, and lets a machine up once neither work nor a loss has it down (two trials had died by that).

--- a/crankfold/agreement/member.py
+++ b/crankfold/agreement/member.py
@@ -209,6 +209,7 @@
             self._count(now)
         self.heard_by_all = raft.heard
         if new:
+            self.steps_at = now  # what follows from it is looked for at once
             for name, ward in self.wards.items():
                 if ward.heard + self.timing.renew * 3 > now and not ward.left:
                     self._tell_news(now, name, ward, 0)
--- a/crankfold/emulator/rules.py
+++ b/crankfold/emulator/rules.py
@@ -1,6 +1,6 @@
 """The four rules, checked from what happens in the world and not from what a policy keeps."""
 
-from collections import defaultdict, deque
+from collections import Counter, defaultdict, deque
 from dataclasses import dataclass, field
 
 from crankfold.dispatch.interface import Effect, Group, Standing, StandingOrders
@@ -26,6 +26,7 @@
     def __init__(self, orders: StandingOrders, grace: int) -> None:
         self.orders, self.grace = orders, grace
         self.units: dict[tuple[int, int], Record] = {}
+        self.ended_as: Counter[str] = Counter()
         self.zone: dict[int, int] = {}
         self.cell: dict[int, int] = {}
         # By dispatcher and runner: when it was told that the runner drains or is gone.
@@ -77,6 +78,7 @@
 
     def answered(self, now: int, dispatcher: int, unit: int, how: str) -> None:
         record = self.units[dispatcher, unit]
+        self.ended_as[how] += 1
         if record.answered:
             self._break(now, 1, f"was answered again ({how})", record)
         elif now > record.cutoff:
--- a/crankfold/emulator/yard.py
+++ b/crankfold/emulator/yard.py
@@ -120,7 +120,7 @@
         assert isinstance(member, Voter)
         ledger = self.ledger()
         if not member.leads() or not member.holds(now):
-            self.foreman.notice(now, ledger)
+            self.foreman.notice(now, ledger, self.listed())
             return []
         told, holders = member.gathered(now)
         lives = {name: report.incarnation for name, report in member.reports.items()}
--- a/crankfold/service/works.py
+++ b/crankfold/service/works.py
@@ -193,7 +193,7 @@
             return []
         now = clock()
         if not member.leads() or not self.peer.holds():
-            self.foreman.notice(now, ledger)
+            self.foreman.notice(now, ledger, self.machines())
             self.foreman.waits = {}
             return []
         return self.foreman.look(self.view(member, now))
--- a/crankfold/trial/run.py
+++ b/crankfold/trial/run.py
@@ -7,7 +7,6 @@
 import resource
 import shutil
 import signal
-import socket
 import sys
 import tempfile
 from pathlib import Path
@@ -19,7 +18,7 @@
 from crankfold.trial.checker import Asked, Checker, Story, Verdict
 from crankfold.trial.plan import AT_LISTS, AT_PROCESSES, AT_RUNNERS, Fault, Plan, Unfit, read
 from crankfold.trial.relay import Link, Relay
-from crankfold.trial.stand_ins import HOST, Clients, Discovery, Roll, Runner, Seen, call, stamp
+from crankfold.trial.stand_ins import HOST, Clients, Discovery, Roll, Runner, Seen, call, free_port, stamp
 from crankfold.trial.yard import Yard
 
 READY_WITHIN, SETTLE_WITHIN, END_WITHIN = 20.0, 15.0, 8.0
@@ -389,17 +388,6 @@
             (self.folder / f"{name}.records").write_text("".join(json.dumps(one) + "\n" for one in records))
 
 
-PORTS = iter(range(20_001, 30_000))
-
-
-def free_port() -> int:
-    """Under those that connections are given: a call to a process not there yet could take its port."""
-    while True:
-        port = next(PORTS)
-        with contextlib.suppress(OSError), socket.create_server((HOST, port)):
-            return port
-
-
 def play(plan: Plan, seed: int, folder: Path) -> list[Verdict]:
     async def whole() -> list[Verdict]:
         return await Trial(plan, seed, folder).run()
--- a/crankfold/trial/stand_ins.py
+++ b/crankfold/trial/stand_ins.py
@@ -5,6 +5,7 @@
 import json
 import os
 import re
+import socket
 import time
 from dataclasses import dataclass, field
 from random import Random
@@ -34,8 +35,19 @@
     return lines[0], heads, await reader.readexactly(int(heads.get("content-length", 0)))
 
 
+PORTS = iter(range(20_001, 30_000))
+
+
+def free_port() -> int:
+    """Under those that connections are given: a call to a process not there yet could take its port."""
+    while True:
+        port = next(PORTS)
+        with contextlib.suppress(OSError), socket.create_server((HOST, port)):
+            return port
+
+
 class StandIn:
-    """Listens on a port that the system picks."""
+    """Listens on a port that it keeps, also where it dies and comes back."""
 
     def __init__(self) -> None:
         self.server: asyncio.Server | None = None
@@ -43,8 +55,8 @@
         self.writers: set[asyncio.StreamWriter] = set()
 
     async def open(self) -> int:
+        self.port = self.port or free_port()
         self.server = await asyncio.start_server(self._guarded, HOST, self.port)
-        self.port = int(self.server.sockets[0].getsockname()[1])
         return self.port
 
     async def _guarded(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
--- a/crankfold/trial/yard.py
+++ b/crankfold/trial/yard.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import sys
+from collections import Counter
 from collections.abc import Coroutine
 from random import Random
 from typing import TYPE_CHECKING, Any
@@ -44,6 +45,7 @@
         self.handed: set[str] = set()
         self.background: set[asyncio.Task[None]] = set()
         self.over = False
+        self.downs: Counter[str] = Counter()  # by machine, how many have it down
 
     def works(self) -> dict[str, dict[str, Any]]:
         return {handed.name: {"work": handed.work} for handed in self.plan.work}
@@ -161,10 +163,16 @@
             await self.trial._drain(process, Fault("drain", 0, 0), seconds)
 
     def _down(self, uid: str) -> None:
-        self.runners[uid].die()
-        self.trial.roll.drop(uid)
+        self.downs[uid] += 1
+        if self.downs[uid] == 1:
+            self.runners[uid].die()
+            self.trial.roll.drop(uid)
 
     async def _up(self, uid: str) -> None:
+        """Once nobody has it down any more: a loss may come in the middle of work."""
+        self.downs[uid] -= 1
+        if self.downs[uid]:
+            return
         port = await self.runners[uid].open()
         self.trial.roll.put(uid, port, self.plan.machines().get(uid, "here"))
 
--- a/crankfold/works/foreman.py
+++ b/crankfold/works/foreman.py
@@ -70,20 +70,28 @@
         self.me = me
         self.known: dict[tuple[str, int], int] = {}  # by machine and its last step: since when it is known
         self.ready: dict[str, tuple[int, int]] = {}  # by machine, the start that is listed, and since when
+        self.born = -1  # when it was told of anything first
+        self.listed_since: dict[str, int] = {}  # by machine, since when any list had it
+        self.out_since: dict[tuple[str, int], int] = {}  # by machine and the step by which it is out
         self.proposed: dict[tuple[str, int, str], int] = {}
         self.went: tuple[int, int, int] = -1, -1, 0  # what outs were proposed for last, and when
         self.calm_at = 0
         self.waits: dict[tuple[str, str], str] = {}  # by machine and work, or "" and work
 
-    def notice(self, now: int, ledger: Ledger) -> None:
+    def notice(self, now: int, ledger: Ledger, machines: Sequence[Machine]) -> None:
         """At every voter, whether it leads or not."""
+        self.born = now if self.born < 0 else self.born
+        for machine in machines:
+            self.listed_since.setdefault(machine.uid, now)
+        self.out_since = {(uid, away.out): self.out_since.get((uid, away.out), now)
+                          for uid, away in ledger.machines.items()}
         steps = {(uid, away.last) for uid, away in ledger.machines.items()}
         self.known = {step: self.known.get(step, now) for step in steps}
         self.ready = {uid: seen for uid, seen in self.ready.items() if uid in ledger.machines}
 
     def look(self, view: View) -> Steps:
         """The steps to propose; none of them may be acted on before it is agreed."""
-        self.notice(view.now, view.ledger)
+        self.notice(view.now, view.ledger, view.machines)
         self.waits = {}
         view.works = {name: structs.replace(given, state=STOPPED) if name in view.ledger.halted else given
                       for name, given in view.works.items()}
@@ -206,9 +214,12 @@
 
     def _successor(self, view: View, uid: str, away: Away) -> str:
         """One that came up in the place of a machine that is listed no longer, and of no other's."""
+        out_since = self.out_since[uid, away.out]
+        if out_since == self.born:
+            return ""  # who was listed before it went out is not known here: an operator has to say
         took = {step.why.partition(" ")[0] for step in view.ledger.steps if step.step == GONE}
         return next((m.uid for m in sorted(view.machines, key=lambda m: m.uid)
-                     if m.up and m.since > away.newest and m.uid not in took
+                     if m.up and self.listed_since[m.uid] > out_since and m.uid not in took
                      and m.uid not in view.ledger.machines), "")
 
     def _shared(self, view: View, uid: str, away: Away, listed: Machine | None) -> dict[str, Any] | None:
@@ -318,6 +329,11 @@
     def _outs_of(self, view: View, works: list[Work], halted: list[Work], machines: Sequence[Machine],
                  of: str) -> Steps:
         away = view.ledger.machines
+        # One that is out may be listed no longer: it counts all the same.
+        there = {m.uid for m in machines}
+        machines = [*machines, *(Machine(uid, *gone.place, since=gone.start, up=False, listed=False)
+                                 for uid, gone in sorted(away.items())
+                                 if uid not in there and uid.startswith("@") == (of == "dispatchers"))]
         seen = [replace(m, up=m.up and m.uid not in view.lost and m.uid not in away) for m in machines]
         if of == "dispatchers":
             works = [replace(work, last=f"@{self.me}") for work in works]
@@ -328,11 +344,11 @@
         for (uid, name), why in told.waits.items():
             if uid not in away:
                 self.waits[uid, name] = why
-        start = {m.uid: m.since for m in machines}
-        newest = max(start.values(), default=0)
+        known_as = {m.uid: m for m in machines}
         known = {"step": OUT, "by": self.me, "made_from": view.ledger.changes, "plan": view.plan, "why": ""}
-        return [{"uid": uid, "work": name, "start": start[uid], "newest": newest, **known}
-                for uid, name in told.go]
+        return [{**known, "uid": uid, "work": name, "start": m.since,
+                 "place": (m.zone, m.kind, m.cell, m.size)}
+                for uid, name in told.go for m in [known_as[uid]]]
 
     def _holds(self, view: View, machines: Sequence[Machine],
                of: str) -> Callable[[Machine, Collection[str]], str]:
--- a/crankfold/works/ledger.py
+++ b/crankfold/works/ledger.py
@@ -48,7 +48,7 @@
     worked: bool = False  # what was to be done has been done
     also: list[str] = field(default_factory=list)  # earlier works done while it is out
     start: int = 0  # as listed when it went out
-    newest: int = 0  # start of the newest machine that was listed then
+    place: tuple[str, str, str, float] = ("", "", "", 1.0)  # zone, kind, cell and size, as listed then
     unwell: bool = False  # found so after it was back: the next step is an operator's
     why: str = ""
 
@@ -105,7 +105,7 @@
             return
         if what == OUT:
             self.machines[uid] = Machine(step["work"], OUT, index, index, start=step.get("start", 0),
-                                         newest=step.get("newest", 0))
+                                         place=tuple(step.get("place", ("", "", "", 1.0))))
             if step["work"] not in self.begun:
                 self.begun.append(step["work"])
         machine = self.machines[uid]
--- a/tests/test_yard.py
+++ b/tests/test_yard.py
@@ -10,7 +10,7 @@
 from tests.scene import Kept
 
 CAUGHT_AT = {"free told before the last has answered": 0, "silence taken for consent": 0,
-             "a bound checked before the agreement": 1, "a step taken twice after a change of leader": 2,
+             "a bound checked before the agreement": 3, "a step taken twice after a change of leader": 2,
              "cold taken for warm": 0}
 
 
