Trials: leaders killed at steps of a machine; a zone for dispatchers, of which one stays

Need: a leader's death was drawn by time, and only chance put it between out and free, free and begin, in work, and after its end.

--- a/crankfold/agreement/words.py
+++ b/crankfold/agreement/words.py
@@ -76,6 +76,7 @@
     answers: dict[str, tuple[int, int]] = field(default_factory=dict)  # of machines that are back: all, bad
     lost: list[str] = field(default_factory=list)  # machines that his list does not call ready
     idle: list[str] = field(default_factory=list)  # dispatchers that were told to leave, and have
+    zones: dict[str, str] = field(default_factory=dict)  # of dispatchers that were given one
     in_hand: int = 0
     taken: int = 0  # lately
     shed: int = 0
@@ -93,6 +94,7 @@
             self.answers[uid] = before[0] + all_of, before[1] + bad
         self.lost = sorted({*self.lost, *other.lost})
         self.idle = sorted({*self.idle, *other.idle})
+        self.zones |= other.zones
         self.in_hand, self.taken, self.shed = (
             self.in_hand + other.in_hand, self.taken + other.taken, self.shed + other.shed)
 
--- a/crankfold/peers/peer.py
+++ b/crankfold/peers/peer.py
@@ -31,6 +31,7 @@
     name: str
     voters: dict[str, str]
     address: str = ""
+    zone: str = ""  # where it stands, for works on dispatchers
     folder: str = ""
     stated_time: float = 2.0
     when_cut_off: Literal["shed", "go-on"] = "shed"
--- a/crankfold/service/works.py
+++ b/crankfold/service/works.py
@@ -74,6 +74,7 @@
         self.running: dict[tuple[str, int], asyncio.Task[None]] = {}
         self.processes: dict[tuple[str, int], asyncio.subprocess.Process] = {}
         self.left = False  # service, for a work on dispatchers
+        self.zones: dict[str, str] = {}  # of dispatchers, as they told last
         self.here: set[str] = set()  # machines that are back at this dispatcher alone, by hand
         desk.left_running, desk.dispatch_ended, desk.ended_after_all = (
             self._left_running, self._ended, self._ended_after_all)
@@ -156,6 +157,8 @@
         told.unsure = {uid: [*self.unsure[uid]][-5:] for uid in out if self.unsure.get(uid)}
         told.answers = {uid: (seen[0], seen[1]) for uid, seen in self.answers.items()}
         told.lost = [m.uid for m in self.machines() if not m.up and m.uid not in out]
+        if self.peer.given.zone:
+            told.zones = {self.peer.member.me: self.peer.given.zone}
         if self.left and not self.desk.open_units():
             told.idle = [self.peer.member.me]
         now, counts = time.monotonic(), self.tally.counts
@@ -201,6 +204,7 @@
     def view(self, member: Voter, now: int) -> View:
         told, of_runners = member.gathered(now)
         ledger, dispatchers = self.ledger, self.dispatchers(member, now)
+        self.zones |= told.zones
 
         def holders(uid: str, index: int) -> str:
             if uid.startswith("@"):
@@ -237,9 +241,11 @@
             before = seen.get(f"@{name}")
             if before is None or caught_up and not before.up:
                 kind = "voter" if name in member.raft.voters else "follower"
-                seen[f"@{name}"] = Machine(f"@{name}", "", kind, "", 1.0, life, caught_up)
+                zone = self.zones.get(name, "")
+                seen[f"@{name}"] = Machine(f"@{name}", zone, kind, "", 1.0, life, caught_up)
         for name in member.raft.voters:
-            seen.setdefault(f"@{name}", Machine(f"@{name}", "", "voter", "", 1.0, 0, False))
+            zone = self.zones.get(name, "")
+            seen.setdefault(f"@{name}", Machine(f"@{name}", zone, "voter", "", 1.0, 0, False))
         return list(seen.values())
 
     # --- commands ---
--- a/crankfold/trial/plan.py
+++ b/crankfold/trial/plan.py
@@ -41,6 +41,7 @@
     ms: Least = 0.0
     bytes_a_second: Above = 10_000.0
     keep_folder: bool = True
+    on_step: str = ""  # not at `begin`, but when a machine's next such step after it is told anywhere
 
 
 class Handed(Struct, rename="kebab", forbid_unknown_fields=True):
--- a/crankfold/trial/run.py
+++ b/crankfold/trial/run.py
@@ -14,6 +14,7 @@
 from typing import Any
 
 import click
+from msgspec import structs
 
 from crankfold.trial.checker import Asked, Checker, Story, Verdict
 from crankfold.trial.plan import AT_LISTS, AT_PROCESSES, AT_RUNNERS, Fault, Plan, Unfit, read
@@ -222,6 +223,8 @@
     async def _fault(self, fault: Fault) -> None:
         loop = asyncio.get_running_loop()
         await asyncio.sleep(max(self.began + fault.begin - loop.time(), 0))
+        if fault.on_step:
+            fault = await self._on_step(fault)
         at = await self._leader() if fault.at == "leader" else fault.at
         to = await self._leader() if fault.to == "leader" else fault.to
         self.told.append(f"{loop.time() - self.began:.2f} s: {fault.kind} at {at} to {to}, until {fault.end}")
@@ -254,6 +257,18 @@
         for link in links:
             setattr(link, what, 0.0)
 
+    async def _on_step(self, fault: Fault) -> Fault:
+        """The fault as it is to be from the moment when such a step is told; not at all if there is none."""
+        loop, begin = asyncio.get_running_loop(), stamp()
+        while not any(record["what"] == "step" and record["step"] == fault.on_step and record["at"] > begin
+                      for process in self.processes.values() for kept in process.records.values()
+                      for record in kept[-50:]):
+            if loop.time() > self.began + self.plan.seconds:
+                raise Unfit(f"no step {fault.on_step} came after {fault.begin} s")
+            await asyncio.sleep(0.005)
+        now = loop.time() - self.began
+        return structs.replace(fault, begin=now, end=now + fault.end - fault.begin)
+
     async def _list(self, fault: Fault, at: str, rest: float) -> None:
         lists = [one for name, one in self.lists.items() if at in ("*", name)]
         for one in lists:
