--- a/benchmarks/agreement.py
+++ b/benchmarks/agreement.py
@@ -54,12 +54,15 @@
 class Quiet(Trial):
     """The processes of a trial, without load, faults and operators of its own."""
 
+    many = 1  # runners
+
     async def play(self, what: Callable[["Quiet"], Any]) -> Any:
         from crankfold.trial.stand_ins import Discovery, Roll, Runner
 
-        runners = [Runner("r0", self.seen, self.ports, 0.005, 0.0, 1)]
+        runners = [Runner(f"r{n}", self.seen, self.ports, 0.005, 0.0, 1) for n in range(self.many)]
         roll = Roll()
-        roll.put("r0", await runners[0].open())
+        for runner in runners:
+            roll.put(runner.uid, await runner.open())
         discovery = Discovery(roll)
         found = await discovery.open()
         self.uids = ["r0"]
@@ -229,6 +232,11 @@
         assert running
         await load(trial.ports["n0"], 0.5)
         n, over = 0, asyncio.Event()
+        if trial.working:
+            work = {"way": "command", "command": ["true"], "watch": 0.2, "least-answers": 0, "stays": 0.0}
+            body = {"call": "w", "made-from": 0, "text": {"works": {"w": work}}, "reason": "measured"}
+            status, _ = await trial._asks("n1", "agreed/works", json.dumps(body).encode())
+            assert status == 200
 
         async def publishes() -> None:
             nonlocal n
@@ -247,7 +255,8 @@
         return len(spans) / 4.0, spans[len(spans) * 99 // 100], used / len(spans) * 1e6, memory
 
     class Served(Quiet):
-        publishing, peers_on = False, True
+        publishing, peers_on, working = False, True, False
+        many = 4
 
         async def _prepare(self, name: str, discovery: int) -> None:
             await super()._prepare(name, discovery)
@@ -263,14 +272,16 @@
             await asyncio.sleep(1.5)
             return {}
 
+    hows = ("off", "on", "a publish each second", "a work going on")
     for turn in range(5):
-        for how in ("off", "on", "a publish each second"):
+        for how in hows:
             plan = Plan("measured", 1.0, ["bound"], voters=3, followers=0, load=0.0)
             with tempfile.TemporaryDirectory() as folder:
                 trial = Served(plan, turn + 1, Path(folder))
                 trial.peers_on, trial.publishing = how != "off", how == "a publish each second"
+                trial.working = how == "a work going on"
                 rows.append((turn, how, *asyncio.run(trial.play(measured))))
-    for how in ("off", "on", "a publish each second"):
+    for how in hows:
         mine = [row for row in rows if row[1] == how]
         offs = [row for row in rows if row[1] == "off"]
         pairs = [(row[2] / off[2], row[4] / off[4]) for row, off in zip(mine, offs, strict=True)]
@@ -283,6 +294,34 @@
           [(*row[:2], *(f"{v:.2f}" for v in row[2:])) for row in rows])
 
 
+def works() -> None:
+    """What each machine costs that is taken out, worked on and brought back, in messages."""
+    from crankfold.emulator.yard import Yard, YardCase
+
+    work = {"w": {"way": "list", "at-once": 3, "stays": 0.0, "watch": 1.0,
+                  "least-answers": 0}}
+    rows = []
+    for size in (3, 50, 200):
+        sent: list[dict[str, list[int]]] = []
+        for given in (work, {}):
+            case = Case(followers=size - 3, seconds=40.0, publish_every=1000.0, load=True)
+            yard = Yard(YardCase(case, given, rate=0.1)).run()
+            assert not yard.broken, yard.broken
+            sent.append(yard.messages)
+            if given:
+                done = sum(len(ended) for ended in next(iter(
+                    yard.processes.values())).member.docs.known.ledger.done.values())
+                assert done == 9, done
+        for who, names in (("all", list(sent[0])), ("a follower", ["f0"])):
+            more = [sum(sent[0][name][n] - sent[1][name][n] for name in names if name in sent[0]) / 9
+                    for n in (0, 1)]
+            if who == "all" or size > 3:
+                rows.append((size, who, f"{more[0]:.1f}", f"{more[1]:.0f}"))
+                say(f"works, emulated, {size} dispatchers: {who} sends {more[0]:.1f} messages and "
+                    f"{more[1]:.0f} bytes more for each machine")
+    table("works", ["dispatchers", "who", "messages", "bytes"], rows)
+
+
 def recovery() -> None:
     rows = []
     text = grades("safe")
@@ -347,10 +386,10 @@
     c.set_xlabel("dispatchers")
     c.set_ylabel("messages sent a second (emulated)")
     c.legend()
-    hows = ("off", "on", "a publish each second")
+    hows = ("off", "on", "a publish each second", "a work going on")
     served = rows("serve")
     d.boxplot([[float(row["units_a_second"]) for row in served if row["peers"] == how] for how in hows])
-    d.set_xticklabels(["peers off", "on", "a publish each second"], fontsize=8)
+    d.set_xticklabels(["peers off", "on", "a publish a second", "a work"], fontsize=8)
     d.set_ylabel("units a second at one dispatcher")
     figure.tight_layout()
     figure.savefig(HERE / "agreement.svg", metadata={"Date": None})
@@ -358,7 +397,7 @@
 
 if __name__ == "__main__":
     signal.signal(signal.SIGTERM, signal.default_int_handler)
-    parts = sys.argv[1:] or ["publish", "leaderless", "traffic", "serve", "recovery", "chart"]
+    parts = sys.argv[1:] or ["publish", "leaderless", "traffic", "serve", "works", "recovery", "chart"]
     for part in parts:
         globals()[part]()
     kept = HERE / "agreement.txt"
--- a/tests/test_yard.py
+++ b/tests/test_yard.py
@@ -1,10 +1,15 @@
 """Works on machines in simulated time: seeded troubles, planted faults, a hundred machines under twenty."""
 
 import re
+import unittest
+from types import SimpleNamespace
 from typing import Any
 
+from crankfold.agreement.documents import Document
 from crankfold.emulator.accord import Case, Trouble
 from crankfold.emulator.yard import Yard, YardCase, drawn
+from crankfold.network.tally import Tally
+from crankfold.service.works import Works
 from crankfold.works.ledger import Ledger
 from tests.planted_works import ALL, PLANTED, cut_off
 from tests.scene import Kept
@@ -89,3 +94,28 @@
         self.take("a", "well")
         self.say(f"{self.ledger.done} {self.ledger.unwell}")
         self.close("works-steps")
+
+
+class CutOff(Kept, unittest.IsolatedAsyncioTestCase):
+    """A machine brought back by hand at a dispatcher that the others can't be reached from."""
+
+    async def test_here_is_for_who_is_cut_off_and_ends_when_the_fleet_is_heard(self) -> None:
+        ledger, heard, laid = Ledger(), [True], list[set[str]]()
+        step = {"uid": "a", "work": "w", "step": "out", "by": "n0", "why": "", "plan": 0, "made_from": 0}
+        ledger.apply(5, {"steps": [step]}, 0)
+        docs = SimpleNamespace(known=SimpleNamespace(ledger=ledger), doc=lambda name: Document())
+        member = SimpleNamespace(me="n1", docs=docs, incarnation=1)
+        peer = SimpleNamespace(member=member, holds=lambda: heard[0], given=SimpleNamespace(zone=""))
+        fleet = SimpleNamespace(numbers=SimpleNamespace(names=[]), said=[])
+        desk = SimpleNamespace(fleet=fleet, ledger=SimpleNamespace(units={}))
+        works = Works(desk, None, peer, Tally(), lambda: 0, lambda: laid.append(works.out()))  # type: ignore[arg-type]
+        body = b'{"call": "c", "machine": "%s", "step": "here"}'
+        self.assertEqual((await works.call(body % b"a"))[0], False)  # heard: it is a step of all
+        heard[0] = False
+        self.assertEqual((await works.call(body % b"b"))[0], False)  # not out
+        self.assertEqual((await works.call(body % b"a"))[0], True)
+        self.assertEqual(laid, [set()])
+        self.assertEqual(works.show()["here"], ["a"])
+        heard[0] = True
+        works.tell()
+        self.assertEqual(laid, [set(), {"a"}])
