--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -265,7 +265,8 @@
 class Off(Traces):
     def test_nothing_of_it_is_imported_without_peers(self) -> None:
         script = ("import crankfold.cli, sys; print([m for m in sys.modules if m.split('.')[-1] == 'agreed' "
-                  "or m.startswith(('crankfold.peers', 'crankfold.agreement', 'crankfold.trial'))])")
+                  "or m.startswith(('crankfold.peers', 'crankfold.agreement', 'crankfold.works', "
+                  "'crankfold.trial'))])")
         done = subprocess.run([sys.executable, "-c", script], capture_output=True, text=True, check=True,
                               cwd=Path(__file__).parents[1])
         self.assertEqual(done.stdout.strip(), "[]")
