--- a/benchmarks/schedules.py
+++ b/benchmarks/schedules.py
@@ -29,7 +29,8 @@
     newest = max((p.member for p in yard.processes.values() if p.member), key=lambda m: m.applied)
     ledger = newest.docs.known.ledger
     done = sum(map(len, ledger.done.values()))
-    return kind, seed, yard.longest // 10, "; ".join(yard.broken), done, sum(yard.waits), str(len(ledger.steps))
+    broken, steps = "; ".join(yard.broken), str(len(ledger.steps))
+    return kind, seed, yard.longest // 10, broken, done, sum(yard.waits), steps
 
 
 @click.command()
@@ -37,7 +38,7 @@
 @click.option("--works", default=1000, show_default=True)
 @click.option("--first", default=0, show_default=True)
 @click.option("--workers", default=6, show_default=True)
-@click.option("--within", default=3600.0, show_default=True, help="Seconds, then what is not begun is left out.")
+@click.option("--within", default=3600.0, show_default=True, help="Seconds; what is not begun is left out.")
 def main(agreement: int, works: int, first: int, workers: int, within: float) -> None:
     jobs = [(kind, first + n) for n in range(max(agreement, works))
             for kind, count in (("agreement", agreement), ("works", works)) if n < count]
@@ -57,8 +58,8 @@
         broken = [row for row in mine if row[3]]
         lines.append(f"{kind}: {len(mine)} schedules, {len(broken)} broken, longest contradiction "
                      f"{max((row[2] for row in mine), default=0)} ms of 2000"
-                     + (f"; {sum(row[4] for row in mine)} machines done, {sum(row[5] for row in mine)} left with "
-                        f"the reason told" if kind == "works" else ""))
+                     + (f"; {sum(row[4] for row in mine)} machines done, {sum(row[5] for row in mine)} left "
+                        f"with the reason told" if kind == "works" else ""))
         lines += [f"  seed {row[1]}: {row[3]}" for row in broken[:10]]
     (HERE / "schedules.txt").write_text("\n".join(lines) + "\n")
     click.echo("\n".join(lines))
