--- a/tests/test_works.py
+++ b/tests/test_works.py
@@ -4,6 +4,8 @@
 from random import Random
 from typing import Any
 
+from msgspec import structs
+
 from crankfold.works.foreman import Foreman, View
 from crankfold.works.form import Given, fault
 from crankfold.works.ledger import Ledger
@@ -160,3 +162,29 @@
         view.now = 50_000
         self.look(view, foreman)
         self.close("works-clock")
+
+    def test_a_work_that_is_stopped_halfway_brings_back_what_is_not_begun_and_finishes_the_rest(self) -> None:
+        view, foreman = self.view(at_once=2), Foreman("n0")
+        held = {"m01"}
+        view.holders = lambda uid, index: "1 units there" if uid in held else ""
+        for second in range(3):
+            view.now = 10_000 * second
+            self.look(view, foreman)
+        view.works = {"w": structs.replace(view.works["w"], state="stop")}
+        for second in range(3, 6):
+            view.now = 10_000 * second
+            self.look(view, foreman)
+        ended = {"uid": "m00", "work": "w", "step": "ended", "by": "n0", "why": "exit 0"}
+        view.ledger.apply(55_000, {"steps": [ended]}, 1)
+        for second in range(6, 12):
+            view.now = 10_000 * second
+            self.look(view, foreman)
+        self.say(f"{view.ledger.done} {view.ledger.machines}")
+        self.close("works-stopped")
+
+    def test_repeats_of_tagged_units_keep_a_machine_in_their_group(self) -> None:
+        view, foreman = self.view(at_once=2, stays=0.0), Foreman("n0")
+        view.works = {"w": structs.replace(view.works["w"], machines=["m00", "m06"])}  # a cell of two
+        view.keep_in = ["cell"]
+        self.look(view, foreman)
+        self.close("works-group")
