--- a/benchmarks/turns.py
+++ b/benchmarks/turns.py
@@ -1,8 +1,8 @@
 """What it costs to take a whole fleet through a work, by the order of its machines. Emulated, paired seeds.
 
-    python -m benchmarks.turns --workers 6
+    python -m benchmarks.turns --runners 30 --workers 6
 
-Writes benchmarks/turns.csv, .txt and .svg.
+Writes benchmarks/turns-30.csv, .txt and .svg.
 """
 
 import csv
@@ -26,8 +26,8 @@
 Job = tuple[int, int, int, float, str, str, int]
 
 
-def jobs(seeds: int) -> list[Job]:
-    return [(*size, faults, order, seed) for size in SIZES for faults in ("calm", "losses")
+def jobs(seeds: int, sizes: list[tuple[int, int, int, float]]) -> list[Job]:
+    return [(*size, faults, order, seed) for size in sizes for faults in ("calm", "losses")
             for seed in range(1, seeds + 1) for order in ORDERS]
 
 
@@ -42,20 +42,22 @@
 @click.command()
 @click.option("--seeds", default=10, show_default=True)
 @click.option("--workers", default=6, show_default=True)
-def main(seeds: int, workers: int) -> None:
+@click.option("--runners", type=click.Choice(["30", "100", "300"]), required=True)
+def main(seeds: int, workers: int, runners: str) -> None:
+    sizes, name = [size for size in SIZES if size[0] == int(runners)], f"turns-{runners}"
     rows: dict[Job, Through] = {}
     with ProcessPoolExecutor(workers) as pool:
-        for job, told in pool.map(one, jobs(seeds)):
+        for job, told in pool.map(one, jobs(seeds, sizes)):
             rows[job] = told
-    with (HERE / "turns.csv").open("w", newline="") as out:
+    with (HERE / f"{name}.csv").open("w", newline="") as out:
         table = csv.writer(out, lineterminator="\n")
         table.writerow(["runners", "dispatchers", "load", "faults", "order", "seed", "units", "in_time",
                         "done", "seconds", "rules_broken"])
-        for (runners, dispatchers, _, load, faults, order, seed), told in rows.items():
-            table.writerow([runners, dispatchers, load, faults, order, seed, told.units,
+        for (machines, dispatchers, _, load, faults, order, seed), told in rows.items():
+            table.writerow([machines, dispatchers, load, faults, order, seed, told.units,
                             f"{told.in_time:.6f}", f"{told.done:.4f}", f"{told.took:.1f}", told.broken])
     lines, charted = [], []
-    for size in SIZES:
+    for size in sizes:
         for faults in ("calm", "losses"):
             idle = sum(rows[(*size, faults, NOTHING, s)].in_time for s in range(1, seeds + 1)) / seeds
             lines.append(f"{size[0]} runners, {size[1]} dispatchers, load {size[3]}, {faults}; share in time "
@@ -78,24 +80,24 @@
                 lines.append(text)
                 charted.append((f"{size[0]}/{size[1]} {size[3]} {faults}", order, seconds, mean))
     lines.append(f"rules broken: {sum(told.broken for told in rows.values())}")
-    (HERE / "turns.txt").write_text("\n".join(lines) + "\n")
+    (HERE / f"{name}.txt").write_text("\n".join(lines) + "\n")
     click.echo("\n".join(lines))
     import matplotlib
     from matplotlib import pyplot
 
     matplotlib.rcParams["svg.hashsalt"] = "turns"
     cases = list(dict.fromkeys(case for case, *_ in charted))
-    figure, axes = pyplot.subplots(2, (len(cases) + 1) // 2, figsize=(14, 7))
+    figure, axes = pyplot.subplots(1, len(cases), figsize=(4 * len(cases), 4))
     for place, case in zip(axes.flat, cases, strict=False):
-        for name, order, seconds, mean in charted:
-            if name == case:
+        for played_as, order, seconds, mean in charted:
+            if played_as == case:
                 place.scatter(seconds, mean, label=order)
         place.set_title(case, fontsize=9)
         place.set_xlabel("seconds to get through")
         place.set_ylabel("units late a machine")
     axes.flat[0].legend(fontsize=7)
     figure.tight_layout()
-    figure.savefig(HERE / "turns.svg", metadata={"Date": None})
+    figure.savefig(HERE / f"{name}.svg", metadata={"Date": None})
 
 
 if __name__ == "__main__":
