Read once more: one name for what is done, one checker a trial, a flag and dead lines out

Need: which machines are done was worked out in two places and what names a dispatcher in five; the checker of works was made anew for each promise and each line said; the emulated fleet marked its own changes by a flag where it can call the world's; an assertion and an export served nothing.

Change: Ledger.ended, is_dispatcher; behaviour as it was.

--- a/crankfold/emulator/turns.py
+++ b/crankfold/emulator/turns.py
@@ -41,7 +41,6 @@
 class Fleet(World):
     def __init__(self, scenario: Scenario, orders: StandingOrders, order: str) -> None:
         self.order = order
-        self.own = False  # a change that the work makes, not a fault
         self.state: dict[int, tuple[str, int]] = {}  # of runners that are out: where they are, since when
         super().__init__(scenario, orders, Dispatcher)
         self.done: dict[int, int] = {}
@@ -61,10 +60,6 @@
 
     def change(self, at: int, runner: int, standing: Standing, since: int = 0) -> None:
         """What faults do to a machine that is out is undone by the work on it."""
-        if self.own:
-            super().change(at, runner, standing, since)
-            return
-
         def unless_out() -> None:
             if runner not in self.state:
                 World.change(self, at, runner, standing, since)
@@ -72,9 +67,7 @@
         self.clock.after(at - self.clock.now, unless_out)
 
     def _put(self, r: int, standing: Standing, since: int = 0) -> None:
-        self.own = True
-        self.change(self.clock.now, r, standing, since)
-        self.own = False
+        super().change(self.clock.now, r, standing, since)
 
     def _machine(self, r: int) -> Machine:
         it = self.runners[r]
@@ -214,6 +207,3 @@
     took = (max(fleet.done.values()) - 2 * SECOND) / SECOND if whole else float(scenario.seconds)
     return Through(order, seed, fleet.asked, fleet.in_time / max(fleet.asked, 1),
                    len(fleet.done) / scenario.runners, took, len(fleet.rules.broken))
-
-
-
--- a/crankfold/emulator/yard.py
+++ b/crankfold/emulator/yard.py
@@ -11,7 +11,7 @@
 
 from crankfold.agreement.member import Follower, Member, Voter
 from crankfold.agreement.words import Tell
-from crankfold.emulator.accord import CUT_OFF, Case, Fleet, Process, Trouble, schedule
+from crankfold.emulator.accord import CUT_OFF, Case, Fleet, Process, schedule
 from crankfold.works import form
 from crankfold.works.foreman import Foreman, View
 from crankfold.works.ledger import BACK, ENDED, FAILED, FREE, GONE, OUT, UNDONE, UNWELL, WELL, WORK, Ledger
@@ -225,7 +225,6 @@
             return
         for uid, away in process.ledger().machines.items():
             given = process.given().get(away.work)
-            box = self.boxes[uid]
             if given is None or away.state != FREE or (uid, away.number) in self.began:
                 continue
             if given.way == form.BY_LIST:
@@ -234,7 +233,6 @@
             elif given.way == form.BY_HAND:
                 self.began.add((uid, away.number))
                 self._step_by_hand(uid, away.work, WORK, away.number)
-            assert box
 
     def _begun_by_hand(self, uid: str, work: str, number: int) -> None:
         self.ran.setdefault((uid, work), []).append(number)
@@ -452,6 +450,3 @@
             kept.append((begin, end, uid))
     sick = frozenset({f"m{luck.randrange(9)}"} if luck.random() < 0.3 else ())
     return YardCase(case, works(luck), losses=tuple(kept), sick=sick, calm_from=end, **more)
-
-
-__all__ = ["Hand", "Trouble", "Yard", "YardCase", "drawn"]
--- a/crankfold/service/works.py
+++ b/crankfold/service/works.py
@@ -25,7 +25,7 @@
 from crankfold.service.operations import Operations
 from crankfold.works import form
 from crankfold.works.foreman import Foreman, View
-from crankfold.works.ledger import BACK, ENDED, FAILED, FREE, GONE, OUT, UNWELL, WORK, Ledger
+from crankfold.works.ledger import BACK, ENDED, FAILED, FREE, GONE, OUT, UNWELL, WORK, Ledger, is_dispatcher
 from crankfold.works.order import Machine
 from crankfold.works.plan import plan
 
@@ -207,7 +207,7 @@
         self.zones |= told.zones
 
         def holders(uid: str, index: int) -> str:
-            if uid.startswith("@"):
+            if is_dispatcher(uid):
                 name = uid[1:]
                 there = name == member.me or any(m.uid == uid and m.up for m in dispatchers)
                 return "it has units in hand" if there and name not in told.idle else ""
@@ -319,7 +319,7 @@
         for name, given in self.works().items():
             done = ledger.done.get(name, {})
             work = given.work(name)
-            wanted = [m.uid for m in listed if m.uid.startswith("@") == (given.of == "dispatchers")
+            wanted = [m.uid for m in listed if is_dispatcher(m.uid) == (given.of == "dispatchers")
                       and work.wants(m)]
             over = all(uid in done for uid in wanted) and not any(
                 m.work == name for m in ledger.machines.values())
@@ -355,8 +355,7 @@
         told = plan(asked.name, {name: given for name, given in works.items()
                                  if given.of == works[asked.name].of},
                     machines, {uid: away.work for uid, away in ledger.machines.items()},
-                    {(uid, name) for name, ended in ledger.done.items() for uid in ended},
-                    time.time_ns() // 1_000_000, self.peer.member.docs.linger() / SECOND,
+                    ledger.ended(), time.time_ns() // 1_000_000, self.peer.member.docs.linger() / SECOND,
                     self.desk.rules.warm_after / SECOND)
         return {"well": True, "turns": [
             {"begin": turn.begin, "end": turn.end, "machine": turn.uid, "zone": turn.zone, "why": turn.why}
--- a/crankfold/trial/checker.py
+++ b/crankfold/trial/checker.py
@@ -96,6 +96,7 @@
                 elif record["what"] != "step":
                     self.acts.append((record["at"], name, record))
         self.acts.sort(key=lambda act: act[0])
+        self.of_works = WorksChecker(story)
         self.longest, self.longest_told = 0, "no two differed"
 
     def judge(self, promise: str) -> Verdict:
@@ -103,7 +104,7 @@
                  "no-way-back": self.no_way_back, "publishes": self.publishes, "one-answer": self.one_answer,
                  "no-effect-twice": self.no_effect_twice, "out-means-out": self.out_means_out,
                  "well-at-the-end": self.well_at_the_end}.get(promise) or partial(
-                     WorksChecker(self.story).judge, promise)
+                     self.of_works.judge, promise)
         broken = check()
         return Verdict(promise, not broken, broken or self._said(promise))
 
@@ -116,7 +117,7 @@
         if promise == "one-answer":
             kinds = [told.split()[0] for *_, told in self.story.seen.answered]
             return ", ".join(f"{kinds.count(kind)} {kind}" for kind in sorted(set(kinds)))
-        return WorksChecker(self.story).said(promise)
+        return self.of_works.said(promise)
 
     def _at(self, ns: int) -> str:
         begin = min((records[0]["at"] for records in self.story.records.values() if records), default=0)
--- a/crankfold/trial/run.py
+++ b/crankfold/trial/run.py
@@ -258,7 +258,7 @@
             setattr(link, what, 0.0)
 
     async def _on_step(self, fault: Fault) -> Fault:
-        """The fault as it is to be from the moment when such a step is told; not at all if there is none."""
+        """The fault as it is to be from the moment when such a step is told. A plan without one is unfit."""
         loop, begin = asyncio.get_running_loop(), stamp()
         while not any(record["what"] == "step" and record["step"] == fault.on_step and record["at"] > begin
                       for process in self.processes.values() for kept in process.records.values()
--- a/crankfold/works/foreman.py
+++ b/crankfold/works/foreman.py
@@ -23,6 +23,7 @@
     WELL,
     WORK,
     Ledger,
+    is_dispatcher,
 )
 from crankfold.works.ledger import Machine as Away
 from crankfold.works.order import Machine, Work, order, timely
@@ -246,7 +247,7 @@
             if known_for > given.takes * SECOND:
                 self._late(uid, away, given, f"not back after {given.takes:g} s", stuck)
             return self._wait(uid, away, "not listed as ready yet")
-        if uid.startswith("@"):
+        if is_dispatcher(uid):
             return self._rejoins(view, uid, away, given, listed)
         watch = max(int(given.watch * SECOND), view.warm_after)
         answers, bad = view.answers.get(uid, (0, 0))
@@ -333,14 +334,13 @@
         there = {m.uid for m in machines}
         machines = [*machines, *(Machine(uid, *gone.place, since=gone.start, up=False, listed=False)
                                  for uid, gone in sorted(away.items())
-                                 if uid not in there and uid.startswith("@") == (of == "dispatchers"))]
+                                 if uid not in there and is_dispatcher(uid) == (of == "dispatchers"))]
         seen = [replace(m, up=m.up and m.uid not in view.lost and m.uid not in away) for m in machines]
         if of == "dispatchers":
             works = [replace(work, last=f"@{self.me}") for work in works]
         held = self._holds(view, seen, of)
-        done = {(uid, name) for name, ended in view.ledger.done.items() for uid in ended}
-        told = order(works, seen, [(uid, m.work) for uid, m in away.items() if uid.startswith("@")
-                                   == (of == "dispatchers")], done, self._wall(view), held, halted)
+        out = [(uid, m.work) for uid, m in away.items() if is_dispatcher(uid) == (of == "dispatchers")]
+        told = order(works, seen, out, view.ledger.ended(), self._wall(view), held, halted)
         for (uid, name), why in told.waits.items():
             if uid not in away:
                 self.waits[uid, name] = why
--- a/crankfold/works/ledger.py
+++ b/crankfold/works/ledger.py
@@ -23,6 +23,11 @@
 STEPS_KEPT = 2000
 
 
+def is_dispatcher(uid: str) -> bool:
+    """Works on dispatchers name them so, and no runner is."""
+    return uid.startswith("@")
+
+
 class Step(Struct, array_like=True, frozen=True):
     """One step as it was taken."""
 
@@ -141,6 +146,10 @@
         """Machines that get no units."""
         return {uid for uid, machine in self.machines.items() if machine.state not in CARRIES}
 
+    def ended(self) -> set[tuple[str, str]]:
+        """Machines that are done with, each with the work that it is done for."""
+        return {(uid, work) for work, ended in self.done.items() for uid in ended}
+
     def handed_in(self, before: dict[str, Any], works: dict[str, Any]) -> None:
         """Another version of the works. One that comes under the name of one that was taken away is new; one
         that was changed goes on, though it had stopped by itself."""
