A watch that falls silent is opened anew beside it: told within 6 s, at once after an outage

Ruled out: the policy (it acts on a list in the call that tells it) and the agent (a new connection is answered at once).

Now a watch waits 2 s; once its answer is 0.5 s overdue a further call goes beside it on a connection of its own, answered without waiting, every 0.15 s where lists are pushed, one more 2.5 s later where they are asked for, as there each call costs discovery. The first to answer ends the others; the longest in turn and whoever is being answered, however slowly, are heard out. An outage ends for us within 0.15 s of the agent's return.

Tests: silent for good, silent at all connections until it is back, an answer that trickles; each times out with the old watch.

--- a/crankfold/network/watch.py
+++ b/crankfold/network/watch.py
@@ -7,14 +7,47 @@
 from crankfold.network.tally import Tally
 from crankfold.protocol.discovery import DiscoverySide, Enlist, TurnedAway, Unreadable
 
-WAIT_MS = 4000
+# What discovery has counts as told 6 s after it could be reached. A watch may fall silent the moment it is
+# asked: WAIT and LATE pass until that shows, and the rest is for further calls, each answered at once.
+WAIT_MS = 2000
+LATE = 0.5  # an answer so long overdue is not waited for alone
 CONNECT = 1.0
 TURN = 6.0  # where many ask at once they are answered in turn; who hangs up sooner has asked in vain
-PAUSE = 0.25
+PAUSE = 0.15  # between calls where lists are pushed: what a silent agent gets at its return counts at once
+MOST_CALLS = 4
+IN_TURN, CALLS_IN_TURN = 2.5, 2  # the same where lists are asked for: each call costs discovery
 QUICKEST = 0.02  # an agent that answers without waiting must not keep us busy; a watch lasts over 0.2 s
 LUMP = 64 * 1024
 
 
+class Call:
+    """One call to discovery and the connection it goes by, which a later call may use again."""
+
+    def __init__(self, host: str, port: int) -> None:
+        self.host, self.port = host, port
+        self.side = DiscoverySide(f"{host}:{port}")
+        self.asked_at = asyncio.get_running_loop().time()
+        self.begun = False  # to be answered
+        self.reader: asyncio.StreamReader | None = None
+        self.writer: asyncio.StreamWriter | None = None
+
+    async def ask(self, rev: int, wait_ms: int) -> None:
+        """Until the answer is whole."""
+        self.begun, self.asked_at = False, asyncio.get_running_loop().time()
+        if self.reader is None or self.writer is None:
+            async with asyncio.timeout(CONNECT):
+                self.reader, self.writer = await asyncio.open_connection(self.host, self.port)
+        self.writer.write(self.side.ask(rev, wait_ms))
+        while not self.side.feed(data := await self.reader.read(LUMP)):
+            if not data:
+                raise Unreadable("the connection ended")
+            self.begun = True
+
+    def close(self) -> None:
+        if self.writer:
+            self.writer.close()
+
+
 class Watch:
     def __init__(self, host: str, port: int, enlist: Enlist, told: Callable[[Sequence[Listing], bool], None],
                  failed: Callable[[], None], tally: Tally, pause: float = PAUSE) -> None:
@@ -37,8 +70,7 @@
     async def _run(self, again: bool) -> None:
         while True:
             try:
-                while True:  # an answer may close its connection without ending the watch
-                    await self._watch()
+                await self._watch(again)
             except (OSError, TimeoutError, Unreadable) as broken:
                 # A call that was not answered leaves the versions as they are, and changes are a shorter
                 # answer than the whole list.
@@ -51,21 +83,16 @@
                 return
             await asyncio.sleep(self.pause)
 
-    async def _watch(self) -> None:
+    async def _watch(self, pushed: bool) -> None:
+        """Until nothing answers any more."""
         loop = asyncio.get_running_loop()
-        async with asyncio.timeout(CONNECT):
-            reader, writer = await asyncio.open_connection(self.host, self.port)
+        call: Call | None = None
         try:
-            side = DiscoverySide(f"{self.host}:{self.port}")
             while True:
                 asked_at = loop.time()
-                writer.write(side.ask(self.rev, WAIT_MS))
-                async with asyncio.timeout(TURN + (WAIT_MS / 1000 if self.rev >= 0 else 0)):
-                    while not side.feed(data := await reader.read(LUMP)):
-                        if not data:
-                            raise Unreadable("the connection ended")
+                call = await self._answered(call, pushed)
                 self.heard_at = loop.time()
-                rev, whole, entries = side.told(self.enlist)
+                rev, whole, entries = call.side.told(self.enlist)
                 if rev < self.rev and not whole:
                     raise Unreadable("a version older than the last")
                 self.rev = rev
@@ -73,10 +100,69 @@
                 if entries or whole:
                     self.told(entries, whole)
                 await asyncio.sleep(max(asked_at + QUICKEST - loop.time(), 0))
-                if not side.usable():
-                    return
+                if not call.side.usable():
+                    call.close()  # an answer may close its connection without ending the watch
+                    call = None
         finally:
-            writer.close()
+            if call:
+                call.close()
+
+    async def _answered(self, kept: Call | None, pushed: bool) -> Call:
+        """The first call to be answered.
+
+        A connection that fell silent tells that by nothing: once its answer is overdue others are asked
+        beside it, and it is given up when one of them has answered.
+        """
+        loop = asyncio.get_running_loop()
+        every, most = (self.pause, MOST_CALLS) if pushed else (IN_TURN, CALLS_IN_TURN)
+        calls: dict[asyncio.Task[None], Call] = {}
+        asked_at = loop.time()
+
+        def ask(call: Call, wait_ms: int) -> None:
+            task = loop.create_task(call.ask(self.rev, wait_ms))
+            task.add_done_callback(lambda done: done.cancelled() or done.exception())  # seen
+            calls[task] = call
+
+        wait = WAIT_MS / 1000 if self.rev >= 0 else 0.0
+        ask(kept or Call(self.host, self.port), WAIT_MS if self.rev >= 0 else 0)
+        due = asked_at + wait + (LATE if pushed or self.rev >= 0 else IN_TURN)
+        broken: BaseException | None = None
+        try:
+            while calls:
+                done, _ = await asyncio.wait(calls, timeout=max(due - loop.time(), 0),
+                                             return_when=asyncio.FIRST_COMPLETED)
+                for task in done:
+                    call = calls.pop(task)
+                    broken = task.exception()
+                    if broken is None:
+                        return call
+                    call.close()
+                    if not isinstance(broken, (OSError, TimeoutError, Unreadable)):
+                        raise broken
+                if calls and loop.time() >= due:
+                    if not pushed and loop.time() - asked_at > wait + TURN:
+                        raise TimeoutError("no answer")
+                    self.tally.count("discovery-silent")
+                    self._make_room(calls, most, loop.time())
+                    ask(Call(self.host, self.port), 0)
+                    due = loop.time() + every
+            assert broken is not None
+            raise broken
+        finally:
+            for task, call in calls.items():
+                task.cancel()
+                call.close()
+
+    def _make_room(self, calls: dict[asyncio.Task[None], Call], most: int, now: float) -> None:
+        """Who waits longest may be next in turn, and one being answered, however slowly, is heard out:
+        of the others the oldest goes."""
+        while len(calls) >= most:
+            first = next(iter(calls))
+            old = [task for task, call in calls.items() if now - call.asked_at > TURN + WAIT_MS / 1000]
+            mute = [task for task, call in calls.items() if task is not first and not call.begun]
+            goes = (old or mute or [*calls][1:])[0]
+            goes.cancel()
+            calls.pop(goes).close()
 
     def stop(self) -> None:
         if self.task:
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -19,11 +19,14 @@
 from crankfold.network.runners import Errand, Pool, Sockets
 from crankfold.network.tally import Tally
 from crankfold.network.timers import Clock, Timers
-from crankfold.network.watch import Watch
+from crankfold.network.watch import CONNECT, IN_TURN, LATE, MOST_CALLS, PAUSE, WAIT_MS, Watch
 from crankfold.protocol.runners import RunnerSide
-from tests.loopback import BACK, HEALTH, OK, UNIT, Between, Loopback
+from tests.loopback import BACK, HEALTH, OK, UNIT, Between, Handler, Loopback
 from tests.scene import read_request
 
+CHANGES = (b"HTTP/1.1 200 OK\r\nContent-Length: 83\r\n\r\n"
+           b'{"rev":%d,"all":false,"targets":[{"uid":"a","endpoint":"h:1","state":"in_service"}]}')
+
 
 class Listeners(Loopback):
     """The listener before a desk that answers nothing by itself."""
@@ -364,6 +367,99 @@
         self.assertLess(1, len(asked))
         self.assertLess(len(asked), 12)
 
+    async def watched(self, discovery: Handler, rev: int = -1) -> tuple[Watch, asyncio.Event]:
+        told = asyncio.Event()
+
+        def heard(entries: Any, whole: bool) -> None:
+            self.say(f"told {'the whole' if whole else 'changes'}")
+            told.set()
+
+        watch = Watch("127.0.0.1", await self.stand_in(discovery), Mock(), heard, lambda: None, Tally())
+        watch.rev = rev
+        self.addCleanup(watch.stop)
+        watch.start(True)
+        return watch, told
+
+    def test_the_longest_way_to_a_change_is_under_six_seconds(self) -> None:
+        """Silent from the moment it was asked, and the next two connections not up or silent as well."""
+        of_pushed = WAIT_MS / 1000 + LATE + 2 * max(PAUSE, CONNECT) + PAUSE
+        self.assertLess(of_pushed, 5.0)
+        self.assertLess(WAIT_MS / 1000 + LATE + IN_TURN, 5.5)
+        self.assertLess(PAUSE, 0.25)  # less than any grace after a discovery that is back has told a drain
+
+    async def test_a_watch_that_falls_silent_for_good_is_opened_anew_beside_it(self) -> None:
+        silent = asyncio.Event()
+        kept: list[bytes] = []
+
+        async def discovery(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            self.say((await read_request(reader))[0].splitlines()[0])
+            if not kept:
+                kept.append(CHANGES % 6)
+                writer.write(kept[0])
+                self.say((await read_request(reader))[0].splitlines()[0])
+                silent.set()
+                await reader.read()  # says nothing any more and stays open
+            writer.write(CHANGES % 7)
+            await reader.read()
+
+        with patch("crankfold.network.watch.WAIT_MS", 20), patch("crankfold.network.watch.LATE", 0.05):
+            watch, told = await self.watched(discovery, rev=5)
+            async with asyncio.timeout(2):
+                await silent.wait()
+                self.assertEqual(watch.rev, 6)
+                await self.until(lambda: watch.rev == 7)
+        self.close("watch-silent")
+
+    async def test_discovery_that_accepts_and_is_silent_is_heard_at_once_when_it_is_back(self) -> None:
+        back, begun = asyncio.Event(), asyncio.Event()
+        open_now: set[asyncio.StreamWriter] = set()
+        most = 0
+
+        async def discovery(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            nonlocal most
+            answers = back.is_set()  # who came before stays unanswered for good
+            open_now.add(writer)
+            most = max(most, len(open_now))
+            await read_request(reader)
+            begun.set()
+            if answers:
+                writer.write(CHANGES % 6)
+            await reader.read()
+            open_now.discard(writer)
+
+        watch, told = await self.watched(discovery, rev=5)
+        with patch("crankfold.network.watch.WAIT_MS", 20), patch("crankfold.network.watch.LATE", 0.01):
+            await begun.wait()
+            await self.until(lambda: most >= MOST_CALLS)
+            await asyncio.sleep(4 * PAUSE)
+            back.set()
+            async with asyncio.timeout(2 * PAUSE):
+                await told.wait()
+            self.assertLessEqual(most, MOST_CALLS + 1)  # one whose end has not arrived yet
+
+    async def test_an_answer_that_trickles_is_heard_out_while_others_are_silent(self) -> None:
+        calls = 0
+
+        async def discovery(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            nonlocal calls
+            calls += 1
+            await read_request(reader)
+            if calls == 2:
+                for byte in CHANGES % 6:
+                    before = calls
+                    writer.write(bytes([byte]))
+                    await writer.drain()
+                    if byte == 10:
+                        await self.until(lambda: calls > before)  # another has been asked meanwhile  # noqa: B023
+            await reader.read()
+
+        with patch("crankfold.network.watch.LATE", 0.01), patch("crankfold.network.watch.PAUSE", 0.01):
+            watch, told = await self.watched(discovery)
+            watch.pause = 0.01
+            async with asyncio.timeout(5):
+                await told.wait()
+        self.assertGreater(calls, MOST_CALLS)
+
 
 class Wakes(Loopback):
     async def test_a_wake_never_comes_early(self) -> None:
