Clients: a flood is read on and thrown away, connections are half-closed before they close

From reading: with over 64 KiB read at a connection, the request itself counted, reading stopped until the answer, so that a client's leaving was not seen and its unit sent on. Closing a resting connection over unread bytes reset it, and the reset could overtake the last answer.

Now only what comes behind a request counts; beyond 64 KiB it is thrown away, slowly, all floods together in turn, and the connection ends after the last whole request. Every close is a half-close first.

--- a/crankfold/network/listener.py
+++ b/crankfold/network/listener.py
@@ -1,6 +1,7 @@
 """Takes connections from clients and runners and carries bytes between them and their state machines."""
 
 import asyncio
+import select
 import socket
 from collections.abc import Sequence
 from typing import Protocol
@@ -16,6 +17,7 @@
 FRESH = 0.1  # a connection so young may have its first request under way
 LINGER = 0.5  # what still comes after the last answer is read for so long: a reset would overtake it
 MOST_UNREAD = 64 * 1024  # pipelined behind a request in hand, or read only to be thrown away
+GLANCE = 0.002  # between lumps of what is thrown away; each who sends such waits for all others who do
 WAITING, AT_ONCE = 1024, 4  # connections not accepted yet, and accepted in one turn of the loop
 UNCOUNTED = 6 * AT_ONCE  # asyncio takes some turns from accepting one to telling, and to close another for it
 
@@ -31,19 +33,22 @@
         self.host, self.reader, self.writer = host, reader, writer
         self.side = clients.ClientSide(host.desk, self, host.report_fields)
         self.came = self.since = host.loop.time()  # of the present idleness, request or answer
-        self.unread = 0
-        self.answered = asyncio.Event()
+        self.unread = 0  # came behind a request in hand, or after the last answer
 
     async def serve(self) -> None:
         side = self.side
-        while data := await self.reader.read(LUMP):
-            self.unread += len(data)
+        while data := await self.reader.read(4 * LUMP):
+            if side.closing or side.in_hand and not side.deaf:
+                self.unread += len(data)
             if side.closing:
                 if self.unread > MOST_UNREAD:
                     # Sixty megabytes at full speed would cost the others time; left unread they wait outside.
                     await asyncio.sleep(LINGER)
                     return
                 continue
+            if side.deaf:
+                await asyncio.sleep(GLANCE * len(self.host.floods))
+                continue
             if not side.in_hand and not side.midway():
                 self.since = self.host.loop.time()
             try:
@@ -58,16 +63,23 @@
             self._flush()
             if side.known:
                 self.host.strangers.pop(self, None)
-            while side.in_hand and not side.closing and self.unread > MOST_UNREAD:
-                self.answered.clear()
-                await self.answered.wait()
+            if self.unread > MOST_UNREAD and side.in_hand:
+                # Its end stands behind what it sends: left unread, the client's leaving would not be seen and
+                # its unit be sent on for nobody. Clients send one request at a time; here the rest is lost.
+                side.deaf = True
+                self.host.floods.add(self)
+
+    def has_gone(self) -> bool:
+        """Whether its end has come, read or not: one that gave up while it waited to be accepted."""
+        system = select.poll()
+        system.register(self.writer.get_extra_info("socket").fileno(), select.POLLRDHUP)
+        return bool(system.poll(0))
 
     def answer(self, status: int, heads: Sequence[tuple[bytes, bytes]] = (), body: bytes = b"") -> None:
         """The answer to the request in hand; what was pipelined behind it is read a turn later."""
         self.side.last = self.side.last or self.host.parting
         self.side.answer(status, heads, body)
         self._flush()
-        self.answered.set()
         self.host.loop.call_soon(self._go_on)
 
     def refuse(self, status: int) -> None:
@@ -89,7 +101,13 @@
             self.writer.writelines(side.out)
             side.out.clear()
             self.since = self.host.loop.time()
-        if side.closing and not self.writer.is_closing() and self.writer.can_write_eof():
+        if side.closing:
+            self._half_close()
+
+    def _half_close(self) -> None:
+        """Nothing more is written. What still comes is read and thrown away: a close over unread bytes resets
+        the connection, and that overtakes the last answer."""
+        if not self.writer.is_closing() and self.writer.can_write_eof():
             self.writer.write_eof()
             self.host.loop.call_later(LINGER, self.writer.close)
 
@@ -99,14 +117,18 @@
     def idle(self) -> bool:
         return not self.side.in_hand and not self.side.midway() and not self.unwritten()
 
+    def expected(self) -> bool:
+        """More is to be read from it: the rest of a request, or its first one."""
+        return not self.side.closing and not self.side.in_hand and (
+            self.side.midway() or self.host.loop.time() - self.since <= FRESH)
+
     def close(self) -> None:
+        """Between requests. One that crosses is not read as one, and its client sends it again elsewhere."""
         self.side.closing = True
-        self.answered.set()
-        self.writer.close()
+        self._half_close()
 
     def abort(self) -> None:
         self.side.closing = True
-        self.answered.set()
         self.writer.transport.abort()
 
     def standing(self) -> tuple[bool, bool, float]:
@@ -119,6 +141,7 @@
         self.desk, self.tally, self.report_fields, self.most = desk, tally, report_fields, most
         self.loop = asyncio.get_running_loop()
         self.clients: set[Client] = set()
+        self.floods: set[Client] = set()  # send more behind a request than is kept
         self.strangers: dict[Client, None] = {}  # no unit or call-back so far, the first to come first
         self.parting = False  # out of service or ending: answers are the last on their connections
         self.server: asyncio.Server | None = None
@@ -193,6 +216,7 @@
 
     def _forget(self, client: Client) -> None:
         self.clients.discard(client)
+        self.floods.discard(client)
         self.strangers.pop(client, None)
 
     def crowded(self) -> bool:
@@ -221,6 +245,9 @@
     def of_clients(self) -> bool:
         return any(not client.side.calls_back for client in self.clients)
 
+    def expects(self) -> bool:
+        return any(client.expected() for client in self.clients)
+
     def close_idle(self, spare_call_backs: bool = False) -> None:
         for client in self.clients:
             if spare_call_backs and client.side.calls_back:
@@ -239,3 +266,5 @@
             if not self.clients:
                 return
             await asyncio.sleep(0.01)
+        for client in list(self.clients):
+            client.writer.close()
--- a/crankfold/protocol/clients.py
+++ b/crankfold/protocol/clients.py
@@ -41,6 +41,7 @@
         self.closing = False  # nothing more will be read; the connection ends once `out` is written
         self.refused: int = 0  # the status of the last request that was not understood
         self.last = False  # answers say that the connection closes
+        self.deaf = False  # what comes is no longer fed; the connection closes after the last whole request
         self.known = self.calls_back = False  # has handed in a unit, or is a runner that calls back
         self.unread = 0
 
@@ -61,7 +62,9 @@
             while not self.in_hand and not self.closing:
                 event = self.http.next_event()
                 if event is h11.NEED_DATA:
-                    if self.http.they_are_waiting_for_100_continue:
+                    if self.deaf:
+                        self.closing = True
+                    elif self.http.they_are_waiting_for_100_continue:
                         self._write(h11.InformationalResponse(status_code=100, headers=[]))
                     return
                 if event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
