Ends, retries and settings: late windows, ends told twice, signals too early, leaks

From reading: the window of a tagged unit was checked when it was placed, not when its connection was up; a 'returned' told twice by one runner passed for that of a second dispatch there; a request read between the last answers of a drain and its end was sent on; who gave up while in the queue of connections had an attempt made; SIGHUP before its handler stood ended the process or was lost; an order to end before serving was followed by serving; a grade that took the row of a dropped one with the same figures got its learnt running time; the longest cut-off of a dropped grade stretched the drain past SIGKILL; a predecessor's state and records were taken from any process at the same address.

A start no longer takes a first failed call to discovery for the end of its wait (0.3 s) for the list.

--- a/crankfold/cli.py
+++ b/crankfold/cli.py
@@ -1,7 +1,6 @@
 """The command line."""
 
 import asyncio
-import signal
 import sys
 from functools import partial
 from pathlib import Path
@@ -10,6 +9,7 @@
 import click
 
 from crankfold import __version__
+from crankfold.network.signals import note_renewals
 from crankfold.orders.reader import from_nested, house_rules, standing_orders
 from crankfold.service.node import Node, Unusable, address, read
 
@@ -36,7 +36,7 @@
     count from then on, whatever was given here, and what else differs waits for a restart. SIGUSR1 prints the
     counters.
     """
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until there is something to renew
+    note_renewals()
 
     async def whole() -> None:
         given = read(config)
--- a/crankfold/dispatch/policy.py
+++ b/crankfold/dispatch/policy.py
@@ -7,7 +7,7 @@
 """
 
 from collections import deque
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 from itertools import zip_longest
 from math import ceil, gcd, inf, log, sqrt
 
@@ -119,10 +119,10 @@
         elif orders.must_ask:
             port.wake(self._draw(self.ask_spread), LIST)  # forty that start together would all be turned away
 
-    def _follow_orders(self, orders: StandingOrders) -> None:
+    def _follow_orders(self, orders: StandingOrders, anew: Collection[int] = ()) -> None:
         # Running time, followed as answers come: a client is taken to wait for some ten times of it.
-        self.typical = [known if g == before else max(g.cutoff / 10, 1.0) for g, before, known in
-                        zip_longest(orders.grades, self.grades, self.typical)]
+        self.typical = [known if g == before and row not in anew else max(g.cutoff / 10, 1.0) for row, (
+            g, before, known) in enumerate(zip_longest(orders.grades, self.grades, self.typical))]
         self.grades = list(orders.grades)
         self.effect, self.group = [g.effect for g in orders.grades], [g.group for g in orders.grades]
         self.window, self.cutoff = [g.window for g in orders.grades], [g.cutoff for g in orders.grades]
@@ -135,9 +135,9 @@
         self.most, self.copy_share = orders.most_dispatches, COPY_SHARE * orders.may_copy
         self.may_cancel, self.advice = orders.may_cancel, min(orders.longest_advice, SECOND)
 
-    def renewed(self, now: int, orders: StandingOrders) -> None:
-        """Other grades and other bounds. Units in hand keep their rows, and runners what is known of them."""
-        self._follow_orders(orders)
+    def renewed(self, now: int, orders: StandingOrders, anew: Collection[int] = ()) -> None:
+        """Other grades and bounds; rows `anew` are others' now. Units keep theirs, runners what is known."""
+        self._follow_orders(orders, anew)
         self._pump(now)
 
     def _draw(self, below: int) -> int:
--- a/crankfold/emulator/baselines.py
+++ b/crankfold/emulator/baselines.py
@@ -1,7 +1,7 @@
 """Other ways to choose, for comparison only: none of them is offered to a dispatcher in service."""
 
 from collections import Counter
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Collection, Sequence
 from random import Random
 from typing import TYPE_CHECKING, cast
 
@@ -80,7 +80,7 @@
     def client_left(self, now: int, unit: int) -> None:
         self.grade.pop(unit, None)
 
-    def renewed(self, now: int, orders: StandingOrders) -> None:
+    def renewed(self, now: int, orders: StandingOrders, anew: Collection[int] = ()) -> None:
         self.orders = orders
 
     def recalled(self, now: int, unit: int) -> None:
--- a/crankfold/service/desk.py
+++ b/crankfold/service/desk.py
@@ -6,8 +6,8 @@
 from functools import partial
 from urllib.parse import quote
 
-from crankfold.dispatch.interface import Listing, Outcome, Standing, StandingOrders
-from crankfold.dispatch.policy import Dispatcher
+from crankfold.dispatch.interface import Effect, Listing, Outcome, Standing, StandingOrders
+from crankfold.dispatch.policy import NEVER_RAN, Dispatcher
 from crankfold.network.listener import Client
 from crankfold.network.runners import ANSWERED, HELD_BACK, UNREACHED, WORN, Errand
 from crankfold.network.tally import Tally
@@ -30,6 +30,7 @@
         self.fleet, self.duty, self.subscribe = fleet, duty, subscribe
         self.may_cancel = orders.may_cancel
         self.probe_target = b"/load" if orders.reports_in_answers or orders.reports_by_probe else b"/healthz"
+        self.over = False  # the process ends: what still comes is shed
         self.crowded: Callable[[], bool] = lambda: False
         # With peers: whether rules may be acted on at this moment, and where what is done is written down.
         self.may_act: Callable[[], bool] = lambda: True
@@ -81,6 +82,14 @@
                 again: tuple[bytes, bytes, list[tuple[bytes, bytes]], bytes], key: int = 0,
                 retried: bool = False) -> None:
         assert isinstance(client, Client)
+        if client.has_gone():
+            self.tally.count("clients-gone-before-read")
+            client.refuse(503)
+            return
+        if self.over:
+            self.tally.count("shed-at-the-end")
+            client.refuse(503)
+            return
         if ident in self.ledger.by_ident or ident in self.elsewhere:
             self.tally.count("ids-in-hand-already")
             client.refuse(409)
@@ -128,7 +137,9 @@
             self._stop_waiting(work, trip)
 
     def close_all(self) -> None:
-        """At the end of a drain what is still open gets its answer now, as nobody will be there later."""
+        """At the end of a drain what is still open gets its answer now, as nobody will be there later, and so
+        does what comes from here on."""
+        self.over = True
         for work in list(self.ledger.units.values()):
             if work.open:
                 self.tally.count("answered-at-drain")
@@ -143,9 +154,12 @@
         if work is None:
             self.tally.must(False, "dispatch-for-a-unit-in-hand")
             return
-        trip = Trip(len(work.trips), runner)
-        # One runner gets one dispatch of a unit at a time, also where it did not heed the calling off.
-        there = any(other.runner == runner and (other.out or other.ran_on) for other in work.trips)
+        trip = Trip(len(work.trips), runner, self.clock.now())
+        # One runner gets one dispatch of a unit at a time, also where it did not heed the calling off. It may
+        # tell of an end again: the "never ran" of a first dispatch would pass for that of a second.
+        once = self.grades.rows[work.row].effect != Effect.REPEATABLE
+        there = any(other.runner == runner and (other.out or other.ran_on or once and other.reached())
+                    for other in work.trips)
         work.trips.append(trip)
         self.tally.count("dispatches")
         if there or not self._may_go(work, trip):
@@ -161,11 +175,18 @@
     def _may_go(self, work: Work, trip: Trip) -> bool:
         """While a connection came up the unit may have ended or the runner have begun to drain."""
         may = (work.open and trip.out and self.fleet.standing[trip.runner] == Standing.READY
-               and self.clock.now() < work.cutoff and self.may_act())
+               and self.clock.now() < work.cutoff and self.may_act() and self._in_window(work, trip))
         if may and self.record:
             self.record("dispatch", work.ident, self.fleet.numbers.names[trip.runner])
         return may
 
+    def _in_window(self, work: Work, trip: Trip) -> bool:
+        """While a connection came up, the time may have run out for which a group knows a tagged unit."""
+        grade = self.grades.rows[work.row]
+        return grade.effect != Effect.TAGGED or all(
+            other is trip or not other.may_have_run
+            or self.clock.now() + self.decisions.margin < other.began + grade.window for other in work.trips)
+
     def shed(self, unit: int, advice: int) -> None:
         heads = [(b"Retry-After", f"{advice / 10_000:.3f}".encode())] if advice else []
         self._answer(unit, "shed", 503, heads)
@@ -258,7 +279,7 @@
     def _end(self, work: Work, trip: Trip, outcome: Outcome, report: Sequence[float] = ()) -> None:
         if not trip.out:
             return
-        trip.out = False
+        trip.out, trip.may_have_run = False, outcome not in NEVER_RAN
         if trip.errand:
             self.fleet.let_go(trip.runner, trip.errand)
         self._keep(trip.runner, report)
@@ -332,7 +353,7 @@
                              report_fields=old.report_fields, warm_after=old.warm_after)
         self.fleet.rules, self.may_cancel = self.rules, orders.may_cancel
         self.grades.renew(rules.grades.names, orders.grades)
-        self.tell(self.decisions.renewed, replace(orders, grades=self.grades.rows))
+        self.tell(self.decisions.renewed, replace(orders, grades=self.grades.rows), self.grades.anew)
 
     # --- from discovery ---
 
--- a/crankfold/service/grades.py
+++ b/crankfold/service/grades.py
@@ -11,6 +11,7 @@
     def __init__(self, names: Iterable[str], grades: Sequence[ServiceGrade]) -> None:
         self.rows = list(grades)
         self.open = [0] * len(self.rows)
+        self.anew: frozenset[int] = frozenset()  # rows that the last renewal gave to another name
         self.row_of = {name: row for row, name in enumerate(names)}
 
     def find(self, name: str) -> int:
@@ -40,4 +41,6 @@
                 self.rows.append(grade)
                 self.open.append(0)
             self.row_of[name] = row
+        # One of another name that reads the same is another: what was learnt of one is not the other's.
+        self.anew = frozenset(self.row_of.values()) - kept
         return self.row_of != before
--- a/crankfold/service/handover.py
+++ b/crankfold/service/handover.py
@@ -22,8 +22,11 @@
 
 
 class Handover:
-    def __init__(self, folder: str, at: tuple[str, int], desk: Desk, listener: Listener,
+    def __init__(self, folder: str, name: str, at: tuple[str, int], desk: Desk, listener: Listener,
                  operations: Operations, shares: Callable[[int, int, bool], None]) -> None:
+        # Of which dispatcher: a folder may hold what another one's process left, or have one behind it that
+        # serves other customers at what is now our address.
+        self.name = name
         self.at, self.desk, self.fleet, self.tally = at, desk, desk.fleet, desk.tally
         self.listener, self.operations, self.shares = listener, operations, shares
         self.loop = desk.timers.loop
@@ -41,11 +44,12 @@
 
     async def meet(self) -> dict[str, Any] | None:
         """Learns from a predecessor, if one serves; gives the list as that has it."""
-        met = await self.passage.call({"hello": FORM, "at": list(self.at)})
+        met = await self.passage.call({"hello": FORM, "at": list(self.at), "of": self.name})
         if met:
             kin, sock, said = met
             welcome = said.get("welcome")
-            if isinstance(welcome, dict) and welcome.get("form") == FORM and sock \
+            if isinstance(welcome, dict) and welcome.get("form") == FORM and welcome.get("of") == self.name \
+                    and sock \
                     and sock.getsockname()[:2] == self.at:
                 self.sock = sock
                 self.succession.follows(kin)
@@ -55,7 +59,9 @@
             self.passage.part(kin)
             if sock:
                 sock.close()
-        self._bans(self.passage.recorded())
+        recorded = self.passage.recorded()
+        if recorded.get("of") == self.name:
+            self._bans(recorded)
         return None
 
     def _learn(self, welcome: dict[str, Any]) -> None:
@@ -115,7 +121,8 @@
 
     def _record(self) -> None:
         try:
-            self.passage.record({"bans": self.fleet.bans.since, "assumed": self.fleet.bans.assumed})
+            self.passage.record({"of": self.name, "bans": self.fleet.bans.since,
+                                 "assumed": self.fleet.bans.assumed})
         except OSError as wrong:
             self.tally.say("records", f"{wrong}; a ban binds, but is forgotten if both processes die")
 
@@ -132,7 +139,8 @@
         self.tally.count("successors-met")
         copy = self.listener.copy
         try:
-            if hello.get("hello") == FORM and copy and hello.get("at") == list(self.at):
+            if hello.get("hello") == FORM and copy and hello.get("at") == list(self.at) \
+                    and hello.get("of") == self.name:
                 socket.send_fds(sock, [b"!"], [copy.fileno()])
                 self.succession.met(kin)
                 return
@@ -173,7 +181,7 @@
         if decisions.live:  # the size is what lasts of a weight that moves
             for entry in listed:
                 entry["capacity_hint"] = decisions.weight[fleet.numbers.place(entry["uid"])]
-        return {"form": FORM, "weights": carry.meaning(decisions.live),
+        return {"form": FORM, "of": self.name, "weights": carry.meaning(decisions.live),
                 "fields": list(self.desk.rules.report_fields),
                 "bans": fleet.bans.since, "assumed": fleet.bans.assumed,
                 "ever": sorted({*names, *fleet.heard_of}),
--- a/crankfold/service/ledger.py
+++ b/crankfold/service/ledger.py
@@ -11,13 +11,18 @@
 class Trip:
     """One dispatch."""
 
-    __slots__ = ("nth", "runner", "errand", "out", "started", "taken", "ran_on")
+    __slots__ = ("nth", "runner", "began", "errand", "out", "started", "taken", "ran_on", "may_have_run")
 
-    def __init__(self, nth: int, runner: int) -> None:
-        self.nth, self.runner = nth, runner
+    def __init__(self, nth: int, runner: int, began: int) -> None:
+        self.nth, self.runner, self.began = nth, runner, began
         self.errand: Errand | None = None
         self.out, self.started, self.taken = True, False, False
         self.ran_on = False  # given up without news of its end: the runner may still have it
+        self.may_have_run = True
+
+    def reached(self) -> bool:
+        """Whether it went out on a connection."""
+        return self.errand is not None and self.errand.link is not None
 
 
 class Work:
--- a/crankfold/service/node.py
+++ b/crankfold/service/node.py
@@ -13,6 +13,7 @@
 from crankfold.network.door import PLACES, Door
 from crankfold.network.listener import SWEEP, UNCOUNTED, Listener
 from crankfold.network.runners import Sockets
+from crankfold.network.signals import renewal_noted
 from crankfold.network.tally import Tally, log
 from crankfold.network.timers import Clock, Timers
 from crankfold.network.watch import Watch
@@ -123,8 +124,8 @@
         self.operations = Operations(self.desk, self.listener, self.duty)
         self.door = Door(self.operations, self.tally)
         # Processes follow one another only where operators can ask the new one whether it is ready.
-        self.handover = Handover(folder, self.at, self.desk, self.listener, self.operations,
-                                 self._share) if self.door_at and folder else None
+        self.handover = Handover(folder, str(given.get("name") or ""), self.at, self.desk, self.listener,
+                                 self.operations, self._share) if self.door_at and folder else None
         self.kin_holds = 0, 0, False
         self.agreed: Agreed | None = None
         if given.get("peers"):
@@ -168,8 +169,8 @@
         self.heard.set()
 
     def _list_failed(self) -> None:
-        self.heard.set()
         if self.must_ask:
+            self.heard.set()
             self.desk.list_failed()
 
     async def run(self) -> None:
@@ -179,6 +180,8 @@
             loop.add_signal_handler(number, self.ending.set)
         loop.add_signal_handler(signal.SIGUSR1, self.report)
         loop.add_signal_handler(signal.SIGHUP, self._renew)
+        if renewal_noted():
+            self._renew()  # the file may have been read before it was changed
         if self.handover:
             self.known = await self.handover.meet() or self.known
         if self.known is not None:
@@ -210,6 +213,9 @@
                 await self.agreed.open(self.handover is not None and self.handover.sock is not None)
             except (OSError, ValueError) as wrong:
                 raise Unusable(f"peers: {wrong}") from None
+        if self.ending.is_set():  # told to end before it serves: nobody is to come only to be sent away
+            await self._leave_unserved()
+            return
         if self.handover:
             self.handover.tell_reports()
             passed = await self.handover.take_over()
@@ -232,6 +238,16 @@
         if self.broken:
             raise self.broken
 
+    async def _leave_unserved(self) -> None:
+        log("crankfold: told to end before serving")
+        self.watch.stop()
+        if self.agreed:
+            await self.agreed.close()
+        await self.door.close()
+        if self.handover:
+            self.handover.close()
+        self.report()
+
     def _renew(self) -> None:
         """SIGHUP: the file as it is now. Units, connections and what is believed of runners outlive it."""
         try:
@@ -264,7 +280,7 @@
     def _renewed(self, orders: StandingOrders, rules: HouseRules) -> None:
         self.desk.renewed(orders, rules)
         self.sockets.connect_within, self.sockets.idle_for = patience(rules)
-        self.longest = max(grade.cutoff for grade in self.desk.grades.rows) / 10_000
+        self.longest = rules.longest_cutoff / 10_000  # of the grades in force: by these we are ended
 
     async def _drain(self) -> None:
         """Nobody new, then nothing new, then the end.
@@ -284,7 +300,7 @@
                 await asyncio.sleep(0.01)
             self.listener.parting = True
             self.listener.close_idle()
-            while loop.time() < end and self.desk.open_units():
+            while loop.time() < end and (self.desk.open_units() or self.listener.expects()):
                 await asyncio.sleep(0.01)
                 self.listener.close_idle()
         self.desk.close_all()
--- /dev/null
+++ b/tests/test_crossings.py
@@ -0,0 +1,442 @@
+"""Two events that cross, forced on real sockets: a byte is held back until the other event has happened."""
+
+import asyncio
+import contextlib
+import signal
+import socket
+from dataclasses import replace
+from typing import Any
+from unittest.mock import Mock, patch
+
+import orjson
+
+from crankfold.dispatch.interface import Effect
+from crankfold.network.listener import MOST_UNREAD, Listener
+from crankfold.network.runners import SETTLE, Errand, Pool, Sockets
+from crankfold.network.tally import Tally
+from crankfold.protocol.runners import RunnerSide
+from crankfold.service.grades import GradeBook
+from crankfold.service.node import Node
+from tests.loopback import OK, UNIT, Between, Handler, Loopback
+from tests.scene import GRADE, ORDERS, Scene, read_request
+
+NEVER_RAN = b"HTTP/1.1 503 Service Unavailable\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n"
+
+
+class AtRunners(Loopback):
+    async def begin(self, handler: Handler) -> None:
+        self.ends: list[str] = []
+        self.links: list[asyncio.StreamWriter] = []
+
+        async def kept(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            self.links.append(writer)
+            await handler(reader, writer)
+
+        self.tally = Tally()
+        self.pool = Pool("127.0.0.1", await self.stand_in(kept), Sockets(9, 0.25, 5.0, self.tally))
+        self.addCleanup(self.pool.close)
+
+    def send(self, body: bytes = b"x", settled: bool = True) -> Errand:
+        def ended(how: str, side: RunnerSide | None) -> None:
+            self.ends.append(f"{how} {side.status if side else ''}")
+
+        errand = Errand(b"POST", b"/api", lambda: [(b"Host", b"b")], body, lambda: True, ended, settled)
+        self.pool.send(errand)
+        return errand
+
+    async def test_bytes_that_lie_unread_when_a_connection_is_taken_up_answer_nothing(self) -> None:
+        async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            while True:
+                await read_request(reader)
+                writer.write(OK)
+
+        await self.begin(runner)
+        for unasked in (NEVER_RAN, b"HTTP/1.1 503 Serv"):
+            self.ends.clear()
+            self.send()
+            await self.until(lambda: len(self.ends) == 1)
+            await asyncio.sleep(1.2 * SETTLE)
+            (link,) = self.pool.idle
+            self.links[-1].write(unasked)  # with the system by now, and in this turn nobody reads it
+            second = self.send()
+            await self.until(lambda: len(self.ends) == 2)
+            self.assertEqual(self.ends, ["answered 202"] * 2)
+            self.assertIsNot(second.link, link)
+            await asyncio.sleep(1.2 * SETTLE)
+
+    async def test_bytes_read_but_not_looked_at_when_a_connection_is_taken_up_answer_nothing(self) -> None:
+        async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            while True:
+                await read_request(reader)
+                writer.write(OK)
+
+        await self.begin(runner)
+        self.send()
+        await self.until(lambda: len(self.ends) == 1)
+        await asyncio.sleep(1.2 * SETTLE)
+        (link,) = self.pool.idle
+        link.reader.feed_data(NEVER_RAN)  # as the loop does just before it calls what is to come in this turn
+        self.send()
+        await self.until(lambda: len(self.ends) == 2)
+        self.assertEqual(self.ends, ["answered 202"] * 2)
+
+    async def test_a_second_answer_some_milliseconds_late_answers_nothing(self) -> None:
+        asked: list[int] = []
+        told_twice = asyncio.Event()
+
+        async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            n = len(self.links)
+            while True:
+                await read_request(reader)
+                asked.append(n)
+                if len(asked) == 2:
+                    self.links[0].write(NEVER_RAN)  # of the first, while the second is being worked on
+                    await told_twice.wait()
+                writer.write(OK)
+
+        await self.begin(runner)
+        self.send()
+        await self.until(lambda: len(self.ends) == 1)
+        self.send()  # at once: the connection has hardly come to rest
+        await self.until(lambda: len(asked) == 2)
+        await self.until(lambda: self.tally.counts["runner-spoke-unasked"] == 1)
+        told_twice.set()
+        await self.until(lambda: len(self.ends) == 2)
+        self.assertEqual((asked, self.ends), ([1, 2], ["answered 202"] * 2))
+        self.send(settled=False)  # what carries no unit waits for nothing
+        await self.until(lambda: len(self.ends) == 3)
+        self.assertEqual(asked, [1, 2, 2])
+
+    async def test_an_answer_that_breaks_off_says_only_that_the_unit_was_taken(self) -> None:
+        answers: list[tuple[bytes, str]] = [
+            (NEVER_RAN.replace(b"Length: 0", b"Length: 9") + b"half", "broken 503"),
+            (NEVER_RAN.replace(b"Content-Length: 0", b"Transfer-Encoding: chunked") + b"zz\r\n",
+             "broken 503"),
+            (b"HTTP/1.1 202 Accepted\r\nContent-Length: 9\r\n\r\nhalf", "answered 202"),
+            (b"HTTP/1.1 202 Accepted\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", "answered 202"),
+            (b"HTTP/1.1 202 Acc", "broken 0"),
+            (NEVER_RAN.replace(b"Length: 0", b"Length: 900000") + b"x" * 900_000, "broken 503"),
+        ]
+
+        async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await read_request(reader)
+            writer.write(answers[len(self.ends)][0])
+            await writer.drain()
+            writer.write_eof()
+            await reader.read()
+
+        await self.begin(runner)
+        for n in range(len(answers)):
+            self.send()
+            await self.until(lambda n=n: len(self.ends) > n)  # type: ignore[misc]
+        self.assertEqual(self.ends, [ending for _, ending in answers])
+
+    async def test_what_is_called_off_while_it_is_written_never_arrives(self) -> None:
+        called_off, came = asyncio.Event(), asyncio.get_running_loop().create_future()
+
+        async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await called_off.wait()
+            with contextlib.suppress(ConnectionError):
+                came.set_result(len(await reader.read(-1)))
+
+        await self.begin(runner)
+        errand = self.send(b"x" * 30_000_000)
+        await self.until(lambda: errand.link is not None)
+        assert errand.link
+        self.assertFalse(errand.link.written)
+        self.pool.cut(errand)
+        called_off.set()
+        async with asyncio.timeout(9):
+            self.assertLess(await came, 30_000_000)
+
+    async def test_a_break_in_the_turn_in_which_the_last_byte_left_may_have_run(self) -> None:
+        async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.read()
+
+        await self.begin(runner)
+        errand = self.send(b"x" * 30_000_000)
+        await self.until(lambda: errand.link is not None)
+        assert errand.link
+        transport: Any = errand.link.writer.transport
+        transport._buffer.clear()  # as the system takes the last of it ...
+        transport._maybe_resume_protocol()
+        transport.abort()  # ... and the connection breaks before any task had its turn
+        await self.until(lambda: bool(self.ends))
+        self.assertEqual(self.ends, ["broken 0"])
+
+
+class AtClients(Loopback):
+    async def begin(self) -> None:
+        self.desk = Mock(serving=lambda: True, knows_grade=lambda name: True)
+        self.tally = Tally()
+        self.listener = Listener(self.desk, self.tally, (), 100)
+        await self.listener.open("127.0.0.1", 0)
+        self.addAsyncCleanup(self.listener.close)
+
+    async def test_a_client_that_floods_or_sends_a_large_unit_and_goes_is_seen_to_go(self) -> None:
+        await self.begin()
+        large = UNIT.replace(b"Length: 2", b"Length: 60000") + b"x" * 59_998
+        for number, behind in enumerate((b"", b"y" * 400_000), 1):
+            reader, writer = await asyncio.open_connection("127.0.0.1", self.listener.port())
+            writer.write(large + behind)
+            await self.until(lambda n=number: self.desk.hand_in.call_count == n)  # type: ignore[misc]
+            with contextlib.suppress(ConnectionError):
+                await writer.drain()
+            writer.close()
+            async with asyncio.timeout(2):
+                await self.until(lambda n=number: self.desk.left.call_count == n)  # type: ignore[misc]
+
+    async def test_who_floods_behind_a_request_has_its_answer_whole(self) -> None:
+        await self.begin()
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.listener.port())
+        writer.write(UNIT)
+        await self.until(lambda: self.desk.hand_in.called)
+        client = self.desk.hand_in.call_args[0][0]
+        writer.write(b"y" * 9 * MOST_UNREAD)
+        await self.until(lambda: client.side.deaf)
+        client.answer(200, [], b"done")
+        self.assertEqual((await read_request(reader))[1], b"done")
+        writer.close()
+
+    async def test_a_request_that_crosses_the_close_of_a_resting_connection_is_not_sent_on(self) -> None:
+        await self.begin()
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.listener.port())
+        writer.write(UNIT)
+        await self.until(lambda: self.desk.hand_in.called)
+        client = self.desk.hand_in.call_args[0][0]
+        client.answer(200, [], b"done")
+        await asyncio.sleep(0.01)
+        writer.write(UNIT.replace(b"u1", b"u2"))  # with the system by now, read by nobody
+        client.close()
+        self.assertEqual((await read_request(reader))[1], b"done")  # no reset overtakes it
+        self.assertEqual(await reader.read(), b"")
+        self.assertEqual(self.desk.hand_in.call_count, 1)
+        writer.close()
+
+
+class AtTheWhole(Between):
+    async def begin(self, runner: Handler, effect: str = "safe", **more: Any) -> None:
+        await super().begin(runner)
+        self.given["settings"]["service-grades"][0].update(effect=effect, **more)
+
+    async def test_a_client_that_went_before_it_was_read_has_nothing_sent(self) -> None:
+        async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            self.say((await read_request(reader))[0].splitlines()[0])
+
+        await self.begin(runner)
+        await self.inside()
+        client = socket.create_connection(("127.0.0.1", self.port))
+        client.sendall(UNIT)
+        client.close()  # all in one turn: nobody accepted it so far
+        await self.until(lambda: self.node.tally.counts["clients-gone-before-read"] == 1)
+        await self.until(lambda: not self.node.listener.clients)
+        self.assertEqual((self.lines, self.node.tally.counts["dispatches"]), ([], 0))
+
+    async def test_a_client_that_goes_while_its_unit_waits_for_a_connection_has_nothing_sent(self) -> None:
+        async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            self.say((await read_request(reader))[0].splitlines()[0])
+
+        await self.begin(runner)
+        await self.inside()
+        pool = self.node.fleet.pools[0]
+        opening, up = pool._open, asyncio.Event()
+
+        async def late(errand: Errand) -> None:
+            asking.cancel()
+            await self.until(lambda: self.node.tally.counts["clients-left"] == 1)
+            await opening(errand)
+            up.set()
+
+        pool._open = late  # type: ignore[method-assign]
+        asking = asyncio.create_task(self.ask("u1"))
+        async with asyncio.timeout(5):
+            await up.wait()
+        await asyncio.sleep(0.02)
+        self.assertEqual(self.lines, [])
+        self.assertEqual(self.node.desk.open_units(), 0)
+
+    async def test_a_request_read_after_the_last_answers_is_shed_and_not_sent_on(self) -> None:
+        async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await read_request(reader)
+            self.say("sent on")
+
+        await self.begin(runner)
+        await self.inside()
+        ended, go_on = asyncio.Event(), asyncio.Event()
+
+        async def held_up() -> None:
+            ended.set()
+            await go_on.wait()
+
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        writer.write(UNIT[:-1])  # its last byte is still under way
+        await self.until(lambda: any(client.side.midway() for client in self.node.listener.clients))
+        with patch.object(self.node.door, "close", held_up), \
+                patch("crankfold.service.node.LONGEST_DRAIN", 0.1), \
+                patch("crankfold.service.node.OVER", 0.0):
+            self.node.ending.set()
+            await ended.wait()
+            writer.write(UNIT[-1:])
+            head, _ = await read_request(reader)
+            go_on.set()
+        self.assertEqual((head.split()[1], self.lines), ("503", []))
+        self.assertEqual(await reader.read(), b"")
+        writer.close()
+
+    async def test_the_window_that_ends_while_a_connection_comes_up_holds_a_tagged_unit_back(self) -> None:
+        async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            self.say((await read_request(reader))[0].splitlines()[0])  # and breaks: it may have run
+
+        await self.begin(runner, "keyed", group="zone", **{"repeat-window": 300_000})
+        await self.inside()
+        pool = self.node.fleet.pools[0]
+        opening = pool._open
+        opened = 0
+
+        async def late(errand: Errand) -> None:
+            nonlocal opened
+            opened += 1
+            if opened > 1:
+                first = next(iter(self.node.desk.ledger.units.values())).trips[0]
+                await self.until(lambda: self.node.timers.clock.now() > first.began + 3000)
+            await opening(errand)
+
+        with patch.object(pool, "_open", late), \
+                patch.object(self.node.desk.decisions, "_sound", lambda now, u, pool, burden: [0]), \
+                patch("crankfold.service.ledger.Trip.reached", lambda trip: False):
+            answer = await self.ask("u1")
+        self.assertEqual((answer[0].split()[1], opened, len(self.lines)), ("504", 2, 1))
+
+    async def test_an_end_told_twice_is_not_taken_for_that_of_a_second_dispatch(self) -> None:
+        async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await read_request(reader)
+            self.say("sent")
+            writer.write(OK)
+            for _ in range(2):  # as if the first telling's answer had been lost
+                await self.tell(id="u1", **{"from": "a"}, state="returned")
+
+        await self.begin(runner, "unsafe")
+        await self.inside()
+        self.assertEqual((await self.ask("u1"))[0].split()[1], "503")  # known not to have run
+        self.assertEqual(self.lines.count("sent"), 1)
+
+    async def beside(self, told_first: bool) -> str:
+        """A once-only unit whose dispatch breaks, and the call-back of its end; how it was answered."""
+        broken = asyncio.Event()
+
+        async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await read_request(reader)
+            if told_first:
+                await self.tell(id="u1", **{"from": "a"}, state="done", result="ran")
+            writer.transport.abort()
+            broken.set()
+
+        await self.begin(runner, "unsafe")
+        await self.inside()
+        asking = asyncio.create_task(self.ask("u1"))
+        await broken.wait()
+        if not told_first:
+            await self.until(lambda: self.node.tally.counts["given-up"] == 1)
+            await self.tell(id="u1", **{"from": "a"}, state="done", result="ran")
+        answer = await asking
+        self.assertEqual(self.node.tally.counts["dispatches"], 1)
+        return answer[0].split()[1]
+
+    async def test_an_end_told_before_its_dispatch_breaks_counts(self) -> None:
+        self.assertEqual(await self.beside(True), "200")
+
+    async def test_an_end_told_after_its_dispatch_broke_changes_nothing(self) -> None:
+        self.assertEqual(await self.beside(False), "504")
+
+    async def test_told_to_end_before_it_serves_it_takes_nobody(self) -> None:
+        async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            raise AssertionError("nothing is sent")
+
+        await self.begin(runner)
+        node = Node(self.given, lambda: self.given)
+        node.ending.set()
+        with patch.object(node.listener, "open") as opened:
+            async with asyncio.timeout(5):
+                await node.run()
+        self.assertFalse(opened.called)
+
+    async def test_a_new_configuration_told_before_the_program_is_whole_is_read(self) -> None:
+        async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await read_request(reader)
+
+        await self.begin(runner)
+        program = (
+            "import os, runpy, signal, sys\n"
+            "class Early:\n"
+            "    def find_spec(self, name, path=None, target=None):\n"
+            "        if name == 'crankfold.cli': os.kill(os.getpid(), signal.SIGHUP)\n"
+            "sys.meta_path.insert(0, Early())\n"
+            "sys.argv = ['crankfold', 'serve']\n"
+            "runpy.run_module('crankfold', run_name='__main__')"
+        )
+        lines = await self.outside(["-O", "-c", program])
+        self.process.send_signal(signal.SIGTERM)
+        printed = await lines
+        self.assertEqual(self.process.returncode, 0, printed)
+        self.assertIn("configurations-taken=1", printed)
+
+    async def test_idle_clients_fill_the_descriptors_while_discovery_is_down(self) -> None:
+        async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            while True:
+                head, _ = await read_request(reader)
+                ident = head.lower().partition("x-request-id: ")[2].partition("\r\n")[0]
+                await self.tell(id=ident, **{"from": "a"}, state="done", result="done")
+                writer.write(OK)
+
+        back = asyncio.Event()
+
+        async def discovery(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            answers = back.is_set()
+            await read_request(reader)
+            if answers:
+                body = orjson.dumps({**self.targets(), "rev": 9})
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+            await reader.read()
+
+        await self.begin(runner)
+        self.given |= {"discovery": f"127.0.0.1:{await self.stand_in(discovery)}", "limits": {"sockets": 128}}
+        self.given["known"]["targets"][0]["uid"] = "gone"
+        program = ("import resource; resource.setrlimit(resource.RLIMIT_NOFILE, (128, 128))\n"
+                   "from crankfold.cli import main; main(['serve'])")
+        lines = await self.outside(["-O", "-c", program])
+        idle = [socket.create_connection(("127.0.0.1", self.port)) for _ in range(400)]
+        await asyncio.sleep(0.3)
+        back.set()
+        async with asyncio.timeout(6):
+            while (await self.ask("u1"))[1] != b"done":
+                await asyncio.sleep(0.05)
+        for one in idle:
+            one.close()
+        self.process.terminate()
+        printed = await lines
+        self.assertEqual((self.process.returncode, "failures=" in printed), (0, False), printed)
+
+    async def test_by_the_grades_in_force_is_told_how_long_an_end_may_take(self) -> None:
+        async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await read_request(reader)
+
+        await self.begin(runner)
+        await self.inside()
+        grade = {"name": "h", "effect": "safe", "cut-off": 500_000, "expected-time": 100_000}
+        self.given = {**self.given, "settings": {**self.given["settings"], "service-grades": [grade]}}
+        self.node._renew()
+        self.assertEqual(self.node.longest, 0.5)
+
+
+class NothingLeaks(Scene):
+    def test_what_was_learnt_of_a_grade_is_not_told_of_another_that_reads_the_same(self) -> None:
+        self.open()
+        book = GradeBook(["a"], [GRADE])
+        self.told.typical[0] = 77.0
+        book.renew(["a"], [GRADE])
+        self.told.renewed(self.now, replace(ORDERS, grades=book.rows), book.anew)
+        self.assertEqual((self.told.typical, book.anew), ([77.0], frozenset()))
+        book.renew(["b"], [GRADE])
+        self.told.renewed(self.now, replace(ORDERS, grades=book.rows), book.anew)
+        self.assertEqual((self.told.typical, book.anew), ([GRADE.cutoff / 10], frozenset({0})))
+        self.assertEqual(self.told.effect, [Effect.REPEATABLE])
