KNOWN-RED.txt: the test command passes over listed failures and nothing else

python -m tests runs what discover ran, prints the listed failures, and fails for any other, for a line that is malformed, names no test or is listed twice, for more than three, and where no test ran. Nothing is listed: there is no KNOWN-RED.txt.

--- /dev/null
+++ b/tests/__main__.py
@@ -0,0 +1,3 @@
+from tests.known_red import main
+
+main()
