Emulator: a client that left, calls at a cold runner from all together, told within 6 s

Three checks more, the old ones as they were: nothing sent over 0.1 s after a client went; at a cold runner no more calls from all dispatchers than N + 2 x root of N + 2, N being what the settings allow it then; a change counts as told 6 s after discovery could tell it, told or not. Two faults: clients that leave, watches that fall silent.

--- a/crankfold/emulator/faults.py
+++ b/crankfold/emulator/faults.py
@@ -18,6 +18,8 @@
     BURST = "burst"  # `factor` times as many units
     STALL = "stall"  # dispatchers stand still: what comes meanwhile is told them at the end
     LISTS_DOWN = "lists-down"  # what changes is told only at the end
+    SILENT_WATCH = "silent-watch"  # watches of dispatchers fall silent; these hear changes `factor` s later
+    LEAVE = "leave"  # a share of the clients goes `factor` tenths of a second after it came
 
 
 @dataclass(frozen=True, slots=True)
--- a/crankfold/emulator/rules.py
+++ b/crankfold/emulator/rules.py
@@ -2,10 +2,13 @@
 
 from collections import Counter, defaultdict, deque
 from dataclasses import dataclass, field
+from math import sqrt
 
 from crankfold.dispatch.interface import Effect, Group, Standing, StandingOrders
 
 HISTORY = 12
+TOLD = 60_000  # a change counts as told so long after discovery had it and could be reached
+LEFT = 1_000  # nothing is sent so long after the client has gone
 
 
 @dataclass(slots=True)
@@ -17,6 +20,7 @@
     grade: int
     cutoff: int
     answered: str = ""
+    left: int = 0  # when its client went
     # When sent and where, unless known not to have run there.
     may_have_run: list[tuple[int, int]] = field(default_factory=list)
     past: deque[str] = field(default_factory=lambda: deque(maxlen=HISTORY))
@@ -32,6 +36,7 @@
         # By dispatcher and runner: when it was told that the runner drains or is gone.
         self.unwanted: dict[tuple[int, int], int] = {}
         self.burdens: dict[int, deque[tuple[int, float]]] = defaultdict(deque)
+        self.changes: dict[int, int] = {}  # by runner, how many discovery has had
         self.broken: list[str] = []
 
     def _break(self, now: int, rule: int, what: str, record: Record) -> None:
@@ -49,9 +54,29 @@
         else:
             self.unwanted.setdefault((dispatcher, runner), now)
 
+    def discovered(self, runner: int) -> int:
+        """A change that discovery could tell of from now on, had it been asked: its number."""
+        self.changes[runner] = self.changes.get(runner, 0) + 1
+        return self.changes[runner]
+
+    def counts_as_told(self, now: int, dispatcher: int, runner: int, standing: Standing, change: int) -> None:
+        """Its time to be told is over, whether or not it was. News that came since goes before it."""
+        if self.changes[runner] == change and standing != Standing.READY:
+            self.unwanted.setdefault((dispatcher, runner), now)
+
+    def client_left(self, now: int, dispatcher: int, unit: int) -> None:
+        record = self.units[dispatcher, unit]
+        if not record.answered:
+            record.left, record.answered = now, "left"
+            record.past.append(f"{now / 10:.1f} left")
+
     def dispatched(self, now: int, dispatcher: int, unit: int, runner: int) -> None:
         record = self.units[dispatcher, unit]
-        if record.answered:
+        if record.left:
+            if now > record.left + LEFT:
+                self._break(now, 1, f"was sent to runner {runner} for a client gone since "
+                            f"{record.left / 10:.1f}", record)
+        elif record.answered:
             self._break(now, 1, f"was sent to runner {runner} after its answer", record)
         since = self.unwanted.get((dispatcher, runner))
         if since is not None and now > since + self.grace:
@@ -79,6 +104,8 @@
     def answered(self, now: int, dispatcher: int, unit: int, how: str) -> None:
         record = self.units[dispatcher, unit]
         self.ended_as[how] += 1
+        if record.left:
+            return  # nobody hears it
         if record.answered:
             self._break(now, 1, f"was answered again ({how})", record)
         elif now > record.cutoff:
@@ -99,14 +126,20 @@
                 record.past.append(f"{now / 10:.1f} lost")
 
     def arrived(self, now: int, dispatcher: int, unit: int, runner: int, burden: float,
-                capacity: float) -> None:
-        """At a cold runner: work that came within the stated time, against what it can do at this moment."""
+                capacity: float, mean: float) -> None:
+        """At a cold runner: work that came within the stated time, against what it can do at this moment, and
+        calls against what are allowed of mean work; beyond these only 2 x root of N + 2 are chance. Whoever
+        sent them: the sum of all dispatchers counts."""
         came = self.burdens[runner]
         came.append((now, burden))
         while came[0][0] <= now - self.orders.overload_for:
             came.popleft()
         if sum(one for _, one in came) > self.orders.overload_factor * capacity * self.orders.overload_for:
             self._break(now, 4, f"pushed the cold runner {runner} over", self.units[dispatcher, unit])
+        budget = self.orders.overload_factor * capacity * self.orders.overload_for / mean
+        if len(came) > budget + 2 * sqrt(budget) + 2:
+            self._break(now, 4, f"is call {len(came)} at the cold runner {runner}, of {budget:.1f}",
+                        self.units[dispatcher, unit])
 
     def over(self, now: int) -> None:
         """At the end: whoever has no answer though the cut-off has passed."""
--- a/crankfold/emulator/world.py
+++ b/crankfold/emulator/world.py
@@ -9,7 +9,7 @@
 from crankfold.dispatch.interface import Dispatching, Listing, Outcome, Port, Standing, StandingOrders
 from crankfold.emulator.clockwork import Clockwork
 from crankfold.emulator.faults import Fault, Kind, hit
-from crankfold.emulator.rules import Rules
+from crankfold.emulator.rules import TOLD, Rules
 
 SECOND = 10_000
 ZONES = 3
@@ -75,7 +75,7 @@
         world, warmth = self.world, self.warmth()
         if warmth < 1.0:
             world.rules.arrived(world.clock.now, job.post.no, job.unit, self.no, job.work,
-                                warmth * world.scenario.slots)
+                                warmth * world.scenario.slots, world.scenario.work)
         if self.standing == Standing.GONE or self.dead:
             job.post.hear(job, self.no, Outcome.UNREACHABLE, ())
         elif self.hangs:
@@ -162,6 +162,12 @@
         self.clock.after(until, partial(self._heard, job, runner, Outcome.LATE, ()))
         self.clock.after(self.way(runner), partial(self.world.runners[runner].take, job))
 
+    def leave(self, unit: int) -> None:
+        """Its client closes its connection."""
+        if self.alive and not self.world.rules.units[self.no, unit].answered:
+            self.world.rules.client_left(self.clock.now, self.no, unit)
+            self._told(self.decisions.client_left, unit)
+
     def shed(self, unit: int, advice: int) -> None:
         self.world.rules.answered(self.clock.now, self.no, unit, "shed")
         if self.tries[unit] < self.world.scenario.retries:
@@ -231,6 +237,8 @@
         self.asked = self.in_time = 0
         self.clock.now = SECOND
         self.make, self.units, self.rate, self.lists_from = make, -1, scenario.rate, 0
+        self.silent, self.silence = frozenset[int](), 0  # whose watches are silent, and until they see
+        self.leaving, self.impatience, self.moods = 0.0, 0, Random(f"{scenario.seed} leave")
         self.runners = [Runner(self, r) for r in range(scenario.runners)]
         self.posts = [Post(self, no, make) for no in range(scenario.dispatchers)]
         for r in self.runners:
@@ -252,6 +260,8 @@
                     return
                 self.units += 1
                 post.take(self.units, work, came, tries)
+                if self.leaving and self.moods.random() < self.leaving:
+                    self.clock.after(self.impatience, partial(post.leave, self.units))
                 return
 
     def _arrive(self, no: int, luck: Random) -> None:
@@ -269,10 +279,19 @@
         def now() -> None:
             self.runners[runner].standing, self.runners[runner].since = standing, since
             late = max(self.scenario.list_late, self.lists_from - self.clock.now)
+            self.clock.after(late, partial(self._discovered, runner, standing))
             for no in range(len(self.posts)):
-                self.clock.after(late, partial(self._tell, no, runner))
+                self.clock.after(late + self.silence * (no in self.silent), partial(self._tell, no, runner))
         self.clock.after(at - self.clock.now, now)
 
+    def _discovered(self, runner: int, standing: Standing) -> None:
+        change = self.rules.discovered(runner)
+        for no in range(len(self.posts)):
+            self.clock.after(TOLD, partial(self._counts, no, runner, standing, change))
+
+    def _counts(self, no: int, runner: int, standing: Standing, change: int) -> None:
+        self.rules.counts_as_told(self.clock.now, no, runner, standing, change)
+
     def _tell(self, no: int, runner: int) -> None:
         if self.posts[no].alive:
             self.posts[no].tell((runner,), False)
@@ -298,7 +317,7 @@
                 self.clock.after(start - self.clock.now, self.runners[r].end_of_life)
                 self.change(end, r, Standing.READY, since=end)
             return
-        if fault.kind in (Kind.KILL, Kind.STALL):
+        if fault.kind in (Kind.KILL, Kind.STALL, Kind.SILENT_WATCH):
             whom = hit(fault, self.scenario.seed, len(self.posts))
         for on, at in ((True, start), (False, end)):
             self.clock.after(at - self.clock.now, partial(self._turn, fault, on, whom, end))
@@ -307,6 +326,10 @@
         kind = fault.kind
         if kind == Kind.BURST:
             self.rate = self.scenario.rate * (fault.factor if on else 1.0)
+        elif kind == Kind.SILENT_WATCH:
+            self.silent, self.silence = frozenset(whom if on else ()), int(fault.factor * SECOND)
+        elif kind == Kind.LEAVE:
+            self.leaving, self.impatience = (fault.share if on else 0.0), int(fault.factor * SECOND / 10)
         elif kind == Kind.LISTS_DOWN:
             self.lists_from = end if on else 0
         elif kind == Kind.KILL:
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -5,6 +5,7 @@
 
 from crankfold.dispatch.interface import Effect, Group, Standing, StandingOrders
 from crankfold.dispatch.policy import Dispatcher
+from crankfold.emulator.faults import Fault, Kind
 from crankfold.emulator.world import Make, Scenario, World
 from tests.scene import GRADE, MS, ORDERS, Kept
 
@@ -59,6 +60,17 @@
         self.port.dispatch(unit, 0, 0)
 
 
+class ForNobody(Anyone):
+    """Holds a unit for a while and forgets to ask whether its client is still there."""
+
+    def on(self, unit: int) -> None:
+        self.port.wake(2_500, unit + 1_000)
+
+    def woken(self, now: int, label: int) -> None:
+        if label >= 1_000:
+            self.port.dispatch(label - 1_000, 0, 0)
+
+
 class Emulated(Kept):
     def world(self, make: Make, scenario: Scenario, **grade: object) -> World:
         orders: StandingOrders = replace(ORDERS, grades=[replace(GRADE, **grade)])  # type: ignore[arg-type]
@@ -115,5 +127,30 @@
         self.say(f"ToOne, cold: {self.first(world)}")
         self.close("emulator-caught")
 
+    def test_what_the_stricter_terms_forbid_is_caught(self) -> None:
+        """A client that went, calls at a cold runner from all dispatchers together, a list not asked for."""
+        leave = Fault(Kind.LEAVE, 0.0, 2.0, share=1.0, factor=0.5)
+        alone = Scenario(dispatchers=1, runners=2, seconds=3, rate=5.0, faults=(leave,))
+        world = self.world(ForNobody, alone)
+        world.run()
+        self.say(f"ForNobody: {self.first(world)}")
+        # Each of the thirty sends little; all together they send more calls than are allowed, of little work.
+        orders = replace(ORDERS, grades=[GRADE], overload_factor=3.0, overload_for=10_000)
+        world = World(Scenario(dispatchers=30, runners=2, seconds=2, rate=2.0), orders, ToOne)
+        for post in world.posts:
+            take = post.take
+            post.take = lambda unit, work, came, tries, take=take: take(  # type: ignore[method-assign, misc]
+                unit, min(work, 50), came, tries)
+        world.change(10_001, 0, Standing.READY, since=10_001)
+        world.run()
+        self.say(f"ToOne, thirty, small units: {self.first(world)}")
+        for late in (10.0, 3.0):  # as long as a watch once took to be given up; as long as one takes at most
+            silent = Fault(Kind.SILENT_WATCH, 0.0, 9.0, share=1.0, factor=late)
+            world = self.world(Dispatcher, Scenario(dispatchers=3, runners=4, seconds=14, faults=(silent,)))
+            world.change(20_000, 0, Standing.DRAINING)
+            world.run()
+            self.say(f"watches silent for {late:.0f} s: {self.first(world)}")
+        self.close("emulator-stricter")
+
     def first(self, world: World) -> str:
         return world.rules.broken[0] if world.rules.broken else "nothing"
--- a/tests/test_experiment.py
+++ b/tests/test_experiment.py
@@ -46,7 +46,8 @@
         factor = {Kind.ERRORS: 0.7, Kind.BURST: 2.5}
         for kind in Kind:
             # With reports that stand still or lists that are down something else has to happen to be felt.
-            more = {Kind.LISTS_DOWN: (Fault(Kind.RELEASE, 2.0, 3.5, 0.4),), Kind.LATE_REPORTS:
+            release = (Fault(Kind.RELEASE, 2.0, 3.5, 0.4),)
+            more = {Kind.LISTS_DOWN: release, Kind.SILENT_WATCH: release, Kind.LATE_REPORTS:
                     (Fault(Kind.SLOW, 1.0, 7.0, 0.3),)}.get(kind, ())
             day = {"dispatchers": 2, "rate": 36.0} if kind == Kind.LATE_REPORTS else {}
             base = self.play(*more, **day)[1] if more else calm
