Where lists are asked for no pause outlasts what a change may take to count as told

From reading: after refused calls the pause doubled up to twice ask-within, 1.25 times that as drawn, 25 s at 10 s; a first call was spread over up to half of ask-within. The service counts as telling within 6 s whatever is allowed after a refused call, so on sockets a pause is now at most half of that (3.75 s as drawn), and the spread too. The simulator's own rule stays as it is there (told_within is not set).

--- a/crankfold/dispatch/interface.py
+++ b/crankfold/dispatch/interface.py
@@ -80,6 +80,7 @@
     overload_for: int
     live_weights: bool = False  # list weights are sizes divided by one more than the units held for each core
     by_key: bool = True  # runners keep the data of a unit's key for the next one that has it
+    told_within: int = 1 << 62  # what the list service could tell counts as told then, refused or not
     number: int = -1  # this dispatcher's among all, from 0; -1 where not told
 
 
--- a/crankfold/dispatch/policy.py
+++ b/crankfold/dispatch/policy.py
@@ -74,8 +74,8 @@
         self.at_queue, self.at_free = at.get("queue", -1), at.get("free_slots", -1)
         # The list serves few calls a second: all together at most ten, at first and at each repeat.
         few = max(min(orders.ask_within // 8, 2 * SECOND), 1)
-        self.refused, self.ask_pause, self.ask_longest = 0, few, 2 * max(orders.ask_within, few)
-        self.ask_spread = min(self.sharers * SECOND // 10, orders.ask_within // 2)
+        self.ask_pause, self.ask_longest = few, min(2 * max(orders.ask_within, few), orders.told_within // 2)
+        self.ask_spread = min(self.sharers * SECOND // 10, orders.ask_within // 2, orders.told_within // 2)
         self.probe_all = orders.may_probe and orders.reports_by_probe
         self.probe_some = orders.may_probe and orders.reports_in_answers and not self.live
         self.cold_from, self.warm_after = orders.cold_from, orders.warm_after
@@ -91,7 +91,7 @@
         self.ring, self.circle, self.quick, self.long = ([0][:0] for _ in range(4))
         self.size, self.share = 0, 0
         self.drawn, self.sparse, self.cold_until = (0, 0), False, 0
-        self.surveyed_at, self.roused, self.arrivals, self.watched = -1, False, 0.0, 0.0
+        self.refused, self.surveyed_at, self.roused, self.arrivals, self.watched = 0, -1, False, 0.0, 0.0
         # Running times taken and how many; work taken, and that of units shorter than the mean.
         self.lengths, self.measured, self.wide = sum(self.typical), len(self.typical), False
         self.all_work, self.short_work = 5 * self.lengths, 5 * QUICK * self.lengths
--- a/crankfold/service/node.py
+++ b/crankfold/service/node.py
@@ -4,6 +4,7 @@
 import contextlib
 import signal
 from collections.abc import Callable, Sequence
+from dataclasses import replace
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
@@ -28,6 +29,7 @@
 if TYPE_CHECKING:
     from crankfold.service.agreed import Agreed
 
+TOLD_WITHIN = 60_000  # tenths of a millisecond; a change of the list counts as told then, asked for or not
 FIRST_LIST = 0.3  # seconds that a start waits for discovery, which may be down
 COMING = 0.45  # connections go on arriving for so long after the order to end
 LONGEST_DRAIN, OVER = 3.0, 0.5  # the platform ends us soon after the longest cut-off, or 3 s if that is less
@@ -105,6 +107,7 @@
         try:
             settings = from_nested(given["settings"])
             orders, rules = standing_orders(settings), house_rules(settings)
+            orders = replace(orders, told_within=TOLD_WITHIN)
             seed = int(str(given.get("seed", "0")), 16)
         except ValueError as wrong:
             raise Unusable(f"settings: {wrong}") from None
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -11,9 +11,11 @@
 import orjson
 
 from crankfold.dispatch.interface import Effect
+from crankfold.dispatch.policy import LIST
 from crankfold.network.listener import MOST_UNREAD, Listener
 from crankfold.network.runners import SETTLE, Errand, Pool, Sockets
 from crankfold.network.tally import Tally
+from crankfold.network.watch import CONNECT
 from crankfold.protocol.runners import RunnerSide
 from crankfold.service.grades import GradeBook
 from crankfold.service.node import Node
@@ -440,3 +442,13 @@
         self.told.renewed(self.now, replace(ORDERS, grades=book.rows), book.anew)
         self.assertEqual((self.told.typical, book.anew), ([GRADE.cutoff / 10], frozenset({0})))
         self.assertEqual(self.told.effect, [Effect.REPEATABLE])
+
+
+class Told(Scene):
+    def test_where_lists_are_asked_for_no_pause_is_longer_than_a_change_may_take(self) -> None:
+        self.open(runners=0, must_ask=True, ask_within=200_000, dispatchers=400, told_within=60_000)
+        for _ in range(9):
+            self.told.list_failed(self.now)
+        pauses = [at - self.now for at, label in self.wakes if label == LIST]
+        self.assertEqual(len(pauses), 10)
+        self.assertLess(max(pauses), 60_000 - CONNECT * 20_000)  # what is left: to connect and to be answered
