--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -418,6 +418,29 @@
         printed = await lines
         self.assertEqual((self.process.returncode, "failures=" in printed), (0, False), printed)
 
+    async def test_a_first_call_that_breaks_does_not_end_the_wait_for_the_list(self) -> None:
+        async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await read_request(reader)
+            self.say("sent to a runner that discovery has as draining")
+
+        calls = 0
+
+        async def discovery(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            nonlocal calls
+            calls += 1
+            await read_request(reader)
+            if calls == 1:
+                return
+            self.state = "terminating"
+            body = orjson.dumps(self.targets())
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+            await reader.read()
+
+        await self.begin(runner)
+        self.given["discovery"] = f"127.0.0.1:{await self.stand_in(discovery)}"
+        await self.inside()
+        self.assertEqual(((await self.ask("u1", wait=0.2))[0].split()[1], self.lines), ("503", []))
+
     async def test_by_the_grades_in_force_is_told_how_long_an_end_may_take(self) -> None:
         async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             await read_request(reader)
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -16,6 +16,7 @@
 from crankfold.network.passage import Passage
 from crankfold.network.tally import Tally
 from crankfold.protocol.kin import MOST_LINE, Garbled, KinSide
+from crankfold.service.node import Node
 from crankfold.service.succession import Succession
 from tests.loopback import OK, UNIT, Between, Loopback
 from tests.scene import Kept, read_request
@@ -320,6 +321,26 @@
         await asyncio.gather(*(client(name) for name in range(6)))
         return ends
 
+    async def test_another_dispatchers_process_and_records_give_nothing(self) -> None:
+        await self.start()
+        self.given["name"] = "n0"
+        lines = await self.outside(["-O", "-m", "crankfold", "serve"], self.folder)
+        self.assertEqual((await self.call(self.door, "runners/a/offline")).split()[0], "200")
+
+        async def learnt(name: str) -> tuple[bool, bool, list[str]]:
+            handover = Node({**self.given, "name": name}, lambda: self.given, self.folder).handover
+            assert handover
+            welcome = await handover.meet()
+            handover.close()
+            return welcome is not None, handover.sock is not None, list(handover.fleet.bans.since)
+
+        self.assertEqual(await learnt("n1"), (False, False, []))
+        self.assertEqual(await learnt("n0"), (True, True, ["a"]))
+        self.process.kill()
+        await lines
+        self.assertEqual(await learnt("n1"), (False, False, []))
+        self.assertEqual(await learnt("n0"), (False, False, ["a"]))
+
     async def test_replaced_twice_under_load_nothing_is_lost(self) -> None:
         await self.start()
         ends = await self.outside(SERVE, self.folder)
