Where weights move with load the limit lets a wait stand that expected times allow

Cause: _weigh cut the in-flight limit to one unit held for each core (ratio size / held), whatever the grades' expected times allow; a limit is at most the even part of the fleet then, and dispatchers with several times the mean traffic shed.

Now the ratio counts a wait of PATIENT of the expected time as no load, as _homes does for a key's runners.

--- a/crankfold/dispatch/policy.py
+++ b/crankfold/dispatch/policy.py
@@ -130,7 +130,7 @@
         self.revenue, self.by_work = [g.revenue for g in orders.grades], orders.by_work
         self.asked, self.got = [0.0] * len(orders.grades), [0.0] * len(orders.grades)
         self.care, self.worst = orders.worst_grade_care, 0  # how much the worst-served grade counts
-        self.tardy = [g.tardy for g in orders.grades]
+        self.tardy, self.usual = [g.tardy for g in self.grades], sum(self.expected) / max(len(self.grades), 1)
         self.patience = [min(max(g.expected // 2, 400), SECOND // 2) for g in orders.grades]
         self.most, self.copy_share = orders.most_dispatches, COPY_SHARE * orders.may_copy
         self.may_cancel, self.advice = orders.may_cancel, min(orders.longest_advice, SECOND)
@@ -318,8 +318,8 @@
 
     def _weigh(self, now: int) -> None:
         """Takes weights that move with load apart: size, the most that one of the kind was listed at, and
-        units held. All see these alike and late and, free to choose, would lean the same way at once: they
-        count as a report only where keys bind."""
+        units held. All see these alike and late and, free to choose, would lean one way: they are a report only
+        where keys bind. A wait that expected times allow may stand, or busy dispatchers shed in a calm."""
         held = size = 0.0
         for r in self.ready:
             self.weight[r] = self.sizes.get(self.kind[r], 1.0)
@@ -330,7 +330,7 @@
             if self.warm_at[r] <= now:
                 held, size = held + self.weight[r] * self.filling[r], size + self.weight[r]
         if size and now - self.window_at >= SECOND // 2:
-            self._steer(now, min(size / (held or 1.0), 1.0), 1.0)
+            self._steer(now, min((1.0 + PATIENT * self.usual / self.runs) * size / (held or 1.0), 1.0), 1.0)
 
     def _draw_circle(self, now: int) -> None:
         """As many as own traffic keeps busy: what is out there is known only as far as it is one's own."""
--- a/crankfold/network/runners.py
+++ b/crankfold/network/runners.py
@@ -44,8 +44,8 @@
 
 
 class Outgoing(asyncio.StreamReaderProtocol):
-    """Says in the very moment when nothing is left to be written: a task that waits for it learns it a turn
-    later, after a break in between, and would take a request that went out whole for one that never did."""
+    """Says in the very moment when nothing is left to be written, so that whatever breaks after it finds the
+    request written: taken for one that never went out whole, it would be sent again."""
 
     emptied: Callable[[], None] = staticmethod(lambda: None)
 
--- a/tests/test_move.py
+++ b/tests/test_move.py
@@ -1,7 +1,9 @@
 """A deployment of another build: weights that move with load, keys, no start notes, impatient clients."""
 
+from dataclasses import replace
+
 from crankfold.dispatch.interface import Listing, Standing
-from tests.scene import MS, Scene
+from tests.scene import GRADE, MS, Scene
 
 
 class Moved(Scene):
@@ -72,6 +74,18 @@
         self.say(f"limit {self.told.limit:.1f}, held {len(self.told.held)}")
         self.close("move-limit")
 
+    def test_a_wait_that_expected_times_allow_cuts_no_limit(self) -> None:
+        self.open(runners=0, free=0, live_weights=True, tells_start=False,
+                  grades=[replace(GRADE, expected=2000 * MS)])
+        self.listed(4.0, 4.0)
+        for n in range(3):
+            self.take(n, work=0)
+        for at, weight in ((600, 1.6667), (1200, 0.8)):  # 1.4 held for each core, then four
+            self.at(at)
+            self.listed(weight, weight)
+            self.say(f"listed at {weight:.1f}: limit {self.told.limit:.1f}")
+        self.close("move-wait")
+
     def test_frantic_repeats_are_shed_and_the_first_try_is_not(self) -> None:
         self.open()
         self.take(0, cutoff=300, work=0)
