--- a/crankfold/dispatch/policy.py
+++ b/crankfold/dispatch/policy.py
@@ -318,8 +318,8 @@
 
     def _weigh(self, now: int) -> None:
         """Takes weights that move with load apart: size, the most that one of the kind was listed at, and
-        units held. All see these alike and late and, free to choose, would lean one way: they are a report only
-        where keys bind. A wait that expected times allow may stand, or busy dispatchers shed in a calm."""
+        units held. All see these alike and late and, free to choose, would lean one way: they are a report
+        only where keys bind. A wait that expected times allow stands, or busy dispatchers shed in a calm."""
         held = size = 0.0
         for r in self.ready:
             self.weight[r] = self.sizes.get(self.kind[r], 1.0)
