--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -471,7 +471,7 @@
         await self.inside()
         self.assertEqual(((await self.ask("u1", wait=0.2))[0].split()[1], self.lines), ("503", []))
 
-    async def test_a_cut_off_that_comes_before_the_decisions_had_their_turn_sheds_what_never_went(self) -> None:
+    async def test_a_cut_off_before_the_decisions_had_their_turn_sheds_what_never_went(self) -> None:
         async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             raise AssertionError("nothing is sent")
 
