--- a/crankfold/network/runners.py
+++ b/crankfold/network/runners.py
@@ -14,7 +14,7 @@
 SETTLE = 0.05
 
 
-class Errand:
+class Exchange:
     """One exchange with a runner, from the wish to its end."""
 
     __slots__ = ("method", "target", "heads", "body", "may_go", "ended", "link", "over", "settled")
@@ -29,7 +29,7 @@
         self.over = False
 
 
-# How an errand ends.
+# How an exchange ends.
 ANSWERED, BROKEN, UNREACHED, HELD_BACK, WORN = "answered", "broken", "unreached", "held back", "worn"
 
 
@@ -61,7 +61,7 @@
                  protocol: Outgoing) -> None:
         self.pool, self.reader, self.writer = pool, reader, writer
         self.side = RunnerSide()
-        self.errand: Errand | None = None
+        self.exchange: Exchange | None = None
         self.idle_since, self.came = 0.0, pool.loop.time()
         self.read, self.answered_at = 0, -SETTLE
         self.written = True
@@ -69,9 +69,9 @@
         writer.transport.set_write_buffer_limits(high=0)  # so that emptied means that nothing is left
         self.task = pool.loop.create_task(self._run())
 
-    def carry(self, errand: Errand) -> None:
-        self.errand, errand.link = errand, self
-        self.writer.writelines(self.side.ask(errand.method, errand.target, errand.heads(), errand.body))
+    def carry(self, exchange: Exchange) -> None:
+        self.exchange, exchange.link = exchange, self
+        self.writer.writelines(self.side.ask(exchange.method, exchange.target, exchange.heads(), exchange.body))
         self.written = self.writer.transport.get_write_buffer_size() == 0
 
     def _emptied(self) -> None:
@@ -100,15 +100,15 @@
         try:
             while data := await self.reader.read(LUMP):
                 self.read += len(data)
-                if self.errand is None:
+                if self.exchange is None:
                     self.pool.tally.count("runner-spoke-unasked")
                     break
                 if self.side.feed(data):
-                    errand, self.errand = self.errand, None
+                    exchange, self.exchange = self.exchange, None
                     self.answered_at = self.pool.loop.time()
                     if self.side.usable:
                         self.pool.rest(self)
-                    self.pool.end(errand, ANSWERED if self._answered() else BROKEN, self.side)
+                    self.pool.end(exchange, ANSWERED if self._answered() else BROKEN, self.side)
                     if not self.side.usable:
                         break
         except OSError:
@@ -116,8 +116,8 @@
         finally:
             self.pool.gone(self)
             self.writer.close()
-            if self.errand is not None:
-                self.pool.end(self.errand, ANSWERED if self._answered() else self._broken(), self.side)
+            if self.exchange is not None:
+                self.pool.end(self.exchange, ANSWERED if self._answered() else self._broken(), self.side)
 
     def _answered(self) -> bool:
         """What broke off in the middle tells nothing that may be relied on, least of all that something never
@@ -168,17 +168,17 @@
         self.opening: set[asyncio.Task[None]] = set()
         self.closed = False
 
-    def send(self, errand: Errand) -> None:
+    def send(self, exchange: Exchange) -> None:
         """Goes at once where a connection is at rest. How it ends is told later, never from in here."""
-        link = self._rested(errand.settled)
+        link = self._rested(exchange.settled)
         if link:
             self.tally.count("connections-reused")
-            link.carry(errand)
+            link.carry(exchange)
         elif self.closed or not self.sockets.room():
             self.tally.count("no-room-for-a-connection")
-            self.loop.call_soon(self.end, errand, HELD_BACK, None)
+            self.loop.call_soon(self.end, exchange, HELD_BACK, None)
         else:
-            task = self.loop.create_task(self._open(errand))
+            task = self.loop.create_task(self._open(exchange))
             self.opening.add(task)
             task.add_done_callback(self.opening.discard)
 
@@ -201,7 +201,7 @@
             del self.sockets.resting[link]
             self.idle.remove(link)
 
-    async def _open(self, errand: Errand) -> None:
+    async def _open(self, exchange: Exchange) -> None:
         self.tally.count("connections-opened")
         self.sockets.held += 1
         try:
@@ -212,14 +212,14 @@
         except (OSError, TimeoutError):
             self.sockets.held -= 1
             self.tally.count("connections-not-up")
-            self.end(errand, UNREACHED, None)
+            self.end(exchange, UNREACHED, None)
             return
         link = Link(self, reader, asyncio.StreamWriter(transport, protocol, reader, self.loop), protocol)
-        if errand.over or self.closed or not errand.may_go():
-            self.end(errand, HELD_BACK, None)
+        if exchange.over or self.closed or not exchange.may_go():
+            self.end(exchange, HELD_BACK, None)
             self.rest(link)
         else:
-            link.carry(errand)
+            link.carry(exchange)
 
     def rest(self, link: Link) -> None:
         if self.closed:
@@ -233,16 +233,16 @@
         self.wakened(link)
         self.sockets.held -= 1
 
-    def end(self, errand: Errand, how: str, side: RunnerSide | None) -> None:
-        if not errand.over:
-            errand.over = True
-            errand.ended(how, side)
+    def end(self, exchange: Exchange, how: str, side: RunnerSide | None) -> None:
+        if not exchange.over:
+            exchange.over = True
+            exchange.ended(how, side)
 
-    def cut(self, errand: Errand) -> None:
+    def cut(self, exchange: Exchange) -> None:
         """Closes the connection that an answer has not come on; what was not written yet is not sent."""
-        errand.over = True
-        if errand.link and errand.link.errand is errand:
-            errand.link.writer.transport.abort()
+        exchange.over = True
+        if exchange.link and exchange.link.exchange is exchange:
+            exchange.link.writer.transport.abort()
 
     def close(self) -> None:
         """The address is no longer the runner's: nothing new, what is under way runs to its end."""
--- a/crankfold/service/desk.py
+++ b/crankfold/service/desk.py
@@ -9,7 +9,7 @@
 from crankfold.dispatch.interface import Effect, Listing, Outcome, Standing, StandingOrders
 from crankfold.dispatch.policy import NEVER_RAN, Dispatcher
 from crankfold.network.listener import Client
-from crankfold.network.runners import ANSWERED, HELD_BACK, UNREACHED, WORN, Errand
+from crankfold.network.runners import ANSWERED, HELD_BACK, UNREACHED, WORN, Exchange
 from crankfold.network.tally import Tally
 from crankfold.network.timers import Timers
 from crankfold.orders.reader import HouseRules, plain
@@ -168,9 +168,9 @@
             self.later(self._dispatched, work, trip, HELD_BACK, None)
             return
         method, target, heads, body = work.again
-        trip.errand = Errand(method, target, lambda: dispatch_heads(heads, work.cutoff - self.clock.now()),
+        trip.exchange = Exchange(method, target, lambda: dispatch_heads(heads, work.cutoff - self.clock.now()),
                              body, partial(self._may_go, work, trip), partial(self._dispatched, work, trip))
-        self.fleet.pools[runner].send(trip.errand)
+        self.fleet.pools[runner].send(trip.exchange)
         if limit > 0:
             self.timers.wake(limit, partial(self._stop_waiting, work, trip))
 
@@ -221,7 +221,7 @@
 
     def probe(self, runner: int) -> None:
         self.tally.count("probes")
-        self.fleet.errand(runner, b"GET", self.probe_target, partial(self._probed, runner))
+        self.fleet.exchange(runner, b"GET", self.probe_target, partial(self._probed, runner))
 
     # --- from runners ---
 
@@ -239,7 +239,7 @@
             self.reports[runner] = self.clock.now(), report
 
     def _dispatched(self, work: Work, trip: Trip, how: str, side: RunnerSide | None) -> None:
-        """The errand of a dispatch is over: the runner took the unit, or the dispatch has ended."""
+        """The exchange of a dispatch is over: the runner took the unit, or the dispatch has ended."""
         if how == HELD_BACK:
             self._end(work, trip, Outcome.NOT_SENT)
         elif how == UNREACHED:
@@ -267,23 +267,23 @@
 
     def _call_off(self, work: Work, trip: Trip) -> None:
         """Before the runner has said that it took the unit the connection closes; after that it is told."""
-        if trip.errand is None:
+        if trip.exchange is None:
             return
-        trip.ran_on = trip.errand.link is not None
+        trip.ran_on = trip.exchange.link is not None
         if self.left_running and trip.ran_on:
             self.left_running(self.fleet.numbers.names[trip.runner], work.ident)
         if not trip.taken:
-            self.fleet.pools[trip.runner].cut(trip.errand)
+            self.fleet.pools[trip.runner].cut(trip.exchange)
         elif self.may_cancel:
             target = b"/jobs/" + quote(work.ident, safe="").encode()
-            self.fleet.errand(trip.runner, b"DELETE", target, lambda how, side: None)
+            self.fleet.exchange(trip.runner, b"DELETE", target, lambda how, side: None)
 
     def _end(self, work: Work, trip: Trip, outcome: Outcome, report: Sequence[float] = ()) -> None:
         if not trip.out:
             return
         trip.out, trip.may_have_run = False, outcome not in NEVER_RAN
-        if trip.errand:
-            self.fleet.let_go(trip.runner, trip.errand)
+        if trip.exchange:
+            self.fleet.let_go(trip.runner, trip.exchange)
         self._keep(trip.runner, report)
         self.tally.count("ended-" + outcome.name.lower().replace("_", "-"))
         if self.dispatch_ended:
--- a/crankfold/service/fleet.py
+++ b/crankfold/service/fleet.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from crankfold.dispatch.interface import Listing, Standing
-from crankfold.network.runners import BROKEN, Errand, Pool, Sockets
+from crankfold.network.runners import BROKEN, Exchange, Pool, Sockets
 from crankfold.network.timers import Timers
 from crankfold.orders.places import Places
 from crankfold.orders.reader import HouseRules, plain
@@ -114,21 +114,21 @@
     def anywhere(self) -> bool:
         return Standing.READY in self.standing
 
-    def errand(self, runner: int, method: bytes, target: bytes,
+    def exchange(self, runner: int, method: bytes, target: bytes,
                ended: Callable[[str, RunnerSide | None], None]) -> None:
         """An exchange that carries no unit. A machine that vanished says nothing: it has a time limit too."""
         pool = self.pools[runner]
         host = f"{pool.host}:{pool.port}".encode()
-        errand = Errand(method, target, lambda: [(b"Host", host)], b"", lambda: True, ended, False)
-        pool.send(errand)
-        self.timers.wake(ANSWER_WITHIN, partial(self._overdue, pool, errand))
+        exchange = Exchange(method, target, lambda: [(b"Host", host)], b"", lambda: True, ended, False)
+        pool.send(exchange)
+        self.timers.wake(ANSWER_WITHIN, partial(self._overdue, pool, exchange))
 
-    def _overdue(self, pool: Pool, errand: Errand) -> None:
-        pool.end(errand, BROKEN, None)
-        pool.cut(errand)
+    def _overdue(self, pool: Pool, exchange: Exchange) -> None:
+        pool.end(exchange, BROKEN, None)
+        pool.cut(exchange)
 
-    def let_go(self, runner: int, errand: Errand) -> None:
+    def let_go(self, runner: int, exchange: Exchange) -> None:
         """The dispatch ended by call-back before its 202, which gets a while to come."""
-        if not errand.over:
-            errand.over = True
-            self.timers.wake(ANSWER_WITHIN, partial(self.pools[runner].cut, errand))
+        if not exchange.over:
+            exchange.over = True
+            self.timers.wake(ANSWER_WITHIN, partial(self.pools[runner].cut, exchange))
--- a/crankfold/service/ledger.py
+++ b/crankfold/service/ledger.py
@@ -4,25 +4,25 @@
 from collections.abc import Callable, Sequence
 
 from crankfold.network.listener import Client
-from crankfold.network.runners import Errand
+from crankfold.network.runners import Exchange
 from crankfold.service.grades import GradeBook
 
 
 class Trip:
     """One dispatch."""
 
-    __slots__ = ("nth", "runner", "began", "errand", "out", "started", "taken", "ran_on", "may_have_run")
+    __slots__ = ("nth", "runner", "began", "exchange", "out", "started", "taken", "ran_on", "may_have_run")
 
     def __init__(self, nth: int, runner: int, began: int) -> None:
         self.nth, self.runner, self.began = nth, runner, began
-        self.errand: Errand | None = None
+        self.exchange: Exchange | None = None
         self.out, self.started, self.taken = True, False, False
         self.ran_on = False  # given up without news of its end: the runner may still have it
         self.may_have_run = True
 
     def reached(self) -> bool:
         """Whether it went out on a connection."""
-        return self.errand is not None and self.errand.link is not None
+        return self.exchange is not None and self.exchange.link is not None
 
 
 class Work:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -13,7 +13,7 @@
 from crankfold.dispatch.interface import Effect
 from crankfold.dispatch.policy import LIST, SECOND
 from crankfold.network.listener import FRESH, MOST_UNREAD, Listener
-from crankfold.network.runners import SETTLE, Errand, Pool, Sockets
+from crankfold.network.runners import SETTLE, Exchange, Pool, Sockets
 from crankfold.network.tally import Tally
 from crankfold.network.watch import CONNECT
 from crankfold.orders.reader import house_rules
@@ -39,13 +39,13 @@
         self.pool = Pool("127.0.0.1", await self.stand_in(kept), Sockets(9, 0.25, 5.0, self.tally))
         self.addCleanup(self.pool.close)
 
-    def send(self, body: bytes = b"x", settled: bool = True) -> Errand:
+    def send(self, body: bytes = b"x", settled: bool = True) -> Exchange:
         def ended(how: str, side: RunnerSide | None) -> None:
             self.ends.append(f"{how} {side.status if side else ''}")
 
-        errand = Errand(b"POST", b"/api", lambda: [(b"Host", b"b")], body, lambda: True, ended, settled)
-        self.pool.send(errand)
-        return errand
+        exchange = Exchange(b"POST", b"/api", lambda: [(b"Host", b"b")], body, lambda: True, ended, settled)
+        self.pool.send(exchange)
+        return exchange
 
     async def test_bytes_that_lie_unread_when_a_connection_is_taken_up_answer_nothing(self) -> None:
         async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -143,11 +143,11 @@
                 came.set_result(len(await reader.read(-1)))
 
         await self.begin(runner)
-        errand = self.send(b"x" * 30_000_000)
-        await self.until(lambda: errand.link is not None)
-        assert errand.link
-        self.assertFalse(errand.link.written)
-        self.pool.cut(errand)
+        exchange = self.send(b"x" * 30_000_000)
+        await self.until(lambda: exchange.link is not None)
+        assert exchange.link
+        self.assertFalse(exchange.link.written)
+        self.pool.cut(exchange)
         called_off.set()
         async with asyncio.timeout(9):
             self.assertLess(await came, 30_000_000)
@@ -157,10 +157,10 @@
             await reader.read()
 
         await self.begin(runner)
-        errand = self.send(b"x" * 30_000_000)
-        await self.until(lambda: errand.link is not None)
-        assert errand.link
-        transport: Any = errand.link.writer.transport
+        exchange = self.send(b"x" * 30_000_000)
+        await self.until(lambda: exchange.link is not None)
+        assert exchange.link
+        transport: Any = exchange.link.writer.transport
         transport._buffer.clear()  # as the system takes the last of it ...
         transport._maybe_resume_protocol()
         transport.abort()  # ... and the connection breaks before any task had its turn
@@ -244,10 +244,10 @@
         pool = self.node.fleet.pools[0]
         opening, up = pool._open, asyncio.Event()
 
-        async def late(errand: Errand) -> None:
+        async def late(exchange: Exchange) -> None:
             asking.cancel()
             await self.until(lambda: self.node.tally.counts["clients-left"] == 1)
-            await opening(errand)
+            await opening(exchange)
             up.set()
 
         pool._open = late  # type: ignore[method-assign]
@@ -325,13 +325,13 @@
         opening = pool._open
         opened = 0
 
-        async def late(errand: Errand) -> None:
+        async def late(exchange: Exchange) -> None:
             nonlocal opened
             opened += 1
             if opened > 1:
                 first = next(iter(self.node.desk.ledger.units.values())).trips[0]
                 await self.until(lambda: self.node.timers.clock.now() > first.began + 3000)
-            await opening(errand)
+            await opening(exchange)
 
         with patch.object(pool, "_open", late), \
                 patch.object(self.node.desk.decisions, "_sound", lambda now, u, pool, burden: [0]), \
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -16,7 +16,7 @@
 import orjson
 
 from crankfold.network.listener import FRESH, MOST_UNREAD, UNCOUNTED, Listener
-from crankfold.network.runners import SETTLE, Errand, Pool, Sockets
+from crankfold.network.runners import SETTLE, Exchange, Pool, Sockets
 from crankfold.network.tally import Tally
 from crankfold.network.timers import Clock, Timers
 from crankfold.network.watch import CONNECT, IN_TURN, LATE, MOST_CALLS, PAUSE, WAIT_MS, Watch
@@ -186,8 +186,8 @@
         def ended(how: str, side: RunnerSide | None) -> None:
             ends.append(f"{what}: {how} {side.status if side else ''}".strip())
 
-        errand = Errand(b"POST", b"/api", lambda: [(b"Host", b"b")], body, lambda: may_go, ended)
-        pool.send(errand)
+        exchange = Exchange(b"POST", b"/api", lambda: [(b"Host", b"b")], body, lambda: may_go, ended)
+        pool.send(exchange)
         self.assertEqual(ends, [])  # never from within the call
         await self.until(lambda: bool(ends))
         await asyncio.sleep(1.2 * SETTLE)  # from then on the connection may be used again
@@ -264,10 +264,10 @@
             closed.set()
 
         pool = self.pool(await self.stand_in(silent))
-        errand = Errand(b"POST", b"/api", lambda: [(b"Host", b"b")], b"", lambda: True, lambda *_: None)
-        pool.send(errand)
-        await self.until(lambda: errand.link is not None)
-        pool.cut(errand)
+        exchange = Exchange(b"POST", b"/api", lambda: [(b"Host", b"b")], b"", lambda: True, lambda *_: None)
+        pool.send(exchange)
+        await self.until(lambda: exchange.link is not None)
+        pool.cut(exchange)
         async with asyncio.timeout(5):
             await closed.wait()
         await self.until(lambda: pool.sockets.held == 0)
@@ -642,11 +642,11 @@
         pool = self.node.fleet.pools[0]
         opening = pool._open
 
-        async def told_meanwhile(errand: Errand) -> None:
+        async def told_meanwhile(exchange: Exchange) -> None:
             self.state = "terminating"
             self.changed.set()
             await self.until(lambda: self.node.tally.counts["lists-whole"] == 2)
-            await opening(errand)
+            await opening(exchange)
 
         pool._open = told_meanwhile  # type: ignore[method-assign]
         self.assertEqual((await self.ask("u1"))[0].split()[1], "503")
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -14,7 +14,7 @@
 from crankfold.dispatch.interface import Listing, Standing
 from crankfold.network.door import PLACES, Door
 from crankfold.network.listener import Listener
-from crankfold.network.runners import Errand
+from crankfold.network.runners import Exchange
 from crankfold.network.tally import Tally
 from crankfold.orders.reader import house_rules
 from crankfold.protocol.operators import MOST_CALL, OperatorSide, carry_out
@@ -297,9 +297,9 @@
         pool = self.node.fleet.pools[0]
         opening = pool._open
 
-        async def banned_meanwhile(errand: Errand) -> None:
+        async def banned_meanwhile(exchange: Exchange) -> None:
             self.assertEqual(await self.call(self.door, "runners/a/offline"), "200 offline")
-            await opening(errand)
+            await opening(exchange)
 
         pool._open = banned_meanwhile  # type: ignore[method-assign]
         self.assertEqual((await self.ask("u1", wait=0.5))[0].split()[1], "503")
