--- a/crankfold/network/runners.py
+++ b/crankfold/network/runners.py
@@ -17,7 +17,7 @@
 class Exchange:
     """One exchange with a runner, from the wish to its end."""
 
-    __slots__ = ("method", "target", "heads", "body", "may_go", "ended", "link", "over", "settled")
+    __slots__ = ("method", "target", "heads", "body", "may_go", "ended", "connection", "over", "settled")
 
     def __init__(self, method: bytes, target: bytes, heads: Callable[[], Sequence[tuple[bytes, bytes]]],
                  body: bytes, may_go: Callable[[], bool],
@@ -25,7 +25,7 @@
         self.method, self.target, self.heads, self.body = method, target, heads, body
         self.may_go, self.ended = may_go, ended
         self.settled = settled  # its answer counts: not on a connection that was answered a moment ago
-        self.link: Link | None = None
+        self.connection: Connection | None = None
         self.over = False
 
 
@@ -54,7 +54,7 @@
         super().resume_writing()
 
 
-class Link:
+class Connection:
     """One open connection."""
 
     def __init__(self, pool: "Pool", reader: Incoming, writer: asyncio.StreamWriter,
@@ -70,8 +70,9 @@
         self.task = pool.loop.create_task(self._run())
 
     def carry(self, exchange: Exchange) -> None:
-        self.exchange, exchange.link = exchange, self
-        self.writer.writelines(self.side.ask(exchange.method, exchange.target, exchange.heads(), exchange.body))
+        self.exchange, exchange.connection = exchange, self
+        asked = self.side.ask(exchange.method, exchange.target, exchange.heads(), exchange.body)
+        self.writer.writelines(asked)
         self.written = self.writer.transport.get_write_buffer_size() == 0
 
     def _emptied(self) -> None:
@@ -139,7 +140,7 @@
         self.most, self.connect_within, self.idle_for, self.tally = most, connect_within, idle_for, tally
         self.loop = asyncio.get_running_loop()
         self.held = 0
-        self.resting: dict[Link, None] = {}
+        self.resting: dict[Connection, None] = {}
 
     def room(self) -> bool:
         if self.held >= self.most and self.resting:
@@ -152,10 +153,10 @@
         """Closes what has rested for long, well before the runner does."""
         now = self.loop.time()
         while self.resting:
-            link = next(iter(self.resting))
-            if now - link.idle_since < self.idle_for:
+            connection = next(iter(self.resting))
+            if now - connection.idle_since < self.idle_for:
                 return
-            link.close()
+            connection.close()
 
 
 class Pool:
@@ -164,16 +165,16 @@
     def __init__(self, host: str, port: int, sockets: Sockets) -> None:
         self.host, self.port, self.sockets, self.tally = host, port, sockets, sockets.tally
         self.loop = sockets.loop
-        self.idle: list[Link] = []
+        self.idle: list[Connection] = []
         self.opening: set[asyncio.Task[None]] = set()
         self.closed = False
 
     def send(self, exchange: Exchange) -> None:
         """Goes at once where a connection is at rest. How it ends is told later, never from in here."""
-        link = self._rested(exchange.settled)
-        if link:
+        connection = self._rested(exchange.settled)
+        if connection:
             self.tally.count("connections-reused")
-            link.carry(exchange)
+            connection.carry(exchange)
         elif self.closed or not self.sockets.room():
             self.tally.count("no-room-for-a-connection")
             self.loop.call_soon(self.end, exchange, HELD_BACK, None)
@@ -182,24 +183,25 @@
             self.opening.add(task)
             task.add_done_callback(self.opening.discard)
 
-    def _rested(self, settled: bool) -> Link | None:
+    def _rested(self, settled: bool) -> Connection | None:
         now = self.loop.time()
-        for link in self.idle[::-1]:
-            if not link.fit() or now - link.idle_since >= self.sockets.idle_for:
-                link.close()
-            elif not settled or now - link.answered_at >= SETTLE:
-                self.wakened(link)
-                return link
+        for connection in self.idle[::-1]:
+            if not connection.fit() or now - connection.idle_since >= self.sockets.idle_for:
+                connection.close()
+            elif not settled or now - connection.answered_at >= SETTLE:
+                self.wakened(connection)
+                return connection
         return None
 
     def up_for(self, seconds: float) -> bool:
         """Whether a connection at rest is open since before then: the process there is still the same."""
-        return any(link.fit() and self.loop.time() - link.came > seconds for link in self.idle)
+        now = self.loop.time()
+        return any(connection.fit() and now - connection.came > seconds for connection in self.idle)
 
-    def wakened(self, link: Link) -> None:
-        if link in self.sockets.resting:
-            del self.sockets.resting[link]
-            self.idle.remove(link)
+    def wakened(self, connection: Connection) -> None:
+        if connection in self.sockets.resting:
+            del self.sockets.resting[connection]
+            self.idle.remove(connection)
 
     async def _open(self, exchange: Exchange) -> None:
         self.tally.count("connections-opened")
@@ -214,23 +216,24 @@
             self.tally.count("connections-not-up")
             self.end(exchange, UNREACHED, None)
             return
-        link = Link(self, reader, asyncio.StreamWriter(transport, protocol, reader, self.loop), protocol)
+        writer = asyncio.StreamWriter(transport, protocol, reader, self.loop)
+        connection = Connection(self, reader, writer, protocol)
         if exchange.over or self.closed or not exchange.may_go():
             self.end(exchange, HELD_BACK, None)
-            self.rest(link)
+            self.rest(connection)
         else:
-            link.carry(exchange)
+            connection.carry(exchange)
 
-    def rest(self, link: Link) -> None:
+    def rest(self, connection: Connection) -> None:
         if self.closed:
-            link.writer.close()
+            connection.writer.close()
             return
-        link.idle_since = self.loop.time()
-        self.idle.append(link)
-        self.sockets.resting[link] = None
+        connection.idle_since = self.loop.time()
+        self.idle.append(connection)
+        self.sockets.resting[connection] = None
 
-    def gone(self, link: Link) -> None:
-        self.wakened(link)
+    def gone(self, connection: Connection) -> None:
+        self.wakened(connection)
         self.sockets.held -= 1
 
     def end(self, exchange: Exchange, how: str, side: RunnerSide | None) -> None:
@@ -241,8 +244,8 @@
     def cut(self, exchange: Exchange) -> None:
         """Closes the connection that an answer has not come on; what was not written yet is not sent."""
         exchange.over = True
-        if exchange.link and exchange.link.exchange is exchange:
-            exchange.link.writer.transport.abort()
+        if exchange.connection and exchange.connection.exchange is exchange:
+            exchange.connection.writer.transport.abort()
 
     def close(self) -> None:
         """The address is no longer the runner's: nothing new, what is under way runs to its end."""
--- a/crankfold/service/desk.py
+++ b/crankfold/service/desk.py
@@ -168,8 +168,9 @@
             self.later(self._dispatched, work, trip, HELD_BACK, None)
             return
         method, target, heads, body = work.again
-        trip.exchange = Exchange(method, target, lambda: dispatch_heads(heads, work.cutoff - self.clock.now()),
-                             body, partial(self._may_go, work, trip), partial(self._dispatched, work, trip))
+        trip.exchange = Exchange(
+            method, target, lambda: dispatch_heads(heads, work.cutoff - self.clock.now()), body,
+            partial(self._may_go, work, trip), partial(self._dispatched, work, trip))
         self.fleet.pools[runner].send(trip.exchange)
         if limit > 0:
             self.timers.wake(limit, partial(self._stop_waiting, work, trip))
@@ -269,7 +270,7 @@
         """Before the runner has said that it took the unit the connection closes; after that it is told."""
         if trip.exchange is None:
             return
-        trip.ran_on = trip.exchange.link is not None
+        trip.ran_on = trip.exchange.connection is not None
         if self.left_running and trip.ran_on:
             self.left_running(self.fleet.numbers.names[trip.runner], work.ident)
         if not trip.taken:
--- a/crankfold/service/ledger.py
+++ b/crankfold/service/ledger.py
@@ -22,7 +22,7 @@
 
     def reached(self) -> bool:
         """Whether it went out on a connection."""
-        return self.exchange is not None and self.exchange.link is not None
+        return self.exchange is not None and self.exchange.connection is not None
 
 
 class Work:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -59,12 +59,12 @@
             self.send()
             await self.until(lambda: len(self.ends) == 1)
             await asyncio.sleep(1.2 * SETTLE)
-            (link,) = self.pool.idle
+            (connection,) = self.pool.idle
             self.links[-1].write(unasked)  # with the system by now, and in this turn nobody reads it
             second = self.send()
             await self.until(lambda: len(self.ends) == 2)
             self.assertEqual(self.ends, ["answered 202"] * 2)
-            self.assertIsNot(second.link, link)
+            self.assertIsNot(second.connection, connection)
             await asyncio.sleep(1.2 * SETTLE)
 
     async def test_bytes_read_but_not_looked_at_when_a_connection_is_taken_up_answer_nothing(self) -> None:
@@ -77,8 +77,8 @@
         self.send()
         await self.until(lambda: len(self.ends) == 1)
         await asyncio.sleep(1.2 * SETTLE)
-        (link,) = self.pool.idle
-        link.reader.feed_data(NEVER_RAN)  # as the loop does just before it calls what is to come in this turn
+        (connection,) = self.pool.idle
+        connection.reader.feed_data(NEVER_RAN)  # as the loop does before it calls what is to come in this turn
         self.send()
         await self.until(lambda: len(self.ends) == 2)
         self.assertEqual(self.ends, ["answered 202"] * 2)
@@ -144,9 +144,9 @@
 
         await self.begin(runner)
         exchange = self.send(b"x" * 30_000_000)
-        await self.until(lambda: exchange.link is not None)
-        assert exchange.link
-        self.assertFalse(exchange.link.written)
+        await self.until(lambda: exchange.connection is not None)
+        assert exchange.connection
+        self.assertFalse(exchange.connection.written)
         self.pool.cut(exchange)
         called_off.set()
         async with asyncio.timeout(9):
@@ -158,9 +158,9 @@
 
         await self.begin(runner)
         exchange = self.send(b"x" * 30_000_000)
-        await self.until(lambda: exchange.link is not None)
-        assert exchange.link
-        transport: Any = exchange.link.writer.transport
+        await self.until(lambda: exchange.connection is not None)
+        assert exchange.connection
+        transport: Any = exchange.connection.writer.transport
         transport._buffer.clear()  # as the system takes the last of it ...
         transport._maybe_resume_protocol()
         transport.abort()  # ... and the connection breaks before any task had its turn
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -266,7 +266,7 @@
         pool = self.pool(await self.stand_in(silent))
         exchange = Exchange(b"POST", b"/api", lambda: [(b"Host", b"b")], b"", lambda: True, lambda *_: None)
         pool.send(exchange)
-        await self.until(lambda: exchange.link is not None)
+        await self.until(lambda: exchange.connection is not None)
         pool.cut(exchange)
         async with asyncio.timeout(5):
             await closed.wait()
