--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -78,7 +78,7 @@
         await self.until(lambda: len(self.ends) == 1)
         await asyncio.sleep(1.2 * SETTLE)
         (connection,) = self.pool.idle
-        connection.reader.feed_data(NEVER_RAN)  # as the loop does before it calls what is to come in this turn
+        connection.reader.feed_data(NEVER_RAN)  # as the loop does before it calls what comes in this turn
         self.send()
         await self.until(lambda: len(self.ends) == 2)
         self.assertEqual(self.ends, ["answered 202"] * 2)
