--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -468,7 +468,7 @@
 
         await self.begin(runner)
         self.given["discovery"] = f"127.0.0.1:{await self.stand_in(discovery)}"
-        with patch("crankfold.service.node.FIRST_LIST", 5.0):  # on a busy machine the second call is late, too
+        with patch("crankfold.service.node.FIRST_LIST", 5.0):  # on a busy machine the second call is late
             await self.inside()
         self.assertEqual(((await self.ask("u1", wait=0.2))[0].split()[1], self.lines), ("503", []))
 
