One look at unread bytes, one last answer, one accepting stand-in in place of twins

Read once more: the look at what the system holds stood in runners.py and listener.py, the recall of a unit with its fallback in the cut-off and in the end of a drain, a runner that takes everything in two tests.

--- a/crankfold/network/listener.py
+++ b/crankfold/network/listener.py
@@ -1,11 +1,11 @@
 """Takes connections from clients and runners and carries bytes between them and their state machines."""
 
 import asyncio
-import select
 import socket
 from collections.abc import Sequence
 from typing import Protocol
 
+from crankfold.network.peek import ENDED, holds
 from crankfold.network.tally import Tally
 from crankfold.protocol import clients
 
@@ -71,9 +71,7 @@
 
     def has_gone(self) -> bool:
         """Whether its end has come, read or not: one that gave up while it waited to be accepted."""
-        system = select.poll()
-        system.register(self.writer.get_extra_info("socket").fileno(), select.POLLRDHUP)
-        return bool(system.poll(0))
+        return holds(self.writer, ENDED)
 
     def answer(self, status: int, heads: Sequence[tuple[bytes, bytes]] = (), body: bytes = b"") -> None:
         """The answer to the request in hand; what was pipelined behind it is read a turn later."""
--- a/crankfold/network/runners.py
+++ b/crankfold/network/runners.py
@@ -1,10 +1,10 @@
 """Connections to one runner: kept, used again most recent first, and never used for two exchanges at once."""
 
 import asyncio
-import select
 from collections.abc import Callable, Iterable, Sequence
 from typing import SupportsIndex
 
+from crankfold.network.peek import ANYTHING, holds
 from crankfold.network.tally import Tally
 from crankfold.protocol.runners import TAKEN, RunnerSide, outcome_of
 
@@ -88,9 +88,7 @@
             return False
         if self.reader.came != self.read:
             return False
-        system = select.poll()
-        system.register(self.writer.get_extra_info("socket").fileno(), select.POLLIN | select.POLLRDHUP)
-        return not system.poll(0)
+        return not holds(self.writer, ANYTHING)
 
     def close(self) -> None:
         """At rest and not to be used again."""
--- a/crankfold/service/desk.py
+++ b/crankfold/service/desk.py
@@ -132,9 +132,7 @@
         """The decisions answer before this; what is still out then is waited for no longer."""
         if work.open:
             self.tally.count("units-open-at-cut-off")
-            self.tell(self.decisions.recalled, work.no, unit=work.no)  # shed where a retry is harmless
-        if work.open:
-            self._drop(work)
+            self._recall(work)
         for trip in work.trips:
             self._stop_waiting(work, trip)
 
@@ -145,9 +143,13 @@
         for work in list(self.ledger.units.values()):
             if work.open:
                 self.tally.count("answered-at-drain")
-                self.tell(self.decisions.recalled, work.no, unit=work.no)
-            if work.open:
-                self._drop(work)
+                self._recall(work)
+
+    def _recall(self, work: Work) -> None:
+        """Its answer now: shed where a retry is harmless, else given up, also where the decisions fail."""
+        self.tell(self.decisions.recalled, work.no, unit=work.no)
+        if work.open:
+            self._drop(work)
 
     # --- the port: what is decided ---
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -26,6 +26,13 @@
 NEVER_RAN = b"HTTP/1.1 503 Service Unavailable\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n"
 
 
+async def accepting(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    """A runner that takes whatever it is sent."""
+    while True:
+        await read_request(reader)
+        writer.write(OK)
+
+
 class AtRunners(Loopback):
     async def begin(self, handler: Handler) -> None:
         self.ends: list[str] = []
@@ -48,12 +55,7 @@
         return exchange
 
     async def test_bytes_that_lie_unread_when_a_connection_is_taken_up_answer_nothing(self) -> None:
-        async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-            while True:
-                await read_request(reader)
-                writer.write(OK)
-
-        await self.begin(runner)
+        await self.begin(accepting)
         for unasked in (NEVER_RAN, b"HTTP/1.1 503 Serv"):
             self.ends.clear()
             self.send()
@@ -68,12 +70,7 @@
             await asyncio.sleep(1.2 * SETTLE)
 
     async def test_bytes_read_but_not_looked_at_when_a_connection_is_taken_up_answer_nothing(self) -> None:
-        async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-            while True:
-                await read_request(reader)
-                writer.write(OK)
-
-        await self.begin(runner)
+        await self.begin(accepting)
         self.send()
         await self.until(lambda: len(self.ends) == 1)
         await asyncio.sleep(1.2 * SETTLE)
