--- a/crankfold/emulator/world.py
+++ b/crankfold/emulator/world.py
@@ -286,11 +286,9 @@
 
     def _discovered(self, runner: int, standing: Standing) -> None:
         change = self.rules.discovered(runner)
+        then = self.clock.now + TOLD
         for no in range(len(self.posts)):
-            self.clock.after(TOLD, partial(self._counts, no, runner, standing, change))
-
-    def _counts(self, no: int, runner: int, standing: Standing, change: int) -> None:
-        self.rules.counts_as_told(self.clock.now, no, runner, standing, change)
+            self.clock.after(TOLD, partial(self.rules.counts_as_told, then, no, runner, standing, change))
 
     def _tell(self, no: int, runner: int) -> None:
         if self.posts[no].alive:
--- a/crankfold/network/watch.py
+++ b/crankfold/network/watch.py
@@ -123,9 +123,9 @@
             task.add_done_callback(lambda done: done.cancelled() or done.exception())  # seen
             calls[task] = call
 
-        wait = WAIT_MS / 1000 if self.rev >= 0 else 0.0
-        ask(kept or Call(self.host, self.port), WAIT_MS if self.rev >= 0 else 0)
-        due = asked_at + wait + (LATE if pushed or self.rev >= 0 else IN_TURN)
+        wait_ms = WAIT_MS if self.rev >= 0 else 0
+        ask(kept or Call(self.host, self.port), wait_ms)
+        due = asked_at + wait_ms / 1000 + (LATE if pushed or self.rev >= 0 else IN_TURN)
         broken: BaseException | None = None
         try:
             while calls:
@@ -140,7 +140,7 @@
                     if not isinstance(broken, (OSError, TimeoutError, Unreadable)):
                         raise broken
                 if calls and loop.time() >= due:
-                    if not pushed and loop.time() - asked_at > wait + TURN:
+                    if not pushed and loop.time() - asked_at > wait_ms / 1000 + TURN:
                         raise TimeoutError("no answer")
                     self.tally.count("discovery-silent")
                     self._make_room(calls, most, loop.time())
--- a/crankfold/service/node.py
+++ b/crankfold/service/node.py
@@ -217,7 +217,8 @@
             except (OSError, ValueError) as wrong:
                 raise Unusable(f"peers: {wrong}") from None
         if self.ending.is_set():  # told to end before it serves: nobody is to come only to be sent away
-            await self._leave_unserved()
+            log("crankfold: told to end before serving")
+            await self._close()
             return
         if self.handover:
             self.handover.tell_reports()
@@ -241,16 +242,6 @@
         if self.broken:
             raise self.broken
 
-    async def _leave_unserved(self) -> None:
-        log("crankfold: told to end before serving")
-        self.watch.stop()
-        if self.agreed:
-            await self.agreed.close()
-        await self.door.close()
-        if self.handover:
-            self.handover.close()
-        self.report()
-
     def _renew(self) -> None:
         """SIGHUP: the file as it is now. Units, connections and what is believed of runners outlive it."""
         try:
@@ -307,9 +298,13 @@
                 await asyncio.sleep(0.01)
                 # A runner whose connection is closed tells again on another, later, perhaps after our end.
                 self.listener.close_idle(spare_call_backs=True)
+        await self._close()
+
+    async def _close(self) -> None:
+        """Nobody is waited for any more."""
         self.desk.close_all()
         # From here on there is nothing to renew, and the signal's default would end us before our time.
-        loop.remove_signal_handler(signal.SIGHUP)
+        self.timers.loop.remove_signal_handler(signal.SIGHUP)
         signal.signal(signal.SIGHUP, signal.SIG_IGN)
         self.watch.stop()
         if self.agreed:
