--- a/benchmarks/agreement.py
+++ b/benchmarks/agreement.py
@@ -20,14 +20,19 @@
 from pathlib import Path
 from typing import Any
 
-from crankfold.agreement.member import Voter
-from crankfold.agreement.raft import Batch
-from crankfold.agreement.words import Entry, Kept, Timing
-from crankfold.emulator.accord import Case, Fleet, Trouble, grades
-from crankfold.peers.store import Store
-from crankfold.trial.plan import Plan, Publish
-from crankfold.trial.run import Trial
-from crankfold.trial.stand_ins import call, read_message
+from crankfold.cluster.raft_storage import RaftStorage
+from crankfold.consensus.messages import LogEntry, Snapshot, Timing
+from crankfold.consensus.raft import Ready
+from crankfold.consensus.voter import Voter
+from crankfold.fault_injection.harness import TrialHarness
+from crankfold.fault_injection.plan import PublishSpecification, TrialPlan
+from crankfold.fault_injection.stand_ins import http_call, read_http_message
+from crankfold.simulation.consensus_cluster import (
+    ClusterCase,
+    ClusterFault,
+    SimulatedCluster,
+    settings_document,
+)
 
 HERE = Path(__file__).parent
 LINES: list[str] = []
@@ -51,39 +56,39 @@
             f"longest {values[-1]:.0f} ms of {len(values)}")
 
 
-class Quiet(Trial):
+class Quiet(TrialHarness):
     """The processes of a trial, without load, faults and operators of its own."""
 
     many = 1  # runners
 
     async def play(self, what: Callable[["Quiet"], Any]) -> Any:
-        from crankfold.trial.stand_ins import Discovery, Roll, Runner
+        from crankfold.fault_injection.stand_ins import EndpointList, StandInBackend, StandInDiscovery
 
-        runners = [Runner(f"r{n}", self.seen, self.ports, 0.005, 0.0, 1) for n in range(self.many)]
+        runners = [Runner(f"r{n}", self.observations, self.client_ports, 0.005, 0.0, 1) for n in range(self.many)]
         roll = Roll()
         for runner in runners:
-            roll.put(runner.uid, await runner.open())
+            roll.add(runner.backend_id, await runner.open())
         discovery = Discovery(roll)
         found = await discovery.open()
-        self.uids = ["r0"]
-        for name in self.names:
-            await self._prepare(name, found)
+        self.backend_ids = ["r0"]
+        for name in self.process_names:
+            await self.prepare_process(name, found)
         try:
             await asyncio.gather(*(process.start() for process in self.processes.values()))
-            await self._until_all_act(20.0, "start")
+            await self.wait_until_consistent(20.0, "start")
             return await what(self)
         finally:
-            await self._end()
+            await self.shut_down()
             for end in (*runners, discovery):
                 end.close()
 
     async def one(self, n: int, name: str) -> float:
         """Milliseconds from a publish until it counts at that process and all others have heard that."""
-        _, known = await self._asks(name, "agreed/settings")
+        _, known = await self.call_admin(name, "agreed/settings")
         body = {"call": f"{n}-{name}", "made-from": known["newest"], "wait": 20, "reason": "measured",
                 "text": {**known["versions"][-1]["text"], "revenue-per": ("request", "work")[n % 2]}}
         began = time.monotonic()
-        head, text = await call(self.doors[name], "/control/agreed/settings", json.dumps(body).encode())
+        head, text = await http_call(self.admin_ports[name], "/control/agreed/settings", json.dumps(body).encode())
         told = json.loads(text)
         if not told.get("well") or told["lag"]:
             return -1.0
@@ -93,7 +98,7 @@
 def publish() -> None:
     rows = []
     for voters in (3, 5, 7):
-        plan = Plan("measured", 1.0, ["bound"], voters=voters, followers=2, load=0.0, publish=Publish())
+        plan = TrialPlan("measured", 1.0, ["bound"], voters=voters, followers=2, load=0.0, publish=PublishSpecification())
 
         async def measured(trial: Quiet) -> dict[str, list[float]]:
             await asyncio.sleep(2.0)  # the first leader waits for leases that it knows nothing of
@@ -104,13 +109,13 @@
                     link.loss = share
                 for _ in range(20):
                     n += 1
-                    found[how].append(await trial.one(n, trial.names[n % len(trial.names)]))
+                    found[how].append(await trial.one(n, trial.process_names[n % len(trial.process_names)]))
                     await asyncio.sleep(0.05)
             for link in trial.links.values():
                 link.loss = 0.0
             for _ in range(4):
-                leader = await trial._leader()
-                other = next(name for name in trial.names if name != leader)
+                leader = await trial.find_leader()
+                other = next(name for name in trial.process_names if name != leader)
                 await asyncio.sleep(2.0)
                 await trial.processes[leader].kill()
                 n += 1
@@ -119,7 +124,7 @@
                     n += 1
                 found["leader killed"].append((time.monotonic() - began) * 1000)
                 await trial.processes[leader].start()
-                await trial._until_all_act(15.0, "return")
+                await trial.wait_until_consistent(15.0, "return")
             return found
 
         with tempfile.TemporaryDirectory() as folder:
@@ -134,26 +139,26 @@
 
 def _leaderless(asked: tuple[int, int]) -> tuple[int, int, float, float]:
     voters, seed = asked
-    found = Fleet(Case(voters=voters, seconds=3.0, seed=seed, load=False, publish_every=99.0)).run()
+    found = SimulatedCluster(ClusterCase(voter_count=voters, seconds=3.0, seed=seed, with_load=False, publish_every=99.0)).run()
     leader = next((name for name, p in found.processes.items()
-                   if isinstance(p.member, Voter) and p.member.leads()), "v0")
-    fleet = Fleet(Case(voters=voters, seconds=9.0, seed=seed, load=False, publish_every=99.0,
-                       troubles=(Trouble("kill", 30_000, 200_000, leader),)))
+                   if isinstance(p.member, Voter) and p.member.is_leader()), "v0")
+    fleet = SimulatedCluster(ClusterCase(voter_count=voters, seconds=9.0, seed=seed, with_load=False, publish_every=99.0,
+                       faults=(ClusterFault("kill", 30_000, 200_000, leader),)))
     spans = [0.0, 0.0]
 
     def look() -> None:
         members = [p.member for p in fleet.processes.values() if p.member]
-        if fleet.time.now > 30_000 and not spans[0] and any(
-                isinstance(m, Voter) and m.leads() for m in members):
-            spans[0] = (fleet.time.now - 30_000) / 10
-        if fleet.time.now > 30_000 and not all(
-                p.member.holds(p.clock()) for p in fleet.processes.values() if p.member):
+        if fleet.events.now > 30_000 and not spans[0] and any(
+                isinstance(m, Voter) and m.is_leader() for m in members):
+            spans[0] = (fleet.events.now - 30_000) / 10
+        if fleet.events.now > 30_000 and not all(
+                p.member.has_lease(p.local_time()) for p in fleet.processes.values() if p.member):
             spans[1] += 1.0
-        fleet.time.after(10, look)
+        fleet.events.schedule(10, look)
 
-    fleet.time.after(0, look)
+    fleet.events.schedule(0, look)
     fleet.run()
-    assert not fleet.broken
+    assert not fleet.violations
     return voters, seed, spans[0], spans[1]
 
 
@@ -172,16 +177,16 @@
     rows = []
     for every, what in ((99.0, "nothing published"), (1.0, "a publish each second")):
         seconds = 10.0
-        fleet = Fleet(Case(followers=size - 3, seconds=seconds, load=False, publish_every=every, seed=5,
-                           sparing=True)).run()
-        assert not fleet.broken
+        fleet = SimulatedCluster(ClusterCase(follower_count=size - 3, seconds=seconds, with_load=False, publish_every=every, seed=5,
+                           polls_when_due=True)).run()
+        assert not fleet.violations
         leader = next(name for name, p in fleet.processes.items()
-                      if isinstance(p.member, Voter) and p.member.leads())
+                      if isinstance(p.member, Voter) and p.member.is_leader())
         kinds = {"leader": [leader], "voter": [v for v in fleet.voters if v != leader],
                  "follower": [name for name in fleet.processes if name not in fleet.voters]}
         for kind, names in kinds.items():
             if names:
-                sent = [fleet.messages.get(name, [0, 0]) for name in names]
+                sent = [fleet.message_counts.get(name, [0, 0]) for name in names]
                 rows.append((size, what, kind, sum(s[0] for s in sent) / len(names) / seconds,
                              sum(s[1] for s in sent) / len(names) / seconds))
     return rows
@@ -214,11 +219,11 @@
                 writer.write(f"POST /api HTTP/1.1\r\nHost: b\r\nX-Request-ID: n0-{n}-{k}-{began}\r\n"
                              f"X-Priority-Class: free\r\nX-Timeout: 3\r\nX-Cost: 5000\r\n"
                              f"Content-Length: 0\r\n\r\n".encode())
-                await read_message(reader)
+                await read_http_message(reader)
                 spans.append((time.monotonic() - began) * 1000)
             writer.close()
 
-        from crankfold.trial.stand_ins import HOST
+        from crankfold.fault_injection.stand_ins import HOST
         port_of = HOST, port
         await asyncio.gather(*(client(n) for n in range(8)))
         return spans
@@ -230,12 +235,12 @@
     async def measured(trial: Quiet) -> tuple[float, float, float, float]:
         running = trial.processes["n0"].running
         assert running
-        await load(trial.ports["n0"], 0.5)
+        await load(trial.client_ports["n0"], 0.5)
         n, over = 0, asyncio.Event()
         if trial.working:
             work = {"way": "command", "command": ["true"], "watch": 0.2, "least-answers": 0, "stays": 0.0}
             body = {"call": "w", "made-from": 0, "text": {"works": {"w": work}}, "reason": "measured"}
-            status, _ = await trial._asks("n1", "agreed/works", json.dumps(body).encode())
+            status, _ = await trial.call_admin("n1", "agreed/works", json.dumps(body).encode())
             assert status == 200
 
         async def publishes() -> None:
@@ -247,7 +252,7 @@
 
         publishing = asyncio.ensure_future(publishes())
         before = cpu(running.pid)
-        spans = sorted(await load(trial.ports["n0"], 4.0))
+        spans = sorted(await load(trial.client_ports["n0"], 4.0))
         used = cpu(running.pid) - before
         over.set()
         publishing.cancel()
@@ -258,15 +263,15 @@
         publishing, peers_on, working = False, True, False
         many = 4
 
-        async def _prepare(self, name: str, discovery: int) -> None:
+        async def prepare_process(self, name: str, discovery: int) -> None:
             await super()._prepare(name, discovery)
-            given = json.loads(self.processes[name].file.read_text())
+            given = json.loads(self.processes[name].config_file.read_text())
             given["peers"]["record"] = ""
             if not self.peers_on:
                 del given["peers"]
-            self.processes[name].file.write_text(json.dumps(given))
+            self.processes[name].config_file.write_text(json.dumps(given))
 
-        async def _until_all_act(self, within: float, what: str) -> dict[str, str]:
+        async def wait_until_consistent(self, within: float, what: str) -> dict[str, str]:
             if self.peers_on:
                 return await super()._until_all_act(within, what)
             await asyncio.sleep(1.5)
@@ -275,7 +280,7 @@
     hows = ("off", "on", "a publish each second", "a work going on")
     for turn in range(5):
         for how in hows:
-            plan = Plan("measured", 1.0, ["bound"], voters=3, followers=0, load=0.0)
+            plan = TrialPlan("measured", 1.0, ["bound"], voters=3, followers=0, load=0.0)
             with tempfile.TemporaryDirectory() as folder:
                 trial = Served(plan, turn + 1, Path(folder))
                 trial.peers_on, trial.publishing = how != "off", how == "a publish each second"
@@ -296,7 +301,7 @@
 
 def works() -> None:
     """What each machine costs that is taken out, worked on and brought back, in messages."""
-    from crankfold.emulator.yard import Yard, YardCase
+    from crankfold.simulation.maintenance_fleet import MaintenanceCase, MaintenanceFleet
 
     work = {"w": {"way": "list", "at-once": 3, "stays": 0.0, "watch": 1.0,
                   "least-answers": 0}}
@@ -304,13 +309,13 @@
     for size in (3, 50, 200):
         sent: list[dict[str, list[int]]] = []
         for given in (work, {}):
-            case = Case(followers=size - 3, seconds=40.0, publish_every=1000.0, load=True)
-            yard = Yard(YardCase(case, given, rate=0.1)).run()
-            assert not yard.broken, yard.broken
-            sent.append(yard.messages)
+            case = ClusterCase(follower_count=size - 3, seconds=40.0, publish_every=1000.0, with_load=True)
+            yard = Yard(YardCase(case, given, request_rate=0.1)).run()
+            assert not yard.violations, yard.violations
+            sent.append(yard.message_counts)
             if given:
                 done = sum(len(ended) for ended in next(iter(
-                    yard.processes.values())).member.docs.known.ledger.done.values())
+                    yard.processes.values())).member.documents.replicated.maintenance.completed.values())
                 assert done == 9, done
         for who, names in (("all", list(sent[0])), ("a follower", ["f0"])):
             more = [sum(sent[0][name][n] - sent[1][name][n] for name in names if name in sent[0]) / 9
@@ -324,15 +329,15 @@
 
 def recovery() -> None:
     rows = []
-    text = grades("safe")
+    text = settings_document("safe")
     for count in (10, 100, 1000, 10_000):
         with tempfile.TemporaryDirectory() as name:
             folder = Path(name)
-            store = Store(folder, "n0")
-            store.write(Batch(1, "n0", True, True, Kept(0, 0, {"n0": ""}, b"")))
+            store = RaftStorage(folder, "n0")
+            store.save(Ready(1, "n0", True, True, Snapshot(0, 0, {"n0": ""}, b"")))
             for n in range(1, count + 1, 10):
-                store.write(Batch(1, "n0", True, False, None, n, [
-                    Entry(1, "publish", {"call": str(k), "doc": "settings", "made_from": k - 1, "at": 0,
+                store.save(Ready(1, "n0", True, False, None, n, [
+                    LogEntry(1, "publish", {"call": str(k), "doc": "settings", "made_from": k - 1, "at": 0,
                                          "author": "o", "reason": "r", "text": text})
                     for k in range(n, n + 10)]))
             size = (folder / "history").stat().st_size
@@ -340,11 +345,11 @@
             spans = []
             for _ in range(5):
                 began = time.perf_counter()
-                again = Store(folder, "n0")
-                voter = Voter("n0", again.stored, {"n0": ""}, Timing(20_000), 0, 1, 1, again.identity,
+                again = RaftStorage(folder, "n0")
+                voter = Voter("n0", again.persistent_state, {"n0": ""}, Timing(20_000), 0, 1, 1, again.folder_id,
                               lambda doc, text: "", None)
-                voter.raft.commit = voter.raft.last()
-                voter._go_on(1)
+                voter.raft.commit_index = voter.raft.last_index()
+                voter._process(1)
                 spans.append((time.perf_counter() - began) * 1000)
                 again.close()
         rows.append((count, size, f"{sorted(spans)[2]:.1f}"))
--- a/benchmarks/schedules.py
+++ b/benchmarks/schedules.py
@@ -12,8 +12,8 @@
 
 import click
 
-from crankfold.emulator.accord import Fleet, schedule
-from crankfold.emulator.yard import Yard, drawn
+from crankfold.simulation.consensus_cluster import SimulatedCluster, random_scenario
+from crankfold.simulation.maintenance_fleet import MaintenanceFleet, draw_case
 
 HERE = Path(__file__).parent
 
@@ -23,14 +23,14 @@
     kind, seed = job
     if kind == "agreement":
         voters, followers = ((3, 2), (5, 3), (3, 6))[seed % 3]
-        fleet = Fleet(schedule(seed, voters, followers, deals=seed % 2 == 1, limits=seed % 4 == 0)).run()
-        return kind, seed, fleet.longest // 10, "; ".join(fleet.broken), 0, 0, ""
-    yard = Yard(drawn(seed)).run()
-    newest = max((p.member for p in yard.processes.values() if p.member), key=lambda m: m.applied)
-    ledger = newest.docs.known.ledger
-    done = sum(map(len, ledger.done.values()))
-    broken, steps = "; ".join(yard.broken), str(len(ledger.steps))
-    return kind, seed, yard.longest // 10, broken, done, sum(yard.waits), steps
+        fleet = SimulatedCluster(random_scenario(seed, voters, followers, allocates_quotas=seed % 2 == 1, publishes_limits=seed % 4 == 0)).run()
+        return kind, seed, fleet.longest_contradiction // 10, "; ".join(fleet.violations), 0, 0, ""
+    yard = MaintenanceFleet(draw_case(seed)).run()
+    newest = max((p.member for p in yard.processes.values() if p.member), key=lambda m: m.last_applied)
+    ledger = newest.documents.replicated.maintenance
+    done = sum(map(len, ledger.completed.values()))
+    broken, steps = "; ".join(yard.violations), str(len(ledger.transitions))
+    return kind, seed, yard.longest_contradiction // 10, broken, done, sum(yard.machines_left), steps
 
 
 @click.command()
--- a/benchmarks/trials.py
+++ b/benchmarks/trials.py
@@ -20,7 +20,7 @@
 
 import click
 
-from crankfold.trial.plan import PROMISES
+from crankfold.fault_injection.plan import PROMISES
 
 HERE = Path(__file__).parent
 SECONDS = 12.0
--- a/crankfold/__main__.py
+++ b/crankfold/__main__.py
@@ -1,7 +1,7 @@
-from crankfold.network.signals import note_renewals
+from crankfold.network.signals import catch_reload_signal
 
-note_renewals()  # before the rest is imported, which takes longer than it takes a fleet to be sent one
+catch_reload_signal()  # before the rest is imported, which takes longer than it takes a fleet to be sent one
 
-from crankfold.cli import main  # noqa: E402
+from crankfold.cli.main import main  # noqa: E402
 
 main(prog_name="crankfold")
--- /dev/null
+++ b/crankfold/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line: one module for each group of commands."""
--- a/crankfold/cli.py
+++ b/crankfold/cli/main.py
@@ -9,9 +9,9 @@
 import click
 
 from crankfold import __version__
-from crankfold.network.signals import note_renewals
-from crankfold.orders.reader import from_nested, house_rules, standing_orders
-from crankfold.service.node import Node, Unusable, address, read
+from crankfold.config.parser import flatten_settings, read_routing_config, read_service_config
+from crankfold.network.signals import catch_reload_signal
+from crankfold.service.application import Application, ConfigError, parse_address, read_config
 
 _config = click.option("--config", envvar="GW_CONFIG", default="", show_envvar=True,
                        help="The dispatcher's configuration, a JSON file.")
@@ -36,21 +36,21 @@
     count from then on, whatever was given here, and what else differs waits for a restart. SIGUSR1 prints the
     counters.
     """
-    note_renewals()
+    catch_reload_signal()
 
     async def whole() -> None:
-        given = read(config)
+        given = read_config(config)
         if listen:
             given["listen"] = listen
         if discovery:
             given["discovery"] = discovery
         if admin:
             given["admin_addr"] = admin
-        await Node(given, partial(read, config), hand_over).run()
+        await Application(given, partial(read_config, config), hand_over).run()
 
     try:
         asyncio.run(whole())
-    except Unusable as wrong:
+    except ConfigError as wrong:
         print(f"crankfold: {wrong}", file=sys.stderr)
         sys.exit(1)
 
@@ -59,23 +59,23 @@
 @_config
 def check(config: str) -> None:
     """Read a configuration and print what follows from it, without serving."""
-    from crankfold.orders import form  # not for `serve`, which starts without it
+    from crankfold.config import schema  # not for `serve`, which starts without it
 
     try:
-        given = read(config)
-        form.check(given)
-        settings = from_nested(given["settings"])
-        orders, rules = standing_orders(settings), house_rules(settings)
-        address(given["listen"], "listen")
-        address(given["discovery"], "discovery")
-    except (Unusable, ValueError) as wrong:
+        given = read_config(config)
+        schema.validate(given)
+        settings = flatten_settings(given["settings"])
+        orders, rules = read_routing_config(settings), read_service_config(settings)
+        parse_address(given["listen"], "listen")
+        parse_address(given["discovery"], "discovery")
+    except (ConfigError, ValueError) as wrong:
         print(f"crankfold: {wrong}", file=sys.stderr)
         sys.exit(1)
-    for name, grade in zip(rules.grades.names, orders.grades, strict=True):
-        click.echo(f"grade {name}: {grade.effect.name.lower()}, expected in {grade.expected / 10} ms, "
-                   f"cut off after {grade.cutoff / 10} ms, revenue {grade.revenue}")
+    for name, grade in zip(rules.request_classes.names, orders.request_classes, strict=True):
+        click.echo(f"grade {name}: {grade.idempotency.name.lower()}, expected in {grade.latency_objective / 10} ms, "
+                   f"cut off after {grade.deadline / 10} ms, revenue {grade.priority_weight}")
     click.echo(f"zones: {', '.join(rules.zones.names) or 'none'}; reports: "
-               f"{', '.join(orders.report_names) or 'none'}; dispatches a unit: {orders.most_dispatches}")
+               f"{', '.join(orders.report_fields) or 'none'}; dispatches a unit: {orders.max_attempts}")
 
 
 @main.command()
@@ -96,28 +96,28 @@
 
     A unit counts if it is done in time: within 80 ms and twice its running time.
     """
-    from crankfold.emulator import study  # not for `serve`, which starts without it
-    from crankfold.emulator.world import Scenario
+    from crankfold.simulation import comparison  # not for `serve`, which starts without it
+    from crankfold.simulation.fleet import Scenario
 
-    chosen = policies or tuple(name for name in study.POLICIES if name != study.OURS)
-    unknown = [name for name in chosen if name not in study.POLICIES]
+    chosen = policies or tuple(name for name in comparison.POLICIES if name != comparison.PRODUCT)
+    unknown = [name for name in chosen if name not in comparison.POLICIES]
     if unknown:
-        raise click.UsageError(f"no policy {unknown[0]!r}; there are {', '.join(study.POLICIES)}")
-    scenario = Scenario(dispatchers=dispatchers, runners=runners, work=int(work * 10_000), seconds=seconds,
-                        rate=load * runners * 4 / work / dispatchers, report_every=int(report_every * 10_000))
-    rows = [study.play(name, scenario, study.ORDERS, seed)
-            for seed in range(1, seeds + 1) for name in dict.fromkeys((study.OURS, *chosen))]
+        raise click.UsageError(f"no policy {unknown[0]!r}; there are {', '.join(comparison.POLICIES)}")
+    scenario = Scenario(dispatcher_count=dispatchers, backend_count=runners, mean_service_time=int(work * 10_000), seconds=seconds,
+                        arrival_rate=load * runners * 4 / work / dispatchers, report_interval=int(report_every * 10_000))
+    rows = [comparison.simulate_day(name, scenario, comparison.DEFAULT_CONFIG, seed)
+            for seed in range(1, seeds + 1) for name in dict.fromkeys((comparison.PRODUCT, *chosen))]
     if table:
-        study.write(rows, table)
-    shares = {name: [row.in_time for row in rows if row.policy == name] for name in (study.OURS, *chosen)}
-    ours = shares[study.OURS]
-    click.echo(f"{study.OURS}: {sum(ours) / seeds:.3f} in time, over {seeds} seeds")
+        comparison.write_table(rows, table)
+    shares = {name: [row.on_time_share for row in rows if row.policy == name] for name in (comparison.PRODUCT, *chosen)}
+    ours = shares[comparison.PRODUCT]
+    click.echo(f"{comparison.PRODUCT}: {sum(ours) / seeds:.3f} in time, over {seeds} seeds")
     for name in chosen:
-        mean, low, high = study.interval(ours, shares[name])
-        click.echo(f"{name}: {sum(shares[name]) / seeds:.3f} in time; {study.OURS} {mean:+.3f} "
-                   f"({low:+.3f} to {high:+.3f}): {study.verdict(low, high)}")
-    broken = sum(row.broken for row in rows if row.policy == study.OURS)
-    click.echo(f"rules broken by {study.OURS}: {broken}")
+        mean, low, high = comparison.confidence_interval(ours, shares[name])
+        click.echo(f"{name}: {sum(shares[name]) / seeds:.3f} in time; {comparison.PRODUCT} {mean:+.3f} "
+                   f"({low:+.3f} to {high:+.3f}): {comparison.verdict(low, high)}")
+    broken = sum(row.violation_count for row in rows if row.policy == comparison.PRODUCT)
+    click.echo(f"rules broken by {comparison.PRODUCT}: {broken}")
 
 
 @main.command()
@@ -128,22 +128,22 @@
 @click.option("--no-chart", is_flag=True, help="Charts want matplotlib, which the extra `charts` brings.")
 def experiment(file: Path, out: Path, workers: int, no_chart: bool) -> None:
     """Play the experiment that FILE describes (docs/emulator.md), and keep what came of it."""
-    from crankfold.emulator import experiment as plan  # not for `serve`, which starts without it
+    from crankfold.simulation import experiment as plan  # not for `serve`, which starts without it
 
     try:
-        described, scenarios = plan.read(file)
+        described, scenarios = plan.load_plan(file)
         out.mkdir(parents=True, exist_ok=True)
         with (out / f"{described.name}.csv").open("a"):
             pass  # a folder that can't be written to is known before an hour of play
-    except (plan.Unfit, OSError) as wrong:
+    except (plan.PlanError, OSError) as wrong:
         raise click.UsageError(str(wrong)) from None
-    rows = plan.run(described, scenarios, workers)
+    rows = plan.run_experiment(described, scenarios, workers)
     try:
-        plan.table(rows, out / f"{described.name}.csv")
-        lines = plan.summary(described, rows)
+        plan.write_table(rows, out / f"{described.name}.csv")
+        lines = plan.summarize(described, rows)
         (out / f"{described.name}.txt").write_text("\n".join(lines) + "\n")
         if not no_chart:
-            plan.chart(described, rows, out / f"{described.name}.svg")
+            plan.write_chart(described, rows, out / f"{described.name}.svg")
     except ImportError:
         click.echo("no chart: matplotlib is not installed", err=True)
     except OSError as wrong:
@@ -169,10 +169,10 @@
 
     Exit: 0 if that dispatcher acts on what is agreed, 3 if not, or if it can't be reached.
     """
-    from crankfold.peers import commands  # not for `serve`
+    from crankfold.cli import cluster  # not for `serve`
 
     if context.invoked_subcommand is None:
-        sys.exit(commands.fleet(door, as_json))
+        sys.exit(cluster.show_cluster(door, as_json))
     context.obj = door
 
 
@@ -182,11 +182,11 @@
 @click.pass_obj
 def fleet_voters(door: str, add: str, remove: str) -> None:
     """Add a voter or take one out, one at a time. Exit: 0 done, 1 turned down, 3 nobody there."""
-    from crankfold.peers import commands
+    from crankfold.cli import cluster
 
     if bool(add) == bool(remove) or add and "=" not in add:
         raise click.UsageError("one of --add NAME=HOST:PORT and --remove NAME")
-    sys.exit(commands.voters(door, add, remove))
+    sys.exit(cluster.change_voters(door, add, remove))
 
 
 @main.group()
@@ -207,9 +207,9 @@
               help="Not older than this one, of which you have been told elsewhere; waits for it.")
 def settings_show(door: str, as_json: bool, doc: str, number: int, least: int) -> None:
     """A version's text, as JSON that can be published again."""
-    from crankfold.peers import commands
+    from crankfold.cli import cluster
 
-    sys.exit(commands.show(door, doc, number, least, as_json))
+    sys.exit(cluster.show_version(door, doc, number, least, as_json))
 
 
 @settings.command("history")
@@ -218,9 +218,9 @@
 @_doc
 def settings_history(door: str, as_json: bool, doc: str) -> None:
     """Who published what, when and why."""
-    from crankfold.peers import commands
+    from crankfold.cli import cluster
 
-    sys.exit(commands.history(door, doc, as_json))
+    sys.exit(cluster.show_history(door, doc, as_json))
 
 
 @settings.command("diff")
@@ -230,9 +230,9 @@
 @click.argument("other", type=int)
 def settings_diff(door: str, doc: str, one: int, other: int) -> None:
     """What is different between two versions."""
-    from crankfold.peers import commands
+    from crankfold.cli import cluster
 
-    sys.exit(commands.difference(door, doc, one, other))
+    sys.exit(cluster.show_difference(door, doc, one, other))
 
 
 @settings.command("publish")
@@ -248,9 +248,9 @@
 def settings_publish(door: str, as_json: bool, doc: str, file: BinaryIO, made_from: int, reason: str,
                      author: str, wait: float, call: str) -> None:
     """Publish FILE as a new version."""
-    from crankfold.peers import commands
+    from crankfold.cli import cluster
 
-    sys.exit(commands.publish(door, doc, file.read(), made_from, reason, author, wait, call, as_json))
+    sys.exit(cluster.publish(door, doc, file.read(), made_from, reason, author, wait, call, as_json))
 
 
 @settings.command("back")
@@ -264,9 +264,9 @@
 def settings_back(door: str, as_json: bool, doc: str, number: int, reason: str, author: str,
                   wait: float) -> None:
     """Publish an earlier version again, as a new one."""
-    from crankfold.peers import commands
+    from crankfold.cli import cluster
 
-    sys.exit(commands.back(door, doc, number, reason, author, wait, as_json))
+    sys.exit(cluster.republish(door, doc, number, reason, author, wait, as_json))
 
 
 _reason = click.option("--reason", default="", help="For the history.")
@@ -287,9 +287,9 @@
 @click.argument("file", type=click.File("rb"))
 def works_plan(door: str, as_json: bool, file: BinaryIO) -> None:
     """The order in which the work of FILE would come about, and why machines wait. Changes nothing."""
-    from crankfold.peers import of_works
+    from crankfold.cli import maintenance
 
-    sys.exit(of_works.plan(door, file.read(), as_json))
+    sys.exit(maintenance.show_forecast(door, file.read(), as_json))
 
 
 @works.command("start")
@@ -300,9 +300,9 @@
 @_author
 def works_start(door: str, as_json: bool, file: BinaryIO, reason: str, author: str) -> None:
     """Hand in the work of FILE."""
-    from crankfold.peers import of_works
+    from crankfold.cli import maintenance
 
-    sys.exit(of_works.start(door, file.read(), reason, author, as_json))
+    sys.exit(maintenance.start_job(door, file.read(), reason, author, as_json))
 
 
 @works.command("list")
@@ -310,9 +310,9 @@
 @_json
 def works_list(door: str, as_json: bool) -> None:
     """All works and how far they are."""
-    from crankfold.peers import of_works
+    from crankfold.cli import maintenance
 
-    sys.exit(of_works.listing(door, as_json))
+    sys.exit(maintenance.list_jobs(door, as_json))
 
 
 @works.command("show")
@@ -321,9 +321,9 @@
 @click.argument("name")
 def works_show(door: str, as_json: bool, name: str) -> None:
     """Each machine of a work, and what is waited for."""
-    from crankfold.peers import of_works
+    from crankfold.cli import maintenance
 
-    sys.exit(of_works.show(door, name, as_json))
+    sys.exit(maintenance.show_job(door, name, as_json))
 
 
 @works.command("history")
@@ -332,9 +332,9 @@
 @click.argument("machine")
 def works_history(door: str, as_json: bool, machine: str) -> None:
     """When a machine was out, for which work, who took each step and how long it lasted."""
-    from crankfold.peers import of_works
+    from crankfold.cli import maintenance
 
-    sys.exit(of_works.history(door, machine, as_json))
+    sys.exit(maintenance.show_machine_history(door, machine, as_json))
 
 
 def _turn(state: str, told: str) -> None:
@@ -345,9 +345,9 @@
     @_reason
     @_author
     def turn(door: str, as_json: bool, name: str, reason: str, author: str) -> None:
-        from crankfold.peers import of_works
+        from crankfold.cli import maintenance
 
-        sys.exit(of_works.turn(door, name, state, reason, author, as_json))
+        sys.exit(maintenance.set_job_state(door, name, state, reason, author, as_json))
 
 
 _turn("hold", "No further machine of the work goes out; those that are out are finished.")
@@ -363,9 +363,9 @@
 @_author
 def works_forget(door: str, as_json: bool, name: str, reason: str, author: str) -> None:
     """Take the work out of the list, with what was done for it."""
-    from crankfold.peers import of_works
+    from crankfold.cli import maintenance
 
-    sys.exit(of_works.forget(door, name, reason, author, as_json))
+    sys.exit(maintenance.forget_job(door, name, reason, author, as_json))
 
 
 def _step(what: str, told: str) -> None:
@@ -378,9 +378,9 @@
     @_author
     @click.option("--call", default="", help="The same call again has one effect; drawn if not given.")
     def step(door: str, as_json: bool, machine: str, number: int, why: str, author: str, call: str) -> None:
-        from crankfold.peers import of_works
+        from crankfold.cli import maintenance
 
-        sys.exit(of_works.step(door, what, machine, number, why, author, call, as_json))
+        sys.exit(maintenance.report_step(door, what, machine, number, why, author, call, as_json))
 
 
 _step("begin", "Work on a machine that is free begins: from now on it is not brought back by others.")
@@ -400,9 +400,9 @@
 
     Exit: 0 if every promise held, 1 with the first that did not, 2 for a plan that can't be used.
     """
-    from crankfold.trial import run
+    from crankfold.fault_injection import harness
 
-    sys.exit(run.main(plan, seed, keep))
+    sys.exit(harness.run_command(plan, seed, keep))
 
 
 @main.command("version")
--- a/crankfold/peers/frames.py
+++ b/crankfold/cluster/framing.py
@@ -3,22 +3,22 @@
 import msgspec
 from msgspec import Struct
 
-from crankfold.agreement.words import Message
+from crankfold.consensus.messages import Message
 
-FORM = 1
-MOST_FRAME = 8 * 1024 * 1024
+PROTOCOL_VERSION = 1
+MAX_FRAME_SIZE = 8 * 1024 * 1024
 
 
 class Hello(Struct, array_like=True, frozen=True, tag="h"):
     """The first frame of a connection. `folder` is empty for who has no vote."""
 
-    form: int
+    protocol_version: int
     name: str
     incarnation: int
-    folder: str
+    folder_id: str
 
 
-class Garbled(ValueError):
+class ProtocolError(ValueError):
     """That connection is of no further use; others are."""
 
 
@@ -26,33 +26,33 @@
 _decoder = msgspec.msgpack.Decoder(Message | Hello)
 
 
-def frame(told: Message | Hello) -> bytes:
+def encode_frame(told: Message | Hello) -> bytes:
     body = _encoder.encode(told)
-    if len(body) > MOST_FRAME:
-        raise Garbled(f"a message of {len(body)} bytes")
+    if len(body) > MAX_FRAME_SIZE:
+        raise ProtocolError(f"a message of {len(body)} bytes")
     return len(body).to_bytes(4, "big") + body
 
 
-class Frames:
+class FrameDecoder:
     """Fed bytes."""
 
     def __init__(self) -> None:
-        self.rest = bytearray()
+        self.buffer = bytearray()
 
     def feed(self, data: bytes) -> list[Message | Hello]:
-        self.rest += data
+        self.buffer += data
         told: list[Message | Hello] = []
         at = 0
-        while len(self.rest) - at >= 4:
-            size = int.from_bytes(self.rest[at:at + 4], "big")
-            if size > MOST_FRAME:
-                raise Garbled(f"a frame of {size} bytes")
-            if len(self.rest) - at - 4 < size:
+        while len(self.buffer) - at >= 4:
+            size = int.from_bytes(self.buffer[at:at + 4], "big")
+            if size > MAX_FRAME_SIZE:
+                raise ProtocolError(f"a frame of {size} bytes")
+            if len(self.buffer) - at - 4 < size:
                 break
             try:
-                told.append(_decoder.decode(bytes(self.rest[at + 4:at + 4 + size])))
+                told.append(_decoder.decode(bytes(self.buffer[at + 4:at + 4 + size])))
             except (msgspec.DecodeError, RecursionError) as wrong:
-                raise Garbled(str(wrong)) from None
+                raise ProtocolError(str(wrong)) from None
             at += 4 + size
-        del self.rest[:at]
+        del self.buffer[:at]
         return told
--- a/crankfold/orders/places.py
+++ b/crankfold/config/interning.py
@@ -6,21 +6,21 @@
 Key = TypeVar("Key", bound=Hashable)
 
 
-class Places(Generic[Key]):
+class Interner(Generic[Key]):
     """Numbers in the order of first sight; a name not seen before gets the next one."""
 
     def __init__(self, known: Iterable[Key] = ()) -> None:
         self.names: list[Key] = []
-        self._of: dict[Key, int] = {}
+        self._index_of: dict[Key, int] = {}
         for name in known:
-            self.place(name)
+            self.intern(name)
 
-    def place(self, name: Key) -> int:
-        found = self._of.get(name)
+    def intern(self, name: Key) -> int:
+        found = self._index_of.get(name)
         if found is None:
-            found = self._of[name] = len(self.names)
+            found = self._index_of[name] = len(self.names)
             self.names.append(name)
         return found
 
     def find(self, name: Key) -> int:
-        return self._of.get(name, -1)
+        return self._index_of.get(name, -1)
--- a/crankfold/trial/relay.py
+++ b/crankfold/fault_injection/fault_proxy.py
@@ -4,7 +4,7 @@
 import asyncio
 from random import Random
 
-from crankfold.trial.stand_ins import HOST
+from crankfold.fault_injection.stand_ins import HOST
 
 LUMP = 64 * 1024
 
@@ -13,55 +13,55 @@
     """What happens on the way from one to another; changed as faults begin and end."""
 
     def __init__(self, sender: str, to: str, seed: int) -> None:
-        self.sender, self.to = sender, to
-        self.luck = Random(f"{seed} {sender} {to}")
+        self.sender, self.receiver = sender, to
+        self.rng = Random(f"{seed} {sender} {to}")
         self.loss, self.double, self.late, self.rate = 0.0, 0.0, 0.0, 0.0
-        self.free_at = 0.0
-        self.passed, self.bytes = 0, 0
+        self.busy_until = 0.0
+        self.messages_passed, self.bytes_passed = 0, 0
 
-    def carry(self, data: bytes, write: asyncio.StreamWriter, first: bool) -> None:
+    def forward(self, data: bytes, write: asyncio.StreamWriter, first: bool) -> None:
         loop = asyncio.get_running_loop()
-        if self.loss >= 1 or not first and self.luck.random() < self.loss:
+        if self.loss >= 1 or not first and self.rng.random() < self.loss:
             return
-        self.passed += 1
-        self.bytes += len(data)
-        wait = self.luck.uniform(0, self.late) if self.late else 0.0
+        self.messages_passed += 1
+        self.bytes_passed += len(data)
+        wait = self.rng.uniform(0, self.late) if self.late else 0.0
         if self.rate:
             now = loop.time()
-            self.free_at = max(self.free_at, now) + len(data) / self.rate
-            wait += self.free_at - now
-        for _ in range(2 if not first and self.luck.random() < self.double else 1):
+            self.busy_until = max(self.busy_until, now) + len(data) / self.rate
+            wait += self.busy_until - now
+        for _ in range(2 if not first and self.rng.random() < self.double else 1):
             if wait:
-                loop.call_later(wait, _put, write, data)
+                loop.call_later(wait, _write_if_open, write, data)
             else:
-                _put(write, data)
+                _write_if_open(write, data)
 
 
-def _put(writer: asyncio.StreamWriter, data: bytes) -> None:
+def _write_if_open(writer: asyncio.StreamWriter, data: bytes) -> None:
     if not writer.is_closing():
         writer.write(data)
 
 
-class Relay:
+class FaultProxy:
     """Listens in a voter's place for one member."""
 
     def __init__(self, there: Link, back: Link, port: int) -> None:
-        self.there, self.back, self.port = there, back, port
+        self.outbound, self.inbound, self.target_port = there, back, port
         self.writers: set[asyncio.StreamWriter] = set()
         self.server: asyncio.Server | None = None
 
     async def open(self) -> int:
-        self.server = await asyncio.start_server(self._taken, HOST, 0)
+        self.server = await asyncio.start_server(self._accepted, HOST, 0)
         return int(self.server.sockets[0].getsockname()[1])
 
-    async def _taken(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def _accepted(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.writers.add(writer)
         onward = None
         try:
-            far, onward = await asyncio.open_connection(HOST, self.port)
+            far, onward = await asyncio.open_connection(HOST, self.target_port)
             self.writers.add(onward)
-            ways = [asyncio.ensure_future(self._pump(reader, onward, self.there)),
-                    asyncio.ensure_future(self._pump(far, writer, self.back))]
+            ways = [asyncio.ensure_future(self._forward_messages(reader, onward, self.outbound)),
+                    asyncio.ensure_future(self._forward_messages(far, writer, self.inbound))]
             await asyncio.wait(ways, return_when=asyncio.FIRST_COMPLETED)
             for way in ways:
                 way.cancel()
@@ -74,22 +74,22 @@
                     self.writers.discard(end)
                     end.close()
 
-    async def _pump(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, link: Link) -> None:
+    async def _forward_messages(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, link: Link) -> None:
         first = True
         try:
             while True:
                 head = await reader.readexactly(4)
-                link.carry(head + await reader.readexactly(int.from_bytes(head, "big")), writer, first)
+                link.forward(head + await reader.readexactly(int.from_bytes(head, "big")), writer, first)
                 first = False
                 await writer.drain()
         except (asyncio.IncompleteReadError, OSError):
             pass
 
-    def reset(self) -> None:
+    def reset_connections(self) -> None:
         for writer in list(self.writers):
             writer.transport.abort()
 
     def close(self) -> None:
         if self.server:
             self.server.close()
-        self.reset()
+        self.reset_connections()
--- a/crankfold/works/form.py
+++ b/crankfold/maintenance/specification.py
@@ -6,9 +6,9 @@
 import msgspec
 from msgspec import Meta, Struct, field
 
-from crankfold.works.order import Machine, Work, impossible
+from crankfold.maintenance.scheduler import Machine, MaintenanceJob, infeasibility_reason
 
-Share = Annotated[float, Meta(ge=0, le=1)]
+Fraction = Annotated[float, Meta(ge=0, le=1)]
 Count = Annotated[int, Meta(ge=0)]
 Seconds = Annotated[float, Meta(ge=0)]
 GO: Final = "go"
@@ -16,10 +16,10 @@
 BY_HAND: Final = "hand"
 BY_COMMAND: Final = "command"
 BY_LIST: Final = "list"
-MOST_WORKS = 100
+MAX_JOBS = 100
 
 
-class Given(Struct, rename="kebab", forbid_unknown_fields=True):
+class JobSpecification(Struct, rename="kebab", forbid_unknown_fields=True):
     """One work. `docs/works.md` explains each key."""
 
     why: Annotated[str, Meta(max_length=500)] = ""
@@ -33,8 +33,8 @@
     a_zone: Count = 0
     a_kind: Count = 0
     a_cell: Count = 0
-    stays: Share = 0.5
-    stays_in_zone: Share = 0.0
+    stays: Fraction = 0.5
+    stays_in_zone: Fraction = 0.0
     not_before: Count = 0  # ms since the epoch
     not_after: Count = 0
     after: list[str] = field(default_factory=list)
@@ -47,39 +47,39 @@
     not_back: Literal["hold", "go-on", "give-up"] = "hold"
     watch: Seconds = 5.0
     least_answers: Count = 5
-    well: Share = 0.9  # share of the answers that are good, for a machine to be called well
+    well: Fraction = 0.9  # share of the answers that are good, for a machine to be called well
     most_unwell: Annotated[int, Meta(ge=1)] = 2  # in a row, then the work stops by itself
-    shed_over: Share = 0.05
+    shed_over: Fraction = 0.05
     carries: Seconds = 0.0  # units that a listed size of 1 has in hand at once; 0 if that is not known
     state: Literal["go", "hold", "stop"] = GO
     called: Count = 0  # how often it was called to go on, hold or stop
 
-    def work(self, name: str) -> Work:
+    def to_job(self, name: str) -> MaintenanceJob:
         uids = self.machines if self.of == "runners" else [f"@{name}" for name in self.machines]
-        return Work(name, frozenset(uids), frozenset(self.zones), frozenset(self.kinds),
+        return MaintenanceJob(name, frozenset(uids), frozenset(self.zones), frozenset(self.kinds),
                     frozenset(self.cells), self.listed_before * 10, self.at_once, self.a_zone, self.a_kind,
                     self.a_cell, self.stays, self.stays_in_zone, self.not_before, self.not_after,
                     frozenset(self.alone), frozenset(self.after))
 
 
-class Works(Struct, forbid_unknown_fields=True):
-    works: dict[Annotated[str, Meta(pattern="^[A-Za-z0-9._-]{1,60}$")], Given] = field(default_factory=dict)
+class JobsDocument(Struct, forbid_unknown_fields=True):
+    works: dict[Annotated[str, Meta(pattern="^[A-Za-z0-9._-]{1,60}$")], JobSpecification] = field(default_factory=dict)
 
 
-def read(text: dict[str, Any]) -> dict[str, Given]:
+def parse_jobs(text: dict[str, Any]) -> dict[str, JobSpecification]:
     """A ValueError says what can't be used, with its path."""
-    return msgspec.convert(text, Works).works
+    return msgspec.convert(text, JobsDocument).works
 
 
-def fault(text: dict[str, Any], before: dict[str, Any], machines: Sequence[Machine]) -> str:
+def validation_error(text: dict[str, Any], before: dict[str, Any], machines: Sequence[Machine]) -> str:
     """Why these works could not be carried out, with path, found and allowed; or nothing. `before` is the
     text of the version before, `machines` are the runners by the list, if there is one."""
     try:
-        works, known = read(text), read(before)
+        works, known = parse_jobs(text), parse_jobs(before)
     except ValueError as wrong:
         return str(wrong)
-    if len(works) > MOST_WORKS:
-        return f"works: found {len(works)}; {MOST_WORKS} at most"
+    if len(works) > MAX_JOBS:
+        return f"works: found {len(works)}; {MAX_JOBS} at most"
     for name, given in works.items():
         for what in ("after", "alone"):
             for other in getattr(given, what):
@@ -91,21 +91,21 @@
         new = name not in known or msgspec.structs.replace(
             known[name], state=given.state, called=given.called) != given
         if given.of == "runners" and new and machines:
-            why = impossible(given.work(name), machines)
+            why = infeasibility_reason(given.to_job(name), machines)
             if why:
                 return f"works.{name}: could never go on: {why}"
-        ring = _ring(works, name, [])
+        ring = _find_cycle(works, name, [])
         if ring:
             return f"works.{name}.after: comes after itself: {' after '.join(ring)}"
     return ""
 
 
-def _ring(works: dict[str, Given], name: str, before: list[str]) -> list[str]:
+def _find_cycle(works: dict[str, JobSpecification], name: str, before: list[str]) -> list[str]:
     """The works that wait for one another, if this one is among them."""
     if name in before:
         return [*before, name] if name == before[0] else []
     for other in works[name].after:
-        ring = _ring(works, other, [*before, name])
+        ring = _find_cycle(works, other, [*before, name])
         if ring:
             return ring
     return []
--- a/crankfold/network/signals.py
+++ b/crankfold/network/signals.py
@@ -3,21 +3,21 @@
 import signal
 from types import FrameType
 
-_came = False
+_reload_requested = False
 
 
-def _note(number: int, frame: FrameType | None) -> None:
-    global _came
-    _came = True
+def _on_sighup(number: int, frame: FrameType | None) -> None:
+    global _reload_requested
+    _reload_requested = True
 
 
-def note_renewals() -> None:
+def catch_reload_signal() -> None:
     """From here on SIGHUP neither ends the process, as is its default, nor is it lost."""
-    signal.signal(signal.SIGHUP, _note)
+    signal.signal(signal.SIGHUP, _on_sighup)
 
 
-def renewal_noted() -> bool:
+def take_reload_request() -> bool:
     """Whether one came; that is told once."""
-    global _came
-    came, _came = _came, False
+    global _reload_requested
+    came, _reload_requested = _reload_requested, False
     return came
--- a/crankfold/network/peek.py
+++ b/crankfold/network/socket_state.py
@@ -3,11 +3,11 @@
 import asyncio
 import select
 
-ENDED = select.POLLRDHUP  # the other side will send no more; errors and a reset are told of in any case
-ANYTHING = select.POLLIN | ENDED
+PEER_CLOSED = select.POLLRDHUP  # the other side will send no more; errors and a reset are told of in any case
+ANY_INPUT = select.POLLIN | PEER_CLOSED
 
 
-def holds(writer: asyncio.StreamWriter, what: int) -> bool:
+def has_pending(writer: asyncio.StreamWriter, what: int) -> bool:
     """Whether it holds that at this moment; of a connection that is open here."""
     system = select.poll()
     system.register(writer.get_extra_info("socket").fileno(), what)
--- a/crankfold/network/timers.py
+++ b/crankfold/network/timers.py
@@ -4,7 +4,7 @@
 import time
 from collections.abc import Callable
 
-from crankfold.network.tally import Tally
+from crankfold.network.metrics import Metrics
 
 
 class Clock:
@@ -22,11 +22,11 @@
 
 
 class Timers:
-    def __init__(self, clock: Clock, tally: Tally) -> None:
-        self.clock, self.tally = clock, tally
+    def __init__(self, clock: Clock, tally: Metrics) -> None:
+        self.clock, self.metrics = clock, tally
         self.loop = asyncio.get_running_loop()
 
-    def wake(self, after: int, call: Callable[[], object]) -> asyncio.TimerHandle:
+    def call_after(self, after: int, call: Callable[[], object]) -> asyncio.TimerHandle:
         due = self.clock.now() + after
         return self.loop.call_later(after / 10_000, self._fire, due, call)
 
@@ -36,11 +36,11 @@
             self.loop.call_later(-late / 10_000, self._fire, due, call)
             return
         if late > 100:
-            self.tally.count("timers-over-10ms-late")
-        self.tally.most("timer-latest-tenths-of-ms", late)
+            self.metrics.increment("timers-over-10ms-late")
+        self.metrics.record_maximum("timer-latest-tenths-of-ms", late)
         try:
             call()
         except Exception as wrong:
-            self.tally.failed(wrong)
+            self.metrics.record_exception(wrong)
             if __debug__:
                 raise
--- a/crankfold/protocol/callbacks.py
+++ b/crankfold/protocol/callbacks.py
@@ -5,20 +5,20 @@
 
 import orjson
 
-from crankfold.dispatch.interface import Outcome
-from crankfold.protocol.reports import from_fields
+from crankfold.protocol.load_reports import report_from_fields
+from crankfold.routing.interface import Outcome
 
-_ENDS = {"done": Outcome.DONE, "failed": Outcome.ERROR, "returned": Outcome.FULL, "lost": Outcome.RESET}
+_OUTCOMES = {"done": Outcome.COMPLETED, "failed": Outcome.ERROR, "returned": Outcome.OVERLOADED, "lost": Outcome.RESET}
 
 
-class Hearer(Protocol):
-    def job_started(self, ident: str, uid: str) -> None: ...
-    def job_running(self, ident: str, uid: str, share: float) -> None: ...
-    def job_ended(self, ident: str, uid: str, outcome: Outcome, result: bytes,
+class CallbackHandler(Protocol):
+    def execution_started(self, ident: str, uid: str) -> None: ...
+    def execution_progressed(self, ident: str, uid: str, share: float) -> None: ...
+    def execution_ended(self, ident: str, uid: str, outcome: Outcome, result: bytes,
                   report: Sequence[float]) -> None: ...
 
 
-def unit_of(body: bytes) -> str:
+def request_id_of(body: bytes) -> str:
     """The unit that a call-back speaks of, or nothing."""
     try:
         told = orjson.loads(body)
@@ -28,7 +28,7 @@
     return ident if isinstance(ident, str) else ""
 
 
-def hear(body: bytes, hearer: Hearer, names: Sequence[str]) -> bool:
+def handle_callback(body: bytes, hearer: CallbackHandler, names: Sequence[str]) -> bool:
     """Whether it could be read; what names a unit or runner not known here is read all the same."""
     try:
         told = orjson.loads(body)
@@ -40,17 +40,17 @@
     if not isinstance(ident, str) or not isinstance(uid, str) or not isinstance(state, str):
         return False
     if state == "started":
-        hearer.job_started(ident, uid)
+        hearer.execution_started(ident, uid)
     elif state == "running":
         share = told.get("share")
         if isinstance(share, bool) or not isinstance(share, int | float):
             return False
-        hearer.job_running(ident, uid, min(max(float(share), 0.0), 1.0))
-    elif state in _ENDS:
+        hearer.execution_progressed(ident, uid, min(max(float(share), 0.0), 1.0))
+    elif state in _OUTCOMES:
         result = told.get("result", "")
         if not isinstance(result, str):
             result = orjson.dumps(result).decode()
-        hearer.job_ended(ident, uid, _ENDS[state], result.encode(), from_fields(told.get("load"), names))
+        hearer.execution_ended(ident, uid, _OUTCOMES[state], result.encode(), report_from_fields(told.get("load"), names))
     else:
         return False
     return True
--- a/crankfold/protocol/discovery.py
+++ b/crankfold/protocol/discovery.py
@@ -5,56 +5,56 @@
 import h11
 import orjson
 
-from crankfold.dispatch.interface import Listing, Standing
+from crankfold.routing.interface import Endpoint, EndpointState
 
-_STANDINGS = {"in_service": Standing.READY, "terminating": Standing.DRAINING, "terminated": Standing.GONE}
-_WORDINGS = {standing: word for word, standing in _STANDINGS.items()}
-MOST_LIST = 16 * 1024 * 1024
+_STATES = {"in_service": EndpointState.READY, "terminating": EndpointState.DRAINING, "terminated": EndpointState.REMOVED}
+_STATE_NAMES = {standing: word for word, standing in _STATES.items()}
+MAX_LIST_SIZE = 16 * 1024 * 1024
 
 
-class Unreadable(ValueError):
+class DiscoveryError(ValueError):
     """The list could not be read as a whole: the old one stands."""
 
 
-class TurnedAway(Unreadable):
+class RejectedError(DiscoveryError):
     """The call was not served; what was told before still holds."""
 
 
-def wording(standing: Standing) -> str:
-    return _WORDINGS[standing]
+def state_name(standing: EndpointState) -> str:
+    return _STATE_NAMES[standing]
 
 
-class Enlist(Protocol):
+class EndpointFactory(Protocol):
     """Turns an entry's names into places."""
 
-    def __call__(self, uid: str, host: str, port: int, zone: str, kind: str, cell: int, standing: Standing,
-                 weight: float, boot_ms: int) -> Listing: ...
+    def __call__(self, uid: str, host: str, port: int, zone: str, kind: str, cell: int, standing: EndpointState,
+                 weight: float, boot_ms: int) -> Endpoint: ...
 
 
-def read_list(body: bytes | bytearray, enlist: Enlist) -> tuple[int, bool, list[Listing]]:
+def decode_endpoints(body: bytes | bytearray, enlist: EndpointFactory) -> tuple[int, bool, list[Endpoint]]:
     try:
         told = orjson.loads(body)
         rev, whole = told["rev"], told["all"]
         if type(rev) is not int or type(whole) is not bool:
-            raise Unreadable("rev or all")
-        entries = [_entry(given, enlist) for given in told["targets"]]
+            raise DiscoveryError("rev or all")
+        entries = [_decode_endpoint(given, enlist) for given in told["targets"]]
     except (KeyError, TypeError, AttributeError, ValueError, OverflowError) as wrong:
-        raise Unreadable(f"{type(wrong).__name__}: {wrong}") from None
+        raise DiscoveryError(f"{type(wrong).__name__}: {wrong}") from None
     if whole and not entries:
-        raise Unreadable("a whole list without a runner")
+        raise DiscoveryError("a whole list without a runner")
     return rev, whole, entries
 
 
-def _entry(given: dict[str, Any], enlist: Enlist) -> Listing:
+def _decode_endpoint(given: dict[str, Any], enlist: EndpointFactory) -> Endpoint:
     host, _, port = given["endpoint"].rpartition(":")
     if not host or not isinstance(given["uid"], str):
-        raise Unreadable("an entry without uid or address")
+        raise DiscoveryError("an entry without uid or address")
     return enlist(given["uid"], host.strip("[]"), int(port), str(given.get("az", "")),
-                  str(given.get("model", "")), int(given.get("pod_group") or 0), _STANDINGS[given["state"]],
+                  str(given.get("model", "")), int(given.get("pod_group") or 0), _STATES[given["state"]],
                   float(given.get("capacity_hint") or 0.0), int(given.get("boot_ms") or 0))
 
 
-class DiscoverySide:
+class DiscoveryConnection:
     """One connection to discovery, used for one call after the other."""
 
     def __init__(self, host: str) -> None:
@@ -62,14 +62,14 @@
         self.host = host.encode()
         self.status, self.body = 0, bytearray()
 
-    def ask(self, after: int, wait_ms: int) -> bytes:
+    def request(self, after: int, wait_ms: int) -> bytes:
         """The whole list where `after` is negative, else a watch for what comes after that version."""
         target = "/v1/servers" if after < 0 else f"/v1/servers?after={after}&wait_ms={wait_ms}"
         self.status, self.body = 0, bytearray()
         asked = h11.Request(method=b"GET", target=target.encode(), headers=[(b"Host", self.host)])
         return (self.http.send(asked) or b"") + (self.http.send(h11.EndOfMessage()) or b"")
 
-    def feed(self, data: bytes) -> bool:
+    def receive_data(self, data: bytes) -> bool:
         """True once an answer is whole."""
         try:
             self.http.receive_data(data)
@@ -81,21 +81,21 @@
                     self.status = event.status_code
                 elif isinstance(event, h11.Data):
                     self.body += event.data
-                    if len(self.body) > MOST_LIST:
-                        raise Unreadable("longer than any list")
+                    if len(self.body) > MAX_LIST_SIZE:
+                        raise DiscoveryError("longer than any list")
                 elif isinstance(event, h11.EndOfMessage):
                     if self.http.states == {h11.CLIENT: h11.DONE, h11.SERVER: h11.DONE}:
                         self.http.start_next_cycle()
                     return True
                 elif isinstance(event, h11.ConnectionClosed):
-                    raise Unreadable("the connection ended")
+                    raise DiscoveryError("the connection ended")
         except h11.RemoteProtocolError as wrong:
-            raise Unreadable(str(wrong)) from None
+            raise DiscoveryError(str(wrong)) from None
 
-    def usable(self) -> bool:
+    def is_reusable(self) -> bool:
         return self.http.our_state is h11.IDLE
 
-    def told(self, enlist: Enlist) -> tuple[int, bool, list[Listing]]:
+    def decode_response(self, enlist: EndpointFactory) -> tuple[int, bool, list[Endpoint]]:
         if self.status != 200:
-            raise TurnedAway(f"status {self.status}")
-        return read_list(self.body, enlist)
+            raise RejectedError(f"status {self.status}")
+        return decode_endpoints(self.body, enlist)
--- a/crankfold/protocol/reports.py
+++ b/crankfold/protocol/load_reports.py
@@ -4,7 +4,7 @@
 from collections.abc import Sequence
 
 
-def from_fields(given: object, names: Sequence[str]) -> tuple[float, ...]:
+def report_from_fields(given: object, names: Sequence[str]) -> tuple[float, ...]:
     if not names or not isinstance(given, dict):
         return ()
     values = []
@@ -16,7 +16,7 @@
     return tuple(values)
 
 
-def from_text(header: bytes, names: Sequence[str]) -> tuple[float, ...]:
+def report_from_header(header: bytes, names: Sequence[str]) -> tuple[float, ...]:
     """The header's form: `TEXT queue=2, x0=1`."""
     form, _, rest = header.decode("latin-1").strip().partition(" ")
     if form != "TEXT":
@@ -28,4 +28,4 @@
             given[name.strip()] = float(value)
         except ValueError:
             return ()
-    return from_fields(given, names)
+    return report_from_fields(given, names)
--- /dev/null
+++ b/crankfold/service/backend_registry.py
@@ -0,0 +1,134 @@
+"""The runners as the list names them, each with its number, its standing and its connections."""
+
+import zlib
+from collections.abc import Callable, Collection, Sequence
+from dataclasses import replace
+from functools import partial
+from typing import Any
+
+from crankfold.config.interning import Interner
+from crankfold.config.parser import ServiceConfig, setting_text
+from crankfold.network.connection_pool import BROKEN, ConnectionLimiter, ConnectionPool, Exchange
+from crankfold.network.timers import Timers
+from crankfold.protocol.backend_connection import BackendConnection
+from crankfold.protocol.discovery import state_name
+from crankfold.routing.interface import Endpoint, EndpointState
+from crankfold.service.manual_drains import ManualDrains
+
+CONTROL_EXCHANGE_TIMEOUT = 10_000  # for exchanges that carry no unit
+
+
+class BackendRegistry:
+    def __init__(self, rules: ServiceConfig, timers: Timers, sockets: ConnectionLimiter) -> None:
+        self.config, self.timers, self.sockets = rules, timers, sockets
+        self.backend_ids: Interner[str] = Interner()
+        self.addresses: list[tuple[str, int, int]] = []  # host, port and start
+        self.states: list[EndpointState] = []
+        self.endpoints: list[Endpoint] = []  # each runner's entry as it was listed last, without bans
+        self.manual_drains = ManualDrains()
+        self.cluster_drains = ManualDrains()  # out by what all dispatchers agreed on
+        self.known_ids: set[str] = set()  # runners that the process before this one had listed
+        self.slow_start_reserved = False  # another process uses what cold runners may be sent
+        self.pools: list[ConnectionPool] = []
+
+    def register(self, uid: str, host: str, port: int, zone: str, kind: str, cell: int, standing: EndpointState,
+               weight: float, boot_ms: int) -> Endpoint:
+        runner = self.backend_ids.intern(uid)
+        if runner == len(self.pools):
+            self.addresses.append((host, port, boot_ms))
+            self.states.append(EndpointState.REMOVED)
+            self.endpoints.append(Endpoint(runner, EndpointState.REMOVED, 0.0, 0, 0, 0))
+            self.pools.append(ConnectionPool(host, port, self.sockets))
+        elif self.addresses[runner] != (host, port, boot_ms):
+            # A process that started anew or moved: connections to the old one are not used.
+            self.addresses[runner] = (host, port, boot_ms)
+            self.pools[runner].close()
+            self.pools[runner] = ConnectionPool(host, port, self.sockets)
+        mark = zlib.crc32(uid.encode()) / (1 << 32)
+        return Endpoint(runner, standing, weight, self.config.zones.intern(setting_text(zone)), cell, boot_ms * 10,
+                       self.config.instance_types.intern(setting_text(kind)), mark)
+
+    def update_endpoints(self, entries: Sequence[Endpoint], whole: bool) -> list[Endpoint]:
+        """The entries with the bans laid over them: what counts from here on."""
+        if whole:
+            self.states = [EndpointState.REMOVED] * len(self.states)
+            self.endpoints = [replace(entry, state=EndpointState.REMOVED) for entry in self.endpoints]
+        for entry in entries:
+            self.endpoints[entry.backend] = entry
+        return [self._effective_endpoint(entry.backend) for entry in entries]
+
+    def _effective_endpoint(self, runner: int) -> Endpoint:
+        uid = self.backend_ids.names[runner]
+        entry = self.cluster_drains.apply_to(uid, self.manual_drains.apply_to(uid, self.endpoints[runner]))
+        if self.slow_start_reserved and entry.state == EndpointState.READY and entry.started_at \
+                and self.timers.clock.now() < entry.started_at + self.config.slow_start_duration:
+            entry = replace(entry, state=EndpointState.DRAINING)
+        self.states[runner] = entry.state
+        return entry
+
+    def drain(self, uid: str) -> Endpoint | None:
+        """Out by hand: its entry from now on, if that is another; a KeyError if it was never listed."""
+        return self._drain(self.manual_drains, uid, self._index_of_known(uid))
+
+    def restore(self, uid: str) -> Endpoint | None:
+        return self._restore(self.manual_drains, uid, self._index_of_known(uid))
+
+    def set_cluster_drains(self, out: Collection[str]) -> list[Endpoint]:
+        """These are out for all dispatchers and no others; what counts from here on, where that is new."""
+        entries = [self._drain(self.cluster_drains, uid, self.backend_ids.find(uid)) for uid in out]
+        entries += [self._restore(self.cluster_drains, uid, self.backend_ids.find(uid))
+                    for uid in [*self.cluster_drains.drained_since] if uid not in out]
+        return [entry for entry in entries if entry]
+
+    def _drain(self, bans: ManualDrains, uid: str, runner: int) -> Endpoint | None:
+        new = bans.drain(uid, self.timers.clock.now())
+        return self._effective_endpoint(runner) if new and runner >= 0 else None
+
+    def _restore(self, bans: ManualDrains, uid: str, runner: int) -> Endpoint | None:
+        since = bans.drained_since.get(uid)
+        now = self.timers.clock.now()
+        ran_on = since is not None and runner >= 0 and self.pools[runner].has_connection_older_than((now - since) / 10_000)
+        ended = bans.restore(uid, now, ran_on)
+        return self._effective_endpoint(runner) if ended and runner >= 0 else None
+
+    def _index_of_known(self, uid: str) -> int:
+        runner = self.backend_ids.find(uid)
+        if runner < 0 and uid not in self.known_ids:
+            raise KeyError(uid)
+        return runner
+
+    def reserve_slow_start(self, elsewhere: bool) -> list[Endpoint]:
+        """What counts from here on, of those for whom that may be something else."""
+        self.slow_start_reserved = elsewhere
+        return [self._effective_endpoint(runner) for runner, entry in enumerate(self.endpoints)
+                if entry.started_at and entry.state == EndpointState.READY]
+
+    def discovery_entry(self, runner: int) -> dict[str, Any]:
+        """The entry as discovery words it."""
+        host, port, boot_ms = self.addresses[runner]
+        entry = self.endpoints[runner]
+        return {"uid": self.backend_ids.names[runner], "endpoint": f"{host}:{port}", "boot_ms": boot_ms,
+                "az": self.config.zones.names[entry.zone], "model": self.config.instance_types.names[entry.instance_type],
+                "pod_group": entry.cell, "state": state_name(entry.state), "capacity_hint": entry.weight}
+
+    def any_ready(self) -> bool:
+        return EndpointState.READY in self.states
+
+    def send_control_request(self, runner: int, method: bytes, target: bytes,
+               ended: Callable[[str, BackendConnection | None], None]) -> None:
+        """An exchange that carries no unit. A machine that vanished says nothing: it has a time limit too."""
+        pool = self.pools[runner]
+        host = f"{pool.host}:{pool.port}".encode()
+        exchange = Exchange(method, target, lambda: [(b"Host", host)], b"", lambda: True, ended, False)
+        pool.send(exchange)
+        self.timers.call_after(CONTROL_EXCHANGE_TIMEOUT, partial(self._on_exchange_timeout, pool, exchange))
+
+    def _on_exchange_timeout(self, pool: ConnectionPool, exchange: Exchange) -> None:
+        pool.finish(exchange, BROKEN, None)
+        pool.abort(exchange)
+
+    def abandon_exchange(self, runner: int, exchange: Exchange) -> None:
+        """The dispatch ended by call-back before its 202, which gets a while to come."""
+        if not exchange.finished:
+            exchange.finished = True
+            self.timers.call_after(CONTROL_EXCHANGE_TIMEOUT, partial(self.pools[runner].abort, exchange))
--- a/crankfold/service/handover.py
+++ b/crankfold/service/handover.py
@@ -6,234 +6,234 @@
 from collections.abc import Callable
 from typing import Any
 
-from crankfold.dispatch.interface import Standing
+from crankfold.network.handover_channel import HandoverChannel, resolve
 from crankfold.network.listener import Listener
-from crankfold.network.passage import Passage, settle
-from crankfold.network.tally import log
-from crankfold.protocol.callbacks import hear, unit_of
-from crankfold.protocol.kin import FORM, figures, strings
-from crankfold.service import carry
-from crankfold.service.desk import Desk
-from crankfold.service.operations import Operations
-from crankfold.service.succession import Place, Succession
+from crankfold.network.metrics import log_line
+from crankfold.protocol.callbacks import handle_callback, request_id_of
+from crankfold.protocol.handover_messages import FORMAT_VERSION, int_mapping, string_list
+from crankfold.routing.interface import EndpointState
+from crankfold.service import handover_state
+from crankfold.service.admin_service import AdminService
+from crankfold.service.handover_state_machine import HandoverRole, HandoverStateMachine
+from crankfold.service.request_handler import RequestHandler
 
-AGAIN = 0.05  # seconds until it is asked again who serves
-REPORTS_AGE = 50_000  # older ones tell nothing
+TAKEOVER_RETRY_DELAY = 0.05  # seconds until it is asked again who serves
+MAX_REPORT_AGE = 50_000  # older ones tell nothing
 
 
 class Handover:
-    def __init__(self, folder: str, name: str, at: tuple[str, int], desk: Desk, listener: Listener,
-                 operations: Operations, shares: Callable[[int, int, bool], None]) -> None:
+    def __init__(self, folder: str, name: str, at: tuple[str, int], desk: RequestHandler, listener: Listener,
+                 operations: AdminService, shares: Callable[[int, int, bool], None]) -> None:
         # Of which dispatcher: a folder may hold what another one's process left, or have one behind it that
         # serves other customers at what is now our address.
-        self.name = name
-        self.at, self.desk, self.fleet, self.tally = at, desk, desk.fleet, desk.tally
-        self.listener, self.operations, self.shares = listener, operations, shares
+        self.dispatcher_name = name
+        self.listen_address, self.request_handler, self.backend_registry, self.metrics = at, desk, desk.backends, desk.metrics
+        self.listener, self.admin_service, self.share_sockets = listener, operations, shares
         self.loop = desk.timers.loop
-        self.passage = Passage(folder, f"crankfold-{zlib.crc32(f'{at[0]}:{at[1]}'.encode()):08x}", desk.tally)
-        self.passage.met, self.passage.told, self.passage.lost = self._met, self._told, self._lost
-        self.succession = Succession(self)
-        self.sock: socket.socket | None = None
-        self.over = asyncio.Event()  # the predecessor has given way, or there is none
-        self.again = False
-        self.reports: dict[str, Any] = {}
+        self.channel = HandoverChannel(folder, f"crankfold-{zlib.crc32(f'{at[0]}:{at[1]}'.encode()):08x}", desk.metrics)
+        self.channel.on_successor, self.channel.on_message, self.channel.on_lost = self._successor_connected, self._message_received, self._disconnected
+        self.state_machine = HandoverStateMachine(self)
+        self.listening_socket: socket.socket | None = None
+        self.takeover_decided = asyncio.Event()  # the predecessor has given way, or there is none
+        self.retry_takeover = False
+        self.inherited_reports: dict[str, Any] = {}
         self.tasks: set[asyncio.Task[None]] = set()
-        operations.spread, desk.pass_on, operations.followed = self.spread, self.pass_on, self.followed
+        operations.replicate_manual_drain, desk.forward_callback, operations.has_successor = self.replicate_manual_drain, self.forward_callback, self.has_successor
 
     # --- as the one that follows ---
 
-    async def meet(self) -> dict[str, Any] | None:
+    async def connect(self) -> dict[str, Any] | None:
         """Learns from a predecessor, if one serves; gives the list as that has it."""
-        met = await self.passage.call({"hello": FORM, "at": list(self.at), "of": self.name})
+        met = await self.channel.connect({"hello": FORMAT_VERSION, "at": list(self.listen_address), "of": self.dispatcher_name})
         if met:
             kin, sock, said = met
             welcome = said.get("welcome")
-            if isinstance(welcome, dict) and welcome.get("form") == FORM and welcome.get("of") == self.name \
+            if isinstance(welcome, dict) and welcome.get("form") == FORMAT_VERSION and welcome.get("of") == self.dispatcher_name \
                     and sock \
-                    and sock.getsockname()[:2] == self.at:
-                self.sock = sock
-                self.succession.follows(kin)
-                self._learn(welcome)
-                return carry.known_list(welcome, self.desk.decisions.live)
-            self.tally.say("predecessor", "speaks another form or has another address; starting alone")
-            self.passage.part(kin)
+                    and sock.getsockname()[:2] == self.listen_address:
+                self.listening_socket = sock
+                self.state_machine.predecessor_connected(kin)
+                self._import_state(welcome)
+                return handover_state.inherited_endpoints(welcome, self.request_handler.routing.weights_follow_load)
+            self.metrics.warn("predecessor", "speaks another form or has another address; starting alone")
+            self.channel.disconnect(kin)
             if sock:
                 sock.close()
-        recorded = self.passage.recorded()
-        if recorded.get("of") == self.name:
-            self._bans(recorded)
+        recorded = self.channel.load_record()
+        if recorded.get("of") == self.dispatcher_name:
+            self._import_manual_drains(recorded)
         return None
 
-    def _learn(self, welcome: dict[str, Any]) -> None:
-        self.fleet.heard_of.update(strings(welcome.get("ever")))
-        self._bans(welcome)
-        self.reports = carry.reports(welcome, self.desk.rules.report_fields)
+    def _import_state(self, welcome: dict[str, Any]) -> None:
+        self.backend_registry.known_ids.update(string_list(welcome.get("ever")))
+        self._import_manual_drains(welcome)
+        self.inherited_reports = handover_state.inherited_reports(welcome, self.request_handler.config.report_fields)
 
-    def _bans(self, kept: dict[str, Any]) -> None:
-        self.fleet.bans.since.update(figures(kept.get("bans")))
+    def _import_manual_drains(self, kept: dict[str, Any]) -> None:
+        self.backend_registry.manual_drains.drained_since.update(int_mapping(kept.get("bans")))
         for uid, pair in (kept.get("assumed") or {}).items():
             if isinstance(pair, list) and len(pair) == 2 and all(type(one) is int for one in pair):
-                self.fleet.bans.assumed[uid] = (pair[0], pair[1])
-        self.fleet.heard_of.update(self.fleet.bans.since)
+                self.backend_registry.manual_drains.assumed_starts[uid] = (pair[0], pair[1])
+        self.backend_registry.known_ids.update(self.backend_registry.manual_drains.drained_since)
 
-    def tell_reports(self) -> None:
+    def replay_reports(self) -> None:
         """What runners last said to the predecessor, as if they had been probed."""
-        wanted = len(self.desk.rules.report_fields)
-        for uid, report in self.reports.items():
-            runner = self.fleet.numbers.find(uid)
+        wanted = len(self.request_handler.config.report_fields)
+        for uid, report in self.inherited_reports.items():
+            runner = self.backend_registry.backend_ids.find(uid)
             if runner >= 0 and isinstance(report, list) and len(report) == wanted \
                     and all(type(one) is float for one in report):
-                self.desk.tell(self.desk.decisions.probed, runner, True, tuple(report))
+                self.request_handler.notify_routing(self.request_handler.routing.probe_ended, runner, True, tuple(report))
 
     async def take_over(self) -> socket.socket | None:
         """Waits until the predecessor has given way; the listening socket, where there was one."""
         while True:
-            self.again = False
-            self.over.clear()
-            if not self.succession.take_over():
-                return self.sock
+            self.retry_takeover = False
+            self.takeover_decided.clear()
+            if not self.state_machine.request_takeover():
+                return self.listening_socket
             try:
                 async with asyncio.timeout(1.0):
-                    await self.over.wait()
+                    await self.takeover_decided.wait()
             except TimeoutError:
-                self.tally.say("predecessor", "hangs; serving beside it")
-                return self.sock
-            if not self.again:
-                return self.sock
-            await asyncio.sleep(AGAIN)
-            await self.meet()
+                self.metrics.warn("predecessor", "hangs; serving beside it")
+                return self.listening_socket
+            if not self.retry_takeover:
+                return self.listening_socket
+            await asyncio.sleep(TAKEOVER_RETRY_DELAY)
+            await self.connect()
 
     async def open(self) -> None:
         try:
-            await self.passage.open()
+            await self.channel.open()
         except OSError as wrong:
-            self.tally.say("records", f"{wrong}; nobody can follow")
+            self.metrics.warn("records", f"{wrong}; nobody can follow")
 
     # --- both ways ---
 
-    async def spread(self, what: str, uid: str) -> None:
+    async def replicate_manual_drain(self, what: str, uid: str) -> None:
         """Recorded here, and bound by the other process."""
-        self._record()
+        self._save_manual_drains()
         answered: asyncio.Future[None] = self.loop.create_future()
-        self.succession.ask(self.loop.time(), {"what": what, "uid": uid},
-                            lambda _: settle(answered))
+        self.state_machine.query(self.loop.time(), {"what": what, "uid": uid},
+                            lambda _: resolve(answered))
         await answered
 
-    def _record(self) -> None:
+    def _save_manual_drains(self) -> None:
         try:
-            self.passage.record({"of": self.name, "bans": self.fleet.bans.since,
-                                 "assumed": self.fleet.bans.assumed})
+            self.channel.save_record({"of": self.dispatcher_name, "bans": self.backend_registry.manual_drains.drained_since,
+                                 "assumed": self.backend_registry.manual_drains.assumed_starts})
         except OSError as wrong:
-            self.tally.say("records", f"{wrong}; a ban binds, but is forgotten if both processes die")
+            self.metrics.warn("records", f"{wrong}; a ban binds, but is forgotten if both processes die")
 
-    def pass_on(self, body: bytes, done: Callable[[bool | None], None]) -> bool:
+    def forward_callback(self, body: bytes, done: Callable[[bool | None], None]) -> bool:
         """A call-back for a unit that is not in hand here; whether there is somebody to ask."""
-        if not self.succession.kin:
+        if not self.state_machine.processes:
             return False
-        self.tally.count("call-backs-passed-on")
+        self.metrics.increment("call-backs-passed-on")
         told = {"what": "event", "body": body.decode(errors="replace")}
-        self.succession.ask(self.loop.time(), told, done)
+        self.state_machine.query(self.loop.time(), told, done)
         return True
 
-    def _met(self, kin: int, sock: socket.socket, hello: dict[str, Any]) -> None:
-        self.tally.count("successors-met")
-        copy = self.listener.copy
+    def _successor_connected(self, kin: int, sock: socket.socket, hello: dict[str, Any]) -> None:
+        self.metrics.increment("successors-met")
+        copy = self.listener.shared_socket
         try:
-            if hello.get("hello") == FORM and copy and hello.get("at") == list(self.at) \
-                    and hello.get("of") == self.name:
+            if hello.get("hello") == FORMAT_VERSION and copy and hello.get("at") == list(self.listen_address) \
+                    and hello.get("of") == self.dispatcher_name:
                 socket.send_fds(sock, [b"!"], [copy.fileno()])
-                self.succession.met(kin)
+                self.state_machine.successor_connected(kin)
                 return
         except OSError as wrong:
-            self.tally.say("successor", str(wrong))
-        self.passage.part(kin)
+            self.metrics.warn("successor", str(wrong))
+        self.channel.disconnect(kin)
 
-    def _told(self, kin: int, told: dict[str, Any]) -> None:
-        self.succession.told(self.loop.time(), kin, told)
+    def _message_received(self, kin: int, told: dict[str, Any]) -> None:
+        self.state_machine.message_received(self.loop.time(), kin, told)
 
-    def _lost(self, kin: int) -> None:
-        self.succession.lost(self.loop.time(), kin)
+    def _disconnected(self, kin: int) -> None:
+        self.state_machine.disconnected(self.loop.time(), kin)
 
-    def tend(self) -> None:
-        self.succession.tend(self.loop.time())
-        self.succession.report()
+    def run_periodic_tasks(self) -> None:
+        self.state_machine.expire_queries(self.loop.time())
+        self.state_machine.report_usage()
 
-    def followed(self) -> bool:
-        return self.succession.place == Place.FOLLOWED
+    def has_successor(self) -> bool:
+        return self.state_machine.role == HandoverRole.HANDED_OVER
 
     def close(self) -> None:
-        self.passage.close()
+        self.channel.close()
 
     # --- the port: what the succession decides ---
 
-    def say(self, kin: int, told: dict[str, Any]) -> None:
-        self.passage.say(kin, told)
+    def send(self, kin: int, told: dict[str, Any]) -> None:
+        self.channel.send(kin, told)
 
-    def part(self, kin: int) -> None:
-        self.passage.part(kin)
+    def disconnect(self, kin: int) -> None:
+        self.channel.disconnect(kin)
 
-    def state(self) -> dict[str, Any]:
-        now, fleet = self.desk.timers.clock.now(), self.fleet
-        names = fleet.numbers.names
-        decisions = self.desk.decisions
-        listed = [fleet.as_listed(runner) for runner, entry in enumerate(fleet.said)
-                  if entry.standing != Standing.GONE]
-        if decisions.live:  # the size is what lasts of a weight that moves
+    def describe_state(self) -> dict[str, Any]:
+        now, fleet = self.request_handler.timers.clock.now(), self.backend_registry
+        names = fleet.backend_ids.names
+        decisions = self.request_handler.routing
+        listed = [fleet.discovery_entry(runner) for runner, entry in enumerate(fleet.endpoints)
+                  if entry.state != EndpointState.REMOVED]
+        if decisions.weights_follow_load:  # the size is what lasts of a weight that moves
             for entry in listed:
-                entry["capacity_hint"] = decisions.weight[fleet.numbers.place(entry["uid"])]
-        return {"form": FORM, "of": self.name, "weights": carry.meaning(decisions.live),
-                "fields": list(self.desk.rules.report_fields),
-                "bans": fleet.bans.since, "assumed": fleet.bans.assumed,
-                "ever": sorted({*names, *fleet.heard_of}),
+                entry["capacity_hint"] = decisions.weight[fleet.backend_ids.intern(entry["uid"])]
+        return {"form": FORMAT_VERSION, "of": self.dispatcher_name, "weights": handover_state.weight_semantics(decisions.weights_follow_load),
+                "fields": list(self.request_handler.config.report_fields),
+                "bans": fleet.manual_drains.drained_since, "assumed": fleet.manual_drains.assumed_starts,
+                "ever": sorted({*names, *fleet.known_ids}),
                 "known": {"rev": 0, "all": True, "targets": listed} if listed else None,
-                "reports": {names[runner]: list(report) for runner, (at, report) in self.desk.reports.items()
-                            if now - at < REPORTS_AGE}}
+                "reports": {names[runner]: list(report) for runner, (at, report) in self.request_handler.load_reports.items()
+                            if now - at < MAX_REPORT_AGE}}
 
-    def in_hand(self) -> dict[str, Any]:
-        return {"ids": [work.ident for work in self.desk.ledger.units.values()],
-                "clients": len(self.listener.clients), "runners": self.fleet.sockets.most}
+    def describe_usage(self) -> dict[str, Any]:
+        return {"ids": [work.request_id for work in self.request_handler.request_table.requests.values()],
+                "clients": len(self.listener.connections), "runners": self.backend_registry.sockets.max_connections}
 
-    def give_way(self) -> None:
-        log("crankfold: another process takes over")
-        self.tally.count("handed-over")
+    def stop_accepting(self) -> None:
+        log_line("crankfold: another process takes over")
+        self.metrics.increment("handed-over")
         self.listener.pause()
-        self.shares(0, 0, True)
-        self.operations.changed(self.fleet.leave_cold(True))
-
-    def take_up(self) -> None:
-        log("crankfold: the process that took over is gone; serving again")
-        self.tally.count("taken-up-again")
-        self.shares(0, 0, False)
-        self.operations.changed(self.fleet.leave_cold(False))
-        task = self.loop.create_task(self._resume())
+        self.share_sockets(0, 0, True)
+        self.admin_service.endpoints_changed(self.backend_registry.reserve_slow_start(True))
+
+    def resume_accepting(self) -> None:
+        log_line("crankfold: the process that took over is gone; serving again")
+        self.metrics.increment("taken-up-again")
+        self.share_sockets(0, 0, False)
+        self.admin_service.endpoints_changed(self.backend_registry.reserve_slow_start(False))
+        task = self.loop.create_task(self._reopen())
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
-    async def _resume(self) -> None:
+    async def _reopen(self) -> None:
         await self.listener.resume()
-        self.passage.shut()
+        self.channel.stop_accepting()
         await self.open()
 
-    def taken_over(self) -> None:
-        self.over.set()
+    def takeover_completed(self) -> None:
+        self.takeover_decided.set()
 
-    def start_again(self) -> None:
-        self.again = True
-        self.over.set()
+    def takeover_refused(self) -> None:
+        self.retry_takeover = True
+        self.takeover_decided.set()
 
-    def hear(self, body: str) -> bool:
+    def handle_callback(self, body: str) -> bool:
         told = body.encode()
-        return (self.desk.holds(unit_of(told)) and
-                hear(told, self.desk, self.desk.rules.report_fields))
+        return (self.request_handler.has_request(request_id_of(told)) and
+                handle_callback(told, self.request_handler, self.request_handler.config.report_fields))
 
-    def bind(self, uid: str, out: bool) -> None:
-        self.fleet.heard_of.add(uid)
-        entry = self.fleet.out(uid) if out else self.fleet.back(uid)
+    def apply_manual_drain(self, uid: str, out: bool) -> None:
+        self.backend_registry.known_ids.add(uid)
+        entry = self.backend_registry.drain(uid) if out else self.backend_registry.restore(uid)
         if entry:
-            self.operations.changed([entry])
+            self.admin_service.endpoints_changed([entry])
 
-    def kin_holds(self, told: dict[str, Any]) -> None:
-        self.desk.elsewhere = frozenset(strings(told.get("ids")))
-        held = figures(told)
-        self.shares(held.get("clients", 0), held.get("runners", 0), False)
+    def predecessor_usage_changed(self, told: dict[str, Any]) -> None:
+        self.request_handler.predecessor_request_ids = frozenset(string_list(told.get("ids")))
+        held = int_mapping(told)
+        self.share_sockets(held.get("clients", 0), held.get("runners", 0), False)
 
--- a/crankfold/service/carry.py
+++ b/crankfold/service/handover_state.py
@@ -8,20 +8,20 @@
 from collections.abc import Mapping, Sequence
 from typing import Any
 
-MOVING, STEADY = "moving", "steady"
+DYNAMIC_WEIGHTS, STATIC_WEIGHTS = "moving", "steady"
 
 
-def meaning(live: bool) -> str:
+def weight_semantics(live: bool) -> str:
     """Weights that move with load, or sizes as they stand."""
-    return MOVING if live else STEADY
+    return DYNAMIC_WEIGHTS if live else STATIC_WEIGHTS
 
 
-def known_list(welcome: Mapping[str, Any], live: bool) -> dict[str, Any] | None:
+def inherited_endpoints(welcome: Mapping[str, Any], live: bool) -> dict[str, Any] | None:
     """The list as the predecessor had it; weights of another meaning are left out until an own list."""
     known = welcome.get("known")
     if not isinstance(known, dict):
         return None
-    if welcome.get("weights", STEADY) == meaning(live):
+    if welcome.get("weights", STATIC_WEIGHTS) == weight_semantics(live):
         return known
     targets = known.get("targets")
     if not isinstance(targets, list):
@@ -30,7 +30,7 @@
     return known | {"targets": bare}
 
 
-def reports(welcome: Mapping[str, Any], fields: Sequence[str]) -> dict[str, Any]:
+def inherited_reports(welcome: Mapping[str, Any], fields: Sequence[str]) -> dict[str, Any]:
     """Last reports by runner; none where their fields were others. An older process doesn't name them."""
     told = welcome.get("reports")
     if not isinstance(told, dict) or welcome.get("fields", list(fields)) != list(fields):
--- /dev/null
+++ b/crankfold/service/request_handler.py
@@ -0,0 +1,378 @@
+"""Where sockets and decisions meet: what comes in is told, and what is decided is carried out."""
+
+import asyncio
+from collections.abc import Callable, Sequence
+from dataclasses import replace
+from functools import partial
+from urllib.parse import quote
+
+from crankfold.config.parser import ServiceConfig, setting_text
+from crankfold.network.connection_pool import ANSWERED, NOT_SENT, STALE_CONNECTION, UNREACHABLE, Exchange
+from crankfold.network.listener import AcceptedConnection
+from crankfold.network.metrics import Metrics
+from crankfold.network.timers import Timers
+from crankfold.protocol.backend_connection import (
+    ACCEPTED,
+    REJECTED,
+    BackendConnection,
+    attempt_headers,
+    classify_response,
+)
+from crankfold.protocol.load_reports import report_from_header
+from crankfold.routing.interface import Endpoint, EndpointState, Idempotency, Outcome, RoutingConfig
+from crankfold.routing.policy import NEVER_EXECUTED, Router
+from crankfold.service.backend_registry import BackendRegistry
+from crankfold.service.lifecycle import Lifecycle
+from crankfold.service.request_classes import RequestClassTable
+from crankfold.service.request_table import Attempt, Request, RequestTable
+
+TRANSIT_ALLOWANCE = 10  # a request has been under way before it was read: its cut-off is nearer by so much
+
+
+class RequestHandler:
+    def __init__(self, orders: RoutingConfig, rules: ServiceConfig, seed: int, timers: Timers, tally: Metrics,
+                 fleet: BackendRegistry, duty: Lifecycle, subscribe: Callable[[], None]) -> None:
+        self.config, self.timers, self.clock, self.metrics = rules, timers, timers.clock, tally
+        self.backends, self.lifecycle, self.poll_endpoints = fleet, duty, subscribe
+        self.cancels_attempts = orders.cancellation_allowed
+        self.probe_target = b"/load" if orders.reports_in_responses or orders.reports_by_probe else b"/healthz"
+        self.closed = False  # the process ends: what still comes is shed
+        self.connections_exhausted: Callable[[], bool] = lambda: False
+        # With peers: whether rules may be acted on at this moment, and where what is done is written down.
+        self.has_valid_config: Callable[[], bool] = lambda: True
+        self.record_event: Callable[[str, str, str], None] | None = None
+        self.acquire_quota: Callable[[str, str], Sequence[str] | None] | None = None  # places of limits, if there are
+        # With machines out for work: what is left running on one, what ended there, what ended after all.
+        self.attempt_abandoned: Callable[[str, str], None] | None = None
+        self.attempt_finished: Callable[[int, Outcome], None] | None = None
+        self.abandoned_attempt_finished: Callable[[str, str], None] | None = None
+        self.predecessor_request_ids: frozenset[str] = frozenset()  # ids in hand at the process before this one
+        self.forward_callback: Callable[[bytes, Callable[[bool | None], None]], bool] = lambda body, done: False
+        self.load_reports: dict[int, tuple[int, Sequence[float]]] = {}  # each runner's last, and when
+        self.call_soon = asyncio.get_running_loop().call_soon
+        self.request_classes = RequestClassTable(rules.request_classes.names, orders.request_classes)
+        self.request_table = RequestTable(self.request_classes)
+        self.routing = Router(orders, seed, self)
+
+    # --- telling the decisions ---
+
+    def notify_routing(self, call: Callable[..., None], *args: object, unit: int = -1) -> None:
+        """A failure in the decisions ends here: the unit in hand is given up on and the process goes on."""
+        try:
+            call(self.clock.now(), *args)
+        except Exception as wrong:
+            self.metrics.record_exception(wrong)
+            work = self.request_table.requests.get(unit)
+            if work and work.is_open:
+                self._fail_request(work)
+            if __debug__:
+                raise
+
+    def _fail_request(self, work: Request) -> None:
+        """Given up without the decisions having said so: they are told that nothing is owed any more."""
+        self.fail_request(work.number)
+        try:
+            self.routing.client_disconnected(self.clock.now(), work.number)
+        except Exception as wrong:
+            self.metrics.record_exception(wrong)
+
+    # --- from clients ---
+
+    def is_serving(self) -> bool:
+        return self.lifecycle.is_serving() and self.has_valid_config()
+
+    def knows_request_class(self, name: str) -> bool:
+        return self.request_classes.find(setting_text(name)) >= 0
+
+    def submit(self, client: object, ident: str, grade: str, tenant: str, wait: int, work: int, slots: float,
+                again: tuple[bytes, bytes, list[tuple[bytes, bytes]], bytes], key: int = 0,
+                retried: bool = False) -> None:
+        assert isinstance(client, AcceptedConnection)
+        if client.peer_has_closed():
+            self.metrics.increment("clients-gone-before-read")
+            client.reject(503)
+            return
+        if self.closed:
+            self.metrics.increment("shed-at-the-end")
+            client.reject(503)
+            return
+        if ident in self.request_table.by_request_id or ident in self.predecessor_request_ids:
+            self.metrics.increment("ids-in-hand-already")
+            client.reject(409)
+            return
+        if self.connections_exhausted() or len(self.request_table.requests) >= self.config.max_pending:
+            # Nothing was sent for it, so a retry is harmless.
+            self.metrics.increment("shed-for-room")
+            client.respond(503)
+            return
+        if not self.has_valid_config():
+            # Nothing was sent for it either; by the time of a lease somebody has one again.
+            self.metrics.increment("shed-cut-off")
+            client.respond(503, [(b"Retry-After", b"1")])
+            return
+        counted: Sequence[str] | None = self.acquire_quota(grade, tenant) if self.acquire_quota else ()
+        if counted is None:
+            self.metrics.increment("shed-for-share")
+            client.respond(503, [(b"Retry-After", b"1")])
+            return
+        self.metrics.increment("taken")
+        if self.record_event:
+            self.record_event("take", ident, grade)
+        wait = max(wait - TRANSIT_ALLOWANCE, 0)
+        row = self.request_classes.find(setting_text(grade))
+        held = self.request_table.add(row, ident, client, self.clock.now() + wait, again)
+        held.quota_limits = counted
+        held.deadline_timer = self.timers.call_after(wait, partial(self._on_deadline, held))
+        payer = max(self.config.tenants.find(setting_text(tenant)), 0)
+        self.notify_routing(self.routing.request_received, held.number, row, payer, held.deadline, work, slots, key, retried,
+                  unit=held.number)
+
+    def client_disconnected(self, client: AcceptedConnection) -> None:
+        work = self.request_table.by_client.get(client)
+        if work and work.is_open:
+            self.request_table.close(work)
+            self.notify_routing(self.routing.client_disconnected, work.number)
+            self.request_table.discard(work)
+
+    def _on_deadline(self, work: Request) -> None:
+        """The decisions answer before this; what is still out then is waited for no longer."""
+        if work.is_open:
+            self.metrics.increment("units-open-at-cut-off")
+            self._abort_request(work)
+        for trip in work.attempts:
+            self._on_attempt_timeout(work, trip)
+
+    def answer_all_open(self) -> None:
+        """At the end of a drain what is still open gets its answer now, as nobody will be there later, and so
+        does what comes from here on."""
+        self.closed = True
+        for work in list(self.request_table.requests.values()):
+            if work.is_open:
+                self.metrics.increment("answered-at-drain")
+                self._abort_request(work)
+
+    def _abort_request(self, work: Request) -> None:
+        """Its answer now: shed where a retry is harmless, else given up, also where the decisions fail."""
+        self.notify_routing(self.routing.request_aborted, work.number, unit=work.number)
+        if work.is_open:
+            self._fail_request(work)
+
+    # --- the port: what is decided ---
+
+    def send_attempt(self, unit: int, runner: int, limit: int) -> None:
+        work = self.request_table.requests.get(unit)
+        if work is None:
+            self.metrics.check_invariant(False, "dispatch-for-a-unit-in-hand")
+            return
+        trip = Attempt(len(work.attempts), runner, self.clock.now())
+        # One runner gets one dispatch of a unit at a time, also where it did not heed the calling off. It may
+        # tell of an end again: the "never ran" of a first dispatch would pass for that of a second.
+        once = self.request_classes.classes[work.class_index].idempotency != Idempotency.IDEMPOTENT
+        there = any(other.backend == runner and (other.in_flight or other.may_still_run or once and other.was_sent())
+                    for other in work.attempts)
+        work.attempts.append(trip)
+        self.metrics.increment("dispatches")
+        if there or not self._may_send(work, trip):
+            self.call_soon(self._on_exchange_ended, work, trip, NOT_SENT, None)
+            return
+        method, target, heads, body = work.http_request
+        trip.exchange = Exchange(
+            method, target, lambda: attempt_headers(heads, work.deadline - self.clock.now()), body,
+            partial(self._may_send, work, trip), partial(self._on_exchange_ended, work, trip))
+        self.backends.pools[runner].send(trip.exchange)
+        if limit > 0:
+            self.timers.call_after(limit, partial(self._on_attempt_timeout, work, trip))
+
+    def _may_send(self, work: Request, trip: Attempt) -> bool:
+        """While a connection came up the unit may have ended or the runner have begun to drain."""
+        may = (work.is_open and trip.in_flight and self.backends.states[trip.backend] == EndpointState.READY
+               and self.clock.now() < work.deadline and self.has_valid_config() and self._within_deduplication_window(work, trip))
+        if may and self.record_event:
+            self.record_event("dispatch", work.request_id, self.backends.backend_ids.names[trip.backend])
+        return may
+
+    def _within_deduplication_window(self, work: Request, trip: Attempt) -> bool:
+        """While a connection came up, the time may have run out for which a group knows a tagged unit."""
+        grade = self.request_classes.classes[work.class_index]
+        return grade.idempotency != Idempotency.IDEMPOTENT_WITH_KEY or all(
+            other is trip or not other.may_have_run
+            or self.clock.now() + self.routing.clock_margin < other.created_at + grade.deduplication_window for other in work.attempts)
+
+    def shed(self, unit: int, advice: int) -> None:
+        heads = [(b"Retry-After", f"{advice / 10_000:.3f}".encode())] if advice else []
+        self._answer(unit, "shed", 503, heads)
+
+    def fail_request(self, unit: int) -> None:
+        self._answer(unit, "given-up", 504)
+
+    def _answer(self, unit: int, how: str, status: int, heads: Sequence[tuple[bytes, bytes]] = (),
+                body: bytes = b"") -> None:
+        work = self.request_table.requests.get(unit)
+        self.metrics.check_invariant(work is not None and work.is_open, "one-answer-a-unit")
+        if work is not None and work.is_open:
+            self.request_table.close(work)
+            self.metrics.increment(how)
+            if self.clock.now() > work.deadline:
+                self.metrics.increment("answers-after-cut-off")
+            work.client.respond(status, heads, body)
+            self.call_soon(self.request_table.discard, work)
+
+    def cancel_attempt(self, unit: int, nth: int) -> None:
+        work = self.request_table.requests.get(unit)
+        if work is not None and work.attempts[nth].in_flight:
+            self.metrics.increment("called-off")
+            self._cancel_attempt(work, work.attempts[nth])
+            self.call_soon(self._end_attempt, work, work.attempts[nth], Outcome.CANCELLED)
+
+    def set_timer(self, after: int, label: int) -> None:
+        # The decisions ask for wakes while they are being made, when `self.decisions` is not there yet.
+        self.timers.call_after(after, lambda: self.notify_routing(self.routing.timer_fired, label))
+
+    def probe(self, runner: int) -> None:
+        self.metrics.increment("probes")
+        self.backends.send_control_request(runner, b"GET", self.probe_target, partial(self._on_probe_answer, runner))
+
+    # --- from runners ---
+
+    def _on_probe_answer(self, runner: int, how: str, side: BackendConnection | None) -> None:
+        well = how == ANSWERED and side is not None and side.status == 200
+        report: Sequence[float] = ()
+        if well and side is not None:
+            report = report_from_header(bytes(side.body), self.config.report_fields)
+            self.metrics.increment("reports-by-probe" if report else "probes-without-report")
+        self._store_load_report(runner, report)
+        self.notify_routing(self.routing.probe_ended, runner, well, report)
+
+    def _store_load_report(self, runner: int, report: Sequence[float]) -> None:
+        if report:
+            self.load_reports[runner] = self.clock.now(), report
+
+    def _on_exchange_ended(self, work: Request, trip: Attempt, how: str, side: BackendConnection | None) -> None:
+        """The exchange of a dispatch is over: the runner took the unit, or the dispatch has ended."""
+        if how == NOT_SENT:
+            self._end_attempt(work, trip, Outcome.NOT_SENT)
+        elif how == UNREACHABLE:
+            self._end_attempt(work, trip, Outcome.UNREACHABLE)
+        elif how == STALE_CONNECTION:
+            self._end_attempt(work, trip, Outcome.STALE_CONNECTION)
+        elif how != ANSWERED or side is None:
+            self._end_attempt(work, trip, Outcome.RESET)
+        else:
+            outcome = classify_response(side.status, side.not_processed)
+            if outcome == ACCEPTED:
+                trip.accepted = True
+            elif outcome == REJECTED:
+                # The client's answer, as a result would be. Tried on, one such unit had five runners doubted.
+                if work.is_open:
+                    self._answer(work.number, "unfit", 400)
+                self._end_attempt(work, trip, Outcome.CANCELLED)
+            else:
+                self._end_attempt(work, trip, Outcome(outcome), report_from_header(side.load_header, self.config.report_fields))
+
+    def _on_attempt_timeout(self, work: Request, trip: Attempt) -> None:
+        if trip.in_flight:
+            self._cancel_attempt(work, trip)
+            self._end_attempt(work, trip, Outcome.TIMED_OUT)
+
+    def _cancel_attempt(self, work: Request, trip: Attempt) -> None:
+        """Before the runner has said that it took the unit the connection closes; after that it is told."""
+        if trip.exchange is None:
+            return
+        trip.may_still_run = trip.exchange.connection is not None
+        if self.attempt_abandoned and trip.may_still_run:
+            self.attempt_abandoned(self.backends.backend_ids.names[trip.backend], work.request_id)
+        if not trip.accepted:
+            self.backends.pools[trip.backend].abort(trip.exchange)
+        elif self.cancels_attempts:
+            target = b"/jobs/" + quote(work.request_id, safe="").encode()
+            self.backends.send_control_request(trip.backend, b"DELETE", target, lambda how, side: None)
+
+    def _end_attempt(self, work: Request, trip: Attempt, outcome: Outcome, report: Sequence[float] = ()) -> None:
+        if not trip.in_flight:
+            return
+        trip.in_flight, trip.may_have_run = False, outcome not in NEVER_EXECUTED
+        if trip.exchange:
+            self.backends.abandon_exchange(trip.backend, trip.exchange)
+        self._store_load_report(trip.backend, report)
+        self.metrics.increment("ended-" + outcome.name.lower().replace("_", "-"))
+        if self.attempt_finished:
+            self.attempt_finished(trip.backend, outcome)
+        self.notify_routing(self.routing.attempt_ended, work.number, trip.number, trip.backend, outcome, not work.is_open, report,
+                  unit=work.number)
+        self.request_table.discard(work)
+
+    def has_request(self, ident: str) -> bool:
+        return ident in self.request_table.by_request_id
+
+    def forward_unknown_callback(self, client: object, body: bytes) -> bool:
+        """A call-back for a unit not in hand: whether its answer waits for another process to hear it."""
+        assert isinstance(client, AcceptedConnection)
+
+        def heard(yes: bool | None) -> None:
+            if not yes:
+                self.metrics.increment("call-backs-for-none")
+            if client.protocol.awaiting_response:
+                # Nobody holds it: heard all the same. Told nothing, the runner is to try again.
+                client.respond(503 if yes is None else 204)
+
+        def later(yes: bool | None) -> None:
+            self.call_soon(heard, yes)  # it may be told at once, from within
+
+        return self.forward_callback(body, later)
+
+    def _find_attempt(self, ident: str, uid: str) -> tuple[Request, Attempt] | None:
+        found = self.request_table.find_active_attempt(ident, self.backends.backend_ids.find(uid))
+        if not found:
+            self.metrics.increment("call-backs-for-none")
+        return found
+
+    def execution_started(self, ident: str, uid: str) -> None:
+        found = self._find_attempt(ident, uid)
+        if found and not found[1].started:
+            work, trip = found
+            trip.started = True
+            self.notify_routing(self.routing.attempt_started, work.number, trip.number, trip.backend, unit=work.number)
+
+    def execution_progressed(self, ident: str, uid: str, share: float) -> None:
+        found = self._find_attempt(ident, uid)
+        if found:
+            work, trip = found
+            self.notify_routing(self.routing.attempt_progressed, work.number, trip.number, trip.backend, share, unit=work.number)
+
+    def execution_ended(self, ident: str, uid: str, outcome: Outcome, result: bytes,
+                  report: Sequence[float]) -> None:
+        found = self._find_attempt(ident, uid)
+        if not found:
+            self.request_table.mark_abandoned_finished(ident, self.backends.backend_ids.find(uid))
+            if self.abandoned_attempt_finished:
+                self.abandoned_attempt_finished(ident, uid)
+            return
+        work, trip = found
+        self.metrics.increment("reports-by-call-back" if report else "call-backs-without-report")
+        if outcome == Outcome.COMPLETED and work.is_open:
+            self._answer(work.number, "done", 200, body=result)
+        self._end_attempt(work, trip, outcome, report)
+
+    # --- new settings ---
+
+    def config_changed(self, orders: RoutingConfig, rules: ServiceConfig) -> None:
+        """Other grades and bounds. What names are known by numbers keeps them."""
+        for tenant in rules.tenants.names:
+            self.config.tenants.intern(tenant)
+        old = self.config
+        self.config = replace(rules, tenants=old.tenants, zones=old.zones, instance_types=old.instance_types,
+                             report_fields=old.report_fields, slow_start_duration=old.slow_start_duration)
+        self.backends.config, self.cancels_attempts = self.config, orders.cancellation_allowed
+        self.request_classes.update(rules.request_classes.names, orders.request_classes)
+        self.notify_routing(self.routing.config_changed, replace(orders, request_classes=self.request_classes.classes), self.request_classes.reassigned)
+
+    # --- from discovery ---
+
+    def endpoints_changed(self, entries: Sequence[Endpoint], whole: bool) -> None:
+        self.notify_routing(self.routing.endpoints_changed, self.backends.update_endpoints(entries, whole), whole)
+
+    def discovery_failed(self) -> None:
+        self.notify_routing(self.routing.discovery_failed)
+
+    def open_request_count(self) -> int:
+        return sum(work.is_open for work in self.request_table.requests.values())
--- a/crankfold/simhost/__main__.py
+++ b/crankfold/simulator_adapter/__main__.py
@@ -1,13 +1,13 @@
-"""Hosts many dispatchers on standard input and output: `python -m crankfold.simhost`."""
+"""Hosts many dispatchers on standard input and output: `python -m crankfold.simulator_adapter`."""
 
 import struct
 import sys
 
-from crankfold.simhost.host import Host
+from crankfold.simulator_adapter.host import SimulatorHost
 
 
 def main() -> int:
-    host = Host()
+    host = SimulatorHost()
     inp, out = sys.stdin.buffer, sys.stdout.buffer
     while True:
         size = inp.read(4)
@@ -19,7 +19,7 @@
             print("simhost: truncated frame on standard input", file=sys.stderr)
             return 1
         try:
-            reply = host.answer(frame)
+            reply = host.handle_frame(frame)
         except (struct.error, IndexError, KeyError, ValueError) as broken:
             print(f"simhost: undecodable frame: {broken!r}", file=sys.stderr)
             return 1
--- a/tests/data/write_fixtures.py
+++ b/tests/data/write_fixtures.py
@@ -13,9 +13,9 @@
 
 import msgspec
 
-from crankfold.agreement.documents import Documents
-from crankfold.peers.frames import frame
-from crankfold.peers.store import Store
+from crankfold.cluster.framing import encode_frame
+from crankfold.cluster.raft_storage import RaftStorage
+from crankfold.consensus.versioned_documents import VersionedDocuments
 from tests import handover_scene, stored_forms
 
 REVISION = "82f8a95"
@@ -24,7 +24,7 @@
 
 def messages(folder: Path) -> None:
     for name, told in stored_forms.MESSAGES.items():
-        (folder / f"{name}.frames").write_bytes(b"".join(frame(one) for one in told))
+        (folder / f"{name}.frames").write_bytes(b"".join(encode_frame(one) for one in told))
 
 
 def voters(folder: Path) -> None:
@@ -32,19 +32,19 @@
         of_voter = folder / name
         of_voter.mkdir(parents=True)
         (of_voter / "identity").write_text("n0 0123456789abcdef\n")
-        store = Store(of_voter, "n0")
+        store = RaftStorage(of_voter, "n0")
         for batch in batches:
-            store.write(batch)
+            store.save(batch)
         store.close()
         (of_voter / "lock").unlink()
 
 
 def documents(folder: Path) -> None:
-    docs = Documents()
+    docs = VersionedDocuments()
     for index, entry in enumerate(stored_forms.HISTORY, 1):
         docs.apply(index, entry)
     (folder / "history.msgpack").write_bytes(msgspec.msgpack.encode(stored_forms.HISTORY))
-    (folder / "state.msgpack").write_bytes(docs.state())
+    (folder / "state.msgpack").write_bytes(docs.encode())
     (folder / "works.json").write_bytes(msgspec.json.encode({"works": stored_forms.WORKS}))
 
 
--- a/tests/handover_scene.py
+++ b/tests/handover_scene.py
@@ -12,7 +12,7 @@
 
 import orjson
 
-from crankfold.service.node import Node
+from crankfold.service.application import Application
 from tests.loopback import Between
 from tests.scene import read_request
 
@@ -116,19 +116,19 @@
         (folder / ban_file(self.listen)).write_bytes(bans)
 
     async def serve(self) -> "asyncio.Task[None]":
-        self.node = Node(self.given, lambda: self.given, str(self.folder))
+        self.node = Application(self.given, lambda: self.given, str(self.folder))
         running = asyncio.create_task(self.node.run())
 
         async def end() -> None:
-            self.node.ending.set()
+            self.node.shutdown_requested.set()
             await running
 
         self.addAsyncCleanup(end)
         return running
 
     async def serving(self) -> None:
-        await self.until(lambda: self.node.desk.serving() and self.node.listener.server is not None)
-        self.port, self.door = self.node.listener.port(), self.node.door.port()
+        await self.until(lambda: self.node.request_handler.is_serving() and self.node.listener.server is not None)
+        self.port, self.door = self.node.listener.port(), self.node.admin_server.port()
 
     async def successor(self) -> Kin:
         """Another process that wants to follow, up to the passing of the listening socket."""
@@ -142,7 +142,7 @@
         """What it says that serves, to two that want to follow; `told` is what the first of them says."""
         await self.serve()
         await self.serving()
-        self.node.desk.reports[2] = self.node.timers.clock.now(), (3.0, 2.5)
+        self.node.request_handler.load_reports[2] = self.node.timers.clock.now(), (3.0, 2.5)
         held = asyncio.create_task(self.ask("held1", wait=2.9))
         await self.sent.wait()
         first, late = await self.successor(), await self.successor()
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -11,7 +11,7 @@
 
 import orjson
 
-from crankfold.service.node import Node
+from crankfold.service.application import Application
 from tests.scene import Kept, read_request
 
 Handler = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
@@ -96,14 +96,14 @@
         }
 
     async def inside(self) -> None:
-        self.node = Node(self.given, lambda: self.given)
+        self.node = Application(self.given, lambda: self.given)
         running = asyncio.create_task(self.node.run())
-        await self.until(lambda: self.node.desk.serving())
+        await self.until(lambda: self.node.request_handler.is_serving())
         assert self.node.listener.server
         self.port = self.node.listener.server.sockets[0].getsockname()[1]
 
         async def end() -> None:
-            self.node.ending.set()
+            self.node.shutdown_requested.set()
             await running
 
         self.addAsyncCleanup(end)
--- a/tests/planted.py
+++ b/tests/planted.py
@@ -6,142 +6,147 @@
 
 from msgspec.structs import replace
 
-from crankfold.agreement.member import Follower, Voter
-from crankfold.agreement.words import Ballot, Grant, Message, News
-from crankfold.emulator.accord import Case, Fleet, Trouble, schedule
+from crankfold.consensus.messages import FollowerUpdate, LeaseGrant, Message, RequestVote
+from crankfold.consensus.voter import Follower, Voter
+from crankfold.simulation.consensus_cluster import (
+    ClusterCase,
+    ClusterFault,
+    SimulatedCluster,
+    random_scenario,
+)
 
 
-class AnswersBeforeTheDisk(Fleet):
-    sends_first = True
+class AnswersBeforeTheDisk(SimulatedCluster):
+    sends_before_write = True
 
 
-class ForgetsVotes(Fleet):
+class ForgetsVotes(SimulatedCluster):
     forgets_votes = True
 
 
 class VotesTwice(Voter):
-    def received(self, now: int, sender: str, told: Message) -> None:
-        if isinstance(told, Ballot) and not told.trial and told.term == self.raft.term:
+    def receive(self, now: int, sender: str, told: Message) -> None:
+        if isinstance(told, RequestVote) and not told.pre_vote and told.term == self.raft.term:
             self.raft.vote = ""
-        super().received(now, sender, told)
+        super().receive(now, sender, told)
 
 
 class LeaseFromTheAnswer(Voter):
-    def _granted(self, now: int, sender: str, grant: Grant) -> None:
-        super()._granted(now, sender, Grant(grant.term, now, grant.span, grant.need))
+    def _handle_lease_grant(self, now: int, sender: str, grant: LeaseGrant) -> None:
+        super()._handle_lease_grant(now, sender, LeaseGrant(grant.term, now, grant.lease_duration, grant.required_index))
 
 
 class FollowerLeaseFromTheAnswer(Follower):
-    def _news(self, now: int, sender: str, told: News) -> None:
-        super()._news(now, sender, replace(told, asked=now) if told.span else told)
+    def _handle_update(self, now: int, sender: str, told: FollowerUpdate) -> None:
+        super()._handle_update(now, sender, replace(told, request_sent_at=now) if told.lease_duration else told)
 
 
 class OneUnheard(Voter):
-    def least(self, now: int) -> tuple[int, int]:
-        return self.applied, self.settled_at(self.applied)
+    def applied_bounds(self, now: int) -> tuple[int, int]:
+        return self.last_applied, self.quiesced_index(self.last_applied)
 
 
 class LeaderOneUnheard(Voter):
     """Does not wait for a voter that it has not heard of since it leads."""
 
-    def _count(self, now: int) -> None:
-        self.granted.pop(min(self.raft.voters), None)
-        super()._count(now)
+    def _activate_versions(self, now: int) -> None:
+        self.granted_until.pop(min(self.raft.voters), None)
+        super()._activate_versions(now)
 
 
 class OldRead(Voter):
     """Takes a lease for more than it has heard of."""
 
-    def _granted(self, now: int, sender: str, grant: Grant) -> None:
-        super()._granted(now, sender, Grant(grant.term, max(grant.asked, self.born), grant.span, 0))
+    def _handle_lease_grant(self, now: int, sender: str, grant: LeaseGrant) -> None:
+        super()._handle_lease_grant(now, sender, LeaseGrant(grant.term, max(grant.request_sent_at, self.started_at), grant.lease_duration, 0))
 
 
 class VotesWithoutItsFolder(Voter):
     def _may_vote(self, last: int) -> bool:
         return True
 
-    def admits(self, voter: str, folder: str) -> str:
-        self.folders[voter] = folder
+    def admission_error(self, voter: str, folder: str) -> str:
+        self.folder_ids[voter] = folder
         return ""
 
 
 class NewLeaderDoesNotWait(Voter):
-    def _count(self, now: int) -> None:
-        self.raft.led_since, since = self.raft.led_since - 2 * self.timing.outlast, self.raft.led_since
-        super()._count(now)
-        self.raft.led_since = since
+    def _activate_versions(self, now: int) -> None:
+        self.raft.leader_since, since = self.raft.leader_since - 2 * self.timing.lease_expiry_wait, self.raft.leader_since
+        super()._activate_versions(now)
+        self.raft.leader_since = since
 
 
 class SharesTwice(Voter):
     """Deals out again what units in hand still hold."""
 
-    def least(self, now: int) -> tuple[int, int]:
-        least, _ = super().least(now)
+    def applied_bounds(self, now: int) -> tuple[int, int]:
+        least, _ = super().applied_bounds(now)
         return least, least
 
 
 class FollowerSharesTwice(Follower):
-    def _ask(self, now: int) -> None:
-        self.settled_at = lambda applied: applied
-        super()._ask(now)
+    def _send_heartbeat(self, now: int) -> None:
+        self.quiesced_index = lambda applied: applied
+        super()._send_heartbeat(now)
 
 
-def restless(seed: int) -> Case:
+def restless(seed: int) -> ClusterCase:
     """Voters die often and are back at once, with disks that take a while and messages that overtake."""
     luck = Random(f"restless {seed}")
-    troubles = [Trouble("delay", 0, 100_000, much=luck.choice((200, 1000)))]
+    troubles = [ClusterFault("delay", 0, 100_000, magnitude=luck.choice((200, 1000)))]
     for voter in ("v0", "v1", "v2"):
-        troubles += [Trouble("disk", at, at + luck.choice((400, 2500)), voter)
+        troubles += [ClusterFault("disk", at, at + luck.choice((400, 2500)), voter)
                      for at in range(luck.randrange(6000), 100_000, 5500)]
         at = luck.randrange(6000, 14_000)
         while at < 100_000:
             down = luck.choice((2, 20, 2000))
-            troubles.append(Trouble("kill", at, at + down, voter))
+            troubles.append(ClusterFault("kill", at, at + down, voter))
             at += down + luck.randrange(1500, 9000)
-    return Case(followers=0, seed=seed, publish_every=0.15, load=False, troubles=tuple(troubles))
+    return ClusterCase(follower_count=0, seed=seed, publish_every=0.15, with_load=False, faults=tuple(troubles))
 
 
-def elections(seed: int) -> Case:
+def elections(seed: int) -> ClusterCase:
     """All start together, again and again, and messages take a part of an election's time."""
     luck = Random(f"elections {seed}")
-    troubles = [Trouble("delay", 0, 100_000, much=1500)]
+    troubles = [ClusterFault("delay", 0, 100_000, magnitude=1500)]
     for at in range(9000, 100_000, 9000):
-        troubles += [Trouble("kill", at, at + 500 + luck.randrange(20), voter)
+        troubles += [ClusterFault("kill", at, at + 500 + luck.randrange(20), voter)
                      for voter in ("v0", "v1", "v2")]
         # Who has voted dies and is back at once.
         back = at + 500 + luck.randrange(3000, 6000)
-        troubles.append(Trouble("kill", back, back + 2, luck.choice(("v0", "v1", "v2"))))
-    return Case(followers=0, seconds=12.0, seed=seed, publish_every=0.3, load=False, troubles=tuple(troubles))
+        troubles.append(ClusterFault("kill", back, back + 2, luck.choice(("v0", "v1", "v2"))))
+    return ClusterCase(follower_count=0, seconds=12.0, seed=seed, publish_every=0.3, with_load=False, faults=tuple(troubles))
 
 
-def wiped(seed: int) -> Case:
+def wiped(seed: int) -> ClusterCase:
     """One is behind, another loses its folder, and the third dies: the two left know less than was agreed."""
     luck = Random(f"wiped {seed}")
     behind, lost, gone = luck.sample(("v0", "v1", "v2"), 3)
     at = luck.randrange(25_000, 40_000)
-    troubles = (Trouble("loss", at, at + 20_000, behind), Trouble("loss", at, at + 20_000, "", behind),
-                Trouble("wipe", at + 19_000, at + 19_500, lost), Trouble("kill", at + 19_100, 95_000, gone))
-    return Case(followers=1, seed=seed, publish_every=0.3, load=False, troubles=troubles)
+    troubles = (ClusterFault("loss", at, at + 20_000, behind), ClusterFault("loss", at, at + 20_000, "", behind),
+                ClusterFault("wipe", at + 19_000, at + 19_500, lost), ClusterFault("kill", at + 19_100, 95_000, gone))
+    return ClusterCase(follower_count=1, seed=seed, publish_every=0.3, with_load=False, faults=troubles)
 
 
-def late_then_cut(seed: int) -> Case:
+def late_then_cut(seed: int) -> ClusterCase:
     """What is sent to one takes long, and then it is cut off."""
     luck = Random(f"late {seed}")
-    troubles: list[Trouble] = []
+    troubles: list[ClusterFault] = []
     for begin in range(20_000, 100_000, 40_000):
         at = luck.choice(("f0", "v0", "v1", "v2"))
-        troubles += [Trouble("delay", begin - 9000, begin, to=at, much=8000),
-                     Trouble("loss", begin, begin + 30_000, at),
-                     Trouble("loss", begin, begin + 30_000, "", at)]
-    return Case(followers=1, seed=seed, publish_every=0.15, load=False, troubles=tuple(troubles))
+        troubles += [ClusterFault("delay", begin - 9000, begin, receiver=at, magnitude=8000),
+                     ClusterFault("loss", begin, begin + 30_000, at),
+                     ClusterFault("loss", begin, begin + 30_000, "", at)]
+    return ClusterCase(follower_count=1, seed=seed, publish_every=0.15, with_load=False, faults=tuple(troubles))
 
 
-def drawn(seed: int) -> Case:
-    return schedule(seed, deals=seed % 2 == 1)
+def drawn(seed: int) -> ClusterCase:
+    return random_scenario(seed, allocates_quotas=seed % 2 == 1)
 
 
 # Where each fault shows, and by which check it has to be told.
-CASES: dict[str, tuple[Callable[[int], Case], str]] = {
+CASES: dict[str, tuple[Callable[[int], ClusterCase], str]] = {
     "answers before the disk": (restless, "lost|another history|went back"),
     "forgets a vote at a restart": (elections, "lead in term"),
     "votes twice": (elections, "lead in term"),
@@ -155,18 +160,18 @@
 }
 
 
-def fleets(case: Case) -> dict[str, Any]:
+def fleets(case: ClusterCase) -> dict[str, Any]:
     """By the name of the fault, how to make a fleet that has it."""
     return {
         "answers before the disk": lambda: AnswersBeforeTheDisk(case),
         "forgets a vote at a restart": lambda: ForgetsVotes(case),
-        "votes twice": lambda: Fleet(case, VotesTwice),
-        "counts a lease from the answer's arrival": lambda: Fleet(case, LeaseFromTheAnswer,
+        "votes twice": lambda: SimulatedCluster(case, VotesTwice),
+        "counts a lease from the answer's arrival": lambda: SimulatedCluster(case, LeaseFromTheAnswer,
                                                                   FollowerLeaseFromTheAnswer),
-        "counts with a follower unheard": lambda: Fleet(case, OneUnheard),
-        "counts with a voter unheard": lambda: Fleet(case, LeaderOneUnheard),
-        "counts before old leases are over": lambda: Fleet(case, NewLeaderDoesNotWait),
-        "votes without its folder": lambda: Fleet(case, VotesWithoutItsFolder),
-        "acts on an old read": lambda: Fleet(case, OldRead),
-        "deals out a share twice": lambda: Fleet(case, SharesTwice, FollowerSharesTwice),
+        "counts with a follower unheard": lambda: SimulatedCluster(case, OneUnheard),
+        "counts with a voter unheard": lambda: SimulatedCluster(case, LeaderOneUnheard),
+        "counts before old leases are over": lambda: SimulatedCluster(case, NewLeaderDoesNotWait),
+        "votes without its folder": lambda: SimulatedCluster(case, VotesWithoutItsFolder),
+        "acts on an old read": lambda: SimulatedCluster(case, OldRead),
+        "deals out a share twice": lambda: SimulatedCluster(case, SharesTwice, FollowerSharesTwice),
     }
--- a/tests/planted_works.py
+++ b/tests/planted_works.py
@@ -7,127 +7,127 @@
 from typing import Any
 from unittest import mock
 
-from crankfold.agreement.member import Voter
-from crankfold.agreement.words import Tell
-from crankfold.emulator.accord import Case, Trouble
-from crankfold.emulator.yard import Yard, YardCase, drawn
-from crankfold.works import ledger
-from crankfold.works.foreman import Foreman, Steps, View
-from crankfold.works.ledger import WORK, Ledger
+from crankfold.consensus.messages import MaintenanceReport
+from crankfold.consensus.voter import Voter
+from crankfold.maintenance import state
+from crankfold.maintenance.coordinator import Coordinator, FleetView, Transitions
+from crankfold.maintenance.state import WORK, MaintenanceState
+from crankfold.simulation.consensus_cluster import ClusterCase, ClusterFault
+from crankfold.simulation.maintenance_fleet import MaintenanceCase, MaintenanceFleet, draw_case
 
 
 class FreeTooEarly(Voter):
     """As soon as the leader itself holds nothing there."""
 
-    def gathered(self, now: int) -> tuple[Tell, Callable[[str, int], str]]:
-        whole, _ = super().gathered(now)
-        upto, own = self.drained(now)
-        return whole, lambda uid, index: "held" if own is None or uid in own.holds or upto < index else ""
+    def gather_maintenance(self, now: int) -> tuple[MaintenanceReport, Callable[[str, int], str]]:
+        whole, _ = super().gather_maintenance(now)
+        upto, own = self.drained_report(now)
+        return whole, lambda uid, index: "held" if own is None or uid in own.in_flight or upto < index else ""
 
 
 class SilenceIsConsent(Voter):
     """Whoever is not heard any more is asked no longer, whatever lease he has and whatever he sent."""
 
-    def gathered(self, now: int) -> tuple[Tell, Callable[[str, int], str]]:
-        quiet = [name for name, report in self.reports.items() if now - report.heard > 3 * self.timing.renew]
-        before = {name: self.granted.pop(name) for name in quiet if name in self.granted}
-        led, self.raft.led_since = self.raft.led_since, -10 * self.timing.outlast
-        told = super().gathered(now)
-        self.granted |= before
-        self.raft.led_since = led
+    def gather_maintenance(self, now: int) -> tuple[MaintenanceReport, Callable[[str, int], str]]:
+        quiet = [name for name, report in self.voter_reports.items() if now - report.heard > 3 * self.timing.renew_interval]
+        before = {name: self.granted_until.pop(name) for name in quiet if name in self.granted_until}
+        led, self.raft.leader_since = self.raft.leader_since, -10 * self.timing.lease_expiry_wait
+        told = super().gather_maintenance(now)
+        self.granted_until |= before
+        self.raft.leader_since = led
         return told
 
-    def drained(self, now: int) -> tuple[int, Tell | None]:
-        quiet = [ward for ward in self.wards.values() if now - ward.heard > 3 * self.timing.renew]
+    def drained_report(self, now: int) -> tuple[int, MaintenanceReport | None]:
+        quiet = [ward for ward in self.lease_holders.values() if now - ward.heard > 3 * self.timing.renew_interval]
         until = [ward.until for ward in quiet]
         for ward in quiet:
-            ward.until = -10 * self.timing.outlast
-        told = super().drained(now)
+            ward.until = -10 * self.timing.lease_expiry_wait
+        told = super().drained_report(now)
         for ward, end in zip(quiet, until, strict=True):
             ward.until = end
         return told
 
 
-class Hasty(Foreman):
+class ImpatientCoordinator(Coordinator):
     """Does not wait for what it proposed: bounds were kept by what was known before."""
 
-    def look(self, view: View) -> Steps:
-        self.went = -1, -1, 0
-        return super().look(view)
+    def propose(self, view: FleetView) -> Transitions:
+        self.last_departures = -1, -1, 0
+        return super().propose(view)
 
 
-class Twice(Foreman):
+class RestartingCoordinator(Coordinator):
     """A new leader begins anew what another had begun."""
 
-    def _works(self, view: View, uid: str, away: Any, *rest: Any) -> dict[str, Any] | None:
-        if away.by in view.lives and away.by != self.me and view.works[away.work].way == "command":
-            return {"step": WORK, "by": self.me, "life": view.lives[self.me]}
-        return super()._works(view, uid, away, *rest)
+    def _supervise_work(self, view: FleetView, uid: str, away: Any, *rest: Any) -> dict[str, Any] | None:
+        if away.by in view.incarnations and away.by != self.member_name and view.jobs[away.work].way == "command":
+            return {"step": WORK, "by": self.member_name, "life": view.incarnations[self.member_name]}
+        return super()._supervise_work(view, uid, away, *rest)
 
 
 @contextmanager
-def unbound() -> Iterator[None]:
+def bounds_unchecked_at_commit() -> Iterator[None]:
     """Bounds are checked by whoever proposes, and not again by what was agreed meanwhile."""
-    check = Ledger._unfit
+    check = MaintenanceState._void_reason
 
-    def unfit(self: Ledger, step: dict[str, Any], changes: int, plan: int) -> str:
+    def unfit(self: MaintenanceState, step: dict[str, Any], changes: int, plan: int) -> str:
         return check(self, {**step, "made_from": changes, "plan": plan}, changes, plan)
 
-    with mock.patch.object(Ledger, "_unfit", unfit):
+    with mock.patch.object(MaintenanceState, "_void_reason", unfit):
         yield
 
 
 @contextmanager
-def any_time() -> Iterator[None]:
+def work_may_begin_twice() -> Iterator[None]:
     """A command may be begun again from anywhere."""
-    with mock.patch.dict(ledger.FROM, {WORK: (*ledger.FROM[WORK], WORK)}):
+    with mock.patch.dict(state.ALLOWED_FROM, {WORK: (*state.ALLOWED_FROM[WORK], WORK)}):
         yield
 
 
 @contextmanager
-def plain() -> Iterator[None]:
+def unchanged() -> Iterator[None]:
     yield
 
 
-ALL: dict[str, dict[str, Any]] = {"disks": {
+ALL_MACHINES_JOBS: dict[str, dict[str, Any]] = {"disks": {
     "at-once": 3, "stays": 0.0, "takes": 30.0, "watch": 0.5, "least-answers": 0, "way": "command",
     "command": ["x"], "not-back": "go-on"}}
 
 
-def cut_off(seed: int) -> YardCase:
+def isolated_members(seed: int) -> MaintenanceCase:
     """One after another is cut off for as long as a lease, and goes on for as long as it has one."""
     luck = Random(f"cut off {seed}")
-    troubles: list[Trouble] = []
+    troubles: list[ClusterFault] = []
     for begin in range(30_000, 200_000, 25_000):
         at = luck.choice(("v0", "v1", "v2", "f0", "f1"))
-        troubles += [Trouble("loss", begin, begin + 20_000, *ends) for ends in ((at, ""), ("", at))]
-    case = Case(seed=seed, seconds=22.0, publish_every=9.0, troubles=tuple(troubles))
-    return YardCase(case, ALL, takes=2000)
+        troubles += [ClusterFault("loss", begin, begin + 20_000, *ends) for ends in ((at, ""), ("", at))]
+    case = ClusterCase(seed=seed, seconds=22.0, publish_every=9.0, faults=tuple(troubles))
+    return MaintenanceCase(case, ALL_MACHINES_JOBS, work_duration=2000)
 
 
-def long_commands(seed: int) -> YardCase:
-    return replace(cut_off(seed), takes=40_000)
+def long_commands(seed: int) -> MaintenanceCase:
+    return replace(isolated_members(seed), work_duration=40_000)
 
 
-def flutter(seed: int) -> YardCase:
+def flapping_machines(seed: int) -> MaintenanceCase:
     """Machines come and go, and what is agreed takes its time."""
     luck = Random(f"flutter {seed}")
     losses = tuple((at, at + 3000, f"m{luck.randrange(9)}") for at in range(20_000, 180_000, 4000))
-    works = {"disks": {**ALL["disks"], "at-once": 3}}
-    slow = tuple(Trouble("disk", at, at + 6000, voter) for at in range(20_000, 200_000, 6500)
+    works = {"disks": {**ALL_MACHINES_JOBS["disks"], "at-once": 3}}
+    slow = tuple(ClusterFault("disk", at, at + 6000, voter) for at in range(20_000, 200_000, 6500)
                  for voter in ("v0", "v1", "v2"))
-    return YardCase(Case(seed=seed, seconds=22.0, publish_every=9.0, troubles=slow), works, losses=losses)
+    return MaintenanceCase(ClusterCase(seed=seed, seconds=22.0, publish_every=9.0, faults=slow), works, losses=losses)
 
 
-Planted = tuple[Callable[[YardCase], Yard], Callable[[], Any], Callable[[int], YardCase], str]
-PLANTED: dict[str, Planted] = {
+PlantedFault = tuple[Callable[[MaintenanceCase], MaintenanceFleet], Callable[[], Any], Callable[[int], MaintenanceCase], str]
+PLANTED_FAULTS: dict[str, PlantedFault] = {
     "free told before the last has answered": (
-        lambda case: Yard(case, FreeTooEarly), plain, drawn, "free while"),
+        lambda case: MaintenanceFleet(case, FreeTooEarly), unchanged, draw_case, "free while"),
     "silence taken for consent": (
-        lambda case: Yard(case, SilenceIsConsent), plain, cut_off, "free while|is free since"),
+        lambda case: MaintenanceFleet(case, SilenceIsConsent), unchanged, isolated_members, "free while|is free since"),
     "a bound checked before the agreement": (
-        lambda case: Yard(case, foremen=Hasty), unbound, flutter, "goes out"),
+        lambda case: MaintenanceFleet(case, foremen=ImpatientCoordinator), bounds_unchecked_at_commit, flapping_machines, "goes out"),
     "a step taken twice after a change of leader": (
-        lambda case: Yard(case, foremen=Twice), any_time, long_commands, "ran again|two commands"),
-    "cold taken for warm": (lambda case: Yard(case, warm=0), plain, drawn, "called well"),
+        lambda case: MaintenanceFleet(case, foremen=RestartingCoordinator), work_may_begin_twice, long_commands, "ran again|two commands"),
+    "cold taken for warm": (lambda case: MaintenanceFleet(case, warm=0), unchanged, draw_case, "called well"),
 }
--- a/tests/scene.py
+++ b/tests/scene.py
@@ -8,19 +8,19 @@
 from dataclasses import replace
 from pathlib import Path
 
-from crankfold.dispatch import interface as words
-from crankfold.dispatch.interface import Effect, Group, Listing, Outcome, Standing
-from crankfold.dispatch.policy import Dispatcher
+from crankfold.routing import interface as words
+from crankfold.routing.interface import DeduplicationScope, Endpoint, EndpointState, Idempotency, Outcome
+from crankfold.routing.policy import Router
 
 MS = 10
-GRADE = words.ServiceGrade(Effect.REPEATABLE, Group.ALL, 0, 300 * MS, 2.0, 5000 * MS, 1.0, 0.0)
-ORDERS = words.StandingOrders(
-    grades=[GRADE], dispatchers=2, zone=0, tick=2 * MS, by_work=False, worst_grade_care=0.2,
-    may_cancel=True, may_probe=True,
-    may_copy=True, most_dispatches=3, longest_advice=0, reports_in_answers=True, reports_by_probe=False,
-    report_names=["queue", "free_slots"], tells_start=True, progress=0, must_ask=False,
-    ask_within=10000 * MS, cold_from=0.2, warm_after=10000 * MS, overload_factor=3.0, overload_for=1000 * MS,
-    number=0)
+GRADE = words.RequestClass(Idempotency.IDEMPOTENT, DeduplicationScope.GLOBAL, 0, 300 * MS, 2.0, 5000 * MS, 1.0, 0.0)
+ORDERS = words.RoutingConfig(
+    request_classes=[GRADE], instance_count=2, zone=0, timer_resolution=2 * MS, priority_by_work=False, worst_class_weight=0.2,
+    cancellation_allowed=True, probing_allowed=True,
+    hedging_allowed=True, max_attempts=3, max_retry_after=0, reports_in_responses=True, reports_by_probe=False,
+    report_fields=["queue", "free_slots"], start_notifications=True, progress_interval=0, discovery_by_poll=False,
+    poll_within=10000 * MS, initial_capacity=0.2, warm_up_time=10000 * MS, overload_factor=3.0, overload_period=1000 * MS,
+    instance_index=0)
 
 
 async def read_request(reader: asyncio.StreamReader) -> tuple[str, bytes]:
@@ -49,42 +49,42 @@
 class Scene(Kept):
     """Stands round the decisions, as their port and as whoever tells them what happens."""
 
-    def open(self, *, runners: int = 2, free: float = 4.0, effect: Effect = Effect.REPEATABLE,
-             group: Group = Group.ALL, window: int = 0, seed: int = 7, **orders: object) -> None:
+    def open(self, *, runners: int = 2, free: float = 4.0, effect: Idempotency = Idempotency.IDEMPOTENT,
+             group: DeduplicationScope = DeduplicationScope.GLOBAL, window: int = 0, seed: int = 7, **orders: object) -> None:
         self.lines: list[str] = []
         self.now = 100_000
         self.wakes: list[tuple[int, int]] = []
-        grade = replace(GRADE, effect=effect, group=group, window=window * MS)
-        self.told = Dispatcher(replace(ORDERS, **{"grades": [grade], **orders}), seed, self)  # type: ignore[arg-type]
+        grade = replace(GRADE, idempotency=effect, deduplication_scope=group, deduplication_window=window * MS)
+        self.told = Router(replace(ORDERS, **{"request_classes": [grade], **orders}), seed, self)  # type: ignore[arg-type]
         if runners:
-            self.list([Listing(r, Standing.READY, 1.0, r % 2, r % 2, 0) for r in range(runners)])
+            self.list([Endpoint(r, EndpointState.READY, 1.0, r % 2, r % 2, 0) for r in range(runners)])
         if free:
             for r in range(runners):
-                self.told.probed(self.now, r, True, (0.0, free))
+                self.told.probe_ended(self.now, r, True, (0.0, free))
 
     def say(self, text: str) -> None:
         self.lines.append(f"{(self.now - 100_000) / MS:7.1f}  {text}")
 
     # What the decisions do.
-    def dispatch(self, unit: int, runner: int, limit: int) -> None:
+    def send_attempt(self, unit: int, runner: int, limit: int) -> None:
         self.say(f"unit {unit} -> runner {runner}")
 
     def shed(self, unit: int, advice: int) -> None:
         self.say(f"unit {unit} shed")
 
-    def give_up(self, unit: int) -> None:
+    def fail_request(self, unit: int) -> None:
         self.say(f"unit {unit} given up")
 
-    def cancel(self, unit: int, nth: int) -> None:
+    def cancel_attempt(self, unit: int, nth: int) -> None:
         self.say(f"unit {unit} dispatch {nth} called off")
 
-    def wake(self, after: int, label: int) -> None:
+    def set_timer(self, after: int, label: int) -> None:
         self.wakes.append((self.now + after, label))
 
     def probe(self, runner: int) -> None:
         self.say(f"probe of runner {runner}")
 
-    def subscribe(self) -> None:
+    def poll_endpoints(self) -> None:
         self.say("asks for the list")
 
     # What they are told.
@@ -95,28 +95,28 @@
             first = min(due)
             self.wakes.remove(first)
             self.now = max(self.now, first[0])
-            self.told.woken(self.now, first[1])
+            self.told.timer_fired(self.now, first[1])
         self.now = end
 
-    def list(self, entries: list[Listing], whole: bool = True) -> None:
-        self.told.listed(self.now, entries, whole)
+    def list(self, entries: list[Endpoint], whole: bool = True) -> None:
+        self.told.endpoints_changed(self.now, entries, whole)
 
     def take(self, unit: int, cutoff: float = 5000, work: float = 100, slots: float = 1.0,
              grade: int = 0, key: int = 0, again: bool = False) -> None:
         self.say(f"  takes unit {unit}" + (f" of grade {grade}" if grade else ""))
-        self.told.taken(self.now, unit, grade, 0, self.now + int(cutoff * MS), int(work * MS), slots, key,
+        self.told.request_received(self.now, unit, grade, 0, self.now + int(cutoff * MS), int(work * MS), slots, key,
                         again)
 
     def start(self, unit: int, runner: int, nth: int = 0) -> None:
         self.say(f"  unit {unit} starts on runner {runner}")
-        self.told.started(self.now, unit, nth, runner)
+        self.told.attempt_started(self.now, unit, nth, runner)
 
-    def end(self, unit: int, runner: int, outcome: Outcome = Outcome.DONE, nth: int = 0, *,
+    def end(self, unit: int, runner: int, outcome: Outcome = Outcome.COMPLETED, nth: int = 0, *,
             last: bool = False, report: tuple[float, ...] = ()) -> None:
         self.say(f"  unit {unit} on runner {runner}: {outcome.name.lower()}")
-        self.told.ended(self.now, unit, nth, runner, outcome, last or outcome == Outcome.DONE, report)
+        self.told.attempt_ended(self.now, unit, nth, runner, outcome, last or outcome == Outcome.COMPLETED, report)
 
     def held_back(self, runner: int) -> None:
         """Puts a runner out of the running by its report: much queued, nothing free."""
         for n in range(40):
-            self.told.probed(self.now, runner, True, (0.5 + n / 100, 0.0))
+            self.told.probe_ended(self.now, runner, True, (0.5 + n / 100, 0.0))
--- a/tests/stored_forms.py
+++ b/tests/stored_forms.py
@@ -5,98 +5,98 @@
 
 from typing import Any
 
-from crankfold.agreement.raft import Batch
-from crankfold.agreement.words import (
-    Append,
-    AppendAnswer,
-    Ask,
-    Ballot,
-    BallotAnswer,
-    Check,
-    Checked,
-    Entry,
-    Follow,
-    Goodbye,
-    Grant,
-    Install,
-    Kept,
+from crankfold.cluster.framing import Hello
+from crankfold.consensus.messages import (
+    AppendEntries,
+    AppendEntriesResponse,
+    FollowerHeartbeat,
+    FollowerUpdate,
+    InstallSnapshot,
+    LeaseGrant,
+    LeaseHolderStatus,
+    LeaseRequest,
+    Leave,
+    LogEntry,
+    MaintenanceReport,
+    MembershipGossip,
     Message,
-    News,
-    Publish,
-    Published,
-    Refused,
-    Roster,
-    Tell,
-    Warded,
+    ProposalRequest,
+    ProposalResponse,
+    Rejection,
+    RequestVote,
+    RequestVoteResponse,
+    Snapshot,
+    ValidationRequest,
+    ValidationResponse,
 )
-from crankfold.peers.frames import Hello
-from crankfold.works.form import Given
+from crankfold.consensus.raft import Ready
+from crankfold.maintenance.specification import JobSpecification
 
-KEPT = Kept(index=41, term=6, voters={"n0": "h0:7000", "n1": "h1:7000"}, state=b"\x00state\xff")
+KEPT = Snapshot(index=41, term=6, voters={"n0": "h0:7000", "n1": "h1:7000"}, state=b"\x00state\xff")
 ENTRIES = [
-    Entry(term=6, kind="begin", data={"by": "n0"}),
-    Entry(term=7, kind="count", data={"doc": "settings", "number": 3}),
+    LogEntry(term=6, kind="begin", data={"by": "n0"}),
+    LogEntry(term=7, kind="count", data={"doc": "settings", "number": 3}),
 ]
-TELL = Tell(
-    holds={"r1": 2, "r2": 300},
-    unsure={"r1": ["u1", "u2"]},
-    answers={"r3": (70000, 4)},
-    lost=["r4"],
-    idle=["@n1"],
-    zones={"n1": "north"},
-    in_hand=5,
-    taken=60,
-    shed=7,
+TELL = MaintenanceReport(
+    in_flight={"r1": 2, "r2": 300},
+    unresolved={"r1": ["u1", "u2"]},
+    response_counts={"r3": (70000, 4)},
+    unavailable=["r4"],
+    idle_dispatchers=["@n1"],
+    dispatcher_zones={"n1": "north"},
+    open_requests=5,
+    recent_accepted=60,
+    recent_shed=7,
 )
 
 # One or more of each message between peers, by the name of its file.
 MESSAGES: dict[str, list[Message | Hello]] = {
     "hello": [
-        Hello(form=1, name="n0", incarnation=2**47 + 5, folder="0123456789abcdef"),
-        Hello(form=1, name="f", incarnation=9, folder=""),
+        Hello(protocol_version=1, name="n0", incarnation=2**47 + 5, folder_id="0123456789abcdef"),
+        Hello(protocol_version=1, name="f", incarnation=9, folder_id=""),
     ],
     "ballot": [
-        Ballot(term=7, last=300, last_term=6, trial=True),
-        Ballot(term=8, last=301, last_term=7, trial=False),
+        RequestVote(term=7, last_log_index=300, last_log_term=6, pre_vote=True),
+        RequestVote(term=8, last_log_index=301, last_log_term=7, pre_vote=False),
     ],
     "ballot-answer": [
-        BallotAnswer(term=7, trial=True, yes=False),
-        BallotAnswer(term=8, trial=False, yes=True),
+        RequestVoteResponse(term=7, pre_vote=True, vote_granted=False),
+        RequestVoteResponse(term=8, pre_vote=False, vote_granted=True),
     ],
     "append": [
-        Append(term=7, before=40, before_term=5, entries=ENTRIES, commit=39, round=12, heard=38),
-        Append(term=7, before=42, before_term=7, entries=[], commit=41, round=13, heard=40),
+        AppendEntries(term=7, prev_log_index=40, prev_log_term=5, entries=ENTRIES, leader_commit=39, round_number=12, cluster_applied_index=38),
+        AppendEntries(term=7, prev_log_index=42, prev_log_term=7, entries=[], leader_commit=41, round_number=13, cluster_applied_index=40),
     ],
     "append-answer": [
-        AppendAnswer(term=7, yes=True, match=42, round=13),
-        AppendAnswer(term=7, yes=False, match=17, round=14),
+        AppendEntriesResponse(term=7, success=True, match_index=42, round_number=13),
+        AppendEntriesResponse(term=7, success=False, match_index=17, round_number=14),
     ],
-    "install": [Install(term=7, kept=KEPT, round=15)],
+    "install": [InstallSnapshot(term=7, snapshot=KEPT, round_number=15)],
     "ask": [
-        Ask(term=7, incarnation=2**40, asked=123456789, least=40, settled=38, drained=0, tell=None),
-        Ask(term=7, incarnation=2**40, asked=123456790, least=41, settled=39, drained=37, tell=TELL),
+        LeaseRequest(term=7, incarnation=2**40, sent_at=123456789, lowest_applied_index=40, quiesced_index=38, drained_index=0, maintenance_report=None),
+        LeaseRequest(term=7, incarnation=2**40, sent_at=123456790, lowest_applied_index=41, quiesced_index=39, drained_index=37, maintenance_report=TELL),
     ],
-    "grant": [Grant(term=7, asked=123456789, span=16000, need=41)],
+    "grant": [LeaseGrant(term=7, request_sent_at=123456789, lease_duration=16000, required_index=41)],
     "follow": [
-        Follow(
+        FollowerHeartbeat(
             name="f",
             incarnation=9,
-            asked=5000000000,
-            have=40,
-            settled=36,
-            carry={"all": 3, "grade:g": 2},
-            tell=None,
+            sent_at=5000000000,
+            last_applied=40,
+            quiesced_index=36,
+            quota_usage={"all": 3, "grade:g": 2},
+            maintenance_report=None,
         ),
-        Follow(name="f", incarnation=9, asked=5000000001, have=41, settled=37, carry={}, tell=TELL),
+        FollowerHeartbeat(name="f", incarnation=9, sent_at=5000000001, last_applied=41, quiesced_index=37, quota_usage={}, maintenance_report=TELL),
     ],
     "news": [
-        News(asked=5000000000, span=14000, before=40, kept=None, entries=ENTRIES, at=42, heard=38),
-        News(asked=5000000001, span=0, before=41, kept=KEPT, entries=[], at=43, heard=39),
+        FollowerUpdate(request_sent_at=5000000000, lease_duration=14000, prev_log_index=40, snapshot=None, entries=ENTRIES, voter_last_applied=42, cluster_applied_index=38),
+        FollowerUpdate(request_sent_at=5000000001, lease_duration=0, prev_log_index=41, snapshot=KEPT, entries=[], voter_last_applied=43, cluster_applied_index=39),
     ],
-    "refused": [Refused(why="the folder is not the one by which n1 is known")],
+    "refused": [Rejection(reason="the folder is not the one by which n1 is known")],
     "publish": [
-        Publish(
-            call="c1",
+        ProposalRequest(
+            proposal_id="c1",
             kind="publish",
             data={
                 "doc": "limits",
@@ -109,17 +109,17 @@
         )
     ],
     "published": [
-        Published(call="c1", well=True, text="", number=3, index=44),
-        Published(call="c2", well=False, text="made from version 1", number=2, index=45),
+        ProposalResponse(proposal_id="c1", accepted=True, reason="", version_number=3, log_index=44),
+        ProposalResponse(proposal_id="c2", accepted=False, reason="made from version 1", version_number=2, log_index=45),
     ],
-    "check": [Check(call="c3", doc="settings", text={"tick": 2000, "nested": [1, 2.5, None, "x"]})],
-    "checked": [Checked(call="c3", fault="n1: settings.tick: found 1")],
-    "goodbye": [Goodbye(name="f", incarnation=9)],
+    "check": [ValidationRequest(proposal_id="c3", document_name="settings", content={"tick": 2000, "nested": [1, 2.5, None, "x"]})],
+    "checked": [ValidationResponse(proposal_id="c3", error="n1: settings.tick: found 1")],
+    "goodbye": [Leave(name="f", incarnation=9)],
     "roster": [
-        Roster(
-            wards=[
-                Warded(name="n0", incarnation=3, since=900, have=42, state="there", carry={"all": 1}),
-                Warded(name="f", incarnation=9, since=70000, have=40, state="cut off", carry={}),
+        MembershipGossip(
+            lease_holders=[
+                LeaseHolderStatus(name="n0", incarnation=3, held_for=900, last_applied=42, state="there", quota_usage={"all": 1}),
+                LeaseHolderStatus(name="f", incarnation=9, held_for=70000, last_applied=40, state="cut off", quota_usage={}),
             ]
         )
     ],
@@ -127,53 +127,53 @@
 
 # What a voter writes, in order: a folder that grew, and one that was compacted after the same.
 GROWN = [
-    Batch(
+    Ready(
         term=1,
         vote="n0",
         founded=True,
         turned=True,
         first=1,
         entries=[
-            Entry(term=1, kind="begin", data={"by": "n0", "folders": {"n0": "0123456789abcdef"}}),
-            Entry(term=1, kind="folder", data={"voter": "n1", "folder": "f1"}),
+            LogEntry(term=1, kind="begin", data={"by": "n0", "folders": {"n0": "0123456789abcdef"}}),
+            LogEntry(term=1, kind="folder", data={"voter": "n1", "folder": "f1"}),
         ],
     ),
-    Batch(term=2, vote="", founded=True, turned=True),
-    Batch(term=2, vote="n1", founded=True, turned=True),
-    Batch(
+    Ready(term=2, vote="", founded=True, turned=True),
+    Ready(term=2, vote="n1", founded=True, turned=True),
+    Ready(
         term=2,
         vote="n1",
         founded=True,
         first=2,
         entries=[
-            Entry(term=2, kind="begin", data={"by": "n1"}),
-            Entry(term=2, kind="voters", data={"voters": {"n0": "h0:7000", "n1": "h1:7000"}}),
+            LogEntry(term=2, kind="begin", data={"by": "n1"}),
+            LogEntry(term=2, kind="voters", data={"voters": {"n0": "h0:7000", "n1": "h1:7000"}}),
         ],
     ),
 ]
 COMPACTED = [
     *GROWN,
-    Batch(
+    Ready(
         term=2,
         vote="n1",
         founded=True,
-        whole=Kept(index=2, term=2, voters={"n0": "h0:7000"}, state=b"whole"),
+        whole=Snapshot(index=2, term=2, voters={"n0": "h0:7000"}, state=b"whole"),
         first=3,
-        entries=[Entry(term=2, kind="count", data={"doc": "limits", "number": 1})],
+        entries=[LogEntry(term=2, kind="count", data={"doc": "limits", "number": 1})],
     ),
-    Batch(
+    Ready(
         term=3,
         vote="n0",
         founded=True,
         turned=True,
         first=4,
-        entries=[Entry(term=3, kind="begin", data={"by": "n0"})],
+        entries=[LogEntry(term=3, kind="begin", data={"by": "n0"})],
     ),
 ]
 
 
-def _publish(call: str, doc: str, made_from: int, text: dict[str, Any], at: int = 1_700_000_000_000) -> Entry:
-    return Entry(
+def _publish(call: str, doc: str, made_from: int, text: dict[str, Any], at: int = 1_700_000_000_000) -> LogEntry:
+    return LogEntry(
         term=1,
         kind="publish",
         data={
@@ -188,7 +188,7 @@
     )
 
 
-def _step(uid: str, step: str, work: str, last: int | None = None, call: str = "", **more: Any) -> Entry:
+def _step(uid: str, step: str, work: str, last: int | None = None, call: str = "", **more: Any) -> LogEntry:
     told: dict[str, Any] = {
         "uid": uid,
         "step": step,
@@ -200,7 +200,7 @@
     }
     if last is not None:
         told["last"] = last
-    return Entry(term=2, kind="step", data={"steps": [told], **({"call": call} if call else {})})
+    return LogEntry(term=2, kind="step", data={"steps": [told], **({"call": call} if call else {})})
 
 
 def _settings(effect: str, cutoff: int, dispatches: int) -> dict[str, Any]:
@@ -226,26 +226,26 @@
 
 # A history of all kinds of entries; from index 1 on.
 HISTORY = [
-    Entry(term=1, kind="begin", data={"by": "n0", "folders": {"n0": "f0", "n1": "f1"}}),
-    Entry(term=1, kind="folder", data={"voter": "n2", "folder": "f2"}),
+    LogEntry(term=1, kind="begin", data={"by": "n0", "folders": {"n0": "f0", "n1": "f1"}}),
+    LogEntry(term=1, kind="folder", data={"voter": "n2", "folder": "f2"}),
     _publish("begin", "settings", 0, _settings("safe", 5_000_000, 4)),
-    Entry(term=1, kind="count", data={"doc": "settings", "number": 1}),
+    LogEntry(term=1, kind="count", data={"doc": "settings", "number": 1}),
     _publish("c1", "settings", 1, _settings("keyed", 4_000_000, 3)),
     _publish("c2", "settings", 1, _settings("unsafe", 3_000_000, 2)),  # refused: 2 is there by now
-    Entry(term=1, kind="voters", data={"voters": {"n0": "h0:7000", "n1": "h1:7000"}}),
+    LogEntry(term=1, kind="voters", data={"voters": {"n0": "h0:7000", "n1": "h1:7000"}}),
     _publish("c3", "limits", 0, {"limits": {"all": 9, "grade:g": 4, "tenant:t": 0}}),
-    Entry(term=1, kind="count", data={"doc": "limits", "number": 1}),
+    LogEntry(term=1, kind="count", data={"doc": "limits", "number": 1}),
     _publish("c4", "deal", 0, {"shares": {"all": {"n0": 5, "n1": 4}, "grade:g": {"n0": 4, "n1": 0}}}),
-    Entry(term=1, kind="count", data={"doc": "deal", "number": 1}),
+    LogEntry(term=1, kind="count", data={"doc": "deal", "number": 1}),
     _publish("c5", "runners-out", 0, {"runners": {"r9": "smells"}}),
-    Entry(term=1, kind="count", data={"doc": "runners-out", "number": 1}),
+    LogEntry(term=1, kind="count", data={"doc": "runners-out", "number": 1}),
     _publish("c6", "runners-out", 1, {"runners": {"r8": "noise"}}),
     _publish("c7", "runners-never", 0, {"runners": {"r7": "stolen"}}),
-    Entry(term=1, kind="count", data={"doc": "runners-never", "number": 1}),
+    LogEntry(term=1, kind="count", data={"doc": "runners-never", "number": 1}),
     _publish("c8", "works", 0, WORKS_1),
-    Entry(term=1, kind="count", data={"doc": "works", "number": 1}),
+    LogEntry(term=1, kind="count", data={"doc": "works", "number": 1}),
     _publish("c9", "works", 1, WORKS_2),
-    Entry(term=1, kind="count", data={"doc": "works", "number": 2}),
+    LogEntry(term=1, kind="count", data={"doc": "works", "number": 2}),
     _step("r1", "out", "disks", made_from=0, plan=2, start=77, place=list(PLACE)),  # 21
     _step("r1", "free", "disks", 21),
     _step("r1", "work", "disks", 22, number=22, life=2**45),
@@ -263,9 +263,9 @@
     _step("r3", "back", "disks", 31, call="s2"),
 ]
 
-WORKS: dict[str, Given] = {
-    "least": Given(),
-    "disks": Given(
+WORKS: dict[str, JobSpecification] = {
+    "least": JobSpecification(),
+    "disks": JobSpecification(
         why="new disks",
         of="runners",
         machines=["r1", "r2"],
@@ -298,7 +298,7 @@
         state="hold",
         called=2,
     ),
-    "restarts": Given(of="dispatchers", machines=["n0"], way="hand", not_back="give-up", state="stop"),
+    "restarts": JobSpecification(of="dispatchers", machines=["n0"], way="hand", not_back="give-up", state="stop"),
 }
 
 # The record of bans of the dispatcher "n0": out by hand, and back with a start taken for granted.
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -1,16 +1,16 @@
 """The design's choice, what feeds it, and each failure found on the bench."""
 
-from crankfold.dispatch.interface import Listing, Outcome, Standing
-from crankfold.dispatch.policy import Dispatch, Dispatcher
+from crankfold.routing.interface import Endpoint, EndpointState, Outcome
+from crankfold.routing.policy import Attempt, Router
 from tests.scene import MS, ORDERS, Scene
 
 
 class Choice(Scene):
     def test_least_load_for_its_weight(self) -> None:
         self.open(runners=0, free=0)
-        self.list([Listing(0, Standing.READY, 1.0, 0, 0, 0), Listing(1, Standing.READY, 2.0, 0, 0, 0)])
+        self.list([Endpoint(0, EndpointState.READY, 1.0, 0, 0, 0), Endpoint(1, EndpointState.READY, 2.0, 0, 0, 0)])
         for r in (0, 1):
-            self.told.probed(self.now, r, True, (0.0, 8.0))
+            self.told.probe_ended(self.now, r, True, (0.0, 8.0))
         for n in range(6):
             self.take(n)
             self.start(n, int(self.lines[-1][-1]))
@@ -18,21 +18,21 @@
 
     def test_a_repeated_report_is_not_fresh(self) -> None:
         self.open()
-        self.told.probed(self.now, 0, True, (3.0, 0.0))
-        once = list(self.told.queued)
-        self.told.probed(self.now, 0, True, (3.0, 0.0))
-        self.say(f"moved again: {once != self.told.queued}")
-        self.told.probed(self.now, 0, True, (3.5, 0.0))
-        self.say(f"moved by a fresh one: {once != self.told.queued}")
+        self.told.probe_ended(self.now, 0, True, (3.0, 0.0))
+        once = list(self.told.reported_queue)
+        self.told.probe_ended(self.now, 0, True, (3.0, 0.0))
+        self.say(f"moved again: {once != self.told.reported_queue}")
+        self.told.probe_ended(self.now, 0, True, (3.5, 0.0))
+        self.say(f"moved by a fresh one: {once != self.told.reported_queue}")
         self.close("repeat")
 
     def test_a_late_report_does_not_hide_own_sends(self) -> None:
         self.open(runners=1)
         self.take(0)
-        self.told.probed(self.now, 0, True, (0.0, 3.9))
+        self.told.probe_ended(self.now, 0, True, (0.0, 3.9))
         self.say(f"load {self.told.load[0]:.1f}")
         self.at(1000)
-        self.told.probed(self.now, 0, True, (0.0, 3.0))
+        self.told.probe_ended(self.now, 0, True, (0.0, 3.0))
         self.say(f"load {self.told.load[0]:.2f}")
         self.close("late-report")
 
@@ -42,43 +42,43 @@
         for r in (0, 1):
             self.held_back(r)
         self.at(5600)
-        self.told._tend(self.now)
-        self.say(f"the third is taken to hold the mean: {abs(self.told.queued[2] - self.told.queued[0]) < 2}")
+        self.told.refresh_if_due(self.now)
+        self.say(f"the third is taken to hold the mean: {abs(self.told.reported_queue[2] - self.told.reported_queue[0]) < 2}")
         self.lines = [line for line in self.lines if "probe" not in line]
         self.close("stale")
 
     def test_a_small_circle_is_steady_and_widened_only_when_bare(self) -> None:
-        self.open(runners=0, free=0, dispatchers=60)
-        self.told.lengths = 10_000.0  # long runs
-        self.list([Listing(r, Standing.READY, 1.0, r % 2, r % 2, 0) for r in range(30)])
+        self.open(runners=0, free=0, instance_count=60)
+        self.told.total_work = 10_000.0  # long runs
+        self.list([Endpoint(r, EndpointState.READY, 1.0, r % 2, r % 2, 0) for r in range(30)])
         for r in range(30):
-            self.told.probed(self.now, r, True, (0.0, 4.0))
-        self.say(f"circle {sorted(self.told.circle)}")
-        self.list([Listing(7, Standing.GONE, 1.0, 1, 1, 0)], whole=False)
-        self.say(f"without 7 {sorted(self.told.circle)}")
-        for r in self.told.circle[1:]:
-            self.told._blame(self.now, r)
+            self.told.probe_ended(self.now, r, True, (0.0, 4.0))
+        self.say(f"circle {sorted(self.told.subset)}")
+        self.list([Endpoint(7, EndpointState.REMOVED, 1.0, 1, 1, 0)], whole=False)
+        self.say(f"without 7 {sorted(self.told.subset)}")
+        for r in self.told.subset[1:]:
+            self.told.eject(self.now, r)
         self.take(0)
-        for r in self.told.circle:
-            self.told.full_until[r] = self.now + 100 * MS
+        for r in self.told.subset:
+            self.told.overloaded_until[r] = self.now + 100 * MS
         self.take(1)
-        outside = int(self.lines[-1][-2:]) not in self.told.circle
+        outside = int(self.lines[-1][-2:]) not in self.told.subset
         self.say(f"outside the circle: {outside}")
         self.close("circle")
 
     def test_odd_lists_raise_nothing(self) -> None:
         # No own zone in the list, one runner, none, hundreds, all replaced at once.
-        self.open(runners=0, zone=9, dispatchers=300)
+        self.open(runners=0, zone=9, instance_count=300)
         for n, runners in enumerate((range(1), range(0), range(400), range(400, 420))):
-            self.list([Listing(r, Standing.READY, 1.0, 3, r // 4, 0) for r in runners])
+            self.list([Endpoint(r, EndpointState.READY, 1.0, 3, r // 4, 0) for r in runners])
             self.take(n)
-            self.say(f"circle of {len(self.told.circle)}")
+            self.say(f"circle of {len(self.told.subset)}")
         self.close("odd-lists")
 
     def test_hundreds_that_start_at_once_pick_differently(self) -> None:
         met = set()
         for seed in range(40):
-            self.open(runners=30, free=0, dispatchers=60, seed=seed, number=seed)
+            self.open(runners=30, free=0, instance_count=60, seed=seed, instance_index=seed)
             self.take(0)
             met.add(self.lines[-1])
         self.say(f"40 dispatchers meet {len(met)} of 30 runners")
@@ -92,21 +92,21 @@
                 self.take(n)
             seen.append(self.lines)
         self.assertEqual(seen[0], seen[1])
-        drawn = {Dispatcher(ORDERS, seed, self)._draw(1 << 20) for seed in (1, 2)}
+        drawn = {Router(ORDERS, seed, self).random_below(1 << 20) for seed in (1, 2)}
         self.assertEqual(len(drawn), 2)
 
 
     def test_a_trace_of_others_work_is_not_held_against_room(self) -> None:
         self.open(runners=3, free=1.0)
-        self.told.probed(self.now, 0, True, (1.0, 0.0))  # one busy report moves the load by an eighth
-        self.told.probed(self.now, 2, True, (9.0, 0.0))
+        self.told.probe_ended(self.now, 0, True, (1.0, 0.0))  # one busy report moves the load by an eighth
+        self.told.probe_ended(self.now, 2, True, (9.0, 0.0))
         self.take(0)
         self.close("spare")
 
 
 class Health(Scene):
     def test_at_a_unit_a_second_no_news_is_not_silence(self) -> None:
-        self.open(runners=30, dispatchers=60)
+        self.open(runners=30, instance_count=60)
         self.take(0)
         self.at(900)
         self.say("no copy so far")
@@ -129,13 +129,13 @@
             self.at(self.now / MS - 10_000 + (900 if r == 2 else 100))
             self.end(n, r)
         self.at(self.now / MS - 10_000 + 300)
-        self.told._tend(self.now)
+        self.told.refresh_if_due(self.now)
         self.say("share of weight kept: " + " ".join(f"{1 / w:.2f}" for w in self.told.per_weight))
         self.close("slow")
 
     def test_quick_errors_lead_to_doubt_and_one_trial_at_a_time(self) -> None:
         self.open(runners=4, free=0, seed=15)
-        self.told.probed(self.now, 0, True, (0.0, 4.0))
+        self.told.probe_ended(self.now, 0, True, (0.0, 4.0))
         for n in range(2):
             self.take(n)
             self.end(n, 0, Outcome.ERROR)
@@ -154,11 +154,11 @@
     def test_full_is_no_fault_but_rests(self) -> None:
         self.open(runners=1)
         self.take(0)
-        self.end(0, 0, Outcome.FULL)
+        self.end(0, 0, Outcome.OVERLOADED)
         self.at(100)
         self.take(1)
         self.at(260)
-        self.told.probed(self.now, 0, True, (1.0, 2.0))
+        self.told.probe_ended(self.now, 0, True, (1.0, 2.0))
         self.close("full")
 
     def test_a_silent_runner_is_doubted_and_its_unit_copied(self) -> None:
@@ -181,29 +181,29 @@
     def test_when_nearly_all_look_bad_the_suspicion_is_distrusted(self) -> None:
         self.open(runners=3)
         for r in range(3):
-            self.told._blame(self.now, r)
+            self.told.eject(self.now, r)
         for n in range(3):
             self.take(n)
         self.close("all-bad")
 
     def test_a_worn_connection_blames_nobody_and_dead_runners_rest_though_doubt_is_distrusted(self) -> None:
-        self.open(runners=3, most_dispatches=5)
+        self.open(runners=3, max_attempts=5)
         self.take(0)
         first = int(self.lines[-1][-1])
-        self.end(0, first, Outcome.WORN)
-        self.say(f"errors {self.told.errors}, doubt {self.told.doubt}")
+        self.end(0, first, Outcome.STALE_CONNECTION)
+        self.say(f"errors {self.told.error_rate}, doubt {self.told.ejection_time}")
         for r in {0, 1, 2} - {first}:
-            self.told._judge(self.now, self.told.units[0], Dispatch(r, self.now, False), Outcome.UNREACHABLE)
-        self.told._blame(self.now, first)
+            self.told.record_outcome(self.now, self.told.requests[0], Attempt(r, self.now, False), Outcome.UNREACHABLE)
+        self.told.eject(self.now, first)
         self.take(1)
         self.say(f"all in doubt, two of them refuse: {set(self.lines[-1][-1]) == {str(first)}}")
         self.close("dead")
 
     def test_list_failures_are_asked_again_after_a_jittered_pause(self) -> None:
-        self.open(must_ask=True)
-        self.told.list_failed(self.now)
+        self.open(discovery_by_poll=True)
+        self.told.discovery_failed(self.now)
         self.at(3000)
-        self.told.list_failed(self.now)
+        self.told.discovery_failed(self.now)
         self.at(6000)
         self.close("ask")
 
@@ -216,7 +216,7 @@
             self.take(n)
         self.start(0, 0)
         self.at(100)
-        self.told.waits = 3000.0
+        self.told.mean_wait = 3000.0
         self.end(0, 0)
         self.at(800)
         self.close("held")
@@ -226,8 +226,8 @@
         self.told.inflight = 30
         for wait in (0, 400, 400, 400, 0, 0, 0):
             for _ in range(10):
-                self.told._follow(self.now, self.now, wait * MS)
-            self.told._follow(self.now, self.now - 1, 9999 * MS)  # sent under the old limit: counts no more
+                self.told.sample_wait(self.now, self.now, wait * MS)
+            self.told.sample_wait(self.now, self.now - 1, 9999 * MS)  # sent under the old limit: counts no more
             self.told.inflight = min(30, int(self.told.limit))
             self.say(f"ten starts after {wait} ms: limit {min(self.told.limit, 999):.1f}")
             self.at(self.now / MS - 10_000 + 100)
@@ -236,9 +236,9 @@
     def test_the_limit_shrinks_at_once_with_the_fleet(self) -> None:
         self.open(runners=3)
         self.told.limit = 30.0
-        self.list([Listing(1, Standing.DRAINING, 1.0, 1, 1, 0)], whole=False)
+        self.list([Endpoint(1, EndpointState.DRAINING, 1.0, 1, 1, 0)], whole=False)
         self.say(f"a third drains: limit {self.told.limit:.0f}")
-        self.list([Listing(1, Standing.READY, 1.0, 1, 1, self.now)], whole=False)
+        self.list([Endpoint(1, EndpointState.READY, 1.0, 1, 1, self.now)], whole=False)
         self.say(f"it is back, cold: limit {self.told.limit:.0f}")
         self.close("scaled-limit")
 
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -8,7 +8,7 @@
 
 from click.testing import CliRunner
 
-from crankfold.cli import main
+from crankfold.cli.main import main
 from tests.scene import Kept
 
 VERSIONS = [{"number": n, "made_from": n - 1, "author": "o", "reason": f"why {n}", "text": {"a": n}}
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -10,16 +10,16 @@
 
 import orjson
 
-from crankfold.dispatch.interface import Effect
-from crankfold.dispatch.policy import LIST, SECOND
-from crankfold.network.listener import FRESH, MOST_UNREAD, Listener
-from crankfold.network.runners import SETTLE, Exchange, Pool, Sockets
-from crankfold.network.tally import Tally
-from crankfold.network.watch import CONNECT
-from crankfold.orders.reader import house_rules
-from crankfold.protocol.runners import RunnerSide
-from crankfold.service.grades import GradeBook
-from crankfold.service.node import Node
+from crankfold.config.parser import read_service_config
+from crankfold.network.connection_pool import SETTLE_TIME, ConnectionLimiter, ConnectionPool, Exchange
+from crankfold.network.discovery_watcher import CONNECT_TIMEOUT
+from crankfold.network.listener import MAX_UNREAD_BYTES, NEW_CONNECTION_GRACE, Listener
+from crankfold.network.metrics import Metrics
+from crankfold.protocol.backend_connection import BackendConnection
+from crankfold.routing.interface import Idempotency
+from crankfold.routing.policy import POLL_TIMER, SECOND
+from crankfold.service.application import Application
+from crankfold.service.request_classes import RequestClassTable
 from tests.loopback import OK, UNIT, Between, Handler, Loopback
 from tests.scene import GRADE, ORDERS, Scene, read_request
 
@@ -42,12 +42,12 @@
             self.links.append(writer)
             await handler(reader, writer)
 
-        self.tally = Tally()
-        self.pool = Pool("127.0.0.1", await self.stand_in(kept), Sockets(9, 0.25, 5.0, self.tally))
+        self.tally = Metrics()
+        self.pool = ConnectionPool("127.0.0.1", await self.stand_in(kept), ConnectionLimiter(9, 0.25, 5.0, self.tally))
         self.addCleanup(self.pool.close)
 
     def send(self, body: bytes = b"x", settled: bool = True) -> Exchange:
-        def ended(how: str, side: RunnerSide | None) -> None:
+        def ended(how: str, side: BackendConnection | None) -> None:
             self.ends.append(f"{how} {side.status if side else ''}")
 
         exchange = Exchange(b"POST", b"/api", lambda: [(b"Host", b"b")], body, lambda: True, ended, settled)
@@ -60,21 +60,21 @@
             self.ends.clear()
             self.send()
             await self.until(lambda: len(self.ends) == 1)
-            await asyncio.sleep(1.2 * SETTLE)
-            (connection,) = self.pool.idle
+            await asyncio.sleep(1.2 * SETTLE_TIME)
+            (connection,) = self.pool.idle_connections
             self.links[-1].write(unasked)  # with the system by now, and in this turn nobody reads it
             second = self.send()
             await self.until(lambda: len(self.ends) == 2)
             self.assertEqual(self.ends, ["answered 202"] * 2)
             self.assertIsNot(second.connection, connection)
-            await asyncio.sleep(1.2 * SETTLE)
+            await asyncio.sleep(1.2 * SETTLE_TIME)
 
     async def test_bytes_read_but_not_looked_at_when_a_connection_is_taken_up_answer_nothing(self) -> None:
         await self.begin(accepting)
         self.send()
         await self.until(lambda: len(self.ends) == 1)
-        await asyncio.sleep(1.2 * SETTLE)
-        (connection,) = self.pool.idle
+        await asyncio.sleep(1.2 * SETTLE_TIME)
+        (connection,) = self.pool.idle_connections
         connection.reader.feed_data(NEVER_RAN)  # as the loop does before it calls what comes in this turn
         self.send()
         await self.until(lambda: len(self.ends) == 2)
@@ -99,7 +99,7 @@
         await self.until(lambda: len(self.ends) == 1)
         self.send()  # at once: the connection has hardly come to rest
         await self.until(lambda: len(asked) == 2)
-        await self.until(lambda: self.tally.counts["runner-spoke-unasked"] == 1)
+        await self.until(lambda: self.tally.counters["runner-spoke-unasked"] == 1)
         told_twice.set()
         await self.until(lambda: len(self.ends) == 2)
         self.assertEqual((asked, self.ends), ([1, 2], ["answered 202"] * 2))
@@ -143,8 +143,8 @@
         exchange = self.send(b"x" * 30_000_000)
         await self.until(lambda: exchange.connection is not None)
         assert exchange.connection
-        self.assertFalse(exchange.connection.written)
-        self.pool.cut(exchange)
+        self.assertFalse(exchange.connection.request_written)
+        self.pool.abort(exchange)
         called_off.set()
         async with asyncio.timeout(9):
             self.assertLess(await came, 30_000_000)
@@ -167,8 +167,8 @@
 
 class AtClients(Loopback):
     async def begin(self) -> None:
-        self.desk = Mock(serving=lambda: True, knows_grade=lambda name: True)
-        self.tally = Tally()
+        self.desk = Mock(is_serving=lambda: True, knows_request_class=lambda name: True)
+        self.tally = Metrics()
         self.listener = Listener(self.desk, self.tally, (), 100)
         await self.listener.open("127.0.0.1", 0)
         self.addAsyncCleanup(self.listener.close)
@@ -179,22 +179,22 @@
         for number, behind in enumerate((b"", b"y" * 400_000), 1):
             reader, writer = await asyncio.open_connection("127.0.0.1", self.listener.port())
             writer.write(large + behind)
-            await self.until(lambda n=number: self.desk.hand_in.call_count == n)  # type: ignore[misc]
+            await self.until(lambda n=number: self.desk.submit.call_count == n)  # type: ignore[misc]
             with contextlib.suppress(ConnectionError):
                 await writer.drain()
             writer.close()
             async with asyncio.timeout(2):
-                await self.until(lambda n=number: self.desk.left.call_count == n)  # type: ignore[misc]
+                await self.until(lambda n=number: self.desk.client_disconnected.call_count == n)  # type: ignore[misc]
 
     async def test_who_floods_behind_a_request_has_its_answer_whole(self) -> None:
         await self.begin()
         reader, writer = await asyncio.open_connection("127.0.0.1", self.listener.port())
         writer.write(UNIT)
-        await self.until(lambda: self.desk.hand_in.called)
-        client = self.desk.hand_in.call_args[0][0]
-        writer.write(b"y" * 9 * MOST_UNREAD)
-        await self.until(lambda: client.side.deaf)
-        client.answer(200, [], b"done")
+        await self.until(lambda: self.desk.submit.called)
+        client = self.desk.submit.call_args[0][0]
+        writer.write(b"y" * 9 * MAX_UNREAD_BYTES)
+        await self.until(lambda: client.protocol.discarding_input)
+        client.respond(200, [], b"done")
         self.assertEqual((await read_request(reader))[1], b"done")
         writer.close()
 
@@ -202,15 +202,15 @@
         await self.begin()
         reader, writer = await asyncio.open_connection("127.0.0.1", self.listener.port())
         writer.write(UNIT)
-        await self.until(lambda: self.desk.hand_in.called)
-        client = self.desk.hand_in.call_args[0][0]
-        client.answer(200, [], b"done")
+        await self.until(lambda: self.desk.submit.called)
+        client = self.desk.submit.call_args[0][0]
+        client.respond(200, [], b"done")
         await asyncio.sleep(0.01)
         writer.write(UNIT.replace(b"u1", b"u2"))  # with the system by now, read by nobody
         client.close()
         self.assertEqual((await read_request(reader))[1], b"done")  # no reset overtakes it
         self.assertEqual(await reader.read(), b"")
-        self.assertEqual(self.desk.hand_in.call_count, 1)
+        self.assertEqual(self.desk.submit.call_count, 1)
         writer.close()
 
 
@@ -228,9 +228,9 @@
         client = socket.create_connection(("127.0.0.1", self.port))
         client.sendall(UNIT)
         client.close()  # all in one turn: nobody accepted it so far
-        await self.until(lambda: self.node.tally.counts["clients-gone-before-read"] == 1)
-        await self.until(lambda: not self.node.listener.clients)
-        self.assertEqual((self.lines, self.node.tally.counts["dispatches"]), ([], 0))
+        await self.until(lambda: self.node.metrics.counters["clients-gone-before-read"] == 1)
+        await self.until(lambda: not self.node.listener.connections)
+        self.assertEqual((self.lines, self.node.metrics.counters["dispatches"]), ([], 0))
 
     async def test_a_client_that_goes_while_its_unit_waits_for_a_connection_has_nothing_sent(self) -> None:
         async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -238,22 +238,22 @@
 
         await self.begin(runner)
         await self.inside()
-        pool = self.node.fleet.pools[0]
-        opening, up = pool._open, asyncio.Event()
+        pool = self.node.backend_registry.pools[0]
+        opening, up = pool._connect, asyncio.Event()
 
         async def late(exchange: Exchange) -> None:
             asking.cancel()
-            await self.until(lambda: self.node.tally.counts["clients-left"] == 1)
+            await self.until(lambda: self.node.metrics.counters["clients-left"] == 1)
             await opening(exchange)
             up.set()
 
-        pool._open = late  # type: ignore[method-assign]
+        pool._connect = late  # type: ignore[method-assign]
         asking = asyncio.create_task(self.ask("u1"))
         async with asyncio.timeout(5):
             await up.wait()
         await asyncio.sleep(0.02)
         self.assertEqual(self.lines, [])
-        self.assertEqual(self.node.desk.open_units(), 0)
+        self.assertEqual(self.node.request_handler.open_request_count(), 0)
 
     async def test_a_request_read_after_the_last_answers_is_shed_and_not_sent_on(self) -> None:
         async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -270,11 +270,11 @@
 
         reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
         writer.write(UNIT[:-1])  # its last byte is still under way
-        await self.until(lambda: any(client.side.midway() for client in self.node.listener.clients))
-        with patch.object(self.node.door, "close", held_up), \
-                patch("crankfold.service.node.LONGEST_DRAIN", 0.1), \
-                patch("crankfold.service.node.OVER", 0.0):
-            self.node.ending.set()
+        await self.until(lambda: any(client.protocol.is_mid_request() for client in self.node.listener.connections))
+        with patch.object(self.node.admin_server, "close", held_up), \
+                patch("crankfold.service.application.MAX_DRAIN_DURATION", 0.1), \
+                patch("crankfold.service.application.DRAIN_MARGIN", 0.0):
+            self.node.shutdown_requested.set()
             await ended.wait()
             writer.write(UNIT[-1:])
             head, _ = await read_request(reader)
@@ -304,10 +304,10 @@
         await taken.wait()
         reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
         self.assertEqual(await back("started"), "204")
-        with patch("crankfold.service.node.LONGEST_DRAIN", 2.0), patch("crankfold.service.node.COMING", 0.0):
-            self.node.ending.set()
-            await self.until(lambda: self.node.listener.parting)
-            await asyncio.sleep(3 * FRESH)  # what is at rest for so long is closed
+        with patch("crankfold.service.application.MAX_DRAIN_DURATION", 2.0), patch("crankfold.service.application.LATE_CONNECTION_PERIOD", 0.0):
+            self.node.shutdown_requested.set()
+            await self.until(lambda: self.node.listener.closing)
+            await asyncio.sleep(3 * NEW_CONNECTION_GRACE)  # what is at rest for so long is closed
             self.assertEqual(await back("done", result="ran"), "204")
             self.assertEqual((await asking)[1], b"ran")
         writer.close()
@@ -318,21 +318,21 @@
 
         await self.begin(runner, "keyed", group="zone", **{"repeat-window": 300_000})
         await self.inside()
-        pool = self.node.fleet.pools[0]
-        opening = pool._open
+        pool = self.node.backend_registry.pools[0]
+        opening = pool._connect
         opened = 0
 
         async def late(exchange: Exchange) -> None:
             nonlocal opened
             opened += 1
             if opened > 1:
-                first = next(iter(self.node.desk.ledger.units.values())).trips[0]
-                await self.until(lambda: self.node.timers.clock.now() > first.began + 3000)
+                first = next(iter(self.node.request_handler.request_table.requests.values())).attempts[0]
+                await self.until(lambda: self.node.timers.clock.now() > first.created_at + 3000)
             await opening(exchange)
 
-        with patch.object(pool, "_open", late), \
-                patch.object(self.node.desk.decisions, "_sound", lambda now, u, pool, burden: [0]), \
-                patch("crankfold.service.ledger.Trip.reached", lambda trip: False):
+        with patch.object(pool, "_connect", late), \
+                patch.object(self.node.request_handler.routing, "_sound", lambda now, u, pool, burden: [0]), \
+                patch("crankfold.service.request_table.Attempt.was_sent", lambda trip: False):
             answer = await self.ask("u1")
         self.assertEqual((answer[0].split()[1], opened, len(self.lines)), ("504", 2, 1))
 
@@ -365,10 +365,10 @@
         asking = asyncio.create_task(self.ask("u1"))
         await broken.wait()
         if not told_first:
-            await self.until(lambda: self.node.tally.counts["given-up"] == 1)
+            await self.until(lambda: self.node.metrics.counters["given-up"] == 1)
             await self.tell(id="u1", **{"from": "a"}, state="done", result="ran")
         answer = await asking
-        self.assertEqual(self.node.tally.counts["dispatches"], 1)
+        self.assertEqual(self.node.metrics.counters["dispatches"], 1)
         return answer[0].split()[1]
 
     async def test_an_end_told_before_its_dispatch_breaks_counts(self) -> None:
@@ -382,8 +382,8 @@
             raise AssertionError("nothing is sent")
 
         await self.begin(runner)
-        node = Node(self.given, lambda: self.given)
-        node.ending.set()
+        node = Application(self.given, lambda: self.given)
+        node.shutdown_requested.set()
         with patch.object(node.listener, "open") as opened:
             async with asyncio.timeout(5):
                 await node.run()
@@ -398,7 +398,7 @@
             "import os, runpy, signal, sys\n"
             "class Early:\n"
             "    def find_spec(self, name, path=None, target=None):\n"
-            "        if name == 'crankfold.cli': os.kill(os.getpid(), signal.SIGHUP)\n"
+            "        if name == 'crankfold.cli.main': os.kill(os.getpid(), signal.SIGHUP)\n"
             "sys.meta_path.insert(0, Early())\n"
             "sys.argv = ['crankfold', 'serve']\n"
             "runpy.run_module('crankfold', run_name='__main__')"
@@ -431,7 +431,7 @@
         self.given |= {"discovery": f"127.0.0.1:{await self.stand_in(discovery)}", "limits": {"sockets": 128}}
         self.given["known"]["targets"][0]["uid"] = "gone"
         program = ("import resource; resource.setrlimit(resource.RLIMIT_NOFILE, (128, 128))\n"
-                   "from crankfold.cli import main; main(['serve'])")
+                   "from crankfold.cli.main import main; main(['serve'])")
         lines = await self.outside(["-O", "-c", program])
         idle = [socket.create_connection(("127.0.0.1", self.port)) for _ in range(400)]
         await asyncio.sleep(0.3)
@@ -465,7 +465,7 @@
 
         await self.begin(runner)
         self.given["discovery"] = f"127.0.0.1:{await self.stand_in(discovery)}"
-        with patch("crankfold.service.node.FIRST_LIST", 5.0):  # on a busy machine the second call is late
+        with patch("crankfold.service.application.FIRST_LIST_TIMEOUT", 5.0):  # on a busy machine the second call is late
             await self.inside()
         self.assertEqual(((await self.ask("u1", wait=0.2))[0].split()[1], self.lines), ("503", []))
 
@@ -477,9 +477,9 @@
         self.state = "terminating"
         self.given["known"] = self.targets()
         await self.inside()
-        with patch.object(self.node.desk.decisions, "woken", lambda now, label: None):
+        with patch.object(self.node.request_handler.routing, "timer_fired", lambda now, label: None):
             self.assertEqual((await self.ask("u1", wait=0.1))[0].split()[1], "503")
-        self.assertEqual(self.node.tally.counts["units-open-at-cut-off"], 1)
+        self.assertEqual(self.node.metrics.counters["units-open-at-cut-off"], 1)
 
     async def test_by_the_grades_in_force_is_told_how_long_an_end_may_take(self) -> None:
         async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -489,34 +489,34 @@
         await self.inside()
         grade = {"name": "h", "effect": "safe", "cut-off": 500_000, "expected-time": 100_000}
         self.given = {**self.given, "settings": {**self.given["settings"], "service-grades": [grade]}}
-        self.node._renew()
-        self.assertEqual(self.node.longest, 0.5)
+        self.node._reload()
+        self.assertEqual(self.node.longest_deadline, 0.5)
 
 
 class NothingLeaks(Scene):
     def test_what_was_learnt_of_a_grade_is_not_told_of_another_that_reads_the_same(self) -> None:
         self.open()
-        book = GradeBook(["a"], [GRADE])
-        self.told.typical[0] = 77.0
-        book.renew(["a"], [GRADE])
-        self.told.renewed(self.now, replace(ORDERS, grades=book.rows), book.anew)
-        self.assertEqual((self.told.typical, book.anew), ([77.0], frozenset()))
-        book.renew(["b"], [GRADE])
-        self.told.renewed(self.now, replace(ORDERS, grades=book.rows), book.anew)
-        self.assertEqual((self.told.typical, book.anew), ([GRADE.cutoff / 10], frozenset({0})))
-        self.assertEqual(self.told.effect, [Effect.REPEATABLE])
+        book = RequestClassTable(["a"], [GRADE])
+        self.told.typical_run[0] = 77.0
+        book.update(["a"], [GRADE])
+        self.told.config_changed(self.now, replace(ORDERS, request_classes=book.classes), book.reassigned)
+        self.assertEqual((self.told.typical_run, book.reassigned), ([77.0], frozenset()))
+        book.update(["b"], [GRADE])
+        self.told.config_changed(self.now, replace(ORDERS, request_classes=book.classes), book.reassigned)
+        self.assertEqual((self.told.typical_run, book.reassigned), ([GRADE.deadline / 10], frozenset({0})))
+        self.assertEqual(self.told.effect, [Idempotency.IDEMPOTENT])
 
 
 class Told(Scene):
     def test_where_lists_are_asked_for_no_pause_is_longer_than_a_change_may_take(self) -> None:
-        self.open(runners=0, must_ask=True, ask_within=200_000, dispatchers=400, told_within=60_000)
+        self.open(runners=0, discovery_by_poll=True, poll_within=200_000, instance_count=400, change_notice_within=60_000)
         for _ in range(9):
-            self.told.list_failed(self.now)
-        pauses = [at - self.now for at, label in self.wakes if label == LIST]
+            self.told.discovery_failed(self.now)
+        pauses = [at - self.now for at, label in self.wakes if label == POLL_TIMER]
         self.assertEqual(len(pauses), 10)
-        self.assertLess(max(pauses), 60_000 - CONNECT * 20_000)  # what is left: to connect and to be answered
+        self.assertLess(max(pauses), 60_000 - CONNECT_TIMEOUT * 20_000)  # what is left: to connect and to be answered
 
     def test_what_settings_leave_open_is_nobodys_figure(self) -> None:
-        rules = house_rules({})
-        self.assertGreater(rules.connect_within, SECOND)  # a first packet that is lost is sent again after it
-        self.assertLess(rules.idle_for, 5 * SECOND)
+        rules = read_service_config({})
+        self.assertGreater(rules.connect_timeout, SECOND)  # a first packet that is lost is sent again after it
+        self.assertLess(rules.idle_timeout, 5 * SECOND)
--- a/tests/test_experiment.py
+++ b/tests/test_experiment.py
@@ -6,14 +6,14 @@
 
 from click.testing import CliRunner
 
-from crankfold.cli import main
-from crankfold.dispatch.policy import Dispatcher
-from crankfold.emulator.faults import Fault, Kind, hit
-from crankfold.emulator.study import ORDERS
-from crankfold.emulator.world import Scenario, World
+from crankfold.cli.main import main
+from crankfold.routing.policy import Router
+from crankfold.simulation.comparison import DEFAULT_CONFIG
+from crankfold.simulation.faults import Fault, FaultKind, affected_indices
+from crankfold.simulation.fleet import Scenario, SimulatedFleet
 from tests.scene import Kept
 
-DAY = Scenario(dispatchers=6, runners=9, rate=12.0, work=3_500, seconds=8, seed=3)
+DAY = Scenario(dispatcher_count=6, backend_count=9, arrival_rate=12.0, mean_service_time=3_500, seconds=8, seed=3)
 PLAN = """
 name = "small"
 seeds = 2
@@ -35,50 +35,50 @@
 
 
 class Faults(Kept):
-    def play(self, *faults: Fault, **day: object) -> tuple[World, float]:
-        world = World(replace(DAY, faults=faults, **day), replace(ORDERS, may_copy=True), Dispatcher)  # type: ignore[arg-type]
+    def play(self, *faults: Fault, **day: object) -> tuple[SimulatedFleet, float]:
+        world = SimulatedFleet(replace(DAY, faults=faults, **day), replace(DEFAULT_CONFIG, hedging_allowed=True), Router)  # type: ignore[arg-type]
         world.run()
-        return world, world.in_time / world.asked
+        return world, world.on_time_count / world.request_count
 
     def test_every_kind_of_fault_is_felt_and_no_rule_breaks(self) -> None:
         _, calm = self.play()
         self.say(f"calm: over 95 of a hundred in time: {calm > 0.95}")
-        factor = {Kind.ERRORS: 0.7, Kind.BURST: 2.5}
-        for kind in Kind:
+        factor = {FaultKind.ERRORS: 0.7, FaultKind.BURST: 2.5}
+        for kind in FaultKind:
             # With reports that stand still or lists that are down something else has to happen to be felt.
-            release = (Fault(Kind.RELEASE, 2.0, 3.5, 0.4),)
-            more = {Kind.LISTS_DOWN: release, Kind.SILENT_WATCH: release, Kind.LATE_REPORTS:
-                    (Fault(Kind.SLOW, 1.0, 7.0, 0.3),)}.get(kind, ())
-            day = {"dispatchers": 2, "rate": 36.0} if kind == Kind.LATE_REPORTS else {}
+            release = (Fault(FaultKind.ROLLING_RELEASE, 2.0, 3.5, 0.4),)
+            more = {FaultKind.DISCOVERY_DOWN: release, FaultKind.SILENT_WATCH: release, FaultKind.STALE_REPORTS:
+                    (Fault(FaultKind.SLOW, 1.0, 7.0, 0.3),)}.get(kind, ())
+            day = {"dispatcher_count": 2, "arrival_rate": 36.0} if kind == FaultKind.STALE_REPORTS else {}
             base = self.play(*more, **day)[1] if more else calm
             world, share = self.play(Fault(kind, 2.0, 5.0, 0.4, factor=factor.get(kind, 4.0)), *more, **day)
-            answers = [record.answered for record in world.rules.units.values()]
+            answers = [record.answer for record in world.invariants.requests.values()]
             self.say(f"{kind.value}: felt {share != base}, all answered {all(answers)}, "
-                     f"lost with a dispatcher {'lost' in answers}, rules broken {len(world.rules.broken)}")
+                     f"lost with a dispatcher {'lost' in answers}, rules broken {len(world.invariants.violations)}")
         self.close("emulator-faults")
 
     def test_what_a_fault_does(self) -> None:
         def errors(share: float) -> int:
-            world, _ = self.play(Fault(Kind.ERRORS, 1.0, 7.0, 1.0, factor=share))
-            return sum("done" not in record.answered for record in world.rules.units.values())
+            world, _ = self.play(Fault(FaultKind.ERRORS, 1.0, 7.0, 1.0, factor=share))
+            return sum("done" not in record.answer for record in world.invariants.requests.values())
 
         self.assertLess(errors(0.1), errors(0.9))
-        world, _ = self.play(Fault(Kind.LOST_ZONE, 2.0, 4.0, zone=1))
-        self.assertEqual([r.no for r in world.runners if r.since], [1, 4, 7])
-        world, _ = self.play(Fault(Kind.KILL, 2.0, 4.0, 0.5))
-        self.assertEqual(sum(post.alive for post in world.posts), 6)
-        before, after = (self.play(Fault(Kind.BURST, 2.0, 4.0, factor=f))[0].asked for f in (1.0, 3.0))
+        world, _ = self.play(Fault(FaultKind.ZONE_LOSS, 2.0, 4.0, zone=1))
+        self.assertEqual([r.index for r in world.backends if r.ready_since], [1, 4, 7])
+        world, _ = self.play(Fault(FaultKind.DISPATCHERS_KILLED, 2.0, 4.0, 0.5))
+        self.assertEqual(sum(post.alive for post in world.dispatchers), 6)
+        before, after = (self.play(Fault(FaultKind.BURST, 2.0, 4.0, factor=f))[0].request_count for f in (1.0, 3.0))
         self.assertGreater(after, 1.3 * before)
-        shed, _ = self.play(Fault(Kind.BURST, 1.0, 7.0, factor=6.0), retries=3)
-        self.assertGreater(len(shed.rules.units), shed.asked)  # who was shed came again
-        far, near = self.play(cross=300)[1], self.play(cross=0)[1]
+        shed, _ = self.play(Fault(FaultKind.BURST, 1.0, 7.0, factor=6.0), client_retries=3)
+        self.assertGreater(len(shed.invariants.requests), shed.request_count)  # who was shed came again
+        far, near = self.play(cross_zone_delay=300)[1], self.play(cross_zone_delay=0)[1]
         self.assertLess(far, near)
 
     def test_whom_it_hits_depends_on_the_seed_alone(self) -> None:
-        fault = Fault(Kind.SLOW, 1.0, 2.0, 0.25)
-        self.assertEqual(hit(fault, 1, 40), hit(fault, 1, 40))
-        self.assertNotEqual(hit(fault, 1, 40), hit(fault, 2, 40))
-        self.assertEqual((len(hit(fault, 1, 40)), len(hit(fault, 1, 1))), (10, 1))
+        fault = Fault(FaultKind.SLOW, 1.0, 2.0, 0.25)
+        self.assertEqual(affected_indices(fault, 1, 40), affected_indices(fault, 1, 40))
+        self.assertNotEqual(affected_indices(fault, 1, 40), affected_indices(fault, 2, 40))
+        self.assertEqual((len(affected_indices(fault, 1, 40)), len(affected_indices(fault, 1, 1))), (10, 1))
 
 
 class Experiments(Kept):
