--- a/tests/test_grown.py
+++ b/tests/test_grown.py
@@ -4,8 +4,8 @@
 from collections import Counter
 from dataclasses import replace
 
-from crankfold.dispatch.interface import Listing, Standing
-from crankfold.dispatch.policy import Dispatcher
+from crankfold.routing.interface import Endpoint, EndpointState
+from crankfold.routing.policy import Router
 from tests.scene import GRADE, MS, ORDERS, Kept, Scene
 
 DISPATCHERS = 40
@@ -20,20 +20,20 @@
         self.wakes: list[tuple[int, int]] = []
         self.went: list[tuple[int, int, int]] = []  # when, unit, runner
         self.now, self.asked = 100_000, list[int]()
-        self.told = Dispatcher(replace(ORDERS, **orders), seed, self)  # type: ignore[arg-type]
+        self.told = Router(replace(ORDERS, **orders), seed, self)  # type: ignore[arg-type]
 
-    def dispatch(self, unit: int, runner: int, limit: int) -> None:
+    def send_attempt(self, unit: int, runner: int, limit: int) -> None:
         self.went.append((self.now, unit, runner))
 
     def shed(self, unit: int, advice: int) -> None: ...
-    def give_up(self, unit: int) -> None: ...
-    def cancel(self, unit: int, nth: int) -> None: ...
+    def fail_request(self, unit: int) -> None: ...
+    def cancel_attempt(self, unit: int, nth: int) -> None: ...
     def probe(self, runner: int) -> None: ...
 
-    def subscribe(self) -> None:
+    def poll_endpoints(self) -> None:
         self.asked.append(self.now)
 
-    def wake(self, after: int, label: int) -> None:
+    def set_timer(self, after: int, label: int) -> None:
         self.wakes.append((self.now + after, label))
 
     def pass_to(self, now: int) -> None:
@@ -41,23 +41,23 @@
             first = min(due)
             self.wakes.remove(first)
             self.now = max(self.now, first[0])
-            self.told.woken(self.now, first[1])
+            self.told.timer_fired(self.now, first[1])
         self.now = now
 
 
 class Grown(Kept):
     def open(self, cold: int = 0, **orders: object) -> None:
-        self.posts = [Post(seed * 7919, dispatchers=DISPATCHERS, zone=seed % 3, grades=[GRADE],
-                           number=seed - 1, **orders)
+        self.posts = [Post(seed * 7919, instance_count=DISPATCHERS, zone=seed % 3, request_classes=[GRADE],
+                           instance_index=seed - 1, **orders)
                       for seed in range(1, DISPATCHERS + 1)]
-        listed = [Listing(r, Standing.READY, (8.0, 4.0, 3.0)[r % 3], r // 3 % 3, r % 6, 0, r % 3, r / WARM)
+        listed = [Endpoint(r, EndpointState.READY, (8.0, 4.0, 3.0)[r % 3], r // 3 % 3, r % 6, 0, r % 3, r / WARM)
                   for r in range(WARM)]
-        listed += [Listing(WARM + r, Standing.READY, 4.0, r % 3, r % 6, 100_000, 1, r / cold)
+        listed += [Endpoint(WARM + r, EndpointState.READY, 4.0, r % 3, r % 6, 100_000, 1, r / cold)
                    for r in range(cold)]
         for post in self.posts:
-            post.told.listed(post.now, listed, True)
+            post.told.endpoints_changed(post.now, listed, True)
             for r in range(WARM):
-                post.told.probed(post.now, r, True, (0.0, 4.0))
+                post.told.probe_ended(post.now, r, True, (0.0, 4.0))
 
     def play(self, seconds: int, every: int) -> None:
         """Each dispatcher takes a unit so often, which starts at once and runs for its time."""
@@ -68,12 +68,12 @@
                 under_way.remove(done)
                 _, post, unit, runner = done
                 post.pass_to(now)
-                post.told.ended(now, unit, 0, runner, 0, True, ())  # type: ignore[arg-type]
+                post.told.attempt_ended(now, unit, 0, runner, 0, True, ())  # type: ignore[arg-type]
             for post in self.posts:
                 post.pass_to(now)
-                post.told.taken(now, turn, 0, 0, now + 5000 * MS, UNIT, 1.0)
+                post.told.request_received(now, turn, 0, 0, now + 5000 * MS, UNIT, 1.0)
                 if post.went and post.went[-1][1] == turn:
-                    post.told.started(now, turn, 0, post.went[-1][2])
+                    post.told.attempt_started(now, turn, 0, post.went[-1][2])
                     under_way.append((now + UNIT, post, turn, post.went[-1][2]))
 
     def test_all_circles_together_hold_the_listed_weights(self) -> None:
@@ -81,8 +81,8 @@
         self.open()
         self.play(8, 100 * MS)
         got = Counter((8, 4, 3)[r % 3] for post in self.posts for at, _, r in post.went if at > 140_000)
-        self.say(f"circles of {max(len(post.told.circle) for post in self.posts)} at most of {WARM}")
-        held = Counter(r for post in self.posts for r in post.told.circle)
+        self.say(f"circles of {max(len(post.told.subset) for post in self.posts)} at most of {WARM}")
+        held = Counter(r for post in self.posts for r in post.told.subset)
         for weight in (8, 4, 3):
             holders = [held[r] for r in range(WARM) if (8, 4, 3)[r % 3] == weight]
             self.say(f"runners of weight {weight} are in {min(holders)} to {max(holders)} circles")
@@ -92,7 +92,7 @@
         self.close("grown-weights")
 
     def test_all_allowances_together_use_a_cold_fleet_and_stay_under_the_rule(self) -> None:
-        self.open(cold=30, cold_from=0.4, overload_factor=4.0)
+        self.open(cold=30, initial_capacity=0.4, overload_factor=4.0)
         self.play(5, 150 * MS)
         sent = sorted((at, r) for post in self.posts for at, _, r in post.went if r >= WARM)
         least = 0.4 * 4  # slots that one can fill when it has just started
@@ -107,7 +107,7 @@
     def test_a_list_service_with_a_queue_gets_to_answer_all_that_start_together(self) -> None:
         # It serves five calls a second in turn, takes no more than four seconds of them, and answers nobody
         # who has waited for two: with all asking again and again its queue stayed just too long for ever.
-        self.open(must_ask=True)
+        self.open(discovery_by_poll=True)
         free_at, known, asked, in_turn = 100_000, set[Post](), 0, list[tuple[int, Post, bool]]()
         for now in range(100_000, 400_000, 100):
             for answer in [a for a in in_turn if a[0] <= now]:
@@ -116,13 +116,13 @@
                 if well:
                     known.add(post)
                 else:
-                    post.told.list_failed(now)
+                    post.told.discovery_failed(now)
             for post in self.posts:
                 post.pass_to(now)
                 for _ in post.asked:
                     asked += 1
                     if free_at > now + 40_000:
-                        post.told.list_failed(now)
+                        post.told.discovery_failed(now)
                         continue
                     free_at = max(free_at, now) + 2_000
                     in_turn.append((min(free_at, now + 20_000), post, free_at <= now + 20_000))
@@ -136,11 +136,11 @@
 class ColdFirst(Scene):
     def open_with_cold(self) -> None:
         self.open(runners=0, free=0, overload_factor=4.0)
-        self.list([Listing(0, Standing.READY, 4.0, 0, 0, 0), Listing(1, Standing.READY, 4.0, 0, 0, 0),
-                   Listing(2, Standing.READY, 4.0, 0, 0, 98_000)])
+        self.list([Endpoint(0, EndpointState.READY, 4.0, 0, 0, 0), Endpoint(1, EndpointState.READY, 4.0, 0, 0, 0),
+                   Endpoint(2, EndpointState.READY, 4.0, 0, 0, 98_000)])
         for r in (0, 1):
-            self.told.probed(self.now, r, True, (0.0, 4.0))
-        self.told.part[2] = 1.0
+            self.told.probe_ended(self.now, r, True, (0.0, 4.0))
+        self.told.own_share[2] = 1.0
         for n in range(4):  # usual paces become known
             self.take(n, work=200)
             runner = int(self.lines[-1][-1])
@@ -151,34 +151,34 @@
 
     def test_an_allowance_that_would_lapse_goes_first(self) -> None:
         self.open_with_cold()
-        self.told.cold_next[2] = self.now
+        self.told.slow_start_next[2] = self.now
         self.take(10, work=50)
         self.close("grown-cold-first")
 
     def test_not_what_would_be_late_there(self) -> None:
         self.open_with_cold()
-        self.told.cold_next[2] = self.now
+        self.told.slow_start_next[2] = self.now
         self.take(10, work=200)
         self.close("grown-cold-late")
 
     def test_beyond_the_limit_a_cold_runner_still_gets_its_allowance(self) -> None:
         self.open_with_cold()
-        self.told.limit, self.told.cold_next[2] = 0.0, self.now
+        self.told.limit, self.told.slow_start_next[2] = 0.0, self.now
         self.take(10, work=50)
         self.take(11, work=50)
-        self.say(f"counted against the limit {self.told.inflight}, held {len(self.told.held)}")
+        self.say(f"counted against the limit {self.told.inflight}, held {len(self.told.queue)}")
         self.start(10, 2)
         self.end(10, 2)
         self.say(f"after its end {self.told.inflight}")
         self.close("grown-cold-limit")
 
     def test_the_fair_part_counts_runners_not_seen_yet(self) -> None:
-        self.open(runners=0, free=0, dispatchers=24)
-        self.list([Listing(r, Standing.READY, 4.0, 0, 0, 0) for r in range(72)])
-        self.told.probed(self.now, 0, True, (0.0, 4.0))
+        self.open(runners=0, free=0, instance_count=24)
+        self.list([Endpoint(r, EndpointState.READY, 4.0, 0, 0, 0) for r in range(72)])
+        self.told.probe_ended(self.now, 0, True, (0.0, 4.0))
         self.told.limit = 1.0
         for _n in range(10):  # ten starts after a long wait each bring the limit down to its floor
-            self.told._follow(self.now, self.now, 5000 * MS)
+            self.told.sample_wait(self.now, self.now, 5000 * MS)
         self.say(f"limit {self.told.limit:.0f} of {72 * 4} slots over 24 dispatchers")
         self.close("grown-fair")
 
@@ -186,7 +186,7 @@
 class Few(Scene):
     def test_three_dispatchers_use_the_whole_fleet(self) -> None:
         """With five of ten runners each, three for short units, a quiet day lost a quarter of its worth."""
-        self.open(runners=10, dispatchers=3)
+        self.open(runners=10, instance_count=3)
         for n in range(10):
             self.take(n, slots=4.0)
         self.assertEqual(len(set(re.findall(r"-> runner (\d)", "\n".join(self.lines)))), 10)
--- a/tests/test_move.py
+++ b/tests/test_move.py
@@ -2,31 +2,31 @@
 
 from dataclasses import replace
 
-from crankfold.dispatch.interface import Listing, Standing
+from crankfold.routing.interface import Endpoint, EndpointState
 from tests.scene import GRADE, MS, Scene
 
 
 class Moved(Scene):
     def listed(self, *weights: float) -> None:
-        self.list([Listing(r, Standing.READY, weight, 0, 0, 0, 0, r / len(weights))
+        self.list([Endpoint(r, EndpointState.READY, weight, 0, 0, 0, 0, r / len(weights))
                    for r, weight in enumerate(weights)])
 
     def test_load_in_a_weight_is_not_size(self) -> None:
-        self.open(runners=0, free=0, live_weights=True)
+        self.open(runners=0, free=0, weights_follow_load=True)
         self.listed(4.0, 4.0)
         self.listed(4.0, 1.0)
         sizes = " ".join(f"{weight:.1f}" for weight in self.told.weight)
-        self.say(f"sizes {sizes}, held for each core {self.told.filling[1]:.1f}")
+        self.say(f"sizes {sizes}, held for each core {self.told.utilization[1]:.1f}")
         self.listed(2.0, 4.0)
         sizes = " ".join(f"{weight:.1f}" for weight in self.told.weight)
-        self.say(f"sizes {sizes}, held for each core {self.told.filling[0]:.1f}")
+        self.say(f"sizes {sizes}, held for each core {self.told.utilization[0]:.1f}")
         self.close("move-sizes")
 
     def test_in_sparse_sight_a_long_listed_queue_is_left_out(self) -> None:
-        self.open(runners=0, free=0, live_weights=True, dispatchers=60)
+        self.open(runners=0, free=0, weights_follow_load=True, instance_count=60)
         self.listed(*[4.0] * 30)
-        kept = self.told.circle[0]
-        self.listed(*[4.0 if r == kept or r not in self.told.circle else 1.0 for r in range(30)])
+        kept = self.told.subset[0]
+        self.listed(*[4.0 if r == kept or r not in self.told.subset else 1.0 for r in range(30)])
         for n in range(4):
             self.take(n)
         self.say(f"all to {kept}: {all(line.endswith(f'runner {kept}') for line in self.lines[1::2])}")
@@ -35,15 +35,15 @@
     def test_a_key_has_the_same_homes_at_every_dispatcher(self) -> None:
         homes = set()
         for seed in range(20):
-            self.open(runners=0, free=0, live_weights=True, tells_start=False, number=seed, seed=seed,
-                      dispatchers=20)
+            self.open(runners=0, free=0, weights_follow_load=True, start_notifications=False, instance_index=seed, seed=seed,
+                      instance_count=20)
             self.listed(*[4.0] * 12)
             self.take(0, work=0, key=77)
             homes.add(self.lines[-1].split()[-1])
         self.lines = []
         self.say(f"homes at twenty dispatchers: {len(homes)}")
         for r in range(12):
-            self.told.probed(self.now, r, True, (0.0, 4.0))
+            self.told.probe_ended(self.now, r, True, (0.0, 4.0))
         self.listed(*[1.0 if str(r) in homes else 4.0 for r in range(12)])  # three held for each core there
         self.take(1, work=0, key=77)
         self.say(f"another where that is full: {self.lines[-1].split()[-1] not in homes}")
@@ -54,29 +54,29 @@
         self.close("move-homes")
 
     def test_keys_tell_nothing_where_nothing_is_kept(self) -> None:
-        self.open(runners=0, free=0, by_key=False, tells_start=False)
+        self.open(runners=0, free=0, key_affinity=False, start_notifications=False)
         self.listed(4.0, 4.0)
         for n in range(4):
             self.take(n, key=77)
         self.close("move-no-keys")
 
     def test_the_limit_follows_the_list_where_weights_move(self) -> None:
-        self.open(runners=0, free=0, live_weights=True, tells_start=False)
+        self.open(runners=0, free=0, weights_follow_load=True, start_notifications=False)
         self.listed(4.0, 4.0)
         for r in range(2):
-            self.told.probed(self.now, r, True, (0.0, 4.0))
+            self.told.probe_ended(self.now, r, True, (0.0, 4.0))
         for n in range(3):
             self.take(n, work=0)
         self.at(600)
         self.listed(0.8, 0.8)  # four held for each core
         for n in range(3, 8):
             self.take(n, work=0)
-        self.say(f"limit {self.told.limit:.1f}, held {len(self.told.held)}")
+        self.say(f"limit {self.told.limit:.1f}, held {len(self.told.queue)}")
         self.close("move-limit")
 
     def test_a_wait_that_expected_times_allow_cuts_no_limit(self) -> None:
-        self.open(runners=0, free=0, live_weights=True, tells_start=False,
-                  grades=[replace(GRADE, expected=2000 * MS)])
+        self.open(runners=0, free=0, weights_follow_load=True, start_notifications=False,
+                  request_classes=[replace(GRADE, latency_objective=2000 * MS)])
         self.listed(4.0, 4.0)
         for n in range(3):
             self.take(n, work=0)
@@ -94,17 +94,17 @@
         self.close("move-frantic")
 
     def test_a_cold_runner_outside_the_circle_gets_nothing(self) -> None:
-        self.open(runners=0, free=0, live_weights=True, dispatchers=60)
+        self.open(runners=0, free=0, weights_follow_load=True, instance_count=60)
         start = self.now - 1000 * MS
-        self.list([Listing(r, Standing.READY, 4.0, 0, 0, start * (r % 2), 0, r / 30)
+        self.list([Endpoint(r, EndpointState.READY, 4.0, 0, 0, start * (r % 2), 0, r / 30)
                    for r in range(30)])
         for r in range(30):
             if not r % 2:
-                self.told.full_until[r] = self.now + 10_000 * MS
-            self.told.cold_next[r] = 1  # saved up long since
+                self.told.overloaded_until[r] = self.now + 10_000 * MS
+            self.told.slow_start_next[r] = 1  # saved up long since
         for n in range(20):
             self.take(n, work=20)
         met = {int(line.split()[-1]) for line in self.lines if "->" in line}
-        self.say(f"cold ones met outside the circle: {len(met - set(self.told.circle))}")
+        self.say(f"cold ones met outside the circle: {len(met - set(self.told.subset))}")
         self.lines = self.lines[-1:]
         self.close("move-cold")
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -15,12 +15,20 @@
 
 import orjson
 
-from crankfold.network.listener import FRESH, MOST_UNREAD, UNCOUNTED, Listener
-from crankfold.network.runners import SETTLE, Exchange, Pool, Sockets
-from crankfold.network.tally import Tally
+from crankfold.network.connection_pool import SETTLE_TIME, ConnectionLimiter, ConnectionPool, Exchange
+from crankfold.network.discovery_watcher import (
+    CONNECT_TIMEOUT,
+    LONG_POLL_MS,
+    MAX_WATCH_CALLS,
+    OVERDUE_GRACE,
+    POLL_RETRY_INTERVAL,
+    RETRY_INTERVAL,
+    DiscoveryWatcher,
+)
+from crankfold.network.listener import MAX_UNREAD_BYTES, NEW_CONNECTION_GRACE, UNCOUNTED_SOCKETS, Listener
+from crankfold.network.metrics import Metrics
 from crankfold.network.timers import Clock, Timers
-from crankfold.network.watch import CONNECT, IN_TURN, LATE, MOST_CALLS, PAUSE, WAIT_MS, Watch
-from crankfold.protocol.runners import RunnerSide
+from crankfold.protocol.backend_connection import BackendConnection
 from tests.loopback import BACK, HEALTH, OK, UNIT, Between, Handler, Loopback
 from tests.scene import read_request
 
@@ -32,18 +40,18 @@
     """The listener before a desk that answers nothing by itself."""
 
     async def begin(self, most: int = 100) -> None:
-        self.desk = Mock(serving=lambda: True, knows_grade=lambda name: True)
-        self.tally = Tally()
+        self.desk = Mock(is_serving=lambda: True, knows_request_class=lambda name: True)
+        self.tally = Metrics()
         self.listener = Listener(self.desk, self.tally, (), most)
         await self.listener.open("127.0.0.1", 0)
         self.addAsyncCleanup(self.listener.close)
 
     async def connect(self, data: bytes = b"") -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
-        before = self.tally.counts["connections-taken"]
+        before = self.tally.counters["connections-taken"]
         reader, writer = await asyncio.open_connection("127.0.0.1", self.listener.port())
         self.addCleanup(writer.close)
         writer.write(data)
-        await self.until(lambda: self.tally.counts["connections-taken"] > before)
+        await self.until(lambda: self.tally.counters["connections-taken"] > before)
         return reader, writer
 
     async def test_who_brings_nothing_in_time_is_cut_off_and_who_did_may_rest(self) -> None:
@@ -55,16 +63,16 @@
         for reader in (usual, later):
             await read_request(reader)
         more.write(b"POST /api HTTP/1.1\r\nHo")
-        await self.until(lambda: sum(client.side.midway() for client in self.listener.clients) == 2)
-        with patch("crankfold.network.listener.FIRST", 0.0):
+        await self.until(lambda: sum(client.protocol.is_mid_request() for client in self.listener.connections) == 2)
+        with patch("crankfold.network.listener.FIRST_REQUEST_TIMEOUT", 0.0):
             self.listener.sweep()
         await self.ended(*strangers)
-        await self.until(lambda: len(self.listener.clients) == 2)
-        with patch("crankfold.network.listener.SLOWEST", 0.0):
+        await self.until(lambda: len(self.listener.connections) == 2)
+        with patch("crankfold.network.listener.TRANSFER_TIMEOUT", 0.0):
             self.listener.sweep()
         await self.ended(later)
-        self.assertEqual(self.tally.counts["clients-cut-off"], 4)
-        with patch("crankfold.network.listener.IDLE", 0.0):
+        self.assertEqual(self.tally.counters["clients-cut-off"], 4)
+        with patch("crankfold.network.listener.IDLE_TIMEOUT", 0.0):
             self.listener.sweep()
         await self.ended(usual)
 
@@ -79,21 +87,21 @@
         runner, _ = await self.connect(BACK)
         await read_request(runner)
         usual, _ = await self.connect(UNIT)
-        await self.until(lambda: self.desk.hand_in.called)
-        self.desk.hand_in.call_args[0][0].answer(200)
+        await self.until(lambda: self.desk.submit.called)
+        self.desk.submit.call_args[0][0].respond(200)
         await read_request(usual)
         silent, _ = await self.connect()
         asked, _ = await self.connect(HEALTH)
         await read_request(asked)
-        await asyncio.sleep(FRESH)
+        await asyncio.sleep(NEW_CONNECTION_GRACE)
         young, writer = await self.connect()
         for gone in (silent, asked, usual, runner):
             await self.connect(UNIT)
             await self.ended(gone)
-        await self.until(lambda: self.desk.hand_in.call_count == 5)
+        await self.until(lambda: self.desk.submit.call_count == 5)
         writer.write(HEALTH)
         await read_request(young)
-        self.assertEqual(self.tally.counts["connections-closed-for-room"], 4)
+        self.assertEqual(self.tally.counters["connections-closed-for-room"], 4)
 
     async def test_a_rush_of_connections_leaves_descriptors_free(self) -> None:
         await self.begin(most=20)
@@ -101,7 +109,7 @@
         limits = resource.getrlimit(resource.RLIMIT_NOFILE)
         rush = [socket.socket() for _ in range(300)]
         try:
-            resource.setrlimit(resource.RLIMIT_NOFILE, (open_before + 301 + 20 + UNCOUNTED, limits[1]))
+            resource.setrlimit(resource.RLIMIT_NOFILE, (open_before + 301 + 20 + UNCOUNTED_SOCKETS, limits[1]))
             for one in rush:
                 one.connect(("127.0.0.1", self.listener.port()))  # the system takes them; nobody here yet
             reader, writer = await asyncio.open_connection("127.0.0.1", self.listener.port())
@@ -111,7 +119,7 @@
             async with asyncio.timeout(9):
                 await read_request(reader)
             self.assertFalse(failed.called, failed.mock_calls)  # asyncio tells of it and rests for a second
-            self.assertLessEqual(len(self.listener.clients), 20)
+            self.assertLessEqual(len(self.listener.connections), 20)
             writer.close()
         finally:
             resource.setrlimit(resource.RLIMIT_NOFILE, limits)
@@ -123,74 +131,74 @@
         reader, _ = await self.connect(UNIT.replace(b"Timeout: 1", b"Timeout: soon") * 200 + UNIT)
         self.assertIn(b" 400 ", (await reader.readuntil(b"\r\n\r\n")))
         await self.ended(reader)
-        self.assertEqual(self.tally.counts["clients-answered-400"], 1)
-        self.assertFalse(self.desk.hand_in.called)
+        self.assertEqual(self.tally.counters["clients-answered-400"], 1)
+        self.assertFalse(self.desk.submit.called)
 
     async def test_near_the_limit_the_idle_go_and_a_request_in_hand_stays(self) -> None:
         await self.begin(most=2)
         reader, writer = await self.connect(UNIT)
-        await self.until(lambda: self.desk.hand_in.called)
+        await self.until(lambda: self.desk.submit.called)
         idle, _ = await self.connect()
-        self.assertFalse(self.listener.crowded())
+        self.assertFalse(self.listener.is_over_limit())
         await self.connect(UNIT)
         self.assertEqual(await idle.read(), b"")
-        await self.until(lambda: self.desk.hand_in.call_count == 2)
+        await self.until(lambda: self.desk.submit.call_count == 2)
         await self.connect(UNIT)
-        self.assertTrue(self.listener.crowded())  # the desk sheds what comes now
-        self.assertEqual(self.tally.counts["connections-over-limit"], 1)
-        self.desk.hand_in.call_args_list[0][0][0].answer(200, [], b"done")
+        self.assertTrue(self.listener.is_over_limit())  # the desk sheds what comes now
+        self.assertEqual(self.tally.counters["connections-over-limit"], 1)
+        self.desk.submit.call_args_list[0][0][0].respond(200, [], b"done")
         self.assertEqual((await read_request(reader))[1], b"done")
 
     async def test_the_answer_to_a_body_too_large_arrives_while_it_is_still_sent(self) -> None:
         await self.begin()
         reader, writer = await self.connect(UNIT.replace(b"Length: 2", b"Length: 9000000") + b"x" * 5_000_000)
         self.assertIn(b" 413 ", await reader.readline())
-        self.assertFalse(self.desk.hand_in.called)
+        self.assertFalse(self.desk.submit.called)
         failures: list[object] = []
         loop = asyncio.get_running_loop()
         loop.set_exception_handler(lambda _, context: failures.append(context))
-        client = next(iter(self.listener.clients))
-        await self.until(lambda: client.unread > MOST_UNREAD)  # from here on the rest is left outside
+        client = next(iter(self.listener.connections))
+        await self.until(lambda: client.unread_bytes > MAX_UNREAD_BYTES)  # from here on the rest is left outside
         for task in asyncio.all_tasks():
             if getattr(task.get_coro(), "__name__", "") == "_taken":
                 task.cancel()  # as the end of the program does
-        await self.until(lambda: not self.listener.clients)
+        await self.until(lambda: not self.listener.connections)
         await asyncio.sleep(0)
         self.assertEqual(failures, [])
 
     async def test_a_client_that_leaves_and_one_that_pipelines_without_end(self) -> None:
         await self.begin()
         reader, writer = await self.connect(UNIT + UNIT * 2000)
-        await self.until(lambda: self.desk.hand_in.called)
-        client = self.desk.hand_in.call_args[0][0]
-        await self.until(lambda: client.unread > MOST_UNREAD)
-        self.assertLess(client.unread, 2 * MOST_UNREAD)  # the rest waits outside
-        client.answer(200)
+        await self.until(lambda: self.desk.submit.called)
+        client = self.desk.submit.call_args[0][0]
+        await self.until(lambda: client.unread_bytes > MAX_UNREAD_BYTES)
+        self.assertLess(client.unread_bytes, 2 * MAX_UNREAD_BYTES)  # the rest waits outside
+        client.respond(200)
         await read_request(reader)
-        await self.until(lambda: self.desk.hand_in.call_count == 2)
+        await self.until(lambda: self.desk.submit.call_count == 2)
         _, leaving = await self.connect(UNIT)
-        await self.until(lambda: self.desk.hand_in.call_count == 3)
+        await self.until(lambda: self.desk.submit.call_count == 3)
         leaving.close()
-        await self.until(lambda: self.desk.left.called)
-        self.assertIs(self.desk.left.call_args[0][0], self.desk.hand_in.call_args[0][0])
+        await self.until(lambda: self.desk.client_disconnected.called)
+        self.assertIs(self.desk.client_disconnected.call_args[0][0], self.desk.submit.call_args[0][0])
 
 
 class Runners(Loopback):
-    def pool(self, port: int, room: bool = True) -> Pool:
-        self.tally = Tally()
-        return Pool("127.0.0.1", port, Sockets(9 if room else 0, 0.25, 5.0, self.tally))
+    def pool(self, port: int, room: bool = True) -> ConnectionPool:
+        self.tally = Metrics()
+        return ConnectionPool("127.0.0.1", port, ConnectionLimiter(9 if room else 0, 0.25, 5.0, self.tally))
 
-    async def carry(self, pool: Pool, what: str, body: bytes = b"x", may_go: bool = True) -> None:
+    async def carry(self, pool: ConnectionPool, what: str, body: bytes = b"x", may_go: bool = True) -> None:
         ends: list[str] = []
 
-        def ended(how: str, side: RunnerSide | None) -> None:
+        def ended(how: str, side: BackendConnection | None) -> None:
             ends.append(f"{what}: {how} {side.status if side else ''}".strip())
 
         exchange = Exchange(b"POST", b"/api", lambda: [(b"Host", b"b")], body, lambda: may_go, ended)
         pool.send(exchange)
         self.assertEqual(ends, [])  # never from within the call
         await self.until(lambda: bool(ends))
-        await asyncio.sleep(1.2 * SETTLE)  # from then on the connection may be used again
+        await asyncio.sleep(1.2 * SETTLE_TIME)  # from then on the connection may be used again
         self.lines += ends
 
     async def test_how_an_exchange_ends(self) -> None:
@@ -219,7 +227,7 @@
         for n in range(4):
             await self.carry(good, f"taken {n}")
         self.say(
-            f"  opened {self.tally.counts['connections-opened']} for 4, as the runner closes after three"
+            f"  opened {self.tally.counters['connections-opened']} for 4, as the runner closes after three"
         )
         await self.carry(self.pool(await self.stand_in(hang_up)), "closed before the answer")
         kept = self.pool(await self.stand_in(close_at_the_second))
@@ -228,17 +236,17 @@
         await self.carry(self.pool(await self.stand_in(babble)), "garbage")
         twice = self.pool(await self.stand_in(speak_first))
         await self.carry(twice, "answered twice")
-        self.say(f"  kept {len(twice.idle)}")
+        self.say(f"  kept {len(twice.idle_connections)}")
         port = await self.stand_in(accept)
         await self.carry(self.pool(port, room=False), "no socket left")
         drained = self.pool(port)
         await self.carry(drained, "drained while connecting", may_go=False)
-        self.say(f"  kept {len(drained.idle)}")
-        drained.sockets.sweep()
-        self.say(f"  kept after a sweep {len(drained.idle)}")
-        drained.sockets.idle_for = 0.0
-        drained.sockets.sweep()
-        self.say(f"  kept after its time at rest {len(drained.idle)}")
+        self.say(f"  kept {len(drained.idle_connections)}")
+        drained.limiter.sweep()
+        self.say(f"  kept after a sweep {len(drained.idle_connections)}")
+        drained.limiter.idle_timeout = 0.0
+        drained.limiter.sweep()
+        self.say(f"  kept after its time at rest {len(drained.idle_connections)}")
         drained.close()
         await self.carry(drained, "moved away")
         server = await asyncio.start_server(hang_up, "127.0.0.1", 0)
@@ -267,10 +275,10 @@
         exchange = Exchange(b"POST", b"/api", lambda: [(b"Host", b"b")], b"", lambda: True, lambda *_: None)
         pool.send(exchange)
         await self.until(lambda: exchange.connection is not None)
-        pool.cut(exchange)
+        pool.abort(exchange)
         async with asyncio.timeout(5):
             await closed.wait()
-        await self.until(lambda: pool.sockets.held == 0)
+        await self.until(lambda: pool.limiter.open_count == 0)
 
 
 class Watches(Loopback):
@@ -308,16 +316,16 @@
         ) -> Any:
             return f"{uid} {standing.name.lower()}"
 
-        tally = Tally()
-        tally.say = lambda kind, text: self.say(f"  logged: {text.partition(':')[0]}")  # type: ignore[method-assign]
-        watch = Watch(
+        tally = Metrics()
+        tally.warn = lambda kind, text: self.say(f"  logged: {text.partition(':')[0]}")  # type: ignore[method-assign]
+        watch = DiscoveryWatcher(
             "127.0.0.1",
             await self.stand_in(discovery),
             enlist,
             lambda entries, whole: self.say(f"  {'whole' if whole else 'changes'} {list(entries)}"),
             lambda: None,
             tally,
-            pause=0.01,
+            retry_interval=0.01,
         )
         watch.start(True)
         async with asyncio.timeout(5):
@@ -343,9 +351,9 @@
             self.say(f"told {'the whole' if whole else 'changes'}")
             told.set()
 
-        watch = Watch("127.0.0.1", await self.stand_in(discovery), Mock(), heard, lambda: None,
-                      Tally(), pause=0.01)
-        watch.rev = 5
+        watch = DiscoveryWatcher("127.0.0.1", await self.stand_in(discovery), Mock(), heard, lambda: None,
+                      Metrics(), retry_interval=0.01)
+        watch.revision = 5
         watch.start(True)
         async with asyncio.timeout(5):
             await told.wait()
@@ -361,8 +369,8 @@
                 body = b'{"rev":1,"all":false,"targets":[]}'
                 writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
 
-        watch = Watch(
-            "127.0.0.1", await self.stand_in(discovery), Mock(), lambda *_: None, lambda: None, Tally()
+        watch = DiscoveryWatcher(
+            "127.0.0.1", await self.stand_in(discovery), Mock(), lambda *_: None, lambda: None, Metrics()
         )
         watch.start(True)
         await asyncio.sleep(0.2)
@@ -370,25 +378,25 @@
         self.assertLess(1, len(asked))
         self.assertLess(len(asked), 12)
 
-    async def watched(self, discovery: Handler, rev: int = -1) -> tuple[Watch, asyncio.Event]:
+    async def watched(self, discovery: Handler, rev: int = -1) -> tuple[DiscoveryWatcher, asyncio.Event]:
         told = asyncio.Event()
 
         def heard(entries: Any, whole: bool) -> None:
             self.say(f"told {'the whole' if whole else 'changes'}")
             told.set()
 
-        watch = Watch("127.0.0.1", await self.stand_in(discovery), Mock(), heard, lambda: None, Tally())
-        watch.rev = rev
+        watch = DiscoveryWatcher("127.0.0.1", await self.stand_in(discovery), Mock(), heard, lambda: None, Metrics())
+        watch.revision = rev
         self.addCleanup(watch.stop)
         watch.start(True)
         return watch, told
 
     def test_the_longest_way_to_a_change_is_under_six_seconds(self) -> None:
         """Silent from the moment it was asked, and the next two connections not up or silent as well."""
-        of_pushed = WAIT_MS / 1000 + LATE + 2 * max(PAUSE, CONNECT) + PAUSE
+        of_pushed = LONG_POLL_MS / 1000 + OVERDUE_GRACE + 2 * max(RETRY_INTERVAL, CONNECT_TIMEOUT) + RETRY_INTERVAL
         self.assertLess(of_pushed, 5.0)
-        self.assertLess(WAIT_MS / 1000 + LATE + IN_TURN, 5.5)
-        self.assertLess(PAUSE, 0.25)  # less than any grace after a discovery that is back has told a drain
+        self.assertLess(LONG_POLL_MS / 1000 + OVERDUE_GRACE + POLL_RETRY_INTERVAL, 5.5)
+        self.assertLess(RETRY_INTERVAL, 0.25)  # less than any grace after a discovery that is back has told a drain
 
     async def test_a_watch_that_falls_silent_for_good_is_opened_anew_beside_it(self) -> None:
         silent = asyncio.Event()
@@ -405,12 +413,12 @@
             writer.write(CHANGES % 7)
             await reader.read()
 
-        with patch("crankfold.network.watch.WAIT_MS", 20), patch("crankfold.network.watch.LATE", 0.05):
+        with patch("crankfold.network.discovery_watcher.LONG_POLL_MS", 20), patch("crankfold.network.discovery_watcher.OVERDUE_GRACE", 0.05):
             watch, told = await self.watched(discovery, rev=5)
             async with asyncio.timeout(2):
                 await silent.wait()
-                self.assertEqual(watch.rev, 6)
-                await self.until(lambda: watch.rev == 7)
+                self.assertEqual(watch.revision, 6)
+                await self.until(lambda: watch.revision == 7)
         self.close("watch-silent")
 
     async def test_discovery_that_accepts_and_is_silent_is_heard_at_once_when_it_is_back(self) -> None:
@@ -431,14 +439,14 @@
             open_now.discard(writer)
 
         watch, told = await self.watched(discovery, rev=5)
-        with patch("crankfold.network.watch.WAIT_MS", 20), patch("crankfold.network.watch.LATE", 0.01):
+        with patch("crankfold.network.discovery_watcher.LONG_POLL_MS", 20), patch("crankfold.network.discovery_watcher.OVERDUE_GRACE", 0.01):
             await begun.wait()
-            await self.until(lambda: most >= MOST_CALLS)
-            await asyncio.sleep(4 * PAUSE)
+            await self.until(lambda: most >= MAX_WATCH_CALLS)
+            await asyncio.sleep(4 * RETRY_INTERVAL)
             back.set()
-            async with asyncio.timeout(2 * PAUSE):
+            async with asyncio.timeout(2 * RETRY_INTERVAL):
                 await told.wait()
-            self.assertLessEqual(most, MOST_CALLS + 1)  # one whose end has not arrived yet
+            self.assertLessEqual(most, MAX_WATCH_CALLS + 1)  # one whose end has not arrived yet
 
     async def test_an_answer_that_trickles_is_heard_out_while_others_are_silent(self) -> None:
         calls = 0
@@ -456,22 +464,22 @@
                         await self.until(lambda: calls > before)  # another has been asked meanwhile  # noqa: B023
             await reader.read()
 
-        with patch("crankfold.network.watch.LATE", 0.01), patch("crankfold.network.watch.PAUSE", 0.01):
+        with patch("crankfold.network.discovery_watcher.OVERDUE_GRACE", 0.01), patch("crankfold.network.discovery_watcher.RETRY_INTERVAL", 0.01):
             watch, told = await self.watched(discovery)
-            watch.pause = 0.01
+            watch.retry_interval = 0.01
             async with asyncio.timeout(5):
                 await told.wait()
-        self.assertGreater(calls, MOST_CALLS)
+        self.assertGreater(calls, MAX_WATCH_CALLS)
 
 
 class Wakes(Loopback):
     async def test_a_wake_never_comes_early(self) -> None:
         clock = Clock()
-        timers = Timers(clock, Tally())
+        timers = Timers(clock, Metrics())
         woken: list[int] = []
         for after in (0, 1, 9, 15, 33):
             due = clock.now() + after
-            timers.wake(after, partial(lambda due: woken.append(clock.now() - due), due))
+            timers.call_after(after, partial(lambda due: woken.append(clock.now() - due), due))
         await self.until(lambda: len(woken) == 5)
         self.assertGreaterEqual(min(woken), 0)
         early = clock.now() + 20
@@ -504,12 +512,12 @@
         answer = await self.ask("u1", "Idempotency-Key: t\r\nX-Cost: 20\r\n")
         async with asyncio.timeout(5):
             await told.wait()
-        await self.until(lambda: not self.node.desk.ledger.units and not self.node.desk.ledger.by_ident)
-        counts = self.node.tally.counts
+        await self.until(lambda: not self.node.request_handler.request_table.requests and not self.node.request_handler.request_table.by_request_id)
+        counts = self.node.metrics.counters
         self.say(f"client reads {answer}")
         self.say(
             " ".join(
-                f"{name} {counts[name]}" for name in ("taken", "dispatches", "done", "shed", "ended-done")
+                f"{name} {counts[name]}" for name in ("taken", "dispatches", "done", "shed", "ended-completed")
             )
         )
         self.close("whole")
@@ -535,9 +543,9 @@
         self.given["discovery"] = f"127.0.0.1:{await self.stand_in(discovery)}"
         del self.given["known"]
         await self.inside()
-        await self.until(lambda: self.node.tally.counts["lists-whole"] == 1)
+        await self.until(lambda: self.node.metrics.counters["lists-whole"] == 1)
         self.assertEqual(await self.ask("u1"), ("HTTP/1.1 200 OK", b"result"))
-        self.assertEqual((asked, self.node.tally.counts["discovery-failed"]), (["/v1/servers"] * 3, 2))
+        self.assertEqual((asked, self.node.metrics.counters["discovery-failed"]), (["/v1/servers"] * 3, 2))
 
     async def test_a_runner_that_vanished_holds_no_unit_past_its_cut_off(self) -> None:
         async def silent(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -551,7 +559,7 @@
         began = asyncio.get_running_loop().time()
         self.assertEqual((await self.ask("u1", wait=0.2))[0].split()[1], "504")
         self.assertLess(asyncio.get_running_loop().time() - began, 1.0)
-        await self.until(lambda: not self.node.desk.ledger.units and not self.node.sockets.held)
+        await self.until(lambda: not self.node.request_handler.request_table.requests and not self.node.connection_limiter.open_count)
         await self.until(lambda: len(heads) == 2)
         self.assertEqual(heads, [b"POST", b""])  # before the 202 a dispatch is called off by closing
 
@@ -565,7 +573,7 @@
         await self.begin(runner, **{"service-grades": once_only})
         await self.inside()
         self.assertEqual((await self.ask("u1"))[0].split()[1], "504")
-        self.assertEqual(self.node.tally.counts["given-up"], 1)
+        self.assertEqual(self.node.metrics.counters["given-up"], 1)
 
     async def test_a_unit_that_a_runner_finds_unfit_is_tried_once_and_nobody_is_doubted(self) -> None:
         async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -577,7 +585,7 @@
         await self.inside()
         for ident in ("u1", "u2", "u3"):
             self.assertEqual((await self.ask(ident))[0].split()[1], "400")
-        self.assertEqual((self.node.tally.counts["dispatches"], self.node.desk.decisions.errors), (3, [0.0]))
+        self.assertEqual((self.node.metrics.counters["dispatches"], self.node.request_handler.routing.error_rate), (3, [0.0]))
 
     async def test_ids_in_hand_a_full_house_and_a_runner_that_moves(self) -> None:
         posts: list[str] = []
@@ -596,20 +604,20 @@
         await self.begin(runner)
         await self.inside()
         first = asyncio.create_task(self.ask("u1"))
-        await self.until(lambda: self.node.tally.counts["dispatches"] == 1 and len(posts) == 1)
+        await self.until(lambda: self.node.metrics.counters["dispatches"] == 1 and len(posts) == 1)
         self.assertEqual((await self.ask("u1"))[0].split()[1], "409")
-        self.node.desk.crowded = lambda: True
+        self.node.request_handler.connections_exhausted = lambda: True
         self.assertEqual((await self.ask("u2"))[0].split()[1], "503")
-        self.node.desk.crowded = lambda: False
-        self.assertEqual((self.node.tally.counts["shed-for-room"], posts), (1, ["POST"]))
+        self.node.request_handler.connections_exhausted = lambda: False
+        self.assertEqual((self.node.metrics.counters["shed-for-room"], posts), (1, ["POST"]))
         # Called off, but the runner does not heed it: no second dispatch goes there, and it ends as not sent.
-        await self.until(lambda: self.node.desk.ledger.units[0].trips[0].taken)
-        self.node.desk.cancel(0, 0)
+        await self.until(lambda: self.node.request_handler.request_table.requests[0].attempts[0].accepted)
+        self.node.request_handler.cancel_attempt(0, 0)
         self.assertEqual((await first)[0].split()[1], "503")
-        self.assertEqual((posts, self.node.tally.counts["ended-not-sent"]), (["POST", "DELETE"], 1))
+        self.assertEqual((posts, self.node.metrics.counters["ended-not-sent"]), (["POST", "DELETE"], 1))
         self.runner_port = await self.stand_in(moved)
         self.changed.set()
-        await self.until(lambda: self.node.tally.counts["lists-whole"] == 2)
+        await self.until(lambda: self.node.metrics.counters["lists-whole"] == 2)
         self.assertEqual((await self.ask("u3"))[1], b"moved")
 
     async def test_a_client_that_leaves_is_forgotten_and_its_dispatch_called_off(self) -> None:
@@ -627,11 +635,11 @@
         asking = asyncio.create_task(self.ask("u1"))
         async with asyncio.timeout(5):
             await taken.wait()
-            units = self.node.desk.ledger.units
-            await self.until(lambda: any(trip.taken for work in units.values() for trip in work.trips))
+            units = self.node.request_handler.request_table.requests
+            await self.until(lambda: any(trip.accepted for work in units.values() for trip in work.attempts))
             asking.cancel()
             await called_off.wait()
-        await self.until(lambda: not self.node.desk.ledger.units and not self.node.desk.ledger.by_client)
+        await self.until(lambda: not self.node.request_handler.request_table.requests and not self.node.request_handler.request_table.by_client)
 
     async def test_a_drain_told_while_connecting_holds_the_unit_back(self) -> None:
         async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -639,18 +647,18 @@
 
         await self.begin(runner)
         await self.inside()
-        pool = self.node.fleet.pools[0]
-        opening = pool._open
+        pool = self.node.backend_registry.pools[0]
+        opening = pool._connect
 
         async def told_meanwhile(exchange: Exchange) -> None:
             self.state = "terminating"
             self.changed.set()
-            await self.until(lambda: self.node.tally.counts["lists-whole"] == 2)
+            await self.until(lambda: self.node.metrics.counters["lists-whole"] == 2)
             await opening(exchange)
 
-        pool._open = told_meanwhile  # type: ignore[method-assign]
+        pool._connect = told_meanwhile  # type: ignore[method-assign]
         self.assertEqual((await self.ask("u1"))[0].split()[1], "503")
-        self.assertEqual((self.lines, self.node.tally.counts["ended-not-sent"]), ([], 1))
+        self.assertEqual((self.lines, self.node.metrics.counters["ended-not-sent"]), ([], 1))
 
     async def test_a_failure_in_the_decisions_gives_up_the_unit_in_hand_and_serving_goes_on(self) -> None:
         async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -658,10 +666,10 @@
 
         await self.begin(runner)
         program = (
-            "import sys; from crankfold.dispatch.policy import Dispatcher\n"
+            "import sys; from crankfold.routing.policy import Router\n"
             "def broken(*told): raise ValueError('a bug')\n"
-            "Dispatcher.taken = broken\n"
-            "from crankfold.cli import main; main(['serve'])"
+            "Router.request_received = broken\n"
+            "from crankfold.cli.main import main; main(['serve'])"
         )
         lines = await self.outside(["-O", "-c", program])
         for ident in ("u1", "u2"):  # at once, not when their time is up
@@ -780,11 +788,11 @@
         await self.begin(silent, **{"service-grades": once_only})
         await self.inside()
         asked = [asyncio.create_task(self.ask("sent"))]
-        await self.until(lambda: self.node.tally.counts["dispatches"] == 1)
-        self.node.desk.decisions.limit = 0.0  # what comes from here on is held
+        await self.until(lambda: self.node.metrics.counters["dispatches"] == 1)
+        self.node.request_handler.routing.limit = 0.0  # what comes from here on is held
         asked.append(asyncio.create_task(self.ask("held")))
-        await self.until(lambda: self.node.desk.open_units() == 2)
-        self.node.desk.close_all()
+        await self.until(lambda: self.node.request_handler.open_request_count() == 2)
+        self.node.request_handler.answer_all_open()
         self.assertEqual([(await one)[0].split()[1] for one in asked], ["504", "503"])
 
     async def test_killed_and_started_again_it_serves_and_takes_old_call_backs(self) -> None:
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -11,17 +11,17 @@
 
 import orjson
 
-from crankfold.dispatch.interface import Listing, Standing
-from crankfold.network.door import PLACES, Door
+from crankfold.config.parser import read_service_config
+from crankfold.network.admin_server import MAX_CALLERS, AdminServer
+from crankfold.network.connection_pool import Exchange
 from crankfold.network.listener import Listener
-from crankfold.network.runners import Exchange
-from crankfold.network.tally import Tally
-from crankfold.orders.reader import house_rules
-from crankfold.protocol.operators import MOST_CALL, OperatorSide, carry_out
-from crankfold.service.bans import Bans
-from crankfold.service.duty import Duty
-from crankfold.service.fleet import Fleet
-from crankfold.service.node import Node, shares
+from crankfold.network.metrics import Metrics
+from crankfold.protocol.admin_api import MAX_CALL_SIZE, AdminConnection, execute
+from crankfold.routing.interface import Endpoint, EndpointState
+from crankfold.service.application import Application, divide_socket_limit
+from crankfold.service.backend_registry import BackendRegistry
+from crankfold.service.lifecycle import Lifecycle
+from crankfold.service.manual_drains import ManualDrains
 from tests.loopback import OK, Between, Loopback
 from tests.scene import Kept, read_request
 
@@ -43,7 +43,7 @@
     "a bad length": b"POST /control/in-service HTTP/1.1\r\nHost: b\r\nContent-Length: -1\r\n\r\n",
     "no host": b"GET /control/ready HTTP/1.1\r\n\r\n",
     "too long": b"POST /control/in-service HTTP/1.1\r\nHost: b\r\nContent-Length: 9000\r\n\r\n" + b"x" * 9000,
-    "a head without end": b"GET /control/ready HTTP/1.1\r\n" + b"X-A: b\r\n" * 2 * (MOST_CALL // 8),
+    "a head without end": b"GET /control/ready HTTP/1.1\r\n" + b"X-A: b\r\n" * 2 * (MAX_CALL_SIZE // 8),
 }
 
 
@@ -64,22 +64,22 @@
             return yes
 
         operated = Mock(
-            ready=lambda: heard("ready?", False), leave_service=lambda: heard("leave", True),
-            out=AsyncMock(side_effect=lambda uid: heard(f"out {uid!r}", uid != "nobody")),
-            back=AsyncMock(side_effect=lambda uid: heard(f"back {uid!r}", True)),
+            is_ready=lambda: heard("ready?", False), leave_service=lambda: heard("leave", True),
+            drain_backend=AsyncMock(side_effect=lambda uid: heard(f"out {uid!r}", uid != "nobody")),
+            restore_backend=AsyncMock(side_effect=lambda uid: heard(f"back {uid!r}", True)),
             enter_service=lambda: heard("enter", True))
-        side = OperatorSide()
+        side = AdminConnection()
         for piece in pieces:
-            side.feed(piece)
-        if side.call:
-            await carry_out(side, operated)
-        head, _, body = b"".join(side.out).partition(b"\r\n\r\n")
+            side.receive_data(piece)
+        if side.command:
+            await execute(side, operated)
+        head, _, body = b"".join(side.outgoing).partition(b"\r\n\r\n")
         self.assertIn(b"Connection: close", head)
         return f"{', '.join(told) or '-'}: {head.split()[1].decode()} {body.decode().strip()}"
 
     async def test_silent_callers_by_hundreds_keep_nobody_out(self) -> None:
-        tally = Tally()
-        door = Door(Mock(ready=lambda: True), tally)
+        tally = Metrics()
+        door = AdminServer(Mock(is_ready=lambda: True), tally)
         await door.open("127.0.0.1", 0)
         self.addAsyncCleanup(door.close)
         silent = []
@@ -88,7 +88,7 @@
             self.addCleanup(writer.close)
             writer.write(b"" if n % 2 else b"GET /control/re")
             silent.append(reader)
-            self.assertLessEqual(len(door.callers), PLACES)
+            self.assertLessEqual(len(door.connections), MAX_CALLERS)
         began = time.monotonic()
         self.assertEqual(await self.call(door.port(), "ready", "GET"), "200 ready")
         self.assertLess(time.monotonic() - began, 0.5)
@@ -96,7 +96,7 @@
             self.assertEqual(await silent[0].read(), b"")  # the first to come went for the last
         async with asyncio.timeout(5):  # and who stays without a call is told so
             self.assertIn(b" 408 ", await silent[-1].readline())
-        await self.until(lambda: not door.callers)
+        await self.until(lambda: not door.connections)
 
     async def test_who_waits_for_a_decision_is_not_sent_away_for_who_says_nothing(self) -> None:
         decided = asyncio.Event()
@@ -105,12 +105,12 @@
             await decided.wait()
             return True
 
-        door = Door(Mock(out=out), Tally())
+        door = AdminServer(Mock(drain_backend=out), Metrics())
         await door.open("127.0.0.1", 0)
         self.addAsyncCleanup(door.close)
         waiting = asyncio.create_task(self.call(door.port(), "runners/a/offline"))
-        await self.until(lambda: any(side.call for side in door.callers))
-        for _ in range(2 * PLACES):
+        await self.until(lambda: any(side.command for side in door.connections))
+        for _ in range(2 * MAX_CALLERS):
             _, writer = await asyncio.open_connection("127.0.0.1", door.port())
             self.addCleanup(writer.close)
         await asyncio.sleep(0.05)
@@ -121,13 +121,13 @@
 class AtTheLimit(Loopback):
     async def test_clients_that_use_up_their_places_leave_the_operators_theirs(self) -> None:
         given: dict[str, Any] = {"limits": {"sockets": 120}}
-        with_door, without = shares(given, True)[1], shares(given, False)[1]
-        self.assertGreaterEqual(without - with_door, PLACES)
-        tally = Tally()
-        listener = Listener(Mock(serving=lambda: True), tally, (), with_door)
+        with_door, without = divide_socket_limit(given, True)[1], divide_socket_limit(given, False)[1]
+        self.assertGreaterEqual(without - with_door, MAX_CALLERS)
+        tally = Metrics()
+        listener = Listener(Mock(is_serving=lambda: True), tally, (), with_door)
         await listener.open("127.0.0.1", 0)
         self.addAsyncCleanup(listener.close)
-        door = Door(Mock(ready=lambda: True), tally)
+        door = AdminServer(Mock(is_ready=lambda: True), tally)
         await door.open("127.0.0.1", 0)
         self.addAsyncCleanup(door.close)
         limits = resource.getrlimit(resource.RLIMIT_NOFILE)
@@ -141,7 +141,7 @@
                 began = time.monotonic()
                 self.assertEqual(await self.call(door.port(), "ready", "GET"), "200 ready")
                 self.assertLess(time.monotonic() - began, 0.9)
-            self.assertLessEqual(len(listener.clients), with_door)
+            self.assertLessEqual(len(listener.connections), with_door)
         finally:
             resource.setrlimit(resource.RLIMIT_NOFILE, limits)
             for one in rush:
@@ -150,95 +150,95 @@
 
 class Decided(Kept):
     def test_bans_lie_over_what_is_listed(self) -> None:
-        bans = Bans()
+        bans = ManualDrains()
 
-        def listed(now: int, standing: Standing, since: int) -> None:
-            entry = bans.over("a", Listing(0, standing, 1.0, 0, 0, since))
+        def listed(now: int, standing: EndpointState, since: int) -> None:
+            entry = bans.apply_to("a", Endpoint(0, standing, 1.0, 0, 0, since))
             self.say(f"{now}: listed {standing.name.lower()} started {since}: counts as "
-                     f"{entry.standing.name.lower()} started {entry.since}")
+                     f"{entry.state.name.lower()} started {entry.started_at}")
 
-        listed(10, Standing.READY, 0)
-        self.say(f"20: out {bans.out('a', 20)}, again {bans.out('a', 25)}")
-        listed(30, Standing.READY, 0)
-        listed(31, Standing.DRAINING, 0)
-        listed(32, Standing.GONE, 0)
+        listed(10, EndpointState.READY, 0)
+        self.say(f"20: out {bans.drain('a', 20)}, again {bans.drain('a', 25)}")
+        listed(30, EndpointState.READY, 0)
+        listed(31, EndpointState.DRAINING, 0)
+        listed(32, EndpointState.REMOVED, 0)
         self.say("the list still shows the old start")
-        self.say(f"40: back {bans.back('a', 40, False)}, again {bans.back('a', 41, False)}")
-        listed(42, Standing.READY, 0)
+        self.say(f"40: back {bans.restore('a', 40, False)}, again {bans.restore('a', 41, False)}")
+        listed(42, EndpointState.READY, 0)
         self.say("out and back once more, on the same connection: as cold as before")
-        self.say(f"44: out {bans.out('a', 44)}; 45: back {bans.back('a', 45, True)}")
-        listed(46, Standing.READY, 0)
+        self.say(f"44: out {bans.drain('a', 44)}; 45: back {bans.restore('a', 45, True)}")
+        listed(46, EndpointState.READY, 0)
         self.say("the list catches up")
-        listed(50, Standing.READY, 24)
-        listed(51, Standing.READY, 24)
-        self.say(f"60: out {bans.out('a', 60)}; 70: back, never restarted {bans.back('a', 70, True)}")
-        listed(71, Standing.READY, 24)
+        listed(50, EndpointState.READY, 24)
+        listed(51, EndpointState.READY, 24)
+        self.say(f"60: out {bans.drain('a', 60)}; 70: back, never restarted {bans.restore('a', 70, True)}")
+        listed(71, EndpointState.READY, 24)
         self.close("operators-bans")
 
     def test_duty_from_start_to_end(self) -> None:
-        duty = Duty()
+        duty = Lifecycle()
 
         def shown(at: float, what: str, yes: bool | None = None) -> None:
-            self.say(f"{at:3} {what}{'' if yes is None else ' yes' if yes else ' no'}: {duty.stage.value}"
-                     f"{', healthy' if duty.healthy() else ''}{', last answers' if duty.leaving() else ''}"
-                     f"{', closes idle' if duty.closes_idle(at) else ''}")
+            self.say(f"{at:3} {what}{'' if yes is None else ' yes' if yes else ' no'}: {duty.state.value}"
+                     f"{', healthy' if duty.is_serving() else ''}{', last answers' if duty.is_leaving() else ''}"
+                     f"{', closes idle' if duty.closes_idle_connections(at) else ''}")
 
         shown(0.0, "made")
-        duty.begin(0.1)
+        duty.start_serving(0.1)
         shown(0.1, "begun")
-        shown(1.0, "leave", duty.leave(1.0))
-        shown(1.2, "empty already", duty.tend(1.2, True))
-        shown(2.0, "leave again", duty.leave(2.0))
-        shown(2.6, "somebody left", duty.tend(2.6, False))
-        shown(2.7, "back in the middle", duty.come_back(2.7))
-        shown(2.8, "nobody left, but in service", duty.tend(2.8, True))
-        shown(3.0, "leave", duty.leave(3.0))
-        shown(5.0, "nobody left", duty.tend(5.0, True))
-        shown(5.1, "leave again", duty.leave(5.1))
-        shown(6.0, "back", duty.come_back(6.0))
-        shown(6.1, "back again", duty.come_back(6.1))
-        duty.end(7.0)
+        shown(1.0, "leave", duty.start_drain(1.0))
+        shown(1.2, "empty already", duty.finish_drain(1.2, True))
+        shown(2.0, "leave again", duty.start_drain(2.0))
+        shown(2.6, "somebody left", duty.finish_drain(2.6, False))
+        shown(2.7, "back in the middle", duty.resume_serving(2.7))
+        shown(2.8, "nobody left, but in service", duty.finish_drain(2.8, True))
+        shown(3.0, "leave", duty.start_drain(3.0))
+        shown(5.0, "nobody left", duty.finish_drain(5.0, True))
+        shown(5.1, "leave again", duty.start_drain(5.1))
+        shown(6.0, "back", duty.resume_serving(6.0))
+        shown(6.1, "back again", duty.resume_serving(6.1))
+        duty.start_shutdown(7.0)
         shown(7.0, "ended")
-        shown(7.1, "leave", duty.leave(7.1))
-        shown(7.2, "back", duty.come_back(7.2))
-        early = Duty()
-        early.leave(0.0)
-        early.begin(0.1)
-        self.say(f"told to leave before it had begun: {early.stage.value}")
+        shown(7.1, "leave", duty.start_drain(7.1))
+        shown(7.2, "back", duty.resume_serving(7.2))
+        early = Lifecycle()
+        early.start_drain(0.0)
+        early.start_serving(0.1)
+        self.say(f"told to leave before it had begun: {early.state.value}")
         self.close("operators-duty")
 
 
 class TwoProcesses(Kept):
     """What the one that goes leaves to the one that comes."""
 
-    def fleet(self) -> Fleet:
-        rules = house_rules({"rules.warm-after": "1000000"})
-        return Fleet(rules, Mock(clock=Mock(now=lambda: 100_000)), Mock())
+    def fleet(self) -> BackendRegistry:
+        rules = read_service_config({"rules.warm-after": "1000000"})
+        return BackendRegistry(rules, Mock(clock=Mock(now=lambda: 100_000)), Mock())
 
     def test_cold_runners_are_left_to_the_successor_and_taken_back(self) -> None:
         fleet = self.fleet()
-        entries = [fleet.enlist(uid, "h", 1, "z", "k", 0, Standing.READY, 1.0, boot)
+        entries = [fleet.register(uid, "h", 1, "z", "k", 0, EndpointState.READY, 1.0, boot)
                    for uid, boot in (("old", 0), ("warm", 8_000), ("cold", 9_500))]
-        fleet.listed(entries, True)
-        self.assertEqual(fleet.standing, [Standing.READY] * 3)
-        fleet.leave_cold(True)
-        self.assertEqual(fleet.standing, [Standing.READY, Standing.READY, Standing.DRAINING])
-        fleet.listed(entries[2:], False)  # whatever the list says meanwhile
-        self.assertEqual(fleet.standing[2], Standing.DRAINING)
-        told = fleet.leave_cold(False)
-        self.assertEqual((fleet.standing, len(told)), ([Standing.READY] * 3, 2))
+        fleet.update_endpoints(entries, True)
+        self.assertEqual(fleet.states, [EndpointState.READY] * 3)
+        fleet.reserve_slow_start(True)
+        self.assertEqual(fleet.states, [EndpointState.READY, EndpointState.READY, EndpointState.DRAINING])
+        fleet.update_endpoints(entries[2:], False)  # whatever the list says meanwhile
+        self.assertEqual(fleet.states[2], EndpointState.DRAINING)
+        told = fleet.reserve_slow_start(False)
+        self.assertEqual((fleet.states, len(told)), ([EndpointState.READY] * 3, 2))
 
     def test_descriptors_of_both_stay_under_the_limit(self) -> None:
         given: dict[str, Any] = {"limits": {"sockets": 384}}
-        to_runners, others = shares(given, True)
+        to_runners, others = divide_socket_limit(given, True)
         for held in (0, 100, others):
-            node, old = (Mock(shares=(to_runners, others), sockets=Mock(), listener=Mock()) for _ in "no")
-            Node._share(old, 0, 0, True)
-            Node._share(node, held, old.sockets.most, False)
-            self.assertLessEqual(node.listener.most + held + to_runners + 2 * PLACES, 384)
-            self.assertLessEqual(node.sockets.most + old.sockets.most, to_runners)
-            Node._share(node, 0, 0, False)  # the old one has left
-            self.assertEqual((node.sockets.most, node.listener.most), (to_runners, others))
+            node, old = (Mock(socket_limits=(to_runners, others), connection_limiter=Mock(), listener=Mock()) for _ in "no")
+            Application._share_sockets(old, 0, 0, True)
+            Application._share_sockets(node, held, old.connection_limiter.max_connections, False)
+            self.assertLessEqual(node.listener.max_connections + held + to_runners + 2 * MAX_CALLERS, 384)
+            self.assertLessEqual(node.connection_limiter.max_connections + old.connection_limiter.max_connections, to_runners)
+            Application._share_sockets(node, 0, 0, False)  # the old one has left
+            self.assertEqual((node.connection_limiter.max_connections, node.listener.max_connections), (to_runners, others))
 
 
 class InService(Between):
@@ -259,7 +259,7 @@
         await self.begin(runner, rules={"cold-from": 0.2, "warm-after": 10_000_000})
         self.given["admin_addr"] = "127.0.0.1:0"
         await self.inside()
-        self.door = self.node.door.port()
+        self.door = self.node.admin_server.port()
 
     async def test_out_by_hand_until_the_call_back_whatever_lists_say(self) -> None:
         await self.with_door()
@@ -271,39 +271,39 @@
             self.assertEqual(await self.call(self.door, "runners/a/offline"), "200 offline")
         self.assertEqual(await self.call(self.door, "ready", "GET"), "503 not ready")  # nowhere to send
         for state in ("terminating", "in_service"):
-            before, self.state = self.node.tally.counts["lists-whole"], state
+            before, self.state = self.node.metrics.counters["lists-whole"], state
             self.changed.set()
-            await self.until(lambda before=before: self.node.tally.counts["lists-whole"] > before)  # type: ignore[misc]
+            await self.until(lambda before=before: self.node.metrics.counters["lists-whole"] > before)  # type: ignore[misc]
         self.assertEqual(((await self.ask("u2", wait=0.3))[0].split()[1], self.reads), ("503", 1))
         self.assertEqual(await self.call(self.door, "runners/a/online"), "200 online")
         self.assertEqual(((await self.ask("u3"))[1], self.reads), (b"done", 2))
-        self.assertEqual(self.node.desk.grades.open, [0])
-        self.assertEqual(self.node.desk.decisions.since[0], 0)  # its kept connection shows it never restarted
+        self.assertEqual(self.node.request_handler.request_classes.open_counts, [0])
+        self.assertEqual(self.node.request_handler.routing.started_at[0], 0)  # its kept connection shows it never restarted
 
     async def test_back_after_a_restart_that_the_list_does_not_show_it_is_cold(self) -> None:
         await self.with_door()
         self.assertEqual((await self.ask("u1"))[1], b"done")
         await self.call(self.door, "runners/a/offline")
-        for link in list(self.node.fleet.pools[0].idle):
+        for link in list(self.node.backend_registry.pools[0].idle_connections):
             link.close()  # as the restarted runner does
         before = self.node.timers.clock.now()
         await self.call(self.door, "runners/a/online")
-        decisions = self.node.desk.decisions
-        self.assertGreaterEqual(decisions.since[0], before)
-        self.assertGreater(decisions.warm_at[0], self.node.timers.clock.now() + 50_000)
+        decisions = self.node.request_handler.routing
+        self.assertGreaterEqual(decisions.started_at[0], before)
+        self.assertGreater(decisions.warm_from[0], self.node.timers.clock.now() + 50_000)
 
     async def test_a_ban_called_while_the_connection_comes_up_holds_the_unit_back(self) -> None:
         await self.with_door()
-        pool = self.node.fleet.pools[0]
-        opening = pool._open
+        pool = self.node.backend_registry.pools[0]
+        opening = pool._connect
 
         async def banned_meanwhile(exchange: Exchange) -> None:
             self.assertEqual(await self.call(self.door, "runners/a/offline"), "200 offline")
             await opening(exchange)
 
-        pool._open = banned_meanwhile  # type: ignore[method-assign]
+        pool._connect = banned_meanwhile  # type: ignore[method-assign]
         self.assertEqual((await self.ask("u1", wait=0.5))[0].split()[1], "503")
-        self.assertEqual((self.reads, self.node.tally.counts["ended-not-sent"]), (0, 1))
+        self.assertEqual((self.reads, self.node.metrics.counters["ended-not-sent"]), (0, 1))
 
     async def test_a_drain_serves_what_comes_closes_what_rests_and_returns(self) -> None:
         await self.with_door()
@@ -320,7 +320,7 @@
         self.assertNotIn("close", (await read_request(used))[0])
         held = asyncio.create_task(self.ask("held"))
         await self.until(lambda: self.reads == 2)
-        with patch("crankfold.service.duty.MOVING_ON", 0.3):
+        with patch("crankfold.service.lifecycle.CLIENT_MIGRATION_PERIOD", 0.3):
             for _ in range(2):
                 self.assertEqual(await self.call(self.door, "out-of-service"), "200 out of service")
             self.assertEqual(await self.call(self.door, "ready", "GET"), "503 not ready")
@@ -336,21 +336,21 @@
             self.assertFalse(held.done())
             await self.tell(id="held", **{"from": "a"}, state="done", result="held")
             self.assertEqual((await held)[1], b"held")
-            await self.until(lambda: self.node.duty.stage.value == "out of service")
+            await self.until(lambda: self.node.lifecycle.state.value == "out of service")
         self.assertFalse(resting.at_eof())  # a runner's
         self.assertEqual(await self.call(self.door, "in-service"), "200 in service")
         self.assertEqual(await self.health(), "200")
         self.assertEqual((await self.ask("later"))[1], b"done")
         # Drained once more, and called back in its last moment: as the last connection goes.
         last = asyncio.create_task(self.ask("held2"))
-        await self.until(lambda: "held2" in self.node.desk.ledger.by_ident)
-        with patch("crankfold.service.duty.MOVING_ON", 0.0):
+        await self.until(lambda: "held2" in self.node.request_handler.request_table.by_request_id)
+        with patch("crankfold.service.lifecycle.CLIENT_MIGRATION_PERIOD", 0.0):
             await self.call(self.door, "out-of-service")
             await self.tell(id="held2", **{"from": "a"}, state="done", result="held2")
             self.assertEqual((await last)[1], b"held2")
             self.assertEqual(await self.call(self.door, "in-service"), "200 in service")
         await asyncio.sleep(0.1)
-        self.assertEqual((self.node.duty.stage.value, await self.health()), ("in service", "200"))
+        self.assertEqual((self.node.lifecycle.state.value, await self.health()), ("in service", "200"))
         # Called back in the middle: whoever was not closed yet is kept.
         use.close()
         used, use = await asyncio.open_connection("127.0.0.1", self.port)
@@ -360,8 +360,8 @@
         use.write(unit % b"u3")
         self.assertNotIn("close", (await read_request(used))[0])
         await self.call(self.door, "out-of-service")
-        self.node.ending.set()  # SIGTERM, in the middle of a drain by call
-        await self.until(lambda: self.node.duty.stage.value == "ending")
+        self.node.shutdown_requested.set()  # SIGTERM, in the middle of a drain by call
+        await self.until(lambda: self.node.lifecycle.state.value == "ending")
         self.assertEqual(await self.call(self.door, "in-service"), "409 ending")
 
     async def health(self) -> str:
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -2,12 +2,18 @@
 
 from collections.abc import Sequence
 
-from crankfold.dispatch.interface import Listing, Outcome, Standing
-from crankfold.orders.reader import from_lines, from_nested, house_rules, standing_orders
-from crankfold.protocol import callbacks, reports
-from crankfold.protocol.clients import ClientSide
-from crankfold.protocol.discovery import DiscoverySide, Unreadable, read_list
-from crankfold.protocol.runners import TAKEN, UNFIT, RunnerSide, dispatch_heads, outcome_of
+from crankfold.config.parser import flatten_settings, parse_lines, read_routing_config, read_service_config
+from crankfold.protocol import callbacks, load_reports
+from crankfold.protocol.backend_connection import (
+    ACCEPTED,
+    REJECTED,
+    BackendConnection,
+    attempt_headers,
+    classify_response,
+)
+from crankfold.protocol.client_connection import ClientConnection
+from crankfold.protocol.discovery import DiscoveryConnection, DiscoveryError, decode_endpoints
+from crankfold.routing.interface import Endpoint, EndpointState, Outcome
 from tests.scene import Kept
 
 HEAD = b"POST /api?k=1 HTTP/1.1\r\nHost: b\r\nX-Request-ID: u1\r\nX-Priority-Class: g\r\nX-Timeout: 0.48\r\n"
@@ -20,13 +26,13 @@
 class Door(Kept):
     """Stands where the desk does and writes down what reaches it."""
 
-    def serving(self) -> bool:
+    def is_serving(self) -> bool:
         return True
 
-    def knows_grade(self, name: str) -> bool:
+    def knows_request_class(self, name: str) -> bool:
         return name == "g"
 
-    def hand_in(
+    def submit(
         self,
         client: object,
         ident: str,
@@ -46,55 +52,55 @@
             + " ".join(f"{name.decode()}={value.decode()}" for name, value in heads)
         )
 
-    def holds(self, ident: str) -> bool:
+    def has_request(self, ident: str) -> bool:
         return ident != "elsewhere"
 
-    def elsewhere_told(self, client: object, body: bytes) -> bool:
+    def forward_unknown_callback(self, client: object, body: bytes) -> bool:
         self.say(f"passed on {body.decode()}")
         return True
 
-    def job_started(self, ident: str, uid: str) -> None:
+    def execution_started(self, ident: str, uid: str) -> None:
         self.say(f"{ident} started on {uid}")
 
-    def job_running(self, ident: str, uid: str, share: float) -> None:
+    def execution_progressed(self, ident: str, uid: str, share: float) -> None:
         self.say(f"{ident} on {uid}: {share:g} done")
 
-    def job_ended(
+    def execution_ended(
         self, ident: str, uid: str, outcome: Outcome, result: bytes, report: Sequence[float]
     ) -> None:
         self.say(f"{ident} on {uid}: {outcome.name.lower()} {result.decode()} {tuple(report)}")
 
-    def side(self) -> ClientSide:
-        return ClientSide(self, self, ("queue", "x0"))
+    def side(self) -> ClientConnection:
+        return ClientConnection(self, self, ("queue", "x0"))
 
-    def wrote(self, side: ClientSide) -> None:
-        if side.out:
-            self.say("< " + b"".join(side.out).decode().replace("\r\n", " "))
-            side.out.clear()
+    def wrote(self, side: ClientConnection) -> None:
+        if side.outgoing:
+            self.say("< " + b"".join(side.outgoing).decode().replace("\r\n", " "))
+            side.outgoing.clear()
 
     def test_units_whole_in_pieces_and_pipelined(self) -> None:
         whole, pieces = self.side(), self.side()
-        whole.feed(UNIT + UNIT.replace(b"u1", b"u2"))
+        whole.receive_data(UNIT + UNIT.replace(b"u1", b"u2"))
         self.say("nothing of the second is read before the first is answered")
-        whole.answer(200, [], b"done")
-        whole.go_on()
+        whole.respond(200, [], b"done")
+        whole.process_buffered()
         self.wrote(whole)
         for at in range(len(UNIT)):
-            pieces.feed(UNIT[at : at + 1])
-        pieces.last = True
-        pieces.answer(503, [(b"Retry-After", b"0.500")])
+            pieces.receive_data(UNIT[at : at + 1])
+        pieces.close_after_response = True
+        pieces.respond(503, [(b"Retry-After", b"0.500")])
         self.wrote(pieces)
         self.say(f"closing {pieces.closing}")
         chunked, waiting = self.side(), self.side()
-        chunked.feed(
+        chunked.receive_data(
             HEAD + b"Transfer-Encoding: chunked\r\nX-Odd: \x80\r\nX-Own: 1\r\n\r\n2\r\nhi\r\n0\r\n\r\n"
         )
-        waiting.feed(HEAD + b"Expect: 100-continue\r\nContent-Length: 2\r\n\r\n")
+        waiting.receive_data(HEAD + b"Expect: 100-continue\r\nContent-Length: 2\r\n\r\n")
         self.wrote(waiting)
-        waiting.feed(b"hi")
+        waiting.receive_data(b"hi")
         old = self.side()
-        old.feed(UNIT.replace(b"HTTP/1.1\r\nHost: b", b"HTTP/1.0"))
-        old.answer(200)
+        old.receive_data(UNIT.replace(b"HTTP/1.1\r\nHost: b", b"HTTP/1.0"))
+        old.respond(200)
         self.wrote(old)
         self.close("units")
 
@@ -113,10 +119,10 @@
             seen = []
             for cut in range(1, len(what)):
                 side, self.lines = self.side(), []
-                side.feed(what[:cut])
-                side.feed(what[cut:])
+                side.receive_data(what[:cut])
+                side.receive_data(what[cut:])
                 self.wrote(side)
-                seen.append([*self.lines, f"in hand {side.in_hand}, closing {side.closing}"])
+                seen.append([*self.lines, f"in hand {side.awaiting_response}, closing {side.closing}"])
             self.assertEqual([one for one in seen if one != seen[0]], [])
             self.assertGreater(len(seen[0]), 1)
 
@@ -151,8 +157,8 @@
             "health, head": b"HEAD /healthz HTTP/1.1\r\nHost: b\r\n\r\n",
         }.items():
             side = self.side()
-            side.feed(data)
-            first = b"".join(side.out).partition(b"\r\n")[0].decode()
+            side.receive_data(data)
+            first = b"".join(side.outgoing).partition(b"\r\n")[0].decode()
             self.say(f"{name}: {first}{', closing' if side.closing else ''}")
         self.close("bad-requests")
 
@@ -175,17 +181,17 @@
             b'{"id":"u1","from":"a","state":"running","share":true}',
             b"[" * 60_000,
         ):
-            self.say(f"{callbacks.hear(body, self, ('queue', 'x0'))}: {body[:80].decode('latin-1')}")
+            self.say(f"{callbacks.handle_callback(body, self, ('queue', 'x0'))}: {body[:80].decode('latin-1')}")
         side = self.side()
         for body in (b'{"id":"u1","from":"a","state":"lost"}', b"{}"):
-            side.feed(
+            side.receive_data(
                 b"POST /v1/job-events HTTP/1.1\r\nHost: b\r\nContent-Length: %d\r\n\r\n" % len(body) + body
             )
             self.wrote(side)
         self.close("call-backs")
 
     def test_what_a_runner_answers(self) -> None:
-        heads = dispatch_heads([(b"host", b"b"), (b"x-request-id", b"u1")], 4807)
+        heads = attempt_headers([(b"host", b"b"), (b"x-request-id", b"u1")], 4807)
         for answer in (
             b"202 Accepted\r\nContent-Length: 0\r\n\r\n",
             b"500 No\r\nContent-Length: 2\r\n\r\nno",
@@ -201,15 +207,15 @@
             b"100 Go on\r\n\r\nHTTP/1.1 202 A\r\nContent-Length: 0\r\n\r\n",
         ):
             for step in (len(answer) + 9, 1):
-                side = RunnerSide()
-                asked = side.ask(b"POST", b"/api", heads, b"hi")
+                side = BackendConnection()
+                asked = side.send_request(b"POST", b"/api", heads, b"hi")
                 data = b"HTTP/1.1 " + answer
-                over = any(side.feed(data[at : at + step]) for at in range(0, len(data), step))
-                ended = outcome_of(side.status, side.not_run)
-                outcome = {TAKEN: "taken", UNFIT: "unfit"}.get(ended) or Outcome(ended).name.lower()
+                over = any(side.receive_data(data[at : at + step]) for at in range(0, len(data), step))
+                ended = classify_response(side.status, side.not_processed)
+                outcome = {ACCEPTED: "taken", REJECTED: "unfit"}.get(ended) or Outcome(ended).name.lower()
                 told = (
                     f"{answer[:60]!r}: {outcome}, over {over}"
-                    f", again {side.usable}, {reports.from_text(side.load, ('queue', 'x0'))}"
+                    f", again {side.reusable}, {load_reports.report_from_header(side.load_header, ('queue', 'x0'))}"
                 )
                 if step > 1:
                     self.say(told)
@@ -223,7 +229,7 @@
             b"",
             b"TEXT queue=nan, x0=1",
         ):
-            self.say(f"{text.decode()!r}: {reports.from_text(text, ('queue', 'x0'))}")
+            self.say(f"{text.decode()!r}: {load_reports.report_from_header(text, ('queue', 'x0'))}")
         self.close("answers")
 
     def enlist(
@@ -234,12 +240,12 @@
         zone: str,
         kind: str,
         cell: int,
-        standing: Standing,
+        standing: EndpointState,
         weight: float,
         boot_ms: int,
-    ) -> Listing:
+    ) -> Endpoint:
         self.say(f"  {uid} {host} {port} {zone} {kind} {cell} {standing.name.lower()} {weight:g} {boot_ms}")
-        return Listing(0, standing, weight, 0, cell, boot_ms)
+        return Endpoint(0, standing, weight, 0, cell, boot_ms)
 
     def test_lists_from_discovery(self) -> None:
         one = (
@@ -268,23 +274,23 @@
             b'{"rev":4,"targets":[]}',
         ):
             self.read(broken)
-        side = DiscoverySide("10.0.0.9:85")
-        self.say(side.ask(-1, 4000).decode().replace("\r\n", " "))
+        side = DiscoveryConnection("10.0.0.9:85")
+        self.say(side.request(-1, 4000).decode().replace("\r\n", " "))
         body = b'{"rev":4,"all":true,"targets":[' + one + b"]}"
         data = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body
-        self.assertEqual([side.feed(data[at : at + 1]) for at in range(len(data))].index(True), len(data) - 1)
-        side.told(self.enlist)
-        self.say(side.ask(4, 4000).decode().replace("\r\n", " "))
-        side.feed(b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n")
-        with self.assertRaises(Unreadable):
-            side.told(self.enlist)
+        self.assertEqual([side.receive_data(data[at : at + 1]) for at in range(len(data))].index(True), len(data) - 1)
+        side.decode_response(self.enlist)
+        self.say(side.request(4, 4000).decode().replace("\r\n", " "))
+        side.receive_data(b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n")
+        with self.assertRaises(DiscoveryError):
+            side.decode_response(self.enlist)
         self.close("lists")
 
     def read(self, body: bytes) -> None:
         try:
-            rev, whole, entries = read_list(body, self.enlist)
+            rev, whole, entries = decode_endpoints(body, self.enlist)
             self.say(f"version {rev}, {'whole' if whole else 'changes'}, {len(entries)}")
-        except Unreadable as wrong:
+        except DiscoveryError as wrong:
             self.say(f"{body.decode()}: old list stands, {str(wrong).partition(':')[0]}")
 
     def test_settings_mean_the_same_in_both_forms(self) -> None:
@@ -309,11 +315,11 @@
             "service-grades.1.effect=keyed\nservice-grades.1.group=zone\nservice-grades.1.cut-off=12000000\n"
             "specifics.class-stretch=2.0,1.75\nspecifics.report-x0=free_slots\ntick=2000\nodd=\n"
         )
-        self.assertEqual(from_nested(nested), from_lines(lines))
-        orders = standing_orders(from_nested(nested))
-        self.assertEqual(orders, standing_orders(from_lines(lines)))
-        self.assertEqual((orders.report_names, orders.grades[0].cutoff), (["queue", "free_slots"], 50000))
-        rules = house_rules(from_nested(nested))
+        self.assertEqual(flatten_settings(nested), parse_lines(lines))
+        orders = read_routing_config(flatten_settings(nested))
+        self.assertEqual(orders, read_routing_config(parse_lines(lines)))
+        self.assertEqual((orders.report_fields, orders.request_classes[0].deadline), (["queue", "free_slots"], 50000))
+        rules = read_service_config(flatten_settings(nested))
         self.assertEqual(
-            (rules.grades.find("b"), rules.grades.find("c"), rules.longest_cutoff), (1, -1, 120000)
+            (rules.request_classes.find("b"), rules.request_classes.find("c"), rules.longest_deadline), (1, -1, 120000)
         )
--- a/tests/test_renewal.py
+++ b/tests/test_renewal.py
@@ -8,9 +8,9 @@
 
 import orjson
 
-from crankfold.dispatch.interface import Effect, Group, Outcome
-from crankfold.orders import form
-from crankfold.service.grades import GradeBook
+from crankfold.config import schema
+from crankfold.routing.interface import DeduplicationScope, Idempotency, Outcome
+from crankfold.service.request_classes import RequestClassTable
 from tests.loopback import OK, Between
 from tests.scene import GRADE, MS, ORDERS, Kept, Scene, read_request
 
@@ -35,8 +35,8 @@
         elif path:
             at[path[-1]] = value
         try:
-            form.check(given, FILE)
-        except form.Misfit as wrong:
+            schema.validate(given, FILE)
+        except schema.SchemaError as wrong:
             self.say(f"{what}: {wrong}")
         else:
             self.say(f"{what}: taken")
@@ -67,24 +67,24 @@
 class Rows(Kept):
     def test_a_name_points_to_its_newest_row(self) -> None:
         def renewed(what: str, **grades: Any) -> None:
-            changed = book.renew(grades, list(grades.values()))
-            self.say(f"{what}: {'changed' if changed else 'nothing new'}, {book.row_of}, open {book.open}")
-
-        safe, keyed = GRADE, replace(GRADE, effect=Effect.TAGGED)
-        unsafe = replace(GRADE, effect=Effect.ONCE_ONLY)
-        book = GradeBook(["a", "b"], [safe, keyed])
-        book.took(0)
-        book.took(1)
+            changed = book.update(grades, list(grades.values()))
+            self.say(f"{what}: {'changed' if changed else 'nothing new'}, {book.index_by_name}, open {book.open_counts}")
+
+        safe, keyed = GRADE, replace(GRADE, idempotency=Idempotency.IDEMPOTENT_WITH_KEY)
+        unsafe = replace(GRADE, idempotency=Idempotency.NON_IDEMPOTENT)
+        book = RequestClassTable(["a", "b"], [safe, keyed])
+        book.request_opened(0)
+        book.request_opened(1)
         renewed("the same", a=safe, b=keyed)
         renewed("b has another effect and is in hand, c is new", a=safe, b=unsafe, c=safe)
-        book.took(2)
+        book.request_opened(2)
         renewed("b is dropped with units in hand", a=safe, c=safe)
         self.say(f"  b is {book.find('b')}")
         renewed("b is back with another effect", a=safe, b=keyed, c=safe)
-        book.ended(1)
-        book.ended(2)
+        book.request_closed(1)
+        book.request_closed(2)
         renewed("the old rows of b are free, one is used again", a=safe, b=unsafe, c=safe)
-        self.say(f"  effects by row: {', '.join(row.effect.name.lower() for row in book.rows)}")
+        self.say(f"  effects by row: {', '.join(row.idempotency.name.lower() for row in book.classes)}")
         self.close("renewal-rows")
 
 
@@ -95,32 +95,32 @@
         self.end(unit, int(sent_to[-1]), Outcome.ERROR)
 
     def test_units_in_hand_keep_their_orders(self) -> None:
-        self.open(runners=4, effect=Effect.REPEATABLE)
+        self.open(runners=4, effect=Idempotency.IDEMPOTENT)
         old = replace(GRADE)
-        new = replace(old, effect=Effect.ONCE_ONLY)
+        new = replace(old, idempotency=Idempotency.NON_IDEMPOTENT)
         self.take(0)
         self.say("the grade becomes once-only, in a row of its own")
-        self.told.renewed(self.now, replace(ORDERS, grades=[old, new]))
+        self.told.config_changed(self.now, replace(ORDERS, request_classes=[old, new]))
         self.take(1, grade=1)
         self.fails(0)
         self.fails(1)
         self.say("one dispatch is allowed from here on, also for what was taken before")
         self.take(2)
-        self.told.renewed(self.now, replace(ORDERS, grades=[old, new], most_dispatches=1))
+        self.told.config_changed(self.now, replace(ORDERS, request_classes=[old, new], max_attempts=1))
         self.fails(2)
         self.say("three are allowed again, but not for what was taken meanwhile")
         self.take(3)
-        self.told.renewed(self.now, replace(ORDERS, grades=[old, new]))
+        self.told.config_changed(self.now, replace(ORDERS, request_classes=[old, new]))
         self.fails(3)
         self.close("renewal-units")
 
     def test_what_is_known_of_runners_and_runs_stays(self) -> None:
         self.open(runners=3)
-        self.told.typical[0], self.told.limit = 77.0, 5.0
-        self.told.queued[1], self.told.doubt[2] = 4.5, 10_000
-        self.told.renewed(self.now, replace(ORDERS, grades=[GRADE, replace(GRADE, group=Group.ZONE)]))
-        self.assertEqual((self.told.typical, self.told.limit), ([77.0, 500.0 * MS], 5.0))
-        self.assertEqual((self.told.queued[1], self.told.doubt[2]), (4.5, 10_000))
+        self.told.typical_run[0], self.told.limit = 77.0, 5.0
+        self.told.reported_queue[1], self.told.ejection_time[2] = 4.5, 10_000
+        self.told.config_changed(self.now, replace(ORDERS, request_classes=[GRADE, replace(GRADE, deduplication_scope=DeduplicationScope.ZONE)]))
+        self.assertEqual((self.told.typical_run, self.told.limit), ([77.0, 500.0 * MS], 5.0))
+        self.assertEqual((self.told.reported_queue[1], self.told.ejection_time[2]), (4.5, 10_000))
 
 
 class UnderWay(Between):
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -1,12 +1,12 @@
 """The four rules, each by a trace that changes when its guard is taken out."""
 
-from crankfold.dispatch.interface import Effect, Group, Listing, Outcome, Standing
+from crankfold.routing.interface import DeduplicationScope, Endpoint, EndpointState, Idempotency, Outcome
 from tests.scene import MS, Scene
 
 
 class Rules(Scene):
     def test_every_unit_is_answered_by_its_cutoff(self) -> None:
-        self.open(effect=Effect.ONCE_ONLY)
+        self.open(effect=Idempotency.NON_IDEMPOTENT)
         self.take(0)
         self.start(0, 0)
         self.at(4900)
@@ -18,12 +18,12 @@
     def test_nothing_is_sent_for_an_ended_unit(self) -> None:
         self.open()
         self.take(0)
-        self.told.client_left(self.now, 0)
+        self.told.client_disconnected(self.now, 0)
         self.end(0, 0, Outcome.ERROR, last=True)
-        self.told.started(self.now, 0, 0, 0)
-        self.told.client_left(self.now, 0)
+        self.told.attempt_started(self.now, 0, 0, 0)
+        self.told.client_disconnected(self.now, 0)
         self.at(1900)
-        self.say(f"slots still counted as out: {sum(self.told.own):.0f}")
+        self.say(f"slots still counted as out: {sum(self.told.own_slots):.0f}")
         self.close("ended")
 
     def test_no_runner_ready(self) -> None:
@@ -32,13 +32,13 @@
         self.at(470)
         self.take(1)
         self.at(500)
-        self.list([Listing(0, Standing.READY, 0.0, 0, 0, 0)])
+        self.list([Endpoint(0, EndpointState.READY, 0.0, 0, 0, 0)])
         self.close("no-runner")
 
     def test_once_only_is_never_sent_again_after_it_may_have_run(self) -> None:
-        self.open(effect=Effect.ONCE_ONLY)
-        may_have_run = (Outcome.ERROR, Outcome.RESET, Outcome.LATE, Outcome.UNKNOWN)
-        for n, outcome in enumerate((*may_have_run, Outcome.FULL, Outcome.UNREACHABLE)):
+        self.open(effect=Idempotency.NON_IDEMPOTENT)
+        may_have_run = (Outcome.ERROR, Outcome.RESET, Outcome.TIMED_OUT, Outcome.UNKNOWN)
+        for n, outcome in enumerate((*may_have_run, Outcome.OVERLOADED, Outcome.UNREACHABLE)):
             self.take(n)
             sent_to = int(self.lines[-1][-1])
             self.end(n, sent_to, outcome)
@@ -46,7 +46,7 @@
         self.close("once-only")
 
     def test_tagged_keeps_to_its_zone(self) -> None:
-        self.open(runners=3, effect=Effect.TAGGED, group=Group.ZONE, window=1000)
+        self.open(runners=3, effect=Idempotency.IDEMPOTENT_WITH_KEY, group=DeduplicationScope.ZONE, window=1000)
         self.held_back(1)
         self.held_back(2)
         self.take(0)
@@ -55,7 +55,7 @@
         self.close("tagged-zone")
 
     def test_tagged_outside_its_window_or_cell_is_given_up(self) -> None:
-        self.open(effect=Effect.TAGGED, group=Group.CELL, window=200)
+        self.open(effect=Idempotency.IDEMPOTENT_WITH_KEY, group=DeduplicationScope.CELL, window=200)
         self.take(0)
         self.start(0, 0)
         self.at(250)
@@ -63,13 +63,13 @@
         self.close("tagged-window")
 
     def test_tagged_keeps_to_its_cell(self) -> None:
-        self.open(runners=4, effect=Effect.TAGGED, group=Group.CELL, window=1000)
+        self.open(runners=4, effect=Idempotency.IDEMPOTENT_WITH_KEY, group=DeduplicationScope.CELL, window=1000)
         self.take(0)
         self.end(0, int(self.lines[-1][-1]), Outcome.ERROR)
         self.close("tagged-cell")
 
     def test_tagged_known_everywhere_may_be_shed(self) -> None:
-        self.open(runners=1, effect=Effect.TAGGED, group=Group.ALL, window=100)
+        self.open(runners=1, effect=Idempotency.IDEMPOTENT_WITH_KEY, group=DeduplicationScope.GLOBAL, window=100)
         self.take(0)
         self.at(150)
         self.end(0, 0, Outcome.ERROR)
@@ -77,12 +77,12 @@
 
     def test_nothing_goes_to_a_draining_or_gone_runner(self) -> None:
         self.open(runners=3)
-        self.list([Listing(0, Standing.DRAINING, 1.0, 0, 0, 0)], whole=False)
+        self.list([Endpoint(0, EndpointState.DRAINING, 1.0, 0, 0, 0)], whole=False)
         self.take(0)
-        self.list([Listing(1, Standing.READY, 1.0, 1, 1, 0)])
+        self.list([Endpoint(1, EndpointState.READY, 1.0, 1, 1, 0)])
         self.take(1)
         self.take(2)
-        self.list([Listing(1, Standing.GONE, 1.0, 1, 1, 0)], whole=False)
+        self.list([Endpoint(1, EndpointState.REMOVED, 1.0, 1, 1, 0)], whole=False)
         self.take(3)
         self.at(900)
         self.close("drain")
@@ -90,7 +90,7 @@
     def test_a_cold_runner_gets_its_part_only(self) -> None:
         # Alone in the list: what its part does not hold yet has to wait or be shed.
         self.open(runners=2)
-        self.list([Listing(2, Standing.READY, 1.0, 0, 0, self.now - 1000 * MS)])
+        self.list([Endpoint(2, EndpointState.READY, 1.0, 0, 0, self.now - 1000 * MS)])
         for n in range(12):
             self.at(250 * n)
             self.take(n, work=120)
--- a/tests/test_simhost.py
+++ b/tests/test_simhost.py
@@ -5,7 +5,7 @@
 import sys
 import unittest
 
-from crankfold.simhost.host import Host
+from crankfold.simulator_adapter.host import SimulatorHost
 
 PARAMS = b"""service-grades.count=1
 service-grades.0.effect=safe
@@ -33,29 +33,29 @@
 
 class Adapter(unittest.TestCase):
     def test_a_unit_is_passed_on_and_an_unknown_outcome_taken_as_possibly_run(self) -> None:
-        host = Host()
-        host.answer(frame(CENSUS, TO, INIT, MEMBERS))
-        reply = host.answer(frame(TO, QUERY))
+        host = SimulatorHost()
+        host.handle_frame(frame(CENSUS, TO, INIT, MEMBERS))
+        reply = host.handle_frame(frame(TO, QUERY))
         self.assertIn(struct.pack("<HIi6s", 1, 77, 0, RUNNER), reply)
         verdict = struct.pack("<HIB6sBIBIB", 5, 77, 0, RUNNER, 99, 10, 0, 0, 0)
-        host.answer(frame(TO, verdict))
-        self.assertTrue(host.doors[3].decisions.units[0].sent[0].may_have_run)
+        host.handle_frame(frame(TO, verdict))
+        self.assertTrue(host.instances[3].router.requests[0].attempts[0].may_have_executed)
 
     def test_an_empty_batch_and_a_restart(self) -> None:
-        host = Host()
-        self.assertEqual(host.answer(frame()), b"\x04\x00\x00\x00")
-        host.answer(frame(CENSUS, TO, INIT, MEMBERS, QUERY))
-        host.answer(frame(TO, struct.pack("<H", 10), TO, INIT, MEMBERS))
-        self.assertEqual(host.doors[3].decisions.units, {})
+        host = SimulatorHost()
+        self.assertEqual(host.handle_frame(frame()), b"\x04\x00\x00\x00")
+        host.handle_frame(frame(CENSUS, TO, INIT, MEMBERS, QUERY))
+        host.handle_frame(frame(TO, struct.pack("<H", 10), TO, INIT, MEMBERS))
+        self.assertEqual(host.instances[3].router.requests, {})
 
     def test_a_failure_in_the_decisions_is_reported(self) -> None:
-        host = Host()
-        host.answer(frame(CENSUS, TO, INIT, MEMBERS))
-        host.doors[3].decisions.quick = host.doors[3].decisions.long = [5]
-        self.assertIn(b"IndexError", host.answer(frame(TO, QUERY)))
+        host = SimulatorHost()
+        host.handle_frame(frame(CENSUS, TO, INIT, MEMBERS))
+        host.instances[3].router.short_subset = host.instances[3].router.long_subset = [5]
+        self.assertIn(b"IndexError", host.handle_frame(frame(TO, QUERY)))
 
     def test_broken_frames_end_the_process_with_one_line(self) -> None:
         unknown_code = b"\x0e\x00\x00\x00" + bytes(8) + b"\xff\xff"
         for bad in (b"\x20\x00\x00\x00abc", b"\x05\x00\x00\x00a", unknown_code):
-            done = subprocess.run([sys.executable, "-m", "crankfold.simhost"], input=bad, capture_output=True)
+            done = subprocess.run([sys.executable, "-m", "crankfold.simulator_adapter"], input=bad, capture_output=True)
             self.assertEqual((done.returncode, done.stdout, done.stderr.count(b"\n")), (1, b"", 1))
--- a/tests/test_stored_forms.py
+++ b/tests/test_stored_forms.py
@@ -11,13 +11,19 @@
 import msgspec
 import orjson
 
-from crankfold.agreement.documents import Document, Documents, Known, Outcome, Version
-from crankfold.agreement.words import Entry, Kept
-from crankfold.peers.frames import Frames, frame
-from crankfold.peers.store import Store
-from crankfold.protocol.kin import KinSide, line
-from crankfold.works.form import Given, read
-from crankfold.works.ledger import Ledger, Machine, Step
+from crankfold.cluster.framing import FrameDecoder, encode_frame
+from crankfold.cluster.raft_storage import RaftStorage
+from crankfold.consensus.messages import LogEntry, Snapshot
+from crankfold.consensus.versioned_documents import (
+    Document,
+    DocumentVersion,
+    ProposalOutcome,
+    ReplicatedState,
+    VersionedDocuments,
+)
+from crankfold.maintenance.specification import JobSpecification, parse_jobs
+from crankfold.maintenance.state import MachineInMaintenance, MaintenanceState, TransitionRecord
+from crankfold.protocol.handover_messages import HandoverDecoder, encode_line
 from tests.data.write_fixtures import DATA
 from tests.handover_scene import ASKS, ENDS, EVENT, HELLO, TAKE, HandoverScene, ban_file
 from tests.scene import Kept as Traces
@@ -62,8 +68,8 @@
         self.assertEqual(files.keys(), MESSAGES.keys())
         for name, data in files.items():
             with self.subTest(name):
-                self.assertEqual(Frames().feed(data), MESSAGES[name])
-                self.assertEqual(b"".join(frame(one) for one in Frames().feed(data)), data)
+                self.assertEqual(FrameDecoder().feed(data), MESSAGES[name])
+                self.assertEqual(b"".join(encode_frame(one) for one in FrameDecoder().feed(data)), data)
 
     def test_tags_and_the_order_of_fields(self) -> None:
         for name, told in MESSAGES.items():
@@ -80,43 +86,43 @@
             data = (DATA / "messages" / f"{name}.frames").read_bytes()
             whole = msgspec.msgpack.decode(data[4 : 4 + int.from_bytes(data[:4], "big")])
             short = msgspec.msgpack.encode(whole[:-2] if name == "ask" else whole[:-1])
-            self.assertEqual(Frames().feed(len(short).to_bytes(4, "big") + short), MESSAGES[name][:1])
+            self.assertEqual(FrameDecoder().feed(len(short).to_bytes(4, "big") + short), MESSAGES[name][:1])
 
 
 class VotersFolders(Traces):
-    def opened(self, name: str) -> tuple[Store, Path]:
+    def opened(self, name: str) -> tuple[RaftStorage, Path]:
         folder = Path(self.enterContext(tempfile.TemporaryDirectory())) / name
         shutil.copytree(DATA / "voters" / name, folder)
-        store = Store(folder, "n0")
+        store = RaftStorage(folder, "n0")
         self.addCleanup(store.close)
         return store, folder
 
     def test_one_that_grew(self) -> None:
         store, folder = self.opened("grown")
-        stored = store.stored
-        self.assertEqual((store.identity, store.said), ("0123456789abcdef", ""))
+        stored = store.persistent_state
+        self.assertEqual((store.folder_id, store.startup_notice), ("0123456789abcdef", ""))
         self.assertEqual((stored.term, stored.vote, stored.founded), (2, "n1", True))
-        self.assertEqual(stored.kept, Kept(index=0, term=0, voters={}, state=b""))
+        self.assertEqual(stored.kept, Snapshot(index=0, term=0, voters={}, state=b""))
         self.assertEqual(
             stored.entries,
             [
-                Entry(term=1, kind="begin", data={"by": "n0", "folders": {"n0": "0123456789abcdef"}}),
-                Entry(term=2, kind="begin", data={"by": "n1"}),
-                Entry(term=2, kind="voters", data={"voters": {"n0": "h0:7000", "n1": "h1:7000"}}),
+                LogEntry(term=1, kind="begin", data={"by": "n0", "folders": {"n0": "0123456789abcdef"}}),
+                LogEntry(term=2, kind="begin", data={"by": "n1"}),
+                LogEntry(term=2, kind="voters", data={"voters": {"n0": "h0:7000", "n1": "h1:7000"}}),
             ],
         )
         self.assertEqual((folder / "history").read_bytes(), (DATA / "voters/grown/history").read_bytes())
 
     def test_one_that_was_compacted(self) -> None:
         store, folder = self.opened("compacted")
-        stored = store.stored
+        stored = store.persistent_state
         self.assertEqual((stored.term, stored.vote, stored.founded), (3, "n0", True))
-        self.assertEqual(stored.kept, Kept(index=2, term=2, voters={"n0": "h0:7000"}, state=b"whole"))
+        self.assertEqual(stored.kept, Snapshot(index=2, term=2, voters={"n0": "h0:7000"}, state=b"whole"))
         self.assertEqual(
             stored.entries,
             [
-                Entry(term=2, kind="count", data={"doc": "limits", "number": 1}),
-                Entry(term=3, kind="begin", data={"by": "n0"}),
+                LogEntry(term=2, kind="count", data={"doc": "limits", "number": 1}),
+                LogEntry(term=3, kind="begin", data={"by": "n0"}),
             ],
         )
         self.assertEqual((folder / "history").read_bytes(), (DATA / "voters/compacted/history").read_bytes())
@@ -127,18 +133,18 @@
             folder.mkdir()
             kept = DATA / "voters" / name
             shutil.copy(kept / "identity", folder)
-            store = Store(folder, "n0")
+            store = RaftStorage(folder, "n0")
             for batch in batches:
-                store.write(batch)
+                store.save(batch)
             store.close()
             for file in ("identity", "history"):
                 self.assertEqual((folder / file).read_bytes(), (kept / file).read_bytes(), f"{name}/{file}")
             self.assertEqual(sorted(path.name for path in folder.iterdir()), ["history", "identity", "lock"])
 
 
-def version(number: int, index: int, call: str, text: object) -> Version:
+def version(number: int, index: int, call: str, text: object) -> DocumentVersion:
     assert isinstance(text, dict)
-    return Version(
+    return DocumentVersion(
         number=number,
         made_from=number - 1,
         author="operator",
@@ -149,58 +155,58 @@
     )
 
 
-def step(index: int, uid: str, what: str, work: str) -> Step:
-    return Step(
+def step(index: int, uid: str, what: str, work: str) -> TransitionRecord:
+    return TransitionRecord(
         index=index, uid=uid, work=work, step=what, by="n0", why=f"{what} {uid}", at=1_700_000_100_000
     )
 
 
-KNOWN = Known(
-    docs={
+KNOWN = ReplicatedState(
+    documents={
         "settings": Document(
-            counts=1,
+            active_number=1,
             versions=[
                 version(1, 3, "begin", HISTORY[2].data["text"]),
                 version(2, 5, "c1", HISTORY[4].data["text"]),
             ],
         ),
         "limits": Document(
-            counts=1, versions=[version(1, 8, "c3", {"limits": {"all": 9, "grade:g": 4, "tenant:t": 0}})]
+            active_number=1, versions=[version(1, 8, "c3", {"limits": {"all": 9, "grade:g": 4, "tenant:t": 0}})]
         ),
         "deal": Document(
-            counts=1,
+            active_number=1,
             versions=[
                 version(1, 10, "c4", {"shares": {"all": {"n0": 5, "n1": 4}, "grade:g": {"n0": 4, "n1": 0}}})
             ],
         ),
         "runners-out": Document(
-            counts=1,
+            active_number=1,
             versions=[
                 version(1, 12, "c5", {"runners": {"r9": "smells"}}),
                 version(2, 14, "c6", {"runners": {"r8": "noise"}}),
             ],
         ),
-        "runners-never": Document(counts=1, versions=[version(1, 15, "c7", {"runners": {"r7": "stolen"}})]),
-        "works": Document(counts=2, versions=[version(1, 17, "c8", WORKS_1), version(2, 19, "c9", WORKS_2)]),
+        "runners-never": Document(active_number=1, versions=[version(1, 15, "c7", {"runners": {"r7": "stolen"}})]),
+        "works": Document(active_number=2, versions=[version(1, 17, "c8", WORKS_1), version(2, 19, "c9", WORKS_2)]),
     },
-    calls={
-        "begin": Outcome(well=True, text="", number=1, index=3),
-        "c1": Outcome(well=True, text="", number=2, index=5),
-        "c2": Outcome(well=False, text="made from version 1, but 2 is there by now", number=2, index=6),
-        "c3": Outcome(well=True, text="", number=1, index=8),
-        "c4": Outcome(well=True, text="", number=1, index=10),
-        "c5": Outcome(well=True, text="", number=1, index=12),
-        "c6": Outcome(well=True, text="", number=2, index=14),
-        "c7": Outcome(well=True, text="", number=1, index=15),
-        "c8": Outcome(well=True, text="", number=1, index=17),
-        "c9": Outcome(well=True, text="", number=2, index=19),
-        "s1": Outcome(well=False, text="r3: decided before its last step", number=0, index=34),
-        "s2": Outcome(well=True, text="", number=0, index=35),
+    outcomes={
+        "begin": ProposalOutcome(accepted=True, reason="", version_number=1, log_index=3),
+        "c1": ProposalOutcome(accepted=True, reason="", version_number=2, log_index=5),
+        "c2": ProposalOutcome(accepted=False, reason="made from version 1, but 2 is there by now", version_number=2, log_index=6),
+        "c3": ProposalOutcome(accepted=True, reason="", version_number=1, log_index=8),
+        "c4": ProposalOutcome(accepted=True, reason="", version_number=1, log_index=10),
+        "c5": ProposalOutcome(accepted=True, reason="", version_number=1, log_index=12),
+        "c6": ProposalOutcome(accepted=True, reason="", version_number=2, log_index=14),
+        "c7": ProposalOutcome(accepted=True, reason="", version_number=1, log_index=15),
+        "c8": ProposalOutcome(accepted=True, reason="", version_number=1, log_index=17),
+        "c9": ProposalOutcome(accepted=True, reason="", version_number=2, log_index=19),
+        "s1": ProposalOutcome(accepted=False, reason="r3: decided before its last step", version_number=0, log_index=34),
+        "s2": ProposalOutcome(accepted=True, reason="", version_number=0, log_index=35),
     },
-    voters={"n0": "f0", "n1": "f1"},
-    ledger=Ledger(
+    voter_folder_ids={"n0": "f0", "n1": "f1"},
+    maintenance=MaintenanceState(
         machines={
-            "r1": Machine(
+            "r1": MachineInMaintenance(
                 work="bios",
                 state="free",
                 out=21,
@@ -215,7 +221,7 @@
                 unwell=False,
                 why="free r1",
             ),
-            "r3": Machine(
+            "r3": MachineInMaintenance(
                 work="disks",
                 state="back",
                 out=31,
@@ -231,13 +237,13 @@
                 why="back r3",
             ),
         },
-        done={"disks": {"r2": "well"}},
-        unwell={"disks": 1},
-        halted={"disks": "halt disks"},
-        begun=["disks"],
-        changes=7,
-        wall=1_700_000_100_000,
-        steps=[
+        completed={"disks": {"r2": "well"}},
+        unhealthy_streaks={"disks": 1},
+        halted_jobs={"disks": "halt disks"},
+        begun_jobs=["disks"],
+        change_count=7,
+        latest_wall_ms=1_700_000_100_000,
+        transitions=[
             step(21, "r1", "out", "disks"),
             step(22, "r1", "free", "disks"),
             step(23, "r1", "work", "disks"),
@@ -262,14 +268,14 @@
         self.state = (OF_DOCUMENTS / "state.msgpack").read_bytes()
 
     def test_a_state_is_read_and_kept_as_it_was(self) -> None:
-        docs = Documents(self.state)
-        self.assertEqual(docs.known, KNOWN)
-        self.assertEqual(docs.state(), self.state)
+        docs = VersionedDocuments(self.state)
+        self.assertEqual(docs.replicated, KNOWN)
+        self.assertEqual(docs.encode(), self.state)
 
     def test_what_is_acted_on(self) -> None:
-        docs = Documents(self.state)
+        docs = VersionedDocuments(self.state)
         self.assertEqual(
-            docs.versions(),
+            docs.version_numbers(),
             {
                 "settings": (1, 2),
                 "limits": (1, 1),
@@ -280,7 +286,7 @@
             },
         )
         self.assertEqual(
-            docs.acting("settings"),
+            docs.effective_content("settings"),
             {
                 "service-grades": [
                     {
@@ -296,21 +302,21 @@
                 "allowed": {"most-dispatches": 3, "second-copies": True, "cancel": False},
             },
         )
-        self.assertEqual(docs.acting("runners-out"), {"runners": {"r9": "smells", "r8": "noise"}})
-        self.assertEqual(docs.acting("works"), WORKS_2)
+        self.assertEqual(docs.effective_content("runners-out"), {"runners": {"r9": "smells", "r8": "noise"}})
+        self.assertEqual(docs.effective_content("works"), WORKS_2)
         self.assertEqual(
-            [(name, one.number) for name, one in docs.waits()], [("settings", 2), ("runners-out", 2)]
+            [(name, one.number) for name, one in docs.pending_versions()], [("settings", 2), ("runners-out", 2)]
         )
-        self.assertEqual(docs.linger(), 50_000)
+        self.assertEqual(docs.max_request_duration(), 50_000)
 
     def test_the_history_makes_the_same_state(self) -> None:
         data = (OF_DOCUMENTS / "history.msgpack").read_bytes()
-        history = msgspec.msgpack.decode(data, type=list[Entry])
+        history = msgspec.msgpack.decode(data, type=list[LogEntry])
         self.assertEqual(history, HISTORY)
         self.assertEqual(msgspec.msgpack.encode(history), data)
-        docs = Documents()
+        docs = VersionedDocuments()
         changed = [docs.apply(index, entry) for index, entry in enumerate(history, 1)]
-        self.assertEqual(docs.state(), self.state)
+        self.assertEqual(docs.encode(), self.state)
         self.assertEqual(
             changed,
             [
@@ -340,14 +346,14 @@
 
     def test_works(self) -> None:
         data = (OF_DOCUMENTS / "works.json").read_bytes()
-        works = read(msgspec.json.decode(data))
+        works = parse_jobs(msgspec.json.decode(data))
         self.assertEqual(works, WORKS)
         self.assertEqual(msgspec.json.encode({"works": works}), data)
         self.assertEqual(
-            read(WORKS_2),
+            parse_jobs(WORKS_2),
             {
-                "disks": Given(why="new disks", zones=["north"], at_once=4),
-                "bios": Given(machines=["r1"], way="list", takes=60.0),
+                "disks": JobSpecification(why="new disks", zones=["north"], at_once=4),
+                "bios": JobSpecification(machines=["r1"], way="list", takes=60.0),
             },
         )
 
@@ -364,8 +370,8 @@
             ("successor", {"at": ["127.0.0.1", 18080]}),
         ):
             data = (HANDOVER / f"{name}.lines").read_bytes()
-            told = KinSide().feed(data)
-            self.assertEqual(b"".join(line(one) for one in told), data)
+            told = HandoverDecoder().receive_data(data)
+            self.assertEqual(b"".join(encode_line(one) for one in told), data)
             begin = told[0].get("welcome", told[0])
             self.assertEqual({key: begin[key] for key in first}, first)
 
@@ -384,14 +390,14 @@
         said = await self.as_successor([*told, *ASKS])
         self.assertEqual(said, (HANDOVER / "successor.lines").read_bytes().splitlines(True))
         self.assertEqual((await self.ask("held1"))[0].split()[1], "409")  # in hand at the one before it
-        fleet, desk = self.node.fleet, self.node.desk
+        fleet, desk = self.node.backend_registry, self.node.request_handler
         self.assertEqual(
-            {uid: fleet.bans.since[uid] for uid in ("a", "gone")}, {"a": 1234567, "gone": 2345678}
+            {uid: fleet.manual_drains.drained_since[uid] for uid in ("a", "gone")}, {"a": 1234567, "gone": 2345678}
         )
-        self.assertEqual(fleet.heard_of, {"a", "b", "c", "gone"})
-        self.assertEqual(tuple(desk.decisions.report[2]), (3.0, 2.5))  # by its last report to the one before
+        self.assertEqual(fleet.known_ids, {"a", "b", "c", "gone"})
+        self.assertEqual(tuple(desk.routing.report[2]), (3.0, 2.5))  # by its last report to the one before
         self.assertEqual(
-            [fleet.as_listed(n) for n in range(3)],
+            [fleet.discovery_entry(n) for n in range(3)],
             [
                 {
                     "uid": uid,
@@ -419,9 +425,9 @@
         await self.prepare(folder, data)
         await self.serve()
         await self.serving()
-        bans = self.node.fleet.bans
+        bans = self.node.backend_registry.manual_drains
         self.assertEqual(
-            (bans.since, bans.assumed), ({"a": 1234567, "gone": 2345678}, {"b": (3456789, 4567890)})
+            (bans.drained_since, bans.assumed_starts), ({"a": 1234567, "gone": 2345678}, {"b": (3456789, 4567890)})
         )
         self.assertEqual(orjson.loads(data), BANS)
         file = folder / ban_file(self.listen)
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -13,11 +13,11 @@
 
 import orjson
 
-from crankfold.network.passage import Passage
-from crankfold.network.tally import Tally
-from crankfold.protocol.kin import MOST_LINE, Garbled, KinSide
-from crankfold.service.node import Node
-from crankfold.service.succession import Succession
+from crankfold.network.handover_channel import HandoverChannel
+from crankfold.network.metrics import Metrics
+from crankfold.protocol.handover_messages import MAX_LINE_SIZE, HandoverDecoder, ProtocolError
+from crankfold.service.application import Application
+from crankfold.service.handover_state_machine import HandoverStateMachine
 from tests.loopback import OK, UNIT, Between, Loopback
 from tests.scene import Kept, read_request
 
@@ -42,15 +42,15 @@
         """The passage is up between the two."""
         ends = [(name, 1 + sum(kin[0] == name for kin in self.joined)) for name in (new, old)]
         self.joined[ends[0]], self.joined[ends[1]] = ends[1], ends[0]
-        self.members[new].succession.follows(ends[0][1])
-        self.members[old].succession.met(ends[1][1])
+        self.members[new].succession.predecessor_connected(ends[0][1])
+        self.members[old].succession.successor_connected(ends[1][1])
         self.deliver()
 
     def part(self, name: str, kin: int) -> None:
         other = self.joined.pop((name, kin), None)
         if other:
             self.joined.pop(other, None)
-            self.members[other[0]].succession.lost(self.now, other[1])
+            self.members[other[0]].succession.disconnected(self.now, other[1])
 
     def dies(self, name: str) -> None:
         self.say(f"{name} dies")
@@ -64,59 +64,59 @@
             if (name, kin) in self.joined:
                 to, as_kin = self.joined[name, kin]
                 self.say(f"  {name} to {to}: {json.dumps(told)}")
-                self.members[to].succession.told(self.now, as_kin, told)
+                self.members[to].succession.message_received(self.now, as_kin, told)
 
     def takes_over(self, name: str) -> None:
-        if not self.members[name].succession.take_over():
+        if not self.members[name].succession.request_takeover():
             self.say(f"  {name}: nobody to ask")
         self.deliver()
 
     def asks(self, name: str, **what: Any) -> None:
         self.say(f"{name} asks {json.dumps(what)}")
-        self.members[name].succession.ask(self.now, what, lambda yes: self.say(f"  {name} hears {yes}"))
+        self.members[name].succession.query(self.now, what, lambda yes: self.say(f"  {name} hears {yes}"))
         self.deliver()
 
 
 class Member:
     def __init__(self, family: Family, name: str, held: tuple[str, ...]) -> None:
         self.family, self.name, self.held = family, name, held
-        self.succession = Succession(self)
+        self.succession = HandoverStateMachine(self)
 
     def does(self, what: str) -> None:
-        self.family.say(f"  {self.name} {what} ({self.succession.place.value})")
+        self.family.say(f"  {self.name} {what} ({self.succession.role.value})")
 
-    def say(self, kin: int, told: dict[str, Any]) -> None:
+    def send(self, kin: int, told: dict[str, Any]) -> None:
         self.family.post.append((self.name, kin, told))
 
-    def part(self, kin: int) -> None:
+    def disconnect(self, kin: int) -> None:
         self.family.deliver()
         self.family.part(self.name, kin)
 
-    def state(self) -> dict[str, Any]:
+    def describe_state(self) -> dict[str, Any]:
         return {}
 
-    def in_hand(self) -> dict[str, Any]:
+    def describe_usage(self) -> dict[str, Any]:
         return {"ids": list(self.held)}
 
-    def give_way(self) -> None:
+    def stop_accepting(self) -> None:
         self.does("gives way")
 
-    def take_up(self) -> None:
+    def resume_accepting(self) -> None:
         self.does("takes it up again")
 
-    def taken_over(self) -> None:
+    def takeover_completed(self) -> None:
         self.does("has taken over")
 
-    def start_again(self) -> None:
+    def takeover_refused(self) -> None:
         self.does("looks again for who serves")
 
-    def hear(self, body: str) -> bool:
+    def handle_callback(self, body: str) -> bool:
         return body in self.held
 
-    def bind(self, uid: str, out: bool) -> None:
+    def apply_manual_drain(self, uid: str, out: bool) -> None:
         self.does(f"binds {uid} {'out' if out else 'in'}")
 
-    def kin_holds(self, told: dict[str, Any]) -> None:
+    def predecessor_usage_changed(self, told: dict[str, Any]) -> None:
         self.does(f"knows held elsewhere {told}")
 
 
@@ -131,7 +131,7 @@
         self.asks("a", what="event", body="u2")
         self.asks("a", what="out", uid="r")
         a.held = ()
-        a.succession.report()
+        a.succession.report_usage()
         self.deliver()
         self.member("c")
         self.join("c", "b")
@@ -159,9 +159,9 @@
         self.join("b", "a")
         self.takes_over("b")
         self.say("after that, and the old one was told to end")
-        a.succession.end()
+        a.succession.start_shutdown()
         self.dies("b")
-        self.say(f"  a: {a.succession.place.value}")
+        self.say(f"  a: {a.succession.role.value}")
         self.close("succession-new-dies")
 
     def test_the_old_one_dies_or_hangs(self) -> None:
@@ -170,13 +170,13 @@
         self.join("b", "a")
         self.say("before it has given way")
         self.dies("a")
-        self.say(f"  b: {b.succession.place.value}")
+        self.say(f"  b: {b.succession.role.value}")
         self.member("a", "u1")
         b = self.member("b")
         self.join("b", "a")
         self.takes_over("b")
         self.say("with a question open")
-        b.succession.ask(self.now, {"what": "event", "body": "u1"}, lambda yes: self.say(f"  b hears {yes}"))
+        b.succession.query(self.now, {"what": "event", "body": "u1"}, lambda yes: self.say(f"  b hears {yes}"))
         self.post.clear()
         self.dies("a")
         self.say("it hangs")
@@ -184,11 +184,11 @@
         b = self.member("b")
         self.join("b", "a")
         self.takes_over("b")
-        b.succession.ask(self.now, {"what": "event", "body": "u1"}, lambda yes: self.say(f"  b hears {yes}"))
+        b.succession.query(self.now, {"what": "event", "body": "u1"}, lambda yes: self.say(f"  b hears {yes}"))
         self.post.clear()
         for self.now in (0.4, 0.6):
             self.say(f"  {self.now}")
-            b.succession.tend(self.now)
+            b.succession.expire_queries(self.now)
         self.close("succession-old-dies")
 
     def test_a_second_replacement_while_the_first_is_under_way(self) -> None:
@@ -212,12 +212,12 @@
     def test_lines_at_every_cut_and_garbage(self) -> None:
         data = b'{"take":true}\n{"yours":{"ids":["u1"]}}\n'
         for cut in range(len(data)):
-            side = KinSide()
-            self.assertEqual(side.feed(data[:cut]) + side.feed(data[cut:]),
+            side = HandoverDecoder()
+            self.assertEqual(side.receive_data(data[:cut]) + side.receive_data(data[cut:]),
                              [{"take": True}, {"yours": {"ids": ["u1"]}}])
-        for garbage in (b"hello?\n", b"[1]\n", b"x" * (MOST_LINE + 1)):
-            with self.assertRaises(Garbled):
-                KinSide().feed(garbage)
+        for garbage in (b"hello?\n", b"[1]\n", b"x" * (MAX_LINE_SIZE + 1)):
+            with self.assertRaises(ProtocolError):
+                HandoverDecoder().receive_data(garbage)
 
 
 class Passages(Loopback):
@@ -225,23 +225,23 @@
         folder = Path(self.enterContext(tempfile.TemporaryDirectory()))
         folder /= "deep" * 40  # too long for the path of a socket
         folder.mkdir()
-        tally = Tally()
+        tally = Metrics()
         said: list[str] = []
-        tally.say = lambda kind, text: said.append(kind)  # type: ignore[method-assign]
-        passage = Passage(str(folder), "p", tally)
-        self.assertIsNone(await passage.call({}))
+        tally.warn = lambda kind, text: said.append(kind)  # type: ignore[method-assign]
+        passage = HandoverChannel(str(folder), "p", tally)
+        self.assertIsNone(await passage.connect({}))
         self.assertEqual(said, [])  # the usual start
         (folder / "p").write_text("no socket")
         (folder / "p.bans").write_text('{"bans": {"a"')
-        self.assertIsNone(await passage.call({}))
-        self.assertEqual((passage.recorded(), said), ({}, ["predecessor", "records"]))
-        passage.record({"bans": {"a": 5}})
-        self.assertEqual(passage.recorded(), {"bans": {"a": 5}})
+        self.assertIsNone(await passage.connect({}))
+        self.assertEqual((passage.load_record(), said), ({}, ["predecessor", "records"]))
+        passage.save_record({"bans": {"a": 5}})
+        self.assertEqual(passage.load_record(), {"bans": {"a": 5}})
         await passage.open()
         left = sorted(path.name for path in folder.iterdir())
         self.assertEqual(left, ["p", "p.bans"])  # nothing half written
         passage.server.close()  # type: ignore[union-attr]  # killed: the name stays
-        self.assertIsNone(await Passage(str(folder), "p", tally).call({}))
+        self.assertIsNone(await HandoverChannel(str(folder), "p", tally).connect({}))
 
         async def foreign(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             writer.write(b"220 mail\n")
@@ -250,12 +250,12 @@
             writer.close()
 
         os.unlink(folder / "p")
-        with passage._short("p") as path:
+        with passage._short_path("p") as path:
             server = await asyncio.start_unix_server(foreign, path)
         self.addCleanup(server.close)
-        self.assertIsNone(await passage.call({}))
+        self.assertIsNone(await passage.connect({}))
         await passage.open()  # takes the name all the same
-        newer = Passage(str(folder), "p", tally)
+        newer = HandoverChannel(str(folder), "p", tally)
         await newer.open()
         passage.close()
         self.assertTrue((folder / "p").exists())  # no longer its own
@@ -328,11 +328,11 @@
         self.assertEqual((await self.call(self.door, "runners/a/offline")).split()[0], "200")
 
         async def learnt(name: str) -> tuple[bool, bool, list[str]]:
-            handover = Node({**self.given, "name": name}, lambda: self.given, self.folder).handover
+            handover = Application({**self.given, "name": name}, lambda: self.given, self.folder).handover
             assert handover
-            welcome = await handover.meet()
+            welcome = await handover.connect()
             handover.close()
-            return welcome is not None, handover.sock is not None, list(handover.fleet.bans.since)
+            return welcome is not None, handover.listening_socket is not None, list(handover.backend_registry.manual_drains.drained_since)
 
         self.assertEqual(await learnt("n1"), (False, False, []))
         self.assertEqual(await learnt("n0"), (True, True, ["a"]))
--- a/tests/test_trial.py
+++ b/tests/test_trial.py
@@ -10,9 +10,15 @@
 from pathlib import Path
 from typing import Any
 
-from crankfold.trial.checker import MS, Asked, Checker, Run, Story
-from crankfold.trial.plan import PROMISES, Unfit, read
-from crankfold.trial.stand_ins import Seen
+from crankfold.fault_injection.invariants import (
+    MILLISECOND,
+    MaintenanceRun,
+    PublishRecord,
+    TrialChecker,
+    TrialRecord,
+)
+from crankfold.fault_injection.plan import PROMISES, PlanError, load_plan
+from crankfold.fault_injection.stand_ins import Observations
 from tests.scene import Kept
 
 TRIALS = Path(__file__).parents[1] / "trials"
@@ -40,12 +46,12 @@
 def rules(at: int, newest: int, counts: int, effect: str, out: str = "") -> dict[str, Any]:
     acting = {"settings": {"service-grades": [{"name": "g", "effect": effect}]},
               "runners-out": {"runners": {out: ""} if out else {}}}
-    return {"at": at * MS, "what": "rules", "unit": "", "where": "", "acting": acting,
+    return {"at": at * MILLISECOND, "what": "rules", "unit": "", "where": "", "acting": acting,
             "versions": {"settings": [counts, newest], "runners-out": [counts, newest]}}
 
 
 def act(at: int, newest: int, counts: int, unit: str = "u") -> dict[str, Any]:
-    return {"at": at * MS, "what": "take", "unit": unit, "where": "g",
+    return {"at": at * MILLISECOND, "what": "take", "unit": unit, "where": "g",
             "versions": {"settings": [counts, newest], "runners-out": [counts, newest]}}
 
 
@@ -53,115 +59,115 @@
     return {"number": number, "reason": reason, "text": {"runners": {out: ""} if out else {}}}
 
 
-def story() -> Story:
+def story() -> TrialRecord:
     """Two processes; version 2 makes the grade once-only and takes r1 out, all as it should be."""
     records = {"n0": [rules(0, 1, 1, "safe"), act(10, 1, 1, "n0-1"), rules(100, 2, 1, "unsafe", "r1"),
                       act(200, 2, 1, "n0-2"), rules(400, 2, 2, "unsafe", "r1"), act(500, 2, 2, "n0-3")],
                "n1": [rules(1, 1, 1, "safe"), act(150, 1, 1, "n1-1"), rules(300, 2, 1, "unsafe", "r1"),
                       rules(450, 2, 2, "unsafe", "r1"), act(600, 2, 2, "n1-2")]}
-    seen = Seen()
+    seen = Observations()
     for n, unit in enumerate(("n0-1", "n0-2", "n0-3", "n1-1", "n1-2")):
-        seen.asked[unit] = n * MS, unit[:2], "g"
-        seen.received.append(((20 + 100 * n) * MS, "r0", unit))
-        seen.answered.append(((60 + 100 * n) * MS, unit, unit[:2], "200 done"))
+        seen.requests[unit] = n * MILLISECOND, unit[:2], "g"
+        seen.received_requests.append(((20 + 100 * n) * MILLISECOND, "r0", unit))
+        seen.answers.append(((60 + 100 * n) * MILLISECOND, unit, unit[:2], "200 done"))
     docs = {"settings": {1: version(1, "begin"), 2: version(2, "call1")},
             "runners-out": {1: version(1, "begin"), 2: version(2, "call2", "r1")}}
     text = docs["settings"][2]["text"]
-    asked = [Asked("call1", 90 * MS, "n0", "settings", text, "confirmed", 2),
-             Asked("call2", 90 * MS, "n0", "runners-out", docs["runners-out"][2]["text"], "confirmed", 2),
-             Asked("call3", 95 * MS, "n1", "settings", text, "refused")]
+    asked = [PublishRecord("call1", 90 * MILLISECOND, "n0", "settings", text, "confirmed", 2),
+             PublishRecord("call2", 90 * MILLISECOND, "n0", "runners-out", docs["runners-out"][2]["text"], "confirmed", 2),
+             PublishRecord("call3", 95 * MILLISECOND, "n1", "settings", text, "refused")]
     for n, (what, at) in enumerate((("out", 300), ("free", 700), ("work", 710), ("ended", 800), ("back", 820),
                                     ("well", 950)), 10):
         for name in records:
-            records[name].append({"at": (at + n) * MS, "what": "step", "uid": "r2", "work": "w", "step": what,
+            records[name].append({"at": (at + n) * MILLISECOND, "what": "step", "uid": "r2", "work": "w", "step": what,
                                   "index": n, "by": "n0", "why": ""})
     works = {"w": {"work": {"at-once": 1, "a-zone": 1}}}
-    return Story(2000 * MS, records, seen, asked, {"n0": docs, "n1": copy.deepcopy(docs)}, {},
+    return TrialRecord(2000 * MILLISECOND, records, seen, asked, {"n0": docs, "n1": copy.deepcopy(docs)}, {},
                  {"n0": "", "n1": ""}, 0, {"r0": "z0", "r1": "z1", "r2": "z0"}, works,
-                 [Run("r2", "w", 11, 725 * MS, 790 * MS)])
+                 [MaintenanceRun("r2", "w", 11, 725 * MILLISECOND, 790 * MILLISECOND)])
 
 
-def late_act(one: Story) -> None:
-    one.records["n1"].insert(2, act(2200, 1, 1))
+def late_act(one: TrialRecord) -> None:
+    one.process_records["n1"].insert(2, act(2200, 1, 1))
 
 
-def unheard(one: Story) -> None:
-    one.records["n1"].insert(2, act(420, 1, 1))
+def unheard(one: TrialRecord) -> None:
+    one.process_records["n1"].insert(2, act(420, 1, 1))
 
 
-def other_history(one: Story) -> None:
+def other_history(one: TrialRecord) -> None:
     one.histories["n1"]["settings"][2]["reason"] = "other"
 
 
-def other_rules(one: Story) -> None:
-    one.records["n1"][3]["acting"]["settings"]["service-grades"][0]["effect"] = "safe"
+def other_rules(one: TrialRecord) -> None:
+    one.process_records["n1"][3]["acting"]["settings"]["service-grades"][0]["effect"] = "safe"
 
 
-def back(one: Story) -> None:
-    one.records["n1"].append(act(700, 2, 1))
+def back(one: TrialRecord) -> None:
+    one.process_records["n1"].append(act(700, 2, 1))
 
 
-def lost_publish(one: Story) -> None:
+def lost_publish(one: TrialRecord) -> None:
     for docs in one.histories.values():
         del docs["settings"][2]
 
 
-def refused_took(one: Story) -> None:
+def refused_took(one: TrialRecord) -> None:
     for docs in one.histories.values():
         docs["settings"][2]["reason"] = "call3"
 
 
-def took_twice(one: Story) -> None:
+def took_twice(one: TrialRecord) -> None:
     for docs in one.histories.values():
         docs["settings"][3] = version(3, "call1")
 
 
-def two_answers(one: Story) -> None:
-    one.seen.answered.append((700 * MS, "n0-1", "n0", "200 again"))
+def two_answers(one: TrialRecord) -> None:
+    one.observations.answers.append((700 * MILLISECOND, "n0-1", "n0", "200 again"))
 
 
-def no_answer(one: Story) -> None:
-    one.seen.answered[0] = (7000 * MS, "n0-1", "n0", "nothing")
+def no_answer(one: TrialRecord) -> None:
+    one.observations.answers[0] = (7000 * MILLISECOND, "n0-1", "n0", "nothing")
 
 
-def twice(one: Story) -> None:
-    one.seen.received.append((700 * MS, "r2", "n0-2"))
+def twice(one: TrialRecord) -> None:
+    one.observations.received_requests.append((700 * MILLISECOND, "r2", "n0-2"))
 
 
-def reached(one: Story) -> None:
-    one.seen.received.append((900 * MS, "r1", "n1-2"))
+def reached(one: TrialRecord) -> None:
+    one.observations.received_requests.append((900 * MILLISECOND, "r1", "n1-2"))
 
 
-def not_well(one: Story) -> None:
-    one.ended_well["n1"] = "cut off"
+def not_well(one: TrialRecord) -> None:
+    one.final_faults["n1"] = "cut off"
 
 
-def reached_in_work(one: Story) -> None:
-    one.seen.received.append((750 * MS, "r2", "n1-2"))
+def reached_in_work(one: TrialRecord) -> None:
+    one.observations.received_requests.append((750 * MILLISECOND, "r2", "n1-2"))
 
 
-def two_out(one: Story) -> None:
-    for records in one.records.values():
-        records.append({**records[-1], "uid": "r1", "step": "out", "index": 12, "at": 750 * MS})
+def two_out(one: TrialRecord) -> None:
+    for records in one.process_records.values():
+        records.append({**records[-1], "uid": "r1", "step": "out", "index": 12, "at": 750 * MILLISECOND})
 
 
-def out_beside_a_loss(one: Story) -> None:
-    one.lost["r0"] = [(-3000 * MS, 2000 * MS)]
+def out_beside_a_loss(one: TrialRecord) -> None:
+    one.losses["r0"] = [(-3000 * MILLISECOND, 2000 * MILLISECOND)]
 
 
-def ran_again(one: Story) -> None:
-    one.runs.append(Run("r2", "w", 11, 800 * MS))
+def ran_again(one: TrialRecord) -> None:
+    one.runs.append(MaintenanceRun("r2", "w", 11, 800 * MILLISECOND))
 
 
-def ran_early(one: Story) -> None:
-    one.runs[0].begin = 650 * MS
+def ran_early(one: TrialRecord) -> None:
+    one.runs[0].begin = 650 * MILLISECOND
 
 
-def nobody_says_why(one: Story) -> None:
-    one.ends["w"] = "['r0'] are left and nobody says why"
+def nobody_says_why(one: TrialRecord) -> None:
+    one.unfinished_jobs["w"] = "['r0'] are left and nobody says why"
 
 
-PLANTED: list[tuple[str, Callable[[Story], None]]] = [
+PLANTED: list[tuple[str, Callable[[TrialRecord], None]]] = [
     ("bound", late_act), ("heard-first", unheard), ("history", other_history), ("history", other_rules),
     ("no-way-back", back), ("publishes", lost_publish), ("publishes", refused_took),
     ("publishes", took_twice), ("one-answer", two_answers), ("one-answer", no_answer),
@@ -173,14 +179,14 @@
 class Checked(Kept):
     def test_a_story_without_fault_holds_and_each_planted_one_is_told_by_its_promise(self) -> None:
         for promise in PROMISES:
-            verdict = Checker(story()).judge(promise)
+            verdict = TrialChecker(story()).judge(promise)
             self.assertTrue(verdict.held, verdict)
         for promise, plant in PLANTED:
             one = story()
             plant(one)
-            verdict = Checker(one).judge(promise)
+            verdict = TrialChecker(one).judge(promise)
             self.assertFalse(verdict.held, plant.__name__)
-            self.say(f"{plant.__name__}: {promise}: {verdict.told}")
+            self.say(f"{plant.__name__}: {promise}: {verdict.detail}")
         self.close("trial-planted")
 
     def test_plans_that_can_not_be_used(self) -> None:
@@ -193,9 +199,9 @@
                              ('kind = "pause"', 'kind = "burn"'), ('at = "leader"\n', ""),
                              ("end = 6.0", "ends = 6.0"), ("seconds", "=")):
                 path.write_text(good.replace(old, new))
-                with self.assertRaises(Unfit) as wrong:
-                    read(path)
+                with self.assertRaises(PlanError) as wrong:
+                    load_plan(path)
                 self.say(re.sub(r"^.*plan\.toml: ", "", str(wrong.exception)))
-            with self.assertRaisesRegex(Unfit, "No such file"):
-                read(Path(folder) / "none.toml")
+            with self.assertRaisesRegex(PlanError, "No such file"):
+                load_plan(Path(folder) / "none.toml")
         self.close("trial-unfit")
--- a/tests/test_yard.py
+++ b/tests/test_yard.py
@@ -5,13 +5,13 @@
 from types import SimpleNamespace
 from typing import Any
 
-from crankfold.agreement.documents import Document
-from crankfold.emulator.accord import Case, Trouble
-from crankfold.emulator.yard import Yard, YardCase, drawn
-from crankfold.network.tally import Tally
-from crankfold.service.works import Works
-from crankfold.works.ledger import Ledger
-from tests.planted_works import ALL, PLANTED, cut_off
+from crankfold.consensus.versioned_documents import Document
+from crankfold.maintenance.state import MaintenanceState
+from crankfold.network.metrics import Metrics
+from crankfold.service.maintenance_agent import MaintenanceAgent
+from crankfold.simulation.consensus_cluster import ClusterCase, ClusterFault
+from crankfold.simulation.maintenance_fleet import MaintenanceCase, MaintenanceFleet, draw_case
+from tests.planted_works import ALL_MACHINES_JOBS, PLANTED_FAULTS, isolated_members
 from tests.scene import Kept
 
 CAUGHT_AT = {"free told before the last has answered": 0, "silence taken for consent": 0,
@@ -19,52 +19,52 @@
              "cold taken for warm": 0}
 
 
-class Drawn(Kept):
+class DrawnCases(Kept):
     def test_schedules_of_fixed_seeds_keep_every_promise(self) -> None:
         done = 0
         for seed in (*range(12), 648):  # there the checks of a publish were lost, and not asked for again
-            yard = Yard(drawn(seed)).run()
-            self.assertEqual(yard.broken, [], f"seed {seed}")
+            yard = MaintenanceFleet(draw_case(seed)).run()
+            self.assertEqual(yard.violations, [], f"seed {seed}")
             members = [p.member for p in yard.processes.values() if p.member]
-            newest = max(members, key=lambda member: member.applied)
-            done += sum(map(len, newest.docs.known.ledger.done.values()))
+            newest = max(members, key=lambda member: member.last_applied)
+            done += sum(map(len, newest.documents.replicated.maintenance.completed.values()))
         self.assertGreater(done, 40)
 
     def test_every_planted_fault_is_caught_by_its_check_and_the_product_is_clean_there(self) -> None:
-        for fault, (make, context, case, check) in PLANTED.items():
+        for fault, (make, context, case, check) in PLANTED_FAULTS.items():
             one = case(CAUGHT_AT[fault])
             with context():
-                broken = make(one).run().broken
+                broken = make(one).run().violations
             self.assertTrue([b for b in broken if re.search(check, b)], f"{fault}: {broken}")
-            self.assertEqual(Yard(one).run().broken, [], fault)
+            self.assertEqual(MaintenanceFleet(one).run().violations, [], fault)
 
     def test_a_hundred_machines_under_twenty_works_with_dispatchers_dying_in_turn(self) -> None:
-        works = {f"w{n:02}": {**ALL["disks"], "at-once": 4, "a-zone": 2, "stays": 0.6, "again": True,
+        works = {f"w{n:02}": {**ALL_MACHINES_JOBS["disks"], "at-once": 4, "a-zone": 2, "stays": 0.6, "again": True,
                               "machines": [f"m{m}" for m in range(100) if m % 20 == n]} for n in range(20)}
-        deaths = tuple(Trouble("kill", 60_000 + 70_000 * n, 68_000 + 70_000 * n, name)
+        deaths = tuple(ClusterFault("kill", 60_000 + 70_000 * n, 68_000 + 70_000 * n, name)
                        for n, name in enumerate(("v0", "f0", "v1", "f1", "v2")))
-        yard = Yard(YardCase(Case(seed=5, seconds=90.0, publish_every=9.0, troubles=deaths), works, boxes=100,
-                             zones=5, rate=0.5, takes=3000, calm_from=1)).run()
-        self.assertEqual(yard.broken, [])
+        yard = MaintenanceFleet(MaintenanceCase(ClusterCase(seed=5, seconds=90.0, publish_every=9.0, faults=deaths), works, machine_count=100,
+                             zone_count=5, request_rate=0.5, work_duration=3000, faults_end_at=1)).run()
+        self.assertEqual(yard.violations, [])
         member = next(p.member for p in yard.processes.values() if p.member)
-        self.assertGreater(sum(map(len, member.docs.known.ledger.done.values())), 80)
+        self.assertGreater(sum(map(len, member.documents.replicated.maintenance.completed.values())), 80)
 
     def test_the_same_seed_gives_the_same_day(self) -> None:
-        one, other = (Yard(cut_off(3)).run() for _ in range(2))
-        self.assertEqual((one.states, one.units), (other.states, other.units))
+        one, other = (MaintenanceFleet(isolated_members(3)).run() for _ in range(2))
+        self.assertEqual((one.state_by_index, one.request_count), (other.state_by_index, other.request_count))
 
 
-class Steps(Kept):
+class Transitions(Kept):
     """The ledger, told entries by hand."""
 
     def setUp(self) -> None:
         super().setUp()
-        self.ledger, self.index = Ledger(), 10
+        self.ledger, self.index = MaintenanceState(), 10
 
     def take(self, uid: str, step: str, **more: Any) -> None:
         self.index += 1
         told = {"uid": uid, "work": "w", "step": step, "by": "n0", "life": 7, "why": "", "plan": 1,
-                "made_from": self.ledger.changes, **more}
+                "made_from": self.ledger.change_count, **more}
         void = self.ledger.apply(self.index, {"steps": [told]}, 1)
         away = self.ledger.machines.get(uid)
         self.say(f"{step} {uid}: {void or 'taken'}; {away.state if away else 'carries work'}"
@@ -92,30 +92,30 @@
         self.take("a", "ended")
         self.take("a", "back")
         self.take("a", "well")
-        self.say(f"{self.ledger.done} {self.ledger.unwell}")
+        self.say(f"{self.ledger.completed} {self.ledger.unhealthy_streaks}")
         self.close("works-steps")
 
 
-class CutOff(Kept, unittest.IsolatedAsyncioTestCase):
+class IsolatedDispatcher(Kept, unittest.IsolatedAsyncioTestCase):
     """A machine brought back by hand at a dispatcher that the others can't be reached from."""
 
     async def test_here_is_for_who_is_cut_off_and_ends_when_the_fleet_is_heard(self) -> None:
-        ledger, heard, laid = Ledger(), [True], list[set[str]]()
+        ledger, heard, laid = MaintenanceState(), [True], list[set[str]]()
         step = {"uid": "a", "work": "w", "step": "out", "by": "n0", "why": "", "plan": 0, "made_from": 0}
         ledger.apply(5, {"steps": [step]}, 0)
-        docs = SimpleNamespace(known=SimpleNamespace(ledger=ledger), doc=lambda name: Document())
-        member = SimpleNamespace(me="n1", docs=docs, incarnation=1)
-        peer = SimpleNamespace(member=member, holds=lambda: heard[0], given=SimpleNamespace(zone=""))
-        fleet = SimpleNamespace(numbers=SimpleNamespace(names=[]), said=[])
-        desk = SimpleNamespace(fleet=fleet, ledger=SimpleNamespace(units={}))
-        works = Works(desk, None, peer, Tally(), lambda: 0, lambda: laid.append(works.out()))  # type: ignore[arg-type]
+        docs = SimpleNamespace(replicated=SimpleNamespace(maintenance=ledger), document=lambda name: Document())
+        member = SimpleNamespace(name="n1", documents=docs, incarnation=1)
+        peer = SimpleNamespace(consensus=member, has_lease=lambda: heard[0], config=SimpleNamespace(zone=""))
+        fleet = SimpleNamespace(backend_ids=SimpleNamespace(names=[]), endpoints=[])
+        desk = SimpleNamespace(backends=fleet, request_table=SimpleNamespace(requests={}))
+        works = MaintenanceAgent(desk, None, peer, Metrics(), lambda: 0, lambda: laid.append(works.machines_out()))  # type: ignore[arg-type]
         body = b'{"call": "c", "machine": "%s", "step": "here"}'
-        self.assertEqual((await works.call(body % b"a"))[0], False)  # heard: it is a step of all
+        self.assertEqual((await works.request_transition(body % b"a"))[0], False)  # heard: it is a step of all
         heard[0] = False
-        self.assertEqual((await works.call(body % b"b"))[0], False)  # not out
-        self.assertEqual((await works.call(body % b"a"))[0], True)
+        self.assertEqual((await works.request_transition(body % b"b"))[0], False)  # not out
+        self.assertEqual((await works.request_transition(body % b"a"))[0], True)
         self.assertEqual(laid, [set()])
-        self.assertEqual(works.show()["here"], ["a"])
+        self.assertEqual(works.describe()["here"], ["a"])
         heard[0] = True
-        works.tell()
+        works.build_report()
         self.assertEqual(laid, [set(), {"a"}])
