--- a/benchmarks/agreement.py
+++ b/benchmarks/agreement.py
@@ -52,8 +52,10 @@
 
 def middle(values: list[float]) -> str:
     values = sorted(values)
-    return (f"median {values[len(values) // 2]:.0f}, 95th percentile {values[len(values) * 95 // 100]:.0f}, "
-            f"longest {values[-1]:.0f} ms of {len(values)}")
+    return (
+        f"median {values[len(values) // 2]:.0f}, 95th percentile {values[len(values) * 95 // 100]:.0f}, "
+        f"longest {values[-1]:.0f} ms of {len(values)}"
+    )
 
 
 class Quiet(TrialHarness):
@@ -64,11 +66,14 @@
     async def play(self, what: Callable[["Quiet"], Any]) -> Any:
         from crankfold.fault_injection.stand_ins import EndpointList, StandInBackend, StandInDiscovery
 
-        runners = [Runner(f"r{n}", self.observations, self.client_ports, 0.005, 0.0, 1) for n in range(self.many)]
-        roll = Roll()
+        runners = [
+            StandInBackend(f"r{n}", self.observations, self.client_ports, 0.005, 0.0, 1)
+            for n in range(self.many)
+        ]
+        roll = EndpointList()
         for runner in runners:
             roll.add(runner.backend_id, await runner.open())
-        discovery = Discovery(roll)
+        discovery = StandInDiscovery(roll)
         found = await discovery.open()
         self.backend_ids = ["r0"]
         for name in self.process_names:
@@ -85,10 +90,17 @@
     async def one(self, n: int, name: str) -> float:
         """Milliseconds from a publish until it counts at that process and all others have heard that."""
         _, known = await self.call_admin(name, "agreed/settings")
-        body = {"call": f"{n}-{name}", "made-from": known["newest"], "wait": 20, "reason": "measured",
-                "text": {**known["versions"][-1]["text"], "revenue-per": ("request", "work")[n % 2]}}
+        body = {
+            "call": f"{n}-{name}",
+            "made-from": known["newest"],
+            "wait": 20,
+            "reason": "measured",
+            "text": {**known["versions"][-1]["text"], "revenue-per": ("request", "work")[n % 2]},
+        }
         began = time.monotonic()
-        head, text = await http_call(self.admin_ports[name], "/control/agreed/settings", json.dumps(body).encode())
+        head, text = await http_call(
+            self.admin_ports[name], "/control/agreed/settings", json.dumps(body).encode()
+        )
         told = json.loads(text)
         if not told.get("well") or told["lag"]:
             return -1.0
@@ -98,7 +110,9 @@
 def publish() -> None:
     rows = []
     for voters in (3, 5, 7):
-        plan = TrialPlan("measured", 1.0, ["bound"], voters=voters, followers=2, load=0.0, publish=PublishSpecification())
+        plan = TrialPlan(
+            "measured", 1.0, ["bound"], voters=voters, followers=2, load=0.0, publish=PublishSpecification()
+        )
 
         async def measured(trial: Quiet) -> dict[str, list[float]]:
             await asyncio.sleep(2.0)  # the first leader waits for leases that it knows nothing of
@@ -139,20 +153,36 @@
 
 def _leaderless(asked: tuple[int, int]) -> tuple[int, int, float, float]:
     voters, seed = asked
-    found = SimulatedCluster(ClusterCase(voter_count=voters, seconds=3.0, seed=seed, with_load=False, publish_every=99.0)).run()
-    leader = next((name for name, p in found.processes.items()
-                   if isinstance(p.member, Voter) and p.member.is_leader()), "v0")
-    fleet = SimulatedCluster(ClusterCase(voter_count=voters, seconds=9.0, seed=seed, with_load=False, publish_every=99.0,
-                       faults=(ClusterFault("kill", 30_000, 200_000, leader),)))
+    found = SimulatedCluster(
+        ClusterCase(voter_count=voters, seconds=3.0, seed=seed, with_load=False, publish_every=99.0)
+    ).run()
+    leader = next(
+        (name for name, p in found.processes.items() if isinstance(p.member, Voter) and p.member.is_leader()),
+        "v0",
+    )
+    fleet = SimulatedCluster(
+        ClusterCase(
+            voter_count=voters,
+            seconds=9.0,
+            seed=seed,
+            with_load=False,
+            publish_every=99.0,
+            faults=(ClusterFault("kill", 30_000, 200_000, leader),),
+        )
+    )
     spans = [0.0, 0.0]
 
     def look() -> None:
         members = [p.member for p in fleet.processes.values() if p.member]
-        if fleet.events.now > 30_000 and not spans[0] and any(
-                isinstance(m, Voter) and m.is_leader() for m in members):
+        if (
+            fleet.events.now > 30_000
+            and not spans[0]
+            and any(isinstance(m, Voter) and m.is_leader() for m in members)
+        ):
             spans[0] = (fleet.events.now - 30_000) / 10
         if fleet.events.now > 30_000 and not all(
-                p.member.has_lease(p.local_time()) for p in fleet.processes.values() if p.member):
+            p.member.has_lease(p.local_time()) for p in fleet.processes.values() if p.member
+        ):
             spans[1] += 1.0
         fleet.events.schedule(10, look)
 
@@ -168,8 +198,10 @@
     for voters in (3, 5, 7):
         spans = [row[2] for row in rows if row[0] == voters]
         without = [row[3] for row in rows if row[0] == voters]
-        say(f"emulated: without a leader after its death, {voters} voters: {middle(spans)}; somebody without "
-            f"a lease in {sum(w > 0 for w in without)} of {len(without)}, for {max(without):.0f} ms at most")
+        say(
+            f"emulated: without a leader after its death, {voters} voters: {middle(spans)}; somebody without "
+            f"a lease in {sum(w > 0 for w in without)} of {len(without)}, for {max(without):.0f} ms at most"
+        )
     table("leaderless", ["voters", "seed", "ms_until_led", "ms_somebody_without_lease"], rows)
 
 
@@ -177,18 +209,39 @@
     rows = []
     for every, what in ((99.0, "nothing published"), (1.0, "a publish each second")):
         seconds = 10.0
-        fleet = SimulatedCluster(ClusterCase(follower_count=size - 3, seconds=seconds, with_load=False, publish_every=every, seed=5,
-                           polls_when_due=True)).run()
+        fleet = SimulatedCluster(
+            ClusterCase(
+                follower_count=size - 3,
+                seconds=seconds,
+                with_load=False,
+                publish_every=every,
+                seed=5,
+                polls_when_due=True,
+            )
+        ).run()
         assert not fleet.violations
-        leader = next(name for name, p in fleet.processes.items()
-                      if isinstance(p.member, Voter) and p.member.is_leader())
-        kinds = {"leader": [leader], "voter": [v for v in fleet.voters if v != leader],
-                 "follower": [name for name in fleet.processes if name not in fleet.voters]}
+        leader = next(
+            name
+            for name, p in fleet.processes.items()
+            if isinstance(p.member, Voter) and p.member.is_leader()
+        )
+        kinds = {
+            "leader": [leader],
+            "voter": [v for v in fleet.voters if v != leader],
+            "follower": [name for name in fleet.processes if name not in fleet.voters],
+        }
         for kind, names in kinds.items():
             if names:
                 sent = [fleet.message_counts.get(name, [0, 0]) for name in names]
-                rows.append((size, what, kind, sum(s[0] for s in sent) / len(names) / seconds,
-                             sum(s[1] for s in sent) / len(names) / seconds))
+                rows.append(
+                    (
+                        size,
+                        what,
+                        kind,
+                        sum(s[0] for s in sent) / len(names) / seconds,
+                        sum(s[1] for s in sent) / len(names) / seconds,
+                    )
+                )
     return rows
 
 
@@ -196,10 +249,15 @@
     with ProcessPoolExecutor() as pool:
         rows = [row for part in pool.map(_traffic, (3, 50, 200, 1000)) for row in part]
     for size, what, kind, messages, size_ in rows:
-        say(f"emulated: {size} dispatchers, {what}: a {kind} sends {messages:.0f} messages, "
-            f"{size_ / 1000:.1f} kB a second")
-    table("traffic", ["dispatchers", "what", "who", "messages_a_second", "bytes_a_second"],
-          [(*row[:3], f"{row[3]:.1f}", f"{row[4]:.0f}") for row in rows])
+        say(
+            f"emulated: {size} dispatchers, {what}: a {kind} sends {messages:.0f} messages, "
+            f"{size_ / 1000:.1f} kB a second"
+        )
+    table(
+        "traffic",
+        ["dispatchers", "what", "who", "messages_a_second", "bytes_a_second"],
+        [(*row[:3], f"{row[3]:.1f}", f"{row[4]:.0f}") for row in rows],
+    )
 
 
 def serve() -> None:
@@ -216,14 +274,17 @@
             while time.monotonic() < end:
                 k += 1
                 began = time.monotonic()
-                writer.write(f"POST /api HTTP/1.1\r\nHost: b\r\nX-Request-ID: n0-{n}-{k}-{began}\r\n"
-                             f"X-Priority-Class: free\r\nX-Timeout: 3\r\nX-Cost: 5000\r\n"
-                             f"Content-Length: 0\r\n\r\n".encode())
+                writer.write(
+                    f"POST /api HTTP/1.1\r\nHost: b\r\nX-Request-ID: n0-{n}-{k}-{began}\r\n"
+                    f"X-Priority-Class: free\r\nX-Timeout: 3\r\nX-Cost: 5000\r\n"
+                    f"Content-Length: 0\r\n\r\n".encode()
+                )
                 await read_http_message(reader)
                 spans.append((time.monotonic() - began) * 1000)
             writer.close()
 
         from crankfold.fault_injection.stand_ins import HOST
+
         port_of = HOST, port
         await asyncio.gather(*(client(n) for n in range(8)))
         return spans
@@ -292,38 +353,50 @@
         pairs = [(row[2] / off[2], row[4] / off[4]) for row, off in zip(mine, offs, strict=True)]
         ratio = [sorted(p[n] for p in pairs)[len(pairs) // 2] for n in (0, 1)]
         half = [sorted(row[n] for row in mine)[len(mine) // 2] for n in (2, 3, 4, 5)]
-        say(f"serve, peers {how}: {half[0]:.0f} units a second, 99th percentile {half[1]:.1f} ms, "
+        say(
+            f"serve, peers {how}: {half[0]:.0f} units a second, 99th percentile {half[1]:.1f} ms, "
             f"{half[2]:.0f} us of processor a unit, {half[3]:.1f} MB (medians of 5; pairwise against off: "
-            f"units {ratio[0]:.3f}, processor {ratio[1]:.3f})")
-    table("serve", ["turn", "peers", "units_a_second", "p99_ms", "us_a_unit", "mb"],
-          [(*row[:2], *(f"{v:.2f}" for v in row[2:])) for row in rows])
+            f"units {ratio[0]:.3f}, processor {ratio[1]:.3f})"
+        )
+    table(
+        "serve",
+        ["turn", "peers", "units_a_second", "p99_ms", "us_a_unit", "mb"],
+        [(*row[:2], *(f"{v:.2f}" for v in row[2:])) for row in rows],
+    )
 
 
 def works() -> None:
     """What each machine costs that is taken out, worked on and brought back, in messages."""
     from crankfold.simulation.maintenance_fleet import MaintenanceCase, MaintenanceFleet
 
-    work = {"w": {"way": "list", "at-once": 3, "stays": 0.0, "watch": 1.0,
-                  "least-answers": 0}}
+    work = {"w": {"way": "list", "at-once": 3, "stays": 0.0, "watch": 1.0, "least-answers": 0}}
     rows = []
     for size in (3, 50, 200):
         sent: list[dict[str, list[int]]] = []
         for given in (work, {}):
             case = ClusterCase(follower_count=size - 3, seconds=40.0, publish_every=1000.0, with_load=True)
-            yard = Yard(YardCase(case, given, request_rate=0.1)).run()
+            yard = MaintenanceFleet(MaintenanceCase(case, given, request_rate=0.1)).run()
             assert not yard.violations, yard.violations
             sent.append(yard.message_counts)
             if given:
-                done = sum(len(ended) for ended in next(iter(
-                    yard.processes.values())).member.documents.replicated.maintenance.completed.values())
+                done = sum(
+                    len(ended)
+                    for ended in next(
+                        iter(yard.processes.values())
+                    ).member.documents.replicated.maintenance.completed.values()
+                )
                 assert done == 9, done
         for who, names in (("all", list(sent[0])), ("a follower", ["f0"])):
-            more = [sum(sent[0][name][n] - sent[1][name][n] for name in names if name in sent[0]) / 9
-                    for n in (0, 1)]
+            more = [
+                sum(sent[0][name][n] - sent[1][name][n] for name in names if name in sent[0]) / 9
+                for n in (0, 1)
+            ]
             if who == "all" or size > 3:
                 rows.append((size, who, f"{more[0]:.1f}", f"{more[1]:.0f}"))
-                say(f"works, emulated, {size} dispatchers: {who} sends {more[0]:.1f} messages and "
-                    f"{more[1]:.0f} bytes more for each machine")
+                say(
+                    f"works, emulated, {size} dispatchers: {who} sends {more[0]:.1f} messages and "
+                    f"{more[1]:.0f} bytes more for each machine"
+                )
     table("works", ["dispatchers", "who", "messages", "bytes"], rows)
 
 
@@ -336,18 +409,50 @@
             store = RaftStorage(folder, "n0")
             store.save(Ready(1, "n0", True, True, Snapshot(0, 0, {"n0": ""}, b"")))
             for n in range(1, count + 1, 10):
-                store.save(Ready(1, "n0", True, False, None, n, [
-                    LogEntry(1, "publish", {"call": str(k), "doc": "settings", "made_from": k - 1, "at": 0,
-                                         "author": "o", "reason": "r", "text": text})
-                    for k in range(n, n + 10)]))
+                store.save(
+                    Ready(
+                        1,
+                        "n0",
+                        True,
+                        False,
+                        None,
+                        n,
+                        [
+                            LogEntry(
+                                1,
+                                "publish",
+                                {
+                                    "call": str(k),
+                                    "doc": "settings",
+                                    "made_from": k - 1,
+                                    "at": 0,
+                                    "author": "o",
+                                    "reason": "r",
+                                    "text": text,
+                                },
+                            )
+                            for k in range(n, n + 10)
+                        ],
+                    )
+                )
             size = (folder / "history").stat().st_size
             store.close()
             spans = []
             for _ in range(5):
                 began = time.perf_counter()
                 again = RaftStorage(folder, "n0")
-                voter = Voter("n0", again.persistent_state, {"n0": ""}, Timing(20_000), 0, 1, 1, again.folder_id,
-                              lambda doc, text: "", None)
+                voter = Voter(
+                    "n0",
+                    again.persistent_state,
+                    {"n0": ""},
+                    Timing(20_000),
+                    0,
+                    1,
+                    1,
+                    again.folder_id,
+                    lambda doc, text: "",
+                    None,
+                )
                 voter.raft.commit_index = voter.raft.last_index()
                 voter._process(1)
                 spans.append((time.perf_counter() - began) * 1000)
@@ -380,14 +485,22 @@
     a.set_yticklabels(list(spans), fontsize=7)
     a.set_xlabel("publish until all act, ms, by voters")
     for voters in ("3", "5", "7"):
-        b.hist([float(row["ms_until_led"]) for row in rows("leaderless") if row["voters"] == voters],
-               bins=list(range(0, 701, 50)), histtype="step", label=f"{voters} voters")
+        b.hist(
+            [float(row["ms_until_led"]) for row in rows("leaderless") if row["voters"] == voters],
+            bins=list(range(0, 701, 50)),
+            histtype="step",
+            label=f"{voters} voters",
+        )
     b.set_xlabel("without a leader after its death, ms (emulated)")
     b.legend()
     for who in ("leader", "voter", "follower"):
         mine = [row for row in rows("traffic") if row["who"] == who and row["what"] == "nothing published"]
-        c.loglog([int(row["dispatchers"]) for row in mine], [float(row["messages_a_second"]) for row in mine],
-                 marker="o", label=who)
+        c.loglog(
+            [int(row["dispatchers"]) for row in mine],
+            [float(row["messages_a_second"]) for row in mine],
+            marker="o",
+            label=who,
+        )
     c.set_xlabel("dispatchers")
     c.set_ylabel("messages sent a second (emulated)")
     c.legend()
--- a/benchmarks/schedules.py
+++ b/benchmarks/schedules.py
@@ -23,7 +23,11 @@
     kind, seed = job
     if kind == "agreement":
         voters, followers = ((3, 2), (5, 3), (3, 6))[seed % 3]
-        fleet = SimulatedCluster(random_scenario(seed, voters, followers, allocates_quotas=seed % 2 == 1, publishes_limits=seed % 4 == 0)).run()
+        fleet = SimulatedCluster(
+            random_scenario(
+                seed, voters, followers, allocates_quotas=seed % 2 == 1, publishes_limits=seed % 4 == 0
+            )
+        ).run()
         return kind, seed, fleet.longest_contradiction // 10, "; ".join(fleet.violations), 0, 0, ""
     yard = MaintenanceFleet(draw_case(seed)).run()
     newest = max((p.member for p in yard.processes.values() if p.member), key=lambda m: m.last_applied)
@@ -40,14 +44,18 @@
 @click.option("--workers", default=6, show_default=True)
 @click.option("--within", default=3600.0, show_default=True, help="Seconds; what is not begun is left out.")
 def main(agreement: int, works: int, first: int, workers: int, within: float) -> None:
-    jobs = [(kind, first + n) for n in range(max(agreement, works))
-            for kind, count in (("agreement", agreement), ("works", works)) if n < count]
+    jobs = [
+        (kind, first + n)
+        for n in range(max(agreement, works))
+        for kind, count in (("agreement", agreement), ("works", works))
+        if n < count
+    ]
     end, rows = time.monotonic() + within, []
     with ProcessPoolExecutor(workers) as pool:
         for begin in range(0, len(jobs), 20 * workers):
             if time.monotonic() > end:
                 break
-            rows += pool.map(one, jobs[begin:begin + 20 * workers])
+            rows += pool.map(one, jobs[begin : begin + 20 * workers])
     with (HERE / "schedules.csv").open("w", newline="") as out:
         table = csv.writer(out, lineterminator="\n")
         table.writerow(["kind", "seed", "longest_ms", "broken", "done", "left", "steps"])
@@ -56,10 +64,16 @@
     for kind in ("agreement", "works"):
         mine = [row for row in rows if row[0] == kind]
         broken = [row for row in mine if row[3]]
-        lines.append(f"{kind}: {len(mine)} schedules, {len(broken)} broken, longest contradiction "
-                     f"{max((row[2] for row in mine), default=0)} ms of 2000"
-                     + (f"; {sum(row[4] for row in mine)} machines done, {sum(row[5] for row in mine)} left "
-                        f"with the reason told" if kind == "works" else ""))
+        lines.append(
+            f"{kind}: {len(mine)} schedules, {len(broken)} broken, longest contradiction "
+            f"{max((row[2] for row in mine), default=0)} ms of 2000"
+            + (
+                f"; {sum(row[4] for row in mine)} machines done, {sum(row[5] for row in mine)} left "
+                f"with the reason told"
+                if kind == "works"
+                else ""
+            )
+        )
         lines += [f"  seed {row[1]}: {row[3]}" for row in broken[:10]]
     (HERE / "schedules.txt").write_text("\n".join(lines) + "\n")
     click.echo("\n".join(lines))
--- a/benchmarks/trials.py
+++ b/benchmarks/trials.py
@@ -30,14 +30,38 @@
     luck = Random(f"trial {seed}")
     voters, followers = luck.choice(((3, 2), (3, 2), (3, 3), (5, 1)))
     names = [f"n{n}" for n in range(voters + followers)]
-    lines = [f'name = "drawn-{seed}"', f"seconds = {SECONDS}", f"seed = {seed}", f"voters = {voters}",
-             f"followers = {followers}", f"promises = {list(PROMISES)}", "load = 30.0", "[publish]",
-             f"every = {luck.choice((0.15, 0.3, 0.6))}", f"until = {SECONDS - 3}",
-             f"at-once = {luck.choice((1, 1, 2))}", "repeat = 0.2"]
+    lines = [
+        f'name = "drawn-{seed}"',
+        f"seconds = {SECONDS}",
+        f"seed = {seed}",
+        f"voters = {voters}",
+        f"followers = {followers}",
+        f"promises = {list(PROMISES)}",
+        "load = 30.0",
+        "[publish]",
+        f"every = {luck.choice((0.15, 0.3, 0.6))}",
+        f"until = {SECONDS - 3}",
+        f"at-once = {luck.choice((1, 1, 2))}",
+        "repeat = 0.2",
+    ]
     busy: dict[str, float] = {}
     for _ in range(luck.randrange(2, 7)):
-        kind = luck.choice(("loss", "cut", "cut", "delay", "double", "reset", "slow", "kill", "kill", "pause",
-                            "pause", "disk"))
+        kind = luck.choice(
+            (
+                "loss",
+                "cut",
+                "cut",
+                "delay",
+                "double",
+                "reset",
+                "slow",
+                "kill",
+                "kill",
+                "pause",
+                "pause",
+                "disk",
+            )
+        )
         begin = round(luck.uniform(0.5, SECONDS - 4), 2)
         end = round(min(begin + luck.choice((0.1, 0.6, 1.7, 3.0)), SECONDS - 3), 2)
         at, to = luck.choice([*names, "leader"]), luck.choice([*names, "*"])
@@ -63,23 +87,56 @@
     voters, followers = luck.choice(((3, 2), (3, 2), (5, 1)))
     names, seconds = [f"n{n}" for n in range(voters + followers)], 16.0
     documents = luck.choice((["settings"], ["settings", "runners-out"]))
-    lines = [f'name = "works-{seed}"', f"seconds = {seconds}", f"seed = {seed}", f"voters = {voters}",
-             f"followers = {followers}", f"promises = {list(PROMISES)}", "load = 30.0", "runners = 6",
-             "zones = 3", "fails = 0.0", "long = 0.01", "warm-after = 1.0", "settle = 30.0", "[publish]",
-             "every = 1.5", f"until = {seconds - 4}", f"documents = {documents}"]
-    for name in ("disks", "cables")[:luck.choice((1, 1, 2))]:
-        way = luck.choice(('way = "hand"', 'way = "list"', 'way = "command"',
-                           'way = "command", again = true'))
+    lines = [
+        f'name = "works-{seed}"',
+        f"seconds = {seconds}",
+        f"seed = {seed}",
+        f"voters = {voters}",
+        f"followers = {followers}",
+        f"promises = {list(PROMISES)}",
+        "load = 30.0",
+        "runners = 6",
+        "zones = 3",
+        "fails = 0.0",
+        "long = 0.01",
+        "warm-after = 1.0",
+        "settle = 30.0",
+        "[publish]",
+        "every = 1.5",
+        f"until = {seconds - 4}",
+        f"documents = {documents}",
+    ]
+    for name in ("disks", "cables")[: luck.choice((1, 1, 2))]:
+        way = luck.choice(
+            ('way = "hand"', 'way = "list"', 'way = "command"', 'way = "command", again = true')
+        )
         zones = luck.sample(["z0", "z1", "z2"], luck.choice((2, 3)))
-        lines += ["[[work]]", f'name = "{name}"', f"begin = {luck.choice((0.5, 3.0))}",
-                  f"lasts = {luck.choice((0.3, 1.5))}",
-                  f"work = {{ {way}, at-once = {luck.choice((1, 2, 3))}, a-zone = {luck.choice((0, 1))}, "
-                  f"stays = {luck.choice((0.0, 0.5))}, takes = 8.0, watch = 0.5, least-answers = 0, "
-                  f"zones = {zones}, not-back = \"{luck.choice(('hold', 'go-on'))}\" }}"]
+        lines += [
+            "[[work]]",
+            f'name = "{name}"',
+            f"begin = {luck.choice((0.5, 3.0))}",
+            f"lasts = {luck.choice((0.3, 1.5))}",
+            f"work = {{ {way}, at-once = {luck.choice((1, 2, 3))}, a-zone = {luck.choice((0, 1))}, "
+            f"stays = {luck.choice((0.0, 0.5))}, takes = 8.0, watch = 0.5, least-answers = 0, "
+            f'zones = {zones}, not-back = "{luck.choice(("hold", "go-on"))}" }}',
+        ]
     busy = 0.0
     for _ in range(luck.randrange(1, 5)):
-        kind = luck.choice(("cut", "cut", "loss", "delay", "kill", "kill", "pause", "pause", "lose",
-                            "list-late", "list-down"))
+        kind = luck.choice(
+            (
+                "cut",
+                "cut",
+                "loss",
+                "delay",
+                "kill",
+                "kill",
+                "pause",
+                "pause",
+                "lose",
+                "list-late",
+                "list-down",
+            )
+        )
         begin = round(luck.uniform(1, seconds - 6), 2)
         end = round(min(begin + luck.choice((0.6, 1.7, 3.0)), seconds - 4), 2)
         fault = ["", "[[fault]]", f'kind = "{kind}"', f"begin = {begin}", f"end = {end}"]
@@ -89,8 +146,12 @@
             busy = end + 0.5
         where = f"r{luck.randrange(6)}" if kind == "lose" else luck.choice([*names, "leader"])
         fault.append(f'at = "{where}"')
-        fault += {"cut": [f"both = {str(luck.random() < 0.5).lower()}"], "loss": ["share = 0.3"],
-                  "delay": ["ms = 300.0"], "list-late": ["ms = 1200.0"]}.get(kind, [])
+        fault += {
+            "cut": [f"both = {str(luck.random() < 0.5).lower()}"],
+            "loss": ["share = 0.3"],
+            "delay": ["ms = 300.0"],
+            "list-late": ["ms = 1200.0"],
+        }.get(kind, [])
         lines += fault
     return "\n".join(lines) + "\n"
 
@@ -137,9 +198,11 @@
         table.writerows(rows)
     held = [row for row in rows if row[1] == 0]
     spans = sorted(row[2] for row in held)
-    text = (f"{len(rows)} trials, {len(held)} with every promise held; longest contradiction, ms of 2000: "
-            f"median {spans[len(spans) // 2]:.0f}, 99th percentile {spans[len(spans) * 99 // 100]:.0f}, "
-            f"longest {spans[-1]:.0f} ms")
+    text = (
+        f"{len(rows)} trials, {len(held)} with every promise held; longest contradiction, ms of 2000: "
+        f"median {spans[len(spans) // 2]:.0f}, 99th percentile {spans[len(spans) * 99 // 100]:.0f}, "
+        f"longest {spans[-1]:.0f} ms"
+    )
     (HERE / f"{name}.txt").write_text(text + "\n")
     click.echo(text)
     if works:
--- a/benchmarks/turns.py
+++ b/benchmarks/turns.py
@@ -27,15 +27,26 @@
 
 
 def run_keys(seeds: int, sizes: list[tuple[int, int, int, float]]) -> list[RunKey]:
-    return [(*size, faults, order, seed) for size in sizes for faults in ("calm", "losses")
-            for seed in range(1, seeds + 1) for order in ORDERS]
+    return [
+        (*size, faults, order, seed)
+        for size in sizes
+        for faults in ("calm", "losses")
+        for seed in range(1, seeds + 1)
+        for order in ORDERS
+    ]
 
 
 def run_one(job: RunKey) -> tuple[RunKey, StudyResult]:
     runners, dispatchers, work, load, faults, order, seed = job
-    scenario = Scenario(dispatcher_count=dispatchers, backend_count=runners, mean_service_time=work, seconds=70, discovery_delay=3000,
-                        arrival_rate=load * runners * 4 * 10_000 / work / dispatchers,
-                        faults=LOSS_FAULTS if faults == "losses" else ())
+    scenario = Scenario(
+        dispatcher_count=dispatchers,
+        backend_count=runners,
+        mean_service_time=work,
+        seconds=70,
+        discovery_delay=3000,
+        arrival_rate=load * runners * 4 * 10_000 / work / dispatchers,
+        faults=LOSS_FAULTS if faults == "losses" else (),
+    )
     return job, run_study(order, scenario, replace(DEFAULT_CONFIG, warm_up_time=WARM_UP_TICKS), seed)
 
 
@@ -51,32 +62,68 @@
             rows[job] = told
     with (OUTPUT_DIRECTORY / f"{name}.csv").open("w", newline="") as out:
         table = csv.writer(out, lineterminator="\n")
-        table.writerow(["runners", "dispatchers", "load", "faults", "order", "seed", "units", "in_time",
-                        "done", "seconds", "rules_broken"])
+        table.writerow(
+            [
+                "runners",
+                "dispatchers",
+                "load",
+                "faults",
+                "order",
+                "seed",
+                "units",
+                "in_time",
+                "done",
+                "seconds",
+                "rules_broken",
+            ]
+        )
         for (machines, dispatchers, _, load, faults, order, seed), told in rows.items():
-            table.writerow([machines, dispatchers, load, faults, order, seed, told.request_count,
-                            f"{told.in_time_share:.6f}", f"{told.completed_share:.4f}", f"{told.duration_seconds:.1f}", told.violation_count])
+            table.writerow(
+                [
+                    machines,
+                    dispatchers,
+                    load,
+                    faults,
+                    order,
+                    seed,
+                    told.request_count,
+                    f"{told.in_time_share:.6f}",
+                    f"{told.completed_share:.4f}",
+                    f"{told.duration_seconds:.1f}",
+                    told.violation_count,
+                ]
+            )
     lines, charted = [], []
     for size in sizes:
         for faults in ("calm", "losses"):
             idle = sum(rows[(*size, faults, NOTHING, s)].in_time_share for s in range(1, seeds + 1)) / seeds
-            lines.append(f"{size[0]} runners, {size[1]} dispatchers, load {size[3]}, {faults}; share in time "
-                         f"without any work {idle:.4f}")
+            lines.append(
+                f"{size[0]} runners, {size[1]} dispatchers, load {size[3]}, {faults}; share in time "
+                f"without any work {idle:.4f}"
+            )
             costs: dict[str, list[float]] = {}
             for order in ORDERS[:-1]:
-                played = [(rows[(*size, faults, order, s)], rows[(*size, faults, NOTHING, s)])
-                          for s in range(1, seeds + 1)]
-                costs[order] = [(calm.in_time_share - told.in_time_share) * told.request_count
-                                / max(told.completed_share * size[0], 1) for told, calm in played]
+                played = [
+                    (rows[(*size, faults, order, s)], rows[(*size, faults, NOTHING, s)])
+                    for s in range(1, seeds + 1)
+                ]
+                costs[order] = [
+                    (calm.in_time_share - told.in_time_share)
+                    * told.request_count
+                    / max(told.completed_share * size[0], 1)
+                    for told, calm in played
+                ]
                 seconds = sum(told.duration_seconds for told, _ in played) / seeds
                 done = sum(told.completed_share for told, _ in played) / seeds
                 mean = sum(costs[order]) / seeds
-                text = (f"  {order}: {seconds:.1f} s, {done:.2f} of the machines, "
-                        f"{mean:.2f} units late a machine")
+                text = (
+                    f"  {order}: {seconds:.1f} s, {done:.2f} of the machines, {mean:.2f} units late a machine"
+                )
                 if order != FOREMAN:
-                    diff, low, high = confidence_interval([-c for c in costs[FOREMAN]], [-c for c in costs[order]])
-                    text += (f"; {FOREMAN} {-diff:+.2f} ({-high:+.2f} to {-low:+.2f}): "
-                             f"{verdict(low, high)}")
+                    diff, low, high = confidence_interval(
+                        [-c for c in costs[FOREMAN]], [-c for c in costs[order]]
+                    )
+                    text += f"; {FOREMAN} {-diff:+.2f} ({-high:+.2f} to {-low:+.2f}): {verdict(low, high)}"
                 lines.append(text)
                 charted.append((f"{size[0]}/{size[1]} {size[3]} {faults}", order, seconds, mean))
     lines.append(f"rules broken: {sum(told.violation_count for told in rows.values())}")
--- a/benchmarks/upgrades.py
+++ b/benchmarks/upgrades.py
@@ -33,6 +33,7 @@
 
 def free_port() -> int:
     import socket
+
     with socket.create_server((HOST, 0)) as free:
         return int(free.getsockname()[1])
 
@@ -83,19 +84,37 @@
         targets = []
         for n in range(RUNNERS):
             server = await asyncio.start_server(
-                lambda reader, writer, name=f"r{n}": runner(reader, writer, name), HOST, 0)  # type: ignore[misc]
-            targets.append({"uid": f"r{n}", "endpoint": where(server),
-                            "state": "in_service", "capacity_hint": 1.0, "boot_ms": 0})
+                lambda reader, writer, name=f"r{n}": runner(reader, writer, name), HOST, 0
+            )  # type: ignore[misc]
+            targets.append(
+                {
+                    "uid": f"r{n}",
+                    "endpoint": where(server),
+                    "state": "in_service",
+                    "capacity_hint": 1.0,
+                    "boot_ms": 0,
+                }
+            )
         server = await asyncio.start_server(discovery, HOST, 0)
         self.config = self.folder / "config.json"
-        self.config.write_text(json.dumps({
-            "listen": f"{HOST}:{self.port}", "discovery": where(server),
-            "admin_addr": f"{HOST}:0", "limits": {"sockets": 384},
-            "settings": {
-                "allowed": {"most-dispatches": 3, "cancel": True}, "tick": 2000,
-                "specifics": {"tells-start": True},
-                "service-grades": [{"name": "g", "effect": "safe", "cut-off": 3_000_000,
-                                    "expected-time": 1_000_000}]}}))
+        self.config.write_text(
+            json.dumps(
+                {
+                    "listen": f"{HOST}:{self.port}",
+                    "discovery": where(server),
+                    "admin_addr": f"{HOST}:0",
+                    "limits": {"sockets": 384},
+                    "settings": {
+                        "allowed": {"most-dispatches": 3, "cancel": True},
+                        "tick": 2000,
+                        "specifics": {"tells-start": True},
+                        "service-grades": [
+                            {"name": "g", "effect": "safe", "cut-off": 3_000_000, "expected-time": 1_000_000}
+                        ],
+                    },
+                }
+            )
+        )
 
     def spawn(self, work: object) -> None:
         task = asyncio.get_running_loop().create_task(work)  # type: ignore[arg-type]
@@ -108,8 +127,10 @@
         for _ in range(10):  # a call-back is tried until it is answered
             with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError, TimeoutError):
                 reader, writer = await asyncio.open_connection(HOST, self.port)
-                writer.write(b"POST /v1/job-events HTTP/1.1\r\nHost: b\r\nConnection: close\r\n"
-                             b"Content-Length: %d\r\n\r\n" % len(body) + body)
+                writer.write(
+                    b"POST /v1/job-events HTTP/1.1\r\nHost: b\r\nConnection: close\r\n"
+                    b"Content-Length: %d\r\n\r\n" % len(body) + body
+                )
                 async with asyncio.timeout(1):
                     head, _ = await message(reader)
                 writer.close()
@@ -126,8 +147,10 @@
                 used = bool(keep and self.kept)
                 reader, writer = self.kept.pop() if used else await asyncio.open_connection(HOST, self.port)
                 close = "" if keep else "Connection: close\r\n"
-                writer.write(f"POST /api HTTP/1.1\r\nHost: b\r\nX-Request-ID: {ident}-{attempt}\r\n{close}"
-                             "X-Priority-Class: g\r\nX-Timeout: 2\r\nContent-Length: 0\r\n\r\n".encode())
+                writer.write(
+                    f"POST /api HTTP/1.1\r\nHost: b\r\nX-Request-ID: {ident}-{attempt}\r\n{close}"
+                    "X-Priority-Class: g\r\nX-Timeout: 2\r\nContent-Length: 0\r\n\r\n".encode()
+                )
                 sent = True
                 async with asyncio.timeout(4):
                     head, body = await message(reader)
@@ -203,8 +226,14 @@
         began = time.monotonic()
         folder = self.folder if self.shared else Path(tempfile.mkdtemp())
         process = await asyncio.create_subprocess_exec(
-            sys.executable, "-O", "-m", "crankfold", "serve", stderr=asyncio.subprocess.PIPE,
-            env={**os.environ, "GW_CONFIG": str(self.config), "TMPDIR": str(folder)})
+            sys.executable,
+            "-O",
+            "-m",
+            "crankfold",
+            "serve",
+            stderr=asyncio.subprocess.PIPE,
+            env={**os.environ, "GW_CONFIG": str(self.config), "TMPDIR": str(folder)},
+        )
         self.processes.append(process)
         assert process.stderr
         door = 0
@@ -256,15 +285,22 @@
     lost = sum(count for end, count in rig.ends.items() if end.startswith("lost"))
     print(f"{'the listening socket passed on' if shared else 'two listeners, SO_REUSEPORT alone'}")
     ready, gone = zip(*times, strict=True)
-    print(f"  upgrades {upgrades}; ready after {min(ready):.2f} to {max(ready):.2f} s, the old one gone "
-          f"{min(gone):.2f} to {max(gone):.2f} s after SIGTERM")
+    print(
+        f"  upgrades {upgrades}; ready after {min(ready):.2f} to {max(ready):.2f} s, the old one gone "
+        f"{min(gone):.2f} to {max(gone):.2f} s after SIGTERM"
+    )
     print(f"  units {sum(rig.ends.values())}: " + ", ".join(f"{e} {n}" for e, n in sorted(rig.ends.items())))
     print(f"  lost at the door in an upgrade: {lost / upgrades:.1f}")
-    print(f"  door: {len(calls)} calls, median {1000 * calls[len(calls) // 2]:.1f} ms, 99th percentile "
-          f"{1000 * calls[int(len(calls) * 0.99)]:.1f} ms, worst {1000 * calls[-1]:.1f} ms, "
-          f"not answered with yes {rig.wrong_calls}")
-    print(f"  both together at most: {rig.most_memory / 1024:.1f} MB (proportional), "
-          f"{rig.most_descriptors} descriptors", flush=True)
+    print(
+        f"  door: {len(calls)} calls, median {1000 * calls[len(calls) // 2]:.1f} ms, 99th percentile "
+        f"{1000 * calls[int(len(calls) * 0.99)]:.1f} ms, worst {1000 * calls[-1]:.1f} ms, "
+        f"not answered with yes {rig.wrong_calls}"
+    )
+    print(
+        f"  both together at most: {rig.most_memory / 1024:.1f} MB (proportional), "
+        f"{rig.most_descriptors} descriptors",
+        flush=True,
+    )
 
 
 def main() -> None:
--- a/crankfold/cli/cluster.py
+++ b/crankfold/cli/cluster.py
@@ -12,13 +12,18 @@
 RESPONSE_MARGIN = 15.0
 
 
-def call_admin(door: str, what: str, body: dict[str, Any] | None = None, wait: float = 0.0) -> tuple[int, Any]:
+def call_admin(
+    door: str, what: str, body: dict[str, Any] | None = None, wait: float = 0.0
+) -> tuple[int, Any]:
     """Status and answer; status 0 with a text where nobody answers as he should."""
     host, _, port = door.rpartition(":")
     try:
         line = http.client.HTTPConnection(host.strip("[]"), int(port), timeout=wait + RESPONSE_MARGIN)
-        line.request("GET" if body is None else "POST", f"/control/{what}",
-                     None if body is None else json.dumps(body).encode())
+        line.request(
+            "GET" if body is None else "POST",
+            f"/control/{what}",
+            None if body is None else json.dumps(body).encode(),
+        )
         answer = line.getresponse()
         text = answer.read()
         line.close()
@@ -50,21 +55,29 @@
     for voter, at in sorted(told.get("voters", {}).items()):
         lag = told.get("lag", {}).get(voter)
         lease = told.get("leases-ms", {}).get(voter)
-        click.echo(f"voter {voter} {at}" + (f", {lag} behind" if lag is not None else "")
-                   + (f", lease {lease} ms" if lease is not None else ""))
+        click.echo(
+            f"voter {voter} {at}"
+            + (f", {lag} behind" if lag is not None else "")
+            + (f", lease {lease} ms" if lease is not None else "")
+        )
     for one in told.get("members", ()):
         quiet = ""
         if one["state"] not in ("there", "left") and "heard-ms-ago" in one:
             quiet = f", not heard for {one['heard-ms-ago'] / 1000:.1f} s"
-        click.echo(f"follower {one['name']} at {one['at']}: {one['state']}{quiet}, joined "
-                   f"{one['for-s']} s ago, {one['lag']} behind, incarnation {one['incarnation']:x}")
+        click.echo(
+            f"follower {one['name']} at {one['at']}: {one['state']}{quiet}, joined "
+            f"{one['for-s']} s ago, {one['lag']} behind, incarnation {one['incarnation']:x}"
+        )
     return EXIT_DONE if told["acts"] else EXIT_UNREACHABLE
 
 
 def change_voters(door: str, add: str, remove: str) -> int:
     name, _, at = add.partition("=")
-    status, told = call_admin(door, "agreed/voters", {"call": secrets.token_hex(8), "remove": remove,
-                                                "add": {name: at} if add else {}})
+    status, told = call_admin(
+        door,
+        "agreed/voters",
+        {"call": secrets.token_hex(8), "remove": remove, "add": {name: at} if add else {}},
+    )
     if not isinstance(told, dict):
         return report_failure(told)
     if not told["well"]:
@@ -97,8 +110,11 @@
         return report_failure(f"{doc} has no version {number}" if number else f"{doc} has no version yet")
     click.echo(format_json(version if as_json else version["text"]))
     if not as_json:
-        state = "counts" if version["number"] == told["counts"] else (
-            "on its way" if version["number"] > told["counts"] else "an earlier one")
+        state = (
+            "counts"
+            if version["number"] == told["counts"]
+            else ("on its way" if version["number"] > told["counts"] else "an earlier one")
+        )
         click.echo(f"version {version['number']} of {doc}, {state}", err=True)
     return EXIT_DONE
 
@@ -112,8 +128,10 @@
         return EXIT_DONE
     for number, version in sorted(versions.items(), reverse=True):
         mark = "*" if number == told["counts"] else " "
-        click.echo(f"{mark}{number} from {version['made_from']} by {version['author'] or 'nobody'}: "
-                   f"{version['reason']}")
+        click.echo(
+            f"{mark}{number} from {version['made_from']} by {version['author'] or 'nobody'}: "
+            f"{version['reason']}"
+        )
     return EXIT_DONE
 
 
@@ -130,12 +148,28 @@
 
 
 def _diff_lines(one: dict[str, Any], other: dict[str, Any]) -> list[str]:
-    return list(difflib.unified_diff(format_json(one["text"]).splitlines(), format_json(other["text"]).splitlines(),
-                                     f"version {one['number']}", f"version {other['number']}", lineterm=""))
-
-
-def publish(door: str, doc: str, text: bytes, made_from: int, reason: str, author: str, wait: float,
-            ident: str, as_json: bool) -> int:
+    return list(
+        difflib.unified_diff(
+            format_json(one["text"]).splitlines(),
+            format_json(other["text"]).splitlines(),
+            f"version {one['number']}",
+            f"version {other['number']}",
+            lineterm="",
+        )
+    )
+
+
+def publish(
+    door: str,
+    doc: str,
+    text: bytes,
+    made_from: int,
+    reason: str,
+    author: str,
+    wait: float,
+    ident: str,
+    as_json: bool,
+) -> int:
     try:
         read = json.loads(text)
     except ValueError as wrong:
@@ -143,8 +177,19 @@
     if not isinstance(read, dict):
         raise click.UsageError("no JSON object")
     ident = ident or secrets.token_hex(8)
-    status, told = call_admin(door, f"agreed/{doc}", {"call": ident, "made-from": made_from, "text": read,
-                                                "author": author, "reason": reason, "wait": wait}, wait)
+    status, told = call_admin(
+        door,
+        f"agreed/{doc}",
+        {
+            "call": ident,
+            "made-from": made_from,
+            "text": read,
+            "author": author,
+            "reason": reason,
+            "wait": wait,
+        },
+        wait,
+    )
     if not isinstance(told, dict):
         return report_failure(f"{told}; once somebody is there, --call {ident} finds out what became of it")
     if as_json:
@@ -157,13 +202,20 @@
             if told.get("number"):
                 _, versions = _fetch_versions(door, doc)
                 if made_from in versions and told["number"] in versions:
-                    click.echo("\n".join(_diff_lines(versions[made_from], versions[told["number"]])), err=True)
+                    click.echo(
+                        "\n".join(_diff_lines(versions[made_from], versions[told["number"]])), err=True
+                    )
         return EXIT_REFUSED
     late = told.get("lag", [])
     all_act = told.get("counts", True) and not late
     if not as_json:
-        done = "" if not wait else ", all act on it" if all_act else (
-            f", not by all: {'; '.join(late)}" if late else ", does not count yet")
+        done = (
+            ""
+            if not wait
+            else ", all act on it"
+            if all_act
+            else (f", not by all: {'; '.join(late)}" if late else ", does not count yet")
+        )
         click.echo(f"version {told['number']} of {doc}{done}")
     return EXIT_DONE if all_act else EXIT_NOT_APPLIED
 
@@ -172,5 +224,14 @@
     told, versions = _fetch_versions(door, doc)
     if number not in versions:
         return report_failure(told if isinstance(told, str) else f"no version {number} of {doc} is kept")
-    return publish(door, doc, json.dumps(versions[number]["text"]).encode(), told["newest"], reason, author,
-                   wait, "", as_json)
+    return publish(
+        door,
+        doc,
+        json.dumps(versions[number]["text"]).encode(),
+        told["newest"],
+        reason,
+        author,
+        wait,
+        "",
+        as_json,
+    )
--- a/crankfold/cli/main.py
+++ b/crankfold/cli/main.py
@@ -13,8 +13,13 @@
 from crankfold.network.signals import catch_reload_signal
 from crankfold.service.application import Application, ConfigError, parse_address, read_config
 
-_config = click.option("--config", envvar="GW_CONFIG", default="", show_envvar=True,
-                       help="The dispatcher's configuration, a JSON file.")
+_config = click.option(
+    "--config",
+    envvar="GW_CONFIG",
+    default="",
+    show_envvar=True,
+    help="The dispatcher's configuration, a JSON file.",
+)
 
 
 @click.group(context_settings={"help_option_names": ["-h", "--help"]})
@@ -27,8 +32,13 @@
 @click.option("--listen", envvar="GW_LISTEN", show_envvar=True, help="HOST:PORT, not the file's.")
 @click.option("--discovery", envvar="GW_DISCOVERY", show_envvar=True, help="HOST:PORT, not the file's.")
 @click.option("--admin", envvar="GW_ADMIN_ADDR", show_envvar=True, help="HOST:PORT for operators' calls.")
-@click.option("--hand-over", envvar="TMPDIR", show_envvar=True, default="",
-              help="Folder by which a process that replaces this one finds it; only with --admin.")
+@click.option(
+    "--hand-over",
+    envvar="TMPDIR",
+    show_envvar=True,
+    default="",
+    help="Folder by which a process that replaces this one finds it; only with --admin.",
+)
 def serve(config: str, listen: str | None, discovery: str | None, admin: str | None, hand_over: str) -> None:
     """Serve until SIGTERM or SIGINT, then drain.
 
@@ -72,26 +82,45 @@
         print(f"crankfold: {wrong}", file=sys.stderr)
         sys.exit(1)
     for name, grade in zip(rules.request_classes.names, orders.request_classes, strict=True):
-        click.echo(f"grade {name}: {grade.idempotency.name.lower()}, expected in {grade.latency_objective / 10} ms, "
-                   f"cut off after {grade.deadline / 10} ms, revenue {grade.priority_weight}")
-    click.echo(f"zones: {', '.join(rules.zones.names) or 'none'}; reports: "
-               f"{', '.join(orders.report_fields) or 'none'}; dispatches a unit: {orders.max_attempts}")
+        click.echo(
+            f"grade {name}: {grade.idempotency.name.lower()}, expected in {grade.latency_objective / 10} ms, "
+            f"cut off after {grade.deadline / 10} ms, revenue {grade.priority_weight}"
+        )
+    click.echo(
+        f"zones: {', '.join(rules.zones.names) or 'none'}; reports: "
+        f"{', '.join(orders.report_fields) or 'none'}; dispatches a unit: {orders.max_attempts}"
+    )
 
 
 @main.command()
 @click.option("--dispatchers", default=40, show_default=True, type=click.IntRange(1, 2000))
 @click.option("--runners", default=60, show_default=True, type=click.IntRange(1, 2000))
 @click.option("--load", default=0.6, show_default=True, type=click.FloatRange(0.01, 3), help="Of all slots.")
-@click.option("--work", default=0.35, show_default=True, type=click.FloatRange(0.001, 60),
-              help="Mean running time, seconds.")
-@click.option("--report-every", default=1.0, show_default=True, type=click.FloatRange(0.01, 60),
-              help="Seconds.")
+@click.option(
+    "--work",
+    default=0.35,
+    show_default=True,
+    type=click.FloatRange(0.001, 60),
+    help="Mean running time, seconds.",
+)
+@click.option(
+    "--report-every", default=1.0, show_default=True, type=click.FloatRange(0.01, 60), help="Seconds."
+)
 @click.option("--seconds", default=10, show_default=True, type=click.IntRange(1, 3600))
 @click.option("--seeds", default=10, show_default=True, type=click.IntRange(2, 1000))
 @click.option("--policy", "policies", multiple=True, help="Against crankfold; again for more; all if none.")
 @click.option("--csv", "table", type=click.File("w", lazy=False), help="Where a row for each day goes.")
-def emulate(dispatchers: int, runners: int, load: float, work: float, report_every: float, seconds: int,
-            seeds: int, policies: tuple[str, ...], table: TextIO | None) -> None:
+def emulate(
+    dispatchers: int,
+    runners: int,
+    load: float,
+    work: float,
+    report_every: float,
+    seconds: int,
+    seeds: int,
+    policies: tuple[str, ...],
+    table: TextIO | None,
+) -> None:
     """Play emulated days and compare policies on the same seeds.
 
     A unit counts if it is done in time: within 80 ms and twice its running time.
@@ -103,27 +132,46 @@
     unknown = [name for name in chosen if name not in comparison.POLICIES]
     if unknown:
         raise click.UsageError(f"no policy {unknown[0]!r}; there are {', '.join(comparison.POLICIES)}")
-    scenario = Scenario(dispatcher_count=dispatchers, backend_count=runners, mean_service_time=int(work * 10_000), seconds=seconds,
-                        arrival_rate=load * runners * 4 / work / dispatchers, report_interval=int(report_every * 10_000))
-    rows = [comparison.simulate_day(name, scenario, comparison.DEFAULT_CONFIG, seed)
-            for seed in range(1, seeds + 1) for name in dict.fromkeys((comparison.PRODUCT, *chosen))]
+    scenario = Scenario(
+        dispatcher_count=dispatchers,
+        backend_count=runners,
+        mean_service_time=int(work * 10_000),
+        seconds=seconds,
+        arrival_rate=load * runners * 4 / work / dispatchers,
+        report_interval=int(report_every * 10_000),
+    )
+    rows = [
+        comparison.simulate_day(name, scenario, comparison.DEFAULT_CONFIG, seed)
+        for seed in range(1, seeds + 1)
+        for name in dict.fromkeys((comparison.PRODUCT, *chosen))
+    ]
     if table:
         comparison.write_table(rows, table)
-    shares = {name: [row.on_time_share for row in rows if row.policy == name] for name in (comparison.PRODUCT, *chosen)}
+    shares = {
+        name: [row.on_time_share for row in rows if row.policy == name]
+        for name in (comparison.PRODUCT, *chosen)
+    }
     ours = shares[comparison.PRODUCT]
     click.echo(f"{comparison.PRODUCT}: {sum(ours) / seeds:.3f} in time, over {seeds} seeds")
     for name in chosen:
         mean, low, high = comparison.confidence_interval(ours, shares[name])
-        click.echo(f"{name}: {sum(shares[name]) / seeds:.3f} in time; {comparison.PRODUCT} {mean:+.3f} "
-                   f"({low:+.3f} to {high:+.3f}): {comparison.verdict(low, high)}")
+        click.echo(
+            f"{name}: {sum(shares[name]) / seeds:.3f} in time; {comparison.PRODUCT} {mean:+.3f} "
+            f"({low:+.3f} to {high:+.3f}): {comparison.verdict(low, high)}"
+        )
     broken = sum(row.violation_count for row in rows if row.policy == comparison.PRODUCT)
     click.echo(f"rules broken by {comparison.PRODUCT}: {broken}")
 
 
 @main.command()
 @click.argument("file", type=click.Path(path_type=Path))
-@click.option("--out", default="benchmarks", show_default=True, type=click.Path(path_type=Path),
-              help="Folder for the table, the summary and the chart.")
+@click.option(
+    "--out",
+    default="benchmarks",
+    show_default=True,
+    type=click.Path(path_type=Path),
+    help="Folder for the table, the summary and the chart.",
+)
 @click.option("--workers", default=1, show_default=True, type=click.IntRange(1, 64), help="Processes.")
 @click.option("--no-chart", is_flag=True, help="Charts want matplotlib, which the extra `charts` brings.")
 def experiment(file: Path, out: Path, workers: int, no_chart: bool) -> None:
@@ -152,12 +200,20 @@
         click.echo(line)
 
 
-_door = click.option("--door", envvar="GW_ADMIN_ADDR", show_envvar=True, required=True,
-                     help="HOST:PORT of a dispatcher's door for operators.")
+_door = click.option(
+    "--door",
+    envvar="GW_ADMIN_ADDR",
+    show_envvar=True,
+    required=True,
+    help="HOST:PORT of a dispatcher's door for operators.",
+)
 _json = click.option("--json", "as_json", is_flag=True, help="JSON in place of text.")
-_doc = click.option("--doc", default="settings", show_default=True,
-                    type=click.Choice(["settings", "runners-out", "runners-never", "limits", "deal",
-                                       "works"]))
+_doc = click.option(
+    "--doc",
+    default="settings",
+    show_default=True,
+    type=click.Choice(["settings", "runners-out", "runners-never", "limits", "deal", "works"]),
+)
 
 
 @main.group(invoke_without_command=True)
@@ -203,8 +259,13 @@
 @_json
 @_doc
 @click.option("--version", "number", type=int, default=0, help="An earlier one; the newest if not given.")
-@click.option("--at-least", "least", type=int, default=0,
-              help="Not older than this one, of which you have been told elsewhere; waits for it.")
+@click.option(
+    "--at-least",
+    "least",
+    type=int,
+    default=0,
+    help="Not older than this one, of which you have been told elsewhere; waits for it.",
+)
 def settings_show(door: str, as_json: bool, doc: str, number: int, least: int) -> None:
     """A version's text, as JSON that can be published again."""
     from crankfold.cli import cluster
@@ -245,8 +306,17 @@
 @click.option("--author", envvar="USER", default="", show_envvar=True)
 @click.option("--wait", type=click.FloatRange(0, 60), default=0.0, help="Seconds, until all act on it.")
 @click.option("--call", default="", help="The same call again has one effect; drawn if not given.")
-def settings_publish(door: str, as_json: bool, doc: str, file: BinaryIO, made_from: int, reason: str,
-                     author: str, wait: float, call: str) -> None:
+def settings_publish(
+    door: str,
+    as_json: bool,
+    doc: str,
+    file: BinaryIO,
+    made_from: int,
+    reason: str,
+    author: str,
+    wait: float,
+    call: str,
+) -> None:
     """Publish FILE as a new version."""
     from crankfold.cli import cluster
 
@@ -261,8 +331,9 @@
 @click.option("--reason", required=True)
 @click.option("--author", envvar="USER", default="", show_envvar=True)
 @click.option("--wait", type=click.FloatRange(0, 60), default=0.0, help="Seconds, until all act on it.")
-def settings_back(door: str, as_json: bool, doc: str, number: int, reason: str, author: str,
-                  wait: float) -> None:
+def settings_back(
+    door: str, as_json: bool, doc: str, number: int, reason: str, author: str, wait: float
+) -> None:
     """Publish an earlier version again, as a new one."""
     from crankfold.cli import cluster
 
@@ -387,8 +458,11 @@
 _step("done", "Work on a machine is done: it comes back, and is watched.")
 _step("unwell", "A machine that is back is not well, or could not be worked on: out with it.")
 _step("back", "A machine comes back though nothing was done.")
-_step("here", "A machine comes back at this dispatcher alone, which is cut off. Nobody can say then that "
-              "nothing is done there.")
+_step(
+    "here",
+    "A machine comes back at this dispatcher alone, which is cut off. Nobody can say then that "
+    "nothing is done there.",
+)
 
 
 @main.command()
--- a/crankfold/cli/maintenance.py
+++ b/crankfold/cli/maintenance.py
@@ -42,8 +42,9 @@
     return told, told["newest"], text["works"]
 
 
-def _publish_job(door: str, name: str, change: dict[str, Any] | None, reason: str, author: str, fresh: bool,
-             as_json: bool) -> int:
+def _publish_job(
+    door: str, name: str, change: dict[str, Any] | None, reason: str, author: str, fresh: bool, as_json: bool
+) -> int:
     """With the others as they are. A work that was handed in meanwhile by somebody else turns this down."""
     told, newest, works = _fetch_jobs(door)
     if not isinstance(told, dict):
@@ -108,14 +109,18 @@
     if isinstance(told, int):
         return told
     if as_json:
-        click.echo(format_json({name: told[name] for name in ("works", "machines", "waits", "leads", "leader")}))
+        click.echo(
+            format_json({name: told[name] for name in ("works", "machines", "waits", "leads", "leader")})
+        )
         return EXIT_DONE
     for name, work in sorted(told["works"].items()):
         ended = list(work["done"].values())
         out = sum(machine["work"] == name for machine in told["machines"].values())
-        click.echo(f"{name}: {work['state']}, {len(ended)} of {work['wanted']} machines done, {out} out"
-                   + (f", {ended.count('gone')} of them replaced" if "gone" in ended else "")
-                   + (f"; {work['halted']}" if work["halted"] else ""))
+        click.echo(
+            f"{name}: {work['state']}, {len(ended)} of {work['wanted']} machines done, {out} out"
+            + (f", {ended.count('gone')} of them replaced" if "gone" in ended else "")
+            + (f"; {work['halted']}" if work["halted"] else "")
+        )
     return EXIT_DONE
 
 
@@ -132,12 +137,18 @@
     if as_json:
         click.echo(format_json({**work, "machines": out, "waits": waits}))
         return EXIT_DONE
-    click.echo(f"{name}: {work['state']}" + (f", {work['halted']}" if work["halted"] else "")
-               + (f" ({work['why']})" if work["why"] else ""))
+    click.echo(
+        f"{name}: {work['state']}"
+        + (f", {work['halted']}" if work["halted"] else "")
+        + (f" ({work['why']})" if work["why"] else "")
+    )
     for uid, machine in sorted(out.items()):
         number = f" under {machine['number']}" if machine["number"] else ""
-        click.echo(f"  {uid}: {machine['state']}{number}" + (f", {machine['why']}" if machine["why"] else "")
-                   + (" (back here by hand)" if uid in told["here"] else ""))
+        click.echo(
+            f"  {uid}: {machine['state']}{number}"
+            + (f", {machine['why']}" if machine["why"] else "")
+            + (" (back here by hand)" if uid in told["here"] else "")
+        )
     if not told["leads"]:
         click.echo(f"  what is waited for is known at the door of {told['leader'] or 'a voter, who leads'}")
     for wait in waits:
@@ -163,16 +174,23 @@
         at = time.strftime("%Y-%m-%d %H:%M:%SZ", time.gmtime(step["at"] / 1000))
         since = f" after {(step['at'] - before) / 1000:.1f} s" if before else ""
         before = 0 if step["step"] in ("well", "gone", "undone") else step["at"]
-        click.echo(f"{at} {step['step']:6} {step['work']} by {step['by']}, entry {step['index']}{since}"
-                   + (f": {step['why']}" if step["why"] else ""))
+        click.echo(
+            f"{at} {step['step']:6} {step['work']} by {step['by']}, entry {step['index']}{since}"
+            + (f": {step['why']}" if step["why"] else "")
+        )
     return EXIT_DONE
 
 
-def report_step(door: str, what: str, machine: str, number: int, why: str, author: str, ident: str,
-         as_json: bool) -> int:
+def report_step(
+    door: str, what: str, machine: str, number: int, why: str, author: str, ident: str, as_json: bool
+) -> int:
     ident = ident or secrets.token_hex(8)
-    status, told = call_admin(door, MACHINES_PATH, {"call": ident, "machine": machine, "step": what, "number": number,
-                                         "author": author, "why": why}, 10.0)
+    status, told = call_admin(
+        door,
+        MACHINES_PATH,
+        {"call": ident, "machine": machine, "step": what, "number": number, "author": author, "why": why},
+        10.0,
+    )
     if not isinstance(told, dict):
         return report_failure(f"{told}; --call {ident} finds out what became of it")
     if as_json:
--- a/crankfold/cluster/framing.py
+++ b/crankfold/cluster/framing.py
@@ -44,13 +44,13 @@
         told: list[Message | Hello] = []
         at = 0
         while len(self.buffer) - at >= 4:
-            size = int.from_bytes(self.buffer[at:at + 4], "big")
+            size = int.from_bytes(self.buffer[at : at + 4], "big")
             if size > MAX_FRAME_SIZE:
                 raise ProtocolError(f"a frame of {size} bytes")
             if len(self.buffer) - at - 4 < size:
                 break
             try:
-                told.append(_decoder.decode(bytes(self.buffer[at + 4:at + 4 + size])))
+                told.append(_decoder.decode(bytes(self.buffer[at + 4 : at + 4 + size])))
             except (msgspec.DecodeError, RecursionError) as wrong:
                 raise ProtocolError(str(wrong)) from None
             at += 4 + size
--- a/crankfold/cluster/node.py
+++ b/crankfold/cluster/node.py
@@ -48,8 +48,10 @@
         if len(self.voters) not in (3, 5, 7):
             return f"peers.voters: found {len(self.voters)}; 3, 5 or 7"
         if self.stated_time < MIN_STALENESS_BOUND:
-            return (f"peers.stated-time: found {self.stated_time}; at least {MIN_STALENESS_BOUND} s, as "
-                    f"elections and leases have to fit in")
+            return (
+                f"peers.stated-time: found {self.stated_time}; at least {MIN_STALENESS_BOUND} s, as "
+                f"elections and leases have to fit in"
+            )
         if self.stated_time > 60:
             return f"peers.stated-time: found {self.stated_time}; 60 s at most"
         return ""
@@ -79,14 +81,26 @@
         if store:
             if store.startup_notice:
                 log_line(f"crankfold: {store.startup_notice}")
-            self.consensus = Voter(name, store.persistent_state, dict(voters), self.timing, now, seed, incarnation,
-                                store.folder_id, peer.validate_document, peer.initial_settings)
+            self.consensus = Voter(
+                name,
+                store.persistent_state,
+                dict(voters),
+                self.timing,
+                now,
+                seed,
+                incarnation,
+                store.folder_id,
+                peer.validate_document,
+                peer.initial_settings,
+            )
         else:
             self.consensus = Follower(name, list(voters), self.timing, now, seed, incarnation)
         self.consensus.quota_usage, self.consensus.quiesced_index = peer.quota_usage, peer.quiesced_index
         self.consensus.maintenance_report = lambda: peer.maintenance_report()
         if isinstance(self.consensus, Voter):
-            self.consensus.maintenance_steps = lambda now: peer.maintenance_steps() if peer.cluster_member is self else []
+            self.consensus.maintenance_steps = lambda now: (
+                peer.maintenance_steps() if peer.cluster_member is self else []
+            )
         hello = Hello(PROTOCOL_VERSION, name, incarnation, store.folder_id if store else "")
         others = {voter: parse_address(at) for voter, at in voters.items() if voter != name}
         self.transport = Transport(hello, others, self.metrics, self._admission_error, self._handle_message)
@@ -95,7 +109,9 @@
 
     async def open(self) -> None:
         if self.storage:
-            await self.transport.open(*parse_address(self.config.address or self.config.voters[self.config.name]))
+            await self.transport.open(
+                *parse_address(self.config.address or self.config.voters[self.config.name])
+            )
         self._tick()
 
     def has_lease(self) -> bool:
@@ -107,35 +123,64 @@
             return self.disabled_reason
         if not self.consensus.has_lease(boottime_ticks()):
             return self.consensus.rejection_reason or (
-                "cut off from the majority" if self.consensus.last_applied else "nothing heard of the fleet yet")
+                "cut off from the majority"
+                if self.consensus.last_applied
+                else "nothing heard of the fleet yet"
+            )
         return "" if self.consensus.effective_content("settings") else "no settings count yet"
 
     def status(self) -> dict[str, Any]:
         """The fleet as this member sees it."""
         now, member = boottime_ticks(), self.consensus
         told: dict[str, Any] = {
-            "name": member.name, "acts": self.has_lease(), "why-not": self.inactive_reason(),
-            "applied": member.last_applied, "lease-ms": max(member.lease_expires_at - now, 0) // 10,
-            "versions": {doc: {"counts": counts, "newest": newest}
-                         for doc, (counts, newest) in member.documents.version_numbers().items()}}
+            "name": member.name,
+            "acts": self.has_lease(),
+            "why-not": self.inactive_reason(),
+            "applied": member.last_applied,
+            "lease-ms": max(member.lease_expires_at - now, 0) // 10,
+            "versions": {
+                doc: {"counts": counts, "newest": newest}
+                for doc, (counts, newest) in member.documents.version_numbers().items()
+            },
+        }
         if isinstance(member, Follower):
             return {**told, "voter": member.voter, "leader": ""}
         raft = member.raft
         told |= {"leader": raft.leader, "term": raft.term, "voters": dict(raft.voters)}
         if member.is_leader():
-            told["leases-ms"] = {name: max(until - now, 0) // 10 for name, until in member.granted_until.items()}
-            told["lag"] = {name: raft.last_index() - raft.match_index.get(name, 0) for name in raft.voters
-                           if name != member.name}
+            told["leases-ms"] = {
+                name: max(until - now, 0) // 10 for name, until in member.granted_until.items()
+            }
+            told["lag"] = {
+                name: raft.last_index() - raft.match_index.get(name, 0)
+                for name in raft.voters
+                if name != member.name
+            }
         told["members"] = [
-            {"name": name, "state": member.lease_holder_state(now, ward), "incarnation": ward.incarnation,
-             "for-s": (now - ward.since) // TICKS_PER_SECOND, "heard-ms-ago": (now - ward.heard) // 10,
-             "lag": max(member.last_applied - ward.have, 0), "at": member.name}
-            for name, ward in sorted(member.lease_holders.items())]
+            {
+                "name": name,
+                "state": member.lease_holder_state(now, ward),
+                "incarnation": ward.incarnation,
+                "for-s": (now - ward.since) // TICKS_PER_SECOND,
+                "heard-ms-ago": (now - ward.heard) // 10,
+                "lag": max(member.last_applied - ward.have, 0),
+                "at": member.name,
+            }
+            for name, ward in sorted(member.lease_holders.items())
+        ]
         told["members"] += [
-            {"name": one.name, "state": one.state, "incarnation": one.incarnation,
-             "for-s": one.held_for // TICKS_PER_SECOND, "lag": max(member.last_applied - one.last_applied, 0), "at": voter}
+            {
+                "name": one.name,
+                "state": one.state,
+                "incarnation": one.incarnation,
+                "for-s": one.held_for // TICKS_PER_SECOND,
+                "lag": max(member.last_applied - one.last_applied, 0),
+                "at": voter,
+            }
             for voter, wards in sorted(member.remote_lease_holders.items())
-            for one in wards if one.state in (ALIVE, SUSPECTED, LEASE_EXPIRED) and one.name != voter]
+            for one in wards
+            if one.state in (ALIVE, SUSPECTED, LEASE_EXPIRED) and one.name != voter
+        ]
         return told
 
     # --- events ---
@@ -231,10 +276,22 @@
     successor takes its seat, folder and name once these are free, and acts by it when it knows as much.
     """
 
-    def __init__(self, given: ClusterConfig, tally: Metrics, check: Callable[[str, dict[str, Any]], str],
-                 beginning: dict[str, Any], changed: Callable[[set[str]], None],
-                 carry: Callable[[], dict[str, int]], settled_at: Callable[[int], int]) -> None:
-        self.config, self.metrics, self.validate_document, self.initial_settings = given, tally, check, beginning
+    def __init__(
+        self,
+        given: ClusterConfig,
+        tally: Metrics,
+        check: Callable[[str, dict[str, Any]], str],
+        beginning: dict[str, Any],
+        changed: Callable[[set[str]], None],
+        carry: Callable[[], dict[str, int]],
+        settled_at: Callable[[int], int],
+    ) -> None:
+        self.config, self.metrics, self.validate_document, self.initial_settings = (
+            given,
+            tally,
+            check,
+            beginning,
+        )
         self.on_documents_changed, self.quota_usage, self.quiesced_index = changed, carry, settled_at
         # With machines out for work, what this dispatcher has to say of them, and decides if it leads.
         self.maintenance_report: Callable[[], MaintenanceReport | None] = lambda: None
@@ -244,8 +301,11 @@
         self.progress = asyncio.Event()
         self.takeover_task: asyncio.Task[None] | None = None
         votes = given.name in given.voters
-        self.cluster_member = ClusterMember(self, given.name, self._open_storage() if votes else None) if not given.succeeds else ClusterMember(
-            self, f"{given.name}+{secrets.token_hex(3)}", None)
+        self.cluster_member = (
+            ClusterMember(self, given.name, self._open_storage() if votes else None)
+            if not given.succeeds
+            else ClusterMember(self, f"{given.name}+{secrets.token_hex(3)}", None)
+        )
 
     def _open_storage(self) -> RaftStorage:
         return RaftStorage(Path(self.config.folder), self.config.name)
@@ -272,7 +332,10 @@
             except OSError:  # the address is not free yet
                 await coming.close()
                 coming = None
-        while not coming.has_lease() or coming.consensus.last_applied < self.cluster_member.consensus.last_applied:
+        while (
+            not coming.has_lease()
+            or coming.consensus.last_applied < self.cluster_member.consensus.last_applied
+        ):
             await asyncio.sleep(TAKEOVER_RETRY_INTERVAL)
         old, self.cluster_member = self.cluster_member, coming
         self.on_documents_changed(set(DOCUMENTS))
@@ -319,11 +382,17 @@
 
     async def wait_until_active(self, doc: str, number: int, within: float) -> int:
         """Up to where all have to have heard for all to act on that version alone; 0 if it does not count."""
-        return await self._wait_until(lambda: self.consensus.documents.document(doc).active_number >= number, within) \
+        return (
+            await self._wait_until(
+                lambda: self.consensus.documents.document(doc).active_number >= number, within
+            )
             and self.consensus.last_applied
+        )
 
     async def wait_until_known(self, doc: str, least: int, within: float) -> bool:
-        return await self._wait_until(lambda: self.consensus.documents.document(doc).latest_number() >= least, within)
+        return await self._wait_until(
+            lambda: self.consensus.documents.document(doc).latest_number() >= least, within
+        )
 
     async def wait_until_cluster_applied(self, index: int, within: float) -> bool:
         """Whether by then all that may act have heard of the history up to there."""
@@ -363,4 +432,4 @@
     return peers
 
 
-__all__ = ["ClusterNode", "ClusterConfig", "StorageError", "clock", "read"]
+__all__ = ["ClusterNode", "ClusterConfig", "StorageError", "boottime_ticks", "read_cluster_config"]
--- a/crankfold/cluster/raft_storage.py
+++ b/crankfold/cluster/raft_storage.py
@@ -77,8 +77,10 @@
             whose, _, identity = path.read_text().strip().partition(" ")
         except FileNotFoundError:
             if self.path.exists():
-                raise StorageError(f"{path}: missing, though there is a history; bring it back, or take this "
-                            f"voter out, empty the folder and add it anew") from None
+                raise StorageError(
+                    f"{path}: missing, though there is a history; bring it back, or take this "
+                    f"voter out, empty the folder and add it anew"
+                ) from None
             identity = secrets.token_hex(8)
             self._replace_file(path, f"{name} {identity}\n".encode())
             return identity
@@ -111,15 +113,17 @@
             return PersistentState()
         stored, at = PersistentState(), 0
         while at < len(data):
-            size = int.from_bytes(data[at:at + 4], "big")
+            size = int.from_bytes(data[at : at + 4], "big")
             end = at + RECORD_HEADER_SIZE + size
-            body = data[at + RECORD_HEADER_SIZE:end]
+            body = data[at + RECORD_HEADER_SIZE : end]
             whole = at + RECORD_HEADER_SIZE <= len(data) and end <= len(data) and size > 0
-            if not whole or zlib.crc32(body) != int.from_bytes(data[at + 4:at + RECORD_HEADER_SIZE], "big"):
+            if not whole or zlib.crc32(body) != int.from_bytes(data[at + 4 : at + RECORD_HEADER_SIZE], "big"):
                 # What a crash tore is the last record, whole in length or not, or room that was never filled.
                 if data[end:].strip(b"\0"):
-                    raise StorageError(f"{self.path}: damaged at byte {at} of {len(data)}; take this voter out, "
-                                f"empty the folder and add it anew, or bring the file back whole")
+                    raise StorageError(
+                        f"{self.path}: damaged at byte {at} of {len(data)}; take this voter out, "
+                        f"empty the folder and add it anew, or bring the file back whole"
+                    )
                 self.startup_notice = f"{self.path.name}: a torn tail of {len(data) - at} bytes was cut off"
                 with self.path.open("r+b") as file:
                     file.truncate(at)
@@ -129,14 +133,19 @@
                 for record in _decoder.decode(body):
                     _apply_record(stored, record)
             except msgspec.DecodeError as wrong:
-                raise StorageError(f"{self.path}: at byte {at}: {wrong}; written by another version?") from None
+                raise StorageError(
+                    f"{self.path}: at byte {at}: {wrong}; written by another version?"
+                ) from None
             at = end
         return stored
 
     def save(self, batch: Ready) -> None:
         """Returns once it is on the disk; an OSError is final for this process."""
         if batch.whole:
-            records: list[Record] = [HardStateRecord(batch.term, batch.vote, batch.founded), SnapshotRecord(batch.whole)]
+            records: list[Record] = [
+                HardStateRecord(batch.term, batch.vote, batch.founded),
+                SnapshotRecord(batch.whole),
+            ]
             records += [EntriesRecord(batch.first, batch.entries)] if batch.entries else []
             self._replace_file(self.path, encode_records(records))
             os.close(self.log_fd)
@@ -158,7 +167,7 @@
 def _write_all(file: int, data: bytes) -> None:
     left = memoryview(data)
     while left:
-        left = left[os.write(file, left):]
+        left = left[os.write(file, left) :]
 
 
 def _apply_record(stored: PersistentState, record: Record) -> None:
@@ -167,5 +176,5 @@
     elif isinstance(record, SnapshotRecord):
         stored.kept, stored.entries = record.snapshot, []
     else:
-        del stored.entries[max(record.first_index - stored.kept.index - 1, 0):]
+        del stored.entries[max(record.first_index - stored.kept.index - 1, 0) :]
         stored.entries += record.entries
--- a/crankfold/cluster/transport.py
+++ b/crankfold/cluster/transport.py
@@ -18,8 +18,14 @@
 
 
 class Transport:
-    def __init__(self, hello: Hello, addresses: dict[str, tuple[str, int]], tally: Metrics,
-                 admits: Callable[[Hello], str], received: Callable[[str, Message], None]) -> None:
+    def __init__(
+        self,
+        hello: Hello,
+        addresses: dict[str, tuple[str, int]],
+        tally: Metrics,
+        admits: Callable[[Hello], str],
+        received: Callable[[str, Message], None],
+    ) -> None:
         self.hello, self.addresses, self.metrics = hello, addresses, tally
         self.admission_error, self.on_message = admits, received
         self.loop = asyncio.get_running_loop()
@@ -52,7 +58,11 @@
             self.metrics.warn("peers", f"not sent to {to}: {wrong}")
 
     def _connect(self, to: str) -> None:
-        if to in self.addresses and to not in self.connecting and self.loop.time() >= self.reconnect_not_before.get(to, 0):
+        if (
+            to in self.addresses
+            and to not in self.connecting
+            and self.loop.time() >= self.reconnect_not_before.get(to, 0)
+        ):
             self.connecting.add(to)
             self._spawn(self._run_outgoing(to))
 
@@ -79,7 +89,9 @@
             if writer:
                 writer.close()
             # Nobody there: later each time, and not all at once.
-            longest = self.reconnect_delay[to] = min(2 * self.reconnect_delay.get(to, RECONNECT_DELAY[0]), RECONNECT_DELAY[1])
+            longest = self.reconnect_delay[to] = min(
+                2 * self.reconnect_delay.get(to, RECONNECT_DELAY[0]), RECONNECT_DELAY[1]
+            )
             self.reconnect_not_before[to] = self.loop.time() + self.jitter.uniform(longest / 2, longest)
 
     async def _run_incoming(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -118,8 +130,13 @@
             with contextlib.suppress(OSError):
                 writer.close()
 
-    async def _read_messages(self, name: str, reader: asyncio.StreamReader, frames: FrameDecoder,
-                    said: list[Message | Hello] | None = None) -> None:
+    async def _read_messages(
+        self,
+        name: str,
+        reader: asyncio.StreamReader,
+        frames: FrameDecoder,
+        said: list[Message | Hello] | None = None,
+    ) -> None:
         while True:
             for told in said or []:
                 if isinstance(told, Hello):
--- a/crankfold/config/parser.py
+++ b/crankfold/config/parser.py
@@ -11,7 +11,11 @@
 # Where the settings do not say, nobody's figures: a connect whose first packet is lost is tried again after
 # 1 s (RFC 6298), and a connection that is closed too early costs a handshake, one used too late a unit.
 DEFAULT_CONNECT_TIMEOUT, DEFAULT_IDLE_TIMEOUT = "1100000", "4000000"
-_IDEMPOTENCY = {"safe": Idempotency.IDEMPOTENT, "keyed": Idempotency.IDEMPOTENT_WITH_KEY, "unsafe": Idempotency.NON_IDEMPOTENT}
+_IDEMPOTENCY = {
+    "safe": Idempotency.IDEMPOTENT,
+    "keyed": Idempotency.IDEMPOTENT_WITH_KEY,
+    "unsafe": Idempotency.NON_IDEMPOTENT,
+}
 _SCOPES = {"all": DeduplicationScope.GLOBAL, "zone": DeduplicationScope.ZONE, "cell": DeduplicationScope.CELL}
 
 
@@ -78,18 +82,25 @@
 
     grades = names("service-grades")
     return ServiceConfig(
-        request_classes=grades, tenants=names("orgs"), zones=names("zones"), instance_types=names("kinds"),
+        request_classes=grades,
+        tenants=names("orgs"),
+        zones=names("zones"),
+        instance_types=names("kinds"),
         report_fields=tuple(n for n in (given.get("report.names") or "").split(",") if n),
         connect_timeout=_round_down(given.get("allowed.connect-timeout") or DEFAULT_CONNECT_TIMEOUT),
         idle_timeout=_round_down(given.get("allowed.conn-idle") or DEFAULT_IDLE_TIMEOUT),
-        longest_deadline=max((_round_down(given.get(f"service-grades.{n}.cut-off") or "0")
-                            for n in range(len(grades.names))), default=0),
+        longest_deadline=max(
+            (_round_down(given.get(f"service-grades.{n}.cut-off") or "0") for n in range(len(grades.names))),
+            default=0,
+        ),
         max_pending=int(given.get("allowed.most-held") or 20000),
-        slow_start_duration=_round_up(given.get("rules.warm-after") or "0"))
+        slow_start_duration=_round_up(given.get("rules.warm-after") or "0"),
+    )
 
 
 def read_routing_config(given: Mapping[str, str]) -> RoutingConfig:
     """Times are rounded to the safe side: what bounds us down, what we wait for up."""
+
     def said(path: str, otherwise: str) -> str:
         return given.get(path) or otherwise
 
@@ -102,28 +113,36 @@
         own = f"service-grades.{g}."
         stretch = said(own + "aim-stretch", "")
         listed = stretches[min(g, len(stretches) - 1)] if stretches else 0.0
-        grades.append(RequestClass(
-            # An effect or a group not known here is taken as the strictest.
-            idempotency=_IDEMPOTENCY.get(said(own + "effect", "unsafe"), Idempotency.NON_IDEMPOTENT),
-            deduplication_scope=_SCOPES.get(said(own + "group", "cell"), DeduplicationScope.CELL),
-            deduplication_window=_round_down(said(own + "repeat-window", "0")),
-            latency_objective=_round_down(said(own + "expected-time", "0")),
-            objective_per_work=float(stretch) if stretch else listed,
-            deadline=_round_down(said(own + "cut-off", "0")),
-            priority_weight=float(said(own + "revenue", "1")),
-            late_value=float(said(own + "tardy-revenue", "0"))))
+        grades.append(
+            RequestClass(
+                # An effect or a group not known here is taken as the strictest.
+                idempotency=_IDEMPOTENCY.get(said(own + "effect", "unsafe"), Idempotency.NON_IDEMPOTENT),
+                deduplication_scope=_SCOPES.get(said(own + "group", "cell"), DeduplicationScope.CELL),
+                deduplication_window=_round_down(said(own + "repeat-window", "0")),
+                latency_objective=_round_down(said(own + "expected-time", "0")),
+                objective_per_work=float(stretch) if stretch else listed,
+                deadline=_round_down(said(own + "cut-off", "0")),
+                priority_weight=float(said(own + "revenue", "1")),
+                late_value=float(said(own + "tardy-revenue", "0")),
+            )
+        )
     names = [n for n in said("report.names", "").split(",") if n]
     # Extra fields count by what the settings say they mean, not by their place.
     meaning = {"x0": said("specifics.report-x0", ""), "x1": said("specifics.report-x1", "")}
     return RoutingConfig(
-        request_classes=grades, instance_count=max(int(said("balancers", "1")), 1), zone=int(said("zone", "0")),
-        timer_resolution=_round_up(said("tick", "1000")), priority_by_work=said("revenue-per", "request") == "work",
+        request_classes=grades,
+        instance_count=max(int(said("balancers", "1")), 1),
+        zone=int(said("zone", "0")),
+        timer_resolution=_round_up(said("tick", "1000")),
+        priority_by_work=said("revenue-per", "request") == "work",
         worst_class_weight=float(said("score-parts.worst-class", "0")),
-        cancellation_allowed=yes("allowed.cancel", "false"), probing_allowed=yes("allowed.probing", "false"),
+        cancellation_allowed=yes("allowed.cancel", "false"),
+        probing_allowed=yes("allowed.probing", "false"),
         hedging_allowed=yes("allowed.second-copies", "false"),
         max_attempts=int(said("allowed.most-dispatches", "1")),
         max_retry_after=_round_down(said("allowed.max-retry-after", "0"))
-        if yes("allowed.retry-after", "false") else 0,
+        if yes("allowed.retry-after", "false")
+        else 0,
         reports_in_responses=said("report.via", "off") == "inline",
         reports_by_probe=said("report.via", "off") == "on_probe",
         report_fields=[meaning.get(n) or n for n in names],
@@ -131,7 +150,11 @@
         progress_interval=_round_up(said("specifics.progress", "0")),
         discovery_by_poll=said("membership-mode", "pushed") == "on_request",
         poll_within=_round_down(said("rules.ask-within", "0")),
-        initial_capacity=float(said("rules.cold-from", "1")), warm_up_time=_round_up(said("rules.warm-after", "0")),
+        initial_capacity=float(said("rules.cold-from", "1")),
+        warm_up_time=_round_up(said("rules.warm-after", "0")),
         overload_factor=float(said("rules.overload-factor", "1")),
-        overload_period=_round_up(said("rules.overload-for", "0")), instance_index=int(said("me", "-1")),
-        weights_follow_load=said("weights", "nominal") == "live", key_affinity=yes("specifics.keeps-keys", "true"))
+        overload_period=_round_up(said("rules.overload-for", "0")),
+        instance_index=int(said("me", "-1")),
+        weights_follow_load=said("weights", "nominal") == "live",
+        key_affinity=yes("specifics.keeps-keys", "true"),
+    )
--- a/crankfold/config/schema.py
+++ b/crankfold/config/schema.py
@@ -112,8 +112,11 @@
             if key in given and (path or key != "known"):
                 _check_nothing_lost(given[key], running[key], f"{path}{key}.")
     elif isinstance(running, list) and isinstance(given, list):
-        common = set.intersection(*(set(item) for item in running)) if running and all(
-            isinstance(item, dict) for item in running) else set()
+        common = (
+            set.intersection(*(set(item) for item in running))
+            if running and all(isinstance(item, dict) for item in running)
+            else set()
+        )
         for n, item in enumerate(given):
             lacks = sorted(common - set(item)) if isinstance(item, dict) else []
             if lacks:
--- a/crankfold/consensus/conservative_merge.py
+++ b/crankfold/consensus/conservative_merge.py
@@ -9,7 +9,13 @@
 
 IDEMPOTENCY_LEVELS = ("safe", "keyed", "unsafe")  # one that is not known counts as the last
 DEDUPLICATION_SCOPES = ("all", "zone", "cell")
-SETTINGS, DRAINED_BACKENDS, EXCLUDED_BACKENDS, LIMITS, QUOTAS = "settings", "runners-out", "runners-never", "limits", "deal"
+SETTINGS, DRAINED_BACKENDS, EXCLUDED_BACKENDS, LIMITS, QUOTAS = (
+    "settings",
+    "runners-out",
+    "runners-never",
+    "limits",
+    "deal",
+)
 MAINTENANCE = "works"
 DOCUMENTS = (SETTINGS, DRAINED_BACKENDS, EXCLUDED_BACKENDS, LIMITS, QUOTAS, MAINTENANCE)
 
@@ -31,7 +37,9 @@
     both["effect"] = IDEMPOTENCY_LEVELS[effect]
     if IDEMPOTENCY_LEVELS[effect] == "keyed":
         tagged = [one for one in (old, new) if one.get("effect") == "keyed"]
-        both["group"] = DEDUPLICATION_SCOPES[max(_rank(DEDUPLICATION_SCOPES, one.get("group", "cell")) for one in tagged)]
+        both["group"] = DEDUPLICATION_SCOPES[
+            max(_rank(DEDUPLICATION_SCOPES, one.get("group", "cell")) for one in tagged)
+        ]
         both["repeat-window"] = min(one.get("repeat-window") or 0 for one in tagged)
     both["cut-off"] = _tighter_bound(old.get("cut-off"), new.get("cut-off"))
     return both
@@ -40,8 +48,11 @@
 def merge_settings(old: Content, new: Content) -> Content:
     both = dict(new)
     before = {one["name"]: one for one in old.get("service-grades", ())}
-    both["service-grades"] = [merge_request_class(before[one["name"]], one) for one in new.get("service-grades", ())
-                              if one["name"] in before]
+    both["service-grades"] = [
+        merge_request_class(before[one["name"]], one)
+        for one in new.get("service-grades", ())
+        if one["name"] in before
+    ]
     was, becomes = old.get("allowed") or {}, new.get("allowed") or {}
     allowed = dict(becomes)
     for name in ("most-dispatches", "most-held", "max-retry-after"):
@@ -68,9 +79,16 @@
 def merge_quotas(old: Content, new: Content) -> Content:
     """Of each limit what both give. Who is named in only one of them has nothing yet, or nothing any more."""
     was, becomes = old.get("shares", {}), new.get("shares", {})
-    return {"shares": {limit: {name: min(part, becomes[limit].get(name, 0)) if limit in becomes else part
-                               for name, part in parts.items()} for limit, parts in was.items()}
-            | {limit: parts for limit, parts in becomes.items() if limit not in was}}
+    return {
+        "shares": {
+            limit: {
+                name: min(part, becomes[limit].get(name, 0)) if limit in becomes else part
+                for name, part in parts.items()
+            }
+            for limit, parts in was.items()
+        }
+        | {limit: parts for limit, parts in becomes.items() if limit not in was}
+    }
 
 
 def merge_maintenance(old: Content, new: Content) -> Content:
@@ -79,7 +97,13 @@
 
 
 _MERGE_FUNCTIONS: dict[str, Callable[[Content, Content], Content]] = {
-    SETTINGS: merge_settings, DRAINED_BACKENDS: merge_backend_lists, EXCLUDED_BACKENDS: merge_backend_lists, LIMITS: merge_limits, QUOTAS: merge_quotas, MAINTENANCE: merge_maintenance}
+    SETTINGS: merge_settings,
+    DRAINED_BACKENDS: merge_backend_lists,
+    EXCLUDED_BACKENDS: merge_backend_lists,
+    LIMITS: merge_limits,
+    QUOTAS: merge_quotas,
+    MAINTENANCE: merge_maintenance,
+}
 
 
 def conservative_merge(doc: str, old: Content, new: Content) -> Content:
--- a/crankfold/consensus/messages.py
+++ b/crankfold/consensus/messages.py
@@ -73,7 +73,9 @@
 
     in_flight: dict[str, int] = field(default_factory=dict)  # machines that are out, and units still there
     unresolved: dict[str, list[str]] = field(default_factory=dict)  # units that may go on there, nobody knows
-    response_counts: dict[str, tuple[int, int]] = field(default_factory=dict)  # of machines that are back: all, bad
+    response_counts: dict[str, tuple[int, int]] = field(
+        default_factory=dict
+    )  # of machines that are back: all, bad
     unavailable: list[str] = field(default_factory=list)  # machines that his list does not call ready
     idle_dispatchers: list[str] = field(default_factory=list)  # dispatchers that were told to leave, and have
     dispatcher_zones: dict[str, str] = field(default_factory=dict)  # of dispatchers that were given one
@@ -96,7 +98,10 @@
         self.idle_dispatchers = sorted({*self.idle_dispatchers, *other.idle_dispatchers})
         self.dispatcher_zones |= other.dispatcher_zones
         self.open_requests, self.recent_accepted, self.recent_shed = (
-            self.open_requests + other.open_requests, self.recent_accepted + other.recent_accepted, self.recent_shed + other.recent_shed)
+            self.open_requests + other.open_requests,
+            self.recent_accepted + other.recent_accepted,
+            self.recent_shed + other.recent_shed,
+        )
 
 
 class LeaseRequest(Struct, array_like=True, frozen=True, tag="l"):
@@ -200,8 +205,24 @@
     lease_holders: list[LeaseHolderStatus]
 
 
-Message = (RequestVote | RequestVoteResponse | AppendEntries | AppendEntriesResponse | InstallSnapshot | LeaseRequest | LeaseGrant | FollowerHeartbeat | FollowerUpdate | Rejection
-           | ProposalRequest | ProposalResponse | ValidationRequest | ValidationResponse | Leave | MembershipGossip)
+Message = (
+    RequestVote
+    | RequestVoteResponse
+    | AppendEntries
+    | AppendEntriesResponse
+    | InstallSnapshot
+    | LeaseRequest
+    | LeaseGrant
+    | FollowerHeartbeat
+    | FollowerUpdate
+    | Rejection
+    | ProposalRequest
+    | ProposalResponse
+    | ValidationRequest
+    | ValidationResponse
+    | Leave
+    | MembershipGossip
+)
 
 
 class Timing(Struct, frozen=True):
--- a/crankfold/consensus/raft.py
+++ b/crankfold/consensus/raft.py
@@ -62,17 +62,22 @@
 
 
 class Raft:
-    def __init__(self, me: str, stored: PersistentState, voters: dict[str, str], timing: Timing, now: int,
-                 seed: int) -> None:
+    def __init__(
+        self, me: str, stored: PersistentState, voters: dict[str, str], timing: Timing, now: int, seed: int
+    ) -> None:
         self.name, self.timing, self.random_state = me, timing, seed & 0xFFFFFFFFFFFFFFFF
         self.term, self.vote, self.founding_member = stored.term, stored.vote, stored.founded
-        self.snapshot = stored.kept if stored.kept.index or stored.kept.voters else Snapshot(0, 0, voters, b"")
+        self.snapshot = (
+            stored.kept if stored.kept.index or stored.kept.voters else Snapshot(0, 0, voters, b"")
+        )
         self.entries = list(stored.entries)
         self.voters = self._latest_voters()
         self.commit_index = self.snapshot.index
         self.durable_index = self.last_index()
         self.role, self.leader = FOLLOWER, ""
-        self.leader_contact_at = now - timing.election_timeout * 2  # of a leader; nobody is protected at the start
+        self.leader_contact_at = (
+            now - timing.election_timeout * 2
+        )  # of a leader; nobody is protected at the start
         self.votes_granted: set[str] = set()
         self.pre_vote = False
         self.next_index: dict[str, int] = {}
@@ -83,7 +88,10 @@
         self.cluster_applied_index = 0  # up to here all act that may act, as far as is known here
         self.heartbeat_due_at, self.election_due_at = now, 0
         self.pending_ready = Ready(self.term, self.vote, self.founding_member)
-        self.sync_started_at, self.sync_duration = -1, 0  # when what is being kept was taken; how long that took of late
+        self.sync_started_at, self.sync_duration = (
+            -1,
+            0,
+        )  # when what is being kept was taken; how long that took of late
         self.hard_state_unsynced = False  # the present term or vote is not on the disk yet
         self.immediate_messages: list[tuple[str, Message]] = []  # what need not wait for the disk
         # Whether this voter may take part in an election of one whose log is so long; its folder may be new.
@@ -105,7 +113,7 @@
         return -1
 
     def entries_between(self, after: int, upto: int) -> list[LogEntry]:
-        return self.entries[max(after - self.snapshot.index, 0):max(upto - self.snapshot.index, 0)]
+        return self.entries[max(after - self.snapshot.index, 0) : max(upto - self.snapshot.index, 0)]
 
     def _latest_voters(self) -> dict[str, str]:
         """By the newest change in the log, agreed or not."""
@@ -124,7 +132,7 @@
         if changed:
             self.voters = self._latest_voters()
         if self.pending_ready.entries and first >= self.pending_ready.first:
-            del self.pending_ready.entries[first - self.pending_ready.first:]
+            del self.pending_ready.entries[first - self.pending_ready.first :]
             self.pending_ready.entries += entries
         else:
             self.pending_ready.first, self.pending_ready.entries = first, list(entries)
@@ -139,24 +147,35 @@
             if entry.kind == "voters":
                 voters = dict(entry.data["voters"])
         kept = Snapshot(index, self.term_at(index), voters, state)
-        del self.entries[:index - self.snapshot.index]
+        del self.entries[: index - self.snapshot.index]
         self._adopt_snapshot(kept)
 
     def _adopt_snapshot(self, kept: Snapshot) -> None:
         self.snapshot, self.voters = kept, kept.voters
         self.voters = self._latest_voters()
-        self.pending_ready.whole, self.pending_ready.first, self.pending_ready.entries = kept, kept.index + 1, list(self.entries)
+        self.pending_ready.whole, self.pending_ready.first, self.pending_ready.entries = (
+            kept,
+            kept.index + 1,
+            list(self.entries),
+        )
 
     # --- time ---
 
     def _random_below(self, below: int) -> int:
-        self.random_state = (self.random_state * 6364136223846793005 + 1442695040888963407) & 0xFFFFFFFFFFFFFFFF
+        self.random_state = (
+            self.random_state * 6364136223846793005 + 1442695040888963407
+        ) & 0xFFFFFFFFFFFFFFFF
         return ((self.random_state >> 33) * below) >> 31
 
     def _reset_election_timer(self, now: int) -> None:
         # A vote takes the candidate's disk and the voter's: elections shorter than these are never won.
         longer = min(2 * self.sync_duration, 6 * self.timing.election_timeout) if not self.leader else 0
-        self.election_due_at = now + longer + self.timing.election_timeout + self._random_below(self.timing.election_timeout + longer)
+        self.election_due_at = (
+            now
+            + longer
+            + self.timing.election_timeout
+            + self._random_below(self.timing.election_timeout + longer)
+        )
 
     def next_deadline(self) -> int:
         return self.heartbeat_due_at if self.role == LEADER else self.election_due_at
@@ -164,7 +183,9 @@
     def tick(self, now: int) -> None:
         if self.role == LEADER:
             if not self._quorum_active(now):
-                self._become_follower(now, self.term, "")  # who hears no majority must not be taken for the leader
+                self._become_follower(
+                    now, self.term, ""
+                )  # who hears no majority must not be taken for the leader
             elif now >= self.heartbeat_due_at:
                 self._broadcast(now)
         elif now >= self.election_due_at and self.name in self.voters and self.sync_started_at < 0:
@@ -184,7 +205,9 @@
 
     def quorum_contact_at(self) -> int:
         """When the newest round was sent that a majority has answered; all that they say was said after."""
-        least = self._quorum_value(lambda v: self.round_number if v == self.name else self.acked_round.get(v, 0))
+        least = self._quorum_value(
+            lambda v: self.round_number if v == self.name else self.acked_round.get(v, 0)
+        )
         return self.round_sent_at.get(least, -1) if least else -1
 
     # --- elections ---
@@ -227,7 +250,9 @@
         self.term_start_index = self.last_index() + 1
         begin: dict[str, Any] = {"by": self.name}
         if self.term_start_index == 1:
-            begin["folders"] = self.folder_ids_of(self.votes_granted)  # or those that made the first majority had no vote
+            begin["folders"] = self.folder_ids_of(
+                self.votes_granted
+            )  # or those that made the first majority had no vote
         self._write_entries(self.term_start_index, [LogEntry(self.term, "begin", begin)])
         self._broadcast(now)
 
@@ -235,7 +260,9 @@
         mine = self.term_at(self.last_index()), self.last_index()
         fit = (ask.last_log_term, ask.last_log_index) >= mine and self.may_vote(ask.last_log_index)
         # Who hears a leader lets nobody else stand.
-        led = self.role == LEADER or self.leader and now - self.leader_contact_at < self.timing.election_timeout
+        led = (
+            self.role == LEADER or self.leader and now - self.leader_contact_at < self.timing.election_timeout
+        )
         if ask.pre_vote:
             self.send(sender, RequestVoteResponse(ask.term, True, fit and not led and ask.term > self.term))
             return
@@ -292,21 +319,41 @@
             return
         before = first - 1
         entries = self.entries_between(before, before + MAX_ENTRIES_PER_APPEND)
-        self.send(voter, AppendEntries(self.term, before, self.term_at(before), entries, self.commit_index, self.round_number,
-                                self.cluster_applied_index))
+        self.send(
+            voter,
+            AppendEntries(
+                self.term,
+                before,
+                self.term_at(before),
+                entries,
+                self.commit_index,
+                self.round_number,
+                self.cluster_applied_index,
+            ),
+        )
 
     def _handle_append_entries(self, now: int, sender: str, told: AppendEntries) -> None:
         if told.prev_log_index < self.snapshot.index:
             # Begins before what we keep whole: that part is agreed and the same.
             skip = self.snapshot.index - told.prev_log_index
-            told = AppendEntries(told.term, self.snapshot.index, self.snapshot.term, told.entries[skip:], told.leader_commit,
-                          told.round_number, told.cluster_applied_index)
+            told = AppendEntries(
+                told.term,
+                self.snapshot.index,
+                self.snapshot.term,
+                told.entries[skip:],
+                told.leader_commit,
+                told.round_number,
+                told.cluster_applied_index,
+            )
         if self.term_at(told.prev_log_index) != told.prev_log_term:
             back = min(self.last_index(), told.prev_log_index - 1)
             wrong = self.term_at(back)
             while back > self.commit_index and self.term_at(back) == wrong and wrong > told.prev_log_term:
                 back -= 1
-            self.send(sender, AppendEntriesResponse(self.term, False, max(back, self.commit_index), told.round_number))
+            self.send(
+                sender,
+                AppendEntriesResponse(self.term, False, max(back, self.commit_index), told.round_number),
+            )
             return
         for n, entry in enumerate(told.entries):
             index = told.prev_log_index + 1 + n
@@ -321,7 +368,7 @@
     def _handle_install_snapshot(self, sender: str, told: InstallSnapshot) -> None:
         if told.snapshot.index > self.commit_index:
             if self.term_at(told.snapshot.index) == told.snapshot.term:
-                del self.entries[:told.snapshot.index - self.snapshot.index]
+                del self.entries[: told.snapshot.index - self.snapshot.index]
             else:
                 self.entries = []
             self._adopt_snapshot(told.snapshot)
@@ -344,7 +391,9 @@
             self._send_append(sender)
 
     def _advance_commit_index(self, now: int) -> None:
-        agreed = self._quorum_value(lambda v: self.durable_index if v == self.name else self.match_index.get(v, 0))
+        agreed = self._quorum_value(
+            lambda v: self.durable_index if v == self.name else self.match_index.get(v, 0)
+        )
         # Only an entry of the own term carries older ones with it (5.4.2 of the paper).
         if agreed > self.commit_index and self.term_at(agreed) == self.term:
             self.commit_index = agreed
@@ -366,7 +415,9 @@
     def _send_append_response(self, to: str, match: int, number: int) -> None:
         """At once for what is on the disk, so that a slow disk is not taken for a silent voter."""
         if match > self.durable_index and not self.hard_state_unsynced:
-            self.immediate_messages.append((to, AppendEntriesResponse(self.term, True, self.durable_index, number)))
+            self.immediate_messages.append(
+                (to, AppendEntriesResponse(self.term, True, self.durable_index, number))
+            )
             self.pending_ready.send.append((to, AppendEntriesResponse(self.term, True, match, number)))
         else:
             self.send(to, AppendEntriesResponse(self.term, True, match, number))
@@ -383,8 +434,12 @@
         if isinstance(told, RequestVoteResponse):
             if not told.pre_vote and told.term > self.term:
                 self._become_follower(now, told.term, "")
-            elif (told.vote_granted and self.role == CANDIDATE and told.pre_vote == self.pre_vote
-                    and told.term == self.term + self.pre_vote):
+            elif (
+                told.vote_granted
+                and self.role == CANDIDATE
+                and told.pre_vote == self.pre_vote
+                and told.term == self.term + self.pre_vote
+            ):
                 self.votes_granted.add(sender)
                 self._check_votes(now)
             return
--- a/crankfold/consensus/versioned_documents.py
+++ b/crankfold/consensus/versioned_documents.py
@@ -120,20 +120,27 @@
             told = f"made from version {data['made_from']}, but {latest} is there by now"
             made = ProposalOutcome(False, told, latest, index)
         elif len(doc.pending()) >= MAX_PENDING_VERSIONS:
-            made = ProposalOutcome(False, f"{MAX_PENDING_VERSIONS} versions are on their way already", latest, index)
+            made = ProposalOutcome(
+                False, f"{MAX_PENDING_VERSIONS} versions are on their way already", latest, index
+            )
         else:
             made, changed = ProposalOutcome(True, "", latest + 1, index), True
-            doc.versions.append(DocumentVersion(latest + 1, latest, data["author"], data["reason"], data["at"],
-                                        data["text"], index))
+            doc.versions.append(
+                DocumentVersion(
+                    latest + 1, latest, data["author"], data["reason"], data["at"], data["text"], index
+                )
+            )
             if len(doc.versions) > MAX_VERSIONS:
                 # What counts is needed, however many came after it.
-                doc.versions = [v for v in doc.versions[:-MAX_VERSIONS] if v.number == doc.active_number] \
-                    + doc.versions[-MAX_VERSIONS:]
+                doc.versions = [
+                    v for v in doc.versions[:-MAX_VERSIONS] if v.number == doc.active_number
+                ] + doc.versions[-MAX_VERSIONS:]
         self._record_outcome(call, made)
         if changed and name == MAINTENANCE:
             before = doc.find(latest)
-            self.replicated.maintenance.jobs_changed(before.text.get("works", {}) if before else {},
-                                        data["text"].get("works", {}))
+            self.replicated.maintenance.jobs_changed(
+                before.text.get("works", {}) if before else {}, data["text"].get("works", {})
+            )
         return name if changed else ""
 
     def effective_content(self, name: str) -> dict[str, Any] | None:
@@ -147,13 +154,20 @@
 
     def version_numbers(self) -> dict[str, tuple[int, int]]:
         """Of each document: the version that counts, and the newest."""
-        return {name: (doc.active_number, doc.latest_number()) for name, doc in self.replicated.documents.items()}
+        return {
+            name: (doc.active_number, doc.latest_number()) for name, doc in self.replicated.documents.items()
+        }
 
     def pending_versions(self) -> list[tuple[str, DocumentVersion]]:
-        return [(name, version) for name, doc in self.replicated.documents.items() for version in doc.pending()]
+        return [
+            (name, version) for name, doc in self.replicated.documents.items() for version in doc.pending()
+        ]
 
     def max_request_duration(self) -> int:
         """How long a unit may go on under any version that is still known, tenths of a millisecond."""
-        cutoffs = [grade.get("cut-off", 0) for version in self.document(SETTINGS).versions
-                   for grade in version.text.get("service-grades", ())]
+        cutoffs = [
+            grade.get("cut-off", 0)
+            for version in self.document(SETTINGS).versions
+            for grade in version.text.get("service-grades", ())
+        ]
         return int(max(cutoffs, default=0)) // 100
--- a/crankfold/consensus/voter.py
+++ b/crankfold/consensus/voter.py
@@ -132,9 +132,19 @@
 
 
 class Voter(Member):
-    def __init__(self, me: str, stored: PersistentState, voters: dict[str, str], timing: Timing, now: int, seed: int,
-                 incarnation: int, folder: str, check: Callable[[str, dict[str, Any]], str],
-                 beginning: dict[str, Any] | None = None) -> None:
+    def __init__(
+        self,
+        me: str,
+        stored: PersistentState,
+        voters: dict[str, str],
+        timing: Timing,
+        now: int,
+        seed: int,
+        incarnation: int,
+        folder: str,
+        check: Callable[[str, dict[str, Any]], str],
+        beginning: dict[str, Any] | None = None,
+    ) -> None:
         super().__init__(me, timing, now, incarnation)
         self.raft = Raft(me, stored, voters, timing, now, seed)
         self.validate_document, self.initial_settings, self.folder_id = check, beginning, folder
@@ -142,7 +152,9 @@
         self.incarnations = IncarnationTracker()
         self.folder_ids = {me: folder}  # as voters showed them
         self.raft.may_vote = self._may_vote
-        self.raft.folder_ids_of = lambda names: {one: self.folder_ids[one] for one in names & self.folder_ids.keys()}
+        self.raft.folder_ids_of = lambda names: {
+            one: self.folder_ids[one] for one in names & self.folder_ids.keys()
+        }
         self.lease_holders: dict[str, LeaseHolder] = {}
         self.lease_request_due_at, self.gossip_due_at = now, now
         self.remote_lease_holders: dict[str, list[LeaseHolderStatus]] = {}  # by voter, as it told last
@@ -165,8 +177,12 @@
         return self.raft.role == LEADER and self.raft.commit_index >= self.raft.term_start_index
 
     def next_deadline(self) -> int:
-        return min(self.raft.next_deadline(), self.lease_request_due_at, self.gossip_due_at,
-                   self.maintenance_due_at if self.maintenance_steps else self.gossip_due_at)
+        return min(
+            self.raft.next_deadline(),
+            self.lease_request_due_at,
+            self.gossip_due_at,
+            self.maintenance_due_at if self.maintenance_steps else self.gossip_due_at,
+        )
 
     def tick(self, now: int) -> None:
         self.raft.tick(now)
@@ -196,7 +212,12 @@
         raft = self.raft
         if raft.role == LEADER and raft.term != self.led_term:
             self.led_term = raft.term
-            self.granted_until, self.voter_reports, self.activation_proposed, self.validations = {}, {}, set(), {}
+            self.granted_until, self.voter_reports, self.activation_proposed, self.validations = (
+                {},
+                {},
+                set(),
+                {},
+            )
         new = raft.commit_index > self.last_applied
         if self.last_applied < raft.snapshot.index:
             self._restore_snapshot(raft.snapshot)
@@ -209,7 +230,9 @@
                 self._answer_proposal(entry.data.get("call", ""))
         if self.is_leader():
             if raft.quorum_contact_at() >= 0:
-                self.lease_expires_at = max(self.lease_expires_at, raft.quorum_contact_at() + self.timing.lease_duration)
+                self.lease_expires_at = max(
+                    self.lease_expires_at, raft.quorum_contact_at() + self.timing.lease_duration
+                )
             self._propose_initial_state(now)
             self._activate_versions(now)
         self.cluster_applied_index = raft.cluster_applied_index
@@ -219,7 +242,10 @@
                 if ward.heard + self.timing.renew_interval * 3 > now and not ward.left:
                     self._send_update(now, name, ward, 0)
             self._request_lease(now)
-            if self.last_applied - raft.snapshot.index >= COMPACTION_THRESHOLD and raft.durable_index >= self.last_applied:
+            if (
+                self.last_applied - raft.snapshot.index >= COMPACTION_THRESHOLD
+                and raft.durable_index >= self.last_applied
+            ):
                 raft.compact(self.last_applied, self.documents.encode())
 
     # --- leases from the leader ---
@@ -229,8 +255,10 @@
         if self.raft.leader and self.raft.leader != self.name:
             least, settled = self.applied_bounds(now)
             drained, tell = self.drained_report(now)
-            self.raft.send(self.raft.leader, LeaseRequest(self.raft.term, self.incarnation, now, least, settled,
-                                                 drained, tell))
+            self.raft.send(
+                self.raft.leader,
+                LeaseRequest(self.raft.term, self.incarnation, now, least, settled, drained, tell),
+            )
 
     def applied_bounds(self, now: int) -> tuple[int, int]:
         """Up to where all act that hold a lease from here, and up to where their units keep to it."""
@@ -271,8 +299,11 @@
         and his longest unit with it."""
         linger = self.documents.max_request_duration()
         parts = [(self.name, *self.drained_report(now))]
-        parts += [(voter, self.voter_reports[voter].drained, self.voter_reports[voter].tell)
-                  for voter, until in sorted(self.granted_until.items()) if now < until + linger]
+        parts += [
+            (voter, self.voter_reports[voter].drained, self.voter_reports[voter].tell)
+            for voter, until in sorted(self.granted_until.items())
+            if now < until + linger
+        ]
         whole = MaintenanceReport()
         for voter, _, tell in parts:
             if tell:
@@ -292,14 +323,29 @@
         return whole, holders
 
     def _handle_lease_request(self, now: int, sender: str, ask: LeaseRequest) -> None:
-        if not self.is_leader() or ask.term != self.raft.term or not self.incarnations.accept(sender, ask.incarnation):
+        if (
+            not self.is_leader()
+            or ask.term != self.raft.term
+            or not self.incarnations.accept(sender, ask.incarnation)
+        ):
             return
         before = self.voter_reports.get(sender)
         if before and before.incarnation == ask.incarnation and ask.sent_at < before.asked:
             return  # overtaken
-        self.voter_reports[sender] = VoterReport(ask.incarnation, ask.sent_at, ask.lowest_applied_index, ask.quiesced_index, ask.drained_index,
-                                      ask.maintenance_report, now)
-        span = self.raft.quorum_contact_at() + self.timing.lease_duration - now if self.raft.quorum_contact_at() >= 0 else 0
+        self.voter_reports[sender] = VoterReport(
+            ask.incarnation,
+            ask.sent_at,
+            ask.lowest_applied_index,
+            ask.quiesced_index,
+            ask.drained_index,
+            ask.maintenance_report,
+            now,
+        )
+        span = (
+            self.raft.quorum_contact_at() + self.timing.lease_duration - now
+            if self.raft.quorum_contact_at() >= 0
+            else 0
+        )
         if span > 0:
             self.granted_until[sender] = max(self.granted_until.get(sender, 0), now + span * 103 // 100)
             self.raft.send(sender, LeaseGrant(ask.term, ask.sent_at, span, self.raft.commit_index))
@@ -307,7 +353,11 @@
 
     def _handle_lease_grant(self, now: int, sender: str, grant: LeaseGrant) -> None:
         # One that was asked for in an earlier life was for what that life had heard.
-        if grant.term == self.raft.term and grant.request_sent_at >= self.started_at and self.last_applied >= grant.required_index:
+        if (
+            grant.term == self.raft.term
+            and grant.request_sent_at >= self.started_at
+            and self.last_applied >= grant.required_index
+        ):
             self.lease_expires_at = max(self.lease_expires_at, grant.request_sent_at + grant.lease_duration)
 
     # --- when a version counts ---
@@ -316,11 +366,25 @@
         raft, none = self.raft, not self.documents.document(SETTINGS).versions
         if self.initial_settings is not None and none and ("", 0) not in self.activation_proposed:
             self.activation_proposed.add(("", 0))
-            raft.propose(now, "publish", {"call": "begin", "doc": SETTINGS, "made_from": 0, "author": self.name,
-                                          "reason": "what the fleet begins with", "at": 0,
-                                          "text": self.initial_settings})
+            raft.propose(
+                now,
+                "publish",
+                {
+                    "call": "begin",
+                    "doc": SETTINGS,
+                    "made_from": 0,
+                    "author": self.name,
+                    "reason": "what the fleet begins with",
+                    "at": 0,
+                    "text": self.initial_settings,
+                },
+            )
         for name, folder in self.folder_ids.items():
-            if name in raft.voters and name not in self.documents.replicated.voter_folder_ids and (name, 0) not in self.activation_proposed:
+            if (
+                name in raft.voters
+                and name not in self.documents.replicated.voter_folder_ids
+                and (name, 0) not in self.activation_proposed
+            ):
                 self.activation_proposed.add((name, 0))
                 raft.propose(now, "folder", {"voter": name, "folder": folder})
 
@@ -331,14 +395,19 @@
             return
         linger = self.documents.max_request_duration()
         live = [self.voter_reports[voter].least for voter, until in self.granted_until.items() if now < until]
-        self.raft.cluster_applied_index = max(self.raft.cluster_applied_index, min([self.applied_bounds(now)[0], *live]))
+        self.raft.cluster_applied_index = max(
+            self.raft.cluster_applied_index, min([self.applied_bounds(now)[0], *live])
+        )
         for name, version in self.documents.pending_versions():
             if (name, version.number) in self.activation_proposed:
                 continue
             more = linger if name == QUOTAS else 0
             heard = [self.applied_bounds(now)[name == QUOTAS]]
-            heard += [report.settled if name == QUOTAS else report.least for voter, report in
-                      self.voter_reports.items() if now < self.granted_until.get(voter, 0) + more]
+            heard += [
+                report.settled if name == QUOTAS else report.least
+                for voter, report in self.voter_reports.items()
+                if now < self.granted_until.get(voter, 0) + more
+            ]
             if now >= wait + more and min(heard) >= version.index:
                 self.activation_proposed.add((name, version.number))
                 self.raft.propose(now, "count", {"doc": name, "number": version.number})
@@ -382,17 +451,28 @@
             old = ward
             ward = self.lease_holders[ask.name] = LeaseHolder(ask.incarnation, now, now, ask.sent_at)
             if old and now < old.until + self.documents.max_request_duration():
-                ward.settled, ward.have = min(old.settled, ask.quiesced_index), ask.last_applied  # its units may run on
+                ward.settled, ward.have = (
+                    min(old.settled, ask.quiesced_index),
+                    ask.last_applied,
+                )  # its units may run on
                 ward.mute = old.until + self.documents.max_request_duration()
         if ask.sent_at < ward.asked:
             return
         ward.heard, ward.asked, ward.left = now, ask.sent_at, False
-        ward.have, ward.settled, ward.carry, ward.tell = ask.last_applied, ask.quiesced_index, ask.quota_usage, ask.maintenance_report
+        ward.have, ward.settled, ward.carry, ward.tell = (
+            ask.last_applied,
+            ask.quiesced_index,
+            ask.quota_usage,
+            ask.maintenance_report,
+        )
         self._send_update(now, ask.name, ward, ask.sent_at)
 
     def _has_remote_lease(self, ask: FollowerHeartbeat) -> bool:
-        return any(one.name == ask.name and one.incarnation != ask.incarnation and one.state == ALIVE
-                   for wards in self.remote_lease_holders.values() for one in wards)
+        return any(
+            one.name == ask.name and one.incarnation != ask.incarnation and one.state == ALIVE
+            for wards in self.remote_lease_holders.values()
+            for one in wards
+        )
 
     def _send_update(self, now: int, name: str, ward: LeaseHolder, asked: int) -> None:
         raft = self.raft
@@ -403,7 +483,10 @@
         if asked and self.has_lease(now) and before + len(entries) == self.last_applied:
             span = self.lease_expires_at - now
             ward.until = max(ward.until, now + span * 103 // 100)
-        raft.send(name, FollowerUpdate(asked, span, before, kept, entries, self.last_applied, raft.cluster_applied_index))
+        raft.send(
+            name,
+            FollowerUpdate(asked, span, before, kept, entries, self.last_applied, raft.cluster_applied_index),
+        )
 
     def lease_holder_state(self, now: int, ward: LeaseHolder) -> str:
         if ward.left:
@@ -414,11 +497,36 @@
 
     def _send_gossip(self, now: int) -> None:
         self.gossip_due_at = now + GOSSIP_INTERVAL * self.timing.renew_interval
-        for voter in [v for v, at in self.gossip_received_at.items() if now - at > 3 * GOSSIP_INTERVAL * self.timing.renew_interval]:
-            del self.gossip_received_at[voter], self.remote_lease_holders[voter]  # its wards have turned to others by now
-        wards = [LeaseHolderStatus(name, ward.incarnation, now - ward.since, ward.have, self.lease_holder_state(now, ward),
-                        ward.carry) for name, ward in self.lease_holders.items()]
-        wards.append(LeaseHolderStatus(self.name, self.incarnation, now - self.started_at, self.last_applied, ALIVE, self.quota_usage()))
+        for voter in [
+            v
+            for v, at in self.gossip_received_at.items()
+            if now - at > 3 * GOSSIP_INTERVAL * self.timing.renew_interval
+        ]:
+            del (
+                self.gossip_received_at[voter],
+                self.remote_lease_holders[voter],
+            )  # its wards have turned to others by now
+        wards = [
+            LeaseHolderStatus(
+                name,
+                ward.incarnation,
+                now - ward.since,
+                ward.have,
+                self.lease_holder_state(now, ward),
+                ward.carry,
+            )
+            for name, ward in self.lease_holders.items()
+        ]
+        wards.append(
+            LeaseHolderStatus(
+                self.name,
+                self.incarnation,
+                now - self.started_at,
+                self.last_applied,
+                ALIVE,
+                self.quota_usage(),
+            )
+        )
         if self.is_leader():
             self._propose_quotas(now, wards)
         for voter in self.raft.voters:
@@ -435,18 +543,38 @@
         deals = self.documents.document(QUOTAS)
         if deals.pending() or not self.documents.document(LIMITS).versions:
             return
-        there = [one for wards in (own, *self.remote_lease_holders.values()) for one in wards if one.state == ALIVE]
+        there = [
+            one for wards in (own, *self.remote_lease_holders.values()) for one in wards if one.state == ALIVE
+        ]
         carries = {one.name: one.quota_usage for one in there}
-        new, old = allocate_quotas(limits, carries), deals.versions[-1].text["shares"] if deals.versions else {}
+        new, old = (
+            allocate_quotas(limits, carries),
+            deals.versions[-1].text["shares"] if deals.versions else {},
+        )
         same = old.keys() == new.keys() and all(
             old[limit].keys() == new[limit].keys() and sum(old[limit].values()) == whole
-            for limit, whole in limits.items())
-        moved = any(carries[name].get(limit, 0) >= part and 10 * (new[limit][name] - part) > limits[limit]
-                    for limit, parts in old.items() if same for name, part in parts.items())
+            for limit, whole in limits.items()
+        )
+        moved = any(
+            carries[name].get(limit, 0) >= part and 10 * (new[limit][name] - part) > limits[limit]
+            for limit, parts in old.items()
+            if same
+            for name, part in parts.items()
+        )
         if not same or moved:
-            self.raft.propose(now, "publish", {
-                "call": f"deal {self.raft.term} {self.raft.last_index()}", "doc": QUOTAS, "made_from": deals.latest_number(),
-                "author": self.name, "reason": "dealt by what each carries", "at": 0, "text": {"shares": new}})
+            self.raft.propose(
+                now,
+                "publish",
+                {
+                    "call": f"deal {self.raft.term} {self.raft.last_index()}",
+                    "doc": QUOTAS,
+                    "made_from": deals.latest_number(),
+                    "author": self.name,
+                    "reason": "dealt by what each carries",
+                    "at": 0,
+                    "text": {"shares": new},
+                },
+            )
 
     # --- publishing ---
 
@@ -496,8 +624,10 @@
         ask, yes, _ = self.validations[told.proposal_id]
         if told.error:
             del self.validations[told.proposal_id]
-            self._respond(self.proposal_senders.get(told.proposal_id, ""),
-                       ProposalResponse(told.proposal_id, False, f"{sender}: {told.error}", 0, 0))
+            self._respond(
+                self.proposal_senders.get(told.proposal_id, ""),
+                ProposalResponse(told.proposal_id, False, f"{sender}: {told.error}", 0, 0),
+            )
             return
         yes.add(sender)
         self._propose_if_validated(now, told.proposal_id)
@@ -535,7 +665,12 @@
             if told.proposal_id in self.proposal_senders:
                 self._respond(self.proposal_senders.pop(told.proposal_id), told)
         elif isinstance(told, ValidationRequest):
-            self.raft.send(sender, ValidationResponse(told.proposal_id, self.validate_document(told.document_name, told.content)))
+            self.raft.send(
+                sender,
+                ValidationResponse(
+                    told.proposal_id, self.validate_document(told.document_name, told.content)
+                ),
+            )
         elif isinstance(told, ValidationResponse):
             self._handle_validation_response(now, sender, told)
         elif isinstance(told, MembershipGossip):
@@ -577,8 +712,9 @@
 class Follower(Member):
     """Takes what was agreed from a voter, and from another one when it fails."""
 
-    def __init__(self, me: str, voters: list[str], timing: Timing, now: int, seed: int,
-                 incarnation: int) -> None:
+    def __init__(
+        self, me: str, voters: list[str], timing: Timing, now: int, seed: int, incarnation: int
+    ) -> None:
         super().__init__(me, timing, now, incarnation)
         self.voters, self.random_state = sorted(voters), seed & 0xFFFFFFFFFFFFFFFF
         self.voter = self.voters[self._random_below(len(self.voters))]
@@ -588,7 +724,9 @@
         self.calls: dict[str, ProposalRequest] = {}
 
     def _random_below(self, below: int) -> int:
-        self.random_state = (self.random_state * 6364136223846793005 + 1442695040888963407) & 0xFFFFFFFFFFFFFFFF
+        self.random_state = (
+            self.random_state * 6364136223846793005 + 1442695040888963407
+        ) & 0xFFFFFFFFFFFFFFFF
         return ((self.random_state >> 33) * below) >> 31
 
     def next_deadline(self) -> int:
@@ -620,9 +758,23 @@
         self.heartbeat_due_at = now + self._random_below(self.timing.renew_interval)
 
     def _send_heartbeat(self, now: int) -> None:
-        self.heartbeat_due_at = now + self.timing.renew_interval * 3 // 4 + self._random_below(self.timing.renew_interval // 2)
-        self.outbox.append((self.voter, FollowerHeartbeat(self.name, self.incarnation, now, self.last_applied,
-                                             self.quiesced_index(self.last_applied), self.quota_usage(), self.maintenance_report())))
+        self.heartbeat_due_at = (
+            now + self.timing.renew_interval * 3 // 4 + self._random_below(self.timing.renew_interval // 2)
+        )
+        self.outbox.append(
+            (
+                self.voter,
+                FollowerHeartbeat(
+                    self.name,
+                    self.incarnation,
+                    now,
+                    self.last_applied,
+                    self.quiesced_index(self.last_applied),
+                    self.quota_usage(),
+                    self.maintenance_report(),
+                ),
+            )
+        )
 
     def propose(self, now: int, call: str, kind: str, data: dict[str, Any]) -> None:
         self.outbox.append((self.voter, ProposalRequest(call, kind, data)))
@@ -648,12 +800,16 @@
         if told.snapshot and told.snapshot.index > self.last_applied:
             self._restore_snapshot(told.snapshot)
         if told.prev_log_index <= self.last_applied:
-            for entry in told.entries[self.last_applied - told.prev_log_index:]:
+            for entry in told.entries[self.last_applied - told.prev_log_index :]:
                 self.last_applied += 1
                 doc = self.documents.apply(self.last_applied, entry)
                 if doc:
                     self.changed_documents.add(doc)
-        if told.lease_duration and told.request_sent_at >= self.started_at and self.last_applied >= told.voter_last_applied:
+        if (
+            told.lease_duration
+            and told.request_sent_at >= self.started_at
+            and self.last_applied >= told.voter_last_applied
+        ):
             self.lease_expires_at = max(self.lease_expires_at, told.request_sent_at + told.lease_duration)
         if self.last_applied > before or self.last_applied < told.voter_last_applied:
             self._send_heartbeat(now)  # who publishes waits for us to have heard
--- a/crankfold/fault_injection/fault_proxy.py
+++ b/crankfold/fault_injection/fault_proxy.py
@@ -60,8 +60,10 @@
         try:
             far, onward = await asyncio.open_connection(HOST, self.target_port)
             self.writers.add(onward)
-            ways = [asyncio.ensure_future(self._forward_messages(reader, onward, self.outbound)),
-                    asyncio.ensure_future(self._forward_messages(far, writer, self.inbound))]
+            ways = [
+                asyncio.ensure_future(self._forward_messages(reader, onward, self.outbound)),
+                asyncio.ensure_future(self._forward_messages(far, writer, self.inbound)),
+            ]
             await asyncio.wait(ways, return_when=asyncio.FIRST_COMPLETED)
             for way in ways:
                 way.cancel()
@@ -74,7 +76,9 @@
                     self.writers.discard(end)
                     end.close()
 
-    async def _forward_messages(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, link: Link) -> None:
+    async def _forward_messages(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, link: Link
+    ) -> None:
         first = True
         try:
             while True:
--- a/crankfold/fault_injection/harness.py
+++ b/crankfold/fault_injection/harness.py
@@ -70,9 +70,21 @@
     async def start(self, *more: str) -> None:
         log = self.log_file.open("ab")
         self.running = await asyncio.create_subprocess_exec(
-            sys.executable, "-O", "-m", "crankfold", "serve", "--config", str(self.config_file),
-            "--hand-over", str(self.handover_folder), *more, stdout=asyncio.subprocess.PIPE, stderr=log, limit=1 << 24,
-            cwd=Path(__file__).parents[2])
+            sys.executable,
+            "-O",
+            "-m",
+            "crankfold",
+            "serve",
+            "--config",
+            str(self.config_file),
+            "--hand-over",
+            str(self.handover_folder),
+            *more,
+            stdout=asyncio.subprocess.PIPE,
+            stderr=log,
+            limit=1 << 24,
+            cwd=Path(__file__).parents[2],
+        )
         log.close()
         kept = self.records.setdefault(self.record_key, [])
         self.reader_tasks.append(asyncio.ensure_future(self._read_records(self.running, kept)))
@@ -105,12 +117,14 @@
         self.plan, self.seed, self.folder = plan, seed, folder
         self.rng = Random(f"{seed} operators")
         self.process_names = plan.process_names()
-        self.voters = self.process_names[:plan.voters]
+        self.voters = self.process_names[: plan.voters]
         self.observations = Observations()
         self.client_ports = {name: find_free_port() for name in self.process_names}
         self.admin_ports = {name: find_free_port() for name in self.process_names}
         self.peer_ports = {name: find_free_port() for name in self.voters}
-        self.links = {(a, b): Link(a, b, seed) for a in self.process_names for b in self.process_names if a != b}
+        self.links = {
+            (a, b): Link(a, b, seed) for a in self.process_names for b in self.process_names if a != b
+        }
         self.proxies: dict[tuple[str, str], FaultProxy] = {}
         self.processes: dict[str, ManagedProcess] = {}
         self.publishes: list[PublishRecord] = []
@@ -134,8 +148,14 @@
             await asyncio.gather(*(process.start() for process in self.processes.values()))
             await self.wait_until_consistent(READY_TIMEOUT, "start")
             self.started_at = asyncio.get_running_loop().time()
-            clients = LoadGenerator(self.process_names, self.client_ports, ["flips", "once", "free"], plan.load, self.seed,
-                              self.observations)
+            clients = LoadGenerator(
+                self.process_names,
+                self.client_ports,
+                ["flips", "once", "free"],
+                plan.load,
+                self.seed,
+                self.observations,
+            )
             self.tasks += [asyncio.ensure_future(self._run_fault(fault)) for fault in plan.fault]
             self.tasks.append(asyncio.ensure_future(self._publish_periodically()))
             self.tasks += self.maintenance.start_tasks()
@@ -145,23 +165,44 @@
             over = boot_time_ns()
             ends = await self.maintenance.wait_until_finished(plan.settle) if plan.work else {}
             wells = await self.wait_until_consistent(SETTLE_TIMEOUT, "")
-            story = TrialRecord(int(plan.stated_time * 1e9), {}, self.observations, self.publishes, await self._collect_histories(),
-                          {name: process.downtimes for name, process in self.processes.items()}, wells, over,
-                          plan.machine_zones(), self.maintenance.job_documents(), self.maintenance.runs, self.maintenance.losses, ends)
+            story = TrialRecord(
+                int(plan.stated_time * 1e9),
+                {},
+                self.observations,
+                self.publishes,
+                await self._collect_histories(),
+                {name: process.downtimes for name, process in self.processes.items()},
+                wells,
+                over,
+                plan.machine_zones(),
+                self.maintenance.job_documents(),
+                self.maintenance.runs,
+                self.maintenance.losses,
+                ends,
+            )
         finally:
             await self.shut_down()
             for end in (*self.maintenance.backends.values(), *self.discoveries.values()):
                 end.close()
-        story.process_records = {key: kept for process in self.processes.values()
-                         for key, kept in process.records.items()}
+        story.process_records = {
+            key: kept for process in self.processes.values() for key, kept in process.records.items()
+        }
         self._write_records(story)
         checker = TrialChecker(story)
         return [checker.judge(promise) for promise in plan.promises]
 
     def make_backend(self, uid: str) -> StandInBackend:
         plan = self.plan
-        return StandInBackend(uid, self.observations, self.client_ports, plan.work_ms / 1000, plan.fails, self.seed, plan.long,
-                      plan.long_ms / 1000)
+        return StandInBackend(
+            uid,
+            self.observations,
+            self.client_ports,
+            plan.work_ms / 1000,
+            plan.fails,
+            self.seed,
+            plan.long,
+            plan.long_ms / 1000,
+        )
 
     async def prepare_process(self, name: str, discovery: int) -> None:
         folder = self.folder / name
@@ -175,18 +216,34 @@
             self.proxies[name, voter] = relay
             voters[voter] = f"{HOST}:{await relay.open()}"
         given = {
-            "listen": f"{HOST}:{self.client_ports[name]}", "discovery": f"{HOST}:{discovery}",
-            "admin_addr": f"{HOST}:{self.admin_ports[name]}", "seed": f"{self.seed:x}",
-            "peers": {"name": name, "voters": voters, "folder": str(folder), "record": "-",
-                      "stated-time": self.plan.stated_time, "when-cut-off": self.plan.when_cut_off},
-            "settings": {"allowed": {"most-dispatches": 3, "cancel": True, "second-copies": True},
-                         "tick": 2000, "zones": sorted(set(self.plan.machine_zones().values())),
-                         "balancers": len(self.process_names),
-                         "rules": {"cold-from": 0.5, "warm-after": int(self.plan.warm_after * 1_000_000),
-                                   "overload-factor": 3.0, "overload-for": 1_000_000},
-                         "specifics": {"tells-start": False, "report-x0": "free slots"},
-                         "report": {"names": ["queue", "x0"], "via": "inline"},
-                         "service-grades": request_class_settings("safe")}}
+            "listen": f"{HOST}:{self.client_ports[name]}",
+            "discovery": f"{HOST}:{discovery}",
+            "admin_addr": f"{HOST}:{self.admin_ports[name]}",
+            "seed": f"{self.seed:x}",
+            "peers": {
+                "name": name,
+                "voters": voters,
+                "folder": str(folder),
+                "record": "-",
+                "stated-time": self.plan.stated_time,
+                "when-cut-off": self.plan.when_cut_off,
+            },
+            "settings": {
+                "allowed": {"most-dispatches": 3, "cancel": True, "second-copies": True},
+                "tick": 2000,
+                "zones": sorted(set(self.plan.machine_zones().values())),
+                "balancers": len(self.process_names),
+                "rules": {
+                    "cold-from": 0.5,
+                    "warm-after": int(self.plan.warm_after * 1_000_000),
+                    "overload-factor": 3.0,
+                    "overload-for": 1_000_000,
+                },
+                "specifics": {"tells-start": False, "report-x0": "free slots"},
+                "report": {"names": ["queue", "x0"], "via": "inline"},
+                "service-grades": request_class_settings("safe"),
+            },
+        }
         file = self.folder / f"{name}.json"
         file.write_text(json.dumps(given))
         (self.folder / f"{name}.tmp").mkdir()
@@ -209,8 +266,11 @@
         wrong: dict[str, str] = {}
         while True:
             views = {name: await self.call_admin(name, "fleet") for name in self.process_names}
-            newest = max((json.dumps(view.get("versions"), sort_keys=True) for _, view in views.values()),
-                         key=len, default="")
+            newest = max(
+                (json.dumps(view.get("versions"), sort_keys=True) for _, view in views.values()),
+                key=len,
+                default="",
+            )
             wrong = {}
             for name, (status, view) in views.items():
                 versions = view.get("versions", {})
@@ -235,8 +295,11 @@
         return self.voters[0]
 
     def _affected_links(self, fault: FaultSpecification, at: str, to: str) -> list[Link]:
-        return [link for (a, b), link in self.links.items()
-                if at in ("*", a) and to in ("*", b) or fault.both and at in ("*", b) and to in ("*", a)]
+        return [
+            link
+            for (a, b), link in self.links.items()
+            if at in ("*", a) and to in ("*", b) or fault.both and at in ("*", b) and to in ("*", a)
+        ]
 
     async def _run_fault(self, fault: FaultSpecification) -> None:
         loop = asyncio.get_running_loop()
@@ -245,7 +308,9 @@
             fault = await self._wait_for_step(fault)
         at = await self.find_leader() if fault.at == "leader" else fault.at
         to = await self.find_leader() if fault.to == "leader" else fault.to
-        self.fault_log.append(f"{loop.time() - self.started_at:.2f} s: {fault.kind} at {at} to {to}, until {fault.end}")
+        self.fault_log.append(
+            f"{loop.time() - self.started_at:.2f} s: {fault.kind} at {at} to {to}, until {fault.end}"
+        )
         rest = max(self.started_at + fault.end - loop.time(), 0)
         if fault.kind in BACKEND_FAULTS:
             await self.maintenance.run_fault(fault, rest)
@@ -259,9 +324,14 @@
                 await getattr(self, f"_{fault.kind}")(process, fault, rest)
             return
         links = self._affected_links(fault, at, to)
-        what, much = {"loss": ("loss", fault.share), "cut": ("loss", 1.0), "double": ("double", fault.share),
-                      "delay": ("late", fault.ms / 1000), "slow": ("rate", fault.bytes_a_second),
-                      "reset": ("", 0.0)}[fault.kind]
+        what, much = {
+            "loss": ("loss", fault.share),
+            "cut": ("loss", 1.0),
+            "double": ("double", fault.share),
+            "delay": ("late", fault.ms / 1000),
+            "slow": ("rate", fault.bytes_a_second),
+            "reset": ("", 0.0),
+        }[fault.kind]
         if fault.kind == "reset":
             while loop.time() < self.started_at + fault.end:
                 for relay in self.proxies.values():
@@ -278,9 +348,12 @@
     async def _wait_for_step(self, fault: FaultSpecification) -> FaultSpecification:
         """The fault as it is to be from the moment when such a step is told. A plan without one is unfit."""
         loop, begin = asyncio.get_running_loop(), boot_time_ns()
-        while not any(record["what"] == "step" and record["step"] == fault.on_step and record["at"] > begin
-                      for process in self.processes.values() for kept in process.records.values()
-                      for record in kept[-50:]):
+        while not any(
+            record["what"] == "step" and record["step"] == fault.on_step and record["at"] > begin
+            for process in self.processes.values()
+            for kept in process.records.values()
+            for record in kept[-50:]
+        ):
             if loop.time() > self.started_at + self.plan.seconds:
                 raise PlanError(f"no step {fault.on_step} came after {fault.begin} s")
             await asyncio.sleep(0.005)
@@ -364,10 +437,18 @@
 
     def _random_content(self, doc: str) -> dict[str, Any]:
         if doc == "settings":
-            return {"service-grades": request_class_settings(self.rng.choice(IDEMPOTENCY_VALUES)),
-                    "allowed": {"most-dispatches": 3, "cancel": True, "second-copies": True}}
-        return {"runners": {uid: "trial" for uid in self.rng.sample(self.backend_ids, self.rng.randrange(
-            max(len(self.backend_ids) // 2, 1) + 1))}}
+            return {
+                "service-grades": request_class_settings(self.rng.choice(IDEMPOTENCY_VALUES)),
+                "allowed": {"most-dispatches": 3, "cancel": True, "second-copies": True},
+            }
+        return {
+            "runners": {
+                uid: "trial"
+                for uid in self.rng.sample(
+                    self.backend_ids, self.rng.randrange(max(len(self.backend_ids) // 2, 1) + 1)
+                )
+            }
+        }
 
     async def _publish(self, ident: str, name: str, doc: str) -> None:
         text, again = self._random_content(doc), self.rng.random() < self.plan.publish.repeat
@@ -376,9 +457,12 @@
             return
         asked = PublishRecord(ident, boot_time_ns(), name, doc, text)
         self.publishes.append(asked)
-        body = json.dumps({"call": ident, "made-from": known["newest"], "text": text, "author": name,
-                           "reason": ident}).encode()
-        answers = await asyncio.gather(*(self.call_admin(name, f"agreed/{doc}", body) for _ in range(1 + again)))
+        body = json.dumps(
+            {"call": ident, "made-from": known["newest"], "text": text, "author": name, "reason": ident}
+        ).encode()
+        answers = await asyncio.gather(
+            *(self.call_admin(name, f"agreed/{doc}", body) for _ in range(1 + again))
+        )
         asked.ended_at = boot_time_ns()
         for status, told in answers:
             if status == 200 and told.get("well"):
@@ -441,8 +525,11 @@
     except (PlanError, OSError) as wrong:
         click.echo(f"crankfold: {wrong}", err=True)
         return 2
-    click.echo(f"{plan.name}, seed {seed}: {plan.voters} voters, {plan.followers} followers, "
-               f"{plan.seconds} s")
+    click.echo(
+        f"{plan.name}, seed {seed}: {plan.voters} voters, {plan.followers} followers, {plan.seconds} s"
+    )
     for verdict in verdicts:
-        click.echo(f"{'held  ' if verdict.held else 'BROKEN'}  {verdict.promise:16} {verdict.detail}".rstrip())
+        click.echo(
+            f"{'held  ' if verdict.held else 'BROKEN'}  {verdict.promise:16} {verdict.detail}".rstrip()
+        )
     return 0 if all(verdict.held for verdict in verdicts) else 1
--- a/crankfold/fault_injection/invariants.py
+++ b/crankfold/fault_injection/invariants.py
@@ -58,7 +58,9 @@
     jobs: dict[str, dict[str, Any]] = field(default_factory=dict)  # as they were handed in
     runs: list["MaintenanceRun"] = field(default_factory=list)
     losses: dict[str, list[tuple[int, int]]] = field(default_factory=dict)  # when each runner was
-    unfinished_jobs: dict[str, str] = field(default_factory=dict)  # of works that are not done, what is said of them
+    unfinished_jobs: dict[str, str] = field(
+        default_factory=dict
+    )  # of works that are not done, what is said of them
 
 
 @dataclass(frozen=True, slots=True)
@@ -100,17 +102,25 @@
         self.longest_contradiction, self.longest_detail = 0, "no two differed"
 
     def judge(self, promise: str) -> Verdict:
-        check = {"bound": self.check_staleness_bound, "heard-first": self.check_known_before_effect, "history": self.check_history,
-                 "no-way-back": self.check_monotonic_versions, "publishes": self.check_publishes, "one-answer": self.check_single_answer,
-                 "no-effect-twice": self.check_no_duplicate_effect, "out-means-out": self.check_drained_backends,
-                 "well-at-the-end": self.check_final_health}.get(promise) or partial(
-                     self.maintenance.judge, promise)
+        check = {
+            "bound": self.check_staleness_bound,
+            "heard-first": self.check_known_before_effect,
+            "history": self.check_history,
+            "no-way-back": self.check_monotonic_versions,
+            "publishes": self.check_publishes,
+            "one-answer": self.check_single_answer,
+            "no-effect-twice": self.check_no_duplicate_effect,
+            "out-means-out": self.check_drained_backends,
+            "well-at-the-end": self.check_final_health,
+        }.get(promise) or partial(self.maintenance.judge, promise)
         broken = check()
         return Verdict(promise, not broken, broken or self._summary(promise))
 
     def _summary(self, promise: str) -> str:
         if promise == "bound":
-            return f"longest {self.longest_contradiction / MILLISECOND:.0f} ms of {self.trial.staleness_bound / MILLISECOND:.0f}; {self.longest_detail}"
+            longest = self.longest_contradiction / MILLISECOND
+            bound = self.trial.staleness_bound / MILLISECOND
+            return f"longest {longest:.0f} ms of {bound:.0f}; {self.longest_detail}"
         if promise == "publishes":
             kinds = [one.outcome for one in self.trial.publishes]
             return ", ".join(f"{kinds.count(kind)} {kind}" for kind in ("confirmed", "refused", "unknown"))
@@ -120,7 +130,9 @@
         return self.maintenance.summary(promise)
 
     def _format_time(self, ns: int) -> str:
-        begin = min((records[0]["at"] for records in self.trial.process_records.values() if records), default=0)
+        begin = min(
+            (records[0]["at"] for records in self.trial.process_records.values() if records), default=0
+        )
         return f"{(ns - begin) / 1e9:.3f} s"
 
     def check_staleness_bound(self) -> str:
@@ -132,12 +144,18 @@
             for act_at, name, record in self.actions:
                 own = _version_state(record, doc)
                 mine = self.contents.get((doc, own))
-                for state in states[bisect_right(states, own):]:
+                for state in states[bisect_right(states, own) :]:
                     began, who = self.first_used[doc][state]
                     if act_at - began > self.longest_contradiction and self.contents[doc, state] != mine:
                         self.longest_contradiction = act_at - began
-                        self.longest_detail = f"{name} at {self._format_time(act_at)} on {doc} {own}, {who} on {state}"
-        return f"{self.longest_contradiction / MILLISECOND:.0f} ms: {self.longest_detail}" if self.longest_contradiction > self.trial.staleness_bound else ""
+                        self.longest_detail = (
+                            f"{name} at {self._format_time(act_at)} on {doc} {own}, {who} on {state}"
+                        )
+        return (
+            f"{self.longest_contradiction / MILLISECOND:.0f} ms: {self.longest_detail}"
+            if self.longest_contradiction > self.trial.staleness_bound
+            else ""
+        )
 
     def check_known_before_effect(self) -> str:
         """Nobody follows a version alone while another acts who has not heard of it."""
@@ -150,8 +168,11 @@
                 newest, _ = _version_state(record, doc)
                 for counts, (at, who) in alone.items():
                     if counts > newest and act_at > at and newest:
-                        return (f"{name} acts at {self._format_time(act_at)} without having heard of {doc} {counts}, "
-                                f"which counts at {who} since {self._format_time(at)}")
+                        return (
+                            f"{name} acts at {self._format_time(act_at)} "
+                            f"without having heard of {doc} {counts}, "
+                            f"which counts at {who} since {self._format_time(at)}"
+                        )
         return ""
 
     def check_history(self) -> str:
@@ -176,30 +197,42 @@
                 for doc in self.documents:
                     counts = _version_state(record, doc)[1]
                     if counts < most.get(doc, 0):
-                        return f"{name} acts at {self._format_time(record['at'])} on {doc} {counts} after {most[doc]}"
+                        acted_at = self._format_time(record["at"])
+                        return f"{name} acts at {acted_at} on {doc} {counts} after {most[doc]}"
                     most[doc] = counts
         return ""
 
     def check_publishes(self) -> str:
         for asked in self.trial.publishes:
             for name, docs in self.trial.histories.items():
-                found = [number for number, version in docs.get(asked.document, {}).items()
-                         if version["reason"] == asked.call_id]
+                found = [
+                    number
+                    for number, version in docs.get(asked.document, {}).items()
+                    if version["reason"] == asked.call_id
+                ]
                 if len(found) > 1:
                     return f"{asked.call_id} took effect as {found} at {name}"
                 if asked.outcome == "refused" and found:
                     return f"{asked.call_id} was refused and is version {found[0]} at {name}"
                 kept = docs.get(asked.document, {})
-                if asked.outcome == "confirmed" and found != [asked.version] and kept \
-                        and min(kept) <= asked.version <= max(kept):
-                    return f"{asked.call_id}, confirmed as {asked.document} {asked.version}, is {found} at {name}"
+                if (
+                    asked.outcome == "confirmed"
+                    and found != [asked.version]
+                    and kept
+                    and min(kept) <= asked.version <= max(kept)
+                ):
+                    confirmed = f"{asked.call_id}, confirmed as {asked.document} {asked.version}"
+                    return f"{confirmed}, is {found} at {name}"
                 if found and docs[asked.document][found[0]]["text"] != asked.content:
                     return f"{asked.call_id} was changed at {name}"
-        newest = {doc: max((max(docs.get(doc) or [0]) for docs in self.trial.histories.values()), default=0)
-                  for doc in self.documents}
+        newest = {
+            doc: max((max(docs.get(doc) or [0]) for docs in self.trial.histories.values()), default=0)
+            for doc in self.documents
+        }
         for asked in self.trial.publishes:
             if asked.outcome == "confirmed" and asked.version > newest[asked.document]:
-                return f"{asked.call_id}, confirmed as {asked.document} {asked.version}, is after {newest[asked.document]}"
+                confirmed = f"{asked.call_id}, confirmed as {asked.document} {asked.version}"
+                return f"{confirmed}, is after {newest[asked.document]}"
         return ""
 
     def _was_down(self, name: str, begin: int, end: int) -> bool:
@@ -221,8 +254,11 @@
 
     def _class_was_removed(self, grade: str) -> bool:
         """Whether there ever was a version without that grade."""
-        return any(grade not in [one["name"] for one in version["text"].get("service-grades", ())]
-                   for docs in self.trial.histories.values() for version in docs.get("settings", {}).values())
+        return any(
+            grade not in [one["name"] for one in version["text"].get("service-grades", ())]
+            for docs in self.trial.histories.values()
+            for version in docs.get("settings", {}).values()
+        )
 
     def check_no_duplicate_effect(self) -> str:
         """A unit that was taken as once-only ran once at most, whatever its grade became."""
@@ -232,7 +268,9 @@
         for _, name, record in self.actions:
             if record["what"] != "take" or ran.get(record["unit"], 0) < 2:
                 continue
-            rules = json.loads(self.contents.get(("settings", _version_state(record, "settings")), "null")) or {}
+            rules = (
+                json.loads(self.contents.get(("settings", _version_state(record, "settings")), "null")) or {}
+            )
             for grade in rules.get("service-grades", ()):
                 if grade["name"] == record["where"] and grade["effect"] == "unsafe":
                     return f"{record['unit']}, once-only at {name}, ran {ran[record['unit']]} times"
@@ -254,15 +292,19 @@
                 heard[number] = min(heard.get(number, end_of_time), at)
         for number in sorted(versions):
             for uid in versions[number]["text"].get("runners", {}):
-                after = [n for n in sorted(versions) if n > number
-                         and uid not in versions[n]["text"].get("runners", {})]
+                after = [
+                    n
+                    for n in sorted(versions)
+                    if n > number and uid not in versions[n]["text"].get("runners", {})
+                ]
                 until = heard.get(after[0], end_of_time) if after else end_of_time
                 if number in counted:
                     spans.append((counted[number], until, uid))
         for at, uid, unit in self.trial.observations.received_requests:
             for begin, until, out in spans:
                 if out == uid and begin + PROPAGATION_GRACE < at < until:
-                    return f"{unit} reached {uid} at {self._format_time(at)}, which is out since {self._format_time(begin)}"
+                    out_since = self._format_time(begin)
+                    return f"{unit} reached {uid} at {self._format_time(at)}, which is out since {out_since}"
         return ""
 
     def check_final_health(self) -> str:
--- a/crankfold/fault_injection/maintenance_driver.py
+++ b/crankfold/fault_injection/maintenance_driver.py
@@ -60,7 +60,9 @@
         for work in (self._follow_commands(), self._play_operators()):
             self._spawn(work)
         return [asyncio.ensure_future(self._submit_job(handed)) for handed in self.plan.work] + [
-            asyncio.ensure_future(self._command_job(turn.name, turn.begin, turn.say)) for turn in self.plan.turn]
+            asyncio.ensure_future(self._command_job(turn.name, turn.begin, turn.say))
+            for turn in self.plan.turn
+        ]
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.ensure_future(work)
@@ -73,18 +75,32 @@
         return await self.harness.call_admin(self.rng.choice(self.harness.process_names), what, body)
 
     async def _submit_job(self, handed: JobSpecification) -> None:
-        await asyncio.sleep(max(self.harness.started_at + handed.begin - asyncio.get_running_loop().time(), 0))
+        await asyncio.sleep(
+            max(self.harness.started_at + handed.begin - asyncio.get_running_loop().time(), 0)
+        )
         given = dict(handed.work)
         if given.get("way") == "command":
-            given["command"] = [sys.executable, "-S", "-E", str(self.harness.folder / "command.py"),
-                                str(self.command_log), str(handed.lasts), str(self.harness.seed), str(handed.fails)]
+            given["command"] = [
+                sys.executable,
+                "-S",
+                "-E",
+                str(self.harness.folder / "command.py"),
+                str(self.command_log),
+                str(handed.lasts),
+                str(self.harness.seed),
+                str(handed.fails),
+            ]
         await self._publish_jobs(lambda works: {**works, handed.name: given}, f"hands in {handed.name}")
 
     async def _command_job(self, name: str, begin: float, say: str) -> None:
         await asyncio.sleep(max(self.harness.started_at + begin - asyncio.get_running_loop().time(), 0))
-        await self._publish_jobs(lambda works: {**works, name: {**works[name], "state": say,
-                                                           "called": works[name].get("called", 0) + 1}},
-                            f"{say} {name} {begin}")
+        await self._publish_jobs(
+            lambda works: {
+                **works,
+                name: {**works[name], "state": say, "called": works[name].get("called", 0) + 1},
+            },
+            f"{say} {name} {begin}",
+        )
 
     async def _publish_jobs(self, change: Any, reason: str) -> None:
         while True:
@@ -96,8 +112,13 @@
             if any(version["reason"] == reason for version in texts.values()):
                 return
             works = texts[told["newest"]]["text"]["works"] if told["newest"] else {}
-            body = {"call": f"{reason} {told['newest']}", "made-from": told["newest"], "author": "o",
-                    "text": {"works": change(works)}, "reason": reason}
+            body = {
+                "call": f"{reason} {told['newest']}",
+                "made-from": told["newest"],
+                "author": "o",
+                "text": {"works": change(works)},
+                "reason": reason,
+            }
             status, told = await self._call_any("agreed/works", json.dumps(body).encode())
             if status == 400 or status == 409 and not told.get("number"):
                 raise PlanError(f"{reason}: {told['text']}")
@@ -107,8 +128,12 @@
         """Asks until there is an outcome."""
         call = f"{step} {uid} {number}"
         while not self.finished:
-            status, told = await self._call_any("agreed/machines", json.dumps(
-                {"call": call, "machine": uid, "step": step, "number": number, "author": "o"}).encode())
+            status, told = await self._call_any(
+                "agreed/machines",
+                json.dumps(
+                    {"call": call, "machine": uid, "step": step, "number": number, "author": "o"}
+                ).encode(),
+            )
             if status == 200 or status == 409 and "out for any work" not in told.get("text", ""):
                 return status == 200
             await asyncio.sleep(0.2)
@@ -191,8 +216,9 @@
                     self.runs.append(MaintenanceRun(uid, one["work"], one["number"], one["at"]))
                     self._spawn(self._restart_machine(uid, self._work_seconds(one["work"])))
                 for run in self.runs:
-                    if (run.uid, run.work, run.number) == (uid, one["work"], one["number"]) \
-                            and one["what"] == "end":
+                    if (run.uid, run.work, run.number) == (uid, one["work"], one["number"]) and one[
+                        "what"
+                    ] == "end":
                         run.end = one["at"]
 
     async def run_fault(self, fault: FaultSpecification, rest: float) -> None:
@@ -218,7 +244,9 @@
         loop = asyncio.get_running_loop()
         end = loop.time() + within
         while True:
-            views = [await self.harness.call_admin(name, "agreed/machines") for name in self.harness.process_names]
+            views = [
+                await self.harness.call_admin(name, "agreed/machines") for name in self.harness.process_names
+            ]
             told = next((view for status, view in views if status == 200 and view["leads"]), None)
             states = {name: work["state"] for name, work in told["works"].items()} if told else {}
             ended = told and all(state in ("done", "stop", "stopped by itself") for state in states.values())
@@ -246,4 +274,3 @@
                 wrong[handed.name] = f"{left} are left and nobody says why"
         (self.harness.folder / "works.json").write_text(json.dumps(told, indent=1))
         return wrong
-
--- a/crankfold/fault_injection/maintenance_invariants.py
+++ b/crankfold/fault_injection/maintenance_invariants.py
@@ -25,14 +25,20 @@
                     if key not in self.first_transitions or record["at"] < self.first_transitions[key][0]:
                         self.first_transitions[key] = record["at"], record
         self.transitions = [self.first_transitions[key] for key in sorted(self.first_transitions)]
-        self.started_at = min((records[0]["at"] for records in story.process_records.values() if records), default=0)
+        self.started_at = min(
+            (records[0]["at"] for records in story.process_records.values() if records), default=0
+        )
 
     def _format_time(self, ns: int) -> str:
         return f"{(ns - self.started_at) / 1e9:.3f} s"
 
     def judge(self, promise: str) -> str:
-        return {"free-means-free": self.check_freed_machines, "works-bounds": self.check_limits,
-                "commands": self.check_commands, "works-end": self.check_job_ends}[promise]()
+        return {
+            "free-means-free": self.check_freed_machines,
+            "works-bounds": self.check_limits,
+            "commands": self.check_commands,
+            "works-end": self.check_job_ends,
+        }[promise]()
 
     def check_freed_machines(self) -> str:
         """From when anybody knew that it is free until anybody knew that it is back: nothing reached it."""
@@ -44,17 +50,30 @@
             if step["index"] <= numbers.get(uid, 0):
                 return f"{uid} is free under {step['index']} after {numbers[uid]}"
             numbers[uid] = step["index"]
-            until = min((then for then, later in self.transitions if later["uid"] == uid
-                         and later["index"] > step["index"]
-                         and later["step"] in ("back", "gone", "out", "unwell")), default=1 << 62)
+            until = min(
+                (
+                    then
+                    for then, later in self.transitions
+                    if later["uid"] == uid
+                    and later["index"] > step["index"]
+                    and later["step"] in ("back", "gone", "out", "unwell")
+                ),
+                default=1 << 62,
+            )
             for when, at_uid, unit in self.trial.observations.received_requests:
                 if at_uid == uid and at < when < until:
-                    return f"{unit} reached {uid} at {self._format_time(when)}, which is free since {self._format_time(at)}"
+                    free_since = self._format_time(at)
+                    return (
+                        f"{unit} reached {uid} at {self._format_time(when)}, which is free since {free_since}"
+                    )
         return ""
 
     def _lost_machines(self, at: int) -> set[str]:
-        return {uid for uid, spans in self.trial.losses.items()
-                if any(begin + DISCOVERY_DELAY < at and at < end for begin, end in spans)}
+        return {
+            uid
+            for uid, spans in self.trial.losses.items()
+            if any(begin + DISCOVERY_DELAY < at and at < end for begin, end in spans)
+        }
 
     def check_limits(self) -> str:
         """At each moment when one more went out, unplanned losses counted."""
@@ -89,8 +108,11 @@
         out = ({one for one in away if not one.startswith("@")} | lost) - {uid}
         for name, handed in self.trial.jobs.items():
             given = handed["work"]
-            if given.get("of") == "dispatchers" or name != work and (
-                    name not in away.values() or not self._selects(given, uid)):
+            if (
+                given.get("of") == "dispatchers"
+                or name != work
+                and (name not in away.values() or not self._selects(given, uid))
+            ):
                 continue
             mine = {one for one in out if self._selects(given, one)}
             if len(mine) >= given.get("at-once", 1):
@@ -108,17 +130,23 @@
         runs: dict[tuple[str, str], list[Any]] = {}
         for run in self.trial.runs:
             runs.setdefault((run.uid, run.work), []).append(run)
-            free = [at for at, step in self.transitions if step["uid"] == run.uid and step["step"] == "free"
-                    and step["index"] == run.number]
+            free = [
+                at
+                for at, step in self.transitions
+                if step["uid"] == run.uid and step["step"] == "free" and step["index"] == run.number
+            ]
             if not free or free[0] > run.begin:
-                return f"{run.uid} was worked on at {self._format_time(run.begin)}, not free under {run.number}"
+                return (
+                    f"{run.uid} was worked on at {self._format_time(run.begin)}, not free under {run.number}"
+                )
         for (uid, work), some in runs.items():
             given = self.trial.jobs[work]["work"]
             numbers = [run.number for run in some]
             if len(set(numbers)) < len(numbers):
                 return f"{uid} was worked on twice for {work} under one number, {numbers}"
-            unwell = any(step["uid"] == uid and step["step"] in ("unwell", "undone")
-                         for _, step in self.transitions)
+            unwell = any(
+                step["uid"] == uid and step["step"] in ("unwell", "undone") for _, step in self.transitions
+            )
             if len(some) > 1 and not given.get("again") and not unwell:
                 return f"{uid} was worked on {len(some)} times for {work}"
         return ""
@@ -134,8 +162,20 @@
         if promise == "commands":
             return f"{len(self.trial.runs)} runs"
         if promise == "free-means-free":
-            spans = [then - at for at, step in self.transitions if step["step"] == "out" for then in [min(
-                (later for later, other in self.transitions if other["uid"] == step["uid"]
-                 and other["index"] > step["index"]), default=at)]]
+            spans = [
+                then - at
+                for at, step in self.transitions
+                if step["step"] == "out"
+                for then in [
+                    min(
+                        (
+                            later
+                            for later, other in self.transitions
+                            if other["uid"] == step["uid"] and other["index"] > step["index"]
+                        ),
+                        default=at,
+                    )
+                ]
+            ]
             return f"from out to free, longest {max(spans, default=0) / MILLISECOND:.0f} ms"
         return ""
--- a/crankfold/fault_injection/plan.py
+++ b/crankfold/fault_injection/plan.py
@@ -9,8 +9,21 @@
 
 PositiveNumber = Annotated[float, Meta(gt=0)]
 NonNegativeNumber = Annotated[float, Meta(ge=0)]
-PROMISES = ("bound", "heard-first", "history", "no-way-back", "publishes", "one-answer", "no-effect-twice",
-            "out-means-out", "well-at-the-end", "free-means-free", "works-bounds", "commands", "works-end")
+PROMISES = (
+    "bound",
+    "heard-first",
+    "history",
+    "no-way-back",
+    "publishes",
+    "one-answer",
+    "no-effect-twice",
+    "out-means-out",
+    "well-at-the-end",
+    "free-means-free",
+    "works-bounds",
+    "commands",
+    "works-end",
+)
 PROCESS_FAULTS = ("kill", "pause", "disk", "drain", "replace")
 DISCOVERY_FAULTS = ("list-late", "list-down")
 BACKEND_FAULTS = ("lose", "succeed")
@@ -24,14 +37,30 @@
     every: PositiveNumber = 0.7
     until: NonNegativeNumber = 1e9
     documents: list[Literal["settings", "runners-out"]] = field(
-        default_factory=lambda: ["settings", "runners-out"])
+        default_factory=lambda: ["settings", "runners-out"]
+    )
     at_once: Annotated[int, Meta(ge=1, le=8)] = 1  # operators that publish at the same moment
     repeat: Annotated[float, Meta(ge=0, le=1)] = 0.0  # share that is asked for twice with the same call
 
 
 class FaultSpecification(Struct, rename="kebab", forbid_unknown_fields=True):
-    kind: Literal["loss", "delay", "double", "cut", "reset", "slow", "kill", "pause", "disk", "drain",
-                  "replace", "list-late", "list-down", "lose", "succeed"]
+    kind: Literal[
+        "loss",
+        "delay",
+        "double",
+        "cut",
+        "reset",
+        "slow",
+        "kill",
+        "pause",
+        "disk",
+        "drain",
+        "replace",
+        "list-late",
+        "list-down",
+        "lose",
+        "succeed",
+    ]
     begin: NonNegativeNumber
     end: NonNegativeNumber
     at: str = "*"  # a process, "leader" or "*"; of a link the sender
@@ -111,10 +140,13 @@
         known = machines if fault.kind in BACKEND_FAULTS else processes
         for what, name in (("at", fault.at), ("to", fault.to)):
             if name not in known and not (what == "to" and name == "*"):
-                raise PlanError(f"{path}: fault[{n}].{what}: found {name!r}; there are "
-                            f"{', '.join(sorted(known))}")
+                raise PlanError(
+                    f"{path}: fault[{n}].{what}: found {name!r}; there are {', '.join(sorted(known))}"
+                )
         if fault.end < fault.begin or fault.end > plan.seconds:
-            raise PlanError(f"{path}: fault[{n}]: from {fault.begin} to {fault.end}, in {plan.seconds} s in all")
+            raise PlanError(
+                f"{path}: fault[{n}]: from {fault.begin} to {fault.end}, in {plan.seconds} s in all"
+            )
         if fault.kind in PROCESS_FAULTS and fault.at == "*":
             raise PlanError(f"{path}: fault[{n}].at: missing; a {fault.kind} has to say at which process")
     return plan
--- a/crankfold/fault_injection/stand_ins.py
+++ b/crankfold/fault_injection/stand_ins.py
@@ -23,9 +23,13 @@
 class Observations:
     """By the stand-ins, in the order of time."""
 
-    received_requests: list[tuple[int, str, str]] = field(default_factory=list)  # when, which runner, which unit
+    received_requests: list[tuple[int, str, str]] = field(
+        default_factory=list
+    )  # when, which runner, which unit
     answers: list[tuple[int, str, str, str]] = field(default_factory=list)  # when, unit, dispatcher, answer
-    requests: dict[str, tuple[int, str, str]] = field(default_factory=dict)  # by unit: when, dispatcher, grade
+    requests: dict[str, tuple[int, str, str]] = field(
+        default_factory=dict
+    )  # by unit: when, dispatcher, grade
 
 
 async def read_http_message(reader: asyncio.StreamReader) -> tuple[str, dict[str, str], bytes]:
@@ -84,9 +88,24 @@
 
 
 class StandInBackend(StandInServer):
-    def __init__(self, uid: str, seen: Observations, doors: dict[str, int], work: float, fails: float,
-                 seed: int, long: float = 0.0, long_for: float = 0.0) -> None:
-        self.backend_id, self.observations, self.callback_ports, self.mean_seconds, self.failure_rate = uid, seen, doors, work, fails
+    def __init__(
+        self,
+        uid: str,
+        seen: Observations,
+        doors: dict[str, int],
+        work: float,
+        fails: float,
+        seed: int,
+        long: float = 0.0,
+        long_for: float = 0.0,
+    ) -> None:
+        self.backend_id, self.observations, self.callback_ports, self.mean_seconds, self.failure_rate = (
+            uid,
+            seen,
+            doors,
+            work,
+            fails,
+        )
         self.long_share, self.long_seconds = long, long_for  # share of the units that run so many seconds
         self.rng = Random(f"{seed} {uid}")
         self.slots = asyncio.Semaphore(4)
@@ -115,12 +134,21 @@
             await asyncio.sleep(self.long_seconds if long else self.mean_seconds * self.rng.uniform(0.5, 1.5))
             self.busy_slots -= 1
         state = "failed" if self.rng.random() < self.failure_rate else "done"
-        body = json.dumps({"id": ident, "from": self.backend_id, "state": state, "result": ident,
-                           "load": {"queue": 0, "x0": 4 - self.busy_slots}}).encode()
+        body = json.dumps(
+            {
+                "id": ident,
+                "from": self.backend_id,
+                "state": state,
+                "result": ident,
+                "load": {"queue": 0, "x0": 4 - self.busy_slots},
+            }
+        ).encode()
         for _ in range(5):
             with contextlib.suppress(OSError, asyncio.IncompleteReadError, TimeoutError):
                 async with asyncio.timeout(1):
-                    head, _ = await http_call(self.callback_ports[ident.split("-")[0]], "/v1/job-events", body)
+                    head, _ = await http_call(
+                        self.callback_ports[ident.split("-")[0]], "/v1/job-events", body
+                    )
                 if head.split()[1] in ("200", "204"):
                     return
             await asyncio.sleep(0.1)
@@ -136,8 +164,11 @@
     reader, writer = await asyncio.open_connection(HOST, port)
     try:
         method = "GET" if body is None else "POST"
-        writer.write(f"{method} {target} HTTP/1.1\r\nHost: trial\r\n{heads}Connection: close\r\n"
-                     f"Content-Length: {len(body or b'')}\r\n\r\n".encode() + (body or b""))
+        writer.write(
+            f"{method} {target} HTTP/1.1\r\nHost: trial\r\n{heads}Connection: close\r\n"
+            f"Content-Length: {len(body or b'')}\r\n\r\n".encode()
+            + (body or b"")
+        )
         head, _, text = await read_http_message(reader)
         return head, text
     finally:
@@ -161,9 +192,18 @@
 
     def _add_version(self) -> None:
         targets: list[dict[str, object]] = [
-            {"uid": uid, "endpoint": f"{HOST}:{port}", "az": zone, "model": "m", "pod_group": 0,
-             "state": "in_service", "capacity_hint": 1.0, "boot_ms": start}
-            for uid, (port, zone, start) in self.endpoints.items()]
+            {
+                "uid": uid,
+                "endpoint": f"{HOST}:{port}",
+                "az": zone,
+                "model": "m",
+                "pod_group": 0,
+                "state": "in_service",
+                "capacity_hint": 1.0,
+                "boot_ms": start,
+            }
+            for uid, (port, zone, start) in self.endpoints.items()
+        ]
         self.versions.append((time.monotonic(), targets))
 
 
@@ -187,16 +227,31 @@
             if self.silent:
                 raise OSError("down")
             rev = self._visible_revision()
-            body = json.dumps({"rev": rev, "all": True, "targets": self.endpoint_list.versions[rev][1]}).encode()
+            body = json.dumps(
+                {"rev": rev, "all": True, "targets": self.endpoint_list.versions[rev][1]}
+            ).encode()
             writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
 
 
 class LoadGenerator:
     """Open loop: units come when they come, whatever became of those before."""
 
-    def __init__(self, names: list[str], ports: dict[str, int], grades: list[str], rate: float, seed: int,
-                 seen: Observations) -> None:
-        self.dispatcher_names, self.ports, self.request_classes, self.rate, self.observations = names, ports, grades, rate, seen
+    def __init__(
+        self,
+        names: list[str],
+        ports: dict[str, int],
+        grades: list[str],
+        rate: float,
+        seed: int,
+        seen: Observations,
+    ) -> None:
+        self.dispatcher_names, self.ports, self.request_classes, self.rate, self.observations = (
+            names,
+            ports,
+            grades,
+            rate,
+            seen,
+        )
         self.rng = Random(f"{seed} clients")
         self.tasks: set[asyncio.Task[None]] = set()
 
@@ -209,8 +264,11 @@
                 break
             await asyncio.sleep(max(due - loop.time(), 0))
             n += 1
-            task = asyncio.ensure_future(self._send_request(f"{self.rng.choice(self.dispatcher_names)}-{n}",
-                                                    self.rng.choice(self.request_classes)))
+            task = asyncio.ensure_future(
+                self._send_request(
+                    f"{self.rng.choice(self.dispatcher_names)}-{n}", self.rng.choice(self.request_classes)
+                )
+            )
             self.tasks.add(task)
             task.add_done_callback(self.tasks.discard)
         if self.tasks:
@@ -221,9 +279,13 @@
         self.observations.requests[ident] = boot_time_ns(), name, grade
         try:
             async with asyncio.timeout(7):
-                head, text = await http_call(self.ports[name], "/api", b"",
-                                        f"X-Request-ID: {ident}\r\nIdempotency-Key: {ident}\r\n"
-                                        f"X-Priority-Class: {grade}\r\nX-Timeout: 3\r\nX-Cost: 40000\r\n")
+                head, text = await http_call(
+                    self.ports[name],
+                    "/api",
+                    b"",
+                    f"X-Request-ID: {ident}\r\nIdempotency-Key: {ident}\r\n"
+                    f"X-Priority-Class: {grade}\r\nX-Timeout: 3\r\nX-Cost: 40000\r\n",
+                )
             told = head.split()[1] + (" " + text.decode() if text else "")
         except TimeoutError:
             told = "nothing"
