--- a/crankfold/maintenance/coordinator.py
+++ b/crankfold/maintenance/coordinator.py
@@ -30,7 +30,9 @@
 
 TICKS_PER_SECOND = 10_000
 REPROPOSE_AFTER = TICKS_PER_SECOND  # before a step is proposed again: the first proposal may be lost
-COMMAND_OUTCOME_MARGIN = 5 * TICKS_PER_SECOND  # beyond the time that a command has, for its outcome to be told
+COMMAND_OUTCOME_MARGIN = (
+    5 * TICKS_PER_SECOND
+)  # beyond the time that a command has, for its outcome to be told
 MIN_REQUESTS_FOR_SHED_SHARE = 20  # units, for a share that was shed to mean something
 SHED_COOLDOWN = 5 * TICKS_PER_SECOND  # without too much shedding before machines go out again
 UNOBSERVED_WATCH_FACTOR = 4  # times the watch, for a machine of which no answer was seen
@@ -54,7 +56,9 @@
     stale_reason: str = ""  # why the list can't be relied on
     # Who may still send to a machine that is out since an index of the history, or holds something there.
     blocking_holders: Callable[[str, int], str] = lambda uid, index: ""
-    unresolved_requests: dict[str, list[str]] = field(default_factory=dict)  # units that may go on there, nobody knows
+    unresolved_requests: dict[str, list[str]] = field(
+        default_factory=dict
+    )  # units that may go on there, nobody knows
     answers: dict[str, tuple[int, int]] = field(default_factory=dict)  # of a machine that is back: all, bad
     unavailable: Collection[str] = ()  # machines that somebody's list does not call ready
     requests_in_flight: int = 0  # of the fleet
@@ -63,14 +67,20 @@
     executors: dict[str, int] = field(default_factory=dict)  # voters that are heard, and in which life
     incarnations: dict[str, int] = field(default_factory=dict)  # of all, as heard last
     warm_up_ticks: int = 0
-    deduplication_scopes: Collection[str] = ()  # "zone", "cell": where repeats of tagged units need another machine
+    deduplication_scopes: Collection[
+        str
+    ] = ()  # "zone", "cell": where repeats of tagged units need another machine
 
 
 class Coordinator:
     def __init__(self, me: str) -> None:
         self.member_name = me
-        self.known_since: dict[tuple[str, int], int] = {}  # by machine and its last step: since when it is known
-        self.ready_since: dict[str, tuple[int, int]] = {}  # by machine, the start that is listed, and since when
+        self.known_since: dict[
+            tuple[str, int], int
+        ] = {}  # by machine and its last step: since when it is known
+        self.ready_since: dict[
+            str, tuple[int, int]
+        ] = {}  # by machine, the start that is listed, and since when
         self.first_observed_at = -1  # when it was told of anything first
         self.listed_since: dict[str, int] = {}  # by machine, since when any list had it
         self.out_since: dict[tuple[str, int], int] = {}  # by machine and the step by which it is out
@@ -84,8 +94,9 @@
         self.first_observed_at = now if self.first_observed_at < 0 else self.first_observed_at
         for machine in machines:
             self.listed_since.setdefault(machine.machine_id, now)
-        self.out_since = {(uid, away.out): self.out_since.get((uid, away.out), now)
-                          for uid, away in ledger.machines.items()}
+        self.out_since = {
+            (uid, away.out): self.out_since.get((uid, away.out), now) for uid, away in ledger.machines.items()
+        }
         steps = {(uid, away.last) for uid, away in ledger.machines.items()}
         self.known_since = {step: self.known_since.get(step, now) for step in steps}
         self.ready_since = {uid: seen for uid, seen in self.ready_since.items() if uid in ledger.machines}
@@ -94,8 +105,10 @@
         """The steps to propose; none of them may be acted on before it is agreed."""
         self.observe(view.now, view.state, view.machines)
         self.wait_reasons = {}
-        view.jobs = {name: structs.replace(given, state=STOPPED) if name in view.state.halted_jobs else given
-                      for name, given in view.jobs.items()}
+        view.jobs = {
+            name: structs.replace(given, state=STOPPED) if name in view.state.halted_jobs else given
+            for name, given in view.jobs.items()
+        }
         self._track_shedding(view)
         steps: Transitions = []
         stuck: dict[str, str] = {}
@@ -103,8 +116,16 @@
         for uid, away in sorted(view.state.machines.items()):
             step = self._next_transition(view, uid, away, listed.get(uid), stuck)
             if step:
-                steps.append({"uid": uid, "work": away.work, "last": away.last, "by": self.member_name, "why": "",
-                              **step})
+                steps.append(
+                    {
+                        "uid": uid,
+                        "work": away.work,
+                        "last": away.last,
+                        "by": self.member_name,
+                        "why": "",
+                        **step,
+                    }
+                )
         steps += self._propose_halts(view, stuck)
         steps = [step for step in steps if self._is_new_proposal(view.now, step)]
         steps += self._propose_departures(view, stuck)
@@ -124,8 +145,9 @@
 
     # --- one machine ---
 
-    def _next_transition(self, view: FleetView, uid: str, away: Away, listed: Machine | None,
-              stuck: dict[str, str]) -> dict[str, Any] | None:
+    def _next_transition(
+        self, view: FleetView, uid: str, away: Away, listed: Machine | None, stuck: dict[str, str]
+    ) -> dict[str, Any] | None:
         given = view.jobs.get(away.work)
         stopping = "its work is over" if given is None or given.state == STOPPED else ""
         known_for = view.now - self.known_since[uid, away.last]
@@ -170,8 +192,16 @@
         self.wait_reasons[uid, away.work] = why
         return None
 
-    def _start_work(self, view: FleetView, uid: str, away: Away, given: JobSpecification, listed: Machine | None, known_for: int,
-                stuck: dict[str, str]) -> dict[str, Any] | None:
+    def _start_work(
+        self,
+        view: FleetView,
+        uid: str,
+        away: Away,
+        given: JobSpecification,
+        listed: Machine | None,
+        known_for: int,
+        stuck: dict[str, str],
+    ) -> dict[str, Any] | None:
         if away.unwell:
             return self._wait(uid, away, f"unwell, free under {away.number}: waits for an operator's call")
         if given.way == BY_COMMAND:
@@ -183,31 +213,52 @@
             return {"step": ENDED, "why": "a new start on the list"}
         if known_for > given.takes * TICKS_PER_SECOND:
             self._mark_overdue(uid, away, given, f"free for over {given.takes:g} s", stuck)
-        return self._wait(uid, away, f"free under {away.number}, by {away.by or 'hand'}: waits for "
-                          + ("a new start on the list" if given.way == BY_LIST else "an operator's call"))
+        return self._wait(
+            uid,
+            away,
+            f"free under {away.number}, by {away.by or 'hand'}: waits for "
+            + ("a new start on the list" if given.way == BY_LIST else "an operator's call"),
+        )
 
     def _choose_executor(self, view: FleetView, uid: str) -> str:
-        there = [name for name in view.executors if f"@{name}" not in view.state.machines
-                 and f"@{name}" != uid]
+        there = [
+            name for name in view.executors if f"@{name}" not in view.state.machines and f"@{name}" != uid
+        ]
         return self.member_name if self.member_name in there else min(there, default="")
 
-    def _supervise_work(self, view: FleetView, uid: str, away: Away, given: JobSpecification, listed: Machine | None, known_for: int,
-               stuck: dict[str, str]) -> dict[str, Any] | None:
+    def _supervise_work(
+        self,
+        view: FleetView,
+        uid: str,
+        away: Away,
+        given: JobSpecification,
+        listed: Machine | None,
+        known_for: int,
+        stuck: dict[str, str],
+    ) -> dict[str, Any] | None:
         if given.way != BY_COMMAND:
             if known_for > given.takes * TICKS_PER_SECOND:
                 self._mark_overdue(uid, away, given, f"in work for over {given.takes:g} s", stuck)
             return self._wait(uid, away, f"in work under {away.number}: waits for an operator's call")
         life = view.incarnations.get(away.by, away.life)
-        lost = f"{away.by} died over its command" if life != away.life else (
-            f"nothing heard of its command from {away.by}"
-            if known_for > given.takes * TICKS_PER_SECOND + COMMAND_OUTCOME_MARGIN else "")
+        lost = (
+            f"{away.by} died over its command"
+            if life != away.life
+            else (
+                f"nothing heard of its command from {away.by}"
+                if known_for > given.takes * TICKS_PER_SECOND + COMMAND_OUTCOME_MARGIN
+                else ""
+            )
+        )
         if not lost:
             return self._wait(uid, away, f"its command runs at {away.by}")
         if given.again and life != away.life:
             return {"step": FREE, "why": f"{lost}; it may be run again"}
         return {"step": FAILED, "why": f"{lost}; nobody knows whether it has run"}
 
-    def _mark_overdue(self, uid: str, away: Away, given: JobSpecification | None, why: str, stuck: dict[str, str]) -> None:
+    def _mark_overdue(
+        self, uid: str, away: Away, given: JobSpecification | None, why: str, stuck: dict[str, str]
+    ) -> None:
         """It does not come back: what its work wants then."""
         self.wait_reasons[uid, away.work] = why
         if given and given.not_back != "go-on":
@@ -219,27 +270,53 @@
         if out_since == self.first_observed_at:
             return ""  # who was listed before it went out is not known here: an operator has to say
         took = {step.why.partition(" ")[0] for step in view.state.transitions if step.step == GONE}
-        return next((m.machine_id for m in sorted(view.machines, key=lambda m: m.machine_id)
-                     if m.available and self.listed_since[m.machine_id] > out_since and m.machine_id not in took
-                     and m.machine_id not in view.state.machines), "")
-
-    def _share_absence(self, view: FleetView, uid: str, away: Away, listed: Machine | None) -> dict[str, Any] | None:
+        return next(
+            (
+                m.machine_id
+                for m in sorted(view.machines, key=lambda m: m.machine_id)
+                if m.available
+                and self.listed_since[m.machine_id] > out_since
+                and m.machine_id not in took
+                and m.machine_id not in view.state.machines
+            ),
+            "",
+        )
+
+    def _share_absence(
+        self, view: FleetView, uid: str, away: Away, listed: Machine | None
+    ) -> dict[str, Any] | None:
         """Another work that wants the same machine takes it while it is out anyway, if both allow that."""
         own = view.jobs.get(away.work)
         if not own or not own.shares or not listed:
             return None
         for name, given in sorted(view.jobs.items()):
             work = given.to_job(name)
-            if name in (away.work, *away.also) or not given.shares or given.state != GO \
-                    or given.of != own.of or not work.covers(listed) or uid in view.state.completed.get(name, ()) \
-                    or outside_time_window(self._ignoring_start_time(view, work), self._wall_time(view)) \
-                    or given.after or work.exclusive_with & set(view.jobs) or name in (own.alone or ()):
+            if (
+                name in (away.work, *away.also)
+                or not given.shares
+                or given.state != GO
+                or given.of != own.of
+                or not work.covers(listed)
+                or uid in view.state.completed.get(name, ())
+                or outside_time_window(self._ignoring_start_time(view, work), self._wall_time(view))
+                or given.after
+                or work.exclusive_with & set(view.jobs)
+                or name in (own.alone or ())
+            ):
                 continue
             return {"step": FREE, "work": name, "why": f"out already for {away.work}"}
         return None
 
-    def _verify_return(self, view: FleetView, uid: str, away: Away, given: JobSpecification | None, listed: Machine | None,
-                    known_for: int, stuck: dict[str, str]) -> dict[str, Any] | None:
+    def _verify_return(
+        self,
+        view: FleetView,
+        uid: str,
+        away: Away,
+        given: JobSpecification | None,
+        listed: Machine | None,
+        known_for: int,
+        stuck: dict[str, str],
+    ) -> dict[str, Any] | None:
         if not away.worked:
             return {"step": UNDONE, "why": away.why}
         given = given or JobSpecification()
@@ -259,11 +336,16 @@
             return self._wait(uid, away, f"watched and warming for {watch / TICKS_PER_SECOND:g} s")
         if answers < given.least_answers and known_for < UNOBSERVED_WATCH_FACTOR * watch:
             return self._wait(uid, away, f"{answers} of {given.least_answers} answers seen")
-        return {"step": WELL, "why": f"{answers - bad} of {answers} answers were good" if answers else
-                "no answer of it was seen"}
-
-    def _verify_dispatcher_return(self, view: FleetView, uid: str, away: Away, given: JobSpecification,
-                 listed: Machine) -> dict[str, Any] | None:
+        return {
+            "step": WELL,
+            "why": f"{answers - bad} of {answers} answers were good"
+            if answers
+            else "no answer of it was seen",
+        }
+
+    def _verify_dispatcher_return(
+        self, view: FleetView, uid: str, away: Away, given: JobSpecification, listed: Machine
+    ) -> dict[str, Any] | None:
         if given.way != BY_HAND and listed.started_at == away.start:
             return self._wait(uid, away, "still the process that it was")
         if view.now - self.known_since[uid, away.last] < given.watch * TICKS_PER_SECOND:
@@ -277,8 +359,11 @@
         for name, given in view.jobs.items():
             if name in view.state.halted_jobs:
                 continue
-            why = f"{view.state.unhealthy_streaks.get(name, 0)} unwell in a row" \
-                if view.state.unhealthy_streaks.get(name, 0) >= given.most_unwell else ""
+            why = (
+                f"{view.state.unhealthy_streaks.get(name, 0)} unwell in a row"
+                if view.state.unhealthy_streaks.get(name, 0) >= given.most_unwell
+                else ""
+            )
             if name in stuck and given.not_back == "give-up":
                 why = why or stuck[name]
             if why:
@@ -291,8 +376,11 @@
 
     def _excess_shedding(self, view: FleetView) -> str:
         asked = view.admitted_count + view.shed_count
-        going = [given.shed_over for name, given in view.jobs.items() if given.state == GO
-                 or any(away.work == name for away in view.state.machines.values())]
+        going = [
+            given.shed_over
+            for name, given in view.jobs.items()
+            if given.state == GO or any(away.work == name for away in view.state.machines.values())
+        ]
         if asked >= MIN_REQUESTS_FOR_SHED_SHARE and view.shed_count > min(going, default=1.0) * asked:
             return f"{view.shed_count} of {asked} units were shed of late"
         return ""
@@ -307,35 +395,65 @@
     def _propose_departures(self, view: FleetView, stuck: dict[str, str]) -> Transitions:
         going = {name: given for name, given in view.jobs.items() if given.state == GO}
         for name in [*going]:
-            why = stuck.get(name) or view.stale_reason or self._excess_shedding(view) or (
-                "calm for a while first, after units were shed" if view.now < self.cooldown_until else "")
+            why = (
+                stuck.get(name)
+                or view.stale_reason
+                or self._excess_shedding(view)
+                or ("calm for a while first, after units were shed" if view.now < self.cooldown_until else "")
+            )
             if why:
                 self.wait_reasons["", name] = why
                 del going[name]
         steps: Transitions = []
         for of, machines in (("runners", view.machines), ("dispatchers", view.dispatchers)):
-            works = [self._ignoring_start_time(view, given.to_job(name)) for name, given in going.items() if given.of == of]
-            halted = [given.to_job(name) for name, given in view.jobs.items()
-                      if given.of == of and name not in going]
+            works = [
+                self._ignoring_start_time(view, given.to_job(name))
+                for name, given in going.items()
+                if given.of == of
+            ]
+            halted = [
+                given.to_job(name)
+                for name, given in view.jobs.items()
+                if given.of == of and name not in going
+            ]
             if works:
                 steps += self._departures_of(view, works, halted, machines, of)
         if not steps:
             return steps
         changes, plan, at = self.last_departures
-        if (changes, plan) == (view.state.change_count, view.jobs_version) and view.now - at < REPROPOSE_AFTER:
+        if (changes, plan) == (
+            view.state.change_count,
+            view.jobs_version,
+        ) and view.now - at < REPROPOSE_AFTER:
             return []
         self.last_departures = view.state.change_count, view.jobs_version, view.now
         return steps
 
-    def _departures_of(self, view: FleetView, works: list[MaintenanceJob], halted: list[MaintenanceJob], machines: Sequence[Machine],
-                 of: str) -> Transitions:
+    def _departures_of(
+        self,
+        view: FleetView,
+        works: list[MaintenanceJob],
+        halted: list[MaintenanceJob],
+        machines: Sequence[Machine],
+        of: str,
+    ) -> Transitions:
         away = view.state.machines
         # One that is out may be listed no longer: it counts all the same.
         there = {m.machine_id for m in machines}
-        machines = [*machines, *(Machine(uid, *gone.place, started_at=gone.start, available=False, listed=False)
-                                 for uid, gone in sorted(away.items())
-                                 if uid not in there and is_dispatcher_id(uid) == (of == "dispatchers"))]
-        seen = [replace(m, available=m.available and m.machine_id not in view.unavailable and m.machine_id not in away) for m in machines]
+        machines = [
+            *machines,
+            *(
+                Machine(uid, *gone.place, started_at=gone.start, available=False, listed=False)
+                for uid, gone in sorted(away.items())
+                if uid not in there and is_dispatcher_id(uid) == (of == "dispatchers")
+            ),
+        ]
+        seen = [
+            replace(
+                m, available=m.available and m.machine_id not in view.unavailable and m.machine_id not in away
+            )
+            for m in machines
+        ]
         if of == "dispatchers":
             works = [replace(work, last_machine_id=f"@{self.member_name}") for work in works]
         held = self._reserve_check(view, seen, of)
@@ -345,13 +463,28 @@
             if uid not in away:
                 self.wait_reasons[uid, name] = why
         known_as = {m.machine_id: m for m in machines}
-        known = {"step": OUT, "by": self.member_name, "made_from": view.state.change_count, "plan": view.jobs_version, "why": ""}
-        return [{**known, "uid": uid, "work": name, "start": m.started_at,
-                 "place": (m.zone, m.instance_type, m.cell, m.size)}
-                for uid, name in told.departures for m in [known_as[uid]]]
-
-    def _reserve_check(self, view: FleetView, machines: Sequence[Machine],
-               of: str) -> Callable[[Machine, Collection[str]], str]:
+        known = {
+            "step": OUT,
+            "by": self.member_name,
+            "made_from": view.state.change_count,
+            "plan": view.jobs_version,
+            "why": "",
+        }
+        return [
+            {
+                **known,
+                "uid": uid,
+                "work": name,
+                "start": m.started_at,
+                "place": (m.zone, m.instance_type, m.cell, m.size),
+            }
+            for uid, name in told.departures
+            for m in [known_as[uid]]
+        ]
+
+    def _reserve_check(
+        self, view: FleetView, machines: Sequence[Machine], of: str
+    ) -> Callable[[Machine, Collection[str]], str]:
         carries = max((given.carries for given in view.jobs.values()), default=0.0)
         dispatchers = of == "dispatchers"
 
@@ -370,7 +503,9 @@
                     return f"{view.requests_in_flight} units in hand, what would stay carries {bears}"
             for what in ("zone",) if dispatchers else view.deduplication_scopes:
                 where = getattr(machine, what)
-                others = [m for m in machines if getattr(m, what) == where and m.machine_id != machine.machine_id]
+                others = [
+                    m for m in machines if getattr(m, what) == where and m.machine_id != machine.machine_id
+                ]
                 if others and not any(getattr(m, what) == where for m in stay):
                     return f"the last that is up in its {what}"
             return ""
--- a/crankfold/maintenance/forecast.py
+++ b/crankfold/maintenance/forecast.py
@@ -24,8 +24,16 @@
     wait_reasons: dict[str, str]  # machines that never get their turn, and the bound that holds them
 
 
-def forecast_job(name: str, works: dict[str, JobSpecification], machines: Sequence[Machine], out: dict[str, str],
-         done: set[tuple[str, str]], now: int, drain: float, warm: float) -> Forecast:
+def forecast_job(
+    name: str,
+    works: dict[str, JobSpecification],
+    machines: Sequence[Machine],
+    out: dict[str, str],
+    done: set[tuple[str, str]],
+    now: int,
+    drain: float,
+    warm: float,
+) -> Forecast:
     """`out`: by machine the work that it is out for now; `now`: ms since the epoch; `drain` and `warm`:
     seconds until a machine is free, and until one that is back is warm."""
     asked = [given.to_job(one) for one, given in works.items() if given.state == "go"]
@@ -35,8 +43,13 @@
     at, turns, held = 0.0, list[ForecastDeparture](), dict[str, str]()
     done, away = set(done), dict(out)
     while True:
-        told = schedule(asked, [replace(m, available=m.available and m.machine_id not in away) for m in machines], away.items(),
-                     done, now + int(at * 1000))
+        told = schedule(
+            asked,
+            [replace(m, available=m.available and m.machine_id not in away) for m in machines],
+            away.items(),
+            done,
+            now + int(at * 1000),
+        )
         zones = {m.machine_id: m.zone for m in machines}
         for uid, work in told.departures:
             away[uid], ends[uid] = work, at + takes[work]
--- a/crankfold/maintenance/scheduler.py
+++ b/crankfold/maintenance/scheduler.py
@@ -40,16 +40,21 @@
     last_machine_id: str = ""  # a machine that goes when all others are done
 
     def covers(self, machine: Machine) -> bool:
-        return ((not self.machine_ids or machine.machine_id in self.machine_ids) and (not self.zones or machine.zone in self.zones)
-                and (not self.instance_types or machine.instance_type in self.instance_types)
-                and (not self.cells or machine.cell in self.cells)
-                and (not self.started_before or machine.started_at < self.started_before))
+        return (
+            (not self.machine_ids or machine.machine_id in self.machine_ids)
+            and (not self.zones or machine.zone in self.zones)
+            and (not self.instance_types or machine.instance_type in self.instance_types)
+            and (not self.cells or machine.cell in self.cells)
+            and (not self.started_before or machine.started_at < self.started_before)
+        )
 
 
 @dataclass(slots=True)
 class Schedule:
     departures: list[tuple[str, str]] = field(default_factory=list)  # machine and work, in this order
-    wait_reasons: dict[tuple[str, str], str] = field(default_factory=dict)  # of the others the bound that holds them
+    wait_reasons: dict[tuple[str, str], str] = field(
+        default_factory=dict
+    )  # of the others the bound that holds them
 
 
 def infeasibility_reason(work: MaintenanceJob, machines: Sequence[Machine]) -> str:
@@ -70,7 +75,9 @@
 class _Occupancy:
     """What is up and what is out, counted once and kept as machines go."""
 
-    def __init__(self, works: Sequence[MaintenanceJob], machines: Sequence[Machine], gone: dict[str, str]) -> None:
+    def __init__(
+        self, works: Sequence[MaintenanceJob], machines: Sequence[Machine], gone: dict[str, str]
+    ) -> None:
         self.out_for = gone
         self.total_size: dict[str, float] = defaultdict(float)  # sizes by zone, "" for all
         self.available_size: dict[str, float] = defaultdict(float)
@@ -93,8 +100,14 @@
     def _count_out(self, machine: Machine) -> None:
         for work in self.jobs:
             if work.covers(machine):
-                self.out_counts[work.name].update((("", ""), ("zone", machine.zone), ("kind", machine.instance_type),
-                                            ("cell", machine.cell)))
+                self.out_counts[work.name].update(
+                    (
+                        ("", ""),
+                        ("zone", machine.zone),
+                        ("kind", machine.instance_type),
+                        ("cell", machine.cell),
+                    )
+                )
 
     def take_out(self, machine: Machine, work: str) -> None:
         self.out_for[machine.machine_id] = work
@@ -111,26 +124,38 @@
         out, own = self.out_counts[work.name], 0 if machine.available else 1
         if out["", ""] - own >= work.max_out:
             return f"{out['', ''] - own} of {work.max_out} at once"
-        for what, where, most in (("zone", machine.zone, work.max_out_per_zone), ("kind", machine.instance_type, work.max_out_per_instance_type),
-                                  ("cell", machine.cell, work.max_out_per_cell)):
+        for what, where, most in (
+            ("zone", machine.zone, work.max_out_per_zone),
+            ("kind", machine.instance_type, work.max_out_per_instance_type),
+            ("cell", machine.cell, work.max_out_per_cell),
+        ):
             if most and out[what, where] - own >= most:
                 return f"{out[what, where] - own} of {most} in its {what}"
         return self.exceeded_capacity(work, machine)
 
     def exceeded_capacity(self, work: MaintenanceJob, machine: Machine) -> str:
-        for what, place, share in (("all", "", work.min_remaining_share),
-                                   (machine.zone, f"zone {machine.zone}", work.min_remaining_zone_share)):
-            stays = self.available_size[place] - (machine.size if machine.available and machine.machine_id not in self.out_for else 0)
+        for what, place, share in (
+            ("all", "", work.min_remaining_share),
+            (machine.zone, f"zone {machine.zone}", work.min_remaining_zone_share),
+        ):
+            stays = self.available_size[place] - (
+                machine.size if machine.available and machine.machine_id not in self.out_for else 0
+            )
             whole = self.total_size[place] or 1.0
             if share and stays / whole < share - 1e-9:
                 return f"{stays / whole:.2f} of {what} would stay, {share:.2f} has to"
         return ""
 
 
-def schedule(works: Sequence[MaintenanceJob], machines: Sequence[Machine], out: Iterable[tuple[str, str]],
-          done: Collection[tuple[str, str]], now: int,
-          more: Callable[[Machine, Collection[str]], str] = lambda machine, gone: "",
-          halted: Sequence[MaintenanceJob] = ()) -> Schedule:
+def schedule(
+    works: Sequence[MaintenanceJob],
+    machines: Sequence[Machine],
+    out: Iterable[tuple[str, str]],
+    done: Collection[tuple[str, str]],
+    now: int,
+    more: Callable[[Machine, Collection[str]], str] = lambda machine, gone: "",
+    halted: Sequence[MaintenanceJob] = (),
+) -> Schedule:
     """`out`: machine and work of what is out by them; `done`: of what has been worked on and is back. `more`
     tells what else holds a machine, with these out already. Works that are `halted` take no more machines,
     but their bounds hold while theirs are out.
@@ -140,14 +165,23 @@
     """
     told = Schedule()
     yard = _Occupancy([*works, *halted], machines, dict(out))
-    left = {work.name: [m for m in yard.covered[work.name] if (m.machine_id, work.name) not in done
-                        and m.machine_id not in yard.out_for] for work in works}
+    left = {
+        work.name: [
+            m
+            for m in yard.covered[work.name]
+            if (m.machine_id, work.name) not in done and m.machine_id not in yard.out_for
+        ]
+        for work in works
+    }
     part = {work.name: 1.0 - len(left[work.name]) / max(len(yard.covered[work.name]), 1) for work in works}
     under_way = set(yard.out_for.values())
     for work in sorted(works, key=lambda work: (part[work.name], work.name)):
         # Spread over zones: from where the most is up, then by name.
         share = {m.zone: yard.available_share(m.zone) for m in left[work.name]}
-        for machine in sorted(left[work.name], key=lambda m: (m.machine_id == work.last_machine_id, -share[m.zone], m.machine_id)):
+        for machine in sorted(
+            left[work.name],
+            key=lambda m: (m.machine_id == work.last_machine_id, -share[m.zone], m.machine_id),
+        ):
             why = _wait_reason(work, machine, yard, under_way, left, now)
             for other in (*works, *halted):  # another's bounds hold for its machines, whoever takes them out
                 if not why and other.name != work.name and other.name in under_way and other.covers(machine):
@@ -169,8 +203,14 @@
     return "after its time" if work.not_after and now >= work.not_after else ""
 
 
-def _wait_reason(work: MaintenanceJob, machine: Machine, yard: _Occupancy, under_way: set[str], left: dict[str, list[Machine]],
-          now: int) -> str:
+def _wait_reason(
+    work: MaintenanceJob,
+    machine: Machine,
+    yard: _Occupancy,
+    under_way: set[str],
+    left: dict[str, list[Machine]],
+    now: int,
+) -> str:
     if machine.machine_id in yard.out_for:
         return f"out for {yard.out_for[machine.machine_id]}"
     if why := outside_time_window(work, now):
@@ -181,6 +221,8 @@
     together = sorted(work.exclusive_with & under_way - {work.name})
     if together:
         return f"never together with {together[0]}"
-    if work.last_machine_id == machine.machine_id and (len(left[work.name]) > 1 or work.name in yard.out_for.values()):
+    if work.last_machine_id == machine.machine_id and (
+        len(left[work.name]) > 1 or work.name in yard.out_for.values()
+    ):
         return "last, as it leads"
     return yard.exceeded_bound(work, machine)
--- a/crankfold/maintenance/specification.py
+++ b/crankfold/maintenance/specification.py
@@ -56,14 +56,30 @@
 
     def to_job(self, name: str) -> MaintenanceJob:
         uids = self.machines if self.of == "runners" else [f"@{name}" for name in self.machines]
-        return MaintenanceJob(name, frozenset(uids), frozenset(self.zones), frozenset(self.kinds),
-                    frozenset(self.cells), self.listed_before * 10, self.at_once, self.a_zone, self.a_kind,
-                    self.a_cell, self.stays, self.stays_in_zone, self.not_before, self.not_after,
-                    frozenset(self.alone), frozenset(self.after))
+        return MaintenanceJob(
+            name,
+            frozenset(uids),
+            frozenset(self.zones),
+            frozenset(self.kinds),
+            frozenset(self.cells),
+            self.listed_before * 10,
+            self.at_once,
+            self.a_zone,
+            self.a_kind,
+            self.a_cell,
+            self.stays,
+            self.stays_in_zone,
+            self.not_before,
+            self.not_after,
+            frozenset(self.alone),
+            frozenset(self.after),
+        )
 
 
 class JobsDocument(Struct, forbid_unknown_fields=True):
-    works: dict[Annotated[str, Meta(pattern="^[A-Za-z0-9._-]{1,60}$")], JobSpecification] = field(default_factory=dict)
+    works: dict[Annotated[str, Meta(pattern="^[A-Za-z0-9._-]{1,60}$")], JobSpecification] = field(
+        default_factory=dict
+    )
 
 
 def parse_jobs(text: dict[str, Any]) -> dict[str, JobSpecification]:
@@ -88,8 +104,10 @@
         if bool(given.command) != (given.way == BY_COMMAND):
             return f"works.{name}.command: found {len(given.command)} words; for way command, and only there"
         # A work that goes on was checked when it was handed in; its machines may be gone by now.
-        new = name not in known or msgspec.structs.replace(
-            known[name], state=given.state, called=given.called) != given
+        new = (
+            name not in known
+            or msgspec.structs.replace(known[name], state=given.state, called=given.called) != given
+        )
         if given.of == "runners" and new and machines:
             why = infeasibility_reason(given.to_job(name), machines)
             if why:
--- a/crankfold/maintenance/state.py
+++ b/crankfold/maintenance/state.py
@@ -10,15 +10,32 @@
 from msgspec import Struct, field
 
 OUT, FREE, WORK, ENDED, FAILED, BACK, WELL, UNWELL, GONE, UNDONE = (
-    "out", "free", "work", "ended", "failed", "back", "well", "unwell", "gone", "undone")
+    "out",
+    "free",
+    "work",
+    "ended",
+    "failed",
+    "back",
+    "well",
+    "unwell",
+    "gone",
+    "undone",
+)
 BEGUN = ""  # where a machine that carries work stands
 
 # From where each step may be taken. `well`, `gone` and `undone` end a machine's way.
 ALLOWED_FROM: dict[str, tuple[str, ...]] = {
-    OUT: (BEGUN,), FREE: (OUT, WORK, ENDED, UNWELL), WORK: (FREE,), FAILED: (WORK,),
+    OUT: (BEGUN,),
+    FREE: (OUT, WORK, ENDED, UNWELL),
+    WORK: (FREE,),
+    FAILED: (WORK,),
     ENDED: (FREE, WORK, FAILED),
-    BACK: (OUT, FREE, ENDED, FAILED, UNWELL), WELL: (BACK,), UNDONE: (BACK,), UNWELL: (BACK, FAILED, FREE),
-    GONE: (FREE, WORK, ENDED, FAILED, BACK, UNWELL)}
+    BACK: (OUT, FREE, ENDED, FAILED, UNWELL),
+    WELL: (BACK,),
+    UNDONE: (BACK,),
+    UNWELL: (BACK, FAILED, FREE),
+    GONE: (FREE, WORK, ENDED, FAILED, BACK, UNWELL),
+}
 IN_ROTATION = (BACK,)  # gets units again, as a cold one
 MAX_TRANSITIONS_KEPT = 2000
 
@@ -109,8 +126,14 @@
             self._record(index, step, step["work"])
             return
         if what == OUT:
-            self.machines[uid] = MachineInMaintenance(step["work"], OUT, index, index, start=step.get("start", 0),
-                                         place=tuple(step.get("place", ("", "", "", 1.0))))
+            self.machines[uid] = MachineInMaintenance(
+                step["work"],
+                OUT,
+                index,
+                index,
+                start=step.get("start", 0),
+                place=tuple(step.get("place", ("", "", "", 1.0))),
+            )
             if step["work"] not in self.begun_jobs:
                 self.begun_jobs.append(step["work"])
         machine = self.machines[uid]
@@ -138,8 +161,11 @@
         self._record(index, step, machine.work)
 
     def _record(self, index: int, step: dict[str, Any], work: str) -> None:
-        self.transitions.append(TransitionRecord(index, step["uid"], work, step["step"], step["by"], step.get("why", ""),
-                               step.get("at", 0)))
+        self.transitions.append(
+            TransitionRecord(
+                index, step["uid"], work, step["step"], step["by"], step.get("why", ""), step.get("at", 0)
+            )
+        )
         del self.transitions[:-MAX_TRANSITIONS_KEPT]
 
     def out_of_rotation(self) -> set[str]:
--- a/crankfold/network/admin_server.py
+++ b/crankfold/network/admin_server.py
@@ -23,7 +23,9 @@
     async def open(self, host: str, port: int) -> None:
         family = socket.AF_INET6 if ":" in host else socket.AF_INET
         door = socket.create_server((host, port), family=family, backlog=256)
-        self.server = await asyncio.start_server(self._handle_connection, sock=door, backlog=2, limit=READ_SIZE)
+        self.server = await asyncio.start_server(
+            self._handle_connection, sock=door, backlog=2, limit=READ_SIZE
+        )
         door.listen(256)  # asyncio takes one figure for both: two are accepted in a turn
 
     def port(self) -> int:
--- a/crankfold/network/connection_pool.py
+++ b/crankfold/network/connection_pool.py
@@ -17,20 +17,45 @@
 class Exchange:
     """One exchange with a runner, from the wish to its end."""
 
-    __slots__ = ("method", "target", "headers", "body", "may_send", "on_end", "connection", "finished", "needs_settled")
-
-    def __init__(self, method: bytes, target: bytes, headers: Callable[[], Sequence[tuple[bytes, bytes]]],
-                 body: bytes, may_send: Callable[[], bool],
-                 on_end: Callable[[str, BackendConnection | None], None], needs_settled: bool = True) -> None:
+    __slots__ = (
+        "method",
+        "target",
+        "headers",
+        "body",
+        "may_send",
+        "on_end",
+        "connection",
+        "finished",
+        "needs_settled",
+    )
+
+    def __init__(
+        self,
+        method: bytes,
+        target: bytes,
+        headers: Callable[[], Sequence[tuple[bytes, bytes]]],
+        body: bytes,
+        may_send: Callable[[], bool],
+        on_end: Callable[[str, BackendConnection | None], None],
+        needs_settled: bool = True,
+    ) -> None:
         self.method, self.target, self.headers, self.body = method, target, headers, body
         self.may_send, self.on_end = may_send, on_end
-        self.needs_settled = needs_settled  # its answer counts: not on a connection that was answered a moment ago
+        self.needs_settled = (
+            needs_settled  # its answer counts: not on a connection that was answered a moment ago
+        )
         self.connection: PooledConnection | None = None
         self.finished = False
 
 
 # How an exchange ends.
-ANSWERED, BROKEN, UNREACHABLE, NOT_SENT, STALE_CONNECTION = "answered", "broken", "unreached", "held back", "worn"
+ANSWERED, BROKEN, UNREACHABLE, NOT_SENT, STALE_CONNECTION = (
+    "answered",
+    "broken",
+    "unreached",
+    "held back",
+    "worn",
+)
 
 
 class CountingStreamReader(asyncio.StreamReader):
@@ -57,8 +82,13 @@
 class PooledConnection:
     """One open connection."""
 
-    def __init__(self, pool: "ConnectionPool", reader: CountingStreamReader, writer: asyncio.StreamWriter,
-                 protocol: DrainNotifyingProtocol) -> None:
+    def __init__(
+        self,
+        pool: "ConnectionPool",
+        reader: CountingStreamReader,
+        writer: asyncio.StreamWriter,
+        protocol: DrainNotifyingProtocol,
+    ) -> None:
         self.pool, self.reader, self.writer = pool, reader, writer
         self.protocol = BackendConnection()
         self.exchange: Exchange | None = None
@@ -71,7 +101,9 @@
 
     def start(self, exchange: Exchange) -> None:
         self.exchange, exchange.connection = exchange, self
-        asked = self.protocol.send_request(exchange.method, exchange.target, exchange.headers(), exchange.body)
+        asked = self.protocol.send_request(
+            exchange.method, exchange.target, exchange.headers(), exchange.body
+        )
         self.writer.writelines(asked)
         self.request_written = self.writer.transport.get_write_buffer_size() == 0
 
@@ -116,12 +148,17 @@
             self.pool.connection_lost(self)
             self.writer.close()
             if self.exchange is not None:
-                self.pool.finish(self.exchange, ANSWERED if self._is_answered() else self._break_result(), self.protocol)
+                self.pool.finish(
+                    self.exchange, ANSWERED if self._is_answered() else self._break_result(), self.protocol
+                )
 
     def _is_answered(self) -> bool:
         """What broke off in the middle tells nothing that may be relied on, least of all that something never
         ran. But after the head that says so the runner has the unit."""
-        return self.protocol.complete or classify_response(self.protocol.status, self.protocol.not_processed) == ACCEPTED
+        return (
+            self.protocol.complete
+            or classify_response(self.protocol.status, self.protocol.not_processed) == ACCEPTED
+        )
 
     def _break_result(self) -> str:
         if not self.request_written:
@@ -135,7 +172,12 @@
     """All connections to runners: how many there are, and which are at rest, longest first."""
 
     def __init__(self, most: int, connect_within: float, idle_for: float, tally: Metrics) -> None:
-        self.max_connections, self.connect_timeout, self.idle_timeout, self.metrics = most, connect_within, idle_for, tally
+        self.max_connections, self.connect_timeout, self.idle_timeout, self.metrics = (
+            most,
+            connect_within,
+            idle_for,
+            tally,
+        )
         self.loop = asyncio.get_running_loop()
         self.open_count = 0
         self.idle_connections: dict[PooledConnection, None] = {}
@@ -194,7 +236,10 @@
     def has_connection_older_than(self, seconds: float) -> bool:
         """Whether a connection at rest is open since before then: the process there is still the same."""
         now = self.loop.time()
-        return any(connection.is_reusable() and now - connection.opened_at > seconds for connection in self.idle_connections)
+        return any(
+            connection.is_reusable() and now - connection.opened_at > seconds
+            for connection in self.idle_connections
+        )
 
     def remove_idle(self, connection: PooledConnection) -> None:
         if connection in self.limiter.idle_connections:
--- a/crankfold/network/discovery_watcher.py
+++ b/crankfold/network/discovery_watcher.py
@@ -13,10 +13,14 @@
 OVERDUE_GRACE = 0.5  # an answer so long overdue is not waited for alone
 CONNECT_TIMEOUT = 1.0
 QUEUE_TIMEOUT = 6.0  # where many ask at once they are answered in turn; who hangs up sooner has asked in vain
-RETRY_INTERVAL = 0.15  # between calls where lists are pushed: what a silent agent gets at its return counts at once
+RETRY_INTERVAL = (
+    0.15  # between calls where lists are pushed: what a silent agent gets at its return counts at once
+)
 MAX_WATCH_CALLS = 4
 POLL_RETRY_INTERVAL, MAX_POLL_CALLS = 2.5, 2  # the same where lists are asked for: each call costs discovery
-MIN_CALL_INTERVAL = 0.02  # an agent that answers without waiting must not keep us busy; a watch lasts over 0.2 s
+MIN_CALL_INTERVAL = (
+    0.02  # an agent that answers without waiting must not keep us busy; a watch lasts over 0.2 s
+)
 READ_SIZE = 64 * 1024
 
 
@@ -49,9 +53,23 @@
 
 
 class DiscoveryWatcher:
-    def __init__(self, host: str, port: int, make_endpoint: EndpointFactory, on_endpoints: Callable[[Sequence[Endpoint], bool], None],
-                 on_failure: Callable[[], None], metrics: Metrics, retry_interval: float = RETRY_INTERVAL) -> None:
-        self.host, self.port, self.make_endpoint, self.on_endpoints, self.on_failure = host, port, make_endpoint, on_endpoints, on_failure
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        make_endpoint: EndpointFactory,
+        on_endpoints: Callable[[Sequence[Endpoint], bool], None],
+        on_failure: Callable[[], None],
+        metrics: Metrics,
+        retry_interval: float = RETRY_INTERVAL,
+    ) -> None:
+        self.host, self.port, self.make_endpoint, self.on_endpoints, self.on_failure = (
+            host,
+            port,
+            make_endpoint,
+            on_endpoints,
+            on_failure,
+        )
         self.metrics, self.retry_interval, self.revision = metrics, retry_interval, -1
         self.task: asyncio.Task[None] | None = None
         self.last_answer_at = 0.0  # when it last answered, by the loop's clock
@@ -114,7 +132,9 @@
         beside it, and it is given up when one of them has answered.
         """
         loop = asyncio.get_running_loop()
-        every, most = (self.retry_interval, MAX_WATCH_CALLS) if pushed else (POLL_RETRY_INTERVAL, MAX_POLL_CALLS)
+        every, most = (
+            (self.retry_interval, MAX_WATCH_CALLS) if pushed else (POLL_RETRY_INTERVAL, MAX_POLL_CALLS)
+        )
         calls: dict[asyncio.Task[None], DiscoveryCall] = {}
         asked_at = loop.time()
 
@@ -125,12 +145,17 @@
 
         wait_ms = LONG_POLL_MS if self.revision >= 0 else 0
         ask(kept or DiscoveryCall(self.host, self.port), wait_ms)
-        due = asked_at + wait_ms / 1000 + (OVERDUE_GRACE if pushed or self.revision >= 0 else POLL_RETRY_INTERVAL)
+        due = (
+            asked_at
+            + wait_ms / 1000
+            + (OVERDUE_GRACE if pushed or self.revision >= 0 else POLL_RETRY_INTERVAL)
+        )
         broken: BaseException | None = None
         try:
             while calls:
-                done, _ = await asyncio.wait(calls, timeout=max(due - loop.time(), 0),
-                                             return_when=asyncio.FIRST_COMPLETED)
+                done, _ = await asyncio.wait(
+                    calls, timeout=max(due - loop.time(), 0), return_when=asyncio.FIRST_COMPLETED
+                )
                 for task in done:
                     call = calls.pop(task)
                     broken = task.exception()
@@ -153,12 +178,18 @@
                 task.cancel()
                 call.close()
 
-    def _drop_surplus_calls(self, calls: dict[asyncio.Task[None], DiscoveryCall], most: int, now: float) -> None:
+    def _drop_surplus_calls(
+        self, calls: dict[asyncio.Task[None], DiscoveryCall], most: int, now: float
+    ) -> None:
         """Who waits longest may be next in turn, and one being answered, however slowly, is heard out:
         of the others the oldest goes."""
         while len(calls) >= most:
             first = next(iter(calls))
-            old = [task for task, call in calls.items() if now - call.sent_at > QUEUE_TIMEOUT + LONG_POLL_MS / 1000]
+            old = [
+                task
+                for task, call in calls.items()
+                if now - call.sent_at > QUEUE_TIMEOUT + LONG_POLL_MS / 1000
+            ]
             mute = [task for task, call in calls.items() if task is not first and not call.response_started]
             goes = (old or mute or [*calls][1:])[0]
             goes.cancel()
--- a/crankfold/network/handover_channel.py
+++ b/crankfold/network/handover_channel.py
@@ -33,7 +33,9 @@
         self.last_process_id = 0
         self.server: asyncio.Server | None = None
         self.inode = 0
-        self.on_successor: Callable[[int, socket.socket, dict[str, Any]], None] = lambda kin, sock, hello: None
+        self.on_successor: Callable[[int, socket.socket, dict[str, Any]], None] = lambda kin, sock, hello: (
+            None
+        )
         self.on_message: Callable[[int, dict[str, Any]], None] = lambda kin, told: None
         self.on_lost: Callable[[int], None] = lambda kin: None
 
@@ -159,14 +161,26 @@
         self.writers[self.last_process_id] = writer
         return self.last_process_id
 
-    def _start_reading(self, kin: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, side: HandoverDecoder,
-             more: list[dict[str, Any]]) -> None:
+    def _start_reading(
+        self,
+        kin: int,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        side: HandoverDecoder,
+        more: list[dict[str, Any]],
+    ) -> None:
         task = self.loop.create_task(self._read(kin, reader, writer, side, more))
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
-    async def _read(self, kin: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter,
-                    side: HandoverDecoder, more: list[dict[str, Any]]) -> None:
+    async def _read(
+        self,
+        kin: int,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        side: HandoverDecoder,
+        more: list[dict[str, Any]],
+    ) -> None:
         try:
             while True:
                 for told in more:
--- a/crankfold/network/listener.py
+++ b/crankfold/network/listener.py
@@ -10,16 +10,25 @@
 from crankfold.protocol import client_connection
 
 READ_SIZE = 16 * 1024
-FIRST_REQUEST_TIMEOUT = 2.0  # seconds from connecting to a first unit or call-back; who sends neither must be out by 3
+FIRST_REQUEST_TIMEOUT = (
+    2.0  # seconds from connecting to a first unit or call-back; who sends neither must be out by 3
+)
 TRANSFER_TIMEOUT = 5.0  # from the first byte of a later request to its last, and for an answer to be taken
 IDLE_TIMEOUT = 75.0
 SWEEP_INTERVAL = 0.25
 NEW_CONNECTION_GRACE = 0.1  # a connection so young may have its first request under way
 CLOSE_LINGER = 0.5  # what still comes after the last answer is read for so long: a reset would overtake it
 MAX_UNREAD_BYTES = 64 * 1024  # pipelined behind a request in hand, or read only to be thrown away
-THROTTLE_DELAY = 0.002  # between lumps of what is thrown away; each who sends such waits for all others who do
-ACCEPT_BACKLOG, ACCEPTS_PER_TURN = 1024, 4  # connections not accepted yet, and accepted in one turn of the loop
-UNCOUNTED_SOCKETS = 6 * ACCEPTS_PER_TURN  # asyncio takes some turns from accepting one to telling, and to close another for it
+THROTTLE_DELAY = (
+    0.002  # between lumps of what is thrown away; each who sends such waits for all others who do
+)
+ACCEPT_BACKLOG, ACCEPTS_PER_TURN = (
+    1024,
+    4,
+)  # connections not accepted yet, and accepted in one turn of the loop
+UNCOUNTED_SOCKETS = (
+    6 * ACCEPTS_PER_TURN
+)  # asyncio takes some turns from accepting one to telling, and to close another for it
 
 
 class ConnectionHandler(client_connection.ClientRequestHandler, Protocol):
@@ -32,7 +41,9 @@
     def __init__(self, host: "Listener", reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.listener, self.reader, self.writer = host, reader, writer
         self.protocol = client_connection.ClientConnection(host.handler, self, host.report_fields)
-        self.accepted_at = self.phase_started_at = host.loop.time()  # of the present idleness, request or answer
+        self.accepted_at = self.phase_started_at = (
+            host.loop.time()
+        )  # of the present idleness, request or answer
         self.unread_bytes = 0  # came behind a request in hand, or after the last answer
 
     async def run(self) -> None:
@@ -113,12 +124,22 @@
         return self.writer.transport.get_write_buffer_size() > 0
 
     def is_idle(self) -> bool:
-        return not self.protocol.awaiting_response and not self.protocol.is_mid_request() and not self.has_unsent_data()
+        return (
+            not self.protocol.awaiting_response
+            and not self.protocol.is_mid_request()
+            and not self.has_unsent_data()
+        )
 
     def expects_data(self) -> bool:
         """More is to be read from it: the rest of a request, or its first one."""
-        return not self.protocol.closing and not self.protocol.awaiting_response and (
-            self.protocol.is_mid_request() or self.listener.loop.time() - self.phase_started_at <= NEW_CONNECTION_GRACE)
+        return (
+            not self.protocol.closing
+            and not self.protocol.awaiting_response
+            and (
+                self.protocol.is_mid_request()
+                or self.listener.loop.time() - self.phase_started_at <= NEW_CONNECTION_GRACE
+            )
+        )
 
     def close(self) -> None:
         """Between requests. One that crosses is not read as one, and its client sends it again elsewhere."""
@@ -135,22 +156,33 @@
 
 
 class Listener:
-    def __init__(self, desk: ConnectionHandler, tally: Metrics, report_fields: Sequence[str], most: int) -> None:
-        self.handler, self.metrics, self.report_fields, self.max_connections = desk, tally, report_fields, most
+    def __init__(
+        self, desk: ConnectionHandler, tally: Metrics, report_fields: Sequence[str], most: int
+    ) -> None:
+        self.handler, self.metrics, self.report_fields, self.max_connections = (
+            desk,
+            tally,
+            report_fields,
+            most,
+        )
         self.loop = asyncio.get_running_loop()
         self.connections: set[AcceptedConnection] = set()
         self.flooding_connections: set[AcceptedConnection] = set()  # send more behind a request than is kept
-        self.unidentified_connections: dict[AcceptedConnection, None] = {}  # no unit or call-back so far, the first to come first
+        self.unidentified_connections: dict[
+            AcceptedConnection, None
+        ] = {}  # no unit or call-back so far, the first to come first
         self.closing = False  # out of service or ending: answers are the last on their connections
         self.server: asyncio.Server | None = None
         self.shared_socket: socket.socket | None = None  # of the listening one, to be passed on
 
-    async def open(self, host: str, port: int, inherited: socket.socket | None = None,
-                   reuse_port: bool = False) -> None:
+    async def open(
+        self, host: str, port: int, inherited: socket.socket | None = None, reuse_port: bool = False
+    ) -> None:
         """With `shared`, where processes follow one another; `passed` is what the one before listened on."""
         family = socket.AF_INET6 if ":" in host else socket.AF_INET
-        door = inherited or socket.create_server((host, port), family=family, backlog=ACCEPT_BACKLOG,
-                                              reuse_port=reuse_port)
+        door = inherited or socket.create_server(
+            (host, port), family=family, backlog=ACCEPT_BACKLOG, reuse_port=reuse_port
+        )
         # Taken over by each connection: asyncio reads all that the system holds, for each at once.
         door.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2 * READ_SIZE)
         if reuse_port:
@@ -158,7 +190,9 @@
         await self._start_accepting(door)
 
     async def _start_accepting(self, door: socket.socket) -> None:
-        self.server = await asyncio.start_server(self._handle_connection, sock=door, backlog=ACCEPTS_PER_TURN, limit=READ_SIZE)
+        self.server = await asyncio.start_server(
+            self._handle_connection, sock=door, backlog=ACCEPTS_PER_TURN, limit=READ_SIZE
+        )
         # asyncio takes one figure for both; with as many taken in a turn a rush runs out of descriptors, and
         # asyncio then accepts nobody for a second.
         door.listen(ACCEPT_BACKLOG)
@@ -203,7 +237,9 @@
         # Among the young ones are call-backs under way; closed for room these were told again 0.2 s later.
         least = next(iter(self.unidentified_connections), None)
         if not least or self.loop.time() - least.accepted_at < NEW_CONNECTION_GRACE:
-            resting = (client for client in self.connections if client.protocol.identified and client.is_idle())
+            resting = (
+                client for client in self.connections if client.protocol.identified and client.is_idle()
+            )
             least = min(resting, key=AcceptedConnection.eviction_order, default=least)
         if least:
             self.metrics.increment("connections-closed-for-room")
@@ -250,7 +286,11 @@
         for client in self.connections:
             if spare_backends and client.protocol.is_backend:
                 continue
-            if client.is_idle() and not client.protocol.closing and self.loop.time() - client.phase_started_at > NEW_CONNECTION_GRACE:
+            if (
+                client.is_idle()
+                and not client.protocol.closing
+                and self.loop.time() - client.phase_started_at > NEW_CONNECTION_GRACE
+            ):
                 client.close()
 
     async def close(self) -> None:
--- a/crankfold/network/metrics.py
+++ b/crankfold/network/metrics.py
@@ -6,7 +6,10 @@
 import traceback
 from collections import Counter
 
-FIRST_LOG_INTERVAL, MAX_LOG_INTERVAL = 1.0, 60.0  # seconds between lines of a kind; the gap doubles while they go on
+FIRST_LOG_INTERVAL, MAX_LOG_INTERVAL = (
+    1.0,
+    60.0,
+)  # seconds between lines of a kind; the gap doubles while they go on
 
 
 def log_line(line: str) -> None:
--- a/crankfold/protocol/admin_api.py
+++ b/crankfold/protocol/admin_api.py
@@ -40,7 +40,9 @@
     def __init__(self) -> None:
         self.http = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_CALL_SIZE)
         self.head: h11.Request | None = None
-        self.command: tuple[str, str] | None = None  # what is called for, and the runner or document it concerns
+        self.command: tuple[str, str] | None = (
+            None  # what is called for, and the runner or document it concerns
+        )
         self.body = bytearray()
         self.minimum_version = 0  # the version of a document that whoever asks has been told of already
         self.outgoing: list[bytes] = []
@@ -111,9 +113,16 @@
         if self.http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
         body = (text or HTTPStatus(status).phrase).encode() + b"\n"
-        head = h11.Response(status_code=status, reason=HTTPStatus(status).phrase.encode(), headers=[
-            (b"Content-Type", b"text/plain"), (b"Content-Length", str(len(body)).encode()),
-            (b"Connection", b"close"), *(headers or [])])
+        head = h11.Response(
+            status_code=status,
+            reason=HTTPStatus(status).phrase.encode(),
+            headers=[
+                (b"Content-Type", b"text/plain"),
+                (b"Content-Length", str(len(body)).encode()),
+                (b"Connection", b"close"),
+                *(headers or []),
+            ],
+        )
         for event in (head, h11.Data(data=body), h11.EndOfMessage()):
             self.outgoing += self.http.send_with_data_passthrough(event) or []
 
@@ -129,7 +138,11 @@
         elif what == "publish":
             status, text = await agreed.publish(uid, bytes(side.body))
         else:
-            status, text = agreed.cluster_status() if what == "fleet" else await agreed.read_document(uid, side.minimum_version)
+            status, text = (
+                agreed.cluster_status()
+                if what == "fleet"
+                else await agreed.read_document(uid, side.minimum_version)
+            )
         side.respond(status, text=text)
     elif what == "ready":
         yes = operated.is_ready()
--- a/crankfold/protocol/backend_connection.py
+++ b/crankfold/protocol/backend_connection.py
@@ -23,7 +23,13 @@
         self.reusable = True  # another exchange may follow
 
     def send_request(self, method: bytes, target: bytes, heads: Headers, body: bytes) -> list[bytes]:
-        self.status, self.not_processed, self.complete, self.load_header, self.body_bytes = 0, False, False, b"", 0
+        self.status, self.not_processed, self.complete, self.load_header, self.body_bytes = (
+            0,
+            False,
+            False,
+            b"",
+            0,
+        )
         told = [*heads]
         if body or method == b"POST":
             told.append((b"Content-Length", str(len(body)).encode()))
--- a/crankfold/protocol/callbacks.py
+++ b/crankfold/protocol/callbacks.py
@@ -8,14 +8,20 @@
 from crankfold.protocol.load_reports import report_from_fields
 from crankfold.routing.interface import Outcome
 
-_OUTCOMES = {"done": Outcome.COMPLETED, "failed": Outcome.ERROR, "returned": Outcome.OVERLOADED, "lost": Outcome.RESET}
+_OUTCOMES = {
+    "done": Outcome.COMPLETED,
+    "failed": Outcome.ERROR,
+    "returned": Outcome.OVERLOADED,
+    "lost": Outcome.RESET,
+}
 
 
 class CallbackHandler(Protocol):
     def execution_started(self, ident: str, uid: str) -> None: ...
     def execution_progressed(self, ident: str, uid: str, share: float) -> None: ...
-    def execution_ended(self, ident: str, uid: str, outcome: Outcome, result: bytes,
-                  report: Sequence[float]) -> None: ...
+    def execution_ended(
+        self, ident: str, uid: str, outcome: Outcome, result: bytes, report: Sequence[float]
+    ) -> None: ...
 
 
 def request_id_of(body: bytes) -> str:
@@ -50,7 +56,9 @@
         result = told.get("result", "")
         if not isinstance(result, str):
             result = orjson.dumps(result).decode()
-        hearer.execution_ended(ident, uid, _OUTCOMES[state], result.encode(), report_from_fields(told.get("load"), names))
+        hearer.execution_ended(
+            ident, uid, _OUTCOMES[state], result.encode(), report_from_fields(told.get("load"), names)
+        )
     else:
         return False
     return True
--- a/crankfold/protocol/client_connection.py
+++ b/crankfold/protocol/client_connection.py
@@ -29,9 +29,19 @@
     def has_request(self, ident: str) -> bool: ...
     def forward_unknown_callback(self, client: object, body: bytes) -> bool: ...
     def knows_request_class(self, name: str) -> bool: ...
-    def submit(self, client: object, ident: str, grade: str, tenant: str, wait: int, work: int, slots: float,
-                again: tuple[bytes, bytes, list[tuple[bytes, bytes]], bytes], key: int,
-                retried: bool) -> None: ...
+    def submit(
+        self,
+        client: object,
+        ident: str,
+        grade: str,
+        tenant: str,
+        wait: int,
+        work: int,
+        slots: float,
+        again: tuple[bytes, bytes, list[tuple[bytes, bytes]], bytes],
+        key: int,
+        retried: bool,
+    ) -> None: ...
 
 
 class ClientConnection:
@@ -47,7 +57,9 @@
         self.closing = False  # nothing more will be read; the connection ends once `out` is written
         self.rejected_status: int = 0  # the status of the last request that was not understood
         self.close_after_response = False  # answers say that the connection closes
-        self.discarding_input = False  # what comes is no longer fed; the connection closes after the last whole request
+        self.discarding_input = (
+            False  # what comes is no longer fed; the connection closes after the last whole request
+        )
         self.identified = self.is_backend = False  # has handed in a unit, or is a runner that calls back
         self.buffered_bytes = 0
 
@@ -119,7 +131,11 @@
                 return
             body = bytes(self.body)
             ident = request_id_of(body)
-            if ident and not self.handler.has_request(ident) and self.handler.forward_unknown_callback(self.client, body):
+            if (
+                ident
+                and not self.handler.has_request(ident)
+                and self.handler.forward_unknown_callback(self.client, body)
+            ):
                 self.identified = self.is_backend = True  # answered once the other process has heard it
             elif handle_callback(body, self.handler, self.report_fields):
                 self.identified = self.is_backend = True
@@ -169,16 +185,27 @@
         self.identified = True
         about = first.get(b"x-route-key", b"")
         key = 1 << 32 | zlib.crc32(about) if about else 0  # the same at every dispatcher, whatever the form
-        self.handler.submit(self.client, ident, grade, first.get(b"x-tenant-id", b"").decode("latin-1"), wait,
-                          work, slots, (method, target, forwarded_headers(heads), bytes(self.body)), key,
-                          first.get(b"x-retried") == b"1")
+        self.handler.submit(
+            self.client,
+            ident,
+            grade,
+            first.get(b"x-tenant-id", b"").decode("latin-1"),
+            wait,
+            work,
+            slots,
+            (method, target, forwarded_headers(heads), bytes(self.body)),
+            key,
+            first.get(b"x-retried") == b"1",
+        )
 
     def respond(self, status: int, headers: Sequence[tuple[bytes, bytes]] = (), body: bytes = b"") -> None:
         told = [(b"Content-Length", str(len(body)).encode())] if status != 204 else []
         told += headers
         if self.close_after_response:
             told.append((b"Connection", b"close"))
-        self._send_event(h11.Response(status_code=status, headers=told, reason=HTTPStatus(status).phrase.encode()))
+        self._send_event(
+            h11.Response(status_code=status, headers=told, reason=HTTPStatus(status).phrase.encode())
+        )
         if body:
             self._send_event(h11.Data(data=body))
         self._send_event(h11.EndOfMessage())
--- a/crankfold/protocol/discovery.py
+++ b/crankfold/protocol/discovery.py
@@ -7,7 +7,11 @@
 
 from crankfold.routing.interface import Endpoint, EndpointState
 
-_STATES = {"in_service": EndpointState.READY, "terminating": EndpointState.DRAINING, "terminated": EndpointState.REMOVED}
+_STATES = {
+    "in_service": EndpointState.READY,
+    "terminating": EndpointState.DRAINING,
+    "terminated": EndpointState.REMOVED,
+}
 _STATE_NAMES = {standing: word for word, standing in _STATES.items()}
 MAX_LIST_SIZE = 16 * 1024 * 1024
 
@@ -27,8 +31,18 @@
 class EndpointFactory(Protocol):
     """Turns an entry's names into places."""
 
-    def __call__(self, uid: str, host: str, port: int, zone: str, kind: str, cell: int, standing: EndpointState,
-                 weight: float, boot_ms: int) -> Endpoint: ...
+    def __call__(
+        self,
+        uid: str,
+        host: str,
+        port: int,
+        zone: str,
+        kind: str,
+        cell: int,
+        standing: EndpointState,
+        weight: float,
+        boot_ms: int,
+    ) -> Endpoint: ...
 
 
 def decode_endpoints(body: bytes | bytearray, enlist: EndpointFactory) -> tuple[int, bool, list[Endpoint]]:
@@ -49,9 +63,17 @@
     host, _, port = given["endpoint"].rpartition(":")
     if not host or not isinstance(given["uid"], str):
         raise DiscoveryError("an entry without uid or address")
-    return enlist(given["uid"], host.strip("[]"), int(port), str(given.get("az", "")),
-                  str(given.get("model", "")), int(given.get("pod_group") or 0), _STATES[given["state"]],
-                  float(given.get("capacity_hint") or 0.0), int(given.get("boot_ms") or 0))
+    return enlist(
+        given["uid"],
+        host.strip("[]"),
+        int(port),
+        str(given.get("az", "")),
+        str(given.get("model", "")),
+        int(given.get("pod_group") or 0),
+        _STATES[given["state"]],
+        float(given.get("capacity_hint") or 0.0),
+        int(given.get("boot_ms") or 0),
+    )
 
 
 class DiscoveryConnection:
--- a/crankfold/protocol/headers.py
+++ b/crankfold/protocol/headers.py
@@ -9,8 +9,20 @@
 
 # What goes on to a runner. A runner closes on a head that it can't read, whatever else waits there, so what
 # concerns only the client's own connection, or is known to nobody here, stays behind.
-_FORWARDED = frozenset((b"host", b"x-request-id", b"idempotency-key", b"x-priority-class", b"x-route-key",
-                 b"x-tenant-id", b"x-retried", b"x-cost", b"x-attrs", b"content-type"))
+_FORWARDED = frozenset(
+    (
+        b"host",
+        b"x-request-id",
+        b"idempotency-key",
+        b"x-priority-class",
+        b"x-route-key",
+        b"x-tenant-id",
+        b"x-retried",
+        b"x-cost",
+        b"x-attrs",
+        b"content-type",
+    )
+)
 
 
 def forwarded_headers(heads: Headers) -> list[tuple[bytes, bytes]]:
--- a/crankfold/routing/interface.py
+++ b/crankfold/routing/interface.py
@@ -37,7 +37,9 @@
     CANCELLED = 6
     NOT_SENT = 7
     UNKNOWN = 8
-    STALE_CONNECTION = 9  # a connection at rest turned out to be closed: may have run, but says nothing about the runner
+    STALE_CONNECTION = (
+        9  # a connection at rest turned out to be closed: may have run, but says nothing about the runner
+    )
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,9 +80,13 @@
     warm_up_time: int
     overload_factor: float
     overload_period: int
-    weights_follow_load: bool = False  # list weights are sizes divided by one more than the units held for each core
+    weights_follow_load: bool = (
+        False  # list weights are sizes divided by one more than the units held for each core
+    )
     key_affinity: bool = True  # runners keep the data of a unit's key for the next one that has it
-    change_notice_within: int = 1 << 62  # what the list service could tell counts as told then, refused or not
+    change_notice_within: int = (
+        1 << 62
+    )  # what the list service could tell counts as told then, refused or not
     instance_index: int = -1  # this dispatcher's among all, from 0; -1 where not told
 
 
@@ -93,7 +99,9 @@
     cell: int
     started_at: int  # when it last started; 0 for long ago
     instance_type: int = 0  # runners of a kind are alike in their slots
-    hash_position: float = 1.0  # drawn from its id, below 1 and the same at every dispatcher; says nothing else
+    hash_position: float = (
+        1.0  # drawn from its id, below 1 and the same at every dispatcher; says nothing else
+    )
 
 
 class RoutingActions(Protocol):
@@ -113,12 +121,30 @@
 
     def endpoints_changed(self, now: int, entries: Sequence[Endpoint], whole: bool) -> None: ...
     def discovery_failed(self, now: int) -> None: ...
-    def request_received(self, now: int, unit: int, grade: int, tenant: int, cutoff: int, work: int,
-              slots: float, key: int = 0, again: bool = False) -> None: ...
+    def request_received(
+        self,
+        now: int,
+        unit: int,
+        grade: int,
+        tenant: int,
+        cutoff: int,
+        work: int,
+        slots: float,
+        key: int = 0,
+        again: bool = False,
+    ) -> None: ...
     def attempt_started(self, now: int, unit: int, nth: int, runner: int) -> None: ...
     def attempt_progressed(self, now: int, unit: int, nth: int, runner: int, share: float) -> None: ...
-    def attempt_ended(self, now: int, unit: int, nth: int, runner: int, outcome: Outcome, last: bool,
-              report: Sequence[float]) -> None: ...
+    def attempt_ended(
+        self,
+        now: int,
+        unit: int,
+        nth: int,
+        runner: int,
+        outcome: Outcome,
+        last: bool,
+        report: Sequence[float],
+    ) -> None: ...
     def probe_ended(self, now: int, runner: int, well: bool, report: Sequence[float]) -> None: ...
     def client_disconnected(self, now: int, unit: int) -> None: ...
     def request_aborted(self, now: int, unit: int) -> None: ...
--- a/crankfold/routing/policy.py
+++ b/crankfold/routing/policy.py
@@ -45,7 +45,15 @@
 
 
 class Attempt:
-    __slots__ = ("backend", "slow_start", "sent_at", "heard_at", "started_at", "in_flight", "may_have_executed")
+    __slots__ = (
+        "backend",
+        "slow_start",
+        "sent_at",
+        "heard_at",
+        "started_at",
+        "in_flight",
+        "may_have_executed",
+    )
 
     def __init__(self, runner: int, now: int, cold: bool) -> None:
         self.slow_start = cold  # paced by allowance and outside the in-flight limit
@@ -54,12 +62,30 @@
 
 
 class PendingRequest:
-    __slots__ = ("request_id", "class_index", "deadline", "objective_at", "work", "slots", "attempts", "answered", "hedge_delay",
-                 "max_attempts", "key")
-
-    def __init__(self, no: int, grade: int, cutoff: int, due: int, work: int, slots: float,
-                 most: int, key: int) -> None:
-        self.request_id, self.class_index, self.deadline, self.objective_at, self.max_attempts = no, grade, cutoff, due, most
+    __slots__ = (
+        "request_id",
+        "class_index",
+        "deadline",
+        "objective_at",
+        "work",
+        "slots",
+        "attempts",
+        "answered",
+        "hedge_delay",
+        "max_attempts",
+        "key",
+    )
+
+    def __init__(
+        self, no: int, grade: int, cutoff: int, due: int, work: int, slots: float, most: int, key: int
+    ) -> None:
+        self.request_id, self.class_index, self.deadline, self.objective_at, self.max_attempts = (
+            no,
+            grade,
+            cutoff,
+            due,
+            most,
+        )
         self.work, self.slots, self.key = work, slots, key
         self.attempts: list[Attempt] = []
         self.answered, self.hedge_delay = False, 0
@@ -68,24 +94,41 @@
 class Router:
     def __init__(self, orders: RoutingConfig, seed: int, port: RoutingActions) -> None:
         self.actions, self.random_state = port, seed & 0xFFFFFFFFFFFFFFFF
-        self.zone, self.clock_margin, self.sharers = orders.zone, 2 * orders.timer_resolution, orders.instance_count
+        self.zone, self.clock_margin, self.sharers = (
+            orders.zone,
+            2 * orders.timer_resolution,
+            orders.instance_count,
+        )
         self.request_classes = orders.request_classes[:0]
         self.typical_run: list[float] = []
         self.copies = 0.0
         self._follow_orders(orders)
-        self.weights_follow_load, self.tells, self.by_key = orders.weights_follow_load, orders.start_notifications, orders.key_affinity
+        self.weights_follow_load, self.tells, self.by_key = (
+            orders.weights_follow_load,
+            orders.start_notifications,
+            orders.key_affinity,
+        )
         self.keyed = False  # units with keys come
         self.sizes: dict[int, float] = {}  # by kind, the most listed, where weights move with load
         self.homes: dict[int, list[int]] = {}  # by key
-        self.quiet = 5 * orders.progress_interval // 2  # started work without progress for so long stands still
+        self.quiet = (
+            5 * orders.progress_interval // 2
+        )  # started work without progress for so long stands still
         at = {name: place for place, name in enumerate(orders.report_fields)}
         self.at_queue, self.at_free = at.get("queue", -1), at.get("free_slots", -1)
         # The list serves few calls a second: all together at most ten, at first and at each repeat.
         few = max(min(orders.poll_within // 8, 2 * SECOND), 1)
-        self.ask_pause, self.ask_longest = few, min(2 * max(orders.poll_within, few), orders.change_notice_within // 2)
-        self.ask_spread = min(self.sharers * SECOND // 10, orders.poll_within // 2, orders.change_notice_within // 2)
+        self.ask_pause, self.ask_longest = (
+            few,
+            min(2 * max(orders.poll_within, few), orders.change_notice_within // 2),
+        )
+        self.ask_spread = min(
+            self.sharers * SECOND // 10, orders.poll_within // 2, orders.change_notice_within // 2
+        )
         self.probe_all = orders.probing_allowed and orders.reports_by_probe
-        self.probe_some = orders.probing_allowed and orders.reports_in_responses and not self.weights_follow_load
+        self.probe_some = (
+            orders.probing_allowed and orders.reports_in_responses and not self.weights_follow_load
+        )
         self.cold_from, self.warm_after = orders.initial_capacity, orders.warm_up_time
         # Half of what all may send, as most lapses at who has no unit: at less a replaced fleet stood idle.
         self.cold_pace, self.cold_span = max(orders.overload_factor / 2, 1.0), orders.overload_period
@@ -109,14 +152,39 @@
         # fading, against those expected, what tells it apart at every dispatcher, its size by the list, one
         # over that less what a cold or slowed one lacks, own part of what all may send it while cold, its
         # weight as listed, units for each core that this shows.
-        (self.reported_queue, self.own_slots, self.load, self.capacity, self.error_rate, self.run_sum, self.due_sum, self.mark,
-         self.weight, self.per_weight, self.own_share, self.shown,
-         self.utilization) = self.reals = [[0.0][:0] for _ in range(13)]
+        (
+            self.reported_queue,
+            self.own_slots,
+            self.load,
+            self.capacity,
+            self.error_rate,
+            self.run_sum,
+            self.due_sum,
+            self.mark,
+            self.weight,
+            self.per_weight,
+            self.own_share,
+            self.shown,
+            self.utilization,
+        ) = self.reals = [[0.0][:0] for _ in range(13)]
         # The present length of doubt, 0 for trusted; own dispatches without a start note; when a cold one may
         # get its next unit, 0 for not drawn yet.
-        (self.standing, self.runner_zone, self.cell, self.kind, self.started_at, self.warm_from, self.overloaded_until,
-         self.ejection_time, self.ejected_until, self.waiting, self.slow_start_next, self.report_at, self.heard_at,
-         self.probe_out) = self.counts = [[0][:0] for _ in range(14)]
+        (
+            self.standing,
+            self.runner_zone,
+            self.cell,
+            self.kind,
+            self.started_at,
+            self.warm_from,
+            self.overloaded_until,
+            self.ejection_time,
+            self.ejected_until,
+            self.waiting,
+            self.slow_start_next,
+            self.report_at,
+            self.heard_at,
+            self.probe_out,
+        ) = self.counts = [[0][:0] for _ in range(14)]
         self.recent: list[deque[tuple[int, float]]] = []  # own slots sent (+) and come back (-) of late
         self.report: list[Sequence[float]] = []
         self.next_probe, self.room_of_one, self.middle_pace = 0, 1.0, 1.0
@@ -125,20 +193,41 @@
         if orders.discovery_by_poll and self.ask_spread < SECOND:
             port.poll_endpoints()
         elif orders.discovery_by_poll:
-            port.set_timer(self.random_below(self.ask_spread), POLL_TIMER)  # forty that start together would all be turned away
+            port.set_timer(
+                self.random_below(self.ask_spread), POLL_TIMER
+            )  # forty that start together would all be turned away
 
     def _follow_orders(self, orders: RoutingConfig, anew: Collection[int] = ()) -> None:
         # Running time, followed as answers come: a client is taken to wait for some ten times of it.
-        self.typical_run = [known if g == before and row not in anew else max(g.deadline / 10, 1.0) for row, (
-            g, before, known) in enumerate(zip_longest(orders.request_classes, self.request_classes, self.typical_run))]
+        self.typical_run = [
+            known if g == before and row not in anew else max(g.deadline / 10, 1.0)
+            for row, (g, before, known) in enumerate(
+                zip_longest(orders.request_classes, self.request_classes, self.typical_run)
+            )
+        ]
         self.request_classes = list(orders.request_classes)
-        self.effect, self.group = [g.idempotency for g in orders.request_classes], [g.deduplication_scope for g in orders.request_classes]
-        self.window, self.cutoff = [g.deduplication_window for g in orders.request_classes], [g.deadline for g in orders.request_classes]
-        self.expected, self.stretch = [g.latency_objective for g in orders.request_classes], [g.objective_per_work for g in orders.request_classes]
-        self.revenue, self.by_work = [g.priority_weight for g in orders.request_classes], orders.priority_by_work
+        self.effect, self.group = (
+            [g.idempotency for g in orders.request_classes],
+            [g.deduplication_scope for g in orders.request_classes],
+        )
+        self.window, self.cutoff = (
+            [g.deduplication_window for g in orders.request_classes],
+            [g.deadline for g in orders.request_classes],
+        )
+        self.expected, self.stretch = (
+            [g.latency_objective for g in orders.request_classes],
+            [g.objective_per_work for g in orders.request_classes],
+        )
+        self.revenue, self.by_work = (
+            [g.priority_weight for g in orders.request_classes],
+            orders.priority_by_work,
+        )
         self.asked, self.got = [0.0] * len(orders.request_classes), [0.0] * len(orders.request_classes)
         self.care, self.worst = orders.worst_class_weight, 0  # how much the worst-served grade counts
-        self.tardy, self.usual = [g.late_value for g in self.request_classes], sum(self.expected) / max(len(self.request_classes), 1)
+        self.tardy, self.usual = (
+            [g.late_value for g in self.request_classes],
+            sum(self.expected) / max(len(self.request_classes), 1),
+        )
         self.patience = [min(max(g.latency_objective // 2, 400), SECOND // 2) for g in orders.request_classes]
         self.most, self.copy_share = orders.max_attempts, COPY_SHARE * orders.hedging_allowed
         self.may_cancel, self.advice = orders.cancellation_allowed, min(orders.max_retry_after, SECOND)
@@ -149,13 +238,25 @@
         self._pump(now)
 
     def random_below(self, below: int) -> int:
-        self.random_state = (self.random_state * 6364136223846793005 + 1442695040888963407) & 0xFFFFFFFFFFFFFFFF
+        self.random_state = (
+            self.random_state * 6364136223846793005 + 1442695040888963407
+        ) & 0xFFFFFFFFFFFFFFFF
         return ((self.random_state >> 33) * below) >> 31
 
     # --- what is owed: one final answer, by the cut-off ---
 
-    def request_received(self, now: int, unit: int, grade: int, tenant: int, cutoff: int, work: int,
-              slots: float, key: int = 0, again: bool = False) -> None:
+    def request_received(
+        self,
+        now: int,
+        unit: int,
+        grade: int,
+        tenant: int,
+        cutoff: int,
+        work: int,
+        slots: float,
+        key: int = 0,
+        again: bool = False,
+    ) -> None:
         # A client's retry keeps its first try's cut-off, so the expected time counts from that first try. One
         # with less than half of the usual time is an impatient client's, whose frantic repeats are late.
         self.arrivals += 1.0
@@ -164,8 +265,16 @@
         first = now if hasty else min(cutoff - self.cutoff[grade], now)
         self.keyed = self.keyed or self.by_key and key > 0
         due = first + self.expected[grade] + int(self.stretch[grade] * (work or self.typical_run[grade]))
-        u = self.requests[unit] = PendingRequest(unit, grade, cutoff - self.clock_margin, due, work, slots if slots > 0 else 1.0,
-                                    self.most, key if self.by_key else 0)
+        u = self.requests[unit] = PendingRequest(
+            unit,
+            grade,
+            cutoff - self.clock_margin,
+            due,
+            work,
+            slots if slots > 0 else 1.0,
+            self.most,
+            key if self.by_key else 0,
+        )
         self.asked[grade] += self._value(u)
         self.wide = self.wide or slots > 1.0
         length = work or self.typical_run[grade]
@@ -185,7 +294,10 @@
         u.answered = True
         ran = any(d.may_have_executed for d in u.attempts)
         effect = self.effect[u.class_index]
-        anywhere = effect == Idempotency.IDEMPOTENT_WITH_KEY and self.group[u.class_index] == DeduplicationScope.GLOBAL
+        anywhere = (
+            effect == Idempotency.IDEMPOTENT_WITH_KEY
+            and self.group[u.class_index] == DeduplicationScope.GLOBAL
+        )
         if not ran or anywhere or effect == Idempotency.IDEMPOTENT:
             self.actions.shed(u.request_id, self.advice)
         else:
@@ -236,7 +348,9 @@
                 return
 
     def _value(self, u: PendingRequest) -> float:
-        return self.revenue[u.class_index] * (u.slots * (u.work or self.typical_run[u.class_index]) if self.by_work else 1.0)
+        return self.revenue[u.class_index] * (
+            u.slots * (u.work or self.typical_run[u.class_index]) if self.by_work else 1.0
+        )
 
     def _pull(self, u: PendingRequest) -> tuple[float, int]:
         """What answering a held unit adds to the service, for the work it takes; then the newest."""
@@ -282,7 +396,10 @@
             if not d.may_have_executed or effect == Idempotency.IDEMPOTENT:
                 continue
             # A second run of a once-only unit, or of a tagged one where its mark is not known.
-            if effect == Idempotency.NON_IDEMPOTENT or now + self.clock_margin >= d.sent_at + self.window[u.class_index]:
+            if (
+                effect == Idempotency.NON_IDEMPOTENT
+                or now + self.clock_margin >= d.sent_at + self.window[u.class_index]
+            ):
                 return False, zone, cell
             if group == DeduplicationScope.ZONE:
                 zone = self.runner_zone[d.backend]
@@ -311,7 +428,11 @@
             if e.weight > 0:
                 self.sizes[e.instance_type] = max(self.sizes.get(e.instance_type, 0.0), e.weight)
             self.runner_zone[r], self.cell[r], self.started_at[r] = e.zone, e.cell, e.started_at
-            self.mark[r], self.kind[r], self.capacity[r] = e.hash_position, e.instance_type, self.slots_of.get(e.instance_type, 0.0)
+            self.mark[r], self.kind[r], self.capacity[r] = (
+                e.hash_position,
+                e.instance_type,
+                self.slots_of.get(e.instance_type, 0.0),
+            )
             self.warm_from[r] = e.started_at + self.warm_after if e.started_at else 0
         self.homes.clear()
         self.ready = [r for r, s in enumerate(self.standing) if s == EndpointState.READY]
@@ -331,14 +452,18 @@
         held = size = 0.0
         for r in self.ready:
             self.weight[r] = self.sizes.get(self.kind[r], 1.0)
-            self.utilization[r] = self.weight[r] / (self.shown[r] if self.shown[r] > 0 else self.weight[r]) - 1.0
+            self.utilization[r] = (
+                self.weight[r] / (self.shown[r] if self.shown[r] > 0 else self.weight[r]) - 1.0
+            )
             if self.keyed and self.capacity[r]:
                 self._learn(now, r, self.utilization[r] * self.capacity[r], 1.0)
                 self.report_at[r] = now
             if self.warm_from[r] <= now:
                 held, size = held + self.weight[r] * self.utilization[r], size + self.weight[r]
         if size and now - self.window_at >= SECOND // 2:
-            self._steer(now, min((1.0 + PATIENT * self.usual / self.mean_run) * size / (held or 1.0), 1.0), 1.0)
+            self._steer(
+                now, min((1.0 + PATIENT * self.usual / self.mean_run) * size / (held or 1.0), 1.0), 1.0
+            )
 
     def _draw_circle(self, now: int) -> None:
         """As many as own traffic keeps busy: what is out there is known only as far as it is one's own."""
@@ -361,7 +486,9 @@
         if not self.sparse:
             few = min(FEW, self.sharers)
             for r in self.ready:
-                self.own_share[r] = ((self.number + int(self.mark[r] * self.sharers)) % self.sharers < few) / few
+                self.own_share[r] = (
+                    (self.number + int(self.mark[r] * self.sharers)) % self.sharers < few
+                ) / few
         else:
             quick = self._even(now, [r for r in self.ring if self.mark[r] < share / 64], 3)
             long = self._even(now, [r for r in self.ring if self.mark[r] >= share / 64], size)
@@ -386,7 +513,9 @@
         step = warm / size or whole / max(len(ring), 1)
         drawn, passed, stretch, at = ring[:0], 0.0, 0, self._spot(0) * step
         for r in ring:
-            self.own_share[r] = 0.0  # whoever looks beyond the circle must not send to cold ones there as well
+            self.own_share[r] = (
+                0.0  # whoever looks beyond the circle must not send to cold ones there as well
+            )
             passed += self.weight[r]
             if passed > at:
                 drawn.append(r)
@@ -548,10 +677,18 @@
         return now + run <= u.objective_at
 
     def _sound(self, now: int, u: PendingRequest, pool: list[int], burden: float) -> list[int]:
-        able = [r for r in pool if self.overloaded_until[r] <= now
-                and (self.warm_from[r] <= now or self._cold_room(now, r, burden))]
+        able = [
+            r
+            for r in pool
+            if self.overloaded_until[r] <= now
+            and (self.warm_from[r] <= now or self._cold_room(now, r, burden))
+        ]
         # Return by limited trial: one dispatch at a time until one is done.
-        sound = [r for r in able if not self.ejection_time[r] or now >= self.ejected_until[r] and self.own_slots[r] == 0]
+        sound = [
+            r
+            for r in able
+            if not self.ejection_time[r] or now >= self.ejected_until[r] and self.own_slots[r] == 0
+        ]
         # When nearly all look bad, the suspicion is more likely wrong than the fleet.
         if 3 * len(sound) <= len(able):
             sound = able if len(able) > 2 else sound or able
@@ -559,7 +696,9 @@
             sound = [r for r in sound if self.utilization[r] < LONG] or sound
         if u.attempts:
             tried = [d.backend for d in u.attempts]
-            sound = [r for r in sound if r not in tried] or ([] if any(d.in_flight for d in u.attempts) else sound)
+            sound = [r for r in sound if r not in tried] or (
+                [] if any(d.in_flight for d in u.attempts) else sound
+            )
         return sound
 
     def _send(self, now: int, u: PendingRequest, r: int, burden: float) -> None:
@@ -576,7 +715,9 @@
         self.actions.send_attempt(u.request_id, r, 0)
         self.copies = min(self.copies + self.copy_share * burden, COPY_BURST * self.mean_run)
         if self.sparse:
-            u.hedge_delay = max(int((u.objective_at - now - (u.work or self.typical_run[u.class_index])) / 3), 400)
+            u.hedge_delay = max(
+                int((u.objective_at - now - (u.work or self.typical_run[u.class_index])) / 3), 400
+            )
         else:
             u.hedge_delay = max(u.hedge_delay * 2, self.patience[u.class_index], int(4 * self.mean_wait))
         self._wake(now, u, now + u.hedge_delay)
@@ -619,14 +760,22 @@
                 # Only a while without news is silence: copies for the mere wait took slots from other units.
                 wait = now - d.sent_at
                 stuck = stuck and self.heard_at[r] <= d.sent_at and 2 * wait > SILENT * (1 + self.sparse)
-                if wait > SILENT and self.tells and self.heard_at[r] < d.sent_at and not self.ejection_time[r]:
+                if (
+                    wait > SILENT
+                    and self.tells
+                    and self.heard_at[r] < d.sent_at
+                    and not self.ejection_time[r]
+                ):
                     self.eject(now, r)  # a hang: takes work and answers nothing
             elif self.quiet and now - d.heard_at > self.quiet:
                 if not self.ejection_time[r]:
                     self.eject(now, r)
             else:
                 stuck = False
-        late = self.tardy[u.class_index] == 0 and now + (u.work or self.typical_run[u.class_index]) / 2 > u.objective_at
+        late = (
+            self.tardy[u.class_index] == 0
+            and now + (u.work or self.typical_run[u.class_index]) / 2 > u.objective_at
+        )
         lone = sum(d.in_flight for d in u.attempts) < 2
         if stuck and lone and not late and self.copies > 0 and self._place(now, u):
             self.copies -= u.slots * (u.work or self.typical_run[u.class_index])
@@ -654,8 +803,16 @@
         if unit in self.requests:
             self.requests[unit].attempts[nth].heard_at = now
 
-    def attempt_ended(self, now: int, unit: int, nth: int, runner: int, outcome: Outcome, last: bool,
-              report: Sequence[float]) -> None:
+    def attempt_ended(
+        self,
+        now: int,
+        unit: int,
+        nth: int,
+        runner: int,
+        outcome: Outcome,
+        last: bool,
+        report: Sequence[float],
+    ) -> None:
         u = self.requests.get(unit)
         if u and u.attempts[nth].in_flight:
             d = u.attempts[nth]
--- a/crankfold/service/admin_service.py
+++ b/crankfold/service/admin_service.py
@@ -24,7 +24,11 @@
 
     def is_ready(self) -> bool:
         """A unit would be taken now, and there is somewhere to send it."""
-        return self.request_handler.is_serving() and self.backend_registry.any_ready() and not self.has_successor()
+        return (
+            self.request_handler.is_serving()
+            and self.backend_registry.any_ready()
+            and not self.has_successor()
+        )
 
     async def drain_backend(self, uid: str) -> bool:
         return await self._set_manual_drain("out", uid)
@@ -76,6 +80,8 @@
         self.listener.closing = True
         if self.lifecycle.closes_idle_connections(now):
             self.listener.close_idle(spare_backends=True)
-        if self.lifecycle.finish_drain(now, not self.request_handler.open_request_count() and not self.listener.has_client_connections()):
+        if self.lifecycle.finish_drain(
+            now, not self.request_handler.open_request_count() and not self.listener.has_client_connections()
+        ):
             log_line("crankfold: out of service, nobody left")
         self.loop.call_later(DRAIN_CHECK_INTERVAL, self._check_drain)
--- a/crankfold/service/application.py
+++ b/crankfold/service/application.py
@@ -35,10 +35,15 @@
 if TYPE_CHECKING:
     from crankfold.service.replicated_config import ReplicatedConfig
 
-ENDPOINT_PROPAGATION_DELAY = 60_000  # tenths of a millisecond; a change of the list counts as told then, asked for or not
+ENDPOINT_PROPAGATION_DELAY = (
+    60_000  # tenths of a millisecond; a change of the list counts as told then, asked for or not
+)
 FIRST_LIST_TIMEOUT = 0.3  # seconds that a start waits for discovery, which may be down
 LATE_CONNECTION_PERIOD = 0.45  # connections go on arriving for so long after the order to end
-MAX_DRAIN_DURATION, DRAIN_MARGIN = 3.0, 0.5  # the platform ends us soon after the longest cut-off, or 3 s if that is less
+MAX_DRAIN_DURATION, DRAIN_MARGIN = (
+    3.0,
+    0.5,
+)  # the platform ends us soon after the longest cut-off, or 3 s if that is less
 IDLE_CLIENT_PERIOD = 0.5  # for connections at rest to be used once more while another process has taken over
 FINAL_DRAIN_PERIOD = 1.5  # the last part of a drain, in which no new unit is wanted
 
@@ -83,10 +88,16 @@
     """What differs and counts only after a restart."""
     now, then = dict(given["settings"]), dict(running["settings"])
     for settings in (now, then):  # what it says of each grade goes with the grades
-        settings["specifics"] = {name: value for name, value in (settings.get("specifics") or {}).items()
-                                 if not name.startswith("class-")}
-    differs = [f"settings.{name}" for name in now.keys() | then.keys()
-               if name not in RELOADABLE and now.get(name) != then.get(name)]
+        settings["specifics"] = {
+            name: value
+            for name, value in (settings.get("specifics") or {}).items()
+            if not name.startswith("class-")
+        }
+    differs = [
+        f"settings.{name}"
+        for name in now.keys() | then.keys()
+        if name not in RELOADABLE and now.get(name) != then.get(name)
+    ]
     return sorted(differs + (["listen"] if given["listen"] != running["listen"] else []))
 
 
@@ -108,8 +119,7 @@
 
 
 class Application:
-    def __init__(self, given: dict[str, Any], reread: Callable[[], dict[str, Any]],
-                 folder: str = "") -> None:
+    def __init__(self, given: dict[str, Any], reread: Callable[[], dict[str, Any]], folder: str = "") -> None:
         try:
             settings = flatten_settings(given["settings"])
             orders, rules = read_routing_config(settings), read_service_config(settings)
@@ -122,31 +132,66 @@
         self.metrics = Metrics()
         self.timers = Timers(Clock(), self.metrics)
         self.listen_address = parse_address(given["listen"], "listen")
-        self.admin_address = parse_address(given["admin_addr"], "admin_addr") if given.get("admin_addr") else None
+        self.admin_address = (
+            parse_address(given["admin_addr"], "admin_addr") if given.get("admin_addr") else None
+        )
         self.socket_limits = to_runners, others = divide_socket_limit(given, self.admin_address is not None)
         self.connection_limiter = ConnectionLimiter(to_runners, *connection_timeouts(rules), self.metrics)
         self.backend_registry = BackendRegistry(rules, self.timers, self.connection_limiter)
         self.lifecycle = Lifecycle()
-        self.request_handler = RequestHandler(orders, rules, seed, self.timers, self.metrics, self.backend_registry, self.lifecycle, self._start_polling)
+        self.request_handler = RequestHandler(
+            orders,
+            rules,
+            seed,
+            self.timers,
+            self.metrics,
+            self.backend_registry,
+            self.lifecycle,
+            self._start_polling,
+        )
         self.listener = Listener(self.request_handler, self.metrics, rules.report_fields, others)
         self.request_handler.connections_exhausted = self.listener.is_over_limit
         self.admin_service = AdminService(self.request_handler, self.listener, self.lifecycle)
         self.admin_server = AdminServer(self.admin_service, self.metrics)
         # Processes follow one another only where operators can ask the new one whether it is ready.
-        self.handover = Handover(folder, str(given.get("name") or ""), self.listen_address, self.request_handler, self.listener,
-                                 self.admin_service, self._share_sockets) if self.admin_address and folder else None
+        self.handover = (
+            Handover(
+                folder,
+                str(given.get("name") or ""),
+                self.listen_address,
+                self.request_handler,
+                self.listener,
+                self.admin_service,
+                self._share_sockets,
+            )
+            if self.admin_address and folder
+            else None
+        )
         self.other_process_usage = 0, 0, False
         self.replicated_config: ReplicatedConfig | None = None
         if given.get("peers"):
             from crankfold.service import replicated_config  # nothing of it is imported without peers
 
             try:
-                self.replicated_config = replicated_config.ReplicatedConfig(given, self.metrics, self.request_handler, self.admin_service, self._apply_config,
-                                            self._endpoint_list_age)
+                self.replicated_config = replicated_config.ReplicatedConfig(
+                    given,
+                    self.metrics,
+                    self.request_handler,
+                    self.admin_service,
+                    self._apply_config,
+                    self._endpoint_list_age,
+                )
             except ValueError as wrong:
                 raise ConfigError(str(wrong)) from None
         host, port = parse_address(given["discovery"], "discovery")
-        self.discovery_watcher = DiscoveryWatcher(host, port, self.backend_registry.register, self._endpoints_received, self._discovery_failed, self.metrics)
+        self.discovery_watcher = DiscoveryWatcher(
+            host,
+            port,
+            self.backend_registry.register,
+            self._endpoints_received,
+            self._discovery_failed,
+            self.metrics,
+        )
         self.discovery_answered = asyncio.Event()
         self.polls_discovery, self.known_endpoints = orders.discovery_by_poll, given.get("known")
         self.longest_deadline = rules.longest_deadline / 10_000
@@ -167,7 +212,11 @@
 
     def _endpoint_list_age(self) -> int:
         """Since discovery answered last, tenths of a millisecond; 0 where it is only asked now and then."""
-        return 0 if self.polls_discovery else int((self.timers.loop.time() - self.discovery_watcher.last_answer_at) * 10_000)
+        return (
+            0
+            if self.polls_discovery
+            else int((self.timers.loop.time() - self.discovery_watcher.last_answer_at) * 10_000)
+        )
 
     def _start_polling(self) -> None:
         # The decisions ask in their first moment, when there is no watch yet.
@@ -195,7 +244,9 @@
             self.known_endpoints = await self.handover.connect() or self.known_endpoints
         if self.known_endpoints is not None:
             try:
-                rev, whole, entries = decode_endpoints(orjson.dumps(self.known_endpoints), self.backend_registry.register)
+                rev, whole, entries = decode_endpoints(
+                    orjson.dumps(self.known_endpoints), self.backend_registry.register
+                )
                 self.request_handler.endpoints_changed(entries, whole)
                 if self.polls_discovery:
                     # Asked for when the decisions say so; what changed since is a shorter answer than all.
@@ -211,7 +262,9 @@
             try:
                 await self.admin_server.open(*self.admin_address)
             except OSError as wrong:
-                raise ConfigError(f"{self.admin_address[0]}:{self.admin_address[1]}: {wrong.strerror or wrong}") from None
+                raise ConfigError(
+                    f"{self.admin_address[0]}:{self.admin_address[1]}: {wrong.strerror or wrong}"
+                ) from None
         # What was known may be long out of date after a restart; units would go to runners that are gone.
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(FIRST_LIST_TIMEOUT):
@@ -219,10 +272,14 @@
         passed = None
         if self.replicated_config:
             try:
-                await self.replicated_config.open(self.handover is not None and self.handover.listening_socket is not None)
+                await self.replicated_config.open(
+                    self.handover is not None and self.handover.listening_socket is not None
+                )
             except (OSError, ValueError) as wrong:
                 raise ConfigError(f"peers: {wrong}") from None
-        if self.shutdown_requested.is_set():  # told to end before it serves: nobody is to come only to be sent away
+        if (
+            self.shutdown_requested.is_set()
+        ):  # told to end before it serves: nobody is to come only to be sent away
             log_line("crankfold: told to end before serving")
             await self._close()
             return
@@ -232,7 +289,9 @@
         try:
             await self.listener.open(*self.listen_address, passed, self.handover is not None)
         except OSError as wrong:
-            raise ConfigError(f"{self.listen_address[0]}:{self.listen_address[1]}: {wrong.strerror or wrong}") from None
+            raise ConfigError(
+                f"{self.listen_address[0]}:{self.listen_address[1]}: {wrong.strerror or wrong}"
+            ) from None
         if self.handover:
             await self.handover.open()
         self.lifecycle.start_serving(loop.time())
@@ -279,8 +338,12 @@
 
     def _apply_config(self, orders: RoutingConfig, rules: ServiceConfig) -> None:
         self.request_handler.config_changed(orders, rules)
-        self.connection_limiter.connect_timeout, self.connection_limiter.idle_timeout = connection_timeouts(rules)
-        self.longest_deadline = rules.longest_deadline / 10_000  # of the grades in force: by these we are ended
+        self.connection_limiter.connect_timeout, self.connection_limiter.idle_timeout = connection_timeouts(
+            rules
+        )
+        self.longest_deadline = (
+            rules.longest_deadline / 10_000
+        )  # of the grades in force: by these we are ended
 
     async def _drain(self) -> None:
         """Nobody new, then nothing new, then the end.
@@ -300,7 +363,9 @@
                 await asyncio.sleep(0.01)
             self.listener.closing = True
             self.listener.close_idle(spare_backends=True)
-            while loop.time() < end and (self.request_handler.open_request_count() or self.listener.expects_data()):
+            while loop.time() < end and (
+                self.request_handler.open_request_count() or self.listener.expects_data()
+            ):
                 await asyncio.sleep(0.01)
                 # A runner whose connection is closed tells again on another, later, perhaps after our end.
                 self.listener.close_idle(spare_backends=True)
@@ -326,7 +391,9 @@
         loop = self.timers.loop
         self.listener.closing = True
         rest = loop.time() + IDLE_CLIENT_PERIOD
-        while loop.time() < end and (self.request_handler.open_request_count() or self.listener.has_client_connections()):
+        while loop.time() < end and (
+            self.request_handler.open_request_count() or self.listener.has_client_connections()
+        ):
             if loop.time() > rest:
                 self.listener.close_idle(spare_backends=True)
             await asyncio.sleep(0.01)
@@ -347,6 +414,11 @@
             self.shutdown_requested.set()
 
     def report_metrics(self) -> None:
-        self.metrics.log_counters({"now-open": self.request_handler.open_request_count(), "now-kept": len(self.request_handler.request_table.requests),
-                           "now-runner-connections": self.connection_limiter.open_count,
-                           "now-other-connections": len(self.listener.connections)})
+        self.metrics.log_counters(
+            {
+                "now-open": self.request_handler.open_request_count(),
+                "now-kept": len(self.request_handler.request_table.requests),
+                "now-runner-connections": self.connection_limiter.open_count,
+                "now-other-connections": len(self.listener.connections),
+            }
+        )
--- a/crankfold/service/backend_registry.py
+++ b/crankfold/service/backend_registry.py
@@ -31,8 +31,18 @@
         self.slow_start_reserved = False  # another process uses what cold runners may be sent
         self.pools: list[ConnectionPool] = []
 
-    def register(self, uid: str, host: str, port: int, zone: str, kind: str, cell: int, standing: EndpointState,
-               weight: float, boot_ms: int) -> Endpoint:
+    def register(
+        self,
+        uid: str,
+        host: str,
+        port: int,
+        zone: str,
+        kind: str,
+        cell: int,
+        standing: EndpointState,
+        weight: float,
+        boot_ms: int,
+    ) -> Endpoint:
         runner = self.backend_ids.intern(uid)
         if runner == len(self.pools):
             self.addresses.append((host, port, boot_ms))
@@ -45,8 +55,16 @@
             self.pools[runner].close()
             self.pools[runner] = ConnectionPool(host, port, self.sockets)
         mark = zlib.crc32(uid.encode()) / (1 << 32)
-        return Endpoint(runner, standing, weight, self.config.zones.intern(setting_text(zone)), cell, boot_ms * 10,
-                       self.config.instance_types.intern(setting_text(kind)), mark)
+        return Endpoint(
+            runner,
+            standing,
+            weight,
+            self.config.zones.intern(setting_text(zone)),
+            cell,
+            boot_ms * 10,
+            self.config.instance_types.intern(setting_text(kind)),
+            mark,
+        )
 
     def update_endpoints(self, entries: Sequence[Endpoint], whole: bool) -> list[Endpoint]:
         """The entries with the bans laid over them: what counts from here on."""
@@ -60,8 +78,12 @@
     def _effective_endpoint(self, runner: int) -> Endpoint:
         uid = self.backend_ids.names[runner]
         entry = self.cluster_drains.apply_to(uid, self.manual_drains.apply_to(uid, self.endpoints[runner]))
-        if self.slow_start_reserved and entry.state == EndpointState.READY and entry.started_at \
-                and self.timers.clock.now() < entry.started_at + self.config.slow_start_duration:
+        if (
+            self.slow_start_reserved
+            and entry.state == EndpointState.READY
+            and entry.started_at
+            and self.timers.clock.now() < entry.started_at + self.config.slow_start_duration
+        ):
             entry = replace(entry, state=EndpointState.DRAINING)
         self.states[runner] = entry.state
         return entry
@@ -76,8 +98,11 @@
     def set_cluster_drains(self, out: Collection[str]) -> list[Endpoint]:
         """These are out for all dispatchers and no others; what counts from here on, where that is new."""
         entries = [self._drain(self.cluster_drains, uid, self.backend_ids.find(uid)) for uid in out]
-        entries += [self._restore(self.cluster_drains, uid, self.backend_ids.find(uid))
-                    for uid in [*self.cluster_drains.drained_since] if uid not in out]
+        entries += [
+            self._restore(self.cluster_drains, uid, self.backend_ids.find(uid))
+            for uid in [*self.cluster_drains.drained_since]
+            if uid not in out
+        ]
         return [entry for entry in entries if entry]
 
     def _drain(self, bans: ManualDrains, uid: str, runner: int) -> Endpoint | None:
@@ -87,7 +112,11 @@
     def _restore(self, bans: ManualDrains, uid: str, runner: int) -> Endpoint | None:
         since = bans.drained_since.get(uid)
         now = self.timers.clock.now()
-        ran_on = since is not None and runner >= 0 and self.pools[runner].has_connection_older_than((now - since) / 10_000)
+        ran_on = (
+            since is not None
+            and runner >= 0
+            and self.pools[runner].has_connection_older_than((now - since) / 10_000)
+        )
         ended = bans.restore(uid, now, ran_on)
         return self._effective_endpoint(runner) if ended and runner >= 0 else None
 
@@ -100,22 +129,37 @@
     def reserve_slow_start(self, elsewhere: bool) -> list[Endpoint]:
         """What counts from here on, of those for whom that may be something else."""
         self.slow_start_reserved = elsewhere
-        return [self._effective_endpoint(runner) for runner, entry in enumerate(self.endpoints)
-                if entry.started_at and entry.state == EndpointState.READY]
+        return [
+            self._effective_endpoint(runner)
+            for runner, entry in enumerate(self.endpoints)
+            if entry.started_at and entry.state == EndpointState.READY
+        ]
 
     def discovery_entry(self, runner: int) -> dict[str, Any]:
         """The entry as discovery words it."""
         host, port, boot_ms = self.addresses[runner]
         entry = self.endpoints[runner]
-        return {"uid": self.backend_ids.names[runner], "endpoint": f"{host}:{port}", "boot_ms": boot_ms,
-                "az": self.config.zones.names[entry.zone], "model": self.config.instance_types.names[entry.instance_type],
-                "pod_group": entry.cell, "state": state_name(entry.state), "capacity_hint": entry.weight}
+        return {
+            "uid": self.backend_ids.names[runner],
+            "endpoint": f"{host}:{port}",
+            "boot_ms": boot_ms,
+            "az": self.config.zones.names[entry.zone],
+            "model": self.config.instance_types.names[entry.instance_type],
+            "pod_group": entry.cell,
+            "state": state_name(entry.state),
+            "capacity_hint": entry.weight,
+        }
 
     def any_ready(self) -> bool:
         return EndpointState.READY in self.states
 
-    def send_control_request(self, runner: int, method: bytes, target: bytes,
-               ended: Callable[[str, BackendConnection | None], None]) -> None:
+    def send_control_request(
+        self,
+        runner: int,
+        method: bytes,
+        target: bytes,
+        ended: Callable[[str, BackendConnection | None], None],
+    ) -> None:
         """An exchange that carries no unit. A machine that vanished says nothing: it has a time limit too."""
         pool = self.pools[runner]
         host = f"{pool.host}:{pool.port}".encode()
--- a/crankfold/service/handover.py
+++ b/crankfold/service/handover.py
@@ -22,39 +22,70 @@
 
 
 class Handover:
-    def __init__(self, folder: str, name: str, at: tuple[str, int], desk: RequestHandler, listener: Listener,
-                 operations: AdminService, shares: Callable[[int, int, bool], None]) -> None:
+    def __init__(
+        self,
+        folder: str,
+        name: str,
+        at: tuple[str, int],
+        desk: RequestHandler,
+        listener: Listener,
+        operations: AdminService,
+        shares: Callable[[int, int, bool], None],
+    ) -> None:
         # Of which dispatcher: a folder may hold what another one's process left, or have one behind it that
         # serves other customers at what is now our address.
         self.dispatcher_name = name
-        self.listen_address, self.request_handler, self.backend_registry, self.metrics = at, desk, desk.backends, desk.metrics
+        self.listen_address, self.request_handler, self.backend_registry, self.metrics = (
+            at,
+            desk,
+            desk.backends,
+            desk.metrics,
+        )
         self.listener, self.admin_service, self.share_sockets = listener, operations, shares
         self.loop = desk.timers.loop
-        self.channel = HandoverChannel(folder, f"crankfold-{zlib.crc32(f'{at[0]}:{at[1]}'.encode()):08x}", desk.metrics)
-        self.channel.on_successor, self.channel.on_message, self.channel.on_lost = self._successor_connected, self._message_received, self._disconnected
+        self.channel = HandoverChannel(
+            folder, f"crankfold-{zlib.crc32(f'{at[0]}:{at[1]}'.encode()):08x}", desk.metrics
+        )
+        self.channel.on_successor, self.channel.on_message, self.channel.on_lost = (
+            self._successor_connected,
+            self._message_received,
+            self._disconnected,
+        )
         self.state_machine = HandoverStateMachine(self)
         self.listening_socket: socket.socket | None = None
         self.takeover_decided = asyncio.Event()  # the predecessor has given way, or there is none
         self.retry_takeover = False
         self.inherited_reports: dict[str, Any] = {}
         self.tasks: set[asyncio.Task[None]] = set()
-        operations.replicate_manual_drain, desk.forward_callback, operations.has_successor = self.replicate_manual_drain, self.forward_callback, self.has_successor
+        operations.replicate_manual_drain, desk.forward_callback, operations.has_successor = (
+            self.replicate_manual_drain,
+            self.forward_callback,
+            self.has_successor,
+        )
 
     # --- as the one that follows ---
 
     async def connect(self) -> dict[str, Any] | None:
         """Learns from a predecessor, if one serves; gives the list as that has it."""
-        met = await self.channel.connect({"hello": FORMAT_VERSION, "at": list(self.listen_address), "of": self.dispatcher_name})
+        met = await self.channel.connect(
+            {"hello": FORMAT_VERSION, "at": list(self.listen_address), "of": self.dispatcher_name}
+        )
         if met:
             kin, sock, said = met
             welcome = said.get("welcome")
-            if isinstance(welcome, dict) and welcome.get("form") == FORMAT_VERSION and welcome.get("of") == self.dispatcher_name \
-                    and sock \
-                    and sock.getsockname()[:2] == self.listen_address:
+            if (
+                isinstance(welcome, dict)
+                and welcome.get("form") == FORMAT_VERSION
+                and welcome.get("of") == self.dispatcher_name
+                and sock
+                and sock.getsockname()[:2] == self.listen_address
+            ):
                 self.listening_socket = sock
                 self.state_machine.predecessor_connected(kin)
                 self._import_state(welcome)
-                return handover_state.inherited_endpoints(welcome, self.request_handler.routing.weights_follow_load)
+                return handover_state.inherited_endpoints(
+                    welcome, self.request_handler.routing.weights_follow_load
+                )
             self.metrics.warn("predecessor", "speaks another form or has another address; starting alone")
             self.channel.disconnect(kin)
             if sock:
@@ -67,7 +98,9 @@
     def _import_state(self, welcome: dict[str, Any]) -> None:
         self.backend_registry.known_ids.update(string_list(welcome.get("ever")))
         self._import_manual_drains(welcome)
-        self.inherited_reports = handover_state.inherited_reports(welcome, self.request_handler.config.report_fields)
+        self.inherited_reports = handover_state.inherited_reports(
+            welcome, self.request_handler.config.report_fields
+        )
 
     def _import_manual_drains(self, kept: dict[str, Any]) -> None:
         self.backend_registry.manual_drains.drained_since.update(int_mapping(kept.get("bans")))
@@ -81,9 +114,15 @@
         wanted = len(self.request_handler.config.report_fields)
         for uid, report in self.inherited_reports.items():
             runner = self.backend_registry.backend_ids.find(uid)
-            if runner >= 0 and isinstance(report, list) and len(report) == wanted \
-                    and all(type(one) is float for one in report):
-                self.request_handler.notify_routing(self.request_handler.routing.probe_ended, runner, True, tuple(report))
+            if (
+                runner >= 0
+                and isinstance(report, list)
+                and len(report) == wanted
+                and all(type(one) is float for one in report)
+            ):
+                self.request_handler.notify_routing(
+                    self.request_handler.routing.probe_ended, runner, True, tuple(report)
+                )
 
     async def take_over(self) -> socket.socket | None:
         """Waits until the predecessor has given way; the listening socket, where there was one."""
@@ -115,14 +154,18 @@
         """Recorded here, and bound by the other process."""
         self._save_manual_drains()
         answered: asyncio.Future[None] = self.loop.create_future()
-        self.state_machine.query(self.loop.time(), {"what": what, "uid": uid},
-                            lambda _: resolve(answered))
+        self.state_machine.query(self.loop.time(), {"what": what, "uid": uid}, lambda _: resolve(answered))
         await answered
 
     def _save_manual_drains(self) -> None:
         try:
-            self.channel.save_record({"of": self.dispatcher_name, "bans": self.backend_registry.manual_drains.drained_since,
-                                 "assumed": self.backend_registry.manual_drains.assumed_starts})
+            self.channel.save_record(
+                {
+                    "of": self.dispatcher_name,
+                    "bans": self.backend_registry.manual_drains.drained_since,
+                    "assumed": self.backend_registry.manual_drains.assumed_starts,
+                }
+            )
         except OSError as wrong:
             self.metrics.warn("records", f"{wrong}; a ban binds, but is forgotten if both processes die")
 
@@ -139,8 +182,12 @@
         self.metrics.increment("successors-met")
         copy = self.listener.shared_socket
         try:
-            if hello.get("hello") == FORMAT_VERSION and copy and hello.get("at") == list(self.listen_address) \
-                    and hello.get("of") == self.dispatcher_name:
+            if (
+                hello.get("hello") == FORMAT_VERSION
+                and copy
+                and hello.get("at") == list(self.listen_address)
+                and hello.get("of") == self.dispatcher_name
+            ):
                 socket.send_fds(sock, [b"!"], [copy.fileno()])
                 self.state_machine.successor_connected(kin)
                 return
@@ -176,22 +223,36 @@
         now, fleet = self.request_handler.timers.clock.now(), self.backend_registry
         names = fleet.backend_ids.names
         decisions = self.request_handler.routing
-        listed = [fleet.discovery_entry(runner) for runner, entry in enumerate(fleet.endpoints)
-                  if entry.state != EndpointState.REMOVED]
+        listed = [
+            fleet.discovery_entry(runner)
+            for runner, entry in enumerate(fleet.endpoints)
+            if entry.state != EndpointState.REMOVED
+        ]
         if decisions.weights_follow_load:  # the size is what lasts of a weight that moves
             for entry in listed:
                 entry["capacity_hint"] = decisions.weight[fleet.backend_ids.intern(entry["uid"])]
-        return {"form": FORMAT_VERSION, "of": self.dispatcher_name, "weights": handover_state.weight_semantics(decisions.weights_follow_load),
-                "fields": list(self.request_handler.config.report_fields),
-                "bans": fleet.manual_drains.drained_since, "assumed": fleet.manual_drains.assumed_starts,
-                "ever": sorted({*names, *fleet.known_ids}),
-                "known": {"rev": 0, "all": True, "targets": listed} if listed else None,
-                "reports": {names[runner]: list(report) for runner, (at, report) in self.request_handler.load_reports.items()
-                            if now - at < MAX_REPORT_AGE}}
+        return {
+            "form": FORMAT_VERSION,
+            "of": self.dispatcher_name,
+            "weights": handover_state.weight_semantics(decisions.weights_follow_load),
+            "fields": list(self.request_handler.config.report_fields),
+            "bans": fleet.manual_drains.drained_since,
+            "assumed": fleet.manual_drains.assumed_starts,
+            "ever": sorted({*names, *fleet.known_ids}),
+            "known": {"rev": 0, "all": True, "targets": listed} if listed else None,
+            "reports": {
+                names[runner]: list(report)
+                for runner, (at, report) in self.request_handler.load_reports.items()
+                if now - at < MAX_REPORT_AGE
+            },
+        }
 
     def describe_usage(self) -> dict[str, Any]:
-        return {"ids": [work.request_id for work in self.request_handler.request_table.requests.values()],
-                "clients": len(self.listener.connections), "runners": self.backend_registry.sockets.max_connections}
+        return {
+            "ids": [work.request_id for work in self.request_handler.request_table.requests.values()],
+            "clients": len(self.listener.connections),
+            "runners": self.backend_registry.sockets.max_connections,
+        }
 
     def stop_accepting(self) -> None:
         log_line("crankfold: another process takes over")
@@ -223,8 +284,9 @@
 
     def handle_callback(self, body: str) -> bool:
         told = body.encode()
-        return (self.request_handler.has_request(request_id_of(told)) and
-                handle_callback(told, self.request_handler, self.request_handler.config.report_fields))
+        return self.request_handler.has_request(request_id_of(told)) and handle_callback(
+            told, self.request_handler, self.request_handler.config.report_fields
+        )
 
     def apply_manual_drain(self, uid: str, out: bool) -> None:
         self.backend_registry.known_ids.add(uid)
@@ -236,4 +298,3 @@
         self.request_handler.predecessor_request_ids = frozenset(string_list(told.get("ids")))
         held = int_mapping(told)
         self.share_sockets(held.get("clients", 0), held.get("runners", 0), False)
-
--- a/crankfold/service/handover_state_machine.py
+++ b/crankfold/service/handover_state_machine.py
@@ -97,7 +97,11 @@
 
     def message_received(self, now: float, kin: int, said: dict[str, Any]) -> None:
         if "take" in said:
-            if self.role == HandoverRole.HANDED_OVER or self.role == HandoverRole.WAITING or self.shutting_down:
+            if (
+                self.role == HandoverRole.HANDED_OVER
+                or self.role == HandoverRole.WAITING
+                or self.shutting_down
+            ):
                 # Another was first, or we do not serve ourselves: it has to ask whoever does.
                 self.actions.send(kin, {"elsewhere": True})
                 self.processes.discard(kin)
@@ -138,21 +142,30 @@
         if what in ("out", "back") and isinstance(said.get("uid"), str):
             # Every kin binds it; the answer waits until those behind have.
             self.actions.apply_manual_drain(said["uid"], what == "out")
-            self.query(now, {"what": what, "uid": said["uid"]},
-                     lambda _: self.actions.send(kin, {"re": number, "yes": False}), kin)
+            self.query(
+                now,
+                {"what": what, "uid": said["uid"]},
+                lambda _: self.actions.send(kin, {"re": number, "yes": False}),
+                kin,
+            )
         elif what == "event" and isinstance(said.get("body"), str):
             if self.actions.handle_callback(said["body"]):
                 self.actions.send(kin, {"re": number, "yes": True})
             else:
-                self.query(now, {"what": what, "body": said["body"]},
-                         lambda yes: self.actions.send(kin, {"re": number, "yes": bool(yes)}), kin)
+                self.query(
+                    now,
+                    {"what": what, "body": said["body"]},
+                    lambda yes: self.actions.send(kin, {"re": number, "yes": bool(yes)}),
+                    kin,
+                )
         else:
             self.actions.send(kin, {"re": number, "yes": False})
 
     # --- questions ---
 
-    def query(self, now: float, what: dict[str, Any], done: Callable[[bool | None], None],
-            but: int = -1) -> None:
+    def query(
+        self, now: float, what: dict[str, Any], done: Callable[[bool | None], None], but: int = -1
+    ) -> None:
         """`done` hears True once one said yes, False when all said no, None if somebody said nothing."""
         owed = self.processes - {but}
         if not owed:
--- a/crankfold/service/lifecycle.py
+++ b/crankfold/service/lifecycle.py
@@ -2,7 +2,9 @@
 
 from enum import Enum
 
-CLIENT_MIGRATION_PERIOD = 1.5  # seconds in which clients see the answer that is marked as their connection's last
+CLIENT_MIGRATION_PERIOD = (
+    1.5  # seconds in which clients see the answer that is marked as their connection's last
+)
 
 
 class LifecycleState(Enum):
@@ -31,7 +33,9 @@
 
     def start_drain(self, now: float) -> bool:
         """Whether anything changes: a call that comes again does not begin the drain anew."""
-        return self.state in (LifecycleState.STARTING, LifecycleState.SERVING) and self._enter(LifecycleState.DRAINING, now)
+        return self.state in (LifecycleState.STARTING, LifecycleState.SERVING) and self._enter(
+            LifecycleState.DRAINING, now
+        )
 
     def resume_serving(self, now: float) -> bool:
         """Whether it may, which it may not once it ends."""
@@ -44,8 +48,12 @@
 
     def finish_drain(self, now: float, empty: bool) -> bool:
         """A drain is over once nobody is left; true when that is now."""
-        return (self.state == LifecycleState.DRAINING and empty and now - self.entered_at > CLIENT_MIGRATION_PERIOD
-                and self._enter(LifecycleState.OUT_OF_SERVICE, now))
+        return (
+            self.state == LifecycleState.DRAINING
+            and empty
+            and now - self.entered_at > CLIENT_MIGRATION_PERIOD
+            and self._enter(LifecycleState.OUT_OF_SERVICE, now)
+        )
 
     def is_serving(self) -> bool:
         return self.state == LifecycleState.SERVING
--- a/crankfold/service/maintenance_agent.py
+++ b/crankfold/service/maintenance_agent.py
@@ -69,10 +69,22 @@
 
 
 class MaintenanceAgent:
-    def __init__(self, desk: RequestHandler, operations: AdminService, peer: ClusterNode, tally: Metrics,
-                 list_age: Callable[[], int], relaid: Callable[[], None]) -> None:
+    def __init__(
+        self,
+        desk: RequestHandler,
+        operations: AdminService,
+        peer: ClusterNode,
+        tally: Metrics,
+        list_age: Callable[[], int],
+        relaid: Callable[[], None],
+    ) -> None:
         self.request_handler, self.backend_registry, self.admin_service, self.cluster_node, self.metrics = (
-            desk, desk.backends, operations, peer, tally)
+            desk,
+            desk.backends,
+            operations,
+            peer,
+            tally,
+        )
         self.endpoint_list_age, self.machines_out_changed = list_age, relaid
         self.coordinator = Coordinator(peer.consensus.name)
         self.load_samples: deque[tuple[float, int, int]] = deque()
@@ -88,7 +100,10 @@
         self.dispatcher_zones: dict[str, str] = {}  # of dispatchers, as they told last
         self.restored_locally: set[str] = set()  # machines that are back at this dispatcher alone, by hand
         desk.attempt_abandoned, desk.attempt_finished, desk.abandoned_attempt_finished = (
-            self._attempt_abandoned, self._attempt_ended, self._abandoned_attempt_ended)
+            self._attempt_abandoned,
+            self._attempt_ended,
+            self._abandoned_attempt_ended,
+        )
         peer.maintenance_report, peer.maintenance_steps = self.build_report, self.propose_transitions
 
     @property
@@ -158,7 +173,11 @@
             self.restored_locally.clear()  # the fleet is heard again, and its word counts
             self.machines_out_changed()
         self._start_due_commands()
-        told, out, names = MaintenanceReport(), self.state.out_of_rotation(), self.backend_registry.backend_ids.names
+        told, out, names = (
+            MaintenanceReport(),
+            self.state.out_of_rotation(),
+            self.backend_registry.backend_ids.names,
+        )
         for unit in self.request_handler.request_table.requests.values():
             told.open_requests += unit.is_open
             for trip in unit.attempts:
@@ -167,13 +186,17 @@
                     told.in_flight[uid] = told.in_flight.get(uid, 0) + 1
         told.unresolved = {uid: [*self.unconfirmed[uid]][-5:] for uid in out if self.unconfirmed.get(uid)}
         told.response_counts = {uid: (seen[0], seen[1]) for uid, seen in self.answer_counts.items()}
-        told.unavailable = [m.machine_id for m in self.machines() if not m.available and m.machine_id not in out]
+        told.unavailable = [
+            m.machine_id for m in self.machines() if not m.available and m.machine_id not in out
+        ]
         if self.cluster_node.config.zone:
             told.dispatcher_zones = {self.cluster_node.consensus.name: self.cluster_node.config.zone}
         if self.out_of_service and not self.request_handler.open_request_count():
             told.idle_dispatchers = [self.cluster_node.consensus.name]
         now, counts = time.monotonic(), self.metrics.counters
-        self.load_samples.append((now, counts["taken"] - counts["shed"], sum(counts[name] for name in SHED_COUNTERS)))
+        self.load_samples.append(
+            (now, counts["taken"] - counts["shed"], sum(counts[name] for name in SHED_COUNTERS))
+        )
         while now - self.load_samples[0][0] > LOAD_WINDOW:
             self.load_samples.popleft()
         told.recent_accepted = max(self.load_samples[-1][1] - self.load_samples[0][1], 0)
@@ -190,11 +213,24 @@
                     continue
             else:
                 self.missing_since.pop(uid, None)
-            by_hand = uid in fleet.manual_drains.drained_since or uid in fleet.cluster_drains.drained_since and uid not in self.state.machines
+            by_hand = (
+                uid in fleet.manual_drains.drained_since
+                or uid in fleet.cluster_drains.drained_since
+                and uid not in self.state.machines
+            )
             ready = entry.state == EndpointState.READY and not by_hand
-            seen.append(Machine(uid, fleet.config.zones.names[entry.zone], fleet.config.instance_types.names[entry.instance_type],
-                                str(entry.cell), entry.weight or 1.0,
-                                entry.started_at, ready, entry.state != EndpointState.REMOVED))
+            seen.append(
+                Machine(
+                    uid,
+                    fleet.config.zones.names[entry.zone],
+                    fleet.config.instance_types.names[entry.instance_type],
+                    str(entry.cell),
+                    entry.weight or 1.0,
+                    entry.started_at,
+                    ready,
+                    entry.state != EndpointState.REMOVED,
+                )
+            )
         replaced = {step.uid for step in self.state.transitions if step.step == GONE}
         return [m for m in seen if m.listed or m.machine_id not in replaced]
 
@@ -226,26 +262,60 @@
 
         lives = {name: report.incarnation for name, report in member.voter_reports.items()}
         lives[member.name] = member.incarnation
-        executors = {name: life for name, life in lives.items()
-                     if name == member.name or now < member.granted_until.get(name, 0)}
+        executors = {
+            name: life
+            for name, life in lives.items()
+            if name == member.name or now < member.granted_until.get(name, 0)
+        }
         age = self.endpoint_list_age()
-        grades = [grade for grade in self.request_handler.request_classes.classes if grade.idempotency == Idempotency.IDEMPOTENT_WITH_KEY]
-        keep_in = {place for grade in grades for group, place in ((DeduplicationScope.ZONE, "zone"), (DeduplicationScope.CELL, "cell"))
-                   if grade.deduplication_scope == group}
+        grades = [
+            grade
+            for grade in self.request_handler.request_classes.classes
+            if grade.idempotency == Idempotency.IDEMPOTENT_WITH_KEY
+        ]
+        keep_in = {
+            place
+            for grade in grades
+            for group, place in ((DeduplicationScope.ZONE, "zone"), (DeduplicationScope.CELL, "cell"))
+            if grade.deduplication_scope == group
+        }
         return FleetView(
-            now, time.time_ns() // 1_000_000, member.documents.document(MAINTENANCE).latest_number(), dict(self.current_specifications()), ledger,
-            self.machines(), dispatchers, len(member.raft.voters),
-            f"the list was not heard of for {age // TICKS_PER_SECOND} s" if age > MAX_ENDPOINT_LIST_AGE else "", holders,
-            told.unresolved, told.response_counts, told.unavailable, told.open_requests, told.recent_accepted, told.recent_shed, executors, lives,
-            self.request_handler.config.slow_start_duration, sorted(keep_in))
+            now,
+            time.time_ns() // 1_000_000,
+            member.documents.document(MAINTENANCE).latest_number(),
+            dict(self.current_specifications()),
+            ledger,
+            self.machines(),
+            dispatchers,
+            len(member.raft.voters),
+            f"the list was not heard of for {age // TICKS_PER_SECOND} s"
+            if age > MAX_ENDPOINT_LIST_AGE
+            else "",
+            holders,
+            told.unresolved,
+            told.response_counts,
+            told.unavailable,
+            told.open_requests,
+            told.recent_accepted,
+            told.recent_shed,
+            executors,
+            lives,
+            self.request_handler.config.slow_start_duration,
+            sorted(keep_in),
+        )
 
     def dispatcher_machines(self, member: Voter, now: int) -> list[Machine]:
         """Members as machines: `since` is the life of the process, by which a new one is known."""
         wards = [(member.name, member.incarnation, member.last_applied, True)]
-        wards += [(name, ward.incarnation, ward.have, member.lease_holder_state(now, ward) == ALIVE)
-                  for name, ward in member.lease_holders.items()]
-        wards += [(one.name, one.incarnation, one.last_applied, one.state == ALIVE)
-                  for held in member.remote_lease_holders.values() for one in held]
+        wards += [
+            (name, ward.incarnation, ward.have, member.lease_holder_state(now, ward) == ALIVE)
+            for name, ward in member.lease_holders.items()
+        ]
+        wards += [
+            (one.name, one.incarnation, one.last_applied, one.state == ALIVE)
+            for held in member.remote_lease_holders.values()
+            for one in held
+        ]
         seen: dict[str, Machine] = {}
         for name, life, have, there in wards:
             caught_up = there and have >= member.last_applied - 50
@@ -265,32 +335,50 @@
         """Those that are agreed to run here, in this life, while what is agreed is known to be so."""
         member = self.cluster_node.consensus
         for uid, away in self.state.machines.items():
-            if away.state != WORK or away.by != member.name or away.life != member.incarnation \
-                    or (uid, away.number) in self.command_tasks or not self.cluster_node.has_lease():
+            if (
+                away.state != WORK
+                or away.by != member.name
+                or away.life != member.incarnation
+                or (uid, away.number) in self.command_tasks
+                or not self.cluster_node.has_lease()
+            ):
                 continue
             given = self.current_specifications().get(away.work)
             if given and given.command:
                 self.command_tasks[uid, away.number] = asyncio.get_running_loop().create_task(
-                    self._run_command(uid, away.work, away.number, away.life, given))
+                    self._run_command(uid, away.work, away.number, away.life, given)
+                )
 
-    async def _run_command(self, uid: str, work: str, number: int, life: int, given: specification.JobSpecification) -> None:
+    async def _run_command(
+        self, uid: str, work: str, number: int, life: int, given: specification.JobSpecification
+    ) -> None:
         runner = self.backend_registry.backend_ids.find(uid)
         at = self.backend_registry.addresses[runner] if runner >= 0 else ("", 0, 0)
-        told = {"CRANKFOLD_MACHINE": uid.removeprefix("@"), "CRANKFOLD_WORK": work,
-                "CRANKFOLD_NUMBER": str(number), "CRANKFOLD_ADDRESS": f"{at[0]}:{at[1]}" if at[0] else ""}
+        told = {
+            "CRANKFOLD_MACHINE": uid.removeprefix("@"),
+            "CRANKFOLD_WORK": work,
+            "CRANKFOLD_NUMBER": str(number),
+            "CRANKFOLD_ADDRESS": f"{at[0]}:{at[1]}" if at[0] else "",
+        }
         log_line(f"crankfold: works: {work}: the command of {uid} begins under {number}")
         step, why = FAILED, ""
         try:
             process = await asyncio.create_subprocess_exec(
-                *given.command, env={**os.environ, **told}, stdin=asyncio.subprocess.DEVNULL,
-                stdout=asyncio.subprocess.DEVNULL, stderr=asyncio.subprocess.PIPE, start_new_session=True)
+                *given.command,
+                env={**os.environ, **told},
+                stdin=asyncio.subprocess.DEVNULL,
+                stdout=asyncio.subprocess.DEVNULL,
+                stderr=asyncio.subprocess.PIPE,
+                start_new_session=True,
+            )
             self.command_processes[uid, number] = process
             try:
                 async with asyncio.timeout(given.takes):
                     _, said = await process.communicate()
                 step = ENDED if process.returncode == 0 else FAILED
-                why = f"exit {process.returncode}" + (f": {said.decode(errors='replace').strip()[-200:]}"
-                                                      if step == FAILED and said else "")
+                why = f"exit {process.returncode}" + (
+                    f": {said.decode(errors='replace').strip()[-200:]}" if step == FAILED and said else ""
+                )
             except TimeoutError:
                 self._kill_process_group(process)
                 why = f"was ended after {given.takes:g} s"
@@ -299,10 +387,19 @@
         finally:
             self.command_processes.pop((uid, number), None)
         log_line(f"crankfold: works: {work}: the command of {uid} under {number}: {step}, {why}")
-        taken = {"uid": uid, "work": work, "step": step, "number": number, "by": self.cluster_node.consensus.name,
-                 "why": why, "at": time.time_ns() // 1_000_000}
+        taken = {
+            "uid": uid,
+            "work": work,
+            "step": step,
+            "number": number,
+            "by": self.cluster_node.consensus.name,
+            "why": why,
+            "at": time.time_ns() // 1_000_000,
+        }
         while True:  # until it is known to be agreed, or to be over
-            made = await self.cluster_node.propose("step", {"steps": [taken]}, f"{uid} {number} {life}", PUBLISH_TIMEOUT)
+            made = await self.cluster_node.propose(
+                "step", {"steps": [taken]}, f"{uid} {number} {life}", PUBLISH_TIMEOUT
+            )
             if made.accepted or made.log_index:
                 return
 
@@ -330,22 +427,40 @@
         for name, given in self.current_specifications().items():
             done = ledger.completed.get(name, {})
             work = given.to_job(name)
-            wanted = [m.machine_id for m in listed if is_dispatcher_id(m.machine_id) == (given.of == "dispatchers")
-                      and work.covers(m)]
+            wanted = [
+                m.machine_id
+                for m in listed
+                if is_dispatcher_id(m.machine_id) == (given.of == "dispatchers") and work.covers(m)
+            ]
             over = all(uid in done for uid in wanted) and not any(
-                m.work == name for m in ledger.machines.values())
+                m.work == name for m in ledger.machines.values()
+            )
             works[name] = {
-                "why": given.why, "state": "stopped by itself" if name in ledger.halted_jobs else
-                "done" if wanted and over else given.state, "halted": ledger.halted_jobs.get(name, ""),
-                "wanted": len(wanted), "done": done,
-                "left": [uid for uid in wanted if uid not in done and uid not in ledger.machines]}
-        waits = [{"machine": uid, "work": name, "why": why}
-                 for (uid, name), why in sorted(self.coordinator.wait_reasons.items())]
+                "why": given.why,
+                "state": "stopped by itself"
+                if name in ledger.halted_jobs
+                else "done"
+                if wanted and over
+                else given.state,
+                "halted": ledger.halted_jobs.get(name, ""),
+                "wanted": len(wanted),
+                "done": done,
+                "left": [uid for uid in wanted if uid not in done and uid not in ledger.machines],
+            }
+        waits = [
+            {"machine": uid, "work": name, "why": why}
+            for (uid, name), why in sorted(self.coordinator.wait_reasons.items())
+        ]
         machines = {uid: structs.asdict(away) for uid, away in ledger.machines.items()}
-        return {"works": works, "machines": machines,
-                "steps": [structs.asdict(step) for step in ledger.transitions], "waits": waits,
-                "leads": leads, "leader": member.raft.leader if isinstance(member, Voter) else "",
-                "here": sorted(self.restored_locally)}
+        return {
+            "works": works,
+            "machines": machines,
+            "steps": [structs.asdict(step) for step in ledger.transitions],
+            "waits": waits,
+            "leads": leads,
+            "leader": member.raft.leader if isinstance(member, Voter) else "",
+            "here": sorted(self.restored_locally),
+        }
 
     def forecast(self, body: bytes) -> dict[str, Any]:
         """What would come about if this work were handed in now. Changes nothing."""
@@ -363,14 +478,30 @@
             if not isinstance(member, Voter):
                 return {"well": False, "text": "ask at the door of a voter"}
             machines = self.dispatcher_machines(member, boottime_ticks())
-        told = forecast_job(asked.name, {name: given for name, given in works.items()
-                                 if given.of == works[asked.name].of},
-                    machines, {uid: away.work for uid, away in ledger.machines.items()},
-                    ledger.completed_pairs(), time.time_ns() // 1_000_000, self.cluster_node.consensus.documents.max_request_duration() / TICKS_PER_SECOND,
-                    self.request_handler.config.slow_start_duration / TICKS_PER_SECOND)
-        return {"well": True, "turns": [
-            {"begin": turn.begin_seconds, "end": turn.end_seconds, "machine": turn.machine_id, "zone": turn.zone, "why": turn.waited_for}
-            for turn in told.departures], "waits": told.wait_reasons}
+        told = forecast_job(
+            asked.name,
+            {name: given for name, given in works.items() if given.of == works[asked.name].of},
+            machines,
+            {uid: away.work for uid, away in ledger.machines.items()},
+            ledger.completed_pairs(),
+            time.time_ns() // 1_000_000,
+            self.cluster_node.consensus.documents.max_request_duration() / TICKS_PER_SECOND,
+            self.request_handler.config.slow_start_duration / TICKS_PER_SECOND,
+        )
+        return {
+            "well": True,
+            "turns": [
+                {
+                    "begin": turn.begin_seconds,
+                    "end": turn.end_seconds,
+                    "machine": turn.machine_id,
+                    "zone": turn.zone,
+                    "why": turn.waited_for,
+                }
+                for turn in told.departures
+            ],
+            "waits": told.wait_reasons,
+        }
 
     async def request_transition(self, body: bytes) -> tuple[bool, str, bool]:
         """A step by an operator's call: whether it is agreed, what was told, whether there is an outcome."""
@@ -384,13 +515,25 @@
         if away is None:
             return False, f"{asked.machine} is not out for any work, as far as is known here", True
         given = self.current_specifications().get(away.work)
-        if step in (WORK, ENDED) and away.state in (FREE, WORK) and not away.unwell and given \
-                and given.way == specification.BY_COMMAND:
+        if (
+            step in (WORK, ENDED)
+            and away.state in (FREE, WORK)
+            and not away.unwell
+            and given
+            and given.way == specification.BY_COMMAND
+        ):
             return False, f"{asked.machine} is for {away.work}'s command", True
         if step == BACK and away.state not in (OUT, FREE, FAILED, UNWELL):
             return False, f"{asked.machine} is in state {away.state}", True
-        taken = {"uid": asked.machine, "work": away.work, "step": step, "by": asked.author or "an operator",
-                 "life": 0, "why": asked.why, "at": time.time_ns() // 1_000_000}
+        taken = {
+            "uid": asked.machine,
+            "work": away.work,
+            "step": step,
+            "by": asked.author or "an operator",
+            "life": 0,
+            "why": asked.why,
+            "at": time.time_ns() // 1_000_000,
+        }
         taken |= {"number": asked.number} if asked.number else {}
         made = await self.cluster_node.propose("step", {"steps": [taken]}, asked.call, PUBLISH_TIMEOUT)
         return made.accepted, made.reason, made.accepted or made.log_index > 0
--- a/crankfold/service/manual_drains.py
+++ b/crankfold/service/manual_drains.py
@@ -10,7 +10,9 @@
 
     def __init__(self) -> None:
         self.drained_since: dict[str, int] = {}  # out, and from when
-        self.assumed_starts: dict[str, tuple[int, int]] = {}  # back: when the ban began, the start taken for granted
+        self.assumed_starts: dict[
+            str, tuple[int, int]
+        ] = {}  # back: when the ban began, the start taken for granted
 
     def drain(self, uid: str, now: int) -> bool:
         """Whether that is new. A call that is repeated lengthens nothing."""
--- a/crankfold/service/replicated_config.py
+++ b/crankfold/service/replicated_config.py
@@ -75,10 +75,21 @@
 
 
 class ReplicatedConfig:
-    def __init__(self, given: dict[str, Any], tally: Metrics, desk: RequestHandler, operations: AdminService,
-                 renewed: Callable[[RoutingConfig, ServiceConfig], None],
-                 list_age: Callable[[], int]) -> None:
-        self.local_settings, self.request_handler, self.admin_service, self.apply_config = given["settings"], desk, operations, renewed
+    def __init__(
+        self,
+        given: dict[str, Any],
+        tally: Metrics,
+        desk: RequestHandler,
+        operations: AdminService,
+        renewed: Callable[[RoutingConfig, ServiceConfig], None],
+        list_age: Callable[[], int],
+    ) -> None:
+        self.local_settings, self.request_handler, self.admin_service, self.apply_config = (
+            given["settings"],
+            desk,
+            operations,
+            renewed,
+        )
         self.metrics, self.endpoint_list_age = tally, list_age
         self.maintenance: MaintenanceAgent | None = None  # once some are handed in
         peers = read_cluster_config(given["peers"])
@@ -100,19 +111,34 @@
     async def open(self, succeeds: bool) -> None:
         """With `succeeds` a process before this one is still there, under the same name."""
         try:
-            self.cluster_node = ClusterNode(structs.replace(self.cluster_config, succeeds=succeeds), self.metrics, self.validate,
-                             replicated_settings(self.local_settings), self._documents_changed, self.quotas.collect_usage, self._quiesced_index)
+            self.cluster_node = ClusterNode(
+                structs.replace(self.cluster_config, succeeds=succeeds),
+                self.metrics,
+                self.validate,
+                replicated_settings(self.local_settings),
+                self._documents_changed,
+                self.quotas.collect_usage,
+                self._quiesced_index,
+            )
         except StorageError as wrong:
             raise ValueError(f"peers: {wrong}") from None
         await self.cluster_node.open()
-        self.admin_service.replicated_config = self  # not before: the door is open already, and there was nothing to ask
+        self.admin_service.replicated_config = (
+            self  # not before: the door is open already, and there was nothing to ask
+        )
 
     def _maintenance_agent(self) -> "MaintenanceAgent":
         if self.maintenance is None:
             from crankfold.service import maintenance_agent  # nothing of it before works are handed in
 
-            self.maintenance = maintenance_agent.MaintenanceAgent(self.request_handler, self.admin_service, self.cluster_node, self.metrics, self.endpoint_list_age,
-                                     self._apply_manual_drains)
+            self.maintenance = maintenance_agent.MaintenanceAgent(
+                self.request_handler,
+                self.admin_service,
+                self.cluster_node,
+                self.metrics,
+                self.endpoint_list_age,
+                self._apply_manual_drains,
+            )
         return self.maintenance
 
     async def close(self) -> None:
@@ -130,8 +156,11 @@
             return True
         if not self.was_isolated:
             self.was_isolated = True
-            self.metrics.warn("peers", f"{self.cluster_node.inactive_reason()}; "
-                           + ("goes on under the last rules" if self.acts_when_isolated else "takes nothing new"))
+            self.metrics.warn(
+                "peers",
+                f"{self.cluster_node.inactive_reason()}; "
+                + ("goes on under the last rules" if self.acts_when_isolated else "takes nothing new"),
+            )
         if self.acts_when_isolated:
             self.metrics.increment("acted-while-cut-off")
         return self.acts_when_isolated
@@ -142,12 +171,16 @@
             if doc == SETTINGS:
                 for name in text:
                     if name not in RELOADABLE:
-                        return f"settings.{name}: is each dispatcher's own; agreed are {', '.join(RELOADABLE)}"
+                        return (
+                            f"settings.{name}: is each dispatcher's own; agreed are {', '.join(RELOADABLE)}"
+                        )
                 whole = {**self.local_settings, **text}
                 latest = self.cluster_node.consensus.documents.document(SETTINGS).versions
                 running = {"settings": {**self.local_settings, **latest[-1].text}} if latest else None
-                schema.validate({"listen": "-", "discovery": "-", "settings": whole},
-                           {"listen": "-", "discovery": "-", **running} if running else None)
+                schema.validate(
+                    {"listen": "-", "discovery": "-", "settings": whole},
+                    {"listen": "-", "discovery": "-", **running} if running else None,
+                )
                 read_service_config(flatten_settings(whole))
                 read_routing_config(flatten_settings(whole))
             elif doc in (DRAINED_BACKENDS, EXCLUDED_BACKENDS):
@@ -156,7 +189,9 @@
                 from crankfold.maintenance import specification as of_works
 
                 versions = self.cluster_node.consensus.documents.document(MAINTENANCE).versions
-                return of_works.validation_error(text, versions[-1].text if versions else {}, self._maintenance_agent().machines())
+                return of_works.validation_error(
+                    text, versions[-1].text if versions else {}, self._maintenance_agent().machines()
+                )
             elif doc == LIMITS:
                 for name in msgspec.convert(text, QuotaDocument).limits:
                     if name != "all" and name.partition(":")[0] not in ("grade", "tenant"):
@@ -175,7 +210,10 @@
             flat = flatten_settings({**self.local_settings, **text})
             self.apply_config(read_routing_config(flat), read_service_config(flat))
             self.effective_settings = text
-        if member.documents.document(MAINTENANCE).versions or member.documents.replicated.maintenance.machines:
+        if (
+            member.documents.document(MAINTENANCE).versions
+            or member.documents.replicated.maintenance.machines
+        ):
             self._maintenance_agent()
         if DRAINED_BACKENDS in docs or EXCLUDED_BACKENDS in docs or MACHINES in docs:
             self._apply_manual_drains()
@@ -191,8 +229,14 @@
 
     def _apply_manual_drains(self) -> None:
         member = self.cluster_node.consensus
-        out = {uid for doc in (DRAINED_BACKENDS, EXCLUDED_BACKENDS) for uid in (member.effective_content(doc) or {}).get("runners", {})}
-        entries = self.request_handler.backends.set_cluster_drains(out | self.maintenance.machines_out() if self.maintenance else out)
+        out = {
+            uid
+            for doc in (DRAINED_BACKENDS, EXCLUDED_BACKENDS)
+            for uid in (member.effective_content(doc) or {}).get("runners", {})
+        }
+        entries = self.request_handler.backends.set_cluster_drains(
+            out | self.maintenance.machines_out() if self.maintenance else out
+        )
         if entries:
             self.admin_service.endpoints_changed(entries)
 
@@ -200,15 +244,28 @@
         """Units taken under a larger share hold their places until they are answered."""
         if self.quotas.within_allocation():
             return applied
-        waits = [version.index for doc, version in self.cluster_node.consensus.documents.pending_versions() if doc == QUOTAS]
+        waits = [
+            version.index
+            for doc, version in self.cluster_node.consensus.documents.pending_versions()
+            if doc == QUOTAS
+        ]
         return min([applied, *(index - 1 for index in waits)])
 
     def _record_event(self, what: str, unit: str, where: str) -> None:
         member = self.cluster_node.consensus
-        told: dict[str, Any] = {"at": time.clock_gettime_ns(time.CLOCK_BOOTTIME), "what": what, "unit": unit,
-                                "where": where, "applied": member.last_applied, "versions": member.documents.version_numbers()}
+        told: dict[str, Any] = {
+            "at": time.clock_gettime_ns(time.CLOCK_BOOTTIME),
+            "what": what,
+            "unit": unit,
+            "where": where,
+            "applied": member.last_applied,
+            "versions": member.documents.version_numbers(),
+        }
         if what == "rules":
-            told["acting"] = {doc: member.effective_content(doc) for doc in (SETTINGS, DRAINED_BACKENDS, EXCLUDED_BACKENDS, QUOTAS)}
+            told["acting"] = {
+                doc: member.effective_content(doc)
+                for doc in (SETTINGS, DRAINED_BACKENDS, EXCLUDED_BACKENDS, QUOTAS)
+            }
         assert self.event_log is not None
         self.event_log.write(orjson.dumps(told).decode() + "\n")
         self.event_log.flush()
@@ -217,9 +274,18 @@
         assert self.event_log is not None
         for step in self.cluster_node.consensus.documents.replicated.maintenance.transitions:
             if step.index > self.recorded_index:
-                told = {"at": time.clock_gettime_ns(time.CLOCK_BOOTTIME), "what": "step",
-                        **{"uid": step.uid, "work": step.work, "step": step.step, "index": step.index,
-                           "by": step.by, "why": step.why}}
+                told = {
+                    "at": time.clock_gettime_ns(time.CLOCK_BOOTTIME),
+                    "what": "step",
+                    **{
+                        "uid": step.uid,
+                        "work": step.work,
+                        "step": step.step,
+                        "index": step.index,
+                        "by": step.by,
+                        "why": step.why,
+                    },
+                }
                 self.event_log.write(orjson.dumps(told).decode() + "\n")
         self.recorded_index = max(self.recorded_index, self.cluster_node.consensus.last_applied)
         self.event_log.flush()
@@ -240,9 +306,14 @@
             text = f"version {least} of {doc} is not known here yet: {why}"
             return UNKNOWN, orjson.dumps({"text": text}).decode()
         known = self.cluster_node.consensus.documents.document(doc)
-        told = {"doc": doc, "counts": known.active_number, "newest": known.latest_number(), "acts": self.cluster_node.has_lease(),
-                "acting": self.cluster_node.consensus.effective_content(doc),
-                "versions": [structs.asdict(version) for version in known.versions]}
+        told = {
+            "doc": doc,
+            "counts": known.active_number,
+            "newest": known.latest_number(),
+            "acts": self.cluster_node.has_lease(),
+            "acting": self.cluster_node.consensus.effective_content(doc),
+            "versions": [structs.asdict(version) for version in known.versions],
+        }
         return OK, orjson.dumps(told).decode()
 
     async def _change_voters(self, body: bytes) -> tuple[int, str]:
@@ -269,10 +340,19 @@
             asked = msgspec.json.decode(body, type=PublishRequest)
         except msgspec.DecodeError as wrong:
             return INVALID, orjson.dumps({"well": False, "text": str(wrong)}).decode()
-        made = await self.cluster_node.propose("publish", {
-            "doc": doc, "made_from": asked.made_from, "author": asked.author[:200],
-            "reason": asked.reason[:2000], "at": time.time_ns() // 1_000_000, "text": asked.text},
-            asked.call, PUBLISH_TIMEOUT)
+        made = await self.cluster_node.propose(
+            "publish",
+            {
+                "doc": doc,
+                "made_from": asked.made_from,
+                "author": asked.author[:200],
+                "reason": asked.reason[:2000],
+                "at": time.time_ns() // 1_000_000,
+                "text": asked.text,
+            },
+            asked.call,
+            PUBLISH_TIMEOUT,
+        )
         told: dict[str, Any] = {"well": made.accepted, "text": made.reason, "number": made.version_number}
         if not made.accepted:
             known = made.version_number or not made.reason.startswith("no outcome")
@@ -282,7 +362,9 @@
             began = time.monotonic()
             index = await self.cluster_node.wait_until_active(doc, made.version_number, wait)
             told["counts"] = index > 0
-            all_act = index > 0 and await self.cluster_node.wait_until_cluster_applied(index, wait - (time.monotonic() - began))
+            all_act = index > 0 and await self.cluster_node.wait_until_cluster_applied(
+                index, wait - (time.monotonic() - began)
+            )
             told["lag"] = [] if all_act else self._lagging_members()
         return OK, orjson.dumps(told).decode()
 
@@ -301,7 +383,10 @@
     def _lagging_members(self) -> list[str]:
         """Who does not act on all that is known here, as far as this member can tell."""
         view = self.cluster_node.status()
-        late = [f"{one['name']} at {one['at']}: {one['state']}, {one['lag']} behind"
-                for one in view.get("members", ()) if one["lag"] and one["state"] != "left"]
+        late = [
+            f"{one['name']} at {one['at']}: {one['state']}, {one['lag']} behind"
+            for one in view.get("members", ())
+            if one["lag"] and one["state"] != "left"
+        ]
         late += [f"voter {name}: {lag} behind" for name, lag in view.get("lag", {}).items() if lag]
         return late or ["somebody, who is not known here; ask at the leader's door"]
--- a/crankfold/service/request_classes.py
+++ b/crankfold/service/request_classes.py
@@ -26,8 +26,11 @@
     def update(self, names: Iterable[str], grades: Sequence[RequestClass]) -> bool:
         """Whether anything is different. A name not among `names` is known no longer."""
         before, after = self.index_by_name, dict(zip(names, grades, strict=True))
-        self.index_by_name = {name: before[name] for name, grade in after.items()
-                       if name in before and self.classes[before[name]] == grade}
+        self.index_by_name = {
+            name: before[name]
+            for name, grade in after.items()
+            if name in before and self.classes[before[name]] == grade
+        }
         kept = set(self.index_by_name.values())
         free = [row for row, units in enumerate(self.open_counts) if not units and row not in kept]
         for name, grade in after.items():
--- a/crankfold/service/request_handler.py
+++ b/crankfold/service/request_handler.py
@@ -30,24 +30,41 @@
 
 
 class RequestHandler:
-    def __init__(self, orders: RoutingConfig, rules: ServiceConfig, seed: int, timers: Timers, tally: Metrics,
-                 fleet: BackendRegistry, duty: Lifecycle, subscribe: Callable[[], None]) -> None:
+    def __init__(
+        self,
+        orders: RoutingConfig,
+        rules: ServiceConfig,
+        seed: int,
+        timers: Timers,
+        tally: Metrics,
+        fleet: BackendRegistry,
+        duty: Lifecycle,
+        subscribe: Callable[[], None],
+    ) -> None:
         self.config, self.timers, self.clock, self.metrics = rules, timers, timers.clock, tally
         self.backends, self.lifecycle, self.poll_endpoints = fleet, duty, subscribe
         self.cancels_attempts = orders.cancellation_allowed
-        self.probe_target = b"/load" if orders.reports_in_responses or orders.reports_by_probe else b"/healthz"
+        self.probe_target = (
+            b"/load" if orders.reports_in_responses or orders.reports_by_probe else b"/healthz"
+        )
         self.closed = False  # the process ends: what still comes is shed
         self.connections_exhausted: Callable[[], bool] = lambda: False
         # With peers: whether rules may be acted on at this moment, and where what is done is written down.
         self.has_valid_config: Callable[[], bool] = lambda: True
         self.record_event: Callable[[str, str, str], None] | None = None
-        self.acquire_quota: Callable[[str, str], Sequence[str] | None] | None = None  # places of limits, if there are
+        self.acquire_quota: Callable[[str, str], Sequence[str] | None] | None = (
+            None  # places of limits, if there are
+        )
         # With machines out for work: what is left running on one, what ended there, what ended after all.
         self.attempt_abandoned: Callable[[str, str], None] | None = None
         self.attempt_finished: Callable[[int, Outcome], None] | None = None
         self.abandoned_attempt_finished: Callable[[str, str], None] | None = None
-        self.predecessor_request_ids: frozenset[str] = frozenset()  # ids in hand at the process before this one
-        self.forward_callback: Callable[[bytes, Callable[[bool | None], None]], bool] = lambda body, done: False
+        self.predecessor_request_ids: frozenset[str] = (
+            frozenset()
+        )  # ids in hand at the process before this one
+        self.forward_callback: Callable[[bytes, Callable[[bool | None], None]], bool] = lambda body, done: (
+            False
+        )
         self.load_reports: dict[int, tuple[int, Sequence[float]]] = {}  # each runner's last, and when
         self.call_soon = asyncio.get_running_loop().call_soon
         self.request_classes = RequestClassTable(rules.request_classes.names, orders.request_classes)
@@ -84,9 +101,19 @@
     def knows_request_class(self, name: str) -> bool:
         return self.request_classes.find(setting_text(name)) >= 0
 
-    def submit(self, client: object, ident: str, grade: str, tenant: str, wait: int, work: int, slots: float,
-                again: tuple[bytes, bytes, list[tuple[bytes, bytes]], bytes], key: int = 0,
-                retried: bool = False) -> None:
+    def submit(
+        self,
+        client: object,
+        ident: str,
+        grade: str,
+        tenant: str,
+        wait: int,
+        work: int,
+        slots: float,
+        again: tuple[bytes, bytes, list[tuple[bytes, bytes]], bytes],
+        key: int = 0,
+        retried: bool = False,
+    ) -> None:
         assert isinstance(client, AcceptedConnection)
         if client.peer_has_closed():
             self.metrics.increment("clients-gone-before-read")
@@ -124,8 +151,18 @@
         held.quota_limits = counted
         held.deadline_timer = self.timers.call_after(wait, partial(self._on_deadline, held))
         payer = max(self.config.tenants.find(setting_text(tenant)), 0)
-        self.notify_routing(self.routing.request_received, held.number, row, payer, held.deadline, work, slots, key, retried,
-                  unit=held.number)
+        self.notify_routing(
+            self.routing.request_received,
+            held.number,
+            row,
+            payer,
+            held.deadline,
+            work,
+            slots,
+            key,
+            retried,
+            unit=held.number,
+        )
 
     def client_disconnected(self, client: AcceptedConnection) -> None:
         work = self.request_table.by_client.get(client)
@@ -168,8 +205,10 @@
         # One runner gets one dispatch of a unit at a time, also where it did not heed the calling off. It may
         # tell of an end again: the "never ran" of a first dispatch would pass for that of a second.
         once = self.request_classes.classes[work.class_index].idempotency != Idempotency.IDEMPOTENT
-        there = any(other.backend == runner and (other.in_flight or other.may_still_run or once and other.was_sent())
-                    for other in work.attempts)
+        there = any(
+            other.backend == runner and (other.in_flight or other.may_still_run or once and other.was_sent())
+            for other in work.attempts
+        )
         work.attempts.append(trip)
         self.metrics.increment("dispatches")
         if there or not self._may_send(work, trip):
@@ -177,16 +216,27 @@
             return
         method, target, heads, body = work.http_request
         trip.exchange = Exchange(
-            method, target, lambda: attempt_headers(heads, work.deadline - self.clock.now()), body,
-            partial(self._may_send, work, trip), partial(self._on_exchange_ended, work, trip))
+            method,
+            target,
+            lambda: attempt_headers(heads, work.deadline - self.clock.now()),
+            body,
+            partial(self._may_send, work, trip),
+            partial(self._on_exchange_ended, work, trip),
+        )
         self.backends.pools[runner].send(trip.exchange)
         if limit > 0:
             self.timers.call_after(limit, partial(self._on_attempt_timeout, work, trip))
 
     def _may_send(self, work: Request, trip: Attempt) -> bool:
         """While a connection came up the unit may have ended or the runner have begun to drain."""
-        may = (work.is_open and trip.in_flight and self.backends.states[trip.backend] == EndpointState.READY
-               and self.clock.now() < work.deadline and self.has_valid_config() and self._within_deduplication_window(work, trip))
+        may = (
+            work.is_open
+            and trip.in_flight
+            and self.backends.states[trip.backend] == EndpointState.READY
+            and self.clock.now() < work.deadline
+            and self.has_valid_config()
+            and self._within_deduplication_window(work, trip)
+        )
         if may and self.record_event:
             self.record_event("dispatch", work.request_id, self.backends.backend_ids.names[trip.backend])
         return may
@@ -195,8 +245,11 @@
         """While a connection came up, the time may have run out for which a group knows a tagged unit."""
         grade = self.request_classes.classes[work.class_index]
         return grade.idempotency != Idempotency.IDEMPOTENT_WITH_KEY or all(
-            other is trip or not other.may_have_run
-            or self.clock.now() + self.routing.clock_margin < other.created_at + grade.deduplication_window for other in work.attempts)
+            other is trip
+            or not other.may_have_run
+            or self.clock.now() + self.routing.clock_margin < other.created_at + grade.deduplication_window
+            for other in work.attempts
+        )
 
     def shed(self, unit: int, advice: int) -> None:
         heads = [(b"Retry-After", f"{advice / 10_000:.3f}".encode())] if advice else []
@@ -205,8 +258,9 @@
     def fail_request(self, unit: int) -> None:
         self._answer(unit, "given-up", 504)
 
-    def _answer(self, unit: int, how: str, status: int, heads: Sequence[tuple[bytes, bytes]] = (),
-                body: bytes = b"") -> None:
+    def _answer(
+        self, unit: int, how: str, status: int, heads: Sequence[tuple[bytes, bytes]] = (), body: bytes = b""
+    ) -> None:
         work = self.request_table.requests.get(unit)
         self.metrics.check_invariant(work is not None and work.is_open, "one-answer-a-unit")
         if work is not None and work.is_open:
@@ -230,7 +284,9 @@
 
     def probe(self, runner: int) -> None:
         self.metrics.increment("probes")
-        self.backends.send_control_request(runner, b"GET", self.probe_target, partial(self._on_probe_answer, runner))
+        self.backends.send_control_request(
+            runner, b"GET", self.probe_target, partial(self._on_probe_answer, runner)
+        )
 
     # --- from runners ---
 
@@ -247,7 +303,9 @@
         if report:
             self.load_reports[runner] = self.clock.now(), report
 
-    def _on_exchange_ended(self, work: Request, trip: Attempt, how: str, side: BackendConnection | None) -> None:
+    def _on_exchange_ended(
+        self, work: Request, trip: Attempt, how: str, side: BackendConnection | None
+    ) -> None:
         """The exchange of a dispatch is over: the runner took the unit, or the dispatch has ended."""
         if how == NOT_SENT:
             self._end_attempt(work, trip, Outcome.NOT_SENT)
@@ -267,7 +325,12 @@
                     self._answer(work.number, "unfit", 400)
                 self._end_attempt(work, trip, Outcome.CANCELLED)
             else:
-                self._end_attempt(work, trip, Outcome(outcome), report_from_header(side.load_header, self.config.report_fields))
+                self._end_attempt(
+                    work,
+                    trip,
+                    Outcome(outcome),
+                    report_from_header(side.load_header, self.config.report_fields),
+                )
 
     def _on_attempt_timeout(self, work: Request, trip: Attempt) -> None:
         if trip.in_flight:
@@ -287,7 +350,9 @@
             target = b"/jobs/" + quote(work.request_id, safe="").encode()
             self.backends.send_control_request(trip.backend, b"DELETE", target, lambda how, side: None)
 
-    def _end_attempt(self, work: Request, trip: Attempt, outcome: Outcome, report: Sequence[float] = ()) -> None:
+    def _end_attempt(
+        self, work: Request, trip: Attempt, outcome: Outcome, report: Sequence[float] = ()
+    ) -> None:
         if not trip.in_flight:
             return
         trip.in_flight, trip.may_have_run = False, outcome not in NEVER_EXECUTED
@@ -297,8 +362,16 @@
         self.metrics.increment("ended-" + outcome.name.lower().replace("_", "-"))
         if self.attempt_finished:
             self.attempt_finished(trip.backend, outcome)
-        self.notify_routing(self.routing.attempt_ended, work.number, trip.number, trip.backend, outcome, not work.is_open, report,
-                  unit=work.number)
+        self.notify_routing(
+            self.routing.attempt_ended,
+            work.number,
+            trip.number,
+            trip.backend,
+            outcome,
+            not work.is_open,
+            report,
+            unit=work.number,
+        )
         self.request_table.discard(work)
 
     def has_request(self, ident: str) -> bool:
@@ -331,16 +404,26 @@
         if found and not found[1].started:
             work, trip = found
             trip.started = True
-            self.notify_routing(self.routing.attempt_started, work.number, trip.number, trip.backend, unit=work.number)
+            self.notify_routing(
+                self.routing.attempt_started, work.number, trip.number, trip.backend, unit=work.number
+            )
 
     def execution_progressed(self, ident: str, uid: str, share: float) -> None:
         found = self._find_attempt(ident, uid)
         if found:
             work, trip = found
-            self.notify_routing(self.routing.attempt_progressed, work.number, trip.number, trip.backend, share, unit=work.number)
-
-    def execution_ended(self, ident: str, uid: str, outcome: Outcome, result: bytes,
-                  report: Sequence[float]) -> None:
+            self.notify_routing(
+                self.routing.attempt_progressed,
+                work.number,
+                trip.number,
+                trip.backend,
+                share,
+                unit=work.number,
+            )
+
+    def execution_ended(
+        self, ident: str, uid: str, outcome: Outcome, result: bytes, report: Sequence[float]
+    ) -> None:
         found = self._find_attempt(ident, uid)
         if not found:
             self.request_table.mark_abandoned_finished(ident, self.backends.backend_ids.find(uid))
@@ -360,16 +443,28 @@
         for tenant in rules.tenants.names:
             self.config.tenants.intern(tenant)
         old = self.config
-        self.config = replace(rules, tenants=old.tenants, zones=old.zones, instance_types=old.instance_types,
-                             report_fields=old.report_fields, slow_start_duration=old.slow_start_duration)
+        self.config = replace(
+            rules,
+            tenants=old.tenants,
+            zones=old.zones,
+            instance_types=old.instance_types,
+            report_fields=old.report_fields,
+            slow_start_duration=old.slow_start_duration,
+        )
         self.backends.config, self.cancels_attempts = self.config, orders.cancellation_allowed
         self.request_classes.update(rules.request_classes.names, orders.request_classes)
-        self.notify_routing(self.routing.config_changed, replace(orders, request_classes=self.request_classes.classes), self.request_classes.reassigned)
+        self.notify_routing(
+            self.routing.config_changed,
+            replace(orders, request_classes=self.request_classes.classes),
+            self.request_classes.reassigned,
+        )
 
     # --- from discovery ---
 
     def endpoints_changed(self, entries: Sequence[Endpoint], whole: bool) -> None:
-        self.notify_routing(self.routing.endpoints_changed, self.backends.update_endpoints(entries, whole), whole)
+        self.notify_routing(
+            self.routing.endpoints_changed, self.backends.update_endpoints(entries, whole), whole
+        )
 
     def discovery_failed(self) -> None:
         self.notify_routing(self.routing.discovery_failed)
--- a/crankfold/service/request_table.py
+++ b/crankfold/service/request_table.py
@@ -11,7 +11,17 @@
 class Attempt:
     """One dispatch."""
 
-    __slots__ = ("number", "backend", "created_at", "exchange", "in_flight", "started", "accepted", "may_still_run", "may_have_run")
+    __slots__ = (
+        "number",
+        "backend",
+        "created_at",
+        "exchange",
+        "in_flight",
+        "started",
+        "accepted",
+        "may_still_run",
+        "may_have_run",
+    )
 
     def __init__(self, nth: int, runner: int, began: int) -> None:
         self.number, self.backend, self.created_at = nth, runner, began
@@ -28,12 +38,36 @@
 class Request:
     """One unit."""
 
-    __slots__ = ("number", "request_id", "client", "deadline", "http_request", "attempts", "is_open", "deadline_timer", "class_index", "quota_limits")
-
-    def __init__(self, no: int, row: int, ident: str, client: AcceptedConnection, cutoff: int,
-                 again: tuple[bytes, bytes, list[tuple[bytes, bytes]], bytes]) -> None:
+    __slots__ = (
+        "number",
+        "request_id",
+        "client",
+        "deadline",
+        "http_request",
+        "attempts",
+        "is_open",
+        "deadline_timer",
+        "class_index",
+        "quota_limits",
+    )
+
+    def __init__(
+        self,
+        no: int,
+        row: int,
+        ident: str,
+        client: AcceptedConnection,
+        cutoff: int,
+        again: tuple[bytes, bytes, list[tuple[bytes, bytes]], bytes],
+    ) -> None:
         self.class_index = row  # of its grade
-        self.number, self.request_id, self.client, self.deadline, self.http_request = no, ident, client, cutoff, again
+        self.number, self.request_id, self.client, self.deadline, self.http_request = (
+            no,
+            ident,
+            client,
+            cutoff,
+            again,
+        )
         self.attempts: list[Attempt] = []
         self.is_open = True
         self.quota_limits: Sequence[str] = ()  # the limits for the whole fleet of which it holds a place
@@ -51,8 +85,14 @@
         self.next_number = 0
         self.release_quota: Callable[[Sequence[str]], None] | None = None
 
-    def add(self, row: int, ident: str, client: AcceptedConnection, cutoff: int,
-              again: tuple[bytes, bytes, list[tuple[bytes, bytes]], bytes]) -> Request:
+    def add(
+        self,
+        row: int,
+        ident: str,
+        client: AcceptedConnection,
+        cutoff: int,
+        again: tuple[bytes, bytes, list[tuple[bytes, bytes]], bytes],
+    ) -> Request:
         work = Request(self.next_number, row, ident, client, cutoff, again)
         self.next_number += 1
         self.request_classes.request_opened(row)
--- a/crankfold/simulation/baselines.py
+++ b/crankfold/simulation/baselines.py
@@ -39,8 +39,18 @@
         standing |= {entry.backend: entry.state for entry in entries}
         self.ready_backends = sorted(r for r, s in standing.items() if s == EndpointState.READY)
 
-    def request_received(self, now: int, unit: int, grade: int, tenant: int, cutoff: int, work: int,
-              slots: float, key: int = 0, again: bool = False) -> None:
+    def request_received(
+        self,
+        now: int,
+        unit: int,
+        grade: int,
+        tenant: int,
+        cutoff: int,
+        work: int,
+        slots: float,
+        key: int = 0,
+        again: bool = False,
+    ) -> None:
         self.class_of_request[unit], self.backends_tried[unit] = grade, []
         self.actions.set_timer(cutoff - now - 2 * self.config.timer_resolution, unit)
         self._start_attempt(unit)
@@ -62,8 +72,16 @@
         else:
             self.actions.fail_request(unit)
 
-    def attempt_ended(self, now: int, unit: int, nth: int, runner: int, outcome: Outcome, last: bool,
-              report: Sequence[float]) -> None:
+    def attempt_ended(
+        self,
+        now: int,
+        unit: int,
+        nth: int,
+        runner: int,
+        outcome: Outcome,
+        last: bool,
+        report: Sequence[float],
+    ) -> None:
         self.in_flight[runner] -= 1
         if last:
             self.class_of_request.pop(unit, None)
@@ -127,5 +145,9 @@
 
 
 BASELINES: dict[str, Callable[[RoutingConfig, int, RoutingActions], Baseline]] = {
-    "random": Baseline, "round-robin": RoundRobin, "least-own": LeastInFlight, "two-choices": TwoChoices,
-    "sees-all": GlobalKnowledge}
+    "random": Baseline,
+    "round-robin": RoundRobin,
+    "least-own": LeastInFlight,
+    "two-choices": TwoChoices,
+    "sees-all": GlobalKnowledge,
+}
--- a/crankfold/simulation/comparison.py
+++ b/crankfold/simulation/comparison.py
@@ -16,11 +16,29 @@
 BOOTSTRAP_RESAMPLES = 2000
 DEFAULT_CLASS = RequestClass(Idempotency.IDEMPOTENT, DeduplicationScope.GLOBAL, 0, 800, 2.0, 50_000, 1.0, 0.0)
 DEFAULT_CONFIG = RoutingConfig(
-    request_classes=[DEFAULT_CLASS], instance_count=1, zone=0, timer_resolution=20, priority_by_work=False, worst_class_weight=0.0, cancellation_allowed=False,
-    probing_allowed=True, hedging_allowed=False, max_attempts=3, max_retry_after=0, reports_in_responses=True,
-    reports_by_probe=False, report_fields=["queue", "free_slots"], start_notifications=True, progress_interval=0,
-    discovery_by_poll=False, poll_within=100_000, initial_capacity=0.2, warm_up_time=100_000, overload_factor=4.0,
-    overload_period=10_000)
+    request_classes=[DEFAULT_CLASS],
+    instance_count=1,
+    zone=0,
+    timer_resolution=20,
+    priority_by_work=False,
+    worst_class_weight=0.0,
+    cancellation_allowed=False,
+    probing_allowed=True,
+    hedging_allowed=False,
+    max_attempts=3,
+    max_retry_after=0,
+    reports_in_responses=True,
+    reports_by_probe=False,
+    report_fields=["queue", "free_slots"],
+    start_notifications=True,
+    progress_interval=0,
+    discovery_by_poll=False,
+    poll_within=100_000,
+    initial_capacity=0.2,
+    warm_up_time=100_000,
+    overload_factor=4.0,
+    overload_period=10_000,
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -35,7 +53,13 @@
 def simulate_day(policy: str, scenario: Scenario, orders: RoutingConfig, seed: int) -> DayResult:
     world = SimulatedFleet(replace(scenario, seed=seed), orders, POLICIES[policy])
     world.run()
-    return DayResult(policy, seed, world.request_count, world.on_time_count / max(world.request_count, 1), len(world.invariants.violations))
+    return DayResult(
+        policy,
+        seed,
+        world.request_count,
+        world.on_time_count / max(world.request_count, 1),
+        len(world.invariants.violations),
+    )
 
 
 def confidence_interval(ours: Sequence[float], theirs: Sequence[float]) -> tuple[float, float, float]:
@@ -53,4 +77,7 @@
 def write_table(rows: Sequence[DayResult], out: TextIO) -> None:
     table = csv.writer(out, lineterminator="\n")
     table.writerow(["policy", "seed", "units", "in_time", "rules_broken"])
-    table.writerows([row.policy, row.seed, row.request_count, f"{row.on_time_share:.6f}", row.violation_count] for row in rows)
+    table.writerows(
+        [row.policy, row.seed, row.request_count, f"{row.on_time_share:.6f}", row.violation_count]
+        for row in rows
+    )
