--- a/crankfold/simulation/consensus_cluster.py
+++ b/crankfold/simulation/consensus_cluster.py
@@ -71,7 +71,10 @@
         self.wanted_requests = 0  # units that it would take if it could
         self.member: Member | None = None
         self.newest_versions: dict[str, int] = {}  # of all its lives, the newest versions that it acted on
-        self.checked_history, self.checked_versions = (0, -1), (0, -1)  # the life and index that were checked last
+        self.checked_history, self.checked_versions = (
+            (0, -1),
+            (0, -1),
+        )  # the life and index that were checked last
 
     def local_time(self) -> int:
         return self.clock_offset + int(self.cluster.events.now * self.clock_rate)
@@ -109,8 +112,10 @@
         if not self.running or self.member is None:
             return
         if fleet.events.now < self.paused_until:
-            fleet.events.schedule(self.paused_until - fleet.events.now,
-                             lambda: self.deliver(call) if life == self.generation else None)
+            fleet.events.schedule(
+                self.paused_until - fleet.events.now,
+                lambda: self.deliver(call) if life == self.generation else None,
+            )
             return
         before = self._decision_state()
         call(self.member, self.local_time())
@@ -124,7 +129,11 @@
     def _decision_state(self) -> tuple[int, int, bool]:
         member = self.member
         assert member is not None
-        return member.last_applied, member.lease_expires_at, isinstance(member, Voter) and member.raft.role == LEADER
+        return (
+            member.last_applied,
+            member.lease_expires_at,
+            isinstance(member, Voter) and member.raft.role == LEADER,
+        )
 
     def flush_ready(self) -> None:
         assert isinstance(self.member, Voter | Follower)
@@ -136,7 +145,9 @@
         if isinstance(self.member, Voter) and batch.must_sync():
             self.writing = True
             life = self.generation
-            self.cluster.events.schedule(self.cluster.disk_delay(self.name), lambda: self._written(life, batch))
+            self.cluster.events.schedule(
+                self.cluster.disk_delay(self.name), lambda: self._written(life, batch)
+            )
             if not self.cluster.sends_before_write:
                 return
         self._send_messages(batch)
@@ -160,7 +171,7 @@
         if batch.whole:
             stored.kept, stored.entries = batch.whole, []
         if batch.entries:
-            del stored.entries[batch.first - stored.kept.index - 1:]
+            del stored.entries[batch.first - stored.kept.index - 1 :]
             stored.entries += batch.entries
 
     def _send_messages(self, batch: Ready) -> None:
@@ -182,14 +193,18 @@
 
     sends_before_write = forgets_votes = False  # faults that tests plant
 
-    def __init__(self, case: ClusterCase, voter: type[Voter] = Voter, follower: type[Follower] = Follower) -> None:
+    def __init__(
+        self, case: ClusterCase, voter: type[Voter] = Voter, follower: type[Follower] = Follower
+    ) -> None:
         self.cluster_case, self.events, self.rng = case, EventQueue(), Random(case.seed)
         self.member_types = voter, follower
         self.timing = Timing(case.staleness_bound)
         self.voters = [f"v{n}" for n in range(case.voter_count)]
         names = self.voters + [f"f{n}" for n in range(case.follower_count)]
-        self.processes = {name: SimulatedProcess(self, name, 1 + self.rng.uniform(-case.clock_drift, case.clock_drift))
-                          for name in names}
+        self.processes = {
+            name: SimulatedProcess(self, name, 1 + self.rng.uniform(-case.clock_drift, case.clock_drift))
+            for name in names
+        }
         self.violations: list[str] = []
         self.message_counts: dict[str, list[int]] = {}  # by sender: how many, bytes
         self.first_applied_at: dict[int, int] = {}  # by index: when somebody first acted on it
@@ -199,7 +214,9 @@
         self.highest_applied, self.longest_contradiction = 0, 0
         self.outcomes: dict[str, ProposalResponse] = {}
         self.publish_attempts: dict[str, tuple[int, int]] = {}  # by call: when, and how often
-        self.lease_views: dict[str, tuple[int, int]] = {}  # what each acted on at the last look, and until when
+        self.lease_views: dict[
+            str, tuple[int, int]
+        ] = {}  # what each acted on at the last look, and until when
         self.call_count = 0
 
     # --- the world ---
@@ -209,9 +226,21 @@
         seed = self.rng.randrange(1 << 62)
         now, life = process.local_time(), self.rng.randrange(1 << 40)
         if process.name in self.voters:
-            stored = msgspec.msgpack.decode(msgspec.msgpack.encode(process.persistent_state), type=PersistentState)
-            return voter(process.name, stored, {v: "" for v in self.voters}, self.timing, now, seed, life,
-                         process.storage_id, lambda doc, text: "", settings_document("safe"))
+            stored = msgspec.msgpack.decode(
+                msgspec.msgpack.encode(process.persistent_state), type=PersistentState
+            )
+            return voter(
+                process.name,
+                stored,
+                {v: "" for v in self.voters},
+                self.timing,
+                now,
+                seed,
+                life,
+                process.storage_id,
+                lambda doc, text: "",
+                settings_document("safe"),
+            )
         return follower(process.name, self.voters, self.timing, now, seed, life)
 
     def disk_delay(self, name: str) -> int:
@@ -228,8 +257,11 @@
         tally[0] += 1
         tally[1] += len(msgspec.msgpack.encode(message)) + 4
         for trouble in self._active_faults("loss"):
-            if trouble.process in ("", sender.name) and trouble.receiver in ("", to) \
-                    and self.rng.random() < trouble.magnitude:
+            if (
+                trouble.process in ("", sender.name)
+                and trouble.receiver in ("", to)
+                and self.rng.random() < trouble.magnitude
+            ):
                 return
         wait = self.cluster_case.network_delay + self.rng.randrange(self.cluster_case.network_delay + 1)
         for trouble in self._active_faults("delay"):
@@ -243,8 +275,12 @@
 
     def _message_arrived(self, sender: str, to: str, message: Message) -> None:
         process, folder = self.processes.get(to), self.processes[sender].storage_id
-        if process and isinstance(process.member, Voter) and sender in self.voters \
-                and process.member.admission_error(sender, folder):
+        if (
+            process
+            and isinstance(process.member, Voter)
+            and sender in self.voters
+            and process.member.admission_error(sender, folder)
+        ):
             return
         if process:
             process.deliver(lambda member, now: member.receive(now, sender, message))  # type: ignore[attr-defined]
@@ -255,7 +291,9 @@
         for trouble in self.cluster_case.faults:
             if trouble.kind in ("kill", "wipe"):
                 process = self.processes[trouble.process]
-                self.events.schedule(trouble.begin, process.kill if trouble.kind == "kill" else process.kill_and_wipe)
+                self.events.schedule(
+                    trouble.begin, process.kill if trouble.kind == "kill" else process.kill_and_wipe
+                )
                 self.events.schedule(trouble.end, self.processes[trouble.process].start)
             elif trouble.kind == "pause":
                 self.events.schedule(trouble.begin, lambda t=trouble: self._pause(t))  # type: ignore[misc]
@@ -273,9 +311,16 @@
     # --- operators and units ---
 
     def _publish_at_random(self) -> None:
-        self.events.schedule(int(self.rng.expovariate(1 / self.cluster_case.publish_every) * 10_000) + 1, self._publish_at_random)
+        self.events.schedule(
+            int(self.rng.expovariate(1 / self.cluster_case.publish_every) * 10_000) + 1,
+            self._publish_at_random,
+        )
         process = self.rng.choice(list(self.processes.values()))
-        if process.member is None or not process.running or self.events.now > self.cluster_case.publish_until * 10_000:
+        if (
+            process.member is None
+            or not process.running
+            or self.events.now > self.cluster_case.publish_until * 10_000
+        ):
             return
         self.call_count += 1
         call = f"c{self.call_count}"
@@ -300,8 +345,7 @@
     def _submit_publish(self, name: str, call: str, data: dict[str, Any]) -> None:
         when, often = self.publish_attempts.get(call, (self.events.now, 0))
         self.publish_attempts[call] = when, often + 1
-        self.processes[name].deliver(
-            lambda member, now: member.propose(now, call, "publish", data))  # type: ignore[attr-defined]
+        self.processes[name].deliver(lambda member, now: member.propose(now, call, "publish", data))  # type: ignore[attr-defined]
 
     def publish_answered(self, told: ProposalResponse) -> None:
         before = self.outcomes.get(told.proposal_id)
@@ -325,7 +369,14 @@
 
     def allocation_count(self) -> int:
         """How many deals there were."""
-        return max((p.member.documents.document(QUOTAS).latest_number() for p in self.processes.values() if p.member), default=0)
+        return max(
+            (
+                p.member.documents.document(QUOTAS).latest_number()
+                for p in self.processes.values()
+                if p.member
+            ),
+            default=0,
+        )
 
     def _generate_load(self) -> None:
         """Each takes what its share lets it, under the rules it acts on."""
@@ -333,11 +384,17 @@
         now = self.events.now
         for process in self.processes.values():
             process.request_ends = [end for end in process.request_ends if end > now]
-            if not process.running or now < process.paused_until or process.member is None \
-                    or not process.member.has_lease(process.local_time()):
+            if (
+                not process.running
+                or now < process.paused_until
+                or process.member is None
+                or not process.member.has_lease(process.local_time())
+            ):
                 continue
             part = self.quota_of(process)
-            process.wanted_requests = self.rng.randrange(TOTAL_QUOTA) if self.rng.random() < 0.01 else process.wanted_requests
+            process.wanted_requests = (
+                self.rng.randrange(TOTAL_QUOTA) if self.rng.random() < 0.01 else process.wanted_requests
+            )
             if part is not None and len(process.request_ends) < part:
                 process.request_ends.append(now + self.rng.randrange(500, REQUEST_DEADLINE))
         if all(self._quota_in_effect(p) for p in self.processes.values() if p.running):
@@ -369,9 +426,14 @@
             if process.checked_history != (process.generation, member.last_applied):
                 process.checked_history = process.generation, member.last_applied
                 self._check_history(name, member)
-            if isinstance(member, Voter) and member.raft.role == LEADER \
-                    and self.leaders_by_term.setdefault(member.raft.term, name) != name:
-                self._report_violation(f"{name} and {self.leaders_by_term[member.raft.term]} lead in term {member.raft.term}")
+            if (
+                isinstance(member, Voter)
+                and member.raft.role == LEADER
+                and self.leaders_by_term.setdefault(member.raft.term, name) != name
+            ):
+                self._report_violation(
+                    f"{name} and {self.leaders_by_term[member.raft.term]} lead in term {member.raft.term}"
+                )
             if member.has_lease(process.local_time()):
                 left = int((member.lease_expires_at - process.local_time()) / process.clock_rate)
                 held[name] = member.last_applied, now + left
@@ -409,14 +471,19 @@
             process.newest_versions[doc] = counts
 
     def _check_final_state(self) -> None:
-        newest = max((p.member for p in self.processes.values() if p.member), key=lambda m: m.last_applied,
-                     default=None)
+        newest = max(
+            (p.member for p in self.processes.values() if p.member),
+            key=lambda m: m.last_applied,
+            default=None,
+        )
         if newest is None:
             return
         calls = newest.documents.replicated.outcomes
         for call, told in self.outcomes.items():
             made = calls.get(call)
-            if told.accepted and (made is None or (made.version_number, made.log_index) != (told.version_number, told.log_index)):
+            if told.accepted and (
+                made is None or (made.version_number, made.log_index) != (told.version_number, told.log_index)
+            ):
                 self._report_violation(f"{call} was confirmed as {told.version_number} and is lost")
             if not told.accepted and told.version_number and made and made.accepted:
                 self._report_violation(f"{call} was refused and took effect")
@@ -427,16 +494,23 @@
     return {"service-grades": [grade], "allowed": {"most-dispatches": 3}}
 
 
-def random_scenario(seed: int, voter_count: int = 3, follower_count: int = 2, seconds: float = 12.0,
-             allocates_quotas: bool = False, publishes_limits: bool = False) -> ClusterCase:
+def random_scenario(
+    seed: int,
+    voter_count: int = 3,
+    follower_count: int = 2,
+    seconds: float = 12.0,
+    allocates_quotas: bool = False,
+    publishes_limits: bool = False,
+) -> ClusterCase:
     """A case with troubles drawn by the seed, the last two seconds without."""
     luck = Random(f"schedule {seed}")
     names = [f"v{n}" for n in range(voter_count)] + [f"f{n}" for n in range(follower_count)]
     troubles = []
     end = int((seconds - 2) * 10_000)
     for _ in range(luck.randrange(2, 9)):
-        kind = luck.choice(("loss", "loss", "cut", "cut", "delay", "double", "pause", "pause", "kill", "kill",
-                            "disk", "all"))
+        kind = luck.choice(
+            ("loss", "loss", "cut", "cut", "delay", "double", "pause", "pause", "kill", "kill", "disk", "all")
+        )
         begin = luck.randrange(5000, end)
         until = min(begin + luck.choice((20, 300, 1000, 5000, 15_000, 30_000)), end + 1)
         at, to = luck.choice(names), luck.choice(names)
@@ -451,21 +525,36 @@
         elif kind == "double":
             troubles.append(ClusterFault(kind, begin, until, magnitude=0.3))
         elif kind == "all":
-            troubles += [ClusterFault("kill", begin, until + luck.randrange(3000), name)
-                         for name in names[:voter_count]]
+            troubles += [
+                ClusterFault("kill", begin, until + luck.randrange(3000), name)
+                for name in names[:voter_count]
+            ]
         elif kind == "disk":
             troubles.append(ClusterFault(kind, begin, until, luck.choice(names[:voter_count])))
         else:
             troubles.append(ClusterFault(kind, begin, until, at))
-    return ClusterCase(voter_count, follower_count, seconds, seed, faults=_without_overlapping_kills(troubles), allocates_quotas=allocates_quotas, publishes_limits=publishes_limits)
+    return ClusterCase(
+        voter_count,
+        follower_count,
+        seconds,
+        seed,
+        faults=_without_overlapping_kills(troubles),
+        allocates_quotas=allocates_quotas,
+        publishes_limits=publishes_limits,
+    )
 
 
 def _without_overlapping_kills(troubles: Sequence[ClusterFault]) -> tuple[ClusterFault, ...]:
     """One that is dead is not killed again."""
     kept: list[ClusterFault] = []
     for trouble in troubles:
-        if trouble.kind == "kill" and any(t.kind == "kill" and t.process == trouble.process and t.begin <= trouble.end
-                                          and trouble.begin <= t.end for t in kept):
+        if trouble.kind == "kill" and any(
+            t.kind == "kill"
+            and t.process == trouble.process
+            and t.begin <= trouble.end
+            and trouble.begin <= t.end
+            for t in kept
+        ):
             continue
         kept.append(trouble)
     return tuple(kept)
--- a/crankfold/simulation/experiment.py
+++ b/crankfold/simulation/experiment.py
@@ -98,8 +98,10 @@
             raise PlanError(f"{path}: case {case.name!r}: {wrong}") from None
         for fault in day.faults:
             if not fault.at < fault.until <= day.seconds:
-                raise PlanError(f"{path}: case {case.name!r}: {fault.kind} from {fault.at} to {fault.until}; "
-                            f"allowed within a day of {day.seconds}, the end after the start")
+                raise PlanError(
+                    f"{path}: case {case.name!r}: {fault.kind} from {fault.at} to {fault.until}; "
+                    f"allowed within a day of {day.seconds}, the end after the start"
+                )
         if case.name in scenarios:
             raise PlanError(f"{path}: case {case.name!r} is there twice")
         scenarios[case.name] = make_scenario(day)
@@ -107,13 +109,23 @@
 
 
 def make_scenario(day: DaySpecification) -> Scenario:
-    faults = tuple(Fault(**{field.name: getattr(given, field.name) for field in fields(Fault)})
-                   for given in day.faults)
+    faults = tuple(
+        Fault(**{field.name: getattr(given, field.name) for field in fields(Fault)}) for given in day.faults
+    )
     return Scenario(
-        dispatcher_count=day.dispatchers, backend_count=day.runners, slots_per_backend=day.slots, seconds=day.seconds,
-        arrival_rate=day.load * day.runners * day.slots / day.work / day.dispatchers, mean_service_time=int(day.work * TICKS_PER_SECOND),
-        report_interval=int(day.report_every * TICKS_PER_SECOND), discovery_delay=int(day.list_late * TICKS_PER_SECOND),
-        network_delay=int(day.way * TICKS_PER_SECOND), cross_zone_delay=int(day.cross * TICKS_PER_SECOND), client_retries=day.retries, faults=faults)
+        dispatcher_count=day.dispatchers,
+        backend_count=day.runners,
+        slots_per_backend=day.slots,
+        seconds=day.seconds,
+        arrival_rate=day.load * day.runners * day.slots / day.work / day.dispatchers,
+        mean_service_time=int(day.work * TICKS_PER_SECOND),
+        report_interval=int(day.report_every * TICKS_PER_SECOND),
+        discovery_delay=int(day.list_late * TICKS_PER_SECOND),
+        network_delay=int(day.way * TICKS_PER_SECOND),
+        cross_zone_delay=int(day.cross * TICKS_PER_SECOND),
+        client_retries=day.retries,
+        faults=faults,
+    )
 
 
 def _simulate_one(told: tuple[str, str, Scenario, int]) -> tuple[str, DayResult]:
@@ -121,10 +133,16 @@
     return case, simulate_day(policy, scenario, replace(DEFAULT_CONFIG, cancellation_allowed=False), seed)
 
 
-def run_experiment(file: ExperimentPlan, scenarios: dict[str, Scenario], workers: int) -> list[tuple[str, DayResult]]:
+def run_experiment(
+    file: ExperimentPlan, scenarios: dict[str, Scenario], workers: int
+) -> list[tuple[str, DayResult]]:
     """All rows in the file's order, whoever played them."""
-    all_of_it = [(case, policy, scenario, seed) for case, scenario in scenarios.items()
-                 for policy in dict.fromkeys(file.policies) for seed in range(1, file.seeds + 1)]
+    all_of_it = [
+        (case, policy, scenario, seed)
+        for case, scenario in scenarios.items()
+        for policy in dict.fromkeys(file.policies)
+        for seed in range(1, file.seeds + 1)
+    ]
     if workers <= 1:
         return [_simulate_one(one) for one in all_of_it]
     with ProcessPoolExecutor(workers) as pool:
@@ -139,13 +157,17 @@
     with path.open("w", newline="") as out:
         writer = csv.writer(out, lineterminator="\n")
         writer.writerow(["case", "policy", "seed", "units", "in_time", "rules_broken"])
-        writer.writerows([case, row.policy, row.seed, row.request_count, f"{row.on_time_share:.6f}", row.violation_count]
-                         for case, row in rows)
+        writer.writerows(
+            [case, row.policy, row.seed, row.request_count, f"{row.on_time_share:.6f}", row.violation_count]
+            for case, row in rows
+        )
 
 
 def summarize(file: ExperimentPlan, rows: Sequence[tuple[str, DayResult]]) -> list[str]:
-    lines = [f"{file.title or file.name}: share of units in time, mean of {file.seeds} seeds; "
-             f"crankfold less the other with 95% interval; made by crankfold {__version__}"]
+    lines = [
+        f"{file.title or file.name}: share of units in time, mean of {file.seeds} seeds; "
+        f"crankfold less the other with 95% interval; made by crankfold {__version__}"
+    ]
     for case in file.case:
         ours = on_time_shares(rows, case.name, PRODUCT)
         lines.append(f"{case.name}: {PRODUCT} {sum(ours) / len(ours):.3f}")
@@ -153,8 +175,10 @@
             if policy != PRODUCT:
                 theirs = on_time_shares(rows, case.name, policy)
                 mean, low, high = confidence_interval(ours, theirs)
-                lines.append(f"  {policy} {sum(theirs) / len(theirs):.3f}; {mean:+.3f} "
-                             f"({low:+.3f} to {high:+.3f}): {verdict(low, high)}")
+                lines.append(
+                    f"  {policy} {sum(theirs) / len(theirs):.3f}; {mean:+.3f} "
+                    f"({low:+.3f} to {high:+.3f}): {verdict(low, high)}"
+                )
     broken = sum(row.violation_count for _, row in rows if row.policy == PRODUCT)
     return [*lines, f"rules broken by {PRODUCT}: {broken}"]
 
@@ -162,19 +186,27 @@
 def write_chart(file: ExperimentPlan, rows: Sequence[tuple[str, DayResult]], path: Path) -> None:
     """A panel for each group of cases, a line for each policy; the same bytes each time."""
     import matplotlib
+
     matplotlib.use("svg")
     matplotlib.rcParams["svg.hashsalt"] = file.name
     from matplotlib import pyplot
 
     groups = list(dict.fromkeys(case.group for case in file.case))
-    figure, panels = pyplot.subplots(1, len(groups), sharey=True, squeeze=False,
-                                     figsize=(3.2 * len(groups) + 1, 3.4))
+    figure, panels = pyplot.subplots(
+        1, len(groups), sharey=True, squeeze=False, figsize=(3.2 * len(groups) + 1, 3.4)
+    )
     for panel, group in zip(panels[0], groups, strict=True):
         cases = [case for case in file.case if case.group == group]
         for policy in dict.fromkeys(file.policies):
             means = [sum(one := on_time_shares(rows, case.name, policy)) / len(one) for case in cases]
-            panel.plot([str(f"{case.at:g}") for case in cases], means, marker="o", markersize=3,
-                       linewidth=2.0 if policy == PRODUCT else 0.9, label=policy)
+            panel.plot(
+                [str(f"{case.at:g}") for case in cases],
+                means,
+                marker="o",
+                markersize=3,
+                linewidth=2.0 if policy == PRODUCT else 0.9,
+                label=policy,
+            )
         panel.set_title(group, fontsize=9)
         panel.set_xlabel(file.across, fontsize=8)
         panel.tick_params(labelsize=7)
--- a/crankfold/simulation/fleet.py
+++ b/crankfold/simulation/fleet.py
@@ -75,20 +75,33 @@
 
     def refresh_report(self) -> None:
         if not self.reports_frozen:
-            self.report = (float(len(self.queue)), float(self.fleet.scenario.slots_per_backend - self.busy_slots))
+            self.report = (
+                float(len(self.queue)),
+                float(self.fleet.scenario.slots_per_backend - self.busy_slots),
+            )
         self.fleet.events.schedule(self.fleet.scenario.report_interval, self.refresh_report)
 
     def receive(self, job: SimulatedAttempt) -> None:
         world, warmth = self.fleet, self.slow_start_factor()
         if warmth < 1.0:
-            world.invariants.warming_backend_reached(world.events.now, job.dispatcher.index, job.request_id, self.index, job.service_time,
-                                warmth * world.scenario.slots_per_backend, world.scenario.mean_service_time)
+            world.invariants.warming_backend_reached(
+                world.events.now,
+                job.dispatcher.index,
+                job.request_id,
+                self.index,
+                job.service_time,
+                warmth * world.scenario.slots_per_backend,
+                world.scenario.mean_service_time,
+            )
         if self.state == EndpointState.REMOVED or self.dead:
             job.dispatcher.backend_answered(job, self.index, Outcome.UNREACHABLE, ())
         elif self.hangs:
             pass
         elif self.error_rate and self.rng.random() < self.error_rate:
-            world.events.schedule(ERROR_DELAY, partial(job.dispatcher.backend_answered, job, self.index, Outcome.ERROR, self.report))
+            world.events.schedule(
+                ERROR_DELAY,
+                partial(job.dispatcher.backend_answered, job, self.index, Outcome.ERROR, self.report),
+            )
         elif len(self.queue) >= world.scenario.queue_capacity:
             job.dispatcher.backend_answered(job, self.index, Outcome.OVERLOADED, self.report)
         else:
@@ -136,13 +149,25 @@
         self.attempt_counts: dict[int, int] = {}
         self.service_times: dict[int, int] = {}
         self.arrived_at: dict[int, int] = {}
-        self.policy = make(replace(world.config, instance_index=no, zone=no % ZONE_COUNT,
-                                      instance_count=world.scenario.dispatcher_count),
-                              world.scenario.seed * 1000 + no, self)
+        self.policy = make(
+            replace(
+                world.config,
+                instance_index=no,
+                zone=no % ZONE_COUNT,
+                instance_count=world.scenario.dispatcher_count,
+            ),
+            world.scenario.seed * 1000 + no,
+            self,
+        )
 
     def receive_request(self, unit: int, work: int, came: int, tries: int) -> None:
         now = self.events.now
-        self.service_times[unit], self.attempt_counts[unit], self.arrived_at[unit], self.client_retries[unit] = work, 0, came, tries
+        (
+            self.service_times[unit],
+            self.attempt_counts[unit],
+            self.arrived_at[unit],
+            self.client_retries[unit],
+        ) = work, 0, came, tries
         cutoff = came + self.fleet.config.request_classes[0].deadline
         self.fleet.invariants.request_received(now, self.index, unit, 0, cutoff)
         self._notify(self.policy.request_received, unit, 0, 0, cutoff, work, 1.0)
@@ -158,7 +183,11 @@
 
     def network_delay(self, runner: int) -> int:
         here = runner % ZONE_COUNT == self.index % ZONE_COUNT
-        return self.fleet.scenario.network_delay if here else max(self.fleet.scenario.cross_zone_delay, self.fleet.scenario.network_delay)
+        return (
+            self.fleet.scenario.network_delay
+            if here
+            else max(self.fleet.scenario.cross_zone_delay, self.fleet.scenario.network_delay)
+        )
 
     def send_attempt(self, unit: int, runner: int, limit: int) -> None:
         self.fleet.invariants.attempt_sent(self.events.now, self.index, unit, runner)
@@ -178,8 +207,16 @@
     def shed(self, unit: int, advice: int) -> None:
         self.fleet.invariants.request_answered(self.events.now, self.index, unit, "shed")
         if self.client_retries[unit] < self.fleet.scenario.client_retries:
-            self.events.schedule(self.fleet.scenario.retry_delay, partial(
-                self.fleet.submit_request, self.index, self.service_times[unit], self.arrived_at[unit], self.client_retries[unit] + 1))
+            self.events.schedule(
+                self.fleet.scenario.retry_delay,
+                partial(
+                    self.fleet.submit_request,
+                    self.index,
+                    self.service_times[unit],
+                    self.arrived_at[unit],
+                    self.client_retries[unit] + 1,
+                ),
+            )
 
     def fail_request(self, unit: int) -> None:
         self.fleet.invariants.request_answered(self.events.now, self.index, unit, "given up")
@@ -195,34 +232,51 @@
             it = self.fleet.backends[runner]
             well = not it.dead and not it.hangs and it.state != EndpointState.REMOVED
             self._notify(self.policy.probe_ended, runner, well, it.report if well else ())
+
         self.events.schedule(2 * self.network_delay(runner), answered)
 
     def poll_endpoints(self) -> None:
-        self.events.schedule(self.fleet.scenario.network_delay, lambda: self.update_endpoints(range(len(self.fleet.backends)), True))
+        self.events.schedule(
+            self.fleet.scenario.network_delay,
+            lambda: self.update_endpoints(range(len(self.fleet.backends)), True),
+        )
 
     def update_endpoints(self, runners: Sequence[int], whole: bool) -> None:
         now, entries = self.events.now, []
         for r in runners:
             it = self.fleet.backends[r]
             mark = r / len(self.fleet.backends)
-            entries.append(Endpoint(r, it.state, 1.0, r % ZONE_COUNT, r % (2 * ZONE_COUNT), it.ready_since, 0, mark))
-            self.fleet.invariants.state_told(max(now, self.stalled_until), self.index, r, it.state, r % ZONE_COUNT,
-                                  r % (2 * ZONE_COUNT))
+            entries.append(
+                Endpoint(r, it.state, 1.0, r % ZONE_COUNT, r % (2 * ZONE_COUNT), it.ready_since, 0, mark)
+            )
+            self.fleet.invariants.state_told(
+                max(now, self.stalled_until), self.index, r, it.state, r % ZONE_COUNT, r % (2 * ZONE_COUNT)
+            )
         self._notify(self.policy.endpoints_changed, entries, whole)
 
     def backend_started(self, job: SimulatedAttempt, runner: int) -> None:
-        self.events.schedule(self.network_delay(runner), lambda: self._notify(
-            self.policy.attempt_started, job.request_id, job.attempt_number, runner))
-
-    def backend_answered(self, job: SimulatedAttempt, runner: int, outcome: Outcome, report: Sequence[float]) -> None:
-        self.events.schedule(self.network_delay(runner), partial(self._attempt_ended, job, runner, outcome, report))
-
-    def _attempt_ended(self, job: SimulatedAttempt, runner: int, outcome: Outcome, report: Sequence[float]) -> None:
+        self.events.schedule(
+            self.network_delay(runner),
+            lambda: self._notify(self.policy.attempt_started, job.request_id, job.attempt_number, runner),
+        )
+
+    def backend_answered(
+        self, job: SimulatedAttempt, runner: int, outcome: Outcome, report: Sequence[float]
+    ) -> None:
+        self.events.schedule(
+            self.network_delay(runner), partial(self._attempt_ended, job, runner, outcome, report)
+        )
+
+    def _attempt_ended(
+        self, job: SimulatedAttempt, runner: int, outcome: Outcome, report: Sequence[float]
+    ) -> None:
         now, record = self.events.now, self.fleet.invariants.requests[self.index, job.request_id]
         if not self.alive:
             return
         if now < self.stalled_until:
-            self.events.schedule(self.stalled_until - now, partial(self._attempt_ended, job, runner, outcome, report))
+            self.events.schedule(
+                self.stalled_until - now, partial(self._attempt_ended, job, runner, outcome, report)
+            )
             return
         if (job.request_id, job.attempt_number) not in self.in_flight:
             return  # nobody waits for it any more
@@ -233,19 +287,35 @@
         if outcome == Outcome.COMPLETED and not record.answer:
             self.fleet.invariants.request_answered(now, self.index, job.request_id, "done")
             grade = self.fleet.config.request_classes[0]
-            self.fleet.on_time_count += now <= self.arrived_at[job.request_id] + grade.latency_objective + int(grade.objective_per_work * job.service_time)
+            self.fleet.on_time_count += now <= self.arrived_at[
+                job.request_id
+            ] + grade.latency_objective + int(grade.objective_per_work * job.service_time)
         self.policy.attempt_ended(now, job.request_id, job.attempt_number, runner, outcome, last, report)
 
 
 class SimulatedFleet:
-    def __init__(self, scenario: Scenario, orders: RoutingConfig, make: PolicyFactory, drain_grace: int = 3_000) -> None:
+    def __init__(
+        self, scenario: Scenario, orders: RoutingConfig, make: PolicyFactory, drain_grace: int = 3_000
+    ) -> None:
         self.scenario, self.config, self.events = scenario, orders, EventQueue()
         self.invariants = InvariantChecker(orders, drain_grace)
         self.request_count = self.on_time_count = 0
         self.events.now = TICKS_PER_SECOND
-        self.policy_factory, self.last_request_id, self.arrival_rate, self.discovery_resumes_at = make, -1, scenario.arrival_rate, 0
-        self.silent_watchers, self.silence_duration = frozenset[int](), 0  # whose watches are silent, and until they see
-        self.departure_rate, self.departure_delay, self.departure_rng = 0.0, 0, Random(f"{scenario.seed} leave")
+        self.policy_factory, self.last_request_id, self.arrival_rate, self.discovery_resumes_at = (
+            make,
+            -1,
+            scenario.arrival_rate,
+            0,
+        )
+        self.silent_watchers, self.silence_duration = (
+            frozenset[int](),
+            0,
+        )  # whose watches are silent, and until they see
+        self.departure_rate, self.departure_delay, self.departure_rng = (
+            0.0,
+            0,
+            Random(f"{scenario.seed} leave"),
+        )
         self.backends = [SimulatedBackend(self, r) for r in range(scenario.backend_count)]
         self.dispatchers = [SimulatedDispatcher(self, no, make) for no in range(scenario.dispatcher_count)]
         for r in self.backends:
@@ -263,39 +333,55 @@
             post = self.dispatchers[(no + step) % len(self.dispatchers)]
             if post.alive:
                 if step and not tries:
-                    self.events.schedule(FAILOVER_DELAY, partial(self.submit_request, post.index, work, came, tries + 1))
+                    self.events.schedule(
+                        FAILOVER_DELAY, partial(self.submit_request, post.index, work, came, tries + 1)
+                    )
                     return
                 self.last_request_id += 1
                 post.receive_request(self.last_request_id, work, came, tries)
                 if self.departure_rate and self.departure_rng.random() < self.departure_rate:
-                    self.events.schedule(self.departure_delay, partial(post.disconnect_client, self.last_request_id))
+                    self.events.schedule(
+                        self.departure_delay, partial(post.disconnect_client, self.last_request_id)
+                    )
                 return
 
     def _schedule_arrival(self, no: int, luck: Random) -> None:
         """Open loop: the next arrival does not wait for any answer."""
+
         def come() -> None:
             self.request_count += 1
-            self.submit_request(no, max(int(luck.expovariate(1 / self.scenario.mean_service_time)), 1), self.events.now, 0)
+            self.submit_request(
+                no, max(int(luck.expovariate(1 / self.scenario.mean_service_time)), 1), self.events.now, 0
+            )
             self._schedule_arrival(no, luck)
+
         wait = int(luck.expovariate(self.arrival_rate / TICKS_PER_SECOND))
         if self.events.now + wait < (self.scenario.seconds + 1) * TICKS_PER_SECOND:
             self.events.schedule(wait, come)
 
     def change_state(self, at: int, runner: int, standing: EndpointState, since: int = 0) -> None:
         """A runner drains, goes or comes back cold; lists tell of it later."""
+
         def now() -> None:
             self.backends[runner].state, self.backends[runner].ready_since = standing, since
             late = max(self.scenario.discovery_delay, self.discovery_resumes_at - self.events.now)
             self.events.schedule(late, partial(self._change_discovered, runner, standing))
             for no in range(len(self.dispatchers)):
-                self.events.schedule(late + self.silence_duration * (no in self.silent_watchers), partial(self._send_update, no, runner))
+                self.events.schedule(
+                    late + self.silence_duration * (no in self.silent_watchers),
+                    partial(self._send_update, no, runner),
+                )
+
         self.events.schedule(at - self.events.now, now)
 
     def _change_discovered(self, runner: int, standing: EndpointState) -> None:
         change = self.invariants.change_discovered(runner)
         then = self.events.now + PROPAGATION_LIMIT
         for no in range(len(self.dispatchers)):
-            self.events.schedule(PROPAGATION_LIMIT, partial(self.invariants.propagation_expired, then, no, runner, standing, change))
+            self.events.schedule(
+                PROPAGATION_LIMIT,
+                partial(self.invariants.propagation_expired, then, no, runner, standing, change),
+            )
 
     def _send_update(self, no: int, runner: int) -> None:
         if self.dispatchers[no].alive:
@@ -314,7 +400,12 @@
                 at = start + (end - start) * place // len(whom)
                 self.change_state(at, r, EndpointState.DRAINING)
                 self.change_state(at + TICKS_PER_SECOND, r, EndpointState.REMOVED)
-                self.change_state(at + 3 * TICKS_PER_SECOND // 2, r, EndpointState.READY, since=at + 3 * TICKS_PER_SECOND // 2)
+                self.change_state(
+                    at + 3 * TICKS_PER_SECOND // 2,
+                    r,
+                    EndpointState.READY,
+                    since=at + 3 * TICKS_PER_SECOND // 2,
+                )
             return
         if fault.kind == FaultKind.ZONE_LOSS:
             for r in whom:
@@ -322,7 +413,11 @@
                 self.events.schedule(start - self.events.now, self.backends[r].terminate)
                 self.change_state(end, r, EndpointState.READY, since=end)
             return
-        if fault.kind in (FaultKind.DISPATCHERS_KILLED, FaultKind.DISPATCHERS_STALLED, FaultKind.SILENT_WATCH):
+        if fault.kind in (
+            FaultKind.DISPATCHERS_KILLED,
+            FaultKind.DISPATCHERS_STALLED,
+            FaultKind.SILENT_WATCH,
+        ):
             whom = affected_indices(fault, self.scenario.seed, len(self.dispatchers))
         for on, at in ((True, start), (False, end)):
             self.events.schedule(at - self.events.now, partial(self._switch_fault, fault, on, whom, end))
@@ -332,9 +427,15 @@
         if kind == FaultKind.BURST:
             self.arrival_rate = self.scenario.arrival_rate * (fault.factor if on else 1.0)
         elif kind == FaultKind.SILENT_WATCH:
-            self.silent_watchers, self.silence_duration = frozenset(whom if on else ()), int(fault.factor * TICKS_PER_SECOND)
+            self.silent_watchers, self.silence_duration = (
+                frozenset(whom if on else ()),
+                int(fault.factor * TICKS_PER_SECOND),
+            )
         elif kind == FaultKind.CLIENTS_LEAVE:
-            self.departure_rate, self.departure_delay = (fault.share if on else 0.0), int(fault.factor * TICKS_PER_SECOND / 10)
+            self.departure_rate, self.departure_delay = (
+                (fault.share if on else 0.0),
+                int(fault.factor * TICKS_PER_SECOND / 10),
+            )
         elif kind == FaultKind.DISCOVERY_DOWN:
             self.discovery_resumes_at = end if on else 0
         elif kind == FaultKind.DISPATCHERS_KILLED:
@@ -365,5 +466,9 @@
                     it.reports_frozen = on
 
     def run(self) -> None:
-        self.events.run((self.scenario.seconds + 1) * TICKS_PER_SECOND + self.config.request_classes[0].deadline + TICKS_PER_SECOND)
+        self.events.run(
+            (self.scenario.seconds + 1) * TICKS_PER_SECOND
+            + self.config.request_classes[0].deadline
+            + TICKS_PER_SECOND
+        )
         self.invariants.finish(self.events.now)
--- a/crankfold/simulation/invariants.py
+++ b/crankfold/simulation/invariants.py
@@ -40,14 +40,18 @@
         self.violations: list[str] = []
 
     def _report_violation(self, now: int, rule: int, what: str, record: RequestRecord) -> None:
-        self.violations.append(f"rule {rule} at {now / 10:.1f} ms: unit {record.request_id} of dispatcher "
-                           f"{record.dispatcher} {what}; before: {'; '.join(record.history)}")
+        self.violations.append(
+            f"rule {rule} at {now / 10:.1f} ms: unit {record.request_id} of dispatcher "
+            f"{record.dispatcher} {what}; before: {'; '.join(record.history)}"
+        )
 
     def request_received(self, now: int, dispatcher: int, unit: int, grade: int, cutoff: int) -> None:
         record = self.requests[dispatcher, unit] = RequestRecord(dispatcher, unit, grade, cutoff)
         record.history.append(f"{now / 10:.1f} taken")
 
-    def state_told(self, now: int, dispatcher: int, runner: int, standing: EndpointState, zone: int, cell: int) -> None:
+    def state_told(
+        self, now: int, dispatcher: int, runner: int, standing: EndpointState, zone: int, cell: int
+    ) -> None:
         self.zone_of[runner], self.cell_of[runner] = zone, cell
         if standing == EndpointState.READY:
             self.excluded_since.pop((dispatcher, runner), None)
@@ -59,7 +63,9 @@
         self.change_counts[runner] = self.change_counts.get(runner, 0) + 1
         return self.change_counts[runner]
 
-    def propagation_expired(self, now: int, dispatcher: int, runner: int, standing: EndpointState, change: int) -> None:
+    def propagation_expired(
+        self, now: int, dispatcher: int, runner: int, standing: EndpointState, change: int
+    ) -> None:
         """Its time to be told is over, whether or not it was. News that came since goes before it."""
         if self.change_counts[runner] == change and standing != EndpointState.READY:
             self.excluded_since.setdefault((dispatcher, runner), now)
@@ -74,21 +80,36 @@
         record = self.requests[dispatcher, unit]
         if record.disconnected_at:
             if now > record.disconnected_at + DISCONNECT_GRACE:
-                self._report_violation(now, 1, f"was sent to runner {runner} for a client gone since "
-                            f"{record.disconnected_at / 10:.1f}", record)
+                self._report_violation(
+                    now,
+                    1,
+                    f"was sent to runner {runner} for a client gone since {record.disconnected_at / 10:.1f}",
+                    record,
+                )
         elif record.answer:
             self._report_violation(now, 1, f"was sent to runner {runner} after its answer", record)
         since = self.excluded_since.get((dispatcher, runner))
         if since is not None and now > since + self.drain_grace:
-            self._report_violation(now, 3, f"was sent to runner {runner}, known to end since {since / 10:.1f}", record)
+            self._report_violation(
+                now, 3, f"was sent to runner {runner}, known to end since {since / 10:.1f}", record
+            )
         grade = self.config.request_classes[record.request_class]
         for sent_at, other in record.possible_executions:
-            inside = grade.idempotency == Idempotency.IDEMPOTENT_WITH_KEY and now < sent_at + grade.deduplication_window and (
-                grade.deduplication_scope == DeduplicationScope.GLOBAL
-                or grade.deduplication_scope == DeduplicationScope.ZONE and self.zone_of[other] == self.zone_of[runner]
-                or grade.deduplication_scope == DeduplicationScope.CELL and self.cell_of[other] == self.cell_of[runner])
+            inside = (
+                grade.idempotency == Idempotency.IDEMPOTENT_WITH_KEY
+                and now < sent_at + grade.deduplication_window
+                and (
+                    grade.deduplication_scope == DeduplicationScope.GLOBAL
+                    or grade.deduplication_scope == DeduplicationScope.ZONE
+                    and self.zone_of[other] == self.zone_of[runner]
+                    or grade.deduplication_scope == DeduplicationScope.CELL
+                    and self.cell_of[other] == self.cell_of[runner]
+                )
+            )
             if grade.idempotency != Idempotency.IDEMPOTENT and not inside:
-                self._report_violation(now, 2, f"was sent to runner {runner} though it may have run at {other}", record)
+                self._report_violation(
+                    now, 2, f"was sent to runner {runner} though it may have run at {other}", record
+                )
         record.possible_executions.append((now, runner))
         record.history.append(f"{now / 10:.1f} to {runner}")
 
@@ -112,7 +133,9 @@
             self._report_violation(now, 1, f"was answered after its cut-off ({how})", record)
         grade = self.config.request_classes[record.request_class]
         harmless = grade.idempotency == Idempotency.IDEMPOTENT or (
-            grade.idempotency == Idempotency.IDEMPOTENT_WITH_KEY and grade.deduplication_scope == DeduplicationScope.GLOBAL)
+            grade.idempotency == Idempotency.IDEMPOTENT_WITH_KEY
+            and grade.deduplication_scope == DeduplicationScope.GLOBAL
+        )
         if how == "shed" and record.possible_executions and not harmless:
             self._report_violation(now, 2, "was shed though it may have run", record)
         record.answer = how
@@ -125,8 +148,9 @@
                 record.answer = "lost"
                 record.history.append(f"{now / 10:.1f} lost")
 
-    def warming_backend_reached(self, now: int, dispatcher: int, unit: int, runner: int, burden: float,
-                capacity: float, mean: float) -> None:
+    def warming_backend_reached(
+        self, now: int, dispatcher: int, unit: int, runner: int, burden: float, capacity: float, mean: float
+    ) -> None:
         """At a cold runner: work that came within the stated time, against what it can do at this moment, and
         calls against what are allowed of mean work; beyond these only 2 x root of N + 2 are chance. Whoever
         sent them: the sum of all dispatchers counts."""
@@ -135,11 +159,17 @@
         while came[0][0] <= now - self.config.overload_period:
             came.popleft()
         if sum(one for _, one in came) > self.config.overload_factor * capacity * self.config.overload_period:
-            self._report_violation(now, 4, f"pushed the cold runner {runner} over", self.requests[dispatcher, unit])
+            self._report_violation(
+                now, 4, f"pushed the cold runner {runner} over", self.requests[dispatcher, unit]
+            )
         budget = self.config.overload_factor * capacity * self.config.overload_period / mean
         if len(came) > budget + 2 * sqrt(budget) + 2:
-            self._report_violation(now, 4, f"is call {len(came)} at the cold runner {runner}, of {budget:.1f}",
-                        self.requests[dispatcher, unit])
+            self._report_violation(
+                now,
+                4,
+                f"is call {len(came)} at the cold runner {runner}, of {budget:.1f}",
+                self.requests[dispatcher, unit],
+            )
 
     def finish(self, now: int) -> None:
         """At the end: whoever has no answer though the cut-off has passed."""
--- a/crankfold/simulation/maintenance_fleet.py
+++ b/crankfold/simulation/maintenance_fleet.py
@@ -117,7 +117,9 @@
         seen = []
         for box in self.maintenance_fleet.machines.values():
             up, start = box.status_at(at)
-            seen.append(Machine(box.machine_id, box.zone, "k", "", box.size, start, up, up or not box.removed))
+            seen.append(
+                Machine(box.machine_id, box.zone, "k", "", box.size, start, up, up or not box.removed)
+            )
         return [m for m in seen if m.started_at]
 
     def maintenance_report(self) -> MaintenanceReport | None:
@@ -128,9 +130,13 @@
         for _, uid, _ in self.attempts:
             if uid in out:
                 told.in_flight[uid] = told.in_flight.get(uid, 0) + 1
-        told.unresolved = {uid: self.unresolved_requests[uid][-5:] for uid in out if uid in self.unresolved_requests}
+        told.unresolved = {
+            uid: self.unresolved_requests[uid][-5:] for uid in out if uid in self.unresolved_requests
+        }
         told.response_counts = {uid: (seen[0], seen[1]) for uid, seen in self.answer_counts.items()}
-        told.unavailable = [m.machine_id for m in self.listed_machines() if not m.available and m.machine_id not in out]
+        told.unavailable = [
+            m.machine_id for m in self.listed_machines() if not m.available and m.machine_id not in out
+        ]
         return told
 
     def propose_transitions(self, now: int) -> list[dict[str, Any]]:
@@ -143,12 +149,35 @@
         told, holders = member.gather_maintenance(now)
         lives = {name: report.incarnation for name, report in member.voter_reports.items()}
         lives[self.name] = member.incarnation
-        executors = {name: life for name, life in lives.items()
-                     if name == self.name or now < member.granted_until.get(name, 0)}
-        return self.coordinator.propose(FleetView(
-            now, self.maintenance_fleet.events.now // 10, member.documents.document("works").latest_number(), self.jobs(), ledger,
-            self.listed_machines(), (), len(member.raft.voters), "", holders, told.unresolved, told.response_counts, told.unavailable,
-            told.open_requests, told.recent_accepted, told.recent_shed, executors, lives, self.maintenance_fleet.warm_up_ticks, ()))
+        executors = {
+            name: life
+            for name, life in lives.items()
+            if name == self.name or now < member.granted_until.get(name, 0)
+        }
+        return self.coordinator.propose(
+            FleetView(
+                now,
+                self.maintenance_fleet.events.now // 10,
+                member.documents.document("works").latest_number(),
+                self.jobs(),
+                ledger,
+                self.listed_machines(),
+                (),
+                len(member.raft.voters),
+                "",
+                holders,
+                told.unresolved,
+                told.response_counts,
+                told.unavailable,
+                told.open_requests,
+                told.recent_accepted,
+                told.recent_shed,
+                executors,
+                lives,
+                self.maintenance_fleet.warm_up_ticks,
+                (),
+            )
+        )
 
     def run_due_commands(self) -> None:
         """What is due here: commands, and watching those that are back."""
@@ -167,23 +196,41 @@
             return
         self.last_seen_state = key
         for uid, away in self.maintenance_state().machines.items():
-            if away.state == WORK and away.by == self.name and away.life == member.incarnation \
-                    and (uid, away.number) not in self.started_commands:
+            if (
+                away.state == WORK
+                and away.by == self.name
+                and away.life == member.incarnation
+                and (uid, away.number) not in self.started_commands
+            ):
                 self.started_commands.add((uid, away.number))
                 self.maintenance_fleet.run_command(self, uid, away.work, away.number)
 
 
 class MaintenanceFleet(SimulatedCluster):
-    def __init__(self, case: MaintenanceCase, voter: type[Voter] = Voter, follower: type[Follower] = Follower,
-                 foremen: Callable[[str], Coordinator] = Coordinator, warm: int = WARM_UP_TICKS) -> None:
+    def __init__(
+        self,
+        case: MaintenanceCase,
+        voter: type[Voter] = Voter,
+        follower: type[Follower] = Follower,
+        foremen: Callable[[str], Coordinator] = Coordinator,
+        warm: int = WARM_UP_TICKS,
+    ) -> None:
         self.maintenance_case, self.make_coordinator, self.warm_up_ticks = case, foremen, warm
         super().__init__(case.cluster_case, voter, follower)
-        self.processes = {name: SimulatedDispatcher(self, name, process.clock_rate) for name, process in self.processes.items()}
-        self.machines = {f"m{n}": SimulatedMachine(f"m{n}", f"z{n % case.zone_count}", 1.0 + n % 2) for n in range(case.machine_count)}
+        self.processes = {
+            name: SimulatedDispatcher(self, name, process.clock_rate)
+            for name, process in self.processes.items()
+        }
+        self.machines = {
+            f"m{n}": SimulatedMachine(f"m{n}", f"z{n % case.zone_count}", 1.0 + n % 2)
+            for n in range(case.machine_count)
+        }
         for uid in case.unhealthy:
             self.machines[uid].unhealthy = True
         self.request_count = 0
-        self.jobs_of_absent: dict[str, str] = {}  # machines that are out or back and not well yet, by their work
+        self.jobs_of_absent: dict[
+            str, str
+        ] = {}  # machines that are out or back and not well yet, by their work
         self.drained_since: dict[str, int] = {}  # free, and since when: nothing may come there
         self.drain_numbers: dict[str, int] = {}  # under which each was called free last
         self.work_runs: dict[tuple[str, str], list[int]] = {}  # by machine and work, under which numbers
@@ -219,8 +266,14 @@
             return
         process = self.rng.choice(list(self.processes.values()))
         if process.member and process.running:
-            data = {"doc": "works", "made_from": 0, "author": "o", "reason": "r", "at": 0,
-                    "text": {"works": self.maintenance_case.jobs}}
+            data = {
+                "doc": "works",
+                "made_from": 0,
+                "author": "o",
+                "reason": "r",
+                "at": 0,
+                "text": {"works": self.maintenance_case.jobs},
+            }
             self._submit_publish(process.name, "works", data)
         self.events.schedule(8000, self._submit_jobs)
 
@@ -231,8 +284,11 @@
             return
         name = self.rng.choice(sorted(self.processes))
         taken = {"uid": uid, "work": work, "step": step, "by": "o", "life": 0, "number": number, "why": ""}
-        self.processes[name].deliver(lambda member, now: member.propose(  # type: ignore[attr-defined]
-            now, call, "step", {"steps": [taken]}))
+        self.processes[name].deliver(
+            lambda member, now: member.propose(  # type: ignore[attr-defined]
+                now, call, "step", {"steps": [taken]}
+            )
+        )
         self.events.schedule(7000, lambda: self._publish_operator_transition(uid, work, step, number))
 
     def _operators_act(self) -> None:
@@ -279,7 +335,10 @@
             if not process.running or process.member is None or now < process.paused_until:
                 continue
             process.run_due_commands()
-            if not process.member.has_lease(process.local_time()) or self.rng.random() > self.maintenance_case.request_rate:
+            if (
+                not process.member.has_lease(process.local_time())
+                or self.rng.random() > self.maintenance_case.request_rate
+            ):
                 continue
             out = process.maintenance_state().out_of_rotation()
             ready = [m for m in process.listed_machines() if m.available and m.machine_id not in out]
@@ -291,7 +350,10 @@
         self.request_count += 1
         unit = f"{process.name} {self.request_count}"
         if uid in self.drained_since:
-            self._report_violation(f"{unit} came to {uid}, which is free since {self.drained_since[uid] / TICKS_PER_SECOND:.3f} s")
+            self._report_violation(
+                f"{unit} came to {uid}, "
+                f"which is free since {self.drained_since[uid] / TICKS_PER_SECOND:.3f} s"
+            )
         if not box.running_now:
             process.answer_counts.get(uid, [0, 0])[0] += 1
             process.answer_counts.get(uid, [0, 0])[1] += 1
@@ -321,7 +383,9 @@
         self.work_runs.setdefault((uid, work), []).append(number)
         given = self.submitted_jobs[work]
         if len(self.work_runs[uid, work]) > 1 and not given.again:
-            self._report_violation(f"the command of {work} ran again on {uid}, under {self.work_runs[uid, work]}")
+            self._report_violation(
+                f"the command of {work} ran again on {uid}, under {self.work_runs[uid, work]}"
+            )
         if uid in self.running_commands:
             self._report_violation(f"two commands run on {uid}")
         if uid not in self.drained_since:
@@ -339,14 +403,19 @@
 
         self._restart_machine(uid, over)
 
-    def _publish_outcome(self, process: SimulatedDispatcher, life: int, uid: str, work: str, number: int, step: str) -> None:
+    def _publish_outcome(
+        self, process: SimulatedDispatcher, life: int, uid: str, work: str, number: int, step: str
+    ) -> None:
         call = f"{uid} {number}"
         told = self.outcomes.get(call)
         if life != process.generation or told and (told.accepted or told.log_index):
             return
         taken = {"uid": uid, "work": work, "step": step, "number": number, "by": process.name, "why": ""}
-        process.deliver(lambda member, now: member.propose(  # type: ignore[attr-defined]
-            now, call, "step", {"steps": [taken]}))
+        process.deliver(
+            lambda member, now: member.propose(  # type: ignore[attr-defined]
+                now, call, "step", {"steps": [taken]}
+            )
+        )
         self.events.schedule(5000, lambda: self._publish_outcome(process, life, uid, work, number, step))
 
     # --- what must hold ---
@@ -354,8 +423,12 @@
     def check_invariants(self) -> None:
         super().check_invariants()
         for process in self.processes.values():
-            if not process.running or not isinstance(process, SimulatedDispatcher) or process.member is None \
-                    or process.member.last_applied <= self.last_checked_index:
+            if (
+                not process.running
+                or not isinstance(process, SimulatedDispatcher)
+                or process.member is None
+                or process.member.last_applied <= self.last_checked_index
+            ):
                 continue
             for step in process.maintenance_state().transitions:
                 if step.index > self.last_checked_index:
@@ -382,7 +455,11 @@
             self.drained_since.pop(uid, None)
         elif step == WELL:
             start = self.machines[uid].started_at
-            if start > 1 and now < start + WARM_UP_TICKS and self.machines[uid].status_at(now - MAX_LIST_LAG_TICKS)[1] == start:
+            if (
+                start > 1
+                and now < start + WARM_UP_TICKS
+                and self.machines[uid].status_at(now - MAX_LIST_LAG_TICKS)[1] == start
+            ):
                 self._report_violation(f"{uid} is called well {(now - start) / 10:.0f} ms after its start")
         if step in (WELL, UNDONE, GONE):
             self.jobs_of_absent.pop(uid, None)
@@ -391,7 +468,9 @@
         now = self.events.now
         for process in self.processes.values():
             assert isinstance(process, SimulatedDispatcher)
-            held = [unit for until, at, unit in process.attempts if at == uid and until > now and process.running]
+            held = [
+                unit for until, at, unit in process.attempts if at == uid and until > now and process.running
+            ]
             if held:
                 self._report_violation(f"{uid} is called free while {process.name} waits for {held}")
         for until, unit, cut_off in self.machines[uid].running_requests:
@@ -401,13 +480,21 @@
     def _check_bounds(self, uid: str, work: str) -> None:
         """At the moment when one more is out; losses of which lists can't have told yet are excused."""
         now = self.events.now
-        lost = {box.machine_id for box in self.machines.values() if not box.running_now and not box.status_at(now - MAX_LIST_LAG_TICKS - 2000)[0]}
+        lost = {
+            box.machine_id
+            for box in self.machines.values()
+            if not box.running_now and not box.status_at(now - MAX_LIST_LAG_TICKS - 2000)[0]
+        }
         out = (set(self.jobs_of_absent) | lost) - {uid}
         for name, given in self.submitted_jobs.items():
             asked: MaintenanceJob = given.to_job(name)
-            machines = [Machine(b.machine_id, b.zone, "k", "", b.size, b.started_at) for b in self.machines.values()]
+            machines = [
+                Machine(b.machine_id, b.zone, "k", "", b.size, b.started_at) for b in self.machines.values()
+            ]
             mine = [m for m in machines if asked.covers(m)]
-            if name != work and (name not in self.jobs_of_absent.values() or not any(m.machine_id == uid for m in mine)):
+            if name != work and (
+                name not in self.jobs_of_absent.values() or not any(m.machine_id == uid for m in mine)
+            ):
                 continue
             gone = [m for m in mine if m.machine_id in out]
             zone = self.machines[uid].zone
@@ -418,35 +505,66 @@
                 self._report_violation(f"{told}, {given.a_zone} a zone for {name}")
             stays = sum(m.size for m in machines if m.machine_id not in out and m.machine_id != uid)
             if stays < given.stays * sum(m.size for m in machines) - 1e-9:
-                self._report_violation(f"{uid} goes out for {work}, and less than {given.stays} stays for {name}")
+                self._report_violation(
+                    f"{uid} goes out for {work}, and less than {given.stays} stays for {name}"
+                )
 
     def _check_final_state(self) -> None:
         super()._check_final_state()
-        leader = next((p for p in self.processes.values() if isinstance(p, SimulatedDispatcher) and p.running
-                       and isinstance(p.member, Voter) and p.member.is_leader()), None)
+        leader = next(
+            (
+                p
+                for p in self.processes.values()
+                if isinstance(p, SimulatedDispatcher)
+                and p.running
+                and isinstance(p.member, Voter)
+                and p.member.is_leader()
+            ),
+            None,
+        )
         if leader is None or not self.maintenance_case.faults_end_at:
             return
         ledger = leader.maintenance_state()
         for name, given in self.submitted_jobs.items():
             done = ledger.completed.get(name, {})
-            left = [uid for uid in self.machines if uid not in done and given.to_job(name).covers(
-                Machine(uid, self.machines[uid].zone, "k", ""))]
+            left = [
+                uid
+                for uid in self.machines
+                if uid not in done
+                and given.to_job(name).covers(Machine(uid, self.machines[uid].zone, "k", ""))
+            ]
             self.machines_left.append(len(left))
-            told = [why for (uid, work), why in leader.coordinator.wait_reasons.items() if work == name or uid in left]
+            told = [
+                why
+                for (uid, work), why in leader.coordinator.wait_reasons.items()
+                if work == name or uid in left
+            ]
             if left and not told and name not in ledger.halted_jobs:
                 self._report_violation(f"{name} has {left} left and nobody says why")
 
 
 def draw_jobs(luck: Random) -> dict[str, dict[str, Any]]:
-    ways: list[dict[str, Any]] = [{"way": "hand"}, {"way": "list"}, {"way": "command", "command": ["x"]},
-            {"way": "command", "command": ["x"], "again": True}]
-    return {name: {"at-once": luck.choice((1, 2, 3)), "a-zone": luck.choice((0, 1, 2)),
-                   "stays": luck.choice((0.0, 0.5, 0.7)), "takes": luck.choice((2.0, 30.0)),
-                   "watch": 1.0, "least-answers": luck.choice((0, 3)),
-                   "not-back": luck.choice(("hold", "go-on")),
-                   "machines": [f"m{n}" for n in luck.sample(range(9), luck.choice((2, 4)))],
-                   "shares": luck.random() < 0.7, **luck.choice(ways)}
-            for name in ("disks", "racks")[:luck.choice((1, 2, 2))]}
+    ways: list[dict[str, Any]] = [
+        {"way": "hand"},
+        {"way": "list"},
+        {"way": "command", "command": ["x"]},
+        {"way": "command", "command": ["x"], "again": True},
+    ]
+    return {
+        name: {
+            "at-once": luck.choice((1, 2, 3)),
+            "a-zone": luck.choice((0, 1, 2)),
+            "stays": luck.choice((0.0, 0.5, 0.7)),
+            "takes": luck.choice((2.0, 30.0)),
+            "watch": 1.0,
+            "least-answers": luck.choice((0, 3)),
+            "not-back": luck.choice(("hold", "go-on")),
+            "machines": [f"m{n}" for n in luck.sample(range(9), luck.choice((2, 4)))],
+            "shares": luck.random() < 0.7,
+            **luck.choice(ways),
+        }
+        for name in ("disks", "racks")[: luck.choice((1, 2, 2))]
+    }
 
 
 def draw_case(seed: int, seconds: float = 40.0, **more: Any) -> MaintenanceCase:
@@ -457,8 +575,10 @@
     case = random_scenario(seed, voters, followers, seconds=troubled)
     case = replace(case, seconds=seconds, publish_every=3.0, publish_until=troubled)
     end = int(troubled * TICKS_PER_SECOND)
-    losses = tuple((at, at + luck.choice((10_000, 60_000)), f"m{luck.randrange(9)}")
-                   for at in (luck.randrange(20_000, end) for _ in range(luck.randrange(3))))
+    losses = tuple(
+        (at, at + luck.choice((10_000, 60_000)), f"m{luck.randrange(9)}")
+        for at in (luck.randrange(20_000, end) for _ in range(luck.randrange(3)))
+    )
     if luck.random() < 0.2:
         at = luck.randrange(20_000, end)
         losses += tuple((at, at + 50_000, f"m{n}") for n in range(0, 9, 3))  # a zone
@@ -467,4 +587,6 @@
         if not any(uid == other and begin < until + 8000 for _, until, other in kept):
             kept.append((begin, end, uid))
     sick = frozenset({f"m{luck.randrange(9)}"} if luck.random() < 0.3 else ())
-    return MaintenanceCase(case, draw_jobs(luck), losses=tuple(kept), unhealthy=sick, faults_end_at=end, **more)
+    return MaintenanceCase(
+        case, draw_jobs(luck), losses=tuple(kept), unhealthy=sick, faults_end_at=end, **more
+    )
--- a/crankfold/simulation/maintenance_study.py
+++ b/crankfold/simulation/maintenance_study.py
@@ -4,7 +4,6 @@
 foreman, or by the orders that an operator would follow by himself.
 """
 
-
 from dataclasses import dataclass, replace
 from random import Random
 
@@ -22,7 +21,14 @@
 WORK_DURATION_TICKS = TICKS_PER_SECOND  # what the work on a machine takes
 MIN_DRAIN_TICKS = 5_000  # before that nobody can know that all have heard
 FOREMAN, BY_ID, AT_RANDOM, BY_ZONE, ONE, TRUE_LOADS, NOTHING = (
-    "settled", "by id", "at random", "zone by zone", "one at a time", "true loads", "no work")
+    "settled",
+    "by id",
+    "at random",
+    "zone by zone",
+    "one at a time",
+    "true loads",
+    "no work",
+)
 ORDERS = (FOREMAN, BY_ID, AT_RANDOM, BY_ZONE, ONE, TRUE_LOADS, NOTHING)
 MAX_UTILIZATION = 0.8  # of the slots: the planner that sees true loads takes no machine out over that
 
@@ -60,6 +66,7 @@
 
     def change_state(self, at: int, runner: int, standing: EndpointState, since: int = 0) -> None:
         """What faults do to a machine that is out is undone by the work on it."""
+
         def unless_out() -> None:
             if runner not in self.absent:
                 SimulatedFleet.change_state(self, at, runner, standing, since)
@@ -131,7 +138,7 @@
         elif self.strategy == TRUE_LOADS:
             go = self._departures_by_load()
         else:
-            go = self.remaining[:max((1 if self.strategy == ONE else self.max_out) - len(self.absent), 0)]
+            go = self.remaining[: max((1 if self.strategy == ONE else self.max_out) - len(self.absent), 0)]
         self.remaining = [r for r in self.remaining if r not in go]
         return go
 
@@ -139,10 +146,19 @@
         go: list[int] = []
         up = {r: it for r, it in enumerate(self.backends) if self._is_available(r, it)}
         held = sum(it.busy_slots + len(it.queue) for it in self.backends)
-        places = self.max_out - len(self.absent) - sum(not self._is_available(r, it) and r not in self.absent
-                                                   for r, it in enumerate(self.backends))
-        for r in sorted(self.remaining, key=lambda r: (self.backends[r].busy_slots + len(self.backends[r].queue), r)):
-            if len(go) >= places or held > MAX_UTILIZATION * self.scenario.slots_per_backend * (len(up) - len(go) - 1):
+        places = (
+            self.max_out
+            - len(self.absent)
+            - sum(
+                not self._is_available(r, it) and r not in self.absent for r, it in enumerate(self.backends)
+            )
+        )
+        for r in sorted(
+            self.remaining, key=lambda r: (self.backends[r].busy_slots + len(self.backends[r].queue), r)
+        ):
+            if len(go) >= places or held > MAX_UTILIZATION * self.scenario.slots_per_backend * (
+                len(up) - len(go) - 1
+            ):
                 break
             if r in up:
                 go.append(r)
@@ -162,10 +178,22 @@
         counts = self.invariants.answer_counts
         taken, shed = (counts[how] - self.outcome_counts[0][n] for n, how in enumerate(("done", "shed")))
         holds = {f"{r:04}" for r, (state, _) in self.absent.items() if state == OUT}
-        steps = self.coordinator.propose(FleetView(
-            now, 0, 1, {"w": self.job_specification}, ledger, [self._machine(r) for r in range(len(self.backends))],
-            blocking_holders=lambda uid, index: "held" if uid in holds else "", admitted_count=taken, shed_count=shed,
-            executors={"n0": 1}, incarnations={"n0": 1}, warm_up_ticks=self.config.warm_up_time))
+        steps = self.coordinator.propose(
+            FleetView(
+                now,
+                0,
+                1,
+                {"w": self.job_specification},
+                ledger,
+                [self._machine(r) for r in range(len(self.backends))],
+                blocking_holders=lambda uid, index: "held" if uid in holds else "",
+                admitted_count=taken,
+                shed_count=shed,
+                executors={"n0": 1},
+                incarnations={"n0": 1},
+                warm_up_ticks=self.config.warm_up_time,
+            )
+        )
         # An entry is agreed, and its machines are out or back, a little later; then the next is looked for.
         if steps:
             self.events.schedule(CONSENSUS_DELAY_TICKS, lambda: self._transitions_committed(steps))
@@ -190,7 +218,9 @@
                 self._start_drain(r)
             elif state == FREE:
                 # The operator begins at once.
-                self._apply_transitions([{"uid": uid, "work": "w", "step": WORK, "by": "o", "life": 0, "why": ""}])
+                self._apply_transitions(
+                    [{"uid": uid, "work": "w", "step": WORK, "by": "o", "life": 0, "why": ""}]
+                )
                 self._start_work(r)
             elif state == BACK:
                 self._return_to_service(r)
@@ -204,6 +234,17 @@
     fleet = StudyFleet(replace(scenario, seed=seed), orders, order)
     fleet.run()
     whole = len(fleet.completed_at) == scenario.backend_count
-    took = (max(fleet.completed_at.values()) - 2 * TICKS_PER_SECOND) / TICKS_PER_SECOND if whole else float(scenario.seconds)
-    return StudyResult(order, seed, fleet.request_count, fleet.on_time_count / max(fleet.request_count, 1),
-                   len(fleet.completed_at) / scenario.backend_count, took, len(fleet.invariants.violations))
+    took = (
+        (max(fleet.completed_at.values()) - 2 * TICKS_PER_SECOND) / TICKS_PER_SECOND
+        if whole
+        else float(scenario.seconds)
+    )
+    return StudyResult(
+        order,
+        seed,
+        fleet.request_count,
+        fleet.on_time_count / max(fleet.request_count, 1),
+        len(fleet.completed_at) / scenario.backend_count,
+        took,
+        len(fleet.invariants.violations),
+    )
--- a/crankfold/simulation/model_checker.py
+++ b/crankfold/simulation/model_checker.py
@@ -37,9 +37,11 @@
             stored = self.persistent_states[at]
             stored.term, stored.vote, stored.founded = batch.term, batch.vote, batch.founded
             if batch.entries:
-                del stored.entries[batch.first - 1:]
+                del stored.entries[batch.first - 1 :]
                 stored.entries += batch.entries
-            self.in_flight += [(node.name, to, message) for to, message in node.take_immediate_messages() + batch.send]
+            self.in_flight += [
+                (node.name, to, message) for to, message in node.take_immediate_messages() + batch.send
+            ]
             node.advance(self.now, batch)
         if node.role == LEADER and self.leaders_by_term.setdefault(node.term, node.name) != node.name:
             return f"{node.name} and {self.leaders_by_term[node.term]} lead in term {node.term}"
@@ -84,24 +86,45 @@
             else:
                 node.tick(self.now)
         elif what == "crash":
-            kept = msgspec.msgpack.decode(msgspec.msgpack.encode(self.persistent_states[n]), type=PersistentState)
+            kept = msgspec.msgpack.decode(
+                msgspec.msgpack.encode(self.persistent_states[n]), type=PersistentState
+            )
             self.persistent_states[n] = kept
-            self.nodes[n] = begin(VOTERS[n], msgspec.msgpack.decode(msgspec.msgpack.encode(kept), type=PersistentState))
+            self.nodes[n] = begin(
+                VOTERS[n], msgspec.msgpack.decode(msgspec.msgpack.encode(kept), type=PersistentState)
+            )
         else:
             self.nodes[n].propose(self.now, "publish", {"n": self.moves_left["publish"]})
         return self.persist_and_check(n)
 
     def fingerprint(self) -> bytes:
-        nodes = [(r.term, r.vote, r.role, r.leader, r.commit_index, r.durable_index, r.pre_vote, sorted(r.votes_granted), r.entries,
-                  sorted(r.next_index.items()), sorted(r.match_index.items())) for r in self.nodes]
+        nodes = [
+            (
+                r.term,
+                r.vote,
+                r.role,
+                r.leader,
+                r.commit_index,
+                r.durable_index,
+                r.pre_vote,
+                sorted(r.votes_granted),
+                r.entries,
+                sorted(r.next_index.items()),
+                sorted(r.match_index.items()),
+            )
+            for r in self.nodes
+        ]
         ways = sorted(msgspec.msgpack.encode(one) for one in self.in_flight)
         return msgspec.msgpack.encode((nodes, self.persistent_states, ways, sorted(self.moves_left.items())))
 
 
 def initial_state(begin: Callable[[str, PersistentState], Raft], left: dict[str, int]) -> ModelState:
     """v0 leads, and all know it."""
-    world = ModelState([begin(name, PersistentState()) for name in VOTERS], [PersistentState() for _ in VOTERS],
-                  moves_left={"lose": 0, "time out": 0, "beat": 0, "crash": 0, "publish": 0, **left})
+    world = ModelState(
+        [begin(name, PersistentState()) for name in VOTERS],
+        [PersistentState() for _ in VOTERS],
+        moves_left={"lose": 0, "time out": 0, "beat": 0, "crash": 0, "publish": 0, **left},
+    )
     world.moves_left["time out"] += 1
     world.apply(("time out", 0), begin)
     while world.in_flight:
@@ -113,8 +136,12 @@
     return Raft(name, stored, {voter: "" for voter in VOTERS}, TIMING, 0, 1)
 
 
-def explore(depth: int, move_limits: dict[str, int], max_states: int = 1_000_000,
-           node_factory: Callable[[str, PersistentState], Raft] = make_node) -> tuple[int, str]:
+def explore(
+    depth: int,
+    move_limits: dict[str, int],
+    max_states: int = 1_000_000,
+    node_factory: Callable[[str, PersistentState], Raft] = make_node,
+) -> tuple[int, str]:
     """How many states there were, and what did not hold in one with the moves that led there.
 
     `left` says how often at most each kind of move comes: lose, time out, beat, crash, publish.
--- a/crankfold/simulator_adapter/host.py
+++ b/crankfold/simulator_adapter/host.py
@@ -10,8 +10,16 @@
 from crankfold.routing.interface import Endpoint, EndpointState, Outcome
 from crankfold.routing.policy import Router
 
-_OUTCOMES = {0: Outcome.COMPLETED, 13: Outcome.ERROR, 8: Outcome.OVERLOADED, 4: Outcome.TIMED_OUT, 14: Outcome.UNREACHABLE,
-             10: Outcome.RESET, 1: Outcome.CANCELLED, 9: Outcome.NOT_SENT}
+_OUTCOMES = {
+    0: Outcome.COMPLETED,
+    13: Outcome.ERROR,
+    8: Outcome.OVERLOADED,
+    4: Outcome.TIMED_OUT,
+    14: Outcome.UNREACHABLE,
+    10: Outcome.RESET,
+    1: Outcome.CANCELLED,
+    9: Outcome.NOT_SENT,
+}
 _STATES = {0: EndpointState.REMOVED, 1: EndpointState.READY, 2: EndpointState.DRAINING}
 _ENDPOINT = struct.Struct("<BBfH6sBQ")
 _REQUEST = struct.Struct("<IHHQQIffB")
@@ -38,7 +46,9 @@
         self.router = Router(read_routing_config(parse_lines(params)), salt, self)
 
     def send_attempt(self, unit: int, runner: int, limit: int) -> None:
-        self.output += pack("<HIi6s", 1, self.request_ids[unit], min(limit * 100, 0x7FFFFFFF), self.addresses[runner])
+        self.output += pack(
+            "<HIi6s", 1, self.request_ids[unit], min(limit * 100, 0x7FFFFFFF), self.addresses[runner]
+        )
 
     def shed(self, unit: int, advice: int) -> None:
         self.output += pack("<HII", 2, self.request_ids[unit], advice * 100)
@@ -84,7 +94,7 @@
                 at += 8
                 if at + 23 * n > end:
                     raise ValueError("a list longer than its frame")
-                self.endpoint_lists[bank] = list(_ENDPOINT.iter_unpack(frame[at:at + 23 * n]))
+                self.endpoint_lists[bank] = list(_ENDPOINT.iter_unpack(frame[at : at + 23 * n]))
                 at += 23 * n
                 continue
             if code == 1:
@@ -92,7 +102,7 @@
                 at += 12
                 if at + n > end:
                     raise ValueError("settings longer than their frame")
-                self.instances[me] = spoke[me] = RouterInstance(salt, frame[at:at + n].decode())
+                self.instances[me] = spoke[me] = RouterInstance(salt, frame[at : at + n].decode())
                 at += n
                 continue
             if code == 10:
@@ -118,8 +128,20 @@
             ident, grade, tenant, key, until, effort, slots, _, attrs = _REQUEST.unpack_from(frame, at)
             at += _REQUEST.size
             work = (effort + 99) // 100 if attrs & 1 else 0
-            call, args = told.request_received, (now, door.request_index(ident), grade, tenant, until // 100, work, slots,
-                                      key, bool(attrs & 2))
+            call, args = (
+                told.request_received,
+                (
+                    now,
+                    door.request_index(ident),
+                    grade,
+                    tenant,
+                    until // 100,
+                    work,
+                    slots,
+                    key,
+                    bool(attrs & 2),
+                ),
+            )
         elif code == 12:
             ident, nth, address, kind, share = _ATTEMPT_NOTE.unpack_from(frame, at)
             at += _ATTEMPT_NOTE.size
@@ -131,7 +153,10 @@
         elif code == 4:
             ident, address, nth, _ = unpack_from("<I6sBI", frame, at)
             at += 15
-            call, args = told.attempt_started, (now, door.request_index(ident), nth, door.backend_index(address))
+            call, args = (
+                told.attempt_started,
+                (now, door.request_index(ident), nth, door.backend_index(address)),
+            )
         elif code == 5:
             ident, nth, address, rc, _, last, _, n = _ATTEMPT_END.unpack_from(frame, at)
             at += _ATTEMPT_END.size
@@ -139,7 +164,15 @@
             at += 4 * n
             outcome = _OUTCOMES.get(rc, Outcome.UNKNOWN)
             call = told.attempt_ended
-            args = (now, door.request_index(ident), nth, door.backend_index(address), outcome, bool(last), report)
+            args = (
+                now,
+                door.request_index(ident),
+                nth,
+                door.backend_index(address),
+                outcome,
+                bool(last),
+                report,
+            )
         elif code == 7:
             (label,) = unpack_from("<Q", frame, at)
             at += 8
@@ -161,10 +194,19 @@
                 call, args = told.discovery_failed, (now,)
             else:
                 # A list entry's start is rounded up: a younger runner is treated as colder.
-                entries = [Endpoint(door.backend_index(a), _STATES.get(s, EndpointState.REMOVED), w, z, c,
-                                   -(-since // 100), kind,
-                                   hash_position(a))
-                           for z, s, w, c, a, kind, since in self.endpoint_lists[bank]]
+                entries = [
+                    Endpoint(
+                        door.backend_index(a),
+                        _STATES.get(s, EndpointState.REMOVED),
+                        w,
+                        z,
+                        c,
+                        -(-since // 100),
+                        kind,
+                        hash_position(a),
+                    )
+                    for z, s, w, c, a, kind, since in self.endpoint_lists[bank]
+                ]
                 call, args = told.endpoints_changed, (now, entries, scope != 2)
         elif code == 9:
             _, n = unpack_from("<IH", frame, at)
--- a/examples/toy_server.py
+++ b/examples/toy_server.py
@@ -27,9 +27,19 @@
         after = "after=1" in self.path
         if after:
             time.sleep(3)  # a watch waits; nothing ever changes here
-        targets = [{"uid": uid, "endpoint": f"{host}:{port}", "az": "here", "model": "toy", "pod_group": 0,
-                    "state": "in_service", "capacity_hint": 1.0, "boot_ms": 0}
-                   for uid, (host, port) in RUNNERS.items()]
+        targets = [
+            {
+                "uid": uid,
+                "endpoint": f"{host}:{port}",
+                "az": "here",
+                "model": "toy",
+                "pod_group": 0,
+                "state": "in_service",
+                "capacity_hint": 1.0,
+                "boot_ms": 0,
+            }
+            for uid, (host, port) in RUNNERS.items()
+        ]
         body = json.dumps({"rev": 1, "all": not after, "targets": [] if after else targets}).encode()
         self.send_response(200)
         self.send_header("Content-Length", str(len(body)))
@@ -86,8 +96,11 @@
     servers += [ThreadingHTTPServer(at, runner(uid)) for uid, at in RUNNERS.items()]
     for server in servers:
         threading.Thread(target=server.serve_forever, daemon=True).start()
-    print(f"discovery on {DISCOVERY[0]}:{DISCOVERY[1]}, runners on "
-          + " and ".join(f"{host}:{port}" for host, port in RUNNERS.values()) + "; Ctrl-C ends")
+    print(
+        f"discovery on {DISCOVERY[0]}:{DISCOVERY[1]}, runners on "
+        + " and ".join(f"{host}:{port}" for host, port in RUNNERS.values())
+        + "; Ctrl-C ends"
+    )
     try:
         threading.Event().wait()
     except KeyboardInterrupt:
--- a/tests/handover_scene.py
+++ b/tests/handover_scene.py
@@ -127,7 +127,9 @@
         return running
 
     async def serving(self) -> None:
-        await self.until(lambda: self.node.request_handler.is_serving() and self.node.listener.server is not None)
+        await self.until(
+            lambda: self.node.request_handler.is_serving() and self.node.listener.server is not None
+        )
         self.port, self.door = self.node.listener.port(), self.node.admin_server.port()
 
     async def successor(self) -> Kin:
--- a/tests/planted.py
+++ b/tests/planted.py
@@ -33,12 +33,16 @@
 
 class LeaseFromTheAnswer(Voter):
     def _handle_lease_grant(self, now: int, sender: str, grant: LeaseGrant) -> None:
-        super()._handle_lease_grant(now, sender, LeaseGrant(grant.term, now, grant.lease_duration, grant.required_index))
+        super()._handle_lease_grant(
+            now, sender, LeaseGrant(grant.term, now, grant.lease_duration, grant.required_index)
+        )
 
 
 class FollowerLeaseFromTheAnswer(Follower):
     def _handle_update(self, now: int, sender: str, told: FollowerUpdate) -> None:
-        super()._handle_update(now, sender, replace(told, request_sent_at=now) if told.lease_duration else told)
+        super()._handle_update(
+            now, sender, replace(told, request_sent_at=now) if told.lease_duration else told
+        )
 
 
 class OneUnheard(Voter):
@@ -58,7 +62,11 @@
     """Takes a lease for more than it has heard of."""
 
     def _handle_lease_grant(self, now: int, sender: str, grant: LeaseGrant) -> None:
-        super()._handle_lease_grant(now, sender, LeaseGrant(grant.term, max(grant.request_sent_at, self.started_at), grant.lease_duration, 0))
+        super()._handle_lease_grant(
+            now,
+            sender,
+            LeaseGrant(grant.term, max(grant.request_sent_at, self.started_at), grant.lease_duration, 0),
+        )
 
 
 class VotesWithoutItsFolder(Voter):
@@ -72,7 +80,10 @@
 
 class NewLeaderDoesNotWait(Voter):
     def _activate_versions(self, now: int) -> None:
-        self.raft.leader_since, since = self.raft.leader_since - 2 * self.timing.lease_expiry_wait, self.raft.leader_since
+        self.raft.leader_since, since = (
+            self.raft.leader_since - 2 * self.timing.lease_expiry_wait,
+            self.raft.leader_since,
+        )
         super()._activate_versions(now)
         self.raft.leader_since = since
 
@@ -96,14 +107,18 @@
     luck = Random(f"restless {seed}")
     troubles = [ClusterFault("delay", 0, 100_000, magnitude=luck.choice((200, 1000)))]
     for voter in ("v0", "v1", "v2"):
-        troubles += [ClusterFault("disk", at, at + luck.choice((400, 2500)), voter)
-                     for at in range(luck.randrange(6000), 100_000, 5500)]
+        troubles += [
+            ClusterFault("disk", at, at + luck.choice((400, 2500)), voter)
+            for at in range(luck.randrange(6000), 100_000, 5500)
+        ]
         at = luck.randrange(6000, 14_000)
         while at < 100_000:
             down = luck.choice((2, 20, 2000))
             troubles.append(ClusterFault("kill", at, at + down, voter))
             at += down + luck.randrange(1500, 9000)
-    return ClusterCase(follower_count=0, seed=seed, publish_every=0.15, with_load=False, faults=tuple(troubles))
+    return ClusterCase(
+        follower_count=0, seed=seed, publish_every=0.15, with_load=False, faults=tuple(troubles)
+    )
 
 
 def elections(seed: int) -> ClusterCase:
@@ -111,12 +126,15 @@
     luck = Random(f"elections {seed}")
     troubles = [ClusterFault("delay", 0, 100_000, magnitude=1500)]
     for at in range(9000, 100_000, 9000):
-        troubles += [ClusterFault("kill", at, at + 500 + luck.randrange(20), voter)
-                     for voter in ("v0", "v1", "v2")]
+        troubles += [
+            ClusterFault("kill", at, at + 500 + luck.randrange(20), voter) for voter in ("v0", "v1", "v2")
+        ]
         # Who has voted dies and is back at once.
         back = at + 500 + luck.randrange(3000, 6000)
         troubles.append(ClusterFault("kill", back, back + 2, luck.choice(("v0", "v1", "v2"))))
-    return ClusterCase(follower_count=0, seconds=12.0, seed=seed, publish_every=0.3, with_load=False, faults=tuple(troubles))
+    return ClusterCase(
+        follower_count=0, seconds=12.0, seed=seed, publish_every=0.3, with_load=False, faults=tuple(troubles)
+    )
 
 
 def wiped(seed: int) -> ClusterCase:
@@ -124,8 +142,12 @@
     luck = Random(f"wiped {seed}")
     behind, lost, gone = luck.sample(("v0", "v1", "v2"), 3)
     at = luck.randrange(25_000, 40_000)
-    troubles = (ClusterFault("loss", at, at + 20_000, behind), ClusterFault("loss", at, at + 20_000, "", behind),
-                ClusterFault("wipe", at + 19_000, at + 19_500, lost), ClusterFault("kill", at + 19_100, 95_000, gone))
+    troubles = (
+        ClusterFault("loss", at, at + 20_000, behind),
+        ClusterFault("loss", at, at + 20_000, "", behind),
+        ClusterFault("wipe", at + 19_000, at + 19_500, lost),
+        ClusterFault("kill", at + 19_100, 95_000, gone),
+    )
     return ClusterCase(follower_count=1, seed=seed, publish_every=0.3, with_load=False, faults=troubles)
 
 
@@ -135,10 +157,14 @@
     troubles: list[ClusterFault] = []
     for begin in range(20_000, 100_000, 40_000):
         at = luck.choice(("f0", "v0", "v1", "v2"))
-        troubles += [ClusterFault("delay", begin - 9000, begin, receiver=at, magnitude=8000),
-                     ClusterFault("loss", begin, begin + 30_000, at),
-                     ClusterFault("loss", begin, begin + 30_000, "", at)]
-    return ClusterCase(follower_count=1, seed=seed, publish_every=0.15, with_load=False, faults=tuple(troubles))
+        troubles += [
+            ClusterFault("delay", begin - 9000, begin, receiver=at, magnitude=8000),
+            ClusterFault("loss", begin, begin + 30_000, at),
+            ClusterFault("loss", begin, begin + 30_000, "", at),
+        ]
+    return ClusterCase(
+        follower_count=1, seed=seed, publish_every=0.15, with_load=False, faults=tuple(troubles)
+    )
 
 
 def drawn(seed: int) -> ClusterCase:
@@ -166,8 +192,9 @@
         "answers before the disk": lambda: AnswersBeforeTheDisk(case),
         "forgets a vote at a restart": lambda: ForgetsVotes(case),
         "votes twice": lambda: SimulatedCluster(case, VotesTwice),
-        "counts a lease from the answer's arrival": lambda: SimulatedCluster(case, LeaseFromTheAnswer,
-                                                                  FollowerLeaseFromTheAnswer),
+        "counts a lease from the answer's arrival": lambda: SimulatedCluster(
+            case, LeaseFromTheAnswer, FollowerLeaseFromTheAnswer
+        ),
         "counts with a follower unheard": lambda: SimulatedCluster(case, OneUnheard),
         "counts with a voter unheard": lambda: SimulatedCluster(case, LeaderOneUnheard),
         "counts before old leases are over": lambda: SimulatedCluster(case, NewLeaderDoesNotWait),
--- a/tests/planted_works.py
+++ b/tests/planted_works.py
@@ -29,7 +29,11 @@
     """Whoever is not heard any more is asked no longer, whatever lease he has and whatever he sent."""
 
     def gather_maintenance(self, now: int) -> tuple[MaintenanceReport, Callable[[str, int], str]]:
-        quiet = [name for name, report in self.voter_reports.items() if now - report.heard > 3 * self.timing.renew_interval]
+        quiet = [
+            name
+            for name, report in self.voter_reports.items()
+            if now - report.heard > 3 * self.timing.renew_interval
+        ]
         before = {name: self.granted_until.pop(name) for name in quiet if name in self.granted_until}
         led, self.raft.leader_since = self.raft.leader_since, -10 * self.timing.lease_expiry_wait
         told = super().gather_maintenance(now)
@@ -38,7 +42,9 @@
         return told
 
     def drained_report(self, now: int) -> tuple[int, MaintenanceReport | None]:
-        quiet = [ward for ward in self.lease_holders.values() if now - ward.heard > 3 * self.timing.renew_interval]
+        quiet = [
+            ward for ward in self.lease_holders.values() if now - ward.heard > 3 * self.timing.renew_interval
+        ]
         until = [ward.until for ward in quiet]
         for ward in quiet:
             ward.until = -10 * self.timing.lease_expiry_wait
@@ -60,7 +66,11 @@
     """A new leader begins anew what another had begun."""
 
     def _supervise_work(self, view: FleetView, uid: str, away: Any, *rest: Any) -> dict[str, Any] | None:
-        if away.by in view.incarnations and away.by != self.member_name and view.jobs[away.work].way == "command":
+        if (
+            away.by in view.incarnations
+            and away.by != self.member_name
+            and view.jobs[away.work].way == "command"
+        ):
             return {"step": WORK, "by": self.member_name, "life": view.incarnations[self.member_name]}
         return super()._supervise_work(view, uid, away, *rest)
 
@@ -89,9 +99,18 @@
     yield
 
 
-ALL_MACHINES_JOBS: dict[str, dict[str, Any]] = {"disks": {
-    "at-once": 3, "stays": 0.0, "takes": 30.0, "watch": 0.5, "least-answers": 0, "way": "command",
-    "command": ["x"], "not-back": "go-on"}}
+ALL_MACHINES_JOBS: dict[str, dict[str, Any]] = {
+    "disks": {
+        "at-once": 3,
+        "stays": 0.0,
+        "takes": 30.0,
+        "watch": 0.5,
+        "least-answers": 0,
+        "way": "command",
+        "command": ["x"],
+        "not-back": "go-on",
+    }
+}
 
 
 def isolated_members(seed: int) -> MaintenanceCase:
@@ -114,20 +133,43 @@
     luck = Random(f"flutter {seed}")
     losses = tuple((at, at + 3000, f"m{luck.randrange(9)}") for at in range(20_000, 180_000, 4000))
     works = {"disks": {**ALL_MACHINES_JOBS["disks"], "at-once": 3}}
-    slow = tuple(ClusterFault("disk", at, at + 6000, voter) for at in range(20_000, 200_000, 6500)
-                 for voter in ("v0", "v1", "v2"))
-    return MaintenanceCase(ClusterCase(seed=seed, seconds=22.0, publish_every=9.0, faults=slow), works, losses=losses)
-
-
-PlantedFault = tuple[Callable[[MaintenanceCase], MaintenanceFleet], Callable[[], Any], Callable[[int], MaintenanceCase], str]
+    slow = tuple(
+        ClusterFault("disk", at, at + 6000, voter)
+        for at in range(20_000, 200_000, 6500)
+        for voter in ("v0", "v1", "v2")
+    )
+    return MaintenanceCase(
+        ClusterCase(seed=seed, seconds=22.0, publish_every=9.0, faults=slow), works, losses=losses
+    )
+
+
+PlantedFault = tuple[
+    Callable[[MaintenanceCase], MaintenanceFleet], Callable[[], Any], Callable[[int], MaintenanceCase], str
+]
 PLANTED_FAULTS: dict[str, PlantedFault] = {
     "free told before the last has answered": (
-        lambda case: MaintenanceFleet(case, FreeTooEarly), unchanged, draw_case, "free while"),
+        lambda case: MaintenanceFleet(case, FreeTooEarly),
+        unchanged,
+        draw_case,
+        "free while",
+    ),
     "silence taken for consent": (
-        lambda case: MaintenanceFleet(case, SilenceIsConsent), unchanged, isolated_members, "free while|is free since"),
+        lambda case: MaintenanceFleet(case, SilenceIsConsent),
+        unchanged,
+        isolated_members,
+        "free while|is free since",
+    ),
     "a bound checked before the agreement": (
-        lambda case: MaintenanceFleet(case, foremen=ImpatientCoordinator), bounds_unchecked_at_commit, flapping_machines, "goes out"),
+        lambda case: MaintenanceFleet(case, foremen=ImpatientCoordinator),
+        bounds_unchecked_at_commit,
+        flapping_machines,
+        "goes out",
+    ),
     "a step taken twice after a change of leader": (
-        lambda case: MaintenanceFleet(case, foremen=RestartingCoordinator), work_may_begin_twice, long_commands, "ran again|two commands"),
+        lambda case: MaintenanceFleet(case, foremen=RestartingCoordinator),
+        work_may_begin_twice,
+        long_commands,
+        "ran again|two commands",
+    ),
     "cold taken for warm": (lambda case: MaintenanceFleet(case, warm=0), unchanged, draw_case, "called well"),
 }
--- a/tests/scene.py
+++ b/tests/scene.py
@@ -13,14 +13,34 @@
 from crankfold.routing.policy import Router
 
 MS = 10
-GRADE = words.RequestClass(Idempotency.IDEMPOTENT, DeduplicationScope.GLOBAL, 0, 300 * MS, 2.0, 5000 * MS, 1.0, 0.0)
+GRADE = words.RequestClass(
+    Idempotency.IDEMPOTENT, DeduplicationScope.GLOBAL, 0, 300 * MS, 2.0, 5000 * MS, 1.0, 0.0
+)
 ORDERS = words.RoutingConfig(
-    request_classes=[GRADE], instance_count=2, zone=0, timer_resolution=2 * MS, priority_by_work=False, worst_class_weight=0.2,
-    cancellation_allowed=True, probing_allowed=True,
-    hedging_allowed=True, max_attempts=3, max_retry_after=0, reports_in_responses=True, reports_by_probe=False,
-    report_fields=["queue", "free_slots"], start_notifications=True, progress_interval=0, discovery_by_poll=False,
-    poll_within=10000 * MS, initial_capacity=0.2, warm_up_time=10000 * MS, overload_factor=3.0, overload_period=1000 * MS,
-    instance_index=0)
+    request_classes=[GRADE],
+    instance_count=2,
+    zone=0,
+    timer_resolution=2 * MS,
+    priority_by_work=False,
+    worst_class_weight=0.2,
+    cancellation_allowed=True,
+    probing_allowed=True,
+    hedging_allowed=True,
+    max_attempts=3,
+    max_retry_after=0,
+    reports_in_responses=True,
+    reports_by_probe=False,
+    report_fields=["queue", "free_slots"],
+    start_notifications=True,
+    progress_interval=0,
+    discovery_by_poll=False,
+    poll_within=10000 * MS,
+    initial_capacity=0.2,
+    warm_up_time=10000 * MS,
+    overload_factor=3.0,
+    overload_period=1000 * MS,
+    instance_index=0,
+)
 
 
 async def read_request(reader: asyncio.StreamReader) -> tuple[str, bytes]:
@@ -49,12 +69,23 @@
 class Scene(Kept):
     """Stands round the decisions, as their port and as whoever tells them what happens."""
 
-    def open(self, *, runners: int = 2, free: float = 4.0, effect: Idempotency = Idempotency.IDEMPOTENT,
-             group: DeduplicationScope = DeduplicationScope.GLOBAL, window: int = 0, seed: int = 7, **orders: object) -> None:
+    def open(
+        self,
+        *,
+        runners: int = 2,
+        free: float = 4.0,
+        effect: Idempotency = Idempotency.IDEMPOTENT,
+        group: DeduplicationScope = DeduplicationScope.GLOBAL,
+        window: int = 0,
+        seed: int = 7,
+        **orders: object,
+    ) -> None:
         self.lines: list[str] = []
         self.now = 100_000
         self.wakes: list[tuple[int, int]] = []
-        grade = replace(GRADE, idempotency=effect, deduplication_scope=group, deduplication_window=window * MS)
+        grade = replace(
+            GRADE, idempotency=effect, deduplication_scope=group, deduplication_window=window * MS
+        )
         self.told = Router(replace(ORDERS, **{"request_classes": [grade], **orders}), seed, self)  # type: ignore[arg-type]
         if runners:
             self.list([Endpoint(r, EndpointState.READY, 1.0, r % 2, r % 2, 0) for r in range(runners)])
@@ -101,20 +132,39 @@
     def list(self, entries: list[Endpoint], whole: bool = True) -> None:
         self.told.endpoints_changed(self.now, entries, whole)
 
-    def take(self, unit: int, cutoff: float = 5000, work: float = 100, slots: float = 1.0,
-             grade: int = 0, key: int = 0, again: bool = False) -> None:
+    def take(
+        self,
+        unit: int,
+        cutoff: float = 5000,
+        work: float = 100,
+        slots: float = 1.0,
+        grade: int = 0,
+        key: int = 0,
+        again: bool = False,
+    ) -> None:
         self.say(f"  takes unit {unit}" + (f" of grade {grade}" if grade else ""))
-        self.told.request_received(self.now, unit, grade, 0, self.now + int(cutoff * MS), int(work * MS), slots, key,
-                        again)
+        self.told.request_received(
+            self.now, unit, grade, 0, self.now + int(cutoff * MS), int(work * MS), slots, key, again
+        )
 
     def start(self, unit: int, runner: int, nth: int = 0) -> None:
         self.say(f"  unit {unit} starts on runner {runner}")
         self.told.attempt_started(self.now, unit, nth, runner)
 
-    def end(self, unit: int, runner: int, outcome: Outcome = Outcome.COMPLETED, nth: int = 0, *,
-            last: bool = False, report: tuple[float, ...] = ()) -> None:
+    def end(
+        self,
+        unit: int,
+        runner: int,
+        outcome: Outcome = Outcome.COMPLETED,
+        nth: int = 0,
+        *,
+        last: bool = False,
+        report: tuple[float, ...] = (),
+    ) -> None:
         self.say(f"  unit {unit} on runner {runner}: {outcome.name.lower()}")
-        self.told.attempt_ended(self.now, unit, nth, runner, outcome, last or outcome == Outcome.COMPLETED, report)
+        self.told.attempt_ended(
+            self.now, unit, nth, runner, outcome, last or outcome == Outcome.COMPLETED, report
+        )
 
     def held_back(self, runner: int) -> None:
         """Puts a runner out of the running by its report: much queued, nothing free."""
--- a/tests/stored_forms.py
+++ b/tests/stored_forms.py
@@ -64,8 +64,24 @@
         RequestVoteResponse(term=8, pre_vote=False, vote_granted=True),
     ],
     "append": [
-        AppendEntries(term=7, prev_log_index=40, prev_log_term=5, entries=ENTRIES, leader_commit=39, round_number=12, cluster_applied_index=38),
-        AppendEntries(term=7, prev_log_index=42, prev_log_term=7, entries=[], leader_commit=41, round_number=13, cluster_applied_index=40),
+        AppendEntries(
+            term=7,
+            prev_log_index=40,
+            prev_log_term=5,
+            entries=ENTRIES,
+            leader_commit=39,
+            round_number=12,
+            cluster_applied_index=38,
+        ),
+        AppendEntries(
+            term=7,
+            prev_log_index=42,
+            prev_log_term=7,
+            entries=[],
+            leader_commit=41,
+            round_number=13,
+            cluster_applied_index=40,
+        ),
     ],
     "append-answer": [
         AppendEntriesResponse(term=7, success=True, match_index=42, round_number=13),
@@ -73,8 +89,24 @@
     ],
     "install": [InstallSnapshot(term=7, snapshot=KEPT, round_number=15)],
     "ask": [
-        LeaseRequest(term=7, incarnation=2**40, sent_at=123456789, lowest_applied_index=40, quiesced_index=38, drained_index=0, maintenance_report=None),
-        LeaseRequest(term=7, incarnation=2**40, sent_at=123456790, lowest_applied_index=41, quiesced_index=39, drained_index=37, maintenance_report=TELL),
+        LeaseRequest(
+            term=7,
+            incarnation=2**40,
+            sent_at=123456789,
+            lowest_applied_index=40,
+            quiesced_index=38,
+            drained_index=0,
+            maintenance_report=None,
+        ),
+        LeaseRequest(
+            term=7,
+            incarnation=2**40,
+            sent_at=123456790,
+            lowest_applied_index=41,
+            quiesced_index=39,
+            drained_index=37,
+            maintenance_report=TELL,
+        ),
     ],
     "grant": [LeaseGrant(term=7, request_sent_at=123456789, lease_duration=16000, required_index=41)],
     "follow": [
@@ -87,11 +119,35 @@
             quota_usage={"all": 3, "grade:g": 2},
             maintenance_report=None,
         ),
-        FollowerHeartbeat(name="f", incarnation=9, sent_at=5000000001, last_applied=41, quiesced_index=37, quota_usage={}, maintenance_report=TELL),
+        FollowerHeartbeat(
+            name="f",
+            incarnation=9,
+            sent_at=5000000001,
+            last_applied=41,
+            quiesced_index=37,
+            quota_usage={},
+            maintenance_report=TELL,
+        ),
     ],
     "news": [
-        FollowerUpdate(request_sent_at=5000000000, lease_duration=14000, prev_log_index=40, snapshot=None, entries=ENTRIES, voter_last_applied=42, cluster_applied_index=38),
-        FollowerUpdate(request_sent_at=5000000001, lease_duration=0, prev_log_index=41, snapshot=KEPT, entries=[], voter_last_applied=43, cluster_applied_index=39),
+        FollowerUpdate(
+            request_sent_at=5000000000,
+            lease_duration=14000,
+            prev_log_index=40,
+            snapshot=None,
+            entries=ENTRIES,
+            voter_last_applied=42,
+            cluster_applied_index=38,
+        ),
+        FollowerUpdate(
+            request_sent_at=5000000001,
+            lease_duration=0,
+            prev_log_index=41,
+            snapshot=KEPT,
+            entries=[],
+            voter_last_applied=43,
+            cluster_applied_index=39,
+        ),
     ],
     "refused": [Rejection(reason="the folder is not the one by which n1 is known")],
     "publish": [
@@ -110,16 +166,31 @@
     ],
     "published": [
         ProposalResponse(proposal_id="c1", accepted=True, reason="", version_number=3, log_index=44),
-        ProposalResponse(proposal_id="c2", accepted=False, reason="made from version 1", version_number=2, log_index=45),
+        ProposalResponse(
+            proposal_id="c2", accepted=False, reason="made from version 1", version_number=2, log_index=45
+        ),
+    ],
+    "check": [
+        ValidationRequest(
+            proposal_id="c3", document_name="settings", content={"tick": 2000, "nested": [1, 2.5, None, "x"]}
+        )
     ],
-    "check": [ValidationRequest(proposal_id="c3", document_name="settings", content={"tick": 2000, "nested": [1, 2.5, None, "x"]})],
     "checked": [ValidationResponse(proposal_id="c3", error="n1: settings.tick: found 1")],
     "goodbye": [Leave(name="f", incarnation=9)],
     "roster": [
         MembershipGossip(
             lease_holders=[
-                LeaseHolderStatus(name="n0", incarnation=3, held_for=900, last_applied=42, state="there", quota_usage={"all": 1}),
-                LeaseHolderStatus(name="f", incarnation=9, held_for=70000, last_applied=40, state="cut off", quota_usage={}),
+                LeaseHolderStatus(
+                    name="n0",
+                    incarnation=3,
+                    held_for=900,
+                    last_applied=42,
+                    state="there",
+                    quota_usage={"all": 1},
+                ),
+                LeaseHolderStatus(
+                    name="f", incarnation=9, held_for=70000, last_applied=40, state="cut off", quota_usage={}
+                ),
             ]
         )
     ],
@@ -172,7 +243,9 @@
 ]
 
 
-def _publish(call: str, doc: str, made_from: int, text: dict[str, Any], at: int = 1_700_000_000_000) -> LogEntry:
+def _publish(
+    call: str, doc: str, made_from: int, text: dict[str, Any], at: int = 1_700_000_000_000
+) -> LogEntry:
     return LogEntry(
         term=1,
         kind="publish",
@@ -298,7 +371,9 @@
         state="hold",
         called=2,
     ),
-    "restarts": JobSpecification(of="dispatchers", machines=["n0"], way="hand", not_back="give-up", state="stop"),
+    "restarts": JobSpecification(
+        of="dispatchers", machines=["n0"], way="hand", not_back="give-up", state="stop"
+    ),
 }
 
 # The record of bans of the dispatcher "n0": out by hand, and back with a start taken for granted.
--- a/tests/test_accord.py
+++ b/tests/test_accord.py
@@ -32,10 +32,18 @@
 from tests.planted import CASES, fleets
 from tests.scene import Kept
 
-CAUGHT_AT = {"answers before the disk": 36, "forgets a vote at a restart": 92, "votes twice": 1,
-             "counts a lease from the answer's arrival": 0, "counts with a follower unheard": 1,
-             "counts with a voter unheard": 2, "counts before old leases are over": 19,
-             "acts on an old read": 0, "deals out a share twice": 1, "votes without its folder": 1}
+CAUGHT_AT = {
+    "answers before the disk": 36,
+    "forgets a vote at a restart": 92,
+    "votes twice": 1,
+    "counts a lease from the answer's arrival": 0,
+    "counts with a follower unheard": 1,
+    "counts with a voter unheard": 2,
+    "counts before old leases are over": 19,
+    "acts on an old read": 0,
+    "deals out a share twice": 1,
+    "votes without its folder": 1,
+}
 VOTERS = ("v0", "v1", "v2")
 
 
@@ -44,9 +52,16 @@
         longest = dealt = 0
         for seed in range(60):
             voters, followers = ((3, 2), (5, 3), (3, 6))[seed % 3]
-            fleet = SimulatedCluster(random_scenario(seed, voters, followers, allocates_quotas=seed % 2 == 1, publishes_limits=seed % 4 == 0)).run()
+            fleet = SimulatedCluster(
+                random_scenario(
+                    seed, voters, followers, allocates_quotas=seed % 2 == 1, publishes_limits=seed % 4 == 0
+                )
+            ).run()
             self.assertEqual(fleet.violations, [], f"seed {seed}")
-            longest, dealt = max(longest, fleet.longest_contradiction), dealt + fleet.allocation_count() * (seed % 4 == 0)
+            longest, dealt = (
+                max(longest, fleet.longest_contradiction),
+                dealt + fleet.allocation_count() * (seed % 4 == 0),
+            )
         self.assertGreater(longest, 5000)  # the troubles were some
         self.assertGreater(dealt, 20)
 
@@ -71,7 +86,9 @@
 
 class Small(Kept):
     def test_all_orders_of_a_small_case(self) -> None:
-        states, wrong = model_checker.explore(5, {"publish": 2, "crash": 1, "time out": 2, "lose": 1, "beat": 1})
+        states, wrong = model_checker.explore(
+            5, {"publish": 2, "crash": 1, "time out": 2, "lose": 1, "beat": 1}
+        )
         self.assertEqual(wrong, "")
         self.assertGreater(states, 5000)
 
@@ -85,22 +102,38 @@
 
 class HardCases(Kept):
     def play(self, *troubles: ClusterFault, **case: Any) -> SimulatedCluster:
-        self.case = ClusterCase(**{"seconds": 12.0, "seed": 3, "publish_every": 0.3, "publish_until": 10,
-                            "with_load": False, **case},
-                         faults=troubles)
+        self.case = ClusterCase(
+            **{
+                "seconds": 12.0,
+                "seed": 3,
+                "publish_every": 0.3,
+                "publish_until": 10,
+                "with_load": False,
+                **case,
+            },
+            faults=troubles,
+        )
         fleet = SimulatedCluster(self.case).run()
         self.assertEqual(fleet.violations, [])
         return fleet
 
     def leader_of(self, **case: Any) -> str:
         """Of the same case without troubles, until the trouble comes."""
-        fleet = SimulatedCluster(ClusterCase(**{"seconds": 4.0, "seed": 3, "publish_every": 0.3, "with_load": False, **case})).run()
-        return next(name for name, p in fleet.processes.items()
-                    if isinstance(p.member, Voter) and p.member.is_leader())
+        fleet = SimulatedCluster(
+            ClusterCase(**{"seconds": 4.0, "seed": 3, "publish_every": 0.3, "with_load": False, **case})
+        ).run()
+        return next(
+            name
+            for name, p in fleet.processes.items()
+            if isinstance(p.member, Voter) and p.member.is_leader()
+        )
 
     def agreed(self, fleet: SimulatedCluster) -> set[tuple[int, int]]:
-        return {p.member.documents.version_numbers().get(SETTINGS, (0, 0))
-                for p in fleet.processes.values() if p.member}
+        return {
+            p.member.documents.version_numbers().get(SETTINGS, (0, 0))
+            for p in fleet.processes.values()
+            if p.member
+        }
 
     def test_the_leader_sleeps_in_the_middle_of_a_publish_for_longer_than_its_lease(self) -> None:
         leader = self.leader_of()
@@ -123,8 +156,11 @@
         self.assertLess(len(fleet.leaders_by_term), 5)  # the two do not go on unseating one another
 
     def test_a_link_that_flaps_faster_than_an_election(self) -> None:
-        cut = [ClusterFault("loss", at, at + 1000, *ends) for at in range(30_000, 90_000, 2000)
-               for ends in (("v2", ""), ("", "v2"))]
+        cut = [
+            ClusterFault("loss", at, at + 1000, *ends)
+            for at in range(30_000, 90_000, 2000)
+            for ends in (("v2", ""), ("", "v2"))
+        ]
         fleet = self.play(*cut)
         self.assertEqual(len(self.agreed(fleet)), 1)
         self.assertLess(len(fleet.leaders_by_term), 5)
@@ -132,23 +168,39 @@
     def test_the_majority_is_gone_for_a_while_and_nobody_acts(self) -> None:
         gone = [ClusterFault("kill", 30_000, 90_000, voter) for voter in ("v0", "v1")]
         held: list[int] = []
-        fleet = SimulatedCluster(replace(ClusterCase(seconds=12.0, seed=3, with_load=False), faults=tuple(gone)))
-        fleet.events.schedule(60_000, lambda: held.extend(
-            p.member.has_lease(p.local_time()) for p in fleet.processes.values() if p.member))
+        fleet = SimulatedCluster(
+            replace(ClusterCase(seconds=12.0, seed=3, with_load=False), faults=tuple(gone))
+        )
+        fleet.events.schedule(
+            60_000,
+            lambda: held.extend(
+                p.member.has_lease(p.local_time()) for p in fleet.processes.values() if p.member
+            ),
+        )
         fleet.run()
         self.assertEqual((held, fleet.violations), ([False] * 3, []))
-        self.assertTrue(all(p.member and p.member.has_lease(p.local_time()) for p in fleet.processes.values()))
+        self.assertTrue(
+            all(p.member and p.member.has_lease(p.local_time()) for p in fleet.processes.values())
+        )
 
     def test_all_voters_die_at_once_and_come_back_in_any_order(self) -> None:
         for order in ((0, 5000, 9000), (9000, 5000, 0), (0, 0, 0)):
-            fleet = self.play(*(ClusterFault("kill", 40_000, 45_000 + later, voter)
-                                for voter, later in zip(VOTERS, order, strict=True)))
+            fleet = self.play(
+                *(
+                    ClusterFault("kill", 40_000, 45_000 + later, voter)
+                    for voter, later in zip(VOTERS, order, strict=True)
+                )
+            )
             self.assertEqual(len(self.agreed(fleet)), 1)
 
     def test_a_leader_is_found_though_disks_take_longer_than_elections(self) -> None:
         late = 0
         for seed in range(12):
-            fleet = SimulatedCluster(ClusterCase(follower_count=0, seconds=8.0, seed=seed, with_load=False, disk_write_range=(4000, 9000))).run()
+            fleet = SimulatedCluster(
+                ClusterCase(
+                    follower_count=0, seconds=8.0, seed=seed, with_load=False, disk_write_range=(4000, 9000)
+                )
+            ).run()
             self.assertEqual(fleet.violations, [])
             members = [p.member for p in fleet.processes.values()]
             late += not any(isinstance(m, Voter) and m.is_leader() for m in members)
@@ -161,8 +213,15 @@
         self.assertLessEqual(len(fleet.leaders_by_term), 3)
 
     def test_two_hundred_that_lose_their_voter_do_not_fall_on_the_next_at_once(self) -> None:
-        fleet = SimulatedCluster(ClusterCase(follower_count=200, seconds=8.0, with_load=False, publish_every=99.0,
-                           faults=(ClusterFault("kill", 40_000, 200_000, "v2"),)))
+        fleet = SimulatedCluster(
+            ClusterCase(
+                follower_count=200,
+                seconds=8.0,
+                with_load=False,
+                publish_every=99.0,
+                faults=(ClusterFault("kill", 40_000, 200_000, "v2"),),
+            )
+        )
         came: dict[tuple[str, int], set[str]] = {}
         arrive = fleet._message_arrived
 
@@ -176,8 +235,13 @@
         self.assertEqual(fleet.violations, [])
         most = max(len(senders) for (to, _), senders in came.items() if to != "v2")
         self.assertLess(most, 25)  # in any 10 ms, of 67 that turned and 67 that were there
-        self.assertTrue(all(p.member and p.member.has_lease(p.local_time())
-                            for name, p in fleet.processes.items() if name != "v2"))
+        self.assertTrue(
+            all(
+                p.member and p.member.has_lease(p.local_time())
+                for name, p in fleet.processes.items()
+                if name != "v2"
+            )
+        )
 
 
 class Alone(Kept):
@@ -189,8 +253,18 @@
 
     def voter(self, check: str = "") -> Voter:
         """Leads alone, as the only one: its own majority."""
-        voter = Voter("v0", PersistentState(), {"v0": ""}, self.timing, 0, 1, 5, "here", lambda doc, text: check,
-                      settings_document("safe"))
+        voter = Voter(
+            "v0",
+            PersistentState(),
+            {"v0": ""},
+            self.timing,
+            0,
+            1,
+            5,
+            "here",
+            lambda doc, text: check,
+            settings_document("safe"),
+        )
         self.now = 0
         self.turn(voter, 60_000)
         return voter
@@ -205,15 +279,30 @@
             sent += voter.take_immediate_messages() + batch.send
         return sent
 
-    def publish(self, voter: Voter, call: str, made_from: int, doc: str = SETTINGS,
-                text: dict[str, Any] | None = None) -> None:
-        voter.propose(self.now, call, "publish", {"doc": doc, "made_from": made_from, "author": "o",
-                                                  "reason": "r", "at": 0, "text": text or settings_document("unsafe")})
+    def publish(
+        self, voter: Voter, call: str, made_from: int, doc: str = SETTINGS, text: dict[str, Any] | None = None
+    ) -> None:
+        voter.propose(
+            self.now,
+            call,
+            "publish",
+            {
+                "doc": doc,
+                "made_from": made_from,
+                "author": "o",
+                "reason": "r",
+                "at": 0,
+                "text": text or settings_document("unsafe"),
+            },
+        )
 
     def heard(self, voter: Voter) -> None:
         self.turn(voter, self.now + 200)
         for told in voter.proposal_responses:
-            self.say(f"{told.proposal_id}: {'version ' + str(told.version_number) if told.accepted else told.reason}")
+            self.say(
+                f"{told.proposal_id}: "
+                f"{'version ' + str(told.version_number) if told.accepted else told.reason}"
+            )
         voter.proposal_responses.clear()
 
     def test_publishing(self) -> None:
@@ -224,7 +313,10 @@
         self.heard(voter)
         self.publish(voter, "a", 1)  # its answer was lost
         self.heard(voter)
-        self.say(f"then {voter.documents.version_numbers()}, {len(voter.documents.document(SETTINGS).versions)} in the history")
+        self.say(
+            f"then {voter.documents.version_numbers()}, "
+            f"{len(voter.documents.document(SETTINGS).versions)} in the history"
+        )
         bad = self.voter("settings.service-grades: missing")
         self.publish(bad, "c", 1)
         self.heard(bad)
@@ -334,8 +426,11 @@
         show(SETTINGS, grade(), tagged)
         show(SETTINGS, tagged, narrow)
         show(SETTINGS, grade(), {"service-grades": [], "allowed": {"most-dispatches": 2}})
-        show(SETTINGS, {**grade(), "allowed": {"most-dispatches": 2, "second-copies": True}},
-             {**grade(), "allowed": {"most-dispatches": 3, "second-copies": False}})
+        show(
+            SETTINGS,
+            {**grade(), "allowed": {"most-dispatches": 2, "second-copies": True}},
+            {**grade(), "allowed": {"most-dispatches": 3, "second-copies": False}},
+        )
         show("runners-out", {"runners": {"a": "why"}}, {"runners": {"b": "why"}})
         show("limits", {"limits": {"grade:g": 5}}, {"limits": {"grade:g": 3, "tenant:t": 2}})
         show(QUOTAS, {"shares": {"l": {"a": 5, "b": 1, "c": 2}}}, {"shares": {"l": {"a": 1, "b": 5}}})
@@ -362,5 +457,3 @@
         self.assertEqual(other.version_numbers(), {SETTINGS: (69, 69)})
         self.assertEqual(other.encode(), one.encode())
         self.assertEqual(len(other.document(SETTINGS).versions), 50)
-
-
--- a/tests/test_carry.py
+++ b/tests/test_carry.py
@@ -12,29 +12,44 @@
 
 def welcome(**other: object) -> dict[str, Any]:
     targets = [{"uid": "a", "capacity_hint": 4.0}, {"uid": "b", "capacity_hint": 2.0}]
-    return {"known": {"rev": 3, "targets": targets}, "weights": "moving", "fields": FIELDS,
-            "reports": {"a": [1.0, 2.0]}, **other}
+    return {
+        "known": {"rev": 3, "targets": targets},
+        "weights": "moving",
+        "fields": FIELDS,
+        "reports": {"a": [1.0, 2.0]},
+        **other,
+    }
 
 
 class Carried(Kept):
     def test_only_what_means_the_same(self) -> None:
         self.lines = []
-        for name, told, live in (("alike", welcome(), True), ("back to sizes", welcome(), False),
-                                 ("from one that tells no meaning", welcome(weights=handover_state.STATIC_WEIGHTS), True),
-                                 ("no list", welcome(known=None), True),
-                                 ("no targets", welcome(known={}), False),
-                                 ("other fields", welcome(fields=["qps", "queue"]), True)):
+        for name, told, live in (
+            ("alike", welcome(), True),
+            ("back to sizes", welcome(), False),
+            ("from one that tells no meaning", welcome(weights=handover_state.STATIC_WEIGHTS), True),
+            ("no list", welcome(known=None), True),
+            ("no targets", welcome(known={}), False),
+            ("other fields", welcome(fields=["qps", "queue"]), True),
+        ):
             known = handover_state.inherited_endpoints(told, live)
             hints = [entry["capacity_hint"] for entry in known["targets"]] if known else known
-            self.say(f"{name}: weights {hints}, reports of {sorted(handover_state.inherited_reports(told, FIELDS))}")
+            self.say(
+                f"{name}: weights {hints}, "
+                f"reports of {sorted(handover_state.inherited_reports(told, FIELDS))}"
+            )
         self.close("carry")
 
     def test_settings_of_the_move_are_checked(self) -> None:
         self.lines = []
         grade = {"name": "g", "effect": "safe", "cut-off": 5, "expected-time": 1}
         settings = {"service-grades": [grade], "allowed": {"most-dispatches": 1}}
-        for more in ({"weights": "live"}, {"weights": "heavy"}, {"specifics": {"keeps-keys": "no"}},
-                     {"specifics": {"tells-start": 1}}):
+        for more in (
+            {"weights": "live"},
+            {"weights": "heavy"},
+            {"specifics": {"keeps-keys": "no"}},
+            {"specifics": {"tells-start": 1}},
+        ):
             try:
                 validate({"listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "settings": settings | more})
                 self.say("taken")
@@ -45,13 +60,24 @@
 
 class FirstSeconds(Scene):
     def test_after_the_switch_with_units_in_hand_and_cold_runners(self) -> None:
-        self.open(runners=0, free=0, weights_follow_load=True, start_notifications=False, hedging_allowed=False, instance_count=4)
+        self.open(
+            runners=0,
+            free=0,
+            weights_follow_load=True,
+            start_notifications=False,
+            hedging_allowed=False,
+            instance_count=4,
+        )
         cold = self.now - 1000 * MS
         self.list([Endpoint(r, EndpointState.READY, 0.0, 0, 0, cold if r == 2 else 0) for r in range(3)])
         for n in range(4):  # before any list of its own: sizes not known, the cold one not pushed
             self.take(n, work=0)
-        self.list([Endpoint(r, EndpointState.READY, w, 0, 0, cold if r == 2 else 0)
-                   for r, w in enumerate((4.0, 1.0, 4.0))])
+        self.list(
+            [
+                Endpoint(r, EndpointState.READY, w, 0, 0, cold if r == 2 else 0)
+                for r, w in enumerate((4.0, 1.0, 4.0))
+            ]
+        )
         self.say(f"sizes {self.told.weight}, own units still counted {sum(self.told.own_slots):.0f}")
         self.take(4, work=0)
         self.close("carry-first")
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -8,7 +8,9 @@
 class Choice(Scene):
     def test_least_load_for_its_weight(self) -> None:
         self.open(runners=0, free=0)
-        self.list([Endpoint(0, EndpointState.READY, 1.0, 0, 0, 0), Endpoint(1, EndpointState.READY, 2.0, 0, 0, 0)])
+        self.list(
+            [Endpoint(0, EndpointState.READY, 1.0, 0, 0, 0), Endpoint(1, EndpointState.READY, 2.0, 0, 0, 0)]
+        )
         for r in (0, 1):
             self.told.probe_ended(self.now, r, True, (0.0, 8.0))
         for n in range(6):
@@ -43,7 +45,10 @@
             self.held_back(r)
         self.at(5600)
         self.told.refresh_if_due(self.now)
-        self.say(f"the third is taken to hold the mean: {abs(self.told.reported_queue[2] - self.told.reported_queue[0]) < 2}")
+        self.say(
+            "the third is taken to hold the mean: "
+            f"{abs(self.told.reported_queue[2] - self.told.reported_queue[0]) < 2}"
+        )
         self.lines = [line for line in self.lines if "probe" not in line]
         self.close("stale")
 
@@ -95,7 +100,6 @@
         drawn = {Router(ORDERS, seed, self).random_below(1 << 20) for seed in (1, 2)}
         self.assertEqual(len(drawn), 2)
 
-
     def test_a_trace_of_others_work_is_not_held_against_room(self) -> None:
         self.open(runners=3, free=1.0)
         self.told.probe_ended(self.now, 0, True, (1.0, 0.0))  # one busy report moves the load by an eighth
@@ -193,7 +197,9 @@
         self.end(0, first, Outcome.STALE_CONNECTION)
         self.say(f"errors {self.told.error_rate}, doubt {self.told.ejection_time}")
         for r in {0, 1, 2} - {first}:
-            self.told.record_outcome(self.now, self.told.requests[0], Attempt(r, self.now, False), Outcome.UNREACHABLE)
+            self.told.record_outcome(
+                self.now, self.told.requests[0], Attempt(r, self.now, False), Outcome.UNREACHABLE
+            )
         self.told.eject(self.now, first)
         self.take(1)
         self.say(f"all in doubt, two of them refuse: {set(self.lines[-1][-1]) == {str(first)}}")
@@ -227,7 +233,9 @@
         for wait in (0, 400, 400, 400, 0, 0, 0):
             for _ in range(10):
                 self.told.sample_wait(self.now, self.now, wait * MS)
-            self.told.sample_wait(self.now, self.now - 1, 9999 * MS)  # sent under the old limit: counts no more
+            self.told.sample_wait(
+                self.now, self.now - 1, 9999 * MS
+            )  # sent under the old limit: counts no more
             self.told.inflight = min(30, int(self.told.limit))
             self.say(f"ten starts after {wait} ms: limit {min(self.told.limit, 999):.1f}")
             self.at(self.now / MS - 10_000 + 100)
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -11,13 +11,31 @@
 from crankfold.cli.main import main
 from tests.scene import Kept
 
-VERSIONS = [{"number": n, "made_from": n - 1, "author": "o", "reason": f"why {n}", "text": {"a": n}}
-            for n in (1, 2)]
+VERSIONS = [
+    {"number": n, "made_from": n - 1, "author": "o", "reason": f"why {n}", "text": {"a": n}} for n in (1, 2)
+]
 SHOWN = {"doc": "settings", "counts": 1, "newest": 2, "acts": True, "acting": {"a": 1}, "versions": VERSIONS}
-FLEET = {"name": "n0", "acts": True, "why-not": "", "lease-ms": 1500, "leader": "n1", "term": 3,
-         "versions": {"settings": {"counts": 1, "newest": 2}}, "voters": {"n0": "x:1"}, "members": [
-             {"name": "f", "state": "cut off", "heard-ms-ago": 2300, "for-s": 9, "lag": 1, "incarnation": 255,
-              "at": "n0"}]}
+FLEET = {
+    "name": "n0",
+    "acts": True,
+    "why-not": "",
+    "lease-ms": 1500,
+    "leader": "n1",
+    "term": 3,
+    "versions": {"settings": {"counts": 1, "newest": 2}},
+    "voters": {"n0": "x:1"},
+    "members": [
+        {
+            "name": "f",
+            "state": "cut off",
+            "heard-ms-ago": 2300,
+            "for-s": 9,
+            "lag": 1,
+            "incarnation": 255,
+            "at": "n0",
+        }
+    ],
+}
 
 
 class Commands(Kept):
@@ -56,17 +74,25 @@
         publish = ("settings", "publish", "-", "--from", "1", "--reason", "r")
         self.answers["/control/agreed/settings"] = 200, SHOWN
         self.answers["/control/fleet"] = 200, FLEET
-        for words in (("fleet",), ("settings", "show"), ("settings", "show", "--version", "7"),
-                      ("settings", "history"), ("settings", "diff", "1", "2"),
-                      ("settings", "diff", "1", "9")):
+        for words in (
+            ("fleet",),
+            ("settings", "show"),
+            ("settings", "show", "--version", "7"),
+            ("settings", "history"),
+            ("settings", "diff", "1", "2"),
+            ("settings", "diff", "1", "9"),
+        ):
             self.run_it(*words)
         self.answers["/control/fleet"] = 200, {**FLEET, "acts": False, "why-not": "cut off from the majority"}
         self.run_it("fleet")
         well = {"well": True, "text": "", "number": 3}
-        for status, told in ((200, well), (200, {**well, "counts": False, "lag": []}),
-                             (200, {**well, "counts": True, "lag": ["f: there"]}),
-                             (409, {"well": False, "text": "n1: settings.a: found 1", "number": 0}),
-                             (504, {"well": False, "text": "no outcome yet", "number": 0})):
+        for status, told in (
+            (200, well),
+            (200, {**well, "counts": False, "lag": []}),
+            (200, {**well, "counts": True, "lag": ["f: there"]}),
+            (409, {"well": False, "text": "n1: settings.a: found 1", "number": 0}),
+            (504, {"well": False, "text": "no outcome yet", "number": 0}),
+        ):
             self.answers["/control/agreed/settings"] = status, told
             self.run_it(*publish, "--wait", "1")
         self.run_it(*publish, text="{")
@@ -80,29 +106,61 @@
     def test_works(self) -> None:
         work = 'name = "disks"\nat-once = 2\n'
         text = {"works": {"disks": {"at-once": 2}}}
-        self.answers["/control/agreed/works"] = 200, {**SHOWN, "newest": 0, "versions": [], "well": True,
-                                                      "number": 1}
-        turns = [{"begin": 0.0, "end": 73.0, "machine": "m1", "zone": "z0", "why": ""},
-                 {"begin": 73.0, "end": 146.0, "machine": "m2", "zone": "z1", "why": "1 of 1 at once"}]
-        self.answers["/control/agreed/plan"] = 200, {"well": True, "turns": turns,
-                                                     "waits": {"m3": "1 of 1 in its zone"}}
+        self.answers["/control/agreed/works"] = (
+            200,
+            {**SHOWN, "newest": 0, "versions": [], "well": True, "number": 1},
+        )
+        turns = [
+            {"begin": 0.0, "end": 73.0, "machine": "m1", "zone": "z0", "why": ""},
+            {"begin": 73.0, "end": 146.0, "machine": "m2", "zone": "z1", "why": "1 of 1 at once"},
+        ]
+        self.answers["/control/agreed/plan"] = (
+            200,
+            {"well": True, "turns": turns, "waits": {"m3": "1 of 1 in its zone"}},
+        )
         self.run_it("works", "plan", "-", text=work)
         self.run_it("works", "start", "-", text=work)
         self.run_it("works", "start", "-", text="at-once = 2")
-        self.answers["/control/agreed/works"] = 200, {**SHOWN, "well": True, "number": 3, "versions": [
-            {**VERSIONS[1], "text": text}]}
+        self.answers["/control/agreed/works"] = (
+            200,
+            {**SHOWN, "well": True, "number": 3, "versions": [{**VERSIONS[1], "text": text}]},
+        )
         for what, name in (("start", "-"), ("hold", "disks"), ("go", "racks")):
             self.run_it("works", what, name, text=work)
         away = {"work": "disks", "state": "free", "number": 12, "why": ""}
         step = {"index": 9, "uid": "m1", "work": "disks", "step": "out", "by": "n0", "why": "", "at": 1000}
-        self.answers["/control/agreed/machines"] = 200, {
-            "works": {"disks": {"why": "new disks", "state": "go", "halted": "", "wanted": 4,
-                                "done": {"m0": "well"}, "left": ["m2", "m3"]}},
-            "machines": {"m1": away}, "steps": [step, {**step, "index": 12, "step": "free", "at": 3500}],
-            "waits": [{"machine": "m2", "work": "disks", "why": "1 of 1 at once"}], "leads": True,
-            "leader": "n0", "here": [], "well": True, "text": ""}
-        for line in ("list", "show disks", "show racks", "history m1", "history m7", "begin m1 --number 12",
-                     "done m1"):
+        self.answers["/control/agreed/machines"] = (
+            200,
+            {
+                "works": {
+                    "disks": {
+                        "why": "new disks",
+                        "state": "go",
+                        "halted": "",
+                        "wanted": 4,
+                        "done": {"m0": "well"},
+                        "left": ["m2", "m3"],
+                    }
+                },
+                "machines": {"m1": away},
+                "steps": [step, {**step, "index": 12, "step": "free", "at": 3500}],
+                "waits": [{"machine": "m2", "work": "disks", "why": "1 of 1 at once"}],
+                "leads": True,
+                "leader": "n0",
+                "here": [],
+                "well": True,
+                "text": "",
+            },
+        )
+        for line in (
+            "list",
+            "show disks",
+            "show racks",
+            "history m1",
+            "history m7",
+            "begin m1 --number 12",
+            "done m1",
+        ):
             self.run_it("works", *line.split())
         self.answers["/control/agreed/machines"] = 409, {"well": False, "text": "m1: told under number 9"}
         self.run_it("works", "done", "m1", "--number", "9")
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -43,7 +43,9 @@
             await handler(reader, writer)
 
         self.tally = Metrics()
-        self.pool = ConnectionPool("127.0.0.1", await self.stand_in(kept), ConnectionLimiter(9, 0.25, 5.0, self.tally))
+        self.pool = ConnectionPool(
+            "127.0.0.1", await self.stand_in(kept), ConnectionLimiter(9, 0.25, 5.0, self.tally)
+        )
         self.addCleanup(self.pool.close)
 
     def send(self, body: bytes = b"x", settled: bool = True) -> Exchange:
@@ -110,8 +112,10 @@
     async def test_an_answer_that_breaks_off_says_only_that_the_unit_was_taken(self) -> None:
         answers: list[tuple[bytes, str]] = [
             (NEVER_RAN.replace(b"Length: 0", b"Length: 9") + b"half", "broken 503"),
-            (NEVER_RAN.replace(b"Content-Length: 0", b"Transfer-Encoding: chunked") + b"zz\r\n",
-             "broken 503"),
+            (
+                NEVER_RAN.replace(b"Content-Length: 0", b"Transfer-Encoding: chunked") + b"zz\r\n",
+                "broken 503",
+            ),
             (b"HTTP/1.1 202 Accepted\r\nContent-Length: 9\r\n\r\nhalf", "answered 202"),
             (b"HTTP/1.1 202 Accepted\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", "answered 202"),
             (b"HTTP/1.1 202 Acc", "broken 0"),
@@ -270,10 +274,14 @@
 
         reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
         writer.write(UNIT[:-1])  # its last byte is still under way
-        await self.until(lambda: any(client.protocol.is_mid_request() for client in self.node.listener.connections))
-        with patch.object(self.node.admin_server, "close", held_up), \
-                patch("crankfold.service.application.MAX_DRAIN_DURATION", 0.1), \
-                patch("crankfold.service.application.DRAIN_MARGIN", 0.0):
+        await self.until(
+            lambda: any(client.protocol.is_mid_request() for client in self.node.listener.connections)
+        )
+        with (
+            patch.object(self.node.admin_server, "close", held_up),
+            patch("crankfold.service.application.MAX_DRAIN_DURATION", 0.1),
+            patch("crankfold.service.application.DRAIN_MARGIN", 0.0),
+        ):
             self.node.shutdown_requested.set()
             await ended.wait()
             writer.write(UNIT[-1:])
@@ -304,7 +312,10 @@
         await taken.wait()
         reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
         self.assertEqual(await back("started"), "204")
-        with patch("crankfold.service.application.MAX_DRAIN_DURATION", 2.0), patch("crankfold.service.application.LATE_CONNECTION_PERIOD", 0.0):
+        with (
+            patch("crankfold.service.application.MAX_DRAIN_DURATION", 2.0),
+            patch("crankfold.service.application.LATE_CONNECTION_PERIOD", 0.0),
+        ):
             self.node.shutdown_requested.set()
             await self.until(lambda: self.node.listener.closing)
             await asyncio.sleep(3 * NEW_CONNECTION_GRACE)  # what is at rest for so long is closed
@@ -330,9 +341,11 @@
                 await self.until(lambda: self.node.timers.clock.now() > first.created_at + 3000)
             await opening(exchange)
 
-        with patch.object(pool, "_connect", late), \
-                patch.object(self.node.request_handler.routing, "_sound", lambda now, u, pool, burden: [0]), \
-                patch("crankfold.service.request_table.Attempt.was_sent", lambda trip: False):
+        with (
+            patch.object(pool, "_connect", late),
+            patch.object(self.node.request_handler.routing, "_sound", lambda now, u, pool, burden: [0]),
+            patch("crankfold.service.request_table.Attempt.was_sent", lambda trip: False),
+        ):
             answer = await self.ask("u1")
         self.assertEqual((answer[0].split()[1], opened, len(self.lines)), ("504", 2, 1))
 
@@ -430,8 +443,10 @@
         await self.begin(runner)
         self.given |= {"discovery": f"127.0.0.1:{await self.stand_in(discovery)}", "limits": {"sockets": 128}}
         self.given["known"]["targets"][0]["uid"] = "gone"
-        program = ("import resource; resource.setrlimit(resource.RLIMIT_NOFILE, (128, 128))\n"
-                   "from crankfold.cli.main import main; main(['serve'])")
+        program = (
+            "import resource; resource.setrlimit(resource.RLIMIT_NOFILE, (128, 128))\n"
+            "from crankfold.cli.main import main; main(['serve'])"
+        )
         lines = await self.outside(["-O", "-c", program])
         idle = [socket.create_connection(("127.0.0.1", self.port)) for _ in range(400)]
         await asyncio.sleep(0.3)
@@ -465,7 +480,9 @@
 
         await self.begin(runner)
         self.given["discovery"] = f"127.0.0.1:{await self.stand_in(discovery)}"
-        with patch("crankfold.service.application.FIRST_LIST_TIMEOUT", 5.0):  # on a busy machine the second call is late
+        with patch(
+            "crankfold.service.application.FIRST_LIST_TIMEOUT", 5.0
+        ):  # on a busy machine the second call is late
             await self.inside()
         self.assertEqual(((await self.ask("u1", wait=0.2))[0].split()[1], self.lines), ("503", []))
 
@@ -509,14 +526,24 @@
 
 class Told(Scene):
     def test_where_lists_are_asked_for_no_pause_is_longer_than_a_change_may_take(self) -> None:
-        self.open(runners=0, discovery_by_poll=True, poll_within=200_000, instance_count=400, change_notice_within=60_000)
+        self.open(
+            runners=0,
+            discovery_by_poll=True,
+            poll_within=200_000,
+            instance_count=400,
+            change_notice_within=60_000,
+        )
         for _ in range(9):
             self.told.discovery_failed(self.now)
         pauses = [at - self.now for at, label in self.wakes if label == POLL_TIMER]
         self.assertEqual(len(pauses), 10)
-        self.assertLess(max(pauses), 60_000 - CONNECT_TIMEOUT * 20_000)  # what is left: to connect and to be answered
+        self.assertLess(
+            max(pauses), 60_000 - CONNECT_TIMEOUT * 20_000
+        )  # what is left: to connect and to be answered
 
     def test_what_settings_leave_open_is_nobodys_figure(self) -> None:
         rules = read_service_config({})
-        self.assertGreater(rules.connect_timeout, SECOND)  # a first packet that is lost is sent again after it
+        self.assertGreater(
+            rules.connect_timeout, SECOND
+        )  # a first packet that is lost is sent again after it
         self.assertLess(rules.idle_timeout, 5 * SECOND)
--- a/tests/test_day.py
+++ b/tests/test_day.py
@@ -19,9 +19,16 @@
 GRACE = 0.3
 GRADES = [
     {"name": "safe", "effect": "safe", "cut-off": 3_000_000, "expected-time": 800_000},
-    {"name": "tagged", "effect": "keyed", "group": "zone", "repeat-window": 5_000_000, "cut-off": 3_000_000,
-     "expected-time": 800_000},
-    {"name": "once", "effect": "unsafe", "cut-off": 3_000_000, "expected-time": 800_000}]
+    {
+        "name": "tagged",
+        "effect": "keyed",
+        "group": "zone",
+        "repeat-window": 5_000_000,
+        "cut-off": 3_000_000,
+        "expected-time": 800_000,
+    },
+    {"name": "once", "effect": "unsafe", "cut-off": 3_000_000, "expected-time": 800_000},
+]
 
 
 class Runner:
@@ -49,14 +56,21 @@
             await asyncio.sleep(RUN)
             self.busy -= 1
         state = "failed" if self.day.chance.random() < 0.1 else "done"
-        told = {"id": ident, "from": self.uid, "state": state, "result": ident,
-                "load": {"queue": 0, "x0": SLOTS - self.busy}}
+        told = {
+            "id": ident,
+            "from": self.uid,
+            "state": state,
+            "result": ident,
+            "load": {"queue": 0, "x0": SLOTS - self.busy},
+        }
         body = orjson.dumps(told)
         for _ in range(10):
             with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
                 reader, writer = await asyncio.open_connection("127.0.0.1", self.day.port)
-                writer.write(b"POST /v1/job-events HTTP/1.1\r\nHost: b\r\nContent-Length: %d\r\n\r\n"
-                             % len(body) + body)
+                writer.write(
+                    b"POST /v1/job-events HTTP/1.1\r\nHost: b\r\nContent-Length: %d\r\n\r\n" % len(body)
+                    + body
+                )
                 head, _ = await read_request(reader)
                 writer.close()
                 if head.split()[1] in ("200", "204"):
@@ -75,14 +89,27 @@
         with socket.create_server(("127.0.0.1", 0)) as free:
             listen = f"127.0.0.1:{free.getsockname()[1]}"
         self.given = {
-            "listen": listen, "discovery": f"127.0.0.1:{await self.stand_in(self.discovery)}", "seed": "1f",
-            "admin_addr": "127.0.0.1:0", "limits": {"sockets": 384}, "known": self.listed(),
+            "listen": listen,
+            "discovery": f"127.0.0.1:{await self.stand_in(self.discovery)}",
+            "seed": "1f",
+            "admin_addr": "127.0.0.1:0",
+            "limits": {"sockets": 384},
+            "known": self.listed(),
             "settings": {
-                "allowed": {"most-dispatches": 3, "cancel": True, "second-copies": True}, "tick": 2000,
-                "zones": ["x", "y"], "specifics": {"tells-start": False, "report-x0": "free slots"},
-                "report": {"names": ["queue", "x0"], "via": "inline"}, "service-grades": GRADES,
-                "rules": {"cold-from": COLD_FROM, "warm-after": int(WARM_AFTER * 1e6),
-                          "overload-factor": FACTOR, "overload-for": 1_000_000}}}
+                "allowed": {"most-dispatches": 3, "cancel": True, "second-copies": True},
+                "tick": 2000,
+                "zones": ["x", "y"],
+                "specifics": {"tells-start": False, "report-x0": "free slots"},
+                "report": {"names": ["queue", "x0"], "via": "inline"},
+                "service-grades": GRADES,
+                "rules": {
+                    "cold-from": COLD_FROM,
+                    "warm-after": int(WARM_AFTER * 1e6),
+                    "overload-factor": FACTOR,
+                    "overload-for": 1_000_000,
+                },
+            },
+        }
         self.folder = self.enterContext(tempfile.TemporaryDirectory())
         self.ends: dict[str, list[str]] = {}
 
@@ -92,9 +119,21 @@
         task.add_done_callback(self.tasks.discard)
 
     def listed(self) -> dict[str, Any]:
-        return {"rev": self.rev, "all": True, "targets": [
-            {"uid": r.uid, "endpoint": f"127.0.0.1:{r.port}", "az": r.zone, "state": "in_service",
-             "boot_ms": r.boot_ms, "capacity_hint": 1.0} for r in self.runners.values()]}
+        return {
+            "rev": self.rev,
+            "all": True,
+            "targets": [
+                {
+                    "uid": r.uid,
+                    "endpoint": f"127.0.0.1:{r.port}",
+                    "az": r.zone,
+                    "state": "in_service",
+                    "boot_ms": r.boot_ms,
+                    "capacity_hint": 1.0,
+                }
+                for r in self.runners.values()
+            ],
+        }
 
     async def discovery(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         while True:
@@ -113,9 +152,11 @@
         async def unit(ident: str, grade: str) -> None:
             used = bool(kept)
             reader, writer = kept.pop() if used else await asyncio.open_connection("127.0.0.1", self.port)
-            writer.write(f"POST /api HTTP/1.1\r\nHost: b\r\nX-Request-ID: {ident}\r\n"
-                         f"Idempotency-Key: {ident}\r\nX-Priority-Class: {grade}\r\nX-Timeout: 3\r\n"
-                         f"X-Cost: {int(RUN * 1e6)}\r\nContent-Length: 0\r\n\r\n".encode())
+            writer.write(
+                f"POST /api HTTP/1.1\r\nHost: b\r\nX-Request-ID: {ident}\r\n"
+                f"Idempotency-Key: {ident}\r\nX-Priority-Class: {grade}\r\nX-Timeout: 3\r\n"
+                f"X-Cost: {int(RUN * 1e6)}\r\nContent-Length: 0\r\n\r\n".encode()
+            )
             try:
                 async with asyncio.timeout(4):
                     head, body = await read_request(reader)
@@ -188,8 +229,11 @@
 
     def judge(self, out: Runner, out_at: float, back_at: float) -> None:
         self.assertGreater(len(self.ends), 200)
-        odd = {ident: ends for ident, ends in self.ends.items()
-               if len(ends) != 1 or ends[0] not in (f"200 {ident}", "503 ", "504 ")}
+        odd = {
+            ident: ends
+            for ident, ends in self.ends.items()
+            if len(ends) != 1 or ends[0] not in (f"200 {ident}", "503 ", "504 ")
+        }
         self.assertEqual(odd, {})
         done = sum(ends[0].startswith("200") for ends in self.ends.values())
         self.assertGreater(done, 0.6 * len(self.ends))
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -13,8 +13,18 @@
 class Anyone(Router):
     """Random choice, for comparison; and a base for policies that break a rule."""
 
-    def request_received(self, now: int, unit: int, grade: int, tenant: int, cutoff: int, work: int,
-              slots: float, key: int = 0, again: bool = False) -> None:
+    def request_received(
+        self,
+        now: int,
+        unit: int,
+        grade: int,
+        tenant: int,
+        cutoff: int,
+        work: int,
+        slots: float,
+        key: int = 0,
+        again: bool = False,
+    ) -> None:
         self.on(unit)
 
     def on(self, unit: int) -> None:
@@ -81,11 +91,19 @@
             world = self.world(Router, Scenario(seed=seed, seconds=3))
             world.run()
             return [line for record in world.invariants.requests.values() for line in record.history]
+
         self.assertEqual(history(1), history(1))
         self.assertNotEqual(history(1), history(2))
 
     def test_one_runner_waits_as_queueing_theory_says(self) -> None:
-        scenario = Scenario(dispatcher_count=1, backend_count=1, slots_per_backend=4, queue_capacity=10**6, arrival_rate=14.0, seconds=4000)
+        scenario = Scenario(
+            dispatcher_count=1,
+            backend_count=1,
+            slots_per_backend=4,
+            queue_capacity=10**6,
+            arrival_rate=14.0,
+            seconds=4000,
+        )
         world = self.world(Anyone, scenario, deadline=10**9)
         world.run()
         waits = world.backends[0].queue_times
@@ -114,7 +132,13 @@
     def test_each_broken_rule_is_caught(self) -> None:
         small = Scenario(dispatcher_count=1, backend_count=2, seconds=4, arrival_rate=5.0)
         for make in (Twice, AfterAnswer, Silent, Again, ShedThoughSent):
-            world = self.world(make, small, idempotency=Idempotency.NON_IDEMPOTENT, deduplication_scope=DeduplicationScope.CELL, deadline=500 * MS)
+            world = self.world(
+                make,
+                small,
+                idempotency=Idempotency.NON_IDEMPOTENT,
+                deduplication_scope=DeduplicationScope.CELL,
+                deadline=500 * MS,
+            )
             world.run()
             self.say(f"{make.__name__}: {self.first(world)}")
         world = self.world(ToOne, small)
@@ -136,17 +160,22 @@
         self.say(f"ForNobody: {self.first(world)}")
         # Each of the thirty sends little; all together they send more calls than are allowed, of little work.
         orders = replace(ORDERS, request_classes=[GRADE], overload_factor=3.0, overload_period=10_000)
-        world = SimulatedFleet(Scenario(dispatcher_count=30, backend_count=2, seconds=2, arrival_rate=2.0), orders, ToOne)
+        world = SimulatedFleet(
+            Scenario(dispatcher_count=30, backend_count=2, seconds=2, arrival_rate=2.0), orders, ToOne
+        )
         for post in world.dispatchers:
             take = post.receive_request
             post.receive_request = lambda unit, work, came, tries, take=take: take(  # type: ignore[method-assign, misc]
-                unit, min(work, 50), came, tries)
+                unit, min(work, 50), came, tries
+            )
         world.change_state(10_001, 0, EndpointState.READY, since=10_001)
         world.run()
         self.say(f"ToOne, thirty, small units: {self.first(world)}")
         for late in (10.0, 3.0):  # as long as a watch once took to be given up; as long as one takes at most
             silent = Fault(FaultKind.SILENT_WATCH, 0.0, 9.0, share=1.0, factor=late)
-            world = self.world(Router, Scenario(dispatcher_count=3, backend_count=4, seconds=14, faults=(silent,)))
+            world = self.world(
+                Router, Scenario(dispatcher_count=3, backend_count=4, seconds=14, faults=(silent,))
+            )
             world.change_state(20_000, 0, EndpointState.DRAINING)
             world.run()
             self.say(f"watches silent for {late:.0f} s: {self.first(world)}")
--- a/tests/test_experiment.py
+++ b/tests/test_experiment.py
@@ -13,7 +13,9 @@
 from crankfold.simulation.fleet import Scenario, SimulatedFleet
 from tests.scene import Kept
 
-DAY = Scenario(dispatcher_count=6, backend_count=9, arrival_rate=12.0, mean_service_time=3_500, seconds=8, seed=3)
+DAY = Scenario(
+    dispatcher_count=6, backend_count=9, arrival_rate=12.0, mean_service_time=3_500, seconds=8, seed=3
+)
 PLAN = """
 name = "small"
 seeds = 2
@@ -36,7 +38,11 @@
 
 class Faults(Kept):
     def play(self, *faults: Fault, **day: object) -> tuple[SimulatedFleet, float]:
-        world = SimulatedFleet(replace(DAY, faults=faults, **day), replace(DEFAULT_CONFIG, hedging_allowed=True), Router)  # type: ignore[arg-type]
+        world = SimulatedFleet(
+            replace(DAY, faults=faults, **day),  # type: ignore[arg-type]
+            replace(DEFAULT_CONFIG, hedging_allowed=True),
+            Router,
+        )
         world.run()
         return world, world.on_time_count / world.request_count
 
@@ -47,14 +53,19 @@
         for kind in FaultKind:
             # With reports that stand still or lists that are down something else has to happen to be felt.
             release = (Fault(FaultKind.ROLLING_RELEASE, 2.0, 3.5, 0.4),)
-            more = {FaultKind.DISCOVERY_DOWN: release, FaultKind.SILENT_WATCH: release, FaultKind.STALE_REPORTS:
-                    (Fault(FaultKind.SLOW, 1.0, 7.0, 0.3),)}.get(kind, ())
+            more = {
+                FaultKind.DISCOVERY_DOWN: release,
+                FaultKind.SILENT_WATCH: release,
+                FaultKind.STALE_REPORTS: (Fault(FaultKind.SLOW, 1.0, 7.0, 0.3),),
+            }.get(kind, ())
             day = {"dispatcher_count": 2, "arrival_rate": 36.0} if kind == FaultKind.STALE_REPORTS else {}
             base = self.play(*more, **day)[1] if more else calm
             world, share = self.play(Fault(kind, 2.0, 5.0, 0.4, factor=factor.get(kind, 4.0)), *more, **day)
             answers = [record.answer for record in world.invariants.requests.values()]
-            self.say(f"{kind.value}: felt {share != base}, all answered {all(answers)}, "
-                     f"lost with a dispatcher {'lost' in answers}, rules broken {len(world.invariants.violations)}")
+            self.say(
+                f"{kind.value}: felt {share != base}, all answered {all(answers)}, "
+                f"lost with a dispatcher {'lost' in answers}, rules broken {len(world.invariants.violations)}"
+            )
         self.close("emulator-faults")
 
     def test_what_a_fault_does(self) -> None:
@@ -67,7 +78,9 @@
         self.assertEqual([r.index for r in world.backends if r.ready_since], [1, 4, 7])
         world, _ = self.play(Fault(FaultKind.DISPATCHERS_KILLED, 2.0, 4.0, 0.5))
         self.assertEqual(sum(post.alive for post in world.dispatchers), 6)
-        before, after = (self.play(Fault(FaultKind.BURST, 2.0, 4.0, factor=f))[0].request_count for f in (1.0, 3.0))
+        before, after = (
+            self.play(Fault(FaultKind.BURST, 2.0, 4.0, factor=f))[0].request_count for f in (1.0, 3.0)
+        )
         self.assertGreater(after, 1.3 * before)
         shed, _ = self.play(Fault(FaultKind.BURST, 1.0, 7.0, factor=6.0), client_retries=3)
         self.assertGreater(len(shed.invariants.requests), shed.request_count)  # who was shed came again
--- a/tests/test_grown.py
+++ b/tests/test_grown.py
@@ -47,13 +47,25 @@
 
 class Grown(Kept):
     def open(self, cold: int = 0, **orders: object) -> None:
-        self.posts = [Post(seed * 7919, instance_count=DISPATCHERS, zone=seed % 3, request_classes=[GRADE],
-                           instance_index=seed - 1, **orders)
-                      for seed in range(1, DISPATCHERS + 1)]
-        listed = [Endpoint(r, EndpointState.READY, (8.0, 4.0, 3.0)[r % 3], r // 3 % 3, r % 6, 0, r % 3, r / WARM)
-                  for r in range(WARM)]
-        listed += [Endpoint(WARM + r, EndpointState.READY, 4.0, r % 3, r % 6, 100_000, 1, r / cold)
-                   for r in range(cold)]
+        self.posts = [
+            Post(
+                seed * 7919,
+                instance_count=DISPATCHERS,
+                zone=seed % 3,
+                request_classes=[GRADE],
+                instance_index=seed - 1,
+                **orders,
+            )
+            for seed in range(1, DISPATCHERS + 1)
+        ]
+        listed = [
+            Endpoint(r, EndpointState.READY, (8.0, 4.0, 3.0)[r % 3], r // 3 % 3, r % 6, 0, r % 3, r / WARM)
+            for r in range(WARM)
+        ]
+        listed += [
+            Endpoint(WARM + r, EndpointState.READY, 4.0, r % 3, r % 6, 100_000, 1, r / cold)
+            for r in range(cold)
+        ]
         for post in self.posts:
             post.told.endpoints_changed(post.now, listed, True)
             for r in range(WARM):
@@ -96,14 +108,15 @@
         self.play(5, 150 * MS)
         sent = sorted((at, r) for post in self.posts for at, _, r in post.went if r >= WARM)
         least = 0.4 * 4  # slots that one can fill when it has just started
-        worst = max(sum(UNIT for at, other in sent if other == r and then <= at < then + 1000 * MS)
-                    for then, r in sent)
+        worst = max(
+            sum(UNIT for at, other in sent if other == r and then <= at < then + 1000 * MS)
+            for then, r in sent
+        )
         self.say(f"under four times the least capacity in any second: {worst < 4 * least * 1000 * MS}")
         used = len(sent) * UNIT / (30 * least * 5000 * MS)
         self.say(f"a fifth of the least capacity used by few units: {used > 0.2}")
         self.close("grown-cold")
 
-
     def test_a_list_service_with_a_queue_gets_to_answer_all_that_start_together(self) -> None:
         # It serves five calls a second in turn, takes no more than four seconds of them, and answers nobody
         # who has waited for two: with all asking again and again its queue stayed just too long for ever.
@@ -136,8 +149,13 @@
 class ColdFirst(Scene):
     def open_with_cold(self) -> None:
         self.open(runners=0, free=0, overload_factor=4.0)
-        self.list([Endpoint(0, EndpointState.READY, 4.0, 0, 0, 0), Endpoint(1, EndpointState.READY, 4.0, 0, 0, 0),
-                   Endpoint(2, EndpointState.READY, 4.0, 0, 0, 98_000)])
+        self.list(
+            [
+                Endpoint(0, EndpointState.READY, 4.0, 0, 0, 0),
+                Endpoint(1, EndpointState.READY, 4.0, 0, 0, 0),
+                Endpoint(2, EndpointState.READY, 4.0, 0, 0, 98_000),
+            ]
+        )
         for r in (0, 1):
             self.told.probe_ended(self.now, r, True, (0.0, 4.0))
         self.told.own_share[2] = 1.0
--- a/tests/test_move.py
+++ b/tests/test_move.py
@@ -8,8 +8,12 @@
 
 class Moved(Scene):
     def listed(self, *weights: float) -> None:
-        self.list([Endpoint(r, EndpointState.READY, weight, 0, 0, 0, 0, r / len(weights))
-                   for r, weight in enumerate(weights)])
+        self.list(
+            [
+                Endpoint(r, EndpointState.READY, weight, 0, 0, 0, 0, r / len(weights))
+                for r, weight in enumerate(weights)
+            ]
+        )
 
     def test_load_in_a_weight_is_not_size(self) -> None:
         self.open(runners=0, free=0, weights_follow_load=True)
@@ -35,8 +39,15 @@
     def test_a_key_has_the_same_homes_at_every_dispatcher(self) -> None:
         homes = set()
         for seed in range(20):
-            self.open(runners=0, free=0, weights_follow_load=True, start_notifications=False, instance_index=seed, seed=seed,
-                      instance_count=20)
+            self.open(
+                runners=0,
+                free=0,
+                weights_follow_load=True,
+                start_notifications=False,
+                instance_index=seed,
+                seed=seed,
+                instance_count=20,
+            )
             self.listed(*[4.0] * 12)
             self.take(0, work=0, key=77)
             homes.add(self.lines[-1].split()[-1])
@@ -75,8 +86,13 @@
         self.close("move-limit")
 
     def test_a_wait_that_expected_times_allow_cuts_no_limit(self) -> None:
-        self.open(runners=0, free=0, weights_follow_load=True, start_notifications=False,
-                  request_classes=[replace(GRADE, latency_objective=2000 * MS)])
+        self.open(
+            runners=0,
+            free=0,
+            weights_follow_load=True,
+            start_notifications=False,
+            request_classes=[replace(GRADE, latency_objective=2000 * MS)],
+        )
         self.listed(4.0, 4.0)
         for n in range(3):
             self.take(n, work=0)
@@ -96,8 +112,9 @@
     def test_a_cold_runner_outside_the_circle_gets_nothing(self) -> None:
         self.open(runners=0, free=0, weights_follow_load=True, instance_count=60)
         start = self.now - 1000 * MS
-        self.list([Endpoint(r, EndpointState.READY, 4.0, 0, 0, start * (r % 2), 0, r / 30)
-                   for r in range(30)])
+        self.list(
+            [Endpoint(r, EndpointState.READY, 4.0, 0, 0, start * (r % 2), 0, r / 30) for r in range(30)]
+        )
         for r in range(30):
             if not r % 2:
                 self.told.overloaded_until[r] = self.now + 10_000 * MS
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -32,8 +32,10 @@
 from tests.loopback import BACK, HEALTH, OK, UNIT, Between, Handler, Loopback
 from tests.scene import read_request
 
-CHANGES = (b"HTTP/1.1 200 OK\r\nContent-Length: 83\r\n\r\n"
-           b'{"rev":%d,"all":false,"targets":[{"uid":"a","endpoint":"h:1","state":"in_service"}]}')
+CHANGES = (
+    b"HTTP/1.1 200 OK\r\nContent-Length: 83\r\n\r\n"
+    b'{"rev":%d,"all":false,"targets":[{"uid":"a","endpoint":"h:1","state":"in_service"}]}'
+)
 
 
 class Listeners(Loopback):
@@ -63,7 +65,9 @@
         for reader in (usual, later):
             await read_request(reader)
         more.write(b"POST /api HTTP/1.1\r\nHo")
-        await self.until(lambda: sum(client.protocol.is_mid_request() for client in self.listener.connections) == 2)
+        await self.until(
+            lambda: sum(client.protocol.is_mid_request() for client in self.listener.connections) == 2
+        )
         with patch("crankfold.network.listener.FIRST_REQUEST_TIMEOUT", 0.0):
             self.listener.sweep()
         await self.ended(*strangers)
@@ -109,7 +113,9 @@
         limits = resource.getrlimit(resource.RLIMIT_NOFILE)
         rush = [socket.socket() for _ in range(300)]
         try:
-            resource.setrlimit(resource.RLIMIT_NOFILE, (open_before + 301 + 20 + UNCOUNTED_SOCKETS, limits[1]))
+            resource.setrlimit(
+                resource.RLIMIT_NOFILE, (open_before + 301 + 20 + UNCOUNTED_SOCKETS, limits[1])
+            )
             for one in rush:
                 one.connect(("127.0.0.1", self.listener.port()))  # the system takes them; nobody here yet
             reader, writer = await asyncio.open_connection("127.0.0.1", self.listener.port())
@@ -158,7 +164,9 @@
         loop = asyncio.get_running_loop()
         loop.set_exception_handler(lambda _, context: failures.append(context))
         client = next(iter(self.listener.connections))
-        await self.until(lambda: client.unread_bytes > MAX_UNREAD_BYTES)  # from here on the rest is left outside
+        await self.until(
+            lambda: client.unread_bytes > MAX_UNREAD_BYTES
+        )  # from here on the rest is left outside
         for task in asyncio.all_tasks():
             if getattr(task.get_coro(), "__name__", "") == "_taken":
                 task.cancel()  # as the end of the program does
@@ -333,7 +341,6 @@
         watch.stop()
         self.close("watch")
 
-
     async def test_a_call_waits_its_turn_and_asks_for_changes_after_a_refusal(self) -> None:
         told = asyncio.Event()
 
@@ -351,8 +358,15 @@
             self.say(f"told {'the whole' if whole else 'changes'}")
             told.set()
 
-        watch = DiscoveryWatcher("127.0.0.1", await self.stand_in(discovery), Mock(), heard, lambda: None,
-                      Metrics(), retry_interval=0.01)
+        watch = DiscoveryWatcher(
+            "127.0.0.1",
+            await self.stand_in(discovery),
+            Mock(),
+            heard,
+            lambda: None,
+            Metrics(),
+            retry_interval=0.01,
+        )
         watch.revision = 5
         watch.start(True)
         async with asyncio.timeout(5):
@@ -385,7 +399,9 @@
             self.say(f"told {'the whole' if whole else 'changes'}")
             told.set()
 
-        watch = DiscoveryWatcher("127.0.0.1", await self.stand_in(discovery), Mock(), heard, lambda: None, Metrics())
+        watch = DiscoveryWatcher(
+            "127.0.0.1", await self.stand_in(discovery), Mock(), heard, lambda: None, Metrics()
+        )
         watch.revision = rev
         self.addCleanup(watch.stop)
         watch.start(True)
@@ -393,10 +409,14 @@
 
     def test_the_longest_way_to_a_change_is_under_six_seconds(self) -> None:
         """Silent from the moment it was asked, and the next two connections not up or silent as well."""
-        of_pushed = LONG_POLL_MS / 1000 + OVERDUE_GRACE + 2 * max(RETRY_INTERVAL, CONNECT_TIMEOUT) + RETRY_INTERVAL
+        of_pushed = (
+            LONG_POLL_MS / 1000 + OVERDUE_GRACE + 2 * max(RETRY_INTERVAL, CONNECT_TIMEOUT) + RETRY_INTERVAL
+        )
         self.assertLess(of_pushed, 5.0)
         self.assertLess(LONG_POLL_MS / 1000 + OVERDUE_GRACE + POLL_RETRY_INTERVAL, 5.5)
-        self.assertLess(RETRY_INTERVAL, 0.25)  # less than any grace after a discovery that is back has told a drain
+        self.assertLess(
+            RETRY_INTERVAL, 0.25
+        )  # less than any grace after a discovery that is back has told a drain
 
     async def test_a_watch_that_falls_silent_for_good_is_opened_anew_beside_it(self) -> None:
         silent = asyncio.Event()
@@ -413,7 +433,10 @@
             writer.write(CHANGES % 7)
             await reader.read()
 
-        with patch("crankfold.network.discovery_watcher.LONG_POLL_MS", 20), patch("crankfold.network.discovery_watcher.OVERDUE_GRACE", 0.05):
+        with (
+            patch("crankfold.network.discovery_watcher.LONG_POLL_MS", 20),
+            patch("crankfold.network.discovery_watcher.OVERDUE_GRACE", 0.05),
+        ):
             watch, told = await self.watched(discovery, rev=5)
             async with asyncio.timeout(2):
                 await silent.wait()
@@ -439,7 +462,10 @@
             open_now.discard(writer)
 
         watch, told = await self.watched(discovery, rev=5)
-        with patch("crankfold.network.discovery_watcher.LONG_POLL_MS", 20), patch("crankfold.network.discovery_watcher.OVERDUE_GRACE", 0.01):
+        with (
+            patch("crankfold.network.discovery_watcher.LONG_POLL_MS", 20),
+            patch("crankfold.network.discovery_watcher.OVERDUE_GRACE", 0.01),
+        ):
             await begun.wait()
             await self.until(lambda: most >= MAX_WATCH_CALLS)
             await asyncio.sleep(4 * RETRY_INTERVAL)
@@ -464,7 +490,10 @@
                         await self.until(lambda: calls > before)  # another has been asked meanwhile  # noqa: B023
             await reader.read()
 
-        with patch("crankfold.network.discovery_watcher.OVERDUE_GRACE", 0.01), patch("crankfold.network.discovery_watcher.RETRY_INTERVAL", 0.01):
+        with (
+            patch("crankfold.network.discovery_watcher.OVERDUE_GRACE", 0.01),
+            patch("crankfold.network.discovery_watcher.RETRY_INTERVAL", 0.01),
+        ):
             watch, told = await self.watched(discovery)
             watch.retry_interval = 0.01
             async with asyncio.timeout(5):
@@ -512,12 +541,18 @@
         answer = await self.ask("u1", "Idempotency-Key: t\r\nX-Cost: 20\r\n")
         async with asyncio.timeout(5):
             await told.wait()
-        await self.until(lambda: not self.node.request_handler.request_table.requests and not self.node.request_handler.request_table.by_request_id)
+        await self.until(
+            lambda: (
+                not self.node.request_handler.request_table.requests
+                and not self.node.request_handler.request_table.by_request_id
+            )
+        )
         counts = self.node.metrics.counters
         self.say(f"client reads {answer}")
         self.say(
             " ".join(
-                f"{name} {counts[name]}" for name in ("taken", "dispatches", "done", "shed", "ended-completed")
+                f"{name} {counts[name]}"
+                for name in ("taken", "dispatches", "done", "shed", "ended-completed")
             )
         )
         self.close("whole")
@@ -559,7 +594,12 @@
         began = asyncio.get_running_loop().time()
         self.assertEqual((await self.ask("u1", wait=0.2))[0].split()[1], "504")
         self.assertLess(asyncio.get_running_loop().time() - began, 1.0)
-        await self.until(lambda: not self.node.request_handler.request_table.requests and not self.node.connection_limiter.open_count)
+        await self.until(
+            lambda: (
+                not self.node.request_handler.request_table.requests
+                and not self.node.connection_limiter.open_count
+            )
+        )
         await self.until(lambda: len(heads) == 2)
         self.assertEqual(heads, [b"POST", b""])  # before the 202 a dispatch is called off by closing
 
@@ -585,7 +625,10 @@
         await self.inside()
         for ident in ("u1", "u2", "u3"):
             self.assertEqual((await self.ask(ident))[0].split()[1], "400")
-        self.assertEqual((self.node.metrics.counters["dispatches"], self.node.request_handler.routing.error_rate), (3, [0.0]))
+        self.assertEqual(
+            (self.node.metrics.counters["dispatches"], self.node.request_handler.routing.error_rate),
+            (3, [0.0]),
+        )
 
     async def test_ids_in_hand_a_full_house_and_a_runner_that_moves(self) -> None:
         posts: list[str] = []
@@ -639,7 +682,12 @@
             await self.until(lambda: any(trip.accepted for work in units.values() for trip in work.attempts))
             asking.cancel()
             await called_off.wait()
-        await self.until(lambda: not self.node.request_handler.request_table.requests and not self.node.request_handler.request_table.by_client)
+        await self.until(
+            lambda: (
+                not self.node.request_handler.request_table.requests
+                and not self.node.request_handler.request_table.by_client
+            )
+        )
 
     async def test_a_drain_told_while_connecting_holds_the_unit_back(self) -> None:
         async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -31,7 +31,7 @@
     "in, an odd id": b"POST /control/runners/a%2Fb%20c/online?why=x HTTP/1.0\r\n\r\n",
     "never listed": b"POST /control/runners/nobody/offline HTTP/1.1\r\nHost: b\r\n\r\n",
     "drain, in chunks": b"POST /control/out-of-service HTTP/1.1\r\nHost: b\r\n"
-                        b"Transfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n",
+    b"Transfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n",
     "back": b"POST /control/in-service HTTP/1.1\r\nHost: b\r\n\r\n",
     "twice in one": b"GET /control/ready HTTP/1.1\r\nHost: b\r\n\r\n" * 2,
     "wrong method": b"GET /control/in-service HTTP/1.1\r\nHost: b\r\n\r\n",
@@ -64,10 +64,12 @@
             return yes
 
         operated = Mock(
-            is_ready=lambda: heard("ready?", False), leave_service=lambda: heard("leave", True),
+            is_ready=lambda: heard("ready?", False),
+            leave_service=lambda: heard("leave", True),
             drain_backend=AsyncMock(side_effect=lambda uid: heard(f"out {uid!r}", uid != "nobody")),
             restore_backend=AsyncMock(side_effect=lambda uid: heard(f"back {uid!r}", True)),
-            enter_service=lambda: heard("enter", True))
+            enter_service=lambda: heard("enter", True),
+        )
         side = AdminConnection()
         for piece in pieces:
             side.receive_data(piece)
@@ -154,8 +156,10 @@
 
         def listed(now: int, standing: EndpointState, since: int) -> None:
             entry = bans.apply_to("a", Endpoint(0, standing, 1.0, 0, 0, since))
-            self.say(f"{now}: listed {standing.name.lower()} started {since}: counts as "
-                     f"{entry.state.name.lower()} started {entry.started_at}")
+            self.say(
+                f"{now}: listed {standing.name.lower()} started {since}: counts as "
+                f"{entry.state.name.lower()} started {entry.started_at}"
+            )
 
         listed(10, EndpointState.READY, 0)
         self.say(f"20: out {bans.drain('a', 20)}, again {bans.drain('a', 25)}")
@@ -179,9 +183,11 @@
         duty = Lifecycle()
 
         def shown(at: float, what: str, yes: bool | None = None) -> None:
-            self.say(f"{at:3} {what}{'' if yes is None else ' yes' if yes else ' no'}: {duty.state.value}"
-                     f"{', healthy' if duty.is_serving() else ''}{', last answers' if duty.is_leaving() else ''}"
-                     f"{', closes idle' if duty.closes_idle_connections(at) else ''}")
+            self.say(
+                f"{at:3} {what}{'' if yes is None else ' yes' if yes else ' no'}: {duty.state.value}"
+                f"{', healthy' if duty.is_serving() else ''}{', last answers' if duty.is_leaving() else ''}"
+                f"{', closes idle' if duty.closes_idle_connections(at) else ''}"
+            )
 
         shown(0.0, "made")
         duty.start_serving(0.1)
@@ -217,8 +223,10 @@
 
     def test_cold_runners_are_left_to_the_successor_and_taken_back(self) -> None:
         fleet = self.fleet()
-        entries = [fleet.register(uid, "h", 1, "z", "k", 0, EndpointState.READY, 1.0, boot)
-                   for uid, boot in (("old", 0), ("warm", 8_000), ("cold", 9_500))]
+        entries = [
+            fleet.register(uid, "h", 1, "z", "k", 0, EndpointState.READY, 1.0, boot)
+            for uid, boot in (("old", 0), ("warm", 8_000), ("cold", 9_500))
+        ]
         fleet.update_endpoints(entries, True)
         self.assertEqual(fleet.states, [EndpointState.READY] * 3)
         fleet.reserve_slow_start(True)
@@ -232,13 +240,20 @@
         given: dict[str, Any] = {"limits": {"sockets": 384}}
         to_runners, others = divide_socket_limit(given, True)
         for held in (0, 100, others):
-            node, old = (Mock(socket_limits=(to_runners, others), connection_limiter=Mock(), listener=Mock()) for _ in "no")
+            node, old = (
+                Mock(socket_limits=(to_runners, others), connection_limiter=Mock(), listener=Mock())
+                for _ in "no"
+            )
             Application._share_sockets(old, 0, 0, True)
             Application._share_sockets(node, held, old.connection_limiter.max_connections, False)
             self.assertLessEqual(node.listener.max_connections + held + to_runners + 2 * MAX_CALLERS, 384)
-            self.assertLessEqual(node.connection_limiter.max_connections + old.connection_limiter.max_connections, to_runners)
+            self.assertLessEqual(
+                node.connection_limiter.max_connections + old.connection_limiter.max_connections, to_runners
+            )
             Application._share_sockets(node, 0, 0, False)  # the old one has left
-            self.assertEqual((node.connection_limiter.max_connections, node.listener.max_connections), (to_runners, others))
+            self.assertEqual(
+                (node.connection_limiter.max_connections, node.listener.max_connections), (to_runners, others)
+            )
 
 
 class InService(Between):
@@ -265,8 +280,9 @@
         await self.with_door()
         self.assertEqual(await self.call(self.door, "ready", "GET"), "200 ready")
         self.assertEqual((await self.ask("u1"))[1], b"done")
-        self.assertEqual(await self.call(self.door, "runners/b/offline"),
-                         "404 no such runner was ever listed")
+        self.assertEqual(
+            await self.call(self.door, "runners/b/offline"), "404 no such runner was ever listed"
+        )
         for _ in range(2):
             self.assertEqual(await self.call(self.door, "runners/a/offline"), "200 offline")
         self.assertEqual(await self.call(self.door, "ready", "GET"), "503 not ready")  # nowhere to send
@@ -278,7 +294,9 @@
         self.assertEqual(await self.call(self.door, "runners/a/online"), "200 online")
         self.assertEqual(((await self.ask("u3"))[1], self.reads), (b"done", 2))
         self.assertEqual(self.node.request_handler.request_classes.open_counts, [0])
-        self.assertEqual(self.node.request_handler.routing.started_at[0], 0)  # its kept connection shows it never restarted
+        self.assertEqual(
+            self.node.request_handler.routing.started_at[0], 0
+        )  # its kept connection shows it never restarted
 
     async def test_back_after_a_restart_that_the_list_does_not_show_it_is_cold(self) -> None:
         await self.with_door()
@@ -309,13 +327,17 @@
         await self.with_door()
         resting, keep = await asyncio.open_connection("127.0.0.1", self.port)
         self.addCleanup(keep.close)
-        keep.write(b"POST /v1/job-events HTTP/1.1\r\nHost: b\r\nContent-Length: 40\r\n\r\n"
-                   + orjson.dumps({"id": "u0", "from": "a", "state": "started"}))
+        keep.write(
+            b"POST /v1/job-events HTTP/1.1\r\nHost: b\r\nContent-Length: 40\r\n\r\n"
+            + orjson.dumps({"id": "u0", "from": "a", "state": "started"})
+        )
         await read_request(resting)
         used, use = await asyncio.open_connection("127.0.0.1", self.port)
         self.addCleanup(use.close)
-        unit = (b"POST /api HTTP/1.1\r\nHost: b\r\nX-Request-ID: %s\r\nX-Priority-Class: g\r\n"
-                b"X-Timeout: 2\r\nContent-Length: 0\r\n\r\n")
+        unit = (
+            b"POST /api HTTP/1.1\r\nHost: b\r\nX-Request-ID: %s\r\nX-Priority-Class: g\r\n"
+            b"X-Timeout: 2\r\nContent-Length: 0\r\n\r\n"
+        )
         use.write(unit % b"u1")
         self.assertNotIn("close", (await read_request(used))[0])
         held = asyncio.create_task(self.ask("held"))
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -38,15 +38,25 @@
 
 class Framing(Traces):
     def test_frames_cut_at_every_byte(self) -> None:
-        told: list[Message | Hello] = [Hello(PROTOCOL_VERSION, "n", 3, ""), ProposalRequest("c", "k", {"a": 1}), Rejection("no")]
+        told: list[Message | Hello] = [
+            Hello(PROTOCOL_VERSION, "n", 3, ""),
+            ProposalRequest("c", "k", {"a": 1}),
+            Rejection("no"),
+        ]
         whole = b"".join(encode_frame(one) for one in told)
         for cut in range(len(whole)):
             frames = FrameDecoder()
             self.assertEqual(frames.feed(whole[:cut]) + frames.feed(whole[cut:]), told)
 
     def test_what_can_not_be_read_is_garbled(self) -> None:
-        for bad in ((MAX_FRAME_SIZE + 1).to_bytes(4, "big"), b"\0\0\0\1\xc1", b"\0\0\0\0", b"\0\0\0\2\x91\xa1",
-                    b"GET / HTTP/1.1\r\n\r\n", (5000).to_bytes(4, "big") + b"\x91" * 5000):
+        for bad in (
+            (MAX_FRAME_SIZE + 1).to_bytes(4, "big"),
+            b"\0\0\0\1\xc1",
+            b"\0\0\0\0",
+            b"\0\0\0\2\x91\xa1",
+            b"GET / HTTP/1.1\r\n\r\n",
+            (5000).to_bytes(4, "big") + b"\x91" * 5000,
+        ):
             with self.assertRaises(ProtocolError, msg=bad[:20]):
                 FrameDecoder().feed(bad)
 
@@ -80,7 +90,7 @@
         records, at = [], 0
         while at < len(data):
             records.append(at)
-            at += RECORD_HEADER_SIZE + int.from_bytes(data[at:at + 4], "big")
+            at += RECORD_HEADER_SIZE + int.from_bytes(data[at : at + 4], "big")
         for cut in range(records[-1] + 1, len(data)):
             for tail in (b"", b"\0" * 40):  # also where room was made and never filled
                 (self.folder / "history").write_bytes(data[:cut] + tail)
@@ -88,7 +98,7 @@
                 store.close()
                 self.assertEqual(store.persistent_state.entries, [entry(1), entry(2)], f"{cut}, {len(tail)}")
                 self.assertIn("torn tail", store.startup_notice)
-                self.assertEqual((self.folder / "history").read_bytes(), data[:records[-1]])
+                self.assertEqual((self.folder / "history").read_bytes(), data[: records[-1]])
 
     def test_damage_before_the_tail_is_refused_and_nothing_is_changed(self) -> None:
         data = bytearray(self.fill())
@@ -123,18 +133,25 @@
         store.save(Ready(3, "n1", True, False, None, 5, [entry(5)]))
         store.close()
         again = RaftStorage(self.folder, "n0")
-        self.assertEqual((again.persistent_state.kept.state, again.persistent_state.entries), (b"state", [entry(4), entry(5)]))
+        self.assertEqual(
+            (again.persistent_state.kept.state, again.persistent_state.entries),
+            (b"state", [entry(4), entry(5)]),
+        )
         again.close()
 
 
 class Configured(Traces):
     def test_what_is_wrong_is_said_with_its_field(self) -> None:
         voters = {name: "127.0.0.1:1" for name in VOTERS}
-        for given in ({}, {"name": "n0", "voters": voters}, {"name": "f", "voters": {"a": "b"}},
-                      {"name": "f", "voters": {**voters, "n2": "nowhere"}},
-                      {"name": "f", "voters": voters, "stated-time": 0.2},
-                      {"name": "f", "voters": voters, "when-cut-off": "pray"},
-                      {"name": "f", "voters": voters, "adress": "x"}):
+        for given in (
+            {},
+            {"name": "n0", "voters": voters},
+            {"name": "f", "voters": {"a": "b"}},
+            {"name": "f", "voters": {**voters, "n2": "nowhere"}},
+            {"name": "f", "voters": voters, "stated-time": 0.2},
+            {"name": "f", "voters": voters, "when-cut-off": "pray"},
+            {"name": "f", "voters": voters, "adress": "x"},
+        ):
             with self.assertRaises(ValueError) as wrong:
                 read_cluster_config(given)
             self.say(str(wrong.exception))
@@ -154,11 +171,30 @@
         for peer in self.peers.values():
             await peer.close()
 
-    async def start(self, name: str, voters: tuple[str, ...] = VOTERS, folder: str = "",
-                    changed: Callable[[set[str]], None] = lambda docs: None, key: str = "") -> ClusterNode:
-        given = ClusterConfig(name, {voter: f"127.0.0.1:{self.ports[voter]}" for voter in voters},
-                      folder=str(self.folder / (folder or name)), stated_time=1.0, succeeds=bool(key))
-        peer = ClusterNode(given, Metrics(), lambda doc, text: "", settings_document("safe"), changed, dict, lambda upto: upto)
+    async def start(
+        self,
+        name: str,
+        voters: tuple[str, ...] = VOTERS,
+        folder: str = "",
+        changed: Callable[[set[str]], None] = lambda docs: None,
+        key: str = "",
+    ) -> ClusterNode:
+        given = ClusterConfig(
+            name,
+            {voter: f"127.0.0.1:{self.ports[voter]}" for voter in voters},
+            folder=str(self.folder / (folder or name)),
+            stated_time=1.0,
+            succeeds=bool(key),
+        )
+        peer = ClusterNode(
+            given,
+            Metrics(),
+            lambda doc, text: "",
+            settings_document("safe"),
+            changed,
+            dict,
+            lambda upto: upto,
+        )
         await peer.open()
         self.peers[key or name] = peer
         return peer
@@ -180,7 +216,11 @@
         self.assertEqual(await self.publish(follower, "a", 1), made)
         index = await follower.wait_until_active(SETTINGS, 2, 30.0)
         self.assertTrue(index and await follower.wait_until_cluster_applied(index, 30.0))
-        self.assertTrue(all(peer.consensus.documents.document(SETTINGS).active_number == 2 for peer in self.peers.values()))
+        self.assertTrue(
+            all(
+                peer.consensus.documents.document(SETTINGS).active_number == 2 for peer in self.peers.values()
+            )
+        )
         # A voter dies for good, and another comes in its place, one step at a time.
         lost = next(name for name in VOTERS if self.peers[name].status()["leader"] != name)
         await self.peers.pop(lost).close()
@@ -237,8 +277,13 @@
         for name in VOTERS:
             await self.start(name)
         await self.until(lambda: self.acts(*VOTERS))
-        for bad in (b"GET / HTTP/1.1\r\n\r\n", encode_frame(Hello(PROTOCOL_VERSION + 1, "x", 1, "")), encode_frame(Rejection("x")),
-                    encode_frame(Hello(PROTOCOL_VERSION, "x", 1, "")) * 2, b"\xff" * 100):
+        for bad in (
+            b"GET / HTTP/1.1\r\n\r\n",
+            encode_frame(Hello(PROTOCOL_VERSION + 1, "x", 1, "")),
+            encode_frame(Rejection("x")),
+            encode_frame(Hello(PROTOCOL_VERSION, "x", 1, "")) * 2,
+            b"\xff" * 100,
+        ):
             reader, writer = await asyncio.open_connection("127.0.0.1", self.ports["n0"])
             writer.write(bad)
             async with asyncio.timeout(5):
@@ -263,7 +308,9 @@
     async def test_alone_it_acts_on_nothing_and_says_why(self) -> None:
         heard: list[set[str]] = []
         peer = await self.start("f", changed=heard.append)
-        self.assertEqual((peer.has_lease(), peer.inactive_reason()), (False, "nothing heard of the fleet yet"))
+        self.assertEqual(
+            (peer.has_lease(), peer.inactive_reason()), (False, "nothing heard of the fleet yet")
+        )
         made = await peer.propose("publish", {}, "x", 0.1)
         self.assertEqual((made.accepted, made.version_number), (False, 0))
         self.assertEqual(heard, [])
@@ -271,9 +318,16 @@
 
 class Off(Traces):
     def test_nothing_of_it_is_imported_without_peers(self) -> None:
-        script = ("import crankfold.cli.main, sys; print([m for m in sys.modules if m.split('.')[-1] == 'agreed' "
-                  "or m.startswith(('crankfold.cluster', 'crankfold.consensus', 'crankfold.maintenance', "
-                  "'crankfold.fault_injection'))])")
-        done = subprocess.run([sys.executable, "-c", script], capture_output=True, text=True, check=True,
-                              cwd=Path(__file__).parents[1])
+        script = (
+            "import crankfold.cli.main, sys; print([m for m in sys.modules if m.split('.')[-1] == 'agreed' "
+            "or m.startswith(('crankfold.cluster', 'crankfold.consensus', 'crankfold.maintenance', "
+            "'crankfold.fault_injection'))])"
+        )
+        done = subprocess.run(
+            [sys.executable, "-c", script],
+            capture_output=True,
+            text=True,
+            check=True,
+            cwd=Path(__file__).parents[1],
+        )
         self.assertEqual(done.stdout.strip(), "[]")
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -181,7 +181,9 @@
             b'{"id":"u1","from":"a","state":"running","share":true}',
             b"[" * 60_000,
         ):
-            self.say(f"{callbacks.handle_callback(body, self, ('queue', 'x0'))}: {body[:80].decode('latin-1')}")
+            self.say(
+                f"{callbacks.handle_callback(body, self, ('queue', 'x0'))}: {body[:80].decode('latin-1')}"
+            )
         side = self.side()
         for body in (b'{"id":"u1","from":"a","state":"lost"}', b"{}"):
             side.receive_data(
@@ -215,7 +217,8 @@
                 outcome = {ACCEPTED: "taken", REJECTED: "unfit"}.get(ended) or Outcome(ended).name.lower()
                 told = (
                     f"{answer[:60]!r}: {outcome}, over {over}"
-                    f", again {side.reusable}, {load_reports.report_from_header(side.load_header, ('queue', 'x0'))}"
+                    f", again {side.reusable}, "
+                    f"{load_reports.report_from_header(side.load_header, ('queue', 'x0'))}"
                 )
                 if step > 1:
                     self.say(told)
@@ -278,7 +281,9 @@
         self.say(side.request(-1, 4000).decode().replace("\r\n", " "))
         body = b'{"rev":4,"all":true,"targets":[' + one + b"]}"
         data = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body
-        self.assertEqual([side.receive_data(data[at : at + 1]) for at in range(len(data))].index(True), len(data) - 1)
+        self.assertEqual(
+            [side.receive_data(data[at : at + 1]) for at in range(len(data))].index(True), len(data) - 1
+        )
         side.decode_response(self.enlist)
         self.say(side.request(4, 4000).decode().replace("\r\n", " "))
         side.receive_data(b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n")
@@ -318,8 +323,11 @@
         self.assertEqual(flatten_settings(nested), parse_lines(lines))
         orders = read_routing_config(flatten_settings(nested))
         self.assertEqual(orders, read_routing_config(parse_lines(lines)))
-        self.assertEqual((orders.report_fields, orders.request_classes[0].deadline), (["queue", "free_slots"], 50000))
+        self.assertEqual(
+            (orders.report_fields, orders.request_classes[0].deadline), (["queue", "free_slots"], 50000)
+        )
         rules = read_service_config(flatten_settings(nested))
         self.assertEqual(
-            (rules.request_classes.find("b"), rules.request_classes.find("c"), rules.longest_deadline), (1, -1, 120000)
+            (rules.request_classes.find("b"), rules.request_classes.find("c"), rules.longest_deadline),
+            (1, -1, 120000),
         )
--- a/tests/test_renewal.py
+++ b/tests/test_renewal.py
@@ -15,13 +15,21 @@
 from tests.scene import GRADE, MS, ORDERS, Kept, Scene, read_request
 
 FILE: dict[str, Any] = {
-    "listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "seed": "1f", "limits": {"sockets": 256},
+    "listen": "127.0.0.1:1",
+    "discovery": "127.0.0.1:2",
+    "seed": "1f",
+    "limits": {"sockets": 256},
     "known": None,
     "settings": {
-        "allowed": {"most-dispatches": 3, "cancel": True}, "tick": 2000, "specifics": {"tells-start": True},
-        "service-grades": [{"name": "a", "effect": "safe", "cut-off": 3e6, "expected-time": 1000},
-                           {"name": "b", "effect": "keyed", "group": "zone", "cut-off": 3_000_000,
-                            "expected-time": 0}]}}
+        "allowed": {"most-dispatches": 3, "cancel": True},
+        "tick": 2000,
+        "specifics": {"tells-start": True},
+        "service-grades": [
+            {"name": "a", "effect": "safe", "cut-off": 3e6, "expected-time": 1000},
+            {"name": "b", "effect": "keyed", "group": "zone", "cut-off": 3_000_000, "expected-time": 0},
+        ],
+    },
+}
 
 
 class Forms(Kept):
@@ -68,7 +76,10 @@
     def test_a_name_points_to_its_newest_row(self) -> None:
         def renewed(what: str, **grades: Any) -> None:
             changed = book.update(grades, list(grades.values()))
-            self.say(f"{what}: {'changed' if changed else 'nothing new'}, {book.index_by_name}, open {book.open_counts}")
+            self.say(
+                f"{what}: {'changed' if changed else 'nothing new'}, "
+                f"{book.index_by_name}, open {book.open_counts}"
+            )
 
         safe, keyed = GRADE, replace(GRADE, idempotency=Idempotency.IDEMPOTENT_WITH_KEY)
         unsafe = replace(GRADE, idempotency=Idempotency.NON_IDEMPOTENT)
@@ -118,7 +129,12 @@
         self.open(runners=3)
         self.told.typical_run[0], self.told.limit = 77.0, 5.0
         self.told.reported_queue[1], self.told.ejection_time[2] = 4.5, 10_000
-        self.told.config_changed(self.now, replace(ORDERS, request_classes=[GRADE, replace(GRADE, deduplication_scope=DeduplicationScope.ZONE)]))
+        self.told.config_changed(
+            self.now,
+            replace(
+                ORDERS, request_classes=[GRADE, replace(GRADE, deduplication_scope=DeduplicationScope.ZONE)]
+            ),
+        )
         self.assertEqual((self.told.typical_run, self.told.limit), ([77.0, 500.0 * MS], 5.0))
         self.assertEqual((self.told.reported_queue[1], self.told.ejection_time[2]), (4.5, 10_000))
 
@@ -148,8 +164,9 @@
         held = asyncio.create_task(self.ask("held"))
         await self.until(lambda: sent == ["held"])
         bad = copy.deepcopy(good)
-        bad["settings"]["service-grades"].append({"name": "new", "effect": "safe", "cut-off": 0,
-                                                  "expected-time": 1})
+        bad["settings"]["service-grades"].append(
+            {"name": "new", "effect": "safe", "cut-off": 0, "expected-time": 1}
+        )
         lacks = copy.deepcopy(good)
         del lacks["settings"]["allowed"]["most-dispatches"]
         lacks["settings"]["service-grades"][0]["name"] = "new"
@@ -185,8 +202,10 @@
     async def status(self, grade: str, ident: str = "") -> str:
         self.asked = getattr(self, "asked", 0) + 1
         reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
-        writer.write(f"POST /api HTTP/1.1\r\nHost: b\r\nX-Request-ID: {ident or f'u{self.asked}'}\r\n"
-                     f"X-Priority-Class: {grade}\r\nX-Timeout: 2\r\nContent-Length: 0\r\n\r\n".encode())
+        writer.write(
+            f"POST /api HTTP/1.1\r\nHost: b\r\nX-Request-ID: {ident or f'u{self.asked}'}\r\n"
+            f"X-Priority-Class: {grade}\r\nX-Timeout: 2\r\nContent-Length: 0\r\n\r\n".encode()
+        )
         async with asyncio.timeout(5):
             head, _ = await read_request(reader)
         writer.close()
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -46,7 +46,9 @@
         self.close("once-only")
 
     def test_tagged_keeps_to_its_zone(self) -> None:
-        self.open(runners=3, effect=Idempotency.IDEMPOTENT_WITH_KEY, group=DeduplicationScope.ZONE, window=1000)
+        self.open(
+            runners=3, effect=Idempotency.IDEMPOTENT_WITH_KEY, group=DeduplicationScope.ZONE, window=1000
+        )
         self.held_back(1)
         self.held_back(2)
         self.take(0)
@@ -63,13 +65,17 @@
         self.close("tagged-window")
 
     def test_tagged_keeps_to_its_cell(self) -> None:
-        self.open(runners=4, effect=Idempotency.IDEMPOTENT_WITH_KEY, group=DeduplicationScope.CELL, window=1000)
+        self.open(
+            runners=4, effect=Idempotency.IDEMPOTENT_WITH_KEY, group=DeduplicationScope.CELL, window=1000
+        )
         self.take(0)
         self.end(0, int(self.lines[-1][-1]), Outcome.ERROR)
         self.close("tagged-cell")
 
     def test_tagged_known_everywhere_may_be_shed(self) -> None:
-        self.open(runners=1, effect=Idempotency.IDEMPOTENT_WITH_KEY, group=DeduplicationScope.GLOBAL, window=100)
+        self.open(
+            runners=1, effect=Idempotency.IDEMPOTENT_WITH_KEY, group=DeduplicationScope.GLOBAL, window=100
+        )
         self.take(0)
         self.at(150)
         self.end(0, 0, Outcome.ERROR)
--- a/tests/test_simhost.py
+++ b/tests/test_simhost.py
@@ -57,5 +57,7 @@
     def test_broken_frames_end_the_process_with_one_line(self) -> None:
         unknown_code = b"\x0e\x00\x00\x00" + bytes(8) + b"\xff\xff"
         for bad in (b"\x20\x00\x00\x00abc", b"\x05\x00\x00\x00a", unknown_code):
-            done = subprocess.run([sys.executable, "-m", "crankfold.simulator_adapter"], input=bad, capture_output=True)
+            done = subprocess.run(
+                [sys.executable, "-m", "crankfold.simulator_adapter"], input=bad, capture_output=True
+            )
             self.assertEqual((done.returncode, done.stdout, done.stderr.count(b"\n")), (1, b"", 1))
--- a/tests/test_stored_forms.py
+++ b/tests/test_stored_forms.py
@@ -171,7 +171,8 @@
             ],
         ),
         "limits": Document(
-            active_number=1, versions=[version(1, 8, "c3", {"limits": {"all": 9, "grade:g": 4, "tenant:t": 0}})]
+            active_number=1,
+            versions=[version(1, 8, "c3", {"limits": {"all": 9, "grade:g": 4, "tenant:t": 0}})],
         ),
         "deal": Document(
             active_number=1,
@@ -186,13 +187,19 @@
                 version(2, 14, "c6", {"runners": {"r8": "noise"}}),
             ],
         ),
-        "runners-never": Document(active_number=1, versions=[version(1, 15, "c7", {"runners": {"r7": "stolen"}})]),
-        "works": Document(active_number=2, versions=[version(1, 17, "c8", WORKS_1), version(2, 19, "c9", WORKS_2)]),
+        "runners-never": Document(
+            active_number=1, versions=[version(1, 15, "c7", {"runners": {"r7": "stolen"}})]
+        ),
+        "works": Document(
+            active_number=2, versions=[version(1, 17, "c8", WORKS_1), version(2, 19, "c9", WORKS_2)]
+        ),
     },
     outcomes={
         "begin": ProposalOutcome(accepted=True, reason="", version_number=1, log_index=3),
         "c1": ProposalOutcome(accepted=True, reason="", version_number=2, log_index=5),
-        "c2": ProposalOutcome(accepted=False, reason="made from version 1, but 2 is there by now", version_number=2, log_index=6),
+        "c2": ProposalOutcome(
+            accepted=False, reason="made from version 1, but 2 is there by now", version_number=2, log_index=6
+        ),
         "c3": ProposalOutcome(accepted=True, reason="", version_number=1, log_index=8),
         "c4": ProposalOutcome(accepted=True, reason="", version_number=1, log_index=10),
         "c5": ProposalOutcome(accepted=True, reason="", version_number=1, log_index=12),
@@ -200,7 +207,9 @@
         "c7": ProposalOutcome(accepted=True, reason="", version_number=1, log_index=15),
         "c8": ProposalOutcome(accepted=True, reason="", version_number=1, log_index=17),
         "c9": ProposalOutcome(accepted=True, reason="", version_number=2, log_index=19),
-        "s1": ProposalOutcome(accepted=False, reason="r3: decided before its last step", version_number=0, log_index=34),
+        "s1": ProposalOutcome(
+            accepted=False, reason="r3: decided before its last step", version_number=0, log_index=34
+        ),
         "s2": ProposalOutcome(accepted=True, reason="", version_number=0, log_index=35),
     },
     voter_folder_ids={"n0": "f0", "n1": "f1"},
@@ -305,7 +314,8 @@
         self.assertEqual(docs.effective_content("runners-out"), {"runners": {"r9": "smells", "r8": "noise"}})
         self.assertEqual(docs.effective_content("works"), WORKS_2)
         self.assertEqual(
-            [(name, one.number) for name, one in docs.pending_versions()], [("settings", 2), ("runners-out", 2)]
+            [(name, one.number) for name, one in docs.pending_versions()],
+            [("settings", 2), ("runners-out", 2)],
         )
         self.assertEqual(docs.max_request_duration(), 50_000)
 
@@ -392,7 +402,8 @@
         self.assertEqual((await self.ask("held1"))[0].split()[1], "409")  # in hand at the one before it
         fleet, desk = self.node.backend_registry, self.node.request_handler
         self.assertEqual(
-            {uid: fleet.manual_drains.drained_since[uid] for uid in ("a", "gone")}, {"a": 1234567, "gone": 2345678}
+            {uid: fleet.manual_drains.drained_since[uid] for uid in ("a", "gone")},
+            {"a": 1234567, "gone": 2345678},
         )
         self.assertEqual(fleet.known_ids, {"a", "b", "c", "gone"})
         self.assertEqual(tuple(desk.routing.report[2]), (3.0, 2.5))  # by its last report to the one before
@@ -427,7 +438,8 @@
         await self.serving()
         bans = self.node.backend_registry.manual_drains
         self.assertEqual(
-            (bans.drained_since, bans.assumed_starts), ({"a": 1234567, "gone": 2345678}, {"b": (3456789, 4567890)})
+            (bans.drained_since, bans.assumed_starts),
+            ({"a": 1234567, "gone": 2345678}, {"b": (3456789, 4567890)}),
         )
         self.assertEqual(orjson.loads(data), BANS)
         file = folder / ban_file(self.listen)
