--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -176,7 +176,9 @@
         self.join("b", "a")
         self.takes_over("b")
         self.say("with a question open")
-        b.succession.query(self.now, {"what": "event", "body": "u1"}, lambda yes: self.say(f"  b hears {yes}"))
+        b.succession.query(
+            self.now, {"what": "event", "body": "u1"}, lambda yes: self.say(f"  b hears {yes}")
+        )
         self.post.clear()
         self.dies("a")
         self.say("it hangs")
@@ -184,7 +186,9 @@
         b = self.member("b")
         self.join("b", "a")
         self.takes_over("b")
-        b.succession.query(self.now, {"what": "event", "body": "u1"}, lambda yes: self.say(f"  b hears {yes}"))
+        b.succession.query(
+            self.now, {"what": "event", "body": "u1"}, lambda yes: self.say(f"  b hears {yes}")
+        )
         self.post.clear()
         for self.now in (0.4, 0.6):
             self.say(f"  {self.now}")
@@ -203,8 +207,14 @@
         self.join("c", "b")
         self.takes_over("c")
         self.say("what is no message of ours changes nothing")
-        for odd in ({}, {"yours": 1}, {"re": "x"}, {"ask": 1, "what": "event", "body": 3},
-                    {"holds": None}, {"ask": 2}):
+        for odd in (
+            {},
+            {"yours": 1},
+            {"re": "x"},
+            {"ask": 1, "what": "event", "body": 3},
+            {"holds": None},
+            {"ask": 2},
+        ):
             self.post.append(("c", 1, odd))
         self.deliver()
         self.close("succession-third")
@@ -213,8 +223,10 @@
         data = b'{"take":true}\n{"yours":{"ids":["u1"]}}\n'
         for cut in range(len(data)):
             side = HandoverDecoder()
-            self.assertEqual(side.receive_data(data[:cut]) + side.receive_data(data[cut:]),
-                             [{"take": True}, {"yours": {"ids": ["u1"]}}])
+            self.assertEqual(
+                side.receive_data(data[:cut]) + side.receive_data(data[cut:]),
+                [{"take": True}, {"yours": {"ids": ["u1"]}}],
+            )
         for garbage in (b"hello?\n", b"[1]\n", b"x" * (MAX_LINE_SIZE + 1)):
             with self.assertRaises(ProtocolError):
                 HandoverDecoder().receive_data(garbage)
@@ -332,7 +344,11 @@
             assert handover
             welcome = await handover.connect()
             handover.close()
-            return welcome is not None, handover.listening_socket is not None, list(handover.backend_registry.manual_drains.drained_since)
+            return (
+                welcome is not None,
+                handover.listening_socket is not None,
+                list(handover.backend_registry.manual_drains.drained_since),
+            )
 
         self.assertEqual(await learnt("n1"), (False, False, []))
         self.assertEqual(await learnt("n0"), (True, True, ["a"]))
@@ -372,8 +388,10 @@
         self.assertIn("handed-over=1", printed[0])
         self.process.terminate()
         await ends
-        self.assertEqual(sorted(os.listdir(self.folder)), sorted(
-            ["config.json", *(n for n in os.listdir(self.folder) if n.endswith(".bans"))]))
+        self.assertEqual(
+            sorted(os.listdir(self.folder)),
+            sorted(["config.json", *(n for n in os.listdir(self.folder) if n.endswith(".bans"))]),
+        )
 
     async def test_a_ban_outlives_the_process_it_was_called_at(self) -> None:
         await self.start()
@@ -413,8 +431,11 @@
         self.file.write_bytes(orjson.dumps(self.given))
         self.given["discovery"] = usual
         early = await asyncio.create_subprocess_exec(
-            sys.executable, *SERVE, stderr=asyncio.subprocess.DEVNULL,
-            env={**os.environ, "GW_CONFIG": str(self.file), "TMPDIR": self.folder})
+            sys.executable,
+            *SERVE,
+            stderr=asyncio.subprocess.DEVNULL,
+            env={**os.environ, "GW_CONFIG": str(self.file), "TMPDIR": self.folder},
+        )
         async with asyncio.timeout(5):
             await asked.wait()  # it has met the old one, and waits for a list
         early.kill()
--- a/tests/test_trial.py
+++ b/tests/test_trial.py
@@ -34,8 +34,15 @@
         async def play(plan: Path) -> str:
             async with few:
                 running = await asyncio.create_subprocess_exec(
-                    sys.executable, "-m", "crankfold", "trial", str(plan), stdout=asyncio.subprocess.PIPE,
-                    stderr=asyncio.subprocess.STDOUT, cwd=TRIALS.parent)
+                    sys.executable,
+                    "-m",
+                    "crankfold",
+                    "trial",
+                    str(plan),
+                    stdout=asyncio.subprocess.PIPE,
+                    stderr=asyncio.subprocess.STDOUT,
+                    cwd=TRIALS.parent,
+                )
                 told, _ = await running.communicate()
                 return "" if running.returncode == 0 else f"{plan.name}: {told.decode()}"
 
@@ -44,15 +51,28 @@
 
 
 def rules(at: int, newest: int, counts: int, effect: str, out: str = "") -> dict[str, Any]:
-    acting = {"settings": {"service-grades": [{"name": "g", "effect": effect}]},
-              "runners-out": {"runners": {out: ""} if out else {}}}
-    return {"at": at * MILLISECOND, "what": "rules", "unit": "", "where": "", "acting": acting,
-            "versions": {"settings": [counts, newest], "runners-out": [counts, newest]}}
+    acting = {
+        "settings": {"service-grades": [{"name": "g", "effect": effect}]},
+        "runners-out": {"runners": {out: ""} if out else {}},
+    }
+    return {
+        "at": at * MILLISECOND,
+        "what": "rules",
+        "unit": "",
+        "where": "",
+        "acting": acting,
+        "versions": {"settings": [counts, newest], "runners-out": [counts, newest]},
+    }
 
 
 def act(at: int, newest: int, counts: int, unit: str = "u") -> dict[str, Any]:
-    return {"at": at * MILLISECOND, "what": "take", "unit": unit, "where": "g",
-            "versions": {"settings": [counts, newest], "runners-out": [counts, newest]}}
+    return {
+        "at": at * MILLISECOND,
+        "what": "take",
+        "unit": unit,
+        "where": "g",
+        "versions": {"settings": [counts, newest], "runners-out": [counts, newest]},
+    }
 
 
 def version(number: int, reason: str, out: str = "") -> dict[str, Any]:
@@ -61,30 +81,70 @@
 
 def story() -> TrialRecord:
     """Two processes; version 2 makes the grade once-only and takes r1 out, all as it should be."""
-    records = {"n0": [rules(0, 1, 1, "safe"), act(10, 1, 1, "n0-1"), rules(100, 2, 1, "unsafe", "r1"),
-                      act(200, 2, 1, "n0-2"), rules(400, 2, 2, "unsafe", "r1"), act(500, 2, 2, "n0-3")],
-               "n1": [rules(1, 1, 1, "safe"), act(150, 1, 1, "n1-1"), rules(300, 2, 1, "unsafe", "r1"),
-                      rules(450, 2, 2, "unsafe", "r1"), act(600, 2, 2, "n1-2")]}
+    records = {
+        "n0": [
+            rules(0, 1, 1, "safe"),
+            act(10, 1, 1, "n0-1"),
+            rules(100, 2, 1, "unsafe", "r1"),
+            act(200, 2, 1, "n0-2"),
+            rules(400, 2, 2, "unsafe", "r1"),
+            act(500, 2, 2, "n0-3"),
+        ],
+        "n1": [
+            rules(1, 1, 1, "safe"),
+            act(150, 1, 1, "n1-1"),
+            rules(300, 2, 1, "unsafe", "r1"),
+            rules(450, 2, 2, "unsafe", "r1"),
+            act(600, 2, 2, "n1-2"),
+        ],
+    }
     seen = Observations()
     for n, unit in enumerate(("n0-1", "n0-2", "n0-3", "n1-1", "n1-2")):
         seen.requests[unit] = n * MILLISECOND, unit[:2], "g"
         seen.received_requests.append(((20 + 100 * n) * MILLISECOND, "r0", unit))
         seen.answers.append(((60 + 100 * n) * MILLISECOND, unit, unit[:2], "200 done"))
-    docs = {"settings": {1: version(1, "begin"), 2: version(2, "call1")},
-            "runners-out": {1: version(1, "begin"), 2: version(2, "call2", "r1")}}
+    docs = {
+        "settings": {1: version(1, "begin"), 2: version(2, "call1")},
+        "runners-out": {1: version(1, "begin"), 2: version(2, "call2", "r1")},
+    }
     text = docs["settings"][2]["text"]
-    asked = [PublishRecord("call1", 90 * MILLISECOND, "n0", "settings", text, "confirmed", 2),
-             PublishRecord("call2", 90 * MILLISECOND, "n0", "runners-out", docs["runners-out"][2]["text"], "confirmed", 2),
-             PublishRecord("call3", 95 * MILLISECOND, "n1", "settings", text, "refused")]
-    for n, (what, at) in enumerate((("out", 300), ("free", 700), ("work", 710), ("ended", 800), ("back", 820),
-                                    ("well", 950)), 10):
+    asked = [
+        PublishRecord("call1", 90 * MILLISECOND, "n0", "settings", text, "confirmed", 2),
+        PublishRecord(
+            "call2", 90 * MILLISECOND, "n0", "runners-out", docs["runners-out"][2]["text"], "confirmed", 2
+        ),
+        PublishRecord("call3", 95 * MILLISECOND, "n1", "settings", text, "refused"),
+    ]
+    for n, (what, at) in enumerate(
+        (("out", 300), ("free", 700), ("work", 710), ("ended", 800), ("back", 820), ("well", 950)), 10
+    ):
         for name in records:
-            records[name].append({"at": (at + n) * MILLISECOND, "what": "step", "uid": "r2", "work": "w", "step": what,
-                                  "index": n, "by": "n0", "why": ""})
+            records[name].append(
+                {
+                    "at": (at + n) * MILLISECOND,
+                    "what": "step",
+                    "uid": "r2",
+                    "work": "w",
+                    "step": what,
+                    "index": n,
+                    "by": "n0",
+                    "why": "",
+                }
+            )
     works = {"w": {"work": {"at-once": 1, "a-zone": 1}}}
-    return TrialRecord(2000 * MILLISECOND, records, seen, asked, {"n0": docs, "n1": copy.deepcopy(docs)}, {},
-                 {"n0": "", "n1": ""}, 0, {"r0": "z0", "r1": "z1", "r2": "z0"}, works,
-                 [MaintenanceRun("r2", "w", 11, 725 * MILLISECOND, 790 * MILLISECOND)])
+    return TrialRecord(
+        2000 * MILLISECOND,
+        records,
+        seen,
+        asked,
+        {"n0": docs, "n1": copy.deepcopy(docs)},
+        {},
+        {"n0": "", "n1": ""},
+        0,
+        {"r0": "z0", "r1": "z1", "r2": "z0"},
+        works,
+        [MaintenanceRun("r2", "w", 11, 725 * MILLISECOND, 790 * MILLISECOND)],
+    )
 
 
 def late_act(one: TrialRecord) -> None:
@@ -168,12 +228,26 @@
 
 
 PLANTED: list[tuple[str, Callable[[TrialRecord], None]]] = [
-    ("bound", late_act), ("heard-first", unheard), ("history", other_history), ("history", other_rules),
-    ("no-way-back", back), ("publishes", lost_publish), ("publishes", refused_took),
-    ("publishes", took_twice), ("one-answer", two_answers), ("one-answer", no_answer),
-    ("no-effect-twice", twice), ("out-means-out", reached), ("well-at-the-end", not_well),
-    ("free-means-free", reached_in_work), ("works-bounds", two_out), ("works-bounds", out_beside_a_loss),
-    ("commands", ran_again), ("commands", ran_early), ("works-end", nobody_says_why)]
+    ("bound", late_act),
+    ("heard-first", unheard),
+    ("history", other_history),
+    ("history", other_rules),
+    ("no-way-back", back),
+    ("publishes", lost_publish),
+    ("publishes", refused_took),
+    ("publishes", took_twice),
+    ("one-answer", two_answers),
+    ("one-answer", no_answer),
+    ("no-effect-twice", twice),
+    ("out-means-out", reached),
+    ("well-at-the-end", not_well),
+    ("free-means-free", reached_in_work),
+    ("works-bounds", two_out),
+    ("works-bounds", out_beside_a_loss),
+    ("commands", ran_again),
+    ("commands", ran_early),
+    ("works-end", nobody_says_why),
+]
 
 
 class Checked(Kept):
@@ -193,11 +267,17 @@
         good = (TRIALS / "leader-sleeps.toml").read_text()
         with tempfile.TemporaryDirectory() as folder:
             path = Path(folder) / "plan.toml"
-            for old, new in (('name = "leader-sleeps"', ""), ("seconds = 12.0", "seconds = -1"),
-                             ('"bound"', '"bounds"'), ('at = "leader"', 'at = "n9"'),
-                             ("end = 6.0", "end = 60.0"),
-                             ('kind = "pause"', 'kind = "burn"'), ('at = "leader"\n', ""),
-                             ("end = 6.0", "ends = 6.0"), ("seconds", "=")):
+            for old, new in (
+                ('name = "leader-sleeps"', ""),
+                ("seconds = 12.0", "seconds = -1"),
+                ('"bound"', '"bounds"'),
+                ('at = "leader"', 'at = "n9"'),
+                ("end = 6.0", "end = 60.0"),
+                ('kind = "pause"', 'kind = "burn"'),
+                ('at = "leader"\n', ""),
+                ("end = 6.0", "ends = 6.0"),
+                ("seconds", "="),
+            ):
                 path.write_text(good.replace(old, new))
                 with self.assertRaises(PlanError) as wrong:
                     load_plan(path)
--- a/tests/test_works.py
+++ b/tests/test_works.py
@@ -17,8 +17,13 @@
 
 
 class Scheduling(Kept):
-    def show(self, works: list[MaintenanceJob], machines: list[Machine] = FLEET, out: tuple[tuple[str, str], ...] = (),
-             now: int = 0) -> None:
+    def show(
+        self,
+        works: list[MaintenanceJob],
+        machines: list[Machine] = FLEET,
+        out: tuple[tuple[str, str], ...] = (),
+        now: int = 0,
+    ) -> None:
         told = schedule(works, machines, out, (), now)
         self.say(f"go {told.departures}")
         for (uid, work), why in sorted(told.wait_reasons.items())[:3]:
@@ -42,17 +47,30 @@
         self.close("works-order")
 
     def test_a_work_that_could_never_go_on_is_refused_with_its_bound(self) -> None:
-        for work in (MaintenanceJob("w", machine_ids=frozenset({"nobody"})), MaintenanceJob("w", min_remaining_share=1.0),
-                     MaintenanceJob("w", min_remaining_zone_share=0.8), MaintenanceJob("w", not_before=5, not_after=5),
-                     MaintenanceJob("w", min_remaining_share=0.8, max_out=4)):
+        for work in (
+            MaintenanceJob("w", machine_ids=frozenset({"nobody"})),
+            MaintenanceJob("w", min_remaining_share=1.0),
+            MaintenanceJob("w", min_remaining_zone_share=0.8),
+            MaintenanceJob("w", not_before=5, not_after=5),
+            MaintenanceJob("w", min_remaining_share=0.8, max_out=4),
+        ):
             self.say(infeasibility_reason(work, FLEET) or "can be done")
         self.close("works-impossible")
 
     def test_bounds_hold_at_every_moment_through_losses_and_all_is_done_at_last(self) -> None:
         for seed in range(30):
             luck = Random(seed)
-            works = [MaintenanceJob("big", max_out=luck.randrange(1, 5), max_out_per_zone=luck.randrange(3), min_remaining_share=0.5),
-                     MaintenanceJob("small", machine_ids=frozenset({"m03", "m07"}), max_out=1, min_remaining_zone_share=0.25)]
+            works = [
+                MaintenanceJob(
+                    "big",
+                    max_out=luck.randrange(1, 5),
+                    max_out_per_zone=luck.randrange(3),
+                    min_remaining_share=0.5,
+                ),
+                MaintenanceJob(
+                    "small", machine_ids=frozenset({"m03", "m07"}), max_out=1, min_remaining_zone_share=0.25
+                ),
+            ]
             out: dict[str, str] = {}
             done: set[tuple[str, str]] = set()
             lost: set[str] = set()
@@ -63,7 +81,9 @@
                 self.assertEqual(told, schedule(works, machines, sorted(out.items()), set(done), 0))
                 out.update(told.departures)
                 for work in works if told.departures else ():
-                    gone = [m for m in machines if work.covers(m) and (m.machine_id in out or not m.available)]
+                    gone = [
+                        m for m in machines if work.covers(m) and (m.machine_id in out or not m.available)
+                    ]
                     taken = [uid for uid, _ in told.departures if any(m.machine_id == uid for m in gone)]
                     if work.name in out.values() and taken:
                         self.assertLessEqual(len(gone), work.max_out, (seed, step))
@@ -83,10 +103,17 @@
 class Specifications(Kept):
     def test_works_that_can_not_be_carried_out_are_turned_down_with_path_found_and_allowed(self) -> None:
         fine: dict[str, object] = {"way": "hand", "stays": 0.5}
-        for works in ({"w": fine}, {"w": {**fine, "at-once": 0}}, {"w": {**fine, "speed": 1}},
-                      {"w w": fine}, {"w": {**fine, "way": "command"}}, {"w": {**fine, "after": ["v"]}},
-                      {"w": {**fine, "after": ["v"]}, "v": {**fine, "after": ["w"]}},
-                      {"w": {**fine, "stays": 1.0}}, {"w": {**fine, "machines": ["m99"]}}):
+        for works in (
+            {"w": fine},
+            {"w": {**fine, "at-once": 0}},
+            {"w": {**fine, "speed": 1}},
+            {"w w": fine},
+            {"w": {**fine, "way": "command"}},
+            {"w": {**fine, "after": ["v"]}},
+            {"w": {**fine, "after": ["v"]}, "v": {**fine, "after": ["w"]}},
+            {"w": {**fine, "stays": 1.0}},
+            {"w": {**fine, "machines": ["m99"]}},
+        ):
             self.say(validation_error({"works": works}, {}, FLEET) or "fits")
         # Handed in once, a work may be held though its machines are gone by now.
         gone = {"works": {"w": {**fine, "machines": ["m99"]}}}
@@ -95,9 +122,12 @@
         self.close("works-forms")
 
     def test_the_order_shown_beforehand_with_times_and_reasons(self) -> None:
-        works = {"disks": JobSpecification(at_once=2, a_zone=1, stays=0.5, takes=60.0, watch=5.0,
-                                machines=["m00", "m03", "m01", "m99"]),
-                 "racks": JobSpecification(machines=["m01"], takes=30.0, watch=5.0, after=["disks"])}
+        works = {
+            "disks": JobSpecification(
+                at_once=2, a_zone=1, stays=0.5, takes=60.0, watch=5.0, machines=["m00", "m03", "m01", "m99"]
+            ),
+            "racks": JobSpecification(machines=["m01"], takes=30.0, watch=5.0, after=["disks"]),
+        }
         for name in works:
             told = forecast_job(name, works, FLEET, {}, set(), 0, 3.0, 10.0)
             for turn in told.departures:
@@ -119,8 +149,12 @@
             self.say(f"{at} {uid or work} waits: {why}")
 
     def view(self, **more: Any) -> FleetView:
-        given = JobSpecification(machines=["m00", "m01"], way="command", command=["x"], takes=5.0, watch=1.0, **more)
-        return FleetView(0, 0, 1, {"w": given}, MaintenanceState(), FLEET, executors={"n0": 1}, incarnations={"n0": 1})
+        given = JobSpecification(
+            machines=["m00", "m01"], way="command", command=["x"], takes=5.0, watch=1.0, **more
+        )
+        return FleetView(
+            0, 0, 1, {"w": given}, MaintenanceState(), FLEET, executors={"n0": 1}, incarnations={"n0": 1}
+        )
 
     def test_too_much_shedding_holds_a_work_and_brings_back_what_is_out(self) -> None:
         view, foreman = self.view(at_once=2, carries=2.0), Coordinator("n0")
--- a/tests/test_yard.py
+++ b/tests/test_yard.py
@@ -14,9 +14,13 @@
 from tests.planted_works import ALL_MACHINES_JOBS, PLANTED_FAULTS, isolated_members
 from tests.scene import Kept
 
-CAUGHT_AT = {"free told before the last has answered": 0, "silence taken for consent": 0,
-             "a bound checked before the agreement": 3, "a step taken twice after a change of leader": 2,
-             "cold taken for warm": 0}
+CAUGHT_AT = {
+    "free told before the last has answered": 0,
+    "silence taken for consent": 0,
+    "a bound checked before the agreement": 3,
+    "a step taken twice after a change of leader": 2,
+    "cold taken for warm": 0,
+}
 
 
 class DrawnCases(Kept):
@@ -39,12 +43,32 @@
             self.assertEqual(MaintenanceFleet(one).run().violations, [], fault)
 
     def test_a_hundred_machines_under_twenty_works_with_dispatchers_dying_in_turn(self) -> None:
-        works = {f"w{n:02}": {**ALL_MACHINES_JOBS["disks"], "at-once": 4, "a-zone": 2, "stays": 0.6, "again": True,
-                              "machines": [f"m{m}" for m in range(100) if m % 20 == n]} for n in range(20)}
-        deaths = tuple(ClusterFault("kill", 60_000 + 70_000 * n, 68_000 + 70_000 * n, name)
-                       for n, name in enumerate(("v0", "f0", "v1", "f1", "v2")))
-        yard = MaintenanceFleet(MaintenanceCase(ClusterCase(seed=5, seconds=90.0, publish_every=9.0, faults=deaths), works, machine_count=100,
-                             zone_count=5, request_rate=0.5, work_duration=3000, faults_end_at=1)).run()
+        works = {
+            f"w{n:02}": {
+                **ALL_MACHINES_JOBS["disks"],
+                "at-once": 4,
+                "a-zone": 2,
+                "stays": 0.6,
+                "again": True,
+                "machines": [f"m{m}" for m in range(100) if m % 20 == n],
+            }
+            for n in range(20)
+        }
+        deaths = tuple(
+            ClusterFault("kill", 60_000 + 70_000 * n, 68_000 + 70_000 * n, name)
+            for n, name in enumerate(("v0", "f0", "v1", "f1", "v2"))
+        )
+        yard = MaintenanceFleet(
+            MaintenanceCase(
+                ClusterCase(seed=5, seconds=90.0, publish_every=9.0, faults=deaths),
+                works,
+                machine_count=100,
+                zone_count=5,
+                request_rate=0.5,
+                work_duration=3000,
+                faults_end_at=1,
+            )
+        ).run()
         self.assertEqual(yard.violations, [])
         member = next(p.member for p in yard.processes.values() if p.member)
         self.assertGreater(sum(map(len, member.documents.replicated.maintenance.completed.values())), 80)
@@ -63,12 +87,23 @@
 
     def take(self, uid: str, step: str, **more: Any) -> None:
         self.index += 1
-        told = {"uid": uid, "work": "w", "step": step, "by": "n0", "life": 7, "why": "", "plan": 1,
-                "made_from": self.ledger.change_count, **more}
+        told = {
+            "uid": uid,
+            "work": "w",
+            "step": step,
+            "by": "n0",
+            "life": 7,
+            "why": "",
+            "plan": 1,
+            "made_from": self.ledger.change_count,
+            **more,
+        }
         void = self.ledger.apply(self.index, {"steps": [told]}, 1)
         away = self.ledger.machines.get(uid)
-        self.say(f"{step} {uid}: {void or 'taken'}; {away.state if away else 'carries work'}"
-                 + (f" under {away.number}" if away and away.number else ""))
+        self.say(
+            f"{step} {uid}: {void or 'taken'}; {away.state if away else 'carries work'}"
+            + (f" under {away.number}" if away and away.number else "")
+        )
 
     def test_each_step_follows_from_the_one_before_or_is_void(self) -> None:
         self.take("a", "free")
@@ -103,14 +138,25 @@
         ledger, heard, laid = MaintenanceState(), [True], list[set[str]]()
         step = {"uid": "a", "work": "w", "step": "out", "by": "n0", "why": "", "plan": 0, "made_from": 0}
         ledger.apply(5, {"steps": [step]}, 0)
-        docs = SimpleNamespace(replicated=SimpleNamespace(maintenance=ledger), document=lambda name: Document())
+        docs = SimpleNamespace(
+            replicated=SimpleNamespace(maintenance=ledger), document=lambda name: Document()
+        )
         member = SimpleNamespace(name="n1", documents=docs, incarnation=1)
         peer = SimpleNamespace(consensus=member, has_lease=lambda: heard[0], config=SimpleNamespace(zone=""))
         fleet = SimpleNamespace(backend_ids=SimpleNamespace(names=[]), endpoints=[])
         desk = SimpleNamespace(backends=fleet, request_table=SimpleNamespace(requests={}))
-        works = MaintenanceAgent(desk, None, peer, Metrics(), lambda: 0, lambda: laid.append(works.machines_out()))  # type: ignore[arg-type]
+        works = MaintenanceAgent(
+            desk,  # type: ignore[arg-type]
+            None,  # type: ignore[arg-type]
+            peer,  # type: ignore[arg-type]
+            Metrics(),
+            lambda: 0,
+            lambda: laid.append(works.machines_out()),
+        )
         body = b'{"call": "c", "machine": "%s", "step": "here"}'
-        self.assertEqual((await works.request_transition(body % b"a"))[0], False)  # heard: it is a step of all
+        self.assertEqual(
+            (await works.request_transition(body % b"a"))[0], False
+        )  # heard: it is a step of all
         heard[0] = False
         self.assertEqual((await works.request_transition(body % b"b"))[0], False)  # not out
         self.assertEqual((await works.request_transition(body % b"a"))[0], True)
