--- a/crankfold/cli/__init__.py
+++ b/crankfold/cli/__init__.py
@@ -1,1 +1,5 @@
-"""The command line: one module for each group of commands."""
+"""The command line: `main` holds the entry point and `serve`; each other module holds one group of commands.
+
+`main` imports the other modules only when one of their commands is called, so that `serve` starts without
+them.
+"""
--- /dev/null
+++ b/crankfold/cli/check.py
@@ -0,0 +1,45 @@
+"""`crankfold check`: a configuration is read and checked without serving."""
+
+import sys
+
+import click
+
+from crankfold.cli.options import config_option
+from crankfold.config import schema
+from crankfold.config.parser import flatten_settings, read_routing_config, read_service_config
+from crankfold.routing.interface import Idempotency
+from crankfold.service.application import ConfigError, parse_address, read_config
+
+# What the output calls each kind; it keeps the words of the users' configuration guide.
+IDEMPOTENCY_LABELS = {
+    Idempotency.IDEMPOTENT: "repeatable",
+    Idempotency.IDEMPOTENT_WITH_KEY: "tagged",
+    Idempotency.NON_IDEMPOTENT: "once_only",
+}
+
+
+@click.command()
+@config_option
+def check(config: str) -> None:
+    """Read a configuration and print what follows from it, without serving."""
+    try:
+        document = read_config(config)
+        schema.validate(document)
+        settings = flatten_settings(document["settings"])
+        routing = read_routing_config(settings)
+        service = read_service_config(settings)
+        parse_address(document["listen"], "listen")
+        parse_address(document["discovery"], "discovery")
+    except (ConfigError, ValueError) as error:
+        click.echo(f"crankfold: {error}", err=True)
+        sys.exit(1)
+    for name, request_class in zip(service.request_classes.names, routing.request_classes, strict=True):
+        click.echo(
+            f"grade {name}: {IDEMPOTENCY_LABELS[request_class.idempotency]}, "
+            f"expected in {request_class.latency_objective / 10} ms, "
+            f"cut off after {request_class.deadline / 10} ms, revenue {request_class.priority_weight}"
+        )
+    click.echo(
+        f"zones: {', '.join(service.zones.names) or 'none'}; reports: "
+        f"{', '.join(routing.report_fields) or 'none'}; dispatches a unit: {routing.max_attempts}"
+    )
--- /dev/null
+++ b/crankfold/cli/fleet.py
@@ -0,0 +1,119 @@
+"""`crankfold fleet`: the dispatchers as one of them sees them, and changes of the voters."""
+
+import json
+import secrets
+import sys
+
+import click
+import msgspec
+from msgspec import Struct, field
+
+from crankfold.cli.admin_client import EXIT_UNREACHABLE, RefusedError, call_admin
+from crankfold.cli.options import admin_option, json_option
+
+QUIET_STATES = ("there", "left")  # of a follower: nothing is said of when it was heard last
+
+
+class DocumentVersions(Struct):
+    """The version of a document that is active, and the newest one."""
+
+    active: int = field(name="counts")
+    newest: int
+
+
+class FollowerView(Struct):
+    """A follower, as the voter that it asks for its lease sees it."""
+
+    name: str
+    state: str
+    incarnation: int
+    lag: int  # log entries
+    voter: str = field(name="at")
+    lease_held_seconds: int = field(name="for-s")
+    silent_ms: int | None = field(name="heard-ms-ago", default=None)
+
+
+class ClusterView(Struct):
+    """What a dispatcher knows of the cluster."""
+
+    name: str
+    acts: bool
+    inactive_reason: str = field(name="why-not")
+    lease_ms: int = field(name="lease-ms")
+    leader: str
+    versions: dict[str, DocumentVersions]
+    term: int | None = None
+    voters: dict[str, str] = {}  # name to address
+    lag: dict[str, int] = {}  # of voters, in log entries; known to the leader
+    voter_lease_ms: dict[str, int] = field(name="leases-ms", default_factory=dict)
+    members: list[FollowerView] = []
+
+
+@click.group(invoke_without_command=True)
+@admin_option
+@json_option
+@click.pass_context
+def fleet(context: click.Context, address: str, as_json: bool) -> None:
+    """Members, versions, leader, who is behind and who is cut off, as one dispatcher sees them.
+
+    Exit: 0 if that dispatcher acts on the agreed configuration, 3 if not, or if it can't be reached.
+    """
+    if context.invoked_subcommand is None:
+        _show_cluster(address, as_json)
+    context.obj = address
+
+
+@fleet.command("voters")
+@click.option("--add", default="", metavar="NAME=HOST:PORT")
+@click.option("--remove", default="", metavar="NAME")
+@click.pass_obj
+def change_voters(address: str, add: str, remove: str) -> None:
+    """Add a voter or remove one, one at a time. Exit: 0 done, 1 refused, 3 nobody answers."""
+    if bool(add) == bool(remove) or (add and "=" not in add):
+        raise click.UsageError("one of --add NAME=HOST:PORT and --remove NAME")
+    name, _, voter_address = add.partition("=")
+    request = {
+        "call": secrets.token_hex(8),
+        "remove": remove,
+        "add": {name: voter_address} if add else {},
+    }
+    response = call_admin(address, "agreed/voters", request)
+    if not response.content["well"]:
+        raise RefusedError(f"turned down: {response.reason}")
+    click.echo(f"voters: {', '.join(sorted(response.content['voters']))}")
+
+
+def _show_cluster(address: str, as_json: bool) -> None:
+    content = call_admin(address, "fleet").require_ok()
+    if as_json:
+        click.echo(json.dumps(content, indent=2))
+    else:
+        for line in _describe_cluster(msgspec.convert(content, ClusterView)):
+            click.echo(line)
+    if not content["acts"]:
+        sys.exit(EXIT_UNREACHABLE)
+
+
+def _describe_cluster(view: ClusterView) -> list[str]:
+    activity = f"acts, lease {view.lease_ms} ms" if view.acts else f"does not act: {view.inactive_reason}"
+    term = "" if view.term is None else f", term {view.term}"
+    lines = [f"{view.name}: {activity}", f"leader {view.leader or 'unknown'}{term}"]
+    for document, version in view.versions.items():
+        pending = f", {version.newest} on its way" if version.newest > version.active else ""
+        lines.append(f"{document}: version {version.active} counts{pending}")
+    for voter, voter_address in sorted(view.voters.items()):
+        lag = f", {view.lag[voter]} behind" if voter in view.lag else ""
+        lease = f", lease {view.voter_lease_ms[voter]} ms" if voter in view.voter_lease_ms else ""
+        lines.append(f"voter {voter} {voter_address}{lag}{lease}")
+    return lines + [_describe_follower(follower) for follower in view.members]
+
+
+def _describe_follower(follower: FollowerView) -> str:
+    silence = ""
+    if follower.state not in QUIET_STATES and follower.silent_ms is not None:
+        silence = f", not heard for {follower.silent_ms / 1000:.1f} s"
+    return (
+        f"follower {follower.name} at {follower.voter}: {follower.state}{silence}, joined "
+        f"{follower.lease_held_seconds} s ago, {follower.lag} behind, "
+        f"incarnation {follower.incarnation:x}"
+    )
--- a/crankfold/cli/maintenance.py
+++ b/crankfold/cli/maintenance.py
@@ -1,206 +1,256 @@
-"""`crankfold works`: what is to be done with machines, and how far it is."""
+"""`crankfold maintenance`, also called `works`: maintenance jobs on machines, and how far they are."""
 
-import json
-import secrets
-import time
 import tomllib
-from typing import Any
+from dataclasses import dataclass
+from typing import Any, BinaryIO
 
 import click
+import msgspec
+from msgspec import Struct, field
 
-from crankfold.cli.cluster import (
-    EXIT_DONE,
-    EXIT_REFUSED,
-    EXIT_UNREACHABLE,
+from crankfold.cli.admin_client import (
+    HTTP_OK,
+    RefusedError,
     call_admin,
     format_json,
-    publish,
-    report_failure,
 )
+from crankfold.cli.maintenance_machines import (
+    MachineView,
+    WaitView,
+    add_machine_commands,
+    fetch_maintenance,
+)
+from crankfold.cli.options import admin_option, author_option, json_option, reason_option
+from crankfold.cli.settings import Publication, fetch_document, publish
 
-JOBS_PATH, MACHINES_PATH = "agreed/works", "agreed/machines"
+DOCUMENT = "works"  # the name of the document that holds the jobs
+FORECAST_WAIT = 10.0  # seconds that a forecast may take
+REPLACED = "gone"  # how a machine ended that another one replaced
 
+file_argument = click.argument("file", type=click.File("rb"))
 
-def parse_job_file(text: bytes) -> tuple[str, dict[str, Any]]:
-    """Name and work of a file in TOML."""
-    try:
-        work = tomllib.loads(text.decode())
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as wrong:
-        raise click.UsageError(f"no TOML: {wrong}") from None
-    name = work.pop("name", "")
-    if not isinstance(name, str) or not name:
-        raise click.UsageError("name: missing; what the work is called")
-    return name, work
-
-
-def _fetch_jobs(door: str) -> tuple[Any, int, dict[str, Any]]:
-    status, told = call_admin(door, JOBS_PATH)
-    if status != 200:
-        return told, 0, {}
-    versions = {version["number"]: version for version in told["versions"]}
-    text = versions[told["newest"]]["text"] if told["newest"] else {"works": {}}
-    return told, told["newest"], text["works"]
-
-
-def _publish_job(
-    door: str, name: str, change: dict[str, Any] | None, reason: str, author: str, fresh: bool, as_json: bool
-) -> int:
-    """With the others as they are. A work that was handed in meanwhile by somebody else turns this down."""
-    told, newest, works = _fetch_jobs(door)
-    if not isinstance(told, dict):
-        return report_failure(told)
-    if fresh and name in works:
-        click.echo(f"crankfold: turned down: there is a work {name!r} already", err=True)
-        return EXIT_REFUSED
-    if not fresh and name not in works:
-        there = ", ".join(works) or "none"
-        click.echo(f"crankfold: turned down: no work {name!r}; there are {there}", err=True)
-        return EXIT_REFUSED
-    if change is None:
-        del works[name]
-    else:
-        works[name] = {**works.get(name, {}), **change}
-        if not fresh:
-            works[name]["called"] = works[name].get("called", 0) + 1
-    text = json.dumps({"works": works}).encode()
-    return publish(door, "works", text, newest, reason, author, 0.0, "", as_json)
 
+class DepartureView(Struct):
+    """When a machine would be taken out, in seconds from now."""
 
-def start_job(door: str, text: bytes, reason: str, author: str, as_json: bool) -> int:
-    name, work = parse_job_file(text)
-    return _publish_job(door, name, work, reason or work.get("why", ""), author, True, as_json)
+    begin: float
+    end: float
+    machine: str
+    zone: str
+    waited_for: str = field(name="why")
 
 
-def set_job_state(door: str, name: str, state: str, reason: str, author: str, as_json: bool) -> int:
-    return _publish_job(door, name, {"state": state}, reason, author, False, as_json)
+class ForecastView(Struct):
+    """What would come about if a job were submitted now."""
 
+    departures: list[DepartureView] = field(name="turns")
+    never: dict[str, str] = field(name="waits")  # machine to the reason why it would never go
 
-def forget_job(door: str, name: str, reason: str, author: str, as_json: bool) -> int:
-    return _publish_job(door, name, None, reason, author, False, as_json)
 
+class JobView(Struct):
+    """How far a job is."""
 
-def show_forecast(door: str, text: bytes, as_json: bool) -> int:
-    name, work = parse_job_file(text)
-    status, told = call_admin(door, "agreed/plan", {"name": name, "work": work}, 10.0)
-    if not isinstance(told, dict):
-        return report_failure(told)
-    if status != 200:
-        click.echo(f"crankfold: turned down: {told['text']}", err=True)
-        return EXIT_REFUSED
-    if as_json:
-        click.echo(format_json(told))
-        return EXIT_DONE
-    for turn in told["turns"]:
-        why = f"  before: {turn['why']}" if turn["why"] else ""
-        times = f"{turn['begin']:8.0f} s to {turn['end']:6.0f} s"
-        click.echo(f"{times}  {turn['machine']:20} {turn['zone']:12}{why}")
-    for machine, why in sorted(told["waits"].items()):
-        click.echo(f"{'never':>8}                {machine:20} {why}")
-    return EXIT_DONE
-
-
-def _fetch_state(door: str) -> Any:
-    status, told = call_admin(door, MACHINES_PATH)
-    return told if status == 200 else report_failure(told)
-
-
-def list_jobs(door: str, as_json: bool) -> int:
-    told = _fetch_state(door)
-    if isinstance(told, int):
-        return told
+    state: str
+    halted: str  # why it stopped by itself, or nothing
+    wanted: int  # machines
+    done: dict[str, str]  # machine to how it ended
+    reason: str = field(name="why")
+
+
+class JobsView(Struct):
+    """All jobs, the machines that are out for them, and what is waited for."""
+
+    jobs: dict[str, JobView] = field(name="works")
+    machines: dict[str, MachineView]
+    waits: list[WaitView]
+    leads: bool
+    leader: str
+    restored_locally: list[str] = field(name="here")
+
+
+@dataclass(frozen=True, slots=True)
+class JobChange:
+    """A change of one job, which is published with all the others as they are."""
+
+    name: str
+    fields: dict[str, Any] | None  # None to remove the job
+    reason: str
+    author: str
+    is_new: bool = False
+
+
+@click.group()
+def maintenance() -> None:
+    """Machines taken out for work, in an order that the dispatchers decide (docs/maintenance.md).
+
+    Exit: 0 done; 1 refused; 2 unusable call; 3 no outcome or nobody answers.
+    """
+
+
+@maintenance.command("plan")
+@admin_option
+@json_option
+@file_argument
+def show_forecast(address: str, as_json: bool, file: BinaryIO) -> None:
+    """The order in which the machines of FILE's job would go, and why they wait. Changes nothing."""
+    name, job = parse_job_file(file.read())
+    response = call_admin(address, "agreed/plan", {"name": name, "work": job}, wait_seconds=FORECAST_WAIT)
+    if response.status != HTTP_OK:
+        raise RefusedError(f"turned down: {response.content['text']}")
     if as_json:
-        click.echo(
-            format_json({name: told[name] for name in ("works", "machines", "waits", "leads", "leader")})
-        )
-        return EXIT_DONE
-    for name, work in sorted(told["works"].items()):
-        ended = list(work["done"].values())
-        out = sum(machine["work"] == name for machine in told["machines"].values())
-        click.echo(
-            f"{name}: {work['state']}, {len(ended)} of {work['wanted']} machines done, {out} out"
-            + (f", {ended.count('gone')} of them replaced" if "gone" in ended else "")
-            + (f"; {work['halted']}" if work["halted"] else "")
-        )
-    return EXIT_DONE
-
-
-def show_job(door: str, name: str, as_json: bool) -> int:
-    told = _fetch_state(door)
-    if isinstance(told, int):
-        return told
-    if name not in told["works"]:
-        click.echo(f"crankfold: no work {name!r}; there are {', '.join(told['works']) or 'none'}", err=True)
-        return EXIT_REFUSED
-    work = told["works"][name]
-    out = {uid: machine for uid, machine in told["machines"].items() if machine["work"] == name}
-    waits = [wait for wait in told["waits"] if wait["work"] == name]
+        click.echo(format_json(response.content))
+        return
+    forecast = msgspec.convert(response.content, ForecastView)
+    for departure in forecast.departures:
+        cause = f"  before: {departure.waited_for}" if departure.waited_for else ""
+        times = f"{departure.begin:8.0f} s to {departure.end:6.0f} s"
+        click.echo(f"{times}  {departure.machine:20} {departure.zone:12}{cause}")
+    for machine, reason in sorted(forecast.never.items()):
+        click.echo(f"{'never':>8}                {machine:20} {reason}")
+
+
+@maintenance.command("start")
+@admin_option
+@json_option
+@file_argument
+@reason_option
+@author_option
+def start_job(address: str, as_json: bool, file: BinaryIO, reason: str, author: str) -> None:
+    """Submit the job of FILE."""
+    name, job = parse_job_file(file.read())
+    change = JobChange(name, job, reason or job.get("why", ""), author, is_new=True)
+    _publish_change(address, change, as_json)
+
+
+@maintenance.command("list")
+@admin_option
+@json_option
+def list_jobs(address: str, as_json: bool) -> None:
+    """All jobs and how far they are."""
+    content = fetch_maintenance(address)
     if as_json:
-        click.echo(format_json({**work, "machines": out, "waits": waits}))
-        return EXIT_DONE
-    click.echo(
-        f"{name}: {work['state']}"
-        + (f", {work['halted']}" if work["halted"] else "")
-        + (f" ({work['why']})" if work["why"] else "")
-    )
-    for uid, machine in sorted(out.items()):
-        number = f" under {machine['number']}" if machine["number"] else ""
-        click.echo(
-            f"  {uid}: {machine['state']}{number}"
-            + (f", {machine['why']}" if machine["why"] else "")
-            + (" (back here by hand)" if uid in told["here"] else "")
-        )
-    if not told["leads"]:
-        click.echo(f"  what is waited for is known at the door of {told['leader'] or 'a voter, who leads'}")
-    for wait in waits:
-        click.echo(f"  {wait['machine'] or 'all others'} waits: {wait['why']}")
-    for uid, how in sorted(work["done"].items()):
-        click.echo(f"  {uid}: done, {how}")
-    return EXIT_DONE
-
-
-def show_machine_history(door: str, machine: str, as_json: bool) -> int:
-    told = _fetch_state(door)
-    if isinstance(told, int):
-        return told
-    steps = [step for step in told["steps"] if step["uid"] == machine]
+        shown = ("works", "machines", "waits", "leads", "leader")
+        click.echo(format_json({name: content[name] for name in shown}))
+        return
+    view = msgspec.convert(content, JobsView)
+    for name, job in sorted(view.jobs.items()):
+        outcomes = list(job.done.values())
+        out = sum(machine.job == name for machine in view.machines.values())
+        replaced = f", {outcomes.count(REPLACED)} of them replaced" if REPLACED in outcomes else ""
+        halted = f"; {job.halted}" if job.halted else ""
+        progress = f"{len(outcomes)} of {job.wanted} machines done, {out} out"
+        click.echo(f"{name}: {job.state}, {progress}{replaced}{halted}")
+
+
+@maintenance.command("show")
+@admin_option
+@json_option
+@click.argument("name")
+def show_job(address: str, as_json: bool, name: str) -> None:
+    """Each machine of a job, and what is waited for."""
+    content = fetch_maintenance(address)
+    jobs = content["works"]
+    if name not in jobs:
+        raise RefusedError(f"no work {name!r}; there are {', '.join(jobs) or 'none'}")
     if as_json:
-        click.echo(format_json(steps))
-        return EXIT_DONE
-    if not steps:
-        click.echo(f"crankfold: {machine} was not out for any work that is remembered", err=True)
-        return EXIT_REFUSED
-    before = 0
-    for step in steps:
-        at = time.strftime("%Y-%m-%d %H:%M:%SZ", time.gmtime(step["at"] / 1000))
-        since = f" after {(step['at'] - before) / 1000:.1f} s" if before else ""
-        before = 0 if step["step"] in ("well", "gone", "undone") else step["at"]
-        click.echo(
-            f"{at} {step['step']:6} {step['work']} by {step['by']}, entry {step['index']}{since}"
-            + (f": {step['why']}" if step["why"] else "")
-        )
-    return EXIT_DONE
-
-
-def report_step(
-    door: str, what: str, machine: str, number: int, why: str, author: str, ident: str, as_json: bool
-) -> int:
-    ident = ident or secrets.token_hex(8)
-    status, told = call_admin(
-        door,
-        MACHINES_PATH,
-        {"call": ident, "machine": machine, "step": what, "number": number, "author": author, "why": why},
-        10.0,
+        machines = {
+            machine_id: machine
+            for machine_id, machine in content["machines"].items()
+            if machine["work"] == name
+        }
+        waits = [wait for wait in content["waits"] if wait["work"] == name]
+        click.echo(format_json({**jobs[name], "machines": machines, "waits": waits}))
+        return
+    for line in _describe_job(msgspec.convert(content, JobsView), name):
+        click.echo(line)
+
+
+@maintenance.command("forget")
+@admin_option
+@json_option
+@click.argument("name")
+@reason_option
+@author_option
+def forget_job(address: str, as_json: bool, name: str, reason: str, author: str) -> None:
+    """Take the job out of the list, with what was done for it."""
+    _publish_change(address, JobChange(name, None, reason, author), as_json)
+
+
+def parse_job_file(text: bytes) -> tuple[str, dict[str, Any]]:
+    """The name and the specification of a job from a file in TOML.
+
+    Raises:
+        click.UsageError: it is no TOML, or has no name.
+    """
+    try:
+        job = tomllib.loads(text.decode())
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        raise click.UsageError(f"no TOML: {error}") from None
+    name = job.pop("name", "")
+    if not isinstance(name, str) or not name:
+        raise click.UsageError("name: missing; what the work is called")
+    return name, job
+
+
+def _describe_job(view: JobsView, name: str) -> list[str]:
+    job = view.jobs[name]
+    halted = f", {job.halted}" if job.halted else ""
+    reason = f" ({job.reason})" if job.reason else ""
+    lines = [f"{name}: {job.state}{halted}{reason}"]
+    for machine_id, machine in sorted(view.machines.items()):
+        if machine.job == name:
+            number = f" under {machine.number}" if machine.number else ""
+            cause = f", {machine.reason}" if machine.reason else ""
+            local = " (back here by hand)" if machine_id in view.restored_locally else ""
+            lines.append(f"  {machine_id}: {machine.state}{number}{cause}{local}")
+    if not view.leads:
+        lines.append(f"  what is waited for is known at the door of {view.leader or 'a voter, who leads'}")
+    lines += [
+        f"  {wait.machine or 'all others'} waits: {wait.reason}" for wait in view.waits if wait.job == name
+    ]
+    lines += [f"  {machine_id}: done, {outcome}" for machine_id, outcome in sorted(job.done.items())]
+    return lines
+
+
+def _publish_change(address: str, change: JobChange, as_json: bool) -> None:
+    """Publish the jobs with the change; it is refused if somebody else changed them meanwhile."""
+    view = fetch_document(address, DOCUMENT)
+    newest = view.find(view.newest)
+    jobs: dict[str, Any] = newest.content["works"] if newest else {}
+    if change.is_new and change.name in jobs:
+        raise RefusedError(f"turned down: there is a work {change.name!r} already")
+    if not change.is_new and change.name not in jobs:
+        raise RefusedError(f"turned down: no work {change.name!r}; there are {', '.join(jobs) or 'none'}")
+    if change.fields is None:
+        del jobs[change.name]
+    else:
+        job = {**jobs.get(change.name, {}), **change.fields}
+        if not change.is_new:
+            # The dispatchers see by the count that the job was resumed or held once more.
+            job["called"] = job.get("called", 0) + 1
+        jobs[change.name] = job
+    publication = Publication(
+        document=DOCUMENT,
+        content={"works": jobs},
+        made_from=view.newest,
+        reason=change.reason,
+        author=change.author,
     )
-    if not isinstance(told, dict):
-        return report_failure(f"{told}; --call {ident} finds out what became of it")
-    if as_json:
-        click.echo(format_json({**told, "call": ident}))
-    if status == 504:
-        return report_failure(f"{told['text']} (--call {ident})") if not as_json else EXIT_UNREACHABLE
-    if not told["well"]:
-        if not as_json:
-            click.echo(f"crankfold: turned down: {told['text']}", err=True)
-        return EXIT_REFUSED
-    if not as_json:
-        click.echo(f"{machine}: {what}")
-    return EXIT_DONE
+    publish(address, publication, as_json)
+
+
+def _add_state_command(state: str, description: str) -> None:
+    @maintenance.command(state, help=description)
+    @admin_option
+    @json_option
+    @click.argument("name")
+    @reason_option
+    @author_option
+    def set_job_state(address: str, as_json: bool, name: str, reason: str, author: str) -> None:
+        _publish_change(address, JobChange(name, {"state": state}, reason, author), as_json)
+
+
+_add_state_command("hold", "No further machine of the job goes out; those that are out are finished.")
+_add_state_command("go", "The job goes on, also where it had stopped by itself.")
+_add_state_command("stop", "As hold, and machines on which nothing was begun come back.")
+add_machine_commands(maintenance)
--- /dev/null
+++ b/crankfold/cli/options.py
@@ -0,0 +1,43 @@
+"""Options that several commands share."""
+
+import click
+
+config_option = click.option(
+    "--config",
+    envvar="GW_CONFIG",
+    default="",
+    show_envvar=True,
+    help="The dispatcher's configuration, a JSON file.",
+)
+admin_option = click.option(
+    "--door",
+    "address",
+    envvar="GW_ADMIN_ADDR",
+    show_envvar=True,
+    required=True,
+    help="HOST:PORT of a dispatcher's admin server.",
+)
+json_option = click.option("--json", "as_json", is_flag=True, help="JSON in place of text.")
+document_option = click.option(
+    "--doc",
+    "document",
+    default="settings",
+    show_default=True,
+    type=click.Choice(["settings", "runners-out", "runners-never", "limits", "deal", "works"]),
+)
+author_option = click.option("--author", envvar="USER", default="", show_envvar=True)
+reason_option = click.option("--reason", default="", help="For the history.")
+required_reason_option = click.option("--reason", required=True)
+wait_option = click.option(
+    "--wait",
+    "wait_seconds",
+    type=click.FloatRange(0, 60),
+    default=0.0,
+    help="Seconds, until every dispatcher acts on it.",
+)
+call_option = click.option(
+    "--call",
+    "call_id",
+    default="",
+    help="A call repeated under the same identifier has one effect; drawn at random if not given.",
+)
--- /dev/null
+++ b/crankfold/cli/settings.py
@@ -0,0 +1,282 @@
+"""`crankfold settings`: the documents that all dispatchers agree on, with their versions."""
+
+import difflib
+import json
+import secrets
+import sys
+from dataclasses import dataclass
+from typing import Any, BinaryIO
+
+import click
+import msgspec
+from msgspec import Struct, field
+
+from crankfold.cli.admin_client import (
+    EXIT_NOT_APPLIED,
+    EXIT_REFUSED,
+    HTTP_NO_OUTCOME,
+    UnreachableError,
+    call_admin,
+    format_json,
+)
+from crankfold.cli.options import (
+    admin_option,
+    author_option,
+    call_option,
+    document_option,
+    json_option,
+    required_reason_option,
+    wait_option,
+)
+
+
+class VersionView(Struct):
+    """One version of a document."""
+
+    number: int
+    made_from: int
+    author: str
+    reason: str
+    content: dict[str, Any] = field(name="text")
+
+
+class DocumentView(Struct):
+    """A document with the versions that the dispatcher still has."""
+
+    active: int = field(name="counts")
+    newest: int
+    versions: list[VersionView]
+
+    def find(self, number: int) -> VersionView | None:
+        """The version of that number, if the dispatcher still has it."""
+        return next((version for version in self.versions if version.number == number), None)
+
+
+class PublishResponse(Struct):
+    """What a dispatcher answers to a publish."""
+
+    accepted: bool = field(name="well", default=False)
+    reason: str = field(name="text", default="")
+    number: int = 0
+    active: bool = field(name="counts", default=True)
+    lag: list[str] = []  # who does not act on it yet, and why
+
+
+@dataclass(frozen=True, slots=True)
+class Publication:
+    """A new version of a document, as an operator asks for it."""
+
+    document: str
+    content: dict[str, Any]
+    made_from: int  # the version that the operator saw
+    reason: str
+    author: str
+    wait_seconds: float = 0.0
+    call_id: str = ""  # drawn if empty
+
+
+@click.group()
+def settings() -> None:
+    """Show and publish the documents that all dispatchers agree on.
+
+    Exit: 0 done; 1 refused; 2 unusable call; 3 no outcome or nobody answers; 4 published, but not every
+    dispatcher acts on it yet.
+    """
+
+
+@settings.command("show")
+@admin_option
+@json_option
+@document_option
+@click.option("--version", "number", type=int, default=0, help="An earlier one; the newest if not given.")
+@click.option(
+    "--at-least",
+    "minimum",
+    type=int,
+    default=0,
+    help="Not older than this version, which you know of from elsewhere; waits for it.",
+)
+def show_version(address: str, as_json: bool, document: str, number: int, minimum: int) -> None:
+    """Print a version's content, as JSON that can be published again."""
+    raw = _fetch_raw(address, document, max(minimum, number))
+    if as_json and not number:
+        click.echo(format_json({name: part for name, part in raw.items() if name != "versions"}))
+        return
+    view = msgspec.convert(raw, DocumentView)
+    version = view.find(number or view.newest)
+    if version is None:
+        raise UnreachableError(
+            f"{document} has no version {number}" if number else f"{document} has no version yet"
+        )
+    if as_json:
+        click.echo(format_json(next(one for one in raw["versions"] if one["number"] == version.number)))
+        return
+    click.echo(format_json(version.content))
+    if version.number == view.active:
+        state = "counts"
+    else:
+        state = "on its way" if version.number > view.active else "an earlier one"
+    click.echo(f"version {version.number} of {document}, {state}", err=True)
+
+
+@settings.command("history")
+@admin_option
+@json_option
+@document_option
+def show_history(address: str, as_json: bool, document: str) -> None:
+    """List who published what, when and why."""
+    raw = _fetch_raw(address, document)
+    if as_json:
+        click.echo(format_json(raw["versions"]))
+        return
+    view = msgspec.convert(raw, DocumentView)
+    for version in sorted(view.versions, key=lambda version: version.number, reverse=True):
+        mark = "*" if version.number == view.active else " "
+        author = version.author or "nobody"
+        click.echo(f"{mark}{version.number} from {version.made_from} by {author}: {version.reason}")
+
+
+@settings.command("diff")
+@admin_option
+@document_option
+@click.argument("one", type=int)
+@click.argument("other", type=int)
+def show_difference(address: str, document: str, one: int, other: int) -> None:
+    """Print the differences between two versions."""
+    view = fetch_document(address, document)
+    if not view.versions:
+        raise UnreachableError(f"{document} has no version yet")
+    versions = []
+    for number in (one, other):
+        version = view.find(number)
+        if version is None:
+            raise UnreachableError(f"{document} has no version {number}, or none that is kept")
+        versions.append(version)
+    for line in _diff_lines(versions[0], versions[1]):
+        click.echo(line)
+
+
+@settings.command("publish")
+@admin_option
+@json_option
+@document_option
+@click.argument("file", type=click.File("rb"))
+@click.option("--from", "made_from", type=int, required=True, help="The version that it was made from.")
+@required_reason_option
+@author_option
+@wait_option
+@call_option
+def publish_file(address: str, as_json: bool, file: BinaryIO, **publication: Any) -> None:
+    """Publish FILE as a new version."""
+    try:
+        content = json.loads(file.read())
+    except ValueError as error:
+        raise click.UsageError(f"no JSON: {error}") from None
+    if not isinstance(content, dict):
+        raise click.UsageError("no JSON object")
+    publish(address, Publication(content=content, **publication), as_json)
+
+
+@settings.command("back")
+@admin_option
+@json_option
+@document_option
+@click.argument("number", type=int)
+@required_reason_option
+@author_option
+@wait_option
+def republish(address: str, as_json: bool, document: str, number: int, **publication: Any) -> None:
+    """Publish an earlier version again, as a new one."""
+    view = fetch_document(address, document)
+    version = view.find(number)
+    if version is None:
+        raise UnreachableError(f"no version {number} of {document} is kept")
+    again = Publication(document=document, content=version.content, made_from=view.newest, **publication)
+    publish(address, again, as_json)
+
+
+def fetch_document(address: str, document: str) -> DocumentView:
+    """The document as the dispatcher at `address` knows it.
+
+    Raises:
+        UnreachableError: it can not be read there.
+    """
+    return msgspec.convert(_fetch_raw(address, document), DocumentView)
+
+
+def publish(address: str, publication: Publication, as_json: bool) -> None:
+    """Publish a version, print what became of it, and end the command if it does not count everywhere.
+
+    Raises:
+        UnreachableError: the outcome is not known; the text has the identifier to ask again with.
+        SystemExit: the dispatcher refused it, or not every dispatcher acts on it yet.
+    """
+    call_id = publication.call_id or secrets.token_hex(8)
+    request = {
+        "call": call_id,
+        "made-from": publication.made_from,
+        "text": publication.content,
+        "author": publication.author,
+        "reason": publication.reason,
+        "wait": publication.wait_seconds,
+    }
+    path = f"agreed/{publication.document}"
+    try:
+        response = call_admin(address, path, request, wait_seconds=publication.wait_seconds)
+    except UnreachableError as error:
+        raise UnreachableError(
+            f"{error}; once somebody is there, --call {call_id} finds out what became of it"
+        ) from None
+    if as_json:
+        click.echo(format_json({**response.content, "call": call_id}))
+    outcome = msgspec.convert(response.content, PublishResponse, strict=False)
+    if response.status == HTTP_NO_OUTCOME:
+        if not outcome.accepted:
+            raise UnreachableError(f"{response.reason} (--call {call_id})")
+        return
+    if not outcome.accepted:
+        _refuse(address, publication, outcome, as_json)
+    _report_published(publication, outcome, as_json)
+
+
+def _refuse(address: str, publication: Publication, outcome: PublishResponse, as_json: bool) -> None:
+    """End the command; where another version came first, show what differs between the two."""
+    if not as_json:
+        click.echo(f"crankfold: turned down: {outcome.reason}", err=True)
+        if outcome.number:
+            view = fetch_document(address, publication.document)
+            before = view.find(publication.made_from)
+            after = view.find(outcome.number)
+            if before and after:
+                click.echo("\n".join(_diff_lines(before, after)), err=True)
+    sys.exit(EXIT_REFUSED)
+
+
+def _report_published(publication: Publication, outcome: PublishResponse, as_json: bool) -> None:
+    all_act = outcome.active and not outcome.lag
+    if not as_json:
+        if not publication.wait_seconds:
+            state = ""
+        elif all_act:
+            state = ", all act on it"
+        else:
+            state = f", not by all: {'; '.join(outcome.lag)}" if outcome.lag else ", does not count yet"
+        click.echo(f"version {outcome.number} of {publication.document}{state}")
+    if not all_act:
+        sys.exit(EXIT_NOT_APPLIED)
+
+
+def _fetch_raw(address: str, document: str, minimum: int = 0) -> dict[str, Any]:
+    return call_admin(address, f"agreed/{document}?least={minimum}").require_ok()
+
+
+def _diff_lines(one: VersionView, other: VersionView) -> list[str]:
+    return list(
+        difflib.unified_diff(
+            format_json(one.content).splitlines(),
+            format_json(other.content).splitlines(),
+            f"version {one.number}",
+            f"version {other.number}",
+            lineterm="",
+        )
+    )
--- /dev/null
+++ b/crankfold/cli/trial.py
@@ -0,0 +1,20 @@
+"""`crankfold trial`: real processes with faults between them, and the check of what they promise."""
+
+import sys
+from pathlib import Path
+
+import click
+
+from crankfold.fault_injection import harness
+
+
+@click.command()
+@click.argument("plan", type=click.Path(path_type=Path))
+@click.option("--seed", type=int, default=0, help="Of the faults; the plan's if not given.")
+@click.option("--keep", type=click.Path(path_type=Path), help="Folder in which records and logs stay.")
+def trial(plan: Path, seed: int, keep: Path | None) -> None:
+    """Start the processes of PLAN, inject its faults, and check its promises (docs/trial.md).
+
+    Exit: 0 if every promise held, 1 if one did not, 2 for a plan that can't be used.
+    """
+    sys.exit(harness.run_command(plan, seed, keep))
--- a/crankfold/simulation/event_queue.py
+++ b/crankfold/simulation/event_queue.py
@@ -3,6 +3,8 @@
 import heapq
 from collections.abc import Callable
 
+TICKS_PER_SECOND = 10_000  # a tick is a tenth of a millisecond
+
 
 class EventQueue:
     def __init__(self) -> None:
--- a/crankfold/simulation/experiment.py
+++ b/crankfold/simulation/experiment.py
@@ -21,8 +21,9 @@
     simulate_day,
     verdict,
 )
+from crankfold.simulation.event_queue import TICKS_PER_SECOND
 from crankfold.simulation.faults import Fault, FaultKind
-from crankfold.simulation.fleet import TICKS_PER_SECOND, ZONE_COUNT, Scenario
+from crankfold.simulation.fleet import ZONE_COUNT, Scenario
 
 Seconds = Annotated[float, Meta(ge=0, le=3600)]
 Count = Annotated[int, Meta(ge=1, le=2000)]
--- a/crankfold/simulation/fleet.py
+++ b/crankfold/simulation/fleet.py
@@ -14,11 +14,10 @@
     RoutingConfig,
     RoutingEvents,
 )
-from crankfold.simulation.event_queue import EventQueue
+from crankfold.simulation.event_queue import TICKS_PER_SECOND, EventQueue
 from crankfold.simulation.faults import Fault, FaultKind, affected_indices
 from crankfold.simulation.invariants import PROPAGATION_LIMIT, InvariantChecker
 
-TICKS_PER_SECOND = 10_000
 ZONE_COUNT = 3
 ERROR_DELAY = 200  # how soon a failing runner says so
 FAILOVER_DELAY = TICKS_PER_SECOND // 2  # until clients go round a dead dispatcher
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -1,9 +1,10 @@
-"""What `crankfold settings`, `fleet` and `works` say and how they exit, against a door that is played."""
+"""What `crankfold settings`, `fleet` and `maintenance` say and how they exit, against a door that is played."""
 
 import json
 import re
 import threading
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from pathlib import Path
 from typing import Any
 
 from click.testing import CliRunner
@@ -104,6 +105,75 @@
         self.close("commands")
 
     def test_works(self) -> None:
+        self.use_every_maintenance_command("works")
+        self.close("commands-works")
+
+    def test_maintenance_is_the_standard_name_of_works(self) -> None:
+        self.use_every_maintenance_command("works")
+        former, self.lines = self.lines, []
+        self.answers.clear()
+        self.use_every_maintenance_command("maintenance")
+        self.assertGreater(len(former), 30)
+        self.assertEqual([re.sub(r"\bmaintenance\b", "works", line) for line in self.lines], former)
+        self.lines = []  # compared above; nothing is left for a trace
+
+    def test_help_names_maintenance_and_not_works(self) -> None:
+        shown = CliRunner().invoke(main, ["--help"])
+        self.assertEqual(shown.exit_code, 0)
+        commands = [line.split()[0] for line in shown.output.partition("Commands:")[2].splitlines() if line]
+        self.assertEqual(
+            commands,
+            [
+                "check",
+                "emulate",
+                "experiment",
+                "fleet",
+                "maintenance",
+                "serve",
+                "settings",
+                "trial",
+                "version",
+            ],
+        )
+        subcommands = {}
+        for name in ("maintenance", "works"):
+            shown = CliRunner().invoke(main, [name, "--help"])
+            self.assertEqual(shown.exit_code, 0)
+            subcommands[name] = [
+                line.split()[0] for line in shown.output.partition("Commands:")[2].splitlines() if line
+            ]
+        self.assertEqual(subcommands["maintenance"], subcommands["works"])
+        self.assertEqual(
+            sorted(subcommands["maintenance"]),
+            sorted(
+                [
+                    "plan",
+                    "start",
+                    "list",
+                    "show",
+                    "history",
+                    "hold",
+                    "go",
+                    "stop",
+                    "forget",
+                    "begin",
+                    "done",
+                    "unwell",
+                    "back",
+                    "here",
+                ]
+            ),
+        )
+
+    def test_check_prints_what_follows_from_a_configuration(self) -> None:
+        example = Path(__file__).parents[1] / "examples" / "config.json"
+        shown = CliRunner().invoke(main, ["check", "--config", str(example)])
+        self.assertEqual(shown.exit_code, 0)
+        for line in shown.output.splitlines():
+            self.say(line)
+        self.close("commands-check")
+
+    def use_every_maintenance_command(self, group: str) -> None:
         work = 'name = "disks"\nat-once = 2\n'
         text = {"works": {"disks": {"at-once": 2}}}
         self.answers["/control/agreed/works"] = (
@@ -118,15 +188,15 @@
             200,
             {"well": True, "turns": turns, "waits": {"m3": "1 of 1 in its zone"}},
         )
-        self.run_it("works", "plan", "-", text=work)
-        self.run_it("works", "start", "-", text=work)
-        self.run_it("works", "start", "-", text="at-once = 2")
+        self.run_it(group, "plan", "-", text=work)
+        self.run_it(group, "start", "-", text=work)
+        self.run_it(group, "start", "-", text="at-once = 2")
         self.answers["/control/agreed/works"] = (
             200,
             {**SHOWN, "well": True, "number": 3, "versions": [{**VERSIONS[1], "text": text}]},
         )
         for what, name in (("start", "-"), ("hold", "disks"), ("go", "racks")):
-            self.run_it("works", what, name, text=work)
+            self.run_it(group, what, name, text=work)
         away = {"work": "disks", "state": "free", "number": 12, "why": ""}
         step = {"index": 9, "uid": "m1", "work": "disks", "step": "out", "by": "n0", "why": "", "at": 1000}
         self.answers["/control/agreed/machines"] = (
@@ -161,9 +231,8 @@
             "begin m1 --number 12",
             "done m1",
         ):
-            self.run_it("works", *line.split())
+            self.run_it(group, *line.split())
         self.answers["/control/agreed/machines"] = 409, {"well": False, "text": "m1: told under number 9"}
-        self.run_it("works", "done", "m1", "--number", "9")
+        self.run_it(group, "done", "m1", "--number", "9")
         self.answers["/control/agreed/machines"] = 504, {"well": False, "text": "no outcome yet"}
-        self.run_it("works", "back", "m1")
-        self.close("commands-works")
+        self.run_it(group, "back", "m1")
