--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -14,7 +14,7 @@
 LIST = Path(__file__).parent.parent / "KNOWN-RED.txt"
 
 
-class Unusable(ValueError):
+class KnownRedListError(ValueError):
     """The list can't be gone by; the text says why."""
 
 
@@ -32,14 +32,14 @@
     for line in text.splitlines():
         parts = [part.strip() for part in line.split("|")]
         if len(parts) != 3 or not all(parts):
-            raise Unusable(f"not `test | cause | issue`: {line!r}")
+            raise KnownRedListError(f"not `test | cause | issue`: {line!r}")
         if parts[0] not in ids:
-            raise Unusable(f"names no test: {line!r}")
+            raise KnownRedListError(f"names no test: {line!r}")
         if parts[0] in lines:
-            raise Unusable(f"listed twice: {line!r}")
+            raise KnownRedListError(f"listed twice: {line!r}")
         lines[parts[0]] = line
     if len(lines) > MOST:
-        raise Unusable(f"{len(lines)} tests, {MOST} are allowed")
+        raise KnownRedListError(f"{len(lines)} tests, {MOST} are allowed")
     return lines
 
 
@@ -47,7 +47,7 @@
     """Whether all passed but those listed."""
     try:
         known = listed(text, {test.id() for test in each(suite)})
-    except Unusable as wrong:
+    except KnownRedListError as wrong:
         print(f"KNOWN-RED.txt: {wrong}", file=out)
         return False
     result = unittest.TextTestRunner(out, verbosity=2).run(suite)
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -53,7 +53,7 @@
                 self.end_headers()
                 self.wfile.write(body)
 
-            do_GET = do_POST = answer
+            do_GET = do_POST = answer  # noqa: N815 - http.server looks for these names
 
             def log_message(self, *what: object) -> None: ...
 
