--- a/crankfold/protocol/client_connection.py
+++ b/crankfold/protocol/client_connection.py
@@ -8,6 +8,7 @@
 import h11
 
 from crankfold.protocol.callbacks import CallbackHandler, handle_callback, request_id_of
+from crankfold.protocol.client_request import ClientRequest, HttpRequest
 from crankfold.protocol.headers import (
     MAX_BODY_SIZE,
     MAX_HEADER_SIZE,
@@ -29,19 +30,7 @@
     def has_request(self, ident: str) -> bool: ...
     def forward_unknown_callback(self, client: object, body: bytes) -> bool: ...
     def knows_request_class(self, name: str) -> bool: ...
-    def submit(
-        self,
-        client: object,
-        ident: str,
-        grade: str,
-        tenant: str,
-        wait: int,
-        work: int,
-        slots: float,
-        again: tuple[bytes, bytes, list[tuple[bytes, bytes]], bytes],
-        key: int,
-        retried: bool,
-    ) -> None: ...
+    def submit(self, client: object, submitted: ClientRequest) -> None: ...
 
 
 class ClientConnection:
@@ -187,15 +176,17 @@
         key = 1 << 32 | zlib.crc32(about) if about else 0  # the same at every dispatcher, whatever the form
         self.handler.submit(
             self.client,
-            ident,
-            grade,
-            first.get(b"x-tenant-id", b"").decode("latin-1"),
-            wait,
-            work,
-            slots,
-            (method, target, forwarded_headers(heads), bytes(self.body)),
-            key,
-            first.get(b"x-retried") == b"1",
+            ClientRequest(
+                request_id=ident,
+                request_class=grade,
+                tenant=first.get(b"x-tenant-id", b"").decode("latin-1"),
+                timeout=wait,
+                work=work,
+                slots=slots,
+                http=HttpRequest(method, target, forwarded_headers(heads), bytes(self.body)),
+                affinity_key=key,
+                is_retry=first.get(b"x-retried") == b"1",
+            ),
         )
 
     def respond(self, status: int, headers: Sequence[tuple[bytes, bytes]] = (), body: bytes = b"") -> None:
--- a/crankfold/service/request_handler.py
+++ b/crankfold/service/request_handler.py
@@ -18,6 +18,7 @@
     attempt_headers,
     classify_response,
 )
+from crankfold.protocol.client_request import ClientRequest
 from crankfold.protocol.load_reports import report_from_header
 from crankfold.routing.interface import Endpoint, EndpointState, Idempotency, Outcome, RoutingConfig
 from crankfold.routing.policy import NEVER_EXECUTED, Router
@@ -101,20 +102,9 @@
     def knows_request_class(self, name: str) -> bool:
         return self.request_classes.find(setting_text(name)) >= 0
 
-    def submit(
-        self,
-        client: object,
-        ident: str,
-        grade: str,
-        tenant: str,
-        wait: int,
-        work: int,
-        slots: float,
-        again: tuple[bytes, bytes, list[tuple[bytes, bytes]], bytes],
-        key: int = 0,
-        retried: bool = False,
-    ) -> None:
+    def submit(self, client: object, submitted: ClientRequest) -> None:
         assert isinstance(client, AcceptedConnection)
+        ident, grade, tenant = submitted.request_id, submitted.request_class, submitted.tenant
         if client.peer_has_closed():
             self.metrics.increment("clients-gone-before-read")
             client.reject(503)
@@ -145,9 +135,9 @@
         self.metrics.increment("taken")
         if self.record_event:
             self.record_event("take", ident, grade)
-        wait = max(wait - TRANSIT_ALLOWANCE, 0)
+        wait = max(submitted.timeout - TRANSIT_ALLOWANCE, 0)
         row = self.request_classes.find(setting_text(grade))
-        held = self.request_table.add(row, ident, client, self.clock.now() + wait, again)
+        held = self.request_table.add(row, ident, client, self.clock.now() + wait, submitted.http)
         held.quota_limits = counted
         held.deadline_timer = self.timers.call_after(wait, partial(self._on_deadline, held))
         payer = max(self.config.tenants.find(setting_text(tenant)), 0)
@@ -157,10 +147,10 @@
             row,
             payer,
             held.deadline,
-            work,
-            slots,
-            key,
-            retried,
+            submitted.work,
+            submitted.slots,
+            submitted.affinity_key,
+            submitted.is_retry,
             unit=held.number,
         )
 
@@ -214,12 +204,12 @@
         if there or not self._may_send(work, trip):
             self.call_soon(self._on_exchange_ended, work, trip, NOT_SENT, None)
             return
-        method, target, heads, body = work.http_request
+        http = work.http_request
         trip.exchange = Exchange(
-            method,
-            target,
-            lambda: attempt_headers(heads, work.deadline - self.clock.now()),
-            body,
+            http.method,
+            http.target,
+            lambda: attempt_headers(http.headers, work.deadline - self.clock.now()),
+            http.body,
             partial(self._may_send, work, trip),
             partial(self._on_exchange_ended, work, trip),
         )
--- a/crankfold/service/request_table.py
+++ b/crankfold/service/request_table.py
@@ -5,6 +5,7 @@
 
 from crankfold.network.connection_pool import Exchange
 from crankfold.network.listener import AcceptedConnection
+from crankfold.protocol.client_request import HttpRequest
 from crankfold.service.request_classes import RequestClassTable
 
 
@@ -58,7 +59,7 @@
         ident: str,
         client: AcceptedConnection,
         cutoff: int,
-        again: tuple[bytes, bytes, list[tuple[bytes, bytes]], bytes],
+        again: HttpRequest,
     ) -> None:
         self.class_index = row  # of its grade
         self.number, self.request_id, self.client, self.deadline, self.http_request = (
@@ -91,7 +92,7 @@
         ident: str,
         client: AcceptedConnection,
         cutoff: int,
-        again: tuple[bytes, bytes, list[tuple[bytes, bytes]], bytes],
+        again: HttpRequest,
     ) -> Request:
         work = Request(self.next_number, row, ident, client, cutoff, again)
         self.next_number += 1
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -12,6 +12,7 @@
     classify_response,
 )
 from crankfold.protocol.client_connection import ClientConnection
+from crankfold.protocol.client_request import ClientRequest
 from crankfold.protocol.discovery import DiscoveryConnection, DiscoveryError, decode_endpoints
 from crankfold.routing.interface import Endpoint, EndpointState, Outcome
 from tests.scene import Kept
@@ -32,24 +33,15 @@
     def knows_request_class(self, name: str) -> bool:
         return name == "g"
 
-    def submit(
-        self,
-        client: object,
-        ident: str,
-        grade: str,
-        tenant: str,
-        wait: int,
-        work: int,
-        slots: float,
-        again: tuple[bytes, bytes, list[tuple[bytes, bytes]], bytes],
-        key: int = 0,
-        retried: bool = False,
-    ) -> None:
-        method, target, heads, body = again
-        self.say(f"{ident} {grade} waits {wait} work {work} slots {slots:g}")
+    def submit(self, client: object, submitted: ClientRequest) -> None:
+        self.say(
+            f"{submitted.request_id} {submitted.request_class} waits {submitted.timeout} "
+            f"work {submitted.work} slots {submitted.slots:g}"
+        )
+        http = submitted.http
         self.say(
-            f"  on goes {method.decode()} {target.decode()} {body.decode()} "
-            + " ".join(f"{name.decode()}={value.decode()}" for name, value in heads)
+            f"  on goes {http.method.decode()} {http.target.decode()} {http.body.decode()} "
+            + " ".join(f"{name.decode()}={value.decode()}" for name, value in http.headers)
         )
 
     def has_request(self, ident: str) -> bool:
