--- a/crankfold/cli/main.py
+++ b/crankfold/cli/main.py
@@ -10,6 +10,7 @@
 
 from crankfold import __version__
 from crankfold.config.parser import flatten_settings, read_routing_config, read_service_config
+from crankfold.network.log_handler import configure_logging
 from crankfold.network.signals import catch_reload_signal
 from crankfold.service.application import Application, ConfigError, parse_address, read_config
 
@@ -47,6 +48,7 @@
     counters.
     """
     catch_reload_signal()
+    configure_logging()
 
     async def whole() -> None:
         given = read_config(config)
--- a/crankfold/network/discovery_watcher.py
+++ b/crankfold/network/discovery_watcher.py
@@ -1,12 +1,15 @@
 """Keeps up the watch on discovery: a whole list first, then what changes."""
 
 import asyncio
+import logging
 from collections.abc import Callable, Sequence
 
 from crankfold.network.metrics import Metrics
 from crankfold.protocol.discovery import DiscoveryConnection, DiscoveryError, EndpointFactory, RejectedError
 from crankfold.routing.interface import Endpoint
 
+logger = logging.getLogger(__name__)
+
 # What discovery has counts as told 6 s after it could be reached. A watch may fall silent the moment it is
 # asked: WAIT and LATE pass until that shows, and the rest is for further calls, each answered at once.
 LONG_POLL_MS = 2000
@@ -95,7 +98,12 @@
                 if isinstance(broken, DiscoveryError) and not isinstance(broken, RejectedError):
                     self.revision = -1
                 self.metrics.increment("discovery-failed")
-                self.metrics.warn("discovery", f"{type(broken).__name__}: {broken}; the old list stands")
+                logger.warning(
+                    "%s: %s; the old list stands",
+                    type(broken).__name__,
+                    broken,
+                    extra={"category": "discovery"},
+                )
             self.on_failure()
             if not again:
                 return
--- a/crankfold/network/handover_channel.py
+++ b/crankfold/network/handover_channel.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import logging
 import os
 import socket
 import stat
@@ -14,6 +15,8 @@
 from crankfold.network.metrics import Metrics
 from crankfold.protocol.handover_messages import HandoverDecoder, ProtocolError, encode_line
 
+logger = logging.getLogger(__name__)
+
 ANSWER_TIMEOUT = 1.0  # a predecessor that hangs must not keep its successor from starting
 READ_SIZE = 64 * 1024
 MAX_UNSENT_BYTES = 1024 * 1024
@@ -64,7 +67,7 @@
         except FileNotFoundError:
             return {}
         except (OSError, ValueError) as wrong:
-            self.metrics.warn("records", f"{path.name}: {wrong}; starting without")
+            logger.warning("%s: %s; starting without", path.name, wrong, extra={"category": "records"})
             return {}
         return kept if isinstance(kept, dict) else {}
 
@@ -94,7 +97,9 @@
             sock.close()
             if not isinstance(nobody, FileNotFoundError):
                 # A leftover of a killed process refuses; anything else that is there is not ours.
-                self.metrics.warn("predecessor", f"{type(nobody).__name__}: {nobody}; starting alone")
+                logger.warning(
+                    "%s: %s; starting alone", type(nobody).__name__, nobody, extra={"category": "predecessor"}
+                )
             return None
         kin = self._register(writer)
         self._start_reading(kin, reader, writer, side, said[1:])
@@ -146,7 +151,7 @@
                         raise ProtocolError("said nothing")
                     said = side.receive_data(data)
         except (OSError, TimeoutError, ProtocolError) as wrong:
-            self.metrics.warn("successor", f"{type(wrong).__name__}: {wrong}")
+            logger.warning("%s: %s", type(wrong).__name__, wrong, extra={"category": "successor"})
             writer.close()
             return
         kin = self._register(writer)
@@ -190,7 +195,7 @@
                     break
                 more = side.receive_data(data)
         except (OSError, ProtocolError) as wrong:
-            self.metrics.warn("kin", f"{type(wrong).__name__}: {wrong}")
+            logger.warning("%s: %s", type(wrong).__name__, wrong, extra={"category": "handover"})
         finally:
             writer.close()
             if self.writers.pop(kin, None):
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import logging
 import os
 import resource
 import signal
@@ -325,7 +326,12 @@
             return f"{uid} {standing.name.lower()}"
 
         tally = Metrics()
-        tally.warn = lambda kind, text: self.say(f"  logged: {text.partition(':')[0]}")  # type: ignore[method-assign]
+        logged = patch.object(
+            logging.getLogger("crankfold.network.discovery_watcher"),
+            "handle",
+            lambda record: self.say(f"  logged: {record.getMessage().partition(':')[0]}"),
+        )
+        self.enterContext(logged)
         watch = DiscoveryWatcher(
             "127.0.0.1",
             await self.stand_in(discovery),
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import json
+import logging
 import os
 import signal
 import socket
@@ -10,6 +11,7 @@
 import tempfile
 from pathlib import Path
 from typing import Any
+from unittest.mock import patch
 
 import orjson
 
@@ -239,7 +241,12 @@
         folder.mkdir()
         tally = Metrics()
         said: list[str] = []
-        tally.warn = lambda kind, text: said.append(kind)  # type: ignore[method-assign]
+        logged = patch.object(
+            logging.getLogger("crankfold.network.handover_channel"),
+            "handle",
+            lambda record: said.append(record.category),
+        )
+        self.enterContext(logged)
         passage = HandoverChannel(str(folder), "p", tally)
         self.assertIsNone(await passage.connect({}))
         self.assertEqual(said, [])  # the usual start
