--- a/crankfold/cluster/node.py
+++ b/crankfold/cluster/node.py
@@ -356,7 +356,7 @@
         return self.cluster_member.status()
 
     def documents_changed(self, seat: ClusterMember, docs: set[str]) -> None:
-        if seat is getattr(self, "seat", None):
+        if seat is getattr(self, "cluster_member", None):
             self.on_documents_changed(docs)
 
     def proposal_answered(self, told: ProposalResponse) -> None:
