--- a/crankfold/cli/main.py
+++ b/crankfold/cli/main.py
@@ -12,6 +12,7 @@
 
 from crankfold import __version__
 from crankfold.cli.options import config_option
+from crankfold.network.log_handler import configure_logging
 from crankfold.network.signals import catch_reload_signal
 from crankfold.service.application import Application, ConfigError, read_config
 
@@ -70,6 +71,7 @@
     prints the counters.
     """
     catch_reload_signal()
+    configure_logging()
 
     async def run() -> None:
         document = read_config(config)
