--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -1,4 +1,4 @@
-"""What `crankfold settings`, `fleet` and `maintenance` say and how they exit, against a door that is played."""
+"""What `settings`, `fleet` and `maintenance` say and how they exit, against a played admin server."""
 
 import json
 import re
