--- a/benchmarks/agreement.py
+++ b/benchmarks/agreement.py
@@ -15,18 +15,18 @@
 import sys
 import tempfile
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable
 from concurrent.futures import ProcessPoolExecutor
 from pathlib import Path
-from typing import Any
+from typing import Any, Literal, Self, TypeVar
 
 from crankfold.cluster.raft_storage import RaftStorage
 from crankfold.consensus.messages import LogEntry, Snapshot, Timing
 from crankfold.consensus.raft import Ready
 from crankfold.consensus.voter import Voter
 from crankfold.fault_injection.harness import TrialHarness
-from crankfold.fault_injection.plan import PublishSpecification, TrialPlan
-from crankfold.fault_injection.stand_ins import http_call, read_http_message
+from crankfold.fault_injection.http_client import HOST, http_call, read_http_message
+from crankfold.fault_injection.plan import TrialPlan
 from crankfold.simulation.consensus_cluster import (
     ClusterCase,
     ClusterFault,
@@ -36,6 +36,7 @@
 
 HERE = Path(__file__).parent
 LINES: list[str] = []
+Result = TypeVar("Result")
 
 
 def say(text: str) -> None:
@@ -58,91 +59,97 @@
     )
 
 
-class Quiet(TrialHarness):
-    """The processes of a trial, without load, faults and operators of its own."""
+BACKEND_RUN_MS = 5.0
 
-    many = 1  # runners
 
-    async def play(self, what: Callable[["Quiet"], Any]) -> Any:
-        from crankfold.fault_injection.stand_ins import EndpointList, StandInBackend, StandInDiscovery
+def quiet_plan(*, voters: Literal[3, 5, 7] = 3, followers: int = 0, backends: int = 1) -> TrialPlan:
+    """The processes of a trial without load, faults and operators of its own."""
+    return TrialPlan(
+        "measured",
+        1.0,
+        ["bound"],
+        voters=voters,
+        followers=followers,
+        backends=backends,
+        load=0.0,
+        mean_run_ms=BACKEND_RUN_MS,
+        failure_share=0.0,
+    )
+
 
-        runners = [
-            StandInBackend(f"r{n}", self.observations, self.client_ports, 0.005, 0.0, 1)
-            for n in range(self.many)
-        ]
-        roll = EndpointList()
-        for runner in runners:
-            roll.add(runner.backend_id, await runner.open())
-        discovery = StandInDiscovery(roll)
-        found = await discovery.open()
-        self.backend_ids = ["r0"]
-        for name in self.process_names:
-            await self.prepare_process(name, found)
+class QuietHarness(TrialHarness):
+    """A trial in which nothing happens but what is measured."""
+
+    async def measure(self, what: Callable[[Self], Awaitable[Result]]) -> Result:
+        """Start the processes, measure, and end them."""
+        await self.prepare()
         try:
-            await asyncio.gather(*(process.start() for process in self.processes.values()))
-            await self.wait_until_consistent(20.0, "start")
+            await self.start()
             return await what(self)
         finally:
             await self.shut_down()
-            for end in (*runners, discovery):
-                end.close()
 
-    async def one(self, n: int, name: str) -> float:
-        """Milliseconds from a publish until it counts at that process and all others have heard that."""
-        _, known = await self.call_admin(name, "agreed/settings")
+    async def publish_once(self, number: int, name: str) -> float:
+        """Milliseconds from a publish until it is active at that process and all others know of that.
+
+        Returns:
+            -1 if that did not come about.
+        """
+        known = (await self.admin.call(name, "agreed/settings")).content
         body = {
-            "call": f"{n}-{name}",
+            "call": f"{number}-{name}",
             "made-from": known["newest"],
             "wait": 20,
             "reason": "measured",
-            "text": {**known["versions"][-1]["text"], "revenue-per": ("request", "work")[n % 2]},
+            "text": {**known["versions"][-1]["text"], "revenue-per": ("request", "work")[number % 2]},
         }
         began = time.monotonic()
-        head, text = await http_call(
+        response = await http_call(
             self.admin_ports[name], "/control/agreed/settings", json.dumps(body).encode()
         )
-        told = json.loads(text)
-        if not told.get("well") or told["lag"]:
+        content = json.loads(response.body)
+        if not content.get("well") or content["lag"]:
             return -1.0
         return (time.monotonic() - began) * 1000
 
 
 def publish() -> None:
     rows = []
-    for voters in (3, 5, 7):
-        plan = TrialPlan(
-            "measured", 1.0, ["bound"], voters=voters, followers=2, load=0.0, publish=PublishSpecification()
-        )
+    counts: tuple[Literal[3, 5, 7], ...] = (3, 5, 7)
+    for voters in counts:
+        plan = quiet_plan(voters=voters, followers=2)
 
-        async def measured(trial: Quiet) -> dict[str, list[float]]:
+        async def measured(trial: QuietHarness) -> dict[str, list[float]]:
             await asyncio.sleep(2.0)  # the first leader waits for leases that it knows nothing of
             found: dict[str, list[float]] = {"calm": [], "a twentieth lost": [], "leader killed": []}
             n = 0
             for how, share in (("calm", 0.0), ("a twentieth lost", 0.05)):
                 for link in trial.links.values():
-                    link.loss = share
+                    link.loss_share = share
                 for _ in range(20):
                     n += 1
-                    found[how].append(await trial.one(n, trial.process_names[n % len(trial.process_names)]))
+                    found[how].append(
+                        await trial.publish_once(n, trial.process_names[n % len(trial.process_names)])
+                    )
                     await asyncio.sleep(0.05)
             for link in trial.links.values():
-                link.loss = 0.0
+                link.loss_share = 0.0
             for _ in range(4):
-                leader = await trial.find_leader()
+                leader = await trial.admin.find_leader(trial.voters)
                 other = next(name for name in trial.process_names if name != leader)
                 await asyncio.sleep(2.0)
                 await trial.processes[leader].kill()
                 n += 1
                 began = time.monotonic()
-                while (await trial.one(n, other)) < 0 and time.monotonic() - began < 15:
+                while (await trial.publish_once(n, other)) < 0 and time.monotonic() - began < 15:
                     n += 1
                 found["leader killed"].append((time.monotonic() - began) * 1000)
                 await trial.processes[leader].start()
-                await trial.wait_until_consistent(15.0, "return")
+                await trial.wait_until_consistent(15.0)
             return found
 
         with tempfile.TemporaryDirectory() as folder:
-            found = asyncio.run(Quiet(plan, 1, Path(folder)).play(measured))
+            found = asyncio.run(QuietHarness(plan, 1, Path(folder)).measure(measured))
         for how, spans in found.items():
             good = [span for span in spans if span >= 0]
             none = f", {len(spans) - len(good)} without an outcome" if len(good) < len(spans) else ""
@@ -260,6 +267,28 @@
     )
 
 
+class ServedHarness(QuietHarness):
+    """Three dispatchers that may know nothing of each other."""
+
+    def __init__(self, plan: TrialPlan, seed: int, folder: Path, how: str) -> None:
+        self.with_peers = how != "off"
+        self.publishing = how == "a publish each second"
+        self.working = how == "a work going on"
+        super().__init__(plan, seed, folder, self._adjust)
+
+    def _adjust(self, configuration: dict[str, Any]) -> None:
+        configuration["peers"]["record"] = ""
+        if not self.with_peers:
+            del configuration["peers"]
+
+    async def wait_until_consistent(self, seconds: float) -> dict[str, str]:
+        """Without peers there is nothing to agree on; the processes have a while to start."""
+        if self.with_peers:
+            return await super().wait_until_consistent(seconds)
+        await asyncio.sleep(1.5)
+        return {}
+
+
 def serve() -> None:
     """The same load at one of three dispatchers; what the process needed for a unit, and what clients saw."""
     rows = []
@@ -283,8 +312,6 @@
                 spans.append((time.monotonic() - began) * 1000)
             writer.close()
 
-        from crankfold.fault_injection.stand_ins import HOST
-
         port_of = HOST, port
         await asyncio.gather(*(client(n) for n in range(8)))
         return spans
@@ -293,7 +320,7 @@
         fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
         return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
 
-    async def measured(trial: Quiet) -> tuple[float, float, float, float]:
+    async def measured(trial: ServedHarness) -> tuple[float, float, float, float]:
         running = trial.processes["n0"].running
         assert running
         await load(trial.client_ports["n0"], 0.5)
@@ -301,14 +328,14 @@
         if trial.working:
             work = {"way": "command", "command": ["true"], "watch": 0.2, "least-answers": 0, "stays": 0.0}
             body = {"call": "w", "made-from": 0, "text": {"works": {"w": work}}, "reason": "measured"}
-            status, _ = await trial.call_admin("n1", "agreed/works", json.dumps(body).encode())
-            assert status == 200
+            response = await trial.admin.call("n1", "agreed/works", body)
+            assert response.ok
 
         async def publishes() -> None:
             nonlocal n
             while trial.publishing and not over.is_set():
                 n += 1
-                await trial.one(n, "n1")
+                await trial.publish_once(n, "n1")
                 await asyncio.sleep(1)
 
         publishing = asyncio.ensure_future(publishes())
@@ -320,33 +347,12 @@
         memory = int(Path(f"/proc/{running.pid}/statm").read_text().split()[1]) * 4096 / 1e6
         return len(spans) / 4.0, spans[len(spans) * 99 // 100], used / len(spans) * 1e6, memory
 
-    class Served(Quiet):
-        publishing, peers_on, working = False, True, False
-        many = 4
-
-        async def prepare_process(self, name: str, discovery: int) -> None:
-            await super()._prepare(name, discovery)
-            given = json.loads(self.processes[name].config_file.read_text())
-            given["peers"]["record"] = ""
-            if not self.peers_on:
-                del given["peers"]
-            self.processes[name].config_file.write_text(json.dumps(given))
-
-        async def wait_until_consistent(self, within: float, what: str) -> dict[str, str]:
-            if self.peers_on:
-                return await super()._until_all_act(within, what)
-            await asyncio.sleep(1.5)
-            return {}
-
     hows = ("off", "on", "a publish each second", "a work going on")
     for turn in range(5):
         for how in hows:
-            plan = TrialPlan("measured", 1.0, ["bound"], voters=3, followers=0, load=0.0)
             with tempfile.TemporaryDirectory() as folder:
-                trial = Served(plan, turn + 1, Path(folder))
-                trial.peers_on, trial.publishing = how != "off", how == "a publish each second"
-                trial.working = how == "a work going on"
-                rows.append((turn, how, *asyncio.run(trial.play(measured))))
+                trial = ServedHarness(quiet_plan(backends=4), turn + 1, Path(folder), how)
+                rows.append((turn, how, *asyncio.run(trial.measure(measured))))
     for how in hows:
         mine = [row for row in rows if row[1] == how]
         offs = [row for row in rows if row[1] == "off"]
--- a/crankfold/fault_injection/invariants.py
+++ b/crankfold/fault_injection/invariants.py
@@ -1,312 +1,330 @@
 """Whether the promises of a plan held, from the records of the processes and of the stand-ins alone.
 
-Shares no code with the program. What rules mean for one another is worked out here again, from their texts.
+Shares no code with the program: what documents mean for one another is worked out here again, from their
+content. A check returns what broke the promise, or an empty text.
 """
 
 import json
 from bisect import bisect_right
-from dataclasses import dataclass, field
-from functools import partial
-from typing import Any
+from collections import Counter, defaultdict
+from collections.abc import Callable, Iterator
+from typing import Any, NamedTuple
 
 from crankfold.fault_injection.maintenance_invariants import MaintenanceChecker
-from crankfold.fault_injection.stand_ins import Observations
-
-MILLISECOND = 1_000_000
-PROPAGATION_GRACE = 300 * MILLISECOND
-VersionState = tuple[int, int]  # of a document: the newest version heard of, the one that counts
+from crankfold.fault_injection.records import (
+    DOCUMENTS,
+    DRAINED_BACKENDS,
+    FOREVER,
+    MILLISECOND,
+    ActionRecord,
+    ConfigurationRecord,
+    DocumentVersion,
+    Promise,
+    PublishOutcome,
+    PublishRecord,
+    TrialRecord,
+    Verdict,
+    VersionState,
+)
+
+PROPAGATION_GRACE = 300 * MILLISECOND  # a request under way when a backend is drained may still arrive
+ANSWERED_STATUSES = ("200", "503", "504")
+NO_STATE = VersionState(newest=0, active=0)
+
+
+class FirstUse(NamedTuple):
+    """When a version was first acted on, and by which process."""
+
+    at: int
+    process: str
 
 
-@dataclass(slots=True)
-class PublishRecord:
-    """A publish as its operator saw it."""
+class Action(NamedTuple):
+    """An action and the process that took it."""
 
-    call_id: str
-    started_at: int
     process: str
-    document: str
-    content: dict[str, Any]
-    outcome: str = "unknown"  # confirmed, refused, unknown
-    version: int = 0
-    ended_at: int = 0
+    record: ActionRecord
 
 
-@dataclass(slots=True)
-class MaintenanceRun:
-    """Work on a machine, as whoever did it saw it."""
+class DrainedPeriod(NamedTuple):
+    """From when to when a backend was drained by the operators."""
 
-    uid: str
-    work: str
-    number: int
     begin: int
-    end: int = 0
-
-
-@dataclass(slots=True)
-class TrialRecord:
-    """All that is known of a trial once it is over."""
-
-    staleness_bound: int  # nanoseconds
-    process_records: dict[str, list[dict[str, Any]]]  # by process, in the order written
-    observations: Observations
-    publishes: list[PublishRecord]
-    histories: dict[str, dict[str, dict[int, dict[str, Any]]]]  # by process and document, at the end
-    downtimes: dict[str, list[tuple[int, int]]]  # when each process was dead
-    final_faults: dict[str, str] = field(default_factory=dict)  # by process, why it was not
-    faults_ended_at: int = 0
-    zones: dict[str, str] = field(default_factory=dict)  # of runners
-    jobs: dict[str, dict[str, Any]] = field(default_factory=dict)  # as they were handed in
-    runs: list["MaintenanceRun"] = field(default_factory=list)
-    losses: dict[str, list[tuple[int, int]]] = field(default_factory=dict)  # when each runner was
-    unfinished_jobs: dict[str, str] = field(
-        default_factory=dict
-    )  # of works that are not done, what is said of them
-
-
-@dataclass(frozen=True, slots=True)
-class Verdict:
-    promise: str
-    held: bool
-    detail: str
-
-
-def _version_state(record: dict[str, Any], doc: str) -> VersionState:
-    counts, newest = record["versions"].get(doc, (0, 0))
-    return newest, counts
+    end: int
+    backend_id: str
 
 
 class TrialChecker:
-    def __init__(self, story: TrialRecord) -> None:
-        self.trial = story
-        self.documents = ("settings", "runners-out")
-        # By document and state: what was acted on, and who first did from when on.
+    """Judges the promises of a trial that is over."""
+
+    def __init__(self, trial: TrialRecord) -> None:
+        self.trial = trial
+        # By document and state: the content that was acted on, and who first did from when on.
         self.contents: dict[tuple[str, VersionState], str] = {}
-        self.first_used: dict[str, dict[VersionState, tuple[int, str]]] = {doc: {} for doc in self.documents}
-        self.actions: list[tuple[int, str, dict[str, Any]]] = []
+        self.first_used: dict[str, dict[VersionState, FirstUse]] = {document: {} for document in DOCUMENTS}
+        self.actions: list[Action] = []
         self.inconsistencies: list[str] = []
-        for name, records in story.process_records.items():
+        for process, records in trial.process_records.items():
             for record in records:
-                if record["what"] == "rules":
-                    for doc in self.documents:
-                        state = _version_state(record, doc)
-                        text = json.dumps(record["acting"].get(doc), sort_keys=True)
-                        if self.contents.setdefault((doc, state), text) != text:
-                            self.inconsistencies.append(f"{name} makes something else of {doc} {state}")
-                        before = self.first_used[doc].get(state)
-                        if before is None or record["at"] < before[0]:
-                            self.first_used[doc][state] = record["at"], name
-                elif record["what"] != "step":
-                    self.actions.append((record["at"], name, record))
-        self.actions.sort(key=lambda act: act[0])
-        self.maintenance = MaintenanceChecker(story)
-        self.longest_contradiction, self.longest_detail = 0, "no two differed"
+                if isinstance(record, ConfigurationRecord):
+                    self._add_configuration(process, record)
+                elif isinstance(record, ActionRecord):
+                    self.actions.append(Action(process, record))
+        self.actions.sort(key=lambda action: action.record.at)
+        self.maintenance = MaintenanceChecker(trial)
+        self.longest_contradiction = 0  # nanoseconds
+        self.longest_detail = "no two differed"
+
+    def _add_configuration(self, process: str, record: ConfigurationRecord) -> None:
+        for document in DOCUMENTS:
+            state = record.versions.get(document, NO_STATE)
+            content = json.dumps(record.configuration.get(document), sort_keys=True)
+            if self.contents.setdefault((document, state), content) != content:
+                self.inconsistencies.append(f"{process} makes something else of {document} {state}")
+            before = self.first_used[document].get(state)
+            if before is None or record.at < before.at:
+                self.first_used[document][state] = FirstUse(record.at, process)
 
     def judge(self, promise: str) -> Verdict:
-        check = {
-            "bound": self.check_staleness_bound,
-            "heard-first": self.check_known_before_effect,
-            "history": self.check_history,
-            "no-way-back": self.check_monotonic_versions,
-            "publishes": self.check_publishes,
-            "one-answer": self.check_single_answer,
-            "no-effect-twice": self.check_no_duplicate_effect,
-            "out-means-out": self.check_drained_backends,
-            "well-at-the-end": self.check_final_health,
-        }.get(promise) or partial(self.maintenance.judge, promise)
-        broken = check()
-        return Verdict(promise, not broken, broken or self._summary(promise))
-
-    def _summary(self, promise: str) -> str:
-        if promise == "bound":
+        """Check one promise.
+
+        Raises:
+            ValueError: there is no such promise.
+        """
+        checks: dict[Promise, Callable[[], str]] = {
+            Promise.STALENESS_BOUND: self.check_staleness_bound,
+            Promise.KNOWN_BEFORE_EFFECT: self.check_known_before_effect,
+            Promise.HISTORY: self.check_history,
+            Promise.MONOTONIC_VERSIONS: self.check_monotonic_versions,
+            Promise.PUBLISHES: self.check_publishes,
+            Promise.SINGLE_ANSWER: self.check_single_answer,
+            Promise.NO_DUPLICATE_EFFECT: self.check_no_duplicate_effect,
+            Promise.DRAINED_BACKENDS: self.check_drained_backends,
+            Promise.FINAL_HEALTH: self.check_final_health,
+            **self.maintenance.checks(),
+        }
+        checked = Promise(promise)
+        violation = checks[checked]()
+        return Verdict(checked, not violation, violation or self._summary(checked))
+
+    def _summary(self, promise: Promise) -> str:
+        if promise is Promise.STALENESS_BOUND:
             longest = self.longest_contradiction / MILLISECOND
             bound = self.trial.staleness_bound / MILLISECOND
             return f"longest {longest:.0f} ms of {bound:.0f}; {self.longest_detail}"
-        if promise == "publishes":
-            kinds = [one.outcome for one in self.trial.publishes]
-            return ", ".join(f"{kinds.count(kind)} {kind}" for kind in ("confirmed", "refused", "unknown"))
-        if promise == "one-answer":
-            kinds = [told.split()[0] for *_, told in self.trial.observations.answers]
-            return ", ".join(f"{kinds.count(kind)} {kind}" for kind in sorted(set(kinds)))
+        if promise is Promise.PUBLISHES:
+            outcomes = Counter(publish.outcome for publish in self.trial.publishes)
+            return ", ".join(f"{outcomes[outcome]} {outcome}" for outcome in PublishOutcome)
+        if promise is Promise.SINGLE_ANSWER:
+            kinds = Counter(answer.text.split()[0] for answer in self.trial.observations.answers)
+            return ", ".join(f"{kinds[kind]} {kind}" for kind in sorted(kinds))
         return self.maintenance.summary(promise)
 
-    def _format_time(self, ns: int) -> str:
-        begin = min(
-            (records[0]["at"] for records in self.trial.process_records.values() if records), default=0
-        )
-        return f"{(ns - begin) / 1e9:.3f} s"
+    # --- documents ---
 
     def check_staleness_bound(self) -> str:
-        """No act under a rule for longer than the stated time after somebody followed one that differs."""
+        """Nobody acts for longer than the bound after another acted on a later, differing version."""
         if self.inconsistencies:
             return self.inconsistencies[0]
-        for doc in self.documents:
-            states = sorted(self.first_used[doc])  # in the order of the history
-            for act_at, name, record in self.actions:
-                own = _version_state(record, doc)
-                mine = self.contents.get((doc, own))
+        for document in DOCUMENTS:
+            states = sorted(self.first_used[document])  # in the order of the history
+            for action in self.actions:
+                own = action.record.versions.get(document, NO_STATE)
+                content = self.contents.get((document, own))
                 for state in states[bisect_right(states, own) :]:
-                    began, who = self.first_used[doc][state]
-                    if act_at - began > self.longest_contradiction and self.contents[doc, state] != mine:
-                        self.longest_contradiction = act_at - began
-                        self.longest_detail = (
-                            f"{name} at {self._format_time(act_at)} on {doc} {own}, {who} on {state}"
-                        )
-        return (
-            f"{self.longest_contradiction / MILLISECOND:.0f} ms: {self.longest_detail}"
-            if self.longest_contradiction > self.trial.staleness_bound
-            else ""
-        )
+                    if self.contents[document, state] != content:
+                        self._note_contradiction(action, document, own, state)
+        if self.longest_contradiction <= self.trial.staleness_bound:
+            return ""
+        return f"{self.longest_contradiction / MILLISECOND:.0f} ms: {self.longest_detail}"
+
+    def _note_contradiction(
+        self, action: Action, document: str, own: VersionState, later: VersionState
+    ) -> None:
+        first_use = self.first_used[document][later]
+        duration = action.record.at - first_use.at
+        if duration > self.longest_contradiction:
+            self.longest_contradiction = duration
+            self.longest_detail = (
+                f"{action.process} at {self.trial.format_time(action.record.at)} on {document} {own}, "
+                f"{first_use.process} on {later}"
+            )
 
     def check_known_before_effect(self) -> str:
-        """Nobody follows a version alone while another acts who has not heard of it."""
-        for doc in self.documents:
-            alone: dict[int, tuple[int, str]] = {}
-            for (_, counts), (at, who) in self.first_used[doc].items():
-                if counts and (counts not in alone or at < alone[counts][0]):
-                    alone[counts] = at, who
-            for act_at, name, record in self.actions:
-                newest, _ = _version_state(record, doc)
-                for counts, (at, who) in alone.items():
-                    if counts > newest and act_at > at and newest:
+        """A version is active nowhere while somebody acts who does not know of it."""
+        for document in DOCUMENTS:
+            activations: dict[int, FirstUse] = {}  # by version
+            for state, first_use in self.first_used[document].items():
+                before = activations.get(state.active)
+                if state.active and (before is None or first_use.at < before.at):
+                    activations[state.active] = first_use
+            for process, record in self.actions:
+                newest = record.versions.get(document, NO_STATE).newest
+                for version, first_use in activations.items():
+                    if newest and version > newest and record.at > first_use.at:
                         return (
-                            f"{name} acts at {self._format_time(act_at)} "
-                            f"without having heard of {doc} {counts}, "
-                            f"which counts at {who} since {self._format_time(at)}"
+                            f"{process} acts at {self.trial.format_time(record.at)} "
+                            f"without having heard of {document} {version}, "
+                            f"which counts at {first_use.process} "
+                            f"since {self.trial.format_time(first_use.at)}"
                         )
         return ""
 
     def check_history(self) -> str:
+        """Every process has the same version under the same number."""
         if self.inconsistencies:
             return self.inconsistencies[0]
         known: dict[tuple[str, int], tuple[str, str]] = {}
-        for name, docs in self.trial.histories.items():
-            for doc, versions in docs.items():
+        for process, documents in self.trial.histories.items():
+            for document, versions in documents.items():
                 for number, version in versions.items():
-                    text = json.dumps(version, sort_keys=True)
-                    other, before = known.setdefault((doc, number), (name, text))
-                    if before != text:
-                        return f"{name} and {other} have different versions {number} of {doc}"
+                    canonical = version.canonical()
+                    other, before = known.setdefault((document, number), (process, canonical))
+                    if before != canonical:
+                        return f"{process} and {other} have different versions {number} of {document}"
         return ""
 
     def check_monotonic_versions(self) -> str:
-        for name, records in self.trial.process_records.items():
-            most: dict[str, int] = {}
+        """No process acts on an older version than it acted on before."""
+        for process, records in self.trial.process_records.items():
+            highest: dict[str, int] = {}
             for record in records:
-                if record["what"] in ("rules", "step"):
+                if not isinstance(record, ActionRecord):
                     continue  # a process that starts reads its history before it may act
-                for doc in self.documents:
-                    counts = _version_state(record, doc)[1]
-                    if counts < most.get(doc, 0):
-                        acted_at = self._format_time(record["at"])
-                        return f"{name} acts at {acted_at} on {doc} {counts} after {most[doc]}"
-                    most[doc] = counts
+                for document in DOCUMENTS:
+                    active = record.versions.get(document, NO_STATE).active
+                    if active < highest.get(document, 0):
+                        acted_at = self.trial.format_time(record.at)
+                        return (
+                            f"{process} acts at {acted_at} on {document} {active} after {highest[document]}"
+                        )
+                    highest[document] = active
         return ""
 
     def check_publishes(self) -> str:
-        for asked in self.trial.publishes:
-            for name, docs in self.trial.histories.items():
-                found = [
-                    number
-                    for number, version in docs.get(asked.document, {}).items()
-                    if version["reason"] == asked.call_id
-                ]
-                if len(found) > 1:
-                    return f"{asked.call_id} took effect as {found} at {name}"
-                if asked.outcome == "refused" and found:
-                    return f"{asked.call_id} was refused and is version {found[0]} at {name}"
-                kept = docs.get(asked.document, {})
-                if (
-                    asked.outcome == "confirmed"
-                    and found != [asked.version]
-                    and kept
-                    and min(kept) <= asked.version <= max(kept)
-                ):
-                    confirmed = f"{asked.call_id}, confirmed as {asked.document} {asked.version}"
-                    return f"{confirmed}, is {found} at {name}"
-                if found and docs[asked.document][found[0]]["text"] != asked.content:
-                    return f"{asked.call_id} was changed at {name}"
-        newest = {
-            doc: max((max(docs.get(doc) or [0]) for docs in self.trial.histories.values()), default=0)
-            for doc in self.documents
-        }
-        for asked in self.trial.publishes:
-            if asked.outcome == "confirmed" and asked.version > newest[asked.document]:
-                confirmed = f"{asked.call_id}, confirmed as {asked.document} {asked.version}"
-                return f"{confirmed}, is after {newest[asked.document]}"
+        """A confirmed publish is in every history, a refused one in none, and none twice."""
+        for publish in self.trial.publishes:
+            for process, documents in self.trial.histories.items():
+                violation = self._publish_violation(publish, process, documents.get(publish.document, {}))
+                if violation:
+                    return violation
+        for publish in self.trial.publishes:
+            newest = max(
+                (max(documents.get(publish.document) or [0]) for documents in self.trial.histories.values()),
+                default=0,
+            )
+            if publish.outcome is PublishOutcome.CONFIRMED and publish.version > newest:
+                return (
+                    f"{publish.call_id}, confirmed as {publish.document} {publish.version}, is after {newest}"
+                )
         return ""
 
-    def _was_down(self, name: str, begin: int, end: int) -> bool:
-        return any(a <= end and begin <= b for a, b in self.trial.downtimes.get(name, ()))
+    @staticmethod
+    def _publish_violation(publish: PublishRecord, process: str, versions: dict[int, DocumentVersion]) -> str:
+        call = publish.call_id
+        found = [number for number, version in versions.items() if version.reason == call]
+        if len(found) > 1:
+            return f"{call} took effect as {found} at {process}"
+        if publish.outcome is PublishOutcome.REFUSED and found:
+            return f"{call} was refused and is version {found[0]} at {process}"
+        kept = bool(versions) and min(versions) <= publish.version <= max(versions)
+        if publish.outcome is PublishOutcome.CONFIRMED and found != [publish.version] and kept:
+            return f"{call}, confirmed as {publish.document} {publish.version}, is {found} at {process}"
+        if found and versions[found[0]].content != publish.content:
+            return f"{call} was changed at {process}"
+        return ""
+
+    # --- requests ---
 
     def check_single_answer(self) -> str:
-        ends: dict[str, list[str]] = {}
-        for at, unit, name, told in self.trial.observations.answers:
-            ends.setdefault(unit, []).append(told)
-            asked, _, grade = self.trial.observations.requests[unit]
-            if told[:3] == "400" and self._class_was_removed(grade):
-                continue  # nobody took it
-            if told[:3] not in ("200", "503", "504") and not self._was_down(name, asked, at):
-                return f"{unit} got {told} at {self._format_time(at)}, though {name} was there"
-        for unit in self.trial.observations.requests:
-            if len(ends.get(unit, ())) != 1:
-                return f"{unit} got {ends.get(unit, 'nothing')}"
+        """Every client gets one answer, unless its dispatcher was down."""
+        observations = self.trial.observations
+        answers: dict[str, list[str]] = defaultdict(list)
+        for answer in observations.answers:
+            answers[answer.request_id].append(answer.text)
+            request = observations.requests[answer.request_id]
+            if answer.status == "400" and self._class_was_removed(request.request_class):
+                continue  # nobody accepted it
+            if answer.status not in ANSWERED_STATUSES and not self._was_down(
+                answer.dispatcher, request.at, answer.at
+            ):
+                moment = self.trial.format_time(answer.at)
+                return (
+                    f"{answer.request_id} got {answer.text} at {moment}, though {answer.dispatcher} was there"
+                )
+        for request_id in observations.requests:
+            if len(answers[request_id]) != 1:
+                return f"{request_id} got {answers[request_id] or 'nothing'}"
         return ""
 
-    def _class_was_removed(self, grade: str) -> bool:
-        """Whether there ever was a version without that grade."""
+    def _was_down(self, process: str, begin: int, end: int) -> bool:
+        return any(period.overlaps(begin, end) for period in self.trial.downtimes.get(process, ()))
+
+    def _class_was_removed(self, request_class: str) -> bool:
+        """Whether there ever was a version without that request class."""
         return any(
-            grade not in [one["name"] for one in version["text"].get("service-grades", ())]
-            for docs in self.trial.histories.values()
-            for version in docs.get("settings", {}).values()
+            request_class not in [one["name"] for one in version.content.get("service-grades", ())]
+            for documents in self.trial.histories.values()
+            for version in documents.get("settings", {}).values()
         )
 
     def check_no_duplicate_effect(self) -> str:
-        """A unit that was taken as once-only ran once at most, whatever its grade became."""
-        ran: dict[str, int] = {}
-        for _, _, unit in self.trial.observations.received_requests:
-            ran[unit] = ran.get(unit, 0) + 1
-        for _, name, record in self.actions:
-            if record["what"] != "take" or ran.get(record["unit"], 0) < 2:
+        """A request accepted as non-idempotent ran once at most, whatever its class became later."""
+        executions = Counter(received.request_id for received in self.trial.observations.received_requests)
+        for process, record in self.actions:
+            if record.kind != "take" or executions[record.request_id] < 2:
                 continue
-            rules = (
-                json.loads(self.contents.get(("settings", _version_state(record, "settings")), "null")) or {}
-            )
-            for grade in rules.get("service-grades", ()):
-                if grade["name"] == record["where"] and grade["effect"] == "unsafe":
-                    return f"{record['unit']}, once-only at {name}, ran {ran[record['unit']]} times"
+            if self._is_non_idempotent(record):
+                count = executions[record.request_id]
+                return f"{record.request_id}, once-only at {process}, ran {count} times"
         return ""
 
+    def _is_non_idempotent(self, record: ActionRecord) -> bool:
+        """Whether the request was, under the settings that the process acted on."""
+        state = record.versions.get("settings", NO_STATE)
+        settings: dict[str, Any] = json.loads(self.contents.get(("settings", state), "null")) or {}
+        return any(
+            one["name"] == record.request_class and one["effect"] == "unsafe"
+            for one in settings.get("service-grades", ())
+        )
+
     def check_drained_backends(self) -> str:
-        """From when a version with a runner out counts anywhere until one without it is heard of: nothing."""
-        spans: list[tuple[int, int, str]] = []
-        end_of_time = 1 << 62
-        versions: dict[int, dict[str, Any]] = {}
-        for docs in self.trial.histories.values():
-            versions |= docs.get("runners-out", {})
-        counted: dict[int, int] = {}
-        heard: dict[int, int] = {}
-        for (newest, counts), (at, _) in self.first_used["runners-out"].items():
-            for number in range(1, counts + 1):
-                counted[number] = min(counted.get(number, end_of_time), at)
-            for number in range(1, newest + 1):
-                heard[number] = min(heard.get(number, end_of_time), at)
-        for number in sorted(versions):
-            for uid in versions[number]["text"].get("runners", {}):
-                after = [
-                    n
-                    for n in sorted(versions)
-                    if n > number and uid not in versions[n]["text"].get("runners", {})
-                ]
-                until = heard.get(after[0], end_of_time) if after else end_of_time
-                if number in counted:
-                    spans.append((counted[number], until, uid))
-        for at, uid, unit in self.trial.observations.received_requests:
-            for begin, until, out in spans:
-                if out == uid and begin + PROPAGATION_GRACE < at < until:
-                    out_since = self._format_time(begin)
-                    return f"{unit} reached {uid} at {self._format_time(at)}, which is out since {out_since}"
+        """Nothing reaches a backend from when its draining is active anywhere until its return is known."""
+        periods = list(self._drained_periods())
+        for received in self.trial.observations.received_requests:
+            for period in periods:
+                if (
+                    period.backend_id == received.backend_id
+                    and period.begin + PROPAGATION_GRACE < received.at < period.end
+                ):
+                    return (
+                        f"{received.request_id} reached {received.backend_id} "
+                        f"at {self.trial.format_time(received.at)}, "
+                        f"which is out since {self.trial.format_time(period.begin)}"
+                    )
         return ""
 
+    def _drained_periods(self) -> Iterator[DrainedPeriod]:
+        drained: dict[int, set[str]] = {}  # by version, the backends that it drains
+        for documents in self.trial.histories.values():
+            for number, version in documents.get(DRAINED_BACKENDS, {}).items():
+                drained[number] = set(version.content.get("runners", {}))
+        active_from: dict[int, int] = {}  # by version
+        known_from: dict[int, int] = {}
+        for state, first_use in self.first_used[DRAINED_BACKENDS].items():
+            for number in range(1, state.active + 1):
+                active_from[number] = min(active_from.get(number, FOREVER), first_use.at)
+            for number in range(1, state.newest + 1):
+                known_from[number] = min(known_from.get(number, FOREVER), first_use.at)
+        for number in sorted(drained):
+            for backend_id in drained[number] if number in active_from else ():
+                returns = [
+                    later for later in sorted(drained) if later > number and backend_id not in drained[later]
+                ]
+                end = known_from.get(returns[0], FOREVER) if returns else FOREVER
+                yield DrainedPeriod(active_from[number], end, backend_id)
+
     def check_final_health(self) -> str:
-        wrong = [f"{name}: {why}" for name, why in self.trial.final_faults.items() if why]
-        return "; ".join(wrong)
+        """At the end, every process acts on the same documents."""
+        faults = self.trial.final_faults
+        return "; ".join(f"{process}: {reason}" for process, reason in faults.items() if reason)
--- a/crankfold/fault_injection/maintenance_driver.py
+++ b/crankfold/fault_injection/maintenance_driver.py
@@ -1,68 +1,123 @@
-"""Machines that are worked on in a trial: restarted by commands, by operators and by themselves, and lost."""
+"""Maintenance in a trial: jobs are submitted, and commands, operators and machines play their parts."""
 
 import asyncio
 import json
 import sys
-from collections import Counter
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from random import Random
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
-from crankfold.fault_injection.invariants import MaintenanceRun
-from crankfold.fault_injection.plan import FaultSpecification, JobSpecification, PlanError
-from crankfold.fault_injection.stand_ins import StandInBackend, boot_time_ns
+import msgspec
+from msgspec import Struct, field
 
-if TYPE_CHECKING:
-    from crankfold.fault_injection.harness import TrialHarness
+from crankfold.fault_injection.context import TrialContext
+from crankfold.fault_injection.http_client import AdminResponse, boot_time_ns
+from crankfold.fault_injection.maintenance_invariants import DISPATCHER_PREFIX
+from crankfold.fault_injection.plan import JobCommand, JobSpecification, PlanError
+from crankfold.fault_injection.records import MaintenanceRun
 
-# What a work's command is: it tells the rig that it is there, lasts, and tells that it has ended.
+# What a job's command is: it writes that it began, lasts a while, and writes that it ended.
 COMMAND_SCRIPT = """
 import json, os, random, sys, time
-def tell(what):
+def write(what):
     env = os.environ
-    told = {"what": what, "at": time.clock_gettime_ns(time.CLOCK_BOOTTIME), "uid": env["CRANKFOLD_MACHINE"],
+    line = {"what": what, "at": time.clock_gettime_ns(time.CLOCK_BOOTTIME), "uid": env["CRANKFOLD_MACHINE"],
             "work": env["CRANKFOLD_WORK"], "number": int(env["CRANKFOLD_NUMBER"])}
     with open(sys.argv[1], "a") as out:
-        out.write(json.dumps(told) + "\\n")
-tell("begin")
+        out.write(json.dumps(line) + "\\n")
+write("begin")
 time.sleep(float(sys.argv[2]))
-tell("end")
+write("end")
 sys.exit(random.Random(os.environ["CRANKFOLD_MACHINE"] + sys.argv[3]).random() < float(sys.argv[4]))
 """
-POLL_INTERVAL = 0.05
+POLL_INTERVAL = 0.05  # seconds between looks at what commands wrote
+OPERATOR_INTERVAL = 0.3  # seconds between looks for machines that are free
+RETRY_INTERVAL = 0.2  # seconds
+HALTED = "stopped by itself"
+ENDED_STATES = ("done", "stop", HALTED)
+JOBS_PATH = "agreed/works"
+MACHINES_PATH = "agreed/machines"
+
+Jobs = dict[str, dict[str, Any]]  # by name, as the document has them
+
+
+class JobView(Struct):
+    """How far a job is, as the leader sees it."""
+
+    state: str
+    halted: str  # why it stopped by itself, or nothing
+    left: list[str]  # machines
+
+
+class MachineView(Struct):
+    """A machine that is out."""
+
+    job: str = field(name="work")
+    state: str
+    number: int
+    unhealthy: bool = field(name="unwell")
+
+
+class WaitView(Struct):
+    """A machine that waits, or all others of its job."""
+
+    machine: str
+    job: str = field(name="work")
+
+
+class MaintenanceView(Struct):
+    """What a process knows of maintenance."""
+
+    leads: bool
+    jobs: dict[str, JobView] = field(name="works")
+    machines: dict[str, MachineView]
+    waits: list[WaitView]
+
+    def is_finished(self) -> bool:
+        """Whether nothing more will happen by itself."""
+        ended = all(job.state in ENDED_STATES for job in self.jobs.values())
+        return ended and all(
+            machine.job in self.jobs and self.jobs[machine.job].state == HALTED
+            for machine in self.machines.values()
+        )
+
+
+class CommandLine(Struct):
+    """What a command wrote of itself."""
+
+    event: str = field(name="what")
+    at: int
+    machine_id: str = field(name="uid")
+    job: str = field(name="work")
+    number: int
 
 
 class MaintenanceDriver:
-    def __init__(self, trial: "TrialHarness") -> None:
-        self.harness, self.plan = trial, trial.plan
-        self.backends: dict[str, StandInBackend] = {}
+    """Plays the operators, the commands and the machines of a trial's maintenance jobs."""
+
+    def __init__(self, context: TrialContext) -> None:
+        self.context = context
+        self.plan = context.plan
         self.runs: list[MaintenanceRun] = []
-        self.losses: dict[str, list[tuple[int, int]]] = {}
-        self.command_log = trial.folder / "commands"
-        self.command_log_offset = 0
-        self.rng = Random(f"{trial.seed} hands")
-        self.started_work: set[tuple[str, int]] = set()
-        self.handed: set[str] = set()
+        self.script = context.folder / "command.py"
+        self.command_log = context.folder / "commands"
+        self.command_log_offset = 0  # up to where it was read
+        self.rng = Random(f"{context.seed} hands")
+        self.started_work: set[tuple[str, int]] = set()  # machine and number, by operators or itself
         self.background_tasks: set[asyncio.Task[None]] = set()
         self.finished = False
-        self.down_counts: Counter[str] = Counter()  # by machine, how many have it down
-
-    def job_documents(self) -> dict[str, dict[str, Any]]:
-        return {handed.name: {"work": handed.work} for handed in self.plan.work}
 
     def start_tasks(self) -> list["asyncio.Task[None]"]:
-        """Those that end by themselves before the trial's end; the others go on beside."""
-        if not self.plan.work:
+        """Start all; those that end by themselves before the trial's end are returned."""
+        if not self.plan.jobs:
             return []
-        script = self.harness.folder / "command.py"
-        script.write_text(COMMAND_SCRIPT)
+        self.script.write_text(COMMAND_SCRIPT)
         self.command_log.touch()
-        for work in (self._follow_commands(), self._play_operators()):
-            self._spawn(work)
-        return [asyncio.ensure_future(self._submit_job(handed)) for handed in self.plan.work] + [
-            asyncio.ensure_future(self._command_job(turn.name, turn.begin, turn.say))
-            for turn in self.plan.turn
-        ]
+        for background in (self._follow_commands(), self._play_operators()):
+            self._spawn(background)
+        submissions = [asyncio.ensure_future(self._submit_job(job)) for job in self.plan.jobs]
+        commands = [asyncio.ensure_future(self._command_job(each)) for each in self.plan.job_commands]
+        return submissions + commands
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.ensure_future(work)
@@ -71,206 +126,188 @@
 
     # --- operators ---
 
-    async def _call_any(self, what: str, body: bytes | None = None) -> tuple[int, Any]:
-        return await self.harness.call_admin(self.rng.choice(self.harness.process_names), what, body)
+    async def _call_any(self, path: str, body: dict[str, Any] | None = None) -> AdminResponse:
+        process = self.rng.choice(self.plan.process_names())
+        return await self.context.admin.call(process, path, body)
 
-    async def _submit_job(self, handed: JobSpecification) -> None:
-        await asyncio.sleep(
-            max(self.harness.started_at + handed.begin - asyncio.get_running_loop().time(), 0)
-        )
-        given = dict(handed.work)
-        if given.get("way") == "command":
-            given["command"] = [
+    async def _submit_job(self, job: JobSpecification) -> None:
+        await self.context.clock.sleep_until(job.begin)
+        specification = dict(job.specification)
+        if specification.get("way") == "command":
+            specification["command"] = [
                 sys.executable,
                 "-S",
                 "-E",
-                str(self.harness.folder / "command.py"),
+                str(self.script),
                 str(self.command_log),
-                str(handed.lasts),
-                str(self.harness.seed),
-                str(handed.fails),
+                str(job.down_seconds),
+                str(self.context.seed),
+                str(job.failure_share),
             ]
-        await self._publish_jobs(lambda works: {**works, handed.name: given}, f"hands in {handed.name}")
-
-    async def _command_job(self, name: str, begin: float, say: str) -> None:
-        await asyncio.sleep(max(self.harness.started_at + begin - asyncio.get_running_loop().time(), 0))
-        await self._publish_jobs(
-            lambda works: {
-                **works,
-                name: {**works[name], "state": say, "called": works[name].get("called", 0) + 1},
-            },
-            f"{say} {name} {begin}",
-        )
+        await self._publish_jobs(lambda jobs: {**jobs, job.name: specification}, f"hands in {job.name}")
+
+    async def _command_job(self, command: JobCommand) -> None:
+        await self.context.clock.sleep_until(command.begin)
+
+        def change(jobs: Jobs) -> Jobs:
+            job = jobs[command.name]
+            return {
+                **jobs,
+                command.name: {**job, "state": command.state, "called": job.get("called", 0) + 1},
+            }
+
+        await self._publish_jobs(change, f"{command.state} {command.name} {command.begin}")
+
+    async def _publish_jobs(self, change: Callable[[Jobs], Jobs], reason: str) -> None:
+        """Until it is in the history.
 
-    async def _publish_jobs(self, change: Any, reason: str) -> None:
+        Raises:
+            PlanError: it was refused for what it says.
+        """
         while True:
-            status, told = await self._call_any("agreed/works")
-            if status != 200:
-                await asyncio.sleep(0.2)
+            known = await self._call_any(JOBS_PATH)
+            if not known.ok:
+                await asyncio.sleep(RETRY_INTERVAL)
                 continue
-            texts = {version["number"]: version for version in told["versions"]}
-            if any(version["reason"] == reason for version in texts.values()):
+            versions = {version["number"]: version for version in known.content["versions"]}
+            if any(version["reason"] == reason for version in versions.values()):
                 return
-            works = texts[told["newest"]]["text"]["works"] if told["newest"] else {}
-            body = {
-                "call": f"{reason} {told['newest']}",
-                "made-from": told["newest"],
+            newest = known.content["newest"]
+            jobs = versions[newest]["text"]["works"] if newest else {}
+            request = {
+                "call": f"{reason} {newest}",
+                "made-from": newest,
                 "author": "o",
-                "text": {"works": change(works)},
+                "text": {"works": change(jobs)},
                 "reason": reason,
             }
-            status, told = await self._call_any("agreed/works", json.dumps(body).encode())
-            if status == 400 or status == 409 and not told.get("number"):
-                raise PlanError(f"{reason}: {told['text']}")
-            await asyncio.sleep(0.2)
-
-    async def _report_step(self, uid: str, step: str, number: int) -> bool:
-        """Asks until there is an outcome."""
-        call = f"{step} {uid} {number}"
+            answer = await self._call_any(JOBS_PATH, request)
+            if answer.status == 400 or (answer.status == 409 and not answer.content.get("number")):
+                raise PlanError(f"{reason}: {answer.content['text']}")
+            await asyncio.sleep(RETRY_INTERVAL)
+
+    async def _report_step(self, machine_id: str, step: str, number: int) -> bool:
+        """Ask until there is an outcome: whether the step was accepted."""
+        request = {
+            "call": f"{step} {machine_id} {number}",
+            "machine": machine_id,
+            "step": step,
+            "number": number,
+            "author": "o",
+        }
         while not self.finished:
-            status, told = await self._call_any(
-                "agreed/machines",
-                json.dumps(
-                    {"call": call, "machine": uid, "step": step, "number": number, "author": "o"}
-                ).encode(),
-            )
-            if status == 200 or status == 409 and "out for any work" not in told.get("text", ""):
-                return status == 200
-            await asyncio.sleep(0.2)
+            answer = await self._call_any(MACHINES_PATH, request)
+            if answer.ok:
+                return True
+            if answer.status == 409 and "out for any work" not in answer.content.get("text", ""):
+                return False
+            await asyncio.sleep(RETRY_INTERVAL)
         return False
 
     async def _play_operators(self) -> None:
-        """Somebody looks at some door for machines that are free and works on them."""
-        ways = {handed.name: handed.work.get("way", "hand") for handed in self.plan.work}
+        """Somebody asks some process for machines that are free, and works on them."""
+        modes = {job.name: job.specification.get("way", "hand") for job in self.plan.jobs}
         while not self.finished:
-            await asyncio.sleep(0.3)
-            status, told = await self._call_any("agreed/machines")
-            if status != 200:
+            await asyncio.sleep(OPERATOR_INTERVAL)
+            answer = await self._call_any(MACHINES_PATH)
+            if not answer.ok:
                 continue
-            for uid, away in told["machines"].items():
-                if away["state"] != "free" or (uid, away["number"]) in self.started_work:
+            for machine_id, machine in msgspec.convert(answer.content, MaintenanceView).machines.items():
+                if machine.state != "free" or (machine_id, machine.number) in self.started_work:
                     continue
-                if ways[away["work"]] == "hand" or away["unwell"]:
-                    self.started_work.add((uid, away["number"]))
-                    self._spawn(self._work_manually(uid, away["work"], away["number"]))
-                elif ways[away["work"]] == "list":
-                    self.started_work.add((uid, away["number"]))
-                    self._spawn(self._work_on(uid, away["work"], away["number"]))
-
-    def _work_seconds(self, work: str) -> float:
-        return next(handed.lasts for handed in self.plan.work if handed.name == work)
-
-    async def _work_manually(self, uid: str, work: str, number: int) -> None:
-        if await self._report_step(uid, "begin", number):
-            await self._work_on(uid, work, number)
-            await self._report_step(uid, "done", number)
-
-    async def _work_on(self, uid: str, work: str, number: int) -> None:
-        run = MaintenanceRun(uid, work, number, boot_time_ns())
+                if modes[machine.job] == "hand" or machine.unhealthy:
+                    self.started_work.add((machine_id, machine.number))
+                    self._spawn(self._work_manually(machine_id, machine.job, machine.number))
+                elif modes[machine.job] == "list":
+                    self.started_work.add((machine_id, machine.number))
+                    self._spawn(self._work_on(machine_id, machine.job, machine.number))
+
+    async def _work_manually(self, machine_id: str, job: str, number: int) -> None:
+        if await self._report_step(machine_id, "begin", number):
+            await self._work_on(machine_id, job, number)
+            await self._report_step(machine_id, "done", number)
+
+    async def _work_on(self, machine_id: str, job: str, number: int) -> None:
+        run = MaintenanceRun(machine_id, job, number, boot_time_ns())
         self.runs.append(run)
-        await self._restart_machine(uid, self._work_seconds(work))
-        run.end = boot_time_ns()
+        await self._restart_machine(machine_id, job)
+        run.ended_at = boot_time_ns()
 
     # --- machines ---
 
-    async def _restart_machine(self, uid: str, seconds: float) -> None:
-        name = uid.removeprefix("@")
-        if name in self.harness.processes and uid not in self.backends:
-            await self._restart_process(name, seconds)
+    async def _restart_machine(self, machine_id: str, job: str) -> None:
+        seconds = next(one.down_seconds for one in self.plan.jobs if one.name == job)
+        backends = self.context.backends
+        process = self.context.processes.get(machine_id.removeprefix(DISPATCHER_PREFIX))
+        if process and machine_id not in backends.backends:
+            async with process.restart_lock:
+                await process.drain_and_restart(seconds)
             return
-        self._take_down(uid)
+        backends.take_down(machine_id)
         await asyncio.sleep(seconds)
-        await self._bring_up(uid)
-
-    async def _restart_process(self, name: str, seconds: float) -> None:
-        process = self.harness.processes[name]
-        async with process.restart_lock:
-            await self.harness._drain(process, FaultSpecification("drain", 0, 0), seconds)
-
-    def _take_down(self, uid: str) -> None:
-        self.down_counts[uid] += 1
-        if self.down_counts[uid] == 1:
-            self.backends[uid].abort()
-            self.harness.endpoint_list.remove(uid)
-
-    async def _bring_up(self, uid: str) -> None:
-        """Once nobody has it down any more: a loss may come in the middle of work."""
-        self.down_counts[uid] -= 1
-        if self.down_counts[uid]:
-            return
-        port = await self.backends[uid].open()
-        self.harness.endpoint_list.add(uid, port, self.plan.machine_zones().get(uid, "here"))
+        await backends.bring_up(machine_id)
 
     async def _follow_commands(self) -> None:
-        """What commands tell of themselves."""
+        """Restart the machines on which commands run."""
         while not self.finished:
             await asyncio.sleep(POLL_INTERVAL)
-            with self.command_log.open() as told:
-                told.seek(self.command_log_offset)
-                lines = told.read()
-            self.command_log_offset += len(lines)
-            for line in lines.splitlines():
-                one = json.loads(line)
-                uid = one["uid"] if one["uid"] in self.backends else f"@{one['uid']}"
-                if one["what"] == "begin":
-                    self.runs.append(MaintenanceRun(uid, one["work"], one["number"], one["at"]))
-                    self._spawn(self._restart_machine(uid, self._work_seconds(one["work"])))
-                for run in self.runs:
-                    if (run.uid, run.work, run.number) == (uid, one["work"], one["number"]) and one[
-                        "what"
-                    ] == "end":
-                        run.end = one["at"]
-
-    async def run_fault(self, fault: FaultSpecification, rest: float) -> None:
-        """Runners that are lost, one or a zone, and come back cold; or another in the place of one."""
-        machines = self.plan.machine_zones()
-        uids = [uid for uid, zone in machines.items() if fault.at in (uid, zone)]
-        for uid in uids:
-            self.losses.setdefault(uid, []).append((boot_time_ns(), 1 << 62))
-            self._take_down(uid)
-        await asyncio.sleep(rest)
-        for uid in uids:
-            if fault.kind == "lose":
-                await self._bring_up(uid)
-                self.losses[uid][-1] = self.losses[uid][-1][0], boot_time_ns()
-            else:
-                self.backends[f"{uid}b"] = runner = self.harness.make_backend(f"{uid}b")
-                self.harness.endpoint_list.add(f"{uid}b", await runner.open(), machines[uid])
+            with self.command_log.open() as log:
+                log.seek(self.command_log_offset)
+                text = log.read()
+            self.command_log_offset += len(text)
+            for line in text.splitlines():
+                self._command_wrote(msgspec.json.decode(line, type=CommandLine))
+
+    def _command_wrote(self, line: CommandLine) -> None:
+        machine_id = line.machine_id
+        if machine_id not in self.context.backends.backends:
+            machine_id = DISPATCHER_PREFIX + machine_id
+        if line.event == "begin":
+            self.runs.append(MaintenanceRun(machine_id, line.job, line.number, line.at))
+            self._spawn(self._restart_machine(machine_id, line.job))
+            return
+        for run in self.runs:
+            if (run.machine_id, run.job, run.number) == (machine_id, line.job, line.number):
+                run.ended_at = line.at
 
     # --- the end ---
 
-    async def wait_until_finished(self, within: float) -> dict[str, str]:
-        """Of each work what is wrong with its end: something is left, and nobody says why."""
+    async def wait_until_finished(self, seconds: float) -> dict[str, str]:
+        """Wait so long at most; of each job that did not end as it should, what is wrong."""
         loop = asyncio.get_running_loop()
-        end = loop.time() + within
+        end = loop.time() + seconds
         while True:
-            views = [
-                await self.harness.call_admin(name, "agreed/machines") for name in self.harness.process_names
-            ]
-            told = next((view for status, view in views if status == 200 and view["leads"]), None)
-            states = {name: work["state"] for name, work in told["works"].items()} if told else {}
-            ended = told and all(state in ("done", "stop", "stopped by itself") for state in states.values())
-            still = {away["work"] for away in told["machines"].values()} if told else set()
-            if ended and all(states.get(name) == "stopped by itself" for name in still) or loop.time() > end:
+            leading = await self._ask_leader()
+            if (leading and msgspec.convert(leading, MaintenanceView).is_finished()) or loop.time() > end:
                 break
-            await asyncio.sleep(0.2)
+            await asyncio.sleep(RETRY_INTERVAL)
         self.finished = True
         await asyncio.sleep(2 * POLL_INTERVAL)
         for task in list(self.background_tasks):
             task.cancel()
         await asyncio.gather(*self.background_tasks, return_exceptions=True)
-        if told is None:
-            return {handed.name: "nobody leads" for handed in self.plan.work}
-        wrong = {}
-        for handed in self.plan.work:
-            work = told["works"].get(handed.name)
-            if work is None:
-                wrong[handed.name] = "was handed in and is not known"
+        if leading is None:
+            return {job.name: "nobody leads" for job in self.plan.jobs}
+        (self.context.folder / "works.json").write_text(json.dumps(leading, indent=1))
+        return self._unfinished_jobs(msgspec.convert(leading, MaintenanceView))
+
+    async def _ask_leader(self) -> dict[str, Any] | None:
+        names = self.plan.process_names()
+        answers = [await self.context.admin.call(name, MACHINES_PATH) for name in names]
+        return next((answer.content for answer in answers if answer.ok and answer.content["leads"]), None)
+
+    def _unfinished_jobs(self, view: MaintenanceView) -> dict[str, str]:
+        """Something is left of them, and nobody says why."""
+        waiting_machines = {wait.machine for wait in view.waits}
+        waiting_jobs = {wait.job for wait in view.waits}
+        faults = {}
+        for submitted in self.plan.jobs:
+            job = view.jobs.get(submitted.name)
+            if job is None:
+                faults[submitted.name] = "was handed in and is not known"
                 continue
-            said = {wait["machine"] for wait in told["waits"]}
-            named = {wait["work"] for wait in told["waits"]}
-            left = [uid for uid in work["left"] if uid not in said]
-            if left and not work["halted"] and handed.name not in named and work["state"] == "go":
-                wrong[handed.name] = f"{left} are left and nobody says why"
-        (self.harness.folder / "works.json").write_text(json.dumps(told, indent=1))
-        return wrong
+            left = [machine for machine in job.left if machine not in waiting_machines]
+            explained = job.halted or submitted.name in waiting_jobs or job.state != "go"
+            if left and not explained:
+                faults[submitted.name] = f"{left} are left and nobody says why"
+        return faults
--- a/crankfold/fault_injection/maintenance_invariants.py
+++ b/crankfold/fault_injection/maintenance_invariants.py
@@ -1,181 +1,214 @@
-"""Whether machines were out for work as their works allow, from what was recorded alone.
+"""Whether machines were out as their maintenance jobs allow, from what was recorded alone.
 
-Shares no code with the program: what a step means for a machine is worked out here again.
+Shares no code with the program: what a step means for a machine is worked out here again. A check returns
+what broke the promise, or an empty text.
 """
 
-from typing import TYPE_CHECKING, Any
-
-if TYPE_CHECKING:
-    from crankfold.fault_injection.invariants import TrialRecord
-
-MILLISECOND = 1_000_000
-DISCOVERY_DELAY = 1500 * MILLISECOND  # lists tell of a loss so late at the most, if no fault is between
+from collections import Counter, defaultdict
+from collections.abc import Callable
+
+from crankfold.fault_injection.records import (
+    FOREVER,
+    MILLISECOND,
+    JobLimits,
+    MaintenanceRun,
+    Promise,
+    TransitionRecord,
+    TrialRecord,
+)
+
+DISCOVERY_DELAY = 1500 * MILLISECOND  # a loss is listed after this long at most, if no fault is between
+OUT = "out"
+FREE = "free"
+RETURNING_STEPS = ("back", "gone", "out", "unwell")  # after these, a machine is not free any more
+FAILED_STEPS = ("unwell", "undone")
 FINAL_STEPS = ("well", "undone", "gone")
+DISPATCHER_PREFIX = "@"  # of machines that are dispatchers
+ROUNDING = 1e-9  # of shares
 
 
 class MaintenanceChecker:
-    def __init__(self, story: "TrialRecord") -> None:
-        self.trial = story
-        # By entry and machine, in the order of the history: when a process first knew of it.
-        self.first_transitions: dict[tuple[int, str, str], tuple[int, dict[str, Any]]] = {}
-        for records in story.process_records.values():
-            for record in records:
-                if record["what"] == "step":
-                    key = record["index"], record["uid"], record["step"]
-                    if key not in self.first_transitions or record["at"] < self.first_transitions[key][0]:
-                        self.first_transitions[key] = record["at"], record
-        self.transitions = [self.first_transitions[key] for key in sorted(self.first_transitions)]
-        self.started_at = min(
-            (records[0]["at"] for records in story.process_records.values() if records), default=0
-        )
+    """Judges the promises on maintenance of a trial that is over."""
 
-    def _format_time(self, ns: int) -> str:
-        return f"{(ns - self.started_at) / 1e9:.3f} s"
-
-    def judge(self, promise: str) -> str:
+    def __init__(self, trial: TrialRecord) -> None:
+        self.trial = trial
+        # By log entry, machine and step: the record of the process that knew of it first.
+        first_known: dict[tuple[int, str, str], TransitionRecord] = {}
+        for records in trial.process_records.values():
+            for record in records:
+                if isinstance(record, TransitionRecord):
+                    key = (record.index, record.machine_id, record.step)
+                    if key not in first_known or record.at < first_known[key].at:
+                        first_known[key] = record
+        self.transitions = [first_known[key] for key in sorted(first_known)]  # in the log's order
+
+    def checks(self) -> dict[Promise, Callable[[], str]]:
+        """The check of each promise on maintenance."""
         return {
-            "free-means-free": self.check_freed_machines,
-            "works-bounds": self.check_limits,
-            "commands": self.check_commands,
-            "works-end": self.check_job_ends,
-        }[promise]()
+            Promise.FREED_MACHINES: self.check_freed_machines,
+            Promise.MAINTENANCE_LIMITS: self.check_limits,
+            Promise.MAINTENANCE_COMMANDS: self.check_commands,
+            Promise.MAINTENANCE_ENDS: self.check_job_ends,
+        }
 
     def check_freed_machines(self) -> str:
-        """From when anybody knew that it is free until anybody knew that it is back: nothing reached it."""
-        numbers: dict[str, int] = {}
-        for at, step in self.transitions:
-            uid = step["uid"]
-            if step["step"] != "free":
+        """Nothing reaches a machine from when anybody knew that it is free until it is back."""
+        numbers: dict[str, int] = {}  # under which each machine was called free last
+        for freed in self.transitions:
+            machine_id = freed.machine_id
+            if freed.step != FREE:
                 continue
-            if step["index"] <= numbers.get(uid, 0):
-                return f"{uid} is free under {step['index']} after {numbers[uid]}"
-            numbers[uid] = step["index"]
-            until = min(
-                (
-                    then
-                    for then, later in self.transitions
-                    if later["uid"] == uid
-                    and later["index"] > step["index"]
-                    and later["step"] in ("back", "gone", "out", "unwell")
-                ),
-                default=1 << 62,
-            )
-            for when, at_uid, unit in self.trial.observations.received_requests:
-                if at_uid == uid and at < when < until:
-                    free_since = self._format_time(at)
+            if freed.index <= numbers.get(machine_id, 0):
+                return f"{machine_id} is free under {freed.index} after {numbers[machine_id]}"
+            numbers[machine_id] = freed.index
+            end = self._free_until(freed)
+            for received in self.trial.observations.received_requests:
+                if received.backend_id == machine_id and freed.at < received.at < end:
                     return (
-                        f"{unit} reached {uid} at {self._format_time(when)}, which is free since {free_since}"
+                        f"{received.request_id} reached {machine_id} "
+                        f"at {self.trial.format_time(received.at)}, "
+                        f"which is free since {self.trial.format_time(freed.at)}"
                     )
         return ""
 
-    def _lost_machines(self, at: int) -> set[str]:
-        return {
-            uid
-            for uid, spans in self.trial.losses.items()
-            if any(begin + DISCOVERY_DELAY < at and at < end for begin, end in spans)
-        }
+    def _free_until(self, freed: TransitionRecord) -> int:
+        return min(
+            (
+                later.at
+                for later in self.transitions
+                if later.machine_id == freed.machine_id
+                and later.index > freed.index
+                and later.step in RETURNING_STEPS
+            ),
+            default=FOREVER,
+        )
 
     def check_limits(self) -> str:
-        """At each moment when one more went out, unplanned losses counted."""
-        away: dict[str, str] = {}
-        for at, step in self.transitions:
-            uid, work = step["uid"], step["work"]
-            if step["step"] == "out" and not uid.startswith("@"):
-                broken = self._limit_violation(uid, work, away, self._lost_machines(at))
-                if broken:
-                    return f"{uid} went out for {work} at {self._format_time(at)}: {broken}"
-            if step["step"] in FINAL_STEPS:
-                away.pop(uid, None)
-            elif uid:
-                away[uid] = work
+        """No limit of a job is exceeded when one more machine goes out; unplanned losses count."""
+        absent: dict[str, str] = {}  # machine to its job
+        for transition in self.transitions:
+            machine_id = transition.machine_id
+            if transition.step == OUT and not machine_id.startswith(DISPATCHER_PREFIX):
+                violation = self._limit_violation(transition, absent)
+                if violation:
+                    moment = self.trial.format_time(transition.at)
+                    return f"{machine_id} went out for {transition.job} at {moment}: {violation}"
+            if transition.step in FINAL_STEPS:
+                absent.pop(machine_id, None)
+            elif machine_id:
+                absent[machine_id] = transition.job
         return self._check_dispatcher_limits()
 
     def _check_dispatcher_limits(self) -> str:
-        """At no moment more of them in work than the work allows. Those killed by faults are not counted."""
-        runs = [run for run in self.trial.runs if run.uid.startswith("@")]
+        """At no moment more of them in work than their job allows; those killed by faults do not count."""
+        runs = [run for run in self.trial.runs if run.machine_id.startswith(DISPATCHER_PREFIX)]
         for run in runs:
-            at_once = [one.uid for one in runs if one.begin <= run.begin < (one.end or 1 << 62)]
-            if len(at_once) > self.trial.jobs[run.work]["work"].get("at-once", 1):
-                return f"{sorted(at_once)} were worked on at the same time, {self._format_time(run.begin)}"
+            at_once = [
+                other.machine_id
+                for other in runs
+                if other.began_at <= run.began_at < (other.ended_at or FOREVER)
+            ]
+            if len(at_once) > self.trial.jobs[run.job].at_once:
+                moment = self.trial.format_time(run.began_at)
+                return f"{sorted(at_once)} were worked on at the same time, {moment}"
         return ""
 
-    def _selects(self, given: dict[str, Any], uid: str) -> bool:
-        zones, machines = given.get("zones"), given.get("machines")
-        return (not zones or self.trial.zones.get(uid) in zones) and (not machines or uid in machines)
+    def _limit_violation(self, transition: TransitionRecord, absent: dict[str, str]) -> str:
+        machine_id = transition.machine_id
+        lost = self._lost_machines(transition.at)
+        out = {one for one in absent if not one.startswith(DISPATCHER_PREFIX)} | lost
+        out.discard(machine_id)
+        for name, job in self.trial.jobs.items():
+            concerned = name == transition.job or (name in absent.values() and self._selects(job, machine_id))
+            if job.on_dispatchers or not concerned:
+                continue
+            violation = self._job_violation(name, machine_id, out)
+            if violation:
+                return violation
+        return ""
 
-    def _limit_violation(self, uid: str, work: str, away: dict[str, str], lost: set[str]) -> str:
+    def _job_violation(self, name: str, machine_id: str, out: set[str]) -> str:
+        job = self.trial.jobs[name]
         zones = self.trial.zones
-        out = ({one for one in away if not one.startswith("@")} | lost) - {uid}
-        for name, handed in self.trial.jobs.items():
-            given = handed["work"]
-            if (
-                given.get("of") == "dispatchers"
-                or name != work
-                and (name not in away.values() or not self._selects(given, uid))
-            ):
-                continue
-            mine = {one for one in out if self._selects(given, one)}
-            if len(mine) >= given.get("at-once", 1):
-                return f"{sorted(mine)} are out, {name} allows {given.get('at-once', 1)} at once"
-            zoned = {one for one in mine if zones.get(one) == zones.get(uid)}
-            if given.get("a-zone") and len(zoned) >= given["a-zone"]:
-                return f"{sorted(zoned)} are out, {name} allows {given['a-zone']} in a zone"
-            stays = sum(one not in out and one != uid for one in zones) / max(len(zones), 1)
-            if stays < given.get("stays", 0.5) - 1e-9:
-                return f"{stays:.2f} stay, {name} wants {given.get('stays', 0.5)}"
+        own = {one for one in out if self._selects(job, one)}
+        if len(own) >= job.at_once:
+            return f"{sorted(own)} are out, {name} allows {job.at_once} at once"
+        zoned = {one for one in own if zones.get(one) == zones.get(machine_id)}
+        if job.per_zone and len(zoned) >= job.per_zone:
+            return f"{sorted(zoned)} are out, {name} allows {job.per_zone} in a zone"
+        remaining = sum(one not in out and one != machine_id for one in zones) / max(len(zones), 1)
+        if remaining < job.remaining_share - ROUNDING:
+            return f"{remaining:.2f} stay, {name} wants {job.remaining_share}"
         return ""
 
+    def _selects(self, job: JobLimits, machine_id: str) -> bool:
+        zone_fits = not job.zones or self.trial.zones.get(machine_id) in job.zones
+        return zone_fits and (not job.machines or machine_id in job.machines)
+
+    def _lost_machines(self, at: int) -> set[str]:
+        return {
+            machine_id
+            for machine_id, periods in self.trial.losses.items()
+            if any(period.begin + DISCOVERY_DELAY < at < period.end for period in periods)
+        }
+
     def check_commands(self) -> str:
-        """Each ran once, unless its work allows more, on a machine that was free, and never two at once."""
-        runs: dict[tuple[str, str], list[Any]] = {}
+        """Each ran once unless its job allows more, on a machine that was free, and never two at once."""
+        runs: dict[tuple[str, str], list[MaintenanceRun]] = defaultdict(list)
         for run in self.trial.runs:
-            runs.setdefault((run.uid, run.work), []).append(run)
-            free = [
-                at
-                for at, step in self.transitions
-                if step["uid"] == run.uid and step["step"] == "free" and step["index"] == run.number
-            ]
-            if not free or free[0] > run.begin:
-                return (
-                    f"{run.uid} was worked on at {self._format_time(run.begin)}, not free under {run.number}"
-                )
-        for (uid, work), some in runs.items():
-            given = self.trial.jobs[work]["work"]
-            numbers = [run.number for run in some]
+            runs[run.machine_id, run.job].append(run)
+            if not self._was_free(run):
+                moment = self.trial.format_time(run.began_at)
+                return f"{run.machine_id} was worked on at {moment}, not free under {run.number}"
+        for (machine_id, job), repeated in runs.items():
+            numbers = [run.number for run in repeated]
             if len(set(numbers)) < len(numbers):
-                return f"{uid} was worked on twice for {work} under one number, {numbers}"
-            unwell = any(
-                step["uid"] == uid and step["step"] in ("unwell", "undone") for _, step in self.transitions
+                return f"{machine_id} was worked on twice for {job} under one number, {numbers}"
+            failed = any(
+                transition.machine_id == machine_id and transition.step in FAILED_STEPS
+                for transition in self.transitions
             )
-            if len(some) > 1 and not given.get("again") and not unwell:
-                return f"{uid} was worked on {len(some)} times for {work}"
+            if len(repeated) > 1 and not self.trial.jobs[job].repeatable and not failed:
+                return f"{machine_id} was worked on {len(repeated)} times for {job}"
         return ""
 
+    def _was_free(self, run: MaintenanceRun) -> bool:
+        freed = [
+            transition.at
+            for transition in self.transitions
+            if transition.machine_id == run.machine_id
+            and transition.step == FREE
+            and transition.index == run.number
+        ]
+        return bool(freed) and freed[0] <= run.began_at
+
     def check_job_ends(self) -> str:
-        """Every work is done, or it is said of each machine that is left why it is not."""
-        return "; ".join(f"{name}: {why}" for name, why in self.trial.unfinished_jobs.items() if why)
-
-    def summary(self, promise: str) -> str:
-        steps = [step["step"] for _, step in self.transitions]
-        if promise == "works-bounds":
-            return ", ".join(f"{steps.count(one)} {one}" for one in dict.fromkeys(steps))
-        if promise == "commands":
+        """Every job is done, or it is said of each machine that is left why it is."""
+        return "; ".join(f"{job}: {fault}" for job, fault in self.trial.unfinished_jobs.items() if fault)
+
+    def summary(self, promise: Promise) -> str:
+        """A figure of interest for a promise that held."""
+        if promise is Promise.MAINTENANCE_LIMITS:
+            steps = Counter(transition.step for transition in self.transitions)
+            return ", ".join(f"{count} {step}" for step, count in steps.items())
+        if promise is Promise.MAINTENANCE_COMMANDS:
             return f"{len(self.trial.runs)} runs"
-        if promise == "free-means-free":
-            spans = [
-                then - at
-                for at, step in self.transitions
-                if step["step"] == "out"
-                for then in [
-                    min(
-                        (
-                            later
-                            for later, other in self.transitions
-                            if other["uid"] == step["uid"] and other["index"] > step["index"]
-                        ),
-                        default=at,
-                    )
-                ]
-            ]
-            return f"from out to free, longest {max(spans, default=0) / MILLISECOND:.0f} ms"
+        if promise is Promise.FREED_MACHINES:
+            return f"from out to free, longest {self._longest_drain() / MILLISECOND:.0f} ms"
         return ""
+
+    def _longest_drain(self) -> int:
+        """From going out to the machine's next step, in nanoseconds."""
+        durations = []
+        for departure in self.transitions:
+            if departure.step == OUT:
+                next_at = min(
+                    (
+                        later.at
+                        for later in self.transitions
+                        if later.machine_id == departure.machine_id and later.index > departure.index
+                    ),
+                    default=departure.at,
+                )
+                durations.append(next_at - departure.at)
+        return max(durations, default=0)
--- /dev/null
+++ b/crankfold/fault_injection/operators.py
@@ -0,0 +1,71 @@
+"""Operators who publish documents at random during a trial, and write down what they were told."""
+
+import asyncio
+from random import Random
+from typing import Any
+
+from crankfold.fault_injection.configuration import ALLOWED, IDEMPOTENCY_VALUES, request_class_settings
+from crankfold.fault_injection.context import TrialContext
+from crankfold.fault_injection.http_client import boot_time_ns
+from crankfold.fault_injection.records import PublishOutcome, PublishRecord
+
+
+class Operators:
+    """Publish as the plan says, each time at processes drawn by the seed."""
+
+    def __init__(self, context: TrialContext) -> None:
+        self.context = context
+        self.publishes: list[PublishRecord] = []
+        self.rng = Random(f"{context.seed} operators")
+
+    async def run(self) -> None:
+        """Publish until the plan's end, and wait for the last answers."""
+        plan = self.context.plan
+        names = plan.process_names()
+        count = 0
+        tasks: list[asyncio.Task[None]] = []
+        while True:
+            await asyncio.sleep(self.rng.expovariate(1 / plan.publish.mean_interval))
+            if self.context.clock.elapsed() > min(plan.publish.until, plan.seconds):
+                break
+            document = self.rng.choice(plan.publish.documents)
+            for process in self.rng.sample(names, min(plan.publish.at_once, len(names))):
+                count += 1
+                tasks.append(asyncio.ensure_future(self._publish(f"call{count}", process, document)))
+        await asyncio.gather(*tasks)
+
+    def _random_content(self, document: str) -> dict[str, Any]:
+        if document == "settings":
+            classes = request_class_settings(self.rng.choice(IDEMPOTENCY_VALUES))
+            return {"service-grades": classes, "allowed": ALLOWED}
+        backend_ids = list(self.context.plan.machine_zones())
+        count = self.rng.randrange(max(len(backend_ids) // 2, 1) + 1)
+        return {"runners": dict.fromkeys(self.rng.sample(backend_ids, count), "trial")}
+
+    async def _publish(self, call_id: str, process: str, document: str) -> None:
+        content = self._random_content(document)
+        is_repeated = self.rng.random() < self.context.plan.publish.repeat_share
+        admin = self.context.admin
+        path = f"agreed/{document}"
+        known = await admin.call(process, path)
+        if not known.ok:
+            return
+        publish = PublishRecord(call_id, boot_time_ns(), process, document, content)
+        self.publishes.append(publish)
+        request = {
+            "call": call_id,
+            "made-from": known.content["newest"],
+            "text": content,
+            "author": process,
+            "reason": call_id,
+        }
+        answers = await asyncio.gather(
+            *(admin.call(process, path, request) for _ in range(2 if is_repeated else 1))
+        )
+        publish.ended_at = boot_time_ns()
+        for answer in answers:
+            if answer.ok and answer.content.get("well"):
+                publish.outcome = PublishOutcome.CONFIRMED
+                publish.version = answer.content["number"]
+            elif answer.status == 409 and publish.outcome is PublishOutcome.UNKNOWN:
+                publish.outcome = PublishOutcome.REFUSED
--- a/crankfold/fault_injection/plan.py
+++ b/crankfold/fault_injection/plan.py
@@ -1,152 +1,168 @@
-"""What a trial is to do, read from TOML and checked."""
+"""What a trial is to do, read from TOML and checked. `docs/trial.md` explains each key."""
 
 import tomllib
+from enum import StrEnum
 from pathlib import Path
 from typing import Annotated, Any, Literal
 
 import msgspec
 from msgspec import Meta, Struct, field
 
+from crankfold.errors import CrankfoldError
+from crankfold.fault_injection.records import Promise
+
 PositiveNumber = Annotated[float, Meta(gt=0)]
 NonNegativeNumber = Annotated[float, Meta(ge=0)]
-PROMISES = (
-    "bound",
-    "heard-first",
-    "history",
-    "no-way-back",
-    "publishes",
-    "one-answer",
-    "no-effect-twice",
-    "out-means-out",
-    "well-at-the-end",
-    "free-means-free",
-    "works-bounds",
-    "commands",
-    "works-end",
-)
-PROCESS_FAULTS = ("kill", "pause", "disk", "drain", "replace")
-DISCOVERY_FAULTS = ("list-late", "list-down")
-BACKEND_FAULTS = ("lose", "succeed")
+Share = Annotated[float, Meta(ge=0, le=1)]
 
+PROMISES = tuple(promise.value for promise in Promise)
+ANY = "*"  # every process, or every receiver
+LEADER = "leader"  # whichever process leads when the fault begins
 
-class PlanError(Exception):
+
+class PlanError(CrankfoldError):
     """The plan can't be used; the text says where and why, in a line."""
 
 
+class FaultKind(StrEnum):
+    """What goes wrong, by the names that plans use."""
+
+    LOSS = "loss"  # a share of the messages on a link is lost
+    DELAY = "delay"  # messages take up to so much longer, and overtake one another
+    DUPLICATION = "double"  # a share of the messages arrives twice
+    CUT = "cut"  # nothing passes
+    RESET = "reset"  # connections break again and again
+    SLOW = "slow"  # a link passes so many bytes a second
+    KILL = "kill"  # a process dies and starts again at the end
+    PAUSE = "pause"  # a process stands still
+    FULL_DISK = "disk"  # no file of a process may grow
+    DRAIN = "drain"  # a process is told to end, and starts again at the end
+    REPLACEMENT = "replace"  # another process takes over, as at an upgrade
+    LATE_LIST = "list-late"  # discovery tells of changes late
+    SILENT_LIST = "list-down"  # discovery does not answer
+    BACKEND_LOSS = "lose"  # backends are gone and come back cold
+    BACKEND_SUCCESSION = "succeed"  # other backends come in the place of those that are gone
+
+
+PROCESS_FAULTS = frozenset(
+    {FaultKind.KILL, FaultKind.PAUSE, FaultKind.FULL_DISK, FaultKind.DRAIN, FaultKind.REPLACEMENT}
+)
+DISCOVERY_FAULTS = frozenset({FaultKind.LATE_LIST, FaultKind.SILENT_LIST})
+BACKEND_FAULTS = frozenset({FaultKind.BACKEND_LOSS, FaultKind.BACKEND_SUCCESSION})
+
+
 class PublishSpecification(Struct, rename="kebab", forbid_unknown_fields=True):
-    every: PositiveNumber = 0.7
-    until: NonNegativeNumber = 1e9
+    """How operators publish during the trial."""
+
+    mean_interval: PositiveNumber = field(name="every", default=0.7)  # seconds
+    until: NonNegativeNumber = 1e9  # seconds from the start
     documents: list[Literal["settings", "runners-out"]] = field(
         default_factory=lambda: ["settings", "runners-out"]
     )
     at_once: Annotated[int, Meta(ge=1, le=8)] = 1  # operators that publish at the same moment
-    repeat: Annotated[float, Meta(ge=0, le=1)] = 0.0  # share that is asked for twice with the same call
+    repeat_share: Share = field(name="repeat", default=0.0)  # asked for twice with the same call
 
 
 class FaultSpecification(Struct, rename="kebab", forbid_unknown_fields=True):
-    kind: Literal[
-        "loss",
-        "delay",
-        "double",
-        "cut",
-        "reset",
-        "slow",
-        "kill",
-        "pause",
-        "disk",
-        "drain",
-        "replace",
-        "list-late",
-        "list-down",
-        "lose",
-        "succeed",
-    ]
+    """A fault from `begin` to `end`, in seconds from the start."""
+
+    kind: FaultKind
     begin: NonNegativeNumber
     end: NonNegativeNumber
-    at: str = "*"  # a process, "leader" or "*"; of a link the sender
-    to: str = "*"
-    both: bool = False  # of a link: the way back too
-    share: Annotated[float, Meta(ge=0, le=1)] = 1.0
-    ms: NonNegativeNumber = 0.0
-    bytes_a_second: PositiveNumber = 10_000.0
-    keep_folder: bool = True
-    on_step: str = ""  # not at `begin`, but when a machine's next such step after it is told anywhere
+    target: str = field(name="at", default=ANY)  # a process, LEADER or ANY; of a link the sender
+    receiver: str = field(name="to", default=ANY)  # of a link
+    both_ways: bool = field(name="both", default=False)  # of a link: the way back too
+    share: Share = 1.0  # of the messages
+    delay_ms: NonNegativeNumber = field(name="ms", default=0.0)
+    bytes_per_second: PositiveNumber = field(name="bytes-a-second", default=10_000.0)
+    keep_folder: bool = True  # of a process that is killed
+    on_step: str = ""  # not at `begin`, but when a machine's next such step after it is known anywhere
 
 
 class JobSpecification(Struct, rename="kebab", forbid_unknown_fields=True):
-    """A work that is handed in; what it says itself is checked by the program."""
+    """A maintenance job that is submitted; its own fields are checked by the program."""
 
     name: str
-    work: dict[str, Any]
-    begin: NonNegativeNumber = 1.0
-    lasts: PositiveNumber = 0.5  # seconds that a machine is down for it
-    fails: Annotated[float, Meta(ge=0, le=1)] = 0.0  # share of the commands
+    specification: dict[str, Any] = field(name="work")
+    begin: NonNegativeNumber = 1.0  # seconds from the start
+    down_seconds: PositiveNumber = field(name="lasts", default=0.5)  # that a machine is down for it
+    failure_share: Share = field(name="fails", default=0.0)  # of the commands
 
 
 class JobCommand(Struct, rename="kebab", forbid_unknown_fields=True):
-    """An operator's word about a work under way."""
+    """An operator sets the state of a job under way."""
 
     name: str
-    begin: NonNegativeNumber
-    say: Literal["hold", "go", "stop"]
+    begin: NonNegativeNumber  # seconds from the start
+    state: Literal["hold", "go", "stop"] = field(name="say")
 
 
 class TrialPlan(Struct, rename="kebab", forbid_unknown_fields=True):
+    """A trial: its processes, load, faults, and the promises to check."""
+
     name: Annotated[str, Meta(pattern="^[a-z0-9-]+$")]
     seconds: PositiveNumber
     promises: Annotated[list[str], Meta(min_length=1)]
     seed: int = 1
     voters: Literal[3, 5, 7] = 3
     followers: Annotated[int, Meta(ge=0, le=50)] = 2
-    stated_time: Annotated[float, Meta(ge=0.5, le=60)] = 2.0
-    when_cut_off: Literal["shed", "go-on"] = "shed"
-    runners: Annotated[int, Meta(ge=1, le=50)] = 4
-    load: Annotated[float, Meta(ge=0, le=2000)] = 60.0  # units a second at all processes together
-    work_ms: PositiveNumber = 40.0
-    fails: Annotated[float, Meta(ge=0, le=1)] = 0.1  # share of the runs that a runner calls failed
-    long: Annotated[float, Meta(ge=0, le=1)] = 0.0  # share of the units that run for `long-ms`
+    staleness_bound: Annotated[float, Meta(ge=0.5, le=60)] = field(name="stated-time", default=2.0)  # seconds
+    without_lease: Literal["shed", "go-on"] = field(name="when-cut-off", default="shed")
+    backends: Annotated[int, Meta(ge=1, le=50)] = field(name="runners", default=4)
+    load: Annotated[float, Meta(ge=0, le=2000)] = 60.0  # requests a second at all processes together
+    mean_run_ms: PositiveNumber = field(name="work-ms", default=40.0)
+    failure_share: Share = field(name="fails", default=0.1)  # of the runs that a backend calls failed
+    long_share: Share = field(name="long", default=0.0)  # of the requests that run for `long_ms`
     long_ms: PositiveNumber = 8000.0
     zones: Annotated[int, Meta(ge=1, le=10)] = 1
-    warm_after: NonNegativeNumber = 0.0
-    settle: NonNegativeNumber = 15.0
+    slow_start_seconds: NonNegativeNumber = field(name="warm-after", default=0.0)
+    settle_seconds: NonNegativeNumber = field(name="settle", default=15.0)  # for jobs, after the end
     publish: PublishSpecification = field(default_factory=PublishSpecification)
-    fault: list[FaultSpecification] = []
-    work: list[JobSpecification] = []
-    turn: list[JobCommand] = []
+    faults: list[FaultSpecification] = field(name="fault", default_factory=list)
+    jobs: list[JobSpecification] = field(name="work", default_factory=list)
+    job_commands: list[JobCommand] = field(name="turn", default_factory=list)
 
     def process_names(self) -> list[str]:
-        return [f"n{n}" for n in range(self.voters + self.followers)]
+        """The voters first, then the followers."""
+        return [f"n{number}" for number in range(self.voters + self.followers)]
+
+    def voter_names(self) -> list[str]:
+        """The processes that vote."""
+        return self.process_names()[: self.voters]
 
     def machine_zones(self) -> dict[str, str]:
-        """By id their zones."""
-        return {f"r{n}": f"z{n % self.zones}" for n in range(self.runners)}
+        """The zone of each backend."""
+        return {f"r{number}": f"z{number % self.zones}" for number in range(self.backends)}
 
 
 def load_plan(path: Path) -> TrialPlan:
+    """Read a plan and check it as a whole.
+
+    Raises:
+        PlanError: it can't be used.
+    """
     try:
         plan = msgspec.convert(tomllib.loads(path.read_text()), TrialPlan)
-    except OSError as wrong:
-        raise PlanError(f"{path}: {wrong.strerror}") from None
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as wrong:
-        raise PlanError(f"{path}: {wrong}") from None
-    except msgspec.ValidationError as wrong:
-        raise PlanError(f"{path}: {wrong}") from None
-    for promise in plan.promises:
-        if promise not in PROMISES:
-            raise PlanError(f"{path}: promises: found {promise!r}; there are {', '.join(PROMISES)}")
-    processes = {"*", "leader", *plan.process_names()}
-    machines = {*plan.machine_zones(), *plan.machine_zones().values()}
-    for n, fault in enumerate(plan.fault):
-        known = machines if fault.kind in BACKEND_FAULTS else processes
-        for what, name in (("at", fault.at), ("to", fault.to)):
-            if name not in known and not (what == "to" and name == "*"):
-                raise PlanError(
-                    f"{path}: fault[{n}].{what}: found {name!r}; there are {', '.join(sorted(known))}"
-                )
-        if fault.end < fault.begin or fault.end > plan.seconds:
-            raise PlanError(
-                f"{path}: fault[{n}]: from {fault.begin} to {fault.end}, in {plan.seconds} s in all"
-            )
-        if fault.kind in PROCESS_FAULTS and fault.at == "*":
-            raise PlanError(f"{path}: fault[{n}].at: missing; a {fault.kind} has to say at which process")
+        for promise in plan.promises:
+            if promise not in PROMISES:
+                raise PlanError(f"promises: found {promise!r}; there are {', '.join(PROMISES)}")
+        for number, fault in enumerate(plan.faults):
+            _check_fault(plan, number, fault)
+    except OSError as error:
+        raise PlanError(f"{path}: {error.strerror}") from None
+    except (PlanError, tomllib.TOMLDecodeError, UnicodeDecodeError, msgspec.ValidationError) as error:
+        raise PlanError(f"{path}: {error}") from None
     return plan
+
+
+def _check_fault(plan: TrialPlan, number: int, fault: FaultSpecification) -> None:
+    machines = {*plan.machine_zones(), *plan.machine_zones().values()}
+    processes = {ANY, LEADER, *plan.process_names()}
+    known = machines if fault.kind in BACKEND_FAULTS else processes
+    for key, name in (("at", fault.target), ("to", fault.receiver)):
+        if name not in known and not (key == "to" and name == ANY):
+            raise PlanError(f"fault[{number}].{key}: found {name!r}; there are {', '.join(sorted(known))}")
+    if fault.end < fault.begin or fault.end > plan.seconds:
+        raise PlanError(f"fault[{number}]: from {fault.begin} to {fault.end}, in {plan.seconds} s in all")
+    if fault.kind in PROCESS_FAULTS and fault.target == ANY:
+        raise PlanError(f"fault[{number}].at: missing; a {fault.kind} has to say at which process")
--- a/crankfold/fault_injection/stand_ins.py
+++ b/crankfold/fault_injection/stand_ins.py
@@ -1,53 +1,36 @@
-"""Runners, discovery and clients, in the rig's own process. They write down all that they saw."""
+"""Backends, discovery and clients, in the trial's own process. They write down all that they see."""
 
 import asyncio
 import contextlib
 import json
-import os
 import re
-import socket
 import time
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from random import Random
-
-# Of the whole loopback range, so that trials side by side take no port from each other.
-HOST = f"127.{os.getpid() >> 16 & 255 or 1}.{os.getpid() >> 8 & 255}.{os.getpid() & 255 or 1}"
-
-
-def boot_time_ns() -> int:
-    """Nanoseconds on the clock by which the processes stamp their records."""
-    return time.clock_gettime_ns(time.CLOCK_BOOTTIME)
-
-
-@dataclass(slots=True)
-class Observations:
-    """By the stand-ins, in the order of time."""
-
-    received_requests: list[tuple[int, str, str]] = field(
-        default_factory=list
-    )  # when, which runner, which unit
-    answers: list[tuple[int, str, str, str]] = field(default_factory=list)  # when, unit, dispatcher, answer
-    requests: dict[str, tuple[int, str, str]] = field(
-        default_factory=dict
-    )  # by unit: when, dispatcher, grade
-
-
-async def read_http_message(reader: asyncio.StreamReader) -> tuple[str, dict[str, str], bytes]:
-    lines = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
-    split = (line.partition(":") for line in lines[1:])
-    heads = {name.strip().lower(): value.strip() for name, _, value in split}
-    return lines[0], heads, await reader.readexactly(int(heads.get("content-length", 0)))
-
-
-CANDIDATE_PORTS = iter(range(20_001, 30_000))
-
-
-def find_free_port() -> int:
-    """Under those that connections are given: a call to a process not there yet could take its port."""
-    while True:
-        port = next(CANDIDATE_PORTS)
-        with contextlib.suppress(OSError), socket.create_server((HOST, port)):
-            return port
+from typing import Any
+
+from crankfold.fault_injection.http_client import (
+    HOST,
+    boot_time_ns,
+    find_free_port,
+    http_call,
+    read_http_message,
+)
+from crankfold.fault_injection.records import (
+    ClientAnswer,
+    Observations,
+    ReceivedRequest,
+    SubmittedRequest,
+)
+
+SLOTS = 4  # requests that a stand-in backend runs at the same time
+CALLBACK_ATTEMPTS = 5
+CALLBACK_TIMEOUT = 1.0  # seconds
+CALLBACK_PAUSE = 0.1  # seconds between attempts
+POLL_DURATION = 3.0  # seconds that discovery keeps a poll waiting if nothing changes
+POLL_STEP = 0.03  # seconds
+CLIENT_TIMEOUT = 7.0  # seconds; clients give the dispatchers three
+LAST_ANSWERS_TIMEOUT = 8.0  # seconds after the load's end
 
 
 class StandInServer:
@@ -59,6 +42,7 @@
         self.writers: set[asyncio.StreamWriter] = set()
 
     async def open(self) -> int:
+        """Listen; the port."""
         self.port = self.port or find_free_port()
         self.server = await asyncio.start_server(self._handle_connection, HOST, self.port)
         return self.port
@@ -77,6 +61,7 @@
         raise NotImplementedError
 
     def close(self) -> None:
+        """Stop to listen."""
         if self.server:
             self.server.close()
 
@@ -87,208 +72,231 @@
             writer.transport.abort()
 
 
+@dataclass(frozen=True, slots=True)
+class BackendBehavior:
+    """How long requests run at stand-in backends, and how many fail."""
+
+    mean_seconds: float
+    failure_share: float
+    long_share: float = 0.0  # share of the requests that run for `long_seconds`
+    long_seconds: float = 0.0
+
+
 class StandInBackend(StandInServer):
+    """Runs requests for a while and tells their dispatcher by a callback what became of them."""
+
     def __init__(
         self,
-        uid: str,
-        seen: Observations,
-        doors: dict[str, int],
-        work: float,
-        fails: float,
+        backend_id: str,
+        behavior: BackendBehavior,
+        *,
+        observations: Observations,
+        callback_ports: dict[str, int],
         seed: int,
-        long: float = 0.0,
-        long_for: float = 0.0,
     ) -> None:
-        self.backend_id, self.observations, self.callback_ports, self.mean_seconds, self.failure_rate = (
-            uid,
-            seen,
-            doors,
-            work,
-            fails,
-        )
-        self.long_share, self.long_seconds = long, long_for  # share of the units that run so many seconds
-        self.rng = Random(f"{seed} {uid}")
-        self.slots = asyncio.Semaphore(4)
+        super().__init__()
+        self.backend_id = backend_id
+        self.behavior = behavior
+        self.observations = observations
+        self.callback_ports = callback_ports  # by dispatcher
+        self.rng = Random(f"{seed} {backend_id}")
+        self.slots = asyncio.Semaphore(SLOTS)
         self.busy_slots = 0
         self.tasks: set[asyncio.Task[None]] = set()
-        super().__init__()
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         while True:
-            head, heads, _ = await read_http_message(reader)
-            if head.startswith("POST"):
-                ident = heads["x-request-id"]
-                self.observations.received_requests.append((boot_time_ns(), self.backend_id, ident))
-                task = asyncio.ensure_future(self._run(ident))
+            message = await read_http_message(reader)
+            if message.start_line.startswith("POST"):
+                request_id = message.headers["x-request-id"]
+                self.observations.received_requests.append(
+                    ReceivedRequest(boot_time_ns(), self.backend_id, request_id)
+                )
+                task = asyncio.ensure_future(self._run(request_id))
                 self.tasks.add(task)
                 task.add_done_callback(self.tasks.discard)
                 writer.write(b"HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n")
             else:
-                load = f"TEXT queue=0, x0={4 - self.busy_slots}".encode()
+                load = f"TEXT queue=0, x0={SLOTS - self.busy_slots}".encode()
                 writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(load) + load)
 
-    async def _run(self, ident: str) -> None:
+    async def _run(self, request_id: str) -> None:
+        behavior = self.behavior
         async with self.slots:
             self.busy_slots += 1
-            long = self.long_share and self.rng.random() < self.long_share
-            await asyncio.sleep(self.long_seconds if long else self.mean_seconds * self.rng.uniform(0.5, 1.5))
+            is_long = behavior.long_share and self.rng.random() < behavior.long_share
+            await asyncio.sleep(
+                behavior.long_seconds if is_long else behavior.mean_seconds * self.rng.uniform(0.5, 1.5)
+            )
             self.busy_slots -= 1
-        state = "failed" if self.rng.random() < self.failure_rate else "done"
+        state = "failed" if self.rng.random() < behavior.failure_share else "done"
+        await self._call_back(request_id, state)
+
+    async def _call_back(self, request_id: str, state: str) -> None:
         body = json.dumps(
             {
-                "id": ident,
+                "id": request_id,
                 "from": self.backend_id,
                 "state": state,
-                "result": ident,
-                "load": {"queue": 0, "x0": 4 - self.busy_slots},
+                "result": request_id,
+                "load": {"queue": 0, "x0": SLOTS - self.busy_slots},
             }
         ).encode()
-        for _ in range(5):
+        dispatcher = request_id.split("-")[0]
+        for _ in range(CALLBACK_ATTEMPTS):
             with contextlib.suppress(OSError, asyncio.IncompleteReadError, TimeoutError):
-                async with asyncio.timeout(1):
-                    head, _ = await http_call(
-                        self.callback_ports[ident.split("-")[0]], "/v1/job-events", body
-                    )
-                if head.split()[1] in ("200", "204"):
+                async with asyncio.timeout(CALLBACK_TIMEOUT):
+                    response = await http_call(self.callback_ports[dispatcher], "/v1/job-events", body)
+                if response.status in (200, 204):
                     return
-            await asyncio.sleep(0.1)
+            await asyncio.sleep(CALLBACK_PAUSE)
 
     def close(self) -> None:
+        """Stop to listen; what runs is lost."""
         super().close()
         for task in self.tasks:
             task.cancel()
-        self.slots, self.busy_slots = asyncio.Semaphore(4), 0
+        self.slots = asyncio.Semaphore(SLOTS)
+        self.busy_slots = 0
 
 
-async def http_call(port: int, target: str, body: bytes | None = None, heads: str = "") -> tuple[str, bytes]:
-    reader, writer = await asyncio.open_connection(HOST, port)
-    try:
-        method = "GET" if body is None else "POST"
-        writer.write(
-            f"{method} {target} HTTP/1.1\r\nHost: trial\r\n{heads}Connection: close\r\n"
-            f"Content-Length: {len(body or b'')}\r\n\r\n".encode()
-            + (body or b"")
-        )
-        head, _, text = await read_http_message(reader)
-        return head, text
-    finally:
-        writer.close()
+@dataclass(frozen=True, slots=True)
+class ListedEndpoint:
+    """A backend as discovery lists it."""
+
+    port: int
+    zone: str
+    started_ms: int  # since the epoch
+
+    def to_target(self, backend_id: str) -> dict[str, Any]:
+        """The entry on the wire."""
+        return {
+            "uid": backend_id,
+            "endpoint": f"{HOST}:{self.port}",
+            "az": self.zone,
+            "model": "m",
+            "pod_group": 0,
+            "state": "in_service",
+            "capacity_hint": 1.0,
+            "boot_ms": self.started_ms,
+        }
+
+
+@dataclass(frozen=True, slots=True)
+class ListVersion:
+    """The list as it is from a moment on the monotonic clock, in seconds."""
+
+    since: float
+    targets: list[dict[str, Any]]
 
 
 class EndpointList:
-    """The runners as they are listed, with the versions of the list."""
+    """The backends as they are listed, with all versions of the list; a version's index is its revision."""
 
     def __init__(self) -> None:
-        self.endpoints: dict[str, tuple[int, str, int]] = {}  # by id: port, zone, start in ms
-        self.versions: list[tuple[float, list[dict[str, object]]]] = [(0.0, [])]
+        self.endpoints: dict[str, ListedEndpoint] = {}  # by backend
+        self.versions = [ListVersion(0.0, [])]
 
-    def add(self, uid: str, port: int, zone: str = "here") -> None:
-        self.endpoints[uid] = port, zone, time.time_ns() // 1_000_000
+    def add(self, backend_id: str, port: int, zone: str = "here") -> None:
+        """List a backend, as started now."""
+        self.endpoints[backend_id] = ListedEndpoint(port, zone, time.time_ns() // 1_000_000)
         self._add_version()
 
-    def remove(self, uid: str) -> None:
-        self.endpoints.pop(uid, None)
+    def remove(self, backend_id: str) -> None:
+        """List it no more."""
+        self.endpoints.pop(backend_id, None)
         self._add_version()
 
     def _add_version(self) -> None:
-        targets: list[dict[str, object]] = [
-            {
-                "uid": uid,
-                "endpoint": f"{HOST}:{port}",
-                "az": zone,
-                "model": "m",
-                "pod_group": 0,
-                "state": "in_service",
-                "capacity_hint": 1.0,
-                "boot_ms": start,
-            }
-            for uid, (port, zone, start) in self.endpoints.items()
-        ]
-        self.versions.append((time.monotonic(), targets))
+        targets = [endpoint.to_target(backend_id) for backend_id, endpoint in self.endpoints.items()]
+        self.versions.append(ListVersion(time.monotonic(), targets))
 
 
 class StandInDiscovery(StandInServer):
-    """Tells one dispatcher of the list, late if it is to."""
+    """Tells one dispatcher of the list, late or not at all if a fault says so."""
 
-    def __init__(self, roll: EndpointList) -> None:
-        self.endpoint_list, self.delay, self.silent = roll, 0.0, False
+    def __init__(self, endpoint_list: EndpointList) -> None:
         super().__init__()
+        self.endpoint_list = endpoint_list
+        self.delay = 0.0  # seconds until it knows of a change
+        self.silent = False  # it reads requests and answers none
 
     def _visible_revision(self) -> int:
-        known = time.monotonic() - self.delay
-        return max(rev for rev, (at, _) in enumerate(self.endpoint_list.versions) if at <= known)
+        latest = time.monotonic() - self.delay
+        versions = enumerate(self.endpoint_list.versions)
+        return max(revision for revision, version in versions if version.since <= latest)
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         while True:
-            head, _, _ = await read_http_message(reader)
-            after, end = re.search(r"after=(\d+)", head), time.monotonic() + 3
-            while after and int(after[1]) == self._visible_revision() and time.monotonic() < end:
-                await asyncio.sleep(0.03)
+            message = await read_http_message(reader)
+            known = re.search(r"after=(\d+)", message.start_line)
+            end = time.monotonic() + POLL_DURATION
+            # What is visible changes by the clock, which sets no event.
+            while (  # noqa: ASYNC110
+                known and int(known[1]) == self._visible_revision() and time.monotonic() < end
+            ):
+                await asyncio.sleep(POLL_STEP)
             if self.silent:
                 raise OSError("down")
-            rev = self._visible_revision()
-            body = json.dumps(
-                {"rev": rev, "all": True, "targets": self.endpoint_list.versions[rev][1]}
-            ).encode()
+            revision = self._visible_revision()
+            targets = self.endpoint_list.versions[revision].targets
+            body = json.dumps({"rev": revision, "all": True, "targets": targets}).encode()
             writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
 
 
 class LoadGenerator:
-    """Open loop: units come when they come, whatever became of those before."""
+    """Open loop: requests come when they come, whatever became of those before."""
 
     def __init__(
         self,
-        names: list[str],
         ports: dict[str, int],
-        grades: list[str],
+        request_classes: list[str],
+        *,
         rate: float,
         seed: int,
-        seen: Observations,
+        observations: Observations,
     ) -> None:
-        self.dispatcher_names, self.ports, self.request_classes, self.rate, self.observations = (
-            names,
-            ports,
-            grades,
-            rate,
-            seen,
-        )
+        self.ports = ports  # by dispatcher
+        self.request_classes = request_classes
+        self.rate = rate  # requests a second at all dispatchers together
+        self.observations = observations
         self.rng = Random(f"{seed} clients")
         self.tasks: set[asyncio.Task[None]] = set()
 
     async def run(self, seconds: float) -> None:
+        """Send requests for so long, and wait for their answers."""
         loop = asyncio.get_running_loop()
-        end, due, n = loop.time() + seconds, loop.time(), 0
+        due = loop.time()
+        end = due + seconds
+        dispatchers = list(self.ports)
+        count = 0
         while self.rate:
             due += self.rng.expovariate(self.rate)
             if due >= end:
                 break
             await asyncio.sleep(max(due - loop.time(), 0))
-            n += 1
-            task = asyncio.ensure_future(
-                self._send_request(
-                    f"{self.rng.choice(self.dispatcher_names)}-{n}", self.rng.choice(self.request_classes)
-                )
-            )
+            count += 1
+            request_id = f"{self.rng.choice(dispatchers)}-{count}"
+            request_class = self.rng.choice(self.request_classes)
+            task = asyncio.ensure_future(self._send_request(request_id, request_class))
             self.tasks.add(task)
             task.add_done_callback(self.tasks.discard)
         if self.tasks:
-            await asyncio.wait(self.tasks, timeout=8)
-
-    async def _send_request(self, ident: str, grade: str) -> None:
-        name = ident.split("-")[0]
-        self.observations.requests[ident] = boot_time_ns(), name, grade
+            await asyncio.wait(self.tasks, timeout=LAST_ANSWERS_TIMEOUT)
+
+    async def _send_request(self, request_id: str, request_class: str) -> None:
+        dispatcher = request_id.split("-")[0]
+        self.observations.requests[request_id] = SubmittedRequest(boot_time_ns(), dispatcher, request_class)
+        headers = (
+            f"X-Request-ID: {request_id}\r\nIdempotency-Key: {request_id}\r\n"
+            f"X-Priority-Class: {request_class}\r\nX-Timeout: 3\r\nX-Cost: 40000\r\n"
+        )
         try:
-            async with asyncio.timeout(7):
-                head, text = await http_call(
-                    self.ports[name],
-                    "/api",
-                    b"",
-                    f"X-Request-ID: {ident}\r\nIdempotency-Key: {ident}\r\n"
-                    f"X-Priority-Class: {grade}\r\nX-Timeout: 3\r\nX-Cost: 40000\r\n",
-                )
-            told = head.split()[1] + (" " + text.decode() if text else "")
+            async with asyncio.timeout(CLIENT_TIMEOUT):
+                response = await http_call(self.ports[dispatcher], "/api", b"", headers)
+            text = str(response.status) + (f" {response.body.decode()}" if response.body else "")
         except TimeoutError:
-            told = "nothing"
-        except (OSError, asyncio.IncompleteReadError) as broken:
-            told = f"lost: {type(broken).__name__}"
-        self.observations.answers.append((boot_time_ns(), ident, name, told))
+            text = "nothing"
+        except (OSError, asyncio.IncompleteReadError) as error:
+            text = f"lost: {type(error).__name__}"
+        self.observations.answers.append(ClientAnswer(boot_time_ns(), request_id, dispatcher, text))
--- a/tests/test_trial.py
+++ b/tests/test_trial.py
@@ -7,18 +7,30 @@
 import tempfile
 import unittest
 from collections.abc import Callable
+from dataclasses import replace
 from pathlib import Path
-from typing import Any
 
-from crankfold.fault_injection.invariants import (
+from crankfold.fault_injection.invariants import TrialChecker
+from crankfold.fault_injection.plan import PROMISES, PlanError, load_plan
+from crankfold.fault_injection.records import (
     MILLISECOND,
+    ActionRecord,
+    ClientAnswer,
+    ConfigurationRecord,
+    DocumentVersion,
+    JobLimits,
     MaintenanceRun,
+    Observations,
+    Period,
+    ProcessRecord,
+    PublishOutcome,
     PublishRecord,
-    TrialChecker,
+    ReceivedRequest,
+    SubmittedRequest,
+    TransitionRecord,
     TrialRecord,
+    parse_record,
 )
-from crankfold.fault_injection.plan import PROMISES, PlanError, load_plan
-from crankfold.fault_injection.stand_ins import Observations
 from tests.scene import Kept
 
 TRIALS = Path(__file__).parents[1] / "trials"
@@ -50,38 +62,65 @@
         self.assertEqual(broken, [], "\n".join(broken))
 
 
-def rules(at: int, newest: int, counts: int, effect: str, out: str = "") -> dict[str, Any]:
+def rules(at: int, newest: int, counts: int, effect: str, out: str = "") -> ConfigurationRecord:
     acting = {
         "settings": {"service-grades": [{"name": "g", "effect": effect}]},
         "runners-out": {"runners": {out: ""} if out else {}},
     }
-    return {
-        "at": at * MILLISECOND,
-        "what": "rules",
-        "unit": "",
-        "where": "",
-        "acting": acting,
-        "versions": {"settings": [counts, newest], "runners-out": [counts, newest]},
-    }
-
-
-def act(at: int, newest: int, counts: int, unit: str = "u") -> dict[str, Any]:
-    return {
-        "at": at * MILLISECOND,
-        "what": "take",
-        "unit": unit,
-        "where": "g",
-        "versions": {"settings": [counts, newest], "runners-out": [counts, newest]},
-    }
+    record = parse_record(
+        {
+            "at": at * MILLISECOND,
+            "what": "rules",
+            "unit": "",
+            "where": "",
+            "acting": acting,
+            "versions": {"settings": [counts, newest], "runners-out": [counts, newest]},
+        }
+    )
+    assert isinstance(record, ConfigurationRecord)
+    return record
+
+
+def act(at: int, newest: int, counts: int, unit: str = "u") -> ActionRecord:
+    record = parse_record(
+        {
+            "at": at * MILLISECOND,
+            "what": "take",
+            "unit": unit,
+            "where": "g",
+            "versions": {"settings": [counts, newest], "runners-out": [counts, newest]},
+        }
+    )
+    assert isinstance(record, ActionRecord)
+    return record
+
+
+def step(at: int, index: int, what: str) -> TransitionRecord:
+    record = parse_record(
+        {
+            "at": at * MILLISECOND,
+            "what": "step",
+            "uid": "r2",
+            "work": "w",
+            "step": what,
+            "index": index,
+            "by": "n0",
+            "why": "",
+        }
+    )
+    assert isinstance(record, TransitionRecord)
+    return record
 
 
-def version(number: int, reason: str, out: str = "") -> dict[str, Any]:
-    return {"number": number, "reason": reason, "text": {"runners": {out: ""} if out else {}}}
+def version(number: int, reason: str, out: str = "") -> DocumentVersion:
+    return DocumentVersion.from_raw(
+        {"number": number, "reason": reason, "text": {"runners": {out: ""} if out else {}}}
+    )
 
 
-def story() -> TrialRecord:
-    """Two processes; version 2 makes the grade once-only and takes r1 out, all as it should be."""
-    records = {
+def trial_record() -> TrialRecord:
+    """Two processes; version 2 makes the class non-idempotent and takes r1 out, all as it should be."""
+    records: dict[str, list[ProcessRecord]] = {
         "n0": [
             rules(0, 1, 1, "safe"),
             act(10, 1, 1, "n0-1"),
@@ -100,50 +139,37 @@
     }
     seen = Observations()
     for n, unit in enumerate(("n0-1", "n0-2", "n0-3", "n1-1", "n1-2")):
-        seen.requests[unit] = n * MILLISECOND, unit[:2], "g"
-        seen.received_requests.append(((20 + 100 * n) * MILLISECOND, "r0", unit))
-        seen.answers.append(((60 + 100 * n) * MILLISECOND, unit, unit[:2], "200 done"))
+        seen.requests[unit] = SubmittedRequest(n * MILLISECOND, unit[:2], "g")
+        seen.received_requests.append(ReceivedRequest((20 + 100 * n) * MILLISECOND, "r0", unit))
+        seen.answers.append(ClientAnswer((60 + 100 * n) * MILLISECOND, unit, unit[:2], "200 done"))
     docs = {
         "settings": {1: version(1, "begin"), 2: version(2, "call1")},
         "runners-out": {1: version(1, "begin"), 2: version(2, "call2", "r1")},
     }
-    text = docs["settings"][2]["text"]
-    asked = [
-        PublishRecord("call1", 90 * MILLISECOND, "n0", "settings", text, "confirmed", 2),
-        PublishRecord(
-            "call2", 90 * MILLISECOND, "n0", "runners-out", docs["runners-out"][2]["text"], "confirmed", 2
-        ),
-        PublishRecord("call3", 95 * MILLISECOND, "n1", "settings", text, "refused"),
+    content = docs["settings"][2].content
+    drained = docs["runners-out"][2].content
+    confirmed, refused = PublishOutcome.CONFIRMED, PublishOutcome.REFUSED
+    publishes = [
+        PublishRecord("call1", 90 * MILLISECOND, "n0", "settings", content, confirmed, 2),
+        PublishRecord("call2", 90 * MILLISECOND, "n0", "runners-out", drained, confirmed, 2),
+        PublishRecord("call3", 95 * MILLISECOND, "n1", "settings", content, refused),
     ]
     for n, (what, at) in enumerate(
         (("out", 300), ("free", 700), ("work", 710), ("ended", 800), ("back", 820), ("well", 950)), 10
     ):
         for name in records:
-            records[name].append(
-                {
-                    "at": (at + n) * MILLISECOND,
-                    "what": "step",
-                    "uid": "r2",
-                    "work": "w",
-                    "step": what,
-                    "index": n,
-                    "by": "n0",
-                    "why": "",
-                }
-            )
-    works = {"w": {"work": {"at-once": 1, "a-zone": 1}}}
+            records[name].append(step(at + n, n, what))
     return TrialRecord(
-        2000 * MILLISECOND,
-        records,
-        seen,
-        asked,
-        {"n0": docs, "n1": copy.deepcopy(docs)},
-        {},
-        {"n0": "", "n1": ""},
-        0,
-        {"r0": "z0", "r1": "z1", "r2": "z0"},
-        works,
-        [MaintenanceRun("r2", "w", 11, 725 * MILLISECOND, 790 * MILLISECOND)],
+        staleness_bound=2000 * MILLISECOND,
+        process_records=records,
+        observations=seen,
+        publishes=publishes,
+        histories={"n0": docs, "n1": copy.deepcopy(docs)},
+        downtimes={},
+        final_faults={"n0": "", "n1": ""},
+        zones={"r0": "z0", "r1": "z1", "r2": "z0"},
+        jobs={"w": JobLimits.from_specification({"at-once": 1, "a-zone": 1})},
+        runs=[MaintenanceRun("r2", "w", 11, 725 * MILLISECOND, 790 * MILLISECOND)],
     )
 
 
@@ -156,11 +182,13 @@
 
 
 def other_history(one: TrialRecord) -> None:
-    one.histories["n1"]["settings"][2]["reason"] = "other"
+    one.histories["n1"]["settings"][2].reason = "other"
 
 
 def other_rules(one: TrialRecord) -> None:
-    one.process_records["n1"][3]["acting"]["settings"]["service-grades"][0]["effect"] = "safe"
+    record = one.process_records["n1"][3]
+    assert isinstance(record, ConfigurationRecord)
+    record.configuration["settings"]["service-grades"][0]["effect"] = "safe"
 
 
 def back(one: TrialRecord) -> None:
@@ -174,7 +202,7 @@
 
 def refused_took(one: TrialRecord) -> None:
     for docs in one.histories.values():
-        docs["settings"][2]["reason"] = "call3"
+        docs["settings"][2].reason = "call3"
 
 
 def took_twice(one: TrialRecord) -> None:
@@ -183,19 +211,19 @@
 
 
 def two_answers(one: TrialRecord) -> None:
-    one.observations.answers.append((700 * MILLISECOND, "n0-1", "n0", "200 again"))
+    one.observations.answers.append(ClientAnswer(700 * MILLISECOND, "n0-1", "n0", "200 again"))
 
 
 def no_answer(one: TrialRecord) -> None:
-    one.observations.answers[0] = (7000 * MILLISECOND, "n0-1", "n0", "nothing")
+    one.observations.answers[0] = ClientAnswer(7000 * MILLISECOND, "n0-1", "n0", "nothing")
 
 
 def twice(one: TrialRecord) -> None:
-    one.observations.received_requests.append((700 * MILLISECOND, "r2", "n0-2"))
+    one.observations.received_requests.append(ReceivedRequest(700 * MILLISECOND, "r2", "n0-2"))
 
 
 def reached(one: TrialRecord) -> None:
-    one.observations.received_requests.append((900 * MILLISECOND, "r1", "n1-2"))
+    one.observations.received_requests.append(ReceivedRequest(900 * MILLISECOND, "r1", "n1-2"))
 
 
 def not_well(one: TrialRecord) -> None:
@@ -203,16 +231,18 @@
 
 
 def reached_in_work(one: TrialRecord) -> None:
-    one.observations.received_requests.append((750 * MILLISECOND, "r2", "n1-2"))
+    one.observations.received_requests.append(ReceivedRequest(750 * MILLISECOND, "r2", "n1-2"))
 
 
 def two_out(one: TrialRecord) -> None:
     for records in one.process_records.values():
-        records.append({**records[-1], "uid": "r1", "step": "out", "index": 12, "at": 750 * MILLISECOND})
+        last = records[-1]
+        assert isinstance(last, TransitionRecord)
+        records.append(replace(last, machine_id="r1", step="out", index=12, at=750 * MILLISECOND))
 
 
 def out_beside_a_loss(one: TrialRecord) -> None:
-    one.losses["r0"] = [(-3000 * MILLISECOND, 2000 * MILLISECOND)]
+    one.losses["r0"] = [Period(-3000 * MILLISECOND, 2000 * MILLISECOND)]
 
 
 def ran_again(one: TrialRecord) -> None:
@@ -220,7 +250,7 @@
 
 
 def ran_early(one: TrialRecord) -> None:
-    one.runs[0].begin = 650 * MILLISECOND
+    one.runs[0].began_at = 650 * MILLISECOND
 
 
 def nobody_says_why(one: TrialRecord) -> None:
@@ -253,10 +283,10 @@
 class Checked(Kept):
     def test_a_story_without_fault_holds_and_each_planted_one_is_told_by_its_promise(self) -> None:
         for promise in PROMISES:
-            verdict = TrialChecker(story()).judge(promise)
+            verdict = TrialChecker(trial_record()).judge(promise)
             self.assertTrue(verdict.held, verdict)
         for promise, plant in PLANTED:
-            one = story()
+            one = trial_record()
             plant(one)
             verdict = TrialChecker(one).judge(promise)
             self.assertFalse(verdict.held, plant.__name__)
