--- a/crankfold/routing/__init__.py
+++ b/crankfold/routing/__init__.py
@@ -1,1 +1,1 @@
-"""The decisions and the types by which they are called."""
+"""The decisions: which backend gets a request, when and how often; the types by which they are called."""
--- a/crankfold/routing/interface.py
+++ b/crankfold/routing/interface.py
@@ -1,33 +1,48 @@
-"""The types between the decisions and whatever carries them: no code, no wire.
+"""The types between the decisions and whatever carries them: no decision, no wire.
 
-Times are whole tenths of a millisecond; runners and work units are dense indices given out at the door.
+Times are whole ticks of 0.1 ms on a clock that never goes back; work is a running time in ticks on a slot
+of a usual backend. Backends, requests and request classes are dense indices, given out where names come in.
 """
 
 from collections.abc import Collection, Sequence
 from dataclasses import dataclass
 from enum import IntEnum
-from typing import Protocol
+from typing import Final, Protocol
+
+SECOND: Final = 10_000  # ticks
+# Tokens of timers that concern no request; a request's own is FIRST_REQUEST_TIMER + its index.
+POLL_TIMER: Final = 1
+REFRESH_TIMER: Final = 2
+FIRST_REQUEST_TIMER: Final = 8
 
 
 class Idempotency(IntEnum):
+    """Whether a request may be executed more than once."""
+
     IDEMPOTENT = 0
-    IDEMPOTENT_WITH_KEY = 1
+    IDEMPOTENT_WITH_KEY = 1  # backends of the deduplication scope execute it once within the window
     NON_IDEMPOTENT = 2
 
 
 class DeduplicationScope(IntEnum):
+    """The backends that know each other's idempotency keys."""
+
     GLOBAL = 0
     ZONE = 1
     CELL = 2
 
 
 class EndpointState(IntEnum):
+    """What the endpoint list says of a backend."""
+
     REMOVED = 0
     READY = 1
     DRAINING = 2
 
 
 class Outcome(IntEnum):
+    """How an attempt has ended."""
+
     COMPLETED = 0
     ERROR = 1
     OVERLOADED = 2
@@ -37,116 +52,165 @@
     CANCELLED = 6
     NOT_SENT = 7
     UNKNOWN = 8
-    STALE_CONNECTION = (
-        9  # a connection at rest turned out to be closed: may have run, but says nothing about the runner
-    )
+    STALE_CONNECTION = 9  # an idle connection was closed: may have executed, says nothing of the backend
+
+
+# After these a backend has certainly not executed the request.
+NEVER_EXECUTED: Final = (Outcome.OVERLOADED, Outcome.UNREACHABLE, Outcome.NOT_SENT)
 
 
 @dataclass(frozen=True, slots=True)
 class RequestClass:
+    """What the settings promise to, and ask of, requests of one class."""
+
     idempotency: Idempotency
     deduplication_scope: DeduplicationScope
-    deduplication_window: int  # how long the group remembers a tagged unit
-    latency_objective: int  # the part of the expected time that does not grow with the work
+    deduplication_window: int  # ticks for which the scope remembers an idempotency key
+    latency_objective: int  # ticks: the part of the objective that does not grow with the work
     objective_per_work: float  # the part that does, as a multiple of the work
-    deadline: int
+    deadline: int  # ticks that a client usually waits
     priority_weight: float
-    late_value: float  # share of the revenue that a late answer still earns
+    late_value: float  # share of the priority weight that a late answer still earns
 
 
 @dataclass(frozen=True, slots=True)
 class RoutingConfig:
-    """What a dispatcher is handed at start; it keeps only what it derives from this."""
+    """What the decisions are configured by."""
 
     request_classes: Sequence[RequestClass]
-    instance_count: int
-    zone: int
-    timer_resolution: int
-    priority_by_work: bool  # revenue counts by work done, not by unit
-    worst_class_weight: float  # share of the service that is the worst-served grade's
+    instance_count: int  # processes that route to the same backends
+    zone: int  # of this instance
+    timer_resolution: int  # ticks by which a timer may be late
+    priority_by_work: bool  # a request counts by its work, not as one
+    worst_class_weight: float  # share of the service's value that is the worst-served class's
     cancellation_allowed: bool
     probing_allowed: bool
     hedging_allowed: bool
     max_attempts: int
-    max_retry_after: int  # retry-after advice; 0 where clients hear none
+    max_retry_after: int  # ticks; 0 where clients hear of none
     reports_in_responses: bool
     reports_by_probe: bool
     report_fields: Sequence[str]
-    start_notifications: bool
-    progress_interval: int
-    discovery_by_poll: bool
-    poll_within: int
-    initial_capacity: float
-    warm_up_time: int
-    overload_factor: float
-    overload_period: int
-    weights_follow_load: bool = (
-        False  # list weights are sizes divided by one more than the units held for each core
-    )
-    key_affinity: bool = True  # runners keep the data of a unit's key for the next one that has it
-    change_notice_within: int = (
-        1 << 62
-    )  # what the list service could tell counts as told then, refused or not
-    instance_index: int = -1  # this dispatcher's among all, from 0; -1 where not told
+    start_notifications: bool  # backends say when they begin with a request
+    progress_interval: int  # ticks between two signs of progress; 0 where there are none
+    discovery_by_poll: bool  # the endpoint list has to be asked for
+    poll_within: int  # ticks within which a poll is answered
+    initial_capacity: float  # share of its capacity that a backend has when it has just started
+    warm_up_time: int  # ticks
+    overload_factor: float  # times its capacity that a warming backend may be sent
+    overload_period: int  # ticks over which that is counted
+    weights_follow_load: bool = False  # a weight is the size over one more than the requests for each core
+    key_affinity: bool = True  # backends keep the data of a request's key for the next one with it
+    change_notice_within: int = 1 << 62  # ticks after which an endpoint's change counts as known
+    instance_index: int = -1  # of this instance among all, from 0; -1 where not told
 
 
 @dataclass(frozen=True, slots=True)
 class Endpoint:
+    """A backend as the endpoint list has it."""
+
     backend: int
     state: EndpointState
     weight: float
     zone: int
     cell: int
-    started_at: int  # when it last started; 0 for long ago
-    instance_type: int = 0  # runners of a kind are alike in their slots
-    hash_position: float = (
-        1.0  # drawn from its id, below 1 and the same at every dispatcher; says nothing else
-    )
+    started_at: int  # ticks; 0 for long ago
+    instance_type: int = 0  # backends of a type are alike in their slots
+    hash_position: float = 1.0  # drawn from its id, below 1, the same at every instance
+
+
+@dataclass(slots=True)
+class RequestArrival:
+    """A request as it comes in."""
+
+    request_id: int
+    class_index: int
+    deadline: int  # ticks: when the client waits no longer
+    work: int  # ticks, as hinted; 0 without a hint
+    slots: float
+    key: int = 0  # of the data that it works on; 0 for none
+    is_retry: bool = False  # the client marks it as one
 
 
 class RoutingActions(Protocol):
-    """Where the decisions go."""
+    """What the decisions have done."""
+
+    def send_attempt(self, request_id: int, backend: int, timeout: int) -> None:
+        """Sends a request to a backend; `timeout` in ticks, 0 for the deadline single."""
+
+    def shed(self, request_id: int, retry_after: int) -> None:
+        """Answers that a retry is harmless, after `retry_after` ticks; 0 for no such advice."""
 
-    def send_attempt(self, unit: int, runner: int, limit: int) -> None: ...
-    def shed(self, unit: int, advice: int) -> None: ...
-    def fail_request(self, unit: int) -> None: ...
-    def cancel_attempt(self, unit: int, nth: int) -> None: ...
-    def set_timer(self, after: int, label: int) -> None: ...
-    def probe(self, runner: int) -> None: ...
-    def poll_endpoints(self) -> None: ...
+    def fail_request(self, request_id: int) -> None:
+        """Answers that the request has failed and may have been executed."""
+
+    def cancel_attempt(self, request_id: int, attempt_number: int) -> None:
+        """Tells the backend of an attempt in flight that nobody waits for it."""
+
+    def set_timer(self, delay: int, token: int) -> None:
+        """Has `timer_fired` called with the token after `delay` ticks; timers are not cancelled."""
+
+    def probe(self, backend: int) -> None:
+        """Asks a backend for a sign of life and a load report."""
+
+    def poll_endpoints(self) -> None:
+        """Asks the discovery service for the endpoint list."""
 
 
 class RoutingEvents(Protocol):
-    """What may be told to the decisions. Every call comes with the present time."""
+    """What the decisions are told. Every call comes with the present time, in ticks."""
+
+    def endpoints_changed(self, now: int, endpoints: Sequence[Endpoint], snapshot: bool) -> None:
+        """The endpoint list: all there are for a snapshot, else those that have changed."""
+
+    def discovery_failed(self, now: int) -> None:
+        """The endpoint list that was asked for did not come."""
 
-    def endpoints_changed(self, now: int, entries: Sequence[Endpoint], whole: bool) -> None: ...
-    def discovery_failed(self, now: int) -> None: ...
     def request_received(
         self,
         now: int,
-        unit: int,
-        grade: int,
+        request_id: int,
+        class_index: int,
         tenant: int,
-        cutoff: int,
+        deadline: int,
         work: int,
         slots: float,
         key: int = 0,
-        again: bool = False,
-    ) -> None: ...
-    def attempt_started(self, now: int, unit: int, nth: int, runner: int) -> None: ...
-    def attempt_progressed(self, now: int, unit: int, nth: int, runner: int, share: float) -> None: ...
+        is_retry: bool = False,
+    ) -> None:
+        """A request has come in."""
+
+    def attempt_started(self, now: int, request_id: int, attempt_number: int, backend: int) -> None:
+        """A backend has begun with an attempt."""
+
+    def attempt_progressed(
+        self, now: int, request_id: int, attempt_number: int, backend: int, share: float
+    ) -> None:
+        """A backend gets on with an attempt."""
+
     def attempt_ended(
         self,
         now: int,
-        unit: int,
-        nth: int,
-        runner: int,
+        request_id: int,
+        attempt_number: int,
+        backend: int,
         outcome: Outcome,
         last: bool,
         report: Sequence[float],
-    ) -> None: ...
-    def probe_ended(self, now: int, runner: int, well: bool, report: Sequence[float]) -> None: ...
-    def client_disconnected(self, now: int, unit: int) -> None: ...
-    def request_aborted(self, now: int, unit: int) -> None: ...
-    def config_changed(self, now: int, orders: RoutingConfig, anew: Collection[int] = ()) -> None: ...
-    def timer_fired(self, now: int, label: int) -> None: ...
+    ) -> None:
+        """An attempt is over; `last` if the request has its answer or none is owed any more."""
+
+    def probe_ended(self, now: int, backend: int, healthy: bool, report: Sequence[float]) -> None:
+        """A probe was answered, with a load report if there is one, or has failed."""
+
+    def client_disconnected(self, now: int, request_id: int) -> None:
+        """Nobody waits for the answer any more."""
+
+    def request_aborted(self, now: int, request_id: int) -> None:
+        """An answer is owed at once, as the process ends."""
+
+    def config_changed(self, now: int, config: RoutingConfig, new_rows: Collection[int] = ()) -> None:
+        """Other request classes and bounds; the classes at `new_rows` are other ones than before."""
+
+    def timer_fired(self, now: int, token: int) -> None:
+        """A timer that was asked for has run out."""
--- /dev/null
+++ b/crankfold/routing/router.py
@@ -0,0 +1,203 @@
+"""The decisions as a whole: which backend gets a request, when, and how often.
+
+Make a `Router` from a `RoutingConfig`, a seed and the `RoutingActions`, and tell it what happens by the
+calls of `RoutingEvents`; it answers by calling the actions. It reads no clock and no socket: the same events
+bring the same actions. Times are ticks of 0.1 ms.
+"""
+
+from collections.abc import Collection, Sequence
+
+from crankfold.routing.admission import REFRESH_INTERVAL, Admission
+from crankfold.routing.concurrency_limit import ConcurrencyLimit
+from crankfold.routing.discovery_polling import DiscoveryPolling
+from crankfold.routing.interface import (
+    FIRST_REQUEST_TIMER,
+    NEVER_EXECUTED,
+    POLL_TIMER,
+    REFRESH_TIMER,
+    Endpoint,
+    Outcome,
+    RequestArrival,
+    RoutingActions,
+    RoutingConfig,
+)
+from crankfold.routing.load_reports import LoadReports
+from crankfold.routing.membership import Membership
+from crankfold.routing.outlier_ejection import OutlierEjection
+from crankfold.routing.retries import RetryPolicy
+from crankfold.routing.selection import Selection
+from crankfold.routing.slow_start import SlowStart
+from crankfold.routing.state import RoutingState
+from crankfold.routing.subsetting import MIN_SHORT_SHARE, Subset
+
+
+class Router:
+    """Passes each event to the parts of the decisions that it concerns; implements `RoutingEvents`."""
+
+    def __init__(self, config: RoutingConfig, seed: int, actions: RoutingActions) -> None:
+        state = RoutingState(config, seed, actions, MIN_SHORT_SHARE)
+        self.state = state
+        self.slow_start = SlowStart(state)
+        self.limit = ConcurrencyLimit(state)
+        self.reports = LoadReports(state, self.slow_start)
+        self.membership = Membership(state, self.slow_start, self.limit)
+        self.polling = DiscoveryPolling(state)
+        self.subset = Subset(state, self.slow_start, self.limit)
+        self.ejection = OutlierEjection(state)
+        self.retries = RetryPolicy(state, self.ejection)
+        self.selection = Selection(self.subset, self.reports, self.retries)
+        self.admission = Admission(self.selection)
+        self.refreshed_at = -1  # -1 for never
+        self.clock_margin = state.clock_margin  # ticks by which timers may be late, both ways
+        self.weights_follow_load = state.weights_follow_load
+        self.polling.start()
+
+    def config_changed(self, now: int, config: RoutingConfig, new_rows: Collection[int] = ()) -> None:
+        """Takes other request classes and bounds; the classes at `new_rows` are other ones than before.
+
+        Requests in hand keep theirs, and what is known of the backends stays.
+        """
+        self.state.set_config(config, new_rows)
+        self.admission.drain_queue(now)
+
+    def endpoints_changed(self, now: int, endpoints: Sequence[Endpoint], snapshot: bool) -> None:
+        """Takes a list of endpoints: all there are, or those that have changed."""
+        self.polling.succeeded()
+        self.membership.update(now, endpoints, snapshot=snapshot)
+        self.selection.order_of_key.clear()
+        self.subset.endpoints_changed()
+        self._refresh(now)
+        self.admission.drain_queue(now)
+
+    def discovery_failed(self, now: int) -> None:
+        """The endpoints that were asked for did not come."""
+        self.polling.failed()
+
+    def request_received(
+        self,
+        now: int,
+        request_id: int,
+        class_index: int,
+        tenant: int,
+        deadline: int,
+        work: int,
+        slots: float,
+        key: int = 0,
+        is_retry: bool = False,
+    ) -> None:
+        """Takes a request; see `RoutingEvents`."""
+        self.state.averages.arrivals += 1.0
+        self.refresh_if_due(now)
+        arrival = RequestArrival(request_id, class_index, deadline, work, slots, key, is_retry)
+        self.admission.admit(now, arrival)
+
+    def client_disconnected(self, now: int, request_id: int) -> None:
+        """Nobody waits for the answer any more."""
+        if (request := self.state.requests.get(request_id)) and not request.answered:
+            self.admission.close(request)
+
+    def request_aborted(self, now: int, request_id: int) -> None:
+        """The process ends. What never went out is shed, so that the client knows a retry is harmless."""
+        if (request := self.state.requests.get(request_id)) and not request.answered:
+            self.admission.answer(request)
+
+    def timer_fired(self, now: int, token: int) -> None:
+        """A timer that was asked for has run out."""
+        if token == POLL_TIMER:
+            self.state.actions.poll_endpoints()
+        elif token == REFRESH_TIMER:
+            self.refresh_if_due(now)
+            self.admission.drain_queue_on_timer(now)
+        elif (request := self.state.requests.get(token - FIRST_REQUEST_TIMER)) and not request.answered:
+            self.admission.review(now, request)
+
+    def attempt_started(self, now: int, request_id: int, attempt_number: int, backend: int) -> None:
+        """A backend says that it has begun with an attempt."""
+        record = self.state.table.backends[backend]
+        record.last_seen_at = now
+        request = self.state.requests.get(request_id)
+        if not request:
+            return
+        attempt = request.attempts[attempt_number]
+        if attempt.started_at >= 0 or not attempt.in_flight:
+            return
+        attempt.started_at = now
+        attempt.last_seen_at = now
+        if not attempt.slow_start:
+            self.limit.sample_wait(now, attempt.sent_at, now - attempt.sent_at)
+        record.unstarted -= 1
+        if not request.answered:
+            self.state.cancel_attempts(request, unstarted_only=True)
+
+    def attempt_progressed(
+        self, now: int, request_id: int, attempt_number: int, backend: int, share: float
+    ) -> None:
+        """A backend says that an attempt gets on."""
+        self.state.table.backends[backend].last_seen_at = now
+        if request := self.state.requests.get(request_id):
+            request.attempts[attempt_number].last_seen_at = now
+
+    def attempt_ended(
+        self,
+        now: int,
+        request_id: int,
+        attempt_number: int,
+        backend: int,
+        outcome: Outcome,
+        last: bool,
+        report: Sequence[float],
+    ) -> None:
+        """An attempt is over; `last` if the request is over with it."""
+        record = self.state.table.backends[backend]
+        request = self.state.requests.get(request_id)
+        if request and request.attempts[attempt_number].in_flight:
+            attempt = request.attempts[attempt_number]
+            attempt.in_flight = False
+            attempt.may_have_executed = outcome not in NEVER_EXECUTED
+            self.limit.in_flight -= not attempt.slow_start
+            record.add_slots(now, -request.slots)
+            if attempt.started_at < 0 and self.state.start_notifications:
+                record.unstarted -= 1
+            self.ejection.record_outcome(now, record, outcome)
+            if outcome == Outcome.COMPLETED:
+                self.state.record_completion(now, request, attempt)
+        if report:
+            self.reports.record(now, record, report)
+        if request:
+            self.admission.attempt_ended(now, request, last=last)
+        self.admission.drain_queue(now)
+
+    def probe_ended(self, now: int, backend: int, healthy: bool, report: Sequence[float]) -> None:
+        """A probe has been answered, with a report if there was one, or has failed."""
+        record = self.state.table.backends[backend]
+        record.probe_in_flight = False
+        if healthy:
+            record.last_seen_at = now
+        if report:
+            self.reports.record(now, record, report)
+            self.admission.drain_queue(now)
+
+    def backend_weight(self, backend: int) -> float:
+        """The size of a backend: its listed weight, without the load where weights follow the load."""
+        return self.state.table.backends[backend].weight
+
+    def refresh_if_due(self, now: int) -> None:
+        """Refreshes when there is something to decide, not by the clock: an idle instance costs nothing."""
+        if now - self.refreshed_at >= REFRESH_INTERVAL:
+            self._refresh(now)
+            if self.reports.probing:
+                self.reports.probe(now, self.subset.members, REFRESH_INTERVAL)
+
+    def _refresh(self, now: int) -> None:
+        """Now and then, off the path of single requests: the figures that age by themselves."""
+        state = self.state
+        factor = state.averages.fade(now - self.refreshed_at if self.refreshed_at >= 0 else 0)
+        self.refreshed_at = now
+        self.subset.refresh(now)
+        served = []
+        for known in state.classes:
+            known.offered_value *= factor
+            known.earned_value *= factor
+            served.append(known.earned_value / known.offered_value if known.offered_value else 1.0)
+        state.worst_class = min(range(len(served)), key=served.__getitem__, default=0)
+        self.reports.refresh(now, self.subset.members)
--- a/crankfold/service/handover.py
+++ b/crankfold/service/handover.py
@@ -230,7 +230,7 @@
         ]
         if decisions.weights_follow_load:  # the size is what lasts of a weight that moves
             for entry in listed:
-                entry["capacity_hint"] = decisions.weight[fleet.backend_ids.intern(entry["uid"])]
+                entry["capacity_hint"] = decisions.backend_weight(fleet.backend_ids.intern(entry["uid"]))
         return {
             "form": FORMAT_VERSION,
             "of": self.dispatcher_name,
--- a/crankfold/service/request_handler.py
+++ b/crankfold/service/request_handler.py
@@ -19,8 +19,15 @@
     classify_response,
 )
 from crankfold.protocol.load_reports import report_from_header
-from crankfold.routing.interface import Endpoint, EndpointState, Idempotency, Outcome, RoutingConfig
-from crankfold.routing.policy import NEVER_EXECUTED, Router
+from crankfold.routing.interface import (
+    NEVER_EXECUTED,
+    Endpoint,
+    EndpointState,
+    Idempotency,
+    Outcome,
+    RoutingConfig,
+)
+from crankfold.routing.router import Router
 from crankfold.service.backend_registry import BackendRegistry
 from crankfold.service.lifecycle import Lifecycle
 from crankfold.service.request_classes import RequestClassTable
--- a/crankfold/simulation/comparison.py
+++ b/crankfold/simulation/comparison.py
@@ -7,7 +7,7 @@
 from typing import TextIO
 
 from crankfold.routing.interface import DeduplicationScope, Idempotency, RequestClass, RoutingConfig
-from crankfold.routing.policy import Router
+from crankfold.routing.router import Router
 from crankfold.simulation.baselines import BASELINES
 from crankfold.simulation.fleet import PolicyFactory, Scenario, SimulatedFleet
 
--- a/crankfold/simulation/maintenance_study.py
+++ b/crankfold/simulation/maintenance_study.py
@@ -12,7 +12,7 @@
 from crankfold.maintenance.specification import JobSpecification
 from crankfold.maintenance.state import BACK, ENDED, FREE, OUT, WORK, MaintenanceState
 from crankfold.routing.interface import EndpointState, RoutingConfig
-from crankfold.routing.policy import Router
+from crankfold.routing.router import Router
 from crankfold.simulation.fleet import ZONE_COUNT, Scenario, SimulatedBackend, SimulatedFleet
 
 TICKS_PER_SECOND = 10_000
--- a/crankfold/simulator_adapter/host.py
+++ b/crankfold/simulator_adapter/host.py
@@ -8,7 +8,7 @@
 from crankfold.config.interning import Interner
 from crankfold.config.parser import parse_lines, read_routing_config
 from crankfold.routing.interface import Endpoint, EndpointState, Outcome
-from crankfold.routing.policy import Router
+from crankfold.routing.router import Router
 
 _OUTCOMES = {
     0: Outcome.COMPLETED,
--- a/tests/scene.py
+++ b/tests/scene.py
@@ -9,8 +9,9 @@
 from pathlib import Path
 
 from crankfold.routing import interface as words
+from crankfold.routing.backend_table import Backend
 from crankfold.routing.interface import DeduplicationScope, Endpoint, EndpointState, Idempotency, Outcome
-from crankfold.routing.policy import Router
+from crankfold.routing.router import Router
 
 MS = 10
 GRADE = words.RequestClass(
@@ -93,6 +94,15 @@
             for r in range(runners):
                 self.told.probe_ended(self.now, r, True, (0.0, free))
 
+    @property
+    def backends(self) -> list[Backend]:
+        return self.told.state.table.backends
+
+    @property
+    def members(self) -> list[int]:
+        """The indices of the backends in the subset."""
+        return [backend.index for backend in self.told.subset.members]
+
     def say(self, text: str) -> None:
         self.lines.append(f"{(self.now - 100_000) / MS:7.1f}  {text}")
 
--- a/tests/test_carry.py
+++ b/tests/test_carry.py
@@ -78,6 +78,8 @@
                 for r, w in enumerate((4.0, 1.0, 4.0))
             ]
         )
-        self.say(f"sizes {self.told.weight}, own units still counted {sum(self.told.own_slots):.0f}")
+        sizes = [backend.weight for backend in self.backends]
+        own_slots = sum(backend.own_slots for backend in self.backends)
+        self.say(f"sizes {sizes}, own units still counted {own_slots:.0f}")
         self.take(4, work=0)
         self.close("carry-first")
--- a/tests/test_choice.py
+++ b/tests/test_choice.py
@@ -1,7 +1,7 @@
 """The design's choice, what feeds it, and each failure found on the bench."""
 
 from crankfold.routing.interface import Endpoint, EndpointState, Outcome
-from crankfold.routing.policy import Attempt, Router
+from crankfold.routing.router import Router
 from tests.scene import MS, ORDERS, Scene
 
 
@@ -21,21 +21,21 @@
     def test_a_repeated_report_is_not_fresh(self) -> None:
         self.open()
         self.told.probe_ended(self.now, 0, True, (3.0, 0.0))
-        once = list(self.told.reported_queue)
+        once = [backend.reported_queue for backend in self.backends]
         self.told.probe_ended(self.now, 0, True, (3.0, 0.0))
-        self.say(f"moved again: {once != self.told.reported_queue}")
+        self.say(f"moved again: {once != [backend.reported_queue for backend in self.backends]}")
         self.told.probe_ended(self.now, 0, True, (3.5, 0.0))
-        self.say(f"moved by a fresh one: {once != self.told.reported_queue}")
+        self.say(f"moved by a fresh one: {once != [backend.reported_queue for backend in self.backends]}")
         self.close("repeat")
 
     def test_a_late_report_does_not_hide_own_sends(self) -> None:
         self.open(runners=1)
         self.take(0)
         self.told.probe_ended(self.now, 0, True, (0.0, 3.9))
-        self.say(f"load {self.told.load[0]:.1f}")
+        self.say(f"load {self.backends[0].load:.1f}")
         self.at(1000)
         self.told.probe_ended(self.now, 0, True, (0.0, 3.0))
-        self.say(f"load {self.told.load[0]:.2f}")
+        self.say(f"load {self.backends[0].load:.2f}")
         self.close("late-report")
 
     def test_without_a_young_report_the_mean_of_the_others_counts(self) -> None:
@@ -47,27 +47,27 @@
         self.told.refresh_if_due(self.now)
         self.say(
             "the third is taken to hold the mean: "
-            f"{abs(self.told.reported_queue[2] - self.told.reported_queue[0]) < 2}"
+            f"{abs(self.backends[2].reported_queue - self.backends[0].reported_queue) < 2}"
         )
         self.lines = [line for line in self.lines if "probe" not in line]
         self.close("stale")
 
     def test_a_small_circle_is_steady_and_widened_only_when_bare(self) -> None:
         self.open(runners=0, free=0, instance_count=60)
-        self.told.total_work = 10_000.0  # long runs
+        self.told.state.averages.total_work = 10_000.0  # long runs
         self.list([Endpoint(r, EndpointState.READY, 1.0, r % 2, r % 2, 0) for r in range(30)])
         for r in range(30):
             self.told.probe_ended(self.now, r, True, (0.0, 4.0))
-        self.say(f"circle {sorted(self.told.subset)}")
+        self.say(f"circle {sorted(self.members)}")
         self.list([Endpoint(7, EndpointState.REMOVED, 1.0, 1, 1, 0)], whole=False)
-        self.say(f"without 7 {sorted(self.told.subset)}")
-        for r in self.told.subset[1:]:
-            self.told.eject(self.now, r)
+        self.say(f"without 7 {sorted(self.members)}")
+        for r in self.members[1:]:
+            self.told.ejection.eject(self.now, self.backends[r])
         self.take(0)
-        for r in self.told.subset:
-            self.told.overloaded_until[r] = self.now + 100 * MS
+        for r in self.members:
+            self.backends[r].overloaded_until = self.now + 100 * MS
         self.take(1)
-        outside = int(self.lines[-1][-2:]) not in self.told.subset
+        outside = int(self.lines[-1][-2:]) not in self.members
         self.say(f"outside the circle: {outside}")
         self.close("circle")
 
@@ -77,7 +77,7 @@
         for n, runners in enumerate((range(1), range(0), range(400), range(400, 420))):
             self.list([Endpoint(r, EndpointState.READY, 1.0, 3, r // 4, 0) for r in runners])
             self.take(n)
-            self.say(f"circle of {len(self.told.subset)}")
+            self.say(f"circle of {len(self.members)}")
         self.close("odd-lists")
 
     def test_hundreds_that_start_at_once_pick_differently(self) -> None:
@@ -97,7 +97,7 @@
                 self.take(n)
             seen.append(self.lines)
         self.assertEqual(seen[0], seen[1])
-        drawn = {Router(ORDERS, seed, self).random_below(1 << 20) for seed in (1, 2)}
+        drawn = {Router(ORDERS, seed, self).state.random.below(1 << 20) for seed in (1, 2)}
         self.assertEqual(len(drawn), 2)
 
     def test_a_trace_of_others_work_is_not_held_against_room(self) -> None:
@@ -134,7 +134,10 @@
             self.end(n, r)
         self.at(self.now / MS - 10_000 + 300)
         self.told.refresh_if_due(self.now)
-        self.say("share of weight kept: " + " ".join(f"{1 / w:.2f}" for w in self.told.per_weight))
+        self.say(
+            "share of weight kept: "
+            + " ".join(f"{1 / backend.score_factor:.2f}" for backend in self.backends)
+        )
         self.close("slow")
 
     def test_quick_errors_lead_to_doubt_and_one_trial_at_a_time(self) -> None:
@@ -145,7 +148,7 @@
             self.end(n, 0, Outcome.ERROR)
             self.end(n, int(self.lines[-1][-1]), nth=1)
         for r in (1, 2, 3):
-            self.told.heard_at[r] = self.now
+            self.backends[r].last_seen_at = self.now
         for n, ms in enumerate((100, 200, 1300, 1301, 1302, 1303), 2):
             self.at(ms)
             self.take(n)
@@ -178,14 +181,14 @@
         self.open(runners=2)
         self.take(0, work=2000)
         self.at(20)
-        self.told.heard_at[0] = self.now
+        self.backends[0].last_seen_at = self.now
         self.at(400)
         self.close("busy")
 
     def test_when_nearly_all_look_bad_the_suspicion_is_distrusted(self) -> None:
         self.open(runners=3)
         for r in range(3):
-            self.told.eject(self.now, r)
+            self.told.ejection.eject(self.now, self.backends[r])
         for n in range(3):
             self.take(n)
         self.close("all-bad")
@@ -195,12 +198,12 @@
         self.take(0)
         first = int(self.lines[-1][-1])
         self.end(0, first, Outcome.STALE_CONNECTION)
-        self.say(f"errors {self.told.error_rate}, doubt {self.told.ejection_time}")
+        errors = [backend.error_rate for backend in self.backends]
+        doubt = [backend.ejection_time for backend in self.backends]
+        self.say(f"errors {errors}, doubt {doubt}")
         for r in {0, 1, 2} - {first}:
-            self.told.record_outcome(
-                self.now, self.told.requests[0], Attempt(r, self.now, False), Outcome.UNREACHABLE
-            )
-        self.told.eject(self.now, first)
+            self.told.ejection.record_outcome(self.now, self.backends[r], Outcome.UNREACHABLE)
+        self.told.ejection.eject(self.now, self.backends[first])
         self.take(1)
         self.say(f"all in doubt, two of them refuse: {set(self.lines[-1][-1]) == {str(first)}}")
         self.close("dead")
@@ -217,37 +220,37 @@
 class Pacing(Scene):
     def test_held_units_go_richest_then_newest_and_are_shed_when_late(self) -> None:
         self.open(runners=1)
-        self.told.limit = 1.0
+        self.told.limit.limit = 1.0
         for n in range(4):
             self.take(n)
         self.start(0, 0)
         self.at(100)
-        self.told.mean_wait = 3000.0
+        self.told.state.averages.mean_wait = 3000.0
         self.end(0, 0)
         self.at(800)
         self.close("held")
 
     def test_the_limit_falls_as_waits_grow_and_rises_when_they_end(self) -> None:
         self.open()
-        self.told.inflight = 30
+        self.told.limit.in_flight = 30
         for wait in (0, 400, 400, 400, 0, 0, 0):
             for _ in range(10):
-                self.told.sample_wait(self.now, self.now, wait * MS)
-            self.told.sample_wait(
+                self.told.limit.sample_wait(self.now, self.now, wait * MS)
+            self.told.limit.sample_wait(
                 self.now, self.now - 1, 9999 * MS
             )  # sent under the old limit: counts no more
-            self.told.inflight = min(30, int(self.told.limit))
-            self.say(f"ten starts after {wait} ms: limit {min(self.told.limit, 999):.1f}")
+            self.told.limit.in_flight = min(30, int(self.told.limit.limit))
+            self.say(f"ten starts after {wait} ms: limit {min(self.told.limit.limit, 999):.1f}")
             self.at(self.now / MS - 10_000 + 100)
         self.close("limit")
 
     def test_the_limit_shrinks_at_once_with_the_fleet(self) -> None:
         self.open(runners=3)
-        self.told.limit = 30.0
+        self.told.limit.limit = 30.0
         self.list([Endpoint(1, EndpointState.DRAINING, 1.0, 1, 1, 0)], whole=False)
-        self.say(f"a third drains: limit {self.told.limit:.0f}")
+        self.say(f"a third drains: limit {self.told.limit.limit:.0f}")
         self.list([Endpoint(1, EndpointState.READY, 1.0, 1, 1, self.now)], whole=False)
-        self.say(f"it is back, cold: limit {self.told.limit:.0f}")
+        self.say(f"it is back, cold: limit {self.told.limit.limit:.0f}")
         self.close("scaled-limit")
 
     def test_a_unit_waits_here_rather_than_behind_two_fillings(self) -> None:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -16,8 +16,7 @@
 from crankfold.network.listener import MAX_UNREAD_BYTES, NEW_CONNECTION_GRACE, Listener
 from crankfold.network.metrics import Metrics
 from crankfold.protocol.backend_connection import BackendConnection
-from crankfold.routing.interface import Idempotency
-from crankfold.routing.policy import POLL_TIMER, SECOND
+from crankfold.routing.interface import POLL_TIMER, SECOND, Idempotency
 from crankfold.service.application import Application
 from crankfold.service.request_classes import RequestClassTable
 from tests.loopback import OK, UNIT, Between, Handler, Loopback
@@ -514,14 +513,21 @@
     def test_what_was_learnt_of_a_grade_is_not_told_of_another_that_reads_the_same(self) -> None:
         self.open()
         book = RequestClassTable(["a"], [GRADE])
-        self.told.typical_run[0] = 77.0
+        self.told.state.classes[0].typical_run = 77.0
         book.update(["a"], [GRADE])
         self.told.config_changed(self.now, replace(ORDERS, request_classes=book.classes), book.reassigned)
-        self.assertEqual((self.told.typical_run, book.reassigned), ([77.0], frozenset()))
+        self.assertEqual(
+            ([known.typical_run for known in self.told.state.classes], book.reassigned), ([77.0], frozenset())
+        )
         book.update(["b"], [GRADE])
         self.told.config_changed(self.now, replace(ORDERS, request_classes=book.classes), book.reassigned)
-        self.assertEqual((self.told.typical_run, book.reassigned), ([GRADE.deadline / 10], frozenset({0})))
-        self.assertEqual(self.told.effect, [Idempotency.IDEMPOTENT])
+        self.assertEqual(
+            ([known.typical_run for known in self.told.state.classes], book.reassigned),
+            ([GRADE.deadline / 10], frozenset({0})),
+        )
+        self.assertEqual(
+            [known.settings.idempotency for known in self.told.state.classes], [Idempotency.IDEMPOTENT]
+        )
 
 
 class Told(Scene):
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -4,7 +4,7 @@
 from math import factorial
 
 from crankfold.routing.interface import DeduplicationScope, EndpointState, Idempotency, RoutingConfig
-from crankfold.routing.policy import Router
+from crankfold.routing.router import Router
 from crankfold.simulation.faults import Fault, FaultKind
 from crankfold.simulation.fleet import PolicyFactory, Scenario, SimulatedFleet
 from tests.scene import GRADE, MS, ORDERS, Kept
@@ -28,7 +28,9 @@
         self.on(unit)
 
     def on(self, unit: int) -> None:
-        self.actions.send_attempt(unit, self.ready[self.random_below(len(self.ready))], 0)
+        ready = self.state.table.ready
+        choice = ready[self.state.random.below(len(ready))]
+        self.state.actions.send_attempt(unit, choice.index, 0)
 
     def attempt_started(self, now: int, unit: int, nth: int, runner: int) -> None: ...
     def attempt_ended(self, *told: object) -> None: ...
@@ -38,14 +40,14 @@
 
 class Twice(Anyone):
     def on(self, unit: int) -> None:
-        self.actions.shed(unit, 0)
-        self.actions.fail_request(unit)
+        self.state.actions.shed(unit, 0)
+        self.state.actions.fail_request(unit)
 
 
 class AfterAnswer(Anyone):
     def on(self, unit: int) -> None:
-        self.actions.shed(unit, 0)
-        self.actions.send_attempt(unit, 0, 0)
+        self.state.actions.shed(unit, 0)
+        self.state.actions.send_attempt(unit, 0, 0)
 
 
 class Silent(Anyone):
@@ -55,30 +57,30 @@
 
 class Again(Anyone):
     def on(self, unit: int) -> None:
-        self.actions.send_attempt(unit, 0, 0)
-        self.actions.send_attempt(unit, 1, 0)
+        self.state.actions.send_attempt(unit, 0, 0)
+        self.state.actions.send_attempt(unit, 1, 0)
 
 
 class ShedThoughSent(Anyone):
     def on(self, unit: int) -> None:
-        self.actions.send_attempt(unit, 0, 0)
-        self.actions.shed(unit, 0)
+        self.state.actions.send_attempt(unit, 0, 0)
+        self.state.actions.shed(unit, 0)
 
 
 class ToOne(Anyone):
     def on(self, unit: int) -> None:
-        self.actions.send_attempt(unit, 0, 0)
+        self.state.actions.send_attempt(unit, 0, 0)
 
 
 class ForNobody(Anyone):
     """Holds a unit for a while and forgets to ask whether its client is still there."""
 
     def on(self, unit: int) -> None:
-        self.actions.set_timer(2_500, unit + 1_000)
+        self.state.actions.set_timer(2_500, unit + 1_000)
 
     def timer_fired(self, now: int, label: int) -> None:
         if label >= 1_000:
-            self.actions.send_attempt(label - 1_000, 0, 0)
+            self.state.actions.send_attempt(label - 1_000, 0, 0)
 
 
 class Emulated(Kept):
--- a/tests/test_experiment.py
+++ b/tests/test_experiment.py
@@ -7,7 +7,7 @@
 from click.testing import CliRunner
 
 from crankfold.cli.main import main
-from crankfold.routing.policy import Router
+from crankfold.routing.router import Router
 from crankfold.simulation.comparison import DEFAULT_CONFIG
 from crankfold.simulation.faults import Fault, FaultKind, affected_indices
 from crankfold.simulation.fleet import Scenario, SimulatedFleet
--- a/tests/test_grown.py
+++ b/tests/test_grown.py
@@ -5,7 +5,7 @@
 from dataclasses import replace
 
 from crankfold.routing.interface import Endpoint, EndpointState
-from crankfold.routing.policy import Router
+from crankfold.routing.router import Router
 from tests.scene import GRADE, MS, ORDERS, Kept, Scene
 
 DISPATCHERS = 40
@@ -93,8 +93,8 @@
         self.open()
         self.play(8, 100 * MS)
         got = Counter((8, 4, 3)[r % 3] for post in self.posts for at, _, r in post.went if at > 140_000)
-        self.say(f"circles of {max(len(post.told.subset) for post in self.posts)} at most of {WARM}")
-        held = Counter(r for post in self.posts for r in post.told.subset)
+        self.say(f"circles of {max(len(post.told.subset.members) for post in self.posts)} at most of {WARM}")
+        held = Counter(backend.index for post in self.posts for backend in post.told.subset.members)
         for weight in (8, 4, 3):
             holders = [held[r] for r in range(WARM) if (8, 4, 3)[r % 3] == weight]
             self.say(f"runners of weight {weight} are in {min(holders)} to {max(holders)} circles")
@@ -158,7 +158,7 @@
         )
         for r in (0, 1):
             self.told.probe_ended(self.now, r, True, (0.0, 4.0))
-        self.told.own_share[2] = 1.0
+        self.backends[2].own_share = 1.0
         for n in range(4):  # usual paces become known
             self.take(n, work=200)
             runner = int(self.lines[-1][-1])
@@ -169,35 +169,37 @@
 
     def test_an_allowance_that_would_lapse_goes_first(self) -> None:
         self.open_with_cold()
-        self.told.slow_start_next[2] = self.now
+        self.backends[2].slow_start_next = self.now
         self.take(10, work=50)
         self.close("grown-cold-first")
 
     def test_not_what_would_be_late_there(self) -> None:
         self.open_with_cold()
-        self.told.slow_start_next[2] = self.now
+        self.backends[2].slow_start_next = self.now
         self.take(10, work=200)
         self.close("grown-cold-late")
 
     def test_beyond_the_limit_a_cold_runner_still_gets_its_allowance(self) -> None:
         self.open_with_cold()
-        self.told.limit, self.told.slow_start_next[2] = 0.0, self.now
+        self.told.limit.limit, self.backends[2].slow_start_next = 0.0, self.now
         self.take(10, work=50)
         self.take(11, work=50)
-        self.say(f"counted against the limit {self.told.inflight}, held {len(self.told.queue)}")
+        self.say(
+            f"counted against the limit {self.told.limit.in_flight}, held {len(self.told.admission.queue)}"
+        )
         self.start(10, 2)
         self.end(10, 2)
-        self.say(f"after its end {self.told.inflight}")
+        self.say(f"after its end {self.told.limit.in_flight}")
         self.close("grown-cold-limit")
 
     def test_the_fair_part_counts_runners_not_seen_yet(self) -> None:
         self.open(runners=0, free=0, instance_count=24)
         self.list([Endpoint(r, EndpointState.READY, 4.0, 0, 0, 0) for r in range(72)])
         self.told.probe_ended(self.now, 0, True, (0.0, 4.0))
-        self.told.limit = 1.0
+        self.told.limit.limit = 1.0
         for _n in range(10):  # ten starts after a long wait each bring the limit down to its floor
-            self.told.sample_wait(self.now, self.now, 5000 * MS)
-        self.say(f"limit {self.told.limit:.0f} of {72 * 4} slots over 24 dispatchers")
+            self.told.limit.sample_wait(self.now, self.now, 5000 * MS)
+        self.say(f"limit {self.told.limit.limit:.0f} of {72 * 4} slots over 24 dispatchers")
         self.close("grown-fair")
 
 
--- a/tests/test_move.py
+++ b/tests/test_move.py
@@ -19,18 +19,18 @@
         self.open(runners=0, free=0, weights_follow_load=True)
         self.listed(4.0, 4.0)
         self.listed(4.0, 1.0)
-        sizes = " ".join(f"{weight:.1f}" for weight in self.told.weight)
-        self.say(f"sizes {sizes}, held for each core {self.told.utilization[1]:.1f}")
+        sizes = " ".join(f"{backend.weight:.1f}" for backend in self.backends)
+        self.say(f"sizes {sizes}, held for each core {self.backends[1].utilization:.1f}")
         self.listed(2.0, 4.0)
-        sizes = " ".join(f"{weight:.1f}" for weight in self.told.weight)
-        self.say(f"sizes {sizes}, held for each core {self.told.utilization[0]:.1f}")
+        sizes = " ".join(f"{backend.weight:.1f}" for backend in self.backends)
+        self.say(f"sizes {sizes}, held for each core {self.backends[0].utilization:.1f}")
         self.close("move-sizes")
 
     def test_in_sparse_sight_a_long_listed_queue_is_left_out(self) -> None:
         self.open(runners=0, free=0, weights_follow_load=True, instance_count=60)
         self.listed(*[4.0] * 30)
-        kept = self.told.subset[0]
-        self.listed(*[4.0 if r == kept or r not in self.told.subset else 1.0 for r in range(30)])
+        kept = self.members[0]
+        self.listed(*[4.0 if r == kept or r not in self.members else 1.0 for r in range(30)])
         for n in range(4):
             self.take(n)
         self.say(f"all to {kept}: {all(line.endswith(f'runner {kept}') for line in self.lines[1::2])}")
@@ -82,7 +82,7 @@
         self.listed(0.8, 0.8)  # four held for each core
         for n in range(3, 8):
             self.take(n, work=0)
-        self.say(f"limit {self.told.limit:.1f}, held {len(self.told.queue)}")
+        self.say(f"limit {self.told.limit.limit:.1f}, held {len(self.told.admission.queue)}")
         self.close("move-limit")
 
     def test_a_wait_that_expected_times_allow_cuts_no_limit(self) -> None:
@@ -99,7 +99,7 @@
         for at, weight in ((600, 1.6667), (1200, 0.8)):  # 1.4 held for each core, then four
             self.at(at)
             self.listed(weight, weight)
-            self.say(f"listed at {weight:.1f}: limit {self.told.limit:.1f}")
+            self.say(f"listed at {weight:.1f}: limit {self.told.limit.limit:.1f}")
         self.close("move-wait")
 
     def test_frantic_repeats_are_shed_and_the_first_try_is_not(self) -> None:
@@ -117,11 +117,11 @@
         )
         for r in range(30):
             if not r % 2:
-                self.told.overloaded_until[r] = self.now + 10_000 * MS
-            self.told.slow_start_next[r] = 1  # saved up long since
+                self.backends[r].overloaded_until = self.now + 10_000 * MS
+            self.backends[r].slow_start_next = 1  # saved up long since
         for n in range(20):
             self.take(n, work=20)
         met = {int(line.split()[-1]) for line in self.lines if "->" in line}
-        self.say(f"cold ones met outside the circle: {len(met - set(self.told.subset))}")
+        self.say(f"cold ones met outside the circle: {len(met - set(self.members))}")
         self.lines = self.lines[-1:]
         self.close("move-cold")
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -626,7 +626,10 @@
         for ident in ("u1", "u2", "u3"):
             self.assertEqual((await self.ask(ident))[0].split()[1], "400")
         self.assertEqual(
-            (self.node.metrics.counters["dispatches"], self.node.request_handler.routing.error_rate),
+            (
+                self.node.metrics.counters["dispatches"],
+                [backend.error_rate for backend in self.node.request_handler.routing.state.table.backends],
+            ),
             (3, [0.0]),
         )
 
@@ -714,7 +717,7 @@
 
         await self.begin(runner)
         program = (
-            "import sys; from crankfold.routing.policy import Router\n"
+            "import sys; from crankfold.routing.router import Router\n"
             "def broken(*told): raise ValueError('a bug')\n"
             "Router.request_received = broken\n"
             "from crankfold.cli.main import main; main(['serve'])"
@@ -837,7 +840,7 @@
         await self.inside()
         asked = [asyncio.create_task(self.ask("sent"))]
         await self.until(lambda: self.node.metrics.counters["dispatches"] == 1)
-        self.node.request_handler.routing.limit = 0.0  # what comes from here on is held
+        self.node.request_handler.routing.limit.limit = 0.0  # what comes from here on is held
         asked.append(asyncio.create_task(self.ask("held")))
         await self.until(lambda: self.node.request_handler.open_request_count() == 2)
         self.node.request_handler.answer_all_open()
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -295,7 +295,7 @@
         self.assertEqual(((await self.ask("u3"))[1], self.reads), (b"done", 2))
         self.assertEqual(self.node.request_handler.request_classes.open_counts, [0])
         self.assertEqual(
-            self.node.request_handler.routing.started_at[0], 0
+            self.node.request_handler.routing.state.table.backends[0].started_at, 0
         )  # its kept connection shows it never restarted
 
     async def test_back_after_a_restart_that_the_list_does_not_show_it_is_cold(self) -> None:
@@ -307,8 +307,8 @@
         before = self.node.timers.clock.now()
         await self.call(self.door, "runners/a/online")
         decisions = self.node.request_handler.routing
-        self.assertGreaterEqual(decisions.started_at[0], before)
-        self.assertGreater(decisions.warm_from[0], self.node.timers.clock.now() + 50_000)
+        self.assertGreaterEqual(decisions.state.table.backends[0].started_at, before)
+        self.assertGreater(decisions.state.table.backends[0].warm_from, self.node.timers.clock.now() + 50_000)
 
     async def test_a_ban_called_while_the_connection_comes_up_holds_the_unit_back(self) -> None:
         await self.with_door()
--- a/tests/test_renewal.py
+++ b/tests/test_renewal.py
@@ -127,16 +127,19 @@
 
     def test_what_is_known_of_runners_and_runs_stays(self) -> None:
         self.open(runners=3)
-        self.told.typical_run[0], self.told.limit = 77.0, 5.0
-        self.told.reported_queue[1], self.told.ejection_time[2] = 4.5, 10_000
+        self.told.state.classes[0].typical_run, self.told.limit.limit = 77.0, 5.0
+        self.backends[1].reported_queue, self.backends[2].ejection_time = 4.5, 10_000
         self.told.config_changed(
             self.now,
             replace(
                 ORDERS, request_classes=[GRADE, replace(GRADE, deduplication_scope=DeduplicationScope.ZONE)]
             ),
         )
-        self.assertEqual((self.told.typical_run, self.told.limit), ([77.0, 500.0 * MS], 5.0))
-        self.assertEqual((self.told.reported_queue[1], self.told.ejection_time[2]), (4.5, 10_000))
+        self.assertEqual(
+            ([known.typical_run for known in self.told.state.classes], self.told.limit.limit),
+            ([77.0, 500.0 * MS], 5.0),
+        )
+        self.assertEqual((self.backends[1].reported_queue, self.backends[2].ejection_time), (4.5, 10_000))
 
 
 class UnderWay(Between):
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -23,7 +23,7 @@
         self.told.attempt_started(self.now, 0, 0, 0)
         self.told.client_disconnected(self.now, 0)
         self.at(1900)
-        self.say(f"slots still counted as out: {sum(self.told.own_slots):.0f}")
+        self.say(f"slots still counted as out: {sum(backend.own_slots for backend in self.backends):.0f}")
         self.close("ended")
 
     def test_no_runner_ready(self) -> None:
--- a/tests/test_simhost.py
+++ b/tests/test_simhost.py
@@ -39,20 +39,21 @@
         self.assertIn(struct.pack("<HIi6s", 1, 77, 0, RUNNER), reply)
         verdict = struct.pack("<HIB6sBIBIB", 5, 77, 0, RUNNER, 99, 10, 0, 0, 0)
         host.handle_frame(frame(TO, verdict))
-        self.assertTrue(host.instances[3].router.requests[0].attempts[0].may_have_executed)
+        self.assertTrue(host.instances[3].router.state.requests[0].attempts[0].may_have_executed)
 
     def test_an_empty_batch_and_a_restart(self) -> None:
         host = SimulatorHost()
         self.assertEqual(host.handle_frame(frame()), b"\x04\x00\x00\x00")
         host.handle_frame(frame(CENSUS, TO, INIT, MEMBERS, QUERY))
         host.handle_frame(frame(TO, struct.pack("<H", 10), TO, INIT, MEMBERS))
-        self.assertEqual(host.instances[3].router.requests, {})
+        self.assertEqual(host.instances[3].router.state.requests, {})
 
     def test_a_failure_in_the_decisions_is_reported(self) -> None:
         host = SimulatorHost()
         host.handle_frame(frame(CENSUS, TO, INIT, MEMBERS))
-        host.instances[3].router.short_subset = host.instances[3].router.long_subset = [5]
-        self.assertIn(b"IndexError", host.handle_frame(frame(TO, QUERY)))
+        subset = host.instances[3].router.subset
+        subset.short = subset.long = [5]  # type: ignore[list-item]
+        self.assertIn(b"AttributeError", host.handle_frame(frame(TO, QUERY)))
 
     def test_broken_frames_end_the_process_with_one_line(self) -> None:
         unknown_code = b"\x0e\x00\x00\x00" + bytes(8) + b"\xff\xff"
--- a/tests/test_stored_forms.py
+++ b/tests/test_stored_forms.py
@@ -406,7 +406,9 @@
             {"a": 1234567, "gone": 2345678},
         )
         self.assertEqual(fleet.known_ids, {"a", "b", "c", "gone"})
-        self.assertEqual(tuple(desk.routing.report[2]), (3.0, 2.5))  # by its last report to the one before
+        self.assertEqual(
+            tuple(desk.routing.state.table.backends[2].report), (3.0, 2.5)
+        )  # by its last report to the one before
         self.assertEqual(
             [fleet.discovery_entry(n) for n in range(3)],
             [
