--- a/crankfold/network/connection_pool.py
+++ b/crankfold/network/connection_pool.py
@@ -1,21 +1,46 @@
-"""Connections to one runner: kept, used again most recent first, and never used for two exchanges at once."""
+"""Connections to backends: kept, used again most recent first, and never used for two exchanges at once."""
 
 import asyncio
 from collections.abc import Callable, Iterable, Sequence
+from enum import Enum
 from typing import SupportsIndex
 
 from crankfold.network.metrics import Metrics
 from crankfold.network.socket_state import ANY_INPUT, has_pending
-from crankfold.protocol.backend_connection import ACCEPTED, BackendConnection, classify_response
+from crankfold.protocol.backend_connection import Acceptance, BackendConnection, classify_response
+from crankfold.protocol.headers import Header
 
-READ_SIZE = 64 * 1024
-# A second answer to the last request, some milliseconds late, would be read as the answer to the next: a late
-# "never ran" of something that did would have it run twice. Who was just answered rests for so long first.
+READ_SIZE = 64 * 1024  # bytes
+# Seconds that a connection rests after a response before it carries a request. A second response to the last
+# request, some milliseconds late, would be read as the response to the next: a late "never ran" of something
+# that did would have it run twice.
 SETTLE_TIME = 0.05
 
 
+class ExchangeResult(Enum):
+    """How an exchange ends."""
+
+    ANSWERED = "answered"
+    BROKEN = "broken"  # no response, or not all of it: the request may have run
+    UNREACHABLE = "unreachable"  # no connection, or it broke before the request was written
+    NOT_SENT = "not sent"  # nothing was written
+    STALE_CONNECTION = "stale connection"  # a kept connection turned out to be closed: it may have run
+
+
+ExchangeCallback = Callable[[ExchangeResult, BackendConnection | None], None]
+
+
 class Exchange:
-    """One exchange with a runner, from the wish to its end."""
+    """One exchange with a backend, from the wish to its end.
+
+    Attributes:
+        headers: gives the headers at the moment when the request is written.
+        may_send: whether it may still be written, asked when a new connection is up.
+        on_end: is told the result, and the connection's state where there was a connection.
+        needs_settled: its response counts, so it is not sent on a connection that was answered a moment ago.
+        connection: that carries it, once there is one.
+        finished: its end was told, or nobody waits for it any more.
+    """
 
     __slots__ = (
         "method",
@@ -33,82 +58,98 @@
         self,
         method: bytes,
         target: bytes,
-        headers: Callable[[], Sequence[tuple[bytes, bytes]]],
+        headers: Callable[[], Sequence[Header]],
         body: bytes,
+        *,
         may_send: Callable[[], bool],
-        on_end: Callable[[str, BackendConnection | None], None],
+        on_end: ExchangeCallback,
         needs_settled: bool = True,
     ) -> None:
-        self.method, self.target, self.headers, self.body = method, target, headers, body
-        self.may_send, self.on_end = may_send, on_end
-        self.needs_settled = (
-            needs_settled  # its answer counts: not on a connection that was answered a moment ago
-        )
+        self.method = method
+        self.target = target
+        self.headers = headers
+        self.body = body
+        self.may_send = may_send
+        self.on_end = on_end
+        self.needs_settled = needs_settled
         self.connection: PooledConnection | None = None
         self.finished = False
 
+    def finish(self, result: ExchangeResult, protocol: BackendConnection | None) -> None:
+        """Tells the result, unless an end was told before."""
+        if not self.finished:
+            self.finished = True
+            self.on_end(result, protocol)
 
-# How an exchange ends.
-ANSWERED, BROKEN, UNREACHABLE, NOT_SENT, STALE_CONNECTION = (
-    "answered",
-    "broken",
-    "unreached",
-    "held back",
-    "worn",
-)
+    def abort(self) -> None:
+        """Closes the connection that no response has come on; what was not written yet is not sent."""
+        self.finished = True
+        if self.connection and self.connection.exchange is self:
+            self.connection.writer.transport.abort()
 
 
 class CountingStreamReader(asyncio.StreamReader):
-    """Counts what came, read or not."""
+    """Counts the bytes that came, read or not."""
 
     received_bytes = 0
 
     def feed_data(self, data: Iterable[SupportsIndex]) -> None:
+        """Takes in bytes from the transport."""
         self.received_bytes += len(data)  # type: ignore[arg-type]
         super().feed_data(data)
 
 
 class DrainNotifyingProtocol(asyncio.StreamReaderProtocol):
-    """Says in the very moment when nothing is left to be written, so that whatever breaks after it finds the
-    request written: taken for one that never went out whole, it would be sent again."""
+    """Calls back in the very moment when nothing is left to be written.
+
+    So whatever breaks after it finds the request written: taken for one that never went out whole, it would
+    be sent again.
+    """
 
     on_drained: Callable[[], None] = staticmethod(lambda: None)
 
     def resume_writing(self) -> None:
+        """The transport's buffer is empty."""
         self.on_drained()
         super().resume_writing()
 
 
 class PooledConnection:
-    """One open connection."""
+    """One open connection to a backend."""
 
     def __init__(
         self,
         pool: "ConnectionPool",
         reader: CountingStreamReader,
         writer: asyncio.StreamWriter,
-        protocol: DrainNotifyingProtocol,
+        stream_protocol: DrainNotifyingProtocol,
     ) -> None:
-        self.pool, self.reader, self.writer = pool, reader, writer
+        self.pool = pool
+        self.reader = reader
+        self.writer = writer
         self.protocol = BackendConnection()
         self.exchange: Exchange | None = None
-        self.idle_since, self.opened_at = 0.0, pool.loop.time()
-        self.consumed_bytes, self.answered_at = 0, -SETTLE_TIME
+        self.opened_at = pool.loop.time()  # this and the next two in seconds of the loop's clock
+        self.idle_since = 0.0
+        self.answered_at = -SETTLE_TIME
+        self.consumed_bytes = 0
         self.request_written = True
-        protocol.on_drained = self._on_drained
-        writer.transport.set_write_buffer_limits(high=0)  # so that emptied means that nothing is left
+        stream_protocol.on_drained = self._on_drained
+        writer.transport.set_write_buffer_limits(high=0)  # so that drained means that nothing is left
         self.task = pool.loop.create_task(self._run())
 
     def start(self, exchange: Exchange) -> None:
-        self.exchange, exchange.connection = exchange, self
-        asked = self.protocol.send_request(
+        """Writes the request of an exchange."""
+        self.exchange = exchange
+        exchange.connection = self
+        outgoing = self.protocol.send_request(
             exchange.method, exchange.target, exchange.headers(), exchange.body
         )
-        self.writer.writelines(asked)
+        self.writer.writelines(outgoing)
         self.request_written = self.writer.transport.get_write_buffer_size() == 0
 
     def _on_drained(self) -> None:
-        """What left the program's own buffer counts as written: from there on the runner may have it.
+        """What left the program's own buffer counts as written: from there on the backend may have it.
 
         The transport drops its buffer when a connection breaks, so what is left then tells nothing.
         """
@@ -123,7 +164,7 @@
         return not has_pending(self.writer, ANY_INPUT)
 
     def close(self) -> None:
-        """At rest and not to be used again."""
+        """Closes it while it is idle."""
         self.pool.remove_idle(self)
         self.writer.close()
 
@@ -135,11 +176,7 @@
                     self.pool.metrics.increment("runner-spoke-unasked")
                     break
                 if self.protocol.receive_data(data):
-                    exchange, self.exchange = self.exchange, None
-                    self.answered_at = self.pool.loop.time()
-                    if self.protocol.reusable:
-                        self.pool.release(self)
-                    self.pool.finish(exchange, ANSWERED if self._is_answered() else BROKEN, self.protocol)
+                    self._finish_exchange(self.exchange)
                     if not self.protocol.reusable:
                         break
         except OSError:
@@ -148,41 +185,55 @@
             self.pool.connection_lost(self)
             self.writer.close()
             if self.exchange is not None:
-                self.pool.finish(
-                    self.exchange, ANSWERED if self._is_answered() else self._break_result(), self.protocol
-                )
+                result = ExchangeResult.ANSWERED if self._is_answered() else self._break_result()
+                self.exchange.finish(result, self.protocol)
+
+    def _finish_exchange(self, exchange: Exchange) -> None:
+        self.exchange = None
+        self.answered_at = self.pool.loop.time()
+        if self.protocol.reusable:
+            self.pool.release(self)
+        result = ExchangeResult.ANSWERED if self._is_answered() else ExchangeResult.BROKEN
+        exchange.finish(result, self.protocol)
 
     def _is_answered(self) -> bool:
-        """What broke off in the middle tells nothing that may be relied on, least of all that something never
-        ran. But after the head that says so the runner has the unit."""
-        return (
-            self.protocol.complete
-            or classify_response(self.protocol.status, self.protocol.not_processed) == ACCEPTED
-        )
+        """Whether the response may be relied on.
 
-    def _break_result(self) -> str:
+        What broke off in the middle tells nothing, least of all that something never ran. But after the
+        header that says so the backend has the request.
+        """
+        if self.protocol.complete:
+            return True
+        verdict = classify_response(self.protocol.status, self.protocol.not_processed)
+        return verdict is Acceptance.ACCEPTED
+
+    def _break_result(self) -> ExchangeResult:
         if not self.request_written:
-            return UNREACHABLE
-        # Kept connections die at the runner or on the way, seen only at the next use. Held against runners,
-        # these resets had all of a sound fleet doubted.
-        return STALE_CONNECTION if self.idle_since and not self.protocol.status else BROKEN
+            return ExchangeResult.UNREACHABLE
+        # Kept connections die at the backend or on the way, seen only at the next use. Held against backends,
+        # these resets had all of a sound fleet ejected.
+        if self.idle_since and not self.protocol.status:
+            return ExchangeResult.STALE_CONNECTION
+        return ExchangeResult.BROKEN
 
 
 class ConnectionLimiter:
-    """All connections to runners: how many there are, and which are at rest, longest first."""
-
-    def __init__(self, most: int, connect_within: float, idle_for: float, tally: Metrics) -> None:
-        self.max_connections, self.connect_timeout, self.idle_timeout, self.metrics = (
-            most,
-            connect_within,
-            idle_for,
-            tally,
-        )
+    """All connections to backends: how many there are, and which are idle, longest first."""
+
+    def __init__(
+        self, max_connections: int, connect_timeout: float, idle_timeout: float, metrics: Metrics
+    ) -> None:
+        """Times are in seconds."""
+        self.max_connections = max_connections
+        self.connect_timeout = connect_timeout
+        self.idle_timeout = idle_timeout
+        self.metrics = metrics
         self.loop = asyncio.get_running_loop()
         self.open_count = 0
         self.idle_connections: dict[PooledConnection, None] = {}
 
     def make_room(self) -> bool:
+        """Whether one more may be opened; closes an idle one if there is no other way."""
         if self.open_count >= self.max_connections and self.idle_connections:
             next(iter(self.idle_connections)).close()
             self.metrics.increment("runner-connections-closed-for-room")
@@ -190,7 +241,7 @@
         return self.open_count < self.max_connections
 
     def sweep(self) -> None:
-        """Closes what has rested for long, well before the runner does."""
+        """Closes what has been idle for long, well before the backend does."""
         now = self.loop.time()
         while self.idle_connections:
             connection = next(iter(self.idle_connections))
@@ -200,41 +251,44 @@
 
 
 class ConnectionPool:
-    """All connections to one runner at one address."""
-
-    def __init__(self, host: str, port: int, sockets: ConnectionLimiter) -> None:
-        self.host, self.port, self.limiter, self.metrics = host, port, sockets, sockets.metrics
-        self.loop = sockets.loop
-        self.idle_connections: list[PooledConnection] = []
+    """All connections to one backend at one address."""
+
+    def __init__(self, host: str, port: int, limiter: ConnectionLimiter) -> None:
+        self.host = host
+        self.port = port
+        self.limiter = limiter
+        self.metrics = limiter.metrics
+        self.loop = limiter.loop
+        self.idle_connections: list[PooledConnection] = []  # the most recent last
         self.connect_tasks: set[asyncio.Task[None]] = set()
         self.closed = False
 
     def send(self, exchange: Exchange) -> None:
-        """Goes at once where a connection is at rest. How it ends is told later, never from in here."""
+        """Sends it at once where a connection is idle. How it ends is told later, never from in here."""
         connection = self._take_idle(exchange.needs_settled)
         if connection:
             self.metrics.increment("connections-reused")
             connection.start(exchange)
         elif self.closed or not self.limiter.make_room():
             self.metrics.increment("no-room-for-a-connection")
-            self.loop.call_soon(self.finish, exchange, NOT_SENT, None)
+            self.loop.call_soon(exchange.finish, ExchangeResult.NOT_SENT, None)
         else:
             task = self.loop.create_task(self._connect(exchange))
             self.connect_tasks.add(task)
             task.add_done_callback(self.connect_tasks.discard)
 
-    def _take_idle(self, settled: bool) -> PooledConnection | None:
+    def _take_idle(self, needs_settled: bool) -> PooledConnection | None:
         now = self.loop.time()
         for connection in self.idle_connections[::-1]:
             if not connection.is_reusable() or now - connection.idle_since >= self.limiter.idle_timeout:
                 connection.close()
-            elif not settled or now - connection.answered_at >= SETTLE_TIME:
+            elif not needs_settled or now - connection.answered_at >= SETTLE_TIME:
                 self.remove_idle(connection)
                 return connection
         return None
 
     def has_connection_older_than(self, seconds: float) -> bool:
-        """Whether a connection at rest is open since before then: the process there is still the same."""
+        """Whether an idle connection is open since before then: the process there is still the same."""
         now = self.loop.time()
         return any(
             connection.is_reusable() and now - connection.opened_at > seconds
@@ -242,6 +296,7 @@
         )
 
     def remove_idle(self, connection: PooledConnection) -> None:
+        """The connection is no longer idle."""
         if connection in self.limiter.idle_connections:
             del self.limiter.idle_connections[connection]
             self.idle_connections.remove(connection)
@@ -257,17 +312,18 @@
         except (OSError, TimeoutError):
             self.limiter.open_count -= 1
             self.metrics.increment("connections-not-up")
-            self.finish(exchange, UNREACHABLE, None)
+            exchange.finish(ExchangeResult.UNREACHABLE, None)
             return
         writer = asyncio.StreamWriter(transport, protocol, reader, self.loop)
         connection = PooledConnection(self, reader, writer, protocol)
         if exchange.finished or self.closed or not exchange.may_send():
-            self.finish(exchange, NOT_SENT, None)
+            exchange.finish(ExchangeResult.NOT_SENT, None)
             self.release(connection)
         else:
             connection.start(exchange)
 
     def release(self, connection: PooledConnection) -> None:
+        """The connection is idle from now on, or closes if the pool is closed."""
         if self.closed:
             connection.writer.close()
             return
@@ -276,22 +332,12 @@
         self.limiter.idle_connections[connection] = None
 
     def connection_lost(self, connection: PooledConnection) -> None:
+        """The connection is closed."""
         self.remove_idle(connection)
         self.limiter.open_count -= 1
 
-    def finish(self, exchange: Exchange, how: str, side: BackendConnection | None) -> None:
-        if not exchange.finished:
-            exchange.finished = True
-            exchange.on_end(how, side)
-
-    def abort(self, exchange: Exchange) -> None:
-        """Closes the connection that an answer has not come on; what was not written yet is not sent."""
-        exchange.finished = True
-        if exchange.connection and exchange.connection.exchange is exchange:
-            exchange.connection.writer.transport.abort()
-
     def close(self) -> None:
-        """The address is no longer the runner's: nothing new, what is under way runs to its end."""
+        """The address is no longer the backend's: nothing new, what is under way runs to its end."""
         self.closed = True
         while self.idle_connections:
             self.idle_connections[-1].close()
--- a/crankfold/network/signals.py
+++ b/crankfold/network/signals.py
@@ -1,4 +1,4 @@
-"""Signals that come before there is anything to act on them."""
+"""Remembers reload signals that come before there is anything to act on them."""
 
 import signal
 from types import FrameType
@@ -6,7 +6,7 @@
 _reload_requested = False
 
 
-def _on_sighup(number: int, frame: FrameType | None) -> None:
+def _on_sighup(_number: int, _frame: FrameType | None) -> None:
     global _reload_requested
     _reload_requested = True
 
@@ -17,7 +17,8 @@
 
 
 def take_reload_request() -> bool:
-    """Whether one came; that is told once."""
+    """Whether a SIGHUP came since it was asked last."""
     global _reload_requested
-    came, _reload_requested = _reload_requested, False
-    return came
+    requested = _reload_requested
+    _reload_requested = False
+    return requested
--- a/crankfold/network/socket_state.py
+++ b/crankfold/network/socket_state.py
@@ -3,12 +3,14 @@
 import asyncio
 import select
 
-PEER_CLOSED = select.POLLRDHUP  # the other side will send no more; errors and a reset are told of in any case
+PEER_CLOSED = (
+    select.POLLRDHUP
+)  # the other side will send no more; errors and a reset are reported in any case
 ANY_INPUT = select.POLLIN | PEER_CLOSED
 
 
-def has_pending(writer: asyncio.StreamWriter, what: int) -> bool:
-    """Whether it holds that at this moment; of a connection that is open here."""
-    system = select.poll()
-    system.register(writer.get_extra_info("socket").fileno(), what)
-    return bool(system.poll(0))
+def has_pending(writer: asyncio.StreamWriter, events: int) -> bool:
+    """Whether one of the poll events is pending at this moment on a connection that is open here."""
+    poll = select.poll()
+    poll.register(writer.get_extra_info("socket").fileno(), events)
+    return bool(poll.poll(0))
--- a/crankfold/network/timers.py
+++ b/crankfold/network/timers.py
@@ -1,4 +1,4 @@
-"""The one clock, and wakes that never come early."""
+"""The one clock, and timers that never fire early. Times are whole tenths of a millisecond."""
 
 import asyncio
 import time
@@ -6,41 +6,53 @@
 
 from crankfold.network.metrics import Metrics
 
+TICKS_PER_SECOND = 10_000
+NANOSECONDS_PER_TICK = 100_000
+LATE = 100  # 10 ms; a timer that fires later than this is counted
+
 
 class Clock:
-    """Tenths of a millisecond: the wall's time at start, going on steadily from there.
+    """The wall's time at start, going on steadily from there.
 
-    So starts of runners, which come in the wall's time, and wakes are measured on one scale, and a wall clock
-    that is set anew moves nothing.
+    So starts of backends, which come in the wall's time, and timers are measured on one scale, and a wall
+    clock that is set anew moves nothing.
     """
 
     def __init__(self) -> None:
         self._offset = time.time_ns() - time.monotonic_ns()
 
     def now(self) -> int:
-        return (time.monotonic_ns() + self._offset) // 100_000
+        """Tenths of a millisecond since the epoch."""
+        return (time.monotonic_ns() + self._offset) // NANOSECONDS_PER_TICK
 
 
 class Timers:
-    def __init__(self, clock: Clock, tally: Metrics) -> None:
-        self.clock, self.metrics = clock, tally
+    """Calls functions after a while, on the running event loop."""
+
+    def __init__(self, clock: Clock, metrics: Metrics) -> None:
+        self.clock = clock
+        self.metrics = metrics
         self.loop = asyncio.get_running_loop()
 
-    def call_after(self, after: int, call: Callable[[], object]) -> asyncio.TimerHandle:
-        due = self.clock.now() + after
-        return self.loop.call_later(after / 10_000, self._fire, due, call)
+    def call_after(self, delay: int, callback: Callable[[], object]) -> asyncio.TimerHandle:
+        """Calls back once that many tenths of a millisecond have passed, never before.
+
+        An exception in the callback is recorded; a debug build raises it.
+        """
+        due = self.clock.now() + delay
+        return self.loop.call_later(delay / TICKS_PER_SECOND, self._fire, due, callback)
 
-    def _fire(self, due: int, call: Callable[[], object]) -> None:
-        late = self.clock.now() - due
-        if late < 0:
-            self.loop.call_later(-late / 10_000, self._fire, due, call)
+    def _fire(self, due: int, callback: Callable[[], object]) -> None:
+        lateness = self.clock.now() - due
+        if lateness < 0:
+            self.loop.call_later(-lateness / TICKS_PER_SECOND, self._fire, due, callback)
             return
-        if late > 100:
+        if lateness > LATE:
             self.metrics.increment("timers-over-10ms-late")
-        self.metrics.record_maximum("timer-latest-tenths-of-ms", late)
+        self.metrics.record_maximum("timer-latest-tenths-of-ms", lateness)
         try:
-            call()
-        except Exception as wrong:
-            self.metrics.record_exception(wrong)
+            callback()
+        except Exception as error:
+            self.metrics.record_exception(error)
             if __debug__:
                 raise
--- a/crankfold/protocol/admin_api.py
+++ b/crankfold/protocol/admin_api.py
@@ -7,7 +7,7 @@
 
 import h11
 
-from crankfold.protocol.client_connection import MAX_ID_LENGTH
+from crankfold.protocol.client_request import MAX_ID_LENGTH
 
 MAX_CALL_SIZE = 4 * 1024  # bytes of a call, its body included
 MAX_DOCUMENT_SIZE = 512 * 1024  # of one that brings a document
--- a/crankfold/protocol/backend_connection.py
+++ b/crankfold/protocol/backend_connection.py
@@ -1,47 +1,64 @@
-"""The side towards a runner: one connection, one exchange at a time, nothing sent twice by itself."""
+"""HTTP towards a backend, without I/O: one connection, one exchange at a time, nothing resent by itself."""
 
 from collections.abc import Sequence
+from enum import Enum
 
 import h11
 
-from crankfold.protocol.headers import MAX_BODY_SIZE, MAX_HEADER_SIZE, Headers
+from crankfold.protocol.headers import MAX_BODY_SIZE, MAX_HEADER_SIZE, Header, Headers
 from crankfold.routing.interface import Outcome
 
-ACCEPTED = -1  # the runner has taken the unit; how it ends comes by call-back
-REJECTED = -2  # the runner can't use the unit: that says nothing about the runner
+TICKS_PER_SECOND = 10_000  # times are whole tenths of a millisecond
+
+
+class Acceptance(Enum):
+    """What a backend says of a request beside the outcomes of an attempt."""
+
+    ACCEPTED = "accepted"  # the backend has the request; how it ends comes by callback
+    REJECTED = "rejected"  # the backend can't use the request: that says nothing about the backend
 
 
 class BackendConnection:
+    """The state of one connection to a backend.
+
+    Attributes:
+        status: of the response to the present exchange, 0 before it.
+        not_processed: the response says that the request never ran.
+        complete: the response was read to its end.
+        load_header: the load report of the response as the header has it, or nothing.
+        body: of the response.
+        reusable: another exchange may follow on this connection.
+    """
+
     def __init__(self) -> None:
         self.http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEADER_SIZE)
-        self.status = 0  # of the answer to the present exchange, 0 before it
+        self.status = 0
         self.not_processed = False
-        self.complete = False  # the answer was read to its end
+        self.complete = False
         self.load_header = b""
         self.body_bytes = 0
         self.body = bytearray()
-        self.reusable = True  # another exchange may follow
-
-    def send_request(self, method: bytes, target: bytes, heads: Headers, body: bytes) -> list[bytes]:
-        self.status, self.not_processed, self.complete, self.load_header, self.body_bytes = (
-            0,
-            False,
-            False,
-            b"",
-            0,
-        )
-        told = [*heads]
+        self.reusable = True
+
+    def send_request(self, method: bytes, target: bytes, headers: Headers, body: bytes) -> list[bytes]:
+        """Begins an exchange; gives the bytes to be written."""
+        self.status = 0
+        self.not_processed = False
+        self.complete = False
+        self.load_header = b""
+        self.body_bytes = 0
+        sent_headers = [*headers]
         if body or method == b"POST":
-            told.append((b"Content-Length", str(len(body)).encode()))
-        head = h11.Request(method=method, target=target, headers=told)
-        out = self.http.send_with_data_passthrough(head) or []
+            sent_headers.append((b"Content-Length", str(len(body)).encode()))
+        head = h11.Request(method=method, target=target, headers=sent_headers)
+        outgoing = self.http.send_with_data_passthrough(head) or []
         if body:
-            out += self.http.send_with_data_passthrough(h11.Data(data=body)) or []
-        out += self.http.send_with_data_passthrough(h11.EndOfMessage()) or []
-        return out
+            outgoing += self.http.send_with_data_passthrough(h11.Data(data=body)) or []
+        outgoing += self.http.send_with_data_passthrough(h11.EndOfMessage()) or []
+        return outgoing
 
     def receive_data(self, data: bytes) -> bool:
-        """True once the answer is read; one that nobody can read leaves status 0."""
+        """True once the response is over; one that nobody can read leaves status 0."""
         try:
             self.http.receive_data(data)
             while True:
@@ -52,7 +69,7 @@
                     self._start_response(event)
                 elif isinstance(event, h11.Data):
                     self.body_bytes += len(event.data)
-                    if self.body_bytes > MAX_BODY_SIZE:  # an answer without end
+                    if self.body_bytes > MAX_BODY_SIZE:  # a response without end
                         self.reusable = False
                         return True
                     self.body += event.data
@@ -67,10 +84,10 @@
             self.reusable = False
             return True
 
-    def _start_response(self, answer: h11.Response) -> None:
-        self.status = answer.status_code
+    def _start_response(self, response: h11.Response) -> None:
+        self.status = response.status_code
         self.body = bytearray()
-        for name, value in answer.headers:
+        for name, value in response.headers:
             if name == b"x-not-processed":
                 self.not_processed = value.strip() == b"1"
             elif name == b"x-server-load":
@@ -83,18 +100,19 @@
             self.reusable = False
 
 
-def classify_response(status: int, not_run: bool) -> int:
-    """What an answer to a dispatch says of it."""
+def classify_response(status: int, not_processed: bool) -> Acceptance | Outcome:
+    """What the response to an attempt says of it."""
     if status == 202:
-        return ACCEPTED
-    if status in (503, 504) and not_run:
+        return Acceptance.ACCEPTED
+    if status in (503, 504) and not_processed:
         return Outcome.OVERLOADED
     if 400 <= status < 500 and status not in (408, 429):
-        return REJECTED
+        return Acceptance.REJECTED
     if status == 0:
-        return Outcome.RESET  # garbage, or the end before an answer
+        return Outcome.RESET  # garbage, or the end before a response
     return Outcome.ERROR
 
 
-def attempt_headers(heads: Sequence[tuple[bytes, bytes]], wait: int) -> list[tuple[bytes, bytes]]:
-    return [*heads, (b"X-Timeout", f"{wait / 10_000:.4f}".encode())]
+def attempt_headers(headers: Sequence[Header], timeout: int) -> list[Header]:
+    """The headers of an attempt with its time left, in tenths of a millisecond."""
+    return [*headers, (b"X-Timeout", f"{timeout / TICKS_PER_SECOND:.4f}".encode())]
--- a/crankfold/protocol/callbacks.py
+++ b/crankfold/protocol/callbacks.py
@@ -1,7 +1,7 @@
-"""What runners tell of a unit by their call-backs, decoded into calls."""
+"""Decodes callbacks: what backends tell of the requests that they run."""
 
 from collections.abc import Sequence
-from typing import Protocol
+from typing import Any, Protocol
 
 import orjson
 
@@ -17,48 +17,64 @@
 
 
 class CallbackHandler(Protocol):
-    def execution_started(self, ident: str, uid: str) -> None: ...
-    def execution_progressed(self, ident: str, uid: str, share: float) -> None: ...
+    """Is told what callbacks say. Ids may be unknown to it."""
+
+    def execution_started(self, request_id: str, backend_id: str) -> None:
+        """The backend has begun to run the request."""
+
+    def execution_progressed(self, request_id: str, backend_id: str, progress: float) -> None:
+        """The backend has run that part of the request, from 0 to 1."""
+
     def execution_ended(
-        self, ident: str, uid: str, outcome: Outcome, result: bytes, report: Sequence[float]
-    ) -> None: ...
+        self, request_id: str, backend_id: str, outcome: Outcome, result: bytes, report: Sequence[float]
+    ) -> None:
+        """The backend no longer runs the request; `report` is its load report, empty if there is none."""
 
 
 def request_id_of(body: bytes) -> str:
-    """The unit that a call-back speaks of, or nothing."""
-    try:
-        told = orjson.loads(body)
-    except orjson.JSONDecodeError:
-        return ""
-    ident = told.get("id") if isinstance(told, dict) else None
-    return ident if isinstance(ident, str) else ""
+    """The id of the request that a callback speaks of, or an empty string."""
+    message = _decode(body)
+    request_id = message.get("id") if message is not None else None
+    return request_id if isinstance(request_id, str) else ""
 
 
-def handle_callback(body: bytes, hearer: CallbackHandler, names: Sequence[str]) -> bool:
-    """Whether it could be read; what names a unit or runner not known here is read all the same."""
-    try:
-        told = orjson.loads(body)
-    except orjson.JSONDecodeError:
-        return False
-    if not isinstance(told, dict):
+def handle_callback(body: bytes, handler: CallbackHandler, report_fields: Sequence[str]) -> bool:
+    """Tells the handler what a callback says.
+
+    Returns whether it could be read; one that names a request or backend not known here is read all the same.
+    """
+    message = _decode(body)
+    if message is None:
         return False
-    ident, uid, state = told.get("id"), told.get("from"), told.get("state")
-    if not isinstance(ident, str) or not isinstance(uid, str) or not isinstance(state, str):
+    request_id = message.get("id")
+    backend_id = message.get("from")
+    state = message.get("state")
+    if not isinstance(request_id, str) or not isinstance(backend_id, str) or not isinstance(state, str):
         return False
     if state == "started":
-        hearer.execution_started(ident, uid)
+        handler.execution_started(request_id, backend_id)
     elif state == "running":
-        share = told.get("share")
-        if isinstance(share, bool) or not isinstance(share, int | float):
+        progress = message.get("share")
+        if isinstance(progress, bool) or not isinstance(progress, int | float):
             return False
-        hearer.execution_progressed(ident, uid, min(max(float(share), 0.0), 1.0))
+        handler.execution_progressed(request_id, backend_id, min(max(float(progress), 0.0), 1.0))
     elif state in _OUTCOMES:
-        result = told.get("result", "")
-        if not isinstance(result, str):
-            result = orjson.dumps(result).decode()
-        hearer.execution_ended(
-            ident, uid, _OUTCOMES[state], result.encode(), report_from_fields(told.get("load"), names)
-        )
+        report = report_from_fields(message.get("load"), report_fields)
+        handler.execution_ended(request_id, backend_id, _OUTCOMES[state], _result(message), report)
     else:
         return False
     return True
+
+
+def _decode(body: bytes) -> dict[str, Any] | None:
+    try:
+        message = orjson.loads(body)
+    except orjson.JSONDecodeError:
+        return None
+    return message if isinstance(message, dict) else None
+
+
+def _result(message: dict[str, Any]) -> bytes:
+    """The result as text, or as JSON where the backend gave it in another type."""
+    result = message.get("result", "")
+    return result.encode() if isinstance(result, str) else orjson.dumps(result)
--- a/crankfold/protocol/client_connection.py
+++ b/crankfold/protocol/client_connection.py
@@ -1,6 +1,5 @@
-"""The side to which clients hand their units; runners' call-backs and health checks come in by it too."""
+"""HTTP towards those that connect, without I/O: clients' requests, backends' callbacks and health checks."""
 
-import zlib
 from collections.abc import Sequence
 from http import HTTPStatus
 from typing import Protocol
@@ -8,55 +7,67 @@
 import h11
 
 from crankfold.protocol.callbacks import CallbackHandler, handle_callback, request_id_of
-from crankfold.protocol.client_request import ClientRequest, HttpRequest
-from crankfold.protocol.headers import (
-    MAX_BODY_SIZE,
-    MAX_HEADER_SIZE,
-    Headers,
-    forwarded_headers,
-    parse_number,
-)
-
-MAX_TIMEOUT = 3600.0
-MAX_WORK = 1e12
-MAX_ID_LENGTH = 256
-_SINGLE_HEADERS = (b"x-request-id", b"idempotency-key", b"x-timeout", b"x-priority-class")
+from crankfold.protocol.client_request import ClientRequest, parse_request
+from crankfold.protocol.headers import MAX_BODY_SIZE, MAX_HEADER_SIZE, Header
 
 
 class ClientRequestHandler(CallbackHandler, Protocol):
-    """Where requests go once they are read."""
+    """Where requests and callbacks go once they are read. `client` is what `respond` is called on later."""
 
-    def is_serving(self) -> bool: ...
-    def has_request(self, ident: str) -> bool: ...
-    def forward_unknown_callback(self, client: object, body: bytes) -> bool: ...
-    def knows_request_class(self, name: str) -> bool: ...
-    def submit(self, client: object, submitted: ClientRequest) -> None: ...
+    def is_serving(self) -> bool:
+        """Whether health checks are to succeed."""
 
+    def has_request(self, request_id: str) -> bool:
+        """Whether that request is in hand here."""
+
+    def forward_unknown_callback(self, client: object, body: bytes) -> bool:
+        """Passes on a callback for a request not in hand; whether its response waits for an answer."""
+
+    def knows_request_class(self, name: str) -> bool:
+        """Whether there is a request class of that name."""
+
+    def submit(self, client: object, request: ClientRequest) -> None:
+        """Takes a request in; it is answered on `client`, at once or later."""
 
-class ClientConnection:
-    """One connection that others opened. What is to be written gathers in `out`."""
 
-    def __init__(self, desk: ClientRequestHandler, client: object, report_fields: Sequence[str]) -> None:
+class ClientConnection:
+    """The state of one connection that others opened.
+
+    Attributes:
+        outgoing: what is to be written, in order.
+        awaiting_response: a request has been read and waits for its response.
+        closing: nothing more will be read; the connection ends once `outgoing` is written.
+        rejected_status: of the last request that was not understood, 0 for none.
+        close_after_response: responses say that the connection closes.
+        discarding_input: nothing more is fed in; the connection closes after the last whole request.
+        identified: has sent a request, or is a backend that sends callbacks.
+        is_backend: has sent a callback.
+        buffered_bytes: received behind the last request that was read.
+    """
+
+    def __init__(self, handler: ClientRequestHandler, client: object, report_fields: Sequence[str]) -> None:
         self.http = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEADER_SIZE)
-        self.handler, self.client, self.report_fields = desk, client, report_fields
+        self.handler = handler
+        self.client = client
+        self.report_fields = report_fields
         self.outgoing: list[bytes] = []
-        self.head: h11.Request | None = None
+        self.request_head: h11.Request | None = None
         self.body = bytearray()
-        self.awaiting_response = False  # a request has been read and waits for its answer
-        self.closing = False  # nothing more will be read; the connection ends once `out` is written
-        self.rejected_status: int = 0  # the status of the last request that was not understood
-        self.close_after_response = False  # answers say that the connection closes
-        self.discarding_input = (
-            False  # what comes is no longer fed; the connection closes after the last whole request
-        )
-        self.identified = self.is_backend = False  # has handed in a unit, or is a runner that calls back
+        self.awaiting_response = False
+        self.closing = False
+        self.rejected_status: int = 0
+        self.close_after_response = False
+        self.discarding_input = False
+        self.identified = False
+        self.is_backend = False
         self.buffered_bytes = 0
 
     def is_mid_request(self) -> bool:
-        """A request has begun to come in."""
-        return not self.awaiting_response and (self.head is not None or self.buffered_bytes > 0)
+        """Whether a request has begun to come in."""
+        return not self.awaiting_response and (self.request_head is not None or self.buffered_bytes > 0)
 
     def receive_data(self, data: bytes) -> None:
+        """Takes in bytes that were read, and processes what they complete."""
         if self.closing:
             return
         self.http.receive_data(data)
@@ -69,10 +80,7 @@
             while not self.awaiting_response and not self.closing:
                 event = self.http.next_event()
                 if event is h11.NEED_DATA:
-                    if self.discarding_input:
-                        self.closing = True
-                    elif self.http.they_are_waiting_for_100_continue:
-                        self._send_event(h11.InformationalResponse(status_code=100, headers=[]))
+                    self._wait_for_data()
                     return
                 if event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
                     return
@@ -81,130 +89,119 @@
                 elif isinstance(event, h11.Data):
                     self.body += event.data
                     if len(self.body) > MAX_BODY_SIZE:
-                        self._fail(413)
+                        self._fail(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
                 elif isinstance(event, h11.EndOfMessage):
                     self.awaiting_response = True
                     self.buffered_bytes = len(self.http.trailing_data[0])
                     self._route()
-        except h11.RemoteProtocolError as broken:
-            self._fail(broken.error_status_hint)
+        except h11.RemoteProtocolError as error:
+            self._fail(error.error_status_hint)
+
+    def respond(self, status: int, headers: Sequence[Header] = (), body: bytes = b"") -> None:
+        """Answers the request in hand; the next one may be read after that."""
+        response_headers: list[Header] = []
+        if status != HTTPStatus.NO_CONTENT:
+            response_headers.append((b"Content-Length", str(len(body)).encode()))
+        response_headers += headers
+        if self.close_after_response:
+            response_headers.append((b"Connection", b"close"))
+        reason = HTTPStatus(status).phrase.encode()
+        self._send_event(h11.Response(status_code=status, headers=response_headers, reason=reason))
+        if body:
+            self._send_event(h11.Data(data=body))
+        self._send_event(h11.EndOfMessage())
+        self.awaiting_response = False
+        self.request_head = None
+        if self.http.our_state is h11.MUST_CLOSE or self.http.our_state is h11.CLOSED:
+            self.closing = True
+        elif self.http.states == {h11.CLIENT: h11.DONE, h11.SERVER: h11.DONE}:
+            self.http.start_next_cycle()
+
+    # --- reading ---
+
+    def _wait_for_data(self) -> None:
+        if self.discarding_input:
+            self.closing = True
+        elif self.http.they_are_waiting_for_100_continue:
+            self._send_event(h11.InformationalResponse(status_code=100, headers=[]))
 
     def _start_request(self, head: h11.Request) -> None:
-        self.head = head
+        self.request_head = head
         self.body.clear()
         lengths = [value for name, value in head.headers if name == b"content-length"]
         if lengths and any(name == b"transfer-encoding" for name, _ in head.headers):
-            self._fail(400)  # two lengths: whoever stands in front may have read another request
+            # Two lengths: whoever stands in front may have read another request.
+            self._fail(HTTPStatus.BAD_REQUEST)
         elif lengths and int(lengths[0]) > MAX_BODY_SIZE:
-            self._fail(413)
+            self._fail(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
 
     def _fail(self, status: int) -> None:
-        """Not understood: answered if that still can be, and the connection ends."""
-        self.closing = self.close_after_response = True
+        """What came is not understood: it is answered if that still can be, and the connection ends."""
+        self.closing = True
+        self.close_after_response = True
         self.rejected_status = status
         if self.http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             self.respond(status)
 
+    # --- routing by path ---
+
     def _route(self) -> None:
-        assert self.head is not None
-        method, target = self.head.method, self.head.target
-        path = target.partition(b"?")[0]
+        assert self.request_head is not None
+        path = self.request_head.target.partition(b"?")[0]
         if path == b"/api" or path.startswith(b"/api/"):
-            if method != b"POST":
-                self._reject(405, allow=b"POST")
-            else:
-                self._submit(method, target, self.head.headers)
+            self._route_request(self.request_head)
         elif path == b"/v1/job-events":
-            if method != b"POST":
-                self._reject(405, allow=b"POST")
-                return
-            body = bytes(self.body)
-            ident = request_id_of(body)
-            if (
-                ident
-                and not self.handler.has_request(ident)
-                and self.handler.forward_unknown_callback(self.client, body)
-            ):
-                self.identified = self.is_backend = True  # answered once the other process has heard it
-            elif handle_callback(body, self.handler, self.report_fields):
-                self.identified = self.is_backend = True
-                self.respond(204)
-            else:
-                self._reject(400)
+            self._route_callback(self.request_head)
         elif path == b"/healthz":
-            if method not in (b"GET", b"HEAD"):
-                self._reject(405, allow=b"GET, HEAD")
-            else:
-                self.respond(200 if self.handler.is_serving() else 503)
+            self._route_health_check(self.request_head)
         else:
-            self._reject(404)
-
-    def _reject(self, status: int, allow: bytes = b"") -> None:
-        # The connection ends with it: hundreds like it may stand behind, and who stays takes up a place.
-        self.rejected_status, self.close_after_response = status, True
-        self.respond(status, [(b"Allow", allow)] if allow else [])
-
-    def _submit(self, method: bytes, target: bytes, heads: Headers) -> None:
-        heads = list(heads)
-        first: dict[bytes, bytes] = {}
-        for name, value in heads:
-            if name in _SINGLE_HEADERS and name in first:
-                self._reject(400)  # which of two ids a runner would go by is anybody's guess
-                return
-            first.setdefault(name, value)
+            self._reject(HTTPStatus.NOT_FOUND)
+
+    def _route_request(self, head: h11.Request) -> None:
+        if head.method != b"POST":
+            self._reject(HTTPStatus.METHOD_NOT_ALLOWED, allowed_methods=b"POST")
+            return
         try:
-            ident, grade = first[b"x-request-id"].decode(), first[b"x-priority-class"].decode()
-            wait = int(parse_number(first[b"x-timeout"], MAX_TIMEOUT) * 10_000)
-            work = -(-int(parse_number(first.get(b"x-cost", b"0"), MAX_WORK)) // 100)
-            slots = 1.0
-            for pair in first.get(b"x-attrs", b"").split(b","):
-                name, _, value = pair.partition(b"=")
-                if value:
-                    figure = parse_number(value, 1e9)
-                    if name.strip() == b"slots":
-                        slots = figure
-                elif name.strip():
-                    raise ValueError("an attribute without a value")
-        except (KeyError, ValueError):
-            self._reject(400)
+            request = parse_request(head.method, head.target, head.headers, bytes(self.body))
+        except ValueError:
+            self._reject(HTTPStatus.BAD_REQUEST)
             return
-        if not 0 < len(ident) <= MAX_ID_LENGTH or not self.handler.knows_request_class(grade):
-            self._reject(400)
+        if not self.handler.knows_request_class(request.request_class):
+            self._reject(HTTPStatus.BAD_REQUEST)
             return
         self.identified = True
-        about = first.get(b"x-route-key", b"")
-        key = 1 << 32 | zlib.crc32(about) if about else 0  # the same at every dispatcher, whatever the form
-        self.handler.submit(
-            self.client,
-            ClientRequest(
-                request_id=ident,
-                request_class=grade,
-                tenant=first.get(b"x-tenant-id", b"").decode("latin-1"),
-                timeout=wait,
-                work=work,
-                slots=slots,
-                http=HttpRequest(method, target, forwarded_headers(heads), bytes(self.body)),
-                affinity_key=key,
-                is_retry=first.get(b"x-retried") == b"1",
-            ),
-        )
-
-    def respond(self, status: int, headers: Sequence[tuple[bytes, bytes]] = (), body: bytes = b"") -> None:
-        told = [(b"Content-Length", str(len(body)).encode())] if status != 204 else []
-        told += headers
-        if self.close_after_response:
-            told.append((b"Connection", b"close"))
-        self._send_event(
-            h11.Response(status_code=status, headers=told, reason=HTTPStatus(status).phrase.encode())
-        )
-        if body:
-            self._send_event(h11.Data(data=body))
-        self._send_event(h11.EndOfMessage())
-        self.awaiting_response, self.head = False, None
-        if self.http.our_state is h11.MUST_CLOSE or self.http.our_state is h11.CLOSED:
-            self.closing = True
-        elif self.http.states == {h11.CLIENT: h11.DONE, h11.SERVER: h11.DONE}:
-            self.http.start_next_cycle()
+        self.handler.submit(self.client, request)
+
+    def _route_callback(self, head: h11.Request) -> None:
+        if head.method != b"POST":
+            self._reject(HTTPStatus.METHOD_NOT_ALLOWED, allowed_methods=b"POST")
+            return
+        body = bytes(self.body)
+        request_id = request_id_of(body)
+        known = not request_id or self.handler.has_request(request_id)
+        if not known and self.handler.forward_unknown_callback(self.client, body):
+            self.identified = True
+            self.is_backend = True  # answered once the other process has answered
+        elif handle_callback(body, self.handler, self.report_fields):
+            self.identified = True
+            self.is_backend = True
+            self.respond(HTTPStatus.NO_CONTENT)
+        else:
+            self._reject(HTTPStatus.BAD_REQUEST)
+
+    def _route_health_check(self, head: h11.Request) -> None:
+        if head.method not in (b"GET", b"HEAD"):
+            self._reject(HTTPStatus.METHOD_NOT_ALLOWED, allowed_methods=b"GET, HEAD")
+        else:
+            self.respond(HTTPStatus.OK if self.handler.is_serving() else HTTPStatus.SERVICE_UNAVAILABLE)
+
+    def _reject(self, status: int, allowed_methods: bytes = b"") -> None:
+        # The connection ends with it: hundreds like it may stand behind, and one that stays takes up room.
+        self.rejected_status = status
+        self.close_after_response = True
+        self.respond(status, [(b"Allow", allowed_methods)] if allowed_methods else [])
+
+    # --- writing ---
 
     def _send_event(self, event: h11.Event) -> None:
         self.outgoing += self.http.send_with_data_passthrough(event) or []
--- a/crankfold/protocol/client_request.py
+++ b/crankfold/protocol/client_request.py
@@ -1,7 +1,18 @@
 """What a client asks for: the HTTP request as it is forwarded, and what its headers say about it."""
 
+import zlib
 from dataclasses import dataclass
 
+from crankfold.protocol.headers import Header, Headers, first_values, forwarded_headers, parse_number
+
+MAX_TIMEOUT = 3600.0  # seconds
+MAX_WORK = 1e12  # microseconds
+MAX_ATTRIBUTE = 1e9
+MAX_ID_LENGTH = 256  # characters
+TICKS_PER_SECOND = 10_000  # times are whole tenths of a millisecond
+MICROSECONDS_PER_TICK = 100
+_SINGLE_HEADERS = frozenset((b"x-request-id", b"idempotency-key", b"x-timeout", b"x-priority-class"))
+
 
 @dataclass(slots=True)
 class HttpRequest:
@@ -9,7 +20,7 @@
 
     method: bytes
     target: bytes
-    headers: list[tuple[bytes, bytes]]
+    headers: list[Header]
     body: bytes
 
 
@@ -38,3 +49,54 @@
     http: HttpRequest
     affinity_key: int
     is_retry: bool
+
+
+def parse_request(method: bytes, target: bytes, headers: Headers, body: bytes) -> ClientRequest:
+    """Reads a request from its start line, headers and body.
+
+    Raises:
+        ValueError: a header is missing, comes twice, or can't be read.
+    """
+    headers = list(headers)
+    # Which of two ids a backend would go by is anybody's guess: such a request is not read.
+    values = first_values(headers, _SINGLE_HEADERS)
+    try:
+        request_id = values[b"x-request-id"].decode()
+        request_class = values[b"x-priority-class"].decode()
+        timeout = int(parse_number(values[b"x-timeout"], MAX_TIMEOUT) * TICKS_PER_SECOND)
+    except KeyError as missing:
+        raise ValueError(f"no header {missing}") from None
+    work = -(-int(parse_number(values.get(b"x-cost", b"0"), MAX_WORK)) // MICROSECONDS_PER_TICK)
+    slots = _parse_slots(values.get(b"x-attrs", b""))
+    if not 0 < len(request_id) <= MAX_ID_LENGTH:
+        raise ValueError("id too long or empty")
+    route_key = values.get(b"x-route-key", b"")
+    return ClientRequest(
+        request_id=request_id,
+        request_class=request_class,
+        tenant=values.get(b"x-tenant-id", b"").decode("latin-1"),
+        timeout=timeout,
+        work=work,
+        slots=slots,
+        http=HttpRequest(method, target, forwarded_headers(headers), body),
+        affinity_key=1 << 32 | zlib.crc32(route_key) if route_key else 0,
+        is_retry=values.get(b"x-retried") == b"1",
+    )
+
+
+def _parse_slots(attributes: bytes) -> float:
+    """The slots among attributes in the form `slots=2,memory=0.5`; 1 where they are not named.
+
+    Raises:
+        ValueError: an attribute is no number or has no value.
+    """
+    slots = 1.0
+    for pair in attributes.split(b","):
+        name, _, value = pair.partition(b"=")
+        if value:
+            number = parse_number(value, MAX_ATTRIBUTE)
+            if name.strip() == b"slots":
+                slots = number
+        elif name.strip():
+            raise ValueError("an attribute without a value")
+    return slots
--- a/crankfold/protocol/load_reports.py
+++ b/crankfold/protocol/load_reports.py
@@ -1,10 +1,14 @@
-"""Load reports: figures in the order of the names that the settings give. A bad report is no report."""
+"""Decodes a backend's load reports: values in the order of the fields that the settings name.
+
+A report that lacks a field, or holds anything but finite numbers there, counts as no report: an empty tuple.
+"""
 
 import math
 from collections.abc import Sequence
 
 
 def report_from_fields(given: object, names: Sequence[str]) -> tuple[float, ...]:
+    """The report in a decoded JSON object, one value for each of `names`."""
     if not names or not isinstance(given, dict):
         return ()
     values = []
@@ -17,15 +21,15 @@
 
 
 def report_from_header(header: bytes, names: Sequence[str]) -> tuple[float, ...]:
-    """The header's form: `TEXT queue=2, x0=1`."""
-    form, _, rest = header.decode("latin-1").strip().partition(" ")
+    """The report in a header's value, whose form is `TEXT queue=2, x0=1`."""
+    form, _, pairs = header.decode("latin-1").strip().partition(" ")
     if form != "TEXT":
         return ()
-    given: dict[str, float] = {}
-    for pair in rest.split(","):
+    fields: dict[str, float] = {}
+    for pair in pairs.split(","):
         name, _, value = pair.partition("=")
         try:
-            given[name.strip()] = float(value)
+            fields[name.strip()] = float(value)
         except ValueError:
             return ()
-    return report_from_fields(given, names)
+    return report_from_fields(fields, names)
--- a/crankfold/service/backend_registry.py
+++ b/crankfold/service/backend_registry.py
@@ -1,16 +1,21 @@
 """The runners as the list names them, each with its number, its standing and its connections."""
 
 import zlib
-from collections.abc import Callable, Collection, Sequence
+from collections.abc import Collection, Sequence
 from dataclasses import replace
 from functools import partial
 from typing import Any
 
 from crankfold.config.interning import Interner
 from crankfold.config.parser import ServiceConfig, setting_text
-from crankfold.network.connection_pool import BROKEN, ConnectionLimiter, ConnectionPool, Exchange
+from crankfold.network.connection_pool import (
+    ConnectionLimiter,
+    ConnectionPool,
+    Exchange,
+    ExchangeCallback,
+    ExchangeResult,
+)
 from crankfold.network.timers import Timers
-from crankfold.protocol.backend_connection import BackendConnection
 from crankfold.protocol.discovery import state_name
 from crankfold.routing.interface import Endpoint, EndpointState
 from crankfold.service.manual_drains import ManualDrains
@@ -158,21 +163,29 @@
         runner: int,
         method: bytes,
         target: bytes,
-        ended: Callable[[str, BackendConnection | None], None],
+        on_end: ExchangeCallback,
     ) -> None:
         """An exchange that carries no unit. A machine that vanished says nothing: it has a time limit too."""
         pool = self.pools[runner]
         host = f"{pool.host}:{pool.port}".encode()
-        exchange = Exchange(method, target, lambda: [(b"Host", host)], b"", lambda: True, ended, False)
+        exchange = Exchange(
+            method,
+            target,
+            lambda: [(b"Host", host)],
+            b"",
+            may_send=lambda: True,
+            on_end=on_end,
+            needs_settled=False,
+        )
         pool.send(exchange)
-        self.timers.call_after(CONTROL_EXCHANGE_TIMEOUT, partial(self._on_exchange_timeout, pool, exchange))
+        self.timers.call_after(CONTROL_EXCHANGE_TIMEOUT, partial(self._on_exchange_timeout, exchange))
 
-    def _on_exchange_timeout(self, pool: ConnectionPool, exchange: Exchange) -> None:
-        pool.finish(exchange, BROKEN, None)
-        pool.abort(exchange)
+    def _on_exchange_timeout(self, exchange: Exchange) -> None:
+        exchange.finish(ExchangeResult.BROKEN, None)
+        exchange.abort()
 
-    def abandon_exchange(self, runner: int, exchange: Exchange) -> None:
+    def abandon_exchange(self, exchange: Exchange) -> None:
         """The dispatch ended by call-back before its 202, which gets a while to come."""
         if not exchange.finished:
             exchange.finished = True
-            self.timers.call_after(CONTROL_EXCHANGE_TIMEOUT, partial(self.pools[runner].abort, exchange))
+            self.timers.call_after(CONTROL_EXCHANGE_TIMEOUT, exchange.abort)
--- a/crankfold/service/request_handler.py
+++ b/crankfold/service/request_handler.py
@@ -7,13 +7,12 @@
 from urllib.parse import quote
 
 from crankfold.config.parser import ServiceConfig, setting_text
-from crankfold.network.connection_pool import ANSWERED, NOT_SENT, STALE_CONNECTION, UNREACHABLE, Exchange
-from crankfold.network.listener import AcceptedConnection
+from crankfold.network.accepted_connection import AcceptedConnection
+from crankfold.network.connection_pool import Exchange, ExchangeResult
 from crankfold.network.metrics import Metrics
 from crankfold.network.timers import Timers
 from crankfold.protocol.backend_connection import (
-    ACCEPTED,
-    REJECTED,
+    Acceptance,
     BackendConnection,
     attempt_headers,
     classify_response,
@@ -202,7 +201,7 @@
         work.attempts.append(trip)
         self.metrics.increment("dispatches")
         if there or not self._may_send(work, trip):
-            self.call_soon(self._on_exchange_ended, work, trip, NOT_SENT, None)
+            self.call_soon(self._on_exchange_ended, work, trip, ExchangeResult.NOT_SENT, None)
             return
         http = work.http_request
         trip.exchange = Exchange(
@@ -210,8 +209,8 @@
             http.target,
             lambda: attempt_headers(http.headers, work.deadline - self.clock.now()),
             http.body,
-            partial(self._may_send, work, trip),
-            partial(self._on_exchange_ended, work, trip),
+            may_send=partial(self._may_send, work, trip),
+            on_end=partial(self._on_exchange_ended, work, trip),
         )
         self.backends.pools[runner].send(trip.exchange)
         if limit > 0:
@@ -280,8 +279,8 @@
 
     # --- from runners ---
 
-    def _on_probe_answer(self, runner: int, how: str, side: BackendConnection | None) -> None:
-        well = how == ANSWERED and side is not None and side.status == 200
+    def _on_probe_answer(self, runner: int, how: ExchangeResult, side: BackendConnection | None) -> None:
+        well = how is ExchangeResult.ANSWERED and side is not None and side.status == 200
         report: Sequence[float] = ()
         if well and side is not None:
             report = report_from_header(bytes(side.body), self.config.report_fields)
@@ -294,22 +293,22 @@
             self.load_reports[runner] = self.clock.now(), report
 
     def _on_exchange_ended(
-        self, work: Request, trip: Attempt, how: str, side: BackendConnection | None
+        self, work: Request, trip: Attempt, how: ExchangeResult, side: BackendConnection | None
     ) -> None:
         """The exchange of a dispatch is over: the runner took the unit, or the dispatch has ended."""
-        if how == NOT_SENT:
+        if how is ExchangeResult.NOT_SENT:
             self._end_attempt(work, trip, Outcome.NOT_SENT)
-        elif how == UNREACHABLE:
+        elif how is ExchangeResult.UNREACHABLE:
             self._end_attempt(work, trip, Outcome.UNREACHABLE)
-        elif how == STALE_CONNECTION:
+        elif how is ExchangeResult.STALE_CONNECTION:
             self._end_attempt(work, trip, Outcome.STALE_CONNECTION)
-        elif how != ANSWERED or side is None:
+        elif how is not ExchangeResult.ANSWERED or side is None:
             self._end_attempt(work, trip, Outcome.RESET)
         else:
             outcome = classify_response(side.status, side.not_processed)
-            if outcome == ACCEPTED:
+            if outcome is Acceptance.ACCEPTED:
                 trip.accepted = True
-            elif outcome == REJECTED:
+            elif outcome is Acceptance.REJECTED:
                 # The client's answer, as a result would be. Tried on, one such unit had five runners doubted.
                 if work.is_open:
                     self._answer(work.number, "unfit", 400)
@@ -318,7 +317,7 @@
                 self._end_attempt(
                     work,
                     trip,
-                    Outcome(outcome),
+                    outcome,
                     report_from_header(side.load_header, self.config.report_fields),
                 )
 
@@ -335,7 +334,7 @@
         if self.attempt_abandoned and trip.may_still_run:
             self.attempt_abandoned(self.backends.backend_ids.names[trip.backend], work.request_id)
         if not trip.accepted:
-            self.backends.pools[trip.backend].abort(trip.exchange)
+            trip.exchange.abort()
         elif self.cancels_attempts:
             target = b"/jobs/" + quote(work.request_id, safe="").encode()
             self.backends.send_control_request(trip.backend, b"DELETE", target, lambda how, side: None)
@@ -347,7 +346,7 @@
             return
         trip.in_flight, trip.may_have_run = False, outcome not in NEVER_EXECUTED
         if trip.exchange:
-            self.backends.abandon_exchange(trip.backend, trip.exchange)
+            self.backends.abandon_exchange(trip.exchange)
         self._store_load_report(trip.backend, report)
         self.metrics.increment("ended-" + outcome.name.lower().replace("_", "-"))
         if self.attempt_finished:
--- a/crankfold/service/request_table.py
+++ b/crankfold/service/request_table.py
@@ -3,8 +3,8 @@
 import asyncio
 from collections.abc import Callable, Sequence
 
+from crankfold.network.accepted_connection import AcceptedConnection
 from crankfold.network.connection_pool import Exchange
-from crankfold.network.listener import AcceptedConnection
 from crankfold.protocol.client_request import HttpRequest
 from crankfold.service.request_classes import RequestClassTable
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -11,9 +11,16 @@
 import orjson
 
 from crankfold.config.parser import read_service_config
-from crankfold.network.connection_pool import SETTLE_TIME, ConnectionLimiter, ConnectionPool, Exchange
+from crankfold.network.accepted_connection import MAX_UNREAD_BYTES, NEW_CONNECTION_GRACE
+from crankfold.network.connection_pool import (
+    SETTLE_TIME,
+    ConnectionLimiter,
+    ConnectionPool,
+    Exchange,
+    ExchangeResult,
+)
 from crankfold.network.discovery_watcher import CONNECT_TIMEOUT
-from crankfold.network.listener import MAX_UNREAD_BYTES, NEW_CONNECTION_GRACE, Listener
+from crankfold.network.listener import Listener
 from crankfold.network.metrics import Metrics
 from crankfold.protocol.backend_connection import BackendConnection
 from crankfold.routing.interface import Idempotency
@@ -49,10 +56,18 @@
         self.addCleanup(self.pool.close)
 
     def send(self, body: bytes = b"x", settled: bool = True) -> Exchange:
-        def ended(how: str, side: BackendConnection | None) -> None:
-            self.ends.append(f"{how} {side.status if side else ''}")
-
-        exchange = Exchange(b"POST", b"/api", lambda: [(b"Host", b"b")], body, lambda: True, ended, settled)
+        def ended(how: ExchangeResult, side: BackendConnection | None) -> None:
+            self.ends.append(f"{how.value} {side.status if side else ''}")
+
+        exchange = Exchange(
+            b"POST",
+            b"/api",
+            lambda: [(b"Host", b"b")],
+            body,
+            may_send=lambda: True,
+            on_end=ended,
+            needs_settled=settled,
+        )
         self.pool.send(exchange)
         return exchange
 
@@ -148,7 +163,7 @@
         await self.until(lambda: exchange.connection is not None)
         assert exchange.connection
         self.assertFalse(exchange.connection.request_written)
-        self.pool.abort(exchange)
+        exchange.abort()
         called_off.set()
         async with asyncio.timeout(9):
             self.assertLess(await came, 30_000_000)
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -16,7 +16,14 @@
 
 import orjson
 
-from crankfold.network.connection_pool import SETTLE_TIME, ConnectionLimiter, ConnectionPool, Exchange
+from crankfold.network.accepted_connection import MAX_UNREAD_BYTES, NEW_CONNECTION_GRACE
+from crankfold.network.connection_pool import (
+    SETTLE_TIME,
+    ConnectionLimiter,
+    ConnectionPool,
+    Exchange,
+    ExchangeResult,
+)
 from crankfold.network.discovery_watcher import (
     CONNECT_TIMEOUT,
     LONG_POLL_MS,
@@ -26,7 +33,7 @@
     RETRY_INTERVAL,
     DiscoveryWatcher,
 )
-from crankfold.network.listener import MAX_UNREAD_BYTES, NEW_CONNECTION_GRACE, UNCOUNTED_SOCKETS, Listener
+from crankfold.network.listener import UNCOUNTED_SOCKETS, Listener
 from crankfold.network.metrics import Metrics
 from crankfold.network.timers import Clock, Timers
 from crankfold.protocol.backend_connection import BackendConnection
@@ -200,10 +207,12 @@
     async def carry(self, pool: ConnectionPool, what: str, body: bytes = b"x", may_go: bool = True) -> None:
         ends: list[str] = []
 
-        def ended(how: str, side: BackendConnection | None) -> None:
-            ends.append(f"{what}: {how} {side.status if side else ''}".strip())
+        def ended(how: ExchangeResult, side: BackendConnection | None) -> None:
+            ends.append(f"{what}: {how.value} {side.status if side else ''}".strip())
 
-        exchange = Exchange(b"POST", b"/api", lambda: [(b"Host", b"b")], body, lambda: may_go, ended)
+        exchange = Exchange(
+            b"POST", b"/api", lambda: [(b"Host", b"b")], body, may_send=lambda: may_go, on_end=ended
+        )
         pool.send(exchange)
         self.assertEqual(ends, [])  # never from within the call
         await self.until(lambda: bool(ends))
@@ -270,7 +279,7 @@
             writer.transport.abort()
 
         await self.carry(self.pool(await self.stand_in(read_little)), "broken", body=b"x" * 20_000_000)
-        self.assertEqual(self.lines, ["broken: unreached 0"])
+        self.assertEqual(self.lines, ["broken: unreachable 0"])
 
     async def test_called_off_before_the_answer_closes_the_connection(self) -> None:
         closed = asyncio.Event()
@@ -281,10 +290,12 @@
             closed.set()
 
         pool = self.pool(await self.stand_in(silent))
-        exchange = Exchange(b"POST", b"/api", lambda: [(b"Host", b"b")], b"", lambda: True, lambda *_: None)
+        exchange = Exchange(
+            b"POST", b"/api", lambda: [(b"Host", b"b")], b"", may_send=lambda: True, on_end=lambda *_: None
+        )
         pool.send(exchange)
         await self.until(lambda: exchange.connection is not None)
-        pool.abort(exchange)
+        exchange.abort()
         async with asyncio.timeout(5):
             await closed.wait()
         await self.until(lambda: pool.limiter.open_count == 0)
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -5,8 +5,6 @@
 from crankfold.config.parser import flatten_settings, parse_lines, read_routing_config, read_service_config
 from crankfold.protocol import callbacks, load_reports
 from crankfold.protocol.backend_connection import (
-    ACCEPTED,
-    REJECTED,
     BackendConnection,
     attempt_headers,
     classify_response,
@@ -206,7 +204,7 @@
                 data = b"HTTP/1.1 " + answer
                 over = any(side.receive_data(data[at : at + step]) for at in range(0, len(data), step))
                 ended = classify_response(side.status, side.not_processed)
-                outcome = {ACCEPTED: "taken", REJECTED: "unfit"}.get(ended) or Outcome(ended).name.lower()
+                outcome = ended.name.lower()
                 told = (
                     f"{answer[:60]!r}: {outcome}, over {over}"
                     f", again {side.reusable}, "
