--- a/crankfold/routing/backend_table.py
+++ b/crankfold/routing/backend_table.py
@@ -71,7 +71,7 @@
         Args:
             now: The present time, ticks.
             seen: Slots of work that the report shows, own work included.
-            share: From 0 (no move) to 1 (the report single counts).
+            share: From 0 (no move) to 1 (the report alone counts).
         """
         # What was sent or came back too lately for this report to count is still own work since the report.
         self._forget_changes(now)
--- a/crankfold/routing/interface.py
+++ b/crankfold/routing/interface.py
@@ -132,11 +132,20 @@
     is_retry: bool = False  # the client marks it as one
 
 
+@dataclass(slots=True)
+class AttemptEnd:
+    """How an attempt has ended, and what came with it."""
+
+    outcome: Outcome
+    request_over: bool  # the request has its answer, or none is owed any more
+    report: Sequence[float] = ()  # a load report, in the order of the configured fields
+
+
 class RoutingActions(Protocol):
     """What the decisions have done."""
 
-    def send_attempt(self, request_id: int, backend: int, timeout: int) -> None:
-        """Sends a request to a backend; `timeout` in ticks, 0 for the deadline single."""
+    def send_attempt(self, request_id: int, backend: int) -> None:
+        """Sends a request to a backend."""
 
     def shed(self, request_id: int, retry_after: int) -> None:
         """Answers that a retry is harmless, after `retry_after` ticks; 0 for no such advice."""
@@ -166,39 +175,19 @@
     def discovery_failed(self, now: int) -> None:
         """The endpoint list that was asked for did not come."""
 
-    def request_received(
-        self,
-        now: int,
-        request_id: int,
-        class_index: int,
-        tenant: int,
-        deadline: int,
-        work: int,
-        slots: float,
-        key: int = 0,
-        is_retry: bool = False,
-    ) -> None:
+    def request_received(self, now: int, arrival: RequestArrival) -> None:
         """A request has come in."""
 
     def attempt_started(self, now: int, request_id: int, attempt_number: int, backend: int) -> None:
         """A backend has begun with an attempt."""
 
-    def attempt_progressed(
-        self, now: int, request_id: int, attempt_number: int, backend: int, share: float
-    ) -> None:
+    def attempt_progressed(self, now: int, request_id: int, attempt_number: int, backend: int) -> None:
         """A backend gets on with an attempt."""
 
     def attempt_ended(
-        self,
-        now: int,
-        request_id: int,
-        attempt_number: int,
-        backend: int,
-        outcome: Outcome,
-        last: bool,
-        report: Sequence[float],
+        self, now: int, request_id: int, attempt_number: int, backend: int, end: AttemptEnd
     ) -> None:
-        """An attempt is over; `last` if the request has its answer or none is owed any more."""
+        """An attempt is over."""
 
     def probe_ended(self, now: int, backend: int, healthy: bool, report: Sequence[float]) -> None:
         """A probe was answered, with a load report if there is one, or has failed."""
--- a/crankfold/routing/router.py
+++ b/crankfold/routing/router.py
@@ -15,6 +15,7 @@
     NEVER_EXECUTED,
     POLL_TIMER,
     REFRESH_TIMER,
+    AttemptEnd,
     Endpoint,
     Outcome,
     RequestArrival,
@@ -73,22 +74,10 @@
         """The endpoints that were asked for did not come."""
         self.polling.failed()
 
-    def request_received(
-        self,
-        now: int,
-        request_id: int,
-        class_index: int,
-        tenant: int,
-        deadline: int,
-        work: int,
-        slots: float,
-        key: int = 0,
-        is_retry: bool = False,
-    ) -> None:
-        """Takes a request; see `RoutingEvents`."""
+    def request_received(self, now: int, arrival: RequestArrival) -> None:
+        """Sends, queues or answers a request."""
         self.state.averages.arrivals += 1.0
         self.refresh_if_due(now)
-        arrival = RequestArrival(request_id, class_index, deadline, work, slots, key, is_retry)
         self.admission.admit(now, arrival)
 
     def client_disconnected(self, now: int, request_id: int) -> None:
@@ -129,42 +118,33 @@
         if not request.answered:
             self.state.cancel_attempts(request, unstarted_only=True)
 
-    def attempt_progressed(
-        self, now: int, request_id: int, attempt_number: int, backend: int, share: float
-    ) -> None:
+    def attempt_progressed(self, now: int, request_id: int, attempt_number: int, backend: int) -> None:
         """A backend says that an attempt gets on."""
         self.state.table.backends[backend].last_seen_at = now
         if request := self.state.requests.get(request_id):
             request.attempts[attempt_number].last_seen_at = now
 
     def attempt_ended(
-        self,
-        now: int,
-        request_id: int,
-        attempt_number: int,
-        backend: int,
-        outcome: Outcome,
-        last: bool,
-        report: Sequence[float],
+        self, now: int, request_id: int, attempt_number: int, backend: int, end: AttemptEnd
     ) -> None:
-        """An attempt is over; `last` if the request is over with it."""
+        """Takes the outcome of an attempt, and its report; the request may be tried again."""
         record = self.state.table.backends[backend]
         request = self.state.requests.get(request_id)
         if request and request.attempts[attempt_number].in_flight:
             attempt = request.attempts[attempt_number]
             attempt.in_flight = False
-            attempt.may_have_executed = outcome not in NEVER_EXECUTED
+            attempt.may_have_executed = end.outcome not in NEVER_EXECUTED
             self.limit.in_flight -= not attempt.slow_start
             record.add_slots(now, -request.slots)
             if attempt.started_at < 0 and self.state.start_notifications:
                 record.unstarted -= 1
-            self.ejection.record_outcome(now, record, outcome)
-            if outcome == Outcome.COMPLETED:
+            self.ejection.record_outcome(now, record, end.outcome)
+            if end.outcome == Outcome.COMPLETED:
                 self.state.record_completion(now, request, attempt)
-        if report:
-            self.reports.record(now, record, report)
+        if end.report:
+            self.reports.record(now, record, end.report)
         if request:
-            self.admission.attempt_ended(now, request, last=last)
+            self.admission.attempt_ended(now, request, last=end.request_over)
         self.admission.drain_queue(now)
 
     def probe_ended(self, now: int, backend: int, healthy: bool, report: Sequence[float]) -> None:
--- a/crankfold/routing/selection.py
+++ b/crankfold/routing/selection.py
@@ -137,5 +137,5 @@
             self.slow_start.charge(now, backend, burden)
         else:
             self.limit.in_flight += 1
-        self.state.actions.send_attempt(request.request_id, backend.index, 0)
+        self.state.actions.send_attempt(request.request_id, backend.index)
         self.retries.record_send(now, request, burden)
--- a/crankfold/service/request_handler.py
+++ b/crankfold/service/request_handler.py
@@ -21,10 +21,12 @@
 from crankfold.protocol.load_reports import report_from_header
 from crankfold.routing.interface import (
     NEVER_EXECUTED,
+    AttemptEnd,
     Endpoint,
     EndpointState,
     Idempotency,
     Outcome,
+    RequestArrival,
     RoutingConfig,
 )
 from crankfold.routing.router import Router
@@ -146,17 +148,17 @@
         held = self.request_table.add(row, ident, client, self.clock.now() + wait, submitted.http)
         held.quota_limits = counted
         held.deadline_timer = self.timers.call_after(wait, partial(self._on_deadline, held))
-        payer = max(self.config.tenants.find(setting_text(tenant)), 0)
         self.notify_routing(
             self.routing.request_received,
-            held.number,
-            row,
-            payer,
-            held.deadline,
-            submitted.work,
-            submitted.slots,
-            submitted.affinity_key,
-            submitted.is_retry,
+            RequestArrival(
+                held.number,
+                row,
+                held.deadline,
+                submitted.work,
+                submitted.slots,
+                submitted.affinity_key,
+                submitted.is_retry,
+            ),
             unit=held.number,
         )
 
@@ -192,7 +194,7 @@
 
     # --- the port: what is decided ---
 
-    def send_attempt(self, unit: int, runner: int, limit: int) -> None:
+    def send_attempt(self, unit: int, runner: int) -> None:
         work = self.request_table.requests.get(unit)
         if work is None:
             self.metrics.check_invariant(False, "dispatch-for-a-unit-in-hand")
@@ -220,8 +222,6 @@
             on_end=partial(self._on_exchange_ended, work, trip),
         )
         self.backends.pools[runner].send(trip.exchange)
-        if limit > 0:
-            self.timers.call_after(limit, partial(self._on_attempt_timeout, work, trip))
 
     def _may_send(self, work: Request, trip: Attempt) -> bool:
         """While a connection came up the unit may have ended or the runner have begun to drain."""
@@ -363,9 +363,7 @@
             work.number,
             trip.number,
             trip.backend,
-            outcome,
-            not work.is_open,
-            report,
+            AttemptEnd(outcome, not work.is_open, report),
             unit=work.number,
         )
         self.request_table.discard(work)
@@ -413,7 +411,6 @@
                 work.number,
                 trip.number,
                 trip.backend,
-                share,
                 unit=work.number,
             )
 
--- a/crankfold/simulation/baselines.py
+++ b/crankfold/simulation/baselines.py
@@ -6,10 +6,12 @@
 from typing import TYPE_CHECKING, cast
 
 from crankfold.routing.interface import (
+    NEVER_EXECUTED,
+    AttemptEnd,
     Endpoint,
     EndpointState,
     Idempotency,
-    Outcome,
+    RequestArrival,
     RoutingActions,
     RoutingConfig,
 )
@@ -17,8 +19,6 @@
 if TYPE_CHECKING:
     from crankfold.simulation.fleet import SimulatedDispatcher
 
-NOT_EXECUTED = (Outcome.OVERLOADED, Outcome.UNREACHABLE, Outcome.NOT_SENT)
-
 
 class Baseline:
     """Sends at once to whom `choose` names, again where the unit never ran, and answers in time."""
@@ -39,20 +39,11 @@
         standing |= {entry.backend: entry.state for entry in entries}
         self.ready_backends = sorted(r for r, s in standing.items() if s == EndpointState.READY)
 
-    def request_received(
-        self,
-        now: int,
-        unit: int,
-        grade: int,
-        tenant: int,
-        cutoff: int,
-        work: int,
-        slots: float,
-        key: int = 0,
-        again: bool = False,
-    ) -> None:
-        self.class_of_request[unit], self.backends_tried[unit] = grade, []
-        self.actions.set_timer(cutoff - now - 2 * self.config.timer_resolution, unit)
+    def request_received(self, now: int, arrival: RequestArrival) -> None:
+        unit = arrival.request_id
+        self.class_of_request[unit] = arrival.class_index
+        self.backends_tried[unit] = []
+        self.actions.set_timer(arrival.deadline - now - 2 * self.config.timer_resolution, unit)
         self._start_attempt(unit)
 
     def _start_attempt(self, unit: int) -> None:
@@ -63,7 +54,7 @@
         self.backends_tried[unit].append(runner)
         self.in_flight[runner] += 1
         self.possibly_executed.add(unit)
-        self.actions.send_attempt(unit, runner, 0)
+        self.actions.send_attempt(unit, runner)
 
     def _finish(self, unit: int) -> None:
         grade = self.config.request_classes[self.class_of_request.pop(unit)]
@@ -72,22 +63,13 @@
         else:
             self.actions.fail_request(unit)
 
-    def attempt_ended(
-        self,
-        now: int,
-        unit: int,
-        nth: int,
-        runner: int,
-        outcome: Outcome,
-        last: bool,
-        report: Sequence[float],
-    ) -> None:
+    def attempt_ended(self, now: int, unit: int, nth: int, runner: int, end: AttemptEnd) -> None:
         self.in_flight[runner] -= 1
-        if last:
+        if end.request_over:
             self.class_of_request.pop(unit, None)
         if unit not in self.class_of_request:
             return
-        if outcome in NOT_EXECUTED:
+        if end.outcome in NEVER_EXECUTED:
             self.possibly_executed.discard(unit)
             self._start_attempt(unit)
         else:
@@ -99,7 +81,7 @@
 
     def discovery_failed(self, now: int) -> None: ...
     def attempt_started(self, now: int, unit: int, nth: int, runner: int) -> None: ...
-    def attempt_progressed(self, now: int, unit: int, nth: int, runner: int, share: float) -> None: ...
+    def attempt_progressed(self, now: int, unit: int, nth: int, runner: int) -> None: ...
     def probe_ended(self, now: int, runner: int, well: bool, report: Sequence[float]) -> None: ...
 
     def client_disconnected(self, now: int, unit: int) -> None:
--- a/crankfold/simulation/fleet.py
+++ b/crankfold/simulation/fleet.py
@@ -7,9 +7,11 @@
 from random import Random
 
 from crankfold.routing.interface import (
+    AttemptEnd,
     Endpoint,
     EndpointState,
     Outcome,
+    RequestArrival,
     RoutingActions,
     RoutingConfig,
     RoutingEvents,
@@ -169,7 +171,7 @@
         ) = work, 0, came, tries
         cutoff = came + self.fleet.config.request_classes[0].deadline
         self.fleet.invariants.request_received(now, self.index, unit, 0, cutoff)
-        self._notify(self.policy.request_received, unit, 0, 0, cutoff, work, 1.0)
+        self._notify(self.policy.request_received, RequestArrival(unit, 0, cutoff, work, 1.0))
 
     def _notify(self, call: Callable[..., None], *args: object) -> None:
         """A dispatcher that stands still hears it later, one that was killed never."""
@@ -188,7 +190,7 @@
             else max(self.fleet.scenario.cross_zone_delay, self.fleet.scenario.network_delay)
         )
 
-    def send_attempt(self, unit: int, runner: int, limit: int) -> None:
+    def send_attempt(self, unit: int, runner: int) -> None:
         self.fleet.invariants.attempt_sent(self.events.now, self.index, unit, runner)
         job = SimulatedAttempt(self, unit, self.attempt_counts[unit], self.service_times[unit])
         self.attempt_counts[unit] += 1
@@ -289,7 +291,8 @@
             self.fleet.on_time_count += now <= self.arrived_at[
                 job.request_id
             ] + grade.latency_objective + int(grade.objective_per_work * job.service_time)
-        self.policy.attempt_ended(now, job.request_id, job.attempt_number, runner, outcome, last, report)
+        end = AttemptEnd(outcome, last, report)
+        self.policy.attempt_ended(now, job.request_id, job.attempt_number, runner, end)
 
 
 class SimulatedFleet:
--- a/crankfold/simulator_adapter/host.py
+++ b/crankfold/simulator_adapter/host.py
@@ -7,7 +7,7 @@
 
 from crankfold.config.interning import Interner
 from crankfold.config.parser import parse_lines, read_routing_config
-from crankfold.routing.interface import Endpoint, EndpointState, Outcome
+from crankfold.routing.interface import AttemptEnd, Endpoint, EndpointState, Outcome, RequestArrival
 from crankfold.routing.router import Router
 
 _OUTCOMES = {
@@ -45,10 +45,8 @@
         self.request_index, self.request_ids = units.intern, units.names
         self.router = Router(read_routing_config(parse_lines(params)), salt, self)
 
-    def send_attempt(self, unit: int, runner: int, limit: int) -> None:
-        self.output += pack(
-            "<HIi6s", 1, self.request_ids[unit], min(limit * 100, 0x7FFFFFFF), self.addresses[runner]
-        )
+    def send_attempt(self, unit: int, runner: int) -> None:
+        self.output += pack("<HIi6s", 1, self.request_ids[unit], 0, self.addresses[runner])
 
     def shed(self, unit: int, advice: int) -> None:
         self.output += pack("<HII", 2, self.request_ids[unit], advice * 100)
@@ -125,31 +123,18 @@
         call: Callable[..., None]
         args: tuple[object, ...]
         if code == 3:
-            ident, grade, tenant, key, until, effort, slots, _, attrs = _REQUEST.unpack_from(frame, at)
+            ident, grade, _, key, until, effort, slots, _, attrs = _REQUEST.unpack_from(frame, at)
             at += _REQUEST.size
             work = (effort + 99) // 100 if attrs & 1 else 0
-            call, args = (
-                told.request_received,
-                (
-                    now,
-                    door.request_index(ident),
-                    grade,
-                    tenant,
-                    until // 100,
-                    work,
-                    slots,
-                    key,
-                    bool(attrs & 2),
-                ),
+            arrival = RequestArrival(
+                door.request_index(ident), grade, until // 100, work, slots, key, bool(attrs & 2)
             )
+            call, args = told.request_received, (now, arrival)
         elif code == 12:
-            ident, nth, address, kind, share = _ATTEMPT_NOTE.unpack_from(frame, at)
+            ident, nth, address, kind, _ = _ATTEMPT_NOTE.unpack_from(frame, at)
             at += _ATTEMPT_NOTE.size
             args = (now, door.request_index(ident), nth, door.backend_index(address))
-            if kind == 1:
-                call = told.attempt_started
-            else:
-                call, args = told.attempt_progressed, (*args, share)
+            call = told.attempt_started if kind == 1 else told.attempt_progressed
         elif code == 4:
             ident, address, nth, _ = unpack_from("<I6sBI", frame, at)
             at += 15
@@ -169,9 +154,7 @@
                 door.request_index(ident),
                 nth,
                 door.backend_index(address),
-                outcome,
-                bool(last),
-                report,
+                AttemptEnd(outcome, bool(last), report),
             )
         elif code == 7:
             (label,) = unpack_from("<Q", frame, at)
--- a/tests/scene.py
+++ b/tests/scene.py
@@ -10,7 +10,15 @@
 
 from crankfold.routing import interface as words
 from crankfold.routing.backend_table import Backend
-from crankfold.routing.interface import DeduplicationScope, Endpoint, EndpointState, Idempotency, Outcome
+from crankfold.routing.interface import (
+    AttemptEnd,
+    DeduplicationScope,
+    Endpoint,
+    EndpointState,
+    Idempotency,
+    Outcome,
+    RequestArrival,
+)
 from crankfold.routing.router import Router
 
 MS = 10
@@ -107,7 +115,7 @@
         self.lines.append(f"{(self.now - 100_000) / MS:7.1f}  {text}")
 
     # What the decisions do.
-    def send_attempt(self, unit: int, runner: int, limit: int) -> None:
+    def send_attempt(self, unit: int, runner: int) -> None:
         self.say(f"unit {unit} -> runner {runner}")
 
     def shed(self, unit: int, advice: int) -> None:
@@ -153,9 +161,10 @@
         again: bool = False,
     ) -> None:
         self.say(f"  takes unit {unit}" + (f" of grade {grade}" if grade else ""))
-        self.told.request_received(
-            self.now, unit, grade, 0, self.now + int(cutoff * MS), int(work * MS), slots, key, again
+        arrival = RequestArrival(
+            unit, grade, self.now + int(cutoff * MS), int(work * MS), slots, key, is_retry=again
         )
+        self.told.request_received(self.now, arrival)
 
     def start(self, unit: int, runner: int, nth: int = 0) -> None:
         self.say(f"  unit {unit} starts on runner {runner}")
@@ -172,9 +181,8 @@
         report: tuple[float, ...] = (),
     ) -> None:
         self.say(f"  unit {unit} on runner {runner}: {outcome.name.lower()}")
-        self.told.attempt_ended(
-            self.now, unit, nth, runner, outcome, last or outcome == Outcome.COMPLETED, report
-        )
+        end = AttemptEnd(outcome, last or outcome == Outcome.COMPLETED, report)
+        self.told.attempt_ended(self.now, unit, nth, runner, end)
 
     def held_back(self, runner: int) -> None:
         """Puts a runner out of the running by its report: much queued, nothing free."""
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -3,7 +3,13 @@
 from dataclasses import replace
 from math import factorial
 
-from crankfold.routing.interface import DeduplicationScope, EndpointState, Idempotency, RoutingConfig
+from crankfold.routing.interface import (
+    DeduplicationScope,
+    EndpointState,
+    Idempotency,
+    RequestArrival,
+    RoutingConfig,
+)
 from crankfold.routing.router import Router
 from crankfold.simulation.faults import Fault, FaultKind
 from crankfold.simulation.fleet import PolicyFactory, Scenario, SimulatedFleet
@@ -13,24 +19,13 @@
 class Anyone(Router):
     """Random choice, for comparison; and a base for policies that break a rule."""
 
-    def request_received(
-        self,
-        now: int,
-        unit: int,
-        grade: int,
-        tenant: int,
-        cutoff: int,
-        work: int,
-        slots: float,
-        key: int = 0,
-        again: bool = False,
-    ) -> None:
-        self.on(unit)
+    def request_received(self, now: int, arrival: RequestArrival) -> None:
+        self.on(arrival.request_id)
 
     def on(self, unit: int) -> None:
         ready = self.state.table.ready
         choice = ready[self.state.random.below(len(ready))]
-        self.state.actions.send_attempt(unit, choice.index, 0)
+        self.state.actions.send_attempt(unit, choice.index)
 
     def attempt_started(self, now: int, unit: int, nth: int, runner: int) -> None: ...
     def attempt_ended(self, *told: object) -> None: ...
@@ -47,7 +42,7 @@
 class AfterAnswer(Anyone):
     def on(self, unit: int) -> None:
         self.state.actions.shed(unit, 0)
-        self.state.actions.send_attempt(unit, 0, 0)
+        self.state.actions.send_attempt(unit, 0)
 
 
 class Silent(Anyone):
@@ -57,19 +52,19 @@
 
 class Again(Anyone):
     def on(self, unit: int) -> None:
-        self.state.actions.send_attempt(unit, 0, 0)
-        self.state.actions.send_attempt(unit, 1, 0)
+        self.state.actions.send_attempt(unit, 0)
+        self.state.actions.send_attempt(unit, 1)
 
 
 class ShedThoughSent(Anyone):
     def on(self, unit: int) -> None:
-        self.state.actions.send_attempt(unit, 0, 0)
+        self.state.actions.send_attempt(unit, 0)
         self.state.actions.shed(unit, 0)
 
 
 class ToOne(Anyone):
     def on(self, unit: int) -> None:
-        self.state.actions.send_attempt(unit, 0, 0)
+        self.state.actions.send_attempt(unit, 0)
 
 
 class ForNobody(Anyone):
@@ -80,7 +75,7 @@
 
     def timer_fired(self, now: int, label: int) -> None:
         if label >= 1_000:
-            self.state.actions.send_attempt(label - 1_000, 0, 0)
+            self.state.actions.send_attempt(label - 1_000, 0)
 
 
 class Emulated(Kept):
--- a/tests/test_grown.py
+++ b/tests/test_grown.py
@@ -4,7 +4,7 @@
 from collections import Counter
 from dataclasses import replace
 
-from crankfold.routing.interface import Endpoint, EndpointState
+from crankfold.routing.interface import AttemptEnd, Endpoint, EndpointState, Outcome, RequestArrival
 from crankfold.routing.router import Router
 from tests.scene import GRADE, MS, ORDERS, Kept, Scene
 
@@ -22,7 +22,7 @@
         self.now, self.asked = 100_000, list[int]()
         self.told = Router(replace(ORDERS, **orders), seed, self)  # type: ignore[arg-type]
 
-    def send_attempt(self, unit: int, runner: int, limit: int) -> None:
+    def send_attempt(self, unit: int, runner: int) -> None:
         self.went.append((self.now, unit, runner))
 
     def shed(self, unit: int, advice: int) -> None: ...
@@ -80,10 +80,10 @@
                 under_way.remove(done)
                 _, post, unit, runner = done
                 post.pass_to(now)
-                post.told.attempt_ended(now, unit, 0, runner, 0, True, ())  # type: ignore[arg-type]
+                post.told.attempt_ended(now, unit, 0, runner, AttemptEnd(Outcome.COMPLETED, True))
             for post in self.posts:
                 post.pass_to(now)
-                post.told.request_received(now, turn, 0, 0, now + 5000 * MS, UNIT, 1.0)
+                post.told.request_received(now, RequestArrival(turn, 0, now + 5000 * MS, UNIT, 1.0))
                 if post.went and post.went[-1][1] == turn:
                     post.told.attempt_started(now, turn, 0, post.went[-1][2])
                     under_way.append((now + UNIT, post, turn, post.went[-1][2]))
