--- a/crankfold/network/admin_server.py
+++ b/crankfold/network/admin_server.py
@@ -2,87 +2,115 @@
 
 import asyncio
 import socket
+from http import HTTPStatus
 
 from crankfold.network.metrics import Metrics
 from crankfold.protocol.admin_api import AdminConnection, AdminOperations, execute
 
-MAX_CALLERS = 16  # callers at once; their descriptors are kept free of clients and runners
-CALL_TIMEOUT = 2.0
-CLOSE_LINGER = 0.2
-READ_SIZE = 4 * 1024
+MAX_CALLERS = 16  # connections at once; their descriptors are kept free of clients and backends
+CALL_TIMEOUT = 2.0  # seconds from connecting to the end of a call
+CLOSE_LINGER = 0.2  # seconds that what comes after the response is read: a reset would overtake it
+READ_SIZE = 4 * 1024  # bytes
+ACCEPT_BACKLOG = 256  # connections not accepted yet
+ACCEPTS_PER_TURN = 2  # connections accepted in one turn of the loop
 
 
 class AdminServer:
-    def __init__(self, operated: AdminOperations, tally: Metrics) -> None:
-        self.operations, self.metrics = operated, tally
+    """The listening socket for operators, and the calls under way on it."""
+
+    def __init__(self, operations: AdminOperations, metrics: Metrics) -> None:
+        self.operations = operations
+        self.metrics = metrics
         self.loop = asyncio.get_running_loop()
-        # The first to come first. Who has said what he wants is not sent away for others.
+        # The first to come first. One that has sent its call is not closed for others.
         self.connections: dict[AdminConnection, asyncio.StreamWriter] = {}
         self.server: asyncio.Server | None = None
 
     async def open(self, host: str, port: int) -> None:
+        """Begins to accept; port 0 is one that the system picks.
+
+        Raises:
+            OSError: the address can't be listened on.
+        """
         family = socket.AF_INET6 if ":" in host else socket.AF_INET
-        door = socket.create_server((host, port), family=family, backlog=256)
+        listening = socket.create_server((host, port), family=family, backlog=ACCEPT_BACKLOG)
         self.server = await asyncio.start_server(
-            self._handle_connection, sock=door, backlog=2, limit=READ_SIZE
+            self._handle_connection, sock=listening, backlog=ACCEPTS_PER_TURN, limit=READ_SIZE
         )
-        door.listen(256)  # asyncio takes one figure for both: two are accepted in a turn
+        listening.listen(ACCEPT_BACKLOG)  # asyncio takes one number for both
 
     def port(self) -> int:
+        """The port that is listened on, 0 for none."""
         return int(self.server.sockets[0].getsockname()[1]) if self.server else 0
 
     async def _handle_connection(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.metrics.increment("operators-callers")
-        while len(self.connections) >= MAX_CALLERS:
-            # Who stays and says nothing would keep out the call that matters.
-            oldest = next((side for side in self.connections if not side.command), None)
-            if oldest is None:
-                writer.transport.abort()
-                return
-            self.metrics.increment("operators-sent-away")
-            self.connections.pop(oldest).transport.abort()
-        side = AdminConnection()
-        self.connections[side] = writer
-        began = self.loop.time()
+        if not self._make_room():
+            writer.transport.abort()
+            return
+        connection = AdminConnection()
+        self.connections[connection] = writer
+        started_at = self.loop.time()
         try:
-            try:
-                async with asyncio.timeout(CALL_TIMEOUT):
-                    while not side.command and not side.answered:
-                        data = await reader.read(READ_SIZE)
-                        if not data:
-                            return
-                        side.receive_data(data)
-                        if side.outgoing and not side.answered:  # go on sending
-                            writer.writelines(side.outgoing)
-                            side.outgoing.clear()
-            except TimeoutError:
-                side.respond(408)
-            if side.command:
-                await self._execute(side)
-            writer.writelines(side.outgoing)
-            self.metrics.increment("operators-calls" if side.command else "operators-refused")
-            self.metrics.record_maximum("operators-longest-ms", int((self.loop.time() - began) * 1000))
+            if not await self._read_call(connection, reader, writer):
+                return
+            if connection.command:
+                await self._execute(connection)
+            writer.writelines(connection.outgoing)
+            self.metrics.increment("operators-calls" if connection.command else "operators-refused")
+            duration_ms = int((self.loop.time() - started_at) * 1000)
+            self.metrics.record_maximum("operators-longest-ms", duration_ms)
             if writer.can_write_eof():
                 writer.write_eof()
-            async with asyncio.timeout(CLOSE_LINGER):  # a reset would overtake the answer
+            async with asyncio.timeout(CLOSE_LINGER):
                 while await reader.read(READ_SIZE):
                     pass
         except (OSError, TimeoutError, asyncio.CancelledError):
             pass
         finally:
-            self.connections.pop(side, None)
+            self.connections.pop(connection, None)
             writer.close()
 
-    async def _execute(self, side: AdminConnection) -> None:
+    def _make_room(self) -> bool:
+        """Whether one more connection may be served; closes the oldest that has sent no call yet."""
+        while len(self.connections) >= MAX_CALLERS:
+            # One that stays and says nothing would keep out the call that matters.
+            oldest = next((connection for connection in self.connections if not connection.command), None)
+            if oldest is None:
+                return False
+            self.metrics.increment("operators-sent-away")
+            self.connections.pop(oldest).transport.abort()
+        return True
+
+    async def _read_call(
+        self, connection: AdminConnection, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> bool:
+        """Reads until there is a command or a response; false if the caller went before that."""
+        try:
+            async with asyncio.timeout(CALL_TIMEOUT):
+                while not connection.command and not connection.answered:
+                    data = await reader.read(READ_SIZE)
+                    if not data:
+                        return False
+                    connection.receive_data(data)
+                    if connection.outgoing and not connection.answered:  # the caller is to go on sending
+                        writer.writelines(connection.outgoing)
+                        connection.outgoing.clear()
+        except TimeoutError:
+            connection.respond(HTTPStatus.REQUEST_TIMEOUT)
+        return True
+
+    async def _execute(self, connection: AdminConnection) -> None:
         try:
-            await execute(side, self.operations)
-        except Exception as wrong:
-            self.metrics.record_exception(wrong)
-            side.respond(500)
+            await execute(connection, self.operations)
+        except Exception as error:
+            self.metrics.record_exception(error)
+            connection.respond(HTTPStatus.INTERNAL_SERVER_ERROR)
             if __debug__:
                 raise
 
     async def close(self) -> None:
+        """Accepts nobody new and ends all connections."""
         if self.server:
             self.server.close()
         for writer in self.connections.values():
--- a/crankfold/service/application.py
+++ b/crankfold/service/application.py
@@ -188,9 +188,9 @@
             host,
             port,
             self.backend_registry.register,
-            self._endpoints_received,
-            self._discovery_failed,
-            self.metrics,
+            on_endpoints=self._endpoints_received,
+            on_failure=self._discovery_failed,
+            metrics=self.metrics,
         )
         self.discovery_answered = asyncio.Event()
         self.polls_discovery, self.known_endpoints = orders.discovery_by_poll, given.get("known")
--- a/crankfold/service/backend_registry.py
+++ b/crankfold/service/backend_registry.py
@@ -16,7 +16,7 @@
     ExchangeResult,
 )
 from crankfold.network.timers import Timers
-from crankfold.protocol.discovery import state_name
+from crankfold.protocol.discovery import DiscoveryEntry, encode_entry
 from crankfold.routing.interface import Endpoint, EndpointState
 from crankfold.service.manual_drains import ManualDrains
 
@@ -36,39 +36,29 @@
         self.slow_start_reserved = False  # another process uses what cold runners may be sent
         self.pools: list[ConnectionPool] = []
 
-    def register(
-        self,
-        uid: str,
-        host: str,
-        port: int,
-        zone: str,
-        kind: str,
-        cell: int,
-        standing: EndpointState,
-        weight: float,
-        boot_ms: int,
-    ) -> Endpoint:
-        runner = self.backend_ids.intern(uid)
-        if runner == len(self.pools):
-            self.addresses.append((host, port, boot_ms))
+    def register(self, entry: DiscoveryEntry) -> Endpoint:
+        """The endpoint of a discovery entry; a backend not seen before gets the next index."""
+        backend = self.backend_ids.intern(entry.backend_id)
+        address = (entry.host, entry.port, entry.boot_ms)
+        if backend == len(self.pools):
+            self.addresses.append(address)
             self.states.append(EndpointState.REMOVED)
-            self.endpoints.append(Endpoint(runner, EndpointState.REMOVED, 0.0, 0, 0, 0))
-            self.pools.append(ConnectionPool(host, port, self.sockets))
-        elif self.addresses[runner] != (host, port, boot_ms):
+            self.endpoints.append(Endpoint(backend, EndpointState.REMOVED, 0.0, 0, 0, 0))
+            self.pools.append(ConnectionPool(entry.host, entry.port, self.sockets))
+        elif self.addresses[backend] != address:
             # A process that started anew or moved: connections to the old one are not used.
-            self.addresses[runner] = (host, port, boot_ms)
-            self.pools[runner].close()
-            self.pools[runner] = ConnectionPool(host, port, self.sockets)
-        mark = zlib.crc32(uid.encode()) / (1 << 32)
+            self.addresses[backend] = address
+            self.pools[backend].close()
+            self.pools[backend] = ConnectionPool(entry.host, entry.port, self.sockets)
         return Endpoint(
-            runner,
-            standing,
-            weight,
-            self.config.zones.intern(setting_text(zone)),
-            cell,
-            boot_ms * 10,
-            self.config.instance_types.intern(setting_text(kind)),
-            mark,
+            backend=backend,
+            state=entry.state,
+            weight=entry.weight,
+            zone=self.config.zones.intern(setting_text(entry.zone)),
+            cell=entry.cell,
+            started_at=entry.boot_ms * 10,
+            instance_type=self.config.instance_types.intern(setting_text(entry.instance_type)),
+            hash_position=zlib.crc32(entry.backend_id.encode()) / (1 << 32),
         )
 
     def update_endpoints(self, entries: Sequence[Endpoint], whole: bool) -> list[Endpoint]:
@@ -140,20 +130,23 @@
             if entry.started_at and entry.state == EndpointState.READY
         ]
 
-    def discovery_entry(self, runner: int) -> dict[str, Any]:
-        """The entry as discovery words it."""
-        host, port, boot_ms = self.addresses[runner]
-        entry = self.endpoints[runner]
-        return {
-            "uid": self.backend_ids.names[runner],
-            "endpoint": f"{host}:{port}",
-            "boot_ms": boot_ms,
-            "az": self.config.zones.names[entry.zone],
-            "model": self.config.instance_types.names[entry.instance_type],
-            "pod_group": entry.cell,
-            "state": state_name(entry.state),
-            "capacity_hint": entry.weight,
-        }
+    def discovery_entry(self, backend: int) -> dict[str, Any]:
+        """The backend's entry as discovery words it."""
+        host, port, boot_ms = self.addresses[backend]
+        endpoint = self.endpoints[backend]
+        return encode_entry(
+            DiscoveryEntry(
+                backend_id=self.backend_ids.names[backend],
+                host=host,
+                port=port,
+                zone=self.config.zones.names[endpoint.zone],
+                instance_type=self.config.instance_types.names[endpoint.instance_type],
+                cell=endpoint.cell,
+                state=endpoint.state,
+                weight=endpoint.weight,
+                boot_ms=boot_ms,
+            )
+        )
 
     def any_ready(self) -> bool:
         return EndpointState.READY in self.states
