--- a/crankfold/network/listener.py
+++ b/crankfold/network/listener.py
@@ -91,6 +91,10 @@
         self._flush()
         self.listener.loop.call_soon(self._resume_reading)
 
+    def exceeds_limit(self) -> bool:
+        """Whether more connections are open than may be: what comes on this one is to be shed."""
+        return self.listener.is_over_limit()
+
     def reject(self, status: int) -> None:
         self.protocol.close_after_response = True
         self.respond(status)
--- a/crankfold/service/admin_service.py
+++ b/crankfold/service/admin_service.py
@@ -1,11 +1,12 @@
 """Where operators' calls meet the desk, the runners and the clients' connections."""
 
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Sequence
 
 from crankfold.network.listener import Listener
 from crankfold.network.metrics import log_line
 from crankfold.protocol.admin_api import ReplicatedConfigAdmin
 from crankfold.routing.interface import Endpoint
+from crankfold.service.collaborators import OtherProcesses
 from crankfold.service.lifecycle import Lifecycle
 from crankfold.service.request_handler import RequestHandler
 
@@ -13,13 +14,17 @@
 
 
 class AdminService:
-    def __init__(self, desk: RequestHandler, listener: Listener, duty: Lifecycle) -> None:
+    def __init__(
+        self,
+        desk: RequestHandler,
+        listener: Listener,
+        duty: Lifecycle,
+        other_processes: OtherProcesses,
+    ) -> None:
         self.request_handler, self.backend_registry, self.metrics = desk, desk.backends, desk.metrics
         self.listener, self.lifecycle, self.loop = listener, duty, desk.timers.loop
         self._checking_drain = False
-        self.has_successor: Callable[[], bool] = lambda: False  # by a process that accepts in our place
-        # Recorded, and told to the process that follows or goes before.
-        self.replicate_manual_drain: Callable[[str, str], Awaitable[None]] | None = None
+        self.other_processes = other_processes
         self.replicated_config: ReplicatedConfigAdmin | None = None
 
     def is_ready(self) -> bool:
@@ -27,7 +32,7 @@
         return (
             self.request_handler.is_serving()
             and self.backend_registry.any_ready()
-            and not self.has_successor()
+            and not self.other_processes.has_successor()
         )
 
     async def drain_backend(self, uid: str) -> bool:
@@ -46,8 +51,7 @@
             self.metrics.increment(f"runners-{what}-by-hand")
             log_line(f"crankfold: runner {what} by hand: {uid!r}")
             self.endpoints_changed([entry])
-        if self.replicate_manual_drain:
-            await self.replicate_manual_drain(what, uid)
+        await self.other_processes.replicate_manual_drain(what, uid)
         return True
 
     def endpoints_changed(self, entries: Sequence[Endpoint]) -> None:
--- a/crankfold/service/application.py
+++ b/crankfold/service/application.py
@@ -28,6 +28,7 @@
 from crankfold.routing.interface import Endpoint, RoutingConfig
 from crankfold.service.admin_service import AdminService
 from crankfold.service.backend_registry import BackendRegistry
+from crankfold.service.collaborators import NoCluster, NoOtherProcess
 from crankfold.service.handover import Handover
 from crankfold.service.lifecycle import Lifecycle
 from crankfold.service.request_handler import RequestHandler
@@ -139,35 +140,19 @@
         self.connection_limiter = ConnectionLimiter(to_runners, *connection_timeouts(rules), self.metrics)
         self.backend_registry = BackendRegistry(rules, self.timers, self.connection_limiter)
         self.lifecycle = Lifecycle()
-        self.request_handler = RequestHandler(
-            orders,
-            rules,
-            seed,
-            self.timers,
-            self.metrics,
-            self.backend_registry,
-            self.lifecycle,
-            self._start_polling,
-        )
-        self.listener = Listener(self.request_handler, self.metrics, rules.report_fields, others)
-        self.request_handler.connections_exhausted = self.listener.is_over_limit
-        self.admin_service = AdminService(self.request_handler, self.listener, self.lifecycle)
-        self.admin_server = AdminServer(self.admin_service, self.metrics)
         # Processes follow one another only where operators can ask the new one whether it is ready.
         self.handover = (
             Handover(
                 folder,
                 str(given.get("name") or ""),
                 self.listen_address,
-                self.request_handler,
-                self.listener,
-                self.admin_service,
-                self._share_sockets,
+                self.backend_registry,
+                self.metrics,
             )
             if self.admin_address and folder
             else None
         )
-        self.other_process_usage = 0, 0, False
+        other_processes = self.handover or NoOtherProcess()
         self.replicated_config: ReplicatedConfig | None = None
         if given.get("peers"):
             from crankfold.service import replicated_config  # nothing of it is imported without peers
@@ -176,13 +161,32 @@
                 self.replicated_config = replicated_config.ReplicatedConfig(
                     given,
                     self.metrics,
-                    self.request_handler,
-                    self.admin_service,
+                    self.backend_registry,
                     self._apply_config,
                     self._endpoint_list_age,
                 )
             except ValueError as wrong:
                 raise ConfigError(str(wrong)) from None
+        self.request_handler = RequestHandler(
+            orders,
+            rules,
+            seed=seed,
+            timers=self.timers,
+            metrics=self.metrics,
+            backends=self.backend_registry,
+            lifecycle=self.lifecycle,
+            cluster=self.replicated_config or NoCluster(),
+            other_processes=other_processes,
+            poll_endpoints=self._start_polling,
+        )
+        self.listener = Listener(self.request_handler, self.metrics, rules.report_fields, others)
+        self.admin_service = AdminService(
+            self.request_handler, self.listener, self.lifecycle, other_processes
+        )
+        self.admin_server = AdminServer(self.admin_service, self.metrics)
+        if self.handover:
+            self.handover.attach(self.request_handler, self.listener, self.admin_service, self._share_sockets)
+        self.other_process_usage = 0, 0, False
         host, port = parse_address(given["discovery"], "discovery")
         self.discovery_watcher = DiscoveryWatcher(
             host,
@@ -273,7 +277,9 @@
         if self.replicated_config:
             try:
                 await self.replicated_config.open(
-                    self.handover is not None and self.handover.listening_socket is not None
+                    self.request_handler,
+                    self.admin_service,
+                    succeeds=self.handover is not None and self.handover.listening_socket is not None,
                 )
             except (OSError, ValueError) as wrong:
                 raise ConfigError(f"peers: {wrong}") from None
--- a/crankfold/service/handover.py
+++ b/crankfold/service/handover.py
@@ -8,12 +8,13 @@
 
 from crankfold.network.handover_channel import HandoverChannel, resolve
 from crankfold.network.listener import Listener
-from crankfold.network.metrics import log_line
+from crankfold.network.metrics import Metrics, log_line
 from crankfold.protocol.callbacks import handle_callback, request_id_of
 from crankfold.protocol.handover_messages import FORMAT_VERSION, int_mapping, string_list
 from crankfold.routing.interface import EndpointState
 from crankfold.service import handover_state
 from crankfold.service.admin_service import AdminService
+from crankfold.service.backend_registry import BackendRegistry
 from crankfold.service.handover_state_machine import HandoverRole, HandoverStateMachine
 from crankfold.service.request_handler import RequestHandler
 
@@ -27,24 +28,21 @@
         folder: str,
         name: str,
         at: tuple[str, int],
-        desk: RequestHandler,
-        listener: Listener,
-        operations: AdminService,
-        shares: Callable[[int, int, bool], None],
+        backends: BackendRegistry,
+        metrics: Metrics,
     ) -> None:
         # Of which dispatcher: a folder may hold what another one's process left, or have one behind it that
         # serves other customers at what is now our address.
         self.dispatcher_name = name
-        self.listen_address, self.request_handler, self.backend_registry, self.metrics = (
-            at,
-            desk,
-            desk.backends,
-            desk.metrics,
-        )
-        self.listener, self.admin_service, self.share_sockets = listener, operations, shares
-        self.loop = desk.timers.loop
+        self.listen_address, self.backend_registry, self.metrics = at, backends, metrics
+        self.request_handler: RequestHandler
+        self.listener: Listener
+        self.admin_service: AdminService
+        self.share_sockets: Callable[[int, int, bool], None]
+        self.predecessor_request_ids: frozenset[str] = frozenset()
+        self.loop = backends.timers.loop
         self.channel = HandoverChannel(
-            folder, f"crankfold-{zlib.crc32(f'{at[0]}:{at[1]}'.encode()):08x}", desk.metrics
+            folder, f"crankfold-{zlib.crc32(f'{at[0]}:{at[1]}'.encode()):08x}", metrics
         )
         self.channel.on_successor, self.channel.on_message, self.channel.on_lost = (
             self._successor_connected,
@@ -57,11 +55,22 @@
         self.retry_takeover = False
         self.inherited_reports: dict[str, Any] = {}
         self.tasks: set[asyncio.Task[None]] = set()
-        operations.replicate_manual_drain, desk.forward_callback, operations.has_successor = (
-            self.replicate_manual_drain,
-            self.forward_callback,
-            self.has_successor,
-        )
+
+    def attach(
+        self,
+        request_handler: RequestHandler,
+        listener: Listener,
+        admin_service: AdminService,
+        share_sockets: Callable[[int, int, bool], None],
+    ) -> None:
+        """Gives it the parts that it hands over; they need it for their own construction.
+
+        To be called before anything else.
+        """
+        self.request_handler = request_handler
+        self.listener = listener
+        self.admin_service = admin_service
+        self.share_sockets = share_sockets
 
     # --- as the one that follows ---
 
@@ -205,6 +214,10 @@
         self.state_machine.expire_queries(self.loop.time())
         self.state_machine.report_usage()
 
+    def has_request(self, request_id: str) -> bool:
+        """Whether the predecessor still has that request in hand."""
+        return request_id in self.predecessor_request_ids
+
     def has_successor(self) -> bool:
         return self.state_machine.role == HandoverRole.HANDED_OVER
 
@@ -295,6 +308,6 @@
             self.admin_service.endpoints_changed([entry])
 
     def predecessor_usage_changed(self, told: dict[str, Any]) -> None:
-        self.request_handler.predecessor_request_ids = frozenset(string_list(told.get("ids")))
+        self.predecessor_request_ids = frozenset(string_list(told.get("ids")))
         held = int_mapping(told)
         self.share_sockets(held.get("clients", 0), held.get("runners", 0), False)
--- a/crankfold/service/maintenance_agent.py
+++ b/crankfold/service/maintenance_agent.py
@@ -99,11 +99,6 @@
         self.out_of_service = False  # service, for a work on dispatchers
         self.dispatcher_zones: dict[str, str] = {}  # of dispatchers, as they told last
         self.restored_locally: set[str] = set()  # machines that are back at this dispatcher alone, by hand
-        desk.attempt_abandoned, desk.attempt_finished, desk.abandoned_attempt_finished = (
-            self._attempt_abandoned,
-            self._attempt_ended,
-            self._abandoned_attempt_ended,
-        )
         peer.maintenance_report, peer.maintenance_steps = self.build_report, self.propose_transitions
 
     @property
@@ -123,17 +118,17 @@
 
     # --- what is heard from the desk ---
 
-    def _attempt_abandoned(self, uid: str, ident: str) -> None:
+    def attempt_abandoned(self, uid: str, ident: str) -> None:
         """A unit was given up on, and the machine may have it still."""
         idents = self.unconfirmed.setdefault(uid, {})
         idents[ident] = None
         if len(idents) > MAX_UNCONFIRMED:
             del idents[next(iter(idents))]
 
-    def _abandoned_attempt_ended(self, ident: str, uid: str) -> None:
+    def abandoned_attempt_finished(self, ident: str, uid: str) -> None:
         self.unconfirmed.get(uid, {}).pop(ident, None)
 
-    def _attempt_ended(self, runner: int, outcome: Outcome) -> None:
+    def attempt_finished(self, runner: int, outcome: Outcome) -> None:
         uid = self.backend_registry.backend_ids.names[runner]
         if uid in self.returned_machines:
             seen = self.answer_counts.setdefault(uid, [0, 0])
--- a/crankfold/service/replicated_config.py
+++ b/crankfold/service/replicated_config.py
@@ -2,7 +2,7 @@
 
 import sys
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from pathlib import Path
 from typing import TYPE_CHECKING, Annotated, Any, TextIO
 
@@ -31,8 +31,10 @@
 from crankfold.consensus.versioned_documents import MACHINES
 from crankfold.consensus.voter import Voter
 from crankfold.network.metrics import Metrics
-from crankfold.routing.interface import RoutingConfig
+from crankfold.routing.interface import Outcome, RoutingConfig
 from crankfold.service.admin_service import AdminService
+from crankfold.service.backend_registry import BackendRegistry
+from crankfold.service.collaborators import RecordedEvent
 from crankfold.service.quotas import Quotas
 from crankfold.service.request_handler import RequestHandler
 
@@ -79,17 +81,13 @@
         self,
         given: dict[str, Any],
         tally: Metrics,
-        desk: RequestHandler,
-        operations: AdminService,
+        backends: BackendRegistry,
         renewed: Callable[[RoutingConfig, ServiceConfig], None],
         list_age: Callable[[], int],
     ) -> None:
-        self.local_settings, self.request_handler, self.admin_service, self.apply_config = (
-            given["settings"],
-            desk,
-            operations,
-            renewed,
-        )
+        self.local_settings, self.backend_registry, self.apply_config = given["settings"], backends, renewed
+        self.request_handler: RequestHandler  # these two once it is opened
+        self.admin_service: AdminService
         self.metrics, self.endpoint_list_age = tally, list_age
         self.maintenance: MaintenanceAgent | None = None  # once some are handed in
         peers = read_cluster_config(given["peers"])
@@ -98,18 +96,19 @@
         self.effective_settings: dict[str, Any] | None = None
         self.cluster_config, self.quotas = peers, Quotas()
         self.cluster_node: ClusterNode
-        desk.acquire_quota, desk.request_table.release_quota = self.quotas.acquire, self.quotas.release
         self.was_isolated = False
         self.recorded_index = 0  # the entry up to which steps of machines are recorded
-        desk.has_valid_config = self.may_act
         self.event_log: TextIO | None = None
         if peers.record:
             # Until the process ends; "-" is standard output, on which nothing else is said.
             self.event_log = sys.stdout if peers.record == "-" else Path(peers.record).open("a")  # noqa: SIM115
-            desk.record_event = self._record_event
 
-    async def open(self, succeeds: bool) -> None:
+    async def open(
+        self, request_handler: RequestHandler, admin_service: AdminService, succeeds: bool
+    ) -> None:
         """With `succeeds` a process before this one is still there, under the same name."""
+        self.request_handler = request_handler
+        self.admin_service = admin_service
         try:
             self.cluster_node = ClusterNode(
                 structs.replace(self.cluster_config, succeeds=succeeds),
@@ -148,7 +147,30 @@
 
     # --- acting ---
 
-    def may_act(self) -> bool:
+    def acquire_quota(self, request_class: str, tenant: str) -> Sequence[str] | None:
+        """Counts one more request; None where a limit for the whole fleet is used up."""
+        return self.quotas.acquire(request_class, tenant)
+
+    def release_quota(self, limits: Sequence[str]) -> None:
+        """Counts a request no longer."""
+        self.quotas.release(limits)
+
+    def attempt_abandoned(self, backend_id: str, request_id: str) -> None:
+        """An attempt was given up, and the backend may still execute it."""
+        if self.maintenance:
+            self.maintenance.attempt_abandoned(backend_id, request_id)
+
+    def attempt_finished(self, backend: int, outcome: Outcome) -> None:
+        """An attempt on the backend with that index has ended."""
+        if self.maintenance:
+            self.maintenance.attempt_finished(backend, outcome)
+
+    def abandoned_attempt_finished(self, request_id: str, backend_id: str) -> None:
+        """The backend told the end of an attempt that is not waited for."""
+        if self.maintenance:
+            self.maintenance.abandoned_attempt_finished(request_id, backend_id)
+
+    def has_valid_config(self) -> bool:
         if self.effective_settings is None:
             return False
         if self.cluster_node.has_lease():
@@ -224,7 +246,7 @@
             self.quotas.allocated = {limit: parts.get(member.name, 0) for limit, parts in dealt.items()}
         self.metrics.increment("documents-changed")
         if self.event_log:
-            self._record_event("rules", "", "")
+            self.record_event(RecordedEvent.CONFIG_APPLIED, "", "")
             self._record_transitions()
 
     def _apply_manual_drains(self) -> None:
@@ -234,7 +256,7 @@
             for doc in (DRAINED_BACKENDS, EXCLUDED_BACKENDS)
             for uid in (member.effective_content(doc) or {}).get("runners", {})
         }
-        entries = self.request_handler.backends.set_cluster_drains(
+        entries = self.backend_registry.set_cluster_drains(
             out | self.maintenance.machines_out() if self.maintenance else out
         )
         if entries:
@@ -251,22 +273,24 @@
         ]
         return min([applied, *(index - 1 for index in waits)])
 
-    def _record_event(self, what: str, unit: str, where: str) -> None:
+    def record_event(self, event: RecordedEvent, request_id: str, subject: str) -> None:
+        """Writes an event to the record, if one is kept, with the versions in force."""
+        if self.event_log is None:
+            return
         member = self.cluster_node.consensus
         told: dict[str, Any] = {
             "at": time.clock_gettime_ns(time.CLOCK_BOOTTIME),
-            "what": what,
-            "unit": unit,
-            "where": where,
+            "what": event.value,
+            "unit": request_id,
+            "where": subject,
             "applied": member.last_applied,
             "versions": member.documents.version_numbers(),
         }
-        if what == "rules":
+        if event is RecordedEvent.CONFIG_APPLIED:
             told["acting"] = {
                 doc: member.effective_content(doc)
                 for doc in (SETTINGS, DRAINED_BACKENDS, EXCLUDED_BACKENDS, QUOTAS)
             }
-        assert self.event_log is not None
         self.event_log.write(orjson.dumps(told).decode() + "\n")
         self.event_log.flush()
 
--- a/crankfold/service/request_handler.py
+++ b/crankfold/service/request_handler.py
@@ -23,6 +23,7 @@
 from crankfold.routing.interface import Endpoint, EndpointState, Idempotency, Outcome, RoutingConfig
 from crankfold.routing.policy import NEVER_EXECUTED, Router
 from crankfold.service.backend_registry import BackendRegistry
+from crankfold.service.collaborators import ClusterServices, OtherProcesses, RecordedEvent
 from crankfold.service.lifecycle import Lifecycle
 from crankfold.service.request_classes import RequestClassTable
 from crankfold.service.request_table import Attempt, Request, RequestTable
@@ -35,41 +36,28 @@
         self,
         orders: RoutingConfig,
         rules: ServiceConfig,
+        *,
         seed: int,
         timers: Timers,
-        tally: Metrics,
-        fleet: BackendRegistry,
-        duty: Lifecycle,
-        subscribe: Callable[[], None],
+        metrics: Metrics,
+        backends: BackendRegistry,
+        lifecycle: Lifecycle,
+        cluster: ClusterServices,
+        other_processes: OtherProcesses,
+        poll_endpoints: Callable[[], None],
     ) -> None:
-        self.config, self.timers, self.clock, self.metrics = rules, timers, timers.clock, tally
-        self.backends, self.lifecycle, self.poll_endpoints = fleet, duty, subscribe
+        self.config, self.timers, self.clock, self.metrics = rules, timers, timers.clock, metrics
+        self.backends, self.lifecycle, self.poll_endpoints = backends, lifecycle, poll_endpoints
+        self.cluster, self.other_processes = cluster, other_processes
         self.cancels_attempts = orders.cancellation_allowed
         self.probe_target = (
             b"/load" if orders.reports_in_responses or orders.reports_by_probe else b"/healthz"
         )
         self.closed = False  # the process ends: what still comes is shed
-        self.connections_exhausted: Callable[[], bool] = lambda: False
-        # With peers: whether rules may be acted on at this moment, and where what is done is written down.
-        self.has_valid_config: Callable[[], bool] = lambda: True
-        self.record_event: Callable[[str, str, str], None] | None = None
-        self.acquire_quota: Callable[[str, str], Sequence[str] | None] | None = (
-            None  # places of limits, if there are
-        )
-        # With machines out for work: what is left running on one, what ended there, what ended after all.
-        self.attempt_abandoned: Callable[[str, str], None] | None = None
-        self.attempt_finished: Callable[[int, Outcome], None] | None = None
-        self.abandoned_attempt_finished: Callable[[str, str], None] | None = None
-        self.predecessor_request_ids: frozenset[str] = (
-            frozenset()
-        )  # ids in hand at the process before this one
-        self.forward_callback: Callable[[bytes, Callable[[bool | None], None]], bool] = lambda body, done: (
-            False
-        )
         self.load_reports: dict[int, tuple[int, Sequence[float]]] = {}  # each runner's last, and when
         self.call_soon = asyncio.get_running_loop().call_soon
         self.request_classes = RequestClassTable(rules.request_classes.names, orders.request_classes)
-        self.request_table = RequestTable(self.request_classes)
+        self.request_table = RequestTable(self.request_classes, cluster)
         self.routing = Router(orders, seed, self)
 
     # --- telling the decisions ---
@@ -97,7 +85,7 @@
     # --- from clients ---
 
     def is_serving(self) -> bool:
-        return self.lifecycle.is_serving() and self.has_valid_config()
+        return self.lifecycle.is_serving() and self.cluster.has_valid_config()
 
     def knows_request_class(self, name: str) -> bool:
         return self.request_classes.find(setting_text(name)) >= 0
@@ -113,28 +101,27 @@
             self.metrics.increment("shed-at-the-end")
             client.reject(503)
             return
-        if ident in self.request_table.by_request_id or ident in self.predecessor_request_ids:
+        if ident in self.request_table.by_request_id or self.other_processes.has_request(ident):
             self.metrics.increment("ids-in-hand-already")
             client.reject(409)
             return
-        if self.connections_exhausted() or len(self.request_table.requests) >= self.config.max_pending:
+        if client.exceeds_limit() or len(self.request_table.requests) >= self.config.max_pending:
             # Nothing was sent for it, so a retry is harmless.
             self.metrics.increment("shed-for-room")
             client.respond(503)
             return
-        if not self.has_valid_config():
+        if not self.cluster.has_valid_config():
             # Nothing was sent for it either; by the time of a lease somebody has one again.
             self.metrics.increment("shed-cut-off")
             client.respond(503, [(b"Retry-After", b"1")])
             return
-        counted: Sequence[str] | None = self.acquire_quota(grade, tenant) if self.acquire_quota else ()
+        counted = self.cluster.acquire_quota(grade, tenant)
         if counted is None:
             self.metrics.increment("shed-for-share")
             client.respond(503, [(b"Retry-After", b"1")])
             return
         self.metrics.increment("taken")
-        if self.record_event:
-            self.record_event("take", ident, grade)
+        self.cluster.record_event(RecordedEvent.REQUEST_ADMITTED, ident, grade)
         wait = max(submitted.timeout - TRANSIT_ALLOWANCE, 0)
         row = self.request_classes.find(setting_text(grade))
         held = self.request_table.add(row, ident, client, self.clock.now() + wait, submitted.http)
@@ -224,11 +211,12 @@
             and trip.in_flight
             and self.backends.states[trip.backend] == EndpointState.READY
             and self.clock.now() < work.deadline
-            and self.has_valid_config()
+            and self.cluster.has_valid_config()
             and self._within_deduplication_window(work, trip)
         )
-        if may and self.record_event:
-            self.record_event("dispatch", work.request_id, self.backends.backend_ids.names[trip.backend])
+        if may:
+            backend_id = self.backends.backend_ids.names[trip.backend]
+            self.cluster.record_event(RecordedEvent.ATTEMPT_SENT, work.request_id, backend_id)
         return may
 
     def _within_deduplication_window(self, work: Request, trip: Attempt) -> bool:
@@ -332,8 +320,8 @@
         if trip.exchange is None:
             return
         trip.may_still_run = trip.exchange.connection is not None
-        if self.attempt_abandoned and trip.may_still_run:
-            self.attempt_abandoned(self.backends.backend_ids.names[trip.backend], work.request_id)
+        if trip.may_still_run:
+            self.cluster.attempt_abandoned(self.backends.backend_ids.names[trip.backend], work.request_id)
         if not trip.accepted:
             self.backends.pools[trip.backend].abort(trip.exchange)
         elif self.cancels_attempts:
@@ -350,8 +338,7 @@
             self.backends.abandon_exchange(trip.backend, trip.exchange)
         self._store_load_report(trip.backend, report)
         self.metrics.increment("ended-" + outcome.name.lower().replace("_", "-"))
-        if self.attempt_finished:
-            self.attempt_finished(trip.backend, outcome)
+        self.cluster.attempt_finished(trip.backend, outcome)
         self.notify_routing(
             self.routing.attempt_ended,
             work.number,
@@ -381,7 +368,7 @@
         def later(yes: bool | None) -> None:
             self.call_soon(heard, yes)  # it may be told at once, from within
 
-        return self.forward_callback(body, later)
+        return self.other_processes.forward_callback(body, later)
 
     def _find_attempt(self, ident: str, uid: str) -> tuple[Request, Attempt] | None:
         found = self.request_table.find_active_attempt(ident, self.backends.backend_ids.find(uid))
@@ -417,8 +404,7 @@
         found = self._find_attempt(ident, uid)
         if not found:
             self.request_table.mark_abandoned_finished(ident, self.backends.backend_ids.find(uid))
-            if self.abandoned_attempt_finished:
-                self.abandoned_attempt_finished(ident, uid)
+            self.cluster.abandoned_attempt_finished(ident, uid)
             return
         work, trip = found
         self.metrics.increment("reports-by-call-back" if report else "call-backs-without-report")
--- a/crankfold/service/request_table.py
+++ b/crankfold/service/request_table.py
@@ -1,11 +1,12 @@
 """The units in hand: which id is which number, and what became of each dispatch."""
 
 import asyncio
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 
 from crankfold.network.connection_pool import Exchange
 from crankfold.network.listener import AcceptedConnection
 from crankfold.protocol.client_request import HttpRequest
+from crankfold.service.collaborators import ClusterServices
 from crankfold.service.request_classes import RequestClassTable
 
 
@@ -78,13 +79,13 @@
 class RequestTable:
     """Units are numbered as they come, and kept until they are answered and their last dispatch has ended."""
 
-    def __init__(self, grades: RequestClassTable) -> None:
+    def __init__(self, grades: RequestClassTable, cluster: ClusterServices) -> None:
         self.request_classes = grades
+        self.cluster = cluster
         self.requests: dict[int, Request] = {}
         self.by_request_id: dict[str, Request] = {}
         self.by_client: dict[AcceptedConnection, Request] = {}
         self.next_number = 0
-        self.release_quota: Callable[[Sequence[str]], None] | None = None
 
     def add(
         self,
@@ -101,8 +102,8 @@
         return work
 
     def close(self, work: Request) -> None:
-        if work.quota_limits and work.is_open and self.release_quota:
-            self.release_quota(work.quota_limits)
+        if work.quota_limits and work.is_open:
+            self.cluster.release_quota(work.quota_limits)
         work.is_open = False
         self.by_client.pop(work.client, None)
 
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -649,9 +649,8 @@
         first = asyncio.create_task(self.ask("u1"))
         await self.until(lambda: self.node.metrics.counters["dispatches"] == 1 and len(posts) == 1)
         self.assertEqual((await self.ask("u1"))[0].split()[1], "409")
-        self.node.request_handler.connections_exhausted = lambda: True
-        self.assertEqual((await self.ask("u2"))[0].split()[1], "503")
-        self.node.request_handler.connections_exhausted = lambda: False
+        with patch.object(self.node.listener, "is_over_limit", lambda: True):
+            self.assertEqual((await self.ask("u2"))[0].split()[1], "503")
         self.assertEqual((self.node.metrics.counters["shed-for-room"], posts), (1, ["POST"]))
         # Called off, but the runner does not heed it: no second dispatch goes there, and it ends as not sent.
         await self.until(lambda: self.node.request_handler.request_table.requests[0].attempts[0].accepted)
