--- a/crankfold/config/__init__.py
+++ b/crankfold/config/__init__.py
@@ -1,1 +1,1 @@
-"""What a dispatcher is told at start, turned into what decisions and sockets need; ids turned into places."""
+"""The configuration: its form, its reading for the routing and the service, and names as indices."""
--- a/crankfold/config/interning.py
+++ b/crankfold/config/interning.py
@@ -1,4 +1,4 @@
-"""Ids at the door: what comes in under a name goes on under a small dense number."""
+"""Names as small dense numbers: what comes in under a name goes on under its index."""
 
 from collections.abc import Hashable, Iterable
 from typing import Generic, TypeVar
@@ -7,7 +7,11 @@
 
 
 class Interner(Generic[Key]):
-    """Numbers in the order of first sight; a name not seen before gets the next one."""
+    """Numbers names in the order of first sight.
+
+    Attributes:
+        names: by index.
+    """
 
     def __init__(self, known: Iterable[Key] = ()) -> None:
         self.names: list[Key] = []
@@ -16,11 +20,14 @@
             self.intern(name)
 
     def intern(self, name: Key) -> int:
-        found = self._index_of.get(name)
-        if found is None:
-            found = self._index_of[name] = len(self.names)
+        """The index of a name; one not seen before gets the next."""
+        index = self._index_of.get(name)
+        if index is None:
+            index = len(self.names)
+            self._index_of[name] = index
             self.names.append(name)
-        return found
+        return index
 
     def find(self, name: Key) -> int:
+        """The index of a name, -1 for one not seen before."""
         return self._index_of.get(name, -1)
--- a/crankfold/config/parser.py
+++ b/crankfold/config/parser.py
@@ -1,4 +1,8 @@
-"""Reads settings into standing orders: one meaning for the bench's lines and for the configuration's JSON."""
+"""Reads settings into the configuration of the routing and of the sockets.
+
+Settings are flat: texts by path, as the simulator's lines give them. The nested settings of a configuration
+file are flattened first, so that both mean the same. Paths and values are as the users' pages have them.
+"""
 
 from collections.abc import Mapping
 from dataclasses import dataclass
@@ -6,11 +10,16 @@
 from crankfold.config.interning import Interner
 from crankfold.routing.interface import DeduplicationScope, Idempotency, RequestClass, RoutingConfig
 
-# Of the settings, what may change while units are in hand; what is known of runners hangs on the rest.
+# Of the settings, what may change while requests are in hand; what is known of backends hangs on the rest.
 RELOADABLE = ("service-grades", "allowed", "score-parts", "revenue-per", "orgs")
-# Where the settings do not say, nobody's figures: a connect whose first packet is lost is tried again after
-# 1 s (RFC 6298), and a connection that is closed too early costs a handshake, one used too late a unit.
-DEFAULT_CONNECT_TIMEOUT, DEFAULT_IDLE_TIMEOUT = "1100000", "4000000"
+# Microseconds. Where the settings do not say, nobody's figures: a connect whose first packet is lost is tried
+# again after 1 s (RFC 6298), and a connection that is closed too early costs a handshake, one used too late a
+# request.
+DEFAULT_CONNECT_TIMEOUT = 1_100_000
+DEFAULT_IDLE_TIMEOUT = 4_000_000
+DEFAULT_TIMER_RESOLUTION = 1_000  # microseconds
+DEFAULT_MAX_PENDING = 20_000  # requests
+MICROSECONDS_PER_TICK = 100  # times are whole tenths of a millisecond
 _IDEMPOTENCY = {
     "safe": Idempotency.IDEMPOTENT,
     "keyed": Idempotency.IDEMPOTENT_WITH_KEY,
@@ -19,17 +28,22 @@
 _SCOPES = {"all": DeduplicationScope.GLOBAL, "zone": DeduplicationScope.ZONE, "cell": DeduplicationScope.CELL}
 
 
-def _round_up(micros: str) -> int:
-    return -(-int(float(micros)) // 100)
-
-
-def _round_down(micros: str) -> int:
-    return int(float(micros)) // 100
-
-
 @dataclass(frozen=True, slots=True)
 class ServiceConfig:
-    """What the sockets need to know beside the decisions: names to places, and limits on connections."""
+    """What the service needs to know beside the routing. Times are in tenths of a millisecond.
+
+    Attributes:
+        request_classes: their names as indices.
+        tenants: their names as indices.
+        zones: their names as indices.
+        instance_types: their names as indices.
+        report_fields: of load reports, in the order of their values.
+        connect_timeout: for a connection to a backend.
+        idle_timeout: after which a backend may close a connection.
+        longest_deadline: of all request classes.
+        max_pending: requests in hand; more are shed.
+        slow_start_duration: in which a backend that started is warming up.
+    """
 
     request_classes: Interner[str]
     tenants: Interner[str]
@@ -43,7 +57,47 @@
     slow_start_duration: int
 
 
+class _Settings:
+    """Typed reads of flat settings. A path that is missing or empty has the default."""
+
+    def __init__(self, texts: Mapping[str, str]) -> None:
+        self.texts = texts
+
+    def text(self, path: str, default: str = "") -> str:
+        return self.texts.get(path) or default
+
+    def flag(self, path: str, default: bool = False) -> bool:
+        text = self.texts.get(path)
+        return text == "true" if text else default
+
+    def integer(self, path: str, default: int) -> int:
+        return int(self.texts.get(path) or default)
+
+    def number(self, path: str, default: float) -> float:
+        return float(self.texts.get(path) or default)
+
+    def upper_bound(self, path: str, default: int = 0) -> int:
+        """A duration that bounds us, from microseconds: rounded down."""
+        return int(self.number(path, default)) // MICROSECONDS_PER_TICK
+
+    def lower_bound(self, path: str, default: int = 0) -> int:
+        """A duration that is waited for, from microseconds: rounded up."""
+        return -(-int(self.number(path, default)) // MICROSECONDS_PER_TICK)
+
+    def items(self, path: str) -> list[str]:
+        """A list of plain values."""
+        return [item for item in self.text(path).split(",") if item]
+
+    def names(self, path: str) -> Interner[str]:
+        """The names of a list of objects or of a list of plain values."""
+        count = self.integer(f"{path}.count", 0)
+        if count:
+            return Interner(self.text(f"{path}.{index}.name", str(index)) for index in range(count))
+        return Interner(self.items(path))
+
+
 def parse_lines(text: str) -> dict[str, str]:
+    """Flat settings from lines in the form `PATH=VALUE`; other lines are ignored."""
     return dict(line.split("=", 1) for line in text.splitlines() if "=" in line)
 
 
@@ -57,15 +111,15 @@
     if isinstance(given, list):
         if any(isinstance(item, dict) for item in given):
             flat = {f"{path}.count": str(len(given))}
-            for n, item in enumerate(given):
-                flat |= flatten_settings(item, f"{path}.{n}")
+            for index, item in enumerate(given):
+                flat |= flatten_settings(item, f"{path}.{index}")
             return flat
         return {path: ",".join(setting_text(item) for item in given)}
     return {path: setting_text(given)}
 
 
 def setting_text(value: object) -> str:
-    """A value as the bench's lines would have it."""
+    """A value as the simulator's lines would have it."""
     if value is None:
         return ""
     if isinstance(value, bool):
@@ -74,87 +128,97 @@
 
 
 def read_service_config(given: Mapping[str, str]) -> ServiceConfig:
-    def names(path: str) -> Interner[str]:
-        count = int(given.get(path + ".count") or 0)
-        if count:
-            return Interner(given.get(f"{path}.{n}.name") or str(n) for n in range(count))
-        return Interner(n for n in (given.get(path) or "").split(",") if n)
+    """The service's part of flat settings.
 
-    grades = names("service-grades")
+    Raises:
+        ValueError: a number can't be read.
+    """
+    settings = _Settings(given)
+    request_classes = settings.names("service-grades")
     return ServiceConfig(
-        request_classes=grades,
-        tenants=names("orgs"),
-        zones=names("zones"),
-        instance_types=names("kinds"),
-        report_fields=tuple(n for n in (given.get("report.names") or "").split(",") if n),
-        connect_timeout=_round_down(given.get("allowed.connect-timeout") or DEFAULT_CONNECT_TIMEOUT),
-        idle_timeout=_round_down(given.get("allowed.conn-idle") or DEFAULT_IDLE_TIMEOUT),
+        request_classes=request_classes,
+        tenants=settings.names("orgs"),
+        zones=settings.names("zones"),
+        instance_types=settings.names("kinds"),
+        report_fields=tuple(settings.items("report.names")),
+        connect_timeout=settings.upper_bound("allowed.connect-timeout", DEFAULT_CONNECT_TIMEOUT),
+        idle_timeout=settings.upper_bound("allowed.conn-idle", DEFAULT_IDLE_TIMEOUT),
         longest_deadline=max(
-            (_round_down(given.get(f"service-grades.{n}.cut-off") or "0") for n in range(len(grades.names))),
+            (
+                settings.upper_bound(f"service-grades.{index}.cut-off")
+                for index in range(len(request_classes.names))
+            ),
             default=0,
         ),
-        max_pending=int(given.get("allowed.most-held") or 20000),
-        slow_start_duration=_round_up(given.get("rules.warm-after") or "0"),
+        max_pending=settings.integer("allowed.most-held", DEFAULT_MAX_PENDING),
+        slow_start_duration=settings.lower_bound("rules.warm-after"),
     )
 
 
 def read_routing_config(given: Mapping[str, str]) -> RoutingConfig:
-    """Times are rounded to the safe side: what bounds us down, what we wait for up."""
-
-    def said(path: str, otherwise: str) -> str:
-        return given.get(path) or otherwise
-
-    def yes(path: str, otherwise: str) -> bool:
-        return said(path, otherwise) == "true"
-
-    stretches = [float(s) for s in said("specifics.class-stretch", "").split(",") if s]
-    grades = []
-    for g in range(int(said("service-grades.count", "0"))):
-        own = f"service-grades.{g}."
-        stretch = said(own + "aim-stretch", "")
-        listed = stretches[min(g, len(stretches) - 1)] if stretches else 0.0
-        grades.append(
-            RequestClass(
-                # An effect or a group not known here is taken as the strictest.
-                idempotency=_IDEMPOTENCY.get(said(own + "effect", "unsafe"), Idempotency.NON_IDEMPOTENT),
-                deduplication_scope=_SCOPES.get(said(own + "group", "cell"), DeduplicationScope.CELL),
-                deduplication_window=_round_down(said(own + "repeat-window", "0")),
-                latency_objective=_round_down(said(own + "expected-time", "0")),
-                objective_per_work=float(stretch) if stretch else listed,
-                deadline=_round_down(said(own + "cut-off", "0")),
-                priority_weight=float(said(own + "revenue", "1")),
-                late_value=float(said(own + "tardy-revenue", "0")),
-            )
-        )
-    names = [n for n in said("report.names", "").split(",") if n]
-    # Extra fields count by what the settings say they mean, not by their place.
-    meaning = {"x0": said("specifics.report-x0", ""), "x1": said("specifics.report-x1", "")}
+    """The routing's part of flat settings. Times are rounded to the safe side.
+
+    Raises:
+        ValueError: a number can't be read.
+    """
+    # Over 30 lines, as it has one line for each field.
+    settings = _Settings(given)
     return RoutingConfig(
-        request_classes=grades,
-        instance_count=max(int(said("balancers", "1")), 1),
-        zone=int(said("zone", "0")),
-        timer_resolution=_round_up(said("tick", "1000")),
-        priority_by_work=said("revenue-per", "request") == "work",
-        worst_class_weight=float(said("score-parts.worst-class", "0")),
-        cancellation_allowed=yes("allowed.cancel", "false"),
-        probing_allowed=yes("allowed.probing", "false"),
-        hedging_allowed=yes("allowed.second-copies", "false"),
-        max_attempts=int(said("allowed.most-dispatches", "1")),
-        max_retry_after=_round_down(said("allowed.max-retry-after", "0"))
-        if yes("allowed.retry-after", "false")
-        else 0,
-        reports_in_responses=said("report.via", "off") == "inline",
-        reports_by_probe=said("report.via", "off") == "on_probe",
-        report_fields=[meaning.get(n) or n for n in names],
-        start_notifications=yes("specifics.tells-start", "false"),
-        progress_interval=_round_up(said("specifics.progress", "0")),
-        discovery_by_poll=said("membership-mode", "pushed") == "on_request",
-        poll_within=_round_down(said("rules.ask-within", "0")),
-        initial_capacity=float(said("rules.cold-from", "1")),
-        warm_up_time=_round_up(said("rules.warm-after", "0")),
-        overload_factor=float(said("rules.overload-factor", "1")),
-        overload_period=_round_up(said("rules.overload-for", "0")),
-        instance_index=int(said("me", "-1")),
-        weights_follow_load=said("weights", "nominal") == "live",
-        key_affinity=yes("specifics.keeps-keys", "true"),
+        request_classes=_read_request_classes(settings),
+        instance_count=max(settings.integer("balancers", 1), 1),
+        zone=settings.integer("zone", 0),
+        timer_resolution=settings.lower_bound("tick", DEFAULT_TIMER_RESOLUTION),
+        priority_by_work=settings.text("revenue-per") == "work",
+        worst_class_weight=settings.number("score-parts.worst-class", 0.0),
+        cancellation_allowed=settings.flag("allowed.cancel"),
+        probing_allowed=settings.flag("allowed.probing"),
+        hedging_allowed=settings.flag("allowed.second-copies"),
+        max_attempts=settings.integer("allowed.most-dispatches", 1),
+        max_retry_after=(
+            settings.upper_bound("allowed.max-retry-after") if settings.flag("allowed.retry-after") else 0
+        ),
+        reports_in_responses=settings.text("report.via") == "inline",
+        reports_by_probe=settings.text("report.via") == "on_probe",
+        report_fields=_read_report_fields(settings),
+        start_notifications=settings.flag("specifics.tells-start"),
+        progress_interval=settings.lower_bound("specifics.progress"),
+        discovery_by_poll=settings.text("membership-mode") == "on_request",
+        poll_within=settings.upper_bound("rules.ask-within"),
+        initial_capacity=settings.number("rules.cold-from", 1.0),
+        warm_up_time=settings.lower_bound("rules.warm-after"),
+        overload_factor=settings.number("rules.overload-factor", 1.0),
+        overload_period=settings.lower_bound("rules.overload-for"),
+        instance_index=settings.integer("me", -1),
+        weights_follow_load=settings.text("weights") == "live",
+        key_affinity=settings.flag("specifics.keeps-keys", default=True),
+    )
+
+
+def _read_request_classes(settings: _Settings) -> list[RequestClass]:
+    stretches = [float(item) for item in settings.items("specifics.class-stretch")]
+    request_classes = []
+    for index in range(settings.integer("service-grades.count", 0)):
+        # One that has no factor of its own has that of its place in the list, or of the last.
+        default_stretch = stretches[min(index, len(stretches) - 1)] if stretches else 0.0
+        request_classes.append(_read_request_class(settings, f"service-grades.{index}", default_stretch))
+    return request_classes
+
+
+def _read_request_class(settings: _Settings, path: str, default_stretch: float) -> RequestClass:
+    # An idempotency or a scope not known here is taken as the strictest.
+    return RequestClass(
+        idempotency=_IDEMPOTENCY.get(settings.text(f"{path}.effect"), Idempotency.NON_IDEMPOTENT),
+        deduplication_scope=_SCOPES.get(settings.text(f"{path}.group"), DeduplicationScope.CELL),
+        deduplication_window=settings.upper_bound(f"{path}.repeat-window"),
+        latency_objective=settings.upper_bound(f"{path}.expected-time"),
+        objective_per_work=settings.number(f"{path}.aim-stretch", default_stretch),
+        deadline=settings.upper_bound(f"{path}.cut-off"),
+        priority_weight=settings.number(f"{path}.revenue", 1.0),
+        late_value=settings.number(f"{path}.tardy-revenue", 0.0),
     )
+
+
+def _read_report_fields(settings: _Settings) -> list[str]:
+    """The fields of load reports; the extra ones by what the settings say they mean, not by their place."""
+    meanings = {name: settings.text(f"specifics.report-{name}") for name in ("x0", "x1")}
+    return [meanings.get(name) or name for name in settings.items("report.names")]
--- a/crankfold/config/schema.py
+++ b/crankfold/config/schema.py
@@ -1,6 +1,7 @@
-"""What a configuration has to look like, checked as a whole before anything of it is used.
+"""The form of a configuration file, checked as a whole before anything of it is used.
 
-Not imported at start: it is for `crankfold check` and for a file that is to replace the running one.
+Not imported at start: it is for `crankfold check` and for a file that is to replace the running one. Fields
+have the names of the program; the keys of the file, where they differ, stand beside them.
 """
 
 import re
@@ -8,116 +9,148 @@
 from typing import Annotated, Any, Literal
 
 import msgspec
-from msgspec import Meta, Struct
+from msgspec import Meta, Struct, field
+
+from crankfold.errors import CrankfoldError
 
 Positive = Annotated[float, Meta(gt=0)]
 NonNegative = Annotated[float, Meta(ge=0)]
 Fraction = Annotated[float, Meta(ge=0, le=1)]
 NonEmptyText = Annotated[str, Meta(min_length=1)]
+MAX_SHOWN = 60  # characters of a value that is quoted in an error
+_NOT_COMPARED = (
+    "known",
+    "admin_addr",
+)  # keys of the file that may be missing though the running one has them
+
+
+class SchemaError(CrankfoldError, ValueError):
+    """A field does not have its form: the text names its path, what was found and what is allowed."""
 
 
 class RequestClassSchema(Struct, rename="kebab"):
+    """A request class. Times are in microseconds."""
+
     name: NonEmptyText
-    effect: Literal["safe", "keyed", "unsafe"]
-    cut_off: Positive
-    expected_time: NonNegative
-    group: Literal["all", "zone", "cell"] | None = None
-    repeat_window: NonNegative | None = None
-    revenue: NonNegative | None = None
-    tardy_revenue: Fraction | None = None
-    aim_stretch: NonNegative | None = None
+    idempotency: Literal["safe", "keyed", "unsafe"] = field(name="effect")
+    deadline: Positive = field(name="cut-off")
+    latency_objective: NonNegative = field(name="expected-time")
+    deduplication_scope: Literal["all", "zone", "cell"] | None = field(name="group", default=None)
+    deduplication_window: NonNegative | None = field(name="repeat-window", default=None)
+    priority_weight: NonNegative | None = field(name="revenue", default=None)
+    late_value: Fraction | None = field(name="tardy-revenue", default=None)
+    objective_per_work: NonNegative | None = field(name="aim-stretch", default=None)
 
 
 class AllowedSchema(Struct, rename="kebab"):
-    most_dispatches: Annotated[int, Meta(ge=1)]
+    """What the dispatcher may do, and its limits. Times are in microseconds."""
+
+    max_attempts: Annotated[int, Meta(ge=1)] = field(name="most-dispatches")
     cancel: bool | None = None
     probing: bool | None = None
-    second_copies: bool | None = None
+    hedging: bool | None = field(name="second-copies", default=None)
     retry_after: bool | None = None
     max_retry_after: NonNegative | None = None
     connect_timeout: Positive | None = None
-    conn_idle: Positive | None = None
-    most_held: Annotated[int, Meta(ge=1)] | None = None
+    idle_timeout: Positive | None = field(name="conn-idle", default=None)
+    max_pending: Annotated[int, Meta(ge=1)] | None = field(name="most-held", default=None)
 
 
 class SpecificsSchema(Struct, rename="kebab"):
-    tells_start: bool | None = None
-    keeps_keys: bool | None = None
+    """What is known of the backends of this deployment."""
+
+    start_notifications: bool | None = field(name="tells-start", default=None)
+    key_affinity: bool | None = field(name="keeps-keys", default=None)
 
 
 class SettingsSchema(Struct, rename="kebab"):
-    service_grades: Annotated[list[dict[str, Any]], Meta(min_length=1)]
+    """The settings. The tick is in microseconds."""
+
+    request_classes: Annotated[list[dict[str, Any]], Meta(min_length=1)] = field(name="service-grades")
     allowed: AllowedSchema
     tick: Positive | None = None
-    balancers: Annotated[int, Meta(ge=1)] | None = None
+    instance_count: Annotated[int, Meta(ge=1)] | None = field(name="balancers", default=None)
     weights: Annotated[str, Meta(pattern="^(off|nominal|rough|live)$")] | None = None
     specifics: SpecificsSchema | None = None
 
 
 class LimitsSchema(Struct):
+    """Limits of the process."""
+
     sockets: Annotated[int, Meta(ge=1)] | None = None
 
 
 class ConfigFileSchema(Struct):
+    """The configuration file."""
+
     listen: NonEmptyText
     discovery: NonEmptyText
     settings: SettingsSchema
     limits: LimitsSchema | None = None
     seed: str | None = None
-    admin_addr: str | None = None
+    admin_address: str | None = field(name="admin_addr", default=None)
     peers: dict[str, Any] | None = None  # looked at by whoever starts them
 
 
-class SchemaError(ValueError):
-    """Which field, what was found and what is allowed."""
-
-
 def validate(given: Mapping[str, Any], running: Mapping[str, Any] | None = None) -> None:
+    """Checks a decoded configuration file, and that nothing was lost that the running one has.
+
+    Raises:
+        SchemaError: the first fault that was found.
+    """
     _validate_against(given, ConfigFileSchema, "")
-    seen: dict[str, int] = {}
-    for n, grade in enumerate(given["settings"]["service-grades"]):
-        path = f"settings.service-grades[{n}]"
-        _validate_against(grade, RequestClassSchema, path + ".")
-        first = seen.setdefault(grade["name"], n)
-        if first != n:
-            raise SchemaError(f"{path}.name: found {grade['name']!r}, which number {first} has already")
+    first_of_name: dict[str, int] = {}
+    for index, request_class in enumerate(given["settings"]["service-grades"]):
+        path = f"settings.service-grades[{index}]"
+        _validate_against(request_class, RequestClassSchema, path + ".")
+        name = request_class["name"]
+        first = first_of_name.setdefault(name, index)
+        if first != index:
+            raise SchemaError(f"{path}.name: found {name!r}, which number {first} has already")
     if running is not None:
         _check_nothing_lost(given, running, "")
 
 
-def _validate_against(given: object, form: type, path: str) -> None:
+def _validate_against(given: object, schema: type, path: str) -> None:
     try:
-        msgspec.convert(given, form)
-    except msgspec.ValidationError as wrong:
-        text, _, place = str(wrong).partition(" - at `$")
-        place = place.strip("`.")
-        missing = re.search(r"missing required field `(.+?)`", text)
-        if missing:
-            raise SchemaError(f"{path}{place}{'.' if place else ''}{missing[1]}: missing") from None
-        found: Any = given
-        for key, number in re.findall(r"([^.\[\]]+)|\[(\d+)\]", place):
-            found = found[key or int(number)]
-        shown = repr(found)
-        if len(shown) > 60:
-            shown = shown[:60] + "..."
-        raise SchemaError(f"{path}{place}: found {shown}; {text[0].lower()}{text[1:]}") from None
+        msgspec.convert(given, schema)
+    except msgspec.ValidationError as error:
+        text, _, location = str(error).partition(" - at `$")
+        raise SchemaError(_describe(given, text, path, location.strip("`."))) from None
+
+
+def _describe(given: object, text: str, path: str, location: str) -> str:
+    """Words an error of msgspec at a location below `path`."""
+    missing = re.search(r"missing required field `(.+?)`", text)
+    if missing:
+        return f"{path}{location}{'.' if location else ''}{missing[1]}: missing"
+    found: Any = given
+    for key, index in re.findall(r"([^.\[\]]+)|\[(\d+)\]", location):
+        found = found[key or int(index)]
+    shown = repr(found)
+    if len(shown) > MAX_SHOWN:
+        shown = shown[:MAX_SHOWN] + "..."
+    return f"{path}{location}: found {shown}; {text[0].lower()}{text[1:]}"
 
 
 def _check_nothing_lost(given: object, running: object, path: str) -> None:
     """A lost line must not pass for a wish to have the default."""
     if isinstance(running, dict) and isinstance(given, dict):
         for key in running:
-            if key not in given and (path or key not in ("known", "admin_addr")):
+            if key not in given and (path or key not in _NOT_COMPARED):
                 raise SchemaError(f"{path}{key}: missing; the running configuration has it")
             if key in given and (path or key != "known"):
                 _check_nothing_lost(given[key], running[key], f"{path}{key}.")
     elif isinstance(running, list) and isinstance(given, list):
-        common = (
-            set.intersection(*(set(item) for item in running))
-            if running and all(isinstance(item, dict) for item in running)
-            else set()
-        )
-        for n, item in enumerate(given):
-            lacks = sorted(common - set(item)) if isinstance(item, dict) else []
-            if lacks:
-                raise SchemaError(f"{path[:-1]}[{n}].{lacks[0]}: missing; all of the running ones have it")
+        common = _common_keys(running)
+        for index, item in enumerate(given):
+            lost = sorted(common - set(item)) if isinstance(item, dict) else []
+            if lost:
+                raise SchemaError(f"{path[:-1]}[{index}].{lost[0]}: missing; all of the running ones have it")
+
+
+def _common_keys(items: list[Any]) -> set[str]:
+    """The keys that all of a list of objects have; none for any other list."""
+    if not items or not all(isinstance(item, dict) for item in items):
+        return set()
+    return set.intersection(*(set(item) for item in items))
