--- /dev/null
+++ b/benchmarks/compare_versions.py
@@ -0,0 +1,310 @@
+"""Compares this checkout with another one: in one cluster, at one address in turn, and for speed.
+
+    python -m benchmarks.compare_versions OTHER_CHECKOUT > benchmarks/compare_versions.txt
+
+Three parts, each on loopback with the stand-ins of `benchmarks.upgrades`:
+
+- cluster: three peers, one of them from the other checkout, agree on a published document; then two of them
+  swap checkouts over the same voter folders and agree on another one.
+- handover: the two checkouts replace each other at one address, again and again, under load.
+- speed: the two serve the same load in turn; processor time a request, latency, memory, start, modules.
+"""
+
+import argparse
+import asyncio
+import json
+import os
+import random
+import signal
+import statistics
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+from typing import Any
+
+from benchmarks.upgrades import HOST, Rig, free_port, message
+
+HERE = Path(__file__).resolve().parent.parent
+DEADLINE = 20.0  # seconds until a cluster has to agree
+LOAD_SECONDS = 8.0
+CLOCK_TICKS = os.sysconf("SC_CLK_TCK")
+
+
+async def admin_call(port: int, path: str, body: dict[str, Any] | None = None) -> tuple[int, Any]:
+    """One call to the operators' address of a dispatcher: its status and decoded answer."""
+    reader, writer = await asyncio.open_connection(HOST, port)
+    content = json.dumps(body).encode() if body is not None else b""
+    method = "POST" if body is not None else "GET"
+    writer.write(
+        f"{method} /control/{path} HTTP/1.1\r\nHost: b\r\nContent-Length: {len(content)}\r\n\r\n".encode()
+        + content
+    )
+    head, answer = await message(reader)
+    writer.close()
+    return int(head.split()[1]), json.loads(answer) if answer else None
+
+
+class Cluster:
+    """Three voters on loopback; each is started from a checkout of its own."""
+
+    def __init__(self, discovery_config: dict[str, Any]) -> None:
+        self.folder = Path(tempfile.mkdtemp())
+        self.names = ("n0", "n1", "n2")
+        self.admin_ports = {name: free_port() for name in self.names}
+        voters = {name: f"{HOST}:{free_port()}" for name in self.names}
+        for name in self.names:
+            config = discovery_config | {
+                "name": name,
+                "listen": f"{HOST}:{free_port()}",
+                "admin_addr": f"{HOST}:{self.admin_ports[name]}",
+                "peers": {"name": name, "voters": voters, "folder": str(self.folder / name)},
+            }
+            (self.folder / f"{name}.json").write_text(json.dumps(config))
+        self.processes: dict[str, asyncio.subprocess.Process] = {}
+
+    async def start(self, name: str, checkout: Path) -> None:
+        self.processes[name] = await asyncio.create_subprocess_exec(
+            *(
+                sys.executable,
+                "-O",
+                "-m",
+                "crankfold",
+                "serve",
+                "--config",
+                str(self.folder / f"{name}.json"),
+            ),
+            cwd=checkout,
+            stderr=subprocess.DEVNULL,
+            env={key: value for key, value in os.environ.items() if key != "TMPDIR"},
+        )
+
+    async def stop(self, name: str) -> None:
+        process = self.processes.pop(name)
+        process.send_signal(signal.SIGTERM)
+        await process.wait()
+
+    async def publish(self, settings: dict[str, Any], reason: str) -> int:
+        """Publishes until it is accepted and every member acts on it; the version's number."""
+        begun = time.monotonic()
+        while time.monotonic() < begun + DEADLINE:
+            await asyncio.sleep(0.2)
+            try:
+                status, known = await admin_call(self.admin_ports["n0"], "agreed/settings")
+                if status != 200 or not known["newest"]:
+                    continue
+                request = {
+                    "call": f"{reason} {known['newest']}",
+                    "made-from": known["newest"],
+                    "text": settings,
+                    "author": "benchmark",
+                    "reason": reason,
+                    "wait": 5.0,
+                }
+                status, told = await admin_call(self.admin_ports["n0"], "agreed/settings", request)
+            except (OSError, asyncio.IncompleteReadError):
+                continue
+            if status == 200 and told["counts"] and not told["lag"]:
+                return int(told["number"])
+        raise SystemExit(f"{reason}: no agreement within {DEADLINE} s")
+
+    async def acting(self) -> list[tuple[int, Any]]:
+        """For each member the version that is active there, and the idempotency it acts on."""
+        found = []
+        for name in self.names:
+            _, known = await admin_call(self.admin_ports[name], "agreed/settings")
+            found.append((known["counts"], known["acting"]["service-grades"][0]["effect"]))
+        return found
+
+
+async def compare_in_cluster(other: Path) -> None:
+    rig = Rig(shared=True)
+    await rig.open()
+    config = json.loads(rig.config.read_text())
+    settings = {name: config["settings"][name] for name in ("service-grades", "allowed")}
+    cluster = Cluster(config)
+
+    def with_effect(effect: str) -> dict[str, Any]:
+        return settings | {"service-grades": [{**settings["service-grades"][0], "effect": effect}]}
+
+    for name, checkout in (("n0", HERE), ("n1", other), ("n2", HERE)):
+        await cluster.start(name, checkout)
+    number = await cluster.publish(with_effect("unsafe"), "one of three is the other checkout")
+    print(f"cluster: n1 is the other checkout; version {number} active: {await cluster.acting()}")
+    for name in ("n0", "n1"):
+        await cluster.stop(name)
+    await cluster.start("n0", other)
+    await cluster.start("n1", HERE)
+    number = await cluster.publish(with_effect("safe"), "two have swapped checkouts over their folders")
+    print(
+        f"cluster: n0 is the other checkout, folders kept; version {number} active: {await cluster.acting()}"
+    )
+    for name in cluster.names:
+        await cluster.stop(name)
+
+
+class VersionedRig(Rig):
+    """A rig whose dispatcher is started from a given checkout."""
+
+    checkout = HERE
+
+    async def start(self) -> float:
+        before = Path.cwd()
+        os.chdir(self.checkout)
+        try:
+            return await super().start()
+        finally:
+            os.chdir(before)
+
+
+async def compare_handover(other: Path, rounds: int) -> None:
+    rig = VersionedRig(shared=True)
+    await rig.open()
+    rig.checkout = other
+    await rig.start()
+    over = asyncio.Event()
+    about = [asyncio.create_task(each(over)) for each in (rig.load, rig.callers)]
+    await asyncio.sleep(1.0)
+    for number in range(rounds):
+        rig.checkout = (HERE, other)[number % 2]
+        await rig.replace()
+        await asyncio.sleep(0.5)
+    over.set()
+    await asyncio.gather(*about)
+    await asyncio.sleep(4.0)
+    rig.processes[0].terminate()
+    await rig.processes[0].wait()
+    ends = ", ".join(f"{end} {count}" for end, count in sorted(rig.ends.items()))
+    print(
+        f"handover: {rounds} times in turn, beginning with the other checkout; requests: {ends}", flush=True
+    )
+
+
+class SpeedRig(VersionedRig):
+    """Backends that answer at once; keeps each request's latency."""
+
+    def __init__(self) -> None:
+        super().__init__(shared=True)
+        self.latencies: list[float] = []
+
+    async def work(self, ident: str, name: str) -> None:
+        body = json.dumps({"id": ident, "from": name, "state": "done", "result": ident}).encode()
+        reader, writer = await asyncio.open_connection(HOST, self.port)
+        writer.write(
+            b"POST /v1/job-events HTTP/1.1\r\nHost: b\r\nConnection: close\r\n"
+            b"Content-Length: %d\r\n\r\n" % len(body) + body
+        )
+        await message(reader)
+        writer.close()
+
+    async def client(self, ident: str, keep: bool) -> None:
+        begun = time.monotonic()
+        await super().client(ident, keep)
+        self.latencies.append(time.monotonic() - begun)
+
+    def processor_seconds(self) -> float:
+        fields = Path(f"/proc/{self.processes[0].pid}/stat").read_text().rpartition(")")[2].split()
+        return (int(fields[11]) + int(fields[12])) / CLOCK_TICKS
+
+    def memory_kilobytes(self) -> int:
+        rollup = Path(f"/proc/{self.processes[0].pid}/smaps_rollup").read_text()
+        return int(rollup.partition("\nPss:")[2].split()[0])
+
+
+async def measure_speed(checkout: Path) -> dict[str, float]:
+    random.seed(1)
+    rig = SpeedRig()
+    rig.checkout = checkout
+    await rig.open()
+    start = await rig.start()
+    await asyncio.sleep(0.5)
+    used = rig.processor_seconds()
+    over = asyncio.Event()
+    load = asyncio.create_task(rig.load(over))
+    await asyncio.sleep(LOAD_SECONDS)
+    over.set()
+    await load
+    await asyncio.sleep(0.5)
+    used = rig.processor_seconds() - used
+    memory = rig.memory_kilobytes()
+    rig.processes[0].terminate()
+    await rig.processes[0].wait()
+    latencies = sorted(rig.latencies)
+    return {
+        "processor, ms a request": 1000 * used / len(latencies),
+        "median latency, ms": 1000 * latencies[len(latencies) // 2],
+        "99th percentile, ms": 1000 * latencies[int(len(latencies) * 0.99)],
+        "memory, MB": memory / 1024,
+        "start until ready, s": start,
+        "answered otherwise": sum(count for end, count in rig.ends.items() if end != "done"),
+    }
+
+
+def imported_modules(checkout: Path) -> tuple[set[str], float]:
+    """What `serve` imports before it reads a configuration, and the milliseconds of it (best of five)."""
+    names: set[str] = set()
+    spans = []
+    for _ in range(5):
+        begun = time.perf_counter()
+        result = subprocess.run(
+            [sys.executable, "-O", "-X", "importtime", "-m", "crankfold", "serve", "--config", "/nowhere"],
+            cwd=checkout,
+            capture_output=True,
+            text=True,
+        )
+        spans.append(1000 * (time.perf_counter() - begun))
+        lines = result.stderr.splitlines()
+        names = {line.rpartition("|")[2].strip() for line in lines if line.startswith("import time:")}
+    return names, min(spans)
+
+
+async def compare_speed(other: Path, rounds: int) -> None:
+    checkouts = {"other": other, "this": HERE}
+    runs: dict[str, list[dict[str, float]]] = {name: [] for name in checkouts}
+    for number in range(rounds):
+        for name in sorted(checkouts, reverse=number % 2 == 1):
+            runs[name].append(await measure_speed(checkouts[name]))
+    print(f"speed: {rounds} runs each, in turn, {LOAD_SECONDS:.0f} s of load; medians, this / other by pairs")
+    for what in runs["this"][0]:
+        medians = {name: statistics.median(run[what] for run in runs[name]) for name in runs}
+        line = f"  {what:<26} other {medians['other']:8.3f}  this {medians['this']:8.3f}"
+        if medians["other"]:
+            ratios = [new[what] / old[what] for new, old in zip(runs["this"], runs["other"], strict=True)]
+            line += f"  ratio {statistics.median(ratios):.3f} ({min(ratios):.3f} to {max(ratios):.3f})"
+        print(line)
+    modules = {name: imported_modules(checkout) for name, checkout in checkouts.items()}
+    for name, (names, span) in modules.items():
+        own = sum(module.startswith("crankfold") for module in names)
+        print(f"  imports of serve, {name}: {len(names)} modules, {own} of the project's, {span:.0f} ms")
+    libraries = {
+        name: {m for m in names if not m.startswith("crankfold")} for name, (names, _) in modules.items()
+    }
+    print(f"  libraries imported that were not: {sorted(libraries['this'] - libraries['other']) or 'none'}")
+
+
+def compile_checkout(checkout: Path) -> None:
+    """As the build in the deploy file does, so that no start pays for the compiler."""
+    command = [sys.executable, "-O", "-m", "compileall", "-q", "crankfold"]
+    subprocess.run(command, cwd=checkout, check=True)
+
+
+async def compare(other: Path, rounds: int) -> None:
+    for checkout in (other, HERE):
+        compile_checkout(checkout)
+    await compare_in_cluster(other)
+    await compare_handover(other, rounds)
+    await compare_speed(other, rounds)
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
+    parser.add_argument("other", type=Path, help="the root of the other checkout")
+    parser.add_argument("--rounds", type=int, default=6)
+    given = parser.parse_args()
+    random.seed(1)
+    asyncio.run(compare(given.other.resolve(), given.rounds))
+
+
+if __name__ == "__main__":
+    main()
--- a/benchmarks/upgrades.py
+++ b/benchmarks/upgrades.py
@@ -149,7 +149,7 @@
                 close = "" if keep else "Connection: close\r\n"
                 writer.write(
                     f"POST /api HTTP/1.1\r\nHost: b\r\nX-Request-ID: {ident}-{attempt}\r\n{close}"
-                    "X-Priority-Class: g\r\nX-Timeout: 2\r\nContent-Length: 0\r\n\r\n".encode()
+                    "X-Priority-Class: g\r\nX-Timeout: 3\r\nContent-Length: 0\r\n\r\n".encode()
                 )
                 sent = True
                 async with asyncio.timeout(4):
