--- a/crankfold/service/handover_state.py
+++ b/crankfold/service/handover_state.py
@@ -61,7 +61,7 @@
     ]
     if routing.weights_follow_load:  # of a weight that follows load only the size behind it lasts
         for target in targets:
-            target["capacity_hint"] = routing.weight[registry.backend_ids.intern(target["uid"])]
+            target["capacity_hint"] = routing.backend_weight(registry.backend_ids.intern(target["uid"]))
     return ProcessState(
         format_version=FORMAT_VERSION,
         dispatcher_name=dispatcher_name,
