--- a/crankfold/service/admin_service.py
+++ b/crankfold/service/admin_service.py
@@ -1,12 +1,12 @@
 """Carries out operators' calls on the request handler, the backend registry and the clients' connections."""
 
 import logging
-from collections.abc import Awaitable, Sequence
-from typing import Protocol
+from collections.abc import Sequence
 
 from crankfold.network.listener import Listener
 from crankfold.protocol.admin_api import ReplicatedConfigAdmin
 from crankfold.routing.interface import Endpoint
+from crankfold.service.collaborators import OtherProcesses
 from crankfold.service.lifecycle import Lifecycle
 from crankfold.service.request_handler import RequestHandler
 
@@ -15,16 +15,6 @@
 DRAIN_CHECK_INTERVAL = 0.05  # seconds
 
 
-class HandoverPeer(Protocol):
-    """What operators' calls need to know of the processes before and after this one."""
-
-    def has_successor(self) -> bool:
-        """Whether another process accepts connections in place of this one."""
-
-    def replicate_manual_drain(self, backend_id: str, drained: bool) -> Awaitable[None]:
-        """Records a manual drain or its end, and has the other processes do it too."""
-
-
 class AdminService:
     """The operators' calls, as `protocol.admin_api` decodes them."""
 
@@ -33,14 +23,14 @@
         request_handler: RequestHandler,
         listener: Listener,
         lifecycle: Lifecycle,
-        handover: HandoverPeer | None,
+        other_processes: OtherProcesses,
     ) -> None:
         self.request_handler = request_handler
         self.backend_registry = request_handler.backends
         self.metrics = request_handler.metrics
         self.listener = listener
         self.lifecycle = lifecycle
-        self.handover = handover
+        self.other_processes = other_processes
         self.loop = request_handler.timers.loop
         self.replicated_config: ReplicatedConfigAdmin | None = None
         """None without a cluster, and until the member of it is open."""
@@ -51,7 +41,7 @@
         return (
             self.request_handler.is_serving()
             and self.backend_registry.any_ready()
-            and not (self.handover and self.handover.has_successor())
+            and not self.other_processes.has_successor()
         )
 
     async def drain_backend(self, backend_id: str) -> bool:
@@ -74,8 +64,7 @@
             self.metrics.increment(f"backends-{word}-manually")
             logger.info("backend %s manually: %r", word, backend_id)
             self.endpoints_changed([endpoint])
-        if self.handover:
-            await self.handover.replicate_manual_drain(backend_id, drained)
+        await self.other_processes.replicate_manual_drain(backend_id, drained)
         return True
 
     def endpoints_changed(self, endpoints: Sequence[Endpoint]) -> None:
--- a/crankfold/service/application.py
+++ b/crankfold/service/application.py
@@ -29,6 +29,7 @@
 from crankfold.routing.interface import Endpoint, RoutingConfig
 from crankfold.service.admin_service import AdminService
 from crankfold.service.backend_registry import BackendRegistry
+from crankfold.service.collaborators import NoCluster, NoOtherProcess
 from crankfold.service.config_file import connection_timeouts, divide_socket_limit, parse_address
 from crankfold.service.handover import Handover
 from crankfold.service.lifecycle import Lifecycle
@@ -66,6 +67,7 @@
         Raises:
             ConfigError: if the document cannot be served from.
         """
+        # Over 30 lines: the list of the parts, in the order in which they need one another.
         routing_config, config, seed = _parse_settings(document)
         self.metrics = Metrics()
         self.timers = Timers(Clock(), self.metrics)
@@ -78,54 +80,68 @@
         self.discovery_answered = asyncio.Event()
         self.shutdown_requested = asyncio.Event()
         self.fatal_error: BaseException | None = None
-        self._build_request_path(document, routing_config, config, seed)
-        self._build_control_path(document, config, handover_directory)
-        self.reloader = ConfigReloader(
-            document,
-            read_document,
-            applier=self.config_applier,
-            socket_budget=self.socket_budget,
-            discovery_watcher=self.discovery_watcher,
-            metrics=self.metrics,
-            polls_discovery=self.polls_discovery,
-            settings_replicated=self.replicated_config is not None,
-        )
-        self.shutdown = ShutdownSequence(
-            lifecycle=self.lifecycle,
-            request_handler=self.request_handler,
-            listener=self.listener,
-            admin_server=self.admin_server,
-            discovery_watcher=self.discovery_watcher,
-            handover=self.handover,
-            replicated_config=self.replicated_config,
-        )
-
-    def _build_request_path(
-        self, document: dict[str, Any], routing_config: RoutingConfig, config: ServiceConfig, seed: int
-    ) -> None:
-        """What a request goes through, and the watch on the backends that it may go to."""
         limits = divide_socket_limit(document, self.admin_address is not None)
         timeouts = connection_timeouts(config)
         self.connection_limiter = ConnectionLimiter(
             limits.backend_connections, timeouts.connect, timeouts.idle, self.metrics
         )
         self.backend_registry = BackendRegistry(config, self.timers, self.connection_limiter)
+        self.handover = self._build_handover(document, handover_directory)
+        self.replicated_config = self._build_replicated_config(document)
         self.lifecycle = Lifecycle()
         self.request_handler = RequestHandler(
             routing_config,
             config,
-            seed,
-            self.timers,
-            self.metrics,
-            self.backend_registry,
-            self.lifecycle,
-            self._start_polling,
+            seed=seed,
+            timers=self.timers,
+            metrics=self.metrics,
+            backends=self.backend_registry,
+            lifecycle=self.lifecycle,
+            cluster=self.replicated_config or NoCluster(),
+            other_processes=self.handover or NoOtherProcess(),
+            poll_endpoints=self._start_polling,
         )
         self.listener = Listener(
             self.request_handler, self.metrics, config.report_fields, limits.accepted_connections
         )
-        self.request_handler.connections_exhausted = self.listener.is_over_limit
         self.socket_budget = SocketBudget(limits, self.listener, self.connection_limiter)
+        self.config_applier = ConfigApplier(config, self.request_handler, self.connection_limiter)
+        if self.handover:
+            self.handover.attach(self.request_handler, self.listener, self.socket_budget)
+        self._build_control_path(document, read_document)
+
+    def _build_handover(self, document: dict[str, Any], directory: str) -> Handover | None:
+        """Processes replace one another only where operators can ask the new one whether it is ready."""
+        if not self.admin_address or not directory:
+            return None
+        return Handover(
+            directory,
+            str(document.get("name") or ""),
+            self.listen_address,
+            self.backend_registry,
+            self.metrics,
+        )
+
+    def _build_replicated_config(self, document: dict[str, Any]) -> "ReplicatedConfig | None":
+        if not document.get("peers"):
+            return None
+        from crankfold.service import replicated_config  # nothing of it is imported without peers
+
+        try:
+            return replicated_config.ReplicatedConfig(
+                document,
+                self.metrics,
+                self.backend_registry,
+                self._apply_config,
+                self._endpoint_list_age,
+            )
+        except ValueError as error:
+            raise ConfigError(str(error)) from None
+
+    def _build_control_path(
+        self, document: dict[str, Any], read_document: Callable[[], dict[str, Any]]
+    ) -> None:
+        """What discovery, operators and signals reach."""
         host, port = parse_address(document["discovery"], "discovery")
         self.discovery_watcher = DiscoveryWatcher(
             host,
@@ -135,42 +151,33 @@
             self._discovery_failed,
             self.metrics,
         )
-
-    def _build_control_path(
-        self, document: dict[str, Any], config: ServiceConfig, handover_directory: str
-    ) -> None:
-        """What operators, other processes and the cluster reach."""
-        self.config_applier = ConfigApplier(config, self.request_handler, self.connection_limiter)
-        self.handover: Handover | None = None
-        # Processes replace one another only where operators can ask the new one whether it is ready.
-        if self.admin_address and handover_directory:
-            self.handover = Handover(
-                handover_directory,
-                str(document.get("name") or ""),
-                self.listen_address,
-                request_handler=self.request_handler,
-                listener=self.listener,
-                socket_budget=self.socket_budget,
-            )
         self.admin_service = AdminService(
-            self.request_handler, self.listener, self.lifecycle, handover=self.handover
+            self.request_handler, self.listener, self.lifecycle, self.handover or NoOtherProcess()
         )
         self.admin_server = AdminServer(self.admin_service, self.metrics)
-        self.replicated_config: ReplicatedConfig | None = None
-        if document.get("peers"):
-            from crankfold.service import replicated_config  # nothing of it is imported without peers
+        self.reloader = ConfigReloader(
+            document,
+            read_document,
+            applier=self.config_applier,
+            socket_budget=self.socket_budget,
+            discovery_watcher=self.discovery_watcher,
+            metrics=self.metrics,
+            polls_discovery=self.polls_discovery,
+            settings_replicated=self.replicated_config is not None,
+        )
+        self.shutdown = ShutdownSequence(
+            lifecycle=self.lifecycle,
+            request_handler=self.request_handler,
+            listener=self.listener,
+            admin_server=self.admin_server,
+            discovery_watcher=self.discovery_watcher,
+            handover=self.handover,
+            replicated_config=self.replicated_config,
+        )
 
-            try:
-                self.replicated_config = replicated_config.ReplicatedConfig(
-                    document,
-                    self.metrics,
-                    self.request_handler,
-                    self.admin_service,
-                    self.config_applier.apply,
-                    self._endpoint_list_age,
-                )
-            except ValueError as error:
-                raise ConfigError(str(error)) from None
+    def _apply_config(self, routing_config: RoutingConfig, config: ServiceConfig) -> None:
+        """For the replicated configuration, which is there before what applies a configuration."""
+        self.config_applier.apply(routing_config, config)
 
     # --- what discovery says ---
 
@@ -264,7 +271,9 @@
         if self.replicated_config:
             try:
                 await self.replicated_config.open(
-                    self.handover is not None and self.handover.listening_socket is not None
+                    self.request_handler,
+                    self.admin_service,
+                    succeeds=self.handover is not None and self.handover.listening_socket is not None,
                 )
             except (OSError, ValueError) as error:
                 raise ConfigError(f"peers: {error}") from None
--- a/crankfold/service/handover.py
+++ b/crankfold/service/handover.py
@@ -4,11 +4,11 @@
 import logging
 import socket
 import zlib
-from collections.abc import Callable
 from typing import Any
 
 from crankfold.network.handover_channel import SOCKET_MARK, HandoverChannel, resolve
 from crankfold.network.listener import Listener
+from crankfold.network.metrics import Metrics
 from crankfold.protocol.callbacks import handle_callback, request_id_of
 from crankfold.protocol.handover_messages import (
     FORMAT_VERSION,
@@ -21,6 +21,8 @@
 )
 from crankfold.routing.interface import Endpoint
 from crankfold.service import handover_state
+from crankfold.service.backend_registry import BackendRegistry
+from crankfold.service.collaborators import CallbackAnswer
 from crankfold.service.handover_state_machine import HandoverRole, HandoverStateMachine
 from crankfold.service.request_handler import RequestHandler
 from crankfold.service.socket_budget import SocketBudget
@@ -39,21 +41,21 @@
         directory: str,
         dispatcher_name: str,
         listen_address: tuple[str, int],
-        *,
-        request_handler: RequestHandler,
-        listener: Listener,
-        socket_budget: SocketBudget,
+        backend_registry: BackendRegistry,
+        metrics: Metrics,
     ) -> None:
+        """Opens nothing. `attach` has to be called before anything else."""
         # A directory may hold what another dispatcher's process left, or have one behind it that serves other
         # customers at what is now our address: so the name is compared too.
         self.dispatcher_name = dispatcher_name
         self.listen_address = listen_address
-        self.request_handler = request_handler
-        self.backend_registry = request_handler.backends
-        self.metrics = request_handler.metrics
-        self.listener = listener
-        self.socket_budget = socket_budget
-        self.loop = request_handler.timers.loop
+        self.backend_registry = backend_registry
+        self.metrics = metrics
+        self.request_handler: RequestHandler
+        self.listener: Listener
+        self.socket_budget: SocketBudget
+        self.predecessor_request_ids: frozenset[str] = frozenset()
+        self.loop = backend_registry.timers.loop
         address_hash = zlib.crc32(f"{listen_address[0]}:{listen_address[1]}".encode())
         self.channel = HandoverChannel(directory, f"crankfold-{address_hash:08x}", self)
         self.state_machine = HandoverStateMachine(self)
@@ -62,7 +64,14 @@
         self.retry_takeover = False
         self.inherited_reports: dict[str, list[float]] = {}
         self.tasks: set[asyncio.Task[None]] = set()
-        request_handler.forward_callback = self.forward_callback
+
+    def attach(
+        self, request_handler: RequestHandler, listener: Listener, socket_budget: SocketBudget
+    ) -> None:
+        """Gives it the parts of this process that are made after it, as they are given it in turn."""
+        self.request_handler = request_handler
+        self.listener = listener
+        self.socket_budget = socket_budget
 
     # --- as the successor ---
 
@@ -157,7 +166,11 @@
                 "records", f"{error}; a manual drain is in force, but is forgotten if both processes die"
             )
 
-    def forward_callback(self, body: bytes, on_answer: Callable[[bool | None], None]) -> bool:
+    def has_request(self, request_id: str) -> bool:
+        """Whether the predecessor still has that request in hand."""
+        return request_id in self.predecessor_request_ids
+
+    def forward_callback(self, body: bytes, on_answer: CallbackAnswer) -> bool:
         """Has another process handle a callback whose request is not in hand here.
 
         False if there is no other. The answer is whether one had the request; None if one did not answer.
@@ -271,7 +284,7 @@
 
     def predecessor_usage_changed(self, usage: ProcessUsage) -> None:
         """Refuses the ids of requests in hand at the predecessor, and leaves room for its connections."""
-        self.request_handler.predecessor_request_ids = frozenset(usage.request_ids)
+        self.predecessor_request_ids = frozenset(usage.request_ids)
         self.socket_budget.reserve(usage.accepted_connections, usage.backend_connections)
 
     def _endpoints_changed(self, endpoints: list[Endpoint]) -> None:
