--- a/crankfold/service/collaborators.py
+++ b/crankfold/service/collaborators.py
@@ -67,8 +67,8 @@
             Whether there was a process to ask; only then `on_answer` is called, maybe at once.
         """
 
-    async def replicate_manual_drain(self, action: str, backend_id: str) -> None:
-        """Records that operators drained ("out") or restored ("back") a backend, and tells the others."""
+    async def replicate_manual_drain(self, backend_id: str, drained: bool) -> None:
+        """Records a manual drain or its end, and has the other processes do it too."""
 
 
 class NoCluster:
@@ -113,5 +113,5 @@
         """See `OtherProcesses`."""
         return False
 
-    async def replicate_manual_drain(self, action: str, backend_id: str) -> None:
+    async def replicate_manual_drain(self, backend_id: str, drained: bool) -> None:
         """See `OtherProcesses`."""
