--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -355,9 +355,10 @@
                 await self.until(lambda: self.node.timers.clock.now() > first.created_at + 3000)
             await opening(exchange)
 
+        routing = self.node.request_handler.routing
         with (
             patch.object(pool, "_connect", late),
-            patch.object(self.node.request_handler.routing, "_sound", lambda now, u, pool, burden: [0]),
+            patch.object(routing.selection, "_healthy", lambda *_: routing.state.table.backends[:1]),
             patch("crankfold.service.request_table.Attempt.was_sent", lambda trip: False),
         ):
             answer = await self.ask("u1")
