--- a/crankfold/cli/main.py
+++ b/crankfold/cli/main.py
@@ -12,9 +12,11 @@
 
 from crankfold import __version__
 from crankfold.cli.options import config_option
+from crankfold.errors import ConfigError
 from crankfold.network.log_handler import configure_logging
 from crankfold.network.signals import catch_reload_signal
-from crankfold.service.application import Application, ConfigError, read_config
+from crankfold.service.application import Application
+from crankfold.service.config_file import read_config
 
 # Command to the module below `crankfold.cli` that has it, and its name there.
 LAZY_COMMANDS = {
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -37,6 +37,7 @@
 from crankfold.network.metrics import Metrics
 from crankfold.network.timers import Clock, Timers
 from crankfold.protocol.backend_connection import BackendConnection
+from crankfold.protocol.discovery import DiscoveryEntry
 from tests.loopback import BACK, HEALTH, OK, UNIT, Between, Handler, Loopback
 from tests.scene import read_request
 
@@ -323,18 +324,8 @@
                 body = answers.pop(0)
                 writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
 
-        def enlist(
-            uid: str,
-            host: str,
-            port: int,
-            zone: str,
-            kind: str,
-            cell: int,
-            standing: Any,
-            weight: float,
-            boot_ms: int,
-        ) -> Any:
-            return f"{uid} {standing.name.lower()}"
+        def make_endpoint(entry: DiscoveryEntry) -> Any:
+            return f"{entry.backend_id} {entry.state.name.lower()}"
 
         tally = Metrics()
         logged = patch.object(
@@ -346,10 +337,12 @@
         watch = DiscoveryWatcher(
             "127.0.0.1",
             await self.stand_in(discovery),
-            enlist,
-            lambda entries, whole: self.say(f"  {'whole' if whole else 'changes'} {list(entries)}"),
-            lambda: None,
-            tally,
+            make_endpoint,
+            on_endpoints=lambda entries, whole: self.say(
+                f"  {'whole' if whole else 'changes'} {list(entries)}"
+            ),
+            on_failure=lambda: None,
+            metrics=tally,
             retry_interval=0.01,
         )
         watch.start(True)
@@ -379,9 +372,9 @@
             "127.0.0.1",
             await self.stand_in(discovery),
             Mock(),
-            heard,
-            lambda: None,
-            Metrics(),
+            on_endpoints=heard,
+            on_failure=lambda: None,
+            metrics=Metrics(),
             retry_interval=0.01,
         )
         watch.revision = 5
@@ -401,7 +394,12 @@
                 writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
 
         watch = DiscoveryWatcher(
-            "127.0.0.1", await self.stand_in(discovery), Mock(), lambda *_: None, lambda: None, Metrics()
+            "127.0.0.1",
+            await self.stand_in(discovery),
+            Mock(),
+            on_endpoints=lambda *_: None,
+            on_failure=lambda: None,
+            metrics=Metrics(),
         )
         watch.start(True)
         await asyncio.sleep(0.2)
@@ -417,7 +415,12 @@
             told.set()
 
         watch = DiscoveryWatcher(
-            "127.0.0.1", await self.stand_in(discovery), Mock(), heard, lambda: None, Metrics()
+            "127.0.0.1",
+            await self.stand_in(discovery),
+            Mock(),
+            on_endpoints=heard,
+            on_failure=lambda: None,
+            metrics=Metrics(),
         )
         watch.revision = rev
         self.addCleanup(watch.stop)
@@ -669,9 +672,8 @@
         first = asyncio.create_task(self.ask("u1"))
         await self.until(lambda: self.node.metrics.counters["dispatches"] == 1 and len(posts) == 1)
         self.assertEqual((await self.ask("u1"))[0].split()[1], "409")
-        self.node.request_handler.connections_exhausted = lambda: True
-        self.assertEqual((await self.ask("u2"))[0].split()[1], "503")
-        self.node.request_handler.connections_exhausted = lambda: False
+        with patch.object(self.node.listener, "is_over_limit", lambda: True):
+            self.assertEqual((await self.ask("u2"))[0].split()[1], "503")
         self.assertEqual((self.node.metrics.counters["shed-for-room"], posts), (1, ["POST"]))
         # Called off, but the runner does not heed it: no second dispatch goes there, and it ends as not sent.
         await self.until(lambda: self.node.request_handler.request_table.requests[0].attempts[0].accepted)
@@ -776,7 +778,7 @@
         printed = await lines
         self.assertEqual(self.process.returncode, 0, printed)
         counted = dict(pair.split("=") for pair in printed.rpartition("counters: ")[2].split())
-        self.say(" ".join(f"{name} {counted.get(name)}" for name in ("taken", "done", "now-open")))
+        self.say(" ".join(f"{name} {counted.get(name)}" for name in ("taken", "done", "open-requests")))
         self.close("sigterm")
 
     async def test_a_new_configuration_moves_the_watch_and_outlives_what_it_cannot_use(self) -> None:
@@ -825,7 +827,7 @@
         printed = await lines
         self.assertEqual(self.process.returncode, 0, printed)
         self.assertIn("settings.tick differs and waits for a restart", printed)
-        self.assertIn("the old one stands", printed)
+        self.assertIn("the old one stays in force", printed)
 
     async def test_after_sigterm_connections_still_come_and_are_kept_until_its_last_part(self) -> None:
         async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -845,7 +847,7 @@
             self.assertEqual((head.split()[1], body, "Connection: close" in head), ("200", b"result", False))
             await asyncio.sleep(pause)
         self.assertEqual(await reader.read(), b"")  # closed at rest, before the end
-        self.assertIn("now-open=0", await lines)
+        self.assertIn("open-requests=0", await lines)
         self.assertEqual(self.process.returncode, 0)
 
     async def test_at_the_end_of_a_drain_only_what_may_have_run_is_given_up(self) -> None:
