--- a/crankfold/service/request_handler.py
+++ b/crankfold/service/request_handler.py
@@ -7,22 +7,31 @@
 from urllib.parse import quote
 
 from crankfold.config.parser import ServiceConfig, setting_text
-from crankfold.network.connection_pool import ANSWERED, NOT_SENT, STALE_CONNECTION, UNREACHABLE, Exchange
-from crankfold.network.listener import AcceptedConnection
+from crankfold.network.accepted_connection import AcceptedConnection
+from crankfold.network.connection_pool import Exchange, ExchangeResult
 from crankfold.network.metrics import Metrics
 from crankfold.network.timers import Timers
 from crankfold.protocol.backend_connection import (
-    ACCEPTED,
-    REJECTED,
+    Acceptance,
     BackendConnection,
     attempt_headers,
     classify_response,
 )
 from crankfold.protocol.client_request import ClientRequest
 from crankfold.protocol.load_reports import report_from_header
-from crankfold.routing.interface import Endpoint, EndpointState, Idempotency, Outcome, RoutingConfig
-from crankfold.routing.policy import NEVER_EXECUTED, Router
+from crankfold.routing.interface import (
+    NEVER_EXECUTED,
+    AttemptEnd,
+    Endpoint,
+    EndpointState,
+    Idempotency,
+    Outcome,
+    RequestArrival,
+    RoutingConfig,
+)
+from crankfold.routing.router import Router
 from crankfold.service.backend_registry import BackendRegistry
+from crankfold.service.collaborators import ClusterServices, OtherProcesses, RecordedEvent
 from crankfold.service.lifecycle import Lifecycle
 from crankfold.service.request_classes import RequestClassTable
 from crankfold.service.request_table import Attempt, Request, RequestTable
@@ -35,41 +44,28 @@
         self,
         orders: RoutingConfig,
         rules: ServiceConfig,
+        *,
         seed: int,
         timers: Timers,
-        tally: Metrics,
-        fleet: BackendRegistry,
-        duty: Lifecycle,
-        subscribe: Callable[[], None],
+        metrics: Metrics,
+        backends: BackendRegistry,
+        lifecycle: Lifecycle,
+        cluster: ClusterServices,
+        other_processes: OtherProcesses,
+        poll_endpoints: Callable[[], None],
     ) -> None:
-        self.config, self.timers, self.clock, self.metrics = rules, timers, timers.clock, tally
-        self.backends, self.lifecycle, self.poll_endpoints = fleet, duty, subscribe
+        self.config, self.timers, self.clock, self.metrics = rules, timers, timers.clock, metrics
+        self.backends, self.lifecycle, self.poll_endpoints = backends, lifecycle, poll_endpoints
+        self.cluster, self.other_processes = cluster, other_processes
         self.cancels_attempts = orders.cancellation_allowed
         self.probe_target = (
             b"/load" if orders.reports_in_responses or orders.reports_by_probe else b"/healthz"
         )
         self.closed = False  # the process ends: what still comes is shed
-        self.connections_exhausted: Callable[[], bool] = lambda: False
-        # With peers: whether rules may be acted on at this moment, and where what is done is written down.
-        self.has_valid_config: Callable[[], bool] = lambda: True
-        self.record_event: Callable[[str, str, str], None] | None = None
-        self.acquire_quota: Callable[[str, str], Sequence[str] | None] | None = (
-            None  # places of limits, if there are
-        )
-        # With machines out for work: what is left running on one, what ended there, what ended after all.
-        self.attempt_abandoned: Callable[[str, str], None] | None = None
-        self.attempt_finished: Callable[[int, Outcome], None] | None = None
-        self.abandoned_attempt_finished: Callable[[str, str], None] | None = None
-        self.predecessor_request_ids: frozenset[str] = (
-            frozenset()
-        )  # ids in hand at the process before this one
-        self.forward_callback: Callable[[bytes, Callable[[bool | None], None]], bool] = lambda body, done: (
-            False
-        )
         self.load_reports: dict[int, tuple[int, Sequence[float]]] = {}  # each runner's last, and when
         self.call_soon = asyncio.get_running_loop().call_soon
         self.request_classes = RequestClassTable(rules.request_classes.names, orders.request_classes)
-        self.request_table = RequestTable(self.request_classes)
+        self.request_table = RequestTable(self.request_classes, cluster)
         self.routing = Router(orders, seed, self)
 
     # --- telling the decisions ---
@@ -97,7 +93,7 @@
     # --- from clients ---
 
     def is_serving(self) -> bool:
-        return self.lifecycle.is_serving() and self.has_valid_config()
+        return self.lifecycle.is_serving() and self.cluster.has_valid_config()
 
     def knows_request_class(self, name: str) -> bool:
         return self.request_classes.find(setting_text(name)) >= 0
@@ -113,44 +109,43 @@
             self.metrics.increment("shed-at-the-end")
             client.reject(503)
             return
-        if ident in self.request_table.by_request_id or ident in self.predecessor_request_ids:
+        if ident in self.request_table.by_request_id or self.other_processes.has_request(ident):
             self.metrics.increment("ids-in-hand-already")
             client.reject(409)
             return
-        if self.connections_exhausted() or len(self.request_table.requests) >= self.config.max_pending:
+        if client.exceeds_limit() or len(self.request_table.requests) >= self.config.max_pending:
             # Nothing was sent for it, so a retry is harmless.
             self.metrics.increment("shed-for-room")
             client.respond(503)
             return
-        if not self.has_valid_config():
+        if not self.cluster.has_valid_config():
             # Nothing was sent for it either; by the time of a lease somebody has one again.
             self.metrics.increment("shed-cut-off")
             client.respond(503, [(b"Retry-After", b"1")])
             return
-        counted: Sequence[str] | None = self.acquire_quota(grade, tenant) if self.acquire_quota else ()
+        counted = self.cluster.acquire_quota(grade, tenant)
         if counted is None:
             self.metrics.increment("shed-for-share")
             client.respond(503, [(b"Retry-After", b"1")])
             return
         self.metrics.increment("taken")
-        if self.record_event:
-            self.record_event("take", ident, grade)
+        self.cluster.record_event(RecordedEvent.REQUEST_ADMITTED, ident, grade)
         wait = max(submitted.timeout - TRANSIT_ALLOWANCE, 0)
         row = self.request_classes.find(setting_text(grade))
         held = self.request_table.add(row, ident, client, self.clock.now() + wait, submitted.http)
         held.quota_limits = counted
         held.deadline_timer = self.timers.call_after(wait, partial(self._on_deadline, held))
-        payer = max(self.config.tenants.find(setting_text(tenant)), 0)
         self.notify_routing(
             self.routing.request_received,
-            held.number,
-            row,
-            payer,
-            held.deadline,
-            submitted.work,
-            submitted.slots,
-            submitted.affinity_key,
-            submitted.is_retry,
+            RequestArrival(
+                held.number,
+                row,
+                held.deadline,
+                submitted.work,
+                submitted.slots,
+                submitted.affinity_key,
+                submitted.is_retry,
+            ),
             unit=held.number,
         )
 
@@ -186,7 +181,7 @@
 
     # --- the port: what is decided ---
 
-    def send_attempt(self, unit: int, runner: int, limit: int) -> None:
+    def send_attempt(self, unit: int, runner: int) -> None:
         work = self.request_table.requests.get(unit)
         if work is None:
             self.metrics.check_invariant(False, "dispatch-for-a-unit-in-hand")
@@ -202,7 +197,7 @@
         work.attempts.append(trip)
         self.metrics.increment("dispatches")
         if there or not self._may_send(work, trip):
-            self.call_soon(self._on_exchange_ended, work, trip, NOT_SENT, None)
+            self.call_soon(self._on_exchange_ended, work, trip, ExchangeResult.NOT_SENT, None)
             return
         http = work.http_request
         trip.exchange = Exchange(
@@ -210,12 +205,10 @@
             http.target,
             lambda: attempt_headers(http.headers, work.deadline - self.clock.now()),
             http.body,
-            partial(self._may_send, work, trip),
-            partial(self._on_exchange_ended, work, trip),
+            may_send=partial(self._may_send, work, trip),
+            on_end=partial(self._on_exchange_ended, work, trip),
         )
         self.backends.pools[runner].send(trip.exchange)
-        if limit > 0:
-            self.timers.call_after(limit, partial(self._on_attempt_timeout, work, trip))
 
     def _may_send(self, work: Request, trip: Attempt) -> bool:
         """While a connection came up the unit may have ended or the runner have begun to drain."""
@@ -224,11 +217,12 @@
             and trip.in_flight
             and self.backends.states[trip.backend] == EndpointState.READY
             and self.clock.now() < work.deadline
-            and self.has_valid_config()
+            and self.cluster.has_valid_config()
             and self._within_deduplication_window(work, trip)
         )
-        if may and self.record_event:
-            self.record_event("dispatch", work.request_id, self.backends.backend_ids.names[trip.backend])
+        if may:
+            backend_id = self.backends.backend_ids.names[trip.backend]
+            self.cluster.record_event(RecordedEvent.ATTEMPT_SENT, work.request_id, backend_id)
         return may
 
     def _within_deduplication_window(self, work: Request, trip: Attempt) -> bool:
@@ -280,8 +274,8 @@
 
     # --- from runners ---
 
-    def _on_probe_answer(self, runner: int, how: str, side: BackendConnection | None) -> None:
-        well = how == ANSWERED and side is not None and side.status == 200
+    def _on_probe_answer(self, runner: int, how: ExchangeResult, side: BackendConnection | None) -> None:
+        well = how is ExchangeResult.ANSWERED and side is not None and side.status == 200
         report: Sequence[float] = ()
         if well and side is not None:
             report = report_from_header(bytes(side.body), self.config.report_fields)
@@ -294,22 +288,22 @@
             self.load_reports[runner] = self.clock.now(), report
 
     def _on_exchange_ended(
-        self, work: Request, trip: Attempt, how: str, side: BackendConnection | None
+        self, work: Request, trip: Attempt, how: ExchangeResult, side: BackendConnection | None
     ) -> None:
         """The exchange of a dispatch is over: the runner took the unit, or the dispatch has ended."""
-        if how == NOT_SENT:
+        if how is ExchangeResult.NOT_SENT:
             self._end_attempt(work, trip, Outcome.NOT_SENT)
-        elif how == UNREACHABLE:
+        elif how is ExchangeResult.UNREACHABLE:
             self._end_attempt(work, trip, Outcome.UNREACHABLE)
-        elif how == STALE_CONNECTION:
+        elif how is ExchangeResult.STALE_CONNECTION:
             self._end_attempt(work, trip, Outcome.STALE_CONNECTION)
-        elif how != ANSWERED or side is None:
+        elif how is not ExchangeResult.ANSWERED or side is None:
             self._end_attempt(work, trip, Outcome.RESET)
         else:
             outcome = classify_response(side.status, side.not_processed)
-            if outcome == ACCEPTED:
+            if outcome is Acceptance.ACCEPTED:
                 trip.accepted = True
-            elif outcome == REJECTED:
+            elif outcome is Acceptance.REJECTED:
                 # The client's answer, as a result would be. Tried on, one such unit had five runners doubted.
                 if work.is_open:
                     self._answer(work.number, "unfit", 400)
@@ -318,7 +312,7 @@
                 self._end_attempt(
                     work,
                     trip,
-                    Outcome(outcome),
+                    outcome,
                     report_from_header(side.load_header, self.config.report_fields),
                 )
 
@@ -332,10 +326,10 @@
         if trip.exchange is None:
             return
         trip.may_still_run = trip.exchange.connection is not None
-        if self.attempt_abandoned and trip.may_still_run:
-            self.attempt_abandoned(self.backends.backend_ids.names[trip.backend], work.request_id)
+        if trip.may_still_run:
+            self.cluster.attempt_abandoned(self.backends.backend_ids.names[trip.backend], work.request_id)
         if not trip.accepted:
-            self.backends.pools[trip.backend].abort(trip.exchange)
+            trip.exchange.abort()
         elif self.cancels_attempts:
             target = b"/jobs/" + quote(work.request_id, safe="").encode()
             self.backends.send_control_request(trip.backend, b"DELETE", target, lambda how, side: None)
@@ -347,19 +341,16 @@
             return
         trip.in_flight, trip.may_have_run = False, outcome not in NEVER_EXECUTED
         if trip.exchange:
-            self.backends.abandon_exchange(trip.backend, trip.exchange)
+            self.backends.abandon_exchange(trip.exchange)
         self._store_load_report(trip.backend, report)
         self.metrics.increment("ended-" + outcome.name.lower().replace("_", "-"))
-        if self.attempt_finished:
-            self.attempt_finished(trip.backend, outcome)
+        self.cluster.attempt_finished(trip.backend, outcome)
         self.notify_routing(
             self.routing.attempt_ended,
             work.number,
             trip.number,
             trip.backend,
-            outcome,
-            not work.is_open,
-            report,
+            AttemptEnd(outcome, not work.is_open, report),
             unit=work.number,
         )
         self.request_table.discard(work)
@@ -381,7 +372,7 @@
         def later(yes: bool | None) -> None:
             self.call_soon(heard, yes)  # it may be told at once, from within
 
-        return self.forward_callback(body, later)
+        return self.other_processes.forward_callback(body, later)
 
     def _find_attempt(self, ident: str, uid: str) -> tuple[Request, Attempt] | None:
         found = self.request_table.find_active_attempt(ident, self.backends.backend_ids.find(uid))
@@ -407,7 +398,6 @@
                 work.number,
                 trip.number,
                 trip.backend,
-                share,
                 unit=work.number,
             )
 
@@ -417,8 +407,7 @@
         found = self._find_attempt(ident, uid)
         if not found:
             self.request_table.mark_abandoned_finished(ident, self.backends.backend_ids.find(uid))
-            if self.abandoned_attempt_finished:
-                self.abandoned_attempt_finished(ident, uid)
+            self.cluster.abandoned_attempt_finished(ident, uid)
             return
         work, trip = found
         self.metrics.increment("reports-by-call-back" if report else "call-backs-without-report")
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -11,13 +11,19 @@
 import orjson
 
 from crankfold.config.parser import read_service_config
-from crankfold.network.connection_pool import SETTLE_TIME, ConnectionLimiter, ConnectionPool, Exchange
+from crankfold.network.accepted_connection import MAX_UNREAD_BYTES, NEW_CONNECTION_GRACE
+from crankfold.network.connection_pool import (
+    SETTLE_TIME,
+    ConnectionLimiter,
+    ConnectionPool,
+    Exchange,
+    ExchangeResult,
+)
 from crankfold.network.discovery_watcher import CONNECT_TIMEOUT
-from crankfold.network.listener import MAX_UNREAD_BYTES, NEW_CONNECTION_GRACE, Listener
+from crankfold.network.listener import Listener
 from crankfold.network.metrics import Metrics
 from crankfold.protocol.backend_connection import BackendConnection
-from crankfold.routing.interface import Idempotency
-from crankfold.routing.policy import POLL_TIMER, SECOND
+from crankfold.routing.interface import POLL_TIMER, SECOND, Idempotency
 from crankfold.service.application import Application
 from crankfold.service.request_classes import RequestClassTable
 from tests.loopback import OK, UNIT, Between, Handler, Loopback
@@ -49,10 +55,18 @@
         self.addCleanup(self.pool.close)
 
     def send(self, body: bytes = b"x", settled: bool = True) -> Exchange:
-        def ended(how: str, side: BackendConnection | None) -> None:
-            self.ends.append(f"{how} {side.status if side else ''}")
-
-        exchange = Exchange(b"POST", b"/api", lambda: [(b"Host", b"b")], body, lambda: True, ended, settled)
+        def ended(how: ExchangeResult, side: BackendConnection | None) -> None:
+            self.ends.append(f"{how.value} {side.status if side else ''}")
+
+        exchange = Exchange(
+            b"POST",
+            b"/api",
+            lambda: [(b"Host", b"b")],
+            body,
+            may_send=lambda: True,
+            on_end=ended,
+            needs_settled=settled,
+        )
         self.pool.send(exchange)
         return exchange
 
@@ -148,7 +162,7 @@
         await self.until(lambda: exchange.connection is not None)
         assert exchange.connection
         self.assertFalse(exchange.connection.request_written)
-        self.pool.abort(exchange)
+        exchange.abort()
         called_off.set()
         async with asyncio.timeout(9):
             self.assertLess(await came, 30_000_000)
@@ -279,8 +293,8 @@
         )
         with (
             patch.object(self.node.admin_server, "close", held_up),
-            patch("crankfold.service.application.MAX_DRAIN_DURATION", 0.1),
-            patch("crankfold.service.application.DRAIN_MARGIN", 0.0),
+            patch("crankfold.service.shutdown.MAX_DRAIN_DURATION", 0.1),
+            patch("crankfold.service.shutdown.DRAIN_MARGIN", 0.0),
         ):
             self.node.shutdown_requested.set()
             await ended.wait()
@@ -313,8 +327,8 @@
         reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
         self.assertEqual(await back("started"), "204")
         with (
-            patch("crankfold.service.application.MAX_DRAIN_DURATION", 2.0),
-            patch("crankfold.service.application.LATE_CONNECTION_PERIOD", 0.0),
+            patch("crankfold.service.shutdown.MAX_DRAIN_DURATION", 2.0),
+            patch("crankfold.service.shutdown.LATE_CONNECTION_PERIOD", 0.0),
         ):
             self.node.shutdown_requested.set()
             await self.until(lambda: self.node.listener.closing)
@@ -341,9 +355,10 @@
                 await self.until(lambda: self.node.timers.clock.now() > first.created_at + 3000)
             await opening(exchange)
 
+        routing = self.node.request_handler.routing
         with (
             patch.object(pool, "_connect", late),
-            patch.object(self.node.request_handler.routing, "_sound", lambda now, u, pool, burden: [0]),
+            patch.object(routing.selection, "_healthy", lambda *_: routing.state.table.backends[:1]),
             patch("crankfold.service.request_table.Attempt.was_sent", lambda trip: False),
         ):
             answer = await self.ask("u1")
@@ -420,7 +435,7 @@
         self.process.send_signal(signal.SIGTERM)
         printed = await lines
         self.assertEqual(self.process.returncode, 0, printed)
-        self.assertIn("configurations-taken=1", printed)
+        self.assertIn("config-reloads=1", printed)
 
     async def test_idle_clients_fill_the_descriptors_while_discovery_is_down(self) -> None:
         async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -506,22 +521,29 @@
         await self.inside()
         grade = {"name": "h", "effect": "safe", "cut-off": 500_000, "expected-time": 100_000}
         self.given = {**self.given, "settings": {**self.given["settings"], "service-grades": [grade]}}
-        self.node._reload()
-        self.assertEqual(self.node.longest_deadline, 0.5)
+        self.node.reloader.reload()
+        self.assertEqual(self.node.config_applier.longest_deadline, 0.5)
 
 
 class NothingLeaks(Scene):
     def test_what_was_learnt_of_a_grade_is_not_told_of_another_that_reads_the_same(self) -> None:
         self.open()
         book = RequestClassTable(["a"], [GRADE])
-        self.told.typical_run[0] = 77.0
+        self.told.state.classes[0].typical_run = 77.0
         book.update(["a"], [GRADE])
         self.told.config_changed(self.now, replace(ORDERS, request_classes=book.classes), book.reassigned)
-        self.assertEqual((self.told.typical_run, book.reassigned), ([77.0], frozenset()))
+        self.assertEqual(
+            ([known.typical_run for known in self.told.state.classes], book.reassigned), ([77.0], frozenset())
+        )
         book.update(["b"], [GRADE])
         self.told.config_changed(self.now, replace(ORDERS, request_classes=book.classes), book.reassigned)
-        self.assertEqual((self.told.typical_run, book.reassigned), ([GRADE.deadline / 10], frozenset({0})))
-        self.assertEqual(self.told.effect, [Idempotency.IDEMPOTENT])
+        self.assertEqual(
+            ([known.typical_run for known in self.told.state.classes], book.reassigned),
+            ([GRADE.deadline / 10], frozenset({0})),
+        )
+        self.assertEqual(
+            [known.settings.idempotency for known in self.told.state.classes], [Idempotency.IDEMPOTENT]
+        )
 
 
 class Told(Scene):
