--- a/benchmarks/turns.py
+++ b/benchmarks/turns.py
@@ -15,8 +15,8 @@
 from crankfold.simulation.comparison import DEFAULT_CONFIG as DEFAULT_CONFIG
 from crankfold.simulation.comparison import confidence_interval, verdict
 from crankfold.simulation.faults import Fault, FaultKind
-from crankfold.simulation.fleet import Scenario
 from crankfold.simulation.maintenance_study import FOREMAN, NOTHING, ORDERS, StudyResult, run_study
+from crankfold.simulation.scenario import Scenario
 
 OUTPUT_DIRECTORY = Path(__file__).parent
 WARM_UP_TICKS = 30_000  # a machine is cold for so long
--- a/crankfold/cli/simulation.py
+++ b/crankfold/cli/simulation.py
@@ -10,7 +10,7 @@
 from crankfold.simulation import comparison, experiment
 from crankfold.simulation.comparison import PRODUCT, DayResult
 from crankfold.simulation.event_queue import TICKS_PER_SECOND
-from crankfold.simulation.fleet import Scenario
+from crankfold.simulation.scenario import Scenario
 
 SLOTS = 4  # of a backend
 
--- a/crankfold/simulation/baselines.py
+++ b/crankfold/simulation/baselines.py
@@ -1,129 +1,171 @@
-"""Other ways to choose, for comparison only: none of them is offered to a dispatcher in service."""
+"""Simple policies, for comparison only: none of them is offered to a dispatcher in service."""
 
 from collections import Counter
 from collections.abc import Callable, Collection, Sequence
 from random import Random
-from typing import TYPE_CHECKING, cast
+from typing import cast
 
 from crankfold.routing.interface import (
-    NEVER_EXECUTED,
     AttemptEnd,
     Endpoint,
     EndpointState,
     Idempotency,
+    Outcome,
     RequestArrival,
     RoutingActions,
     RoutingConfig,
 )
+from crankfold.simulation.dispatcher import SimulatedDispatcher
 
-if TYPE_CHECKING:
-    from crankfold.simulation.fleet import SimulatedDispatcher
+NOT_EXECUTED = (Outcome.OVERLOADED, Outcome.UNREACHABLE, Outcome.NOT_SENT)
+MAX_FIRST_POSITION = 1 << 16
 
 
 class Baseline:
-    """Sends at once to whom `choose` names, again where the unit never ran, and answers in time."""
+    """Picks a ready backend at random, retries where the request was not executed, answers in time.
 
-    def __init__(self, orders: RoutingConfig, seed: int, port: RoutingActions) -> None:
-        self.config, self.actions, self.rng = orders, port, Random(seed)
+    Subclasses pick in another way.
+    """
+
+    def __init__(self, config: RoutingConfig, seed: int, actions: RoutingActions) -> None:
+        self.config = config
+        self.actions = actions
+        self.rng = Random(seed)
         self.ready_backends: list[int] = []
-        self.in_flight: Counter[int] = Counter()
-        self.class_of_request: dict[int, int] = {}  # of units in hand
-        self.backends_tried: dict[int, list[int]] = {}
-        self.possibly_executed: set[int] = set()  # units that may have run
+        self.in_flight: Counter[int] = Counter()  # own attempts, by backend
+        self.class_of_request: dict[int, int] = {}  # of requests in hand
+        self.backends_tried: dict[int, list[int]] = {}  # by request
+        self.possibly_executed: set[int] = set()  # requests
 
     def select_backend(self) -> int:
+        """The backend for the next attempt, of those that are ready."""
         return self.rng.choice(self.ready_backends)
 
-    def endpoints_changed(self, now: int, entries: Sequence[Endpoint], whole: bool) -> None:
-        standing = {} if whole else dict.fromkeys(self.ready_backends, EndpointState.READY)
-        standing |= {entry.backend: entry.state for entry in entries}
-        self.ready_backends = sorted(r for r, s in standing.items() if s == EndpointState.READY)
+    def endpoints_changed(self, now: int, endpoints: Sequence[Endpoint], snapshot: bool) -> None:
+        """Note which backends are ready."""
+        states = {} if snapshot else dict.fromkeys(self.ready_backends, EndpointState.READY)
+        states |= {endpoint.backend: endpoint.state for endpoint in endpoints}
+        self.ready_backends = sorted(
+            backend for backend, state in states.items() if state == EndpointState.READY
+        )
 
     def request_received(self, now: int, arrival: RequestArrival) -> None:
-        unit = arrival.request_id
-        self.class_of_request[unit] = arrival.class_index
-        self.backends_tried[unit] = []
-        self.actions.set_timer(arrival.deadline - now - 2 * self.config.timer_resolution, unit)
-        self._start_attempt(unit)
-
-    def _start_attempt(self, unit: int) -> None:
-        if not self.ready_backends or len(self.backends_tried[unit]) >= self.config.max_attempts:
-            self._finish(unit)
+        """Send the request at once."""
+        self.class_of_request[arrival.request_id] = arrival.class_index
+        self.backends_tried[arrival.request_id] = []
+        delay = arrival.deadline - now - 2 * self.config.timer_resolution
+        self.actions.set_timer(delay, arrival.request_id)
+        self._start_attempt(arrival.request_id)
+
+    def _start_attempt(self, request_id: int) -> None:
+        if not self.ready_backends or len(self.backends_tried[request_id]) >= self.config.max_attempts:
+            self._finish(request_id)
             return
-        runner = self.select_backend()
-        self.backends_tried[unit].append(runner)
-        self.in_flight[runner] += 1
-        self.possibly_executed.add(unit)
-        self.actions.send_attempt(unit, runner)
-
-    def _finish(self, unit: int) -> None:
-        grade = self.config.request_classes[self.class_of_request.pop(unit)]
-        if unit not in self.possibly_executed or grade.idempotency == Idempotency.IDEMPOTENT:
-            self.actions.shed(unit, 0)
+        backend = self.select_backend()
+        self.backends_tried[request_id].append(backend)
+        self.in_flight[backend] += 1
+        self.possibly_executed.add(request_id)
+        self.actions.send_attempt(request_id, backend)
+
+    def _finish(self, request_id: int) -> None:
+        request_class = self.config.request_classes[self.class_of_request.pop(request_id)]
+        may_be_shed = request_class.idempotency == Idempotency.IDEMPOTENT
+        if request_id not in self.possibly_executed or may_be_shed:
+            self.actions.shed(request_id, 0)
         else:
-            self.actions.fail_request(unit)
+            self.actions.fail_request(request_id)
 
-    def attempt_ended(self, now: int, unit: int, nth: int, runner: int, end: AttemptEnd) -> None:
-        self.in_flight[runner] -= 1
+    def attempt_ended(
+        self, now: int, request_id: int, attempt_number: int, backend: int, end: AttemptEnd
+    ) -> None:
+        """Retry a request that was not executed; answer others that did not complete."""
+        self.in_flight[backend] -= 1
         if end.request_over:
-            self.class_of_request.pop(unit, None)
-        if unit not in self.class_of_request:
+            self.class_of_request.pop(request_id, None)
+        if request_id not in self.class_of_request:
             return
-        if end.outcome in NEVER_EXECUTED:
-            self.possibly_executed.discard(unit)
-            self._start_attempt(unit)
+        if end.outcome in NOT_EXECUTED:
+            self.possibly_executed.discard(request_id)
+            self._start_attempt(request_id)
         else:
-            self._finish(unit)
+            self._finish(request_id)
+
+    def timer_fired(self, now: int, token: int) -> None:
+        """The deadline of a request is near."""
+        if token in self.class_of_request:
+            self._finish(token)
+
+    def client_disconnected(self, now: int, request_id: int) -> None:
+        """Forget the request."""
+        self.class_of_request.pop(request_id, None)
+
+    def config_changed(self, now: int, config: RoutingConfig, new_rows: Collection[int] = ()) -> None:
+        """Use another configuration from now on."""
+        self.config = config
 
-    def timer_fired(self, now: int, label: int) -> None:
-        if label in self.class_of_request:
-            self._finish(label)
+    def request_aborted(self, now: int, request_id: int) -> None:
+        """Answer the request at once."""
+        if request_id in self.class_of_request:
+            self._finish(request_id)
 
-    def discovery_failed(self, now: int) -> None: ...
-    def attempt_started(self, now: int, unit: int, nth: int, runner: int) -> None: ...
-    def attempt_progressed(self, now: int, unit: int, nth: int, runner: int) -> None: ...
-    def probe_ended(self, now: int, runner: int, well: bool, report: Sequence[float]) -> None: ...
+    def discovery_failed(self, now: int) -> None:
+        """Go on with the backends that are known."""
 
-    def client_disconnected(self, now: int, unit: int) -> None:
-        self.class_of_request.pop(unit, None)
+    def attempt_started(self, now: int, request_id: int, attempt_number: int, backend: int) -> None:
+        """Nothing follows from it."""
 
-    def config_changed(self, now: int, orders: RoutingConfig, anew: Collection[int] = ()) -> None:
-        self.config = orders
+    def attempt_progressed(self, now: int, request_id: int, attempt_number: int, backend: int) -> None:
+        """Nothing follows from it."""
 
-    def request_aborted(self, now: int, unit: int) -> None:
-        if unit in self.class_of_request:
-            self._finish(unit)
+    def probe_ended(self, now: int, backend: int, healthy: bool, report: Sequence[float]) -> None:
+        """Nothing follows from it."""
 
 
 class RoundRobin(Baseline):
-    def __init__(self, orders: RoutingConfig, seed: int, port: RoutingActions) -> None:
-        super().__init__(orders, seed, port)
-        self.position = self.rng.randrange(1 << 16)  # all that start together would go round in step
+    """Picks the ready backends one after the other."""
+
+    def __init__(self, config: RoutingConfig, seed: int, actions: RoutingActions) -> None:
+        super().__init__(config, seed, actions)
+        # Drawn, as dispatchers that start together would go round in step.
+        self.position = self.rng.randrange(MAX_FIRST_POSITION)
 
     def select_backend(self) -> int:
+        """The next one."""
         self.position += 1
         return self.ready_backends[self.position % len(self.ready_backends)]
 
 
 class LeastInFlight(Baseline):
+    """Picks the backend with the fewest own attempts."""
+
     def select_backend(self) -> int:
-        least = min(self.in_flight[r] for r in self.ready_backends)
-        return self.rng.choice([r for r in self.ready_backends if self.in_flight[r] == least])
+        """One of those with the fewest."""
+        fewest = min(self.in_flight[backend] for backend in self.ready_backends)
+        return self.rng.choice(
+            [backend for backend in self.ready_backends if self.in_flight[backend] == fewest]
+        )
 
 
 class TwoChoices(Baseline):
+    """Picks the one of two random backends that has fewer own attempts."""
+
     def select_backend(self) -> int:
-        return min((self.rng.choice(self.ready_backends) for _ in range(2)), key=lambda r: self.in_flight[r])
+        """The better of the two."""
+        candidates = (self.rng.choice(self.ready_backends) for _ in range(2))
+        return min(candidates, key=lambda backend: self.in_flight[backend])
 
 
 class GlobalKnowledge(Baseline):
-    """True queues at this moment, which no dispatcher can know."""
+    """Picks by the true queues at this moment, which no dispatcher can know."""
 
     def select_backend(self) -> int:
-        runners = cast("SimulatedDispatcher", self.actions).fleet.backends
-        held = {r: runners[r].busy_slots + len(runners[r].queue) for r in self.ready_backends}
-        least = min(held.values())
-        return self.rng.choice([r for r in self.ready_backends if held[r] == least])
+        """One of those with the fewest requests, whoever sent them."""
+        backends = cast(SimulatedDispatcher, self.actions).backends
+        loads = {
+            index: backends[index].busy_slots + len(backends[index].queue) for index in self.ready_backends
+        }
+        lowest = min(loads.values())
+        return self.rng.choice([index for index in self.ready_backends if loads[index] == lowest])
 
 
 BASELINES: dict[str, Callable[[RoutingConfig, int, RoutingActions], Baseline]] = {
--- a/crankfold/simulation/comparison.py
+++ b/crankfold/simulation/comparison.py
@@ -4,17 +4,29 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, replace
 from random import Random
-from typing import TextIO
+from typing import NamedTuple, TextIO
 
 from crankfold.routing.interface import DeduplicationScope, Idempotency, RequestClass, RoutingConfig
 from crankfold.routing.router import Router
 from crankfold.simulation.baselines import BASELINES
-from crankfold.simulation.fleet import PolicyFactory, Scenario, SimulatedFleet
+from crankfold.simulation.fleet import SimulatedFleet
+from crankfold.simulation.scenario import PolicyFactory, Scenario
 
 PRODUCT = "crankfold"
 POLICIES: dict[str, PolicyFactory] = {PRODUCT: Router, **BASELINES}
 BOOTSTRAP_RESAMPLES = 2000
-DEFAULT_CLASS = RequestClass(Idempotency.IDEMPOTENT, DeduplicationScope.GLOBAL, 0, 800, 2.0, 50_000, 1.0, 0.0)
+TAIL = BOOTSTRAP_RESAMPLES // 40  # resamples beyond each end of a 95% interval
+# Times in ticks: a request is on time within 80 ms and twice its work, and ends after five seconds.
+DEFAULT_CLASS = RequestClass(
+    idempotency=Idempotency.IDEMPOTENT,
+    deduplication_scope=DeduplicationScope.GLOBAL,
+    deduplication_window=0,
+    latency_objective=800,
+    objective_per_work=2.0,
+    deadline=50_000,
+    priority_weight=1.0,
+    late_value=0.0,
+)
 DEFAULT_CONFIG = RoutingConfig(
     request_classes=[DEFAULT_CLASS],
     instance_count=1,
@@ -43,41 +55,56 @@
 
 @dataclass(frozen=True, slots=True)
 class DayResult:
+    """What came of one day."""
+
     policy: str
     seed: int
     request_count: int
-    on_time_share: float  # share
-    violation_count: int  # rules
+    on_time_share: float
+    violation_count: int
+
+
+class Interval(NamedTuple):
+    """A mean difference, and where 95 of 100 resampled means lie."""
+
+    mean: float
+    low: float
+    high: float
 
 
-def simulate_day(policy: str, scenario: Scenario, orders: RoutingConfig, seed: int) -> DayResult:
-    world = SimulatedFleet(replace(scenario, seed=seed), orders, POLICIES[policy])
-    world.run()
+def simulate_day(policy: str, scenario: Scenario, config: RoutingConfig, seed: int) -> DayResult:
+    """Play the scenario with that seed in place of its own."""
+    fleet = SimulatedFleet(replace(scenario, seed=seed), config, POLICIES[policy])
+    fleet.run()
     return DayResult(
-        policy,
-        seed,
-        world.request_count,
-        world.on_time_count / max(world.request_count, 1),
-        len(world.invariants.violations),
+        policy=policy,
+        seed=seed,
+        request_count=fleet.request_count,
+        on_time_share=fleet.on_time_count / max(fleet.request_count, 1),
+        violation_count=len(fleet.invariants.violations),
     )
 
 
-def confidence_interval(ours: Sequence[float], theirs: Sequence[float]) -> tuple[float, float, float]:
-    """The mean difference of pairs, and where 95 of 100 resampled means lie."""
-    pairs = [a - b for a, b in zip(ours, theirs, strict=True)]
-    luck = Random("bootstrap")
-    means = sorted(sum(luck.choices(pairs, k=len(pairs))) / len(pairs) for _ in range(BOOTSTRAP_RESAMPLES))
-    return sum(pairs) / len(pairs), means[BOOTSTRAP_RESAMPLES // 40], means[-BOOTSTRAP_RESAMPLES // 40 - 1]
+def confidence_interval(own: Sequence[float], other: Sequence[float]) -> Interval:
+    """Of the differences of pairs, by bootstrap."""
+    pairs = [one - two for one, two in zip(own, other, strict=True)]
+    rng = Random("bootstrap")
+    means = sorted(sum(rng.choices(pairs, k=len(pairs))) / len(pairs) for _ in range(BOOTSTRAP_RESAMPLES))
+    return Interval(mean=sum(pairs) / len(pairs), low=means[TAIL], high=means[-TAIL - 1])
 
 
 def verdict(low: float, high: float) -> str:
-    return "no difference shown" if low <= 0 <= high else "better" if low > 0 else "worse"
+    """What an interval shows of the first against the second."""
+    if low <= 0 <= high:
+        return "no difference shown"
+    return "better" if low > 0 else "worse"
 
 
-def write_table(rows: Sequence[DayResult], out: TextIO) -> None:
+def write_table(days: Sequence[DayResult], out: TextIO) -> None:
+    """One row a day, as CSV."""
     table = csv.writer(out, lineterminator="\n")
     table.writerow(["policy", "seed", "units", "in_time", "rules_broken"])
     table.writerows(
-        [row.policy, row.seed, row.request_count, f"{row.on_time_share:.6f}", row.violation_count]
-        for row in rows
+        [day.policy, day.seed, day.request_count, f"{day.on_time_share:.6f}", day.violation_count]
+        for day in days
     )
--- /dev/null
+++ b/crankfold/simulation/dispatcher.py
@@ -0,0 +1,240 @@
+"""A dispatcher in simulated time: a policy, and the actions by which it reaches the fleet."""
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, replace
+from functools import partial
+from typing import Protocol
+
+from crankfold.routing.interface import AttemptEnd, Endpoint, Outcome, RequestArrival
+from crankfold.simulation.backend import SimulatedAttempt, SimulatedBackend
+from crankfold.simulation.invariants import Answer, RequestRecord
+from crankfold.simulation.scenario import (
+    ClientRequest,
+    FleetContext,
+    PolicyFactory,
+    cell_of,
+    zone_of,
+)
+
+SEEDS_PER_SCENARIO = 1000
+ONLY_CLASS = 0  # all requests of a simulated day are of one request class
+
+
+class Clients(Protocol):
+    """Those who send requests to the dispatchers."""
+
+    def submit_request(self, dispatcher: int, request: ClientRequest) -> None:
+        """Send a request to a dispatcher, or to another where that is dead."""
+
+    def request_completed(self, *, on_time: bool) -> None:
+        """A client has its result."""
+
+
+@dataclass(slots=True)
+class RequestInHand:
+    """What a dispatcher knows of a request."""
+
+    request: ClientRequest
+    attempt_count: int = 0
+
+
+class SimulatedDispatcher:
+    """Implements RoutingActions, and tells its policy what comes of them."""
+
+    def __init__(
+        self,
+        context: FleetContext,
+        index: int,
+        policy_factory: PolicyFactory,
+        *,
+        backends: Sequence[SimulatedBackend],
+        clients: Clients,
+    ) -> None:
+        self.context = context
+        self.index = index
+        self.events = context.events
+        self.backends = backends
+        self.clients = clients
+        self.alive = True
+        self.stalled_until = 0
+        self.requests: dict[int, RequestInHand] = {}
+        self.in_flight: set[tuple[int, int]] = set()  # requests with the numbers of attempts not ended yet
+        config = replace(
+            context.config,
+            instance_index=index,
+            zone=zone_of(index),
+            instance_count=context.scenario.dispatcher_count,
+        )
+        seed = context.scenario.seed * SEEDS_PER_SCENARIO + index
+        self.policy = policy_factory(config, seed, self)
+
+    def receive_request(self, request_id: int, request: ClientRequest) -> None:
+        """A client's request arrives."""
+        self.requests[request_id] = RequestInHand(request)
+        deadline = self._deadline(request)
+        record = RequestRecord(
+            dispatcher=self.index, request_id=request_id, request_class=ONLY_CLASS, deadline=deadline
+        )
+        self.context.invariants.request_received(self.events.now, record)
+        arrival = RequestArrival(
+            request_id=request_id,
+            class_index=ONLY_CLASS,
+            deadline=deadline,
+            work=request.service_time,
+            slots=1.0,
+        )
+        self._notify(self.policy.request_received, arrival)
+
+    def _deadline(self, request: ClientRequest) -> int:
+        return request.arrived_at + self.context.config.request_classes[ONLY_CLASS].deadline
+
+    def _notify(self, call: Callable[..., None], *args: object) -> None:
+        """A dispatcher that stands still learns it later, one that was killed never."""
+        if not self.alive:
+            return
+        if self.events.now < self.stalled_until:
+            self.events.schedule(self.stalled_until - self.events.now, partial(self._notify, call, *args))
+        else:
+            call(self.events.now, *args)
+
+    def _network_delay(self, backend: int) -> int:
+        scenario = self.context.scenario
+        if zone_of(backend) == zone_of(self.index):
+            return scenario.network_delay
+        return max(scenario.cross_zone_delay, scenario.network_delay)
+
+    def disconnect_client(self, request_id: int) -> None:
+        """The client closes its connection."""
+        invariants = self.context.invariants
+        if self.alive and invariants.requests[self.index, request_id].answer is None:
+            invariants.client_disconnected(self.events.now, self.index, request_id)
+            self._notify(self.policy.client_disconnected, request_id)
+
+    # --- RoutingActions ---
+
+    def send_attempt(self, request_id: int, backend: int) -> None:
+        """Send a request to a backend; the attempt times out at the request's deadline."""
+        now = self.events.now
+        self.context.invariants.attempt_sent(now, self.index, request_id, backend)
+        in_hand = self.requests[request_id]
+        attempt = SimulatedAttempt(
+            owner=self,
+            request_id=request_id,
+            attempt_number=in_hand.attempt_count,
+            service_time=in_hand.request.service_time,
+        )
+        in_hand.attempt_count += 1
+        self.in_flight.add((request_id, attempt.attempt_number))
+        timeout = partial(self._attempt_ended, attempt, backend, Outcome.TIMED_OUT, ())
+        self.events.schedule(self._deadline(in_hand.request) - now, timeout)
+        arrival = partial(self.backends[backend].receive, attempt)
+        self.events.schedule(self._network_delay(backend), arrival)
+
+    def shed(self, request_id: int, retry_after: int) -> None:
+        """Refuse a request; its client may try again."""
+        self.context.invariants.request_answered(self.events.now, self.index, request_id, Answer.SHED)
+        scenario = self.context.scenario
+        request = self.requests[request_id].request
+        if request.tries < scenario.client_retries:
+            again = replace(request, tries=request.tries + 1)
+            submit = partial(self.clients.submit_request, self.index, again)
+            self.events.schedule(scenario.retry_delay, submit)
+
+    def fail_request(self, request_id: int) -> None:
+        """Answer that the request failed."""
+        self.context.invariants.request_answered(self.events.now, self.index, request_id, Answer.FAILED)
+
+    def cancel_attempt(self, request_id: int, attempt_number: int) -> None:
+        """Do nothing, as at backends that stop nothing: the end is known when it comes."""
+
+    def set_timer(self, delay: int, token: int) -> None:
+        """Have the policy's timer fire."""
+        self.events.schedule(delay, lambda: self._notify(self.policy.timer_fired, token))
+
+    def probe(self, backend: int) -> None:
+        """Probe a backend."""
+
+        def answered() -> None:
+            probed = self.backends[backend]
+            healthy = probed.answers_probes()
+            self._notify(self.policy.probe_ended, backend, healthy, probed.report if healthy else ())
+
+        self.events.schedule(2 * self._network_delay(backend), answered)
+
+    def poll_endpoints(self) -> None:
+        """Have all endpoints told."""
+        self.events.schedule(
+            self.context.scenario.network_delay,
+            lambda: self.update_endpoints(range(len(self.backends)), snapshot=True),
+        )
+
+    # --- what the policy is told ---
+
+    def update_endpoints(self, indices: Sequence[int], *, snapshot: bool) -> None:
+        """Discovery tells of these backends, which are all for a snapshot."""
+        endpoints = [self._endpoint(index) for index in indices]
+        known_at = max(self.events.now, self.stalled_until)
+        self.context.invariants.endpoints_told(known_at, self.index, endpoints)
+        self._notify(self.policy.endpoints_changed, endpoints, snapshot)
+
+    def _endpoint(self, index: int) -> Endpoint:
+        backend = self.backends[index]
+        return Endpoint(
+            backend=index,
+            state=backend.state,
+            weight=1.0,
+            zone=zone_of(index),
+            cell=cell_of(index),
+            started_at=backend.ready_since,
+            instance_type=0,
+            hash_position=index / len(self.backends),
+        )
+
+    def backend_started(self, attempt: SimulatedAttempt, backend: int) -> None:
+        """A backend runs an attempt from now on."""
+        self.events.schedule(
+            self._network_delay(backend),
+            lambda: self._notify(
+                self.policy.attempt_started, attempt.request_id, attempt.attempt_number, backend
+            ),
+        )
+
+    def backend_answered(
+        self, attempt: SimulatedAttempt, backend: int, outcome: Outcome, report: Sequence[float]
+    ) -> None:
+        """A backend is done with an attempt; the answer takes its way."""
+        ended = partial(self._attempt_ended, attempt, backend, outcome, report)
+        self.events.schedule(self._network_delay(backend), ended)
+
+    def _attempt_ended(
+        self, attempt: SimulatedAttempt, backend: int, outcome: Outcome, report: Sequence[float]
+    ) -> None:
+        now = self.events.now
+        key = (attempt.request_id, attempt.attempt_number)
+        if not self.alive:
+            return
+        if now < self.stalled_until:
+            again = partial(self._attempt_ended, attempt, backend, outcome, report)
+            self.events.schedule(self.stalled_until - now, again)
+            return
+        if key not in self.in_flight:
+            return  # nobody waits for it any more
+        self.in_flight.discard(key)
+        invariants = self.context.invariants
+        if outcome in (Outcome.OVERLOADED, Outcome.UNREACHABLE):
+            invariants.attempt_not_executed(now, self.index, attempt.request_id, backend)
+        is_answered = invariants.requests[self.index, attempt.request_id].answer is not None
+        is_last = is_answered or outcome == Outcome.COMPLETED
+        if outcome == Outcome.COMPLETED and not is_answered:
+            self._complete(attempt)
+        self.policy.attempt_ended(now, *key, backend, AttemptEnd(outcome, is_last, report))
+
+    def _complete(self, attempt: SimulatedAttempt) -> None:
+        now = self.events.now
+        self.context.invariants.request_answered(now, self.index, attempt.request_id, Answer.COMPLETED)
+        request_class = self.context.config.request_classes[ONLY_CLASS]
+        objective = request_class.latency_objective + int(
+            request_class.objective_per_work * attempt.service_time
+        )
+        arrived_at = self.requests[attempt.request_id].request.arrived_at
+        self.clients.request_completed(on_time=now <= arrived_at + objective)
--- a/crankfold/simulation/experiment.py
+++ b/crankfold/simulation/experiment.py
@@ -4,14 +4,15 @@
 import tomllib
 from collections.abc import Sequence
 from concurrent.futures import ProcessPoolExecutor
-from dataclasses import fields, replace
+from dataclasses import replace
 from pathlib import Path
-from typing import Annotated, Any
+from typing import Annotated, Any, NamedTuple
 
 import msgspec
-from msgspec import Meta, Struct
+from msgspec import Meta, Struct, field
 
 from crankfold import __version__
+from crankfold.errors import CrankfoldError
 from crankfold.simulation.comparison import (
     DEFAULT_CONFIG,
     POLICIES,
@@ -23,18 +24,20 @@
 )
 from crankfold.simulation.event_queue import TICKS_PER_SECOND
 from crankfold.simulation.faults import Fault, FaultKind
-from crankfold.simulation.fleet import ZONE_COUNT, Scenario
+from crankfold.simulation.scenario import ZONE_COUNT, Scenario
 
 Seconds = Annotated[float, Meta(ge=0, le=3600)]
 Count = Annotated[int, Meta(ge=1, le=2000)]
 PositiveNumber = Annotated[float, Meta(gt=0)]
 
 
-class PlanError(ValueError):
+class PlanError(CrankfoldError):
     """The file can't be played: which field, what was found, what is allowed."""
 
 
 class FaultSpecification(Struct, forbid_unknown_fields=True, rename="kebab"):
+    """A fault; the fields are those of `Fault`."""
+
     kind: FaultKind
     at: Seconds
     until: Seconds
@@ -42,179 +45,237 @@
     zone: Annotated[int, Meta(ge=0, lt=ZONE_COUNT)] = 0
     factor: PositiveNumber = 4.0
 
+    def to_fault(self) -> Fault:
+        """The fault for a scenario."""
+        return Fault(
+            kind=self.kind,
+            at=self.at,
+            until=self.until,
+            share=self.share,
+            zone=self.zone,
+            factor=self.factor,
+        )
+
 
 class DaySpecification(Struct, forbid_unknown_fields=True, rename="kebab"):
-    """Of a case what is not said is as in `[day]`. Times in seconds; load as a share of all slots."""
+    """A day; what a case does not say is as in `[day]`. Times are seconds."""
 
     dispatchers: Count = 3
-    runners: Count = 9
+    backends: Count = field(name="runners", default=9)
     slots: Annotated[int, Meta(ge=1, le=64)] = 4
-    load: Annotated[float, Meta(gt=0, le=3)] = 0.6
-    work: PositiveNumber = 0.35
+    load: Annotated[float, Meta(gt=0, le=3)] = 0.6  # share of all slots
+    mean_service_time: PositiveNumber = field(name="work", default=0.35)
     seconds: Annotated[int, Meta(ge=1, le=3600)] = 10
-    report_every: PositiveNumber = 1.0
-    list_late: Seconds = 1.0
-    way: Seconds = 0.0005
-    cross: Seconds = 0.0005
+    report_interval: PositiveNumber = field(name="report-every", default=1.0)
+    discovery_delay: Seconds = field(name="list-late", default=1.0)
+    network_delay: Seconds = field(name="way", default=0.0005)
+    cross_zone_delay: Seconds = field(name="cross", default=0.0005)
     retries: Annotated[int, Meta(ge=0, le=10)] = 0
     faults: list[FaultSpecification] = []
 
 
 class CaseSpecification(Struct, forbid_unknown_fields=True):
+    """A case: what is different from `[day]`, and where it stands in the chart."""
+
     name: Annotated[str, Meta(min_length=1)]
-    group: str = ""
-    at: float = 0.0
+    group: str = ""  # panel
+    position: float = field(name="at", default=0.0)  # on the panel's axis
     day: dict[str, Any] = {}
 
 
 class ExperimentPlan(Struct, forbid_unknown_fields=True):
+    """What a file describes."""
+
     name: Annotated[str, Meta(pattern="^[a-z0-9-]+$")]
-    case: Annotated[list[CaseSpecification], Meta(min_length=1)]
+    cases: Annotated[list[CaseSpecification], Meta(min_length=1)] = field(name="case")
     title: str = ""
-    across: str = "case"
+    axis_label: str = field(name="across", default="case")
     seeds: Annotated[int, Meta(ge=2, le=1000)] = 10
-    policies: Annotated[list[str], Meta(min_length=1)] = msgspec.field(default_factory=lambda: list(POLICIES))
+    policies: Annotated[list[str], Meta(min_length=1)] = field(default_factory=lambda: list(POLICIES))
     day: dict[str, Any] = {}
 
 
+class Job(NamedTuple):
+    """One day to play."""
+
+    case: str
+    policy: str
+    scenario: Scenario
+    seed: int
+
+
+class Row(NamedTuple):
+    """What came of one day of a case."""
+
+    case: str
+    day: DayResult
+
+
 def load_plan(path: Path) -> tuple[ExperimentPlan, dict[str, Scenario]]:
+    """Read a file: the experiment, and the scenario of each of its cases.
+
+    Raises:
+        PlanError: it can't be played.
+    """
     try:
-        given = tomllib.loads(path.read_text())
-    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as wrong:
-        raise PlanError(f"{path}: {wrong}") from None
-    try:
-        file = msgspec.convert(given, ExperimentPlan)
-    except msgspec.ValidationError as wrong:
-        raise PlanError(f"{path}: {wrong}") from None
-    unknown = [name for name in file.policies if name not in POLICIES]
+        plan = msgspec.convert(tomllib.loads(path.read_text()), ExperimentPlan)
+    except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError, msgspec.ValidationError) as error:
+        raise PlanError(f"{path}: {error}") from None
+    unknown = [name for name in plan.policies if name not in POLICIES]
     if unknown:
         raise PlanError(f"{path}: policies: found {unknown[0]!r}; there are {', '.join(POLICIES)}")
-    if PRODUCT not in file.policies:
-        file.policies.insert(0, PRODUCT)
+    if PRODUCT not in plan.policies:
+        plan.policies.insert(0, PRODUCT)
     scenarios: dict[str, Scenario] = {}
-    for case in file.case:
+    for case in plan.cases:
         try:
-            day = msgspec.convert(file.day | case.day, DaySpecification)
-        except msgspec.ValidationError as wrong:
-            raise PlanError(f"{path}: case {case.name!r}: {wrong}") from None
-        for fault in day.faults:
-            if not fault.at < fault.until <= day.seconds:
-                raise PlanError(
-                    f"{path}: case {case.name!r}: {fault.kind} from {fault.at} to {fault.until}; "
-                    f"allowed within a day of {day.seconds}, the end after the start"
-                )
+            scenario = _case_scenario(plan, case)
+        except (msgspec.ValidationError, PlanError) as error:
+            raise PlanError(f"{path}: case {case.name!r}: {error}") from None
         if case.name in scenarios:
             raise PlanError(f"{path}: case {case.name!r} is there twice")
-        scenarios[case.name] = make_scenario(day)
-    return file, scenarios
+        scenarios[case.name] = scenario
+    return plan, scenarios
+
+
+def _case_scenario(plan: ExperimentPlan, case: CaseSpecification) -> Scenario:
+    day = msgspec.convert(plan.day | case.day, DaySpecification)
+    for fault in day.faults:
+        if not fault.at < fault.until <= day.seconds:
+            raise PlanError(
+                f"{fault.kind} from {fault.at} to {fault.until}; "
+                f"allowed within a day of {day.seconds}, the end after the start"
+            )
+    return make_scenario(day)
 
 
 def make_scenario(day: DaySpecification) -> Scenario:
-    faults = tuple(
-        Fault(**{field.name: getattr(given, field.name) for field in fields(Fault)}) for given in day.faults
-    )
+    """The scenario of a day, with times in ticks."""
     return Scenario(
         dispatcher_count=day.dispatchers,
-        backend_count=day.runners,
+        backend_count=day.backends,
         slots_per_backend=day.slots,
         seconds=day.seconds,
-        arrival_rate=day.load * day.runners * day.slots / day.work / day.dispatchers,
-        mean_service_time=int(day.work * TICKS_PER_SECOND),
-        report_interval=int(day.report_every * TICKS_PER_SECOND),
-        discovery_delay=int(day.list_late * TICKS_PER_SECOND),
-        network_delay=int(day.way * TICKS_PER_SECOND),
-        cross_zone_delay=int(day.cross * TICKS_PER_SECOND),
+        arrival_rate=day.load * day.backends * day.slots / day.mean_service_time / day.dispatchers,
+        mean_service_time=_ticks(day.mean_service_time),
+        report_interval=_ticks(day.report_interval),
+        discovery_delay=_ticks(day.discovery_delay),
+        network_delay=_ticks(day.network_delay),
+        cross_zone_delay=_ticks(day.cross_zone_delay),
         client_retries=day.retries,
-        faults=faults,
+        faults=tuple(fault.to_fault() for fault in day.faults),
     )
 
 
-def _simulate_one(told: tuple[str, str, Scenario, int]) -> tuple[str, DayResult]:
-    case, policy, scenario, seed = told
-    return case, simulate_day(policy, scenario, replace(DEFAULT_CONFIG, cancellation_allowed=False), seed)
+def _ticks(seconds: float) -> int:
+    return int(seconds * TICKS_PER_SECOND)
 
 
-def run_experiment(
-    file: ExperimentPlan, scenarios: dict[str, Scenario], workers: int
-) -> list[tuple[str, DayResult]]:
-    """All rows in the file's order, whoever played them."""
-    all_of_it = [
-        (case, policy, scenario, seed)
+def _simulate_one(job: Job) -> Row:
+    config = replace(DEFAULT_CONFIG, cancellation_allowed=False)
+    return Row(job.case, simulate_day(job.policy, job.scenario, config, job.seed))
+
+
+def run_experiment(plan: ExperimentPlan, scenarios: dict[str, Scenario], workers: int) -> list[Row]:
+    """Play all days, in so many processes; the rows stand in the file's order."""
+    jobs = [
+        Job(case, policy, scenario, seed)
         for case, scenario in scenarios.items()
-        for policy in dict.fromkeys(file.policies)
-        for seed in range(1, file.seeds + 1)
+        for policy in dict.fromkeys(plan.policies)
+        for seed in range(1, plan.seeds + 1)
     ]
     if workers <= 1:
-        return [_simulate_one(one) for one in all_of_it]
+        return [_simulate_one(job) for job in jobs]
     with ProcessPoolExecutor(workers) as pool:
-        return list(pool.map(_simulate_one, all_of_it, chunksize=1))
+        return list(pool.map(_simulate_one, jobs, chunksize=1))
 
 
-def on_time_shares(rows: Sequence[tuple[str, DayResult]], case: str, policy: str) -> list[float]:
-    return [row.on_time_share for name, row in rows if name == case and row.policy == policy]
+def on_time_shares(rows: Sequence[Row], case: str, policy: str) -> list[float]:
+    """The share of each seed's day."""
+    return [row.day.on_time_share for row in rows if row.case == case and row.day.policy == policy]
 
 
-def write_table(rows: Sequence[tuple[str, DayResult]], path: Path) -> None:
+def write_table(rows: Sequence[Row], path: Path) -> None:
+    """One row a day, as CSV."""
     with path.open("w", newline="") as out:
         writer = csv.writer(out, lineterminator="\n")
         writer.writerow(["case", "policy", "seed", "units", "in_time", "rules_broken"])
         writer.writerows(
-            [case, row.policy, row.seed, row.request_count, f"{row.on_time_share:.6f}", row.violation_count]
-            for case, row in rows
+            [
+                case,
+                day.policy,
+                day.seed,
+                day.request_count,
+                f"{day.on_time_share:.6f}",
+                day.violation_count,
+            ]
+            for case, day in rows
         )
 
 
-def summarize(file: ExperimentPlan, rows: Sequence[tuple[str, DayResult]]) -> list[str]:
+def summarize(plan: ExperimentPlan, rows: Sequence[Row]) -> list[str]:
+    """Lines that say of each case how the policies did against the product."""
     lines = [
-        f"{file.title or file.name}: share of units in time, mean of {file.seeds} seeds; "
+        f"{plan.title or plan.name}: share of units in time, mean of {plan.seeds} seeds; "
         f"crankfold less the other with 95% interval; made by crankfold {__version__}"
     ]
-    for case in file.case:
-        ours = on_time_shares(rows, case.name, PRODUCT)
-        lines.append(f"{case.name}: {PRODUCT} {sum(ours) / len(ours):.3f}")
-        for policy in dict.fromkeys(file.policies):
+    for case in plan.cases:
+        own = on_time_shares(rows, case.name, PRODUCT)
+        lines.append(f"{case.name}: {PRODUCT} {_mean(own):.3f}")
+        for policy in dict.fromkeys(plan.policies):
             if policy != PRODUCT:
-                theirs = on_time_shares(rows, case.name, policy)
-                mean, low, high = confidence_interval(ours, theirs)
+                other = on_time_shares(rows, case.name, policy)
+                mean, low, high = confidence_interval(own, other)
                 lines.append(
-                    f"  {policy} {sum(theirs) / len(theirs):.3f}; {mean:+.3f} "
+                    f"  {policy} {_mean(other):.3f}; {mean:+.3f} "
                     f"({low:+.3f} to {high:+.3f}): {verdict(low, high)}"
                 )
-    broken = sum(row.violation_count for _, row in rows if row.policy == PRODUCT)
-    return [*lines, f"rules broken by {PRODUCT}: {broken}"]
+    violations = sum(row.day.violation_count for row in rows if row.day.policy == PRODUCT)
+    return [*lines, f"rules broken by {PRODUCT}: {violations}"]
+
 
+def _mean(values: Sequence[float]) -> float:
+    return sum(values) / len(values)
 
-def write_chart(file: ExperimentPlan, rows: Sequence[tuple[str, DayResult]], path: Path) -> None:
-    """A panel for each group of cases, a line for each policy; the same bytes each time."""
+
+def write_chart(plan: ExperimentPlan, rows: Sequence[Row], path: Path) -> None:
+    """A panel for each group of cases, a line for each policy; the same bytes each time.
+
+    Raises:
+        ImportError: matplotlib is not installed.
+    """
     import matplotlib
 
     matplotlib.use("svg")
-    matplotlib.rcParams["svg.hashsalt"] = file.name
+    matplotlib.rcParams["svg.hashsalt"] = plan.name
     from matplotlib import pyplot
 
-    groups = list(dict.fromkeys(case.group for case in file.case))
+    groups = list(dict.fromkeys(case.group for case in plan.cases))
     figure, panels = pyplot.subplots(
         1, len(groups), sharey=True, squeeze=False, figsize=(3.2 * len(groups) + 1, 3.4)
     )
     for panel, group in zip(panels[0], groups, strict=True):
-        cases = [case for case in file.case if case.group == group]
-        for policy in dict.fromkeys(file.policies):
-            means = [sum(one := on_time_shares(rows, case.name, policy)) / len(one) for case in cases]
-            panel.plot(
-                [str(f"{case.at:g}") for case in cases],
-                means,
-                marker="o",
-                markersize=3,
-                linewidth=2.0 if policy == PRODUCT else 0.9,
-                label=policy,
-            )
-        panel.set_title(group, fontsize=9)
-        panel.set_xlabel(file.across, fontsize=8)
-        panel.tick_params(labelsize=7)
-        panel.grid(alpha=0.3)
+        _draw_group(panel, plan, rows, group)
     panels[0][0].set_ylabel("in time", fontsize=8)
     panels[0][-1].legend(fontsize=7)
-    figure.suptitle(file.title or file.name, fontsize=10)
+    figure.suptitle(plan.title or plan.name, fontsize=10)
     figure.tight_layout()
     figure.savefig(path, metadata={"Date": None})
     pyplot.close(figure)
+
+
+def _draw_group(panel: Any, plan: ExperimentPlan, rows: Sequence[Row], group: str) -> None:
+    cases = [case for case in plan.cases if case.group == group]
+    for policy in dict.fromkeys(plan.policies):
+        panel.plot(
+            [f"{case.position:g}" for case in cases],
+            [_mean(on_time_shares(rows, case.name, policy)) for case in cases],
+            marker="o",
+            markersize=3,
+            linewidth=2.0 if policy == PRODUCT else 0.9,
+            label=policy,
+        )
+    panel.set_title(group, fontsize=9)
+    panel.set_xlabel(plan.axis_label, fontsize=8)
+    panel.tick_params(labelsize=7)
+    panel.grid(alpha=0.3)
--- a/crankfold/simulation/invariants.py
+++ b/crankfold/simulation/invariants.py
@@ -1,178 +1,252 @@
-"""The four rules, checked from what happens in the world and not from what a policy keeps."""
+"""The four rules, checked from what happens in the fleet and not from what a policy keeps.
+
+A request is answered once and by its deadline (1), not executed again where it must not be (2), not sent to
+a backend known to end (3), and a cold backend is not pushed over what it can do (4). Times are ticks.
+"""
 
 from collections import Counter, defaultdict, deque
+from collections.abc import Sequence
 from dataclasses import dataclass, field
+from enum import IntEnum, StrEnum
 from math import sqrt
 
-from crankfold.routing.interface import DeduplicationScope, EndpointState, Idempotency, RoutingConfig
+from crankfold.routing.interface import (
+    DeduplicationScope,
+    Endpoint,
+    EndpointState,
+    Idempotency,
+    RequestClass,
+    RoutingConfig,
+)
 
-HISTORY_LENGTH = 12
+HISTORY_LENGTH = 12  # events kept of a request, for the report of a violation
 PROPAGATION_LIMIT = 60_000  # a change counts as told so long after discovery had it and could be reached
 DISCONNECT_GRACE = 1_000  # nothing is sent so long after the client has gone
+TICKS_PER_MS = 10
+
+
+class Rule(IntEnum):
+    """What a policy must keep, by the numbers that reports name."""
+
+    ANSWERS = 1
+    EXECUTIONS = 2
+    LEAVING_BACKENDS = 3
+    COLD_BACKENDS = 4
+
+
+class Answer(StrEnum):
+    """How a request ended for its client, in the words of the reports."""
+
+    COMPLETED = "done"
+    SHED = "shed"
+    FAILED = "given up"
+    DISCONNECTED = "left"  # the client did not wait
+    LOST = "lost"  # with its dispatcher
+
+
+@dataclass(frozen=True, slots=True)
+class Execution:
+    """A request may have been executed at a backend to which it was sent."""
+
+    sent_at: int
+    backend: int
 
 
 @dataclass(slots=True)
 class RequestRecord:
-    """What happened to one unit."""
+    """What happened to one request."""
 
     dispatcher: int
     request_id: int
     request_class: int
     deadline: int
-    answer: str = ""
-    disconnected_at: int = 0  # when its client went
-    # When sent and where, unless known not to have run there.
-    possible_executions: list[tuple[int, int]] = field(default_factory=list)
+    answer: Answer | None = None
+    disconnected_at: int = 0
+    possible_executions: list[Execution] = field(default_factory=list)
     history: deque[str] = field(default_factory=lambda: deque(maxlen=HISTORY_LENGTH))
 
+    def add_event(self, now: int, event: str) -> None:
+        """Keep it for a report."""
+        self.history.append(f"{now / TICKS_PER_MS:.1f} {event}")
+
+
+@dataclass(frozen=True, slots=True)
+class ColdArrival:
+    """A request arrived at a backend that is warming up."""
+
+    at: int
+    service_time: int
+
 
 class InvariantChecker:
-    def __init__(self, orders: RoutingConfig, grace: int) -> None:
-        self.config, self.drain_grace = orders, grace
-        self.requests: dict[tuple[int, int], RequestRecord] = {}
-        self.answer_counts: Counter[str] = Counter()
-        self.zone_of: dict[int, int] = {}
+    """Is told what happens, and collects the violations."""
+
+    def __init__(self, config: RoutingConfig, drain_grace: int) -> None:
+        self.config = config
+        self.drain_grace = drain_grace  # a request may still be sent so long after the backend's end is known
+        self.requests: dict[tuple[int, int], RequestRecord] = {}  # by dispatcher and request
+        self.answer_counts: Counter[Answer] = Counter()
+        self.zone_of: dict[int, int] = {}  # by backend
         self.cell_of: dict[int, int] = {}
-        # By dispatcher and runner: when it was told that the runner drains or is gone.
+        # By dispatcher and backend: when it learned that the backend drains or is gone.
         self.excluded_since: dict[tuple[int, int], int] = {}
-        self.warming_arrivals: dict[int, deque[tuple[int, float]]] = defaultdict(deque)
-        self.change_counts: dict[int, int] = {}  # by runner, how many discovery has had
+        self.cold_arrivals: dict[int, deque[ColdArrival]] = defaultdict(deque)  # by backend
+        self.change_counts: Counter[int] = Counter()  # by backend, how many discovery has had
         self.violations: list[str] = []
 
-    def _report_violation(self, now: int, rule: int, what: str, record: RequestRecord) -> None:
+    def _report_violation(self, now: int, rule: Rule, text: str, record: RequestRecord) -> None:
         self.violations.append(
-            f"rule {rule} at {now / 10:.1f} ms: unit {record.request_id} of dispatcher "
-            f"{record.dispatcher} {what}; before: {'; '.join(record.history)}"
+            f"rule {rule} at {now / TICKS_PER_MS:.1f} ms: unit {record.request_id} of dispatcher "
+            f"{record.dispatcher} {text}; before: {'; '.join(record.history)}"
         )
 
-    def request_received(self, now: int, dispatcher: int, unit: int, grade: int, cutoff: int) -> None:
-        record = self.requests[dispatcher, unit] = RequestRecord(dispatcher, unit, grade, cutoff)
-        record.history.append(f"{now / 10:.1f} taken")
+    # --- what dispatchers know of backends ---
 
-    def state_told(
-        self, now: int, dispatcher: int, runner: int, standing: EndpointState, zone: int, cell: int
-    ) -> None:
-        self.zone_of[runner], self.cell_of[runner] = zone, cell
-        if standing == EndpointState.READY:
-            self.excluded_since.pop((dispatcher, runner), None)
-        else:
-            self.excluded_since.setdefault((dispatcher, runner), now)
+    def endpoints_told(self, now: int, dispatcher: int, endpoints: Sequence[Endpoint]) -> None:
+        """A dispatcher learns the states of backends."""
+        for endpoint in endpoints:
+            self.zone_of[endpoint.backend] = endpoint.zone
+            self.cell_of[endpoint.backend] = endpoint.cell
+            if endpoint.state == EndpointState.READY:
+                self.excluded_since.pop((dispatcher, endpoint.backend), None)
+            else:
+                self.excluded_since.setdefault((dispatcher, endpoint.backend), now)
 
-    def change_discovered(self, runner: int) -> int:
+    def change_discovered(self, backend: int) -> int:
         """A change that discovery could tell of from now on, had it been asked: its number."""
-        self.change_counts[runner] = self.change_counts.get(runner, 0) + 1
-        return self.change_counts[runner]
+        self.change_counts[backend] += 1
+        return self.change_counts[backend]
 
     def propagation_expired(
-        self, now: int, dispatcher: int, runner: int, standing: EndpointState, change: int
+        self, now: int, dispatcher: int, *, backend: int, state: EndpointState, change: int
     ) -> None:
-        """Its time to be told is over, whether or not it was. News that came since goes before it."""
-        if self.change_counts[runner] == change and standing != EndpointState.READY:
-            self.excluded_since.setdefault((dispatcher, runner), now)
-
-    def client_disconnected(self, now: int, dispatcher: int, unit: int) -> None:
-        record = self.requests[dispatcher, unit]
-        if not record.answer:
-            record.disconnected_at, record.answer = now, "left"
-            record.history.append(f"{now / 10:.1f} left")
-
-    def attempt_sent(self, now: int, dispatcher: int, unit: int, runner: int) -> None:
-        record = self.requests[dispatcher, unit]
+        """The time to learn of a change is over; later changes of the backend go before it."""
+        if self.change_counts[backend] == change and state != EndpointState.READY:
+            self.excluded_since.setdefault((dispatcher, backend), now)
+
+    # --- what happens to requests ---
+
+    def request_received(self, now: int, record: RequestRecord) -> None:
+        """A dispatcher has a new request in hand."""
+        self.requests[record.dispatcher, record.request_id] = record
+        record.add_event(now, "taken")
+
+    def client_disconnected(self, now: int, dispatcher: int, request_id: int) -> None:
+        """Nobody waits for the answer any more."""
+        record = self.requests[dispatcher, request_id]
+        if record.answer is None:
+            record.disconnected_at = now
+            record.answer = Answer.DISCONNECTED
+            record.add_event(now, "left")
+
+    def attempt_sent(self, now: int, dispatcher: int, request_id: int, backend: int) -> None:
+        """A dispatcher sends a request to a backend."""
+        record = self.requests[dispatcher, request_id]
         if record.disconnected_at:
             if now > record.disconnected_at + DISCONNECT_GRACE:
-                self._report_violation(
-                    now,
-                    1,
-                    f"was sent to runner {runner} for a client gone since {record.disconnected_at / 10:.1f}",
-                    record,
-                )
-        elif record.answer:
-            self._report_violation(now, 1, f"was sent to runner {runner} after its answer", record)
-        since = self.excluded_since.get((dispatcher, runner))
-        if since is not None and now > since + self.drain_grace:
+                gone_since = f"{record.disconnected_at / TICKS_PER_MS:.1f}"
+                text = f"was sent to runner {backend} for a client gone since {gone_since}"
+                self._report_violation(now, Rule.ANSWERS, text, record)
+        elif record.answer is not None:
             self._report_violation(
-                now, 3, f"was sent to runner {runner}, known to end since {since / 10:.1f}", record
-            )
-        grade = self.config.request_classes[record.request_class]
-        for sent_at, other in record.possible_executions:
-            inside = (
-                grade.idempotency == Idempotency.IDEMPOTENT_WITH_KEY
-                and now < sent_at + grade.deduplication_window
-                and (
-                    grade.deduplication_scope == DeduplicationScope.GLOBAL
-                    or grade.deduplication_scope == DeduplicationScope.ZONE
-                    and self.zone_of[other] == self.zone_of[runner]
-                    or grade.deduplication_scope == DeduplicationScope.CELL
-                    and self.cell_of[other] == self.cell_of[runner]
-                )
+                now, Rule.ANSWERS, f"was sent to runner {backend} after its answer", record
             )
-            if grade.idempotency != Idempotency.IDEMPOTENT and not inside:
-                self._report_violation(
-                    now, 2, f"was sent to runner {runner} though it may have run at {other}", record
-                )
-        record.possible_executions.append((now, runner))
-        record.history.append(f"{now / 10:.1f} to {runner}")
-
-    def attempt_not_executed(self, now: int, dispatcher: int, unit: int, runner: int) -> None:
-        """A dispatch that is known not to have run: the last one there."""
-        record = self.requests[dispatcher, unit]
-        for place in range(len(record.possible_executions) - 1, -1, -1):
-            if record.possible_executions[place][1] == runner:
-                del record.possible_executions[place]
+        since = self.excluded_since.get((dispatcher, backend))
+        if since is not None and now > since + self.drain_grace:
+            text = f"was sent to runner {backend}, known to end since {since / TICKS_PER_MS:.1f}"
+            self._report_violation(now, Rule.LEAVING_BACKENDS, text, record)
+        request_class = self.config.request_classes[record.request_class]
+        for execution in record.possible_executions:
+            if not self._may_repeat(now, request_class, execution, backend):
+                text = f"was sent to runner {backend} though it may have run at {execution.backend}"
+                self._report_violation(now, Rule.EXECUTIONS, text, record)
+        record.possible_executions.append(Execution(now, backend))
+        record.add_event(now, f"to {backend}")
+
+    def _may_repeat(self, now: int, request_class: RequestClass, execution: Execution, backend: int) -> bool:
+        """Whether a request that may have been executed may be sent to that backend."""
+        if request_class.idempotency == Idempotency.IDEMPOTENT:
+            return True
+        if request_class.idempotency != Idempotency.IDEMPOTENT_WITH_KEY:
+            return False
+        if now >= execution.sent_at + request_class.deduplication_window:
+            return False
+        scope = request_class.deduplication_scope
+        if scope == DeduplicationScope.ZONE:
+            return self.zone_of[execution.backend] == self.zone_of[backend]
+        if scope == DeduplicationScope.CELL:
+            return self.cell_of[execution.backend] == self.cell_of[backend]
+        return scope == DeduplicationScope.GLOBAL
+
+    def attempt_not_executed(self, now: int, dispatcher: int, request_id: int, backend: int) -> None:
+        """The last attempt at the backend is known not to have been executed."""
+        record = self.requests[dispatcher, request_id]
+        for position in range(len(record.possible_executions) - 1, -1, -1):
+            if record.possible_executions[position].backend == backend:
+                del record.possible_executions[position]
                 break
-        record.history.append(f"{now / 10:.1f} not run at {runner}")
+        record.add_event(now, f"not run at {backend}")
 
-    def request_answered(self, now: int, dispatcher: int, unit: int, how: str) -> None:
-        record = self.requests[dispatcher, unit]
-        self.answer_counts[how] += 1
+    def request_answered(self, now: int, dispatcher: int, request_id: int, answer: Answer) -> None:
+        """A dispatcher answers a request."""
+        record = self.requests[dispatcher, request_id]
+        self.answer_counts[answer] += 1
         if record.disconnected_at:
-            return  # nobody hears it
-        if record.answer:
-            self._report_violation(now, 1, f"was answered again ({how})", record)
+            return  # nobody gets it
+        if record.answer is not None:
+            self._report_violation(now, Rule.ANSWERS, f"was answered again ({answer})", record)
         elif now > record.deadline:
-            self._report_violation(now, 1, f"was answered after its cut-off ({how})", record)
-        grade = self.config.request_classes[record.request_class]
-        harmless = grade.idempotency == Idempotency.IDEMPOTENT or (
-            grade.idempotency == Idempotency.IDEMPOTENT_WITH_KEY
-            and grade.deduplication_scope == DeduplicationScope.GLOBAL
+            self._report_violation(now, Rule.ANSWERS, f"was answered after its cut-off ({answer})", record)
+        request_class = self.config.request_classes[record.request_class]
+        is_harmless = request_class.idempotency == Idempotency.IDEMPOTENT or (
+            request_class.idempotency == Idempotency.IDEMPOTENT_WITH_KEY
+            and request_class.deduplication_scope == DeduplicationScope.GLOBAL
         )
-        if how == "shed" and record.possible_executions and not harmless:
-            self._report_violation(now, 2, "was shed though it may have run", record)
-        record.answer = how
-        record.history.append(f"{now / 10:.1f} {how}")
+        if answer is Answer.SHED and record.possible_executions and not is_harmless:
+            self._report_violation(now, Rule.EXECUTIONS, "was shed though it may have run", record)
+        record.answer = answer
+        record.add_event(now, answer)
 
     def dispatcher_killed(self, now: int, dispatcher: int) -> None:
-        """What it had in hand is lost with it, which no rule forbids; told anew, it knows nothing."""
+        """What it had in hand is lost with it, which no rule forbids."""
         for record in self.requests.values():
-            if record.dispatcher == dispatcher and not record.answer:
-                record.answer = "lost"
-                record.history.append(f"{now / 10:.1f} lost")
-
-    def warming_backend_reached(
-        self, now: int, dispatcher: int, unit: int, runner: int, burden: float, capacity: float, mean: float
+            if record.dispatcher == dispatcher and record.answer is None:
+                record.answer = Answer.LOST
+                record.add_event(now, "lost")
+
+    def cold_backend_reached(
+        self,
+        now: int,
+        dispatcher: int,
+        request_id: int,
+        *,
+        backend: int,
+        service_time: int,
+        capacity: float,
+        mean_service_time: int,
     ) -> None:
-        """At a cold runner: work that came within the stated time, against what it can do at this moment, and
-        calls against what are allowed of mean work; beyond these only 2 x root of N + 2 are chance. Whoever
-        sent them: the sum of all dispatchers counts."""
-        came = self.warming_arrivals[runner]
-        came.append((now, burden))
-        while came[0][0] <= now - self.config.overload_period:
-            came.popleft()
-        if sum(one for _, one in came) > self.config.overload_factor * capacity * self.config.overload_period:
-            self._report_violation(
-                now, 4, f"pushed the cold runner {runner} over", self.requests[dispatcher, unit]
-            )
-        budget = self.config.overload_factor * capacity * self.config.overload_period / mean
-        if len(came) > budget + 2 * sqrt(budget) + 2:
-            self._report_violation(
-                now,
-                4,
-                f"is call {len(came)} at the cold runner {runner}, of {budget:.1f}",
-                self.requests[dispatcher, unit],
-            )
+        """A request arrives at a backend that is warming up, with `capacity` slots' worth of speed now.
+
+        The work that arrived within the overload period is held against what it can do, and the number of
+        requests against what is allowed of mean work; of these, twice the root and two more are chance. The
+        sum of all dispatchers counts, whoever sent them.
+        """
+        record = self.requests[dispatcher, request_id]
+        period = self.config.overload_period
+        arrivals = self.cold_arrivals[backend]
+        arrivals.append(ColdArrival(now, service_time))
+        while arrivals[0].at <= now - period:
+            arrivals.popleft()
+        allowed_work = self.config.overload_factor * capacity * period
+        if sum(arrival.service_time for arrival in arrivals) > allowed_work:
+            self._report_violation(now, Rule.COLD_BACKENDS, f"pushed the cold runner {backend} over", record)
+        allowed_count = allowed_work / mean_service_time
+        if len(arrivals) > allowed_count + 2 * sqrt(allowed_count) + 2:
+            text = f"is call {len(arrivals)} at the cold runner {backend}, of {allowed_count:.1f}"
+            self._report_violation(now, Rule.COLD_BACKENDS, text, record)
 
     def finish(self, now: int) -> None:
-        """At the end: whoever has no answer though the cut-off has passed."""
+        """At the end: nobody may be without an answer whose deadline has passed."""
         for record in self.requests.values():
-            if not record.answer and now > record.deadline:
-                self._report_violation(now, 1, "has no answer", record)
+            if record.answer is None and now > record.deadline:
+                self._report_violation(now, Rule.ANSWERS, "has no answer", record)
--- a/crankfold/simulation/maintenance_study.py
+++ b/crankfold/simulation/maintenance_study.py
@@ -13,7 +13,10 @@
 from crankfold.maintenance.state import BACK, ENDED, FREE, OUT, WORK, MaintenanceState
 from crankfold.routing.interface import EndpointState, RoutingConfig
 from crankfold.routing.router import Router
-from crankfold.simulation.fleet import ZONE_COUNT, Scenario, SimulatedBackend, SimulatedFleet
+from crankfold.simulation.backend import SimulatedBackend
+from crankfold.simulation.fleet import SimulatedFleet
+from crankfold.simulation.invariants import Answer
+from crankfold.simulation.scenario import ZONE_COUNT, Scenario
 
 TICKS_PER_SECOND = 10_000
 DECISION_INTERVAL_TICKS = 2_000
@@ -94,7 +97,7 @@
                 self._complete(r)
         if self.strategy == FOREMAN:
             counts = self.invariants.answer_counts
-            self.outcome_counts.append((counts["done"], counts["shed"]))
+            self.outcome_counts.append((counts[Answer.COMPLETED], counts[Answer.SHED]))
             del self.outcome_counts[:-26]
             self._coordinate()
         else:
@@ -176,7 +179,9 @@
             if away.state == WORK and self.absent[int(uid)][0] == ENDED:
                 self._apply_transitions([{"uid": uid, "work": "w", "step": ENDED, "by": "o", "why": ""}])
         counts = self.invariants.answer_counts
-        taken, shed = (counts[how] - self.outcome_counts[0][n] for n, how in enumerate(("done", "shed")))
+        taken, shed = (
+            counts[how] - self.outcome_counts[0][n] for n, how in enumerate((Answer.COMPLETED, Answer.SHED))
+        )
         holds = {f"{r:04}" for r, (state, _) in self.absent.items() if state == OUT}
         steps = self.coordinator.propose(
             FleetView(
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -12,7 +12,9 @@
 )
 from crankfold.routing.router import Router
 from crankfold.simulation.faults import Fault, FaultKind
-from crankfold.simulation.fleet import PolicyFactory, Scenario, SimulatedFleet
+from crankfold.simulation.fleet import SimulatedFleet
+from crankfold.simulation.invariants import Answer
+from crankfold.simulation.scenario import PolicyFactory, Scenario
 from tests.scene import GRADE, MS, ORDERS, Kept
 
 
@@ -122,7 +124,7 @@
         world.run()
         self.assertEqual(world.invariants.violations, [])
         answers = [record.answer for record in world.invariants.requests.values()]
-        done = answers.count("done") / len(answers)
+        done = answers.count(Answer.COMPLETED) / len(answers)
         self.say(f"all answered: {all(answers)}; over 95 of a hundred done: {done > 0.95}")
         self.close("emulator-rules")
 
@@ -162,8 +164,8 @@
         )
         for post in world.dispatchers:
             take = post.receive_request
-            post.receive_request = lambda unit, work, came, tries, take=take: take(  # type: ignore[method-assign, misc]
-                unit, min(work, 50), came, tries
+            post.receive_request = lambda unit, request, take=take: take(  # type: ignore[method-assign, misc]
+                unit, replace(request, service_time=min(request.service_time, 50))
             )
         world.change_state(10_001, 0, EndpointState.READY, since=10_001)
         world.run()
--- a/tests/test_experiment.py
+++ b/tests/test_experiment.py
@@ -10,7 +10,9 @@
 from crankfold.routing.router import Router
 from crankfold.simulation.comparison import DEFAULT_CONFIG
 from crankfold.simulation.faults import Fault, FaultKind, affected_indices
-from crankfold.simulation.fleet import Scenario, SimulatedFleet
+from crankfold.simulation.fleet import SimulatedFleet
+from crankfold.simulation.invariants import Answer
+from crankfold.simulation.scenario import Scenario
 from tests.scene import Kept
 
 DAY = Scenario(
@@ -71,7 +73,7 @@
     def test_what_a_fault_does(self) -> None:
         def errors(share: float) -> int:
             world, _ = self.play(Fault(FaultKind.ERRORS, 1.0, 7.0, 1.0, factor=share))
-            return sum("done" not in record.answer for record in world.invariants.requests.values())
+            return sum(record.answer != Answer.COMPLETED for record in world.invariants.requests.values())
 
         self.assertLess(errors(0.1), errors(0.9))
         world, _ = self.play(Fault(FaultKind.ZONE_LOSS, 2.0, 4.0, zone=1))
