--- a/crankfold/simulator_adapter/__main__.py
+++ b/crankfold/simulator_adapter/__main__.py
@@ -1,30 +1,35 @@
-"""Hosts many dispatchers on standard input and output: `python -m crankfold.simulator_adapter`."""
+"""Hosts instances of the decisions on standard input and output."""
 
 import struct
 import sys
 
 from crankfold.simulator_adapter.host import SimulatorHost
 
+LENGTH_SIZE = 4  # bytes of a frame's length, which counts itself
+MIN_FRAME_SIZE = 12  # bytes: the length and the time
+
 
 def main() -> int:
+    """Answers frames until the input ends; gives the exit code, 1 for input that cannot be decoded."""
     host = SimulatorHost()
-    inp, out = sys.stdin.buffer, sys.stdout.buffer
+    source = sys.stdin.buffer
+    sink = sys.stdout.buffer
     while True:
-        size = inp.read(4)
+        size = source.read(LENGTH_SIZE)
         if not size:
             return 0
         length = int.from_bytes(size, "little")
-        frame = inp.read(length - 4) if length >= 12 else b""
-        if len(size) < 4 or length < 12 or len(frame) < length - 4:
-            print("simhost: truncated frame on standard input", file=sys.stderr)
+        frame = source.read(length - LENGTH_SIZE) if length >= MIN_FRAME_SIZE else b""
+        if len(size) < LENGTH_SIZE or length < MIN_FRAME_SIZE or len(frame) < length - LENGTH_SIZE:
+            print("simulator adapter: truncated frame on standard input", file=sys.stderr)
             return 1
         try:
             reply = host.handle_frame(frame)
-        except (struct.error, IndexError, KeyError, ValueError) as broken:
-            print(f"simhost: undecodable frame: {broken!r}", file=sys.stderr)
+        except (struct.error, IndexError, KeyError, ValueError) as error:
+            print(f"simulator adapter: undecodable frame: {error!r}", file=sys.stderr)
             return 1
-        out.write(reply)
-        out.flush()
+        sink.write(reply)
+        sink.flush()
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/crankfold/simulator_adapter/codec.py
@@ -0,0 +1,244 @@
+"""The simulator's frames: little-endian records, each with its code in front and no length.
+
+Times on the wire are microseconds, those of the decisions ticks of 0.1 ms. Deadlines are rounded down;
+hints are rounded up.
+"""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from enum import IntEnum
+from struct import Struct
+from typing import Any, Final
+
+from crankfold.errors import CrankfoldError
+from crankfold.routing.interface import AttemptEnd, EndpointState, Outcome, RequestArrival
+
+MICROSECONDS_PER_TICK: Final = 100
+MAX_FAULT_TEXT: Final = 4000  # bytes
+
+_LENGTH = Struct("<I")  # of a frame, itself included
+_CODE = Struct("<H")
+_INSTANCE = Struct("<H")
+_LIST_HEADER = Struct("<II")
+_LIST_ENTRY = Struct("<BBfH6sBQ")
+_START = Struct("<QI")
+_REQUEST = Struct("<IHHQQIffB")
+_ATTEMPT_STARTED = Struct("<I6sBI")
+_ATTEMPT_NOTE = Struct("<IB6sBf")
+_ATTEMPT_END = Struct("<IB6sBIBIB")
+_TIMER = Struct("<Q")
+_REQUEST_ID = Struct("<I")
+_PROBE_END = Struct("<6sBIB")
+_PEER_MESSAGE = Struct("<IH")
+_ENDPOINTS = Struct("<BQI")
+
+_HAS_WORK_HINT = 1  # bits of a request's flags
+_IS_RETRY = 2
+_NOTE_STARTED = 1  # kinds of a note
+_DELTA = 2  # kinds of an endpoint list
+_FAILED = 3
+
+_OUTCOMES = {
+    0: Outcome.COMPLETED,
+    1: Outcome.CANCELLED,
+    4: Outcome.TIMED_OUT,
+    8: Outcome.OVERLOADED,
+    9: Outcome.NOT_SENT,
+    10: Outcome.RESET,
+    13: Outcome.ERROR,
+    14: Outcome.UNREACHABLE,
+}
+_STATES = {0: EndpointState.REMOVED, 1: EndpointState.READY, 2: EndpointState.DRAINING}
+
+
+class EventCode(IntEnum):
+    """The codes of records that come in."""
+
+    START = 1
+    ENDPOINTS = 2
+    REQUEST = 3
+    ATTEMPT_STARTED = 4
+    ATTEMPT_ENDED = 5
+    CLIENT_DISCONNECTED = 6
+    TIMER = 7
+    PROBE_ENDED = 8
+    PEER_MESSAGE = 9
+    STOP = 10
+    ENDPOINT_LIST = 11
+    ATTEMPT_NOTE = 12
+    TO_INSTANCE = 13
+
+
+class FrameError(CrankfoldError, ValueError):
+    """A frame cannot be decoded."""
+
+
+class ActionCode(IntEnum):
+    """The codes of records that go out."""
+
+    SEND_ATTEMPT = 1
+    SHED = 2
+    FAIL_REQUEST = 3
+    CANCEL_ATTEMPT = 4
+    SET_TIMER = 5
+    PROBE = 6
+    FAULT = 10
+    WATCH_ENDPOINTS = 11
+    FROM_INSTANCE = 13
+
+
+@dataclass(slots=True)
+class ListEntry:
+    """One backend of an endpoint list, with its address in place of an index."""
+
+    address: bytes
+    state: EndpointState
+    weight: float
+    zone: int
+    cell: int
+    started_at: int  # ticks
+    instance_type: int
+
+
+@dataclass(slots=True)
+class EndpointsRecord:
+    """Says which endpoint list an instance now has."""
+
+    list_index: int
+    snapshot: bool
+    failed: bool  # there is none
+
+
+@dataclass(slots=True)
+class AttemptRecord:
+    """Names an attempt by the ids on the wire."""
+
+    request_id: int
+    attempt_number: int
+    address: bytes
+
+
+class FrameReader:
+    """Reads the records of one frame in turn."""
+
+    def __init__(self, frame: bytes) -> None:
+        self.now = int.from_bytes(frame[:8], "little") // MICROSECONDS_PER_TICK
+        self._frame = frame
+        self._offset = 8
+
+    def at_end(self) -> bool:
+        """Whether all records are read."""
+        return self._offset >= len(self._frame)
+
+    def unpack(self, layout: Struct) -> tuple[Any, ...]:
+        """Reads the fields of `layout`.
+
+        Raises:
+            struct.error: The frame ends within them.
+        """
+        fields = layout.unpack_from(self._frame, self._offset)
+        self._offset += layout.size
+        return fields
+
+    def take(self, size: int, what: str) -> bytes:
+        """Reads `size` bytes.
+
+        Raises:
+            FrameError: The frame ends within them; the text names `what`.
+        """
+        start = self._offset
+        if start + size > len(self._frame):
+            raise FrameError(f"{what} longer than its frame")
+        self._offset += size
+        return self._frame[start : self._offset]
+
+    def code(self) -> int:
+        """The code of the next record."""
+        return int(self.unpack(_CODE)[0])
+
+    def instance(self) -> int:
+        """The index of the instance that the next records are for."""
+        return int(self.unpack(_INSTANCE)[0])
+
+    def start(self) -> tuple[int, str]:
+        """The seed and the settings of an instance that starts."""
+        seed, size = self.unpack(_START)
+        return seed, self.take(size, "settings").decode()
+
+    def endpoint_list(self) -> tuple[int, list[ListEntry]]:
+        """An endpoint list, and the index by which it is named later."""
+        index, count = self.unpack(_LIST_HEADER)
+        packed = self.take(_LIST_ENTRY.size * count, "a list")
+        return index, [
+            ListEntry(
+                address=address,
+                state=_STATES.get(state, EndpointState.REMOVED),
+                weight=weight,
+                zone=zone,
+                cell=cell,
+                # Rounded up: a younger backend is treated as colder.
+                started_at=-(-started_at // MICROSECONDS_PER_TICK),
+                instance_type=instance_type,
+            )
+            for zone, state, weight, cell, address, instance_type, started_at in _LIST_ENTRY.iter_unpack(
+                packed
+            )
+        ]
+
+    def endpoints(self) -> EndpointsRecord:
+        """Which endpoint list an instance now has."""
+        kind, _revision, index = self.unpack(_ENDPOINTS)
+        return EndpointsRecord(index, snapshot=kind != _DELTA, failed=kind == _FAILED)
+
+    def request(self) -> RequestArrival:
+        """A request, still by its id on the wire; its tenant and second size are of no use here."""
+        request_id, class_index, _tenant, key, deadline, work, slots, _size, flags = self.unpack(_REQUEST)
+        return RequestArrival(
+            request_id,
+            class_index,
+            deadline=deadline // MICROSECONDS_PER_TICK,
+            work=-(-work // MICROSECONDS_PER_TICK) if flags & _HAS_WORK_HINT else 0,
+            slots=slots,
+            key=key,
+            is_retry=bool(flags & _IS_RETRY),
+        )
+
+    def attempt_started(self) -> AttemptRecord:
+        """The first sign of an attempt."""
+        request_id, address, attempt_number, _latency = self.unpack(_ATTEMPT_STARTED)
+        return AttemptRecord(request_id, attempt_number, address)
+
+    def attempt_note(self) -> tuple[AttemptRecord, bool]:
+        """An attempt, and whether it has started; else it gets on."""
+        request_id, attempt_number, address, kind, _share = self.unpack(_ATTEMPT_NOTE)
+        return AttemptRecord(request_id, attempt_number, address), kind == _NOTE_STARTED
+
+    def attempt_ended(self) -> tuple[AttemptRecord, AttemptEnd]:
+        """An attempt, and how it has ended; an unknown status may have been executed."""
+        fields = self.unpack(_ATTEMPT_END)
+        request_id, attempt_number, address, status, _latency, request_over, _detail, count = fields
+        outcome = _OUTCOMES.get(status, Outcome.UNKNOWN)
+        end = AttemptEnd(outcome, bool(request_over), self.report(count))
+        return AttemptRecord(request_id, attempt_number, address), end
+
+    def timer(self) -> int:
+        """The token of a timer."""
+        return int(self.unpack(_TIMER)[0])
+
+    def request_id(self) -> int:
+        """The id of a request."""
+        return int(self.unpack(_REQUEST_ID)[0])
+
+    def probe_ended(self) -> tuple[bytes, bool, Sequence[float]]:
+        """The address of a probed backend, whether it is well, and its load report."""
+        address, status, _latency, count = self.unpack(_PROBE_END)
+        return address, status == 0, self.report(count)
+
+    def skip_peer_message(self) -> None:
+        """Passes over a message of another instance: none are sent."""
+        _sender, size = self.unpack(_PEER_MESSAGE)
+        self._offset += int(size)
+
+    def report(self, count: int) -> Sequence[float]:
+        """A load report of `count` figures."""
+        return self.unpack(Struct(f"<{count}f")) if count else ()
--- /dev/null
+++ b/crankfold/simulator_adapter/instance.py
@@ -0,0 +1,178 @@
+"""One instance of the decisions: events decoded into its calls, its actions encoded, ids made indices."""
+
+import traceback
+from collections.abc import Callable, Mapping, Sequence
+from functools import partial
+from struct import Struct, pack
+
+from crankfold.config.interning import Interner
+from crankfold.config.parser import parse_lines, read_routing_config
+from crankfold.routing.interface import Endpoint
+from crankfold.routing.router import Router
+from crankfold.simulator_adapter.codec import (
+    MAX_FAULT_TEXT,
+    MICROSECONDS_PER_TICK,
+    ActionCode,
+    AttemptRecord,
+    EventCode,
+    FrameError,
+    FrameReader,
+    ListEntry,
+)
+
+_SEND_ATTEMPT = Struct("<HIi6s")
+_SHED = Struct("<HII")
+_FAIL_REQUEST = Struct("<HI")
+_CANCEL_ATTEMPT = Struct("<HIB")
+_SET_TIMER = Struct("<HIQ")
+_PROBE = Struct("<H6s")
+_MAX_DELAY = 0xFFFFFFFF  # microseconds that a timer's field holds
+_WATCH_ENDPOINTS = pack("<HB", ActionCode.WATCH_ENDPOINTS, 1)
+
+Call = Callable[[], None]
+
+
+def hash_position(address: bytes) -> float:
+    """A number for a backend, the same at every instance, below 1, and spread evenly over backends."""
+    return (int.from_bytes(address, "little") * 0x9E3779B97F4A7C15 >> 20 & 0xFFFFF) / 0x100000
+
+
+class RouterInstance:
+    """Carries events to one `Router`, and implements its `RoutingActions`."""
+
+    def __init__(self, seed: int, settings: str, endpoint_lists: Mapping[int, Sequence[ListEntry]]) -> None:
+        """Starts the decisions from the lines of the settings; lists are looked up when they are named."""
+        self.output = bytearray()
+        backends: Interner[bytes] = Interner()
+        requests: Interner[int] = Interner()
+        self.backend_index = backends.intern
+        self.addresses = backends.names
+        self.request_index = requests.intern
+        self.request_ids = requests.names
+        self.endpoint_lists = endpoint_lists
+        self.router = Router(read_routing_config(parse_lines(settings)), seed, self)
+
+    # --- actions ---
+
+    def send_attempt(self, request_id: int, backend: int) -> None:
+        """Encodes an attempt, without a time limit of its own."""
+        self.output += _SEND_ATTEMPT.pack(
+            ActionCode.SEND_ATTEMPT, self.request_ids[request_id], 0, self.addresses[backend]
+        )
+
+    def shed(self, request_id: int, retry_after: int) -> None:
+        """Encodes the answer that a retry is harmless."""
+        delay = retry_after * MICROSECONDS_PER_TICK
+        self.output += _SHED.pack(ActionCode.SHED, self.request_ids[request_id], delay)
+
+    def fail_request(self, request_id: int) -> None:
+        """Encodes the answer that a request has failed."""
+        self.output += _FAIL_REQUEST.pack(ActionCode.FAIL_REQUEST, self.request_ids[request_id])
+
+    def cancel_attempt(self, request_id: int, attempt_number: int) -> None:
+        """Encodes the cancelling of an attempt."""
+        self.output += _CANCEL_ATTEMPT.pack(
+            ActionCode.CANCEL_ATTEMPT, self.request_ids[request_id], attempt_number
+        )
+
+    def set_timer(self, delay: int, token: int) -> None:
+        """Encodes a timer, due within the range of its field."""
+        microseconds = min(delay * MICROSECONDS_PER_TICK, _MAX_DELAY)
+        self.output += _SET_TIMER.pack(ActionCode.SET_TIMER, microseconds, token)
+
+    def probe(self, backend: int) -> None:
+        """Encodes a probe."""
+        self.output += _PROBE.pack(ActionCode.PROBE, self.addresses[backend])
+
+    def poll_endpoints(self) -> None:
+        """Encodes the wish for the endpoint list."""
+        self.output += _WATCH_ENDPOINTS
+
+    def _report_fault(self, text: str) -> None:
+        packed = text.encode()[-MAX_FAULT_TEXT:]
+        self.output += pack("<HH", ActionCode.FAULT, len(packed)) + packed
+
+    # --- events ---
+
+    def handle_event(self, code: int, reader: FrameReader) -> None:
+        """Decodes an event whole, then tells it; only what the decisions raise is reported as their fault.
+
+        Raises:
+            FrameError: The code is unknown.
+            struct.error, KeyError: The record cannot be decoded.
+        """
+        if code == EventCode.PEER_MESSAGE:
+            reader.skip_peer_message()
+            return
+        decode = _DECODERS.get(code)
+        if decode is None:
+            raise FrameError(f"unknown event code {code}")
+        call = decode(self, reader)
+        try:
+            call()
+        except Exception:
+            self._report_fault(traceback.format_exc())
+
+    def _attempt(self, record: AttemptRecord) -> tuple[int, int, int]:
+        """The index of the request, the attempt's number and the index of the backend."""
+        request = self.request_index(record.request_id)
+        return request, record.attempt_number, self.backend_index(record.address)
+
+    def _endpoints(self, reader: FrameReader) -> Call:
+        record = reader.endpoints()
+        if record.failed:
+            return partial(self.router.discovery_failed, reader.now)
+        endpoints = [
+            Endpoint(
+                self.backend_index(entry.address),
+                entry.state,
+                entry.weight,
+                entry.zone,
+                entry.cell,
+                entry.started_at,
+                entry.instance_type,
+                hash_position(entry.address),
+            )
+            for entry in self.endpoint_lists[record.list_index]
+        ]
+        return partial(self.router.endpoints_changed, reader.now, endpoints, record.snapshot)
+
+    def _request(self, reader: FrameReader) -> Call:
+        arrival = reader.request()
+        arrival.request_id = self.request_index(arrival.request_id)
+        return partial(self.router.request_received, reader.now, arrival)
+
+    def _attempt_started(self, reader: FrameReader) -> Call:
+        return partial(self.router.attempt_started, reader.now, *self._attempt(reader.attempt_started()))
+
+    def _attempt_note(self, reader: FrameReader) -> Call:
+        record, started = reader.attempt_note()
+        event = self.router.attempt_started if started else self.router.attempt_progressed
+        return partial(event, reader.now, *self._attempt(record))
+
+    def _attempt_ended(self, reader: FrameReader) -> Call:
+        record, end = reader.attempt_ended()
+        return partial(self.router.attempt_ended, reader.now, *self._attempt(record), end)
+
+    def _client_disconnected(self, reader: FrameReader) -> Call:
+        request = self.request_index(reader.request_id())
+        return partial(self.router.client_disconnected, reader.now, request)
+
+    def _timer(self, reader: FrameReader) -> Call:
+        return partial(self.router.timer_fired, reader.now, reader.timer())
+
+    def _probe_ended(self, reader: FrameReader) -> Call:
+        address, healthy, report = reader.probe_ended()
+        return partial(self.router.probe_ended, reader.now, self.backend_index(address), healthy, report)
+
+
+_DECODERS: dict[int, Callable[[RouterInstance, FrameReader], Call]] = {
+    EventCode.ENDPOINTS: RouterInstance._endpoints,
+    EventCode.REQUEST: RouterInstance._request,
+    EventCode.ATTEMPT_STARTED: RouterInstance._attempt_started,
+    EventCode.ATTEMPT_NOTE: RouterInstance._attempt_note,
+    EventCode.ATTEMPT_ENDED: RouterInstance._attempt_ended,
+    EventCode.CLIENT_DISCONNECTED: RouterInstance._client_disconnected,
+    EventCode.TIMER: RouterInstance._timer,
+    EventCode.PROBE_ENDED: RouterInstance._probe_ended,
+}
