--- a/crankfold/network/accepted_connection.py
+++ b/crankfold/network/accepted_connection.py
@@ -15,7 +15,7 @@
 READ_SIZE = 16 * 1024  # bytes that asyncio's reader is limited to; it holds twice as much before it pauses
 MAX_UNREAD_BYTES = 64 * 1024  # pipelined behind a request in hand, or read only to be discarded
 THROTTLE_DELAY = 0.002  # seconds between reads that are discarded, for each connection that sends such
-CLOSE_LINGER = 0.5  # seconds that what comes after the last response is read: a reset would overtake it
+CLOSE_DELAY = 0.5  # seconds that what comes after the last response is read: a reset would overtake it
 NEW_CONNECTION_GRACE = 0.1  # seconds in which a connection may have its first request under way
 
 
@@ -48,12 +48,12 @@
         """
         protocol = self.protocol
         while data := await self.reader.read(4 * READ_SIZE):
-            if protocol.closing or protocol.awaiting_response and not protocol.discarding_input:
+            if protocol.closing or (protocol.awaiting_response and not protocol.discarding_input):
                 self.unread_bytes += len(data)
             if protocol.closing:
                 if self.unread_bytes > MAX_UNREAD_BYTES:
                     # Sixty megabytes at full speed would cost the others time; left unread they wait outside.
-                    await asyncio.sleep(CLOSE_LINGER)
+                    await asyncio.sleep(CLOSE_DELAY)
                     return
             elif protocol.discarding_input:
                 await asyncio.sleep(THROTTLE_DELAY * len(self.listener.flooding_connections))
@@ -111,7 +111,7 @@
     def _flush(self) -> None:
         protocol = self.protocol
         if protocol.rejected_status:
-            self.listener.metrics.increment(f"clients-answered-{protocol.rejected_status}")
+            self.listener.metrics.increment(f"clients-rejected-{protocol.rejected_status}")
             protocol.rejected_status = 0
         if protocol.outgoing:
             self.writer.writelines(protocol.outgoing)
@@ -127,7 +127,7 @@
         """
         if not self.writer.is_closing() and self.writer.can_write_eof():
             self.writer.write_eof()
-            self.listener.loop.call_later(CLOSE_LINGER, self.writer.close)
+            self.listener.loop.call_later(CLOSE_DELAY, self.writer.close)
 
     def has_unsent_data(self) -> bool:
         """Whether written bytes wait because the other side does not take them."""
--- a/crankfold/network/admin_server.py
+++ b/crankfold/network/admin_server.py
@@ -9,7 +9,7 @@
 
 MAX_CALLERS = 16  # connections at once; their descriptors are kept free of clients and backends
 CALL_TIMEOUT = 2.0  # seconds from connecting to the end of a call
-CLOSE_LINGER = 0.2  # seconds that what comes after the response is read: a reset would overtake it
+CLOSE_DELAY = 0.2  # seconds that what comes after the response is read: a reset would overtake it
 READ_SIZE = 4 * 1024  # bytes
 ACCEPT_BACKLOG = 256  # connections not accepted yet
 ACCEPTS_PER_TURN = 2  # connections accepted in one turn of the loop
@@ -44,7 +44,7 @@
         return int(self.server.sockets[0].getsockname()[1]) if self.server else 0
 
     async def _handle_connection(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self.metrics.increment("operators-callers")
+        self.metrics.increment("admin-connections")
         if not self._make_room():
             writer.transport.abort()
             return
@@ -57,12 +57,12 @@
             if connection.command:
                 await self._execute(connection)
             writer.writelines(connection.outgoing)
-            self.metrics.increment("operators-calls" if connection.command else "operators-refused")
+            self.metrics.increment("admin-calls" if connection.command else "admin-calls-rejected")
             duration_ms = int((self.loop.time() - started_at) * 1000)
-            self.metrics.record_maximum("operators-longest-ms", duration_ms)
+            self.metrics.record_maximum("admin-longest-call-ms", duration_ms)
             if writer.can_write_eof():
                 writer.write_eof()
-            async with asyncio.timeout(CLOSE_LINGER):
+            async with asyncio.timeout(CLOSE_DELAY):
                 while await reader.read(READ_SIZE):
                     pass
         except (OSError, TimeoutError, asyncio.CancelledError):
@@ -78,7 +78,7 @@
             oldest = next((connection for connection in self.connections if not connection.command), None)
             if oldest is None:
                 return False
-            self.metrics.increment("operators-sent-away")
+            self.metrics.increment("admin-connections-evicted")
             self.connections.pop(oldest).transport.abort()
         return True
 
--- a/crankfold/network/connection_pool.py
+++ b/crankfold/network/connection_pool.py
@@ -14,7 +14,7 @@
 # Seconds that a connection rests after a response before it carries a request. A second response to the last
 # request, some milliseconds late, would be read as the response to the next: a late "never ran" of something
 # that did would have it run twice.
-SETTLE_TIME = 0.05
+REUSE_COOLDOWN = 0.05
 
 
 class ExchangeResult(Enum):
@@ -37,21 +37,21 @@
         headers: gives the headers at the moment when the request is written.
         may_send: whether it may still be written, asked when a new connection is up.
         on_end: is told the result, and the connection's state where there was a connection.
-        needs_settled: its response counts, so it is not sent on a connection that was answered a moment ago.
+        needs_cooldown: its response counts, so it is not sent on a connection that was answered a moment ago.
         connection: that carries it, once there is one.
         finished: its end was told, or nobody waits for it any more.
     """
 
     __slots__ = (
-        "method",
-        "target",
-        "headers",
         "body",
-        "may_send",
-        "on_end",
         "connection",
         "finished",
-        "needs_settled",
+        "headers",
+        "may_send",
+        "method",
+        "needs_cooldown",
+        "on_end",
+        "target",
     )
 
     def __init__(
@@ -63,7 +63,7 @@
         *,
         may_send: Callable[[], bool],
         on_end: ExchangeCallback,
-        needs_settled: bool = True,
+        needs_cooldown: bool = True,
     ) -> None:
         self.method = method
         self.target = target
@@ -71,7 +71,7 @@
         self.body = body
         self.may_send = may_send
         self.on_end = on_end
-        self.needs_settled = needs_settled
+        self.needs_cooldown = needs_cooldown
         self.connection: PooledConnection | None = None
         self.finished = False
 
@@ -131,7 +131,7 @@
         self.exchange: Exchange | None = None
         self.opened_at = pool.loop.time()  # this and the next two in seconds of the loop's clock
         self.idle_since = 0.0
-        self.answered_at = -SETTLE_TIME
+        self.answered_at = -REUSE_COOLDOWN
         self.consumed_bytes = 0
         self.request_written = True
         stream_protocol.on_drained = self._on_drained
@@ -173,7 +173,7 @@
             while data := await self.reader.read(READ_SIZE):
                 self.consumed_bytes += len(data)
                 if self.exchange is None:
-                    self.pool.metrics.increment("runner-spoke-unasked")
+                    self.pool.metrics.increment("backend-unsolicited-data")
                     break
                 if self.protocol.receive_data(data):
                     self._finish_exchange(self.exchange)
@@ -236,7 +236,7 @@
         """Whether one more may be opened; closes an idle one if there is no other way."""
         if self.open_count >= self.max_connections and self.idle_connections:
             next(iter(self.idle_connections)).close()
-            self.metrics.increment("runner-connections-closed-for-room")
+            self.metrics.increment("backend-connections-evicted")
             return True  # it is let go a turn later; some sockets are kept free for that
         return self.open_count < self.max_connections
 
@@ -265,24 +265,24 @@
 
     def send(self, exchange: Exchange) -> None:
         """Sends it at once where a connection is idle. How it ends is told later, never from in here."""
-        connection = self._take_idle(exchange.needs_settled)
+        connection = self._take_idle(exchange.needs_cooldown)
         if connection:
-            self.metrics.increment("connections-reused")
+            self.metrics.increment("backend-connections-reused")
             connection.start(exchange)
         elif self.closed or not self.limiter.make_room():
-            self.metrics.increment("no-room-for-a-connection")
+            self.metrics.increment("backend-connections-over-limit")
             self.loop.call_soon(exchange.finish, ExchangeResult.NOT_SENT, None)
         else:
             task = self.loop.create_task(self._connect(exchange))
             self.connect_tasks.add(task)
             task.add_done_callback(self.connect_tasks.discard)
 
-    def _take_idle(self, needs_settled: bool) -> PooledConnection | None:
+    def _take_idle(self, needs_cooldown: bool) -> PooledConnection | None:
         now = self.loop.time()
         for connection in self.idle_connections[::-1]:
             if not connection.is_reusable() or now - connection.idle_since >= self.limiter.idle_timeout:
                 connection.close()
-            elif not needs_settled or now - connection.answered_at >= SETTLE_TIME:
+            elif not needs_cooldown or now - connection.answered_at >= REUSE_COOLDOWN:
                 self.remove_idle(connection)
                 return connection
         return None
@@ -302,7 +302,7 @@
             self.idle_connections.remove(connection)
 
     async def _connect(self, exchange: Exchange) -> None:
-        self.metrics.increment("connections-opened")
+        self.metrics.increment("backend-connections-opened")
         self.limiter.open_count += 1
         try:
             async with asyncio.timeout(self.limiter.connect_timeout):
@@ -311,7 +311,7 @@
                 transport, _ = await self.loop.create_connection(lambda: protocol, self.host, self.port)
         except (OSError, TimeoutError):
             self.limiter.open_count -= 1
-            self.metrics.increment("connections-not-up")
+            self.metrics.increment("backend-connections-failed")
             exchange.finish(ExchangeResult.UNREACHABLE, None)
             return
         writer = asyncio.StreamWriter(transport, protocol, reader, self.loop)
--- a/crankfold/network/discovery_watcher.py
+++ b/crankfold/network/discovery_watcher.py
@@ -99,7 +99,7 @@
         self._ask(call or DiscoveryCall(self.host, self.port), LONG_POLL_MS if has_list else 0)
         due = started_at + wait + (OVERDUE_GRACE if is_pushed or has_list else POLL_RETRY_INTERVAL)
         while self.calls:
-            answered = await self._next_answered(timeout=max(due - self.loop.time(), 0))
+            answered = await self._next_answered(due)
             if answered:
                 return answered
             if self.calls and self.loop.time() >= due:
@@ -118,8 +118,9 @@
         task.add_done_callback(lambda done: done.cancelled() or done.exception())
         self.calls[task] = call
 
-    async def _next_answered(self, timeout: float) -> DiscoveryCall | None:
-        """A call that is answered within the time, closing those that failed."""
+    async def _next_answered(self, due: float) -> DiscoveryCall | None:
+        """A call that is answered before that time, if there is one; those that failed are closed."""
+        timeout = max(due - self.loop.time(), 0)
         done, _ = await asyncio.wait(self.calls, timeout=timeout, return_when=asyncio.FIRST_COMPLETED)
         for task in done:
             call = self.calls.pop(task)
@@ -159,6 +160,10 @@
     """Asks discovery again and again and tells what it answers.
 
     Attributes:
+        make_endpoint: turns the names in an entry into indices.
+        on_endpoints: is told the endpoints that changed, or all of them, in which case the flag is true.
+        on_failure: is told of each watch that broke.
+        retry_interval: between calls where lists are pushed, in seconds.
         revision: of the list that is known; negative for none.
         last_answer_at: when discovery last answered, in seconds of the loop's clock.
     """
@@ -174,17 +179,7 @@
         metrics: Metrics,
         retry_interval: float = RETRY_INTERVAL,
     ) -> None:
-        """Does nothing before `start`.
-
-        Args:
-            host: of the discovery agent.
-            port: of the discovery agent.
-            make_endpoint: turns the names in an entry into indices.
-            on_endpoints: is told the endpoints that changed, or all of them, in which case the flag is true.
-            on_failure: is told of each watch that broke.
-            metrics: where calls are counted.
-            retry_interval: between calls where lists are pushed, in seconds.
-        """
+        """Does nothing before `start`; the address is the discovery agent's."""
         self.host = host
         self.port = port
         self.make_endpoint = make_endpoint
@@ -271,6 +266,6 @@
         if update.revision < self.revision and not update.is_snapshot:
             raise DiscoveryError("a version older than the last")
         self.revision = update.revision
-        self.metrics.increment("lists-whole" if update.is_snapshot else "lists-of-changes")
+        self.metrics.increment("discovery-snapshots" if update.is_snapshot else "discovery-deltas")
         if update.endpoints or update.is_snapshot:
             self.on_endpoints(update.endpoints, update.is_snapshot)
--- a/crankfold/network/listener.py
+++ b/crankfold/network/listener.py
@@ -109,7 +109,7 @@
 
     async def _handle_connection(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         connection = AcceptedConnection(self, reader, writer)
-        self.metrics.increment("connections-taken")
+        self.metrics.increment("connections-accepted")
         self._evict_if_full()
         self.connections.add(connection)
         self.unidentified_connections[connection] = None
@@ -122,7 +122,7 @@
         finally:
             self._remove(connection)
             if connection.protocol.awaiting_response:
-                self.metrics.increment("clients-left")
+                self.metrics.increment("clients-disconnected")
                 self.handler.client_disconnected(connection)
             writer.close()
 
@@ -141,7 +141,7 @@
             )
             evicted = min(idle, key=AcceptedConnection.eviction_order, default=evicted)
         if evicted:
-            self.metrics.increment("connections-closed-for-room")
+            self.metrics.increment("connections-evicted")
             self._remove(evicted)
             evicted.abort()
         else:
@@ -164,7 +164,7 @@
                 break
             if not connection.protocol.closing:  # else it ends after its linger time
                 # Says nothing, sends a header without end, or asked for our health alone.
-                self.metrics.increment("clients-cut-off")
+                self.metrics.increment("clients-timed-out")
                 connection.abort()
         for connection in list(self.connections):
             protocol = connection.protocol
@@ -172,7 +172,7 @@
             if not protocol.identified or protocol.closing:
                 continue
             if age > TRANSFER_TIMEOUT and (connection.has_unsent_data() or protocol.is_mid_request()):
-                self.metrics.increment("clients-cut-off")
+                self.metrics.increment("clients-timed-out")
                 connection.abort()
             elif age > IDLE_TIMEOUT and connection.is_idle():
                 self.metrics.increment("connections-idle-closed")
--- a/crankfold/network/timers.py
+++ b/crankfold/network/timers.py
@@ -49,7 +49,7 @@
             return
         if lateness > LATE:
             self.metrics.increment("timers-over-10ms-late")
-        self.metrics.record_maximum("timer-latest-tenths-of-ms", lateness)
+        self.metrics.record_maximum("timer-max-lateness-tenths-of-ms", lateness)
         try:
             callback()
         except Exception as error:
--- a/crankfold/protocol/client_request.py
+++ b/crankfold/protocol/client_request.py
@@ -12,6 +12,7 @@
 TICKS_PER_SECOND = 10_000  # times are whole tenths of a millisecond
 MICROSECONDS_PER_TICK = 100
 _SINGLE_HEADERS = frozenset((b"x-request-id", b"idempotency-key", b"x-timeout", b"x-priority-class"))
+_REQUIRED_HEADERS = frozenset((b"x-request-id", b"x-timeout", b"x-priority-class"))
 
 
 @dataclass(slots=True)
@@ -60,24 +61,19 @@
     headers = list(headers)
     # Which of two ids a backend would go by is anybody's guess: such a request is not read.
     values = first_values(headers, _SINGLE_HEADERS)
-    try:
-        request_id = values[b"x-request-id"].decode()
-        request_class = values[b"x-priority-class"].decode()
-        timeout = int(parse_number(values[b"x-timeout"], MAX_TIMEOUT) * TICKS_PER_SECOND)
-    except KeyError as missing:
-        raise ValueError(f"no header {missing}") from None
-    work = -(-int(parse_number(values.get(b"x-cost", b"0"), MAX_WORK)) // MICROSECONDS_PER_TICK)
-    slots = _parse_slots(values.get(b"x-attrs", b""))
+    if not values.keys() >= _REQUIRED_HEADERS:
+        raise ValueError("a required header is missing")
+    request_id = values[b"x-request-id"].decode()
     if not 0 < len(request_id) <= MAX_ID_LENGTH:
         raise ValueError("id too long or empty")
     route_key = values.get(b"x-route-key", b"")
     return ClientRequest(
         request_id=request_id,
-        request_class=request_class,
+        request_class=values[b"x-priority-class"].decode(),
         tenant=values.get(b"x-tenant-id", b"").decode("latin-1"),
-        timeout=timeout,
-        work=work,
-        slots=slots,
+        timeout=int(parse_number(values[b"x-timeout"], MAX_TIMEOUT) * TICKS_PER_SECOND),
+        work=-(-int(parse_number(values.get(b"x-cost", b"0"), MAX_WORK)) // MICROSECONDS_PER_TICK),
+        slots=_parse_slots(values.get(b"x-attrs", b"")),
         http=HttpRequest(method, target, forwarded_headers(headers), body),
         affinity_key=1 << 32 | zlib.crc32(route_key) if route_key else 0,
         is_retry=values.get(b"x-retried") == b"1",
--- a/crankfold/service/backend_registry.py
+++ b/crankfold/service/backend_registry.py
@@ -168,7 +168,7 @@
             b"",
             may_send=lambda: True,
             on_end=on_end,
-            needs_settled=False,
+            needs_cooldown=False,
         )
         pool.send(exchange)
         self.timers.call_after(CONTROL_EXCHANGE_TIMEOUT, partial(self._on_exchange_timeout, exchange))
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -13,7 +13,7 @@
 from crankfold.config.parser import read_service_config
 from crankfold.network.accepted_connection import MAX_UNREAD_BYTES, NEW_CONNECTION_GRACE
 from crankfold.network.connection_pool import (
-    SETTLE_TIME,
+    REUSE_COOLDOWN,
     ConnectionLimiter,
     ConnectionPool,
     Exchange,
@@ -65,7 +65,7 @@
             body,
             may_send=lambda: True,
             on_end=ended,
-            needs_settled=settled,
+            needs_cooldown=settled,
         )
         self.pool.send(exchange)
         return exchange
@@ -76,20 +76,20 @@
             self.ends.clear()
             self.send()
             await self.until(lambda: len(self.ends) == 1)
-            await asyncio.sleep(1.2 * SETTLE_TIME)
+            await asyncio.sleep(1.2 * REUSE_COOLDOWN)
             (connection,) = self.pool.idle_connections
             self.links[-1].write(unasked)  # with the system by now, and in this turn nobody reads it
             second = self.send()
             await self.until(lambda: len(self.ends) == 2)
             self.assertEqual(self.ends, ["answered 202"] * 2)
             self.assertIsNot(second.connection, connection)
-            await asyncio.sleep(1.2 * SETTLE_TIME)
+            await asyncio.sleep(1.2 * REUSE_COOLDOWN)
 
     async def test_bytes_read_but_not_looked_at_when_a_connection_is_taken_up_answer_nothing(self) -> None:
         await self.begin(accepting)
         self.send()
         await self.until(lambda: len(self.ends) == 1)
-        await asyncio.sleep(1.2 * SETTLE_TIME)
+        await asyncio.sleep(1.2 * REUSE_COOLDOWN)
         (connection,) = self.pool.idle_connections
         connection.reader.feed_data(NEVER_RAN)  # as the loop does before it calls what comes in this turn
         self.send()
@@ -115,7 +115,7 @@
         await self.until(lambda: len(self.ends) == 1)
         self.send()  # at once: the connection has hardly come to rest
         await self.until(lambda: len(asked) == 2)
-        await self.until(lambda: self.tally.counters["runner-spoke-unasked"] == 1)
+        await self.until(lambda: self.tally.counters["backend-unsolicited-data"] == 1)
         told_twice.set()
         await self.until(lambda: len(self.ends) == 2)
         self.assertEqual((asked, self.ends), ([1, 2], ["answered 202"] * 2))
@@ -261,7 +261,7 @@
 
         async def late(exchange: Exchange) -> None:
             asking.cancel()
-            await self.until(lambda: self.node.metrics.counters["clients-left"] == 1)
+            await self.until(lambda: self.node.metrics.counters["clients-disconnected"] == 1)
             await opening(exchange)
             up.set()
 
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -18,7 +18,7 @@
 
 from crankfold.network.accepted_connection import MAX_UNREAD_BYTES, NEW_CONNECTION_GRACE
 from crankfold.network.connection_pool import (
-    SETTLE_TIME,
+    REUSE_COOLDOWN,
     ConnectionLimiter,
     ConnectionPool,
     Exchange,
@@ -58,11 +58,11 @@
         self.addAsyncCleanup(self.listener.close)
 
     async def connect(self, data: bytes = b"") -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
-        before = self.tally.counters["connections-taken"]
+        before = self.tally.counters["connections-accepted"]
         reader, writer = await asyncio.open_connection("127.0.0.1", self.listener.port())
         self.addCleanup(writer.close)
         writer.write(data)
-        await self.until(lambda: self.tally.counters["connections-taken"] > before)
+        await self.until(lambda: self.tally.counters["connections-accepted"] > before)
         return reader, writer
 
     async def test_who_brings_nothing_in_time_is_cut_off_and_who_did_may_rest(self) -> None:
@@ -84,7 +84,7 @@
         with patch("crankfold.network.listener.TRANSFER_TIMEOUT", 0.0):
             self.listener.sweep()
         await self.ended(later)
-        self.assertEqual(self.tally.counters["clients-cut-off"], 4)
+        self.assertEqual(self.tally.counters["clients-timed-out"], 4)
         with patch("crankfold.network.listener.IDLE_TIMEOUT", 0.0):
             self.listener.sweep()
         await self.ended(usual)
@@ -114,7 +114,7 @@
         await self.until(lambda: self.desk.submit.call_count == 5)
         writer.write(HEALTH)
         await read_request(young)
-        self.assertEqual(self.tally.counters["connections-closed-for-room"], 4)
+        self.assertEqual(self.tally.counters["connections-evicted"], 4)
 
     async def test_a_rush_of_connections_leaves_descriptors_free(self) -> None:
         await self.begin(most=20)
@@ -146,7 +146,7 @@
         reader, _ = await self.connect(UNIT.replace(b"Timeout: 1", b"Timeout: soon") * 200 + UNIT)
         self.assertIn(b" 400 ", (await reader.readuntil(b"\r\n\r\n")))
         await self.ended(reader)
-        self.assertEqual(self.tally.counters["clients-answered-400"], 1)
+        self.assertEqual(self.tally.counters["clients-rejected-400"], 1)
         self.assertFalse(self.desk.submit.called)
 
     async def test_near_the_limit_the_idle_go_and_a_request_in_hand_stays(self) -> None:
@@ -217,7 +217,7 @@
         pool.send(exchange)
         self.assertEqual(ends, [])  # never from within the call
         await self.until(lambda: bool(ends))
-        await asyncio.sleep(1.2 * SETTLE_TIME)  # from then on the connection may be used again
+        await asyncio.sleep(1.2 * REUSE_COOLDOWN)  # from then on the connection may be used again
         self.lines += ends
 
     async def test_how_an_exchange_ends(self) -> None:
@@ -245,9 +245,8 @@
         good = self.pool(await self.stand_in(accept))
         for n in range(4):
             await self.carry(good, f"taken {n}")
-        self.say(
-            f"  opened {self.tally.counters['connections-opened']} for 4, as the runner closes after three"
-        )
+        opened = self.tally.counters["backend-connections-opened"]
+        self.say(f"  opened {opened} for 4, as the runner closes after three")
         await self.carry(self.pool(await self.stand_in(hang_up)), "closed before the answer")
         kept = self.pool(await self.stand_in(close_at_the_second))
         await self.carry(kept, "taken")
@@ -598,7 +597,7 @@
         self.given["discovery"] = f"127.0.0.1:{await self.stand_in(discovery)}"
         del self.given["known"]
         await self.inside()
-        await self.until(lambda: self.node.metrics.counters["lists-whole"] == 1)
+        await self.until(lambda: self.node.metrics.counters["discovery-snapshots"] == 1)
         self.assertEqual(await self.ask("u1"), ("HTTP/1.1 200 OK", b"result"))
         self.assertEqual((asked, self.node.metrics.counters["discovery-failed"]), (["/v1/servers"] * 3, 2))
 
@@ -682,7 +681,7 @@
         self.assertEqual((posts, self.node.metrics.counters["ended-not-sent"]), (["POST", "DELETE"], 1))
         self.runner_port = await self.stand_in(moved)
         self.changed.set()
-        await self.until(lambda: self.node.metrics.counters["lists-whole"] == 2)
+        await self.until(lambda: self.node.metrics.counters["discovery-snapshots"] == 2)
         self.assertEqual((await self.ask("u3"))[1], b"moved")
 
     async def test_a_client_that_leaves_is_forgotten_and_its_dispatch_called_off(self) -> None:
@@ -723,7 +722,7 @@
         async def told_meanwhile(exchange: Exchange) -> None:
             self.state = "terminating"
             self.changed.set()
-            await self.until(lambda: self.node.metrics.counters["lists-whole"] == 2)
+            await self.until(lambda: self.node.metrics.counters["discovery-snapshots"] == 2)
             await opening(exchange)
 
         pool._connect = told_meanwhile  # type: ignore[method-assign]
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -286,9 +286,9 @@
             self.assertEqual(await self.call(self.door, "runners/a/offline"), "200 offline")
         self.assertEqual(await self.call(self.door, "ready", "GET"), "503 not ready")  # nowhere to send
         for state in ("terminating", "in_service"):
-            before, self.state = self.node.metrics.counters["lists-whole"], state
+            before, self.state = self.node.metrics.counters["discovery-snapshots"], state
             self.changed.set()
-            await self.until(lambda before=before: self.node.metrics.counters["lists-whole"] > before)  # type: ignore[misc]
+            await self.until(lambda before=before: self.node.metrics.counters["discovery-snapshots"] > before)  # type: ignore[misc]
         self.assertEqual(((await self.ask("u2", wait=0.3))[0].split()[1], self.reads), ("503", 1))
         self.assertEqual(await self.call(self.door, "runners/a/online"), "200 online")
         self.assertEqual(((await self.ask("u3"))[1], self.reads), (b"done", 2))
