--- a/crankfold/maintenance/__init__.py
+++ b/crankfold/maintenance/__init__.py
@@ -1,1 +1,1 @@
-"""Machines taken out for work in an order that keeps agreed bounds. No I/O, clock or chance of its own."""
+"""Takes machines out of service for maintenance, within agreed bounds. No I/O, clock or random numbers."""
--- /dev/null
+++ b/crankfold/maintenance/departures.py
@@ -0,0 +1,187 @@
+"""Which machines go out next, with the checks that hold beside the jobs' own bounds."""
+
+from collections.abc import Collection, Sequence
+from dataclasses import replace
+from typing import Final
+
+from crankfold.maintenance.findings import Findings
+from crankfold.maintenance.fleet_view import Area, FleetView
+from crankfold.maintenance.scheduler import Machine, MaintenanceJob, SchedulingFacts, schedule
+from crankfold.maintenance.specification import JobSpecification, JobState, Target
+from crankfold.maintenance.state import is_dispatcher_id
+from crankfold.maintenance.transitions import ListedAs, MaintenancePhase, Transition
+
+VOTER: Final = "voter"  # the instance type of dispatchers that vote
+
+
+def propose_departures(
+    view: FleetView, member_name: str, findings: Findings, *, in_cooldown: bool
+) -> list[Transition]:
+    """The machines to take out now, by jobs that may go on; notes why the others wait.
+
+    Args:
+        view: What is known now.
+        member_name: Who proposes.
+        findings: With the jobs that are stuck already.
+        in_cooldown: Whether requests were shed a moment ago.
+    """
+    going = _jobs_that_go(view, findings, in_cooldown)
+    transitions: list[Transition] = []
+    for target in Target:
+        of_target = {name: job for name, job in view.jobs.items() if job.target == target}
+        jobs = [
+            view.ignoring_start_time(job.to_job(name)) for name, job in going.items() if name in of_target
+        ]
+        halted = [job.to_job(name) for name, job in of_target.items() if name not in going]
+        if jobs:
+            transitions += _Departures(view, member_name, target).propose(jobs, halted, findings)
+    return transitions
+
+
+def _jobs_that_go(view: FleetView, findings: Findings, in_cooldown: bool) -> dict[str, JobSpecification]:
+    going: dict[str, JobSpecification] = {}
+    cooldown = "calm for a while first, after units were shed" if in_cooldown else ""
+    for name, job in view.jobs.items():
+        if job.state != JobState.GO:
+            continue
+        reason = findings.stuck_jobs.get(name) or view.stale_reason or findings.excess_shedding or cooldown
+        if reason:
+            findings.wait("", name, reason)
+        else:
+            going[name] = job
+    return going
+
+
+class _Departures:
+    """Departures of backends, or of dispatchers."""
+
+    def __init__(self, view: FleetView, member_name: str, target: Target) -> None:
+        self._view = view
+        self._member_name = member_name
+        self._target = target
+        listed = view.dispatchers if target == Target.DISPATCHERS else view.machines
+        absent = view.state.machines
+        listed_ids = {machine.machine_id for machine in listed}
+        # One that is out may be listed no longer: it counts all the same.
+        self._machines = [
+            *listed,
+            *(
+                _unlisted(machine_id, absent[machine_id].listed_as, absent[machine_id].started_at)
+                for machine_id in sorted(absent)
+                if machine_id not in listed_ids and self._is_target(machine_id)
+            ),
+        ]
+
+    def _is_target(self, machine_id: str) -> bool:
+        return is_dispatcher_id(machine_id) == (self._target == Target.DISPATCHERS)
+
+    def propose(
+        self, jobs: list[MaintenanceJob], halted: list[MaintenanceJob], findings: Findings
+    ) -> list[Transition]:
+        view = self._view
+        absent = view.state.machines
+        present = [
+            replace(
+                machine,
+                available=machine.available
+                and machine.machine_id not in view.unavailable
+                and machine.machine_id not in absent,
+            )
+            for machine in self._machines
+        ]
+        if self._target == Target.DISPATCHERS:
+            jobs = [replace(job, last_machine_id=f"@{self._member_name}") for job in jobs]
+        facts = SchedulingFacts(
+            machines=present,
+            out=[
+                (machine_id, record.job)
+                for machine_id, record in absent.items()
+                if self._is_target(machine_id)
+            ],
+            completed=view.state.completed_pairs(),
+            now_ms=view.wall_time_ms(),
+            extra_check=_ReserveCheck(view, present, self._target),
+            halted_jobs=halted,
+        )
+        result = schedule(jobs, facts)
+        for (machine_id, job_name), text in result.wait_reasons.items():
+            if machine_id not in absent:
+                findings.wait(machine_id, job_name, text)
+        by_id = {machine.machine_id: machine for machine in self._machines}
+        return [self._departure(by_id[machine_id], job_name) for machine_id, job_name in result.departures]
+
+    def _departure(self, machine: Machine, job: str) -> Transition:
+        return Transition(
+            machine_id=machine.machine_id,
+            job=job,
+            phase=MaintenancePhase.DRAINING,
+            by=self._member_name,
+            change_count=self._view.state.change_count,
+            jobs_version=self._view.jobs_version,
+            started_at=machine.started_at,
+            listed_as=ListedAs(machine.zone, machine.instance_type, machine.cell, machine.size),
+        )
+
+
+def _unlisted(machine_id: str, listed_as: ListedAs, started_at: int) -> Machine:
+    return Machine(
+        machine_id=machine_id,
+        zone=listed_as.zone,
+        instance_type=listed_as.instance_type,
+        cell=listed_as.cell,
+        size=listed_as.size,
+        started_at=started_at,
+        available=False,
+        listed=False,
+    )
+
+
+class _ReserveCheck:
+    """What holds a machine beside the jobs' bounds: a majority, room for the load, and its zone or cell."""
+
+    def __init__(self, view: FleetView, machines: Sequence[Machine], target: Target) -> None:
+        self._view = view
+        self._machines = machines
+        self._of_dispatchers = target == Target.DISPATCHERS
+        self._requests_per_size = max((job.requests_per_size for job in view.jobs.values()), default=0.0)
+        self._areas: Collection[Area] = (Area.ZONE,) if self._of_dispatchers else view.deduplication_scopes
+
+    def __call__(self, machine: Machine, out: Collection[str]) -> str:
+        """Why the machine may not go out beside those that are out, or ""."""
+        remaining = [
+            other
+            for other in self._machines
+            if other.available and other.machine_id not in out and other.machine_id != machine.machine_id
+        ]
+        if self._of_dispatchers:
+            reason = self._majority_reason(machine, remaining)
+        else:
+            reason = self._load_reason(remaining)
+        return reason or self._area_reason(machine, remaining)
+
+    def _majority_reason(self, machine: Machine, remaining: Sequence[Machine]) -> str:
+        voter_count = self._view.voter_count
+        voting = sum(other.instance_type == VOTER for other in remaining)
+        if machine.instance_type == VOTER and 2 * voting <= voter_count:
+            return f"{voting} of {voter_count} voters would stay"
+        return ""
+
+    def _load_reason(self, remaining: Sequence[Machine]) -> str:
+        if not self._requests_per_size:
+            return ""
+        capacity = int(sum(other.size for other in remaining) * self._requests_per_size)
+        in_flight = self._view.requests_in_flight
+        if capacity < in_flight:
+            return f"{in_flight} units in hand, what would stay carries {capacity}"
+        return ""
+
+    def _area_reason(self, machine: Machine, remaining: Sequence[Machine]) -> str:
+        for area in self._areas:
+            own_area = getattr(machine, area)
+            shared = any(
+                getattr(other, area) == own_area and other.machine_id != machine.machine_id
+                for other in self._machines
+            )
+            if shared and not any(getattr(other, area) == own_area for other in remaining):
+                return f"the last that is up in its {area}"
+        return ""
--- a/crankfold/maintenance/forecast.py
+++ b/crankfold/maintenance/forecast.py
@@ -1,67 +1,128 @@
-"""The order of a work as it would come about, if nothing fails and each machine takes what it may."""
+"""The order in which a job would take its machines, if nothing fails and each machine takes what it may."""
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence, Set
 from dataclasses import dataclass, replace
 
-from crankfold.maintenance.scheduler import Machine, schedule
-from crankfold.maintenance.specification import JobSpecification
+from crankfold.maintenance.scheduler import Machine, SchedulingFacts, schedule
+from crankfold.maintenance.specification import JobSpecification, JobState
 
-TICKS_PER_SECOND = 10_000
+MILLISECONDS_PER_SECOND = 1000
 
 
 @dataclass(frozen=True, slots=True)
 class ForecastDeparture:
-    begin_seconds: float  # seconds from now
+    """One machine's turn."""
+
+    begin_seconds: float  # from now
     end_seconds: float
     machine_id: str
     zone: str
-    waited_for: str  # what it waited for until then
+    waited_for: str  # until then
 
 
 @dataclass(frozen=True, slots=True)
 class Forecast:
+    """All turns of a job, and who never gets one."""
+
     departures: list[ForecastDeparture]
-    wait_reasons: dict[str, str]  # machines that never get their turn, and the bound that holds them
-
-
-def forecast_job(
-    name: str,
-    works: dict[str, JobSpecification],
-    machines: Sequence[Machine],
-    out: dict[str, str],
-    done: set[tuple[str, str]],
-    now: int,
-    drain: float,
-    warm: float,
-) -> Forecast:
-    """`out`: by machine the work that it is out for now; `now`: ms since the epoch; `drain` and `warm`:
-    seconds until a machine is free, and until one that is back is warm."""
-    asked = [given.to_job(one) for one, given in works.items() if given.state == "go"]
-    own = works[name]
-    takes = {one: drain + given.takes + max(given.watch, warm) for one, given in works.items()}
-    ends = {uid: takes.get(work, 0.0) for uid, work in out.items()}
-    at, turns, held = 0.0, list[ForecastDeparture](), dict[str, str]()
-    done, away = set(done), dict(out)
-    while True:
-        told = schedule(
-            asked,
-            [replace(m, available=m.available and m.machine_id not in away) for m in machines],
-            away.items(),
-            done,
-            now + int(at * 1000),
+    wait_reasons: dict[str, str]  # by machine that never goes out, the bound that holds it
+
+
+@dataclass(frozen=True, slots=True)
+class ForecastInputs:
+    """What a forecast begins from."""
+
+    jobs: Mapping[str, JobSpecification]
+    machines: Sequence[Machine]
+    out_for: Mapping[str, str]  # by machine, the job for which it is out now
+    completed: Set[tuple[str, str]]  # machine and job
+    now_ms: int  # since the epoch
+    drain_seconds: float  # until a machine is drained
+    warm_up_seconds: float  # until one that is back is warm
+
+
+def forecast_job(name: str, inputs: ForecastInputs) -> Forecast:
+    """The turns of one job, beside all others that go on."""
+    return _ForecastRun(name, inputs).run()
+
+
+class _ForecastRun:
+    """Plays the schedule forward, from one end of a machine's absence to the next."""
+
+    def __init__(self, name: str, inputs: ForecastInputs) -> None:
+        self._name = name
+        self._inputs = inputs
+        self._scheduled_jobs = [
+            job.to_job(other) for other, job in inputs.jobs.items() if job.state == JobState.GO
+        ]
+        self._absence_seconds = {other: self._absence(job) for other, job in inputs.jobs.items()}
+        self._out_for = dict(inputs.out_for)
+        self._completed = set(inputs.completed)
+        self._ends = {machine: self._absence_seconds.get(job, 0.0) for machine, job in self._out_for.items()}
+        self._zones = {machine.machine_id: machine.zone for machine in inputs.machines}
+        self._departures: list[ForecastDeparture] = []
+        self._wait_reasons: dict[str, str] = {}
+
+    def _absence(self, job: JobSpecification) -> float:
+        watch_seconds = max(job.watch_seconds, self._inputs.warm_up_seconds)
+        return self._inputs.drain_seconds + job.work_seconds + watch_seconds
+
+    def run(self) -> Forecast:
+        seconds = 0.0
+        while True:
+            self._schedule_at(seconds)
+            later = self._next_changes(seconds)
+            if not later:
+                return Forecast(self._departures, self._never_out())
+            seconds = min(later)
+            self._return_machines(seconds)
+
+    def _schedule_at(self, seconds: float) -> None:
+        machines = [
+            replace(machine, available=machine.available and machine.machine_id not in self._out_for)
+            for machine in self._inputs.machines
+        ]
+        facts = SchedulingFacts(
+            machines=machines,
+            out=self._out_for.items(),
+            completed=self._completed,
+            now_ms=self._inputs.now_ms + int(seconds * MILLISECONDS_PER_SECOND),
         )
-        zones = {m.machine_id: m.zone for m in machines}
-        for uid, work in told.departures:
-            away[uid], ends[uid] = work, at + takes[work]
-            if work == name:
-                turns.append(ForecastDeparture(at, ends[uid], uid, zones[uid], held.get(uid, "")))
-        held = {uid: why for (uid, work), why in told.wait_reasons.items() if work == name}
-        later = [ends[uid] for uid in away]
-        if own.not_before and now + at * 1000 < own.not_before:
-            later.append((own.not_before - now) / 1000)
-        if not later:
-            return Forecast(turns, {uid: why for uid, why in held.items() if (uid, name) not in done})
-        at = min(later)
-        for uid in [uid for uid, end in ends.items() if uid in away and end <= at]:
-            done.add((uid, away.pop(uid)))
-            del ends[uid]
+        result = schedule(self._scheduled_jobs, facts)
+        for machine_id, job in result.departures:
+            end = seconds + self._absence_seconds[job]
+            self._out_for[machine_id] = job
+            self._ends[machine_id] = end
+            if job == self._name:
+                waited_for = self._wait_reasons.get(machine_id, "")
+                zone = self._zones[machine_id]
+                self._departures.append(ForecastDeparture(seconds, end, machine_id, zone, waited_for))
+        self._wait_reasons = {
+            machine_id: reason
+            for (machine_id, job), reason in result.wait_reasons.items()
+            if job == self._name
+        }
+
+    def _next_changes(self, seconds: float) -> list[float]:
+        """When machines come back, and when the job's time begins; seconds from now."""
+        later = [self._ends[machine_id] for machine_id in self._out_for]
+        not_before_ms = self._inputs.jobs[self._name].not_before_ms
+        now_ms = self._inputs.now_ms
+        if not_before_ms and now_ms + seconds * MILLISECONDS_PER_SECOND < not_before_ms:
+            later.append((not_before_ms - now_ms) / MILLISECONDS_PER_SECOND)
+        return later
+
+    def _return_machines(self, seconds: float) -> None:
+        ended = [
+            machine for machine, end in self._ends.items() if machine in self._out_for and end <= seconds
+        ]
+        for machine_id in ended:
+            self._completed.add((machine_id, self._out_for.pop(machine_id)))
+            del self._ends[machine_id]
+
+    def _never_out(self) -> dict[str, str]:
+        return {
+            machine_id: reason
+            for machine_id, reason in self._wait_reasons.items()
+            if (machine_id, self._name) not in self._completed
+        }
--- /dev/null
+++ b/crankfold/maintenance/machine_progress.py
@@ -0,0 +1,303 @@
+"""What is to happen next with a machine in maintenance."""
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, replace
+from typing import Final
+
+from msgspec import structs
+
+from crankfold.maintenance.findings import Findings
+from crankfold.maintenance.fleet_view import TICKS_PER_SECOND, FleetView
+from crankfold.maintenance.observations import Observations
+from crankfold.maintenance.scheduler import Machine, MaintenanceJob, outside_time_window
+from crankfold.maintenance.specification import JobSpecification, JobState, OverduePolicy, WorkMethod
+from crankfold.maintenance.state import MachineInMaintenance, is_dispatcher_id
+from crankfold.maintenance.transitions import MaintenancePhase, Transition
+
+COMMAND_OUTCOME_MARGIN: Final = 5 * TICKS_PER_SECOND  # beyond a command's time, for its outcome to be told
+UNOBSERVED_WATCH_FACTOR: Final = 4  # times the watch, for a machine of which no answer was seen
+MAX_REQUESTS_NAMED: Final = 5
+
+_REPLACEABLE: Final = (MaintenancePhase.DRAINED, MaintenancePhase.IN_WORK, MaintenancePhase.WORK_FAILED)
+
+
+@dataclass(frozen=True, slots=True)
+class Subject:
+    """A machine in maintenance, with what is known of it."""
+
+    machine_id: str
+    record: MachineInMaintenance
+    job: JobSpecification | None  # None if its job was taken away
+    listed: Machine | None  # None if no list has it
+    known_for: int  # ticks since its last transition was known here
+
+
+class MachineProgress:
+    """Chooses the next transition of each machine in maintenance, or notes why it waits."""
+
+    def __init__(
+        self, member_name: str, view: FleetView, observations: Observations, findings: Findings
+    ) -> None:
+        self._member_name = member_name
+        self._view = view
+        self._observations = observations
+        self._findings = findings
+        self._listed: Mapping[str, Machine] = view.listed_machines()
+        self._handlers: dict[MaintenancePhase, Callable[[Subject], Transition | None]] = {
+            MaintenancePhase.DRAINING: self._finish_drain,
+            MaintenancePhase.DRAINED: self._start_work,
+            MaintenancePhase.IN_WORK: self._supervise_work,
+            MaintenancePhase.WORK_DONE: self._finish_work,
+            MaintenancePhase.WORK_FAILED: self._await_operator,
+            MaintenancePhase.RETURNING: self._verify_return,
+            MaintenancePhase.UNHEALTHY: self._drain_unhealthy,
+        }
+
+    def next_transition(self, machine_id: str, record: MachineInMaintenance) -> Transition | None:
+        """The machine's next transition; None while it waits."""
+        listed = self._listed.get(machine_id)
+        ready = listed is not None and listed.available and machine_id not in self._view.unavailable
+        self._observations.track_ready(self._view.now, machine_id, listed if ready else None)
+        subject = Subject(
+            machine_id=machine_id,
+            record=record,
+            job=self._view.jobs.get(record.job),
+            listed=listed,
+            known_for=self._view.now - self._observations.known_since(machine_id, record.last_index),
+        )
+        return self._return_early(subject) or self._replaced(subject) or self._handlers[record.phase](subject)
+
+    def _propose(self, subject: Subject, phase: MaintenancePhase, reason: str = "") -> Transition:
+        return Transition(
+            machine_id=subject.machine_id,
+            job=subject.record.job,
+            phase=phase,
+            by=self._member_name,
+            reason=reason,
+            last_index=subject.record.last_index,
+        )
+
+    def _wait(self, subject: Subject, text: str) -> None:
+        self._findings.wait(subject.machine_id, subject.record.job, text)
+
+    def _overdue(self, subject: Subject, text: str) -> None:
+        """It does not come back: what its job wants then."""
+        self._wait(subject, text)
+        if subject.job and subject.job.overdue_policy != OverduePolicy.CONTINUE:
+            self._findings.stuck_jobs.setdefault(subject.record.job, f"{subject.machine_id}: {text}")
+
+    # --- from any phase ---
+
+    def _return_early(self, subject: Subject) -> Transition | None:
+        """Brings back a machine before work on it begins, if its job stopped or the fleet sheds too much."""
+        phase = subject.record.phase
+        if phase not in (MaintenancePhase.DRAINING, MaintenancePhase.DRAINED):
+            return None
+        job = subject.job
+        stopping = "its work is over" if job is None or job.state == JobState.STOPPED else ""
+        reason = stopping or self._findings.excess_shedding
+        # Who works by the endpoint list does not tell when it begins.
+        untouched = not subject.record.unhealthy and (job is None or job.method != WorkMethod.ENDPOINT_LIST)
+        if reason and (phase == MaintenancePhase.DRAINING or untouched):
+            return self._propose(subject, MaintenancePhase.RETURNING, reason)
+        return None
+
+    def _replaced(self, subject: Subject) -> Transition | None:
+        listed = subject.listed is not None and subject.listed.listed
+        if listed or subject.record.phase not in _REPLACEABLE:
+            return None
+        replacement = self._find_replacement(subject)
+        if not replacement:
+            return None
+        return self._propose(subject, MaintenancePhase.REPLACED, f"{replacement} came in its place")
+
+    def _find_replacement(self, subject: Subject) -> str:
+        """One that came up in the place of a machine that is listed no longer, and of no other's."""
+        observations = self._observations
+        out_since = observations.out_since(subject.machine_id, subject.record.out_index)
+        if out_since == observations.first_observed_at:
+            return ""  # who was listed before it went out is not known here: an operator has to say
+        state = self._view.state
+        replacements = {
+            record.reason.partition(" ")[0]
+            for record in state.transitions
+            if record.phase == MaintenancePhase.REPLACED
+        }
+        candidates = (
+            machine.machine_id
+            for machine in self._view.machines
+            if machine.available
+            and observations.listed_since(machine.machine_id) > out_since
+            and machine.machine_id not in replacements
+            and machine.machine_id not in state.machines
+        )
+        return min(candidates, default="")
+
+    # --- each phase ---
+
+    def _finish_drain(self, subject: Subject) -> Transition | None:
+        holders = self._view.blocking_holders(subject.machine_id, subject.record.out_index)
+        if holders:
+            self._wait(subject, holders)
+            return None
+        unresolved = self._view.unresolved_requests.get(subject.machine_id, [])
+        named = ", ".join(unresolved[:MAX_REQUESTS_NAMED])
+        return self._propose(subject, MaintenancePhase.DRAINED, f"may go on there: {named}" if named else "")
+
+    def _start_work(self, subject: Subject) -> Transition | None:
+        record = subject.record
+        job = subject.job
+        if job is None:
+            return None
+        if record.unhealthy:
+            text = f"unwell, free under {record.drain_number}: waits for an operator's call"
+            self._wait(subject, text)
+            return None
+        if job.method == WorkMethod.COMMAND:
+            return self._start_command(subject)
+        by_list = job.method == WorkMethod.ENDPOINT_LIST
+        if by_list and subject.listed and subject.listed.started_at > record.started_at:
+            return self._propose(subject, MaintenancePhase.WORK_DONE, "a new start on the list")
+        if subject.known_for > job.work_seconds * TICKS_PER_SECOND:
+            self._overdue(subject, f"free for over {job.work_seconds:g} s")
+        awaited = "a new start on the list" if by_list else "an operator's call"
+        self._wait(
+            subject, f"free under {record.drain_number}, by {record.executor or 'hand'}: waits for {awaited}"
+        )
+        return None
+
+    def _start_command(self, subject: Subject) -> Transition | None:
+        executor = self._choose_executor(subject.machine_id)
+        if not executor:
+            self._wait(subject, "nobody there to run its command")
+            return None
+        return structs.replace(
+            self._propose(subject, MaintenancePhase.IN_WORK),
+            by=executor,
+            incarnation=self._view.executors[executor],
+        )
+
+    def _choose_executor(self, machine_id: str) -> str:
+        """The proposer itself, or else another voter; none that is in maintenance."""
+        present = [
+            name
+            for name in self._view.executors
+            if f"@{name}" not in self._view.state.machines and f"@{name}" != machine_id
+        ]
+        return self._member_name if self._member_name in present else min(present, default="")
+
+    def _supervise_work(self, subject: Subject) -> Transition | None:
+        record = subject.record
+        job = subject.job
+        if job is None:
+            return None
+        work_ticks = job.work_seconds * TICKS_PER_SECOND
+        if job.method != WorkMethod.COMMAND:
+            if subject.known_for > work_ticks:
+                self._overdue(subject, f"in work for over {job.work_seconds:g} s")
+            self._wait(subject, f"in work under {record.drain_number}: waits for an operator's call")
+            return None
+        incarnation = self._view.incarnations.get(record.executor, record.executor_incarnation)
+        died = incarnation != record.executor_incarnation
+        if died:
+            lost = f"{record.executor} died over its command"
+        elif subject.known_for > work_ticks + COMMAND_OUTCOME_MARGIN:
+            lost = f"nothing heard of its command from {record.executor}"
+        else:
+            self._wait(subject, f"its command runs at {record.executor}")
+            return None
+        if job.command_repeatable and died:
+            return self._propose(subject, MaintenancePhase.DRAINED, f"{lost}; it may be run again")
+        return self._propose(
+            subject, MaintenancePhase.WORK_FAILED, f"{lost}; nobody knows whether it has run"
+        )
+
+    def _finish_work(self, subject: Subject) -> Transition | None:
+        return self._share_absence(subject) or self._propose(
+            subject, MaintenancePhase.RETURNING, subject.record.reason
+        )
+
+    def _share_absence(self, subject: Subject) -> Transition | None:
+        """Another job that covers the machine takes it while it is out anyway, if both allow that."""
+        own = subject.job
+        if not own or not own.shares_absence or not subject.listed:
+            return None
+        for name, other in sorted(self._view.jobs.items()):
+            if (
+                name not in (subject.record.job, *subject.record.earlier_jobs)
+                and other.shares_absence
+                and other.state == JobState.GO
+                and other.target == own.target
+                and name not in own.exclusive_with
+                and self._may_join(other, other.to_job(name), subject.listed)
+            ):
+                return structs.replace(
+                    self._propose(subject, MaintenancePhase.DRAINED, f"out already for {subject.record.job}"),
+                    job=name,
+                )
+        return None
+
+    def _may_join(self, specification: JobSpecification, job: MaintenanceJob, machine: Machine) -> bool:
+        """Whether a job could take a machine that is out for another one."""
+        view = self._view
+        return (
+            job.covers(machine)
+            and machine.machine_id not in view.state.completed.get(job.name, ())
+            and not outside_time_window(view.ignoring_start_time(job), view.wall_time_ms())
+            and not specification.after
+            and not job.exclusive_with & set(view.jobs)
+        )
+
+    def _await_operator(self, subject: Subject) -> Transition | None:
+        self._overdue(subject, f"failed: {subject.record.reason}")
+        return None
+
+    def _verify_return(self, subject: Subject) -> Transition | None:
+        if not subject.record.worked:
+            return self._propose(subject, MaintenancePhase.CANCELLED, subject.record.reason)
+        job = subject.job or JobSpecification()
+        listed = subject.listed
+        if listed is None or not listed.available or subject.machine_id in self._view.unavailable:
+            if subject.known_for > job.work_seconds * TICKS_PER_SECOND:
+                self._overdue(replace(subject, job=job), f"not back after {job.work_seconds:g} s")
+            self._wait(subject, "not listed as ready yet")
+            return None
+        if is_dispatcher_id(subject.machine_id):
+            return self._verify_dispatcher_return(subject, job, listed)
+        return self._verify_backend_return(subject, job)
+
+    def _verify_backend_return(self, subject: Subject, job: JobSpecification) -> Transition | None:
+        watch_ticks = max(int(job.watch_seconds * TICKS_PER_SECOND), self._view.warm_up_ticks)
+        answers, bad = self._view.answers.get(subject.machine_id, (0, 0))
+        good = answers - bad
+        if answers >= max(job.min_answers, 1) and good < job.min_good_share * answers:
+            return self._propose(subject, MaintenancePhase.UNHEALTHY, f"{bad} of {answers} answers were bad")
+        # Lost and started anew while it is watched, it is cold again.
+        ready_for = self._view.now - self._observations.ready_since(subject.machine_id)
+        watched_for = min(subject.known_for, ready_for)
+        if watched_for < watch_ticks:
+            self._wait(subject, f"watched and warming for {watch_ticks / TICKS_PER_SECOND:g} s")
+            return None
+        if answers < job.min_answers and watched_for < UNOBSERVED_WATCH_FACTOR * watch_ticks:
+            self._wait(subject, f"{answers} of {job.min_answers} answers seen")
+            return None
+        seen = f"{good} of {answers} answers were good" if answers else "no answer of it was seen"
+        return self._propose(subject, MaintenancePhase.HEALTHY, seen)
+
+    def _verify_dispatcher_return(
+        self, subject: Subject, job: JobSpecification, listed: Machine
+    ) -> Transition | None:
+        if job.method != WorkMethod.OPERATOR and listed.started_at == subject.record.started_at:
+            self._wait(subject, "still the process that it was")
+            return None
+        if subject.known_for < job.watch_seconds * TICKS_PER_SECOND:
+            self._wait(subject, f"watched for {job.watch_seconds:g} s")
+            return None
+        return self._propose(subject, MaintenancePhase.HEALTHY, "back and caught up")
+
+    def _drain_unhealthy(self, subject: Subject) -> Transition | None:
+        holders = self._view.blocking_holders(subject.machine_id, subject.record.out_index)
+        if holders:
+            self._wait(subject, holders)
+            return None
+        return self._propose(subject, MaintenancePhase.DRAINED, f"unwell: {subject.record.reason}")
--- a/crankfold/maintenance/scheduler.py
+++ b/crankfold/maintenance/scheduler.py
@@ -2,44 +2,50 @@
 
 from collections import Counter, defaultdict
 from collections.abc import Callable, Collection, Iterable, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
+from typing import Final, NamedTuple
+
+SHARE_TOLERANCE: Final = 1e-9  # for the rounding of sums of sizes
 
 
 @dataclass(frozen=True, slots=True)
 class Machine:
+    """A backend or a dispatcher as the endpoint list or the fleet shows it."""
+
     machine_id: str
     zone: str = ""
-    instance_type: str = ""
+    instance_type: str = ""  # of a dispatcher "voter" or "follower"
     cell: str = ""
     size: float = 1.0  # as listed
-    started_at: int = 0  # its start, tenths of a millisecond
-    available: bool = True  # carries work: neither out nor lost, and warm
+    started_at: int = 0  # tenths of a millisecond; of a dispatcher its incarnation
+    available: bool = True  # gets requests: neither out nor lost, and warm
     listed: bool = True  # not only remembered from earlier lists
 
 
 @dataclass(frozen=True, slots=True)
 class MaintenanceJob:
-    """What is wanted. A bound of 0 is none."""
+    """What is wanted, and within which bounds. A bound of 0 is none."""
 
     name: str
     machine_ids: frozenset[str] = frozenset()  # these, or by what follows; nothing of it is all
     zones: frozenset[str] = frozenset()
     instance_types: frozenset[str] = frozenset()
     cells: frozenset[str] = frozenset()
-    started_before: int = 0
+    started_before: int = 0  # tenths of a millisecond
     max_out: int = 1
     max_out_per_zone: int = 0
     max_out_per_instance_type: int = 0
     max_out_per_cell: int = 0
-    min_remaining_share: float = 0.0  # least share of the listed sizes that carries work, in all
+    min_remaining_share: float = 0.0  # of the listed sizes that stays available, in all
     min_remaining_zone_share: float = 0.0  # and in each zone
-    not_before: int = 0
-    not_after: int = 0
-    exclusive_with: frozenset[str] = frozenset()  # works that may not be under way at the same time
-    after: frozenset[str] = frozenset()  # works that have to be done first
-    last_machine_id: str = ""  # a machine that goes when all others are done
+    not_before_ms: int = 0  # since the epoch
+    not_after_ms: int = 0
+    exclusive_with: frozenset[str] = frozenset()  # jobs that may not be under way at the same time
+    after: frozenset[str] = frozenset()  # jobs that have to be done first
+    last_machine_id: str = ""  # goes when all others are done
 
     def covers(self, machine: Machine) -> bool:
+        """Whether the job is about this machine."""
         return (
             (not self.machine_ids or machine.machine_id in self.machine_ids)
             and (not self.zones or machine.zone in self.zones)
@@ -49,180 +55,233 @@
         )
 
 
+class MachineJob(NamedTuple):
+    """A machine and the name of a job that is about it."""
+
+    machine_id: str
+    job: str
+
+
 @dataclass(slots=True)
 class Schedule:
-    departures: list[tuple[str, str]] = field(default_factory=list)  # machine and work, in this order
-    wait_reasons: dict[tuple[str, str], str] = field(
-        default_factory=dict
-    )  # of the others the bound that holds them
+    """Who goes out, and who waits."""
+
+    departures: list[MachineJob] = field(default_factory=list)  # in this order
+    wait_reasons: dict[MachineJob, str] = field(default_factory=dict)  # of the others
+
+
+def no_extra_check(machine: Machine, out: Collection[str]) -> str:
+    """Nothing but the jobs' own bounds holds a machine."""
+    return ""
 
 
-def infeasibility_reason(work: MaintenanceJob, machines: Sequence[Machine]) -> str:
-    """The bound under which the work could never take a single one of its machines out, or nothing."""
-    wanted = [machine for machine in machines if work.covers(machine)]
-    if not wanted:
+@dataclass(frozen=True, slots=True)
+class SchedulingFacts:
+    """What is known at the moment when machines are chosen."""
+
+    machines: Sequence[Machine]
+    out: Iterable[tuple[str, str]]  # machine and job of what is out
+    completed: Collection[tuple[str, str]]  # machine and job of what is done with
+    now_ms: int  # since the epoch
+    # What else holds a machine, given the ids of those that are out already; "" for nothing.
+    extra_check: Callable[[Machine, Collection[str]], str] = no_extra_check
+    # Take no more machines, but their bounds hold while theirs are out.
+    halted_jobs: Sequence[MaintenanceJob] = ()
+
+
+def infeasibility_reason(job: MaintenanceJob, machines: Sequence[Machine]) -> str:
+    """The bound under which the job could never take a single one of its machines out, or ""."""
+    covered = [machine for machine in machines if job.covers(machine)]
+    if not covered:
         return "no machine is meant"
-    if work.not_after and work.not_after <= work.not_before:
+    if job.not_after_ms and job.not_after_ms <= job.not_before_ms:
         return "not-after comes before not-before"
-    whole = [Machine(m.machine_id, m.zone, m.instance_type, m.cell, m.size, m.started_at) for m in machines]
-    yard = _Occupancy([work], whole, {})
-    for machine in wanted:
-        if why := yard.exceeded_capacity(work, machine):
-            return f"{machine.machine_id}: {why}, even with all others up"
+    all_available = [replace(machine, available=True, listed=True) for machine in machines]
+    occupancy = _Occupancy([job], all_available, {})
+    for machine in covered:
+        if reason := occupancy.exceeded_capacity(job, machine):
+            return f"{machine.machine_id}: {reason}, even with all others up"
     return ""
 
 
+def outside_time_window(job: MaintenanceJob, now_ms: int) -> str:
+    """Why the job may take no machine out at this time, or ""."""
+    if now_ms < job.not_before_ms:
+        return "not before its time"
+    return "after its time" if job.not_after_ms and now_ms >= job.not_after_ms else ""
+
+
+def schedule(jobs: Sequence[MaintenanceJob], facts: SchedulingFacts) -> Schedule:
+    """Chooses the machines that go out now, and says why each other one waits.
+
+    Jobs take turns, the one with the least part of its machines done first, so that a small one does not
+    wait for a large one. A machine that two jobs want goes out for the first; the other finds it out and
+    waits.
+    """
+    return _SchedulingRun(jobs, facts).run()
+
+
 class _Occupancy:
-    """What is up and what is out, counted once and kept as machines go."""
+    """What is available and what is out, counted once and kept as machines go."""
 
     def __init__(
-        self, works: Sequence[MaintenanceJob], machines: Sequence[Machine], gone: dict[str, str]
+        self, jobs: Sequence[MaintenanceJob], machines: Sequence[Machine], out_for: dict[str, str]
     ) -> None:
-        self.out_for = gone
-        self.total_size: dict[str, float] = defaultdict(float)  # sizes by zone, "" for all
+        self.out_for = out_for  # by machine, the job for which it is out
+        self.total_size: dict[str, float] = defaultdict(float)  # by area
         self.available_size: dict[str, float] = defaultdict(float)
-        self.covered = {work.name: [m for m in machines if work.covers(m)] for work in works}
-        # Of each work's machines those that are out or lost: in all, and by zone, kind and cell.
-        self.out_counts: dict[str, Counter[tuple[str, str]]] = {work.name: Counter() for work in works}
-        self.jobs = works
+        self.covered = {job.name: [machine for machine in machines if job.covers(machine)] for job in jobs}
+        # Of each job's machines those that are out or lost: in all, and by zone, instance type and cell.
+        self.out_counts: dict[str, Counter[tuple[str, str]]] = {job.name: Counter() for job in jobs}
+        self.jobs = jobs
         for machine in machines:
-            for place in self._areas(machine):
-                self.total_size[place] += machine.size
-                if machine.available and machine.machine_id not in gone:
-                    self.available_size[place] += machine.size
-            if not machine.available or machine.machine_id in gone:
+            available = machine.available and machine.machine_id not in out_for
+            for area in self._areas(machine):
+                self.total_size[area] += machine.size
+                if available:
+                    self.available_size[area] += machine.size
+            if not available:
                 self._count_out(machine)
 
     @staticmethod
     def _areas(machine: Machine) -> tuple[str, str]:
+        """The whole fleet, which is "", and the machine's zone."""
         return "", f"zone {machine.zone}"
 
     def _count_out(self, machine: Machine) -> None:
-        for work in self.jobs:
-            if work.covers(machine):
-                self.out_counts[work.name].update(
-                    (
-                        ("", ""),
-                        ("zone", machine.zone),
-                        ("kind", machine.instance_type),
-                        ("cell", machine.cell),
-                    )
-                )
-
-    def take_out(self, machine: Machine, work: str) -> None:
-        self.out_for[machine.machine_id] = work
+        groups = (
+            ("", ""),
+            ("zone", machine.zone),
+            ("kind", machine.instance_type),
+            ("cell", machine.cell),
+        )
+        for job in self.jobs:
+            if job.covers(machine):
+                self.out_counts[job.name].update(groups)
+
+    def take_out(self, machine: Machine, job: str) -> None:
+        """Counts a machine as out from now on."""
+        self.out_for[machine.machine_id] = job
         if machine.available:
-            for place in self._areas(machine):
-                self.available_size[place] -= machine.size
+            for area in self._areas(machine):
+                self.available_size[area] -= machine.size
             self._count_out(machine)
 
     def available_share(self, zone: str) -> float:
+        """Of the listed sizes of a zone."""
         return self.available_size[f"zone {zone}"] / (self.total_size[f"zone {zone}"] or 1.0)
 
-    def exceeded_bound(self, work: MaintenanceJob, machine: Machine) -> str:
+    def exceeded_bound(self, job: MaintenanceJob, machine: Machine) -> str:
+        """The bound of the job that would not hold with this machine out, or ""."""
         # An unplanned loss takes a place too: what is out of a zone is out, whoever took it.
-        out, own = self.out_counts[work.name], 0 if machine.available else 1
-        if out["", ""] - own >= work.max_out:
-            return f"{out['', ''] - own} of {work.max_out} at once"
-        for what, where, most in (
-            ("zone", machine.zone, work.max_out_per_zone),
-            ("kind", machine.instance_type, work.max_out_per_instance_type),
-            ("cell", machine.cell, work.max_out_per_cell),
+        counts = self.out_counts[job.name]
+        own = 0 if machine.available else 1
+        out = counts["", ""] - own
+        if out >= job.max_out:
+            return f"{out} of {job.max_out} at once"
+        for group, name, max_out in (
+            ("zone", machine.zone, job.max_out_per_zone),
+            ("kind", machine.instance_type, job.max_out_per_instance_type),
+            ("cell", machine.cell, job.max_out_per_cell),
         ):
-            if most and out[what, where] - own >= most:
-                return f"{out[what, where] - own} of {most} in its {what}"
-        return self.exceeded_capacity(work, machine)
-
-    def exceeded_capacity(self, work: MaintenanceJob, machine: Machine) -> str:
-        for what, place, share in (
-            ("all", "", work.min_remaining_share),
-            (machine.zone, f"zone {machine.zone}", work.min_remaining_zone_share),
+            out = counts[group, name] - own
+            if max_out and out >= max_out:
+                return f"{out} of {max_out} in its {group}"
+        return self.exceeded_capacity(job, machine)
+
+    def exceeded_capacity(self, job: MaintenanceJob, machine: Machine) -> str:
+        """The least share that would not stay available with this machine out, or ""."""
+        leaves = machine.available and machine.machine_id not in self.out_for
+        for label, area, min_share in (
+            ("all", "", job.min_remaining_share),
+            (machine.zone, f"zone {machine.zone}", job.min_remaining_zone_share),
         ):
-            stays = self.available_size[place] - (
-                machine.size if machine.available and machine.machine_id not in self.out_for else 0
-            )
-            whole = self.total_size[place] or 1.0
-            if share and stays / whole < share - 1e-9:
-                return f"{stays / whole:.2f} of {what} would stay, {share:.2f} has to"
+            remaining = self.available_size[area] - (machine.size if leaves else 0)
+            share = remaining / (self.total_size[area] or 1.0)
+            if min_share and share < min_share - SHARE_TOLERANCE:
+                return f"{share:.2f} of {label} would stay, {min_share:.2f} has to"
         return ""
 
 
-def schedule(
-    works: Sequence[MaintenanceJob],
-    machines: Sequence[Machine],
-    out: Iterable[tuple[str, str]],
-    done: Collection[tuple[str, str]],
-    now: int,
-    more: Callable[[Machine, Collection[str]], str] = lambda machine, gone: "",
-    halted: Sequence[MaintenanceJob] = (),
-) -> Schedule:
-    """`out`: machine and work of what is out by them; `done`: of what has been worked on and is back. `more`
-    tells what else holds a machine, with these out already. Works that are `halted` take no more machines,
-    but their bounds hold while theirs are out.
-
-    Works take turns, the one with the least part of its machines done first, so that a small one does not
-    wait for a large one. A machine that two want goes out for the first; the other finds it out and waits.
-    """
-    told = Schedule()
-    yard = _Occupancy([*works, *halted], machines, dict(out))
-    left = {
-        work.name: [
-            m
-            for m in yard.covered[work.name]
-            if (m.machine_id, work.name) not in done and m.machine_id not in yard.out_for
+class _SchedulingRun:
+    """One choice of machines; the occupancy changes as they go."""
+
+    def __init__(self, jobs: Sequence[MaintenanceJob], facts: SchedulingFacts) -> None:
+        self._jobs = jobs
+        self._facts = facts
+        self._all_jobs = [*jobs, *facts.halted_jobs]
+        self._occupancy = _Occupancy(self._all_jobs, facts.machines, dict(facts.out))
+        self._remaining = {job.name: self._remaining_of(job) for job in jobs}
+        self._under_way = set(self._occupancy.out_for.values())
+
+    def _remaining_of(self, job: MaintenanceJob) -> list[Machine]:
+        return [
+            machine
+            for machine in self._occupancy.covered[job.name]
+            if (machine.machine_id, job.name) not in self._facts.completed
+            and machine.machine_id not in self._occupancy.out_for
         ]
-        for work in works
-    }
-    part = {work.name: 1.0 - len(left[work.name]) / max(len(yard.covered[work.name]), 1) for work in works}
-    under_way = set(yard.out_for.values())
-    for work in sorted(works, key=lambda work: (part[work.name], work.name)):
-        # Spread over zones: from where the most is up, then by name.
-        share = {m.zone: yard.available_share(m.zone) for m in left[work.name]}
-        for machine in sorted(
-            left[work.name],
-            key=lambda m: (m.machine_id == work.last_machine_id, -share[m.zone], m.machine_id),
+
+    def _completed_part(self, job: MaintenanceJob) -> float:
+        return 1.0 - len(self._remaining[job.name]) / max(len(self._occupancy.covered[job.name]), 1)
+
+    def run(self) -> Schedule:
+        result = Schedule()
+        for job in sorted(self._jobs, key=lambda job: (self._completed_part(job), job.name)):
+            for machine in self._in_order(job):
+                pair = MachineJob(machine.machine_id, job.name)
+                reason = self._wait_reason(job, machine)
+                if reason:
+                    result.wait_reasons[pair] = reason
+                else:
+                    result.departures.append(pair)
+                    self._occupancy.take_out(machine, job.name)
+                    self._under_way.add(job.name)
+        return result
+
+    def _in_order(self, job: MaintenanceJob) -> list[Machine]:
+        """Spread over zones: from where the most is available, then by id."""
+        remaining = self._remaining[job.name]
+        shares = {machine.zone: self._occupancy.available_share(machine.zone) for machine in remaining}
+        return sorted(
+            remaining,
+            key=lambda machine: (
+                machine.machine_id == job.last_machine_id,
+                -shares[machine.zone],
+                machine.machine_id,
+            ),
+        )
+
+    def _wait_reason(self, job: MaintenanceJob, machine: Machine) -> str:
+        return (
+            self._own_wait_reason(job, machine)
+            or self._wait_reason_of_others(job, machine)
+            or self._facts.extra_check(machine, self._occupancy.out_for)
+        )
+
+    def _own_wait_reason(self, job: MaintenanceJob, machine: Machine) -> str:
+        out_for = self._occupancy.out_for
+        if machine.machine_id in out_for:
+            return f"out for {out_for[machine.machine_id]}"
+        if reason := outside_time_window(job, self._facts.now_ms):
+            return reason
+        for other in sorted(job.after):
+            if self._remaining.get(other) or other in self._under_way:
+                return f"after {other}"
+        excluded = sorted(job.exclusive_with & self._under_way - {job.name})
+        if excluded:
+            return f"never together with {excluded[0]}"
+        if job.last_machine_id == machine.machine_id and (
+            len(self._remaining[job.name]) > 1 or job.name in out_for.values()
         ):
-            why = _wait_reason(work, machine, yard, under_way, left, now)
-            for other in (*works, *halted):  # another's bounds hold for its machines, whoever takes them out
-                if not why and other.name != work.name and other.name in under_way and other.covers(machine):
-                    why = yard.exceeded_bound(other, machine)
-                    why = why and f"{why} by {other.name}"
-            why = why or more(machine, yard.out_for)
-            if why:
-                told.wait_reasons[machine.machine_id, work.name] = why
-            else:
-                told.departures.append((machine.machine_id, work.name))
-                yard.take_out(machine, work.name)
-                under_way.add(work.name)
-    return told
-
-
-def outside_time_window(work: MaintenanceJob, now: int) -> str:
-    if now < work.not_before:
-        return "not before its time"
-    return "after its time" if work.not_after and now >= work.not_after else ""
-
-
-def _wait_reason(
-    work: MaintenanceJob,
-    machine: Machine,
-    yard: _Occupancy,
-    under_way: set[str],
-    left: dict[str, list[Machine]],
-    now: int,
-) -> str:
-    if machine.machine_id in yard.out_for:
-        return f"out for {yard.out_for[machine.machine_id]}"
-    if why := outside_time_window(work, now):
-        return why
-    for other in sorted(work.after):
-        if left.get(other) or other in under_way:
-            return f"after {other}"
-    together = sorted(work.exclusive_with & under_way - {work.name})
-    if together:
-        return f"never together with {together[0]}"
-    if work.last_machine_id == machine.machine_id and (
-        len(left[work.name]) > 1 or work.name in yard.out_for.values()
-    ):
-        return "last, as it leads"
-    return yard.exceeded_bound(work, machine)
+            return "last, as it leads"
+        return self._occupancy.exceeded_bound(job, machine)
+
+    def _wait_reason_of_others(self, job: MaintenanceJob, machine: Machine) -> str:
+        """Another job's bounds hold for its machines, whoever takes them out."""
+        for other in self._all_jobs:
+            if other.name != job.name and other.name in self._under_way and other.covers(machine):
+                reason = self._occupancy.exceeded_bound(other, machine)
+                if reason:
+                    return f"{reason} by {other.name}"
+        return ""
--- a/crankfold/maintenance/specification.py
+++ b/crankfold/maintenance/specification.py
@@ -1,7 +1,11 @@
-"""Works as operators hand them in, checked as a whole."""
+"""Maintenance jobs as operators hand them in: decoded once, and checked as a whole.
+
+`docs/maintenance.md` explains each key; the keys and their values are those of the users' pages.
+"""
 
 from collections.abc import Sequence
-from typing import Annotated, Any, Final, Literal
+from enum import StrEnum
+from typing import Annotated, Any, Final
 
 import msgspec
 from msgspec import Meta, Struct, field
@@ -11,119 +15,185 @@
 Fraction = Annotated[float, Meta(ge=0, le=1)]
 Count = Annotated[int, Meta(ge=0)]
 Seconds = Annotated[float, Meta(ge=0)]
-GO: Final = "go"
-STOPPED: Final = "stop"
-BY_HAND: Final = "hand"
-BY_COMMAND: Final = "command"
-BY_LIST: Final = "list"
-MAX_JOBS = 100
+
+MAX_JOBS: Final = 100
+TICKS_PER_MILLISECOND: Final = 10
+
+
+class JobState(StrEnum):
+    """What the operators last called for."""
+
+    GO = "go"
+    HOLD = "hold"  # takes no more machines out
+    STOPPED = "stop"  # and brings back those on which no work has begun
+
+
+class WorkMethod(StrEnum):
+    """Who does the work on a machine."""
+
+    OPERATOR = "hand"  # operators, who call when it begins and ends
+    COMMAND = "command"  # a command that a dispatcher runs
+    ENDPOINT_LIST = "list"  # somebody else: a new start on the endpoint list shows that it is done
+
+
+class Target(StrEnum):
+    """Which machines a job is about."""
+
+    BACKENDS = "runners"
+    DISPATCHERS = "dispatchers"
+
+
+class OverduePolicy(StrEnum):
+    """What a job does when a machine does not come back in time."""
+
+    HOLD = "hold"  # takes no more machines out until it is back
+    CONTINUE = "go-on"
+    GIVE_UP = "give-up"  # the job stops by itself
 
 
 class JobSpecification(Struct, rename="kebab", forbid_unknown_fields=True):
-    """One work. `docs/works.md` explains each key."""
+    """One maintenance job as it was handed in."""
 
-    why: Annotated[str, Meta(max_length=500)] = ""
-    of: Literal["runners", "dispatchers"] = "runners"
+    reason: Annotated[str, Meta(max_length=500)] = field(name="why", default="")
+    target: Target = field(name="of", default=Target.BACKENDS)
     machines: list[str] = field(default_factory=list)
     zones: list[str] = field(default_factory=list)
-    kinds: list[str] = field(default_factory=list)
+    instance_types: list[str] = field(name="kinds", default_factory=list)
     cells: list[str] = field(default_factory=list)
-    listed_before: Count = 0  # ms since the epoch, as lists tell starts
-    at_once: Annotated[int, Meta(ge=1)] = 1
-    a_zone: Count = 0
-    a_kind: Count = 0
-    a_cell: Count = 0
-    stays: Fraction = 0.5
-    stays_in_zone: Fraction = 0.0
-    not_before: Count = 0  # ms since the epoch
-    not_after: Count = 0
+    started_before_ms: Count = field(name="listed-before", default=0)  # since the epoch, as lists tell starts
+    max_out: Annotated[int, Meta(ge=1)] = field(name="at-once", default=1)
+    max_out_per_zone: Count = field(name="a-zone", default=0)
+    max_out_per_instance_type: Count = field(name="a-kind", default=0)
+    max_out_per_cell: Count = field(name="a-cell", default=0)
+    min_remaining_share: Fraction = field(name="stays", default=0.5)
+    min_remaining_zone_share: Fraction = field(name="stays-in-zone", default=0.0)
+    not_before_ms: Count = field(name="not-before", default=0)  # since the epoch
+    not_after_ms: Count = field(name="not-after", default=0)
     after: list[str] = field(default_factory=list)
-    alone: list[str] = field(default_factory=list)
-    shares: bool = True  # a machine that is out may be worked on by another work too, before it comes back
-    way: Literal["hand", "command", "list"] = BY_HAND
+    exclusive_with: list[str] = field(name="alone", default_factory=list)
+    shares_absence: bool = field(name="shares", default=True)  # another job may work on a machine while out
+    method: WorkMethod = field(name="way", default=WorkMethod.OPERATOR)
     command: list[str] = field(default_factory=list)
-    again: bool = False  # the command may be run again where nobody knows whether it has run
-    takes: Annotated[float, Meta(gt=0)] = 600.0
-    not_back: Literal["hold", "go-on", "give-up"] = "hold"
-    watch: Seconds = 5.0
-    least_answers: Count = 5
-    well: Fraction = 0.9  # share of the answers that are good, for a machine to be called well
-    most_unwell: Annotated[int, Meta(ge=1)] = 2  # in a row, then the work stops by itself
-    shed_over: Fraction = 0.05
-    carries: Seconds = 0.0  # units that a listed size of 1 has in hand at once; 0 if that is not known
-    state: Literal["go", "hold", "stop"] = GO
-    called: Count = 0  # how often it was called to go on, hold or stop
+    # The command may be run again where nobody knows whether it has run.
+    command_repeatable: bool = field(name="again", default=False)
+    work_seconds: Annotated[float, Meta(gt=0)] = field(name="takes", default=600.0)  # at the most
+    overdue_policy: OverduePolicy = field(name="not-back", default=OverduePolicy.HOLD)
+    watch_seconds: Seconds = field(name="watch", default=5.0)  # after a return
+    min_answers: Count = field(name="least-answers", default=5)
+    min_good_share: Fraction = field(name="well", default=0.9)  # of the answers, for a healthy machine
+    # Unhealthy machines in a row; then the job stops by itself.
+    max_unhealthy_streak: Annotated[int, Meta(ge=1)] = field(name="most-unwell", default=2)
+    max_shed_share: Fraction = field(name="shed-over", default=0.05)
+    # Requests that a listed size of 1 has in flight at once; 0 if that is not known.
+    requests_per_size: Seconds = field(name="carries", default=0.0)
+    state: JobState = JobState.GO
+    control_count: Count = field(name="called", default=0)  # how often operators called for a state
 
     def to_job(self, name: str) -> MaintenanceJob:
-        uids = self.machines if self.of == "runners" else [f"@{name}" for name in self.machines]
+        """What the scheduler has to know of it."""
+        if self.target == Target.DISPATCHERS:
+            machine_ids = frozenset(f"@{machine}" for machine in self.machines)
+        else:
+            machine_ids = frozenset(self.machines)
         return MaintenanceJob(
-            name,
-            frozenset(uids),
-            frozenset(self.zones),
-            frozenset(self.kinds),
-            frozenset(self.cells),
-            self.listed_before * 10,
-            self.at_once,
-            self.a_zone,
-            self.a_kind,
-            self.a_cell,
-            self.stays,
-            self.stays_in_zone,
-            self.not_before,
-            self.not_after,
-            frozenset(self.alone),
-            frozenset(self.after),
+            name=name,
+            machine_ids=machine_ids,
+            zones=frozenset(self.zones),
+            instance_types=frozenset(self.instance_types),
+            cells=frozenset(self.cells),
+            started_before=self.started_before_ms * TICKS_PER_MILLISECOND,
+            max_out=self.max_out,
+            max_out_per_zone=self.max_out_per_zone,
+            max_out_per_instance_type=self.max_out_per_instance_type,
+            max_out_per_cell=self.max_out_per_cell,
+            min_remaining_share=self.min_remaining_share,
+            min_remaining_zone_share=self.min_remaining_zone_share,
+            not_before_ms=self.not_before_ms,
+            not_after_ms=self.not_after_ms,
+            exclusive_with=frozenset(self.exclusive_with),
+            after=frozenset(self.after),
         )
 
 
 class JobsDocument(Struct, forbid_unknown_fields=True):
-    works: dict[Annotated[str, Meta(pattern="^[A-Za-z0-9._-]{1,60}$")], JobSpecification] = field(
-        default_factory=dict
+    """The document that operators publish: all jobs by name."""
+
+    jobs: dict[Annotated[str, Meta(pattern="^[A-Za-z0-9._-]{1,60}$")], JobSpecification] = field(
+        name="works", default_factory=dict
     )
 
 
 def parse_jobs(text: dict[str, Any]) -> dict[str, JobSpecification]:
-    """A ValueError says what can't be used, with its path."""
-    return msgspec.convert(text, JobsDocument).works
+    """The jobs of a document, by name.
+
+    Raises:
+        msgspec.ValidationError: It can't be used; the message has the path, what was found and what is
+            allowed.
+    """
+    return msgspec.convert(text, JobsDocument).jobs
 
 
 def validation_error(text: dict[str, Any], before: dict[str, Any], machines: Sequence[Machine]) -> str:
-    """Why these works could not be carried out, with path, found and allowed; or nothing. `before` is the
-    text of the version before, `machines` are the runners by the list, if there is one."""
+    """Why a jobs document could not be carried out, with path, found and allowed; or "".
+
+    Args:
+        text: The document.
+        before: The version before it.
+        machines: The backends by the endpoint list; none if there is no list.
+    """
     try:
-        works, known = parse_jobs(text), parse_jobs(before)
-    except ValueError as wrong:
-        return str(wrong)
-    if len(works) > MAX_JOBS:
-        return f"works: found {len(works)}; {MAX_JOBS} at most"
-    for name, given in works.items():
-        for what in ("after", "alone"):
-            for other in getattr(given, what):
-                if other not in works or other == name:
-                    return f"works.{name}.{what}: found {other!r}; another of the works handed in"
-        if bool(given.command) != (given.way == BY_COMMAND):
-            return f"works.{name}.command: found {len(given.command)} words; for way command, and only there"
-        # A work that goes on was checked when it was handed in; its machines may be gone by now.
-        new = (
-            name not in known
-            or msgspec.structs.replace(known[name], state=given.state, called=given.called) != given
+        jobs = parse_jobs(text)
+        known = parse_jobs(before)
+    except ValueError as error:
+        return str(error)
+    if len(jobs) > MAX_JOBS:
+        return f"works: found {len(jobs)}; {MAX_JOBS} at most"
+    for name, job in jobs.items():
+        error_text = (
+            _reference_error(jobs, name)
+            or _command_error(name, job)
+            or _infeasibility_error(name, job, known.get(name), machines)
         )
-        if given.of == "runners" and new and machines:
-            why = infeasibility_reason(given.to_job(name), machines)
-            if why:
-                return f"works.{name}: could never go on: {why}"
-        ring = _find_cycle(works, name, [])
-        if ring:
-            return f"works.{name}.after: comes after itself: {' after '.join(ring)}"
+        if error_text:
+            return error_text
+        cycle = _find_cycle(jobs, name, [])
+        if cycle:
+            return f"works.{name}.after: comes after itself: {' after '.join(cycle)}"
+    return ""
+
+
+def _reference_error(jobs: dict[str, JobSpecification], name: str) -> str:
+    for key, others in (("after", jobs[name].after), ("alone", jobs[name].exclusive_with)):
+        for other in others:
+            if other not in jobs or other == name:
+                return f"works.{name}.{key}: found {other!r}; another of the works handed in"
+    return ""
+
+
+def _command_error(name: str, job: JobSpecification) -> str:
+    if bool(job.command) != (job.method == WorkMethod.COMMAND):
+        return f"works.{name}.command: found {len(job.command)} words; for way command, and only there"
     return ""
 
 
-def _find_cycle(works: dict[str, JobSpecification], name: str, before: list[str]) -> list[str]:
-    """The works that wait for one another, if this one is among them."""
+def _infeasibility_error(
+    name: str, job: JobSpecification, known: JobSpecification | None, machines: Sequence[Machine]
+) -> str:
+    # A job that goes on was checked when it was handed in; its machines may be gone by now.
+    if known and msgspec.structs.replace(known, state=job.state, control_count=job.control_count) == job:
+        return ""
+    if job.target != Target.BACKENDS or not machines:
+        return ""
+    reason = infeasibility_reason(job.to_job(name), machines)
+    return f"works.{name}: could never go on: {reason}" if reason else ""
+
+
+def _find_cycle(jobs: dict[str, JobSpecification], name: str, before: list[str]) -> list[str]:
+    """The jobs that wait for one another, if this one is among them."""
     if name in before:
         return [*before, name] if name == before[0] else []
-    for other in works[name].after:
-        ring = _find_cycle(works, other, [*before, name])
-        if ring:
-            return ring
+    for other in jobs[name].after:
+        cycle = _find_cycle(jobs, other, [*before, name])
+        if cycle:
+            return cycle
     return []
--- a/crankfold/service/maintenance_agent.py
+++ b/crankfold/service/maintenance_agent.py
@@ -13,27 +13,24 @@
 from typing import Any
 
 import msgspec
-from msgspec import Struct, structs
+from msgspec import Struct
 
 from crankfold.cluster.node import ClusterNode, boottime_ticks
 from crankfold.consensus.conservative_merge import MAINTENANCE
 from crankfold.consensus.messages import MaintenanceReport
 from crankfold.consensus.voter import ALIVE, Voter
 from crankfold.maintenance import specification
-from crankfold.maintenance.coordinator import Coordinator, FleetView
-from crankfold.maintenance.forecast import forecast_job
+from crankfold.maintenance.coordinator import Coordinator
+from crankfold.maintenance.fleet_view import Area, FleetView
+from crankfold.maintenance.forecast import ForecastInputs, forecast_job
 from crankfold.maintenance.scheduler import Machine
-from crankfold.maintenance.state import (
-    BACK,
-    ENDED,
-    FAILED,
-    FREE,
-    GONE,
-    OUT,
-    UNWELL,
-    WORK,
-    MaintenanceState,
-    is_dispatcher_id,
+from crankfold.maintenance.state import MaintenanceState, is_dispatcher_id
+from crankfold.maintenance.transitions import (
+    MaintenancePhase,
+    Transition,
+    coordinator_document,
+    operator_document,
+    outcome_document,
 )
 from crankfold.network.metrics import Metrics, log_line
 from crankfold.routing.interface import DeduplicationScope, EndpointState, Idempotency, Outcome
@@ -49,7 +46,12 @@
 SUCCESSES = (Outcome.COMPLETED,)
 FAILURES = (Outcome.ERROR, Outcome.TIMED_OUT, Outcome.UNREACHABLE, Outcome.RESET, Outcome.UNKNOWN)
 SHED_COUNTERS = ("shed", "shed-for-room", "shed-for-share", "shed-cut-off")
-OPERATOR_TRANSITIONS = {"begin": WORK, "done": ENDED, "unwell": UNWELL, "back": BACK}
+OPERATOR_TRANSITIONS = {
+    "begin": MaintenancePhase.IN_WORK,
+    "done": MaintenancePhase.WORK_DONE,
+    "unwell": MaintenancePhase.UNHEALTHY,
+    "back": MaintenancePhase.RETURNING,
+}
 
 
 class TransitionRequest(Struct, rename="kebab", forbid_unknown_fields=True):
@@ -144,7 +146,11 @@
 
     def state_changed(self) -> None:
         ledger, me = self.state, f"@{self.cluster_node.consensus.name}"
-        back = {uid: away.last for uid, away in ledger.machines.items() if away.state == BACK}
+        back = {
+            uid: away.last_index
+            for uid, away in ledger.machines.items()
+            if away.phase == MaintenancePhase.RETURNING
+        }
         for uid in [uid for uid, last in self.returned_machines.items() if back.get(uid) != last]:
             self.answer_counts.pop(uid, None)
         self.returned_machines = back
@@ -231,7 +237,9 @@
                     entry.state != EndpointState.REMOVED,
                 )
             )
-        replaced = {step.uid for step in self.state.transitions if step.step == GONE}
+        replaced = {
+            step.machine_id for step in self.state.transitions if step.phase == MaintenancePhase.REPLACED
+        }
         return [m for m in seen if m.listed or m.machine_id not in replaced]
 
     # --- what it decides, if it leads ---
@@ -244,9 +252,12 @@
         now = boottime_ticks()
         if not member.is_leader() or not self.cluster_node.has_lease():
             self.coordinator.observe(now, ledger, self.machines())
-            self.coordinator.wait_reasons = {}
+            self.coordinator.wait_reasons = ()
             return []
-        return self.coordinator.propose(self.coordinator_view(member, now))
+        return [
+            coordinator_document(transition)
+            for transition in self.coordinator.propose(self.coordinator_view(member, now))
+        ]
 
     def coordinator_view(self, member: Voter, now: int) -> FleetView:
         told, of_runners = member.gather_maintenance(now)
@@ -276,32 +287,31 @@
         keep_in = {
             place
             for grade in grades
-            for group, place in ((DeduplicationScope.ZONE, "zone"), (DeduplicationScope.CELL, "cell"))
+            for group, place in ((DeduplicationScope.ZONE, Area.ZONE), (DeduplicationScope.CELL, Area.CELL))
             if grade.deduplication_scope == group
         }
+        stale = f"the list was not heard of for {age // TICKS_PER_SECOND} s"
         return FleetView(
-            now,
-            time.time_ns() // 1_000_000,
-            member.documents.document(MAINTENANCE).latest_number(),
-            dict(self.current_specifications()),
-            ledger,
-            self.machines(),
-            dispatchers,
-            len(member.raft.voters),
-            f"the list was not heard of for {age // TICKS_PER_SECOND} s"
-            if age > MAX_ENDPOINT_LIST_AGE
-            else "",
-            holders,
-            told.unresolved,
-            told.response_counts,
-            told.unavailable,
-            told.open_requests,
-            told.recent_accepted,
-            told.recent_shed,
-            executors,
-            lives,
-            self.request_handler.config.slow_start_duration,
-            sorted(keep_in),
+            now=now,
+            wall_ms=time.time_ns() // 1_000_000,
+            jobs_version=member.documents.document(MAINTENANCE).latest_number(),
+            jobs=dict(self.current_specifications()),
+            state=ledger,
+            machines=self.machines(),
+            dispatchers=dispatchers,
+            voter_count=len(member.raft.voters),
+            stale_reason=stale if age > MAX_ENDPOINT_LIST_AGE else "",
+            blocking_holders=holders,
+            unresolved_requests=told.unresolved,
+            answers=told.response_counts,
+            unavailable=told.unavailable,
+            requests_in_flight=told.open_requests,
+            admitted_count=told.recent_accepted,
+            shed_count=told.recent_shed,
+            executors=executors,
+            incarnations=lives,
+            warm_up_ticks=self.request_handler.config.slow_start_duration,
+            deduplication_scopes=sorted(keep_in),
         )
 
     def dispatcher_machines(self, member: Voter, now: int) -> list[Machine]:
@@ -336,17 +346,17 @@
         member = self.cluster_node.consensus
         for uid, away in self.state.machines.items():
             if (
-                away.state != WORK
-                or away.by != member.name
-                or away.life != member.incarnation
-                or (uid, away.number) in self.command_tasks
+                away.phase != MaintenancePhase.IN_WORK
+                or away.executor != member.name
+                or away.executor_incarnation != member.incarnation
+                or (uid, away.drain_number) in self.command_tasks
                 or not self.cluster_node.has_lease()
             ):
                 continue
-            given = self.current_specifications().get(away.work)
+            given = self.current_specifications().get(away.job)
             if given and given.command:
-                self.command_tasks[uid, away.number] = asyncio.get_running_loop().create_task(
-                    self._run_command(uid, away.work, away.number, away.life, given)
+                self.command_tasks[uid, away.drain_number] = asyncio.get_running_loop().create_task(
+                    self._run_command(uid, away.job, away.drain_number, away.executor_incarnation, given)
                 )
 
     async def _run_command(
@@ -361,7 +371,7 @@
             "CRANKFOLD_ADDRESS": f"{at[0]}:{at[1]}" if at[0] else "",
         }
         log_line(f"crankfold: works: {work}: the command of {uid} begins under {number}")
-        step, why = FAILED, ""
+        step, why = MaintenancePhase.WORK_FAILED, ""
         try:
             process = await asyncio.create_subprocess_exec(
                 *given.command,
@@ -373,29 +383,32 @@
             )
             self.command_processes[uid, number] = process
             try:
-                async with asyncio.timeout(given.takes):
+                async with asyncio.timeout(given.work_seconds):
                     _, said = await process.communicate()
-                step = ENDED if process.returncode == 0 else FAILED
+                if process.returncode == 0:
+                    step = MaintenancePhase.WORK_DONE
                 why = f"exit {process.returncode}" + (
-                    f": {said.decode(errors='replace').strip()[-200:]}" if step == FAILED and said else ""
+                    f": {said.decode(errors='replace').strip()[-200:]}" if process.returncode and said else ""
                 )
             except TimeoutError:
                 self._kill_process_group(process)
-                why = f"was ended after {given.takes:g} s"
+                why = f"was ended after {given.work_seconds:g} s"
         except OSError as wrong:
             why = f"could not be run: {wrong}"
         finally:
             self.command_processes.pop((uid, number), None)
         log_line(f"crankfold: works: {work}: the command of {uid} under {number}: {step}, {why}")
-        taken = {
-            "uid": uid,
-            "work": work,
-            "step": step,
-            "number": number,
-            "by": self.cluster_node.consensus.name,
-            "why": why,
-            "at": time.time_ns() // 1_000_000,
-        }
+        taken = outcome_document(
+            Transition(
+                machine_id=uid,
+                job=work,
+                phase=step,
+                drain_number=number,
+                by=self.cluster_node.consensus.name,
+                reason=why,
+                at_ms=time.time_ns() // 1_000_000,
+            )
+        )
         while True:  # until it is known to be agreed, or to be over
             made = await self.cluster_node.propose(
                 "step", {"steps": [taken]}, f"{uid} {number} {life}", PUBLISH_TIMEOUT
@@ -430,13 +443,14 @@
             wanted = [
                 m.machine_id
                 for m in listed
-                if is_dispatcher_id(m.machine_id) == (given.of == "dispatchers") and work.covers(m)
+                if is_dispatcher_id(m.machine_id) == (given.target == specification.Target.DISPATCHERS)
+                and work.covers(m)
             ]
             over = all(uid in done for uid in wanted) and not any(
-                m.work == name for m in ledger.machines.values()
+                m.job == name for m in ledger.machines.values()
             )
             works[name] = {
-                "why": given.why,
+                "why": given.reason,
                 "state": "stopped by itself"
                 if name in ledger.halted_jobs
                 else "done"
@@ -448,14 +462,14 @@
                 "left": [uid for uid in wanted if uid not in done and uid not in ledger.machines],
             }
         waits = [
-            {"machine": uid, "work": name, "why": why}
-            for (uid, name), why in sorted(self.coordinator.wait_reasons.items())
+            {"machine": wait.machine_id, "work": wait.job, "why": wait.text}
+            for wait in self.coordinator.wait_reasons
         ]
-        machines = {uid: structs.asdict(away) for uid, away in ledger.machines.items()}
+        machines = {uid: away.to_document() for uid, away in ledger.machines.items()}
         return {
             "works": works,
             "machines": machines,
-            "steps": [structs.asdict(step) for step in ledger.transitions],
+            "steps": [step.to_document() for step in ledger.transitions],
             "waits": waits,
             "leads": leads,
             "leader": member.raft.leader if isinstance(member, Voter) else "",
@@ -473,20 +487,24 @@
             return {"well": False, "text": wrong}
         works, ledger = specification.parse_jobs(text), self.state
         machines: Sequence[Machine] = self.machines()
-        if works[asked.name].of == "dispatchers":
+        if works[asked.name].target == specification.Target.DISPATCHERS:
             member = self.cluster_node.consensus
             if not isinstance(member, Voter):
                 return {"well": False, "text": "ask at the door of a voter"}
             machines = self.dispatcher_machines(member, boottime_ticks())
         told = forecast_job(
             asked.name,
-            {name: given for name, given in works.items() if given.of == works[asked.name].of},
-            machines,
-            {uid: away.work for uid, away in ledger.machines.items()},
-            ledger.completed_pairs(),
-            time.time_ns() // 1_000_000,
-            self.cluster_node.consensus.documents.max_request_duration() / TICKS_PER_SECOND,
-            self.request_handler.config.slow_start_duration / TICKS_PER_SECOND,
+            ForecastInputs(
+                jobs={
+                    name: given for name, given in works.items() if given.target == works[asked.name].target
+                },
+                machines=machines,
+                out_for={uid: away.job for uid, away in ledger.machines.items()},
+                completed=ledger.completed_pairs(),
+                now_ms=time.time_ns() // 1_000_000,
+                drain_seconds=self.cluster_node.consensus.documents.max_request_duration() / TICKS_PER_SECOND,
+                warm_up_seconds=self.request_handler.config.slow_start_duration / TICKS_PER_SECOND,
+            ),
         )
         return {
             "well": True,
@@ -514,27 +532,34 @@
             return False, f"step: found {asked.step!r}; {', '.join(OPERATOR_TRANSITIONS)}", True
         if away is None:
             return False, f"{asked.machine} is not out for any work, as far as is known here", True
-        given = self.current_specifications().get(away.work)
+        given = self.current_specifications().get(away.job)
         if (
-            step in (WORK, ENDED)
-            and away.state in (FREE, WORK)
-            and not away.unwell
+            step in (MaintenancePhase.IN_WORK, MaintenancePhase.WORK_DONE)
+            and away.phase in (MaintenancePhase.DRAINED, MaintenancePhase.IN_WORK)
+            and not away.unhealthy
             and given
-            and given.way == specification.BY_COMMAND
+            and given.method == specification.WorkMethod.COMMAND
         ):
-            return False, f"{asked.machine} is for {away.work}'s command", True
-        if step == BACK and away.state not in (OUT, FREE, FAILED, UNWELL):
-            return False, f"{asked.machine} is in state {away.state}", True
-        taken = {
-            "uid": asked.machine,
-            "work": away.work,
-            "step": step,
-            "by": asked.author or "an operator",
-            "life": 0,
-            "why": asked.why,
-            "at": time.time_ns() // 1_000_000,
-        }
-        taken |= {"number": asked.number} if asked.number else {}
+            return False, f"{asked.machine} is for {away.job}'s command", True
+        if step == MaintenancePhase.RETURNING and away.phase not in (
+            MaintenancePhase.DRAINING,
+            MaintenancePhase.DRAINED,
+            MaintenancePhase.WORK_FAILED,
+            MaintenancePhase.UNHEALTHY,
+        ):
+            return False, f"{asked.machine} is in state {away.phase}", True
+        taken = operator_document(
+            Transition(
+                machine_id=asked.machine,
+                job=away.job,
+                phase=step,
+                by=asked.author or "an operator",
+                incarnation=0,
+                reason=asked.why,
+                at_ms=time.time_ns() // 1_000_000,
+                drain_number=asked.number or None,
+            )
+        )
         made = await self.cluster_node.propose("step", {"steps": [taken]}, asked.call, PUBLISH_TIMEOUT)
         return made.accepted, made.reason, made.accepted or made.log_index > 0
 
--- a/crankfold/service/replicated_config.py
+++ b/crankfold/service/replicated_config.py
@@ -278,12 +278,12 @@
                     "at": time.clock_gettime_ns(time.CLOCK_BOOTTIME),
                     "what": "step",
                     **{
-                        "uid": step.uid,
-                        "work": step.work,
-                        "step": step.step,
+                        "uid": step.machine_id,
+                        "work": step.job,
+                        "step": step.phase,
                         "index": step.index,
                         "by": step.by,
-                        "why": step.why,
+                        "why": step.reason,
                     },
                 }
                 self.event_log.write(orjson.dumps(told).decode() + "\n")
--- a/crankfold/simulation/maintenance_fleet.py
+++ b/crankfold/simulation/maintenance_fleet.py
@@ -12,20 +12,13 @@
 from crankfold.consensus.messages import MaintenanceReport
 from crankfold.consensus.voter import Follower, Member, Voter
 from crankfold.maintenance import specification
-from crankfold.maintenance.coordinator import Coordinator, FleetView
+from crankfold.maintenance.coordinator import Coordinator
+from crankfold.maintenance.fleet_view import FleetView
 from crankfold.maintenance.scheduler import Machine, MaintenanceJob
-from crankfold.maintenance.state import (
-    BACK,
-    ENDED,
-    FAILED,
-    FREE,
-    GONE,
-    OUT,
-    UNDONE,
-    UNWELL,
-    WELL,
-    WORK,
-    MaintenanceState,
+from crankfold.maintenance.state import MaintenanceState
+from crankfold.maintenance.transitions import (
+    MaintenancePhase,
+    coordinator_document,
 )
 from crankfold.simulation.consensus_cluster import (
     REQUEST_DEADLINE,
@@ -154,30 +147,26 @@
             for name, life in lives.items()
             if name == self.name or now < member.granted_until.get(name, 0)
         }
-        return self.coordinator.propose(
-            FleetView(
-                now,
-                self.maintenance_fleet.events.now // 10,
-                member.documents.document("works").latest_number(),
-                self.jobs(),
-                ledger,
-                self.listed_machines(),
-                (),
-                len(member.raft.voters),
-                "",
-                holders,
-                told.unresolved,
-                told.response_counts,
-                told.unavailable,
-                told.open_requests,
-                told.recent_accepted,
-                told.recent_shed,
-                executors,
-                lives,
-                self.maintenance_fleet.warm_up_ticks,
-                (),
-            )
+        view = FleetView(
+            now=now,
+            wall_ms=self.maintenance_fleet.events.now // 10,
+            jobs_version=member.documents.document("works").latest_number(),
+            jobs=self.jobs(),
+            state=ledger,
+            machines=self.listed_machines(),
+            voter_count=len(member.raft.voters),
+            blocking_holders=holders,
+            unresolved_requests=told.unresolved,
+            answers=told.response_counts,
+            unavailable=told.unavailable,
+            requests_in_flight=told.open_requests,
+            admitted_count=told.recent_accepted,
+            shed_count=told.recent_shed,
+            executors=executors,
+            incarnations=lives,
+            warm_up_ticks=self.maintenance_fleet.warm_up_ticks,
         )
+        return [coordinator_document(transition) for transition in self.coordinator.propose(view)]
 
     def run_due_commands(self) -> None:
         """What is due here: commands, and watching those that are back."""
@@ -187,7 +176,11 @@
         key = self.generation, member.last_applied
         if key == self.last_seen_state:
             return
-        back = {uid for uid, away in self.maintenance_state().machines.items() if away.state == BACK}
+        back = {
+            uid
+            for uid, away in self.maintenance_state().machines.items()
+            if away.phase == MaintenancePhase.RETURNING
+        }
         for uid in [uid for uid in self.answer_counts if uid not in back]:
             del self.answer_counts[uid]
         for uid in back:
@@ -197,13 +190,13 @@
         self.last_seen_state = key
         for uid, away in self.maintenance_state().machines.items():
             if (
-                away.state == WORK
-                and away.by == self.name
-                and away.life == member.incarnation
-                and (uid, away.number) not in self.started_commands
+                away.phase == MaintenancePhase.IN_WORK
+                and away.executor == self.name
+                and away.executor_incarnation == member.incarnation
+                and (uid, away.drain_number) not in self.started_commands
             ):
-                self.started_commands.add((uid, away.number))
-                self.maintenance_fleet.run_command(self, uid, away.work, away.number)
+                self.started_commands.add((uid, away.drain_number))
+                self.maintenance_fleet.run_command(self, uid, away.job, away.drain_number)
 
 
 class MaintenanceFleet(SimulatedCluster):
@@ -298,19 +291,25 @@
         if not isinstance(process, SimulatedDispatcher) or not process.running or process.member is None:
             return
         for uid, away in process.maintenance_state().machines.items():
-            given = process.jobs().get(away.work)
-            if given is None or away.state != FREE or (uid, away.number) in self.begun_by_operators:
+            given = process.jobs().get(away.job)
+            if (
+                given is None
+                or away.phase != MaintenancePhase.DRAINED
+                or (uid, away.drain_number) in self.begun_by_operators
+            ):
                 continue
-            if given.way == specification.BY_LIST:
-                self.begun_by_operators.add((uid, away.number))
+            if given.method == specification.WorkMethod.ENDPOINT_LIST:
+                self.begun_by_operators.add((uid, away.drain_number))
                 self._restart_machine(uid, lambda: None)
-            elif given.way == specification.BY_HAND:
-                self.begun_by_operators.add((uid, away.number))
-                self._publish_operator_transition(uid, away.work, WORK, away.number)
+            elif given.method == specification.WorkMethod.OPERATOR:
+                self.begun_by_operators.add((uid, away.drain_number))
+                self._publish_operator_transition(uid, away.job, MaintenancePhase.IN_WORK, away.drain_number)
 
     def _work_begun_by_operator(self, uid: str, work: str, number: int) -> None:
         self.work_runs.setdefault((uid, work), []).append(number)
-        self._restart_machine(uid, lambda: self._publish_operator_transition(uid, work, ENDED, number))
+        self._restart_machine(
+            uid, lambda: self._publish_operator_transition(uid, work, MaintenancePhase.WORK_DONE, number)
+        )
 
     def _restart_machine(self, uid: str, then: Callable[[], None]) -> None:
         box = self.machines[uid]
@@ -382,7 +381,7 @@
     def run_command(self, process: SimulatedDispatcher, uid: str, work: str, number: int) -> None:
         self.work_runs.setdefault((uid, work), []).append(number)
         given = self.submitted_jobs[work]
-        if len(self.work_runs[uid, work]) > 1 and not given.again:
+        if len(self.work_runs[uid, work]) > 1 and not given.command_repeatable:
             self._report_violation(
                 f"the command of {work} ran again on {uid}, under {self.work_runs[uid, work]}"
             )
@@ -398,7 +397,7 @@
                 del self.running_commands[uid]
             if life != process.generation:
                 return  # it ended with its dispatcher
-            step = ENDED if self.rng.random() > 0.05 else FAILED
+            step = MaintenancePhase.WORK_DONE if self.rng.random() > 0.05 else MaintenancePhase.WORK_FAILED
             self._publish_outcome(process, life, uid, work, number, step)
 
         self._restart_machine(uid, over)
@@ -432,16 +431,16 @@
                 continue
             for step in process.maintenance_state().transitions:
                 if step.index > self.last_checked_index:
-                    self._check_transition(step.uid, step.work, step.step, step.index, step.why)
+                    self._check_transition(step.machine_id, step.job, step.phase, step.index, step.reason)
             self.last_checked_index = process.member.last_applied
 
     def _check_transition(self, uid: str, work: str, step: str, index: int, why: str) -> None:
         """As soon as anybody knows of it."""
         now = self.events.now
-        if step == OUT:
+        if step == MaintenancePhase.DRAINING:
             self._check_bounds(uid, work)
             self.jobs_of_absent[uid] = work
-        elif step == FREE:
+        elif step == MaintenancePhase.DRAINED:
             if uid not in self.drained_since:
                 self._check_drained(uid, why)
             if index <= self.drain_numbers.get(uid, 0):
@@ -449,11 +448,17 @@
             self.drain_numbers[uid] = index
             self.jobs_of_absent[uid] = work
             self.drained_since[uid] = now
-        elif step == WORK and self.submitted_jobs[work].way == specification.BY_HAND:
+        elif (
+            step == MaintenancePhase.IN_WORK
+            and self.submitted_jobs[work].method == specification.WorkMethod.OPERATOR
+        ):
             self._work_begun_by_operator(uid, work, self.drain_numbers[uid])
-        elif step in (BACK, UNDONE, GONE) or step == UNWELL:
+        elif (
+            step in (MaintenancePhase.RETURNING, MaintenancePhase.CANCELLED, MaintenancePhase.REPLACED)
+            or step == MaintenancePhase.UNHEALTHY
+        ):
             self.drained_since.pop(uid, None)
-        elif step == WELL:
+        elif step == MaintenancePhase.HEALTHY:
             start = self.machines[uid].started_at
             if (
                 start > 1
@@ -461,7 +466,7 @@
                 and self.machines[uid].status_at(now - MAX_LIST_LAG_TICKS)[1] == start
             ):
                 self._report_violation(f"{uid} is called well {(now - start) / 10:.0f} ms after its start")
-        if step in (WELL, UNDONE, GONE):
+        if step in (MaintenancePhase.HEALTHY, MaintenancePhase.CANCELLED, MaintenancePhase.REPLACED):
             self.jobs_of_absent.pop(uid, None)
 
     def _check_drained(self, uid: str, why: str) -> None:
@@ -499,14 +504,14 @@
             gone = [m for m in mine if m.machine_id in out]
             zone = self.machines[uid].zone
             told = f"{uid} goes out for {work} beside {sorted(out)}"
-            if len(gone) >= given.at_once:
-                self._report_violation(f"{told}, {given.at_once} at once for {name}")
-            if given.a_zone and sum(m.zone == zone for m in gone) >= given.a_zone:
-                self._report_violation(f"{told}, {given.a_zone} a zone for {name}")
+            if len(gone) >= given.max_out:
+                self._report_violation(f"{told}, {given.max_out} at once for {name}")
+            if given.max_out_per_zone and sum(m.zone == zone for m in gone) >= given.max_out_per_zone:
+                self._report_violation(f"{told}, {given.max_out_per_zone} a zone for {name}")
             stays = sum(m.size for m in machines if m.machine_id not in out and m.machine_id != uid)
-            if stays < given.stays * sum(m.size for m in machines) - 1e-9:
+            if stays < given.min_remaining_share * sum(m.size for m in machines) - 1e-9:
                 self._report_violation(
-                    f"{uid} goes out for {work}, and less than {given.stays} stays for {name}"
+                    f"{uid} goes out for {work}, and less than {given.min_remaining_share} stays for {name}"
                 )
 
     def _check_final_state(self) -> None:
@@ -535,9 +540,9 @@
             ]
             self.machines_left.append(len(left))
             told = [
-                why
-                for (uid, work), why in leader.coordinator.wait_reasons.items()
-                if work == name or uid in left
+                wait.text
+                for wait in leader.coordinator.wait_reasons
+                if wait.job == name or wait.machine_id in left
             ]
             if left and not told and name not in ledger.halted_jobs:
                 self._report_violation(f"{name} has {left} left and nobody says why")
--- a/crankfold/simulation/maintenance_study.py
+++ b/crankfold/simulation/maintenance_study.py
@@ -7,10 +7,12 @@
 from dataclasses import dataclass, replace
 from random import Random
 
-from crankfold.maintenance.coordinator import Coordinator, FleetView
+from crankfold.maintenance.coordinator import Coordinator
+from crankfold.maintenance.fleet_view import FleetView
 from crankfold.maintenance.scheduler import Machine
 from crankfold.maintenance.specification import JobSpecification
-from crankfold.maintenance.state import BACK, ENDED, FREE, OUT, WORK, MaintenanceState
+from crankfold.maintenance.state import MaintenanceState
+from crankfold.maintenance.transitions import MaintenancePhase, coordinator_document
 from crankfold.routing.interface import EndpointState, RoutingConfig
 from crankfold.routing.policy import Router
 from crankfold.simulation.fleet import ZONE_COUNT, Scenario, SimulatedBackend, SimulatedFleet
@@ -59,7 +61,9 @@
             self.remaining.sort(key=lambda r: (r % ZONE_COUNT, r))
         self.coordinator, self.maintenance_state = Coordinator("n0"), MaintenanceState()
         self.log_index = 1
-        self.job_specification = JobSpecification(at_once=self.max_out, stays=0.5, watch=0.0, least_answers=0)
+        self.job_specification = JobSpecification(
+            max_out=self.max_out, min_remaining_share=0.5, watch_seconds=0.0, min_answers=0
+        )
         self.outcome_counts: list[tuple[int, int]] = []
         if order != NOTHING:
             self.events.schedule(TICKS_PER_SECOND, self._decide)
@@ -86,11 +90,20 @@
         now = self.events.now
         for r, (state, since) in list(self.absent.items()):
             it = self.backends[r]
-            if state == OUT and now - since >= MIN_DRAIN_TICKS and not it.busy_slots and not it.queue:
-                self.absent[r] = FREE, now
-            elif state == FREE and self.strategy != FOREMAN:
+            if (
+                state == MaintenancePhase.DRAINING
+                and now - since >= MIN_DRAIN_TICKS
+                and not it.busy_slots
+                and not it.queue
+            ):
+                self.absent[r] = MaintenancePhase.DRAINED, now
+            elif state == MaintenancePhase.DRAINED and self.strategy != FOREMAN:
                 self._start_work(r)
-            elif state == BACK and self.strategy != FOREMAN and now - since >= self.config.warm_up_time:
+            elif (
+                state == MaintenancePhase.RETURNING
+                and self.strategy != FOREMAN
+                and now - since >= self.config.warm_up_time
+            ):
                 self._complete(r)
         if self.strategy == FOREMAN:
             counts = self.invariants.answer_counts
@@ -104,23 +117,23 @@
     # --- what happens to a machine ---
 
     def _start_drain(self, r: int) -> None:
-        self.absent[r] = OUT, self.events.now
+        self.absent[r] = MaintenancePhase.DRAINING, self.events.now
         self._set_endpoint_state(r, EndpointState.DRAINING)
 
     def _start_work(self, r: int) -> None:
         end = self.events.now + WORK_DURATION_TICKS
-        self.absent[r] = WORK, self.events.now
+        self.absent[r] = MaintenancePhase.IN_WORK, self.events.now
         self.backends[r].state = EndpointState.REMOVED
 
         def back() -> None:
-            self.absent[r] = ENDED, end
+            self.absent[r] = MaintenancePhase.WORK_DONE, end
             if self.strategy != FOREMAN:
                 self._return_to_service(r)
 
         self.events.schedule(WORK_DURATION_TICKS, back)
 
     def _return_to_service(self, r: int) -> None:
-        self.absent[r] = BACK, self.events.now
+        self.absent[r] = MaintenancePhase.RETURNING, self.events.now
         self._set_endpoint_state(r, EndpointState.READY, self.events.now)
 
     def _complete(self, r: int) -> None:
@@ -173,19 +186,24 @@
     def _coordinate(self) -> None:
         ledger, now = self.maintenance_state, self.events.now
         for uid, away in list(ledger.machines.items()):
-            if away.state == WORK and self.absent[int(uid)][0] == ENDED:
-                self._apply_transitions([{"uid": uid, "work": "w", "step": ENDED, "by": "o", "why": ""}])
+            if (
+                away.phase == MaintenancePhase.IN_WORK
+                and self.absent[int(uid)][0] == MaintenancePhase.WORK_DONE
+            ):
+                self._apply_transitions(
+                    [{"uid": uid, "work": "w", "step": MaintenancePhase.WORK_DONE, "by": "o", "why": ""}]
+                )
         counts = self.invariants.answer_counts
         taken, shed = (counts[how] - self.outcome_counts[0][n] for n, how in enumerate(("done", "shed")))
-        holds = {f"{r:04}" for r, (state, _) in self.absent.items() if state == OUT}
+        holds = {f"{r:04}" for r, (state, _) in self.absent.items() if state == MaintenancePhase.DRAINING}
         steps = self.coordinator.propose(
             FleetView(
-                now,
-                0,
-                1,
-                {"w": self.job_specification},
-                ledger,
-                [self._machine(r) for r in range(len(self.backends))],
+                now=now,
+                wall_ms=0,
+                jobs_version=1,
+                jobs={"w": self.job_specification},
+                state=ledger,
+                machines=[self._machine(r) for r in range(len(self.backends))],
                 blocking_holders=lambda uid, index: "held" if uid in holds else "",
                 admitted_count=taken,
                 shed_count=shed,
@@ -196,14 +214,15 @@
         )
         # An entry is agreed, and its machines are out or back, a little later; then the next is looked for.
         if steps:
-            self.events.schedule(CONSENSUS_DELAY_TICKS, lambda: self._transitions_committed(steps))
+            documents: list[dict[str, object]] = [coordinator_document(step) for step in steps]
+            self.events.schedule(CONSENSUS_DELAY_TICKS, lambda: self._transitions_committed(documents))
 
     def _transitions_committed(self, steps: list[dict[str, object]]) -> None:
         self._apply_transitions(steps)
         self._coordinate()
 
     def _apply_transitions(self, steps: list[dict[str, object]]) -> None:
-        before = {uid: away.state for uid, away in self.maintenance_state.machines.items()}
+        before = {uid: away.phase for uid, away in self.maintenance_state.machines.items()}
         self.log_index += 1
         self.maintenance_state.apply(self.log_index, {"steps": steps}, 1)
         for step in steps:
@@ -211,18 +230,27 @@
             if not uid:
                 continue
             r, away = int(uid), self.maintenance_state.machines.get(uid)
-            state = away.state if away else ""
+            state = away.phase if away else ""
             if state == before.get(uid, ""):
                 continue
-            if state == OUT:
+            if state == MaintenancePhase.DRAINING:
                 self._start_drain(r)
-            elif state == FREE:
+            elif state == MaintenancePhase.DRAINED:
                 # The operator begins at once.
                 self._apply_transitions(
-                    [{"uid": uid, "work": "w", "step": WORK, "by": "o", "life": 0, "why": ""}]
+                    [
+                        {
+                            "uid": uid,
+                            "work": "w",
+                            "step": MaintenancePhase.IN_WORK,
+                            "by": "o",
+                            "life": 0,
+                            "why": "",
+                        }
+                    ]
                 )
                 self._start_work(r)
-            elif state == BACK:
+            elif state == MaintenancePhase.RETURNING:
                 self._return_to_service(r)
             elif not state:
                 self.absent.pop(r, None)
--- a/tests/planted_works.py
+++ b/tests/planted_works.py
@@ -7,11 +7,16 @@
 from typing import Any
 from unittest import mock
 
+from msgspec import structs
+
 from crankfold.consensus.messages import MaintenanceReport
 from crankfold.consensus.voter import Voter
-from crankfold.maintenance import state
-from crankfold.maintenance.coordinator import Coordinator, FleetView, Transitions
-from crankfold.maintenance.state import WORK, MaintenanceState
+from crankfold.maintenance.coordinator import Coordinator
+from crankfold.maintenance.fleet_view import FleetView
+from crankfold.maintenance.machine_progress import MachineProgress, Subject
+from crankfold.maintenance.specification import WorkMethod
+from crankfold.maintenance.state import MaintenanceState
+from crankfold.maintenance.transitions import ALLOWED_FROM, MaintenancePhase, Transition
 from crankfold.simulation.consensus_cluster import ClusterCase, ClusterFault
 from crankfold.simulation.maintenance_fleet import MaintenanceCase, MaintenanceFleet, draw_case
 
@@ -57,22 +62,30 @@
 class ImpatientCoordinator(Coordinator):
     """Does not wait for what it proposed: bounds were kept by what was known before."""
 
-    def propose(self, view: FleetView) -> Transitions:
-        self.last_departures = -1, -1, 0
+    def propose(self, view: FleetView) -> list[Transition]:
+        self.last_departures = None
         return super().propose(view)
 
 
-class RestartingCoordinator(Coordinator):
+class RestartingProgress(MachineProgress):
     """A new leader begins anew what another had begun."""
 
-    def _supervise_work(self, view: FleetView, uid: str, away: Any, *rest: Any) -> dict[str, Any] | None:
+    def _supervise_work(self, subject: Subject) -> Transition | None:
+        record, view = subject.record, self._view
         if (
-            away.by in view.incarnations
-            and away.by != self.member_name
-            and view.jobs[away.work].way == "command"
+            record.executor in view.incarnations
+            and record.executor != self._member_name
+            and view.jobs[record.job].method == WorkMethod.COMMAND
         ):
-            return {"step": WORK, "by": self.member_name, "life": view.incarnations[self.member_name]}
-        return super()._supervise_work(view, uid, away, *rest)
+            return structs.replace(
+                self._propose(subject, MaintenancePhase.IN_WORK),
+                incarnation=view.incarnations[self._member_name],
+            )
+        return super()._supervise_work(subject)
+
+
+def restarting_coordinator(name: str) -> Coordinator:
+    return Coordinator(name, RestartingProgress)
 
 
 @contextmanager
@@ -80,17 +93,19 @@
     """Bounds are checked by whoever proposes, and not again by what was agreed meanwhile."""
     check = MaintenanceState._void_reason
 
-    def unfit(self: MaintenanceState, step: dict[str, Any], changes: int, plan: int) -> str:
-        return check(self, {**step, "made_from": changes, "plan": plan}, changes, plan)
+    def unchecked(self: MaintenanceState, transition: Transition, changes: int, jobs_version: int) -> str:
+        as_if_new = structs.replace(transition, change_count=changes, jobs_version=jobs_version)
+        return check(self, as_if_new, changes, jobs_version)
 
-    with mock.patch.object(MaintenanceState, "_void_reason", unfit):
+    with mock.patch.object(MaintenanceState, "_void_reason", unchecked):
         yield
 
 
 @contextmanager
 def work_may_begin_twice() -> Iterator[None]:
     """A command may be begun again from anywhere."""
-    with mock.patch.dict(state.ALLOWED_FROM, {WORK: (*state.ALLOWED_FROM[WORK], WORK)}):
+    in_work = MaintenancePhase.IN_WORK
+    with mock.patch.dict(ALLOWED_FROM, {in_work: (*ALLOWED_FROM[in_work], in_work)}):
         yield
 
 
@@ -166,7 +181,7 @@
         "goes out",
     ),
     "a step taken twice after a change of leader": (
-        lambda case: MaintenanceFleet(case, foremen=RestartingCoordinator),
+        lambda case: MaintenanceFleet(case, foremen=restarting_coordinator),
         work_may_begin_twice,
         long_commands,
         "ran again|two commands",
--- a/tests/test_stored_forms.py
+++ b/tests/test_stored_forms.py
@@ -21,8 +21,9 @@
     ReplicatedState,
     VersionedDocuments,
 )
-from crankfold.maintenance.specification import JobSpecification, parse_jobs
+from crankfold.maintenance.specification import JobSpecification, WorkMethod, parse_jobs
 from crankfold.maintenance.state import MachineInMaintenance, MaintenanceState, TransitionRecord
+from crankfold.maintenance.transitions import ListedAs, MaintenancePhase
 from crankfold.protocol.handover_messages import HandoverDecoder, encode_line
 from tests.data.write_fixtures import DATA
 from tests.handover_scene import ASKS, ENDS, EVENT, HELLO, TAKE, HandoverScene, ban_file
@@ -157,7 +158,13 @@
 
 def step(index: int, uid: str, what: str, work: str) -> TransitionRecord:
     return TransitionRecord(
-        index=index, uid=uid, work=work, step=what, by="n0", why=f"{what} {uid}", at=1_700_000_100_000
+        index=index,
+        machine_id=uid,
+        job=work,
+        phase=MaintenancePhase(what),
+        by="n0",
+        reason=f"{what} {uid}",
+        at_ms=1_700_000_100_000,
     )
 
 
@@ -216,37 +223,37 @@
     maintenance=MaintenanceState(
         machines={
             "r1": MachineInMaintenance(
-                work="bios",
-                state="free",
-                out=21,
-                last=25,
-                number=25,
-                by="n0",
-                life=2**45,
+                job="bios",
+                phase=MaintenancePhase.DRAINED,
+                out_index=21,
+                last_index=25,
+                drain_number=25,
+                executor="n0",
+                executor_incarnation=2**45,
                 worked=False,
-                also=["disks"],
-                start=77,
-                place=PLACE,
-                unwell=False,
-                why="free r1",
+                earlier_jobs=["disks"],
+                started_at=77,
+                listed_as=ListedAs(*PLACE),
+                unhealthy=False,
+                reason="free r1",
             ),
             "r3": MachineInMaintenance(
-                work="disks",
-                state="back",
-                out=31,
-                last=35,
-                number=30,
-                by="",
-                life=0,
+                job="disks",
+                phase=MaintenancePhase.RETURNING,
+                out_index=31,
+                last_index=35,
+                drain_number=30,
+                executor="",
+                executor_incarnation=0,
                 worked=False,
-                also=[],
-                start=79,
-                place=PLACE,
-                unwell=True,
-                why="back r3",
+                earlier_jobs=[],
+                started_at=79,
+                listed_as=ListedAs(*PLACE),
+                unhealthy=True,
+                reason="back r3",
             ),
         },
-        completed={"disks": {"r2": "well"}},
+        completed={"disks": {"r2": MaintenancePhase.HEALTHY}},
         unhealthy_streaks={"disks": 1},
         halted_jobs={"disks": "halt disks"},
         begun_jobs=["disks"],
@@ -362,8 +369,8 @@
         self.assertEqual(
             parse_jobs(WORKS_2),
             {
-                "disks": JobSpecification(why="new disks", zones=["north"], at_once=4),
-                "bios": JobSpecification(machines=["r1"], way="list", takes=60.0),
+                "disks": JobSpecification(reason="new disks", zones=["north"], max_out=4),
+                "bios": JobSpecification(machines=["r1"], method=WorkMethod.ENDPOINT_LIST, work_seconds=60.0),
             },
         )
 
--- a/tests/test_yard.py
+++ b/tests/test_yard.py
@@ -5,6 +5,8 @@
 from types import SimpleNamespace
 from typing import Any
 
+from msgspec import to_builtins
+
 from crankfold.consensus.versioned_documents import Document
 from crankfold.maintenance.state import MaintenanceState
 from crankfold.network.metrics import Metrics
@@ -101,8 +103,8 @@
         void = self.ledger.apply(self.index, {"steps": [told]}, 1)
         away = self.ledger.machines.get(uid)
         self.say(
-            f"{step} {uid}: {void or 'taken'}; {away.state if away else 'carries work'}"
-            + (f" under {away.number}" if away and away.number else "")
+            f"{step} {uid}: {void or 'taken'}; {away.phase if away else 'carries work'}"
+            + (f" under {away.drain_number}" if away and away.drain_number else "")
         )
 
     def test_each_step_follows_from_the_one_before_or_is_void(self) -> None:
@@ -118,7 +120,7 @@
         self.take("a", "free", last=self.index)  # it died with the command, which may be run again
         self.take("a", "work")
         self.take("a", "ended", number=14)  # the first run is heard of late
-        self.take("a", "ended", number=self.ledger.machines["a"].number)
+        self.take("a", "ended", number=self.ledger.machines["a"].drain_number)
         self.take("a", "back", last=3)
         self.take("a", "back")
         self.take("a", "unwell")
@@ -127,7 +129,7 @@
         self.take("a", "ended")
         self.take("a", "back")
         self.take("a", "well")
-        self.say(f"{self.ledger.completed} {self.ledger.unhealthy_streaks}")
+        self.say(f"{to_builtins(self.ledger.completed)} {self.ledger.unhealthy_streaks}")
         self.close("works-steps")
 
 
