--- a/crankfold/maintenance/departures.py
+++ b/crankfold/maintenance/departures.py
@@ -9,7 +9,7 @@
 from crankfold.maintenance.scheduler import Machine, MaintenanceJob, SchedulingFacts, schedule
 from crankfold.maintenance.specification import JobSpecification, JobState, Target
 from crankfold.maintenance.state import is_dispatcher_id
-from crankfold.maintenance.transitions import ListedAs, MaintenancePhase, Transition
+from crankfold.maintenance.transitions import MaintenancePhase, Placement, Transition
 
 VOTER: Final = "voter"  # the instance type of dispatchers that vote
 
@@ -59,16 +59,16 @@
         self._view = view
         self._member_name = member_name
         self._target = target
-        listed = view.dispatchers if target == Target.DISPATCHERS else view.machines
+        present = view.dispatchers if target == Target.DISPATCHERS else view.machines
         absent = view.state.machines
-        listed_ids = {machine.machine_id for machine in listed}
-        # One that is out may be listed no longer: it counts all the same.
+        present_ids = {machine.machine_id for machine in present}
+        # One that is out may be on no endpoint list any more: it counts all the same.
         self._machines = [
-            *listed,
+            *present,
             *(
-                _unlisted(machine_id, absent[machine_id].listed_as, absent[machine_id].started_at)
+                _unlisted(machine_id, absent[machine_id].placement, absent[machine_id].started_at)
                 for machine_id in sorted(absent)
-                if machine_id not in listed_ids and self._is_target(machine_id)
+                if machine_id not in present_ids and self._is_target(machine_id)
             ),
         ]
 
@@ -78,9 +78,20 @@
     def propose(
         self, jobs: list[MaintenanceJob], halted: list[MaintenanceJob], findings: Findings
     ) -> list[Transition]:
+        absent = self._view.state.machines
+        if self._target == Target.DISPATCHERS:
+            jobs = [replace(job, last_machine_id=f"@{self._member_name}") for job in jobs]
+        result = schedule(jobs, self._scheduling_facts(halted))
+        for (machine_id, job_name), text in result.wait_reasons.items():
+            if machine_id not in absent:
+                findings.wait(machine_id, job_name, text)
+        by_id = {machine.machine_id: machine for machine in self._machines}
+        return [self._departure(by_id[machine_id], job_name) for machine_id, job_name in result.departures]
+
+    def _scheduling_facts(self, halted: list[MaintenanceJob]) -> SchedulingFacts:
         view = self._view
         absent = view.state.machines
-        present = [
+        machines = [
             replace(
                 machine,
                 available=machine.available
@@ -89,26 +100,15 @@
             )
             for machine in self._machines
         ]
-        if self._target == Target.DISPATCHERS:
-            jobs = [replace(job, last_machine_id=f"@{self._member_name}") for job in jobs]
-        facts = SchedulingFacts(
-            machines=present,
-            out=[
-                (machine_id, record.job)
-                for machine_id, record in absent.items()
-                if self._is_target(machine_id)
-            ],
+        out = [(machine_id, record.job) for machine_id, record in absent.items()]
+        return SchedulingFacts(
+            machines=machines,
+            out=[pair for pair in out if self._is_target(pair[0])],
             completed=view.state.completed_pairs(),
             now_ms=view.wall_time_ms(),
-            extra_check=_ReserveCheck(view, present, self._target),
+            extra_check=_ReserveCheck(view, machines, self._target),
             halted_jobs=halted,
         )
-        result = schedule(jobs, facts)
-        for (machine_id, job_name), text in result.wait_reasons.items():
-            if machine_id not in absent:
-                findings.wait(machine_id, job_name, text)
-        by_id = {machine.machine_id: machine for machine in self._machines}
-        return [self._departure(by_id[machine_id], job_name) for machine_id, job_name in result.departures]
 
     def _departure(self, machine: Machine, job: str) -> Transition:
         return Transition(
@@ -119,20 +119,20 @@
             change_count=self._view.state.change_count,
             jobs_version=self._view.jobs_version,
             started_at=machine.started_at,
-            listed_as=ListedAs(machine.zone, machine.instance_type, machine.cell, machine.size),
+            placement=Placement(machine.zone, machine.instance_type, machine.cell, machine.size),
         )
 
 
-def _unlisted(machine_id: str, listed_as: ListedAs, started_at: int) -> Machine:
+def _unlisted(machine_id: str, placement: Placement, started_at: int) -> Machine:
     return Machine(
         machine_id=machine_id,
-        zone=listed_as.zone,
-        instance_type=listed_as.instance_type,
-        cell=listed_as.cell,
-        size=listed_as.size,
+        zone=placement.zone,
+        instance_type=placement.instance_type,
+        cell=placement.cell,
+        size=placement.size,
         started_at=started_at,
         available=False,
-        listed=False,
+        discovered=False,
     )
 
 
--- a/crankfold/maintenance/fleet_view.py
+++ b/crankfold/maintenance/fleet_view.py
@@ -20,7 +20,7 @@
     CELL = "cell"
 
 
-def no_holders(machine_id: str, index: int) -> str:
+def no_holders(_machine_id: str, _index: int) -> str:
     """Nobody holds a request at any machine."""
     return ""
 
@@ -71,6 +71,6 @@
         jobs_of_absent = {machine.job for machine in self.state.machines.values()}
         return [job for name, job in self.jobs.items() if job.state == JobState.GO or name in jobs_of_absent]
 
-    def listed_machines(self) -> Mapping[str, Machine]:
+    def machines_by_id(self) -> Mapping[str, Machine]:
         """Backends and dispatchers by their ids."""
         return {machine.machine_id: machine for machine in (*self.machines, *self.dispatchers)}
--- a/crankfold/maintenance/machine_progress.py
+++ b/crankfold/maintenance/machine_progress.py
@@ -28,7 +28,7 @@
     machine_id: str
     record: MachineInMaintenance
     job: JobSpecification | None  # None if its job was taken away
-    listed: Machine | None  # None if no list has it
+    machine: Machine | None  # None if no endpoint list has it
     known_for: int  # ticks since its last transition was known here
 
 
@@ -38,11 +38,19 @@
     def __init__(
         self, member_name: str, view: FleetView, observations: Observations, findings: Findings
     ) -> None:
+        """Begins one look at the fleet.
+
+        Args:
+            member_name: Who proposes.
+            view: What is known now.
+            observations: Since when it is known; readiness is tracked there.
+            findings: Collects why machines wait, and which jobs miss a machine.
+        """
         self._member_name = member_name
         self._view = view
         self._observations = observations
         self._findings = findings
-        self._listed: Mapping[str, Machine] = view.listed_machines()
+        self._machines: Mapping[str, Machine] = view.machines_by_id()
         self._handlers: dict[MaintenancePhase, Callable[[Subject], Transition | None]] = {
             MaintenancePhase.DRAINING: self._finish_drain,
             MaintenancePhase.DRAINED: self._start_work,
@@ -55,14 +63,14 @@
 
     def next_transition(self, machine_id: str, record: MachineInMaintenance) -> Transition | None:
         """The machine's next transition; None while it waits."""
-        listed = self._listed.get(machine_id)
-        ready = listed is not None and listed.available and machine_id not in self._view.unavailable
-        self._observations.track_ready(self._view.now, machine_id, listed if ready else None)
+        machine = self._machines.get(machine_id)
+        ready = machine is not None and machine.available and machine_id not in self._view.unavailable
+        self._observations.track_ready(self._view.now, machine_id, machine if ready else None)
         subject = Subject(
             machine_id=machine_id,
             record=record,
             job=self._view.jobs.get(record.job),
-            listed=listed,
+            machine=machine,
             known_for=self._view.now - self._observations.known_since(machine_id, record.last_index),
         )
         return self._return_early(subject) or self._replaced(subject) or self._handlers[record.phase](subject)
@@ -103,8 +111,8 @@
         return None
 
     def _replaced(self, subject: Subject) -> Transition | None:
-        listed = subject.listed is not None and subject.listed.listed
-        if listed or subject.record.phase not in _REPLACEABLE:
+        discovered = subject.machine is not None and subject.machine.discovered
+        if discovered or subject.record.phase not in _REPLACEABLE:
             return None
         replacement = self._find_replacement(subject)
         if not replacement:
@@ -127,7 +135,7 @@
             machine.machine_id
             for machine in self._view.machines
             if machine.available
-            and observations.listed_since(machine.machine_id) > out_since
+            and observations.first_seen(machine.machine_id) > out_since
             and machine.machine_id not in replacements
             and machine.machine_id not in state.machines
         )
@@ -156,7 +164,7 @@
         if job.method == WorkMethod.COMMAND:
             return self._start_command(subject)
         by_list = job.method == WorkMethod.ENDPOINT_LIST
-        if by_list and subject.listed and subject.listed.started_at > record.started_at:
+        if by_list and subject.machine and subject.machine.started_at > record.started_at:
             return self._propose(subject, MaintenancePhase.WORK_DONE, "a new start on the list")
         if subject.known_for > job.work_seconds * TICKS_PER_SECOND:
             self._overdue(subject, f"free for over {job.work_seconds:g} s")
@@ -220,16 +228,16 @@
     def _share_absence(self, subject: Subject) -> Transition | None:
         """Another job that covers the machine takes it while it is out anyway, if both allow that."""
         own = subject.job
-        if not own or not own.shares_absence or not subject.listed:
+        if not own or not own.joint_absence_allowed or not subject.machine:
             return None
         for name, other in sorted(self._view.jobs.items()):
             if (
                 name not in (subject.record.job, *subject.record.earlier_jobs)
-                and other.shares_absence
+                and other.joint_absence_allowed
                 and other.state == JobState.GO
                 and other.target == own.target
                 and name not in own.exclusive_with
-                and self._may_join(other, other.to_job(name), subject.listed)
+                and self._may_join(other, other.to_job(name), subject.machine)
             ):
                 return structs.replace(
                     self._propose(subject, MaintenancePhase.DRAINED, f"out already for {subject.record.job}"),
@@ -256,14 +264,14 @@
         if not subject.record.worked:
             return self._propose(subject, MaintenancePhase.CANCELLED, subject.record.reason)
         job = subject.job or JobSpecification()
-        listed = subject.listed
-        if listed is None or not listed.available or subject.machine_id in self._view.unavailable:
+        machine = subject.machine
+        if machine is None or not machine.available or subject.machine_id in self._view.unavailable:
             if subject.known_for > job.work_seconds * TICKS_PER_SECOND:
                 self._overdue(replace(subject, job=job), f"not back after {job.work_seconds:g} s")
             self._wait(subject, "not listed as ready yet")
             return None
         if is_dispatcher_id(subject.machine_id):
-            return self._verify_dispatcher_return(subject, job, listed)
+            return self._verify_dispatcher_return(subject, job, machine)
         return self._verify_backend_return(subject, job)
 
     def _verify_backend_return(self, subject: Subject, job: JobSpecification) -> Transition | None:
@@ -285,9 +293,9 @@
         return self._propose(subject, MaintenancePhase.HEALTHY, seen)
 
     def _verify_dispatcher_return(
-        self, subject: Subject, job: JobSpecification, listed: Machine
+        self, subject: Subject, job: JobSpecification, machine: Machine
     ) -> Transition | None:
-        if job.method != WorkMethod.OPERATOR and listed.started_at == subject.record.started_at:
+        if job.method != WorkMethod.OPERATOR and machine.started_at == subject.record.started_at:
             self._wait(subject, "still the process that it was")
             return None
         if subject.known_for < job.watch_seconds * TICKS_PER_SECOND:
--- a/crankfold/maintenance/scheduler.py
+++ b/crankfold/maintenance/scheduler.py
@@ -19,7 +19,7 @@
     size: float = 1.0  # as listed
     started_at: int = 0  # tenths of a millisecond; of a dispatcher its incarnation
     available: bool = True  # gets requests: neither out nor lost, and warm
-    listed: bool = True  # not only remembered from earlier lists
+    discovered: bool = True  # on the endpoint list now, not only remembered from earlier ones
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,7 +70,7 @@
     wait_reasons: dict[MachineJob, str] = field(default_factory=dict)  # of the others
 
 
-def no_extra_check(machine: Machine, out: Collection[str]) -> str:
+def no_extra_check(_machine: Machine, _out: Collection[str]) -> str:
     """Nothing but the jobs' own bounds holds a machine."""
     return ""
 
@@ -96,7 +96,7 @@
         return "no machine is meant"
     if job.not_after_ms and job.not_after_ms <= job.not_before_ms:
         return "not-after comes before not-before"
-    all_available = [replace(machine, available=True, listed=True) for machine in machines]
+    all_available = [replace(machine, available=True, discovered=True) for machine in machines]
     occupancy = _Occupancy([job], all_available, {})
     for machine in covered:
         if reason := occupancy.exceeded_capacity(job, machine):
@@ -242,12 +242,14 @@
     def _in_order(self, job: MaintenanceJob) -> list[Machine]:
         """Spread over zones: from where the most is available, then by id."""
         remaining = self._remaining[job.name]
-        shares = {machine.zone: self._occupancy.available_share(machine.zone) for machine in remaining}
+        available_shares = {
+            machine.zone: self._occupancy.available_share(machine.zone) for machine in remaining
+        }
         return sorted(
             remaining,
             key=lambda machine: (
                 machine.machine_id == job.last_machine_id,
-                -shares[machine.zone],
+                -available_shares[machine.zone],
                 machine.machine_id,
             ),
         )
--- a/crankfold/maintenance/specification.py
+++ b/crankfold/maintenance/specification.py
@@ -71,7 +71,9 @@
     not_after_ms: Count = field(name="not-after", default=0)
     after: list[str] = field(default_factory=list)
     exclusive_with: list[str] = field(name="alone", default_factory=list)
-    shares_absence: bool = field(name="shares", default=True)  # another job may work on a machine while out
+    joint_absence_allowed: bool = field(
+        name="shares", default=True
+    )  # another job may work on a machine while out
     method: WorkMethod = field(name="way", default=WorkMethod.OPERATOR)
     command: list[str] = field(default_factory=list)
     # The command may be run again where nobody knows whether it has run.
--- a/crankfold/maintenance/state.py
+++ b/crankfold/maintenance/state.py
@@ -11,15 +11,15 @@
 
 from crankfold.maintenance.transitions import (
     ALLOWED_FROM,
-    ListedAs,
     MaintenancePhase,
+    Placement,
     Transition,
     decode_transition,
     is_known_step,
 )
 
 IN_ROTATION: Final = (MaintenancePhase.RETURNING,)  # gets requests again, as one that warms up
-MAX_TRANSITIONS_KEPT: Final = 2000
+MAX_TRANSITIONS: Final = 2000
 
 _ENDS: Final = (MaintenancePhase.HEALTHY, MaintenancePhase.REPLACED, MaintenancePhase.CANCELLED)
 # Transitions after which the bounds of jobs have to be looked at again.
@@ -73,7 +73,7 @@
     worked: bool = False  # the work on it has been done
     earlier_jobs: list[str] = field(default_factory=list)  # done during the same absence
     started_at: int = 0  # as listed when it went out, tenths of a millisecond
-    listed_as: ListedAs = ListedAs()
+    placement: Placement = Placement()
     unhealthy: bool = False  # found so after its return: the next transition is an operator's
     reason: str = ""
 
@@ -90,7 +90,7 @@
             "worked": self.worked,
             "also": self.earlier_jobs,
             "start": self.started_at,
-            "place": tuple(self.listed_as),
+            "place": tuple(self.placement),
             "unwell": self.unhealthy,
             "why": self.reason,
         }
@@ -199,7 +199,7 @@
             out_index=index,
             last_index=index,
             started_at=transition.started_at or 0,
-            listed_as=transition.listed_as or ListedAs(),
+            placement=transition.placement or Placement(),
         )
         if transition.job not in self.begun_jobs:
             self.begun_jobs.append(transition.job)
@@ -224,7 +224,7 @@
                 at_ms=transition.at_ms,
             )
         )
-        del self.transitions[:-MAX_TRANSITIONS_KEPT]
+        del self.transitions[:-MAX_TRANSITIONS]
 
     def out_of_rotation(self) -> set[str]:
         """The ids of machines that get no requests."""
--- a/crankfold/maintenance/transitions.py
+++ b/crankfold/maintenance/transitions.py
@@ -71,7 +71,7 @@
 _STEP_NAMES: Final = frozenset(phase.value for phase in MaintenancePhase)
 
 
-class ListedAs(NamedTuple):
+class Placement(NamedTuple):
     """What the endpoint list said of a machine when it went out; stored as an array of four."""
 
     zone: str = ""
@@ -99,7 +99,7 @@
     change_count: int | None = field(name="made_from", default=None)
     jobs_version: int | None = field(name="plan", default=None)
     started_at: int | None = field(name="start", default=None)  # as listed, tenths of a millisecond
-    listed_as: ListedAs | None = field(name="place", default=None)
+    placement: Placement | None = field(name="place", default=None)
 
 
 # The order of the stored keys, by who proposes.
--- a/crankfold/service/maintenance_agent.py
+++ b/crankfold/service/maintenance_agent.py
@@ -240,7 +240,7 @@
         replaced = {
             step.machine_id for step in self.state.transitions if step.phase == MaintenancePhase.REPLACED
         }
-        return [m for m in seen if m.listed or m.machine_id not in replaced]
+        return [m for m in seen if m.discovered or m.machine_id not in replaced]
 
     # --- what it decides, if it leads ---
 
--- a/tests/test_stored_forms.py
+++ b/tests/test_stored_forms.py
@@ -23,7 +23,7 @@
 )
 from crankfold.maintenance.specification import JobSpecification, WorkMethod, parse_jobs
 from crankfold.maintenance.state import MachineInMaintenance, MaintenanceState, TransitionRecord
-from crankfold.maintenance.transitions import ListedAs, MaintenancePhase
+from crankfold.maintenance.transitions import MaintenancePhase, Placement
 from crankfold.protocol.handover_messages import HandoverDecoder, encode_line
 from tests.data.write_fixtures import DATA
 from tests.handover_scene import ASKS, ENDS, EVENT, HELLO, TAKE, HandoverScene, ban_file
@@ -233,7 +233,7 @@
                 worked=False,
                 earlier_jobs=["disks"],
                 started_at=77,
-                listed_as=ListedAs(*PLACE),
+                placement=Placement(*PLACE),
                 unhealthy=False,
                 reason="free r1",
             ),
@@ -248,7 +248,7 @@
                 worked=False,
                 earlier_jobs=[],
                 started_at=79,
-                listed_as=ListedAs(*PLACE),
+                placement=Placement(*PLACE),
                 unhealthy=True,
                 reason="back r3",
             ),
