--- a/crankfold/simulation/maintenance_study.py
+++ b/crankfold/simulation/maintenance_study.py
@@ -14,7 +14,7 @@
 from crankfold.maintenance.state import MaintenanceState
 from crankfold.maintenance.transitions import MaintenancePhase, coordinator_document
 from crankfold.routing.interface import EndpointState, RoutingConfig
-from crankfold.routing.policy import Router
+from crankfold.routing.router import Router
 from crankfold.simulation.fleet import ZONE_COUNT, Scenario, SimulatedBackend, SimulatedFleet
 
 TICKS_PER_SECOND = 10_000
