--- /dev/null
+++ b/tests/network/test_discovery_watcher.py
@@ -0,0 +1,245 @@
+"""The watcher before discovery agents that answer late, badly or never, on loopback."""
+
+import asyncio
+import logging
+from typing import Any
+from unittest.mock import Mock, patch
+
+from crankfold.network.discovery_watcher import (
+    CONNECT_TIMEOUT,
+    LONG_POLL_MS,
+    MAX_WATCH_CALLS,
+    OVERDUE_GRACE,
+    POLL_RETRY_INTERVAL,
+    RETRY_INTERVAL,
+    DiscoveryWatcher,
+)
+from crankfold.network.metrics import Metrics
+from crankfold.protocol.discovery import DiscoveryEntry
+from tests.loopback import Handler, Loopback
+from tests.scene import read_request
+
+CHANGES = (
+    b"HTTP/1.1 200 OK\r\nContent-Length: 83\r\n\r\n"
+    b'{"rev":%d,"all":false,"targets":[{"uid":"a","endpoint":"h:1","state":"in_service"}]}'
+)
+
+
+class DiscoveryWatcherTest(Loopback):
+    async def test_a_watch_that_breaks_is_resumed_with_a_snapshot(self) -> None:
+        answers = [
+            b'{"rev":1,"all":true,"targets":[{"uid":"a","endpoint":"h:1","state":"in_service"}]}',
+            b'{"rev":2,"all":false,"targets":[{"uid":"a","endpoint":"h:1","state":"terminating"}]}',
+            b'{"rev":2,"all":false,"targets":[]}',
+            b'{"rev":1,"all":false,"targets":[]}',
+            b"{",
+            b'{"rev":1,"all":true,"targets":[]}',
+            b'{"rev":9,"all":true,"targets":[{"uid":"b","endpoint":"h:1","state":"in_service"}]}',
+        ]
+        done = asyncio.Event()
+
+        async def discovery(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            while True:
+                self.say((await read_request(reader))[0].splitlines()[0])
+                if not answers:
+                    done.set()
+                    await reader.read()
+                body = answers.pop(0)
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+
+        def make_endpoint(entry: DiscoveryEntry) -> Any:
+            return f"{entry.backend_id} {entry.state.name.lower()}"
+
+        metrics = Metrics()
+        logged = patch.object(
+            logging.getLogger("crankfold.network.discovery_watcher"),
+            "handle",
+            lambda record: self.say(f"  logged: {record.getMessage().partition(':')[0]}"),
+        )
+        self.enterContext(logged)
+        watcher = DiscoveryWatcher(
+            "127.0.0.1",
+            await self.stand_in(discovery),
+            make_endpoint,
+            on_endpoints=lambda endpoints, is_snapshot: self.say(
+                f"  {'snapshot' if is_snapshot else 'changes'} {list(endpoints)}"
+            ),
+            on_failure=lambda: None,
+            metrics=metrics,
+            retry_interval=0.01,
+        )
+        watcher.start(True)
+        async with asyncio.timeout(5):
+            await done.wait()
+        watcher.stop()
+        self.close("watch")
+
+    async def test_a_call_waits_in_the_queue_and_asks_for_changes_after_a_rejection(self) -> None:
+        answered = asyncio.Event()
+
+        async def discovery(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            self.say((await read_request(reader))[0].splitlines()[0])
+            if len(self.lines) == 1:
+                writer.write(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+                return
+            await asyncio.sleep(1.2)  # others were before us
+            body = b'{"rev":6,"all":false,"targets":[{"uid":"a","endpoint":"h:1","state":"in_service"}]}'
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+            await reader.read()
+
+        def on_endpoints(endpoints: Any, is_snapshot: bool) -> None:
+            self.say(f"told {'the snapshot' if is_snapshot else 'changes'}")
+            answered.set()
+
+        watcher = DiscoveryWatcher(
+            "127.0.0.1",
+            await self.stand_in(discovery),
+            Mock(),
+            on_endpoints=on_endpoints,
+            on_failure=lambda: None,
+            metrics=Metrics(),
+            retry_interval=0.01,
+        )
+        watcher.revision = 5
+        watcher.start(True)
+        async with asyncio.timeout(5):
+            await answered.wait()
+        watcher.stop()
+        self.close("watch-turn")
+
+    async def test_an_agent_that_answers_without_waiting_is_not_called_in_a_busy_loop(self) -> None:
+        calls: list[str] = []
+
+        async def discovery(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            while True:
+                calls.append((await read_request(reader))[0])
+                body = b'{"rev":1,"all":false,"targets":[]}'
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+
+        watcher = DiscoveryWatcher(
+            "127.0.0.1",
+            await self.stand_in(discovery),
+            Mock(),
+            on_endpoints=lambda *_: None,
+            on_failure=lambda: None,
+            metrics=Metrics(),
+        )
+        watcher.start(True)
+        await asyncio.sleep(0.2)
+        watcher.stop()
+        self.assertLess(1, len(calls))
+        self.assertLess(len(calls), 12)
+
+    async def start_watcher(
+        self, discovery: Handler, revision: int = -1
+    ) -> tuple[DiscoveryWatcher, asyncio.Event]:
+        answered = asyncio.Event()
+
+        def on_endpoints(endpoints: Any, is_snapshot: bool) -> None:
+            self.say(f"told {'the snapshot' if is_snapshot else 'changes'}")
+            answered.set()
+
+        watcher = DiscoveryWatcher(
+            "127.0.0.1",
+            await self.stand_in(discovery),
+            Mock(),
+            on_endpoints=on_endpoints,
+            on_failure=lambda: None,
+            metrics=Metrics(),
+        )
+        watcher.revision = revision
+        self.addCleanup(watcher.stop)
+        watcher.start(True)
+        return watcher, answered
+
+    def test_the_longest_delay_of_a_change_is_under_six_seconds(self) -> None:
+        """Silent from the moment it was asked, and the next two connections not up or silent as well."""
+        longest_pushed = (
+            LONG_POLL_MS / 1000 + OVERDUE_GRACE + 2 * max(RETRY_INTERVAL, CONNECT_TIMEOUT) + RETRY_INTERVAL
+        )
+        self.assertLess(longest_pushed, 5.0)
+        self.assertLess(LONG_POLL_MS / 1000 + OVERDUE_GRACE + POLL_RETRY_INTERVAL, 5.5)
+        # Less than any grace after a discovery that is back has told a drain.
+        self.assertLess(RETRY_INTERVAL, 0.25)
+
+    async def test_a_watch_that_falls_silent_for_good_has_another_call_beside_it(self) -> None:
+        silent = asyncio.Event()
+        kept: list[bytes] = []
+
+        async def discovery(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            self.say((await read_request(reader))[0].splitlines()[0])
+            if not kept:
+                kept.append(CHANGES % 6)
+                writer.write(kept[0])
+                self.say((await read_request(reader))[0].splitlines()[0])
+                silent.set()
+                await reader.read()  # says nothing any more and stays open
+            writer.write(CHANGES % 7)
+            await reader.read()
+
+        with (
+            patch("crankfold.network.discovery_watcher.LONG_POLL_MS", 20),
+            patch("crankfold.network.discovery_watcher.OVERDUE_GRACE", 0.05),
+        ):
+            watcher, answered = await self.start_watcher(discovery, revision=5)
+            async with asyncio.timeout(2):
+                await silent.wait()
+                self.assertEqual(watcher.revision, 6)
+                await self.until(lambda: watcher.revision == 7)
+        self.close("watch-silent")
+
+    async def test_discovery_that_accepts_and_is_silent_is_heard_at_once_when_it_is_back(self) -> None:
+        back, begun = asyncio.Event(), asyncio.Event()
+        open_now: set[asyncio.StreamWriter] = set()
+        most_open = 0
+
+        async def discovery(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            nonlocal most_open
+            answers = back.is_set()  # who came before stays unanswered for good
+            open_now.add(writer)
+            most_open = max(most_open, len(open_now))
+            await read_request(reader)
+            begun.set()
+            if answers:
+                writer.write(CHANGES % 6)
+            await reader.read()
+            open_now.discard(writer)
+
+        watcher, answered = await self.start_watcher(discovery, revision=5)
+        with (
+            patch("crankfold.network.discovery_watcher.LONG_POLL_MS", 20),
+            patch("crankfold.network.discovery_watcher.OVERDUE_GRACE", 0.01),
+        ):
+            await begun.wait()
+            await self.until(lambda: most_open >= MAX_WATCH_CALLS)
+            await asyncio.sleep(4 * RETRY_INTERVAL)
+            back.set()
+            async with asyncio.timeout(2 * RETRY_INTERVAL):
+                await answered.wait()
+            self.assertLessEqual(most_open, MAX_WATCH_CALLS + 1)  # one whose end has not arrived yet
+
+    async def test_an_answer_that_trickles_is_read_to_its_end_while_others_are_silent(self) -> None:
+        calls = 0
+
+        async def discovery(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            nonlocal calls
+            calls += 1
+            await read_request(reader)
+            if calls == 2:
+                for byte in CHANGES % 6:
+                    before = calls
+                    writer.write(bytes([byte]))
+                    await writer.drain()
+                    if byte == 10:
+                        await self.until(lambda: calls > before)  # another has been asked meanwhile  # noqa: B023
+            await reader.read()
+
+        with (
+            patch("crankfold.network.discovery_watcher.OVERDUE_GRACE", 0.01),
+            patch("crankfold.network.discovery_watcher.RETRY_INTERVAL", 0.01),
+        ):
+            watcher, answered = await self.start_watcher(discovery)
+            watcher.retry_interval = 0.01
+            async with asyncio.timeout(5):
+                await answered.wait()
+        self.assertGreater(calls, MAX_WATCH_CALLS)
--- a/tests/test_logging.py
+++ b/tests/network/test_log_handler.py
@@ -15,7 +15,7 @@
 LIMITED = {"category": "discovery"}
 
 
-class Logging(unittest.TestCase):
+class LogHandlerTest(unittest.TestCase):
     def setUp(self) -> None:
         configure_logging()
         root = logging.getLogger(PACKAGE)
@@ -115,5 +115,5 @@
         except ValueError as error:
             metrics.record_exception(error)
         (line,) = self.written()
-        self.assertRegex(line, r"^crankfold: failure: ValueError\('a bug'\) at .*test_logging\.py:\d+$")
+        self.assertRegex(line, r"^crankfold: failure: ValueError\('a bug'\) at .*test_log_handler\.py:\d+$")
         self.assertEqual(metrics.counters["failures"], 1)
