--- /dev/null
+++ b/tests/protocol/test_backend_connection.py
@@ -0,0 +1,54 @@
+"""Connections to backends and load reports, fed bytes: whole, in pieces and broken."""
+
+from crankfold.protocol import load_reports
+from crankfold.protocol.backend_connection import (
+    BackendConnection,
+    attempt_headers,
+    classify_response,
+)
+from tests.scene import Kept
+
+
+class BackendConnectionTest(Kept):
+    def test_responses_of_a_backend(self) -> None:
+        headers = attempt_headers([(b"host", b"b"), (b"x-request-id", b"u1")], 4807)
+        for answer in (
+            b"202 Accepted\r\nContent-Length: 0\r\n\r\n",
+            b"500 No\r\nContent-Length: 2\r\n\r\nno",
+            b"503 No\r\nX-Not-Processed: 1\r\nX-Server-Load: TEXT queue=3, x0=0\r\nContent-Length: 0\r\n\r\n",
+            b"504 No\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n",
+            b"503 No\r\nContent-Length: 0\r\n\r\n",
+            b"429 No\r\nContent-Length: 0\r\n\r\n",
+            b"400 No\r\nContent-Length: 0\r\n\r\n",
+            b"200 Odd\r\nContent-Length: 0\r\nConnection: close\r\n\r\n",
+            b"500 No\r\n\r\n" + b"endless" * 10_000,
+            b"garbage\x00\r\n\r\n",
+            b"202 Accepted\r\nContent-Length: -1\r\n\r\n",
+            b"100 Go on\r\n\r\nHTTP/1.1 202 A\r\nContent-Length: 0\r\n\r\n",
+        ):
+            for step in (len(answer) + 9, 1):
+                connection = BackendConnection()
+                outgoing = connection.send_request(b"POST", b"/api", headers, b"hi")
+                data = b"HTTP/1.1 " + answer
+                over = any(connection.receive_data(data[at : at + step]) for at in range(0, len(data), step))
+                verdict = classify_response(connection.status, connection.not_processed)
+                outcome = verdict.name.lower()
+                described = (
+                    f"{answer[:60]!r}: {outcome}, over {over}"
+                    f", again {connection.reusable}, "
+                    f"{load_reports.report_from_header(connection.load_header, ('queue', 'x0'))}"
+                )
+                if step > 1:
+                    self.say(described)
+                self.assertEqual(described, self.lines[-1])  # in pieces it means the same
+        self.say(b"".join(outgoing).decode().replace("\r\n", " "))
+        for text in (
+            b"TEXT queue=1, x0=2",
+            b"TEXT queue=1",
+            b"JSON queue=1, x0=2",
+            b"TEXT queue=x, x0=2",
+            b"",
+            b"TEXT queue=nan, x0=1",
+        ):
+            self.say(f"{text.decode()!r}: {load_reports.report_from_header(text, ('queue', 'x0'))}")
+        self.close("answers")
--- /dev/null
+++ b/tests/protocol/test_client_connection.py
@@ -0,0 +1,179 @@
+"""Connections of clients and backends, fed bytes: whole, in pieces and broken."""
+
+from collections.abc import Sequence
+
+from crankfold.protocol import callbacks
+from crankfold.protocol.client_connection import ClientConnection
+from crankfold.protocol.client_request import ClientRequest
+from crankfold.routing.interface import Outcome
+from tests.scene import Kept
+
+HEAD = b"POST /api?k=1 HTTP/1.1\r\nHost: b\r\nX-Request-ID: u1\r\nX-Priority-Class: g\r\nX-Timeout: 0.48\r\n"
+UNIT = (
+    HEAD
+    + b"Idempotency-Key: t\r\nX-Cost: 12001\r\nX-Attrs: slots=2,memory=0.5\r\nContent-Length: 2\r\n\r\nhi"
+)
+
+
+class ClientConnectionTest(Kept):
+    """Is the handler of its connections, and writes down what reaches it."""
+
+    def is_serving(self) -> bool:
+        return True
+
+    def knows_request_class(self, name: str) -> bool:
+        return name == "g"
+
+    def submit(self, _client: object, request: ClientRequest) -> None:
+        self.say(
+            f"{request.request_id} {request.request_class} waits {request.timeout} "
+            f"work {request.work} slots {request.slots:g}"
+        )
+        http = request.http
+        self.say(
+            f"  on goes {http.method.decode()} {http.target.decode()} {http.body.decode()} "
+            + " ".join(f"{name.decode()}={value.decode()}" for name, value in http.headers)
+        )
+
+    def has_request(self, request_id: str) -> bool:
+        return request_id != "elsewhere"
+
+    def forward_unknown_callback(self, _client: object, body: bytes) -> bool:
+        self.say(f"passed on {body.decode()}")
+        return True
+
+    def execution_started(self, request_id: str, backend_id: str) -> None:
+        self.say(f"{request_id} started on {backend_id}")
+
+    def execution_progressed(self, request_id: str, backend_id: str, progress: float) -> None:
+        self.say(f"{request_id} on {backend_id}: {progress:g} done")
+
+    def execution_ended(
+        self, request_id: str, backend_id: str, outcome: Outcome, result: bytes, report: Sequence[float]
+    ) -> None:
+        self.say(f"{request_id} on {backend_id}: {outcome.name.lower()} {result.decode()} {tuple(report)}")
+
+    def connect(self) -> ClientConnection:
+        return ClientConnection(self, self, ("queue", "x0"))
+
+    def say_written(self, connection: ClientConnection) -> None:
+        if connection.outgoing:
+            self.say("< " + b"".join(connection.outgoing).decode().replace("\r\n", " "))
+            connection.outgoing.clear()
+
+    def test_requests_whole_in_pieces_and_pipelined(self) -> None:
+        whole, pieces = self.connect(), self.connect()
+        whole.receive_data(UNIT + UNIT.replace(b"u1", b"u2"))
+        self.say("nothing of the second is read before the first is answered")
+        whole.respond(200, [], b"done")
+        whole.process_buffered()
+        self.say_written(whole)
+        for at in range(len(UNIT)):
+            pieces.receive_data(UNIT[at : at + 1])
+        pieces.close_after_response = True
+        pieces.respond(503, [(b"Retry-After", b"0.500")])
+        self.say_written(pieces)
+        self.say(f"closing {pieces.closing}")
+        chunked, waiting = self.connect(), self.connect()
+        chunked.receive_data(
+            HEAD + b"Transfer-Encoding: chunked\r\nX-Odd: \x80\r\nX-Own: 1\r\n\r\n2\r\nhi\r\n0\r\n\r\n"
+        )
+        waiting.receive_data(HEAD + b"Expect: 100-continue\r\nContent-Length: 2\r\n\r\n")
+        self.say_written(waiting)
+        waiting.receive_data(b"hi")
+        old = self.connect()
+        old.receive_data(UNIT.replace(b"HTTP/1.1\r\nHost: b", b"HTTP/1.0"))
+        old.respond(200)
+        self.say_written(old)
+        self.close("units")
+
+    def test_input_cut_at_every_byte_means_the_same(self) -> None:
+        callback = b'{"id":"u1","from":"a","state":"done","result":"r","load":{"queue":1,"x0":2}}'
+        unrouted = b"GET /control/ready HTTP/1.1\r\nHost: b\r\n\r\n"
+        for data in (
+            UNIT,
+            HEAD + b"Transfer-Encoding: chunked\r\n\r\n2;x=y\r\nhi\r\n0\r\nX: y\r\n\r\n",
+            b"POST /v1/job-events HTTP/1.1\r\nHost: b\r\nContent-Length: %d\r\n\r\n" % len(callback)
+            + callback,
+            b"POST /v1/job-events HTTP/1.1\r\nHost: b\r\nContent-Length: 30\r\n\r\n" + callback[:30],
+            b"POST /v1/job-events HTTP/1.1\r\nHost: b\r\nContent-Length: 18\r\n\r\n" + b'{"id":"elsewhere"}',
+            UNIT.replace(b"Class: g", b"Class: h") + UNIT,
+            unrouted,
+        ):
+            seen = []
+            for cut in range(1, len(data)):
+                connection, self.lines = self.connect(), []
+                connection.receive_data(data[:cut])
+                connection.receive_data(data[cut:])
+                self.say_written(connection)
+                seen.append(
+                    [*self.lines, f"in hand {connection.awaiting_response}, closing {connection.closing}"]
+                )
+            self.assertEqual([one for one in seen if one != seen[0]], [])
+            self.assertGreater(len(seen[0]), 1)
+
+    def test_what_is_not_understood_reaches_no_backend_and_is_never_answered_as_shed(self) -> None:
+        chunks = b"Transfer-Encoding: chunked\r\n\r\n"
+        for name, data in {
+            "garbage": b"\x00\x01\r\n\r\n",
+            "two lengths": HEAD + b"Content-Length: 2\r\n" + chunks,
+            "lengths that differ": HEAD + b"Content-Length: 2\r\nContent-Length: 3\r\n\r\nhi",
+            "broken chunk": HEAD + chunks + b"zz\r\n",
+            "large head": HEAD + b"X: " + b"a" * 20_000,
+            "large body": HEAD + b"Content-Length: 70000\r\n\r\n",
+            "large chunks": HEAD + chunks + b"11000\r\n" + b"a" * 0x11000 + b"\r\n",
+            "no time-out": UNIT.replace(b"X-Timeout: 0.48\r\n", b""),
+            "no id": UNIT.replace(b"X-Request-ID: u1\r\n", b""),
+            "time-out nan": UNIT.replace(b"0.48", b"nan"),
+            "time-out negative": UNIT.replace(b"0.48", b"-1"),
+            "time-out absurd": UNIT.replace(b"0.48", b"1e9"),
+            "time-out 1_0": UNIT.replace(b"0.48", b"1_0"),
+            "grade": UNIT.replace(b"Class: g", b"Class: h"),
+            "cost": UNIT.replace(b"12001", b"much"),
+            "attributes": UNIT.replace(b"slots=2", b"slots=x"),
+            "attribute without value": UNIT.replace(b"=0.5", b""),
+            "two ids": UNIT.replace(b"X-Cost", b"X-Request-ID: u3\r\nX-Cost"),
+            "id too long": UNIT.replace(b"u1", b"u" * 300),
+            "id no text": UNIT.replace(b"u1", b"\xff\xfe"),
+            "path": UNIT.replace(b"/api", b"/apis"),
+            "method": UNIT.replace(b"POST", b"PUT"),
+            "method on health": b"POST /healthz HTTP/1.1\r\nHost: b\r\nContent-Length: 0\r\n\r\n",
+            "method on call-backs": b"GET /v1/job-events HTTP/1.1\r\nHost: b\r\n\r\n",
+            "health": b"GET /healthz HTTP/1.1\r\nHost: b\r\n\r\n",
+            "health, head": b"HEAD /healthz HTTP/1.1\r\nHost: b\r\n\r\n",
+        }.items():
+            connection = self.connect()
+            connection.receive_data(data)
+            first = b"".join(connection.outgoing).partition(b"\r\n")[0].decode()
+            self.say(f"{name}: {first}{', closing' if connection.closing else ''}")
+        self.close("bad-requests")
+
+    def test_callbacks(self) -> None:
+        for body in (
+            b'{"id":"u1","from":"a","state":"started"}',
+            b'{"id":"u1","from":"a","state":"running","share":0.4}',
+            b'{"id":"u1","from":"a","state":"running","share":7}',
+            b'{"id":"u1","from":"a","state":"done","result":"gr\\u00fc\\u00df","load":{"x0":2,"queue":1}}',
+            b'{"id":"u1","from":"a","state":"done","result":{"n":1}}',
+            b'{"id":"u1","from":"a","state":"failed","load":{"queue":1}}',
+            b'{"id":"u1","from":"a","state":"returned","load":{"queue":"1","x0":2}}',
+            b'{"id":"u1","from":"a","state":"lost","load":7}',
+            b'{"id":"u1","from":"a","state":"odd"}',
+            b'{"id":1,"from":"a","state":"done"}',
+            b'{"id":"u1","state":"done"}',
+            b"[]",
+            b"{",
+            b"\xff",
+            b'{"id":"u1","from":"a","state":"running","share":true}',
+            b"[" * 60_000,
+        ):
+            self.say(
+                f"{callbacks.handle_callback(body, self, ('queue', 'x0'))}: {body[:80].decode('latin-1')}"
+            )
+        connection = self.connect()
+        for body in (b'{"id":"u1","from":"a","state":"lost"}', b"{}"):
+            connection.receive_data(
+                b"POST /v1/job-events HTTP/1.1\r\nHost: b\r\nContent-Length: %d\r\n\r\n" % len(body) + body
+            )
+            self.say_written(connection)
+        self.close("call-backs")
--- /dev/null
+++ b/tests/protocol/test_discovery.py
@@ -0,0 +1,67 @@
+"""Answers of discovery: whole, in pieces and broken."""
+
+from crankfold.protocol.discovery import (
+    DiscoveryConnection,
+    DiscoveryEntry,
+    DiscoveryError,
+    decode_endpoints,
+)
+from crankfold.routing.interface import Endpoint
+from tests.scene import Kept
+
+
+class DiscoveryConnectionTest(Kept):
+    def make_endpoint(self, entry: DiscoveryEntry) -> Endpoint:
+        self.say(
+            f"  {entry.backend_id} {entry.host} {entry.port} {entry.zone} {entry.instance_type} {entry.cell} "
+            f"{entry.state.name.lower()} {entry.weight:g} {entry.boot_ms}"
+        )
+        return Endpoint(0, entry.state, entry.weight, 0, entry.cell, entry.boot_ms)
+
+    def test_lists_whole_broken_and_in_pieces(self) -> None:
+        one = (
+            b'{"uid":"a","endpoint":"10.0.0.1:84","az":"n","model":"m","pod_group":3,"state":"in_service",'
+            b'"capacity_hint":1.5,"boot_ms":7}'
+        )
+        for entries in (
+            one,
+            one.replace(b"in_service", b"terminating"),
+            b'{"uid":"a","endpoint":"10.0.0.1:84","state":"terminated"}',
+            b"",
+            one.replace(b"in_service", b"odd"),
+            one.replace(b":84", b""),
+            one.replace(b'"a"', b"1"),
+            one.replace(b"1.5", b'"x"'),
+            b"7",
+            one + b"," + one.replace(b'"state"', b'"stat"'),
+        ):
+            for whole in (b"true", b"false"):
+                self.decode(b'{"rev":4,"all":' + whole + b',"targets":[' + entries + b"]}")
+        for broken in (
+            b"{",
+            b"[]",
+            b"null",
+            b'{"rev":"4","all":true,"targets":[]}',
+            b'{"rev":4,"targets":[]}',
+        ):
+            self.decode(broken)
+        connection = DiscoveryConnection("10.0.0.9:85")
+        self.say(connection.request(-1, 4000).decode().replace("\r\n", " "))
+        body = b'{"rev":4,"all":true,"targets":[' + one + b"]}"
+        data = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body
+        self.assertEqual(
+            [connection.receive_data(data[at : at + 1]) for at in range(len(data))].index(True), len(data) - 1
+        )
+        connection.decode_response(self.make_endpoint)
+        self.say(connection.request(4, 4000).decode().replace("\r\n", " "))
+        connection.receive_data(b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n")
+        with self.assertRaises(DiscoveryError):
+            connection.decode_response(self.make_endpoint)
+        self.close("lists")
+
+    def decode(self, body: bytes) -> None:
+        try:
+            revision, is_snapshot, endpoints = decode_endpoints(body, self.make_endpoint)
+            self.say(f"version {revision}, {'whole' if is_snapshot else 'changes'}, {len(endpoints)}")
+        except DiscoveryError as error:
+            self.say(f"{body.decode()}: old list stands, {str(error).partition(':')[0]}")
--- a/tests/test_network.py
+++ b/tests/service/test_application.py
@@ -18,7 +18,7 @@
 from tests.scene import read_request
 
 
-class Whole(Between):
+class ApplicationTest(Between):
     async def test_a_unit_from_client_to_runner_and_back(self) -> None:
         told = asyncio.Event()
 
