--- a/benchmarks/agreement.py
+++ b/benchmarks/agreement.py
@@ -30,6 +30,7 @@
 from crankfold.simulation.consensus_cluster import (
     ClusterCase,
     ClusterFault,
+    ClusterFaultKind,
     SimulatedCluster,
     settings_document,
 )
@@ -174,7 +175,7 @@
             seed=seed,
             with_load=False,
             publish_every=99.0,
-            faults=(ClusterFault("kill", 30_000, 200_000, leader),),
+            faults=(ClusterFault(ClusterFaultKind.KILL, 30_000, 200_000, leader),),
         )
     )
     spans = [0.0, 0.0]
--- /dev/null
+++ b/crankfold/simulation/cluster_process.py
@@ -0,0 +1,202 @@
+"""One process of a simulated cluster: its clock, its disk, its requests, and the member that it runs."""
+
+from collections.abc import Callable
+from random import Random
+from typing import Protocol
+
+from crankfold.consensus.conservative_merge import QUOTAS
+from crankfold.consensus.messages import Message, ProposalResponse
+from crankfold.consensus.raft import LEADER, PersistentState, Ready
+from crankfold.consensus.voter import Follower, Member, Voter
+from crankfold.simulation.cluster_case import ClusterCase
+from crankfold.simulation.event_queue import EventQueue
+
+POLL_INTERVAL = 20  # ticks between two looks at the time
+MAX_CLOCK_OFFSET = 1_000_000  # ticks by which clocks differ from the start
+QUOTA_KEY = "all"  # the only quota
+
+
+class ClusterEnvironment(Protocol):
+    """What a process needs of the cluster round it."""
+
+    cluster_case: ClusterCase
+    events: EventQueue
+    rng: Random
+    sends_before_write: bool
+    forgets_votes: bool
+
+    def make_member(self, process: "SimulatedProcess") -> Member:
+        """The member that the process runs."""
+
+    def disk_delay(self, name: str) -> int:
+        """How long its next write takes, in ticks."""
+
+    def send_message(self, sender: "SimulatedProcess", receiver: str, message: Message) -> None:
+        """A message leaves the process."""
+
+    def publish_answered(self, response: ProposalResponse) -> None:
+        """An operator is told what became of a publish."""
+
+    def check_invariants(self) -> None:
+        """Something changed that may break an invariant."""
+
+
+class SimulatedProcess:
+    """Runs a member, and dies, pauses and starts as the faults say."""
+
+    def __init__(self, cluster: ClusterEnvironment, name: str, clock_rate: float) -> None:
+        self.cluster = cluster
+        self.name = name
+        self.clock_rate = clock_rate
+        self.clock_offset = cluster.rng.randrange(MAX_CLOCK_OFFSET)
+        self.persistent_state = PersistentState()
+        self.storage_id = f"{name} 0"
+        self.generation = 0  # counts its starts and ends
+        self.running = False
+        self.writing = False
+        self.paused_until = 0
+        self.request_ends: list[int] = []  # when each request in hand ends, by true time
+        self.wanted_requests = 0  # that it would accept if it could
+        self.member: Member | None = None
+
+    def local_time(self) -> int:
+        """What its clock shows."""
+        return self.clock_offset + int(self.cluster.events.now * self.clock_rate)
+
+    def start(self) -> None:
+        """Start with what is on the disk, and no requests."""
+        self.generation += 1
+        self.running = True
+        self.writing = False
+        self.request_ends = []
+        self.member = self.cluster.make_member(self)
+        self.member.quiesced_index = self._quiesced_index
+        self.member.quota_usage = lambda: {QUOTA_KEY: len(self.request_ends) + self.wanted_requests}
+        self._poll(self.generation)
+
+    def kill(self) -> None:
+        """It dies; what it was about to write is lost."""
+        self.cluster.check_invariants()
+        self.running = False
+        self.member = None
+        self.request_ends = []
+        self.generation += 1
+
+    def kill_and_wipe(self) -> None:
+        """It dies and loses its disk."""
+        self.kill()
+        self.persistent_state = PersistentState()
+        self.storage_id = f"{self.name} {self.generation}"
+
+    # --- requests and quotas ---
+
+    def quota(self) -> int | None:
+        """How many requests it may have in hand, as far as it knows; None without quotas."""
+        document = self.member.effective_content(QUOTAS) if self.member else None
+        quotas = (document or {}).get("shares", {}).get(QUOTA_KEY)
+        return None if quotas is None else int(quotas.get(self.name, 0))
+
+    def has_active_quota(self) -> bool:
+        """Whether an allocation is active here: the first one binds all from then on."""
+        if self.member is None:
+            return False
+        document = self.member.documents.document(QUOTAS)
+        version = document.find(document.active_number)
+        return version is not None and QUOTA_KEY in version.text["shares"]
+
+    def _quiesced_index(self, applied: int) -> int:
+        """The log index up to which the requests in hand fit into the quota."""
+        assert self.member is not None
+        quota = self.quota()
+        if quota is None or len(self.request_ends) <= quota:
+            return applied
+        pending = [
+            version.index for name, version in self.member.documents.pending_versions() if name == QUOTAS
+        ]
+        return min([applied, *(index - 1 for index in pending)])
+
+    # --- the member ---
+
+    def _poll(self, generation: int) -> None:
+        if generation != self.generation or not self.running:
+            return
+        events = self.cluster.events
+        if events.now >= self.paused_until:
+            self.deliver(lambda member, now: member.tick(now))  # type: ignore[attr-defined]
+        delay = POLL_INTERVAL
+        if self.cluster.cluster_case.polls_when_due and isinstance(self.member, Voter | Follower):
+            delay = max(POLL_INTERVAL, self.member.next_deadline() - self.local_time())
+        events.schedule(delay, lambda: self._poll(generation))
+
+    def deliver(self, event: Callable[[Member, int], None]) -> None:
+        """The member is told something, with the time; a paused one when it wakes."""
+        events = self.cluster.events
+        generation = self.generation
+        if not self.running or self.member is None:
+            return
+        if events.now < self.paused_until:
+            events.schedule(
+                self.paused_until - events.now,
+                lambda: self.deliver(event) if generation == self.generation else None,
+            )
+            return
+        before = self._decision_state()
+        event(self.member, self.local_time())
+        self._flush_ready()
+        for response in self.member.proposal_responses:
+            self.cluster.publish_answered(response)
+        self.member.proposal_responses.clear()
+        if before != self._decision_state():
+            self.cluster.check_invariants()
+
+    def _decision_state(self) -> tuple[int, int, bool]:
+        """What it acts on, until when, and whether it leads: the invariants are about these."""
+        member = self.member
+        assert member is not None
+        leads = isinstance(member, Voter) and member.raft.role == LEADER
+        return member.last_applied, member.lease_expires_at, leads
+
+    def _flush_ready(self) -> None:
+        """Write what the member wants written, and send its messages."""
+        assert isinstance(self.member, Voter | Follower)
+        for receiver, message in self.member.take_immediate_messages():
+            self.cluster.send_message(self, receiver, message)
+        if self.writing:
+            return
+        ready = self.member.take_ready(self.local_time())
+        if isinstance(self.member, Voter) and ready.must_sync():
+            self.writing = True
+            generation = self.generation
+            delay = self.cluster.disk_delay(self.name)
+            self.cluster.events.schedule(delay, lambda: self._written(generation, ready))
+            if not self.cluster.sends_before_write:
+                return
+        self._send_messages(ready)
+
+    def _written(self, generation: int, ready: Ready) -> None:
+        if generation != self.generation or not self.running:
+            return  # died before it was on the disk
+        self._persist(ready)
+        self.writing = False
+        if not self.cluster.sends_before_write:
+            self._send_messages(ready)
+        assert isinstance(self.member, Voter)
+        self.member.advance(self.local_time(), ready)
+        self._flush_ready()
+        self.cluster.check_invariants()
+
+    def _persist(self, ready: Ready) -> None:
+        stored = self.persistent_state
+        stored.term = ready.term
+        stored.vote = "" if self.cluster.forgets_votes else ready.vote
+        stored.founded = ready.founded
+        if ready.whole:
+            stored.kept = ready.whole
+            stored.entries = []
+        if ready.entries:
+            del stored.entries[ready.first - stored.kept.index - 1 :]
+            stored.entries += ready.entries
+
+    def _send_messages(self, ready: Ready) -> None:
+        for receiver, message in ready.send:
+            self.cluster.send_message(self, receiver, message)
--- a/tests/planted.py
+++ b/tests/planted.py
@@ -11,6 +11,7 @@
 from crankfold.simulation.consensus_cluster import (
     ClusterCase,
     ClusterFault,
+    ClusterFaultKind,
     SimulatedCluster,
     random_scenario,
 )
@@ -105,16 +106,16 @@
 def restless(seed: int) -> ClusterCase:
     """Voters die often and are back at once, with disks that take a while and messages that overtake."""
     luck = Random(f"restless {seed}")
-    troubles = [ClusterFault("delay", 0, 100_000, magnitude=luck.choice((200, 1000)))]
+    troubles = [ClusterFault(ClusterFaultKind.DELAY, 0, 100_000, magnitude=luck.choice((200, 1000)))]
     for voter in ("v0", "v1", "v2"):
         troubles += [
-            ClusterFault("disk", at, at + luck.choice((400, 2500)), voter)
+            ClusterFault(ClusterFaultKind.SLOW_DISK, at, at + luck.choice((400, 2500)), voter)
             for at in range(luck.randrange(6000), 100_000, 5500)
         ]
         at = luck.randrange(6000, 14_000)
         while at < 100_000:
             down = luck.choice((2, 20, 2000))
-            troubles.append(ClusterFault("kill", at, at + down, voter))
+            troubles.append(ClusterFault(ClusterFaultKind.KILL, at, at + down, voter))
             at += down + luck.randrange(1500, 9000)
     return ClusterCase(
         follower_count=0, seed=seed, publish_every=0.15, with_load=False, faults=tuple(troubles)
@@ -124,14 +125,15 @@
 def elections(seed: int) -> ClusterCase:
     """All start together, again and again, and messages take a part of an election's time."""
     luck = Random(f"elections {seed}")
-    troubles = [ClusterFault("delay", 0, 100_000, magnitude=1500)]
+    troubles = [ClusterFault(ClusterFaultKind.DELAY, 0, 100_000, magnitude=1500)]
     for at in range(9000, 100_000, 9000):
         troubles += [
-            ClusterFault("kill", at, at + 500 + luck.randrange(20), voter) for voter in ("v0", "v1", "v2")
+            ClusterFault(ClusterFaultKind.KILL, at, at + 500 + luck.randrange(20), voter)
+            for voter in ("v0", "v1", "v2")
         ]
         # Who has voted dies and is back at once.
         back = at + 500 + luck.randrange(3000, 6000)
-        troubles.append(ClusterFault("kill", back, back + 2, luck.choice(("v0", "v1", "v2"))))
+        troubles.append(ClusterFault(ClusterFaultKind.KILL, back, back + 2, luck.choice(("v0", "v1", "v2"))))
     return ClusterCase(
         follower_count=0, seconds=12.0, seed=seed, publish_every=0.3, with_load=False, faults=tuple(troubles)
     )
@@ -143,10 +145,10 @@
     behind, lost, gone = luck.sample(("v0", "v1", "v2"), 3)
     at = luck.randrange(25_000, 40_000)
     troubles = (
-        ClusterFault("loss", at, at + 20_000, behind),
-        ClusterFault("loss", at, at + 20_000, "", behind),
-        ClusterFault("wipe", at + 19_000, at + 19_500, lost),
-        ClusterFault("kill", at + 19_100, 95_000, gone),
+        ClusterFault(ClusterFaultKind.LOSS, at, at + 20_000, behind),
+        ClusterFault(ClusterFaultKind.LOSS, at, at + 20_000, "", behind),
+        ClusterFault(ClusterFaultKind.WIPE, at + 19_000, at + 19_500, lost),
+        ClusterFault(ClusterFaultKind.KILL, at + 19_100, 95_000, gone),
     )
     return ClusterCase(follower_count=1, seed=seed, publish_every=0.3, with_load=False, faults=troubles)
 
@@ -158,9 +160,9 @@
     for begin in range(20_000, 100_000, 40_000):
         at = luck.choice(("f0", "v0", "v1", "v2"))
         troubles += [
-            ClusterFault("delay", begin - 9000, begin, receiver=at, magnitude=8000),
-            ClusterFault("loss", begin, begin + 30_000, at),
-            ClusterFault("loss", begin, begin + 30_000, "", at),
+            ClusterFault(ClusterFaultKind.DELAY, begin - 9000, begin, receiver=at, magnitude=8000),
+            ClusterFault(ClusterFaultKind.LOSS, begin, begin + 30_000, at),
+            ClusterFault(ClusterFaultKind.LOSS, begin, begin + 30_000, "", at),
         ]
     return ClusterCase(
         follower_count=1, seed=seed, publish_every=0.15, with_load=False, faults=tuple(troubles)
--- a/tests/planted_works.py
+++ b/tests/planted_works.py
@@ -17,7 +17,7 @@
 from crankfold.maintenance.specification import WorkMethod
 from crankfold.maintenance.state import MaintenanceState
 from crankfold.maintenance.transitions import ALLOWED_FROM, MaintenancePhase, Transition
-from crankfold.simulation.consensus_cluster import ClusterCase, ClusterFault
+from crankfold.simulation.consensus_cluster import ClusterCase, ClusterFault, ClusterFaultKind
 from crankfold.simulation.maintenance_fleet import MaintenanceCase, MaintenanceFleet, draw_case
 
 
@@ -134,7 +134,9 @@
     troubles: list[ClusterFault] = []
     for begin in range(30_000, 200_000, 25_000):
         at = luck.choice(("v0", "v1", "v2", "f0", "f1"))
-        troubles += [ClusterFault("loss", begin, begin + 20_000, *ends) for ends in ((at, ""), ("", at))]
+        troubles += [
+            ClusterFault(ClusterFaultKind.LOSS, begin, begin + 20_000, *ends) for ends in ((at, ""), ("", at))
+        ]
     case = ClusterCase(seed=seed, seconds=22.0, publish_every=9.0, faults=tuple(troubles))
     return MaintenanceCase(case, ALL_MACHINES_JOBS, work_duration=2000)
 
@@ -149,7 +151,7 @@
     losses = tuple((at, at + 3000, f"m{luck.randrange(9)}") for at in range(20_000, 180_000, 4000))
     works = {"disks": {**ALL_MACHINES_JOBS["disks"], "at-once": 3}}
     slow = tuple(
-        ClusterFault("disk", at, at + 6000, voter)
+        ClusterFault(ClusterFaultKind.SLOW_DISK, at, at + 6000, voter)
         for at in range(20_000, 200_000, 6500)
         for voter in ("v0", "v1", "v2")
     )
--- a/tests/test_accord.py
+++ b/tests/test_accord.py
@@ -25,6 +25,7 @@
 from crankfold.simulation.consensus_cluster import (
     ClusterCase,
     ClusterFault,
+    ClusterFaultKind,
     SimulatedCluster,
     random_scenario,
     settings_document,
@@ -74,7 +75,7 @@
 
     def test_the_same_seed_gives_the_same_day(self) -> None:
         one, other = (SimulatedCluster(random_scenario(7)).run() for _ in range(2))
-        self.assertEqual(one.state_by_index, other.state_by_index)
+        self.assertEqual(one.invariants.state_by_index, other.invariants.state_by_index)
         self.assertEqual(one.message_counts, other.message_counts)
 
 
@@ -137,36 +138,40 @@
 
     def test_the_leader_sleeps_in_the_middle_of_a_publish_for_longer_than_its_lease(self) -> None:
         leader = self.leader_of()
-        fleet = self.play(ClusterFault("pause", 40_000, 65_000, leader))
+        fleet = self.play(ClusterFault(ClusterFaultKind.PAUSE, 40_000, 65_000, leader))
         self.assertEqual(len(self.agreed(fleet)), 1)
-        self.assertGreater(len(set(fleet.leaders_by_term.values())), 1)
+        self.assertGreater(len(set(fleet.invariants.leaders_by_term.values())), 1)
 
     def test_one_that_hears_and_is_not_heard(self) -> None:
         leader = self.leader_of()
         for at in VOTERS:
-            fleet = self.play(ClusterFault("loss", 40_000, 90_000, at))
+            fleet = self.play(ClusterFault(ClusterFaultKind.LOSS, 40_000, 90_000, at))
             self.assertEqual(len(self.agreed(fleet)), 1)
             if at != leader:  # nobody else is led astray
-                self.assertEqual(len(set(fleet.leaders_by_term.values())), 1)
+                self.assertEqual(len(set(fleet.invariants.leaders_by_term.values())), 1)
 
     def test_two_halves_that_each_reach_one_common_voter(self) -> None:
-        cut = [ClusterFault("loss", 30_000, 90_000, a, b) for a, b in (("v0", "v2"), ("v2", "v0"))]
+        cut = [
+            ClusterFault(ClusterFaultKind.LOSS, 30_000, 90_000, a, b) for a, b in (("v0", "v2"), ("v2", "v0"))
+        ]
         fleet = self.play(*cut)
         self.assertEqual(len(self.agreed(fleet)), 1)
-        self.assertLess(len(fleet.leaders_by_term), 5)  # the two do not go on unseating one another
+        self.assertLess(
+            len(fleet.invariants.leaders_by_term), 5
+        )  # the two do not go on unseating one another
 
     def test_a_link_that_flaps_faster_than_an_election(self) -> None:
         cut = [
-            ClusterFault("loss", at, at + 1000, *ends)
+            ClusterFault(ClusterFaultKind.LOSS, at, at + 1000, *ends)
             for at in range(30_000, 90_000, 2000)
             for ends in (("v2", ""), ("", "v2"))
         ]
         fleet = self.play(*cut)
         self.assertEqual(len(self.agreed(fleet)), 1)
-        self.assertLess(len(fleet.leaders_by_term), 5)
+        self.assertLess(len(fleet.invariants.leaders_by_term), 5)
 
     def test_the_majority_is_gone_for_a_while_and_nobody_acts(self) -> None:
-        gone = [ClusterFault("kill", 30_000, 90_000, voter) for voter in ("v0", "v1")]
+        gone = [ClusterFault(ClusterFaultKind.KILL, 30_000, 90_000, voter) for voter in ("v0", "v1")]
         held: list[int] = []
         fleet = SimulatedCluster(
             replace(ClusterCase(seconds=12.0, seed=3, with_load=False), faults=tuple(gone))
@@ -187,7 +192,7 @@
         for order in ((0, 5000, 9000), (9000, 5000, 0), (0, 0, 0)):
             fleet = self.play(
                 *(
-                    ClusterFault("kill", 40_000, 45_000 + later, voter)
+                    ClusterFault(ClusterFaultKind.KILL, 40_000, 45_000 + later, voter)
                     for voter, later in zip(VOTERS, order, strict=True)
                 )
             )
@@ -207,10 +212,10 @@
         self.assertEqual(late, 0)
 
     def test_losses_of_a_twentieth_are_lived_with(self) -> None:
-        fleet = self.play(ClusterFault("loss", 0, 120_000, magnitude=0.05))
+        fleet = self.play(ClusterFault(ClusterFaultKind.LOSS, 0, 120_000, magnitude=0.05))
         well = [told for told in fleet.outcomes.values() if told.accepted]
         self.assertGreater(len(well), 20)
-        self.assertLessEqual(len(fleet.leaders_by_term), 3)
+        self.assertLessEqual(len(fleet.invariants.leaders_by_term), 3)
 
     def test_two_hundred_that_lose_their_voter_do_not_fall_on_the_next_at_once(self) -> None:
         fleet = SimulatedCluster(
@@ -219,16 +224,16 @@
                 seconds=8.0,
                 with_load=False,
                 publish_every=99.0,
-                faults=(ClusterFault("kill", 40_000, 200_000, "v2"),),
+                faults=(ClusterFault(ClusterFaultKind.KILL, 40_000, 200_000, "v2"),),
             )
         )
         came: dict[tuple[str, int], set[str]] = {}
         arrive = fleet._message_arrived
 
-        def counted(sender: str, to: str, message: Message) -> None:
+        def counted(sender: str, receiver: str, message: Message) -> None:
             if isinstance(message, FollowerHeartbeat) and fleet.events.now > 40_000:
-                came.setdefault((to, fleet.events.now // 100), set()).add(sender)
-            arrive(sender, to, message)
+                came.setdefault((receiver, fleet.events.now // 100), set()).add(sender)
+            arrive(sender, receiver, message)
 
         fleet._message_arrived = counted  # type: ignore[method-assign]
         fleet.run()
--- a/tests/test_yard.py
+++ b/tests/test_yard.py
@@ -11,7 +11,7 @@
 from crankfold.maintenance.state import MaintenanceState
 from crankfold.network.metrics import Metrics
 from crankfold.service.maintenance_agent import MaintenanceAgent
-from crankfold.simulation.consensus_cluster import ClusterCase, ClusterFault
+from crankfold.simulation.consensus_cluster import ClusterCase, ClusterFault, ClusterFaultKind
 from crankfold.simulation.maintenance_fleet import MaintenanceCase, MaintenanceFleet, draw_case
 from tests.planted_works import ALL_MACHINES_JOBS, PLANTED_FAULTS, isolated_members
 from tests.scene import Kept
@@ -57,7 +57,7 @@
             for n in range(20)
         }
         deaths = tuple(
-            ClusterFault("kill", 60_000 + 70_000 * n, 68_000 + 70_000 * n, name)
+            ClusterFault(ClusterFaultKind.KILL, 60_000 + 70_000 * n, 68_000 + 70_000 * n, name)
             for n, name in enumerate(("v0", "f0", "v1", "f1", "v2"))
         )
         yard = MaintenanceFleet(
@@ -77,7 +77,10 @@
 
     def test_the_same_seed_gives_the_same_day(self) -> None:
         one, other = (MaintenanceFleet(isolated_members(3)).run() for _ in range(2))
-        self.assertEqual((one.state_by_index, one.request_count), (other.state_by_index, other.request_count))
+        self.assertEqual(
+            (one.invariants.state_by_index, one.request_count),
+            (other.invariants.state_by_index, other.request_count),
+        )
 
 
 class Transitions(Kept):
