--- a/benchmarks/agreement.py
+++ b/benchmarks/agreement.py
@@ -21,8 +21,9 @@
 from typing import Any
 
 from crankfold.cluster.raft_storage import RaftStorage
-from crankfold.consensus.messages import LogEntry, Snapshot, Timing
-from crankfold.consensus.raft import Ready
+from crankfold.consensus.messages import LogEntry, Snapshot
+from crankfold.consensus.raft_state import Ready
+from crankfold.consensus.timing import Timing
 from crankfold.consensus.voter import Voter
 from crankfold.fault_injection.harness import TrialHarness
 from crankfold.fault_injection.plan import PublishSpecification, TrialPlan
@@ -30,6 +31,7 @@
 from crankfold.simulation.consensus_cluster import (
     ClusterCase,
     ClusterFault,
+    IdleHost,
     SimulatedCluster,
     settings_document,
 )
@@ -445,16 +447,15 @@
                     "n0",
                     again.persistent_state,
                     {"n0": ""},
-                    Timing(20_000),
-                    0,
-                    1,
-                    1,
-                    again.folder_id,
-                    lambda doc, text: "",
-                    None,
+                    timing=Timing(20_000),
+                    now=0,
+                    seed=1,
+                    incarnation=1,
+                    folder_id=again.folder_id,
+                    host=IdleHost(),
                 )
-                voter.raft.commit_index = voter.raft.last_index()
-                voter._process(1)
+                voter.raft.commit_index = voter.raft.log.last_index()
+                voter.process(1)
                 spans.append((time.perf_counter() - began) * 1000)
                 again.close()
         rows.append((count, size, f"{sorted(spans)[2]:.1f}"))
--- a/crankfold/cluster/__init__.py
+++ b/crankfold/cluster/__init__.py
@@ -1,1 +1,1 @@
-"""Members of a fleet over sockets and on disk. Not imported unless the configuration has `peers`."""
+"""A cluster member's sockets, storage and clock. Not imported unless the configuration has `peers`."""
--- /dev/null
+++ b/crankfold/cluster/cluster_member.py
@@ -0,0 +1,257 @@
+"""One cluster member at work: its consensus state machine on sockets, storage and clock."""
+
+import asyncio
+import logging
+import secrets
+from pathlib import Path
+from typing import Any, Protocol
+
+from crankfold.cluster.clock import TICKS_PER_SECOND, boottime_ticks
+from crankfold.cluster.config import ClusterConfig, parse_address
+from crankfold.cluster.framing import PROTOCOL_VERSION, Hello
+from crankfold.cluster.raft_storage import RaftStorage
+from crankfold.cluster.status import cluster_status
+from crankfold.cluster.transport import Transport
+from crankfold.consensus.follower import Follower
+from crankfold.consensus.member import VoterHost
+from crankfold.consensus.messages import Message, ProposalResponse
+from crankfold.consensus.raft_state import Ready
+from crankfold.consensus.timing import Timing
+from crankfold.consensus.voter import Voter
+from crankfold.network.metrics import Metrics
+
+SEED_BITS = 62
+INCARNATION_BITS = 48
+MIN_TICK_INTERVAL = 5  # ticks
+CLOSE_POLL_INTERVAL = 0.01  # seconds
+
+logger = logging.getLogger(__name__)
+
+
+class MemberOwner(Protocol):
+    """The node that a member belongs to."""
+
+    def documents_changed(self, member: "ClusterMember", names: set[str]) -> None:
+        """What may be acted on of these documents changed at the member."""
+
+    def applied(self) -> None:
+        """The log may have been applied further."""
+
+    def proposal_answered(self, response: ProposalResponse) -> None:
+        """There is an outcome of a proposal that was made here."""
+
+    def propose_transitions(self, member: "ClusterMember", now: int) -> list[dict[str, Any]]:
+        """The transitions of machines in maintenance to propose at `now`."""
+
+
+class ClusterMember:
+    """A voter or a follower, carried out.
+
+    Attributes:
+        consensus: Its state machine.
+        storage: That of a voter; None for a follower.
+        disabled_reason: Why a voter takes no part any more; empty if it does.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        storage: RaftStorage | None,
+        *,
+        config: ClusterConfig,
+        metrics: Metrics,
+        owner: MemberOwner,
+        host: VoterHost,
+        initial_settings: dict[str, Any],
+    ) -> None:
+        """A voter with that storage, or a follower without one; `open` starts it."""
+        self.disabled_reason = ""
+        self._config = config
+        self._metrics = metrics
+        self.storage = storage
+        self._owner = owner
+        self._loop = asyncio.get_running_loop()
+        incarnation = secrets.randbits(INCARNATION_BITS)
+        timing = Timing(int(config.staleness_bound * TICKS_PER_SECOND))
+        seed = secrets.randbits(SEED_BITS)
+        self.consensus: Voter | Follower
+        if storage:
+            if storage.startup_notice:
+                logger.info("%s", storage.startup_notice)
+            self.consensus = Voter(
+                name,
+                storage.persistent_state,
+                dict(config.voters),
+                timing=timing,
+                now=boottime_ticks(),
+                seed=seed,
+                incarnation=incarnation,
+                folder_id=storage.folder_id,
+                host=host,
+                coordinator=self,
+                initial_settings=initial_settings,
+            )
+        else:
+            self.consensus = Follower(
+                name,
+                list(config.voters),
+                timing=timing,
+                now=boottime_ticks(),
+                seed=seed,
+                incarnation=incarnation,
+                host=host,
+            )
+        hello = Hello(PROTOCOL_VERSION, name, incarnation, storage.folder_id if storage else "")
+        others = {voter: parse_address(at) for voter, at in config.voters.items() if voter != name}
+        self._transport = Transport(hello, others, metrics=metrics, handler=self)
+        self._syncing = False
+        self._closed = False
+        self._tick_timer: asyncio.TimerHandle | None = None
+
+    async def open(self) -> None:
+        """Listens, if it is a voter, and starts.
+
+        Raises:
+            OSError: The address cannot be listened at.
+        """
+        if self.storage:
+            await self._transport.open(*parse_address(self._config.listen_address))
+        self._tick()
+
+    def has_lease(self) -> bool:
+        """Whether it may act on its documents at this moment."""
+        return not self.disabled_reason and self.consensus.has_lease(boottime_ticks())
+
+    def inactive_reason(self) -> str:
+        """Why nothing is acted on; empty if it is."""
+        if self.disabled_reason:
+            return self.disabled_reason
+        if not self.consensus.has_lease(boottime_ticks()):
+            nothing_applied = "nothing heard of the fleet yet"
+            isolated = "cut off from the majority" if self.consensus.last_applied else nothing_applied
+            return self.consensus.rejection_reason or isolated
+        return "" if self.consensus.effective_content("settings") else "no settings count yet"
+
+    def status(self) -> dict[str, Any]:
+        """The cluster as this member sees it."""
+        return cluster_status(
+            self.consensus,
+            boottime_ticks(),
+            acts=self.has_lease(),
+            inactive_reason=self.inactive_reason(),
+        )
+
+    def propose(self, proposal_id: str, kind: str, data: dict[str, Any]) -> None:
+        """Proposes an entry; the owner is told the outcome."""
+        self.consensus.propose(boottime_ticks(), proposal_id, kind, data)
+        self._process_output()
+
+    # --- events ---
+
+    def admission_error(self, hello: Hello) -> str:
+        """Why the sender of a hello is not admitted; empty if it is."""
+        if not isinstance(self.consensus, Voter):
+            return "no voter"
+        return self.consensus.admission_error(hello.name, hello.folder_id) if hello.folder_id else ""
+
+    def propose_transitions(self, now: int) -> list[dict[str, Any]]:
+        """The transitions of machines in maintenance to propose now."""
+        return self._owner.propose_transitions(self, now)
+
+    def handle_message(self, sender: str, message: Message) -> None:
+        """Takes a message of another member."""
+        if self.disabled_reason or self._closed:
+            return
+        try:
+            self.consensus.receive(boottime_ticks(), sender, message)
+        except Exception as error:
+            self._metrics.record_exception(error)
+            if __debug__:
+                raise
+        self._process_output()
+
+    def _tick(self) -> None:
+        if self._closed or self.disabled_reason:
+            return
+        self.consensus.tick(boottime_ticks())
+        self._process_output()
+        wait = max(self.consensus.next_deadline() - boottime_ticks(), MIN_TICK_INTERVAL)
+        self._tick_timer = self._loop.call_later(wait / TICKS_PER_SECOND, self._tick)
+
+    # --- output ---
+
+    def _process_output(self) -> None:
+        """Carries out what an event brought: what is acted on first, then storage, then messages."""
+        consensus = self.consensus
+        if consensus.changed_documents:
+            changed = consensus.changed_documents
+            consensus.changed_documents = set()
+            self._owner.documents_changed(self, changed)
+        self._owner.applied()
+        for response in consensus.proposal_responses:
+            self._owner.proposal_answered(response)
+        consensus.proposal_responses.clear()
+        if isinstance(consensus, Voter):
+            self._learn_addresses(consensus)
+        if self.disabled_reason:
+            return
+        self._send(consensus.take_immediate_messages())
+        if isinstance(consensus, Voter) and not self._syncing:
+            self._store_and_send(consensus, consensus.take_ready(boottime_ticks()))
+
+    def _learn_addresses(self, voter: Voter) -> None:
+        """Voters may have been added since this process started."""
+        for name, address in voter.raft.voters.items():
+            if name not in self._transport.addresses and name != voter.name and address:
+                self._transport.addresses[name] = parse_address(address)
+
+    def _store_and_send(self, voter: Voter, ready: Ready) -> None:
+        if ready.must_sync() and self.storage:
+            self._syncing = True
+            saving = self._loop.run_in_executor(None, self.storage.save, ready)
+            saving.add_done_callback(lambda done: self._sync_finished(voter, ready, done))
+        else:
+            self._send(ready.messages)
+
+    def _sync_finished(self, voter: Voter, ready: Ready, done: "asyncio.Future[None]") -> None:
+        self._syncing = False
+        if self._closed:
+            return
+        error = done.exception()
+        if error:
+            # Nobody knows now what is stored: this process says nothing more, and acts on nothing.
+            self.disabled_reason = f"the voter's folder failed: {error}"
+            self._metrics.increment("cluster-storage-failures")
+            logger.error("%s; this voter is disabled until its process is restarted", self.disabled_reason)
+            return
+        self._send(ready.messages)
+        voter.advance(boottime_ticks(), ready)
+        self._process_output()
+
+    def _send(self, messages: list[tuple[str, Message]]) -> None:
+        for receiver, message in messages:
+            self._transport.send(receiver, message)
+
+    async def close(self) -> None:
+        """Ends it; a follower gives its lease back."""
+        self._closed = True
+        if self._tick_timer:
+            self._tick_timer.cancel()
+        if isinstance(self.consensus, Follower):
+            self.consensus.leave(boottime_ticks())
+            self._send(self.consensus.take_immediate_messages())
+            await asyncio.sleep(0)
+        await self._transport.close()
+        if self.storage:
+            while self._syncing:
+                await asyncio.sleep(CLOSE_POLL_INTERVAL)
+            self.storage.close()
+
+
+def open_storage(config: ClusterConfig) -> RaftStorage:
+    """The storage of the voter that is configured.
+
+    Raises:
+        StorageError: It cannot be used.
+    """
+    return RaftStorage(Path(config.storage_folder), config.name)
--- /dev/null
+++ b/crankfold/consensus/follower.py
@@ -0,0 +1,122 @@
+"""A member without a vote: it takes the committed log from a voter, and from another one when that fails."""
+
+from typing import Any
+
+from crankfold.consensus.member import Member, MemberHost
+from crankfold.consensus.messages import (
+    FollowerHeartbeat,
+    FollowerUpdate,
+    Leave,
+    Message,
+    ProposalRequest,
+    ProposalResponse,
+    Rejection,
+)
+from crankfold.consensus.random_numbers import RandomNumbers
+from crankfold.consensus.timing import Timing
+
+
+class Follower(Member):
+    """A member that holds its lease from one of the voters.
+
+    Attributes:
+        voter: The name of that voter.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        voters: list[str],
+        *,
+        timing: Timing,
+        now: int,
+        seed: int,
+        incarnation: int,
+        host: MemberHost,
+    ) -> None:
+        """Starts with a voter drawn by `seed` from the names in `voters`."""
+        super().__init__(name, timing=timing, now=now, incarnation=incarnation, host=host)
+        self._voters = sorted(voters)
+        self._random = RandomNumbers(seed)
+        self.voter = self._voters[self._random.below(len(self._voters))]
+        self._messages: list[tuple[str, Message]] = []
+        self._voter_contact_at = now
+        self._heartbeat_due_at = now + self._random.below(timing.renew_interval)
+
+    def next_deadline(self) -> int:
+        """When `tick` is due."""
+        return self._heartbeat_due_at
+
+    def take_immediate_messages(self) -> list[tuple[str, Message]]:
+        """What is to be sent, each message with its receiver."""
+        messages = self._messages
+        self._messages = []
+        return messages
+
+    def tick(self, now: int) -> None:
+        """Does what is due at `now`: a heartbeat, or the turn to another voter."""
+        if now < self._heartbeat_due_at:
+            return
+        if now - self._voter_contact_at > self.timing.contact_timeout:
+            self._switch_voter(now)
+        else:
+            self._send_heartbeat(now)
+
+    def _switch_voter(self, now: int) -> None:
+        """Turns to one at random, at a random time: not all that lost a voter shall fall on the same one."""
+        others = [voter for voter in self._voters if voter != self.voter] or self._voters
+        self.voter = others[self._random.below(len(others))]
+        self._voter_contact_at = now
+        self._heartbeat_due_at = now + self._random.below(self.timing.renew_interval)
+
+    def _send_heartbeat(self, now: int) -> None:
+        interval = self.timing.renew_interval
+        self._heartbeat_due_at = now + interval * 3 // 4 + self._random.below(interval // 2)
+        heartbeat = FollowerHeartbeat(
+            name=self.name,
+            incarnation=self.incarnation,
+            sent_at=now,
+            last_applied=self.last_applied,
+            quiesced_index=self.quiesced_index(),
+            quota_usage=self.host.quota_usage(),
+            maintenance_report=self.host.maintenance_report(),
+        )
+        self._messages.append((self.voter, heartbeat))
+
+    def propose(self, now: int, proposal_id: str, kind: str, data: dict[str, Any]) -> None:
+        """Sends a proposal towards the leader; the outcome comes in `proposal_responses`."""
+        self._messages.append((self.voter, ProposalRequest(proposal_id, kind, data)))
+
+    def leave(self, now: int) -> None:
+        """Gives the lease and the name back."""
+        self.lease_expires_at = min(self.lease_expires_at, now)
+        self._messages.append((self.voter, Leave(self.name, self.incarnation)))
+
+    def receive(self, now: int, sender: str, message: Message) -> None:
+        """Takes a message of a voter."""
+        if isinstance(message, ProposalResponse):
+            self.proposal_responses.append(message)
+        elif isinstance(message, Rejection):
+            self.rejection_reason = message.reason
+            self._voter_contact_at = now
+        elif isinstance(message, FollowerUpdate):
+            self._handle_update(now, sender, message)
+
+    def _handle_update(self, now: int, sender: str, update: FollowerUpdate) -> None:
+        if sender == self.voter:
+            self._voter_contact_at = now
+        self.rejection_reason = ""
+        applied_before = self.last_applied
+        self.cluster_applied_index = max(self.cluster_applied_index, update.cluster_applied_index)
+        if update.snapshot and update.snapshot.index > self.last_applied:
+            self._restore_snapshot(update.snapshot)
+        if update.prev_log_index <= self.last_applied:
+            for entry in update.entries[self.last_applied - update.prev_log_index :]:
+                self._apply(entry)
+        # A lease that was asked for by an earlier process counts for what that one had applied.
+        asked_by_this_process = update.request_sent_at >= self.started_at
+        up_to_date = self.last_applied >= update.voter_last_applied
+        if update.lease_duration and asked_by_this_process and up_to_date:
+            self._extend_lease(update.request_sent_at + update.lease_duration)
+        if self.last_applied > applied_before or not up_to_date:
+            self._send_heartbeat(now)  # a publish waits until all have said that they applied it
--- a/crankfold/consensus/raft.py
+++ b/crankfold/consensus/raft.py
@@ -1,16 +1,21 @@
-"""One history of entries among voters: Raft, with pre-vote, check of the majority, snapshots and single
-changes of the voters (Ongaro and Ousterhout 2014; Ongaro's dissertation, 4.1, 5, 6.4, 9.6).
+"""One node of the Raft consensus algorithm, without I/O.
 
-It reads no clock and touches no disk. What it wants kept and sent is taken as a `Batch`: all of it has to
-be on the disk before any of `send` leaves, and then `kept` is called. Only what is on the own disk counts
-towards a majority. What claims nothing of the disk is taken by `take_early`.
+Ongaro and Ousterhout 2014, with these parts of Ongaro's dissertation: pre-vote (9.6), a leader that steps
+down without contact to a quorum (6.2), leases by heartbeat rounds (6.4), log compaction (5) and changes of
+one voter at a time (4.1).
+
+The node reads no clock and touches no storage. Its owner calls `tick` at `next_deadline` and `receive` for
+each message, then stores what `take_ready` gives, sends its messages and calls `advance`. The messages of
+`take_immediate_messages` claim nothing about the storage and may be sent at once. Only entries on the node's
+own stable storage count towards a majority.
+
+Times and durations are ticks of a tenth of a millisecond.
 """
 
-from collections.abc import Callable, Iterable
 from typing import Any
 
-from msgspec import Struct, field
-
+from crankfold.consensus.errors import MembershipChangeError
+from crankfold.consensus.log_entries import EntryKind
 from crankfold.consensus.messages import (
     AppendEntries,
     AppendEntriesResponse,
@@ -19,178 +24,103 @@
     Message,
     RequestVote,
     RequestVoteResponse,
-    Snapshot,
-    Timing,
 )
+from crankfold.consensus.progress import ProgressTracker
+from crankfold.consensus.raft_log import RaftLog
+from crankfold.consensus.raft_state import PersistentState, Ready, ReadyBuilder, Role
+from crankfold.consensus.random_numbers import RandomNumbers
+from crankfold.consensus.timing import Timing
+from crankfold.consensus.voter_registry import VoterRegistry
 
-MAX_ENTRIES_PER_APPEND = 64  # entries in one message
-FOLLOWER, CANDIDATE, LEADER = "following", "standing", "leading"
-
-
-class Ready(Struct):
-    """In this order: `whole` replaces all, entries from `first` on replace what stood there."""
-
-    term: int
-    vote: str
-    founded: bool = False
-    turned: bool = False  # term or vote are new
-    whole: Snapshot | None = None
-    first: int = 0
-    entries: list[LogEntry] = field(default_factory=list)
-    send: list[tuple[str, Message]] = field(default_factory=list)
-
-    def must_sync(self) -> bool:
-        return self.turned or self.whole is not None or bool(self.entries)
-
-
-class PersistentState(Struct):
-    """What a voter's folder holds at its start."""
-
-    term: int = 0
-    vote: str = ""
-    founded: bool = False  # took part in an election before there was any history
-    kept: Snapshot = Snapshot(0, 0, {}, b"")
-    entries: list[LogEntry] = field(default_factory=list)
-
-
-def _any(last: int) -> bool:
-    return True
-
-
-def _none(names: set[str]) -> dict[str, str]:
-    return {}
+MAX_ENTRIES_PER_APPEND = 64
 
 
 class Raft:
+    """A voter's part in elections and replication.
+
+    Attributes:
+        term: The current term.
+        vote: Whom this node voted for in it; empty for nobody.
+        founding_member: Voted before there was any log.
+        role: Its role in the term.
+        leader: The leader of the term, if known; else empty.
+        log: Its log.
+        commit_index: The log is committed up to here, as far as this node knows.
+        progress: While leading, how far the other voters' logs agree.
+        leader_since: When it became leader, if it is one.
+        term_start_index: Of its first entry as a leader; it knows what is committed once that entry is.
+        cluster_applied_index: Every member that may act has applied the log up to here, as far as known.
+    """
+
     def __init__(
-        self, me: str, stored: PersistentState, voters: dict[str, str], timing: Timing, now: int, seed: int
+        self,
+        name: str,
+        stored: PersistentState,
+        initial_voters: dict[str, str],
+        *,
+        timing: Timing,
+        now: int,
+        seed: int,
+        registry: VoterRegistry,
     ) -> None:
-        self.name, self.timing, self.random_state = me, timing, seed & 0xFFFFFFFFFFFFFFFF
-        self.term, self.vote, self.founding_member = stored.term, stored.vote, stored.founded
-        self.snapshot = (
-            stored.kept if stored.kept.index or stored.kept.voters else Snapshot(0, 0, voters, b"")
-        )
-        self.entries = list(stored.entries)
-        self.voters = self._latest_voters()
-        self.commit_index = self.snapshot.index
-        self.durable_index = self.last_index()
-        self.role, self.leader = FOLLOWER, ""
-        self.leader_contact_at = (
-            now - timing.election_timeout * 2
-        )  # of a leader; nobody is protected at the start
+        """Starts as a follower from `stored`.
+
+        `initial_voters` are addresses by name, and count while nothing is stored; `seed` is that of the
+        randomized election timeouts; `registry` says whether this node may vote.
+        """
+        self.name = name
+        self.timing = timing
+        self.registry = registry
+        self.random = RandomNumbers(seed)
+        self.term = stored.term
+        self.vote = stored.vote
+        self.founding_member = stored.founding_member
+        self.log = RaftLog(stored, initial_voters)
+        self.commit_index = self.log.snapshot.index
+        self.cluster_applied_index = 0
+        self.role = Role.FOLLOWER
+        self.leader = ""
         self.votes_granted: set[str] = set()
-        self.pre_vote = False
-        self.next_index: dict[str, int] = {}
-        self.match_index: dict[str, int] = {}
-        self.round_number, self.round_sent_at = 0, dict[int, int]()
-        self.acked_round: dict[str, int] = {}
-        self.leader_since, self.term_start_index = 0, 0
-        self.cluster_applied_index = 0  # up to here all act that may act, as far as is known here
-        self.heartbeat_due_at, self.election_due_at = now, 0
-        self.pending_ready = Ready(self.term, self.vote, self.founding_member)
-        self.sync_started_at, self.sync_duration = (
-            -1,
-            0,
-        )  # when what is being kept was taken; how long that took of late
-        self.hard_state_unsynced = False  # the present term or vote is not on the disk yet
-        self.immediate_messages: list[tuple[str, Message]] = []  # what need not wait for the disk
-        # Whether this voter may take part in an election of one whose log is so long; its folder may be new.
-        self.may_vote: Callable[[int], bool] = _any
-        self.folder_ids_of: Callable[[set[str]], dict[str, str]] = _none
+        self.pre_vote = False  # whether the votes are pre-votes
+        self.progress = ProgressTracker(name)
+        self.leader_since = 0
+        self.term_start_index = 0
+        self.leader_contact_at = now - timing.election_timeout * 2  # no leader is protected at the start
+        self.heartbeat_due_at = now
+        self.election_due_at = 0
+        self._output = ReadyBuilder(stored)
         self._reset_election_timer(now)
 
-    # --- the log ---
-
-    def last_index(self) -> int:
-        return self.snapshot.index + len(self.entries)
-
-    def term_at(self, index: int) -> int:
-        """-1 where the log does not reach."""
-        if index == self.snapshot.index:
-            return self.snapshot.term
-        if self.snapshot.index < index <= self.last_index():
-            return self.entries[index - self.snapshot.index - 1].term
-        return -1
-
-    def entries_between(self, after: int, upto: int) -> list[LogEntry]:
-        return self.entries[max(after - self.snapshot.index, 0) : max(upto - self.snapshot.index, 0)]
-
-    def _latest_voters(self) -> dict[str, str]:
-        """By the newest change in the log, agreed or not."""
-        for entry in reversed(self.entries):
-            if entry.kind == "voters":
-                return dict(entry.data["voters"])
-        return self.snapshot.voters
-
-    def _write_entries(self, first: int, entries: list[LogEntry]) -> None:
-        """From index `first` on; what stood there is replaced."""
-        at = first - self.snapshot.index - 1
-        changed = len(self.entries) > at or any(e.kind == "voters" for e in entries)
-        del self.entries[at:]
-        self.entries += entries
-        self.durable_index = min(self.durable_index, first - 1)
-        if changed:
-            self.voters = self._latest_voters()
-        if self.pending_ready.entries and first >= self.pending_ready.first:
-            del self.pending_ready.entries[first - self.pending_ready.first :]
-            self.pending_ready.entries += entries
-        else:
-            self.pending_ready.first, self.pending_ready.entries = first, list(entries)
-
-    def compact(self, index: int, state: bytes) -> None:
-        """What was applied up to `index` needs its entries no longer."""
-        if index <= self.snapshot.index:
-            return
-        # By what is agreed up to there, not by a change that may still be replaced.
-        voters = self.snapshot.voters
-        for entry in self.entries_between(self.snapshot.index, index):
-            if entry.kind == "voters":
-                voters = dict(entry.data["voters"])
-        kept = Snapshot(index, self.term_at(index), voters, state)
-        del self.entries[: index - self.snapshot.index]
-        self._adopt_snapshot(kept)
-
-    def _adopt_snapshot(self, kept: Snapshot) -> None:
-        self.snapshot, self.voters = kept, kept.voters
-        self.voters = self._latest_voters()
-        self.pending_ready.whole, self.pending_ready.first, self.pending_ready.entries = (
-            kept,
-            kept.index + 1,
-            list(self.entries),
-        )
+    @property
+    def voters(self) -> dict[str, str]:
+        """Addresses by name, by the newest change in the log."""
+        return self.log.voters
 
     # --- time ---
 
-    def _random_below(self, below: int) -> int:
-        self.random_state = (
-            self.random_state * 6364136223846793005 + 1442695040888963407
-        ) & 0xFFFFFFFFFFFFFFFF
-        return ((self.random_state >> 33) * below) >> 31
-
     def _reset_election_timer(self, now: int) -> None:
-        # A vote takes the candidate's disk and the voter's: elections shorter than these are never won.
-        longer = min(2 * self.sync_duration, 6 * self.timing.election_timeout) if not self.leader else 0
-        self.election_due_at = (
-            now
-            + longer
-            + self.timing.election_timeout
-            + self._random_below(self.timing.election_timeout + longer)
-        )
+        # A vote takes the candidate's storage and the voter's: shorter elections could never be won.
+        allowance = 0
+        if not self.leader:
+            allowance = min(2 * self._output.sync_duration, 6 * self.timing.election_timeout)
+        jitter = self.random.below(self.timing.election_timeout + allowance)
+        self.election_due_at = now + allowance + self.timing.election_timeout + jitter
 
     def next_deadline(self) -> int:
-        return self.heartbeat_due_at if self.role == LEADER else self.election_due_at
+        """When `tick` is due."""
+        return self.heartbeat_due_at if self.role == Role.LEADER else self.election_due_at
 
     def tick(self, now: int) -> None:
-        if self.role == LEADER:
+        """Does what is due at `now`: heartbeats, or an election."""
+        if self.role == Role.LEADER:
             if not self._quorum_active(now):
-                self._become_follower(
-                    now, self.term, ""
-                )  # who hears no majority must not be taken for the leader
+                # Without contact to a quorum it must not be taken for the leader.
+                self._become_follower(now, self.term)
             elif now >= self.heartbeat_due_at:
-                self._broadcast(now)
-        elif now >= self.election_due_at and self.name in self.voters and self.sync_started_at < 0:
-            if self.may_vote(self.last_index()):
-                self._campaign(now, True)
+                self.broadcast_append(now)
+        elif now >= self.election_due_at and self.name in self.voters and not self._output.syncing:
+            if self.registry.may_vote(self.log, self.log.last_index(), self.founding_member):
+                self._campaign(now, pre_vote=True)
             else:
                 self._reset_election_timer(now)
 
@@ -198,298 +128,280 @@
         since = max(self.quorum_contact_at(), self.leader_since)
         return now - since < 2 * self.timing.election_timeout
 
-    def _quorum_value(self, figure: Callable[[str], int]) -> int:
-        """The most that a majority of the voters has got to."""
-        figures = sorted(map(figure, self.voters), reverse=True)
-        return figures[len(figures) // 2] if figures else 0
-
     def quorum_contact_at(self) -> int:
-        """When the newest round was sent that a majority has answered; all that they say was said after."""
-        least = self._quorum_value(
-            lambda v: self.round_number if v == self.name else self.acked_round.get(v, 0)
-        )
-        return self.round_sent_at.get(least, -1) if least else -1
+        """While leading: when the newest round went out that a quorum has answered; -1 if there is none."""
+        return self.progress.quorum_contact_at(self.voters)
 
     # --- elections ---
 
     def _set_hard_state(self, term: int, vote: str) -> None:
-        self.term, self.vote = term, vote
-        self.founding_member = self.founding_member or bool(vote) and not self.last_index()
-        self.pending_ready.term, self.pending_ready.vote, self.pending_ready.turned = term, vote, True
-        self.pending_ready.founded = self.founding_member
-        self.hard_state_unsynced = True
+        self.term = term
+        self.vote = vote
+        self.founding_member = self.founding_member or (bool(vote) and not self.log.last_index())
+        self._output.set_hard_state(term, vote, self.founding_member)
 
-    def _become_follower(self, now: int, term: int, leader: str) -> None:
+    def _become_follower(self, now: int, term: int) -> None:
         if term > self.term:
             self._set_hard_state(term, "")
-        self.role, self.leader = FOLLOWER, leader
+        self.role = Role.FOLLOWER
+        self.leader = ""
         self._reset_election_timer(now)
 
-    def _campaign(self, now: int, trial: bool) -> None:
-        """A trial first: one that a flapping link keeps cutting off must not raise the term of all others."""
-        self.role, self.leader, self.pre_vote, self.votes_granted = CANDIDATE, "", trial, {self.name}
-        if not trial:
+    def _campaign(self, now: int, *, pre_vote: bool) -> None:
+        """Asks for votes, pre-votes first: a node behind a flapping link must not raise the term of all."""
+        self.role = Role.CANDIDATE
+        self.leader = ""
+        self.pre_vote = pre_vote
+        self.votes_granted = {self.name}
+        if not pre_vote:
             self._set_hard_state(self.term + 1, self.name)
         self._reset_election_timer(now)
-        ask = RequestVote(self.term + trial, self.last_index(), self.term_at(self.last_index()), trial)
-        self._send_to_all(ask)
+        request = RequestVote(
+            term=self.term + pre_vote,
+            last_log_index=self.log.last_index(),
+            last_log_term=self.log.last_term(),
+            pre_vote=pre_vote,
+        )
+        for voter in self.voters:
+            if voter != self.name:
+                self.send(voter, request)
         self._check_votes(now)
 
-    def _is_majority(self, names: Iterable[str]) -> bool:
-        return 2 * len(set(names) & self.voters.keys()) > len(self.voters)
-
     def _check_votes(self, now: int) -> None:
-        if self.role != CANDIDATE or not self._is_majority(self.votes_granted):
+        granted = self.votes_granted & self.voters.keys()
+        if self.role != Role.CANDIDATE or 2 * len(granted) <= len(self.voters):
             return
         if self.pre_vote:
-            self._campaign(now, False)
-            return
-        self.role, self.leader, self.leader_since = LEADER, self.name, now
-        self.next_index = {v: self.last_index() + 1 for v in self.voters}
-        self.match_index, self.acked_round, self.round_sent_at, self.round_number = {}, {}, {}, 0
-        self.term_start_index = self.last_index() + 1
-        begin: dict[str, Any] = {"by": self.name}
+            self._campaign(now, pre_vote=False)
+        else:
+            self._become_leader(now)
+
+    def _become_leader(self, now: int) -> None:
+        self.role = Role.LEADER
+        self.leader = self.name
+        self.leader_since = now
+        self.progress.reset(self.voters, self.log.last_index())
+        self.term_start_index = self.log.last_index() + 1
+        data: dict[str, Any] = {"by": self.name}
         if self.term_start_index == 1:
-            begin["folders"] = self.folder_ids_of(
-                self.votes_granted
-            )  # or those that made the first majority had no vote
-        self._write_entries(self.term_start_index, [LogEntry(self.term, "begin", begin)])
-        self._broadcast(now)
-
-    def _handle_request_vote(self, now: int, sender: str, ask: RequestVote) -> None:
-        mine = self.term_at(self.last_index()), self.last_index()
-        fit = (ask.last_log_term, ask.last_log_index) >= mine and self.may_vote(ask.last_log_index)
-        # Who hears a leader lets nobody else stand.
-        led = (
-            self.role == LEADER or self.leader and now - self.leader_contact_at < self.timing.election_timeout
+            # Otherwise those that made the first majority would have no vote later.
+            data["folders"] = self.registry.folder_ids_of(self.votes_granted)
+        self._write_entries(self.term_start_index, [LogEntry(self.term, EntryKind.NO_OP, data)])
+        self.broadcast_append(now)
+
+    def _handle_request_vote(self, now: int, sender: str, request: RequestVote) -> None:
+        own_position = self.log.last_term(), self.log.last_index()
+        up_to_date = (request.last_log_term, request.last_log_index) >= own_position
+        eligible = up_to_date and self.registry.may_vote(
+            self.log, request.last_log_index, self.founding_member
         )
-        if ask.pre_vote:
-            self.send(sender, RequestVoteResponse(ask.term, True, fit and not led and ask.term > self.term))
-            return
-        if led and ask.term > self.term:
+        leader_active = self.role == Role.LEADER or (
+            self.leader != "" and now - self.leader_contact_at < self.timing.election_timeout
+        )
+        if request.pre_vote:
+            granted = eligible and not leader_active and request.term > self.term
+            self.send(sender, RequestVoteResponse(request.term, pre_vote=True, vote_granted=granted))
             return
-        if ask.term > self.term:
-            self._become_follower(now, ask.term, "")
-        yes = ask.term == self.term and fit and self.vote in ("", sender)
-        if yes:
+        if leader_active and request.term > self.term:
+            return  # a node in contact with a leader lets no other campaign
+        if request.term > self.term:
+            self._become_follower(now, request.term)
+        granted = request.term == self.term and eligible and self.vote in ("", sender)
+        if granted:
             if not self.vote:
                 self._set_hard_state(self.term, sender)
             self._reset_election_timer(now)
-        self.send(sender, RequestVoteResponse(self.term, False, yes))
+        self.send(sender, RequestVoteResponse(self.term, pre_vote=False, vote_granted=granted))
+
+    def _handle_request_vote_response(self, now: int, sender: str, response: RequestVoteResponse) -> None:
+        if not response.pre_vote and response.term > self.term:
+            self._become_follower(now, response.term)
+        elif (
+            response.vote_granted
+            and self.role == Role.CANDIDATE
+            and response.pre_vote == self.pre_vote
+            and response.term == self.term + self.pre_vote
+        ):
+            self.votes_granted.add(sender)
+            self._check_votes(now)
+
+    # --- the log ---
+
+    def _write_entries(self, first_index: int, entries: list[LogEntry]) -> None:
+        self.log.write(first_index, entries)
+        self._output.write_entries(first_index, entries)
+
+    def compact(self, index: int, state: bytes) -> None:
+        """Replaces the entries up to `index`, which are applied, by a snapshot of `state`."""
+        if index > self.log.snapshot.index:
+            self.log.compact(index, state)
+            self._output.replace_log(self.log.snapshot, self.log.entries)
 
     # --- replication ---
 
-    def propose(self, now: int, kind: str, data: dict[str, Any]) -> int:
-        """The index at which it will stand if it is agreed; 0 where not leading."""
-        if self.role != LEADER:
+    def propose(self, now: int, kind: EntryKind, data: dict[str, Any]) -> int:
+        """Appends an entry; returns its index, or 0 where this node is not the leader."""
+        if self.role != Role.LEADER:
             return 0
-        self._write_entries(self.last_index() + 1, [LogEntry(self.term, kind, data)])
-        self._broadcast(now)
-        return self.last_index()
-
-    def change_voters(self, now: int, voters: dict[str, str]) -> str:
-        """One added or taken out at a time, each agreed before the next; else why not."""
-        if self.role != LEADER or self.commit_index < self.term_start_index:
-            return "no leader with a majority here"
-        if any(e.kind == "voters" for e in self.entries_between(self.commit_index, self.last_index())):
-            return "another change of the voters is under way"
-        if len(set(voters) ^ set(self.voters)) > 1:
-            return "one voter at a time"
-        if not voters:
-            return "nobody would be left"
-        for new in voters.keys() - self.voters.keys():
-            self.next_index[new] = self.last_index() + 1
-        self.propose(now, "voters", {"voters": voters})
-        return ""
-
-    def _broadcast(self, now: int) -> None:
-        self.round_number += 1
-        self.round_sent_at[self.round_number] = now
-        for old in [r for r in self.round_sent_at if r < self.round_number - 200]:
-            del self.round_sent_at[old]
+        self._write_entries(self.log.last_index() + 1, [LogEntry(self.term, kind, data)])
+        self.broadcast_append(now)
+        return self.log.last_index()
+
+    def change_voters(self, now: int, voters: dict[str, str]) -> None:
+        """Proposes to add or remove one voter; `voters` are the addresses by name after it.
+
+        Raises:
+            MembershipChangeError: It cannot be proposed here or now, or changes more than one voter.
+        """
+        if self.role != Role.LEADER or self.commit_index < self.term_start_index:
+            raise MembershipChangeError("no leader with a majority here")
+        self.log.check_voter_change(voters, self.commit_index)
+        for added in voters.keys() - self.voters.keys():
+            self.progress.next_index[added] = self.log.last_index() + 1
+        self.propose(now, EntryKind.CHANGE_VOTERS, {"voters": voters})
+
+    def broadcast_append(self, now: int) -> None:
+        """While leading: sends each voter the entries that it lacks, or a heartbeat."""
+        self.progress.begin_round(now)
         self.heartbeat_due_at = now + self.timing.heartbeat_interval
         for voter in self.voters:
             if voter != self.name:
                 self._send_append(voter)
 
     def _send_append(self, voter: str) -> None:
-        first = self.next_index.setdefault(voter, self.last_index() + 1)
-        if first <= self.snapshot.index:
-            self.send(voter, InstallSnapshot(self.term, self.snapshot, self.round_number))
+        next_index = self.progress.next_index.setdefault(voter, self.log.last_index() + 1)
+        if next_index <= self.log.snapshot.index:
+            self.send(voter, InstallSnapshot(self.term, self.log.snapshot, self.progress.round_number))
             return
-        before = first - 1
-        entries = self.entries_between(before, before + MAX_ENTRIES_PER_APPEND)
-        self.send(
-            voter,
-            AppendEntries(
-                self.term,
-                before,
-                self.term_at(before),
-                entries,
-                self.commit_index,
-                self.round_number,
-                self.cluster_applied_index,
-            ),
+        prev_index = next_index - 1
+        message = AppendEntries(
+            term=self.term,
+            prev_log_index=prev_index,
+            prev_log_term=self.log.term_at(prev_index),
+            entries=self.log.entries_between(prev_index, prev_index + MAX_ENTRIES_PER_APPEND),
+            leader_commit=self.commit_index,
+            round_number=self.progress.round_number,
+            cluster_applied_index=self.cluster_applied_index,
         )
-
-    def _handle_append_entries(self, now: int, sender: str, told: AppendEntries) -> None:
-        if told.prev_log_index < self.snapshot.index:
-            # Begins before what we keep whole: that part is agreed and the same.
-            skip = self.snapshot.index - told.prev_log_index
-            told = AppendEntries(
-                told.term,
-                self.snapshot.index,
-                self.snapshot.term,
-                told.entries[skip:],
-                told.leader_commit,
-                told.round_number,
-                told.cluster_applied_index,
-            )
-        if self.term_at(told.prev_log_index) != told.prev_log_term:
-            back = min(self.last_index(), told.prev_log_index - 1)
-            wrong = self.term_at(back)
-            while back > self.commit_index and self.term_at(back) == wrong and wrong > told.prev_log_term:
-                back -= 1
-            self.send(
-                sender,
-                AppendEntriesResponse(self.term, False, max(back, self.commit_index), told.round_number),
-            )
+        self.send(voter, message)
+
+    def _handle_append_entries(self, sender: str, message: AppendEntries) -> None:
+        prev_index = message.prev_log_index
+        prev_term = message.prev_log_term
+        entries = message.entries
+        if prev_index < self.log.snapshot.index:
+            # The part that the snapshot replaces is committed, so it is the same.
+            entries = entries[self.log.snapshot.index - prev_index :]
+            prev_index = self.log.snapshot.index
+            prev_term = self.log.snapshot.term
+        if self.log.term_at(prev_index) != prev_term:
+            retry_index = self.log.retry_index(prev_index, prev_term, self.commit_index)
+            self.send(sender, AppendEntriesResponse(self.term, False, retry_index, message.round_number))
             return
-        for n, entry in enumerate(told.entries):
-            index = told.prev_log_index + 1 + n
-            if self.term_at(index) != entry.term:
-                self._write_entries(index, told.entries[n:])
-                break
-        match = told.prev_log_index + len(told.entries)
-        self.commit_index = max(self.commit_index, min(told.leader_commit, match))
-        self.cluster_applied_index = max(self.cluster_applied_index, told.cluster_applied_index)
-        self._send_append_response(sender, match, told.round_number)
-
-    def _handle_install_snapshot(self, sender: str, told: InstallSnapshot) -> None:
-        if told.snapshot.index > self.commit_index:
-            if self.term_at(told.snapshot.index) == told.snapshot.term:
-                del self.entries[: told.snapshot.index - self.snapshot.index]
-            else:
-                self.entries = []
-            self._adopt_snapshot(told.snapshot)
-            self.commit_index = told.snapshot.index
-            self.durable_index = min(self.durable_index, self.last_index())
-        self._send_append_response(sender, max(told.snapshot.index, self.commit_index), told.round_number)
-
-    def _handle_append_response(self, now: int, sender: str, told: AppendEntriesResponse) -> None:
-        # An old leader's rounds have numbers too; its term differs, so they never come here.
-        self.acked_round[sender] = max(self.acked_round.get(sender, 0), told.round_number)
-        if not told.success:
-            self.next_index[sender] = max(min(told.match_index + 1, self.next_index.get(sender, 1) - 1), 1)
+        agreeing = self.log.count_agreeing(prev_index, entries)
+        if agreeing < len(entries):
+            self._write_entries(prev_index + agreeing + 1, entries[agreeing:])
+        match_index = prev_index + len(entries)
+        self.commit_index = max(self.commit_index, min(message.leader_commit, match_index))
+        self.cluster_applied_index = max(self.cluster_applied_index, message.cluster_applied_index)
+        self._send_append_success(sender, match_index, message.round_number)
+
+    def _handle_install_snapshot(self, sender: str, message: InstallSnapshot) -> None:
+        snapshot = message.snapshot
+        if snapshot.index > self.commit_index:
+            self.log.install(snapshot)
+            self._output.replace_log(self.log.snapshot, self.log.entries)
+            self.commit_index = snapshot.index
+        self._send_append_success(sender, max(snapshot.index, self.commit_index), message.round_number)
+
+    def _handle_append_response(self, now: int, sender: str, response: AppendEntriesResponse) -> None:
+        # Rounds of an earlier leader have other terms, so their numbers never come here.
+        self.progress.acknowledge_round(sender, response.round_number)
+        if not response.success:
+            self.progress.rejected(sender, response.match_index)
             self._send_append(sender)
             return
-        self.match_index[sender] = max(self.match_index.get(sender, 0), told.match_index)
-        before = self.next_index.get(sender, 1)
-        self.next_index[sender] = max(before, self.match_index[sender] + 1)
+        progressed = self.progress.matched(sender, response.match_index)
         self._advance_commit_index(now)
-        if self.next_index[sender] <= self.last_index() and self.next_index[sender] > before:
+        if progressed and self.progress.next_index[sender] <= self.log.last_index():
             self._send_append(sender)
 
     def _advance_commit_index(self, now: int) -> None:
-        agreed = self._quorum_value(
-            lambda v: self.durable_index if v == self.name else self.match_index.get(v, 0)
-        )
-        # Only an entry of the own term carries older ones with it (5.4.2 of the paper).
-        if agreed > self.commit_index and self.term_at(agreed) == self.term:
-            self.commit_index = agreed
-            if self.name not in self.voters:
-                self._become_follower(now, self.term, "")  # taken out, and that is agreed
-            else:
-                self._broadcast(now)  # others act on it as soon as they know
+        replicated = self.progress.quorum_match_index(self.voters, self.log.durable_index)
+        # Only an entry of the leader's own term commits older ones with it (section 5.4.2 of the paper).
+        if replicated <= self.commit_index or self.log.term_at(replicated) != self.term:
+            return
+        self.commit_index = replicated
+        if self.name not in self.voters:
+            self._become_follower(now, self.term)  # its own removal is committed
+        else:
+            self.broadcast_append(now)  # others apply as soon as they know
 
     # --- messages ---
 
-    def send(self, to: str, message: Message) -> None:
-        """What claims something of the own disk waits for it; a leader's entries and all else do not."""
-        votes = isinstance(message, RequestVote | RequestVoteResponse) and not message.pre_vote
-        if votes or isinstance(message, AppendEntriesResponse) and self.hard_state_unsynced:
-            self.pending_ready.send.append((to, message))
+    def send(self, receiver: str, message: Message) -> None:
+        """Queues a message; one that claims something about this node's storage waits for the storage."""
+        self._output.send(receiver, message)
+
+    def _send_append_success(self, receiver: str, match_index: int, round_number: int) -> None:
+        """What is durable is confirmed at once, so that slow storage is not taken for a silent voter."""
+        response = AppendEntriesResponse(self.term, True, match_index, round_number)
+        if match_index > self.log.durable_index and not self._output.hard_state_unsynced:
+            durable = AppendEntriesResponse(self.term, True, self.log.durable_index, round_number)
+            self.send(receiver, durable)
+            self._output.send_after_sync(receiver, response)
         else:
-            self.immediate_messages.append((to, message))
-
-    def _send_append_response(self, to: str, match: int, number: int) -> None:
-        """At once for what is on the disk, so that a slow disk is not taken for a silent voter."""
-        if match > self.durable_index and not self.hard_state_unsynced:
-            self.immediate_messages.append(
-                (to, AppendEntriesResponse(self.term, True, self.durable_index, number))
-            )
-            self.pending_ready.send.append((to, AppendEntriesResponse(self.term, True, match, number)))
-        else:
-            self.send(to, AppendEntriesResponse(self.term, True, match, number))
-
-    def _send_to_all(self, message: Message) -> None:
-        for voter in self.voters:
-            if voter != self.name:
-                self.send(voter, message)
-
-    def receive(self, now: int, sender: str, told: Message) -> None:
-        if isinstance(told, RequestVote):
-            self._handle_request_vote(now, sender, told)
-            return
-        if isinstance(told, RequestVoteResponse):
-            if not told.pre_vote and told.term > self.term:
-                self._become_follower(now, told.term, "")
-            elif (
-                told.vote_granted
-                and self.role == CANDIDATE
-                and told.pre_vote == self.pre_vote
-                and told.term == self.term + self.pre_vote
-            ):
-                self.votes_granted.add(sender)
-                self._check_votes(now)
-            return
-        if not isinstance(told, AppendEntries | InstallSnapshot | AppendEntriesResponse):
-            return
-        if told.term > self.term:
-            self._become_follower(now, told.term, "")
-        if isinstance(told, AppendEntriesResponse):
-            if self.role == LEADER and told.term == self.term:
-                self._handle_append_response(now, sender, told)
-            return
-        if told.term < self.term:
-            self.send(sender, AppendEntriesResponse(self.term, False, self.commit_index, told.round_number))
+            self.send(receiver, response)
+
+    def receive(self, now: int, sender: str, message: Message) -> None:
+        """Takes a message of the consensus algorithm; others are ignored."""
+        if isinstance(message, RequestVote):
+            self._handle_request_vote(now, sender, message)
+        elif isinstance(message, RequestVoteResponse):
+            self._handle_request_vote_response(now, sender, message)
+        elif isinstance(message, AppendEntriesResponse):
+            if message.term > self.term:
+                self._become_follower(now, message.term)
+            if self.role == Role.LEADER and message.term == self.term:
+                self._handle_append_response(now, sender, message)
+        elif isinstance(message, AppendEntries | InstallSnapshot):
+            self._receive_from_leader(now, sender, message)
+
+    def _receive_from_leader(self, now: int, sender: str, message: AppendEntries | InstallSnapshot) -> None:
+        if message.term > self.term:
+            self._become_follower(now, message.term)
+        if message.term < self.term:
+            failure = AppendEntriesResponse(self.term, False, self.commit_index, message.round_number)
+            self.send(sender, failure)
             return
-        self.role, self.leader, self.leader_contact_at = FOLLOWER, sender, now
+        self.role = Role.FOLLOWER
+        self.leader = sender
+        self.leader_contact_at = now
         self._reset_election_timer(now)
-        if isinstance(told, AppendEntries):
-            self._handle_append_entries(now, sender, told)
+        if isinstance(message, AppendEntries):
+            self._handle_append_entries(sender, message)
         else:
-            self._handle_install_snapshot(sender, told)
+            self._handle_install_snapshot(sender, message)
 
-    # --- the disk ---
+    # --- storage ---
 
     def take_ready(self, now: int) -> Ready:
-        """What is to be kept and sent since the last call."""
-        batch, self.pending_ready = self.pending_ready, Ready(self.term, self.vote, self.founding_member)
-        if batch.must_sync():
-            self.sync_started_at = now
-        return batch
+        """What is to be stored and then sent since the last call; `advance` is due once it is stored."""
+        return self._output.take_ready(now)
 
     def take_immediate_messages(self) -> list[tuple[str, Message]]:
-        """What may be sent at once, whatever the disk does."""
-        early, self.immediate_messages = self.immediate_messages, []
-        return early
-
-    def advance(self, now: int, batch: Ready) -> None:
-        """That is on the disk now. Entries that were replaced meanwhile are not counted."""
-        if self.sync_started_at >= 0:
-            self.sync_duration = max(now - self.sync_started_at, self.sync_duration * 3 // 4)
-            self.sync_started_at = -1
-            self.hard_state_unsynced = self.pending_ready.turned
-            if self.role == CANDIDATE:
-                self._reset_election_timer(now)  # only now does anybody hear of it
-        if batch.entries:
-            upto = batch.first + len(batch.entries) - 1
-            while upto >= batch.first and self.term_at(upto) != batch.entries[upto - batch.first].term:
-                upto -= 1
-            if upto >= batch.first:
-                self.durable_index = max(self.durable_index, min(upto, self.last_index()))
-        if batch.whole and self.snapshot.index >= batch.whole.index:
-            self.durable_index = max(self.durable_index, min(batch.whole.index, self.last_index()))
-        if self.role == LEADER:
+        """What may be sent at once, each message with its receiver."""
+        return self._output.take_immediate_messages()
+
+    def advance(self, now: int, ready: Ready) -> None:
+        """`ready` is on stable storage, and its messages are sent."""
+        if self._output.syncing:
+            self._output.synced(now)
+            if self.role == Role.CANDIDATE:
+                self._reset_election_timer(now)  # its request for votes goes out only now
+        if ready.entries:
+            self.log.synced_entries(ready.first_index, ready.entries)
+        if ready.snapshot:
+            self.log.synced_snapshot(ready.snapshot)
+        if self.role == Role.LEADER:
             self._advance_commit_index(now)
--- a/crankfold/service/maintenance_agent.py
+++ b/crankfold/service/maintenance_agent.py
@@ -15,10 +15,12 @@
 import msgspec
 from msgspec import Struct, structs
 
-from crankfold.cluster.node import ClusterNode, boottime_ticks
+from crankfold.cluster.clock import boottime_ticks
+from crankfold.cluster.node import ClusterNode
 from crankfold.consensus.conservative_merge import MAINTENANCE
+from crankfold.consensus.leases import LeaseHolderState
 from crankfold.consensus.messages import MaintenanceReport
-from crankfold.consensus.voter import ALIVE, Voter
+from crankfold.consensus.voter import Voter
 from crankfold.maintenance import specification
 from crankfold.maintenance.coordinator import Coordinator, FleetView
 from crankfold.maintenance.forecast import forecast_job
@@ -104,7 +106,6 @@
             self._attempt_ended,
             self._abandoned_attempt_ended,
         )
-        peer.maintenance_report, peer.maintenance_steps = self.build_report, self.propose_transitions
 
     @property
     def state(self) -> MaintenanceState:
@@ -236,12 +237,11 @@
 
     # --- what it decides, if it leads ---
 
-    def propose_transitions(self) -> list[dict[str, Any]]:
+    def propose_transitions(self, now: int) -> list[dict[str, Any]]:
         works, ledger = self.current_specifications(), self.state
         member = self.cluster_node.consensus
         if not isinstance(member, Voter) or not works and not ledger.machines:
             return []
-        now = boottime_ticks()
         if not member.is_leader() or not self.cluster_node.has_lease():
             self.coordinator.observe(now, ledger, self.machines())
             self.coordinator.wait_reasons = {}
@@ -249,7 +249,8 @@
         return self.coordinator.propose(self.coordinator_view(member, now))
 
     def coordinator_view(self, member: Voter, now: int) -> FleetView:
-        told, of_runners = member.gather_maintenance(now)
+        cluster_report = member.cluster_report(now)
+        told = cluster_report.combined
         ledger, dispatchers = self.state, self.dispatcher_machines(member, now)
         self.dispatcher_zones |= told.dispatcher_zones
 
@@ -258,15 +259,8 @@
                 name = uid[1:]
                 there = name == member.name or any(m.machine_id == uid and m.available for m in dispatchers)
                 return "it has units in hand" if there and name not in told.idle_dispatchers else ""
-            return of_runners(uid, index)
-
-        lives = {name: report.incarnation for name, report in member.voter_reports.items()}
-        lives[member.name] = member.incarnation
-        executors = {
-            name: life
-            for name, life in lives.items()
-            if name == member.name or now < member.granted_until.get(name, 0)
-        }
+            return cluster_report.blocking_reason(uid, index)
+
         age = self.endpoint_list_age()
         grades = [
             grade
@@ -298,8 +292,8 @@
             told.open_requests,
             told.recent_accepted,
             told.recent_shed,
-            executors,
-            lives,
+            member.leased_incarnations(now),
+            member.voter_incarnations(),
             self.request_handler.config.slow_start_duration,
             sorted(keep_in),
         )
@@ -308,13 +302,18 @@
         """Members as machines: `since` is the life of the process, by which a new one is known."""
         wards = [(member.name, member.incarnation, member.last_applied, True)]
         wards += [
-            (name, ward.incarnation, ward.have, member.lease_holder_state(now, ward) == ALIVE)
-            for name, ward in member.lease_holders.items()
+            (
+                name,
+                holder.incarnation,
+                holder.last_applied,
+                member.leases.state_of(now, holder) == LeaseHolderState.ALIVE,
+            )
+            for name, holder in member.leases.holders.items()
         ]
         wards += [
-            (one.name, one.incarnation, one.last_applied, one.state == ALIVE)
-            for held in member.remote_lease_holders.values()
-            for one in held
+            (one.name, one.incarnation, one.last_applied, one.state == LeaseHolderState.ALIVE)
+            for statuses in member.remote_lease_holders.by_voter.values()
+            for one in statuses
         ]
         seen: dict[str, Machine] = {}
         for name, life, have, there in wards:
--- a/crankfold/service/replicated_config.py
+++ b/crankfold/service/replicated_config.py
@@ -10,7 +10,9 @@
 import orjson
 from msgspec import Meta, Struct, field, structs
 
-from crankfold.cluster.node import ClusterNode, StorageError, parse_address, read_cluster_config
+from crankfold.cluster.config import parse_address, read_cluster_config
+from crankfold.cluster.node import ClusterNode
+from crankfold.cluster.raft_storage import StorageError
 from crankfold.config import schema
 from crankfold.config.parser import (
     RELOADABLE,
@@ -28,6 +30,7 @@
     QUOTAS,
     SETTINGS,
 )
+from crankfold.consensus.messages import MaintenanceReport
 from crankfold.consensus.versioned_documents import MACHINES
 from crankfold.consensus.voter import Voter
 from crankfold.network.metrics import Metrics
@@ -93,7 +96,7 @@
         self.metrics, self.endpoint_list_age = tally, list_age
         self.maintenance: MaintenanceAgent | None = None  # once some are handed in
         peers = read_cluster_config(given["peers"])
-        self.acts_when_isolated = peers.when_cut_off == "go-on"
+        self.acts_when_isolated = peers.isolation_policy == "go-on"
         schema.validate({name: part for name, part in given.items() if name != "peers"})
         self.effective_settings: dict[str, Any] | None = None
         self.cluster_config, self.quotas = peers, Quotas()
@@ -103,22 +106,20 @@
         self.recorded_index = 0  # the entry up to which steps of machines are recorded
         desk.has_valid_config = self.may_act
         self.event_log: TextIO | None = None
-        if peers.record:
+        if peers.event_log_path:
             # Until the process ends; "-" is standard output, on which nothing else is said.
-            self.event_log = sys.stdout if peers.record == "-" else Path(peers.record).open("a")  # noqa: SIM115
+            path = peers.event_log_path
+            self.event_log = sys.stdout if path == "-" else Path(path).open("a")  # noqa: SIM115
             desk.record_event = self._record_event
 
     async def open(self, succeeds: bool) -> None:
         """With `succeeds` a process before this one is still there, under the same name."""
         try:
             self.cluster_node = ClusterNode(
-                structs.replace(self.cluster_config, succeeds=succeeds),
-                self.metrics,
-                self.validate,
-                replicated_settings(self.local_settings),
-                self._documents_changed,
-                self.quotas.collect_usage,
-                self._quiesced_index,
+                structs.replace(self.cluster_config, is_successor=succeeds),
+                metrics=self.metrics,
+                dispatcher=self,
+                initial_settings=replicated_settings(self.local_settings),
             )
         except StorageError as wrong:
             raise ValueError(f"peers: {wrong}") from None
@@ -165,7 +166,7 @@
             self.metrics.increment("acted-while-cut-off")
         return self.acts_when_isolated
 
-    def validate(self, doc: str, text: dict[str, Any]) -> str:
+    def validate_document(self, doc: str, text: dict[str, Any]) -> str:
         """Why a dispatcher could not use that document, with path, found and allowed; or nothing."""
         try:
             if doc == SETTINGS:
@@ -202,7 +203,7 @@
             return str(wrong)
         return ""
 
-    def _documents_changed(self, docs: set[str]) -> None:
+    def documents_changed(self, docs: set[str]) -> None:
         """At once, before anybody is told that we have heard."""
         member = self.cluster_node.consensus
         text = member.effective_content(SETTINGS)
@@ -240,8 +241,20 @@
         if entries:
             self.admin_service.endpoints_changed(entries)
 
-    def _quiesced_index(self, applied: int) -> int:
-        """Units taken under a larger share hold their places until they are answered."""
+    def quota_usage(self) -> dict[str, int]:
+        """By quota of the whole cluster, requests in hand and wanted."""
+        return self.quotas.collect_usage()
+
+    def maintenance_report(self) -> MaintenanceReport | None:
+        """What this dispatcher knows of machines in maintenance; None while there are none."""
+        return self.maintenance.build_report() if self.maintenance else None
+
+    def propose_transitions(self, now: int) -> list[dict[str, Any]]:
+        """The transitions of machines in maintenance to propose now, if this node leads."""
+        return self.maintenance.propose_transitions(now) if self.maintenance else []
+
+    def quiesced_index(self, applied: int) -> int:
+        """Up to which index requests in hand keep within the quotas; those of a larger one run on."""
         if self.quotas.within_allocation():
             return applied
         waits = [
--- a/crankfold/simulation/consensus_cluster.py
+++ b/crankfold/simulation/consensus_cluster.py
@@ -12,9 +12,13 @@
 import msgspec
 
 from crankfold.consensus.conservative_merge import LIMITS, QUOTAS, SETTINGS
-from crankfold.consensus.messages import Message, ProposalResponse, Timing
-from crankfold.consensus.raft import LEADER, PersistentState, Ready
-from crankfold.consensus.voter import Follower, Member, Voter
+from crankfold.consensus.follower import Follower
+from crankfold.consensus.log_entries import EntryKind
+from crankfold.consensus.member import MaintenanceCoordinator, Member
+from crankfold.consensus.messages import MaintenanceReport, Message, ProposalResponse
+from crankfold.consensus.raft_state import PersistentState, Ready, Role
+from crankfold.consensus.timing import Timing
+from crankfold.consensus.voter import Voter
 from crankfold.simulation.event_queue import EventQueue
 
 IDEMPOTENCY_VALUES = ("safe", "keyed", "unsafe")
@@ -60,7 +64,27 @@
     clock_drift: float = 0.01
 
 
-class SimulatedProcess:
+class IdleHost:
+    """The host of a member without requests and machines in maintenance; it can use any document."""
+
+    def quiesced_index(self, last_applied: int) -> int:
+        """All of it."""
+        return last_applied
+
+    def quota_usage(self) -> dict[str, int]:
+        """None."""
+        return {}
+
+    def maintenance_report(self) -> MaintenanceReport | None:
+        """None."""
+        return None
+
+    def validate_document(self, name: str, content: dict[str, Any]) -> str:  # noqa: ARG002 - a Protocol's signature
+        """No error."""
+        return ""
+
+
+class SimulatedProcess(IdleHost):
     def __init__(self, fleet: "SimulatedCluster", name: str, rate: float) -> None:
         self.cluster, self.name, self.clock_rate = fleet, name, rate
         self.clock_offset = fleet.rng.randrange(1_000_000)
@@ -83,18 +107,22 @@
         self.generation += 1
         self.running, self.writing, self.request_ends = True, False, []
         self.member = self.cluster.make_member(self)
-        self.member.quiesced_index = self._quiesced_index
-        self.member.quota_usage = lambda: {"all": len(self.request_ends) + self.wanted_requests}
         self._poll(self.generation)
 
-    def _quiesced_index(self, applied: int) -> int:
-        """Up to where units in hand fit into the share."""
+    def quiesced_index(self, last_applied: int) -> int:
+        """Up to which index its requests in hand keep within its quota."""
         assert self.member is not None
-        part = self.cluster.quota_of(self)
-        if part is None or len(self.request_ends) <= part:
-            return applied
-        waits = [v.index for name, v in self.member.documents.pending_versions() if name == QUOTAS]
-        return min([applied, *(index - 1 for index in waits)])
+        quota = self.cluster.quota_of(self)
+        if quota is None or len(self.request_ends) <= quota:
+            return last_applied
+        pending = [
+            version.index for name, version in self.member.documents.pending_versions() if name == QUOTAS
+        ]
+        return min([last_applied, *(index - 1 for index in pending)])
+
+    def quota_usage(self) -> dict[str, int]:
+        """Requests in hand and wanted."""
+        return {"all": len(self.request_ends) + self.wanted_requests}
 
     def _poll(self, life: int) -> None:
         if life != self.generation or not self.running:
@@ -132,17 +160,17 @@
         return (
             member.last_applied,
             member.lease_expires_at,
-            isinstance(member, Voter) and member.raft.role == LEADER,
+            isinstance(member, Voter) and member.raft.role == Role.LEADER,
         )
 
     def flush_ready(self) -> None:
         assert isinstance(self.member, Voter | Follower)
         for to, message in self.member.take_immediate_messages():
             self.cluster.send_message(self, to, message)
-        if self.writing:
+        if self.writing or not isinstance(self.member, Voter):
             return
         batch = self.member.take_ready(self.local_time())
-        if isinstance(self.member, Voter) and batch.must_sync():
+        if batch.must_sync():
             self.writing = True
             life = self.generation
             self.cluster.events.schedule(
@@ -166,16 +194,18 @@
 
     def persist(self, batch: Ready) -> None:
         stored = self.persistent_state
-        stored.term, stored.vote = batch.term, batch.vote if not self.cluster.forgets_votes else ""
-        stored.founded = batch.founded
-        if batch.whole:
-            stored.kept, stored.entries = batch.whole, []
+        stored.term = batch.term
+        stored.vote = batch.vote if not self.cluster.forgets_votes else ""
+        stored.founding_member = batch.founding_member
+        if batch.snapshot:
+            stored.snapshot = batch.snapshot
+            stored.entries = []
         if batch.entries:
-            del stored.entries[batch.first - stored.kept.index - 1 :]
+            del stored.entries[batch.first_index - stored.snapshot.index - 1 :]
             stored.entries += batch.entries
 
     def _send_messages(self, batch: Ready) -> None:
-        for to, message in batch.send:
+        for to, message in batch.messages:
             self.cluster.send_message(self, to, message)
 
     def kill_and_wipe(self) -> None:
@@ -233,15 +263,28 @@
                 process.name,
                 stored,
                 {v: "" for v in self.voters},
-                self.timing,
-                now,
-                seed,
-                life,
-                process.storage_id,
-                lambda doc, text: "",
-                settings_document("safe"),
+                timing=self.timing,
+                now=now,
+                seed=seed,
+                incarnation=life,
+                folder_id=process.storage_id,
+                host=process,
+                coordinator=self.coordinator_of(process),
+                initial_settings=settings_document("safe"),
             )
-        return follower(process.name, self.voters, self.timing, now, seed, life)
+        return follower(
+            process.name,
+            self.voters,
+            timing=self.timing,
+            now=now,
+            seed=seed,
+            incarnation=life,
+            host=process,
+        )
+
+    def coordinator_of(self, process: SimulatedProcess) -> MaintenanceCoordinator | None:
+        """Who decides about machines in maintenance if that process leads; None here."""
+        return None
 
     def disk_delay(self, name: str) -> int:
         for trouble in self._active_faults("disk"):
@@ -345,7 +388,7 @@
     def _submit_publish(self, name: str, call: str, data: dict[str, Any]) -> None:
         when, often = self.publish_attempts.get(call, (self.events.now, 0))
         self.publish_attempts[call] = when, often + 1
-        self.processes[name].deliver(lambda member, now: member.propose(now, call, "publish", data))  # type: ignore[attr-defined]
+        self.processes[name].deliver(lambda member, now: member.propose(now, call, EntryKind.PUBLISH, data))  # type: ignore[attr-defined]
 
     def publish_answered(self, told: ProposalResponse) -> None:
         before = self.outcomes.get(told.proposal_id)
@@ -428,7 +471,7 @@
                 self._check_history(name, member)
             if (
                 isinstance(member, Voter)
-                and member.raft.role == LEADER
+                and member.raft.role == Role.LEADER
                 and self.leaders_by_term.setdefault(member.raft.term, name) != name
             ):
                 self._report_violation(
--- a/crankfold/simulation/maintenance_fleet.py
+++ b/crankfold/simulation/maintenance_fleet.py
@@ -9,8 +9,10 @@
 from random import Random
 from typing import Any
 
+from crankfold.consensus.follower import Follower
+from crankfold.consensus.member import MaintenanceCoordinator
 from crankfold.consensus.messages import MaintenanceReport
-from crankfold.consensus.voter import Follower, Member, Voter
+from crankfold.consensus.voter import Voter
 from crankfold.maintenance import specification
 from crankfold.maintenance.coordinator import Coordinator, FleetView
 from crankfold.maintenance.scheduler import Machine, MaintenanceJob
@@ -146,14 +148,8 @@
         if not member.is_leader() or not member.has_lease(now):
             self.coordinator.observe(now, ledger, self.listed_machines())
             return []
-        told, holders = member.gather_maintenance(now)
-        lives = {name: report.incarnation for name, report in member.voter_reports.items()}
-        lives[self.name] = member.incarnation
-        executors = {
-            name: life
-            for name, life in lives.items()
-            if name == self.name or now < member.granted_until.get(name, 0)
-        }
+        cluster_report = member.cluster_report(now)
+        told = cluster_report.combined
         return self.coordinator.propose(
             FleetView(
                 now,
@@ -165,15 +161,15 @@
                 (),
                 len(member.raft.voters),
                 "",
-                holders,
+                cluster_report.blocking_reason,
                 told.unresolved,
                 told.response_counts,
                 told.unavailable,
                 told.open_requests,
                 told.recent_accepted,
                 told.recent_shed,
-                executors,
-                lives,
+                member.leased_incarnations(now),
+                member.voter_incarnations(),
                 self.maintenance_fleet.warm_up_ticks,
                 (),
             )
@@ -240,13 +236,10 @@
         self.machines_left: list[int] = []
         self.submitted_jobs = specification.parse_jobs({"works": case.jobs})
 
-    def make_member(self, process: SimulatedProcess) -> Member:
-        member = super().make_member(process)
+    def coordinator_of(self, process: SimulatedProcess) -> MaintenanceCoordinator | None:
+        """The dispatcher of that process."""
         assert isinstance(process, SimulatedDispatcher)
-        member.maintenance_report = process.maintenance_report
-        if isinstance(member, Voter):
-            member.maintenance_steps = process.propose_transitions
-        return member
+        return process
 
     def run(self) -> "MaintenanceFleet":
         for begin, end, uid in self.maintenance_case.losses:
--- a/crankfold/simulation/model_checker.py
+++ b/crankfold/simulation/model_checker.py
@@ -9,14 +9,30 @@
 
 import msgspec
 
-from crankfold.consensus.messages import LogEntry, Message, Timing
-from crankfold.consensus.raft import LEADER, PersistentState, Raft
+from crankfold.consensus.log_entries import EntryKind
+from crankfold.consensus.messages import LogEntry, Message
+from crankfold.consensus.raft import Raft
+from crankfold.consensus.raft_log import RaftLog
+from crankfold.consensus.raft_state import PersistentState, Role
+from crankfold.consensus.timing import Timing
 
 TIMING = Timing(20_000)
 VOTERS = ("v0", "v1", "v2")
 Move = tuple[str, int]
 
 
+class EveryoneMayVote:
+    """The registry of voters that never lose their storage."""
+
+    def may_vote(self, log: RaftLog, candidate_last_index: int, founding_member: bool) -> bool:  # noqa: ARG002 - a Protocol's signature
+        """Always."""
+        return True
+
+    def folder_ids_of(self, names: set[str]) -> dict[str, str]:  # noqa: ARG002 - a Protocol's signature
+        """None are known."""
+        return {}
+
+
 @dataclass(slots=True)
 class ModelState:
     """One state. Disks are as fast as can be: what is taken is kept before anything is sent."""
@@ -35,17 +51,19 @@
         for _ in range(4):  # to keep brings more to send
             batch = node.take_ready(self.now)
             stored = self.persistent_states[at]
-            stored.term, stored.vote, stored.founded = batch.term, batch.vote, batch.founded
+            stored.term = batch.term
+            stored.vote = batch.vote
+            stored.founding_member = batch.founding_member
             if batch.entries:
-                del stored.entries[batch.first - 1 :]
+                del stored.entries[batch.first_index - 1 :]
                 stored.entries += batch.entries
             self.in_flight += [
-                (node.name, to, message) for to, message in node.take_immediate_messages() + batch.send
+                (node.name, to, message) for to, message in node.take_immediate_messages() + batch.messages
             ]
             node.advance(self.now, batch)
-        if node.role == LEADER and self.leaders_by_term.setdefault(node.term, node.name) != node.name:
+        if node.role == Role.LEADER and self.leaders_by_term.setdefault(node.term, node.name) != node.name:
             return f"{node.name} and {self.leaders_by_term[node.term]} lead in term {node.term}"
-        for index, entry in enumerate(node.entries_between(0, node.commit_index), 1):
+        for index, entry in enumerate(node.log.entries_between(0, node.commit_index), 1):
             if self.committed.setdefault(index, entry) != entry:
                 return f"{node.name} agreed on another entry {index}"
         return ""
@@ -57,13 +75,13 @@
             if left["lose"]:
                 yield "lose", n
         for n, node in enumerate(self.nodes):
-            if left["time out"] and node.role != LEADER:
+            if left["time out"] and node.role != Role.LEADER:
                 yield "time out", n
-            if left["beat"] and node.role == LEADER:
+            if left["beat"] and node.role == Role.LEADER:
                 yield "beat", n
             if left["crash"]:
                 yield "crash", n
-            if left["publish"] and node.role == LEADER:
+            if left["publish"] and node.role == Role.LEADER:
                 yield "publish", n
 
     def apply(self, move: Move, begin: Callable[[str, PersistentState], Raft]) -> str:
@@ -82,7 +100,7 @@
             node = self.nodes[n]
             node.election_due_at = node.heartbeat_due_at = self.now
             if what == "beat":
-                node._broadcast(self.now)
+                node.broadcast_append(self.now)
             else:
                 node.tick(self.now)
         elif what == "crash":
@@ -94,7 +112,7 @@
                 VOTERS[n], msgspec.msgpack.decode(msgspec.msgpack.encode(kept), type=PersistentState)
             )
         else:
-            self.nodes[n].propose(self.now, "publish", {"n": self.moves_left["publish"]})
+            self.nodes[n].propose(self.now, EntryKind.PUBLISH, {"n": self.moves_left["publish"]})
         return self.persist_and_check(n)
 
     def fingerprint(self) -> bytes:
@@ -105,12 +123,12 @@
                 r.role,
                 r.leader,
                 r.commit_index,
-                r.durable_index,
+                r.log.durable_index,
                 r.pre_vote,
                 sorted(r.votes_granted),
-                r.entries,
-                sorted(r.next_index.items()),
-                sorted(r.match_index.items()),
+                r.log.entries,
+                sorted(r.progress.next_index.items()),
+                sorted(r.progress.match_index.items()),
             )
             for r in self.nodes
         ]
@@ -133,7 +151,15 @@
 
 
 def make_node(name: str, stored: PersistentState) -> Raft:
-    return Raft(name, stored, {voter: "" for voter in VOTERS}, TIMING, 0, 1)
+    return Raft(
+        name,
+        stored,
+        {voter: "" for voter in VOTERS},
+        timing=TIMING,
+        now=0,
+        seed=1,
+        registry=EveryoneMayVote(),
+    )
 
 
 def explore(
--- a/tests/planted.py
+++ b/tests/planted.py
@@ -6,8 +6,12 @@
 
 from msgspec.structs import replace
 
+from crankfold.consensus.follower import Follower
+from crankfold.consensus.leases import AppliedBounds
 from crankfold.consensus.messages import FollowerUpdate, LeaseGrant, Message, RequestVote
-from crankfold.consensus.voter import Follower, Voter
+from crankfold.consensus.raft_log import RaftLog
+from crankfold.consensus.voter import Voter
+from crankfold.consensus.voter_registry import FolderRegistry
 from crankfold.simulation.consensus_cluster import (
     ClusterCase,
     ClusterFault,
@@ -32,10 +36,10 @@
 
 
 class LeaseFromTheAnswer(Voter):
-    def _handle_lease_grant(self, now: int, sender: str, grant: LeaseGrant) -> None:
-        super()._handle_lease_grant(
-            now, sender, LeaseGrant(grant.term, now, grant.lease_duration, grant.required_index)
-        )
+    def receive(self, now: int, sender: str, message: Message) -> None:
+        if isinstance(message, LeaseGrant):
+            message = replace(message, request_sent_at=now)
+        super().receive(now, sender, message)
 
 
 class FollowerLeaseFromTheAnswer(Follower):
@@ -46,60 +50,61 @@
 
 
 class OneUnheard(Voter):
-    def applied_bounds(self, now: int) -> tuple[int, int]:
-        return self.last_applied, self.quiesced_index(self.last_applied)
+    def applied_bounds(self, now: int) -> AppliedBounds:
+        return AppliedBounds(self.last_applied, self.quiesced_index())
 
 
 class LeaderOneUnheard(Voter):
     """Does not wait for a voter that it has not heard of since it leads."""
 
     def _activate_versions(self, now: int) -> None:
-        self.granted_until.pop(min(self.raft.voters), None)
+        self.leader_leases.granted_until.pop(min(self.raft.voters), None)
         super()._activate_versions(now)
 
 
 class OldRead(Voter):
     """Takes a lease for more than it has heard of."""
 
-    def _handle_lease_grant(self, now: int, sender: str, grant: LeaseGrant) -> None:
-        super()._handle_lease_grant(
-            now,
-            sender,
-            LeaseGrant(grant.term, max(grant.request_sent_at, self.started_at), grant.lease_duration, 0),
-        )
+    def _handle_lease_grant(self, grant: LeaseGrant) -> None:
+        sent_at = max(grant.request_sent_at, self.started_at)
+        super()._handle_lease_grant(replace(grant, request_sent_at=sent_at, required_index=0))
 
 
-class VotesWithoutItsFolder(Voter):
-    def _may_vote(self, last: int) -> bool:
+class TrustingRegistry(FolderRegistry):
+    def may_vote(self, log: RaftLog, candidate_last_index: int, founding_member: bool) -> bool:
         return True
 
-    def admission_error(self, voter: str, folder: str) -> str:
-        self.folder_ids[voter] = folder
+    def admission_error(self, log: RaftLog, voter: str, folder_id: str) -> str:
+        self.folder_ids[voter] = folder_id
         return ""
 
 
+class VotesWithoutItsFolder(Voter):
+    def __init__(self, *args: Any, **keywords: Any) -> None:
+        super().__init__(*args, **keywords)
+        registry = TrustingRegistry(self.name, keywords["folder_id"], self.documents)
+        self.registry = self.raft.registry = registry
+
+
 class NewLeaderDoesNotWait(Voter):
     def _activate_versions(self, now: int) -> None:
-        self.raft.leader_since, since = (
-            self.raft.leader_since - 2 * self.timing.lease_expiry_wait,
-            self.raft.leader_since,
-        )
+        leader_since = self.raft.leader_since
+        self.raft.leader_since -= 2 * self.timing.lease_expiry_wait
         super()._activate_versions(now)
-        self.raft.leader_since = since
+        self.raft.leader_since = leader_since
 
 
 class SharesTwice(Voter):
     """Deals out again what units in hand still hold."""
 
-    def applied_bounds(self, now: int) -> tuple[int, int]:
-        least, _ = super().applied_bounds(now)
-        return least, least
+    def applied_bounds(self, now: int) -> AppliedBounds:
+        bounds = super().applied_bounds(now)
+        return AppliedBounds(bounds.lowest_applied, bounds.lowest_applied)
 
 
 class FollowerSharesTwice(Follower):
-    def _send_heartbeat(self, now: int) -> None:
-        self.quiesced_index = lambda applied: applied
-        super()._send_heartbeat(now)
+    def quiesced_index(self) -> int:
+        return self.last_applied
 
 
 def restless(seed: int) -> ClusterCase:
--- a/tests/planted_works.py
+++ b/tests/planted_works.py
@@ -7,7 +7,7 @@
 from typing import Any
 from unittest import mock
 
-from crankfold.consensus.messages import MaintenanceReport
+from crankfold.consensus.maintenance_reports import ClusterReport, SubtreeReport
 from crankfold.consensus.voter import Voter
 from crankfold.maintenance import state
 from crankfold.maintenance.coordinator import Coordinator, FleetView, Transitions
@@ -19,39 +19,44 @@
 class FreeTooEarly(Voter):
     """As soon as the leader itself holds nothing there."""
 
-    def gather_maintenance(self, now: int) -> tuple[MaintenanceReport, Callable[[str, int], str]]:
-        whole, _ = super().gather_maintenance(now)
-        upto, own = self.drained_report(now)
-        return whole, lambda uid, index: "held" if own is None or uid in own.in_flight or upto < index else ""
+    def cluster_report(self, now: int) -> ClusterReport:
+        whole = super().cluster_report(now)
+        of_itself = ClusterReport([self.subtree_report(now)], earlier_leases_may_run=False)
+        of_itself.combined = whole.combined
+        return of_itself
 
 
 class SilenceIsConsent(Voter):
     """Whoever is not heard any more is asked no longer, whatever lease he has and whatever he sent."""
 
-    def gather_maintenance(self, now: int) -> tuple[MaintenanceReport, Callable[[str, int], str]]:
-        quiet = [
+    def cluster_report(self, now: int) -> ClusterReport:
+        granted_until = self.leader_leases.granted_until
+        silent = [
             name
-            for name, report in self.voter_reports.items()
-            if now - report.heard > 3 * self.timing.renew_interval
+            for name, report in self.leader_leases.reports.items()
+            if now - report.received_at > self.timing.contact_timeout
         ]
-        before = {name: self.granted_until.pop(name) for name in quiet if name in self.granted_until}
-        led, self.raft.leader_since = self.raft.leader_since, -10 * self.timing.lease_expiry_wait
-        told = super().gather_maintenance(now)
-        self.granted_until |= before
-        self.raft.leader_since = led
-        return told
-
-    def drained_report(self, now: int) -> tuple[int, MaintenanceReport | None]:
-        quiet = [
-            ward for ward in self.lease_holders.values() if now - ward.heard > 3 * self.timing.renew_interval
+        before = {name: granted_until.pop(name) for name in silent if name in granted_until}
+        leader_since = self.raft.leader_since
+        self.raft.leader_since = -10 * self.timing.lease_expiry_wait
+        report = super().cluster_report(now)
+        granted_until |= before
+        self.raft.leader_since = leader_since
+        return report
+
+    def subtree_report(self, now: int) -> SubtreeReport:
+        silent = [
+            holder
+            for holder in self.leases.holders.values()
+            if now - holder.last_contact_at > self.timing.contact_timeout
         ]
-        until = [ward.until for ward in quiet]
-        for ward in quiet:
-            ward.until = -10 * self.timing.lease_expiry_wait
-        told = super().drained_report(now)
-        for ward, end in zip(quiet, until, strict=True):
-            ward.until = end
-        return told
+        until = [holder.expires_at for holder in silent]
+        for holder in silent:
+            holder.expires_at = -10 * self.timing.lease_expiry_wait
+        report = super().subtree_report(now)
+        for holder, expires_at in zip(silent, until, strict=True):
+            holder.expires_at = expires_at
+        return report
 
 
 class ImpatientCoordinator(Coordinator):
--- a/tests/stored_forms.py
+++ b/tests/stored_forms.py
@@ -29,7 +29,7 @@
     ValidationRequest,
     ValidationResponse,
 )
-from crankfold.consensus.raft import Ready
+from crankfold.consensus.raft_state import Ready
 from crankfold.maintenance.specification import JobSpecification
 
 KEPT = Snapshot(index=41, term=6, voters={"n0": "h0:7000", "n1": "h1:7000"}, state=b"\x00state\xff")
@@ -201,21 +201,21 @@
     Ready(
         term=1,
         vote="n0",
-        founded=True,
-        turned=True,
-        first=1,
+        founding_member=True,
+        hard_state_changed=True,
+        first_index=1,
         entries=[
             LogEntry(term=1, kind="begin", data={"by": "n0", "folders": {"n0": "0123456789abcdef"}}),
             LogEntry(term=1, kind="folder", data={"voter": "n1", "folder": "f1"}),
         ],
     ),
-    Ready(term=2, vote="", founded=True, turned=True),
-    Ready(term=2, vote="n1", founded=True, turned=True),
+    Ready(term=2, vote="", founding_member=True, hard_state_changed=True),
+    Ready(term=2, vote="n1", founding_member=True, hard_state_changed=True),
     Ready(
         term=2,
         vote="n1",
-        founded=True,
-        first=2,
+        founding_member=True,
+        first_index=2,
         entries=[
             LogEntry(term=2, kind="begin", data={"by": "n1"}),
             LogEntry(term=2, kind="voters", data={"voters": {"n0": "h0:7000", "n1": "h1:7000"}}),
@@ -227,17 +227,17 @@
     Ready(
         term=2,
         vote="n1",
-        founded=True,
-        whole=Snapshot(index=2, term=2, voters={"n0": "h0:7000"}, state=b"whole"),
-        first=3,
+        founding_member=True,
+        snapshot=Snapshot(index=2, term=2, voters={"n0": "h0:7000"}, state=b"whole"),
+        first_index=3,
         entries=[LogEntry(term=2, kind="count", data={"doc": "limits", "number": 1})],
     ),
     Ready(
         term=3,
         vote="n0",
-        founded=True,
-        turned=True,
-        first=4,
+        founding_member=True,
+        hard_state_changed=True,
+        first_index=4,
         entries=[LogEntry(term=3, kind="begin", data={"by": "n0"})],
     ),
 ]
--- a/tests/test_accord.py
+++ b/tests/test_accord.py
@@ -7,6 +7,8 @@
 import msgspec
 
 from crankfold.consensus.conservative_merge import QUOTAS, SETTINGS, conservative_merge
+from crankfold.consensus.errors import MembershipChangeError
+from crankfold.consensus.follower import Follower
 from crankfold.consensus.messages import (
     FollowerHeartbeat,
     FollowerUpdate,
@@ -15,16 +17,19 @@
     Message,
     ProposalRequest,
     RequestVote,
-    Timing,
 )
-from crankfold.consensus.raft import PersistentState, Raft
+from crankfold.consensus.quotas import allocate_quotas
+from crankfold.consensus.raft import Raft
+from crankfold.consensus.raft_state import PersistentState
+from crankfold.consensus.timing import Timing
 from crankfold.consensus.versioned_documents import VersionedDocuments
-from crankfold.consensus.voter import Follower, Voter, allocate_quotas
+from crankfold.consensus.voter import Voter
 from crankfold.service.quotas import Quotas
 from crankfold.simulation import model_checker
 from crankfold.simulation.consensus_cluster import (
     ClusterCase,
     ClusterFault,
+    IdleHost,
     SimulatedCluster,
     random_scenario,
     settings_document,
@@ -94,7 +99,15 @@
 
     def test_the_search_finds_a_voter_that_votes_twice(self) -> None:
         def begin(name: str, stored: PersistentState) -> Raft:
-            return VotesTwice(name, stored, {voter: "" for voter in VOTERS}, model_checker.TIMING, 0, 1)
+            return VotesTwice(
+                name,
+                stored,
+                {voter: "" for voter in VOTERS},
+                timing=model_checker.TIMING,
+                now=0,
+                seed=1,
+                registry=model_checker.EveryoneMayVote(),
+            )
 
         _, wrong = model_checker.explore(10, {"time out": 2}, node_factory=begin)
         self.assertRegex(wrong, "lead in term")
@@ -244,6 +257,16 @@
         )
 
 
+class PickyHost(IdleHost):
+    """Finds the same fault with each document."""
+
+    def __init__(self, fault: str) -> None:
+        self.fault = fault
+
+    def validate_document(self, name: str, content: dict[str, Any]) -> str:
+        return self.fault
+
+
 class Alone(Kept):
     """Single members, told the time by hand."""
 
@@ -257,18 +280,29 @@
             "v0",
             PersistentState(),
             {"v0": ""},
-            self.timing,
-            0,
-            1,
-            5,
-            "here",
-            lambda doc, text: check,
-            settings_document("safe"),
+            timing=self.timing,
+            now=0,
+            seed=1,
+            incarnation=5,
+            folder_id="here",
+            host=PickyHost(check),
+            initial_settings=settings_document("safe"),
         )
         self.now = 0
         self.turn(voter, 60_000)
         return voter
 
+    def follower(self, seed: int, incarnation: int, now: int | None = None) -> Follower:
+        return Follower(
+            "f",
+            ["v0"],
+            timing=self.timing,
+            now=self.now if now is None else now,
+            seed=seed,
+            incarnation=incarnation,
+            host=IdleHost(),
+        )
+
     def turn(self, voter: Voter, upto: int) -> list[tuple[str, Message]]:
         sent: list[tuple[str, Message]] = []
         while self.now < upto:
@@ -276,7 +310,7 @@
             voter.tick(self.now)
             batch = voter.take_ready(self.now)
             voter.advance(self.now, batch)
-            sent += voter.take_immediate_messages() + batch.send
+            sent += voter.take_immediate_messages() + batch.messages
         return sent
 
     def publish(
@@ -327,13 +361,13 @@
         for n in range(1, 160):
             self.publish(voter, f"c{n}", n)
             self.turn(voter, self.now + 200)
-        self.assertGreater(voter.raft.snapshot.index, 0)
-        follower = Follower("f", ["v0"], self.timing, self.now, 1, 9)
+        self.assertGreater(voter.raft.log.snapshot.index, 0)
+        follower = self.follower(1, 9)
         self.exchange(voter, follower)
         self.assertEqual(follower.documents.version_numbers(), voter.documents.version_numbers())
         self.assertTrue(follower.has_lease(self.now))
         # A second process of the same name is refused while the first one holds its lease.
-        second = Follower("f", ["v0"], self.timing, self.now, 2, 10)
+        second = self.follower(2, 10)
         self.exchange(voter, second)
         self.assertFalse(second.has_lease(self.now))
         self.assertEqual(second.rejection_reason, "the name f is in use by another process")
@@ -355,19 +389,27 @@
                 voter.receive(self.now, follower.name, message)
 
     def test_a_lease_of_an_earlier_life_is_none(self) -> None:
-        follower = Follower("f", ["v0"], self.timing, 50_000, 1, 9)
+        follower = self.follower(1, 9, now=50_000)
         follower.receive(50_100, "v0", FollowerUpdate(49_000, 16_000, 0, None, [], 0, 0))
         self.assertFalse(follower.has_lease(50_100))
         follower.receive(50_100, "v0", FollowerUpdate(50_050, 16_000, 0, None, [], 0, 0))
         self.assertTrue(follower.has_lease(50_100))
         self.assertFalse(follower.has_lease(66_050))
 
+    def change(self, voter: Voter, voters: dict[str, str]) -> str:
+        """Why they can't be the voters; empty if the change is proposed."""
+        try:
+            voter.raft.change_voters(self.now, voters)
+        except MembershipChangeError as error:
+            return str(error)
+        return ""
+
     def test_voters_change_one_at_a_time(self) -> None:
         voter = self.voter()
-        self.say(voter.raft.change_voters(self.now, {"v0": "", "v1": "", "v2": ""}))
-        self.say(voter.raft.change_voters(self.now, {}))
-        self.say(voter.raft.change_voters(self.now, {"v0": "", "v1": "x"}) or "taken")
-        self.say(voter.raft.change_voters(self.now, {"v0": "", "v1": "x", "v2": ""}))
+        self.say(self.change(voter, {"v0": "", "v1": "", "v2": ""}))
+        self.say(self.change(voter, {}))
+        self.say(self.change(voter, {"v0": "", "v1": "x"}) or "taken")
+        self.say(self.change(voter, {"v0": "", "v1": "x", "v2": ""}))
         self.say(f"voters {sorted(voter.raft.voters)}")
         self.close("accord-voters")
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -11,6 +11,7 @@
 from typing import Any
 from unittest.mock import patch
 
+from crankfold.cluster.config import ClusterConfig, read_cluster_config
 from crankfold.cluster.framing import (
     MAX_FRAME_SIZE,
     PROTOCOL_VERSION,
@@ -19,13 +20,13 @@
     ProtocolError,
     encode_frame,
 )
-from crankfold.cluster.node import ClusterConfig, ClusterNode, read_cluster_config
+from crankfold.cluster.node import ClusterNode
 from crankfold.cluster.raft_storage import RECORD_HEADER_SIZE, RaftStorage, StorageError
 from crankfold.consensus.conservative_merge import SETTINGS
 from crankfold.consensus.messages import LogEntry, Message, ProposalRequest, Rejection, Snapshot
-from crankfold.consensus.raft import Ready
+from crankfold.consensus.raft_state import Ready
 from crankfold.network.metrics import Metrics
-from crankfold.simulation.consensus_cluster import settings_document
+from crankfold.simulation.consensus_cluster import IdleHost, settings_document
 from tests.loopback import Loopback
 from tests.scene import Kept as Traces
 
@@ -82,7 +83,7 @@
     def test_what_was_written_is_read(self) -> None:
         self.fill()
         stored = self.opened().persistent_state
-        self.assertEqual((stored.term, stored.vote, stored.founded), (2, "", True))
+        self.assertEqual((stored.term, stored.vote, stored.founding_member), (2, "", True))
         self.assertEqual(stored.entries, [entry(1), entry(22), entry(3)])
 
     def test_a_tail_torn_at_any_byte_is_cut_off_and_what_was_before_stays(self) -> None:
@@ -134,7 +135,7 @@
         store.close()
         again = RaftStorage(self.folder, "n0")
         self.assertEqual(
-            (again.persistent_state.kept.state, again.persistent_state.entries),
+            (again.persistent_state.snapshot.state, again.persistent_state.entries),
             (b"state", [entry(4), entry(5)]),
         )
         again.close()
@@ -158,6 +159,16 @@
         self.close("peers-configured")
 
 
+class IdleDispatcher(IdleHost):
+    """A dispatcher without requests, which tells what changed."""
+
+    def __init__(self, changed: Callable[[set[str]], None]) -> None:
+        self.documents_changed = changed
+
+    def propose_transitions(self, now: int) -> list[dict[str, Any]]:
+        return []
+
+
 class Together(Loopback):
     async def asyncSetUp(self) -> None:
         self.folder = Path(self.enterContext(tempfile.TemporaryDirectory()))
@@ -182,18 +193,15 @@
         given = ClusterConfig(
             name,
             {voter: f"127.0.0.1:{self.ports[voter]}" for voter in voters},
-            folder=str(self.folder / (folder or name)),
-            stated_time=1.0,
-            succeeds=bool(key),
+            storage_folder=str(self.folder / (folder or name)),
+            staleness_bound=1.0,
+            is_successor=bool(key),
         )
         peer = ClusterNode(
             given,
-            Metrics(),
-            lambda doc, text: "",
-            settings_document("safe"),
-            changed,
-            dict,
-            lambda upto: upto,
+            metrics=Metrics(),
+            dispatcher=IdleDispatcher(changed),
+            initial_settings=settings_document("safe"),
         )
         await peer.open()
         self.peers[key or name] = peer
@@ -298,9 +306,9 @@
         await self.until(lambda: self.acts(*VOTERS))
         victim = self.peers["n1"]
         full = OSError(errno.ENOSPC, "No space left on device")
-        with patch.object(victim.cluster_member.storage, "save", side_effect=full):
+        with patch.object(victim.member.storage, "save", side_effect=full):
             made = await self.publish(self.peers["n0"], "a", 1)
-            await self.until(lambda: bool(victim.cluster_member.disabled_reason))
+            await self.until(lambda: bool(victim.member.disabled_reason))
         self.assertTrue(made.accepted)  # the others are a majority
         self.assertFalse(victim.has_lease())
         self.assertIn("No space left", victim.inactive_reason())
@@ -319,7 +327,8 @@
 class Off(Traces):
     def test_nothing_of_it_is_imported_without_peers(self) -> None:
         script = (
-            "import crankfold.cli.main, sys; print([m for m in sys.modules if m.split('.')[-1] == 'agreed' "
+            "import crankfold.cli.main, sys; print([m for m in sys.modules "
+            "if m.split('.')[-1] == 'replicated_config' "
             "or m.startswith(('crankfold.cluster', 'crankfold.consensus', 'crankfold.maintenance', "
             "'crankfold.fault_injection'))])"
         )
--- a/tests/test_stored_forms.py
+++ b/tests/test_stored_forms.py
@@ -101,8 +101,8 @@
         store, folder = self.opened("grown")
         stored = store.persistent_state
         self.assertEqual((store.folder_id, store.startup_notice), ("0123456789abcdef", ""))
-        self.assertEqual((stored.term, stored.vote, stored.founded), (2, "n1", True))
-        self.assertEqual(stored.kept, Snapshot(index=0, term=0, voters={}, state=b""))
+        self.assertEqual((stored.term, stored.vote, stored.founding_member), (2, "n1", True))
+        self.assertEqual(stored.snapshot, Snapshot(index=0, term=0, voters={}, state=b""))
         self.assertEqual(
             stored.entries,
             [
@@ -116,8 +116,8 @@
     def test_one_that_was_compacted(self) -> None:
         store, folder = self.opened("compacted")
         stored = store.persistent_state
-        self.assertEqual((stored.term, stored.vote, stored.founded), (3, "n0", True))
-        self.assertEqual(stored.kept, Snapshot(index=2, term=2, voters={"n0": "h0:7000"}, state=b"whole"))
+        self.assertEqual((stored.term, stored.vote, stored.founding_member), (3, "n0", True))
+        self.assertEqual(stored.snapshot, Snapshot(index=2, term=2, voters={"n0": "h0:7000"}, state=b"whole"))
         self.assertEqual(
             stored.entries,
             [
