--- a/crankfold/cli/check.py
+++ b/crankfold/cli/check.py
@@ -7,8 +7,9 @@
 from crankfold.cli.options import config_option
 from crankfold.config import schema
 from crankfold.config.parser import flatten_settings, read_routing_config, read_service_config
+from crankfold.errors import ConfigError
 from crankfold.routing.interface import Idempotency
-from crankfold.service.application import ConfigError, parse_address, read_config
+from crankfold.service.config_file import parse_address, read_config
 
 # What the output calls each kind; it keeps the words of the users' configuration guide.
 IDEMPOTENCY_LABELS = {
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -13,7 +13,7 @@
 from crankfold.config.parser import read_service_config
 from crankfold.network.accepted_connection import MAX_UNREAD_BYTES, NEW_CONNECTION_GRACE
 from crankfold.network.connection_pool import (
-    SETTLE_TIME,
+    REUSE_COOLDOWN,
     ConnectionLimiter,
     ConnectionPool,
     Exchange,
@@ -65,7 +65,7 @@
             body,
             may_send=lambda: True,
             on_end=ended,
-            needs_settled=settled,
+            needs_cooldown=settled,
         )
         self.pool.send(exchange)
         return exchange
@@ -76,20 +76,20 @@
             self.ends.clear()
             self.send()
             await self.until(lambda: len(self.ends) == 1)
-            await asyncio.sleep(1.2 * SETTLE_TIME)
+            await asyncio.sleep(1.2 * REUSE_COOLDOWN)
             (connection,) = self.pool.idle_connections
             self.links[-1].write(unasked)  # with the system by now, and in this turn nobody reads it
             second = self.send()
             await self.until(lambda: len(self.ends) == 2)
             self.assertEqual(self.ends, ["answered 202"] * 2)
             self.assertIsNot(second.connection, connection)
-            await asyncio.sleep(1.2 * SETTLE_TIME)
+            await asyncio.sleep(1.2 * REUSE_COOLDOWN)
 
     async def test_bytes_read_but_not_looked_at_when_a_connection_is_taken_up_answer_nothing(self) -> None:
         await self.begin(accepting)
         self.send()
         await self.until(lambda: len(self.ends) == 1)
-        await asyncio.sleep(1.2 * SETTLE_TIME)
+        await asyncio.sleep(1.2 * REUSE_COOLDOWN)
         (connection,) = self.pool.idle_connections
         connection.reader.feed_data(NEVER_RAN)  # as the loop does before it calls what comes in this turn
         self.send()
@@ -115,7 +115,7 @@
         await self.until(lambda: len(self.ends) == 1)
         self.send()  # at once: the connection has hardly come to rest
         await self.until(lambda: len(asked) == 2)
-        await self.until(lambda: self.tally.counters["runner-spoke-unasked"] == 1)
+        await self.until(lambda: self.tally.counters["backend-unsolicited-data"] == 1)
         told_twice.set()
         await self.until(lambda: len(self.ends) == 2)
         self.assertEqual((asked, self.ends), ([1, 2], ["answered 202"] * 2))
@@ -261,7 +261,7 @@
 
         async def late(exchange: Exchange) -> None:
             asking.cancel()
-            await self.until(lambda: self.node.metrics.counters["clients-left"] == 1)
+            await self.until(lambda: self.node.metrics.counters["clients-disconnected"] == 1)
             await opening(exchange)
             up.set()
 
@@ -293,8 +293,8 @@
         )
         with (
             patch.object(self.node.admin_server, "close", held_up),
-            patch("crankfold.service.application.MAX_DRAIN_DURATION", 0.1),
-            patch("crankfold.service.application.DRAIN_MARGIN", 0.0),
+            patch("crankfold.service.shutdown.MAX_DRAIN_DURATION", 0.1),
+            patch("crankfold.service.shutdown.DRAIN_MARGIN", 0.0),
         ):
             self.node.shutdown_requested.set()
             await ended.wait()
@@ -327,8 +327,8 @@
         reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
         self.assertEqual(await back("started"), "204")
         with (
-            patch("crankfold.service.application.MAX_DRAIN_DURATION", 2.0),
-            patch("crankfold.service.application.LATE_CONNECTION_PERIOD", 0.0),
+            patch("crankfold.service.shutdown.MAX_DRAIN_DURATION", 2.0),
+            patch("crankfold.service.shutdown.LATE_CONNECTION_PERIOD", 0.0),
         ):
             self.node.shutdown_requested.set()
             await self.until(lambda: self.node.listener.closing)
@@ -355,9 +355,10 @@
                 await self.until(lambda: self.node.timers.clock.now() > first.created_at + 3000)
             await opening(exchange)
 
+        routing = self.node.request_handler.routing
         with (
             patch.object(pool, "_connect", late),
-            patch.object(self.node.request_handler.routing, "_sound", lambda now, u, pool, burden: [0]),
+            patch.object(routing.selection, "_healthy", lambda *_: routing.state.table.backends[:1]),
             patch("crankfold.service.request_table.Attempt.was_sent", lambda trip: False),
         ):
             answer = await self.ask("u1")
@@ -434,7 +435,7 @@
         self.process.send_signal(signal.SIGTERM)
         printed = await lines
         self.assertEqual(self.process.returncode, 0, printed)
-        self.assertIn("configurations-taken=1", printed)
+        self.assertIn("config-reloads=1", printed)
 
     async def test_idle_clients_fill_the_descriptors_while_discovery_is_down(self) -> None:
         async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -520,8 +521,8 @@
         await self.inside()
         grade = {"name": "h", "effect": "safe", "cut-off": 500_000, "expected-time": 100_000}
         self.given = {**self.given, "settings": {**self.given["settings"], "service-grades": [grade]}}
-        self.node._reload()
-        self.assertEqual(self.node.longest_deadline, 0.5)
+        self.node.reloader.reload()
+        self.assertEqual(self.node.config_applier.longest_deadline, 0.5)
 
 
 class NothingLeaks(Scene):
