--- a/crankfold/network/handover_channel.py
+++ b/crankfold/network/handover_channel.py
@@ -28,7 +28,7 @@
 ANSWER_TIMEOUT = 1.0  # seconds; a predecessor that hangs must not keep its successor from starting
 READ_SIZE = 64 * 1024  # bytes
 MAX_UNSENT_BYTES = 1024 * 1024
-SOCKET_MARK = b"!"  # the byte with which the listening socket is passed
+SOCKET_SIGNATURE = b"!"  # the byte with which the listening socket is passed
 MAX_DESCRIPTORS = 4  # taken in one message; all but the first are closed
 
 
@@ -145,11 +145,11 @@
             await readable
         finally:
             self.loop.remove_reader(sock)
-        mark, descriptors, _, _ = socket.recv_fds(sock, len(SOCKET_MARK), MAX_DESCRIPTORS)
+        signature, descriptors, _, _ = socket.recv_fds(sock, len(SOCKET_SIGNATURE), MAX_DESCRIPTORS)
         for descriptor in descriptors[1:]:
             os.close(descriptor)
         listening_socket = socket.socket(fileno=descriptors[0]) if descriptors else None
-        if mark != SOCKET_MARK:
+        if signature != SOCKET_SIGNATURE:
             if listening_socket:
                 listening_socket.close()
             raise ProtocolError("no predecessor of ours")
--- a/crankfold/service/application.py
+++ b/crankfold/service/application.py
@@ -31,7 +31,6 @@
 from crankfold.service.backend_registry import BackendRegistry
 from crankfold.service.collaborators import NoCluster, NoOtherProcess
 from crankfold.service.config_file import connection_timeouts, divide_socket_limit, parse_address
-from crankfold.service.handover import Handover
 from crankfold.service.lifecycle import Lifecycle
 from crankfold.service.reload import ConfigApplier, ConfigReloader
 from crankfold.service.request_handler import RequestHandler
@@ -39,6 +38,7 @@
 from crankfold.service.socket_budget import SocketBudget
 
 if TYPE_CHECKING:
+    from crankfold.service.handover import Handover
     from crankfold.service.replicated_config import ReplicatedConfig
 
 logger = logging.getLogger(__name__)
@@ -108,12 +108,33 @@
         self.config_applier = ConfigApplier(config, self.request_handler, self.connection_limiter)
         if self.handover:
             self.handover.attach(self.request_handler, self.listener, self.socket_budget)
-        self._build_control_path(document, read_document)
+        self._build_control_path(document)
+        self.reloader = ConfigReloader(
+            document,
+            read_document,
+            applier=self.config_applier,
+            socket_budget=self.socket_budget,
+            discovery_watcher=self.discovery_watcher,
+            metrics=self.metrics,
+            polls_discovery=self.polls_discovery,
+            settings_replicated=self.replicated_config is not None,
+        )
+        self.shutdown = ShutdownSequence(
+            lifecycle=self.lifecycle,
+            request_handler=self.request_handler,
+            listener=self.listener,
+            admin_server=self.admin_server,
+            discovery_watcher=self.discovery_watcher,
+            handover=self.handover,
+            replicated_config=self.replicated_config,
+        )
 
-    def _build_handover(self, document: dict[str, Any], directory: str) -> Handover | None:
+    def _build_handover(self, document: dict[str, Any], directory: str) -> "Handover | None":
         """Processes replace one another only where operators can ask the new one whether it is ready."""
         if not self.admin_address or not directory:
             return None
+        from crankfold.service.handover import Handover  # no other process is met without it
+
         return Handover(
             directory,
             str(document.get("name") or ""),
@@ -138,42 +159,21 @@
         except ValueError as error:
             raise ConfigError(str(error)) from None
 
-    def _build_control_path(
-        self, document: dict[str, Any], read_document: Callable[[], dict[str, Any]]
-    ) -> None:
-        """What discovery, operators and signals reach."""
+    def _build_control_path(self, document: dict[str, Any]) -> None:
+        """What discovery and operators reach."""
         host, port = parse_address(document["discovery"], "discovery")
         self.discovery_watcher = DiscoveryWatcher(
             host,
             port,
             self.backend_registry.register,
-            on_endpoints=self._endpoints_received,
-            on_failure=self._discovery_failed,
-            metrics=self.metrics,
+            self._endpoints_received,
+            self._discovery_failed,
+            self.metrics,
         )
         self.admin_service = AdminService(
             self.request_handler, self.listener, self.lifecycle, self.handover or NoOtherProcess()
         )
         self.admin_server = AdminServer(self.admin_service, self.metrics)
-        self.reloader = ConfigReloader(
-            document,
-            read_document,
-            applier=self.config_applier,
-            socket_budget=self.socket_budget,
-            discovery_watcher=self.discovery_watcher,
-            metrics=self.metrics,
-            polls_discovery=self.polls_discovery,
-            settings_replicated=self.replicated_config is not None,
-        )
-        self.shutdown = ShutdownSequence(
-            lifecycle=self.lifecycle,
-            request_handler=self.request_handler,
-            listener=self.listener,
-            admin_server=self.admin_server,
-            discovery_watcher=self.discovery_watcher,
-            handover=self.handover,
-            replicated_config=self.replicated_config,
-        )
 
     def _apply_config(self, routing_config: RoutingConfig, config: ServiceConfig) -> None:
         """For the replicated configuration, which is there before what applies a configuration."""
--- a/crankfold/service/handover.py
+++ b/crankfold/service/handover.py
@@ -6,7 +6,7 @@
 import zlib
 from typing import Any
 
-from crankfold.network.handover_channel import SOCKET_MARK, HandoverChannel, resolve
+from crankfold.network.handover_channel import SOCKET_SIGNATURE, HandoverChannel, resolve
 from crankfold.network.listener import Listener
 from crankfold.network.metrics import Metrics
 from crankfold.protocol.callbacks import handle_callback, request_id_of
@@ -188,7 +188,7 @@
 
     def has_successor(self) -> bool:
         """Whether another process accepts connections in place of this one."""
-        return self.state_machine.role == HandoverRole.HANDED_OVER
+        return self.state_machine.role == HandoverRole.SUPERSEDED
 
     def close(self) -> None:
         """Ends the connections to the other processes."""
@@ -202,7 +202,7 @@
         shared_socket = self.listener.shared_socket
         try:
             if shared_socket and hello == Hello(FORMAT_VERSION, self.listen_address, self.dispatcher_name):
-                socket.send_fds(sock, [SOCKET_MARK], [shared_socket.fileno()])
+                socket.send_fds(sock, [SOCKET_SIGNATURE], [shared_socket.fileno()])
                 self.state_machine.successor_connected(process)
                 return
         except OSError as error:
--- a/crankfold/service/handover_state_machine.py
+++ b/crankfold/service/handover_state_machine.py
@@ -41,7 +41,7 @@
     STANDALONE = "alone"
     WAITING = "following"  # a predecessor serves
     TOOK_OVER = "serving"  # it serves, and the predecessor finishes the requests that it has
-    HANDED_OVER = "followed"  # a successor serves
+    SUPERSEDED = "followed"  # a successor serves
 
 
 class HandoverActions(Protocol):
@@ -145,7 +145,7 @@
 
     def _successor_lost(self) -> None:
         self.successor = NO_PROCESS
-        if self.role == HandoverRole.HANDED_OVER:
+        if self.role == HandoverRole.SUPERSEDED:
             has_predecessor = self.predecessor != NO_PROCESS
             self.role = HandoverRole.TOOK_OVER if has_predecessor else HandoverRole.STANDALONE
             if not self.shutting_down:
@@ -180,14 +180,14 @@
                 self._answer_received(now, process, message)
 
     def _takeover_requested(self, process: int) -> None:
-        if self.role in (HandoverRole.HANDED_OVER, HandoverRole.WAITING) or self.shutting_down:
+        if self.role in (HandoverRole.SUPERSEDED, HandoverRole.WAITING) or self.shutting_down:
             # Another was first, or this process does not serve itself: whoever serves is to be asked.
             self.actions.send(process, TakeoverRefusal())
             self.processes.discard(process)
             self.actions.disconnect(process)
             return
         self.successor = process
-        self.role = HandoverRole.HANDED_OVER
+        self.role = HandoverRole.SUPERSEDED
         self.actions.stop_accepting()
         self.actions.send(process, TakeoverGrant(self.actions.describe_usage()))
 
@@ -270,5 +270,5 @@
 
     def report_usage(self) -> None:
         """From time to time: tells the successor what this process still holds."""
-        if self.role == HandoverRole.HANDED_OVER:
+        if self.role == HandoverRole.SUPERSEDED:
             self.actions.send(self.successor, UsageReport(self.actions.describe_usage()))
--- a/crankfold/service/shutdown.py
+++ b/crankfold/service/shutdown.py
@@ -8,11 +8,11 @@
 from crankfold.network.admin_server import AdminServer
 from crankfold.network.discovery_watcher import DiscoveryWatcher
 from crankfold.network.listener import Listener
-from crankfold.service.handover import Handover
 from crankfold.service.lifecycle import Lifecycle
 from crankfold.service.request_handler import RequestHandler
 
 if TYPE_CHECKING:
+    from crankfold.service.handover import Handover
     from crankfold.service.replicated_config import ReplicatedConfig
 
 logger = logging.getLogger(__name__)
@@ -37,7 +37,7 @@
         listener: Listener,
         admin_server: AdminServer,
         discovery_watcher: DiscoveryWatcher,
-        handover: Handover | None,
+        handover: "Handover | None",
         replicated_config: "ReplicatedConfig | None",
     ) -> None:
         self.lifecycle = lifecycle
@@ -62,9 +62,9 @@
         if self.handover and self.handover.has_successor():
             await self._drain_to_successor(end)
         else:
-            await self._drain_alone(end)
+            await self._drain_without_successor(end)
 
-    async def _drain_alone(self, end: float) -> None:
+    async def _drain_without_successor(self, end: float) -> None:
         await asyncio.sleep(LATE_CONNECTION_PERIOD)
         while self.loop.time() < end - FINAL_DRAIN_PERIOD and self.listener.connections:
             await asyncio.sleep(CHECK_INTERVAL)
