--- a/crankfold/service/application.py
+++ b/crankfold/service/application.py
@@ -166,9 +166,9 @@
             host,
             port,
             self.backend_registry.register,
-            self._endpoints_received,
-            self._discovery_failed,
-            self.metrics,
+            on_endpoints=self._endpoints_received,
+            on_failure=self._discovery_failed,
+            metrics=self.metrics,
         )
         self.admin_service = AdminService(
             self.request_handler, self.listener, self.lifecycle, self.handover or NoOtherProcess()
--- /dev/null
+++ b/crankfold/service/machine_inventory.py
@@ -0,0 +1,110 @@
+"""Which machines there are for maintenance: the backends listed here, and the members of the cluster."""
+
+from crankfold.cluster.node import boottime_ticks
+from crankfold.consensus.voter import ALIVE, Voter
+from crankfold.maintenance.scheduler import Machine
+from crankfold.maintenance.state import MaintenanceState
+from crankfold.maintenance.transitions import MaintenancePhase
+from crankfold.routing.interface import EndpointState
+from crankfold.service.backend_registry import BackendRegistry
+
+TICKS_PER_SECOND = 10_000  # a tick is a tenth of a millisecond
+MISSING_MACHINE_PERIOD = (
+    600 * TICKS_PER_SECOND
+)  # so long a machine that is not listed any more counts as lost
+MAX_LOG_LAG = 50  # entries by which a dispatcher may be behind and still counts as available
+DISPATCHER_PREFIX = "@"  # begins the machine id of a dispatcher; no backend's does
+
+
+def dispatcher_id(name: str) -> str:
+    """The machine id of the dispatcher of that name."""
+    return DISPATCHER_PREFIX + name
+
+
+class MachineInventory:
+    """Backends as machines, with those that were listed until lately."""
+
+    def __init__(self, backend_registry: BackendRegistry) -> None:
+        self.backend_registry = backend_registry
+        self.missing_since: dict[str, int] = {}  # ticks of the boot clock, by machine id
+
+    def machines(self, state: MaintenanceState) -> list[Machine]:
+        """What is listed, and for a while what is not any more, unless another machine came in its place."""
+        registry = self.backend_registry
+        machines = []
+        for backend, endpoint in enumerate(registry.endpoints):
+            machine_id = registry.backend_ids.names[backend]
+            is_discovered = endpoint.state != EndpointState.REMOVED
+            if is_discovered:
+                self.missing_since.pop(machine_id, None)
+            elif self._is_forgotten(machine_id):
+                continue
+            machines.append(
+                Machine(
+                    machine_id=machine_id,
+                    zone=registry.config.zones.names[endpoint.zone],
+                    instance_type=registry.config.instance_types.names[endpoint.instance_type],
+                    cell=str(endpoint.cell),
+                    size=endpoint.weight or 1.0,
+                    started_at=endpoint.started_at,
+                    available=endpoint.state == EndpointState.READY
+                    and not self._is_drained_manually(machine_id, state),
+                    discovered=is_discovered,
+                )
+            )
+        replaced = {
+            transition.machine_id
+            for transition in state.transitions
+            if transition.phase == MaintenancePhase.REPLACED
+        }
+        return [machine for machine in machines if machine.discovered or machine.machine_id not in replaced]
+
+    def _is_forgotten(self, machine_id: str) -> bool:
+        now = boottime_ticks()
+        return now - self.missing_since.setdefault(machine_id, now) > MISSING_MACHINE_PERIOD
+
+    def _is_drained_manually(self, machine_id: str, state: MaintenanceState) -> bool:
+        """By an operator's call or by a document of the cluster, not for a maintenance job."""
+        registry = self.backend_registry
+        if machine_id in registry.manual_drains.drained_since:
+            return True
+        return machine_id in registry.cluster_drains.drained_since and machine_id not in state.machines
+
+
+def dispatcher_machines(member: Voter, now: int, zones: dict[str, str]) -> list[Machine]:
+    """The members of the cluster as machines, as a voter knows them at `now`, in ticks of the boot clock.
+
+    `zones` are by the name of a dispatcher. The start of such a machine is the incarnation of the process.
+    """
+    statuses = [(member.name, member.incarnation, member.last_applied, True)]
+    statuses += [
+        (name, holder.incarnation, holder.have, member.lease_holder_state(now, holder) == ALIVE)
+        for name, holder in member.lease_holders.items()
+    ]
+    statuses += [
+        (holder.name, holder.incarnation, holder.last_applied, holder.state == ALIVE)
+        for holders in member.remote_lease_holders.values()
+        for holder in holders
+    ]
+    machines: dict[str, Machine] = {}
+    for name, incarnation, last_applied, is_alive in statuses:
+        available = is_alive and last_applied >= member.last_applied - MAX_LOG_LAG
+        known = machines.get(name)
+        if known is None or available and not known.available:
+            machines[name] = _dispatcher_machine(member, name, incarnation, available, zones)
+    for name in member.raft.voters:
+        if name not in machines:
+            machines[name] = _dispatcher_machine(member, name, 0, False, zones)
+    return list(machines.values())
+
+
+def _dispatcher_machine(
+    member: Voter, name: str, incarnation: int, available: bool, zones: dict[str, str]
+) -> Machine:
+    return Machine(
+        machine_id=dispatcher_id(name),
+        zone=zones.get(name, ""),
+        instance_type="voter" if name in member.raft.voters else "follower",
+        started_at=incarnation,
+        available=available,
+    )
--- /dev/null
+++ b/crankfold/service/maintenance_admin.py
@@ -0,0 +1,250 @@
+"""Answers operators' calls about maintenance: what there is, what a job would do, a machine's next step.
+
+The keys of calls and answers are older than the names in the program.
+"""
+
+import time
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+import msgspec
+from msgspec import Struct, field
+
+from crankfold.cluster.node import boottime_ticks
+from crankfold.consensus.conservative_merge import MAINTENANCE
+from crankfold.consensus.voter import Voter
+from crankfold.maintenance.forecast import Forecast, ForecastInputs, forecast_job
+from crankfold.maintenance.scheduler import Machine
+from crankfold.maintenance.specification import (
+    JobSpecification,
+    Target,
+    WorkMethod,
+    parse_jobs,
+    validation_error,
+)
+from crankfold.maintenance.state import MachineInMaintenance, is_dispatcher_id
+from crankfold.maintenance.transitions import MaintenancePhase, Transition, operator_document
+from crankfold.service.machine_inventory import TICKS_PER_SECOND
+
+if TYPE_CHECKING:
+    from crankfold.service.maintenance_agent import MaintenanceAgent
+
+PROPOSE_TIMEOUT = 10.0  # seconds
+RESTORE_LOCALLY = "here"  # the step that concerns this dispatcher alone
+OPERATOR_TRANSITIONS = {
+    "begin": MaintenancePhase.IN_WORK,
+    "done": MaintenancePhase.WORK_DONE,
+    "unwell": MaintenancePhase.UNHEALTHY,
+    "back": MaintenancePhase.RETURNING,
+}
+MAY_RETURN = (
+    MaintenancePhase.DRAINING,
+    MaintenancePhase.DRAINED,
+    MaintenancePhase.WORK_FAILED,
+    MaintenancePhase.UNHEALTHY,
+)
+
+
+class TransitionRequest(Struct, rename="kebab", forbid_unknown_fields=True):
+    """What an operator says of a machine."""
+
+    call: str  # identifies the call; the same one has one effect, however often it is made
+    machine_id: str = field(name="machine")
+    step: str
+    drain_number: int = field(name="number", default=0)
+    author: str = ""
+    reason: str = field(name="why", default="")
+
+
+class ForecastRequest(Struct, rename="kebab", forbid_unknown_fields=True):
+    """A job that is not published yet."""
+
+    name: str
+    job: dict[str, Any] = field(name="work")
+
+
+class TransitionResult(NamedTuple):
+    """What became of an operator's step."""
+
+    accepted: bool
+    reason: str = ""  # why not
+    outcome_known: bool = True  # false if the step may yet be accepted
+
+
+class MaintenanceAdmin:
+    """The operators' calls about maintenance at one dispatcher."""
+
+    def __init__(self, agent: "MaintenanceAgent") -> None:
+        self.agent = agent
+
+    def describe(self) -> dict[str, Any]:
+        """The jobs, the machines in maintenance, what they wait for and the transitions so far."""
+        agent = self.agent
+        state = agent.state
+        member = agent.cluster_node.consensus
+        machines = agent.machines()
+        if isinstance(member, Voter):
+            machines += agent.dispatchers(member, boottime_ticks())
+        return {
+            "works": {name: self._describe_job(name, job, machines) for name, job in agent.jobs().items()},
+            "machines": {machine_id: machine.to_document() for machine_id, machine in state.machines.items()},
+            "steps": [transition.to_document() for transition in state.transitions],
+            "waits": [
+                {"machine": wait.machine_id, "work": wait.job, "why": wait.text}
+                for wait in agent.coordinator.wait_reasons
+            ],
+            "leads": isinstance(member, Voter) and member.is_leader(),
+            "leader": member.raft.leader if isinstance(member, Voter) else "",
+            "here": sorted(agent.restored_locally),
+        }
+
+    def _describe_job(self, name: str, job: JobSpecification, machines: list[Machine]) -> dict[str, Any]:
+        state = self.agent.state
+        completed = state.completed.get(name, {})
+        target = job.to_job(name)
+        wanted = [
+            machine.machine_id
+            for machine in machines
+            if is_dispatcher_id(machine.machine_id) == (job.target == Target.DISPATCHERS)
+            and target.covers(machine)
+        ]
+        under_way = any(machine.job == name for machine in state.machines.values())
+        job_state: str = job.state
+        if name in state.halted_jobs:
+            job_state = "stopped by itself"
+        elif wanted and not under_way and all(machine_id in completed for machine_id in wanted):
+            job_state = "done"
+        return {
+            "why": job.reason,
+            "state": job_state,
+            "halted": state.halted_jobs.get(name, ""),
+            "wanted": len(wanted),
+            "done": completed,
+            "left": [
+                machine_id
+                for machine_id in wanted
+                if machine_id not in completed and machine_id not in state.machines
+            ],
+        }
+
+    def forecast(self, body: bytes) -> dict[str, Any]:
+        """What would come about if this job were published now. Changes nothing.
+
+        Raises:
+            msgspec.DecodeError: if the body is no `ForecastRequest`.
+        """
+        request = msgspec.json.decode(body, type=ForecastRequest)
+        agent = self.agent
+        document = agent.cluster_node.consensus.documents.document(MAINTENANCE)
+        before = document.versions[-1].text if document.versions else {}
+        content = {"works": {**before.get("works", {}), request.name: request.job}}
+        error = validation_error(content, before, agent.machines())
+        if error:
+            return {"well": False, "text": error}
+        jobs = parse_jobs(content)
+        target = jobs[request.name].target
+        machines = agent.machines()
+        if target == Target.DISPATCHERS:
+            member = agent.cluster_node.consensus
+            if not isinstance(member, Voter):
+                return {"well": False, "text": "ask at the door of a voter"}
+            machines = agent.dispatchers(member, boottime_ticks())
+        same_target = {name: job for name, job in jobs.items() if job.target == target}
+        return _forecast_answer(forecast_job(request.name, self._forecast_inputs(same_target, machines)))
+
+    def _forecast_inputs(self, jobs: dict[str, JobSpecification], machines: list[Machine]) -> ForecastInputs:
+        agent = self.agent
+        drain_ticks = agent.cluster_node.consensus.documents.max_request_duration()
+        return ForecastInputs(
+            jobs=jobs,
+            machines=machines,
+            out_for={machine_id: machine.job for machine_id, machine in agent.state.machines.items()},
+            completed=agent.state.completed_pairs(),
+            now_ms=time.time_ns() // 1_000_000,
+            drain_seconds=drain_ticks / TICKS_PER_SECOND,
+            warm_up_seconds=agent.request_handler.config.slow_start_duration / TICKS_PER_SECOND,
+        )
+
+    async def request_transition(self, body: bytes) -> TransitionResult:
+        """Proposes a step that an operator calls for.
+
+        Raises:
+            msgspec.DecodeError: if the body is no `TransitionRequest`.
+        """
+        request = msgspec.json.decode(body, type=TransitionRequest)
+        if request.step == RESTORE_LOCALLY:
+            return self._restore_locally(request.machine_id)
+        phase = OPERATOR_TRANSITIONS.get(request.step)
+        if phase is None:
+            known = ", ".join(OPERATOR_TRANSITIONS)
+            return TransitionResult(False, f"step: found {request.step!r}; {known}")
+        machine = self.agent.state.machines.get(request.machine_id)
+        if machine is None:
+            return _not_out(request.machine_id)
+        objection = self._objection(request.machine_id, machine, phase)
+        if objection:
+            return TransitionResult(False, objection)
+        transition = operator_document(_requested_transition(request, machine.job, phase))
+        response = await self.agent.cluster_node.propose(
+            "step", {"steps": [transition]}, request.call, PROPOSE_TIMEOUT
+        )
+        return TransitionResult(
+            response.accepted, response.reason, response.accepted or response.log_index > 0
+        )
+
+    def _objection(self, machine_id: str, machine: MachineInMaintenance, phase: MaintenancePhase) -> str:
+        """Why an operator may not call for that step, though it would follow; empty if he may."""
+        job = self.agent.jobs().get(machine.job)
+        if (
+            phase in (MaintenancePhase.IN_WORK, MaintenancePhase.WORK_DONE)
+            and machine.phase in (MaintenancePhase.DRAINED, MaintenancePhase.IN_WORK)
+            and not machine.unhealthy
+            and job
+            and job.method == WorkMethod.COMMAND
+        ):
+            return f"{machine_id} is for {machine.job}'s command"
+        if phase == MaintenancePhase.RETURNING and machine.phase not in MAY_RETURN:
+            return f"{machine_id} is in state {machine.phase}"
+        return ""
+
+    def _restore_locally(self, machine_id: str) -> TransitionResult:
+        """While it is isolated nobody can tell this dispatcher that nothing is done on the machine."""
+        if machine_id not in self.agent.state.out_of_rotation():
+            return _not_out(machine_id)
+        if self.agent.cluster_node.has_lease():
+            return TransitionResult(False, "the fleet is heard here; hand it in as a step of all: back")
+        self.agent.restore_locally(machine_id)
+        return TransitionResult(True)
+
+
+def _requested_transition(request: TransitionRequest, job: str, phase: MaintenancePhase) -> Transition:
+    return Transition(
+        machine_id=request.machine_id,
+        job=job,
+        phase=phase,
+        by=request.author or "an operator",
+        incarnation=0,
+        reason=request.reason,
+        at_ms=time.time_ns() // 1_000_000,
+        drain_number=request.drain_number or None,
+    )
+
+
+def _not_out(machine_id: str) -> TransitionResult:
+    return TransitionResult(False, f"{machine_id} is not out for any work, as far as is known here")
+
+
+def _forecast_answer(forecast: Forecast) -> dict[str, Any]:
+    return {
+        "well": True,
+        "turns": [
+            {
+                "begin": departure.begin_seconds,
+                "end": departure.end_seconds,
+                "machine": departure.machine_id,
+                "zone": departure.zone,
+                "why": departure.waited_for,
+            }
+            for departure in forecast.departures
+        ],
+        "waits": forecast.wait_reasons,
+    }
--- a/crankfold/service/maintenance_agent.py
+++ b/crankfold/service/maintenance_agent.py
@@ -1,571 +1,255 @@
-"""Machines out for work, as one dispatcher takes part: what it tells of them, decides if it leads, and runs.
+"""One dispatcher's part in the maintenance of machines: it reports what it sees, and decides if it leads.
 
-Not imported before works are handed in. What is decided is in `crankfold/maintenance/`.
+What is decided is in `crankfold/maintenance/`. Not imported before there is a maintenance job.
 """
 
-import asyncio
-import contextlib
-import os
-import signal
+import logging
 import time
-from collections import deque
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 from typing import Any
 
-import msgspec
-from msgspec import Struct
-
 from crankfold.cluster.node import ClusterNode, boottime_ticks
 from crankfold.consensus.conservative_merge import MAINTENANCE
 from crankfold.consensus.messages import MaintenanceReport
-from crankfold.consensus.voter import ALIVE, Voter
+from crankfold.consensus.voter import Voter
 from crankfold.maintenance import specification
 from crankfold.maintenance.coordinator import Coordinator
 from crankfold.maintenance.fleet_view import Area, FleetView
-from crankfold.maintenance.forecast import ForecastInputs, forecast_job
 from crankfold.maintenance.scheduler import Machine
 from crankfold.maintenance.state import MaintenanceState, is_dispatcher_id
-from crankfold.maintenance.transitions import (
-    MaintenancePhase,
-    Transition,
-    coordinator_document,
-    operator_document,
-    outcome_document,
-)
-from crankfold.network.metrics import Metrics, log_line
-from crankfold.routing.interface import DeduplicationScope, EndpointState, Idempotency, Outcome
+from crankfold.maintenance.transitions import MaintenancePhase, coordinator_document
+from crankfold.network.metrics import Metrics
+from crankfold.routing.interface import DeduplicationScope, Idempotency, Outcome
 from crankfold.service.admin_service import AdminService
+from crankfold.service.machine_inventory import (
+    DISPATCHER_PREFIX,
+    TICKS_PER_SECOND,
+    MachineInventory,
+    dispatcher_id,
+    dispatcher_machines,
+)
+from crankfold.service.maintenance_admin import MaintenanceAdmin
+from crankfold.service.maintenance_commands import CommandExecutor
+from crankfold.service.maintenance_observations import MaintenanceObservations
 from crankfold.service.request_handler import RequestHandler
 
-TICKS_PER_SECOND = 10_000
-LOAD_WINDOW = 5.0  # seconds over which taken and shed units are counted
-MISSING_MACHINE_PERIOD = 600 * TICKS_PER_SECOND  # so long a machine that is listed no more counts as lost
-MAX_ENDPOINT_LIST_AGE = 15 * TICKS_PER_SECOND  # a list that was not heard of for longer is not relied on
-PUBLISH_TIMEOUT = 10.0
-MAX_UNCONFIRMED = 1000
-SUCCESSES = (Outcome.COMPLETED,)
-FAILURES = (Outcome.ERROR, Outcome.TIMED_OUT, Outcome.UNREACHABLE, Outcome.RESET, Outcome.UNKNOWN)
-SHED_COUNTERS = ("shed", "shed-for-room", "shed-for-share", "shed-cut-off")
-OPERATOR_TRANSITIONS = {
-    "begin": MaintenancePhase.IN_WORK,
-    "done": MaintenancePhase.WORK_DONE,
-    "unwell": MaintenancePhase.UNHEALTHY,
-    "back": MaintenancePhase.RETURNING,
-}
-
-
-class TransitionRequest(Struct, rename="kebab", forbid_unknown_fields=True):
-    """What an operator has to say of a machine."""
-
-    call: str
-    machine: str
-    step: str
-    number: int = 0
-    author: str = ""
-    why: str = ""
-
+logger = logging.getLogger(__name__)
 
-class ForecastRequest(Struct, rename="kebab", forbid_unknown_fields=True):
-    name: str
-    work: dict[str, Any]
+MAX_ENDPOINT_LIST_AGE = 15 * TICKS_PER_SECOND  # an older list is not relied on
+AREA_OF_SCOPE = {DeduplicationScope.ZONE: Area.ZONE, DeduplicationScope.CELL: Area.CELL}
 
 
 class MaintenanceAgent:
+    """Joins the decisions on maintenance to the requests, the cluster node and the commands here."""
+
     def __init__(
         self,
-        desk: RequestHandler,
-        operations: AdminService,
-        peer: ClusterNode,
-        tally: Metrics,
-        list_age: Callable[[], int],
-        relaid: Callable[[], None],
+        request_handler: RequestHandler,
+        admin_service: AdminService,
+        cluster_node: ClusterNode,
+        *,
+        metrics: Metrics,
+        endpoint_list_age: Callable[[], int],
+        machines_out_changed: Callable[[], None],
     ) -> None:
-        self.request_handler, self.backend_registry, self.admin_service, self.cluster_node, self.metrics = (
-            desk,
-            desk.backends,
-            operations,
-            peer,
-            tally,
-        )
-        self.endpoint_list_age, self.machines_out_changed = list_age, relaid
-        self.coordinator = Coordinator(peer.consensus.name)
-        self.load_samples: deque[tuple[float, int, int]] = deque()
-        self.unconfirmed: dict[str, dict[str, None]] = {}  # by machine, units that may go on there
-        self.answer_counts: dict[str, list[int]] = {}
-        self.returned_machines: dict[str, int] = {}  # machines that are back, and by which step
-        self.missing_since: dict[str, int] = {}
-        self.specifications: dict[str, specification.JobSpecification] = {}
-        self.specifications_version = -1
-        self.command_tasks: dict[tuple[str, int], asyncio.Task[None]] = {}
-        self.command_processes: dict[tuple[str, int], asyncio.subprocess.Process] = {}
-        self.out_of_service = False  # service, for a work on dispatchers
-        self.dispatcher_zones: dict[str, str] = {}  # of dispatchers, as they told last
-        self.restored_locally: set[str] = set()  # machines that are back at this dispatcher alone, by hand
-        peer.maintenance_report, peer.maintenance_steps = self.build_report, self.propose_transitions
+        """Begins with nothing observed.
+
+        `endpoint_list_age` gives the ticks since discovery answered last; `machines_out_changed` is called
+        when `machines_out` may give others though the cluster agreed on nothing new.
+        """
+        self.request_handler = request_handler
+        self.admin_service = admin_service
+        self.cluster_node = cluster_node
+        self.metrics = metrics
+        self.endpoint_list_age = endpoint_list_age
+        self.machines_out_changed = machines_out_changed
+        self.coordinator = Coordinator(cluster_node.consensus.name)
+        self.inventory = MachineInventory(request_handler.backends)
+        self.observations = MaintenanceObservations(request_handler, metrics.counters)
+        self.commands = CommandExecutor(cluster_node, request_handler.backends)
+        self.admin = MaintenanceAdmin(self)
+        self.out_of_service = False  # for a job about dispatchers
+        self.dispatcher_zones: dict[str, str] = {}  # as the members reported last
+        self.restored_locally: set[str] = set()  # machines that an operator put back at this dispatcher alone
+        self._jobs: dict[str, specification.JobSpecification] = {}
+        self._jobs_version = -1
 
     @property
     def state(self) -> MaintenanceState:
+        """What the cluster agreed on, as far as it is known here."""
         return self.cluster_node.consensus.documents.replicated.maintenance
 
-    def current_specifications(self) -> dict[str, specification.JobSpecification]:
-        doc = self.cluster_node.consensus.documents.document(MAINTENANCE)
-        if doc.latest_number() != self.specifications_version:
-            self.specifications_version = doc.latest_number()
+    def jobs(self) -> dict[str, specification.JobSpecification]:
+        """The newest version of the jobs, by name."""
+        document = self.cluster_node.consensus.documents.document(MAINTENANCE)
+        if document.latest_number() != self._jobs_version:
+            self._jobs_version = document.latest_number()
             try:
-                self.specifications = specification.parse_jobs(doc.versions[-1].text) if doc.versions else {}
-            except ValueError as wrong:  # agreed by a majority of another version of the program
-                self.metrics.warn("works", f"can't be read here: {wrong}")
-                self.specifications = {}
-        return self.specifications
+                self._jobs = specification.parse_jobs(document.versions[-1].text) if document.versions else {}
+            except ValueError as error:  # accepted by a majority of another version of the program
+                logger.warning("can't be read here: %s", error, extra={"category": "maintenance"})
+                self._jobs = {}
+        return self._jobs
+
+    def machines(self) -> list[Machine]:
+        """The backends as machines."""
+        return self.inventory.machines(self.state)
+
+    def dispatchers(self, member: Voter, now: int) -> list[Machine]:
+        """The members of the cluster as machines; `now` is in ticks of the boot clock."""
+        return dispatcher_machines(member, now, self.dispatcher_zones)
+
+    def machines_out(self) -> set[str]:
+        """Ids of the machines that this dispatcher sends no requests to."""
+        return self.state.out_of_rotation() - self.restored_locally
 
-    # --- what is heard from the desk ---
+    def restore_locally(self, machine_id: str) -> None:
+        """Sends requests to a machine again, at this dispatcher alone, until it has a lease."""
+        self.restored_locally.add(machine_id)
+        self.metrics.increment("machines-restored-locally")
+        logger.info(
+            "maintenance: %s restored at this dispatcher alone, while isolated; it may be in work", machine_id
+        )
+        self.machines_out_changed()
 
-    def attempt_abandoned(self, uid: str, ident: str) -> None:
-        """A unit was given up on, and the machine may have it still."""
-        idents = self.unconfirmed.setdefault(uid, {})
-        idents[ident] = None
-        if len(idents) > MAX_UNCONFIRMED:
-            del idents[next(iter(idents))]
+    def close(self) -> None:
+        """Ends the commands that run here."""
+        self.commands.close()
 
-    def abandoned_attempt_finished(self, ident: str, uid: str) -> None:
-        self.unconfirmed.get(uid, {}).pop(ident, None)
+    # --- what happens here ---
 
-    def attempt_finished(self, runner: int, outcome: Outcome) -> None:
-        uid = self.backend_registry.backend_ids.names[runner]
-        if uid in self.returned_machines:
-            seen = self.answer_counts.setdefault(uid, [0, 0])
-            seen[0] += outcome in SUCCESSES or outcome in FAILURES
-            seen[1] += outcome in FAILURES
+    def attempt_abandoned(self, backend_id: str, request_id: str) -> None:
+        """An attempt was given up, and the backend may still execute it."""
+        self.observations.attempt_abandoned(backend_id, request_id)
 
-    # --- what changes with a step ---
+    def abandoned_attempt_finished(self, request_id: str, backend_id: str) -> None:
+        """The backend told the end of an attempt that was given up."""
+        self.observations.abandoned_attempt_finished(request_id, backend_id)
+
+    def attempt_finished(self, backend: int, outcome: Outcome) -> None:
+        """An attempt on the backend with that index has ended."""
+        backend_id = self.request_handler.backends.backend_ids.names[backend]
+        self.observations.attempt_finished(backend_id, outcome)
+
+    # --- what the cluster agreed on ---
 
     def state_changed(self) -> None:
-        ledger, me = self.state, f"@{self.cluster_node.consensus.name}"
-        back = {
-            uid: away.last_index
-            for uid, away in ledger.machines.items()
-            if away.phase == MaintenancePhase.RETURNING
-        }
-        for uid in [uid for uid, last in self.returned_machines.items() if back.get(uid) != last]:
-            self.answer_counts.pop(uid, None)
-        self.returned_machines = back
-        for uid in [uid for uid in self.restored_locally if uid not in ledger.out_of_rotation()]:
-            self.restored_locally.discard(uid)
-        if me in ledger.out_of_rotation() and not self.out_of_service:
-            self.out_of_service = True
+        """Goes by the state as it is now: this dispatcher's own service, counts, commands that are due."""
+        machines = self.state.machines
+        out_of_rotation = self.state.out_of_rotation()
+        self.observations.state_changed(
+            {
+                machine_id: machine.last_index
+                for machine_id, machine in machines.items()
+                if machine.phase == MaintenancePhase.RETURNING
+            }
+        )
+        self.restored_locally &= out_of_rotation
+        is_out = dispatcher_id(self.cluster_node.consensus.name) in out_of_rotation
+        if is_out and not self.out_of_service:
             self.admin_service.leave_service()
-        elif me not in ledger.out_of_rotation() and self.out_of_service:
-            self.out_of_service = False
+        elif not is_out and self.out_of_service:
             self.admin_service.enter_service()
-        for uid in [uid for uid in self.unconfirmed if not self.unconfirmed[uid]]:
-            del self.unconfirmed[uid]
-        self._start_due_commands()
-
-    def machines_out(self) -> set[str]:
-        return self.state.out_of_rotation() - self.restored_locally
-
-    # --- what it tells ---
+        self.out_of_service = is_out
+        self.commands.start_due(self.state, self.jobs())
 
     def build_report(self) -> MaintenanceReport | None:
-        """With each question for a lease, and to itself."""
-        if not self.current_specifications() and not self.state.machines:
+        """What the cluster is told with each request for a lease; None while there is no maintenance."""
+        if not self.jobs() and not self.state.machines:
             return None
         if self.restored_locally and self.cluster_node.has_lease():
-            self.restored_locally.clear()  # the fleet is heard again, and its word counts
+            self.restored_locally.clear()  # from now on what the cluster agreed on counts here too
             self.machines_out_changed()
-        self._start_due_commands()
-        told, out, names = (
-            MaintenanceReport(),
-            self.state.out_of_rotation(),
-            self.backend_registry.backend_ids.names,
-        )
-        for unit in self.request_handler.request_table.requests.values():
-            told.open_requests += unit.is_open
-            for trip in unit.attempts:
-                uid = names[trip.backend]
-                if trip.in_flight and uid in out:
-                    told.in_flight[uid] = told.in_flight.get(uid, 0) + 1
-        told.unresolved = {uid: [*self.unconfirmed[uid]][-5:] for uid in out if self.unconfirmed.get(uid)}
-        told.response_counts = {uid: (seen[0], seen[1]) for uid, seen in self.answer_counts.items()}
-        told.unavailable = [
-            m.machine_id for m in self.machines() if not m.available and m.machine_id not in out
+        self.commands.start_due(self.state, self.jobs())
+        report = MaintenanceReport()
+        out_of_rotation = self.state.out_of_rotation()
+        self.observations.fill_report(report, out_of_rotation)
+        report.unavailable = [
+            machine.machine_id
+            for machine in self.machines()
+            if not machine.available and machine.machine_id not in out_of_rotation
         ]
+        name = self.cluster_node.consensus.name
         if self.cluster_node.config.zone:
-            told.dispatcher_zones = {self.cluster_node.consensus.name: self.cluster_node.config.zone}
+            report.dispatcher_zones = {name: self.cluster_node.config.zone}
         if self.out_of_service and not self.request_handler.open_request_count():
-            told.idle_dispatchers = [self.cluster_node.consensus.name]
-        now, counts = time.monotonic(), self.metrics.counters
-        self.load_samples.append(
-            (now, counts["taken"] - counts["shed"], sum(counts[name] for name in SHED_COUNTERS))
-        )
-        while now - self.load_samples[0][0] > LOAD_WINDOW:
-            self.load_samples.popleft()
-        told.recent_accepted = max(self.load_samples[-1][1] - self.load_samples[0][1], 0)
-        told.recent_shed = self.load_samples[-1][2] - self.load_samples[0][2]
-        return told
+            report.idle_dispatchers = [name]
+        return report
 
-    def machines(self) -> list[Machine]:
-        """As listed; what is listed no more counts as lost for a while, as nothing came in its place."""
-        fleet, now, seen = self.backend_registry, boottime_ticks(), []
-        for runner, entry in enumerate(fleet.endpoints):
-            uid = fleet.backend_ids.names[runner]
-            if entry.state == EndpointState.REMOVED:
-                if now - self.missing_since.setdefault(uid, now) > MISSING_MACHINE_PERIOD:
-                    continue
-            else:
-                self.missing_since.pop(uid, None)
-            by_hand = (
-                uid in fleet.manual_drains.drained_since
-                or uid in fleet.cluster_drains.drained_since
-                and uid not in self.state.machines
-            )
-            ready = entry.state == EndpointState.READY and not by_hand
-            seen.append(
-                Machine(
-                    uid,
-                    fleet.config.zones.names[entry.zone],
-                    fleet.config.instance_types.names[entry.instance_type],
-                    str(entry.cell),
-                    entry.weight or 1.0,
-                    entry.started_at,
-                    ready,
-                    entry.state != EndpointState.REMOVED,
-                )
-            )
-        replaced = {
-            step.machine_id for step in self.state.transitions if step.phase == MaintenancePhase.REPLACED
-        }
-        return [m for m in seen if m.discovered or m.machine_id not in replaced]
-
-    # --- what it decides, if it leads ---
+    # --- what is decided, if this dispatcher leads ---
 
     def propose_transitions(self) -> list[dict[str, Any]]:
-        works, ledger = self.current_specifications(), self.state
+        """The transitions to propose now, in their stored form; none at a member that does not lead."""
         member = self.cluster_node.consensus
-        if not isinstance(member, Voter) or not works and not ledger.machines:
+        if not isinstance(member, Voter) or not self.jobs() and not self.state.machines:
             return []
         now = boottime_ticks()
         if not member.is_leader() or not self.cluster_node.has_lease():
-            self.coordinator.observe(now, ledger, self.machines())
+            self.coordinator.observe(now, self.state, self.machines())
             self.coordinator.wait_reasons = ()
             return []
         return [
             coordinator_document(transition)
-            for transition in self.coordinator.propose(self.coordinator_view(member, now))
+            for transition in self.coordinator.propose(self._fleet_view(member, now))
         ]
 
-    def coordinator_view(self, member: Voter, now: int) -> FleetView:
-        told, of_runners = member.gather_maintenance(now)
-        ledger, dispatchers = self.state, self.dispatcher_machines(member, now)
-        self.dispatcher_zones |= told.dispatcher_zones
-
-        def holders(uid: str, index: int) -> str:
-            if is_dispatcher_id(uid):
-                name = uid[1:]
-                there = name == member.name or any(m.machine_id == uid and m.available for m in dispatchers)
-                return "it has units in hand" if there and name not in told.idle_dispatchers else ""
-            return of_runners(uid, index)
-
-        lives = {name: report.incarnation for name, report in member.voter_reports.items()}
-        lives[member.name] = member.incarnation
-        executors = {
-            name: life
-            for name, life in lives.items()
-            if name == member.name or now < member.granted_until.get(name, 0)
-        }
-        age = self.endpoint_list_age()
-        grades = [
-            grade
-            for grade in self.request_handler.request_classes.classes
-            if grade.idempotency == Idempotency.IDEMPOTENT_WITH_KEY
-        ]
-        keep_in = {
-            place
-            for grade in grades
-            for group, place in ((DeduplicationScope.ZONE, Area.ZONE), (DeduplicationScope.CELL, Area.CELL))
-            if grade.deduplication_scope == group
-        }
-        stale = f"the list was not heard of for {age // TICKS_PER_SECOND} s"
+    def _fleet_view(self, member: Voter, now: int) -> FleetView:
+        """All that a leader knows. Over 30 lines: the list of what that is."""
+        report, backend_holders = member.gather_maintenance(now)
+        self.dispatcher_zones |= report.dispatcher_zones
+        dispatchers = self.dispatchers(member, now)
+        available = {machine.machine_id for machine in dispatchers if machine.available}
+
+        def blocking_holders(machine_id: str, index: int) -> str:
+            if not is_dispatcher_id(machine_id):
+                return backend_holders(machine_id, index)
+            name = machine_id.removeprefix(DISPATCHER_PREFIX)
+            is_there = name == member.name or machine_id in available
+            return "it has units in hand" if is_there and name not in report.idle_dispatchers else ""
+
+        incarnations = {name: voter.incarnation for name, voter in member.voter_reports.items()}
+        incarnations[member.name] = member.incarnation
         return FleetView(
             now=now,
             wall_ms=time.time_ns() // 1_000_000,
             jobs_version=member.documents.document(MAINTENANCE).latest_number(),
-            jobs=dict(self.current_specifications()),
-            state=ledger,
+            jobs=dict(self.jobs()),
+            state=self.state,
             machines=self.machines(),
             dispatchers=dispatchers,
             voter_count=len(member.raft.voters),
-            stale_reason=stale if age > MAX_ENDPOINT_LIST_AGE else "",
-            blocking_holders=holders,
-            unresolved_requests=told.unresolved,
-            answers=told.response_counts,
-            unavailable=told.unavailable,
-            requests_in_flight=told.open_requests,
-            admitted_count=told.recent_accepted,
-            shed_count=told.recent_shed,
-            executors=executors,
-            incarnations=lives,
+            stale_reason=self._stale_reason(),
+            blocking_holders=blocking_holders,
+            unresolved_requests=report.unresolved,
+            answers=report.response_counts,
+            unavailable=report.unavailable,
+            requests_in_flight=report.open_requests,
+            admitted_count=report.recent_accepted,
+            shed_count=report.recent_shed,
+            executors={
+                name: incarnation
+                for name, incarnation in incarnations.items()
+                if name == member.name or now < member.granted_until.get(name, 0)
+            },
+            incarnations=incarnations,
             warm_up_ticks=self.request_handler.config.slow_start_duration,
-            deduplication_scopes=sorted(keep_in),
+            deduplication_scopes=self._deduplication_areas(),
         )
 
-    def dispatcher_machines(self, member: Voter, now: int) -> list[Machine]:
-        """Members as machines: `since` is the life of the process, by which a new one is known."""
-        wards = [(member.name, member.incarnation, member.last_applied, True)]
-        wards += [
-            (name, ward.incarnation, ward.have, member.lease_holder_state(now, ward) == ALIVE)
-            for name, ward in member.lease_holders.items()
-        ]
-        wards += [
-            (one.name, one.incarnation, one.last_applied, one.state == ALIVE)
-            for held in member.remote_lease_holders.values()
-            for one in held
-        ]
-        seen: dict[str, Machine] = {}
-        for name, life, have, there in wards:
-            caught_up = there and have >= member.last_applied - 50
-            before = seen.get(f"@{name}")
-            if before is None or caught_up and not before.available:
-                kind = "voter" if name in member.raft.voters else "follower"
-                zone = self.dispatcher_zones.get(name, "")
-                seen[f"@{name}"] = Machine(f"@{name}", zone, kind, "", 1.0, life, caught_up)
-        for name in member.raft.voters:
-            zone = self.dispatcher_zones.get(name, "")
-            seen.setdefault(f"@{name}", Machine(f"@{name}", zone, "voter", "", 1.0, 0, False))
-        return list(seen.values())
-
-    # --- commands ---
-
-    def _start_due_commands(self) -> None:
-        """Those that are agreed to run here, in this life, while what is agreed is known to be so."""
-        member = self.cluster_node.consensus
-        for uid, away in self.state.machines.items():
-            if (
-                away.phase != MaintenancePhase.IN_WORK
-                or away.executor != member.name
-                or away.executor_incarnation != member.incarnation
-                or (uid, away.drain_number) in self.command_tasks
-                or not self.cluster_node.has_lease()
-            ):
-                continue
-            given = self.current_specifications().get(away.job)
-            if given and given.command:
-                self.command_tasks[uid, away.drain_number] = asyncio.get_running_loop().create_task(
-                    self._run_command(uid, away.job, away.drain_number, away.executor_incarnation, given)
-                )
-
-    async def _run_command(
-        self, uid: str, work: str, number: int, life: int, given: specification.JobSpecification
-    ) -> None:
-        runner = self.backend_registry.backend_ids.find(uid)
-        at = self.backend_registry.addresses[runner] if runner >= 0 else ("", 0, 0)
-        told = {
-            "CRANKFOLD_MACHINE": uid.removeprefix("@"),
-            "CRANKFOLD_WORK": work,
-            "CRANKFOLD_NUMBER": str(number),
-            "CRANKFOLD_ADDRESS": f"{at[0]}:{at[1]}" if at[0] else "",
-        }
-        log_line(f"crankfold: works: {work}: the command of {uid} begins under {number}")
-        step, why = MaintenancePhase.WORK_FAILED, ""
-        try:
-            process = await asyncio.create_subprocess_exec(
-                *given.command,
-                env={**os.environ, **told},
-                stdin=asyncio.subprocess.DEVNULL,
-                stdout=asyncio.subprocess.DEVNULL,
-                stderr=asyncio.subprocess.PIPE,
-                start_new_session=True,
-            )
-            self.command_processes[uid, number] = process
-            try:
-                async with asyncio.timeout(given.work_seconds):
-                    _, said = await process.communicate()
-                if process.returncode == 0:
-                    step = MaintenancePhase.WORK_DONE
-                why = f"exit {process.returncode}" + (
-                    f": {said.decode(errors='replace').strip()[-200:]}" if process.returncode and said else ""
-                )
-            except TimeoutError:
-                self._kill_process_group(process)
-                why = f"was ended after {given.work_seconds:g} s"
-        except OSError as wrong:
-            why = f"could not be run: {wrong}"
-        finally:
-            self.command_processes.pop((uid, number), None)
-        log_line(f"crankfold: works: {work}: the command of {uid} under {number}: {step}, {why}")
-        taken = outcome_document(
-            Transition(
-                machine_id=uid,
-                job=work,
-                phase=step,
-                drain_number=number,
-                by=self.cluster_node.consensus.name,
-                reason=why,
-                at_ms=time.time_ns() // 1_000_000,
-            )
-        )
-        while True:  # until it is known to be agreed, or to be over
-            made = await self.cluster_node.propose(
-                "step", {"steps": [taken]}, f"{uid} {number} {life}", PUBLISH_TIMEOUT
-            )
-            if made.accepted or made.log_index:
-                return
-
-    @staticmethod
-    def _kill_process_group(process: asyncio.subprocess.Process) -> None:
-        with contextlib.suppress(ProcessLookupError):
-            os.killpg(process.pid, signal.SIGKILL)
-
-    def close(self) -> None:
-        """A command does not outlive the dispatcher that would tell what became of it."""
-        for process in self.command_processes.values():
-            self._kill_process_group(process)
-        for task in self.command_tasks.values():
-            task.cancel()
-
-    # --- operators ---
-
-    def describe(self) -> dict[str, Any]:
-        ledger, member = self.state, self.cluster_node.consensus
-        leads = isinstance(member, Voter) and member.is_leader()
-        listed = [*self.machines()]
-        if isinstance(member, Voter):
-            listed += self.dispatcher_machines(member, boottime_ticks())
-        works = {}
-        for name, given in self.current_specifications().items():
-            done = ledger.completed.get(name, {})
-            work = given.to_job(name)
-            wanted = [
-                m.machine_id
-                for m in listed
-                if is_dispatcher_id(m.machine_id) == (given.target == specification.Target.DISPATCHERS)
-                and work.covers(m)
-            ]
-            over = all(uid in done for uid in wanted) and not any(
-                m.job == name for m in ledger.machines.values()
-            )
-            works[name] = {
-                "why": given.reason,
-                "state": "stopped by itself"
-                if name in ledger.halted_jobs
-                else "done"
-                if wanted and over
-                else given.state,
-                "halted": ledger.halted_jobs.get(name, ""),
-                "wanted": len(wanted),
-                "done": done,
-                "left": [uid for uid in wanted if uid not in done and uid not in ledger.machines],
+    def _stale_reason(self) -> str:
+        """Why the endpoint list can't be relied on, or ""."""
+        age = self.endpoint_list_age()
+        if age <= MAX_ENDPOINT_LIST_AGE:
+            return ""
+        return f"the list was not heard of for {age // TICKS_PER_SECOND} s"
+
+    def _deduplication_areas(self) -> list[Area]:
+        """Within what repeats of a request with an idempotency key have to stay."""
+        return sorted(
+            {
+                AREA_OF_SCOPE[request_class.deduplication_scope]
+                for request_class in self.request_handler.request_classes.classes
+                if request_class.idempotency == Idempotency.IDEMPOTENT_WITH_KEY
+                and request_class.deduplication_scope in AREA_OF_SCOPE
             }
-        waits = [
-            {"machine": wait.machine_id, "work": wait.job, "why": wait.text}
-            for wait in self.coordinator.wait_reasons
-        ]
-        machines = {uid: away.to_document() for uid, away in ledger.machines.items()}
-        return {
-            "works": works,
-            "machines": machines,
-            "steps": [step.to_document() for step in ledger.transitions],
-            "waits": waits,
-            "leads": leads,
-            "leader": member.raft.leader if isinstance(member, Voter) else "",
-            "here": sorted(self.restored_locally),
-        }
-
-    def forecast(self, body: bytes) -> dict[str, Any]:
-        """What would come about if this work were handed in now. Changes nothing."""
-        asked = msgspec.json.decode(body, type=ForecastRequest)
-        doc = self.cluster_node.consensus.documents.document(MAINTENANCE)
-        before = doc.versions[-1].text if doc.versions else {}
-        text = {"works": {**before.get("works", {}), asked.name: asked.work}}
-        wrong = specification.validation_error(text, before, self.machines())
-        if wrong:
-            return {"well": False, "text": wrong}
-        works, ledger = specification.parse_jobs(text), self.state
-        machines: Sequence[Machine] = self.machines()
-        if works[asked.name].target == specification.Target.DISPATCHERS:
-            member = self.cluster_node.consensus
-            if not isinstance(member, Voter):
-                return {"well": False, "text": "ask at the door of a voter"}
-            machines = self.dispatcher_machines(member, boottime_ticks())
-        told = forecast_job(
-            asked.name,
-            ForecastInputs(
-                jobs={
-                    name: given for name, given in works.items() if given.target == works[asked.name].target
-                },
-                machines=machines,
-                out_for={uid: away.job for uid, away in ledger.machines.items()},
-                completed=ledger.completed_pairs(),
-                now_ms=time.time_ns() // 1_000_000,
-                drain_seconds=self.cluster_node.consensus.documents.max_request_duration() / TICKS_PER_SECOND,
-                warm_up_seconds=self.request_handler.config.slow_start_duration / TICKS_PER_SECOND,
-            ),
-        )
-        return {
-            "well": True,
-            "turns": [
-                {
-                    "begin": turn.begin_seconds,
-                    "end": turn.end_seconds,
-                    "machine": turn.machine_id,
-                    "zone": turn.zone,
-                    "why": turn.waited_for,
-                }
-                for turn in told.departures
-            ],
-            "waits": told.wait_reasons,
-        }
-
-    async def request_transition(self, body: bytes) -> tuple[bool, str, bool]:
-        """A step by an operator's call: whether it is agreed, what was told, whether there is an outcome."""
-        asked = msgspec.json.decode(body, type=TransitionRequest)
-        if asked.step == "here":
-            return self._restore_locally(asked.machine)
-        away = self.state.machines.get(asked.machine)
-        step = OPERATOR_TRANSITIONS.get(asked.step)
-        if step is None:
-            return False, f"step: found {asked.step!r}; {', '.join(OPERATOR_TRANSITIONS)}", True
-        if away is None:
-            return False, f"{asked.machine} is not out for any work, as far as is known here", True
-        given = self.current_specifications().get(away.job)
-        if (
-            step in (MaintenancePhase.IN_WORK, MaintenancePhase.WORK_DONE)
-            and away.phase in (MaintenancePhase.DRAINED, MaintenancePhase.IN_WORK)
-            and not away.unhealthy
-            and given
-            and given.method == specification.WorkMethod.COMMAND
-        ):
-            return False, f"{asked.machine} is for {away.job}'s command", True
-        if step == MaintenancePhase.RETURNING and away.phase not in (
-            MaintenancePhase.DRAINING,
-            MaintenancePhase.DRAINED,
-            MaintenancePhase.WORK_FAILED,
-            MaintenancePhase.UNHEALTHY,
-        ):
-            return False, f"{asked.machine} is in state {away.phase}", True
-        taken = operator_document(
-            Transition(
-                machine_id=asked.machine,
-                job=away.job,
-                phase=step,
-                by=asked.author or "an operator",
-                incarnation=0,
-                reason=asked.why,
-                at_ms=time.time_ns() // 1_000_000,
-                drain_number=asked.number or None,
-            )
         )
-        made = await self.cluster_node.propose("step", {"steps": [taken]}, asked.call, PUBLISH_TIMEOUT)
-        return made.accepted, made.reason, made.accepted or made.log_index > 0
-
-    def _restore_locally(self, uid: str) -> tuple[bool, str, bool]:
-        """At this dispatcher alone, while it is cut off: nobody can say then that nothing is done there."""
-        if uid not in self.state.out_of_rotation():
-            return False, f"{uid} is not out for any work, as far as is known here", True
-        if self.cluster_node.has_lease():
-            return False, "the fleet is heard here; hand it in as a step of all: back", True
-        self.restored_locally.add(uid)
-        self.metrics.increment("machines-back-here-by-hand")
-        log_line(f"crankfold: works: {uid} back here by hand, while cut off; it may be in work")
-        self.machines_out_changed()
-        return True, "", True
--- /dev/null
+++ b/crankfold/service/maintenance_commands.py
@@ -0,0 +1,154 @@
+"""Runs the commands of maintenance jobs that fall to this dispatcher, each in a process group of its own."""
+
+import asyncio
+import contextlib
+import logging
+import os
+import signal
+import time
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from crankfold.cluster.node import ClusterNode
+from crankfold.maintenance.specification import JobSpecification
+from crankfold.maintenance.state import MaintenanceState
+from crankfold.maintenance.transitions import MaintenancePhase, Transition, outcome_document
+from crankfold.service.backend_registry import BackendRegistry
+from crankfold.service.machine_inventory import DISPATCHER_PREFIX
+
+logger = logging.getLogger(__name__)
+
+PROPOSE_TIMEOUT = 10.0  # seconds
+MAX_ERROR_OUTPUT = 200  # characters of a command's standard error that are told; the last ones
+
+
+class CommandKey(NamedTuple):
+    """One run of a command: a machine, and the number under which it was called drained."""
+
+    machine_id: str
+    drain_number: int
+
+
+class Command(NamedTuple):
+    """What is to be run, as it was agreed."""
+
+    key: CommandKey
+    job_name: str
+    job: JobSpecification
+    incarnation: int  # of this process
+
+
+class CommandOutcome(NamedTuple):
+    """What became of a command."""
+
+    phase: MaintenancePhase
+    reason: str
+
+
+class CommandExecutor:
+    """Starts each command once, and reports its outcome until the cluster has accepted it."""
+
+    def __init__(self, cluster_node: ClusterNode, backend_registry: BackendRegistry) -> None:
+        self.cluster_node = cluster_node
+        self.backend_registry = backend_registry
+        self.tasks: dict[CommandKey, asyncio.Task[None]] = {}
+        self.processes: dict[CommandKey, asyncio.subprocess.Process] = {}
+
+    def start_due(self, state: MaintenanceState, jobs: Mapping[str, JobSpecification]) -> None:
+        """Starts the commands that are agreed to run in this process, while that is known to be so."""
+        member = self.cluster_node.consensus
+        for machine_id, machine in state.machines.items():
+            key = CommandKey(machine_id, machine.drain_number)
+            if (
+                machine.phase != MaintenancePhase.IN_WORK
+                or machine.executor != member.name
+                or machine.executor_incarnation != member.incarnation
+                or key in self.tasks
+                or not self.cluster_node.has_lease()
+            ):
+                continue
+            job = jobs.get(machine.job)
+            if job and job.command:
+                command = Command(key, machine.job, job, machine.executor_incarnation)
+                self.tasks[key] = asyncio.get_running_loop().create_task(self._run(command))
+
+    def close(self) -> None:
+        """Kills the commands: none may outlive the dispatcher that would tell what became of it."""
+        for process in self.processes.values():
+            _kill_process_group(process)
+        for task in self.tasks.values():
+            task.cancel()
+
+    async def _run(self, command: Command) -> None:
+        key = command.key
+        logger.info("maintenance: %s: the command of %s begins under %s", command.job_name, *key)
+        try:
+            outcome = await self._execute(command)
+        except OSError as error:
+            outcome = CommandOutcome(MaintenancePhase.WORK_FAILED, f"could not be run: {error}")
+        finally:
+            self.processes.pop(key, None)
+        logger.info("maintenance: %s: the command of %s under %s: %s, %s", command.job_name, *key, *outcome)
+        transition = outcome_document(
+            Transition(
+                machine_id=key.machine_id,
+                job=command.job_name,
+                phase=outcome.phase,
+                drain_number=key.drain_number,
+                by=self.cluster_node.consensus.name,
+                reason=outcome.reason,
+                at_ms=time.time_ns() // 1_000_000,
+            )
+        )
+        call = f"{key.machine_id} {key.drain_number} {command.incarnation}"
+        while True:  # until it is known to be committed, or to be void
+            response = await self.cluster_node.propose("step", {"steps": [transition]}, call, PROPOSE_TIMEOUT)
+            if response.accepted or response.log_index:
+                return
+
+    async def _execute(self, command: Command) -> CommandOutcome:
+        """Runs the command to its end or the end of its time.
+
+        Raises:
+            OSError: if it cannot be started.
+        """
+        process = await asyncio.create_subprocess_exec(
+            *command.job.command,
+            env={**os.environ, **self._environment(command)},
+            stdin=asyncio.subprocess.DEVNULL,
+            stdout=asyncio.subprocess.DEVNULL,
+            stderr=asyncio.subprocess.PIPE,
+            start_new_session=True,
+        )
+        self.processes[command.key] = process
+        try:
+            async with asyncio.timeout(command.job.work_seconds):
+                _, error_output = await process.communicate()
+        except TimeoutError:
+            _kill_process_group(process)
+            return CommandOutcome(
+                MaintenancePhase.WORK_FAILED, f"was ended after {command.job.work_seconds:g} s"
+            )
+        if process.returncode == 0:
+            return CommandOutcome(MaintenancePhase.WORK_DONE, "exit 0")
+        reason = f"exit {process.returncode}"
+        if error_output:
+            reason += f": {error_output.decode(errors='replace').strip()[-MAX_ERROR_OUTPUT:]}"
+        return CommandOutcome(MaintenancePhase.WORK_FAILED, reason)
+
+    def _environment(self, command: Command) -> dict[str, str]:
+        """What a command is told of its machine."""
+        machine_id, drain_number = command.key
+        backend = self.backend_registry.backend_ids.find(machine_id)
+        host, port, _ = self.backend_registry.addresses[backend] if backend >= 0 else ("", 0, 0)
+        return {
+            "CRANKFOLD_MACHINE": machine_id.removeprefix(DISPATCHER_PREFIX),
+            "CRANKFOLD_WORK": command.job_name,
+            "CRANKFOLD_NUMBER": str(drain_number),
+            "CRANKFOLD_ADDRESS": f"{host}:{port}" if host else "",
+        }
+
+
+def _kill_process_group(process: asyncio.subprocess.Process) -> None:
+    with contextlib.suppress(ProcessLookupError):
+        os.killpg(process.pid, signal.SIGKILL)
--- /dev/null
+++ b/crankfold/service/maintenance_observations.py
@@ -0,0 +1,107 @@
+"""What a dispatcher sees of maintenance: its attempts on the machines, and how much it accepts and sheds."""
+
+import time
+from collections import Counter, deque
+from collections.abc import Collection
+from typing import NamedTuple
+
+from crankfold.consensus.messages import MaintenanceReport
+from crankfold.routing.interface import Outcome
+from crankfold.service.request_handler import RequestHandler
+
+LOAD_WINDOW = 5.0  # seconds over which accepted and shed requests are counted
+MAX_UNCONFIRMED = 1000  # request ids kept for each machine
+MAX_UNCONFIRMED_REPORTED = 5
+FAILURES = (Outcome.ERROR, Outcome.TIMED_OUT, Outcome.UNREACHABLE, Outcome.RESET, Outcome.UNKNOWN)
+RESPONSES = (Outcome.COMPLETED, *FAILURES)
+ACCEPTED_COUNTER = "taken"
+SHED_BY_ROUTING_COUNTER = "shed"
+SHED_COUNTERS = (SHED_BY_ROUTING_COUNTER, "shed-for-room", "shed-for-share", "shed-cut-off")
+
+
+class LoadSample(NamedTuple):
+    """Requests accepted and shed since the process started."""
+
+    time: float  # seconds of the monotonic clock
+    accepted: int
+    shed: int
+
+
+class ResponseCount:
+    """Attempts on a machine that is back, and how many of them failed."""
+
+    def __init__(self) -> None:
+        self.total = 0
+        self.failed = 0
+
+
+class MaintenanceObservations:
+    """Counts and remembers what a report to the cluster tells of this dispatcher."""
+
+    def __init__(self, request_handler: RequestHandler, counters: Counter[str]) -> None:
+        self.request_handler = request_handler
+        self.counters = counters
+        # By machine, ids of requests whose attempt was abandoned and may still be executed there; in order.
+        self.unconfirmed: dict[str, dict[str, None]] = {}
+        self.response_counts: dict[str, ResponseCount] = {}
+        self.returned_machines: dict[str, int] = {}  # the index of the transition by which each came back
+        self.load_samples: deque[LoadSample] = deque()
+
+    def attempt_abandoned(self, machine_id: str, request_id: str) -> None:
+        """An attempt was given up, and the machine may still execute it."""
+        request_ids = self.unconfirmed.setdefault(machine_id, {})
+        request_ids[request_id] = None
+        if len(request_ids) > MAX_UNCONFIRMED:
+            del request_ids[next(iter(request_ids))]
+
+    def abandoned_attempt_finished(self, request_id: str, machine_id: str) -> None:
+        """The machine told the end of an attempt that was given up."""
+        self.unconfirmed.get(machine_id, {}).pop(request_id, None)
+
+    def attempt_finished(self, machine_id: str, outcome: Outcome) -> None:
+        """Counts the outcome if the machine is one that came back."""
+        if machine_id in self.returned_machines:
+            count = self.response_counts.setdefault(machine_id, ResponseCount())
+            count.total += outcome in RESPONSES
+            count.failed += outcome in FAILURES
+
+    def state_changed(self, returned_machines: dict[str, int]) -> None:
+        """Counts anew for each machine that came back by another transition than the one known so far."""
+        for machine_id, index in self.returned_machines.items():
+            if returned_machines.get(machine_id) != index:
+                self.response_counts.pop(machine_id, None)
+        self.returned_machines = returned_machines
+        for machine_id in [machine_id for machine_id, ids in self.unconfirmed.items() if not ids]:
+            del self.unconfirmed[machine_id]
+
+    def fill_report(self, report: MaintenanceReport, machines_out: Collection[str]) -> None:
+        """Sets what this dispatcher saw: on the machines that are out, on those that are back, and in all."""
+        names = self.request_handler.backends.backend_ids.names
+        for request in self.request_handler.request_table.requests.values():
+            report.open_requests += request.is_open
+            for attempt in request.attempts:
+                machine_id = names[attempt.backend]
+                if attempt.in_flight and machine_id in machines_out:
+                    report.in_flight[machine_id] = report.in_flight.get(machine_id, 0) + 1
+        report.unresolved = {
+            machine_id: [*self.unconfirmed[machine_id]][-MAX_UNCONFIRMED_REPORTED:]
+            for machine_id in machines_out
+            if self.unconfirmed.get(machine_id)
+        }
+        report.response_counts = {
+            machine_id: (count.total, count.failed) for machine_id, count in self.response_counts.items()
+        }
+        self._sample_load()
+        first, last = self.load_samples[0], self.load_samples[-1]
+        report.recent_accepted = max(last.accepted - first.accepted, 0)
+        report.recent_shed = last.shed - first.shed
+
+    def _sample_load(self) -> None:
+        sample = LoadSample(
+            time=time.monotonic(),
+            accepted=self.counters[ACCEPTED_COUNTER] - self.counters[SHED_BY_ROUTING_COUNTER],
+            shed=sum(self.counters[name] for name in SHED_COUNTERS),
+        )
+        self.load_samples.append(sample)
+        while sample.time - self.load_samples[0].time > LOAD_WINDOW:
+            self.load_samples.popleft()
--- a/tests/test_yard.py
+++ b/tests/test_yard.py
@@ -151,19 +151,18 @@
             desk,  # type: ignore[arg-type]
             None,  # type: ignore[arg-type]
             peer,  # type: ignore[arg-type]
-            Metrics(),
-            lambda: 0,
-            lambda: laid.append(works.machines_out()),
+            metrics=Metrics(),
+            endpoint_list_age=lambda: 0,
+            machines_out_changed=lambda: laid.append(works.machines_out()),
         )
         body = b'{"call": "c", "machine": "%s", "step": "here"}'
-        self.assertEqual(
-            (await works.request_transition(body % b"a"))[0], False
-        )  # heard: it is a step of all
+        refused = await works.admin.request_transition(body % b"a")
+        self.assertEqual(refused.accepted, False)  # heard: it is a step of all
         heard[0] = False
-        self.assertEqual((await works.request_transition(body % b"b"))[0], False)  # not out
-        self.assertEqual((await works.request_transition(body % b"a"))[0], True)
+        self.assertEqual((await works.admin.request_transition(body % b"b")).accepted, False)  # not out
+        self.assertEqual((await works.admin.request_transition(body % b"a")).accepted, True)
         self.assertEqual(laid, [set()])
-        self.assertEqual(works.describe()["here"], ["a"])
+        self.assertEqual(works.admin.describe()["here"], ["a"])
         heard[0] = True
         works.build_report()
         self.assertEqual(laid, [set(), {"a"}])
