--- a/benchmarks/agreement.py
+++ b/benchmarks/agreement.py
@@ -373,7 +373,8 @@
 
 def works() -> None:
     """What each machine costs that is taken out, worked on and brought back, in messages."""
-    from crankfold.simulation.maintenance_fleet import MaintenanceCase, MaintenanceFleet
+    from crankfold.simulation.maintenance_cases import MaintenanceCase
+    from crankfold.simulation.maintenance_fleet import MaintenanceFleet
 
     work = {"w": {"way": "list", "at-once": 3, "stays": 0.0, "watch": 1.0, "least-answers": 0}}
     rows = []
--- a/benchmarks/schedules.py
+++ b/benchmarks/schedules.py
@@ -13,7 +13,8 @@
 import click
 
 from crankfold.simulation.consensus_cluster import SimulatedCluster, random_scenario
-from crankfold.simulation.maintenance_fleet import MaintenanceFleet, draw_case
+from crankfold.simulation.maintenance_cases import draw_case
+from crankfold.simulation.maintenance_fleet import MaintenanceFleet
 
 HERE = Path(__file__).parent
 
--- /dev/null
+++ b/crankfold/simulation/maintenance_checker.py
@@ -0,0 +1,193 @@
+"""What must hold in the maintenance of a simulated fleet.
+
+It is checked against what the machines saw and against the jobs as they were handed in, by code that uses
+nothing of the replicated state but what each transition was called.
+"""
+
+from collections.abc import Callable, Mapping
+from typing import Final
+
+from crankfold.maintenance.scheduler import SHARE_TOLERANCE, Machine
+from crankfold.maintenance.specification import JobSpecification
+from crankfold.maintenance.state import TransitionRecord
+from crankfold.maintenance.transitions import MaintenancePhase
+from crankfold.simulation.event_queue import TICKS_PER_SECOND, EventQueue
+from crankfold.simulation.maintenance_dispatcher import MAX_LIST_LAG_TICKS, SimulatedDispatcher
+from crankfold.simulation.maintenance_machines import INSTANCE_TYPE, SimulatedMachine, WorkRun
+
+WARM_UP_TICKS: Final = 30_000  # after a start a machine is cold for so long
+DECISION_TICKS: Final = 2000  # beyond the lists' lag, until a loss that is told of bears on what is proposed
+
+_ENDS: Final = (MaintenancePhase.HEALTHY, MaintenancePhase.CANCELLED, MaintenancePhase.REPLACED)
+_REOPENS: Final = (  # requests may come there again, or the drain begins anew
+    MaintenancePhase.RETURNING,
+    MaintenancePhase.CANCELLED,
+    MaintenancePhase.REPLACED,
+    MaintenancePhase.UNHEALTHY,
+)
+
+
+class MaintenanceChecker:
+    """Follows the committed transitions, and reports what does not hold."""
+
+    def __init__(
+        self,
+        events: EventQueue,
+        machines: Mapping[str, SimulatedMachine],
+        dispatchers: Mapping[str, SimulatedDispatcher],
+        jobs: Mapping[str, JobSpecification],
+        report: Callable[[str], None],
+    ) -> None:
+        """Begins with no machine out.
+
+        Args:
+            events: For the time.
+            machines: By id.
+            dispatchers: By name.
+            jobs: As they were handed in, by name.
+            report: Is told each violation.
+        """
+        self._events = events
+        self._machines = machines
+        self._dispatchers = dispatchers
+        self._jobs = jobs
+        self._report = report
+        self._absent_for: dict[str, str] = {}  # by machine in maintenance, its job
+        self._drained_since: dict[str, int] = {}  # by machine: since then no request may come there
+        self.drain_numbers: dict[str, int] = {}  # by machine, under which it was called drained last
+        self._work_runs: dict[tuple[str, str], list[int]] = {}  # by machine and job, the drain numbers
+        self._running_commands: dict[str, int] = {}  # by machine, the drain number
+
+    def transition_committed(self, record: TransitionRecord) -> None:
+        """Is told of a transition as soon as anybody knows of it."""
+        machine_id = record.machine_id
+        if record.phase == MaintenancePhase.DRAINING:
+            self._check_bounds(machine_id, record.job)
+            self._absent_for[machine_id] = record.job
+        elif record.phase == MaintenancePhase.DRAINED:
+            self._machine_drained(record)
+        elif record.phase in _REOPENS:
+            self._drained_since.pop(machine_id, None)
+        elif record.phase == MaintenancePhase.HEALTHY:
+            self._check_warm(machine_id)
+        if record.phase in _ENDS:
+            self._absent_for.pop(machine_id, None)
+
+    def request_sent(self, request: str, machine_id: str) -> None:
+        """Is told of each request that a dispatcher sends."""
+        if machine_id in self._drained_since:
+            seconds = self._drained_since[machine_id] / TICKS_PER_SECOND
+            self._report(f"{request} came to {machine_id}, which is free since {seconds:.3f} s")
+
+    def work_begun(self, run: WorkRun) -> list[int]:
+        """Is told of each time that work on a machine begins; gives all of that job's drain numbers there."""
+        numbers = self._work_runs.setdefault((run.machine_id, run.job), [])
+        numbers.append(run.drain_number)
+        return numbers
+
+    def command_started(self, run: WorkRun) -> None:
+        """Is told of each command that a dispatcher starts."""
+        numbers = self.work_begun(run)
+        if len(numbers) > 1 and not self._jobs[run.job].command_repeatable:
+            self._report(f"the command of {run.job} ran again on {run.machine_id}, under {numbers}")
+        if run.machine_id in self._running_commands:
+            self._report(f"two commands run on {run.machine_id}")
+        if run.machine_id not in self._drained_since:
+            self._report(f"a command runs on {run.machine_id}, which is not free")
+        self._running_commands[run.machine_id] = run.drain_number
+
+    def command_ended(self, run: WorkRun) -> None:
+        """Is told of the end of each command."""
+        if self._running_commands.get(run.machine_id) == run.drain_number:
+            del self._running_commands[run.machine_id]
+
+    def _machine_drained(self, record: TransitionRecord) -> None:
+        machine_id = record.machine_id
+        if machine_id not in self._drained_since:
+            self._check_drained(machine_id)
+        if record.index <= self.drain_numbers.get(machine_id, 0):
+            self._report(f"{machine_id} is free under {record.index}, after {self.drain_numbers[machine_id]}")
+        self.drain_numbers[machine_id] = record.index
+        self._absent_for[machine_id] = record.job
+        self._drained_since[machine_id] = self._events.now
+
+    def _check_drained(self, machine_id: str) -> None:
+        now = self._events.now
+        for dispatcher in self._dispatchers.values():
+            waiting = [
+                attempt.request
+                for attempt in dispatcher.attempts
+                if attempt.machine_id == machine_id and attempt.ends_at > now and dispatcher.running
+            ]
+            if waiting:
+                self._report(f"{machine_id} is called free while {dispatcher.name} waits for {waiting}")
+        machine = self._machines[machine_id]
+        for request in machine.requests:
+            if request.ends_at > now and request.deadline > now and machine.running:
+                self._report(
+                    f"{machine_id} is called free while {request.name} runs there, before its cut-off"
+                )
+
+    def _check_warm(self, machine_id: str) -> None:
+        now = self._events.now
+        machine = self._machines[machine_id]
+        start = machine.started_at
+        listed_start = machine.status_at(now - MAX_LIST_LAG_TICKS).started_at
+        if machine.restarted() and now < start + WARM_UP_TICKS and listed_start == start:
+            self._report(f"{machine_id} is called well {(now - start) / 10:.0f} ms after its start")
+
+    def _out_beside(self, machine_id: str) -> set[str]:
+        """Machines that are out or lost; losses of which lists can't have told yet are excused."""
+        told_by = self._events.now - MAX_LIST_LAG_TICKS - DECISION_TICKS
+        lost = {
+            machine.machine_id
+            for machine in self._machines.values()
+            if not machine.running and not machine.status_at(told_by).running
+        }
+        return (set(self._absent_for) | lost) - {machine_id}
+
+    def _check_bounds(self, machine_id: str, job: str) -> None:
+        """At the moment when one more is out."""
+        out = self._out_beside(machine_id)
+        machines = [
+            Machine(
+                machine_id=machine.machine_id,
+                zone=machine.zone,
+                instance_type=INSTANCE_TYPE,
+                size=machine.size,
+                started_at=machine.started_at,
+            )
+            for machine in self._machines.values()
+        ]
+        for name, specification in self._jobs.items():
+            covered = [machine for machine in machines if specification.to_job(name).covers(machine)]
+            covers_machine = any(machine.machine_id == machine_id for machine in covered)
+            if name == job or (name in self._absent_for.values() and covers_machine):
+                self._check_counts(machine_id, job, name, covered, out=out)
+                self._check_capacity(machine_id, job, name, machines, out=out)
+
+    def _check_counts(
+        self, machine_id: str, job: str, bound_by: str, covered: list[Machine], *, out: set[str]
+    ) -> None:
+        bounds = self._jobs[bound_by]
+        gone = [machine for machine in covered if machine.machine_id in out]
+        zone = self._machines[machine_id].zone
+        what = f"{machine_id} goes out for {job} beside {sorted(out)}"
+        if len(gone) >= bounds.max_out:
+            self._report(f"{what}, {bounds.max_out} at once for {bound_by}")
+        in_zone = sum(machine.zone == zone for machine in gone)
+        if bounds.max_out_per_zone and in_zone >= bounds.max_out_per_zone:
+            self._report(f"{what}, {bounds.max_out_per_zone} a zone for {bound_by}")
+
+    def _check_capacity(
+        self, machine_id: str, job: str, bound_by: str, machines: list[Machine], *, out: set[str]
+    ) -> None:
+        min_share = self._jobs[bound_by].min_remaining_share
+        total = sum(machine.size for machine in machines)
+        remaining = sum(
+            machine.size
+            for machine in machines
+            if machine.machine_id not in out and machine.machine_id != machine_id
+        )
+        if remaining < min_share * total - SHARE_TOLERANCE:
+            self._report(f"{machine_id} goes out for {job}, and less than {min_share} stays for {bound_by}")
--- /dev/null
+++ b/crankfold/simulation/maintenance_work.py
@@ -0,0 +1,156 @@
+"""Who does the work on simulated machines: operators, and commands that dispatchers run."""
+
+from collections.abc import Callable, Mapping
+from random import Random
+from typing import Any, Final, Protocol
+
+from crankfold.maintenance.specification import WorkMethod
+from crankfold.maintenance.transitions import MaintenancePhase
+from crankfold.simulation.event_queue import EventQueue
+from crankfold.simulation.maintenance_checker import MaintenanceChecker
+from crankfold.simulation.maintenance_dispatcher import SimulatedDispatcher
+from crankfold.simulation.maintenance_machines import WorkRun
+
+FIRST_SUBMIT_TICKS: Final = 15_000
+SUBMIT_RETRY_TICKS: Final = 8000
+OPERATOR_ROUND_TICKS: Final = 3000
+OPERATOR_RETRY_TICKS: Final = 7000
+OUTCOME_RETRY_TICKS: Final = 5000
+COMMAND_FAILURE_SHARE: Final = 0.05
+SUBMIT_CALL: Final = "works"
+
+
+class MaintainedFleet(Protocol):
+    """What operators and commands need of the fleet."""
+
+    events: EventQueue
+    rng: Random
+
+    @property
+    def dispatchers(self) -> Mapping[str, SimulatedDispatcher]:
+        """By name."""
+
+    def accepted(self, call: str) -> bool:
+        """Whether the call is known to be accepted."""
+
+    def decided(self, call: str) -> bool:
+        """Whether the outcome of the call is known."""
+
+    def submit_jobs(self, dispatcher: str, call: str) -> None:
+        """Hands in the jobs of the case."""
+
+    def propose_step(self, dispatcher: str, call: str, step: dict[str, Any]) -> None:
+        """Proposes a transition, in its stored form, to the cluster."""
+
+    def restart_machine(self, machine_id: str, then: Callable[[], None]) -> None:
+        """Does the work on a machine, during which it is down."""
+
+
+class Operators:
+    """Hand in the jobs, and do the work that is theirs to do."""
+
+    def __init__(self, fleet: MaintainedFleet, checker: MaintenanceChecker) -> None:
+        self._fleet = fleet
+        self._checker = checker
+        self._begun: set[tuple[str, int]] = set()  # by machine and drain number
+
+    def start(self) -> None:
+        """Schedules all that they do."""
+        self._fleet.events.schedule(FIRST_SUBMIT_TICKS, self._submit_jobs)
+        self._fleet.events.schedule(OPERATOR_ROUND_TICKS, self._work_on_drained)
+
+    def _submit_jobs(self) -> None:
+        """Until it is accepted: the operator asks again with the same call."""
+        fleet = self._fleet
+        if fleet.accepted(SUBMIT_CALL):
+            return
+        dispatcher = fleet.rng.choice(list(fleet.dispatchers.values()))
+        if dispatcher.member and dispatcher.running:
+            fleet.submit_jobs(dispatcher.name, SUBMIT_CALL)
+        fleet.events.schedule(SUBMIT_RETRY_TICKS, self._submit_jobs)
+
+    def _work_on_drained(self) -> None:
+        """Operators look at some dispatcher for machines that are drained; others restart what is drained."""
+        fleet = self._fleet
+        fleet.events.schedule(OPERATOR_ROUND_TICKS, self._work_on_drained)
+        dispatcher = fleet.rng.choice(list(fleet.dispatchers.values()))
+        if not dispatcher.running or dispatcher.member is None:
+            return
+        jobs = dispatcher.jobs()
+        for machine_id, record in dispatcher.maintenance_state().machines.items():
+            job = jobs.get(record.job)
+            drained = machine_id, record.drain_number
+            if job is None or record.phase != MaintenancePhase.DRAINED or drained in self._begun:
+                continue
+            if job.method == WorkMethod.ENDPOINT_LIST:
+                self._begun.add(drained)
+                fleet.restart_machine(machine_id, lambda: None)
+            elif job.method == WorkMethod.OPERATOR:
+                self._begun.add(drained)
+                run = WorkRun(machine_id, record.job, record.drain_number)
+                self._call(run, MaintenancePhase.IN_WORK)
+
+    def work_begun(self, run: WorkRun) -> None:
+        """Does the work, once the call by which it begins is committed."""
+        self._checker.work_begun(run)
+        self._fleet.restart_machine(run.machine_id, lambda: self._call(run, MaintenancePhase.WORK_DONE))
+
+    def _call(self, run: WorkRun, phase: MaintenancePhase) -> None:
+        """An operator at any dispatcher, who asks until the outcome is known."""
+        fleet = self._fleet
+        call = f"{phase} {run.machine_id} {run.drain_number}"
+        if fleet.decided(call):
+            return
+        step = {
+            "uid": run.machine_id,
+            "work": run.job,
+            "step": phase.value,
+            "by": "o",
+            "life": 0,
+            "number": run.drain_number,
+            "why": "",
+        }
+        fleet.propose_step(fleet.rng.choice(sorted(fleet.dispatchers)), call, step)
+        fleet.events.schedule(OPERATOR_RETRY_TICKS, lambda: self._call(run, phase))
+
+
+class Commands:
+    """The commands that dispatchers run on machines."""
+
+    def __init__(self, fleet: MaintainedFleet, checker: MaintenanceChecker) -> None:
+        self._fleet = fleet
+        self._checker = checker
+
+    def start(self, dispatcher: SimulatedDispatcher, run: WorkRun) -> None:
+        """Runs one; a few of them fail, and none outlives its dispatcher."""
+        self._checker.command_started(run)
+        generation = dispatcher.generation
+
+        def ended() -> None:
+            self._checker.command_ended(run)
+            if generation == dispatcher.generation:
+                failed = self._fleet.rng.random() <= COMMAND_FAILURE_SHARE
+                phase = MaintenancePhase.WORK_FAILED if failed else MaintenancePhase.WORK_DONE
+                self._report_outcome(dispatcher, generation, run, phase)
+
+        self._fleet.restart_machine(run.machine_id, ended)
+
+    def _report_outcome(
+        self, dispatcher: SimulatedDispatcher, generation: int, run: WorkRun, phase: MaintenancePhase
+    ) -> None:
+        """Until it is known to be committed, or to be void."""
+        call = f"{run.machine_id} {run.drain_number}"
+        if generation != dispatcher.generation or self._fleet.decided(call):
+            return
+        step = {
+            "uid": run.machine_id,
+            "work": run.job,
+            "step": phase.value,
+            "number": run.drain_number,
+            "by": dispatcher.name,
+            "why": "",
+        }
+        self._fleet.propose_step(dispatcher.name, call, step)
+        self._fleet.events.schedule(
+            OUTCOME_RETRY_TICKS, lambda: self._report_outcome(dispatcher, generation, run, phase)
+        )
--- a/tests/planted_works.py
+++ b/tests/planted_works.py
@@ -18,7 +18,8 @@
 from crankfold.maintenance.state import MaintenanceState
 from crankfold.maintenance.transitions import ALLOWED_FROM, MaintenancePhase, Transition
 from crankfold.simulation.consensus_cluster import ClusterCase, ClusterFault
-from crankfold.simulation.maintenance_fleet import MaintenanceCase, MaintenanceFleet, draw_case
+from crankfold.simulation.maintenance_cases import MachineLoss, MaintenanceCase, draw_case
+from crankfold.simulation.maintenance_fleet import MaintenanceFleet
 
 
 class FreeTooEarly(Voter):
@@ -146,7 +147,7 @@
 def flapping_machines(seed: int) -> MaintenanceCase:
     """Machines come and go, and what is agreed takes its time."""
     luck = Random(f"flutter {seed}")
-    losses = tuple((at, at + 3000, f"m{luck.randrange(9)}") for at in range(20_000, 180_000, 4000))
+    losses = tuple(MachineLoss(at, at + 3000, f"m{luck.randrange(9)}") for at in range(20_000, 180_000, 4000))
     works = {"disks": {**ALL_MACHINES_JOBS["disks"], "at-once": 3}}
     slow = tuple(
         ClusterFault("disk", at, at + 6000, voter)
@@ -175,16 +176,21 @@
         "free while|is free since",
     ),
     "a bound checked before the agreement": (
-        lambda case: MaintenanceFleet(case, foremen=ImpatientCoordinator),
+        lambda case: MaintenanceFleet(case, make_coordinator=ImpatientCoordinator),
         bounds_unchecked_at_commit,
         flapping_machines,
         "goes out",
     ),
     "a step taken twice after a change of leader": (
-        lambda case: MaintenanceFleet(case, foremen=restarting_coordinator),
+        lambda case: MaintenanceFleet(case, make_coordinator=restarting_coordinator),
         work_may_begin_twice,
         long_commands,
         "ran again|two commands",
     ),
-    "cold taken for warm": (lambda case: MaintenanceFleet(case, warm=0), unchanged, draw_case, "called well"),
+    "cold taken for warm": (
+        lambda case: MaintenanceFleet(case, warm_up_ticks=0),
+        unchanged,
+        draw_case,
+        "called well",
+    ),
 }
--- a/tests/test_yard.py
+++ b/tests/test_yard.py
@@ -12,7 +12,8 @@
 from crankfold.network.metrics import Metrics
 from crankfold.service.maintenance_agent import MaintenanceAgent
 from crankfold.simulation.consensus_cluster import ClusterCase, ClusterFault
-from crankfold.simulation.maintenance_fleet import MaintenanceCase, MaintenanceFleet, draw_case
+from crankfold.simulation.maintenance_cases import MaintenanceCase, draw_case
+from crankfold.simulation.maintenance_fleet import MaintenanceFleet
 from tests.planted_works import ALL_MACHINES_JOBS, PLANTED_FAULTS, isolated_members
 from tests.scene import Kept
 
