--- a/crankfold/simulation/maintenance_study.py
+++ b/crankfold/simulation/maintenance_study.py
@@ -15,7 +15,10 @@
 from crankfold.maintenance.transitions import MaintenancePhase, coordinator_document
 from crankfold.routing.interface import EndpointState, RoutingConfig
 from crankfold.routing.router import Router
-from crankfold.simulation.fleet import ZONE_COUNT, Scenario, SimulatedBackend, SimulatedFleet
+from crankfold.simulation.backend import SimulatedBackend
+from crankfold.simulation.fleet import SimulatedFleet
+from crankfold.simulation.invariants import Answer
+from crankfold.simulation.scenario import ZONE_COUNT, Scenario
 
 TICKS_PER_SECOND = 10_000
 DECISION_INTERVAL_TICKS = 2_000
@@ -107,7 +110,7 @@
                 self._complete(r)
         if self.strategy == FOREMAN:
             counts = self.invariants.answer_counts
-            self.outcome_counts.append((counts["done"], counts["shed"]))
+            self.outcome_counts.append((counts[Answer.COMPLETED], counts[Answer.SHED]))
             del self.outcome_counts[:-26]
             self._coordinate()
         else:
@@ -194,7 +197,9 @@
                     [{"uid": uid, "work": "w", "step": MaintenancePhase.WORK_DONE, "by": "o", "why": ""}]
                 )
         counts = self.invariants.answer_counts
-        taken, shed = (counts[how] - self.outcome_counts[0][n] for n, how in enumerate(("done", "shed")))
+        before = self.outcome_counts[0]
+        taken = counts[Answer.COMPLETED] - before[0]
+        shed = counts[Answer.SHED] - before[1]
         holds = {f"{r:04}" for r, (state, _) in self.absent.items() if state == MaintenancePhase.DRAINING}
         steps = self.coordinator.propose(
             FleetView(
