--- a/crankfold/consensus/membership.py
+++ b/crankfold/consensus/membership.py
@@ -28,14 +28,13 @@
             del self._received_at[voter]
             del self.by_voter[voter]
 
+    def all(self) -> list[LeaseHolderStatus]:
+        """All lease holders that other voters told of."""
+        return [status for statuses in self.by_voter.values() for status in statuses]
+
     def alive(self) -> list[LeaseHolderStatus]:
         """The lease holders that other voters see alive."""
-        return [
-            status
-            for statuses in self.by_voter.values()
-            for status in statuses
-            if status.state == LeaseHolderState.ALIVE
-        ]
+        return [status for status in self.all() if status.state == LeaseHolderState.ALIVE]
 
     def has_other_incarnation(self, name: str, incarnation: int) -> bool:
         """Whether another incarnation of that name is alive at another voter."""
--- a/tests/test_yard.py
+++ b/tests/test_yard.py
@@ -12,7 +12,8 @@
 from crankfold.network.metrics import Metrics
 from crankfold.service.maintenance_agent import MaintenanceAgent
 from crankfold.simulation.consensus_cluster import ClusterCase, ClusterFault
-from crankfold.simulation.maintenance_fleet import MaintenanceCase, MaintenanceFleet, draw_case
+from crankfold.simulation.maintenance_cases import MaintenanceCase, draw_case
+from crankfold.simulation.maintenance_fleet import MaintenanceFleet
 from tests.planted_works import ALL_MACHINES_JOBS, PLANTED_FAULTS, isolated_members
 from tests.scene import Kept
 
@@ -151,19 +152,18 @@
             desk,  # type: ignore[arg-type]
             None,  # type: ignore[arg-type]
             peer,  # type: ignore[arg-type]
-            Metrics(),
-            lambda: 0,
-            lambda: laid.append(works.machines_out()),
+            metrics=Metrics(),
+            endpoint_list_age=lambda: 0,
+            machines_out_changed=lambda: laid.append(works.machines_out()),
         )
         body = b'{"call": "c", "machine": "%s", "step": "here"}'
-        self.assertEqual(
-            (await works.request_transition(body % b"a"))[0], False
-        )  # heard: it is a step of all
+        refused = await works.admin.request_transition(body % b"a")
+        self.assertEqual(refused.accepted, False)  # heard: it is a step of all
         heard[0] = False
-        self.assertEqual((await works.request_transition(body % b"b"))[0], False)  # not out
-        self.assertEqual((await works.request_transition(body % b"a"))[0], True)
+        self.assertEqual((await works.admin.request_transition(body % b"b")).accepted, False)  # not out
+        self.assertEqual((await works.admin.request_transition(body % b"a")).accepted, True)
         self.assertEqual(laid, [set()])
-        self.assertEqual(works.describe()["here"], ["a"])
+        self.assertEqual(works.admin.describe()["here"], ["a"])
         heard[0] = True
         works.build_report()
         self.assertEqual(laid, [set(), {"a"}])
