--- a/tests/data/write_fixtures.py
+++ b/tests/data/write_fixtures.py
@@ -59,7 +59,7 @@
         await self.serving()
         file = folder / handover_scene.ban_file(self.listen)
         file.unlink()
-        self.assertEqual(await self.call(self.door, "runners/a/offline"), "200 offline")
+        self.assertEqual(await self.call(self.admin_port, "runners/a/offline"), "200 offline")
         (DATA / "handover" / "bans.json").write_bytes(file.read_bytes())
 
     async def test_predecessor(self) -> None:
--- a/tests/handover_scene.py
+++ b/tests/handover_scene.py
@@ -13,7 +13,7 @@
 import orjson
 
 from crankfold.service.application import Application
-from tests.loopback import Between
+from tests.loopback import DispatcherTestCase
 from tests.scene import read_request
 
 LISTEN, RUNNER = 18080, 19001
@@ -66,7 +66,7 @@
     return f"crankfold-{zlib.crc32(f'127.0.0.1:{listen}'.encode()):08x}"
 
 
-class HandoverScene(Between):
+class HandoverScene(DispatcherTestCase):
     """`n0` with three runners: `a` out by hand, `b` draining, with a start taken for granted, `c` serving."""
 
     async def prepare(self, folder: Path, bans: bytes) -> None:
@@ -90,7 +90,7 @@
         )
         with socket.create_server(("127.0.0.1", 0)) as free:
             self.listen = int(free.getsockname()[1])
-        self.given |= {
+        self.config |= {
             "name": "n0",
             "listen": f"127.0.0.1:{self.listen}",
             "admin_addr": "127.0.0.1:0",
@@ -101,7 +101,7 @@
                 "targets": [
                     {
                         "uid": uid,
-                        "endpoint": f"127.0.0.1:{self.runner_port}",
+                        "endpoint": f"127.0.0.1:{self.backend_port}",
                         "state": "terminating" if uid == "b" else "in_service",
                         "az": "south" if uid == "b" else "north",
                         "model": "big",
@@ -116,11 +116,11 @@
         (folder / ban_file(self.listen)).write_bytes(bans)
 
     async def serve(self) -> "asyncio.Task[None]":
-        self.node = Application(self.given, lambda: self.given, str(self.folder))
-        running = asyncio.create_task(self.node.run())
+        self.application = Application(self.config, lambda: self.config, str(self.folder))
+        running = asyncio.create_task(self.application.run())
 
         async def end() -> None:
-            self.node.shutdown_requested.set()
+            self.application.shutdown_requested.set()
             await running
 
         self.addAsyncCleanup(end)
@@ -128,9 +128,11 @@
 
     async def serving(self) -> None:
         await self.until(
-            lambda: self.node.request_handler.is_serving() and self.node.listener.server is not None
+            lambda: (
+                self.application.request_handler.is_serving() and self.application.listener.server is not None
+            )
         )
-        self.port, self.door = self.node.listener.port(), self.node.admin_server.port()
+        self.port, self.admin_port = self.application.listener.port(), self.application.admin_server.port()
 
     async def successor(self) -> Kin:
         """Another process that wants to follow, up to the passing of the listening socket."""
@@ -138,14 +140,14 @@
         sock.setblocking(False)
         self.addCleanup(sock.close)
         await asyncio.get_running_loop().sock_connect(sock, str(self.folder / socket_name(self.listen)))
-        return Kin(sock, self.listen, self.runner_port)
+        return Kin(sock, self.listen, self.backend_port)
 
     async def as_predecessor(self, told: list[bytes]) -> list[bytes]:
         """What it says that serves, to two that want to follow; `told` is what the first of them says."""
         await self.serve()
         await self.serving()
-        self.node.request_handler.load_reports[2] = self.node.timers.clock.now(), (3.0, 2.5)
-        held = asyncio.create_task(self.ask("held1", wait=2.9))
+        self.application.request_handler.load_reports[2] = self.application.timers.clock.now(), (3.0, 2.5)
+        held = asyncio.create_task(self.send_request("held1", wait=2.9))
         await self.sent.wait()
         first, late = await self.successor(), await self.successor()
         hello, take, *asks = told
@@ -163,7 +165,7 @@
         for ask in asks:
             await first.say(ask)
             heard.append(await first.said())
-        calling = asyncio.create_task(self.call(self.door, "runners/c/offline"))
+        calling = asyncio.create_task(self.call(self.admin_port, "runners/c/offline"))
         heard.append(await first.said())
         await first.say(b'{"re":1,"yes":false}\n')
         self.assertEqual(await calling, "200 offline")
@@ -190,7 +192,7 @@
         await self.serve()
         sock, _ = await loop.sock_accept(way)
         self.addCleanup(sock.close)
-        kin = Kin(sock, self.listen, self.runner_port)
+        kin = Kin(sock, self.listen, self.backend_port)
         heard = [await kin.said()]
         socket.send_fds(sock, [b"!"], [listening.fileno()])
         await kin.say(welcome)
@@ -201,11 +203,11 @@
         for ask in asks:
             await kin.say(ask)
             heard.append(await kin.said())
-        calling = asyncio.create_task(self.call(self.door, "runners/b/offline"))
+        calling = asyncio.create_task(self.call(self.admin_port, "runners/b/offline"))
         heard.append(await kin.said())
         await kin.say(b'{"re":1,"yes":false}\n')
         self.assertEqual(await calling, "200 offline")
-        event = asyncio.create_task(self.tell(**EVENT))
+        event = asyncio.create_task(self.send_callback(**EVENT))
         heard.append(await kin.said())
         await kin.say(b'{"re":2,"yes":true}\n')
         await event
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -1,4 +1,4 @@
-"""Stages on loopback, on ports the system picks: stand-ins, and a whole dispatcher between them."""
+"""Test cases on loopback, on ports the system picks: stand-ins, and a whole dispatcher between them."""
 
 import asyncio
 import os
@@ -19,8 +19,8 @@
     b"POST /api HTTP/1.1\r\nHost: b\r\nX-Request-ID: u1\r\nX-Priority-Class: g\r\n"
     b"X-Timeout: 1\r\nContent-Length: 2\r\n\r\nhi"
 )
-HEALTH = b"GET /healthz HTTP/1.1\r\nHost: b\r\n\r\n"
-BACK = (
+HEALTH_CHECK = b"GET /healthz HTTP/1.1\r\nHost: b\r\n\r\n"
+CALLBACK = (
     b"POST /v1/job-events HTTP/1.1\r\nHost: b\r\nContent-Length: 40\r\n\r\n"
     b'{"id":"u0","from":"a","state":"started"}'
 )
@@ -28,7 +28,11 @@
 
 
 class Loopback(Kept, unittest.IsolatedAsyncioTestCase):
+    """Listening stand-ins, calls of operators, and waiting for a condition."""
+
     async def stand_in(self, handler: Handler) -> int:
+        """Serves connections by the handler until the test ends; gives the port."""
+
         async def served(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             try:
                 await handler(reader, writer)
@@ -52,63 +56,71 @@
         return f"{head.split()[1]} {body.decode().strip()}"
 
     async def until(self, holds: Callable[[], bool]) -> None:
+        """Waits for a condition; fails after half a minute."""
         async with asyncio.timeout(30):
             while not holds():
                 await asyncio.sleep(0.001)
 
 
-class Between(Loopback):
-    """A dispatcher between a client, a runner and discovery that the test plays."""
+class DispatcherTestCase(Loopback):
+    """A dispatcher between a client, a backend and discovery that the test plays."""
 
-    async def begin(self, runner: Handler, **settings: Any) -> None:
-        self.runner_port = await self.stand_in(runner)
-        self.state, self.changed = "in_service", asyncio.Event()
+    async def begin(self, backend: Handler, **settings: Any) -> None:
+        """Starts discovery and the one backend, and writes the configuration."""
+        self.backend_port = await self.stand_in(backend)
+        self.backend_state = "in_service"
+        self.endpoints_changed = asyncio.Event()
 
         async def discovery(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             while True:
                 if "after=" in (await read_request(reader))[0]:
-                    await self.changed.wait()
-                    self.changed.clear()
-                body = orjson.dumps(self.targets())
+                    await self.endpoints_changed.wait()
+                    self.endpoints_changed.clear()
+                body = orjson.dumps(self.discovery_answer())
                 writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
 
-        grade = {"name": "g", "effect": "safe", "cut-off": 3_000_000, "expected-time": 2_000_000}
-        self.given: dict[str, Any] = {
+        request_class = {"name": "g", "effect": "safe", "cut-off": 3_000_000, "expected-time": 2_000_000}
+        self.config: dict[str, Any] = {
             "listen": "127.0.0.1:0",
             "discovery": f"127.0.0.1:{await self.stand_in(discovery)}",
             "seed": "1f",
-            "known": self.targets(),
+            "known": self.discovery_answer(),
             "limits": {"sockets": 256},
             "settings": {
                 "allowed": {"most-dispatches": 2, "cancel": True},
-                "service-grades": [grade],
+                "service-grades": [request_class],
                 "specifics": {"tells-start": True},
                 "tick": 2000,
                 **settings,
             },
         }
 
-    def targets(self) -> dict[str, Any]:
+    def discovery_answer(self) -> dict[str, Any]:
+        """The list as discovery has it now."""
         return {
             "rev": 1,
             "all": True,
-            "targets": [{"uid": "a", "endpoint": f"127.0.0.1:{self.runner_port}", "state": self.state}],
+            "targets": [
+                {"uid": "a", "endpoint": f"127.0.0.1:{self.backend_port}", "state": self.backend_state}
+            ],
         }
 
-    async def inside(self) -> None:
-        self.node = Application(self.given, lambda: self.given)
-        running = asyncio.create_task(self.node.run())
-        await self.until(lambda: self.node.request_handler.is_serving())
-        assert self.node.listener.server
-        self.port = self.node.listener.server.sockets[0].getsockname()[1]
+    async def start_in_process(self) -> None:
+        """Runs the dispatcher in this process until the test ends."""
+        self.application = Application(self.config, lambda: self.config)
+        running = asyncio.create_task(self.application.run())
+        await self.until(lambda: self.application.request_handler.is_serving())
+        assert self.application.listener.server
+        self.port = self.application.listener.server.sockets[0].getsockname()[1]
 
         async def end() -> None:
-            self.node.shutdown_requested.set()
+            self.application.shutdown_requested.set()
             await running
 
         self.addAsyncCleanup(end)
 
-    async def ask(self, ident: str, heads: str = "", wait: float = 2.5) -> tuple[str, bytes]:
+    async def send_request(self, ident: str, heads: str = "", wait: float = 2.5) -> tuple[str, bytes]:
+        """A client's request; the status line and body of its response."""
         reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
         writer.write(
             f"POST /api?x=1 HTTP/1.1\r\nHost: b\r\nX-Request-ID: {ident}\r\nX-Priority-Class: g\r\n"
@@ -121,7 +133,8 @@
             writer.close()
         return head.split("\r\n")[0], answer
 
-    async def tell(self, **told: Any) -> None:
+    async def send_callback(self, **told: Any) -> None:
+        """A backend's callback, with the status that answers it in the trace."""
         reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
         body = orjson.dumps(told)
         writer.write(
@@ -131,29 +144,29 @@
         self.say(f"  {told} {head.split()[1]}")
         writer.close()
 
-    async def outside(self, command: list[str], folder: str = "") -> asyncio.Task[str]:
+    async def start_process(self, command: list[str], folder: str = "") -> asyncio.Task[str]:
         """The program as operators start it; gives what it prints until it ends."""
         folder = folder or self.enterContext(tempfile.TemporaryDirectory())
-        self.file = Path(folder) / "config.json"
-        self.file.write_bytes(orjson.dumps(self.given))
+        self.config_file = Path(folder) / "config.json"
+        self.config_file.write_bytes(orjson.dumps(self.config))
         self.process = await asyncio.create_subprocess_exec(
             sys.executable,
             *command,
             stderr=asyncio.subprocess.PIPE,
             limit=1 << 20,
-            env={**os.environ, "GW_CONFIG": str(self.file), "TMPDIR": folder},
+            env={**os.environ, "GW_CONFIG": str(self.config_file), "TMPDIR": folder},
         )
         errors = self.process.stderr
         assert errors
-        self.addAsyncCleanup(self.put_down, self.process)
+        self.addAsyncCleanup(self.kill_process, self.process)
         printed = [(await errors.readline()).decode()]
         while "serving on" not in printed[-1]:
             self.assertTrue(printed[-1], printed)
             printed.append((await errors.readline()).decode())
         self.port = int(printed[-1].rpartition(":")[2])
-        if "admin_addr" in self.given:
+        if "admin_addr" in self.config:
             printed.append((await errors.readline()).decode())
-            self.door = int(printed[-1].rpartition(":")[2])
+            self.admin_port = int(printed[-1].rpartition(":")[2])
         process = self.process
 
         async def rest() -> str:
@@ -163,7 +176,7 @@
 
         return asyncio.create_task(rest())
 
-    async def put_down(self, process: asyncio.subprocess.Process) -> None:
+    async def kill_process(self, process: asyncio.subprocess.Process) -> None:
         if process.returncode is None:  # a test that failed must leave nothing running
             process.kill()
             await process.wait()
--- a/tests/network/test_listener.py
+++ b/tests/network/test_listener.py
@@ -10,7 +10,7 @@
 from crankfold.network.accepted_connection import MAX_UNREAD_BYTES, NEW_CONNECTION_GRACE
 from crankfold.network.listener import UNCOUNTED_SOCKETS, Listener
 from crankfold.network.metrics import Metrics
-from tests.loopback import BACK, HEALTH, UNIT, Loopback
+from tests.loopback import CALLBACK, HEALTH_CHECK, UNIT, Loopback
 from tests.scene import read_request
 
 
@@ -34,10 +34,12 @@
 
     async def test_connections_without_a_request_in_time_are_aborted_and_others_may_be_idle(self) -> None:
         await self.begin()
-        unidentified = [(await self.connect(data))[0] for data in (b"POST /api HTTP/1.1\r\nHo", b"", HEALTH)]
+        unidentified = [
+            (await self.connect(data))[0] for data in (b"POST /api HTTP/1.1\r\nHo", b"", HEALTH_CHECK)
+        ]
         await read_request(unidentified[2])
-        identified, _ = await self.connect(BACK)
-        later, more = await self.connect(BACK)
+        identified, _ = await self.connect(CALLBACK)
+        later, more = await self.connect(CALLBACK)
         for reader in (identified, later):
             await read_request(reader)
         more.write(b"POST /api HTTP/1.1\r\nHo")
@@ -66,14 +68,14 @@
         self,
     ) -> None:
         await self.begin(max_connections=5)
-        runner, _ = await self.connect(BACK)
+        runner, _ = await self.connect(CALLBACK)
         await read_request(runner)
         identified, _ = await self.connect(UNIT)
         await self.until(lambda: self.handler.submit.called)
         self.handler.submit.call_args[0][0].respond(200)
         await read_request(identified)
         silent, _ = await self.connect()
-        asked, _ = await self.connect(HEALTH)
+        asked, _ = await self.connect(HEALTH_CHECK)
         await read_request(asked)
         await asyncio.sleep(NEW_CONNECTION_GRACE)
         young, writer = await self.connect()
@@ -81,7 +83,7 @@
             await self.connect(UNIT)
             await self.ended(gone)
         await self.until(lambda: self.handler.submit.call_count == 5)
-        writer.write(HEALTH)
+        writer.write(HEALTH_CHECK)
         await read_request(young)
         self.assertEqual(self.metrics.counters["connections-evicted"], 4)
 
@@ -97,7 +99,7 @@
             for sock in rush:
                 sock.connect(("127.0.0.1", self.listener.port()))  # the system takes them; nobody here yet
             reader, writer = await asyncio.open_connection("127.0.0.1", self.listener.port())
-            writer.write(HEALTH)
+            writer.write(HEALTH_CHECK)
             failed = Mock()
             asyncio.get_running_loop().set_exception_handler(failed)
             async with asyncio.timeout(9):
--- a/tests/service/test_application.py
+++ b/tests/service/test_application.py
@@ -14,11 +14,11 @@
 from crankfold.network.connection_pool import (
     Exchange,
 )
-from tests.loopback import OK, UNIT, Between
+from tests.loopback import OK, UNIT, DispatcherTestCase
 from tests.scene import read_request
 
 
-class ApplicationTest(Between):
+class ApplicationTest(DispatcherTestCase):
     async def test_a_unit_from_client_to_runner_and_back(self) -> None:
         told = asyncio.Event()
 
@@ -28,26 +28,26 @@
                 first = head.split("\r\n")[0]
                 self.say(f"runner reads {first} {body!r} timed {'X-Timeout: 2.' in head}")
                 # A call-back may come before the 202, twice, from another runner or for no unit.
-                await self.tell(id="u1", **{"from": "b"}, state="done", result="not it")
-                await self.tell(id="u1", **{"from": "a"}, state="started")
-                await self.tell(id="u1", **{"from": "a"}, state="done", result="result")
-                await self.tell(id="u1", **{"from": "a"}, state="done", result="again")
-                await self.tell(id="u0", **{"from": "a"}, state="lost")
+                await self.send_callback(id="u1", **{"from": "b"}, state="done", result="not it")
+                await self.send_callback(id="u1", **{"from": "a"}, state="started")
+                await self.send_callback(id="u1", **{"from": "a"}, state="done", result="result")
+                await self.send_callback(id="u1", **{"from": "a"}, state="done", result="again")
+                await self.send_callback(id="u0", **{"from": "a"}, state="lost")
                 writer.write(OK)
                 told.set()
 
         await self.begin(runner)
-        await self.inside()
-        answer = await self.ask("u1", "Idempotency-Key: t\r\nX-Cost: 20\r\n")
+        await self.start_in_process()
+        answer = await self.send_request("u1", "Idempotency-Key: t\r\nX-Cost: 20\r\n")
         async with asyncio.timeout(5):
             await told.wait()
         await self.until(
             lambda: (
-                not self.node.request_handler.request_table.requests
-                and not self.node.request_handler.request_table.by_request_id
+                not self.application.request_handler.request_table.requests
+                and not self.application.request_handler.request_table.by_request_id
             )
         )
-        counts = self.node.metrics.counters
+        counts = self.application.metrics.counters
         self.say(f"client reads {answer}")
         self.say(
             " ".join(
@@ -61,7 +61,7 @@
         async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             while True:
                 await read_request(reader)
-                await self.tell(id="u1", **{"from": "a"}, state="done", result="result")
+                await self.send_callback(id="u1", **{"from": "a"}, state="done", result="result")
                 writer.write(OK)
 
         asked: list[str] = []
@@ -70,17 +70,19 @@
             asked.append((await read_request(reader))[0].split()[1])
             if len(asked) < 3:
                 return
-            body = orjson.dumps(self.targets())
+            body = orjson.dumps(self.discovery_answer())
             writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
             await reader.read()
 
         await self.begin(runner, **{"membership-mode": "on_request", "rules": {"ask-within": 80_000}})
-        self.given["discovery"] = f"127.0.0.1:{await self.stand_in(discovery)}"
-        del self.given["known"]
-        await self.inside()
-        await self.until(lambda: self.node.metrics.counters["discovery-snapshots"] == 1)
-        self.assertEqual(await self.ask("u1"), ("HTTP/1.1 200 OK", b"result"))
-        self.assertEqual((asked, self.node.metrics.counters["discovery-failed"]), (["/v1/servers"] * 3, 2))
+        self.config["discovery"] = f"127.0.0.1:{await self.stand_in(discovery)}"
+        del self.config["known"]
+        await self.start_in_process()
+        await self.until(lambda: self.application.metrics.counters["discovery-snapshots"] == 1)
+        self.assertEqual(await self.send_request("u1"), ("HTTP/1.1 200 OK", b"result"))
+        self.assertEqual(
+            (asked, self.application.metrics.counters["discovery-failed"]), (["/v1/servers"] * 3, 2)
+        )
 
     async def test_a_runner_that_vanished_holds_no_unit_past_its_cut_off(self) -> None:
         async def silent(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -90,14 +92,14 @@
         heads: list[bytes] = []
         once_only = [{"name": "g", "effect": "unsafe", "cut-off": 3_000_000, "expected-time": 2_000_000}]
         await self.begin(silent, **{"service-grades": once_only})
-        await self.inside()
+        await self.start_in_process()
         began = asyncio.get_running_loop().time()
-        self.assertEqual((await self.ask("u1", wait=0.2))[0].split()[1], "504")
+        self.assertEqual((await self.send_request("u1", wait=0.2))[0].split()[1], "504")
         self.assertLess(asyncio.get_running_loop().time() - began, 1.0)
         await self.until(
             lambda: (
-                not self.node.request_handler.request_table.requests
-                and not self.node.connection_limiter.open_count
+                not self.application.request_handler.request_table.requests
+                and not self.application.connection_limiter.open_count
             )
         )
         await self.until(lambda: len(heads) == 2)
@@ -111,9 +113,9 @@
 
         once_only = [{"name": "g", "effect": "unsafe", "cut-off": 3_000_000, "expected-time": 2_000_000}]
         await self.begin(runner, **{"service-grades": once_only})
-        await self.inside()
-        self.assertEqual((await self.ask("u1"))[0].split()[1], "504")
-        self.assertEqual(self.node.metrics.counters["given-up"], 1)
+        await self.start_in_process()
+        self.assertEqual((await self.send_request("u1"))[0].split()[1], "504")
+        self.assertEqual(self.application.metrics.counters["given-up"], 1)
 
     async def test_a_unit_that_a_runner_finds_unfit_is_tried_once_and_nobody_is_doubted(self) -> None:
         async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -122,13 +124,16 @@
                 writer.write(b"HTTP/1.1 400 No\r\nContent-Length: 0\r\n\r\n")
 
         await self.begin(runner)
-        await self.inside()
+        await self.start_in_process()
         for ident in ("u1", "u2", "u3"):
-            self.assertEqual((await self.ask(ident))[0].split()[1], "400")
+            self.assertEqual((await self.send_request(ident))[0].split()[1], "400")
         self.assertEqual(
             (
-                self.node.metrics.counters["dispatches"],
-                [backend.error_rate for backend in self.node.request_handler.routing.state.table.backends],
+                self.application.metrics.counters["dispatches"],
+                [
+                    backend.error_rate
+                    for backend in self.application.request_handler.routing.state.table.backends
+                ],
             ),
             (3, [0.0]),
         )
@@ -144,26 +149,30 @@
 
         async def moved(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             await read_request(reader)
-            await self.tell(id="u3", **{"from": "a"}, state="done", result="moved")
+            await self.send_callback(id="u3", **{"from": "a"}, state="done", result="moved")
             await reader.read()
 
         await self.begin(runner)
-        await self.inside()
-        first = asyncio.create_task(self.ask("u1"))
-        await self.until(lambda: self.node.metrics.counters["dispatches"] == 1 and len(posts) == 1)
-        self.assertEqual((await self.ask("u1"))[0].split()[1], "409")
-        with patch.object(self.node.listener, "is_over_limit", lambda: True):
-            self.assertEqual((await self.ask("u2"))[0].split()[1], "503")
-        self.assertEqual((self.node.metrics.counters["shed-for-room"], posts), (1, ["POST"]))
+        await self.start_in_process()
+        first = asyncio.create_task(self.send_request("u1"))
+        await self.until(lambda: self.application.metrics.counters["dispatches"] == 1 and len(posts) == 1)
+        self.assertEqual((await self.send_request("u1"))[0].split()[1], "409")
+        with patch.object(self.application.listener, "is_over_limit", lambda: True):
+            self.assertEqual((await self.send_request("u2"))[0].split()[1], "503")
+        self.assertEqual((self.application.metrics.counters["shed-for-room"], posts), (1, ["POST"]))
         # Called off, but the runner does not heed it: no second dispatch goes there, and it ends as not sent.
-        await self.until(lambda: self.node.request_handler.request_table.requests[0].attempts[0].accepted)
-        self.node.request_handler.cancel_attempt(0, 0)
+        await self.until(
+            lambda: self.application.request_handler.request_table.requests[0].attempts[0].accepted
+        )
+        self.application.request_handler.cancel_attempt(0, 0)
         self.assertEqual((await first)[0].split()[1], "503")
-        self.assertEqual((posts, self.node.metrics.counters["ended-not-sent"]), (["POST", "DELETE"], 1))
-        self.runner_port = await self.stand_in(moved)
-        self.changed.set()
-        await self.until(lambda: self.node.metrics.counters["discovery-snapshots"] == 2)
-        self.assertEqual((await self.ask("u3"))[1], b"moved")
+        self.assertEqual(
+            (posts, self.application.metrics.counters["ended-not-sent"]), (["POST", "DELETE"], 1)
+        )
+        self.backend_port = await self.stand_in(moved)
+        self.endpoints_changed.set()
+        await self.until(lambda: self.application.metrics.counters["discovery-snapshots"] == 2)
+        self.assertEqual((await self.send_request("u3"))[1], b"moved")
 
     async def test_a_client_that_leaves_is_forgotten_and_its_dispatch_called_off(self) -> None:
         called_off = asyncio.Event()
@@ -176,18 +185,18 @@
                 (called_off if head.startswith("DELETE /jobs/u1 ") else taken).set()
 
         await self.begin(runner)
-        await self.inside()
-        asking = asyncio.create_task(self.ask("u1"))
+        await self.start_in_process()
+        asking = asyncio.create_task(self.send_request("u1"))
         async with asyncio.timeout(5):
             await taken.wait()
-            units = self.node.request_handler.request_table.requests
+            units = self.application.request_handler.request_table.requests
             await self.until(lambda: any(trip.accepted for work in units.values() for trip in work.attempts))
             asking.cancel()
             await called_off.wait()
         await self.until(
             lambda: (
-                not self.node.request_handler.request_table.requests
-                and not self.node.request_handler.request_table.by_client
+                not self.application.request_handler.request_table.requests
+                and not self.application.request_handler.request_table.by_client
             )
         )
 
@@ -196,19 +205,19 @@
             self.say(f"runner reads {(await read_request(reader))[0]}")
 
         await self.begin(runner)
-        await self.inside()
-        pool = self.node.backend_registry.pools[0]
+        await self.start_in_process()
+        pool = self.application.backend_registry.pools[0]
         opening = pool._connect
 
         async def told_meanwhile(exchange: Exchange) -> None:
-            self.state = "terminating"
-            self.changed.set()
-            await self.until(lambda: self.node.metrics.counters["discovery-snapshots"] == 2)
+            self.backend_state = "terminating"
+            self.endpoints_changed.set()
+            await self.until(lambda: self.application.metrics.counters["discovery-snapshots"] == 2)
             await opening(exchange)
 
         pool._connect = told_meanwhile  # type: ignore[method-assign]
-        self.assertEqual((await self.ask("u1"))[0].split()[1], "503")
-        self.assertEqual((self.lines, self.node.metrics.counters["ended-not-sent"]), ([], 1))
+        self.assertEqual((await self.send_request("u1"))[0].split()[1], "503")
+        self.assertEqual((self.lines, self.application.metrics.counters["ended-not-sent"]), ([], 1))
 
     async def test_a_failure_in_the_decisions_gives_up_the_unit_in_hand_and_serving_goes_on(self) -> None:
         async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -221,9 +230,9 @@
             "Router.request_received = broken\n"
             "from crankfold.cli.main import main; main(['serve'])"
         )
-        lines = await self.outside(["-O", "-c", program])
+        lines = await self.start_process(["-O", "-c", program])
         for ident in ("u1", "u2"):  # at once, not when their time is up
-            self.assertEqual((await self.ask(ident, wait=60))[0].split()[1], "504")
+            self.assertEqual((await self.send_request(ident, wait=60))[0].split()[1], "504")
         self.process.terminate()
         printed = await lines
         self.assertIn("ValueError('a bug')", printed)
@@ -239,19 +248,19 @@
                 await taken.put(head.split("\r\n")[0])
 
         await self.begin(runner)
-        self.given["settings"]["service-grades"] = [{"name": "g", "effect": "safe", "cut-off": 1_000_000}]
-        lines = await self.outside(["-O", "-m", "crankfold", "serve"])
-        held = asyncio.create_task(self.ask("u1"))
-        never = asyncio.create_task(self.ask("u2", wait=9))  # the drain ends before its time is up
+        self.config["settings"]["service-grades"] = [{"name": "g", "effect": "safe", "cut-off": 1_000_000}]
+        lines = await self.start_process(["-O", "-m", "crankfold", "serve"])
+        held = asyncio.create_task(self.send_request("u1"))
+        never = asyncio.create_task(self.send_request("u2", wait=9))  # the drain ends before its time is up
         for _ in range(2):
             await taken.get()
         self.process.send_signal(signal.SIGTERM)
         self.process.send_signal(signal.SIGTERM)
-        late = asyncio.create_task(self.ask("u3"))  # connections still come for a moment
+        late = asyncio.create_task(self.send_request("u3"))  # connections still come for a moment
         await taken.get()
-        await self.tell(id="u3", **{"from": "a"}, state="done", result="3")
+        await self.send_callback(id="u3", **{"from": "a"}, state="done", result="3")
         await asyncio.sleep(0.6)  # past the moment: call-backs are received all the same
-        await self.tell(id="u1", **{"from": "a"}, state="done", result="1")
+        await self.send_callback(id="u1", **{"from": "a"}, state="done", result="1")
         for asked in (held, late, never):
             head, body = await asked
             self.say(f"{head} {body.decode()}")
@@ -266,7 +275,7 @@
             while True:
                 ident = (await read_request(reader))[0].lower().partition("x-request-id: ")[2].split()[0]
                 if ident != "held":
-                    await self.tell(id=ident, **{"from": name}, state="done", result=name)
+                    await self.send_callback(id=ident, **{"from": name}, state="done", result=name)
                 writer.write(OK)
                 sent.set()
 
@@ -283,24 +292,24 @@
         sent = asyncio.Event()
         await self.begin(partial(runner, name="a"))
         ports = {name: await self.stand_in(partial(runner, name=name)) for name in "bc"}
-        lines = await self.outside(["-O", "-m", "crankfold", "serve"])
-        held = asyncio.create_task(self.ask("held"))
+        lines = await self.start_process(["-O", "-m", "crankfold", "serve"])
+        held = asyncio.create_task(self.send_request("held"))
         async with asyncio.timeout(5):
             await sent.wait()
         for name in "bc":
-            self.given["settings"]["tick"] += 1
-            self.given["discovery"] = f"127.0.0.1:{await self.stand_in(partial(discovery, name=name))}"
-            for broken in (b"", b'{"listen":', orjson.dumps({**self.given, "discovery": "here"})):
-                self.file.write_bytes(broken)
+            self.config["settings"]["tick"] += 1
+            self.config["discovery"] = f"127.0.0.1:{await self.stand_in(partial(discovery, name=name))}"
+            for broken in (b"", b'{"listen":', orjson.dumps({**self.config, "discovery": "here"})):
+                self.config_file.write_bytes(broken)
                 self.process.send_signal(signal.SIGHUP)
-                await self.ask("u0", wait=0.001)  # read by now
-            self.file.write_bytes(orjson.dumps(self.given))
+                await self.send_request("u0", wait=0.001)  # read by now
+            self.config_file.write_bytes(orjson.dumps(self.config))
             self.process.send_signal(signal.SIGHUP)
             self.process.send_signal(signal.SIGHUP)
             await self.until(lambda name=name: f"{name} /v1/servers" in asked)  # type: ignore[misc]
             await self.until(lambda name=name: any(f"{name} /v1/servers?" in a for a in asked))  # type: ignore[misc]
-            self.assertEqual((await self.ask(f"u{name}"))[1].decode(), name)
-        await self.tell(id="held", **{"from": "a"}, state="done", result="held")
+            self.assertEqual((await self.send_request(f"u{name}"))[1].decode(), name)
+        await self.send_callback(id="held", **{"from": "a"}, state="done", result="held")
         self.assertEqual((await held)[1], b"held")  # a unit in hand outlives it, though its runner is gone
         self.process.terminate()
         self.process.send_signal(signal.SIGHUP)
@@ -313,11 +322,11 @@
         async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             while True:
                 await read_request(reader)
-                await self.tell(id="u1", **{"from": "a"}, state="done", result="result")
+                await self.send_callback(id="u1", **{"from": "a"}, state="done", result="result")
                 writer.write(OK)
 
         await self.begin(runner)
-        lines = await self.outside(["-O", "-m", "crankfold", "serve"])
+        lines = await self.start_process(["-O", "-m", "crankfold", "serve"])
         self.process.terminate()
         await asyncio.sleep(0.2)
         reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
@@ -336,13 +345,13 @@
 
         once_only = [{"name": "g", "effect": "unsafe", "cut-off": 3_000_000, "expected-time": 2_000_000}]
         await self.begin(silent, **{"service-grades": once_only})
-        await self.inside()
-        asked = [asyncio.create_task(self.ask("sent"))]
-        await self.until(lambda: self.node.metrics.counters["dispatches"] == 1)
-        self.node.request_handler.routing.limit.limit = 0.0  # what comes from here on is held
-        asked.append(asyncio.create_task(self.ask("held")))
-        await self.until(lambda: self.node.request_handler.open_request_count() == 2)
-        self.node.request_handler.answer_all_open()
+        await self.start_in_process()
+        asked = [asyncio.create_task(self.send_request("sent"))]
+        await self.until(lambda: self.application.metrics.counters["dispatches"] == 1)
+        self.application.request_handler.routing.limit.limit = 0.0  # what comes from here on is held
+        asked.append(asyncio.create_task(self.send_request("held")))
+        await self.until(lambda: self.application.request_handler.open_request_count() == 2)
+        self.application.request_handler.answer_all_open()
         self.assertEqual([(await one)[0].split()[1] for one in asked], ["504", "503"])
 
     async def test_killed_and_started_again_it_serves_and_takes_old_call_backs(self) -> None:
@@ -354,17 +363,17 @@
 
         posted = asyncio.Event()
         await self.begin(runner)
-        before = await self.outside(["-O", "-m", "crankfold", "serve"])
-        lost = asyncio.create_task(self.ask("u1"))
+        before = await self.start_process(["-O", "-m", "crankfold", "serve"])
+        lost = asyncio.create_task(self.send_request("u1"))
         async with asyncio.timeout(5):
             await posted.wait()
         self.process.kill()
         await before
         with self.assertRaises((ConnectionError, asyncio.IncompleteReadError)):
             await lost
-        self.given["listen"] = f"127.0.0.1:{self.port}"
-        lines = await self.outside(["-O", "-m", "crankfold", "serve"])
-        await self.tell(id="u1", **{"from": "a"}, state="done", result="1")
+        self.config["listen"] = f"127.0.0.1:{self.port}"
+        lines = await self.start_process(["-O", "-m", "crankfold", "serve"])
+        await self.send_callback(id="u1", **{"from": "a"}, state="done", result="1")
         self.assertTrue(self.lines[-1].endswith(" 204"))
         self.process.terminate()
         self.assertIn("call-backs-for-none=1", await lines)
@@ -380,9 +389,9 @@
                 "none": None,
                 "broken": b"{",
                 "bare": b'{"listen":"127.0.0.1:0"}',
-                "no address": orjson.dumps({**self.given, "listen": "here"}),
-                "odd figure": orjson.dumps({**self.given, "settings": {"tick": "x"}}),
-                "taken": orjson.dumps({**self.given, "listen": f"127.0.0.1:{port}"}),
+                "no address": orjson.dumps({**self.config, "listen": "here"}),
+                "odd figure": orjson.dumps({**self.config, "settings": {"tick": "x"}}),
+                "taken": orjson.dumps({**self.config, "listen": f"127.0.0.1:{port}"}),
             }.items():
                 path = Path(folder) / name
                 if body is not None:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -26,7 +26,7 @@
 from crankfold.routing.interface import POLL_TIMER, SECOND, Idempotency
 from crankfold.service.application import Application
 from crankfold.service.request_classes import RequestClassTable
-from tests.loopback import OK, UNIT, Between, Handler, Loopback
+from tests.loopback import OK, UNIT, DispatcherTestCase, Handler, Loopback
 from tests.scene import GRADE, ORDERS, Scene, read_request
 
 NEVER_RAN = b"HTTP/1.1 503 Service Unavailable\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n"
@@ -39,7 +39,7 @@
         writer.write(OK)
 
 
-class AtRunners(Loopback):
+class ConnectionPoolCrossings(Loopback):
     async def begin(self, handler: Handler) -> None:
         self.ends: list[str] = []
         self.links: list[asyncio.StreamWriter] = []
@@ -48,15 +48,15 @@
             self.links.append(writer)
             await handler(reader, writer)
 
-        self.tally = Metrics()
+        self.metrics = Metrics()
         self.pool = ConnectionPool(
-            "127.0.0.1", await self.stand_in(kept), ConnectionLimiter(9, 0.25, 5.0, self.tally)
+            "127.0.0.1", await self.stand_in(kept), ConnectionLimiter(9, 0.25, 5.0, self.metrics)
         )
         self.addCleanup(self.pool.close)
 
-    def send(self, body: bytes = b"x", settled: bool = True) -> Exchange:
-        def ended(how: ExchangeResult, side: BackendConnection | None) -> None:
-            self.ends.append(f"{how.value} {side.status if side else ''}")
+    def send(self, body: bytes = b"x", needs_cooldown: bool = True) -> Exchange:
+        def on_end(result: ExchangeResult, protocol: BackendConnection | None) -> None:
+            self.ends.append(f"{result.value} {protocol.status if protocol else ''}")
 
         exchange = Exchange(
             b"POST",
@@ -64,8 +64,8 @@
             lambda: [(b"Host", b"b")],
             body,
             may_send=lambda: True,
-            on_end=ended,
-            needs_cooldown=settled,
+            on_end=on_end,
+            needs_cooldown=needs_cooldown,
         )
         self.pool.send(exchange)
         return exchange
@@ -115,11 +115,11 @@
         await self.until(lambda: len(self.ends) == 1)
         self.send()  # at once: the connection has hardly come to rest
         await self.until(lambda: len(asked) == 2)
-        await self.until(lambda: self.tally.counters["backend-unsolicited-data"] == 1)
+        await self.until(lambda: self.metrics.counters["backend-unsolicited-data"] == 1)
         told_twice.set()
         await self.until(lambda: len(self.ends) == 2)
         self.assertEqual((asked, self.ends), ([1, 2], ["answered 202"] * 2))
-        self.send(settled=False)  # what carries no unit waits for nothing
+        self.send(needs_cooldown=False)  # what carries no unit waits for nothing
         await self.until(lambda: len(self.ends) == 3)
         self.assertEqual(asked, [1, 2, 2])
 
@@ -183,11 +183,11 @@
         self.assertEqual(self.ends, ["broken 0"])
 
 
-class AtClients(Loopback):
+class ListenerCrossings(Loopback):
     async def begin(self) -> None:
-        self.desk = Mock(is_serving=lambda: True, knows_request_class=lambda name: True)
-        self.tally = Metrics()
-        self.listener = Listener(self.desk, self.tally, (), 100)
+        self.handler = Mock(is_serving=lambda: True, knows_request_class=lambda name: True)
+        self.metrics = Metrics()
+        self.listener = Listener(self.handler, self.metrics, (), 100)
         await self.listener.open("127.0.0.1", 0)
         self.addAsyncCleanup(self.listener.close)
 
@@ -197,19 +197,19 @@
         for number, behind in enumerate((b"", b"y" * 400_000), 1):
             reader, writer = await asyncio.open_connection("127.0.0.1", self.listener.port())
             writer.write(large + behind)
-            await self.until(lambda n=number: self.desk.submit.call_count == n)  # type: ignore[misc]
+            await self.until(lambda n=number: self.handler.submit.call_count == n)  # type: ignore[misc]
             with contextlib.suppress(ConnectionError):
                 await writer.drain()
             writer.close()
             async with asyncio.timeout(2):
-                await self.until(lambda n=number: self.desk.client_disconnected.call_count == n)  # type: ignore[misc]
+                await self.until(lambda n=number: self.handler.client_disconnected.call_count == n)  # type: ignore[misc]
 
     async def test_who_floods_behind_a_request_has_its_answer_whole(self) -> None:
         await self.begin()
         reader, writer = await asyncio.open_connection("127.0.0.1", self.listener.port())
         writer.write(UNIT)
-        await self.until(lambda: self.desk.submit.called)
-        client = self.desk.submit.call_args[0][0]
+        await self.until(lambda: self.handler.submit.called)
+        client = self.handler.submit.call_args[0][0]
         writer.write(b"y" * 9 * MAX_UNREAD_BYTES)
         await self.until(lambda: client.protocol.discarding_input)
         client.respond(200, [], b"done")
@@ -220,58 +220,58 @@
         await self.begin()
         reader, writer = await asyncio.open_connection("127.0.0.1", self.listener.port())
         writer.write(UNIT)
-        await self.until(lambda: self.desk.submit.called)
-        client = self.desk.submit.call_args[0][0]
+        await self.until(lambda: self.handler.submit.called)
+        client = self.handler.submit.call_args[0][0]
         client.respond(200, [], b"done")
         await asyncio.sleep(0.01)
         writer.write(UNIT.replace(b"u1", b"u2"))  # with the system by now, read by nobody
         client.close()
         self.assertEqual((await read_request(reader))[1], b"done")  # no reset overtakes it
         self.assertEqual(await reader.read(), b"")
-        self.assertEqual(self.desk.submit.call_count, 1)
+        self.assertEqual(self.handler.submit.call_count, 1)
         writer.close()
 
 
-class AtTheWhole(Between):
+class DispatcherCrossings(DispatcherTestCase):
     async def begin(self, runner: Handler, effect: str = "safe", **more: Any) -> None:
         await super().begin(runner)
-        self.given["settings"]["service-grades"][0].update(effect=effect, **more)
+        self.config["settings"]["service-grades"][0].update(effect=effect, **more)
 
     async def test_a_client_that_went_before_it_was_read_has_nothing_sent(self) -> None:
         async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             self.say((await read_request(reader))[0].splitlines()[0])
 
         await self.begin(runner)
-        await self.inside()
+        await self.start_in_process()
         client = socket.create_connection(("127.0.0.1", self.port))
         client.sendall(UNIT)
         client.close()  # all in one turn: nobody accepted it so far
-        await self.until(lambda: self.node.metrics.counters["clients-gone-before-read"] == 1)
-        await self.until(lambda: not self.node.listener.connections)
-        self.assertEqual((self.lines, self.node.metrics.counters["dispatches"]), ([], 0))
+        await self.until(lambda: self.application.metrics.counters["clients-gone-before-read"] == 1)
+        await self.until(lambda: not self.application.listener.connections)
+        self.assertEqual((self.lines, self.application.metrics.counters["dispatches"]), ([], 0))
 
     async def test_a_client_that_goes_while_its_unit_waits_for_a_connection_has_nothing_sent(self) -> None:
         async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             self.say((await read_request(reader))[0].splitlines()[0])
 
         await self.begin(runner)
-        await self.inside()
-        pool = self.node.backend_registry.pools[0]
+        await self.start_in_process()
+        pool = self.application.backend_registry.pools[0]
         opening, up = pool._connect, asyncio.Event()
 
         async def late(exchange: Exchange) -> None:
             asking.cancel()
-            await self.until(lambda: self.node.metrics.counters["clients-disconnected"] == 1)
+            await self.until(lambda: self.application.metrics.counters["clients-disconnected"] == 1)
             await opening(exchange)
             up.set()
 
         pool._connect = late  # type: ignore[method-assign]
-        asking = asyncio.create_task(self.ask("u1"))
+        asking = asyncio.create_task(self.send_request("u1"))
         async with asyncio.timeout(5):
             await up.wait()
         await asyncio.sleep(0.02)
         self.assertEqual(self.lines, [])
-        self.assertEqual(self.node.request_handler.open_request_count(), 0)
+        self.assertEqual(self.application.request_handler.open_request_count(), 0)
 
     async def test_a_request_read_after_the_last_answers_is_shed_and_not_sent_on(self) -> None:
         async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -279,7 +279,7 @@
             self.say("sent on")
 
         await self.begin(runner)
-        await self.inside()
+        await self.start_in_process()
         ended, go_on = asyncio.Event(), asyncio.Event()
 
         async def held_up() -> None:
@@ -289,14 +289,14 @@
         reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
         writer.write(UNIT[:-1])  # its last byte is still under way
         await self.until(
-            lambda: any(client.protocol.is_mid_request() for client in self.node.listener.connections)
+            lambda: any(client.protocol.is_mid_request() for client in self.application.listener.connections)
         )
         with (
-            patch.object(self.node.admin_server, "close", held_up),
+            patch.object(self.application.admin_server, "close", held_up),
             patch("crankfold.service.shutdown.MAX_DRAIN_DURATION", 0.1),
             patch("crankfold.service.shutdown.DRAIN_MARGIN", 0.0),
         ):
-            self.node.shutdown_requested.set()
+            self.application.shutdown_requested.set()
             await ended.wait()
             writer.write(UNIT[-1:])
             head, _ = await read_request(reader)
@@ -321,8 +321,8 @@
             return (await read_request(reader))[0].split()[1]
 
         await self.begin(runner)
-        await self.inside()
-        asking = asyncio.create_task(self.ask("u1"))
+        await self.start_in_process()
+        asking = asyncio.create_task(self.send_request("u1"))
         await taken.wait()
         reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
         self.assertEqual(await back("started"), "204")
@@ -330,8 +330,8 @@
             patch("crankfold.service.shutdown.MAX_DRAIN_DURATION", 2.0),
             patch("crankfold.service.shutdown.LATE_CONNECTION_PERIOD", 0.0),
         ):
-            self.node.shutdown_requested.set()
-            await self.until(lambda: self.node.listener.closing)
+            self.application.shutdown_requested.set()
+            await self.until(lambda: self.application.listener.closing)
             await asyncio.sleep(3 * NEW_CONNECTION_GRACE)  # what is at rest for so long is closed
             self.assertEqual(await back("done", result="ran"), "204")
             self.assertEqual((await asking)[1], b"ran")
@@ -342,8 +342,8 @@
             self.say((await read_request(reader))[0].splitlines()[0])  # and breaks: it may have run
 
         await self.begin(runner, "keyed", group="zone", **{"repeat-window": 300_000})
-        await self.inside()
-        pool = self.node.backend_registry.pools[0]
+        await self.start_in_process()
+        pool = self.application.backend_registry.pools[0]
         opening = pool._connect
         opened = 0
 
@@ -351,17 +351,19 @@
             nonlocal opened
             opened += 1
             if opened > 1:
-                first = next(iter(self.node.request_handler.request_table.requests.values())).attempts[0]
-                await self.until(lambda: self.node.timers.clock.now() > first.created_at + 3000)
+                first = next(iter(self.application.request_handler.request_table.requests.values())).attempts[
+                    0
+                ]
+                await self.until(lambda: self.application.timers.clock.now() > first.created_at + 3000)
             await opening(exchange)
 
-        routing = self.node.request_handler.routing
+        routing = self.application.request_handler.routing
         with (
             patch.object(pool, "_connect", late),
             patch.object(routing.selection, "_healthy", lambda *_: routing.state.table.backends[:1]),
             patch("crankfold.service.request_table.Attempt.was_sent", lambda trip: False),
         ):
-            answer = await self.ask("u1")
+            answer = await self.send_request("u1")
         self.assertEqual((answer[0].split()[1], opened, len(self.lines)), ("504", 2, 1))
 
     async def test_an_end_told_twice_is_not_taken_for_that_of_a_second_dispatch(self) -> None:
@@ -370,11 +372,11 @@
             self.say("sent")
             writer.write(OK)
             for _ in range(2):  # as if the first telling's answer had been lost
-                await self.tell(id="u1", **{"from": "a"}, state="returned")
+                await self.send_callback(id="u1", **{"from": "a"}, state="returned")
 
         await self.begin(runner, "unsafe")
-        await self.inside()
-        self.assertEqual((await self.ask("u1"))[0].split()[1], "503")  # known not to have run
+        await self.start_in_process()
+        self.assertEqual((await self.send_request("u1"))[0].split()[1], "503")  # known not to have run
         self.assertEqual(self.lines.count("sent"), 1)
 
     async def beside(self, told_first: bool) -> str:
@@ -384,19 +386,19 @@
         async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             await read_request(reader)
             if told_first:
-                await self.tell(id="u1", **{"from": "a"}, state="done", result="ran")
+                await self.send_callback(id="u1", **{"from": "a"}, state="done", result="ran")
             writer.transport.abort()
             broken.set()
 
         await self.begin(runner, "unsafe")
-        await self.inside()
-        asking = asyncio.create_task(self.ask("u1"))
+        await self.start_in_process()
+        asking = asyncio.create_task(self.send_request("u1"))
         await broken.wait()
         if not told_first:
-            await self.until(lambda: self.node.metrics.counters["given-up"] == 1)
-            await self.tell(id="u1", **{"from": "a"}, state="done", result="ran")
+            await self.until(lambda: self.application.metrics.counters["given-up"] == 1)
+            await self.send_callback(id="u1", **{"from": "a"}, state="done", result="ran")
         answer = await asking
-        self.assertEqual(self.node.metrics.counters["dispatches"], 1)
+        self.assertEqual(self.application.metrics.counters["dispatches"], 1)
         return answer[0].split()[1]
 
     async def test_an_end_told_before_its_dispatch_breaks_counts(self) -> None:
@@ -410,7 +412,7 @@
             raise AssertionError("nothing is sent")
 
         await self.begin(runner)
-        node = Application(self.given, lambda: self.given)
+        node = Application(self.config, lambda: self.config)
         node.shutdown_requested.set()
         with patch.object(node.listener, "open") as opened:
             async with asyncio.timeout(5):
@@ -431,7 +433,7 @@
             "sys.argv = ['crankfold', 'serve']\n"
             "runpy.run_module('crankfold', run_name='__main__')"
         )
-        lines = await self.outside(["-O", "-c", program])
+        lines = await self.start_process(["-O", "-c", program])
         self.process.send_signal(signal.SIGTERM)
         printed = await lines
         self.assertEqual(self.process.returncode, 0, printed)
@@ -442,7 +444,7 @@
             while True:
                 head, _ = await read_request(reader)
                 ident = head.lower().partition("x-request-id: ")[2].partition("\r\n")[0]
-                await self.tell(id=ident, **{"from": "a"}, state="done", result="done")
+                await self.send_callback(id=ident, **{"from": "a"}, state="done", result="done")
                 writer.write(OK)
 
         back = asyncio.Event()
@@ -451,23 +453,26 @@
             answers = back.is_set()
             await read_request(reader)
             if answers:
-                body = orjson.dumps({**self.targets(), "rev": 9})
+                body = orjson.dumps({**self.discovery_answer(), "rev": 9})
                 writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
             await reader.read()
 
         await self.begin(runner)
-        self.given |= {"discovery": f"127.0.0.1:{await self.stand_in(discovery)}", "limits": {"sockets": 128}}
-        self.given["known"]["targets"][0]["uid"] = "gone"
+        self.config |= {
+            "discovery": f"127.0.0.1:{await self.stand_in(discovery)}",
+            "limits": {"sockets": 128},
+        }
+        self.config["known"]["targets"][0]["uid"] = "gone"
         program = (
             "import resource; resource.setrlimit(resource.RLIMIT_NOFILE, (128, 128))\n"
             "from crankfold.cli.main import main; main(['serve'])"
         )
-        lines = await self.outside(["-O", "-c", program])
+        lines = await self.start_process(["-O", "-c", program])
         idle = [socket.create_connection(("127.0.0.1", self.port)) for _ in range(400)]
         await asyncio.sleep(0.3)
         back.set()
         async with asyncio.timeout(6):
-            while (await self.ask("u1"))[1] != b"done":
+            while (await self.send_request("u1"))[1] != b"done":
                 await asyncio.sleep(0.05)
         for one in idle:
             one.close()
@@ -488,44 +493,44 @@
             await read_request(reader)
             if calls == 1:
                 return
-            self.state = "terminating"
-            body = orjson.dumps(self.targets())
+            self.backend_state = "terminating"
+            body = orjson.dumps(self.discovery_answer())
             writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
             await reader.read()
 
         await self.begin(runner)
-        self.given["discovery"] = f"127.0.0.1:{await self.stand_in(discovery)}"
+        self.config["discovery"] = f"127.0.0.1:{await self.stand_in(discovery)}"
         with patch(
             "crankfold.service.application.FIRST_LIST_TIMEOUT", 5.0
         ):  # on a busy machine the second call is late
-            await self.inside()
-        self.assertEqual(((await self.ask("u1", wait=0.2))[0].split()[1], self.lines), ("503", []))
+            await self.start_in_process()
+        self.assertEqual(((await self.send_request("u1", wait=0.2))[0].split()[1], self.lines), ("503", []))
 
     async def test_a_cut_off_before_the_decisions_had_their_turn_sheds_what_never_went(self) -> None:
         async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             raise AssertionError("nothing is sent")
 
         await self.begin(runner)
-        self.state = "terminating"
-        self.given["known"] = self.targets()
-        await self.inside()
-        with patch.object(self.node.request_handler.routing, "timer_fired", lambda now, label: None):
-            self.assertEqual((await self.ask("u1", wait=0.1))[0].split()[1], "503")
-        self.assertEqual(self.node.metrics.counters["units-open-at-cut-off"], 1)
+        self.backend_state = "terminating"
+        self.config["known"] = self.discovery_answer()
+        await self.start_in_process()
+        with patch.object(self.application.request_handler.routing, "timer_fired", lambda now, label: None):
+            self.assertEqual((await self.send_request("u1", wait=0.1))[0].split()[1], "503")
+        self.assertEqual(self.application.metrics.counters["units-open-at-cut-off"], 1)
 
     async def test_by_the_grades_in_force_is_told_how_long_an_end_may_take(self) -> None:
         async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             await read_request(reader)
 
         await self.begin(runner)
-        await self.inside()
+        await self.start_in_process()
         grade = {"name": "h", "effect": "safe", "cut-off": 500_000, "expected-time": 100_000}
-        self.given = {**self.given, "settings": {**self.given["settings"], "service-grades": [grade]}}
-        self.node.reloader.reload()
-        self.assertEqual(self.node.config_applier.longest_deadline, 0.5)
+        self.config = {**self.config, "settings": {**self.config["settings"], "service-grades": [grade]}}
+        self.application.reloader.reload()
+        self.assertEqual(self.application.config_applier.longest_deadline, 0.5)
 
 
-class NothingLeaks(Scene):
+class RequestClassCrossings(Scene):
     def test_what_was_learnt_of_a_grade_is_not_told_of_another_that_reads_the_same(self) -> None:
         self.open()
         book = RequestClassTable(["a"], [GRADE])
@@ -546,7 +551,7 @@
         )
 
 
-class Told(Scene):
+class DiscoveryCrossings(Scene):
     def test_where_lists_are_asked_for_no_pause_is_longer_than_a_change_may_take(self) -> None:
         self.open(
             runners=0,
--- a/tests/test_day.py
+++ b/tests/test_day.py
@@ -11,7 +11,7 @@
 
 import orjson
 
-from tests.loopback import OK, Between
+from tests.loopback import OK, DispatcherTestCase
 from tests.scene import read_request
 
 RUN, SLOTS = 0.08, 4  # 85 units a second keep the slots of two runners busy, and some fail
@@ -78,7 +78,7 @@
             await asyncio.sleep(0.1)
 
 
-class Day(Between):
+class Day(DispatcherTestCase):
     async def open(self) -> None:
         self.chance = random.Random(7)
         self.tasks: set[asyncio.Task[None]] = set()
@@ -88,7 +88,7 @@
             runner.port = await self.stand_in(runner.served)
         with socket.create_server(("127.0.0.1", 0)) as free:
             listen = f"127.0.0.1:{free.getsockname()[1]}"
-        self.given = {
+        self.config = {
             "listen": listen,
             "discovery": f"127.0.0.1:{await self.stand_in(self.discovery)}",
             "seed": "1f",
@@ -178,9 +178,9 @@
             await asyncio.sleep(self.chance.expovariate(85))
 
     async def start(self) -> tuple[Any, asyncio.Task[str]]:
-        printed = await self.outside(["-O", "-m", "crankfold", "serve"], self.folder)
+        printed = await self.start_process(["-O", "-m", "crankfold", "serve"], self.folder)
         async with asyncio.timeout(5):
-            while await self.call(self.door, "ready", "GET") != "200 ready":
+            while await self.call(self.admin_port, "ready", "GET") != "200 ready":
                 await asyncio.sleep(0.02)
         return self.process, printed
 
@@ -192,7 +192,7 @@
         await asyncio.sleep(1)
         # Out by hand, restarted, and back, the list as late as it likes.
         out = self.runners["c"]
-        self.assertEqual(await self.call(self.door, "runners/c/offline"), "200 offline")
+        self.assertEqual(await self.call(self.admin_port, "runners/c/offline"), "200 offline")
         out_at = time.monotonic()
         await asyncio.sleep(0.6)
         second, second_printed = await self.start()
@@ -202,16 +202,16 @@
         async with self.news:
             self.news.notify_all()
         await asyncio.sleep(0.5)
-        self.assertEqual(await self.call(self.door, "runners/c/online"), "200 online")
+        self.assertEqual(await self.call(self.admin_port, "runners/c/online"), "200 online")
         back_at = time.monotonic()
         await asyncio.sleep(0.7)
         # Another replacement while it is cold, then other settings.
         _, third_printed = await self.start()
         second.send_signal(signal.SIGTERM)
         await asyncio.sleep(0.5)
-        grades = self.given["settings"]["service-grades"]
-        self.given["settings"]["service-grades"] = [*grades, {**grades[2], "name": "new"}]
-        self.file.write_bytes(orjson.dumps(self.given))
+        grades = self.config["settings"]["service-grades"]
+        self.config["settings"]["service-grades"] = [*grades, {**grades[2], "name": "new"}]
+        self.config_file.write_bytes(orjson.dumps(self.config))
         self.process.send_signal(signal.SIGHUP)
         await asyncio.sleep(0.5)
         over.set()
--- a/tests/test_renewal.py
+++ b/tests/test_renewal.py
@@ -11,7 +11,7 @@
 from crankfold.config import schema
 from crankfold.routing.interface import DeduplicationScope, Idempotency, Outcome
 from crankfold.service.request_classes import RequestClassTable
-from tests.loopback import OK, Between
+from tests.loopback import OK, DispatcherTestCase
 from tests.scene import GRADE, MS, ORDERS, Kept, Scene, read_request
 
 FILE: dict[str, Any] = {
@@ -142,7 +142,7 @@
         self.assertEqual((self.backends[1].reported_queue, self.backends[2].ejection_time), (4.5, 10_000))
 
 
-class UnderWay(Between):
+class UnderWay(DispatcherTestCase):
     async def test_files_of_every_bad_kind_then_a_good_one(self) -> None:
         sent: list[str] = []
 
@@ -156,15 +156,15 @@
                     continue
                 writer.write(OK)
                 if not ident.startswith("held"):
-                    await self.tell(id=ident, **{"from": "a"}, state="done", result="done")
+                    await self.send_callback(id=ident, **{"from": "a"}, state="done", result="done")
 
         await self.begin(runner)
         # Several dispatches to one runner: none fails for want of another to try.
-        self.given["settings"]["allowed"]["most-dispatches"] = 3
-        lines = await self.outside(["-O", "-m", "crankfold", "serve"])
-        good = copy.deepcopy(self.given)
+        self.config["settings"]["allowed"]["most-dispatches"] = 3
+        lines = await self.start_process(["-O", "-m", "crankfold", "serve"])
+        good = copy.deepcopy(self.config)
         before = orjson.dumps(good)
-        held = asyncio.create_task(self.ask("held"))
+        held = asyncio.create_task(self.send_request("held"))
         await self.until(lambda: sent == ["held"])
         bad = copy.deepcopy(good)
         bad["settings"]["service-grades"].append(
@@ -190,7 +190,7 @@
         good["settings"]["service-grades"].append({**grades[0], "effect": "unsafe"})
         await self.renew(orjson.dumps(good))  # g is back with another effect, while one of the old g is open
         self.assertEqual((await self.status("g", "fails-3"), sent.count("fails-3")), ("504", 1))
-        await self.tell(id="held", **{"from": "a"}, state="done", result="held")
+        await self.send_callback(id="held", **{"from": "a"}, state="done", result="held")
         self.assertEqual((await held)[1], b"held")  # of the dropped grade
         self.process.terminate()
         printed = await lines
@@ -198,7 +198,7 @@
         self.assertIn("config-reloads=4 config-reloads-rejected=4", printed)
 
     async def renew(self, body: bytes) -> None:
-        self.file.write_bytes(body)
+        self.config_file.write_bytes(body)
         self.process.send_signal(signal.SIGHUP)
         await asyncio.sleep(0.1)
 
--- a/tests/test_stored_forms.py
+++ b/tests/test_stored_forms.py
@@ -401,14 +401,16 @@
 
     async def test_it_follows_a_predecessor_and_says_what_a_successor_said(self) -> None:
         await self.prepare(self.scratch(), b'{"of":"n0","bans":{},"assumed":{}}')
-        self.given["known"] = None  # the list comes from the predecessor alone
+        self.config["known"] = None  # the list comes from the predecessor alone
         lines = (HANDOVER / "predecessor.lines").read_bytes().splitlines(True)
         told = [one for one in lines if one.startswith((b'{"welcome"', b'{"yours"', b'{"holds"'))]
         self.assertEqual(len(told), 3)
         said = await self.as_successor([*told, *ASKS])
         self.assertEqual(said, (HANDOVER / "successor.lines").read_bytes().splitlines(True))
-        self.assertEqual((await self.ask("held1"))[0].split()[1], "409")  # in hand at the one before it
-        fleet, desk = self.node.backend_registry, self.node.request_handler
+        self.assertEqual(
+            (await self.send_request("held1"))[0].split()[1], "409"
+        )  # in hand at the one before it
+        fleet, desk = self.application.backend_registry, self.application.request_handler
         self.assertEqual(
             {uid: fleet.manual_drains.drained_since[uid] for uid in ("a", "gone")},
             {"a": 1234567, "gone": 2345678},
@@ -422,7 +424,7 @@
             [
                 {
                     "uid": uid,
-                    "endpoint": f"127.0.0.1:{self.runner_port}",
+                    "endpoint": f"127.0.0.1:{self.backend_port}",
                     "boot_ms": 20 + n,
                     "az": zone,
                     "model": "big",
@@ -446,7 +448,7 @@
         await self.prepare(folder, data)
         await self.serve()
         await self.serving()
-        bans = self.node.backend_registry.manual_drains
+        bans = self.application.backend_registry.manual_drains
         self.assertEqual(
             (bans.drained_since, bans.assumed_starts),
             ({"a": 1234567, "gone": 2345678}, {"b": (3456789, 4567890)}),
@@ -454,5 +456,5 @@
         self.assertEqual(orjson.loads(data), BANS)
         file = folder / ban_file(self.listen)
         file.unlink()
-        self.assertEqual(await self.call(self.door, "runners/a/offline"), "200 offline")  # once more
+        self.assertEqual(await self.call(self.admin_port, "runners/a/offline"), "200 offline")  # once more
         self.assertEqual(file.read_bytes(), data)
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -35,7 +35,7 @@
 )
 from crankfold.service.application import Application
 from crankfold.service.handover_state_machine import HandoverStateMachine
-from tests.loopback import OK, UNIT, Between, Loopback
+from tests.loopback import OK, UNIT, DispatcherTestCase, Loopback
 from tests.scene import Kept, read_request
 
 HELLO = Hello(1, ("127.0.0.1", 18080), "n0")
@@ -317,7 +317,7 @@
         self.assertFalse((folder / "p").exists())
 
 
-class Upgrades(Between):
+class Upgrades(DispatcherTestCase):
     """Real processes that follow one another, between stand-ins."""
 
     async def start(self) -> None:
@@ -332,22 +332,22 @@
                 ident = head.lower().partition("x-request-id: ")[2].split()[0]
                 self.sent.append(ident)
                 if not ident.startswith("held"):
-                    await self.tell(id=ident, **{"from": "a"}, state="done", result="done")
+                    await self.send_callback(id=ident, **{"from": "a"}, state="done", result="done")
 
         await self.begin(runner)
         with socket.create_server(("127.0.0.1", 0)) as free:
-            self.given["listen"] = f"127.0.0.1:{free.getsockname()[1]}"
-        self.given["admin_addr"] = "127.0.0.1:0"
+            self.config["listen"] = f"127.0.0.1:{free.getsockname()[1]}"
+        self.config["admin_addr"] = "127.0.0.1:0"
         self.folder = self.enterContext(tempfile.TemporaryDirectory())
 
     async def held(self, *idents: str) -> list[asyncio.Task[tuple[str, bytes]]]:
-        asked = [asyncio.create_task(self.ask(ident)) for ident in idents]
+        asked = [asyncio.create_task(self.send_request(ident)) for ident in idents]
         await self.until(lambda: set(idents) <= set(self.sent))
         return asked
 
     async def finish(self, *idents: str) -> None:
         for ident in idents:
-            await self.tell(id=ident, **{"from": "a"}, state="done", result=ident)
+            await self.send_callback(id=ident, **{"from": "a"}, state="done", result=ident)
 
     async def load(self, until: asyncio.Event) -> list[str]:
         """Clients that keep their connections and use them until an answer is the last."""
@@ -377,12 +377,12 @@
 
     async def test_another_dispatchers_process_and_records_give_nothing(self) -> None:
         await self.start()
-        self.given["name"] = "n0"
-        lines = await self.outside(["-O", "-m", "crankfold", "serve"], self.folder)
-        self.assertEqual((await self.call(self.door, "runners/a/offline")).split()[0], "200")
+        self.config["name"] = "n0"
+        lines = await self.start_process(["-O", "-m", "crankfold", "serve"], self.folder)
+        self.assertEqual((await self.call(self.admin_port, "runners/a/offline")).split()[0], "200")
 
         async def learnt(name: str) -> tuple[bool, bool, list[str]]:
-            handover = Application({**self.given, "name": name}, lambda: self.given, self.folder).handover
+            handover = Application({**self.config, "name": name}, lambda: self.config, self.folder).handover
             assert handover
             welcome = await handover.connect()
             handover.close()
@@ -401,19 +401,21 @@
 
     async def test_replaced_twice_under_load_nothing_is_lost(self) -> None:
         await self.start()
-        ends = await self.outside(SERVE, self.folder)
-        first, first_door = self.process, self.door
+        ends = await self.start_process(SERVE, self.folder)
+        first, first_door = self.process, self.admin_port
         over = asyncio.Event()
         load = asyncio.create_task(self.load(over))
         held = await self.held("held1", "held2", "held3")
         printed = []
         for _ in range(2):
             old, old_ends = self.process, ends
-            ends = await self.outside(SERVE, self.folder)
-            self.assertEqual(await self.call(self.door, "ready", "GET"), "200 ready")
+            ends = await self.start_process(SERVE, self.folder)
+            self.assertEqual(await self.call(self.admin_port, "ready", "GET"), "200 ready")
             if old is first:
                 self.assertEqual(await self.call(first_door, "ready", "GET"), "503 not ready")
-                self.assertEqual((await self.ask("held2"))[0].split()[1], "409")  # in hand at the old one
+                self.assertEqual(
+                    (await self.send_request("held2"))[0].split()[1], "409"
+                )  # in hand at the old one
                 await self.finish("held1")  # reaches the new one, which does not hold it
                 self.assertEqual((await held[0])[1], b"held1")
             old.send_signal(signal.SIGTERM)
@@ -437,30 +439,30 @@
 
     async def test_a_ban_outlives_the_process_it_was_called_at(self) -> None:
         await self.start()
-        before = await self.outside(SERVE, self.folder)
-        await self.call(self.door, "runners/a/offline")
-        old, door = self.process, self.door
-        after = await self.outside(SERVE, self.folder)
-        self.assertEqual(await self.call(self.door, "ready", "GET"), "503 not ready")
+        before = await self.start_process(SERVE, self.folder)
+        await self.call(self.admin_port, "runners/a/offline")
+        old, door = self.process, self.admin_port
+        after = await self.start_process(SERVE, self.folder)
+        self.assertEqual(await self.call(self.admin_port, "ready", "GET"), "503 not ready")
         # Called at either, it binds both.
-        for here, there in ((door, self.door), (self.door, door)):
+        for here, there in ((door, self.admin_port), (self.admin_port, door)):
             self.assertEqual(await self.call(here, "runners/a/online"), "200 online")
-            self.assertEqual(await self.call(self.door, "ready", "GET"), "200 ready")
+            self.assertEqual(await self.call(self.admin_port, "ready", "GET"), "200 ready")
             self.assertEqual(await self.call(there, "runners/a/offline"), "200 offline")
-            self.assertEqual(await self.call(self.door, "ready", "GET"), "503 not ready")
+            self.assertEqual(await self.call(self.admin_port, "ready", "GET"), "503 not ready")
         old.kill()
         await before
         self.process.kill()
         await after
-        await self.outside(SERVE, self.folder)  # nobody is left to tell it
-        self.assertEqual((await self.ask("u1", wait=0.3))[0].split()[1], "503")
-        self.assertEqual(await self.call(self.door, "runners/a/online"), "200 online")
-        self.assertEqual(((await self.ask("u2"))[1], self.sent), (b"done", ["u2"]))
+        await self.start_process(SERVE, self.folder)  # nobody is left to tell it
+        self.assertEqual((await self.send_request("u1", wait=0.3))[0].split()[1], "503")
+        self.assertEqual(await self.call(self.admin_port, "runners/a/online"), "200 online")
+        self.assertEqual(((await self.send_request("u2"))[1], self.sent), (b"done", ["u2"]))
 
     async def test_the_new_one_is_killed_and_the_old_one_goes_on(self) -> None:
         await self.start()
-        await self.outside(SERVE, self.folder)
-        old, old_door = self.process, self.door
+        await self.start_process(SERVE, self.folder)
+        old, old_door = self.process, self.admin_port
         held = await self.held("held1")
         asked = asyncio.Event()
 
@@ -468,53 +470,53 @@
             asked.set()
             await reader.read()
 
-        usual = self.given["discovery"]
-        self.given["discovery"] = f"127.0.0.1:{await self.stand_in(mute)}"
-        self.file.write_bytes(orjson.dumps(self.given))
-        self.given["discovery"] = usual
+        usual = self.config["discovery"]
+        self.config["discovery"] = f"127.0.0.1:{await self.stand_in(mute)}"
+        self.config_file.write_bytes(orjson.dumps(self.config))
+        self.config["discovery"] = usual
         early = await asyncio.create_subprocess_exec(
             sys.executable,
             *SERVE,
             stderr=asyncio.subprocess.DEVNULL,
-            env={**os.environ, "GW_CONFIG": str(self.file), "TMPDIR": self.folder},
+            env={**os.environ, "GW_CONFIG": str(self.config_file), "TMPDIR": self.folder},
         )
         async with asyncio.timeout(5):
             await asked.wait()  # it has met the old one, and waits for a list
         early.kill()
         await early.wait()
-        self.assertEqual((await self.ask("u0"))[1], b"done")
-        ends = await self.outside(SERVE, self.folder)
+        self.assertEqual((await self.send_request("u0"))[1], b"done")
+        ends = await self.start_process(SERVE, self.folder)
         self.process.kill()  # after it
         await ends
         async with asyncio.timeout(5):
             while True:
                 with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
-                    if (await self.ask(f"u{len(self.sent)}"))[1] == b"done":
+                    if (await self.send_request(f"u{len(self.sent)}"))[1] == b"done":
                         break
         await self.finish("held1")
         self.assertEqual((await held[0])[1], b"held1")
         self.assertEqual(await self.call(old_door, "ready", "GET"), "200 ready")
-        ends = await self.outside(SERVE, self.folder)  # and it can be replaced again
+        ends = await self.start_process(SERVE, self.folder)  # and it can be replaced again
         old.terminate()
         await old.wait()
-        self.assertEqual((await self.ask("last"))[1], b"done")
+        self.assertEqual((await self.send_request("last"))[1], b"done")
 
     async def test_the_old_one_is_killed_with_units_open(self) -> None:
         await self.start()
-        await self.outside(SERVE, self.folder)
+        await self.start_process(SERVE, self.folder)
         old = self.process
         held = await self.held("held1")
-        await self.outside(SERVE, self.folder)
+        await self.start_process(SERVE, self.folder)
         old.kill()
         with self.assertRaises((ConnectionError, asyncio.IncompleteReadError)):
             await held[0]
         await self.finish("held1")  # answered, though nobody holds it
         self.assertTrue(self.lines[-1].endswith(" 204"))
-        self.assertEqual((await self.ask("u1"))[1], b"done")
+        self.assertEqual((await self.send_request("u1"))[1], b"done")
 
     async def test_without_an_address_for_operators_nothing_is_left_in_the_folder(self) -> None:
         await self.start()
-        del self.given["admin_addr"]
-        await self.outside(SERVE, self.folder)
+        del self.config["admin_addr"]
+        await self.start_process(SERVE, self.folder)
         self.assertEqual(os.listdir(self.folder), ["config.json"])
-        self.assertEqual(orjson.loads(self.file.read_bytes())["listen"], self.given["listen"])
+        self.assertEqual(orjson.loads(self.config_file.read_bytes())["listen"], self.config["listen"])
