--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -233,8 +233,8 @@
 
 
 class DispatcherCrossings(DispatcherTestCase):
-    async def begin(self, runner: Handler, effect: str = "safe", **more: Any) -> None:
-        await super().begin(runner)
+    async def begin(self, backend: Handler, effect: str = "safe", **more: Any) -> None:
+        await super().begin(backend)
         self.config["settings"]["service-grades"][0].update(effect=effect, **more)
 
     async def test_a_client_that_went_before_it_was_read_has_nothing_sent(self) -> None:
