--- a/crankfold/cluster/cluster_member.py
+++ b/crankfold/cluster/cluster_member.py
@@ -23,7 +23,6 @@
 SEED_BITS = 62
 INCARNATION_BITS = 48
 MIN_TICK_INTERVAL = 5  # ticks
-CLOSE_POLL_INTERVAL = 0.01  # seconds
 
 logger = logging.getLogger(__name__)
 
@@ -71,43 +70,55 @@
         self.storage = storage
         self._owner = owner
         self._loop = asyncio.get_running_loop()
-        incarnation = secrets.randbits(INCARNATION_BITS)
-        timing = Timing(int(config.staleness_bound * TICKS_PER_SECOND))
-        seed = secrets.randbits(SEED_BITS)
+        self._timing = Timing(int(config.staleness_bound * TICKS_PER_SECOND))
         self.consensus: Voter | Follower
+        incarnation = secrets.randbits(INCARNATION_BITS)
         if storage:
             if storage.startup_notice:
                 logger.info("%s", storage.startup_notice)
-            self.consensus = Voter(
-                name,
-                storage.persistent_state,
-                dict(config.voters),
-                timing=timing,
-                now=boottime_ticks(),
-                seed=seed,
-                incarnation=incarnation,
-                folder_id=storage.folder_id,
-                host=host,
-                coordinator=self,
-                initial_settings=initial_settings,
-            )
+            self.consensus = self._make_voter(name, storage, incarnation, host, initial_settings)
         else:
-            self.consensus = Follower(
-                name,
-                list(config.voters),
-                timing=timing,
-                now=boottime_ticks(),
-                seed=seed,
-                incarnation=incarnation,
-                host=host,
-            )
+            self.consensus = self._make_follower(name, incarnation, host)
         hello = Hello(PROTOCOL_VERSION, name, incarnation, storage.folder_id if storage else "")
         others = {voter: parse_address(at) for voter, at in config.voters.items() if voter != name}
         self._transport = Transport(hello, others, metrics=metrics, handler=self)
-        self._syncing = False
+        self._saving: asyncio.Future[None] | None = None
         self._closed = False
         self._tick_timer: asyncio.TimerHandle | None = None
 
+    def _make_voter(
+        self,
+        name: str,
+        storage: RaftStorage,
+        incarnation: int,
+        host: VoterHost,
+        initial_settings: dict[str, Any],
+    ) -> Voter:
+        return Voter(
+            name,
+            storage.persistent_state,
+            dict(self._config.voters),
+            timing=self._timing,
+            now=boottime_ticks(),
+            seed=secrets.randbits(SEED_BITS),
+            incarnation=incarnation,
+            folder_id=storage.folder_id,
+            host=host,
+            coordinator=self,
+            initial_settings=initial_settings,
+        )
+
+    def _make_follower(self, name: str, incarnation: int, host: VoterHost) -> Follower:
+        return Follower(
+            name,
+            list(self._config.voters),
+            timing=self._timing,
+            now=boottime_ticks(),
+            seed=secrets.randbits(SEED_BITS),
+            incarnation=incarnation,
+            host=host,
+        )
+
     async def open(self) -> None:
         """Listens, if it is a voter, and starts.
 
@@ -196,7 +207,7 @@
         if self.disabled_reason:
             return
         self._send(consensus.take_immediate_messages())
-        if isinstance(consensus, Voter) and not self._syncing:
+        if isinstance(consensus, Voter) and not self._saving:
             self._store_and_send(consensus, consensus.take_ready(boottime_ticks()))
 
     def _learn_addresses(self, voter: Voter) -> None:
@@ -207,14 +218,13 @@
 
     def _store_and_send(self, voter: Voter, ready: Ready) -> None:
         if ready.must_sync() and self.storage:
-            self._syncing = True
-            saving = self._loop.run_in_executor(None, self.storage.save, ready)
-            saving.add_done_callback(lambda done: self._sync_finished(voter, ready, done))
+            self._saving = self._loop.run_in_executor(None, self.storage.save, ready)
+            self._saving.add_done_callback(lambda done: self._sync_finished(voter, ready, done))
         else:
             self._send(ready.messages)
 
     def _sync_finished(self, voter: Voter, ready: Ready, done: "asyncio.Future[None]") -> None:
-        self._syncing = False
+        self._saving = None
         if self._closed:
             return
         error = done.exception()
@@ -243,8 +253,8 @@
             await asyncio.sleep(0)
         await self._transport.close()
         if self.storage:
-            while self._syncing:
-                await asyncio.sleep(CLOSE_POLL_INTERVAL)
+            if self._saving:
+                await asyncio.wait([self._saving])
             self.storage.close()
 
 
--- a/crankfold/cluster/node.py
+++ b/crankfold/cluster/node.py
@@ -99,7 +99,8 @@
         successor = await self._open_voter()
         if successor is None:
             return
-        while not successor.has_lease() or successor.consensus.last_applied < self.consensus.last_applied:
+        # No event tells that a lease has expired, so it is polled.
+        while not self._may_act_by(successor):  # noqa: ASYNC110 - see above
             await asyncio.sleep(TAKEOVER_RETRY_INTERVAL)
         follower = self.member
         self.member = successor
@@ -107,6 +108,10 @@
         await follower.close()
         logger.info("%s is a voter again", self.config.name)
 
+    def _may_act_by(self, successor: ClusterMember) -> bool:
+        applied_as_much = successor.consensus.last_applied >= self.consensus.last_applied
+        return successor.has_lease() and applied_as_much
+
     async def _open_voter(self) -> ClusterMember | None:
         """The voter, as soon as folder and address are free; None if its folder cannot be used."""
         while True:
--- a/crankfold/consensus/conservative_merge.py
+++ b/crankfold/consensus/conservative_merge.py
@@ -116,7 +116,7 @@
     return {"shares": merged}
 
 
-def merge_maintenance(old: Content, new: Content) -> Content:
+def merge_maintenance(old: Content, new: Content) -> Content:  # noqa: ARG001 - as all merge functions
     """Takes the newer jobs: they bind the leader alone, and each transition names the version it is from."""
     return new
 
--- a/crankfold/consensus/follower.py
+++ b/crankfold/consensus/follower.py
@@ -83,7 +83,13 @@
         )
         self._messages.append((self.voter, heartbeat))
 
-    def propose(self, now: int, proposal_id: str, kind: str, data: dict[str, Any]) -> None:
+    def propose(
+        self,
+        now: int,  # noqa: ARG002 - called like that of a voter
+        proposal_id: str,
+        kind: str,
+        data: dict[str, Any],
+    ) -> None:
         """Sends a proposal towards the leader; the outcome comes in `proposal_responses`."""
         self._messages.append((self.voter, ProposalRequest(proposal_id, kind, data)))
 
--- a/crankfold/consensus/leases.py
+++ b/crankfold/consensus/leases.py
@@ -182,8 +182,8 @@
         for holder in self.holders.values():
             if now >= holder.expires_at + request_duration:
                 continue
-            heard = holder.maintenance_report is not None and now >= holder.predecessor_until
-            drained_index = min(drained_index, holder.last_applied if heard else 0)
+            has_reported = holder.maintenance_report is not None and now >= holder.predecessor_until
+            drained_index = min(drained_index, holder.last_applied if has_reported else 0)
             if holder.maintenance_report:
                 own.report.merge(holder.maintenance_report, lease_valid=now < holder.expires_at)
         # Nothing is known of leases that an earlier process granted under this name.
--- a/crankfold/consensus/messages.py
+++ b/crankfold/consensus/messages.py
@@ -11,7 +11,7 @@
 
 from msgspec import Struct, field
 
-MAX_UNRESOLVED_LISTED = 5  # requests of one reporter at one machine
+MAX_UNRESOLVED_REPORTED = 5  # requests of one reporter at one machine
 
 
 class LogEntry(Struct, array_like=True, frozen=True):
@@ -131,7 +131,7 @@
         if not lease_valid:
             return
         for machine_id, request_ids in other.unresolved.items():
-            self.unresolved.setdefault(machine_id, []).extend(request_ids[:MAX_UNRESOLVED_LISTED])
+            self.unresolved.setdefault(machine_id, []).extend(request_ids[:MAX_UNRESOLVED_REPORTED])
         for machine_id, (total, bad) in other.response_counts.items():
             earlier_total, earlier_bad = self.response_counts.get(machine_id, (0, 0))
             self.response_counts[machine_id] = earlier_total + total, earlier_bad + bad
--- a/crankfold/consensus/proposals.py
+++ b/crankfold/consensus/proposals.py
@@ -25,6 +25,9 @@
 MAX_REASON_LENGTH = 2000
 
 
+ProposalMessage = ProposalRequest | ProposalResponse | ValidationRequest | ValidationResponse
+
+
 class PublishProposal(Struct):
     """What `ProposalRequest.data` of a publish must hold; the names are those of the log entry."""
 
@@ -82,6 +85,18 @@
         """A new term as leader begins."""
         self._validations = {}
 
+    def receive(self, now: int, sender: str, message: ProposalMessage) -> None:
+        """Takes a message about a proposal of another member."""
+        match message:
+            case ProposalRequest():
+                self.handle_request(now, sender, message)
+            case ProposalResponse():
+                self._pass_on(message)
+            case ValidationRequest():
+                self._validate(sender, message)
+            case ValidationResponse():
+                self._handle_validation_response(now, sender, message)
+
     def handle_request(self, now: int, sender: str, request: ProposalRequest) -> None:
         """Takes a proposal of another member, or of this one if `sender` is empty."""
         if self._raft.role == Role.LEADER:
@@ -142,12 +157,12 @@
         for voter in sorted(self._raft.voters.keys() - approvals):
             self._raft.send(voter, message)
 
-    def handle_validation_request(self, sender: str, request: ValidationRequest) -> None:
+    def _validate(self, sender: str, request: ValidationRequest) -> None:
         """Tells the leader whether this voter could use a document."""
         error = self._host.validate_document(request.document_name, request.content)
         self._raft.send(sender, ValidationResponse(request.proposal_id, error))
 
-    def handle_validation_response(self, now: int, sender: str, response: ValidationResponse) -> None:
+    def _handle_validation_response(self, now: int, sender: str, response: ValidationResponse) -> None:
         """Takes a voter's judgement."""
         validation = self._validations.get(response.proposal_id)
         if validation is None:
@@ -189,7 +204,7 @@
             )
             self._respond(self._senders.pop(proposal_id), response)
 
-    def handle_response(self, response: ProposalResponse) -> None:
+    def _pass_on(self, response: ProposalResponse) -> None:
         """Passes on what the leader answered."""
         if response.proposal_id in self._senders:
             self._respond(self._senders.pop(response.proposal_id), response)
--- a/crankfold/consensus/raft.py
+++ b/crankfold/consensus/raft.py
@@ -44,7 +44,6 @@
         founding_member: Voted before there was any log.
         role: Its role in the term.
         leader: The leader of the term, if known; else empty.
-        log: Its log.
         commit_index: The log is committed up to here, as far as this node knows.
         progress: While leading, how far the other voters' logs agree.
         leader_since: When it became leader, if it is one.
@@ -63,7 +62,7 @@
         seed: int,
         registry: VoterRegistry,
     ) -> None:
-        """Starts as a follower from `stored`.
+        """Starts as a follower from `stored`. Over 30 lines: one for each attribute.
 
         `initial_voters` are addresses by name, and count while nothing is stored; `seed` is that of the
         randomized election timeouts; `registry` says whether this node may vote.
@@ -113,7 +112,8 @@
     def tick(self, now: int) -> None:
         """Does what is due at `now`: heartbeats, or an election."""
         if self.role == Role.LEADER:
-            if not self._quorum_active(now):
+            last_contact = max(self.quorum_contact_at(), self.leader_since)
+            if now - last_contact >= 2 * self.timing.election_timeout:
                 # Without contact to a quorum it must not be taken for the leader.
                 self._become_follower(now, self.term)
             elif now >= self.heartbeat_due_at:
@@ -124,10 +124,6 @@
             else:
                 self._reset_election_timer(now)
 
-    def _quorum_active(self, now: int) -> bool:
-        since = max(self.quorum_contact_at(), self.leader_since)
-        return now - since < 2 * self.timing.election_timeout
-
     def quorum_contact_at(self) -> int:
         """While leading: when the newest round went out that a quorum has answered; -1 if there is none."""
         return self.progress.quorum_contact_at(self.voters)
@@ -190,8 +186,7 @@
         self.broadcast_append(now)
 
     def _handle_request_vote(self, now: int, sender: str, request: RequestVote) -> None:
-        own_position = self.log.last_term(), self.log.last_index()
-        up_to_date = (request.last_log_term, request.last_log_index) >= own_position
+        up_to_date = self.log.is_up_to_date(request.last_log_term, request.last_log_index)
         eligible = up_to_date and self.registry.may_vote(
             self.log, request.last_log_index, self.founding_member
         )
@@ -202,9 +197,9 @@
             granted = eligible and not leader_active and request.term > self.term
             self.send(sender, RequestVoteResponse(request.term, pre_vote=True, vote_granted=granted))
             return
-        if leader_active and request.term > self.term:
-            return  # a node in contact with a leader lets no other campaign
         if request.term > self.term:
+            if leader_active:
+                return  # a node in contact with a leader lets no other campaign
             self._become_follower(now, request.term)
         granted = request.term == self.term and eligible and self.vote in ("", sender)
         if granted:
@@ -225,8 +220,6 @@
             self.votes_granted.add(sender)
             self._check_votes(now)
 
-    # --- the log ---
-
     def _write_entries(self, first_index: int, entries: list[LogEntry]) -> None:
         self.log.write(first_index, entries)
         self._output.write_entries(first_index, entries)
@@ -296,7 +289,7 @@
             prev_term = self.log.snapshot.term
         if self.log.term_at(prev_index) != prev_term:
             retry_index = self.log.retry_index(prev_index, prev_term, self.commit_index)
-            self.send(sender, AppendEntriesResponse(self.term, False, retry_index, message.round_number))
+            self._reject(sender, retry_index, message.round_number)
             return
         agreeing = self.log.count_agreeing(prev_index, entries)
         if agreeing < len(entries):
@@ -343,6 +336,9 @@
         """Queues a message; one that claims something about this node's storage waits for the storage."""
         self._output.send(receiver, message)
 
+    def _reject(self, receiver: str, retry_index: int, round_number: int) -> None:
+        self.send(receiver, AppendEntriesResponse(self.term, False, retry_index, round_number))
+
     def _send_append_success(self, receiver: str, match_index: int, round_number: int) -> None:
         """What is durable is confirmed at once, so that slow storage is not taken for a silent voter."""
         response = AppendEntriesResponse(self.term, True, match_index, round_number)
@@ -371,8 +367,7 @@
         if message.term > self.term:
             self._become_follower(now, message.term)
         if message.term < self.term:
-            failure = AppendEntriesResponse(self.term, False, self.commit_index, message.round_number)
-            self.send(sender, failure)
+            self._reject(sender, self.commit_index, message.round_number)
             return
         self.role = Role.FOLLOWER
         self.leader = sender
@@ -383,8 +378,6 @@
         else:
             self._handle_install_snapshot(sender, message)
 
-    # --- storage ---
-
     def take_ready(self, now: int) -> Ready:
         """What is to be stored and then sent since the last call; `advance` is due once it is stored."""
         return self._output.take_ready(now)
--- a/crankfold/consensus/raft_log.py
+++ b/crankfold/consensus/raft_log.py
@@ -34,6 +34,10 @@
         """The term of the last entry; 0 if there is none."""
         return self.term_at(self.last_index())
 
+    def is_up_to_date(self, last_term: int, last_index: int) -> bool:
+        """Whether a log with that last entry has everything that this one may have committed."""
+        return (last_term, last_index) >= (self.last_term(), self.last_index())
+
     def term_at(self, index: int) -> int:
         """The term of the entry at `index`; `NO_TERM` where the log does not hold it."""
         if index == self.snapshot.index:
--- a/crankfold/consensus/versioned_documents.py
+++ b/crankfold/consensus/versioned_documents.py
@@ -27,7 +27,7 @@
 MAX_OUTCOMES = 1000  # of proposals, so that a repeated one takes no effect
 MAX_PENDING_VERSIONS = 8  # of a document
 MACHINES = "machines"  # reported as the changed document after a maintenance entry
-CUTOFF_UNITS_PER_TICK = 100  # deadlines of request classes are in microseconds
+MICROSECONDS_PER_TICK = 100  # deadlines of request classes are in microseconds
 
 
 class DocumentVersion(Struct, array_like=True, frozen=True):
@@ -248,4 +248,4 @@
             for version in self.document(SETTINGS).versions
             for request_class in version.text.get("service-grades", ())
         ]
-        return int(max(deadlines, default=0)) // CUTOFF_UNITS_PER_TICK
+        return int(max(deadlines, default=0)) // MICROSECONDS_PER_TICK
--- a/crankfold/consensus/voter.py
+++ b/crankfold/consensus/voter.py
@@ -73,7 +73,7 @@
         coordinator: MaintenanceCoordinator | None = None,
         initial_settings: dict[str, Any] | None = None,
     ) -> None:
-        """Starts from what its storage holds.
+        """Starts from what its storage holds. Over 30 lines: what each collaborator is given.
 
         Args:
             name: Its own name among the voters.
@@ -381,14 +381,8 @@
                 self._handle_lease_grant(message)
             case FollowerHeartbeat():
                 self._handle_follower_heartbeat(now, sender, message)
-            case ProposalRequest():
-                self._proposals.handle_request(now, sender, message)
-            case ProposalResponse():
-                self._proposals.handle_response(message)
-            case ValidationRequest():
-                self._proposals.handle_validation_request(sender, message)
-            case ValidationResponse():
-                self._proposals.handle_validation_response(now, sender, message)
+            case ProposalRequest() | ProposalResponse() | ValidationRequest() | ValidationResponse():
+                self._proposals.receive(now, sender, message)
             case MembershipGossip():
                 self.remote_lease_holders.record(now, sender, message)
             case Leave():
