--- a/crankfold/protocol/client_connection.py
+++ b/crankfold/protocol/client_connection.py
@@ -11,11 +11,8 @@
 from crankfold.protocol.headers import MAX_BODY_SIZE, MAX_HEADER_SIZE, Header
 
 
-class ClientRequestHandler(CallbackHandler, Protocol):
-    """Where requests and callbacks go once they are read. `client` is what `respond` is called on later."""
-
-    def is_serving(self) -> bool:
-        """Whether health checks are to succeed."""
+class CallbackReceiver(CallbackHandler, Protocol):
+    """Where callbacks go once they are read. `client` is what `respond` is called on later."""
 
     def has_request(self, request_id: str) -> bool:
         """Whether that request is in hand here."""
@@ -23,6 +20,17 @@
     def forward_unknown_callback(self, client: object, body: bytes) -> bool:
         """Passes on a callback for a request not in hand; whether its response waits for an answer."""
 
+
+class ClientRequestHandler(Protocol):
+    """Where requests go once they are read. `client` is what `respond` is called on later."""
+
+    @property
+    def callbacks(self) -> CallbackReceiver:
+        """Where callbacks go."""
+
+    def is_serving(self) -> bool:
+        """Whether health checks are to succeed."""
+
     def knows_request_class(self, name: str) -> bool:
         """Whether there is a request class of that name."""
 
@@ -178,11 +186,11 @@
             return
         body = bytes(self.body)
         request_id = request_id_of(body)
-        known = not request_id or self.handler.has_request(request_id)
-        if not known and self.handler.forward_unknown_callback(self.client, body):
+        known = not request_id or self.handler.callbacks.has_request(request_id)
+        if not known and self.handler.callbacks.forward_unknown_callback(self.client, body):
             self.identified = True
             self.is_backend = True  # answered once the other process has answered
-        elif handle_callback(body, self.handler, self.report_fields):
+        elif handle_callback(body, self.handler.callbacks, self.report_fields):
             self.identified = True
             self.is_backend = True
             self.respond(HTTPStatus.NO_CONTENT)
--- a/crankfold/service/handover.py
+++ b/crankfold/service/handover.py
@@ -270,8 +270,9 @@
     def handle_callback(self, callback: str) -> bool:
         """Handles a callback if its request is in hand here; whether it was."""
         body = callback.encode()
-        return self.request_handler.has_request(request_id_of(body)) and handle_callback(
-            body, self.request_handler, self.request_handler.config.report_fields
+        callbacks = self.request_handler.callbacks
+        return callbacks.has_request(request_id_of(body)) and handle_callback(
+            body, callbacks, self.request_handler.config.report_fields
         )
 
     def apply_manual_drain(self, backend_id: str, drained: bool) -> None:
--- a/crankfold/service/handover_state.py
+++ b/crankfold/service/handover_state.py
@@ -72,8 +72,7 @@
         endpoints={"rev": 0, "all": True, "targets": targets} if targets else None,
         load_reports={
             names[backend]: list(report)
-            for backend, (received_at, report) in request_handler.load_reports.items()
-            if now - received_at < MAX_REPORT_AGE
+            for backend, report in request_handler.load_reports.received_since(now - MAX_REPORT_AGE).items()
         },
     )
 
--- /dev/null
+++ b/crankfold/service/health_probes.py
@@ -0,0 +1,57 @@
+"""Probes: asks backends for a sign of life and for their load."""
+
+from collections.abc import Callable, Sequence
+from functools import partial
+
+from crankfold.network.connection_pool import ExchangeResult
+from crankfold.network.metrics import Metrics
+from crankfold.protocol.backend_connection import BackendConnection
+from crankfold.protocol.load_reports import report_from_header
+from crankfold.routing.interface import RoutingConfig
+from crankfold.service.backend_registry import BackendRegistry
+from crankfold.service.load_report_store import LoadReportStore
+
+ProbeObserver = Callable[[int, bool, Sequence[float]], None]
+"""Takes the index of the backend, whether it is healthy, and its load report if there is one."""
+
+
+class HealthProbes:
+    """Sends probes that routing asks for.
+
+    Args:
+        config: Says whether backends report their load, to ask for that and not for a sign of life alone.
+        backends: Carries the probes.
+        load_reports: Keeps the reports.
+        metrics: Counts probes and reports.
+        on_probe_ended: Is told each result.
+    """
+
+    def __init__(
+        self,
+        config: RoutingConfig,
+        backends: BackendRegistry,
+        load_reports: LoadReportStore,
+        metrics: Metrics,
+        on_probe_ended: ProbeObserver,
+    ) -> None:
+        self.backends = backends
+        self.load_reports = load_reports
+        self.metrics = metrics
+        self.on_probe_ended = on_probe_ended
+        reports_load = config.reports_in_responses or config.reports_by_probe
+        self.target = b"/load" if reports_load else b"/healthz"
+
+    def send(self, backend: int) -> None:
+        """Probes the backend with that index."""
+        self.metrics.increment("probes")
+        self.backends.send_control_request(backend, b"GET", self.target, partial(self._on_end, backend))
+
+    def _on_end(self, backend: int, result: ExchangeResult, response: BackendConnection | None) -> None:
+        report: Sequence[float] = ()
+        healthy = False
+        if result is ExchangeResult.ANSWERED and response is not None and response.status == 200:
+            healthy = True
+            report = report_from_header(bytes(response.body), self.backends.config.report_fields)
+            self.metrics.increment("reports-by-probe" if report else "probes-without-report")
+        self.load_reports.store(backend, report)
+        self.on_probe_ended(backend, healthy, report)
--- a/crankfold/service/maintenance_agent.py
+++ b/crankfold/service/maintenance_agent.py
@@ -38,7 +38,14 @@
 from crankfold.network.metrics import Metrics, log_line
 from crankfold.routing.interface import DeduplicationScope, EndpointState, Idempotency, Outcome
 from crankfold.service.admin_service import AdminService
-from crankfold.service.request_handler import RequestHandler
+from crankfold.service.request_handler import (
+    ADMITTED_COUNTER,
+    NO_VALID_CONFIG,
+    OVERLOADED,
+    QUOTA_USED_UP,
+    RequestHandler,
+)
+from crankfold.service.request_table import Disposition
 
 TICKS_PER_SECOND = 10_000
 LOAD_WINDOW = 5.0  # seconds over which taken and shed units are counted
@@ -48,7 +55,12 @@
 MAX_UNCONFIRMED = 1000
 SUCCESSES = (Outcome.COMPLETED,)
 FAILURES = (Outcome.ERROR, Outcome.TIMED_OUT, Outcome.UNREACHABLE, Outcome.RESET, Outcome.UNKNOWN)
-SHED_COUNTERS = ("shed", "shed-for-room", "shed-for-share", "shed-cut-off")
+SHED_COUNTERS = (
+    Disposition.SHED.counter,
+    OVERLOADED.counter,
+    QUOTA_USED_UP.counter,
+    NO_VALID_CONFIG.counter,
+)
 OPERATOR_TRANSITIONS = {"begin": WORK, "done": ENDED, "unwell": UNWELL, "back": BACK}
 
 
@@ -190,7 +202,11 @@
             told.idle_dispatchers = [self.cluster_node.consensus.name]
         now, counts = time.monotonic(), self.metrics.counters
         self.load_samples.append(
-            (now, counts["taken"] - counts["shed"], sum(counts[name] for name in SHED_COUNTERS))
+            (
+                now,
+                counts[ADMITTED_COUNTER] - counts[Disposition.SHED.counter],
+                sum(counts[name] for name in SHED_COUNTERS),
+            )
         )
         while now - self.load_samples[0][0] > LOAD_WINDOW:
             self.load_samples.popleft()
--- a/crankfold/service/request_handler.py
+++ b/crankfold/service/request_handler.py
@@ -1,47 +1,79 @@
-"""Where sockets and decisions meet: what comes in is told, and what is decided is carried out."""
+"""Requests: admits what clients send, answers it, and stands between the sockets and the decisions."""
 
 import asyncio
 from collections.abc import Callable, Sequence
-from dataclasses import replace
+from dataclasses import dataclass, replace
 from functools import partial
-from urllib.parse import quote
 
 from crankfold.config.parser import ServiceConfig, setting_text
 from crankfold.network.accepted_connection import AcceptedConnection
-from crankfold.network.connection_pool import Exchange, ExchangeResult
 from crankfold.network.metrics import Metrics
-from crankfold.network.timers import Timers
-from crankfold.protocol.backend_connection import (
-    Acceptance,
-    BackendConnection,
-    attempt_headers,
-    classify_response,
-)
+from crankfold.network.timers import TICKS_PER_SECOND, Timers
 from crankfold.protocol.client_request import ClientRequest
-from crankfold.protocol.load_reports import report_from_header
-from crankfold.routing.interface import (
-    NEVER_EXECUTED,
-    Endpoint,
-    EndpointState,
-    Idempotency,
-    Outcome,
-    RoutingConfig,
-)
+from crankfold.routing.interface import Endpoint, RoutingConfig
 from crankfold.routing.router import Router
+from crankfold.service.attempts import Attempts
 from crankfold.service.backend_registry import BackendRegistry
+from crankfold.service.callback_handler import CallbackHandler
 from crankfold.service.collaborators import ClusterServices, OtherProcesses, RecordedEvent
+from crankfold.service.health_probes import HealthProbes
 from crankfold.service.lifecycle import Lifecycle
+from crankfold.service.load_report_store import LoadReportStore
 from crankfold.service.request_classes import RequestClassTable
-from crankfold.service.request_table import Attempt, Request, RequestTable
+from crankfold.service.request_table import Disposition, Request, RequestTable
+
+TRANSIT_ALLOWANCE = (
+    10  # ticks that a request was under way before it was read: its deadline is that much nearer
+)
+
+ADMITTED_COUNTER = "requests-admitted"
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """Why a request is not admitted: the counter that counts it, and the response.
+
+    Nothing was sent for it, so a retry is harmless. `retry_after` is in seconds, 0 for no advice.
+    """
 
-TRANSIT_ALLOWANCE = 10  # a request has been under way before it was read: its cut-off is nearer by so much
+    counter: str
+    status: int
+    closes_connection: bool = False
+    retry_after: int = 0
+
+
+CLIENT_GONE = Refusal("clients-closed-before-read", 503, closes_connection=True)
+SHUTTING_DOWN = Refusal("shed-at-shutdown", 503, closes_connection=True)
+DUPLICATE_ID = Refusal("duplicate-request-ids", 409, closes_connection=True)
+OVERLOADED = Refusal("shed-overloaded", 503)
+# Within the time of a lease some dispatcher has a valid configuration again.
+NO_VALID_CONFIG = Refusal("shed-without-valid-config", 503, retry_after=1)
+QUOTA_USED_UP = Refusal("shed-by-quota", 503, retry_after=1)
 
 
 class RequestHandler:
+    """The request side of a dispatcher.
+
+    Tells the decisions (`routing`) what happens, and carries out what they decide: it is the `RoutingActions`
+    of its router, the owner of attempts, and where listeners bring requests.
+
+    Args:
+        routing_config: What the decisions are configured by.
+        config: What sockets and tables are configured by.
+        seed: Of the random numbers of the decisions.
+        timers: Calls back later.
+        metrics: Counts what happens.
+        backends: The backends with their connections.
+        lifecycle: Whether this process is in service.
+        cluster: The cluster of dispatchers, or `NoCluster`.
+        other_processes: Other processes of this dispatcher, or `NoOtherProcess`.
+        poll_endpoints: Has discovery asked for the endpoint list.
+    """
+
     def __init__(
         self,
-        orders: RoutingConfig,
-        rules: ServiceConfig,
+        routing_config: RoutingConfig,
+        config: ServiceConfig,
         *,
         seed: int,
         timers: Timers,
@@ -52,404 +84,264 @@
         other_processes: OtherProcesses,
         poll_endpoints: Callable[[], None],
     ) -> None:
-        self.config, self.timers, self.clock, self.metrics = rules, timers, timers.clock, metrics
-        self.backends, self.lifecycle, self.poll_endpoints = backends, lifecycle, poll_endpoints
-        self.cluster, self.other_processes = cluster, other_processes
-        self.cancels_attempts = orders.cancellation_allowed
-        self.probe_target = (
-            b"/load" if orders.reports_in_responses or orders.reports_by_probe else b"/healthz"
-        )
-        self.closed = False  # the process ends: what still comes is shed
-        self.load_reports: dict[int, tuple[int, Sequence[float]]] = {}  # each runner's last, and when
+        self.config = config
+        self.timers = timers
+        self.clock = timers.clock
+        self.metrics = metrics
+        self.backends = backends
+        self.lifecycle = lifecycle
+        self.cluster = cluster
+        self.other_processes = other_processes
+        self.poll_endpoints = poll_endpoints
+        self.closed = False  # the process ends: whatever still comes is shed
         self.call_soon = asyncio.get_running_loop().call_soon
-        self.request_classes = RequestClassTable(rules.request_classes.names, orders.request_classes)
+        self.request_classes = RequestClassTable(config.request_classes.names, routing_config.request_classes)
         self.request_table = RequestTable(self.request_classes, cluster)
-        self.routing = Router(orders, seed, self)
+        self.load_reports = LoadReportStore(timers.clock)
+        self.attempts = Attempts(
+            self,
+            self.request_table,
+            backends,
+            self.load_reports,
+            cluster=cluster,
+            timers=timers,
+            metrics=metrics,
+            cancellation_allowed=routing_config.cancellation_allowed,
+        )
+        self.callbacks = CallbackHandler(
+            self,
+            self.request_table,
+            self.attempts,
+            backends,
+            cluster=cluster,
+            other_processes=other_processes,
+            metrics=metrics,
+        )
+        self.probes = HealthProbes(routing_config, backends, self.load_reports, metrics, self._on_probe_ended)
+        self.routing = Router(routing_config, seed, self)
 
     # --- telling the decisions ---
 
-    def notify_routing(self, call: Callable[..., None], *args: object, unit: int = -1) -> None:
-        """A failure in the decisions ends here: the unit in hand is given up on and the process goes on."""
+    def notify_routing(
+        self, event: Callable[..., None], *arguments: object, request_number: int = -1
+    ) -> None:
+        """Tells the decisions an event, with the present time before the arguments.
+
+        A failure in the decisions ends here: the request that the event is about is answered, and the process
+        goes on. A debug build raises the exception once it is recorded.
+        """
         try:
-            call(self.clock.now(), *args)
-        except Exception as wrong:
-            self.metrics.record_exception(wrong)
-            work = self.request_table.requests.get(unit)
-            if work and work.is_open:
-                self._fail_request(work)
+            event(self.clock.now(), *arguments)
+        except Exception as error:
+            self.metrics.record_exception(error)
+            request = self.request_table.requests.get(request_number)
+            if request and request.is_open:
+                self._fail_undecided(request)
             if __debug__:
                 raise
 
-    def _fail_request(self, work: Request) -> None:
-        """Given up without the decisions having said so: they are told that nothing is owed any more."""
-        self.fail_request(work.number)
+    def _fail_undecided(self, request: Request) -> None:
+        """Answers a request without a decision, and tells the decisions that no answer is owed any more."""
+        self.respond(request, Disposition.FAILED)
         try:
-            self.routing.client_disconnected(self.clock.now(), work.number)
-        except Exception as wrong:
-            self.metrics.record_exception(wrong)
+            self.routing.client_disconnected(self.clock.now(), request.number)
+        except Exception as error:
+            self.metrics.record_exception(error)
 
-    # --- from clients ---
+    # --- admission ---
 
     def is_serving(self) -> bool:
+        """Whether a request would be admitted now, as far as this process is concerned."""
         return self.lifecycle.is_serving() and self.cluster.has_valid_config()
 
     def knows_request_class(self, name: str) -> bool:
+        """Whether there is a request class of that name."""
         return self.request_classes.find(setting_text(name)) >= 0
 
-    def submit(self, client: object, submitted: ClientRequest) -> None:
+    def submit(self, client: object, request: ClientRequest) -> None:
+        """Admits a request, or answers at once why not."""
         assert isinstance(client, AcceptedConnection)
-        ident, grade, tenant = submitted.request_id, submitted.request_class, submitted.tenant
-        if client.peer_has_closed():
-            self.metrics.increment("clients-gone-before-read")
-            client.reject(503)
-            return
-        if self.closed:
-            self.metrics.increment("shed-at-the-end")
-            client.reject(503)
+        refusal = self._check_admission(client, request)
+        if refusal:
+            self._refuse(client, refusal)
             return
-        if ident in self.request_table.by_request_id or self.other_processes.has_request(ident):
-            self.metrics.increment("ids-in-hand-already")
-            client.reject(409)
-            return
-        if client.exceeds_limit() or len(self.request_table.requests) >= self.config.max_pending:
-            # Nothing was sent for it, so a retry is harmless.
-            self.metrics.increment("shed-for-room")
-            client.respond(503)
-            return
-        if not self.cluster.has_valid_config():
-            # Nothing was sent for it either; by the time of a lease somebody has one again.
-            self.metrics.increment("shed-cut-off")
-            client.respond(503, [(b"Retry-After", b"1")])
+        quota_limits = self.cluster.acquire_quota(request.request_class, request.tenant)
+        if quota_limits is None:
+            self._refuse(client, QUOTA_USED_UP)
             return
-        counted = self.cluster.acquire_quota(grade, tenant)
-        if counted is None:
-            self.metrics.increment("shed-for-share")
-            client.respond(503, [(b"Retry-After", b"1")])
-            return
-        self.metrics.increment("taken")
-        self.cluster.record_event(RecordedEvent.REQUEST_ADMITTED, ident, grade)
-        wait = max(submitted.timeout - TRANSIT_ALLOWANCE, 0)
-        row = self.request_classes.find(setting_text(grade))
-        held = self.request_table.add(row, ident, client, self.clock.now() + wait, submitted.http)
-        held.quota_limits = counted
-        held.deadline_timer = self.timers.call_after(wait, partial(self._on_deadline, held))
-        payer = max(self.config.tenants.find(setting_text(tenant)), 0)
+        self.metrics.increment(ADMITTED_COUNTER)
+        self.cluster.record_event(RecordedEvent.REQUEST_ADMITTED, request.request_id, request.request_class)
+        timeout = max(request.timeout - TRANSIT_ALLOWANCE, 0)
+        class_index = self.request_classes.find(setting_text(request.request_class))
+        admitted = self.request_table.add(
+            class_index, request.request_id, client, self.clock.now() + timeout, request.http
+        )
+        admitted.quota_limits = quota_limits
+        admitted.deadline_timer = self.timers.call_after(timeout, partial(self._on_deadline, admitted))
         self.notify_routing(
             self.routing.request_received,
-            held.number,
-            row,
-            payer,
-            held.deadline,
-            submitted.work,
-            submitted.slots,
-            submitted.affinity_key,
-            submitted.is_retry,
-            unit=held.number,
+            admitted.number,
+            class_index,
+            max(self.config.tenants.find(setting_text(request.tenant)), 0),
+            admitted.deadline,
+            request.work,
+            request.slots,
+            request.affinity_key,
+            request.is_retry,
+            request_number=admitted.number,
         )
 
+    def _check_admission(self, client: AcceptedConnection, request: ClientRequest) -> Refusal | None:
+        if client.peer_has_closed():
+            return CLIENT_GONE
+        if self.closed:
+            return SHUTTING_DOWN
+        request_id = request.request_id
+        if request_id in self.request_table.by_request_id or self.other_processes.has_request(request_id):
+            return DUPLICATE_ID
+        if client.exceeds_limit() or len(self.request_table.requests) >= self.config.max_pending:
+            return OVERLOADED
+        if not self.cluster.has_valid_config():
+            return NO_VALID_CONFIG
+        return None
+
+    def _refuse(self, client: AcceptedConnection, refusal: Refusal) -> None:
+        self.metrics.increment(refusal.counter)
+        if refusal.closes_connection:
+            client.reject(refusal.status)
+        elif refusal.retry_after:
+            client.respond(refusal.status, [(b"Retry-After", b"%d" % refusal.retry_after)])
+        else:
+            client.respond(refusal.status)
+
+    # --- ends that come from outside ---
+
     def client_disconnected(self, client: AcceptedConnection) -> None:
-        work = self.request_table.by_client.get(client)
-        if work and work.is_open:
-            self.request_table.close(work)
-            self.notify_routing(self.routing.client_disconnected, work.number)
-            self.request_table.discard(work)
-
-    def _on_deadline(self, work: Request) -> None:
-        """The decisions answer before this; what is still out then is waited for no longer."""
-        if work.is_open:
-            self.metrics.increment("units-open-at-cut-off")
-            self._abort_request(work)
-        for trip in work.attempts:
-            self._on_attempt_timeout(work, trip)
+        """The client has gone; its request needs no answer."""
+        request = self.request_table.by_client.get(client)
+        if request and request.is_open:
+            self.request_table.close(request)
+            self.notify_routing(self.routing.client_disconnected, request.number)
+            self.request_table.discard(request)
+
+    def _on_deadline(self, request: Request) -> None:
+        """The decisions answer before this; attempts still in flight are waited for no longer."""
+        if request.is_open:
+            self.metrics.increment("requests-open-at-deadline")
+            self._abort(request)
+        for attempt in request.attempts:
+            self.attempts.time_out(request, attempt)
 
     def answer_all_open(self) -> None:
-        """At the end of a drain what is still open gets its answer now, as nobody will be there later, and so
-        does what comes from here on."""
+        """Answers whatever is open, and sheds whatever comes from here on: nobody will be there later."""
         self.closed = True
-        for work in list(self.request_table.requests.values()):
-            if work.is_open:
-                self.metrics.increment("answered-at-drain")
-                self._abort_request(work)
-
-    def _abort_request(self, work: Request) -> None:
-        """Its answer now: shed where a retry is harmless, else given up, also where the decisions fail."""
-        self.notify_routing(self.routing.request_aborted, work.number, unit=work.number)
-        if work.is_open:
-            self._fail_request(work)
-
-    # --- the port: what is decided ---
-
-    def send_attempt(self, unit: int, runner: int, limit: int) -> None:
-        work = self.request_table.requests.get(unit)
-        if work is None:
-            self.metrics.check_invariant(False, "dispatch-for-a-unit-in-hand")
-            return
-        trip = Attempt(len(work.attempts), runner, self.clock.now())
-        # One runner gets one dispatch of a unit at a time, also where it did not heed the calling off. It may
-        # tell of an end again: the "never ran" of a first dispatch would pass for that of a second.
-        once = self.request_classes.classes[work.class_index].idempotency != Idempotency.IDEMPOTENT
-        there = any(
-            other.backend == runner and (other.in_flight or other.may_still_run or once and other.was_sent())
-            for other in work.attempts
-        )
-        work.attempts.append(trip)
-        self.metrics.increment("dispatches")
-        if there or not self._may_send(work, trip):
-            self.call_soon(self._on_exchange_ended, work, trip, ExchangeResult.NOT_SENT, None)
-            return
-        http = work.http_request
-        trip.exchange = Exchange(
-            http.method,
-            http.target,
-            lambda: attempt_headers(http.headers, work.deadline - self.clock.now()),
-            http.body,
-            may_send=partial(self._may_send, work, trip),
-            on_end=partial(self._on_exchange_ended, work, trip),
-        )
-        self.backends.pools[runner].send(trip.exchange)
-        if limit > 0:
-            self.timers.call_after(limit, partial(self._on_attempt_timeout, work, trip))
-
-    def _may_send(self, work: Request, trip: Attempt) -> bool:
-        """While a connection came up the unit may have ended or the runner have begun to drain."""
-        may = (
-            work.is_open
-            and trip.in_flight
-            and self.backends.states[trip.backend] == EndpointState.READY
-            and self.clock.now() < work.deadline
-            and self.cluster.has_valid_config()
-            and self._within_deduplication_window(work, trip)
-        )
-        if may:
-            backend_id = self.backends.backend_ids.names[trip.backend]
-            self.cluster.record_event(RecordedEvent.ATTEMPT_SENT, work.request_id, backend_id)
-        return may
-
-    def _within_deduplication_window(self, work: Request, trip: Attempt) -> bool:
-        """While a connection came up, the time may have run out for which a group knows a tagged unit."""
-        grade = self.request_classes.classes[work.class_index]
-        return grade.idempotency != Idempotency.IDEMPOTENT_WITH_KEY or all(
-            other is trip
-            or not other.may_have_run
-            or self.clock.now() + self.routing.clock_margin < other.created_at + grade.deduplication_window
-            for other in work.attempts
-        )
+        for request in list(self.request_table.requests.values()):
+            if request.is_open:
+                self.metrics.increment("requests-aborted-at-shutdown")
+                self._abort(request)
 
-    def shed(self, unit: int, advice: int) -> None:
-        heads = [(b"Retry-After", f"{advice / 10_000:.3f}".encode())] if advice else []
-        self._answer(unit, "shed", 503, heads)
+    def _abort(self, request: Request) -> None:
+        """Has it answered now: shed where a retry is harmless, else failed, also where the decisions fail."""
+        self.notify_routing(self.routing.request_aborted, request.number, request_number=request.number)
+        if request.is_open:
+            self._fail_undecided(request)
 
-    def fail_request(self, unit: int) -> None:
-        self._answer(unit, "given-up", 504)
-
-    def _answer(
-        self, unit: int, how: str, status: int, heads: Sequence[tuple[bytes, bytes]] = (), body: bytes = b""
-    ) -> None:
-        work = self.request_table.requests.get(unit)
-        self.metrics.check_invariant(work is not None and work.is_open, "one-answer-a-unit")
-        if work is not None and work.is_open:
-            self.request_table.close(work)
-            self.metrics.increment(how)
-            if self.clock.now() > work.deadline:
-                self.metrics.increment("answers-after-cut-off")
-            work.client.respond(status, heads, body)
-            self.call_soon(self.request_table.discard, work)
-
-    def cancel_attempt(self, unit: int, nth: int) -> None:
-        work = self.request_table.requests.get(unit)
-        if work is not None and work.attempts[nth].in_flight:
-            self.metrics.increment("called-off")
-            self._cancel_attempt(work, work.attempts[nth])
-            self.call_soon(self._end_attempt, work, work.attempts[nth], Outcome.CANCELLED)
-
-    def set_timer(self, after: int, label: int) -> None:
-        # The decisions ask for wakes while they are being made, when `self.decisions` is not there yet.
-        self.timers.call_after(after, lambda: self.notify_routing(self.routing.timer_fired, label))
-
-    def probe(self, runner: int) -> None:
-        self.metrics.increment("probes")
-        self.backends.send_control_request(
-            runner, b"GET", self.probe_target, partial(self._on_probe_answer, runner)
-        )
-
-    # --- from runners ---
-
-    def _on_probe_answer(self, runner: int, how: ExchangeResult, side: BackendConnection | None) -> None:
-        well = how is ExchangeResult.ANSWERED and side is not None and side.status == 200
-        report: Sequence[float] = ()
-        if well and side is not None:
-            report = report_from_header(bytes(side.body), self.config.report_fields)
-            self.metrics.increment("reports-by-probe" if report else "probes-without-report")
-        self._store_load_report(runner, report)
-        self.notify_routing(self.routing.probe_ended, runner, well, report)
+    def open_request_count(self) -> int:
+        """How many clients wait for an answer."""
+        return sum(request.is_open for request in self.request_table.requests.values())
 
-    def _store_load_report(self, runner: int, report: Sequence[float]) -> None:
-        if report:
-            self.load_reports[runner] = self.clock.now(), report
+    # --- what the decisions have done (`RoutingActions`) ---
 
-    def _on_exchange_ended(
-        self, work: Request, trip: Attempt, how: ExchangeResult, side: BackendConnection | None
-    ) -> None:
-        """The exchange of a dispatch is over: the runner took the unit, or the dispatch has ended."""
-        if how is ExchangeResult.NOT_SENT:
-            self._end_attempt(work, trip, Outcome.NOT_SENT)
-        elif how is ExchangeResult.UNREACHABLE:
-            self._end_attempt(work, trip, Outcome.UNREACHABLE)
-        elif how is ExchangeResult.STALE_CONNECTION:
-            self._end_attempt(work, trip, Outcome.STALE_CONNECTION)
-        elif how is not ExchangeResult.ANSWERED or side is None:
-            self._end_attempt(work, trip, Outcome.RESET)
-        else:
-            outcome = classify_response(side.status, side.not_processed)
-            if outcome is Acceptance.ACCEPTED:
-                trip.accepted = True
-            elif outcome is Acceptance.REJECTED:
-                # The client's answer, as a result would be. Tried on, one such unit had five runners doubted.
-                if work.is_open:
-                    self._answer(work.number, "unfit", 400)
-                self._end_attempt(work, trip, Outcome.CANCELLED)
-            else:
-                self._end_attempt(
-                    work,
-                    trip,
-                    outcome,
-                    report_from_header(side.load_header, self.config.report_fields),
-                )
-
-    def _on_attempt_timeout(self, work: Request, trip: Attempt) -> None:
-        if trip.in_flight:
-            self._cancel_attempt(work, trip)
-            self._end_attempt(work, trip, Outcome.TIMED_OUT)
-
-    def _cancel_attempt(self, work: Request, trip: Attempt) -> None:
-        """Before the runner has said that it took the unit the connection closes; after that it is told."""
-        if trip.exchange is None:
-            return
-        trip.may_still_run = trip.exchange.connection is not None
-        if trip.may_still_run:
-            self.cluster.attempt_abandoned(self.backends.backend_ids.names[trip.backend], work.request_id)
-        if not trip.accepted:
-            trip.exchange.abort()
-        elif self.cancels_attempts:
-            target = b"/jobs/" + quote(work.request_id, safe="").encode()
-            self.backends.send_control_request(trip.backend, b"DELETE", target, lambda how, side: None)
-
-    def _end_attempt(
-        self, work: Request, trip: Attempt, outcome: Outcome, report: Sequence[float] = ()
-    ) -> None:
-        if not trip.in_flight:
+    def send_attempt(self, request_number: int, backend: int, timeout: int) -> None:
+        """Sends a request to a backend, for `timeout` ticks; until the deadline if that is 0."""
+        request = self.request_table.requests.get(request_number)
+        if request is None:
+            self.metrics.check_invariant(False, "attempt-for-known-request")
             return
-        trip.in_flight, trip.may_have_run = False, outcome not in NEVER_EXECUTED
-        if trip.exchange:
-            self.backends.abandon_exchange(trip.exchange)
-        self._store_load_report(trip.backend, report)
-        self.metrics.increment("ended-" + outcome.name.lower().replace("_", "-"))
-        self.cluster.attempt_finished(trip.backend, outcome)
-        self.notify_routing(
-            self.routing.attempt_ended,
-            work.number,
-            trip.number,
-            trip.backend,
-            outcome,
-            not work.is_open,
-            report,
-            unit=work.number,
+        self.attempts.send(request, backend, timeout)
+
+    def cancel_attempt(self, request_number: int, attempt_number: int) -> None:
+        """Ends an attempt that nobody waits for."""
+        request = self.request_table.requests.get(request_number)
+        if request is not None:
+            self.attempts.cancel(request, request.attempts[attempt_number])
+
+    def shed(self, request_number: int, retry_after: int) -> None:
+        """Answers that a retry is harmless, after `retry_after` ticks; 0 for no advice."""
+        advice = f"{retry_after / TICKS_PER_SECOND:.3f}".encode()
+        self._respond_to_number(
+            request_number, Disposition.SHED, [(b"Retry-After", advice)] if retry_after else []
         )
-        self.request_table.discard(work)
 
-    def has_request(self, ident: str) -> bool:
-        return ident in self.request_table.by_request_id
+    def fail_request(self, request_number: int) -> None:
+        """Answers that the request has failed, and may have been executed."""
+        self._respond_to_number(request_number, Disposition.FAILED)
 
-    def forward_unknown_callback(self, client: object, body: bytes) -> bool:
-        """A call-back for a unit not in hand: whether its answer waits for another process to hear it."""
-        assert isinstance(client, AcceptedConnection)
-
-        def heard(yes: bool | None) -> None:
-            if not yes:
-                self.metrics.increment("call-backs-for-none")
-            if client.protocol.awaiting_response:
-                # Nobody holds it: heard all the same. Told nothing, the runner is to try again.
-                client.respond(503 if yes is None else 204)
-
-        def later(yes: bool | None) -> None:
-            self.call_soon(heard, yes)  # it may be told at once, from within
-
-        return self.other_processes.forward_callback(body, later)
-
-    def _find_attempt(self, ident: str, uid: str) -> tuple[Request, Attempt] | None:
-        found = self.request_table.find_active_attempt(ident, self.backends.backend_ids.find(uid))
-        if not found:
-            self.metrics.increment("call-backs-for-none")
-        return found
-
-    def execution_started(self, ident: str, uid: str) -> None:
-        found = self._find_attempt(ident, uid)
-        if found and not found[1].started:
-            work, trip = found
-            trip.started = True
-            self.notify_routing(
-                self.routing.attempt_started, work.number, trip.number, trip.backend, unit=work.number
-            )
-
-    def execution_progressed(self, ident: str, uid: str, share: float) -> None:
-        found = self._find_attempt(ident, uid)
-        if found:
-            work, trip = found
-            self.notify_routing(
-                self.routing.attempt_progressed,
-                work.number,
-                trip.number,
-                trip.backend,
-                share,
-                unit=work.number,
-            )
-
-    def execution_ended(
-        self, ident: str, uid: str, outcome: Outcome, result: bytes, report: Sequence[float]
+    def _respond_to_number(
+        self, number: int, disposition: Disposition, headers: Sequence[tuple[bytes, bytes]] = ()
     ) -> None:
-        found = self._find_attempt(ident, uid)
-        if not found:
-            self.request_table.mark_abandoned_finished(ident, self.backends.backend_ids.find(uid))
-            self.cluster.abandoned_attempt_finished(ident, uid)
-            return
-        work, trip = found
-        self.metrics.increment("reports-by-call-back" if report else "call-backs-without-report")
-        if outcome == Outcome.COMPLETED and work.is_open:
-            self._answer(work.number, "done", 200, body=result)
-        self._end_attempt(work, trip, outcome, report)
-
-    # --- new settings ---
+        request = self.request_table.requests.get(number)
+        is_open = request is not None and request.is_open
+        self.metrics.check_invariant(is_open, "one-response-per-request")
+        if request is not None and is_open:
+            self.respond(request, disposition, headers=headers)
 
-    def config_changed(self, orders: RoutingConfig, rules: ServiceConfig) -> None:
-        """Other grades and bounds. What names are known by numbers keeps them."""
-        for tenant in rules.tenants.names:
+    def respond(
+        self,
+        request: Request,
+        disposition: Disposition,
+        body: bytes = b"",
+        headers: Sequence[tuple[bytes, bytes]] = (),
+    ) -> None:
+        """Answers an open request."""
+        self.request_table.close(request)
+        self.metrics.increment(disposition.counter)
+        if self.clock.now() > request.deadline:
+            self.metrics.increment("responses-after-deadline")
+        request.client.respond(disposition.status, headers, body)
+        self.call_soon(self.request_table.discard, request)
+
+    def set_timer(self, delay: int, token: int) -> None:
+        """Has the decisions told when `delay` ticks have passed."""
+        # The decisions set timers while they are being made, when `self.routing` is not there yet.
+        self.timers.call_after(delay, lambda: self.notify_routing(self.routing.timer_fired, token))
+
+    def probe(self, backend: int) -> None:
+        """Asks a backend for a sign of life and its load."""
+        self.probes.send(backend)
+
+    def _on_probe_ended(self, backend: int, healthy: bool, report: Sequence[float]) -> None:
+        self.notify_routing(self.routing.probe_ended, backend, healthy, report)
+
+    # --- configuration and discovery ---
+
+    def config_changed(self, routing_config: RoutingConfig, config: ServiceConfig) -> None:
+        """Takes over other request classes and limits; what is known by an index keeps it."""
+        for tenant in config.tenants.names:
             self.config.tenants.intern(tenant)
-        old = self.config
+        running = self.config
         self.config = replace(
-            rules,
-            tenants=old.tenants,
-            zones=old.zones,
-            instance_types=old.instance_types,
-            report_fields=old.report_fields,
-            slow_start_duration=old.slow_start_duration,
+            config,
+            tenants=running.tenants,
+            zones=running.zones,
+            instance_types=running.instance_types,
+            report_fields=running.report_fields,
+            slow_start_duration=running.slow_start_duration,
         )
-        self.backends.config, self.cancels_attempts = self.config, orders.cancellation_allowed
-        self.request_classes.update(rules.request_classes.names, orders.request_classes)
+        self.backends.config = self.config
+        self.attempts.cancellation_allowed = routing_config.cancellation_allowed
+        self.request_classes.update(config.request_classes.names, routing_config.request_classes)
         self.notify_routing(
             self.routing.config_changed,
-            replace(orders, request_classes=self.request_classes.classes),
+            replace(routing_config, request_classes=self.request_classes.classes),
             self.request_classes.reassigned,
         )
 
-    # --- from discovery ---
-
-    def endpoints_changed(self, entries: Sequence[Endpoint], whole: bool) -> None:
-        self.notify_routing(
-            self.routing.endpoints_changed, self.backends.update_endpoints(entries, whole), whole
-        )
+    def endpoints_changed(self, endpoints: Sequence[Endpoint], snapshot: bool) -> None:
+        """Takes over the endpoint list: all there are for a snapshot, else those that have changed."""
+        effective = self.backends.update_endpoints(endpoints, snapshot)
+        self.notify_routing(self.routing.endpoints_changed, effective, snapshot)
 
     def discovery_failed(self) -> None:
+        """The endpoint list that the decisions asked for did not come."""
         self.notify_routing(self.routing.discovery_failed)
-
-    def open_request_count(self) -> int:
-        return sum(work.is_open for work in self.request_table.requests.values())
--- a/crankfold/service/request_table.py
+++ b/crankfold/service/request_table.py
@@ -1,86 +1,101 @@
-"""The units in hand: which id is which number, and what became of each dispatch."""
+"""The requests in hand, their attempts, and how they are found: by number, by id and by client."""
 
 import asyncio
 from collections.abc import Sequence
+from dataclasses import dataclass, field
+from enum import Enum
 
 from crankfold.network.accepted_connection import AcceptedConnection
 from crankfold.network.connection_pool import Exchange
 from crankfold.protocol.client_request import HttpRequest
+from crankfold.routing.interface import RequestClass
 from crankfold.service.collaborators import ClusterServices
 from crankfold.service.request_classes import RequestClassTable
 
 
+class Disposition(Enum):
+    """How a request in hand is answered: the counter that counts it, and the HTTP status."""
+
+    COMPLETED = ("requests-completed", 200)
+    REJECTED = ("requests-rejected", 400)  # a backend says that no backend can use it
+    SHED = ("requests-shed", 503)  # a retry is harmless
+    FAILED = ("requests-failed", 504)  # it may have been executed
+
+    def __init__(self, counter: str, status: int) -> None:
+        self.counter = counter
+        self.status = status
+
+
+@dataclass(slots=True, eq=False)
 class Attempt:
-    """One dispatch."""
-
-    __slots__ = (
-        "number",
-        "backend",
-        "created_at",
-        "exchange",
-        "in_flight",
-        "started",
-        "accepted",
-        "may_still_run",
-        "may_have_run",
-    )
-
-    def __init__(self, nth: int, runner: int, began: int) -> None:
-        self.number, self.backend, self.created_at = nth, runner, began
-        self.exchange: Exchange | None = None
-        self.in_flight, self.started, self.accepted = True, False, False
-        self.may_still_run = False  # given up without news of its end: the runner may still have it
-        self.may_have_run = True
+    """One attempt to have a request executed.
+
+    Attributes:
+        number: Its place among the attempts of the request, from 0.
+        backend: The index of the backend.
+        created_at: In ticks.
+        exchange: What carries it; None for an attempt that was not sent.
+        in_flight: Its end is not known yet.
+        started: The backend told that it began to execute it.
+        accepted: The backend told that it has it; the end comes by callback.
+        may_still_run: It was abandoned without news of its end, so the backend may still execute it.
+        may_have_run: It is not known that it was never executed.
+    """
+
+    number: int
+    backend: int
+    created_at: int
+    exchange: Exchange | None = None
+    in_flight: bool = True
+    started: bool = False
+    accepted: bool = False
+    may_still_run: bool = False
+    may_have_run: bool = True
 
     def was_sent(self) -> bool:
         """Whether it went out on a connection."""
         return self.exchange is not None and self.exchange.connection is not None
 
 
+@dataclass(slots=True, eq=False)
 class Request:
-    """One unit."""
-
-    __slots__ = (
-        "number",
-        "request_id",
-        "client",
-        "deadline",
-        "http_request",
-        "attempts",
-        "is_open",
-        "deadline_timer",
-        "class_index",
-        "quota_limits",
-    )
-
-    def __init__(
-        self,
-        no: int,
-        row: int,
-        ident: str,
-        client: AcceptedConnection,
-        cutoff: int,
-        again: HttpRequest,
-    ) -> None:
-        self.class_index = row  # of its grade
-        self.number, self.request_id, self.client, self.deadline, self.http_request = (
-            no,
-            ident,
-            client,
-            cutoff,
-            again,
-        )
-        self.attempts: list[Attempt] = []
-        self.is_open = True
-        self.quota_limits: Sequence[str] = ()  # the limits for the whole fleet of which it holds a place
-        self.deadline_timer: asyncio.TimerHandle | None = None
+    """One request in hand.
+
+    Attributes:
+        number: Counted up as requests come; routing knows the request by it.
+        class_index: The row of its class in the table of request classes.
+        request_id: The client's id for it.
+        client: The connection that it came on, and is answered on.
+        deadline: When the client stops waiting, in ticks.
+        http_request: What each attempt sends.
+        attempts: All attempts so far.
+        is_open: The client has no answer yet, and waits for one.
+        quota_limits: The names of the limits of the whole cluster that count it.
+        deadline_timer: Fires at the deadline.
+    """
+
+    number: int
+    class_index: int
+    request_id: str
+    client: AcceptedConnection
+    deadline: int
+    http_request: HttpRequest
+    attempts: list[Attempt] = field(default_factory=list)
+    is_open: bool = True
+    quota_limits: Sequence[str] = ()
+    deadline_timer: asyncio.TimerHandle | None = None
 
 
 class RequestTable:
-    """Units are numbered as they come, and kept until they are answered and their last dispatch has ended."""
+    """Keeps each request until it is answered and its last attempt has ended.
+
+    Args:
+        request_classes: Counts the requests of each class.
+        cluster: Is told when a request no longer counts towards its limits.
+    """
 
-    def __init__(self, grades: RequestClassTable, cluster: ClusterServices) -> None:
-        self.request_classes = grades
+    def __init__(self, request_classes: RequestClassTable, cluster: ClusterServices) -> None:
+        self.request_classes = request_classes
         self.cluster = cluster
         self.requests: dict[int, Request] = {}
         self.by_request_id: dict[str, Request] = {}
@@ -89,45 +104,55 @@
 
     def add(
         self,
-        row: int,
-        ident: str,
+        class_index: int,
+        request_id: str,
         client: AcceptedConnection,
-        cutoff: int,
-        again: HttpRequest,
+        deadline: int,
+        http_request: HttpRequest,
     ) -> Request:
-        work = Request(self.next_number, row, ident, client, cutoff, again)
+        """Takes a request in, and gives it the next number; `deadline` in ticks."""
+        request = Request(self.next_number, class_index, request_id, client, deadline, http_request)
         self.next_number += 1
-        self.request_classes.request_opened(row)
-        self.requests[work.number] = self.by_request_id[ident] = self.by_client[client] = work
-        return work
-
-    def close(self, work: Request) -> None:
-        if work.quota_limits and work.is_open:
-            self.cluster.release_quota(work.quota_limits)
-        work.is_open = False
-        self.by_client.pop(work.client, None)
-
-    def discard(self, work: Request) -> None:
-        """If nothing more can come for it: an answer is owed no longer, and no dispatch is out."""
-        if not work.is_open and not any(trip.in_flight for trip in work.attempts):
-            if self.requests.pop(work.number, None):
-                self.request_classes.request_closed(work.class_index)
-            if work.deadline_timer:
-                work.deadline_timer.cancel()  # or it would keep the body until the cut-off
-            if self.by_request_id.get(work.request_id) is work:
-                del self.by_request_id[work.request_id]
-
-    def find_active_attempt(self, ident: str, runner: int) -> tuple[Request, Attempt] | None:
-        """The dispatch that a runner speaks of; it has one of a unit at a time."""
-        work = self.by_request_id.get(ident)
-        for trip in work.attempts if work else ():
-            if work and trip.backend == runner and trip.in_flight:
-                return work, trip
+        self.request_classes.request_opened(class_index)
+        self.requests[request.number] = request
+        self.by_request_id[request_id] = request
+        self.by_client[client] = request
+        return request
+
+    def class_of(self, request: Request) -> RequestClass:
+        """The class as it was when the request came."""
+        return self.request_classes.classes[request.class_index]
+
+    def close(self, request: Request) -> None:
+        """Its client has an answer, or has gone. Attempts may go on."""
+        if request.quota_limits and request.is_open:
+            self.cluster.release_quota(request.quota_limits)
+        request.is_open = False
+        self.by_client.pop(request.client, None)
+
+    def discard(self, request: Request) -> None:
+        """Forgets it if nothing more can come: no answer is owed, and no attempt is in flight."""
+        if request.is_open or any(attempt.in_flight for attempt in request.attempts):
+            return
+        if self.requests.pop(request.number, None):
+            self.request_classes.request_closed(request.class_index)
+        if request.deadline_timer:
+            request.deadline_timer.cancel()  # or it would keep the body until the deadline
+        if self.by_request_id.get(request.request_id) is request:
+            del self.by_request_id[request.request_id]
+
+    def find_active_attempt(self, request_id: str, backend: int) -> tuple[Request, Attempt] | None:
+        """The attempt in flight of that request at that backend; there is one at most."""
+        request = self.by_request_id.get(request_id)
+        if request:
+            for attempt in request.attempts:
+                if attempt.backend == backend and attempt.in_flight:
+                    return request, attempt
         return None
 
-    def mark_abandoned_finished(self, ident: str, runner: int) -> None:
-        """A dispatch that was given up on has come to its end at the runner."""
-        work = self.by_request_id.get(ident)
-        for trip in work.attempts if work else ():
-            if trip.backend == runner:
-                trip.may_still_run = False
+    def mark_abandoned_finished(self, request_id: str, backend: int) -> None:
+        """The backend told the end of attempts of that request that were abandoned."""
+        request = self.by_request_id.get(request_id)
+        for attempt in request.attempts if request else ():
+            if attempt.backend == backend:
+                attempt.may_still_run = False
--- a/tests/handover_scene.py
+++ b/tests/handover_scene.py
@@ -144,7 +144,7 @@
         """What it says that serves, to two that want to follow; `told` is what the first of them says."""
         await self.serve()
         await self.serving()
-        self.node.request_handler.load_reports[2] = self.node.timers.clock.now(), (3.0, 2.5)
+        self.node.request_handler.load_reports.store(2, (3.0, 2.5))
         held = asyncio.create_task(self.ask("held1", wait=2.9))
         await self.sent.wait()
         first, late = await self.successor(), await self.successor()
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -246,9 +246,9 @@
         client = socket.create_connection(("127.0.0.1", self.port))
         client.sendall(UNIT)
         client.close()  # all in one turn: nobody accepted it so far
-        await self.until(lambda: self.node.metrics.counters["clients-gone-before-read"] == 1)
+        await self.until(lambda: self.node.metrics.counters["clients-closed-before-read"] == 1)
         await self.until(lambda: not self.node.listener.connections)
-        self.assertEqual((self.lines, self.node.metrics.counters["dispatches"]), ([], 0))
+        self.assertEqual((self.lines, self.node.metrics.counters["attempts"]), ([], 0))
 
     async def test_a_client_that_goes_while_its_unit_waits_for_a_connection_has_nothing_sent(self) -> None:
         async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -392,10 +392,10 @@
         asking = asyncio.create_task(self.ask("u1"))
         await broken.wait()
         if not told_first:
-            await self.until(lambda: self.node.metrics.counters["given-up"] == 1)
+            await self.until(lambda: self.node.metrics.counters["requests-failed"] == 1)
             await self.tell(id="u1", **{"from": "a"}, state="done", result="ran")
         answer = await asking
-        self.assertEqual(self.node.metrics.counters["dispatches"], 1)
+        self.assertEqual(self.node.metrics.counters["attempts"], 1)
         return answer[0].split()[1]
 
     async def test_an_end_told_before_its_dispatch_breaks_counts(self) -> None:
@@ -510,7 +510,7 @@
         await self.inside()
         with patch.object(self.node.request_handler.routing, "timer_fired", lambda now, label: None):
             self.assertEqual((await self.ask("u1", wait=0.1))[0].split()[1], "503")
-        self.assertEqual(self.node.metrics.counters["units-open-at-cut-off"], 1)
+        self.assertEqual(self.node.metrics.counters["requests-open-at-deadline"], 1)
 
     async def test_by_the_grades_in_force_is_told_how_long_an_end_may_take(self) -> None:
         async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
--- a/tests/test_network.py
+++ b/tests/test_network.py
@@ -572,7 +572,13 @@
         self.say(
             " ".join(
                 f"{name} {counts[name]}"
-                for name in ("taken", "dispatches", "done", "shed", "ended-completed")
+                for name in (
+                    "requests-admitted",
+                    "attempts",
+                    "requests-completed",
+                    "requests-shed",
+                    "attempts-ended-completed",
+                )
             )
         )
         self.close("whole")
@@ -633,7 +639,7 @@
         await self.begin(runner, **{"service-grades": once_only})
         await self.inside()
         self.assertEqual((await self.ask("u1"))[0].split()[1], "504")
-        self.assertEqual(self.node.metrics.counters["given-up"], 1)
+        self.assertEqual(self.node.metrics.counters["requests-failed"], 1)
 
     async def test_a_unit_that_a_runner_finds_unfit_is_tried_once_and_nobody_is_doubted(self) -> None:
         async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -647,7 +653,7 @@
             self.assertEqual((await self.ask(ident))[0].split()[1], "400")
         self.assertEqual(
             (
-                self.node.metrics.counters["dispatches"],
+                self.node.metrics.counters["attempts"],
                 [backend.error_rate for backend in self.node.request_handler.routing.state.table.backends],
             ),
             (3, [0.0]),
@@ -670,16 +676,18 @@
         await self.begin(runner)
         await self.inside()
         first = asyncio.create_task(self.ask("u1"))
-        await self.until(lambda: self.node.metrics.counters["dispatches"] == 1 and len(posts) == 1)
+        await self.until(lambda: self.node.metrics.counters["attempts"] == 1 and len(posts) == 1)
         self.assertEqual((await self.ask("u1"))[0].split()[1], "409")
         with patch.object(self.node.listener, "is_over_limit", lambda: True):
             self.assertEqual((await self.ask("u2"))[0].split()[1], "503")
-        self.assertEqual((self.node.metrics.counters["shed-for-room"], posts), (1, ["POST"]))
+        self.assertEqual((self.node.metrics.counters["shed-overloaded"], posts), (1, ["POST"]))
         # Called off, but the runner does not heed it: no second dispatch goes there, and it ends as not sent.
         await self.until(lambda: self.node.request_handler.request_table.requests[0].attempts[0].accepted)
         self.node.request_handler.cancel_attempt(0, 0)
         self.assertEqual((await first)[0].split()[1], "503")
-        self.assertEqual((posts, self.node.metrics.counters["ended-not-sent"]), (["POST", "DELETE"], 1))
+        self.assertEqual(
+            (posts, self.node.metrics.counters["attempts-ended-not-sent"]), (["POST", "DELETE"], 1)
+        )
         self.runner_port = await self.stand_in(moved)
         self.changed.set()
         await self.until(lambda: self.node.metrics.counters["lists-whole"] == 2)
@@ -728,7 +736,7 @@
 
         pool._connect = told_meanwhile  # type: ignore[method-assign]
         self.assertEqual((await self.ask("u1"))[0].split()[1], "503")
-        self.assertEqual((self.lines, self.node.metrics.counters["ended-not-sent"]), ([], 1))
+        self.assertEqual((self.lines, self.node.metrics.counters["attempts-ended-not-sent"]), ([], 1))
 
     async def test_a_failure_in_the_decisions_gives_up_the_unit_in_hand_and_serving_goes_on(self) -> None:
         async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -778,7 +786,12 @@
         printed = await lines
         self.assertEqual(self.process.returncode, 0, printed)
         counted = dict(pair.split("=") for pair in printed.rpartition("counters: ")[2].split())
-        self.say(" ".join(f"{name} {counted.get(name)}" for name in ("taken", "done", "open-requests")))
+        self.say(
+            " ".join(
+                f"{name} {counted.get(name)}"
+                for name in ("requests-admitted", "requests-completed", "open-requests")
+            )
+        )
         self.close("sigterm")
 
     async def test_a_new_configuration_moves_the_watch_and_outlives_what_it_cannot_use(self) -> None:
@@ -858,7 +871,7 @@
         await self.begin(silent, **{"service-grades": once_only})
         await self.inside()
         asked = [asyncio.create_task(self.ask("sent"))]
-        await self.until(lambda: self.node.metrics.counters["dispatches"] == 1)
+        await self.until(lambda: self.node.metrics.counters["attempts"] == 1)
         self.node.request_handler.routing.limit.limit = 0.0  # what comes from here on is held
         asked.append(asyncio.create_task(self.ask("held")))
         await self.until(lambda: self.node.request_handler.open_request_count() == 2)
@@ -887,7 +900,7 @@
         await self.tell(id="u1", **{"from": "a"}, state="done", result="1")
         self.assertTrue(self.lines[-1].endswith(" 204"))
         self.process.terminate()
-        self.assertIn("call-backs-for-none=1", await lines)
+        self.assertIn("callbacks-unknown-request=1", await lines)
 
     async def test_what_it_cannot_start_from_is_said_in_one_line(self) -> None:
         async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -320,7 +320,7 @@
 
         pool._connect = banned_meanwhile  # type: ignore[method-assign]
         self.assertEqual((await self.ask("u1", wait=0.5))[0].split()[1], "503")
-        self.assertEqual((self.reads, self.node.metrics.counters["ended-not-sent"]), (0, 1))
+        self.assertEqual((self.reads, self.node.metrics.counters["attempts-ended-not-sent"]), (0, 1))
 
     async def test_a_drain_serves_what_comes_closes_what_rests_and_returns(self) -> None:
         await self.with_door()
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -30,6 +30,10 @@
 class Door(Kept):
     """Stands where the desk does and writes down what reaches it."""
 
+    @property
+    def callbacks(self) -> "Door":
+        return self
+
     def is_serving(self) -> bool:
         return True
 
