--- a/crankfold/service/attempts.py
+++ b/crankfold/service/attempts.py
@@ -8,7 +8,7 @@
 
 from crankfold.network.connection_pool import Exchange, ExchangeResult
 from crankfold.network.metrics import Metrics
-from crankfold.network.timers import Timers
+from crankfold.network.timers import Clock
 from crankfold.protocol.backend_connection import (
     Acceptance,
     BackendConnection,
@@ -16,7 +16,7 @@
     classify_response,
 )
 from crankfold.protocol.load_reports import report_from_header
-from crankfold.routing.interface import NEVER_EXECUTED, EndpointState, Idempotency, Outcome
+from crankfold.routing.interface import NEVER_EXECUTED, AttemptEnd, EndpointState, Idempotency, Outcome
 from crankfold.routing.router import Router
 from crankfold.service.backend_registry import BackendRegistry
 from crankfold.service.collaborators import ClusterServices, RecordedEvent
@@ -56,7 +56,7 @@
         backends: Carries the attempts.
         load_reports: Keeps the load reports that come with responses and callbacks.
         cluster: Allows attempts, and is told of those that were abandoned.
-        timers: Times attempts out.
+        clock: The present time.
         metrics: Counts attempts and their ends.
         cancellation_allowed: Whether backends can be told to stop executing a request.
     """
@@ -69,7 +69,7 @@
         load_reports: LoadReportStore,
         *,
         cluster: ClusterServices,
-        timers: Timers,
+        clock: Clock,
         metrics: Metrics,
         cancellation_allowed: bool,
     ) -> None:
@@ -78,16 +78,15 @@
         self.backends = backends
         self.load_reports = load_reports
         self.cluster = cluster
-        self.timers = timers
-        self.clock = timers.clock
+        self.clock = clock
         self.metrics = metrics
         self.cancellation_allowed = cancellation_allowed
         self.call_soon = asyncio.get_running_loop().call_soon
 
     # --- sending ---
 
-    def send(self, request: Request, backend: int, timeout: int) -> None:
-        """Begins an attempt; it ends by itself after `timeout` ticks, where that is not 0."""
+    def send(self, request: Request, backend: int) -> None:
+        """Begins an attempt."""
         attempt = Attempt(len(request.attempts), backend, self.clock.now())
         occupied = self._may_confuse(request, backend)
         request.attempts.append(attempt)
@@ -106,8 +105,6 @@
             on_end=partial(self._on_exchange_ended, request, attempt),
         )
         self.backends.pools[backend].send(attempt.exchange)
-        if timeout > 0:
-            self.timers.call_after(timeout, partial(self.time_out, request, attempt))
 
     def _may_confuse(self, request: Request, backend: int) -> bool:
         """Whether what the backend tells of a new attempt could be meant for an earlier one.
@@ -219,9 +216,7 @@
             request.number,
             attempt.number,
             attempt.backend,
-            outcome,
-            not request.is_open,
-            report,
+            AttemptEnd(outcome, not request.is_open, report),
             request_number=request.number,
         )
         self.request_table.discard(request)
--- a/crankfold/service/callback_handler.py
+++ b/crankfold/service/callback_handler.py
@@ -86,7 +86,7 @@
             )
 
     def execution_progressed(self, request_id: str, backend_id: str, progress: float) -> None:
-        """The backend executed that share of the request, from 0 to 1."""
+        """The backend gets on with the request; how far does not matter."""
         found = self._find_attempt(request_id, backend_id)
         if found:
             request, attempt = found
@@ -95,7 +95,6 @@
                 request.number,
                 attempt.number,
                 attempt.backend,
-                progress,
                 request_number=request.number,
             )
 
--- a/crankfold/service/request_handler.py
+++ b/crankfold/service/request_handler.py
@@ -10,7 +10,7 @@
 from crankfold.network.metrics import Metrics
 from crankfold.network.timers import TICKS_PER_SECOND, Timers
 from crankfold.protocol.client_request import ClientRequest
-from crankfold.routing.interface import Endpoint, RoutingConfig
+from crankfold.routing.interface import Endpoint, RequestArrival, RoutingConfig
 from crankfold.routing.router import Router
 from crankfold.service.attempts import Attempts
 from crankfold.service.backend_registry import BackendRegistry
@@ -104,7 +104,7 @@
             backends,
             self.load_reports,
             cluster=cluster,
-            timers=timers,
+            clock=timers.clock,
             metrics=metrics,
             cancellation_allowed=routing_config.cancellation_allowed,
         )
@@ -180,14 +180,15 @@
         admitted.deadline_timer = self.timers.call_after(timeout, partial(self._on_deadline, admitted))
         self.notify_routing(
             self.routing.request_received,
-            admitted.number,
-            class_index,
-            max(self.config.tenants.find(setting_text(request.tenant)), 0),
-            admitted.deadline,
-            request.work,
-            request.slots,
-            request.affinity_key,
-            request.is_retry,
+            RequestArrival(
+                request_id=admitted.number,
+                class_index=class_index,
+                deadline=admitted.deadline,
+                work=request.work,
+                slots=request.slots,
+                key=request.affinity_key,
+                is_retry=request.is_retry,
+            ),
             request_number=admitted.number,
         )
 
@@ -252,13 +253,13 @@
 
     # --- what the decisions have done (`RoutingActions`) ---
 
-    def send_attempt(self, request_number: int, backend: int, timeout: int) -> None:
-        """Sends a request to a backend, for `timeout` ticks; until the deadline if that is 0."""
+    def send_attempt(self, request_number: int, backend: int) -> None:
+        """Sends a request to a backend."""
         request = self.request_table.requests.get(request_number)
         if request is None:
             self.metrics.check_invariant(False, "attempt-for-known-request")
             return
-        self.attempts.send(request, backend, timeout)
+        self.attempts.send(request, backend)
 
     def cancel_attempt(self, request_number: int, attempt_number: int) -> None:
         """Ends an attempt that nobody waits for."""
