--- a/crankfold/network/admin_server.py
+++ b/crankfold/network/admin_server.py
@@ -12,7 +12,7 @@
 CLOSE_DELAY = 0.2  # seconds that what comes after the response is read: a reset would overtake it
 READ_SIZE = 4 * 1024  # bytes
 ACCEPT_BACKLOG = 256  # connections not accepted yet
-ACCEPTS_PER_TURN = 2  # connections accepted in one turn of the loop
+ACCEPTS_PER_ITERATION = 2  # connections accepted in one iteration of the loop
 
 
 class AdminServer:
@@ -35,7 +35,7 @@
         family = socket.AF_INET6 if ":" in host else socket.AF_INET
         listening = socket.create_server((host, port), family=family, backlog=ACCEPT_BACKLOG)
         self.server = await asyncio.start_server(
-            self._handle_connection, sock=listening, backlog=ACCEPTS_PER_TURN, limit=READ_SIZE
+            self._handle_connection, sock=listening, backlog=ACCEPTS_PER_ITERATION, limit=READ_SIZE
         )
         listening.listen(ACCEPT_BACKLOG)  # asyncio takes one number for both
 
--- a/crankfold/network/connection_pool.py
+++ b/crankfold/network/connection_pool.py
@@ -134,6 +134,7 @@
         self.answered_at = -REUSE_COOLDOWN
         self.consumed_bytes = 0
         self.request_written = True
+        # Set after it was made: the connection needs the streams, which asyncio makes with this protocol.
         stream_protocol.on_drained = self._on_drained
         writer.transport.set_write_buffer_limits(high=0)  # so that drained means that nothing is left
         self.task = pool.loop.create_task(self._run())
--- a/crankfold/network/listener.py
+++ b/crankfold/network/listener.py
@@ -16,9 +16,9 @@
 IDLE_TIMEOUT = 75.0  # seconds
 SWEEP_INTERVAL = 0.25  # seconds
 ACCEPT_BACKLOG = 1024  # connections not accepted yet
-ACCEPTS_PER_TURN = 4  # connections accepted in one turn of the loop
+ACCEPTS_PER_ITERATION = 4  # connections accepted in one iteration of the loop
 # asyncio takes some turns from accepting a connection to telling, and to close another for it.
-UNCOUNTED_SOCKETS = 6 * ACCEPTS_PER_TURN
+UNCOUNTED_SOCKETS = 6 * ACCEPTS_PER_ITERATION
 CLOSE_CHECKS = 20  # how often the end looks whether all is written
 CLOSE_CHECK_INTERVAL = 0.01  # seconds
 
@@ -86,7 +86,7 @@
 
     async def _start_accepting(self, listening: socket.socket) -> None:
         self.server = await asyncio.start_server(
-            self._handle_connection, sock=listening, backlog=ACCEPTS_PER_TURN, limit=READ_SIZE
+            self._handle_connection, sock=listening, backlog=ACCEPTS_PER_ITERATION, limit=READ_SIZE
         )
         # asyncio takes one number for both; with as many accepted in a turn a rush runs out of descriptors,
         # and asyncio then accepts nobody for a second.
--- a/crankfold/protocol/admin_api.py
+++ b/crankfold/protocol/admin_api.py
@@ -1,7 +1,6 @@
 """The admin API, without I/O: one call a connection is read, carried out by whoever decides, and answered."""
 
 from collections.abc import Awaitable, Sequence
-from dataclasses import dataclass
 from enum import Enum
 from http import HTTPStatus
 from typing import NamedTuple, Protocol
@@ -30,8 +29,7 @@
     RESTORE_BACKEND = "online"
 
 
-@dataclass(frozen=True, slots=True)
-class AdminCommand:
+class AdminCommand(NamedTuple):
     """One call.
 
     Attributes:
@@ -79,18 +77,14 @@
         """Puts this dispatcher back in service; false if the process is ending."""
 
 
-class _Route(NamedTuple):
-    method: bytes
-    command: AdminCommand
-
-
-_FIXED_ROUTES = {
-    action.value: _Route(method, AdminCommand(action))
-    for method, action in (
-        (b"GET", AdminAction.CHECK_READY),
-        (b"POST", AdminAction.LEAVE_SERVICE),
-        (b"POST", AdminAction.ENTER_SERVICE),
-        (b"GET", AdminAction.SHOW_CLUSTER),
+_GET_ACTIONS = (AdminAction.CHECK_READY, AdminAction.SHOW_CLUSTER, AdminAction.READ_DOCUMENT)
+_DISPATCHER_ACTIONS = {
+    action.value: action
+    for action in (
+        AdminAction.CHECK_READY,
+        AdminAction.LEAVE_SERVICE,
+        AdminAction.ENTER_SERVICE,
+        AdminAction.SHOW_CLUSTER,
     )
 }
 _BACKEND_ACTIONS = {
@@ -152,15 +146,17 @@
 
     def _route(self) -> None:
         assert self.head is not None
-        route = _find_route(self.head)
-        if route is None:
+        command = _find_command(self.head)
+        if command is None:
             self.respond(HTTPStatus.NOT_FOUND)
-        elif self.head.method != route.method:
-            self.respond(HTTPStatus.METHOD_NOT_ALLOWED, [(b"Allow", route.method)])
-        elif len(route.command.subject) > MAX_ID_LENGTH:
+            return
+        method = b"GET" if command.action in _GET_ACTIONS else b"POST"
+        if self.head.method != method:
+            self.respond(HTTPStatus.METHOD_NOT_ALLOWED, [(b"Allow", method)])
+        elif len(command.subject) > MAX_ID_LENGTH:
             self.respond(HTTPStatus.NOT_FOUND)
         else:
-            self.command = route.command
+            self.command = command
 
     def respond(self, status: int, headers: Sequence[Header] = (), text: str = "") -> None:
         """Answers the call, once, if that still can be; `text` is the body, the status's phrase if empty."""
@@ -185,23 +181,21 @@
         self.outgoing += self.http.send_with_data_passthrough(event) or []
 
 
-def _find_route(head: h11.Request) -> _Route | None:
-    """The command that a path stands for and the method it takes, or nothing."""
+def _find_command(head: h11.Request) -> AdminCommand | None:
+    """The command that a path stands for, or nothing; a document's path stands for one more by POST."""
     target, _, query = head.target.partition(b"?")
     root, *path = target.decode("ascii").split("/")
     if root or path[:1] != ["control"]:
         return None
     match path[1:]:
-        case [name] if name in _FIXED_ROUTES:
-            return _FIXED_ROUTES[name]
-        case ["agreed", document] if head.method == b"POST":
-            return _Route(
-                b"POST", AdminCommand(AdminAction.PUBLISH_DOCUMENT, document, _minimum_version(query))
-            )
+        case [name] if name in _DISPATCHER_ACTIONS:
+            return AdminCommand(_DISPATCHER_ACTIONS[name])
         case ["agreed", document]:
-            return _Route(b"GET", AdminCommand(AdminAction.READ_DOCUMENT, document, _minimum_version(query)))
-        case ["runners", backend_id, action] if action in _BACKEND_ACTIONS:
-            return _Route(b"POST", AdminCommand(_BACKEND_ACTIONS[action], unquote(backend_id)))
+            publishes = head.method == b"POST"
+            action = AdminAction.PUBLISH_DOCUMENT if publishes else AdminAction.READ_DOCUMENT
+            return AdminCommand(action, document, _minimum_version(query))
+        case ["runners", backend_id, action_name] if action_name in _BACKEND_ACTIONS:
+            return AdminCommand(_BACKEND_ACTIONS[action_name], unquote(backend_id))
     return None
 
 
