--- a/crankfold/service/event_log.py
+++ b/crankfold/service/event_log.py
@@ -11,7 +11,8 @@
 import orjson
 
 from crankfold.consensus.conservative_merge import DRAINED_BACKENDS, EXCLUDED_BACKENDS, QUOTAS, SETTINGS
-from crankfold.consensus.voter import Follower, Voter
+from crankfold.consensus.follower import Follower
+from crankfold.consensus.voter import Voter
 from crankfold.service.collaborators import RecordedEvent
 
 STANDARD_OUTPUT = "-"  # in place of a path; nothing else is written there
--- a/crankfold/service/machine_inventory.py
+++ b/crankfold/service/machine_inventory.py
@@ -1,7 +1,8 @@
 """Which machines there are for maintenance: the backends listed here, and the members of the cluster."""
 
-from crankfold.cluster.node import boottime_ticks
-from crankfold.consensus.voter import ALIVE, Voter
+from crankfold.cluster.clock import boottime_ticks
+from crankfold.consensus.leases import LeaseHolderState
+from crankfold.consensus.voter import Voter
 from crankfold.maintenance.scheduler import Machine
 from crankfold.maintenance.state import MaintenanceState
 from crankfold.maintenance.transitions import MaintenancePhase
@@ -77,15 +78,9 @@
     `zones` are by the name of a dispatcher. The start of such a machine is the incarnation of the process.
     """
     statuses = [(member.name, member.incarnation, member.last_applied, True)]
-    statuses += [
-        (name, holder.incarnation, holder.have, member.lease_holder_state(now, holder) == ALIVE)
-        for name, holder in member.lease_holders.items()
-    ]
-    statuses += [
-        (holder.name, holder.incarnation, holder.last_applied, holder.state == ALIVE)
-        for holders in member.remote_lease_holders.values()
-        for holder in holders
-    ]
+    for holder in [*member.leases.statuses(now), *member.remote_lease_holders.all()]:
+        is_alive = holder.state == LeaseHolderState.ALIVE
+        statuses.append((holder.name, holder.incarnation, holder.last_applied, is_alive))
     machines: dict[str, Machine] = {}
     for name, incarnation, last_applied, is_alive in statuses:
         available = is_alive and last_applied >= member.last_applied - MAX_LOG_LAG
--- a/crankfold/service/maintenance_admin.py
+++ b/crankfold/service/maintenance_admin.py
@@ -9,7 +9,7 @@
 import msgspec
 from msgspec import Struct, field
 
-from crankfold.cluster.node import boottime_ticks
+from crankfold.cluster.clock import boottime_ticks
 from crankfold.consensus.conservative_merge import MAINTENANCE
 from crankfold.consensus.voter import Voter
 from crankfold.maintenance.forecast import Forecast, ForecastInputs, forecast_job
--- a/crankfold/service/replicated_config.py
+++ b/crankfold/service/replicated_config.py
@@ -9,7 +9,9 @@
 
 from msgspec import structs
 
-from crankfold.cluster.node import ClusterNode, StorageError, read_cluster_config
+from crankfold.cluster.config import read_cluster_config
+from crankfold.cluster.node import ClusterNode
+from crankfold.cluster.raft_storage import StorageError
 from crankfold.config import schema
 from crankfold.config.parser import (
     ServiceConfig,
@@ -65,7 +67,7 @@
         self.apply_config = apply_config
         self.endpoint_list_age = endpoint_list_age
         self.cluster_config = read_cluster_config(document["peers"])
-        self.acts_when_isolated = self.cluster_config.when_cut_off == "go-on"
+        self.acts_when_isolated = self.cluster_config.isolation_policy == "go-on"
         schema.validate({name: part for name, part in document.items() if name != "peers"})
         self.request_handler: RequestHandler
         self.admin_service: AdminService
@@ -74,7 +76,8 @@
         self.maintenance: MaintenanceAgent | None = None  # once there is a maintenance job
         self.effective_settings: dict[str, Any] | None = None
         self.was_isolated = False
-        self.event_log = EventLog(self.cluster_config.record) if self.cluster_config.record else None
+        event_log_path = self.cluster_config.event_log_path
+        self.event_log = EventLog(event_log_path) if event_log_path else None
 
     async def open(
         self, request_handler: RequestHandler, admin_service: AdminService, succeeds: bool
@@ -89,18 +92,13 @@
         self.admin_service = admin_service
         try:
             self.cluster_node = ClusterNode(
-                structs.replace(self.cluster_config, succeeds=succeeds),
-                self.metrics,
-                self.validate_document,
-                replicated_settings(self.local_settings),
-                self.documents_changed,
-                self.quota_usage,
-                self.quiesced_index,
+                structs.replace(self.cluster_config, is_successor=succeeds),
+                metrics=self.metrics,
+                dispatcher=self,
+                initial_settings=replicated_settings(self.local_settings),
             )
         except StorageError as error:
             raise ValueError(f"peers: {error}") from None
-        self.cluster_node.maintenance_report = self.maintenance_report
-        self.cluster_node.maintenance_steps = self.propose_transitions
         await self.cluster_node.open()
         # Not before: the admin server is open already, and there was nothing to ask for.
         self.admin_service.replicated_config = ClusterAdmin(
@@ -176,7 +174,7 @@
         if self.maintenance:
             self.maintenance.abandoned_attempt_finished(request_id, backend_id)
 
-    # --- what the cluster node asks for and tells ---
+    # --- what the cluster node asks for and tells; see cluster.node.Dispatcher ---
 
     def validate_document(self, name: str, content: dict[str, Any]) -> str:
         """Why this dispatcher could not act on that content: path, found and allowed; empty if it could."""
@@ -250,6 +248,6 @@
         """What this dispatcher knows of machines in maintenance; None while there are none."""
         return self.maintenance.build_report() if self.maintenance else None
 
-    def propose_transitions(self) -> list[dict[str, Any]]:
-        """The transitions of machines in maintenance to propose now; none unless this member leads."""
-        return self.maintenance.propose_transitions() if self.maintenance else []
+    def propose_transitions(self, now: int) -> list[dict[str, Any]]:
+        """The transitions of machines in maintenance to propose at `now`; none unless this member leads."""
+        return self.maintenance.propose_transitions(now) if self.maintenance else []
--- a/crankfold/simulation/maintenance_dispatcher.py
+++ b/crankfold/simulation/maintenance_dispatcher.py
@@ -126,14 +126,8 @@
         return [coordinator_document(transition) for transition in transitions]
 
     def _fleet_view(self, member: Voter, now: int) -> FleetView:
-        report, holders = member.gather_maintenance(now)
-        incarnations = {name: voter.incarnation for name, voter in member.voter_reports.items()}
-        incarnations[self.name] = member.incarnation
-        executors = {
-            name: incarnation
-            for name, incarnation in incarnations.items()
-            if name == self.name or now < member.granted_until.get(name, 0)
-        }
+        cluster_report = member.cluster_report(now)
+        report = cluster_report.combined
         return FleetView(
             now=now,
             wall_ms=self.cluster.events.now // TICKS_PER_MILLISECOND,
@@ -142,15 +136,15 @@
             state=self.maintenance_state(),
             machines=self.discovered_machines(),
             voter_count=len(member.raft.voters),
-            blocking_holders=holders,
+            blocking_holders=cluster_report.blocking_reason,
             unresolved_requests=report.unresolved,
             answers=report.response_counts,
             unavailable=report.unavailable,
             requests_in_flight=report.open_requests,
             admitted_count=report.recent_accepted,
             shed_count=report.recent_shed,
-            executors=executors,
-            incarnations=incarnations,
+            executors=member.leased_incarnations(now),
+            incarnations=member.voter_incarnations(),
             warm_up_ticks=self._surroundings.warm_up_ticks,
         )
 
