--- a/crankfold/service/cluster_admin.py
+++ b/crankfold/service/cluster_admin.py
@@ -12,7 +12,8 @@
 import orjson
 from msgspec import Struct, field, structs
 
-from crankfold.cluster.node import ClusterNode, parse_address
+from crankfold.cluster.config import parse_address
+from crankfold.cluster.node import ClusterNode
 from crankfold.consensus.conservative_merge import DOCUMENTS
 from crankfold.consensus.messages import ProposalResponse
 from crankfold.consensus.versioned_documents import MACHINES
--- a/crankfold/service/maintenance_agent.py
+++ b/crankfold/service/maintenance_agent.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from crankfold.cluster.node import ClusterNode, boottime_ticks
+from crankfold.cluster.node import ClusterNode
 from crankfold.consensus.conservative_merge import MAINTENANCE
 from crankfold.consensus.messages import MaintenanceReport
 from crankfold.consensus.voter import Voter
@@ -178,12 +178,11 @@
 
     # --- what is decided, if this dispatcher leads ---
 
-    def propose_transitions(self) -> list[dict[str, Any]]:
-        """The transitions to propose now, in their stored form; none at a member that does not lead."""
+    def propose_transitions(self, now: int) -> list[dict[str, Any]]:
+        """The transitions to propose at `now`, in ticks of the boot clock; none unless this member leads."""
         member = self.cluster_node.consensus
         if not isinstance(member, Voter) or not self.jobs() and not self.state.machines:
             return []
-        now = boottime_ticks()
         if not member.is_leader() or not self.cluster_node.has_lease():
             self.coordinator.observe(now, self.state, self.machines())
             self.coordinator.wait_reasons = ()
@@ -195,20 +194,19 @@
 
     def _fleet_view(self, member: Voter, now: int) -> FleetView:
         """All that a leader knows. Over 30 lines: the list of what that is."""
-        report, backend_holders = member.gather_maintenance(now)
+        cluster_report = member.cluster_report(now)
+        report = cluster_report.combined
         self.dispatcher_zones |= report.dispatcher_zones
         dispatchers = self.dispatchers(member, now)
         available = {machine.machine_id for machine in dispatchers if machine.available}
 
         def blocking_holders(machine_id: str, index: int) -> str:
             if not is_dispatcher_id(machine_id):
-                return backend_holders(machine_id, index)
+                return cluster_report.blocking_reason(machine_id, index)
             name = machine_id.removeprefix(DISPATCHER_PREFIX)
             is_there = name == member.name or machine_id in available
             return "it has units in hand" if is_there and name not in report.idle_dispatchers else ""
 
-        incarnations = {name: voter.incarnation for name, voter in member.voter_reports.items()}
-        incarnations[member.name] = member.incarnation
         return FleetView(
             now=now,
             wall_ms=time.time_ns() // 1_000_000,
@@ -226,12 +224,8 @@
             requests_in_flight=report.open_requests,
             admitted_count=report.recent_accepted,
             shed_count=report.recent_shed,
-            executors={
-                name: incarnation
-                for name, incarnation in incarnations.items()
-                if name == member.name or now < member.granted_until.get(name, 0)
-            },
-            incarnations=incarnations,
+            executors=member.leased_incarnations(now),
+            incarnations=member.voter_incarnations(),
             warm_up_ticks=self.request_handler.config.slow_start_duration,
             deduplication_scopes=self._deduplication_areas(),
         )
--- a/crankfold/simulation/maintenance_fleet.py
+++ b/crankfold/simulation/maintenance_fleet.py
@@ -3,7 +3,9 @@
 from collections.abc import Callable
 from typing import Any, Final
 
-from crankfold.consensus.voter import Follower, Member, Voter
+from crankfold.consensus.follower import Follower
+from crankfold.consensus.member import MaintenanceCoordinator
+from crankfold.consensus.voter import Voter
 from crankfold.maintenance.coordinator import Coordinator
 from crankfold.maintenance.scheduler import Machine
 from crankfold.maintenance.specification import WorkMethod, parse_jobs
@@ -75,14 +77,9 @@
         self._operators = Operators(self, self._checker)
         self._commands = Commands(self, self._checker)
 
-    def make_member(self, process: SimulatedProcess) -> Member:
-        """A member that takes part in maintenance."""
-        member = super().make_member(process)
-        dispatcher = self.dispatchers[process.name]
-        member.maintenance_report = dispatcher.maintenance_report
-        if isinstance(member, Voter):
-            member.maintenance_steps = dispatcher.propose_transitions
-        return member
+    def coordinator_of(self, process: SimulatedProcess) -> MaintenanceCoordinator | None:
+        """The dispatcher of that process."""
+        return self.dispatchers[process.name]
 
     def run(self) -> "MaintenanceFleet":
         """Plays the case to its end."""
