--- a/crankfold/network/log_handler.py
+++ b/crankfold/network/log_handler.py
@@ -65,8 +65,13 @@
 
     def emit(self, record: logging.LogRecord) -> None:
         """Writes and flushes one line; errors of the stream are ignored."""
+        try:
+            line = self.format(record)
+        except Exception:
+            self.handleError(record)  # a call whose arguments don't fit its message must not raise either
+            return
         with contextlib.suppress(OSError, ValueError):
-            print(self.format(record), file=sys.stderr, flush=True)
+            print(line, file=sys.stderr, flush=True)
 
 
 def configure_logging() -> None:
--- a/crankfold/network/metrics.py
+++ b/crankfold/network/metrics.py
@@ -8,11 +8,6 @@
 logger = logging.getLogger(__name__)
 
 
-def log_line(line: str) -> None:
-    """Logs a line that begins with the program's name, for callers that don't use `logging` yet."""
-    logger.info("%s", line.removeprefix("crankfold: "))
-
-
 class Metrics:
     """Named counters and maxima of one process, reported as one log line."""
 
@@ -28,10 +23,6 @@
         if value > self.counters[name]:
             self.counters[name] = value
 
-    def warn(self, category: str, text: str) -> None:
-        """Logs a rate-limited line, for callers that don't use `logging` yet."""
-        logger.warning("%s", text, extra={"category": category})
-
     def check_invariant(self, holds: bool, name: str) -> None:
         """Fails a debug build where an invariant does not hold; a release build counts and logs it.
 
--- a/tests/network/test_log_handler.py
+++ b/tests/network/test_log_handler.py
@@ -99,6 +99,10 @@
         with contextlib.redirect_stderr(closed):
             self.logger.info("nobody reads it")
 
+    def test_arguments_that_do_not_fit_their_message_raise_nothing(self) -> None:
+        self.logger.info("port %d", "none")
+        self.assertIn("--- Logging error ---", self.written()[0])
+
     def test_counters_are_one_line_sorted_by_name(self) -> None:
         metrics = Metrics()
         metrics.increment("b")
--- a/tests/test_commands.py
+++ b/tests/test_commands.py
@@ -39,39 +39,39 @@
 }
 
 
-class Commands(Kept):
+class CommandsTest(Kept):
     def setUp(self) -> None:
         super().setUp()
         self.answers: dict[str, tuple[int, Any]] = {}
         answers = self.answers
 
-        class Door(BaseHTTPRequestHandler):
-            def answer(self) -> None:
-                status, told = answers.get(self.path.split("?")[0], (404, "nothing"))
-                body = json.dumps(told).encode()
+        class AdminServerStandIn(BaseHTTPRequestHandler):
+            def respond(self) -> None:
+                status, answer = answers.get(self.path.split("?")[0], (404, "nothing"))
+                body = json.dumps(answer).encode()
                 self.send_response(status)
                 self.send_header("Content-Length", str(len(body)))
                 self.end_headers()
                 self.wfile.write(body)
 
-            do_GET = do_POST = answer  # noqa: N815 - http.server looks for these names
+            do_GET = do_POST = respond  # noqa: N815 - http.server looks for these names
 
-            def log_message(self, *what: object) -> None: ...
+            def log_message(self, *_arguments: object) -> None: ...
 
-        self.door = ThreadingHTTPServer(("127.0.0.1", 0), Door)
-        threading.Thread(target=self.door.serve_forever, daemon=True).start()
-        self.addCleanup(self.door.server_close)
-        self.addCleanup(self.door.shutdown)
+        self.admin_server = ThreadingHTTPServer(("127.0.0.1", 0), AdminServerStandIn)
+        threading.Thread(target=self.admin_server.serve_forever, daemon=True).start()
+        self.addCleanup(self.admin_server.server_close)
+        self.addCleanup(self.admin_server.shutdown)
 
-    def run_it(self, *words: str, text: str = "{}") -> None:
-        door = f"127.0.0.1:{self.door.server_address[1]}"
+    def run_command(self, *words: str, text: str = "{}") -> None:
+        address = f"127.0.0.1:{self.admin_server.server_address[1]}"
         at = 1 if words[0] == "fleet" else 2
-        done = CliRunner().invoke(main, [*words[:at], "--door", door, *words[at:]], input=text)
-        shown = re.sub("--call [0-9a-f]+", "--call ...", done.output).replace(door, "DOOR")
-        self.say(f"{' '.join(words)}: exit {done.exit_code}")
+        result = CliRunner().invoke(main, [*words[:at], "--door", address, *words[at:]], input=text)
+        shown = re.sub("--call [0-9a-f]+", "--call ...", result.output).replace(address, "DOOR")
+        self.say(f"{' '.join(words)}: exit {result.exit_code}")
         self.lines += ["    " + line for line in shown.splitlines()]
 
-    def test_what_they_say_and_how_they_exit(self) -> None:
+    def test_what_commands_print_and_how_they_exit(self) -> None:
         publish = ("settings", "publish", "-", "--from", "1", "--reason", "r")
         self.answers["/control/agreed/settings"] = 200, SHOWN
         self.answers["/control/fleet"] = 200, FLEET
@@ -83,25 +83,25 @@
             ("settings", "diff", "1", "2"),
             ("settings", "diff", "1", "9"),
         ):
-            self.run_it(*words)
+            self.run_command(*words)
         self.answers["/control/fleet"] = 200, {**FLEET, "acts": False, "why-not": "cut off from the majority"}
-        self.run_it("fleet")
-        well = {"well": True, "text": "", "number": 3}
-        for status, told in (
-            (200, well),
-            (200, {**well, "counts": False, "lag": []}),
-            (200, {**well, "counts": True, "lag": ["f: there"]}),
+        self.run_command("fleet")
+        accepted = {"well": True, "text": "", "number": 3}
+        for status, answer in (
+            (200, accepted),
+            (200, {**accepted, "counts": False, "lag": []}),
+            (200, {**accepted, "counts": True, "lag": ["f: there"]}),
             (409, {"well": False, "text": "n1: settings.a: found 1", "number": 0}),
             (504, {"well": False, "text": "no outcome yet", "number": 0}),
         ):
-            self.answers["/control/agreed/settings"] = status, told
-            self.run_it(*publish, "--wait", "1")
-        self.run_it(*publish, text="{")
-        self.answers["/control/agreed/voters"] = 200, {**well, "voters": {"n0": "", "n1": ""}}
-        self.run_it("fleet", "voters", "--remove", "n2")
-        self.run_it("fleet", "voters")
+            self.answers["/control/agreed/settings"] = status, answer
+            self.run_command(*publish, "--wait", "1")
+        self.run_command(*publish, text="{")
+        self.answers["/control/agreed/voters"] = 200, {**accepted, "voters": {"n0": "", "n1": ""}}
+        self.run_command("fleet", "voters", "--remove", "n2")
+        self.run_command("fleet", "voters")
         self.answers.clear()
-        self.run_it("fleet")
+        self.run_command("fleet")
         self.close("commands")
 
     def test_works(self) -> None:
@@ -188,15 +188,15 @@
             200,
             {"well": True, "turns": turns, "waits": {"m3": "1 of 1 in its zone"}},
         )
-        self.run_it(group, "plan", "-", text=work)
-        self.run_it(group, "start", "-", text=work)
-        self.run_it(group, "start", "-", text="at-once = 2")
+        self.run_command(group, "plan", "-", text=work)
+        self.run_command(group, "start", "-", text=work)
+        self.run_command(group, "start", "-", text="at-once = 2")
         self.answers["/control/agreed/works"] = (
             200,
             {**SHOWN, "well": True, "number": 3, "versions": [{**VERSIONS[1], "text": text}]},
         )
-        for what, name in (("start", "-"), ("hold", "disks"), ("go", "racks")):
-            self.run_it(group, what, name, text=work)
+        for command, name in (("start", "-"), ("hold", "disks"), ("go", "racks")):
+            self.run_command(group, command, name, text=work)
         away = {"work": "disks", "state": "free", "number": 12, "why": ""}
         step = {"index": 9, "uid": "m1", "work": "disks", "step": "out", "by": "n0", "why": "", "at": 1000}
         self.answers["/control/agreed/machines"] = (
@@ -231,8 +231,8 @@
             "begin m1 --number 12",
             "done m1",
         ):
-            self.run_it(group, *line.split())
+            self.run_command(group, *line.split())
         self.answers["/control/agreed/machines"] = 409, {"well": False, "text": "m1: told under number 9"}
-        self.run_it(group, "done", "m1", "--number", "9")
+        self.run_command(group, "done", "m1", "--number", "9")
         self.answers["/control/agreed/machines"] = 504, {"well": False, "text": "no outcome yet"}
-        self.run_it(group, "back", "m1")
+        self.run_command(group, "back", "m1")
