--- a/crankfold/service/maintenance_observations.py
+++ b/crankfold/service/maintenance_observations.py
@@ -7,16 +7,27 @@
 
 from crankfold.consensus.messages import MaintenanceReport
 from crankfold.routing.interface import Outcome
-from crankfold.service.request_handler import RequestHandler
+from crankfold.service.request_handler import (
+    ADMITTED_COUNTER,
+    NO_VALID_CONFIG,
+    OVERLOADED,
+    QUOTA_USED_UP,
+    RequestHandler,
+)
+from crankfold.service.request_table import Disposition
 
 LOAD_WINDOW = 5.0  # seconds over which accepted and shed requests are counted
 MAX_UNCONFIRMED = 1000  # request ids kept for each machine
 MAX_UNCONFIRMED_REPORTED = 5
 FAILURES = (Outcome.ERROR, Outcome.TIMED_OUT, Outcome.UNREACHABLE, Outcome.RESET, Outcome.UNKNOWN)
 RESPONSES = (Outcome.COMPLETED, *FAILURES)
-ACCEPTED_COUNTER = "taken"
-SHED_BY_ROUTING_COUNTER = "shed"
-SHED_COUNTERS = (SHED_BY_ROUTING_COUNTER, "shed-for-room", "shed-for-share", "shed-cut-off")
+SHED_BY_ROUTING_COUNTER = Disposition.SHED.counter
+SHED_COUNTERS = (
+    SHED_BY_ROUTING_COUNTER,
+    OVERLOADED.counter,
+    QUOTA_USED_UP.counter,
+    NO_VALID_CONFIG.counter,
+)
 
 
 class LoadSample(NamedTuple):
@@ -99,7 +110,7 @@
     def _sample_load(self) -> None:
         sample = LoadSample(
             time=time.monotonic(),
-            accepted=self.counters[ACCEPTED_COUNTER] - self.counters[SHED_BY_ROUTING_COUNTER],
+            accepted=self.counters[ADMITTED_COUNTER] - self.counters[SHED_BY_ROUTING_COUNTER],
             shed=sum(self.counters[name] for name in SHED_COUNTERS),
         )
         self.load_samples.append(sample)
--- a/tests/service/test_application.py
+++ b/tests/service/test_application.py
@@ -52,7 +52,13 @@
         self.say(
             " ".join(
                 f"{name} {counts[name]}"
-                for name in ("taken", "dispatches", "done", "shed", "ended-completed")
+                for name in (
+                    "requests-admitted",
+                    "attempts",
+                    "requests-completed",
+                    "requests-shed",
+                    "attempts-ended-completed",
+                )
             )
         )
         self.close("whole")
@@ -115,7 +121,7 @@
         await self.begin(runner, **{"service-grades": once_only})
         await self.start_in_process()
         self.assertEqual((await self.send_request("u1"))[0].split()[1], "504")
-        self.assertEqual(self.application.metrics.counters["given-up"], 1)
+        self.assertEqual(self.application.metrics.counters["requests-failed"], 1)
 
     async def test_a_unit_that_a_runner_finds_unfit_is_tried_once_and_nobody_is_doubted(self) -> None:
         async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -129,7 +135,7 @@
             self.assertEqual((await self.send_request(ident))[0].split()[1], "400")
         self.assertEqual(
             (
-                self.application.metrics.counters["dispatches"],
+                self.application.metrics.counters["attempts"],
                 [
                     backend.error_rate
                     for backend in self.application.request_handler.routing.state.table.backends
@@ -155,11 +161,11 @@
         await self.begin(runner)
         await self.start_in_process()
         first = asyncio.create_task(self.send_request("u1"))
-        await self.until(lambda: self.application.metrics.counters["dispatches"] == 1 and len(posts) == 1)
+        await self.until(lambda: self.application.metrics.counters["attempts"] == 1 and len(posts) == 1)
         self.assertEqual((await self.send_request("u1"))[0].split()[1], "409")
         with patch.object(self.application.listener, "is_over_limit", lambda: True):
             self.assertEqual((await self.send_request("u2"))[0].split()[1], "503")
-        self.assertEqual((self.application.metrics.counters["shed-for-room"], posts), (1, ["POST"]))
+        self.assertEqual((self.application.metrics.counters["shed-overloaded"], posts), (1, ["POST"]))
         # Called off, but the runner does not heed it: no second dispatch goes there, and it ends as not sent.
         await self.until(
             lambda: self.application.request_handler.request_table.requests[0].attempts[0].accepted
@@ -167,7 +173,7 @@
         self.application.request_handler.cancel_attempt(0, 0)
         self.assertEqual((await first)[0].split()[1], "503")
         self.assertEqual(
-            (posts, self.application.metrics.counters["ended-not-sent"]), (["POST", "DELETE"], 1)
+            (posts, self.application.metrics.counters["attempts-ended-not-sent"]), (["POST", "DELETE"], 1)
         )
         self.backend_port = await self.stand_in(moved)
         self.endpoints_changed.set()
@@ -217,7 +223,7 @@
 
         pool._connect = told_meanwhile  # type: ignore[method-assign]
         self.assertEqual((await self.send_request("u1"))[0].split()[1], "503")
-        self.assertEqual((self.lines, self.application.metrics.counters["ended-not-sent"]), ([], 1))
+        self.assertEqual((self.lines, self.application.metrics.counters["attempts-ended-not-sent"]), ([], 1))
 
     async def test_a_failure_in_the_decisions_gives_up_the_unit_in_hand_and_serving_goes_on(self) -> None:
         async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -267,7 +273,16 @@
         printed = await lines
         self.assertEqual(self.process.returncode, 0, printed)
         counted = dict(pair.split("=") for pair in printed.rpartition("counters: ")[2].split())
-        self.say(" ".join(f"{name} {counted.get(name)}" for name in ("taken", "done", "open-requests")))
+        self.say(
+            " ".join(
+                f"{name} {counted.get(name)}"
+                for name in (
+                    "requests-admitted",
+                    "requests-completed",
+                    "open-requests",
+                )
+            )
+        )
         self.close("sigterm")
 
     async def test_a_new_configuration_moves_the_watch_and_outlives_what_it_cannot_use(self) -> None:
@@ -347,7 +362,7 @@
         await self.begin(silent, **{"service-grades": once_only})
         await self.start_in_process()
         asked = [asyncio.create_task(self.send_request("sent"))]
-        await self.until(lambda: self.application.metrics.counters["dispatches"] == 1)
+        await self.until(lambda: self.application.metrics.counters["attempts"] == 1)
         self.application.request_handler.routing.limit.limit = 0.0  # what comes from here on is held
         asked.append(asyncio.create_task(self.send_request("held")))
         await self.until(lambda: self.application.request_handler.open_request_count() == 2)
@@ -376,7 +391,7 @@
         await self.send_callback(id="u1", **{"from": "a"}, state="done", result="1")
         self.assertTrue(self.lines[-1].endswith(" 204"))
         self.process.terminate()
-        self.assertIn("call-backs-for-none=1", await lines)
+        self.assertIn("callbacks-unknown-request=1", await lines)
 
     async def test_what_it_cannot_start_from_is_said_in_one_line(self) -> None:
         async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -246,9 +246,9 @@
         client = socket.create_connection(("127.0.0.1", self.port))
         client.sendall(UNIT)
         client.close()  # all in one turn: nobody accepted it so far
-        await self.until(lambda: self.application.metrics.counters["clients-gone-before-read"] == 1)
+        await self.until(lambda: self.application.metrics.counters["clients-closed-before-read"] == 1)
         await self.until(lambda: not self.application.listener.connections)
-        self.assertEqual((self.lines, self.application.metrics.counters["dispatches"]), ([], 0))
+        self.assertEqual((self.lines, self.application.metrics.counters["attempts"]), ([], 0))
 
     async def test_a_client_that_goes_while_its_unit_waits_for_a_connection_has_nothing_sent(self) -> None:
         async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -395,10 +395,10 @@
         asking = asyncio.create_task(self.send_request("u1"))
         await broken.wait()
         if not told_first:
-            await self.until(lambda: self.application.metrics.counters["given-up"] == 1)
+            await self.until(lambda: self.application.metrics.counters["requests-failed"] == 1)
             await self.send_callback(id="u1", **{"from": "a"}, state="done", result="ran")
         answer = await asking
-        self.assertEqual(self.application.metrics.counters["dispatches"], 1)
+        self.assertEqual(self.application.metrics.counters["attempts"], 1)
         return answer[0].split()[1]
 
     async def test_an_end_told_before_its_dispatch_breaks_counts(self) -> None:
@@ -516,7 +516,7 @@
         await self.start_in_process()
         with patch.object(self.application.request_handler.routing, "timer_fired", lambda now, label: None):
             self.assertEqual((await self.send_request("u1", wait=0.1))[0].split()[1], "503")
-        self.assertEqual(self.application.metrics.counters["units-open-at-cut-off"], 1)
+        self.assertEqual(self.application.metrics.counters["requests-open-at-deadline"], 1)
 
     async def test_by_the_grades_in_force_is_told_how_long_an_end_may_take(self) -> None:
         async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
