--- a/benchmarks/agreement.py
+++ b/benchmarks/agreement.py
@@ -21,8 +21,9 @@
 from typing import Any, Literal, Self, TypeVar
 
 from crankfold.cluster.raft_storage import RaftStorage
-from crankfold.consensus.messages import LogEntry, Snapshot, Timing
-from crankfold.consensus.raft import Ready
+from crankfold.consensus.messages import LogEntry, Snapshot
+from crankfold.consensus.raft_state import Ready
+from crankfold.consensus.timing import Timing
 from crankfold.consensus.voter import Voter
 from crankfold.fault_injection.harness import TrialHarness
 from crankfold.fault_injection.http_client import HOST, http_call, read_http_message
@@ -31,6 +32,7 @@
     ClusterCase,
     ClusterFault,
     ClusterFaultKind,
+    IdleHost,
     SimulatedCluster,
     settings_document,
 )
@@ -374,7 +376,8 @@
 
 def works() -> None:
     """What each machine costs that is taken out, worked on and brought back, in messages."""
-    from crankfold.simulation.maintenance_fleet import MaintenanceCase, MaintenanceFleet
+    from crankfold.simulation.maintenance_cases import MaintenanceCase
+    from crankfold.simulation.maintenance_fleet import MaintenanceFleet
 
     work = {"w": {"way": "list", "at-once": 3, "stays": 0.0, "watch": 1.0, "least-answers": 0}}
     rows = []
@@ -452,16 +455,15 @@
                     "n0",
                     again.persistent_state,
                     {"n0": ""},
-                    Timing(20_000),
-                    0,
-                    1,
-                    1,
-                    again.folder_id,
-                    lambda doc, text: "",
-                    None,
+                    timing=Timing(20_000),
+                    now=0,
+                    seed=1,
+                    incarnation=1,
+                    folder_id=again.folder_id,
+                    host=IdleHost(),
                 )
-                voter.raft.commit_index = voter.raft.last_index()
-                voter._process(1)
+                voter.raft.commit_index = voter.raft.log.last_index()
+                voter.process(1)
                 spans.append((time.perf_counter() - began) * 1000)
                 again.close()
         rows.append((count, size, f"{sorted(spans)[2]:.1f}"))
--- a/crankfold/simulation/cluster_invariants.py
+++ b/crankfold/simulation/cluster_invariants.py
@@ -8,9 +8,10 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
+from crankfold.consensus.member import Member
 from crankfold.consensus.messages import ProposalResponse
-from crankfold.consensus.raft import LEADER
-from crankfold.consensus.voter import Member, Voter
+from crankfold.consensus.raft_state import Role
+from crankfold.consensus.voter import Voter
 from crankfold.simulation.cluster_process import SimulatedProcess
 from crankfold.simulation.event_queue import TICKS_PER_SECOND, EventQueue
 
@@ -109,7 +110,7 @@
 
     def _check_leadership(self, name: str, member: Member) -> None:
         """A term has one leader."""
-        if isinstance(member, Voter) and member.raft.role == LEADER:
+        if isinstance(member, Voter) and member.raft.role == Role.LEADER:
             term = member.raft.term
             leader = self.leaders_by_term.setdefault(term, name)
             if leader != name:
--- a/crankfold/simulation/cluster_process.py
+++ b/crankfold/simulation/cluster_process.py
@@ -2,12 +2,14 @@
 
 from collections.abc import Callable
 from random import Random
-from typing import Protocol
+from typing import Any, Protocol
 
 from crankfold.consensus.conservative_merge import QUOTAS
-from crankfold.consensus.messages import Message, ProposalResponse
-from crankfold.consensus.raft import LEADER, PersistentState, Ready
-from crankfold.consensus.voter import Follower, Member, Voter
+from crankfold.consensus.follower import Follower
+from crankfold.consensus.member import Member
+from crankfold.consensus.messages import MaintenanceReport, Message, ProposalResponse
+from crankfold.consensus.raft_state import PersistentState, Ready, Role
+from crankfold.consensus.voter import Voter
 from crankfold.simulation.cluster_case import ClusterCase
 from crankfold.simulation.event_queue import EventQueue
 
@@ -41,7 +43,27 @@
         """Something changed that may break an invariant."""
 
 
-class SimulatedProcess:
+class IdleHost:
+    """The host of a member without requests and machines in maintenance; it can use any document."""
+
+    def quiesced_index(self, last_applied: int) -> int:
+        """All of it."""
+        return last_applied
+
+    def quota_usage(self) -> dict[str, int]:
+        """None."""
+        return {}
+
+    def maintenance_report(self) -> MaintenanceReport | None:
+        """None."""
+        return None
+
+    def validate_document(self, name: str, content: dict[str, Any]) -> str:  # noqa: ARG002 - a Protocol's signature
+        """No error."""
+        return ""
+
+
+class SimulatedProcess(IdleHost):
     """Runs a member, and dies, pauses and starts as the faults say."""
 
     def __init__(self, cluster: ClusterEnvironment, name: str, clock_rate: float) -> None:
@@ -70,8 +92,6 @@
         self.writing = False
         self.request_ends = []
         self.member = self.cluster.make_member(self)
-        self.member.quiesced_index = self._quiesced_index
-        self.member.quota_usage = lambda: {QUOTA_KEY: len(self.request_ends) + self.wanted_requests}
         self._poll(self.generation)
 
     def kill(self) -> None:
@@ -104,16 +124,20 @@
         version = document.find(document.active_number)
         return version is not None and QUOTA_KEY in version.text["shares"]
 
-    def _quiesced_index(self, applied: int) -> int:
-        """The log index up to which the requests in hand fit into the quota."""
+    def quota_usage(self) -> dict[str, int]:
+        """Requests in hand and wanted."""
+        return {QUOTA_KEY: len(self.request_ends) + self.wanted_requests}
+
+    def quiesced_index(self, last_applied: int) -> int:
+        """The log index up to which the requests in hand keep within the quota."""
         assert self.member is not None
         quota = self.quota()
         if quota is None or len(self.request_ends) <= quota:
-            return applied
+            return last_applied
         pending = [
             version.index for name, version in self.member.documents.pending_versions() if name == QUOTAS
         ]
-        return min([applied, *(index - 1 for index in pending)])
+        return min([last_applied, *(index - 1 for index in pending)])
 
     # --- the member ---
 
@@ -153,7 +177,7 @@
         """What it acts on, until when, and whether it leads: the invariants are about these."""
         member = self.member
         assert member is not None
-        leads = isinstance(member, Voter) and member.raft.role == LEADER
+        leads = isinstance(member, Voter) and member.raft.role == Role.LEADER
         return member.last_applied, member.lease_expires_at, leads
 
     def _flush_ready(self) -> None:
@@ -161,10 +185,10 @@
         assert isinstance(self.member, Voter | Follower)
         for receiver, message in self.member.take_immediate_messages():
             self.cluster.send_message(self, receiver, message)
-        if self.writing:
+        if self.writing or not isinstance(self.member, Voter):
             return
         ready = self.member.take_ready(self.local_time())
-        if isinstance(self.member, Voter) and ready.must_sync():
+        if ready.must_sync():
             self.writing = True
             generation = self.generation
             delay = self.cluster.disk_delay(self.name)
@@ -189,14 +213,14 @@
         stored = self.persistent_state
         stored.term = ready.term
         stored.vote = "" if self.cluster.forgets_votes else ready.vote
-        stored.founded = ready.founded
-        if ready.whole:
-            stored.kept = ready.whole
+        stored.founding_member = ready.founding_member
+        if ready.snapshot:
+            stored.snapshot = ready.snapshot
             stored.entries = []
         if ready.entries:
-            del stored.entries[ready.first - stored.kept.index - 1 :]
+            del stored.entries[ready.first_index - stored.snapshot.index - 1 :]
             stored.entries += ready.entries
 
     def _send_messages(self, ready: Ready) -> None:
-        for receiver, message in ready.send:
+        for receiver, message in ready.messages:
             self.cluster.send_message(self, receiver, message)
--- a/crankfold/simulation/consensus_cluster.py
+++ b/crankfold/simulation/consensus_cluster.py
@@ -7,9 +7,13 @@
 import msgspec
 
 from crankfold.consensus.conservative_merge import LIMITS, QUOTAS, SETTINGS
-from crankfold.consensus.messages import Message, ProposalResponse, Timing
-from crankfold.consensus.raft import PersistentState
-from crankfold.consensus.voter import Follower, Member, Voter
+from crankfold.consensus.follower import Follower
+from crankfold.consensus.log_entries import EntryKind
+from crankfold.consensus.member import MaintenanceCoordinator, Member
+from crankfold.consensus.messages import Message, ProposalResponse
+from crankfold.consensus.raft_state import PersistentState
+from crankfold.consensus.timing import Timing
+from crankfold.consensus.voter import Voter
 from crankfold.simulation.cluster_case import (
     REQUEST_DEADLINE,
     TOTAL_QUOTA,
@@ -20,7 +24,7 @@
     settings_document,
 )
 from crankfold.simulation.cluster_invariants import ClusterInvariants
-from crankfold.simulation.cluster_process import QUOTA_KEY, SimulatedProcess
+from crankfold.simulation.cluster_process import QUOTA_KEY, IdleHost, SimulatedProcess
 from crankfold.simulation.event_queue import TICKS_PER_SECOND, EventQueue
 
 __all__ = [
@@ -28,6 +32,7 @@
     "ClusterCase",
     "ClusterFault",
     "ClusterFaultKind",
+    "IdleHost",
     "SimulatedCluster",
     "SimulatedProcess",
     "random_scenario",
@@ -122,21 +127,34 @@
         now = process.local_time()
         incarnation = self.rng.randrange(1 << 40)
         if process.name not in self.voters:
-            return self.follower_type(process.name, self.voters, self.timing, now, seed, incarnation)
+            return self.follower_type(
+                process.name,
+                self.voters,
+                timing=self.timing,
+                now=now,
+                seed=seed,
+                incarnation=incarnation,
+                host=process,
+            )
         stored = msgspec.msgpack.encode(process.persistent_state)
         return self.voter_type(
             process.name,
             msgspec.msgpack.decode(stored, type=PersistentState),
             dict.fromkeys(self.voters, ""),
-            self.timing,
-            now,
-            seed,
-            incarnation,
-            process.storage_id,
-            lambda document, content: "",
-            settings_document("safe"),
+            timing=self.timing,
+            now=now,
+            seed=seed,
+            incarnation=incarnation,
+            folder_id=process.storage_id,
+            host=process,
+            coordinator=self.coordinator_of(process),
+            initial_settings=settings_document("safe"),
         )
 
+    def coordinator_of(self, process: SimulatedProcess) -> MaintenanceCoordinator | None:  # noqa: ARG002 - overridden
+        """Who decides about machines in maintenance if that process leads; None here."""
+        return None
+
     def disk_delay(self, name: str) -> int:
         """How long a write of that process takes, if it begins now."""
         for fault in self._active_faults(ClusterFaultKind.SLOW_DISK):
@@ -229,7 +247,7 @@
         return {"shares": {QUOTA_KEY: dict(zip(names, quotas, strict=True))}}
 
     def _submit_publish(self, name: str, call: str, data: dict[str, Any]) -> None:
-        self.processes[name].deliver(lambda member, now: member.propose(now, call, "publish", data))  # type: ignore[attr-defined]
+        self.processes[name].deliver(lambda member, now: member.propose(now, call, EntryKind.PUBLISH, data))  # type: ignore[attr-defined]
 
     def publish_answered(self, response: ProposalResponse) -> None:
         """An operator is told what became of a publish; an acceptance is final."""
--- a/tests/planted_works.py
+++ b/tests/planted_works.py
@@ -9,7 +9,7 @@
 
 from msgspec import structs
 
-from crankfold.consensus.messages import MaintenanceReport
+from crankfold.consensus.maintenance_reports import ClusterReport, SubtreeReport
 from crankfold.consensus.voter import Voter
 from crankfold.maintenance.coordinator import Coordinator
 from crankfold.maintenance.fleet_view import FleetView
@@ -18,45 +18,51 @@
 from crankfold.maintenance.state import MaintenanceState
 from crankfold.maintenance.transitions import ALLOWED_FROM, MaintenancePhase, Transition
 from crankfold.simulation.consensus_cluster import ClusterCase, ClusterFault, ClusterFaultKind
-from crankfold.simulation.maintenance_fleet import MaintenanceCase, MaintenanceFleet, draw_case
+from crankfold.simulation.maintenance_cases import MachineLoss, MaintenanceCase, draw_case
+from crankfold.simulation.maintenance_fleet import MaintenanceFleet
 
 
 class FreeTooEarly(Voter):
     """As soon as the leader itself holds nothing there."""
 
-    def gather_maintenance(self, now: int) -> tuple[MaintenanceReport, Callable[[str, int], str]]:
-        whole, _ = super().gather_maintenance(now)
-        upto, own = self.drained_report(now)
-        return whole, lambda uid, index: "held" if own is None or uid in own.in_flight or upto < index else ""
+    def cluster_report(self, now: int) -> ClusterReport:
+        whole = super().cluster_report(now)
+        of_itself = ClusterReport([self.subtree_report(now)], earlier_leases_may_run=False)
+        of_itself.combined = whole.combined
+        return of_itself
 
 
 class SilenceIsConsent(Voter):
     """Whoever is not heard any more is asked no longer, whatever lease he has and whatever he sent."""
 
-    def gather_maintenance(self, now: int) -> tuple[MaintenanceReport, Callable[[str, int], str]]:
-        quiet = [
+    def cluster_report(self, now: int) -> ClusterReport:
+        granted_until = self.leader_leases.granted_until
+        silent = [
             name
-            for name, report in self.voter_reports.items()
-            if now - report.heard > 3 * self.timing.renew_interval
+            for name, report in self.leader_leases.reports.items()
+            if now - report.received_at > self.timing.contact_timeout
         ]
-        before = {name: self.granted_until.pop(name) for name in quiet if name in self.granted_until}
-        led, self.raft.leader_since = self.raft.leader_since, -10 * self.timing.lease_expiry_wait
-        told = super().gather_maintenance(now)
-        self.granted_until |= before
-        self.raft.leader_since = led
-        return told
-
-    def drained_report(self, now: int) -> tuple[int, MaintenanceReport | None]:
-        quiet = [
-            ward for ward in self.lease_holders.values() if now - ward.heard > 3 * self.timing.renew_interval
+        before = {name: granted_until.pop(name) for name in silent if name in granted_until}
+        leader_since = self.raft.leader_since
+        self.raft.leader_since = -10 * self.timing.lease_expiry_wait
+        report = super().cluster_report(now)
+        granted_until |= before
+        self.raft.leader_since = leader_since
+        return report
+
+    def subtree_report(self, now: int) -> SubtreeReport:
+        silent = [
+            holder
+            for holder in self.leases.holders.values()
+            if now - holder.last_contact_at > self.timing.contact_timeout
         ]
-        until = [ward.until for ward in quiet]
-        for ward in quiet:
-            ward.until = -10 * self.timing.lease_expiry_wait
-        told = super().drained_report(now)
-        for ward, end in zip(quiet, until, strict=True):
-            ward.until = end
-        return told
+        until = [holder.expires_at for holder in silent]
+        for holder in silent:
+            holder.expires_at = -10 * self.timing.lease_expiry_wait
+        report = super().subtree_report(now)
+        for holder, expires_at in zip(silent, until, strict=True):
+            holder.expires_at = expires_at
+        return report
 
 
 class ImpatientCoordinator(Coordinator):
@@ -148,7 +154,7 @@
 def flapping_machines(seed: int) -> MaintenanceCase:
     """Machines come and go, and what is agreed takes its time."""
     luck = Random(f"flutter {seed}")
-    losses = tuple((at, at + 3000, f"m{luck.randrange(9)}") for at in range(20_000, 180_000, 4000))
+    losses = tuple(MachineLoss(at, at + 3000, f"m{luck.randrange(9)}") for at in range(20_000, 180_000, 4000))
     works = {"disks": {**ALL_MACHINES_JOBS["disks"], "at-once": 3}}
     slow = tuple(
         ClusterFault(ClusterFaultKind.SLOW_DISK, at, at + 6000, voter)
@@ -177,16 +183,21 @@
         "free while|is free since",
     ),
     "a bound checked before the agreement": (
-        lambda case: MaintenanceFleet(case, foremen=ImpatientCoordinator),
+        lambda case: MaintenanceFleet(case, make_coordinator=ImpatientCoordinator),
         bounds_unchecked_at_commit,
         flapping_machines,
         "goes out",
     ),
     "a step taken twice after a change of leader": (
-        lambda case: MaintenanceFleet(case, foremen=restarting_coordinator),
+        lambda case: MaintenanceFleet(case, make_coordinator=restarting_coordinator),
         work_may_begin_twice,
         long_commands,
         "ran again|two commands",
     ),
-    "cold taken for warm": (lambda case: MaintenanceFleet(case, warm=0), unchanged, draw_case, "called well"),
+    "cold taken for warm": (
+        lambda case: MaintenanceFleet(case, warm_up_ticks=0),
+        unchanged,
+        draw_case,
+        "called well",
+    ),
 }
--- a/tests/protocol/test_client_connection.py
+++ b/tests/protocol/test_client_connection.py
@@ -18,6 +18,10 @@
 class ClientConnectionTest(Kept):
     """Is the handler of its connections, and writes down what reaches it."""
 
+    @property
+    def callbacks(self) -> "ClientConnectionTest":
+        return self
+
     def is_serving(self) -> bool:
         return True
 
