--- a/crankfold/service/admin_service.py
+++ b/crankfold/service/admin_service.py
@@ -6,6 +6,7 @@
 from crankfold.network.listener import Listener
 from crankfold.protocol.admin_api import ReplicatedConfigAdmin
 from crankfold.routing.interface import Endpoint
+from crankfold.service.backend_registry import UnknownBackendError
 from crankfold.service.collaborators import OtherProcesses
 from crankfold.service.lifecycle import Lifecycle
 from crankfold.service.request_handler import RequestHandler
@@ -56,7 +57,7 @@
         change = self.backend_registry.drain if drained else self.backend_registry.restore
         try:
             endpoint = change(backend_id)
-        except KeyError:
+        except UnknownBackendError:
             self.metrics.increment("unknown-backends")
             return False
         if endpoint:
--- a/crankfold/service/attempts.py
+++ b/crankfold/service/attempts.py
@@ -104,7 +104,7 @@
             may_send=partial(self._may_send, request, attempt),
             on_end=partial(self._on_exchange_ended, request, attempt),
         )
-        self.backends.pools[backend].send(attempt.exchange)
+        self.backends.records[backend].pool.send(attempt.exchange)
 
     def _may_confuse(self, request: Request, backend: int) -> bool:
         """Whether what the backend tells of a new attempt could be meant for an earlier one.
@@ -124,7 +124,7 @@
         allowed = (
             request.is_open
             and attempt.in_flight
-            and self.backends.states[attempt.backend] == EndpointState.READY
+            and self.backends.records[attempt.backend].state == EndpointState.READY
             and self.clock.now() < request.deadline
             and self.cluster.has_valid_config()
             and self._within_deduplication_window(request, attempt)
--- a/crankfold/service/handover_state.py
+++ b/crankfold/service/handover_state.py
@@ -17,6 +17,7 @@
     ProcessUsage,
 )
 from crankfold.routing.interface import EndpointState
+from crankfold.service.manual_drains import AssumedStart
 from crankfold.service.request_handler import RequestHandler
 
 MAX_REPORT_AGE = 50_000  # tenths of a millisecond; older load reports say nothing of the present
@@ -56,8 +57,8 @@
     now = request_handler.timers.clock.now()
     targets = [
         registry.discovery_entry(backend)
-        for backend, endpoint in enumerate(registry.endpoints)
-        if endpoint.state != EndpointState.REMOVED
+        for backend, record in enumerate(registry.records)
+        if record.endpoint.state != EndpointState.REMOVED
     ]
     if routing.weights_follow_load:  # of a weight that follows load only the size behind it lasts
         for target in targets:
@@ -80,14 +81,20 @@
 def manual_drain_state(request_handler: RequestHandler) -> ManualDrainState:
     """The manual drains in force in this process."""
     drains = request_handler.backends.manual_drains
-    return ManualDrainState(drains.drained_since, drains.assumed_starts)
+    assumed_starts = {
+        backend_id: (assumed.drained_at, assumed.started_at)
+        for backend_id, assumed in drains.assumed_starts.items()
+    }
+    return ManualDrainState(drains.drained_since, assumed_starts)
 
 
 def adopt_manual_drains(request_handler: RequestHandler, state: ManualDrainState) -> None:
     """Puts in force the manual drains of a process before this one."""
     registry = request_handler.backends
     registry.manual_drains.drained_since.update(state.drained_since)
-    registry.manual_drains.assumed_starts.update(state.assumed_starts)
+    registry.manual_drains.assumed_starts.update(
+        {backend_id: AssumedStart(*times) for backend_id, times in state.assumed_starts.items()}
+    )
     registry.known_ids.update(registry.manual_drains.drained_since)
 
 
--- a/crankfold/service/machine_inventory.py
+++ b/crankfold/service/machine_inventory.py
@@ -33,7 +33,8 @@
         """What is listed, and for a while what is not any more, unless another machine came in its place."""
         registry = self.backend_registry
         machines = []
-        for backend, endpoint in enumerate(registry.endpoints):
+        for backend, record in enumerate(registry.records):
+            endpoint = record.endpoint
             machine_id = registry.backend_ids.names[backend]
             is_discovered = endpoint.state != EndpointState.REMOVED
             if is_discovered:
--- a/crankfold/service/maintenance_commands.py
+++ b/crankfold/service/maintenance_commands.py
@@ -140,12 +140,12 @@
         """What a command is told of its machine."""
         machine_id, drain_number = command.key
         backend = self.backend_registry.backend_ids.find(machine_id)
-        host, port, _ = self.backend_registry.addresses[backend] if backend >= 0 else ("", 0, 0)
+        address = self.backend_registry.records[backend].address if backend >= 0 else None
         return {
             "CRANKFOLD_MACHINE": machine_id.removeprefix(DISPATCHER_PREFIX),
             "CRANKFOLD_WORK": command.job_name,
             "CRANKFOLD_NUMBER": str(drain_number),
-            "CRANKFOLD_ADDRESS": f"{host}:{port}" if host else "",
+            "CRANKFOLD_ADDRESS": f"{address.host}:{address.port}" if address and address.host else "",
         }
 
 
--- a/crankfold/service/manual_drains.py
+++ b/crankfold/service/manual_drains.py
@@ -1,48 +1,74 @@
-"""Runners that operators took out by hand, laid over what discovery lists."""
+"""Backends that operators drained, laid over the endpoint list."""
 
 from dataclasses import replace
+from typing import NamedTuple
 
 from crankfold.routing.interface import Endpoint, EndpointState
 
 
+class AssumedStart(NamedTuple):
+    """What is assumed of a backend that was restored, until the endpoint list knows better.
+
+    Attributes:
+        drained_at: When the drain began, in ticks; a start listed after that is the true one.
+        started_at: The start that is assumed, in ticks.
+    """
+
+    drained_at: int
+    started_at: int
+
+
 class ManualDrains:
-    """By uid. Times are tenths of a millisecond of the clock by which runners' starts are told."""
+    """The drains in force and the assumed starts they left, by backend id.
+
+    Times are ticks of the clock by which the starts of backends are told.
+    """
 
     def __init__(self) -> None:
-        self.drained_since: dict[str, int] = {}  # out, and from when
-        self.assumed_starts: dict[
-            str, tuple[int, int]
-        ] = {}  # back: when the ban began, the start taken for granted
-
-    def drain(self, uid: str, now: int) -> bool:
-        """Whether that is new. A call that is repeated lengthens nothing."""
-        if uid in self.drained_since:
+        self.drained_since: dict[str, int] = {}
+        self.assumed_starts: dict[str, AssumedStart] = {}
+
+    def drain(self, backend_id: str, now: int) -> bool:
+        """Drains a backend.
+
+        Returns:
+            Whether that is new. A drain that is in force already goes on as it began.
+        """
+        if backend_id in self.drained_since:
             return False
-        self.drained_since[uid] = now
+        self.drained_since[backend_id] = now
         return True
 
-    def restore(self, uid: str, now: int, ran_on: bool) -> bool:
-        """Whether there was a ban. With `ran_on` the runner is known to be the process it was."""
-        began = self.drained_since.pop(uid, None)
-        if began is None:
+    def restore(self, backend_id: str, now: int, same_process: bool) -> bool:
+        """Ends the drain of a backend.
+
+        Args:
+            backend_id: Which backend.
+            now: The present time.
+            same_process: The backend is known to be the process that it was before the drain.
+
+        Returns:
+            Whether it was drained.
+        """
+        drained_at = self.drained_since.pop(backend_id, None)
+        if drained_at is None:
             return False
-        before = self.assumed_starts.pop(uid, None)
-        if ran_on:
-            if before:
-                self.assumed_starts[uid] = before  # it is still as cold as it was
-        else:
-            # Lists lag behind restarts. Taken for warm on an old list, it would be pushed over.
-            self.assumed_starts[uid] = (began, now)
+        earlier = self.assumed_starts.pop(backend_id, None)
+        if not same_process:
+            # Lists lag behind restarts. Taken for warm on an old list, it would be overloaded.
+            self.assumed_starts[backend_id] = AssumedStart(drained_at, now)
+        elif earlier:
+            self.assumed_starts[backend_id] = earlier  # it is still warming up as it was
         return True
 
-    def apply_to(self, uid: str, entry: Endpoint) -> Endpoint:
-        """A runner's entry in the list, with the ban or what is left of it laid over."""
-        if uid in self.drained_since and entry.state == EndpointState.READY:
-            entry = replace(entry, state=EndpointState.DRAINING)
-        if uid in self.assumed_starts:
-            began, start = self.assumed_starts[uid]
-            if entry.started_at >= began:
-                del self.assumed_starts[uid]  # the list has caught up and knows better
-            else:
-                entry = replace(entry, started_at=start)
-        return entry
+    def apply_to(self, backend_id: str, endpoint: Endpoint) -> Endpoint:
+        """The endpoint with the drain of its backend, or the assumed start after one, laid over."""
+        if backend_id in self.drained_since and endpoint.state == EndpointState.READY:
+            endpoint = replace(endpoint, state=EndpointState.DRAINING)
+        assumed = self.assumed_starts.get(backend_id)
+        if assumed is None:
+            return endpoint
+        if endpoint.started_at >= assumed.drained_at:
+            del self.assumed_starts[backend_id]  # the list has caught up and knows better
+            return endpoint
+        return replace(endpoint, started_at=assumed.started_at)
--- a/tests/service/test_application.py
+++ b/tests/service/test_application.py
@@ -212,7 +212,7 @@
 
         await self.begin(runner)
         await self.start_in_process()
-        pool = self.application.backend_registry.pools[0]
+        pool = self.application.backend_registry.records[0].pool
         opening = pool._connect
 
         async def told_meanwhile(exchange: Exchange) -> None:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -256,7 +256,7 @@
 
         await self.begin(runner)
         await self.start_in_process()
-        pool = self.application.backend_registry.pools[0]
+        pool = self.application.backend_registry.records[0].pool
         opening, up = pool._connect, asyncio.Event()
 
         async def late(exchange: Exchange) -> None:
@@ -343,7 +343,7 @@
 
         await self.begin(runner, "keyed", group="zone", **{"repeat-window": 300_000})
         await self.start_in_process()
-        pool = self.application.backend_registry.pools[0]
+        pool = self.application.backend_registry.records[0].pool
         opening = pool._connect
         opened = 0
 
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -230,13 +230,17 @@
             for uid, boot in (("old", 0), ("warm", 8_000), ("cold", 9_500))
         ]
         fleet.update_endpoints(entries, True)
-        self.assertEqual(fleet.states, [EndpointState.READY] * 3)
+
+        def states() -> list[EndpointState]:
+            return [record.state for record in fleet.records]
+
+        self.assertEqual(states(), [EndpointState.READY] * 3)
         fleet.reserve_slow_start(True)
-        self.assertEqual(fleet.states, [EndpointState.READY, EndpointState.READY, EndpointState.DRAINING])
+        self.assertEqual(states(), [EndpointState.READY, EndpointState.READY, EndpointState.DRAINING])
         fleet.update_endpoints(entries[2:], False)  # whatever the list says meanwhile
-        self.assertEqual(fleet.states[2], EndpointState.DRAINING)
+        self.assertEqual(states()[2], EndpointState.DRAINING)
         told = fleet.reserve_slow_start(False)
-        self.assertEqual((fleet.states, len(told)), ([EndpointState.READY] * 3, 2))
+        self.assertEqual((states(), len(told)), ([EndpointState.READY] * 3, 2))
 
     def test_descriptors_of_both_stay_under_the_limit(self) -> None:
         given: dict[str, Any] = {"limits": {"sockets": 384}}
@@ -302,7 +306,7 @@
         await self.with_door()
         self.assertEqual((await self.send_request("u1"))[1], b"done")
         await self.call(self.admin_port, "runners/a/offline")
-        for link in list(self.application.backend_registry.pools[0].idle_connections):
+        for link in list(self.application.backend_registry.records[0].pool.idle_connections):
             link.close()  # as the restarted runner does
         before = self.application.timers.clock.now()
         await self.call(self.admin_port, "runners/a/online")
@@ -314,7 +318,7 @@
 
     async def test_a_ban_called_while_the_connection_comes_up_holds_the_unit_back(self) -> None:
         await self.with_door()
-        pool = self.application.backend_registry.pools[0]
+        pool = self.application.backend_registry.records[0].pool
         opening = pool._connect
 
         async def banned_meanwhile(exchange: Exchange) -> None:
--- a/tests/test_yard.py
+++ b/tests/test_yard.py
@@ -146,7 +146,7 @@
         )
         member = SimpleNamespace(name="n1", documents=docs, incarnation=1)
         peer = SimpleNamespace(consensus=member, has_lease=lambda: heard[0], config=SimpleNamespace(zone=""))
-        fleet = SimpleNamespace(backend_ids=SimpleNamespace(names=[]), endpoints=[])
+        fleet = SimpleNamespace(backend_ids=SimpleNamespace(names=[]), records=[])
         desk = SimpleNamespace(backends=fleet, request_table=SimpleNamespace(requests={}))
         works = MaintenanceAgent(
             desk,  # type: ignore[arg-type]
