--- a/crankfold/cli/settings.py
+++ b/crankfold/cli/settings.py
@@ -74,6 +74,17 @@
     wait_seconds: float = 0.0
     call_id: str = ""  # drawn if empty
 
+    def to_request(self, call_id: str) -> dict[str, Any]:
+        """The call of the admin server."""
+        return {
+            "call": call_id,
+            "made-from": self.made_from,
+            "text": self.content,
+            "author": self.author,
+            "reason": self.reason,
+            "wait": self.wait_seconds,
+        }
+
 
 @click.group()
 def settings() -> None:
@@ -131,9 +142,9 @@
         return
     view = msgspec.convert(raw, DocumentView)
     for version in sorted(view.versions, key=lambda version: version.number, reverse=True):
-        mark = "*" if version.number == view.active else " "
+        marker = "*" if version.number == view.active else " "
         author = version.author or "nobody"
-        click.echo(f"{mark}{version.number} from {version.made_from} by {author}: {version.reason}")
+        click.echo(f"{marker}{version.number} from {version.made_from} by {author}: {version.reason}")
 
 
 @settings.command("diff")
@@ -191,8 +202,8 @@
     version = view.find(number)
     if version is None:
         raise UnreachableError(f"no version {number} of {document} is kept")
-    again = Publication(document=document, content=version.content, made_from=view.newest, **publication)
-    publish(address, again, as_json)
+    copied = Publication(document=document, content=version.content, made_from=view.newest, **publication)
+    publish(address, copied, as_json)
 
 
 def fetch_document(address: str, document: str) -> DocumentView:
@@ -212,14 +223,7 @@
         SystemExit: the dispatcher refused it, or not every dispatcher acts on it yet.
     """
     call_id = publication.call_id or secrets.token_hex(8)
-    request = {
-        "call": call_id,
-        "made-from": publication.made_from,
-        "text": publication.content,
-        "author": publication.author,
-        "reason": publication.reason,
-        "wait": publication.wait_seconds,
-    }
+    request = publication.to_request(call_id)
     path = f"agreed/{publication.document}"
     try:
         response = call_admin(address, path, request, wait_seconds=publication.wait_seconds)
--- a/crankfold/cli/simulation.py
+++ b/crankfold/cli/simulation.py
@@ -20,7 +20,7 @@
     """A day as the options of `emulate` describe it."""
 
     dispatchers: int
-    runners: int
+    backends: int
     load: float  # share of all slots
     work: float  # seconds
     report_every: float  # seconds
@@ -30,17 +30,17 @@
         """The scenario of the simulation, with times in ticks."""
         return Scenario(
             dispatcher_count=self.dispatchers,
-            backend_count=self.runners,
+            backend_count=self.backends,
             mean_service_time=int(self.work * TICKS_PER_SECOND),
             seconds=self.seconds,
-            arrival_rate=self.load * self.runners * SLOTS / self.work / self.dispatchers,
+            arrival_rate=self.load * self.backends * SLOTS / self.work / self.dispatchers,
             report_interval=int(self.report_every * TICKS_PER_SECOND),
         )
 
 
 @click.command()
 @click.option("--dispatchers", default=40, show_default=True, type=click.IntRange(1, 2000))
-@click.option("--runners", default=60, show_default=True, type=click.IntRange(1, 2000))
+@click.option("--runners", "backends", default=60, show_default=True, type=click.IntRange(1, 2000))
 @click.option("--load", default=0.6, show_default=True, type=click.FloatRange(0.01, 3), help="Of all slots.")
 @click.option(
     "--work",
@@ -77,13 +77,13 @@
 
 
 def _print_comparison(days: Sequence[DayResult], chosen: Sequence[str], seeds: int) -> None:
-    shares = {name: [day.on_time_share for day in days if day.policy == name] for name in (PRODUCT, *chosen)}
-    own = shares[PRODUCT]
+    ratios = {name: [day.on_time_share for day in days if day.policy == name] for name in (PRODUCT, *chosen)}
+    own = ratios[PRODUCT]
     click.echo(f"{PRODUCT}: {sum(own) / seeds:.3f} in time, over {seeds} seeds")
     for name in chosen:
-        mean, low, high = comparison.confidence_interval(own, shares[name])
+        mean, low, high = comparison.confidence_interval(own, ratios[name])
         click.echo(
-            f"{name}: {sum(shares[name]) / seeds:.3f} in time; {PRODUCT} {mean:+.3f} "
+            f"{name}: {sum(ratios[name]) / seeds:.3f} in time; {PRODUCT} {mean:+.3f} "
             f"({low:+.3f} to {high:+.3f}): {comparison.verdict(low, high)}"
         )
     violations = sum(day.violation_count for day in days if day.policy == PRODUCT)
--- a/crankfold/fault_injection/configuration.py
+++ b/crankfold/fault_injection/configuration.py
@@ -10,7 +10,7 @@
 DEADLINE_US = 3_000_000
 LATENCY_OBJECTIVE_US = 1_000_000
 DEDUPLICATION_WINDOW_US = 2_000_000
-SLOW_START_UNIT = 1_000_000  # microseconds in a second
+MICROSECONDS_PER_SECOND = 1_000_000
 REQUEST_CLASSES = ["flips", "once", "free"]
 # What operators make of the request class `flips`; "dropped" leaves it out.
 IDEMPOTENCY_VALUES = ("safe", "keyed", "unsafe", "dropped")
@@ -41,7 +41,7 @@
     voters: dict[str, str],
     storage: str,
 ) -> Settings:
-    """The configuration file of one process.
+    """The configuration file of one process, over thirty lines as it is one document.
 
     `ports` has its ports for clients ("listen"), discovery and the admin server; `voters` the address of
     each voter as this process is to see it.
@@ -66,7 +66,7 @@
             "balancers": len(plan.process_names()),
             "rules": {
                 "cold-from": 0.5,
-                "warm-after": int(plan.slow_start_seconds * SLOW_START_UNIT),
+                "warm-after": int(plan.slow_start_seconds * MICROSECONDS_PER_SECOND),
                 "overload-factor": 3.0,
                 "overload-for": 1_000_000,
             },
--- a/crankfold/fault_injection/harness.py
+++ b/crankfold/fault_injection/harness.py
@@ -38,13 +38,14 @@
 NANOSECONDS = 1e9  # in a second
 EXIT_HELD = 0
 EXIT_BROKEN = 1
-EXIT_UNUSABLE = 2
+EXIT_PLAN_ERROR = 2
 
 
 class TrialHarness:
     """One trial, from its processes' start to the verdicts.
 
-    `adjust_configuration` may change the configuration of a process before it is written.
+    Its constructor is over thirty lines as it puts all parts of a trial together. `adjust_configuration` may
+    change the configuration of a process before it is written.
     """
 
     def __init__(
@@ -298,7 +299,7 @@
             verdicts = run_trial(plan, seed, folder)
     except (PlanError, OSError) as error:
         click.echo(f"crankfold: {error}", err=True)
-        return EXIT_UNUSABLE
+        return EXIT_PLAN_ERROR
     size = f"{plan.voters} voters, {plan.followers} followers, {plan.seconds} s"
     click.echo(f"{plan.name}, seed {seed}: {size}")
     for verdict in verdicts:
--- a/crankfold/fault_injection/invariants.py
+++ b/crankfold/fault_injection/invariants.py
@@ -227,8 +227,8 @@
             return f"{call} took effect as {found} at {process}"
         if publish.outcome is PublishOutcome.REFUSED and found:
             return f"{call} was refused and is version {found[0]} at {process}"
-        kept = bool(versions) and min(versions) <= publish.version <= max(versions)
-        if publish.outcome is PublishOutcome.CONFIRMED and found != [publish.version] and kept:
+        is_retained = bool(versions) and min(versions) <= publish.version <= max(versions)
+        if publish.outcome is PublishOutcome.CONFIRMED and found != [publish.version] and is_retained:
             return f"{call}, confirmed as {publish.document} {publish.version}, is {found} at {process}"
         if found and versions[found[0]].content != publish.content:
             return f"{call} was changed at {process}"
--- a/crankfold/fault_injection/stand_ins.py
+++ b/crankfold/fault_injection/stand_ins.py
@@ -161,7 +161,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class ListedEndpoint:
+class EndpointEntry:
     """A backend as discovery lists it."""
 
     port: int
@@ -194,12 +194,12 @@
     """The backends as they are listed, with all versions of the list; a version's index is its revision."""
 
     def __init__(self) -> None:
-        self.endpoints: dict[str, ListedEndpoint] = {}  # by backend
+        self.endpoints: dict[str, EndpointEntry] = {}  # by backend
         self.versions = [ListVersion(0.0, [])]
 
     def add(self, backend_id: str, port: int, zone: str = "here") -> None:
         """List a backend, as started now."""
-        self.endpoints[backend_id] = ListedEndpoint(port, zone, time.time_ns() // 1_000_000)
+        self.endpoints[backend_id] = EndpointEntry(port, zone, time.time_ns() // 1_000_000)
         self._add_version()
 
     def remove(self, backend_id: str) -> None:
--- a/crankfold/simulation/backend.py
+++ b/crankfold/simulation/backend.py
@@ -103,7 +103,7 @@
         factor = self.slow_start_factor()
         if factor < 1.0:
             scenario = self.context.scenario
-            self.context.invariants.cold_backend_reached(
+            self.context.invariants.warming_backend_reached(
                 self.context.events.now,
                 attempt.owner.index,
                 attempt.request_id,
--- a/crankfold/simulation/baselines.py
+++ b/crankfold/simulation/baselines.py
@@ -41,7 +41,7 @@
         """The backend for the next attempt, of those that are ready."""
         return self.rng.choice(self.ready_backends)
 
-    def endpoints_changed(self, now: int, endpoints: Sequence[Endpoint], snapshot: bool) -> None:
+    def endpoints_changed(self, now: int, endpoints: Sequence[Endpoint], snapshot: bool) -> None:  # noqa: ARG002 - RoutingEvents
         """Note which backends are ready."""
         states = {} if snapshot else dict.fromkeys(self.ready_backends, EndpointState.READY)
         states |= {endpoint.backend: endpoint.state for endpoint in endpoints}
@@ -76,7 +76,12 @@
             self.actions.fail_request(request_id)
 
     def attempt_ended(
-        self, now: int, request_id: int, attempt_number: int, backend: int, end: AttemptEnd
+        self,
+        now: int,  # noqa: ARG002 - RoutingEvents
+        request_id: int,
+        attempt_number: int,  # noqa: ARG002 - RoutingEvents
+        backend: int,
+        end: AttemptEnd,
     ) -> None:
         """Retry a request that was not executed; answer others that did not complete."""
         self.in_flight[backend] -= 1
@@ -90,20 +95,20 @@
         else:
             self._finish(request_id)
 
-    def timer_fired(self, now: int, token: int) -> None:
+    def timer_fired(self, now: int, token: int) -> None:  # noqa: ARG002 - RoutingEvents
         """The deadline of a request is near."""
         if token in self.class_of_request:
             self._finish(token)
 
-    def client_disconnected(self, now: int, request_id: int) -> None:
+    def client_disconnected(self, now: int, request_id: int) -> None:  # noqa: ARG002 - RoutingEvents
         """Forget the request."""
         self.class_of_request.pop(request_id, None)
 
-    def config_changed(self, now: int, config: RoutingConfig, new_rows: Collection[int] = ()) -> None:
+    def config_changed(self, now: int, config: RoutingConfig, new_rows: Collection[int] = ()) -> None:  # noqa: ARG002 - RoutingEvents
         """Use another configuration from now on."""
         self.config = config
 
-    def request_aborted(self, now: int, request_id: int) -> None:
+    def request_aborted(self, now: int, request_id: int) -> None:  # noqa: ARG002 - RoutingEvents
         """Answer the request at once."""
         if request_id in self.class_of_request:
             self._finish(request_id)
--- a/crankfold/simulation/cluster_case.py
+++ b/crankfold/simulation/cluster_case.py
@@ -12,10 +12,16 @@
 from crankfold.simulation.event_queue import TICKS_PER_SECOND
 
 REQUEST_DEADLINE = 20_000  # of the only request class
-DEADLINE_UNITS = 100  # microseconds in a tick, in which settings have it
+MICROSECONDS_PER_TICK = 100  # settings have times in microseconds
 TOTAL_QUOTA = 30  # requests that all members together may have in hand
 CALM_SECONDS = 2  # without faults, at the end of a drawn case
 FAULT_DURATIONS = (20, 300, 1000, 5000, 15_000, 30_000)
+# Of faults that hit all links, to draw from; a single one is not drawn.
+MAGNITUDES: dict[str, tuple[float, ...]] = {
+    "loss": (0.05, 0.3, 0.6),
+    "delay": (100, 2000, 8000),
+    "double": (0.3,),
+}
 ANY = ""  # process
 
 
@@ -81,7 +87,7 @@
     request_class = {
         "name": "g",
         "effect": idempotency,
-        "cut-off": REQUEST_DEADLINE * DEADLINE_UNITS,
+        "cut-off": REQUEST_DEADLINE * MICROSECONDS_PER_TICK,
         "expected-time": 1000,
     }
     return {"service-grades": [request_class], "allowed": {"most-dispatches": 3}}
@@ -140,14 +146,9 @@
             ClusterFault(ClusterFaultKind.KILL, begin, end + rng.randrange(3000), name)
             for name in names[:voter_count]
         ]
-    if kind == "loss":
-        magnitude = rng.choice((0.05, 0.3, 0.6))
-        return [ClusterFault(ClusterFaultKind.LOSS, begin, end, magnitude=magnitude)]
-    if kind == "delay":
-        magnitude = rng.choice((100, 2000, 8000))
-        return [ClusterFault(ClusterFaultKind.DELAY, begin, end, magnitude=magnitude)]
-    if kind == "double":
-        return [ClusterFault(ClusterFaultKind.DUPLICATION, begin, end, magnitude=0.3)]
+    if kind in MAGNITUDES:
+        magnitude = rng.choice(MAGNITUDES[kind]) if len(MAGNITUDES[kind]) > 1 else MAGNITUDES[kind][0]
+        return [ClusterFault(ClusterFaultKind(kind), begin, end, magnitude=magnitude)]
     if kind == "disk":
         process = rng.choice(names[:voter_count])
     return [ClusterFault(ClusterFaultKind(kind), begin, end, process)]
@@ -155,15 +156,15 @@
 
 def _without_overlapping_kills(faults: Sequence[ClusterFault]) -> tuple[ClusterFault, ...]:
     """A process that is dead is not killed again."""
-    kept: list[ClusterFault] = []
+    accepted: list[ClusterFault] = []
     for fault in faults:
         is_repeated = fault.kind is ClusterFaultKind.KILL and any(
             other.kind is ClusterFaultKind.KILL
             and other.process == fault.process
             and other.begin <= fault.end
             and fault.begin <= other.end
-            for other in kept
+            for other in accepted
         )
         if not is_repeated:
-            kept.append(fault)
-    return tuple(kept)
+            accepted.append(fault)
+    return tuple(accepted)
--- a/crankfold/simulation/cluster_invariants.py
+++ b/crankfold/simulation/cluster_invariants.py
@@ -29,16 +29,19 @@
 class CheckPoint(NamedTuple):
     """Up to where a process was checked."""
 
-    generation: int = 0
-    applied: int = -1
+    generation: int
+    applied: int
+
+
+NOT_CHECKED = CheckPoint(generation=0, applied=-1)
 
 
 @dataclass(slots=True)
 class CheckedProcess:
     """What was seen of a process, in all its generations."""
 
-    history: CheckPoint = CheckPoint()
-    versions: CheckPoint = CheckPoint()
+    history: CheckPoint = NOT_CHECKED
+    versions: CheckPoint = NOT_CHECKED
     newest_versions: dict[str, int] = field(default_factory=dict)  # by document, that it acted on
 
 
--- a/crankfold/simulation/dispatcher.py
+++ b/crankfold/simulation/dispatcher.py
@@ -31,7 +31,7 @@
 
 
 @dataclass(slots=True)
-class RequestInHand:
+class OpenRequest:
     """What a dispatcher knows of a request."""
 
     request: ClientRequest
@@ -57,7 +57,7 @@
         self.clients = clients
         self.alive = True
         self.stalled_until = 0
-        self.requests: dict[int, RequestInHand] = {}
+        self.requests: dict[int, OpenRequest] = {}
         self.in_flight: set[tuple[int, int]] = set()  # requests with the numbers of attempts not ended yet
         config = replace(
             context.config,
@@ -70,7 +70,7 @@
 
     def receive_request(self, request_id: int, request: ClientRequest) -> None:
         """A client's request arrives."""
-        self.requests[request_id] = RequestInHand(request)
+        self.requests[request_id] = OpenRequest(request)
         deadline = self._deadline(request)
         record = RequestRecord(
             dispatcher=self.index, request_id=request_id, request_class=ONLY_CLASS, deadline=deadline
@@ -116,28 +116,28 @@
         """Send a request to a backend; the attempt times out at the request's deadline."""
         now = self.events.now
         self.context.invariants.attempt_sent(now, self.index, request_id, backend)
-        in_hand = self.requests[request_id]
+        open_request = self.requests[request_id]
         attempt = SimulatedAttempt(
             owner=self,
             request_id=request_id,
-            attempt_number=in_hand.attempt_count,
-            service_time=in_hand.request.service_time,
+            attempt_number=open_request.attempt_count,
+            service_time=open_request.request.service_time,
         )
-        in_hand.attempt_count += 1
+        open_request.attempt_count += 1
         self.in_flight.add((request_id, attempt.attempt_number))
         timeout = partial(self._attempt_ended, attempt, backend, Outcome.TIMED_OUT, ())
-        self.events.schedule(self._deadline(in_hand.request) - now, timeout)
+        self.events.schedule(self._deadline(open_request.request) - now, timeout)
         arrival = partial(self.backends[backend].receive, attempt)
         self.events.schedule(self._network_delay(backend), arrival)
 
-    def shed(self, request_id: int, retry_after: int) -> None:
+    def shed(self, request_id: int, retry_after: int) -> None:  # noqa: ARG002 - RoutingActions
         """Refuse a request; its client may try again."""
         self.context.invariants.request_answered(self.events.now, self.index, request_id, Answer.SHED)
         scenario = self.context.scenario
         request = self.requests[request_id].request
         if request.tries < scenario.client_retries:
-            again = replace(request, tries=request.tries + 1)
-            submit = partial(self.clients.submit_request, self.index, again)
+            retry = replace(request, tries=request.tries + 1)
+            submit = partial(self.clients.submit_request, self.index, retry)
             self.events.schedule(scenario.retry_delay, submit)
 
     def fail_request(self, request_id: int) -> None:
@@ -174,7 +174,7 @@
         """Discovery tells of these backends, which are all for a snapshot."""
         endpoints = [self._endpoint(index) for index in indices]
         known_at = max(self.events.now, self.stalled_until)
-        self.context.invariants.endpoints_told(known_at, self.index, endpoints)
+        self.context.invariants.endpoints_updated(known_at, self.index, endpoints)
         self._notify(self.policy.endpoints_changed, endpoints, snapshot)
 
     def _endpoint(self, index: int) -> Endpoint:
@@ -214,8 +214,8 @@
         if not self.alive:
             return
         if now < self.stalled_until:
-            again = partial(self._attempt_ended, attempt, backend, outcome, report)
-            self.events.schedule(self.stalled_until - now, again)
+            resume = partial(self._attempt_ended, attempt, backend, outcome, report)
+            self.events.schedule(self.stalled_until - now, resume)
             return
         if key not in self.in_flight:
             return  # nobody waits for it any more
--- a/crankfold/simulation/experiment.py
+++ b/crankfold/simulation/experiment.py
@@ -190,7 +190,7 @@
         return list(pool.map(_simulate_one, jobs, chunksize=1))
 
 
-def on_time_shares(rows: Sequence[Row], case: str, policy: str) -> list[float]:
+def on_time_ratios(rows: Sequence[Row], case: str, policy: str) -> list[float]:
     """The share of each seed's day."""
     return [row.day.on_time_share for row in rows if row.case == case and row.day.policy == policy]
 
@@ -220,11 +220,11 @@
         f"crankfold less the other with 95% interval; made by crankfold {__version__}"
     ]
     for case in plan.cases:
-        own = on_time_shares(rows, case.name, PRODUCT)
+        own = on_time_ratios(rows, case.name, PRODUCT)
         lines.append(f"{case.name}: {PRODUCT} {_mean(own):.3f}")
         for policy in dict.fromkeys(plan.policies):
             if policy != PRODUCT:
-                other = on_time_shares(rows, case.name, policy)
+                other = on_time_ratios(rows, case.name, policy)
                 mean, low, high = confidence_interval(own, other)
                 lines.append(
                     f"  {policy} {_mean(other):.3f}; {mean:+.3f} "
@@ -269,7 +269,7 @@
     for policy in dict.fromkeys(plan.policies):
         panel.plot(
             [f"{case.position:g}" for case in cases],
-            [_mean(on_time_shares(rows, case.name, policy)) for case in cases],
+            [_mean(on_time_ratios(rows, case.name, policy)) for case in cases],
             marker="o",
             markersize=3,
             linewidth=2.0 if policy == PRODUCT else 0.9,
--- a/crankfold/simulation/fleet.py
+++ b/crankfold/simulation/fleet.py
@@ -80,8 +80,8 @@
             if not candidate.alive:
                 continue
             if step and not request.tries:
-                again = ClientRequest(request.service_time, request.arrived_at, request.tries + 1)
-                submit = partial(self.submit_request, candidate.index, again)
+                retry = ClientRequest(request.service_time, request.arrived_at, request.tries + 1)
+                submit = partial(self.submit_request, candidate.index, retry)
                 self.events.schedule(FAILOVER_DELAY, submit)
                 return
             self.last_request_id += 1
--- a/crankfold/simulation/invariants.py
+++ b/crankfold/simulation/invariants.py
@@ -31,7 +31,7 @@
     ANSWERS = 1
     EXECUTIONS = 2
     LEAVING_BACKENDS = 3
-    COLD_BACKENDS = 4
+    WARMING_BACKENDS = 4
 
 
 class Answer(StrEnum):
@@ -71,7 +71,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class ColdArrival:
+class WarmingArrival:
     """A request arrived at a backend that is warming up."""
 
     at: int
@@ -90,7 +90,7 @@
         self.cell_of: dict[int, int] = {}
         # By dispatcher and backend: when it learned that the backend drains or is gone.
         self.excluded_since: dict[tuple[int, int], int] = {}
-        self.cold_arrivals: dict[int, deque[ColdArrival]] = defaultdict(deque)  # by backend
+        self.warming_arrivals: dict[int, deque[WarmingArrival]] = defaultdict(deque)  # by backend
         self.change_counts: Counter[int] = Counter()  # by backend, how many discovery has had
         self.violations: list[str] = []
 
@@ -102,7 +102,7 @@
 
     # --- what dispatchers know of backends ---
 
-    def endpoints_told(self, now: int, dispatcher: int, endpoints: Sequence[Endpoint]) -> None:
+    def endpoints_updated(self, now: int, dispatcher: int, endpoints: Sequence[Endpoint]) -> None:
         """A dispatcher learns the states of backends."""
         for endpoint in endpoints:
             self.zone_of[endpoint.backend] = endpoint.zone
@@ -214,7 +214,7 @@
                 record.answer = Answer.LOST
                 record.add_event(now, "lost")
 
-    def cold_backend_reached(
+    def warming_backend_reached(
         self,
         now: int,
         dispatcher: int,
@@ -232,18 +232,24 @@
         sum of all dispatchers counts, whoever sent them.
         """
         record = self.requests[dispatcher, request_id]
-        period = self.config.overload_period
-        arrivals = self.cold_arrivals[backend]
-        arrivals.append(ColdArrival(now, service_time))
-        while arrivals[0].at <= now - period:
-            arrivals.popleft()
-        allowed_work = self.config.overload_factor * capacity * period
+        arrivals = self._recent_arrivals(now, backend, service_time)
+        allowed_work = self.config.overload_factor * capacity * self.config.overload_period
         if sum(arrival.service_time for arrival in arrivals) > allowed_work:
-            self._report_violation(now, Rule.COLD_BACKENDS, f"pushed the cold runner {backend} over", record)
+            self._report_violation(
+                now, Rule.WARMING_BACKENDS, f"pushed the cold runner {backend} over", record
+            )
         allowed_count = allowed_work / mean_service_time
         if len(arrivals) > allowed_count + 2 * sqrt(allowed_count) + 2:
             text = f"is call {len(arrivals)} at the cold runner {backend}, of {allowed_count:.1f}"
-            self._report_violation(now, Rule.COLD_BACKENDS, text, record)
+            self._report_violation(now, Rule.WARMING_BACKENDS, text, record)
+
+    def _recent_arrivals(self, now: int, backend: int, service_time: int) -> Sequence[WarmingArrival]:
+        """Those at the backend within the overload period, this one among them."""
+        arrivals = self.warming_arrivals[backend]
+        arrivals.append(WarmingArrival(now, service_time))
+        while arrivals[0].at <= now - self.config.overload_period:
+            arrivals.popleft()
+        return arrivals
 
     def finish(self, now: int) -> None:
         """At the end: nobody may be without an answer whose deadline has passed."""
--- a/crankfold/simulation/model_checker.py
+++ b/crankfold/simulation/model_checker.py
@@ -1,11 +1,13 @@
-"""All orders of messages, losses, timeouts and crashes of a small case of the agreement, to a stated depth.
+"""Explores all orders of messages, losses, timeouts and crashes of a small Raft group, to a stated depth.
 
-Three voters, one of them leading, two publishes. States that were met before are not gone through again.
+Three voters, one of them leading, and a few publishes. A state that was met before is not explored again.
 """
 
 import pickle
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Mapping
 from dataclasses import dataclass, field
+from enum import StrEnum
+from typing import NamedTuple
 
 import msgspec
 
@@ -18,7 +20,39 @@
 
 TIMING = Timing(20_000)
 VOTERS = ("v0", "v1", "v2")
-Move = tuple[str, int]
+MAX_READY_ROUNDS = 4  # a write brings more to send
+MAX_STATES = 1_000_000
+NodeFactory = Callable[[str, PersistentState], Raft]
+
+
+class MoveKind(StrEnum):
+    """What can happen next."""
+
+    DELIVER = "deliver"
+    LOSE = "lose"
+    TIME_OUT = "time out"  # a voter's election is due
+    HEARTBEAT = "beat"  # the leader's heartbeat is due
+    CRASH = "crash"  # a voter dies and starts again
+    PUBLISH = "publish"
+
+
+class Move(NamedTuple):
+    """What happens, and to which message or voter."""
+
+    kind: MoveKind
+    target: int  # index in `in_flight` or of the voter
+
+    def __str__(self) -> str:
+        """As a report names it."""
+        return f"{self.kind} {self.target}"
+
+
+class SentMessage(NamedTuple):
+    """A message that has not arrived."""
+
+    sender: str
+    receiver: str
+    message: Message
 
 
 class EveryoneMayVote:
@@ -35,126 +69,128 @@
 
 @dataclass(slots=True)
 class ModelState:
-    """One state. Disks are as fast as can be: what is taken is kept before anything is sent."""
+    """One state. Disks are as fast as can be: what is to be written is, before anything is sent."""
 
     nodes: list[Raft]
     persistent_states: list[PersistentState]
-    in_flight: list[tuple[str, str, Message]] = field(default_factory=list)
-    moves_left: dict[str, int] = field(default_factory=dict)  # how often each kind of move may still come
-    committed: dict[int, LogEntry] = field(default_factory=dict)
+    moves_left: dict[MoveKind, int]  # how often each kind may still come; deliveries are not limited
+    in_flight: list[SentMessage] = field(default_factory=list)
+    committed: dict[int, LogEntry] = field(default_factory=dict)  # by log index
     leaders_by_term: dict[int, str] = field(default_factory=dict)
-    now: int = 0
-
-    def persist_and_check(self, at: int) -> str:
-        """Keeps and sends what a voter wants, and looks whether all still holds; else says what does not."""
-        node = self.nodes[at]
-        for _ in range(4):  # to keep brings more to send
-            batch = node.take_ready(self.now)
-            stored = self.persistent_states[at]
-            stored.term = batch.term
-            stored.vote = batch.vote
-            stored.founding_member = batch.founding_member
-            if batch.entries:
-                del stored.entries[batch.first_index - 1 :]
-                stored.entries += batch.entries
-            self.in_flight += [
-                (node.name, to, message) for to, message in node.take_immediate_messages() + batch.messages
-            ]
-            node.advance(self.now, batch)
-        if node.role == Role.LEADER and self.leaders_by_term.setdefault(node.term, node.name) != node.name:
-            return f"{node.name} and {self.leaders_by_term[node.term]} lead in term {node.term}"
-        for index, entry in enumerate(node.log.entries_between(0, node.commit_index), 1):
-            if self.committed.setdefault(index, entry) != entry:
-                return f"{node.name} agreed on another entry {index}"
-        return ""
+    now: int = 0  # ticks
 
     def possible_moves(self) -> Iterator[Move]:
+        """All that can happen next."""
         left = self.moves_left
-        for n in range(len(self.in_flight)):
-            yield "deliver", n
-            if left["lose"]:
-                yield "lose", n
-        for n, node in enumerate(self.nodes):
-            if left["time out"] and node.role != Role.LEADER:
-                yield "time out", n
-            if left["beat"] and node.role == Role.LEADER:
-                yield "beat", n
-            if left["crash"]:
-                yield "crash", n
-            if left["publish"] and node.role == Role.LEADER:
-                yield "publish", n
-
-    def apply(self, move: Move, begin: Callable[[str, PersistentState], Raft]) -> str:
-        what, n = move
-        if what in self.moves_left:
-            self.moves_left[what] -= 1
-        if what in ("deliver", "lose"):
-            sender, to, message = self.in_flight.pop(n)
-            if what == "lose":
-                return ""
-            n = VOTERS.index(to)
-            self.nodes[n].receive(self.now, sender, message)
-        elif what in ("time out", "beat"):
+        for index in range(len(self.in_flight)):
+            yield Move(MoveKind.DELIVER, index)
+            if left[MoveKind.LOSE]:
+                yield Move(MoveKind.LOSE, index)
+        for index, node in enumerate(self.nodes):
+            is_leader = node.role == Role.LEADER
+            if left[MoveKind.TIME_OUT] and not is_leader:
+                yield Move(MoveKind.TIME_OUT, index)
+            if left[MoveKind.HEARTBEAT] and is_leader:
+                yield Move(MoveKind.HEARTBEAT, index)
+            if left[MoveKind.CRASH]:
+                yield Move(MoveKind.CRASH, index)
+            if left[MoveKind.PUBLISH] and is_leader:
+                yield Move(MoveKind.PUBLISH, index)
+
+    def apply(self, move: Move, node_factory: NodeFactory) -> str:
+        """Make a move; what does not hold after it, or nothing."""
+        kind, index = move
+        if kind in self.moves_left:
+            self.moves_left[kind] -= 1
+        if kind is MoveKind.LOSE:
+            del self.in_flight[index]
+            return ""
+        if kind is MoveKind.DELIVER:
+            sender, receiver, message = self.in_flight.pop(index)
+            index = VOTERS.index(receiver)
+            self.nodes[index].receive(self.now, sender, message)
+        elif kind is MoveKind.CRASH:
+            self._restart(index, node_factory)
+        elif kind is MoveKind.PUBLISH:
+            entry = {"n": self.moves_left[MoveKind.PUBLISH]}
+            self.nodes[index].propose(self.now, EntryKind.PUBLISH, entry)
+        else:
+            self._advance_clock(kind, self.nodes[index])
+        return self._persist_and_check(index)
+
+    def _restart(self, index: int, node_factory: NodeFactory) -> None:
+        """The node gets a copy of what is stored, so that the two do not share entries."""
+        stored = msgspec.msgpack.encode(self.persistent_states[index])
+        self.persistent_states[index] = msgspec.msgpack.decode(stored, type=PersistentState)
+        loaded = msgspec.msgpack.decode(stored, type=PersistentState)
+        self.nodes[index] = node_factory(VOTERS[index], loaded)
+
+    def _advance_clock(self, kind: MoveKind, node: Raft) -> None:
+        if kind is MoveKind.TIME_OUT:
             # So much later that no other voter is still protected by what it heard.
-            self.now += 2 * TIMING.election_timeout if what == "time out" else 0
-            node = self.nodes[n]
-            node.election_due_at = node.heartbeat_due_at = self.now
-            if what == "beat":
-                node.broadcast_append(self.now)
-            else:
-                node.tick(self.now)
-        elif what == "crash":
-            kept = msgspec.msgpack.decode(
-                msgspec.msgpack.encode(self.persistent_states[n]), type=PersistentState
-            )
-            self.persistent_states[n] = kept
-            self.nodes[n] = begin(
-                VOTERS[n], msgspec.msgpack.decode(msgspec.msgpack.encode(kept), type=PersistentState)
-            )
+            self.now += 2 * TIMING.election_timeout
+        node.election_due_at = self.now
+        node.heartbeat_due_at = self.now
+        if kind is MoveKind.HEARTBEAT:
+            node.broadcast_append(self.now)
         else:
-            self.nodes[n].propose(self.now, EntryKind.PUBLISH, {"n": self.moves_left["publish"]})
-        return self.persist_and_check(n)
+            node.tick(self.now)
+
+    def _persist_and_check(self, index: int) -> str:
+        """Write and send what a voter wants; what does not hold then, or nothing."""
+        node = self.nodes[index]
+        stored = self.persistent_states[index]
+        for _ in range(MAX_READY_ROUNDS):
+            ready = node.take_ready(self.now)
+            stored.term = ready.term
+            stored.vote = ready.vote
+            stored.founding_member = ready.founding_member
+            if ready.entries:
+                del stored.entries[ready.first_index - 1 :]
+                stored.entries += ready.entries
+            self.in_flight += [
+                SentMessage(node.name, receiver, message)
+                for receiver, message in node.take_immediate_messages() + ready.messages
+            ]
+            node.advance(self.now, ready)
+        if node.role == Role.LEADER:
+            leader = self.leaders_by_term.setdefault(node.term, node.name)
+            if leader != node.name:
+                return f"{node.name} and {leader} lead in term {node.term}"
+        for log_index, entry in enumerate(node.log.entries_between(0, node.commit_index), 1):
+            if self.committed.setdefault(log_index, entry) != entry:
+                return f"{node.name} agreed on another entry {log_index}"
+        return ""
 
     def fingerprint(self) -> bytes:
+        """The same for two states from which the same can follow."""
         nodes = [
             (
-                r.term,
-                r.vote,
-                r.role,
-                r.leader,
-                r.commit_index,
-                r.log.durable_index,
-                r.pre_vote,
-                sorted(r.votes_granted),
-                r.log.entries,
-                sorted(r.progress.next_index.items()),
-                sorted(r.progress.match_index.items()),
+                node.term,
+                node.vote,
+                node.role,
+                node.leader,
+                node.commit_index,
+                node.log.durable_index,
+                node.pre_vote,
+                sorted(node.votes_granted),
+                node.log.entries,
+                sorted(node.progress.next_index.items()),
+                sorted(node.progress.match_index.items()),
             )
-            for r in self.nodes
+            for node in self.nodes
         ]
-        ways = sorted(msgspec.msgpack.encode(one) for one in self.in_flight)
-        return msgspec.msgpack.encode((nodes, self.persistent_states, ways, sorted(self.moves_left.items())))
-
-
-def initial_state(begin: Callable[[str, PersistentState], Raft], left: dict[str, int]) -> ModelState:
-    """v0 leads, and all know it."""
-    world = ModelState(
-        [begin(name, PersistentState()) for name in VOTERS],
-        [PersistentState() for _ in VOTERS],
-        moves_left={"lose": 0, "time out": 0, "beat": 0, "crash": 0, "publish": 0, **left},
-    )
-    world.moves_left["time out"] += 1
-    world.apply(("time out", 0), begin)
-    while world.in_flight:
-        world.apply(("deliver", 0), begin)
-    return world
+        messages = sorted(msgspec.msgpack.encode(sent) for sent in self.in_flight)
+        moves_left = sorted(self.moves_left.items())
+        return msgspec.msgpack.encode((nodes, self.persistent_states, messages, moves_left))
 
 
 def make_node(name: str, stored: PersistentState) -> Raft:
+    """A voter of the group, started from what it stored."""
     return Raft(
         name,
         stored,
-        {voter: "" for voter in VOTERS},
+        dict.fromkeys(VOTERS, ""),
         timing=TIMING,
         now=0,
         seed=1,
@@ -162,34 +198,55 @@
     )
 
 
+def initial_state(node_factory: NodeFactory, move_limits: Mapping[MoveKind, int]) -> ModelState:
+    """The first voter leads, and all know it."""
+    limited = [kind for kind in MoveKind if kind is not MoveKind.DELIVER]
+    state = ModelState(
+        nodes=[node_factory(name, PersistentState()) for name in VOTERS],
+        persistent_states=[PersistentState() for _ in VOTERS],
+        moves_left={kind: move_limits.get(kind, 0) for kind in limited},
+    )
+    state.moves_left[MoveKind.TIME_OUT] += 1
+    state.apply(Move(MoveKind.TIME_OUT, 0), node_factory)
+    while state.in_flight:
+        state.apply(Move(MoveKind.DELIVER, 0), node_factory)
+    return state
+
+
+class Exploration(NamedTuple):
+    """How many states there were, and what did not hold in one, with the moves that led there."""
+
+    states: int
+    violation: str
+
+
 def explore(
     depth: int,
-    move_limits: dict[str, int],
-    max_states: int = 1_000_000,
-    node_factory: Callable[[str, PersistentState], Raft] = make_node,
-) -> tuple[int, str]:
-    """How many states there were, and what did not hold in one with the moves that led there.
+    move_limits: Mapping[MoveKind, int],
+    max_states: int = MAX_STATES,
+    node_factory: NodeFactory = make_node,
+) -> Exploration:
+    """Go through all states up to so many moves from the initial one, until something does not hold.
 
-    `left` says how often at most each kind of move comes: lose, time out, beat, crash, publish.
+    `move_limits` says how often each kind of move comes at most.
     """
     level: list[tuple[ModelState, tuple[Move, ...]]] = [(initial_state(node_factory, move_limits), ())]
     met: set[bytes] = set()
-    states = 0
     for _ in range(depth):
-        following = []
-        for world, path in level:
-            whole = pickle.dumps(world)
-            for move in world.possible_moves():
-                after: ModelState = pickle.loads(whole)
-                wrong = after.apply(move, node_factory)
-                if wrong:
-                    return states, f"{wrong}; after {', '.join(f'{w} {n}' for w, n in (*path, move))}"
-                key = after.fingerprint()
-                if key not in met:
-                    met.add(key)
-                    states += 1
-                    following.append((after, (*path, move)))
-                if states >= max_states:
-                    return states, ""
-        level = following
-    return states, ""
+        next_level = []
+        for state, path in level:
+            pickled = pickle.dumps(state)
+            for move in state.possible_moves():
+                after: ModelState = pickle.loads(pickled)
+                violation = after.apply(move, node_factory)
+                if violation:
+                    moves = ", ".join(str(each) for each in (*path, move))
+                    return Exploration(len(met), f"{violation}; after {moves}")
+                fingerprint = after.fingerprint()
+                if fingerprint not in met:
+                    met.add(fingerprint)
+                    next_level.append((after, (*path, move)))
+                if len(met) >= max_states:
+                    return Exploration(len(met), "")
+        level = next_level
+    return Exploration(len(met), "")
--- a/tests/test_accord.py
+++ b/tests/test_accord.py
@@ -35,6 +35,7 @@
     random_scenario,
     settings_document,
 )
+from crankfold.simulation.model_checker import MoveKind
 from tests.planted import CASES, fleets
 from tests.scene import Kept
 
@@ -93,7 +94,14 @@
 class Small(Kept):
     def test_all_orders_of_a_small_case(self) -> None:
         states, wrong = model_checker.explore(
-            5, {"publish": 2, "crash": 1, "time out": 2, "lose": 1, "beat": 1}
+            5,
+            {
+                MoveKind.PUBLISH: 2,
+                MoveKind.CRASH: 1,
+                MoveKind.TIME_OUT: 2,
+                MoveKind.LOSE: 1,
+                MoveKind.HEARTBEAT: 1,
+            },
         )
         self.assertEqual(wrong, "")
         self.assertGreater(states, 5000)
@@ -110,7 +118,7 @@
                 registry=model_checker.EveryoneMayVote(),
             )
 
-        _, wrong = model_checker.explore(10, {"time out": 2}, node_factory=begin)
+        _, wrong = model_checker.explore(10, {MoveKind.TIME_OUT: 2}, node_factory=begin)
         self.assertRegex(wrong, "lead in term")
 
 
