--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -102,6 +102,19 @@
                     with self.subTest(file=str(file.relative_to(ROOT)), page=page):
                         self.assertTrue((ROOT / page).exists())
 
+    def test_owners_of_state_are_classes_of_the_files_beside_them(self) -> None:
+        page = (ROOT / "docs" / "architecture.md").read_text()
+        table = page.partition("## Who owns which state")[2].partition("\n## ")[0]
+        rows = [line.split("|")[2] for line in table.splitlines() if line.startswith("| ")][2:]
+        self.assertGreater(len(rows), 15)
+        for owner in rows:
+            files = re.findall(r"`(\w+/\w+\.py)`", owner)
+            code = "".join((ROOT / "crankfold" / file).read_text() for file in files)
+            names = re.findall(r"`([A-Z]\w+)`", owner)
+            self.assertTrue(names and files, owner)
+            for name in names:
+                self.assertRegex(code, rf"(?m)^class {name}\b", owner)
+
     def test_lines_outside_tables_are_short(self) -> None:
         for page in PAGES:
             for number, line in enumerate(page.read_text().splitlines(), 1):
@@ -109,6 +122,96 @@
                     self.assertLessEqual(len(line), WIDTH, f"{page.name}:{number}")
 
 
+class OnCall(unittest.TestCase):
+    def setUp(self) -> None:
+        self.page = (ROOT / "docs" / "on-call.md").read_text()
+        trees = [ast.parse(path.read_text()) for path in (ROOT / "crankfold").rglob("*.py")]
+        nodes = [node for tree in trees for node in ast.walk(tree)]
+        docs = {id(n.value) for n in nodes if isinstance(n, ast.Expr) and isinstance(n.value, ast.Constant)}
+        self.texts = {
+            n.value
+            for n in nodes
+            if isinstance(n, ast.Constant) and isinstance(n.value, str) and id(n) not in docs
+        }
+        self.formats = [
+            [str(part.value) if isinstance(part, ast.Constant) else "" for part in n.values]
+            for n in nodes
+            if isinstance(n, ast.JoinedStr)
+        ]
+        calls = [n for n in nodes if isinstance(n, ast.Call) and isinstance(n.func, ast.Attribute)]
+        counting = [n for n in calls if ast.unparse(n.func).endswith((".increment", ".record_maximum"))]
+        self.counters = {
+            part.value
+            for call in counting
+            for part in ast.walk(call.args[0])
+            if isinstance(part, ast.Constant) and isinstance(part.value, str) and part.value[0] not in "-_"
+        }
+
+    def is_there(self, counter: str) -> bool:
+        """Whole, or composed of a beginning that the program has and something that differs."""
+        name = counter.rstrip(".N")
+        begins = [text for text in self.texts if text.endswith("-") and len(text) > 3]
+        return name in self.texts or any(name.startswith(text) for text in begins)
+
+    def test_every_counter_named_is_in_the_program(self) -> None:
+        counters = self.page.partition("## Counters")[2].partition("\n## ")[0]
+        named = [
+            word
+            for line in counters.splitlines()
+            if line.startswith("| `")
+            for word in re.findall(r"`([a-z0-9-]+)`", line.split("|")[1])
+        ]
+        table = self.page.partition("| counter before")[2].partition("\n\n")[0]
+        named += [
+            word for line in table.splitlines()[2:] for word in re.findall(r"`([\w-]+)`", line.split("|")[2])
+        ]
+        self.assertGreater(len(named), 100)
+        for word in named:
+            with self.subTest(word):
+                self.assertTrue(self.is_there(word))
+
+    def test_every_counter_of_the_program_is_named(self) -> None:
+        self.assertGreater(len(self.counters), 40)
+        for counter in self.counters:
+            with self.subTest(counter):
+                self.assertRegex(self.page, rf"`{re.escape(counter)}[\w.-]*`")
+
+    def test_every_line_of_the_log_that_is_quoted_is_in_the_program(self) -> None:
+        formats = [*self.formats, *(re.split(r"%[sr]", text) for text in self.texts)]
+        formats = [parts for parts in formats if sum(len(part) for part in parts) >= 4]
+        patterns = [re.compile(".*".join(re.escape(part) for part in parts), re.DOTALL) for parts in formats]
+        samples = ["_".join(parts) for parts in formats]
+        samples += [sample.partition(": ")[2] for sample in samples]
+
+        def is_there(line: str) -> bool:
+            """A text of the program with its gaps filled, or one that fills the gaps of the quoted line."""
+            category, _, rest = line.partition(": ")
+            if rest == "..." and category in self.texts:
+                return True
+            rest = rest if rest != "..." else ""
+            filled = any(pattern.fullmatch(text) for text in (line, rest) for pattern in patterns)
+            quoted = [
+                re.sub(r"\\\.\\\.\\\.|\b[A-Z]{2,}\b|\bN\b", ".*", re.escape(text)) for text in (line, rest)
+            ]
+            fills = any(re.fullmatch(text, sample) for text in quoted if text for sample in samples)
+            parts = rest.split("; ")
+            return filled or fills or (len(parts) > 1 and all(is_there(part) for part in parts))
+
+        lines = self.page.partition("## Log lines")[2].partition("\n## ")[0]
+        quoted = [
+            text
+            for line in lines.splitlines()
+            if line.startswith("| `")
+            for text in re.findall(r"`([^`]+)`", line.split("|")[1])
+        ]
+        self.assertGreater(len(quoted), 30)
+        for text in quoted:
+            with self.subTest(text):
+                self.assertTrue(is_there(text))
+        for text in ("discovery: the new list stands", "serving under ...", "rumour: ..."):
+            self.assertFalse(is_there(text), text)
+
+
 class Layers(unittest.TestCase):
     def test_each_package_imports_only_from_those_above_it_in_the_readme(self) -> None:
         table = re.findall(r"^\| `crankfold/(\w+)/` \|", (ROOT / "README.md").read_text(), re.MULTILINE)
