--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -102,6 +102,18 @@
                     with self.subTest(file=str(file.relative_to(ROOT)), page=page):
                         self.assertTrue((ROOT / page).exists())
 
+    def test_each_crossing_names_a_test_that_is_there(self) -> None:
+        files = [path.read_text() for path in (ROOT / "tests").rglob("test_*.py")]
+        tests = [name for text in files for name in re.findall(r"def test_(\w+)", text)]
+        page = (ROOT / "docs" / "crossings.md").read_text()
+        rows = [line.split("|")[3].strip() for line in page.splitlines() if line.startswith("| ")]
+        phrases = [part for cell in rows if cell not in ("test", "---") for part in cell.split("; ")]
+        self.assertGreater(len(phrases), 35)
+        for phrase in phrases:
+            words = re.sub(r"\W+", "_", phrase.lower().replace("'s", "s"))
+            with self.subTest(phrase):
+                self.assertTrue([name for name in tests if words in name])
+
     def test_owners_of_state_are_classes_of_the_files_beside_them(self) -> None:
         page = (ROOT / "docs" / "architecture.md").read_text()
         table = page.partition("## Who owns which state")[2].partition("\n## ")[0]
