--- a/crankfold/network/accepted_connection.py
+++ b/crankfold/network/accepted_connection.py
@@ -82,6 +82,10 @@
             protocol.discarding_input = True
             self.listener.flooding_connections.add(self)
 
+    def is_awaiting_response(self) -> bool:
+        """Whether a request is in hand that has no answer yet."""
+        return self.protocol.awaiting_response
+
     def peer_has_closed(self) -> bool:
         """Whether its end has come, read or not: of one that gave up while it waited to be accepted."""
         return has_pending(self.writer, PEER_CLOSED)
--- a/crankfold/network/listener.py
+++ b/crankfold/network/listener.py
@@ -7,7 +7,7 @@
 
 from crankfold.network.accepted_connection import NEW_CONNECTION_GRACE, READ_SIZE, AcceptedConnection
 from crankfold.network.metrics import Metrics
-from crankfold.protocol.client_connection import ClientRequestHandler
+from crankfold.protocol.client_connection import ClientChannel, ClientRequestHandler
 
 # Seconds from connecting to a first request or callback; who sends neither must be out by 3.
 FIRST_REQUEST_TIMEOUT = 2.0
@@ -26,7 +26,7 @@
 class ConnectionHandler(ClientRequestHandler, Protocol):
     """Where requests go, and who hears of clients that leave."""
 
-    def client_disconnected(self, client: AcceptedConnection) -> None:
+    def client_disconnected(self, client: ClientChannel) -> None:
         """The client has gone before its request was answered."""
 
 
--- a/crankfold/protocol/client_connection.py
+++ b/crankfold/protocol/client_connection.py
@@ -11,18 +11,37 @@
 from crankfold.protocol.headers import MAX_BODY_SIZE, MAX_HEADER_SIZE, Header
 
 
+class ClientChannel(Protocol):
+    """The connection on which a request or callback came, and on which it is answered."""
+
+    def respond(self, status: int, headers: Sequence[Header] = (), body: bytes = b"") -> None:
+        """Answers the request in hand."""
+
+    def reject(self, status: int) -> None:
+        """Answers the request in hand and ends the connection."""
+
+    def is_awaiting_response(self) -> bool:
+        """Whether a request is in hand that has no answer yet."""
+
+    def peer_has_closed(self) -> bool:
+        """Whether the other side has ended the connection, as far as the system knows."""
+
+    def exceeds_limit(self) -> bool:
+        """Whether more connections are open than may be: what comes on this one is to be shed."""
+
+
 class CallbackReceiver(CallbackHandler, Protocol):
-    """Where callbacks go once they are read. `client` is what `respond` is called on later."""
+    """Where callbacks go once they are read."""
 
     def has_request(self, request_id: str) -> bool:
         """Whether that request is in hand here."""
 
-    def forward_unknown_callback(self, client: object, body: bytes) -> bool:
+    def forward_unknown_callback(self, client: ClientChannel, body: bytes) -> bool:
         """Passes on a callback for a request not in hand; whether its response waits for an answer."""
 
 
 class ClientRequestHandler(Protocol):
-    """Where requests go once they are read. `client` is what `respond` is called on later."""
+    """Where requests go once they are read."""
 
     @property
     def callbacks(self) -> CallbackReceiver:
@@ -34,7 +53,7 @@
     def knows_request_class(self, name: str) -> bool:
         """Whether there is a request class of that name."""
 
-    def submit(self, client: object, request: ClientRequest) -> None:
+    def submit(self, client: ClientChannel, request: ClientRequest) -> None:
         """Takes a request in; it is answered on `client`, at once or later."""
 
 
@@ -53,7 +72,9 @@
         buffered_bytes: received behind the last request that was read.
     """
 
-    def __init__(self, handler: ClientRequestHandler, client: object, report_fields: Sequence[str]) -> None:
+    def __init__(
+        self, handler: ClientRequestHandler, client: ClientChannel, report_fields: Sequence[str]
+    ) -> None:
         self.http = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEADER_SIZE)
         self.handler = handler
         self.client = client
--- a/crankfold/service/callback_handler.py
+++ b/crankfold/service/callback_handler.py
@@ -3,8 +3,8 @@
 import asyncio
 from collections.abc import Sequence
 
-from crankfold.network.accepted_connection import AcceptedConnection
 from crankfold.network.metrics import Metrics
+from crankfold.protocol.client_connection import ClientChannel
 from crankfold.routing.interface import Outcome
 from crankfold.service.attempts import Attempts, RequestOwner
 from crankfold.service.backend_registry import BackendRegistry
@@ -49,13 +49,12 @@
         """Whether the request is in hand here."""
         return request_id in self.request_table.by_request_id
 
-    def forward_unknown_callback(self, client: object, body: bytes) -> bool:
+    def forward_unknown_callback(self, client: ClientChannel, body: bytes) -> bool:
         """Passes on a callback for a request that is not in hand here.
 
         Returns:
             Whether another process was asked; its answer is then the response to the callback.
         """
-        assert isinstance(client, AcceptedConnection)
 
         def on_answer(handled: bool | None) -> None:
             # It may come at once, from within the call; the response waits for the next turn.
@@ -63,10 +62,10 @@
 
         return self.other_processes.forward_callback(body, on_answer)
 
-    def _respond_to_forwarded(self, client: AcceptedConnection, handled: bool | None) -> None:
+    def _respond_to_forwarded(self, client: ClientChannel, handled: bool | None) -> None:
         if not handled:
             self.metrics.increment("callbacks-unknown-request")
-        if client.protocol.awaiting_response:
+        if client.is_awaiting_response():
             # A request that no process knows counts as told. Where one did not answer, the backend is to try
             # again.
             client.respond(503 if handled is None else 204)
--- a/crankfold/service/request_handler.py
+++ b/crankfold/service/request_handler.py
@@ -6,9 +6,9 @@
 from functools import partial
 
 from crankfold.config.parser import ServiceConfig, setting_text
-from crankfold.network.accepted_connection import AcceptedConnection
 from crankfold.network.metrics import Metrics
 from crankfold.network.timers import TICKS_PER_SECOND, Timers
+from crankfold.protocol.client_connection import ClientChannel
 from crankfold.protocol.client_request import ClientRequest
 from crankfold.routing.interface import Endpoint, RequestArrival, RoutingConfig
 from crankfold.routing.router import Router
@@ -158,9 +158,8 @@
         """Whether there is a request class of that name."""
         return self.request_classes.find(setting_text(name)) >= 0
 
-    def submit(self, client: object, request: ClientRequest) -> None:
+    def submit(self, client: ClientChannel, request: ClientRequest) -> None:
         """Admits a request, or answers at once why not."""
-        assert isinstance(client, AcceptedConnection)
         refusal = self._check_admission(client, request)
         if refusal:
             self._refuse(client, refusal)
@@ -192,7 +191,7 @@
             request_number=admitted.number,
         )
 
-    def _check_admission(self, client: AcceptedConnection, request: ClientRequest) -> Refusal | None:
+    def _check_admission(self, client: ClientChannel, request: ClientRequest) -> Refusal | None:
         if client.peer_has_closed():
             return CLIENT_GONE
         if self.closed:
@@ -206,7 +205,7 @@
             return NO_VALID_CONFIG
         return None
 
-    def _refuse(self, client: AcceptedConnection, refusal: Refusal) -> None:
+    def _refuse(self, client: ClientChannel, refusal: Refusal) -> None:
         self.metrics.increment(refusal.counter)
         if refusal.closes_connection:
             client.reject(refusal.status)
@@ -217,7 +216,7 @@
 
     # --- ends that come from outside ---
 
-    def client_disconnected(self, client: AcceptedConnection) -> None:
+    def client_disconnected(self, client: ClientChannel) -> None:
         """The client has gone; its request needs no answer."""
         request = self.request_table.by_client.get(client)
         if request and request.is_open:
--- a/crankfold/service/request_table.py
+++ b/crankfold/service/request_table.py
@@ -5,8 +5,8 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-from crankfold.network.accepted_connection import AcceptedConnection
 from crankfold.network.connection_pool import Exchange
+from crankfold.protocol.client_connection import ClientChannel
 from crankfold.protocol.client_request import HttpRequest
 from crankfold.routing.interface import RequestClass
 from crankfold.service.collaborators import ClusterServices
@@ -77,7 +77,7 @@
     number: int
     class_index: int
     request_id: str
-    client: AcceptedConnection
+    client: ClientChannel
     deadline: int
     http_request: HttpRequest
     attempts: list[Attempt] = field(default_factory=list)
@@ -99,14 +99,14 @@
         self.cluster = cluster
         self.requests: dict[int, Request] = {}
         self.by_request_id: dict[str, Request] = {}
-        self.by_client: dict[AcceptedConnection, Request] = {}
+        self.by_client: dict[ClientChannel, Request] = {}
         self.next_number = 0
 
     def add(
         self,
         class_index: int,
         request_id: str,
-        client: AcceptedConnection,
+        client: ClientChannel,
         deadline: int,
         http_request: HttpRequest,
     ) -> Request:
--- a/tests/protocol/test_client_connection.py
+++ b/tests/protocol/test_client_connection.py
@@ -1,9 +1,10 @@
 """Connections of clients and backends, fed bytes: whole, in pieces and broken."""
 
 from collections.abc import Sequence
+from unittest.mock import Mock
 
 from crankfold.protocol import callbacks
-from crankfold.protocol.client_connection import ClientConnection
+from crankfold.protocol.client_connection import ClientChannel, ClientConnection
 from crankfold.protocol.client_request import ClientRequest
 from crankfold.routing.interface import Outcome
 from tests.scene import Kept
@@ -28,7 +29,7 @@
     def knows_request_class(self, name: str) -> bool:
         return name == "g"
 
-    def submit(self, _client: object, request: ClientRequest) -> None:
+    def submit(self, _client: ClientChannel, request: ClientRequest) -> None:
         self.say(
             f"{request.request_id} {request.request_class} waits {request.timeout} "
             f"work {request.work} slots {request.slots:g}"
@@ -42,7 +43,7 @@
     def has_request(self, request_id: str) -> bool:
         return request_id != "elsewhere"
 
-    def forward_unknown_callback(self, _client: object, body: bytes) -> bool:
+    def forward_unknown_callback(self, _client: ClientChannel, body: bytes) -> bool:
         self.say(f"passed on {body.decode()}")
         return True
 
@@ -58,7 +59,7 @@
         self.say(f"{request_id} on {backend_id}: {outcome.name.lower()} {result.decode()} {tuple(report)}")
 
     def connect(self) -> ClientConnection:
-        return ClientConnection(self, self, ("queue", "x0"))
+        return ClientConnection(self, Mock(), ("queue", "x0"))
 
     def say_written(self, connection: ClientConnection) -> None:
         if connection.outgoing:
