--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -58,7 +58,7 @@
     async def until(self, holds: Callable[[], bool]) -> None:
         """Waits for a condition; fails after half a minute."""
         async with asyncio.timeout(30):
-            while not holds():
+            while not holds():  # noqa: ASYNC110 - what is waited for sets no event
                 await asyncio.sleep(0.001)
 
 
--- a/tests/network/test_connection_pool.py
+++ b/tests/network/test_connection_pool.py
@@ -43,7 +43,7 @@
                 await read_request(reader)
                 writer.write(OK)
 
-        async def hang_up(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        async def hang_up(reader: asyncio.StreamReader, _writer: asyncio.StreamWriter) -> None:
             await read_request(reader)
 
         async def babble(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -101,7 +101,7 @@
     async def test_an_exchange_aborted_before_its_response_closes_the_connection(self) -> None:
         closed = asyncio.Event()
 
-        async def silent(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        async def silent(reader: asyncio.StreamReader, _writer: asyncio.StreamWriter) -> None:
             await read_request(reader)
             await reader.read()
             closed.set()
--- a/tests/network/test_discovery_watcher.py
+++ b/tests/network/test_discovery_watcher.py
@@ -87,7 +87,7 @@
             writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
             await reader.read()
 
-        def on_endpoints(endpoints: Any, is_snapshot: bool) -> None:
+        def on_endpoints(_endpoints: Any, is_snapshot: bool) -> None:
             self.say(f"told {'the snapshot' if is_snapshot else 'changes'}")
             answered.set()
 
@@ -135,7 +135,7 @@
     ) -> tuple[DiscoveryWatcher, asyncio.Event]:
         answered = asyncio.Event()
 
-        def on_endpoints(endpoints: Any, is_snapshot: bool) -> None:
+        def on_endpoints(_endpoints: Any, is_snapshot: bool) -> None:
             self.say(f"told {'the snapshot' if is_snapshot else 'changes'}")
             answered.set()
 
@@ -181,7 +181,7 @@
             patch("crankfold.network.discovery_watcher.LONG_POLL_MS", 20),
             patch("crankfold.network.discovery_watcher.OVERDUE_GRACE", 0.05),
         ):
-            watcher, answered = await self.start_watcher(discovery, revision=5)
+            watcher, _answered = await self.start_watcher(discovery, revision=5)
             async with asyncio.timeout(2):
                 await silent.wait()
                 self.assertEqual(watcher.revision, 6)
@@ -205,7 +205,7 @@
             await reader.read()
             open_now.discard(writer)
 
-        watcher, answered = await self.start_watcher(discovery, revision=5)
+        _watcher, answered = await self.start_watcher(discovery, revision=5)
         with (
             patch("crankfold.network.discovery_watcher.LONG_POLL_MS", 20),
             patch("crankfold.network.discovery_watcher.OVERDUE_GRACE", 0.01),
--- a/tests/network/test_listener.py
+++ b/tests/network/test_listener.py
@@ -18,7 +18,7 @@
     """The listener before a handler that answers nothing by itself."""
 
     async def begin(self, max_connections: int = 100) -> None:
-        self.handler = Mock(is_serving=lambda: True, knows_request_class=lambda name: True)
+        self.handler = Mock(is_serving=lambda: True, knows_request_class=lambda _name: True)
         self.metrics = Metrics()
         self.listener = Listener(self.handler, self.metrics, (), max_connections)
         await self.listener.open("127.0.0.1", 0)
@@ -122,7 +122,7 @@
 
     async def test_at_the_limit_idle_connections_go_and_a_request_in_hand_stays(self) -> None:
         await self.begin(max_connections=2)
-        reader, writer = await self.connect(UNIT)
+        reader, _writer = await self.connect(UNIT)
         await self.until(lambda: self.handler.submit.called)
         idle, _ = await self.connect()
         self.assertFalse(self.listener.is_over_limit())
@@ -137,7 +137,9 @@
 
     async def test_the_response_to_a_body_too_large_arrives_while_it_is_still_sent(self) -> None:
         await self.begin()
-        reader, writer = await self.connect(UNIT.replace(b"Length: 2", b"Length: 9000000") + b"x" * 5_000_000)
+        reader, _writer = await self.connect(
+            UNIT.replace(b"Length: 2", b"Length: 9000000") + b"x" * 5_000_000
+        )
         self.assertIn(b" 413 ", await reader.readline())
         self.assertFalse(self.handler.submit.called)
         failures: list[object] = []
@@ -159,7 +161,7 @@
 
     async def test_a_client_that_disconnects_and_one_that_pipelines_without_end(self) -> None:
         await self.begin()
-        reader, writer = await self.connect(UNIT + UNIT * 2000)
+        reader, _writer = await self.connect(UNIT + UNIT * 2000)
         await self.until(lambda: self.handler.submit.called)
         client = self.handler.submit.call_args[0][0]
         await self.until(lambda: client.unread_bytes > MAX_UNREAD_BYTES)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -152,7 +152,7 @@
     async def test_what_is_called_off_while_it_is_written_never_arrives(self) -> None:
         called_off, came = asyncio.Event(), asyncio.get_running_loop().create_future()
 
-        async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        async def runner(reader: asyncio.StreamReader, _writer: asyncio.StreamWriter) -> None:
             await called_off.wait()
             with contextlib.suppress(ConnectionError):
                 came.set_result(len(await reader.read(-1)))
@@ -168,7 +168,7 @@
             self.assertLess(await came, 30_000_000)
 
     async def test_a_break_in_the_turn_in_which_the_last_byte_left_may_have_run(self) -> None:
-        async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        async def runner(reader: asyncio.StreamReader, _writer: asyncio.StreamWriter) -> None:
             await reader.read()
 
         await self.begin(runner)
@@ -185,7 +185,7 @@
 
 class ListenerCrossings(Loopback):
     async def begin(self) -> None:
-        self.handler = Mock(is_serving=lambda: True, knows_request_class=lambda name: True)
+        self.handler = Mock(is_serving=lambda: True, knows_request_class=lambda _name: True)
         self.metrics = Metrics()
         self.listener = Listener(self.handler, self.metrics, (), 100)
         await self.listener.open("127.0.0.1", 0)
@@ -195,7 +195,7 @@
         await self.begin()
         large = UNIT.replace(b"Length: 2", b"Length: 60000") + b"x" * 59_998
         for number, behind in enumerate((b"", b"y" * 400_000), 1):
-            reader, writer = await asyncio.open_connection("127.0.0.1", self.listener.port())
+            _reader, writer = await asyncio.open_connection("127.0.0.1", self.listener.port())
             writer.write(large + behind)
             await self.until(lambda n=number: self.handler.submit.call_count == n)  # type: ignore[misc]
             with contextlib.suppress(ConnectionError):
@@ -238,7 +238,7 @@
         self.config["settings"]["service-grades"][0].update(effect=effect, **more)
 
     async def test_a_client_that_went_before_it_was_read_has_nothing_sent(self) -> None:
-        async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        async def runner(reader: asyncio.StreamReader, _writer: asyncio.StreamWriter) -> None:
             self.say((await read_request(reader))[0].splitlines()[0])
 
         await self.begin(runner)
@@ -251,7 +251,7 @@
         self.assertEqual((self.lines, self.application.metrics.counters["attempts"]), ([], 0))
 
     async def test_a_client_that_goes_while_its_unit_waits_for_a_connection_has_nothing_sent(self) -> None:
-        async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        async def runner(reader: asyncio.StreamReader, _writer: asyncio.StreamWriter) -> None:
             self.say((await read_request(reader))[0].splitlines()[0])
 
         await self.begin(runner)
@@ -274,7 +274,7 @@
         self.assertEqual(self.application.request_handler.open_request_count(), 0)
 
     async def test_a_request_read_after_the_last_answers_is_shed_and_not_sent_on(self) -> None:
-        async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        async def runner(reader: asyncio.StreamReader, _writer: asyncio.StreamWriter) -> None:
             await read_request(reader)
             self.say("sent on")
 
@@ -338,7 +338,7 @@
         writer.close()
 
     async def test_the_window_that_ends_while_a_connection_comes_up_holds_a_tagged_unit_back(self) -> None:
-        async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        async def runner(reader: asyncio.StreamReader, _writer: asyncio.StreamWriter) -> None:
             self.say((await read_request(reader))[0].splitlines()[0])  # and breaks: it may have run
 
         await self.begin(runner, "keyed", group="zone", **{"repeat-window": 300_000})
@@ -361,7 +361,7 @@
         with (
             patch.object(pool, "_connect", late),
             patch.object(routing.selection, "_healthy", lambda *_: routing.state.table.backends[:1]),
-            patch("crankfold.service.request_table.Attempt.was_sent", lambda trip: False),
+            patch("crankfold.service.request_table.Attempt.was_sent", lambda _trip: False),
         ):
             answer = await self.send_request("u1")
         self.assertEqual((answer[0].split()[1], opened, len(self.lines)), ("504", 2, 1))
@@ -408,7 +408,7 @@
         self.assertEqual(await self.beside(False), "504")
 
     async def test_told_to_end_before_it_serves_it_takes_nobody(self) -> None:
-        async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        async def runner(_reader: asyncio.StreamReader, _writer: asyncio.StreamWriter) -> None:
             raise AssertionError("nothing is sent")
 
         await self.begin(runner)
@@ -420,7 +420,7 @@
         self.assertFalse(opened.called)
 
     async def test_a_new_configuration_told_before_the_program_is_whole_is_read(self) -> None:
-        async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        async def runner(reader: asyncio.StreamReader, _writer: asyncio.StreamWriter) -> None:
             await read_request(reader)
 
         await self.begin(runner)
@@ -472,7 +472,7 @@
         await asyncio.sleep(0.3)
         back.set()
         async with asyncio.timeout(6):
-            while (await self.send_request("u1"))[1] != b"done":
+            while (await self.send_request("u1"))[1] != b"done":  # noqa: ASYNC110 - each turn asks again
                 await asyncio.sleep(0.05)
         for one in idle:
             one.close()
@@ -481,7 +481,7 @@
         self.assertEqual((self.process.returncode, "failures=" in printed), (0, False), printed)
 
     async def test_a_first_call_that_breaks_does_not_end_the_wait_for_the_list(self) -> None:
-        async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        async def runner(reader: asyncio.StreamReader, _writer: asyncio.StreamWriter) -> None:
             await read_request(reader)
             self.say("sent to a runner that discovery has as draining")
 
@@ -507,19 +507,19 @@
         self.assertEqual(((await self.send_request("u1", wait=0.2))[0].split()[1], self.lines), ("503", []))
 
     async def test_a_cut_off_before_the_decisions_had_their_turn_sheds_what_never_went(self) -> None:
-        async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        async def runner(_reader: asyncio.StreamReader, _writer: asyncio.StreamWriter) -> None:
             raise AssertionError("nothing is sent")
 
         await self.begin(runner)
         self.backend_state = "terminating"
         self.config["known"] = self.discovery_answer()
         await self.start_in_process()
-        with patch.object(self.application.request_handler.routing, "timer_fired", lambda now, label: None):
+        with patch.object(self.application.request_handler.routing, "timer_fired", lambda _now, _label: None):
             self.assertEqual((await self.send_request("u1", wait=0.1))[0].split()[1], "503")
         self.assertEqual(self.application.metrics.counters["requests-open-at-deadline"], 1)
 
     async def test_by_the_grades_in_force_is_told_how_long_an_end_may_take(self) -> None:
-        async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        async def runner(reader: asyncio.StreamReader, _writer: asyncio.StreamWriter) -> None:
             await read_request(reader)
 
         await self.begin(runner)
