--- a/crankfold/service/attempts.py
+++ b/crankfold/service/attempts.py
@@ -115,7 +115,7 @@
         never_twice = self.request_table.class_of(request).idempotency != Idempotency.IDEMPOTENT
         return any(
             earlier.backend == backend
-            and (earlier.in_flight or earlier.may_still_run or never_twice and earlier.was_sent())
+            and (earlier.in_flight or earlier.may_still_run or (never_twice and earlier.was_sent()))
             for earlier in request.attempts
         )
 
--- a/crankfold/service/callback_handler.py
+++ b/crankfold/service/callback_handler.py
@@ -9,7 +9,7 @@
 from crankfold.service.attempts import Attempts, RequestOwner
 from crankfold.service.backend_registry import BackendRegistry
 from crankfold.service.collaborators import ClusterServices, OtherProcesses
-from crankfold.service.request_table import Attempt, Disposition, Request, RequestTable
+from crankfold.service.request_table import ActiveAttempt, Disposition, RequestTable
 
 
 class CallbackHandler:
@@ -73,7 +73,7 @@
     def execution_started(self, request_id: str, backend_id: str) -> None:
         """The backend began to execute the request."""
         found = self._find_attempt(request_id, backend_id)
-        if found and not found[1].started:
+        if found and not found.attempt.started:
             request, attempt = found
             attempt.started = True
             self.owner.notify_routing(
@@ -84,7 +84,12 @@
                 request_number=request.number,
             )
 
-    def execution_progressed(self, request_id: str, backend_id: str, progress: float) -> None:
+    def execution_progressed(
+        self,
+        request_id: str,
+        backend_id: str,
+        progress: float,  # noqa: ARG002 - that it gets on is all that routing needs
+    ) -> None:
         """The backend gets on with the request; how far does not matter."""
         found = self._find_attempt(request_id, backend_id)
         if found:
@@ -111,7 +116,7 @@
         """
         found = self._find_attempt(request_id, backend_id)
         if not found:
-            self.request_table.mark_abandoned_finished(request_id, self.backends.backend_ids.find(backend_id))
+            self.request_table.end_abandoned_attempts(request_id, self.backends.backend_ids.find(backend_id))
             self.cluster.abandoned_attempt_finished(request_id, backend_id)
             return
         request, attempt = found
@@ -120,7 +125,7 @@
             self.owner.respond(request, Disposition.COMPLETED, result)
         self.attempts.end(request, attempt, outcome, report)
 
-    def _find_attempt(self, request_id: str, backend_id: str) -> tuple[Request, Attempt] | None:
+    def _find_attempt(self, request_id: str, backend_id: str) -> ActiveAttempt | None:
         backend = self.backends.backend_ids.find(backend_id)
         found = self.request_table.find_active_attempt(request_id, backend)
         if not found:
--- a/crankfold/service/collaborators.py
+++ b/crankfold/service/collaborators.py
@@ -78,7 +78,11 @@
         """See `ClusterServices`."""
         return True
 
-    def acquire_quota(self, request_class: str, tenant: str) -> Sequence[str] | None:
+    def acquire_quota(
+        self,
+        request_class: str,  # noqa: ARG002 - nothing is limited
+        tenant: str,  # noqa: ARG002 - nothing is limited
+    ) -> Sequence[str] | None:
         """See `ClusterServices`."""
         return ()
 
@@ -105,11 +109,15 @@
         """See `OtherProcesses`."""
         return False
 
-    def has_request(self, request_id: str) -> bool:
+    def has_request(self, request_id: str) -> bool:  # noqa: ARG002 - nobody else has any
         """See `OtherProcesses`."""
         return False
 
-    def forward_callback(self, body: bytes, on_answer: CallbackAnswer) -> bool:
+    def forward_callback(
+        self,
+        body: bytes,  # noqa: ARG002 - there is nobody to ask
+        on_answer: CallbackAnswer,  # noqa: ARG002 - there is nobody to ask
+    ) -> bool:
         """See `OtherProcesses`."""
         return False
 
--- a/crankfold/service/request_classes.py
+++ b/crankfold/service/request_classes.py
@@ -55,13 +55,13 @@
         free = [index for index, count in enumerate(self.open_counts) if not count and index not in unchanged]
         for name, request_class in current.items():
             if name not in self.index_by_name:
-                self.index_by_name[name] = self._place(request_class, free)
+                self.index_by_name[name] = self._assign_row(request_class, free)
         # A class of another name with the same settings is another class: what routing learnt of one says
         # nothing of the other.
         self.reassigned = frozenset(self.index_by_name.values()) - unchanged
         return self.index_by_name != previous
 
-    def _place(self, request_class: RequestClass, free: list[int]) -> int:
+    def _assign_row(self, request_class: RequestClass, free: list[int]) -> int:
         """Puts a class in the first free row, which is taken off the list, or in a new one."""
         if free:
             index = free.pop(0)
--- a/crankfold/service/request_handler.py
+++ b/crankfold/service/request_handler.py
@@ -10,6 +10,7 @@
 from crankfold.network.timers import TICKS_PER_SECOND, Timers
 from crankfold.protocol.client_connection import ClientChannel
 from crankfold.protocol.client_request import ClientRequest
+from crankfold.protocol.headers import Header
 from crankfold.routing.interface import Endpoint, RequestArrival, RoutingConfig
 from crankfold.routing.router import Router
 from crankfold.service.attempts import Attempts
@@ -22,9 +23,8 @@
 from crankfold.service.request_classes import RequestClassTable
 from crankfold.service.request_table import Disposition, Request, RequestTable
 
-TRANSIT_ALLOWANCE = (
-    10  # ticks that a request was under way before it was read: its deadline is that much nearer
-)
+# Ticks that a request was under way before it was read: its deadline is that much nearer.
+TRANSIT_ALLOWANCE = 10
 
 ADMITTED_COUNTER = "requests-admitted"
 
@@ -84,6 +84,7 @@
         other_processes: OtherProcesses,
         poll_endpoints: Callable[[], None],
     ) -> None:
+        # Long, as it is the one place where the parts of the request side are made and given to each other.
         self.config = config
         self.timers = timers
         self.clock = timers.clock
@@ -168,6 +169,10 @@
         if quota_limits is None:
             self._refuse(client, QUOTA_USED_UP)
             return
+        self._admit(client, request, quota_limits)
+
+    def _admit(self, client: ClientChannel, request: ClientRequest, quota_limits: Sequence[str]) -> None:
+        """Takes a request in hand, and leaves it to the decisions."""
         self.metrics.increment(ADMITTED_COUNTER)
         self.cluster.record_event(RecordedEvent.REQUEST_ADMITTED, request.request_id, request.request_class)
         timeout = max(request.timeout - TRANSIT_ALLOWANCE, 0)
@@ -278,7 +283,7 @@
         self._respond_to_number(request_number, Disposition.FAILED)
 
     def _respond_to_number(
-        self, number: int, disposition: Disposition, headers: Sequence[tuple[bytes, bytes]] = ()
+        self, number: int, disposition: Disposition, headers: Sequence[Header] = ()
     ) -> None:
         request = self.request_table.requests.get(number)
         is_open = request is not None and request.is_open
@@ -291,7 +296,7 @@
         request: Request,
         disposition: Disposition,
         body: bytes = b"",
-        headers: Sequence[tuple[bytes, bytes]] = (),
+        headers: Sequence[Header] = (),
     ) -> None:
         """Answers an open request."""
         self.request_table.close(request)
--- a/crankfold/service/request_table.py
+++ b/crankfold/service/request_table.py
@@ -4,6 +4,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 from enum import Enum
+from typing import NamedTuple
 
 from crankfold.network.connection_pool import Exchange
 from crankfold.protocol.client_connection import ClientChannel
@@ -86,6 +87,13 @@
     deadline_timer: asyncio.TimerHandle | None = None
 
 
+class ActiveAttempt(NamedTuple):
+    """An attempt in flight, and its request."""
+
+    request: Request
+    attempt: Attempt
+
+
 class RequestTable:
     """Keeps each request until it is answered and its last attempt has ended.
 
@@ -141,16 +149,16 @@
         if self.by_request_id.get(request.request_id) is request:
             del self.by_request_id[request.request_id]
 
-    def find_active_attempt(self, request_id: str, backend: int) -> tuple[Request, Attempt] | None:
+    def find_active_attempt(self, request_id: str, backend: int) -> ActiveAttempt | None:
         """The attempt in flight of that request at that backend; there is one at most."""
         request = self.by_request_id.get(request_id)
         if request:
             for attempt in request.attempts:
                 if attempt.backend == backend and attempt.in_flight:
-                    return request, attempt
+                    return ActiveAttempt(request, attempt)
         return None
 
-    def mark_abandoned_finished(self, request_id: str, backend: int) -> None:
+    def end_abandoned_attempts(self, request_id: str, backend: int) -> None:
         """The backend told the end of attempts of that request that were abandoned."""
         request = self.by_request_id.get(request_id)
         for attempt in request.attempts if request else ():
