--- a/crankfold/routing/admission.py
+++ b/crankfold/routing/admission.py
@@ -105,8 +105,10 @@
 
     def drain_queue(self, now: int) -> None:
         """Sends on what the queue holds and backends have room for, the highest queue priority first."""
+        if not self.queue or (self.limit.reached() and now >= self.selection.slow_start.all_warm_from):
+            return  # nothing can be sent, so the queue need not be put in order
         misses = 0
-        offered = sum(known.offered_value for known in self.state.classes) if self.queue else 0.0
+        offered = sum(known.offered_value for known in self.state.classes)
         ranked = [(self._queue_priority(request, offered or 1.0), request) for request in self.queue.values()]
         for _, request in sorted(ranked, key=itemgetter(0), reverse=True):
             if self.selection.try_send(now, request, self.limit.reached()):
