--- a/examples/three.py
+++ b/examples/three.py
@@ -7,16 +7,21 @@
 import sys
 from pathlib import Path
 
+HERE = Path(__file__).parent
+FIRST_CLIENT_PORT = 8080
+FIRST_ADMIN_PORT = 8180
+FIRST_MEMBER_PORT = 8280
+
 folder = Path(sys.argv[1])
 folder.mkdir(parents=True, exist_ok=True)
-given = json.loads((Path(__file__).parent / "config.json").read_text())
-voters = {f"n{n}": f"127.0.0.1:{8280 + n}" for n in range(3)}
-for n, name in enumerate(voters):
-    given |= {
+document = json.loads((HERE / "config.json").read_text())
+voters = {f"n{index}": f"127.0.0.1:{FIRST_MEMBER_PORT + index}" for index in range(3)}
+document["settings"]["balancers"] = len(voters)
+for index, name in enumerate(voters):
+    document |= {
         "name": name,
-        "listen": f"127.0.0.1:{8080 + n}",
-        "admin_addr": f"127.0.0.1:{8180 + n}",
+        "listen": f"127.0.0.1:{FIRST_CLIENT_PORT + index}",
+        "admin_addr": f"127.0.0.1:{FIRST_ADMIN_PORT + index}",
         "peers": {"name": name, "voters": voters, "folder": str(folder / name)},
     }
-    given["settings"]["balancers"] = len(voters)
-    (folder / f"{name}.json").write_text(json.dumps(given, indent=2) + "\n")
+    (folder / f"{name}.json").write_text(json.dumps(document, indent=2) + "\n")
--- a/examples/toy_server.py
+++ b/examples/toy_server.py
@@ -1,9 +1,9 @@
-"""A toy deployment for trying crankfold by hand: discovery and two runners in one process, on loopback.
+"""A toy deployment for trying crankfold by hand: discovery and two backends in one process, on loopback.
 
     python examples/toy_server.py
 
-Runners take each unit with a 202, work for a moment, and tell the dispatcher by call-back. A unit whose body
-is `fail` fails, one whose body is `hang` never ends.
+Backends accept each request with a 202, work for a moment, and tell the dispatcher by callback. A request
+whose body is `fail` fails, one whose body is `hang` never ends.
 """
 
 import http.client
@@ -15,21 +15,25 @@
 HOST = "127.0.0.1"
 DISPATCHER = (HOST, 8080)
 DISCOVERY = (HOST, 8500)
-RUNNERS = {"s-one": (HOST, 9001), "s-two": (HOST, 9002)}
-SLOTS = 2
+BACKENDS = {"s-one": (HOST, 9001), "s-two": (HOST, 9002)}
+SLOTS = 2  # requests that a backend works on at once
 WORK_SECONDS = 0.2
+LONG_POLL_SECONDS = 3
 
 
 class Discovery(BaseHTTPRequestHandler):
+    """Tells the list of backends, which never changes; a watch waits and is told of no change."""
+
     protocol_version = "HTTP/1.1"
 
     def do_GET(self) -> None:
-        after = "after=1" in self.path
-        if after:
-            time.sleep(3)  # a watch waits; nothing ever changes here
+        """Answers `/v1/servers` with all backends, and with no change where a revision is given."""
+        is_watch = "after=1" in self.path
+        if is_watch:
+            time.sleep(LONG_POLL_SECONDS)
         targets = [
             {
-                "uid": uid,
+                "uid": backend_id,
                 "endpoint": f"{host}:{port}",
                 "az": "here",
                 "model": "toy",
@@ -38,67 +42,81 @@
                 "capacity_hint": 1.0,
                 "boot_ms": 0,
             }
-            for uid, (host, port) in RUNNERS.items()
+            for backend_id, (host, port) in BACKENDS.items()
         ]
-        body = json.dumps({"rev": 1, "all": not after, "targets": [] if after else targets}).encode()
+        document = {"rev": 1, "all": not is_watch, "targets": [] if is_watch else targets}
+        body = json.dumps(document).encode()
         self.send_response(200)
         self.send_header("Content-Length", str(len(body)))
         self.end_headers()
         self.wfile.write(body)
 
 
-def runner(uid: str) -> type[BaseHTTPRequestHandler]:
+class Backend(BaseHTTPRequestHandler):
+    """A backend; a subclass for each has its id and its slots."""
+
+    protocol_version = "HTTP/1.1"
+    backend_id = ""
     slots = threading.Semaphore(SLOTS)
 
-    def tell(**told: object) -> None:
-        connection = http.client.HTTPConnection(*DISPATCHER, timeout=2)
-        connection.request("POST", "/v1/job-events", json.dumps({"from": uid, **told}))
-        connection.getresponse().read()
-        connection.close()
+    def do_POST(self) -> None:
+        """Accepts a request and works on it behind the answer."""
+        body = self.rfile.read(int(self.headers["Content-Length"])).decode()
+        request_id = self.headers["X-Request-ID"]
+        threading.Thread(target=self.work, args=(request_id, body), daemon=True).start()
+        self.respond(202)
 
-    def work(ident: str, body: str) -> None:
-        with slots:
-            tell(id=ident, state="started")
+    def do_GET(self) -> None:
+        """Answers health checks, and probes with a load report."""
+        report = "TEXT queue=0, x0=2" if self.path == "/load" else ""
+        self.respond(200 if self.path in ("/load", "/healthz") else 404, report)
+
+    def do_DELETE(self) -> None:
+        """Accepts the cancellation of a request, and works on."""
+        self.respond(200)
+
+    def respond(self, status: int, text: str = "") -> None:
+        """Writes a whole response."""
+        self.send_response(status)
+        self.send_header("Content-Length", str(len(text)))
+        self.end_headers()
+        self.wfile.write(text.encode())
+
+    def work(self, request_id: str, body: str) -> None:
+        """Executes a request and calls back at its start and at its end."""
+        with self.slots:
+            self.call_back(id=request_id, state="started")
             time.sleep(WORK_SECONDS)
-            if body == "hang":
-                return
             if body == "fail":
-                tell(id=ident, state="failed")
-            else:
-                tell(id=ident, state="done", result=f"{uid} did {body!r}\n", load={"queue": 0, "x0": SLOTS})
-
-    class Runner(BaseHTTPRequestHandler):
-        protocol_version = "HTTP/1.1"
-
-        def do_POST(self) -> None:
-            body = self.rfile.read(int(self.headers["Content-Length"])).decode()
-            threading.Thread(target=work, args=(self.headers["X-Request-ID"], body), daemon=True).start()
-            self.answer(202)
-
-        def do_GET(self) -> None:
-            report = "TEXT queue=0, x0=2" if self.path == "/load" else ""
-            self.answer(200 if self.path in ("/load", "/healthz") else 404, report)
+                self.call_back(id=request_id, state="failed")
+            elif body != "hang":
+                result = f"{self.backend_id} did {body!r}\n"
+                self.call_back(id=request_id, state="done", result=result, load={"queue": 0, "x0": SLOTS})
 
-        def do_DELETE(self) -> None:
-            self.answer(200)
+    def call_back(self, **event: object) -> None:
+        """Tells the dispatcher what became of a request."""
+        connection = http.client.HTTPConnection(*DISPATCHER, timeout=2)
+        connection.request("POST", "/v1/job-events", json.dumps({"from": self.backend_id, **event}))
+        connection.getresponse().read()
+        connection.close()
 
-        def answer(self, status: int, text: str = "") -> None:
-            self.send_response(status)
-            self.send_header("Content-Length", str(len(text)))
-            self.end_headers()
-            self.wfile.write(text.encode())
 
-    return Runner
+def backend_class(backend_id: str) -> type[Backend]:
+    """The class of one backend, with slots of its own."""
+    return type(backend_id, (Backend,), {"backend_id": backend_id, "slots": threading.Semaphore(SLOTS)})
 
 
 def main() -> None:
+    """Serves until it is interrupted."""
     servers = [ThreadingHTTPServer(DISCOVERY, Discovery)]
-    servers += [ThreadingHTTPServer(at, runner(uid)) for uid, at in RUNNERS.items()]
+    servers += [
+        ThreadingHTTPServer(address, backend_class(backend_id)) for backend_id, address in BACKENDS.items()
+    ]
     for server in servers:
         threading.Thread(target=server.serve_forever, daemon=True).start()
     print(
-        f"discovery on {DISCOVERY[0]}:{DISCOVERY[1]}, runners on "
-        + " and ".join(f"{host}:{port}" for host, port in RUNNERS.values())
+        f"discovery on {DISCOVERY[0]}:{DISCOVERY[1]}, backends on "
+        + " and ".join(f"{host}:{port}" for host, port in BACKENDS.values())
         + "; Ctrl-C ends"
     )
     try:
