--- a/crankfold/cli/simulation.py
+++ b/crankfold/cli/simulation.py
@@ -9,8 +9,8 @@
 
 from crankfold.simulation import comparison, experiment
 from crankfold.simulation.comparison import PRODUCT, DayResult
-from crankfold.simulation.event_queue import TICKS_PER_SECOND
 from crankfold.simulation.scenario import Scenario
+from crankfold.time_units import TICKS_PER_SECOND
 
 SLOTS = 4  # of a backend
 
--- a/crankfold/cluster/clock.py
+++ b/crankfold/cluster/clock.py
@@ -2,9 +2,7 @@
 
 import time
 
-TICKS_PER_SECOND = 10_000
-TICKS_PER_MILLISECOND = 10
-NANOSECONDS_PER_TICK = 100_000
+from crankfold.time_units import NANOSECONDS_PER_TICK
 
 
 def boottime_ticks() -> int:
--- a/crankfold/cluster/cluster_member.py
+++ b/crankfold/cluster/cluster_member.py
@@ -6,7 +6,7 @@
 from pathlib import Path
 from typing import Any, Protocol
 
-from crankfold.cluster.clock import TICKS_PER_SECOND, boottime_ticks
+from crankfold.cluster.clock import boottime_ticks
 from crankfold.cluster.config import ClusterConfig, parse_address
 from crankfold.cluster.framing import PROTOCOL_VERSION, Hello
 from crankfold.cluster.raft_storage import RaftStorage
@@ -19,6 +19,7 @@
 from crankfold.consensus.timing import Timing
 from crankfold.consensus.voter import Voter
 from crankfold.network.metrics import Metrics
+from crankfold.time_units import TICKS_PER_SECOND
 
 SEED_BITS = 62
 INCARNATION_BITS = 48
--- a/crankfold/cluster/status.py
+++ b/crankfold/cluster/status.py
@@ -2,10 +2,10 @@
 
 from typing import Any
 
-from crankfold.cluster.clock import TICKS_PER_MILLISECOND, TICKS_PER_SECOND
 from crankfold.consensus.follower import Follower
 from crankfold.consensus.leases import LeaseHolderState
 from crankfold.consensus.voter import Voter
+from crankfold.time_units import TICKS_PER_MILLISECOND, TICKS_PER_SECOND
 
 _SHOWN_OF_OTHERS = (LeaseHolderState.ALIVE, LeaseHolderState.SUSPECTED, LeaseHolderState.EXPIRED)
 
--- a/crankfold/config/parser.py
+++ b/crankfold/config/parser.py
@@ -9,6 +9,7 @@
 
 from crankfold.config.interning import Interner
 from crankfold.routing.interface import DeduplicationScope, Idempotency, RequestClass, RoutingConfig
+from crankfold.time_units import MICROSECONDS_PER_TICK
 
 # Of the settings, what may change while requests are in hand; what is known of backends hangs on the rest.
 RELOADABLE = ("service-grades", "allowed", "score-parts", "revenue-per", "orgs")
@@ -19,7 +20,6 @@
 DEFAULT_IDLE_TIMEOUT = 4_000_000
 DEFAULT_TIMER_RESOLUTION = 1_000  # microseconds
 DEFAULT_MAX_PENDING = 20_000  # requests
-MICROSECONDS_PER_TICK = 100  # times are whole tenths of a millisecond
 _IDEMPOTENCY = {
     "safe": Idempotency.IDEMPOTENT,
     "keyed": Idempotency.IDEMPOTENT_WITH_KEY,
--- a/crankfold/consensus/versioned_documents.py
+++ b/crankfold/consensus/versioned_documents.py
@@ -22,12 +22,12 @@
 )
 from crankfold.consensus.messages import LogEntry
 from crankfold.maintenance.state import MaintenanceState
+from crankfold.time_units import MICROSECONDS_PER_TICK
 
 MAX_VERSIONS = 50  # kept of a document, besides the active one
 MAX_OUTCOMES = 1000  # of proposals, so that a repeated one takes no effect
 MAX_PENDING_VERSIONS = 8  # of a document
 MACHINES = "machines"  # reported as the changed document after a maintenance entry
-MICROSECONDS_PER_TICK = 100  # deadlines of request classes are in microseconds
 
 
 class DocumentVersion(Struct, array_like=True, frozen=True):
--- a/crankfold/maintenance/coordinator.py
+++ b/crankfold/maintenance/coordinator.py
@@ -13,13 +13,14 @@
 
 from crankfold.maintenance.departures import propose_departures
 from crankfold.maintenance.findings import Findings, WaitReason
-from crankfold.maintenance.fleet_view import TICKS_PER_SECOND, FleetView
+from crankfold.maintenance.fleet_view import FleetView
 from crankfold.maintenance.machine_progress import MachineProgress
 from crankfold.maintenance.observations import Observations
 from crankfold.maintenance.scheduler import Machine
 from crankfold.maintenance.specification import JobSpecification, JobState, OverduePolicy
 from crankfold.maintenance.state import MaintenanceState
 from crankfold.maintenance.transitions import MaintenancePhase, Transition
+from crankfold.time_units import TICKS_PER_SECOND
 
 REPROPOSE_AFTER: Final = TICKS_PER_SECOND  # the first proposal may be lost
 SHED_COOLDOWN: Final = 5 * TICKS_PER_SECOND  # without too much shedding, before machines go out again
--- a/crankfold/maintenance/fleet_view.py
+++ b/crankfold/maintenance/fleet_view.py
@@ -9,7 +9,6 @@
 from crankfold.maintenance.specification import JobSpecification, JobState
 from crankfold.maintenance.state import MaintenanceState
 
-TICKS_PER_SECOND: Final = 10_000  # a tick is a tenth of a millisecond
 MIN_REQUESTS_FOR_SHED_SHARE: Final = 20  # below that a share of shed requests means little
 
 
--- a/crankfold/maintenance/machine_progress.py
+++ b/crankfold/maintenance/machine_progress.py
@@ -7,12 +7,13 @@
 from msgspec import structs
 
 from crankfold.maintenance.findings import Findings
-from crankfold.maintenance.fleet_view import TICKS_PER_SECOND, FleetView
+from crankfold.maintenance.fleet_view import FleetView
 from crankfold.maintenance.observations import Observations
 from crankfold.maintenance.scheduler import Machine, MaintenanceJob, outside_time_window
 from crankfold.maintenance.specification import JobSpecification, JobState, OverduePolicy, WorkMethod
 from crankfold.maintenance.state import MachineInMaintenance, is_dispatcher_id
 from crankfold.maintenance.transitions import MaintenancePhase, Transition
+from crankfold.time_units import TICKS_PER_SECOND
 
 COMMAND_OUTCOME_MARGIN: Final = 5 * TICKS_PER_SECOND  # beyond a command's time, for its outcome to be told
 UNOBSERVED_WATCH_FACTOR: Final = 4  # times the watch, for a machine of which no answer was seen
--- a/crankfold/maintenance/specification.py
+++ b/crankfold/maintenance/specification.py
@@ -11,13 +11,13 @@
 from msgspec import Meta, Struct, field
 
 from crankfold.maintenance.scheduler import Machine, MaintenanceJob, infeasibility_reason
+from crankfold.time_units import TICKS_PER_MILLISECOND
 
 Fraction = Annotated[float, Meta(ge=0, le=1)]
 Count = Annotated[int, Meta(ge=0)]
 Seconds = Annotated[float, Meta(ge=0)]
 
 MAX_JOBS: Final = 100
-TICKS_PER_MILLISECOND: Final = 10
 
 
 class JobState(StrEnum):
--- a/crankfold/network/timers.py
+++ b/crankfold/network/timers.py
@@ -5,9 +5,8 @@
 from collections.abc import Callable
 
 from crankfold.network.metrics import Metrics
+from crankfold.time_units import NANOSECONDS_PER_TICK, TICKS_PER_SECOND
 
-TICKS_PER_SECOND = 10_000
-NANOSECONDS_PER_TICK = 100_000
 LATE = 100  # 10 ms; a timer that fires later than this is counted
 
 
--- a/crankfold/protocol/backend_connection.py
+++ b/crankfold/protocol/backend_connection.py
@@ -7,8 +7,7 @@
 
 from crankfold.protocol.headers import MAX_BODY_SIZE, MAX_HEADER_SIZE, Header, Headers
 from crankfold.routing.interface import Outcome
-
-TICKS_PER_SECOND = 10_000  # times are whole tenths of a millisecond
+from crankfold.time_units import TICKS_PER_SECOND
 
 
 class Acceptance(Enum):
--- a/crankfold/protocol/client_request.py
+++ b/crankfold/protocol/client_request.py
@@ -4,13 +4,12 @@
 from dataclasses import dataclass
 
 from crankfold.protocol.headers import Header, Headers, first_values, forwarded_headers, parse_number
+from crankfold.time_units import MICROSECONDS_PER_TICK, TICKS_PER_SECOND
 
 MAX_TIMEOUT = 3600.0  # seconds
 MAX_WORK = 1e12  # microseconds
 MAX_ATTRIBUTE = 1e9
 MAX_ID_LENGTH = 256  # characters
-TICKS_PER_SECOND = 10_000  # times are whole tenths of a millisecond
-MICROSECONDS_PER_TICK = 100
 _SINGLE_HEADERS = frozenset((b"x-request-id", b"idempotency-key", b"x-timeout", b"x-priority-class"))
 _REQUIRED_HEADERS = frozenset((b"x-request-id", b"x-timeout", b"x-priority-class"))
 
--- a/crankfold/service/backend_registry.py
+++ b/crankfold/service/backend_registry.py
@@ -16,13 +16,13 @@
     ExchangeCallback,
     ExchangeResult,
 )
-from crankfold.network.timers import TICKS_PER_SECOND, Timers
+from crankfold.network.timers import Timers
 from crankfold.protocol.discovery import DiscoveryEntry, encode_entry
 from crankfold.routing.interface import Endpoint, EndpointState
 from crankfold.service.manual_drains import ManualDrains
+from crankfold.time_units import TICKS_PER_MILLISECOND, TICKS_PER_SECOND
 
 CONTROL_EXCHANGE_TIMEOUT = 10_000  # ticks, for exchanges that carry no request
-TICKS_PER_MILLISECOND = 10
 HASH_RANGE = 1 << 32  # of a CRC
 
 
--- a/crankfold/service/request_handler.py
+++ b/crankfold/service/request_handler.py
@@ -7,7 +7,7 @@
 
 from crankfold.config.parser import ServiceConfig, setting_text
 from crankfold.network.metrics import Metrics
-from crankfold.network.timers import TICKS_PER_SECOND, Timers
+from crankfold.network.timers import Timers
 from crankfold.protocol.client_connection import ClientChannel
 from crankfold.protocol.client_request import ClientRequest
 from crankfold.routing.interface import Endpoint, RequestArrival, RoutingConfig
@@ -21,6 +21,7 @@
 from crankfold.service.load_report_store import LoadReportStore
 from crankfold.service.request_classes import RequestClassTable
 from crankfold.service.request_table import Disposition, Request, RequestTable
+from crankfold.time_units import TICKS_PER_SECOND
 
 TRANSIT_ALLOWANCE = (
     10  # ticks that a request was under way before it was read: its deadline is that much nearer
