--- a/benchmarks/trials.py
+++ b/benchmarks/trials.py
@@ -1,10 +1,10 @@
-"""Trials of real processes with faults drawn by their seeds: how long two acted on rules that differ.
+"""Trials of real processes with faults drawn by their seeds: how long two acted on differing versions.
 
     python benchmarks/trials.py --trials 200 --workers 8
     python benchmarks/trials.py --trials 200 --workers 12 --works
 
-Writes benchmarks/trials.csv, one row a trial, and prints what came of them; with `--works` of machines taken
-out for work, to works-trials.csv. A seed makes its trial again.
+Writes benchmarks/trials.csv, one row a trial, and prints what came of them; with `--works` of machines in
+maintenance, to works-trials.csv. A seed makes its trial again.
 """
 
 import csv
@@ -12,167 +12,169 @@
 import subprocess
 import sys
 import tempfile
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from concurrent.futures import ThreadPoolExecutor
 from functools import partial
 from pathlib import Path
 from random import Random
+from typing import NamedTuple
 
 import click
 
 from crankfold.fault_injection.plan import PROMISES
 
 HERE = Path(__file__).parent
-SECONDS = 12.0
-
-
-def drawn(seed: int) -> str:
-    luck = Random(f"trial {seed}")
-    voters, followers = luck.choice(((3, 2), (3, 2), (3, 3), (5, 1)))
-    names = [f"n{n}" for n in range(voters + followers)]
+SECONDS = 12.0  # of a trial
+MAINTENANCE_SECONDS = 16.0  # of one with maintenance
+CALM_SECONDS = 3  # without faults, at the end
+MAINTENANCE_CALM_SECONDS = 4
+TRIAL_TIMEOUT = 300  # seconds
+EXIT_PLAN_ERROR = 2
+FAULTS = (
+    *("loss", "cut", "cut", "delay", "double", "reset", "slow"),
+    *("kill", "kill", "pause", "pause", "disk"),
+)
+MAINTENANCE_FAULTS = (
+    *("cut", "cut", "loss", "delay", "kill", "kill", "pause", "pause"),
+    *("lose", "list-late", "list-down"),
+)
+WAYS = ('way = "hand"', 'way = "list"', 'way = "command"', 'way = "command", again = true')
+
+
+class TrialResult(NamedTuple):
+    """What came of a trial."""
+
+    seed: int
+    exit_code: int
+    longest_ms: float  # that two acted on differing versions; -1 if the promise broke
+    broken: str  # promises, or why there was no trial
+
+
+def draw_plan(seed: int) -> str:
+    """A plan with faults at processes and links, in TOML."""
+    rng = Random(f"trial {seed}")
+    voters, followers = rng.choice(((3, 2), (3, 2), (3, 3), (5, 1)))
+    names = [f"n{number}" for number in range(voters + followers)]
     lines = [
         f'name = "drawn-{seed}"',
-        f"seconds = {SECONDS}",
-        f"seed = {seed}",
-        f"voters = {voters}",
-        f"followers = {followers}",
-        f"promises = {list(PROMISES)}",
-        "load = 30.0",
+        *(f"seconds = {SECONDS}", f"seed = {seed}", f"voters = {voters}", f"followers = {followers}"),
+        *(f"promises = {list(PROMISES)}", "load = 30.0"),
         "[publish]",
-        f"every = {luck.choice((0.15, 0.3, 0.6))}",
-        f"until = {SECONDS - 3}",
-        f"at-once = {luck.choice((1, 1, 2))}",
+        f"every = {rng.choice((0.15, 0.3, 0.6))}",
+        f"until = {SECONDS - CALM_SECONDS}",
+        f"at-once = {rng.choice((1, 1, 2))}",
         "repeat = 0.2",
     ]
-    busy: dict[str, float] = {}
-    for _ in range(luck.randrange(2, 7)):
-        kind = luck.choice(
-            (
-                "loss",
-                "cut",
-                "cut",
-                "delay",
-                "double",
-                "reset",
-                "slow",
-                "kill",
-                "kill",
-                "pause",
-                "pause",
-                "disk",
-            )
-        )
-        begin = round(luck.uniform(0.5, SECONDS - 4), 2)
-        end = round(min(begin + luck.choice((0.1, 0.6, 1.7, 3.0)), SECONDS - 3), 2)
-        at, to = luck.choice([*names, "leader"]), luck.choice([*names, "*"])
-        fault = [f'kind = "{kind}"', f"begin = {begin}", f"end = {end}"]
+    disturbed_until = 0.0
+    for _ in range(rng.randrange(2, 7)):
+        kind = rng.choice(FAULTS)
+        begin = round(rng.uniform(0.5, SECONDS - 4), 2)
+        end = round(min(begin + rng.choice((0.1, 0.6, 1.7, 3.0)), SECONDS - CALM_SECONDS), 2)
+        target = rng.choice([*names, "leader"])
+        receiver = rng.choice([*names, "*"])
+        fault = ["", "[[fault]]", f'kind = "{kind}"', f"begin = {begin}", f"end = {end}", f'at = "{target}"']
         if kind in ("kill", "pause", "disk"):
             # One that is dead can't be stopped, and who leads may be any of them.
-            if kind == "disk" and at not in (*names[:voters], "leader") or busy.get("any", 0) > begin:
+            has_disk = target in (*names[:voters], "leader")
+            if (kind == "disk" and not has_disk) or disturbed_until > begin:
                 continue
-            busy["any"] = end + 0.5
-            fault.append(f'at = "{at}"')
+            disturbed_until = end + 0.5
         else:
-            fault += [f'at = "{at}"', f'to = "{to}"', f"both = {str(luck.random() < 0.5).lower()}"]
-            if kind in ("loss", "double"):
-                fault.append(f"share = {luck.choice((0.05, 0.3, 0.6))}")
-            fault += [f"ms = {luck.choice((20.0, 200.0, 700.0))}"] if kind == "delay" else []
-        lines += ["", "[[fault]]", *fault]
+            fault += _draw_link_options(rng, kind, receiver)
+        lines += fault
     return "\n".join(lines) + "\n"
 
 
-def of_works(seed: int) -> str:
-    """Works on machines, with faults at dispatchers, links, lists and machines."""
-    luck = Random(f"works {seed}")
-    voters, followers = luck.choice(((3, 2), (3, 2), (5, 1)))
-    names, seconds = [f"n{n}" for n in range(voters + followers)], 16.0
-    documents = luck.choice((["settings"], ["settings", "runners-out"]))
+def _draw_link_options(rng: Random, kind: str, receiver: str) -> list[str]:
+    options = [f'to = "{receiver}"', f"both = {_draw_flag(rng)}"]
+    if kind in ("loss", "double"):
+        options.append(f"share = {rng.choice((0.05, 0.3, 0.6))}")
+    if kind == "delay":
+        options.append(f"ms = {rng.choice((20.0, 200.0, 700.0))}")
+    return options
+
+
+def _draw_flag(rng: Random) -> str:
+    return str(rng.random() < 0.5).lower()
+
+
+def draw_maintenance_plan(seed: int) -> str:
+    """A plan with maintenance jobs, and faults at processes, links, lists and machines, in TOML."""
+    rng = Random(f"works {seed}")
+    voters, followers = rng.choice(((3, 2), (3, 2), (5, 1)))
+    names = [f"n{number}" for number in range(voters + followers)]
+    seconds = MAINTENANCE_SECONDS
+    documents = rng.choice((["settings"], ["settings", "runners-out"]))
     lines = [
         f'name = "works-{seed}"',
-        f"seconds = {seconds}",
-        f"seed = {seed}",
-        f"voters = {voters}",
-        f"followers = {followers}",
-        f"promises = {list(PROMISES)}",
-        "load = 30.0",
-        "runners = 6",
-        "zones = 3",
-        "fails = 0.0",
-        "long = 0.01",
-        "warm-after = 1.0",
-        "settle = 30.0",
-        "[publish]",
-        "every = 1.5",
-        f"until = {seconds - 4}",
+        *(f"seconds = {seconds}", f"seed = {seed}", f"voters = {voters}", f"followers = {followers}"),
+        *(f"promises = {list(PROMISES)}", "load = 30.0", "runners = 6", "zones = 3"),
+        *("fails = 0.0", "long = 0.01", "warm-after = 1.0", "settle = 30.0"),
+        *("[publish]", "every = 1.5", f"until = {seconds - MAINTENANCE_CALM_SECONDS}"),
         f"documents = {documents}",
     ]
-    for name in ("disks", "cables")[: luck.choice((1, 1, 2))]:
-        way = luck.choice(
-            ('way = "hand"', 'way = "list"', 'way = "command"', 'way = "command", again = true')
-        )
-        zones = luck.sample(["z0", "z1", "z2"], luck.choice((2, 3)))
-        lines += [
-            "[[work]]",
-            f'name = "{name}"',
-            f"begin = {luck.choice((0.5, 3.0))}",
-            f"lasts = {luck.choice((0.3, 1.5))}",
-            f"work = {{ {way}, at-once = {luck.choice((1, 2, 3))}, a-zone = {luck.choice((0, 1))}, "
-            f"stays = {luck.choice((0.0, 0.5))}, takes = 8.0, watch = 0.5, least-answers = 0, "
-            f'zones = {zones}, not-back = "{luck.choice(("hold", "go-on"))}" }}',
-        ]
-    busy = 0.0
-    for _ in range(luck.randrange(1, 5)):
-        kind = luck.choice(
-            (
-                "cut",
-                "cut",
-                "loss",
-                "delay",
-                "kill",
-                "kill",
-                "pause",
-                "pause",
-                "lose",
-                "list-late",
-                "list-down",
-            )
-        )
-        begin = round(luck.uniform(1, seconds - 6), 2)
-        end = round(min(begin + luck.choice((0.6, 1.7, 3.0)), seconds - 4), 2)
-        fault = ["", "[[fault]]", f'kind = "{kind}"', f"begin = {begin}", f"end = {end}"]
+    for name in ("disks", "cables")[: rng.choice((1, 1, 2))]:
+        lines += _draw_job(rng, name)
+    disturbed_until = 0.0
+    for _ in range(rng.randrange(1, 5)):
+        kind = rng.choice(MAINTENANCE_FAULTS)
+        begin = round(rng.uniform(1, seconds - 6), 2)
+        end = round(min(begin + rng.choice((0.6, 1.7, 3.0)), seconds - MAINTENANCE_CALM_SECONDS), 2)
         if kind in ("kill", "pause"):
-            if busy > begin:
+            if disturbed_until > begin:
                 continue
-            busy = end + 0.5
-        where = f"r{luck.randrange(6)}" if kind == "lose" else luck.choice([*names, "leader"])
-        fault.append(f'at = "{where}"')
-        fault += {
-            "cut": [f"both = {str(luck.random() < 0.5).lower()}"],
-            "loss": ["share = 0.3"],
-            "delay": ["ms = 300.0"],
-            "list-late": ["ms = 1200.0"],
-        }.get(kind, [])
-        lines += fault
+            disturbed_until = end + 0.5
+        lines += ["", "[[fault]]", f'kind = "{kind}"', f"begin = {begin}", f"end = {end}"]
+        lines += _draw_maintenance_fault_options(rng, kind, names)
     return "\n".join(lines) + "\n"
 
 
-def one(seed: int, draw: Callable[[int], str] = drawn) -> tuple[int, int, float, str]:
-    """Seed, exit, longest contradiction in ms, what was broken."""
+def _draw_job(rng: Random, name: str) -> list[str]:
+    way = rng.choice(WAYS)
+    zones = rng.sample(["z0", "z1", "z2"], rng.choice((2, 3)))
+    return [
+        "[[work]]",
+        f'name = "{name}"',
+        f"begin = {rng.choice((0.5, 3.0))}",
+        f"lasts = {rng.choice((0.3, 1.5))}",
+        f"work = {{ {way}, at-once = {rng.choice((1, 2, 3))}, a-zone = {rng.choice((0, 1))}, "
+        f"stays = {rng.choice((0.0, 0.5))}, takes = 8.0, watch = 0.5, least-answers = 0, "
+        f'zones = {zones}, not-back = "{rng.choice(("hold", "go-on"))}" }}',
+    ]
+
+
+def _draw_maintenance_fault_options(rng: Random, kind: str, names: Sequence[str]) -> list[str]:
+    target = f"r{rng.randrange(6)}" if kind == "lose" else rng.choice([*names, "leader"])
+    both_ways = _draw_flag(rng)  # drawn for every kind, so that a seed makes the same plan as ever
+    options = {
+        "cut": [f"both = {both_ways}"],
+        "loss": ["share = 0.3"],
+        "delay": ["ms = 300.0"],
+        "list-late": ["ms = 1200.0"],
+    }
+    return [f'at = "{target}"', *options.get(kind, [])]
+
+
+def run_one(seed: int, draw: Callable[[int], str] = draw_plan) -> TrialResult:
+    """Run the trial of a seed."""
     with tempfile.TemporaryDirectory() as folder:
         plan = Path(folder) / "plan.toml"
         plan.write_text(draw(seed))
         command = [sys.executable, "-m", "crankfold", "trial", str(plan), "--keep", f"{folder}/kept"]
-        done = subprocess.run(command, capture_output=True, text=True, cwd=HERE.parent, timeout=300)
-    longest, broken = -1.0, []
+        done = subprocess.run(
+            command, capture_output=True, text=True, cwd=HERE.parent, timeout=TRIAL_TIMEOUT, check=False
+        )
+    longest_ms = -1.0
+    broken = []
     for line in done.stdout.splitlines():
         words = line.split()
         if words[:2] == ["held", "bound"]:
-            longest = float(words[3])
+            longest_ms = float(words[3])
         if words and words[0] == "BROKEN":
             broken.append(" ".join(words[1:]))
-    if done.returncode == 2:
+    if done.returncode == EXIT_PLAN_ERROR:
         broken.append(done.stderr.strip()[-400:])
-    return seed, done.returncode, longest, "; ".join(broken)
+    return TrialResult(seed, done.returncode, longest_ms, "; ".join(broken))
 
 
 @click.command()
@@ -180,39 +182,43 @@
 @click.option("--first", default=1, show_default=True, help="Seed of the first.")
 @click.option("--workers", default=max((os.cpu_count() or 2) - 1, 1), show_default=True)
 @click.option("--show", type=int, help="Print the plan of a seed instead.")
-@click.option("--works", is_flag=True, help="Machines taken out for work.")
+@click.option("--works", is_flag=True, help="With machines in maintenance.")
 def main(trials: int, first: int, workers: int, show: int | None, works: bool) -> None:
-    draw, name = (of_works, "works-trials") if works else (drawn, "trials")
+    """Run trials, write their table, and print what came of them."""
+    draw, name = (draw_maintenance_plan, "works-trials") if works else (draw_plan, "trials")
     if show is not None:
         click.echo(draw(show), nl=False)
         return
-    rows = []
+    results = []
     with ThreadPoolExecutor(workers) as pool:
-        for row in pool.map(partial(one, draw=draw), range(first, first + trials)):
-            rows.append(row)
-            if row[1]:
-                click.echo(f"seed {row[0]}: exit {row[1]}: {row[3]}")
+        for result in pool.map(partial(run_one, draw=draw), range(first, first + trials)):
+            results.append(result)
+            if result.exit_code:
+                click.echo(f"seed {result.seed}: exit {result.exit_code}: {result.broken}")
     with (HERE / f"{name}.csv").open("w", newline="") as out:
         table = csv.writer(out, lineterminator="\n")
         table.writerow(["seed", "exit", "longest_ms", "broken"])
-        table.writerows(rows)
-    held = [row for row in rows if row[1] == 0]
-    spans = sorted(row[2] for row in held)
+        table.writerows(results)
+    durations = sorted(result.longest_ms for result in results if result.exit_code == 0)
     text = (
-        f"{len(rows)} trials, {len(held)} with every promise held; longest contradiction, ms of 2000: "
-        f"median {spans[len(spans) // 2]:.0f}, 99th percentile {spans[len(spans) * 99 // 100]:.0f}, "
-        f"longest {spans[-1]:.0f} ms"
+        f"{len(results)} trials, {len(durations)} with every promise held; longest contradiction, ms of "
+        f"2000: median {durations[len(durations) // 2]:.0f}, "
+        f"99th percentile {durations[len(durations) * 99 // 100]:.0f}, longest {durations[-1]:.0f} ms"
     )
     (HERE / f"{name}.txt").write_text(text + "\n")
     click.echo(text)
-    if works:
-        return
+    if not works:
+        draw_chart(durations)
+
+
+def draw_chart(durations: Sequence[float]) -> None:
+    """A histogram of the longest contradictions, in ms, as trials.svg."""
     import matplotlib
     from matplotlib import pyplot
 
     matplotlib.rcParams["svg.hashsalt"] = "trials"
     figure, axes = pyplot.subplots(figsize=(7, 3.5))
-    axes.hist(spans, bins=[10 * n for n in range(0, 211, 5)])
+    axes.hist(durations, bins=[10 * step for step in range(0, 211, 5)])
     axes.axvline(2000, color="red")
     axes.set_xlabel("longest time on rules that differ, ms (red: stated)")
     axes.set_ylabel("trials")
