--- a/crankfold/service/application.py
+++ b/crankfold/service/application.py
@@ -11,12 +11,7 @@
 
 import orjson
 
-from crankfold.config.parser import (
-    ServiceConfig,
-    flatten_settings,
-    read_routing_config,
-    read_service_config,
-)
+from crankfold.config.parser import ServiceConfig
 from crankfold.errors import ConfigError
 from crankfold.network.admin_server import AdminServer
 from crankfold.network.connection_pool import ConnectionLimiter
@@ -30,7 +25,12 @@
 from crankfold.service.admin_service import AdminService
 from crankfold.service.backend_registry import BackendRegistry
 from crankfold.service.collaborators import NoCluster, NoOtherProcess
-from crankfold.service.config_file import connection_timeouts, divide_socket_limit, parse_address
+from crankfold.service.config_file import (
+    connection_timeouts,
+    divide_socket_limit,
+    parse_address,
+    parse_settings,
+)
 from crankfold.service.lifecycle import Lifecycle
 from crankfold.service.reload import ConfigApplier, ConfigReloader
 from crankfold.service.request_handler import RequestHandler
@@ -68,7 +68,7 @@
             ConfigError: if the document cannot be served from.
         """
         # Over 30 lines: the list of the parts, in the order in which they need one another.
-        routing_config, config, seed = _parse_settings(document)
+        routing_config, config, seed = _parse_document(document)
         self.metrics = Metrics()
         self.timers = Timers(Clock(), self.metrics)
         self.listen_address = parse_address(document["listen"], "listen")
@@ -329,20 +329,19 @@
         )
 
 
-def _parse_settings(document: dict[str, Any]) -> tuple[RoutingConfig, ServiceConfig, int]:
+def _parse_document(document: dict[str, Any]) -> tuple[RoutingConfig, ServiceConfig, int]:
     """Both configurations and the seed of the routing decisions.
 
     Raises:
         ConfigError: naming what is wrong.
     """
     try:
-        settings = flatten_settings(document["settings"])
-        routing_config = read_routing_config(settings)
-        config = read_service_config(settings)
+        parsed = parse_settings(document["settings"])
         seed = int(str(document.get("seed", "0")), 16)
     except ValueError as error:
         raise ConfigError(f"settings: {error}") from None
-    return replace(routing_config, change_notice_within=ENDPOINT_PROPAGATION_DELAY), config, seed
+    routing_config = replace(parsed.routing, change_notice_within=ENDPOINT_PROPAGATION_DELAY)
+    return routing_config, parsed.service, seed
 
 
 @contextlib.contextmanager
--- a/crankfold/service/config_file.py
+++ b/crankfold/service/config_file.py
@@ -32,6 +32,13 @@
     accepted_connections: int
 
 
+class ParsedConfig(NamedTuple):
+    """What follows from a document's settings."""
+
+    routing: RoutingConfig
+    service: ServiceConfig
+
+
 class ConnectionTimeouts(NamedTuple):
     """Time limits of connections to backends, in seconds."""
 
@@ -96,7 +103,17 @@
     return ConnectionTimeouts(connect=config.connect_timeout / 10_000, idle=config.idle_timeout / 20_000)
 
 
-def derive_config(document: dict[str, Any], running: dict[str, Any]) -> tuple[RoutingConfig, ServiceConfig]:
+def parse_settings(settings: dict[str, Any]) -> ParsedConfig:
+    """The configurations in the settings as they stand in a document.
+
+    Raises:
+        ValueError: naming a setting that is not valid. Not all that `config.schema` checks is looked at.
+    """
+    flat = flatten_settings(settings)
+    return ParsedConfig(read_routing_config(flat), read_service_config(flat))
+
+
+def parse_changed_document(document: dict[str, Any], running: dict[str, Any]) -> ParsedConfig:
     """The configurations in a document that is to replace the running one, if all of it is valid.
 
     Raises:
@@ -106,8 +123,7 @@
 
     try:
         schema.validate(document, running)
-        settings = flatten_settings(document["settings"])
-        return read_routing_config(settings), read_service_config(settings)
+        return parse_settings(document["settings"])
     except ValueError as error:
         raise ConfigError(str(error)) from None
 
--- a/crankfold/service/document_validation.py
+++ b/crankfold/service/document_validation.py
@@ -95,8 +95,9 @@
     settings = {**local_settings, **content}
     running = None if previous is None else {**UNLISTED, "settings": {**local_settings, **previous}}
     schema.validate({**UNLISTED, "settings": settings}, running)
-    read_service_config(flatten_settings(settings))
-    read_routing_config(flatten_settings(settings))
+    flat = flatten_settings(settings)
+    read_service_config(flat)
+    read_routing_config(flat)
     return ""
 
 
--- a/crankfold/service/machine_inventory.py
+++ b/crankfold/service/machine_inventory.py
@@ -6,7 +6,7 @@
 from crankfold.maintenance.scheduler import Machine
 from crankfold.maintenance.state import MaintenanceState
 from crankfold.maintenance.transitions import MaintenancePhase
-from crankfold.routing.interface import EndpointState
+from crankfold.routing.interface import Endpoint, EndpointState
 from crankfold.service.backend_registry import BackendRegistry
 
 TICKS_PER_SECOND = 10_000  # a tick is a tenth of a millisecond
@@ -31,29 +31,14 @@
 
     def machines(self, state: MaintenanceState) -> list[Machine]:
         """What is listed, and for a while what is not any more, unless another machine came in its place."""
-        registry = self.backend_registry
         machines = []
-        for backend, record in enumerate(registry.records):
-            endpoint = record.endpoint
-            machine_id = registry.backend_ids.names[backend]
-            is_discovered = endpoint.state != EndpointState.REMOVED
-            if is_discovered:
+        for backend, record in enumerate(self.backend_registry.records):
+            machine_id = self.backend_registry.backend_ids.names[backend]
+            if record.endpoint.state != EndpointState.REMOVED:
                 self.missing_since.pop(machine_id, None)
             elif self._is_forgotten(machine_id):
                 continue
-            machines.append(
-                Machine(
-                    machine_id=machine_id,
-                    zone=registry.config.zones.names[endpoint.zone],
-                    instance_type=registry.config.instance_types.names[endpoint.instance_type],
-                    cell=str(endpoint.cell),
-                    size=endpoint.weight or 1.0,
-                    started_at=endpoint.started_at,
-                    available=endpoint.state == EndpointState.READY
-                    and not self._is_drained_manually(machine_id, state),
-                    discovered=is_discovered,
-                )
-            )
+            machines.append(self._machine(machine_id, record.endpoint, state))
         replaced = {
             transition.machine_id
             for transition in state.transitions
@@ -61,6 +46,20 @@
         }
         return [machine for machine in machines if machine.discovered or machine.machine_id not in replaced]
 
+    def _machine(self, machine_id: str, endpoint: Endpoint, state: MaintenanceState) -> Machine:
+        config = self.backend_registry.config
+        return Machine(
+            machine_id=machine_id,
+            zone=config.zones.names[endpoint.zone],
+            instance_type=config.instance_types.names[endpoint.instance_type],
+            cell=str(endpoint.cell),
+            size=endpoint.weight or 1.0,
+            started_at=endpoint.started_at,
+            available=endpoint.state == EndpointState.READY
+            and not self._is_drained_manually(machine_id, state),
+            discovered=endpoint.state != EndpointState.REMOVED,
+        )
+
     def _is_forgotten(self, machine_id: str) -> bool:
         now = boottime_ticks()
         return now - self.missing_since.setdefault(machine_id, now) > MISSING_MACHINE_PERIOD
--- a/crankfold/service/reload.py
+++ b/crankfold/service/reload.py
@@ -12,9 +12,9 @@
 from crankfold.routing.interface import RoutingConfig
 from crankfold.service.config_file import (
     connection_timeouts,
-    derive_config,
     divide_socket_limit,
     parse_address,
+    parse_changed_document,
     settings_needing_restart,
 )
 from crankfold.service.request_handler import RequestHandler
@@ -72,7 +72,7 @@
         """Requests, connections and what is known of backends outlive it. Logs what became of it."""
         try:
             document = self.read_document()
-            routing_config, config = derive_config(document, self.document)
+            parsed = parse_changed_document(document, self.document)
             host, port = parse_address(document["discovery"], "discovery")
             parse_address(document["listen"], "listen")
             socket_limits = divide_socket_limit(document, self._has_admin_server)
@@ -86,7 +86,7 @@
             self.metrics.increment("config-reloads-without-settings")
             document["settings"] = self.document["settings"]
         elif document["settings"] != self.document["settings"]:
-            self.applier.apply(routing_config, config)
+            self.applier.apply(parsed.routing, parsed.service)
         self.socket_budget.change_limits(socket_limits)
         self.discovery_watcher.switch_to(host, port, not self.polls_discovery)
         remarks = self._remarks(document)
--- a/crankfold/service/replicated_config.py
+++ b/crankfold/service/replicated_config.py
@@ -15,9 +15,6 @@
 from crankfold.config import schema
 from crankfold.config.parser import (
     ServiceConfig,
-    flatten_settings,
-    read_routing_config,
-    read_service_config,
 )
 from crankfold.consensus.conservative_merge import (
     DRAINED_BACKENDS,
@@ -34,6 +31,7 @@
 from crankfold.service.backend_registry import BackendRegistry
 from crankfold.service.cluster_admin import ClusterAdmin
 from crankfold.service.collaborators import RecordedEvent
+from crankfold.service.config_file import parse_settings
 from crankfold.service.document_validation import replicated_settings, validation_error
 from crankfold.service.event_log import EventLog
 from crankfold.service.quotas import Quotas
@@ -195,8 +193,8 @@
         member = self.cluster_node.consensus
         settings = member.effective_content(SETTINGS)
         if SETTINGS in names and settings is not None and settings != self.effective_settings:
-            flat = flatten_settings({**self.local_settings, **settings})
-            self.apply_config(read_routing_config(flat), read_service_config(flat))
+            parsed = parse_settings({**self.local_settings, **settings})
+            self.apply_config(parsed.routing, parsed.service)
             self.effective_settings = settings
         replicated = member.documents.replicated
         if member.documents.document(MAINTENANCE).versions or replicated.maintenance.machines:
