--- a/crankfold/service/callback_handler.py
+++ b/crankfold/service/callback_handler.py
@@ -3,13 +3,13 @@
 import asyncio
 from collections.abc import Sequence
 
-from crankfold.network.accepted_connection import AcceptedConnection
 from crankfold.network.metrics import Metrics
+from crankfold.protocol.client_connection import ClientChannel
 from crankfold.routing.interface import Outcome
 from crankfold.service.attempts import Attempts, RequestOwner
 from crankfold.service.backend_registry import BackendRegistry
 from crankfold.service.collaborators import ClusterServices, OtherProcesses
-from crankfold.service.request_table import Attempt, Disposition, Request, RequestTable
+from crankfold.service.request_table import ActiveAttempt, Disposition, RequestTable
 
 
 class CallbackHandler:
@@ -49,13 +49,12 @@
         """Whether the request is in hand here."""
         return request_id in self.request_table.by_request_id
 
-    def forward_unknown_callback(self, client: object, body: bytes) -> bool:
+    def forward_unknown_callback(self, client: ClientChannel, body: bytes) -> bool:
         """Passes on a callback for a request that is not in hand here.
 
         Returns:
             Whether another process was asked; its answer is then the response to the callback.
         """
-        assert isinstance(client, AcceptedConnection)
 
         def on_answer(handled: bool | None) -> None:
             # It may come at once, from within the call; the response waits for the next turn.
@@ -63,10 +62,10 @@
 
         return self.other_processes.forward_callback(body, on_answer)
 
-    def _respond_to_forwarded(self, client: AcceptedConnection, handled: bool | None) -> None:
+    def _respond_to_forwarded(self, client: ClientChannel, handled: bool | None) -> None:
         if not handled:
             self.metrics.increment("callbacks-unknown-request")
-        if client.protocol.awaiting_response:
+        if client.is_awaiting_response():
             # A request that no process knows counts as told. Where one did not answer, the backend is to try
             # again.
             client.respond(503 if handled is None else 204)
@@ -74,7 +73,7 @@
     def execution_started(self, request_id: str, backend_id: str) -> None:
         """The backend began to execute the request."""
         found = self._find_attempt(request_id, backend_id)
-        if found and not found[1].started:
+        if found and not found.attempt.started:
             request, attempt = found
             attempt.started = True
             self.owner.notify_routing(
@@ -85,7 +84,12 @@
                 request_number=request.number,
             )
 
-    def execution_progressed(self, request_id: str, backend_id: str, progress: float) -> None:
+    def execution_progressed(
+        self,
+        request_id: str,
+        backend_id: str,
+        progress: float,  # noqa: ARG002 - that it gets on is all that routing needs
+    ) -> None:
         """The backend gets on with the request; how far does not matter."""
         found = self._find_attempt(request_id, backend_id)
         if found:
@@ -112,7 +116,7 @@
         """
         found = self._find_attempt(request_id, backend_id)
         if not found:
-            self.request_table.mark_abandoned_finished(request_id, self.backends.backend_ids.find(backend_id))
+            self.request_table.end_abandoned_attempts(request_id, self.backends.backend_ids.find(backend_id))
             self.cluster.abandoned_attempt_finished(request_id, backend_id)
             return
         request, attempt = found
@@ -121,7 +125,7 @@
             self.owner.respond(request, Disposition.COMPLETED, result)
         self.attempts.end(request, attempt, outcome, report)
 
-    def _find_attempt(self, request_id: str, backend_id: str) -> tuple[Request, Attempt] | None:
+    def _find_attempt(self, request_id: str, backend_id: str) -> ActiveAttempt | None:
         backend = self.backends.backend_ids.find(backend_id)
         found = self.request_table.find_active_attempt(request_id, backend)
         if not found:
