--- a/crankfold/protocol/handover_messages.py
+++ b/crankfold/protocol/handover_messages.py
@@ -144,7 +144,7 @@
     return orjson.dumps(_message_fields(message)) + b"\n"
 
 
-def _message_fields(message: HandoverMessage) -> dict[str, Any]:
+def _message_fields(message: HandoverMessage) -> dict[str, Any]:  # noqa: C901 - one case for each message
     match message:
         case Hello():
             return {"hello": message.format_version, "at": message.address, "of": message.dispatcher_name}
