--- a/tests/service/test_application.py
+++ b/tests/service/test_application.py
@@ -19,10 +19,10 @@
 
 
 class ApplicationTest(DispatcherTestCase):
-    async def test_a_unit_from_client_to_runner_and_back(self) -> None:
+    async def test_a_request_from_client_to_backend_and_back(self) -> None:
         told = asyncio.Event()
 
-        async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        async def backend(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             while True:
                 head, body = await read_request(reader)
                 first = head.split("\r\n")[0]
@@ -36,7 +36,7 @@
                 writer.write(OK)
                 told.set()
 
-        await self.begin(runner)
+        await self.begin(backend)
         await self.start_in_process()
         answer = await self.send_request("u1", "Idempotency-Key: t\r\nX-Cost: 20\r\n")
         async with asyncio.timeout(5):
@@ -63,8 +63,8 @@
         )
         self.close("whole")
 
-    async def test_where_the_list_must_be_asked_for_it_is_asked_for_again_when_that_failed(self) -> None:
-        async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def test_where_endpoints_are_polled_a_failed_poll_is_repeated(self) -> None:
+        async def backend(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             while True:
                 await read_request(reader)
                 await self.send_callback(id="u1", **{"from": "a"}, state="done", result="result")
@@ -80,7 +80,7 @@
             writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
             await reader.read()
 
-        await self.begin(runner, **{"membership-mode": "on_request", "rules": {"ask-within": 80_000}})
+        await self.begin(backend, **{"membership-mode": "on_request", "rules": {"ask-within": 80_000}})
         self.config["discovery"] = f"127.0.0.1:{await self.stand_in(discovery)}"
         del self.config["known"]
         await self.start_in_process()
@@ -90,7 +90,7 @@
             (asked, self.application.metrics.counters["discovery-failed"]), (["/v1/servers"] * 3, 2)
         )
 
-    async def test_a_runner_that_vanished_holds_no_unit_past_its_cut_off(self) -> None:
+    async def test_a_backend_that_vanished_holds_no_request_past_its_deadline(self) -> None:
         async def silent(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             heads.append((await reader.read(1 << 16)).split()[0])
             heads.append(await reader.read())
@@ -111,28 +111,28 @@
         await self.until(lambda: len(heads) == 2)
         self.assertEqual(heads, [b"POST", b""])  # before the 202 a dispatch is called off by closing
 
-    async def test_a_runners_refusal_is_not_passed_through(self) -> None:
-        async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def test_an_error_of_a_backend_is_not_passed_through(self) -> None:
+        async def backend(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             while True:
                 await read_request(reader)
                 writer.write(b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n")  # it may have run
 
         once_only = [{"name": "g", "effect": "unsafe", "cut-off": 3_000_000, "expected-time": 2_000_000}]
-        await self.begin(runner, **{"service-grades": once_only})
+        await self.begin(backend, **{"service-grades": once_only})
         await self.start_in_process()
         self.assertEqual((await self.send_request("u1"))[0].split()[1], "504")
         self.assertEqual(self.application.metrics.counters["requests-failed"], 1)
 
-    async def test_a_unit_that_a_runner_finds_unfit_is_tried_once_and_nobody_is_doubted(self) -> None:
-        async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def test_a_request_that_a_backend_rejects_is_tried_once_and_no_backend_is_ejected(self) -> None:
+        async def backend(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             while True:
                 await read_request(reader)
                 writer.write(b"HTTP/1.1 400 No\r\nContent-Length: 0\r\n\r\n")
 
-        await self.begin(runner)
+        await self.begin(backend)
         await self.start_in_process()
-        for ident in ("u1", "u2", "u3"):
-            self.assertEqual((await self.send_request(ident))[0].split()[1], "400")
+        for request_id in ("u1", "u2", "u3"):
+            self.assertEqual((await self.send_request(request_id))[0].split()[1], "400")
         self.assertEqual(
             (
                 self.application.metrics.counters["attempts"],
@@ -144,10 +144,10 @@
             (3, [0.0]),
         )
 
-    async def test_ids_in_hand_a_full_house_and_a_runner_that_moves(self) -> None:
+    async def test_duplicate_ids_overload_and_a_backend_that_moves(self) -> None:
         posts: list[str] = []
 
-        async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        async def backend(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             while True:
                 head, _ = await read_request(reader)
                 posts.append(head.split()[0])
@@ -158,7 +158,7 @@
             await self.send_callback(id="u3", **{"from": "a"}, state="done", result="moved")
             await reader.read()
 
-        await self.begin(runner)
+        await self.begin(backend)
         await self.start_in_process()
         first = asyncio.create_task(self.send_request("u1"))
         await self.until(lambda: self.application.metrics.counters["attempts"] == 1 and len(posts) == 1)
@@ -180,24 +180,26 @@
         await self.until(lambda: self.application.metrics.counters["discovery-snapshots"] == 2)
         self.assertEqual((await self.send_request("u3"))[1], b"moved")
 
-    async def test_a_client_that_leaves_is_forgotten_and_its_dispatch_called_off(self) -> None:
+    async def test_a_client_that_disconnects_is_forgotten_and_its_attempt_cancelled(self) -> None:
         called_off = asyncio.Event()
         taken = asyncio.Event()
 
-        async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        async def backend(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             while True:
                 head, _ = await read_request(reader)
                 writer.write(OK)
                 (called_off if head.startswith("DELETE /jobs/u1 ") else taken).set()
 
-        await self.begin(runner)
+        await self.begin(backend)
         await self.start_in_process()
-        asking = asyncio.create_task(self.send_request("u1"))
+        pending_response = asyncio.create_task(self.send_request("u1"))
         async with asyncio.timeout(5):
             await taken.wait()
             units = self.application.request_handler.request_table.requests
-            await self.until(lambda: any(trip.accepted for work in units.values() for trip in work.attempts))
-            asking.cancel()
+            await self.until(
+                lambda: any(attempt.accepted for request in units.values() for attempt in request.attempts)
+            )
+            pending_response.cancel()
             await called_off.wait()
         await self.until(
             lambda: (
@@ -206,11 +208,11 @@
             )
         )
 
-    async def test_a_drain_told_while_connecting_holds_the_unit_back(self) -> None:
-        async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def test_a_drain_announced_while_connecting_holds_the_request_back(self) -> None:
+        async def backend(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             self.say(f"runner reads {(await read_request(reader))[0]}")
 
-        await self.begin(runner)
+        await self.begin(backend)
         await self.start_in_process()
         pool = self.application.backend_registry.records[0].pool
         opening = pool._connect
@@ -225,11 +227,11 @@
         self.assertEqual((await self.send_request("u1"))[0].split()[1], "503")
         self.assertEqual((self.lines, self.application.metrics.counters["attempts-ended-not-sent"]), ([], 1))
 
-    async def test_a_failure_in_the_decisions_gives_up_the_unit_in_hand_and_serving_goes_on(self) -> None:
-        async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def test_an_exception_in_the_routing_fails_the_request_in_hand_and_serving_goes_on(self) -> None:
+        async def backend(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             raise AssertionError("nothing is sent")
 
-        await self.begin(runner)
+        await self.begin(backend)
         program = (
             "import sys; from crankfold.routing.router import Router\n"
             "def broken(*told): raise ValueError('a bug')\n"
@@ -237,23 +239,23 @@
             "from crankfold.cli.main import main; main(['serve'])"
         )
         lines = await self.start_process(["-O", "-c", program])
-        for ident in ("u1", "u2"):  # at once, not when their time is up
-            self.assertEqual((await self.send_request(ident, wait=60))[0].split()[1], "504")
+        for request_id in ("u1", "u2"):  # at once, not when their time is up
+            self.assertEqual((await self.send_request(request_id, wait=60))[0].split()[1], "504")
         self.process.terminate()
         printed = await lines
         self.assertIn("ValueError('a bug')", printed)
         self.assertEqual(self.process.returncode, 0, printed)
 
-    async def test_sigterm_with_units_in_hand(self) -> None:
+    async def test_sigterm_with_requests_in_hand(self) -> None:
         taken = asyncio.Queue[str]()
 
-        async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        async def backend(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             while True:
                 head, _ = await read_request(reader)
                 writer.write(OK)
                 await taken.put(head.split("\r\n")[0])
 
-        await self.begin(runner)
+        await self.begin(backend)
         self.config["settings"]["service-grades"] = [{"name": "g", "effect": "safe", "cut-off": 1_000_000}]
         lines = await self.start_process(["-O", "-m", "crankfold", "serve"])
         held = asyncio.create_task(self.send_request("u1"))
@@ -285,12 +287,12 @@
         )
         self.close("sigterm")
 
-    async def test_a_new_configuration_moves_the_watch_and_outlives_what_it_cannot_use(self) -> None:
-        async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter, name: str) -> None:
+    async def test_a_reload_switches_the_watch_and_an_unusable_file_changes_nothing(self) -> None:
+        async def backend(reader: asyncio.StreamReader, writer: asyncio.StreamWriter, name: str) -> None:
             while True:
-                ident = (await read_request(reader))[0].lower().partition("x-request-id: ")[2].split()[0]
-                if ident != "held":
-                    await self.send_callback(id=ident, **{"from": name}, state="done", result=name)
+                request_id = (await read_request(reader))[0].lower().partition("x-request-id: ")[2].split()[0]
+                if request_id != "held":
+                    await self.send_callback(id=request_id, **{"from": name}, state="done", result=name)
                 writer.write(OK)
                 sent.set()
 
@@ -305,8 +307,8 @@
 
         asked: list[str] = []
         sent = asyncio.Event()
-        await self.begin(partial(runner, name="a"))
-        ports = {name: await self.stand_in(partial(runner, name=name)) for name in "bc"}
+        await self.begin(partial(backend, name="a"))
+        ports = {name: await self.stand_in(partial(backend, name=name)) for name in "bc"}
         lines = await self.start_process(["-O", "-m", "crankfold", "serve"])
         held = asyncio.create_task(self.send_request("held"))
         async with asyncio.timeout(5):
@@ -333,14 +335,14 @@
         self.assertIn("settings.tick differs and waits for a restart", printed)
         self.assertIn("the old one stays in force", printed)
 
-    async def test_after_sigterm_connections_still_come_and_are_kept_until_its_last_part(self) -> None:
-        async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def test_after_sigterm_connections_are_accepted_and_kept_until_the_final_drain_period(self) -> None:
+        async def backend(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             while True:
                 await read_request(reader)
                 await self.send_callback(id="u1", **{"from": "a"}, state="done", result="result")
                 writer.write(OK)
 
-        await self.begin(runner)
+        await self.begin(backend)
         lines = await self.start_process(["-O", "-m", "crankfold", "serve"])
         self.process.terminate()
         await asyncio.sleep(0.2)
@@ -354,7 +356,7 @@
         self.assertIn("open-requests=0", await lines)
         self.assertEqual(self.process.returncode, 0)
 
-    async def test_at_the_end_of_a_drain_only_what_may_have_run_is_given_up(self) -> None:
+    async def test_at_the_end_of_a_drain_only_what_may_have_executed_is_failed(self) -> None:
         async def silent(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             await reader.read()
 
@@ -369,15 +371,15 @@
         self.application.request_handler.answer_all_open()
         self.assertEqual([(await one)[0].split()[1] for one in asked], ["504", "503"])
 
-    async def test_killed_and_started_again_it_serves_and_takes_old_call_backs(self) -> None:
-        async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def test_killed_and_started_again_it_serves_and_takes_old_callbacks(self) -> None:
+        async def backend(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             while True:
                 await read_request(reader)
                 writer.write(OK)
                 posted.set()
 
         posted = asyncio.Event()
-        await self.begin(runner)
+        await self.begin(backend)
         before = await self.start_process(["-O", "-m", "crankfold", "serve"])
         lost = asyncio.create_task(self.send_request("u1"))
         async with asyncio.timeout(5):
@@ -393,12 +395,12 @@
         self.process.terminate()
         self.assertIn("callbacks-unknown-request=1", await lines)
 
-    async def test_what_it_cannot_start_from_is_said_in_one_line(self) -> None:
-        async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def test_a_configuration_it_cannot_start_from_is_reported_in_one_line(self) -> None:
+        async def backend(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             await reader.read()
 
-        port = await self.stand_in(runner)
-        await self.begin(runner)
+        port = await self.stand_in(backend)
+        await self.begin(backend)
         with tempfile.TemporaryDirectory() as folder:
             for name, body in {
                 "none": None,
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -70,7 +70,7 @@
         self.pool.send(exchange)
         return exchange
 
-    async def test_bytes_that_lie_unread_when_a_connection_is_taken_up_answer_nothing(self) -> None:
+    async def test_bytes_unread_when_a_connection_is_reused_answer_nothing(self) -> None:
         await self.begin(accepting)
         for unasked in (NEVER_RAN, b"HTTP/1.1 503 Serv"):
             self.ends.clear()
@@ -85,7 +85,7 @@
             self.assertIsNot(second.connection, connection)
             await asyncio.sleep(1.2 * REUSE_COOLDOWN)
 
-    async def test_bytes_read_but_not_looked_at_when_a_connection_is_taken_up_answer_nothing(self) -> None:
+    async def test_bytes_read_but_not_processed_when_a_connection_is_reused_answer_nothing(self) -> None:
         await self.begin(accepting)
         self.send()
         await self.until(lambda: len(self.ends) == 1)
@@ -96,11 +96,11 @@
         await self.until(lambda: len(self.ends) == 2)
         self.assertEqual(self.ends, ["answered 202"] * 2)
 
-    async def test_a_second_answer_some_milliseconds_late_answers_nothing(self) -> None:
+    async def test_a_second_response_some_milliseconds_late_answers_nothing(self) -> None:
         asked: list[int] = []
         told_twice = asyncio.Event()
 
-        async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        async def backend(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             n = len(self.links)
             while True:
                 await read_request(reader)
@@ -110,7 +110,7 @@
                     await told_twice.wait()
                 writer.write(OK)
 
-        await self.begin(runner)
+        await self.begin(backend)
         self.send()
         await self.until(lambda: len(self.ends) == 1)
         self.send()  # at once: the connection has hardly come to rest
@@ -123,7 +123,7 @@
         await self.until(lambda: len(self.ends) == 3)
         self.assertEqual(asked, [1, 2, 2])
 
-    async def test_an_answer_that_breaks_off_says_only_that_the_unit_was_taken(self) -> None:
+    async def test_a_response_that_breaks_off_says_only_that_the_request_was_accepted(self) -> None:
         answers: list[tuple[bytes, str]] = [
             (NEVER_RAN.replace(b"Length: 0", b"Length: 9") + b"half", "broken 503"),
             (
@@ -136,28 +136,28 @@
             (NEVER_RAN.replace(b"Length: 0", b"Length: 900000") + b"x" * 900_000, "broken 503"),
         ]
 
-        async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        async def backend(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             await read_request(reader)
             writer.write(answers[len(self.ends)][0])
             await writer.drain()
             writer.write_eof()
             await reader.read()
 
-        await self.begin(runner)
+        await self.begin(backend)
         for n in range(len(answers)):
             self.send()
             await self.until(lambda n=n: len(self.ends) > n)  # type: ignore[misc]
         self.assertEqual(self.ends, [ending for _, ending in answers])
 
-    async def test_what_is_called_off_while_it_is_written_never_arrives(self) -> None:
+    async def test_an_exchange_aborted_while_it_is_written_never_arrives(self) -> None:
         called_off, came = asyncio.Event(), asyncio.get_running_loop().create_future()
 
-        async def runner(reader: asyncio.StreamReader, _writer: asyncio.StreamWriter) -> None:
+        async def backend(reader: asyncio.StreamReader, _writer: asyncio.StreamWriter) -> None:
             await called_off.wait()
             with contextlib.suppress(ConnectionError):
                 came.set_result(len(await reader.read(-1)))
 
-        await self.begin(runner)
+        await self.begin(backend)
         exchange = self.send(b"x" * 30_000_000)
         await self.until(lambda: exchange.connection is not None)
         assert exchange.connection
@@ -167,11 +167,11 @@
         async with asyncio.timeout(9):
             self.assertLess(await came, 30_000_000)
 
-    async def test_a_break_in_the_turn_in_which_the_last_byte_left_may_have_run(self) -> None:
-        async def runner(reader: asyncio.StreamReader, _writer: asyncio.StreamWriter) -> None:
+    async def test_a_break_in_the_loop_iteration_in_which_the_last_byte_left_may_have_executed(self) -> None:
+        async def backend(reader: asyncio.StreamReader, _writer: asyncio.StreamWriter) -> None:
             await reader.read()
 
-        await self.begin(runner)
+        await self.begin(backend)
         exchange = self.send(b"x" * 30_000_000)
         await self.until(lambda: exchange.connection is not None)
         assert exchange.connection
@@ -191,7 +191,7 @@
         await self.listener.open("127.0.0.1", 0)
         self.addAsyncCleanup(self.listener.close)
 
-    async def test_a_client_that_floods_or_sends_a_large_unit_and_goes_is_seen_to_go(self) -> None:
+    async def test_a_client_that_floods_or_sends_a_large_request_and_disconnects_is_noticed(self) -> None:
         await self.begin()
         large = UNIT.replace(b"Length: 2", b"Length: 60000") + b"x" * 59_998
         for number, behind in enumerate((b"", b"y" * 400_000), 1):
@@ -204,7 +204,7 @@
             async with asyncio.timeout(2):
                 await self.until(lambda n=number: self.handler.client_disconnected.call_count == n)  # type: ignore[misc]
 
-    async def test_who_floods_behind_a_request_has_its_answer_whole(self) -> None:
+    async def test_a_client_that_floods_behind_a_request_has_its_response_whole(self) -> None:
         await self.begin()
         reader, writer = await asyncio.open_connection("127.0.0.1", self.listener.port())
         writer.write(UNIT)
@@ -216,7 +216,7 @@
         self.assertEqual((await read_request(reader))[1], b"done")
         writer.close()
 
-    async def test_a_request_that_crosses_the_close_of_a_resting_connection_is_not_sent_on(self) -> None:
+    async def test_a_request_that_crosses_the_close_of_an_idle_connection_is_not_forwarded(self) -> None:
         await self.begin()
         reader, writer = await asyncio.open_connection("127.0.0.1", self.listener.port())
         writer.write(UNIT)
@@ -237,11 +237,11 @@
         await super().begin(backend)
         self.config["settings"]["service-grades"][0].update(effect=effect, **more)
 
-    async def test_a_client_that_went_before_it_was_read_has_nothing_sent(self) -> None:
-        async def runner(reader: asyncio.StreamReader, _writer: asyncio.StreamWriter) -> None:
+    async def test_a_client_that_disconnected_before_it_was_read_has_nothing_sent(self) -> None:
+        async def backend(reader: asyncio.StreamReader, _writer: asyncio.StreamWriter) -> None:
             self.say((await read_request(reader))[0].splitlines()[0])
 
-        await self.begin(runner)
+        await self.begin(backend)
         await self.start_in_process()
         client = socket.create_connection(("127.0.0.1", self.port))
         client.sendall(UNIT)
@@ -250,41 +250,43 @@
         await self.until(lambda: not self.application.listener.connections)
         self.assertEqual((self.lines, self.application.metrics.counters["attempts"]), ([], 0))
 
-    async def test_a_client_that_goes_while_its_unit_waits_for_a_connection_has_nothing_sent(self) -> None:
-        async def runner(reader: asyncio.StreamReader, _writer: asyncio.StreamWriter) -> None:
+    async def test_a_client_that_disconnects_while_its_request_waits_for_a_connection_has_nothing_sent(
+        self,
+    ) -> None:
+        async def backend(reader: asyncio.StreamReader, _writer: asyncio.StreamWriter) -> None:
             self.say((await read_request(reader))[0].splitlines()[0])
 
-        await self.begin(runner)
+        await self.begin(backend)
         await self.start_in_process()
         pool = self.application.backend_registry.records[0].pool
         opening, up = pool._connect, asyncio.Event()
 
         async def late(exchange: Exchange) -> None:
-            asking.cancel()
+            pending_response.cancel()
             await self.until(lambda: self.application.metrics.counters["clients-disconnected"] == 1)
             await opening(exchange)
             up.set()
 
         pool._connect = late  # type: ignore[method-assign]
-        asking = asyncio.create_task(self.send_request("u1"))
+        pending_response = asyncio.create_task(self.send_request("u1"))
         async with asyncio.timeout(5):
             await up.wait()
         await asyncio.sleep(0.02)
         self.assertEqual(self.lines, [])
         self.assertEqual(self.application.request_handler.open_request_count(), 0)
 
-    async def test_a_request_read_after_the_last_answers_is_shed_and_not_sent_on(self) -> None:
-        async def runner(reader: asyncio.StreamReader, _writer: asyncio.StreamWriter) -> None:
+    async def test_a_request_read_after_the_last_responses_is_shed_and_not_forwarded(self) -> None:
+        async def backend(reader: asyncio.StreamReader, _writer: asyncio.StreamWriter) -> None:
             await read_request(reader)
             self.say("sent on")
 
-        await self.begin(runner)
+        await self.begin(backend)
         await self.start_in_process()
-        ended, go_on = asyncio.Event(), asyncio.Event()
+        ended, may_finish = asyncio.Event(), asyncio.Event()
 
-        async def held_up() -> None:
+        async def blocked_close() -> None:
             ended.set()
-            await go_on.wait()
+            await may_finish.wait()
 
         reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
         writer.write(UNIT[:-1])  # its last byte is still under way
@@ -292,7 +294,7 @@
             lambda: any(client.protocol.is_mid_request() for client in self.application.listener.connections)
         )
         with (
-            patch.object(self.application.admin_server, "close", held_up),
+            patch.object(self.application.admin_server, "close", blocked_close),
             patch("crankfold.service.shutdown.MAX_DRAIN_DURATION", 0.1),
             patch("crankfold.service.shutdown.DRAIN_MARGIN", 0.0),
         ):
@@ -300,15 +302,15 @@
             await ended.wait()
             writer.write(UNIT[-1:])
             head, _ = await read_request(reader)
-            go_on.set()
+            may_finish.set()
         self.assertEqual((head.split()[1], self.lines), ("503", []))
         self.assertEqual(await reader.read(), b"")
         writer.close()
 
-    async def test_a_runners_connection_rests_through_a_drain_until_its_unit_has_ended(self) -> None:
+    async def test_a_backends_connection_stays_through_a_drain_until_its_request_has_ended(self) -> None:
         taken = asyncio.Event()
 
-        async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        async def backend(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             await read_request(reader)
             writer.write(OK)
             taken.set()
@@ -320,9 +322,9 @@
             writer.write(head % len(body) + body)
             return (await read_request(reader))[0].split()[1]
 
-        await self.begin(runner)
+        await self.begin(backend)
         await self.start_in_process()
-        asking = asyncio.create_task(self.send_request("u1"))
+        pending_response = asyncio.create_task(self.send_request("u1"))
         await taken.wait()
         reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
         self.assertEqual(await back("started"), "204")
@@ -334,14 +336,16 @@
             await self.until(lambda: self.application.listener.closing)
             await asyncio.sleep(3 * NEW_CONNECTION_GRACE)  # what is at rest for so long is closed
             self.assertEqual(await back("done", result="ran"), "204")
-            self.assertEqual((await asking)[1], b"ran")
+            self.assertEqual((await pending_response)[1], b"ran")
         writer.close()
 
-    async def test_the_window_that_ends_while_a_connection_comes_up_holds_a_tagged_unit_back(self) -> None:
-        async def runner(reader: asyncio.StreamReader, _writer: asyncio.StreamWriter) -> None:
+    async def test_a_deduplication_window_that_ends_while_connecting_holds_a_request_with_key_back(
+        self,
+    ) -> None:
+        async def backend(reader: asyncio.StreamReader, _writer: asyncio.StreamWriter) -> None:
             self.say((await read_request(reader))[0].splitlines()[0])  # and breaks: it may have run
 
-        await self.begin(runner, "keyed", group="zone", **{"repeat-window": 300_000})
+        await self.begin(backend, "keyed", group="zone", **{"repeat-window": 300_000})
         await self.start_in_process()
         pool = self.application.backend_registry.records[0].pool
         opening = pool._connect
@@ -366,15 +370,15 @@
             answer = await self.send_request("u1")
         self.assertEqual((answer[0].split()[1], opened, len(self.lines)), ("504", 2, 1))
 
-    async def test_an_end_told_twice_is_not_taken_for_that_of_a_second_dispatch(self) -> None:
-        async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def test_an_end_reported_twice_is_not_taken_for_that_of_a_second_attempt(self) -> None:
+        async def backend(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             await read_request(reader)
             self.say("sent")
             writer.write(OK)
             for _ in range(2):  # as if the first telling's answer had been lost
                 await self.send_callback(id="u1", **{"from": "a"}, state="returned")
 
-        await self.begin(runner, "unsafe")
+        await self.begin(backend, "unsafe")
         await self.start_in_process()
         self.assertEqual((await self.send_request("u1"))[0].split()[1], "503")  # known not to have run
         self.assertEqual(self.lines.count("sent"), 1)
@@ -383,35 +387,35 @@
         """A once-only unit whose dispatch breaks, and the call-back of its end; how it was answered."""
         broken = asyncio.Event()
 
-        async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        async def backend(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             await read_request(reader)
             if told_first:
                 await self.send_callback(id="u1", **{"from": "a"}, state="done", result="ran")
             writer.transport.abort()
             broken.set()
 
-        await self.begin(runner, "unsafe")
+        await self.begin(backend, "unsafe")
         await self.start_in_process()
-        asking = asyncio.create_task(self.send_request("u1"))
+        pending_response = asyncio.create_task(self.send_request("u1"))
         await broken.wait()
         if not told_first:
             await self.until(lambda: self.application.metrics.counters["requests-failed"] == 1)
             await self.send_callback(id="u1", **{"from": "a"}, state="done", result="ran")
-        answer = await asking
+        answer = await pending_response
         self.assertEqual(self.application.metrics.counters["attempts"], 1)
         return answer[0].split()[1]
 
-    async def test_an_end_told_before_its_dispatch_breaks_counts(self) -> None:
+    async def test_an_end_reported_before_its_attempt_breaks_counts(self) -> None:
         self.assertEqual(await self.beside(True), "200")
 
-    async def test_an_end_told_after_its_dispatch_broke_changes_nothing(self) -> None:
+    async def test_an_end_reported_after_its_attempt_broke_changes_nothing(self) -> None:
         self.assertEqual(await self.beside(False), "504")
 
-    async def test_told_to_end_before_it_serves_it_takes_nobody(self) -> None:
-        async def runner(_reader: asyncio.StreamReader, _writer: asyncio.StreamWriter) -> None:
+    async def test_ended_before_it_serves_it_accepts_nobody(self) -> None:
+        async def backend(_reader: asyncio.StreamReader, _writer: asyncio.StreamWriter) -> None:
             raise AssertionError("nothing is sent")
 
-        await self.begin(runner)
+        await self.begin(backend)
         node = Application(self.config, lambda: self.config)
         node.shutdown_requested.set()
         with patch.object(node.listener, "open") as opened:
@@ -419,11 +423,11 @@
                 await node.run()
         self.assertFalse(opened.called)
 
-    async def test_a_new_configuration_told_before_the_program_is_whole_is_read(self) -> None:
-        async def runner(reader: asyncio.StreamReader, _writer: asyncio.StreamWriter) -> None:
+    async def test_a_reload_signal_before_the_program_is_imported_is_not_lost(self) -> None:
+        async def backend(reader: asyncio.StreamReader, _writer: asyncio.StreamWriter) -> None:
             await read_request(reader)
 
-        await self.begin(runner)
+        await self.begin(backend)
         program = (
             "import os, runpy, signal, sys\n"
             "class Early:\n"
@@ -440,11 +444,11 @@
         self.assertIn("config-reloads=1", printed)
 
     async def test_idle_clients_fill_the_descriptors_while_discovery_is_down(self) -> None:
-        async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        async def backend(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             while True:
                 head, _ = await read_request(reader)
-                ident = head.lower().partition("x-request-id: ")[2].partition("\r\n")[0]
-                await self.send_callback(id=ident, **{"from": "a"}, state="done", result="done")
+                request_id = head.lower().partition("x-request-id: ")[2].partition("\r\n")[0]
+                await self.send_callback(id=request_id, **{"from": "a"}, state="done", result="done")
                 writer.write(OK)
 
         back = asyncio.Event()
@@ -457,7 +461,7 @@
                 writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
             await reader.read()
 
-        await self.begin(runner)
+        await self.begin(backend)
         self.config |= {
             "discovery": f"127.0.0.1:{await self.stand_in(discovery)}",
             "limits": {"sockets": 128},
@@ -480,8 +484,8 @@
         printed = await lines
         self.assertEqual((self.process.returncode, "failures=" in printed), (0, False), printed)
 
-    async def test_a_first_call_that_breaks_does_not_end_the_wait_for_the_list(self) -> None:
-        async def runner(reader: asyncio.StreamReader, _writer: asyncio.StreamWriter) -> None:
+    async def test_a_first_discovery_call_that_breaks_does_not_end_the_wait_for_the_list(self) -> None:
+        async def backend(reader: asyncio.StreamReader, _writer: asyncio.StreamWriter) -> None:
             await read_request(reader)
             self.say("sent to a runner that discovery has as draining")
 
@@ -498,7 +502,7 @@
             writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
             await reader.read()
 
-        await self.begin(runner)
+        await self.begin(backend)
         self.config["discovery"] = f"127.0.0.1:{await self.stand_in(discovery)}"
         with patch(
             "crankfold.service.application.FIRST_LIST_TIMEOUT", 5.0
@@ -506,11 +510,11 @@
             await self.start_in_process()
         self.assertEqual(((await self.send_request("u1", wait=0.2))[0].split()[1], self.lines), ("503", []))
 
-    async def test_a_cut_off_before_the_decisions_had_their_turn_sheds_what_never_went(self) -> None:
-        async def runner(_reader: asyncio.StreamReader, _writer: asyncio.StreamWriter) -> None:
+    async def test_a_deadline_before_the_routing_timer_fired_sheds_what_was_never_sent(self) -> None:
+        async def backend(_reader: asyncio.StreamReader, _writer: asyncio.StreamWriter) -> None:
             raise AssertionError("nothing is sent")
 
-        await self.begin(runner)
+        await self.begin(backend)
         self.backend_state = "terminating"
         self.config["known"] = self.discovery_answer()
         await self.start_in_process()
@@ -518,11 +522,11 @@
             self.assertEqual((await self.send_request("u1", wait=0.1))[0].split()[1], "503")
         self.assertEqual(self.application.metrics.counters["requests-open-at-deadline"], 1)
 
-    async def test_by_the_grades_in_force_is_told_how_long_an_end_may_take(self) -> None:
-        async def runner(reader: asyncio.StreamReader, _writer: asyncio.StreamWriter) -> None:
+    async def test_the_request_classes_in_force_bound_the_drain(self) -> None:
+        async def backend(reader: asyncio.StreamReader, _writer: asyncio.StreamWriter) -> None:
             await read_request(reader)
 
-        await self.begin(runner)
+        await self.begin(backend)
         await self.start_in_process()
         grade = {"name": "h", "effect": "safe", "cut-off": 500_000, "expected-time": 100_000}
         self.config = {**self.config, "settings": {**self.config["settings"], "service-grades": [grade]}}
@@ -531,7 +535,7 @@
 
 
 class RequestClassCrossings(Scene):
-    def test_what_was_learnt_of_a_grade_is_not_told_of_another_that_reads_the_same(self) -> None:
+    def test_what_was_learnt_of_a_request_class_is_not_kept_for_another_with_equal_settings(self) -> None:
         self.open()
         book = RequestClassTable(["a"], [GRADE])
         self.told.state.classes[0].typical_run = 77.0
@@ -552,7 +556,7 @@
 
 
 class DiscoveryCrossings(Scene):
-    def test_where_lists_are_asked_for_no_pause_is_longer_than_a_change_may_take(self) -> None:
+    def test_where_endpoints_are_polled_no_pause_is_longer_than_a_change_may_take(self) -> None:
         self.open(
             runners=0,
             discovery_by_poll=True,
@@ -568,7 +572,7 @@
             max(pauses), 60_000 - CONNECT_TIMEOUT * 20_000
         )  # what is left: to connect and to be answered
 
-    def test_what_settings_leave_open_is_nobodys_figure(self) -> None:
+    def test_defaults_of_timeouts_allow_a_lost_packet_and_a_backend_that_closes_early(self) -> None:
         rules = read_service_config({})
         self.assertGreater(
             rules.connect_timeout, SECOND
