--- a/benchmarks/turns.py
+++ b/benchmarks/turns.py
@@ -1,4 +1,4 @@
-"""What it costs to take a whole fleet through a work, by the order of its machines. Emulated, paired seeds.
+"""What it costs to take a whole fleet through maintenance, by who goes next. Simulated, paired seeds.
 
     python -m benchmarks.turns --runners 30 --workers 6
 
@@ -6,145 +6,223 @@
 """
 
 import csv
+from collections.abc import Mapping, Sequence
 from concurrent.futures import ProcessPoolExecutor
-from dataclasses import replace
+from dataclasses import dataclass, replace
 from pathlib import Path
+from typing import NamedTuple
 
 import click
 
-from crankfold.simulation.comparison import DEFAULT_CONFIG as DEFAULT_CONFIG
-from crankfold.simulation.comparison import confidence_interval, verdict
+from crankfold.simulation.comparison import DEFAULT_CONFIG, confidence_interval, verdict
+from crankfold.simulation.event_queue import TICKS_PER_SECOND
 from crankfold.simulation.faults import Fault, FaultKind
-from crankfold.simulation.maintenance_study import FOREMAN, NOTHING, ORDERS, StudyResult, run_study
+from crankfold.simulation.maintenance_study import Strategy, StudyResult, run_study
 from crankfold.simulation.scenario import Scenario
 
 OUTPUT_DIRECTORY = Path(__file__).parent
 WARM_UP_TICKS = 30_000  # a machine is cold for so long
-LOSS_FAULTS = (Fault(FaultKind.ZONE_LOSS, 20, 28), Fault(FaultKind.DEAD, 40, 55, share=0.05))
-# Runners, dispatchers, mean running time in tenths of a millisecond, load.
-SIZES = ((30, 10, 4000, 0.6), (30, 10, 4000, 0.75), (100, 40, 4000, 0.6), (300, 300, 12_000, 0.6))
-RunKey = tuple[int, int, int, float, str, str, int]
+DAY_SECONDS = 70
+DISCOVERY_DELAY_TICKS = 3000
+SLOTS_PER_BACKEND = 4
+FAULTS = {  # by name
+    "calm": (),
+    "losses": (Fault(FaultKind.ZONE_LOSS, 20, 28), Fault(FaultKind.DEAD, 40, 55, share=0.05)),
+}
+TABLE_HEADS = (
+    "runners",
+    "dispatchers",
+    "load",
+    "faults",
+    "order",
+    "seed",
+    "units",
+    "in_time",
+    "done",
+    "seconds",
+    "rules_broken",
+)
 
 
-def run_keys(seeds: int, sizes: list[tuple[int, int, int, float]]) -> list[RunKey]:
+class Size(NamedTuple):
+    """A fleet and its load."""
+
+    backend_count: int
+    dispatcher_count: int
+    mean_service_time: int  # ticks
+    load: float  # of the slots
+
+
+SIZES = (
+    Size(30, 10, 4000, 0.6),
+    Size(30, 10, 4000, 0.75),
+    Size(100, 40, 4000, 0.6),
+    Size(300, 300, 12_000, 0.6),
+)
+
+
+class RunKey(NamedTuple):
+    """One day of the study."""
+
+    size: Size
+    faults: str
+    strategy: Strategy
+    seed: int
+
+
+@dataclass(frozen=True, slots=True)
+class Point:
+    """What a strategy costs, for the chart."""
+
+    case: str
+    strategy: Strategy
+    duration_seconds: float
+    late_per_machine: float
+
+
+Results = Mapping[RunKey, StudyResult]
+
+
+def run_keys(seeds: int, sizes: Sequence[Size]) -> list[RunKey]:
+    """All days, paired by seed."""
     return [
-        (*size, faults, order, seed)
+        RunKey(size, faults, strategy, seed)
         for size in sizes
-        for faults in ("calm", "losses")
+        for faults in FAULTS
         for seed in range(1, seeds + 1)
-        for order in ORDERS
+        for strategy in Strategy
     ]
 
 
-def run_one(job: RunKey) -> tuple[RunKey, StudyResult]:
-    runners, dispatchers, work, load, faults, order, seed = job
+def run_one(key: RunKey) -> tuple[RunKey, StudyResult]:
+    """Plays one day."""
+    size = key.size
+    busy_ticks = size.load * size.backend_count * SLOTS_PER_BACKEND * TICKS_PER_SECOND  # each second
     scenario = Scenario(
-        dispatcher_count=dispatchers,
-        backend_count=runners,
-        mean_service_time=work,
-        seconds=70,
-        discovery_delay=3000,
-        arrival_rate=load * runners * 4 * 10_000 / work / dispatchers,
-        faults=LOSS_FAULTS if faults == "losses" else (),
+        dispatcher_count=size.dispatcher_count,
+        backend_count=size.backend_count,
+        mean_service_time=size.mean_service_time,
+        seconds=DAY_SECONDS,
+        discovery_delay=DISCOVERY_DELAY_TICKS,
+        arrival_rate=busy_ticks / size.mean_service_time / size.dispatcher_count,
+        faults=FAULTS[key.faults],
     )
-    return job, run_study(order, scenario, replace(DEFAULT_CONFIG, warm_up_time=WARM_UP_TICKS), seed)
+    config = replace(DEFAULT_CONFIG, warm_up_time=WARM_UP_TICKS)
+    return key, run_study(key.strategy, scenario, config, key.seed)
 
 
-@click.command()
-@click.option("--seeds", default=10, show_default=True)
-@click.option("--workers", default=6, show_default=True)
-@click.option("--runners", type=click.Choice(["30", "100", "300"]), required=True)
-def main(seeds: int, workers: int, runners: str) -> None:
-    sizes, name = [size for size in SIZES if size[0] == int(runners)], f"turns-{runners}"
-    rows: dict[RunKey, StudyResult] = {}
-    with ProcessPoolExecutor(workers) as pool:
-        for job, told in pool.map(run_one, run_keys(seeds, sizes)):
-            rows[job] = told
-    with (OUTPUT_DIRECTORY / f"{name}.csv").open("w", newline="") as out:
+def write_table(path: Path, results: Results) -> None:
+    """One row a day."""
+    with path.open("w", newline="") as out:
         table = csv.writer(out, lineterminator="\n")
-        table.writerow(
-            [
-                "runners",
-                "dispatchers",
-                "load",
-                "faults",
-                "order",
-                "seed",
-                "units",
-                "in_time",
-                "done",
-                "seconds",
-                "rules_broken",
-            ]
-        )
-        for (machines, dispatchers, _, load, faults, order, seed), told in rows.items():
+        table.writerow(TABLE_HEADS)
+        for key, result in results.items():
             table.writerow(
                 [
-                    machines,
-                    dispatchers,
-                    load,
-                    faults,
-                    order,
-                    seed,
-                    told.request_count,
-                    f"{told.in_time_share:.6f}",
-                    f"{told.completed_share:.4f}",
-                    f"{told.duration_seconds:.1f}",
-                    told.violation_count,
+                    key.size.backend_count,
+                    key.size.dispatcher_count,
+                    key.size.load,
+                    key.faults,
+                    key.strategy,
+                    key.seed,
+                    result.request_count,
+                    f"{result.in_time_share:.6f}",
+                    f"{result.completed_share:.4f}",
+                    f"{result.duration_seconds:.1f}",
+                    result.violation_count,
                 ]
             )
-    lines, charted = [], []
-    for size in sizes:
-        for faults in ("calm", "losses"):
-            idle = sum(rows[(*size, faults, NOTHING, s)].in_time_share for s in range(1, seeds + 1)) / seeds
-            lines.append(
-                f"{size[0]} runners, {size[1]} dispatchers, load {size[3]}, {faults}; share in time "
-                f"without any work {idle:.4f}"
-            )
-            costs: dict[str, list[float]] = {}
-            for order in ORDERS[:-1]:
-                played = [
-                    (rows[(*size, faults, order, s)], rows[(*size, faults, NOTHING, s)])
-                    for s in range(1, seeds + 1)
-                ]
-                costs[order] = [
-                    (calm.in_time_share - told.in_time_share)
-                    * told.request_count
-                    / max(told.completed_share * size[0], 1)
-                    for told, calm in played
-                ]
-                seconds = sum(told.duration_seconds for told, _ in played) / seeds
-                done = sum(told.completed_share for told, _ in played) / seeds
-                mean = sum(costs[order]) / seeds
-                text = (
-                    f"  {order}: {seconds:.1f} s, {done:.2f} of the machines, {mean:.2f} units late a machine"
-                )
-                if order != FOREMAN:
-                    diff, low, high = confidence_interval(
-                        [-c for c in costs[FOREMAN]], [-c for c in costs[order]]
-                    )
-                    text += f"; {FOREMAN} {-diff:+.2f} ({-high:+.2f} to {-low:+.2f}): {verdict(low, high)}"
-                lines.append(text)
-                charted.append((f"{size[0]}/{size[1]} {size[3]} {faults}", order, seconds, mean))
-    lines.append(f"rules broken: {sum(told.violation_count for told in rows.values())}")
-    (OUTPUT_DIRECTORY / f"{name}.txt").write_text("\n".join(lines) + "\n")
-    click.echo("\n".join(lines))
+
+
+def late_per_machine(
+    results: Results, size: Size, faults: str, strategy: Strategy, seeds: int
+) -> list[float]:
+    """By seed, the requests that came late for each machine that was done, beyond those of an idle day."""
+    costs = []
+    for seed in range(1, seeds + 1):
+        result = results[RunKey(size, faults, strategy, seed)]
+        idle = results[RunKey(size, faults, Strategy.NO_MAINTENANCE, seed)]
+        late = (idle.in_time_share - result.in_time_share) * result.request_count
+        costs.append(late / max(result.completed_share * size.backend_count, 1))
+    return costs
+
+
+def summarize(results: Results, size: Size, faults: str, seeds: int) -> tuple[list[str], list[Point]]:
+    """The lines of a case, and its points on the chart."""
+    days = range(1, seeds + 1)
+    idle_days = [results[RunKey(size, faults, Strategy.NO_MAINTENANCE, day)] for day in days]
+    idle = sum(result.in_time_share for result in idle_days) / seeds
+    lines = [
+        f"{size.backend_count} runners, {size.dispatcher_count} dispatchers, load {size.load}, {faults}; "
+        f"share in time without any work {idle:.4f}"
+    ]
+    points = []
+    coordinated = late_per_machine(results, size, faults, Strategy.COORDINATOR, seeds)
+    for strategy in Strategy:
+        if strategy == Strategy.NO_MAINTENANCE:
+            continue
+        played = [results[RunKey(size, faults, strategy, day)] for day in days]
+        costs = late_per_machine(results, size, faults, strategy, seeds)
+        seconds = sum(result.duration_seconds for result in played) / seeds
+        done = sum(result.completed_share for result in played) / seeds
+        mean = sum(costs) / seeds
+        text = f"  {strategy}: {seconds:.1f} s, {done:.2f} of the machines, {mean:.2f} units late a machine"
+        if strategy != Strategy.COORDINATOR:
+            text += compare(coordinated, costs)
+        lines.append(text)
+        case = f"{size.backend_count}/{size.dispatcher_count} {size.load} {faults}"
+        points.append(Point(case, strategy, seconds, mean))
+    return lines, points
+
+
+def compare(coordinated: Sequence[float], costs: Sequence[float]) -> str:
+    """How the coordinator differs from a strategy, with its interval."""
+    difference, low, high = confidence_interval([-cost for cost in coordinated], [-cost for cost in costs])
+    return f"; {Strategy.COORDINATOR} {-difference:+.2f} ({-high:+.2f} to {-low:+.2f}): {verdict(low, high)}"
+
+
+def draw_chart(path: Path, points: Sequence[Point]) -> None:
+    """Late requests by the time that a fleet takes, a panel for each case."""
     import matplotlib
     from matplotlib import pyplot
 
     matplotlib.rcParams["svg.hashsalt"] = "turns"
-    cases = list(dict.fromkeys(case for case, *_ in charted))
+    cases = list(dict.fromkeys(point.case for point in points))
     figure, axes = pyplot.subplots(1, len(cases), figsize=(4 * len(cases), 4))
-    for place, case in zip(axes.flat, cases, strict=False):
-        for played_as, order, seconds, mean in charted:
-            if played_as == case:
-                place.scatter(seconds, mean, label=order)
-        place.set_title(case, fontsize=9)
-        place.set_xlabel("seconds to get through")
-        place.set_ylabel("units late a machine")
+    for panel, case in zip(axes.flat, cases, strict=False):
+        for point in points:
+            if point.case == case:
+                panel.scatter(point.duration_seconds, point.late_per_machine, label=str(point.strategy))
+        panel.set_title(case, fontsize=9)
+        panel.set_xlabel("seconds to get through")
+        panel.set_ylabel("units late a machine")
     axes.flat[0].legend(fontsize=7)
     figure.tight_layout()
-    figure.savefig(OUTPUT_DIRECTORY / f"{name}.svg", metadata={"Date": None})
+    figure.savefig(path, metadata={"Date": None})
+
+
+@click.command()
+@click.option("--seeds", default=10, show_default=True)
+@click.option("--workers", default=6, show_default=True)
+@click.option("--runners", type=click.Choice(["30", "100", "300"]), required=True)
+def main(seeds: int, workers: int, runners: str) -> None:
+    """Play all days of the fleets of one size, and write table, summary and chart."""
+    sizes = [size for size in SIZES if size.backend_count == int(runners)]
+    name = f"turns-{runners}"
+    with ProcessPoolExecutor(workers) as pool:
+        results = dict(pool.map(run_one, run_keys(seeds, sizes)))
+    write_table(OUTPUT_DIRECTORY / f"{name}.csv", results)
+    lines: list[str] = []
+    points: list[Point] = []
+    for size in sizes:
+        for faults in FAULTS:
+            case_lines, case_points = summarize(results, size, faults, seeds)
+            lines += case_lines
+            points += case_points
+    lines.append(f"rules broken: {sum(result.violation_count for result in results.values())}")
+    (OUTPUT_DIRECTORY / f"{name}.txt").write_text("\n".join(lines) + "\n")
+    click.echo("\n".join(lines))
+    draw_chart(OUTPUT_DIRECTORY / f"{name}.svg", points)
 
 
 if __name__ == "__main__":
--- a/crankfold/simulation/maintenance_study.py
+++ b/crankfold/simulation/maintenance_study.py
@@ -1,11 +1,14 @@
-"""Whole fleets taken through a work under load: what each order of machines costs, in time and in units.
+"""Whole fleets taken through maintenance under load: what each order of machines costs, in time and requests.
 
-The dispatchers are real, with units, lists and reports as in `world`. Who goes next is decided by the
-foreman, or by the orders that an operator would follow by himself.
+The dispatchers are real, with requests, endpoint lists and reports as in `fleet`. Who goes next is decided by
+the coordinator, or by a strategy that an operator would follow alone.
 """
 
+from collections.abc import Sequence
 from dataclasses import dataclass, replace
+from enum import StrEnum
 from random import Random
+from typing import Any, Final, NamedTuple
 
 from crankfold.maintenance.coordinator import Coordinator
 from crankfold.maintenance.fleet_view import FleetView
@@ -15,269 +18,318 @@
 from crankfold.maintenance.transitions import MaintenancePhase, coordinator_document
 from crankfold.routing.interface import EndpointState, RoutingConfig
 from crankfold.routing.router import Router
-from crankfold.simulation.backend import SimulatedBackend
+from crankfold.simulation.event_queue import TICKS_PER_SECOND
 from crankfold.simulation.fleet import SimulatedFleet
 from crankfold.simulation.invariants import Answer
-from crankfold.simulation.scenario import ZONE_COUNT, Scenario
-
-TICKS_PER_SECOND = 10_000
-DECISION_INTERVAL_TICKS = 2_000
-CONSENSUS_DELAY_TICKS = 300  # until an entry is on the disks of a majority
-WORK_DURATION_TICKS = TICKS_PER_SECOND  # what the work on a machine takes
-MIN_DRAIN_TICKS = 5_000  # before that nobody can know that all have heard
-FOREMAN, BY_ID, AT_RANDOM, BY_ZONE, ONE, TRUE_LOADS, NOTHING = (
-    "settled",
-    "by id",
-    "at random",
-    "zone by zone",
-    "one at a time",
-    "true loads",
-    "no work",
-)
-ORDERS = (FOREMAN, BY_ID, AT_RANDOM, BY_ZONE, ONE, TRUE_LOADS, NOTHING)
-MAX_UTILIZATION = 0.8  # of the slots: the planner that sees true loads takes no machine out over that
+from crankfold.simulation.scenario import START, ZONE_COUNT, Scenario
+
+FIRST_DECISION_TICKS: Final = TICKS_PER_SECOND  # after the day's begin
+DECISION_INTERVAL_TICKS: Final = 2_000
+CONSENSUS_DELAY_TICKS: Final = 300  # until an entry is on the disks of a majority
+WORK_DURATION_TICKS: Final = TICKS_PER_SECOND  # what the work on a machine takes
+MIN_DRAIN_TICKS: Final = 5_000  # before that nobody can know that all dispatchers have heard of it
+MAX_OUT_DIVISOR: Final = 10  # a tenth of the machines is out at once
+MAX_UTILIZATION: Final = 0.8  # of the slots: who sees true loads takes no machine out over that
+OUTCOME_WINDOW: Final = 26  # decisions over which answers and shed requests are counted
+JOB: Final = "w"
+OPERATOR: Final = "o"
+MEMBER_NAME: Final = "n0"
+
+
+class Strategy(StrEnum):
+    """Who goes next; the values stand in the tables of the study."""
+
+    COORDINATOR = "settled"
+    BY_ID = "by id"
+    AT_RANDOM = "at random"
+    BY_ZONE = "zone by zone"
+    ONE_AT_A_TIME = "one at a time"
+    BY_TRUE_LOAD = "true loads"
+    NO_MAINTENANCE = "no work"
 
 
 @dataclass(frozen=True, slots=True)
 class StudyResult:
-    strategy: str
+    """One day."""
+
+    strategy: Strategy
     seed: int
     request_count: int
-    in_time_share: float  # share
-    completed_share: float  # share of the machines by the end of the day
-    duration_seconds: float  # seconds until the last, or the day's length
+    in_time_share: float
+    completed_share: float  # of the machines, by the end of the day
+    duration_seconds: float  # until the last machine was done, or the day's length
     violation_count: int
 
 
+class Absence(NamedTuple):
+    """Where a machine in maintenance is."""
+
+    phase: MaintenancePhase
+    since: int  # ticks
+
+
 class StudyFleet(SimulatedFleet):
-    def __init__(self, scenario: Scenario, orders: RoutingConfig, order: str) -> None:
-        self.strategy = order
-        self.absent: dict[int, tuple[str, int]] = {}  # of runners that are out: where they are, since when
-        super().__init__(scenario, orders, Router)
-        self.completed_at: dict[int, int] = {}
-        self.max_out = max(scenario.backend_count // 10, 1)
-        self.luck = Random(f"{scenario.seed} order")
-        self.remaining = list(range(scenario.backend_count))
-        if order == AT_RANDOM:
-            self.luck.shuffle(self.remaining)
-        elif order == BY_ZONE:
-            self.remaining.sort(key=lambda r: (r % ZONE_COUNT, r))
-        self.coordinator, self.maintenance_state = Coordinator("n0"), MaintenanceState()
-        self.log_index = 1
-        self.job_specification = JobSpecification(
-            max_out=self.max_out, min_remaining_share=0.5, watch_seconds=0.0, min_answers=0
-        )
-        self.outcome_counts: list[tuple[int, int]] = []
-        if order != NOTHING:
-            self.events.schedule(TICKS_PER_SECOND, self._decide)
+    """A fleet without maintenance; subclasses decide who goes out, and follow up."""
+
+    def __init__(self, scenario: Scenario, config: RoutingConfig, strategy: Strategy) -> None:
+        # Faults of the scenario are scheduled while the fleet is made, and ask who is absent.
+        self.absent: dict[int, Absence] = {}  # by backend
+        super().__init__(scenario, config, Router)
+        self.completed_at: dict[int, int] = {}  # by backend, ticks
+        self._strategy = strategy
+        self._max_out = max(scenario.backend_count // MAX_OUT_DIVISOR, 1)
+        if strategy != Strategy.NO_MAINTENANCE:
+            self.events.schedule(FIRST_DECISION_TICKS, self._decide)
 
-    def change_state(self, at: int, runner: int, standing: EndpointState, since: int = 0) -> None:
+    def change_state(self, at: int, backend: int, state: EndpointState, since: int = 0) -> None:
         """What faults do to a machine that is out is undone by the work on it."""
 
         def unless_out() -> None:
-            if runner not in self.absent:
-                SimulatedFleet.change_state(self, at, runner, standing, since)
+            if backend not in self.absent:
+                SimulatedFleet.change_state(self, at, backend, state, since)
 
         self.events.schedule(at - self.events.now, unless_out)
 
-    def _set_endpoint_state(self, r: int, standing: EndpointState, since: int = 0) -> None:
-        super().change_state(self.events.now, r, standing, since)
+    def _set_endpoint_state(self, backend: int, state: EndpointState, since: int = 0) -> None:
+        super().change_state(self.events.now, backend, state, since)
 
-    def _machine(self, r: int) -> Machine:
-        it = self.backends[r]
-        up = it.state == EndpointState.READY and not it.dead
-        return Machine(f"{r:04}", f"z{r % ZONE_COUNT}", "", "", 1.0, it.ready_since, up)
+    def _is_available(self, backend: int) -> bool:
+        found = self.backends[backend]
+        return found.state == EndpointState.READY and not found.dead
 
     def _decide(self) -> None:
         self.events.schedule(DECISION_INTERVAL_TICKS, self._decide)
         now = self.events.now
-        for r, (state, since) in list(self.absent.items()):
-            it = self.backends[r]
-            if (
-                state == MaintenancePhase.DRAINING
-                and now - since >= MIN_DRAIN_TICKS
-                and not it.busy_slots
-                and not it.queue
-            ):
-                self.absent[r] = MaintenancePhase.DRAINED, now
-            elif state == MaintenancePhase.DRAINED and self.strategy != FOREMAN:
-                self._start_work(r)
-            elif (
-                state == MaintenancePhase.RETURNING
-                and self.strategy != FOREMAN
-                and now - since >= self.config.warm_up_time
-            ):
-                self._complete(r)
-        if self.strategy == FOREMAN:
-            counts = self.invariants.answer_counts
-            self.outcome_counts.append((counts[Answer.COMPLETED], counts[Answer.SHED]))
-            del self.outcome_counts[:-26]
-            self._coordinate()
-        else:
-            for r in self._next_departures():
-                self._start_drain(r)
+        for index, absence in list(self.absent.items()):
+            backend = self.backends[index]
+            if absence.phase != MaintenancePhase.DRAINING:
+                self._follow_up(index, absence)
+            elif now - absence.since >= MIN_DRAIN_TICKS and not backend.busy_slots and not backend.queue:
+                self.absent[index] = Absence(MaintenancePhase.DRAINED, now)
+        self._choose()
+
+    def _follow_up(self, backend: int, absence: Absence) -> None:
+        """What happens to a machine that does not drain any more."""
+
+    def _choose(self) -> None:
+        """Begins what is to be done next."""
+
+    def _work_done(self, backend: int) -> None:
+        """The work on a machine has ended."""
 
     # --- what happens to a machine ---
 
-    def _start_drain(self, r: int) -> None:
-        self.absent[r] = MaintenancePhase.DRAINING, self.events.now
-        self._set_endpoint_state(r, EndpointState.DRAINING)
+    def _start_drain(self, backend: int) -> None:
+        self.absent[backend] = Absence(MaintenancePhase.DRAINING, self.events.now)
+        self._set_endpoint_state(backend, EndpointState.DRAINING)
+
+    def _start_work(self, backend: int) -> None:
+        self.absent[backend] = Absence(MaintenancePhase.IN_WORK, self.events.now)
+        self.backends[backend].state = EndpointState.REMOVED
+
+        def done() -> None:
+            self.absent[backend] = Absence(MaintenancePhase.WORK_DONE, self.events.now)
+            self._work_done(backend)
 
-    def _start_work(self, r: int) -> None:
-        end = self.events.now + WORK_DURATION_TICKS
-        self.absent[r] = MaintenancePhase.IN_WORK, self.events.now
-        self.backends[r].state = EndpointState.REMOVED
+        self.events.schedule(WORK_DURATION_TICKS, done)
 
-        def back() -> None:
-            self.absent[r] = MaintenancePhase.WORK_DONE, end
-            if self.strategy != FOREMAN:
-                self._return_to_service(r)
+    def _return_to_service(self, backend: int) -> None:
+        self.absent[backend] = Absence(MaintenancePhase.RETURNING, self.events.now)
+        self._set_endpoint_state(backend, EndpointState.READY, self.events.now)
 
-        self.events.schedule(WORK_DURATION_TICKS, back)
 
-    def _return_to_service(self, r: int) -> None:
-        self.absent[r] = MaintenancePhase.RETURNING, self.events.now
-        self._set_endpoint_state(r, EndpointState.READY, self.events.now)
+class OperatedFleet(StudyFleet):
+    """An operator decides who goes next, by a strategy that looks at no list of bounds."""
 
-    def _complete(self, r: int) -> None:
-        del self.absent[r]
-        self.completed_at[r] = self.events.now
+    def __init__(self, scenario: Scenario, config: RoutingConfig, strategy: Strategy) -> None:
+        super().__init__(scenario, config, strategy)
+        self._remaining = list(range(scenario.backend_count))
+        if strategy == Strategy.AT_RANDOM:
+            Random(f"{scenario.seed} order").shuffle(self._remaining)
+        elif strategy == Strategy.BY_ZONE:
+            self._remaining.sort(key=lambda backend: (backend % ZONE_COUNT, backend))
 
-    # --- orders by operators ---
+    def _follow_up(self, backend: int, absence: Absence) -> None:
+        if absence.phase == MaintenancePhase.DRAINED:
+            self._start_work(backend)
+            return
+        warm = self.events.now - absence.since >= self.config.warm_up_time
+        if absence.phase == MaintenancePhase.RETURNING and warm:
+            del self.absent[backend]
+            self.completed_at[backend] = self.events.now
+
+    def _work_done(self, backend: int) -> None:
+        self._return_to_service(backend)
+
+    def _choose(self) -> None:
+        chosen = self._next_departures()
+        self._remaining = [backend for backend in self._remaining if backend not in chosen]
+        for backend in chosen:
+            self._start_drain(backend)
 
     def _next_departures(self) -> list[int]:
-        if self.strategy == BY_ZONE:
-            if self.absent or not self.remaining:
-                return []
-            zone = self.remaining[0] % ZONE_COUNT
-            go = [r for r in self.remaining if r % ZONE_COUNT == zone]
-        elif self.strategy == TRUE_LOADS:
-            go = self._departures_by_load()
-        else:
-            go = self.remaining[: max((1 if self.strategy == ONE else self.max_out) - len(self.absent), 0)]
-        self.remaining = [r for r in self.remaining if r not in go]
-        return go
-
-    def _departures_by_load(self) -> list[int]:
-        go: list[int] = []
-        up = {r: it for r, it in enumerate(self.backends) if self._is_available(r, it)}
-        held = sum(it.busy_slots + len(it.queue) for it in self.backends)
-        places = (
-            self.max_out
-            - len(self.absent)
-            - sum(
-                not self._is_available(r, it) and r not in self.absent for r, it in enumerate(self.backends)
-            )
-        )
-        for r in sorted(
-            self.remaining, key=lambda r: (self.backends[r].busy_slots + len(self.backends[r].queue), r)
-        ):
-            if len(go) >= places or held > MAX_UTILIZATION * self.scenario.slots_per_backend * (
-                len(up) - len(go) - 1
-            ):
+        if self._strategy == Strategy.BY_ZONE:
+            return self._next_zone()
+        if self._strategy == Strategy.BY_TRUE_LOAD:
+            return self._least_loaded()
+        max_out = 1 if self._strategy == Strategy.ONE_AT_A_TIME else self._max_out
+        return self._remaining[: max(max_out - len(self.absent), 0)]
+
+    def _next_zone(self) -> list[int]:
+        """All of a zone, when the one before is back."""
+        if self.absent or not self._remaining:
+            return []
+        zone = self._remaining[0] % ZONE_COUNT
+        return [backend for backend in self._remaining if backend % ZONE_COUNT == zone]
+
+    def _load(self, backend: int) -> int:
+        return self.backends[backend].busy_slots + len(self.backends[backend].queue)
+
+    def _least_loaded(self) -> list[int]:
+        """As many as the utilization of the others allows."""
+        everybody = range(len(self.backends))
+        available = {backend for backend in everybody if self._is_available(backend)}
+        lost = sum(backend not in available and backend not in self.absent for backend in everybody)
+        max_departures = self._max_out - len(self.absent) - lost
+        load = sum(self._load(backend) for backend in everybody)
+        chosen: list[int] = []
+        for backend in sorted(self._remaining, key=lambda backend: (self._load(backend), backend)):
+            slots_left = self.scenario.slots_per_backend * (len(available) - len(chosen) - 1)
+            if len(chosen) >= max_departures or load > MAX_UTILIZATION * slots_left:
                 break
-            if r in up:
-                go.append(r)
-        return go
+            if backend in available:
+                chosen.append(backend)
+        return chosen
+
 
-    @staticmethod
-    def _is_available(r: int, it: SimulatedBackend) -> bool:
-        return it.state == EndpointState.READY and not it.dead
+class CoordinatedFleet(StudyFleet):
+    """The product's coordinator decides; what it proposes is committed a little later."""
 
-    # --- the foreman ---
+    def __init__(self, scenario: Scenario, config: RoutingConfig, strategy: Strategy) -> None:
+        super().__init__(scenario, config, strategy)
+        self._coordinator = Coordinator(MEMBER_NAME)
+        self._state = MaintenanceState()
+        self._log_index = 1
+        self._job = JobSpecification(
+            max_out=self._max_out, min_remaining_share=0.5, watch_seconds=0.0, min_answers=0
+        )
+        self._outcome_counts: list[tuple[int, int]] = []  # completed and shed, at each decision
+
+    def _choose(self) -> None:
+        counts = self.invariants.answer_counts
+        self._outcome_counts.append((counts[Answer.COMPLETED], counts[Answer.SHED]))
+        del self._outcome_counts[:-OUTCOME_WINDOW]
+        self._coordinate()
 
     def _coordinate(self) -> None:
-        ledger, now = self.maintenance_state, self.events.now
-        for uid, away in list(ledger.machines.items()):
-            if (
-                away.phase == MaintenancePhase.IN_WORK
-                and self.absent[int(uid)][0] == MaintenancePhase.WORK_DONE
-            ):
-                self._apply_transitions(
-                    [{"uid": uid, "work": "w", "step": MaintenancePhase.WORK_DONE, "by": "o", "why": ""}]
-                )
+        for machine_id, record in list(self._state.machines.items()):
+            in_work = record.phase == MaintenancePhase.IN_WORK
+            if in_work and self.absent[int(machine_id)].phase == MaintenancePhase.WORK_DONE:
+                self._apply([_operator_step(machine_id, MaintenancePhase.WORK_DONE)])
+        transitions = self._coordinator.propose(self._view())
+        if transitions:
+            documents = [coordinator_document(transition) for transition in transitions]
+            self.events.schedule(CONSENSUS_DELAY_TICKS, lambda: self._committed(documents))
+
+    def _view(self) -> FleetView:
+        draining = {
+            _machine_id(backend)
+            for backend, absence in self.absent.items()
+            if absence.phase == MaintenancePhase.DRAINING
+        }
+
+        def holders(machine_id: str, _index: int) -> str:
+            return "held" if machine_id in draining else ""
+
         counts = self.invariants.answer_counts
-        before = self.outcome_counts[0]
-        taken = counts[Answer.COMPLETED] - before[0]
-        shed = counts[Answer.SHED] - before[1]
-        holds = {f"{r:04}" for r, (state, _) in self.absent.items() if state == MaintenancePhase.DRAINING}
-        steps = self.coordinator.propose(
-            FleetView(
-                now=now,
-                wall_ms=0,
-                jobs_version=1,
-                jobs={"w": self.job_specification},
-                state=ledger,
-                machines=[self._machine(r) for r in range(len(self.backends))],
-                blocking_holders=lambda uid, index: "held" if uid in holds else "",
-                admitted_count=taken,
-                shed_count=shed,
-                executors={"n0": 1},
-                incarnations={"n0": 1},
-                warm_up_ticks=self.config.warm_up_time,
-            )
+        completed_before, shed_before = self._outcome_counts[0]
+        return FleetView(
+            now=self.events.now,
+            wall_ms=0,
+            jobs_version=1,
+            jobs={JOB: self._job},
+            state=self._state,
+            machines=[self._machine(backend) for backend in range(len(self.backends))],
+            blocking_holders=holders,
+            admitted_count=counts[Answer.COMPLETED] - completed_before,
+            shed_count=counts[Answer.SHED] - shed_before,
+            executors={MEMBER_NAME: 1},
+            incarnations={MEMBER_NAME: 1},
+            warm_up_ticks=self.config.warm_up_time,
+        )
+
+    def _machine(self, backend: int) -> Machine:
+        return Machine(
+            machine_id=_machine_id(backend),
+            zone=f"z{backend % ZONE_COUNT}",
+            started_at=self.backends[backend].ready_since,
+            available=self._is_available(backend),
         )
-        # An entry is agreed, and its machines are out or back, a little later; then the next is looked for.
-        if steps:
-            documents: list[dict[str, object]] = [coordinator_document(step) for step in steps]
-            self.events.schedule(CONSENSUS_DELAY_TICKS, lambda: self._transitions_committed(documents))
 
-    def _transitions_committed(self, steps: list[dict[str, object]]) -> None:
-        self._apply_transitions(steps)
+    def _committed(self, documents: Sequence[dict[str, Any]]) -> None:
+        """Machines are out or back now; then the next transitions are looked for."""
+        self._apply(documents)
         self._coordinate()
 
-    def _apply_transitions(self, steps: list[dict[str, object]]) -> None:
-        before = {uid: away.phase for uid, away in self.maintenance_state.machines.items()}
-        self.log_index += 1
-        self.maintenance_state.apply(self.log_index, {"steps": steps}, 1)
-        for step in steps:
-            uid = str(step["uid"])
-            if not uid:
-                continue
-            r, away = int(uid), self.maintenance_state.machines.get(uid)
-            state = away.phase if away else ""
-            if state == before.get(uid, ""):
-                continue
-            if state == MaintenancePhase.DRAINING:
-                self._start_drain(r)
-            elif state == MaintenancePhase.DRAINED:
-                # The operator begins at once.
-                self._apply_transitions(
-                    [
-                        {
-                            "uid": uid,
-                            "work": "w",
-                            "step": MaintenancePhase.IN_WORK,
-                            "by": "o",
-                            "life": 0,
-                            "why": "",
-                        }
-                    ]
-                )
-                self._start_work(r)
-            elif state == MaintenancePhase.RETURNING:
-                self._return_to_service(r)
-            elif not state:
-                self.absent.pop(r, None)
-                if uid in self.maintenance_state.completed.get("w", ()):
-                    self.completed_at[r] = self.events.now
-
-
-def run_study(order: str, scenario: Scenario, orders: RoutingConfig, seed: int) -> StudyResult:
-    fleet = StudyFleet(replace(scenario, seed=seed), orders, order)
+    def _apply(self, documents: Sequence[dict[str, Any]]) -> None:
+        before = {machine_id: record.phase for machine_id, record in self._state.machines.items()}
+        self._log_index += 1
+        self._state.apply(self._log_index, {"steps": documents}, 1)
+        for document in documents:
+            machine_id = document["uid"]
+            record = self._state.machines.get(machine_id)
+            phase = record.phase if record else MaintenancePhase.IN_SERVICE
+            if machine_id and phase != before.get(machine_id, MaintenancePhase.IN_SERVICE):
+                self._phase_changed(machine_id, phase)
+
+    def _phase_changed(self, machine_id: str, phase: MaintenancePhase) -> None:
+        backend = int(machine_id)
+        if phase == MaintenancePhase.DRAINING:
+            self._start_drain(backend)
+        elif phase == MaintenancePhase.DRAINED:
+            # The operator begins at once.
+            self._apply([_operator_step(machine_id, MaintenancePhase.IN_WORK)])
+            self._start_work(backend)
+        elif phase == MaintenancePhase.RETURNING:
+            self._return_to_service(backend)
+        elif phase == MaintenancePhase.IN_SERVICE:
+            self.absent.pop(backend, None)
+            if machine_id in self._state.completed.get(JOB, ()):
+                self.completed_at[backend] = self.events.now
+
+
+def _machine_id(backend: int) -> str:
+    return f"{backend:04}"
+
+
+def _operator_step(machine_id: str, phase: MaintenancePhase) -> dict[str, Any]:
+    """The stored form of a transition that the operator calls for."""
+    return {"uid": machine_id, "work": JOB, "step": phase.value, "by": OPERATOR, "life": 0, "why": ""}
+
+
+def run_study(strategy: Strategy, scenario: Scenario, config: RoutingConfig, seed: int) -> StudyResult:
+    """Takes a fleet through one day.
+
+    Args:
+        strategy: Who goes next.
+        scenario: The day; its seed is replaced.
+        config: Of the routing at each dispatcher.
+        seed: The same seed plays the same day.
+    """
+    classes = {Strategy.COORDINATOR: CoordinatedFleet, Strategy.NO_MAINTENANCE: StudyFleet}
+    fleet = classes.get(strategy, OperatedFleet)(replace(scenario, seed=seed), config, strategy)
     fleet.run()
-    whole = len(fleet.completed_at) == scenario.backend_count
-    took = (
-        (max(fleet.completed_at.values()) - 2 * TICKS_PER_SECOND) / TICKS_PER_SECOND
-        if whole
-        else float(scenario.seconds)
-    )
+    if len(fleet.completed_at) == scenario.backend_count:
+        ticks = max(fleet.completed_at.values()) - START - FIRST_DECISION_TICKS
+        duration_seconds = ticks / TICKS_PER_SECOND
+    else:
+        duration_seconds = float(scenario.seconds)
     return StudyResult(
-        order,
-        seed,
-        fleet.request_count,
-        fleet.on_time_count / max(fleet.request_count, 1),
-        len(fleet.completed_at) / scenario.backend_count,
-        took,
-        len(fleet.invariants.violations),
+        strategy=strategy,
+        seed=seed,
+        request_count=fleet.request_count,
+        in_time_share=fleet.on_time_count / max(fleet.request_count, 1),
+        completed_share=len(fleet.completed_at) / scenario.backend_count,
+        duration_seconds=duration_seconds,
+        violation_count=len(fleet.invariants.violations),
     )
