--- a/crankfold/service/application.py
+++ b/crankfold/service/application.py
@@ -309,7 +309,7 @@
         await self.shutdown.close()
         self.report_metrics()
 
-    def _unhandled_error(self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+    def _unhandled_error(self, _loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
         """Counts and logs, with its place, an error that no handler caught; a debug build ends by it."""
         error = context.get("exception") or RuntimeError(context.get("message"))
         self.metrics.record_exception(error)
--- a/crankfold/service/cluster_admin.py
+++ b/crankfold/service/cluster_admin.py
@@ -156,12 +156,12 @@
             )
         return _answer(HTTPStatus.OK, answer)
 
-    async def _wait_until_in_force(self, name: str, number: int, timeout: float) -> dict[str, Any]:
+    async def _wait_until_in_force(self, name: str, number: int, max_wait: float) -> dict[str, Any]:
         """Whether a version is active by then, and which members do not act on it yet. Seconds."""
         started = time.monotonic()
-        index = await self.cluster_node.wait_until_active(name, number, timeout)
+        index = await self.cluster_node.wait_until_active(name, number, max_wait)
         applied_by_all = index > 0 and await self.cluster_node.wait_until_cluster_applied(
-            index, timeout - (time.monotonic() - started)
+            index, max_wait - (time.monotonic() - started)
         )
         return {"counts": index > 0, "lag": [] if applied_by_all else self._lagging_members()}
 
--- a/crankfold/service/machine_inventory.py
+++ b/crankfold/service/machine_inventory.py
@@ -85,7 +85,7 @@
     for name, incarnation, last_applied, is_alive in statuses:
         available = is_alive and last_applied >= member.last_applied - MAX_LOG_LAG
         known = machines.get(name)
-        if known is None or available and not known.available:
+        if known is None or (available and not known.available):
             machines[name] = _dispatcher_machine(member, name, incarnation, available, zones)
     for name in member.raft.voters:
         if name not in machines:
--- a/crankfold/service/maintenance_agent.py
+++ b/crankfold/service/maintenance_agent.py
@@ -181,7 +181,7 @@
     def propose_transitions(self, now: int) -> list[dict[str, Any]]:
         """The transitions to propose at `now`, in ticks of the boot clock; none unless this member leads."""
         member = self.cluster_node.consensus
-        if not isinstance(member, Voter) or not self.jobs() and not self.state.machines:
+        if not isinstance(member, Voter) or (not self.jobs() and not self.state.machines):
             return []
         if not member.is_leader() or not self.cluster_node.has_lease():
             self.coordinator.observe(now, self.state, self.machines())
--- a/crankfold/service/shutdown.py
+++ b/crankfold/service/shutdown.py
@@ -66,7 +66,8 @@
 
     async def _drain_without_successor(self, end: float) -> None:
         await asyncio.sleep(LATE_CONNECTION_PERIOD)
-        while self.loop.time() < end - FINAL_DRAIN_PERIOD and self.listener.connections:
+        # Not by events: these would have to come from every connection and every request, for one use each.
+        while self.loop.time() < end - FINAL_DRAIN_PERIOD and self.listener.connections:  # noqa: ASYNC110
             await asyncio.sleep(CHECK_INTERVAL)
         self.listener.closing = True
         self.listener.close_idle(spare_backends=True)
