--- a/crankfold/routing/backend_table.py
+++ b/crankfold/routing/backend_table.py
@@ -5,7 +5,6 @@
 
 from collections import deque
 from collections.abc import Sequence
-from dataclasses import dataclass, field
 from typing import NamedTuple
 
 from crankfold.routing.interface import SECOND, Endpoint, EndpointState
@@ -21,42 +20,77 @@
     slots: float
 
 
-@dataclass(slots=True, eq=False)
 class Backend:
     """One backend, as the list, the load reports and the own attempts show it."""
 
-    index: int
-    state: EndpointState = EndpointState.REMOVED
-    zone: int = 0
-    cell: int = 0
-    instance_type: int = 0
-    hash_position: float = 0.0  # below 1, the same at every instance
-    started_at: int = 0  # by the list; 0 for long ago
-    warm_from: int = 0  # end of its warm-up
-    announced_weight: float = 0.0
-    weight: float = 0.0  # size: the listed weight, without the load where weights follow the load
-    utilization: float = 0.0  # requests for each core that a weight which follows the load shows
-    capacity: float = 0.0  # slots; 0 while not known
-
-    reported_queue: float = 0.0  # slots of work of others, by the reports
-    own_slots: float = 0.0  # slots of work of this instance in flight there
-    load: float = 0.0  # both together: what the score weighs
-    report: Sequence[float] = ()
-    reported_at: int = NEVER
-    last_seen_at: int = 0  # last sign of life
-    probe_in_flight: bool = False
-    recent_changes: deque[SlotChange] = field(default_factory=deque)
-
-    run_time_sum: float = 0.0  # ticks, fading
-    hinted_work_sum: float = 0.0  # ticks, fading: what those runs were announced to take
-    score_factor: float = 0.0  # one over the weight, less what a slowed or warming backend lacks
-    error_rate: float = 0.0  # share of attempts, fading
-    ejection_time: int = 0  # length of the present ejection; 0 for a trusted backend
-    ejected_until: int = 0
-    overloaded_until: int = 0  # rests after it refused work or could not be reached
-    unstarted: int = 0  # own attempts whose start is not notified yet
-    own_share: float = 0.0  # of the slow-start budget that all instances share
-    slow_start_next: int = 0  # when the budget allows the next request; 0 while not drawn
+    __slots__ = (
+        "announced_weight",
+        "capacity",
+        "cell",
+        "ejected_until",
+        "ejection_time",
+        "error_rate",
+        "hash_position",
+        "hinted_work_sum",
+        "index",
+        "instance_type",
+        "last_seen_at",
+        "load",
+        "overloaded_until",
+        "own_share",
+        "own_slots",
+        "probe_in_flight",
+        "recent_changes",
+        "report",
+        "reported_at",
+        "reported_queue",
+        "run_time_sum",
+        "score_factor",
+        "slow_start_next",
+        "started_at",
+        "state",
+        "unstarted",
+        "utilization",
+        "warm_from",
+        "weight",
+        "zone",
+    )
+
+    def __init__(self, index: int, now: int) -> None:
+        """Makes the record of a backend that is first heard of at `now` ticks."""
+        # Over 30 lines as there is one for each field; a dataclass would cost each start a millisecond.
+        self.index = index
+        self.state = EndpointState.REMOVED
+        self.zone = 0
+        self.cell = 0
+        self.instance_type = 0
+        self.hash_position = 0.0  # below 1, the same at every instance
+        self.started_at = 0  # by the list; 0 for long ago
+        self.warm_from = 0  # end of its warm-up
+        self.announced_weight = 0.0
+        self.weight = 0.0  # size: the listed weight, without the load where weights follow the load
+        self.utilization = 0.0  # requests for each core that a weight which follows the load shows
+        self.capacity = 0.0  # slots; 0 while not known
+
+        self.reported_queue = 0.0  # slots of work of others, by the reports
+        self.own_slots = 0.0  # slots of work of this instance in flight there
+        self.load = 0.0  # both together: what the score weighs
+        self.report: Sequence[float] = ()
+        self.reported_at = NEVER
+        self.last_seen_at = now  # last sign of life
+        self.probe_in_flight = False
+        self.recent_changes: deque[SlotChange] = deque()
+
+        self.run_time_sum = 0.0  # ticks, fading
+        self.hinted_work_sum = 0.0  # ticks, fading: what those runs were announced to take
+        self.score_factor = 0.0  # one over the weight, less what a slowed or warming backend lacks
+        self.error_rate = 0.0  # share of attempts, fading
+        self.ejection_time = 0  # length of the present ejection; 0 for a trusted backend
+        self.ejected_until = 0
+        self.overloaded_until = 0  # rests after it refused work or could not be reached
+        self.unstarted = 0  # own attempts whose start is not notified yet
+        self.own_share = 0.0  # of the slow-start budget that all instances share
+        self.slow_start_next = 0  # when the budget allows the next request; 0 while not drawn
 
     def add_slots(self, now: int, slots: float) -> None:
         """Counts slots taken (positive) or freed (negative) by this instance's own attempts."""
@@ -107,7 +141,7 @@
                 backend.state = EndpointState.REMOVED
         for endpoint in endpoints:
             while endpoint.backend >= len(self.backends):
-                self.backends.append(Backend(len(self.backends), last_seen_at=now))
+                self.backends.append(Backend(len(self.backends), now))
             self._apply(self.backends[endpoint.backend], endpoint)
         self.ready = [backend for backend in self.backends if backend.state == EndpointState.READY]
 
--- a/crankfold/routing/interface.py
+++ b/crankfold/routing/interface.py
@@ -119,26 +119,41 @@
     hash_position: float = 1.0  # drawn from its id, below 1, the same at every instance
 
 
-@dataclass(slots=True)
+# The records of events are plain classes: a dataclass costs a start about a millisecond each.
 class RequestArrival:
     """A request as it comes in."""
 
-    request_id: int
-    class_index: int
-    deadline: int  # ticks: when the client waits no longer
-    work: int  # ticks, as hinted; 0 without a hint
-    slots: float
-    key: int = 0  # of the data that it works on; 0 for none
-    is_retry: bool = False  # the client marks it as one
+    __slots__ = ("class_index", "deadline", "is_retry", "key", "request_id", "slots", "work")
+
+    def __init__(
+        self,
+        request_id: int,
+        class_index: int,
+        *,
+        deadline: int,
+        work: int,
+        slots: float,
+        key: int = 0,
+        is_retry: bool = False,
+    ) -> None:
+        self.request_id = request_id
+        self.class_index = class_index
+        self.deadline = deadline  # ticks: when the client waits no longer
+        self.work = work  # ticks, as hinted; 0 without a hint
+        self.slots = slots
+        self.key = key  # of the data that it works on; 0 for none
+        self.is_retry = is_retry  # the client marks it as one
 
 
-@dataclass(slots=True)
 class AttemptEnd:
     """How an attempt has ended, and what came with it."""
 
-    outcome: Outcome
-    request_over: bool  # the request has its answer, or none is owed any more
-    report: Sequence[float] = ()  # a load report, in the order of the configured fields
+    __slots__ = ("outcome", "report", "request_over")
+
+    def __init__(self, outcome: Outcome, request_over: bool, report: Sequence[float] = ()) -> None:
+        self.outcome = outcome
+        self.request_over = request_over  # the request has its answer, or none is owed any more
+        self.report = report  # a load report, in the order of the configured fields
 
 
 class RoutingActions(Protocol):
--- a/crankfold/routing/records.py
+++ b/crankfold/routing/records.py
@@ -3,8 +3,6 @@
 Times and work are ticks of 0.1 ms.
 """
 
-from dataclasses import dataclass
-
 from crankfold.routing.backend_table import Backend
 from crankfold.routing.interface import RequestClass
 
@@ -106,12 +104,14 @@
         return weight * (self.slots * self.expected_work if by_work else 1.0)
 
 
-@dataclass(frozen=True, slots=True)
 class AttemptScope:
     """Where a further attempt may go: within a zone or a cell, -1 for any."""
 
-    zone: int = -1
-    cell: int = -1
+    __slots__ = ("cell", "zone")
+
+    def __init__(self, zone: int = -1, cell: int = -1) -> None:
+        self.zone = zone
+        self.cell = cell
 
 
 ANYWHERE = AttemptScope()
--- a/crankfold/routing/router.py
+++ b/crankfold/routing/router.py
@@ -70,7 +70,7 @@
         self._refresh(now)
         self.admission.drain_queue(now)
 
-    def discovery_failed(self, now: int) -> None:
+    def discovery_failed(self, now: int) -> None:  # noqa: ARG002 - every event has the time
         """The endpoints that were asked for did not come."""
         self.polling.failed()
 
@@ -80,12 +80,12 @@
         self.refresh_if_due(now)
         self.admission.admit(now, arrival)
 
-    def client_disconnected(self, now: int, request_id: int) -> None:
+    def client_disconnected(self, now: int, request_id: int) -> None:  # noqa: ARG002 - every event has the time
         """Nobody waits for the answer any more."""
         if (request := self.state.requests.get(request_id)) and not request.answered:
             self.admission.close(request)
 
-    def request_aborted(self, now: int, request_id: int) -> None:
+    def request_aborted(self, now: int, request_id: int) -> None:  # noqa: ARG002 - every event has the time
         """The process ends. What never went out is shed, so that the client knows a retry is harmless."""
         if (request := self.state.requests.get(request_id)) and not request.answered:
             self.admission.answer(request)
--- a/crankfold/routing/selection.py
+++ b/crankfold/routing/selection.py
@@ -102,7 +102,10 @@
         order = self.order_of_key.get(request.key)
         if order is None:
             key = request.key
-            order = sorted(self.state.table.ready, key=lambda b: hash_weight(key, b.hash_position) / b.weight)
+            ready = self.state.table.ready
+            order = sorted(
+                ready, key=lambda backend: hash_weight(key, backend.hash_position) / backend.weight
+            )
             self.order_of_key[key] = order
         objective = request.request_class.settings.latency_objective
         deepest = 1.0 + WAIT_SHARE * objective / self.state.averages.mean_run
--- a/crankfold/routing/subsetting.py
+++ b/crankfold/routing/subsetting.py
@@ -34,7 +34,7 @@
 
     def endpoints_changed(self) -> None:
         """Orders the ring anew: zone by zone, so that a stretch of it has its share of each."""
-        self.ring = sorted(self.state.table.ready, key=lambda b: (b.zone, b.hash_position))
+        self.ring = sorted(self.state.table.ready, key=lambda backend: (backend.zone, backend.hash_position))
         self.current = False
 
     def refresh(self, now: int) -> None:
--- a/tests/scene.py
+++ b/tests/scene.py
@@ -162,7 +162,13 @@
     ) -> None:
         self.say(f"  takes unit {unit}" + (f" of grade {grade}" if grade else ""))
         arrival = RequestArrival(
-            unit, grade, self.now + int(cutoff * MS), int(work * MS), slots, key, is_retry=again
+            unit,
+            grade,
+            deadline=self.now + int(cutoff * MS),
+            work=int(work * MS),
+            slots=slots,
+            key=key,
+            is_retry=again,
         )
         self.told.request_received(self.now, arrival)
 
--- a/tests/test_grown.py
+++ b/tests/test_grown.py
@@ -83,7 +83,9 @@
                 post.told.attempt_ended(now, unit, 0, runner, AttemptEnd(Outcome.COMPLETED, True))
             for post in self.posts:
                 post.pass_to(now)
-                post.told.request_received(now, RequestArrival(turn, 0, now + 5000 * MS, UNIT, 1.0))
+                post.told.request_received(
+                    now, RequestArrival(turn, 0, deadline=now + 5000 * MS, work=UNIT, slots=1.0)
+                )
                 if post.went and post.went[-1][1] == turn:
                     post.told.attempt_started(now, turn, 0, post.went[-1][2])
                     under_way.append((now + UNIT, post, turn, post.went[-1][2]))
