--- a/crankfold/protocol/client_request.py
+++ b/crankfold/protocol/client_request.py
@@ -1,7 +1,7 @@
 """What a client asks for: the HTTP request as it is forwarded, and what its headers say about it."""
 
 import zlib
-from dataclasses import dataclass
+from typing import NamedTuple
 
 from crankfold.protocol.headers import Header, Headers, first_values, forwarded_headers, parse_number
 from crankfold.time_units import MICROSECONDS_PER_TICK, TICKS_PER_SECOND
@@ -14,8 +14,7 @@
 _REQUIRED_HEADERS = frozenset((b"x-request-id", b"x-timeout", b"x-priority-class"))
 
 
-@dataclass(slots=True)
-class HttpRequest:
+class HttpRequest(NamedTuple):
     """An HTTP request as it is sent to a backend, once for each attempt."""
 
     method: bytes
@@ -24,8 +23,7 @@
     body: bytes
 
 
-@dataclass(slots=True)
-class ClientRequest:
+class ClientRequest(NamedTuple):
     """A request read from a client connection, with what routing needs to know of it.
 
     Attributes:
--- a/crankfold/service/backend_registry.py
+++ b/crankfold/service/backend_registry.py
@@ -2,7 +2,7 @@
 
 import zlib
 from collections.abc import Collection, Sequence
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from functools import partial
 from typing import Any, NamedTuple
 
@@ -38,7 +38,6 @@
     boot_ms: int
 
 
-@dataclass(slots=True, eq=False)
 class BackendRecord:
     """One backend.
 
@@ -49,10 +48,13 @@
         pool: The connections to it.
     """
 
-    address: BackendAddress
-    endpoint: Endpoint
-    state: EndpointState
-    pool: ConnectionPool
+    __slots__ = ("address", "endpoint", "pool", "state")
+
+    def __init__(self, address: BackendAddress, endpoint: Endpoint, pool: ConnectionPool) -> None:
+        self.address = address
+        self.endpoint = endpoint
+        self.state = endpoint.state
+        self.pool = pool
 
 
 class BackendRegistry:
@@ -92,7 +94,7 @@
         if backend == len(self.records):
             unlisted = Endpoint(backend, EndpointState.REMOVED, weight=0.0, zone=0, cell=0, started_at=0)
             pool = ConnectionPool(entry.host, entry.port, self.sockets)
-            self.records.append(BackendRecord(address, unlisted, EndpointState.REMOVED, pool))
+            self.records.append(BackendRecord(address, unlisted, pool))
         elif self.records[backend].address != address:
             # A process that started anew or moved: connections to the old one are not used.
             record = self.records[backend]
--- a/crankfold/service/load_report_store.py
+++ b/crankfold/service/load_report_store.py
@@ -1,13 +1,12 @@
 """The last load report of each backend, for the process that takes over."""
 
 from collections.abc import Sequence
-from dataclasses import dataclass
+from typing import NamedTuple
 
 from crankfold.network.timers import Clock
 
 
-@dataclass(slots=True, frozen=True)
-class LoadReport:
+class LoadReport(NamedTuple):
     """A load report and when it came, in ticks; `values` stand in the order of the configured fields."""
 
     received_at: int
--- a/crankfold/service/request_handler.py
+++ b/crankfold/service/request_handler.py
@@ -2,8 +2,9 @@
 
 import asyncio
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from functools import partial
+from typing import NamedTuple
 
 from crankfold.config.parser import ServiceConfig, setting_text
 from crankfold.network.metrics import Metrics
@@ -30,8 +31,7 @@
 ADMITTED_COUNTER = "requests-admitted"
 
 
-@dataclass(frozen=True, slots=True)
-class Refusal:
+class Refusal(NamedTuple):
     """Why a request is not admitted: the counter that counts it, and the response.
 
     Nothing was sent for it, so a retry is harmless. `retry_after` is in seconds, 0 for no advice.
--- a/crankfold/service/request_table.py
+++ b/crankfold/service/request_table.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Sequence
-from dataclasses import dataclass, field
 from enum import Enum
 from typing import NamedTuple
 
@@ -27,7 +26,6 @@
         self.status = status
 
 
-@dataclass(slots=True, eq=False)
 class Attempt:
     """One attempt to have a request executed.
 
@@ -43,22 +41,35 @@
         may_have_run: It is not known that it was never executed.
     """
 
-    number: int
-    backend: int
-    created_at: int
-    exchange: Exchange | None = None
-    in_flight: bool = True
-    started: bool = False
-    accepted: bool = False
-    may_still_run: bool = False
-    may_have_run: bool = True
+    # Plain classes with slots: a dataclass costs a start a millisecond.
+    __slots__ = (
+        "accepted",
+        "backend",
+        "created_at",
+        "exchange",
+        "in_flight",
+        "may_have_run",
+        "may_still_run",
+        "number",
+        "started",
+    )
+
+    def __init__(self, number: int, backend: int, created_at: int) -> None:
+        self.number = number
+        self.backend = backend
+        self.created_at = created_at
+        self.exchange: Exchange | None = None
+        self.in_flight = True
+        self.started = False
+        self.accepted = False
+        self.may_still_run = False
+        self.may_have_run = True
 
     def was_sent(self) -> bool:
         """Whether it went out on a connection."""
         return self.exchange is not None and self.exchange.connection is not None
 
 
-@dataclass(slots=True, eq=False)
 class Request:
     """One request in hand.
 
@@ -75,16 +86,39 @@
         deadline_timer: Fires at the deadline.
     """
 
-    number: int
-    class_index: int
-    request_id: str
-    client: ClientChannel
-    deadline: int
-    http_request: HttpRequest
-    attempts: list[Attempt] = field(default_factory=list)
-    is_open: bool = True
-    quota_limits: Sequence[str] = ()
-    deadline_timer: asyncio.TimerHandle | None = None
+    __slots__ = (
+        "attempts",
+        "class_index",
+        "client",
+        "deadline",
+        "deadline_timer",
+        "http_request",
+        "is_open",
+        "number",
+        "quota_limits",
+        "request_id",
+    )
+
+    def __init__(
+        self,
+        number: int,
+        *,
+        class_index: int,
+        request_id: str,
+        client: ClientChannel,
+        deadline: int,
+        http_request: HttpRequest,
+    ) -> None:
+        self.number = number
+        self.class_index = class_index
+        self.request_id = request_id
+        self.client = client
+        self.deadline = deadline
+        self.http_request = http_request
+        self.attempts: list[Attempt] = []
+        self.is_open = True
+        self.quota_limits: Sequence[str] = ()
+        self.deadline_timer: asyncio.TimerHandle | None = None
 
 
 class ActiveAttempt(NamedTuple):
@@ -119,7 +153,14 @@
         http_request: HttpRequest,
     ) -> Request:
         """Takes a request in, and gives it the next number; `deadline` in ticks."""
-        request = Request(self.next_number, class_index, request_id, client, deadline, http_request)
+        request = Request(
+            self.next_number,
+            class_index=class_index,
+            request_id=request_id,
+            client=client,
+            deadline=deadline,
+            http_request=http_request,
+        )
         self.next_number += 1
         self.request_classes.request_opened(class_index)
         self.requests[request.number] = request
