--- /dev/null
+++ b/tests/service/test_request_classes.py
@@ -0,0 +1,35 @@
+"""Request classes over changes of the configuration."""
+
+from dataclasses import replace
+from typing import Any
+
+from crankfold.routing.interface import Idempotency
+from crankfold.service.request_classes import RequestClassTable
+from tests.scene import GRADE, Kept
+
+
+class RequestClassTableTest(Kept):
+    def test_a_name_points_to_its_newest_row(self) -> None:
+        def update(description: str, **classes: Any) -> None:
+            changed = table.update(classes, list(classes.values()))
+            self.say(
+                f"{description}: {'changed' if changed else 'nothing new'}, "
+                f"{table.index_by_name}, open {table.open_counts}"
+            )
+
+        safe, keyed = GRADE, replace(GRADE, idempotency=Idempotency.IDEMPOTENT_WITH_KEY)
+        unsafe = replace(GRADE, idempotency=Idempotency.NON_IDEMPOTENT)
+        table = RequestClassTable(["a", "b"], [safe, keyed])
+        table.request_opened(0)
+        table.request_opened(1)
+        update("the same", a=safe, b=keyed)
+        update("b has another idempotency and is in hand, c is new", a=safe, b=unsafe, c=safe)
+        table.request_opened(2)
+        update("b is dropped with requests in hand", a=safe, c=safe)
+        self.say(f"  b is {table.find('b')}")
+        update("b is back with another idempotency", a=safe, b=keyed, c=safe)
+        table.request_closed(1)
+        table.request_closed(2)
+        update("the old rows of b are free, one is used again", a=safe, b=unsafe, c=safe)
+        self.say(f"  by row: {', '.join(row.idempotency.name.lower() for row in table.classes)}")
+        self.close("renewal-rows")
