--- /dev/null
+++ b/tests/cluster/test_config.py
@@ -0,0 +1,24 @@
+"""The `peers` part of the configuration: what is wrong is told with its field."""
+
+from crankfold.cluster.config import read_cluster_config
+from tests.scene import Kept
+
+VOTERS = ("n0", "n1", "n2")
+
+
+class ClusterConfigTest(Kept):
+    def test_an_error_names_its_field(self) -> None:
+        voters = {name: "127.0.0.1:1" for name in VOTERS}
+        for given in (
+            {},
+            {"name": "n0", "voters": voters},
+            {"name": "f", "voters": {"a": "b"}},
+            {"name": "f", "voters": {**voters, "n2": "nowhere"}},
+            {"name": "f", "voters": voters, "stated-time": 0.2},
+            {"name": "f", "voters": voters, "when-cut-off": "pray"},
+            {"name": "f", "voters": voters, "adress": "x"},
+        ):
+            with self.assertRaises(ValueError) as raised:
+                read_cluster_config(given)
+            self.say(str(raised.exception))
+        self.close("cluster-config")
--- a/tests/planted.py
+++ b/tests/consensus/planted_faults.py
@@ -1,4 +1,4 @@
-"""Members and fleets with one fault each, which the checks of the emulated fleet must find."""
+"""Members and clusters with one fault each, which the checks of the simulated cluster must find."""
 
 from collections.abc import Callable
 from random import Random
@@ -29,10 +29,10 @@
 
 
 class VotesTwice(Voter):
-    def receive(self, now: int, sender: str, told: Message) -> None:
-        if isinstance(told, RequestVote) and not told.pre_vote and told.term == self.raft.term:
+    def receive(self, now: int, sender: str, message: Message) -> None:
+        if isinstance(message, RequestVote) and not message.pre_vote and message.term == self.raft.term:
             self.raft.vote = ""
-        super().receive(now, sender, told)
+        super().receive(now, sender, message)
 
 
 class LeaseFromTheAnswer(Voter):
@@ -43,9 +43,9 @@
 
 
 class FollowerLeaseFromTheAnswer(Follower):
-    def _handle_update(self, now: int, sender: str, told: FollowerUpdate) -> None:
+    def _handle_update(self, now: int, sender: str, update: FollowerUpdate) -> None:
         super()._handle_update(
-            now, sender, replace(told, request_sent_at=now) if told.lease_duration else told
+            now, sender, replace(update, request_sent_at=now) if update.lease_duration else update
         )
 
 
@@ -94,89 +94,85 @@
         self.raft.leader_since = leader_since
 
 
-class SharesTwice(Voter):
-    """Deals out again what units in hand still hold."""
+class AllocatesTwice(Voter):
+    """Allocates again what requests in hand still hold."""
 
     def applied_bounds(self, now: int) -> AppliedBounds:
         bounds = super().applied_bounds(now)
         return AppliedBounds(bounds.lowest_applied, bounds.lowest_applied)
 
 
-class FollowerSharesTwice(Follower):
+class FollowerAllocatesTwice(Follower):
     def quiesced_index(self) -> int:
         return self.last_applied
 
 
 def restless(seed: int) -> ClusterCase:
     """Voters die often and are back at once, with disks that take a while and messages that overtake."""
-    luck = Random(f"restless {seed}")
-    troubles = [ClusterFault("delay", 0, 100_000, magnitude=luck.choice((200, 1000)))]
+    rng = Random(f"restless {seed}")
+    faults = [ClusterFault("delay", 0, 100_000, magnitude=rng.choice((200, 1000)))]
     for voter in ("v0", "v1", "v2"):
-        troubles += [
-            ClusterFault("disk", at, at + luck.choice((400, 2500)), voter)
-            for at in range(luck.randrange(6000), 100_000, 5500)
+        faults += [
+            ClusterFault("disk", at, at + rng.choice((400, 2500)), voter)
+            for at in range(rng.randrange(6000), 100_000, 5500)
         ]
-        at = luck.randrange(6000, 14_000)
+        at = rng.randrange(6000, 14_000)
         while at < 100_000:
-            down = luck.choice((2, 20, 2000))
-            troubles.append(ClusterFault("kill", at, at + down, voter))
-            at += down + luck.randrange(1500, 9000)
-    return ClusterCase(
-        follower_count=0, seed=seed, publish_every=0.15, with_load=False, faults=tuple(troubles)
-    )
+            down = rng.choice((2, 20, 2000))
+            faults.append(ClusterFault("kill", at, at + down, voter))
+            at += down + rng.randrange(1500, 9000)
+    return ClusterCase(follower_count=0, seed=seed, publish_every=0.15, with_load=False, faults=tuple(faults))
 
 
 def elections(seed: int) -> ClusterCase:
     """All start together, again and again, and messages take a part of an election's time."""
-    luck = Random(f"elections {seed}")
-    troubles = [ClusterFault("delay", 0, 100_000, magnitude=1500)]
+    rng = Random(f"elections {seed}")
+    faults = [ClusterFault("delay", 0, 100_000, magnitude=1500)]
     for at in range(9000, 100_000, 9000):
-        troubles += [
-            ClusterFault("kill", at, at + 500 + luck.randrange(20), voter) for voter in ("v0", "v1", "v2")
+        faults += [
+            ClusterFault("kill", at, at + 500 + rng.randrange(20), voter) for voter in ("v0", "v1", "v2")
         ]
         # Who has voted dies and is back at once.
-        back = at + 500 + luck.randrange(3000, 6000)
-        troubles.append(ClusterFault("kill", back, back + 2, luck.choice(("v0", "v1", "v2"))))
+        back = at + 500 + rng.randrange(3000, 6000)
+        faults.append(ClusterFault("kill", back, back + 2, rng.choice(("v0", "v1", "v2"))))
     return ClusterCase(
-        follower_count=0, seconds=12.0, seed=seed, publish_every=0.3, with_load=False, faults=tuple(troubles)
+        follower_count=0, seconds=12.0, seed=seed, publish_every=0.3, with_load=False, faults=tuple(faults)
     )
 
 
 def wiped(seed: int) -> ClusterCase:
     """One is behind, another loses its folder, and the third dies: the two left know less than was agreed."""
-    luck = Random(f"wiped {seed}")
-    behind, lost, gone = luck.sample(("v0", "v1", "v2"), 3)
-    at = luck.randrange(25_000, 40_000)
-    troubles = (
+    rng = Random(f"wiped {seed}")
+    behind, lost, gone = rng.sample(("v0", "v1", "v2"), 3)
+    at = rng.randrange(25_000, 40_000)
+    faults = (
         ClusterFault("loss", at, at + 20_000, behind),
         ClusterFault("loss", at, at + 20_000, "", behind),
         ClusterFault("wipe", at + 19_000, at + 19_500, lost),
         ClusterFault("kill", at + 19_100, 95_000, gone),
     )
-    return ClusterCase(follower_count=1, seed=seed, publish_every=0.3, with_load=False, faults=troubles)
+    return ClusterCase(follower_count=1, seed=seed, publish_every=0.3, with_load=False, faults=faults)
 
 
 def late_then_cut(seed: int) -> ClusterCase:
     """What is sent to one takes long, and then it is cut off."""
-    luck = Random(f"late {seed}")
-    troubles: list[ClusterFault] = []
+    rng = Random(f"late {seed}")
+    faults: list[ClusterFault] = []
     for begin in range(20_000, 100_000, 40_000):
-        at = luck.choice(("f0", "v0", "v1", "v2"))
-        troubles += [
+        at = rng.choice(("f0", "v0", "v1", "v2"))
+        faults += [
             ClusterFault("delay", begin - 9000, begin, receiver=at, magnitude=8000),
             ClusterFault("loss", begin, begin + 30_000, at),
             ClusterFault("loss", begin, begin + 30_000, "", at),
         ]
-    return ClusterCase(
-        follower_count=1, seed=seed, publish_every=0.15, with_load=False, faults=tuple(troubles)
-    )
+    return ClusterCase(follower_count=1, seed=seed, publish_every=0.15, with_load=False, faults=tuple(faults))
 
 
 def drawn(seed: int) -> ClusterCase:
     return random_scenario(seed, allocates_quotas=seed % 2 == 1)
 
 
-# Where each fault shows, and by which check it has to be told.
+# The case in which each fault shows, and the violations that count as caught.
 CASES: dict[str, tuple[Callable[[int], ClusterCase], str]] = {
     "answers before the disk": (restless, "lost|another history|went back"),
     "forgets a vote at a restart": (elections, "lead in term"),
@@ -191,8 +187,8 @@
 }
 
 
-def fleets(case: ClusterCase) -> dict[str, Any]:
-    """By the name of the fault, how to make a fleet that has it."""
+def planted_clusters(case: ClusterCase) -> dict[str, Any]:
+    """By the name of the fault, how to make a cluster that has it."""
     return {
         "answers before the disk": lambda: AnswersBeforeTheDisk(case),
         "forgets a vote at a restart": lambda: ForgetsVotes(case),
@@ -205,5 +201,5 @@
         "counts before old leases are over": lambda: SimulatedCluster(case, NewLeaderDoesNotWait),
         "votes without its folder": lambda: SimulatedCluster(case, VotesWithoutItsFolder),
         "acts on an old read": lambda: SimulatedCluster(case, OldRead),
-        "deals out a share twice": lambda: SimulatedCluster(case, SharesTwice, FollowerSharesTwice),
+        "deals out a share twice": lambda: SimulatedCluster(case, AllocatesTwice, FollowerAllocatesTwice),
     }
--- /dev/null
+++ b/tests/consensus/test_members.py
@@ -0,0 +1,196 @@
+"""Single voters and followers, told the time by hand."""
+
+from typing import Any
+
+from crankfold.consensus.conservative_merge import SETTINGS
+from crankfold.consensus.errors import MembershipChangeError
+from crankfold.consensus.follower import Follower
+from crankfold.consensus.messages import (
+    FollowerUpdate,
+    Leave,
+    LogEntry,
+    Message,
+    ProposalRequest,
+    RequestVote,
+)
+from crankfold.consensus.raft_state import PersistentState
+from crankfold.consensus.timing import Timing
+from crankfold.consensus.voter import Voter
+from crankfold.simulation.consensus_cluster import IdleHost, settings_document
+from tests.scene import Kept
+
+
+class PickyHost(IdleHost):
+    """Judges every document alike."""
+
+    def __init__(self, error: str) -> None:
+        self.error = error
+
+    def validate_document(self, name: str, content: dict[str, Any]) -> str:
+        return self.error
+
+
+class SingleMemberTest(Kept):
+    """Members without a cluster, told the time by hand."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.timing = Timing(20_000)
+
+    def voter(self, validation_error: str = "") -> Voter:
+        """Leads alone, as the only one: its own majority."""
+        voter = Voter(
+            "v0",
+            PersistentState(),
+            {"v0": ""},
+            timing=self.timing,
+            now=0,
+            seed=1,
+            incarnation=5,
+            folder_id="here",
+            host=PickyHost(validation_error),
+            initial_settings=settings_document("safe"),
+        )
+        self.now = 0
+        self.run_until(voter, 60_000)
+        return voter
+
+    def follower(self, seed: int, incarnation: int, now: int | None = None) -> Follower:
+        return Follower(
+            "f",
+            ["v0"],
+            timing=self.timing,
+            now=self.now if now is None else now,
+            seed=seed,
+            incarnation=incarnation,
+            host=IdleHost(),
+        )
+
+    def run_until(self, voter: Voter, until: int) -> list[tuple[str, Message]]:
+        messages: list[tuple[str, Message]] = []
+        while self.now < until:
+            self.now += 100
+            voter.tick(self.now)
+            ready = voter.take_ready(self.now)
+            voter.advance(self.now, ready)
+            messages += voter.take_immediate_messages() + ready.messages
+        return messages
+
+    def publish(
+        self,
+        voter: Voter,
+        proposal_id: str,
+        made_from: int,
+        doc: str = SETTINGS,
+        text: dict[str, Any] | None = None,
+    ) -> None:
+        voter.propose(
+            self.now,
+            proposal_id,
+            "publish",
+            {
+                "doc": doc,
+                "made_from": made_from,
+                "author": "o",
+                "reason": "r",
+                "at": 0,
+                "text": text or settings_document("unsafe"),
+            },
+        )
+
+    def say_responses(self, voter: Voter) -> None:
+        self.run_until(voter, self.now + 200)
+        for response in voter.proposal_responses:
+            self.say(
+                f"{response.proposal_id}: "
+                f"{'version ' + str(response.version_number) if response.accepted else response.reason}"
+            )
+        voter.proposal_responses.clear()
+
+    def test_a_publish_has_one_outcome_however_often_it_is_proposed(self) -> None:
+        voter = self.voter()
+        self.say(f"at first {voter.documents.version_numbers()}")
+        self.publish(voter, "a", 1)
+        self.publish(voter, "b", 1)  # another operator at the same moment
+        self.say_responses(voter)
+        self.publish(voter, "a", 1)  # its answer was lost
+        self.say_responses(voter)
+        self.say(
+            f"then {voter.documents.version_numbers()}, "
+            f"{len(voter.documents.document(SETTINGS).versions)} in the history"
+        )
+        strict = self.voter("settings.service-grades: missing")
+        self.publish(strict, "c", 1)
+        self.say_responses(strict)
+        self.close("consensus-publish")
+
+    def test_a_follower_is_sent_a_snapshot_and_a_name_has_one_holder(self) -> None:
+        voter = self.voter()
+        for n in range(1, 160):
+            self.publish(voter, f"c{n}", n)
+            self.run_until(voter, self.now + 200)
+        self.assertGreater(voter.raft.log.snapshot.index, 0)
+        follower = self.follower(1, 9)
+        self.exchange(voter, follower)
+        self.assertEqual(follower.documents.version_numbers(), voter.documents.version_numbers())
+        self.assertTrue(follower.has_lease(self.now))
+        # A second process of the same name is refused while the first one holds its lease.
+        second = self.follower(2, 10)
+        self.exchange(voter, second)
+        self.assertFalse(second.has_lease(self.now))
+        self.assertEqual(second.rejection_reason, "the name f is in use by another process")
+        # A follower that leaves gives its name back at once.
+        follower.leave(self.now)
+        voter.receive(self.now, "f", Leave("f", 9))
+        self.exchange(voter, second)
+        self.assertTrue(second.has_lease(self.now))
+
+    def exchange(self, voter: Voter, follower: Follower) -> None:
+        until = self.now + 5000
+        while self.now < until:
+            messages = self.run_until(voter, self.now + 100)
+            for to, message in messages:
+                if to == follower.name:
+                    follower.receive(self.now, "v0", message)
+            follower.tick(self.now)
+            for _, message in follower.take_immediate_messages():
+                voter.receive(self.now, follower.name, message)
+
+    def test_a_lease_that_an_earlier_process_asked_for_does_not_count(self) -> None:
+        follower = self.follower(1, 9, now=50_000)
+        follower.receive(50_100, "v0", FollowerUpdate(49_000, 16_000, 0, None, [], 0, 0))
+        self.assertFalse(follower.has_lease(50_100))
+        follower.receive(50_100, "v0", FollowerUpdate(50_050, 16_000, 0, None, [], 0, 0))
+        self.assertTrue(follower.has_lease(50_100))
+        self.assertFalse(follower.has_lease(66_050))
+
+    def change_voters_error(self, voter: Voter, voters: dict[str, str]) -> str:
+        """Why they can't be the voters; empty if the change is proposed."""
+        try:
+            voter.raft.change_voters(self.now, voters)
+        except MembershipChangeError as error:
+            return str(error)
+        return ""
+
+    def test_voters_change_one_at_a_time(self) -> None:
+        voter = self.voter()
+        self.say(self.change_voters_error(voter, {"v0": "", "v1": "", "v2": ""}))
+        self.say(self.change_voters_error(voter, {}))
+        self.say(self.change_voters_error(voter, {"v0": "", "v1": "x"}) or "taken")
+        self.say(self.change_voters_error(voter, {"v0": "", "v1": "x", "v2": ""}))
+        self.say(f"voters {sorted(voter.raft.voters)}")
+        self.close("consensus-voters")
+
+    def test_a_voter_with_another_folder_is_not_admitted(self) -> None:
+        voter = self.voter()
+        self.say(voter.admission_error("v0", "here") or "admitted")
+        self.say(voter.admission_error("v0", "elsewhere"))
+        voter.documents.apply(99, LogEntry(1, "voters", {"voters": {}}))  # taken out
+        self.say(voter.admission_error("v0", "elsewhere") or "admitted anew")
+        self.close("consensus-folders")
+
+    def test_senseless_messages_of_strangers_change_nothing(self) -> None:
+        voter = self.voter()
+        voter.receive(self.now, "x", ProposalRequest("z", "nonsense", {}))
+        voter.receive(self.now, "x", RequestVote(0, 0, 0, False))
+        self.assertTrue(voter.is_leader())
--- /dev/null
+++ b/tests/consensus/test_raft.py
@@ -0,0 +1,40 @@
+"""All orders of events of a small cluster of Raft nodes, to a stated depth."""
+
+import unittest
+
+from crankfold.consensus.messages import RequestVote
+from crankfold.consensus.raft import Raft
+from crankfold.consensus.raft_state import PersistentState
+from crankfold.simulation import model_checker
+
+VOTERS = ("v0", "v1", "v2")
+
+
+class VotesTwice(Raft):
+    def _handle_request_vote(self, now: int, sender: str, request: RequestVote) -> None:
+        self.vote = "" if request.term == self.term and not request.pre_vote else self.vote
+        super()._handle_request_vote(now, sender, request)
+
+
+class ModelCheckerTest(unittest.TestCase):
+    def test_every_order_of_events_in_a_small_case_is_safe(self) -> None:
+        states, violation = model_checker.explore(
+            5, {"publish": 2, "crash": 1, "time out": 2, "lose": 1, "beat": 1}
+        )
+        self.assertEqual(violation, "")
+        self.assertGreater(states, 5000)
+
+    def test_a_voter_that_votes_twice_is_found(self) -> None:
+        def make_node(name: str, stored: PersistentState) -> Raft:
+            return VotesTwice(
+                name,
+                stored,
+                {voter: "" for voter in VOTERS},
+                timing=model_checker.TIMING,
+                now=0,
+                seed=1,
+                registry=model_checker.EveryoneMayVote(),
+            )
+
+        _, violation = model_checker.explore(10, {"time out": 2}, node_factory=make_node)
+        self.assertRegex(violation, "lead in term")
