--- a/tests/consensus/planted_faults.py
+++ b/tests/consensus/planted_faults.py
@@ -15,6 +15,7 @@
 from crankfold.simulation.consensus_cluster import (
     ClusterCase,
     ClusterFault,
+    ClusterFaultKind,
     SimulatedCluster,
     random_scenario,
 )
@@ -110,16 +111,16 @@
 def restless(seed: int) -> ClusterCase:
     """Voters die often and are back at once, with disks that take a while and messages that overtake."""
     rng = Random(f"restless {seed}")
-    faults = [ClusterFault("delay", 0, 100_000, magnitude=rng.choice((200, 1000)))]
+    faults = [ClusterFault(ClusterFaultKind.DELAY, 0, 100_000, magnitude=rng.choice((200, 1000)))]
     for voter in ("v0", "v1", "v2"):
         faults += [
-            ClusterFault("disk", at, at + rng.choice((400, 2500)), voter)
+            ClusterFault(ClusterFaultKind.SLOW_DISK, at, at + rng.choice((400, 2500)), voter)
             for at in range(rng.randrange(6000), 100_000, 5500)
         ]
         at = rng.randrange(6000, 14_000)
         while at < 100_000:
             down = rng.choice((2, 20, 2000))
-            faults.append(ClusterFault("kill", at, at + down, voter))
+            faults.append(ClusterFault(ClusterFaultKind.KILL, at, at + down, voter))
             at += down + rng.randrange(1500, 9000)
     return ClusterCase(follower_count=0, seed=seed, publish_every=0.15, with_load=False, faults=tuple(faults))
 
@@ -127,14 +128,15 @@
 def elections(seed: int) -> ClusterCase:
     """All start together, again and again, and messages take a part of an election's time."""
     rng = Random(f"elections {seed}")
-    faults = [ClusterFault("delay", 0, 100_000, magnitude=1500)]
+    faults = [ClusterFault(ClusterFaultKind.DELAY, 0, 100_000, magnitude=1500)]
     for at in range(9000, 100_000, 9000):
         faults += [
-            ClusterFault("kill", at, at + 500 + rng.randrange(20), voter) for voter in ("v0", "v1", "v2")
+            ClusterFault(ClusterFaultKind.KILL, at, at + 500 + rng.randrange(20), voter)
+            for voter in ("v0", "v1", "v2")
         ]
         # Who has voted dies and is back at once.
         back = at + 500 + rng.randrange(3000, 6000)
-        faults.append(ClusterFault("kill", back, back + 2, rng.choice(("v0", "v1", "v2"))))
+        faults.append(ClusterFault(ClusterFaultKind.KILL, back, back + 2, rng.choice(("v0", "v1", "v2"))))
     return ClusterCase(
         follower_count=0, seconds=12.0, seed=seed, publish_every=0.3, with_load=False, faults=tuple(faults)
     )
@@ -146,10 +148,10 @@
     behind, lost, gone = rng.sample(("v0", "v1", "v2"), 3)
     at = rng.randrange(25_000, 40_000)
     faults = (
-        ClusterFault("loss", at, at + 20_000, behind),
-        ClusterFault("loss", at, at + 20_000, "", behind),
-        ClusterFault("wipe", at + 19_000, at + 19_500, lost),
-        ClusterFault("kill", at + 19_100, 95_000, gone),
+        ClusterFault(ClusterFaultKind.LOSS, at, at + 20_000, behind),
+        ClusterFault(ClusterFaultKind.LOSS, at, at + 20_000, "", behind),
+        ClusterFault(ClusterFaultKind.WIPE, at + 19_000, at + 19_500, lost),
+        ClusterFault(ClusterFaultKind.KILL, at + 19_100, 95_000, gone),
     )
     return ClusterCase(follower_count=1, seed=seed, publish_every=0.3, with_load=False, faults=faults)
 
@@ -161,9 +163,9 @@
     for begin in range(20_000, 100_000, 40_000):
         at = rng.choice(("f0", "v0", "v1", "v2"))
         faults += [
-            ClusterFault("delay", begin - 9000, begin, receiver=at, magnitude=8000),
-            ClusterFault("loss", begin, begin + 30_000, at),
-            ClusterFault("loss", begin, begin + 30_000, "", at),
+            ClusterFault(ClusterFaultKind.DELAY, begin - 9000, begin, receiver=at, magnitude=8000),
+            ClusterFault(ClusterFaultKind.LOSS, begin, begin + 30_000, at),
+            ClusterFault(ClusterFaultKind.LOSS, begin, begin + 30_000, "", at),
         ]
     return ClusterCase(follower_count=1, seed=seed, publish_every=0.15, with_load=False, faults=tuple(faults))
 
--- a/tests/consensus/test_cluster_safety.py
+++ b/tests/consensus/test_cluster_safety.py
@@ -10,6 +10,7 @@
 from crankfold.simulation.consensus_cluster import (
     ClusterCase,
     ClusterFault,
+    ClusterFaultKind,
     SimulatedCluster,
     random_scenario,
 )
@@ -59,7 +60,7 @@
 
     def test_the_same_seed_gives_the_same_run(self) -> None:
         first, second = (SimulatedCluster(random_scenario(7)).run() for _ in range(2))
-        self.assertEqual(first.state_by_index, second.state_by_index)
+        self.assertEqual(first.invariants.state_by_index, second.invariants.state_by_index)
         self.assertEqual(first.message_counts, second.message_counts)
 
 
@@ -100,36 +101,40 @@
 
     def test_a_leader_that_pauses_for_longer_than_its_lease_is_replaced(self) -> None:
         leader = self.leader_of()
-        cluster = self.play(ClusterFault("pause", 40_000, 65_000, leader))
+        cluster = self.play(ClusterFault(ClusterFaultKind.PAUSE, 40_000, 65_000, leader))
         self.assertEqual(len(self.settings_versions(cluster)), 1)
-        self.assertGreater(len(set(cluster.leaders_by_term.values())), 1)
+        self.assertGreater(len(set(cluster.invariants.leaders_by_term.values())), 1)
 
     def test_a_voter_that_receives_but_cannot_send_misleads_nobody(self) -> None:
         leader = self.leader_of()
         for at in VOTERS:
-            cluster = self.play(ClusterFault("loss", 40_000, 90_000, at))
+            cluster = self.play(ClusterFault(ClusterFaultKind.LOSS, 40_000, 90_000, at))
             self.assertEqual(len(self.settings_versions(cluster)), 1)
             if at != leader:  # the others keep their leader
-                self.assertEqual(len(set(cluster.leaders_by_term.values())), 1)
+                self.assertEqual(len(set(cluster.invariants.leaders_by_term.values())), 1)
 
     def test_two_voters_that_reach_only_the_third_do_not_unseat_each_other(self) -> None:
-        losses = [ClusterFault("loss", 30_000, 90_000, a, b) for a, b in (("v0", "v2"), ("v2", "v0"))]
+        losses = [
+            ClusterFault(ClusterFaultKind.LOSS, 30_000, 90_000, a, b) for a, b in (("v0", "v2"), ("v2", "v0"))
+        ]
         cluster = self.play(*losses)
         self.assertEqual(len(self.settings_versions(cluster)), 1)
-        self.assertLess(len(cluster.leaders_by_term), 5)  # the two do not go on unseating one another
+        self.assertLess(
+            len(cluster.invariants.leaders_by_term), 5
+        )  # the two do not go on unseating one another
 
     def test_a_link_that_flaps_faster_than_an_election_does_not_raise_terms(self) -> None:
         losses = [
-            ClusterFault("loss", begin, begin + 1000, *ends)
+            ClusterFault(ClusterFaultKind.LOSS, begin, begin + 1000, *ends)
             for begin in range(30_000, 90_000, 2000)
             for ends in (("v2", ""), ("", "v2"))
         ]
         cluster = self.play(*losses)
         self.assertEqual(len(self.settings_versions(cluster)), 1)
-        self.assertLess(len(cluster.leaders_by_term), 5)
+        self.assertLess(len(cluster.invariants.leaders_by_term), 5)
 
     def test_without_a_majority_nobody_acts(self) -> None:
-        dead = [ClusterFault("kill", 30_000, 90_000, voter) for voter in ("v0", "v1")]
+        dead = [ClusterFault(ClusterFaultKind.KILL, 30_000, 90_000, voter) for voter in ("v0", "v1")]
         has_lease: list[int] = []
         cluster = SimulatedCluster(
             replace(ClusterCase(seconds=12.0, seed=3, with_load=False), faults=tuple(dead))
@@ -155,7 +160,7 @@
         for order in ((0, 5000, 9000), (9000, 5000, 0), (0, 0, 0)):
             cluster = self.play(
                 *(
-                    ClusterFault("kill", 40_000, 45_000 + later, voter)
+                    ClusterFault(ClusterFaultKind.KILL, 40_000, 45_000 + later, voter)
                     for voter, later in zip(VOTERS, order, strict=True)
                 )
             )
@@ -175,10 +180,10 @@
         self.assertEqual(leaderless, 0)
 
     def test_a_loss_of_a_twentieth_of_all_messages_changes_little(self) -> None:
-        cluster = self.play(ClusterFault("loss", 0, 120_000, magnitude=0.05))
+        cluster = self.play(ClusterFault(ClusterFaultKind.LOSS, 0, 120_000, magnitude=0.05))
         accepted = [response for response in cluster.outcomes.values() if response.accepted]
         self.assertGreater(len(accepted), 20)
-        self.assertLessEqual(len(cluster.leaders_by_term), 3)
+        self.assertLessEqual(len(cluster.invariants.leaders_by_term), 3)
 
     def test_two_hundred_followers_that_lose_a_voter_do_not_switch_at_once(self) -> None:
         cluster = SimulatedCluster(
@@ -187,16 +192,16 @@
                 seconds=8.0,
                 with_load=False,
                 publish_every=99.0,
-                faults=(ClusterFault("kill", 40_000, 200_000, "v2"),),
+                faults=(ClusterFault(ClusterFaultKind.KILL, 40_000, 200_000, "v2"),),
             )
         )
         senders_by_slot: dict[tuple[str, int], set[str]] = {}
         deliver = cluster._message_arrived
 
-        def count_and_deliver(sender: str, to: str, message: Message) -> None:
+        def count_and_deliver(sender: str, receiver: str, message: Message) -> None:
             if isinstance(message, FollowerHeartbeat) and cluster.events.now > 40_000:
-                senders_by_slot.setdefault((to, cluster.events.now // 100), set()).add(sender)
-            deliver(sender, to, message)
+                senders_by_slot.setdefault((receiver, cluster.events.now // 100), set()).add(sender)
+            deliver(sender, receiver, message)
 
         cluster._message_arrived = count_and_deliver  # type: ignore[method-assign]
         cluster.run()
