--- a/tests/consensus/test_raft.py
+++ b/tests/consensus/test_raft.py
@@ -6,6 +6,7 @@
 from crankfold.consensus.raft import Raft
 from crankfold.consensus.raft_state import PersistentState
 from crankfold.simulation import model_checker
+from crankfold.simulation.model_checker import MoveKind
 
 VOTERS = ("v0", "v1", "v2")
 
@@ -19,7 +20,14 @@
 class ModelCheckerTest(unittest.TestCase):
     def test_every_order_of_events_in_a_small_case_is_safe(self) -> None:
         states, violation = model_checker.explore(
-            5, {"publish": 2, "crash": 1, "time out": 2, "lose": 1, "beat": 1}
+            5,
+            {
+                MoveKind.PUBLISH: 2,
+                MoveKind.CRASH: 1,
+                MoveKind.TIME_OUT: 2,
+                MoveKind.LOSE: 1,
+                MoveKind.HEARTBEAT: 1,
+            },
         )
         self.assertEqual(violation, "")
         self.assertGreater(states, 5000)
@@ -36,5 +44,5 @@
                 registry=model_checker.EveryoneMayVote(),
             )
 
-        _, violation = model_checker.explore(10, {"time out": 2}, node_factory=make_node)
+        _, violation = model_checker.explore(10, {MoveKind.TIME_OUT: 2}, node_factory=make_node)
         self.assertRegex(violation, "lead in term")
