--- a/tests/service/test_manual_drains.py
+++ b/tests/service/test_manual_drains.py
@@ -35,4 +35,4 @@
             f"70: restored, never restarted {drains.restore('a', 70, True)}"
         )
         listed(71, EndpointState.READY, 24)
-        self.close("operators-bans")
+        self.close("manual-drains")
--- a/tests/service/test_quotas.py
+++ b/tests/service/test_quotas.py
@@ -1,4 +1,4 @@
-"""Quotas: what limits of the whole cluster allow at one dispatcher."""
+"""A dispatcher's own quotas: requests in hand are counted against them."""
 
 import unittest
 
@@ -6,7 +6,7 @@
 
 
 class QuotasTest(unittest.TestCase):
-    def test_requests_count_towards_their_limits_until_they_are_answered(self) -> None:
+    def test_a_request_holds_its_quotas_until_it_is_answered(self) -> None:
         quotas = Quotas()
         quotas.allocated = {"grade:g": 2, "all": 3}
         acquired = [quotas.acquire("g", "t") for _ in range(3)]
--- a/tests/service/test_request_classes.py
+++ b/tests/service/test_request_classes.py
@@ -32,4 +32,4 @@
         table.request_closed(2)
         update("the old rows of b are free, one is used again", a=safe, b=unsafe, c=safe)
         self.say(f"  by row: {', '.join(row.idempotency.name.lower() for row in table.classes)}")
-        self.close("renewal-rows")
+        self.close("request-classes")
