--- a/benchmarks/upgrades.py
+++ b/benchmarks/upgrades.py
@@ -1,11 +1,12 @@
-"""Replaces a dispatcher again and again under load, on loopback, and counts what is lost at the door.
+"""Replaces a dispatcher again and again under load, on loopback, and counts the requests that are lost.
 
     python -m benchmarks.upgrades --upgrades 10 > benchmarks/upgrades.txt
 
-Discovery and runners are played in this process. Load is open loop; half of the units come on connections
-of their own, the others on kept ones. Two ways: the listening socket passed on (both processes share a
-folder), and two listeners with SO_REUSEPORT alone (each has a folder of its own, so they don't find each
-other). Beside the load silent callers stand at the operators' door, and readiness is asked all the time.
+Discovery and backends are played in this process. Load is open loop; half of the requests come on
+connections of their own, the others on kept ones. Two ways: the listening socket passed on (both processes
+share a folder), and two listeners with SO_REUSEPORT alone (each has a folder of its own, so they don't find
+each other). Beside the load, silent connections are open at the admin server, and readiness is asked all the
+time.
 """
 
 import argparse
@@ -22,16 +23,20 @@
 from pathlib import Path
 
 HOST = "127.0.0.1"
-RUNNERS, RATE, WORK = 4, 120.0, 0.05
+BACKENDS = 4
+RATE = 120.0  # requests a second
+MEAN_RUN_SECONDS = 0.05
 
 
 async def message(reader: asyncio.StreamReader) -> tuple[str, bytes]:
+    """The head and the body of the next HTTP message."""
     head = (await reader.readuntil(b"\r\n\r\n")).decode()
     length = [line for line in head.lower().split("\r\n") if line.startswith("content-length:")]
     return head, await reader.readexactly(int(length[0].partition(":")[2]) if length else 0)
 
 
 def free_port() -> int:
+    """A port that nobody listens on at the moment."""
     import socket
 
     with socket.create_server((HOST, 0)) as free:
@@ -39,28 +44,33 @@
 
 
 def where(server: asyncio.Server) -> str:
+    """The address of a server."""
     return f"{HOST}:{server.sockets[0].getsockname()[1]}"
 
 
 class Rig:
+    """Stand-ins, load, and the dispatchers that replace each other."""
+
     def __init__(self, shared: bool) -> None:
-        self.shared = shared
+        self.shared = shared  # whether a process finds the one that it replaces
         self.port = free_port()
-        self.ends: Counter[str] = Counter()
-        self.calls: list[float] = []
-        self.wrong_calls = 0
+        self.ends: Counter[str] = Counter()  # how requests ended
+        self.calls: list[float] = []  # seconds that calls of the admin server took
+        self.wrong_calls = 0  # that said not ready, or were not answered
         self.kept: list[tuple[asyncio.StreamReader, asyncio.StreamWriter]] = []
-        self.most_memory = self.most_descriptors = 0
+        self.most_memory = 0  # kB
+        self.most_descriptors = 0
         self.folder = Path(tempfile.mkdtemp())
         self.processes: list[asyncio.subprocess.Process] = []
-        self.door = 0
-        self.number = 0
+        self.door = 0  # port of the admin server
         self.tasks: set[asyncio.Task[None]] = set()
 
     # --- stand-ins ---
 
     async def open(self) -> None:
-        async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter, name: str) -> None:
+        """Start the stand-ins, and write the configuration."""
+
+        async def backend(reader: asyncio.StreamReader, writer: asyncio.StreamWriter, name: str) -> None:
             with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
                 while True:
                     head, _ = await message(reader)
@@ -82,9 +92,9 @@
             writer.close()
 
         targets = []
-        for n in range(RUNNERS):
+        for n in range(BACKENDS):
             server = await asyncio.start_server(
-                lambda reader, writer, name=f"r{n}": runner(reader, writer, name), HOST, 0
+                lambda reader, writer, name=f"r{n}": backend(reader, writer, name), HOST, 0
             )  # type: ignore[misc]
             targets.append(
                 {
@@ -117,14 +127,16 @@
         )
 
     def spawn(self, work: object) -> None:
+        """Run it beside the rest."""
         task = asyncio.get_running_loop().create_task(work)  # type: ignore[arg-type]
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
     async def work(self, ident: str, name: str) -> None:
-        await asyncio.sleep(random.expovariate(1 / WORK))
+        """A request runs at a backend, which calls back then."""
+        await asyncio.sleep(random.expovariate(1 / MEAN_RUN_SECONDS))
         body = json.dumps({"id": ident, "from": name, "state": "done", "result": ident}).encode()
-        for _ in range(10):  # a call-back is tried until it is answered
+        for _ in range(10):  # a callback is tried until it is answered
             with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError, TimeoutError):
                 reader, writer = await asyncio.open_connection(HOST, self.port)
                 writer.write(
@@ -141,6 +153,7 @@
     # --- clients and callers ---
 
     async def client(self, ident: str, keep: bool) -> None:
+        """One request, on a connection of its own or a kept one."""
         for attempt in range(2):
             sent = False
             try:
@@ -170,13 +183,17 @@
             return
 
     async def load(self, over: asyncio.Event) -> None:
-        n, due = 0, time.monotonic()
+        """Requests at random times, whatever became of those before."""
+        n = 0
+        due = time.monotonic()
         while not over.is_set():
-            n, due = n + 1, due + random.expovariate(RATE)
+            n += 1
+            due += random.expovariate(RATE)
             await asyncio.sleep(max(due - time.monotonic(), 0))
             self.spawn(self.client(f"u{n}", n % 2 == 0))
 
     async def ask(self, door: int) -> bool:
+        """Whether the process with that admin port says that it is ready."""
         began = time.monotonic()
         try:
             async with asyncio.timeout(5):
@@ -250,11 +267,13 @@
         return time.monotonic() - began
 
     async def drink(self, process: asyncio.subprocess.Process) -> None:
+        """Read what the process logs, so that it is not held up."""
         assert process.stderr
         while await process.stderr.readline():
             pass
 
     async def replace(self) -> tuple[float, float]:
+        """Start another process and end the present one; seconds until each was done."""
         old = self.processes[0]
         took = await self.start()
         began = time.monotonic()
@@ -265,6 +284,7 @@
 
 
 async def play(shared: bool, upgrades: int) -> None:
+    """Replace the process so many times, and print what came of the requests."""
     rig = Rig(shared)
     await rig.open()
     await rig.start()
@@ -304,6 +324,7 @@
 
 
 def main() -> None:
+    """Measure both ways."""
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     parser.add_argument("--upgrades", type=int, default=10)
     upgrades = parser.parse_args().upgrades
