--- a/tests/maintenance/test_state.py
+++ b/tests/maintenance/test_state.py
@@ -60,3 +60,10 @@
         self.apply("a", "well")
         self.say(f"{to_builtins(self.state.completed)} {self.state.unhealthy_streaks}")
         self.close("works-steps")
+
+    def test_a_step_of_an_unknown_name_is_void_and_the_others_of_its_entry_count(self) -> None:
+        known = {"uid": "a", "work": "w", "step": "out", "by": "n0", "why": "", "plan": 0, "made_from": 0}
+        unknown = {**known, "uid": "b", "step": "polish"}
+        void = self.state.apply(5, {"steps": [unknown, known]}, 0)
+        self.assertEqual(void, "b: polish does not follow carrying work")
+        self.assertEqual(list(self.state.machines), ["a"])
