--- a/crankfold/fault_injection/__init__.py
+++ b/crankfold/fault_injection/__init__.py
@@ -1,1 +1,4 @@
-"""Real processes of the program, faults between them, and a check of their promises (docs/trial.md)."""
+"""Real processes of the program, faults injected between them, and checks of what they promise.
+
+See docs/trial.md.
+"""
--- a/crankfold/simulation/__init__.py
+++ b/crankfold/simulation/__init__.py
@@ -1,1 +1,1 @@
-"""A world in simulated time in which many real dispatchers stand behind their ports."""
+"""Simulated time: real policies and real consensus members among played backends, clients and faults."""
