--- a/benchmarks/compare_versions.py
+++ b/benchmarks/compare_versions.py
@@ -65,6 +65,7 @@
         self.processes: dict[str, asyncio.subprocess.Process] = {}
 
     async def start(self, name: str, checkout: Path) -> None:
+        """Starts one voter from a checkout."""
         self.processes[name] = await asyncio.create_subprocess_exec(
             *(
                 sys.executable,
@@ -81,6 +82,7 @@
         )
 
     async def stop(self, name: str) -> None:
+        """Ends one voter by SIGTERM and waits for its end."""
         process = self.processes.pop(name)
         process.send_signal(signal.SIGTERM)
         await process.wait()
@@ -119,6 +121,7 @@
 
 
 async def compare_in_cluster(other: Path) -> None:
+    """Has three voters of both checkouts agree, swaps two of them, and has them agree again."""
     rig = Rig(shared=True)
     await rig.open()
     config = json.loads(rig.config.read_text())
@@ -150,6 +153,7 @@
     checkout = HERE
 
     async def start(self) -> float:
+        """Starts the dispatcher in its checkout; the seconds until it is ready."""
         before = Path.cwd()
         os.chdir(self.checkout)
         try:
@@ -159,6 +163,7 @@
 
 
 async def compare_handover(other: Path, rounds: int) -> None:
+    """Replaces the dispatcher under load by the two checkouts in turn, and prints what clients saw."""
     rig = VersionedRig(shared=True)
     await rig.open()
     rig.checkout = other
@@ -189,6 +194,7 @@
         self.latencies: list[float] = []
 
     async def work(self, ident: str, name: str) -> None:
+        """Calls back at once that a request is done."""
         body = json.dumps({"id": ident, "from": name, "state": "done", "result": ident}).encode()
         reader, writer = await asyncio.open_connection(HOST, self.port)
         writer.write(
@@ -199,20 +205,24 @@
         writer.close()
 
     async def client(self, ident: str, keep: bool) -> None:
+        """Sends a request and keeps the seconds that it took."""
         begun = time.monotonic()
         await super().client(ident, keep)
         self.latencies.append(time.monotonic() - begun)
 
     def processor_seconds(self) -> float:
+        """The processor time of the dispatcher since its start."""
         fields = Path(f"/proc/{self.processes[0].pid}/stat").read_text().rpartition(")")[2].split()
         return (int(fields[11]) + int(fields[12])) / CLOCK_TICKS
 
     def memory_kilobytes(self) -> int:
+        """The dispatcher's memory, shared pages by their part."""
         rollup = Path(f"/proc/{self.processes[0].pid}/smaps_rollup").read_text()
         return int(rollup.partition("\nPss:")[2].split()[0])
 
 
 async def measure_speed(checkout: Path) -> dict[str, float]:
+    """Serves a load from a checkout; figures by their name and unit."""
     random.seed(1)
     rig = SpeedRig()
     rig.checkout = checkout
@@ -260,6 +270,7 @@
 
 
 async def compare_speed(other: Path, rounds: int) -> None:
+    """Measures both checkouts in turn and prints medians and pairwise ratios."""
     checkouts = {"other": other, "this": HERE}
     runs: dict[str, list[dict[str, float]]] = {name: [] for name in checkouts}
     for number in range(rounds):
@@ -290,6 +301,7 @@
 
 
 async def compare(other: Path, rounds: int) -> None:
+    """Runs all three parts."""
     for checkout in (other, HERE):
         compile_checkout(checkout)
     await compare_in_cluster(other)
@@ -298,6 +310,7 @@
 
 
 def main() -> None:
+    """Reads the arguments and compares."""
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     parser.add_argument("other", type=Path, help="the root of the other checkout")
     parser.add_argument("--rounds", type=int, default=6)
--- a/benchmarks/upgrades.py
+++ b/benchmarks/upgrades.py
@@ -26,12 +26,14 @@
 
 
 async def message(reader: asyncio.StreamReader) -> tuple[str, bytes]:
+    """Reads a request or response: its head and its body."""
     head = (await reader.readuntil(b"\r\n\r\n")).decode()
     length = [line for line in head.lower().split("\r\n") if line.startswith("content-length:")]
     return head, await reader.readexactly(int(length[0].partition(":")[2]) if length else 0)
 
 
 def free_port() -> int:
+    """A port that nobody listens on at this moment."""
     import socket
 
     with socket.create_server((HOST, 0)) as free:
@@ -39,10 +41,23 @@
 
 
 def where(server: asyncio.Server) -> str:
+    """The address of a server as HOST:PORT."""
     return f"{HOST}:{server.sockets[0].getsockname()[1]}"
 
 
+def usage_of(pid: int) -> tuple[int, int]:
+    """A process's proportional memory in kB and its open descriptors.
+
+    Raises:
+        OSError: it has ended.
+    """
+    rollup = Path(f"/proc/{pid}/smaps_rollup").read_text()
+    return int(rollup.partition("\nPss:")[2].split()[0]), len(os.listdir(f"/proc/{pid}/fd"))
+
+
 class Rig:
+    """Discovery, backends, clients and callers round a dispatcher that is replaced again and again."""
+
     def __init__(self, shared: bool) -> None:
         self.shared = shared
         self.port = free_port()
@@ -60,6 +75,8 @@
     # --- stand-ins ---
 
     async def open(self) -> None:
+        """Starts discovery and backends and writes the dispatcher's configuration."""
+
         async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter, name: str) -> None:
             with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
                 while True:
@@ -117,11 +134,13 @@
         )
 
     def spawn(self, work: object) -> None:
+        """Runs a coroutine beside the others."""
         task = asyncio.get_running_loop().create_task(work)  # type: ignore[arg-type]
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
     async def work(self, ident: str, name: str) -> None:
+        """Plays a backend that works on a request and calls back until it is heard."""
         await asyncio.sleep(random.expovariate(1 / WORK))
         body = json.dumps({"id": ident, "from": name, "state": "done", "result": ident}).encode()
         for _ in range(10):  # a call-back is tried until it is answered
@@ -141,6 +160,7 @@
     # --- clients and callers ---
 
     async def client(self, ident: str, keep: bool) -> None:
+        """Sends a request, once more where the close of a kept connection crossed it, and counts its end."""
         for attempt in range(2):
             sent = False
             try:
@@ -170,6 +190,7 @@
             return
 
     async def load(self, over: asyncio.Event) -> None:
+        """Sends requests open loop, half of them on kept connections."""
         n, due = 0, time.monotonic()
         while not over.is_set():
             n, due = n + 1, due + random.expovariate(RATE)
@@ -177,6 +198,7 @@
             self.spawn(self.client(f"u{n}", n % 2 == 0))
 
     async def ask(self, door: int) -> bool:
+        """Whether the dispatcher behind an admin port says that it is ready."""
         began = time.monotonic()
         try:
             async with asyncio.timeout(5):
@@ -212,9 +234,9 @@
             memory = descriptors = 0
             for process in self.processes:
                 with contextlib.suppress(OSError):
-                    rollup = Path(f"/proc/{process.pid}/smaps_rollup").read_text()
-                    memory += int(rollup.partition("\nPss:")[2].split()[0])
-                    descriptors += len(os.listdir(f"/proc/{process.pid}/fd"))
+                    used = usage_of(process.pid)
+                    memory += used[0]
+                    descriptors += used[1]
             self.most_memory = max(self.most_memory, memory)
             self.most_descriptors = max(self.most_descriptors, descriptors)
             await asyncio.sleep(0.02)
@@ -244,17 +266,19 @@
             if "operators at" in line:
                 door = int(line.rpartition(":")[2])
         self.spawn(self.drink(process))
-        while not await self.ask(door):
+        while not await self.ask(door):  # noqa: ASYNC110 - another process is asked
             await asyncio.sleep(0.02)
         self.door = door
         return time.monotonic() - began
 
     async def drink(self, process: asyncio.subprocess.Process) -> None:
+        """Reads the log of a process, so that it does not block."""
         assert process.stderr
         while await process.stderr.readline():
             pass
 
     async def replace(self) -> tuple[float, float]:
+        """Replaces the dispatcher; seconds until the new one is ready, and until the old one is gone."""
         old = self.processes[0]
         took = await self.start()
         began = time.monotonic()
@@ -265,6 +289,7 @@
 
 
 async def play(shared: bool, upgrades: int) -> None:
+    """Replaces a dispatcher under load and prints what came of it."""
     rig = Rig(shared)
     await rig.open()
     await rig.start()
@@ -277,7 +302,7 @@
         await asyncio.sleep(0.5)
     over.set()
     await asyncio.gather(*about)
-    while rig.tasks - {task for task in rig.tasks if "drink" in repr(task.get_coro())}:
+    while rig.tasks - {task for task in rig.tasks if "drink" in repr(task.get_coro())}:  # noqa: ASYNC110 - more may come
         await asyncio.sleep(0.05)
     rig.processes[0].terminate()
     await rig.processes[0].wait()
@@ -304,6 +329,7 @@
 
 
 def main() -> None:
+    """Reads the arguments and plays both ways."""
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     parser.add_argument("--upgrades", type=int, default=10)
     upgrades = parser.parse_args().upgrades
