--- a/crankfold/cluster/cluster_member.py
+++ b/crankfold/cluster/cluster_member.py
@@ -64,7 +64,10 @@
         host: VoterHost,
         initial_settings: dict[str, Any],
     ) -> None:
-        """A voter with that storage, or a follower without one; `open` starts it."""
+        """A voter with that storage, or a follower without one; `open` starts it.
+
+        Over 30 lines: one for each attribute.
+        """
         self.disabled_reason = ""
         self._config = config
         self._metrics = metrics
--- a/crankfold/cluster/config.py
+++ b/crankfold/cluster/config.py
@@ -5,12 +5,18 @@
 import msgspec
 from msgspec import Struct, field
 
+from crankfold.errors import CrankfoldError
+
 MAX_NAME_LENGTH = 100
 VOTER_COUNTS = (3, 5, 7)
 MIN_STALENESS_BOUND = 0.5  # seconds; elections and leases have to fit in
 MAX_STALENESS_BOUND = 60  # seconds
 
 
+class ClusterConfigError(CrankfoldError, ValueError):
+    """The `peers` part of the configuration cannot be used; the text says why, with the key."""
+
+
 class ClusterConfig(Struct, rename="kebab", forbid_unknown_fields=True):
     """How this process takes part in its cluster.
 
@@ -87,13 +93,13 @@
     """The `peers` part of a configuration.
 
     Raises:
-        ValueError: It cannot be used; the text says why, with the key.
+        ClusterConfigError: It cannot be used.
     """
     try:
         config = msgspec.convert(given, ClusterConfig)
     except msgspec.ValidationError as error:
-        raise ValueError(f"peers: {error}") from None
+        raise ClusterConfigError(f"peers: {error}") from None
     error_text = config.config_error()
     if error_text:
-        raise ValueError(error_text)
+        raise ClusterConfigError(error_text)
     return config
--- a/crankfold/consensus/proposals.py
+++ b/crankfold/consensus/proposals.py
@@ -5,7 +5,7 @@
 import msgspec
 from msgspec import Meta, Struct
 
-from crankfold.consensus.errors import MembershipChangeError
+from crankfold.consensus.errors import MembershipChangeError, ProposalError
 from crankfold.consensus.log_entries import EntryKind
 from crankfold.consensus.member import VoterHost
 from crankfold.consensus.messages import (
@@ -39,13 +39,19 @@
     text: dict[str, Any]
 
 
-def proposal_error(request: ProposalRequest) -> str:
-    """What is wrong with the form of a proposal to publish; empty if nothing is."""
+def read_publish(request: ProposalRequest) -> PublishProposal:
+    """The decoded data of a proposal to publish.
+
+    Raises:
+        ProposalError: It is none, or its data has not the form of one.
+    """
     try:
-        msgspec.convert(request.data, PublishProposal)
+        proposal = msgspec.convert(request.data, PublishProposal)
     except msgspec.ValidationError as error:
-        return str(error)
-    return f"no way to agree on {request.kind!r}" if request.kind != EntryKind.PUBLISH else ""
+        raise ProposalError(str(error)) from None
+    if request.kind != EntryKind.PUBLISH:
+        raise ProposalError(f"no way to agree on {request.kind!r}")
+    return proposal
 
 
 def rejected(proposal_id: str, reason: str) -> ProposalResponse:
@@ -57,6 +63,7 @@
     """A proposal that voters are asked about, and those that could use it."""
 
     request: ProposalRequest
+    proposal: PublishProposal
     approvals: set[str]
     started_at: int
 
@@ -101,8 +108,12 @@
         """Takes a proposal of another member, or of this one if `sender` is empty."""
         if self._raft.role == Role.LEADER:
             self._senders[request.proposal_id] = sender
-            self._handle_as_leader(now, sender, request)
-            self._drop_expired(now)
+            try:
+                self._handle_as_leader(now, sender, request)
+            except ProposalError as error:
+                self._respond(sender, rejected(request.proposal_id, f"{self._raft.name}: {error}"))
+            else:
+                self._drop_expired(now)
         elif self._raft.leader:
             self._senders[request.proposal_id] = sender
             self._raft.send(self._raft.leader, request)
@@ -118,9 +129,9 @@
             data = {**request.data, "call": request.proposal_id}
             self._raft.propose(now, EntryKind.MAINTENANCE, data)
         elif request.proposal_id in self._validations:
-            self._request_validation(request)  # earlier ones may be lost, as well as their answers
+            self._request_validation(request.proposal_id)  # messages of an earlier attempt may be lost
         else:
-            self._begin_validation(now, sender, request)
+            self._begin_validation(now, request)
 
     def _change_voters(self, now: int, request: ProposalRequest) -> ProposalResponse:
         voters = request.data.get("voters")
@@ -140,21 +151,22 @@
             log_index=self._raft.log.last_index(),
         )
 
-    def _begin_validation(self, now: int, sender: str, request: ProposalRequest) -> None:
-        error = proposal_error(request) or self._host.validate_document(
-            request.data["doc"], request.data["text"]
-        )
+    def _begin_validation(self, now: int, request: ProposalRequest) -> None:
+        """Has a proposal validated; raises a ProposalError if this voter could not use it."""
+        proposal = read_publish(request)
+        error = self._host.validate_document(proposal.doc, proposal.text)
         if error:
-            self._respond(sender, rejected(request.proposal_id, f"{self._raft.name}: {error}"))
-            return
-        self._validations[request.proposal_id] = PendingValidation(request, {self._raft.name}, now)
-        self._request_validation(request)
+            raise ProposalError(error)
+        self._validations[request.proposal_id] = PendingValidation(
+            request, proposal, approvals={self._raft.name}, started_at=now
+        )
+        self._request_validation(request.proposal_id)
         self._propose_if_validated(now, request.proposal_id)
 
-    def _request_validation(self, request: ProposalRequest) -> None:
-        approvals = self._validations[request.proposal_id].approvals
-        message = ValidationRequest(request.proposal_id, request.data["doc"], request.data["text"])
-        for voter in sorted(self._raft.voters.keys() - approvals):
+    def _request_validation(self, proposal_id: str) -> None:
+        validation = self._validations[proposal_id]
+        message = ValidationRequest(proposal_id, validation.proposal.doc, validation.proposal.text)
+        for voter in sorted(self._raft.voters.keys() - validation.approvals):
             self._raft.send(voter, message)
 
     def _validate(self, sender: str, request: ValidationRequest) -> None:
--- a/tests/cluster/test_config.py
+++ b/tests/cluster/test_config.py
@@ -1,6 +1,6 @@
 """The `peers` part of the configuration: what is wrong is told with its field."""
 
-from crankfold.cluster.config import read_cluster_config
+from crankfold.cluster.config import ClusterConfigError, read_cluster_config
 from tests.scene import Kept
 
 VOTERS = ("n0", "n1", "n2")
@@ -18,7 +18,7 @@
             {"name": "f", "voters": voters, "when-cut-off": "pray"},
             {"name": "f", "voters": voters, "adress": "x"},
         ):
-            with self.assertRaises(ValueError) as raised:
+            with self.assertRaises(ClusterConfigError) as raised:
                 read_cluster_config(given)
             self.say(str(raised.exception))
         self.close("cluster-config")
