--- a/benchmarks/upgrades.py
+++ b/benchmarks/upgrades.py
@@ -1,11 +1,12 @@
-"""Replaces a dispatcher again and again under load, on loopback, and counts what is lost at the door.
+"""Replaces a dispatcher again and again under load, on loopback, and counts the requests that are lost.
 
     python -m benchmarks.upgrades --upgrades 10 > benchmarks/upgrades.txt
 
-Discovery and runners are played in this process. Load is open loop; half of the units come on connections
-of their own, the others on kept ones. Two ways: the listening socket passed on (both processes share a
-folder), and two listeners with SO_REUSEPORT alone (each has a folder of its own, so they don't find each
-other). Beside the load silent callers stand at the operators' door, and readiness is asked all the time.
+Discovery and backends are played in this process. Load is open loop; half of the requests come on
+connections of their own, the others on kept ones. Two ways: the listening socket passed on (both processes
+share a folder), and two listeners with SO_REUSEPORT alone (each has a folder of its own, so they don't find
+each other). Beside the load, silent connections are open at the admin server, and readiness is asked all the
+time.
 """
 
 import argparse
@@ -22,18 +23,20 @@
 from pathlib import Path
 
 HOST = "127.0.0.1"
-RUNNERS, RATE, WORK = 4, 120.0, 0.05
+BACKENDS = 4
+RATE = 120.0  # requests a second
+MEAN_RUN_SECONDS = 0.05
 
 
 async def message(reader: asyncio.StreamReader) -> tuple[str, bytes]:
-    """Reads a request or response: its head and its body."""
+    """The head and the body of the next HTTP message."""
     head = (await reader.readuntil(b"\r\n\r\n")).decode()
     length = [line for line in head.lower().split("\r\n") if line.startswith("content-length:")]
     return head, await reader.readexactly(int(length[0].partition(":")[2]) if length else 0)
 
 
 def free_port() -> int:
-    """A port that nobody listens on at this moment."""
+    """A port that nobody listens on at the moment."""
     import socket
 
     with socket.create_server((HOST, 0)) as free:
@@ -41,43 +44,33 @@
 
 
 def where(server: asyncio.Server) -> str:
-    """The address of a server as HOST:PORT."""
+    """The address of a server."""
     return f"{HOST}:{server.sockets[0].getsockname()[1]}"
 
 
-def usage_of(pid: int) -> tuple[int, int]:
-    """A process's proportional memory in kB and its open descriptors.
-
-    Raises:
-        OSError: it has ended.
-    """
-    rollup = Path(f"/proc/{pid}/smaps_rollup").read_text()
-    return int(rollup.partition("\nPss:")[2].split()[0]), len(os.listdir(f"/proc/{pid}/fd"))
-
-
 class Rig:
-    """Discovery, backends, clients and callers round a dispatcher that is replaced again and again."""
+    """Stand-ins, load, and the dispatchers that replace each other."""
 
     def __init__(self, shared: bool) -> None:
-        self.shared = shared
+        self.shared = shared  # whether a process finds the one that it replaces
         self.port = free_port()
-        self.ends: Counter[str] = Counter()
-        self.calls: list[float] = []
-        self.wrong_calls = 0
+        self.ends: Counter[str] = Counter()  # how requests ended
+        self.calls: list[float] = []  # seconds that calls of the admin server took
+        self.wrong_calls = 0  # that said not ready, or were not answered
         self.kept: list[tuple[asyncio.StreamReader, asyncio.StreamWriter]] = []
-        self.most_memory = self.most_descriptors = 0
+        self.most_memory = 0  # kB
+        self.most_descriptors = 0
         self.folder = Path(tempfile.mkdtemp())
         self.processes: list[asyncio.subprocess.Process] = []
-        self.door = 0
-        self.number = 0
+        self.door = 0  # port of the admin server
         self.tasks: set[asyncio.Task[None]] = set()
 
     # --- stand-ins ---
 
     async def open(self) -> None:
-        """Starts discovery and backends and writes the dispatcher's configuration."""
+        """Start the stand-ins, and write the configuration."""
 
-        async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter, name: str) -> None:
+        async def backend(reader: asyncio.StreamReader, writer: asyncio.StreamWriter, name: str) -> None:
             with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
                 while True:
                     head, _ = await message(reader)
@@ -99,9 +92,9 @@
             writer.close()
 
         targets = []
-        for n in range(RUNNERS):
+        for n in range(BACKENDS):
             server = await asyncio.start_server(
-                lambda reader, writer, name=f"r{n}": runner(reader, writer, name), HOST, 0
+                lambda reader, writer, name=f"r{n}": backend(reader, writer, name), HOST, 0
             )  # type: ignore[misc]
             targets.append(
                 {
@@ -134,16 +127,16 @@
         )
 
     def spawn(self, work: object) -> None:
-        """Runs a coroutine beside the others."""
+        """Run it beside the rest."""
         task = asyncio.get_running_loop().create_task(work)  # type: ignore[arg-type]
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
     async def work(self, ident: str, name: str) -> None:
-        """Plays a backend that works on a request and calls back until it is heard."""
-        await asyncio.sleep(random.expovariate(1 / WORK))
+        """A request runs at a backend, which calls back then."""
+        await asyncio.sleep(random.expovariate(1 / MEAN_RUN_SECONDS))
         body = json.dumps({"id": ident, "from": name, "state": "done", "result": ident}).encode()
-        for _ in range(10):  # a call-back is tried until it is answered
+        for _ in range(10):  # a callback is tried until it is answered
             with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError, TimeoutError):
                 reader, writer = await asyncio.open_connection(HOST, self.port)
                 writer.write(
@@ -160,7 +153,7 @@
     # --- clients and callers ---
 
     async def client(self, ident: str, keep: bool) -> None:
-        """Sends a request, once more where the close of a kept connection crossed it, and counts its end."""
+        """One request, on a connection of its own or a kept one."""
         for attempt in range(2):
             sent = False
             try:
@@ -190,15 +183,17 @@
             return
 
     async def load(self, over: asyncio.Event) -> None:
-        """Sends requests open loop, half of them on kept connections."""
-        n, due = 0, time.monotonic()
+        """Requests at random times, whatever became of those before."""
+        n = 0
+        due = time.monotonic()
         while not over.is_set():
-            n, due = n + 1, due + random.expovariate(RATE)
+            n += 1
+            due += random.expovariate(RATE)
             await asyncio.sleep(max(due - time.monotonic(), 0))
             self.spawn(self.client(f"u{n}", n % 2 == 0))
 
     async def ask(self, door: int) -> bool:
-        """Whether the dispatcher behind an admin port says that it is ready."""
+        """Whether the process with that admin port says that it is ready."""
         began = time.monotonic()
         try:
             async with asyncio.timeout(5):
@@ -234,9 +229,9 @@
             memory = descriptors = 0
             for process in self.processes:
                 with contextlib.suppress(OSError):
-                    used = usage_of(process.pid)
-                    memory += used[0]
-                    descriptors += used[1]
+                    rollup = Path(f"/proc/{process.pid}/smaps_rollup").read_text()
+                    memory += int(rollup.partition("\nPss:")[2].split()[0])
+                    descriptors += len(os.listdir(f"/proc/{process.pid}/fd"))
             self.most_memory = max(self.most_memory, memory)
             self.most_descriptors = max(self.most_descriptors, descriptors)
             await asyncio.sleep(0.02)
@@ -266,19 +261,19 @@
             if "operators at" in line:
                 door = int(line.rpartition(":")[2])
         self.spawn(self.drink(process))
-        while not await self.ask(door):  # noqa: ASYNC110 - another process is asked
+        while not await self.ask(door):
             await asyncio.sleep(0.02)
         self.door = door
         return time.monotonic() - began
 
     async def drink(self, process: asyncio.subprocess.Process) -> None:
-        """Reads the log of a process, so that it does not block."""
+        """Read what the process logs, so that it is not held up."""
         assert process.stderr
         while await process.stderr.readline():
             pass
 
     async def replace(self) -> tuple[float, float]:
-        """Replaces the dispatcher; seconds until the new one is ready, and until the old one is gone."""
+        """Start another process and end the present one; seconds until each was done."""
         old = self.processes[0]
         took = await self.start()
         began = time.monotonic()
@@ -289,7 +284,7 @@
 
 
 async def play(shared: bool, upgrades: int) -> None:
-    """Replaces a dispatcher under load and prints what came of it."""
+    """Replace the process so many times, and print what came of the requests."""
     rig = Rig(shared)
     await rig.open()
     await rig.start()
@@ -302,7 +297,7 @@
         await asyncio.sleep(0.5)
     over.set()
     await asyncio.gather(*about)
-    while rig.tasks - {task for task in rig.tasks if "drink" in repr(task.get_coro())}:  # noqa: ASYNC110 - more may come
+    while rig.tasks - {task for task in rig.tasks if "drink" in repr(task.get_coro())}:
         await asyncio.sleep(0.05)
     rig.processes[0].terminate()
     await rig.processes[0].wait()
@@ -329,7 +324,7 @@
 
 
 def main() -> None:
-    """Reads the arguments and plays both ways."""
+    """Measure both ways."""
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
     parser.add_argument("--upgrades", type=int, default=10)
     upgrades = parser.parse_args().upgrades
