--- a/benchmarks/turns.py
+++ b/benchmarks/turns.py
@@ -29,7 +29,7 @@
     "calm": (),
     "losses": (Fault(FaultKind.ZONE_LOSS, 20, 28), Fault(FaultKind.DEAD, 40, 55, share=0.05)),
 }
-TABLE_HEADS = (
+TABLE_COLUMNS = (
     "runners",
     "dispatchers",
     "load",
@@ -115,7 +115,7 @@
     """One row a day."""
     with path.open("w", newline="") as out:
         table = csv.writer(out, lineterminator="\n")
-        table.writerow(TABLE_HEADS)
+        table.writerow(TABLE_COLUMNS)
         for key, result in results.items():
             table.writerow(
                 [
--- a/crankfold/maintenance/scheduler.py
+++ b/crankfold/maintenance/scheduler.py
@@ -242,14 +242,12 @@
     def _in_order(self, job: MaintenanceJob) -> list[Machine]:
         """Spread over zones: from where the most is available, then by id."""
         remaining = self._remaining[job.name]
-        available_shares = {
-            machine.zone: self._occupancy.available_share(machine.zone) for machine in remaining
-        }
+        availability = {machine.zone: self._occupancy.available_share(machine.zone) for machine in remaining}
         return sorted(
             remaining,
             key=lambda machine: (
                 machine.machine_id == job.last_machine_id,
-                -available_shares[machine.zone],
+                -availability[machine.zone],
                 machine.machine_id,
             ),
         )
--- a/crankfold/simulation/maintenance_checker.py
+++ b/crankfold/simulation/maintenance_checker.py
@@ -132,17 +132,17 @@
         now = self._events.now
         machine = self._machines[machine_id]
         start = machine.started_at
-        listed_start = machine.status_at(now - MAX_LIST_LAG_TICKS).started_at
-        if machine.restarted() and now < start + WARM_UP_TICKS and listed_start == start:
+        discovered_start = machine.status_at(now - MAX_LIST_LAG_TICKS).started_at
+        if machine.restarted() and now < start + WARM_UP_TICKS and discovered_start == start:
             self._report(f"{machine_id} is called well {(now - start) / 10:.0f} ms after its start")
 
     def _out_beside(self, machine_id: str) -> set[str]:
         """Machines that are out or lost; losses of which lists can't have told yet are excused."""
-        told_by = self._events.now - MAX_LIST_LAG_TICKS - DECISION_TICKS
+        known_by = self._events.now - MAX_LIST_LAG_TICKS - DECISION_TICKS
         lost = {
             machine.machine_id
             for machine in self._machines.values()
-            if not machine.running and not machine.status_at(told_by).running
+            if not machine.running and not machine.status_at(known_by).running
         }
         return (set(self._absent_for) | lost) - {machine_id}
 
--- a/crankfold/simulation/maintenance_fleet.py
+++ b/crankfold/simulation/maintenance_fleet.py
@@ -50,12 +50,7 @@
         """
         super().__init__(case.cluster_case, voter, follower)
         self.maintenance_case = case
-        self.machines = {
-            f"m{n}": SimulatedMachine(
-                f"m{n}", f"z{n % case.zone_count}", 1.0 + n % 2, unhealthy=f"m{n}" in case.unhealthy
-            )
-            for n in range(case.machine_count)
-        }
+        self.machines = _make_machines(case)
         surroundings = Surroundings(
             machines=self.machines,
             make_coordinator=make_coordinator,
@@ -239,5 +234,15 @@
         return None
 
 
+def _make_machines(case: MaintenanceCase) -> dict[str, SimulatedMachine]:
+    """Of two sizes, in all zones in turn."""
+    return {
+        f"m{n}": SimulatedMachine(
+            f"m{n}", f"z{n % case.zone_count}", 1.0 + n % 2, unhealthy=f"m{n}" in case.unhealthy
+        )
+        for n in range(case.machine_count)
+    }
+
+
 def _set_running(fleet: SimulatedCluster, machine: SimulatedMachine, running: bool) -> Callable[[], None]:
     return lambda: machine.set_running(fleet.events.now, running)
--- a/tests/maintenance/test_coordinator.py
+++ b/tests/maintenance/test_coordinator.py
@@ -61,9 +61,9 @@
         self.close("works-load")
 
     def test_a_command_whose_dispatcher_died_and_a_machine_that_does_not_come_back(self) -> None:
-        for again in (True, False):
+        for repeatable in (True, False):
             view, coordinator = (
-                self.view(command_repeatable=again, overdue_policy=OverduePolicy.GIVE_UP),
+                self.view(command_repeatable=repeatable, overdue_policy=OverduePolicy.GIVE_UP),
                 Coordinator("n0"),
             )
             for second in range(4):
--- a/tests/maintenance/test_scheduler.py
+++ b/tests/maintenance/test_scheduler.py
@@ -76,13 +76,13 @@
             for step in range(300):
                 machines = [replace(m, available=m.machine_id not in lost) for m in MACHINES]
                 result = schedule(jobs, SchedulingFacts(machines, out.items(), done, 0))
-                again = schedule(jobs, SchedulingFacts(machines, sorted(out.items()), set(done), 0))
-                self.assertEqual(result, again)
+                repeated = schedule(jobs, SchedulingFacts(machines, sorted(out.items()), set(done), 0))
+                self.assertEqual(result, repeated)
                 out.update(result.departures)
                 for job in jobs if result.departures else ():
                     gone = [m for m in machines if job.covers(m) and (m.machine_id in out or not m.available)]
-                    taken = [uid for uid, _ in result.departures if any(m.machine_id == uid for m in gone)]
-                    if job.name in out.values() and taken:
+                    departed = [uid for uid, _ in result.departures if any(m.machine_id == uid for m in gone)]
+                    if job.name in out.values() and departed:
                         self.assertLessEqual(len(gone), job.max_out, (seed, step))
                         up = sum(m.size for m in machines if m.available and m.machine_id not in out)
                         self.assertGreaterEqual(up / sum(m.size for m in machines), job.min_remaining_share)
--- a/tests/planted_maintenance.py
+++ b/tests/planted_maintenance.py
@@ -1,4 +1,4 @@
-"""Members, foremen and ledgers with one fault each, which the checks of the emulated yard must find."""
+"""Members, coordinators and states with one fault each, which the checks of the simulated fleet must find."""
 
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
@@ -136,14 +136,14 @@
 
 def isolated_members(seed: int) -> MaintenanceCase:
     """One after another is cut off for as long as a lease, and goes on for as long as it has one."""
-    luck = Random(f"cut off {seed}")
-    troubles: list[ClusterFault] = []
+    rng = Random(f"cut off {seed}")
+    faults: list[ClusterFault] = []
     for begin in range(30_000, 200_000, 25_000):
-        at = luck.choice(("v0", "v1", "v2", "f0", "f1"))
-        troubles += [
+        at = rng.choice(("v0", "v1", "v2", "f0", "f1"))
+        faults += [
             ClusterFault(ClusterFaultKind.LOSS, begin, begin + 20_000, *ends) for ends in ((at, ""), ("", at))
         ]
-    case = ClusterCase(seed=seed, seconds=22.0, publish_every=9.0, faults=tuple(troubles))
+    case = ClusterCase(seed=seed, seconds=22.0, publish_every=9.0, faults=tuple(faults))
     return MaintenanceCase(case, ALL_MACHINES_JOBS, work_duration=2000)
 
 
@@ -153,16 +153,16 @@
 
 def flapping_machines(seed: int) -> MaintenanceCase:
     """Machines come and go, and what is agreed takes its time."""
-    luck = Random(f"flutter {seed}")
-    losses = tuple(MachineLoss(at, at + 3000, f"m{luck.randrange(9)}") for at in range(20_000, 180_000, 4000))
-    works = {"disks": {**ALL_MACHINES_JOBS["disks"], "at-once": 3}}
+    rng = Random(f"flutter {seed}")
+    losses = tuple(MachineLoss(at, at + 3000, f"m{rng.randrange(9)}") for at in range(20_000, 180_000, 4000))
+    jobs = {"disks": {**ALL_MACHINES_JOBS["disks"], "at-once": 3}}
     slow = tuple(
         ClusterFault(ClusterFaultKind.SLOW_DISK, at, at + 6000, voter)
         for at in range(20_000, 200_000, 6500)
         for voter in ("v0", "v1", "v2")
     )
     return MaintenanceCase(
-        ClusterCase(seed=seed, seconds=22.0, publish_every=9.0, faults=slow), works, losses=losses
+        ClusterCase(seed=seed, seconds=22.0, publish_every=9.0, faults=slow), jobs, losses=losses
     )
 
 
--- a/tests/service/test_maintenance_agent.py
+++ b/tests/service/test_maintenance_agent.py
@@ -14,32 +14,36 @@
     """A machine brought back by hand at a dispatcher that the others can't be reached from."""
 
     async def test_here_is_for_who_is_cut_off_and_ends_when_the_fleet_is_heard(self) -> None:
-        ledger, heard, laid = MaintenanceState(), [True], list[set[str]]()
+        state = MaintenanceState()
+        has_lease = [True]
+        machines_out: list[set[str]] = []
         step = {"uid": "a", "work": "w", "step": "out", "by": "n0", "why": "", "plan": 0, "made_from": 0}
-        ledger.apply(5, {"steps": [step]}, 0)
-        docs = SimpleNamespace(
-            replicated=SimpleNamespace(maintenance=ledger), document=lambda name: Document()
+        state.apply(5, {"steps": [step]}, 0)
+        documents = SimpleNamespace(
+            replicated=SimpleNamespace(maintenance=state), document=lambda name: Document()
         )
-        member = SimpleNamespace(name="n1", documents=docs, incarnation=1)
-        peer = SimpleNamespace(consensus=member, has_lease=lambda: heard[0], config=SimpleNamespace(zone=""))
-        fleet = SimpleNamespace(backend_ids=SimpleNamespace(names=[]), records=[])
-        desk = SimpleNamespace(backends=fleet, request_table=SimpleNamespace(requests={}))
-        works = MaintenanceAgent(
-            desk,  # type: ignore[arg-type]
+        member = SimpleNamespace(name="n1", documents=documents, incarnation=1)
+        cluster_node = SimpleNamespace(
+            consensus=member, has_lease=lambda: has_lease[0], config=SimpleNamespace(zone="")
+        )
+        registry = SimpleNamespace(backend_ids=SimpleNamespace(names=[]), records=[])
+        request_handler = SimpleNamespace(backends=registry, request_table=SimpleNamespace(requests={}))
+        agent = MaintenanceAgent(
+            request_handler,  # type: ignore[arg-type]
             None,  # type: ignore[arg-type]
-            peer,  # type: ignore[arg-type]
+            cluster_node,  # type: ignore[arg-type]
             metrics=Metrics(),
             endpoint_list_age=lambda: 0,
-            machines_out_changed=lambda: laid.append(works.machines_out()),
+            machines_out_changed=lambda: machines_out.append(agent.machines_out()),
         )
         body = b'{"call": "c", "machine": "%s", "step": "here"}'
-        refused = await works.admin.request_transition(body % b"a")
+        refused = await agent.admin.request_transition(body % b"a")
         self.assertEqual(refused.accepted, False)  # heard: it is a step of all
-        heard[0] = False
-        self.assertEqual((await works.admin.request_transition(body % b"b")).accepted, False)  # not out
-        self.assertEqual((await works.admin.request_transition(body % b"a")).accepted, True)
-        self.assertEqual(laid, [set()])
-        self.assertEqual(works.admin.describe()["here"], ["a"])
-        heard[0] = True
-        works.build_report()
-        self.assertEqual(laid, [set(), {"a"}])
+        has_lease[0] = False
+        self.assertEqual((await agent.admin.request_transition(body % b"b")).accepted, False)  # not out
+        self.assertEqual((await agent.admin.request_transition(body % b"a")).accepted, True)
+        self.assertEqual(machines_out, [set()])
+        self.assertEqual(agent.admin.describe()["here"], ["a"])
+        has_lease[0] = True
+        agent.build_report()
+        self.assertEqual(machines_out, [set(), {"a"}])
