--- a/benchmarks/upgrades.py
+++ b/benchmarks/upgrades.py
@@ -48,6 +48,16 @@
     return f"{HOST}:{server.sockets[0].getsockname()[1]}"
 
 
+def usage_of(pid: int) -> tuple[int, int]:
+    """A process's proportional memory in kB, and how many descriptors it has open.
+
+    Raises:
+        OSError: it has ended.
+    """
+    rollup = Path(f"/proc/{pid}/smaps_rollup").read_text()
+    return int(rollup.partition("\nPss:")[2].split()[0]), len(os.listdir(f"/proc/{pid}/fd"))
+
+
 class Rig:
     """Stand-ins, load, and the dispatchers that replace each other."""
 
@@ -229,9 +239,9 @@
             memory = descriptors = 0
             for process in self.processes:
                 with contextlib.suppress(OSError):
-                    rollup = Path(f"/proc/{process.pid}/smaps_rollup").read_text()
-                    memory += int(rollup.partition("\nPss:")[2].split()[0])
-                    descriptors += len(os.listdir(f"/proc/{process.pid}/fd"))
+                    used = usage_of(process.pid)
+                    memory += used[0]
+                    descriptors += used[1]
             self.most_memory = max(self.most_memory, memory)
             self.most_descriptors = max(self.most_descriptors, descriptors)
             await asyncio.sleep(0.02)
@@ -261,7 +271,7 @@
             if "operators at" in line:
                 door = int(line.rpartition(":")[2])
         self.spawn(self.drink(process))
-        while not await self.ask(door):
+        while not await self.ask(door):  # noqa: ASYNC110 - another process is asked
             await asyncio.sleep(0.02)
         self.door = door
         return time.monotonic() - began
@@ -297,7 +307,7 @@
         await asyncio.sleep(0.5)
     over.set()
     await asyncio.gather(*about)
-    while rig.tasks - {task for task in rig.tasks if "drink" in repr(task.get_coro())}:
+    while rig.tasks - {t for t in rig.tasks if "drink" in repr(t.get_coro())}:  # noqa: ASYNC110 - may start others
         await asyncio.sleep(0.05)
     rig.processes[0].terminate()
     await rig.processes[0].wait()
--- a/crankfold/fault_injection/stand_ins.py
+++ b/crankfold/fault_injection/stand_ins.py
@@ -232,7 +232,7 @@
             known = re.search(r"after=(\d+)", message.start_line)
             end = time.monotonic() + POLL_DURATION
             # What is visible changes by the clock, which sets no event.
-            while (  # noqa: ASYNC110
+            while (  # noqa: ASYNC110 - the clock sets no event
                 known and int(known[1]) == self._visible_revision() and time.monotonic() < end
             ):
                 await asyncio.sleep(POLL_STEP)
--- a/crankfold/service/event_log.py
+++ b/crankfold/service/event_log.py
@@ -28,7 +28,7 @@
         Raises:
             OSError: if the file cannot be opened.
         """
-        self.file: TextIO = sys.stdout if path == STANDARD_OUTPUT else Path(path).open("a")  # noqa: SIM115
+        self.file: TextIO = sys.stdout if path == STANDARD_OUTPUT else Path(path).open("a")  # noqa: SIM115 - open until the end
         self.recorded_index = 0  # of the replicated log; up to there transitions have been written
 
     def record_event(
--- a/tests/cluster/test_node.py
+++ b/tests/cluster/test_node.py
@@ -30,7 +30,7 @@
     def __init__(self, changed: Callable[[set[str]], None]) -> None:
         self.documents_changed = changed
 
-    def propose_transitions(self, now: int) -> list[dict[str, Any]]:
+    def propose_transitions(self, now: int) -> list[dict[str, Any]]:  # noqa: ARG002 - as the base names it
         return []
 
 
@@ -52,7 +52,7 @@
         name: str,
         voters: tuple[str, ...] = VOTERS,
         folder: str = "",
-        changed: Callable[[set[str]], None] = lambda docs: None,
+        changed: Callable[[set[str]], None] = lambda _docs: None,
         key: str = "",
     ) -> ClusterNode:
         config = ClusterConfig(
--- a/tests/consensus/planted_faults.py
+++ b/tests/consensus/planted_faults.py
@@ -51,7 +51,7 @@
 
 
 class OneUnheard(Voter):
-    def applied_bounds(self, now: int) -> AppliedBounds:
+    def applied_bounds(self, now: int) -> AppliedBounds:  # noqa: ARG002 - as the base names it
         return AppliedBounds(self.last_applied, self.quiesced_index())
 
 
@@ -72,10 +72,10 @@
 
 
 class TrustingRegistry(FolderRegistry):
-    def may_vote(self, log: RaftLog, candidate_last_index: int, founding_member: bool) -> bool:
+    def may_vote(self, log: RaftLog, candidate_last_index: int, founding_member: bool) -> bool:  # noqa: ARG002 - as the base names it
         return True
 
-    def admission_error(self, log: RaftLog, voter: str, folder_id: str) -> str:
+    def admission_error(self, log: RaftLog, voter: str, folder_id: str) -> str:  # noqa: ARG002 - as the base names it
         self.folder_ids[voter] = folder_id
         return ""
 
--- a/tests/consensus/test_members.py
+++ b/tests/consensus/test_members.py
@@ -26,7 +26,7 @@
     def __init__(self, error: str) -> None:
         self.error = error
 
-    def validate_document(self, name: str, content: dict[str, Any]) -> str:
+    def validate_document(self, name: str, content: dict[str, Any]) -> str:  # noqa: ARG002 - as the base names it
         return self.error
 
 
--- a/tests/handover_scene.py
+++ b/tests/handover_scene.py
@@ -79,7 +79,7 @@
             self.sent.set()
             await gone(reader)
 
-        async def silent(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        async def silent(reader: asyncio.StreamReader, _writer: asyncio.StreamWriter) -> None:
             await gone(reader)
 
         await self.begin(
--- a/tests/maintenance/test_coordinator.py
+++ b/tests/maintenance/test_coordinator.py
@@ -48,7 +48,7 @@
 
     def test_too_much_shedding_holds_a_job_and_brings_back_what_is_out(self) -> None:
         view, coordinator = self.view(max_out=2, requests_per_size=2.0), Coordinator("n0")
-        view.requests_in_flight, view.blocking_holders = 37, lambda uid, index: "3 units there"
+        view.requests_in_flight, view.blocking_holders = 37, lambda _uid, _index: "3 units there"
         self.look(view, coordinator)  # what would stay carries not as much as is in hand
         view.now, view.requests_in_flight = 20_000, 20
         self.look(view, coordinator)
@@ -93,7 +93,7 @@
     def test_a_job_stopped_halfway_brings_back_what_is_not_begun_and_finishes_the_rest(self) -> None:
         view, coordinator = self.view(max_out=2), Coordinator("n0")
         held = {"m01"}
-        view.blocking_holders = lambda uid, index: "1 units there" if uid in held else ""
+        view.blocking_holders = lambda uid, _index: "1 units there" if uid in held else ""
         for second in range(3):
             view.now = 10_000 * second
             self.look(view, coordinator)
--- a/tests/network/test_discovery_watcher.py
+++ b/tests/network/test_discovery_watcher.py
@@ -231,7 +231,7 @@
                     writer.write(bytes([byte]))
                     await writer.drain()
                     if byte == 10:
-                        await self.until(lambda: calls > before)  # another has been asked meanwhile  # noqa: B023
+                        await self.until(lambda: calls > before)  # noqa: B023 - asked now, in the turn
             await reader.read()
 
         with (
--- a/tests/scene.py
+++ b/tests/scene.py
@@ -118,7 +118,7 @@
     def send_attempt(self, unit: int, runner: int) -> None:
         self.say(f"unit {unit} -> runner {runner}")
 
-    def shed(self, unit: int, advice: int) -> None:
+    def shed(self, unit: int, advice: int) -> None:  # noqa: ARG002 - as the base names it
         self.say(f"unit {unit} shed")
 
     def fail_request(self, unit: int) -> None:
--- a/tests/service/test_application.py
+++ b/tests/service/test_application.py
@@ -91,7 +91,7 @@
         )
 
     async def test_a_backend_that_vanished_holds_no_request_past_its_deadline(self) -> None:
-        async def silent(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        async def silent(reader: asyncio.StreamReader, _writer: asyncio.StreamWriter) -> None:
             heads.append((await reader.read(1 << 16)).split()[0])
             heads.append(await reader.read())
 
@@ -153,7 +153,7 @@
                 posts.append(head.split()[0])
                 writer.write(OK)
 
-        async def moved(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        async def moved(reader: asyncio.StreamReader, _writer: asyncio.StreamWriter) -> None:
             await read_request(reader)
             await self.send_callback(id="u3", **{"from": "a"}, state="done", result="moved")
             await reader.read()
@@ -209,7 +209,7 @@
         )
 
     async def test_a_drain_announced_while_connecting_holds_the_request_back(self) -> None:
-        async def backend(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        async def backend(reader: asyncio.StreamReader, _writer: asyncio.StreamWriter) -> None:
             self.say(f"runner reads {(await read_request(reader))[0]}")
 
         await self.begin(backend)
@@ -228,7 +228,7 @@
         self.assertEqual((self.lines, self.application.metrics.counters["attempts-ended-not-sent"]), ([], 1))
 
     async def test_an_exception_in_the_routing_fails_the_request_in_hand_and_serving_goes_on(self) -> None:
-        async def backend(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        async def backend(_reader: asyncio.StreamReader, _writer: asyncio.StreamWriter) -> None:
             raise AssertionError("nothing is sent")
 
         await self.begin(backend)
@@ -357,7 +357,7 @@
         self.assertEqual(self.process.returncode, 0)
 
     async def test_at_the_end_of_a_drain_only_what_may_have_executed_is_failed(self) -> None:
-        async def silent(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        async def silent(reader: asyncio.StreamReader, _writer: asyncio.StreamWriter) -> None:
             await reader.read()
 
         once_only = [{"name": "g", "effect": "unsafe", "cut-off": 3_000_000, "expected-time": 2_000_000}]
@@ -396,7 +396,7 @@
         self.assertIn("callbacks-unknown-request=1", await lines)
 
     async def test_a_configuration_it_cannot_start_from_is_reported_in_one_line(self) -> None:
-        async def backend(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        async def backend(reader: asyncio.StreamReader, _writer: asyncio.StreamWriter) -> None:
             await reader.read()
 
         port = await self.stand_in(backend)
--- a/tests/service/test_maintenance_agent.py
+++ b/tests/service/test_maintenance_agent.py
@@ -18,7 +18,7 @@
         step = {"uid": "a", "work": "w", "step": "out", "by": "n0", "why": "", "plan": 0, "made_from": 0}
         ledger.apply(5, {"steps": [step]}, 0)
         docs = SimpleNamespace(
-            replicated=SimpleNamespace(maintenance=ledger), document=lambda name: Document()
+            replicated=SimpleNamespace(maintenance=ledger), document=lambda _name: Document()
         )
         member = SimpleNamespace(name="n1", documents=docs, incarnation=1)
         peer = SimpleNamespace(consensus=member, has_lease=lambda: heard[0], config=SimpleNamespace(zone=""))
--- a/tests/test_day.py
+++ b/tests/test_day.py
@@ -180,7 +180,7 @@
     async def start(self) -> tuple[Any, asyncio.Task[str]]:
         printed = await self.start_process(["-O", "-m", "crankfold", "serve"], self.folder)
         async with asyncio.timeout(5):
-            while await self.call(self.admin_port, "ready", "GET") != "200 ready":
+            while await self.call(self.admin_port, "ready", "GET") != "200 ready":  # noqa: ASYNC110 - another process
                 await asyncio.sleep(0.02)
         return self.process, printed
 
@@ -217,7 +217,7 @@
         over.set()
         await loading
         async with asyncio.timeout(6):
-            while self.tasks:
+            while self.tasks:  # noqa: ASYNC110 - tasks end by themselves
                 await asyncio.sleep(0.02)
         self.process.terminate()
         for printed in (first_printed, second_printed, third_printed):
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -242,3 +242,18 @@
         deploy = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())
         for path in [*deploy["policy"], *deploy["node"]]:
             self.assertTrue((ROOT / path).exists(), path)
+
+
+class Exceptions(unittest.TestCase):
+    def test_each_exception_from_a_lint_rule_names_the_rule_and_a_reason(self) -> None:
+        files = [
+            path for folder in ("crankfold", "tests", "benchmarks") for path in (ROOT / folder).rglob("*.py")
+        ]
+        files += [*(ROOT / "examples").glob("*.py")]
+        seen = 0
+        for path in files:
+            for number, line in enumerate(path.read_text().splitlines(), 1):
+                if re.search(r"#\s*(noqa|ruff|flake8)", line) and path != Path(__file__):
+                    seen += 1
+                    self.assertRegex(line, r"# noqa: [A-Z]+\d+ - \w+", f"{path}:{number}")
+        self.assertGreater(seen, 10)
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -21,7 +21,7 @@
 class Anyone(Router):
     """Random choice, for comparison; and a base for policies that break a rule."""
 
-    def request_received(self, now: int, arrival: RequestArrival) -> None:
+    def request_received(self, now: int, arrival: RequestArrival) -> None:  # noqa: ARG002 - as the base names it
         self.on(arrival.request_id)
 
     def on(self, unit: int) -> None:
@@ -75,7 +75,7 @@
     def on(self, unit: int) -> None:
         self.state.actions.set_timer(2_500, unit + 1_000)
 
-    def timer_fired(self, now: int, label: int) -> None:
+    def timer_fired(self, now: int, label: int) -> None:  # noqa: ARG002 - as the base names it
         if label >= 1_000:
             self.state.actions.send_attempt(label - 1_000, 0)
 
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -100,7 +100,7 @@
     async def test_who_waits_for_a_decision_is_not_sent_away_for_who_says_nothing(self) -> None:
         decided = asyncio.Event()
 
-        async def out(uid: str) -> bool:
+        async def out(_uid: str) -> bool:
             await decided.wait()
             return True
 
@@ -206,7 +206,7 @@
 class InService(DispatcherTestCase):
     """A dispatcher with its door, between stand-ins."""
 
-    async def with_door(self, **entry: object) -> None:
+    async def with_door(self, **entry: object) -> None:  # noqa: ARG002 - as the base names it
         self.reads = 0
 
         async def runner(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
--- a/tests/test_succession.py
+++ b/tests/test_succession.py
@@ -466,7 +466,7 @@
         held = await self.held("held1")
         asked = asyncio.Event()
 
-        async def mute(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        async def mute(reader: asyncio.StreamReader, _writer: asyncio.StreamWriter) -> None:
             asked.set()
             await reader.read()
 
