--- a/crankfold/routing/records.py
+++ b/crankfold/routing/records.py
@@ -96,7 +96,7 @@
     @property
     def in_flight(self) -> bool:
         """Whether any attempt is in flight."""
-        return any(attempt.in_flight for attempt in self.attempts)
+        return True in [attempt.in_flight for attempt in self.attempts]  # faster than any() for so few
 
     def value(self, *, by_work: bool) -> float:
         """What completing it adds to the service: by work done or by request, as the settings say."""
--- a/crankfold/simulator_adapter/codec.py
+++ b/crankfold/simulator_adapter/codec.py
@@ -154,7 +154,9 @@
 
     def code(self) -> int:
         """The code of the next record."""
-        return int(self.unpack(_CODE)[0])
+        code: int = _CODE.unpack_from(self._frame, self._offset)[0]
+        self._offset += _CODE.size
+        return code
 
     def instance(self) -> int:
         """The index of the instance that the next records are for."""
