--- a/tests/test_grown.py
+++ b/tests/routing/test_many_instances.py
@@ -1,4 +1,4 @@
-"""What is harmless when one dispatcher does it and harmful when forty do: several instances in one trace."""
+"""What is harmless when one instance does it and harmful when forty do: several instances in one trace."""
 
 import re
 from collections import Counter
--- a/tests/test_rules.py
+++ b/tests/routing/test_retries.py
@@ -1,4 +1,4 @@
-"""The four rules, each by a trace that changes when its guard is taken out."""
+"""What is safe to send again, and where; each by a trace that changes when its guard is taken out."""
 
 from crankfold.routing.interface import DeduplicationScope, Endpoint, EndpointState, Idempotency, Outcome
 from tests.scene import MS, Scene
--- a/tests/test_move.py
+++ b/tests/routing/test_weights_and_keys.py
@@ -1,4 +1,4 @@
-"""A deployment of another build: weights that move with load, keys, no start notes, impatient clients."""
+"""Weights that follow the load, keys with preferred backends, no start notifications, impatient clients."""
 
 from dataclasses import replace
 
--- a/tests/test_simhost.py
+++ b/tests/simulator_adapter/test_host.py
@@ -1,9 +1,11 @@
 """The adapter: frames in, frames out."""
 
+import gzip
 import struct
 import subprocess
 import sys
 import unittest
+from pathlib import Path
 
 from crankfold.simulator_adapter.host import SimulatorHost
 
@@ -62,3 +64,28 @@
                 [sys.executable, "-m", "crankfold.simulator_adapter"], input=bad, capture_output=True
             )
             self.assertEqual((done.returncode, done.stdout, done.stderr.count(b"\n")), (1, b"", 1))
+
+
+class RecordedExchanges(unittest.TestCase):
+    """Days of the simulator with the adapter of 82f8a95: frames in, replies out.
+
+    Their settings: a polled list with probes and hedges allowed; weights that follow the load; keys.
+    """
+
+    def test_recorded_frames_get_the_same_bytes(self) -> None:
+        folder = Path(__file__).parent.parent / "data" / "simulator"
+        recordings = sorted(folder.glob("*.frames.gz"))
+        self.assertEqual(len(recordings), 3)
+        for recording in recordings:
+            host = SimulatorHost()
+            frames = gzip.decompress(recording.read_bytes())
+            expected = gzip.decompress(
+                recording.with_name(recording.name.replace("frames", "replies")).read_bytes()
+            )
+            replies = bytearray()
+            start = 0
+            while start < len(frames):
+                length = int.from_bytes(frames[start : start + 4], "little")
+                replies += host.handle_frame(frames[start + 4 : start + length])
+                start += length
+            self.assertEqual(bytes(replies), expected, recording.name)
