--- a/tests/service/test_maintenance_agent.py
+++ b/tests/service/test_maintenance_agent.py
@@ -20,7 +20,7 @@
         step = {"uid": "a", "work": "w", "step": "out", "by": "n0", "why": "", "plan": 0, "made_from": 0}
         state.apply(5, {"steps": [step]}, 0)
         documents = SimpleNamespace(
-            replicated=SimpleNamespace(maintenance=state), document=lambda name: Document()
+            replicated=SimpleNamespace(maintenance=state), document=lambda _name: Document()
         )
         member = SimpleNamespace(name="n1", documents=documents, incarnation=1)
         cluster_node = SimpleNamespace(
