--- a/crankfold/routing/selection.py
+++ b/crankfold/routing/selection.py
@@ -103,9 +103,7 @@
         if order is None:
             key = request.key
             ready = self.state.table.ready
-            order = sorted(
-                ready, key=lambda backend: hash_weight(key, backend.hash_position) / backend.weight
-            )
+            order = sorted(ready, key=lambda each: hash_weight(key, each.hash_position) / each.weight)
             self.order_of_key[key] = order
         objective = request.request_class.settings.latency_objective
         deepest = 1.0 + WAIT_SHARE * objective / self.state.averages.mean_run
