--- a/benchmarks/trials.py
+++ b/benchmarks/trials.py
@@ -51,7 +51,7 @@
 
 
 def draw_plan(seed: int) -> str:
-    """A plan with faults at processes and links, in TOML."""
+    """A plan with faults at processes and links, in TOML; long as one draw follows from another."""
     rng = Random(f"trial {seed}")
     voters, followers = rng.choice(((3, 2), (3, 2), (3, 3), (5, 1)))
     names = [f"n{number}" for number in range(voters + followers)]
--- a/benchmarks/upgrades.py
+++ b/benchmarks/upgrades.py
@@ -20,7 +20,9 @@
 import tempfile
 import time
 from collections import Counter
+from collections.abc import Coroutine
 from pathlib import Path
+from typing import Any
 
 HOST = "127.0.0.1"
 BACKENDS = 4
@@ -79,8 +81,32 @@
 
     async def open(self) -> None:
         """Start the stand-ins, and write the configuration."""
+        targets = [await self.start_backend(f"r{number}") for number in range(BACKENDS)]
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await self.serve_discovery(reader, writer, targets)
+
+        discovery = await asyncio.start_server(serve, HOST, 0)
+        request_class = {"name": "g", "effect": "safe", "cut-off": 3_000_000, "expected-time": 1_000_000}
+        configuration = {
+            "listen": f"{HOST}:{self.port}",
+            "discovery": where(discovery),
+            "admin_addr": f"{HOST}:0",
+            "limits": {"sockets": 384},
+            "settings": {
+                "allowed": {"most-dispatches": 3, "cancel": True},
+                "tick": 2000,
+                "specifics": {"tells-start": True},
+                "service-grades": [request_class],
+            },
+        }
+        self.config = self.folder / "config.json"
+        self.config.write_text(json.dumps(configuration))
+
+    async def start_backend(self, name: str) -> dict[str, object]:
+        """Start one, and how discovery lists it."""
 
-        async def backend(reader: asyncio.StreamReader, writer: asyncio.StreamWriter, name: str) -> None:
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
                 while True:
                     head, _ = await message(reader)
@@ -90,55 +116,36 @@
                         self.spawn(self.work(ident, name))
             writer.close()
 
-        async def discovery(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-            with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
-                while True:
-                    head, _ = await message(reader)
-                    if "after=" in head:
-                        await asyncio.sleep(3)
-                    entries = [] if "after=" in head else targets
-                    body = json.dumps({"rev": 1, "all": "after=" not in head, "targets": entries}).encode()
-                    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
-            writer.close()
-
-        targets = []
-        for n in range(BACKENDS):
-            server = await asyncio.start_server(
-                lambda reader, writer, name=f"r{n}": backend(reader, writer, name), HOST, 0
-            )  # type: ignore[misc]
-            targets.append(
-                {
-                    "uid": f"r{n}",
-                    "endpoint": where(server),
-                    "state": "in_service",
-                    "capacity_hint": 1.0,
-                    "boot_ms": 0,
-                }
-            )
-        server = await asyncio.start_server(discovery, HOST, 0)
-        self.config = self.folder / "config.json"
-        self.config.write_text(
-            json.dumps(
-                {
-                    "listen": f"{HOST}:{self.port}",
-                    "discovery": where(server),
-                    "admin_addr": f"{HOST}:0",
-                    "limits": {"sockets": 384},
-                    "settings": {
-                        "allowed": {"most-dispatches": 3, "cancel": True},
-                        "tick": 2000,
-                        "specifics": {"tells-start": True},
-                        "service-grades": [
-                            {"name": "g", "effect": "safe", "cut-off": 3_000_000, "expected-time": 1_000_000}
-                        ],
-                    },
-                }
-            )
-        )
-
-    def spawn(self, work: object) -> None:
+        server = await asyncio.start_server(serve, HOST, 0)
+        return {
+            "uid": name,
+            "endpoint": where(server),
+            "state": "in_service",
+            "capacity_hint": 1.0,
+            "boot_ms": 0,
+        }
+
+    async def serve_discovery(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        targets: list[dict[str, object]],
+    ) -> None:
+        """All backends at first; a poll for changes waits, and there are none."""
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
+            while True:
+                head, _ = await message(reader)
+                is_poll = "after=" in head
+                if is_poll:
+                    await asyncio.sleep(3)
+                entries = [] if is_poll else targets
+                body = json.dumps({"rev": 1, "all": not is_poll, "targets": entries}).encode()
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+        writer.close()
+
+    def spawn(self, work: Coroutine[Any, Any, None]) -> None:
         """Run it beside the rest."""
-        task = asyncio.get_running_loop().create_task(work)  # type: ignore[arg-type]
+        task = asyncio.get_running_loop().create_task(work)
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
 
@@ -311,9 +318,15 @@
         await asyncio.sleep(0.05)
     rig.processes[0].terminate()
     await rig.processes[0].wait()
+    print_results(rig, times)
+
+
+def print_results(rig: Rig, times: list[tuple[float, float]]) -> None:
+    """What came of the requests, and how long the upgrades took."""
     calls = sorted(rig.calls)
+    upgrades = len(times)
     lost = sum(count for end, count in rig.ends.items() if end.startswith("lost"))
-    print(f"{'the listening socket passed on' if shared else 'two listeners, SO_REUSEPORT alone'}")
+    print(f"{'the listening socket passed on' if rig.shared else 'two listeners, SO_REUSEPORT alone'}")
     ready, gone = zip(*times, strict=True)
     print(
         f"  upgrades {upgrades}; ready after {min(ready):.2f} to {max(ready):.2f} s, the old one gone "
