--- a/crankfold/cluster/cluster_member.py
+++ b/crankfold/cluster/cluster_member.py
@@ -84,7 +84,7 @@
         else:
             self.consensus = self._make_follower(name, incarnation, host)
         hello = Hello(PROTOCOL_VERSION, name, incarnation, storage.folder_id if storage else "")
-        others = {voter: parse_address(at) for voter, at in config.voters.items() if voter != name}
+        others = {voter: parse_address(address) for voter, address in config.voters.items() if voter != name}
         self._transport = Transport(hello, others, metrics=metrics, handler=self)
         self._saving: asyncio.Future[None] | None = None
         self._closed = False
@@ -157,7 +157,7 @@
         )
 
     def propose(self, proposal_id: str, kind: str, data: dict[str, Any]) -> None:
-        """Proposes an entry; the owner is told the outcome."""
+        """Proposes an entry; the owner gets the outcome."""
         self.consensus.propose(boottime_ticks(), proposal_id, kind, data)
         self._process_output()
 
--- a/crankfold/cluster/node.py
+++ b/crankfold/cluster/node.py
@@ -99,7 +99,7 @@
         successor = await self._open_voter()
         if successor is None:
             return
-        # No event tells that a lease has expired, so it is polled.
+        # No event marks that a lease has expired, so it is polled.
         while not self._may_act_by(successor):  # noqa: ASYNC110 - see above
             await asyncio.sleep(TAKEOVER_RETRY_INTERVAL)
         follower = self.member
@@ -148,10 +148,10 @@
         """The cluster as this node sees it."""
         return self.member.status()
 
-    # --- told by members ---
+    # --- called by members ---
 
     def documents_changed(self, member: ClusterMember, names: set[str]) -> None:
-        """Tells the dispatcher, if it acts by that member."""
+        """Informs the dispatcher, if it acts by that member."""
         if member is self.member:
             self._dispatcher.documents_changed(names)
 
@@ -169,7 +169,7 @@
         if future and not future.done() and (response.accepted or response.reason != NO_LEADER):
             future.set_result(response)
 
-    # --- asked by the dispatcher ---
+    # --- called by the dispatcher ---
 
     async def propose(
         self, kind: str, data: dict[str, Any], proposal_id: str, max_seconds: float
--- a/crankfold/cluster/transport.py
+++ b/crankfold/cluster/transport.py
@@ -187,7 +187,7 @@
         previous = self._incoming.get(hello.name)
         self._incoming[hello.name] = writer
         if previous:
-            previous.transport.abort()  # what it still holds was said by an earlier process or before a break
+            previous.transport.abort()  # its bytes are from an earlier process, or from before a break
         return hello.name
 
     async def _read_messages(
--- a/crankfold/consensus/activation.py
+++ b/crankfold/consensus/activation.py
@@ -11,7 +11,7 @@
 class VersionActivator:
     """Proposes at the leader that pending versions become active.
 
-    Quotas bind the requests in hand too: a member's requests must also keep within them, which those admitted
+    Quotas bind the open requests too: a member's requests must also keep within them, which those admitted
     under an earlier allocation may not.
     """
 
--- a/crankfold/consensus/conservative_merge.py
+++ b/crankfold/consensus/conservative_merge.py
@@ -14,7 +14,7 @@
 SETTINGS = "settings"
 DRAINED_BACKENDS = "runners-out"
 EXCLUDED_BACKENDS = "runners-never"
-LIMITS = "limits"  # on requests in hand, for the whole cluster
+LIMITS = "limits"  # on open requests, for the whole cluster
 QUOTAS = "deal"  # each member's part of the limits
 MAINTENANCE = "works"
 DOCUMENTS = (SETTINGS, DRAINED_BACKENDS, EXCLUDED_BACKENDS, LIMITS, QUOTAS, MAINTENANCE)
@@ -86,7 +86,7 @@
 
 
 def merge_limits(old: Content, new: Content) -> Content:
-    """Merges the limits on requests in hand of the whole cluster: the lower one of each name."""
+    """Merges the limits on open requests of the whole cluster: the lower one of each name."""
     old_limits = old.get("limits", {})
     new_limits = new.get("limits", {})
     return {
--- a/crankfold/consensus/follower.py
+++ b/crankfold/consensus/follower.py
@@ -54,7 +54,7 @@
         return messages
 
     def tick(self, now: int) -> None:
-        """Does what is due at `now`: a heartbeat, or the turn to another voter."""
+        """Does what is due at `now`: a heartbeat, or the switch to another voter."""
         if now < self._heartbeat_due_at:
             return
         if now - self._voter_contact_at > self.timing.contact_timeout:
@@ -63,7 +63,7 @@
             self._send_heartbeat(now)
 
     def _switch_voter(self, now: int) -> None:
-        """Turns to one at random, at a random time: not all that lost a voter shall fall on the same one."""
+        """Switches to a random one at a random time: not all that lost a voter shall meet at the same one."""
         others = [voter for voter in self._voters if voter != self.voter] or self._voters
         self.voter = others[self._random.below(len(others))]
         self._voter_contact_at = now
@@ -125,4 +125,4 @@
         if update.lease_duration and asked_by_this_process and up_to_date:
             self._extend_lease(update.request_sent_at + update.lease_duration)
         if self.last_applied > applied_before or not up_to_date:
-            self._send_heartbeat(now)  # a publish waits until all have said that they applied it
+            self._send_heartbeat(now)  # a publish waits until all have confirmed that they applied it
--- a/crankfold/consensus/leases.py
+++ b/crankfold/consensus/leases.py
@@ -1,6 +1,6 @@
 """Leases: until when a member may act on what it has applied.
 
-Leases come down a tree: a leader that was just in contact with a quorum, the other voters, each voter's
+Leases form a tree: a leader that was just in contact with a quorum, the other voters, each voter's
 followers. None lasts longer than the one above it. Who grants a lease counts it from the answer on, with a
 margin for the drift of clocks, who holds it counts from the request on: so the granter knows of every lease
 below it that may still run. `docs/bound.md` has the argument.
@@ -39,7 +39,7 @@
 
     Attributes:
         lowest_applied: All of them act on the log up to here at least.
-        quiesced: None of their requests in hand exceeds the quotas as of this index.
+        quiesced: None of their open requests exceeds the quotas as of this index.
     """
 
     lowest_applied: int
@@ -214,7 +214,7 @@
 
 
 class VoterReport(Struct):
-    """What a voter said of itself and of all that hold leases from it, in its last lease request.
+    """What a voter reported of itself and of all that hold leases from it, in its last lease request.
 
     Attributes:
         sent_at: By the voter's clock.
--- a/crankfold/consensus/maintenance_reports.py
+++ b/crankfold/consensus/maintenance_reports.py
@@ -1,6 +1,6 @@
 """What the whole cluster knows of machines in maintenance, put together at the leader.
 
-Silence is no consent: a machine is free only when everyone that may send to it has said otherwise, or its
+A machine is free only when everyone that may send to it has reported that it does not, or when its
 lease, and its longest request with it, has expired.
 """
 
@@ -35,7 +35,7 @@
     """
 
     def __init__(self, subtrees: Sequence[SubtreeReport], *, earlier_leases_may_run: bool) -> None:
-        """Merges the reports; `earlier_leases_may_run` tells of leases by leaders of earlier terms."""
+        """Merges the reports; `earlier_leases_may_run` is about leases by leaders of earlier terms."""
         self._subtrees = subtrees
         self._earlier_leases_may_run = earlier_leases_may_run
         self.combined = MaintenanceReport()
--- a/crankfold/consensus/member.py
+++ b/crankfold/consensus/member.py
@@ -12,14 +12,14 @@
     """The dispatcher that acts on the documents of a member."""
 
     def quiesced_index(self, last_applied: int) -> int:
-        """Up to which index of the log its requests in hand keep within the quotas.
+        """Up to which index of the log its open requests keep within the quotas.
 
         Args:
             last_applied: The highest index that it may answer.
         """
 
     def quota_usage(self) -> dict[str, int]:
-        """By quota of the whole cluster, its requests in hand and wanted."""
+        """By quota of the whole cluster, its open requests and those wanted."""
 
     def maintenance_report(self) -> MaintenanceReport | None:
         """What it knows of machines in maintenance, a new object each time; None while there are none."""
@@ -84,7 +84,7 @@
         return self.documents.effective_content(document)
 
     def quiesced_index(self) -> int:
-        """Up to which index its host's requests in hand keep within the quotas."""
+        """Up to which index its host's open requests keep within the quotas."""
         return self.host.quiesced_index(self.last_applied)
 
     def _extend_lease(self, expires_at: int) -> None:
--- a/crankfold/consensus/membership.py
+++ b/crankfold/consensus/membership.py
@@ -1,4 +1,4 @@
-"""Who holds leases from the other voters, as they tell it."""
+"""Who holds leases from the other voters, by their gossip."""
 
 from crankfold.consensus.leases import LeaseHolderState
 from crankfold.consensus.messages import LeaseHolderStatus, MembershipGossip
@@ -8,7 +8,7 @@
     """The newest gossip of each other voter.
 
     Attributes:
-        by_voter: Lease holders by the voter that told of them, the voter itself among them.
+        by_voter: Lease holders by the voter that gossiped of them, the voter itself among them.
     """
 
     def __init__(self, max_age: int) -> None:
@@ -18,18 +18,18 @@
         self.by_voter: dict[str, list[LeaseHolderStatus]] = {}
 
     def record(self, now: int, voter: str, gossip: MembershipGossip) -> None:
-        """Takes what a voter tells."""
+        """Takes the gossip of a voter."""
         self.by_voter[voter] = gossip.lease_holders
         self._received_at[voter] = now
 
     def drop_stale(self, now: int) -> None:
-        """Drops what voters said that are silent for long: their followers have turned to others by now."""
+        """Drops the gossip of voters that are silent for long: their followers have switched to others."""
         for voter in [voter for voter, at in self._received_at.items() if now - at > self._max_age]:
             del self._received_at[voter]
             del self.by_voter[voter]
 
     def all(self) -> list[LeaseHolderStatus]:
-        """All lease holders that other voters told of."""
+        """All lease holders of other voters."""
         return [status for statuses in self.by_voter.values() for status in statuses]
 
     def alive(self) -> list[LeaseHolderStatus]:
--- a/crankfold/consensus/messages.py
+++ b/crankfold/consensus/messages.py
@@ -109,7 +109,7 @@
         unavailable: Machines that the discovery list does not call ready.
         idle_dispatchers: Dispatchers that were told to drain and have no request left.
         dispatcher_zones: Zones by dispatcher, where one is configured.
-        open_requests: Requests in hand.
+        open_requests: Open requests.
         recent_accepted: Requests accepted lately.
         recent_shed: Requests shed lately.
     """
@@ -182,7 +182,7 @@
 
     Attributes:
         sent_at: By the sender's clock.
-        quota_usage: By quota of the whole cluster, requests in hand and wanted.
+        quota_usage: By quota of the whole cluster, open requests and those wanted.
         maintenance_report: Only while machines are in maintenance.
     """
 
@@ -274,7 +274,7 @@
     Attributes:
         held_for: How long it has been there, in ticks.
         state: One of `leases.LeaseHolderState`.
-        quota_usage: By quota of the whole cluster, requests in hand and wanted.
+        quota_usage: By quota of the whole cluster, open requests and those wanted.
     """
 
     name: str
@@ -286,7 +286,7 @@
 
 
 class MembershipGossip(Struct, array_like=True, frozen=True, tag="m"):
-    """A voter tells the other voters who holds a lease from it; the voter itself is among them."""
+    """A voter lists its lease holders for the other voters; the voter itself is among them."""
 
     lease_holders: list[LeaseHolderStatus]
 
--- a/crankfold/consensus/progress.py
+++ b/crankfold/consensus/progress.py
@@ -70,7 +70,7 @@
     def quorum_contact_at(self, voters: Collection[str]) -> int:
         """When the newest round was sent that a majority has answered; -1 if there is none.
 
-        Whatever those answers say was said after that time.
+        Those answers were sent after that time.
         """
         answered = quorum_value(
             voters,
--- a/crankfold/consensus/proposals.py
+++ b/crankfold/consensus/proposals.py
@@ -19,7 +19,7 @@
 from crankfold.consensus.timing import Timing
 from crankfold.consensus.versioned_documents import VersionedDocuments
 
-NO_LEADER = "there is no leader"  # the reason of a response after which it is proposed again
+NO_LEADER = "there is no leader"  # the reason of a response after which it is proposed once more
 VALIDATION_TIMEOUT = 20  # staleness bounds; a proposal not validated by then is forgotten
 MAX_AUTHOR_LENGTH = 200
 MAX_REASON_LENGTH = 2000
@@ -170,7 +170,7 @@
             self._raft.send(voter, message)
 
     def _validate(self, sender: str, request: ValidationRequest) -> None:
-        """Tells the leader whether this voter could use a document."""
+        """Answers the leader whether this voter could use a document."""
         error = self._host.validate_document(request.document_name, request.content)
         self._raft.send(sender, ValidationResponse(request.proposal_id, error))
 
@@ -204,7 +204,7 @@
                 del self._validations[proposal_id]
 
     def answer(self, proposal_id: str) -> None:
-        """Tells whoever waits for it the outcome of a proposal that is applied."""
+        """Sends the outcome of an applied proposal to whoever waits for it."""
         outcome = self._documents.replicated.outcomes.get(proposal_id)
         if outcome and proposal_id in self._senders:
             response = ProposalResponse(
--- a/crankfold/consensus/quotas.py
+++ b/crankfold/consensus/quotas.py
@@ -16,8 +16,8 @@
     """Divides each limit in proportion to what each member uses of it, plus one; the quotas sum up to it.
 
     Args:
-        limits: Requests in hand of the whole cluster, by the limit's name.
-        usage: By member and limit, requests in hand and wanted.
+        limits: Open requests of the whole cluster, by the limit's name.
+        usage: By member and limit, open requests and those wanted.
     """
     quotas: Allocation = {}
     for limit, total in limits.items():
@@ -45,8 +45,8 @@
     """Whether members or limits changed, or one has used up its quota and would gain enough.
 
     Args:
-        limits: Requests in hand of the whole cluster, by the limit's name.
-        usage: By member and limit, requests in hand and wanted.
+        limits: Open requests of the whole cluster, by the limit's name.
+        usage: By member and limit, open requests and those wanted.
         current: The newest allocation.
         target: What would be allocated now.
     """
--- a/crankfold/consensus/raft.py
+++ b/crankfold/consensus/raft.py
@@ -114,7 +114,7 @@
         if self.role == Role.LEADER:
             last_contact = max(self.quorum_contact_at(), self.leader_since)
             if now - last_contact >= 2 * self.timing.election_timeout:
-                # Without contact to a quorum it must not be taken for the leader.
+                # Without contact to a quorum it must not count as the leader.
                 self._become_follower(now, self.term)
             elif now >= self.heartbeat_due_at:
                 self.broadcast_append(now)
@@ -340,7 +340,7 @@
         self.send(receiver, AppendEntriesResponse(self.term, False, retry_index, round_number))
 
     def _send_append_success(self, receiver: str, match_index: int, round_number: int) -> None:
-        """What is durable is confirmed at once, so that slow storage is not taken for a silent voter."""
+        """What is durable is confirmed at once, so that slow storage does not look like a silent voter."""
         response = AppendEntriesResponse(self.term, True, match_index, round_number)
         if match_index > self.log.durable_index and not self._output.hard_state_unsynced:
             durable = AppendEntriesResponse(self.term, True, self.log.durable_index, round_number)
