--- a/crankfold/fault_injection/maintenance_driver.py
+++ b/crankfold/fault_injection/maintenance_driver.py
@@ -156,11 +156,19 @@
                 command.name: {**job, "state": command.state, "called": job.get("called", 0) + 1},
             }
 
-        await self._publish_jobs(change, f"{command.state} {command.name} {command.begin}")
+        reason = f"{command.state} {command.name} {command.begin}"
+        await self._publish_jobs(change, reason, changed_job=command.name)
 
-    async def _publish_jobs(self, change: Callable[[Jobs], Jobs], reason: str) -> None:
+    async def _publish_jobs(
+        self, change: Callable[[Jobs], Jobs], reason: str, *, changed_job: str = ""
+    ) -> None:
         """Until it is in the history.
 
+        Args:
+            change: Makes the new document from the newest one that a dispatcher knows.
+            reason: Stands in the history with it, and tells it from others.
+            changed_job: Has to be known there already; the dispatcher that is asked may lag behind.
+
         Raises:
             PlanError: it was refused for what it says.
         """
@@ -174,6 +182,9 @@
                 return
             newest = known.content["newest"]
             jobs = versions[newest]["text"]["works"] if newest else {}
+            if changed_job and changed_job not in jobs:
+                await asyncio.sleep(RETRY_INTERVAL)
+                continue
             request = {
                 "call": f"{reason} {newest}",
                 "made-from": newest,
