--- a/crankfold/fault_injection/maintenance_driver.py
+++ b/crankfold/fault_injection/maintenance_driver.py
@@ -162,7 +162,7 @@
     async def _publish_jobs(
         self, change: Callable[[Jobs], Jobs], reason: str, *, changed_job: str = ""
     ) -> None:
-        """Until it is in the history.
+        """Until it is in the history. Over 30 lines: one loop, whose every step may have to be taken again.
 
         Args:
             change: Makes the new document from the newest one that a dispatcher knows.
--- a/crankfold/service/document_validation.py
+++ b/crankfold/service/document_validation.py
@@ -59,6 +59,8 @@
 ) -> str:
     """Why a dispatcher could not act on that content, with path, found and allowed; empty if it could.
 
+    Over 30 lines: one case for each document.
+
     Args:
         document: its name.
         content: the new version.
--- a/crankfold/service/maintenance_agent.py
+++ b/crankfold/service/maintenance_agent.py
@@ -52,7 +52,7 @@
         endpoint_list_age: Callable[[], int],
         machines_out_changed: Callable[[], None],
     ) -> None:
-        """Begins with nothing observed.
+        """Begins with nothing observed. Over 30 lines: one for each attribute.
 
         `endpoint_list_age` gives the ticks since discovery answered last; `machines_out_changed` is called
         when `machines_out` may give others though the cluster agreed on nothing new.
--- a/crankfold/simulation/maintenance_fleet.py
+++ b/crankfold/simulation/maintenance_fleet.py
@@ -39,7 +39,7 @@
         make_coordinator: Callable[[str], Coordinator] = Coordinator,
         warm_up_ticks: int = WARM_UP_TICKS,
     ) -> None:
-        """Makes the fleet, with nothing running yet.
+        """Makes the fleet, with nothing running yet. Over 30 lines: one for each attribute.
 
         Args:
             case: What is played.
