--- a/crankfold/network/accepted_connection.py
+++ b/crankfold/network/accepted_connection.py
@@ -26,6 +26,7 @@
         protocol: its HTTP state.
         accepted_at: in seconds of the loop's clock.
         phase_started_at: when it became idle, or the present request or response began; the same clock.
+        received_at: when bytes of a request came last; the same clock.
         unread_bytes: that came behind a request in hand, or after the last response.
     """
 
@@ -38,6 +39,7 @@
         self.protocol = ClientConnection(listener.handler, self, listener.report_fields)
         self.accepted_at = listener.loop.time()
         self.phase_started_at = self.accepted_at
+        self.received_at = self.accepted_at
         self.unread_bytes = 0
 
     async def run(self) -> None:
@@ -62,8 +64,9 @@
 
     def _process(self, data: bytes) -> None:
         protocol = self.protocol
+        self.received_at = self.listener.loop.time()
         if not protocol.awaiting_response and not protocol.is_mid_request():
-            self.phase_started_at = self.listener.loop.time()
+            self.phase_started_at = self.received_at
         try:
             protocol.receive_data(data)
         except Exception as error:
@@ -133,6 +136,10 @@
             self.writer.write_eof()
             self.listener.loop.call_later(CLOSE_DELAY, self.writer.close)
 
+    def last_progress_at(self) -> float:
+        """When the request under way last got on: bytes kept behind an earlier one count from its response."""
+        return max(self.received_at, self.phase_started_at)
+
     def has_unsent_data(self) -> bool:
         """Whether written bytes wait because the other side does not take them."""
         return self.writer.transport.get_write_buffer_size() > 0
--- a/crankfold/network/listener.py
+++ b/crankfold/network/listener.py
@@ -9,10 +9,12 @@
 from crankfold.network.metrics import Metrics
 from crankfold.protocol.client_connection import ClientChannel, ClientRequestHandler
 
-# Seconds from connecting to a first request or callback; who sends neither must be out by 3.
-FIRST_REQUEST_TIMEOUT = 2.0
-# Seconds from the first byte of a later request to its last, and for a response to be taken.
-TRANSFER_TIMEOUT = 5.0
+# A client that says nothing, or stops in the middle of a request and stays, must be out 3 seconds later; who
+# goes on, however slowly, is heard. All in seconds, and looked at once in SWEEP_INTERVAL.
+FIRST_REQUEST_TIMEOUT = 2.0  # from connecting to the first byte of a request or callback
+STALL_TIMEOUT = 2.0  # without a byte in the middle of a request, the first on its connection or a later one
+FIRST_HEADER_TIMEOUT = 2.5  # from connecting to the end of the first header: some send one without end
+TRANSFER_TIMEOUT = 5.0  # from the first byte of a request to its last, and for a response to be taken
 IDLE_TIMEOUT = 75.0  # seconds
 SWEEP_INTERVAL = 0.25  # seconds
 ACCEPT_BACKLOG = 1024  # connections not accepted yet
@@ -159,25 +161,30 @@
     def sweep(self) -> None:
         """Ends the connections whose time is up; to be called once an interval."""
         now = self.loop.time()
-        for connection in list(self.unidentified_connections):
-            if now - connection.accepted_at <= FIRST_REQUEST_TIMEOUT:
-                break
-            if not connection.protocol.closing:  # else it ends after its linger time
-                # Says nothing, sends a header without end, or asked for our health alone.
-                self.metrics.increment("clients-timed-out")
-                connection.abort()
         for connection in list(self.connections):
-            protocol = connection.protocol
-            age = now - connection.phase_started_at
-            if not protocol.identified or protocol.closing:
-                continue
-            if age > TRANSFER_TIMEOUT and (connection.has_unsent_data() or protocol.is_mid_request()):
+            if self._is_timed_out(now, connection):
                 self.metrics.increment("clients-timed-out")
                 connection.abort()
-            elif age > IDLE_TIMEOUT and connection.is_idle():
+            elif now - connection.phase_started_at > IDLE_TIMEOUT and connection.is_idle():
                 self.metrics.increment("connections-idle-closed")
                 connection.close()
 
+    @staticmethod
+    def _is_timed_out(now: float, connection: AcceptedConnection) -> bool:
+        protocol = connection.protocol
+        overdue = now - connection.phase_started_at > TRANSFER_TIMEOUT
+        if protocol.closing:  # else it ends after its linger time
+            return overdue and connection.has_unsent_data()
+        if protocol.is_mid_request():
+            stalled = now - connection.last_progress_at() > STALL_TIMEOUT
+            if protocol.identified or protocol.is_in_body():
+                return stalled or overdue
+            return stalled or now - connection.accepted_at > FIRST_HEADER_TIMEOUT
+        if protocol.identified:
+            return overdue and connection.has_unsent_data()
+        # Says nothing, or asked for our health alone.
+        return not protocol.awaiting_response and now - connection.accepted_at > FIRST_REQUEST_TIMEOUT
+
     def has_client_connections(self) -> bool:
         """Whether any connection is not a backend's."""
         return any(not connection.protocol.is_backend for connection in self.connections)
--- a/crankfold/protocol/client_connection.py
+++ b/crankfold/protocol/client_connection.py
@@ -95,6 +95,10 @@
         """Whether a request has begun to come in."""
         return not self.awaiting_response and (self.request_head is not None or self.buffered_bytes > 0)
 
+    def is_in_body(self) -> bool:
+        """Whether the header of a request has come whole, and not its body."""
+        return not self.awaiting_response and self.request_head is not None
+
     def receive_data(self, data: bytes) -> None:
         """Takes in bytes that were read, and processes what they complete."""
         if self.closing:
--- a/tests/network/test_listener.py
+++ b/tests/network/test_listener.py
@@ -46,7 +46,10 @@
         await self.until(
             lambda: sum(client.protocol.is_mid_request() for client in self.listener.connections) == 2
         )
-        with patch("crankfold.network.listener.FIRST_REQUEST_TIMEOUT", 0.0):
+        with (
+            patch("crankfold.network.listener.FIRST_REQUEST_TIMEOUT", 0.0),
+            patch("crankfold.network.listener.FIRST_HEADER_TIMEOUT", 0.0),
+        ):
             self.listener.sweep()
         await self.ended(*unidentified)
         await self.until(lambda: len(self.listener.connections) == 2)
