--- a/crankfold/config/parser.py
+++ b/crankfold/config/parser.py
@@ -43,6 +43,7 @@
         longest_deadline: of all request classes.
         max_pending: requests in hand; more are shed.
         slow_start_duration: in which a backend that started is warming up.
+        initial_capacity: share of its capacity that a backend has when it has just started.
     """
 
     request_classes: Interner[str]
@@ -55,6 +56,7 @@
     longest_deadline: int
     max_pending: int
     slow_start_duration: int
+    initial_capacity: float
 
 
 class _Settings:
@@ -152,6 +154,7 @@
         ),
         max_pending=settings.integer("allowed.most-held", DEFAULT_MAX_PENDING),
         slow_start_duration=settings.lower_bound("rules.warm-after"),
+        initial_capacity=_read_initial_capacity(settings),
     )
 
 
@@ -184,7 +187,7 @@
         progress_interval=settings.lower_bound("specifics.progress"),
         discovery_by_poll=settings.text("membership-mode") == "on_request",
         poll_within=settings.upper_bound("rules.ask-within"),
-        initial_capacity=settings.number("rules.cold-from", 1.0),
+        initial_capacity=_read_initial_capacity(settings),
         warm_up_time=settings.lower_bound("rules.warm-after"),
         overload_factor=settings.number("rules.overload-factor", 1.0),
         overload_period=settings.lower_bound("rules.overload-for"),
@@ -194,6 +197,10 @@
     )
 
 
+def _read_initial_capacity(settings: _Settings) -> float:
+    return settings.number("rules.cold-from", 1.0)
+
+
 def _read_request_classes(settings: _Settings) -> list[RequestClass]:
     stretches = [float(item) for item in settings.items("specifics.class-stretch")]
     request_classes = []
--- a/crankfold/service/application.py
+++ b/crankfold/service/application.py
@@ -193,6 +193,7 @@
 
     def _endpoints_received(self, endpoints: Sequence[Endpoint], is_snapshot: bool) -> None:
         self.request_handler.endpoints_changed(endpoints, is_snapshot)
+        self.backend_registry.starts.discovery_answered()
         self.discovery_answered.set()
 
     def _discovery_failed(self) -> None:
--- a/crankfold/service/backend_registry.py
+++ b/crankfold/service/backend_registry.py
@@ -19,6 +19,7 @@
 from crankfold.network.timers import Timers
 from crankfold.protocol.discovery import DiscoveryEntry, encode_entry
 from crankfold.routing.interface import Endpoint, EndpointState
+from crankfold.service.backend_starts import BackendStarts
 from crankfold.service.manual_drains import ManualDrains
 from crankfold.time_units import TICKS_PER_MILLISECOND, TICKS_PER_SECOND
 
@@ -37,6 +38,10 @@
     port: int
     boot_ms: int
 
+    def listed_start(self) -> int:
+        """The start of the process in ticks since the epoch, 0 for long ago; all dispatchers see the same."""
+        return self.boot_ms * TICKS_PER_MILLISECOND
+
 
 class BackendRecord:
     """One backend.
@@ -70,6 +75,7 @@
         records: The backends, by index.
         manual_drains: What operators drained at this dispatcher.
         cluster_drains: What is drained for all dispatchers.
+        starts: When the backends started.
         known_ids: Ids that the process before this one had listed.
         slow_start_reserved: Another process sends what backends that warm up may be sent.
     """
@@ -82,13 +88,21 @@
         self.records: list[BackendRecord] = []
         self.manual_drains = ManualDrains()
         self.cluster_drains = ManualDrains()
+        self.starts = BackendStarts(
+            timers.clock,
+            warm_up_time=config.slow_start_duration,
+            initial_capacity=config.initial_capacity,
+        )
         self.known_ids: set[str] = set()
         self.slow_start_reserved = False
 
     # --- the endpoint list ---
 
     def register(self, entry: DiscoveryEntry) -> Endpoint:
-        """The endpoint of a discovery entry; a backend not seen before gets the next index."""
+        """The endpoint of a discovery entry; a backend not seen before gets the next index.
+
+        Its start is as listed, by the clock of the backends.
+        """
         backend = self.backend_ids.intern(entry.backend_id)
         address = BackendAddress(entry.host, entry.port, entry.boot_ms)
         if backend == len(self.records):
@@ -107,7 +121,7 @@
             weight=entry.weight,
             zone=self.config.zones.intern(setting_text(entry.zone)),
             cell=entry.cell,
-            started_at=entry.boot_ms * TICKS_PER_MILLISECOND,
+            started_at=address.listed_start(),
             instance_type=self.config.instance_types.intern(setting_text(entry.instance_type)),
             hash_position=zlib.crc32(entry.backend_id.encode()) / HASH_RANGE,
         )
@@ -122,8 +136,10 @@
             for record in self.records:
                 record.state = EndpointState.REMOVED
                 record.endpoint = replace(record.endpoint, state=EndpointState.REMOVED)
+        starts = self.starts.estimate({endpoint.backend: endpoint.started_at for endpoint in endpoints})
         for endpoint in endpoints:
-            self.records[endpoint.backend].endpoint = endpoint
+            record = self.records[endpoint.backend]
+            record.endpoint = replace(endpoint, started_at=starts[endpoint.backend])
         return [self._put_in_force(endpoint.backend) for endpoint in endpoints]
 
     def _put_in_force(self, backend: int) -> Endpoint:
--- a/crankfold/service/machine_inventory.py
+++ b/crankfold/service/machine_inventory.py
@@ -6,8 +6,8 @@
 from crankfold.maintenance.scheduler import Machine
 from crankfold.maintenance.state import MaintenanceState
 from crankfold.maintenance.transitions import MaintenancePhase
-from crankfold.routing.interface import Endpoint, EndpointState
-from crankfold.service.backend_registry import BackendRegistry
+from crankfold.routing.interface import EndpointState
+from crankfold.service.backend_registry import BackendRecord, BackendRegistry
 
 TICKS_PER_SECOND = 10_000  # a tick is a tenth of a millisecond
 MISSING_MACHINE_PERIOD = (
@@ -38,7 +38,7 @@
                 self.missing_since.pop(machine_id, None)
             elif self._is_forgotten(machine_id):
                 continue
-            machines.append(self._machine(machine_id, record.endpoint, state))
+            machines.append(self._machine(machine_id, record, state))
         replaced = {
             transition.machine_id
             for transition in state.transitions
@@ -46,7 +46,8 @@
         }
         return [machine for machine in machines if machine.discovered or machine.machine_id not in replaced]
 
-    def _machine(self, machine_id: str, endpoint: Endpoint, state: MaintenanceState) -> Machine:
+    def _machine(self, machine_id: str, record: BackendRecord, state: MaintenanceState) -> Machine:
+        endpoint = record.endpoint
         config = self.backend_registry.config
         return Machine(
             machine_id=machine_id,
@@ -54,7 +55,7 @@
             instance_type=config.instance_types.names[endpoint.instance_type],
             cell=str(endpoint.cell),
             size=endpoint.weight or 1.0,
-            started_at=endpoint.started_at,
+            started_at=record.address.listed_start(),
             available=endpoint.state == EndpointState.READY
             and not self._is_drained_manually(machine_id, state),
             discovered=endpoint.state != EndpointState.REMOVED,
--- a/crankfold/service/request_handler.py
+++ b/crankfold/service/request_handler.py
@@ -333,6 +333,7 @@
             instance_types=running.instance_types,
             report_fields=running.report_fields,
             slow_start_duration=running.slow_start_duration,
+            initial_capacity=running.initial_capacity,
         )
         self.backends.config = self.config
         self.attempts.cancellation_allowed = routing_config.cancellation_allowed
--- a/tests/terms/test_clocks.py
+++ b/tests/terms/test_clocks.py
@@ -91,9 +91,18 @@
     async def test_a_start_listed_later_is_new_where_the_own_clock_is_an_hour_ahead(self) -> None:
         self.assertLess(await self.listed_later(ahead_ms=HOUR_MS), MAX_ASSUMED_AGE)
 
+    async def test_a_start_listed_later_is_new_where_the_own_clock_is_seconds_ahead(self) -> None:
+        self.assertLess(await self.listed_later(ahead_ms=8_000), MAX_ASSUMED_AGE)
+
     async def test_a_start_listed_later_is_new_where_the_backends_clock_is_an_hour_behind(self) -> None:
         self.assertLess(await self.listed_later(boot_error_ms=-HOUR_MS), MAX_ASSUMED_AGE)
 
+    async def test_a_start_in_the_future_is_cold_no_longer_than_any_other(self) -> None:
+        self.assertGreaterEqual(await self.listed_later(ahead_ms=-HOUR_MS), 0)
+
+    async def test_a_start_in_the_future_by_the_backends_clock_is_cold_no_longer_either(self) -> None:
+        self.assertGreaterEqual(await self.listed_later(boot_error_ms=HOUR_MS), 0)
+
     async def test_right_clocks_cost_nothing(self) -> None:
         """What started long ago is warm in the first list, and stays as it was seen when listed again."""
         await self.begin_with(dispatcher_ahead_ms=0)
