--- a/tests/cluster/test_node.py
+++ b/tests/cluster/test_node.py
@@ -34,7 +34,9 @@
         return []
 
 
-class ClusterNodeTest(Loopback):
+class ClusterScene(Loopback):
+    """Nodes of one cluster, each with a folder of its own."""
+
     async def asyncSetUp(self) -> None:
         self.folder = Path(self.enterContext(tempfile.TemporaryDirectory()))
         self.ports = {}
@@ -81,6 +83,8 @@
     def acts(self, *names: str) -> bool:
         return all(not self.nodes[name].inactive_reason() for name in names)
 
+
+class ClusterNodeTest(ClusterScene):
     async def test_three_voters_and_a_follower_agree_and_a_voter_is_replaced(self) -> None:
         for name in VOTERS:
             await self.start(name)
