--- a/crankfold/cluster/cluster_member.py
+++ b/crankfold/cluster/cluster_member.py
@@ -37,6 +37,9 @@
     def applied(self) -> None:
         """The log may have been applied further."""
 
+    def storage_failed(self, member: "ClusterMember") -> None:
+        """The member's folder failed: it takes no part any more, and is to be replaced."""
+
     def proposal_answered(self, response: ProposalResponse) -> None:
         """There is an outcome of a proposal that was made here."""
 
@@ -236,7 +239,8 @@
             # Nobody knows now what is stored: this process says nothing more, and acts on nothing.
             self.disabled_reason = f"the voter's folder failed: {error}"
             self._metrics.increment("cluster-storage-failures")
-            logger.error("%s; this voter is disabled until its process is restarted", self.disabled_reason)
+            logger.error("%s; this voter takes no part until the folder works", self.disabled_reason)
+            self._owner.storage_failed(self)
             return
         self._send(ready.messages)
         voter.advance(boottime_ticks(), ready)
--- a/crankfold/cluster/node.py
+++ b/crankfold/cluster/node.py
@@ -8,7 +8,12 @@
 
 from crankfold.cluster.cluster_member import ClusterMember, open_storage
 from crankfold.cluster.config import ClusterConfig
-from crankfold.cluster.raft_storage import FolderInUseError, RaftStorage, StorageError
+from crankfold.cluster.raft_storage import (
+    FolderInUseError,
+    RaftStorage,
+    StorageError,
+    StorageUnavailableError,
+)
 from crankfold.consensus.conservative_merge import DOCUMENTS
 from crankfold.consensus.follower import Follower
 from crankfold.consensus.member import VoterHost
@@ -40,7 +45,8 @@
 
     A process that replaces another is a follower under a name of its own while that one is there. If it is to
     be a voter, it takes the folder and the name over once they are free, and acts by them when it has applied
-    as much as the follower.
+    as much as the follower. A voter whose folder fails does the same: it goes on as a follower, and as a
+    voter that was restarted once the folder works.
 
     Attributes:
         config: How this process takes part.
@@ -58,7 +64,7 @@
         """Opens the storage of a voter.
 
         Raises:
-            StorageError: It cannot be used.
+            StorageError: It cannot be used, and that will not pass by itself.
         """
         self.config = config
         self._metrics = metrics
@@ -67,11 +73,22 @@
         self._pending_proposals: dict[str, asyncio.Future[ProposalResponse]] = {}
         self._progress = asyncio.Event()
         self._takeover_task: asyncio.Task[None] | None = None
-        if config.is_successor:
-            name = f"{config.name}+{secrets.token_hex(SUCCESSOR_SUFFIX_BYTES)}"
-            self.member = self._make_member(name, None)
-        else:
-            self.member = self._make_member(config.name, open_storage(config) if config.is_voter else None)
+        self.member = self._make_first_member()
+
+    def _make_first_member(self) -> ClusterMember:
+        if self.config.is_successor:
+            return self._make_stand_in()
+        if not self.config.is_voter:
+            return self._make_member(self.config.name, None)
+        try:
+            return self._make_member(self.config.name, open_storage(self.config))
+        except StorageUnavailableError as error:
+            logger.error("%s; starts as a follower until the folder works", error)
+            return self._make_stand_in()
+
+    def _make_stand_in(self) -> ClusterMember:
+        """A follower under a name of its own, while the voter is not there."""
+        return self._make_member(f"{self.config.name}+{secrets.token_hex(SUCCESSOR_SUFFIX_BYTES)}", None)
 
     def _make_member(self, name: str, storage: RaftStorage | None) -> ClusterMember:
         return ClusterMember(
@@ -91,23 +108,34 @@
             OSError: The address cannot be listened at.
         """
         await self.member.open()
-        if self.config.is_successor and self.config.is_voter:
+        if self.config.is_voter and self.member.storage is None:
             self._takeover_task = asyncio.get_running_loop().create_task(self._take_over())
 
     async def _take_over(self) -> None:
-        """Becomes the voter that this process succeeds, once that one's process has ended."""
+        """Becomes the voter, once its folder and address are free and work."""
         successor = await self._open_voter()
-        if successor is None:
-            return
         # No event marks that a lease has expired, so it is polled.
-        while not self._may_act_by(successor):  # noqa: ASYNC110 - see above
+        while successor and not self._may_act_by(successor):
             await asyncio.sleep(TAKEOVER_RETRY_INTERVAL)
+            if successor.disabled_reason:
+                await successor.close()
+                successor = await self._open_voter()
+        if successor is None:
+            return
         follower = self.member
         self.member = successor
         self._dispatcher.documents_changed(set(DOCUMENTS))
         await follower.close()
         logger.info("%s is a voter again", self.config.name)
 
+    async def _replace_failed_voter(self, failed: ClusterMember) -> None:
+        """Goes on as a follower, and takes over as a voter that was restarted once the folder works."""
+        self.member = self._make_stand_in()
+        await failed.close()
+        await self.member.open()
+        self._dispatcher.documents_changed(set(DOCUMENTS))
+        await self._take_over()
+
     def _may_act_by(self, successor: ClusterMember) -> bool:
         applied_as_much = successor.consensus.last_applied >= self.consensus.last_applied
         return successor.has_lease() and applied_as_much
@@ -118,7 +146,7 @@
             await asyncio.sleep(TAKEOVER_RETRY_INTERVAL)
             try:
                 storage = open_storage(self.config)
-            except FolderInUseError:
+            except (FolderInUseError, StorageUnavailableError):
                 continue
             except StorageError as error:
                 logger.error("%s; continues as a follower", error)
@@ -159,6 +187,11 @@
         """Wakes whoever waits until something is applied."""
         self._progress.set()
 
+    def storage_failed(self, member: ClusterMember) -> None:
+        """Replaces the member by which this node acts; one that is to be taken over is opened anew."""
+        if member is self.member:
+            self._takeover_task = asyncio.get_running_loop().create_task(self._replace_failed_voter(member))
+
     def propose_transitions(self, member: ClusterMember, now: int) -> list[dict[str, Any]]:
         """Asks the dispatcher, if it acts by that member."""
         return self._dispatcher.propose_transitions(now) if member is self.member else []
--- a/crankfold/cluster/raft_storage.py
+++ b/crankfold/cluster/raft_storage.py
@@ -2,11 +2,13 @@
 
 The log file holds records, each with its length and checksum, that are written and synced as a whole before
 anything in them is answered for. A tail that a crash tore is cut off; damage before the tail is no crash and
-is refused. A storage error is final: after a failed fsync nobody knows what is stored, and a retry would hide
-that.
+is refused. A storage error is final for the open storage: after a failed fsync nobody knows what is stored,
+and a retry would hide that. Opening it anew, in this process or another, writes all that can be read to a
+fresh file, which is synced and read back before it counts.
 """
 
 import contextlib
+import errno
 import fcntl
 import os
 import secrets
@@ -37,6 +39,10 @@
     """Another process uses the folder."""
 
 
+class StorageUnavailableError(StorageError):
+    """The system failed to read or write the folder; that may pass."""
+
+
 class HardStateRecord(msgspec.Struct, array_like=True, tag="t"):
     """The term and the vote changed."""
 
@@ -83,6 +89,7 @@
 
         Raises:
             FolderInUseError: Another process uses it.
+            StorageUnavailableError: A system call failed.
             StorageError: It cannot be used.
         """
         self._folder = folder
@@ -99,7 +106,7 @@
             self._sync_folder()
         except OSError as error:
             self.close()
-            raise StorageError(f"{folder}: {error.strerror or error}") from None
+            raise StorageUnavailableError(f"{folder}: {error.strerror or error}") from None
         except StorageError:
             self.close()
             raise
@@ -131,7 +138,11 @@
         return folder_id
 
     def _replace_file(self, path: Path, data: bytes) -> None:
-        """Writes a file so that a crash leaves the old or the new one, whole."""
+        """Writes a file so that a crash leaves the old or the new one, whole.
+
+        Raises:
+            OSError: The old one stands, or the new one whole.
+        """
         unfinished = path.with_suffix(".new")
         file = os.open(unfinished, os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_CLOEXEC, 0o600)
         try:
@@ -139,6 +150,8 @@
             os.fsync(file)
         finally:
             os.close(file)
+        if unfinished.read_bytes() != data:
+            raise OSError(errno.EIO, "what was written reads otherwise")
         os.replace(unfinished, path)
         self._sync_folder()
 
@@ -155,6 +168,21 @@
             data = self._log_path.read_bytes()
         except FileNotFoundError:
             return state
+        valid = self._apply_records(state, data)
+        if valid < len(data):
+            torn = len(data) - valid
+            self.startup_notice = f"{self._log_path.name}: a torn tail of {torn} bytes was cut off"
+        if data:
+            # After a failed sync the system may hand out what it never wrote; a file of before does not tell.
+            self._replace_file(self._log_path, data[:valid])
+        return state
+
+    def _apply_records(self, state: PersistentState, data: bytes) -> int:
+        """Applies all whole records; gives the number of bytes that they take up.
+
+        Raises:
+            StorageError: The file is damaged before its tail, or written by another version.
+        """
         start = 0
         while start < len(data):
             body_start = start + RECORD_HEADER_SIZE
@@ -163,7 +191,7 @@
             complete = body_start < end <= len(data)
             checksum = int.from_bytes(data[start + LENGTH_SIZE : body_start], "big")
             if not complete or zlib.crc32(body) != checksum:
-                self._cut_torn_tail(data, start, end)
+                self._check_torn_tail(data, start, end)
                 break
             try:
                 for record in _decoder.decode(body):
@@ -173,10 +201,10 @@
                     f"{self._log_path}: at byte {start}: {error}; written by another version?"
                 ) from None
             start = end
-        return state
+        return start
 
-    def _cut_torn_tail(self, data: bytes, start: int, end: int) -> None:
-        """Cuts off a record that a crash tore: the last one, or space that was allocated and never written.
+    def _check_torn_tail(self, data: bytes, start: int, end: int) -> None:
+        """A crash may tear the last record, or leave space that was allocated and never written.
 
         Raises:
             StorageError: More follows after it, so that it is no torn tail.
@@ -186,11 +214,6 @@
                 f"{self._log_path}: damaged at byte {start} of {len(data)}; take this voter out, "
                 f"empty the folder and add it anew, or bring the file back whole"
             )
-        torn = len(data) - start
-        self.startup_notice = f"{self._log_path.name}: a torn tail of {torn} bytes was cut off"
-        with self._log_path.open("r+b") as file:
-            file.truncate(start)
-            os.fsync(file.fileno())
 
     def save(self, ready: Ready) -> None:
         """Stores what is to be stored, and returns once it is on the disk.
--- a/crankfold/service/event_log.py
+++ b/crankfold/service/event_log.py
@@ -1,12 +1,14 @@
 """Writes what a dispatcher with peers does, a JSON object a line, for the checks of fault injection.
 
-The keys of the lines are older than the names in the program. Not imported unless there are peers.
+The keys of the lines are older than the names in the program. Not imported unless there are peers. A line
+that can't be written is lost and logged: no request depends on it.
 """
 
+import logging
+import os
 import sys
 import time
-from pathlib import Path
-from typing import Any, TextIO
+from typing import Any
 
 import orjson
 
@@ -15,12 +17,14 @@
 from crankfold.consensus.voter import Voter
 from crankfold.service.collaborators import RecordedEvent
 
+logger = logging.getLogger(__name__)
+
 STANDARD_OUTPUT = "-"  # in place of a path; nothing else is written there
 TRANSITION = "step"  # the kind of line that tells a transition of a machine in maintenance
 
 
 class EventLog:
-    """A file that is open until the process ends; each line is flushed, as the process may be killed."""
+    """A file that is open until the process ends; nothing is buffered, as the process may be killed."""
 
     def __init__(self, path: str) -> None:
         """Appends to the file at `path`, or to standard output.
@@ -28,7 +32,11 @@
         Raises:
             OSError: if the file cannot be opened.
         """
-        self.file: TextIO = sys.stdout if path == STANDARD_OUTPUT else Path(path).open("a")  # noqa: SIM115 - open until the end
+        if path == STANDARD_OUTPUT:
+            self._file = sys.stdout.fileno()
+        else:
+            self._file = os.open(path, os.O_WRONLY | os.O_APPEND | os.O_CREAT | os.O_CLOEXEC, 0o666)
+        self._line_is_torn = False
         self.recorded_index = 0  # of the replicated log; up to there transitions have been written
 
     def record_event(
@@ -69,8 +77,17 @@
         self.recorded_index = max(self.recorded_index, member.last_applied)
 
     def _write(self, line: dict[str, Any]) -> None:
-        self.file.write(orjson.dumps(line).decode() + "\n")
-        self.file.flush()
+        data = orjson.dumps(line) + b"\n"
+        if self._line_is_torn:
+            data = b"\n" + data
+        unwritten = memoryview(data)
+        try:
+            while unwritten:
+                unwritten = unwritten[os.write(self._file, unwritten) :]
+        except OSError as error:
+            logger.warning("event log: %s; a line is lost", error, extra={"category": "event-log"})
+        if len(unwritten) < len(data):
+            self._line_is_torn = bool(unwritten)
 
 
 def _boot_time_ns() -> int:
--- a/tests/cluster/test_node.py
+++ b/tests/cluster/test_node.py
@@ -171,18 +171,21 @@
             writer.close()
         self.assertTrue(self.acts(*VOTERS))
 
-    async def test_a_storage_failure_disables_the_voter_alone(self) -> None:
+    async def test_a_storage_failure_disables_the_voter_alone_until_its_folder_works(self) -> None:
         for name in VOTERS:
             await self.start(name)
         await self.until(lambda: self.acts(*VOTERS))
         failing = self.nodes["n1"]
         full = OSError(errno.ENOSPC, "No space left on device")
-        with patch.object(failing.member.storage, "save", side_effect=full):
+        voter = failing.member
+        with patch.object(voter.storage, "save", side_effect=full):
             response = await self.publish(self.nodes["n0"], "a", 1)
-            await self.until(lambda: bool(failing.member.disabled_reason))
+            await self.until(lambda: bool(voter.disabled_reason))
         self.assertTrue(response.accepted)  # the others are a majority
-        self.assertFalse(failing.has_lease())
-        self.assertIn("No space left", failing.inactive_reason())
+        self.assertFalse(voter.has_lease())
+        self.assertIn("No space left", voter.inactive_reason())
+        await self.until(lambda: failing.member is not voter and failing.consensus.name == "n1")
+        await self.until(lambda: self.acts(*VOTERS))
 
     async def test_an_isolated_follower_acts_on_nothing_and_says_why(self) -> None:
         changes: list[set[str]] = []
--- a/tests/terms/test_storage_faults.py
+++ b/tests/terms/test_storage_faults.py
@@ -8,12 +8,16 @@
 from contextlib import ExitStack, contextmanager, suppress
 from pathlib import Path
 from typing import Any
-from unittest.mock import patch
+from unittest.mock import Mock, patch
+
+import orjson
 
 from crankfold.cluster.raft_storage import RaftStorage
 from crankfold.consensus.conservative_merge import SETTINGS
 from crankfold.consensus.messages import LogEntry, Snapshot
 from crankfold.consensus.raft_state import PersistentState, Ready
+from crankfold.service.collaborators import RecordedEvent
+from crankfold.service.event_log import EventLog
 from tests.cluster.test_node import VOTERS, ClusterScene
 
 STORAGE_CALLS = ("open", "write", "fsync", "fdatasync", "replace", "ftruncate", "close")
@@ -60,6 +64,9 @@
     async def test_voters_whose_syncs_fail_for_a_while_go_on_once_the_fault_is_over(self) -> None:
         await self.check_recovery("fdatasync", number=errno.EIO)
 
+    async def test_voters_whose_disk_is_full_for_a_while_go_on_once_there_is_room(self) -> None:
+        await self.check_recovery("write", "fsync", "fdatasync", number=errno.ENOSPC)
+
     async def test_a_voter_that_starts_while_its_folder_fails_goes_on_once_it_works(self) -> None:
         with self.failing(errno.ENOSPC, "fsync"):
             node = await self.start("n0")
@@ -157,3 +164,24 @@
         self.assertEqual((state.term, state.entries), (2, [entry(1), entry(2), entry(3)]))
         # The file that counts now is one that was synced since: the kernel drops what it could not write.
         self.assertIn((self.folder / "history").stat().st_ino, synced)
+
+
+class EventLogTest(unittest.TestCase):
+    def test_a_line_that_cannot_be_written_is_lost_and_the_next_stands_on_its_own(self) -> None:
+        path = Path(self.enterContext(tempfile.TemporaryDirectory())) / "events"
+        log = EventLog(str(path))
+        member = Mock(last_applied=1, **{"documents.version_numbers.return_value": {}})
+        write = os.write
+
+        def full_after(file: int, data: memoryview) -> int:
+            if len(data) < 10:
+                raise OSError(errno.ENOSPC, "full")
+            return write(file, data[: len(data) - 5])
+
+        log.record_event(RecordedEvent.ATTEMPT_SENT, "u1", "a", member)
+        with patch("os.write", full_after), self.assertLogs("crankfold.service.event_log", "WARNING"):
+            log.record_event(RecordedEvent.ATTEMPT_SENT, "u2", "a", member)
+        log.record_event(RecordedEvent.ATTEMPT_SENT, "u3", "a", member)
+        first, torn, last = path.read_text().splitlines()
+        self.assertEqual([orjson.loads(line)["unit"] for line in (first, last)], ["u1", "u3"])
+        self.assertFalse(torn.endswith("}"))
