--- a/crankfold/fault_injection/processes.py
+++ b/crankfold/fault_injection/processes.py
@@ -52,6 +52,7 @@
         self.files = files
         self.port = port  # for clients
         self.running: asyncio.subprocess.Process | None = None
+        self.admin_options: tuple[str, ...] = ()  # of the last replacement: it keeps its port when restarted
         self.restart_lock = asyncio.Lock()  # one fault or job ends and starts it at a time
         self.record_key = name
         # As written, one JSON object each; those of two processes that ran side by side apart.
@@ -59,13 +60,13 @@
         self.reader_tasks: list[asyncio.Task[None]] = []
         self.downtimes: list[Period] = []
 
-    async def start(self, *options: str) -> None:
+    async def start(self) -> None:
         """Start it; if it was down, wait until it accepts connections again."""
         with self.files.log.open("ab") as log:
             self.running = await asyncio.create_subprocess_exec(
                 *(sys.executable, "-O", "-m", "crankfold", "serve"),
                 *("--config", str(self.files.config), "--hand-over", str(self.files.handover)),
-                *options,
+                *self.admin_options,
                 stdout=asyncio.subprocess.PIPE,
                 stderr=log,
                 limit=RECORD_LINE_LIMIT,
@@ -148,7 +149,8 @@
         predecessor = self.running
         admin_port = find_free_port()
         self.record_key += "'"
-        await self.start("--admin", f"{HOST}:{admin_port}")
+        self.admin_options = ("--admin", f"{HOST}:{admin_port}")
+        await self.start()
         loop = asyncio.get_running_loop()
         end = loop.time() + READY_TIMEOUT
         while loop.time() < end:
