--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -127,6 +127,14 @@
             for name in names:
                 self.assertRegex(code, rf"(?m)^class {name}\b", owner)
 
+    def test_ci_installs_and_tests_by_the_commands_of_the_readme(self) -> None:
+        section = (ROOT / "README.md").read_text().partition("## Test\n")[2]
+        install, run = [line.strip() for line in section.splitlines() if line.startswith("    ")][:2]
+        script = (ROOT / ".ci" / "run").read_text()
+        installs = re.findall(r"pip install (.*)", script)
+        self.assertEqual(installs, re.findall(r"pip install (.*)", install))
+        self.assertIn(run, script.splitlines())
+
     def test_lines_outside_tables_are_short(self) -> None:
         for page in PAGES:
             for number, line in enumerate(page.read_text().splitlines(), 1):
--- a/tests/test_experiment.py
+++ b/tests/test_experiment.py
@@ -1,8 +1,10 @@
 """Faults in the emulated world, and experiments described in files."""
 
+import sys
 import tempfile
 from dataclasses import replace
 from pathlib import Path
+from unittest.mock import patch
 
 from click.testing import CliRunner
 
@@ -118,6 +120,14 @@
         self.assertEqual(kept[0][0].count(b"\n"), 1 + 2 * 3 * 2)
         self.assertIn(b"more, a runner hangs: crankfold", kept[0][1])
 
+    def test_without_the_library_for_charts_the_rest_is_kept_and_a_line_says_what_is_missing(self) -> None:
+        with patch.dict(sys.modules, {"matplotlib": None}):
+            code, output = self.made(PLAN, "--out", str(self.folder / "bare"), "--workers", "1")
+        self.assertEqual(code, 0, output)
+        self.assertIn("no chart: matplotlib is not installed\n", output)
+        kept = sorted(path.name for path in (self.folder / "bare").iterdir())
+        self.assertEqual(kept, ["small.csv", "small.txt"])
+
     def test_what_can_not_be_played_is_said_in_a_line(self) -> None:
         for what, plan in {
             "no TOML": "name = ",
