--- /dev/null
+++ b/tests/terms/test_requests.py
@@ -0,0 +1,72 @@
+"""Clauses on clients that have gone, and on signals that come too early."""
+
+import asyncio
+import signal
+from unittest.mock import patch
+
+from crankfold.network.accepted_connection import MAX_UNREAD_BYTES
+from tests.loopback import OK, UNIT, DispatcherTestCase
+from tests.scene import read_request
+
+NEVER_RAN = b"HTTP/1.1 503 Service Unavailable\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n"
+
+
+async def accepting(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    while True:
+        await read_request(reader)
+        writer.write(OK)
+
+
+class ClientGoneTest(DispatcherTestCase):
+    async def test_nothing_is_sent_for_a_client_whose_end_stands_behind_what_it_floods(self) -> None:
+        sent: list[str] = []
+        client_gone = asyncio.Event()
+
+        async def backend(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            while True:
+                sent.append((await read_request(reader))[0])
+                await client_gone.wait()
+                await asyncio.sleep(0.15)
+                writer.write(NEVER_RAN)
+
+        await self.begin(backend)
+        await self.start_in_process()
+        with patch("crankfold.network.accepted_connection.THROTTLE_DELAY", 2.0):  # as hundreds that flood
+            _, writer = await asyncio.open_connection("127.0.0.1", self.port)
+            writer.write(UNIT + b"x" * (4 * MAX_UNREAD_BYTES))
+            await self.until(lambda: len(sent) == 1 and bool(self.application.listener.flooding_connections))
+            writer.close()
+            client_gone.set()
+            await asyncio.sleep(0.6)
+        self.assertEqual(len(sent), 1, "sent again 0.15 s after the client had gone")
+
+
+class EarlySignalTest(DispatcherTestCase):
+    async def test_a_signal_for_counters_before_the_program_is_imported_does_not_end_it(self) -> None:
+        await self.begin(accepting)
+        program = (
+            "import os, runpy, signal, sys\n"
+            "class Early:\n"
+            "    def find_spec(self, name, path=None, target=None):\n"
+            "        if name == 'crankfold.cli.main': os.kill(os.getpid(), signal.SIGUSR1)\n"
+            "sys.meta_path.insert(0, Early())\n"
+            "sys.argv = ['crankfold', 'serve']\n"
+            "runpy.run_module('crankfold', run_name='__main__')"
+        )
+        lines = await self.start_process(["-O", "-c", program])
+        self.process.send_signal(signal.SIGTERM)
+        await lines
+        self.assertEqual(self.process.returncode, 0)
+
+    async def test_signals_in_series_during_the_end_do_not_cut_it_short(self) -> None:
+        await self.begin(accepting)
+        self.config["settings"]["service-grades"][0]["cut-off"] = 300_000
+        lines = await self.start_process(["-O", "-m", "crankfold", "serve"])
+        self.process.send_signal(signal.SIGTERM)
+        while self.process.returncode is None:
+            for number in (signal.SIGUSR1, signal.SIGHUP, signal.SIGTERM):
+                if self.process.returncode is None:
+                    self.process.send_signal(number)
+            await asyncio.sleep(0.002)
+        printed = await lines
+        self.assertEqual(self.process.returncode, 0, printed)
