--- a/crankfold/cli/main.py
+++ b/crankfold/cli/main.py
@@ -14,7 +14,7 @@
 from crankfold.cli.options import config_option
 from crankfold.errors import ConfigError
 from crankfold.network.log_handler import configure_logging
-from crankfold.network.signals import catch_reload_signal
+from crankfold.network.signals import catch_early_signals
 from crankfold.service.application import Application
 from crankfold.service.config_file import read_config
 
@@ -72,7 +72,7 @@
     discovery take effect at once, whatever was given here, and other changes wait for a restart. SIGUSR1
     prints the counters.
     """
-    catch_reload_signal()
+    catch_early_signals()
     configure_logging()
 
     async def run() -> None:
--- a/crankfold/network/accepted_connection.py
+++ b/crankfold/network/accepted_connection.py
@@ -91,7 +91,7 @@
 
     def peer_has_closed(self) -> bool:
         """Whether its end has come, read or not: of one that gave up while it waited to be accepted."""
-        return has_pending(self.writer, PEER_CLOSED)
+        return self.writer.is_closing() or has_pending(self.writer, PEER_CLOSED)
 
     def respond(self, status: int, headers: Sequence[Header] = (), body: bytes = b"") -> None:
         """Answers the request in hand; what was pipelined behind it is read a turn of the loop later."""
--- a/crankfold/network/acceptor.py
+++ b/crankfold/network/acceptor.py
@@ -11,7 +11,8 @@
 
 from crankfold.network.metrics import Metrics
 
-ACCEPT_RETRY_DELAY = 0.005  # seconds from a failed accept to the next one
+ACCEPT_RETRY_DELAY = 0.005  # seconds until accept is called again, after it failed
+FAILURES_BEFORE_DELAY = 2  # in a row: the first may concern one connection, and others wait behind it
 
 ConnectionCallback = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
 
@@ -63,18 +64,23 @@
         return bool(self._tasks) or bool(poll.poll(0))
 
     def _accept_ready(self) -> None:
+        failures = 0
         for _ in range(self._accepts_per_iteration):
             try:
                 accepted, _address = self.socket.accept()
             except BlockingIOError:
                 return
             except OSError:
-                # The connection is gone, or there are no descriptors or memory: asked again at once, what
-                # lasts would keep the process busy.
+                # The connection is gone, or there are no descriptors or memory: asked again and again at
+                # once, what lasts would keep the process busy.
                 self._metrics.increment("accepts-failed")
+                failures += 1
+                if failures < FAILURES_BEFORE_DELAY:
+                    continue
                 self._loop.remove_reader(self.socket)
                 self._retry_timer = self._loop.call_later(ACCEPT_RETRY_DELAY, self._retry)
                 return
+            failures = 0
             task = self._loop.create_task(self._serve(accepted))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
--- a/crankfold/network/signals.py
+++ b/crankfold/network/signals.py
@@ -1,8 +1,12 @@
-"""Remembers reload signals that come before there is anything to act on them."""
+"""Signals that come before there is anything to act on them, or when the process is about to end."""
 
+import asyncio
 import signal
 from types import FrameType
 
+# All that operators send to a process in service.
+OPERATOR_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP, signal.SIGUSR1)
+
 _reload_requested = False
 
 
@@ -11,9 +15,10 @@
     _reload_requested = True
 
 
-def catch_reload_signal() -> None:
-    """From here on SIGHUP neither ends the process, as is its default, nor is it lost."""
+def catch_early_signals() -> None:
+    """From here on SIGHUP is remembered and SIGUSR1 ignored; by default both end the process."""
     signal.signal(signal.SIGHUP, _on_sighup)
+    signal.signal(signal.SIGUSR1, signal.SIG_IGN)
 
 
 def take_reload_request() -> bool:
@@ -22,3 +27,10 @@
     requested = _reload_requested
     _reload_requested = False
     return requested
+
+
+def ignore_signals_at_end(loop: asyncio.AbstractEventLoop) -> None:
+    """The process ends by itself now: the default of a signal would end it before its last answers."""
+    for number in OPERATOR_SIGNALS:
+        loop.remove_signal_handler(number)
+        signal.signal(number, signal.SIG_IGN)
--- a/crankfold/service/attempts.py
+++ b/crankfold/service/attempts.py
@@ -123,6 +123,8 @@
         """Asked again once a connection is up: the request may have ended or the backend begun to drain."""
         allowed = (
             request.is_open
+            # Its end may stand behind bytes that are not read yet, of a client that floods.
+            and not request.client.peer_has_closed()
             and attempt.in_flight
             and self.backends.records[attempt.backend].state == EndpointState.READY
             and self.clock.now() < request.deadline
--- a/crankfold/service/shutdown.py
+++ b/crankfold/service/shutdown.py
@@ -2,12 +2,12 @@
 
 import asyncio
 import logging
-import signal
 from typing import TYPE_CHECKING
 
 from crankfold.network.admin_server import AdminServer
 from crankfold.network.discovery_watcher import DiscoveryWatcher
 from crankfold.network.listener import Listener
+from crankfold.network.signals import ignore_signals_at_end
 from crankfold.service.lifecycle import Lifecycle
 from crankfold.service.request_handler import RequestHandler
 
@@ -92,9 +92,7 @@
     async def close(self) -> None:
         """Answers what is still open and closes every connection, without waiting for anybody."""
         self.request_handler.answer_all_open()
-        # From here on there is nothing to reload, and the signal's default would end the process too early.
-        self.loop.remove_signal_handler(signal.SIGHUP)
-        signal.signal(signal.SIGHUP, signal.SIG_IGN)
+        ignore_signals_at_end(self.loop)
         self.discovery_watcher.stop()
         if self.replicated_config:
             await self.replicated_config.close()
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import signal
 import sys
 import tempfile
 import unittest
@@ -11,6 +12,7 @@
 
 import orjson
 
+from crankfold.network.signals import OPERATOR_SIGNALS
 from crankfold.service.application import Application
 from tests.scene import Kept, read_request
 
@@ -65,6 +67,11 @@
 class DispatcherTestCase(Loopback):
     """A dispatcher between a client, a backend and discovery that the test plays."""
 
+    def setUp(self) -> None:
+        super().setUp()
+        for number in OPERATOR_SIGNALS:  # a dispatcher that ends in this process leaves them ignored
+            self.addCleanup(signal.signal, number, signal.getsignal(number))
+
     async def begin(self, backend: Handler, **settings: Any) -> None:
         """Starts discovery and the one backend, and writes the configuration."""
         self.backend_port = await self.stand_in(backend)
