--- /dev/null
+++ b/tests/soak/backends.py
@@ -0,0 +1,244 @@
+"""Stand-in backends and discovery agents of a soak, with the faults that the pages name."""
+
+import asyncio
+import json
+import random
+import time
+from collections.abc import Callable
+from typing import Any
+
+from tests.loopback import OK
+from tests.scene import read_request
+from tests.soak.observations import AttemptEnd, Observations, SeenAttempt
+
+HOST = "127.0.0.1"
+RUN_SECONDS = 0.02
+CALLBACK_TRIES = 10
+NEVER_RAN = b"HTTP/1.1 503 Service Unavailable\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n"
+FAILED = b"HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n"
+# How a backend treats an attempt, with weights; hanging ones among them stay for the rest of the run.
+TREATMENTS = {
+    "run": 70,
+    "run, 202 late": 6,
+    "run, 202 in pieces": 6,
+    "returned": 4,
+    "failed": 3,
+    "never ran": 4,
+    "never ran, said late": 4,
+    "error": 3,
+    "reset": 2,
+    "hang": 1,
+    "run, then reset the idle connection": 4,
+}
+
+
+class Server:
+    """Listens on a port of its own until it is closed."""
+
+    def __init__(self) -> None:
+        self.server: asyncio.Server | None = None
+        self.port = 0
+        self.writers: set[asyncio.StreamWriter] = set()
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    async def open(self) -> None:
+        """Begins to listen."""
+        self.server = await asyncio.start_server(self._handle, HOST, self.port, backlog=512)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    async def _handle(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.writers.add(writer)
+        try:
+            await self.serve(reader, writer)
+        except (asyncio.IncompleteReadError, OSError, asyncio.CancelledError):
+            pass  # the other side is done, or the soak
+        finally:
+            self.writers.discard(writer)
+            writer.close()
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Serves one connection."""
+        raise NotImplementedError
+
+    def spawn(self, work: Any) -> None:
+        """Runs a coroutine beside."""
+        task = asyncio.get_running_loop().create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    def close(self) -> None:
+        """Ends all at once."""
+        if self.server:
+            self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+        for task in self.tasks:
+            task.cancel()
+
+
+class Backend(Server):
+    """Runs requests and tells their dispatcher, in the ways that the pages allow."""
+
+    def __init__(
+        self, name: str, zone: str, seen: Observations, ports: dict[str, int], rng: random.Random
+    ) -> None:
+        super().__init__()
+        self.name = name
+        self.zone = zone
+        self.seen = seen
+        self.ports = ports  # by dispatcher
+        self.rng = rng
+        self.faulty = True
+        self.hanging = False
+        self.running: dict[str, SeenAttempt] = {}
+        self.state = "in_service"
+        self.boot_ms = 0
+
+    def entry(self) -> dict[str, Any]:
+        """As discovery lists it."""
+        return {
+            "uid": self.name,
+            "endpoint": f"{HOST}:{self.port}",
+            "az": self.zone,
+            "state": self.state,
+            "boot_ms": self.boot_ms,
+            "capacity_hint": 1.0,
+        }
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Reads attempts and cancellations."""
+        while True:
+            first = await reader.readexactly(1)
+            begun_at = time.monotonic()
+            head, _ = await read_request(reader)
+            head = first.decode() + head
+            if head.startswith("DELETE"):
+                request_id = head.split()[1].rpartition("/")[2]
+                if request_id in self.running:
+                    self.running[request_id].given_up_at = time.monotonic()
+                writer.write(OK)
+                continue
+            heads = dict(line.lower().split(": ", 1) for line in head.split("\r\n")[1:] if ": " in line)
+            attempt = SeenAttempt(
+                heads["x-request-id"],
+                self.name,
+                self.zone,
+                begun_at,
+                time.monotonic(),
+                float(heads.get("x-timeout", "0")),
+            )
+            self.seen.attempts.append(attempt)
+            self.running[attempt.request_id] = attempt
+            if not await self._treat(attempt, reader, writer):
+                return
+
+    def _draw_treatment(self) -> str:
+        if self.hanging:
+            return "hang"
+        return self.rng.choices([*TREATMENTS], [*TREATMENTS.values()])[0] if self.faulty else "run"
+
+    async def _treat(
+        self, attempt: SeenAttempt, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> bool:
+        """Answers an attempt; whether the connection goes on."""
+        how = self._draw_treatment()
+        if how in ("error", "never ran", "never ran, said late"):
+            if how == "never ran, said late":
+                await asyncio.sleep(self.rng.uniform(0.1, 0.3))
+            self._end(attempt, AttemptEnd.MAY_HAVE_RUN if how == "error" else AttemptEnd.NEVER_RAN)
+            writer.write(FAILED if how == "error" else NEVER_RAN)
+            return True
+        if how == "reset":
+            self._end(attempt, AttemptEnd.MAY_HAVE_RUN)
+            writer.transport.abort()
+            return False
+        if how == "hang":
+            await reader.read(1)  # until the dispatcher gives it up
+            attempt.given_up_at = time.monotonic()
+            return False
+        state = {"returned": "returned", "failed": "failed"}.get(how, "done")
+        self.spawn(self._run(attempt, state))
+        if how == "run, 202 late":
+            await asyncio.sleep(self.rng.uniform(0.05, 0.3))
+        if how == "run, 202 in pieces":
+            for byte in range(0, len(OK), 10):
+                writer.write(OK[byte : byte + 10])
+                await asyncio.sleep(0.005)
+        else:
+            writer.write(OK)
+        if how == "run, then reset the idle connection":
+            await asyncio.sleep(self.rng.uniform(0.0, 0.2))
+            writer.transport.abort()
+            return False
+        return True
+
+    def _end(self, attempt: SeenAttempt, end: AttemptEnd) -> None:
+        attempt.end = end
+        attempt.ended_at = time.monotonic()
+
+    async def _run(self, attempt: SeenAttempt, state: str) -> None:
+        await asyncio.sleep(self.rng.expovariate(1 / RUN_SECONDS))
+        ends = {"done": AttemptEnd.DONE, "returned": AttemptEnd.NEVER_RAN, "failed": AttemptEnd.MAY_HAVE_RUN}
+        self._end(attempt, ends[state])
+        told = {"id": attempt.request_id, "from": self.name, "state": state}
+        if state == "done":
+            told["result"] = attempt.request_id
+        body = json.dumps(told).encode()
+        port = self.ports[attempt.request_id.partition("-")[0]]
+        for _ in range(CALLBACK_TRIES):
+            try:
+                async with asyncio.timeout(0.5):
+                    reader, writer = await asyncio.open_connection(HOST, port)
+                    head = f"POST /v1/job-events HTTP/1.1\r\nHost: b\r\nContent-Length: {len(body)}\r\n\r\n"
+                    writer.write(head.encode() + body)
+                    answer, _ = await read_request(reader)
+                writer.close()
+                if answer.split()[1] in ("200", "204"):
+                    return
+            except (OSError, TimeoutError, asyncio.IncompleteReadError):
+                pass
+            await asyncio.sleep(0.1)
+
+
+class Discovery(Server):
+    """The agent on the machine of one dispatcher."""
+
+    def __init__(self, entries: Callable[[], list[dict[str, Any]]], rng: random.Random) -> None:
+        super().__init__()
+        self.entries = entries
+        self.rng = rng
+        self.revision = 1
+        self.changed = asyncio.Event()
+        self.silent = False
+        self.in_pieces = False
+
+    def change(self) -> None:
+        """The list is another one; what the agent has counts as told."""
+        self.revision += 1
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Answers one call after the other; silent ones never."""
+        while True:
+            head, _ = await read_request(reader)
+            if self.silent:
+                await reader.read()
+                return
+            if "after=" in head:
+                known, _, wait = head.split("after=")[1].split()[0].partition("&wait_ms=")
+                if int(known) >= self.revision:
+                    try:
+                        async with asyncio.timeout(int(wait or 0) / 1000):
+                            await self.changed.wait()
+                    except TimeoutError:
+                        pass
+                if self.silent:
+                    await reader.read()
+                    return
+            body = json.dumps({"rev": self.revision, "all": True, "targets": self.entries()}).encode()
+            data = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body
+            step = self.rng.randint(20, 400) if self.in_pieces else len(data)
+            for begin in range(0, len(data), step):
+                writer.write(data[begin : begin + step])
+                await asyncio.sleep(0.002 if self.in_pieces else 0)
--- /dev/null
+++ b/tests/soak/judge.py
@@ -0,0 +1,151 @@
+"""Judges a soak by the words of the users' pages; shares no code with the program.
+
+Each time limit is 50 ms longer on sockets, as the protocol page has it.
+"""
+
+from collections import defaultdict
+from math import sqrt
+
+from tests.soak.observations import AttemptEnd, Observations, RequestClass, SeenAttempt, SeenRequest
+
+SOCKET_SLACK = 0.05
+ANSWER_SLACK = 0.5  # up to so long after its time an answer only earns nothing
+CLIENT_GONE_GRACE = 0.1
+TIMEOUT_SLACK = 0.15
+STALL_LIMIT = 3.0
+START_LIMIT = 10.0
+SHED = (429, 503)
+
+
+class ColdStart:
+    """The settings of slow start, and how much a backend carries."""
+
+    initial_capacity = 0.2
+    warm_up = 4.0
+    factor = 2.0
+    span = 1.0
+    requests_per_second = 80.0  # of a warm backend, of the mean work
+
+
+def judge(seen: Observations) -> list[str]:
+    """What was broken, a line each; none where all clauses hold."""
+    by_request: dict[str, list[SeenAttempt]] = defaultdict(list)
+    for attempt in sorted(seen.attempts, key=lambda one: one.begun_at):
+        by_request[attempt.request_id].append(attempt)
+    broken = [f"process: {exit_line}" for exit_line in seen.exits]
+    if seen.slowest_start > START_LIMIT:
+        broken.append(f"process: ready after {seen.slowest_start:.1f} s")
+    for request in seen.requests.values():
+        attempts = by_request.get(request.request_id, [])
+        broken += _judge_answer(request, attempts, seen)
+        broken += _judge_attempts(request, attempts, seen)
+    broken += _judge_drains(seen)
+    broken += _judge_slow_start(seen)
+    for client in seen.stalled:
+        end = client.ended_at or seen.ended_at
+        if end - client.begun_at > STALL_LIMIT + SOCKET_SLACK:
+            broken.append(f"stalled: a client that stopped was kept for {end - client.begun_at:.2f} s")
+    return broken
+
+
+def _judge_answer(request: SeenRequest, attempts: list[SeenAttempt], seen: Observations) -> list[str]:
+    name = f"{request.request_id} ({request.request_class.effect})"
+    if request.left_at:
+        return []
+    due = request.sent_at + request.request_class.timeout
+    if request.answered_at:
+        broken = []
+        if request.answered_at > due + ANSWER_SLACK + SOCKET_SLACK:
+            broken.append(f"lost: {name} answered {request.answered_at - due:.2f} s after its time")
+        if request.status == 200 and request.body != request.request_id.encode():
+            broken.append(f"lost: {name} was served with what no backend made for it")
+        if request.status in SHED and not _may_be_shed(request.request_class, attempts):
+            broken.append(f"duplicate: {name} was shed though it may have run")
+        return broken
+    if not request.closed_at:
+        return [f"lost: {name} got no answer"] if seen.ended_at > due + ANSWER_SLACK + SOCKET_SLACK else []
+    if attempts:
+        return [f"lost: {name} was forwarded, and its connection closed"]
+    if request.on_new_connection and not seen.crowded:
+        return [f"lost: {name} was closed on without an answer on a new connection"]
+    return []  # a close between requests that crosses one: the client sends it once more
+
+
+def _may_be_shed(request_class: RequestClass, attempts: list[SeenAttempt]) -> bool:
+    if request_class.effect == "safe":
+        return True
+    return all(attempt.end is AttemptEnd.NEVER_RAN for attempt in attempts)
+
+
+def _judge_attempts(request: SeenRequest, attempts: list[SeenAttempt], seen: Observations) -> list[str]:
+    broken = []
+    name = f"{request.request_id} ({request.request_class.effect})"
+    deadline = request.sent_at + request.request_class.timeout
+    for number, attempt in enumerate(attempts):
+        slack = SOCKET_SLACK + seen.own_delay(attempt.begun_at)
+        if request.left_at and attempt.begun_at > request.left_at + CLIENT_GONE_GRACE + slack:
+            broken.append(
+                f"gone: {name} sent {attempt.begun_at - request.left_at:.3f} s after its client left"
+            )
+        over = attempt.timeout - (deadline - attempt.begun_at)
+        if over > TIMEOUT_SLACK + slack:
+            broken.append(f"time: {name} passed on {over:.3f} s more than was left")
+        answered = request.answered_at or float("inf")
+        if attempt.begun_at > answered + slack:
+            broken.append(f"answered: {name} sent {attempt.begun_at - answered:.3f} s after its answer")
+        for earlier in attempts[:number]:
+            broken += _judge_pair(name, request.request_class, earlier, attempt)
+    return broken
+
+
+def _judge_pair(
+    name: str, request_class: RequestClass, earlier: SeenAttempt, later: SeenAttempt
+) -> list[str]:
+    over = min(earlier.ended_at, earlier.given_up_at)
+    if earlier.backend == later.backend and over > later.begun_at + SOCKET_SLACK:
+        return [f"duplicate: {name} twice at once at {later.backend}"]
+    if earlier.end is AttemptEnd.NEVER_RAN and earlier.ended_at <= later.begun_at + SOCKET_SLACK:
+        return []
+    if request_class.effect == "unsafe":
+        return [f"duplicate: {name} sent again though it may have run"]
+    if request_class.effect == "keyed":
+        if earlier.zone != later.zone:
+            return [f"duplicate: {name} sent again outside its group"]
+        if later.begun_at > earlier.begun_at + request_class.window + SOCKET_SLACK:
+            return [f"duplicate: {name} sent again outside its window"]
+    return []
+
+
+def _judge_drains(seen: Observations, grace: float = 0.3) -> list[str]:
+    broken = []
+    for attempt in seen.attempts:
+        request = seen.requests.get(attempt.request_id)
+        if request is None:
+            continue
+        told = seen.told_to_drain.get((request.dispatcher, attempt.backend), float("inf"))
+        if attempt.begun_at > told + grace + SOCKET_SLACK + seen.own_delay(attempt.begun_at):
+            late = attempt.begun_at - told
+            broken.append(f"drain: {attempt.request_id} to {attempt.backend} {late:.2f} s after it was told")
+    return broken
+
+
+def _judge_slow_start(seen: Observations) -> list[str]:
+    broken = []
+    for backend, told in seen.told_of_start.items():
+        times = sorted(
+            one.whole_at for one in seen.attempts if one.backend == backend and one.whole_at > told
+        )
+        for first, begin in enumerate(times):
+            within = [at for at in times[first:] if at - begin < ColdStart.span]
+            age = within[-1] - told
+            if age > ColdStart.warm_up:
+                break
+            share = ColdStart.initial_capacity + (1 - ColdStart.initial_capacity) * age / ColdStart.warm_up
+            allowed = ColdStart.factor * share * ColdStart.requests_per_second * ColdStart.span
+            chance = 2 * sqrt(allowed) + 2 if allowed >= 30 else 3 * sqrt(allowed) + 3
+            if len(within) > allowed + chance:
+                broken.append(
+                    f"slow start: {len(within)} requests in 1 s at {backend}, {allowed:.0f} allowed"
+                )
+                break
+    return broken
