--- a/tests/terms/test_requests.py
+++ b/tests/terms/test_requests.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import signal
+from typing import Any
 from unittest.mock import patch
 
 from crankfold.network.accepted_connection import MAX_UNREAD_BYTES
@@ -70,3 +71,39 @@
             await asyncio.sleep(0.002)
         printed = await lines
         self.assertEqual(self.process.returncode, 0, printed)
+
+
+class HeldUpTest(DispatcherTestCase):
+    async def attempts_after_break(self, *, broken_after: float) -> int:
+        """How often a request with key goes out whose first attempt breaks so late in its window of 0.4 s."""
+        attempts = 0
+
+        async def backend(reader: asyncio.StreamReader, _writer: asyncio.StreamWriter) -> None:
+            nonlocal attempts
+            await read_request(reader)
+            attempts += 1
+            if attempts == 1:
+                await asyncio.sleep(broken_after)
+
+        await self.begin(backend)
+        self.other_port = await self.stand_in(backend)
+        request_class = self.config["settings"]["service-grades"][0]
+        request_class |= {"effect": "keyed", "group": "all", "repeat-window": 400_000}
+        self.config["known"] = self.discovery_answer()
+        await self.start_in_process()
+        await self.send_request("u1", "Idempotency-Key: u1\r\n")
+        return attempts
+
+    def discovery_answer(self) -> dict[str, Any]:
+        answer = super().discovery_answer()
+        first = answer["targets"][0]
+        other_port = getattr(self, "other_port", None)
+        other = [{**first, "uid": "b", "endpoint": f"127.0.0.1:{other_port}"}] if other_port else []
+        return {**answer, "targets": [first, *other]}
+
+    async def test_a_window_that_a_held_up_write_would_miss_is_over(self) -> None:
+        """A dispatcher may be held up for 0.15 s between reading its clock and writing."""
+        self.assertEqual(await self.attempts_after_break(broken_after=0.3), 1)
+
+    async def test_a_window_with_time_left_is_used(self) -> None:
+        self.assertEqual(await self.attempts_after_break(broken_after=0.1), 2)
