--- a/crankfold/network/timers.py
+++ b/crankfold/network/timers.py
@@ -7,6 +7,7 @@
 from crankfold.network.metrics import Metrics
 from crankfold.time_units import NANOSECONDS_PER_TICK, TICKS_PER_SECOND
 
+MAX_DRIFT = 1000  # ticks by which a wall clock that nobody stepped may be off
 LATE = 100  # 10 ms; a timer that fires later than this is counted
 
 
@@ -24,6 +25,11 @@
         """Tenths of a millisecond since the epoch."""
         return (time.monotonic_ns() + self._offset) // NANOSECONDS_PER_TICK
 
+    def wall_shift(self) -> int:
+        """By how many ticks the wall clock was stepped forward since the start; 0 where it only drifted."""
+        shift = time.time_ns() // NANOSECONDS_PER_TICK - self.now()
+        return shift if abs(shift) > MAX_DRIFT else 0
+
 
 class Timers:
     """Calls functions after a while, on the running event loop."""
--- a/crankfold/service/attempts.py
+++ b/crankfold/service/attempts.py
@@ -31,6 +31,10 @@
 }
 
 
+# Ticks by which a process may be held up between reading its clock and writing, and so miss a window.
+HOLD_UP_ALLOWANCE = 1500
+
+
 class RequestOwner(Protocol):
     """Who answers requests and holds the router, as attempts and callbacks need it."""
 
@@ -141,7 +145,7 @@
         request_class = self.request_table.class_of(request)
         if request_class.idempotency != Idempotency.IDEMPOTENT_WITH_KEY:
             return True
-        latest = self.clock.now() + self.owner.routing.clock_margin
+        latest = self.clock.now() + HOLD_UP_ALLOWANCE
         return all(
             earlier is attempt
             or not earlier.may_have_run
--- a/crankfold/service/handover.py
+++ b/crankfold/service/handover.py
@@ -92,7 +92,7 @@
                 listening_socket.close()
         record = self.channel.load_record()
         if record and record.dispatcher_name == self.dispatcher_name:
-            handover_state.adopt_manual_drains(self.request_handler, record.manual_drains)
+            handover_state.adopt_manual_drains(self.request_handler, record.manual_drains, times_known=False)
         return None
 
     def _can_succeed(self, welcome: HandoverMessage, listening_socket: socket.socket) -> bool:
--- a/crankfold/service/handover_state.py
+++ b/crankfold/service/handover_state.py
@@ -17,6 +17,7 @@
     ProcessUsage,
 )
 from crankfold.routing.interface import EndpointState
+from crankfold.service.backend_starts import MAX_CLOCK_ERROR
 from crankfold.service.manual_drains import AssumedStart
 from crankfold.service.request_handler import RequestHandler
 
@@ -79,21 +80,39 @@
 
 
 def manual_drain_state(request_handler: RequestHandler) -> ManualDrainState:
-    """The manual drains in force in this process."""
+    """The manual drains in force in this process; times by the wall clock as it is now."""
     drains = request_handler.backends.manual_drains
+    shift = request_handler.timers.clock.wall_shift()
     assumed_starts = {
-        backend_id: (assumed.drained_at, assumed.started_at)
+        backend_id: (assumed.drained_at + shift, assumed.started_at + shift)
         for backend_id, assumed in drains.assumed_starts.items()
     }
-    return ManualDrainState(drains.drained_since, assumed_starts)
+    drained_since = {backend_id: at + shift for backend_id, at in drains.drained_since.items()}
+    return ManualDrainState(drained_since, assumed_starts)
 
 
-def adopt_manual_drains(request_handler: RequestHandler, state: ManualDrainState) -> None:
-    """Puts in force the manual drains of a process before this one."""
+def adopt_manual_drains(
+    request_handler: RequestHandler, state: ManualDrainState, *, times_known: bool = True
+) -> None:
+    """Puts in force the manual drains of a process before this one.
+
+    Args:
+        request_handler: Of this process.
+        state: As the process before this one told it.
+        times_known: It was told just now, so that no step of the wall clock lies between; else backends that
+            may still be warming up by any clock are taken to have started now.
+    """
     registry = request_handler.backends
-    registry.manual_drains.drained_since.update(state.drained_since)
+    now = request_handler.timers.clock.now()
+    doubtful_from = now + 1 if times_known else now - MAX_CLOCK_ERROR
+    registry.manual_drains.drained_since.update(
+        {backend_id: min(at, now) for backend_id, at in state.drained_since.items()}
+    )
     registry.manual_drains.assumed_starts.update(
-        {backend_id: AssumedStart(*times) for backend_id, times in state.assumed_starts.items()}
+        {
+            backend_id: AssumedStart(min(drained_at, now), now if started_at >= doubtful_from else started_at)
+            for backend_id, (drained_at, started_at) in state.assumed_starts.items()
+        }
     )
     registry.known_ids.update(registry.manual_drains.drained_since)
 
--- a/tests/terms/test_handed_over_times.py
+++ b/tests/terms/test_handed_over_times.py
@@ -9,7 +9,6 @@
 from crankfold.service.manual_drains import AssumedStart
 
 HOUR_NS = 3600 * 10**9
-HOUR_TICKS = 3600 * 10_000
 
 
 class HandedOverTimesTest(unittest.TestCase):
@@ -45,4 +44,8 @@
                 self.assertLess(abs(self.age_after_handover(step_ns=step_ns, from_file=False)), 10_000)
 
     def test_an_assumed_start_from_a_file_is_never_in_the_future(self) -> None:
-        self.assertGreaterEqual(self.age_after_handover(step_ns=-HOUR_NS, from_file=True), 0)
+        """Nor in the past: when the clock was stepped is not known, so the backend warms up from now on."""
+        for step_ns in (-HOUR_NS, HOUR_NS):
+            with self.subTest(step_ns):
+                age = self.age_after_handover(step_ns=step_ns, from_file=True)
+                self.assertTrue(0 <= age < 10_000, age)
