--- a/tests/terms/test_handed_over_times.py
+++ b/tests/terms/test_handed_over_times.py
@@ -29,12 +29,10 @@
         now = old.timers.clock.now()
         old.backends.manual_drains.assumed_starts["a"] = AssumedStart(now, now)
         stepped = self.right_ns + step_ns
-        if from_file:
+        told_at = self.right_ns if from_file else stepped
+        with patch("crankfold.network.timers.time.time_ns", lambda: told_at):
             state = manual_drain_state(old)
-        with patch("crankfold.network.timers.time.time_ns", lambda: stepped):
-            if not from_file:
-                state = manual_drain_state(old)
-            new = self.process(step_ns)
+        new = self.process(step_ns)
         adopt_manual_drains(new, state)
         return int(new.timers.clock.now() - new.backends.manual_drains.assumed_starts["a"].started_at)
 
