--- a/tests/terms/test_handed_over_times.py
+++ b/tests/terms/test_handed_over_times.py
@@ -33,7 +33,7 @@
         with patch("crankfold.network.timers.time.time_ns", lambda: told_at):
             state = manual_drain_state(old)
         new = self.process(step_ns)
-        adopt_manual_drains(new, state)
+        adopt_manual_drains(new, state, times_known=not from_file)
         return int(new.timers.clock.now() - new.backends.manual_drains.assumed_starts["a"].started_at)
 
     def test_an_assumed_start_is_as_old_for_the_successor_though_the_clock_was_stepped(self) -> None:
