--- a/tests/terms/test_accept.py
+++ b/tests/terms/test_accept.py
@@ -12,6 +12,7 @@
 from tests.terms.test_stalled_clients import failing_backend
 
 FAILED_ACCEPTS = 20  # in a row
+LOCAL_CONNECT_ERRORS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL)
 # What accept(2) may fail with for a moment: the process, the system, or the connection itself.
 ACCEPT_ERRORS = (
     errno.EMFILE,
@@ -97,3 +98,29 @@
             await asyncio.sleep(0.35)  # new connections go on coming for 0.2 to 0.4 s
             answers = await asyncio.gather(*(self.send_request(f"u{number}") for number in range(5)))
         self.assertEqual({status.split()[1] for status, _ in answers}, {"503"})
+
+
+class FailingConnectTest(DispatcherTestCase):
+    async def test_local_failures_of_connect_are_asked_again_and_rest_no_backend(self) -> None:
+        await self.begin(failing_backend)
+        await self.start_in_process()
+        connect = socket.socket.connect
+        for number in LOCAL_CONNECT_ERRORS:
+            failures = 0
+
+            def failing_connect(sock: socket.socket, address: Any, number: int = number) -> None:
+                nonlocal failures
+                if address[1] == self.backend_port and failures < FAILED_ACCEPTS:
+                    failures += 1
+                    raise OSError(number, os.strerror(number))
+                connect(sock, address)
+
+            with self.subTest(errno.errorcode[number]):
+                self.application.backend_registry.records[0].pool.close()
+                self.application.backend_registry.records[0].pool.closed = False
+                with patch.object(socket.socket, "connect", failing_connect):
+                    await self.send_request(errno.errorcode[number])
+                self.assertEqual(failures, FAILED_ACCEPTS)
+        counters = self.application.metrics.counters
+        self.assertEqual(counters["attempts-ended-unreachable"], 0)
+        self.assertGreaterEqual(counters["attempts-ended-error"], len(LOCAL_CONNECT_ERRORS))
