--- a/crankfold/service/manual_drains.py
+++ b/crankfold/service/manual_drains.py
@@ -10,8 +10,9 @@
     """What is assumed of a backend that was restored, until the endpoint list knows better.
 
     Attributes:
-        drained_at: When the drain began, in ticks; a start listed after that is the true one.
-        started_at: The start that is assumed, in ticks.
+        drained_at: When the drain began, in ticks.
+        started_at: The start that is assumed, in ticks: when it was restored. One that the list showed before
+            that may be of a restart before the drain, as lists lag.
     """
 
     drained_at: int
@@ -68,7 +69,7 @@
         assumed = self.assumed_starts.get(backend_id)
         if assumed is None:
             return endpoint
-        if endpoint.started_at >= assumed.drained_at:
-            del self.assumed_starts[backend_id]  # the list has caught up and knows better
+        if endpoint.started_at > assumed.started_at:
+            del self.assumed_starts[backend_id]  # a start since the restoring: the list knows better
             return endpoint
         return replace(endpoint, started_at=assumed.started_at)
--- a/tests/service/test_manual_drains.py
+++ b/tests/service/test_manual_drains.py
@@ -27,12 +27,15 @@
         self.say("drained and restored once more, on the same connection: warming up as before")
         self.say(f"44: drained {drains.drain('a', 44)}; 45: restored {drains.restore('a', 45, True)}")
         listed(46, EndpointState.READY, 0)
-        self.say("the list catches up")
+        self.say("the list shows a start during the drain: it may be of a restart before it")
         listed(50, EndpointState.READY, 24)
         listed(51, EndpointState.READY, 24)
+        self.say("the list shows a start since the restoring")
+        listed(52, EndpointState.READY, 48)
+        listed(53, EndpointState.READY, 48)
         self.say(
             f"60: drained {drains.drain('a', 60)}; "
             f"70: restored, never restarted {drains.restore('a', 70, True)}"
         )
-        listed(71, EndpointState.READY, 24)
+        listed(71, EndpointState.READY, 48)
         self.close("manual-drains")
