--- a/crankfold/service/backend_registry.py
+++ b/crankfold/service/backend_registry.py
@@ -38,7 +38,7 @@
     port: int
     boot_ms: int
 
-    def listed_start(self) -> int:
+    def announced_start(self) -> int:
         """The start of the process in ticks since the epoch, 0 for long ago; all dispatchers see the same."""
         return self.boot_ms * TICKS_PER_MILLISECOND
 
@@ -121,7 +121,7 @@
             weight=entry.weight,
             zone=self.config.zones.intern(setting_text(entry.zone)),
             cell=entry.cell,
-            started_at=address.listed_start(),
+            started_at=address.announced_start(),
             instance_type=self.config.instance_types.intern(setting_text(entry.instance_type)),
             hash_position=zlib.crc32(entry.backend_id.encode()) / HASH_RANGE,
         )
--- a/crankfold/service/backend_starts.py
+++ b/crankfold/service/backend_starts.py
@@ -20,7 +20,7 @@
 
 
 class _KnownStart(NamedTuple):
-    listed_at: int  # as listed, by the backends' clock
+    announced_at: int  # as listed, by the backends' clock
     assumed_at: int  # by the clock of this process
 
 
@@ -44,39 +44,42 @@
         tolerated = gain / missing_capacity if missing_capacity > 0 else 1.0
         self._tolerated_age = int(warm_up_time * min(tolerated, 1.0))
 
-    def estimate(self, listed: Mapping[int, int]) -> dict[int, int]:
+    def estimate(self, announced: Mapping[int, int]) -> dict[int, int]:
         """The starts of these backends by the clock of this process.
 
         Args:
-            listed: By backend, the start as it is listed now; 0 for long ago.
+            announced: By backend, the start as it is listed now; 0 for long ago.
 
         Returns:
             By backend, the assumed start; 0 for long ago.
         """
-        self._newest = max(self._newest, *listed.values()) if listed else self._newest
+        self._newest = max(self._newest, *announced.values()) if announced else self._newest
         now = self._clock.now()
-        return {backend: self._estimate_one(backend, listed_at, now) for backend, listed_at in listed.items()}
+        return {
+            backend: self._estimate_one(backend, announced_at, now)
+            for backend, announced_at in announced.items()
+        }
 
     def discovery_answered(self) -> None:
         """Discovery has given a list: what it lists from here on for the first time is new."""
         self._discovery_answered = True
 
-    def _estimate_one(self, backend: int, listed_at: int, now: int) -> int:
-        if not listed_at:
+    def _estimate_one(self, backend: int, announced_at: int, now: int) -> int:
+        if not announced_at:
             self._known.pop(backend, None)
             return 0
         known = self._known.get(backend)
         # Before discovery has answered, a newer start may yet show that this one is older than it seemed.
-        if known and known.listed_at == listed_at and self._discovery_answered:
+        if known and known.announced_at == announced_at and self._discovery_answered:
             return known.assumed_at
-        assumed_at = now - self._plausible_age(listed_at, now)
-        self._known[backend] = _KnownStart(listed_at, assumed_at)
+        assumed_at = now - self._plausible_age(announced_at, now)
+        self._known[backend] = _KnownStart(announced_at, assumed_at)
         return assumed_at
 
-    def _plausible_age(self, listed_at: int, now: int) -> int:
-        age = max(now - listed_at, 0)
+    def _plausible_age(self, announced_at: int, now: int) -> int:
+        age = max(now - announced_at, 0)
         if self._discovery_answered:
             return min(age, self._tolerated_age)
         if age > MAX_CLOCK_ERROR + self._warm_up_time:
             return age
-        return min(age, self._newest - listed_at + self._tolerated_age)
+        return min(age, self._newest - announced_at + self._tolerated_age)
--- a/crankfold/service/machine_inventory.py
+++ b/crankfold/service/machine_inventory.py
@@ -55,7 +55,7 @@
             instance_type=config.instance_types.names[endpoint.instance_type],
             cell=str(endpoint.cell),
             size=endpoint.weight or 1.0,
-            started_at=record.address.listed_start(),
+            started_at=record.address.announced_start(),
             available=endpoint.state == EndpointState.READY
             and not self._is_drained_manually(machine_id, state),
             discovered=endpoint.state != EndpointState.REMOVED,
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -26,9 +26,17 @@
     b"POST /v1/job-events HTTP/1.1\r\nHost: b\r\nContent-Length: 40\r\n\r\n"
     b'{"id":"u0","from":"a","state":"started"}'
 )
+NEVER_RAN = b"HTTP/1.1 503 Service Unavailable\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n"
 OK = b"HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n"
 
 
+async def accepting(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    """A backend that takes whatever it is sent."""
+    while True:
+        await read_request(reader)
+        writer.write(OK)
+
+
 class Loopback(Kept, unittest.IsolatedAsyncioTestCase):
     """Listening stand-ins, calls of operators, and waiting for a condition."""
 
--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -5,8 +5,8 @@
 import random
 import time
 
+from crankfold.fault_injection.http_client import HOST
 from tests.scene import read_request
-from tests.soak.backends import HOST
 from tests.soak.observations import Observations, RequestClass, SeenRequest, StalledClient
 
 PAUSE = 0.05  # seconds between the requests of one client, in the mean
--- a/tests/terms/test_requests.py
+++ b/tests/terms/test_requests.py
@@ -6,17 +6,9 @@
 from unittest.mock import patch
 
 from crankfold.network.accepted_connection import MAX_UNREAD_BYTES
-from tests.loopback import OK, UNIT, DispatcherTestCase
+from tests.loopback import NEVER_RAN, UNIT, DispatcherTestCase, accepting
 from tests.scene import read_request
 
-NEVER_RAN = b"HTTP/1.1 503 Service Unavailable\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n"
-
-
-async def accepting(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-    while True:
-        await read_request(reader)
-        writer.write(OK)
-
 
 class ClientGoneTest(DispatcherTestCase):
     async def test_nothing_is_sent_for_a_client_whose_end_stands_behind_what_it_floods(self) -> None:
