--- a/crankfold/network/discovery_watcher.py
+++ b/crankfold/network/discovery_watcher.py
@@ -15,6 +15,9 @@
 # answered at once. Times are in seconds where their names don't say otherwise.
 LONG_POLL_MS = 2000  # that discovery may wait for a change
 OVERDUE_GRACE = 0.5  # an answer so long overdue is not waited for alone
+# The same for a pushed watch. Its wait may end in a short silence of the agent; what that gets at its return
+# counts at once, and this with the call that follows has to fit into the grace of a drain.
+WATCH_OVERDUE_GRACE = 0.1
 CONNECT_TIMEOUT = 1.0
 QUEUE_TIMEOUT = 6.0  # where many ask at once they are answered in turn; who hangs up sooner has asked in vain
 RETRY_INTERVAL = 0.15  # between calls where lists are pushed: what a silent agent gets at its return counts
@@ -97,7 +100,7 @@
         has_list = self.revision >= 0
         wait = LONG_POLL_MS / 1000 if has_list else 0.0
         self._ask(call or DiscoveryCall(self.host, self.port), LONG_POLL_MS if has_list else 0)
-        due = started_at + wait + (OVERDUE_GRACE if is_pushed or has_list else POLL_RETRY_INTERVAL)
+        due = started_at + wait + _overdue_grace(is_pushed=is_pushed, has_list=has_list)
         while self.calls:
             answered = await self._next_answered(due)
             if answered:
@@ -156,6 +159,12 @@
             call.close()
 
 
+def _overdue_grace(*, is_pushed: bool, has_list: bool) -> float:
+    if is_pushed:
+        return WATCH_OVERDUE_GRACE if has_list else OVERDUE_GRACE
+    return OVERDUE_GRACE if has_list else POLL_RETRY_INTERVAL
+
+
 class DiscoveryWatcher:
     """Asks discovery again and again and tells what it answers.
 
--- a/tests/soak/backends.py
+++ b/tests/soak/backends.py
@@ -31,6 +31,9 @@
     "run, then reset the idle connection": 4,
 }
 
+ALWAYS_RUN = {"run": 1}
+OFTEN_REFUSED_LATE = {"run": 1, "never ran, said late": 1}
+
 
 class Server(StandInServer):
     """A stand-in with work beside its connections."""
@@ -64,7 +67,7 @@
         self.seen = seen
         self.ports = ports  # by dispatcher
         self.rng = rng
-        self.faulty = True
+        self.treatments = TREATMENTS
         self.hanging = False
         self.running: dict[str, SeenAttempt] = {}
         self.state = "in_service"
@@ -110,7 +113,7 @@
     def _draw_treatment(self) -> str:
         if self.hanging:
             return "hang"
-        return self.rng.choices([*TREATMENTS], [*TREATMENTS.values()])[0] if self.faulty else "run"
+        return self.rng.choices([*self.treatments], [*self.treatments.values()])[0]
 
     async def _treat(
         self, attempt: SeenAttempt, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -40,8 +40,15 @@
     """Sends one request at a time on a connection that it keeps."""
 
     def __init__(
-        self, number: int, front: Front, classes: list[RequestClass], seen: Observations, rng: random.Random
+        self,
+        number: int,
+        front: Front,
+        classes: list[RequestClass],
+        seen: Observations,
+        rng: random.Random,
+        leave_share: float,
     ) -> None:
+        self.leave_share = leave_share
         self.number = number
         self.front = front
         self.classes = classes
@@ -93,7 +100,7 @@
         self.writer.write(data)
         request.sent_at = time.monotonic()
         self.seen.requests[request.request_id] = request
-        if self.rng.random() < LEAVE_SHARE:
+        if self.rng.random() < self.leave_share:
             await self._leave(request)
         else:
             await self._hear(request, self.reader)
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -16,8 +16,8 @@
 
 from crankfold.fault_injection.http_client import HOST, find_free_port
 from tests.scene import read_request
-from tests.soak.backends import Backend, Discovery
-from tests.soak.clients import Client, Front, crowd, stall
+from tests.soak.backends import ALWAYS_RUN, OFTEN_REFUSED_LATE, Backend, Discovery
+from tests.soak.clients import LEAVE_SHARE, Client, Front, crowd, stall
 from tests.soak.faulty_process import ProcessFaults
 from tests.soak.judge import ColdStart, judge
 from tests.soak.observations import Observations, RequestClass
@@ -28,6 +28,7 @@
 KILL_MARGIN = 0.7  # seconds from the longest deadline, 3 s at most, to SIGKILL
 FRONT_DELAY = 0.3  # seconds in which new connections go on coming after SIGTERM
 READY_TIMEOUT = 15.0  # seconds
+RUN_TIMEOUT = 60.0  # seconds
 CROWD_SIZE = 120
 AT_ONCE = 3  # runs side by side: each has three busy processes
 STALL_CHECK_INTERVAL = 0.01  # seconds
@@ -171,7 +172,10 @@
     def _backend(self, name: str) -> Backend:
         zone = self.rng.choice(["x", "y"])
         backend = Backend(name, zone, self.seen, self.ports, random.Random(f"{self.plan.seed} {name}"))
-        backend.faulty = self.plan.faults.plant != "slow start"
+        if self.plan.faults.plant == "slow start":
+            backend.treatments = ALWAYS_RUN
+        elif self.plan.faults.plant == "gone":  # retries that begin long after their clients left
+            backend.treatments = OFTEN_REFUSED_LATE
         return backend
 
     async def play(self) -> list[str]:
@@ -181,7 +185,10 @@
         try:
             for name in DISPATCHERS:
                 await self._start_dispatcher(name)
-            await self._play_load()
+            async with asyncio.timeout(RUN_TIMEOUT):
+                await self._play_load()
+        except TimeoutError:
+            self.seen.exits.append(f"the run did not end within {RUN_TIMEOUT:.0f} s")
         finally:
             await self._close()
         return judge(self.seen)
@@ -247,8 +254,9 @@
     async def _play_load(self) -> None:
         until = time.monotonic() + LOAD_SECONDS
         watching = asyncio.create_task(self._watch_stalls())
+        leave_share = 0.5 if self.plan.faults.plant == "gone" else LEAVE_SHARE
         clients = [
-            Client(number, self.front, list(self.plan.classes), self.seen, self.rng)
+            Client(number, self.front, list(self.plan.classes), self.seen, self.rng, leave_share)
             for number in range(self.plan.clients)
         ]
         async with asyncio.TaskGroup() as tasks:
@@ -285,7 +293,7 @@
             self._drain(self.backends[0])
         await asyncio.sleep(self.rng.uniform(0.1, 0.4))
         fresh = self._backend("new")
-        fresh.faulty = False
+        fresh.treatments = ALWAYS_RUN
         await fresh.open()
         fresh.boot_ms = time.time_ns() // 1_000_000
         self.backends.append(fresh)
--- /dev/null
+++ b/tests/terms/test_discovery.py
@@ -0,0 +1,45 @@
+"""The clause on silence: what a silent agent gets at its return counts at once."""
+
+import asyncio
+import random
+from typing import Any
+from unittest.mock import Mock
+
+from crankfold.fault_injection.http_client import HOST
+from crankfold.network.discovery_watcher import LONG_POLL_MS, DiscoveryWatcher
+from crankfold.network.metrics import Metrics
+from tests.loopback import Loopback
+from tests.soak.backends import Discovery
+
+DRAIN_GRACE = 0.3  # seconds
+
+
+class ShortSilenceTest(Loopback):
+    async def test_a_drain_at_the_end_of_a_short_silence_is_heard_within_the_grace(self) -> None:
+        """The wait of the watch ends while the agent is silent: the answer to it never comes."""
+        entries: list[dict[str, Any]] = [{"uid": "a", "endpoint": f"{HOST}:9", "state": "in_service"}]
+        agent = Discovery(lambda: entries, random.Random(1))
+        await agent.open()
+        self.addCleanup(agent.end)
+        loop = asyncio.get_running_loop()
+        heard: list[float] = []
+        watcher = DiscoveryWatcher(
+            HOST,
+            agent.port,
+            lambda entry: entry.state,  # type: ignore[arg-type, return-value]
+            on_endpoints=lambda _endpoints, _snapshot: heard.append(loop.time()),
+            on_failure=Mock(),
+            metrics=Metrics(),
+        )
+        watcher.start(True)
+        self.addCleanup(watcher.stop)
+        await self.until(lambda: len(heard) == 1)
+        await asyncio.sleep(0.5)
+        agent.silent = True
+        await asyncio.sleep(heard[0] + LONG_POLL_MS / 1000 + 0.06 - loop.time())
+        agent.silent = False
+        entries[0]["state"] = "terminating"
+        agent.change()
+        told_at = loop.time()
+        await self.until(lambda: len(heard) == 2)
+        self.assertLess(heard[1] - told_at, DRAIN_GRACE)
