--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -2,19 +2,7 @@
 
 import sys
 
-from tests.soak.run import RunPlan, play, process_pool
-
-
-def report(seed: int) -> tuple[str, bool]:
-    """A line on one seed, and whether all clauses held."""
-    broken, seen = play(seed)
-    plan = RunPlan.draw(seed)
-    counts = f"{len(seen.requests)} requests, {len(seen.attempts)} attempts"
-    statuses = {status: 0 for status in (200, 503, 504)}
-    for request in seen.requests.values():
-        statuses[request.status] = statuses.get(request.status, 0) + 1
-    verdict = "held" if not broken else f"BROKEN {len(broken)}: " + "; ".join(broken[:5])
-    return f"seed {seed}: {counts}, {statuses}, {plan.discovery}, crowd {plan.crowd}: {verdict}", not broken
+from tests.soak.run import process_pool, report
 
 
 def main() -> None:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -377,3 +377,15 @@
     with tempfile.TemporaryDirectory(prefix="crankfold-soak-") as folder:
         run = SoakRun(RunPlan.draw(seed, plant), Path(folder))
         return asyncio.run(run.play()), run.seen
+
+
+def report(seed: int) -> tuple[str, bool]:
+    """A line on one seed, and whether all clauses held."""
+    broken, seen = play(seed)
+    plan = RunPlan.draw(seed)
+    counts = f"{len(seen.requests)} requests, {len(seen.attempts)} attempts"
+    statuses = {status: 0 for status in (200, 503, 504)}
+    for request in seen.requests.values():
+        statuses[request.status] = statuses.get(request.status, 0) + 1
+    verdict = "held" if not broken else f"BROKEN {len(broken)}: " + "; ".join(broken[:5])
+    return f"seed {seed}: {counts}, {statuses}, {plan.discovery}, crowd {plan.crowd}: {verdict}", not broken
