A flipped bit in a voter's log is refused, not taken for a torn tail

What callers saw: nothing. A voter whose log had lost a bit started with an older term and vote and without the entries behind, and only logged a torn tail. It could vote twice in a term and forget what it had acknowledged.

Cause: the length of a frame is not covered by its checksum, and a frame that ends beyond the file passed as torn, whatever it held; so did a complete last frame with a wrong checksum.

Fix: torn is only a frame whose end is missing or unwritten, with nothing written behind it, and of which no part is a complete body with the frame's checksum. A too large length has its complete body in front of it, so this finds it. The file format stays; a last frame that ends in a zero byte of its own stays ambiguous, which docs/agreement.md says.

--- a/crankfold/cluster/log_records.py
+++ b/crankfold/cluster/log_records.py
@@ -22,7 +22,7 @@
 
 
 class LogFormatError(CrankfoldError):
-    """The log file is damaged before its last frame, or another version wrote it; the text says where."""
+    """The log file is damaged, not only torn, or another version wrote it; the text says where."""
 
 
 class HardStateRecord(Struct, array_like=True, tag="t"):
@@ -64,7 +64,7 @@
         The number of bytes of the complete frames; the torn tail begins there.
 
     Raises:
-        LogFormatError: A damaged frame stands before the tail, or a body has an unknown form.
+        LogFormatError: A frame is damaged that is no torn tail, or a body has an unknown form.
     """
     start = 0
     while start < len(data):
@@ -91,17 +91,40 @@
 
 
 def _check_torn_tail(data: bytes, start: int, end: int) -> None:
-    """Raises a LogFormatError if written data follows the incomplete frame from `start` to `end`.
+    """Raises a LogFormatError unless a crash can have left the frame from `start` to `end` as it is.
 
-    A crash leaves at most a part of the last frame, or allocated space that was not written.
+    A crash leaves a part of the last frame, and maybe allocated space behind it that was not written. So
+    nothing written may follow, the frame must lack its last bytes, and no part of it may be a complete body.
     """
-    if data[end:].strip(UNWRITTEN_BYTE):
+    has_data_behind = bool(data[end:].strip(UNWRITTEN_BYTE))
+    lacks_last_bytes = end > len(data) or data[start:end].endswith(UNWRITTEN_BYTE)
+    if has_data_behind or not lacks_last_bytes or _has_complete_body(data, start):
         raise LogFormatError(
             f"damaged at byte {start} of {len(data)}; take this voter out, empty the folder and add it "
             f"anew, or restore the undamaged file"
         )
 
 
+def _has_complete_body(data: bytes, start: int) -> bool:
+    """Whether the frame at `start` has a body that matches its checksum, so that only its length is wrong."""
+    body_start = start + HEADER_BYTES
+    checksum = int.from_bytes(data[start + LENGTH_BYTES : body_start], "big")
+    running_checksum = 0
+    for end in range(body_start + 1, len(data) + 1):
+        running_checksum = zlib.crc32(data[end - 1 : end], running_checksum)
+        if running_checksum == checksum and _is_decodable(data[body_start:end]):
+            return True
+    return False
+
+
+def _is_decodable(body: bytes) -> bool:
+    try:
+        _decoder.decode(body)
+    except msgspec.DecodeError:
+        return False
+    return True
+
+
 def apply_record(state: PersistentState, record: Record) -> None:
     """Changes `state` as the record says."""
     match record:
