A voter's identity file that is no UTF-8 disables the voter, not the process

What callers saw: a dispatcher that ended at its start with a UnicodeDecodeError, where other damage of the folder leaves it serving as a follower.

Cause: RaftStorage read the file as text and took only a missing file and another owner for damage.

Fix: the error becomes a StorageError, as for other damage.

--- a/crankfold/cluster/raft_storage.py
+++ b/crankfold/cluster/raft_storage.py
@@ -1,7 +1,7 @@
 """Stable storage of one voter: term, vote, log entries and the snapshot, in a folder of its own.
 
 Each append is written and synced as one frame before any message that depends on it is sent. On opening,
-a torn last frame is truncated; damage followed by more data is refused.
+a torn last frame is truncated; a damaged one is refused (`log_records`).
 
 A storage error is final for an open storage: after a failed fsync the kernel may have dropped the unwritten
 pages and marked them clean, so a second fsync could succeed without the data. Opening the folder again, in
@@ -100,7 +100,8 @@
         """Reads the folder id; a new folder gets one.
 
         Raises:
-            StorageError: The id is missing beside a log file, or the folder belongs to another voter.
+            StorageError: The id is missing beside a log file or unreadable, or the folder belongs to
+                another voter.
         """
         path = self._folder / IDENTITY_FILE
         try:
@@ -114,6 +115,8 @@
             folder_id = secrets.token_hex(FOLDER_ID_BYTES)
             self._replace_file(path, f"{name} {folder_id}\n".encode())
             return folder_id
+        except UnicodeDecodeError as error:
+            raise StorageError(f"{path}: damaged ({error}); restore it") from None
         if owner != name or not folder_id:
             raise StorageError(f"{path}: the folder of {owner!r}, not of {name!r}")
         return folder_id
