A query between processes awaits no process whose takeover was refused meanwhile

What callers saw: a backend whose callback was forwarded between the processes of a dispatcher waited 0.5 s and got 503, where one of these processes had been disconnected after its request for a takeover was refused.

Cause: the state machine forgot such a process, but left it among those whose answer a query awaits. Only the loss of a connection took it out there.

Evidence: the new test asks two processes, has one answer and the other refused. Before, the query had no answer; now it is answered at once.

Fix: one method forgets a process in both places, for a lost connection, a refusal sent and a refusal received.

--- a/crankfold/service/handover/state_machine.py
+++ b/crankfold/service/handover/state_machine.py
@@ -136,15 +136,25 @@
         """Handles the loss of the connection to a process."""
         if process not in self.processes:
             return
-        self.processes.discard(process)
-        for pending in list(self.queries.values()):
-            pending.awaited.discard(process)
+        self._forget(process)
         if process == self.predecessor:
             self._predecessor_lost()
         if process == self.successor:
             self._successor_lost()
         self.expire_queries(now)
 
+    def _drop(self, now: float, process: int) -> None:
+        """Disconnects a process, after all sent messages; the channel does not report this as a loss."""
+        self._forget(process)
+        self.actions.disconnect(process)
+        self.expire_queries(now)
+
+    def _forget(self, process: int) -> None:
+        """Awaits no more answers of a process that is disconnected."""
+        self.processes.discard(process)
+        for pending in self.queries.values():
+            pending.awaited.discard(process)
+
     def _predecessor_lost(self) -> None:
         self.predecessor = NO_PROCESS
         self.actions.predecessor_usage_changed(NO_USAGE)
@@ -172,7 +182,7 @@
         """Handles a message; one that does not fit the role of its sender is ignored."""
         match message:
             case TakeoverRequest():
-                self._takeover_requested(process)
+                self._takeover_requested(now, process)
             case TakeoverGrant() if process == self.predecessor and self.role == HandoverRole.WAITING:
                 self.role = HandoverRole.TOOK_OVER
                 self._usage_received(message.usage)
@@ -180,8 +190,7 @@
             case TakeoverRefusal() if process == self.predecessor:
                 self.predecessor = NO_PROCESS
                 self.role = HandoverRole.STANDALONE
-                self.processes.discard(process)
-                self.actions.disconnect(process)
+                self._drop(now, process)
                 self.actions.takeover_refused()
             case UsageReport() if process == self.predecessor:
                 self._usage_received(message.usage)
@@ -190,12 +199,11 @@
             case QueryAnswer():
                 self._answer_received(now, process, message)
 
-    def _takeover_requested(self, process: int) -> None:
+    def _takeover_requested(self, now: float, process: int) -> None:
         if self.role in (HandoverRole.SUPERSEDED, HandoverRole.WAITING) or self.shutting_down:
             # This process does not serve, or is about to end: the sender has to find the process that serves.
             self.actions.send(process, TakeoverRefusal())
-            self.processes.discard(process)
-            self.actions.disconnect(process)
+            self._drop(now, process)
             return
         self.successor = process
         self.role = HandoverRole.SUPERSEDED
--- a/tests/service/handover/test_state_machine.py
+++ b/tests/service/handover/test_state_machine.py
@@ -13,6 +13,7 @@
     ProcessState,
     ProcessUsage,
     ProtocolError,
+    QueryAnswer,
     TakeoverGrant,
     TakeoverRequest,
     decode_message,
@@ -192,6 +193,22 @@
         self.say(f"  a: {a.machine.role.value}")
         self.close("succession-new-dies")
 
+    # Guards against callbacks that wait 0.5 s for a process that is gone, and are answered 503 then.
+    def test_a_query_awaits_no_process_that_was_refused_meanwhile(self) -> None:
+        a = self.add_process("a")
+        for name in ("b", "c"):
+            self.add_process(name)
+            self.connect(name, "a")
+        self.take_over("b")
+        answers: list[bool | None] = []
+        a.machine.query_callback(self.now, "nobody's", answers.append)
+        self.outbox.clear()
+        of_b, of_c = sorted(a.machine.processes)
+        a.machine.message_received(self.now, of_b, QueryAnswer(a.machine.last_query, False))
+        self.assertEqual(answers, [])
+        a.machine.message_received(self.now, of_c, TakeoverRequest())
+        self.assertEqual(answers, [False])
+
     def test_the_old_one_dies_or_hangs(self) -> None:
         self.add_process("a", "u1")
         b = self.add_process("b")
