A handover channel that gets no message closes the transport, not the socket under it

What callers saw: nothing with Python 3.11.7, whose StreamWriter closes itself when nobody refers to it. With a version that does not, the next socket of the same descriptor is refused by the event loop.

Cause: HandoverChannel.connect closed the socket after a transport had taken it over.

Evidence: the new test keeps a reference to the writer, as older versions do in effect; before, its transport was open after the failed connect, now it is closing.

--- a/crankfold/network/handover_channel.py
+++ b/crankfold/network/handover_channel.py
@@ -140,6 +140,8 @@
         sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
         sock.setblocking(False)
         decoder = HandoverDecoder()
+        listening_socket: socket.socket | None = None
+        writer: asyncio.StreamWriter | None = None
         try:
             async with asyncio.timeout(ANSWER_TIMEOUT):
                 await self._connect_socket(sock)
@@ -148,7 +150,12 @@
                 reader, writer = await asyncio.open_unix_connection(sock=sock, limit=READ_SIZE)
                 messages = await _read_messages(reader, decoder)
         except (OSError, TimeoutError, ProtocolError) as error:
-            sock.close()
+            if writer:
+                writer.close()  # the transport owns the socket
+            else:
+                sock.close()
+            if listening_socket:
+                listening_socket.close()
             if not isinstance(error, FileNotFoundError):  # no socket, so no predecessor
                 _warn("predecessor", f"{type(error).__name__}: {error}; starting alone")
             return None
--- a/tests/network/test_handover_channel.py
+++ b/tests/network/test_handover_channel.py
@@ -6,9 +6,10 @@
 import os
 import tempfile
 from pathlib import Path
+from typing import Any
 from unittest.mock import Mock, patch
 
-from crankfold.network.handover_channel import HandoverChannel
+from crankfold.network.handover_channel import SOCKET_SIGNATURE, HandoverChannel
 from crankfold.protocol.handover_messages import (
     Hello,
     ManualDrainRecord,
@@ -65,3 +66,28 @@
         self.assertTrue((folder / "p").exists())  # no longer its own
         newer.close()
         self.assertFalse((folder / "p").exists())
+
+    # Guards against a descriptor closed under its transport, which then blocks the next one of that number.
+    async def test_a_predecessor_that_sends_no_message_leaves_no_descriptor_in_use(self) -> None:
+        folder = self.enterContext(tempfile.TemporaryDirectory())
+
+        async def no_message(_reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            writer.write(SOCKET_SIGNATURE + b"220 mail\n")
+
+        server = await asyncio.start_unix_server(no_message, f"{folder}/p")
+        self.addCleanup(server.close)
+        genuine = asyncio.open_unix_connection
+        writers: list[asyncio.StreamWriter] = []
+
+        async def open_and_refer(**options: Any) -> Any:
+            """Keeps the writer, as only some versions of Python close one that is no longer referred to."""
+            reader, writer = await genuine(**options)
+            writers.append(writer)
+            return reader, writer
+
+        channel = HandoverChannel(folder, "p", Mock())
+        with patch("asyncio.open_unix_connection", open_and_refer):
+            for _ in range(3):  # each takes the descriptor of the one before
+                with self.assertLogs("crankfold.network.handover_channel"):
+                    self.assertIsNone(await channel.connect(HELLO))
+                self.assertTrue(writers[-1].is_closing())
