A second predecessor's list, reports and manual drains are in force after a refusal

What callers saw: a successor whose takeover was refused connects again, to the process that serves. It adopted that process's state, but its reports and endpoint list were dropped, a backend drained manually since the first connect stayed ready in its records, and the first listening socket stayed open.

Cause: Takeover.take_over used the result of the second connect for its connection alone.

Evidence: the new test gives the second predecessor another socket, a list and a report; before, it could not even be written (nothing passed the list on), and with the loop as it was the first socket is never closed.

Fix: the first socket is closed, the list is registered unless discovery has answered meanwhile, the drains are put in force on the endpoints that are listed, and the reports are replayed.

--- a/crankfold/service/application.py
+++ b/crankfold/service/application.py
@@ -21,7 +21,7 @@
 from crankfold.network.metrics import Metrics
 from crankfold.network.signals import take_reload_request
 from crankfold.network.timers import Clock, Timers
-from crankfold.protocol.discovery import decode_endpoints
+from crankfold.protocol.discovery import EndpointDocument, decode_endpoints
 from crankfold.routing.interface import Endpoint, RoutingConfig
 from crankfold.service.admin_service import AdminService
 from crankfold.service.backends.registry import BackendRegistry
@@ -292,6 +292,12 @@
             self.discovery_watcher.revision = revision
             self.discovery_answered.set()
 
+    def _inherit_endpoints(self, endpoints: EndpointDocument) -> None:
+        """Registers the endpoints of a further predecessor, unless discovery itself has answered."""
+        if self.discovery_watcher.list_revision < 0:
+            self.known_endpoints = endpoints
+            self._register_known_endpoints()
+
     async def _open_admin_server(self) -> None:
         if self.admin_address:
             with _config_error_at(self.admin_address):
@@ -316,7 +322,7 @@
         listening_socket: socket.socket | None = None
         if self.handover:
             self.handover.takeover.replay_reports()
-            listening_socket = await self.handover.takeover.take_over()
+            listening_socket = await self.handover.takeover.take_over(self._inherit_endpoints)
         with _config_error_at(self.listen_address):
             self.listener.open(*self.listen_address, listening_socket, self.handover is not None)
         if self.handover:
--- a/crankfold/service/backends/registry.py
+++ b/crankfold/service/backends/registry.py
@@ -216,6 +216,15 @@
         ]
         return [endpoint for endpoint in changed if endpoint]
 
+    def drained_endpoints(self) -> list[Endpoint]:
+        """Puts all manual drains in force, after those of another process were adopted.
+
+        Returns:
+            The effective endpoints of the drained backends.
+        """
+        indices = [self.backend_ids.find(backend_id) for backend_id in self.manual_drains.drained_since]
+        return [self._put_in_force(backend) for backend in indices if backend >= 0]
+
     def reserve_slow_start(self, is_reserved: bool) -> list[Endpoint]:
         """Reserves the slow-start budgets of backends for a successor process, or ends that.
 
--- a/crankfold/service/handover/takeover.py
+++ b/crankfold/service/handover/takeover.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 import socket
+from collections.abc import Callable
 
 from crankfold.network.handover_channel import HandoverChannel
 from crankfold.protocol.discovery import EndpointDocument
@@ -96,7 +97,7 @@
             if listening_socket:
                 state = self.identity.state_in_welcome(welcome, listening_socket.getsockname()[:2])
             if state is not None:
-                self.listening_socket = listening_socket
+                self._replace_listening_socket(listening_socket)
                 self.state_machine.predecessor_connected(process)
                 return self._adopt_state(state)
             self._warn("has another format version, address or name; starting alone")
@@ -106,6 +107,11 @@
         self.manual_drain_file.adopt()
         return None
 
+    def _replace_listening_socket(self, listening_socket: socket.socket | None) -> None:
+        if self.listening_socket and self.listening_socket is not listening_socket:
+            self.listening_socket.close()
+        self.listening_socket = listening_socket
+
     def _adopt_state(self, state: ProcessState) -> EndpointDocument | None:
         self.backend_registry.known_ids.update(state.known_ids)
         transferred_state.adopt_manual_drains(self.backend_registry, state.manual_drains)
@@ -124,9 +130,14 @@
                     self.request_handler.routing.probe_ended, backend, True, tuple(report)
                 )
 
-    async def take_over(self) -> socket.socket | None:
+    async def take_over(
+        self, on_endpoints: Callable[[EndpointDocument], None] | None = None
+    ) -> socket.socket | None:
         """Waits until the predecessor has stopped accepting.
 
+        Args:
+            on_endpoints: Called with the endpoint list of a predecessor found after another one refused.
+
         Returns:
             The listening socket that the predecessor passed on; None without a predecessor.
         """
@@ -142,7 +153,11 @@
             if not self.decision.refused:
                 return self.listening_socket
             await asyncio.sleep(TAKEOVER_RETRY_DELAY)
-            await self.connect()
+            endpoints = await self.connect()
+            if endpoints is not None and on_endpoints:
+                on_endpoints(endpoints)
+            self.request_handler.effective_endpoints_changed(self.backend_registry.drained_endpoints())
+            self.replay_reports()
 
     @staticmethod
     def _warn(text: str) -> None:
--- a/tests/service/handover/test_takeover.py
+++ b/tests/service/handover/test_takeover.py
@@ -65,15 +65,17 @@
         self.listening_socket.getsockname.return_value = ADDRESS
         self.channel = Mock()
         self.process = 0
+        self.state = STATE
 
         async def connect(_hello: Hello) -> PredecessorConnection:
             self.process += 1
-            return PredecessorConnection(self.process, self.listening_socket, Welcome(STATE))
+            return PredecessorConnection(self.process, self.listening_socket, Welcome(self.state))
 
         self.channel.connect = AsyncMock(side_effect=connect)
         self.request_handler = Mock()
         self.request_handler.config.report_fields = ()
         self.request_handler.backends.known_ids = set()
+        self.request_handler.backends.backend_ids.find = lambda _backend_id: 0
         self.request_handler.backends.manual_drains.drained_since = {}
         self.request_handler.backends.timers.clock.now = lambda: 0
         self.manual_drain_file = Mock()
@@ -128,6 +130,27 @@
         self.assertEqual(self.channel.connect.call_count, 2)
         self.assertEqual(self.state_machine.predecessor, 2)
 
+    # Guards against a second predecessor's socket, list and reports that a refusal made useless.
+    async def test_after_a_refusal_the_state_of_the_second_predecessor_is_in_force(self) -> None:
+        first = self.listening_socket
+        await self.takeover.connect()
+        self.takeover.replay_reports()
+        second = Mock(spec=socket.socket)
+        second.getsockname.return_value = ADDRESS
+        self.listening_socket = second
+        self.state = STATE._replace(endpoints={"rev": 0, "all": True, "targets": []}, load_reports={"a": []})
+        self.answer_requests(TakeoverRefusal(), TakeoverGrant(None))
+        inherited: list[Any] = []
+        with patch("crankfold.service.handover.takeover.TAKEOVER_RETRY_DELAY", 0.0):
+            async with asyncio.timeout(5):
+                self.assertIs(await self.takeover.take_over(inherited.append), second)
+        self.assertEqual(first.close.call_count, 1)
+        self.assertEqual(second.close.call_count, 0)
+        self.assertEqual(inherited, [self.state.endpoints])
+        self.assertEqual(self.request_handler.notify_routing.call_count, 1)  # the report of backend a
+        drained = self.request_handler.backends.drained_endpoints.return_value
+        self.request_handler.effective_endpoints_changed.assert_called_once_with(drained)
+
     async def test_without_an_answer_it_serves_beside_the_predecessor(self) -> None:
         await self.takeover.connect()
         self.answer_requests()
