A backend that served fractional slots gets its trial attempt after an ejection

What callers saw: after its ejection a backend stayed out for good, and its share of the requests waited for others, where requests take fractions of a slot (0.1 + 0.2 + 0.3 taken and freed leaves 3e-17).

Cause: a trial attempt was permitted while own_slots == 0, a sum of floats that keeps a rounding residue.

Evidence: the new test sends three such requests, ejects the backend and sends four more after the ejection. Before, none went there.

Fix: attempts in flight are counted as an integer, and the permission asks for that.

--- a/crankfold/routing/attempt_sender.py
+++ b/crankfold/routing/attempt_sender.py
@@ -39,7 +39,7 @@
         in_slow_start = backend.warm_from > now
         attempt = Attempt(backend, now, slow_start=in_slow_start)
         request.attempts.append(attempt)
-        backend.add_slots(now, request.slots)
+        backend.attempt_sent(now, request.slots)
         if self._state.start_notifications:
             backend.unstarted += 1
         elif backend.load <= backend.capacity:
--- a/crankfold/routing/backend_table.py
+++ b/crankfold/routing/backend_table.py
@@ -38,6 +38,7 @@
         "index",
         "last_seen_at",
         "load",
+        "own_attempts",
         "own_slots",
         "probe_in_flight",
         "recent_changes",
@@ -68,7 +69,8 @@
         self.capacity = 0.0  # slots; 0 while not known
 
         self.reported_queue = 0.0  # slots of work of other instances, by the reports
-        self.own_slots = 0.0  # slots of work of this instance, in flight
+        self.own_attempts = 0  # of this instance, in flight
+        self.own_slots = 0.0  # slots of work of these attempts; may keep a rounding residue
         self.load = 0.0  # sum of the two
         self.report: Sequence[float] = ()
         self.reported_at = NEVER
@@ -87,8 +89,17 @@
         self.slow_start_share = 0.0  # of the slow-start budget that all instances share
         self.slow_start_next = 0  # when the budget allows the next request; 0 until the first is drawn
 
-    def add_slots(self, now: int, slots: float) -> None:
-        """Counts slots taken (positive) or freed (negative) by this instance's own attempts."""
+    def attempt_sent(self, now: int, slots: float) -> None:
+        """Counts the slots that an attempt of this instance takes."""
+        self.own_attempts += 1
+        self._add_slots(now, slots)
+
+    def attempt_ended(self, now: int, slots: float) -> None:
+        """Counts the slots that an attempt of this instance has freed."""
+        self.own_attempts -= 1
+        self._add_slots(now, -slots)
+
+    def _add_slots(self, now: int, slots: float) -> None:
         self.own_slots += slots
         self.load += slots
         self._forget_changes(now)
--- a/crankfold/routing/outlier_ejection.py
+++ b/crankfold/routing/outlier_ejection.py
@@ -79,7 +79,7 @@
             backends: The backends to be considered.
         """
         trusted = [
-            b for b in backends if not b.ejection_time or (now >= b.ejected_until and b.own_slots == 0)
+            b for b in backends if not b.ejection_time or (now >= b.ejected_until and not b.own_attempts)
         ]
         if MIN_TRUSTED_DIVISOR * len(trusted) > len(backends):
             return trusted
--- a/crankfold/routing/router.py
+++ b/crankfold/routing/router.py
@@ -150,7 +150,7 @@
             attempt.in_flight = False
             attempt.may_have_executed = end.outcome not in NEVER_EXECUTED
             self.limit.in_flight -= not attempt.slow_start
-            record.add_slots(now, -request.slots)
+            record.attempt_ended(now, request.slots)
             if attempt.started_at < 0 and self.state.start_notifications:
                 record.unstarted -= 1
             self.ejection.record_outcome(now, record, end.outcome)
--- a/tests/routing/test_rules_ejection.py
+++ b/tests/routing/test_rules_ejection.py
@@ -30,3 +30,16 @@
             self.assertGreaterEqual(pause, ejection)
             self.assertLessEqual(pause, ejection * (1 + JITTER) + STEP)
         self.assertLessEqual(max(pauses), LONGEST * (1 + JITTER) + STEP)
+
+    # Guards against a backend with a rounding residue in its own slots, which never gets its trial attempt.
+    def test_a_backend_that_served_fractional_slots_gets_its_trial_attempt(self) -> None:
+        self.open_with(ready(0))
+        for request, slots in enumerate((0.1, 0.2, 0.3)):
+            self.send(request, slots=slots)
+        for request in range(3):
+            self.finish(request)
+        self.send(3, slots=0.1)
+        self.finish(3, Outcome.UNREACHABLE, last=True)
+        self.change(ready(1), ready(2))
+        self.elapse(1500)
+        self.assertIn(0, {self.send(request) for request in range(4, 8)})
