A backend whose trial attempts hang is ejected anew, for twice as long each time

What callers saw: a backend that accepts requests and answers none got one request after the other once its first ejection was over, each of which waited until it was hedged or its deadline.

Cause: a backend was ejected for silence only while it had no ejection time, which it keeps until an attempt there is completed. A trial attempt that hung had no effect, and the next one began when it timed out.

Evidence: the new test has one of three backends hang for 80 s, with requests that time out after 1.5 s.

Fix: an attempt counts if it was sent after the end of the last ejection; one from before or during it does not eject the backend twice.

--- a/crankfold/routing/outlier_ejection.py
+++ b/crankfold/routing/outlier_ejection.py
@@ -119,12 +119,11 @@
             request: The request whose attempts are checked.
         """
         for attempt in request.attempts:
-            if (
-                attempt.in_flight
-                and not attempt.backend.ejection_time
-                and self._is_unresponsive(now, attempt)
-            ):
-                self._ejection.eject(now, attempt.backend)
+            backend = attempt.backend
+            # The backend was ejected for such an attempt already; a trial attempt is sent after its ejection.
+            counts_no_more = backend.ejection_time and attempt.sent_at < backend.ejected_until
+            if attempt.in_flight and not counts_no_more and self._is_unresponsive(now, attempt):
+                self._ejection.eject(now, backend)
 
     def _is_unresponsive(self, now: int, attempt: Attempt) -> bool:
         if attempt.started_at >= 0:
--- a/tests/routing/test_rules_ejection.py
+++ b/tests/routing/test_rules_ejection.py
@@ -8,6 +8,7 @@
 LONGEST = 8_000  # ms
 JITTER = 0.25  # of the ejection
 STEP = 100  # ms
+HANG = 1500  # ms until a request at a backend that hangs has timed out
 
 
 class EjectionRules(RuleScene):
@@ -31,6 +32,32 @@
             self.assertLessEqual(pause, ejection * (1 + JITTER) + STEP)
         self.assertLessEqual(max(pauses), LONGEST * (1 + JITTER) + STEP)
 
+    # Guards against a hanging backend that takes one request after the other, as its ejection never doubles.
+    def test_ejection_of_a_backend_whose_trial_attempts_hang_doubles_up_to_the_longest(self) -> None:
+        self.open_with(*[ready(backend) for backend in range(3)], max_attempts=1)
+        trials: list[int] = []
+        hanging: list[tuple[int, int]] = []  # request, and when it times out
+        for step in range(80_000 // STEP):
+            requests = range(3 * step, 3 * step + 3)
+            for request in requests:  # one for each backend that is not left out
+                self.send(request, timeout=HANG)
+            for request in requests:
+                if self.backends_of(request) == [0]:
+                    trials.append(step * STEP)
+                    hanging.append((request, step * STEP + HANG))
+                else:
+                    self.finish(request)
+            self.elapse(STEP)
+            for request, due in list(hanging):
+                if due <= (step + 1) * STEP:
+                    hanging.remove((request, due))
+                    self.finish(request, Outcome.TIMED_OUT)
+        first_trial = next(at for at in trials if at >= 2 * HANG)
+        pauses = [later - earlier for earlier, later in pairwise(at for at in trials if at >= first_trial)]
+        for pause, ejection in zip(pauses, (2000, 4000, 8000, 8000), strict=False):
+            self.assertGreaterEqual(pause, ejection)
+        self.assertLessEqual(max(pauses), HANG + LONGEST * (1 + JITTER) + STEP)
+
     # Guards against a backend with a rounding residue in its own slots, which never gets its trial attempt.
     def test_a_backend_that_served_fractional_slots_gets_its_trial_attempt(self) -> None:
         self.open_with(ready(0))
