A drain at the end of a silence of discovery is acted on at once, whatever came in it

Cause: each good SIGHUP began the watch anew, also with the same address. The new call came in the silence and was never answered.

Polled lists are called as before.

--- a/crankfold/network/discovery_watcher.py
+++ b/crankfold/network/discovery_watcher.py
@@ -21,10 +21,10 @@
 # lose its connection unnoticed as soon as it is sent. LONG_POLL_MS and OVERDUE_GRACE pass until that is
 # detected; further calls have the remainder of the 6 s. Times are in seconds unless the name says otherwise.
 LONG_POLL_MS = 2000  # discovery may wait this long for a change
-OVERDUE_GRACE = 0.5  # after the expected end of a call, until a further call is started beside it
-# The same where lists are pushed. A long poll can end in a short silence of the agent, and a drain that the
-# agent learns at the end of it is in force at once: this and the further call must fit into the grace period
-# of that drain.
+OVERDUE_GRACE = 0.5  # after the expected end of a long poll, until a further call is started beside it
+# The same for all calls where lists are pushed. A call can end or begin in a short silence of the agent, and
+# a drain that the agent learns at the end of it is in force at once: this and the further call must fit into
+# the grace period of that drain.
 WATCH_OVERDUE_GRACE = 0.1
 CONNECT_TIMEOUT = 1.0
 QUEUE_TIMEOUT = 6.0  # discovery answers calls in turn, and a call that is cancelled loses its place
@@ -99,10 +99,13 @@
     The network does not report a lost connection, so an overdue call is hedged and not cancelled.
     """
 
-    def __init__(self, host: str, port: int, revision: int, policy: _CallPolicy, metrics: Metrics) -> None:
+    def __init__(
+        self, host: str, port: int, revision: int, wait_ms: int, policy: _CallPolicy, metrics: Metrics
+    ) -> None:
         self.host = host
         self.port = port
         self.revision = revision
+        self.wait_ms = wait_ms  # of the first call
         self.policy = policy
         self.metrics = metrics
         self.loop = asyncio.get_running_loop()
@@ -117,11 +120,9 @@
             TimeoutError: No call was answered in time, or the last one could not connect in time.
         """
         started_at = self.loop.time()
-        has_list = self.revision >= 0
-        wait_ms = LONG_POLL_MS if has_list else 0
-        wait = wait_ms / MILLISECONDS_PER_SECOND
-        self._start(call or DiscoveryCall(self.host, self.port), wait_ms)
-        due = started_at + wait + _overdue_grace(is_pushed=self.policy.is_pushed, has_list=has_list)
+        wait = self.wait_ms / MILLISECONDS_PER_SECOND
+        self._start(call or DiscoveryCall(self.host, self.port), self.wait_ms)
+        due = started_at + wait + self._overdue_grace()
         while self.calls:
             answered = await self._next_answered(due)
             if answered:
@@ -135,6 +136,12 @@
         assert self.error is not None
         raise self.error
 
+    def _overdue_grace(self) -> float:
+        """Seconds from the expected end of the first call until it is hedged."""
+        if self.policy.is_pushed:
+            return WATCH_OVERDUE_GRACE
+        return OVERDUE_GRACE if self.wait_ms else POLL_RETRY_INTERVAL
+
     def _hedge(self) -> None:
         """Starts a further call beside those in progress, which is answered without a wait."""
         self.metrics.increment("discovery-silent")
@@ -190,13 +197,6 @@
             call.close()
 
 
-def _overdue_grace(*, is_pushed: bool, has_list: bool) -> float:
-    """Seconds from the expected end of a call until it is hedged."""
-    if is_pushed:
-        return WATCH_OVERDUE_GRACE if has_list else OVERDUE_GRACE
-    return OVERDUE_GRACE if has_list else POLL_RETRY_INTERVAL
-
-
 class DiscoveryWatcher:
     """Calls discovery and passes the endpoints in its responses on.
 
@@ -233,6 +233,7 @@
         self.list_revision = NO_REVISION
         self.task: asyncio.Task[None] | None = None
         self.last_answer_at = 0.0
+        self._lost_connection = False  # the last call ended so
 
     def start(self, keep_running: bool) -> None:
         """Starts a watch, unless one runs; with `keep_running`, the next one starts when it fails."""
@@ -240,7 +241,12 @@
             self.task = asyncio.get_running_loop().create_task(self._run(keep_running))
 
     def switch_to(self, host: str, port: int, keep_running: bool) -> None:
-        """Follows another agent at once, from a snapshot: revisions of the two are not comparable."""
+        """Follows the agent of that address; the watch goes on if it is the present one.
+
+        Another agent is followed at once and from a snapshot, as revisions of the two are not comparable.
+        """
+        if (host, port) == (self.host, self.port):
+            return
         self.stop()
         self.host = host
         self.port = port
@@ -266,6 +272,7 @@
             await asyncio.sleep(self.retry_interval)
 
     def _record_failure(self, error: OSError | DiscoveryError) -> None:
+        self._lost_connection = not isinstance(error, DiscoveryError)
         # A call without a usable response leaves the revision valid, and a delta is shorter than a snapshot.
         if isinstance(error, DiscoveryError) and not isinstance(error, RejectedError):
             self.revision = NO_REVISION
@@ -301,6 +308,7 @@
                 called_at = loop.time()
                 call = await self._first_answer(call, is_pushed)
                 self.last_answer_at = loop.time()
+                self._lost_connection = False
                 self._take_answer(call)
                 await asyncio.sleep(max(called_at + MIN_CALL_INTERVAL - loop.time(), 0))
                 if not call.protocol.is_reusable():
@@ -315,12 +323,22 @@
             policy = _CallPolicy(True, self.retry_interval, MAX_WATCH_CALLS)
         else:
             policy = _CallPolicy(False, POLL_RETRY_INTERVAL, MAX_POLL_CALLS)
-        race = _CallRace(self.host, self.port, self.revision, policy, self.metrics)
+        race = _CallRace(self.host, self.port, self.revision, self._wait_ms(is_pushed), policy, self.metrics)
         try:
             return await race.first_answered(call)
         finally:
             race.close()
 
+    def _wait_ms(self, is_pushed: bool) -> int:
+        """How long discovery may wait for a change before it answers the next call, in milliseconds.
+
+        After a lost connection the agent may be silent. A call that is answered at once shows that sooner
+        than a long poll.
+        """
+        if self.revision < 0 or (is_pushed and self._lost_connection):
+            return 0
+        return LONG_POLL_MS
+
     def _take_answer(self, call: DiscoveryCall) -> None:
         update = call.protocol.decode_response(self.make_endpoint)
         if update.revision < self.revision and not update.is_snapshot:
--- a/tests/network/test_discovery_watcher.py
+++ b/tests/network/test_discovery_watcher.py
@@ -4,6 +4,7 @@
 import errno
 import logging
 import socket
+import struct
 from typing import Any
 from unittest.mock import Mock, patch
 
@@ -263,6 +264,43 @@
                 await answered.wait()
             self.assertLessEqual(most_open, MAX_WATCH_CALLS + 1)  # one whose end has not arrived yet
 
+    async def test_following_the_same_agent_again_makes_no_call(self) -> None:
+        """Guards against a reload that gives up a watch, and with it a call that is about to be answered."""
+        calls: list[str] = []
+
+        async def discovery(reader: asyncio.StreamReader, _writer: asyncio.StreamWriter) -> None:
+            calls.append((await read_request(reader))[0])
+            await reader.read()
+
+        watcher, _answered = await self.start_watcher(discovery, revision=5)
+        await self.until(lambda: len(calls) == 1)
+        watch = watcher.task
+        for keep_running in (True, False):  # pushed and polled
+            watcher.switch_to(watcher.host, watcher.port, keep_running)
+            await asyncio.sleep(0.05)
+            self.assertIs(watcher.task, watch)
+        self.assertEqual(len(calls), 1)
+        self.assertEqual(watcher.revision, 5)
+
+    async def test_after_a_lost_connection_the_first_call_is_not_a_long_poll(self) -> None:
+        """Guards against a silence that begins with a reset and is noticed only after a long poll."""
+        calls: list[str] = []
+
+        async def discovery(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            calls.append((await read_request(reader))[0].splitlines()[0])
+            if len(calls) == 1:
+                linger_of_zero = struct.pack("ii", 1, 0)  # the close resets the connection
+                connection = writer.get_extra_info("socket")
+                connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger_of_zero)
+                return
+            await reader.read()
+
+        await self.start_watcher(discovery, revision=5)
+        with self.assertLogs("crankfold.network.discovery_watcher"):
+            await self.until(lambda: len(calls) == 3)
+        self.assertIn("after=5&wait_ms=2000", calls[0])
+        self.assertIn("after=5&wait_ms=0", calls[1])
+
     async def test_an_answer_that_trickles_is_read_to_its_end_while_others_are_silent(self) -> None:
         calls = 0
 
--- a/tests/soak/backends.py
+++ b/tests/soak/backends.py
@@ -188,8 +188,14 @@
         self.revision = 1
         self.changed = asyncio.Event()
         self.silent = False
+        self.silent_calls = 0  # that came in a silence, and are never answered
         self.in_pieces = False
 
+    def reset_connections(self) -> None:
+        """Resets all connections, and goes on listening."""
+        for writer in list(self.writers):
+            writer.transport.abort()
+
     def change(self) -> None:
         """Changes the revision and answers the watches that wait for it."""
         self.revision += 1
@@ -200,6 +206,7 @@
         while True:
             head, _ = await read_request(reader)
             if self.silent:
+                self.silent_calls += 1
                 await reader.read()
                 return
             if "after=" in head:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -81,19 +81,29 @@
             await self._start_dispatcher(name)
         await self._play_load()
 
-    async def _start_dispatcher(self, name: str) -> None:
+    def _discovery(self, name: str) -> Discovery:
         discovery = Discovery(self._entries, random.Random(f"{self.plan.seed} {name}"))
         discovery.in_pieces = self.plan.discovery == "pieces"
-        await discovery.open()
-        self.discoveries[name] = discovery
+        return discovery
+
+    async def _start_dispatcher(
+        self, name: str, *, agent: Discovery | None = None, admin_port: int = 0
+    ) -> None:
+        """Starts a dispatcher and, unless an agent is given, its discovery agent; 0 is no admin server."""
+        if agent is None:
+            agent = self._discovery(name)
+            await agent.open()
+        self.discoveries[name] = agent
         dispatcher = Dispatcher(name, self.ports[name], self.folder, self.plan.faults)
         configuration = dispatcher_configuration(
             self.plan,
             name,
             listen_port=self.ports[name],
-            discovery_port=discovery.port,
+            discovery_port=agent.port,
             endpoints=self._entries(),
         )
+        if admin_port:
+            configuration["admin_addr"] = f"{HOST}:{admin_port}"
         dispatcher.config.write_text(json.dumps(configuration))
         self.dispatchers[name] = dispatcher
         await dispatcher.start(self.seen, early_signal=self.plan.early_signal)
