Instances without an index of their own take an equal share of a slow-start budget

What callers saw: where `me` is not configured, dispatchers could together send a warming backend more than its budget, which is their sum, and push it over.

Cause: such an instance draws its index at random. Shares are computed as if every index occurred once: five instances share one backend, or one in so many draws it, while by chance more of them do.

Evidence: the new test sums the shares over 8 and 60 instances; before, 1.2 for 8. Now 1 at most.

Fix: without a configured index the share is one by the number of instances, so that the sum is 1 at most, whichever of them draw the backend. With `me`, nothing changes.

--- a/crankfold/routing/state.py
+++ b/crankfold/routing/state.py
@@ -26,6 +26,7 @@
         classes: Records of the request classes, by row.
         worst_class: Row of the class that earns the smallest share of its offered value.
         mean_objective: Mean latency objective of the classes, ticks.
+        has_own_index: Whether the index is configured, so that no other instance has the same.
         clock_margin: Ticks by which timers may be late, before and after an event.
         keys_seen: Whether a request had an affinity key.
         sparse: Whether the subset is a small part of the fleet, so that little is known of other instances.
@@ -48,7 +49,8 @@
         self.clock_margin = MARGIN_RESOLUTIONS * config.timer_resolution
         self.instance_count = config.instance_count
         given = config.instance_index
-        self.instance_index = given if given >= 0 else self.random.below(config.instance_count)
+        self.has_own_index = given >= 0
+        self.instance_index = given if self.has_own_index else self.random.below(config.instance_count)
         self.start_notifications = config.start_notifications
         self.weights_follow_load = config.weights_follow_load
         self.key_affinity = config.key_affinity
--- a/crankfold/routing/subsetting.py
+++ b/crankfold/routing/subsetting.py
@@ -107,6 +107,10 @@
         self.short = ready
         self.long = ready
         count = self._state.instance_count
+        if not self._state.has_own_index:
+            for backend in ready:
+                backend.slow_start_share = 1.0 / count
+            return
         senders = min(MAX_SLOW_START_SENDERS, count)
         for backend in ready:
             position = (self._state.instance_index + int(backend.endpoint.hash_position * count)) % count
@@ -145,13 +149,23 @@
             passed_weight += backend.weight
             if passed_weight > next_drawn_at:
                 drawn.append(backend)
-                instances_per_sender = max(segment_weight / backend.weight, 1.0)
-                backend.slow_start_share = min(instances_per_sender / self._state.instance_count, 1.0)
+                backend.slow_start_share = self._share_of_drawn(segment_weight / backend.weight)
             while passed_weight > next_drawn_at:
                 segment += 1
                 next_drawn_at = (segment + self._position_in_segment(segment)) * segment_weight
         return drawn
 
+    def _share_of_drawn(self, instances_per_sender: float) -> float:
+        """Returns this instance's share of the slow-start budget of a backend that it has drawn.
+
+        Args:
+            instances_per_sender: One in so many instances draws the backend, where indices are configured.
+                Instances that chose their index at random may all draw it.
+        """
+        if not self._state.has_own_index:
+            return 1.0 / self._state.instance_count
+        return min(max(instances_per_sender, 1.0) / self._state.instance_count, 1.0)
+
     def _position_in_segment(self, segment: int) -> float:
         """Returns this instance's position within a segment of the ring, from 0 to 1.
 
--- a/tests/routing/test_rules_subsetting.py
+++ b/tests/routing/test_rules_subsetting.py
@@ -14,7 +14,9 @@
 
 
 class SubsetScene(RuleScene):
-    def open_instance(self, index: int, warming: int = 0) -> None:
+    def open_instance(
+        self, index: int, warming: int = 0, *, instance_count: int = INSTANCES, seed: int = 0
+    ) -> None:
         """One instance of many before the fleet, `warming` backends of which have just started."""
         just_started = range(1, 2 * warming, 2)
         fleet = [
@@ -33,9 +35,9 @@
         self.open_with(
             *fleet,
             free_slots=0,
-            instance_count=INSTANCES,
+            instance_count=instance_count,
             instance_index=index,
-            seed=index + 1,
+            seed=seed or index + 1,
             hedging_allowed=False,
         )
         self.next_request = 0
@@ -148,3 +150,17 @@
             self.serve(1, LONG)
             self.elapse(300)
             self.assertEqual(len(self.serve(60, LONG)), usual, f"instance {index}")
+
+
+class SlowStartShareRules(SubsetScene):
+    # Guards against instances with random indices that together push a warming backend over.
+    def test_shares_of_instances_without_an_index_sum_to_one_at_most(self) -> None:
+        for instances in (8, INSTANCES):
+            sums = [0.0] * FLEET
+            for seed in range(instances):
+                self.open_instance(-1, warming=FLEET // 2, instance_count=instances, seed=seed + 1)
+                self.router.refresh_if_due(self.now)
+                for backend in self.backends:
+                    sums[backend.index] += backend.slow_start_share
+            self.assertGreater(min(sums), 0.0)
+            self.assertLessEqual(max(sums), 1.0 + 1e-9, f"{instances} instances")
