A connection that discovery closes with its response is not used for the next call

What callers saw: where discovery answers without a length and closes, every second call failed at once, the whole list was fetched again, and a change was heard 0.15 s later than it could be.

Cause: h11 is back in its idle state after such a response, and that alone was taken for a reusable connection.

Evidence: the new test; before, is_reusable was true after the end of such a response.

Fix: a connection whose end was received is not reused.

--- a/crankfold/protocol/discovery.py
+++ b/crankfold/protocol/discovery.py
@@ -160,6 +160,7 @@
         self.status = 0
         self.body = bytearray()
         self.response_started = False
+        self._peer_closed = False
 
     def request(self, revision: int, wait_ms: int) -> bytes:
         """Begins a call; returns the bytes to be written.
@@ -181,6 +182,7 @@
         Raises:
             DiscoveryError: The response is not valid HTTP, is too long, or ends before it is complete.
         """
+        self._peer_closed = not data
         try:
             self.http.receive_data(data)
             is_complete = self._process_events()
@@ -213,7 +215,7 @@
 
     def is_reusable(self) -> bool:
         """Whether another call may be sent on this connection."""
-        return self.http.our_state is h11.IDLE
+        return self.http.our_state is h11.IDLE and not self._peer_closed
 
     def decode_response(self, make_endpoint: EndpointFactory) -> EndpointUpdate:
         """Decodes the complete response.
--- a/tests/protocol/test_discovery.py
+++ b/tests/protocol/test_discovery.py
@@ -43,6 +43,24 @@
             self.assertIsNone(without_weights(document))
 
 
+class ReusableConnectionTest(unittest.TestCase):
+    # Guards against a call on a connection that discovery closed, which fails and costs a list in full.
+    def test_a_connection_that_the_end_of_a_response_closed_is_not_reused(self) -> None:
+        connection = DiscoveryConnection("h:1")
+        connection.request(-1, 0)
+        self.assertFalse(connection.receive_data(b'HTTP/1.1 200 OK\r\n\r\n{"rev":1'))
+        self.assertFalse(connection.receive_data(b"}"))
+        self.assertTrue(connection.receive_data(b""))
+        self.assertFalse(connection.is_reusable())
+
+    def test_a_connection_is_reused_after_a_response_with_its_length(self) -> None:
+        connection = DiscoveryConnection("h:1")
+        for _ in range(2):
+            connection.request(-1, 0)
+            self.assertTrue(connection.receive_data(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"))
+            self.assertTrue(connection.is_reusable())
+
+
 class DiscoveryConnectionTest(TraceTestCase):
     def make_endpoint(self, entry: DiscoveryEntry) -> Endpoint:
         self.say(
