A transport that is closed opens no connection for a late message

What callers saw: a member that had left could connect to a voter once more, under a name that another process may have by then, as its ticks and answers go on for a moment.

Cause: Transport.send connects where there is no connection, also after the close.

Evidence: the new test sends a message after the close; before, the receiver admitted the sender.

Fix: a closed transport does not connect; the message is dropped, as any without a connection.

--- a/crankfold/cluster/transport.py
+++ b/crankfold/cluster/transport.py
@@ -111,7 +111,7 @@
     def _connect(self, receiver: str) -> None:
         known = receiver in self.addresses
         due = self._loop.time() >= self._reconnect_not_before.get(receiver, 0)
-        if known and due and receiver not in self._active_receivers:
+        if known and due and not self._closed and receiver not in self._active_receivers:
             self._active_receivers.add(receiver)
             self._spawn(self._run_outgoing(receiver))
 
--- a/tests/cluster/test_transport.py
+++ b/tests/cluster/test_transport.py
@@ -72,6 +72,16 @@
                 pass
         return received
 
+    # Guards against a member that has left and connects once more, when another process may have its name.
+    async def test_a_message_after_the_close_opens_no_connection(self) -> None:
+        receiver = await self.open_transport()
+        closed = make_transport("n1", RecordingHandler(), {"n0": (HOST, self.port)})
+        await closed.close()
+        closed.send("n0", Rejection("late"))
+        await asyncio.sleep(0.05)
+        self.assertEqual(self.handler.admitted, [])
+        await receiver.close()
+
     async def test_a_connection_without_its_hello_is_closed_with_the_transport(self) -> None:
         for iterations in ITERATIONS:
             with self.subTest(iterations=iterations):
