A cluster node that closes also closes the voter that its takeover has opened

What callers saw: a process that ended while it took over as a voter left the voter open until the process was gone: its folder locked, its address bound, its votes still given.

Cause: ClusterNode.close cancelled the takeover and closed the present member, a follower; nobody closed the voter that waits for its lease.

Evidence: the new test closes a node whose voter is open and never ready; before, its folder was still in use.

Fix: a cancelled takeover closes the voter that it has opened, and close waits for that.

--- a/crankfold/cluster/node.py
+++ b/crankfold/cluster/node.py
@@ -116,20 +116,29 @@
 
     async def _take_over(self) -> None:
         """Switches to the voter once its folder and address are available and it may act."""
-        voter = await self._open_voter()
-        # No event marks that a lease has expired, so it is polled.
-        while voter and not self._is_ready(voter):
-            await asyncio.sleep(TAKEOVER_RETRY_SECONDS)
-            if voter.disabled_reason:
-                await voter.close()
-                voter = await self._open_voter()
-        if voter is None:
+        while voter := await self._open_voter():
+            if not await self._becomes_ready(voter):
+                continue
+            follower = self.member
+            self.member = voter
+            self._dispatcher.documents_changed(set(DOCUMENTS))
+            await follower.close()
+            logger.info("%s is a voter again", self.config.name)
             return
-        follower = self.member
-        self.member = voter
-        self._dispatcher.documents_changed(set(DOCUMENTS))
-        await follower.close()
-        logger.info("%s is a voter again", self.config.name)
+
+    async def _becomes_ready(self, voter: ClusterMember) -> bool:
+        """Waits until an opened voter may act; closes it and returns False if its folder fails first."""
+        try:
+            # No event marks that a lease has expired, so it is polled.
+            while not self._is_ready(voter):
+                await asyncio.sleep(TAKEOVER_RETRY_SECONDS)
+                if voter.disabled_reason:
+                    await voter.close()
+                    return False
+        except asyncio.CancelledError:  # the node closes
+            await voter.close()
+            raise
+        return True
 
     async def _replace_failed_voter(self, failed: ClusterMember) -> None:
         """Switches to a follower, and back to the voter once the folder works."""
@@ -160,6 +169,9 @@
             except OSError:  # the predecessor still listens at the address
                 await voter.close()
                 continue
+            except asyncio.CancelledError:  # the node closes
+                await voter.close()
+                raise
             return voter
 
     @property
@@ -268,4 +280,5 @@
         """Closes the member; a follower releases its lease."""
         if self._takeover_task:
             self._takeover_task.cancel()
+            await asyncio.gather(self._takeover_task, return_exceptions=True)
         await self.member.close()
--- a/tests/cluster/test_node.py
+++ b/tests/cluster/test_node.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import errno
+import socket
 import subprocess
 import sys
 import tempfile
@@ -14,6 +15,7 @@
 from crankfold.cluster.config import ClusterConfig
 from crankfold.cluster.framing import PROTOCOL_VERSION, Hello, encode_frame
 from crankfold.cluster.node import ClusterNode
+from crankfold.cluster.raft_storage import RaftStorage
 from crankfold.consensus.messages import Rejection
 from crankfold.document_names import SETTINGS
 from crankfold.fault_injection.http_client import HOST, find_free_port
@@ -150,6 +152,18 @@
         await self.until(lambda: self.acts("successor"))
         self.assertEqual(successor.consensus.documents.document(SETTINGS).latest_number(), 2)
 
+    # Guards against a voter that holds its folder and address after its node has closed.
+    async def test_a_node_that_closes_also_closes_the_voter_that_it_has_opened(self) -> None:
+        with patch.object(ClusterNode, "_is_ready", return_value=False):
+            successor = await self.start("n1", key="successor")
+            await self.until((self.folder / "n1" / "history").exists)
+            await asyncio.sleep(0.05)
+            await self.nodes.pop("successor").close()
+        self.assertRegex(successor.consensus.name, r"n1\+")
+        RaftStorage(self.folder / "n1", "n1").close()
+        with socket.create_server((HOST, self.ports["n1"])):
+            pass
+
     async def test_invalid_bytes_end_their_connection_and_nothing_else(self) -> None:
         for name in VOTERS:
             await self.start(name)
