Health checks of an isolated dispatcher do not count as actions without a lease

What callers saw: on call, `acted-while-isolated` grew with each /healthz and readiness check, ten a second by the front, where no request was admitted; the loss of the lease was logged by a check.

Cause: RequestHandler.is_serving asked by authorize_action, which records the action that follows.

Evidence: the new test checks the health of an isolated dispatcher that continues; before, a line was logged and the count was 1.

Fix: may_act is the question without effect, and authorize_action records and then asks it.

--- a/crankfold/service/cluster/membership.py
+++ b/crankfold/service/cluster/membership.py
@@ -22,7 +22,7 @@
 class _NotJoined(NoCluster):
     """The services before the cluster is joined: there is no valid configuration yet."""
 
-    def authorize_action(self) -> bool:
+    def may_act(self) -> bool:
         """See `ClusterServices`."""
         return False
 
@@ -92,6 +92,10 @@
 
     # --- ClusterServices ---
 
+    def may_act(self) -> bool:
+        """See `ClusterServices`."""
+        return self._services.may_act()
+
     def authorize_action(self) -> bool:
         """See `ClusterServices`."""
         return self._services.authorize_action()
--- a/crankfold/service/cluster/replicated_config.py
+++ b/crankfold/service/cluster/replicated_config.py
@@ -118,18 +118,23 @@
 
     # --- for requests and attempts: ClusterServices ---
 
-    def authorize_action(self) -> bool:
+    def may_act(self) -> bool:
         """See `ClusterServices`.
 
         An action is permitted while this member holds a lease, or is isolated and configured to continue.
         """
+        has_settings = self.effective_settings is not None
+        return has_settings and (self.cluster_node.has_lease() or self.acts_when_isolated)
+
+    def authorize_action(self) -> bool:
+        """See `ClusterServices`."""
         if self.effective_settings is None:
             return False
         has_lease = self.cluster_node.has_lease()
         if not has_lease:
             self._record_isolation()
         self.was_isolated = not has_lease
-        return has_lease or self.acts_when_isolated
+        return self.may_act()
 
     def _record_isolation(self) -> None:
         """Logs the loss of the lease at the first action after it, and counts the permitted actions."""
--- a/crankfold/service/requests/collaborators.py
+++ b/crankfold/service/requests/collaborators.py
@@ -25,11 +25,11 @@
 class ClusterServices(Protocol):
     """The cluster of dispatchers, as requests and attempts depend on it."""
 
-    def authorize_action(self) -> bool:
-        """Returns whether a request may be admitted, or an attempt sent, under the configuration in force.
+    def may_act(self) -> bool:
+        """Whether a request may be admitted, or an attempt sent, under the configuration in force."""
 
-        Records the call if the configuration may be outdated.
-        """
+    def authorize_action(self) -> bool:
+        """Returns `may_act` for an action that follows; records it if the configuration may be outdated."""
 
     def acquire_quota(self, request_class: str, tenant: str) -> Sequence[str] | None:
         """Counts a request against the cluster-wide limits, unless one of them is used up.
@@ -77,10 +77,14 @@
 class NoCluster:
     """A dispatcher without peers: its configuration is always valid; there are no quotas and no event log."""
 
-    def authorize_action(self) -> bool:
+    def may_act(self) -> bool:
         """See `ClusterServices`."""
         return True
 
+    def authorize_action(self) -> bool:
+        """See `ClusterServices`."""
+        return self.may_act()
+
     def acquire_quota(
         self,
         request_class: str,  # noqa: ARG002 - there are no quotas
--- a/crankfold/service/requests/handler.py
+++ b/crankfold/service/requests/handler.py
@@ -169,7 +169,7 @@
 
     def is_serving(self) -> bool:
         """Whether this process is in service and has a valid configuration."""
-        return self.lifecycle.is_serving() and self.cluster.authorize_action()
+        return self.lifecycle.is_serving() and self.cluster.may_act()
 
     def knows_request_class(self, name: str) -> bool:
         """Whether there is a request class of that name."""
--- a/tests/service/cluster/test_replicated_config.py
+++ b/tests/service/cluster/test_replicated_config.py
@@ -8,6 +8,7 @@
 from crankfold.cluster.config import ClusterConfig
 from crankfold.network.metrics import Metrics
 from crankfold.service.cluster.replicated_config import CONTINUE_WHEN_ISOLATED, ReplicatedConfig
+from crankfold.service.requests.handler import RequestHandler
 
 LOGGER = "crankfold.service.cluster.replicated_config"
 
@@ -57,3 +58,15 @@
         self.assertEqual(self.authorize(config, has_lease=False), (True, lost, 1))
         self.assertEqual(self.authorize(config, has_lease=False), (True, [], 2))
         self.assertEqual(self.authorize(config, has_lease=True), (True, [], 2))
+
+    # Guards against health checks that count as actions without a lease, and log its loss.
+    def test_a_health_check_records_no_action(self) -> None:
+        config = self.replicated_config(CONTINUE_WHEN_ISOLATED)
+        config.effective_settings = {}
+        self.node.has_lease = lambda: False
+        handler = Mock(cluster=config)
+        with self.assertNoLogs(LOGGER):
+            self.assertTrue(RequestHandler.is_serving(handler))
+        self.assertEqual(self.metrics.counters["acted-while-isolated"], 0)
+        lost = ["no lease; continues with the last configuration"]
+        self.assertEqual(self.authorize(config, has_lease=False), (True, lost, 1))
