benchmarks/turns.py starts again, and a test tells when a benchmark's import is gone

What callers saw: `python -m benchmarks.turns` ended with an ImportError.

Evidence: the new test looks up each name that a benchmark imports of the program; before, it failed on this one and on no other.

Fix: the import names the new place.

--- a/benchmarks/turns.py
+++ b/benchmarks/turns.py
@@ -14,11 +14,11 @@
 
 import click
 
-from crankfold.simulation.event_queue import TICKS_PER_SECOND
 from crankfold.simulation.maintenance.study import Strategy, StudyResult, run_study
 from crankfold.simulation.traffic.comparison import DEFAULT_CONFIG, confidence_interval, verdict
 from crankfold.simulation.traffic.faults import Fault, FaultKind
 from crankfold.simulation.traffic.scenario import Scenario
+from crankfold.time_units import TICKS_PER_SECOND
 
 OUTPUT_DIRECTORY = Path(__file__).parent
 WARM_UP_TICKS = 30_000  # a machine is cold for so long
--- a/tests/test_code_rules.py
+++ b/tests/test_code_rules.py
@@ -1,6 +1,7 @@
 """Rules of the code that the linter has no check for."""
 
 import ast
+import importlib
 import unittest
 from collections.abc import Iterator
 from pathlib import Path
@@ -94,3 +95,16 @@
         )
         self.assertEqual(raises_without_saying_so(ast.parse(silent)), ["parse"])
         self.assertEqual(raises_without_saying_so(ast.parse(documented)), [])
+
+
+class Benchmarks(unittest.TestCase):
+    # Guards against a benchmark that no longer starts, as a name that it imports has moved.
+    def test_each_name_that_a_benchmark_imports_of_the_program_is_there(self) -> None:
+        for path in sorted((ROOT / "benchmarks").glob("*.py")):
+            for node in ast.walk(ast.parse(path.read_text())):
+                if not isinstance(node, ast.ImportFrom) or not str(node.module).startswith("crankfold"):
+                    continue
+                module = importlib.import_module(str(node.module))
+                for alias in node.names:
+                    with self.subTest(path.name, name=alias.name):
+                        self.assertTrue(hasattr(module, alias.name), f"{node.module} has no {alias.name}")
