--- a/tests/simulation/traffic/test_faults.py
+++ b/tests/simulation/traffic/test_faults.py
@@ -8,8 +8,11 @@
 from crankfold.simulation.traffic.fleet import SimulatedFleet
 from crankfold.simulation.traffic.invariants import Answer
 from crankfold.simulation.traffic.scenario import Scenario
+from crankfold.time_units import TICKS_PER_SECOND
 from tests.scene import TraceTestCase
 
+SLOTS = Scenario().slots_per_backend
+
 DAY = Scenario(
     dispatcher_count=6, backend_count=9, arrival_rate=12.0, mean_service_time=3_500, seconds=8, seed=3
 )
@@ -71,3 +74,26 @@
         self.assertEqual(affected_indices(fault, 1, 40), affected_indices(fault, 1, 40))
         self.assertNotEqual(affected_indices(fault, 1, 40), affected_indices(fault, 2, 40))
         self.assertEqual((len(affected_indices(fault, 1, 40)), len(affected_indices(fault, 1, 1))), (10, 1))
+
+    # Shows that many dispatchers may each send a heavy request to a backend that warms up, and push it over.
+    def test_a_release_under_a_burst_pushes_no_warming_backend_over(self) -> None:
+        work = 3500  # ticks
+        dispatchers, backends, load = 21, 12, 0.6
+        world = SimulatedFleet(
+            Scenario(
+                dispatcher_count=dispatchers,
+                backend_count=backends,
+                arrival_rate=load * backends * SLOTS * TICKS_PER_SECOND / work / dispatchers,
+                mean_service_time=work,
+                seconds=14,
+                seed=7,
+                faults=(
+                    Fault(FaultKind.ROLLING_RELEASE, 2.0, 5.0, 0.5),
+                    Fault(FaultKind.BURST, 4.0, 9.0, factor=1.5),
+                ),
+            ),
+            DEFAULT_CONFIG,
+            Router,
+        )
+        world.run()
+        self.assertEqual(world.invariants.violations, [])
