A voter forgets the reason of a rejection once it is granted a lease

Cause: a follower forgets the reason with the next update of its voter; a voter never did.

Evidence: the new test rejects a voter and grants it a lease; before, the reason stayed.

Fix: extending the lease, in the base of both, forgets the reason.

--- a/crankfold/consensus/member.py
+++ b/crankfold/consensus/member.py
@@ -119,6 +119,7 @@
 
     def _extend_lease(self, expires_at: int) -> None:
         self.lease_expires_at = max(self.lease_expires_at, expires_at)
+        self.rejection_reason = ""  # a member that is granted a lease is admitted
 
     def _restore_snapshot(self, snapshot: Snapshot) -> None:
         self.documents.restore(snapshot.state, snapshot.index)
--- a/tests/consensus/test_members.py
+++ b/tests/consensus/test_members.py
@@ -6,10 +6,12 @@
 from crankfold.consensus.follower import Follower
 from crankfold.consensus.messages import (
     FollowerUpdate,
+    LeaseGrant,
     Leave,
     LogEntry,
     Message,
     ProposalRequest,
+    Rejection,
     RequestVote,
 )
 from crankfold.consensus.raft_state import PersistentState
@@ -145,6 +147,14 @@
         self.exchange(voter, second)
         self.assertTrue(second.has_lease(self.now))
 
+    # Guards against the reason of an old rejection that is shown when the voter is cut off later.
+    def test_a_voter_forgets_its_rejection_with_the_next_lease(self) -> None:
+        voter = self.voter()
+        voter.receive(self.now, "v1", Rejection("another folder"))
+        self.assertEqual(voter.rejection_reason, "another folder")
+        voter.receive(self.now, "v1", LeaseGrant(voter.raft.term, self.now, 1000, voter.last_applied))
+        self.assertEqual(voter.rejection_reason, "")
+
     def exchange(self, voter: Voter, follower: Follower) -> None:
         until = self.now + 5000
         while self.now < until:
