--- a/crankfold/network/discovery_watcher.py
+++ b/crankfold/network/discovery_watcher.py
@@ -241,7 +241,7 @@
             self.task = asyncio.get_running_loop().create_task(self._run(keep_running))
 
     def switch_to(self, host: str, port: int, keep_running: bool) -> None:
-        """Follows the agent of that address; the watch goes on if it is the present one.
+        """Follows the agent of that address; no effect if that is the present one.
 
         Another agent is followed at once and from a snapshot, as revisions of the two are not comparable.
         """
--- a/crankfold/routing/backend_table.py
+++ b/crankfold/routing/backend_table.py
@@ -67,7 +67,6 @@
         self.weight = 0.0  # size: the listed weight, without the load where listed weights follow the load
         self.utilization = 0.0  # requests for each core, from a listed weight that follows the load
         self.capacity = 0.0  # slots; 0 while not known
-
         self.reported_queue = 0.0  # slots of work of other instances, by the reports
         self.own_attempts = 0  # of this instance, in flight
         self.own_slots = 0.0  # slots of work of these attempts; may keep a rounding residue
