Show the dispatcher killed for memory by ten clients with bodies of 60 MB

Ten bad clients send bodies of 60 MB and the same again once they are turned away. Connections that have ended keep about 110 KB of unread input each, in cycles that wait for a full collection, so that the process passes the 192 MB of its configuration and the platform kills it.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,6 +1,7 @@
-"""A process is replaced while bad clients send the ids of other clients' open requests."""
+"""A few bad clients send bodies of 60 MB again and again; the dispatcher must stay within its memory."""
 
 import asyncio
+import contextlib
 import signal
 import sys
 from pathlib import Path
@@ -8,13 +9,12 @@
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "common"))
 
 import standins
-from standins import Answer, Client, Discovery, Dispatcher, Record, Runner, free_port, result_of, trouble
+from standins import Answer, Client, Discovery, Dispatcher, Record, Runner, free_port, trouble
 
-PAIRS = 6  # usual clients, and as many bad ones
-USUAL_SECONDS = 1.2  # running time of a usual client's job
-BAD_SECONDS = 0.3  # what a bad client's copy asks for
-WAIT = 5.0
-KILL_AFTER = 3.7  # the longest deadline (3 s at most) and 0.7 s
+SECONDS = 20.0
+JOBS_A_SECOND = 10
+BAD_CLIENTS = 10
+CHECK_INTERVAL = 0.02  # seconds between two looks at the memory of the process
 
 
 async def play(record: Record, folder: Path) -> list[str]:
@@ -22,76 +22,98 @@
     await discovery.open()
     port = free_port()
     runners = [
-        Runner(f"s-{number}", record, (standins.HOST, port), zone="bangkok", cell=0) for number in range(2)
+        Runner(f"s-{number}", record, (standins.HOST, port), zone="bangkok", cell=0) for number in range(3)
     ]
     for runner in runners:
         await runner.open()
         discovery.set_entry(runner)
     config = standins.configuration("n0", port, discovery, standins.roster_settings())
-    old = Dispatcher("n0", record, folder, config, admin_port=free_port(), log="old")
-    new = Dispatcher("n0", record, folder, config, admin_port=free_port(), log="new")
+    dispatcher = Dispatcher("n0", record, folder, config, admin_port=free_port())
+    bad_clients = None
     try:
-        await old.start()
-        await old.wait_until_ready()
-        bad_clients = [Client(f"bad-{number}", record, old.listen) for number in range(PAIRS)]
-        for number, client in enumerate(bad_clients):  # kept connections, from before the upgrade
-            await client.send(f"first-{number}", "my-shifts", b"first", wait=WAIT, cost=0.05)
-        await new.start()
-        await new.wait_until_ready()
-        old.signal(signal.SIGTERM)
-        answers = await send_pairs(record, old.listen, bad_clients)
-        await asyncio.sleep(max(KILL_AFTER - USUAL_SECONDS, 0))
-        old.signal(signal.SIGKILL)
-        breaks = judge(answers, runners)
-        after = Client("client-after", record, new.listen)
-        await after.send("after", "my-shifts", b"after", wait=WAIT, cost=0.05)
+        await dispatcher.start()
+        await dispatcher.wait_until_ready()
+        watch = asyncio.create_task(enforce_memory_limit(record, dispatcher))
+        if trouble():
+            bad_clients = await start_bad_clients(record, port)
+        answers = await send_jobs(record, dispatcher)
+        breaks = await watch
+        if breaks:
+            unanswered = [answer.request_id for answer in answers if not answer.status]
+            breaks += [f"{request_id} got no answer" for request_id in unanswered]
         return breaks
     finally:
-        await old.end()
-        await new.end()
-
-
-async def send_pairs(
-    record: Record, address: tuple[str, int], bad_clients: list[Client]
-) -> list[tuple[Answer, Answer]]:
-    """Each usual client opens a connection and sends; 0.1 s later a bad client sends the same id."""
-    return await asyncio.gather(
-        *(
-            send_pair(Client(f"client-{number}", record, address), bad, f"job-{number}")
-            for number, bad in enumerate(bad_clients)
-        )
-    )
+        await dispatcher.end()
+        if bad_clients and bad_clients.returncode is None:
+            with contextlib.suppress(ProcessLookupError):
+                bad_clients.kill()
+            await bad_clients.wait()
 
 
-async def send_pair(usual: Client, bad: Client, request_id: str) -> tuple[Answer, Answer]:
-    await usual.connect()
-    sent = asyncio.create_task(
-        usual.send(request_id, "my-shifts", b"usual " + request_id.encode(), wait=WAIT, cost=USUAL_SECONDS)
+async def start_bad_clients(record: Record, port: int) -> asyncio.subprocess.Process:
+    record("platform", f"{BAD_CLIENTS} bad clients begin")
+    return await asyncio.create_subprocess_exec(
+        sys.executable,
+        str(Path(__file__).with_name("bad_clients.py")),
+        standins.HOST,
+        str(port),
+        str(BAD_CLIENTS),
+        str(SECONDS),
+        stdout=asyncio.subprocess.DEVNULL,
     )
-    await asyncio.sleep(0.1)
-    # Without the disruption the client of the kept connection sends an id of its own.
-    bad_id = request_id if trouble() else f"own-{request_id}"
-    answer = await bad.send(bad_id, "my-shifts", b"bad " + request_id.encode(), wait=WAIT, cost=BAD_SECONDS)
-    return await sent, answer
-
-
-def judge(answers: list[tuple[Answer, Answer]], runners: list[Runner]) -> list[str]:
-    breaks = []
-    for usual, bad in answers:
-        body = b"usual " + usual.request_id.encode()
-        if usual.status == 200 and usual.body.decode() != result_of(body):
-            breaks.append(f"the client of {usual.request_id} got the result of another request")
-        if usual.status == 0:
-            breaks.append(f"the client of {usual.request_id} got no answer")
-        if bad.request_id == usual.request_id:
-            if bad.status == 200:
-                breaks.append(f"the bad client with the id {usual.request_id} was served")
-            sent = [
-                run for runner in runners for run in runner.runs if run.job.request_id == usual.request_id
-            ]
-            if any(run.job.body != body for run in sent):
-                breaks.append(f"the bad client's copy of {usual.request_id} was sent to a runner and run")
-    return breaks
+
+
+async def enforce_memory_limit(record: Record, dispatcher: Dispatcher) -> list[str]:
+    """Kills the dispatcher over `limits.memory_mb`, as the platform does; returns the break, if any."""
+    assert dispatcher.process is not None
+    limit = dispatcher.config["limits"]["memory_mb"]
+    loop = asyncio.get_running_loop()
+    end = loop.time() + SECONDS
+    peak = 0.0
+    noted_at = loop.time()
+    while loop.time() < end and dispatcher.process.returncode is None:
+        peak = max(peak, resident_megabytes(dispatcher.process.pid))
+        if peak > limit:
+            record("platform", f"{peak:.0f} MB resident, over the limit of {limit} MB: kills the dispatcher")
+            dispatcher.signal(signal.SIGKILL)
+            return [f"the dispatcher was killed for memory: {peak:.0f} MB of {limit} MB"]
+        if loop.time() - noted_at > 0.5:
+            noted_at = loop.time()
+            record("platform", f"{peak:.0f} MB resident at most so far")
+        await asyncio.sleep(CHECK_INTERVAL)
+    if dispatcher.process.returncode is not None:
+        return [f"the dispatcher ended by itself, status {dispatcher.process.returncode}"]
+    return []
+
+
+def resident_megabytes(process_id: int) -> float:
+    with contextlib.suppress(OSError, IndexError):
+        status = Path(f"/proc/{process_id}/status").read_text()
+        return int(status.split("VmRSS:")[1].split()[0]) / 1000
+    return 0.0
+
+
+async def send_jobs(record: Record, dispatcher: Dispatcher) -> list[Answer]:
+    """The usual clients, until the dispatcher is gone or the time is over."""
+    assert dispatcher.process is not None
+    tasks = []
+    for number in range(int(SECONDS * JOBS_A_SECOND)):
+        if dispatcher.process.returncode is not None:
+            break
+        client = Client(f"client-{number}", record, dispatcher.listen)
+        name = f"job-{number}"
+        tasks.append(asyncio.create_task(send_one(client, name)))
+        await asyncio.sleep(1 / JOBS_A_SECOND)
+    return [answer for answer in await asyncio.gather(*tasks) if answer]
+
+
+async def send_one(client: Client, name: str) -> Answer | None:
+    """One job; None if no connection could be made, so that nothing was sent."""
+    try:
+        await client.connect()
+    except OSError:
+        return None
+    return await client.send(name, "my-shifts", name.encode(), wait=5.0, cost=0.4)
 
 
 standins.main(play, __file__)
