--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -220,13 +220,19 @@
         self.dispatcher = dispatcher
         self.zone = zone
         self.cell = cell
-        self.slots = asyncio.Semaphore(4)
+        self.slot_count = 4
+        self.slots = asyncio.Semaphore(self.slot_count)
         self.held = 0
         self.runs: list[Run] = []
         self.tasks: set[asyncio.Task[None]] = set()
 
+    async def open(self) -> None:
+        self.slots = asyncio.Semaphore(self.slot_count)
+        await super().open()
+
     def report(self) -> dict[str, float]:
-        return {"qps": 1.0, "queue": float(max(self.held - 4, 0)), "x0": float(max(4 - self.held, 0))}
+        free = self.slot_count - self.held
+        return {"qps": 1.0, "queue": float(max(-free, 0)), "x0": float(max(free, 0))}
 
     async def handle(self, message: Message, writer: asyncio.StreamWriter) -> None:
         method, path, _ = message.start.split()
