Show what is held by purpose, the longest turn and a line near the memory limit

Change: gauges held-...-bytes, resident-kilobytes, longest-turn-ms at SIGUSR1 and the end; a line when the resident memory is over eight tenths of limits.memory_mb, which no line of the program read before.

--- a/crankfold/network/accepted_connection.py
+++ b/crankfold/network/accepted_connection.py
@@ -10,6 +10,7 @@
 from crankfold.network.socket_state import PEER_CLOSED, has_pending
 from crankfold.protocol.client_connection import ClientConnection, ClientRequestHandler
 from crankfold.protocol.headers import Header
+from crankfold.time_units import MILLISECONDS_PER_SECOND
 
 READER_LIMIT = 16 * 1024  # bytes; asyncio pauses the transport once twice as much is buffered
 READ_SIZE = 4 * READER_LIMIT  # bytes
@@ -109,7 +110,7 @@
 
     def _process(self, data: bytes) -> None:
         protocol = self.protocol
-        self.received_at = self.listener.loop.time()
+        started_at = self.received_at = self.listener.loop.time()
         if not protocol.awaiting_response and not protocol.is_mid_request():
             self.phase_started_at = self.received_at
         try:
@@ -122,6 +123,7 @@
             if __debug__:
                 raise
         self._flush()
+        self._record_turn(started_at)
         if protocol.identified:
             self.listener.unidentified_connections.pop(self, None)
         if self.unread_bytes > MAX_UNREAD_BYTES and protocol.awaiting_response:
@@ -157,8 +159,14 @@
     def _resume_reading(self) -> None:
         if not self.protocol.closing and not self.protocol.awaiting_response:
             self.unread_bytes = 0
+            started_at = self.listener.loop.time()
             self.protocol.process_buffered()
             self._flush()
+            self._record_turn(started_at)
+
+    def _record_turn(self, started_at: float) -> None:
+        duration_ms = int((self.listener.loop.time() - started_at) * MILLISECONDS_PER_SECOND)
+        self.listener.metrics.record_maximum("longest-turn-ms", duration_ms)
 
     def _flush(self) -> None:
         protocol = self.protocol
@@ -187,9 +195,13 @@
         """
         return max(self.received_at, self.phase_started_at)
 
+    def unsent_bytes(self) -> int:
+        """Returns the number of written bytes that are still buffered as the peer does not receive them."""
+        return self.writer.transport.get_write_buffer_size()
+
     def has_unsent_data(self) -> bool:
-        """Whether written bytes are still buffered because the peer does not receive them."""
-        return self.writer.transport.get_write_buffer_size() > 0
+        """Whether written bytes are still buffered."""
+        return self.unsent_bytes() > 0
 
     def is_idle(self) -> bool:
         """Whether no request is being received, open or being answered."""
--- a/crankfold/protocol/client_connection.py
+++ b/crankfold/protocol/client_connection.py
@@ -107,6 +107,10 @@
         """Whether the header of a request was received, but its body is incomplete."""
         return not self.awaiting_response and self.request_head is not None
 
+    def unparsed_bytes(self) -> int:
+        """Returns the number of received bytes that are not processed yet."""
+        return len(self.http.trailing_data[0])
+
     def receive_data(self, data: bytes) -> None:
         """Receives bytes, and handles a request that they complete."""
         if self.closing:
--- a/crankfold/service/application.py
+++ b/crankfold/service/application.py
@@ -30,11 +30,13 @@
     SocketLimits,
     connection_timeouts,
     divide_socket_limit,
+    memory_limit,
     parse_address,
     parse_settings,
 )
-from crankfold.service.gauges import process_gauges
+from crankfold.service.gauges import held_bytes, process_gauges
 from crankfold.service.lifecycle import Lifecycle
+from crankfold.service.memory_monitor import MemoryMonitor
 from crankfold.service.reload import ConfigApplier, ConfigReloader
 from crankfold.service.requests.collaborators import NoCluster, NoOtherProcess, OtherProcesses
 from crankfold.service.requests.handler import RequestHandler
@@ -111,6 +113,7 @@
         )
         parts = self.handover.serving_parts if self.handover else build_serving_parts(self.other_processes)
         self.request_handler, self.listener, self.socket_budget = parts
+        self.memory_monitor = MemoryMonitor(memory_limit(document), partial(held_bytes, parts))
 
     def _build_serving_parts(
         self,
@@ -345,6 +348,7 @@
         if self.handover:
             self.handover.run_periodic_tasks()
         self.listener.sweep()
+        self.memory_monitor.check()
 
     async def _close(self) -> None:
         await self.shutdown.close()
--- a/crankfold/service/config_file.py
+++ b/crankfold/service/config_file.py
@@ -15,6 +15,7 @@
 from crankfold.errors import ConfigError
 from crankfold.network.admin_server import MAX_CALLERS
 from crankfold.network.listener import UNCOUNTED_SOCKETS
+from crankfold.network.process_memory import BYTES_PER_MEGABYTE
 from crankfold.routing.interface import RoutingConfig
 from crankfold.time_units import TICKS_PER_SECOND
 
@@ -106,6 +107,18 @@
     )
 
 
+def memory_limit(document: ConfigDocument) -> int:
+    """Returns `limits.memory_mb` in bytes; 0 without a limit.
+
+    Raises:
+        ConfigError: The limit is not a number.
+    """
+    try:
+        return int(float((document.get("limits") or {}).get("memory_mb") or 0) * BYTES_PER_MEGABYTE)
+    except (AttributeError, OverflowError, TypeError, ValueError):
+        raise ConfigError("limits: memory_mb is not a number") from None
+
+
 def connection_timeouts(config: ServiceConfig) -> ConnectionTimeouts:
     """Returns the time limits that `config` defines."""
     return ConnectionTimeouts(
--- a/crankfold/service/gauges.py
+++ b/crankfold/service/gauges.py
@@ -1,13 +1,12 @@
 """The present figures of a process, which its counters are logged with."""
 
-import resource
-
 from crankfold.network.connection_pool import ConnectionLimiter
+from crankfold.network.process_memory import BYTES_PER_KIBIBYTE, peak_resident_bytes, resident_bytes
 from crankfold.service.serving_parts import ServingParts
 
 
 def process_gauges(parts: ServingParts, connection_limiter: ConnectionLimiter) -> dict[str, int]:
-    """Returns the numbers of requests and connections, and the peak of the resident memory in KiB."""
+    """Returns the numbers of requests and connections, the memory in KiB, and the bytes held by purpose."""
     request_handler, listener, _ = parts
     return {
         "open-requests": request_handler.open_request_count(),
@@ -15,5 +14,19 @@
         "open-backend-connections": connection_limiter.open_count,
         "open-accepted-connections": len(listener.connections),
         "ended-accepted-connections-in-memory": listener.ended_connections_in_memory(),
-        "peak-resident-kilobytes": resource.getrusage(resource.RUSAGE_SELF).ru_maxrss,
+        "peak-resident-kilobytes": peak_resident_bytes() // BYTES_PER_KIBIBYTE,
+        "resident-kilobytes": resident_bytes() // BYTES_PER_KIBIBYTE,
+        **held_bytes(parts),
+    }
+
+
+def held_bytes(parts: ServingParts) -> dict[str, int]:
+    """Returns the bytes that the process holds for its clients, by purpose."""
+    request_handler, listener, _ = parts
+    connections = listener.connections
+    return {
+        "held-input-bytes": sum(connection.protocol.unparsed_bytes() for connection in connections),
+        "held-body-bytes": sum(len(connection.protocol.body) for connection in connections),
+        "held-unsent-bytes": sum(connection.unsent_bytes() for connection in connections),
+        "held-request-bytes": request_handler.request_table.held_bytes(),
     }
--- a/crankfold/service/requests/table.py
+++ b/crankfold/service/requests/table.py
@@ -175,6 +175,10 @@
         self.by_client[client] = request
         return request
 
+    def held_bytes(self) -> int:
+        """Returns the bytes of the bodies of all requests in the table."""
+        return sum(len(request.http_request.body) for request in self.requests.values())
+
     def class_of(self, request: Request) -> RequestClass:
         """Returns the class of the request as of its admission."""
         return self.request_classes.classes[request.class_index]
