--- /dev/null
+++ b/tests/overload/test_memory.py
@@ -0,0 +1,38 @@
+"""The memory limit under clients that make the dispatcher hold or build more than they send."""
+
+import asyncio
+
+from tests.overload.scene import OverloadTestCase, resident_megabytes
+
+MEMORY_LIMIT_MEGABYTES = 192
+DESCRIPTORS = 1024
+HUNDREDS = DESCRIPTORS // 3  # clients hold a third of the descriptors at most for requests
+SECONDS = 8.0
+SERVED_SHARE = 0.8  # of the usual requests, beside as many bad clients as the descriptors allow
+
+
+class MemoryTest(OverloadTestCase):
+    async def peak_beside(self, kind: str, clients: int, memory_mb: int = MEMORY_LIMIT_MEGABYTES) -> float:
+        """Returns the peak of the memory in megabytes, after a check that usual clients were served."""
+        await self.start_dispatcher(memory_mb, DESCRIPTORS)
+        await self.start_bad_clients(kind, clients, SECONDS)
+        usual, peak = await asyncio.gather(self.send_usual_requests(SECONDS), self.peak_memory(SECONDS))
+        self.assertIsNone(self.process.returncode, "the process ended by itself")
+        self.assertGreaterEqual(usual.served_share(), SERVED_SHARE, f"{usual}")
+        return peak
+
+    # Guards against heads of 16 KB that h11 turns into 400 KB of objects each.
+    async def test_heads_of_short_fields_stay_within_limit(self) -> None:
+        for kind in ("many-fields", "many-fields-slowly", "trailers"):
+            with self.subTest(kind):
+                self.assertLess(await self.peak_beside(kind, HUNDREDS), MEMORY_LIMIT_MEGABYTES)
+
+    # Guards against input that is read behind an open request and counted anew after each answer.
+    async def test_pipelined_requests_do_not_grow_memory(self) -> None:
+        await self.start_dispatcher(MEMORY_LIMIT_MEGABYTES, DESCRIPTORS)
+        await self.send_usual_requests(1.0)
+        before = resident_megabytes(self.process.pid)
+        await self.start_bad_clients("pipeline-after-answer", 8, SECONDS)
+        peak = await self.peak_memory(SECONDS)
+        allowed_growth = 8 * 1.0  # megabytes: a connection holds 64 KB of input, with its copies at most 1 MB
+        self.assertLess(peak - before, allowed_growth)
