Begin no attempt for a client whose close may stand behind unread input

Callers saw: a client closes its connection with much still unread, and its requests are sent on afterwards. Cause: the kernel reports a close only once all input before it is read; a client that floods behind an open request is read slowly (2 ms for each flooding connection), so a request that a backend hands back is sent again long after the close. Fix: while input is discarded and the kernel holds more of it, the client counts as gone, at the admission and before each attempt; no pending input means that a close would be seen.

--- a/crankfold/network/accepted_connection.py
+++ b/crankfold/network/accepted_connection.py
@@ -7,7 +7,7 @@
 from typing import Protocol
 
 from crankfold.network.metrics import Metrics
-from crankfold.network.socket_state import PEER_CLOSED, has_pending
+from crankfold.network.socket_state import ANY_INPUT, PEER_CLOSED, has_pending
 from crankfold.protocol.client_connection import ClientConnection, ClientRequestHandler
 from crankfold.protocol.headers import Header
 from crankfold.time_units import MILLISECONDS_PER_SECOND
@@ -137,8 +137,14 @@
         return self.protocol.awaiting_response
 
     def peer_has_closed(self) -> bool:
-        """Whether the peer has closed the connection, even if unread input precedes the close."""
-        return self.writer.is_closing() or has_pending(self.writer, PEER_CLOSED)
+        """Whether the peer has closed the connection, or may have done so behind input in the kernel.
+
+        The kernel reports a close after all input before it is read. A client that has sent more than is read
+        for it may have left long before.
+        """
+        if self.writer.is_closing() or has_pending(self.writer, PEER_CLOSED):
+            return True
+        return self.protocol.discarding_input and has_pending(self.writer, ANY_INPUT)
 
     def respond(self, status: int, headers: Sequence[Header] = (), body: bytes = b"") -> None:
         """Answers the open request; a pipelined one is read in the next iteration of the event loop."""
--- a/crankfold/protocol/client_connection.py
+++ b/crankfold/protocol/client_connection.py
@@ -27,7 +27,7 @@
         """Whether a request is open, that is, has no response yet."""
 
     def peer_has_closed(self) -> bool:
-        """Whether the peer has closed the connection, as far as the kernel knows."""
+        """Whether the peer has closed the connection, or has sent so much that its close may be unseen."""
 
     def exceeds_limit(self) -> bool:
         """Whether more connections are open than allowed, so that requests on this one are shed."""
