--- a/crankfold/network/accepted_connection.py
+++ b/crankfold/network/accepted_connection.py
@@ -22,6 +22,7 @@
 # Seconds for which input is read and discarded after the last response. Closing a socket with unread input
 # resets the connection, and the peer could lose the response.
 CLOSE_DELAY = 0.5
+MAX_HIDDEN_CLOSE = 0.05  # seconds for which a close may be hidden behind input in the kernel
 NEW_CONNECTION_GRACE = 0.1  # seconds after an accept or a response; the next request may be in transit
 
 
@@ -75,6 +76,7 @@
         self.phase_started_at = self.accepted_at
         self.received_at = self.accepted_at
         self.unread_bytes = 0
+        self._input_pending_since = 0.0  # while input is discarded: since when the kernel may hide a close
         self._close_timer: asyncio.TimerHandle | None = None
 
     async def run(self) -> None:
@@ -130,6 +132,7 @@
             # Reading continues, because a disconnect of the client is seen only after this input. The input
             # is discarded along with any pipelined requests: clients send one request at a time.
             protocol.discarding_input = True
+            self._input_pending_since = self.listener.loop.time()
             self.listener.flooding_connections.add(self)
 
     def is_awaiting_response(self) -> bool:
@@ -144,7 +147,12 @@
         """
         if self.writer.is_closing() or has_pending(self.writer, PEER_CLOSED):
             return True
-        return self.protocol.discarding_input and has_pending(self.writer, ANY_INPUT)
+        if not self.protocol.discarding_input:
+            return False
+        now = self.listener.loop.time()
+        if not has_pending(self.writer, ANY_INPUT):
+            self._input_pending_since = now
+        return now - self._input_pending_since > MAX_HIDDEN_CLOSE
 
     def respond(self, status: int, headers: Sequence[Header] = (), body: bytes = b"") -> None:
         """Answers the open request; a pipelined one is read in the next iteration of the event loop."""
