Bound what h11 is given: fields are counted before a head is parsed

Callers saw: beside hundreds of clients with heads of thousands of short fields, usual requests unanswered and the process killed for memory; one client that writes on after each answer fills the memory. Cause: h11 builds 418 KB of objects from a head of 16 KB (10 ms), trailers alike, and keeps all bytes behind a message; the limit on unread input began anew at each answer. Fix: input stays in BoundedInput; a head or trailers of over 100 fields get 431 unparsed; a body of known length is passed on exactly, chunks in portions; what is unread is counted by its bytes; the parsed head and body are dropped when the request is passed on.

--- a/crankfold/network/accepted_connection.py
+++ b/crankfold/network/accepted_connection.py
@@ -62,7 +62,6 @@
         accepted_at: When the connection was accepted.
         phase_started_at: When the connection became idle, or the present request or response began.
         received_at: When bytes of a request were last received.
-        unread_bytes: Number of bytes received while a request was open, or after the last response.
     """
 
     def __init__(
@@ -75,7 +74,7 @@
         self.accepted_at = listener.loop.time()
         self.phase_started_at = self.accepted_at
         self.received_at = self.accepted_at
-        self.unread_bytes = 0
+        self._discarded_bytes = 0  # after the last response
         self._input_pending_since = 0.0  # while input is discarded: since when the kernel may hide a close
         self._close_timer: asyncio.TimerHandle | None = None
 
@@ -87,8 +86,8 @@
         """
         protocol = self.protocol
         while data := await self.reader.read(READ_SIZE):
-            if protocol.closing or (protocol.awaiting_response and not protocol.discarding_input):
-                self.unread_bytes += len(data)
+            if protocol.closing:
+                self._discarded_bytes += len(data)
             is_discarded = protocol.closing or protocol.discarding_input
             if not is_discarded:
                 self._process(data)
@@ -117,6 +116,7 @@
             self.phase_started_at = self.received_at
         try:
             protocol.receive_data(data)
+            self._process_input()
         except Exception as error:
             # A request that was read gets a response even after an internal error.
             self.listener.metrics.record_exception(error)
@@ -135,6 +135,15 @@
             self._input_pending_since = self.listener.loop.time()
             self.listener.flooding_connections.add(self)
 
+    def _process_input(self) -> None:
+        while self.protocol.can_proceed:
+            self.protocol.process_portion()
+
+    @property
+    def unread_bytes(self) -> int:
+        """Number of bytes received and not processed, or discarded after the last response."""
+        return len(self.protocol.input) + self._discarded_bytes
+
     def is_awaiting_response(self) -> bool:
         """Whether a request is open, that is, has no response yet."""
         return self.protocol.awaiting_response
@@ -171,10 +180,9 @@
         self.respond(status)
 
     def _resume_reading(self) -> None:
-        if not self.protocol.closing and not self.protocol.awaiting_response:
-            self.unread_bytes = 0
+        if self.protocol.can_proceed:
             started_at = self.listener.loop.time()
-            self.protocol.process_buffered()
+            self._process_input()
             self._flush()
             self._record_turn(started_at)
 
--- a/crankfold/protocol/client_connection.py
+++ b/crankfold/protocol/client_connection.py
@@ -7,11 +7,14 @@
 import h11
 
 from crankfold.errors import drop_traceback
+from crankfold.protocol.bounded_input import BoundedInput, NextEvent
 from crankfold.protocol.callbacks import CallbackHandler, handle_callback, request_id_of
 from crankfold.protocol.client_request import ClientRequest, parse_request
-from crankfold.protocol.headers import MAX_BODY_SIZE, MAX_HEADER_SIZE, Header, HeaderError
+from crankfold.protocol.headers import MAX_BODY_SIZE, Header, HeaderError
 
 CONTINUE = HTTPStatus.CONTINUE.value
+PORTION_EVENTS = 32  # events of h11 in one call of `process_portion`
+FIELD_COST = 128  # bytes of the objects for a header field, beside its name and value
 
 
 class ClientChannel(Protocol):
@@ -77,13 +80,13 @@
             request.
         identified: Whether the peer has sent a request or a callback.
         is_backend: Whether the peer has sent a callback.
-        buffered_bytes: Number of bytes received after the last request that was read.
+        can_proceed: Whether received bytes can be processed now.
     """
 
     def __init__(
         self, handler: ClientRequestHandler, client: ClientChannel, report_fields: Sequence[str]
     ) -> None:
-        self.http = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEADER_SIZE)
+        self.input = BoundedInput(h11.SERVER)
         self.handler = handler
         self.client = client
         self.report_fields = report_fields
@@ -97,52 +100,61 @@
         self.discarding_input = False
         self.identified = False
         self.is_backend = False
-        self.buffered_bytes = 0
+        self._needs_data = True
 
     def is_mid_request(self) -> bool:
         """Whether a request was received in part."""
-        return not self.awaiting_response and (self.request_head is not None or self.buffered_bytes > 0)
+        return not self.awaiting_response and (self.request_head is not None or len(self.input) > 0)
 
     def is_in_body(self) -> bool:
         """Whether the header of a request was received, but its body is incomplete."""
         return not self.awaiting_response and self.request_head is not None
 
-    def unparsed_bytes(self) -> int:
-        """Returns the number of received bytes that are not processed yet."""
-        return len(self.http.trailing_data[0])
+    def held_bytes(self) -> int:
+        """Returns the cost in memory of what was received and is not passed to the handler."""
+        held = len(self.input) + len(self.body)
+        if self.request_head is not None:
+            held += sum(len(name) + len(value) + FIELD_COST for name, value in self.request_head.headers)
+        return held
+
+    @property
+    def can_proceed(self) -> bool:
+        """Whether received bytes can be processed now."""
+        return not self._needs_data and not self.awaiting_response and not self.closing
 
     def receive_data(self, data: bytes) -> None:
-        """Receives bytes, and handles a request that they complete."""
-        if self.closing:
-            return
-        self.http.receive_data(data)
-        self.buffered_bytes += len(data)
-        self.process_buffered()
+        """Receives bytes, to be processed by `process_portion`."""
+        if not self.closing:
+            self.input.receive_data(data)
+            self._needs_data = False
 
-    def process_buffered(self) -> None:
-        """Processes received bytes up to the end of one request, or all of them if none is complete."""
+    def process_portion(self) -> None:
+        """Processes received bytes up to the end of one request, or PORTION_EVENTS events."""
         try:
-            while not self.awaiting_response and not self.closing:
-                event = self.http.next_event()
-                if event is h11.NEED_DATA:
-                    self._wait_for_data()
-                    return
-                if event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
+            for _ in range(PORTION_EVENTS):
+                if not self.can_proceed:
                     return
-                if isinstance(event, h11.Request):
-                    self._start_request(event)
-                elif isinstance(event, h11.Data):
-                    self.body += event.data
-                    if len(self.body) > MAX_BODY_SIZE:
-                        self._fail(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
-                elif isinstance(event, h11.EndOfMessage):
-                    self.awaiting_response = True
-                    self.buffered_bytes = len(self.http.trailing_data[0])
-                    self._route()
+                self._process_event(self.input.next_event())
         except h11.RemoteProtocolError as error:
             drop_traceback(error)
             self._fail(error.error_status_hint)
 
+    def _process_event(self, event: NextEvent) -> None:
+        if event is h11.NEED_DATA:
+            self._needs_data = True
+            self._wait_for_data()
+        elif event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
+            self._needs_data = True
+        elif isinstance(event, h11.Request):
+            self._start_request(event)
+        elif isinstance(event, h11.Data):
+            self.body += event.data
+            if len(self.body) > MAX_BODY_SIZE:
+                self._fail(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+        elif isinstance(event, h11.EndOfMessage):
+            self.awaiting_response = True
+            self._route()
+
     def connection_lost(self) -> None:
         """Drops what was received, and the reference to the channel, which refers to this object.
 
@@ -170,18 +182,20 @@
         self.awaiting_response = False
         self.request_head = None
         self.body = bytearray()
-        if self.http.our_state is h11.MUST_CLOSE or self.http.our_state is h11.CLOSED:
+        http = self.input.http
+        if http.our_state is h11.MUST_CLOSE or http.our_state is h11.CLOSED:
             self.closing = True
             self._drop_input()
-        elif self.http.states == {h11.CLIENT: h11.DONE, h11.SERVER: h11.DONE}:
-            self.http.start_next_cycle()
+        elif http.states == {h11.CLIENT: h11.DONE, h11.SERVER: h11.DONE}:
+            self.input.start_next_cycle()
+            self._needs_data = len(self.input) == 0
 
     # --- reading ---
 
     def _wait_for_data(self) -> None:
         if self.discarding_input:
             self.closing = True
-        elif self.http.they_are_waiting_for_100_continue:
+        elif self.input.http.they_are_waiting_for_100_continue:
             self._send_event(h11.InformationalResponse(status_code=CONTINUE, headers=[]))
 
     def _start_request(self, head: h11.Request) -> None:
@@ -198,36 +212,39 @@
     def _drop_input(self) -> None:
         """Releases the received bytes, of which no more are processed."""
         self.body = bytearray()
-        self.http = h11.Connection(h11.SERVER)  # h11 can't drop the bytes that it has buffered
+        self.input.drop()
 
     def _fail(self, status: int) -> None:
         """Rejects a malformed message, if a response can still be sent, and closes the connection."""
         self.closing = True
         self.close_after_response = True
         self.rejected_status = status
-        if self.http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+        if self.input.http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             self.respond(status)
 
     # --- routing by path ---
 
     def _route(self) -> None:
         assert self.request_head is not None
-        path = self.request_head.target.partition(b"?")[0]
+        head, body = self.request_head, bytes(self.body)
+        self.request_head = None
+        self.body = bytearray()
+        path = head.target.partition(b"?")[0]
         if path == b"/api" or path.startswith(b"/api/"):
-            self._route_request(self.request_head)
+            self._route_request(head, body)
         elif path == b"/v1/job-events":
-            self._route_callback(self.request_head)
+            self._route_callback(head, body)
         elif path == b"/healthz":
-            self._route_health_check(self.request_head)
+            self._route_health_check(head)
         else:
             self._reject(HTTPStatus.NOT_FOUND)
 
-    def _route_request(self, head: h11.Request) -> None:
+    def _route_request(self, head: h11.Request, body: bytes) -> None:
         if head.method != b"POST":
             self._reject(HTTPStatus.METHOD_NOT_ALLOWED, allowed_methods=b"POST")
             return
         try:
-            request = parse_request(head.method, head.target, head.headers, bytes(self.body))
+            request = parse_request(head.method, head.target, head.headers, body)
         except HeaderError:
             self._reject(HTTPStatus.BAD_REQUEST)
             return
@@ -237,11 +254,10 @@
         self.identified = True
         self.handler.submit(self.client, request)
 
-    def _route_callback(self, head: h11.Request) -> None:
+    def _route_callback(self, head: h11.Request, body: bytes) -> None:
         if head.method != b"POST":
             self._reject(HTTPStatus.METHOD_NOT_ALLOWED, allowed_methods=b"POST")
             return
-        body = bytes(self.body)
         request_id = request_id_of(body)
         known = not request_id or self.handler.callbacks.has_request(request_id)
         if not known and self.handler.callbacks.forward_unknown_callback(self.client, body):
@@ -270,4 +286,4 @@
     # --- writing ---
 
     def _send_event(self, event: h11.Event) -> None:
-        self.outgoing += self.http.send_with_data_passthrough(event) or []
+        self.outgoing += self.input.http.send_with_data_passthrough(event) or []
--- a/crankfold/service/gauges.py
+++ b/crankfold/service/gauges.py
@@ -25,8 +25,7 @@
     request_handler, listener, _ = parts
     connections = listener.connections
     return {
-        "held-input-bytes": sum(connection.protocol.unparsed_bytes() for connection in connections),
-        "held-body-bytes": sum(len(connection.protocol.body) for connection in connections),
+        "held-input-bytes": sum(connection.protocol.held_bytes() for connection in connections),
         "held-unsent-bytes": sum(connection.unsent_bytes() for connection in connections),
         "held-request-bytes": request_handler.request_table.held_bytes(),
     }
--- a/tests/protocol/test_client_connection.py
+++ b/tests/protocol/test_client_connection.py
@@ -16,6 +16,14 @@
 )
 
 
+def receive(connection: ClientConnection, data: bytes = b"") -> None:
+    """Passes bytes to a connection, which processes them up to the end of a request."""
+    if data:
+        connection.receive_data(data)
+    while connection.can_proceed:
+        connection.process_portion()
+
+
 class ClientConnectionTest(TraceTestCase):
     """Handles the requests and callbacks of its connections by recording them in the trace."""
 
@@ -68,26 +76,27 @@
 
     def test_complete_fragmented_and_pipelined_requests(self) -> None:
         pipelined, split = self.create_connection(), self.create_connection()
-        pipelined.receive_data(REQUEST + REQUEST.replace(b"u1", b"u2"))
+        receive(pipelined, REQUEST + REQUEST.replace(b"u1", b"u2"))
         self.record("nothing of the second is read before the first is answered")
         pipelined.respond(200, [], b"done")
-        pipelined.process_buffered()
+        receive(pipelined)
         self.record_output(pipelined)
         for position in range(len(REQUEST)):
-            split.receive_data(REQUEST[position : position + 1])
+            receive(split, REQUEST[position : position + 1])
         split.close_after_response = True
         split.respond(503, [(b"Retry-After", b"0.500")])
         self.record_output(split)
         self.record(f"closing {split.closing}")
         chunked, expecting_continue = self.create_connection(), self.create_connection()
-        chunked.receive_data(
-            HEAD + b"Transfer-Encoding: chunked\r\nX-Odd: \x80\r\nX-Own: 1\r\n\r\n2\r\nhi\r\n0\r\n\r\n"
+        receive(
+            chunked,
+            HEAD + b"Transfer-Encoding: chunked\r\nX-Odd: \x80\r\nX-Own: 1\r\n\r\n2\r\nhi\r\n0\r\n\r\n",
         )
-        expecting_continue.receive_data(HEAD + b"Expect: 100-continue\r\nContent-Length: 2\r\n\r\n")
+        receive(expecting_continue, HEAD + b"Expect: 100-continue\r\nContent-Length: 2\r\n\r\n")
         self.record_output(expecting_continue)
-        expecting_continue.receive_data(b"hi")
+        receive(expecting_continue, b"hi")
         http_1_0 = self.create_connection()
-        http_1_0.receive_data(REQUEST.replace(b"HTTP/1.1\r\nHost: b", b"HTTP/1.0"))
+        receive(http_1_0, REQUEST.replace(b"HTTP/1.1\r\nHost: b", b"HTTP/1.0"))
         http_1_0.respond(200)
         self.record_output(http_1_0)
         self.assert_matches_trace("units")
@@ -108,8 +117,8 @@
             traces = []
             for position in range(1, len(data)):
                 connection, self.lines = self.create_connection(), []
-                connection.receive_data(data[:position])
-                connection.receive_data(data[position:])
+                receive(connection, data[:position])
+                receive(connection, data[position:])
                 self.record_output(connection)
                 traces.append(
                     [
@@ -151,7 +160,7 @@
             "health, head": b"HEAD /healthz HTTP/1.1\r\nHost: b\r\n\r\n",
         }.items():
             connection = self.create_connection()
-            connection.receive_data(data)
+            receive(connection, data)
             status_line = b"".join(connection.outgoing).partition(b"\r\n")[0].decode()
             self.record(f"{name}: {status_line}{', closing' if connection.closing else ''}")
         self.assert_matches_trace("bad-requests")
@@ -180,8 +189,9 @@
             )
         connection = self.create_connection()
         for body in (b'{"id":"u1","from":"a","state":"lost"}', b"{}"):
-            connection.receive_data(
-                b"POST /v1/job-events HTTP/1.1\r\nHost: b\r\nContent-Length: %d\r\n\r\n" % len(body) + body
+            receive(
+                connection,
+                b"POST /v1/job-events HTTP/1.1\r\nHost: b\r\nContent-Length: %d\r\n\r\n" % len(body) + body,
             )
             self.record_output(connection)
         self.assert_matches_trace("call-backs")
--- a/tests/soak/planted.py
+++ b/tests/soak/planted.py
@@ -76,12 +76,12 @@
     original = ClientConnection._route_request
     request_numbers = count(1)
 
-    def close_some(self: ClientConnection, head: Any) -> None:
+    def close_some(self: ClientConnection, head: Any, body: bytes) -> None:
         if next(request_numbers) % FAULT_INTERVAL == 0:
             self.awaiting_response = False
             self.closing = True
         else:
-            original(self, head)
+            original(self, head, body)
 
     replace_attribute(ClientConnection, "_route_request", close_some)
 
