Process the input of connections in turns of 2 ms, one request or 32 events each

Callers saw: while one client sends small requests at full speed, other clients get their answers late or never. Cause: what needs no backend is answered in one loop over all that was read (64 KB: hundreds of health checks, thousands of chunks), and answers that the client does not read are buffered without end. Fix: TurnQueue gives each connection a portion of bounded cost (one request, or 32 events of h11) in turn, new input first, at most 2 ms before the event loop runs on; a connection whose responses are not received gets no turn; one whose input waits is neither read beyond 64 KB nor evicted.

--- a/crankfold/network/accepted_connection.py
+++ b/crankfold/network/accepted_connection.py
@@ -8,9 +8,9 @@
 
 from crankfold.network.metrics import Metrics
 from crankfold.network.socket_state import ANY_INPUT, PEER_CLOSED, has_pending
+from crankfold.network.turn_queue import TurnQueue
 from crankfold.protocol.client_connection import ClientConnection, ClientRequestHandler
 from crankfold.protocol.headers import Header
-from crankfold.time_units import MILLISECONDS_PER_SECOND
 
 READER_LIMIT = 16 * 1024  # bytes; asyncio pauses the transport once twice as much is buffered
 READ_SIZE = 4 * READER_LIMIT  # bytes
@@ -34,6 +34,7 @@
         metrics: Counts rejected requests and failures.
         report_fields: Names of the fields of load reports, in the order of their values.
         closing: Whether each response is the last on its connection.
+        turns: Gives the connections their turns to process input.
         flooding_connections: Connections whose input is discarded.
         unidentified_connections: Connections without a request or callback so far, the oldest first.
     """
@@ -42,6 +43,7 @@
     metrics: Metrics
     report_fields: Sequence[str]
     closing: bool
+    turns: TurnQueue
     flooding_connections: "set[AcceptedConnection]"
     unidentified_connections: "dict[AcceptedConnection, None]"
 
@@ -75,6 +77,8 @@
         self.phase_started_at = self.accepted_at
         self.received_at = self.accepted_at
         self._discarded_bytes = 0  # after the last response
+        self._had_turn = False
+        self._turn_ended = asyncio.Event()
         self._input_pending_since = 0.0  # while input is discarded: since when the kernel may hide a close
         self._close_timer: asyncio.TimerHandle | None = None
 
@@ -88,15 +92,15 @@
         while data := await self.reader.read(READ_SIZE):
             if protocol.closing:
                 self._discarded_bytes += len(data)
-            is_discarded = protocol.closing or protocol.discarding_input
-            if not is_discarded:
-                self._process(data)
+            elif not protocol.discarding_input:
+                self._receive(data)
             del data  # up to READ_SIZE bytes, which would stay in memory until the next read
-            if is_discarded and not protocol.closing:
-                await asyncio.sleep(THROTTLE_DELAY * len(self.listener.flooding_connections))
-            elif is_discarded and self.unread_bytes > MAX_UNREAD_BYTES:
+            if protocol.closing and self._discarded_bytes > MAX_UNREAD_BYTES:
                 await self._wait_without_reading()
                 return
+            await self._wait_for_turn()
+            if protocol.discarding_input and not protocol.closing:
+                await asyncio.sleep(THROTTLE_DELAY * len(self.listener.flooding_connections))
 
     async def _wait_without_reading(self) -> None:
         """Waits CLOSE_DELAY and leaves further input in the kernel.
@@ -109,14 +113,44 @@
             transport.pause_reading()
         await asyncio.sleep(CLOSE_DELAY)
 
-    def _process(self, data: bytes) -> None:
+    async def _wait_for_turn(self) -> None:
+        """Waits until received input has been processed, unless more of it can be held.
+
+        Returns at once if a request is open. Reading continues behind it, as a disconnect of the client is
+        seen only after this input, but input beyond MAX_UNREAD_BYTES is discarded along with the requests in
+        it: clients send one request at a time.
+        """
+        while self.protocol.can_proceed and len(self.protocol.input) > MAX_UNREAD_BYTES:
+            self._turn_ended.clear()
+            await self._turn_ended.wait()
+        if self.protocol.awaiting_response and len(self.protocol.input) > MAX_UNREAD_BYTES:
+            self._start_discarding()
+
+    def _start_discarding(self) -> None:
+        self.protocol.discarding_input = True
+        self._input_pending_since = self.listener.loop.time()
+        self.listener.flooding_connections.add(self)
+
+    def _receive(self, data: bytes) -> None:
         protocol = self.protocol
-        started_at = self.received_at = self.listener.loop.time()
+        self.received_at = self.listener.loop.time()
         if not protocol.awaiting_response and not protocol.is_mid_request():
             self.phase_started_at = self.received_at
+        protocol.receive_data(data)
+        if protocol.can_proceed:
+            self.listener.turns.add(self)
+
+    def process_portion(self) -> bool:
+        """Processes a portion of the input of bounded cost; returns whether more can be processed now."""
+        protocol = self.protocol
+        self._had_turn = True
+        self._turn_ended.set()
+        if self.writer.is_closing():
+            protocol.closing = True
+        if self.has_unsent_data():
+            return False  # the peer does not receive its responses; the next sweep tries again
         try:
-            protocol.receive_data(data)
-            self._process_input()
+            protocol.process_portion()
         except Exception as error:
             # A request that was read gets a response even after an internal error.
             self.listener.metrics.record_exception(error)
@@ -125,29 +159,19 @@
             if __debug__:
                 raise
         self._flush()
-        self._record_turn(started_at)
         if protocol.identified:
             self.listener.unidentified_connections.pop(self, None)
-        if self.unread_bytes > MAX_UNREAD_BYTES and protocol.awaiting_response:
-            # Reading continues, because a disconnect of the client is seen only after this input. The input
-            # is discarded along with any pipelined requests: clients send one request at a time.
-            protocol.discarding_input = True
-            self._input_pending_since = self.listener.loop.time()
-            self.listener.flooding_connections.add(self)
+        return protocol.can_proceed
 
-    def _process_input(self) -> None:
-        while self.protocol.can_proceed:
-            self.protocol.process_portion()
+    def is_awaiting_response(self) -> bool:
+        """Whether a request is open, that is, has no response yet."""
+        return self.protocol.awaiting_response
 
     @property
     def unread_bytes(self) -> int:
         """Number of bytes received and not processed, or discarded after the last response."""
         return len(self.protocol.input) + self._discarded_bytes
 
-    def is_awaiting_response(self) -> bool:
-        """Whether a request is open, that is, has no response yet."""
-        return self.protocol.awaiting_response
-
     def peer_has_closed(self) -> bool:
         """Whether the peer has closed the connection, or may have done so behind input in the kernel.
 
@@ -164,11 +188,20 @@
         return now - self._input_pending_since > MAX_HIDDEN_CLOSE
 
     def respond(self, status: int, headers: Sequence[Header] = (), body: bytes = b"") -> None:
-        """Answers the open request; a pipelined one is read in the next iteration of the event loop."""
+        """Answers the open request; a pipelined one is processed in a later turn."""
         self.protocol.close_after_response = self.protocol.close_after_response or self.listener.closing
         self.protocol.respond(status, headers, body)
         self._flush()
-        self.listener.loop.call_soon(self._resume_reading)
+        self.resume()
+
+    def resume(self) -> None:
+        """Queues the connection for a turn if it can process input."""
+        if self.protocol.can_proceed:
+            self.listener.turns.add(self)
+
+    def awaits_first_turn(self) -> bool:
+        """Whether the first input was received and no part of it is processed."""
+        return not self._had_turn and self.protocol.can_proceed
 
     def exceeds_limit(self) -> bool:
         """Whether more connections are open than allowed, so that requests on this one are shed."""
@@ -179,17 +212,6 @@
         self.protocol.close_after_response = True
         self.respond(status)
 
-    def _resume_reading(self) -> None:
-        if self.protocol.can_proceed:
-            started_at = self.listener.loop.time()
-            self._process_input()
-            self._flush()
-            self._record_turn(started_at)
-
-    def _record_turn(self, started_at: float) -> None:
-        duration_ms = int((self.listener.loop.time() - started_at) * MILLISECONDS_PER_SECOND)
-        self.listener.metrics.record_maximum("longest-turn-ms", duration_ms)
-
     def _flush(self) -> None:
         protocol = self.protocol
         if protocol.rejected_status:
@@ -251,12 +273,14 @@
     def abort(self) -> None:
         """Closes the connection at once; unwritten bytes are lost."""
         self.protocol.closing = True
+        self._turn_ended.set()
         self.writer.transport.abort()
 
     def connection_lost(self) -> None:
         """Releases the memory of the connection, which has ended."""
         if self._close_timer:
             self._close_timer.cancel()  # it refers to the streams and so to their buffers
+        self.listener.turns.discard(self)
         self.protocol.connection_lost()
 
     def eviction_order(self) -> tuple[bool, bool, float]:
--- a/crankfold/network/listener.py
+++ b/crankfold/network/listener.py
@@ -10,6 +10,7 @@
 from crankfold.network.accepted_connection import NEW_CONNECTION_GRACE, READER_LIMIT, AcceptedConnection
 from crankfold.network.acceptor import AcceptLimits, Acceptor, open_listening_socket
 from crankfold.network.metrics import Metrics
+from crankfold.network.turn_queue import TurnQueue
 from crankfold.protocol.client_connection import ClientChannel, ClientRequestHandler
 
 # Timeouts of accepted connections, in seconds, checked every SWEEP_INTERVAL. A client that sends nothing, or
@@ -44,6 +45,7 @@
         max_connections: From this number on, one connection is evicted for each new one.
         flooding_connections: Connections whose input is discarded, as too much is pipelined behind a request.
         unidentified_connections: Connections without a request or callback so far, the oldest first.
+        turns: Gives the connections their turns to process input.
         closing: Whether each response is the last on its connection: out of service or shutting down.
         shared_socket: A duplicate of the listening socket, for a successor.
     """
@@ -64,6 +66,7 @@
         self._connections_in_memory: WeakSet[AcceptedConnection] = WeakSet()
         self.flooding_connections: set[AcceptedConnection] = set()
         self.unidentified_connections: dict[AcceptedConnection, None] = {}
+        self.turns = TurnQueue(metrics)
         self.closing = False
         self.acceptor: Acceptor | None = None
         self.shared_socket: socket.socket | None = None
@@ -157,9 +160,9 @@
 
         That is the oldest unidentified connection if NEW_CONNECTION_GRACE has passed since it was accepted,
         else an idle one, else the oldest unidentified one. During the grace the first request or callback may
-        be in transit.
+        be in transit. A connection whose first input waits for its turn may have sent a request.
         """
-        oldest = next(iter(self.unidentified_connections), None)
+        oldest = next((it for it in self.unidentified_connections if not it.awaits_first_turn()), None)
         if oldest and self.loop.time() - oldest.accepted_at >= NEW_CONNECTION_GRACE:
             return oldest
         idle = (
@@ -186,6 +189,7 @@
         """Closes the connections that timed out; called every SWEEP_INTERVAL."""
         now = self.loop.time()
         for connection in list(self.connections):
+            connection.resume()  # it may have waited until its peer received the responses
             if self._is_timed_out(now, connection):
                 self.metrics.increment("clients-timed-out")
                 connection.abort()
@@ -249,7 +253,8 @@
         self.pause()
         if self.shared_socket:
             self.shared_socket.close()
-        for connection in self.connections:
+        for connection in list(self.connections):
+            connection.process_portion()  # a request that was read gets a response
             connection.close()
         for _ in range(CLOSE_CHECKS):
             if not self.connections:
--- a/crankfold/protocol/client_connection.py
+++ b/crankfold/protocol/client_connection.py
@@ -134,7 +134,10 @@
             for _ in range(PORTION_EVENTS):
                 if not self.can_proceed:
                     return
-                self._process_event(self.input.next_event())
+                event = self.input.next_event()
+                self._process_event(event)
+                if isinstance(event, h11.EndOfMessage):
+                    return
         except h11.RemoteProtocolError as error:
             drop_traceback(error)
             self._fail(error.error_status_hint)
--- /dev/null
+++ b/tests/network/test_turn_queue.py
@@ -0,0 +1,73 @@
+"""The order in which connections process their input."""
+
+import asyncio
+import time
+import unittest
+
+from crankfold.network.metrics import Metrics
+from crankfold.network.turn_queue import TURN_DURATION, TurnQueue
+
+
+class FakeConnection:
+    """A connection with input for a number of portions."""
+
+    def __init__(self, name: str, portions: int, processed: list[str], duration: float = 0.0) -> None:
+        self.name = name
+        self.portions = portions
+        self.processed = processed
+        self.duration = duration
+
+    def process_portion(self) -> bool:
+        self.processed.append(self.name)
+        self.portions -= 1
+        if self.duration:
+            time.sleep(self.duration)
+        return self.portions > 0
+
+
+class TurnQueueTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.queue = TurnQueue(Metrics())
+        self.processed: list[str] = []
+
+    def connection(self, name: str, portions: int, duration: float = 0.0) -> FakeConnection:
+        return FakeConnection(name, portions, self.processed, duration)
+
+    async def test_new_input_is_processed_before_rest_of_earlier_input(self) -> None:
+        self.queue.add(self.connection("busy", 1000))
+        await asyncio.sleep(0)
+        self.processed.clear()
+        self.queue.add(self.connection("usual", 1))
+        await asyncio.sleep(0)
+        self.assertLessEqual(self.processed.index("usual"), 1)
+
+    async def test_turn_is_short_and_every_connection_gets_its_portions(self) -> None:
+        names = [str(number) for number in range(10)]
+        for name in names:
+            self.queue.add(self.connection(name, 3, TURN_DURATION))
+        longest = 0.0
+        while len(self.processed) < 30:
+            started_at = time.monotonic()
+            await asyncio.sleep(0)
+            longest = max(longest, time.monotonic() - started_at)
+        # A portion takes a whole turn here, so a turn has one of new and one of earlier input.
+        self.assertLess(longest, 5 * TURN_DURATION)
+        self.assertEqual(sorted(self.processed), sorted(names * 3))
+        # New input gets every second portion at least.
+        self.assertLessEqual(max(self.processed.index(name) for name in names), 2 * len(names))
+
+    async def test_rest_of_earlier_input_is_processed_beside_new_input_without_end(self) -> None:
+        busy = self.connection("busy", 5)
+        self.queue.add(busy)
+        for number in range(50):
+            self.queue.add(self.connection(f"new-{number}", 1, 2 * TURN_DURATION))
+            await asyncio.sleep(0)
+        self.assertEqual(busy.portions, 0)
+
+    async def test_connection_that_has_ended_gets_no_turn(self) -> None:
+        ended = self.connection("ended", 3)
+        self.queue.add(ended)
+        self.queue.discard(ended)
+        for _ in range(3):
+            await asyncio.sleep(0)
+        self.assertEqual(self.processed, [])
--- a/tests/overload/scene.py
+++ b/tests/overload/scene.py
@@ -5,12 +5,14 @@
 import statistics
 import sys
 import tempfile
+from collections.abc import Sequence
 from pathlib import Path
 
 from tests.fixtures import read_message
 from tests.loopback import ACCEPTED, DispatcherTestCase
 
 SERVE = ["-O", "-m", "crankfold", "serve"]
+CALLBACK_CONNECTIONS = 4  # of the backend to the dispatcher
 SAMPLE_INTERVAL = 0.02  # seconds between two looks at the memory of the process
 USUAL_WAIT = 2.0  # seconds that a usual client waits for its answer
 CALLBACK = b"POST /v1/job-events HTTP/1.1\r\nHost: b\r\nContent-Length: %d\r\n\r\n%b"
@@ -53,6 +55,7 @@
 
     replaceable = False
     folder = ""
+    callback_tasks: Sequence[asyncio.Task[None]] = ()
 
     def enable_replacement(self) -> None:
         """Makes `start_dispatcher` start a process that a successor can replace."""
@@ -64,7 +67,9 @@
         await self.start_process(SERVE, self.folder)
 
     async def start_dispatcher(self, memory_mb: int = 192, descriptors: int = 1024) -> None:
-        """Starts the process; `output` has its log once it has ended."""
+        """Starts the process in place of an earlier one; `output` has its log once it has ended."""
+        if self.callback_tasks:
+            await self.end_dispatcher()
         self.received_ids: list[str] = []  # request ids, in the order in which the backend received them
 
         async def backend(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -88,9 +93,17 @@
         self.config["limits"] = {"memory_mb": memory_mb, "sockets": descriptors}
         self.config["settings"]["service-grades"][0]["cut-off"] = 3_000_000
         self.output = await self.start_process(SERVE, folder)
-        for _ in range(4):
-            task = asyncio.create_task(self.send_callbacks())
-            self.addCleanup(task.cancel)
+        self.callback_tasks = [
+            asyncio.create_task(self.send_callbacks()) for _ in range(CALLBACK_CONNECTIONS)
+        ]
+        self.addAsyncCleanup(self.end_dispatcher)
+
+    async def end_dispatcher(self) -> None:
+        """Ends the process and the callbacks to it."""
+        for task in self.callback_tasks:
+            task.cancel()
+        await asyncio.gather(*self.callback_tasks, return_exceptions=True)
+        await self.kill_process(self.process)
 
     async def send_callbacks(self) -> None:
         """Completes requests on one connection after another, as a backend does."""
