Keep what is held for clients within a budget that follows from limits.memory_mb

Callers saw: hundreds of clients that stop in large requests, write slowly or send tiny chunks drive a process over its limit; two processes of a replacement need twice as much. Cause: each connection may hold 64 KB and more, nothing sums it up, and limits.memory_mb was read by no line. Fix: MemoryBudget charges each connection for unread input, parsed heads, bodies and unsent responses; over the limit, who holds most for longest without a whole request releases first (503 and a close; pipelined input is dropped; who reads no response is disconnected), and a new request is admitted while 16 times its size is free. The limit is half of what is left of limits.memory_mb after the process's own need; a process with a handover directory takes half of it at all times. Bodies go with the answer or the write; input that waits for its turn is not read beyond 16 KB.

--- a/crankfold/config/schema.py
+++ b/crankfold/config/schema.py
@@ -74,9 +74,10 @@
 
 
 class LimitsSchema(Struct):
-    """Limits of the process. `sockets` is the number of file descriptors that it may open."""
+    """Limits of the processes of a dispatcher: file descriptors, and megabytes of resident memory."""
 
     sockets: Annotated[int, Meta(ge=1)] | None = None
+    memory_mb: Positive | None = None
 
 
 class ConfigFileSchema(Struct):
--- a/crankfold/network/accepted_connection.py
+++ b/crankfold/network/accepted_connection.py
@@ -6,14 +6,16 @@
 from http import HTTPStatus
 from typing import Protocol
 
+from crankfold.network.memory_budget import UnfinishedTransfer
 from crankfold.network.metrics import Metrics
 from crankfold.network.socket_state import ANY_INPUT, PEER_CLOSED, has_pending
 from crankfold.network.turn_queue import TurnQueue
 from crankfold.protocol.client_connection import ClientConnection, ClientRequestHandler
 from crankfold.protocol.headers import Header
 
-READER_LIMIT = 16 * 1024  # bytes; asyncio pauses the transport once twice as much is buffered
+READER_LIMIT = 8 * 1024  # bytes; asyncio pauses the transport once twice as much is buffered
 READ_SIZE = 4 * READER_LIMIT  # bytes
+MAX_WAITING_BYTES = 16 * 1024  # limit on input that waits for its turn, beyond which no more is read
 # Limit on input that is pipelined behind an open request, or received after the last response.
 MAX_UNREAD_BYTES = 64 * 1024
 # Seconds between two reads on a connection whose input is discarded, multiplied by the number of such
@@ -54,6 +56,9 @@
     def is_over_limit(self) -> bool:
         """Whether more connections are open than allowed."""
 
+    def account(self, connection: "AcceptedConnection") -> None:
+        """Accounts for the memory that a connection holds, and releases some if the limit is exceeded."""
+
 
 class AcceptedConnection:
     """One accepted connection. Times are seconds of the event loop's clock.
@@ -72,6 +77,8 @@
         self.listener = listener
         self.reader = reader
         self.writer = writer
+        assert isinstance(writer.transport, asyncio.Transport)
+        self._transport = writer.transport
         self.protocol = ClientConnection(listener.handler, self, listener.report_fields)
         self.accepted_at = listener.loop.time()
         self.phase_started_at = self.accepted_at
@@ -107,10 +114,8 @@
 
         Reading it would take memory, and the event loop's time from other connections.
         """
-        transport = self.writer.transport
-        assert isinstance(transport, asyncio.Transport)
-        if not transport.is_closing():
-            transport.pause_reading()
+        if not self._transport.is_closing():
+            self._transport.pause_reading()
         await asyncio.sleep(CLOSE_DELAY)
 
     async def _wait_for_turn(self) -> None:
@@ -120,12 +125,18 @@
         seen only after this input, but input beyond MAX_UNREAD_BYTES is discarded along with the requests in
         it: clients send one request at a time.
         """
-        while self.protocol.can_proceed and len(self.protocol.input) > MAX_UNREAD_BYTES:
-            self._turn_ended.clear()
-            await self._turn_ended.wait()
+        if self._has_enough_input():
+            self._transport.pause_reading()
+            while self._has_enough_input():
+                self._turn_ended.clear()
+                await self._turn_ended.wait()
+            self._transport.resume_reading()
         if self.protocol.awaiting_response and len(self.protocol.input) > MAX_UNREAD_BYTES:
             self._start_discarding()
 
+    def _has_enough_input(self) -> bool:
+        return self.protocol.can_proceed and len(self.protocol.input) > MAX_WAITING_BYTES
+
     def _start_discarding(self) -> None:
         self.protocol.discarding_input = True
         self._input_pending_since = self.listener.loop.time()
@@ -137,6 +148,7 @@
         if not protocol.awaiting_response and not protocol.is_mid_request():
             self.phase_started_at = self.received_at
         protocol.receive_data(data)
+        self.listener.account(self)
         if protocol.can_proceed:
             self.listener.turns.add(self)
 
@@ -159,6 +171,7 @@
             if __debug__:
                 raise
         self._flush()
+        self.listener.account(self)
         if protocol.identified:
             self.listener.unidentified_connections.pop(self, None)
         return protocol.can_proceed
@@ -192,6 +205,7 @@
         self.protocol.close_after_response = self.protocol.close_after_response or self.listener.closing
         self.protocol.respond(status, headers, body)
         self._flush()
+        self.listener.account(self)
         self.resume()
 
     def resume(self) -> None:
@@ -283,6 +297,31 @@
         self.listener.turns.discard(self)
         self.protocol.connection_lost()
 
+    def held_bytes(self) -> int:
+        """Returns the bytes that are held for the peer."""
+        return self.protocol.held_bytes() + self.unsent_bytes()
+
+    def unfinished_transfer(self, now: float) -> UnfinishedTransfer:
+        """Returns what could be released, and for how long it has been held."""
+        held = self.held_bytes() - self.protocol.open_request_bytes
+        return UnfinishedTransfer(held, now - self.phase_started_at)
+
+    def release_memory(self) -> None:
+        """Drops what is held without an open request.
+
+        Input behind an open request is dropped; a client that does not receive its responses is disconnected;
+        an incomplete request is rejected.
+        """
+        self.listener.metrics.increment("connections-closed-for-memory")
+        if self.has_unsent_data():
+            self.abort()
+        elif self.protocol.awaiting_response:
+            self.protocol.drop_pipelined_input()
+            self._start_discarding()
+        else:
+            self.protocol.reject_incomplete_request(HTTPStatus.SERVICE_UNAVAILABLE)
+            self._flush()
+
     def eviction_order(self) -> tuple[bool, bool, float]:
         """Returns the sort key for evictions: closing connections, then clients', then backends', by age."""
         return not self.protocol.closing, self.protocol.is_backend, self.phase_started_at
--- a/crankfold/network/listener.py
+++ b/crankfold/network/listener.py
@@ -9,6 +9,7 @@
 from crankfold.errors import drop_traceback
 from crankfold.network.accepted_connection import NEW_CONNECTION_GRACE, READER_LIMIT, AcceptedConnection
 from crankfold.network.acceptor import AcceptLimits, Acceptor, open_listening_socket
+from crankfold.network.memory_budget import MemoryBudget, release_order
 from crankfold.network.metrics import Metrics
 from crankfold.network.turn_queue import TurnQueue
 from crankfold.protocol.client_connection import ClientChannel, ClientRequestHandler
@@ -45,6 +46,7 @@
         max_connections: From this number on, one connection is evicted for each new one.
         flooding_connections: Connections whose input is discarded, as too much is pipelined behind a request.
         unidentified_connections: Connections without a request or callback so far, the oldest first.
+        memory: Accounts for what is held for the connections.
         turns: Gives the connections their turns to process input.
         closing: Whether each response is the last on its connection: out of service or shutting down.
         shared_socket: A duplicate of the listening socket, for a successor.
@@ -56,6 +58,7 @@
         metrics: Metrics,
         report_fields: Sequence[str],
         max_connections: int,
+        memory: MemoryBudget | None = None,
     ) -> None:
         self.handler = handler
         self.metrics = metrics
@@ -67,6 +70,8 @@
         self.flooding_connections: set[AcceptedConnection] = set()
         self.unidentified_connections: dict[AcceptedConnection, None] = {}
         self.turns = TurnQueue(metrics)
+        self.memory = memory or MemoryBudget()
+        self._releasing_memory = False
         self.closing = False
         self.acceptor: Acceptor | None = None
         self.shared_socket: socket.socket | None = None
@@ -172,8 +177,28 @@
         )
         return min(idle, key=AcceptedConnection.eviction_order, default=oldest)
 
+    def account(self, connection: AcceptedConnection) -> None:
+        """Accounts for the memory that a connection holds, and releases some if the limit is exceeded."""
+        if connection not in self.connections:
+            return
+        self.memory.charge(connection, connection.held_bytes())
+        if self.memory.is_exceeded() and not self._releasing_memory:
+            self._releasing_memory = True
+            self._release_memory()
+            self._releasing_memory = False
+
+    def _release_memory(self) -> None:
+        now = self.loop.time()
+        transfers = [(connection, connection.unfinished_transfer(now)) for connection in self.connections]
+        for connection in release_order(item for item in transfers if item[1].held):
+            if not self.memory.needs_release():
+                return
+            connection.release_memory()
+            self.memory.charge(connection, connection.held_bytes())
+
     def _remove(self, connection: AcceptedConnection) -> None:
         self.connections.discard(connection)
+        self.memory.release(connection)
         self.flooding_connections.discard(connection)
         self.unidentified_connections.pop(connection, None)
 
--- a/crankfold/network/pooled_connection.py
+++ b/crankfold/network/pooled_connection.py
@@ -97,6 +97,7 @@
         outgoing = self.protocol.send_request(
             exchange.method, exchange.target, exchange.headers(), exchange.body
         )
+        exchange.body = b""  # it may be large, and the exchange may wait for long
         self.writer.writelines(outgoing)
         self.request_written = self.writer.transport.get_write_buffer_size() == 0
 
--- a/crankfold/protocol/bounded_input.py
+++ b/crankfold/protocol/bounded_input.py
@@ -143,6 +143,11 @@
             self.http.start_next_cycle()
             self._start_message()
 
+    def drop_pending(self) -> None:
+        """Drops the input behind the present message."""
+        self._pending = bytearray()
+        self._has_trailing_bytes = False
+
     def drop(self) -> None:
         """Drops all input, of which no more is parsed."""
         self._pending = bytearray()
--- a/crankfold/protocol/client_connection.py
+++ b/crankfold/protocol/client_connection.py
@@ -81,6 +81,7 @@
         identified: Whether the peer has sent a request or a callback.
         is_backend: Whether the peer has sent a callback.
         can_proceed: Whether received bytes can be processed now.
+        open_request_bytes: Size of the body of the open request.
     """
 
     def __init__(
@@ -101,6 +102,7 @@
         self.identified = False
         self.is_backend = False
         self._needs_data = True
+        self.open_request_bytes = 0
 
     def is_mid_request(self) -> bool:
         """Whether a request was received in part."""
@@ -111,8 +113,8 @@
         return not self.awaiting_response and self.request_head is not None
 
     def held_bytes(self) -> int:
-        """Returns the cost in memory of what was received and is not passed to the handler."""
-        held = len(self.input) + len(self.body)
+        """Returns the cost in memory of what was received, the body of the open request included."""
+        held = len(self.input) + len(self.body) + self.open_request_bytes
         if self.request_head is not None:
             held += sum(len(name) + len(value) + FIELD_COST for name, value in self.request_head.headers)
         return held
@@ -185,6 +187,7 @@
         self.awaiting_response = False
         self.request_head = None
         self.body = bytearray()
+        self.open_request_bytes = 0
         http = self.input.http
         if http.our_state is h11.MUST_CLOSE or http.our_state is h11.CLOSED:
             self.closing = True
@@ -212,6 +215,16 @@
         elif lengths and int(lengths[0]) > MAX_BODY_SIZE:
             self._fail(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
 
+    def reject_incomplete_request(self, status: int) -> None:
+        """Rejects a request that was received in part, and closes the connection."""
+        self._fail(status)
+
+    def drop_pipelined_input(self) -> None:
+        """Drops what was received behind the open request, whose response is the last one."""
+        self.discarding_input = True
+        self.close_after_response = True
+        self.input.drop_pending()
+
     def _drop_input(self) -> None:
         """Releases the received bytes, of which no more are processed."""
         self.body = bytearray()
@@ -232,6 +245,7 @@
         head, body = self.request_head, bytes(self.body)
         self.request_head = None
         self.body = bytearray()
+        self.open_request_bytes = len(body)
         path = head.target.partition(b"?")[0]
         if path == b"/api" or path.startswith(b"/api/"):
             self._route_request(head, body)
--- a/crankfold/service/application.py
+++ b/crankfold/service/application.py
@@ -18,6 +18,7 @@
 from crankfold.network.connection_pool import ConnectionLimiter
 from crankfold.network.discovery_watcher import DiscoveryWatcher
 from crankfold.network.listener import SWEEP_INTERVAL, Listener
+from crankfold.network.memory_budget import MemoryBudget
 from crankfold.network.metrics import Metrics
 from crankfold.network.signals import take_reload_request
 from crankfold.network.timers import Clock, Timers
@@ -36,7 +37,7 @@
 )
 from crankfold.service.gauges import held_bytes, process_gauges
 from crankfold.service.lifecycle import Lifecycle
-from crankfold.service.memory_monitor import MemoryMonitor
+from crankfold.service.memory_limit import MemoryLimiter
 from crankfold.service.reload import ConfigApplier, ConfigReloader
 from crankfold.service.requests.collaborators import NoCluster, NoOtherProcess, OtherProcesses
 from crankfold.service.requests.handler import RequestHandler
@@ -53,6 +54,7 @@
 
 # Ticks within which every dispatcher is expected to learn of a change of the endpoint list.
 ENDPOINT_PROPAGATION_DELAY = 6 * TICKS_PER_SECOND
+PROCESSES_IN_REPLACEMENT = 2  # share the limits of the dispatcher
 FIRST_LIST_TIMEOUT = 0.3  # seconds that a start waits at most for discovery, which may be down
 SEED_BASE = 16  # the configuration has the seed as a hexadecimal number
 
@@ -101,6 +103,7 @@
         """Builds the parts through which requests pass, from the listener to the backends."""
         limits = divide_socket_limit(document, self.admin_address is not None)
         timeouts = connection_timeouts(config)
+        self.memory_budget = MemoryBudget()
         self.connection_limiter = ConnectionLimiter(
             limits.backend_connections, timeouts.connect, timeouts.idle, self.metrics
         )
@@ -113,7 +116,9 @@
         )
         parts = self.handover.serving_parts if self.handover else build_serving_parts(self.other_processes)
         self.request_handler, self.listener, self.socket_budget = parts
-        self.memory_monitor = MemoryMonitor(memory_limit(document), partial(held_bytes, parts))
+        process_count = PROCESSES_IN_REPLACEMENT if self.handover else 1
+        self.memory_limit = memory_limit(document)
+        self.memory_limiter = MemoryLimiter(self.memory_budget, process_count, partial(held_bytes, parts))
 
     def _build_serving_parts(
         self,
@@ -134,8 +139,15 @@
             cluster=self.cluster or NoCluster(),
             other_processes=other_processes,
             poll_endpoints=self._start_polling,
+            memory=self.memory_budget,
+        )
+        listener = Listener(
+            request_handler,
+            self.metrics,
+            config.report_fields,
+            limits.accepted_connections,
+            self.memory_budget,
         )
-        listener = Listener(request_handler, self.metrics, config.report_fields, limits.accepted_connections)
         socket_budget = SocketBudget(limits, listener, self.connection_limiter)
         return ServingParts(request_handler, listener, socket_budget)
 
@@ -185,6 +197,7 @@
             read_document,
             applier=self.config_applier,
             socket_budget=self.socket_budget,
+            memory_limiter=self.memory_limiter,
             discovery_watcher=self.discovery_watcher,
             metrics=self.metrics,
             polls_discovery=self.polls_discovery,
@@ -327,6 +340,8 @@
         if self.handover:
             self.handover.takeover.replay_reports()
             listening_socket = await self.handover.takeover.take_over(self._inherit_endpoints)
+        self.memory_limiter.record_own_bytes()
+        self.memory_limiter.apply(self.memory_limit, self.socket_budget.limits)
         with _config_error_at(self.listen_address):
             self.listener.open(*self.listen_address, listening_socket, self.handover is not None)
         if self.handover:
@@ -348,7 +363,7 @@
         if self.handover:
             self.handover.run_periodic_tasks()
         self.listener.sweep()
-        self.memory_monitor.check()
+        self.memory_limiter.check()
 
     async def _close(self) -> None:
         await self.shutdown.close()
--- a/crankfold/service/gauges.py
+++ b/crankfold/service/gauges.py
@@ -25,6 +25,8 @@
     request_handler, listener, _ = parts
     connections = listener.connections
     return {
+        "held-bytes": listener.memory.held,
+        "held-bytes-limit": listener.memory.limit,
         "held-input-bytes": sum(connection.protocol.held_bytes() for connection in connections),
         "held-unsent-bytes": sum(connection.unsent_bytes() for connection in connections),
         "held-request-bytes": request_handler.request_table.held_bytes(),
--- a/crankfold/service/reload.py
+++ b/crankfold/service/reload.py
@@ -13,10 +13,12 @@
     ConfigDocument,
     connection_timeouts,
     divide_socket_limit,
+    memory_limit,
     parse_address,
     parse_changed_document,
     settings_needing_restart,
 )
+from crankfold.service.memory_limit import MemoryLimiter
 from crankfold.service.requests.handler import RequestHandler
 from crankfold.service.socket_budget import SocketBudget
 from crankfold.time_units import TICKS_PER_SECOND
@@ -54,6 +56,7 @@
         *,
         applier: ConfigApplier,
         socket_budget: SocketBudget,
+        memory_limiter: MemoryLimiter,
         discovery_watcher: DiscoveryWatcher,
         metrics: Metrics,
         polls_discovery: bool,
@@ -63,6 +66,7 @@
         self.read_document = read_document
         self.applier = applier
         self.socket_budget = socket_budget
+        self.memory_limiter = memory_limiter
         self.discovery_watcher = discovery_watcher
         self.metrics = metrics
         self.polls_discovery = polls_discovery
@@ -77,6 +81,7 @@
             host, port = parse_address(document["discovery"], "discovery")
             parse_address(document["listen"], "listen")
             socket_limits = divide_socket_limit(document, self._has_admin_server)
+            new_memory_limit = memory_limit(document)
         except ConfigError as error:
             self.metrics.increment("config-reloads-rejected")
             # Logged without a category, so that the rate limit never suppresses it.
@@ -89,6 +94,7 @@
         elif document["settings"] != self.document["settings"]:
             self.applier.apply(parsed.routing, parsed.service)
         self.socket_budget.change_limits(socket_limits)
+        self.memory_limiter.apply(new_memory_limit, socket_limits)
         self.discovery_watcher.switch_to(host, port, not self.polls_discovery)
         remarks = self._remarks(document)
         self.document = _without_known_endpoints(document)
--- a/crankfold/service/requests/handler.py
+++ b/crankfold/service/requests/handler.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple
 
 from crankfold.config.parser import ServiceConfig, setting_text
+from crankfold.network.memory_budget import MemoryBudget
 from crankfold.network.metrics import Metrics
 from crankfold.network.timers import Timers
 from crankfold.protocol.client_connection import ClientChannel
@@ -52,6 +53,7 @@
 # The successor has not answered whether the id is in use there.
 NOT_RESERVED = Rejection("shed-without-reservation", HTTPStatus.SERVICE_UNAVAILABLE)
 OVERLOADED = Rejection("shed-overloaded", HTTPStatus.SERVICE_UNAVAILABLE)
+OUT_OF_MEMORY = Rejection("shed-for-memory", HTTPStatus.SERVICE_UNAVAILABLE)
 # By the time the current lease expires, at the latest, another dispatcher has a valid configuration.
 NO_VALID_CONFIG = Rejection("shed-without-valid-config", HTTPStatus.SERVICE_UNAVAILABLE, retry_after=1)
 QUOTA_USED_UP = Rejection("shed-by-quota", HTTPStatus.SERVICE_UNAVAILABLE, retry_after=1)
@@ -74,6 +76,7 @@
         cluster: The cluster of dispatchers, or `NoCluster`.
         other_processes: Other processes of this dispatcher, or `NoOtherProcess`.
         poll_endpoints: Starts a poll of the endpoint list.
+        memory: Limits the memory that is held for clients.
     """
 
     def __init__(
@@ -89,8 +92,10 @@
         cluster: ClusterServices,
         other_processes: OtherProcesses,
         poll_endpoints: Callable[[], None],
+        memory: MemoryBudget,
     ) -> None:
         self.config = config
+        self.memory = memory
         self.timers = timers
         self.metrics = metrics
         self.backends = backends
@@ -241,7 +246,7 @@
 
         The reasons are checked in this order: the client has disconnected; the process is ending; a request
         with the same id is in progress here or at the predecessor; too many connections or requests are open;
-        there is no valid configuration.
+        too much memory is held; there is no valid configuration.
         """
         if client.peer_has_closed():
             return CLIENT_DISCONNECTED
@@ -252,6 +257,8 @@
         request_count = len(self.request_table.requests) + len(self.reservations)
         if client.exceeds_limit() or request_count >= self.config.max_pending:
             return OVERLOADED
+        if not self.memory.has_room(len(request.http.body)):
+            return OUT_OF_MEMORY
         if not self.cluster.authorize_action():
             return NO_VALID_CONFIG
         return None
--- a/crankfold/service/requests/table.py
+++ b/crankfold/service/requests/table.py
@@ -194,6 +194,7 @@
             self.cluster.release_quota(request.quota_limits)
         self.by_client.pop(request.client, None)
         request.client = None
+        request.http_request = request.http_request._replace(body=b"")  # no attempt begins any more
 
     def discard_if_over(self, request: Request) -> None:
         """Removes the request, unless it is open or has an attempt in flight."""
