Remember ids that may have been executed, at both processes of a replacement

Callers saw: an id runs twice when it comes again after its client has left, or at the other process of an upgrade, of classes that must not run twice too. Cause: nothing knows an id once its request is out of the table. A grant of a takeover hands the ids over, the end of a request tells them both ways (new keys "ran" on the handover channel; an older process ignores them). A request that was shed with no attempt is not remembered. Not promised: after a kill, beyond the bound, and beside a predecessor that does not answer its takeover.

--- a/crankfold/protocol/handover_messages.py
+++ b/crankfold/protocol/handover_messages.py
@@ -2,8 +2,8 @@
 
 Keys on the wire differ from the names in the program: `take` is a `TakeoverRequest`, `yours` a
 `TakeoverGrant`, `elsewhere` a `TakeoverRefusal`, `holds` a `UsageReport`, `ended` a `RequestEnded`, `ask` a
-query and `re` the `QueryAnswer`. The file of manual drains uses keys of the state in a `Welcome`. No key is
-used outside this module.
+query and `re` the `QueryAnswer`; `ran` marks ids of requests that may have been executed. The file of manual
+drains uses keys of the state in a `Welcome`. No key is used outside this module.
 """
 
 from typing import Any, NamedTuple
@@ -101,9 +101,16 @@
 
 
 class TakeoverGrant(NamedTuple):
-    """From the predecessor, which has stopped accepting connections. `usage` is None if malformed."""
+    """From the predecessor, which has stopped accepting connections.
+
+    Attributes:
+        usage: None if malformed.
+        executed_ids: The ids of the requests that may have been executed, as the sender encodes them; empty
+            from an older version.
+    """
 
     usage: ProcessUsage | None
+    executed_ids: str = ""
 
 
 class TakeoverRefusal(NamedTuple):
@@ -117,9 +124,15 @@
 
 
 class RequestEnded(NamedTuple):
-    """From a process that has handed over: a request id is not in use there any more."""
+    """A request id is not in use any more at the sender: a predecessor, or a successor if it was executed.
+
+    Attributes:
+        request_id: The id.
+        executed: Whether the request may have been executed; False from an older version.
+    """
 
     request_id: str
+    executed: bool = False
 
 
 class ManualDrainQuery(NamedTuple):
@@ -197,13 +210,14 @@
         case TakeoverRequest():
             return {"take": True}
         case TakeoverGrant():
-            return {"yours": _usage_fields(message.usage)}
+            executed = {"ran": message.executed_ids} if message.executed_ids else {}
+            return {"yours": _usage_fields(message.usage), **executed}
         case TakeoverRefusal():
             return {"elsewhere": True}
         case UsageReport():
             return {"holds": _usage_fields(message.usage)}
         case RequestEnded():
-            return {"ended": message.request_id}
+            return {"ended": message.request_id, **({"ran": True} if message.executed else {})}
         case ManualDrainQuery():
             operation = "out" if message.drained else "back"
             return {"ask": message.query_id, "what": operation, "uid": message.backend_id}
@@ -289,13 +303,16 @@
     if "take" in fields:
         return TakeoverRequest()
     if "yours" in fields:
-        return TakeoverGrant(_decode_usage(fields["yours"]))
+        executed_ids = fields.get("ran")
+        return TakeoverGrant(
+            _decode_usage(fields["yours"]), executed_ids if isinstance(executed_ids, str) else ""
+        )
     if "elsewhere" in fields:
         return TakeoverRefusal()
     if "holds" in fields:
         return UsageReport(_decode_usage(fields["holds"]))
     if "ended" in fields and isinstance(fields["ended"], str):
-        return RequestEnded(fields["ended"])
+        return RequestEnded(fields["ended"], fields.get("ran") is True)
     if "ask" in fields:
         return _decode_query(fields)
     if "re" in fields and isinstance(fields["re"], int):
--- a/crankfold/service/gauges.py
+++ b/crankfold/service/gauges.py
@@ -14,6 +14,8 @@
         "open-backend-connections": connection_limiter.open_count,
         "open-accepted-connections": len(listener.connections),
         "ended-accepted-connections-in-memory": listener.ended_connections_in_memory(),
+        "executed-ids": len(request_handler.request_table.executed_ids),
+        "executed-ids-forgotten": request_handler.request_table.executed_ids.forgotten,
         "peak-resident-kilobytes": peak_resident_bytes() // BYTES_PER_KIBIBYTE,
         "resident-kilobytes": resident_bytes() // BYTES_PER_KIBIBYTE,
         **held_bytes(parts),
--- a/crankfold/service/handover/actions.py
+++ b/crankfold/service/handover/actions.py
@@ -149,3 +149,18 @@
     def release_for_predecessor(self, request_id: str) -> None:
         """Ends the use of a request id by the predecessor."""
         self.other_processes.predecessor_request_ids.discard(request_id)
+
+    def executed_elsewhere(self, request_id: str) -> None:
+        """Records that another process may have executed a request with that id."""
+        self.request_handler.request_table.executed_ids.add(request_id)
+
+    def describe_executed_ids(self) -> str:
+        """Returns the ids of the requests that this process or its predecessors may have executed."""
+        return self.request_handler.request_table.executed_ids.encode()
+
+    def adopt_executed_ids(self, encoded: str) -> None:
+        """Records the ids of the requests that the predecessor may have executed."""
+        try:
+            self.request_handler.request_table.executed_ids.adopt(encoded)
+        except ValueError as error:
+            logger.warning("%s", error, extra={"category": "handover"})
--- a/crankfold/service/handover/state_machine.py
+++ b/crankfold/service/handover/state_machine.py
@@ -102,6 +102,15 @@
     def release_for_predecessor(self, request_id: str) -> None:
         """Ends the use of a request id by the predecessor."""
 
+    def executed_elsewhere(self, request_id: str) -> None:
+        """Records that another process may have executed a request with that id."""
+
+    def describe_executed_ids(self) -> str:
+        """Returns the ids of the requests that may have been executed, as a text for `adopt_executed_ids`."""
+
+    def adopt_executed_ids(self, encoded: str) -> None:
+        """Records the ids of the requests that the predecessor may have executed."""
+
 
 class _PendingQuery:
     """A query that was forwarded and is not answered yet."""
@@ -203,6 +212,7 @@
             case TakeoverGrant() if process == self.predecessor and self.role == HandoverRole.WAITING:
                 self.role = HandoverRole.TOOK_OVER
                 self._usage_received(message.usage)
+                self.actions.adopt_executed_ids(message.executed_ids)
                 self.actions.takeover_completed()
             case TakeoverRefusal() if process == self.predecessor:
                 self.predecessor = NO_PROCESS
@@ -211,14 +221,22 @@
                 self.actions.takeover_refused()
             case UsageReport() if process == self.predecessor:
                 self._usage_received(message.usage)
-            case RequestEnded() if process == self.predecessor:
-                self.actions.release_for_predecessor(message.request_id)
-                self.report_request_ended(message.request_id)
+            case RequestEnded() if process in (self.predecessor, self.successor):
+                self._request_ended(process, message)
             case ManualDrainQuery() | CallbackQuery() | ReservationQuery() | UnknownQuery():
                 self._query_received(now, process, message)
             case QueryAnswer():
                 self._answer_received(now, process, message)
 
+    def _request_ended(self, process: int, message: RequestEnded) -> None:
+        if message.executed:
+            self.actions.executed_elsewhere(message.request_id)
+        if process == self.predecessor:
+            self.actions.release_for_predecessor(message.request_id)
+            self._tell_successor(message)
+        elif message.executed:
+            self._tell_predecessor(message)
+
     def _takeover_requested(self, now: float, process: int) -> None:
         if self.role in (HandoverRole.SUPERSEDED, HandoverRole.WAITING) or self.shutting_down:
             # This process does not serve, or is about to end, so the sender has to find another one.
@@ -228,7 +246,9 @@
         self.successor = process
         self.role = HandoverRole.SUPERSEDED
         self.actions.stop_accepting()
-        self.actions.send(process, TakeoverGrant(self.actions.describe_usage()))
+        self.actions.send(
+            process, TakeoverGrant(self.actions.describe_usage(), self.actions.describe_executed_ids())
+        )
 
     def _usage_received(self, usage: ProcessUsage | None) -> None:
         if usage is not None:
@@ -343,10 +363,23 @@
         if pending:
             pending.on_answer(result)
 
-    def report_request_ended(self, request_id: str) -> None:
-        """Tells the successor, if there is one, that a request id is no longer in use."""
+    def report_request_ended(self, request_id: str, *, executed: bool = False) -> None:
+        """Tells the successor, if there is one, that a request id is no longer in use.
+
+        An id that may have been executed is told to the predecessor too, which may serve again.
+        """
+        message = RequestEnded(request_id, executed)
+        self._tell_successor(message)
+        if executed:
+            self._tell_predecessor(message)
+
+    def _tell_successor(self, message: RequestEnded) -> None:
         if self.role == HandoverRole.SUPERSEDED:
-            self.actions.send(self.successor, RequestEnded(request_id))
+            self.actions.send(self.successor, message)
+
+    def _tell_predecessor(self, message: RequestEnded) -> None:
+        if self.predecessor != NO_PROCESS:
+            self.actions.send(self.predecessor, message)
 
     def report_usage(self) -> None:
         """Reports the requests and connections of this process to its successor; called periodically."""
--- a/crankfold/service/requests/collaborators.py
+++ b/crankfold/service/requests/collaborators.py
@@ -75,8 +75,13 @@
         `on_answer` is called with the answer, possibly before the return.
         """
 
-    def release_request_id(self, request_id: str) -> None:
-        """Ends the use of a request id by this process."""
+    def release_request_id(self, request_id: str, *, executed: bool = False) -> None:
+        """Ends the use of a request id by this process.
+
+        Args:
+            request_id: The id.
+            executed: Whether the request may have been executed, so that no process may execute the id again.
+        """
 
     def forward_callback(self, body: bytes, on_answer: CallbackAnswer) -> bool:
         """Forwards a callback for a request that is not in progress at this process.
@@ -143,7 +148,7 @@
         """See `OtherProcesses`."""
         on_answer(False)
 
-    def release_request_id(self, request_id: str) -> None:
+    def release_request_id(self, request_id: str, *, executed: bool = False) -> None:
         """See `OtherProcesses`."""
 
     def forward_callback(
--- a/crankfold/service/requests/handler.py
+++ b/crankfold/service/requests/handler.py
@@ -245,8 +245,8 @@
         """Returns the first reason to reject a request, or None; does not check quotas.
 
         The reasons are checked in this order: the client has disconnected; the process is ending; a request
-        with the same id is in progress here or at the predecessor; too many connections or requests are open;
-        too much memory is held; there is no valid configuration.
+        with the same id is in progress here or at the predecessor, or may have been executed; too many
+        connections or requests are open; too much memory is held; there is no valid configuration.
         """
         if client.peer_has_closed():
             return CLIENT_DISCONNECTED
@@ -264,9 +264,10 @@
         return None
 
     def uses_request_id(self, request_id: str) -> bool:
-        """Whether the id is in use at this process or at the predecessor."""
+        """Whether the id is in use at this process or the predecessor, or may have been executed by one."""
         return (
             request_id in self.request_table.by_request_id
+            or request_id in self.request_table.executed_ids
             or request_id in self.reservations
             or self.other_processes.has_request(request_id)
         )
--- a/crankfold/service/requests/table.py
+++ b/crankfold/service/requests/table.py
@@ -9,9 +9,10 @@
 from crankfold.network.exchange import Exchange
 from crankfold.protocol.client_connection import ClientChannel
 from crankfold.protocol.client_request import HttpRequest
-from crankfold.routing.interface import RequestClass
+from crankfold.routing.interface import Idempotency, RequestClass
 from crankfold.service.requests.classes import RequestClassTable
 from crankfold.service.requests.collaborators import ClusterServices, OtherProcesses
+from crankfold.service.requests.executed_ids import ExecutedIds
 
 
 class Disposition(Enum):
@@ -149,6 +150,7 @@
         self.requests: dict[int, Request] = {}
         self.by_request_id: dict[str, Request] = {}
         self.by_client: dict[ClientChannel, Request] = {}
+        self.executed_ids = ExecutedIds()
         self.next_number = 0
 
     def add(
@@ -200,6 +202,7 @@
         """Removes the request, unless it is open or has an attempt in flight."""
         if request.is_open or any(attempt.in_flight for attempt in request.attempts):
             return
+        executed = self._may_not_run_again(request)
         if self.requests.pop(request.number, None):
             self.request_classes.request_closed(request.class_index)
         for attempt in request.attempts:
@@ -208,7 +211,19 @@
             request.deadline_timer.cancel()  # it keeps the request, whose body may be large, in memory
         if self.by_request_id.get(request.request_id) is request:
             del self.by_request_id[request.request_id]
-            self.other_processes.release_request_id(request.request_id)
+            if executed:
+                self.executed_ids.add(request.request_id)
+            self.other_processes.release_request_id(request.request_id, executed=executed)
+
+    def _may_not_run_again(self, request: Request) -> bool:
+        """Whether the request may have been executed, and a second execution may do harm.
+
+        An idempotency key does not rule that out: the client that repeats the id may send another key, and
+        backends forget keys.
+        """
+        if self.class_of(request).idempotency == Idempotency.IDEMPOTENT:
+            return False
+        return any(attempt.may_have_run and attempt.was_assigned_connection() for attempt in request.attempts)
 
     def find_active_attempt(self, request_id: str, backend: int) -> ActiveAttempt | None:
         """Returns the attempt of a request that is in flight at a backend; there is at most one."""
--- a/tests/service/handover/test_state_machine.py
+++ b/tests/service/handover/test_state_machine.py
@@ -121,6 +121,7 @@
     def __init__(self, chain: ProcessChainTestCase, name: str, request_ids: tuple[str, ...]) -> None:
         self.chain, self.name, self.request_ids = chain, name, request_ids
         self.predecessor_request_ids: set[str] = set()
+        self.executed_ids: list[str] = []
         self.machine = HandoverStateMachine(self)
 
     def record(self, action: str) -> None:
@@ -170,8 +171,34 @@
     def release_for_predecessor(self, request_id: str) -> None:
         self.predecessor_request_ids.discard(request_id)
 
+    def executed_elsewhere(self, request_id: str) -> None:
+        self.executed_ids.append(request_id)
+
+    def describe_executed_ids(self) -> str:
+        return " ".join(self.executed_ids)
+
+    def adopt_executed_ids(self, encoded: str) -> None:
+        self.executed_ids += encoded.split()
+
 
 class HandoverStateMachineTest(ProcessChainTestCase):
+    # Guards against an id that runs again at the other process of a replacement.
+    def test_executed_ids_are_known_to_all_processes_of_chain(self) -> None:
+        first, second, third = (self.add_process(name, "") for name in "abc")
+        first.executed_ids.append("before")
+        self.connect("b", "a")
+        self.take_over("b")
+        self.connect("c", "b")
+        self.take_over("c")
+        self.assertEqual(third.executed_ids, ["before"])
+        for process, request_id in ((first, "at-a"), (third, "at-c")):
+            process.machine.report_request_ended(request_id, executed=True)
+        second.machine.report_request_ended("never-run")
+        self.deliver()
+        self.assertEqual(first.executed_ids, ["before", "at-c"])
+        self.assertEqual(second.executed_ids, ["before", "at-a", "at-c"])
+        self.assertEqual(third.executed_ids, ["before", "at-a"])
+
     def test_queries_and_callbacks_reach_all_processes_of_chain(self) -> None:
         process_a = self.add_process("a", "u1")
         self.add_process("b", "u2")
