Bound the cached orders of affinity keys

Callers saw: memory grows without end under ever new names. Cause: KeyAffinity keeps the order of all ready backends for each X-Route-Key that ever came, until the next endpoint list. Evidence: test_orders_of_new_keys_take_place_of_oldest, red without the change (AttributeError of the bound, all 50 keys kept). Fix: 100,000 backends in all cached orders; the oldest key gives way, and its order is computed anew, the same.

--- a/crankfold/routing/affinity.py
+++ b/crankfold/routing/affinity.py
@@ -7,6 +7,7 @@
 from crankfold.routing.state import RoutingState
 
 PREFERRED_BACKENDS = 2  # per key
+MAX_CACHED_BACKENDS = 100_000  # in the cached orders of all keys, as clients choose their keys
 
 
 class KeyAffinity:
@@ -43,5 +44,11 @@
             order = sorted(
                 ready, key=lambda backend: hash_weight(key, backend.endpoint.hash_position) / backend.weight
             )
-            self._order_of_key[key] = order
+            self._cache(key, order)
         return order
+
+    def _cache(self, key: int, order: Backends) -> None:
+        """Keeps the order of a key in place of that of the oldest one, if there are too many."""
+        if (len(self._order_of_key) + 1) * len(order) > MAX_CACHED_BACKENDS and self._order_of_key:
+            del self._order_of_key[next(iter(self._order_of_key))]
+        self._order_of_key[key] = order
--- a/tests/routing/test_weights_and_keys.py
+++ b/tests/routing/test_weights_and_keys.py
@@ -1,6 +1,7 @@
 """Listed weights that follow the load, key affinity, and retries of clients with short timeouts."""
 
 from dataclasses import replace
+from unittest.mock import patch
 
 from crankfold.routing.interface import Endpoint, EndpointState
 from tests.fixtures import REQUEST_CLASS, TICKS_PER_MS, RouterTestCase
@@ -131,3 +132,12 @@
         self.record(f"cold ones met outside the circle: {len(used - set(self.subset))}")
         self.lines = self.lines[-1:]
         self.assert_matches_trace("move-cold")
+
+    # Guards against memory that grows with every key that a client names.
+    def test_orders_of_new_keys_take_place_of_oldest(self) -> None:
+        self.open(backend_count=0, free_slots=0, start_notifications=False)
+        self.change_weights(*[4.0] * 10)
+        with patch("crankfold.routing.affinity.MAX_CACHED_BACKENDS", 100):
+            for request_id in range(50):
+                self.receive_request(request_id, work=0, key=1000 + request_id)
+        self.assertEqual(list(self.router.affinity._order_of_key), list(range(1040, 1050)))
