Bound what a backend's response costs, and keep only the bodies that are used

Evidence: the two new tests in test_backend_connection fail without BoundedInput there (the response is one call, its body kept, the fields parsed), as read from the code before; not played on a process. Fix: BoundedInput, 32 events between other events of the loop, bodies of GET only.

--- a/crankfold/network/pooled_connection.py
+++ b/crankfold/network/pooled_connection.py
@@ -132,7 +132,7 @@
                 if self.exchange is None:
                     self.pool.metrics.increment("backend-unsolicited-data")
                     break
-                if self.protocol.receive_data(data) and not self._finish_exchange(self.exchange):
+                if await self._process(data) and not self._finish_exchange(self.exchange):
                     break
         except OSError as error:
             drop_traceback(error)
@@ -141,6 +141,14 @@
             self.writer.close()
             self._break_exchange()
 
+    async def _process(self, data: bytes) -> bool:
+        """Processes received bytes, between other events; returns whether the response has ended."""
+        has_ended = self.protocol.receive_data(data)
+        while not has_ended and self.protocol.can_proceed:
+            await asyncio.sleep(0)
+            has_ended = self.protocol.receive_data(b"")
+        return has_ended
+
     def _break_exchange(self) -> None:
         """Finishes the exchange in progress, if any, as the connection has ended."""
         exchange = self.exchange
--- a/crankfold/protocol/backend_connection.py
+++ b/crankfold/protocol/backend_connection.py
@@ -7,10 +7,12 @@
 import h11
 
 from crankfold.errors import drop_traceback
-from crankfold.protocol.headers import MAX_BODY_SIZE, MAX_HEADER_SIZE, Header, Headers
+from crankfold.protocol.bounded_input import BoundedInput
+from crankfold.protocol.headers import MAX_BODY_SIZE, Header, Headers
 from crankfold.routing.interface import Outcome
 from crankfold.time_units import TICKS_PER_SECOND
 
+PORTION_EVENTS = 32  # events of h11 in one call of `receive_data`
 NO_STATUS = 0  # no response header was received
 ACCEPTED_STATUS = HTTPStatus.ACCEPTED.value
 OVERLOADED_STATUSES = (HTTPStatus.SERVICE_UNAVAILABLE.value, HTTPStatus.GATEWAY_TIMEOUT.value)
@@ -34,19 +36,22 @@
         not_processed: Whether the response has `X-Not-Processed: 1`: the request was not executed.
         complete: Whether the response was received to its end.
         load_header: The value of the response's load report header; empty without one.
-        body: Body of the response.
+        body: Body of the response to a GET request; no other is used.
+        can_proceed: Whether received bytes are left that `receive_data` has not processed.
         unsolicited_data: Whether more bytes were received than those of the response.
         reusable: Whether another exchange may follow on this connection.
     """
 
     def __init__(self) -> None:
-        self.http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEADER_SIZE)
+        self.input = BoundedInput(h11.CLIENT)
         self.status = 0
         self.not_processed = False
         self.complete = False
         self.load_header = b""
         self.body_bytes = 0
         self.body = bytearray()
+        self.keeps_body = False
+        self.can_proceed = False
         self.unsolicited_data = False
         self.reusable = True
 
@@ -57,24 +62,28 @@
         self.complete = False
         self.load_header = b""
         self.body_bytes = 0
+        self.body = bytearray()
+        self.keeps_body = method == b"GET"
         sent_headers = [*headers]
         if body or method == b"POST":
             sent_headers.append((b"Content-Length", str(len(body)).encode()))
         head = h11.Request(method=method, target=target, headers=sent_headers)
-        outgoing = self.http.send_with_data_passthrough(head) or []
+        outgoing = self.input.http.send_with_data_passthrough(head) or []
         if body:
-            outgoing += self.http.send_with_data_passthrough(h11.Data(data=body)) or []
-        outgoing += self.http.send_with_data_passthrough(h11.EndOfMessage()) or []
+            outgoing += self.input.http.send_with_data_passthrough(h11.Data(data=body)) or []
+        outgoing += self.input.http.send_with_data_passthrough(h11.EndOfMessage()) or []
         return outgoing
 
     def receive_data(self, data: bytes) -> bool:
-        """Receives bytes of the response.
+        """Receives bytes of the response, and processes up to PORTION_EVENTS events.
+
+        While `can_proceed` is set, the caller continues with no bytes.
 
         Returns:
             True once the response has ended; `complete` is False if it is malformed, too long or cut off.
         """
         try:
-            self.http.receive_data(data)
+            self.input.receive_data(data)
             return self._process_events()
         except h11.RemoteProtocolError as error:
             drop_traceback(error)
@@ -82,9 +91,10 @@
             return True
 
     def _process_events(self) -> bool:
-        """Reads all events that are complete; returns whether the response has ended."""
-        while True:
-            event = self.http.next_event()
+        """Reads a portion of the events that are complete; returns whether the response has ended."""
+        self.can_proceed = False
+        for _ in range(PORTION_EVENTS):
+            event = self.input.next_event()
             if event is h11.NEED_DATA or event is h11.PAUSED:
                 return False
             if isinstance(event, h11.Response):
@@ -94,7 +104,8 @@
                 if self.body_bytes > MAX_BODY_SIZE:
                     self.reusable = False
                     return True
-                self.body += event.data
+                if self.keeps_body:
+                    self.body += event.data
             elif isinstance(event, h11.EndOfMessage):
                 self.complete = True
                 self._finish_cycle()
@@ -102,10 +113,11 @@
             elif isinstance(event, h11.ConnectionClosed):
                 self.reusable = False
                 return True
+        self.can_proceed = True
+        return False
 
     def _start_response(self, response: h11.Response) -> None:
         self.status = response.status_code
-        self.body = bytearray()
         for name, value in response.headers:
             if name == b"x-not-processed":
                 self.not_processed = value.strip() == b"1"
@@ -113,10 +125,10 @@
                 self.load_header = value
 
     def _finish_cycle(self) -> None:
-        self.unsolicited_data = bool(self.http.trailing_data[0])
-        is_done = self.http.states == {h11.CLIENT: h11.DONE, h11.SERVER: h11.DONE}
+        self.unsolicited_data = self.input.has_unparsed_bytes()
+        is_done = self.input.http.states == {h11.CLIENT: h11.DONE, h11.SERVER: h11.DONE}
         if is_done and not self.unsolicited_data:
-            self.http.start_next_cycle()
+            self.input.start_next_cycle()
         else:
             # Unsolicited data would be read as the response to the next request.
             self.reusable = False
--- a/crankfold/protocol/bounded_input.py
+++ b/crankfold/protocol/bounded_input.py
@@ -16,7 +16,7 @@
 MAX_HEADER_LINES = MAX_HEADER_FIELDS + 2  # with the start line and the empty line at the end
 MAX_INFORMATIONAL_RESPONSES = 8  # before a final response
 TOO_LARGE_STATUS = 431  # RFC 6585, section 5
-BODY_PORTION = 16 * 1024  # bytes of a body of known length
+BODY_PORTION = 16 * 1024  # bytes of a body without chunks
 CHUNKED_PORTION = 512  # bytes of chunks or trailers; a chunk takes at least six
 BLANK_LINE = re.compile(rb"\n\r?\n")
 BLANK_LINE_OVERLAP = 2  # bytes of a blank line that may be in an earlier portion
@@ -48,6 +48,7 @@
 
     def _start_message(self) -> None:
         self._body_remaining: int | None = None  # None for a body whose length is not known
+        self._is_chunked = False
         self._informational_responses = 0
         self._has_trailing_bytes = False
         self._start_head()
@@ -61,6 +62,10 @@
         """Returns the number of bytes received and not parsed, the body's apart."""
         return len(self._pending) + self._head_bytes
 
+    def has_unparsed_bytes(self) -> bool:
+        """Whether bytes follow the present message."""
+        return bool(self._pending)
+
     def receive_data(self, data: bytes) -> None:
         """Receives bytes."""
         self._pending += data
@@ -84,7 +89,7 @@
     def _handle_event(self, event: NextEvent) -> None:
         if isinstance(event, h11.Request | h11.Response):
             self._start_head()
-            self._body_remaining = _content_length(event)
+            self._start_body(event)
         elif isinstance(event, h11.InformationalResponse):
             self._start_head()
             self._informational_responses += 1
@@ -95,6 +100,13 @@
             self._has_trailing_bytes = bool(trailing_bytes)
             self._pending[:0] = trailing_bytes
 
+    def _start_body(self, head: h11.Request | h11.Response) -> None:
+        for name, value in head.headers:
+            if name == b"transfer-encoding":
+                self._is_chunked = True  # has precedence (RFC 9112, section 6.3)
+            elif name == b"content-length":
+                self._body_remaining = int(value)
+
     def _take(self, size: int) -> bytes:
         portion = bytes(self._pending[:size])
         del self._pending[:size]
@@ -126,9 +138,10 @@
         Raises:
             h11.RemoteProtocolError: There are too many trailers.
         """
-        if self._body_remaining is not None:
-            portion = self._take(min(self._body_remaining, BODY_PORTION))
-            self._body_remaining -= len(portion)
+        if not self._is_chunked:
+            remaining = self._body_remaining
+            portion = self._take(BODY_PORTION if remaining is None else min(remaining, BODY_PORTION))
+            self._body_remaining = None if remaining is None else remaining - len(portion)
             return portion
         # In a chunk h11 has consumed all that it received, but for one incomplete line.
         if self.http.trailing_data[0].count(b"\n") > MAX_HEADER_FIELDS:
@@ -152,14 +165,3 @@
         """Drops all input, of which no more is parsed."""
         self._pending = bytearray()
         self._start_connection()  # h11 can't drop the bytes that it has buffered
-
-
-def _content_length(head: h11.Request | h11.Response) -> int | None:
-    """Returns the length of the body if the header tells it; chunks have precedence (RFC 9112, 6.3)."""
-    length: int | None = None
-    for name, value in head.headers:
-        if name == b"transfer-encoding":
-            return None
-        if name == b"content-length":
-            length = int(value)
-    return length
--- a/tests/protocol/test_backend_connection.py
+++ b/tests/protocol/test_backend_connection.py
@@ -57,3 +57,23 @@
                 f"{load_header.decode()!r}: {load_reports.report_from_header(load_header, ('queue', 'x0'))}"
             )
         self.assert_matches_trace("answers")
+
+    # Guards against a response that keeps the event loop, or memory, at many times the cost of its bytes.
+    def test_response_is_processed_in_portions_and_its_body_is_kept_only_for_get(self) -> None:
+        connection = BackendConnection()
+        connection.send_request(b"POST", b"/api", [(b"Host", b"b")], b"hi")
+        head = b"HTTP/1.1 500 No\r\nTransfer-Encoding: chunked\r\n\r\n"
+        self.assertFalse(connection.receive_data(head + b"1\r\nx\r\n" * 1000 + b"0\r\n\r\n"))
+        self.assertLess(connection.body_bytes, 100)
+        calls = 1
+        while connection.can_proceed and not connection.receive_data(b""):
+            calls += 1
+        self.assertTrue(connection.complete)
+        self.assertGreater(calls, 20)
+        self.assertEqual((connection.body_bytes, connection.body, connection.reusable), (1000, b"", True))
+
+    def test_response_with_too_many_fields_is_malformed(self) -> None:
+        connection = BackendConnection()
+        connection.send_request(b"GET", b"/load", [(b"Host", b"b")], b"")
+        self.assertTrue(connection.receive_data(b"HTTP/1.1 200 OK\r\n" + b"a:\r\n" * 3000 + b"\r\n"))
+        self.assertEqual((connection.complete, connection.reusable, connection.status), (False, False, 0))
