Bound what a list of discovery costs to decode, and process chunks in portions

The same mistake on another way in: a response of up to 16 MB was decoded whatever it holds, and chunks of one byte were parsed 64 KB at a time. Fix: 4 MB and 200,000 values, counted before the decoding (3,200 backends have 64,000); BoundedInput and 32 events at a time.

--- a/crankfold/network/discovery_watcher.py
+++ b/crankfold/network/discovery_watcher.py
@@ -73,9 +73,16 @@
             async with asyncio.timeout(CONNECT_TIMEOUT):
                 self.reader, self.writer = await open_connection(self.host, self.port, READ_SIZE)
         self.writer.write(self.protocol.request(revision, wait_ms))
-        while not self.protocol.receive_data(await self.reader.read(READ_SIZE)):
+        while not self.protocol.receive_data(await self._next_data(self.reader)):
             pass
 
+    async def _next_data(self, reader: CountingStreamReader) -> bytes:
+        """Returns the next input, or no bytes after other events if there is some left to process."""
+        if not self.protocol.can_proceed:
+            return await reader.read(READ_SIZE)
+        await asyncio.sleep(0)
+        return b""
+
     def is_reusable(self) -> bool:
         """Whether the connection may be used for another call: it is open, without unsolicited input."""
         if self.reader is None or self.writer is None:
--- a/crankfold/protocol/discovery.py
+++ b/crankfold/protocol/discovery.py
@@ -12,6 +12,7 @@
 import orjson
 
 from crankfold.errors import CrankfoldError, drop_traceback
+from crankfold.protocol.bounded_input import BoundedInput
 from crankfold.routing.interface import Endpoint, EndpointState
 
 _STATES = {
@@ -20,7 +21,10 @@
     "terminated": EndpointState.REMOVED,
 }
 _STATE_NAMES = {state: name for name, state in _STATES.items()}
-MAX_LIST_SIZE = 16 * 1024 * 1024  # bytes
+MAX_LIST_SIZE = 4 * 1024 * 1024  # bytes
+# Values of JSON in a list; decoded, each takes up to a hundred bytes. A fleet of 3,200 backends has 64,000.
+MAX_LIST_VALUES = 200_000
+PORTION_EVENTS = 32  # events of h11 in one call of `DiscoveryConnection.receive_data`
 _WireEntry = dict[str, Any]  # a JSON object with the field names of the wire
 EndpointDocument = dict[str, Any]
 """An endpoint list as decoded JSON, in the form of a response of discovery."""
@@ -81,8 +85,10 @@
     """Decodes the body of a response.
 
     Raises:
-        DiscoveryError: A field is missing or malformed, or a snapshot is empty.
+        DiscoveryError: The list is too long, a field is missing or malformed, or a snapshot is empty.
     """
+    if sum(map(body.count, (b",", b"{", b"["))) > MAX_LIST_VALUES:
+        raise DiscoveryError(f"a list with more than {MAX_LIST_VALUES} values")
     try:
         message = orjson.loads(body)
         revision = message["rev"]
@@ -152,14 +158,16 @@
         status: Status of the present response; 0 before its header.
         body: Body of the present response.
         response_started: Whether any byte of the present response was received.
+        can_proceed: Whether received bytes are left that `receive_data` has not processed.
     """
 
     def __init__(self, host: str) -> None:
-        self.http = h11.Connection(h11.CLIENT)
+        self.input = BoundedInput(h11.CLIENT)
         self.host = host.encode()
         self.status = 0
         self.body = bytearray()
         self.response_started = False
+        self.can_proceed = False
         self._peer_closed = False
 
     def request(self, revision: int, wait_ms: int) -> bytes:
@@ -174,10 +182,14 @@
         self.body = bytearray()
         self.response_started = False
         head = h11.Request(method=b"GET", target=target.encode(), headers=[(b"Host", self.host)])
-        return (self.http.send(head) or b"") + (self.http.send(h11.EndOfMessage()) or b"")
+        http = self.input.http
+        return (http.send(head) or b"") + (http.send(h11.EndOfMessage()) or b"")
 
     def receive_data(self, data: bytes) -> bool:
-        """Receives bytes of the response; no bytes mean that the peer closed the connection.
+        """Receives bytes of the response, and processes up to PORTION_EVENTS events.
+
+        No bytes mean that the peer closed the connection, unless `can_proceed` is set: then they process the
+        bytes that are left.
 
         Returns:
             Whether the response is complete.
@@ -185,25 +197,29 @@
         Raises:
             DiscoveryError: The response is not valid HTTP, is too long, or ends before it is complete.
         """
-        self._peer_closed = not data
+        self._peer_closed = not data and not self.can_proceed
         try:
-            self.http.receive_data(data)
+            if self._peer_closed:
+                self.input.http.receive_data(b"")
+            else:
+                self.input.receive_data(data)
             is_complete = self._process_events()
         except h11.RemoteProtocolError as error:
             drop_traceback(error)
-            if data:
+            if not self._peer_closed:
                 raise DiscoveryError(f"response is not valid HTTP ({error})") from error
             is_complete = False
-        if not data and not is_complete:
+        if self._peer_closed and not is_complete:
             moment = "in the middle of a response" if self.response_started else "without a response"
             raise DiscoveryError(f"connection closed {moment}")
         self.response_started = True
         return is_complete
 
     def _process_events(self) -> bool:
-        """Reads all complete events; returns whether the response has ended."""
-        while True:
-            event = self.http.next_event()
+        """Reads a portion of the events; returns whether the response has ended."""
+        self.can_proceed = False
+        for _ in range(PORTION_EVENTS):
+            event = self.input.next_event()
             if event is h11.NEED_DATA or event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
                 return False
             if isinstance(event, h11.Response):
@@ -213,14 +229,16 @@
                 if len(self.body) > MAX_LIST_SIZE:
                     raise DiscoveryError(f"response is longer than {MAX_LIST_SIZE} bytes")
             elif isinstance(event, h11.EndOfMessage):
-                is_done = self.http.states == {h11.CLIENT: h11.DONE, h11.SERVER: h11.DONE}
-                if is_done and not self.http.trailing_data[0]:
-                    self.http.start_next_cycle()
+                is_done = self.input.http.states == {h11.CLIENT: h11.DONE, h11.SERVER: h11.DONE}
+                if is_done and not self.input.has_unparsed_bytes():
+                    self.input.start_next_cycle()
                 return True
+        self.can_proceed = True
+        return False
 
     def is_reusable(self) -> bool:
         """Whether the connection may be used for another call: no bytes followed the response."""
-        return self.http.our_state is h11.IDLE and not self._peer_closed
+        return self.input.http.our_state is h11.IDLE and not self._peer_closed
 
     def decode_response(self, make_endpoint: EndpointFactory) -> EndpointUpdate:
         """Decodes the complete response.
--- a/tests/protocol/test_discovery.py
+++ b/tests/protocol/test_discovery.py
@@ -3,6 +3,7 @@
 import unittest
 
 from crankfold.protocol.discovery import (
+    MAX_LIST_VALUES,
     DiscoveryConnection,
     DiscoveryEntry,
     DiscoveryError,
@@ -154,3 +155,18 @@
         self.assertFalse(connection.receive_data(b"HTTP/1.1 200 OK\r\n\r\n{}"))
         self.assertTrue(connection.receive_data(b""))
         self.assertEqual((connection.status, connection.body), (200, b"{}"))
+
+    # Guards against a list that takes many times the memory of its bytes, or the event loop for long.
+    def test_costly_list_is_rejected_and_chunks_are_processed_in_portions(self) -> None:
+        too_many = b'{"rev":4,"all":true,"targets":[' + b"{}," * MAX_LIST_VALUES + b"{}]}"
+        with self.assertRaisesRegex(DiscoveryError, "values"):
+            decode_endpoints(too_many, self.make_endpoint)
+        connection = DiscoveryConnection("10.0.0.9:85")
+        connection.request(4, 0)
+        chunks = b"".join(b"1\r\n%c\r\n" % byte for byte in b"[" * 500 + b"]" * 500)
+        head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        self.assertFalse(connection.receive_data(head + chunks + b"0\r\n\r\n"))
+        self.assertLess(len(connection.body), 100)
+        while connection.can_proceed and not connection.receive_data(b""):
+            pass
+        self.assertEqual((len(connection.body), connection.is_reusable()), (1000, True))
