Bound what a call to the admin server costs

Evidence: test_call_with_too_many_fields_or_document_without_cluster_is_rejected (fails before: accepts_documents does not exist and 900 fields were parsed); read, not played on a process. Fix: BoundedInput, 1 KB a read, documents only with a cluster.

--- a/crankfold/network/admin_server.py
+++ b/crankfold/network/admin_server.py
@@ -14,7 +14,7 @@
 # Seconds for which input is read and discarded after the response. Closing a socket with unread input resets
 # the connection, and the caller could lose the response.
 CLOSE_DELAY = 0.2
-READ_SIZE = 4 * 1024  # bytes
+READ_SIZE = 1024  # bytes; chunks of one byte in them take h11 two milliseconds
 LIMITS = AcceptLimits(backlog=256, read_limit=READ_SIZE, accepts_per_iteration=2)
 
 
@@ -51,7 +51,7 @@
         if not self._try_admit():
             writer.transport.abort()
             return
-        connection = AdminConnection()
+        connection = AdminConnection(accepts_documents=self.operations.cluster_admin is not None)
         self.connections[connection] = writer
         try:
             await self._serve_call(connection, reader, writer)
--- a/crankfold/protocol/admin_api.py
+++ b/crankfold/protocol/admin_api.py
@@ -12,6 +12,7 @@
 import h11
 
 from crankfold.errors import drop_traceback
+from crankfold.protocol.bounded_input import BoundedInput
 from crankfold.protocol.client_request import MAX_ID_LENGTH
 from crankfold.protocol.headers import Header
 
@@ -100,6 +101,9 @@
 class AdminConnection:
     """The state of one admin connection. It receives bytes until `command` is set or `answered` is true.
 
+    Args:
+        accepts_documents: Whether a call may publish a document, which may be longer than another call.
+
     Attributes:
         command: The call, once it is complete.
         body: The body of the call.
@@ -107,8 +111,9 @@
         answered: Whether the response is in `outgoing`; no more input is read then.
     """
 
-    def __init__(self) -> None:
-        self.http = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_CALL_SIZE)
+    def __init__(self, *, accepts_documents: bool = True) -> None:
+        self.input = BoundedInput(h11.SERVER)
+        self.accepts_documents = accepts_documents
         self.head: h11.Request | None = None
         self.command: AdminCommand | None = None
         self.body = bytearray()
@@ -125,7 +130,7 @@
             self.respond(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
             return
         try:
-            self.http.receive_data(data)
+            self.input.receive_data(data)
             self._process_events()
         except h11.RemoteProtocolError as error:
             drop_traceback(error)
@@ -133,9 +138,9 @@
 
     def _process_events(self) -> None:
         while not self.answered and not self.command:
-            event = self.http.next_event()
+            event = self.input.next_event()
             if event is h11.NEED_DATA:
-                if self.http.they_are_waiting_for_100_continue:
+                if self.input.http.they_are_waiting_for_100_continue:
                     self._send_event(h11.InformationalResponse(status_code=CONTINUE, headers=[]))
                 return
             if event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
@@ -148,7 +153,11 @@
                 self._route()
 
     def _is_publish(self) -> bool:
-        return self.head is not None and self.head.target.startswith(b"/control/agreed/")
+        return (
+            self.accepts_documents
+            and self.head is not None
+            and self.head.target.startswith(b"/control/agreed/")
+        )
 
     def _route(self) -> None:
         assert self.head is not None
@@ -169,7 +178,7 @@
         if self.answered:
             return
         self.answered = True
-        if self.http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+        if self.input.http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
         phrase = HTTPStatus(status).phrase
         body = (text or phrase).encode() + b"\n"
@@ -184,7 +193,7 @@
         self._send_event(h11.EndOfMessage())
 
     def _send_event(self, event: h11.Event) -> None:
-        self.outgoing += self.http.send_with_data_passthrough(event) or []
+        self.outgoing += self.input.http.send_with_data_passthrough(event) or []
 
 
 def _find_command(head: h11.Request) -> AdminCommand | None:
--- a/tests/network/test_admin_server.py
+++ b/tests/network/test_admin_server.py
@@ -76,6 +76,18 @@
         self.assertIn(b"Connection: close", head)
         return f"{', '.join(calls) or '-'}: {head.split()[1].decode()} {body.decode().strip()}"
 
+    # Guards against calls that cost much more than their bytes.
+    def test_call_with_too_many_fields_or_document_without_cluster_is_rejected(self) -> None:
+        connection = AdminConnection()
+        connection.receive_data(b"GET /control/ready HTTP/1.1\r\nHost: b\r\n" + b"a:\r\n" * 900 + b"\r\n")
+        self.assertIn(b" 431 ", connection.outgoing[0])
+        head = b"POST /control/agreed/settings HTTP/1.1\r\nHost: b\r\nContent-Length: 9000\r\n\r\n"
+        for accepts_documents in (True, False):
+            connection = AdminConnection(accepts_documents=accepts_documents)
+            for _ in range(8):
+                connection.receive_data((head if not connection.head else b"") + b"x" * 1000)
+            self.assertEqual(connection.answered, not accepts_documents)
+
     async def test_idle_connections_do_not_block_calls(self) -> None:
         metrics = Metrics()
         admin_server = AdminServer(Mock(is_ready=lambda: True), metrics)
