Bound what unidentified connections to a cluster member may send and hold

Evidence: read; test_unidentified_senders_are_bounded_in_size_and_number (fails before: no such bound exists). Fix: 4 KB for the first frame, 64 connections without a hello, of which the oldest gives way; cluster-connections-evicted counts them.

--- a/crankfold/cluster/framing.py
+++ b/crankfold/cluster/framing.py
@@ -11,6 +11,7 @@
 
 PROTOCOL_VERSION = 1
 MAX_FRAME_BYTES = 8 * 1024 * 1024  # of the encoded message, without the length before it
+MAX_HELLO_FRAME_BYTES = 4 * 1024  # of a sender that is not identified yet
 LENGTH_BYTES = 4
 
 
@@ -53,8 +54,13 @@
 class FrameDecoder:
     """Decodes the bytes of one connection incrementally."""
 
-    def __init__(self) -> None:
-        """Creates a decoder without buffered bytes."""
+    def __init__(self, max_first_frame_bytes: int = MAX_FRAME_BYTES) -> None:
+        """Creates a decoder without buffered bytes.
+
+        Args:
+            max_first_frame_bytes: Limit of the first encoded message.
+        """
+        self._max_frame_bytes = max_first_frame_bytes
         self._buffer = bytearray()
 
     def feed(self, data: bytes) -> list[Message | Hello]:
@@ -68,13 +74,14 @@
         start = 0
         while len(self._buffer) - start >= LENGTH_BYTES:
             size = int.from_bytes(self._buffer[start : start + LENGTH_BYTES], "big")
-            if size > MAX_FRAME_BYTES:
-                raise ProtocolError(f"frame of {size} bytes exceeds the limit of {MAX_FRAME_BYTES}")
+            if size > self._max_frame_bytes:
+                raise ProtocolError(f"frame of {size} bytes exceeds the limit of {self._max_frame_bytes}")
             body_start = start + LENGTH_BYTES
             if len(self._buffer) - body_start < size:
                 break
             messages.append(self._decode(bytes(self._buffer[body_start : body_start + size])))
             start = body_start + size
+            self._max_frame_bytes = MAX_FRAME_BYTES
         del self._buffer[:start]
         return messages
 
--- a/crankfold/cluster/transport.py
+++ b/crankfold/cluster/transport.py
@@ -13,6 +13,7 @@
 from typing import Any, Protocol
 
 from crankfold.cluster.framing import (
+    MAX_HELLO_FRAME_BYTES,
     PROTOCOL_VERSION,
     FrameDecoder,
     Hello,
@@ -27,6 +28,7 @@
 READ_BYTES = 64 * 1024
 MAX_UNSENT_BYTES = 8 * 1024 * 1024
 MAX_INCOMING_CONNECTIONS = 2048
+MAX_UNIDENTIFIED_CONNECTIONS = 64
 LIMITS = AcceptLimits(backlog=128, read_limit=READ_BYTES, accepts_per_iteration=16)
 HELLO_TIMEOUT_SECONDS = 2.0
 CONNECT_TIMEOUT_SECONDS = 1.0
@@ -72,6 +74,7 @@
         self._outgoing: dict[str, asyncio.StreamWriter] = {}
         self._incoming: dict[str, asyncio.StreamWriter] = {}
         self._accepted: set[asyncio.StreamWriter] = set()  # including those that have not sent a hello yet
+        self._unidentified: dict[asyncio.StreamWriter, None] = {}  # those without a hello, the oldest first
         self._closed = False
         self._active_receivers: set[str] = set()
         self._reconnect_not_before: dict[str, float] = {}
@@ -154,12 +157,15 @@
         try:
             if self._closed or len(self._incoming) >= MAX_INCOMING_CONNECTIONS:
                 return
-            decoder = FrameDecoder()
+            self._unidentified[writer] = None
+            self._evict_unidentified()
+            decoder = FrameDecoder(MAX_HELLO_FRAME_BYTES)
             messages = await self._read_first_messages(reader, decoder)
             if self._closed or not messages:
                 return
             name = self._admit(messages[0], writer)
             if name:
+                self._unidentified.pop(writer, None)
                 await self._read_messages(name, reader, decoder, messages[1:])
         except ProtocolError as error:
             logger.warning("protocol error from %s: %s", name or "unknown", error, extra=LOG_CATEGORY)
@@ -167,11 +173,20 @@
             drop_traceback(error)  # the sender opens a new connection
         finally:
             self._accepted.discard(writer)
+            self._unidentified.pop(writer, None)
             if name and self._incoming.get(name) is writer:
                 del self._incoming[name]
             with contextlib.suppress(OSError):
                 writer.close()
 
+    def _evict_unidentified(self) -> None:
+        """Closes the oldest connection without a hello if there are too many."""
+        if len(self._unidentified) > MAX_UNIDENTIFIED_CONNECTIONS:
+            oldest = next(iter(self._unidentified))
+            del self._unidentified[oldest]
+            oldest.transport.abort()
+            self._metrics.increment("cluster-connections-evicted")
+
     @staticmethod
     async def _read_first_messages(
         reader: asyncio.StreamReader, decoder: FrameDecoder
--- a/tests/cluster/test_transport.py
+++ b/tests/cluster/test_transport.py
@@ -5,7 +5,7 @@
 import unittest
 
 from crankfold.cluster.framing import LENGTH_BYTES, PROTOCOL_VERSION, FrameDecoder, Hello, encode_frame
-from crankfold.cluster.transport import Transport
+from crankfold.cluster.transport import MAX_UNIDENTIFIED_CONNECTIONS, Transport
 from crankfold.consensus.messages import Message, Rejection
 from crankfold.fault_injection.loopback import HOST, find_free_port
 from crankfold.network.metrics import Metrics
@@ -73,6 +73,19 @@
                 pass
         return received
 
+    # Guards against senders that are not identified and take memory and descriptors from the dispatcher.
+    async def test_unidentified_senders_are_bounded_in_size_and_number(self) -> None:
+        await self.open_transport()
+        client = self.connect()
+        client.sendall((8 * 1024 * 1024).to_bytes(LENGTH_BYTES, "big"))
+        self.assertEqual(await self.receive_until_closed(client), b"")
+        clients = [self.connect() for _ in range(MAX_UNIDENTIFIED_CONNECTIONS + 1)]
+        self.assertEqual(await self.receive_until_closed(clients[0]), b"")
+        clients[1].sendall(encode_frame(SENDER_HELLO))
+        async with asyncio.timeout(CLOSE_TIMEOUT_SECONDS):
+            while not self.handler.admitted:  # noqa: ASYNC110 - no event is set for this
+                await asyncio.sleep(0.01)
+
     # Guards against a closed member that reconnects while another process may already use its name.
     async def test_send_after_close_opens_no_connection(self) -> None:
         receiver = await self.open_transport()
