Keep callbacks of strangers from cutting the handover channel

Found on the walk of the ways in: anybody may send callbacks for unknown requests, 64 KB each, and a process that is being replaced forwards them. Sixty of them to a successor that is suspended overflow its buffer of 1 MB; the channel is cut, the old process accepts again, and both serve without knowing each other's ids. Evidence: tests.overload.test_handover, red before (204 in place of 503: no other process was left). Fix: callbacks use half of the buffer at most; beyond it the answer is 503 at once, on which the backend tries again (callbacks-not-forwarded). An answered query is resolved by itself, not by a pass over all queries.

--- a/crankfold/network/handover_channel.py
+++ b/crankfold/network/handover_channel.py
@@ -270,6 +270,17 @@
         else:
             writer.write(encode_message(message))
 
+    def has_room_for_callback(self, size: int) -> bool:
+        """Whether a callback of that size may be sent to every connected process.
+
+        Callbacks may be large, and anybody may send them; so they leave half of each buffer to the messages
+        whose loss would separate the processes.
+        """
+        most_unsent = max(
+            (writer.transport.get_write_buffer_size() for writer in self.writers.values()), default=0
+        )
+        return most_unsent + size <= MAX_UNSENT_BYTES // 2
+
     def disconnect(self, process: int) -> None:
         """Closes a connection once all messages are written, without calling `connection_lost`."""
         writer = self.writers.pop(process, None)
--- a/crankfold/service/handover/other_processes.py
+++ b/crankfold/service/handover/other_processes.py
@@ -20,6 +20,7 @@
         self, state_machine: HandoverStateMachine, manual_drain_file: ManualDrainFile, metrics: Metrics
     ) -> None:
         self.state_machine = state_machine
+        self.channel = manual_drain_file.channel
         self.manual_drain_file = manual_drain_file
         self.metrics = metrics
         self.loop = asyncio.get_running_loop()
@@ -45,10 +46,15 @@
         """Forwards a callback for a request that this process does not handle.
 
         Returns:
-            Whether there is another process. If so, `on_answer` is called, possibly before the return.
+            Whether there is another process. If so, `on_answer` is called, possibly before the return; with
+            None at once if that process does not read, so that the backend tries again.
         """
         if not self.state_machine.processes:
             return False
+        if not self.channel.has_room_for_callback(len(body)):
+            self.metrics.increment("callbacks-not-forwarded")
+            on_answer(None)
+            return True
         self.metrics.increment("callbacks-forwarded")
         self.state_machine.query_callback(self.loop.time(), body.decode(errors="replace"), on_answer)
         return True
--- a/crankfold/service/handover/state_machine.py
+++ b/crankfold/service/handover/state_machine.py
@@ -226,7 +226,7 @@
             case ManualDrainQuery() | CallbackQuery() | ReservationQuery() | UnknownQuery():
                 self._query_received(now, process, message)
             case QueryAnswer():
-                self._answer_received(now, process, message)
+                self._answer_received(process, message)
 
     def _request_ended(self, process: int, message: RequestEnded) -> None:
         if message.executed:
@@ -290,16 +290,15 @@
 
         self.reserve_request_id(now, request_id, on_answer)
 
-    def _answer_received(self, now: float, process: int, answer: QueryAnswer) -> None:
+    def _answer_received(self, process: int, answer: QueryAnswer) -> None:
         pending = self.queries.get(answer.query_id)
         if pending is None or process not in pending.awaited:
             return
         pending.awaited.discard(process)
         if answer.positive:
-            pending.awaited.clear()
             self._resolve(answer.query_id, True)
-        else:
-            self.expire_queries(now)
+        elif not pending.awaited:
+            self._resolve(answer.query_id, False)
 
     # --- queries ---
 
