--- a/tests/overload/bad_clients.py
+++ b/tests/overload/bad_clients.py
@@ -81,6 +81,13 @@
             return
 
 
+async def leave_after_request(client: Client) -> None:
+    """Sends a whole request with a large body, and leaves while it is executed."""
+    head = request_head(f"held-{client.name}", "Content-Length: 60000\r\n\r\n", timeout=300.0)
+    await client.send(head + b"x" * 60000)
+    await asyncio.sleep(STEP_SECONDS)
+
+
 async def send_trailers(client: Client) -> None:
     """Sends a chunked body that ends with thousands of short trailers, and then an incomplete body."""
     head = request_head(client.name, "Transfer-Encoding: chunked\r\n\r\n")
@@ -157,6 +164,7 @@
     "stop-in-body": stop_in_body,
     "body-slowly": send_body_slowly,
     "whole-requests": send_whole_requests,
+    "leave-after-request": leave_after_request,
     "trailers": send_trailers,
     "pipeline-after-answer": pipeline_after_each_answer,
     "health-checks": pipeline_health_checks,
--- a/tests/overload/scene.py
+++ b/tests/overload/scene.py
@@ -7,6 +7,7 @@
 import tempfile
 from collections.abc import Sequence
 from pathlib import Path
+from typing import Any
 
 from tests.fixtures import read_message
 from tests.loopback import ACCEPTED, DispatcherTestCase
@@ -66,8 +67,14 @@
         """Starts a process that takes over; `process` is the successor from then on."""
         await self.start_process(SERVE, self.folder)
 
-    async def start_dispatcher(self, memory_mb: int = 192, descriptors: int = 1024) -> None:
-        """Starts the process in place of an earlier one; `output` has its log once it has ended."""
+    async def start_dispatcher(self, memory_mb: int = 192, descriptors: int = 1024, **settings: Any) -> None:
+        """Starts the process in place of an earlier one; `output` has its log once it has ended.
+
+        Args:
+            memory_mb: The memory limit.
+            descriptors: The limit of open file descriptors.
+            **settings: Settings that differ from those of `begin`.
+        """
         if self.callback_tasks:
             await self.end_dispatcher()
         self.received_ids: list[str] = []  # request ids, in the order in which the backend received them
@@ -83,7 +90,7 @@
                         self.callbacks.put_nowait(request_id)
 
         self.callbacks: asyncio.Queue[str] = asyncio.Queue()
-        await self.begin(backend)
+        await self.begin(backend, **settings)
         folder = ""
         if self.replaceable:
             with socket.create_server(("127.0.0.1", 0)) as server:
@@ -91,7 +98,6 @@
             self.config["admin_addr"] = "127.0.0.1:0"
             folder = self.folder
         self.config["limits"] = {"memory_mb": memory_mb, "sockets": descriptors}
-        self.config["settings"]["service-grades"][0]["cut-off"] = 3_000_000
         self.output = await self.start_process(SERVE, folder)
         self.callback_tasks = [
             asyncio.create_task(self.send_callbacks()) for _ in range(CALLBACK_CONNECTIONS)
--- a/tests/overload/test_memory.py
+++ b/tests/overload/test_memory.py
@@ -42,6 +42,19 @@
             with self.subTest(kind):
                 self.assertLess(await self.peak_beside(kind, clients, limit), limit)
 
+    # Guards against requests that are executed on after their clients have left, with all that these sent.
+    async def test_requests_of_clients_that_left_stay_within_limit(self) -> None:
+        limit = 64
+        unsafe_class = {"name": "g", "effect": "unsafe", "cut-off": 300_000_000, "expected-time": 2_000_000}
+        settings = {
+            "allowed": {"most-dispatches": 2, "cancel": False},
+            "service-grades": [unsafe_class],
+        }
+        await self.start_dispatcher(limit, DESCRIPTORS, **settings)
+        await self.start_bad_clients("leave-after-request", HUNDREDS, SECONDS)
+        self.assertLess(await self.peak_memory(SECONDS), limit)
+        self.assertGreater(len(self.received_ids), 1000)
+
     # Guards against input that is read behind an open request and counted anew after each answer.
     async def test_pipelined_requests_do_not_grow_memory(self) -> None:
         await self.start_dispatcher(MEMORY_LIMIT_MEGABYTES, DESCRIPTORS)
