Account for admitted requests, and let their bodies go when their clients have left

Callers saw: memory that grows with clients that send large requests and leave. Cause: the function that makes an attempt's headers refers to the whole request, so a body stayed until its last attempt ended, up to an hour where backends take no cancellations; up to 20,000 requests in the table counted nowhere. Fix: the function refers to the headers; the table and the reservations charge the budget with the bodies of open requests and 4 KB a request; they take three quarters of the limit at most, the rest is for transfers, which can be released and so never keep a request out.

--- a/crankfold/network/accepted_connection.py
+++ b/crankfold/network/accepted_connection.py
@@ -303,8 +303,7 @@
 
     def unfinished_transfer(self, now: float) -> UnfinishedTransfer:
         """Returns what could be released, and for how long it has been held."""
-        held = self.held_bytes() - self.protocol.open_request_bytes
-        return UnfinishedTransfer(held, now - self.phase_started_at)
+        return UnfinishedTransfer(self.held_bytes(), now - self.phase_started_at)
 
     def release_memory(self) -> None:
         """Drops what is held without an open request.
--- a/crankfold/network/memory_budget.py
+++ b/crankfold/network/memory_budget.py
@@ -6,8 +6,10 @@
 # Share of the limit down to which memory is released once it is exceeded, so that the holders are compared
 # once for many arrivals.
 RELEASE_SHARE = 0.9
-# A new request is admitted while this many times its size is free, so that small requests are admitted
-# longest.
+# Admitted requests hold this share of the limit at most; the rest is for requests that are being received and
+# responses that are being sent, which can be released.
+ADMITTED_SHARE = 0.75
+# A request is admitted while this many times its size is free, so that small requests are admitted longest.
 ROOM_FACTOR = 16
 
 Holder = TypeVar("Holder", bound=Hashable)
@@ -37,11 +39,13 @@
     Attributes:
         limit: Bytes; 0 for no limit.
         held: Bytes held by all holders.
+        admitted: The part of them that admitted requests hold.
     """
 
     def __init__(self, limit: int = 0) -> None:
         self.limit = limit
         self.held = 0
+        self.admitted = 0
         self._held_by: dict[Hashable, int] = {}
 
     def charge(self, holder: Hashable, held: int) -> None:
@@ -49,8 +53,13 @@
         self.held += held - self._held_by.get(holder, 0)
         self._held_by[holder] = held
 
+    def charge_admitted(self, holder: Hashable, held: int) -> None:
+        """Sets the bytes that admitted requests hold; a holder uses either this method or `charge`."""
+        self.admitted += held - self._held_by.get(holder, 0)
+        self.charge(holder, held)
+
     def release(self, holder: Hashable) -> None:
-        """Ends the account of a holder; does nothing if there is none."""
+        """Ends the account that `charge` has begun; does nothing if there is none."""
         self.held -= self._held_by.pop(holder, 0)
 
     def is_exceeded(self) -> bool:
@@ -62,5 +71,5 @@
         return 0 < self.limit * RELEASE_SHARE < self.held
 
     def has_room(self, size: int) -> bool:
-        """Whether a request of that size, which is charged already, may be admitted."""
-        return not self.limit or self.held + (ROOM_FACTOR - 1) * size <= self.limit
+        """Whether a request of that size, in bytes, may be admitted."""
+        return not self.limit or self.admitted + ROOM_FACTOR * size <= self.limit * ADMITTED_SHARE
--- a/crankfold/protocol/client_connection.py
+++ b/crankfold/protocol/client_connection.py
@@ -81,7 +81,6 @@
         identified: Whether the peer has sent a request or a callback.
         is_backend: Whether the peer has sent a callback.
         can_proceed: Whether received bytes can be processed now.
-        open_request_bytes: Size of the body of the open request.
     """
 
     def __init__(
@@ -102,7 +101,6 @@
         self.identified = False
         self.is_backend = False
         self._needs_data = True
-        self.open_request_bytes = 0
 
     def is_mid_request(self) -> bool:
         """Whether a request was received in part."""
@@ -113,8 +111,8 @@
         return not self.awaiting_response and self.request_head is not None
 
     def held_bytes(self) -> int:
-        """Returns the cost in memory of what was received, the body of the open request included."""
-        held = len(self.input) + len(self.body) + self.open_request_bytes
+        """Returns the cost in memory of what was received and is not passed to the handler."""
+        held = len(self.input) + len(self.body)
         if self.request_head is not None:
             held += sum(len(name) + len(value) + FIELD_COST for name, value in self.request_head.headers)
         return held
@@ -187,7 +185,6 @@
         self.awaiting_response = False
         self.request_head = None
         self.body = bytearray()
-        self.open_request_bytes = 0
         http = self.input.http
         if http.our_state is h11.MUST_CLOSE or http.our_state is h11.CLOSED:
             self.closing = True
@@ -245,7 +242,6 @@
         head, body = self.request_head, bytes(self.body)
         self.request_head = None
         self.body = bytearray()
-        self.open_request_bytes = len(body)
         path = head.target.partition(b"?")[0]
         if path == b"/api" or path.startswith(b"/api/"):
             self._route_request(head, body)
--- a/crankfold/service/memory_limit.py
+++ b/crankfold/service/memory_limit.py
@@ -15,7 +15,7 @@
 # Of what remains. The rest is for copies in transit between the kernel and the connections, and for
 # fragmentation.
 HELD_SHARE = 0.5
-MIN_HELD_BYTES = BYTES_PER_MEGABYTE
+MIN_HELD_BYTES = 2 * BYTES_PER_MEGABYTE  # admits the largest request
 LOG_CATEGORY = {"category": "memory"}
 
 
--- a/crankfold/service/requests/attempts.py
+++ b/crankfold/service/requests/attempts.py
@@ -106,10 +106,11 @@
             return
         self._record_sending(request, attempt)
         http = request.http_request
+        headers = http.headers  # the exchange may last after the body was sent
         attempt.exchange = Exchange(
             http.method,
             http.target,
-            lambda: attempt_headers(http.headers, request.deadline - self.clock.now()),
+            lambda: attempt_headers(headers, request.deadline - self.clock.now()),
             http.body,
             may_send=partial(self._may_send, request, attempt),
             on_connect=partial(self._record_sending, request, attempt),
--- a/crankfold/service/requests/handler.py
+++ b/crankfold/service/requests/handler.py
@@ -105,8 +105,8 @@
         self.poll_endpoints = poll_endpoints
         self.closed = False  # set when the process ends, so that new requests are shed
         self.request_classes = RequestClassTable(config.request_classes.names, routing_config.request_classes)
-        self.request_table = RequestTable(self.request_classes, cluster, other_processes)
-        self.reservations = Reservations(other_processes, timers, self._on_reserved)
+        self.request_table = RequestTable(self.request_classes, cluster, other_processes, memory)
+        self.reservations = Reservations(other_processes, timers, self._on_reserved, memory)
         self.load_reports = LoadReportStore(timers.clock)
         self.attempts = self._build_attempts(routing_config.cancellation_allowed)
         self.callbacks = self._build_callback_handler()
--- a/crankfold/service/requests/reservations.py
+++ b/crankfold/service/requests/reservations.py
@@ -5,6 +5,7 @@
 from functools import partial
 from typing import NamedTuple
 
+from crankfold.network.memory_budget import MemoryBudget
 from crankfold.network.timers import Timers
 from crankfold.protocol.client_connection import ClientChannel
 from crankfold.protocol.client_request import ClientRequest
@@ -39,12 +40,21 @@
         other_processes: The successor among them.
         timers: End the waits.
         on_reserved: Admits or rejects each request that was passed to `begin` and not discarded.
+        memory: Accounts for the requests that wait.
     """
 
-    def __init__(self, other_processes: OtherProcesses, timers: Timers, on_reserved: OnReserved) -> None:
+    def __init__(
+        self,
+        other_processes: OtherProcesses,
+        timers: Timers,
+        on_reserved: OnReserved,
+        memory: MemoryBudget,
+    ) -> None:
         self.other_processes = other_processes
         self.timers = timers
         self.on_reserved = on_reserved
+        self.memory = memory
+        self._body_bytes = 0
         self._by_request_id: dict[str, _Reservation] = {}
         self._by_client: dict[ClientChannel, str] = {}
 
@@ -70,6 +80,7 @@
         reservation = _Reservation(client, request, self.timers.clock.now(), timer)
         self._by_request_id[request_id] = reservation
         self._by_client[client] = request_id
+        self._account(len(request.http.body))
 
         def on_answer(in_use: bool | None) -> None:
             if self._by_request_id.get(request_id) is reservation:
@@ -101,4 +112,9 @@
         reservation = self._by_request_id.pop(request_id)
         del self._by_client[reservation.client]
         reservation.timer.cancel()
+        self._account(-len(reservation.request.http.body))
         return reservation
+
+    def _account(self, added_bytes: int) -> None:
+        self._body_bytes += added_bytes
+        self.memory.charge_admitted(self, self._body_bytes)
--- a/crankfold/service/requests/table.py
+++ b/crankfold/service/requests/table.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple
 
 from crankfold.network.exchange import Exchange
+from crankfold.network.memory_budget import MemoryBudget
 from crankfold.protocol.client_connection import ClientChannel
 from crankfold.protocol.client_request import HttpRequest
 from crankfold.routing.interface import Idempotency, RequestClass
@@ -14,6 +15,8 @@
 from crankfold.service.requests.collaborators import ClusterServices, OtherProcesses
 from crankfold.service.requests.executed_ids import ExecutedIds
 
+REQUEST_BYTES = 4 * 1024  # objects of a request in the table, in the router and in timers, without its body
+
 
 class Disposition(Enum):
     """The final response to an admitted request, with its counter and its HTTP status."""
@@ -139,14 +142,21 @@
         request_classes: Counts the requests in progress of each class.
         cluster: Holds the quotas that closed requests release.
         other_processes: Are told which request ids are no longer in use.
+        memory: Accounts for the requests beside what their connections hold.
     """
 
     def __init__(
-        self, request_classes: RequestClassTable, cluster: ClusterServices, other_processes: OtherProcesses
+        self,
+        request_classes: RequestClassTable,
+        cluster: ClusterServices,
+        other_processes: OtherProcesses,
+        memory: MemoryBudget,
     ) -> None:
         self.request_classes = request_classes
         self.cluster = cluster
         self.other_processes = other_processes
+        self.memory = memory
+        self._body_bytes = 0
         self.requests: dict[int, Request] = {}
         self.by_request_id: dict[str, Request] = {}
         self.by_client: dict[ClientChannel, Request] = {}
@@ -175,11 +185,16 @@
         self.requests[request.number] = request
         self.by_request_id[request_id] = request
         self.by_client[client] = request
+        self._body_bytes += len(http_request.body)
+        self._account()
         return request
 
+    def _account(self) -> None:
+        self.memory.charge_admitted(self, self._body_bytes + len(self.requests) * REQUEST_BYTES)
+
     def held_bytes(self) -> int:
-        """Returns the bytes of the bodies of all requests in the table."""
-        return sum(len(request.http_request.body) for request in self.requests.values())
+        """Returns the bytes of the bodies of all open requests."""
+        return self._body_bytes
 
     def class_of(self, request: Request) -> RequestClass:
         """Returns the class of the request as of its admission."""
@@ -196,7 +211,9 @@
             self.cluster.release_quota(request.quota_limits)
         self.by_client.pop(request.client, None)
         request.client = None
+        self._body_bytes -= len(request.http_request.body)
         request.http_request = request.http_request._replace(body=b"")  # no attempt begins any more
+        self._account()
 
     def discard_if_over(self, request: Request) -> None:
         """Removes the request, unless it is open or has an attempt in flight."""
@@ -205,6 +222,7 @@
         executed = self._may_not_run_again(request)
         if self.requests.pop(request.number, None):
             self.request_classes.request_closed(request.class_index)
+            self._account()
         for attempt in request.attempts:
             attempt.exchange = None  # it refers to the request, which would stay in memory with its body
         if request.deadline_timer:
