Bound the attributes of a request

Test: test_request_with_too_many_attributes_is_rejected, which fails before (the constant does not exist). Measured: the tests of client connections pass.

--- a/crankfold/protocol/client_request.py
+++ b/crankfold/protocol/client_request.py
@@ -19,6 +19,7 @@
 MAX_TIMEOUT = 3600.0  # seconds
 MAX_WORK = 1e12  # microseconds
 MAX_ATTRIBUTE = 1e9  # slots, or the unit of another attribute
+MAX_ATTRIBUTES = 32
 MAX_ID_LENGTH = 256  # characters
 # This bit is set in each affinity key, so that none is 0; the 32 bits below it are the hash.
 AFFINITY_KEY_FLAG = 1 << 32
@@ -97,8 +98,10 @@
     """Returns the slots in attributes of the form `slots=2,memory=0.5`; 1 if they are not given.
 
     Raises:
-        HeaderError: An attribute has no value or is not a number.
+        HeaderError: An attribute has no value or is not a number, or there are too many.
     """
+    if attributes.count(b",") >= MAX_ATTRIBUTES:
+        raise HeaderError(f"more than {MAX_ATTRIBUTES} attributes")
     slots = 1.0
     for pair in attributes.split(b","):
         name, _, value = pair.partition(b"=")
--- a/tests/protocol/test_client_connection.py
+++ b/tests/protocol/test_client_connection.py
@@ -5,7 +5,7 @@
 
 from crankfold.protocol import callbacks
 from crankfold.protocol.client_connection import ClientChannel, ClientConnection
-from crankfold.protocol.client_request import ClientRequest
+from crankfold.protocol.client_request import MAX_ATTRIBUTES, ClientRequest
 from crankfold.routing.interface import Outcome
 from tests.fixtures import TraceTestCase
 
@@ -165,6 +165,14 @@
             self.record(f"{name}: {status_line}{', closing' if connection.closing else ''}")
         self.assert_matches_trace("bad-requests")
 
+    # Guards against a header whose thousands of short attributes take milliseconds to parse.
+    def test_request_with_too_many_attributes_is_rejected(self) -> None:
+        for count, status in ((MAX_ATTRIBUTES, b""), (MAX_ATTRIBUTES + 1, b"400")):
+            connection = self.create_connection()
+            attributes = b",".join(b"a%d=1" % number for number in range(count))
+            receive(connection, REQUEST.replace(b"slots=2,memory=0.5", attributes))
+            self.assertEqual(b"".join(connection.outgoing)[9:12], status)
+
     def test_callbacks_are_decoded_or_rejected(self) -> None:
         for body in (
             b'{"id":"u1","from":"a","state":"started"}',
