Process input at once while there is little of it

Now input is processed as it arrives while turns take less than half of the time, and queued otherwise; h11 is asked once less for head and body.

--- a/crankfold/network/accepted_connection.py
+++ b/crankfold/network/accepted_connection.py
@@ -13,7 +13,7 @@
 from crankfold.protocol.client_connection import ClientConnection, ClientRequestHandler
 from crankfold.protocol.headers import Header
 
-READER_LIMIT = 8 * 1024  # bytes; asyncio pauses the transport once twice as much is buffered
+READER_LIMIT = 16 * 1024  # bytes; asyncio pauses the transport once twice as much is buffered
 READ_SIZE = 4 * READER_LIMIT  # bytes
 MAX_WAITING_BYTES = 16 * 1024  # limit on input that waits for its turn, beyond which no more is read
 # Limit on input that is pipelined behind an open request, or received after the last response.
@@ -150,9 +150,8 @@
         if not protocol.awaiting_response and not protocol.is_mid_request():
             self.phase_started_at = self.received_at
         protocol.receive_data(data)
-        self.listener.account(self)
-        if protocol.can_proceed:
-            self.listener.turns.add(self)
+        if not protocol.can_proceed or not self.listener.turns.process(self):
+            self.listener.account(self)
 
     def process_portion(self) -> bool:
         """Processes a portion of the input of bounded cost; returns whether more can be processed now."""
@@ -204,7 +203,8 @@
         self.protocol.close_after_response = self.protocol.close_after_response or self.listener.closing
         self.protocol.respond(status, headers, body)
         self._flush()
-        self.listener.account(self)
+        if self.has_unsent_data():
+            self.listener.account(self)
         self.resume()
 
     def resume(self) -> None:
--- a/crankfold/network/listener.py
+++ b/crankfold/network/listener.py
@@ -215,6 +215,7 @@
         now = self.loop.time()
         for connection in list(self.connections):
             connection.resume()  # it may have waited until its peer received the responses
+            self.account(connection)
             if self._is_timed_out(now, connection):
                 self.metrics.increment("clients-timed-out")
                 connection.abort()
--- a/crankfold/network/turn_queue.py
+++ b/crankfold/network/turn_queue.py
@@ -9,6 +9,9 @@
 
 # Seconds of one turn, after which the event loop runs timers and reads other connections.
 TURN_DURATION = 0.002
+# While turns take a smaller share of the time than this, input is processed as soon as it arrives.
+IMMEDIATE_SHARE = 0.5
+MAX_DEBT = 0.02  # seconds of processing that count against later input
 
 
 class TurnTaker(Protocol):
@@ -23,7 +26,7 @@
 
     A connection whose input has just arrived comes before those that had a portion already. So the single
     request of a usual client does not wait behind what others have pipelined, and each of those gets a
-    portion of every turn's rest.
+    portion of every turn's rest. While there is little to process, nothing waits for a turn.
     """
 
     def __init__(self, metrics: Metrics) -> None:
@@ -33,11 +36,38 @@
         self._continued: deque[TurnTaker] = deque()
         self._queued: set[TurnTaker] = set()
         self._is_scheduled = False
+        self._credit = TURN_DURATION  # seconds of immediate processing
+        self._credited_at = self._loop.time()
 
     def __contains__(self, connection: TurnTaker) -> bool:
         """Whether a connection waits for its turn."""
         return connection in self._queued
 
+    def process(self, connection: TurnTaker) -> bool:
+        """Processes a portion of new input at once, or queues the connection; returns whether it did so.
+
+        Must not be called by a connection that is processing input.
+        """
+        if self._queued or not self._has_credit():
+            self.add(connection)
+            return False
+        started_at = self._loop.time()
+        self._queued.add(connection)
+        self._process(connection)
+        self._spend(self._loop.time() - started_at)
+        if self._continued:
+            self._schedule()
+        return True
+
+    def _spend(self, seconds: float) -> None:
+        self._credit = max(self._credit - seconds, -MAX_DEBT)
+
+    def _has_credit(self) -> bool:
+        now = self._loop.time()
+        self._credit = min(self._credit + (now - self._credited_at) * IMMEDIATE_SHARE, TURN_DURATION)
+        self._credited_at = now
+        return self._credit > 0
+
     def add(self, connection: TurnTaker) -> None:
         """Queues a connection that can process input, unless it is queued."""
         if connection not in self._queued:
@@ -61,8 +91,9 @@
         waiting = len(self._continued)
         self._process_until(end, self._new, len(self._new))
         self._process_until(end, self._continued, waiting)
-        duration = int((self._loop.time() - started_at) * MILLISECONDS_PER_SECOND)
-        self._metrics.record_maximum("longest-turn-ms", duration)
+        duration = self._loop.time() - started_at
+        self._spend(duration)
+        self._metrics.record_maximum("longest-turn-ms", int(duration * MILLISECONDS_PER_SECOND))
         if self._queued:
             self._schedule()
 
--- a/crankfold/protocol/bounded_input.py
+++ b/crankfold/protocol/bounded_input.py
@@ -51,6 +51,7 @@
         self._is_chunked = False
         self._informational_responses = 0
         self._has_trailing_bytes = False
+        self._needs_data = True  # whether h11 has nothing to parse, as far as is known
         self._start_head()
 
     def _start_head(self) -> None:
@@ -76,15 +77,22 @@
         Raises:
             h11.RemoteProtocolError: The input is malformed, or a head is too large or has too many fields.
         """
+        if self._needs_data and self._pending:
+            self._pass_portion()
         while True:
             event = self.http.next_event()
             if event is not h11.NEED_DATA:
+                self._needs_data = False
                 self._handle_event(event)
                 return event
+            self._needs_data = True
             if not self._pending:
                 return event
-            is_body = self.http.their_state is h11.SEND_BODY
-            self.http.receive_data(self._take_body_portion() if is_body else self._take_head_portion())
+            self._pass_portion()
+
+    def _pass_portion(self) -> None:
+        is_body = self.http.their_state is h11.SEND_BODY
+        self.http.receive_data(self._take_body_portion() if is_body else self._take_head_portion())
 
     def _handle_event(self, event: NextEvent) -> None:
         if isinstance(event, h11.Request | h11.Response):
@@ -95,7 +103,7 @@
             self._informational_responses += 1
             if self._informational_responses > MAX_INFORMATIONAL_RESPONSES:
                 raise h11.RemoteProtocolError("too many informational responses")
-        elif isinstance(event, h11.EndOfMessage):
+        elif isinstance(event, h11.EndOfMessage) and self._is_chunked:
             trailing_bytes = self.http.trailing_data[0]
             self._has_trailing_bytes = bool(trailing_bytes)
             self._pending[:0] = trailing_bytes
@@ -106,6 +114,8 @@
                 self._is_chunked = True  # has precedence (RFC 9112, section 6.3)
             elif name == b"content-length":
                 self._body_remaining = int(value)
+        # Of a body of known length h11 has received nothing yet, as the head was passed by itself.
+        self._needs_data = bool(self._body_remaining) and not self._is_chunked
 
     def _take(self, size: int) -> bytes:
         portion = bytes(self._pending[:size])
--- a/crankfold/protocol/client_connection.py
+++ b/crankfold/protocol/client_connection.py
@@ -132,31 +132,29 @@
         """Processes received bytes up to the end of one request, or PORTION_EVENTS events."""
         try:
             for _ in range(PORTION_EVENTS):
-                if not self.can_proceed:
+                if self.awaiting_response or self.closing:
                     return
                 event = self.input.next_event()
-                self._process_event(event)
                 if isinstance(event, h11.EndOfMessage):
+                    self.awaiting_response = True
+                    self._route()
+                    return
+                if event is h11.NEED_DATA or event is h11.PAUSED:
+                    self._needs_data = True
+                    self._wait_for_data()
                     return
+                self._process_event(event)
         except h11.RemoteProtocolError as error:
             drop_traceback(error)
             self._fail(error.error_status_hint)
 
     def _process_event(self, event: NextEvent) -> None:
-        if event is h11.NEED_DATA:
-            self._needs_data = True
-            self._wait_for_data()
-        elif event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
-            self._needs_data = True
-        elif isinstance(event, h11.Request):
+        if isinstance(event, h11.Request):
             self._start_request(event)
         elif isinstance(event, h11.Data):
             self.body += event.data
             if len(self.body) > MAX_BODY_SIZE:
                 self._fail(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
-        elif isinstance(event, h11.EndOfMessage):
-            self.awaiting_response = True
-            self._route()
 
     def connection_lost(self) -> None:
         """Drops what was received, and the reference to the channel, which refers to this object.
--- a/tests/network/test_turn_queue.py
+++ b/tests/network/test_turn_queue.py
@@ -64,6 +64,16 @@
             await asyncio.sleep(0)
         self.assertEqual(busy.portions, 0)
 
+    async def test_input_is_processed_at_once_only_while_there_is_little(self) -> None:
+        self.assertTrue(self.queue.process(self.connection("first", 2, 2 * TURN_DURATION)))
+        self.assertEqual(self.processed, ["first"])
+        self.assertFalse(self.queue.process(self.connection("second", 1)))  # the first is queued
+        await asyncio.sleep(0)
+        self.assertEqual(sorted(self.processed), ["first", "first", "second"])
+        self.assertFalse(self.queue.process(self.connection("third", 1)))  # too much time was used
+        await asyncio.sleep(10 * TURN_DURATION)
+        self.assertTrue(self.queue.process(self.connection("fourth", 1)))
+
     async def test_connection_that_has_ended_gets_no_turn(self) -> None:
         ended = self.connection("ended", 3)
         self.queue.add(ended)
