--- a/crankfold/network/accepted_connection.py
+++ b/crankfold/network/accepted_connection.py
@@ -6,16 +6,16 @@
 from http import HTTPStatus
 from typing import Protocol
 
+from crankfold.network.input_scheduler import InputScheduler
 from crankfold.network.memory_budget import UnfinishedTransfer
 from crankfold.network.metrics import Metrics
 from crankfold.network.socket_state import PEER_CLOSED, has_pending
-from crankfold.network.turn_queue import TurnQueue
 from crankfold.protocol.client_connection import ClientConnection, ClientRequestHandler
 from crankfold.protocol.headers import Header
 
 READER_LIMIT = 16 * 1024  # bytes; asyncio pauses the transport once twice as much is buffered
 READ_SIZE = 4 * READER_LIMIT  # bytes
-MAX_WAITING_BYTES = 16 * 1024  # limit on input that waits for its turn, beyond which no more is read
+MAX_WAITING_BYTES = 16 * 1024  # limit on input that waits to be processed, beyond which no more is read
 # Limit on input that is pipelined behind an open request, or received after the last response.
 MAX_UNREAD_BYTES = 64 * 1024
 # Seconds between two reads on a connection whose input is discarded, multiplied by the number of such
@@ -36,7 +36,7 @@
         metrics: Counts rejected requests and failures.
         report_fields: Names of the fields of load reports, in the order of their values.
         closing: Whether each response is the last on its connection.
-        turns: Gives the connections their turns to process input.
+        scheduler: Shares the time of the event loop among the connections with input.
         flooding_connections: Connections whose input is discarded.
         unidentified_connections: Connections without a request or callback so far, the oldest first.
     """
@@ -45,7 +45,7 @@
     metrics: Metrics
     report_fields: Sequence[str]
     closing: bool
-    turns: TurnQueue
+    scheduler: InputScheduler
     flooding_connections: "set[AcceptedConnection]"
     unidentified_connections: "dict[AcceptedConnection, None]"
 
@@ -84,8 +84,8 @@
         self.phase_started_at = self.accepted_at
         self.received_at = self.accepted_at
         self._discarded_bytes = 0  # after the last response
-        self._had_turn = False
-        self._turn_ended = asyncio.Event()
+        self._had_slice = False
+        self._slice_ended = asyncio.Event()
         self._discarding_since = 0.0
         self._close_timer: asyncio.TimerHandle | None = None
 
@@ -105,7 +105,7 @@
             if protocol.closing and self._discarded_bytes > MAX_UNREAD_BYTES:
                 await self._wait_without_reading()
                 return
-            await self._wait_for_turn()
+            await self._wait_for_slice()
             if protocol.discarding_input and not protocol.closing:
                 await asyncio.sleep(THROTTLE_DELAY * len(self.listener.flooding_connections))
 
@@ -118,8 +118,8 @@
             self._transport.pause_reading()
         await asyncio.sleep(CLOSE_DELAY)
 
-    async def _wait_for_turn(self) -> None:
-        """Waits until received input has been processed, unless more of it can be held.
+    async def _wait_for_slice(self) -> None:
+        """Waits until received input has been processed, unless more of it may be buffered.
 
         Returns at once if a request is open. Reading continues behind it, as a disconnect of the client is
         seen only after this input, but input beyond MAX_UNREAD_BYTES is discarded along with the requests in
@@ -128,8 +128,8 @@
         if self._has_enough_input():
             self._transport.pause_reading()
             while self._has_enough_input():
-                self._turn_ended.clear()
-                await self._turn_ended.wait()
+                self._slice_ended.clear()
+                await self._slice_ended.wait()
             self._transport.resume_reading()
         if self.protocol.awaiting_response and len(self.protocol.input) > MAX_UNREAD_BYTES:
             self._start_discarding()  # does nothing if it has
@@ -150,14 +150,14 @@
         if not protocol.awaiting_response and not protocol.is_mid_request():
             self.phase_started_at = self.received_at
         protocol.receive_data(data)
-        if not protocol.can_proceed or not self.listener.turns.process(self):
+        if not protocol.can_proceed or not self.listener.scheduler.process(self):
             self.listener.account(self)
 
     def process_portion(self) -> bool:
         """Processes a portion of the input of bounded cost; returns whether more can be processed now."""
         protocol = self.protocol
-        self._had_turn = True
-        self._turn_ended.set()
+        self._had_slice = True
+        self._slice_ended.set()
         if self.writer.is_closing():
             protocol.closing = True
         if self.has_unsent_data():
@@ -199,7 +199,7 @@
         return self.listener.loop.time() - self._discarding_since > MAX_HIDDEN_CLOSE
 
     def respond(self, status: int, headers: Sequence[Header] = (), body: bytes = b"") -> None:
-        """Answers the open request; a pipelined one is processed in a later turn."""
+        """Answers the open request; a pipelined one is processed in a later time slice."""
         self.protocol.close_after_response = self.protocol.close_after_response or self.listener.closing
         self.protocol.respond(status, headers, body)
         self._flush()
@@ -208,13 +208,13 @@
         self.resume()
 
     def resume(self) -> None:
-        """Queues the connection for a turn if it can process input."""
+        """Queues the connection for a time slice if it can process input."""
         if self.protocol.can_proceed:
-            self.listener.turns.add(self)
+            self.listener.scheduler.add(self)
 
-    def awaits_first_turn(self) -> bool:
+    def awaits_first_slice(self) -> bool:
         """Whether the first input was received and no part of it is processed."""
-        return not self._had_turn and self.protocol.can_proceed
+        return not self._had_slice and self.protocol.can_proceed
 
     def exceeds_limit(self) -> bool:
         """Whether more connections are open than allowed, so that requests on this one are shed."""
@@ -286,26 +286,26 @@
     def abort(self) -> None:
         """Closes the connection at once; unwritten bytes are lost."""
         self.protocol.closing = True
-        self._turn_ended.set()
+        self._slice_ended.set()
         self.writer.transport.abort()
 
     def connection_lost(self) -> None:
         """Releases the memory of the connection, which has ended."""
         if self._close_timer:
             self._close_timer.cancel()  # it refers to the streams and so to their buffers
-        self.listener.turns.discard(self)
+        self.listener.scheduler.discard(self)
         self.protocol.connection_lost()
 
-    def held_bytes(self) -> int:
-        """Returns the bytes that are held for the peer."""
-        return self.protocol.held_bytes() + self.unsent_bytes()
+    def buffered_bytes(self) -> int:
+        """Returns the bytes in buffers for the peer."""
+        return self.protocol.buffered_bytes() + self.unsent_bytes()
 
     def unfinished_transfer(self, now: float) -> UnfinishedTransfer:
-        """Returns what could be released, and for how long it has been held."""
-        return UnfinishedTransfer(self.held_bytes(), now - self.phase_started_at)
+        """Returns the size and the age of what could be released."""
+        return UnfinishedTransfer(self.buffered_bytes(), now - self.phase_started_at)
 
     def release_memory(self) -> None:
-        """Drops what is held without an open request.
+        """Drops what is buffered without an open request.
 
         Input behind an open request is dropped; a client that does not receive its responses is disconnected;
         an incomplete request is rejected.
--- a/crankfold/network/handover_channel.py
+++ b/crankfold/network/handover_channel.py
@@ -270,7 +270,7 @@
         else:
             writer.write(encode_message(message))
 
-    def has_room_for_callback(self, size: int) -> bool:
+    def can_send_callback(self, size: int) -> bool:
         """Whether a callback of that size may be sent to every connected process.
 
         Callbacks may be large, and anybody may send them; so they leave half of each buffer to the messages
--- a/crankfold/network/listener.py
+++ b/crankfold/network/listener.py
@@ -9,9 +9,9 @@
 from crankfold.errors import drop_traceback
 from crankfold.network.accepted_connection import NEW_CONNECTION_GRACE, READER_LIMIT, AcceptedConnection
 from crankfold.network.acceptor import AcceptLimits, Acceptor, open_listening_socket
+from crankfold.network.input_scheduler import InputScheduler
 from crankfold.network.memory_budget import MemoryBudget, release_order
 from crankfold.network.metrics import Metrics
-from crankfold.network.turn_queue import TurnQueue
 from crankfold.protocol.client_connection import ClientChannel, ClientRequestHandler
 
 # Timeouts of accepted connections, in seconds, checked every SWEEP_INTERVAL. A client that sends nothing, or
@@ -46,8 +46,8 @@
         max_connections: From this number on, one connection is evicted for each new one.
         flooding_connections: Connections whose input is discarded, as too much is pipelined behind a request.
         unidentified_connections: Connections without a request or callback so far, the oldest first.
-        memory: Accounts for what is held for the connections.
-        turns: Gives the connections their turns to process input.
+        memory: Accounts for the buffers of the connections.
+        scheduler: Shares the time of the event loop among the connections with input.
         closing: Whether each response is the last on its connection: out of service or shutting down.
         shared_socket: A duplicate of the listening socket, for a successor.
     """
@@ -69,7 +69,7 @@
         self._connections_in_memory: WeakSet[AcceptedConnection] = WeakSet()
         self.flooding_connections: set[AcceptedConnection] = set()
         self.unidentified_connections: dict[AcceptedConnection, None] = {}
-        self.turns = TurnQueue(metrics)
+        self.scheduler = InputScheduler(metrics)
         self.memory = memory or MemoryBudget()
         self._releasing_memory = False
         self.closing = False
@@ -165,9 +165,9 @@
 
         That is the oldest unidentified connection if NEW_CONNECTION_GRACE has passed since it was accepted,
         else an idle one, else the oldest unidentified one. During the grace the first request or callback may
-        be in transit. A connection whose first input waits for its turn may have sent a request.
+        be in transit. A connection whose first input is not processed yet may have sent a request.
         """
-        oldest = next((it for it in self.unidentified_connections if not it.awaits_first_turn()), None)
+        oldest = next((it for it in self.unidentified_connections if not it.awaits_first_slice()), None)
         if oldest and self.loop.time() - oldest.accepted_at >= NEW_CONNECTION_GRACE:
             return oldest
         idle = (
@@ -181,7 +181,7 @@
         """Accounts for the memory that a connection holds, and releases some if the limit is exceeded."""
         if connection not in self.connections:
             return
-        self.memory.charge(connection, connection.held_bytes())
+        self.memory.charge(connection, connection.buffered_bytes())
         if self.memory.is_exceeded() and not self._releasing_memory:
             self._releasing_memory = True
             self._release_memory()
@@ -190,11 +190,11 @@
     def _release_memory(self) -> None:
         now = self.loop.time()
         transfers = [(connection, connection.unfinished_transfer(now)) for connection in self.connections]
-        for connection in release_order(item for item in transfers if item[1].held):
+        for connection in release_order(item for item in transfers if item[1].size):
             if not self.memory.needs_release():
                 return
             connection.release_memory()
-            self.memory.charge(connection, connection.held_bytes())
+            self.memory.charge(connection, connection.buffered_bytes())
 
     def _remove(self, connection: AcceptedConnection) -> None:
         self.connections.discard(connection)
--- a/crankfold/protocol/bounded_input.py
+++ b/crankfold/protocol/bounded_input.py
@@ -2,8 +2,8 @@
 
 h11 parses a head as a whole and builds objects of over a hundred bytes for each field, however short it is,
 and it parses each chunk of a body by itself. So the fields are counted before h11 parses them, and bytes
-behind a message stay here until the next one begins. `next_event` costs a bounded time, and what is held is
-known by its bytes.
+behind a message stay here until the next one begins. `next_event` costs a bounded time, and the size of
+the buffers is known.
 """
 
 import re
--- a/crankfold/protocol/client_connection.py
+++ b/crankfold/protocol/client_connection.py
@@ -110,12 +110,12 @@
         """Whether the header of a request was received, but its body is incomplete."""
         return not self.awaiting_response and self.request_head is not None
 
-    def held_bytes(self) -> int:
+    def buffered_bytes(self) -> int:
         """Returns the cost in memory of what was received and is not passed to the handler."""
-        held = len(self.input) + len(self.body)
+        size = len(self.input) + len(self.body)
         if self.request_head is not None:
-            held += sum(len(name) + len(value) + FIELD_COST for name, value in self.request_head.headers)
-        return held
+            size += sum(len(name) + len(value) + FIELD_COST for name, value in self.request_head.headers)
+        return size
 
     @property
     def can_proceed(self) -> bool:
--- a/crankfold/service/application.py
+++ b/crankfold/service/application.py
@@ -35,7 +35,7 @@
     parse_address,
     parse_settings,
 )
-from crankfold.service.gauges import held_bytes, process_gauges
+from crankfold.service.gauges import buffered_bytes, process_gauges
 from crankfold.service.lifecycle import Lifecycle
 from crankfold.service.memory_limit import MemoryLimiter
 from crankfold.service.reload import ConfigApplier, ConfigReloader
@@ -118,7 +118,7 @@
         self.request_handler, self.listener, self.socket_budget = parts
         process_count = PROCESSES_IN_REPLACEMENT if self.handover else 1
         self.memory_limit = memory_limit(document)
-        self.memory_limiter = MemoryLimiter(self.memory_budget, process_count, partial(held_bytes, parts))
+        self.memory_limiter = MemoryLimiter(self.memory_budget, process_count, partial(buffered_bytes, parts))
 
     def _build_serving_parts(
         self,
--- a/crankfold/service/gauges.py
+++ b/crankfold/service/gauges.py
@@ -6,7 +6,7 @@
 
 
 def process_gauges(parts: ServingParts, connection_limiter: ConnectionLimiter) -> dict[str, int]:
-    """Returns the numbers of requests and connections, the memory in KiB, and the bytes held by purpose."""
+    """Returns the numbers of requests and connections, the memory in KiB, and the bytes of buffers."""
     request_handler, listener, _ = parts
     return {
         "open-requests": request_handler.open_request_count(),
@@ -18,18 +18,18 @@
         "executed-ids-forgotten": request_handler.request_table.executed_ids.forgotten,
         "peak-resident-kilobytes": peak_resident_bytes() // BYTES_PER_KIBIBYTE,
         "resident-kilobytes": resident_bytes() // BYTES_PER_KIBIBYTE,
-        **held_bytes(parts),
+        **buffered_bytes(parts),
     }
 
 
-def held_bytes(parts: ServingParts) -> dict[str, int]:
-    """Returns the bytes that the process holds for its clients, by purpose."""
+def buffered_bytes(parts: ServingParts) -> dict[str, int]:
+    """Returns the bytes of buffers for clients, by purpose."""
     request_handler, listener, _ = parts
     connections = listener.connections
     return {
-        "held-bytes": listener.memory.held,
-        "held-bytes-limit": listener.memory.limit,
-        "held-input-bytes": sum(connection.protocol.held_bytes() for connection in connections),
-        "held-unsent-bytes": sum(connection.unsent_bytes() for connection in connections),
-        "held-request-bytes": request_handler.request_table.held_bytes(),
+        "buffered-bytes": listener.memory.allocated,
+        "buffered-bytes-limit": listener.memory.limit,
+        "buffered-input-bytes": sum(connection.protocol.buffered_bytes() for connection in connections),
+        "buffered-unsent-bytes": sum(connection.unsent_bytes() for connection in connections),
+        "buffered-request-bytes": request_handler.request_table.buffered_bytes(),
     }
--- a/crankfold/service/handover/other_processes.py
+++ b/crankfold/service/handover/other_processes.py
@@ -51,7 +51,7 @@
         """
         if not self.state_machine.processes:
             return False
-        if not self.channel.has_room_for_callback(len(body)):
+        if not self.channel.can_send_callback(len(body)):
             self.metrics.increment("callbacks-not-forwarded")
             on_answer(None)
             return True
--- a/crankfold/service/memory_limit.py
+++ b/crankfold/service/memory_limit.py
@@ -1,4 +1,4 @@
-"""Keeps resident memory within `limits.memory_mb`, by a limit on what the process holds for its clients."""
+"""Keeps resident memory within `limits.memory_mb`, by a limit on the buffers for clients."""
 
 import logging
 from collections.abc import Callable, Mapping
@@ -14,8 +14,8 @@
 CONNECTION_BYTES = 8 * 1024  # objects of an open connection, and of its transport
 # Of what remains. The rest is for copies in transit between the kernel and the connections, and for
 # fragmentation.
-HELD_SHARE = 0.5
-MIN_HELD_BYTES = 2 * BYTES_PER_MEGABYTE  # admits the largest request
+BUFFER_SHARE = 0.5
+MIN_BUFFER_BYTES = 2 * BYTES_PER_MEGABYTE  # admits the largest request
 LOG_CATEGORY = {"category": "memory"}
 
 
@@ -26,15 +26,15 @@
         budget: The budget of this process.
         process_count: The number of processes that share the limit during a replacement. Each keeps to its
             share at all times, as what was used once stays resident for long.
-        describe_held: Returns the bytes held by purpose.
+        describe_buffers: Returns the bytes of buffers by purpose.
     """
 
     def __init__(
-        self, budget: MemoryBudget, process_count: int, describe_held: Callable[[], Mapping[str, int]]
+        self, budget: MemoryBudget, process_count: int, describe_buffers: Callable[[], Mapping[str, int]]
     ) -> None:
         self.budget = budget
         self._process_count = process_count
-        self._describe_held = describe_held
+        self._describe_buffers = describe_buffers
         self._own_bytes = 0
         self._limit = 0
 
@@ -55,7 +55,7 @@
             return
         connections = sockets.accepted_connections + sockets.backend_connections
         needed = self._own_bytes + RESERVED_BYTES + connections * CONNECTION_BYTES
-        self.budget.limit = max(int((self._limit - needed) * HELD_SHARE), MIN_HELD_BYTES)
+        self.budget.limit = max(int((self._limit - needed) * BUFFER_SHARE), MIN_BUFFER_BYTES)
         if self._limit <= needed:
             logger.warning(
                 "%s MB of limits.memory_mb are for this process, which needs %s MB for itself",
@@ -65,15 +65,15 @@
             )
 
     def check(self) -> None:
-        """Logs what is held if the resident memory is over WARNING_SHARE of the limit."""
+        """Logs the sizes of buffers if the resident memory is over WARNING_SHARE of the limit."""
         resident = resident_bytes()
         if not self._limit or resident <= WARNING_SHARE * self._limit:
             return
-        held = " ".join(f"{name}={value}" for name, value in self._describe_held().items())
+        buffers = " ".join(f"{name}={value}" for name, value in self._describe_buffers().items())
         logger.warning(
             "%s of %s MB resident; %s",
             resident // BYTES_PER_MEGABYTE,
             self._limit // BYTES_PER_MEGABYTE,
-            held,
+            buffers,
             extra=LOG_CATEGORY,
         )
--- a/crankfold/service/requests/handler.py
+++ b/crankfold/service/requests/handler.py
@@ -76,7 +76,7 @@
         cluster: The cluster of dispatchers, or `NoCluster`.
         other_processes: Other processes of this dispatcher, or `NoOtherProcess`.
         poll_endpoints: Starts a poll of the endpoint list.
-        memory: Limits the memory that is held for clients.
+        memory: Limits the buffers for clients.
     """
 
     def __init__(
@@ -246,7 +246,7 @@
 
         The reasons are checked in this order: the client has disconnected; the process is ending; a request
         with the same id is in progress here or at the predecessor, or may have been executed; too many
-        connections or requests are open; too much memory is held; there is no valid configuration.
+        connections or requests are open; the buffers are full; there is no valid configuration.
         """
         if client.peer_has_closed():
             return CLIENT_DISCONNECTED
@@ -257,7 +257,7 @@
         request_count = len(self.request_table.requests) + len(self.reservations)
         if client.exceeds_limit() or request_count >= self.config.max_pending:
             return OVERLOADED
-        if not self.memory.has_room(len(request.http.body)):
+        if not self.memory.can_admit(len(request.http.body)):
             return OUT_OF_MEMORY
         if not self.cluster.authorize_action():
             return NO_VALID_CONFIG
--- a/crankfold/service/requests/table.py
+++ b/crankfold/service/requests/table.py
@@ -192,7 +192,7 @@
     def _account(self) -> None:
         self.memory.charge_admitted(self, self._body_bytes + len(self.requests) * REQUEST_BYTES)
 
-    def held_bytes(self) -> int:
+    def buffered_bytes(self) -> int:
         """Returns the bytes of the bodies of all open requests."""
         return self._body_bytes
 
