--- a/crankfold/network/input_scheduler.py
+++ b/crankfold/network/input_scheduler.py
@@ -98,7 +98,7 @@
             self._schedule()
 
     def _process_until(self, end: float, queue: deque[InputProcessor], most: int) -> None:
-        """Processes portions of at least one connection and at most that number, until the time slice ends."""
+        """Processes portions of one connection at least, and of `most`, until the time slice ends."""
         for number in range(most):
             if number and self._loop.time() >= end:
                 return
