End a connection whose input waits when it is closed

Found by reading the scheduler's change once more: a task that waits for its time slice was told of an abort and of a slice, not of a close or a release of memory, and waited until the process ended, with its descriptor. Evidence: test_connection_whose_input_waits_ends_when_it_is_closed, red before (2 s without an end). Fix: both tell it.

--- a/crankfold/network/accepted_connection.py
+++ b/crankfold/network/accepted_connection.py
@@ -281,6 +281,7 @@
         A request in transit is not read, and its client retries on another connection.
         """
         self.protocol.closing = True
+        self._slice_ended.set()
         self._half_close()
 
     def abort(self) -> None:
@@ -311,6 +312,7 @@
         an incomplete request is rejected.
         """
         self.listener.metrics.increment("connections-closed-for-memory")
+        self._slice_ended.set()
         if self.has_unsent_data():
             self.abort()
         elif self.protocol.awaiting_response:
--- a/tests/network/test_listener.py
+++ b/tests/network/test_listener.py
@@ -7,7 +7,12 @@
 import socket
 from unittest.mock import Mock, patch
 
-from crankfold.network.accepted_connection import MAX_UNREAD_BYTES, NEW_CONNECTION_GRACE
+from crankfold.network.accepted_connection import (
+    MAX_UNREAD_BYTES,
+    MAX_WAITING_BYTES,
+    NEW_CONNECTION_GRACE,
+    AcceptedConnection,
+)
 from crankfold.network.listener import UNCOUNTED_SOCKETS, Listener
 from crankfold.network.metrics import Metrics
 from tests.fixtures import read_message
@@ -86,6 +91,19 @@
         await self.until(lambda: len(os.listdir("/proc/self/fd")) == open_before + 1)
         writer.close()
 
+    async def test_connection_whose_input_waits_ends_when_it_is_closed(self) -> None:
+        # Guards against a task that waits for its time slice after the connection has been closed.
+        for close in (AcceptedConnection.close, AcceptedConnection.release_memory, AcceptedConnection.abort):
+            await self.start_listener()
+            with patch.object(AcceptedConnection, "unsent_bytes", lambda _: 1):
+                await self.connect(HEALTH_CHECK * 1000)
+                connection = next(iter(self.listener.connections))
+                await self.until(lambda waiting=connection: len(waiting.protocol.input) > MAX_WAITING_BYTES)  # type: ignore[misc]
+                await asyncio.sleep(0.05)
+            close(connection)
+            async with asyncio.timeout(2):
+                await self.until(lambda: not self.listener.connections)
+
     async def assert_closed(self, *readers: asyncio.StreamReader) -> None:
         async with asyncio.timeout(5):
             for reader in readers:
