Process a message that waits when the input of its connection ends

Found by reading the scheduler's change once more: a message that is queued behind others was dropped when the end of the input was read before its time slice, so a callback or health check with a half-close got no answer under load; before the scheduler it was processed as it was read. Evidence: test_message_before_end_of_input_is_answered_even_if_it_waits, red before. Fix: one portion is processed at the end of the input; the admission still rejects requests of clients that have gone.

--- a/crankfold/network/accepted_connection.py
+++ b/crankfold/network/accepted_connection.py
@@ -108,6 +108,8 @@
             await self._wait_for_slice()
             if protocol.discarding_input and not protocol.closing:
                 await asyncio.sleep(THROTTLE_DELAY * len(self.listener.flooding_connections))
+        if protocol.can_proceed:
+            self.process_portion()  # the message before the end of the input
 
     async def _wait_without_reading(self) -> None:
         """Waits CLOSE_DELAY and leaves further input in the kernel.
--- a/tests/network/test_listener.py
+++ b/tests/network/test_listener.py
@@ -91,6 +91,17 @@
         await self.until(lambda: len(os.listdir("/proc/self/fd")) == open_before + 1)
         writer.close()
 
+    async def test_message_before_end_of_input_is_answered_even_if_it_waits(self) -> None:
+        # Guards against a callback that is dropped unread, as the end of its connection is read before it.
+        await self.start_listener()
+        with patch("crankfold.network.input_scheduler.TIME_SLICE", 0.0):  # one portion at a time
+            reader, writer = await self.connect()
+            writer.write(CALLBACK)
+            writer.write_eof()
+            for _ in range(30):
+                self.listener.scheduler.add(Mock(process_portion=lambda: False))
+            self.assertIn(" 204 ", (await read_message(reader))[0])
+
     async def test_connection_whose_input_waits_ends_when_it_is_closed(self) -> None:
         # Guards against a task that waits for its time slice after the connection has been closed.
         for close in (AcceptedConnection.close, AcceptedConnection.release_memory, AcceptedConnection.abort):
