--- a/tests/overload/scene.py
+++ b/tests/overload/scene.py
@@ -1,6 +1,7 @@
 """Fixture of the tests in which bad clients overload a dispatcher process beside usual clients."""
 
 import asyncio
+import gc
 import socket
 import statistics
 import sys
@@ -58,6 +59,14 @@
     folder = ""
     callback_tasks: Sequence[asyncio.Task[None]] = ()
 
+    async def asyncSetUp(self) -> None:
+        # The usual clients and the backend run in the process of the test, whose own pauses would count as
+        # latency: those of asyncio's debug mode, and of collecting the objects of all tests.
+        asyncio.get_running_loop().set_debug(False)
+        gc.collect()
+        gc.freeze()
+        self.addCleanup(gc.unfreeze)
+
     def enable_replacement(self) -> None:
         """Makes `start_dispatcher` start a process that a successor can replace."""
         self.replaceable = True
