--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,7 +1,6 @@
-"""Case: second copies are sent after a new configuration has forbidden them."""
+"""Case: a call that a runner repeats, as its answer got lost, ends a later attempt at that runner."""
 
 import asyncio
-import signal
 import sys
 from pathlib import Path
 
@@ -10,15 +9,55 @@
 
 import world  # noqa: E402
 
-REPORT = {"names": ["queue", "x0"], "via": "inline"}
-ROUNDS = 8
+BUSY = 0.15  # seconds in which the runners are full and hand back what comes
+JOBS = 6
 
 
-def configuration(port: int, discovery: world.Discovery, copies: bool) -> dict[str, object]:
-    """Returns the configuration with second copies allowed or not."""
-    settings = world.settings(report=REPORT)
-    settings["allowed"]["second-copies"] = copies
-    return world.config("n0", port, discovery, settings=settings)
+class FullRunner(world.SlotRunner):
+    """A runner that is full at times, and hands back what comes then."""
+
+    full_until = 0.0
+    lossy: "LossyLink"
+
+    async def take(self, job: str, message: world.Message, writer: asyncio.StreamWriter) -> None:
+        """Takes a job, or hands it back unstarted."""
+        if self.record.now() >= self.full_until:
+            await super().take(job, message, writer)
+            return
+        world.write_response(writer, 202)
+        self.record.write(f"{self.uid}: is full and hands back {job}")
+        self.ledger.end(job, self.uid)
+        self.lossy.loses_next = self.lossy.trouble
+        self.spawn(self.call(job, "returned", port=self.lossy.port))
+
+
+class LossyLink:
+    """A link from a runner to the dispatcher; the answer to a call can get lost with its connection."""
+
+    def __init__(self, record: world.Record, target: int, trouble: bool) -> None:
+        self.record = record
+        self.target = target
+        self.trouble = trouble
+        self.port = world.free_port()
+        self.loses_next = False
+
+    async def start(self) -> None:
+        """Starts to listen."""
+        self.server = await asyncio.start_server(self.connected, world.HOST, self.port)
+
+    async def connected(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Passes on one call and its answer."""
+        message = await world.read_message(reader)
+        if message is None:
+            return
+        answer = await world.exchange(self.target, "POST", "/v1/job-events", {}, message.body, 2.0)
+        if self.loses_next:
+            self.loses_next = False
+            self.record.write(f"link: the answer {answer and answer.first[1]} to {message.body!r} gets lost")
+            writer.transport.abort()
+        elif answer:
+            world.write_response(writer, int(answer.first[1]))
+        writer.close()
 
 
 async def case(
@@ -29,35 +68,28 @@
     discovery = world.Discovery()
     await discovery.start()
     ledger = world.Ledger(record)
-    runners = [world.SlotRunner(uid, record, port, ledger, 1) for uid in ("r1", "r2")]
-    for runner in runners:
+    runners = []
+    for uid in ("r1", "r2"):
+        runner = FullRunner(uid, record, port, ledger, 2)
+        runner.lossy = LossyLink(record, port, trouble)
+        runner.call_pause = 0.7
+        await runner.lossy.start()
         await runner.start()
+        runners.append(runner)
         discovery.add(runner.uid, runner.port)
-    dispatcher = world.Dispatcher(record, temporary, "n0", configuration(port, discovery, copies=trouble))
+    settings = world.settings(report={"names": ["queue", "x0"], "via": "inline"})
+    settings["allowed"]["second-copies"] = False
+    dispatcher = world.Dispatcher(
+        record, temporary, "n0", world.config("n0", port, discovery, settings=settings)
+    )
     dispatchers.append(dispatcher)
     await dispatcher.start()
     await dispatcher.wait_until_ready()
-
-    async def job(name: str, seconds: float) -> int:
-        return await world.client_request(port, name, "look", 8.0, record, seconds)
-
-    for number in range(20):
-        await job(f"before{number}", 0.2)
-    if trouble:
-        dispatcher.config = configuration(port, discovery, copies=False)
-        dispatcher.write_config()
-        dispatcher.send_signal(signal.SIGHUP)
-        await asyncio.sleep(4.0)
-        record.write("4 s after SIGHUP: second copies are forbidden for what comes from now on")
-    ledger.doubled.clear()
-    for number in range(ROUNDS):
-        long = asyncio.ensure_future(job(f"after{number}-long", 2.5))
-        await asyncio.sleep(0.1)
-        short = asyncio.ensure_future(job(f"after{number}-short", 0.6))
-        await asyncio.sleep(0.1)
-        await asyncio.gather(long, short, job(f"after{number}-next", 0.2))
-        if ledger.doubled:
-            break
+    for number in range(JOBS):
+        for runner in runners:
+            runner.full_until = record.now() + BUSY
+        await world.client_request(port, f"job{number}", "look", 8.0, record, 2.0)
+        await asyncio.sleep(0.5)
     return f"two attempts out at once, though forbidden: {ledger.doubled}" if ledger.doubled else ""
 
 
