--- a/review/7/case.py
+++ b/review/7/case.py
@@ -78,7 +78,7 @@
         runners.append(runner)
         discovery.add(runner.uid, runner.port)
     settings = world.settings(report={"names": ["queue", "x0"], "via": "inline"})
-    settings["allowed"]["second-copies"] = False
+    settings["allowed"] |= {"second-copies": False, "most-dispatches": 4}
     dispatcher = world.Dispatcher(
         record, temporary, "n0", world.config("n0", port, discovery, settings=settings)
     )
