Read TROUBLE in each case, and end all processes when a script is ended

The switch was read in the shared stand-ins only, so a case's folder did not show it; now each case reads it itself.

--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,6 +1,7 @@
 """Case: a drain that is called and answered with yes while the process is replaced does not take place."""
 
 import asyncio
+import os
 import signal
 import sys
 from pathlib import Path
@@ -66,4 +67,5 @@
     return f"/healthz still says yes {late_yes[0]:.1f} to {late_yes[-1]:.1f} s after the call to drain"
 
 
-world.run_case(FOLDER, case)
+# With TROUBLE=0 the same is played without the disruption.
+world.run_case(FOLDER, case, trouble=os.environ.get("TROUBLE", "1") != "0")
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,6 +1,7 @@
 """Case: a call that a runner repeats, as its answer got lost, ends a later attempt at that runner."""
 
 import asyncio
+import os
 import sys
 from pathlib import Path
 
@@ -93,4 +94,5 @@
     return f"two attempts out at once, though forbidden: {ledger.doubled}" if ledger.doubled else ""
 
 
-world.run_case(FOLDER, case)
+# With TROUBLE=0 the same is played without the disruption.
+world.run_case(FOLDER, case, trouble=os.environ.get("TROUBLE", "1") != "0")
--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -349,18 +349,21 @@
 Case = Callable[[Record, Path, list[Dispatcher], bool], Awaitable[str]]
 
 
-def run_case(folder: Path, case: Case) -> None:
+def run_case(folder: Path, case: Case, *, trouble: bool) -> None:
     """Runs a case and exits: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 
-    The case gets the record, a temporary folder, a list for the dispatchers that it starts, and whether the
-    disruption takes place (the environment has no TROUBLE=0). It returns how the rule was broken, or "".
+    The case gets the record, a temporary folder, a list for the dispatchers that it starts, and `trouble`:
+    whether the disruption takes place. It returns how the rule was broken, or "".
     """
     record = Record(folder)
-    trouble = os.environ.get("TROUBLE", "1") != "0"
     temporary = Path(tempfile.mkdtemp(prefix="case-"))
     dispatchers: list[Dispatcher] = []
 
     async def run() -> str:
+        main_task = asyncio.current_task()
+        assert main_task
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            asyncio.get_running_loop().add_signal_handler(number, main_task.cancel)
         try:
             async with asyncio.timeout(110):
                 return await case(record, temporary, dispatchers, trouble)
@@ -370,7 +373,7 @@
 
     try:
         broken = asyncio.run(run())
-    except Exception as error:
+    except (Exception, asyncio.CancelledError) as error:
         record.write(f"the case could not run: {type(error).__name__}: {error}")
         sys.exit(COULD_NOT_RUN)
     finally:
