Make a drain of the dispatcher bind all its processes

A dispatcher that was drained first serves again once its process is replaced.

Cause: the drain was state of one process. Lifecycle.start_drain refuses during a shutdown, nothing told the other process, and a successor did not adopt the drain.

Change: a call goes to all processes of the dispatcher and is answered with yes once they have applied it. A successor adopts the drain from its predecessor, or from the file of manual drains. A process that replaces another one is ready while drained, as the replacement could not be completed otherwise. The drain itself moves from AdminService to ServiceDrain. The fakes of test_admin_server return awaitables, as the calls wait now; what they check is unchanged.

Why it works: a yes is given once every process that may serve has the drain, and each passes it on.

--- a/crankfold/protocol/admin_api.py
+++ b/crankfold/protocol/admin_api.py
@@ -76,11 +76,11 @@
     def restore_backend(self, backend_id: str) -> Awaitable[bool]:
         """Ends a manual drain; returns whether the backend is known."""
 
-    def leave_service(self) -> None:
-        """Starts to drain this dispatcher."""
+    def leave_service(self) -> Awaitable[bool]:
+        """Starts to drain this dispatcher; returns whether all its processes have confirmed it."""
 
-    def enter_service(self) -> bool:
-        """Puts this dispatcher back in service; returns False if the process is shutting down."""
+    def enter_service(self) -> Awaitable[bool]:
+        """Puts this dispatcher back in service; returns False if it ends or a process has not confirmed."""
 
 
 _GET_ACTIONS = (AdminAction.CHECK_READY, AdminAction.SHOW_CLUSTER, AdminAction.READ_DOCUMENT)
@@ -233,10 +233,12 @@
             ready = operations.is_ready()
             return (HTTPStatus.OK, "ready") if ready else (HTTPStatus.SERVICE_UNAVAILABLE, "not ready")
         case AdminAction.LEAVE_SERVICE:
-            operations.leave_service()
-            return HTTPStatus.OK, "out of service"
+            left = await operations.leave_service()
+            return (
+                (HTTPStatus.OK, "out of service") if left else (HTTPStatus.SERVICE_UNAVAILABLE, "unconfirmed")
+            )
         case AdminAction.ENTER_SERVICE:
-            entered = operations.enter_service()
+            entered = await operations.enter_service()
             return (HTTPStatus.OK, "in service") if entered else (HTTPStatus.CONFLICT, "ending")
         case AdminAction.DRAIN_BACKEND | AdminAction.RESTORE_BACKEND:
             return await _set_backend_drained(command, operations)
--- a/crankfold/protocol/handover_messages.py
+++ b/crankfold/protocol/handover_messages.py
@@ -43,6 +43,7 @@
 
     dispatcher_name: str
     manual_drains: ManualDrainState
+    service_drained: bool = False  # whether the dispatcher itself is drained
 
 
 class ProcessState(NamedTuple):
@@ -57,6 +58,7 @@
         known_ids: The ids of all backends ever listed.
         endpoints: The endpoint list in the form of a discovery response.
         load_reports: The last load report of each backend, by id.
+        service_drained: Whether operators have drained the dispatcher itself.
     """
 
     format_version: int
@@ -67,6 +69,7 @@
     known_ids: list[str]
     endpoints: EndpointDocument | None
     load_reports: dict[str, list[float]]
+    service_drained: bool = False
 
 
 class ProcessUsage(NamedTuple):
@@ -152,6 +155,13 @@
     drained: bool
 
 
+class ServiceDrainQuery(NamedTuple):
+    """Requests the drain of the dispatcher, or its end; answered once other processes have applied it."""
+
+    query_id: int
+    drained: bool
+
+
 class CallbackQuery(NamedTuple):
     """Queries whether the receiver holds the request of a callback; `callback` is its JSON text."""
 
@@ -187,7 +197,7 @@
     """A JSON object that is not one of the messages above; it is ignored."""
 
 
-Query = ManualDrainQuery | CallbackQuery | ReservationQuery | UnknownQuery
+Query = ManualDrainQuery | ServiceDrainQuery | CallbackQuery | ReservationQuery | UnknownQuery
 HandoverMessage = (
     Hello
     | Welcome
@@ -229,6 +239,8 @@
         case ManualDrainQuery():
             operation = "out" if message.drained else "back"
             return {"ask": message.query_id, "what": operation, "uid": message.backend_id}
+        case ServiceDrainQuery():
+            return {"ask": message.query_id, "what": "leave" if message.drained else "enter"}
         case CallbackQuery():
             return {"ask": message.query_id, "what": "event", "body": message.callback}
         case ReservationQuery():
@@ -252,9 +264,14 @@
         "ever": state.known_ids,
         "known": state.endpoints,
         "reports": state.load_reports,
+        **_service_drain_fields(state.service_drained),
     }
 
 
+def _service_drain_fields(drained: bool) -> _Fields:
+    return {"drained": True} if drained else {}
+
+
 def _past_ids_fields(past_ids: PastRequestIds) -> _Fields:
     fields = {"ran": past_ids.executed, "tried": past_ids.attempted}
     return {key: encoded for key, encoded in fields.items() if encoded}
@@ -274,7 +291,12 @@
     """Returns the content of the file of manual drains."""
     drains = record.manual_drains
     return orjson.dumps(
-        {"of": record.dispatcher_name, "bans": drains.drained_since, "assumed": drains.assumed_starts}
+        {
+            "of": record.dispatcher_name,
+            "bans": drains.drained_since,
+            "assumed": drains.assumed_starts,
+            **_service_drain_fields(record.service_drained),
+        }
     )
 
 
@@ -335,6 +357,8 @@
     match fields:
         case {"ask": query_id, "what": "out" | "back" as operation, "uid": str(backend_id)}:
             return ManualDrainQuery(query_id, backend_id, operation == "out")
+        case {"ask": query_id, "what": "leave" | "enter" as operation}:
+            return ServiceDrainQuery(query_id, operation == "leave")
         case {"ask": query_id, "what": "event", "body": str(callback)}:
             return CallbackQuery(query_id, callback)
         case {"ask": query_id, "what": "reserve", "id": str(request_id)}:
@@ -368,6 +392,7 @@
             for backend_id, report in (reports.items() if isinstance(reports, dict) else ())
             if isinstance(report, list) and all(type(value) is float for value in report)
         },
+        service_drained=fields.get("drained") is True,
     )
 
 
@@ -404,7 +429,7 @@
         raise ProtocolError(str(error)) from None
     if not isinstance(fields, dict) or not isinstance(fields.get("of"), str):
         return None
-    return ManualDrainRecord(fields["of"], _decode_drains(fields))
+    return ManualDrainRecord(fields["of"], _decode_drains(fields), fields.get("drained") is True)
 
 
 def _string(value: object) -> str:
--- a/crankfold/service/admin_service.py
+++ b/crankfold/service/admin_service.py
@@ -2,17 +2,14 @@
 
 import logging
 
-from crankfold.network.listener import Listener
 from crankfold.protocol.admin_api import ClusterOperations
 from crankfold.service.backends.registry import UnknownBackendError
-from crankfold.service.lifecycle import Lifecycle
 from crankfold.service.requests.collaborators import OtherProcesses
 from crankfold.service.requests.handler import RequestHandler
+from crankfold.service.service_drain import ServiceDrain
 
 logger = logging.getLogger(__name__)
 
-DRAIN_CHECK_INTERVAL = 0.05  # seconds between two checks of whether a drain is complete
-
 
 class AdminService:
     """Implements the admin calls that `protocol.admin_api` decodes."""
@@ -20,25 +17,26 @@
     def __init__(
         self,
         request_handler: RequestHandler,
-        listener: Listener,
-        lifecycle: Lifecycle,
+        service_drain: ServiceDrain,
         other_processes: OtherProcesses,
     ) -> None:
         self.request_handler = request_handler
         self.backend_registry = request_handler.backends
         self.metrics = request_handler.metrics
-        self.listener = listener
-        self.lifecycle = lifecycle
+        self.service_drain = service_drain
+        self.lifecycle = service_drain.lifecycle
         self.other_processes = other_processes
-        self.loop = request_handler.timers.loop
         self.cluster_admin: ClusterOperations | None = None
         """None if there is no cluster, or until this process has joined it."""
-        self._checking_drain = False
 
     def is_ready(self) -> bool:
-        """Whether this process would admit a request and could send it to a backend."""
+        """Whether this process would admit a request and could send it to a backend.
+
+        A drain of the dispatcher does not keep a process that replaces another one from being ready.
+        """
         return (
-            self.request_handler.is_serving()
+            self.lifecycle.is_ready()
+            and self.request_handler.cluster.may_act()
             and self.backend_registry.any_ready()
             and not self.other_processes.has_successor()
         )
@@ -66,33 +64,18 @@
         await self.other_processes.replicate_manual_drain(backend_id, drained)
         return True
 
-    def leave_service(self) -> None:
-        """Drains this process; a repeated call has no effect."""
-        if self.lifecycle.start_drain(self.loop.time()):
-            self.metrics.increment("drains")
-            logger.info("out of service: draining")
-        if not self._checking_drain:
-            self._checking_drain = True
-            self._check_drain()
+    async def leave_service(self) -> bool:
+        """Drains this dispatcher; returns False if another process of it has not confirmed that in time."""
+        self.service_drain.start(in_replacement=self.other_processes.replaces_predecessor())
+        return await self.other_processes.replicate_service_drain(True)
 
-    def enter_service(self) -> bool:
-        """Ends the drain of this process; returns False if it is shutting down."""
-        allowed = self.lifecycle.resume_serving(self.loop.time())
-        if allowed and self.listener.closing:
-            self.listener.closing = False
-            logger.info("back in service")
-        return allowed
+    async def enter_service(self) -> bool:
+        """Ends the drain of this dispatcher.
 
-    def _check_drain(self) -> None:
-        """Closes idle client connections; repeats itself until this process resumes service or shuts down."""
-        self._checking_drain = self.lifecycle.is_leaving()
-        if not self._checking_drain:
-            return
-        now = self.loop.time()
-        self.listener.closing = True
-        if self.lifecycle.closes_idle_connections(now):
-            self.listener.close_idle(spare_backends=True)
-        empty = not self.request_handler.open_request_count() and not self.listener.has_client_connections()
-        if self.lifecycle.finish_drain(now, empty):
-            logger.info("drain complete: no client connections left")
-        self.loop.call_later(DRAIN_CHECK_INTERVAL, self._check_drain)
+        Returns:
+            False if no process serves from now on, as this one is shutting down without a successor, or if
+            another process has not confirmed it in time.
+        """
+        allowed = self.service_drain.end()
+        confirmed = await self.other_processes.replicate_service_drain(False)
+        return confirmed and (allowed or self.other_processes.has_successor())
--- a/crankfold/service/application.py
+++ b/crankfold/service/application.py
@@ -41,6 +41,7 @@
 from crankfold.service.reload import ConfigApplier, ConfigReloader
 from crankfold.service.requests.collaborators import NoCluster, NoOtherProcess, OtherProcesses
 from crankfold.service.requests.handler import RequestHandler
+from crankfold.service.service_drain import ServiceDrain
 from crankfold.service.serving_parts import ServingParts
 from crankfold.service.shutdown import ShutdownSequence
 from crankfold.service.socket_budget import SocketBudget
@@ -187,9 +188,12 @@
     ) -> None:
         """Builds the parts that discovery, operators and signals control."""
         self.discovery_watcher = self._build_discovery_watcher(document)
-        self.admin_service = AdminService(
-            self.request_handler, self.listener, self.lifecycle, self.other_processes
+        service_drain = (
+            self.handover.service_drain
+            if self.handover
+            else ServiceDrain(self.request_handler, self.listener)
         )
+        self.admin_service = AdminService(self.request_handler, service_drain, self.other_processes)
         self.admin_server = AdminServer(self.admin_service, self.metrics)
         self.config_applier = ConfigApplier(config, self.request_handler, self.connection_limiter)
         self.reloader = ConfigReloader(
--- a/crankfold/service/handover/actions.py
+++ b/crankfold/service/handover/actions.py
@@ -19,6 +19,7 @@
 from crankfold.service.handover.state_machine import HandoverStateMachine
 from crankfold.service.handover.takeover import TakeoverDecision
 from crankfold.service.requests.collaborators import OtherProcesses
+from crankfold.service.service_drain import ServiceDrain
 from crankfold.service.serving_parts import ServingParts
 
 logger = logging.getLogger(__name__)
@@ -56,6 +57,8 @@
         self.other_processes = ConnectedProcesses(self.state_machine, manual_drain_file, metrics)
         self.serving_parts = build_serving_parts(self.other_processes)
         self.request_handler, self.listener, self.socket_budget = self.serving_parts
+        self.manual_drain_file = manual_drain_file
+        self.service_drain = ServiceDrain(self.request_handler, self.listener)
         self._tasks: set[asyncio.Task[None]] = set()
 
     def send(self, process: int, message: HandoverMessage) -> None:
@@ -68,7 +71,11 @@
 
     def describe_state(self) -> ProcessState:
         """Returns the state that a successor adopts."""
-        return transferred_state.describe_state(self.request_handler, self.dispatcher_name)
+        return transferred_state.describe_state(
+            self.request_handler,
+            self.dispatcher_name,
+            service_drained=self.manual_drain_file.service_drained,
+        )
 
     def describe_usage(self) -> ProcessUsage:
         """Returns the requests that this process still handles, and its numbers of connections."""
@@ -139,6 +146,14 @@
         if endpoint:
             self.request_handler.effective_endpoints_changed([endpoint])
 
+    def apply_service_drain(self, drained: bool) -> None:
+        """Drains this process or ends its drain, as an operator told another process."""
+        self.manual_drain_file.service_drained = drained
+        if drained:
+            self.service_drain.start(in_replacement=self.other_processes.replaces_predecessor())
+        else:
+            self.service_drain.end()
+
     def predecessor_usage_changed(self, usage: ProcessUsage) -> None:
         """Records which requests the predecessor handles and reserves sockets for its connections."""
         self.other_processes.predecessor_request_ids = set(usage.request_ids)
--- a/crankfold/service/handover/handover.py
+++ b/crankfold/service/handover/handover.py
@@ -33,6 +33,7 @@
     Attributes:
         other_processes: The predecessor and the successors, for request handling and the admin calls.
         takeover: The takeover from the predecessor.
+        service_drain: Drains this process.
         serving_parts: The result of `build_serving_parts`.
     """
 
@@ -53,6 +54,7 @@
         self.state_machine = self.actions.state_machine
         self.other_processes = self.actions.other_processes
         self.serving_parts = self.actions.serving_parts
+        self.service_drain = self.actions.service_drain
         self.takeover = Takeover(
             identity=identity,
             channel=self.channel,
@@ -60,6 +62,7 @@
             decision=self.actions.takeover_decision,
             manual_drain_file=manual_drain_file,
             request_handler=self.serving_parts.request_handler,
+            service_drain=self.service_drain,
         )
 
     async def open(self) -> None:
--- a/crankfold/service/handover/manual_drain_file.py
+++ b/crankfold/service/handover/manual_drain_file.py
@@ -11,7 +11,11 @@
 
 
 class ManualDrainFile:
-    """Saves the manual drains of a dispatcher, and applies those that an earlier process saved."""
+    """Saves the manual drains of a dispatcher, and applies those that an earlier process saved.
+
+    Attributes:
+        service_drained: Whether operators have drained the dispatcher itself.
+    """
 
     def __init__(
         self, channel: HandoverChannel, dispatcher_name: str, backend_registry: BackendRegistry
@@ -19,12 +23,13 @@
         self.channel = channel
         self.dispatcher_name = dispatcher_name
         self.backend_registry = backend_registry
+        self.service_drained = False
 
     def save(self) -> None:
         """Saves the manual drains of this process; a failure is logged."""
         state = manual_drain_state(self.backend_registry)
         try:
-            self.channel.save_record(ManualDrainRecord(self.dispatcher_name, state))
+            self.channel.save_record(ManualDrainRecord(self.dispatcher_name, state, self.service_drained))
         except OSError as error:
             logger.warning(
                 "%s; the manual drain is active, but will be lost if all processes end",
@@ -37,3 +42,4 @@
         record = self.channel.load_record()
         if record and record.dispatcher_name == self.dispatcher_name:
             adopt_manual_drains(self.backend_registry, record.manual_drains, times_known=False)
+            self.service_drained = record.service_drained
--- a/crankfold/service/handover/other_processes.py
+++ b/crankfold/service/handover/other_processes.py
@@ -5,7 +5,7 @@
 from crankfold.network.handover_channel import resolve
 from crankfold.network.metrics import Metrics
 from crankfold.service.handover.manual_drain_file import ManualDrainFile
-from crankfold.service.handover.state_machine import HandoverRole, HandoverStateMachine
+from crankfold.service.handover.state_machine import NO_PROCESS, HandoverRole, HandoverStateMachine
 from crankfold.service.requests.collaborators import CallbackAnswer, ReservationAnswer
 
 
@@ -30,6 +30,10 @@
         """Whether a successor accepts connections in place of this process."""
         return self.state_machine.role == HandoverRole.SUPERSEDED
 
+    def replaces_predecessor(self) -> bool:
+        """Whether a predecessor of this process still runs."""
+        return self.state_machine.predecessor != NO_PROCESS
+
     def has_request(self, request_id: str) -> bool:
         """Whether the predecessor handles the request."""
         return request_id in self.predecessor_request_ids
@@ -70,3 +74,20 @@
             self.loop.time(), backend_id, drained, lambda _: resolve(answered)
         )
         await answered
+
+    async def replicate_service_drain(self, drained: bool) -> bool:
+        """Saves the drain of the dispatcher, or its end, and applies it at the other processes.
+
+        Returns:
+            Whether all other processes have confirmed it or have ended before the query timed out.
+        """
+        self.manual_drain_file.service_drained = drained
+        self.manual_drain_file.save()
+        answered: asyncio.Future[bool] = self.loop.create_future()
+
+        def on_answer(answer: bool | None) -> None:
+            if not answered.done():
+                answered.set_result(answer is not None)
+
+        self.state_machine.query_service_drain(self.loop.time(), drained, on_answer)
+        return await answered
--- a/crankfold/service/handover/state_machine.py
+++ b/crankfold/service/handover/state_machine.py
@@ -35,6 +35,7 @@
     QueryAnswer,
     RequestEnded,
     ReservationQuery,
+    ServiceDrainQuery,
     TakeoverGrant,
     TakeoverRefusal,
     TakeoverRequest,
@@ -94,6 +95,9 @@
     def apply_manual_drain(self, backend_id: str, drained: bool) -> None:
         """Drains or restores a backend."""
 
+    def apply_service_drain(self, drained: bool) -> None:
+        """Drains this process, or ends its drain."""
+
     def predecessor_usage_changed(self, usage: ProcessUsage) -> None:
         """Handles a report of the requests and connections that the predecessor still has."""
 
@@ -224,7 +228,13 @@
                 self._usage_received(message.usage)
             case RequestEnded() if process in (self.predecessor, self.successor):
                 self._request_ended(process, message)
-            case ManualDrainQuery() | CallbackQuery() | ReservationQuery() | UnknownQuery():
+            case (
+                ManualDrainQuery()
+                | ServiceDrainQuery()
+                | CallbackQuery()
+                | ReservationQuery()
+                | UnknownQuery()
+            ):
                 self._query_received(now, process, message)
             case QueryAnswer():
                 self._answer_received(process, message)
@@ -262,10 +272,11 @@
 
         match query:
             case ManualDrainQuery():
-                # Answers once the processes behind this one have applied the drain; the answer is always
-                # negative, as a positive one would end the query before the others have answered.
                 self.actions.apply_manual_drain(query.backend_id, query.drained)
-                self._forward_query(now, query, lambda _: answer(False), sender=process)
+                self._forward_drain(now, query, answer, sender=process)
+            case ServiceDrainQuery():
+                self.actions.apply_service_drain(query.drained)
+                self._forward_drain(now, query, answer, sender=process)
             case CallbackQuery():
                 if self.actions.handle_callback(query.callback):
                     answer(True)
@@ -276,6 +287,25 @@
             case ReservationQuery() | UnknownQuery():
                 answer(False)
 
+    def _forward_drain(
+        self,
+        now: float,
+        query: ManualDrainQuery | ServiceDrainQuery,
+        answer: Callable[[bool], None],
+        sender: int,
+    ) -> None:
+        """Forwards a drain, and answers once the processes behind this one have applied it.
+
+        The answer is always negative, as a positive one would end the query before the others have answered.
+        There is none if one of them has not answered in time, so that the sender does not take it as applied.
+        """
+
+        def on_answer(result: bool | None) -> None:
+            if result is not None:
+                answer(False)
+
+        self._forward_query(now, query, on_answer, sender=sender)
+
     def _reservation_received(self, now: float, request_id: str, answer: Callable[[bool], None]) -> None:
         """Reserves a request id for the predecessor, here and at the processes that follow this one."""
         if not self.actions.reserve_for_predecessor(request_id):
@@ -308,6 +338,10 @@
         """Makes all other processes drain or restore a backend; `on_answer` takes False or None."""
         self._forward_query(now, ManualDrainQuery(0, backend_id, drained), on_answer)
 
+    def query_service_drain(self, now: float, drained: bool, on_answer: AnswerCallback) -> None:
+        """Makes all other processes drain or serve again; `on_answer` takes False or None."""
+        self._forward_query(now, ServiceDrainQuery(0, drained), on_answer)
+
     def query_callback(self, now: float, callback: str, on_answer: AnswerCallback) -> None:
         """Forwards a callback, which the process that handles its request answers with True."""
         self._forward_query(now, CallbackQuery(0, callback), on_answer)
@@ -324,7 +358,7 @@
     def _forward_query(
         self,
         now: float,
-        query: ManualDrainQuery | CallbackQuery,
+        query: ManualDrainQuery | ServiceDrainQuery | CallbackQuery,
         on_answer: AnswerCallback,
         sender: int = NO_PROCESS,
     ) -> None:
@@ -334,7 +368,7 @@
     def _send_query(
         self,
         now: float,
-        query: ManualDrainQuery | CallbackQuery | ReservationQuery,
+        query: ManualDrainQuery | ServiceDrainQuery | CallbackQuery | ReservationQuery,
         on_answer: AnswerCallback,
         awaited: set[int],
         timeout: float,
--- a/crankfold/service/handover/takeover.py
+++ b/crankfold/service/handover/takeover.py
@@ -13,6 +13,7 @@
 from crankfold.service.handover.manual_drain_file import ManualDrainFile
 from crankfold.service.handover.state_machine import HandoverStateMachine
 from crankfold.service.requests.handler import RequestHandler
+from crankfold.service.service_drain import ServiceDrain
 
 logger = logging.getLogger(__name__)
 
@@ -71,6 +72,7 @@
         decision: TakeoverDecision,
         manual_drain_file: ManualDrainFile,
         request_handler: RequestHandler,
+        service_drain: ServiceDrain,
     ) -> None:
         self.identity = identity
         self.channel = channel
@@ -78,6 +80,7 @@
         self.decision = decision
         self.manual_drain_file = manual_drain_file
         self.request_handler = request_handler
+        self.service_drain = service_drain
         self.backend_registry = request_handler.backends
         self.listening_socket: socket.socket | None = None
         self._inherited_reports: dict[str, list[float]] = {}
@@ -106,8 +109,17 @@
             if listening_socket:
                 listening_socket.close()
         self.manual_drain_file.adopt()
+        self._adopt_service_drain(self.manual_drain_file.service_drained)
         return None
 
+    def _adopt_service_drain(self, drained: bool) -> None:
+        self.manual_drain_file.service_drained = drained
+        if drained:
+            logger.info("drained by an earlier process; POST /control/in-service ends the drain")
+            self.service_drain.start(in_replacement=True)
+        else:
+            self.service_drain.end()
+
     def _replace_listening_socket(self, listening_socket: socket.socket | None) -> None:
         if self.listening_socket and self.listening_socket is not listening_socket:
             self.listening_socket.close()
@@ -116,6 +128,7 @@
     def _adopt_state(self, state: ProcessState) -> EndpointDocument | None:
         self.backend_registry.known_ids.update(state.known_ids)
         transferred_state.adopt_manual_drains(self.backend_registry, state.manual_drains)
+        self._adopt_service_drain(state.service_drained)
         self._inherited_reports = transferred_state.inherited_reports(
             state, self.request_handler.config.report_fields
         )
--- a/crankfold/service/handover/transferred_state.py
+++ b/crankfold/service/handover/transferred_state.py
@@ -51,7 +51,9 @@
     return state.load_reports
 
 
-def describe_state(request_handler: RequestHandler, dispatcher_name: str) -> ProcessState:
+def describe_state(
+    request_handler: RequestHandler, dispatcher_name: str, *, service_drained: bool
+) -> ProcessState:
     """Returns the state for a successor of this process."""
     registry = request_handler.backends
     routing = request_handler.routing
@@ -69,6 +71,7 @@
             names[backend]: list(report)
             for backend, report in request_handler.load_reports.received_since(now - MAX_REPORT_AGE).items()
         },
+        service_drained=service_drained,
     )
 
 
--- a/crankfold/service/lifecycle.py
+++ b/crankfold/service/lifecycle.py
@@ -25,6 +25,8 @@
     def __init__(self) -> None:
         self.state = LifecycleState.STARTING
         self.entered_at = 0.0
+        self._started = False
+        self._ready_while_drained = False
 
     def _enter(self, state: LifecycleState, now: float) -> bool:
         if state == self.state:
@@ -35,19 +37,27 @@
 
     def start_serving(self, now: float) -> None:
         """Ends the start; a drain that began during the start continues."""
+        self._started = True
         if self.state == LifecycleState.STARTING:
             self._enter(LifecycleState.SERVING, now)
 
-    def start_drain(self, now: float) -> bool:
-        """Starts a drain; returns False if one has begun already."""
-        return self.state in (LifecycleState.STARTING, LifecycleState.SERVING) and self._enter(
-            LifecycleState.DRAINING, now
-        )
+    def start_drain(self, now: float, *, in_replacement: bool = False) -> bool:
+        """Starts a drain; returns False if one has begun already.
+
+        Args:
+            now: The time.
+            in_replacement: Whether the process replaces another one, so that it is ready during the drain. A
+                process that is drained before it has started is ready too, once it has.
+        """
+        if self.state not in (LifecycleState.STARTING, LifecycleState.SERVING):
+            return False
+        self._ready_while_drained = in_replacement or not self._started
+        return self._enter(LifecycleState.DRAINING, now)
 
     def resume_serving(self, now: float) -> bool:
         """Ends a drain; returns False if the process is shutting down, which cannot be undone."""
         if self.state in (LifecycleState.DRAINING, LifecycleState.OUT_OF_SERVICE):
-            self._enter(LifecycleState.SERVING, now)
+            self._enter(LifecycleState.SERVING if self._started else LifecycleState.STARTING, now)
         return self.state != LifecycleState.SHUTTING_DOWN
 
     def start_shutdown(self, now: float) -> None:
@@ -67,6 +77,10 @@
         """Whether the process is in service, as its health check reports."""
         return self.state == LifecycleState.SERVING
 
+    def is_ready(self) -> bool:
+        """Whether the start is complete and no drain or shutdown has begun since."""
+        return self.is_serving() or (self.is_leaving() and self._started and self._ready_while_drained)
+
     def is_leaving(self) -> bool:
         """Whether each response closes its connection."""
         return self.state in (LifecycleState.DRAINING, LifecycleState.OUT_OF_SERVICE)
--- a/crankfold/service/maintenance/agent.py
+++ b/crankfold/service/maintenance/agent.py
@@ -162,9 +162,9 @@
         self.restored_locally &= out_of_rotation
         is_out = dispatcher_id(self.cluster_node.consensus.name) in out_of_rotation
         if is_out and not self.out_of_service:
-            self.admin_service.leave_service()
+            self.admin_service.service_drain.start()
         elif not is_out and self.out_of_service:
-            self.admin_service.enter_service()
+            self.admin_service.service_drain.end()
         self.out_of_service = is_out
         self.commands.start_due(self.state, self.jobs())
 
--- a/crankfold/service/requests/collaborators.py
+++ b/crankfold/service/requests/collaborators.py
@@ -91,9 +91,19 @@
             Whether there is another process. If so, `on_answer` is called, possibly before the return.
         """
 
+    def replaces_predecessor(self) -> bool:
+        """Whether a predecessor of this process still runs."""
+
     async def replicate_manual_drain(self, backend_id: str, drained: bool) -> None:
         """Saves the manual drains and applies a drain, or its end, at the other processes."""
 
+    async def replicate_service_drain(self, drained: bool) -> bool:
+        """Saves the drain of the dispatcher, or its end, and applies it at the other processes.
+
+        Returns:
+            Whether all other processes have confirmed it or have ended.
+        """
+
 
 class NoCluster:
     """A dispatcher without peers: its configuration is always valid; there are no quotas and no event log."""
@@ -160,5 +170,13 @@
         """See `OtherProcesses`."""
         return False
 
+    def replaces_predecessor(self) -> bool:
+        """See `OtherProcesses`."""
+        return False
+
     async def replicate_manual_drain(self, backend_id: str, drained: bool) -> None:
         """See `OtherProcesses`."""
+
+    async def replicate_service_drain(self, drained: bool) -> bool:  # noqa: ARG002 - there is no other process
+        """See `OtherProcesses`."""
+        return True
--- a/tests/network/test_admin_server.py
+++ b/tests/network/test_admin_server.py
@@ -60,12 +60,12 @@
 
         operations = Mock(
             is_ready=lambda: record("ready?", False),
-            leave_service=lambda: record("leave", True),
+            leave_service=AsyncMock(side_effect=lambda: record("leave", True)),
             drain_backend=AsyncMock(
                 side_effect=lambda backend_id: record(f"out {backend_id!r}", backend_id != "nobody")
             ),
             restore_backend=AsyncMock(side_effect=lambda backend_id: record(f"back {backend_id!r}", True)),
-            enter_service=lambda: record("enter", True),
+            enter_service=AsyncMock(side_effect=lambda: record("enter", True)),
         )
         connection = AdminConnection()
         for piece in pieces:
--- a/tests/service/handover/test_state_machine.py
+++ b/tests/service/handover/test_state_machine.py
@@ -160,6 +160,9 @@
     def apply_manual_drain(self, backend_id: str, drained: bool) -> None:
         self.record(f"binds {backend_id} {'out' if drained else 'in'}")
 
+    def apply_service_drain(self, drained: bool) -> None:
+        self.record(f"{'drains' if drained else 'serves again'}")
+
     def predecessor_usage_changed(self, usage: ProcessUsage) -> None:
         self.record(f"knows held elsewhere { {'ids': usage.request_ids} }")
         self.predecessor_request_ids = set(usage.request_ids)
--- a/tests/service/handover/test_takeover.py
+++ b/tests/service/handover/test_takeover.py
@@ -87,6 +87,7 @@
             decision=self.decision,
             manual_drain_file=self.manual_drain_file,
             request_handler=self.request_handler,
+            service_drain=Mock(),
         )
 
     def answer_requests(self, *answers: Any) -> None:
