Reload the configuration at all processes of a dispatcher

Cause: a signal was carried out by the process that got it alone.

Change: a process that gets SIGHUP sends a notice to the others, which reload their own files and pass it on.

--- a/crankfold/protocol/handover_messages.py
+++ b/crankfold/protocol/handover_messages.py
@@ -147,6 +147,10 @@
     executed: bool = False
 
 
+class ReloadNotice(NamedTuple):
+    """An operator made the sender, or a process beyond it, reload its configuration file."""
+
+
 class ManualDrainQuery(NamedTuple):
     """Requests a drain or the restore of a backend; answered once older processes have applied it too."""
 
@@ -206,6 +210,7 @@
     | TakeoverRefusal
     | UsageReport
     | RequestEnded
+    | ReloadNotice
     | Query
     | QueryAnswer
     | UnknownMessage
@@ -236,6 +241,8 @@
             return {"holds": _usage_fields(message.usage)}
         case RequestEnded():
             return {"ended": message.request_id, **({"ran": True} if message.executed else {})}
+        case ReloadNotice():
+            return {"reload": True}
         case ManualDrainQuery():
             operation = "out" if message.drained else "back"
             return {"ask": message.query_id, "what": operation, "uid": message.backend_id}
@@ -350,7 +357,7 @@
         return _decode_query(fields)
     if "re" in fields and isinstance(fields["re"], int):
         return QueryAnswer(fields["re"], fields.get("yes") is True)
-    return _decode_greeting(fields)
+    return _decode_other(fields)
 
 
 def _decode_query(fields: _Fields) -> Query:
@@ -366,8 +373,10 @@
     return UnknownQuery(fields["ask"])
 
 
-def _decode_greeting(fields: _Fields) -> HandoverMessage:
+def _decode_other(fields: _Fields) -> HandoverMessage:
     match fields:
+        case {"reload": True}:
+            return ReloadNotice()
         case {"hello": int(version), "at": [str(host), int(port)], "of": str(name)}:
             return Hello(version, (host, port), name)
         case {"welcome": {"form": int(version), "of": str(name)} as state}:
--- a/crankfold/service/application.py
+++ b/crankfold/service/application.py
@@ -171,6 +171,7 @@
             self.backend_registry,
             self.metrics,
             build_serving_parts,
+            lambda: self.reloader.reload(),  # built after the handover
         )
 
     def _build_cluster(self, document: ConfigDocument) -> "ClusterMembership | None":
@@ -284,10 +285,16 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.shutdown_requested.set)
         loop.add_signal_handler(signal.SIGUSR1, self.report_metrics)
-        loop.add_signal_handler(signal.SIGHUP, self.reloader.reload)
+        loop.add_signal_handler(signal.SIGHUP, self._reload_requested)
         if take_reload_request():
             self.reloader.reload()  # the SIGHUP may have arrived after the initial read of the file
 
+    def _reload_requested(self) -> None:
+        """Reloads the configuration file at all processes of the dispatcher, as each may get requests."""
+        self.reloader.reload()
+        if self.handover:
+            self.handover.report_reload()
+
     async def _start_discovery(self) -> None:
         """Registers the endpoints of the predecessor or of the configuration, and starts the watcher."""
         if self.handover:
--- a/crankfold/service/handover/actions.py
+++ b/crankfold/service/handover/actions.py
@@ -36,6 +36,7 @@
         manual_drain_file: Stores the manual drains of this dispatcher.
         metrics: The counters of this process.
         build_serving_parts: Builds the parts that serve clients, given the other processes; called once.
+        reload_config: Reloads the configuration file of this process.
 
     Attributes:
         takeover_decision: The response to the last takeover request of this process.
@@ -47,10 +48,12 @@
         manual_drain_file: ManualDrainFile,
         metrics: Metrics,
         build_serving_parts: Callable[[OtherProcesses], ServingParts],
+        reload_config: Callable[[], None],
     ) -> None:
         self.channel = channel
         self.dispatcher_name = manual_drain_file.dispatcher_name
         self.backend_registry = manual_drain_file.backend_registry
+        self._reload_config = reload_config
         self.takeover_decision = TakeoverDecision()
         self.metrics = metrics
         self.state_machine = HandoverStateMachine(self)
@@ -154,6 +157,10 @@
         else:
             self.service_drain.end()
 
+    def reload_config(self) -> None:
+        """Reloads the configuration file of this process."""
+        self._reload_config()
+
     def predecessor_usage_changed(self, usage: ProcessUsage) -> None:
         """Records which requests the predecessor handles and reserves sockets for its connections."""
         self.other_processes.predecessor_request_ids = set(usage.request_ids)
--- a/crankfold/service/handover/handover.py
+++ b/crankfold/service/handover/handover.py
@@ -29,6 +29,7 @@
         backend_registry: The backends of this process.
         metrics: The counters of this process.
         build_serving_parts: Builds the parts that serve clients, given the other processes; called once.
+        reload_config: Reloads the configuration file of this process.
 
     Attributes:
         other_processes: The predecessor and the successors, for request handling and the admin calls.
@@ -44,13 +45,16 @@
         backend_registry: BackendRegistry,
         metrics: Metrics,
         build_serving_parts: Callable[[OtherProcesses], ServingParts],
+        reload_config: Callable[[], None],
     ) -> None:
         self.identity = identity
         self.metrics = metrics
         self.loop = backend_registry.timers.loop
         self.channel = HandoverChannel(directory, identity.socket_name(), self)
         manual_drain_file = ManualDrainFile(self.channel, identity.dispatcher_name, backend_registry)
-        self.actions = ActionExecutor(self.channel, manual_drain_file, metrics, build_serving_parts)
+        self.actions = ActionExecutor(
+            self.channel, manual_drain_file, metrics, build_serving_parts, reload_config
+        )
         self.state_machine = self.actions.state_machine
         self.other_processes = self.actions.other_processes
         self.serving_parts = self.actions.serving_parts
@@ -80,6 +84,10 @@
         self.state_machine.expire_queries(self.loop.time())
         self.state_machine.report_usage()
 
+    def report_reload(self) -> None:
+        """Makes the other processes reload their configuration files."""
+        self.state_machine.report_reload()
+
     def close(self) -> None:
         """Closes the connections to the other processes."""
         self.channel.close()
--- a/crankfold/service/handover/state_machine.py
+++ b/crankfold/service/handover/state_machine.py
@@ -33,6 +33,7 @@
     ProcessUsage,
     Query,
     QueryAnswer,
+    ReloadNotice,
     RequestEnded,
     ReservationQuery,
     ServiceDrainQuery,
@@ -98,6 +99,9 @@
     def apply_service_drain(self, drained: bool) -> None:
         """Drains this process, or ends its drain."""
 
+    def reload_config(self) -> None:
+        """Reloads the configuration file of this process."""
+
     def predecessor_usage_changed(self, usage: ProcessUsage) -> None:
         """Handles a report of the requests and connections that the predecessor still has."""
 
@@ -236,6 +240,9 @@
                 | UnknownQuery()
             ):
                 self._query_received(now, process, message)
+            case ReloadNotice():
+                self.actions.reload_config()
+                self.report_reload(sender=process)
             case QueryAnswer():
                 self._answer_received(process, message)
 
@@ -416,6 +423,11 @@
         if self.predecessor != NO_PROCESS:
             self.actions.send(self.predecessor, message)
 
+    def report_reload(self, sender: int = NO_PROCESS) -> None:
+        """Makes all processes except the sender reload their configuration files."""
+        for process in sorted(self.processes - {sender}):
+            self.actions.send(process, ReloadNotice())
+
     def report_usage(self) -> None:
         """Reports the requests and connections of this process to its successor; called periodically."""
         if self.role == HandoverRole.SUPERSEDED:
--- a/tests/service/handover/test_state_machine.py
+++ b/tests/service/handover/test_state_machine.py
@@ -163,6 +163,9 @@
     def apply_service_drain(self, drained: bool) -> None:
         self.record(f"{'drains' if drained else 'serves again'}")
 
+    def reload_config(self) -> None:
+        self.record("reloads")
+
     def predecessor_usage_changed(self, usage: ProcessUsage) -> None:
         self.record(f"knows held elsewhere { {'ids': usage.request_ids} }")
         self.predecessor_request_ids = set(usage.request_ids)
